--- /dev/null
+++ b/src/main/java/io/beryldock/call/Call.java
@@ -0,0 +1,43 @@
+package io.beryldock.call;
+
+import com.google.protobuf.ByteString;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * One request to a service, complete with its body.
+ *
+ * <p>Immutable.
+ *
+ * @param id this call, new for each attempt
+ * @param caller the service whose target made the call, or {@link #OUTSIDE} for a caller beyond the listeners
+ * @param path path and query, as received
+ * @param idempotent whether the route says that running it again does no harm
+ * @param key the ticket or the caller's own key of a non-idempotent request
+ */
+public record Call(
+        RequestId id,
+        ServiceName caller,
+        ServiceName service,
+        String method,
+        String path,
+        Headers headers,
+        ByteString body,
+        boolean idempotent,
+        Optional<String> key,
+        CallContext context) {
+
+    /** Stands for callers that are not targets of ours. */
+    public static final ServiceName OUTSIDE = ServiceName.of("outside");
+
+    public Call {
+        Objects.requireNonNull(id, "id");
+        Objects.requireNonNull(service, "service");
+        Objects.requireNonNull(context, "context");
+    }
+
+    /** The same request as another attempt. */
+    public Call attempt(RequestId attemptId, CallContext attemptContext) {
+        return new Call(attemptId, caller, service, method, path, headers, body, idempotent, key, attemptContext);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/call/CallContext.java
@@ -0,0 +1,41 @@
+package io.beryldock.call;
+
+import java.util.Objects;
+
+/**
+ * What a call carries from its root request down the tree.
+ *
+ * <p>Immutable. {@code remainingNanos} is a duration, never a wall clock: each hop takes off what it has measured.
+ * {@code retryAllowance} is the part of the root's retries handed to this call; parts over the whole tree never sum to
+ * more than the root's bound. {@code callerHash} is equal at every node for one caller. {@code retriedAncestor} tells
+ * that a request above may run again, so that a non-idempotent call beneath needs a key of its own.
+ *
+ * @param root the user-visible request
+ * @param parent the call within whose run this one was made, the root itself for a root call
+ * @param depth 0 for the root
+ * @param sunkNanos target time already spent in the tree for the root request
+ */
+public record CallContext(
+        RequestId root,
+        RequestId parent,
+        PriorityClass priority,
+        long remainingNanos,
+        int retryAllowance,
+        int depth,
+        int callerHash,
+        long sunkNanos,
+        boolean retriedAncestor) {
+
+    public CallContext {
+        Objects.requireNonNull(root, "root");
+        Objects.requireNonNull(parent, "parent");
+        Objects.requireNonNull(priority, "priority");
+    }
+
+    /** The same context with less time left; never below zero. */
+    public CallContext afterNanos(long elapsedNanos) {
+        long left = Math.max(0, remainingNanos - elapsedNanos);
+        return new CallContext(
+                root, parent, priority, left, retryAllowance, depth, callerHash, sunkNanos, retriedAncestor);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/call/CallResult.java
@@ -0,0 +1,67 @@
+package io.beryldock.call;
+
+import com.google.common.collect.ImmutableList;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * What became of one call.
+ *
+ * <p>Immutable. There is an answer exactly when the outcome is {@link Outcome#ANSWERED}, a reason exactly when not.
+ *
+ * @param retryAfterMillis when to come back, 0 when nothing is known
+ * @param unspentRetries the part of the call's retry allowance that was not used and returns to the parent
+ * @param levels admission levels of the answering service and of those beneath it
+ * @param spentNanos target time that the call used, with all beneath it
+ * @param detail a sentence for the operator, may be empty
+ */
+public record CallResult(
+        Outcome outcome,
+        Optional<Answer> answer,
+        Optional<Reason> reason,
+        String detail,
+        long retryAfterMillis,
+        int unspentRetries,
+        ImmutableList<ServiceLevel> levels,
+        long spentNanos) {
+
+    public CallResult {
+        Objects.requireNonNull(levels, "levels");
+        if (answer.isPresent() != (outcome == Outcome.ANSWERED) || reason.isPresent() == answer.isPresent()) {
+            throw new IllegalArgumentException("an answer goes with ANSWERED, a reason with the other outcomes");
+        }
+    }
+
+    public static CallResult answered(Answer answer) {
+        return new CallResult(Outcome.ANSWERED, Optional.of(answer), Optional.empty(), "", 0, 0, ImmutableList.of(), 0);
+    }
+
+    /** The request ran nowhere. Only for callers of this method that know so. */
+    public static CallResult notRun(Reason reason, String detail) {
+        return refused(Outcome.NOT_RUN, reason, detail);
+    }
+
+    public static CallResult unknown(Reason reason, String detail) {
+        return refused(Outcome.UNKNOWN, reason, detail);
+    }
+
+    private static CallResult refused(Outcome outcome, Reason reason, String detail) {
+        return new CallResult(outcome, Optional.empty(), Optional.of(reason), detail, 0, 0, ImmutableList.of(), 0);
+    }
+
+    public CallResult withRetryAfterMillis(long millis) {
+        return new CallResult(outcome, answer, reason, detail, millis, unspentRetries, levels, spentNanos);
+    }
+
+    public CallResult withUnspentRetries(int unspent) {
+        return new CallResult(outcome, answer, reason, detail, retryAfterMillis, unspent, levels, spentNanos);
+    }
+
+    public CallResult withLevels(ImmutableList<ServiceLevel> reported) {
+        return new CallResult(outcome, answer, reason, detail, retryAfterMillis, unspentRetries, reported, spentNanos);
+    }
+
+    public CallResult withSpentNanos(long spent) {
+        return new CallResult(outcome, answer, reason, detail, retryAfterMillis, unspentRetries, levels, spent);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/call/DataCentre.java
@@ -0,0 +1,33 @@
+package io.beryldock.call;
+
+import java.util.Objects;
+
+/**
+ * Name of a data centre, for example {@code gent-a}.
+ *
+ * <p>Immutable. The text is never empty and holds at most {@value #MAX_LENGTH} characters of letters, digits, dot,
+ * dash and underscore.
+ */
+public record DataCentre(String value) implements Comparable<DataCentre> {
+
+    static final int MAX_LENGTH = 100;
+
+    public DataCentre {
+        Objects.requireNonNull(value, "value");
+        Names.check("data centre", value, MAX_LENGTH);
+    }
+
+    public static DataCentre of(String value) {
+        return new DataCentre(value);
+    }
+
+    @Override
+    public int compareTo(DataCentre other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/call/Incarnation.java
@@ -0,0 +1,33 @@
+package io.beryldock.call;
+
+import java.util.random.RandomGenerator;
+
+/**
+ * One start of a node: a random 128-bit number, so that no two starts are taken for one another.
+ *
+ * <p>Immutable. The text form is 32 hexadecimal digits.
+ */
+public record Incarnation(long high, long low) {
+
+    private static final int HALF_DIGITS = 16;
+    private static final int HEX = 16;
+
+    public static Incarnation random(RandomGenerator random) {
+        return new Incarnation(random.nextLong(), random.nextLong());
+    }
+
+    /** Reads the text form; throws {@link IllegalArgumentException} when it is not 32 hexadecimal digits. */
+    public static Incarnation parse(String text) {
+        if (text.length() != 2 * HALF_DIGITS) {
+            throw new IllegalArgumentException("an incarnation has 32 hexadecimal digits: '" + text + "'");
+        }
+        long high = Long.parseUnsignedLong(text.substring(0, HALF_DIGITS), HEX);
+        long low = Long.parseUnsignedLong(text.substring(HALF_DIGITS), HEX);
+        return new Incarnation(high, low);
+    }
+
+    @Override
+    public String toString() {
+        return String.format("%016x%016x", high, low);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/call/RequestId.java
@@ -0,0 +1,32 @@
+package io.beryldock.call;
+
+import java.util.Objects;
+
+/**
+ * Identifier of one request or attempt: the incarnation of the node that made it and a counter, so never used twice.
+ *
+ * <p>Immutable. The text form is the incarnation, a dash and the counter in hexadecimal.
+ */
+public record RequestId(Incarnation incarnation, long counter) {
+
+    private static final int HEX = 16;
+
+    public RequestId {
+        Objects.requireNonNull(incarnation, "incarnation");
+    }
+
+    /** Reads the text form; throws {@link IllegalArgumentException} when it is malformed. */
+    public static RequestId parse(String text) {
+        int dash = text.indexOf('-');
+        if (dash < 0) {
+            throw new IllegalArgumentException("a request id is INCARNATION-COUNTER: '" + text + "'");
+        }
+        Incarnation incarnation = Incarnation.parse(text.substring(0, dash));
+        return new RequestId(incarnation, Long.parseUnsignedLong(text.substring(dash + 1), HEX));
+    }
+
+    @Override
+    public String toString() {
+        return incarnation + "-" + Long.toHexString(counter);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/cli/SubcommandRegistry.java
@@ -0,0 +1,17 @@
+package io.beryldock.cli;
+
+import com.google.common.collect.ImmutableSortedMap;
+import java.util.function.Supplier;
+
+/** The subcommands by name, each with its one-line help. Immutable. */
+final class SubcommandRegistry {
+
+    static final ImmutableSortedMap<String, Entry> ENTRIES = ImmutableSortedMap.<String, Entry>naturalOrder()
+            .put("version", new Entry(VersionSubcommand::new, "print the version"))
+            .build();
+
+    private SubcommandRegistry() {}
+
+    /** How to make a subcommand and what it does. */
+    record Entry(Supplier<Subcommand> factory, String help) {}
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/peer/PeerTopic.java
@@ -0,0 +1,22 @@
+package io.beryldock.peer;
+
+/** What a message between nodes is about; the number is its form on the wire and never changes. */
+public enum PeerTopic {
+    CALL(1),
+    MEMBERSHIP(2),
+    CONFIGURATION(3),
+    TICKETS(4),
+    QUERY(5),
+    TIMELINE(6),
+    QUARANTINE(7);
+
+    private final int number;
+
+    PeerTopic(int number) {
+        this.number = number;
+    }
+
+    public int number() {
+        return number;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/platform/PlatformException.java
@@ -0,0 +1,15 @@
+package io.beryldock.platform;
+
+/** The platform store gave no usable answer; the message names the remedy. */
+public final class PlatformException extends Exception {
+
+    private static final long serialVersionUID = 1L;
+
+    public PlatformException(String message) {
+        super(message);
+    }
+
+    public PlatformException(String message, Throwable cause) {
+        super(message, cause);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/time/package-info.java
@@ -0,0 +1,2 @@
+/** Injected time: a monotonic ticker and one timer service that parts subscribe to. */
+package io.beryldock.time;
