Add the settings, the HTTP listeners and the client to the target

Callers, loopback and admin listeners by Jersey on Dropwizard; a connection endpoint that notices a caller's hang-up while its request is under way; a client towards the target with every automatic resend off.

--- /dev/null
+++ b/src/main/java/io/beryldock/forwarding/Addresses.java
@@ -0,0 +1,17 @@
+package io.beryldock.forwarding;
+
+import com.google.common.net.HostAndPort;
+import com.google.common.net.InetAddresses;
+import java.net.InetSocketAddress;
+
+/** Reads addresses of the form IP:PORT; no name is ever looked up. Stateless. */
+public final class Addresses {
+
+    private Addresses() {}
+
+    /** Reads IP:PORT; throws {@link IllegalArgumentException} when malformed. */
+    public static InetSocketAddress parse(String text) {
+        HostAndPort parts = HostAndPort.fromString(text);
+        return new InetSocketAddress(InetAddresses.forString(parts.getHost()), parts.getPort());
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/forwarding/Announcement.java
@@ -0,0 +1,27 @@
+package io.beryldock.forwarding;
+
+import io.beryldock.membership.TargetState;
+import jakarta.validation.constraints.Min;
+import jakarta.validation.constraints.NotNull;
+import jakarta.validation.constraints.Pattern;
+import java.net.InetSocketAddress;
+
+/**
+ * What a target says of itself to its own node, again and again.
+ *
+ * <p>Immutable. Example: {@code {"service":"lists","address":"127.0.0.1:9101","slots":50,"state":"READY"}}.
+ */
+public record Announcement(
+        @NotNull @Pattern(regexp = "[A-Za-z0-9._-]{1,100}", message = "has 1 to 100 letters or digits")
+        String service,
+
+        @NotNull @Pattern(regexp = "[0-9.]+:[0-9]{1,5}", message = "is IP:PORT")
+        String address,
+
+        @Min(1) int slots,
+        @NotNull TargetState state) {
+
+    public InetSocketAddress socketAddress() {
+        return Addresses.parse(address);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/forwarding/CallCodec.java
@@ -0,0 +1,176 @@
+package io.beryldock.forwarding;
+
+import com.google.common.collect.ImmutableList;
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.beryldock.call.Answer;
+import io.beryldock.call.Call;
+import io.beryldock.call.CallContext;
+import io.beryldock.call.CallResult;
+import io.beryldock.call.Headers;
+import io.beryldock.call.Incarnation;
+import io.beryldock.call.Outcome;
+import io.beryldock.call.PriorityClass;
+import io.beryldock.call.Reason;
+import io.beryldock.call.RequestId;
+import io.beryldock.call.ServiceLevel;
+import io.beryldock.call.ServiceName;
+import io.beryldock.wire.WireCall;
+import io.beryldock.wire.WireContext;
+import io.beryldock.wire.WireHeader;
+import io.beryldock.wire.WireId;
+import io.beryldock.wire.WireLevel;
+import io.beryldock.wire.WireResult;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+
+/** Turns calls and results into the messages between nodes and back. Stateless. */
+public final class CallCodec {
+
+    private static final ImmutableList<String> REASONS =
+            Arrays.stream(Reason.values()).map(Enum::name).collect(ImmutableList.toImmutableList());
+
+    private CallCodec() {}
+
+    public static WireCall encode(Call call) {
+        return WireCall.newBuilder()
+                .setId(encode(call.id()))
+                .setCaller(call.caller().value())
+                .setService(call.service().value())
+                .setMethod(call.method())
+                .setPath(call.path())
+                .addAllHeaders(encode(call.headers()))
+                .setBody(call.body())
+                .setIdempotent(call.idempotent())
+                .setKey(call.key().orElse(""))
+                .setContext(encode(call.context()))
+                .build();
+    }
+
+    public static Call decode(WireCall wire) {
+        return new Call(
+                decode(wire.getId()),
+                ServiceName.of(wire.getCaller()),
+                ServiceName.of(wire.getService()),
+                wire.getMethod(),
+                wire.getPath(),
+                decode(wire.getHeadersList()),
+                wire.getBody(),
+                wire.getIdempotent(),
+                wire.getKey().isEmpty() ? Optional.empty() : Optional.of(wire.getKey()),
+                decode(wire.getContext()));
+    }
+
+    /** Encodes the result of the call with that id; the id lets the other end refuse another call's result. */
+    public static WireResult encode(RequestId call, CallResult result) {
+        WireResult.Builder wire = WireResult.newBuilder()
+                .setCall(encode(call))
+                .setOutcome(result.outcome().number())
+                .setReason(result.reason().map(Enum::name).orElse(""))
+                .setDetail(result.detail())
+                .setRetryAfterMillis(result.retryAfterMillis())
+                .setUnspentRetries(result.unspentRetries())
+                .setSpentNanos(result.spentNanos());
+        result.answer()
+                .ifPresent(answer -> wire.setStatus(answer.status())
+                        .addAllHeaders(encode(answer.headers()))
+                        .setBody(answer.body()));
+        result.levels()
+                .forEach(level -> wire.addLevels(WireLevel.newBuilder()
+                        .setService(level.service().value())
+                        .setLevel(level.level())));
+        return wire.build();
+    }
+
+    /** Reads a result; one that is malformed or belongs to another call is {@link Outcome#UNKNOWN}. */
+    public static CallResult decode(RequestId expected, ByteString body) {
+        try {
+            WireResult wire = WireResult.parseFrom(body);
+            if (!decode(wire.getCall()).equals(expected)) {
+                return CallResult.unknown(Reason.INTERNAL, "the reply belongs to another call");
+            }
+            return decode(wire);
+        } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
+            return CallResult.unknown(Reason.INTERNAL, "the reply is malformed: " + e.getMessage());
+        }
+    }
+
+    public static CallResult decode(WireResult wire) {
+        ImmutableList<ServiceLevel> levels = wire.getLevelsList().stream()
+                .map(level -> new ServiceLevel(ServiceName.of(level.getService()), level.getLevel()))
+                .collect(ImmutableList.toImmutableList());
+        return base(wire)
+                .withRetryAfterMillis(wire.getRetryAfterMillis())
+                .withUnspentRetries(wire.getUnspentRetries())
+                .withLevels(levels)
+                .withSpentNanos(wire.getSpentNanos());
+    }
+
+    private static CallResult base(WireResult wire) {
+        Outcome outcome = Outcome.ofNumber(wire.getOutcome());
+        if (outcome == Outcome.ANSWERED) {
+            return CallResult.answered(new Answer(wire.getStatus(), decode(wire.getHeadersList()), wire.getBody()));
+        }
+        // A newer node may send a reason that this one does not know yet.
+        Reason reason = REASONS.contains(wire.getReason()) ? Reason.valueOf(wire.getReason()) : Reason.INTERNAL;
+        return outcome == Outcome.NOT_RUN
+                ? CallResult.notRun(reason, wire.getDetail())
+                : CallResult.unknown(reason, wire.getDetail());
+    }
+
+    public static WireId encode(RequestId id) {
+        return WireId.newBuilder()
+                .setIncarnationHigh(id.incarnation().high())
+                .setIncarnationLow(id.incarnation().low())
+                .setCounter(id.counter())
+                .build();
+    }
+
+    public static RequestId decode(WireId wire) {
+        return new RequestId(new Incarnation(wire.getIncarnationHigh(), wire.getIncarnationLow()), wire.getCounter());
+    }
+
+    private static WireContext encode(CallContext context) {
+        return WireContext.newBuilder()
+                .setRoot(encode(context.root()))
+                .setParent(encode(context.parent()))
+                .setPriorityName(context.priority().name())
+                .setPriorityRank(context.priority().rank())
+                .setRemainingNanos(context.remainingNanos())
+                .setRetryAllowance(context.retryAllowance())
+                .setDepth(context.depth())
+                .setCallerHash(context.callerHash())
+                .setSunkNanos(context.sunkNanos())
+                .setRetriedAncestor(context.retriedAncestor())
+                .build();
+    }
+
+    private static CallContext decode(WireContext wire) {
+        return new CallContext(
+                decode(wire.getRoot()),
+                decode(wire.getParent()),
+                PriorityClass.of(wire.getPriorityName(), wire.getPriorityRank()),
+                wire.getRemainingNanos(),
+                wire.getRetryAllowance(),
+                wire.getDepth(),
+                wire.getCallerHash(),
+                wire.getSunkNanos(),
+                wire.getRetriedAncestor());
+    }
+
+    private static List<WireHeader> encode(Headers headers) {
+        return headers.list().stream()
+                .map(header -> WireHeader.newBuilder()
+                        .setName(header.name())
+                        .setValue(header.value())
+                        .build())
+                .toList();
+    }
+
+    private static Headers decode(List<WireHeader> wire) {
+        return Headers.of(wire.stream()
+                .map(header -> new Headers.Header(header.getName(), header.getValue()))
+                .toList());
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/forwarding/IncomingRequest.java
@@ -0,0 +1,33 @@
+package io.beryldock.forwarding;
+
+import com.google.protobuf.ByteString;
+import io.beryldock.call.Headers;
+import java.util.Optional;
+
+/**
+ * A request as a listener of the node took it. Immutable.
+ *
+ * @param origin which listener took it
+ * @param path path and query
+ * @param headers end-to-end headers, without those of our own
+ * @param context the value of {@code Beryldock-Context}, from a target only
+ * @param key the value of {@code Beryldock-Ticket} or {@code Idempotency-Key}
+ * @param identity what tells this caller from others: a hash of its credentials, or its address
+ */
+public record IncomingRequest(
+        Origin origin,
+        String method,
+        String path,
+        Headers headers,
+        ByteString body,
+        Optional<String> context,
+        Optional<RequestKey> key,
+        String identity) {
+
+    /** Where a request comes from. */
+    public enum Origin {
+        CALLER,
+        /** The target in the node's own VM. */
+        TARGET
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/http/ForwardResource.java
@@ -0,0 +1,105 @@
+package io.beryldock.http;
+
+import com.google.common.flogger.FluentLogger;
+import io.beryldock.call.CallResult;
+import io.beryldock.call.Reason;
+import io.beryldock.forwarding.CancelScope;
+import io.beryldock.forwarding.IncomingRequest;
+import io.beryldock.forwarding.IncomingRequest.Origin;
+import io.beryldock.forwarding.RequestHandler;
+import jakarta.servlet.http.HttpServletRequest;
+import jakarta.ws.rs.DELETE;
+import jakarta.ws.rs.GET;
+import jakarta.ws.rs.HEAD;
+import jakarta.ws.rs.OPTIONS;
+import jakarta.ws.rs.PATCH;
+import jakarta.ws.rs.POST;
+import jakarta.ws.rs.PUT;
+import jakarta.ws.rs.Path;
+import jakarta.ws.rs.container.AsyncResponse;
+import jakarta.ws.rs.container.Suspended;
+import jakarta.ws.rs.core.Context;
+import java.io.IOException;
+import java.util.function.ToIntFunction;
+
+/**
+ * Takes every request on the callers' and the loopback listener and answers it when its result is there.
+ *
+ * <p>Thread safe. Which listener took it is told by the local port, so that a caller can't pass for a target.
+ */
+@Path("/{path: .*}")
+public final class ForwardResource {
+
+    private static final FluentLogger log = FluentLogger.forEnclosingClass();
+
+    private final RequestHandler handler;
+    private final RequestReader reader;
+    private final ToIntFunction<HttpServletRequest> callersPort;
+
+    ForwardResource(RequestHandler handler, RequestReader reader, ToIntFunction<HttpServletRequest> callersPort) {
+        this.handler = handler;
+        this.reader = reader;
+        this.callersPort = callersPort;
+    }
+
+    @GET
+    public void get(@Context HttpServletRequest servlet, @Suspended AsyncResponse response) {
+        forward(servlet, response);
+    }
+
+    @HEAD
+    public void head(@Context HttpServletRequest servlet, @Suspended AsyncResponse response) {
+        forward(servlet, response);
+    }
+
+    @POST
+    public void post(@Context HttpServletRequest servlet, @Suspended AsyncResponse response) {
+        forward(servlet, response);
+    }
+
+    @PUT
+    public void put(@Context HttpServletRequest servlet, @Suspended AsyncResponse response) {
+        forward(servlet, response);
+    }
+
+    @DELETE
+    public void delete(@Context HttpServletRequest servlet, @Suspended AsyncResponse response) {
+        forward(servlet, response);
+    }
+
+    @PATCH
+    public void patch(@Context HttpServletRequest servlet, @Suspended AsyncResponse response) {
+        forward(servlet, response);
+    }
+
+    @OPTIONS
+    public void options(@Context HttpServletRequest servlet, @Suspended AsyncResponse response) {
+        forward(servlet, response);
+    }
+
+    private void forward(HttpServletRequest servlet, AsyncResponse response) {
+        Origin origin = servlet.getLocalPort() == callersPort.applyAsInt(servlet) ? Origin.CALLER : Origin.TARGET;
+        IncomingRequest request;
+        try {
+            request = reader.read(servlet, origin);
+        } catch (RequestException e) {
+            response.resume(ResultWriter.write(CallResult.notRun(e.reason(), e.getMessage()), ""));
+            return;
+        } catch (IOException e) {
+            response.resume(ResultWriter.write(CallResult.notRun(Reason.BAD_REQUEST, "the body broke off"), ""));
+            return;
+        }
+        CancelScope scope = CancelScope.create();
+        HangupDetector.watch(servlet, scope::cancel);
+        handler.handle(request, scope).whenComplete((outcome, failure) -> {
+            HangupDetector.unwatch(servlet);
+            scope.close();
+            if (failure != null) {
+                log.atSevere().withCause(failure).log("the handling of %s %s failed", request.method(), request.path());
+                response.resume(ResultWriter.write(CallResult.unknown(Reason.INTERNAL, ""), ""));
+                return;
+            }
+            response.resume(ResultWriter.write(outcome.result(), outcome.root().toString()));
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/http/HangupEndPoint.java
@@ -0,0 +1,174 @@
+package io.beryldock.http;
+
+import com.google.errorprone.annotations.concurrent.GuardedBy;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.ReadPendingException;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeoutException;
+import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.io.SocketChannelEndPoint;
+import org.eclipse.jetty.util.BufferUtil;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.Scheduler;
+
+/**
+ * A caller's connection that is read on while its request is under way, to notice its end.
+ *
+ * <p>Invariants: at most one interest in reading is registered with the selector, our relay or the connection's own
+ * callback; bytes that were read early (a pipelined request) reach the connection first, in order. Thread safe.
+ */
+final class HangupEndPoint extends SocketChannelEndPoint {
+
+    private static final int EARLY_BYTES = 4096;
+
+    private final Executor executor;
+    private final Callback relay = Callback.from(this::onReadable, this::onReadFailure);
+
+    @GuardedBy("this")
+    private Runnable hangupTask;
+
+    @GuardedBy("this")
+    private boolean relayRegistered;
+
+    @GuardedBy("this")
+    private Callback waiting;
+
+    @GuardedBy("this")
+    private ByteBuffer early = BufferUtil.EMPTY_BUFFER;
+
+    @GuardedBy("this")
+    private boolean ended;
+
+    HangupEndPoint(
+            SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler, Executor executor) {
+        super(channel, selector, key, scheduler);
+        this.executor = executor;
+    }
+
+    /** Runs the task when the other end closes the connection before {@link #unwatch()}. */
+    void watch(Runnable task) {
+        synchronized (this) {
+            hangupTask = task;
+            if (relayRegistered || ended) {
+                return;
+            }
+            relayRegistered = super.tryFillInterested(relay);
+        }
+    }
+
+    synchronized void unwatch() {
+        hangupTask = null;
+    }
+
+    @Override
+    public void fillInterested(Callback callback) {
+        if (!tryFillInterested(callback)) {
+            throw new ReadPendingException();
+        }
+    }
+
+    @Override
+    public boolean tryFillInterested(Callback callback) {
+        synchronized (this) {
+            if (relayRegistered) {
+                if (waiting != null) {
+                    return false;
+                }
+                waiting = callback;
+                return true;
+            }
+            if (!ended && early.remaining() == 0) {
+                return super.tryFillInterested(callback);
+            }
+        }
+        executor.execute(callback::succeeded);
+        return true;
+    }
+
+    @Override
+    public synchronized boolean isFillInterested() {
+        return relayRegistered ? waiting != null : super.isFillInterested();
+    }
+
+    @Override
+    public int fill(ByteBuffer buffer) throws IOException {
+        synchronized (this) {
+            if (early.remaining() > 0) {
+                return BufferUtil.append(buffer, early);
+            }
+            if (ended) {
+                return -1;
+            }
+        }
+        return super.fill(buffer);
+    }
+
+    private void onReadable() {
+        Callback next;
+        Runnable hangup = null;
+        synchronized (this) {
+            relayRegistered = false;
+            next = waiting;
+            waiting = null;
+            if (next == null) {
+                hangup = readEarly();
+            }
+        }
+        if (next != null) {
+            next.succeeded();
+        }
+        if (hangup != null) {
+            hangup.run();
+        }
+    }
+
+    @GuardedBy("this")
+    private Runnable readEarly() {
+        ByteBuffer buffer = BufferUtil.allocate(EARLY_BYTES);
+        int count;
+        try {
+            count = super.fill(buffer);
+        } catch (IOException e) {
+            count = -1;
+        }
+        if (count > 0) {
+            early = buffer;
+            return null;
+        }
+        if (count == 0) {
+            relayRegistered = super.tryFillInterested(relay);
+            return null;
+        }
+        ended = true;
+        return takeTask();
+    }
+
+    private void onReadFailure(Throwable failure) {
+        Callback next;
+        Runnable hangup = null;
+        synchronized (this) {
+            relayRegistered = false;
+            next = waiting;
+            waiting = null;
+            if (next == null && !(failure instanceof TimeoutException)) {
+                hangup = takeTask();
+            }
+        }
+        if (next != null) {
+            next.failed(failure);
+        }
+        if (hangup != null) {
+            hangup.run();
+        }
+    }
+
+    @GuardedBy("this")
+    private Runnable takeTask() {
+        Runnable task = hangupTask;
+        hangupTask = null;
+        return task;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/http/HttpTargetClient.java
@@ -0,0 +1,134 @@
+package io.beryldock.http;
+
+import com.google.protobuf.ByteString;
+import io.beryldock.call.Answer;
+import io.beryldock.call.Call;
+import io.beryldock.call.Headers;
+import io.beryldock.forwarding.ContextHeader;
+import io.beryldock.forwarding.TargetClient;
+import io.beryldock.forwarding.TargetReply;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.util.Arrays;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.apache.hc.client5.http.ConnectTimeoutException;
+import org.apache.hc.client5.http.HttpHostConnectException;
+import org.apache.hc.client5.http.async.methods.SimpleHttpRequest;
+import org.apache.hc.client5.http.async.methods.SimpleHttpResponse;
+import org.apache.hc.client5.http.config.RequestConfig;
+import org.apache.hc.client5.http.impl.async.CloseableHttpAsyncClient;
+import org.apache.hc.core5.concurrent.FutureCallback;
+import org.apache.hc.core5.http.ConnectionRequestTimeoutException;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.net.URIAuthority;
+import org.apache.hc.core5.util.Timeout;
+
+/**
+ * Sends calls to the target by HTTP, each exactly once.
+ *
+ * <p>Thread safe. Automatic retries, redirects, cookies, authentication state and decompression are off: a library's
+ * silent resend on a stale pooled connection would be a second run, a shared cookie store another caller's answer.
+ */
+public final class HttpTargetClient implements TargetClient {
+
+    private static final Timeout CONNECT_WAIT = Timeout.ofSeconds(1);
+    private static final Timeout LONGEST_EXCHANGE = Timeout.ofSeconds(60);
+
+    private final CloseableHttpAsyncClient client;
+    private final Supplier<InetSocketAddress> target;
+
+    private HttpTargetClient(CloseableHttpAsyncClient client, Supplier<InetSocketAddress> target) {
+        this.client = client;
+        this.target = target;
+    }
+
+    /** A client of the target whose address the supplier gives, as the target announced it. */
+    public static HttpTargetClient create(CloseableHttpAsyncClient client, Supplier<InetSocketAddress> target) {
+        return new HttpTargetClient(client, target);
+    }
+
+    @Override
+    public CompletableFuture<TargetReply> send(Call call) {
+        CompletableFuture<TargetReply> reply = new CompletableFuture<>();
+        try {
+            client.execute(request(call), new ReplyCallback(reply));
+        } catch (IllegalStateException | IllegalArgumentException e) {
+            reply.complete(TargetReply.notSent("the request can't be sent: " + e.getMessage()));
+        }
+        return reply;
+    }
+
+    private SimpleHttpRequest request(Call call) {
+        InetSocketAddress address = target.get();
+        SimpleHttpRequest request = new SimpleHttpRequest(call.method(), "http", authority(address), call.path());
+        call.headers().list().forEach(header -> request.addHeader(header.name(), header.value()));
+        request.setHeader(
+                ContextHeader.NAME, ContextHeader.of(call.id(), call.context()).toString());
+        if (!call.body().isEmpty()) {
+            request.setBody(call.body().toByteArray(), contentType(call.headers()));
+        }
+        request.setConfig(RequestConfig.custom()
+                .setConnectionRequestTimeout(CONNECT_WAIT)
+                .setResponseTimeout(LONGEST_EXCHANGE)
+                .setRedirectsEnabled(false)
+                .setAuthenticationEnabled(false)
+                .build());
+        return request;
+    }
+
+    private static URIAuthority authority(InetSocketAddress address) {
+        return new URIAuthority(address.getHostString(), address.getPort());
+    }
+
+    private static ContentType contentType(Headers headers) {
+        return headers.first("Content-Type").map(ContentType::parseLenient).orElse(ContentType.DEFAULT_BINARY);
+    }
+
+    private static TargetReply read(SimpleHttpResponse response) {
+        Headers headers = Headers.of(Arrays.stream(response.getHeaders())
+                .map(header -> new Headers.Header(header.getName(), header.getValue()))
+                .toList());
+        if (headers.first(BeryldockHeaders.REFUSED)
+                .filter(BeryldockHeaders.NOT_RUN::equals)
+                .isPresent()) {
+            return TargetReply.refused("the target answered " + response.getCode() + " with its refusal marker");
+        }
+        byte[] body = response.getBodyBytes();
+        ByteString bytes = body == null ? ByteString.EMPTY : ByteString.copyFrom(body);
+        return TargetReply.answered(new Answer(response.getCode(), HeaderFilter.endToEnd(headers), bytes));
+    }
+
+    /**
+     * Tells a request that never left from one that may have run.
+     *
+     * <p>Only failures before a connection was leased prove that no byte was sent; everything else may have run.
+     */
+    private static TargetReply classify(Exception e) {
+        boolean neverSent = e instanceof HttpHostConnectException
+                || e instanceof ConnectTimeoutException
+                || e instanceof ConnectionRequestTimeoutException
+                || e instanceof ConnectException;
+        String detail = e.getClass().getSimpleName() + ": " + e.getMessage();
+        return neverSent ? TargetReply.notSent(detail) : TargetReply.lost(detail);
+    }
+
+    /** Completes the reply from the client's callback. */
+    private record ReplyCallback(CompletableFuture<TargetReply> reply) implements FutureCallback<SimpleHttpResponse> {
+
+        @Override
+        public void completed(SimpleHttpResponse response) {
+            reply.complete(read(response));
+        }
+
+        @Override
+        public void failed(Exception e) {
+            reply.complete(classify(e));
+        }
+
+        @Override
+        public void cancelled() {
+            reply.complete(TargetReply.lost("the exchange was cancelled"));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/http/NodeHttpServer.java
@@ -0,0 +1,153 @@
+package io.beryldock.http;
+
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.health.HealthCheckRegistry;
+import io.beryldock.settings.NodeSettings;
+import io.dropwizard.core.Configuration;
+import io.dropwizard.core.server.DefaultServerFactory;
+import io.dropwizard.core.setup.Environment;
+import io.dropwizard.jackson.Jackson;
+import io.dropwizard.jersey.validation.Validators;
+import io.dropwizard.jetty.ConnectorFactory;
+import io.dropwizard.jetty.HttpConnectorFactory;
+import io.dropwizard.request.logging.LogbackAccessRequestLogFactory;
+import jakarta.servlet.Servlet;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Optional;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+
+/**
+ * The HTTP listeners of a node: callers, loopback and admin, by Jersey on Dropwizard.
+ *
+ * <p>Started once and closed once; thread safe after the start.
+ */
+public final class NodeHttpServer implements AutoCloseable {
+
+    private static final int MAX_THREADS = 64;
+    private static final int MIN_THREADS = 8;
+    private static final int CALLERS = 0;
+    private static final int LOOPBACK = 1;
+    private static final int ADMIN = 2;
+
+    private final Server server;
+    private final List<ServerConnector> connectors;
+
+    private NodeHttpServer(Server server, List<ServerConnector> connectors) {
+        this.server = server;
+        this.connectors = connectors;
+    }
+
+    /** Binds the listeners and serves; fails when an address is taken. */
+    public static NodeHttpServer start(NodeSettings settings, HttpPorts ports) throws ServerStartException {
+        Environment environment = environment(settings);
+        PortSlot callersPort = new PortSlot();
+        registerResources(environment, settings, ports, callersPort);
+        ports.adminServlets().forEach((path, servlet) -> addServlet(environment, path, servlet));
+        Server server = factory(settings).build(environment);
+        try {
+            server.start();
+        } catch (Exception e) {
+            throw new ServerStartException(settings.id(), e);
+        }
+        List<ServerConnector> connectors = List.of(server.getConnectors()).stream()
+                .map(ServerConnector.class::cast)
+                .toList();
+        callersPort.set(connectors.get(CALLERS).getLocalPort());
+        return new NodeHttpServer(server, connectors);
+    }
+
+    private static Environment environment(NodeSettings settings) {
+        return new Environment(
+                settings.id(),
+                Jackson.newObjectMapper(),
+                Validators.newValidatorFactory(),
+                new MetricRegistry(),
+                NodeHttpServer.class.getClassLoader(),
+                new HealthCheckRegistry(),
+                new Configuration());
+    }
+
+    private static void registerResources(
+            Environment environment, NodeSettings settings, HttpPorts ports, PortSlot callersPort) {
+        RequestReader reader = new RequestReader(
+                settings.limits().maxBodyBytes(), settings.limits().maxHeaderBytes(), new CallerIdentifier());
+        environment.jersey().register(new ForwardResource(ports.requests(), reader, request -> callersPort.get()));
+        environment.jersey().register(new AnnounceResource(ports.announcements(), request -> callersPort.get()));
+        environment.jersey().register(new TicketResource(ports.tickets()));
+        environment.healthChecks().register("node", ports.health());
+    }
+
+    private static void addServlet(Environment environment, String path, Servlet servlet) {
+        environment.admin().addServlet(path, servlet).addMapping(path);
+    }
+
+    private static DefaultServerFactory factory(NodeSettings settings) {
+        DefaultServerFactory factory = new DefaultServerFactory();
+        NodeSettings.Listener callers = settings.callers();
+        NodeSettings.Listener loopback = settings.loopback();
+        factory.setApplicationConnectors(List.of(
+                listener(new HangupConnectorFactory(), callers.address(), callers.port()),
+                listener(new HangupConnectorFactory(), loopback.address(), loopback.port())));
+        factory.setAdminConnectors(List.of(listener(
+                new HttpConnectorFactory(),
+                settings.admin().address(),
+                settings.admin().port())));
+        factory.setMaxThreads(MAX_THREADS);
+        factory.setMinThreads(MIN_THREADS);
+        factory.setDetailedJsonProcessingExceptionMapper(false);
+        LogbackAccessRequestLogFactory requestLog = new LogbackAccessRequestLogFactory();
+        requestLog.setAppenders(List.of());
+        factory.setRequestLogFactory(requestLog);
+        return factory;
+    }
+
+    private static ConnectorFactory listener(HttpConnectorFactory factory, String address, int port) {
+        factory.setBindHost(address);
+        factory.setPort(port);
+        factory.setAcceptorThreads(Optional.of(1));
+        factory.setSelectorThreads(Optional.of(1));
+        factory.setUseServerHeader(false);
+        return factory;
+    }
+
+    public InetSocketAddress callersAddress() {
+        return address(CALLERS);
+    }
+
+    public InetSocketAddress loopbackAddress() {
+        return address(LOOPBACK);
+    }
+
+    public InetSocketAddress adminAddress() {
+        return address(ADMIN);
+    }
+
+    private InetSocketAddress address(int connector) {
+        ServerConnector found = connectors.get(connector);
+        return new InetSocketAddress(found.getHost(), found.getLocalPort());
+    }
+
+    @Override
+    public void close() {
+        try {
+            server.stop();
+        } catch (Exception e) {
+            throw new IllegalStateException("the HTTP listeners can't be stopped", e);
+        }
+    }
+
+    /** The callers' port, known once the listeners are bound. Thread safe. */
+    private static final class PortSlot {
+        private volatile int port = -1;
+
+        void set(int value) {
+            port = value;
+        }
+
+        int get() {
+            return port;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/settings/SettingsException.java
@@ -0,0 +1,19 @@
+package io.beryldock.settings;
+
+/** A setting is missing, unknown or wrong; the message is one line that names the key and the remedy. */
+public final class SettingsException extends Exception {
+
+    private static final long serialVersionUID = 1L;
+
+    private final String key;
+
+    public SettingsException(String key, String expected, String remedy) {
+        super("setting '" + key + "': expected " + expected + "; " + remedy);
+        this.key = key;
+    }
+
+    /** The key with its path, for example {@code peers.port}. */
+    public String key() {
+        return key;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/settings/SettingsReader.java
@@ -0,0 +1,106 @@
+package io.beryldock.settings;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonMappingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.exc.MismatchedInputException;
+import com.fasterxml.jackson.databind.exc.UnrecognizedPropertyException;
+import io.dropwizard.jackson.Jackson;
+import io.dropwizard.jersey.validation.Validators;
+import jakarta.validation.ConstraintViolation;
+import jakarta.validation.Validator;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.Optional;
+import java.util.stream.Collectors;
+
+/**
+ * Reads settings from JSON and checks them.
+ *
+ * <p>Every fault is a {@link SettingsException} of one line with the key, what was expected and the remedy. Stateless.
+ */
+public final class SettingsReader {
+
+    private static final ObjectMapper MAPPER = Jackson.newObjectMapper()
+            .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+
+    private static final Validator VALIDATOR = Validators.newValidator();
+
+    private SettingsReader() {}
+
+    /** Reads the file; a file that can't be read is a fault of the key {@code --settings}. */
+    public static <T> T read(Path file, Class<T> type) throws SettingsException {
+        String json;
+        try {
+            json = Files.readString(file);
+        } catch (IOException e) {
+            throw new SettingsException("--settings", "a readable JSON file at " + file, "check the path");
+        }
+        return parse(json, type);
+    }
+
+    /** Reads settings from a text. */
+    public static <T> T parse(String json, Class<T> type) throws SettingsException {
+        T settings;
+        try {
+            settings = MAPPER.readValue(json, type);
+        } catch (JsonProcessingException e) {
+            throw explain(e);
+        }
+        check(settings);
+        return settings;
+    }
+
+    private static SettingsException explain(JsonProcessingException e) {
+        if (e instanceof UnrecognizedPropertyException unknown) {
+            String known = unknown.getKnownPropertyIds().stream()
+                    .map(Object::toString)
+                    .sorted()
+                    .collect(Collectors.joining(", "));
+            return new SettingsException(path(unknown), "one of " + known, "remove or rename the key");
+        }
+        if (e instanceof MismatchedInputException mismatch) {
+            String type = mismatch.getTargetType() == null
+                    ? "another type"
+                    : "a value of type " + mismatch.getTargetType().getSimpleName();
+            return new SettingsException(path(mismatch), type, "correct the value");
+        }
+        if (e instanceof JsonMappingException mapping) {
+            String cause = mapping.getCause() == null
+                    ? mapping.getOriginalMessage()
+                    : mapping.getCause().getMessage();
+            return new SettingsException(path(mapping), "a valid value (" + cause + ")", "correct the value");
+        }
+        String place = e.getLocation() == null
+                ? ""
+                : " at line " + e.getLocation().getLineNr() + ", column "
+                        + e.getLocation().getColumnNr();
+        return new SettingsException("--settings", "well-formed JSON" + place, "correct the syntax");
+    }
+
+    private static String path(JsonMappingException e) {
+        String path = e.getPath().stream()
+                .map(step -> step.getFieldName() == null ? "[" + step.getIndex() + "]" : step.getFieldName())
+                .collect(Collectors.joining("."))
+                .replace(".[", "[");
+        return path.isEmpty() ? "(whole file)" : path;
+    }
+
+    private static <T> void check(T settings) throws SettingsException {
+        Optional<ConstraintViolation<T>> first = VALIDATOR.validate(settings).stream()
+                .min(Comparator.comparing(
+                        violation -> violation.getPropertyPath().toString()));
+        if (first.isPresent()) {
+            ConstraintViolation<T> fault = first.get();
+            String found = fault.getInvalidValue() == null ? "nothing" : "'" + fault.getInvalidValue() + "'";
+            throw new SettingsException(
+                    fault.getPropertyPath().toString(),
+                    "a value that " + fault.getMessage() + ", found " + found,
+                    "set the key");
+        }
+    }
+}
--- a/src/main/java/io/beryldock/wire/WireResult.java
+++ b/src/main/java/io/beryldock/wire/WireResult.java
@@ -58,7 +58,7 @@
   private int outcome_ = 0;
   /**
    * <pre>
-   * Number of the Outcome: 0 ANSWERED, 1 NOT_RUN, 2 UNKNOWN.
+   * Number of the Outcome: 1 ANSWERED, 2 NOT_RUN, else UNKNOWN.
    * </pre>
    *
    * <code>uint32 outcome = 1;</code>
@@ -978,7 +978,7 @@
     private int outcome_ ;
     /**
      * <pre>
-     * Number of the Outcome: 0 ANSWERED, 1 NOT_RUN, 2 UNKNOWN.
+     * Number of the Outcome: 1 ANSWERED, 2 NOT_RUN, else UNKNOWN.
      * </pre>
      *
      * <code>uint32 outcome = 1;</code>
@@ -990,7 +990,7 @@
     }
     /**
      * <pre>
-     * Number of the Outcome: 0 ANSWERED, 1 NOT_RUN, 2 UNKNOWN.
+     * Number of the Outcome: 1 ANSWERED, 2 NOT_RUN, else UNKNOWN.
      * </pre>
      *
      * <code>uint32 outcome = 1;</code>
@@ -1006,7 +1006,7 @@
     }
     /**
      * <pre>
-     * Number of the Outcome: 0 ANSWERED, 1 NOT_RUN, 2 UNKNOWN.
+     * Number of the Outcome: 1 ANSWERED, 2 NOT_RUN, else UNKNOWN.
      * </pre>
      *
      * <code>uint32 outcome = 1;</code>
--- a/src/main/java/io/beryldock/wire/WireResultOrBuilder.java
+++ b/src/main/java/io/beryldock/wire/WireResultOrBuilder.java
@@ -12,7 +12,7 @@
 
   /**
    * <pre>
-   * Number of the Outcome: 0 ANSWERED, 1 NOT_RUN, 2 UNKNOWN.
+   * Number of the Outcome: 1 ANSWERED, 2 NOT_RUN, else UNKNOWN.
    * </pre>
    *
    * <code>uint32 outcome = 1;</code>
