--- /dev/null
+++ b/src/main/java/io/beryldock/admission/GateSettings.java
@@ -0,0 +1,86 @@
+package io.beryldock.admission;
+
+import java.time.Duration;
+import java.util.Objects;
+
+/**
+ * Settings of one target's gate.
+ *
+ * <p>Immutable.
+ *
+ * @param strategy finds the concurrency limit
+ * @param minLimit the limit never falls below it
+ * @param initialLimit where a new gate starts
+ * @param maxLimit the limit never rises above it
+ * @param announcedSlots what the target announced, a hard bound of the limit; 0 when it announced nothing
+ * @param queueCapacity requests that may wait
+ * @param queueTarget wait allowed while the queue stands
+ * @param queueInterval wait allowed in a burst, and the time after which a queue that never emptied stands
+ * @param rampTime how long a cold target takes to be given all its slots
+ * @param abandonedHold how long abandoned work keeps its slot when the target's answer never comes
+ */
+public record GateSettings(
+        LimitStrategy strategy,
+        int minLimit,
+        int initialLimit,
+        int maxLimit,
+        int announcedSlots,
+        int queueCapacity,
+        Duration queueTarget,
+        Duration queueInterval,
+        Duration rampTime,
+        Duration abandonedHold) {
+
+    public GateSettings {
+        Objects.requireNonNull(strategy, "strategy");
+        if (minLimit < 1 || initialLimit < minLimit || maxLimit < initialLimit) {
+            throw new IllegalArgumentException(
+                    "limits must be 1 <= min <= initial <= max: " + minLimit + ", " + initialLimit + ", " + maxLimit);
+        }
+        if (announcedSlots < 0 || queueCapacity < 0) {
+            throw new IllegalArgumentException("slots and queue capacity must not be negative");
+        }
+    }
+
+    public static GateSettings defaults() {
+        return new GateSettings(
+                LimitStrategies.aimd(),
+                1,
+                4,
+                1_000,
+                0,
+                64,
+                Duration.ofMillis(10),
+                Duration.ofMillis(100),
+                Duration.ofSeconds(2),
+                Duration.ofSeconds(30));
+    }
+
+    public GateSettings withAnnouncedSlots(int slots) {
+        return new GateSettings(
+                strategy,
+                minLimit,
+                initialLimit,
+                maxLimit,
+                slots,
+                queueCapacity,
+                queueTarget,
+                queueInterval,
+                rampTime,
+                abandonedHold);
+    }
+
+    public GateSettings withStrategy(LimitStrategy other) {
+        return new GateSettings(
+                other,
+                minLimit,
+                initialLimit,
+                maxLimit,
+                announcedSlots,
+                queueCapacity,
+                queueTarget,
+                queueInterval,
+                rampTime,
+                abandonedHold);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/admission/GateSnapshot.java
@@ -0,0 +1,34 @@
+package io.beryldock.admission;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import io.beryldock.call.Reason;
+
+/**
+ * State of a gate at one moment, for operators and metrics.
+ *
+ * <p>Immutable.
+ *
+ * @param queuedByRank requests that wait, one number a rank
+ * @param shedByRank refusals since the gate was made, one map a rank
+ * @param level admission level, see {@link io.beryldock.call.ServiceLevel}
+ * @param minServiceNanos shortest smoothed service time of the recent past, 0 when unknown
+ * @param meanServiceNanos smoothed service time, 0 when unknown
+ */
+public record GateSnapshot(
+        int limit,
+        int inFlight,
+        int abandoned,
+        ImmutableList<Integer> queuedByRank,
+        ImmutableList<ImmutableMap<Reason, Long>> shedByRank,
+        long admitted,
+        int level,
+        long minServiceNanos,
+        long meanServiceNanos,
+        boolean draining) {
+
+    /** All requests that wait. */
+    public int queued() {
+        return queuedByRank.stream().mapToInt(Integer::intValue).sum();
+    }
+}
