--- /dev/null
+++ b/src/main/java/io/beryldock/retry/RetryBudgets.java
@@ -0,0 +1,43 @@
+package io.beryldock.retry;
+
+import com.google.common.cache.CacheBuilder;
+import com.google.common.cache.CacheLoader;
+import com.google.common.cache.LoadingCache;
+import io.beryldock.call.ServiceName;
+import io.beryldock.time.Ticker;
+import java.util.function.Function;
+
+/**
+ * The retry budgets of one node, one for each pair of caller and callee service.
+ *
+ * <p>Holds at most {@value #MAX_PAIRS} pairs; the least recently used one is forgotten and starts anew with its floor.
+ * Thread safe.
+ */
+public final class RetryBudgets {
+
+    static final int MAX_PAIRS = 10_000;
+
+    private final LoadingCache<Pair, RetryBudget> budgets;
+
+    private RetryBudgets(LoadingCache<Pair, RetryBudget> budgets) {
+        this.budgets = budgets;
+    }
+
+    /** Budgets whose settings are looked up by callee when a pair is first seen. */
+    public static RetryBudgets create(Ticker ticker, Function<ServiceName, RetryBudgetSettings> settings) {
+        return new RetryBudgets(CacheBuilder.newBuilder()
+                .maximumSize(MAX_PAIRS)
+                .build(CacheLoader.from(pair -> RetryBudget.create(ticker, settings.apply(pair.callee())))));
+    }
+
+    public RetryBudget of(ServiceName caller, ServiceName callee) {
+        return budgets.getUnchecked(new Pair(caller, callee));
+    }
+
+    /** Forgets all budgets, so that changed settings take effect. */
+    public void reset() {
+        budgets.invalidateAll();
+    }
+
+    private record Pair(ServiceName caller, ServiceName callee) {}
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/retry/RetryDecision.java
@@ -0,0 +1,22 @@
+package io.beryldock.retry;
+
+/** Whether a call is tried again at another target, and if not, why. */
+public enum RetryDecision {
+    RETRY_ELSEWHERE,
+    /** There is an answer. */
+    STOP_ANSWERED,
+    /** It may have run and may not run twice. */
+    STOP_MAY_HAVE_RUN,
+    /** Trying again can't help, or would add load where there is too much. */
+    STOP_USELESS,
+    /** Two targets were full: the service is. */
+    STOP_SERVICE_FULL,
+    STOP_NO_OTHER_TARGET,
+    STOP_NO_TIME,
+    /** It was in flight when a target crashed. */
+    STOP_SUSPECT;
+
+    public boolean isRetry() {
+        return this == RETRY_ELSEWHERE;
+    }
+}
