--- /dev/null
+++ b/src/main/antlr/Operator.g4
@@ -0,0 +1,136 @@
+// The operators' query and command language. Run generate beside this file after a change.
+// Keywords are written in any case. Every choice is made by looking one token ahead, which the messages of errors and
+// the completion rest on: both tell what may stand at a place by the tokens expected there.
+grammar Operator;
+
+options { caseInsensitive = true; }
+
+statement : command EOF ;
+
+command : show | why | change | explain | watch ;
+
+explain : EXPLAIN change ;
+
+watch : WATCH show ;
+
+show : SHOW ( SHED shedOption* | TIMELINE timelineOption* | topic everywhere? ) ;
+
+topic : TARGETS | NODES | LEVELS | RETRIES | TICKETS | CONNECTIONS | CONFIGURATION | CHANGES | QUARANTINE ;
+
+shedOption : BY grouping | LAST duration | everywhere ;
+
+grouping : CLASS | SERVICE | CALLER ;
+
+timelineOption : LAST duration | REQUEST requestId | everywhere ;
+
+everywhere : EVERYWHERE ;
+
+why : WHY requestId everywhere? ;
+
+change : set | remove | mark | drain | undrain ;
+
+set : SET ( setClass | setBudget | setLimit | setRoute ) ;
+
+setClass : CLASS className PRIORITY priority ;
+
+setBudget : BUDGET className budgetOption+ ;
+
+budgetOption : SHARE percent | RETRIES retries ;
+
+setLimit : LIMIT serviceName SLOTS slots ;
+
+setRoute : ROUTE prefix routeMethods? SERVICE serviceName CLASS className routeOption* ;
+
+routeMethods : METHODS method ( COMMA method )* ;
+
+routeOption : IDEMPOTENT | NON_IDEMPOTENT | DEADLINE duration ;
+
+remove : REMOVE ROUTE prefix ;
+
+mark : MARK ROUTE prefix ( NON_IDEMPOTENT | IDEMPOTENT ) ;
+
+drain : DRAIN TARGET nodeId ;
+
+undrain : UNDRAIN TARGET nodeId ;
+
+className : name ;
+
+serviceName : name ;
+
+nodeId : name ;
+
+method : WORD ;
+
+requestId : WORD ;
+
+prefix : PATH ;
+
+duration : DURATION ;
+
+percent : PERCENT ;
+
+priority : NUMBER ;
+
+retries : NUMBER ;
+
+slots : NUMBER ;
+
+// A keyword is a name like any other where only a name can stand.
+name : WORD | NUMBER | DURATION | keyword ;
+
+keyword
+    : BUDGET | BY | CALLER | CHANGES | CLASS | CONFIGURATION | CONNECTIONS | DEADLINE | DRAIN | EVERYWHERE | EXPLAIN
+    | IDEMPOTENT | LAST | LEVELS | LIMIT | MARK | METHODS | NODES | NON_IDEMPOTENT | PRIORITY | QUARANTINE | REMOVE
+    | REQUEST | RETRIES | ROUTE | SERVICE | SET | SHARE | SHED | SHOW | SLOTS | TARGET | TARGETS | TICKETS | TIMELINE
+    | UNDRAIN | WATCH | WHY
+    ;
+
+BUDGET : 'budget' ;
+BY : 'by' ;
+CALLER : 'caller' ;
+CHANGES : 'changes' ;
+CLASS : 'class' ;
+CONFIGURATION : 'configuration' ;
+CONNECTIONS : 'connections' ;
+DEADLINE : 'deadline' ;
+DRAIN : 'drain' ;
+EVERYWHERE : 'everywhere' ;
+EXPLAIN : 'explain' ;
+IDEMPOTENT : 'idempotent' ;
+LAST : 'last' ;
+LEVELS : 'levels' ;
+LIMIT : 'limit' ;
+MARK : 'mark' ;
+METHODS : 'methods' ;
+NODES : 'nodes' ;
+NON_IDEMPOTENT : 'non-idempotent' ;
+PRIORITY : 'priority' ;
+QUARANTINE : 'quarantine' ;
+REMOVE : 'remove' ;
+REQUEST : 'request' ;
+RETRIES : 'retries' ;
+ROUTE : 'route' ;
+SERVICE : 'service' ;
+SET : 'set' ;
+SHARE : 'share' ;
+SHED : 'shed' ;
+SHOW : 'show' ;
+SLOTS : 'slots' ;
+TARGET : 'target' ;
+TARGETS : 'targets' ;
+TICKETS : 'tickets' ;
+TIMELINE : 'timeline' ;
+UNDRAIN : 'undrain' ;
+WATCH : 'watch' ;
+WHY : 'why' ;
+
+NUMBER : [0-9]+ ;
+DURATION : [0-9]+ ( 'ms' | 's' | 'm' | 'h' ) ;
+PERCENT : [0-9]+ '%' ;
+WORD : [\p{L}\p{Nd}._\-]+ ;
+PATH : '/' ~[ \t\r\n]* ;
+COMMA : ',' ;
+SPACE : [ \t\r\n]+ -> skip ;
+
+// Never in a statement: any other character, so that the parser names its column.
+OTHER : . ;
--- /dev/null
+++ b/src/main/java/io/beryldock/command/ExpectedWords.java
@@ -0,0 +1,67 @@
+package io.beryldock.command;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import io.beryldock.command.grammar.OperatorParser;
+import java.util.Locale;
+import org.antlr.v4.runtime.RuleContext;
+import org.antlr.v4.runtime.Token;
+import org.antlr.v4.runtime.misc.IntervalSet;
+
+/** Says in words what the parser expects at a place. Stateless, thread safe. */
+final class ExpectedWords {
+
+    /** What a token without a fixed text stands for, by the rule it is expected in. */
+    private static final ImmutableMap<Integer, String> BY_RULE = ImmutableMap.of(
+            OperatorParser.RULE_className, "the name of a class",
+            OperatorParser.RULE_serviceName, "the name of a service",
+            OperatorParser.RULE_nodeId, "the id of a node",
+            OperatorParser.RULE_method, "an HTTP method",
+            OperatorParser.RULE_requestId, "a request id",
+            OperatorParser.RULE_priority, "a priority from 0 (shed last) to 7 (shed first)",
+            OperatorParser.RULE_retries, "a number of retries",
+            OperatorParser.RULE_slots, "a number of slots");
+
+    private static final ImmutableMap<Integer, String> BY_TOKEN = ImmutableMap.of(
+            OperatorParser.PATH, "a path prefix such as /orders",
+            OperatorParser.DURATION, "a duration such as 5m or 30s",
+            OperatorParser.PERCENT, "a percentage such as 10%",
+            OperatorParser.COMMA, "a comma",
+            OperatorParser.NUMBER, "a number",
+            OperatorParser.WORD, "a name",
+            Token.EOF, "the end of the statement");
+
+    private ExpectedWords() {}
+
+    /** Each thing that may stand there, keywords as they are written. */
+    static ImmutableList<String> describe(IntervalSet tokens, RuleContext place) {
+        if (tokens.contains(OperatorParser.WORD) || tokens.size() == 1) {
+            String placeholder = placeholder(place);
+            if (placeholder != null) {
+                return ImmutableList.of(placeholder);
+            }
+        }
+        return tokens.toList().stream().map(ExpectedWords::word).collect(ImmutableList.toImmutableList());
+    }
+
+    private static String placeholder(RuleContext place) {
+        for (RuleContext at = place; at != null; at = at.parent) {
+            String words = BY_RULE.get(at.getRuleIndex());
+            if (words != null) {
+                return words;
+            }
+        }
+        return null;
+    }
+
+    private static String word(int token) {
+        String words = BY_TOKEN.get(token);
+        if (words != null) {
+            return words;
+        }
+        String literal = OperatorParser.VOCABULARY.getLiteralName(token);
+        return literal == null
+                ? OperatorParser.VOCABULARY.getDisplayName(token).toLowerCase(Locale.ROOT)
+                : literal.replace("'", "");
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/command/StatementBuilder.java
@@ -0,0 +1,247 @@
+package io.beryldock.command;
+
+import com.google.common.collect.ImmutableList;
+import io.beryldock.call.NodeId;
+import io.beryldock.call.PriorityClass;
+import io.beryldock.call.RequestId;
+import io.beryldock.call.ServiceName;
+import io.beryldock.command.grammar.OperatorParser;
+import io.beryldock.command.grammar.OperatorParser.ChangeContext;
+import io.beryldock.command.grammar.OperatorParser.CommandContext;
+import io.beryldock.command.grammar.OperatorParser.SetBudgetContext;
+import io.beryldock.command.grammar.OperatorParser.SetContext;
+import io.beryldock.command.grammar.OperatorParser.SetRouteContext;
+import io.beryldock.command.grammar.OperatorParser.ShedOptionContext;
+import io.beryldock.command.grammar.OperatorParser.ShowContext;
+import io.beryldock.command.grammar.OperatorParser.TimelineOptionContext;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.Optional;
+import org.antlr.v4.runtime.ParserRuleContext;
+
+/** Builds statements of a syntax tree without errors and checks what the grammar can't: bounds and repetitions. */
+final class StatementBuilder {
+
+    private static final int MAX_PERCENT = 100;
+    private static final int MAX_RETRIES = 100;
+    private static final int MAX_SLOTS = 100_000;
+    private static final Duration MAX_LAST = Duration.ofHours(24);
+    private static final Duration MAX_DEADLINE = Duration.ofHours(1);
+
+    private StatementBuilder() {}
+
+    static Statement build(OperatorParser.StatementContext tree) throws StatementException {
+        CommandContext command = tree.command();
+        if (command.show() != null) {
+            return show(command.show());
+        }
+        if (command.why() != null) {
+            OperatorParser.WhyContext why = command.why();
+            return new WhyStatement(requestId(why.requestId()), why.everywhere() != null);
+        }
+        if (command.explain() != null) {
+            return new ExplainStatement(change(command.explain().change()));
+        }
+        if (command.watch() != null) {
+            return new WatchStatement(show(command.watch().show()));
+        }
+        return change(command.change());
+    }
+
+    private static ShowStatement show(ShowContext tree) throws StatementException {
+        if (tree.SHED() != null) {
+            return showShed(tree);
+        }
+        if (tree.TIMELINE() != null) {
+            return showTimeline(tree);
+        }
+        ShowTopic topic = ShowTopic.valueOf(upper(tree.topic()));
+        boolean everywhere = tree.everywhere() != null;
+        return new ShowStatement(topic, Optional.empty(), Optional.empty(), Optional.empty(), everywhere);
+    }
+
+    private static ShowStatement showShed(ShowContext tree) throws StatementException {
+        Once<ShedGrouping> grouping = new Once<>("by");
+        Once<Duration> last = new Once<>("last");
+        Once<Boolean> everywhere = new Once<>("everywhere");
+        for (ShedOptionContext option : tree.shedOption()) {
+            if (option.grouping() != null) {
+                grouping.set(option, ShedGrouping.valueOf(upper(option.grouping())));
+            } else if (option.duration() != null) {
+                last.set(option, duration(option.duration(), MAX_LAST));
+            } else {
+                everywhere.set(option, true);
+            }
+        }
+        return new ShowStatement(ShowTopic.SHED, grouping.value(), last.value(), Optional.empty(), everywhere.isSet());
+    }
+
+    private static ShowStatement showTimeline(ShowContext tree) throws StatementException {
+        Once<Duration> last = new Once<>("last");
+        Once<RequestId> request = new Once<>("request");
+        Once<Boolean> everywhere = new Once<>("everywhere");
+        for (TimelineOptionContext option : tree.timelineOption()) {
+            if (option.duration() != null) {
+                last.set(option, duration(option.duration(), MAX_LAST));
+            } else if (option.requestId() != null) {
+                request.set(option, requestId(option.requestId()));
+            } else {
+                everywhere.set(option, true);
+            }
+        }
+        return new ShowStatement(
+                ShowTopic.TIMELINE, Optional.empty(), last.value(), request.value(), everywhere.isSet());
+    }
+
+    private static ChangeStatement change(ChangeContext tree) throws StatementException {
+        if (tree.set() != null) {
+            return set(tree.set());
+        }
+        if (tree.remove() != null) {
+            return new ChangeStatement.RemoveRoute(tree.remove().prefix().getText());
+        }
+        if (tree.mark() != null) {
+            boolean idempotent = tree.mark().IDEMPOTENT() != null;
+            return new ChangeStatement.MarkRoute(tree.mark().prefix().getText(), idempotent);
+        }
+        if (tree.drain() != null) {
+            return new ChangeStatement.DrainTarget(named(tree.drain().nodeId(), NodeId::of));
+        }
+        return new ChangeStatement.UndrainTarget(named(tree.undrain().nodeId(), NodeId::of));
+    }
+
+    private static ChangeStatement set(SetContext tree) throws StatementException {
+        if (tree.setClass() != null) {
+            int priority = number(tree.setClass().priority(), 0, PriorityClass.LOWEST_RANK);
+            return new ChangeStatement.SetClass(className(tree.setClass().className()), priority);
+        }
+        if (tree.setBudget() != null) {
+            return setBudget(tree.setBudget());
+        }
+        if (tree.setLimit() != null) {
+            ServiceName service = named(tree.setLimit().serviceName(), ServiceName::of);
+            return new ChangeStatement.SetLimit(service, number(tree.setLimit().slots(), 1, MAX_SLOTS));
+        }
+        return setRoute(tree.setRoute());
+    }
+
+    private static ChangeStatement setBudget(SetBudgetContext tree) throws StatementException {
+        Once<Integer> share = new Once<>("share");
+        Once<Integer> retries = new Once<>("retries");
+        for (OperatorParser.BudgetOptionContext option : tree.budgetOption()) {
+            if (option.percent() != null) {
+                share.set(option, number(option.percent(), 0, MAX_PERCENT));
+            } else {
+                retries.set(option, number(option.retries(), 0, MAX_RETRIES));
+            }
+        }
+        return new ChangeStatement.SetBudget(className(tree.className()), share.value(), retries.value());
+    }
+
+    private static ChangeStatement setRoute(SetRouteContext tree) throws StatementException {
+        Once<Boolean> idempotent = new Once<>("idempotent or non-idempotent");
+        Once<Duration> deadline = new Once<>("deadline");
+        for (OperatorParser.RouteOptionContext option : tree.routeOption()) {
+            if (option.duration() != null) {
+                deadline.set(option, duration(option.duration(), MAX_DEADLINE));
+            } else {
+                idempotent.set(option, option.IDEMPOTENT() != null);
+            }
+        }
+        ImmutableList<String> methods = tree.routeMethods() == null
+                ? ImmutableList.of()
+                : tree.routeMethods().method().stream()
+                        .map(StatementBuilder::upper)
+                        .collect(ImmutableList.toImmutableList());
+        return new ChangeStatement.SetRoute(
+                tree.prefix().getText(),
+                methods,
+                named(tree.serviceName(), ServiceName::of),
+                className(tree.className()),
+                idempotent.value(),
+                deadline.value());
+    }
+
+    private static String className(ParserRuleContext tree) throws StatementException {
+        return named(tree, name -> PriorityClass.of(name, 0)).name();
+    }
+
+    private static RequestId requestId(ParserRuleContext tree) throws StatementException {
+        return named(tree, RequestId::parse);
+    }
+
+    private static <T> T named(ParserRuleContext tree, Reader<T> reader) throws StatementException {
+        try {
+            return reader.read(tree.getText());
+        } catch (IllegalArgumentException e) {
+            throw error(tree, e.getMessage());
+        }
+    }
+
+    private static int number(ParserRuleContext tree, int low, int high) throws StatementException {
+        String digits = tree.getText().replace("%", "");
+        int number = -1;
+        try {
+            number = Integer.parseInt(digits);
+        } catch (NumberFormatException e) {
+            throw error(tree, "the number is too large", low + " to " + high);
+        }
+        if (number < low || number > high) {
+            throw error(tree, "'" + tree.getText() + "' is out of bounds", low + " to " + high);
+        }
+        return number;
+    }
+
+    private static Duration duration(ParserRuleContext tree, Duration longest) throws StatementException {
+        String bound = "1ms to " + Durations.format(longest);
+        try {
+            Duration length = Durations.parse(tree.getText());
+            if (length.isZero() || length.compareTo(longest) > 0) {
+                throw error(tree, "'" + tree.getText() + "' is out of bounds", bound);
+            }
+            return length;
+        } catch (IllegalArgumentException | ArithmeticException e) {
+            throw error(tree, "'" + tree.getText() + "' is out of bounds", bound);
+        }
+    }
+
+    private static String upper(ParserRuleContext tree) {
+        return tree.getText().toUpperCase(Locale.ROOT);
+    }
+
+    private static StatementException error(ParserRuleContext tree, String message, String... expected) {
+        int column = tree.getStart().getStartIndex() + 1;
+        return StatementException.at(column, message, ImmutableList.copyOf(expected));
+    }
+
+    /** Reads a value of its text; throws {@link IllegalArgumentException} when it is malformed. */
+    @FunctionalInterface
+    private interface Reader<T> {
+        T read(String text);
+    }
+
+    /** An option that may stand once. */
+    private static final class Once<T> {
+        private final String what;
+        private Optional<T> value = Optional.empty();
+
+        Once(String what) {
+            this.what = what;
+        }
+
+        void set(ParserRuleContext place, T newValue) throws StatementException {
+            if (value.isPresent()) {
+                throw error(place, "'" + what + "' stands twice");
+            }
+            value = Optional.of(newValue);
+        }
+
+        Optional<T> value() {
+            return value;
+        }
+
+        boolean isSet() {
+            return value.isPresent();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/command/grammar/OperatorParser.java
@@ -0,0 +1,2308 @@
+// Generated from src/main/antlr/Operator.g4 by ANTLR 4.13.2
+package io.beryldock.command.grammar;
+import org.antlr.v4.runtime.atn.*;
+import org.antlr.v4.runtime.dfa.DFA;
+import org.antlr.v4.runtime.*;
+import org.antlr.v4.runtime.misc.*;
+import org.antlr.v4.runtime.tree.*;
+import java.util.List;
+import java.util.Iterator;
+import java.util.ArrayList;
+
+@SuppressWarnings({"all", "warnings", "unchecked", "unused", "cast", "CheckReturnValue", "this-escape"})
+public class OperatorParser extends Parser {
+	static { RuntimeMetaData.checkVersion("4.13.2", RuntimeMetaData.VERSION); }
+
+	protected static final DFA[] _decisionToDFA;
+	protected static final PredictionContextCache _sharedContextCache =
+		new PredictionContextCache();
+	public static final int
+		BUDGET=1, BY=2, CALLER=3, CHANGES=4, CLASS=5, CONFIGURATION=6, CONNECTIONS=7, 
+		DEADLINE=8, DRAIN=9, EVERYWHERE=10, EXPLAIN=11, IDEMPOTENT=12, LAST=13, 
+		LEVELS=14, LIMIT=15, MARK=16, METHODS=17, NODES=18, NON_IDEMPOTENT=19, 
+		PRIORITY=20, QUARANTINE=21, REMOVE=22, REQUEST=23, RETRIES=24, ROUTE=25, 
+		SERVICE=26, SET=27, SHARE=28, SHED=29, SHOW=30, SLOTS=31, TARGET=32, TARGETS=33, 
+		TICKETS=34, TIMELINE=35, UNDRAIN=36, WATCH=37, WHY=38, NUMBER=39, DURATION=40, 
+		PERCENT=41, WORD=42, PATH=43, COMMA=44, SPACE=45, OTHER=46;
+	public static final int
+		RULE_statement = 0, RULE_command = 1, RULE_explain = 2, RULE_watch = 3, 
+		RULE_show = 4, RULE_topic = 5, RULE_shedOption = 6, RULE_grouping = 7, 
+		RULE_timelineOption = 8, RULE_everywhere = 9, RULE_why = 10, RULE_change = 11, 
+		RULE_set = 12, RULE_setClass = 13, RULE_setBudget = 14, RULE_budgetOption = 15, 
+		RULE_setLimit = 16, RULE_setRoute = 17, RULE_routeMethods = 18, RULE_routeOption = 19, 
+		RULE_remove = 20, RULE_mark = 21, RULE_drain = 22, RULE_undrain = 23, 
+		RULE_className = 24, RULE_serviceName = 25, RULE_nodeId = 26, RULE_method = 27, 
+		RULE_requestId = 28, RULE_prefix = 29, RULE_duration = 30, RULE_percent = 31, 
+		RULE_priority = 32, RULE_retries = 33, RULE_slots = 34, RULE_name = 35, 
+		RULE_keyword = 36;
+	private static String[] makeRuleNames() {
+		return new String[] {
+			"statement", "command", "explain", "watch", "show", "topic", "shedOption", 
+			"grouping", "timelineOption", "everywhere", "why", "change", "set", "setClass", 
+			"setBudget", "budgetOption", "setLimit", "setRoute", "routeMethods", 
+			"routeOption", "remove", "mark", "drain", "undrain", "className", "serviceName", 
+			"nodeId", "method", "requestId", "prefix", "duration", "percent", "priority", 
+			"retries", "slots", "name", "keyword"
+		};
+	}
+	public static final String[] ruleNames = makeRuleNames();
+
+	private static String[] makeLiteralNames() {
+		return new String[] {
+			null, "'budget'", "'by'", "'caller'", "'changes'", "'class'", "'configuration'", 
+			"'connections'", "'deadline'", "'drain'", "'everywhere'", "'explain'", 
+			"'idempotent'", "'last'", "'levels'", "'limit'", "'mark'", "'methods'", 
+			"'nodes'", "'non-idempotent'", "'priority'", "'quarantine'", "'remove'", 
+			"'request'", "'retries'", "'route'", "'service'", "'set'", "'share'", 
+			"'shed'", "'show'", "'slots'", "'target'", "'targets'", "'tickets'", 
+			"'timeline'", "'undrain'", "'watch'", "'why'", null, null, null, null, 
+			null, "','"
+		};
+	}
+	private static final String[] _LITERAL_NAMES = makeLiteralNames();
+	private static String[] makeSymbolicNames() {
+		return new String[] {
+			null, "BUDGET", "BY", "CALLER", "CHANGES", "CLASS", "CONFIGURATION", 
+			"CONNECTIONS", "DEADLINE", "DRAIN", "EVERYWHERE", "EXPLAIN", "IDEMPOTENT", 
+			"LAST", "LEVELS", "LIMIT", "MARK", "METHODS", "NODES", "NON_IDEMPOTENT", 
+			"PRIORITY", "QUARANTINE", "REMOVE", "REQUEST", "RETRIES", "ROUTE", "SERVICE", 
+			"SET", "SHARE", "SHED", "SHOW", "SLOTS", "TARGET", "TARGETS", "TICKETS", 
+			"TIMELINE", "UNDRAIN", "WATCH", "WHY", "NUMBER", "DURATION", "PERCENT", 
+			"WORD", "PATH", "COMMA", "SPACE", "OTHER"
+		};
+	}
+	private static final String[] _SYMBOLIC_NAMES = makeSymbolicNames();
+	public static final Vocabulary VOCABULARY = new VocabularyImpl(_LITERAL_NAMES, _SYMBOLIC_NAMES);
+
+	/**
+	 * @deprecated Use {@link #VOCABULARY} instead.
+	 */
+	@Deprecated
+	public static final String[] tokenNames;
+	static {
+		tokenNames = new String[_SYMBOLIC_NAMES.length];
+		for (int i = 0; i < tokenNames.length; i++) {
+			tokenNames[i] = VOCABULARY.getLiteralName(i);
+			if (tokenNames[i] == null) {
+				tokenNames[i] = VOCABULARY.getSymbolicName(i);
+			}
+
+			if (tokenNames[i] == null) {
+				tokenNames[i] = "<INVALID>";
+			}
+		}
+	}
+
+	@Override
+	@Deprecated
+	public String[] getTokenNames() {
+		return tokenNames;
+	}
+
+	@Override
+
+	public Vocabulary getVocabulary() {
+		return VOCABULARY;
+	}
+
+	@Override
+	public String getGrammarFileName() { return "Operator.g4"; }
+
+	@Override
+	public String[] getRuleNames() { return ruleNames; }
+
+	@Override
+	public String getSerializedATN() { return _serializedATN; }
+
+	@Override
+	public ATN getATN() { return _ATN; }
+
+	public OperatorParser(TokenStream input) {
+		super(input);
+		_interp = new ParserATNSimulator(this,_ATN,_decisionToDFA,_sharedContextCache);
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class StatementContext extends ParserRuleContext {
+		public CommandContext command() {
+			return getRuleContext(CommandContext.class,0);
+		}
+		public TerminalNode EOF() { return getToken(OperatorParser.EOF, 0); }
+		public StatementContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_statement; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitStatement(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final StatementContext statement() throws RecognitionException {
+		StatementContext _localctx = new StatementContext(_ctx, getState());
+		enterRule(_localctx, 0, RULE_statement);
+		try {
+			enterOuterAlt(_localctx, 1);
+			{
+			setState(74);
+			command();
+			setState(75);
+			match(EOF);
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class CommandContext extends ParserRuleContext {
+		public ShowContext show() {
+			return getRuleContext(ShowContext.class,0);
+		}
+		public WhyContext why() {
+			return getRuleContext(WhyContext.class,0);
+		}
+		public ChangeContext change() {
+			return getRuleContext(ChangeContext.class,0);
+		}
+		public ExplainContext explain() {
+			return getRuleContext(ExplainContext.class,0);
+		}
+		public WatchContext watch() {
+			return getRuleContext(WatchContext.class,0);
+		}
+		public CommandContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_command; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitCommand(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final CommandContext command() throws RecognitionException {
+		CommandContext _localctx = new CommandContext(_ctx, getState());
+		enterRule(_localctx, 2, RULE_command);
+		try {
+			setState(82);
+			_errHandler.sync(this);
+			switch (_input.LA(1)) {
+			case SHOW:
+				enterOuterAlt(_localctx, 1);
+				{
+				setState(77);
+				show();
+				}
+				break;
+			case WHY:
+				enterOuterAlt(_localctx, 2);
+				{
+				setState(78);
+				why();
+				}
+				break;
+			case DRAIN:
+			case MARK:
+			case REMOVE:
+			case SET:
+			case UNDRAIN:
+				enterOuterAlt(_localctx, 3);
+				{
+				setState(79);
+				change();
+				}
+				break;
+			case EXPLAIN:
+				enterOuterAlt(_localctx, 4);
+				{
+				setState(80);
+				explain();
+				}
+				break;
+			case WATCH:
+				enterOuterAlt(_localctx, 5);
+				{
+				setState(81);
+				watch();
+				}
+				break;
+			default:
+				throw new NoViableAltException(this);
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class ExplainContext extends ParserRuleContext {
+		public TerminalNode EXPLAIN() { return getToken(OperatorParser.EXPLAIN, 0); }
+		public ChangeContext change() {
+			return getRuleContext(ChangeContext.class,0);
+		}
+		public ExplainContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_explain; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitExplain(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final ExplainContext explain() throws RecognitionException {
+		ExplainContext _localctx = new ExplainContext(_ctx, getState());
+		enterRule(_localctx, 4, RULE_explain);
+		try {
+			enterOuterAlt(_localctx, 1);
+			{
+			setState(84);
+			match(EXPLAIN);
+			setState(85);
+			change();
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class WatchContext extends ParserRuleContext {
+		public TerminalNode WATCH() { return getToken(OperatorParser.WATCH, 0); }
+		public ShowContext show() {
+			return getRuleContext(ShowContext.class,0);
+		}
+		public WatchContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_watch; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitWatch(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final WatchContext watch() throws RecognitionException {
+		WatchContext _localctx = new WatchContext(_ctx, getState());
+		enterRule(_localctx, 6, RULE_watch);
+		try {
+			enterOuterAlt(_localctx, 1);
+			{
+			setState(87);
+			match(WATCH);
+			setState(88);
+			show();
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class ShowContext extends ParserRuleContext {
+		public TerminalNode SHOW() { return getToken(OperatorParser.SHOW, 0); }
+		public TerminalNode SHED() { return getToken(OperatorParser.SHED, 0); }
+		public TerminalNode TIMELINE() { return getToken(OperatorParser.TIMELINE, 0); }
+		public TopicContext topic() {
+			return getRuleContext(TopicContext.class,0);
+		}
+		public List<ShedOptionContext> shedOption() {
+			return getRuleContexts(ShedOptionContext.class);
+		}
+		public ShedOptionContext shedOption(int i) {
+			return getRuleContext(ShedOptionContext.class,i);
+		}
+		public List<TimelineOptionContext> timelineOption() {
+			return getRuleContexts(TimelineOptionContext.class);
+		}
+		public TimelineOptionContext timelineOption(int i) {
+			return getRuleContext(TimelineOptionContext.class,i);
+		}
+		public EverywhereContext everywhere() {
+			return getRuleContext(EverywhereContext.class,0);
+		}
+		public ShowContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_show; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitShow(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final ShowContext show() throws RecognitionException {
+		ShowContext _localctx = new ShowContext(_ctx, getState());
+		enterRule(_localctx, 8, RULE_show);
+		int _la;
+		try {
+			enterOuterAlt(_localctx, 1);
+			{
+			setState(90);
+			match(SHOW);
+			setState(109);
+			_errHandler.sync(this);
+			switch (_input.LA(1)) {
+			case SHED:
+				{
+				setState(91);
+				match(SHED);
+				setState(95);
+				_errHandler.sync(this);
+				_la = _input.LA(1);
+				while ((((_la) & ~0x3f) == 0 && ((1L << _la) & 9220L) != 0)) {
+					{
+					{
+					setState(92);
+					shedOption();
+					}
+					}
+					setState(97);
+					_errHandler.sync(this);
+					_la = _input.LA(1);
+				}
+				}
+				break;
+			case TIMELINE:
+				{
+				setState(98);
+				match(TIMELINE);
+				setState(102);
+				_errHandler.sync(this);
+				_la = _input.LA(1);
+				while ((((_la) & ~0x3f) == 0 && ((1L << _la) & 8397824L) != 0)) {
+					{
+					{
+					setState(99);
+					timelineOption();
+					}
+					}
+					setState(104);
+					_errHandler.sync(this);
+					_la = _input.LA(1);
+				}
+				}
+				break;
+			case CHANGES:
+			case CONFIGURATION:
+			case CONNECTIONS:
+			case LEVELS:
+			case NODES:
+			case QUARANTINE:
+			case RETRIES:
+			case TARGETS:
+			case TICKETS:
+				{
+				setState(105);
+				topic();
+				setState(107);
+				_errHandler.sync(this);
+				_la = _input.LA(1);
+				if (_la==EVERYWHERE) {
+					{
+					setState(106);
+					everywhere();
+					}
+				}
+
+				}
+				break;
+			default:
+				throw new NoViableAltException(this);
+			}
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class TopicContext extends ParserRuleContext {
+		public TerminalNode TARGETS() { return getToken(OperatorParser.TARGETS, 0); }
+		public TerminalNode NODES() { return getToken(OperatorParser.NODES, 0); }
+		public TerminalNode LEVELS() { return getToken(OperatorParser.LEVELS, 0); }
+		public TerminalNode RETRIES() { return getToken(OperatorParser.RETRIES, 0); }
+		public TerminalNode TICKETS() { return getToken(OperatorParser.TICKETS, 0); }
+		public TerminalNode CONNECTIONS() { return getToken(OperatorParser.CONNECTIONS, 0); }
+		public TerminalNode CONFIGURATION() { return getToken(OperatorParser.CONFIGURATION, 0); }
+		public TerminalNode CHANGES() { return getToken(OperatorParser.CHANGES, 0); }
+		public TerminalNode QUARANTINE() { return getToken(OperatorParser.QUARANTINE, 0); }
+		public TopicContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_topic; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitTopic(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final TopicContext topic() throws RecognitionException {
+		TopicContext _localctx = new TopicContext(_ctx, getState());
+		enterRule(_localctx, 10, RULE_topic);
+		int _la;
+		try {
+			enterOuterAlt(_localctx, 1);
+			{
+			setState(111);
+			_la = _input.LA(1);
+			if ( !((((_la) & ~0x3f) == 0 && ((1L << _la) & 25788956880L) != 0)) ) {
+			_errHandler.recoverInline(this);
+			}
+			else {
+				if ( _input.LA(1)==Token.EOF ) matchedEOF = true;
+				_errHandler.reportMatch(this);
+				consume();
+			}
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class ShedOptionContext extends ParserRuleContext {
+		public TerminalNode BY() { return getToken(OperatorParser.BY, 0); }
+		public GroupingContext grouping() {
+			return getRuleContext(GroupingContext.class,0);
+		}
+		public TerminalNode LAST() { return getToken(OperatorParser.LAST, 0); }
+		public DurationContext duration() {
+			return getRuleContext(DurationContext.class,0);
+		}
+		public EverywhereContext everywhere() {
+			return getRuleContext(EverywhereContext.class,0);
+		}
+		public ShedOptionContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_shedOption; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitShedOption(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final ShedOptionContext shedOption() throws RecognitionException {
+		ShedOptionContext _localctx = new ShedOptionContext(_ctx, getState());
+		enterRule(_localctx, 12, RULE_shedOption);
+		try {
+			setState(118);
+			_errHandler.sync(this);
+			switch (_input.LA(1)) {
+			case BY:
+				enterOuterAlt(_localctx, 1);
+				{
+				setState(113);
+				match(BY);
+				setState(114);
+				grouping();
+				}
+				break;
+			case LAST:
+				enterOuterAlt(_localctx, 2);
+				{
+				setState(115);
+				match(LAST);
+				setState(116);
+				duration();
+				}
+				break;
+			case EVERYWHERE:
+				enterOuterAlt(_localctx, 3);
+				{
+				setState(117);
+				everywhere();
+				}
+				break;
+			default:
+				throw new NoViableAltException(this);
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class GroupingContext extends ParserRuleContext {
+		public TerminalNode CLASS() { return getToken(OperatorParser.CLASS, 0); }
+		public TerminalNode SERVICE() { return getToken(OperatorParser.SERVICE, 0); }
+		public TerminalNode CALLER() { return getToken(OperatorParser.CALLER, 0); }
+		public GroupingContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_grouping; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitGrouping(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final GroupingContext grouping() throws RecognitionException {
+		GroupingContext _localctx = new GroupingContext(_ctx, getState());
+		enterRule(_localctx, 14, RULE_grouping);
+		int _la;
+		try {
+			enterOuterAlt(_localctx, 1);
+			{
+			setState(120);
+			_la = _input.LA(1);
+			if ( !((((_la) & ~0x3f) == 0 && ((1L << _la) & 67108904L) != 0)) ) {
+			_errHandler.recoverInline(this);
+			}
+			else {
+				if ( _input.LA(1)==Token.EOF ) matchedEOF = true;
+				_errHandler.reportMatch(this);
+				consume();
+			}
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class TimelineOptionContext extends ParserRuleContext {
+		public TerminalNode LAST() { return getToken(OperatorParser.LAST, 0); }
+		public DurationContext duration() {
+			return getRuleContext(DurationContext.class,0);
+		}
+		public TerminalNode REQUEST() { return getToken(OperatorParser.REQUEST, 0); }
+		public RequestIdContext requestId() {
+			return getRuleContext(RequestIdContext.class,0);
+		}
+		public EverywhereContext everywhere() {
+			return getRuleContext(EverywhereContext.class,0);
+		}
+		public TimelineOptionContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_timelineOption; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitTimelineOption(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final TimelineOptionContext timelineOption() throws RecognitionException {
+		TimelineOptionContext _localctx = new TimelineOptionContext(_ctx, getState());
+		enterRule(_localctx, 16, RULE_timelineOption);
+		try {
+			setState(127);
+			_errHandler.sync(this);
+			switch (_input.LA(1)) {
+			case LAST:
+				enterOuterAlt(_localctx, 1);
+				{
+				setState(122);
+				match(LAST);
+				setState(123);
+				duration();
+				}
+				break;
+			case REQUEST:
+				enterOuterAlt(_localctx, 2);
+				{
+				setState(124);
+				match(REQUEST);
+				setState(125);
+				requestId();
+				}
+				break;
+			case EVERYWHERE:
+				enterOuterAlt(_localctx, 3);
+				{
+				setState(126);
+				everywhere();
+				}
+				break;
+			default:
+				throw new NoViableAltException(this);
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class EverywhereContext extends ParserRuleContext {
+		public TerminalNode EVERYWHERE() { return getToken(OperatorParser.EVERYWHERE, 0); }
+		public EverywhereContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_everywhere; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitEverywhere(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final EverywhereContext everywhere() throws RecognitionException {
+		EverywhereContext _localctx = new EverywhereContext(_ctx, getState());
+		enterRule(_localctx, 18, RULE_everywhere);
+		try {
+			enterOuterAlt(_localctx, 1);
+			{
+			setState(129);
+			match(EVERYWHERE);
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class WhyContext extends ParserRuleContext {
+		public TerminalNode WHY() { return getToken(OperatorParser.WHY, 0); }
+		public RequestIdContext requestId() {
+			return getRuleContext(RequestIdContext.class,0);
+		}
+		public EverywhereContext everywhere() {
+			return getRuleContext(EverywhereContext.class,0);
+		}
+		public WhyContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_why; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitWhy(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final WhyContext why() throws RecognitionException {
+		WhyContext _localctx = new WhyContext(_ctx, getState());
+		enterRule(_localctx, 20, RULE_why);
+		int _la;
+		try {
+			enterOuterAlt(_localctx, 1);
+			{
+			setState(131);
+			match(WHY);
+			setState(132);
+			requestId();
+			setState(134);
+			_errHandler.sync(this);
+			_la = _input.LA(1);
+			if (_la==EVERYWHERE) {
+				{
+				setState(133);
+				everywhere();
+				}
+			}
+
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class ChangeContext extends ParserRuleContext {
+		public SetContext set() {
+			return getRuleContext(SetContext.class,0);
+		}
+		public RemoveContext remove() {
+			return getRuleContext(RemoveContext.class,0);
+		}
+		public MarkContext mark() {
+			return getRuleContext(MarkContext.class,0);
+		}
+		public DrainContext drain() {
+			return getRuleContext(DrainContext.class,0);
+		}
+		public UndrainContext undrain() {
+			return getRuleContext(UndrainContext.class,0);
+		}
+		public ChangeContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_change; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitChange(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final ChangeContext change() throws RecognitionException {
+		ChangeContext _localctx = new ChangeContext(_ctx, getState());
+		enterRule(_localctx, 22, RULE_change);
+		try {
+			setState(141);
+			_errHandler.sync(this);
+			switch (_input.LA(1)) {
+			case SET:
+				enterOuterAlt(_localctx, 1);
+				{
+				setState(136);
+				set();
+				}
+				break;
+			case REMOVE:
+				enterOuterAlt(_localctx, 2);
+				{
+				setState(137);
+				remove();
+				}
+				break;
+			case MARK:
+				enterOuterAlt(_localctx, 3);
+				{
+				setState(138);
+				mark();
+				}
+				break;
+			case DRAIN:
+				enterOuterAlt(_localctx, 4);
+				{
+				setState(139);
+				drain();
+				}
+				break;
+			case UNDRAIN:
+				enterOuterAlt(_localctx, 5);
+				{
+				setState(140);
+				undrain();
+				}
+				break;
+			default:
+				throw new NoViableAltException(this);
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class SetContext extends ParserRuleContext {
+		public TerminalNode SET() { return getToken(OperatorParser.SET, 0); }
+		public SetClassContext setClass() {
+			return getRuleContext(SetClassContext.class,0);
+		}
+		public SetBudgetContext setBudget() {
+			return getRuleContext(SetBudgetContext.class,0);
+		}
+		public SetLimitContext setLimit() {
+			return getRuleContext(SetLimitContext.class,0);
+		}
+		public SetRouteContext setRoute() {
+			return getRuleContext(SetRouteContext.class,0);
+		}
+		public SetContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_set; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitSet(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final SetContext set() throws RecognitionException {
+		SetContext _localctx = new SetContext(_ctx, getState());
+		enterRule(_localctx, 24, RULE_set);
+		try {
+			enterOuterAlt(_localctx, 1);
+			{
+			setState(143);
+			match(SET);
+			setState(148);
+			_errHandler.sync(this);
+			switch (_input.LA(1)) {
+			case CLASS:
+				{
+				setState(144);
+				setClass();
+				}
+				break;
+			case BUDGET:
+				{
+				setState(145);
+				setBudget();
+				}
+				break;
+			case LIMIT:
+				{
+				setState(146);
+				setLimit();
+				}
+				break;
+			case ROUTE:
+				{
+				setState(147);
+				setRoute();
+				}
+				break;
+			default:
+				throw new NoViableAltException(this);
+			}
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class SetClassContext extends ParserRuleContext {
+		public TerminalNode CLASS() { return getToken(OperatorParser.CLASS, 0); }
+		public ClassNameContext className() {
+			return getRuleContext(ClassNameContext.class,0);
+		}
+		public TerminalNode PRIORITY() { return getToken(OperatorParser.PRIORITY, 0); }
+		public PriorityContext priority() {
+			return getRuleContext(PriorityContext.class,0);
+		}
+		public SetClassContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_setClass; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitSetClass(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final SetClassContext setClass() throws RecognitionException {
+		SetClassContext _localctx = new SetClassContext(_ctx, getState());
+		enterRule(_localctx, 26, RULE_setClass);
+		try {
+			enterOuterAlt(_localctx, 1);
+			{
+			setState(150);
+			match(CLASS);
+			setState(151);
+			className();
+			setState(152);
+			match(PRIORITY);
+			setState(153);
+			priority();
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class SetBudgetContext extends ParserRuleContext {
+		public TerminalNode BUDGET() { return getToken(OperatorParser.BUDGET, 0); }
+		public ClassNameContext className() {
+			return getRuleContext(ClassNameContext.class,0);
+		}
+		public List<BudgetOptionContext> budgetOption() {
+			return getRuleContexts(BudgetOptionContext.class);
+		}
+		public BudgetOptionContext budgetOption(int i) {
+			return getRuleContext(BudgetOptionContext.class,i);
+		}
+		public SetBudgetContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_setBudget; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitSetBudget(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final SetBudgetContext setBudget() throws RecognitionException {
+		SetBudgetContext _localctx = new SetBudgetContext(_ctx, getState());
+		enterRule(_localctx, 28, RULE_setBudget);
+		int _la;
+		try {
+			enterOuterAlt(_localctx, 1);
+			{
+			setState(155);
+			match(BUDGET);
+			setState(156);
+			className();
+			setState(158); 
+			_errHandler.sync(this);
+			_la = _input.LA(1);
+			do {
+				{
+				{
+				setState(157);
+				budgetOption();
+				}
+				}
+				setState(160); 
+				_errHandler.sync(this);
+				_la = _input.LA(1);
+			} while ( _la==RETRIES || _la==SHARE );
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class BudgetOptionContext extends ParserRuleContext {
+		public TerminalNode SHARE() { return getToken(OperatorParser.SHARE, 0); }
+		public PercentContext percent() {
+			return getRuleContext(PercentContext.class,0);
+		}
+		public TerminalNode RETRIES() { return getToken(OperatorParser.RETRIES, 0); }
+		public RetriesContext retries() {
+			return getRuleContext(RetriesContext.class,0);
+		}
+		public BudgetOptionContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_budgetOption; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitBudgetOption(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final BudgetOptionContext budgetOption() throws RecognitionException {
+		BudgetOptionContext _localctx = new BudgetOptionContext(_ctx, getState());
+		enterRule(_localctx, 30, RULE_budgetOption);
+		try {
+			setState(166);
+			_errHandler.sync(this);
+			switch (_input.LA(1)) {
+			case SHARE:
+				enterOuterAlt(_localctx, 1);
+				{
+				setState(162);
+				match(SHARE);
+				setState(163);
+				percent();
+				}
+				break;
+			case RETRIES:
+				enterOuterAlt(_localctx, 2);
+				{
+				setState(164);
+				match(RETRIES);
+				setState(165);
+				retries();
+				}
+				break;
+			default:
+				throw new NoViableAltException(this);
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class SetLimitContext extends ParserRuleContext {
+		public TerminalNode LIMIT() { return getToken(OperatorParser.LIMIT, 0); }
+		public ServiceNameContext serviceName() {
+			return getRuleContext(ServiceNameContext.class,0);
+		}
+		public TerminalNode SLOTS() { return getToken(OperatorParser.SLOTS, 0); }
+		public SlotsContext slots() {
+			return getRuleContext(SlotsContext.class,0);
+		}
+		public SetLimitContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_setLimit; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitSetLimit(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final SetLimitContext setLimit() throws RecognitionException {
+		SetLimitContext _localctx = new SetLimitContext(_ctx, getState());
+		enterRule(_localctx, 32, RULE_setLimit);
+		try {
+			enterOuterAlt(_localctx, 1);
+			{
+			setState(168);
+			match(LIMIT);
+			setState(169);
+			serviceName();
+			setState(170);
+			match(SLOTS);
+			setState(171);
+			slots();
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class SetRouteContext extends ParserRuleContext {
+		public TerminalNode ROUTE() { return getToken(OperatorParser.ROUTE, 0); }
+		public PrefixContext prefix() {
+			return getRuleContext(PrefixContext.class,0);
+		}
+		public TerminalNode SERVICE() { return getToken(OperatorParser.SERVICE, 0); }
+		public ServiceNameContext serviceName() {
+			return getRuleContext(ServiceNameContext.class,0);
+		}
+		public TerminalNode CLASS() { return getToken(OperatorParser.CLASS, 0); }
+		public ClassNameContext className() {
+			return getRuleContext(ClassNameContext.class,0);
+		}
+		public RouteMethodsContext routeMethods() {
+			return getRuleContext(RouteMethodsContext.class,0);
+		}
+		public List<RouteOptionContext> routeOption() {
+			return getRuleContexts(RouteOptionContext.class);
+		}
+		public RouteOptionContext routeOption(int i) {
+			return getRuleContext(RouteOptionContext.class,i);
+		}
+		public SetRouteContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_setRoute; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitSetRoute(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final SetRouteContext setRoute() throws RecognitionException {
+		SetRouteContext _localctx = new SetRouteContext(_ctx, getState());
+		enterRule(_localctx, 34, RULE_setRoute);
+		int _la;
+		try {
+			enterOuterAlt(_localctx, 1);
+			{
+			setState(173);
+			match(ROUTE);
+			setState(174);
+			prefix();
+			setState(176);
+			_errHandler.sync(this);
+			_la = _input.LA(1);
+			if (_la==METHODS) {
+				{
+				setState(175);
+				routeMethods();
+				}
+			}
+
+			setState(178);
+			match(SERVICE);
+			setState(179);
+			serviceName();
+			setState(180);
+			match(CLASS);
+			setState(181);
+			className();
+			setState(185);
+			_errHandler.sync(this);
+			_la = _input.LA(1);
+			while ((((_la) & ~0x3f) == 0 && ((1L << _la) & 528640L) != 0)) {
+				{
+				{
+				setState(182);
+				routeOption();
+				}
+				}
+				setState(187);
+				_errHandler.sync(this);
+				_la = _input.LA(1);
+			}
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class RouteMethodsContext extends ParserRuleContext {
+		public TerminalNode METHODS() { return getToken(OperatorParser.METHODS, 0); }
+		public List<MethodContext> method() {
+			return getRuleContexts(MethodContext.class);
+		}
+		public MethodContext method(int i) {
+			return getRuleContext(MethodContext.class,i);
+		}
+		public List<TerminalNode> COMMA() { return getTokens(OperatorParser.COMMA); }
+		public TerminalNode COMMA(int i) {
+			return getToken(OperatorParser.COMMA, i);
+		}
+		public RouteMethodsContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_routeMethods; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitRouteMethods(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final RouteMethodsContext routeMethods() throws RecognitionException {
+		RouteMethodsContext _localctx = new RouteMethodsContext(_ctx, getState());
+		enterRule(_localctx, 36, RULE_routeMethods);
+		int _la;
+		try {
+			enterOuterAlt(_localctx, 1);
+			{
+			setState(188);
+			match(METHODS);
+			setState(189);
+			method();
+			setState(194);
+			_errHandler.sync(this);
+			_la = _input.LA(1);
+			while (_la==COMMA) {
+				{
+				{
+				setState(190);
+				match(COMMA);
+				setState(191);
+				method();
+				}
+				}
+				setState(196);
+				_errHandler.sync(this);
+				_la = _input.LA(1);
+			}
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class RouteOptionContext extends ParserRuleContext {
+		public TerminalNode IDEMPOTENT() { return getToken(OperatorParser.IDEMPOTENT, 0); }
+		public TerminalNode NON_IDEMPOTENT() { return getToken(OperatorParser.NON_IDEMPOTENT, 0); }
+		public TerminalNode DEADLINE() { return getToken(OperatorParser.DEADLINE, 0); }
+		public DurationContext duration() {
+			return getRuleContext(DurationContext.class,0);
+		}
+		public RouteOptionContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_routeOption; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitRouteOption(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final RouteOptionContext routeOption() throws RecognitionException {
+		RouteOptionContext _localctx = new RouteOptionContext(_ctx, getState());
+		enterRule(_localctx, 38, RULE_routeOption);
+		try {
+			setState(201);
+			_errHandler.sync(this);
+			switch (_input.LA(1)) {
+			case IDEMPOTENT:
+				enterOuterAlt(_localctx, 1);
+				{
+				setState(197);
+				match(IDEMPOTENT);
+				}
+				break;
+			case NON_IDEMPOTENT:
+				enterOuterAlt(_localctx, 2);
+				{
+				setState(198);
+				match(NON_IDEMPOTENT);
+				}
+				break;
+			case DEADLINE:
+				enterOuterAlt(_localctx, 3);
+				{
+				setState(199);
+				match(DEADLINE);
+				setState(200);
+				duration();
+				}
+				break;
+			default:
+				throw new NoViableAltException(this);
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class RemoveContext extends ParserRuleContext {
+		public TerminalNode REMOVE() { return getToken(OperatorParser.REMOVE, 0); }
+		public TerminalNode ROUTE() { return getToken(OperatorParser.ROUTE, 0); }
+		public PrefixContext prefix() {
+			return getRuleContext(PrefixContext.class,0);
+		}
+		public RemoveContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_remove; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitRemove(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final RemoveContext remove() throws RecognitionException {
+		RemoveContext _localctx = new RemoveContext(_ctx, getState());
+		enterRule(_localctx, 40, RULE_remove);
+		try {
+			enterOuterAlt(_localctx, 1);
+			{
+			setState(203);
+			match(REMOVE);
+			setState(204);
+			match(ROUTE);
+			setState(205);
+			prefix();
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class MarkContext extends ParserRuleContext {
+		public TerminalNode MARK() { return getToken(OperatorParser.MARK, 0); }
+		public TerminalNode ROUTE() { return getToken(OperatorParser.ROUTE, 0); }
+		public PrefixContext prefix() {
+			return getRuleContext(PrefixContext.class,0);
+		}
+		public TerminalNode NON_IDEMPOTENT() { return getToken(OperatorParser.NON_IDEMPOTENT, 0); }
+		public TerminalNode IDEMPOTENT() { return getToken(OperatorParser.IDEMPOTENT, 0); }
+		public MarkContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_mark; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitMark(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final MarkContext mark() throws RecognitionException {
+		MarkContext _localctx = new MarkContext(_ctx, getState());
+		enterRule(_localctx, 42, RULE_mark);
+		int _la;
+		try {
+			enterOuterAlt(_localctx, 1);
+			{
+			setState(207);
+			match(MARK);
+			setState(208);
+			match(ROUTE);
+			setState(209);
+			prefix();
+			setState(210);
+			_la = _input.LA(1);
+			if ( !(_la==IDEMPOTENT || _la==NON_IDEMPOTENT) ) {
+			_errHandler.recoverInline(this);
+			}
+			else {
+				if ( _input.LA(1)==Token.EOF ) matchedEOF = true;
+				_errHandler.reportMatch(this);
+				consume();
+			}
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class DrainContext extends ParserRuleContext {
+		public TerminalNode DRAIN() { return getToken(OperatorParser.DRAIN, 0); }
+		public TerminalNode TARGET() { return getToken(OperatorParser.TARGET, 0); }
+		public NodeIdContext nodeId() {
+			return getRuleContext(NodeIdContext.class,0);
+		}
+		public DrainContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_drain; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitDrain(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final DrainContext drain() throws RecognitionException {
+		DrainContext _localctx = new DrainContext(_ctx, getState());
+		enterRule(_localctx, 44, RULE_drain);
+		try {
+			enterOuterAlt(_localctx, 1);
+			{
+			setState(212);
+			match(DRAIN);
+			setState(213);
+			match(TARGET);
+			setState(214);
+			nodeId();
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class UndrainContext extends ParserRuleContext {
+		public TerminalNode UNDRAIN() { return getToken(OperatorParser.UNDRAIN, 0); }
+		public TerminalNode TARGET() { return getToken(OperatorParser.TARGET, 0); }
+		public NodeIdContext nodeId() {
+			return getRuleContext(NodeIdContext.class,0);
+		}
+		public UndrainContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_undrain; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitUndrain(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final UndrainContext undrain() throws RecognitionException {
+		UndrainContext _localctx = new UndrainContext(_ctx, getState());
+		enterRule(_localctx, 46, RULE_undrain);
+		try {
+			enterOuterAlt(_localctx, 1);
+			{
+			setState(216);
+			match(UNDRAIN);
+			setState(217);
+			match(TARGET);
+			setState(218);
+			nodeId();
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class ClassNameContext extends ParserRuleContext {
+		public NameContext name() {
+			return getRuleContext(NameContext.class,0);
+		}
+		public ClassNameContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_className; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitClassName(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final ClassNameContext className() throws RecognitionException {
+		ClassNameContext _localctx = new ClassNameContext(_ctx, getState());
+		enterRule(_localctx, 48, RULE_className);
+		try {
+			enterOuterAlt(_localctx, 1);
+			{
+			setState(220);
+			name();
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class ServiceNameContext extends ParserRuleContext {
+		public NameContext name() {
+			return getRuleContext(NameContext.class,0);
+		}
+		public ServiceNameContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_serviceName; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitServiceName(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final ServiceNameContext serviceName() throws RecognitionException {
+		ServiceNameContext _localctx = new ServiceNameContext(_ctx, getState());
+		enterRule(_localctx, 50, RULE_serviceName);
+		try {
+			enterOuterAlt(_localctx, 1);
+			{
+			setState(222);
+			name();
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class NodeIdContext extends ParserRuleContext {
+		public NameContext name() {
+			return getRuleContext(NameContext.class,0);
+		}
+		public NodeIdContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_nodeId; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitNodeId(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final NodeIdContext nodeId() throws RecognitionException {
+		NodeIdContext _localctx = new NodeIdContext(_ctx, getState());
+		enterRule(_localctx, 52, RULE_nodeId);
+		try {
+			enterOuterAlt(_localctx, 1);
+			{
+			setState(224);
+			name();
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class MethodContext extends ParserRuleContext {
+		public TerminalNode WORD() { return getToken(OperatorParser.WORD, 0); }
+		public MethodContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_method; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitMethod(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final MethodContext method() throws RecognitionException {
+		MethodContext _localctx = new MethodContext(_ctx, getState());
+		enterRule(_localctx, 54, RULE_method);
+		try {
+			enterOuterAlt(_localctx, 1);
+			{
+			setState(226);
+			match(WORD);
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class RequestIdContext extends ParserRuleContext {
+		public TerminalNode WORD() { return getToken(OperatorParser.WORD, 0); }
+		public RequestIdContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_requestId; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitRequestId(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final RequestIdContext requestId() throws RecognitionException {
+		RequestIdContext _localctx = new RequestIdContext(_ctx, getState());
+		enterRule(_localctx, 56, RULE_requestId);
+		try {
+			enterOuterAlt(_localctx, 1);
+			{
+			setState(228);
+			match(WORD);
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class PrefixContext extends ParserRuleContext {
+		public TerminalNode PATH() { return getToken(OperatorParser.PATH, 0); }
+		public PrefixContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_prefix; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitPrefix(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final PrefixContext prefix() throws RecognitionException {
+		PrefixContext _localctx = new PrefixContext(_ctx, getState());
+		enterRule(_localctx, 58, RULE_prefix);
+		try {
+			enterOuterAlt(_localctx, 1);
+			{
+			setState(230);
+			match(PATH);
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class DurationContext extends ParserRuleContext {
+		public TerminalNode DURATION() { return getToken(OperatorParser.DURATION, 0); }
+		public DurationContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_duration; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitDuration(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final DurationContext duration() throws RecognitionException {
+		DurationContext _localctx = new DurationContext(_ctx, getState());
+		enterRule(_localctx, 60, RULE_duration);
+		try {
+			enterOuterAlt(_localctx, 1);
+			{
+			setState(232);
+			match(DURATION);
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class PercentContext extends ParserRuleContext {
+		public TerminalNode PERCENT() { return getToken(OperatorParser.PERCENT, 0); }
+		public PercentContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_percent; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitPercent(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final PercentContext percent() throws RecognitionException {
+		PercentContext _localctx = new PercentContext(_ctx, getState());
+		enterRule(_localctx, 62, RULE_percent);
+		try {
+			enterOuterAlt(_localctx, 1);
+			{
+			setState(234);
+			match(PERCENT);
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class PriorityContext extends ParserRuleContext {
+		public TerminalNode NUMBER() { return getToken(OperatorParser.NUMBER, 0); }
+		public PriorityContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_priority; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitPriority(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final PriorityContext priority() throws RecognitionException {
+		PriorityContext _localctx = new PriorityContext(_ctx, getState());
+		enterRule(_localctx, 64, RULE_priority);
+		try {
+			enterOuterAlt(_localctx, 1);
+			{
+			setState(236);
+			match(NUMBER);
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class RetriesContext extends ParserRuleContext {
+		public TerminalNode NUMBER() { return getToken(OperatorParser.NUMBER, 0); }
+		public RetriesContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_retries; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitRetries(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final RetriesContext retries() throws RecognitionException {
+		RetriesContext _localctx = new RetriesContext(_ctx, getState());
+		enterRule(_localctx, 66, RULE_retries);
+		try {
+			enterOuterAlt(_localctx, 1);
+			{
+			setState(238);
+			match(NUMBER);
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class SlotsContext extends ParserRuleContext {
+		public TerminalNode NUMBER() { return getToken(OperatorParser.NUMBER, 0); }
+		public SlotsContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_slots; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitSlots(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final SlotsContext slots() throws RecognitionException {
+		SlotsContext _localctx = new SlotsContext(_ctx, getState());
+		enterRule(_localctx, 68, RULE_slots);
+		try {
+			enterOuterAlt(_localctx, 1);
+			{
+			setState(240);
+			match(NUMBER);
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class NameContext extends ParserRuleContext {
+		public TerminalNode WORD() { return getToken(OperatorParser.WORD, 0); }
+		public TerminalNode NUMBER() { return getToken(OperatorParser.NUMBER, 0); }
+		public TerminalNode DURATION() { return getToken(OperatorParser.DURATION, 0); }
+		public KeywordContext keyword() {
+			return getRuleContext(KeywordContext.class,0);
+		}
+		public NameContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_name; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitName(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final NameContext name() throws RecognitionException {
+		NameContext _localctx = new NameContext(_ctx, getState());
+		enterRule(_localctx, 70, RULE_name);
+		try {
+			setState(246);
+			_errHandler.sync(this);
+			switch (_input.LA(1)) {
+			case WORD:
+				enterOuterAlt(_localctx, 1);
+				{
+				setState(242);
+				match(WORD);
+				}
+				break;
+			case NUMBER:
+				enterOuterAlt(_localctx, 2);
+				{
+				setState(243);
+				match(NUMBER);
+				}
+				break;
+			case DURATION:
+				enterOuterAlt(_localctx, 3);
+				{
+				setState(244);
+				match(DURATION);
+				}
+				break;
+			case BUDGET:
+			case BY:
+			case CALLER:
+			case CHANGES:
+			case CLASS:
+			case CONFIGURATION:
+			case CONNECTIONS:
+			case DEADLINE:
+			case DRAIN:
+			case EVERYWHERE:
+			case EXPLAIN:
+			case IDEMPOTENT:
+			case LAST:
+			case LEVELS:
+			case LIMIT:
+			case MARK:
+			case METHODS:
+			case NODES:
+			case NON_IDEMPOTENT:
+			case PRIORITY:
+			case QUARANTINE:
+			case REMOVE:
+			case REQUEST:
+			case RETRIES:
+			case ROUTE:
+			case SERVICE:
+			case SET:
+			case SHARE:
+			case SHED:
+			case SHOW:
+			case SLOTS:
+			case TARGET:
+			case TARGETS:
+			case TICKETS:
+			case TIMELINE:
+			case UNDRAIN:
+			case WATCH:
+			case WHY:
+				enterOuterAlt(_localctx, 4);
+				{
+				setState(245);
+				keyword();
+				}
+				break;
+			default:
+				throw new NoViableAltException(this);
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class KeywordContext extends ParserRuleContext {
+		public TerminalNode BUDGET() { return getToken(OperatorParser.BUDGET, 0); }
+		public TerminalNode BY() { return getToken(OperatorParser.BY, 0); }
+		public TerminalNode CALLER() { return getToken(OperatorParser.CALLER, 0); }
+		public TerminalNode CHANGES() { return getToken(OperatorParser.CHANGES, 0); }
+		public TerminalNode CLASS() { return getToken(OperatorParser.CLASS, 0); }
+		public TerminalNode CONFIGURATION() { return getToken(OperatorParser.CONFIGURATION, 0); }
+		public TerminalNode CONNECTIONS() { return getToken(OperatorParser.CONNECTIONS, 0); }
+		public TerminalNode DEADLINE() { return getToken(OperatorParser.DEADLINE, 0); }
+		public TerminalNode DRAIN() { return getToken(OperatorParser.DRAIN, 0); }
+		public TerminalNode EVERYWHERE() { return getToken(OperatorParser.EVERYWHERE, 0); }
+		public TerminalNode EXPLAIN() { return getToken(OperatorParser.EXPLAIN, 0); }
+		public TerminalNode IDEMPOTENT() { return getToken(OperatorParser.IDEMPOTENT, 0); }
+		public TerminalNode LAST() { return getToken(OperatorParser.LAST, 0); }
+		public TerminalNode LEVELS() { return getToken(OperatorParser.LEVELS, 0); }
+		public TerminalNode LIMIT() { return getToken(OperatorParser.LIMIT, 0); }
+		public TerminalNode MARK() { return getToken(OperatorParser.MARK, 0); }
+		public TerminalNode METHODS() { return getToken(OperatorParser.METHODS, 0); }
+		public TerminalNode NODES() { return getToken(OperatorParser.NODES, 0); }
+		public TerminalNode NON_IDEMPOTENT() { return getToken(OperatorParser.NON_IDEMPOTENT, 0); }
+		public TerminalNode PRIORITY() { return getToken(OperatorParser.PRIORITY, 0); }
+		public TerminalNode QUARANTINE() { return getToken(OperatorParser.QUARANTINE, 0); }
+		public TerminalNode REMOVE() { return getToken(OperatorParser.REMOVE, 0); }
+		public TerminalNode REQUEST() { return getToken(OperatorParser.REQUEST, 0); }
+		public TerminalNode RETRIES() { return getToken(OperatorParser.RETRIES, 0); }
+		public TerminalNode ROUTE() { return getToken(OperatorParser.ROUTE, 0); }
+		public TerminalNode SERVICE() { return getToken(OperatorParser.SERVICE, 0); }
+		public TerminalNode SET() { return getToken(OperatorParser.SET, 0); }
+		public TerminalNode SHARE() { return getToken(OperatorParser.SHARE, 0); }
+		public TerminalNode SHED() { return getToken(OperatorParser.SHED, 0); }
+		public TerminalNode SHOW() { return getToken(OperatorParser.SHOW, 0); }
+		public TerminalNode SLOTS() { return getToken(OperatorParser.SLOTS, 0); }
+		public TerminalNode TARGET() { return getToken(OperatorParser.TARGET, 0); }
+		public TerminalNode TARGETS() { return getToken(OperatorParser.TARGETS, 0); }
+		public TerminalNode TICKETS() { return getToken(OperatorParser.TICKETS, 0); }
+		public TerminalNode TIMELINE() { return getToken(OperatorParser.TIMELINE, 0); }
+		public TerminalNode UNDRAIN() { return getToken(OperatorParser.UNDRAIN, 0); }
+		public TerminalNode WATCH() { return getToken(OperatorParser.WATCH, 0); }
+		public TerminalNode WHY() { return getToken(OperatorParser.WHY, 0); }
+		public KeywordContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_keyword; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitKeyword(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final KeywordContext keyword() throws RecognitionException {
+		KeywordContext _localctx = new KeywordContext(_ctx, getState());
+		enterRule(_localctx, 72, RULE_keyword);
+		int _la;
+		try {
+			enterOuterAlt(_localctx, 1);
+			{
+			setState(248);
+			_la = _input.LA(1);
+			if ( !((((_la) & ~0x3f) == 0 && ((1L << _la) & 549755813886L) != 0)) ) {
+			_errHandler.recoverInline(this);
+			}
+			else {
+				if ( _input.LA(1)==Token.EOF ) matchedEOF = true;
+				_errHandler.reportMatch(this);
+				consume();
+			}
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	public static final String _serializedATN =
+		"\u0004\u0001.\u00fb\u0002\u0000\u0007\u0000\u0002\u0001\u0007\u0001\u0002"+
+		"\u0002\u0007\u0002\u0002\u0003\u0007\u0003\u0002\u0004\u0007\u0004\u0002"+
+		"\u0005\u0007\u0005\u0002\u0006\u0007\u0006\u0002\u0007\u0007\u0007\u0002"+
+		"\b\u0007\b\u0002\t\u0007\t\u0002\n\u0007\n\u0002\u000b\u0007\u000b\u0002"+
+		"\f\u0007\f\u0002\r\u0007\r\u0002\u000e\u0007\u000e\u0002\u000f\u0007\u000f"+
+		"\u0002\u0010\u0007\u0010\u0002\u0011\u0007\u0011\u0002\u0012\u0007\u0012"+
+		"\u0002\u0013\u0007\u0013\u0002\u0014\u0007\u0014\u0002\u0015\u0007\u0015"+
+		"\u0002\u0016\u0007\u0016\u0002\u0017\u0007\u0017\u0002\u0018\u0007\u0018"+
+		"\u0002\u0019\u0007\u0019\u0002\u001a\u0007\u001a\u0002\u001b\u0007\u001b"+
+		"\u0002\u001c\u0007\u001c\u0002\u001d\u0007\u001d\u0002\u001e\u0007\u001e"+
+		"\u0002\u001f\u0007\u001f\u0002 \u0007 \u0002!\u0007!\u0002\"\u0007\"\u0002"+
+		"#\u0007#\u0002$\u0007$\u0001\u0000\u0001\u0000\u0001\u0000\u0001\u0001"+
+		"\u0001\u0001\u0001\u0001\u0001\u0001\u0001\u0001\u0003\u0001S\b\u0001"+
+		"\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0003\u0001\u0003\u0001\u0003"+
+		"\u0001\u0004\u0001\u0004\u0001\u0004\u0005\u0004^\b\u0004\n\u0004\f\u0004"+
+		"a\t\u0004\u0001\u0004\u0001\u0004\u0005\u0004e\b\u0004\n\u0004\f\u0004"+
+		"h\t\u0004\u0001\u0004\u0001\u0004\u0003\u0004l\b\u0004\u0003\u0004n\b"+
+		"\u0004\u0001\u0005\u0001\u0005\u0001\u0006\u0001\u0006\u0001\u0006\u0001"+
+		"\u0006\u0001\u0006\u0003\u0006w\b\u0006\u0001\u0007\u0001\u0007\u0001"+
+		"\b\u0001\b\u0001\b\u0001\b\u0001\b\u0003\b\u0080\b\b\u0001\t\u0001\t\u0001"+
+		"\n\u0001\n\u0001\n\u0003\n\u0087\b\n\u0001\u000b\u0001\u000b\u0001\u000b"+
+		"\u0001\u000b\u0001\u000b\u0003\u000b\u008e\b\u000b\u0001\f\u0001\f\u0001"+
+		"\f\u0001\f\u0001\f\u0003\f\u0095\b\f\u0001\r\u0001\r\u0001\r\u0001\r\u0001"+
+		"\r\u0001\u000e\u0001\u000e\u0001\u000e\u0004\u000e\u009f\b\u000e\u000b"+
+		"\u000e\f\u000e\u00a0\u0001\u000f\u0001\u000f\u0001\u000f\u0001\u000f\u0003"+
+		"\u000f\u00a7\b\u000f\u0001\u0010\u0001\u0010\u0001\u0010\u0001\u0010\u0001"+
+		"\u0010\u0001\u0011\u0001\u0011\u0001\u0011\u0003\u0011\u00b1\b\u0011\u0001"+
+		"\u0011\u0001\u0011\u0001\u0011\u0001\u0011\u0001\u0011\u0005\u0011\u00b8"+
+		"\b\u0011\n\u0011\f\u0011\u00bb\t\u0011\u0001\u0012\u0001\u0012\u0001\u0012"+
+		"\u0001\u0012\u0005\u0012\u00c1\b\u0012\n\u0012\f\u0012\u00c4\t\u0012\u0001"+
+		"\u0013\u0001\u0013\u0001\u0013\u0001\u0013\u0003\u0013\u00ca\b\u0013\u0001"+
+		"\u0014\u0001\u0014\u0001\u0014\u0001\u0014\u0001\u0015\u0001\u0015\u0001"+
+		"\u0015\u0001\u0015\u0001\u0015\u0001\u0016\u0001\u0016\u0001\u0016\u0001"+
+		"\u0016\u0001\u0017\u0001\u0017\u0001\u0017\u0001\u0017\u0001\u0018\u0001"+
+		"\u0018\u0001\u0019\u0001\u0019\u0001\u001a\u0001\u001a\u0001\u001b\u0001"+
+		"\u001b\u0001\u001c\u0001\u001c\u0001\u001d\u0001\u001d\u0001\u001e\u0001"+
+		"\u001e\u0001\u001f\u0001\u001f\u0001 \u0001 \u0001!\u0001!\u0001\"\u0001"+
+		"\"\u0001#\u0001#\u0001#\u0001#\u0003#\u00f7\b#\u0001$\u0001$\u0001$\u0000"+
+		"\u0000%\u0000\u0002\u0004\u0006\b\n\f\u000e\u0010\u0012\u0014\u0016\u0018"+
+		"\u001a\u001c\u001e \"$&(*,.02468:<>@BDFH\u0000\u0004\u0007\u0000\u0004"+
+		"\u0004\u0006\u0007\u000e\u000e\u0012\u0012\u0015\u0015\u0018\u0018!\""+
+		"\u0003\u0000\u0003\u0003\u0005\u0005\u001a\u001a\u0002\u0000\f\f\u0013"+
+		"\u0013\u0001\u0000\u0001&\u00f4\u0000J\u0001\u0000\u0000\u0000\u0002R"+
+		"\u0001\u0000\u0000\u0000\u0004T\u0001\u0000\u0000\u0000\u0006W\u0001\u0000"+
+		"\u0000\u0000\bZ\u0001\u0000\u0000\u0000\no\u0001\u0000\u0000\u0000\fv"+
+		"\u0001\u0000\u0000\u0000\u000ex\u0001\u0000\u0000\u0000\u0010\u007f\u0001"+
+		"\u0000\u0000\u0000\u0012\u0081\u0001\u0000\u0000\u0000\u0014\u0083\u0001"+
+		"\u0000\u0000\u0000\u0016\u008d\u0001\u0000\u0000\u0000\u0018\u008f\u0001"+
+		"\u0000\u0000\u0000\u001a\u0096\u0001\u0000\u0000\u0000\u001c\u009b\u0001"+
+		"\u0000\u0000\u0000\u001e\u00a6\u0001\u0000\u0000\u0000 \u00a8\u0001\u0000"+
+		"\u0000\u0000\"\u00ad\u0001\u0000\u0000\u0000$\u00bc\u0001\u0000\u0000"+
+		"\u0000&\u00c9\u0001\u0000\u0000\u0000(\u00cb\u0001\u0000\u0000\u0000*"+
+		"\u00cf\u0001\u0000\u0000\u0000,\u00d4\u0001\u0000\u0000\u0000.\u00d8\u0001"+
+		"\u0000\u0000\u00000\u00dc\u0001\u0000\u0000\u00002\u00de\u0001\u0000\u0000"+
+		"\u00004\u00e0\u0001\u0000\u0000\u00006\u00e2\u0001\u0000\u0000\u00008"+
+		"\u00e4\u0001\u0000\u0000\u0000:\u00e6\u0001\u0000\u0000\u0000<\u00e8\u0001"+
+		"\u0000\u0000\u0000>\u00ea\u0001\u0000\u0000\u0000@\u00ec\u0001\u0000\u0000"+
+		"\u0000B\u00ee\u0001\u0000\u0000\u0000D\u00f0\u0001\u0000\u0000\u0000F"+
+		"\u00f6\u0001\u0000\u0000\u0000H\u00f8\u0001\u0000\u0000\u0000JK\u0003"+
+		"\u0002\u0001\u0000KL\u0005\u0000\u0000\u0001L\u0001\u0001\u0000\u0000"+
+		"\u0000MS\u0003\b\u0004\u0000NS\u0003\u0014\n\u0000OS\u0003\u0016\u000b"+
+		"\u0000PS\u0003\u0004\u0002\u0000QS\u0003\u0006\u0003\u0000RM\u0001\u0000"+
+		"\u0000\u0000RN\u0001\u0000\u0000\u0000RO\u0001\u0000\u0000\u0000RP\u0001"+
+		"\u0000\u0000\u0000RQ\u0001\u0000\u0000\u0000S\u0003\u0001\u0000\u0000"+
+		"\u0000TU\u0005\u000b\u0000\u0000UV\u0003\u0016\u000b\u0000V\u0005\u0001"+
+		"\u0000\u0000\u0000WX\u0005%\u0000\u0000XY\u0003\b\u0004\u0000Y\u0007\u0001"+
+		"\u0000\u0000\u0000Zm\u0005\u001e\u0000\u0000[_\u0005\u001d\u0000\u0000"+
+		"\\^\u0003\f\u0006\u0000]\\\u0001\u0000\u0000\u0000^a\u0001\u0000\u0000"+
+		"\u0000_]\u0001\u0000\u0000\u0000_`\u0001\u0000\u0000\u0000`n\u0001\u0000"+
+		"\u0000\u0000a_\u0001\u0000\u0000\u0000bf\u0005#\u0000\u0000ce\u0003\u0010"+
+		"\b\u0000dc\u0001\u0000\u0000\u0000eh\u0001\u0000\u0000\u0000fd\u0001\u0000"+
+		"\u0000\u0000fg\u0001\u0000\u0000\u0000gn\u0001\u0000\u0000\u0000hf\u0001"+
+		"\u0000\u0000\u0000ik\u0003\n\u0005\u0000jl\u0003\u0012\t\u0000kj\u0001"+
+		"\u0000\u0000\u0000kl\u0001\u0000\u0000\u0000ln\u0001\u0000\u0000\u0000"+
+		"m[\u0001\u0000\u0000\u0000mb\u0001\u0000\u0000\u0000mi\u0001\u0000\u0000"+
+		"\u0000n\t\u0001\u0000\u0000\u0000op\u0007\u0000\u0000\u0000p\u000b\u0001"+
+		"\u0000\u0000\u0000qr\u0005\u0002\u0000\u0000rw\u0003\u000e\u0007\u0000"+
+		"st\u0005\r\u0000\u0000tw\u0003<\u001e\u0000uw\u0003\u0012\t\u0000vq\u0001"+
+		"\u0000\u0000\u0000vs\u0001\u0000\u0000\u0000vu\u0001\u0000\u0000\u0000"+
+		"w\r\u0001\u0000\u0000\u0000xy\u0007\u0001\u0000\u0000y\u000f\u0001\u0000"+
+		"\u0000\u0000z{\u0005\r\u0000\u0000{\u0080\u0003<\u001e\u0000|}\u0005\u0017"+
+		"\u0000\u0000}\u0080\u00038\u001c\u0000~\u0080\u0003\u0012\t\u0000\u007f"+
+		"z\u0001\u0000\u0000\u0000\u007f|\u0001\u0000\u0000\u0000\u007f~\u0001"+
+		"\u0000\u0000\u0000\u0080\u0011\u0001\u0000\u0000\u0000\u0081\u0082\u0005"+
+		"\n\u0000\u0000\u0082\u0013\u0001\u0000\u0000\u0000\u0083\u0084\u0005&"+
+		"\u0000\u0000\u0084\u0086\u00038\u001c\u0000\u0085\u0087\u0003\u0012\t"+
+		"\u0000\u0086\u0085\u0001\u0000\u0000\u0000\u0086\u0087\u0001\u0000\u0000"+
+		"\u0000\u0087\u0015\u0001\u0000\u0000\u0000\u0088\u008e\u0003\u0018\f\u0000"+
+		"\u0089\u008e\u0003(\u0014\u0000\u008a\u008e\u0003*\u0015\u0000\u008b\u008e"+
+		"\u0003,\u0016\u0000\u008c\u008e\u0003.\u0017\u0000\u008d\u0088\u0001\u0000"+
+		"\u0000\u0000\u008d\u0089\u0001\u0000\u0000\u0000\u008d\u008a\u0001\u0000"+
+		"\u0000\u0000\u008d\u008b\u0001\u0000\u0000\u0000\u008d\u008c\u0001\u0000"+
+		"\u0000\u0000\u008e\u0017\u0001\u0000\u0000\u0000\u008f\u0094\u0005\u001b"+
+		"\u0000\u0000\u0090\u0095\u0003\u001a\r\u0000\u0091\u0095\u0003\u001c\u000e"+
+		"\u0000\u0092\u0095\u0003 \u0010\u0000\u0093\u0095\u0003\"\u0011\u0000"+
+		"\u0094\u0090\u0001\u0000\u0000\u0000\u0094\u0091\u0001\u0000\u0000\u0000"+
+		"\u0094\u0092\u0001\u0000\u0000\u0000\u0094\u0093\u0001\u0000\u0000\u0000"+
+		"\u0095\u0019\u0001\u0000\u0000\u0000\u0096\u0097\u0005\u0005\u0000\u0000"+
+		"\u0097\u0098\u00030\u0018\u0000\u0098\u0099\u0005\u0014\u0000\u0000\u0099"+
+		"\u009a\u0003@ \u0000\u009a\u001b\u0001\u0000\u0000\u0000\u009b\u009c\u0005"+
+		"\u0001\u0000\u0000\u009c\u009e\u00030\u0018\u0000\u009d\u009f\u0003\u001e"+
+		"\u000f\u0000\u009e\u009d\u0001\u0000\u0000\u0000\u009f\u00a0\u0001\u0000"+
+		"\u0000\u0000\u00a0\u009e\u0001\u0000\u0000\u0000\u00a0\u00a1\u0001\u0000"+
+		"\u0000\u0000\u00a1\u001d\u0001\u0000\u0000\u0000\u00a2\u00a3\u0005\u001c"+
+		"\u0000\u0000\u00a3\u00a7\u0003>\u001f\u0000\u00a4\u00a5\u0005\u0018\u0000"+
+		"\u0000\u00a5\u00a7\u0003B!\u0000\u00a6\u00a2\u0001\u0000\u0000\u0000\u00a6"+
+		"\u00a4\u0001\u0000\u0000\u0000\u00a7\u001f\u0001\u0000\u0000\u0000\u00a8"+
+		"\u00a9\u0005\u000f\u0000\u0000\u00a9\u00aa\u00032\u0019\u0000\u00aa\u00ab"+
+		"\u0005\u001f\u0000\u0000\u00ab\u00ac\u0003D\"\u0000\u00ac!\u0001\u0000"+
+		"\u0000\u0000\u00ad\u00ae\u0005\u0019\u0000\u0000\u00ae\u00b0\u0003:\u001d"+
+		"\u0000\u00af\u00b1\u0003$\u0012\u0000\u00b0\u00af\u0001\u0000\u0000\u0000"+
+		"\u00b0\u00b1\u0001\u0000\u0000\u0000\u00b1\u00b2\u0001\u0000\u0000\u0000"+
+		"\u00b2\u00b3\u0005\u001a\u0000\u0000\u00b3\u00b4\u00032\u0019\u0000\u00b4"+
+		"\u00b5\u0005\u0005\u0000\u0000\u00b5\u00b9\u00030\u0018\u0000\u00b6\u00b8"+
+		"\u0003&\u0013\u0000\u00b7\u00b6\u0001\u0000\u0000\u0000\u00b8\u00bb\u0001"+
+		"\u0000\u0000\u0000\u00b9\u00b7\u0001\u0000\u0000\u0000\u00b9\u00ba\u0001"+
+		"\u0000\u0000\u0000\u00ba#\u0001\u0000\u0000\u0000\u00bb\u00b9\u0001\u0000"+
+		"\u0000\u0000\u00bc\u00bd\u0005\u0011\u0000\u0000\u00bd\u00c2\u00036\u001b"+
+		"\u0000\u00be\u00bf\u0005,\u0000\u0000\u00bf\u00c1\u00036\u001b\u0000\u00c0"+
+		"\u00be\u0001\u0000\u0000\u0000\u00c1\u00c4\u0001\u0000\u0000\u0000\u00c2"+
+		"\u00c0\u0001\u0000\u0000\u0000\u00c2\u00c3\u0001\u0000\u0000\u0000\u00c3"+
+		"%\u0001\u0000\u0000\u0000\u00c4\u00c2\u0001\u0000\u0000\u0000\u00c5\u00ca"+
+		"\u0005\f\u0000\u0000\u00c6\u00ca\u0005\u0013\u0000\u0000\u00c7\u00c8\u0005"+
+		"\b\u0000\u0000\u00c8\u00ca\u0003<\u001e\u0000\u00c9\u00c5\u0001\u0000"+
+		"\u0000\u0000\u00c9\u00c6\u0001\u0000\u0000\u0000\u00c9\u00c7\u0001\u0000"+
+		"\u0000\u0000\u00ca\'\u0001\u0000\u0000\u0000\u00cb\u00cc\u0005\u0016\u0000"+
+		"\u0000\u00cc\u00cd\u0005\u0019\u0000\u0000\u00cd\u00ce\u0003:\u001d\u0000"+
+		"\u00ce)\u0001\u0000\u0000\u0000\u00cf\u00d0\u0005\u0010\u0000\u0000\u00d0"+
+		"\u00d1\u0005\u0019\u0000\u0000\u00d1\u00d2\u0003:\u001d\u0000\u00d2\u00d3"+
+		"\u0007\u0002\u0000\u0000\u00d3+\u0001\u0000\u0000\u0000\u00d4\u00d5\u0005"+
+		"\t\u0000\u0000\u00d5\u00d6\u0005 \u0000\u0000\u00d6\u00d7\u00034\u001a"+
+		"\u0000\u00d7-\u0001\u0000\u0000\u0000\u00d8\u00d9\u0005$\u0000\u0000\u00d9"+
+		"\u00da\u0005 \u0000\u0000\u00da\u00db\u00034\u001a\u0000\u00db/\u0001"+
+		"\u0000\u0000\u0000\u00dc\u00dd\u0003F#\u0000\u00dd1\u0001\u0000\u0000"+
+		"\u0000\u00de\u00df\u0003F#\u0000\u00df3\u0001\u0000\u0000\u0000\u00e0"+
+		"\u00e1\u0003F#\u0000\u00e15\u0001\u0000\u0000\u0000\u00e2\u00e3\u0005"+
+		"*\u0000\u0000\u00e37\u0001\u0000\u0000\u0000\u00e4\u00e5\u0005*\u0000"+
+		"\u0000\u00e59\u0001\u0000\u0000\u0000\u00e6\u00e7\u0005+\u0000\u0000\u00e7"+
+		";\u0001\u0000\u0000\u0000\u00e8\u00e9\u0005(\u0000\u0000\u00e9=\u0001"+
+		"\u0000\u0000\u0000\u00ea\u00eb\u0005)\u0000\u0000\u00eb?\u0001\u0000\u0000"+
+		"\u0000\u00ec\u00ed\u0005\'\u0000\u0000\u00edA\u0001\u0000\u0000\u0000"+
+		"\u00ee\u00ef\u0005\'\u0000\u0000\u00efC\u0001\u0000\u0000\u0000\u00f0"+
+		"\u00f1\u0005\'\u0000\u0000\u00f1E\u0001\u0000\u0000\u0000\u00f2\u00f7"+
+		"\u0005*\u0000\u0000\u00f3\u00f7\u0005\'\u0000\u0000\u00f4\u00f7\u0005"+
+		"(\u0000\u0000\u00f5\u00f7\u0003H$\u0000\u00f6\u00f2\u0001\u0000\u0000"+
+		"\u0000\u00f6\u00f3\u0001\u0000\u0000\u0000\u00f6\u00f4\u0001\u0000\u0000"+
+		"\u0000\u00f6\u00f5\u0001\u0000\u0000\u0000\u00f7G\u0001\u0000\u0000\u0000"+
+		"\u00f8\u00f9\u0007\u0003\u0000\u0000\u00f9I\u0001\u0000\u0000\u0000\u0011"+
+		"R_fkmv\u007f\u0086\u008d\u0094\u00a0\u00a6\u00b0\u00b9\u00c2\u00c9\u00f6";
+	public static final ATN _ATN =
+		new ATNDeserializer().deserialize(_serializedATN.toCharArray());
+	static {
+		_decisionToDFA = new DFA[_ATN.getNumberOfDecisions()];
+		for (int i = 0; i < _ATN.getNumberOfDecisions(); i++) {
+			_decisionToDFA[i] = new DFA(_ATN.getDecisionState(i), i);
+		}
+	}
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/timeline/EventRing.java
@@ -0,0 +1,196 @@
+package io.beryldock.timeline;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
+import io.beryldock.call.DataCentre;
+import io.beryldock.call.NodeId;
+import io.beryldock.call.RequestId;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
+
+/**
+ * The latest events of one node, bounded.
+ *
+ * <p>Thread safe, with short locks. Kinds that come once a request are counted: the first of a kind and subject stands
+ * in the ring at once, those that follow within {@link #WINDOW_MILLIS} become one event with their count and a request
+ * picked at random among them. Each request's own decision is kept beside the ring for {@link #find}. Invariant: the
+ * counts of the events recorded, evicted ones and open windows included, sum to the number of calls of {@code record}.
+ */
+public final class EventRing implements EventSink {
+
+    /** Length of the window in which events of a counted kind and subject become one. */
+    static final long WINDOW_MILLIS = 1_000;
+
+    /** How many kinds and subjects may be counted at once; more share the subject {@link #OTHERS}. */
+    static final int MAX_WINDOWS = 256;
+
+    static final String OTHERS = "others";
+
+    /** Decisions on requests kept for each event of the ring's capacity. */
+    private static final int DECISIONS_PER_EVENT = 2;
+
+    private static final ImmutableSet<EventKind> COUNTED = Sets.immutableEnumSet(
+            EventKind.SHED_AT_DOOR,
+            EventKind.SHED_AT_TARGET,
+            EventKind.RETRY_GRANTED,
+            EventKind.RETRY_REFUSED,
+            EventKind.OUTCOME_UNKNOWN,
+            EventKind.TICKET_MINTED,
+            EventKind.TICKET_DISPATCHED,
+            EventKind.KEY_BOUND);
+
+    private final NodeId node;
+    private final DataCentre dataCentre;
+    private final HybridLogicalClock clock;
+    private final RandomGenerator random;
+    private final int capacity;
+    private final ArrayDeque<Event> events = new ArrayDeque<>();
+    private final ArrayDeque<Event> decisions = new ArrayDeque<>();
+    private final Map<WindowKey, Window> windows = new HashMap<>();
+    private long lastId;
+
+    private EventRing(
+            NodeId node, DataCentre dataCentre, HybridLogicalClock clock, int capacity, RandomGenerator random) {
+        this.node = node;
+        this.dataCentre = dataCentre;
+        this.clock = clock;
+        this.capacity = capacity;
+        this.random = random;
+    }
+
+    public static EventRing create(
+            NodeId node, DataCentre dataCentre, HybridLogicalClock clock, int capacity, RandomGenerator random) {
+        if (capacity < 1) {
+            throw new IllegalArgumentException("a ring holds at least one event: " + capacity);
+        }
+        return new EventRing(node, dataCentre, clock, capacity, random);
+    }
+
+    @Override
+    public synchronized void record(EventKind kind, Optional<RequestId> request, String subject, String detail) {
+        HlcTime time = clock.now();
+        Event event = new Event(++lastId, time, node, dataCentre, kind, request, subject, detail, 1);
+        if (request.isPresent()) {
+            append(decisions, DECISIONS_PER_EVENT * capacity, event);
+        }
+        closeWindows(time);
+        if (COUNTED.contains(kind)) {
+            count(event);
+        } else {
+            append(events, capacity, event);
+        }
+    }
+
+    /** Events at or after that time, in order; counts of windows that are still open are included. */
+    public synchronized ImmutableList<Event> since(HlcTime from) {
+        closeWindows(clock.last());
+        Stream<Event> open = windows.values().stream().filter(Window::hasRest).map(Window::toEvent);
+        return Stream.concat(events.stream(), open)
+                .filter(event -> event.time().compareTo(from) >= 0)
+                .sorted(Event.CAUSAL_ORDER)
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    /** What was decided over the request, in order; empty when that was too long ago or elsewhere. */
+    public synchronized ImmutableList<Event> find(RequestId request) {
+        return decisions.stream()
+                .filter(event -> event.isAbout(request))
+                .sorted(Event.CAUSAL_ORDER)
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    public HybridLogicalClock clock() {
+        return clock;
+    }
+
+    public NodeId node() {
+        return node;
+    }
+
+    private void count(Event event) {
+        WindowKey key = new WindowKey(event.kind(), event.subject());
+        Window window = windows.get(key);
+        if (window == null && windows.size() >= MAX_WINDOWS) {
+            key = new WindowKey(event.kind(), OTHERS);
+            window = windows.get(key);
+        }
+        if (window == null) {
+            windows.put(key, new Window(event.time(), key.subject()));
+            append(events, capacity, event);
+            return;
+        }
+        window.add(event, random);
+    }
+
+    private void closeWindows(HlcTime now) {
+        List<Event> closed = new ArrayList<>();
+        Iterator<Window> all = windows.values().iterator();
+        while (all.hasNext()) {
+            Window window = all.next();
+            if (now.millis() - window.start.millis() < WINDOW_MILLIS) {
+                continue;
+            }
+            all.remove();
+            if (window.hasRest()) {
+                closed.add(window.toEvent());
+            }
+        }
+        closed.sort(Event.CAUSAL_ORDER);
+        closed.forEach(event -> append(events, capacity, event));
+    }
+
+    private static void append(ArrayDeque<Event> ring, int capacity, Event event) {
+        if (ring.size() == capacity) {
+            ring.removeFirst();
+        }
+        ring.addLast(event);
+    }
+
+    private record WindowKey(EventKind kind, String subject) {}
+
+    /** Counts like events after the first. */
+    private static final class Window {
+        private final HlcTime start;
+        private final String subject;
+        private Event sample;
+        private long count;
+
+        Window(HlcTime start, String subject) {
+            this.start = start;
+            this.subject = subject;
+        }
+
+        /** Keeps each event counted as the sample with the same probability. */
+        void add(Event event, RandomGenerator random) {
+            count++;
+            if (random.nextLong(count) == 0) {
+                sample = event;
+            }
+        }
+
+        boolean hasRest() {
+            return count > 0;
+        }
+
+        Event toEvent() {
+            return new Event(
+                    sample.id(),
+                    sample.time(),
+                    sample.node(),
+                    sample.dataCentre(),
+                    sample.kind(),
+                    sample.request(),
+                    subject,
+                    sample.detail(),
+                    count);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/timeline/HlcTime.java
@@ -0,0 +1,64 @@
+package io.beryldock.timeline;
+
+import java.time.Instant;
+import java.time.format.DateTimeParseException;
+
+/**
+ * A reading of a hybrid logical clock: wall milliseconds and a counter that orders readings of one millisecond.
+ *
+ * <p>Immutable. If one event can have caused another, its time is lower. The packed form holds 48 bits of milliseconds
+ * and 16 bits of counter and sorts like the time itself. The text form is an ISO instant, a slash and the counter, for
+ * example {@code 2026-02-09T08:00:00.125Z/3}.
+ */
+public record HlcTime(long millis, int counter) implements Comparable<HlcTime> {
+
+    /** The earliest time. */
+    public static final HlcTime ZERO = new HlcTime(0, 0);
+
+    static final int COUNTER_BITS = 16;
+    static final int MAX_COUNTER = (1 << COUNTER_BITS) - 1;
+    private static final long MAX_MILLIS = (1L << (Long.SIZE - COUNTER_BITS)) - 1;
+
+    public HlcTime {
+        if (millis < 0 || millis > MAX_MILLIS || counter < 0 || counter > MAX_COUNTER) {
+            throw new IllegalArgumentException("no time of a hybrid logical clock: " + millis + "/" + counter);
+        }
+    }
+
+    /** The first time of that millisecond; a time before 1970 is the earliest there is. */
+    public static HlcTime ofMillis(long millis) {
+        return new HlcTime(Math.max(0, millis), 0);
+    }
+
+    public static HlcTime unpack(long packed) {
+        return new HlcTime(packed >>> COUNTER_BITS, (int) (packed & MAX_COUNTER));
+    }
+
+    public long pack() {
+        return millis << COUNTER_BITS | counter;
+    }
+
+    /** Reads the text form; throws {@link IllegalArgumentException} when it is malformed. */
+    public static HlcTime parse(String text) {
+        int slash = text.indexOf('/');
+        if (slash < 0) {
+            throw new IllegalArgumentException("a time is INSTANT/COUNTER: '" + text + "'");
+        }
+        try {
+            long millis = Instant.parse(text.substring(0, slash)).toEpochMilli();
+            return new HlcTime(millis, Integer.parseInt(text.substring(slash + 1)));
+        } catch (DateTimeParseException e) {
+            throw new IllegalArgumentException("a time is INSTANT/COUNTER: '" + text + "'", e);
+        }
+    }
+
+    @Override
+    public int compareTo(HlcTime other) {
+        return Long.compareUnsigned(pack(), other.pack());
+    }
+
+    @Override
+    public String toString() {
+        return Instant.ofEpochMilli(millis) + "/" + counter;
+    }
+}
