--- /dev/null
+++ b/src/main/java/io/beryldock/peer/PeerTlsFiles.java
@@ -0,0 +1,12 @@
+package io.beryldock.peer;
+
+import java.nio.file.Path;
+
+/**
+ * PEM files of mutual TLS between nodes. Immutable.
+ *
+ * @param certificateFile certificate chain of this node, its own certificate first
+ * @param keyFile private key of this node, PKCS#8 without password
+ * @param trustFile certificates of the authorities that a peer's certificate must chain to
+ */
+public record PeerTlsFiles(Path certificateFile, Path keyFile, Path trustFile) {}
