--- /dev/null
+++ b/src/main/java/io/beryldock/httpclient/PlainHttpClients.java
@@ -0,0 +1,75 @@
+package io.beryldock.httpclient;
+
+import org.apache.hc.client5.http.config.ConnectionConfig;
+import org.apache.hc.client5.http.config.RequestConfig;
+import org.apache.hc.client5.http.config.TlsConfig;
+import org.apache.hc.client5.http.impl.async.CloseableHttpAsyncClient;
+import org.apache.hc.client5.http.impl.async.HttpAsyncClients;
+import org.apache.hc.client5.http.impl.nio.PoolingAsyncClientConnectionManager;
+import org.apache.hc.client5.http.impl.nio.PoolingAsyncClientConnectionManagerBuilder;
+import org.apache.hc.core5.http2.HttpVersionPolicy;
+import org.apache.hc.core5.pool.PoolConcurrencyPolicy;
+import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.util.Timeout;
+
+/**
+ * Makes asynchronous HTTP/1.1 clients without retries, redirects, cookies, authentication state or decompression.
+ *
+ * <p>A library's silent resend on a stale pooled connection would be a second run of the request, a shared cookie store
+ * another caller's answer; so all of that is off. Stateless.
+ */
+public final class PlainHttpClients {
+
+    private PlainHttpClients() {}
+
+    /** Starts a client; the caller closes it. */
+    public static CloseableHttpAsyncClient start(PlainHttpClientOptions options) {
+        CloseableHttpAsyncClient client = HttpAsyncClients.custom()
+                .setConnectionManager(pool(options))
+                .setIOReactorConfig(reactor(options))
+                .setDefaultRequestConfig(request(options))
+                .disableAutomaticRetries()
+                .disableRedirectHandling()
+                .disableCookieManagement()
+                .disableAuthCaching()
+                .disableConnectionState()
+                .build();
+        client.start();
+        return client;
+    }
+
+    private static PoolingAsyncClientConnectionManager pool(PlainHttpClientOptions options) {
+        ConnectionConfig connection = ConnectionConfig.custom()
+                .setConnectTimeout(Timeout.of(options.connectTimeout()))
+                .setValidateAfterInactivity(Timeout.of(options.validateAfter()))
+                .build();
+        return PoolingAsyncClientConnectionManagerBuilder.create()
+                .setPoolConcurrencyPolicy(PoolConcurrencyPolicy.STRICT)
+                .setMaxConnPerRoute(options.maxConnectionsPerRoute())
+                .setMaxConnTotal(options.maxConnections())
+                .setDefaultConnectionConfig(connection)
+                .setDefaultTlsConfig(TlsConfig.custom()
+                        .setVersionPolicy(HttpVersionPolicy.FORCE_HTTP_1)
+                        .build())
+                .build();
+    }
+
+    private static IOReactorConfig reactor(PlainHttpClientOptions options) {
+        return IOReactorConfig.custom()
+                .setIoThreadCount(options.ioThreads())
+                .setTcpNoDelay(true)
+                .build();
+    }
+
+    private static RequestConfig request(PlainHttpClientOptions options) {
+        return RequestConfig.custom()
+                .setConnectionRequestTimeout(Timeout.of(options.connectionWait()))
+                .setResponseTimeout(Timeout.of(options.answerTimeout()))
+                .setRedirectsEnabled(false)
+                .setAuthenticationEnabled(false)
+                .setContentCompressionEnabled(false)
+                .setExpectContinueEnabled(false)
+                .setProtocolUpgradeEnabled(false)
+                .build();
+    }
+}
