--- /dev/null
+++ b/src/main/java/io/beryldock/configuration/Configuration.java
@@ -0,0 +1,155 @@
+package io.beryldock.configuration;
+
+import com.google.common.collect.ImmutableSortedMap;
+import io.beryldock.call.NodeId;
+import io.beryldock.call.PriorityClass;
+import io.beryldock.call.ServiceName;
+import java.util.Collection;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/**
+ * The operators' settings at one version.
+ *
+ * <p>Immutable. Version 0 is the built-in default of a deployment; each accepted change makes the next version. Two
+ * configurations of the same lineage and version are equal at every node.
+ */
+public final class Configuration {
+
+    /** Version of built-in defaults, below every accepted one. */
+    public static final long DEFAULTS_VERSION = 0;
+
+    /** Lineage of built-in defaults, which no store has seen. */
+    static final String NO_LINEAGE = "";
+
+    /** Budget of a route whose budget is not in the document: no retry. */
+    private static final RetrySetting NO_RETRY = new RetrySetting("none", 0, 0);
+
+    private final String lineage;
+    private final long version;
+    private final ImmutableSortedMap<SettingKey, Setting> settings;
+    private final RouteTable routes;
+
+    private Configuration(
+            String lineage, long version, ImmutableSortedMap<SettingKey, Setting> settings, RouteTable routes) {
+        this.lineage = lineage;
+        this.version = version;
+        this.settings = settings;
+        this.routes = routes;
+    }
+
+    static Configuration of(String lineage, long version, Collection<? extends Setting> settings) {
+        TreeMap<SettingKey, Setting> map = new TreeMap<>();
+        settings.forEach(setting -> map.put(setting.key(), setting));
+        return of(lineage, version, ImmutableSortedMap.copyOfSorted(map));
+    }
+
+    private static Configuration of(String lineage, long version, ImmutableSortedMap<SettingKey, Setting> settings) {
+        return new Configuration(lineage, version, settings, RouteTable.of(routesOf(settings)));
+    }
+
+    private static List<Route> routesOf(ImmutableSortedMap<SettingKey, Setting> settings) {
+        return settings.values().stream()
+                .filter(Route.class::isInstance)
+                .map(Route.class::cast)
+                .toList();
+    }
+
+    /** Built-in settings of a deployment: {@code vandermeulen}, {@code karri-ember} or {@code none}. */
+    public static Configuration defaults(String deployment) throws ConfigurationException {
+        return of(NO_LINEAGE, DEFAULTS_VERSION, DefaultSettings.of(deployment));
+    }
+
+    /** Reads the JSON form and checks each setting. */
+    public static Configuration parse(String json) throws ConfigurationException {
+        return ConfigurationJson.parse(json);
+    }
+
+    /** Canonical JSON: equal configurations have equal text. */
+    public String toJson() {
+        return ConfigurationJson.write(this);
+    }
+
+    public long version() {
+        return version;
+    }
+
+    /** Tells documents of one store apart from those written after the store had lost its content. */
+    public String lineage() {
+        return lineage;
+    }
+
+    /** All settings in order of their keys. */
+    public ImmutableSortedMap<SettingKey, Setting> settings() {
+        return settings;
+    }
+
+    public Optional<Setting> setting(SettingKey key) {
+        return Optional.ofNullable(settings.get(key.whole()));
+    }
+
+    /** The route of a request; of those that match, the longest prefix, then the one that names the method. */
+    public Optional<Route> find(String method, String path) {
+        return routes.find(method, path);
+    }
+
+    /** Class of the route; a class that the document lacks has the rank that is shed first. */
+    public PriorityClass priorityOf(Route route) {
+        Setting setting = settings.get(SettingKey.priorityClass(route.priorityClass()));
+        if (setting instanceof ClassSetting found) {
+            return found.priority();
+        }
+        return PriorityClass.of(route.priorityClass(), PriorityClass.LOWEST_RANK);
+    }
+
+    /** Retry budget of the route; one that the document lacks allows no retry. */
+    public RetrySetting budgetOf(Route route) {
+        Setting setting = settings.get(SettingKey.budget(route.budget()));
+        return setting instanceof RetrySetting found ? found : NO_RETRY;
+    }
+
+    /** Whether operators drain the target of the node. */
+    public boolean drained(NodeId node) {
+        return settings.containsKey(SettingKey.drain(node));
+    }
+
+    /** What operators set for the service, if anything. */
+    public Optional<ServiceSetting> service(ServiceName name) {
+        Setting setting = settings.get(SettingKey.service(name));
+        return setting instanceof ServiceSetting found ? Optional.of(found) : Optional.empty();
+    }
+
+    /** The next version with one setting put or removed. */
+    Configuration with(SettingEdit edit) {
+        TreeMap<SettingKey, Setting> map = new TreeMap<>(settings);
+        edit.setting().ifPresentOrElse(setting -> map.put(edit.key(), setting), () -> map.remove(edit.key()));
+        ImmutableSortedMap<SettingKey, Setting> next = ImmutableSortedMap.copyOfSorted(map);
+        RouteTable table = edit.key().kind() == SettingKey.Kind.ROUTE ? RouteTable.of(routesOf(next)) : routes;
+        return new Configuration(lineage, version + 1, next, table);
+    }
+
+    /** The same settings under another lineage and version. */
+    Configuration at(String newLineage, long newVersion) {
+        return new Configuration(newLineage, newVersion, settings, routes);
+    }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Configuration that
+                && version == that.version
+                && lineage.equals(that.lineage)
+                && settings.equals(that.settings);
+    }
+
+    @Override
+    public int hashCode() {
+        return Objects.hash(lineage, version, settings);
+    }
+
+    @Override
+    public String toString() {
+        return "configuration version " + version + " with " + settings.size() + " settings";
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/configuration/DefaultSettings.java
@@ -0,0 +1,91 @@
+package io.beryldock.configuration;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import io.beryldock.call.PriorityClass;
+import io.beryldock.call.ServiceName;
+import java.time.Duration;
+import java.util.List;
+
+/** The settings that a deployment starts with, before an operator has changed any. Stateless, thread safe. */
+final class DefaultSettings {
+
+    private static final String DEFAULT_BUDGET = "default";
+    private static final String NO_RETRIES = "none";
+    private static final int DEFAULT_RETRIES = 3;
+    private static final double DEFAULT_SHARE = 0.1;
+    private static final Duration PAGE_TIME = Duration.ofSeconds(3);
+    private static final Duration ORDER_TIME = Duration.ofSeconds(10);
+    private static final ImmutableSet<String> WRITES = ImmutableSet.of("POST", "PUT", "PATCH", "DELETE");
+    private static final int VISIBLE_PAGE = 3;
+    private static final int SEARCH = 4;
+    private static final int STATUS = 2;
+    private static final int LOGS = 4;
+    private static final int INNER = 5;
+
+    private DefaultSettings() {}
+
+    static List<Setting> of(String deployment) throws ConfigurationException {
+        return switch (deployment) {
+            case "vandermeulen" -> vandermeulen();
+            case "karri-ember" -> karriEmber();
+            case "none" -> common();
+            default ->
+                throw ConfigurationException.of(
+                        "deployment", "'" + deployment + "' is not known", "use vandermeulen, karri-ember or none");
+        };
+    }
+
+    private static List<Setting> common() {
+        return List.of(
+                new RetrySetting(DEFAULT_BUDGET, DEFAULT_RETRIES, DEFAULT_SHARE),
+                new RetrySetting(NO_RETRIES, 0, 0),
+                rank("inner", INNER),
+                rank("browsing", PriorityClass.LOWEST_RANK));
+    }
+
+    private static List<Setting> vandermeulen() {
+        return ImmutableList.<Setting>builder()
+                .addAll(common())
+                .add(rank("order", 0), rank("reservation", 0))
+                .add(rank("page", VISIBLE_PAGE), rank("availability", VISIBLE_PAGE), rank("search", SEARCH))
+                .add(read("/lists", "lists", "page"))
+                .add(write("/lists", "lists", "page"))
+                .add(read("/search", "catalogue", "search"))
+                .add(read("/catalogue", "catalogue", "browsing"))
+                .add(read("/browse", "catalogue", "browsing"))
+                .add(read("/availability", "holdings", "availability"))
+                .add(read("/holdings", "holdings", "availability"))
+                .add(read("/orders", "orders", "page"))
+                .add(write("/orders", "orders", "order"))
+                .add(read("/reservations", "orders", "page"))
+                .add(write("/reservations", "orders", "reservation"))
+                .build();
+    }
+
+    private static List<Setting> karriEmber() {
+        return ImmutableList.<Setting>builder()
+                .addAll(common())
+                .add(rank("start", 0), rank("status", STATUS), rank("logs", LOGS))
+                .add(read("/status", "statusboard", "status"))
+                .add(read("/programmes", "recipebook", "browsing"))
+                .add(read("/recipes", "recipebook", "browsing"))
+                .add(read("/heatlog", "heatlog", "logs"))
+                .add(read("/starts", "bakecontrol", "status"))
+                .add(write("/starts", "bakecontrol", "start"))
+                .build();
+    }
+
+    private static Setting rank(String name, int rank) {
+        return new ClassSetting(PriorityClass.of(name, rank));
+    }
+
+    private static Setting read(String prefix, String service, String priorityClass) {
+        return new Route(
+                prefix, ImmutableSet.of(), ServiceName.of(service), priorityClass, true, PAGE_TIME, DEFAULT_BUDGET);
+    }
+
+    private static Setting write(String prefix, String service, String priorityClass) {
+        return new Route(prefix, WRITES, ServiceName.of(service), priorityClass, false, ORDER_TIME, DEFAULT_BUDGET);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/configuration/OpaqueSetting.java
@@ -0,0 +1,23 @@
+package io.beryldock.configuration;
+
+import com.google.protobuf.ByteString;
+
+/**
+ * A setting that a later release of the program wrote: kept byte for byte, so that an older node loses nothing of it.
+ *
+ * <p>Immutable.
+ *
+ * @param name the name that the writer gave it
+ */
+public record OpaqueSetting(String name, ByteString content) implements Setting {
+
+    @Override
+    public SettingKey key() {
+        return new SettingKey(SettingKey.Kind.OPAQUE, name, "");
+    }
+
+    @Override
+    public String text() {
+        return "not known to this release (" + content.size() + " bytes)";
+    }
+}
