--- /dev/null
+++ b/src/main/java/io/beryldock/membership/MembershipCodec.java
@@ -0,0 +1,101 @@
+package io.beryldock.membership;
+
+import com.google.protobuf.ByteString;
+import io.beryldock.call.DataCentre;
+import io.beryldock.call.Incarnation;
+import io.beryldock.call.NodeId;
+import io.beryldock.call.ServiceName;
+import io.beryldock.wire.MembershipRecord;
+import io.beryldock.wire.MembershipStatus;
+import io.beryldock.wire.MembershipTargetState;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.util.Optional;
+
+/** Turns records into their form on the wire and back. Stateless, thread safe. */
+final class MembershipCodec {
+
+    private MembershipCodec() {}
+
+    static MembershipRecord encode(MemberRecord member) {
+        NodeDescriptor node = member.node();
+        MembershipRecord.Builder wire = MembershipRecord.newBuilder()
+                .setId(node.id().value())
+                .setDataCentre(node.dataCentre().value())
+                .setAddress(ByteString.copyFrom(node.peerAddress().getAddress().getAddress()))
+                .setPort(node.peerAddress().getPort())
+                .setIncarnationHigh(node.incarnation().high())
+                .setIncarnationLow(node.incarnation().low())
+                .setGeneration(member.generation())
+                .setRevision(member.revision())
+                .setStatus(encode(member.status()));
+        member.target()
+                .ifPresent(target -> wire.setService(target.service().value())
+                        .setSlots(target.slots())
+                        .setTargetState(encode(target.state())));
+        return wire.build();
+    }
+
+    /** Reads a record; throws {@link IllegalArgumentException} when a field holds no valid value. */
+    static MemberRecord decode(MembershipRecord wire) {
+        NodeDescriptor node = new NodeDescriptor(
+                NodeId.of(wire.getId()),
+                new Incarnation(wire.getIncarnationHigh(), wire.getIncarnationLow()),
+                DataCentre.of(wire.getDataCentre()),
+                new InetSocketAddress(address(wire.getAddress()), wire.getPort()));
+        return new MemberRecord(node, wire.getGeneration(), wire.getRevision(), decode(wire.getStatus()), target(wire));
+    }
+
+    private static Optional<MemberRecord.AnnouncedTarget> target(MembershipRecord wire) {
+        if (wire.getService().isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(new MemberRecord.AnnouncedTarget(
+                ServiceName.of(wire.getService()), wire.getSlots(), decode(wire.getTargetState())));
+    }
+
+    private static MembershipStatus encode(MemberStatus status) {
+        return switch (status) {
+            case ALIVE -> MembershipStatus.MEMBER_ALIVE;
+            case SUSPECTED -> MembershipStatus.MEMBER_SUSPECTED;
+            case FAILED -> MembershipStatus.MEMBER_FAILED;
+            case LEFT -> MembershipStatus.MEMBER_LEFT;
+        };
+    }
+
+    private static MemberStatus decode(MembershipStatus status) {
+        return switch (status) {
+            case MEMBER_ALIVE -> MemberStatus.ALIVE;
+            case MEMBER_SUSPECTED -> MemberStatus.SUSPECTED;
+            case MEMBER_FAILED -> MemberStatus.FAILED;
+            case MEMBER_LEFT -> MemberStatus.LEFT;
+            case UNRECOGNIZED -> throw new IllegalArgumentException("unknown status of a member");
+        };
+    }
+
+    private static MembershipTargetState encode(TargetState state) {
+        return switch (state) {
+            case STARTING -> MembershipTargetState.TARGET_STARTING;
+            case READY -> MembershipTargetState.TARGET_READY;
+            case LEAVING -> MembershipTargetState.TARGET_LEAVING;
+        };
+    }
+
+    private static TargetState decode(MembershipTargetState state) {
+        return switch (state) {
+            case TARGET_STARTING -> TargetState.STARTING;
+            case TARGET_READY -> TargetState.READY;
+            case TARGET_LEAVING -> TargetState.LEAVING;
+            case UNRECOGNIZED -> throw new IllegalArgumentException("unknown state of a target");
+        };
+    }
+
+    private static InetAddress address(ByteString bytes) {
+        try {
+            return InetAddress.getByAddress(bytes.toByteArray());
+        } catch (UnknownHostException e) {
+            throw new IllegalArgumentException("an IP number has 4 or 16 bytes", e);
+        }
+    }
+}
