--- a/src/main/java/io/beryldock/cli/SubcommandRegistry.java
+++ b/src/main/java/io/beryldock/cli/SubcommandRegistry.java
@@ -7,6 +7,7 @@
 final class SubcommandRegistry {
 
     static final ImmutableSortedMap<String, Entry> ENTRIES = ImmutableSortedMap.<String, Entry>naturalOrder()
+            .put("node", new Entry(NodeSubcommand::new, "run a node: --settings FILE"))
             .put("version", new Entry(VersionSubcommand::new, "print the version"))
             .build();
 
--- /dev/null
+++ b/src/main/java/io/beryldock/forwarding/AttemptLoop.java
@@ -0,0 +1,235 @@
+package io.beryldock.forwarding;
+
+import io.beryldock.call.Answer;
+import io.beryldock.call.Call;
+import io.beryldock.call.CallContext;
+import io.beryldock.call.CallResult;
+import io.beryldock.call.NodeId;
+import io.beryldock.call.Outcome;
+import io.beryldock.call.Reason;
+import io.beryldock.membership.TargetRecord;
+import io.beryldock.quarantine.Fingerprint;
+import io.beryldock.quarantine.Verdict;
+import io.beryldock.retry.GrantPolicy;
+import io.beryldock.retry.RetryAccount;
+import io.beryldock.retry.RetryGrant;
+import io.beryldock.retry.RetryPolicy;
+import io.beryldock.retry.RetryQuestion;
+import io.beryldock.settings.NodeSettings.Policy;
+import io.beryldock.timeline.EventKind;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * The attempts of one call, one after the other.
+ *
+ * <p>Only one step runs at a time, each started by the end of the one before, so the fields need no lock. Invariant:
+ * once an attempt may have run, the result is never NOT_RUN.
+ */
+final class AttemptLoop {
+
+    private static final int BASELINE_TRIES = 3;
+    private static final int SERVER_ERROR = 500;
+    private static final RetryPolicy RETRIES = RetryPolicy.create();
+
+    private final CallForwarder.Ports ports;
+    private final Call call;
+    private final RetryAccount account;
+    private final CancelScope scope;
+    private final long startNanos;
+    private final Fingerprint fingerprint;
+    private final CompletableFuture<CallResult> result = new CompletableFuture<>();
+    private final Set<NodeId> tried = new HashSet<>();
+    private int tries;
+    private int fullRefusals;
+    private long spentNanos;
+    private long slowestNanos;
+    private boolean mayHaveRun;
+    private Optional<CallResult> last = Optional.empty();
+
+    AttemptLoop(CallForwarder.Ports ports, Call call, RetryAccount account, CancelScope scope) {
+        this.ports = ports;
+        this.call = call;
+        this.account = account;
+        this.scope = scope;
+        this.startNanos = now();
+        this.fingerprint = Fingerprint.of(call);
+    }
+
+    CompletableFuture<CallResult> result() {
+        return result;
+    }
+
+    void start() {
+        ports.budgets().of(call.caller(), call.service()).onFirstTry();
+        next();
+    }
+
+    private void next() {
+        if (scope.cancelled()) {
+            finish(last.orElseGet(() -> CallResult.notRun(Reason.CANCELLED, "before an attempt")));
+            return;
+        }
+        if (remainingNanos() <= 0) {
+            finish(last.orElseGet(() -> CallResult.notRun(Reason.DEADLINE_PASSED, "before an attempt")));
+            return;
+        }
+        if (ports.quarantine().verdict(fingerprint) == Verdict.REFUSED) {
+            finish(CallResult.notRun(Reason.QUARANTINED, "it was in flight when targets crashed"));
+            return;
+        }
+        Optional<TargetRecord> target =
+                ports.chooser().choose(ports.directory().get(), call.service(), tried, Set.of());
+        if (target.isEmpty()) {
+            finish(last.orElseGet(() -> CallResult.notRun(Reason.NO_TARGET, "service " + call.service())));
+            return;
+        }
+        attempt(target.get());
+    }
+
+    private void attempt(TargetRecord target) {
+        tries++;
+        tried.add(target.node().id());
+        RetryGrant grant = account.grant(GrantPolicy.half());
+        Call attempt = call.attempt(ports.ids().next(), attemptContext(grant));
+        ports.chooser().onStart(target);
+        long sent = now();
+        CallForwarder.attempt(ports, target, attempt, scope).whenComplete((ended, failure) -> {
+            CallResult known = failure == null ? ended : CallResult.unknown(Reason.INTERNAL, failure.toString());
+            onEnd(target, grant, known, now() - sent);
+        });
+    }
+
+    private CallContext attemptContext(RetryGrant grant) {
+        CallContext context = call.context();
+        return new CallContext(
+                context.root(),
+                context.parent(),
+                context.priority(),
+                remainingNanos(),
+                grant.amount(),
+                context.depth(),
+                context.callerHash(),
+                context.sunkNanos(),
+                context.retriedAncestor());
+    }
+
+    private void onEnd(TargetRecord target, RetryGrant grant, CallResult ended, long latencyNanos) {
+        ports.chooser().onResult(target, ended, latencyNanos);
+        ports.door().observe(call.service(), ended.levels());
+        settle(grant, ended);
+        noteLoss(target, ended);
+        spentNanos += ended.spentNanos();
+        slowestNanos = Math.max(slowestNanos, latencyNanos);
+        mayHaveRun |= ended.outcome() == Outcome.UNKNOWN;
+        fullRefusals += ended.reason().filter(RetryPolicy::isFullRefusal).isPresent() ? 1 : 0;
+        last = Optional.of(ended);
+        if (shouldRetry(ended)) {
+            retryLater();
+        } else {
+            finish(ended);
+        }
+    }
+
+    /** An answer, or a refusal by the other node, returns its unspent part; without a reply the part is lost. */
+    private static void settle(RetryGrant grant, CallResult ended) {
+        boolean neverReached =
+                ended.reason().filter(Reason.CONNECT_FAILED::equals).isPresent() && ended.outcome() == Outcome.NOT_RUN;
+        grant.giveBack(neverReached ? grant.amount() : ended.unspentRetries());
+    }
+
+    private void noteLoss(TargetRecord target, CallResult ended) {
+        if (ended.reason().filter(Reason.CONNECTION_LOST::equals).isPresent()) {
+            ports.quarantine().onNodeLost(fingerprint, target.node());
+            ports.chooser().onNodeLost(target.node().id());
+        }
+    }
+
+    private boolean shouldRetry(CallResult ended) {
+        if (ports.policy() == Policy.NONE) {
+            return baselineRetry(ended);
+        }
+        RetryQuestion question = new RetryQuestion(
+                ended,
+                call.idempotent(),
+                tries,
+                fullRefusals,
+                otherTargets(),
+                remainingNanos(),
+                slowestNanos,
+                ports.quarantine().verdict(fingerprint) != Verdict.FREE);
+        if (!RETRIES.decide(question).isRetry()) {
+            return false;
+        }
+        if (!ports.budgets().of(call.caller(), call.service()).tryRetry()) {
+            refuseRetry("the budget between the services is used up");
+            return false;
+        }
+        if (!account.takeRetry()) {
+            ports.budgets().of(call.caller(), call.service()).putBack();
+            refuseRetry("the root request's allowance is used up");
+            return false;
+        }
+        ports.events()
+                .record(
+                        EventKind.RETRY_GRANTED,
+                        Optional.of(call.context().root()),
+                        call.service().value(),
+                        "");
+        return true;
+    }
+
+    private void refuseRetry(String why) {
+        ports.events()
+                .record(
+                        EventKind.RETRY_REFUSED,
+                        Optional.of(call.context().root()),
+                        call.service().value(),
+                        why);
+    }
+
+    /** What users have today: three tries at each layer, whatever the others do. */
+    private boolean baselineRetry(CallResult ended) {
+        int status = ended.answer().map(Answer::status).orElse(SERVER_ERROR);
+        boolean failed = status >= SERVER_ERROR;
+        boolean safe = ended.outcome() == Outcome.NOT_RUN || call.idempotent();
+        return failed && safe && tries < BASELINE_TRIES;
+    }
+
+    private int otherTargets() {
+        long left = ports.directory().get().targetsOf(call.service()).stream()
+                .filter(target -> !tried.contains(target.node().id()))
+                .count();
+        return (int) left;
+    }
+
+    private void retryLater() {
+        if (ports.policy() == Policy.NONE) {
+            tried.clear();
+        }
+        long delay = ports.backoff().delayNanos(tries);
+        ports.timers().after(Duration.ofNanos(delay), this::next);
+    }
+
+    /** Says UNKNOWN in place of NOT_RUN when an attempt before the last may have run. */
+    private void finish(CallResult ended) {
+        boolean tell = mayHaveRun && ended.outcome() == Outcome.NOT_RUN;
+        CallResult told = tell
+                ? CallResult.unknown(ended.reason().orElse(Reason.INTERNAL), "an earlier attempt may have run")
+                        .withRetryAfterMillis(ended.retryAfterMillis())
+                        .withLevels(ended.levels())
+                : ended;
+        result.complete(told.withSpentNanos(spentNanos));
+    }
+
+    private long remainingNanos() {
+        return call.context().remainingNanos() - (now() - startNanos);
+    }
+
+    private long now() {
+        return ports.timers().ticker().nanos();
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/forwarding/AttemptPolicy.java
@@ -0,0 +1,12 @@
+package io.beryldock.forwarding;
+
+import io.beryldock.call.Call;
+import io.beryldock.call.CallResult;
+import io.beryldock.retry.RetryQuestion;
+
+/** Whether a call that ended without success is tried again. Thread safe. */
+@FunctionalInterface
+interface AttemptPolicy {
+
+    boolean tryAgain(Call call, RetryQuestion question, CallResult result);
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/forwarding/CallForwarder.java
@@ -0,0 +1,72 @@
+package io.beryldock.forwarding;
+
+import io.beryldock.admission.DoorShedder;
+import io.beryldock.call.Call;
+import io.beryldock.call.CallResult;
+import io.beryldock.call.NodeId;
+import io.beryldock.call.RequestIds;
+import io.beryldock.membership.Directory;
+import io.beryldock.membership.TargetRecord;
+import io.beryldock.quarantine.Quarantine;
+import io.beryldock.retry.Backoff;
+import io.beryldock.retry.RetryAccount;
+import io.beryldock.retry.RetryBudgets;
+import io.beryldock.routing.TargetChooser;
+import io.beryldock.settings.NodeSettings.Policy;
+import io.beryldock.time.TimerService;
+import io.beryldock.timeline.EventSink;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+
+/**
+ * Brings a call to a target of its service, in as many attempts as its allowance, budget and time permit.
+ *
+ * <p>Thread safe. Each attempt has an id of its own and goes to a target that was not tried before.
+ */
+public final class CallForwarder {
+
+    private final Ports ports;
+
+    private CallForwarder(Ports ports) {
+        this.ports = ports;
+    }
+
+    /** What the forwarder works with. */
+    public record Ports(
+            NodeId self,
+            Policy policy,
+            Supplier<Directory> directory,
+            TargetChooser chooser,
+            TargetExecutor executor,
+            PeerCallClient peers,
+            DoorShedder door,
+            RetryBudgets budgets,
+            Backoff backoff,
+            Quarantine quarantine,
+            RequestIds ids,
+            TimerService timers,
+            EventSink events) {}
+
+    public static CallForwarder create(Ports ports) {
+        return new CallForwarder(ports);
+    }
+
+    /**
+     * Forwards the call; retries and the parts handed on are taken from the account.
+     *
+     * <p>The future never fails. NOT_RUN is the result only when no attempt can have run.
+     */
+    CompletableFuture<CallResult> forward(Call call, RetryAccount account, CancelScope scope) {
+        AttemptLoop loop = new AttemptLoop(ports, call, account, scope);
+        loop.start();
+        return loop.result();
+    }
+
+    /** One attempt at the target, by way of its node. */
+    static CompletableFuture<CallResult> attempt(Ports ports, TargetRecord target, Call call, CancelScope scope) {
+        if (target.node().id().equals(ports.self())) {
+            return ports.executor().execute(call, scope);
+        }
+        return ports.peers().send(target.node(), call, scope);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/forwarding/EntryService.java
@@ -0,0 +1,220 @@
+package io.beryldock.forwarding;
+
+import io.beryldock.admission.CallerHash;
+import io.beryldock.admission.DoorDecision;
+import io.beryldock.admission.DoorShedder;
+import io.beryldock.call.Call;
+import io.beryldock.call.CallContext;
+import io.beryldock.call.CallResult;
+import io.beryldock.call.Outcome;
+import io.beryldock.call.PriorityClass;
+import io.beryldock.call.Reason;
+import io.beryldock.call.RequestId;
+import io.beryldock.call.RequestIds;
+import io.beryldock.call.ServiceName;
+import io.beryldock.configuration.Configuration;
+import io.beryldock.configuration.Route;
+import io.beryldock.retry.RetryAccount;
+import io.beryldock.retry.RetryLedger;
+import io.beryldock.settings.NodeSettings.Policy;
+import io.beryldock.time.Ticker;
+import io.beryldock.timeline.EventKind;
+import io.beryldock.timeline.EventSink;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+
+/**
+ * Takes requests from callers and inner calls from the target: finds the route, gives the context, sheds at the door.
+ *
+ * <p>Thread safe. A caller's request starts a tree with its own allowance of retries; an inner call takes from that of
+ * the call within whose run it was made.
+ */
+public final class EntryService implements RequestHandler {
+
+    private static final PriorityClass ORPHAN_CLASS = PriorityClass.of("no-context", PriorityClass.LOWEST_RANK);
+
+    private final Ports ports;
+
+    private EntryService(Ports ports) {
+        this.ports = ports;
+    }
+
+    /** What the service works with; {@code epoch} numbers the periods in which a caller's hash stays the same. */
+    public record Ports(
+            Policy policy,
+            Supplier<Configuration> configuration,
+            DoorShedder door,
+            RetryLedger ledger,
+            ExecutionRegistry executions,
+            CallForwarder forwarder,
+            KeyedRequestHandler keyed,
+            RequestIds ids,
+            LongSupplier epoch,
+            Ticker ticker,
+            RequestTally tally,
+            EventSink events) {}
+
+    public static EntryService create(Ports ports) {
+        return new EntryService(ports);
+    }
+
+    @Override
+    public CompletableFuture<RequestOutcome> handle(IncomingRequest request, CancelScope scope) {
+        RequestId id = ports.ids().next();
+        Optional<Route> route = ports.configuration().get().find(request.method(), request.path());
+        if (route.isEmpty()) {
+            CallResult refusal = CallResult.notRun(Reason.NO_ROUTE, request.method() + " " + request.path());
+            return CompletableFuture.completedFuture(new RequestOutcome(id, refusal));
+        }
+        if (request.origin() == IncomingRequest.Origin.CALLER) {
+            return handleRoot(request, route.get(), id, scope);
+        }
+        return handleInner(request, route.get(), id, scope);
+    }
+
+    private CompletableFuture<RequestOutcome> handleRoot(
+            IncomingRequest request, Route route, RequestId id, CancelScope scope) {
+        Configuration configuration = ports.configuration().get();
+        int hash = CallerHash.of(request.identity(), ports.epoch().getAsLong());
+        PriorityClass priority = configuration.priorityOf(route);
+        int retries = configuration.budgetOf(route).retries();
+        long remaining = route.deadline().toNanos();
+        CallContext context = new CallContext(id, id, priority, remaining, retries, 0, hash, 0, false);
+        Call call = call(request, route, id, Call.OUTSIDE, context);
+        ports.tally().asked(priority);
+        Optional<CallResult> shed = shedAtDoor(call);
+        if (shed.isPresent()) {
+            ports.tally().ended(priority, shed.get(), 0);
+            return CompletableFuture.completedFuture(new RequestOutcome(id, shed.get()));
+        }
+        RetryAccount account = ports.ledger().open(id, retries);
+        return dispatch(request, call, account, scope).thenApply(result -> {
+            int unspent = account.close();
+            ports.tally().ended(priority, result, retries - unspent);
+            noteUnknown(call, result);
+            return new RequestOutcome(id, result);
+        });
+    }
+
+    private Optional<CallResult> shedAtDoor(Call call) {
+        if (ports.policy() == Policy.NONE) {
+            return Optional.empty();
+        }
+        CallContext context = call.context();
+        DoorDecision decision =
+                ports.door().decide(call.service(), context.priority().rank(), context.callerHash());
+        if (decision.admitted()) {
+            return Optional.empty();
+        }
+        ports.events()
+                .record(
+                        EventKind.SHED_AT_DOOR,
+                        Optional.of(context.root()),
+                        call.service().value(),
+                        "class " + context.priority().name());
+        return Optional.of(CallResult.notRun(
+                        Reason.SHED_AT_DOOR, "class " + context.priority().name())
+                .withRetryAfterMillis(decision.retryAfterMillis()));
+    }
+
+    private void noteUnknown(Call call, CallResult result) {
+        if (result.outcome() == Outcome.UNKNOWN) {
+            ports.events()
+                    .record(
+                            EventKind.OUTCOME_UNKNOWN,
+                            Optional.of(call.context().root()),
+                            call.service().value(),
+                            result.reason().map(Enum::name).orElse("") + " " + result.detail());
+        }
+    }
+
+    private CompletableFuture<RequestOutcome> handleInner(
+            IncomingRequest request, Route route, RequestId id, CancelScope scope) {
+        Optional<ContextHeader> header = request.context().flatMap(ContextHeader::parse);
+        Optional<Execution> parent = header.flatMap(found -> ports.executions().find(found.call()));
+        if (parent.isEmpty()) {
+            return handleOrphan(request, route, id, header, scope);
+        }
+        Execution execution = parent.get();
+        Call call = call(request, route, id, execution.call().service(), innerContext(execution, route));
+        if (!route.idempotent()
+                && call.context().retriedAncestor()
+                && request.key().isEmpty()) {
+            CallResult refusal = CallResult.notRun(Reason.UNSAFE_UNDER_RETRY, "route " + route.prefix());
+            return CompletableFuture.completedFuture(
+                    new RequestOutcome(call.context().root(), refusal));
+        }
+        CancelScope inner = scope;
+        execution.scope().onCancel(inner::cancel);
+        return dispatch(request, call, execution.account(), inner).thenApply(result -> {
+            execution.addInnerSpent(result.spentNanos());
+            return new RequestOutcome(call.context().root(), result);
+        });
+    }
+
+    private CallContext innerContext(Execution parent, Route route) {
+        long now = ports.ticker().nanos();
+        CallContext above = parent.call().context();
+        long remaining = Math.min(parent.remainingNanos(now), route.deadline().toNanos());
+        return new CallContext(
+                above.root(),
+                parent.call().id(),
+                above.priority(),
+                remaining,
+                0,
+                above.depth() + 1,
+                above.callerHash(),
+                parent.sunkNanos(now),
+                above.retriedAncestor() || parent.call().idempotent());
+    }
+
+    /** An inner call whose parent this node does not know, since it was restarted or the header was left out. */
+    private CompletableFuture<RequestOutcome> handleOrphan(
+            IncomingRequest request, Route route, RequestId id, Optional<ContextHeader> header, CancelScope scope) {
+        long own = route.deadline().toNanos();
+        long remaining = header.map(found -> Math.min(own, TimeUnit.MILLISECONDS.toNanos(found.remainingMillis())))
+                .orElse(own);
+        CallContext context = new CallContext(
+                header.map(ContextHeader::root).orElse(id),
+                header.map(ContextHeader::call).orElse(id),
+                header.map(ContextHeader::priority).orElse(ORPHAN_CLASS),
+                remaining,
+                0,
+                header.map(ContextHeader::depth).orElse(0) + 1,
+                header.map(ContextHeader::callerHash).orElse(0),
+                0,
+                false);
+        Call call = call(request, route, id, Call.OUTSIDE, context);
+        RetryAccount account = ports.ledger().open(id, 0);
+        return dispatch(request, call, account, scope).thenApply(result -> {
+            account.close();
+            return new RequestOutcome(context.root(), result);
+        });
+    }
+
+    private CompletableFuture<CallResult> dispatch(
+            IncomingRequest request, Call call, RetryAccount account, CancelScope scope) {
+        if (!call.idempotent() && request.key().isPresent()) {
+            return ports.keyed().handle(call, request.key().get(), request.identity(), scope);
+        }
+        return ports.forwarder().forward(call, account, scope);
+    }
+
+    private static Call call(
+            IncomingRequest request, Route route, RequestId id, ServiceName caller, CallContext context) {
+        return new Call(
+                id,
+                caller,
+                route.service(),
+                request.method(),
+                request.path(),
+                request.headers(),
+                request.body(),
+                route.idempotent(),
+                request.key().map(RequestKey::text),
+                context);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/forwarding/ExecutionRegistry.java
@@ -0,0 +1,34 @@
+package io.beryldock.forwarding;
+
+import io.beryldock.call.RequestId;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** The calls that the target of this node runs now, by id. Thread safe. */
+public final class ExecutionRegistry {
+
+    private final Map<RequestId, Execution> running = new ConcurrentHashMap<>();
+
+    private ExecutionRegistry() {}
+
+    public static ExecutionRegistry create() {
+        return new ExecutionRegistry();
+    }
+
+    void add(Execution execution) {
+        running.put(execution.call().id(), execution);
+    }
+
+    void remove(RequestId id) {
+        running.remove(id);
+    }
+
+    Optional<Execution> find(RequestId id) {
+        return Optional.ofNullable(running.get(id));
+    }
+
+    public int size() {
+        return running.size();
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/forwarding/RequestTally.java
@@ -0,0 +1,82 @@
+package io.beryldock.forwarding;
+
+import com.google.common.collect.ImmutableMap;
+import io.beryldock.call.CallResult;
+import io.beryldock.call.PriorityClass;
+import io.beryldock.call.Reason;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.LongAdder;
+
+/**
+ * Counts the root requests of this node by class and end, and the retries of each.
+ *
+ * <p>Thread safe. Invariant, checked as each request ends: no root request spent more retries than its allowance.
+ */
+public final class RequestTally {
+
+    private final Map<String, ClassCounts> classes = new ConcurrentHashMap<>();
+
+    private RequestTally() {}
+
+    public static RequestTally create() {
+        return new RequestTally();
+    }
+
+    void asked(PriorityClass priority) {
+        counts(priority).asked.increment();
+    }
+
+    void ended(PriorityClass priority, CallResult result, int retries) {
+        ClassCounts counts = counts(priority);
+        counts.retries.add(retries);
+        switch (result.outcome()) {
+            case ANSWERED -> counts.answered.increment();
+            case UNKNOWN -> counts.unknown.increment();
+            case NOT_RUN -> countNotRun(counts, result.reason());
+        }
+    }
+
+    private static void countNotRun(ClassCounts counts, Optional<Reason> reason) {
+        counts.notRun.increment();
+        reason.ifPresent(found ->
+                counts.byReason.computeIfAbsent(found, key -> new LongAdder()).increment());
+    }
+
+    private ClassCounts counts(PriorityClass priority) {
+        return classes.computeIfAbsent(priority.name(), name -> new ClassCounts());
+    }
+
+    /** What was counted since the start, by class. */
+    public ImmutableMap<String, Row> rows() {
+        ImmutableMap.Builder<String, Row> rows = ImmutableMap.builder();
+        classes.forEach((name, counts) -> rows.put(name, counts.row()));
+        return rows.build();
+    }
+
+    /** Counts of one class. Immutable. */
+    public record Row(
+            long asked,
+            long answered,
+            long notRun,
+            long unknown,
+            long retries,
+            ImmutableMap<Reason, Long> notRunByReason) {}
+
+    /** Running counts of one class. Thread safe. */
+    private static final class ClassCounts {
+        private final LongAdder asked = new LongAdder();
+        private final LongAdder answered = new LongAdder();
+        private final LongAdder notRun = new LongAdder();
+        private final LongAdder unknown = new LongAdder();
+        private final LongAdder retries = new LongAdder();
+        private final Map<Reason, LongAdder> byReason = new ConcurrentHashMap<>();
+
+        Row row() {
+            ImmutableMap.Builder<Reason, Long> reasons = ImmutableMap.builder();
+            byReason.forEach((reason, count) -> reasons.put(reason, count.sum()));
+            return new Row(asked.sum(), answered.sum(), notRun.sum(), unknown.sum(), retries.sum(), reasons.build());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/forwarding/TargetExecutor.java
@@ -0,0 +1,68 @@
+package io.beryldock.forwarding;
+
+import io.beryldock.admission.DoorShedder;
+import io.beryldock.call.Call;
+import io.beryldock.call.CallResult;
+import io.beryldock.call.Reason;
+import io.beryldock.quarantine.Fingerprint;
+import io.beryldock.quarantine.Quarantine;
+import io.beryldock.quarantine.Verdict;
+import io.beryldock.retry.RetryLedger;
+import io.beryldock.time.TimerService;
+import io.beryldock.timeline.EventSink;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+
+/**
+ * Runs calls at the target in this node's VM, each behind the gate.
+ *
+ * <p>Thread safe. Whatever other nodes believe, this node decides: a call for a target that has left, or is drained, is
+ * refused NOT_RUN here.
+ */
+public final class TargetExecutor {
+
+    private final Ports ports;
+
+    private TargetExecutor(Ports ports) {
+        this.ports = ports;
+    }
+
+    /** What the executor works with. */
+    public record Ports(
+            Supplier<Optional<AnnouncedTarget>> target,
+            TargetClient client,
+            ExecutionRegistry executions,
+            RetryLedger ledger,
+            DoorShedder door,
+            Quarantine quarantine,
+            TimerService timers,
+            EventSink events) {}
+
+    public static TargetExecutor create(Ports ports) {
+        return new TargetExecutor(ports);
+    }
+
+    /** Runs the call; cancelling the scope gives it up. The future never fails. */
+    public CompletableFuture<CallResult> execute(Call call, CancelScope scope) {
+        Optional<AnnouncedTarget> target =
+                ports.target().get().filter(found -> found.service().equals(call.service()));
+        if (target.isEmpty()) {
+            CallResult refusal = CallResult.notRun(Reason.NO_TARGET, "this node has no target of " + call.service());
+            return finished(refusal, call);
+        }
+        Fingerprint fingerprint = Fingerprint.of(call);
+        if (ports.quarantine().verdict(fingerprint) == Verdict.REFUSED) {
+            return finished(CallResult.notRun(Reason.QUARANTINED, "it was in flight when targets crashed"), call);
+        }
+        TargetRun run = new TargetRun(ports, target.get(), call, fingerprint, scope);
+        run.start();
+        return run.result();
+    }
+
+    /** A refusal before anything was spent: the whole allowance goes back. */
+    private static CompletableFuture<CallResult> finished(CallResult refusal, Call call) {
+        int unspent = call.context().retryAllowance();
+        return CompletableFuture.completedFuture(refusal.withUnspentRetries(unspent));
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/forwarding/TargetRun.java
@@ -0,0 +1,195 @@
+package io.beryldock.forwarding;
+
+import com.google.errorprone.annotations.concurrent.GuardedBy;
+import io.beryldock.admission.Completion;
+import io.beryldock.admission.GateHandle;
+import io.beryldock.admission.GateListener;
+import io.beryldock.admission.GateRequest;
+import io.beryldock.admission.Permit;
+import io.beryldock.call.Answer;
+import io.beryldock.call.Call;
+import io.beryldock.call.CallContext;
+import io.beryldock.call.CallResult;
+import io.beryldock.call.Reason;
+import io.beryldock.quarantine.Fingerprint;
+import io.beryldock.retry.RetryAccount;
+import io.beryldock.time.TimerService.Subscription;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * One call at the target in this node's VM: queued, running, ended.
+ *
+ * <p>Thread safe. Invariants: the target is sent the call at most once and only while it holds a permit; the permit is
+ * given back when the target has answered, even if the caller gave up before, since work that was given up still holds
+ * its slot at the target.
+ */
+final class TargetRun implements GateListener {
+
+    private static final int SERVER_ERROR = 500;
+
+    private final TargetExecutor.Ports ports;
+    private final AnnouncedTarget target;
+    private final Call call;
+    private final Fingerprint fingerprint;
+    private final CancelScope scope;
+    private final long deadlineNanos;
+    private final CompletableFuture<CallResult> result = new CompletableFuture<>();
+    private Subscription deadline = () -> {};
+
+    @GuardedBy("this")
+    private Reason givenUp;
+
+    @GuardedBy("this")
+    private Execution execution;
+
+    @GuardedBy("this")
+    private GateHandle handle;
+
+    TargetRun(
+            TargetExecutor.Ports ports, AnnouncedTarget target, Call call, Fingerprint fingerprint, CancelScope scope) {
+        this.ports = ports;
+        this.target = target;
+        this.call = call;
+        this.fingerprint = fingerprint;
+        this.scope = scope;
+        this.deadlineNanos = now() + call.context().remainingNanos();
+    }
+
+    CompletableFuture<CallResult> result() {
+        return result;
+    }
+
+    void start() {
+        CallContext context = call.context();
+        deadline = ports.timers().after(Duration.ofNanos(context.remainingNanos()), () -> giveUp(Reason.TIMED_OUT));
+        GateRequest request = new GateRequest(
+                call.id(),
+                context.priority().rank(),
+                context.callerHash(),
+                context.sunkNanos(),
+                context.remainingNanos());
+        GateHandle submitted = target.gate().submit(request, this);
+        synchronized (this) {
+            handle = submitted;
+        }
+        scope.onCancel(() -> giveUp(Reason.CANCELLED));
+        if (givenUpBefore()) {
+            submitted.cancel();
+        }
+    }
+
+    private synchronized boolean givenUpBefore() {
+        return givenUp != null;
+    }
+
+    @Override
+    public void refused(Reason reason, long retryAfterMillis) {
+        Reason told;
+        synchronized (this) {
+            told = givenUp == Reason.TIMED_OUT ? Reason.DEADLINE_PASSED : reason;
+        }
+        CallResult refusal = CallResult.notRun(told, "refused at the gate of " + call.service())
+                .withRetryAfterMillis(retryAfterMillis)
+                .withUnspentRetries(call.context().retryAllowance());
+        finish(refusal);
+    }
+
+    @Override
+    public void admitted(Permit permit) {
+        if (!ports.quarantine().onStarted(fingerprint)) {
+            permit.release(Completion.REFUSED_BY_TARGET);
+            finish(CallResult.notRun(Reason.QUARANTINED, "a request that was in flight at a crash runs alone")
+                    .withUnspentRetries(call.context().retryAllowance()));
+            return;
+        }
+        Execution started = open();
+        CallContext context = call.context();
+        Call sent =
+                call.attempt(call.id(), context.afterNanos(context.remainingNanos() - started.remainingNanos(now())));
+        ports.client().send(sent).thenAccept(reply -> onReply(started, permit, reply));
+    }
+
+    private Execution open() {
+        RetryAccount account = ports.ledger().open(call.id(), call.context().retryAllowance());
+        Execution started = new Execution(call, account, scope.child(), now(), deadlineNanos);
+        ports.executions().add(started);
+        synchronized (this) {
+            execution = started;
+        }
+        return started;
+    }
+
+    private void onReply(Execution started, Permit permit, TargetReply reply) {
+        permit.release(completion(reply));
+        if (reply.kind() == TargetReply.Kind.LOST) {
+            ports.quarantine().onAbandoned(fingerprint);
+        } else {
+            ports.quarantine().onCompleted(fingerprint);
+        }
+        CallResult told = toResult(reply);
+        finish(close(started, told));
+    }
+
+    private Completion completion(TargetReply reply) {
+        if (givenUpBefore()) {
+            return Completion.ABANDONED_DONE;
+        }
+        return switch (reply.kind()) {
+            case ANSWERED -> succeeded(reply) ? Completion.SUCCEEDED : Completion.FAILED;
+            case REFUSED -> Completion.REFUSED_BY_TARGET;
+            case NOT_SENT, LOST -> Completion.FAILED;
+        };
+    }
+
+    private static boolean succeeded(TargetReply reply) {
+        return reply.answer().map(Answer::status).orElse(SERVER_ERROR) < SERVER_ERROR;
+    }
+
+    private static CallResult toResult(TargetReply reply) {
+        return switch (reply.kind()) {
+            case ANSWERED -> CallResult.answered(reply.answer().orElseThrow());
+            case REFUSED -> CallResult.notRun(Reason.TARGET_REFUSED, reply.detail());
+            case NOT_SENT -> CallResult.notRun(Reason.CONNECT_FAILED, reply.detail());
+            case LOST -> CallResult.unknown(Reason.CONNECTION_LOST, reply.detail());
+        };
+    }
+
+    /** Ends the execution: its inner calls are cancelled, what is left of its retries goes back with the result. */
+    private CallResult close(Execution started, CallResult told) {
+        ports.executions().remove(call.id());
+        int unspent = started.account().close();
+        started.scope().cancel();
+        return told.withUnspentRetries(unspent).withSpentNanos(started.spentNanos(now()));
+    }
+
+    /** The time is over or the caller is gone: a queued call is refused, a running one ends UNKNOWN. */
+    private void giveUp(Reason reason) {
+        Execution running;
+        GateHandle submitted;
+        synchronized (this) {
+            if (givenUp != null || result.isDone()) {
+                return;
+            }
+            givenUp = reason;
+            running = execution;
+            submitted = handle;
+        }
+        if (submitted != null) {
+            submitted.cancel();
+        }
+        if (running != null) {
+            finish(close(running, CallResult.unknown(reason, "the target was still running it")));
+        }
+    }
+
+    private void finish(CallResult told) {
+        deadline.cancel();
+        result.complete(told.withLevels(
+                ports.door().reportFor(call.service(), target.gate().level())));
+    }
+
+    private long now() {
+        return ports.timers().ticker().nanos();
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/node/AbsentPlatformStore.java
@@ -0,0 +1,39 @@
+package io.beryldock.node;
+
+import com.google.protobuf.ByteString;
+import io.beryldock.platform.PlatformException;
+import io.beryldock.platform.PlatformStore;
+import io.beryldock.platform.StoredValue;
+import io.beryldock.platform.WriteResult;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/** Stands for the platform store of a node whose settings name none: it is always down. Stateless. */
+final class AbsentPlatformStore implements PlatformStore {
+
+    @Override
+    public CompletableFuture<Optional<StoredValue>> get(String key) {
+        return absent();
+    }
+
+    @Override
+    public CompletableFuture<WriteResult> compareAndSet(String key, long expectedVersion, ByteString value) {
+        return CompletableFuture.completedFuture(WriteResult.notApplied());
+    }
+
+    @Override
+    public CompletableFuture<Boolean> lease(String name, String holder, Duration length) {
+        return absent();
+    }
+
+    @Override
+    public CompletableFuture<Optional<StoredValue>> watch(String key, long afterVersion, Duration wait) {
+        return absent();
+    }
+
+    private static <T> CompletableFuture<T> absent() {
+        return CompletableFuture.failedFuture(
+                new PlatformException("no platform store is set; name it in the settings under platform.url"));
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/node/NodeModule.java
@@ -0,0 +1,220 @@
+package io.beryldock.node;
+
+import com.google.common.collect.ImmutableList;
+import com.google.inject.AbstractModule;
+import com.google.inject.Provides;
+import com.google.inject.Singleton;
+import io.beryldock.admission.DoorShedder;
+import io.beryldock.admission.GateSettings;
+import io.beryldock.call.DataCentre;
+import io.beryldock.call.Incarnation;
+import io.beryldock.call.NodeId;
+import io.beryldock.call.RequestIds;
+import io.beryldock.configuration.Configuration;
+import io.beryldock.configuration.ConfigurationException;
+import io.beryldock.configuration.ConfigurationKeeper;
+import io.beryldock.configuration.ConfigurationSync;
+import io.beryldock.configuration.ConfigurationWriter;
+import io.beryldock.forwarding.Addresses;
+import io.beryldock.membership.MembershipService;
+import io.beryldock.membership.MembershipSettings;
+import io.beryldock.membership.NodeDescriptor;
+import io.beryldock.peer.NettyPeerTransport;
+import io.beryldock.peer.PeerIdentity;
+import io.beryldock.peer.PeerTopic;
+import io.beryldock.peer.PeerTransport;
+import io.beryldock.platform.PlatformStore;
+import io.beryldock.quarantine.Quarantine;
+import io.beryldock.quarantine.QuarantineSettings;
+import io.beryldock.retry.Backoff;
+import io.beryldock.retry.RetryBudgetSettings;
+import io.beryldock.retry.RetryBudgets;
+import io.beryldock.retry.RetryLedger;
+import io.beryldock.routing.ChooserSettings;
+import io.beryldock.routing.TargetChooser;
+import io.beryldock.settings.NodeSettings;
+import io.beryldock.settings.SettingsException;
+import io.beryldock.time.ThreadTimerService;
+import io.beryldock.time.TimerService;
+import io.beryldock.timeline.EventRing;
+import io.beryldock.timeline.EventSink;
+import io.beryldock.timeline.HybridLogicalClock;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.random.RandomGenerator;
+
+/** Binds the control parts of one node: view, configuration, decisions. The request path is in its own module. */
+final class NodeModule extends AbstractModule {
+
+    private static final int EVENTS_KEPT = 4096;
+    private static final Duration BACKOFF_BASE = Duration.ofMillis(5);
+    private static final Duration BACKOFF_CAP = Duration.ofMillis(100);
+
+    private final NodeSettings settings;
+    private final NodeDescriptor self;
+    private final ControlLoop control;
+    private final ThreadTimerService controlTimers;
+    private final NettyPeerTransport transport;
+    private final EventRing events;
+    private final PlatformStore store;
+
+    NodeModule(
+            NodeSettings settings,
+            NodeDescriptor self,
+            ControlLoop control,
+            ThreadTimerService controlTimers,
+            NettyPeerTransport transport,
+            EventRing events,
+            PlatformStore store) {
+        this.settings = settings;
+        this.self = self;
+        this.control = control;
+        this.controlTimers = controlTimers;
+        this.transport = transport;
+        this.events = events;
+        this.store = store;
+    }
+
+    static EventRing eventRing(NodeSettings settings) {
+        return EventRing.create(
+                NodeId.of(settings.id()),
+                DataCentre.of(settings.dataCentre()),
+                HybridLogicalClock.system(),
+                EVENTS_KEPT,
+                randomGenerator());
+    }
+
+    static RandomGenerator randomGenerator() {
+        return RandomGenerator.of("L64X128MixRandom");
+    }
+
+    static PeerIdentity identity(NodeSettings settings, Incarnation incarnation) {
+        return PeerIdentity.of(NodeId.of(settings.id()), DataCentre.of(settings.dataCentre()), incarnation);
+    }
+
+    @Override
+    protected void configure() {
+        bind(NodeSettings.class).toInstance(settings);
+        bind(NodeDescriptor.class).toInstance(self);
+        bind(ControlLoop.class).toInstance(control);
+        bind(TimerService.class).toInstance(controlTimers);
+        bind(PeerTransport.class).toInstance(transport);
+        bind(NettyPeerTransport.class).toInstance(transport);
+        bind(EventRing.class).toInstance(events);
+        bind(EventSink.class).toInstance(events);
+        bind(PlatformStore.class).toInstance(store);
+        bind(RequestIds.class).toInstance(RequestIds.of(self.incarnation()));
+        bind(RandomGenerator.class).toProvider(NodeModule::randomGenerator);
+    }
+
+    private ImmutableList<InetSocketAddress> seeds() {
+        return settings.seeds().stream().map(Addresses::parse).collect(ImmutableList.toImmutableList());
+    }
+
+    @Provides
+    @Singleton
+    MembershipService membership(TimerService timers, RandomGenerator random) {
+        Duration expiry = Duration.ofSeconds(settings.limits().announcementSeconds());
+        MembershipService service = MembershipService.create(
+                MembershipSettings.of(seeds()).withTargetExpiry(expiry),
+                self,
+                (to, body) -> transport.send(to, PeerTopic.MEMBERSHIP, body),
+                timers,
+                random,
+                events,
+                store);
+        transport.handle(
+                PeerTopic.MEMBERSHIP,
+                message -> control.execute(
+                        () -> service.onMessage(NodeId.of(message.sender()), message.body())));
+        return service;
+    }
+
+    @Provides
+    @Singleton
+    ConfigurationKeeper configuration() throws SettingsException {
+        try {
+            return ConfigurationKeeper.create(Configuration.defaults(settings.deployment()));
+        } catch (ConfigurationException e) {
+            throw new SettingsException("deployment", "a known set of defaults", e.getMessage());
+        }
+    }
+
+    @Provides
+    @Singleton
+    ConfigurationSync configurationSync(
+            ConfigurationKeeper keeper, MembershipService membership, TimerService timers, RandomGenerator random) {
+        ConfigurationSync sync = ConfigurationSync.create(
+                self,
+                keeper,
+                new ConfigurationSync.Ports(
+                        store,
+                        (to, body) -> transport.send(to, PeerTopic.CONFIGURATION, body),
+                        membership::directory,
+                        this::seeds,
+                        timers,
+                        control,
+                        random,
+                        events));
+        transport.handle(
+                PeerTopic.CONFIGURATION,
+                message ->
+                        control.execute(() -> sync.onMessage(NodeId.of(message.sender()), message.body())));
+        return sync;
+    }
+
+    @Provides
+    @Singleton
+    ConfigurationWriter configurationWriter(ConfigurationKeeper keeper, TimerService timers, RandomGenerator random) {
+        return ConfigurationWriter.create(
+                store,
+                keeper,
+                new ConfigurationWriter.Ports(control, timers, InstantSource.system(), random, events));
+    }
+
+    @Provides
+    @Singleton
+    TargetAnnouncements announcements(
+            MembershipService membership, TimerService timers, RandomGenerator random, GateSettings gateSettings) {
+        Duration expiry = Duration.ofSeconds(settings.limits().announcementSeconds());
+        return new TargetAnnouncements(membership, gateSettings, expiry, timers, random, events);
+    }
+
+    @Provides
+    @Singleton
+    DoorShedder door(TimerService timers, RandomGenerator random) {
+        return DoorShedder.create(timers.ticker(), random, events);
+    }
+
+    @Provides
+    @Singleton
+    RetryLedger ledger() {
+        return RetryLedger.create(events);
+    }
+
+    @Provides
+    @Singleton
+    RetryBudgets budgets(TimerService timers) {
+        return RetryBudgets.create(timers.ticker(), service -> RetryBudgetSettings.defaults());
+    }
+
+    @Provides
+    @Singleton
+    Backoff backoff(RandomGenerator random) {
+        return Backoff.create(random, BACKOFF_BASE, BACKOFF_CAP);
+    }
+
+    @Provides
+    @Singleton
+    Quarantine quarantine(TimerService timers) {
+        return Quarantine.create(timers.ticker(), QuarantineSettings.defaults(), events);
+    }
+
+    @Provides
+    @Singleton
+    TargetChooser chooser(TimerService timers, RandomGenerator random) {
+        return TargetChooser.create(
+                self.dataCentre(), random, timers.ticker(), events, ChooserSettings.defaults());
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/node/NodeProcess.java
@@ -0,0 +1,129 @@
+package io.beryldock.node;
+
+import com.codahale.metrics.health.HealthCheck;
+import com.google.common.collect.ImmutableMap;
+import com.google.inject.Guice;
+import com.google.inject.Injector;
+import io.beryldock.call.DataCentre;
+import io.beryldock.call.Incarnation;
+import io.beryldock.call.NodeId;
+import io.beryldock.configuration.ConfigurationSync;
+import io.beryldock.forwarding.EntryService;
+import io.beryldock.forwarding.TargetExecutor;
+import io.beryldock.http.HttpPorts;
+import io.beryldock.http.NodeHttpServer;
+import io.beryldock.http.ServerStartException;
+import io.beryldock.membership.MembershipService;
+import io.beryldock.membership.NodeDescriptor;
+import io.beryldock.peer.NettyPeerTransport;
+import io.beryldock.peer.PeerStartException;
+import io.beryldock.peer.PeerTlsFiles;
+import io.beryldock.peer.PeerTransportSettings;
+import io.beryldock.platform.HttpPlatformStore;
+import io.beryldock.platform.PlatformStore;
+import io.beryldock.settings.NodeSettings;
+import io.beryldock.settings.SettingsException;
+import io.beryldock.time.ThreadTimerService;
+import io.beryldock.time.TimerService;
+import io.beryldock.timeline.EventKind;
+import io.beryldock.timeline.EventRing;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/** Starts nodes. Stateless. */
+public final class NodeProcess {
+
+    private static final Duration STORE_TIMEOUT = Duration.ofSeconds(1);
+    private static final int OWN_IO_THREADS = 2;
+
+    private NodeProcess() {}
+
+    /** Starts a node with threads of its own. */
+    public static RunningNode start(NodeSettings settings)
+            throws SettingsException, PeerStartException, ServerStartException, InterruptedException {
+        SharedResources shared =
+                SharedResources.start(OWN_IO_THREADS, settings.limits().connectionsToTarget());
+        return start(settings, shared).owning(shared);
+    }
+
+    /** Starts a node on shared threads, as the demo does with dozens of nodes in one process. */
+    public static RunningNode start(NodeSettings settings, SharedResources shared)
+            throws SettingsException, PeerStartException, ServerStartException, InterruptedException {
+        ControlLoop control = ControlLoop.start(settings.id());
+        ThreadTimerService controlTimers = ThreadTimerService.start("timer-" + settings.id(), control);
+        EventRing events = NodeModule.eventRing(settings);
+        Incarnation incarnation = Incarnation.random(NodeModule.randomGenerator());
+        NettyPeerTransport transport = NettyPeerTransport.create(
+                peerSettings(settings),
+                NodeModule.identity(settings, incarnation),
+                controlTimers.on(shared.traffic()),
+                events,
+                shared.peerLoops());
+        transport.start();
+        NodeDescriptor self = new NodeDescriptor(
+                NodeId.of(settings.id()),
+                DataCentre.of(settings.dataCentre()),
+                incarnation,
+                transport.localAddress());
+        PlatformStore store = store(settings, controlTimers.on(shared.traffic()));
+        Injector injector = Guice.createInjector(
+                new NodeModule(settings, self, control, controlTimers, transport, events, store),
+                new TrafficModule(shared, controlTimers.on(shared.traffic())));
+        injector.getInstance(TargetExecutor.class);
+        NodeHttpServer http = NodeHttpServer.start(settings, httpPorts(injector, control));
+        control.run(() -> startControl(injector));
+        events.record(EventKind.NODE_STARTED, settings.id(), "callers at " + http.callersAddress());
+        return new RunningNode(injector, http, control, controlTimers, store, Optional.empty());
+    }
+
+    private static void startControl(Injector injector) {
+        injector.getInstance(MembershipService.class).start();
+        injector.getInstance(ConfigurationSync.class).start();
+    }
+
+    private static HttpPorts httpPorts(Injector injector, ControlLoop control) {
+        TargetAnnouncements announcements = injector.getInstance(TargetAnnouncements.class);
+        return new HttpPorts(
+                injector.getInstance(EntryService.class),
+                announcement -> control.execute(() -> announcements.announce(announcement)),
+                () -> CompletableFuture.completedFuture(Optional.empty()),
+                new AliveHealthCheck(),
+                ImmutableMap.of());
+    }
+
+    private static PeerTransportSettings peerSettings(NodeSettings settings) throws SettingsException {
+        NodeSettings.Peers peers = settings.peers();
+        InetSocketAddress bind = new InetSocketAddress(peers.address(), peers.port());
+        if (peers.tls() != null && !peers.insecure()) {
+            NodeSettings.Tls tls = peers.tls();
+            return PeerTransportSettings.secure(
+                    bind,
+                    new PeerTlsFiles(
+                            Path.of(tls.certificateFile()), Path.of(tls.keyFile()), Path.of(tls.trustFile())));
+        }
+        if (peers.tls() == null && peers.insecure()) {
+            return PeerTransportSettings.insecure(bind);
+        }
+        throw new SettingsException(
+                "peers", "exactly one of 'tls' and '\"insecure\": true'", "name the certificates, or choose insecure");
+    }
+
+    private static PlatformStore store(NodeSettings settings, TimerService timers) {
+        if (settings.platform() == null) {
+            return new AbsentPlatformStore();
+        }
+        return HttpPlatformStore.start(URI.create(settings.platform().url()), STORE_TIMEOUT, timers);
+    }
+
+    /** The node answers for as long as its process runs. */
+    private static final class AliveHealthCheck extends HealthCheck {
+        @Override
+        protected Result check() {
+            return Result.healthy();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/node/RunningNode.java
@@ -0,0 +1,100 @@
+package io.beryldock.node;
+
+import com.google.inject.Injector;
+import io.beryldock.forwarding.ExecutionRegistry;
+import io.beryldock.forwarding.RequestTally;
+import io.beryldock.http.NodeHttpServer;
+import io.beryldock.peer.NettyPeerTransport;
+import io.beryldock.platform.PlatformStore;
+import io.beryldock.retry.RetryLedger;
+import io.beryldock.time.ThreadTimerService;
+import io.beryldock.timeline.EventRing;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+
+/** A node that runs. Thread safe; closed once. */
+public final class RunningNode implements AutoCloseable {
+
+    private final Injector injector;
+    private final NodeHttpServer http;
+    private final ControlLoop control;
+    private final ThreadTimerService timers;
+    private final PlatformStore store;
+    private final Optional<SharedResources> owned;
+
+    RunningNode(
+            Injector injector,
+            NodeHttpServer http,
+            ControlLoop control,
+            ThreadTimerService timers,
+            PlatformStore store,
+            Optional<SharedResources> owned) {
+        this.injector = injector;
+        this.http = http;
+        this.control = control;
+        this.timers = timers;
+        this.store = store;
+        this.owned = owned;
+    }
+
+    /** The same node, which closes these threads with itself. */
+    RunningNode owning(SharedResources shared) {
+        return new RunningNode(injector, http, control, timers, store, Optional.of(shared));
+    }
+
+    public InetSocketAddress callersAddress() {
+        return http.callersAddress();
+    }
+
+    public InetSocketAddress loopbackAddress() {
+        return http.loopbackAddress();
+    }
+
+    public InetSocketAddress adminAddress() {
+        return http.adminAddress();
+    }
+
+    public InetSocketAddress peersAddress() {
+        return injector.getInstance(NettyPeerTransport.class).localAddress();
+    }
+
+    /** Counts of root requests that entered here. */
+    public RequestTally tally() {
+        return injector.getInstance(RequestTally.class);
+    }
+
+    /** The retry ledger, with its count of broken invariants. */
+    public RetryLedger ledger() {
+        return injector.getInstance(RetryLedger.class);
+    }
+
+    public EventRing events() {
+        return injector.getInstance(EventRing.class);
+    }
+
+    /** Calls that the target runs now. */
+    public int running() {
+        return injector.getInstance(ExecutionRegistry.class).size();
+    }
+
+    /** Stops at once: what is in flight is cut off, as in a crash. */
+    @Override
+    public void close() {
+        timers.close();
+        http.close();
+        injector.getInstance(NettyPeerTransport.class).close();
+        control.close();
+        if (store instanceof AutoCloseable closeable) {
+            closeQuietly(closeable);
+        }
+        owned.ifPresent(SharedResources::close);
+    }
+
+    private static void closeQuietly(AutoCloseable closeable) {
+        try {
+            closeable.close();
+        } catch (Exception e) {
+            throw new IllegalStateException("the platform store's client can't be closed", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/node/TargetAnnouncements.java
@@ -0,0 +1,126 @@
+package io.beryldock.node;
+
+import io.beryldock.admission.GateSettings;
+import io.beryldock.admission.TargetGate;
+import io.beryldock.call.ServiceName;
+import io.beryldock.forwarding.AnnouncedTarget;
+import io.beryldock.forwarding.Announcement;
+import io.beryldock.membership.MembershipService;
+import io.beryldock.membership.TargetState;
+import io.beryldock.time.TimerService;
+import io.beryldock.time.TimerService.Subscription;
+import io.beryldock.timeline.EventKind;
+import io.beryldock.timeline.EventSink;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+/**
+ * The announcements of the target in this VM and the gate that follows them.
+ *
+ * <p>Called on the control thread only, but for {@link #current()} and {@link #drained()}, which are thread safe. A
+ * target that no longer announces itself is withdrawn; one that a drain holds back stays LEAVING whatever it announces.
+ */
+public final class TargetAnnouncements {
+
+    private final MembershipService membership;
+    private final GateSettings gateSettings;
+    private final Duration expiry;
+    private final TimerService timers;
+    private final RandomGenerator random;
+    private final EventSink events;
+    private volatile Optional<AnnouncedTarget> current = Optional.empty();
+    private volatile boolean drained;
+    private Optional<Announcement> last = Optional.empty();
+    private Subscription expiryTimer = () -> {};
+
+    TargetAnnouncements(
+            MembershipService membership,
+            GateSettings gateSettings,
+            Duration expiry,
+            TimerService timers,
+            RandomGenerator random,
+            EventSink events) {
+        this.membership = membership;
+        this.gateSettings = gateSettings;
+        this.expiry = expiry;
+        this.timers = timers;
+        this.random = random;
+        this.events = events;
+    }
+
+    /** The target as it announced itself last, with its gate; empty when none does. */
+    public Optional<AnnouncedTarget> current() {
+        return current;
+    }
+
+    public boolean drained() {
+        return drained;
+    }
+
+    void announce(Announcement announcement) {
+        expiryTimer.cancel();
+        expiryTimer = timers.after(expiry, this::expire);
+        if (last.filter(announcement::equals).isPresent()) {
+            return;
+        }
+        last = Optional.of(announcement);
+        ServiceName service = ServiceName.of(announcement.service());
+        TargetGate gate = gateFor(service, announcement.slots());
+        current = Optional.of(new AnnouncedTarget(service, announcement.socketAddress(), gate));
+        apply(announcement, gate);
+        events.record(
+                announcement.state() == TargetState.LEAVING
+                        ? EventKind.TARGET_LEAVING
+                        : EventKind.TARGET_ANNOUNCED,
+                announcement.service(),
+                announcement.state() + " with " + announcement.slots() + " slots at " + announcement.address());
+    }
+
+    private TargetGate gateFor(ServiceName service, int slots) {
+        GateSettings settings = gateSettings.withAnnouncedSlots(slots);
+        Optional<TargetGate> kept =
+                current.filter(target -> target.service().equals(service)).map(AnnouncedTarget::gate);
+        kept.ifPresent(gate -> gate.reconfigure(settings));
+        return kept.orElseGet(() -> TargetGate.create(settings, timers, random, events, service));
+    }
+
+    private void apply(Announcement announcement, TargetGate gate) {
+        TargetState state = drained ? TargetState.LEAVING : announcement.state();
+        if (state == TargetState.READY) {
+            gate.undrain();
+        } else {
+            gate.drain();
+        }
+        membership.announce(ServiceName.of(announcement.service()), announcement.slots(), state);
+    }
+
+    private void expire() {
+        current.ifPresent(target -> events.record(
+                EventKind.TARGET_LOST, target.service().value(), "it no longer announces itself"));
+        current = Optional.empty();
+        last = Optional.empty();
+        membership.withdraw();
+    }
+
+    /** Stops new work at the target, at this node at once and elsewhere as the view spreads. */
+    void drain() {
+        drained = true;
+        events.record(EventKind.DRAIN_STARTED, serviceName(), "no new work");
+        reapply();
+    }
+
+    void undrain() {
+        drained = false;
+        events.record(EventKind.DRAIN_ENDED, serviceName(), "new work again");
+        reapply();
+    }
+
+    private void reapply() {
+        last.ifPresent(announcement -> current.ifPresent(target -> apply(announcement, target.gate())));
+    }
+
+    private String serviceName() {
+        return current.map(target -> target.service().value()).orElse("none");
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/node/TrafficModule.java
@@ -0,0 +1,157 @@
+package io.beryldock.node;
+
+import com.google.inject.AbstractModule;
+import com.google.inject.Provides;
+import com.google.inject.Singleton;
+import io.beryldock.admission.DoorShedder;
+import io.beryldock.admission.GateSettings;
+import io.beryldock.call.CallResult;
+import io.beryldock.call.Reason;
+import io.beryldock.call.RequestIds;
+import io.beryldock.configuration.ConfigurationKeeper;
+import io.beryldock.forwarding.AnnouncedTarget;
+import io.beryldock.forwarding.CallForwarder;
+import io.beryldock.forwarding.EntryService;
+import io.beryldock.forwarding.ExecutionRegistry;
+import io.beryldock.forwarding.KeyedRequestHandler;
+import io.beryldock.forwarding.PeerCallClient;
+import io.beryldock.forwarding.PeerCallServer;
+import io.beryldock.forwarding.RequestTally;
+import io.beryldock.forwarding.TargetExecutor;
+import io.beryldock.http.HttpTargetClient;
+import io.beryldock.membership.MembershipService;
+import io.beryldock.membership.NodeDescriptor;
+import io.beryldock.peer.PeerTopic;
+import io.beryldock.peer.PeerTransport;
+import io.beryldock.quarantine.Quarantine;
+import io.beryldock.retry.Backoff;
+import io.beryldock.retry.RetryBudgets;
+import io.beryldock.retry.RetryLedger;
+import io.beryldock.routing.TargetChooser;
+import io.beryldock.settings.NodeSettings;
+import io.beryldock.time.TimerService;
+import io.beryldock.timeline.EventSink;
+import java.net.InetSocketAddress;
+import java.time.Clock;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/** Binds the request path of one node: entry, attempts, target. Its timers run on traffic threads. */
+final class TrafficModule extends AbstractModule {
+
+    /** Periods in which a caller's hash stays the same; a clock that is off moves one node's edge, no more. */
+    private static final long EPOCH_MILLIS = TimeUnit.MINUTES.toMillis(10);
+
+    private final SharedResources shared;
+    private final TimerService timers;
+
+    TrafficModule(SharedResources shared, TimerService timers) {
+        this.shared = shared;
+        this.timers = timers;
+    }
+
+    @Override
+    protected void configure() {
+        bind(ExecutionRegistry.class).toInstance(ExecutionRegistry.create());
+        bind(RequestTally.class).toInstance(RequestTally.create());
+    }
+
+    @Provides
+    @Singleton
+    GateSettings gateSettings(NodeSettings settings) {
+        return GateSettings.defaults();
+    }
+
+    @Provides
+    @Singleton
+    HttpTargetClient targetClient(TargetAnnouncements announcements) {
+        return HttpTargetClient.create(shared.targetClient(), () -> announcements
+                .current()
+                .map(AnnouncedTarget::address)
+                .orElseGet(() -> InetSocketAddress.createUnresolved("0.0.0.0", 0)));
+    }
+
+    @Provides
+    @Singleton
+    TargetExecutor targetExecutor(
+            TargetAnnouncements announcements,
+            HttpTargetClient client,
+            ExecutionRegistry executions,
+            RetryLedger ledger,
+            DoorShedder door,
+            Quarantine quarantine,
+            EventSink events,
+            PeerTransport transport) {
+        TargetExecutor executor = TargetExecutor.create(new TargetExecutor.Ports(
+                announcements::current, client, executions, ledger, door, quarantine, timers, events));
+        transport.handle(PeerTopic.CALL, PeerCallServer.create(executor));
+        return executor;
+    }
+
+    @Provides
+    @Singleton
+    CallForwarder forwarder(
+            NodeSettings settings,
+            NodeDescriptor self,
+            MembershipService membership,
+            TargetChooser chooser,
+            TargetExecutor executor,
+            PeerTransport transport,
+            DoorShedder door,
+            RetryBudgets budgets,
+            Backoff backoff,
+            Quarantine quarantine,
+            RequestIds ids,
+            EventSink events) {
+        return CallForwarder.create(new CallForwarder.Ports(
+                self.id(),
+                settings.policy(),
+                membership::directory,
+                chooser,
+                executor,
+                PeerCallClient.create(transport),
+                door,
+                budgets,
+                backoff,
+                quarantine,
+                ids,
+                timers,
+                events));
+    }
+
+    @Provides
+    @Singleton
+    KeyedRequestHandler keyed() {
+        return (call, key, identity, scope) -> CompletableFuture.completedFuture(
+                CallResult.notRun(Reason.KEY_STORE_DOWN, "keys are not served yet"));
+    }
+
+    @Provides
+    @Singleton
+    EntryService entry(
+            NodeSettings settings,
+            ConfigurationKeeper configuration,
+            DoorShedder door,
+            RetryLedger ledger,
+            ExecutionRegistry executions,
+            CallForwarder forwarder,
+            KeyedRequestHandler keyed,
+            RequestIds ids,
+            RequestTally tally,
+            EventSink events) {
+        Clock clock = Clock.systemUTC();
+        return EntryService.create(new EntryService.Ports(
+                settings.policy(),
+                configuration::current,
+                door,
+                ledger,
+                executions,
+                forwarder,
+                keyed,
+                ids,
+                () -> clock.millis() / EPOCH_MILLIS,
+                timers.ticker(),
+                tally,
+                events));
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/node/package-info.java
@@ -0,0 +1,2 @@
+/** Assembles a node from its parts and starts and stops it. */
+package io.beryldock.node;
--- a/src/main/java/io/beryldock/time/ThreadTimerService.java
+++ b/src/main/java/io/beryldock/time/ThreadTimerService.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.concurrent.Executor;
 import java.util.concurrent.Future;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 
@@ -37,6 +38,11 @@
         return thread;
     }
 
+    /** The same timer, whose tasks run on another executor. */
+    public ThreadTimerService on(Executor other) {
+        return new ThreadTimerService(timer, other);
+    }
+
     @Override
     public Subscription after(Duration delay, Runnable task) {
         return cancelling(timer.schedule(() -> hand(task), delay.toNanos(), TimeUnit.NANOSECONDS));
@@ -59,7 +65,11 @@
     }
 
     private void hand(Runnable task) {
-        executor.execute(() -> runLogged(task));
+        try {
+            executor.execute(() -> runLogged(task));
+        } catch (RejectedExecutionException e) {
+            log.atFine().withCause(e).log("a timer task came after the stop of its executor");
+        }
     }
 
     private static void runLogged(Runnable task) {
