--- a/src/main/java/io/beryldock/cli/SubcommandRegistry.java
+++ b/src/main/java/io/beryldock/cli/SubcommandRegistry.java
@@ -7,6 +7,7 @@
 final class SubcommandRegistry {
 
     static final ImmutableSortedMap<String, Entry> ENTRIES = ImmutableSortedMap.<String, Entry>naturalOrder()
+            .put("standin-platform", new Entry(StandinPlatformSubcommand::new, "run a stand-in of the platform store"))
             .put("version", new Entry(VersionSubcommand::new, "print the version"))
             .build();
 
--- /dev/null
+++ b/src/main/java/io/beryldock/standin/HttpListener.java
@@ -0,0 +1,130 @@
+package io.beryldock.standin;
+
+import com.google.common.flogger.FluentLogger;
+import java.net.InetSocketAddress;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.Promise;
+import org.eclipse.jetty.util.component.LifeCycle;
+import org.eclipse.jetty.util.thread.Invocable;
+
+/**
+ * One HTTP/1.1 listener of a stand-in, served without a thread per request.
+ *
+ * <p>Thread safe. Closing it cuts all connections.
+ */
+final class HttpListener implements AutoCloseable {
+
+    private static final FluentLogger log = FluentLogger.forEnclosingClass();
+
+    /** Longest body taken; a little more than the largest value of the platform store. */
+    private static final int MAX_BODY_BYTES = (1 << 20) + 1;
+
+    private static final int TOO_LARGE = 413;
+    private static final int INTERNAL_ERROR = 500;
+    private static final long IDLE_MILLIS = 300_000;
+    private static final int BACKLOG = 1024;
+
+    private final Server server;
+    private final ServerConnector connector;
+
+    private HttpListener(Server server, ServerConnector connector) {
+        this.server = server;
+        this.connector = connector;
+    }
+
+    /** Listens on the address, port 0 for any free one. */
+    static HttpListener start(StandinResources resources, InetSocketAddress address, ExchangeHandler handler)
+            throws StandinException {
+        Server server = new Server(resources.threads(), resources.scheduler(), resources.buffers());
+        ServerConnector connector = new ServerConnector(
+                server, resources.threads(), resources.scheduler(), resources.buffers(), 1, 1, http());
+        connector.setHost(address.getAddress().getHostAddress());
+        connector.setPort(address.getPort());
+        connector.setIdleTimeout(IDLE_MILLIS);
+        connector.setAcceptQueueSize(BACKLOG);
+        server.addConnector(connector);
+        server.setHandler(new Adapter(handler));
+        server.setStopTimeout(0);
+        try {
+            server.start();
+        } catch (Exception e) {
+            LifeCycle.stop(server);
+            throw new StandinException(
+                    "can't listen on " + address + " (" + e.getMessage() + "): choose a free port and a local address",
+                    e);
+        }
+        return new HttpListener(server, connector);
+    }
+
+    private static HttpConnectionFactory http() {
+        HttpConfiguration configuration = new HttpConfiguration();
+        configuration.setSendServerVersion(false);
+        configuration.setSendDateHeader(false);
+        return new HttpConnectionFactory(configuration);
+    }
+
+    InetSocketAddress address() {
+        return new InetSocketAddress(connector.getHost(), connector.getLocalPort());
+    }
+
+    @Override
+    public void close() {
+        LifeCycle.stop(server);
+    }
+
+    /** Answers one request now or later, once, on any thread. */
+    @FunctionalInterface
+    interface ExchangeHandler {
+
+        /** Must not block. */
+        void handle(HttpExchange exchange);
+    }
+
+    private static final class Adapter extends Handler.Abstract {
+
+        private final ExchangeHandler handler;
+
+        Adapter(ExchangeHandler handler) {
+            super(Invocable.InvocationType.NON_BLOCKING);
+            this.handler = handler;
+        }
+
+        @Override
+        public boolean handle(Request request, Response response, Callback callback) {
+            if (request.getLength() == 0) {
+                serve(request, response, callback, new byte[0]);
+                return true;
+            }
+            Content.Source.asByteArrayAsync(request, MAX_BODY_BYTES, new Promise.Invocable.NonBlocking<>() {
+                @Override
+                public void succeeded(byte[] body) {
+                    serve(request, response, callback, body);
+                }
+
+                @Override
+                public void failed(Throwable failure) {
+                    Response.writeError(request, response, callback, TOO_LARGE);
+                }
+            });
+            return true;
+        }
+
+        private void serve(Request request, Response response, Callback callback, byte[] body) {
+            HttpExchange exchange = new HttpExchange(request, response, callback, body);
+            try {
+                handler.handle(exchange);
+            } catch (RuntimeException e) {
+                log.atSevere().withCause(e).log("a stand-in failed to handle %s", exchange.path());
+                exchange.answer(INTERNAL_ERROR, "text/plain", e.toString());
+            }
+        }
+    }
+}
