--- a/src/main/java/io/beryldock/httpclient/PlainHttpClients.java
+++ b/src/main/java/io/beryldock/httpclient/PlainHttpClients.java
@@ -1,5 +1,7 @@
 package io.beryldock.httpclient;
 
+import com.google.common.flogger.FluentLogger;
+import java.nio.channels.ClosedSelectorException;
 import org.apache.hc.client5.http.config.ConnectionConfig;
 import org.apache.hc.client5.http.config.RequestConfig;
 import org.apache.hc.client5.http.config.TlsConfig;
@@ -20,6 +22,8 @@
  */
 public final class PlainHttpClients {
 
+    private static final FluentLogger log = FluentLogger.forEnclosingClass();
+
     private PlainHttpClients() {}
 
     /** Starts a client; the caller closes it. */
@@ -28,6 +32,7 @@
                 .setConnectionManager(pool(options))
                 .setIOReactorConfig(reactor(options))
                 .setDefaultRequestConfig(request(options))
+                .setIoReactorExceptionCallback(PlainHttpClients::reactorFailed)
                 .disableAutomaticRetries()
                 .disableRedirectHandling()
                 .disableCookieManagement()
@@ -38,6 +43,13 @@
         return client;
     }
 
+    /** Closing a client ends its reactor threads in the midst of a select; that is no error. */
+    private static void reactorFailed(Exception failure) {
+        if (!(failure instanceof ClosedSelectorException)) {
+            log.atSevere().withCause(failure).log("a reactor thread of an HTTP client failed");
+        }
+    }
+
     private static PoolingAsyncClientConnectionManager pool(PlainHttpClientOptions options) {
         ConnectionConfig connection = ConnectionConfig.custom()
                 .setConnectTimeout(Timeout.of(options.connectTimeout()))
--- a/src/main/java/io/beryldock/standin/HttpListener.java
+++ b/src/main/java/io/beryldock/standin/HttpListener.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.net.InetSocketAddress;
+import java.util.List;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
@@ -12,6 +13,7 @@
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.Promise;
+import org.eclipse.jetty.util.component.ContainerLifeCycle;
 import org.eclipse.jetty.util.component.LifeCycle;
 import org.eclipse.jetty.util.thread.Invocable;
 
@@ -46,6 +48,8 @@
         Server server = new Server(resources.threads(), resources.scheduler(), resources.buffers());
         ServerConnector connector = new ServerConnector(
                 server, resources.threads(), resources.scheduler(), resources.buffers(), 1, 1, http());
+        keepShared(server, resources);
+        keepShared(connector, resources);
         connector.setHost(address.getAddress().getHostAddress());
         connector.setPort(address.getPort());
         connector.setIdleTimeout(IDLE_MILLIS);
@@ -64,6 +68,15 @@
         return new HttpListener(server, connector);
     }
 
+    /** Leaves what many listeners share running when one of them stops; Jetty would stop it with the first. */
+    private static void keepShared(ContainerLifeCycle container, StandinResources resources) {
+        for (Object shared : List.of(resources.threads(), resources.scheduler(), resources.buffers())) {
+            if (container.contains(shared)) {
+                container.unmanage(shared);
+            }
+        }
+    }
+
     private static HttpConnectionFactory http() {
         HttpConfiguration configuration = new HttpConfiguration();
         configuration.setSendServerVersion(false);
