--- /dev/null
+++ b/src/main/java/io/beryldock/admission/GateEntry.java
@@ -0,0 +1,112 @@
+package io.beryldock.admission;
+
+import io.beryldock.call.Reason;
+import java.util.Comparator;
+
+/**
+ * One submitted request inside a gate, from its arrival to its end; the handle and the permit that are given out.
+ *
+ * <p>Invariant: QUEUED to RUNNING to ABANDONED to ENDED, never backwards; a refused entry goes from QUEUED to ENDED.
+ * The state is guarded by the gate's lock; the rest is immutable.
+ */
+final class GateEntry implements GateHandle, Permit {
+
+    /** More important first: rank, then more work sunk, then less time left, then the earlier one. */
+    static final Comparator<GateEntry> BY_IMPORTANCE = GateEntry::compareImportance;
+
+    private static final long SUNK_STEP_NANOS = 1_000_000;
+
+    private final TargetGate gate;
+    private final GateRequest request;
+    private final GateListener listener;
+    private final long arrivedAt;
+    private final long deadline;
+    private final long order;
+    private State state = State.QUEUED;
+    private long admittedAt;
+
+    GateEntry(TargetGate gate, GateRequest request, GateListener listener, long now, long order) {
+        this.gate = gate;
+        this.request = request;
+        this.listener = listener;
+        this.arrivedAt = now;
+        this.deadline = now + request.remainingNanos();
+        this.order = order;
+    }
+
+    /** Where the request stands. */
+    enum State {
+        QUEUED,
+        RUNNING,
+        ABANDONED,
+        ENDED
+    }
+
+    @Override
+    public void cancel() {
+        gate.cancel(this);
+    }
+
+    @Override
+    public void release(Completion completion) {
+        gate.release(this, completion);
+    }
+
+    GateRequest request() {
+        return request;
+    }
+
+    State state() {
+        return state;
+    }
+
+    boolean holdsSlot() {
+        return state == State.RUNNING || state == State.ABANDONED;
+    }
+
+    long waitedNanos(long now) {
+        return now - arrivedAt;
+    }
+
+    long remainingNanos(long now) {
+        return deadline - now;
+    }
+
+    long runNanos(long now) {
+        return now - admittedAt;
+    }
+
+    void admit(long now) {
+        state = State.RUNNING;
+        admittedAt = now;
+    }
+
+    void abandon() {
+        state = State.ABANDONED;
+    }
+
+    void end() {
+        state = State.ENDED;
+    }
+
+    void tellAdmitted() {
+        listener.admitted(this);
+    }
+
+    void tellRefused(Reason reason, long retryAfterMillis) {
+        listener.refused(reason, retryAfterMillis);
+    }
+
+    private static int compareImportance(GateEntry a, GateEntry b) {
+        int byRank = Integer.compare(a.request.rank(), b.request.rank());
+        if (byRank != 0) {
+            return byRank;
+        }
+        int bySunk = Long.compare(b.request.sunkNanos() / SUNK_STEP_NANOS, a.request.sunkNanos() / SUNK_STEP_NANOS);
+        if (bySunk != 0) {
+            return bySunk;
+        }
+        int byDeadline = Long.compare(a.deadline - b.deadline, 0);
+        return byDeadline != 0 ? byDeadline : Long.compare(a.order, b.order);
+    }
+}
--- a/src/main/java/io/beryldock/admission/GateSettings.java
+++ b/src/main/java/io/beryldock/admission/GateSettings.java
@@ -49,13 +49,14 @@
                 4,
                 1_000,
                 0,
-                64,
-                Duration.ofMillis(10),
+                256,
+                Duration.ofMillis(20),
                 Duration.ofMillis(100),
                 Duration.ofSeconds(2),
                 Duration.ofSeconds(30));
     }
 
+    /** The same settings for a target that announced this many slots; 0 when it announced nothing. */
     public GateSettings withAnnouncedSlots(int slots) {
         return new GateSettings(
                 strategy,
@@ -70,6 +71,7 @@
                 abandonedHold);
     }
 
+    /** The same settings with another way to find the limit. */
     public GateSettings withStrategy(LimitStrategy other) {
         return new GateSettings(
                 other,
@@ -83,4 +85,14 @@
                 rampTime,
                 abandonedHold);
     }
+
+    /** The highest limit allowed. */
+    int bound() {
+        return announcedSlots > 0 ? Math.min(announcedSlots, maxLimit) : maxLimit;
+    }
+
+    /** Where the strategy starts: at the announced slots, which it may then lower, else at the initial limit. */
+    int startLimit() {
+        return announcedSlots > 0 ? bound() : initialLimit;
+    }
 }
--- /dev/null
+++ b/src/main/java/io/beryldock/admission/ServiceTimes.java
@@ -0,0 +1,61 @@
+package io.beryldock.admission;
+
+/**
+ * Service times of one target: what a request may be expected to take.
+ *
+ * <p>All in nanoseconds, 0 when nothing is known. Guarded by the gate's lock.
+ */
+final class ServiceTimes {
+
+    private static final double SHORT_WEIGHT = 1.0 / 16;
+    private static final double LONG_WEIGHT = 1.0 / 512;
+    private static final long MIN_HELD_NANOS = 10_000_000_000L;
+    private static final long FRESH_NANOS = 1_000_000_000L;
+
+    private double mean;
+    private double longMean;
+    private double minNow;
+    private double minBefore;
+    private long minSince;
+    private long lastAt;
+
+    void add(long nanos, long now) {
+        mean = mean == 0 ? nanos : mean + SHORT_WEIGHT * (nanos - mean);
+        longMean = longMean == 0 ? nanos : longMean + LONG_WEIGHT * (nanos - longMean);
+        lastAt = now;
+    }
+
+    /** Takes the mean of a whole window into the shortest one; one sample alone would be far below the mean. */
+    void addWindow(double windowMean, long now) {
+        if (now - minSince > MIN_HELD_NANOS) {
+            minBefore = minNow;
+            minNow = windowMean;
+            minSince = now;
+        }
+        minNow = minNow == 0 ? windowMean : Math.min(minNow, windowMean);
+    }
+
+    double mean() {
+        return mean;
+    }
+
+    double longMean() {
+        return longMean;
+    }
+
+    /** The shortest mean of a window within the last 10 to 20 seconds. */
+    double min() {
+        return minBefore == 0 ? minNow : Math.min(minNow, minBefore);
+    }
+
+    /**
+     * What a request that starts now is expected to take.
+     *
+     * <p>Without new samples it halves every second: a target that was slow would otherwise be given no request that
+     * could show that it has recovered, since each would seem unable to finish.
+     */
+    double expected(long now) {
+        long stale = now - lastAt - FRESH_NANOS;
+        return stale <= 0 ? mean : mean * Math.pow(2, -(double) stale / FRESH_NANOS);
+    }
+}
--- a/src/main/java/io/beryldock/admission/TargetGate.java
+++ b/src/main/java/io/beryldock/admission/TargetGate.java
@@ -1,69 +1,73 @@
 package io.beryldock.admission;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableMap;
 import io.beryldock.call.PriorityClass;
 import io.beryldock.call.Reason;
 import io.beryldock.call.ServiceLevel;
 import io.beryldock.call.ServiceName;
+import io.beryldock.time.Ticker;
 import io.beryldock.time.TimerService;
 import io.beryldock.timeline.EventKind;
 import io.beryldock.timeline.EventSink;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.EnumMap;
+import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
 
 /**
- * Admission at the node of one target: which request runs now, waits a short time or is refused.
+ * Admission at the node of one target: which request runs now, waits or is refused.
  *
- * <p>Invariants: never more in flight than the announced slots; each submitted request hears exactly one decision; a
- * refused request was never admitted; after {@link #drain} nothing is admitted. Thread safe; listeners are called
- * without the lock.
+ * <p>Invariants, asserted where they could break: an admission never brings more in flight than the limit, hence than the
+ * announced slots; each submitted request hears exactly one decision; a refused request was never admitted; nothing is
+ * admitted while draining; no request is admitted while a more important one waits that can still finish.
+ *
+ * <p>Thread safe by one short lock; listeners are called without it. An idle gate has no timer.
  */
 public final class TargetGate {
 
-    private static final int RETRY_AFTER_MIN_MILLIS = 500;
-    private static final int RETRY_AFTER_SPREAD_MILLIS = 1_500;
-    private static final Duration TICK = Duration.ofMillis(10);
+    private static final Duration QUEUE_TICK = Duration.ofMillis(5);
+    private static final Duration HOLD_TICK = Duration.ofSeconds(1);
 
     private final Object lock = new Object();
     private final TimerService timers;
+    private final Ticker ticker;
     private final RandomGenerator random;
     private final EventSink events;
     private final ServiceName service;
-    private final TreeSet<Entry> queue = new TreeSet<>(Comparator.<Entry>comparingInt(entry -> entry.request.rank())
-            .thenComparing(entry -> -entry.request.sunkNanos())
-            .thenComparing(entry -> entry.deadline)
-            .thenComparing(entry -> entry.order));
-    private final List<Map<Reason, Long>> shed = new ArrayList<>();
+    private final Invariants invariants;
+    private final ServiceTimes times = new ServiceTimes();
+    private final ConcurrencyLimit limit;
+    private final StandingQueue standing;
+    private final LevelController levels;
+    private final GateCounts counts = new GateCounts();
+    private final TreeSet<GateEntry> queue = new TreeSet<>(GateEntry.BY_IMPORTANCE);
+    private final Set<GateEntry> running = new LinkedHashSet<>();
     private final List<CompletableFuture<Void>> waitingForIdle = new ArrayList<>();
     private GateSettings settings;
     private boolean draining;
-    private boolean ticking;
-    private int inFlight;
-    private int abandoned;
+    private boolean queueTicking;
+    private boolean holdTicking;
     private long order;
-    private long admitted;
-    private double meanNanos;
-    private long minNanos;
+    private long busySince;
 
     private TargetGate(
             GateSettings settings, TimerService timers, RandomGenerator random, EventSink events, ServiceName service) {
         this.settings = settings;
         this.timers = timers;
+        this.ticker = timers.ticker();
         this.random = random;
         this.events = events;
         this.service = service;
-        for (int rank = 0; rank < PriorityClass.RANKS; rank++) {
-            shed.add(new EnumMap<>(Reason.class));
-        }
+        this.invariants = new Invariants(events, service.value());
+        long now = ticker.nanos();
+        this.limit = new ConcurrencyLimit(settings, times, now);
+        this.standing = new StandingQueue(now);
+        this.levels = new LevelController(now);
     }
 
     public static TargetGate create(
@@ -73,36 +77,46 @@
 
     /** Takes new settings, for example announced slots; what runs goes on. */
     public void reconfigure(GateSettings changed) {
-        List<Runnable> calls = new ArrayList<>();
+        Deliveries out = new Deliveries();
         synchronized (lock) {
             settings = changed;
-            admitWaiting(calls);
+            limit.reconfigure(changed);
+            admitWaiting(ticker.nanos(), out);
+        }
+        out.deliver();
+    }
+
+    /** The target has started anew and is cold. */
+    public void targetRestarted() {
+        synchronized (lock) {
+            limit.restart(ticker.nanos());
         }
-        calls.forEach(Runnable::run);
     }
 
     /** Decides over the request now or a short time later; the listener hears it exactly once. */
     public GateHandle submit(GateRequest request, GateListener listener) {
-        List<Runnable> calls = new ArrayList<>();
-        Entry entry;
+        Deliveries out = new Deliveries();
+        GateEntry entry;
         synchronized (lock) {
-            entry = new Entry(request, listener, timers.ticker().nanos(), order++);
-            arrive(entry, calls);
+            long now = ticker.nanos();
+            entry = new GateEntry(this, request, listener, now, order++);
+            counts.submitted();
+            levels.arrived(request.rank(), request.callerHash());
+            arrive(entry, now, out);
+            advanceLevel(now);
         }
-        calls.forEach(Runnable::run);
-        return () -> cancel(entry);
+        out.deliver();
+        return entry;
     }
 
     /** Admits nothing more; what waits is refused, what runs goes on. */
     public void drain() {
-        List<Runnable> calls = new ArrayList<>();
+        Deliveries out = new Deliveries();
         synchronized (lock) {
             draining = true;
-            for (Entry entry : List.copyOf(queue)) {
-                refuse(entry, Reason.DRAINING, calls);
-            }
+            List.copyOf(queue).forEach(entry -> refuse(entry, Reason.DRAINING, out));
         }
-        calls.forEach(Runnable::run);
+        out.deliver();
     }
 
     /** Admits again. */
@@ -115,28 +129,28 @@
     /** Admission level on the scale of {@link ServiceLevel}. */
     public int level() {
         synchronized (lock) {
-            return levelNow();
+            advanceLevel(ticker.nanos());
+            return levels.level();
         }
     }
 
     public GateSnapshot snapshot() {
         synchronized (lock) {
-            int[] queued = new int[PriorityClass.RANKS];
-            queue.forEach(entry -> queued[entry.request.rank()]++);
-            ImmutableList.Builder<Integer> byRank = ImmutableList.builder();
-            for (int count : queued) {
-                byRank.add(count);
-            }
+            long now = ticker.nanos();
+            advanceLevel(now);
+            int abandoned = (int) running.stream()
+                    .filter(entry -> entry.state() == GateEntry.State.ABANDONED)
+                    .count();
             return new GateSnapshot(
-                    limit(),
-                    inFlight,
+                    limit.at(now),
+                    running.size(),
                     abandoned,
-                    byRank.build(),
-                    shed.stream().map(ImmutableMap::copyOf).collect(ImmutableList.toImmutableList()),
-                    admitted,
-                    levelNow(),
-                    minNanos,
-                    (long) meanNanos,
+                    queuedByRank(),
+                    counts.shedByRank(),
+                    counts.admittedTotal(),
+                    levels.level(),
+                    (long) times.min(),
+                    (long) times.mean(),
                     draining);
         }
     }
@@ -145,7 +159,7 @@
     public CompletableFuture<Void> idle() {
         CompletableFuture<Void> future = new CompletableFuture<>();
         synchronized (lock) {
-            if (inFlight > 0 || !queue.isEmpty()) {
+            if (!running.isEmpty() || !queue.isEmpty()) {
                 waitingForIdle.add(future);
                 return future;
             }
@@ -154,153 +168,216 @@
         return future;
     }
 
-    private void arrive(Entry entry, List<Runnable> calls) {
-        if (draining) {
-            refuse(entry, Reason.DRAINING, calls);
-        } else if (entry.request.remainingNanos() <= 0) {
-            refuse(entry, Reason.DEADLINE_PASSED, calls);
-        } else {
-            queue.add(entry);
-            admitWaiting(calls);
-            if (queue.size() > settings.queueCapacity()) {
-                refuse(queue.last(), Reason.SHED_AT_TARGET, calls);
+    void cancel(GateEntry entry) {
+        Deliveries out = new Deliveries();
+        synchronized (lock) {
+            if (entry.state() == GateEntry.State.QUEUED) {
+                refuse(entry, Reason.CANCELLED, out);
+            } else if (entry.state() == GateEntry.State.RUNNING) {
+                entry.abandon();
             }
-            armTick();
         }
+        out.deliver();
     }
 
-    private void admitWaiting(List<Runnable> calls) {
-        long now = timers.ticker().nanos();
-        while (!queue.isEmpty() && inFlight < limit() && !draining) {
-            Entry entry = queue.first();
-            if (entry.deadline - now <= (long) meanNanos && inFlight > 0) {
-                refuse(entry, Reason.DEADLINE_PASSED, calls);
-                continue;
+    void release(GateEntry entry, Completion completion) {
+        Deliveries out = new Deliveries();
+        synchronized (lock) {
+            if (!entry.holdsSlot()) {
+                return;
             }
-            queue.remove(entry);
-            entry.state = State.RUNNING;
-            entry.admittedAt = now;
-            inFlight++;
-            admitted++;
-            calls.add(() -> entry.listener.admitted(completion -> release(entry, completion)));
+            long now = ticker.nanos();
+            free(entry, completion, now, out);
+            advanceLevel(now);
         }
+        out.deliver();
     }
 
-    private void refuse(Entry entry, Reason reason, List<Runnable> calls) {
-        queue.remove(entry);
-        entry.state = State.ENDED;
-        shed.get(entry.request.rank()).merge(reason, 1L, Long::sum);
-        long retryAfter = (long) RETRY_AFTER_MIN_MILLIS + random.nextInt(RETRY_AFTER_SPREAD_MILLIS);
-        calls.add(() -> {
-            events.record(EventKind.SHED_AT_TARGET, Optional.of(entry.request.id()), service.value(), reason.message());
-            entry.listener.refused(reason, reason == Reason.CANCELLED ? 0 : retryAfter);
-        });
-        completeIdle(calls);
+    private void arrive(GateEntry entry, long now, Deliveries out) {
+        if (draining) {
+            refuse(entry, Reason.DRAINING, out);
+            return;
+        }
+        if (queue.isEmpty()) {
+            standing.empty(now);
+        }
+        queue.add(entry);
+        admitWaiting(now, out);
+        if (queue.size() > settings.queueCapacity()) {
+            refuse(queue.last(), Reason.SHED_AT_TARGET, out);
+        }
+        armQueueTick();
     }
 
-    private void release(Entry entry, Completion completion) {
-        List<Runnable> calls = new ArrayList<>();
-        synchronized (lock) {
-            if (entry.state == State.ENDED) {
-                return;
-            }
-            if (entry.state == State.ABANDONED) {
-                abandoned--;
-            }
-            entry.state = State.ENDED;
-            inFlight--;
-            if (completion == Completion.SUCCEEDED || completion == Completion.ABANDONED_DONE) {
-                learn(timers.ticker().nanos() - entry.admittedAt);
+    private void admitWaiting(long now, Deliveries out) {
+        while (!queue.isEmpty() && running.size() < limit.at(now) && !draining) {
+            GateEntry entry = queue.first();
+            if (canFinish(entry, now)) {
+                admit(entry, now, out);
+            } else {
+                refuse(entry, Reason.DEADLINE_PASSED, out);
             }
-            admitWaiting(calls);
-            completeIdle(calls);
         }
-        calls.forEach(Runnable::run);
+        if (queue.isEmpty()) {
+            standing.empty(now);
+        }
     }
 
-    private void cancel(Entry entry) {
-        List<Runnable> calls = new ArrayList<>();
-        synchronized (lock) {
-            if (entry.state == State.QUEUED) {
-                refuse(entry, Reason.CANCELLED, calls);
-            } else if (entry.state == State.RUNNING) {
-                entry.state = State.ABANDONED;
-                abandoned++;
-            }
+    /** With nothing in flight any request that has time left may show how long the target now takes. */
+    private boolean canFinish(GateEntry entry, long now) {
+        long left = entry.remainingNanos(now);
+        return running.isEmpty() ? left > 0 : left > times.expected(now);
+    }
+
+    private void admit(GateEntry entry, long now, Deliveries out) {
+        queue.remove(entry);
+        checkAdmission(entry, now);
+        if (running.isEmpty()) {
+            busySince = now;
         }
-        calls.forEach(Runnable::run);
+        entry.admit(now);
+        running.add(entry);
+        limit.admitted(running.size());
+        counts.admitted();
+        out.add(entry::tellAdmitted);
+        armHoldTick();
     }
 
-    private void learn(long serviceNanos) {
-        meanNanos = meanNanos == 0 ? serviceNanos : meanNanos + (serviceNanos - meanNanos) / 16;
-        minNanos = minNanos == 0 ? serviceNanos : Math.min(minNanos, serviceNanos);
+    private void checkAdmission(GateEntry entry, long now) {
+        int slots = settings.announcedSlots();
+        invariants.check(running.size() < limit.at(now), "an admission above the limit");
+        invariants.check(slots == 0 || running.size() < slots, "an admission above the announced slots");
+        invariants.check(!draining, "an admission while draining");
+        invariants.check(entry.state() == GateEntry.State.QUEUED, "an admission of a decided request");
+        invariants.check(
+                queue.isEmpty()
+                        || queue.first().request().rank() >= entry.request().rank(),
+                "an admission before a more important request");
     }
 
-    private void armTick() {
-        if (!ticking && !queue.isEmpty()) {
-            ticking = true;
-            timers.after(TICK, this::tick);
+    private void refuse(GateEntry entry, Reason reason, Deliveries out) {
+        invariants.check(entry.state() == GateEntry.State.QUEUED, "a refusal of a decided request");
+        queue.remove(entry);
+        entry.end();
+        counts.refused(entry.request().rank(), reason);
+        invariants.check(counts.balanced(queue.size()), "requests submitted are not those decided and waiting");
+        long retryAfter = reason == Reason.CANCELLED ? 0 : RetryAfter.millis(random);
+        out.add(() -> {
+            events.record(
+                    EventKind.SHED_AT_TARGET, Optional.of(entry.request().id()), service.value(), reason.message());
+            entry.tellRefused(reason, retryAfter);
+        });
+        completeIdle(out);
+    }
+
+    private void free(GateEntry entry, Completion completion, long now, Deliveries out) {
+        Completion counted = entry.state() == GateEntry.State.ABANDONED && completion == Completion.SUCCEEDED
+                ? Completion.ABANDONED_DONE
+                : completion;
+        entry.end();
+        running.remove(entry);
+        busySince = now;
+        long took = entry.runNanos(now);
+        if (counted == Completion.SUCCEEDED || counted == Completion.ABANDONED_DONE) {
+            times.add(took, now);
+        }
+        limit.completed(counted, took, now);
+        admitWaiting(now, out);
+        completeIdle(out);
+    }
+
+    private void advanceLevel(long now) {
+        levels.advance(now, load(now));
+    }
+
+    private LevelController.Load load(long now) {
+        double mean = Math.max(1, times.expected(now));
+        double capacity = limit.at(now) / mean;
+        if (!running.isEmpty()) {
+            // A target that hangs ends nothing, so no service time shows it; a gap of several ends does.
+            capacity = Math.min(capacity, STALL_GAPS / Math.max(1, now - busySince));
         }
+        return new LevelController.Load(capacity, queue.size(), LOOP_BASE_NANOS + LOOP_PER_SERVICE_TIME * mean);
     }
 
-    private void tick() {
-        List<Runnable> calls = new ArrayList<>();
+    private static final double STALL_GAPS = 4;
+    private static final double LOOP_BASE_NANOS = 60_000_000;
+    private static final double LOOP_PER_SERVICE_TIME = 2;
+
+    private void armQueueTick() {
+        if (!queueTicking && !queue.isEmpty()) {
+            queueTicking = true;
+            timers.after(QUEUE_TICK, this::queueTick);
+        }
+    }
+
+    private void queueTick() {
+        Deliveries out = new Deliveries();
         synchronized (lock) {
-            ticking = false;
-            long now = timers.ticker().nanos();
-            long longest = settings.queueInterval().toNanos();
-            for (Entry entry : List.copyOf(queue)) {
-                if (entry.deadline - now <= 0) {
-                    refuse(entry, Reason.DEADLINE_PASSED, calls);
-                } else if (now - entry.arrivedAt > longest) {
-                    refuse(entry, Reason.QUEUED_TOO_LONG, calls);
-                }
-            }
-            armTick();
+            queueTicking = false;
+            long now = ticker.nanos();
+            expire(now, out);
+            admitWaiting(now, out);
+            advanceLevel(now);
+            armQueueTick();
         }
-        calls.forEach(Runnable::run);
+        out.deliver();
     }
 
-    private void completeIdle(List<Runnable> calls) {
-        if (inFlight == 0 && queue.isEmpty() && !waitingForIdle.isEmpty()) {
-            List<CompletableFuture<Void>> done = List.copyOf(waitingForIdle);
-            waitingForIdle.clear();
-            calls.add(() -> done.forEach(future -> future.complete(null)));
+    private void expire(long now, Deliveries out) {
+        long allowed = standing.allowedWait(
+                now, targetNanos(now), settings.queueInterval().toNanos());
+        double expected = times.expected(now);
+        for (GateEntry entry : List.copyOf(queue)) {
+            if (entry.remainingNanos(now) <= expected) {
+                refuse(entry, Reason.DEADLINE_PASSED, out);
+            } else if (entry.waitedNanos(now) > allowed) {
+                refuse(entry, Reason.QUEUED_TOO_LONG, out);
+            }
         }
     }
 
-    private int limit() {
-        int slots = settings.announcedSlots();
-        return slots > 0 ? Math.min(slots, settings.maxLimit()) : settings.initialLimit();
+    /** A queue of slow or few slots moves one place at a time; the target allows a few such moves. */
+    private long targetNanos(long now) {
+        LevelController.Load load = load(now);
+        return Math.max(settings.queueTarget().toNanos(), (long) (3 * load.goal() / load.capacityPerNano()));
     }
 
-    private int levelNow() {
-        int capacity = Math.max(1, settings.queueCapacity());
-        return ServiceLevel.OPEN - ServiceLevel.OPEN * Math.min(queue.size(), capacity) / (2 * capacity);
+    private void armHoldTick() {
+        if (!holdTicking && !running.isEmpty()) {
+            holdTicking = true;
+            timers.after(HOLD_TICK, this::holdTick);
+        }
     }
 
-    private enum State {
-        QUEUED,
-        RUNNING,
-        ABANDONED,
-        ENDED
+    private void holdTick() {
+        Deliveries out = new Deliveries();
+        synchronized (lock) {
+            holdTicking = false;
+            long now = ticker.nanos();
+            long hold = settings.abandonedHold().toNanos();
+            for (GateEntry entry : List.copyOf(running)) {
+                if (entry.remainingNanos(now) < -hold) {
+                    free(entry, Completion.FAILED, now, out);
+                }
+            }
+            armHoldTick();
+        }
+        out.deliver();
     }
 
-    private static final class Entry {
-        private final GateRequest request;
-        private final GateListener listener;
-        private final long arrivedAt;
-        private final long deadline;
-        private final long order;
-        private State state = State.QUEUED;
-        private long admittedAt;
-
-        Entry(GateRequest request, GateListener listener, long now, long order) {
-            this.request = request;
-            this.listener = listener;
-            this.arrivedAt = now;
-            this.deadline = now + request.remainingNanos();
-            this.order = order;
+    private void completeIdle(Deliveries out) {
+        if (running.isEmpty() && queue.isEmpty() && !waitingForIdle.isEmpty()) {
+            List<CompletableFuture<Void>> done = List.copyOf(waitingForIdle);
+            waitingForIdle.clear();
+            out.add(() -> done.forEach(future -> future.complete(null)));
         }
     }
+
+    private ImmutableList<Integer> queuedByRank() {
+        Integer[] queued = new Integer[PriorityClass.RANKS];
+        java.util.Arrays.fill(queued, 0);
+        queue.forEach(entry -> queued[entry.request().rank()]++);
+        return ImmutableList.copyOf(queued);
+    }
 }
--- /dev/null
+++ b/src/test/java/io/beryldock/admission/ChainMeasurement.java
@@ -0,0 +1,91 @@
+package io.beryldock.admission;
+
+import com.google.common.collect.ImmutableList;
+import io.beryldock.admission.ChainSimulation.Stage;
+import java.util.Locale;
+import java.util.function.DoubleUnaryOperator;
+
+/** Prints what the chain simulation yields for the scenarios of the design note; run by hand. */
+public final class ChainMeasurement {
+
+    private static final ImmutableList<Stage> CHAIN =
+            ImmutableList.of(new Stage(50, 10), new Stage(50, 10), new Stage(15, 20));
+
+    private ChainMeasurement() {}
+
+    public static void main(String[] args) {
+        int seeds = args.length > 0 ? Integer.parseInt(args[0]) : 3;
+        System.out.println("scenario             door  goodput wasted  rank0   rank3   rank6  atDoor recovery broken");
+        for (boolean door : new boolean[] {true, false}) {
+            for (int seed = 1; seed <= seeds; seed++) {
+                print("one 3x", door, one(seed, door, 15, 20, 3).run());
+                print("one 3x small", door, one(seed, door, 3, 50, 3).run());
+                print("chain 3x", door, chain(seed, door, 9).run());
+                print("chain 3x many doors", door, chain(seed, door, 200).run());
+                print("chain slow spell", door, slowSpell(seed, door, 0.8).run(4, 7));
+                print("chain slow and surge", door, slowSpell(seed, door, 1.3).run(4, 7));
+                print("chain surge ends", door, surge(seed, door).run(4, 7));
+            }
+        }
+    }
+
+    private static ChainSimulation one(int seed, boolean door, int slots, double millis, double load) {
+        return simulate(seed, door, ImmutableList.of(new Stage(slots, millis)), 9, load, t -> 1, 10);
+    }
+
+    private static ChainSimulation chain(int seed, boolean door, int entries) {
+        return simulate(seed, door, CHAIN, entries, 3, t -> 1, 10);
+    }
+
+    private static ChainSimulation slowSpell(int seed, boolean door, double load) {
+        return simulate(seed, door, CHAIN, 9, load, t -> t >= 4 && t < 7 ? 5 : 1, 12);
+    }
+
+    private static ChainSimulation surge(int seed, boolean door) {
+        ChainSimulation.Setup base = setup(seed, door, CHAIN, 9, t -> 1, t -> 1, 12);
+        double capacity = base.capacity();
+        return new ChainSimulation(
+                setup(seed, door, CHAIN, 9, t -> capacity * (t >= 4 && t < 7 ? 5 : 0.8), t -> 1, 12));
+    }
+
+    private static ChainSimulation simulate(
+            int seed,
+            boolean door,
+            ImmutableList<Stage> stages,
+            int entries,
+            double load,
+            DoubleUnaryOperator slowness,
+            int seconds) {
+        ChainSimulation.Setup base = setup(seed, door, stages, entries, t -> 1, slowness, seconds);
+        double demand = load * base.capacity();
+        return new ChainSimulation(setup(seed, door, stages, entries, t -> demand, slowness, seconds));
+    }
+
+    private static ChainSimulation.Setup setup(
+            int seed,
+            boolean door,
+            ImmutableList<Stage> stages,
+            int entries,
+            DoubleUnaryOperator demand,
+            DoubleUnaryOperator slowness,
+            int seconds) {
+        return new ChainSimulation.Setup(
+                seed, seconds, stages, 3, entries, door, GateSettings.defaults(), true, demand, slowness, 3, 1);
+    }
+
+    private static void print(String scenario, boolean door, ChainSimulation.Result result) {
+        System.out.printf(
+                Locale.ROOT,
+                "%-20s %-5s %7.3f %6.3f %7.4f %7.4f %7.4f %6.3f %8.2f %d%n",
+                scenario,
+                door,
+                result.goodputShare(),
+                result.wastedShare(),
+                result.answeredRank0(),
+                result.answeredRank3(),
+                result.answeredRank6(),
+                result.shedAtDoor(),
+                result.recoverySeconds(),
+                result.broken());
+    }
+}
--- /dev/null
+++ b/src/test/java/io/beryldock/admission/SimService.java
@@ -0,0 +1,164 @@
+package io.beryldock.admission;
+
+import io.beryldock.call.Incarnation;
+import io.beryldock.call.Reason;
+import io.beryldock.call.RequestIds;
+import io.beryldock.call.ServiceLevel;
+import io.beryldock.call.ServiceName;
+import io.beryldock.time.ManualTimerService;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+
+/** The instances of one service, each with its gate, its target and what its node learned of the service beneath. */
+final class SimService {
+
+    private static final Duration HOP = Duration.ofMillis(1);
+
+    final ServiceName name;
+    final List<Instance> instances = new ArrayList<>();
+    private final ManualTimerService timers;
+    private final RandomGenerator random;
+    private final SimService beneath;
+    private final RequestIds ids;
+
+    SimService(String name, ManualTimerService timers, RandomGenerator random, SimService beneath) {
+        this.name = ServiceName.of(name);
+        this.timers = timers;
+        this.random = random;
+        this.beneath = beneath;
+        this.ids = RequestIds.of(Incarnation.random(random));
+    }
+
+    void add(TargetGate gate, SimTarget target, DoorShedder learned) {
+        instances.add(new Instance(gate, target, learned));
+    }
+
+    /** One user-visible request on its way down; its slot time adds up over all services. */
+    static final class Trip {
+        final int rank;
+        final int hash;
+        final long deadline;
+        double slotNanos;
+        boolean over;
+
+        Trip(int rank, int hash, long deadline) {
+            this.rank = rank;
+            this.hash = hash;
+            this.deadline = deadline;
+        }
+    }
+
+    /** How a call ended and the levels that came with it. */
+    record Reply(boolean ok, boolean notRun, List<ServiceLevel> levels) {}
+
+    /** Calls the less busy of two instances; one more try at another one after a refusal. */
+    void call(Trip trip, Consumer<Reply> consumer) {
+        Instance first = choose(null);
+        first.call(trip, reply -> {
+            if (reply.notRun() && instances.size() > 1 && !trip.over) {
+                choose(first).call(trip, consumer);
+            } else {
+                consumer.accept(reply);
+            }
+        });
+    }
+
+    private Instance choose(Instance except) {
+        Instance a = any(except);
+        Instance b = any(except);
+        return a.outstanding <= b.outstanding ? a : b;
+    }
+
+    private Instance any(Instance except) {
+        Instance chosen = instances.get(random.nextInt(instances.size()));
+        return chosen == except ? any(except) : chosen;
+    }
+
+    /** One target with its node. */
+    final class Instance {
+        final TargetGate gate;
+        final SimTarget target;
+        final DoorShedder learned;
+        int outstanding;
+
+        Instance(TargetGate gate, SimTarget target, DoorShedder learned) {
+            this.gate = gate;
+            this.target = target;
+            this.learned = learned;
+        }
+
+        void call(Trip trip, Consumer<Reply> consumer) {
+            outstanding++;
+            Consumer<Reply> once = new Consumer<>() {
+                private boolean told;
+
+                @Override
+                public void accept(Reply reply) {
+                    if (!told) {
+                        told = true;
+                        outstanding--;
+                        timers.after(HOP, () -> consumer.accept(reply));
+                    }
+                }
+            };
+            timers.after(HOP, () -> submit(trip, once));
+        }
+
+        private void submit(Trip trip, Consumer<Reply> consumer) {
+            long left = trip.deadline - timers.ticker().nanos();
+            GateRequest request = new GateRequest(ids.next(), trip.rank, trip.hash, (long) trip.slotNanos, left);
+            GateHandle handle = gate.submit(request, new GateListener() {
+                @Override
+                public void admitted(Permit permit) {
+                    target.acquire(() -> serve(trip, permit, consumer));
+                }
+
+                @Override
+                public void refused(Reason reason, long retryAfterMillis) {
+                    consumer.accept(new Reply(false, true, report()));
+                }
+            });
+            timers.after(Duration.ofNanos(Math.max(0, left)), () -> {
+                handle.cancel();
+                consumer.accept(new Reply(false, false, report()));
+            });
+        }
+
+        private void serve(Trip trip, Permit permit, Consumer<Reply> consumer) {
+            long start = timers.ticker().nanos();
+            Consumer<Boolean> end = ok -> {
+                trip.slotNanos += timers.ticker().nanos() - start;
+                target.releaseSlot();
+                permit.release(ok ? Completion.SUCCEEDED : Completion.FAILED);
+                consumer.accept(new Reply(ok, false, report()));
+            };
+            if (beneath == null) {
+                target.work(1, () -> end.accept(true));
+            } else {
+                target.work(0.5, () -> callBeneath(trip, end));
+            }
+        }
+
+        private void callBeneath(Trip trip, Consumer<Boolean> end) {
+            if (trip.over) {
+                end.accept(false);
+                return;
+            }
+            beneath.call(trip, reply -> {
+                learned.observe(beneath.name, reply.levels());
+                if (reply.ok()) {
+                    target.work(0.5, () -> end.accept(true));
+                } else {
+                    end.accept(false);
+                }
+            });
+        }
+
+        private List<ServiceLevel> report() {
+            return learned.reportFor(name, gate.level());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/io/beryldock/admission/SimTarget.java
@@ -0,0 +1,62 @@
+package io.beryldock.admission;
+
+import io.beryldock.time.ManualTimerService;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Queue;
+import java.util.function.DoubleUnaryOperator;
+import java.util.random.RandomGenerator;
+
+/** A target with slots and a queue of its own, on injected time; work takes a gamma-like random time. */
+final class SimTarget {
+
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private final ManualTimerService timers;
+    private final RandomGenerator random;
+    private final int slots;
+    private final double meanNanos;
+    private final DoubleUnaryOperator slowness;
+    private final Queue<Runnable> waiting = new ArrayDeque<>();
+    private int busy;
+
+    /** @param slowness factor of the service time by the second of the run */
+    SimTarget(
+            ManualTimerService timers,
+            RandomGenerator random,
+            int slots,
+            double meanNanos,
+            DoubleUnaryOperator slowness) {
+        this.timers = timers;
+        this.random = random;
+        this.slots = slots;
+        this.meanNanos = meanNanos;
+        this.slowness = slowness;
+    }
+
+    /** Runs the task once a slot is free. */
+    void acquire(Runnable task) {
+        if (busy < slots) {
+            busy++;
+            task.run();
+        } else {
+            waiting.add(task);
+        }
+    }
+
+    void releaseSlot() {
+        Runnable next = waiting.poll();
+        if (next == null) {
+            busy--;
+        } else {
+            next.run();
+        }
+    }
+
+    /** Works for a random time around this share of the mean: half of it fixed, half exponential. */
+    void work(double share, Runnable done) {
+        double factor = slowness.applyAsDouble(timers.ticker().nanos() / NANOS_PER_SECOND);
+        double nanos = meanNanos * share * factor * (0.5 + 0.5 * random.nextExponential());
+        timers.after(Duration.ofNanos((long) nanos), done);
+    }
+}
