--- a/src/main/java/io/beryldock/cli/SubcommandRegistry.java
+++ b/src/main/java/io/beryldock/cli/SubcommandRegistry.java
@@ -7,11 +7,8 @@
 final class SubcommandRegistry {
 
     static final ImmutableSortedMap<String, Entry> ENTRIES = ImmutableSortedMap.<String, Entry>naturalOrder()
-<<<<<<< HEAD
             .put("node", new Entry(NodeSubcommand::new, "run a node: --settings FILE"))
-=======
             .put("standin-platform", new Entry(StandinPlatformSubcommand::new, "run a stand-in of the platform store"))
->>>>>>> standin
             .put("version", new Entry(VersionSubcommand::new, "print the version"))
             .build();
 
--- a/src/main/java/io/beryldock/node/NodeModule.java
+++ b/src/main/java/io/beryldock/node/NodeModule.java
@@ -126,8 +126,7 @@
                 store);
         transport.handle(
                 PeerTopic.MEMBERSHIP,
-                message -> control.execute(
-                        () -> service.onMessage(NodeId.of(message.sender()), message.body())));
+                message -> control.execute(() -> service.onMessage(NodeId.of(message.sender()), message.body())));
         return service;
     }
 
@@ -159,8 +158,7 @@
                         events));
         transport.handle(
                 PeerTopic.CONFIGURATION,
-                message ->
-                        control.execute(() -> sync.onMessage(NodeId.of(message.sender()), message.body())));
+                message -> control.execute(() -> sync.onMessage(NodeId.of(message.sender()), message.body())));
         return sync;
     }
 
@@ -168,9 +166,7 @@
     @Singleton
     ConfigurationWriter configurationWriter(ConfigurationKeeper keeper, TimerService timers, RandomGenerator random) {
         return ConfigurationWriter.create(
-                store,
-                keeper,
-                new ConfigurationWriter.Ports(control, timers, InstantSource.system(), random, events));
+                store, keeper, new ConfigurationWriter.Ports(control, timers, InstantSource.system(), random, events));
     }
 
     @Provides
@@ -214,7 +210,6 @@
     @Provides
     @Singleton
     TargetChooser chooser(TimerService timers, RandomGenerator random) {
-        return TargetChooser.create(
-                self.dataCentre(), random, timers.ticker(), events, ChooserSettings.defaults());
+        return TargetChooser.create(self.dataCentre(), random, timers.ticker(), events, ChooserSettings.defaults());
     }
 }
--- a/src/main/java/io/beryldock/node/NodeProcess.java
+++ b/src/main/java/io/beryldock/node/NodeProcess.java
@@ -65,10 +65,7 @@
                 shared.peerLoops());
         transport.start();
         NodeDescriptor self = new NodeDescriptor(
-                NodeId.of(settings.id()),
-                DataCentre.of(settings.dataCentre()),
-                incarnation,
-                transport.localAddress());
+                NodeId.of(settings.id()), incarnation, DataCentre.of(settings.dataCentre()), transport.localAddress());
         PlatformStore store = store(settings, controlTimers.on(shared.traffic()));
         Injector injector = Guice.createInjector(
                 new NodeModule(settings, self, control, controlTimers, transport, events, store),
@@ -102,8 +99,7 @@
             NodeSettings.Tls tls = peers.tls();
             return PeerTransportSettings.secure(
                     bind,
-                    new PeerTlsFiles(
-                            Path.of(tls.certificateFile()), Path.of(tls.keyFile()), Path.of(tls.trustFile())));
+                    new PeerTlsFiles(Path.of(tls.certificateFile()), Path.of(tls.keyFile()), Path.of(tls.trustFile())));
         }
         if (peers.tls() == null && peers.insecure()) {
             return PeerTransportSettings.insecure(bind);
--- a/src/main/java/io/beryldock/node/TargetAnnouncements.java
+++ b/src/main/java/io/beryldock/node/TargetAnnouncements.java
@@ -70,9 +70,7 @@
         current = Optional.of(new AnnouncedTarget(service, announcement.socketAddress(), gate));
         apply(announcement, gate);
         events.record(
-                announcement.state() == TargetState.LEAVING
-                        ? EventKind.TARGET_LEAVING
-                        : EventKind.TARGET_ANNOUNCED,
+                announcement.state() == TargetState.LEAVING ? EventKind.TARGET_LEAVING : EventKind.TARGET_ANNOUNCED,
                 announcement.service(),
                 announcement.state() + " with " + announcement.slots() + " slots at " + announcement.address());
     }
@@ -96,8 +94,8 @@
     }
 
     private void expire() {
-        current.ifPresent(target -> events.record(
-                EventKind.TARGET_LOST, target.service().value(), "it no longer announces itself"));
+        current.ifPresent(target ->
+                events.record(EventKind.TARGET_LOST, target.service().value(), "it no longer announces itself"));
         current = Optional.empty();
         last = Optional.empty();
         membership.withdraw();
--- a/src/main/java/io/beryldock/node/TrafficModule.java
+++ b/src/main/java/io/beryldock/node/TrafficModule.java
@@ -58,17 +58,19 @@
 
     @Provides
     @Singleton
-    GateSettings gateSettings(NodeSettings settings) {
+    GateSettings gateSettings() {
         return GateSettings.defaults();
     }
 
     @Provides
     @Singleton
     HttpTargetClient targetClient(TargetAnnouncements announcements) {
-        return HttpTargetClient.create(shared.targetClient(), () -> announcements
-                .current()
-                .map(AnnouncedTarget::address)
-                .orElseGet(() -> InetSocketAddress.createUnresolved("0.0.0.0", 0)));
+        return HttpTargetClient.create(
+                shared.targetClient(),
+                () -> announcements
+                        .current()
+                        .map(AnnouncedTarget::address)
+                        .orElseGet(() -> InetSocketAddress.createUnresolved("0.0.0.0", 0)));
     }
 
     @Provides
@@ -122,8 +124,8 @@
     @Provides
     @Singleton
     KeyedRequestHandler keyed() {
-        return (call, key, identity, scope) -> CompletableFuture.completedFuture(
-                CallResult.notRun(Reason.KEY_STORE_DOWN, "keys are not served yet"));
+        return (call, key, identity, scope) ->
+                CompletableFuture.completedFuture(CallResult.notRun(Reason.KEY_STORE_DOWN, "keys are not served yet"));
     }
 
     @Provides
