--- a/src/main/java/io/beryldock/http/NodeHttpServer.java
+++ b/src/main/java/io/beryldock/http/NodeHttpServer.java
@@ -97,6 +97,8 @@
         factory.setMaxThreads(MAX_THREADS);
         factory.setMinThreads(MIN_THREADS);
         factory.setDetailedJsonProcessingExceptionMapper(false);
+        // The target's answer is passed on as it is; compressing it again would change what the caller asked for.
+        factory.getGzipFilterFactory().setEnabled(false);
         LogbackAccessRequestLogFactory requestLog = new LogbackAccessRequestLogFactory();
         requestLog.setAppenders(List.of());
         factory.setRequestLogFactory(requestLog);
--- /dev/null
+++ b/src/main/java/io/beryldock/logging/package-info.java
@@ -0,0 +1,2 @@
+/** Logs of a process: JSON lines on standard error. */
+package io.beryldock.logging;
--- /dev/null
+++ b/src/test/java/io/beryldock/ArchitectureTest.java
@@ -0,0 +1,68 @@
+package io.beryldock;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.ArchRule;
+
+/** The directions in which packages may depend on each other. */
+@AnalyzeClasses(packages = "io.beryldock", importOptions = ImportOption.DoNotIncludeTests.class)
+class ArchitectureTest {
+
+    private static final String[] DECISIONS = {
+        "io.beryldock.call..",
+        "io.beryldock.admission..",
+        "io.beryldock.retry..",
+        "io.beryldock.routing..",
+        "io.beryldock.quarantine..",
+        "io.beryldock.idempotency..",
+        "io.beryldock.membership..",
+        "io.beryldock.configuration..",
+        "io.beryldock.timeline..",
+    };
+
+    @ArchTest
+    static final ArchRule decisionsKnowNoPlumbing = noClasses()
+            .that()
+            .resideInAnyPackage(DECISIONS)
+            .should()
+            .dependOnClassesThat()
+            .resideInAnyPackage(
+                    "io.netty..",
+                    "com.google.inject..",
+                    "io.dropwizard..",
+                    "jakarta.ws.rs..",
+                    "jakarta.servlet..",
+                    "org.apache.hc..",
+                    "org.eclipse.jetty..",
+                    "org.glassfish..");
+
+    @ArchTest
+    static final ArchRule decisionsKnowNoAssembly = noClasses()
+            .that()
+            .resideInAnyPackage(DECISIONS)
+            .should()
+            .dependOnClassesThat()
+            .resideInAnyPackage(
+                    "io.beryldock.http..",
+                    "io.beryldock.node..",
+                    "io.beryldock.cli..",
+                    "io.beryldock.standin..",
+                    "io.beryldock.demo..",
+                    "io.beryldock.measure..");
+
+    @ArchTest
+    static final ArchRule noOneStartsProcesses = noClasses()
+            .should()
+            .dependOnClassesThat()
+            .haveFullyQualifiedName("java.lang.ProcessBuilder")
+            .orShould()
+            .callMethod(Runtime.class, "exec", String.class);
+
+    @ArchTest
+    static final ArchRule packagesFormNoCycle =
+            slices().matching("io.beryldock.(*)..").should().beFreeOfCycles();
+}
