--- a/src/main/java/io/beryldock/peer/FrameDecoder.java
+++ b/src/main/java/io/beryldock/peer/FrameDecoder.java
@@ -6,14 +6,26 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 
-/** Reads frames, each behind its length in four bytes; a longer one than the bound fails the connection. */
+/**
+ * Reads frames, each behind its length in four bytes; a longer one than the bound fails the connection.
+ *
+ * <p>Bytes of a frame that is still incomplete are reported too: a large frame on a slow way is progress.
+ */
 final class FrameDecoder extends LengthFieldBasedFrameDecoder {
 
     private final PeerCounters counters;
+    private final Runnable onBytes;
 
-    FrameDecoder(int maxFrameBytes, PeerCounters counters) {
-        super(maxFrameBytes, 0, FrameEncoder.LENGTH_BYTES, 0, FrameEncoder.LENGTH_BYTES);
+    FrameDecoder(int maxFrameBytes, PeerCounters counters, Runnable onBytes) {
+        super(maxFrameBytes + FrameEncoder.LENGTH_BYTES, 0, FrameEncoder.LENGTH_BYTES, 0, FrameEncoder.LENGTH_BYTES);
         this.counters = counters;
+        this.onBytes = onBytes;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object bytes) throws Exception {
+        onBytes.run();
+        super.channelRead(ctx, bytes);
     }
 
     @Override
--- a/src/main/java/io/beryldock/peer/InboundRequest.java
+++ b/src/main/java/io/beryldock/peer/InboundRequest.java
@@ -1,26 +1,34 @@
 package io.beryldock.peer;
 
+import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.ByteString;
 import io.beryldock.peer.PeerHandler.PeerMessage;
+import io.beryldock.wire.ReplyFailure;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 
-/** A request from a peer. Thread safe. */
+/** A request from a peer; it is replied to or cancelled, once. Thread safe. */
 final class InboundRequest implements PeerMessage {
 
+    private static final FluentLogger log = FluentLogger.forEnclosingClass();
+
     private final String sender;
     private final ByteString body;
-    private final Consumer<ByteString> reply;
+    private final BiConsumer<ByteString, ReplyFailure> reply;
     private final List<Runnable> onCancel = new ArrayList<>();
     private State state = State.OPEN;
 
-    InboundRequest(String sender, ByteString body, Consumer<ByteString> reply) {
+    private InboundRequest(String sender, ByteString body, BiConsumer<ByteString, ReplyFailure> reply) {
         this.sender = sender;
         this.body = body;
         this.reply = reply;
     }
 
+    static InboundRequest create(String sender, ByteString body, BiConsumer<ByteString, ReplyFailure> reply) {
+        return new InboundRequest(sender, body, reply);
+    }
+
     @Override
     public String sender() {
         return sender;
@@ -34,34 +42,38 @@
     @Override
     public void reply(ByteString answer) {
         if (end(State.REPLIED)) {
-            reply.accept(answer);
+            reply.accept(answer, ReplyFailure.REPLY_OK);
+        }
+    }
+
+    /** Replies that there is no body for a reply. */
+    void fail(ReplyFailure failure) {
+        if (end(State.REPLIED)) {
+            reply.accept(ByteString.EMPTY, failure);
         }
     }
 
     @Override
     public void onCancel(Runnable task) {
-        synchronized (this) {
-            if (state == State.OPEN) {
-                onCancel.add(task);
-                return;
-            }
-            if (state == State.REPLIED) {
-                return;
-            }
+        if (!addOnCancel(task)) {
+            runLogged(task);
         }
-        task.run();
     }
 
     /** Runs the tasks of {@link #onCancel} unless the reply has been sent. */
     void cancel() {
-        List<Runnable> tasks = List.of();
-        synchronized (this) {
-            if (state == State.OPEN) {
-                state = State.CANCELLED;
-                tasks = List.copyOf(onCancel);
-            }
+        if (end(State.CANCELLED)) {
+            // nothing is added to the tasks any more
+            onCancel.forEach(InboundRequest::runLogged);
         }
-        tasks.forEach(Runnable::run);
+    }
+
+    /** Returns false when the task is to run now. */
+    private synchronized boolean addOnCancel(Runnable task) {
+        if (state == State.OPEN) {
+            onCancel.add(task);
+        }
+        return state != State.CANCELLED;
     }
 
     private synchronized boolean end(State next) {
@@ -72,6 +84,14 @@
         return true;
     }
 
+    private static void runLogged(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            log.atSevere().withCause(e).log("a task on the cancellation of a peer's request failed");
+        }
+    }
+
     /** How far a request has come. */
     private enum State {
         OPEN,
--- /dev/null
+++ b/src/main/java/io/beryldock/peer/LoopTasks.java
@@ -0,0 +1,24 @@
+package io.beryldock.peer;
+
+import io.netty.util.concurrent.EventExecutor;
+import java.util.concurrent.RejectedExecutionException;
+
+/** Runs tasks on an event loop, at once when called on it. Stateless. */
+final class LoopTasks {
+
+    private LoopTasks() {}
+
+    /** Returns false, without running the task, when the event loop has been shut down. */
+    static boolean run(EventExecutor loop, Runnable task) {
+        if (loop.inEventLoop()) {
+            task.run();
+            return true;
+        }
+        try {
+            loop.execute(task);
+            return true;
+        } catch (RejectedExecutionException e) {
+            return false;
+        }
+    }
+}
--- a/src/main/java/io/beryldock/peer/OutboundLink.java
+++ b/src/main/java/io/beryldock/peer/OutboundLink.java
@@ -1,237 +1,254 @@
 package io.beryldock.peer;
 
-import com.google.protobuf.ByteString;
 import io.beryldock.peer.PeerException.Kind;
-import io.beryldock.wire.Cancel;
-import io.beryldock.wire.Frame;
-import io.beryldock.wire.Notice;
-import io.beryldock.wire.Reply;
-import io.beryldock.wire.Request;
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.WriteBufferWaterMark;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
-import java.util.HashMap;
-import java.util.Iterator;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
-
-/** The one connection that this node makes to one address, on use. Its state is used on its event loop only. */
-final class OutboundLink {
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+
+/**
+ * The way to one address: one connection made on use, the messages that wait for it, and the pause after a failure.
+ *
+ * <p>Invariants: at most one connection takes new messages; a message waits only while a connection is being made or
+ * probed; messages that wait are bounded in number and bytes; a retired link takes nothing and hands what still comes to
+ * its successor. Messages may be given from any thread; the state is used on the link's event loop only.
+ */
+final class OutboundLink implements OutboundConnection.Owner {
 
     private final PeerHub hub;
     private final InetSocketAddress address;
     private final EventLoop loop;
-    private final Deque<OutboundRequest> waiting = new ArrayDeque<>();
-    private final Map<Long, OutboundRequest> sent = new HashMap<>();
-    private Channel channel;
-    private boolean ready;
-    private long lastId;
-    private Optional<PeerIdentity> peer = Optional.empty();
-
-    OutboundLink(PeerHub hub, InetSocketAddress address, EventLoop loop) {
+    private final Retirement retirement;
+    private final ReconnectBackoff backoff;
+    private final Deque<OutboundMessage> waiting = new ArrayDeque<>();
+    private final LoopTick tick = new LoopTick(this::tickOnLoop);
+    private final List<OutboundConnection> finishing = new CopyOnWriteArrayList<>();
+    private int waitingBytes;
+    private boolean opened;
+    private boolean retired;
+    private boolean closed;
+    private String lastFailure = "";
+    private volatile Optional<OutboundConnection> current = Optional.empty();
+    private volatile boolean inUse = true;
+    private volatile long usedAt;
+
+    OutboundLink(PeerHub hub, InetSocketAddress address, EventLoop loop, Retirement retirement) {
         this.hub = hub;
         this.address = address;
         this.loop = loop;
+        this.retirement = retirement;
+        this.backoff = new ReconnectBackoff(hub.limits(), hub.newRandom());
+        this.usedAt = hub.now();
     }
 
-    CompletableFuture<ByteString> request(int topic, ByteString body, long deadline) {
-        OutboundRequest request = new OutboundRequest(topic, body, deadline);
-        run(() -> submit(request));
-        return request.reply();
+    InetSocketAddress address() {
+        return address;
     }
 
-    void send(int topic, ByteString body) {
-        run(() -> {
-            if (ready) {
-                Notice notice =
-                        Notice.newBuilder().setTopic(topic).setBody(body).build();
-                ChannelActions.write(
-                        channel, Frame.newBuilder().setNotice(notice).build());
-            } else {
-                connect();
-            }
-        });
+    /** Sends the message, or fails its future. */
+    void submit(OutboundMessage message) {
+        if (!LoopTasks.run(loop, () -> submitOnLoop(message))) {
+            message.fail(Kind.NOT_SENT, "the peer transport is closed");
+        }
     }
 
-    void close() {
-        run(() -> {
-            if (channel != null) {
-                ChannelActions.close(channel);
-            }
-        });
+    /** Looks after deadlines and the connection, if there is anything to look after. */
+    void tick(long now) {
+        if (inUse || now - usedAt >= hub.liveness().idleClose().toNanos()) {
+            tick.post(loop);
+        }
     }
 
-    void expire(long now) {
-        run(() -> {
-            removeExpired(waiting.iterator(), now, Kind.NOT_SENT);
-            removeExpired(sent.values().iterator(), now, Kind.TIMED_OUT);
-        });
+    /** No message waits or is under way. */
+    boolean idle() {
+        return !inUse;
     }
 
-    CompletableFuture<ConnectionSnapshot> snapshot() {
-        CompletableFuture<ConnectionSnapshot> result = new CompletableFuture<>();
-        run(() -> result.complete(new ConnectionSnapshot(
-                ConnectionSnapshot.Direction.MADE, address, peer, ready ? "ready" : "closed", sent.size())));
+    void close() {
+        LoopTasks.run(loop, this::closeOnLoop);
+    }
+
+    /** The link's connections; thread safe. */
+    List<ConnectionSnapshot> snapshots() {
+        List<ConnectionSnapshot> result = new ArrayList<>();
+        current.ifPresent(connection -> result.add(connection.snapshot()));
+        finishing.forEach(connection -> result.add(connection.snapshot()));
         return result;
     }
 
-    private void run(Runnable task) {
-        if (loop.inEventLoop()) {
-            task.run();
-        } else {
-            loop.execute(task);
+    @Override
+    public void opened(OutboundConnection connection) {
+        if (opened) {
+            hub.counters().reconnected();
         }
+        opened = true;
+        backoff.succeeded();
     }
 
-    private void submit(OutboundRequest request) {
-        if (ready) {
-            write(request);
-        } else if (waiting.size() < hub.settings().limits().maxWaitingRequests()) {
-            waiting.add(request);
-            connect();
-        } else {
-            request.fail(Kind.NOT_SENT, "too many requests wait for the connection to " + address);
+    @Override
+    public void ready(OutboundConnection connection) {
+        Deque<OutboundMessage> messages = new ArrayDeque<>(waiting);
+        clearWaiting();
+        messages.forEach(this::submitOnLoop);
+    }
+
+    @Override
+    public void finishing(OutboundConnection connection) {
+        if (isCurrent(connection)) {
+            current = Optional.empty();
+            finishing.add(connection);
+            connectIfAwaited();
         }
     }
 
-    private void write(OutboundRequest request) {
-        if (!channel.isWritable()) {
-            request.fail(Kind.NOT_SENT, "the connection to " + address + " has too much to write");
+    @Override
+    public void closed(OutboundConnection connection, boolean hadOpened, String reason) {
+        finishing.remove(connection);
+        if (!isCurrent(connection)) {
+            return;
+        }
+        current = Optional.empty();
+        if (hadOpened) {
+            connectIfAwaited();
             return;
         }
-        long id = ++lastId;
-        sent.put(id, request);
-        Request message = Request.newBuilder()
-                .setId(id)
-                .setTopic(request.topic())
-                .setBody(request.body())
-                .build();
-        ChannelActions.write(channel, Frame.newBuilder().setRequest(message).build());
-        var unused = request.reply().whenComplete((body, failure) -> {
-            if (request.reply().isCancelled()) {
-                run(() -> cancel(id));
-            }
-        });
+        lastFailure = reason;
+        backoff.failed(hub.now());
+        failWaiting(reason);
     }
 
-    private void cancel(long id) {
-        if (sent.remove(id) != null && ready) {
-            Cancel cancel = Cancel.newBuilder().setId(id).build();
-            ChannelActions.write(channel, Frame.newBuilder().setCancel(cancel).build());
+    private void submitOnLoop(OutboundMessage message) {
+        if (message.ended()) {
+            return;
+        }
+        if (retired) {
+            retirement.successor().accept(address, message);
+            return;
+        }
+        message.takenBy(this);
+        long now = hub.now();
+        inUse = true;
+        usedAt = now;
+        if (closed) {
+            message.fail(Kind.NOT_SENT, "the peer transport is closed");
+        } else if (current.isPresent()
+                && current.get().ready()
+                && !current.get().quiet(now)) {
+            current.get().write(message);
+        } else {
+            await(message, now);
         }
     }
 
-    private void connect() {
-        if (channel != null) {
+    private void await(OutboundMessage message, long now) {
+        if (current.isEmpty() && backoff.blocks(now)) {
+            message.fail(Kind.NOT_SENT, lastFailure + "; the next try to connect comes after a pause");
             return;
         }
-        ChannelFuture future = new Bootstrap()
-                .group(loop)
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int)
-                        hub.settings().limits().connectTimeout().toMillis())
-                .option(
-                        ChannelOption.WRITE_BUFFER_WATER_MARK,
-                        new WriteBufferWaterMark(
-                                hub.settings().limits().maxBufferedBytes() / 2,
-                                hub.settings().limits().maxBufferedBytes()))
-                .handler(new LinkInitializer())
-                .connect(address);
-        channel = future.channel();
-        var unused = future.addListener(done -> {
-            if (!done.isSuccess()) {
-                lost("no connection to " + address + ": " + done.cause().getMessage());
-            }
-        });
-    }
-
-    private void lost(String message) {
-        channel = null;
-        ready = false;
-        List<OutboundRequest> unsent = new ArrayList<>(waiting);
-        List<OutboundRequest> unanswered = new ArrayList<>(sent.values());
-        waiting.clear();
-        sent.clear();
-        unsent.forEach(request -> request.fail(Kind.NOT_SENT, message));
-        unanswered.forEach(request -> request.fail(Kind.LOST, message));
+        boolean full = waiting.size() >= hub.limits().maxWaitingMessages()
+                || waitingBytes + message.bodyBytes() > hub.limits().maxBufferedBytes();
+        if (full) {
+            message.fail(Kind.NOT_SENT, "too many messages wait for the connection to " + address);
+            return;
+        }
+        waiting.add(message);
+        waitingBytes += message.bodyBytes();
+        current.ifPresentOrElse(OutboundConnection::probe, this::connect);
+    }
+
+    private void connect() {
+        OutboundConnection connection = OutboundConnection.create(hub, address, this);
+        current = Optional.of(connection);
+        connection.connect(loop);
     }
 
-    private void helloFrom(PeerIdentity identity) {
-        peer = Optional.of(identity);
-        ready = true;
-        while (!waiting.isEmpty()) {
-            write(waiting.poll());
+    private void connectIfAwaited() {
+        if (!waiting.isEmpty() && !closed) {
+            connect();
         }
     }
 
-    private void answered(Reply reply) {
-        OutboundRequest request = sent.remove(reply.getId());
-        if (request == null) {
-            hub.counters().droppedReply();
+    /** Ends a message whose future was cancelled. */
+    void cancel(OutboundMessage message) {
+        LoopTasks.run(loop, () -> cancelOnLoop(message));
+    }
+
+    private void cancelOnLoop(OutboundMessage message) {
+        if (message.connection() != null) {
+            message.connection().cancel(message.id());
         } else {
-            request.reply().complete(reply.getBody());
+            removeWaiting(message);
         }
     }
 
-    private static void removeExpired(Iterator<OutboundRequest> requests, long now, Kind kind) {
-        while (requests.hasNext()) {
-            OutboundRequest request = requests.next();
-            if (request.deadline() - now <= 0) {
-                requests.remove();
-                request.fail(kind, "no reply in time");
-            }
+    private void tickOnLoop() {
+        long now = hub.now();
+        expireWaiting(now);
+        finishing.forEach(connection -> connection.tick(now));
+        current.ifPresent(connection -> connection.tick(now));
+        inUse = !waiting.isEmpty()
+                || !finishing.isEmpty()
+                || current.filter(OutboundConnection::inUse).isPresent();
+        if (!inUse && now - usedAt >= hub.liveness().idleClose().toNanos()) {
+            closeIdle();
         }
     }
 
-    /** Sets up the pipeline of a connection of this link. */
-    private final class LinkInitializer extends ChannelInitializer<Channel> {
-        @Override
-        protected void initChannel(Channel ch) {
-            ch.pipeline()
-                    .addLast(new FrameDecoder(hub.settings().limits().maxFrameBytes(), hub.counters()))
-                    .addLast(new FrameEncoder(hub.counters()))
-                    .addLast(new LinkHandler());
+    private void closeIdle() {
+        if (current.isPresent()) {
+            current.get().close("the connection to " + address + " was not used");
+            return;
         }
+        retired = true;
+        retirement.removal().accept(this);
     }
 
-    /** Takes the frames of a connection of this link. */
-    private final class LinkHandler extends SimpleChannelInboundHandler<Frame> {
-        @Override
-        public void channelActive(ChannelHandlerContext ctx) {
-            ChannelActions.write(ctx.channel(), hub.hello());
-        }
+    private void expireWaiting(long now) {
+        List<OutboundMessage> late =
+                waiting.stream().filter(message -> message.overdue(now)).toList();
+        late.forEach(this::removeWaiting);
+        late.forEach(message -> message.fail(Kind.NOT_SENT, "no connection to " + address + " in time"));
+    }
 
-        @Override
-        protected void channelRead0(ChannelHandlerContext ctx, Frame frame) {
-            switch (frame.getKindCase()) {
-                case HELLO -> helloFrom(PeerIdentity.of(frame.getHello()));
-                case REPLY -> answered(frame.getReply());
-                default -> hub.counters().droppedReply();
-            }
+    private void removeWaiting(OutboundMessage message) {
+        if (waiting.remove(message)) {
+            waitingBytes -= message.bodyBytes();
         }
+    }
 
-        @Override
-        public void channelInactive(ChannelHandlerContext ctx) {
-            lost("the connection to " + address + " was lost");
-        }
+    private void failWaiting(String reason) {
+        List<OutboundMessage> failed = List.copyOf(waiting);
+        clearWaiting();
+        failed.forEach(message -> message.fail(Kind.NOT_SENT, reason));
+    }
 
-        @Override
-        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            ChannelActions.close(ctx.channel());
-        }
+    private void clearWaiting() {
+        waiting.clear();
+        waitingBytes = 0;
     }
+
+    private void closeOnLoop() {
+        closed = true;
+        failWaiting("the peer transport was closed");
+        current.ifPresent(connection -> connection.close("the peer transport was closed"));
+        finishing.forEach(connection -> connection.close("the peer transport was closed"));
+    }
+
+    private boolean isCurrent(OutboundConnection connection) {
+        return current.filter(connection::equals).isPresent();
+    }
+
+    /**
+     * What becomes of a link that has not been used for long, so that addresses of replaced VMs don't pile up.
+     *
+     * @param removal takes it off the transport's table
+     * @param successor takes messages that were given to it too late
+     */
+    record Retirement(Consumer<OutboundLink> removal, BiConsumer<InetSocketAddress, OutboundMessage> successor) {}
 }
--- a/src/main/java/io/beryldock/peer/PeerCounters.java
+++ b/src/main/java/io/beryldock/peer/PeerCounters.java
@@ -13,6 +13,11 @@
     private final LongAdder reconnects = new LongAdder();
     private final LongAdder stalled = new LongAdder();
     private final LongAdder droppedReplies = new LongAdder();
+    private final LongAdder unknownFrames = new LongAdder();
+
+    void unknownFrame() {
+        unknownFrames.increment();
+    }
 
     void read(int bytes) {
         bytesIn.add(bytes);
@@ -45,6 +50,7 @@
                 reconnects.sum(),
                 stalled.sum(),
                 droppedReplies.sum(),
+                unknownFrames.sum(),
                 List.copyOf(connections));
     }
 }
--- a/src/main/java/io/beryldock/peer/PeerIdentity.java
+++ b/src/main/java/io/beryldock/peer/PeerIdentity.java
@@ -3,7 +3,6 @@
 import io.beryldock.call.DataCentre;
 import io.beryldock.call.Incarnation;
 import io.beryldock.call.NodeId;
-import io.beryldock.wire.Hello;
 import java.util.Objects;
 
 /** Who is at one end of a connection, as its hello says. Immutable. */
@@ -18,12 +17,4 @@
     public static PeerIdentity of(NodeId node, DataCentre dataCentre, Incarnation incarnation) {
         return new PeerIdentity(node, dataCentre, incarnation);
     }
-
-    /** Reads a hello; throws {@link IllegalArgumentException} when a name in it is malformed. */
-    static PeerIdentity of(Hello hello) {
-        return new PeerIdentity(
-                NodeId.of(hello.getNode()),
-                DataCentre.of(hello.getDataCentre()),
-                new Incarnation(hello.getIncarnationHigh(), hello.getIncarnationLow()));
-    }
 }
--- a/src/main/java/io/beryldock/peer/PeerTransportStats.java
+++ b/src/main/java/io/beryldock/peer/PeerTransportStats.java
@@ -8,6 +8,8 @@
  * @param reconnects connections made after an earlier one to the same address
  * @param stalled connections abandoned as nothing made progress on them
  * @param droppedReplies replies that no waiting request matched
+ * @param unknownFrames frames of a kind that this program doesn't know, left aside
+ * @param connections the connections now
  */
 public record PeerTransportStats(
         long bytesIn,
@@ -17,4 +19,5 @@
         long reconnects,
         long stalled,
         long droppedReplies,
+        long unknownFrames,
         List<ConnectionSnapshot> connections) {}
--- a/src/main/java/io/beryldock/wire/Frame.java
+++ b/src/main/java/io/beryldock/wire/Frame.java
@@ -61,6 +61,7 @@
     NOTICE(5),
     PING(6),
     PONG(7),
+    GO_AWAY(8),
     KIND_NOT_SET(0);
     private final int value;
     private KindCase(int value) {
@@ -85,6 +86,7 @@
         case 5: return NOTICE;
         case 6: return PING;
         case 7: return PONG;
+        case 8: return GO_AWAY;
         case 0: return KIND_NOT_SET;
         default: return null;
       }
@@ -317,6 +319,37 @@
     return io.beryldock.wire.Pong.getDefaultInstance();
   }
 
+  public static final int GO_AWAY_FIELD_NUMBER = 8;
+  /**
+   * <code>.beryldock.peer.GoAway go_away = 8;</code>
+   * @return Whether the goAway field is set.
+   */
+  @java.lang.Override
+  public boolean hasGoAway() {
+    return kindCase_ == 8;
+  }
+  /**
+   * <code>.beryldock.peer.GoAway go_away = 8;</code>
+   * @return The goAway.
+   */
+  @java.lang.Override
+  public io.beryldock.wire.GoAway getGoAway() {
+    if (kindCase_ == 8) {
+       return (io.beryldock.wire.GoAway) kind_;
+    }
+    return io.beryldock.wire.GoAway.getDefaultInstance();
+  }
+  /**
+   * <code>.beryldock.peer.GoAway go_away = 8;</code>
+   */
+  @java.lang.Override
+  public io.beryldock.wire.GoAwayOrBuilder getGoAwayOrBuilder() {
+    if (kindCase_ == 8) {
+       return (io.beryldock.wire.GoAway) kind_;
+    }
+    return io.beryldock.wire.GoAway.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -352,6 +385,9 @@
     if (kindCase_ == 7) {
       output.writeMessage(7, (io.beryldock.wire.Pong) kind_);
     }
+    if (kindCase_ == 8) {
+      output.writeMessage(8, (io.beryldock.wire.GoAway) kind_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -384,6 +420,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(7, (io.beryldock.wire.Pong) kind_);
     }
+    if (kindCase_ == 8) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(8, (io.beryldock.wire.GoAway) kind_);
+    }
     return size;
   }
   @java.lang.Override
@@ -438,6 +478,10 @@
         if (!getPong()
             .equals(other.getPong())) return false;
         break;
+      case 8:
+        if (!getGoAway()
+            .equals(other.getGoAway())) return false;
+        break;
       case 0:
       default:
     }
@@ -481,6 +525,10 @@
         hash = (37 * hash) + PONG_FIELD_NUMBER;
         hash = (53 * hash) + getPong().hashCode();
         break;
+      case 8:
+        hash = (37 * hash) + GO_AWAY_FIELD_NUMBER;
+        hash = (53 * hash) + getGoAway().hashCode();
+        break;
       case 0:
       default:
     }
@@ -636,6 +684,9 @@
       if (pongBuilder_ != null) {
         pongBuilder_.clear();
       }
+      if (goAwayBuilder_ != null) {
+        goAwayBuilder_.clear();
+      }
       kindCase_ = 0;
       kind_ = null;
       return this;
@@ -705,6 +756,10 @@
           pongBuilder_ != null) {
         result.kind_ = pongBuilder_.build();
       }
+      if (kindCase_ == 8 &&
+          goAwayBuilder_ != null) {
+        result.kind_ = goAwayBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -748,6 +803,10 @@
           mergePong(other.getPong());
           break;
         }
+        case GO_AWAY: {
+          mergeGoAway(other.getGoAway());
+          break;
+        }
         case KIND_NOT_SET: {
           break;
         }
@@ -825,6 +884,13 @@
               kindCase_ = 7;
               break;
             } // case 58
+            case 66: {
+              input.readMessage(
+                  internalGetGoAwayFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              kindCase_ = 8;
+              break;
+            } // case 66
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1837,6 +1903,146 @@
       return pongBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        io.beryldock.wire.GoAway, io.beryldock.wire.GoAway.Builder, io.beryldock.wire.GoAwayOrBuilder> goAwayBuilder_;
+    /**
+     * <code>.beryldock.peer.GoAway go_away = 8;</code>
+     * @return Whether the goAway field is set.
+     */
+    @java.lang.Override
+    public boolean hasGoAway() {
+      return kindCase_ == 8;
+    }
+    /**
+     * <code>.beryldock.peer.GoAway go_away = 8;</code>
+     * @return The goAway.
+     */
+    @java.lang.Override
+    public io.beryldock.wire.GoAway getGoAway() {
+      if (goAwayBuilder_ == null) {
+        if (kindCase_ == 8) {
+          return (io.beryldock.wire.GoAway) kind_;
+        }
+        return io.beryldock.wire.GoAway.getDefaultInstance();
+      } else {
+        if (kindCase_ == 8) {
+          return goAwayBuilder_.getMessage();
+        }
+        return io.beryldock.wire.GoAway.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.beryldock.peer.GoAway go_away = 8;</code>
+     */
+    public Builder setGoAway(io.beryldock.wire.GoAway value) {
+      if (goAwayBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        kind_ = value;
+        onChanged();
+      } else {
+        goAwayBuilder_.setMessage(value);
+      }
+      kindCase_ = 8;
+      return this;
+    }
+    /**
+     * <code>.beryldock.peer.GoAway go_away = 8;</code>
+     */
+    public Builder setGoAway(
+        io.beryldock.wire.GoAway.Builder builderForValue) {
+      if (goAwayBuilder_ == null) {
+        kind_ = builderForValue.build();
+        onChanged();
+      } else {
+        goAwayBuilder_.setMessage(builderForValue.build());
+      }
+      kindCase_ = 8;
+      return this;
+    }
+    /**
+     * <code>.beryldock.peer.GoAway go_away = 8;</code>
+     */
+    public Builder mergeGoAway(io.beryldock.wire.GoAway value) {
+      if (goAwayBuilder_ == null) {
+        if (kindCase_ == 8 &&
+            kind_ != io.beryldock.wire.GoAway.getDefaultInstance()) {
+          kind_ = io.beryldock.wire.GoAway.newBuilder((io.beryldock.wire.GoAway) kind_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          kind_ = value;
+        }
+        onChanged();
+      } else {
+        if (kindCase_ == 8) {
+          goAwayBuilder_.mergeFrom(value);
+        } else {
+          goAwayBuilder_.setMessage(value);
+        }
+      }
+      kindCase_ = 8;
+      return this;
+    }
+    /**
+     * <code>.beryldock.peer.GoAway go_away = 8;</code>
+     */
+    public Builder clearGoAway() {
+      if (goAwayBuilder_ == null) {
+        if (kindCase_ == 8) {
+          kindCase_ = 0;
+          kind_ = null;
+          onChanged();
+        }
+      } else {
+        if (kindCase_ == 8) {
+          kindCase_ = 0;
+          kind_ = null;
+        }
+        goAwayBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.beryldock.peer.GoAway go_away = 8;</code>
+     */
+    public io.beryldock.wire.GoAway.Builder getGoAwayBuilder() {
+      return internalGetGoAwayFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.beryldock.peer.GoAway go_away = 8;</code>
+     */
+    @java.lang.Override
+    public io.beryldock.wire.GoAwayOrBuilder getGoAwayOrBuilder() {
+      if ((kindCase_ == 8) && (goAwayBuilder_ != null)) {
+        return goAwayBuilder_.getMessageOrBuilder();
+      } else {
+        if (kindCase_ == 8) {
+          return (io.beryldock.wire.GoAway) kind_;
+        }
+        return io.beryldock.wire.GoAway.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.beryldock.peer.GoAway go_away = 8;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.beryldock.wire.GoAway, io.beryldock.wire.GoAway.Builder, io.beryldock.wire.GoAwayOrBuilder> 
+        internalGetGoAwayFieldBuilder() {
+      if (goAwayBuilder_ == null) {
+        if (!(kindCase_ == 8)) {
+          kind_ = io.beryldock.wire.GoAway.getDefaultInstance();
+        }
+        goAwayBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.beryldock.wire.GoAway, io.beryldock.wire.GoAway.Builder, io.beryldock.wire.GoAwayOrBuilder>(
+                (io.beryldock.wire.GoAway) kind_,
+                getParentForChildren(),
+                isClean());
+        kind_ = null;
+      }
+      kindCase_ = 8;
+      onChanged();
+      return goAwayBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:beryldock.peer.Frame)
   }
 
--- a/src/main/java/io/beryldock/wire/FrameOrBuilder.java
+++ b/src/main/java/io/beryldock/wire/FrameOrBuilder.java
@@ -115,5 +115,20 @@
    */
   io.beryldock.wire.PongOrBuilder getPongOrBuilder();
 
+  /**
+   * <code>.beryldock.peer.GoAway go_away = 8;</code>
+   * @return Whether the goAway field is set.
+   */
+  boolean hasGoAway();
+  /**
+   * <code>.beryldock.peer.GoAway go_away = 8;</code>
+   * @return The goAway.
+   */
+  io.beryldock.wire.GoAway getGoAway();
+  /**
+   * <code>.beryldock.peer.GoAway go_away = 8;</code>
+   */
+  io.beryldock.wire.GoAwayOrBuilder getGoAwayOrBuilder();
+
   io.beryldock.wire.Frame.KindCase getKindCase();
 }
--- a/src/main/java/io/beryldock/wire/Hello.java
+++ b/src/main/java/io/beryldock/wire/Hello.java
@@ -150,6 +150,47 @@
     return incarnationLow_;
   }
 
+  public static final int PROTOCOL_FIELD_NUMBER = 5;
+  private int protocol_ = 0;
+  /**
+   * <pre>
+   * Newest and oldest version of this protocol that the node speaks; the connection uses the lesser newest one.
+   * </pre>
+   *
+   * <code>uint32 protocol = 5;</code>
+   * @return The protocol.
+   */
+  @java.lang.Override
+  public int getProtocol() {
+    return protocol_;
+  }
+
+  public static final int OLDEST_PROTOCOL_FIELD_NUMBER = 6;
+  private int oldestProtocol_ = 0;
+  /**
+   * <code>uint32 oldest_protocol = 6;</code>
+   * @return The oldestProtocol.
+   */
+  @java.lang.Override
+  public int getOldestProtocol() {
+    return oldestProtocol_;
+  }
+
+  public static final int MAX_FRAME_BYTES_FIELD_NUMBER = 7;
+  private int maxFrameBytes_ = 0;
+  /**
+   * <pre>
+   * Largest frame that the node takes.
+   * </pre>
+   *
+   * <code>uint32 max_frame_bytes = 7;</code>
+   * @return The maxFrameBytes.
+   */
+  @java.lang.Override
+  public int getMaxFrameBytes() {
+    return maxFrameBytes_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -176,6 +217,15 @@
     if (incarnationLow_ != 0L) {
       output.writeFixed64(4, incarnationLow_);
     }
+    if (protocol_ != 0) {
+      output.writeUInt32(5, protocol_);
+    }
+    if (oldestProtocol_ != 0) {
+      output.writeUInt32(6, oldestProtocol_);
+    }
+    if (maxFrameBytes_ != 0) {
+      output.writeUInt32(7, maxFrameBytes_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -194,6 +244,18 @@
       size += com.google.protobuf.CodedOutputStream
         .computeFixed64Size(4, incarnationLow_);
     }
+    if (protocol_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(5, protocol_);
+    }
+    if (oldestProtocol_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(6, oldestProtocol_);
+    }
+    if (maxFrameBytes_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(7, maxFrameBytes_);
+    }
     return size;
   }
   @java.lang.Override
@@ -226,6 +288,12 @@
         != other.getIncarnationHigh()) return false;
     if (getIncarnationLow()
         != other.getIncarnationLow()) return false;
+    if (getProtocol()
+        != other.getProtocol()) return false;
+    if (getOldestProtocol()
+        != other.getOldestProtocol()) return false;
+    if (getMaxFrameBytes()
+        != other.getMaxFrameBytes()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -247,6 +315,12 @@
     hash = (37 * hash) + INCARNATION_LOW_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getIncarnationLow());
+    hash = (37 * hash) + PROTOCOL_FIELD_NUMBER;
+    hash = (53 * hash) + getProtocol();
+    hash = (37 * hash) + OLDEST_PROTOCOL_FIELD_NUMBER;
+    hash = (53 * hash) + getOldestProtocol();
+    hash = (37 * hash) + MAX_FRAME_BYTES_FIELD_NUMBER;
+    hash = (53 * hash) + getMaxFrameBytes();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -382,6 +456,9 @@
       dataCentre_ = "";
       incarnationHigh_ = 0L;
       incarnationLow_ = 0L;
+      protocol_ = 0;
+      oldestProtocol_ = 0;
+      maxFrameBytes_ = 0;
       return this;
     }
 
@@ -427,6 +504,15 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.incarnationLow_ = incarnationLow_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.protocol_ = protocol_;
+      }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.oldestProtocol_ = oldestProtocol_;
+      }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.maxFrameBytes_ = maxFrameBytes_;
+      }
     }
 
     @java.lang.Override
@@ -457,6 +543,15 @@
       if (other.getIncarnationLow() != 0L) {
         setIncarnationLow(other.getIncarnationLow());
       }
+      if (other.getProtocol() != 0) {
+        setProtocol(other.getProtocol());
+      }
+      if (other.getOldestProtocol() != 0) {
+        setOldestProtocol(other.getOldestProtocol());
+      }
+      if (other.getMaxFrameBytes() != 0) {
+        setMaxFrameBytes(other.getMaxFrameBytes());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -501,6 +596,21 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 33
+            case 40: {
+              protocol_ = input.readUInt32();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
+            case 48: {
+              oldestProtocol_ = input.readUInt32();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
+            case 56: {
+              maxFrameBytes_ = input.readUInt32();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -726,6 +836,126 @@
       return this;
     }
 
+    private int protocol_ ;
+    /**
+     * <pre>
+     * Newest and oldest version of this protocol that the node speaks; the connection uses the lesser newest one.
+     * </pre>
+     *
+     * <code>uint32 protocol = 5;</code>
+     * @return The protocol.
+     */
+    @java.lang.Override
+    public int getProtocol() {
+      return protocol_;
+    }
+    /**
+     * <pre>
+     * Newest and oldest version of this protocol that the node speaks; the connection uses the lesser newest one.
+     * </pre>
+     *
+     * <code>uint32 protocol = 5;</code>
+     * @param value The protocol to set.
+     * @return This builder for chaining.
+     */
+    public Builder setProtocol(int value) {
+
+      protocol_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Newest and oldest version of this protocol that the node speaks; the connection uses the lesser newest one.
+     * </pre>
+     *
+     * <code>uint32 protocol = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearProtocol() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      protocol_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private int oldestProtocol_ ;
+    /**
+     * <code>uint32 oldest_protocol = 6;</code>
+     * @return The oldestProtocol.
+     */
+    @java.lang.Override
+    public int getOldestProtocol() {
+      return oldestProtocol_;
+    }
+    /**
+     * <code>uint32 oldest_protocol = 6;</code>
+     * @param value The oldestProtocol to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOldestProtocol(int value) {
+
+      oldestProtocol_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>uint32 oldest_protocol = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearOldestProtocol() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      oldestProtocol_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private int maxFrameBytes_ ;
+    /**
+     * <pre>
+     * Largest frame that the node takes.
+     * </pre>
+     *
+     * <code>uint32 max_frame_bytes = 7;</code>
+     * @return The maxFrameBytes.
+     */
+    @java.lang.Override
+    public int getMaxFrameBytes() {
+      return maxFrameBytes_;
+    }
+    /**
+     * <pre>
+     * Largest frame that the node takes.
+     * </pre>
+     *
+     * <code>uint32 max_frame_bytes = 7;</code>
+     * @param value The maxFrameBytes to set.
+     * @return This builder for chaining.
+     */
+    public Builder setMaxFrameBytes(int value) {
+
+      maxFrameBytes_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Largest frame that the node takes.
+     * </pre>
+     *
+     * <code>uint32 max_frame_bytes = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearMaxFrameBytes() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      maxFrameBytes_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:beryldock.peer.Hello)
   }
 
--- a/src/main/java/io/beryldock/wire/HelloOrBuilder.java
+++ b/src/main/java/io/beryldock/wire/HelloOrBuilder.java
@@ -45,4 +45,30 @@
    * @return The incarnationLow.
    */
   long getIncarnationLow();
+
+  /**
+   * <pre>
+   * Newest and oldest version of this protocol that the node speaks; the connection uses the lesser newest one.
+   * </pre>
+   *
+   * <code>uint32 protocol = 5;</code>
+   * @return The protocol.
+   */
+  int getProtocol();
+
+  /**
+   * <code>uint32 oldest_protocol = 6;</code>
+   * @return The oldestProtocol.
+   */
+  int getOldestProtocol();
+
+  /**
+   * <pre>
+   * Largest frame that the node takes.
+   * </pre>
+   *
+   * <code>uint32 max_frame_bytes = 7;</code>
+   * @return The maxFrameBytes.
+   */
+  int getMaxFrameBytes();
 }
--- a/src/main/java/io/beryldock/wire/Peer.java
+++ b/src/main/java/io/beryldock/wire/Peer.java
@@ -66,6 +66,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_beryldock_peer_Pong_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_beryldock_peer_GoAway_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_beryldock_peer_GoAway_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -75,7 +80,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\npeer.proto\022\016beryldock.peer\"\253\002\n\005Frame\022&" +
+      "\n\npeer.proto\022\016beryldock.peer\"\326\002\n\005Frame\022&" +
       "\n\005hello\030\001 \001(\0132\025.beryldock.peer.HelloH\000\022*" +
       "\n\007request\030\002 \001(\0132\027.beryldock.peer.Request" +
       "H\000\022&\n\005reply\030\003 \001(\0132\025.beryldock.peer.Reply" +
@@ -83,15 +88,22 @@
       "elH\000\022(\n\006notice\030\005 \001(\0132\026.beryldock.peer.No" +
       "ticeH\000\022$\n\004ping\030\006 \001(\0132\024.beryldock.peer.Pi" +
       "ngH\000\022$\n\004pong\030\007 \001(\0132\024.beryldock.peer.Pong" +
-      "H\000B\006\n\004kind\"]\n\005Hello\022\014\n\004node\030\001 \001(\t\022\023\n\013dat" +
-      "a_centre\030\002 \001(\t\022\030\n\020incarnation_high\030\003 \001(\006" +
-      "\022\027\n\017incarnation_low\030\004 \001(\006\"2\n\007Request\022\n\n\002" +
-      "id\030\001 \001(\004\022\r\n\005topic\030\002 \001(\r\022\014\n\004body\030\003 \001(\014\"!\n" +
-      "\005Reply\022\n\n\002id\030\001 \001(\004\022\014\n\004body\030\002 \001(\014\"\024\n\006Canc" +
-      "el\022\n\n\002id\030\001 \001(\004\"%\n\006Notice\022\r\n\005topic\030\001 \001(\r\022" +
-      "\014\n\004body\030\002 \001(\014\"\026\n\004Ping\022\016\n\006number\030\001 \001(\004\"\026\n" +
-      "\004Pong\022\016\n\006number\030\001 \001(\004B\025\n\021io.beryldock.wi" +
-      "reP\001b\006proto3"
+      "H\000\022)\n\007go_away\030\010 \001(\0132\026.beryldock.peer.GoA" +
+      "wayH\000B\006\n\004kind\"\241\001\n\005Hello\022\014\n\004node\030\001 \001(\t\022\023\n" +
+      "\013data_centre\030\002 \001(\t\022\030\n\020incarnation_high\030\003" +
+      " \001(\006\022\027\n\017incarnation_low\030\004 \001(\006\022\020\n\010protoco" +
+      "l\030\005 \001(\r\022\027\n\017oldest_protocol\030\006 \001(\r\022\027\n\017max_" +
+      "frame_bytes\030\007 \001(\r\"2\n\007Request\022\n\n\002id\030\001 \001(\004" +
+      "\022\r\n\005topic\030\002 \001(\r\022\014\n\004body\030\003 \001(\014\"P\n\005Reply\022\n" +
+      "\n\002id\030\001 \001(\004\022\014\n\004body\030\002 \001(\014\022-\n\007failure\030\003 \001(" +
+      "\0162\034.beryldock.peer.ReplyFailure\"\024\n\006Cance" +
+      "l\022\n\n\002id\030\001 \001(\004\"%\n\006Notice\022\r\n\005topic\030\001 \001(\r\022\014" +
+      "\n\004body\030\002 \001(\014\"\026\n\004Ping\022\016\n\006number\030\001 \001(\004\"\026\n\004" +
+      "Pong\022\016\n\006number\030\001 \001(\004\"!\n\006GoAway\022\027\n\017last_r" +
+      "equest_id\030\001 \001(\004*a\n\014ReplyFailure\022\014\n\010REPLY" +
+      "_OK\020\000\022\024\n\020REPLY_NO_HANDLER\020\001\022\030\n\024REPLY_HAN" +
+      "DLER_FAILED\020\002\022\023\n\017REPLY_TOO_LARGE\020\003B\025\n\021io" +
+      ".beryldock.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -102,13 +114,13 @@
     internal_static_beryldock_peer_Frame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_beryldock_peer_Frame_descriptor,
-        new java.lang.String[] { "Hello", "Request", "Reply", "Cancel", "Notice", "Ping", "Pong", "Kind", });
+        new java.lang.String[] { "Hello", "Request", "Reply", "Cancel", "Notice", "Ping", "Pong", "GoAway", "Kind", });
     internal_static_beryldock_peer_Hello_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_beryldock_peer_Hello_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_beryldock_peer_Hello_descriptor,
-        new java.lang.String[] { "Node", "DataCentre", "IncarnationHigh", "IncarnationLow", });
+        new java.lang.String[] { "Node", "DataCentre", "IncarnationHigh", "IncarnationLow", "Protocol", "OldestProtocol", "MaxFrameBytes", });
     internal_static_beryldock_peer_Request_descriptor =
       getDescriptor().getMessageType(2);
     internal_static_beryldock_peer_Request_fieldAccessorTable = new
@@ -120,7 +132,7 @@
     internal_static_beryldock_peer_Reply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_beryldock_peer_Reply_descriptor,
-        new java.lang.String[] { "Id", "Body", });
+        new java.lang.String[] { "Id", "Body", "Failure", });
     internal_static_beryldock_peer_Cancel_descriptor =
       getDescriptor().getMessageType(4);
     internal_static_beryldock_peer_Cancel_fieldAccessorTable = new
@@ -145,6 +157,12 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_beryldock_peer_Pong_descriptor,
         new java.lang.String[] { "Number", });
+    internal_static_beryldock_peer_GoAway_descriptor =
+      getDescriptor().getMessageType(8);
+    internal_static_beryldock_peer_GoAway_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_beryldock_peer_GoAway_descriptor,
+        new java.lang.String[] { "LastRequestId", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/src/main/java/io/beryldock/wire/Reply.java
+++ b/src/main/java/io/beryldock/wire/Reply.java
@@ -29,6 +29,7 @@
   }
   private Reply() {
     body_ = com.google.protobuf.ByteString.EMPTY;
+    failure_ = 0;
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -71,6 +72,24 @@
     return body_;
   }
 
+  public static final int FAILURE_FIELD_NUMBER = 3;
+  private int failure_ = 0;
+  /**
+   * <code>.beryldock.peer.ReplyFailure failure = 3;</code>
+   * @return The enum numeric value on the wire for failure.
+   */
+  @java.lang.Override public int getFailureValue() {
+    return failure_;
+  }
+  /**
+   * <code>.beryldock.peer.ReplyFailure failure = 3;</code>
+   * @return The failure.
+   */
+  @java.lang.Override public io.beryldock.wire.ReplyFailure getFailure() {
+    io.beryldock.wire.ReplyFailure result = io.beryldock.wire.ReplyFailure.forNumber(failure_);
+    return result == null ? io.beryldock.wire.ReplyFailure.UNRECOGNIZED : result;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -91,6 +110,9 @@
     if (!body_.isEmpty()) {
       output.writeBytes(2, body_);
     }
+    if (failure_ != io.beryldock.wire.ReplyFailure.REPLY_OK.getNumber()) {
+      output.writeEnum(3, failure_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -103,6 +125,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBytesSize(2, body_);
     }
+    if (failure_ != io.beryldock.wire.ReplyFailure.REPLY_OK.getNumber()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeEnumSize(3, failure_);
+    }
     return size;
   }
   @java.lang.Override
@@ -131,6 +157,7 @@
         != other.getId()) return false;
     if (!getBody()
         .equals(other.getBody())) return false;
+    if (failure_ != other.failure_) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -147,6 +174,8 @@
         getId());
     hash = (37 * hash) + BODY_FIELD_NUMBER;
     hash = (53 * hash) + getBody().hashCode();
+    hash = (37 * hash) + FAILURE_FIELD_NUMBER;
+    hash = (53 * hash) + failure_;
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -280,6 +309,7 @@
       bitField0_ = 0;
       id_ = 0L;
       body_ = com.google.protobuf.ByteString.EMPTY;
+      failure_ = 0;
       return this;
     }
 
@@ -319,6 +349,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.body_ = body_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.failure_ = failure_;
+      }
     }
 
     @java.lang.Override
@@ -339,6 +372,9 @@
       if (!other.getBody().isEmpty()) {
         setBody(other.getBody());
       }
+      if (other.failure_ != 0) {
+        setFailureValue(other.getFailureValue());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -373,6 +409,11 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 18
+            case 24: {
+              failure_ = input.readEnum();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -454,6 +495,58 @@
       return this;
     }
 
+    private int failure_ = 0;
+    /**
+     * <code>.beryldock.peer.ReplyFailure failure = 3;</code>
+     * @return The enum numeric value on the wire for failure.
+     */
+    @java.lang.Override public int getFailureValue() {
+      return failure_;
+    }
+    /**
+     * <code>.beryldock.peer.ReplyFailure failure = 3;</code>
+     * @param value The enum numeric value on the wire for failure to set.
+     * @return This builder for chaining.
+     */
+    public Builder setFailureValue(int value) {
+      failure_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.beryldock.peer.ReplyFailure failure = 3;</code>
+     * @return The failure.
+     */
+    @java.lang.Override
+    public io.beryldock.wire.ReplyFailure getFailure() {
+      io.beryldock.wire.ReplyFailure result = io.beryldock.wire.ReplyFailure.forNumber(failure_);
+      return result == null ? io.beryldock.wire.ReplyFailure.UNRECOGNIZED : result;
+    }
+    /**
+     * <code>.beryldock.peer.ReplyFailure failure = 3;</code>
+     * @param value The failure to set.
+     * @throws IllegalArgumentException if UNRECOGNIZED is provided.
+     * @return This builder for chaining.
+     */
+    public Builder setFailure(io.beryldock.wire.ReplyFailure value) {
+      java.util.Objects.requireNonNull(value);
+      bitField0_ |= 0x00000004;
+      failure_ = value.getNumber();
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.beryldock.peer.ReplyFailure failure = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearFailure() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      failure_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:beryldock.peer.Reply)
   }
 
--- a/src/main/java/io/beryldock/wire/ReplyOrBuilder.java
+++ b/src/main/java/io/beryldock/wire/ReplyOrBuilder.java
@@ -21,4 +21,15 @@
    * @return The body.
    */
   com.google.protobuf.ByteString getBody();
+
+  /**
+   * <code>.beryldock.peer.ReplyFailure failure = 3;</code>
+   * @return The enum numeric value on the wire for failure.
+   */
+  int getFailureValue();
+  /**
+   * <code>.beryldock.peer.ReplyFailure failure = 3;</code>
+   * @return The failure.
+   */
+  io.beryldock.wire.ReplyFailure getFailure();
 }
--- a/src/main/java/io/beryldock/wire/Request.java
+++ b/src/main/java/io/beryldock/wire/Request.java
@@ -6,6 +6,10 @@
 package io.beryldock.wire;
 
 /**
+ * <pre>
+ * Ids rise on a connection and are never used twice on it.
+ * </pre>
+ *
  * Protobuf type {@code beryldock.peer.Request}
  */
 @com.google.protobuf.Generated
@@ -267,6 +271,10 @@
     return builder;
   }
   /**
+   * <pre>
+   * Ids rise on a connection and are never used twice on it.
+   * </pre>
+   *
    * Protobuf type {@code beryldock.peer.Request}
    */
   public static final class Builder extends
