--- /dev/null
+++ b/src/test/java/io/beryldock/peer/PeerPair.java
@@ -0,0 +1,147 @@
+package io.beryldock.peer;
+
+import com.google.protobuf.ByteString;
+import io.beryldock.call.DataCentre;
+import io.beryldock.call.Incarnation;
+import io.beryldock.call.NodeId;
+import io.beryldock.time.ManualTimerService;
+import io.beryldock.timeline.EventKind;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+
+/** Two transports, a and b, with a relay from a to b, on one event loop and a clock that the test moves. */
+final class PeerPair implements AutoCloseable {
+
+    static final Duration LONG = Duration.ofHours(1);
+    private static final Duration TICK = PeerLiveness.defaults().tick();
+    private static final long WAIT_SECONDS = 20;
+
+    final ManualTimerService timers = ManualTimerService.create();
+    final List<EventKind> events = new CopyOnWriteArrayList<>();
+    final List<PeerHandler.PeerMessage> held = new CopyOnWriteArrayList<>();
+    final NettyPeerTransport a;
+    final NettyPeerTransport b;
+    final FaultyRelay relay;
+    private final PeerEventLoops loops = PeerEventLoops.create(1);
+
+    private PeerPair(PeerTransportSettings ofA, PeerTransportSettings ofB) throws PeerStartException, IOException {
+        a = transport("a", ofA);
+        b = transport("b", ofB);
+        b.handle(PeerTopic.CALL, message -> message.reply(message.body()));
+        b.handle(PeerTopic.QUERY, held::add);
+        a.start();
+        b.start();
+        relay = FaultyRelay.start(b.localAddress());
+    }
+
+    /** Node b answers topic CALL with the body and keeps requests of topic QUERY in {@link #held}. */
+    static PeerPair start() throws PeerStartException, IOException {
+        return start(PeerLimits.defaults());
+    }
+
+    static PeerPair start(PeerLimits limits) throws PeerStartException, IOException {
+        PeerTransportSettings settings =
+                PeerTransportSettings.insecure(anyPort()).withLimits(limits);
+        return new PeerPair(settings, settings);
+    }
+
+    static PeerPair start(PeerTransportSettings ofA, PeerTransportSettings ofB) throws PeerStartException, IOException {
+        return new PeerPair(ofA, ofB);
+    }
+
+    static InetSocketAddress anyPort() {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    }
+
+    static ByteString text(String text) {
+        return ByteString.copyFromUtf8(text);
+    }
+
+    private NettyPeerTransport transport(String name, PeerTransportSettings settings) {
+        PeerIdentity self =
+                PeerIdentity.of(NodeId.of(name), DataCentre.of("gent-a"), new Incarnation(name.hashCode(), 1));
+        return NettyPeerTransport.create(
+                settings, self, timers, (kind, id, subject, detail) -> events.add(kind), loops);
+    }
+
+    /** Asks b through the relay. */
+    CompletableFuture<ByteString> ask(PeerTopic topic, String body) {
+        return a.request(relay.address(), topic, text(body), LONG);
+    }
+
+    /** Asks b, whose handler keeps the request, and waits until it has come. */
+    CompletableFuture<ByteString> askHeld(String body) {
+        int before = held.size();
+        CompletableFuture<ByteString> reply = ask(PeerTopic.QUERY, body);
+        await(() -> held.size() > before);
+        return reply;
+    }
+
+    static String get(CompletableFuture<ByteString> reply) throws Exception {
+        return reply.get(WAIT_SECONDS, TimeUnit.SECONDS).toStringUtf8();
+    }
+
+    /** The kind of failure of a request that has failed or does so without the clock being moved. */
+    static PeerException.Kind failure(CompletableFuture<ByteString> reply)
+            throws InterruptedException, TimeoutException {
+        try {
+            throw new AssertionError("answered: " + reply.get(WAIT_SECONDS, TimeUnit.SECONDS));
+        } catch (ExecutionException e) {
+            return ((PeerException) e.getCause()).kind();
+        }
+    }
+
+    /** Moves the clock tick by tick; after each, the event loop has done all that it was given. */
+    void advance(Duration step) {
+        for (long left = step.toNanos(); left > 0; left -= TICK.toNanos()) {
+            timers.advance(TICK);
+            settle();
+        }
+    }
+
+    /** Moves the clock tick by tick until the condition holds; returns the time that it took. */
+    Duration advanceUntil(BooleanSupplier condition, Duration bound) {
+        Duration taken = Duration.ZERO;
+        while (!condition.getAsBoolean() && taken.compareTo(bound) < 0) {
+            advance(TICK);
+            taken = taken.plus(TICK);
+        }
+        if (!condition.getAsBoolean()) {
+            throw new AssertionError("not within " + bound);
+        }
+        return taken;
+    }
+
+    /** Waits, with the clock standing still, for what the sockets still carry. */
+    static void await(BooleanSupplier condition) {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() - end > 0) {
+                throw new AssertionError("never came about");
+            }
+            LockSupport.parkNanos(TimeUnit.MICROSECONDS.toNanos(100));
+        }
+    }
+
+    private void settle() {
+        loops.next().submit(() -> {}).syncUninterruptibly();
+    }
+
+    @Override
+    public void close() throws IOException {
+        a.close();
+        b.close();
+        relay.close();
+        loops.close();
+    }
+}
