--- a/src/test/java/io/beryldock/peer/FaultyRelay.java
+++ b/src/test/java/io/beryldock/peer/FaultyRelay.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -76,16 +77,25 @@
         try {
             while (true) {
                 Socket near = server.accept();
-                Socket far = new Socket(target.getAddress(), target.getPort());
-                start(new Lane(near, far, true, faultOfNew));
-                start(new Lane(far, near, false, faultOfNew));
-                connections.incrementAndGet();
+                connect(near);
             }
         } catch (IOException e) {
             cut();
         }
     }
 
+    /** A refused connection is refused in turn. */
+    private void connect(Socket near) throws IOException {
+        try {
+            Socket far = new Socket(target.getAddress(), target.getPort());
+            start(new Lane(near, far, true, faultOfNew));
+            start(new Lane(far, near, false, faultOfNew));
+            connections.incrementAndGet();
+        } catch (ConnectException e) {
+            near.close();
+        }
+    }
+
     private void start(Lane lane) {
         lanes.add(lane);
         daemon(lane::run);
--- a/src/test/java/io/beryldock/peer/NettyPeerTransportTest.java
+++ b/src/test/java/io/beryldock/peer/NettyPeerTransportTest.java
@@ -1,43 +1,172 @@
 package io.beryldock.peer;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import com.google.protobuf.ByteString;
-import io.beryldock.call.DataCentre;
-import io.beryldock.call.Incarnation;
-import io.beryldock.call.NodeId;
-import io.beryldock.time.ManualTimerService;
-import io.beryldock.timeline.EventSink;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.concurrent.TimeUnit;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 class NettyPeerTransportTest {
 
-    private static NettyPeerTransport start(String name) throws PeerStartException {
-        PeerIdentity self =
-                PeerIdentity.of(NodeId.of(name), DataCentre.of("gent-a"), new Incarnation(1, name.hashCode()));
-        InetSocketAddress bind = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
-        NettyPeerTransport transport = NettyPeerTransport.create(
-                PeerTransportSettings.insecure(bind), self, ManualTimerService.create(), EventSink.none());
-        transport.handle(
-                PeerTopic.CALL,
-                message ->
-                        message.reply(ByteString.copyFromUtf8(message.sender()).concat(message.body())));
-        transport.start();
-        return transport;
-    }
-
-    @Test
-    void aRequestIsAnsweredByTheHandlerOfItsTopic() throws Exception {
-        try (NettyPeerTransport a = start("a");
-                NettyPeerTransport b = start("b")) {
-            ByteString reply = a.request(
-                            b.localAddress(), PeerTopic.CALL, ByteString.copyFromUtf8(" asks"), Duration.ofSeconds(5))
-                    .get(10, TimeUnit.SECONDS);
-            assertThat(reply.toStringUtf8()).isEqualTo("a asks");
+    private PeerPair pair;
+
+    @BeforeEach
+    void start() throws Exception {
+        pair = PeerPair.start();
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        pair.close();
+    }
+
+    /**
+     * A lecturer gets another one's list. Many requests share one connection and their replies come in another order.
+     * Each reply reaches the request with its id.
+     */
+    @Test
+    void repliesOutOfOrderReachTheirOwnRequests() throws Exception {
+        List<CompletableFuture<ByteString>> replies = new ArrayList<>();
+        for (int i = 0; i < 200; i++) {
+            replies.add(pair.ask(PeerTopic.QUERY, "ask " + i));
+        }
+        PeerPair.await(() -> pair.held.size() == 200);
+        List<PeerHandler.PeerMessage> shuffled = new ArrayList<>(pair.held);
+        Collections.shuffle(shuffled, new Random(7));
+        shuffled.forEach(message -> message.reply(message.body().concat(PeerPair.text(" of " + message.sender()))));
+        for (int i = 0; i < 200; i++) {
+            assertThat(PeerPair.get(replies.get(i))).isEqualTo("ask " + i + " of a");
         }
+        assertThat(pair.relay.connections()).isEqualTo(1);
+    }
+
+    @Test
+    void aOneWayMessageReachesItsHandler() {
+        List<String> seen = Collections.synchronizedList(new ArrayList<>());
+        pair.b.handle(PeerTopic.MEMBERSHIP, message -> seen.add(message.body().toStringUtf8()));
+        pair.a.send(pair.relay.address(), PeerTopic.MEMBERSHIP, PeerPair.text("ping"));
+        PeerPair.await(() -> seen.contains("ping"));
+    }
+
+    @Test
+    void aBodyOfOneMebibyteGoesThereAndBack() throws Exception {
+        byte[] body = new byte[1 << 20];
+        new Random(3).nextBytes(body);
+        CompletableFuture<ByteString> reply =
+                pair.a.request(pair.relay.address(), PeerTopic.CALL, ByteString.copyFrom(body), PeerPair.LONG);
+        PeerPair.await(reply::isDone);
+        assertThat(reply.join().toByteArray()).isEqualTo(body);
+    }
+
+    @Test
+    void aMessageOverThePeersBoundIsNotSentAndAReplyOverItIsLost() throws Exception {
+        PeerPair.get(pair.ask(PeerTopic.CALL, "hello"));
+        ByteString large = ByteString.copyFrom(new byte[3 << 20]);
+        assertThat(PeerPair.failure(pair.a.request(pair.relay.address(), PeerTopic.CALL, large, PeerPair.LONG)))
+                .isEqualTo(PeerException.Kind.NOT_SENT);
+        CompletableFuture<ByteString> reply = pair.askHeld("ask");
+        pair.held.get(0).reply(large);
+        assertThat(PeerPair.failure(reply)).isEqualTo(PeerException.Kind.LOST);
+        assertThat(PeerPair.get(pair.ask(PeerTopic.CALL, "still"))).isEqualTo("still");
+    }
+
+    @Test
+    void aTopicWithoutHandlerIsNotSentAndAHandlerThatFailsIsLost() throws Exception {
+        pair.b.handle(PeerTopic.TICKETS, message -> {
+            throw new IllegalStateException("broken handler");
+        });
+        assertThat(PeerPair.failure(pair.ask(PeerTopic.QUARANTINE, "x"))).isEqualTo(PeerException.Kind.NOT_SENT);
+        assertThat(PeerPair.failure(pair.ask(PeerTopic.TICKETS, "x"))).isEqualTo(PeerException.Kind.LOST);
+    }
+
+    @Test
+    void aCancelledRequestCancelsTheWorkAtThePeerAndItsLateReplyIsDropped() throws Exception {
+        CompletableFuture<ByteString> reply = pair.askHeld("page");
+        AtomicInteger cancelled = new AtomicInteger();
+        pair.held.get(0).onCancel(cancelled::incrementAndGet);
+        reply.cancel(false);
+        PeerPair.await(() -> cancelled.get() == 1);
+        pair.held.get(0).reply(PeerPair.text("late"));
+        assertThat(PeerPair.get(pair.ask(PeerTopic.CALL, "next"))).isEqualTo("next");
+        assertThat(cancelled).hasValue(1);
+    }
+
+    /**
+     * An answer is shown to the wrong page. A request timed out, its reply was already on the way, and the next request
+     * is waiting when it comes. The reply matches no waiting request and is counted and dropped.
+     */
+    @Test
+    void aReplyAfterTheDeadlineIsDropped() throws Exception {
+        CompletableFuture<ByteString> reply =
+                pair.a.request(pair.relay.address(), PeerTopic.QUERY, PeerPair.text("slow"), Duration.ofMillis(200));
+        PeerPair.await(() -> pair.held.size() == 1);
+        pair.relay.spoilForth(FaultyRelay.Fault.FREEZE);
+        pair.advance(Duration.ofMillis(250));
+        assertThat(PeerPair.failure(reply)).isEqualTo(PeerException.Kind.TIMED_OUT);
+        pair.held.get(0).reply(PeerPair.text("late"));
+        PeerPair.await(() -> pair.a.stats().droppedReplies() == 1);
+        pair.relay.spoilForth(FaultyRelay.Fault.NONE);
+        assertThat(PeerPair.get(pair.ask(PeerTopic.CALL, "next"))).isEqualTo("next");
+    }
+
+    @Test
+    void aCutConnectionLosesItsCallsAndCancelsTheirWork() throws Exception {
+        CompletableFuture<ByteString> reply = pair.askHeld("order");
+        AtomicInteger cancelled = new AtomicInteger();
+        pair.held.get(0).onCancel(cancelled::incrementAndGet);
+        pair.relay.cut();
+        assertThat(PeerPair.failure(reply)).isEqualTo(PeerException.Kind.LOST);
+        PeerPair.await(() -> cancelled.get() == 1);
+        assertThat(PeerPair.get(pair.ask(PeerTopic.CALL, "next"))).isEqualTo("next");
+    }
+
+    @Test
+    void aClosedTransportSendsNothing() throws Exception {
+        pair.a.close();
+        assertThat(PeerPair.failure(pair.ask(PeerTopic.CALL, "x"))).isEqualTo(PeerException.Kind.NOT_SENT);
+    }
+
+    @Test
+    void aTakenPortIsNamedWithTheRemedy() {
+        NettyPeerTransport second = NettyPeerTransport.create(
+                PeerTransportSettings.insecure(pair.b.localAddress()),
+                PeerPair.identity("c"),
+                pair.timers,
+                (kind, id, subject, detail) -> {});
+        assertThatThrownBy(second::start)
+                .isInstanceOf(PeerStartException.class)
+                .hasMessageContaining("peers.port")
+                .hasMessageContaining("free the port");
+        second.close();
+    }
+
+    /**
+     * A rolling restart fails requests. The node that stops takes no more of them, yet its peers go on sending over open
+     * connections. It names the last request that it takes: that one gets its reply, later ones fail as not sent.
+     */
+    @Test
+    void aDrainingNodeEndsWhatItHasAndTakesNothingMore() throws Exception {
+        CompletableFuture<ByteString> inFlight = pair.askHeld("order");
+        CompletableFuture<Void> drained = pair.b.drain();
+        CompletableFuture<ByteString> later = pair.ask(PeerTopic.QUERY, "later");
+        assertThat(PeerPair.failure(later)).isEqualTo(PeerException.Kind.NOT_SENT);
+        pair.advance(Duration.ofMillis(200));
+        assertThat(drained).isNotDone();
+
+        pair.held.get(0).reply(PeerPair.text("placed"));
+
+        assertThat(PeerPair.get(inFlight)).isEqualTo("placed");
+        PeerPair.await(() -> pair.b.stats().connections().isEmpty());
+        pair.advanceUntil(drained::isDone, Duration.ofSeconds(1));
+        assertThat(pair.held).hasSize(1);
     }
 }
--- a/src/test/java/io/beryldock/peer/PeerPair.java
+++ b/src/test/java/io/beryldock/peer/PeerPair.java
@@ -6,6 +6,7 @@
 import io.beryldock.call.NodeId;
 import io.beryldock.time.ManualTimerService;
 import io.beryldock.timeline.EventKind;
+import io.beryldock.timeline.EventSink;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -68,10 +69,15 @@
     }
 
     private NettyPeerTransport transport(String name, PeerTransportSettings settings) {
-        PeerIdentity self =
-                PeerIdentity.of(NodeId.of(name), DataCentre.of("gent-a"), new Incarnation(name.hashCode(), 1));
-        return NettyPeerTransport.create(
-                settings, self, timers, (kind, id, subject, detail) -> events.add(kind), loops);
+        return NettyPeerTransport.create(settings, identity(name), timers, sink(), loops);
+    }
+
+    static PeerIdentity identity(String name) {
+        return PeerIdentity.of(NodeId.of(name), DataCentre.of("gent-a"), new Incarnation(name.hashCode(), 1));
+    }
+
+    EventSink sink() {
+        return (kind, id, subject, detail) -> events.add(kind);
     }
 
     /** Asks b through the relay. */
