--- a/src/main/java/io/beryldock/cli/SubcommandRegistry.java
+++ b/src/main/java/io/beryldock/cli/SubcommandRegistry.java
@@ -9,6 +9,7 @@
     static final ImmutableSortedMap<String, Entry> ENTRIES = ImmutableSortedMap.<String, Entry>naturalOrder()
             .put("node", new Entry(NodeSubcommand::new, "run a node: --settings FILE"))
             .put("standin-platform", new Entry(StandinPlatformSubcommand::new, "run a stand-in of the platform store"))
+            .put("standin-target", new Entry(StandinTargetSubcommand::new, "run a stand-in target: --settings FILE"))
             .put("version", new Entry(VersionSubcommand::new, "print the version"))
             .build();
 
--- a/src/main/java/io/beryldock/http/HangupEndPoint.java
+++ b/src/main/java/io/beryldock/http/HangupEndPoint.java
@@ -20,7 +20,7 @@
  * <p>Invariants: at most one interest in reading is registered with the selector, our relay or the connection's own
  * callback; bytes that were read early (a pipelined request) reach the connection first, in order. Thread safe.
  */
-final class HangupEndPoint extends SocketChannelEndPoint {
+public final class HangupEndPoint extends SocketChannelEndPoint {
 
     private static final int EARLY_BYTES = 4096;
 
@@ -42,14 +42,14 @@
     @GuardedBy("this")
     private boolean ended;
 
-    HangupEndPoint(
+    public HangupEndPoint(
             SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler, Executor executor) {
         super(channel, selector, key, scheduler);
         this.executor = executor;
     }
 
     /** Runs the task when the other end closes the connection before {@link #unwatch()}. */
-    void watch(Runnable task) {
+    public void watch(Runnable task) {
         synchronized (this) {
             hangupTask = task;
             if (relayRegistered || ended) {
@@ -59,7 +59,7 @@
         }
     }
 
-    synchronized void unwatch() {
+    public synchronized void unwatch() {
         hangupTask = null;
     }
 
--- a/src/main/java/io/beryldock/standin/HttpExchange.java
+++ b/src/main/java/io/beryldock/standin/HttpExchange.java
@@ -1,10 +1,13 @@
 package io.beryldock.standin;
 
+import io.beryldock.http.HangupEndPoint;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Predicate;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.EofException;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -25,10 +28,12 @@
     private final Response response;
     private final Callback callback;
     private final byte[] body;
+    private final Predicate<EndPoint> silenced;
     private final AtomicBoolean ended = new AtomicBoolean();
 
-    HttpExchange(Request request, Response response, Callback callback, byte[] body) {
+    HttpExchange(Request request, Response response, Callback callback, byte[] body, Predicate<EndPoint> silenced) {
         this.request = request;
+        this.silenced = silenced;
         this.response = response;
         this.callback = callback;
         this.body = body;
@@ -64,6 +69,22 @@
         return body;
     }
 
+    /** Runs the task once when the other end closes the connection before the answer. */
+    void onHangup(Runnable task) {
+        if (endPoint() instanceof HangupEndPoint hangup) {
+            hangup.watch(task);
+        }
+    }
+
+    /** Whether the connection has gone silent, so that neither requests nor answers get through. */
+    boolean isSilenced() {
+        return silenced.test(endPoint());
+    }
+
+    private EndPoint endPoint() {
+        return request.getConnectionMetaData().getConnection().getEndPoint();
+    }
+
     /** Puts a header into the answer to come. */
     HttpExchange with(String name, String value) {
         response.getHeaders().put(name, value);
@@ -79,9 +100,12 @@
     }
 
     void answer(int status, String contentType, byte[] bytes) {
-        if (!ended.compareAndSet(false, true)) {
+        if (isSilenced() || !ended.compareAndSet(false, true)) {
             return;
         }
+        if (endPoint() instanceof HangupEndPoint hangup) {
+            hangup.unwatch();
+        }
         response.setStatus(status);
         if (bytes.length > 0) {
             response.getHeaders().put(HttpHeader.CONTENT_TYPE, contentType);
@@ -93,7 +117,7 @@
     /** Cuts the connection without an answer. */
     void cutOff() {
         if (ended.compareAndSet(false, true)) {
-            request.getConnectionMetaData().getConnection().getEndPoint().close();
+            endPoint().close();
             callback.failed(new EofException("cut off by a fault"));
         }
     }
--- a/src/main/java/io/beryldock/standin/HttpListener.java
+++ b/src/main/java/io/beryldock/standin/HttpListener.java
@@ -1,9 +1,17 @@
 package io.beryldock.standin;
 
 import com.google.common.flogger.FluentLogger;
+import io.beryldock.http.HangupEndPoint;
 import java.net.InetSocketAddress;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
@@ -36,18 +44,19 @@
 
     private final Server server;
     private final ServerConnector connector;
+    private final Set<EndPoint> silenced;
 
-    private HttpListener(Server server, ServerConnector connector) {
+    private HttpListener(Server server, ServerConnector connector, Set<EndPoint> silenced) {
         this.server = server;
         this.connector = connector;
+        this.silenced = silenced;
     }
 
     /** Listens on the address, port 0 for any free one. */
     static HttpListener start(StandinResources resources, InetSocketAddress address, ExchangeHandler handler)
             throws StandinException {
         Server server = new Server(resources.threads(), resources.scheduler(), resources.buffers());
-        ServerConnector connector = new ServerConnector(
-                server, resources.threads(), resources.scheduler(), resources.buffers(), 1, 1, http());
+        ServerConnector connector = new HangupConnector(server, resources);
         keepShared(server, resources);
         keepShared(connector, resources);
         connector.setHost(address.getAddress().getHostAddress());
@@ -55,7 +64,8 @@
         connector.setIdleTimeout(IDLE_MILLIS);
         connector.setAcceptQueueSize(BACKLOG);
         server.addConnector(connector);
-        server.setHandler(new Adapter(handler));
+        Set<EndPoint> silenced = ConcurrentHashMap.newKeySet();
+        server.setHandler(new Adapter(handler, silenced));
         server.setStopTimeout(0);
         try {
             server.start();
@@ -65,7 +75,7 @@
                     "can't listen on " + address + " (" + e.getMessage() + "): choose a free port and a local address",
                     e);
         }
-        return new HttpListener(server, connector);
+        return new HttpListener(server, connector, silenced);
     }
 
     /** Leaves what many listeners share running when one of them stops; Jetty would stop it with the first. */
@@ -88,6 +98,11 @@
         return new InetSocketAddress(connector.getHost(), connector.getLocalPort());
     }
 
+    /** From now on nothing gets through on the connections that are open now; new ones work. */
+    void silenceOpenConnections() {
+        silenced.addAll(connector.getConnectedEndPoints());
+    }
+
     @Override
     public void close() {
         LifeCycle.stop(server);
@@ -104,10 +119,12 @@
     private static final class Adapter extends Handler.Abstract {
 
         private final ExchangeHandler handler;
+        private final Set<EndPoint> silenced;
 
-        Adapter(ExchangeHandler handler) {
+        Adapter(ExchangeHandler handler, Set<EndPoint> silenced) {
             super(Invocable.InvocationType.NON_BLOCKING);
             this.handler = handler;
+            this.silenced = silenced;
         }
 
         @Override
@@ -131,7 +148,10 @@
         }
 
         private void serve(Request request, Response response, Callback callback, byte[] body) {
-            HttpExchange exchange = new HttpExchange(request, response, callback, body);
+            HttpExchange exchange = new HttpExchange(request, response, callback, body, silenced::contains);
+            if (exchange.isSilenced()) {
+                return;
+            }
             try {
                 handler.handle(exchange);
             } catch (RuntimeException e) {
@@ -140,4 +160,17 @@
             }
         }
     }
+
+    /** A connector that notices when the other end closes its connection in the midst of a request. */
+    private static final class HangupConnector extends ServerConnector {
+
+        HangupConnector(Server server, StandinResources resources) {
+            super(server, resources.threads(), resources.scheduler(), resources.buffers(), 1, 1, http());
+        }
+
+        @Override
+        protected SocketChannelEndPoint newEndPoint(SocketChannel channel, ManagedSelector selector, SelectionKey key) {
+            return new HangupEndPoint(channel, selector, key, getScheduler(), getExecutor());
+        }
+    }
 }
