--- a/src/main/java/io/beryldock/configuration/Configuration.java
+++ b/src/main/java/io/beryldock/configuration/Configuration.java
@@ -123,11 +123,28 @@
 
     /** The next version with one setting put or removed. */
     Configuration with(SettingEdit edit) {
+        return edited(List.of(edit));
+    }
+
+    /** The version of the last of the changes, which follow this version one by one. */
+    Configuration after(List<ChangeRecord> changes) {
+        Configuration next = edited(changes.stream().map(ChangeRecord::edit).toList());
+        if (!changes.isEmpty() && changes.get(changes.size() - 1).version() != next.version) {
+            throw new IllegalArgumentException("changes don't follow version " + version);
+        }
+        return next;
+    }
+
+    private Configuration edited(List<SettingEdit> edits) {
         TreeMap<SettingKey, Setting> map = new TreeMap<>(settings);
-        edit.setting().ifPresentOrElse(setting -> map.put(edit.key(), setting), () -> map.remove(edit.key()));
+        boolean routesTouched = false;
+        for (SettingEdit edit : edits) {
+            edit.setting().ifPresentOrElse(setting -> map.put(edit.key(), setting), () -> map.remove(edit.key()));
+            routesTouched |= edit.key().kind() == SettingKey.Kind.ROUTE;
+        }
         ImmutableSortedMap<SettingKey, Setting> next = ImmutableSortedMap.copyOfSorted(map);
-        RouteTable table = edit.key().kind() == SettingKey.Kind.ROUTE ? RouteTable.of(routesOf(next)) : routes;
-        return new Configuration(lineage, version + 1, next, table);
+        RouteTable table = routesTouched ? RouteTable.of(routesOf(next)) : routes;
+        return new Configuration(lineage, version + edits.size(), next, table);
     }
 
     /** The same settings under another lineage and version. */
--- a/src/main/java/io/beryldock/configuration/ConfigurationJson.java
+++ b/src/main/java/io/beryldock/configuration/ConfigurationJson.java
@@ -146,6 +146,6 @@
 
     private static OpaqueSetting opaque(JsonNode node) {
         byte[] content = Base64.getDecoder().decode(node.path("content").asText());
-        return new OpaqueSetting(node.path("name").asText(), ByteString.copyFrom(content));
+        return new OpaqueSetting(integer(node, "kind"), node.path("name").asText(), ByteString.copyFrom(content));
     }
 }
--- /dev/null
+++ b/src/main/java/io/beryldock/configuration/ConfigurationStore.java
@@ -0,0 +1,158 @@
+package io.beryldock.configuration;
+
+import com.google.common.collect.ImmutableList;
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.beryldock.platform.PlatformException;
+import io.beryldock.platform.PlatformStore;
+import io.beryldock.platform.StoredValue;
+import io.beryldock.wire.ConfigurationBlock;
+import io.beryldock.wire.ConfigurationPart;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * Reads the configuration from the platform store: the head, blocks of earlier changes and snapshots.
+ *
+ * <p>Immutable, thread safe. The futures fail only with a {@link PlatformException}.
+ */
+final class ConfigurationStore {
+
+    private final PlatformStore store;
+
+    private ConfigurationStore(PlatformStore store) {
+        this.store = store;
+    }
+
+    static ConfigurationStore of(PlatformStore store) {
+        return new ConfigurationStore(store);
+    }
+
+    CompletableFuture<Optional<StoredHead>> readHead() {
+        return store.get(StoreKeys.HEAD).thenCompose(ConfigurationStore::decodeHead);
+    }
+
+    static CompletableFuture<Optional<StoredHead>> decodeHead(Optional<StoredValue> stored) {
+        try {
+            return CompletableFuture.completedFuture(
+                    stored.isPresent() ? Optional.of(StoredHead.decode(stored.get())) : Optional.empty());
+        } catch (PlatformException e) {
+            return CompletableFuture.failedFuture(e);
+        }
+    }
+
+    /**
+     * The configuration at the head's version, by the shortest way from one that is known: its changes alone if they
+     * reach far enough, else the snapshot.
+     */
+    CompletableFuture<DocumentCodec.Whole> load(StoredHead head, Configuration known) {
+        boolean sameLine = known.lineage().equals(head.lineage()) && known.version() <= head.version();
+        if (sameLine && known.version() >= head.snapshot().version()) {
+            return follow(head, known);
+        }
+        return snapshot(head).thenCompose(start -> follow(head, start));
+    }
+
+    private CompletableFuture<DocumentCodec.Whole> follow(StoredHead head, Configuration start) {
+        return changes(head, start.version())
+                .thenApply(records -> new DocumentCodec.Whole(start.after(records), records));
+    }
+
+    /** All changes after the version up to the head's, oldest first; fails when the store no longer has them all. */
+    CompletableFuture<ImmutableList<ChangeRecord>> changes(StoredHead head, long after) {
+        if (after >= head.reach()) {
+            return CompletableFuture.completedFuture(head.after(after));
+        }
+        long first = StoreKeys.blockOf(after + 1);
+        long last = StoreKeys.blockOf(head.reach());
+        if (last - first >= StoreKeys.BLOCKS) {
+            return unreadable("changes after version " + after + " are no longer kept");
+        }
+        List<CompletableFuture<ImmutableList<ChangeRecord>>> blocks = new ArrayList<>();
+        for (long block = first; block <= last; block++) {
+            blocks.add(block(head.lineage(), block));
+        }
+        return all(blocks).thenCompose(lists -> joined(lists, head, after));
+    }
+
+    private static CompletableFuture<ImmutableList<ChangeRecord>> joined(
+            List<ImmutableList<ChangeRecord>> blocks, StoredHead head, long after) {
+        ImmutableList.Builder<ChangeRecord> all = ImmutableList.builder();
+        blocks.stream()
+                .flatMap(List::stream)
+                .filter(record -> record.version() > after && record.version() <= head.reach())
+                .forEach(all::add);
+        ImmutableList<ChangeRecord> joined = all.addAll(head.records()).build();
+        ImmutableList<ChangeRecord> following = ConfigurationKeeper.continuing(after, joined);
+        if (following.size() != head.version() - after) {
+            return unreadable("changes after version " + after + " were replaced while they were read");
+        }
+        return CompletableFuture.completedFuture(following);
+    }
+
+    private CompletableFuture<ImmutableList<ChangeRecord>> block(String lineage, long number) {
+        return store.get(StoreKeys.block(lineage, number)).thenCompose(stored -> decodeBlock(stored, number));
+    }
+
+    private static CompletableFuture<ImmutableList<ChangeRecord>> decodeBlock(
+            Optional<StoredValue> stored, long number) {
+        try {
+            if (stored.isPresent()) {
+                ConfigurationBlock block =
+                        ConfigurationBlock.parseFrom(stored.get().value());
+                if (block.getNumber() == number) {
+                    return CompletableFuture.completedFuture(RecordCodec.decode(block.getRecordsList()));
+                }
+            }
+            return unreadable("block " + number + " of changes is missing");
+        } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
+            return unreadable("block " + number + " of changes can't be read");
+        }
+    }
+
+    private CompletableFuture<Configuration> snapshot(StoredHead head) {
+        SnapshotRef ref = head.snapshot();
+        List<CompletableFuture<ConfigurationPart>> parts = new ArrayList<>();
+        for (int i = 0; i < ref.parts(); i++) {
+            String key = StoreKeys.part(head.lineage(), ref.slot(), i);
+            parts.add(store.get(key).thenCompose(stored -> decodePart(stored, ref)));
+        }
+        return all(parts).thenCompose(list -> decodeSnapshot(list, ref));
+    }
+
+    private static CompletableFuture<ConfigurationPart> decodePart(Optional<StoredValue> stored, SnapshotRef ref) {
+        try {
+            if (stored.isPresent()) {
+                ConfigurationPart part =
+                        ConfigurationPart.parseFrom(stored.get().value());
+                if (part.getVersion() == ref.version() && part.getHash() == ref.hash()) {
+                    return CompletableFuture.completedFuture(part);
+                }
+            }
+            return unreadable("the snapshot at version " + ref.version() + " was replaced while it was read");
+        } catch (InvalidProtocolBufferException e) {
+            return unreadable("the snapshot at version " + ref.version() + " can't be read");
+        }
+    }
+
+    private static CompletableFuture<Configuration> decodeSnapshot(List<ConfigurationPart> parts, SnapshotRef ref) {
+        try {
+            return CompletableFuture.completedFuture(DocumentCodec.join(parts).configuration());
+        } catch (IOException e) {
+            return unreadable("the snapshot at version " + ref.version() + " can't be read: " + e.getMessage());
+        }
+    }
+
+    private static <T> CompletableFuture<T> unreadable(String problem) {
+        return CompletableFuture.failedFuture(new PlatformException(problem + "; read the head again"));
+    }
+
+    /** Completes with all values in order; fails when one fails. */
+    static <T> CompletableFuture<ImmutableList<T>> all(List<CompletableFuture<T>> futures) {
+        return CompletableFuture.allOf(futures.toArray(CompletableFuture[]::new))
+                .thenApply(
+                        done -> futures.stream().map(CompletableFuture::join).collect(ImmutableList.toImmutableList()));
+    }
+}
--- a/src/main/java/io/beryldock/configuration/ConfigurationSync.java
+++ b/src/main/java/io/beryldock/configuration/ConfigurationSync.java
@@ -1,35 +1,68 @@
 package io.beryldock.configuration;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
 import io.beryldock.call.NodeId;
 import io.beryldock.membership.Directory;
 import io.beryldock.membership.NodeDescriptor;
 import io.beryldock.platform.PlatformStore;
-import io.beryldock.platform.StoredValue;
 import io.beryldock.time.TimerService;
+import io.beryldock.time.TimerService.Subscription;
 import io.beryldock.timeline.EventSink;
+import io.beryldock.wire.ConfigurationMessage;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.Optional;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
-/** Brings accepted configurations to this node and on to its peers. Called on the control thread only. */
+/**
+ * Brings accepted changes to this node and on to its peers.
+ *
+ * <p>Called on the control thread only. A few nodes of each data centre watch the store; every node pushes a change that
+ * is new to it to its neighbours and compares digests with them. The store may be away for long: what was accepted
+ * before goes on spreading from node to node, within and between data centres.
+ */
 public final class ConfigurationSync {
 
-    private static final Duration PERIOD = Duration.ofSeconds(1);
+    /** Time between two digests of a node to a neighbour, and of a watcher to another data centre. */
+    static final Duration DIGEST_PERIOD = Duration.ofSeconds(2);
+
+    private static final FluentLogger log = FluentLogger.forEnclosingClass();
+
+    /** Digests to a neighbour for each one to any node of another data centre, should all watchers fail. */
+    private static final int ELSEWHERE_EVERY = 30;
+
+    private static final long PAUSED_NANOS = DIGEST_PERIOD.multipliedBy(2).toNanos();
 
     private final NodeDescriptor self;
     private final ConfigurationKeeper keeper;
     private final Ports ports;
+    private final StoreWatch watch;
+    private final DigestExchange digests;
+    private final WholeExchange wholes;
+    private final InForceSurvey survey;
+    private final StartWait startWait;
+    private final List<Subscription> subscriptions = new ArrayList<>();
+    private PeerChoice choice = PeerChoice.none();
+    private long pushed;
+    private long lastTick;
 
     private ConfigurationSync(NodeDescriptor self, ConfigurationKeeper keeper, Ports ports) {
         this.self = self;
         this.keeper = keeper;
         this.ports = ports;
+        Messenger messenger = Messenger.of(ports.transport(), self.peerAddress());
+        watch = StoreWatch.create(keeper, ports);
+        wholes = WholeExchange.create(keeper, messenger, ports.timers().ticker());
+        digests = DigestExchange.create(keeper, messenger, ports.timers().ticker(), wholes::fetch);
+        survey = InForceSurvey.create(self, keeper, messenger, this::choice, ports.timers(), ports.random());
+        startWait = StartWait.create(keeper, watch, ports);
     }
 
     /**
@@ -37,6 +70,7 @@
      *
      * @param directory nodes believed alive, this one among them or not
      * @param seeds peer addresses to ask while the directory is empty
+     * @param timers runs its tasks on the control thread
      * @param control runs tasks on the control thread
      */
     public record Ports(
@@ -53,47 +87,112 @@
         return new ConfigurationSync(self, keeper, ports);
     }
 
-    /** Asks peers and the store for the highest version; completes when told, or after a bounded wait. */
+    /**
+     * Begins; completes when the store or enough peers have told the highest version and it is in force here, or after
+     * {@link StartWait#LONGEST}. The node should serve on its defaults only then.
+     */
     public CompletableFuture<StartReport> start() {
-        ports.timers().every(PERIOD, this::read);
-        return ports.store()
-                .get(ConfigurationWriter.HEAD_KEY)
-                .thenApplyAsync(this::started, ports.control())
-                .exceptionally(e -> new StartReport(keeper.current().version(), false));
+        lastTick = ports.timers().ticker().nanos();
+        subscriptions.add(keeper.onChange(this::spread));
+        refreshChoice();
+        long jitter = ports.random().nextLong(DIGEST_PERIOD.toNanos());
+        subscriptions.add(ports.timers().after(Duration.ofNanos(jitter), this::beginTicks));
+        return startWait.begin(firstPeers(), digests::sendDigest);
     }
 
-    private StartReport started(Optional<StoredValue> head) {
-        take(head);
-        return new StartReport(keeper.current().version(), true);
+    private void beginTicks() {
+        subscriptions.add(ports.timers().every(DIGEST_PERIOD, this::tick));
     }
 
-    private void read() {
-        ports.store()
-                .get(ConfigurationWriter.HEAD_KEY)
-                .thenAcceptAsync(this::take, ports.control())
-                .exceptionally(e -> null);
+    /** Ends all timers; a store call under way ends by itself. */
+    public void stop() {
+        watch.want(false);
+        subscriptions.forEach(Subscription::cancel);
+        subscriptions.clear();
     }
 
-    private void take(Optional<StoredValue> head) {
-        try {
-            if (head.isPresent()) {
-                keeper.take(Configuration.parse(head.get().value().toStringUtf8()));
-            }
-        } catch (ConfigurationException e) {
-            throw new IllegalStateException(e);
+    private ImmutableList<InetSocketAddress> firstPeers() {
+        ImmutableList<InetSocketAddress> neighbours =
+                choice.neighbours().stream().map(NodeDescriptor::peerAddress).collect(ImmutableList.toImmutableList());
+        return neighbours.isEmpty() ? ports.seeds().get() : neighbours;
+    }
+
+    private PeerChoice choice() {
+        return choice;
+    }
+
+    private void refreshChoice() {
+        Directory directory = ports.directory().get();
+        if (directory != choice.directory()) {
+            choice = PeerChoice.of(self, directory);
+        }
+        watch.want(choice.watcher());
+    }
+
+    private void tick() {
+        refreshChoice();
+        noteTick();
+        choice.neighbour(ports.random()).ifPresent(this::sendDigest);
+        choice.watcherElsewhere(ports.random()).ifPresent(this::sendDigest);
+        if (ports.random().nextInt(ELSEWHERE_EVERY) == 0) {
+            choice.anyElsewhere(self, ports.random()).ifPresent(this::sendDigest);
+        }
+        if (choice.neighbours().isEmpty()) {
+            ports.seeds().get().forEach(digests::sendDigest);
         }
+        wholes.tick();
+    }
+
+    /**
+     * Guards against a node that was paused, with its VM or process, and goes on with settings of long ago: it would
+     * show as calls that are routed by an old document until the next digest. The gap between two ticks gives it away,
+     * and all neighbours are asked at once.
+     */
+    private void noteTick() {
+        long now = ports.timers().ticker().nanos();
+        if (now - lastTick > PAUSED_NANOS) {
+            choice.neighbours().forEach(this::sendDigest);
+        }
+        lastTick = now;
+    }
+
+    private void sendDigest(NodeDescriptor peer) {
+        digests.sendDigest(peer.peerAddress());
+    }
+
+    private void spread(Configuration next) {
+        long after = pushed == 0 ? next.version() - 1 : pushed;
+        pushed = next.version();
+        digests.push(after, choice.neighbours());
     }
 
     /** Takes a message of another node. */
-    public void onMessage(NodeId sender, ByteString message) {}
+    public void onMessage(NodeId sender, ByteString bytes) {
+        try {
+            Messenger.Received received = Messenger.read(bytes);
+            dispatch(received.from(), received.message());
+        } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
+            log.atWarning().withCause(e).log("an unreadable configuration message from %s is dropped", sender);
+        }
+    }
 
-    /** Asks how far the version has spread, again and again until it is everywhere or the time is over. */
-    public CompletableFuture<InForceReport> awaitInForce(long version, Duration time) {
-        return CompletableFuture.completedFuture(new InForceReport(version, ImmutableList.of()));
+    private void dispatch(InetSocketAddress from, ConfigurationMessage message) {
+        switch (message.getBodyCase()) {
+            case DIGEST -> {
+                digests.onDigest(from, message.getDigest());
+                startWait.onDigest(from, message.getDigest().getVersion());
+            }
+            case PUSH -> digests.onPush(from, message.getPush());
+            case WHOLE_REQUEST -> wholes.onRequest(from, message.getWholeRequest());
+            case PART -> wholes.onPart(from, message.getPart());
+            case SURVEY -> survey.onSurvey(from, message.getSurvey());
+            case SURVEY_REPLY -> survey.onReply(message.getSurveyReply());
+            case BODY_NOT_SET -> log.atFine().log("a message of a later release is dropped");
+        }
     }
 
-    /** The node this runs at. */
-    NodeDescriptor self() {
-        return self;
+    /** Asks how far the version has spread, again and again until it is everywhere or the time is over. */
+    public CompletableFuture<InForceReport> awaitInForce(long version, Duration time) {
+        return survey.await(version, time);
     }
 }
--- a/src/main/java/io/beryldock/configuration/OpaqueSetting.java
+++ b/src/main/java/io/beryldock/configuration/OpaqueSetting.java
@@ -7,13 +7,14 @@
  *
  * <p>Immutable.
  *
+ * @param kind the number of the kind, as the later release knows it
  * @param name the name that the writer gave it
  */
-public record OpaqueSetting(String name, ByteString content) implements Setting {
+public record OpaqueSetting(int kind, String name, ByteString content) implements Setting {
 
     @Override
     public SettingKey key() {
-        return new SettingKey(SettingKey.Kind.OPAQUE, name, "");
+        return new SettingKey(SettingKey.Kind.OPAQUE, kind + ":" + name, "");
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/io/beryldock/configuration/StoreWatch.java
@@ -0,0 +1,134 @@
+package io.beryldock.configuration;
+
+import com.google.common.flogger.FluentLogger;
+import io.beryldock.platform.PlatformStore;
+import io.beryldock.platform.StoredValue;
+import io.beryldock.time.TimerService;
+import io.beryldock.timeline.EventKind;
+import io.beryldock.timeline.EventSink;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.random.RandomGenerator;
+
+/**
+ * Reads the head from the store and watches it while this node is one of its data centre's watchers.
+ *
+ * <p>On the control thread only. A watch waits for {@link #WAIT}; each counts as one call of the store. That is short,
+ * so that a watch whose connection has gone silent blinds a watcher for seconds only.
+ */
+final class StoreWatch {
+
+    static final Duration WAIT = Duration.ofSeconds(5);
+
+    private static final FluentLogger log = FluentLogger.forEnclosingClass();
+
+    private static final Duration FIRST_RETRY = Duration.ofMillis(500);
+    private static final Duration LAST_RETRY = Duration.ofSeconds(4);
+    private static final int MAX_DOUBLINGS = 3;
+
+    private final PlatformStore store;
+    private final ConfigurationStore reader;
+    private final ConfigurationKeeper keeper;
+    private final TimerService timers;
+    private final Executor control;
+    private final RandomGenerator random;
+    private final EventSink events;
+
+    private boolean wanted;
+    private boolean running;
+    private long storeVersion = PlatformStore.ABSENT;
+    private int failures;
+
+    private StoreWatch(PlatformStore store, ConfigurationKeeper keeper, ConfigurationSync.Ports ports) {
+        this.store = store;
+        this.reader = ConfigurationStore.of(store);
+        this.keeper = keeper;
+        this.timers = ports.timers();
+        this.control = ports.control();
+        this.random = ports.random();
+        this.events = ports.events();
+    }
+
+    static StoreWatch create(ConfigurationKeeper keeper, ConfigurationSync.Ports ports) {
+        return new StoreWatch(TimedStore.of(ports.store(), ports.timers()), keeper, ports);
+    }
+
+    /** Says whether this node is a watcher; a watch under way ends by itself. */
+    void want(boolean watching) {
+        wanted = watching;
+        if (wanted && !running) {
+            running = true;
+            watch();
+        }
+    }
+
+    /** Reads the head once; true when the store answered and what it has is in force here. */
+    CompletableFuture<Boolean> read() {
+        return store.get(StoreKeys.HEAD)
+                .thenComposeAsync(this::take, control)
+                .handleAsync((taken, failure) -> failure == null, control);
+    }
+
+    private void watch() {
+        if (!wanted) {
+            running = false;
+            return;
+        }
+        store.watch(StoreKeys.HEAD, storeVersion, WAIT)
+                .thenComposeAsync(this::take, control)
+                .whenCompleteAsync((taken, failure) -> watched(failure), control);
+    }
+
+    private void watched(Throwable failure) {
+        if (failure == null) {
+            noteBack();
+            watch();
+            return;
+        }
+        noteDown(failure);
+        timers.after(retryDelay(), this::watch);
+    }
+
+    private void noteDown(Throwable failure) {
+        if (failures++ == 0) {
+            events.record(EventKind.STORE_DOWN, "configuration", String.valueOf(failure.getMessage()));
+            log.atWarning().log(
+                    "the platform store can't be read; version %d stays in force: %s",
+                    keeper.current().version(), failure.getMessage());
+        }
+    }
+
+    private void noteBack() {
+        if (failures > 0) {
+            events.record(EventKind.STORE_BACK, "configuration", "after " + failures + " failed watches");
+            failures = 0;
+        }
+    }
+
+    private Duration retryDelay() {
+        long nanos = FIRST_RETRY.toNanos() << Math.min(failures - 1, MAX_DOUBLINGS);
+        long most = Math.min(nanos, LAST_RETRY.toNanos());
+        return Duration.ofNanos(most / 2 + random.nextLong(most / 2));
+    }
+
+    private CompletableFuture<Void> take(Optional<StoredValue> stored) {
+        return ConfigurationStore.decodeHead(stored)
+                .thenCompose(head -> head.map(this::take).orElseGet(() -> CompletableFuture.completedFuture(null)));
+    }
+
+    private CompletableFuture<Void> take(StoredHead head) {
+        Configuration current = keeper.current();
+        if (head.version() <= current.version()) {
+            storeVersion = head.storeVersion();
+            return CompletableFuture.completedFuture(null);
+        }
+        return reader.load(head, current).thenAcceptAsync(whole -> inForce(head, whole), control);
+    }
+
+    private void inForce(StoredHead head, DocumentCodec.Whole whole) {
+        keeper.take(whole.configuration(), whole.recent());
+        storeVersion = head.storeVersion();
+    }
+}
