--- a/src/main/java/io/beryldock/configuration/StartWait.java
+++ b/src/main/java/io/beryldock/configuration/StartWait.java
@@ -16,8 +16,8 @@
  *
  * <p>On the control thread only. Guards against a restarted node that serves on the defaults of its release: it would
  * show as drained targets that get work and changed priorities that are forgotten, for seconds after every start. The
- * store's answer ends the wait, or equal versions from {@link #PEERS_ENOUGH} peers; so a fleet that starts all at once
- * does not need the store for each node.
+ * store's answer ends the wait, or the answers of {@link #PEERS_ENOUGH} peers, so that a fleet that starts all at once
+ * does not need the store for each node; while the store is down, the answers of all peers there are.
  */
 final class StartWait {
 
@@ -37,7 +37,10 @@
     private final RandomGenerator random;
     private final CompletableFuture<StartReport> done = new CompletableFuture<>();
     private final Set<InetSocketAddress> answered = new HashSet<>();
+    private int asked;
+    private boolean storeFailed;
     private long highest;
+    private TimerService.Subscription changes = () -> {};
 
     private StartWait(ConfigurationKeeper keeper, StoreWatch watch, ConfigurationSync.Ports ports) {
         this.keeper = keeper;
@@ -51,11 +54,12 @@
     }
 
     CompletableFuture<StartReport> begin(ImmutableList<InetSocketAddress> peers, Consumer<InetSocketAddress> ask) {
+        asked = peers.size();
+        changes = keeper.onChange(next -> checkPeers());
         askPeers(peers, ask);
         long jitter = peers.isEmpty() ? 0 : random.nextLong(STORE_JITTER.toNanos());
         timers.after(Duration.ofNanos(jitter), this::askStore);
         timers.after(LONGEST, this::giveUp);
-        keeper.onChange(next -> checkPeers());
         return done;
     }
 
@@ -75,6 +79,8 @@
             if (read) {
                 finish(true);
             } else {
+                storeFailed = true;
+                checkPeers();
                 timers.after(ASK_AGAIN, this::askStore);
             }
         });
@@ -88,8 +94,9 @@
     }
 
     private void checkPeers() {
-        boolean enough = answered.size() >= PEERS_ENOUGH && highest > Configuration.DEFAULTS_VERSION;
-        if (enough && keeper.current().version() >= highest) {
+        int enough = storeFailed ? Math.max(1, Math.min(asked, PEERS_ENOUGH)) : PEERS_ENOUGH;
+        boolean told = answered.size() >= enough && highest > Configuration.DEFAULTS_VERSION;
+        if (told && keeper.current().version() >= highest) {
             finish(true);
         }
     }
@@ -104,6 +111,7 @@
     }
 
     private void finish(boolean confirmed) {
+        changes.cancel();
         done.complete(new StartReport(keeper.current().version(), confirmed));
     }
 }
--- a/src/main/java/io/beryldock/configuration/StoreWatch.java
+++ b/src/main/java/io/beryldock/configuration/StoreWatch.java
@@ -27,6 +27,8 @@
     private static final Duration FIRST_RETRY = Duration.ofMillis(500);
     private static final Duration LAST_RETRY = Duration.ofSeconds(4);
     private static final int MAX_DOUBLINGS = 3;
+    /** Watches without news after which the head is read whatever its version. */
+    private static final int FRESH_EVERY = 6;
 
     private final PlatformStore store;
     private final ConfigurationStore reader;
@@ -40,6 +42,8 @@
     private boolean running;
     private long storeVersion = PlatformStore.ABSENT;
     private int failures;
+    private int quietWatches;
+    private boolean lossNoted;
 
     private StoreWatch(PlatformStore store, ConfigurationKeeper keeper, ConfigurationSync.Ports ports) {
         this.store = store;
@@ -66,8 +70,9 @@
 
     /** Reads the head once; true when the store answered and what it has is in force here. */
     CompletableFuture<Boolean> read() {
+        long inForceBefore = keeper.current().version();
         return store.get(StoreKeys.HEAD)
-                .thenComposeAsync(this::take, control)
+                .thenComposeAsync(stored -> take(stored, inForceBefore), control)
                 .handleAsync((taken, failure) -> failure == null, control);
     }
 
@@ -76,11 +81,26 @@
             running = false;
             return;
         }
-        store.watch(StoreKeys.HEAD, storeVersion, WAIT)
-                .thenComposeAsync(this::take, control)
+        long inForceBefore = keeper.current().version();
+        store.watch(StoreKeys.HEAD, afterVersion(), WAIT)
+                .thenComposeAsync(stored -> take(stored, inForceBefore), control)
                 .whenCompleteAsync((taken, failure) -> watched(failure), control);
     }
 
+    /**
+     * The store's version to wait for a higher one of.
+     *
+     * <p>Guards against a store that was set back: its versions begin again below the one last seen, and a watcher would
+     * wait for good. So now and then it takes whatever is there.
+     */
+    private long afterVersion() {
+        quietWatches++;
+        if (quietWatches % FRESH_EVERY == 0) {
+            return PlatformStore.ABSENT;
+        }
+        return storeVersion;
+    }
+
     private void watched(Throwable failure) {
         if (failure == null) {
             noteBack();
@@ -113,13 +133,17 @@
         return Duration.ofNanos(most / 2 + random.nextLong(most / 2));
     }
 
-    private CompletableFuture<Void> take(Optional<StoredValue> stored) {
+    private CompletableFuture<Void> take(Optional<StoredValue> stored, long inForceBefore) {
         return ConfigurationStore.decodeHead(stored)
-                .thenCompose(head -> head.map(this::take).orElseGet(() -> CompletableFuture.completedFuture(null)));
+                .thenCompose(head -> head.map(found -> take(found, inForceBefore))
+                        .orElseGet(() -> CompletableFuture.completedFuture(null)));
     }
 
-    private CompletableFuture<Void> take(StoredHead head) {
+    private CompletableFuture<Void> take(StoredHead head, long inForceBefore) {
         Configuration current = keeper.current();
+        if (head.version() < inForceBefore) {
+            noteLoss(head, inForceBefore);
+        }
         if (head.version() <= current.version()) {
             storeVersion = head.storeVersion();
             return CompletableFuture.completedFuture(null);
@@ -127,8 +151,19 @@
         return reader.load(head, current).thenAcceptAsync(whole -> inForce(head, whole), control);
     }
 
+    private void noteLoss(StoredHead head, long inForceBefore) {
+        if (!lossNoted) {
+            lossNoted = true;
+            log.atSevere().log(
+                    "the platform store lost accepted changes: it holds version %d, this node %d;"
+                            + " give it back with restore configuration",
+                    head.version(), inForceBefore);
+        }
+    }
+
     private void inForce(StoredHead head, DocumentCodec.Whole whole) {
         keeper.take(whole.configuration(), whole.recent());
         storeVersion = head.storeVersion();
+        lossNoted = false;
     }
 }
