Gather operators' queries over nodes and data centres

Cause: an operator asks one node about its data centre or about all; 22,000 nodes can't be asked by one. Change: the node asked asks its data centre's nodes, 64 at once, and one node of each other data centre for its part; tables merge by key columns; whoever is silent is named. Drains go from node to node, without the platform store. An accepted change is watched until it is in force in every data centre, for 13 s at most.

--- a/src/main/java/io/beryldock/command/Cell.java
+++ b/src/main/java/io/beryldock/command/Cell.java
@@ -1,10 +1,11 @@
 package io.beryldock.command;
 
-import com.fasterxml.jackson.annotation.JsonCreator;
 import com.fasterxml.jackson.annotation.JsonValue;
+import com.fasterxml.jackson.databind.annotation.JsonDeserialize;
 import java.util.Objects;
 
 /** One value of a table. Every kind is immutable; in JSON it is the bare value. */
+@JsonDeserialize(using = CellDeserializer.class)
 public sealed interface Cell {
 
     /** The bare value: a {@link String}, {@link Long}, {@link Double} or null. */
@@ -48,7 +49,6 @@
     }
 
     /** The cell of a bare value; throws {@link IllegalArgumentException} for a value of another type. */
-    @JsonCreator
     static Cell of(Object value) {
         if (value == null) {
             return new Empty();
--- a/src/main/java/io/beryldock/command/ChangeReport.java
+++ b/src/main/java/io/beryldock/command/ChangeReport.java
@@ -4,7 +4,7 @@
 import com.google.common.collect.ImmutableSortedSet;
 import io.beryldock.call.DataCentre;
 
-/** What became of a change. Every kind is immutable. */
+/** What became of a change of the configuration. Every kind is immutable. */
 public sealed interface ChangeReport {
 
     /**
@@ -12,26 +12,41 @@
      *
      * @param changeId names the change in the history
      * @param version of the configuration that holds it
-     * @param inForce data centres where it was seen in force by the time of this report
-     * @param missing data centres where it was not, or not yet
+     * @param effects what changed, one sentence each
+     * @param inForce data centres where it was seen in force; the operator service fills it in
+     * @param missing data centres where it was not seen in force in time; the operator service fills it in
      */
     record Accepted(
             String changeId,
             long version,
+            ImmutableList<String> effects,
             ImmutableSortedSet<DataCentre> inForce,
-            ImmutableSortedSet<DataCentre> missing,
-            ImmutableList<String> effects)
-            implements ChangeReport {}
+            ImmutableSortedSet<DataCentre> missing)
+            implements ChangeReport {
 
-    /** Another operator changed the same setting since this one looked; nothing was written. */
+        public static Accepted of(String changeId, long version, ImmutableList<String> effects) {
+            return new Accepted(changeId, version, effects, ImmutableSortedSet.of(), ImmutableSortedSet.of());
+        }
+
+        Accepted withInForce(ImmutableSortedSet<DataCentre> seen, ImmutableSortedSet<DataCentre> notSeen) {
+            return new Accepted(changeId, version, effects, seen, notSeen);
+        }
+    }
+
+    /**
+     * Another operator changed the same setting first; nothing was written.
+     *
+     * @param setting that both changed, as a statement names it
+     * @param version of the configuration that holds the other's value
+     */
     record Conflict(String setting, String otherValue, String otherOperator, long version) implements ChangeReport {}
 
-    /** The store's answer was lost and could not be read back: it may be in force, now or later. */
+    /** The store's answer was lost and could not be read back: the change may be in force, now or later. */
     record Unknown(String changeId, String remedy) implements ChangeReport {}
 
-    /** It is not allowed; nothing was written. */
+    /** It is not allowed, or it can't be written now; nothing was written. */
     record Rejected(String message, String remedy) implements ChangeReport {}
 
-    /** A dry run: what would change, one sentence each; nothing was written. */
+    /** A dry run: what would change, one sentence each, against the configuration of that version. */
     record WouldChange(ImmutableList<String> effects, long version) implements ChangeReport {}
 }
--- a/src/main/java/io/beryldock/command/ColumnKind.java
+++ b/src/main/java/io/beryldock/command/ColumnKind.java
@@ -2,14 +2,13 @@
 
 /** What the cells of a column hold. */
 public enum ColumnKind {
-    /** Words; the key of a row when rows are summed. */
     TEXT,
-    /** A whole number of things, which may be summed over nodes. */
-    COUNT,
-    /** A number that can't be summed over nodes: a level, a version, a share. */
+    /** A whole number or one with a fraction. */
     NUMBER,
     /** A length of time in milliseconds. */
     MILLIS,
     /** A time of the hybrid logical clock, in its text form. */
-    TIME
+    TIME,
+    /** An admission level of {@link io.beryldock.call.ServiceLevel}. */
+    LEVEL
 }
--- a/src/main/java/io/beryldock/command/NodeInspector.java
+++ b/src/main/java/io/beryldock/command/NodeInspector.java
@@ -2,15 +2,17 @@
 
 import java.util.concurrent.CompletableFuture;
 
-/**
- * Shows what one node knows, as a port that the node's assembly implements.
- *
- * <p>Thread safe and never blocks; the future may complete on any thread. The columns of each topic are those of
- * {@link ShowColumns}. {@link ShowTopic#TIMELINE} is never asked: the node's event ring answers it.
- */
-@FunctionalInterface
+/** Shows what one node knows, as a port that the node's assembly implements. Thread safe and never blocks. */
 public interface NodeInspector {
 
-    /** This node's own part of the answer. */
+    /**
+     * This node's own part of the answer, with the columns of {@link ShowColumns}.
+     *
+     * <p>The future may complete on any thread. Two topics are never asked for, as {@link OperatorPorts} holds their
+     * sources: {@link ShowTopic#TIMELINE} and {@link ShowTopic#SHED}.
+     */
     CompletableFuture<QueryTable> inspect(ShowStatement statement);
+
+    /** Version of the configuration in force at this node, 0 before the first. */
+    long configurationVersion();
 }
--- a/src/main/java/io/beryldock/command/OperatorPorts.java
+++ b/src/main/java/io/beryldock/command/OperatorPorts.java
@@ -6,13 +6,18 @@
 import io.beryldock.peer.PeerTransport;
 import io.beryldock.time.TimerService;
 import io.beryldock.timeline.EventRing;
+import io.beryldock.timeline.RefusalCounter;
 import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
 
 /**
  * What a node lends to its operator service. Immutable.
  *
- * @param directory the latest picture of nodes and targets, this node among them
+ * @param directory the latest picture of nodes and targets
+ * @param target the target in this node's VM
  * @param events the event ring of this node, with its clock
+ * @param refusals counts of the requests that this node refused
+ * @param random picks the nodes that are asked for their data centre
  */
 public record OperatorPorts(
         NodeId self,
@@ -23,4 +28,6 @@
         ConfigurationChanger changer,
         LocalTarget target,
         EventRing events,
-        TimerService timer) {}
+        RefusalCounter refusals,
+        TimerService timer,
+        RandomGenerator random) {}
--- a/src/main/java/io/beryldock/command/OperatorResponse.java
+++ b/src/main/java/io/beryldock/command/OperatorResponse.java
@@ -13,6 +13,7 @@
  * @param statement the statement in its canonical form, or as it was sent when it did not parse
  * @param answered how many nodes are in the table, 0 for a change
  * @param silentNodes ids of the nodes that did not answer in time
+ * @param silentDataCentres data centres of which no node answered
  * @param change what became of a change
  * @param error why the statement was not carried out
  */
@@ -23,6 +24,7 @@
         QueryTable table,
         int answered,
         ImmutableList<String> silentNodes,
+        ImmutableList<String> silentDataCentres,
         ImmutableList<String> notes,
         Optional<ChangeDetail> change,
         Optional<ErrorDetail> error) {
@@ -43,8 +45,10 @@
         NOT_A_STATEMENT(2, 400),
         /** A change may or may not be in force. */
         UNKNOWN(3, 504),
-        /** Some nodes did not answer, or the node that a change is for can't be reached. */
+        /** Some nodes did not answer, or a change is not yet in force everywhere. */
         PARTIAL(4, 200),
+        /** The node that a command is for can't be reached; nothing was changed. */
+        UNREACHABLE(4, 503),
         /** The node failed to carry the statement out. */
         FAILED(1, 500);
 
--- a/src/main/java/io/beryldock/command/OperatorService.java
+++ b/src/main/java/io/beryldock/command/OperatorService.java
@@ -1,45 +1,125 @@
 package io.beryldock.command;
 
 import com.google.common.collect.ImmutableList;
-import java.util.Optional;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.flogger.FluentLogger;
+import io.beryldock.call.DataCentre;
+import io.beryldock.call.RequestId;
+import io.beryldock.membership.NodeDescriptor;
+import io.beryldock.peer.PeerTopic;
 import java.util.concurrent.CompletableFuture;
 
-/** Carries out operators' statements at the node that was asked. Thread safe, never blocks. */
+/**
+ * Carries out operators' statements at the node that was asked.
+ *
+ * <p>Thread safe, never blocks. Access is checked by whoever hands the statement in.
+ */
 public final class OperatorService {
 
+    private static final FluentLogger log = FluentLogger.forEnclosingClass();
+
     private final OperatorPorts ports;
+    private final LocalQuery local;
+    private final QueryGatherer gatherer;
+    private final TargetCommander commander;
+    private final InForceWatcher inForce;
 
     private OperatorService(OperatorPorts ports) {
         this.ports = ports;
+        this.local = LocalQuery.create(ports);
+        this.gatherer = QueryGatherer.create(ports, local);
+        this.commander = TargetCommander.create(ports);
+        this.inForce = InForceWatcher.create(gatherer, ports.timer());
     }
 
     /** Creates the service and registers it for the queries of other nodes; call before the transport starts. */
     public static OperatorService create(OperatorPorts ports) {
-        return new OperatorService(ports);
+        OperatorService service = new OperatorService(ports);
+        QueryPeerHandler handler = QueryPeerHandler.create(ports, service.local, service.gatherer, service.commander);
+        ports.transport().handle(PeerTopic.QUERY, handler);
+        return service;
     }
 
-    /** Carries out the statement; the future never fails. */
+    /**
+     * Carries out the statement; the future never fails.
+     *
+     * @param operator who asks, for the history of changes
+     */
     public CompletableFuture<OperatorResponse> handle(String operator, String text) {
         try {
             Statement statement = StatementParser.parse(text);
-            if (statement instanceof ShowStatement show) {
-                return ports.inspector().inspect(show).thenApply(table -> response(text, table));
-            }
+            return carryOut(operator, statement).exceptionally(error -> failed(statement, error));
         } catch (StatementException e) {
-            return CompletableFuture.completedFuture(response(e.getMessage(), QueryTable.empty()));
+            return CompletableFuture.completedFuture(ResponseFactory.notAStatement(text, e));
+        }
+    }
+
+    private CompletableFuture<OperatorResponse> carryOut(String operator, Statement statement) {
+        if (statement instanceof ShowStatement show) {
+            return show(show, show);
+        }
+        if (statement instanceof WatchStatement watch) {
+            return show(watch.show(), watch);
+        }
+        if (statement instanceof WhyStatement why) {
+            return gatherer.gather(Query.of(why), why.everywhere() ? gatherer.dataCentres() : homeOf(why.request()))
+                    .thenApply(result -> ResponseFactory.why(why, result));
+        }
+        if (statement instanceof ExplainStatement explain) {
+            return explain(operator, explain);
+        }
+        return change(operator, (ChangeStatement) statement);
+    }
+
+    private CompletableFuture<OperatorResponse> show(ShowStatement show, Statement asked) {
+        if (show.topic() == ShowTopic.CONFIGURATION) {
+            return showConfiguration(show, asked);
+        }
+        return gatherer.gather(Query.of(show), scope(show)).thenApply(result -> ResponseFactory.found(asked, result));
+    }
+
+    private CompletableFuture<OperatorResponse> showConfiguration(ShowStatement show, Statement asked) {
+        CompletableFuture<QueryResult> own = local.answer(Query.of(show), QueryGatherer.MAX_ROWS);
+        CompletableFuture<QueryResult> versions = gatherer.gather(Query.ofVersion(), scope(show));
+        return own.thenCombine(versions, (table, all) -> ResponseFactory.configuration(asked, table, all));
+    }
+
+    private ImmutableSet<DataCentre> scope(ShowStatement show) {
+        return show.everywhere() ? gatherer.dataCentres() : ImmutableSet.of();
+    }
+
+    /** The data centre of the node that took the request in, as long as that start of it is known. */
+    private ImmutableSet<DataCentre> homeOf(RequestId request) {
+        return ports.directory().get().nodes().values().stream()
+                .filter(node -> node.incarnation().equals(request.incarnation()))
+                .map(NodeDescriptor::dataCentre)
+                .collect(ImmutableSet.toImmutableSet());
+    }
+
+    private CompletableFuture<OperatorResponse> explain(String operator, ExplainStatement explain) {
+        if (explain.change() instanceof ChangeStatement.OfTarget target) {
+            ChangeReport report = new ChangeReport.WouldChange(ImmutableList.of(commander.explain(target)), 0);
+            return CompletableFuture.completedFuture(ResponseFactory.changed(explain, report));
+        }
+        ChangeStatement.OfConfiguration change = (ChangeStatement.OfConfiguration) explain.change();
+        return ports.changer()
+                .change(new ChangeRequest(change, operator, true))
+                .thenApply(report -> ResponseFactory.changed(explain, report));
+    }
+
+    private CompletableFuture<OperatorResponse> change(String operator, ChangeStatement change) {
+        if (change instanceof ChangeStatement.OfTarget target) {
+            return commander.command(target).thenApply(report -> ResponseFactory.commanded(target, report));
         }
-        return CompletableFuture.completedFuture(response(text, QueryTable.empty()));
+        ChangeRequest request = new ChangeRequest((ChangeStatement.OfConfiguration) change, operator, false);
+        return ports.changer()
+                .change(request)
+                .thenCompose(inForce::await)
+                .thenApply(report -> ResponseFactory.changed(change, report));
     }
 
-    private static OperatorResponse response(String text, QueryTable table) {
-        return new OperatorResponse(
-                OperatorResponse.Status.OK,
-                text,
-                table,
-                1,
-                ImmutableList.of(),
-                ImmutableList.of(),
-                Optional.empty(),
-                Optional.empty());
+    private static OperatorResponse failed(Statement statement, Throwable error) {
+        log.atSevere().withCause(error).log("the statement '%s' failed", statement.text());
+        return ResponseFactory.failed(statement, error);
     }
 }
--- a/src/main/java/io/beryldock/command/ShowColumns.java
+++ b/src/main/java/io/beryldock/command/ShowColumns.java
@@ -2,97 +2,108 @@
 
 import com.google.common.collect.ImmutableList;
 
-/** The columns of each topic, which every node uses so that their rows can be merged. */
+/**
+ * The columns of each topic, which every node uses so that their rows can be merged.
+ *
+ * <p>Rows of several nodes become one when all their key columns are equal; a topic with a node among its keys keeps
+ * one row a node.
+ */
 public final class ShowColumns {
 
+    /** Each node shows the target in its own VM. */
     public static final ImmutableList<Column> TARGETS = ImmutableList.of(
-            Column.text("target"),
+            Column.key("service"),
+            Column.key("target"),
             Column.text("dataCentre"),
-            Column.text("service"),
             Column.text("state"),
-            Column.number("slots"),
-            Column.number("limit"),
+            Column.highest("slots", ColumnKind.NUMBER),
+            Column.highest("limit", ColumnKind.NUMBER),
             Column.count("inFlight"),
-            Column.count("queued"),
-            Column.number("loadPercent"));
+            Column.count("queued"));
 
+    /** Each node shows itself. */
     public static final ImmutableList<Column> NODES = ImmutableList.of(
-            Column.text("node"),
+            Column.key("node"),
             Column.text("dataCentre"),
             Column.text("state"),
             Column.text("incarnation"),
-            Column.number("members"),
-            Column.millis("upMillis"));
+            Column.highest("members", ColumnKind.NUMBER),
+            Column.highest("upMillis", ColumnKind.MILLIS));
 
+    /** Each node shows the level it knows of each service. */
     public static final ImmutableList<Column> LEVELS = ImmutableList.of(
-            Column.text("node"),
-            Column.text("service"),
-            Column.number("level"),
-            Column.text("admits"),
-            Column.millis("ageMillis"));
+            Column.key("service"),
+            Column.lowest("lowest", ColumnKind.LEVEL),
+            Column.highest("highest", ColumnKind.LEVEL),
+            Column.count("nodes"),
+            Column.highest("oldestMillis", ColumnKind.MILLIS));
 
+    /** Each node shows the calls that it forwarded. */
     public static final ImmutableList<Column> RETRIES = ImmutableList.of(
-            Column.text("caller"),
-            Column.text("service"),
+            Column.key("caller"),
+            Column.key("service"),
             Column.count("firstTries"),
             Column.count("granted"),
-            Column.count("refused"),
-            Column.number("sharePercent"));
+            Column.count("refused"));
 
+    /** Each node shows the table of the tickets that it decides over. */
     public static final ImmutableList<Column> TICKETS = ImmutableList.of(
-            Column.text("node"),
+            Column.key("node"),
+            Column.text("state"),
+            Column.count("unused"),
             Column.count("inFlight"),
             Column.count("answered"),
             Column.count("unknown"),
-            Column.number("capacity"),
-            Column.text("state"));
+            Column.highest("capacity", ColumnKind.NUMBER));
 
+    /** Each node shows its own ends of connections. */
     public static final ImmutableList<Column> CONNECTIONS = ImmutableList.of(
-            Column.text("node"),
-            Column.text("kind"),
-            Column.text("other"),
+            Column.key("node"),
+            Column.key("kind"),
+            Column.key("other"),
             Column.text("state"),
+            Column.count("connections"),
             Column.count("waiting"),
-            Column.millis("idleMillis"));
+            Column.lowest("idleMillis", ColumnKind.MILLIS));
 
-    public static final ImmutableList<Column> CONFIGURATION = ImmutableList.of(
-            Column.text("node"), Column.text("dataCentre"), Column.number("version"), Column.millis("ageMillis"));
+    /** The node that was asked shows its settings; the others tell their version only. */
+    public static final ImmutableList<Column> CONFIGURATION =
+            ImmutableList.of(Column.key("setting"), Column.key("value"));
 
+    /** Every node shows the history that it knows. */
     public static final ImmutableList<Column> CHANGES = ImmutableList.of(
-            Column.number("version"),
-            Column.text("changeId"),
+            Column.keyNumber("version"),
+            Column.key("changeId"),
             Column.text("operator"),
             Column.text("when"),
             Column.text("change"));
 
+    /** Every node shows the fingerprints that it suspects or refuses. */
     public static final ImmutableList<Column> QUARANTINE = ImmutableList.of(
-            Column.text("fingerprint"),
-            Column.text("service"),
+            Column.key("fingerprint"),
+            Column.key("service"),
             Column.text("request"),
-            Column.number("crashes"),
+            Column.highest("crashes", ColumnKind.NUMBER),
             Column.text("state"),
-            Column.millis("leftMillis"));
+            Column.highest("leftMillis", ColumnKind.MILLIS));
 
+    /** Events, of the time line and of {@code why}. */
     public static final ImmutableList<Column> TIMELINE = ImmutableList.of(
-            Column.time("time"),
-            Column.text("dataCentre"),
-            Column.text("node"),
-            Column.text("kind"),
-            Column.text("subject"),
-            Column.text("request"),
-            Column.count("count"),
-            Column.text("detail"));
+            Column.keyTime("time"),
+            Column.key("dataCentre"),
+            Column.key("node"),
+            Column.key("kind"),
+            Column.key("subject"),
+            Column.key("request"),
+            Column.keyNumber("count"),
+            Column.key("detail"));
 
     private ShowColumns() {}
 
-    /** Columns of {@code show shed} with that grouping; the first is the group. */
+    /** Columns of {@code show shed}; the first is the group. */
     public static ImmutableList<Column> shed(ShedGrouping grouping) {
         return ImmutableList.of(
-                Column.text(grouping.word()),
-                Column.text("where"),
-                Column.text("reason"),
-                Column.count("shed"),
-                Column.count("asked"));
+                Column.key(grouping.word()), Column.key("reason"), Column.count("shed"), Column.text("meaning"));
     }
 
     public static ImmutableList<Column> of(ShowStatement statement) {
--- a/src/main/java/io/beryldock/timeline/EventRing.java
+++ b/src/main/java/io/beryldock/timeline/EventRing.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeSet;
 import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
 
@@ -47,6 +48,16 @@
             EventKind.TICKET_DISPATCHED,
             EventKind.KEY_BOUND);
 
+    /** Kinds that tell a state of their subject which later decisions may follow from. */
+    private static final ImmutableSet<EventKind> STATES = Sets.immutableEnumSet(
+            EventKind.LIMIT_CHANGED,
+            EventKind.LEVEL_CHANGED,
+            EventKind.TARGET_LEAVING,
+            EventKind.TARGET_LOST,
+            EventKind.TARGET_EJECTED,
+            EventKind.REQUEST_QUARANTINED,
+            EventKind.DRAIN_STARTED);
+
     private final NodeId node;
     private final DataCentre dataCentre;
     private final HybridLogicalClock clock;
@@ -107,6 +118,19 @@
                 .collect(ImmutableList.toImmutableList());
     }
 
+    /**
+     * What was decided over the request, and before each decision what this node had last recorded of the state of its
+     * subject: a level, limit, drain or ejection that may be the cause.
+     */
+    public synchronized ImmutableList<Event> explain(RequestId request) {
+        TreeSet<Event> explanation = new TreeSet<>(Event.CAUSAL_ORDER);
+        for (Event decision : find(request)) {
+            explanation.add(decision);
+            lastStateBefore(decision).ifPresent(explanation::add);
+        }
+        return ImmutableList.copyOf(explanation);
+    }
+
     public HybridLogicalClock clock() {
         return clock;
     }
@@ -115,6 +139,14 @@
         return node;
     }
 
+    private Optional<Event> lastStateBefore(Event decision) {
+        return events.stream()
+                .filter(event -> STATES.contains(event.kind()))
+                .filter(event -> event.subject().equals(decision.subject()))
+                .filter(event -> event.time().compareTo(decision.time()) < 0)
+                .max(Event.CAUSAL_ORDER);
+    }
+
     private void count(Event event) {
         WindowKey key = new WindowKey(event.kind(), event.subject());
         Window window = windows.get(key);
--- a/src/main/java/io/beryldock/timeline/HybridLogicalClock.java
+++ b/src/main/java/io/beryldock/timeline/HybridLogicalClock.java
@@ -42,6 +42,11 @@
         return last;
     }
 
+    /** The time that this machine's wall clock showed so long ago; does not move the clock. */
+    public HlcTime ago(Duration length) {
+        return HlcTime.ofMillis(wall.millis() - length.toMillis());
+    }
+
     /**
      * Takes note of a time that another node sent; false when it was too far ahead to be followed.
      *
