--- a/src/main/java/io/beryldock/command/LocalQuery.java
+++ b/src/main/java/io/beryldock/command/LocalQuery.java
@@ -22,7 +22,7 @@
     CompletableFuture<QueryResult> answer(Query query, int maxRows) {
         return table(query).thenApply(table -> {
             QueryTable kept = RowLimit.apply(query.topic(), table, maxRows);
-            long leftOut = table.rows().size() - kept.rows().size();
+            int leftOut = table.rows().size() - kept.rows().size();
             return QueryResult.ofNode(kept, version(), leftOut);
         });
     }
