Name the column of a syntax error and what may stand there; complete from the grammar

Cause: the parser's default recovery reports what it expects after leaving out a token, not all that may stand. Change: the parse ends at the first error; the expected tokens there become the message and the completion.

--- a/src/main/java/io/beryldock/command/ExpectedWords.java
+++ b/src/main/java/io/beryldock/command/ExpectedWords.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import io.beryldock.command.grammar.OperatorParser;
+import java.util.Comparator;
 import java.util.Locale;
 import org.antlr.v4.runtime.RuleContext;
 import org.antlr.v4.runtime.Token;
@@ -33,7 +34,7 @@
 
     private ExpectedWords() {}
 
-    /** Each thing that may stand there, keywords as they are written. */
+    /** Each thing that may stand there, keywords as they are written, the end of the statement last. */
     static ImmutableList<String> describe(IntervalSet tokens, RuleContext place) {
         if (tokens.contains(OperatorParser.WORD) || tokens.size() == 1) {
             String placeholder = placeholder(place);
@@ -41,7 +42,22 @@
                 return ImmutableList.of(placeholder);
             }
         }
-        return tokens.toList().stream().map(ExpectedWords::word).collect(ImmutableList.toImmutableList());
+        return tokens.toList().stream()
+                .sorted(Comparator.comparing(token -> token == Token.EOF))
+                .map(ExpectedWords::word)
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    /** The keywords among the tokens, sorted; none where any name may stand, as each keyword is a name too. */
+    static ImmutableList<String> keywords(IntervalSet tokens) {
+        if (tokens.contains(OperatorParser.WORD)) {
+            return ImmutableList.of();
+        }
+        return tokens.toList().stream()
+                .filter(token -> !BY_TOKEN.containsKey(token))
+                .map(ExpectedWords::word)
+                .sorted()
+                .collect(ImmutableList.toImmutableList());
     }
 
     private static String placeholder(RuleContext place) {
--- a/src/main/java/io/beryldock/command/StatementBuilder.java
+++ b/src/main/java/io/beryldock/command/StatementBuilder.java
@@ -14,6 +14,7 @@
 import io.beryldock.command.grammar.OperatorParser.ShedOptionContext;
 import io.beryldock.command.grammar.OperatorParser.ShowContext;
 import io.beryldock.command.grammar.OperatorParser.TimelineOptionContext;
+import io.beryldock.timeline.RefusalCounter;
 import java.time.Duration;
 import java.util.Locale;
 import java.util.Optional;
@@ -25,7 +26,7 @@
     private static final int MAX_PERCENT = 100;
     private static final int MAX_RETRIES = 100;
     private static final int MAX_SLOTS = 100_000;
-    private static final Duration MAX_LAST = Duration.ofHours(24);
+    private static final Duration MAX_TIMELINE = Duration.ofHours(24);
     private static final Duration MAX_DEADLINE = Duration.ofHours(1);
 
     private StatementBuilder() {}
@@ -68,7 +69,7 @@
             if (option.grouping() != null) {
                 grouping.set(option, ShedGrouping.valueOf(upper(option.grouping())));
             } else if (option.duration() != null) {
-                last.set(option, duration(option.duration(), MAX_LAST));
+                last.set(option, duration(option.duration(), RefusalCounter.SPAN));
             } else {
                 everywhere.set(option, true);
             }
@@ -82,7 +83,7 @@
         Once<Boolean> everywhere = new Once<>("everywhere");
         for (TimelineOptionContext option : tree.timelineOption()) {
             if (option.duration() != null) {
-                last.set(option, duration(option.duration(), MAX_LAST));
+                last.set(option, duration(option.duration(), MAX_TIMELINE));
             } else if (option.requestId() != null) {
                 request.set(option, requestId(option.requestId()));
             } else {
--- a/src/main/java/io/beryldock/command/SyntaxErrorCollector.java
+++ b/src/main/java/io/beryldock/command/SyntaxErrorCollector.java
@@ -2,17 +2,16 @@
 
 import com.google.common.collect.ImmutableList;
 import org.antlr.v4.runtime.BaseErrorListener;
-import org.antlr.v4.runtime.Parser;
 import org.antlr.v4.runtime.RecognitionException;
 import org.antlr.v4.runtime.Recognizer;
-import org.antlr.v4.runtime.RuleContext;
 import org.antlr.v4.runtime.Token;
 import org.antlr.v4.runtime.misc.IntervalSet;
 
-/** Keeps the first syntax error of a parse; the parser's own recovery makes the later ones unreliable. Not thread safe. */
+/** Keeps the syntax error at which a parse ended. Not thread safe. */
 final class SyntaxErrorCollector extends BaseErrorListener {
 
-    private StatementException first;
+    private StatementException error;
+    private ImmutableList<String> keywords = ImmutableList.of();
 
     @Override
     public void syntaxError(
@@ -22,30 +21,27 @@
             int charPositionInLine,
             String message,
             RecognitionException cause) {
-        if (first != null) {
-            return;
-        }
-        Parser parser = (Parser) recognizer;
         Token token = (Token) symbol;
-        IntervalSet tokens = cause == null ? parser.getExpectedTokens() : cause.getExpectedTokens();
-        RuleContext place = cause == null ? parser.getContext() : cause.getCtx();
-        ImmutableList<String> expected = ExpectedWords.describe(tokens, place);
+        IntervalSet tokens = cause.getExpectedTokens();
         boolean atEnd = token.getType() == Token.EOF;
         String found = atEnd ? "the statement ends too early" : "'" + token.getText() + "' can't stand here";
-        first = StatementException.at(token.getStartIndex() + 1, found, expected);
+        keywords = ExpectedWords.keywords(tokens);
+        error = StatementException.at(token.getStartIndex() + 1, found, ExpectedWords.describe(tokens, cause.getCtx()));
     }
 
-    boolean hasError() {
-        return first != null;
+    void throwIfAny() throws StatementException {
+        if (error != null) {
+            throw error;
+        }
     }
 
-    void throwFirst() throws StatementException {
-        if (first != null) {
-            throw first;
-        }
+    /** Column of the error, 0 when there is none. */
+    int column() {
+        return error == null ? 0 : error.column();
     }
 
-    ImmutableList<String> expected() {
-        return first == null ? ImmutableList.of() : first.expected();
+    /** Keywords that may stand at the error. */
+    ImmutableList<String> expectedKeywords() {
+        return keywords;
     }
 }
