Set the level from measured demand and capacity

Cause: levels that each gate sums up by itself drift apart, as the gates of a service share their entries; in the model of one service at 3x demand three gates stood at 783, 93 and 808 and ranks 0 and 3 were shed with rank 6. Change: the level is where the demand, estimated by rank from what arrives, meets the capacity, corrected by the queue.

--- a/src/main/java/io/beryldock/admission/DemandMap.java
+++ b/src/main/java/io/beryldock/admission/DemandMap.java
@@ -4,77 +4,73 @@
 import io.beryldock.call.ServiceLevel;
 
 /**
- * What is asked of a target by rank, shed or not, so that a share of all demand can be turned into a level.
+ * What is asked of a target by rank, shed or not, so that an amount of demand can be turned into a level.
  *
  * <p>Demand is not spread evenly over the scale of levels: whole ranks may be empty and one may hold most of it. Of a
- * rank that entries shed in part the callers with low hashes arrive; the highest hash seen tells how large that part is,
- * and since the hash is even the part stands for the whole. This needs no knowledge of when the entries learned which
- * level. Of a rank that is shed whole nothing arrives; its last known demand is kept. Guarded by the gate's lock.
+ * rank that entries shed in part only callers with low hashes arrive; as the hash is even, twice their mean hash tells
+ * how large that part is. This needs no knowledge of which entry has learned which level when. Of a rank that is shed
+ * whole nothing arrives; its last known demand is kept. Amounts are in requests a step. Guarded by the gate's lock.
  */
 final class DemandMap {
 
-    private static final double WEIGHT_UP = 0.2;
-    private static final double WEIGHT_DOWN = 0.05;
-    private static final double HIGHEST_DECAY = 0.9;
+    private static final double SLOW_WEIGHT = 0.05;
+    private static final double FAST_WEIGHT = 0.25;
+    private static final double CHANGE_DEVIATIONS = 4;
+    private static final double MIN_SHARE = 0.05;
     private static final double MIN_DEMAND = 1e-3;
 
-    private final double[] demand = new double[PriorityClass.RANKS];
-    private final double[] highest = new double[PriorityClass.RANKS];
+    private final double[] rates = new double[PriorityClass.RANKS];
+    private final double[] hashes = new double[PriorityClass.RANKS];
     private final int[] arrived = new int[PriorityClass.RANKS];
+    private final int[] hashSums = new int[PriorityClass.RANKS];
     private int total;
+    private double fast;
+    private double slow;
 
     void arrived(int rank, int callerHash) {
         arrived[rank]++;
         total++;
-        highest[rank] = Math.max(highest[rank], Math.floorMod(callerHash, ServiceLevel.STEPS) + 1.0);
-    }
-
-    /** Requests that arrived since the last step. */
-    int total() {
-        return total;
+        hashSums[rank] += Math.floorMod(callerHash, ServiceLevel.STEPS) + 1;
     }
 
     /** Ends a step, at whose end this level is in force. */
-    void step(double level) {
+    void step(int level) {
+        double weight = weight();
         for (int rank = 0; rank < PriorityClass.RANKS; rank++) {
-            if (arrived[rank] > 0 || share(level, rank) > 0) {
-                learn(rank);
+            if (arrived[rank] > 0 || level > rank * ServiceLevel.STEPS) {
+                rates[rank] += weight * (arrived[rank] - rates[rank]);
+                hashes[rank] += weight * (2.0 * hashSums[rank] / ServiceLevel.STEPS - hashes[rank]);
             }
             arrived[rank] = 0;
-            highest[rank] *= HIGHEST_DECAY;
+            hashSums[rank] = 0;
         }
         total = 0;
     }
 
-    private void learn(int rank) {
-        double seen = arrived[rank] == 0 ? 0 : arrived[rank] * ServiceLevel.STEPS / Math.max(1, highest[rank]);
-        double weight = seen > demand[rank] ? WEIGHT_UP : WEIGHT_DOWN;
-        demand[rank] += weight * (seen - demand[rank]);
-    }
-
-    /** Demand below the level, in requests a step. */
-    double below(double level) {
-        double below = 0;
-        for (int rank = 0; rank < PriorityClass.RANKS; rank++) {
-            below += share(level, rank) * (demand[rank] + MIN_DEMAND);
-        }
-        return below;
-    }
-
-    /** The level beneath which this much demand lies, in requests a step. */
-    double level(double below) {
-        double left = below;
+    /** The level beneath which this much demand lies. */
+    int level(double amount) {
+        double left = amount;
         for (int rank = 0; rank < PriorityClass.RANKS; rank++) {
-            double here = demand[rank] + MIN_DEMAND;
+            double here = demand(rank);
             if (left < here) {
-                return ServiceLevel.STEPS * (rank + left / here);
+                return (int) (ServiceLevel.STEPS * (rank + left / here));
             }
             left -= here;
         }
         return ServiceLevel.OPEN;
     }
 
-    private static double share(double level, int rank) {
-        return Math.max(0, Math.min(1, level / ServiceLevel.STEPS - rank));
+    /** Averages are slow while arrivals scatter as chance has it, and fast once they leave that range. */
+    private double weight() {
+        fast += FAST_WEIGHT * (total - fast);
+        double scatter = Math.sqrt(Math.max(fast, slow) * FAST_WEIGHT / 2) + FAST_WEIGHT / CHANGE_DEVIATIONS;
+        double weight = Math.abs(fast - slow) > CHANGE_DEVIATIONS * scatter ? FAST_WEIGHT : SLOW_WEIGHT;
+        slow += weight * (total - slow);
+        return weight;
+    }
+
+    private double demand(int rank) {
+        double share = rates[rank] == 0 ? 1 : hashes[rank] / rates[rank];
+        return MIN_DEMAND + rates[rank] / Math.max(MIN_SHARE, Math.min(1, share));
     }
 }
--- a/src/main/java/io/beryldock/admission/LevelController.java
+++ b/src/main/java/io/beryldock/admission/LevelController.java
@@ -3,12 +3,13 @@
 import io.beryldock.call.ServiceLevel;
 
 /**
- * Moves a target's admission level so that what arrives fits what the target can do.
+ * Sets a target's admission level so that what entries let through fits what the target can do.
  *
- * <p>Each step compares arrivals with capacity and the queue with its goal, and changes the admitted demand by a part of
- * the difference (the rule of the rate control protocol RCP, Dukkipati 2005). The part is the step over the delay after
- * which entries act on a level, so that the level does not fall again for what it has already corrected. The goal of the
- * queue is the noise of arrivals within that delay: with less the target idles, with more requests wait for nothing.
+ * <p>Each step puts the level where the demand below it equals the target's capacity, corrected by how far the queue is
+ * from its goal. The level follows from measured demand and capacity and keeps no sum of past errors: the targets of one
+ * service share their entries, so sums kept by each would drift apart, one at shed-nearly-all and one open, while
+ * together they fit the demand. The goal of the queue is the noise of arrivals within the delay after which entries act
+ * on a level: with less the target idles, with more requests wait for nothing.
  *
  * <p>Invariant: the level stays within {@link #FLOOR} and {@link ServiceLevel#OPEN}. Guarded by the gate's lock.
  */
@@ -21,24 +22,45 @@
     static final int FLOOR = 4;
 
     private static final int MAX_CATCH_UP_STEPS = 200;
-    private static final double RATE_GAIN = 1.0;
     private static final double QUEUE_GAIN = 0.5;
-    private static final double MAX_FALL = 0.5;
-    private static final double MAX_RISE = 0.25;
+    private static final double MAX_CORRECTION = 0.5;
 
     private final DemandMap demand = new DemandMap();
-    private double level = ServiceLevel.OPEN;
+    private int level = ServiceLevel.OPEN;
     private long steppedAt;
 
     LevelController(long now) {
         steppedAt = now;
     }
 
-    /** What the target can do and what waits for it. */
-    record Load(double capacityPerNano, double queued, double loopNanos) {
+    /**
+     * What the target can do and what waits for it.
+     *
+     * @param capacityPerNano requests that it completes in a nanosecond when all its slots are busy
+     * @param loopNanos delay after which entries act on a level
+     */
+    record Load(double capacityPerNano, int queued, double loopNanos) {
 
+        private static final double GOAL_DEVIATIONS = 2;
+        private static final double BOUND_DEVIATIONS = 3;
+
+        /** Queue length to aim at. */
         double goal() {
-            return Math.sqrt(capacityPerNano * loopNanos);
+            return GOAL_DEVIATIONS * arrivalsDeviation();
+        }
+
+        /** Time that a queue somewhat above its goal takes to run off. */
+        double boundNanos() {
+            return BOUND_DEVIATIONS * arrivalsDeviation() / capacityPerNano;
+        }
+
+        double perLoop() {
+            return capacityPerNano * loopNanos;
+        }
+
+        /** Standard deviation of the arrivals within one loop, as of a Poisson stream. */
+        private double arrivalsDeviation() {
+            return Math.sqrt(perLoop());
         }
     }
 
@@ -46,28 +68,28 @@
         demand.arrived(rank, callerHash);
     }
 
+    boolean due(long now) {
+        return now - steppedAt >= STEP_NANOS;
+    }
+
     /** Makes the steps that are due. */
     void advance(long now, Load load) {
         int steps = 0;
-        while (now - steppedAt >= STEP_NANOS) {
+        while (due(now)) {
             steppedAt = steps++ < MAX_CATCH_UP_STEPS ? steppedAt + STEP_NANOS : now;
             step(load);
         }
     }
 
     int level() {
-        return (int) level;
+        return level;
     }
 
     private void step(Load load) {
-        double gain = STEP_NANOS / load.loopNanos();
-        double perLoop = load.capacityPerNano() * load.loopNanos();
-        double room = 1 - demand.total() / (load.capacityPerNano() * STEP_NANOS);
-        double excess = (load.queued() - load.goal()) / perLoop;
-        double change = gain * (RATE_GAIN * room - QUEUE_GAIN * excess);
-        double factor = 1 + Math.max(-MAX_FALL, Math.min(MAX_RISE, change));
         demand.step(level);
-        double wanted = demand.level(demand.below(level) * factor);
-        level = Math.max(FLOOR, Math.min(ServiceLevel.OPEN, wanted));
+        double excess = (load.queued() - load.goal()) / load.perLoop();
+        double correction = Math.max(-MAX_CORRECTION, Math.min(MAX_CORRECTION, QUEUE_GAIN * excess));
+        double fits = load.capacityPerNano() * STEP_NANOS;
+        level = Math.max(FLOOR, demand.level(fits * (1 - correction)));
     }
 }
--- a/src/main/java/io/beryldock/admission/ServiceTimes.java
+++ b/src/main/java/io/beryldock/admission/ServiceTimes.java
@@ -3,16 +3,23 @@
 /**
  * Service times of one target: what a request may be expected to take.
  *
- * <p>All in nanoseconds, 0 when nothing is known. Guarded by the gate's lock.
+ * <p>The mean is smooth while the samples scatter as usual, and follows within a few samples when they have changed:
+ * a fast average that leaves the scatter of the slow one shows a change. All in nanoseconds, 0 when nothing is known.
+ * Guarded by the gate's lock.
  */
 final class ServiceTimes {
 
-    private static final double SHORT_WEIGHT = 1.0 / 16;
+    private static final double SLOW_WEIGHT = 1.0 / 64;
+    private static final double FAST_WEIGHT = 1.0 / 8;
     private static final double LONG_WEIGHT = 1.0 / 512;
+    private static final double CHANGE_DEVIATIONS = 5;
+    private static final double SCATTER_OF_FAST = Math.sqrt(FAST_WEIGHT / (2 - FAST_WEIGHT));
     private static final long MIN_HELD_NANOS = 10_000_000_000L;
     private static final long FRESH_NANOS = 1_000_000_000L;
 
     private double mean;
+    private double fast;
+    private double deviation;
     private double longMean;
     private double minNow;
     private double minBefore;
@@ -20,9 +27,20 @@
     private long lastAt;
 
     void add(long nanos, long now) {
-        mean = mean == 0 ? nanos : mean + SHORT_WEIGHT * (nanos - mean);
-        longMean = longMean == 0 ? nanos : longMean + LONG_WEIGHT * (nanos - longMean);
         lastAt = now;
+        if (mean == 0) {
+            mean = nanos;
+            fast = nanos;
+            longMean = nanos;
+            deviation = nanos / 2.0;
+            return;
+        }
+        fast += FAST_WEIGHT * (nanos - fast);
+        boolean changed = Math.abs(fast - mean) > CHANGE_DEVIATIONS * SCATTER_OF_FAST * deviation;
+        double weight = changed ? FAST_WEIGHT : SLOW_WEIGHT;
+        deviation += weight * (Math.abs(nanos - mean) - deviation);
+        mean = changed ? fast : mean + SLOW_WEIGHT * (nanos - mean);
+        longMean += LONG_WEIGHT * (nanos - longMean);
     }
 
     /** Takes the mean of a whole window into the shortest one; one sample alone would be far below the mean. */
--- a/src/main/java/io/beryldock/admission/StandingQueue.java
+++ b/src/main/java/io/beryldock/admission/StandingQueue.java
@@ -26,6 +26,6 @@
 
     /** How long a request may wait now. */
     long allowedWait(long now, long target, long interval) {
-        return stands(now, interval) ? Math.min(target, interval) : interval;
+        return stands(now, interval) ? target : Math.max(target, interval);
     }
 }
--- a/src/main/java/io/beryldock/admission/TargetGate.java
+++ b/src/main/java/io/beryldock/admission/TargetGate.java
@@ -11,6 +11,7 @@
 import io.beryldock.timeline.EventSink;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
@@ -30,6 +31,9 @@
  */
 public final class TargetGate {
 
+    private static final double STALL_GAPS = 4;
+    private static final double LOOP_BASE_NANOS = 60_000_000;
+    private static final double LOOP_PER_SERVICE_TIME = 2;
     private static final Duration QUEUE_TICK = Duration.ofMillis(5);
     private static final Duration HOLD_TICK = Duration.ofSeconds(1);
 
@@ -53,7 +57,7 @@
     private boolean queueTicking;
     private boolean holdTicking;
     private long order;
-    private long busySince;
+    private long progressAt;
 
     private TargetGate(
             GateSettings settings, TimerService timers, RandomGenerator random, EventSink events, ServiceName service) {
@@ -233,7 +237,7 @@
         queue.remove(entry);
         checkAdmission(entry, now);
         if (running.isEmpty()) {
-            busySince = now;
+            progressAt = now;
         }
         entry.admit(now);
         running.add(entry);
@@ -276,7 +280,7 @@
                 : completion;
         entry.end();
         running.remove(entry);
-        busySince = now;
+        progressAt = now;
         long took = entry.runNanos(now);
         if (counted == Completion.SUCCEEDED || counted == Completion.ABANDONED_DONE) {
             times.add(took, now);
@@ -287,23 +291,21 @@
     }
 
     private void advanceLevel(long now) {
-        levels.advance(now, load(now));
+        if (levels.due(now)) {
+            levels.advance(now, load(now));
+        }
     }
 
     private LevelController.Load load(long now) {
         double mean = Math.max(1, times.expected(now));
         double capacity = limit.at(now) / mean;
-        if (!running.isEmpty()) {
+        if (running.size() >= limit.at(now)) {
             // A target that hangs ends nothing, so no service time shows it; a gap of several ends does.
-            capacity = Math.min(capacity, STALL_GAPS / Math.max(1, now - busySince));
+            capacity = Math.min(capacity, STALL_GAPS / Math.max(1, now - progressAt));
         }
         return new LevelController.Load(capacity, queue.size(), LOOP_BASE_NANOS + LOOP_PER_SERVICE_TIME * mean);
     }
 
-    private static final double STALL_GAPS = 4;
-    private static final double LOOP_BASE_NANOS = 60_000_000;
-    private static final double LOOP_PER_SERVICE_TIME = 2;
-
     private void armQueueTick() {
         if (!queueTicking && !queue.isEmpty()) {
             queueTicking = true;
@@ -337,10 +339,9 @@
         }
     }
 
-    /** A queue of slow or few slots moves one place at a time; the target allows a few such moves. */
+    /** A queue before slow or few slots moves one place at a time; a wait of a few such moves is no standing queue. */
     private long targetNanos(long now) {
-        LevelController.Load load = load(now);
-        return Math.max(settings.queueTarget().toNanos(), (long) (3 * load.goal() / load.capacityPerNano()));
+        return Math.max(settings.queueTarget().toNanos(), (long) load(now).boundNanos());
     }
 
     private void armHoldTick() {
@@ -376,7 +377,7 @@
 
     private ImmutableList<Integer> queuedByRank() {
         Integer[] queued = new Integer[PriorityClass.RANKS];
-        java.util.Arrays.fill(queued, 0);
+        Arrays.fill(queued, 0);
         queue.forEach(entry -> queued[entry.request().rank()]++);
         return ImmutableList.copyOf(queued);
     }
--- a/src/test/java/io/beryldock/admission/ChainMeasurement.java
+++ b/src/test/java/io/beryldock/admission/ChainMeasurement.java
@@ -9,7 +9,12 @@
 public final class ChainMeasurement {
 
     private static final ImmutableList<Stage> CHAIN =
-            ImmutableList.of(new Stage(50, 10), new Stage(50, 10), new Stage(15, 20));
+            ImmutableList.of(new Stage(50, 10, 1), new Stage(50, 10, 1), new Stage(15, 20, 1));
+
+    private static final ImmutableList<Stage> WIDE =
+            ImmutableList.of(new Stage(200, 10, 1), new Stage(200, 10, 1), new Stage(15, 20, 1));
+    private static final ImmutableList<Stage> MANY =
+            ImmutableList.of(new Stage(200, 10, 1), new Stage(200, 10, 4), new Stage(15, 10, 1));
 
     private ChainMeasurement() {}
 
@@ -20,8 +25,10 @@
             for (int seed = 1; seed <= seeds; seed++) {
                 print("one 3x", door, one(seed, door, 15, 20, 3).run());
                 print("one 3x small", door, one(seed, door, 3, 50, 3).run());
-                print("chain 3x", door, chain(seed, door, 9).run());
-                print("chain 3x many doors", door, chain(seed, door, 200).run());
+                print("chain 3x", door, chain(seed, door, CHAIN, 9).run());
+                print("chain 3x many doors", door, chain(seed, door, CHAIN, 200).run());
+                print("wide 3x", door, chain(seed, door, WIDE, 9).run());
+                print("many calls 3x", door, chain(seed, door, MANY, 9).run());
                 print("chain slow spell", door, slowSpell(seed, door, 0.8).run(4, 7));
                 print("chain slow and surge", door, slowSpell(seed, door, 1.3).run(4, 7));
                 print("chain surge ends", door, surge(seed, door).run(4, 7));
@@ -30,11 +37,11 @@
     }
 
     private static ChainSimulation one(int seed, boolean door, int slots, double millis, double load) {
-        return simulate(seed, door, ImmutableList.of(new Stage(slots, millis)), 9, load, t -> 1, 10);
+        return simulate(seed, door, ImmutableList.of(new Stage(slots, millis, 1)), 9, load, t -> 1, 10);
     }
 
-    private static ChainSimulation chain(int seed, boolean door, int entries) {
-        return simulate(seed, door, CHAIN, entries, 3, t -> 1, 10);
+    private static ChainSimulation chain(int seed, boolean door, ImmutableList<Stage> stages, int entries) {
+        return simulate(seed, door, stages, entries, 3, t -> 1, 10);
     }
 
     private static ChainSimulation slowSpell(int seed, boolean door, double load) {
--- a/src/test/java/io/beryldock/admission/ChainSimulation.java
+++ b/src/test/java/io/beryldock/admission/ChainSimulation.java
@@ -62,16 +62,18 @@
         double capacity() {
             double bound = Double.MAX_VALUE;
             double held = 0;
+            int visits = stages.stream().mapToInt(Stage::calls).reduce(1, (a, b) -> a * b);
             for (Stage stage : stages.reverse()) {
-                held += stage.millis() + (held == 0 ? 0 : 2);
-                bound = Math.min(bound, instances * stage.slots() * 1e3 / held);
+                held = stage.millis() + (held == 0 ? 0 : stage.calls() * (held + 2));
+                visits /= stage.calls();
+                bound = Math.min(bound, instances * stage.slots() * 1e3 / held / visits);
             }
             return bound;
         }
     }
 
-    /** A service of the chain: the slots of each instance and the mean time that it works itself. */
-    record Stage(int slots, double millis) {}
+    /** A service of the chain: the slots of each instance and the mean time that it works itself, the calls that it makes. */
+    record Stage(int slots, double millis, int calls) {}
 
     /** What came out. */
     record Result(
@@ -104,7 +106,12 @@
     }
 
     private SimService service(int depth, SimService beneath, EventSink events) {
-        SimService service = new SimService("service-" + depth, timers, random, beneath);
+        SimService service = new SimService(
+                "service-" + depth,
+                timers,
+                random,
+                beneath,
+                setup.stages().get(depth).calls());
         boolean last = depth == setup.stages().size() - 1;
         int slots = setup.stages().get(depth).slots();
         GateSettings settings = setup.announced() ? setup.gate().withAnnouncedSlots(slots) : setup.gate();
@@ -151,7 +158,7 @@
         int dice = random.nextInt(10);
         int rank = dice == 0 ? 0 : dice < 3 ? 3 : 6;
         int hash = CallerHash.of("caller-" + random.nextInt(CALLERS), 0);
-        boolean counted = now() >= setup.from();
+        boolean counted = now() >= setup.from() && now() < setup.seconds() - 1;
         asked[rank] += counted ? 1 : 0;
         DoorShedder door = doors.get(random.nextInt(doors.size()));
         SimService root = chain.get(0);
@@ -182,7 +189,7 @@
     }
 
     private Result result(double before, double causeEnd) {
-        double counted = setup.seconds() - setup.from();
+        double counted = setup.seconds() - 1 - setup.from();
         long allAsked = asked[0] + asked[3] + asked[6];
         return new Result(
                 good / counted / setup.capacity(),
--- a/src/test/java/io/beryldock/admission/SimService.java
+++ b/src/test/java/io/beryldock/admission/SimService.java
@@ -22,9 +22,11 @@
     private final ManualTimerService timers;
     private final RandomGenerator random;
     private final SimService beneath;
+    private final int calls;
     private final RequestIds ids;
 
-    SimService(String name, ManualTimerService timers, RandomGenerator random, SimService beneath) {
+    SimService(String name, ManualTimerService timers, RandomGenerator random, SimService beneath, int calls) {
+        this.calls = calls;
         this.name = ServiceName.of(name);
         this.timers = timers;
         this.random = random;
@@ -138,18 +140,20 @@
             if (beneath == null) {
                 target.work(1, () -> end.accept(true));
             } else {
-                target.work(0.5, () -> callBeneath(trip, end));
+                target.work(0.5, () -> callBeneath(trip, calls, end));
             }
         }
 
-        private void callBeneath(Trip trip, Consumer<Boolean> end) {
+        private void callBeneath(Trip trip, int left, Consumer<Boolean> end) {
             if (trip.over) {
                 end.accept(false);
                 return;
             }
             beneath.call(trip, reply -> {
                 learned.observe(beneath.name, reply.levels());
-                if (reply.ok()) {
+                if (reply.ok() && left > 1) {
+                    callBeneath(trip, left - 1, end);
+                } else if (reply.ok()) {
                     target.work(0.5, () -> end.accept(true));
                 } else {
                     end.accept(false);
