Retry: settle each grant once, spare leaves, and gate retries by budget and account

Cause: a duplicated call message or answer could return or open an allowance twice, and an allowance handed to a service that makes no inner calls can only be lost. Change: a grant is settled once; ids of ended calls are remembered; the standard policy hands on all but one retry of two or more, and nothing to a leaf; RetryGate joins policy, budget and account.

--- a/src/main/java/io/beryldock/retry/RetryAccount.java
+++ b/src/main/java/io/beryldock/retry/RetryAccount.java
@@ -1,6 +1,7 @@
 package io.beryldock.retry;
 
 import io.beryldock.call.RequestId;
+import java.util.Optional;
 
 /**
  * The retry allowance of one call at the node that runs it.
@@ -38,8 +39,8 @@
     }
 
     /** Hands to an attempt of a child call as much as the policy says. */
-    public synchronized RetryGrant grant(GrantPolicy policy) {
-        return grant(policy.part(state.held()));
+    public synchronized RetryGrant grant(GrantPolicy policy, boolean leaf) {
+        return grant(policy.part(state.held(), leaf));
     }
 
     /**
@@ -63,6 +64,10 @@
         return state;
     }
 
+    Optional<RequestId> requestId() {
+        return Optional.of(call);
+    }
+
     RetryLedger ledger() {
         return ledger;
     }
--- a/src/main/java/io/beryldock/retry/RetryDecision.java
+++ b/src/main/java/io/beryldock/retry/RetryDecision.java
@@ -14,7 +14,11 @@
     STOP_NO_OTHER_TARGET,
     STOP_NO_TIME,
     /** It was in flight when a target crashed. */
-    STOP_SUSPECT;
+    STOP_SUSPECT,
+    /** The root request's retries are spent, or held elsewhere in the tree. */
+    STOP_ALLOWANCE_SPENT,
+    /** The pair of services has had its share of retries. */
+    STOP_BUDGET_SPENT;
 
     public boolean isRetry() {
         return this == RETRY_ELSEWHERE;
--- a/src/main/java/io/beryldock/retry/RetryLedger.java
+++ b/src/main/java/io/beryldock/retry/RetryLedger.java
@@ -1,5 +1,7 @@
 package io.beryldock.retry;
 
+import com.google.common.cache.Cache;
+import com.google.common.cache.CacheBuilder;
 import io.beryldock.call.RequestId;
 import io.beryldock.timeline.EventKind;
 import io.beryldock.timeline.EventSink;
@@ -20,7 +22,12 @@
  */
 public final class RetryLedger {
 
+    /** Ended calls whose ids are remembered, so that a late duplicate opens nothing. */
+    static final int REMEMBERED_CALLS = 4096;
+
     private final ConcurrentMap<RequestId, RetryAccount> accounts = new ConcurrentHashMap<>();
+    private final Cache<RequestId, Boolean> closed =
+            CacheBuilder.newBuilder().maximumSize(REMEMBERED_CALLS).build();
     private final AtomicLong violations = new AtomicLong();
     private final AtomicLong rejectedReturns = new AtomicLong();
     private final EventSink events;
@@ -47,10 +54,13 @@
     /**
      * Opens the account of a call.
      *
-     * <p>A second call with the same id, which only a duplicated message can bring, gets an account of its own with
-     * nothing in it, so that a duplicate never doubles the allowance.
+     * <p>Guards against a duplicated call message, which would double the allowance: the second account for an id that
+     * is open, or was closed not long ago, holds nothing and is found by nobody.
      */
     public RetryAccount open(RequestId call, int allowance) {
+        if (closed.getIfPresent(call) != null) {
+            return new RetryAccount(this, call, 0);
+        }
         RetryAccount account = new RetryAccount(this, call, Math.max(0, allowance));
         RetryAccount first = accounts.putIfAbsent(call, account);
         return first == null ? account : new RetryAccount(this, call, 0);
@@ -81,6 +91,7 @@
     }
 
     void drop(RequestId call, RetryAccount account) {
+        closed.put(call, true);
         accounts.remove(call, account);
     }
 
--- /dev/null
+++ b/src/test/java/io/beryldock/retry/RetryPolicyTest.java
@@ -0,0 +1,161 @@
+package io.beryldock.retry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.protobuf.ByteString;
+import io.beryldock.call.Answer;
+import io.beryldock.call.CallResult;
+import io.beryldock.call.Headers;
+import io.beryldock.call.Incarnation;
+import io.beryldock.call.Outcome;
+import io.beryldock.call.Reason;
+import io.beryldock.call.RequestIds;
+import io.beryldock.call.ServiceLevel;
+import io.beryldock.call.ServiceName;
+import io.beryldock.time.ManualTimerService;
+import io.beryldock.timeline.EventSink;
+import java.time.Duration;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+class RetryPolicyTest {
+
+    private static final long SECOND = 1_000_000_000L;
+
+    private final RetryPolicy policy = RetryPolicy.create();
+
+    private static RetryQuestion question(CallResult result, boolean idempotent) {
+        return new RetryQuestion(result, idempotent, 1, 0, 3, SECOND, SECOND / 10, false);
+    }
+
+    /**
+     * A librarian orders a course text, the target's connection breaks after the order was stored. Sending the order
+     * again would buy the book twice.
+     */
+    @Test
+    void whatMayHaveRunIsNotRepeatedUnlessIdempotent() {
+        for (Reason reason : Reason.values()) {
+            CallResult result = CallResult.unknown(reason, "");
+            assertThat(policy.decide(question(result, false))).isEqualTo(RetryDecision.STOP_MAY_HAVE_RUN);
+        }
+        CallResult lost = CallResult.unknown(Reason.CONNECTION_LOST, "");
+        assertThat(policy.decide(question(lost, true))).isEqualTo(RetryDecision.RETRY_ELSEWHERE);
+    }
+
+    @Test
+    void onlyRefusalsOfOneTargetAreTriedElsewhere() {
+        EnumSet<Reason> retried = EnumSet.noneOf(Reason.class);
+        for (Reason reason : Reason.values()) {
+            if (policy.decide(question(CallResult.notRun(reason, ""), false)).isRetry()) {
+                retried.add(reason);
+            }
+        }
+        assertThat(retried)
+                .containsExactlyInAnyOrder(
+                        Reason.SHED_AT_TARGET,
+                        Reason.QUEUED_TOO_LONG,
+                        Reason.TARGET_REFUSED,
+                        Reason.DRAINING,
+                        Reason.CONNECT_FAILED,
+                        Reason.CONNECTION_LOST,
+                        Reason.TIMED_OUT,
+                        Reason.INTERNAL);
+    }
+
+    @Test
+    void stopsForTimeTargetsFullServiceAndSuspects() {
+        CallResult shed = CallResult.notRun(Reason.SHED_AT_TARGET, "");
+        assertThat(policy.decide(new RetryQuestion(shed, true, 1, 1, 3, SECOND / 20, SECOND / 10, false)))
+                .isEqualTo(RetryDecision.STOP_NO_TIME);
+        assertThat(policy.decide(new RetryQuestion(shed, true, 1, 1, 0, SECOND, 0, false)))
+                .isEqualTo(RetryDecision.STOP_NO_OTHER_TARGET);
+        assertThat(policy.decide(new RetryQuestion(shed, true, 2, 2, 3, SECOND, 0, false)))
+                .isEqualTo(RetryDecision.STOP_SERVICE_FULL);
+        assertThat(policy.decide(new RetryQuestion(shed, true, 1, 1, 3, SECOND, 0, true)))
+                .isEqualTo(RetryDecision.STOP_SUSPECT);
+        CallResult answer = CallResult.answered(new Answer(503, Headers.empty(), ByteString.EMPTY));
+        assertThat(answer.outcome()).isEqualTo(Outcome.ANSWERED);
+        assertThat(policy.decide(question(answer, true))).isEqualTo(RetryDecision.STOP_ANSWERED);
+    }
+
+    @Test
+    void aRefusedRetryLeavesBudgetAndAccountAsTheyWere() {
+        ManualTimerService time = ManualTimerService.create();
+        RetryGate gate = RetryGate.create(policy, EventSink.none());
+        RetryLedger ledger = RetryLedger.create();
+        RequestIds ids = RequestIds.of(Incarnation.random(new Random(1)));
+        RetryBudget budget = RetryBudget.create(time.ticker(), RetryBudgetSettings.defaults());
+        RetryQuestion refused = question(CallResult.notRun(Reason.CONNECT_FAILED, ""), true);
+        RetryAccount empty = ledger.open(ids.next(), 0);
+        assertThat(gate.ask(refused, empty, budget)).isEqualTo(RetryDecision.STOP_ALLOWANCE_SPENT);
+        assertThat(budget.available()).isEqualTo(2);
+        RetryAccount account = ledger.open(ids.next(), 4);
+        assertThat(gate.ask(refused, account, budget)).isEqualTo(RetryDecision.RETRY_ELSEWHERE);
+        assertThat(gate.ask(refused, account, budget)).isEqualTo(RetryDecision.RETRY_ELSEWHERE);
+        assertThat(gate.ask(refused, account, budget)).isEqualTo(RetryDecision.STOP_BUDGET_SPENT);
+        assertThat(account.state().held()).isEqualTo(2);
+        RetryQuestion leaving = question(CallResult.notRun(Reason.DRAINING, ""), true);
+        assertThat(gate.ask(leaving, account, budget)).isEqualTo(RetryDecision.RETRY_ELSEWHERE);
+    }
+
+    /**
+     * Every call of a service fails for a minute and each caller tries again. With three tries a layer the failing
+     * service gets three times its load and can't come back. The budget keeps retries to a tenth of first tries.
+     */
+    @Test
+    void anOutageAddsATenthOfTheLoad() {
+        ManualTimerService time = ManualTimerService.create();
+        RetryBudget budget = RetryBudget.create(time.ticker(), RetryBudgetSettings.defaults());
+        int calls = 55 * 60;
+        int retries = 0;
+        for (int i = 0; i < calls; i++) {
+            time.advance(Duration.ofNanos(SECOND / 55));
+            budget.onFirstTry();
+            while (budget.tryRetry()) {
+                retries++;
+            }
+        }
+        assertThat(retries).isBetween(calls / 11, (int) (calls * 0.1 + 60 * 0.2 + 2));
+    }
+
+    @Test
+    void aBudgetNotUsedFadesAndKeepsItsFloor() {
+        ManualTimerService time = ManualTimerService.create();
+        RetryBudget budget = RetryBudget.create(time.ticker(), RetryBudgetSettings.defaults());
+        for (int i = 0; i < 1000; i++) {
+            budget.onFirstTry();
+        }
+        assertThat(budget.available()).isGreaterThan(100);
+        time.advance(Duration.ofMinutes(2));
+        assertThat(budget.available()).isEqualTo(2);
+    }
+
+    @Test
+    void waitsAreSpread() {
+        Backoff backoff = Backoff.create(new Random(3), Duration.ofMillis(10), Duration.ofMillis(100));
+        long longest = 0;
+        for (int i = 0; i < 1000; i++) {
+            assertThat(backoff.delayNanos(1)).isBetween(0L, 10_000_000L);
+            longest = Math.max(longest, backoff.delayNanos(40));
+            assertThat(backoff.retryAfterMillis(1000)).isBetween(500L, 1500L);
+        }
+        assertThat(longest).isBetween(95_000_000L, 100_000_000L);
+    }
+
+    @Test
+    void aServiceIsALeafUntilAnAnswerNamesAnotherBeneath() {
+        LeafTracker leaves = LeafTracker.create();
+        var holdings = ServiceName.of("holdings");
+        var stock = ServiceName.of("stock");
+        var own = new ServiceLevel(holdings, 1024);
+        assertThat(leaves.isLeaf(holdings)).isFalse();
+        for (int i = 0; i < LeafTracker.ANSWERS_NEEDED; i++) {
+            leaves.onAnswer(holdings, List.of(own));
+        }
+        assertThat(leaves.isLeaf(holdings)).isTrue();
+        leaves.onAnswer(holdings, List.of(own, new ServiceLevel(stock, 1024)));
+        assertThat(leaves.isLeaf(holdings)).isFalse();
+    }
+}
