Decide keyed requests at the home of their ticket, thin path

Cause: a non-idempotent request needs one place that decides over it. NOT_RUN closes a ticket for ever (new reason KEY_CLOSED), so that a copy still under way can't run after its caller was told. Callers' own keys are not bound yet and end UNKNOWN.

--- a/src/main/java/io/beryldock/call/Call.java
+++ b/src/main/java/io/beryldock/call/Call.java
@@ -40,4 +40,9 @@
     public Call attempt(RequestId attemptId, CallContext attemptContext) {
         return new Call(attemptId, caller, service, method, path, headers, body, idempotent, key, attemptContext);
     }
+
+    /** The same request under another key. */
+    public Call withKey(String other) {
+        return new Call(id, caller, service, method, path, headers, body, idempotent, Optional.of(other), context);
+    }
 }
--- a/src/main/java/io/beryldock/call/Reason.java
+++ b/src/main/java/io/beryldock/call/Reason.java
@@ -23,6 +23,8 @@
     CANCELLED(499, "the caller went away", "none is needed"),
     KEY_IN_USE(422, "the key belongs to another caller or another request", "use a new key for a new request"),
     KEY_STORE_DOWN(503, "the platform store can't bind the key now", "use a ticket: POST /beryldock/tickets"),
+    KEY_CLOSED(
+            409, "the key was refused before and is closed, so it will never run", "send it under a new key or ticket"),
     KEY_EXPIRED(410, "the key or ticket is older than the retention time", "take a new ticket for a new request"),
     TICKETS_FULL(503, "the node holds as many tickets as it may", "come back after Retry-After"),
     HOME_GONE(502, "the node that decides over the ticket is gone", "ask the service whether the request took effect"),
--- /dev/null
+++ b/src/main/java/io/beryldock/idempotency/KeyScope.java
@@ -0,0 +1,16 @@
+package io.beryldock.idempotency;
+
+import com.google.common.hash.Hashing;
+
+/** Whose request a caller's key stands for, as 128 bits over identity and fingerprint. Immutable. */
+public record KeyScope(long high, long low) {
+
+    static KeyScope of(CallerIdentity identity, RequestFingerprint fingerprint) {
+        Bits128 bits = Bits128.of(Hashing.sha256()
+                .newHasher()
+                .putBytes(identity.hash().toByteArray())
+                .putBytes(fingerprint.hash().toByteArray())
+                .hash());
+        return new KeyScope(bits.high(), bits.low());
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/idempotency/TicketEntry.java
@@ -0,0 +1,93 @@
+package io.beryldock.idempotency;
+
+import io.beryldock.call.CallResult;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * What a table holds of one ticket. Used on the control thread only.
+ *
+ * <p>Invariant: NEW is left once and never entered again, so a ticket is dispatched at most once.
+ */
+final class TicketEntry {
+
+    /** Estimate of the memory of an entry without its answer. */
+    static final long BASE_BYTES = 400;
+
+    private final long nonce;
+    private final List<Joiner> joiners = new ArrayList<>(1);
+    private TicketState state;
+    private Optional<TicketScope> scope;
+    private Optional<CallResult> result;
+    private long changedAt;
+
+    TicketEntry(long nonce, TicketState state, Optional<TicketScope> scope, Optional<CallResult> result, long now) {
+        this.nonce = nonce;
+        this.state = state;
+        this.scope = scope;
+        this.result = result;
+        this.changedAt = now;
+    }
+
+    static TicketEntry minted(long nonce, long now) {
+        return new TicketEntry(nonce, TicketState.NEW, Optional.empty(), Optional.empty(), now);
+    }
+
+    long nonce() {
+        return nonce;
+    }
+
+    TicketState state() {
+        return state;
+    }
+
+    Optional<TicketScope> scope() {
+        return scope;
+    }
+
+    Optional<CallResult> result() {
+        return result;
+    }
+
+    long changedAt() {
+        return changedAt;
+    }
+
+    List<Joiner> joiners() {
+        return joiners;
+    }
+
+    long bytes() {
+        return BASE_BYTES + result.map(TicketEntry::sizeOf).orElse(0L);
+    }
+
+    void dispatch(TicketScope presented, long now) {
+        if (state != TicketState.NEW) {
+            throw new IllegalStateException("a ticket in state " + state + " must not be dispatched");
+        }
+        state = TicketState.IN_FLIGHT;
+        scope = Optional.of(presented);
+        changedAt = now;
+    }
+
+    void end(TicketState ended, Optional<CallResult> kept, long now) {
+        if (ended == TicketState.NEW || state == TicketState.NEW) {
+            throw new IllegalStateException("a ticket must not go from " + state + " to " + ended);
+        }
+        state = ended;
+        result = kept;
+        changedAt = now;
+    }
+
+    static long sizeOf(CallResult result) {
+        long size = result.detail().length();
+        if (result.answer().isPresent()) {
+            size += result.answer().get().body().size();
+            size += result.answer().get().headers().list().stream()
+                    .mapToLong(header -> header.name().length() + header.value().length())
+                    .sum();
+        }
+        return size;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/idempotency/TicketHome.java
@@ -0,0 +1,29 @@
+package io.beryldock.idempotency;
+
+import io.beryldock.call.DataCentre;
+import io.beryldock.call.Incarnation;
+import io.beryldock.call.NodeId;
+import io.beryldock.membership.NodeDescriptor;
+import io.beryldock.wire.WireTicketHome;
+
+/** One start of a node that mints tickets; the only one that ever decides over them, or its one successor. Immutable. */
+public record TicketHome(DataCentre dataCentre, NodeId node, Incarnation incarnation) {
+
+    public static TicketHome of(NodeDescriptor descriptor) {
+        return new TicketHome(descriptor.dataCentre(), descriptor.id(), descriptor.incarnation());
+    }
+
+    static TicketHome fromWire(WireTicketHome wire) {
+        Incarnation incarnation = new Incarnation(wire.getIncarnationHigh(), wire.getIncarnationLow());
+        return new TicketHome(DataCentre.of(wire.getDataCentre()), NodeId.of(wire.getNode()), incarnation);
+    }
+
+    WireTicketHome toWire() {
+        return WireTicketHome.newBuilder()
+                .setDataCentre(dataCentre.value())
+                .setNode(node.value())
+                .setIncarnationHigh(incarnation.high())
+                .setIncarnationLow(incarnation.low())
+                .build();
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/idempotency/TicketRefusedException.java
@@ -0,0 +1,21 @@
+package io.beryldock.idempotency;
+
+import io.beryldock.call.CallResult;
+import io.beryldock.call.Reason;
+
+/** No ticket was minted; the result tells the caller why and what to do. */
+public final class TicketRefusedException extends Exception {
+
+    private static final long serialVersionUID = 1L;
+
+    private final transient CallResult result;
+
+    TicketRefusedException(Reason reason, String detail) {
+        super(reason.message() + ": " + reason.remedy());
+        this.result = CallResult.notRun(reason, detail);
+    }
+
+    public CallResult result() {
+        return result;
+    }
+}
--- /dev/null
+++ b/src/test/java/io/beryldock/idempotency/TicketTableTest.java
@@ -0,0 +1,128 @@
+package io.beryldock.idempotency;
+
+import static io.beryldock.idempotency.KeyedFixtures.ANN;
+import static io.beryldock.idempotency.KeyedFixtures.BOB;
+import static io.beryldock.idempotency.KeyedFixtures.ORDER;
+import static io.beryldock.idempotency.KeyedFixtures.OTHER_ORDER;
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.beryldock.call.CallResult;
+import io.beryldock.call.Outcome;
+import io.beryldock.call.Reason;
+import io.beryldock.time.ManualTimerService;
+import io.beryldock.timeline.EventSink;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+/** Tests of {@link TicketTable}. */
+final class TicketTableTest {
+
+    private static final TicketSettings SETTINGS =
+            new TicketSettings(3, 10_000, Duration.ofMinutes(1), Duration.ofMinutes(10), 2);
+
+    private final ManualTimerService timers = ManualTimerService.create();
+    private final TicketTable table = TicketTable.create(
+            KeyedFixtures.node("home", 1), SETTINGS, timers.ticker(), new Random(1), EventSink.none());
+    private final List<CallResult> told = new ArrayList<>();
+
+    @Test
+    void dispatchesOnceJoinsInFlightAndReplaysTheAnswer() throws TicketRefusedException {
+        TicketId ticket = table.mint();
+        assertThat(present(ticket)).isInstanceOf(TicketDecision.Dispatch.class);
+        assertThat(present(ticket)).isInstanceOf(TicketDecision.Joined.class);
+        CallResult answer = KeyedFixtures.answer("ordered");
+        table.settled(ticket, answer);
+        assertThat(told).containsExactly(answer, answer);
+        assertThat(present(ticket)).isEqualTo(new TicketDecision.Replay(answer));
+    }
+
+    /**
+     * A library's order times out, its caller sends it again and it is ordered twice. The first run's outcome was not
+     * known when the second submission came, and a home that dispatches then runs it twice.
+     */
+    @Test
+    void neverDispatchesAgainAfterUnknownAndTakesALateAnswer() throws TicketRefusedException {
+        TicketId ticket = table.mint();
+        present(ticket);
+        table.settled(ticket, CallResult.unknown(Reason.TIMED_OUT, ""));
+        assertThat(present(ticket)).isInstanceOf(TicketDecision.Settle.class);
+        CallResult late = KeyedFixtures.answer("late");
+        table.settled(ticket, late);
+        assertThat(present(ticket)).isEqualTo(new TicketDecision.Replay(late));
+    }
+
+    /**
+     * A caller is told that its order was not run and orders anew under another key. A copy of the first submission
+     * that was held up at another node arrives after that and runs as well, so the books come twice.
+     */
+    @Test
+    void closesATicketForWhichNotRunWasTold() throws TicketRefusedException {
+        TicketId ticket = table.mint();
+        present(ticket);
+        table.settled(ticket, CallResult.notRun(Reason.SHED_AT_DOOR, ""));
+        assertThat(outcome(present(ticket))).isEqualTo(Outcome.NOT_RUN);
+        table.settled(ticket, KeyedFixtures.answer("impossible"));
+        assertThat(outcome(present(ticket))).isEqualTo(Outcome.NOT_RUN);
+    }
+
+    /** A caller guesses or copies another's ticket and would read the other's answer. */
+    @Test
+    void givesAnAnswerToItsCallerAndRequestOnly() throws TicketRefusedException {
+        TicketId ticket = table.mint();
+        present(ticket);
+        table.settled(ticket, KeyedFixtures.answer("for ann"));
+        assertThat(reason(table.present(ticket, BOB, ORDER, told::add))).isEqualTo(Reason.KEY_IN_USE);
+        assertThat(reason(table.present(ticket, ANN, OTHER_ORDER, told::add))).isEqualTo(Reason.KEY_IN_USE);
+        TicketId guessed = new TicketId(ticket.home(), ticket.counter(), ticket.nonce() + 1);
+        assertThat(outcome(present(guessed))).isEqualTo(Outcome.NOT_RUN);
+    }
+
+    @Test
+    void refusesToMintRatherThanForgetEarly() throws TicketRefusedException {
+        TicketId first = table.mint();
+        present(first);
+        table.settled(first, KeyedFixtures.answer("kept"));
+        table.mint();
+        table.mint();
+        assertThatThrownBy(table::mint).isInstanceOf(TicketRefusedException.class);
+        timers.advance(SETTINGS.unusedLifetime());
+        table.mint();
+        assertThat(present(first)).isInstanceOf(TicketDecision.Replay.class);
+        timers.advance(SETTINGS.retention());
+        assertThat(outcome(present(first))).isEqualTo(Outcome.UNKNOWN);
+        assertThat(table.bytes()).isZero();
+    }
+
+    @Test
+    void keepsNoAnswerThatDoesNotFitAndSaysUnknown() throws TicketRefusedException {
+        TicketId ticket = table.mint();
+        present(ticket);
+        table.settled(ticket, KeyedFixtures.answer("x".repeat(20_000)));
+        assertThat(told).hasSize(1).allMatch(result -> result.outcome() == Outcome.ANSWERED);
+        assertThat(present(ticket)).isInstanceOf(TicketDecision.Settle.class);
+    }
+
+    @Test
+    void decidesNothingOnceFrozen() throws TicketRefusedException {
+        TicketId ticket = table.mint();
+        table.freeze();
+        assertThat(outcome(present(ticket))).isEqualTo(Outcome.UNKNOWN);
+        assertThatThrownBy(table::mint).isInstanceOf(TicketRefusedException.class);
+    }
+
+    private TicketDecision present(TicketId ticket) {
+        return table.present(ticket, ANN, ORDER, told::add);
+    }
+
+    private static Outcome outcome(TicketDecision decision) {
+        return ((TicketDecision.Refuse) decision).result().outcome();
+    }
+
+    private static Reason reason(TicketDecision decision) {
+        return ((TicketDecision.Refuse) decision).result().reason().orElseThrow();
+    }
+}
