Bind callers' keys in the platform store and hand tables over at a planned stop

Cause: a caller's own key has no home, and a stopping home forgot its tickets. Calls and results use the codec of the forwarding package.

--- a/src/main/java/io/beryldock/forwarding/CallCodec.java
+++ b/src/main/java/io/beryldock/forwarding/CallCodec.java
@@ -64,8 +64,12 @@
 
     /** Encodes the result of the call with that id; the id lets the other end refuse another call's result. */
     public static WireResult encode(RequestId call, CallResult result) {
+        return encode(result).toBuilder().setCall(encode(call)).build();
+    }
+
+    /** Encodes a result that is matched to its call by other means. */
+    public static WireResult encode(CallResult result) {
         WireResult.Builder wire = WireResult.newBuilder()
-                .setCall(encode(call))
                 .setOutcome(result.outcome().number())
                 .setReason(result.reason().map(Enum::name).orElse(""))
                 .setDetail(result.detail())
--- a/src/main/java/io/beryldock/idempotency/HomeGoneResolver.java
+++ b/src/main/java/io/beryldock/idempotency/HomeGoneResolver.java
@@ -4,6 +4,7 @@
 import io.beryldock.call.CallResult;
 import io.beryldock.call.Outcome;
 import io.beryldock.call.ServiceName;
+import io.beryldock.forwarding.CallCodec;
 import io.beryldock.membership.Directory;
 import io.beryldock.membership.NodeDescriptor;
 import io.beryldock.membership.TargetRecord;
@@ -90,7 +91,7 @@
 
     private static Optional<CallResult> read(WireTicketReply reply) {
         return reply.getAnswer().hasResult()
-                ? Optional.of(WireCalls.fromWire(reply.getAnswer().getResult()))
+                ? Optional.of(CallCodec.decode(reply.getAnswer().getResult()))
                 : Optional.empty();
     }
 }
--- a/src/main/java/io/beryldock/idempotency/KeyedRequestCoordinator.java
+++ b/src/main/java/io/beryldock/idempotency/KeyedRequestCoordinator.java
@@ -4,6 +4,7 @@
 import io.beryldock.call.CallResult;
 import io.beryldock.call.NodeId;
 import io.beryldock.call.Reason;
+import io.beryldock.forwarding.CallCodec;
 import io.beryldock.membership.NodeDescriptor;
 import io.beryldock.wire.WireTicketNotHome;
 import io.beryldock.wire.WireTicketPresent;
@@ -69,6 +70,10 @@
     }
 
     private CompletableFuture<CallResult> bindFirst(CallerKey key, KeyedRequest request) {
+        if (tickets.own().frozen()) {
+            CallResult stopping = CallResult.unknown(Reason.DRAINING, "send it to another node under the same key");
+            return CompletableFuture.completedFuture(stopping);
+        }
         Optional<TicketId> proposed = propose();
         KeyScope scope = KeyScope.of(request.scope().identity(), request.scope().fingerprint());
         return binder.bind(key, scope, proposed, request.timeLeft(now()))
@@ -169,14 +174,15 @@
     }
 
     private static Optional<CallResult> result(WireTicketReply reply) {
-        return reply.hasResult() ? Optional.of(WireCalls.fromWire(reply.getResult())) : Optional.empty();
+        return reply.hasResult() ? Optional.of(CallCodec.decode(reply.getResult())) : Optional.empty();
     }
 
     private CompletableFuture<WireTicketReply> askOnce(NodeDescriptor decider, TicketId ticket, KeyedRequest request) {
         long now = now();
         WireTicketPresent present = WireTicketPresent.newBuilder()
                 .setTicket(ticket.toString())
-                .setCall(WireCalls.toWire(request.callAt(now), request.scope().identity()))
+                .setCall(CallCodec.encode(request.callAt(now)).toBuilder()
+                        .setCallerIdentity(request.scope().identity().hash()))
                 .build();
         WireTicketRequest message =
                 WireTicketRequest.newBuilder().setPresent(present).build();
@@ -187,7 +193,7 @@
     CompletableFuture<WireTicketReply> presented(WireTicketPresent present) {
         TicketId ticket = TicketId.parse(present.getTicket());
         CallerIdentity identity = new CallerIdentity(present.getCall().getCallerIdentity());
-        KeyedRequest request = KeyedRequest.of(WireCalls.fromWire(present.getCall()), identity, now());
+        KeyedRequest request = KeyedRequest.of(CallCodec.decode(present.getCall()), identity, now());
         Optional<TicketTable> table = tickets.table(ticket.home());
         Optional<TicketHome> successor = tickets.successor(ticket.home());
         if (successor.isPresent()) {
@@ -198,7 +204,7 @@
         }
         return Deadlines.bound(ports.timers(), dispatch.present(table.get(), ticket, request), request.timeLeft(now()))
                 .thenApply(result -> WireTicketReply.newBuilder()
-                        .setResult(WireCalls.toWire(result))
+                        .setResult(CallCodec.encode(result))
                         .build());
     }
 
--- a/src/main/java/io/beryldock/idempotency/KeyedRequests.java
+++ b/src/main/java/io/beryldock/idempotency/KeyedRequests.java
@@ -9,11 +9,15 @@
  */
 public final class KeyedRequests {
 
+    /** Bytes of a part of a table that is handed over. */
+    private static final long PART_BYTES = 256 << 10;
+
     private final TicketRegistry tickets;
     private final AnswerMemory memory;
     private final RunGuard guard;
     private final KeyedRequestCoordinator coordinator;
     private final TicketMessageHandler handler;
+    private final TicketHandover handover;
 
     private KeyedRequests(IdempotencyPorts ports, TicketSettings settings, KeySettings keySettings) {
         tickets =
@@ -23,7 +27,10 @@
         KeyBinder binder = KeyBinder.create(ports, keySettings);
         HomeGoneResolver resolver = HomeGoneResolver.create(ports.self(), ports.directory(), ports.peers(), memory);
         coordinator = new KeyedRequestCoordinator(ports, tickets, binder, resolver);
-        handler = new TicketMessageHandler(coordinator, memory, ports.control());
+        handover = TicketHandover.create(ports, tickets, PART_BYTES);
+        TicketReceiver receiver = TicketReceiver.create(
+                TicketHome.of(ports.self()), tickets, ports.timers().ticker(), ports.events());
+        handler = new TicketMessageHandler(coordinator, binder, receiver, memory, ports.control());
     }
 
     public static KeyedRequests create(IdempotencyPorts ports, TicketSettings settings, KeySettings keySettings) {
@@ -45,6 +52,11 @@
         return handler;
     }
 
+    /** For a planned stop, on the control thread only. */
+    public TicketHandover handover() {
+        return handover;
+    }
+
     /** Minting and figures, on the control thread only. */
     public TicketRegistry tickets() {
         return tickets;
--- a/src/main/java/io/beryldock/idempotency/TicketMessageHandler.java
+++ b/src/main/java/io/beryldock/idempotency/TicketMessageHandler.java
@@ -3,9 +3,11 @@
 import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.beryldock.call.CallResult;
+import io.beryldock.forwarding.CallCodec;
 import io.beryldock.peer.PeerHandler;
 import io.beryldock.wire.WireAnswerQuery;
 import io.beryldock.wire.WireAnswerReply;
+import io.beryldock.wire.WireTicketHandoverReply;
 import io.beryldock.wire.WireTicketReply;
 import io.beryldock.wire.WireTicketRequest;
 import java.util.Optional;
@@ -23,11 +25,20 @@
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
 
     private final KeyedRequestCoordinator coordinator;
+    private final KeyBinder binder;
+    private final TicketReceiver receiver;
     private final AnswerMemory memory;
     private final Executor control;
 
-    TicketMessageHandler(KeyedRequestCoordinator coordinator, AnswerMemory memory, Executor control) {
+    TicketMessageHandler(
+            KeyedRequestCoordinator coordinator,
+            KeyBinder binder,
+            TicketReceiver receiver,
+            AnswerMemory memory,
+            Executor control) {
         this.coordinator = coordinator;
+        this.binder = binder;
+        this.receiver = receiver;
         this.memory = memory;
         this.control = control;
     }
@@ -58,13 +69,24 @@
             return switch (request.getKindCase()) {
                 case PRESENT -> coordinator.presented(request.getPresent());
                 case ANSWER_QUERY -> find(request.getAnswerQuery());
-                default -> CompletableFuture.completedFuture(WireTicketReply.getDefaultInstance());
+                case BIND ->
+                    binder.asked(request.getBind())
+                            .thenApply(bound ->
+                                    WireTicketReply.newBuilder().setBind(bound).build());
+                case OFFER -> handover(receiver.offered(request.getOffer()));
+                case PART -> handover(receiver.received(request.getPart()));
+                case KIND_NOT_SET -> CompletableFuture.completedFuture(WireTicketReply.getDefaultInstance());
             };
         } catch (IllegalArgumentException e) {
             return CompletableFuture.failedFuture(e);
         }
     }
 
+    private static CompletableFuture<WireTicketReply> handover(WireTicketHandoverReply reply) {
+        return CompletableFuture.completedFuture(
+                WireTicketReply.newBuilder().setHandover(reply).build());
+    }
+
     private CompletableFuture<WireTicketReply> find(WireAnswerQuery query) {
         TicketScope scope = new TicketScope(
                 new CallerIdentity(query.getIdentity()), new RequestFingerprint(query.getFingerprint()));
@@ -73,7 +95,7 @@
 
     private static WireTicketReply reply(Optional<CallResult> found) {
         WireAnswerReply.Builder answer = WireAnswerReply.newBuilder();
-        found.ifPresent(result -> answer.setResult(WireCalls.toWire(result)));
+        found.ifPresent(result -> answer.setResult(CallCodec.encode(result)));
         return WireTicketReply.newBuilder().setAnswer(answer).build();
     }
 }
--- a/src/main/java/io/beryldock/idempotency/TicketTable.java
+++ b/src/main/java/io/beryldock/idempotency/TicketTable.java
@@ -96,11 +96,6 @@
         }
     }
 
-    /** No new tickets from now on; those there are still decided. */
-    void stopMinting() {
-        mints = false;
-    }
-
     /**
      * Decides over a keyed request.
      *
@@ -225,7 +220,6 @@
     TicketTransfer freeze() {
         expire();
         frozen = true;
-        mints = false;
         return TicketTransfer.of(home, lastCounter, entries);
     }
 
--- a/src/main/java/io/beryldock/wire/Tickets.java
+++ b/src/main/java/io/beryldock/wire/Tickets.java
@@ -76,11 +76,6 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_beryldock_idempotency_WireTicketHandoverReply_fieldAccessorTable;
-  static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_beryldock_idempotency_WireTicketLate_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_beryldock_idempotency_WireTicketLate_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_beryldock_idempotency_WireBindRequest_descriptor;
   static final 
@@ -116,7 +111,7 @@
   static {
     java.lang.String[] descriptorData = {
       "\n\rtickets.proto\022\025beryldock.idempotency\032\n" +
-      "call.proto\"\367\002\n\021WireTicketRequest\022;\n\007pres" +
+      "call.proto\"\300\002\n\021WireTicketRequest\022;\n\007pres" +
       "ent\030\001 \001(\0132(.beryldock.idempotency.WireTi" +
       "cketPresentH\000\0227\n\005offer\030\002 \001(\0132&.beryldock" +
       ".idempotency.WireTicketOfferH\000\0225\n\004part\030\003" +
@@ -124,52 +119,52 @@
       "artH\000\0226\n\004bind\030\004 \001(\0132&.beryldock.idempote" +
       "ncy.WireBindRequestH\000\022>\n\014answer_query\030\005 " +
       "\001(\0132&.beryldock.idempotency.WireAnswerQu" +
-      "eryH\000\0225\n\004late\030\006 \001(\0132%.beryldock.idempote" +
-      "ncy.WireTicketLateH\000B\006\n\004kind\"\370\002\n\017WireTic" +
-      "ketReply\022,\n\006result\030\001 \001(\0132\032.beryldock.cal" +
-      "l.WireResultH\000\022<\n\010not_home\030\002 \001(\0132(.beryl" +
-      "dock.idempotency.WireTicketNotHomeH\000\022=\n\010" +
-      "referral\030\003 \001(\0132).beryldock.idempotency.W" +
-      "ireTicketReferralH\000\022B\n\010handover\030\004 \001(\0132.." +
-      "beryldock.idempotency.WireTicketHandover" +
-      "ReplyH\000\0224\n\004bind\030\005 \001(\0132$.beryldock.idempo" +
-      "tency.WireBindReplyH\000\0228\n\006answer\030\006 \001(\0132&." +
-      "beryldock.idempotency.WireAnswerReplyH\000B" +
-      "\006\n\004kind\"f\n\016WireTicketHome\022\023\n\013data_centre" +
-      "\030\001 \001(\t\022\014\n\004node\030\002 \001(\t\022\030\n\020incarnation_high" +
-      "\030\003 \001(\006\022\027\n\017incarnation_low\030\004 \001(\006\"K\n\021WireT" +
-      "icketPresent\022\016\n\006ticket\030\001 \001(\t\022&\n\004call\030\002 \001" +
-      "(\0132\030.beryldock.call.WireCall\"\023\n\021WireTick" +
-      "etNotHome\"\'\n\022WireTicketReferral\022\021\n\tsucce" +
-      "ssor\030\001 \001(\t\"\274\001\n\017WireTicketOffer\0225\n\006origin" +
-      "\030\001 \001(\0132%.beryldock.idempotency.WireTicke" +
-      "tHome\022\026\n\016successor_high\030\002 \001(\006\022\025\n\rsuccess" +
-      "or_low\030\003 \001(\006\022\r\n\005parts\030\004 \001(\r\022\017\n\007entries\030\005" +
-      " \001(\r\022\r\n\005bytes\030\006 \001(\004\022\024\n\014last_counter\030\007 \001(" +
-      "\004\"\277\001\n\016WireTicketPart\0225\n\006origin\030\001 \001(\0132%.b" +
-      "eryldock.idempotency.WireTicketHome\022\026\n\016s" +
-      "uccessor_high\030\002 \001(\006\022\025\n\rsuccessor_low\030\003 \001" +
-      "(\006\022\016\n\006number\030\004 \001(\r\0227\n\007entries\030\005 \003(\0132&.be" +
-      "ryldock.idempotency.WireTicketEntry\"\246\001\n\017" +
-      "WireTicketEntry\022\017\n\007counter\030\001 \001(\004\022\r\n\005nonc" +
-      "e\030\002 \001(\006\022\r\n\005state\030\003 \001(\r\022\020\n\010identity\030\004 \001(\014" +
-      "\022\023\n\013fingerprint\030\005 \001(\014\022*\n\006result\030\006 \001(\0132\032." +
-      "beryldock.call.WireResult\022\021\n\tage_nanos\030\007" +
-      " \001(\003\"+\n\027WireTicketHandoverReply\022\020\n\010accep" +
-      "ted\030\001 \001(\010\"L\n\016WireTicketLate\022\016\n\006ticket\030\001 " +
-      "\001(\t\022*\n\006result\030\002 \001(\0132\032.beryldock.call.Wir" +
-      "eResult\"k\n\017WireBindRequest\022\020\n\010key_high\030\001" +
-      " \001(\006\022\017\n\007key_low\030\002 \001(\006\022\022\n\nscope_high\030\004 \001(" +
-      "\006\022\021\n\tscope_low\030\005 \001(\006\022\016\n\006ticket\030\003 \001(\t\"=\n\r" +
-      "WireBindReply\022\014\n\004kind\030\001 \001(\r\022\016\n\006ticket\030\002 " +
-      "\001(\t\022\016\n\006detail\030\003 \001(\t\"H\n\017WireAnswerQuery\022\016" +
-      "\n\006ticket\030\001 \001(\t\022\020\n\010identity\030\002 \001(\014\022\023\n\013fing" +
-      "erprint\030\003 \001(\014\"=\n\017WireAnswerReply\022*\n\006resu" +
-      "lt\030\001 \001(\0132\032.beryldock.call.WireResult\"z\n\017" +
-      "WireKeyDocument\022\022\n\ngeneration\030\001 \001(\004\022\016\n\006s" +
-      "ealed\030\002 \001(\010\0224\n\005homes\030\003 \003(\0132%.beryldock.i" +
-      "dempotency.WireTicketHome\022\r\n\005words\030\004 \003(\006" +
-      "B\025\n\021io.beryldock.wireP\001b\006proto3"
+      "eryH\000B\006\n\004kind\"\370\002\n\017WireTicketReply\022,\n\006res" +
+      "ult\030\001 \001(\0132\032.beryldock.call.WireResultH\000\022" +
+      "<\n\010not_home\030\002 \001(\0132(.beryldock.idempotenc" +
+      "y.WireTicketNotHomeH\000\022=\n\010referral\030\003 \001(\0132" +
+      ").beryldock.idempotency.WireTicketReferr" +
+      "alH\000\022B\n\010handover\030\004 \001(\0132..beryldock.idemp" +
+      "otency.WireTicketHandoverReplyH\000\0224\n\004bind" +
+      "\030\005 \001(\0132$.beryldock.idempotency.WireBindR" +
+      "eplyH\000\0228\n\006answer\030\006 \001(\0132&.beryldock.idemp" +
+      "otency.WireAnswerReplyH\000B\006\n\004kind\"f\n\016Wire" +
+      "TicketHome\022\023\n\013data_centre\030\001 \001(\t\022\014\n\004node\030" +
+      "\002 \001(\t\022\030\n\020incarnation_high\030\003 \001(\006\022\027\n\017incar" +
+      "nation_low\030\004 \001(\006\"K\n\021WireTicketPresent\022\016\n" +
+      "\006ticket\030\001 \001(\t\022&\n\004call\030\002 \001(\0132\030.beryldock." +
+      "call.WireCall\"\023\n\021WireTicketNotHome\"\'\n\022Wi" +
+      "reTicketReferral\022\021\n\tsuccessor\030\001 \001(\t\"\274\001\n\017" +
+      "WireTicketOffer\0225\n\006origin\030\001 \001(\0132%.beryld" +
+      "ock.idempotency.WireTicketHome\022\026\n\016succes" +
+      "sor_high\030\002 \001(\006\022\025\n\rsuccessor_low\030\003 \001(\006\022\r\n" +
+      "\005parts\030\004 \001(\r\022\017\n\007entries\030\005 \001(\r\022\r\n\005bytes\030\006" +
+      " \001(\004\022\024\n\014last_counter\030\007 \001(\004\"\277\001\n\016WireTicke" +
+      "tPart\0225\n\006origin\030\001 \001(\0132%.beryldock.idempo" +
+      "tency.WireTicketHome\022\026\n\016successor_high\030\002" +
+      " \001(\006\022\025\n\rsuccessor_low\030\003 \001(\006\022\016\n\006number\030\004 " +
+      "\001(\r\0227\n\007entries\030\005 \003(\0132&.beryldock.idempot" +
+      "ency.WireTicketEntry\"\246\001\n\017WireTicketEntry" +
+      "\022\017\n\007counter\030\001 \001(\004\022\r\n\005nonce\030\002 \001(\006\022\r\n\005stat" +
+      "e\030\003 \001(\r\022\020\n\010identity\030\004 \001(\014\022\023\n\013fingerprint" +
+      "\030\005 \001(\014\022*\n\006result\030\006 \001(\0132\032.beryldock.call." +
+      "WireResult\022\021\n\tage_nanos\030\007 \001(\003\"+\n\027WireTic" +
+      "ketHandoverReply\022\020\n\010accepted\030\001 \001(\010\"\202\001\n\017W" +
+      "ireBindRequest\022\020\n\010key_high\030\001 \001(\006\022\017\n\007key_" +
+      "low\030\002 \001(\006\022\022\n\nscope_high\030\004 \001(\006\022\021\n\tscope_l" +
+      "ow\030\005 \001(\006\022\016\n\006ticket\030\003 \001(\t\022\025\n\rtimeout_nano" +
+      "s\030\006 \001(\003\"\240\001\n\rWireBindReply\0227\n\004kind\030\001 \001(\0162" +
+      ").beryldock.idempotency.WireBindReply.Ki" +
+      "nd\022\016\n\006ticket\030\002 \001(\t\022\016\n\006detail\030\003 \001(\t\"6\n\004Ki" +
+      "nd\022\013\n\007UNKNOWN\020\000\022\t\n\005BOUND\020\001\022\n\n\006CLOSED\020\002\022\n" +
+      "\n\006IN_USE\020\003\"H\n\017WireAnswerQuery\022\016\n\006ticket\030" +
+      "\001 \001(\t\022\020\n\010identity\030\002 \001(\014\022\023\n\013fingerprint\030\003" +
+      " \001(\014\"=\n\017WireAnswerReply\022*\n\006result\030\001 \001(\0132" +
+      "\032.beryldock.call.WireResult\"z\n\017WireKeyDo" +
+      "cument\022\022\n\ngeneration\030\001 \001(\004\022\016\n\006sealed\030\002 \001" +
+      "(\010\0224\n\005homes\030\003 \003(\0132%.beryldock.idempotenc" +
+      "y.WireTicketHome\022\r\n\005words\030\004 \003(\006B\025\n\021io.be" +
+      "ryldock.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -181,7 +176,7 @@
     internal_static_beryldock_idempotency_WireTicketRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_beryldock_idempotency_WireTicketRequest_descriptor,
-        new java.lang.String[] { "Present", "Offer", "Part", "Bind", "AnswerQuery", "Late", "Kind", });
+        new java.lang.String[] { "Present", "Offer", "Part", "Bind", "AnswerQuery", "Kind", });
     internal_static_beryldock_idempotency_WireTicketReply_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_beryldock_idempotency_WireTicketReply_fieldAccessorTable = new
@@ -236,38 +231,32 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_beryldock_idempotency_WireTicketHandoverReply_descriptor,
         new java.lang.String[] { "Accepted", });
-    internal_static_beryldock_idempotency_WireTicketLate_descriptor =
-      getDescriptor().getMessageType(10);
-    internal_static_beryldock_idempotency_WireTicketLate_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_beryldock_idempotency_WireTicketLate_descriptor,
-        new java.lang.String[] { "Ticket", "Result", });
     internal_static_beryldock_idempotency_WireBindRequest_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(10);
     internal_static_beryldock_idempotency_WireBindRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_beryldock_idempotency_WireBindRequest_descriptor,
-        new java.lang.String[] { "KeyHigh", "KeyLow", "ScopeHigh", "ScopeLow", "Ticket", });
+        new java.lang.String[] { "KeyHigh", "KeyLow", "ScopeHigh", "ScopeLow", "Ticket", "TimeoutNanos", });
     internal_static_beryldock_idempotency_WireBindReply_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(11);
     internal_static_beryldock_idempotency_WireBindReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_beryldock_idempotency_WireBindReply_descriptor,
         new java.lang.String[] { "Kind", "Ticket", "Detail", });
     internal_static_beryldock_idempotency_WireAnswerQuery_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(12);
     internal_static_beryldock_idempotency_WireAnswerQuery_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_beryldock_idempotency_WireAnswerQuery_descriptor,
         new java.lang.String[] { "Ticket", "Identity", "Fingerprint", });
     internal_static_beryldock_idempotency_WireAnswerReply_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(13);
     internal_static_beryldock_idempotency_WireAnswerReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_beryldock_idempotency_WireAnswerReply_descriptor,
         new java.lang.String[] { "Result", });
     internal_static_beryldock_idempotency_WireKeyDocument_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(14);
     internal_static_beryldock_idempotency_WireKeyDocument_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_beryldock_idempotency_WireKeyDocument_descriptor,
--- a/src/main/java/io/beryldock/wire/WireBindReply.java
+++ b/src/main/java/io/beryldock/wire/WireBindReply.java
@@ -28,6 +28,7 @@
     super(builder);
   }
   private WireBindReply() {
+    kind_ = 0;
     ticket_ = "";
     detail_ = "";
   }
@@ -50,20 +51,158 @@
             io.beryldock.wire.WireBindReply.class, io.beryldock.wire.WireBindReply.Builder.class);
   }
 
+  /**
+   * Protobuf enum {@code beryldock.idempotency.WireBindReply.Kind}
+   */
+  public enum Kind
+      implements com.google.protobuf.ProtocolMessageEnum {
+    /**
+     * <code>UNKNOWN = 0;</code>
+     */
+    UNKNOWN(0),
+    /**
+     * <code>BOUND = 1;</code>
+     */
+    BOUND(1),
+    /**
+     * <code>CLOSED = 2;</code>
+     */
+    CLOSED(2),
+    /**
+     * <code>IN_USE = 3;</code>
+     */
+    IN_USE(3),
+    UNRECOGNIZED(-1),
+    ;
+
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "Kind");
+    }
+    /**
+     * <code>UNKNOWN = 0;</code>
+     */
+    public static final int UNKNOWN_VALUE = 0;
+    /**
+     * <code>BOUND = 1;</code>
+     */
+    public static final int BOUND_VALUE = 1;
+    /**
+     * <code>CLOSED = 2;</code>
+     */
+    public static final int CLOSED_VALUE = 2;
+    /**
+     * <code>IN_USE = 3;</code>
+     */
+    public static final int IN_USE_VALUE = 3;
+
+
+    public final int getNumber() {
+      if (this == UNRECOGNIZED) {
+        throw new java.lang.IllegalArgumentException(
+            "Can't get the number of an unknown enum value.");
+      }
+      return value;
+    }
+
+    /**
+     * @param value The numeric wire value of the corresponding enum entry.
+     * @return The enum associated with the given numeric wire value.
+     * @deprecated Use {@link #forNumber(int)} instead.
+     */
+    @java.lang.Deprecated
+    public static Kind valueOf(int value) {
+      return forNumber(value);
+    }
+
+    /**
+     * @param value The numeric wire value of the corresponding enum entry.
+     * @return The enum associated with the given numeric wire value.
+     */
+    public static Kind forNumber(int value) {
+      switch (value) {
+        case 0: return UNKNOWN;
+        case 1: return BOUND;
+        case 2: return CLOSED;
+        case 3: return IN_USE;
+        default: return null;
+      }
+    }
+
+    public static com.google.protobuf.Internal.EnumLiteMap<Kind>
+        internalGetValueMap() {
+      return internalValueMap;
+    }
+    private static final com.google.protobuf.Internal.EnumLiteMap<
+        Kind> internalValueMap =
+          new com.google.protobuf.Internal.EnumLiteMap<Kind>() {
+            public Kind findValueByNumber(int number) {
+              return Kind.forNumber(number);
+            }
+          };
+
+    public final com.google.protobuf.Descriptors.EnumValueDescriptor
+        getValueDescriptor() {
+      if (this == UNRECOGNIZED) {
+        throw new java.lang.IllegalStateException(
+            "Can't get the descriptor of an unrecognized enum value.");
+      }
+      return getDescriptor().getValue(ordinal());
+    }
+    public final com.google.protobuf.Descriptors.EnumDescriptor
+        getDescriptorForType() {
+      return getDescriptor();
+    }
+    public static com.google.protobuf.Descriptors.EnumDescriptor
+        getDescriptor() {
+      return io.beryldock.wire.WireBindReply.getDescriptor().getEnumType(0);
+    }
+
+    private static final Kind[] VALUES = values();
+
+    public static Kind valueOf(
+        com.google.protobuf.Descriptors.EnumValueDescriptor desc) {
+      if (desc.getType() != getDescriptor()) {
+        throw new java.lang.IllegalArgumentException(
+          "EnumValueDescriptor is not for this type.");
+      }
+      if (desc.getIndex() == -1) {
+        return UNRECOGNIZED;
+      }
+      return VALUES[desc.getIndex()];
+    }
+
+    private final int value;
+
+    private Kind(int value) {
+      this.value = value;
+    }
+
+    // @@protoc_insertion_point(enum_scope:beryldock.idempotency.WireBindReply.Kind)
+  }
+
   public static final int KIND_FIELD_NUMBER = 1;
   private int kind_ = 0;
   /**
-   * <pre>
-   * Number of the kind: 0 unknown, 1 bound, 2 closed, 3 in use.
-   * </pre>
-   *
-   * <code>uint32 kind = 1;</code>
-   * @return The kind.
+   * <code>.beryldock.idempotency.WireBindReply.Kind kind = 1;</code>
+   * @return The enum numeric value on the wire for kind.
    */
-  @java.lang.Override
-  public int getKind() {
+  @java.lang.Override public int getKindValue() {
     return kind_;
   }
+  /**
+   * <code>.beryldock.idempotency.WireBindReply.Kind kind = 1;</code>
+   * @return The kind.
+   */
+  @java.lang.Override public io.beryldock.wire.WireBindReply.Kind getKind() {
+    io.beryldock.wire.WireBindReply.Kind result = io.beryldock.wire.WireBindReply.Kind.forNumber(kind_);
+    return result == null ? io.beryldock.wire.WireBindReply.Kind.UNRECOGNIZED : result;
+  }
 
   public static final int TICKET_FIELD_NUMBER = 2;
   @SuppressWarnings("serial")
@@ -157,8 +296,8 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
-    if (kind_ != 0) {
-      output.writeUInt32(1, kind_);
+    if (kind_ != io.beryldock.wire.WireBindReply.Kind.UNKNOWN.getNumber()) {
+      output.writeEnum(1, kind_);
     }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(ticket_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 2, ticket_);
@@ -170,9 +309,9 @@
   }
   private int computeSerializedSize_0() {
     int size = 0;
-    if (kind_ != 0) {
+    if (kind_ != io.beryldock.wire.WireBindReply.Kind.UNKNOWN.getNumber()) {
       size += com.google.protobuf.CodedOutputStream
-        .computeUInt32Size(1, kind_);
+        .computeEnumSize(1, kind_);
     }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(ticket_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(2, ticket_);
@@ -204,8 +343,7 @@
     }
     io.beryldock.wire.WireBindReply other = (io.beryldock.wire.WireBindReply) obj;
 
-    if (getKind()
-        != other.getKind()) return false;
+    if (kind_ != other.kind_) return false;
     if (!getTicket()
         .equals(other.getTicket())) return false;
     if (!getDetail()
@@ -222,7 +360,7 @@
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + KIND_FIELD_NUMBER;
-    hash = (53 * hash) + getKind();
+    hash = (53 * hash) + kind_;
     hash = (37 * hash) + TICKET_FIELD_NUMBER;
     hash = (53 * hash) + getTicket().hashCode();
     hash = (37 * hash) + DETAIL_FIELD_NUMBER;
@@ -417,8 +555,8 @@
 
     public Builder mergeFrom(io.beryldock.wire.WireBindReply other) {
       if (other == io.beryldock.wire.WireBindReply.getDefaultInstance()) return this;
-      if (other.getKind() != 0) {
-        setKind(other.getKind());
+      if (other.kind_ != 0) {
+        setKindValue(other.getKindValue());
       }
       if (!other.getTicket().isEmpty()) {
         ticket_ = other.ticket_;
@@ -455,7 +593,7 @@
               done = true;
               break;
             case 8: {
-              kind_ = input.readUInt32();
+              kind_ = input.readEnum();
               bitField0_ |= 0x00000001;
               break;
             } // case 8
@@ -486,41 +624,49 @@
     }
     private int bitField0_;
 
-    private int kind_ ;
+    private int kind_ = 0;
+    /**
+     * <code>.beryldock.idempotency.WireBindReply.Kind kind = 1;</code>
+     * @return The enum numeric value on the wire for kind.
+     */
+    @java.lang.Override public int getKindValue() {
+      return kind_;
+    }
+    /**
+     * <code>.beryldock.idempotency.WireBindReply.Kind kind = 1;</code>
+     * @param value The enum numeric value on the wire for kind to set.
+     * @return This builder for chaining.
+     */
+    public Builder setKindValue(int value) {
+      kind_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
     /**
-     * <pre>
-     * Number of the kind: 0 unknown, 1 bound, 2 closed, 3 in use.
-     * </pre>
-     *
-     * <code>uint32 kind = 1;</code>
+     * <code>.beryldock.idempotency.WireBindReply.Kind kind = 1;</code>
      * @return The kind.
      */
     @java.lang.Override
-    public int getKind() {
-      return kind_;
+    public io.beryldock.wire.WireBindReply.Kind getKind() {
+      io.beryldock.wire.WireBindReply.Kind result = io.beryldock.wire.WireBindReply.Kind.forNumber(kind_);
+      return result == null ? io.beryldock.wire.WireBindReply.Kind.UNRECOGNIZED : result;
     }
     /**
-     * <pre>
-     * Number of the kind: 0 unknown, 1 bound, 2 closed, 3 in use.
-     * </pre>
-     *
-     * <code>uint32 kind = 1;</code>
+     * <code>.beryldock.idempotency.WireBindReply.Kind kind = 1;</code>
      * @param value The kind to set.
+     * @throws IllegalArgumentException if UNRECOGNIZED is provided.
      * @return This builder for chaining.
      */
-    public Builder setKind(int value) {
-
-      kind_ = value;
+    public Builder setKind(io.beryldock.wire.WireBindReply.Kind value) {
+      java.util.Objects.requireNonNull(value);
       bitField0_ |= 0x00000001;
+      kind_ = value.getNumber();
       onChanged();
       return this;
     }
     /**
-     * <pre>
-     * Number of the kind: 0 unknown, 1 bound, 2 closed, 3 in use.
-     * </pre>
-     *
-     * <code>uint32 kind = 1;</code>
+     * <code>.beryldock.idempotency.WireBindReply.Kind kind = 1;</code>
      * @return This builder for chaining.
      */
     public Builder clearKind() {
--- a/src/main/java/io/beryldock/wire/WireBindReplyOrBuilder.java
+++ b/src/main/java/io/beryldock/wire/WireBindReplyOrBuilder.java
@@ -11,14 +11,15 @@
     com.google.protobuf.MessageOrBuilder {
 
   /**
-   * <pre>
-   * Number of the kind: 0 unknown, 1 bound, 2 closed, 3 in use.
-   * </pre>
-   *
-   * <code>uint32 kind = 1;</code>
+   * <code>.beryldock.idempotency.WireBindReply.Kind kind = 1;</code>
+   * @return The enum numeric value on the wire for kind.
+   */
+  int getKindValue();
+  /**
+   * <code>.beryldock.idempotency.WireBindReply.Kind kind = 1;</code>
    * @return The kind.
    */
-  int getKind();
+  io.beryldock.wire.WireBindReply.Kind getKind();
 
   /**
    * <code>string ticket = 2;</code>
--- a/src/main/java/io/beryldock/wire/WireBindRequest.java
+++ b/src/main/java/io/beryldock/wire/WireBindRequest.java
@@ -140,6 +140,17 @@
     }
   }
 
+  public static final int TIMEOUT_NANOS_FIELD_NUMBER = 6;
+  private long timeoutNanos_ = 0L;
+  /**
+   * <code>int64 timeout_nanos = 6;</code>
+   * @return The timeoutNanos.
+   */
+  @java.lang.Override
+  public long getTimeoutNanos() {
+    return timeoutNanos_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -169,6 +180,9 @@
     if (scopeLow_ != 0L) {
       output.writeFixed64(5, scopeLow_);
     }
+    if (timeoutNanos_ != 0L) {
+      output.writeInt64(6, timeoutNanos_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -192,6 +206,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeFixed64Size(5, scopeLow_);
     }
+    if (timeoutNanos_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(6, timeoutNanos_);
+    }
     return size;
   }
   @java.lang.Override
@@ -226,6 +244,8 @@
         != other.getScopeLow()) return false;
     if (!getTicket()
         .equals(other.getTicket())) return false;
+    if (getTimeoutNanos()
+        != other.getTimeoutNanos()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -251,6 +271,9 @@
         getScopeLow());
     hash = (37 * hash) + TICKET_FIELD_NUMBER;
     hash = (53 * hash) + getTicket().hashCode();
+    hash = (37 * hash) + TIMEOUT_NANOS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getTimeoutNanos());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -387,6 +410,7 @@
       scopeHigh_ = 0L;
       scopeLow_ = 0L;
       ticket_ = "";
+      timeoutNanos_ = 0L;
       return this;
     }
 
@@ -435,6 +459,9 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.ticket_ = ticket_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.timeoutNanos_ = timeoutNanos_;
+      }
     }
 
     @java.lang.Override
@@ -466,6 +493,9 @@
         bitField0_ |= 0x00000010;
         onChanged();
       }
+      if (other.getTimeoutNanos() != 0L) {
+        setTimeoutNanos(other.getTimeoutNanos());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -515,6 +545,11 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 41
+            case 48: {
+              timeoutNanos_ = input.readInt64();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -752,6 +787,38 @@
       return this;
     }
 
+    private long timeoutNanos_ ;
+    /**
+     * <code>int64 timeout_nanos = 6;</code>
+     * @return The timeoutNanos.
+     */
+    @java.lang.Override
+    public long getTimeoutNanos() {
+      return timeoutNanos_;
+    }
+    /**
+     * <code>int64 timeout_nanos = 6;</code>
+     * @param value The timeoutNanos to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTimeoutNanos(long value) {
+
+      timeoutNanos_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 timeout_nanos = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTimeoutNanos() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      timeoutNanos_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:beryldock.idempotency.WireBindRequest)
   }
 
--- a/src/main/java/io/beryldock/wire/WireBindRequestOrBuilder.java
+++ b/src/main/java/io/beryldock/wire/WireBindRequestOrBuilder.java
@@ -53,4 +53,10 @@
    */
   com.google.protobuf.ByteString
       getTicketBytes();
+
+  /**
+   * <code>int64 timeout_nanos = 6;</code>
+   * @return The timeoutNanos.
+   */
+  long getTimeoutNanos();
 }
--- a/src/main/java/io/beryldock/wire/WireTicketHandoverReply.java
+++ b/src/main/java/io/beryldock/wire/WireTicketHandoverReply.java
@@ -51,6 +51,10 @@
   public static final int ACCEPTED_FIELD_NUMBER = 1;
   private boolean accepted_ = false;
   /**
+   * <pre>
+   * False is final: the node does not hold the table and never will.
+   * </pre>
+   *
    * <code>bool accepted = 1;</code>
    * @return The accepted.
    */
@@ -357,6 +361,10 @@
 
     private boolean accepted_ ;
     /**
+     * <pre>
+     * False is final: the node does not hold the table and never will.
+     * </pre>
+     *
      * <code>bool accepted = 1;</code>
      * @return The accepted.
      */
@@ -365,6 +373,10 @@
       return accepted_;
     }
     /**
+     * <pre>
+     * False is final: the node does not hold the table and never will.
+     * </pre>
+     *
      * <code>bool accepted = 1;</code>
      * @param value The accepted to set.
      * @return This builder for chaining.
@@ -377,6 +389,10 @@
       return this;
     }
     /**
+     * <pre>
+     * False is final: the node does not hold the table and never will.
+     * </pre>
+     *
      * <code>bool accepted = 1;</code>
      * @return This builder for chaining.
      */
--- a/src/main/java/io/beryldock/wire/WireTicketHandoverReplyOrBuilder.java
+++ b/src/main/java/io/beryldock/wire/WireTicketHandoverReplyOrBuilder.java
@@ -11,6 +11,10 @@
     com.google.protobuf.MessageOrBuilder {
 
   /**
+   * <pre>
+   * False is final: the node does not hold the table and never will.
+   * </pre>
+   *
    * <code>bool accepted = 1;</code>
    * @return The accepted.
    */
--- a/src/main/java/io/beryldock/wire/WireTicketOffer.java
+++ b/src/main/java/io/beryldock/wire/WireTicketOffer.java
@@ -6,6 +6,10 @@
 package io.beryldock.wire;
 
 /**
+ * <pre>
+ * Offers a frozen table to its successor. Sent once to a node; parts follow only when it is accepted.
+ * </pre>
+ *
  * Protobuf type {@code beryldock.idempotency.WireTicketOffer}
  */
 @com.google.protobuf.Generated
@@ -378,6 +382,10 @@
     return builder;
   }
   /**
+   * <pre>
+   * Offers a frozen table to its successor. Sent once to a node; parts follow only when it is accepted.
+   * </pre>
+   *
    * Protobuf type {@code beryldock.idempotency.WireTicketOffer}
    */
   public static final class Builder extends
--- a/src/main/java/io/beryldock/wire/WireTicketPart.java
+++ b/src/main/java/io/beryldock/wire/WireTicketPart.java
@@ -6,6 +6,10 @@
 package io.beryldock.wire;
 
 /**
+ * <pre>
+ * A part of a frozen table. Parts go in order, each after the one before was accepted.
+ * </pre>
+ *
  * Protobuf type {@code beryldock.idempotency.WireTicketPart}
  */
 @com.google.protobuf.Generated
@@ -370,6 +374,10 @@
     return builder;
   }
   /**
+   * <pre>
+   * A part of a frozen table. Parts go in order, each after the one before was accepted.
+   * </pre>
+   *
    * Protobuf type {@code beryldock.idempotency.WireTicketPart}
    */
   public static final class Builder extends
--- a/src/main/java/io/beryldock/wire/WireTicketRequest.java
+++ b/src/main/java/io/beryldock/wire/WireTicketRequest.java
@@ -63,7 +63,6 @@
     PART(3),
     BIND(4),
     ANSWER_QUERY(5),
-    LATE(6),
     KIND_NOT_SET(0);
     private final int value;
     private KindCase(int value) {
@@ -86,7 +85,6 @@
         case 3: return PART;
         case 4: return BIND;
         case 5: return ANSWER_QUERY;
-        case 6: return LATE;
         case 0: return KIND_NOT_SET;
         default: return null;
       }
@@ -257,37 +255,6 @@
     return io.beryldock.wire.WireAnswerQuery.getDefaultInstance();
   }
 
-  public static final int LATE_FIELD_NUMBER = 6;
-  /**
-   * <code>.beryldock.idempotency.WireTicketLate late = 6;</code>
-   * @return Whether the late field is set.
-   */
-  @java.lang.Override
-  public boolean hasLate() {
-    return kindCase_ == 6;
-  }
-  /**
-   * <code>.beryldock.idempotency.WireTicketLate late = 6;</code>
-   * @return The late.
-   */
-  @java.lang.Override
-  public io.beryldock.wire.WireTicketLate getLate() {
-    if (kindCase_ == 6) {
-       return (io.beryldock.wire.WireTicketLate) kind_;
-    }
-    return io.beryldock.wire.WireTicketLate.getDefaultInstance();
-  }
-  /**
-   * <code>.beryldock.idempotency.WireTicketLate late = 6;</code>
-   */
-  @java.lang.Override
-  public io.beryldock.wire.WireTicketLateOrBuilder getLateOrBuilder() {
-    if (kindCase_ == 6) {
-       return (io.beryldock.wire.WireTicketLate) kind_;
-    }
-    return io.beryldock.wire.WireTicketLate.getDefaultInstance();
-  }
-
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -317,9 +284,6 @@
     if (kindCase_ == 5) {
       output.writeMessage(5, (io.beryldock.wire.WireAnswerQuery) kind_);
     }
-    if (kindCase_ == 6) {
-      output.writeMessage(6, (io.beryldock.wire.WireTicketLate) kind_);
-    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -344,10 +308,6 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(5, (io.beryldock.wire.WireAnswerQuery) kind_);
     }
-    if (kindCase_ == 6) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(6, (io.beryldock.wire.WireTicketLate) kind_);
-    }
     return size;
   }
   @java.lang.Override
@@ -394,10 +354,6 @@
         if (!getAnswerQuery()
             .equals(other.getAnswerQuery())) return false;
         break;
-      case 6:
-        if (!getLate()
-            .equals(other.getLate())) return false;
-        break;
       case 0:
       default:
     }
@@ -433,10 +389,6 @@
         hash = (37 * hash) + ANSWER_QUERY_FIELD_NUMBER;
         hash = (53 * hash) + getAnswerQuery().hashCode();
         break;
-      case 6:
-        hash = (37 * hash) + LATE_FIELD_NUMBER;
-        hash = (53 * hash) + getLate().hashCode();
-        break;
       case 0:
       default:
     }
@@ -590,9 +542,6 @@
       if (answerQueryBuilder_ != null) {
         answerQueryBuilder_.clear();
       }
-      if (lateBuilder_ != null) {
-        lateBuilder_.clear();
-      }
       kindCase_ = 0;
       kind_ = null;
       return this;
@@ -654,10 +603,6 @@
           answerQueryBuilder_ != null) {
         result.kind_ = answerQueryBuilder_.build();
       }
-      if (kindCase_ == 6 &&
-          lateBuilder_ != null) {
-        result.kind_ = lateBuilder_.build();
-      }
     }
 
     @java.lang.Override
@@ -693,10 +638,6 @@
           mergeAnswerQuery(other.getAnswerQuery());
           break;
         }
-        case LATE: {
-          mergeLate(other.getLate());
-          break;
-        }
         case KIND_NOT_SET: {
           break;
         }
@@ -760,13 +701,6 @@
               kindCase_ = 5;
               break;
             } // case 42
-            case 50: {
-              input.readMessage(
-                  internalGetLateFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              kindCase_ = 6;
-              break;
-            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1499,146 +1433,6 @@
       return answerQueryBuilder_;
     }
 
-    private com.google.protobuf.SingleFieldBuilder<
-        io.beryldock.wire.WireTicketLate, io.beryldock.wire.WireTicketLate.Builder, io.beryldock.wire.WireTicketLateOrBuilder> lateBuilder_;
-    /**
-     * <code>.beryldock.idempotency.WireTicketLate late = 6;</code>
-     * @return Whether the late field is set.
-     */
-    @java.lang.Override
-    public boolean hasLate() {
-      return kindCase_ == 6;
-    }
-    /**
-     * <code>.beryldock.idempotency.WireTicketLate late = 6;</code>
-     * @return The late.
-     */
-    @java.lang.Override
-    public io.beryldock.wire.WireTicketLate getLate() {
-      if (lateBuilder_ == null) {
-        if (kindCase_ == 6) {
-          return (io.beryldock.wire.WireTicketLate) kind_;
-        }
-        return io.beryldock.wire.WireTicketLate.getDefaultInstance();
-      } else {
-        if (kindCase_ == 6) {
-          return lateBuilder_.getMessage();
-        }
-        return io.beryldock.wire.WireTicketLate.getDefaultInstance();
-      }
-    }
-    /**
-     * <code>.beryldock.idempotency.WireTicketLate late = 6;</code>
-     */
-    public Builder setLate(io.beryldock.wire.WireTicketLate value) {
-      if (lateBuilder_ == null) {
-        java.util.Objects.requireNonNull(value);
-        kind_ = value;
-        onChanged();
-      } else {
-        lateBuilder_.setMessage(value);
-      }
-      kindCase_ = 6;
-      return this;
-    }
-    /**
-     * <code>.beryldock.idempotency.WireTicketLate late = 6;</code>
-     */
-    public Builder setLate(
-        io.beryldock.wire.WireTicketLate.Builder builderForValue) {
-      if (lateBuilder_ == null) {
-        kind_ = builderForValue.build();
-        onChanged();
-      } else {
-        lateBuilder_.setMessage(builderForValue.build());
-      }
-      kindCase_ = 6;
-      return this;
-    }
-    /**
-     * <code>.beryldock.idempotency.WireTicketLate late = 6;</code>
-     */
-    public Builder mergeLate(io.beryldock.wire.WireTicketLate value) {
-      if (lateBuilder_ == null) {
-        if (kindCase_ == 6 &&
-            kind_ != io.beryldock.wire.WireTicketLate.getDefaultInstance()) {
-          kind_ = io.beryldock.wire.WireTicketLate.newBuilder((io.beryldock.wire.WireTicketLate) kind_)
-              .mergeFrom(value).buildPartial();
-        } else {
-          kind_ = value;
-        }
-        onChanged();
-      } else {
-        if (kindCase_ == 6) {
-          lateBuilder_.mergeFrom(value);
-        } else {
-          lateBuilder_.setMessage(value);
-        }
-      }
-      kindCase_ = 6;
-      return this;
-    }
-    /**
-     * <code>.beryldock.idempotency.WireTicketLate late = 6;</code>
-     */
-    public Builder clearLate() {
-      if (lateBuilder_ == null) {
-        if (kindCase_ == 6) {
-          kindCase_ = 0;
-          kind_ = null;
-          onChanged();
-        }
-      } else {
-        if (kindCase_ == 6) {
-          kindCase_ = 0;
-          kind_ = null;
-        }
-        lateBuilder_.clear();
-      }
-      return this;
-    }
-    /**
-     * <code>.beryldock.idempotency.WireTicketLate late = 6;</code>
-     */
-    public io.beryldock.wire.WireTicketLate.Builder getLateBuilder() {
-      return internalGetLateFieldBuilder().getBuilder();
-    }
-    /**
-     * <code>.beryldock.idempotency.WireTicketLate late = 6;</code>
-     */
-    @java.lang.Override
-    public io.beryldock.wire.WireTicketLateOrBuilder getLateOrBuilder() {
-      if ((kindCase_ == 6) && (lateBuilder_ != null)) {
-        return lateBuilder_.getMessageOrBuilder();
-      } else {
-        if (kindCase_ == 6) {
-          return (io.beryldock.wire.WireTicketLate) kind_;
-        }
-        return io.beryldock.wire.WireTicketLate.getDefaultInstance();
-      }
-    }
-    /**
-     * <code>.beryldock.idempotency.WireTicketLate late = 6;</code>
-     */
-    private com.google.protobuf.SingleFieldBuilder<
-        io.beryldock.wire.WireTicketLate, io.beryldock.wire.WireTicketLate.Builder, io.beryldock.wire.WireTicketLateOrBuilder> 
-        internalGetLateFieldBuilder() {
-      if (lateBuilder_ == null) {
-        if (!(kindCase_ == 6)) {
-          kind_ = io.beryldock.wire.WireTicketLate.getDefaultInstance();
-        }
-        lateBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            io.beryldock.wire.WireTicketLate, io.beryldock.wire.WireTicketLate.Builder, io.beryldock.wire.WireTicketLateOrBuilder>(
-                (io.beryldock.wire.WireTicketLate) kind_,
-                getParentForChildren(),
-                isClean());
-        kind_ = null;
-      }
-      kindCase_ = 6;
-      onChanged();
-      return lateBuilder_;
-    }
-
     // @@protoc_insertion_point(builder_scope:beryldock.idempotency.WireTicketRequest)
   }
 
--- a/src/main/java/io/beryldock/wire/WireTicketRequestOrBuilder.java
+++ b/src/main/java/io/beryldock/wire/WireTicketRequestOrBuilder.java
@@ -85,20 +85,5 @@
    */
   io.beryldock.wire.WireAnswerQueryOrBuilder getAnswerQueryOrBuilder();
 
-  /**
-   * <code>.beryldock.idempotency.WireTicketLate late = 6;</code>
-   * @return Whether the late field is set.
-   */
-  boolean hasLate();
-  /**
-   * <code>.beryldock.idempotency.WireTicketLate late = 6;</code>
-   * @return The late.
-   */
-  io.beryldock.wire.WireTicketLate getLate();
-  /**
-   * <code>.beryldock.idempotency.WireTicketLate late = 6;</code>
-   */
-  io.beryldock.wire.WireTicketLateOrBuilder getLateOrBuilder();
-
   io.beryldock.wire.WireTicketRequest.KindCase getKindCase();
 }
