--- a/src/main/java/io/beryldock/membership/MemberRecord.java
+++ b/src/main/java/io/beryldock/membership/MemberRecord.java
@@ -1,32 +1,57 @@
 package io.beryldock.membership;
 
+import io.beryldock.call.Incarnation;
+import io.beryldock.call.NodeId;
 import io.beryldock.call.ServiceName;
+import java.util.Comparator;
 import java.util.Optional;
 
 /**
  * What is known of one node and of the target in its VM. Immutable.
  *
- * <p>Records of one id are ordered by {@link #isNewerThan}; merging keeps the newest, so that all views which saw the
- * same records are equal, in whatever order they came.
+ * <p>Records of one id are totally ordered by {@link #isNewerThan}; merging keeps the newest, so views that saw the
+ * same records are equal, in whatever order these came.
  *
  * @param generation rises with each start of a node of that id, as far as the start knew of earlier ones
  * @param revision rises with each change that the node itself makes
  * @param target the announced target, if any
+ * @param superseded low half of the incarnation that this start replaced, 0 for none
  */
 record MemberRecord(
-        NodeDescriptor node, int generation, long revision, MemberStatus status, Optional<AnnouncedTarget> target) {
+        NodeDescriptor node,
+        int generation,
+        long revision,
+        MemberStatus status,
+        Optional<AnnouncedTarget> target,
+        long superseded) {
+
+    private static final Comparator<Incarnation> INCARNATIONS = Comparator.comparing(
+                    Incarnation::high, Long::compareUnsigned)
+            .thenComparing(Incarnation::low, Long::compareUnsigned);
 
     /** A target as its node passes it on. Immutable. */
     record AnnouncedTarget(ServiceName service, int slots, TargetState state) {}
 
+    static MemberRecord ofStart(NodeDescriptor node) {
+        return new MemberRecord(node, 1, 1, MemberStatus.ALIVE, Optional.empty(), 0);
+    }
+
+    NodeId id() {
+        return node.id();
+    }
+
+    /** A later start wins; in one start, having left wins for ever, then the higher revision, then the status. */
     boolean isNewerThan(MemberRecord other) {
         if (generation != other.generation) {
             return generation > other.generation;
         }
-        int starts = compareIncarnations(other);
+        int starts = INCARNATIONS.compare(node.incarnation(), other.node.incarnation());
         if (starts != 0) {
             return starts > 0;
         }
+        if (hasLeft() != other.hasLeft()) {
+            return hasLeft();
+        }
         if (revision != other.revision) {
             return revision > other.revision;
         }
@@ -37,14 +62,18 @@
         return node.incarnation().equals(other.node.incarnation());
     }
 
-    private int compareIncarnations(MemberRecord other) {
-        int high = Long.compareUnsigned(
-                node.incarnation().high(), other.node.incarnation().high());
-        if (high != 0) {
-            return high;
-        }
-        return Long.compareUnsigned(
-                node.incarnation().low(), other.node.incarnation().low());
+    boolean hasLeft() {
+        return status == MemberStatus.LEFT;
+    }
+
+    /** Whether the node counts as a member: neither failed nor left. */
+    boolean isLive() {
+        return status == MemberStatus.ALIVE || status == MemberStatus.SUSPECTED;
+    }
+
+    /** The low bits of the incarnation, as pings carry them. */
+    int shortIncarnation() {
+        return (int) node.incarnation().low();
     }
 
     Optional<TargetRecord> targetRecord() {
@@ -52,18 +81,27 @@
     }
 
     MemberRecord withStatus(MemberStatus next) {
-        return new MemberRecord(node, generation, revision, next, target);
+        return new MemberRecord(node, generation, revision, next, target, superseded);
     }
 
+    /** The record with another target, one revision up. */
     MemberRecord withTarget(Optional<AnnouncedTarget> next) {
-        return new MemberRecord(node, generation, revision + 1, status, next);
+        return new MemberRecord(node, generation, revision + 1, status, next, superseded);
     }
 
-    MemberRecord withRevision(long next) {
-        return new MemberRecord(node, generation, next, MemberStatus.ALIVE, target);
+    /** The record alive and above the revision. */
+    MemberRecord aliveAbove(long seen) {
+        return new MemberRecord(node, generation, seen + 1, MemberStatus.ALIVE, target, superseded);
     }
 
-    MemberRecord withGeneration(int next) {
-        return new MemberRecord(node, next, revision, status, target);
+    /** The record above that of an earlier start. */
+    MemberRecord superseding(MemberRecord earlier) {
+        return new MemberRecord(
+                node,
+                earlier.generation + 1,
+                revision + 1,
+                status,
+                target,
+                earlier.node.incarnation().low());
     }
 }
--- a/src/main/java/io/beryldock/membership/MembershipCodec.java
+++ b/src/main/java/io/beryldock/membership/MembershipCodec.java
@@ -1,10 +1,13 @@
 package io.beryldock.membership;
 
+import com.google.common.collect.Interner;
+import com.google.common.collect.Interners;
 import com.google.protobuf.ByteString;
 import io.beryldock.call.DataCentre;
 import io.beryldock.call.Incarnation;
 import io.beryldock.call.NodeId;
 import io.beryldock.call.ServiceName;
+import io.beryldock.membership.MemberRecord.AnnouncedTarget;
 import io.beryldock.wire.MembershipRecord;
 import io.beryldock.wire.MembershipStatus;
 import io.beryldock.wire.MembershipTargetState;
@@ -13,23 +16,35 @@
 import java.net.UnknownHostException;
 import java.util.Optional;
 
-/** Turns records into their form on the wire and back. Stateless, thread safe. */
+/**
+ * Turns records into their form on the wire and back.
+ *
+ * <p>Names and targets that many records share are kept once. Thread safe.
+ */
 final class MembershipCodec {
 
+    private final Interner<DataCentre> centres = Interners.newStrongInterner();
+    private final Interner<Optional<AnnouncedTarget>> targets = Interners.newStrongInterner();
+
     private MembershipCodec() {}
 
+    static MembershipCodec create() {
+        return new MembershipCodec();
+    }
+
     static MembershipRecord encode(MemberRecord member) {
         NodeDescriptor node = member.node();
         MembershipRecord.Builder wire = MembershipRecord.newBuilder()
                 .setId(node.id().value())
                 .setDataCentre(node.dataCentre().value())
-                .setAddress(ByteString.copyFrom(node.peerAddress().getAddress().getAddress()))
+                .setAddress(bytes(node.peerAddress()))
                 .setPort(node.peerAddress().getPort())
                 .setIncarnationHigh(node.incarnation().high())
                 .setIncarnationLow(node.incarnation().low())
                 .setGeneration(member.generation())
                 .setRevision(member.revision())
-                .setStatus(encode(member.status()));
+                .setStatus(encode(member.status()))
+                .setSuperseded(member.superseded());
         member.target()
                 .ifPresent(target -> wire.setService(target.service().value())
                         .setSlots(target.slots())
@@ -38,21 +53,40 @@
     }
 
     /** Reads a record; throws {@link IllegalArgumentException} when a field holds no valid value. */
-    static MemberRecord decode(MembershipRecord wire) {
+    MemberRecord decode(MembershipRecord wire) {
         NodeDescriptor node = new NodeDescriptor(
                 NodeId.of(wire.getId()),
                 new Incarnation(wire.getIncarnationHigh(), wire.getIncarnationLow()),
-                DataCentre.of(wire.getDataCentre()),
-                new InetSocketAddress(address(wire.getAddress()), wire.getPort()));
-        return new MemberRecord(node, wire.getGeneration(), wire.getRevision(), decode(wire.getStatus()), target(wire));
+                centres.intern(DataCentre.of(wire.getDataCentre())),
+                address(wire.getAddress(), wire.getPort()));
+        return new MemberRecord(
+                node,
+                wire.getGeneration(),
+                wire.getRevision(),
+                decode(wire.getStatus()),
+                targets.intern(target(wire)),
+                wire.getSuperseded());
+    }
+
+    static ByteString bytes(InetSocketAddress address) {
+        return ByteString.copyFrom(address.getAddress().getAddress());
     }
 
-    private static Optional<MemberRecord.AnnouncedTarget> target(MembershipRecord wire) {
+    /** Reads an address; throws {@link IllegalArgumentException} when it is none. */
+    static InetSocketAddress address(ByteString bytes, int port) {
+        try {
+            return new InetSocketAddress(InetAddress.getByAddress(bytes.toByteArray()), port);
+        } catch (UnknownHostException e) {
+            throw new IllegalArgumentException("an IP number has 4 or 16 bytes", e);
+        }
+    }
+
+    private static Optional<AnnouncedTarget> target(MembershipRecord wire) {
         if (wire.getService().isEmpty()) {
             return Optional.empty();
         }
-        return Optional.of(new MemberRecord.AnnouncedTarget(
-                ServiceName.of(wire.getService()), wire.getSlots(), decode(wire.getTargetState())));
+        return Optional.of(
+                new AnnouncedTarget(ServiceName.of(wire.getService()), wire.getSlots(), decode(wire.getTargetState())));
     }
 
     private static MembershipStatus encode(MemberStatus status) {
@@ -90,12 +124,4 @@
             case UNRECOGNIZED -> throw new IllegalArgumentException("unknown state of a target");
         };
     }
-
-    private static InetAddress address(ByteString bytes) {
-        try {
-            return InetAddress.getByAddress(bytes.toByteArray());
-        } catch (UnknownHostException e) {
-            throw new IllegalArgumentException("an IP number has 4 or 16 bytes", e);
-        }
-    }
 }
--- a/src/main/java/io/beryldock/membership/MembershipService.java
+++ b/src/main/java/io/beryldock/membership/MembershipService.java
@@ -1,220 +1,240 @@
 package io.beryldock.membership;
 
-import com.google.common.collect.ImmutableList;
-import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.ByteString;
-import com.google.protobuf.InvalidProtocolBufferException;
 import io.beryldock.call.NodeId;
 import io.beryldock.call.ServiceName;
+import io.beryldock.membership.MemberRecord.AnnouncedTarget;
 import io.beryldock.platform.PlatformStore;
 import io.beryldock.time.TimerService;
 import io.beryldock.timeline.EventKind;
 import io.beryldock.timeline.EventSink;
-import io.beryldock.wire.MembershipMessage;
-import io.beryldock.wire.MembershipRecord;
-import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
 /**
  * This node's part in membership: announces its target, learns of all others, and publishes the {@link Directory}.
  *
- * <p>Every method is called on the control thread only, but for {@link #directory()}, which any thread may call.
- * Invariant: the record of each id only rises in the order of {@link MemberRecord#isNewerThan}.
+ * <p>Every method is called on the control thread only, but for {@link #directory()}, which any thread may call. The
+ * platform store is read to find first peers and by one node a data centre now and then, never for a heartbeat.
+ * Invariants are those of {@link MembershipView} and {@link SelfRecord}.
  */
 public final class MembershipService {
 
-    private static final FluentLogger log = FluentLogger.forEnclosingClass();
-    private static final int FANOUT = 3;
-    private static final Duration LEAVING_SPREAD = Duration.ofMillis(1500);
-
-    private final MembershipSettings settings;
-    private final MembershipTransport transport;
-    private final TimerService timers;
-    private final RandomGenerator random;
-    private final EventSink events;
-    private final Map<NodeId, MemberRecord> records = new HashMap<>();
-    private final List<Consumer<Directory>> listeners = new CopyOnWriteArrayList<>();
-    private MemberRecord self;
+    /** A gap between two ticks that is longer than that was a pause of this process or VM. */
+    static final Duration PAUSE = Duration.ofSeconds(2);
+
+    /** Time that a change needs to reach every node, with room to spare. */
+    static final Duration SPREADING = Duration.ofMillis(1500);
+
+    private static final Duration TICK = Duration.ofMillis(250);
+    private static final Duration REPEAT = Duration.ofMillis(300);
+
+    private final MembershipAssembly parts;
+    private final MembershipContext context;
+    private long lastTick;
     private long renewed;
-    private volatile Directory directory = Directory.empty();
+    private long leavingSince;
+    private boolean stopped;
+    private TimerService.Subscription ticks = () -> {};
 
-    private MembershipService(
+    private MembershipService(MembershipAssembly parts) {
+        this.parts = parts;
+        this.context = parts.context();
+        this.lastTick = context.now();
+    }
+
+    /** Makes the service; it sends nothing before {@link #start()}. */
+    public static MembershipService create(
             MembershipSettings settings,
             NodeDescriptor self,
             MembershipTransport transport,
             TimerService timers,
             RandomGenerator random,
-            EventSink events) {
-        this.settings = settings;
-        this.transport = transport;
-        this.timers = timers;
-        this.random = random;
-        this.events = events;
-        this.self = new MemberRecord(self, 1, 1, MemberStatus.ALIVE, Optional.empty());
+            EventSink events,
+            PlatformStore store) {
+        return create(settings, self, transport, timers, random, events, store, MergeRules.standard());
     }
 
-    /** Makes the service; it sends nothing before {@link #start()}. The store serves only to find first peers. */
-    @SuppressWarnings("checkstyle:ParameterNumber")
-    public static MembershipService create(
+    static MembershipService create(
             MembershipSettings settings,
             NodeDescriptor self,
             MembershipTransport transport,
             TimerService timers,
             RandomGenerator random,
             EventSink events,
-            PlatformStore store) {
-        return new MembershipService(settings, self, transport, timers, random, events);
+            PlatformStore store,
+            MergeRules rules) {
+        SelfRecord own = SelfRecord.of(self, rules);
+        MembershipView view = MembershipView.create(rules);
+        MessageSender sender = MessageSender.create(transport, own, view);
+        Prober prober = Prober.create(own, view, sender, timers.ticker(), settings.probeTimeout());
+        MembershipContext context = new MembershipContext(
+                settings,
+                own,
+                view,
+                Neighbourhood.create(settings.probePeriod()),
+                sender,
+                prober,
+                timers,
+                random,
+                events);
+        return new MembershipService(MembershipAssembly.create(context, store));
     }
 
     /** Starts to look for peers. */
     public void start() {
-        records.put(self.node().id(), self);
-        publish();
-        gossip();
-        timers.every(settings.probePeriod(), this::tick);
+        lastTick = context.now();
+        parts.intake().accept(context.self().current());
+        parts.finder().start();
+        parts.keeper().start();
+        parts.publisher().publish();
+        tick();
+        ticks = context.timers().every(TICK, this::tick);
     }
 
     /** Takes the announcement of the target in this VM, or its renewal. */
     public void announce(ServiceName service, int slots, TargetState state) {
-        renewed = timers.ticker().nanos();
-        Optional<MemberRecord.AnnouncedTarget> next =
-                Optional.of(new MemberRecord.AnnouncedTarget(service, slots, state));
-        if (next.equals(self.target())) {
+        renewed = context.now();
+        Optional<AnnouncedTarget> next = Optional.of(new AnnouncedTarget(service, slots, state));
+        if (stopped || !context.self().announce(next)) {
             return;
         }
-        EventKind kind = state == TargetState.LEAVING ? EventKind.TARGET_LEAVING : EventKind.TARGET_ANNOUNCED;
-        events.record(kind, service.value(), "target with " + slots + " slots is " + state);
-        changeSelf(self.withTarget(next));
+        boolean leaving = state == TargetState.LEAVING;
+        leavingSince = leaving ? context.now() : leavingSince;
+        EventKind kind = leaving ? EventKind.TARGET_LEAVING : EventKind.TARGET_ANNOUNCED;
+        context.events().record(kind, service.value(), "target with " + slots + " slots is " + state);
+        publishSelf();
     }
 
     /** Takes the target back: it is gone. */
     public void withdraw() {
-        if (self.target().isPresent()) {
-            events.record(EventKind.TARGET_LOST, self.node().id().value(), "the target is withdrawn");
-            changeSelf(self.withTarget(Optional.empty()));
+        if (!stopped && context.self().announce(Optional.empty())) {
+            context.events().record(EventKind.TARGET_LOST, context.id().value(), "the target is withdrawn");
+            publishSelf();
         }
     }
 
-    /** Tells all others that this node stops; completes, within a few seconds, once they have had time to hear it. */
+    /**
+     * Tells all others that this node stops, and stops.
+     *
+     * <p>First the target is announced as leaving and the news given {@link #SPREADING}, so that nobody sends it work
+     * any more; then the node is announced as gone. Completes within 3 s, whether or not anybody hears.
+     */
     public CompletableFuture<Void> leave() {
         CompletableFuture<Void> done = new CompletableFuture<>();
-        self.target().ifPresent(target -> announce(target.service(), target.slots(), TargetState.LEAVING));
-        timers.after(LEAVING_SPREAD, () -> {
-            changeSelf(self.withStatus(MemberStatus.LEFT));
-            done.complete(null);
-        });
+        Optional<AnnouncedTarget> target = context.self().current().target();
+        target.ifPresent(known -> announce(known.service(), known.slots(), TargetState.LEAVING));
+        Duration told = target.isPresent() ? Duration.ofNanos(context.now() - leavingSince) : SPREADING;
+        Duration wait = SPREADING.minus(told);
+        context.timers().after(wait.isNegative() ? Duration.ZERO : wait, () -> depart(done));
         return done;
     }
 
     /** Takes a message of another node's membership. */
     public void onMessage(NodeId sender, ByteString body) {
-        try {
-            MembershipMessage message = MembershipMessage.parseFrom(body);
-            boolean changed = false;
-            for (MembershipRecord wire : message.getRecordsList()) {
-                changed |= merge(MembershipCodec.decode(wire));
-            }
-            if (changed) {
-                publish();
-            }
-        } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
-            log.atWarning().atMostEvery(1, java.util.concurrent.TimeUnit.SECONDS).withCause(e).log(
-                    "dropped a membership message of %s that cannot be read", sender);
+        if (!isActive()) {
+            return;
         }
+        noticePause();
+        parts.receiver().onMessage(sender, body);
     }
 
     /** Calls the listener with each new directory, on the control thread. */
     public TimerService.Subscription onChange(Consumer<Directory> listener) {
-        listeners.add(listener);
-        return () -> listeners.remove(listener);
+        return parts.publisher().subscribe(listener);
     }
 
     /** The picture of all nodes and targets as of now. */
     public Directory directory() {
-        return directory;
+        return parts.publisher().directory();
     }
 
+    /** What this node knows of all nodes, the failed ones of the last minutes too. */
     public MembershipSnapshot snapshot() {
-        ImmutableList.Builder<MembershipSnapshot.Member> members = ImmutableList.builder();
-        records.values().stream()
-                .filter(member -> member.status() != MemberStatus.LEFT)
-                .forEach(member -> members.add(
-                        new MembershipSnapshot.Member(member.node(), Reachability.REACHABLE, member.targetRecord())));
-        return new MembershipSnapshot(self.node(), members.build());
+        return parts.snapshot();
     }
 
-    /** Says that traffic got no answer from that node, so that it is probed at once. */
-    public void hintUnreachable(NodeId node) {}
-
-    /** Says that traffic got an answer from that node. */
-    public void hintAlive(NodeId node) {}
-
-    private void tick() {
-        long age = timers.ticker().nanos() - renewed;
-        if (self.target().isPresent() && age > settings.targetExpiry().toNanos()) {
-            withdraw();
-        }
-        gossip();
+    /** What membership has cost this node so far. */
+    public MembershipStatistics statistics() {
+        return parts.statistics();
     }
 
-    private void gossip() {
-        MembershipMessage.Builder message = MembershipMessage.newBuilder();
-        records.values().forEach(member -> message.addRecords(MembershipCodec.encode(member)));
-        ByteString body = message.build().toByteString();
-        receivers().forEach(to -> transport.send(to, body));
+    /** Says that traffic got no answer from that node, so that it is probed at once. */
+    public void hintUnreachable(NodeId node) {
+        if (isActive()) {
+            parts.detector().hintUnreachable(node);
+        }
     }
 
-    private List<InetSocketAddress> receivers() {
-        List<InetSocketAddress> known = new ArrayList<>(settings.seeds());
-        records.values().stream()
-                .filter(member -> member.status() != MemberStatus.LEFT)
-                .forEach(member -> known.add(member.node().peerAddress()));
-        known.removeIf(self.node().peerAddress()::equals);
-        List<InetSocketAddress> chosen = new ArrayList<>();
-        for (int i = 0; i < FANOUT && !known.isEmpty(); i++) {
-            chosen.add(known.remove(random.nextInt(known.size())));
+    /** Says that traffic got an answer from that node, so that it may deny a suspicion at once. */
+    public void hintAlive(NodeId node) {
+        if (isActive()) {
+            parts.detector().hintAlive(node);
         }
-        return chosen;
     }
 
-    private void changeSelf(MemberRecord next) {
-        self = next;
-        records.put(next.node().id(), next);
-        publish();
-        gossip();
+    private boolean isActive() {
+        return !stopped && !context.self().isSuperseded();
     }
 
-    private boolean merge(MemberRecord found) {
-        if (found.node().id().equals(self.node().id())) {
-            return false;
+    private void tick() {
+        if (!isActive()) {
+            return;
         }
-        MemberRecord known = records.get(found.node().id());
-        if (known != null && !found.isNewerThan(known)) {
-            return false;
+        noticePause();
+        long now = context.now();
+        lastTick = now;
+        boolean expired = now - renewed > context.settings().targetExpiry().toNanos();
+        if (expired && context.self().current().target().isPresent()) {
+            withdraw();
         }
-        records.put(found.node().id(), found);
-        return true;
-    }
-
-    private void publish() {
-        List<NodeDescriptor> nodes = new ArrayList<>();
-        List<TargetRecord> targets = new ArrayList<>();
-        for (MemberRecord member : records.values()) {
-            if (member.status() != MemberStatus.LEFT) {
-                nodes.add(member.node());
-                member.targetRecord().ifPresent(targets::add);
-            }
+        parts.tick(now);
+    }
+
+    /**
+     * Notices that this process was paused.
+     *
+     * <p>Without it a VM that wakes after a minute takes the silence of that minute for the silence of others, accuses
+     * its neighbours, withdraws its target whose renewals it could not hear, and lets traffic act on an old view. The
+     * gap shows at the first tick or message after the pause, before either is acted on.
+     */
+    private void noticePause() {
+        long now = context.now();
+        Duration gap = Duration.ofNanos(now - lastTick);
+        if (gap.compareTo(PAUSE) < 0) {
+            return;
         }
-        directory = Directory.of(nodes, targets);
-        listeners.forEach(listener -> listener.accept(directory));
+        lastTick = now;
+        renewed = now;
+        context.events()
+                .record(
+                        EventKind.NODE_RESUMED_AFTER_PAUSE,
+                        context.id().value(),
+                        "paused for " + gap.toMillis() + " ms: the view is fetched anew");
+        parts.resume(gap);
+    }
+
+    private void publishSelf() {
+        parts.intake().accept(context.self().current());
+        parts.publisher().publish();
+    }
+
+    private void depart(CompletableFuture<Void> done) {
+        context.self().leave();
+        publishSelf();
+        parts.spreader().flush();
+        context.timers().after(REPEAT, () -> repeatDeparture(done));
+    }
+
+    /** Says it once more: a message may be lost, and this node will not be there to mend it. */
+    private void repeatDeparture(CompletableFuture<Void> done) {
+        parts.spreader().spread(context.id(), Optional.empty());
+        parts.spreader().flush();
+        stopped = true;
+        ticks.cancel();
+        context.timers().after(REPEAT, () -> done.complete(null));
     }
 }
--- /dev/null
+++ b/src/main/java/io/beryldock/membership/MessageReceiver.java
@@ -0,0 +1,94 @@
+package io.beryldock.membership;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.beryldock.call.NodeId;
+import io.beryldock.wire.MembershipMessage;
+import io.beryldock.wire.MembershipRecord;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Takes messages apart and hands them to the part that they concern.
+ *
+ * <p>Invariant: the records in a message are taken in before the rest of it is acted on. Control thread only.
+ */
+final class MessageReceiver {
+
+    private static final FluentLogger log = FluentLogger.forEnclosingClass();
+
+    private final MembershipContext context;
+    private final RecordIntake intake;
+    private final IndirectProber indirect;
+    private final AntiEntropy antiEntropy;
+    private final LinkReports reports;
+    private final PeerFinder finder;
+    private final MembershipCodec codec = MembershipCodec.create();
+    private long messages;
+    private long bytes;
+
+    MessageReceiver(
+            MembershipContext context,
+            RecordIntake intake,
+            IndirectProber indirect,
+            AntiEntropy antiEntropy,
+            LinkReports reports,
+            PeerFinder finder) {
+        this.context = context;
+        this.intake = intake;
+        this.indirect = indirect;
+        this.antiEntropy = antiEntropy;
+        this.reports = reports;
+        this.finder = finder;
+    }
+
+    void onMessage(NodeId sender, ByteString body) {
+        messages++;
+        bytes += body.size();
+        try {
+            MembershipMessage message = MembershipMessage.parseFrom(body);
+            for (MembershipRecord wire : message.getRecordsList()) {
+                intake.accept(codec.decode(wire), sender);
+            }
+            dispatch(sender, message);
+        } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
+            log.atWarning().atMostEvery(1, TimeUnit.SECONDS).withCause(e).log(
+                    "dropped a membership message of %s that cannot be read; is it of the same version?", sender);
+        }
+    }
+
+    long messages() {
+        return messages;
+    }
+
+    long bytes() {
+        return bytes;
+    }
+
+    private void dispatch(NodeId sender, MembershipMessage message) {
+        switch (message.getKindCase()) {
+            case PING -> onPing(sender, message);
+            case ACK -> onAck(sender, message);
+            case PROBE_REQUEST -> indirect.onRequest(sender, message.getProbeRequest());
+            case PROBE_REPORT -> indirect.onReport(message.getProbeReport());
+            case SYNC_OFFER -> antiEntropy.onOffer(sender, message.getSyncOffer());
+            case SYNC_BUCKETS -> antiEntropy.onBuckets(sender, message.getSyncBuckets());
+            case SYNC_PULL -> antiEntropy.onPull(sender, message.getSyncPull());
+            case SYNC_WANTED -> antiEntropy.onWanted(sender, message.getSyncWanted());
+            case LINK_REPORT -> reports.onReport(sender, message.getLinkReport());
+            case KIND_NOT_SET -> {}
+        }
+    }
+
+    private void onPing(NodeId sender, MembershipMessage message) {
+        context.neighbours().heardPing(sender, context.now());
+        context.prober().onPing(sender, message);
+        antiEntropy.onRoot(sender, message.getRoot());
+    }
+
+    private void onAck(NodeId sender, MembershipMessage message) {
+        context.prober().onAck(sender, message);
+        finder.onHeard();
+        antiEntropy.onRoot(sender, message.getRoot());
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/membership/MessageSender.java
@@ -0,0 +1,59 @@
+package io.beryldock.membership;
+
+import com.google.protobuf.ByteString;
+import io.beryldock.wire.MembershipMessage;
+import java.net.InetSocketAddress;
+import java.util.List;
+
+/** Sends messages of this node and counts them. Control thread only. */
+final class MessageSender {
+
+    /** Keeps a message within about 10 kB, small beside the calls on the same connection. */
+    static final int MAX_RECORDS = 100;
+
+    private final MembershipTransport transport;
+    private final SelfRecord self;
+    private final MembershipView view;
+    private long messages;
+    private long bytes;
+
+    private MessageSender(MembershipTransport transport, SelfRecord self, MembershipView view) {
+        this.transport = transport;
+        this.self = self;
+        this.view = view;
+    }
+
+    static MessageSender create(MembershipTransport transport, SelfRecord self, MembershipView view) {
+        return new MessageSender(transport, self, view);
+    }
+
+    void send(InetSocketAddress to, MembershipMessage.Builder message) {
+        message.setSenderIncarnation(self.current().shortIncarnation());
+        ByteString body = message.build().toByteString();
+        messages++;
+        bytes += body.size();
+        transport.send(to, body);
+    }
+
+    /** Sends the message with the digest of the view, by which the receiver notices that the views differ. */
+    void sendWithRoot(InetSocketAddress to, MembershipMessage.Builder message) {
+        send(to, message.setRoot(view.root()));
+    }
+
+    void sendRecords(InetSocketAddress to, List<MemberRecord> records) {
+        for (int from = 0; from < records.size(); from += MAX_RECORDS) {
+            int end = Math.min(records.size(), from + MAX_RECORDS);
+            MembershipMessage.Builder message = MembershipMessage.newBuilder();
+            records.subList(from, end).forEach(member -> message.addRecords(MembershipCodec.encode(member)));
+            send(to, message);
+        }
+    }
+
+    long messages() {
+        return messages;
+    }
+
+    long bytes() {
+        return bytes;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/membership/RecordIntake.java
@@ -0,0 +1,115 @@
+package io.beryldock.membership;
+
+import io.beryldock.call.NodeId;
+import io.beryldock.time.Ticker;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+
+/**
+ * The one way by which a record enters the view: from another node or from this node's own findings.
+ *
+ * <p>Invariant: what raised the view is passed on, and a sender of an older record is told the newer one. Control
+ * thread only.
+ */
+final class RecordIntake {
+
+    /** Hears of each record that raised the view. */
+    @FunctionalInterface
+    interface ChangeListener {
+
+        void changed(Optional<MemberRecord> before, MemberRecord after);
+    }
+
+    private final SelfRecord self;
+    private final MembershipView view;
+    private final RecordSpreader spreader;
+    private final Ticker ticker;
+    private final BooleanSupplier passesOn;
+    private final ChangeListener listener;
+
+    private RecordIntake(
+            SelfRecord self,
+            MembershipView view,
+            RecordSpreader spreader,
+            Ticker ticker,
+            BooleanSupplier passesOn,
+            ChangeListener listener) {
+        this.self = self;
+        this.view = view;
+        this.spreader = spreader;
+        this.ticker = ticker;
+        this.passesOn = passesOn;
+        this.listener = listener;
+    }
+
+    /**
+     * Makes the intake.
+     *
+     * @param passesOn false while the node fetches the whole view for the first time: all it hears is old to others
+     */
+    static RecordIntake create(
+            SelfRecord self,
+            MembershipView view,
+            RecordSpreader spreader,
+            Ticker ticker,
+            BooleanSupplier passesOn,
+            ChangeListener listener) {
+        return new RecordIntake(self, view, spreader, ticker, passesOn, listener);
+    }
+
+    /** Takes a record from another node. */
+    void accept(MemberRecord found, NodeId from) {
+        if (found.id().equals(self.current().id())) {
+            acceptOwn(found, from);
+        } else {
+            merge(asHeld(found), Optional.of(from));
+        }
+    }
+
+    /** Takes a record that this node itself changed: its own one, or its finding about another. */
+    void accept(MemberRecord found) {
+        merge(found, Optional.empty());
+    }
+
+    private void acceptOwn(MemberRecord found, NodeId from) {
+        if (self.react(found)) {
+            merge(self.current(), Optional.empty());
+        } else if (!self.isSuperseded() && self.current().isNewerThan(found)) {
+            spreader.queue(from, found.id());
+        }
+    }
+
+    private void merge(MemberRecord found, Optional<NodeId> from) {
+        Optional<MemberRecord> before = view.find(found.id());
+        switch (view.merge(found, ticker.nanos())) {
+            case NEWER -> {
+                passOn(before, found, from);
+                listener.changed(before, found);
+            }
+            case SAME -> from.ifPresent(sender -> spreader.isKnownBy(sender, found.id()));
+            // A sender with an old record was paused, cut off or has lost a message. Told the newer one at once it
+            // does not act on the old one until the next comparison of digests.
+            case OLDER -> from.ifPresent(sender -> spreader.queue(sender, found.id()));
+        }
+    }
+
+    private void passOn(Optional<MemberRecord> before, MemberRecord found, Optional<NodeId> from) {
+        from.ifPresent(sender -> spreader.isKnownBy(sender, found.id()));
+        if (from.isPresent() && !passesOn.getAsBoolean()) {
+            return;
+        }
+        boolean sameVersion = before.filter(old -> old.isSameStart(found) && old.revision() == found.revision())
+                .isPresent();
+        if (sameVersion && found.status() == MemberStatus.SUSPECTED) {
+            spreader.spreadInCentre(found.id(), from);
+        } else {
+            spreader.spread(found.id(), from);
+        }
+    }
+
+    /** Only the data centre of a node suspects it. */
+    private MemberRecord asHeld(MemberRecord found) {
+        boolean local = found.node().dataCentre().equals(self.current().node().dataCentre());
+        return found.status() == MemberStatus.SUSPECTED && !local ? found.withStatus(MemberStatus.ALIVE) : found;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/membership/SeedRecords.java
@@ -0,0 +1,109 @@
+package io.beryldock.membership;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.beryldock.platform.PlatformException;
+import io.beryldock.platform.PlatformStore;
+import io.beryldock.platform.StoredValue;
+import io.beryldock.platform.WriteResult;
+import io.beryldock.time.TimerService;
+import io.beryldock.timeline.EventKind;
+import io.beryldock.timeline.EventSink;
+import io.beryldock.wire.SeedRecord;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+
+/**
+ * Reads and writes the seed record in the platform store and counts the calls.
+ *
+ * <p>Results come on the control thread, whatever thread the store completes on. Control thread only.
+ */
+final class SeedRecords {
+
+    static final String KEY = "membership/seeds";
+
+    private static final FluentLogger log = FluentLogger.forEnclosingClass();
+
+    /** The record as read, with the version that a write must name. Immutable. */
+    record Versioned(long version, SeedRecord record) {}
+
+    private final PlatformStore store;
+    private final TimerService timers;
+    private final EventSink events;
+    private boolean down;
+    private long reads;
+    private long writes;
+
+    SeedRecords(PlatformStore store, TimerService timers, EventSink events) {
+        this.store = store;
+        this.timers = timers;
+        this.events = events;
+    }
+
+    /** Reads the record; the result is empty when the store cannot be reached. */
+    void read(Consumer<Optional<Versioned>> then) {
+        reads++;
+        onControlThread(store.get(KEY), (value, failure) -> {
+            noteStore(failure);
+            then.accept(failure == null ? Optional.of(parse(value)) : Optional.empty());
+        });
+    }
+
+    /** Writes the record over the version that was read; the result is true when it was applied for sure. */
+    void write(Versioned over, SeedRecord next, Consumer<Boolean> then) {
+        writes++;
+        onControlThread(store.compareAndSet(KEY, over.version(), next.toByteString()), (result, failure) -> {
+            // A write whose answer was lost is not repeated: the next check reads the record and sees whether it holds.
+            then.accept(failure == null && result.kind() == WriteResult.Kind.APPLIED);
+        });
+    }
+
+    long reads() {
+        return reads;
+    }
+
+    long writes() {
+        return writes;
+    }
+
+    private <T> void onControlThread(CompletableFuture<T> future, BiConsumer<T, Throwable> then) {
+        future.whenComplete((value, failure) -> timers.after(Duration.ZERO, () -> then.accept(value, cause(failure))));
+    }
+
+    private static Throwable cause(Throwable failure) {
+        boolean wrapped = failure instanceof CompletionException && failure.getCause() != null;
+        return wrapped ? failure.getCause() : failure;
+    }
+
+    private Versioned parse(Optional<StoredValue> value) {
+        if (value.isEmpty()) {
+            return new Versioned(PlatformStore.ABSENT, SeedRecord.getDefaultInstance());
+        }
+        try {
+            return new Versioned(
+                    value.get().version(), SeedRecord.parseFrom(value.get().value()));
+        } catch (InvalidProtocolBufferException e) {
+            // Whatever is under the key, new nodes need a record they can read: it is written anew over this version.
+            log.atSevere().withCause(e).log("the value under %s is no seed record and will be replaced", KEY);
+            return new Versioned(value.get().version(), SeedRecord.getDefaultInstance());
+        }
+    }
+
+    private void noteStore(Throwable failure) {
+        boolean fails = failure != null;
+        if (fails && !down) {
+            events.record(EventKind.STORE_DOWN, KEY, "the seed record cannot be read; membership goes on without it");
+        } else if (!fails && down) {
+            events.record(EventKind.STORE_BACK, KEY, "the seed record can be read again");
+        }
+        if (fails && !(failure instanceof PlatformException)) {
+            log.atSevere().atMostEvery(1, TimeUnit.MINUTES).withCause(failure).log("reading the seed record failed");
+        }
+        down = fails;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/membership/SelfRecord.java
@@ -0,0 +1,78 @@
+package io.beryldock.membership;
+
+import com.google.common.flogger.FluentLogger;
+import io.beryldock.membership.MemberRecord.AnnouncedTarget;
+import java.util.Optional;
+
+/**
+ * The one record that this node itself may raise: its own.
+ *
+ * <p>Invariant: the record only rises. Two starts of one id are ordered without clocks: the later start hears of the
+ * earlier one from any peer, takes a generation above it and names it as superseded. A start that finds itself
+ * superseded by name gives way for ever, so two of them never take turns. Control thread only.
+ */
+final class SelfRecord {
+
+    private static final FluentLogger log = FluentLogger.forEnclosingClass();
+
+    private final MergeRules rules;
+    private MemberRecord record;
+    private boolean superseded;
+
+    private SelfRecord(MergeRules rules, MemberRecord record) {
+        this.rules = rules;
+        this.record = record;
+    }
+
+    static SelfRecord of(NodeDescriptor node, MergeRules rules) {
+        return new SelfRecord(rules, MemberRecord.ofStart(node));
+    }
+
+    MemberRecord current() {
+        return record;
+    }
+
+    /** Whether a later start of this node's id has taken its place. */
+    boolean isSuperseded() {
+        return superseded;
+    }
+
+    /** Changes the announced target; false when it is announced so already. */
+    boolean announce(Optional<AnnouncedTarget> target) {
+        if (target.equals(record.target())) {
+            return false;
+        }
+        record = record.withTarget(target);
+        return true;
+    }
+
+    void leave() {
+        record = record.withStatus(MemberStatus.LEFT);
+    }
+
+    /** Takes in what others hold of this node; true when the record was raised and has to be spread. */
+    boolean react(MemberRecord found) {
+        if (record.hasLeft() || superseded || !rules.denies() || !rules.newer().test(found, record)) {
+            return false;
+        }
+        if (found.isSameStart(record)) {
+            record = record.aliveAbove(found.revision());
+            return true;
+        }
+        if (found.superseded() == record.node().incarnation().low()) {
+            giveWay(found);
+            return false;
+        }
+        record = record.superseding(found);
+        return true;
+    }
+
+    private void giveWay(MemberRecord later) {
+        // A frozen VM was replaced by one of the same id and then woke, or two nodes were given one id. Without giving
+        // way both would raise their generation for ever and every view would flap between the two.
+        superseded = true;
+        log.atSevere().log(
+                "node %s at %s has taken the id of this node: stop one of them, or give each its own id in its settings",
+                later.id(), later.node().peerAddress());
+    }
+}
--- a/src/main/java/io/beryldock/wire/Membership.java
+++ b/src/main/java/io/beryldock/wire/Membership.java
@@ -36,6 +36,86 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_beryldock_membership_MembershipMessage_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_beryldock_membership_MembershipPing_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_beryldock_membership_MembershipPing_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_beryldock_membership_MembershipAck_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_beryldock_membership_MembershipAck_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_beryldock_membership_MembershipProbeRequest_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_beryldock_membership_MembershipProbeRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_beryldock_membership_MembershipProbeReport_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_beryldock_membership_MembershipProbeReport_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_beryldock_membership_MembershipCentreDigest_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_beryldock_membership_MembershipCentreDigest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_beryldock_membership_MembershipSyncOffer_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_beryldock_membership_MembershipSyncOffer_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_beryldock_membership_MembershipCentreBuckets_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_beryldock_membership_MembershipCentreBuckets_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_beryldock_membership_MembershipSyncBuckets_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_beryldock_membership_MembershipSyncBuckets_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_beryldock_membership_MembershipCentrePull_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_beryldock_membership_MembershipCentrePull_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_beryldock_membership_MembershipSyncPull_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_beryldock_membership_MembershipSyncPull_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_beryldock_membership_MembershipSyncWanted_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_beryldock_membership_MembershipSyncWanted_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_beryldock_membership_MembershipLinkState_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_beryldock_membership_MembershipLinkState_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_beryldock_membership_MembershipLinkReport_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_beryldock_membership_MembershipLinkReport_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_beryldock_membership_SeedRecord_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_beryldock_membership_SeedRecord_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_beryldock_membership_SeedCentre_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_beryldock_membership_SeedCentre_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_beryldock_membership_SeedAddress_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_beryldock_membership_SeedAddress_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -46,7 +126,7 @@
   static {
     java.lang.String[] descriptorData = {
       "\n\020membership.proto\022\024beryldock.membership" +
-      "\"\306\002\n\020MembershipRecord\022\n\n\002id\030\001 \001(\t\022\023\n\013dat" +
+      "\"\332\002\n\020MembershipRecord\022\n\n\002id\030\001 \001(\t\022\023\n\013dat" +
       "a_centre\030\002 \001(\t\022\017\n\007address\030\003 \001(\014\022\014\n\004port\030" +
       "\004 \001(\r\022\030\n\020incarnation_high\030\005 \001(\006\022\027\n\017incar" +
       "nation_low\030\006 \001(\006\022\022\n\ngeneration\030\007 \001(\r\022\020\n\010" +
@@ -54,14 +134,58 @@
       "ck.membership.MembershipStatus\022\017\n\007servic" +
       "e\030\n \001(\t\022\r\n\005slots\030\013 \001(\r\022A\n\014target_state\030\014" +
       " \001(\0162+.beryldock.membership.MembershipTa" +
-      "rgetState\"L\n\021MembershipMessage\0227\n\007record" +
-      "s\030\001 \003(\0132&.beryldock.membership.Membershi" +
-      "pRecord*^\n\020MembershipStatus\022\020\n\014MEMBER_AL" +
-      "IVE\020\000\022\024\n\020MEMBER_SUSPECTED\020\001\022\021\n\rMEMBER_FA" +
-      "ILED\020\002\022\017\n\013MEMBER_LEFT\020\003*R\n\025MembershipTar" +
-      "getState\022\023\n\017TARGET_STARTING\020\000\022\020\n\014TARGET_" +
-      "READY\020\001\022\022\n\016TARGET_LEAVING\020\002B\025\n\021io.beryld" +
-      "ock.wireP\001b\006proto3"
+      "rgetState\022\022\n\nsuperseded\030\r \001(\006\"\277\005\n\021Member" +
+      "shipMessage\022\014\n\004root\030\001 \001(\006\022\032\n\022sender_inca" +
+      "rnation\030\002 \001(\007\0227\n\007records\030\003 \003(\0132&.beryldo" +
+      "ck.membership.MembershipRecord\0224\n\004ping\030\005" +
+      " \001(\0132$.beryldock.membership.MembershipPi" +
+      "ngH\000\0222\n\003ack\030\006 \001(\0132#.beryldock.membership" +
+      ".MembershipAckH\000\022E\n\rprobe_request\030\007 \001(\0132" +
+      ",.beryldock.membership.MembershipProbeRe" +
+      "questH\000\022C\n\014probe_report\030\010 \001(\0132+.beryldoc" +
+      "k.membership.MembershipProbeReportH\000\022?\n\n" +
+      "sync_offer\030\t \001(\0132).beryldock.membership." +
+      "MembershipSyncOfferH\000\022C\n\014sync_buckets\030\n " +
+      "\001(\0132+.beryldock.membership.MembershipSyn" +
+      "cBucketsH\000\022=\n\tsync_pull\030\013 \001(\0132(.beryldoc" +
+      "k.membership.MembershipSyncPullH\000\022A\n\013syn" +
+      "c_wanted\030\014 \001(\0132*.beryldock.membership.Me" +
+      "mbershipSyncWantedH\000\022A\n\013link_report\030\r \001(" +
+      "\0132*.beryldock.membership.MembershipLinkR" +
+      "eportH\000B\006\n\004kind\"<\n\016MembershipPing\022\016\n\006num" +
+      "ber\030\001 \001(\r\022\032\n\022target_incarnation\030\002 \001(\007\"\037\n" +
+      "\rMembershipAck\022\016\n\006number\030\001 \001(\r\"8\n\026Member" +
+      "shipProbeRequest\022\016\n\006number\030\001 \001(\r\022\016\n\006targ" +
+      "et\030\002 \001(\t\"9\n\025MembershipProbeReport\022\016\n\006num" +
+      "ber\030\001 \001(\r\022\020\n\010answered\030\002 \001(\010\";\n\026Membershi" +
+      "pCentreDigest\022\023\n\013data_centre\030\001 \001(\t\022\014\n\004ro" +
+      "ot\030\002 \001(\006\"T\n\023MembershipSyncOffer\022=\n\007centr" +
+      "es\030\001 \003(\0132,.beryldock.membership.Membersh" +
+      "ipCentreDigest\"?\n\027MembershipCentreBucket" +
+      "s\022\023\n\013data_centre\030\001 \001(\t\022\017\n\007buckets\030\002 \003(\006\"" +
+      "e\n\025MembershipSyncBuckets\022>\n\007centres\030\001 \003(" +
+      "\0132-.beryldock.membership.MembershipCentr" +
+      "eBuckets\022\014\n\004more\030\002 \001(\010\"J\n\024MembershipCent" +
+      "rePull\022\023\n\013data_centre\030\001 \001(\t\022\017\n\007buckets\030\002" +
+      " \003(\r\022\014\n\004held\030\003 \003(\006\"Q\n\022MembershipSyncPull" +
+      "\022;\n\007centres\030\001 \003(\0132*.beryldock.membership" +
+      ".MembershipCentrePull\"&\n\024MembershipSyncW" +
+      "anted\022\016\n\006wanted\030\001 \003(\006\"=\n\023MembershipLinkS" +
+      "tate\022\023\n\013data_centre\030\001 \001(\t\022\021\n\treachable\030\002" +
+      " \001(\010\"\210\001\n\024MembershipLinkReport\022\020\n\010reporte" +
+      "r\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\016\n\006number\030\003" +
+      " \001(\004\0229\n\006states\030\004 \003(\0132).beryldock.members" +
+      "hip.MembershipLinkState\"?\n\nSeedRecord\0221\n" +
+      "\007centres\030\001 \003(\0132 .beryldock.membership.Se" +
+      "edCentre\"W\n\nSeedCentre\022\023\n\013data_centre\030\001 " +
+      "\001(\t\0224\n\taddresses\030\002 \003(\0132!.beryldock.membe" +
+      "rship.SeedAddress\",\n\013SeedAddress\022\017\n\007addr" +
+      "ess\030\001 \001(\014\022\014\n\004port\030\002 \001(\r*^\n\020MembershipSta" +
+      "tus\022\020\n\014MEMBER_ALIVE\020\000\022\024\n\020MEMBER_SUSPECTE" +
+      "D\020\001\022\021\n\rMEMBER_FAILED\020\002\022\017\n\013MEMBER_LEFT\020\003*" +
+      "R\n\025MembershipTargetState\022\023\n\017TARGET_START" +
+      "ING\020\000\022\020\n\014TARGET_READY\020\001\022\022\n\016TARGET_LEAVIN" +
+      "G\020\002B\025\n\021io.beryldock.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -72,13 +196,109 @@
     internal_static_beryldock_membership_MembershipRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_beryldock_membership_MembershipRecord_descriptor,
-        new java.lang.String[] { "Id", "DataCentre", "Address", "Port", "IncarnationHigh", "IncarnationLow", "Generation", "Revision", "Status", "Service", "Slots", "TargetState", });
+        new java.lang.String[] { "Id", "DataCentre", "Address", "Port", "IncarnationHigh", "IncarnationLow", "Generation", "Revision", "Status", "Service", "Slots", "TargetState", "Superseded", });
     internal_static_beryldock_membership_MembershipMessage_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_beryldock_membership_MembershipMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_beryldock_membership_MembershipMessage_descriptor,
-        new java.lang.String[] { "Records", });
+        new java.lang.String[] { "Root", "SenderIncarnation", "Records", "Ping", "Ack", "ProbeRequest", "ProbeReport", "SyncOffer", "SyncBuckets", "SyncPull", "SyncWanted", "LinkReport", "Kind", });
+    internal_static_beryldock_membership_MembershipPing_descriptor =
+      getDescriptor().getMessageType(2);
+    internal_static_beryldock_membership_MembershipPing_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_beryldock_membership_MembershipPing_descriptor,
+        new java.lang.String[] { "Number", "TargetIncarnation", });
+    internal_static_beryldock_membership_MembershipAck_descriptor =
+      getDescriptor().getMessageType(3);
+    internal_static_beryldock_membership_MembershipAck_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_beryldock_membership_MembershipAck_descriptor,
+        new java.lang.String[] { "Number", });
+    internal_static_beryldock_membership_MembershipProbeRequest_descriptor =
+      getDescriptor().getMessageType(4);
+    internal_static_beryldock_membership_MembershipProbeRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_beryldock_membership_MembershipProbeRequest_descriptor,
+        new java.lang.String[] { "Number", "Target", });
+    internal_static_beryldock_membership_MembershipProbeReport_descriptor =
+      getDescriptor().getMessageType(5);
+    internal_static_beryldock_membership_MembershipProbeReport_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_beryldock_membership_MembershipProbeReport_descriptor,
+        new java.lang.String[] { "Number", "Answered", });
+    internal_static_beryldock_membership_MembershipCentreDigest_descriptor =
+      getDescriptor().getMessageType(6);
+    internal_static_beryldock_membership_MembershipCentreDigest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_beryldock_membership_MembershipCentreDigest_descriptor,
+        new java.lang.String[] { "DataCentre", "Root", });
+    internal_static_beryldock_membership_MembershipSyncOffer_descriptor =
+      getDescriptor().getMessageType(7);
+    internal_static_beryldock_membership_MembershipSyncOffer_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_beryldock_membership_MembershipSyncOffer_descriptor,
+        new java.lang.String[] { "Centres", });
+    internal_static_beryldock_membership_MembershipCentreBuckets_descriptor =
+      getDescriptor().getMessageType(8);
+    internal_static_beryldock_membership_MembershipCentreBuckets_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_beryldock_membership_MembershipCentreBuckets_descriptor,
+        new java.lang.String[] { "DataCentre", "Buckets", });
+    internal_static_beryldock_membership_MembershipSyncBuckets_descriptor =
+      getDescriptor().getMessageType(9);
+    internal_static_beryldock_membership_MembershipSyncBuckets_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_beryldock_membership_MembershipSyncBuckets_descriptor,
+        new java.lang.String[] { "Centres", "More", });
+    internal_static_beryldock_membership_MembershipCentrePull_descriptor =
+      getDescriptor().getMessageType(10);
+    internal_static_beryldock_membership_MembershipCentrePull_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_beryldock_membership_MembershipCentrePull_descriptor,
+        new java.lang.String[] { "DataCentre", "Buckets", "Held", });
+    internal_static_beryldock_membership_MembershipSyncPull_descriptor =
+      getDescriptor().getMessageType(11);
+    internal_static_beryldock_membership_MembershipSyncPull_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_beryldock_membership_MembershipSyncPull_descriptor,
+        new java.lang.String[] { "Centres", });
+    internal_static_beryldock_membership_MembershipSyncWanted_descriptor =
+      getDescriptor().getMessageType(12);
+    internal_static_beryldock_membership_MembershipSyncWanted_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_beryldock_membership_MembershipSyncWanted_descriptor,
+        new java.lang.String[] { "Wanted", });
+    internal_static_beryldock_membership_MembershipLinkState_descriptor =
+      getDescriptor().getMessageType(13);
+    internal_static_beryldock_membership_MembershipLinkState_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_beryldock_membership_MembershipLinkState_descriptor,
+        new java.lang.String[] { "DataCentre", "Reachable", });
+    internal_static_beryldock_membership_MembershipLinkReport_descriptor =
+      getDescriptor().getMessageType(14);
+    internal_static_beryldock_membership_MembershipLinkReport_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_beryldock_membership_MembershipLinkReport_descriptor,
+        new java.lang.String[] { "Reporter", "Incarnation", "Number", "States", });
+    internal_static_beryldock_membership_SeedRecord_descriptor =
+      getDescriptor().getMessageType(15);
+    internal_static_beryldock_membership_SeedRecord_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_beryldock_membership_SeedRecord_descriptor,
+        new java.lang.String[] { "Centres", });
+    internal_static_beryldock_membership_SeedCentre_descriptor =
+      getDescriptor().getMessageType(16);
+    internal_static_beryldock_membership_SeedCentre_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_beryldock_membership_SeedCentre_descriptor,
+        new java.lang.String[] { "DataCentre", "Addresses", });
+    internal_static_beryldock_membership_SeedAddress_descriptor =
+      getDescriptor().getMessageType(17);
+    internal_static_beryldock_membership_SeedAddress_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_beryldock_membership_SeedAddress_descriptor,
+        new java.lang.String[] { "Address", "Port", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/src/main/java/io/beryldock/wire/MembershipMessage.java
+++ b/src/main/java/io/beryldock/wire/MembershipMessage.java
@@ -49,18 +49,104 @@
             io.beryldock.wire.MembershipMessage.class, io.beryldock.wire.MembershipMessage.Builder.class);
   }
 
-  public static final int RECORDS_FIELD_NUMBER = 1;
+  private int kindCase_ = 0;
+  @SuppressWarnings("serial")
+  private java.lang.Object kind_;
+  public enum KindCase
+      implements com.google.protobuf.Internal.EnumLite,
+          com.google.protobuf.AbstractMessage.InternalOneOfEnum {
+    PING(5),
+    ACK(6),
+    PROBE_REQUEST(7),
+    PROBE_REPORT(8),
+    SYNC_OFFER(9),
+    SYNC_BUCKETS(10),
+    SYNC_PULL(11),
+    SYNC_WANTED(12),
+    LINK_REPORT(13),
+    KIND_NOT_SET(0);
+    private final int value;
+    private KindCase(int value) {
+      this.value = value;
+    }
+    /**
+     * @param value The number of the enum to look for.
+     * @return The enum associated with the given number.
+     * @deprecated Use {@link #forNumber(int)} instead.
+     */
+    @java.lang.Deprecated
+    public static KindCase valueOf(int value) {
+      return forNumber(value);
+    }
+
+    public static KindCase forNumber(int value) {
+      switch (value) {
+        case 5: return PING;
+        case 6: return ACK;
+        case 7: return PROBE_REQUEST;
+        case 8: return PROBE_REPORT;
+        case 9: return SYNC_OFFER;
+        case 10: return SYNC_BUCKETS;
+        case 11: return SYNC_PULL;
+        case 12: return SYNC_WANTED;
+        case 13: return LINK_REPORT;
+        case 0: return KIND_NOT_SET;
+        default: return null;
+      }
+    }
+    public int getNumber() {
+      return this.value;
+    }
+  };
+
+  public KindCase
+  getKindCase() {
+    return KindCase.forNumber(
+        kindCase_);
+  }
+
+  public static final int ROOT_FIELD_NUMBER = 1;
+  private long root_ = 0L;
+  /**
+   * <pre>
+   * Digest of all live records that the sender holds; set on pings and acknowledgements.
+   * </pre>
+   *
+   * <code>fixed64 root = 1;</code>
+   * @return The root.
+   */
+  @java.lang.Override
+  public long getRoot() {
+    return root_;
+  }
+
+  public static final int SENDER_INCARNATION_FIELD_NUMBER = 2;
+  private int senderIncarnation_ = 0;
+  /**
+   * <pre>
+   * Low bits of the sender's incarnation.
+   * </pre>
+   *
+   * <code>fixed32 sender_incarnation = 2;</code>
+   * @return The senderIncarnation.
+   */
+  @java.lang.Override
+  public int getSenderIncarnation() {
+    return senderIncarnation_;
+  }
+
+  public static final int RECORDS_FIELD_NUMBER = 3;
   @SuppressWarnings("serial")
   private java.util.List<io.beryldock.wire.MembershipRecord> records_;
   /**
-   * <code>repeated .beryldock.membership.MembershipRecord records = 1;</code>
+   * <code>repeated .beryldock.membership.MembershipRecord records = 3;</code>
    */
   @java.lang.Override
   public java.util.List<io.beryldock.wire.MembershipRecord> getRecordsList() {
     return records_;
   }
   /**
-   * <code>repeated .beryldock.membership.MembershipRecord records = 1;</code>
+   * <code>repeated .beryldock.membership.MembershipRecord records = 3;</code>
    */
   @java.lang.Override
   public java.util.List<? extends io.beryldock.wire.MembershipRecordOrBuilder> 
@@ -68,21 +154,21 @@
     return records_;
   }
   /**
-   * <code>repeated .beryldock.membership.MembershipRecord records = 1;</code>
+   * <code>repeated .beryldock.membership.MembershipRecord records = 3;</code>
    */
   @java.lang.Override
   public int getRecordsCount() {
     return records_.size();
   }
   /**
-   * <code>repeated .beryldock.membership.MembershipRecord records = 1;</code>
+   * <code>repeated .beryldock.membership.MembershipRecord records = 3;</code>
    */
   @java.lang.Override
   public io.beryldock.wire.MembershipRecord getRecords(int index) {
     return records_.get(index);
   }
   /**
-   * <code>repeated .beryldock.membership.MembershipRecord records = 1;</code>
+   * <code>repeated .beryldock.membership.MembershipRecord records = 3;</code>
    */
   @java.lang.Override
   public io.beryldock.wire.MembershipRecordOrBuilder getRecordsOrBuilder(
@@ -90,6 +176,285 @@
     return records_.get(index);
   }
 
+  public static final int PING_FIELD_NUMBER = 5;
+  /**
+   * <code>.beryldock.membership.MembershipPing ping = 5;</code>
+   * @return Whether the ping field is set.
+   */
+  @java.lang.Override
+  public boolean hasPing() {
+    return kindCase_ == 5;
+  }
+  /**
+   * <code>.beryldock.membership.MembershipPing ping = 5;</code>
+   * @return The ping.
+   */
+  @java.lang.Override
+  public io.beryldock.wire.MembershipPing getPing() {
+    if (kindCase_ == 5) {
+       return (io.beryldock.wire.MembershipPing) kind_;
+    }
+    return io.beryldock.wire.MembershipPing.getDefaultInstance();
+  }
+  /**
+   * <code>.beryldock.membership.MembershipPing ping = 5;</code>
+   */
+  @java.lang.Override
+  public io.beryldock.wire.MembershipPingOrBuilder getPingOrBuilder() {
+    if (kindCase_ == 5) {
+       return (io.beryldock.wire.MembershipPing) kind_;
+    }
+    return io.beryldock.wire.MembershipPing.getDefaultInstance();
+  }
+
+  public static final int ACK_FIELD_NUMBER = 6;
+  /**
+   * <code>.beryldock.membership.MembershipAck ack = 6;</code>
+   * @return Whether the ack field is set.
+   */
+  @java.lang.Override
+  public boolean hasAck() {
+    return kindCase_ == 6;
+  }
+  /**
+   * <code>.beryldock.membership.MembershipAck ack = 6;</code>
+   * @return The ack.
+   */
+  @java.lang.Override
+  public io.beryldock.wire.MembershipAck getAck() {
+    if (kindCase_ == 6) {
+       return (io.beryldock.wire.MembershipAck) kind_;
+    }
+    return io.beryldock.wire.MembershipAck.getDefaultInstance();
+  }
+  /**
+   * <code>.beryldock.membership.MembershipAck ack = 6;</code>
+   */
+  @java.lang.Override
+  public io.beryldock.wire.MembershipAckOrBuilder getAckOrBuilder() {
+    if (kindCase_ == 6) {
+       return (io.beryldock.wire.MembershipAck) kind_;
+    }
+    return io.beryldock.wire.MembershipAck.getDefaultInstance();
+  }
+
+  public static final int PROBE_REQUEST_FIELD_NUMBER = 7;
+  /**
+   * <code>.beryldock.membership.MembershipProbeRequest probe_request = 7;</code>
+   * @return Whether the probeRequest field is set.
+   */
+  @java.lang.Override
+  public boolean hasProbeRequest() {
+    return kindCase_ == 7;
+  }
+  /**
+   * <code>.beryldock.membership.MembershipProbeRequest probe_request = 7;</code>
+   * @return The probeRequest.
+   */
+  @java.lang.Override
+  public io.beryldock.wire.MembershipProbeRequest getProbeRequest() {
+    if (kindCase_ == 7) {
+       return (io.beryldock.wire.MembershipProbeRequest) kind_;
+    }
+    return io.beryldock.wire.MembershipProbeRequest.getDefaultInstance();
+  }
+  /**
+   * <code>.beryldock.membership.MembershipProbeRequest probe_request = 7;</code>
+   */
+  @java.lang.Override
+  public io.beryldock.wire.MembershipProbeRequestOrBuilder getProbeRequestOrBuilder() {
+    if (kindCase_ == 7) {
+       return (io.beryldock.wire.MembershipProbeRequest) kind_;
+    }
+    return io.beryldock.wire.MembershipProbeRequest.getDefaultInstance();
+  }
+
+  public static final int PROBE_REPORT_FIELD_NUMBER = 8;
+  /**
+   * <code>.beryldock.membership.MembershipProbeReport probe_report = 8;</code>
+   * @return Whether the probeReport field is set.
+   */
+  @java.lang.Override
+  public boolean hasProbeReport() {
+    return kindCase_ == 8;
+  }
+  /**
+   * <code>.beryldock.membership.MembershipProbeReport probe_report = 8;</code>
+   * @return The probeReport.
+   */
+  @java.lang.Override
+  public io.beryldock.wire.MembershipProbeReport getProbeReport() {
+    if (kindCase_ == 8) {
+       return (io.beryldock.wire.MembershipProbeReport) kind_;
+    }
+    return io.beryldock.wire.MembershipProbeReport.getDefaultInstance();
+  }
+  /**
+   * <code>.beryldock.membership.MembershipProbeReport probe_report = 8;</code>
+   */
+  @java.lang.Override
+  public io.beryldock.wire.MembershipProbeReportOrBuilder getProbeReportOrBuilder() {
+    if (kindCase_ == 8) {
+       return (io.beryldock.wire.MembershipProbeReport) kind_;
+    }
+    return io.beryldock.wire.MembershipProbeReport.getDefaultInstance();
+  }
+
+  public static final int SYNC_OFFER_FIELD_NUMBER = 9;
+  /**
+   * <code>.beryldock.membership.MembershipSyncOffer sync_offer = 9;</code>
+   * @return Whether the syncOffer field is set.
+   */
+  @java.lang.Override
+  public boolean hasSyncOffer() {
+    return kindCase_ == 9;
+  }
+  /**
+   * <code>.beryldock.membership.MembershipSyncOffer sync_offer = 9;</code>
+   * @return The syncOffer.
+   */
+  @java.lang.Override
+  public io.beryldock.wire.MembershipSyncOffer getSyncOffer() {
+    if (kindCase_ == 9) {
+       return (io.beryldock.wire.MembershipSyncOffer) kind_;
+    }
+    return io.beryldock.wire.MembershipSyncOffer.getDefaultInstance();
+  }
+  /**
+   * <code>.beryldock.membership.MembershipSyncOffer sync_offer = 9;</code>
+   */
+  @java.lang.Override
+  public io.beryldock.wire.MembershipSyncOfferOrBuilder getSyncOfferOrBuilder() {
+    if (kindCase_ == 9) {
+       return (io.beryldock.wire.MembershipSyncOffer) kind_;
+    }
+    return io.beryldock.wire.MembershipSyncOffer.getDefaultInstance();
+  }
+
+  public static final int SYNC_BUCKETS_FIELD_NUMBER = 10;
+  /**
+   * <code>.beryldock.membership.MembershipSyncBuckets sync_buckets = 10;</code>
+   * @return Whether the syncBuckets field is set.
+   */
+  @java.lang.Override
+  public boolean hasSyncBuckets() {
+    return kindCase_ == 10;
+  }
+  /**
+   * <code>.beryldock.membership.MembershipSyncBuckets sync_buckets = 10;</code>
+   * @return The syncBuckets.
+   */
+  @java.lang.Override
+  public io.beryldock.wire.MembershipSyncBuckets getSyncBuckets() {
+    if (kindCase_ == 10) {
+       return (io.beryldock.wire.MembershipSyncBuckets) kind_;
+    }
+    return io.beryldock.wire.MembershipSyncBuckets.getDefaultInstance();
+  }
+  /**
+   * <code>.beryldock.membership.MembershipSyncBuckets sync_buckets = 10;</code>
+   */
+  @java.lang.Override
+  public io.beryldock.wire.MembershipSyncBucketsOrBuilder getSyncBucketsOrBuilder() {
+    if (kindCase_ == 10) {
+       return (io.beryldock.wire.MembershipSyncBuckets) kind_;
+    }
+    return io.beryldock.wire.MembershipSyncBuckets.getDefaultInstance();
+  }
+
+  public static final int SYNC_PULL_FIELD_NUMBER = 11;
+  /**
+   * <code>.beryldock.membership.MembershipSyncPull sync_pull = 11;</code>
+   * @return Whether the syncPull field is set.
+   */
+  @java.lang.Override
+  public boolean hasSyncPull() {
+    return kindCase_ == 11;
+  }
+  /**
+   * <code>.beryldock.membership.MembershipSyncPull sync_pull = 11;</code>
+   * @return The syncPull.
+   */
+  @java.lang.Override
+  public io.beryldock.wire.MembershipSyncPull getSyncPull() {
+    if (kindCase_ == 11) {
+       return (io.beryldock.wire.MembershipSyncPull) kind_;
+    }
+    return io.beryldock.wire.MembershipSyncPull.getDefaultInstance();
+  }
+  /**
+   * <code>.beryldock.membership.MembershipSyncPull sync_pull = 11;</code>
+   */
+  @java.lang.Override
+  public io.beryldock.wire.MembershipSyncPullOrBuilder getSyncPullOrBuilder() {
+    if (kindCase_ == 11) {
+       return (io.beryldock.wire.MembershipSyncPull) kind_;
+    }
+    return io.beryldock.wire.MembershipSyncPull.getDefaultInstance();
+  }
+
+  public static final int SYNC_WANTED_FIELD_NUMBER = 12;
+  /**
+   * <code>.beryldock.membership.MembershipSyncWanted sync_wanted = 12;</code>
+   * @return Whether the syncWanted field is set.
+   */
+  @java.lang.Override
+  public boolean hasSyncWanted() {
+    return kindCase_ == 12;
+  }
+  /**
+   * <code>.beryldock.membership.MembershipSyncWanted sync_wanted = 12;</code>
+   * @return The syncWanted.
+   */
+  @java.lang.Override
+  public io.beryldock.wire.MembershipSyncWanted getSyncWanted() {
+    if (kindCase_ == 12) {
+       return (io.beryldock.wire.MembershipSyncWanted) kind_;
+    }
+    return io.beryldock.wire.MembershipSyncWanted.getDefaultInstance();
+  }
+  /**
+   * <code>.beryldock.membership.MembershipSyncWanted sync_wanted = 12;</code>
+   */
+  @java.lang.Override
+  public io.beryldock.wire.MembershipSyncWantedOrBuilder getSyncWantedOrBuilder() {
+    if (kindCase_ == 12) {
+       return (io.beryldock.wire.MembershipSyncWanted) kind_;
+    }
+    return io.beryldock.wire.MembershipSyncWanted.getDefaultInstance();
+  }
+
+  public static final int LINK_REPORT_FIELD_NUMBER = 13;
+  /**
+   * <code>.beryldock.membership.MembershipLinkReport link_report = 13;</code>
+   * @return Whether the linkReport field is set.
+   */
+  @java.lang.Override
+  public boolean hasLinkReport() {
+    return kindCase_ == 13;
+  }
+  /**
+   * <code>.beryldock.membership.MembershipLinkReport link_report = 13;</code>
+   * @return The linkReport.
+   */
+  @java.lang.Override
+  public io.beryldock.wire.MembershipLinkReport getLinkReport() {
+    if (kindCase_ == 13) {
+       return (io.beryldock.wire.MembershipLinkReport) kind_;
+    }
+    return io.beryldock.wire.MembershipLinkReport.getDefaultInstance();
+  }
+  /**
+   * <code>.beryldock.membership.MembershipLinkReport link_report = 13;</code>
+   */
+  @java.lang.Override
+  public io.beryldock.wire.MembershipLinkReportOrBuilder getLinkReportOrBuilder() {
+    if (kindCase_ == 13) {
+       return (io.beryldock.wire.MembershipLinkReport) kind_;
+    }
+    return io.beryldock.wire.MembershipLinkReport.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -104,13 +469,54 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
+    if (root_ != 0L) {
+      output.writeFixed64(1, root_);
+    }
+    if (senderIncarnation_ != 0) {
+      output.writeFixed32(2, senderIncarnation_);
+    }
     for (int i = 0; i < records_.size(); i++) {
-      output.writeMessage(1, records_.get(i));
+      output.writeMessage(3, records_.get(i));
+    }
+    if (kindCase_ == 5) {
+      output.writeMessage(5, (io.beryldock.wire.MembershipPing) kind_);
+    }
+    if (kindCase_ == 6) {
+      output.writeMessage(6, (io.beryldock.wire.MembershipAck) kind_);
+    }
+    if (kindCase_ == 7) {
+      output.writeMessage(7, (io.beryldock.wire.MembershipProbeRequest) kind_);
+    }
+    if (kindCase_ == 8) {
+      output.writeMessage(8, (io.beryldock.wire.MembershipProbeReport) kind_);
+    }
+    if (kindCase_ == 9) {
+      output.writeMessage(9, (io.beryldock.wire.MembershipSyncOffer) kind_);
+    }
+    if (kindCase_ == 10) {
+      output.writeMessage(10, (io.beryldock.wire.MembershipSyncBuckets) kind_);
+    }
+    if (kindCase_ == 11) {
+      output.writeMessage(11, (io.beryldock.wire.MembershipSyncPull) kind_);
+    }
+    if (kindCase_ == 12) {
+      output.writeMessage(12, (io.beryldock.wire.MembershipSyncWanted) kind_);
+    }
+    if (kindCase_ == 13) {
+      output.writeMessage(13, (io.beryldock.wire.MembershipLinkReport) kind_);
     }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
     int size = 0;
+    if (root_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeFixed64Size(1, root_);
+    }
+    if (senderIncarnation_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeFixed32Size(2, senderIncarnation_);
+    }
 
         {
           final int count = records_.size();
@@ -120,6 +526,42 @@
           }
           size += 1 * count;
         }
+    if (kindCase_ == 5) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(5, (io.beryldock.wire.MembershipPing) kind_);
+    }
+    if (kindCase_ == 6) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(6, (io.beryldock.wire.MembershipAck) kind_);
+    }
+    if (kindCase_ == 7) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(7, (io.beryldock.wire.MembershipProbeRequest) kind_);
+    }
+    if (kindCase_ == 8) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(8, (io.beryldock.wire.MembershipProbeReport) kind_);
+    }
+    if (kindCase_ == 9) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(9, (io.beryldock.wire.MembershipSyncOffer) kind_);
+    }
+    if (kindCase_ == 10) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(10, (io.beryldock.wire.MembershipSyncBuckets) kind_);
+    }
+    if (kindCase_ == 11) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(11, (io.beryldock.wire.MembershipSyncPull) kind_);
+    }
+    if (kindCase_ == 12) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(12, (io.beryldock.wire.MembershipSyncWanted) kind_);
+    }
+    if (kindCase_ == 13) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(13, (io.beryldock.wire.MembershipLinkReport) kind_);
+    }
     return size;
   }
   @java.lang.Override
@@ -144,8 +586,53 @@
     }
     io.beryldock.wire.MembershipMessage other = (io.beryldock.wire.MembershipMessage) obj;
 
+    if (getRoot()
+        != other.getRoot()) return false;
+    if (getSenderIncarnation()
+        != other.getSenderIncarnation()) return false;
     if (!getRecordsList()
         .equals(other.getRecordsList())) return false;
+    if (!getKindCase().equals(other.getKindCase())) return false;
+    switch (kindCase_) {
+      case 5:
+        if (!getPing()
+            .equals(other.getPing())) return false;
+        break;
+      case 6:
+        if (!getAck()
+            .equals(other.getAck())) return false;
+        break;
+      case 7:
+        if (!getProbeRequest()
+            .equals(other.getProbeRequest())) return false;
+        break;
+      case 8:
+        if (!getProbeReport()
+            .equals(other.getProbeReport())) return false;
+        break;
+      case 9:
+        if (!getSyncOffer()
+            .equals(other.getSyncOffer())) return false;
+        break;
+      case 10:
+        if (!getSyncBuckets()
+            .equals(other.getSyncBuckets())) return false;
+        break;
+      case 11:
+        if (!getSyncPull()
+            .equals(other.getSyncPull())) return false;
+        break;
+      case 12:
+        if (!getSyncWanted()
+            .equals(other.getSyncWanted())) return false;
+        break;
+      case 13:
+        if (!getLinkReport()
+            .equals(other.getLinkReport())) return false;
+        break;
+      case 0:
+      default:
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -157,10 +644,55 @@
     }
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
+    hash = (37 * hash) + ROOT_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getRoot());
+    hash = (37 * hash) + SENDER_INCARNATION_FIELD_NUMBER;
+    hash = (53 * hash) + getSenderIncarnation();
     if (getRecordsCount() > 0) {
       hash = (37 * hash) + RECORDS_FIELD_NUMBER;
       hash = (53 * hash) + getRecordsList().hashCode();
     }
+    switch (kindCase_) {
+      case 5:
+        hash = (37 * hash) + PING_FIELD_NUMBER;
+        hash = (53 * hash) + getPing().hashCode();
+        break;
+      case 6:
+        hash = (37 * hash) + ACK_FIELD_NUMBER;
+        hash = (53 * hash) + getAck().hashCode();
+        break;
+      case 7:
+        hash = (37 * hash) + PROBE_REQUEST_FIELD_NUMBER;
+        hash = (53 * hash) + getProbeRequest().hashCode();
+        break;
+      case 8:
+        hash = (37 * hash) + PROBE_REPORT_FIELD_NUMBER;
+        hash = (53 * hash) + getProbeReport().hashCode();
+        break;
+      case 9:
+        hash = (37 * hash) + SYNC_OFFER_FIELD_NUMBER;
+        hash = (53 * hash) + getSyncOffer().hashCode();
+        break;
+      case 10:
+        hash = (37 * hash) + SYNC_BUCKETS_FIELD_NUMBER;
+        hash = (53 * hash) + getSyncBuckets().hashCode();
+        break;
+      case 11:
+        hash = (37 * hash) + SYNC_PULL_FIELD_NUMBER;
+        hash = (53 * hash) + getSyncPull().hashCode();
+        break;
+      case 12:
+        hash = (37 * hash) + SYNC_WANTED_FIELD_NUMBER;
+        hash = (53 * hash) + getSyncWanted().hashCode();
+        break;
+      case 13:
+        hash = (37 * hash) + LINK_REPORT_FIELD_NUMBER;
+        hash = (53 * hash) + getLinkReport().hashCode();
+        break;
+      case 0:
+      default:
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -292,13 +824,44 @@
     public Builder clear() {
       super.clear();
       bitField0_ = 0;
+      root_ = 0L;
+      senderIncarnation_ = 0;
       if (recordsBuilder_ == null) {
         records_ = java.util.Collections.emptyList();
       } else {
         records_ = null;
         recordsBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00000001);
+      bitField0_ = (bitField0_ & ~0x00000004);
+      if (pingBuilder_ != null) {
+        pingBuilder_.clear();
+      }
+      if (ackBuilder_ != null) {
+        ackBuilder_.clear();
+      }
+      if (probeRequestBuilder_ != null) {
+        probeRequestBuilder_.clear();
+      }
+      if (probeReportBuilder_ != null) {
+        probeReportBuilder_.clear();
+      }
+      if (syncOfferBuilder_ != null) {
+        syncOfferBuilder_.clear();
+      }
+      if (syncBucketsBuilder_ != null) {
+        syncBucketsBuilder_.clear();
+      }
+      if (syncPullBuilder_ != null) {
+        syncPullBuilder_.clear();
+      }
+      if (syncWantedBuilder_ != null) {
+        syncWantedBuilder_.clear();
+      }
+      if (linkReportBuilder_ != null) {
+        linkReportBuilder_.clear();
+      }
+      kindCase_ = 0;
+      kind_ = null;
       return this;
     }
 
@@ -327,15 +890,16 @@
       io.beryldock.wire.MembershipMessage result = new io.beryldock.wire.MembershipMessage(this);
       buildPartialRepeatedFields(result);
       if (bitField0_ != 0) { buildPartial0(result); }
+      buildPartialOneofs(result);
       onBuilt();
       return result;
     }
 
     private void buildPartialRepeatedFields(io.beryldock.wire.MembershipMessage result) {
       if (recordsBuilder_ == null) {
-        if (((bitField0_ & 0x00000001) != 0)) {
+        if (((bitField0_ & 0x00000004) != 0)) {
           records_ = java.util.Collections.unmodifiableList(records_);
-          bitField0_ = (bitField0_ & ~0x00000001);
+          bitField0_ = (bitField0_ & ~0x00000004);
         }
         result.records_ = records_;
       } else {
@@ -345,6 +909,53 @@
 
     private void buildPartial0(io.beryldock.wire.MembershipMessage result) {
       int from_bitField0_ = bitField0_;
+      if (((from_bitField0_ & 0x00000001) != 0)) {
+        result.root_ = root_;
+      }
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.senderIncarnation_ = senderIncarnation_;
+      }
+    }
+
+    private void buildPartialOneofs(io.beryldock.wire.MembershipMessage result) {
+      result.kindCase_ = kindCase_;
+      result.kind_ = this.kind_;
+      if (kindCase_ == 5 &&
+          pingBuilder_ != null) {
+        result.kind_ = pingBuilder_.build();
+      }
+      if (kindCase_ == 6 &&
+          ackBuilder_ != null) {
+        result.kind_ = ackBuilder_.build();
+      }
+      if (kindCase_ == 7 &&
+          probeRequestBuilder_ != null) {
+        result.kind_ = probeRequestBuilder_.build();
+      }
+      if (kindCase_ == 8 &&
+          probeReportBuilder_ != null) {
+        result.kind_ = probeReportBuilder_.build();
+      }
+      if (kindCase_ == 9 &&
+          syncOfferBuilder_ != null) {
+        result.kind_ = syncOfferBuilder_.build();
+      }
+      if (kindCase_ == 10 &&
+          syncBucketsBuilder_ != null) {
+        result.kind_ = syncBucketsBuilder_.build();
+      }
+      if (kindCase_ == 11 &&
+          syncPullBuilder_ != null) {
+        result.kind_ = syncPullBuilder_.build();
+      }
+      if (kindCase_ == 12 &&
+          syncWantedBuilder_ != null) {
+        result.kind_ = syncWantedBuilder_.build();
+      }
+      if (kindCase_ == 13 &&
+          linkReportBuilder_ != null) {
+        result.kind_ = linkReportBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -359,11 +970,17 @@
 
     public Builder mergeFrom(io.beryldock.wire.MembershipMessage other) {
       if (other == io.beryldock.wire.MembershipMessage.getDefaultInstance()) return this;
+      if (other.getRoot() != 0L) {
+        setRoot(other.getRoot());
+      }
+      if (other.getSenderIncarnation() != 0) {
+        setSenderIncarnation(other.getSenderIncarnation());
+      }
       if (recordsBuilder_ == null) {
         if (!other.records_.isEmpty()) {
           if (records_.isEmpty()) {
             records_ = other.records_;
-            bitField0_ = (bitField0_ & ~0x00000001);
+            bitField0_ = (bitField0_ & ~0x00000004);
           } else {
             ensureRecordsIsMutable();
             records_.addAll(other.records_);
@@ -376,7 +993,7 @@
             recordsBuilder_.dispose();
             recordsBuilder_ = null;
             records_ = other.records_;
-            bitField0_ = (bitField0_ & ~0x00000001);
+            bitField0_ = (bitField0_ & ~0x00000004);
             recordsBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                  internalGetRecordsFieldBuilder() : null;
@@ -385,6 +1002,47 @@
           }
         }
       }
+      switch (other.getKindCase()) {
+        case PING: {
+          mergePing(other.getPing());
+          break;
+        }
+        case ACK: {
+          mergeAck(other.getAck());
+          break;
+        }
+        case PROBE_REQUEST: {
+          mergeProbeRequest(other.getProbeRequest());
+          break;
+        }
+        case PROBE_REPORT: {
+          mergeProbeReport(other.getProbeReport());
+          break;
+        }
+        case SYNC_OFFER: {
+          mergeSyncOffer(other.getSyncOffer());
+          break;
+        }
+        case SYNC_BUCKETS: {
+          mergeSyncBuckets(other.getSyncBuckets());
+          break;
+        }
+        case SYNC_PULL: {
+          mergeSyncPull(other.getSyncPull());
+          break;
+        }
+        case SYNC_WANTED: {
+          mergeSyncWanted(other.getSyncWanted());
+          break;
+        }
+        case LINK_REPORT: {
+          mergeLinkReport(other.getLinkReport());
+          break;
+        }
+        case KIND_NOT_SET: {
+          break;
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -409,7 +1067,17 @@
             case 0:
               done = true;
               break;
-            case 10: {
+            case 9: {
+              root_ = input.readFixed64();
+              bitField0_ |= 0x00000001;
+              break;
+            } // case 9
+            case 21: {
+              senderIncarnation_ = input.readFixed32();
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 21
+            case 26: {
               io.beryldock.wire.MembershipRecord m =
                   input.readMessage(
                       io.beryldock.wire.MembershipRecord.parser(),
@@ -421,7 +1089,70 @@
                 recordsBuilder_.addMessage(m);
               }
               break;
-            } // case 10
+            } // case 26
+            case 42: {
+              input.readMessage(
+                  internalGetPingFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              kindCase_ = 5;
+              break;
+            } // case 42
+            case 50: {
+              input.readMessage(
+                  internalGetAckFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              kindCase_ = 6;
+              break;
+            } // case 50
+            case 58: {
+              input.readMessage(
+                  internalGetProbeRequestFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              kindCase_ = 7;
+              break;
+            } // case 58
+            case 66: {
+              input.readMessage(
+                  internalGetProbeReportFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              kindCase_ = 8;
+              break;
+            } // case 66
+            case 74: {
+              input.readMessage(
+                  internalGetSyncOfferFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              kindCase_ = 9;
+              break;
+            } // case 74
+            case 82: {
+              input.readMessage(
+                  internalGetSyncBucketsFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              kindCase_ = 10;
+              break;
+            } // case 82
+            case 90: {
+              input.readMessage(
+                  internalGetSyncPullFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              kindCase_ = 11;
+              break;
+            } // case 90
+            case 98: {
+              input.readMessage(
+                  internalGetSyncWantedFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              kindCase_ = 12;
+              break;
+            } // case 98
+            case 106: {
+              input.readMessage(
+                  internalGetLinkReportFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              kindCase_ = 13;
+              break;
+            } // case 106
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -437,42 +1168,145 @@
       } // finally
       return this;
     }
-    private int bitField0_;
+    private int kindCase_ = 0;
+    private java.lang.Object kind_;
+    public KindCase
+        getKindCase() {
+      return KindCase.forNumber(
+          kindCase_);
+    }
 
-    private java.util.List<io.beryldock.wire.MembershipRecord> records_ =
-      java.util.Collections.emptyList();
-    private void ensureRecordsIsMutable() {
-      if (!((bitField0_ & 0x00000001) != 0)) {
-        records_ = new java.util.ArrayList<io.beryldock.wire.MembershipRecord>(records_);
-        bitField0_ |= 0x00000001;
-       }
+    public Builder clearKind() {
+      kindCase_ = 0;
+      kind_ = null;
+      onChanged();
+      return this;
     }
 
-    private com.google.protobuf.RepeatedFieldBuilder<
-        io.beryldock.wire.MembershipRecord, io.beryldock.wire.MembershipRecord.Builder, io.beryldock.wire.MembershipRecordOrBuilder> recordsBuilder_;
+    private int bitField0_;
 
+    private long root_ ;
     /**
-     * <code>repeated .beryldock.membership.MembershipRecord records = 1;</code>
+     * <pre>
+     * Digest of all live records that the sender holds; set on pings and acknowledgements.
+     * </pre>
+     *
+     * <code>fixed64 root = 1;</code>
+     * @return The root.
      */
-    public java.util.List<io.beryldock.wire.MembershipRecord> getRecordsList() {
-      if (recordsBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(records_);
-      } else {
-        return recordsBuilder_.getMessageList();
-      }
+    @java.lang.Override
+    public long getRoot() {
+      return root_;
     }
     /**
-     * <code>repeated .beryldock.membership.MembershipRecord records = 1;</code>
+     * <pre>
+     * Digest of all live records that the sender holds; set on pings and acknowledgements.
+     * </pre>
+     *
+     * <code>fixed64 root = 1;</code>
+     * @param value The root to set.
+     * @return This builder for chaining.
      */
-    public int getRecordsCount() {
-      if (recordsBuilder_ == null) {
-        return records_.size();
-      } else {
-        return recordsBuilder_.getCount();
-      }
-    }
-    /**
-     * <code>repeated .beryldock.membership.MembershipRecord records = 1;</code>
+    public Builder setRoot(long value) {
+
+      root_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Digest of all live records that the sender holds; set on pings and acknowledgements.
+     * </pre>
+     *
+     * <code>fixed64 root = 1;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRoot() {
+      bitField0_ = (bitField0_ & ~0x00000001);
+      root_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private int senderIncarnation_ ;
+    /**
+     * <pre>
+     * Low bits of the sender's incarnation.
+     * </pre>
+     *
+     * <code>fixed32 sender_incarnation = 2;</code>
+     * @return The senderIncarnation.
+     */
+    @java.lang.Override
+    public int getSenderIncarnation() {
+      return senderIncarnation_;
+    }
+    /**
+     * <pre>
+     * Low bits of the sender's incarnation.
+     * </pre>
+     *
+     * <code>fixed32 sender_incarnation = 2;</code>
+     * @param value The senderIncarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSenderIncarnation(int value) {
+
+      senderIncarnation_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Low bits of the sender's incarnation.
+     * </pre>
+     *
+     * <code>fixed32 sender_incarnation = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSenderIncarnation() {
+      bitField0_ = (bitField0_ & ~0x00000002);
+      senderIncarnation_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private java.util.List<io.beryldock.wire.MembershipRecord> records_ =
+      java.util.Collections.emptyList();
+    private void ensureRecordsIsMutable() {
+      if (!((bitField0_ & 0x00000004) != 0)) {
+        records_ = new java.util.ArrayList<io.beryldock.wire.MembershipRecord>(records_);
+        bitField0_ |= 0x00000004;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.beryldock.wire.MembershipRecord, io.beryldock.wire.MembershipRecord.Builder, io.beryldock.wire.MembershipRecordOrBuilder> recordsBuilder_;
+
+    /**
+     * <code>repeated .beryldock.membership.MembershipRecord records = 3;</code>
+     */
+    public java.util.List<io.beryldock.wire.MembershipRecord> getRecordsList() {
+      if (recordsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(records_);
+      } else {
+        return recordsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .beryldock.membership.MembershipRecord records = 3;</code>
+     */
+    public int getRecordsCount() {
+      if (recordsBuilder_ == null) {
+        return records_.size();
+      } else {
+        return recordsBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .beryldock.membership.MembershipRecord records = 3;</code>
      */
     public io.beryldock.wire.MembershipRecord getRecords(int index) {
       if (recordsBuilder_ == null) {
@@ -482,7 +1316,7 @@
       }
     }
     /**
-     * <code>repeated .beryldock.membership.MembershipRecord records = 1;</code>
+     * <code>repeated .beryldock.membership.MembershipRecord records = 3;</code>
      */
     public Builder setRecords(
         int index, io.beryldock.wire.MembershipRecord value) {
@@ -497,7 +1331,7 @@
       return this;
     }
     /**
-     * <code>repeated .beryldock.membership.MembershipRecord records = 1;</code>
+     * <code>repeated .beryldock.membership.MembershipRecord records = 3;</code>
      */
     public Builder setRecords(
         int index, io.beryldock.wire.MembershipRecord.Builder builderForValue) {
@@ -511,7 +1345,7 @@
       return this;
     }
     /**
-     * <code>repeated .beryldock.membership.MembershipRecord records = 1;</code>
+     * <code>repeated .beryldock.membership.MembershipRecord records = 3;</code>
      */
     public Builder addRecords(io.beryldock.wire.MembershipRecord value) {
       if (recordsBuilder_ == null) {
@@ -525,7 +1359,7 @@
       return this;
     }
     /**
-     * <code>repeated .beryldock.membership.MembershipRecord records = 1;</code>
+     * <code>repeated .beryldock.membership.MembershipRecord records = 3;</code>
      */
     public Builder addRecords(
         int index, io.beryldock.wire.MembershipRecord value) {
@@ -540,7 +1374,7 @@
       return this;
     }
     /**
-     * <code>repeated .beryldock.membership.MembershipRecord records = 1;</code>
+     * <code>repeated .beryldock.membership.MembershipRecord records = 3;</code>
      */
     public Builder addRecords(
         io.beryldock.wire.MembershipRecord.Builder builderForValue) {
@@ -554,7 +1388,7 @@
       return this;
     }
     /**
-     * <code>repeated .beryldock.membership.MembershipRecord records = 1;</code>
+     * <code>repeated .beryldock.membership.MembershipRecord records = 3;</code>
      */
     public Builder addRecords(
         int index, io.beryldock.wire.MembershipRecord.Builder builderForValue) {
@@ -568,7 +1402,7 @@
       return this;
     }
     /**
-     * <code>repeated .beryldock.membership.MembershipRecord records = 1;</code>
+     * <code>repeated .beryldock.membership.MembershipRecord records = 3;</code>
      */
     public Builder addAllRecords(
         java.lang.Iterable<? extends io.beryldock.wire.MembershipRecord> values) {
@@ -583,12 +1417,12 @@
       return this;
     }
     /**
-     * <code>repeated .beryldock.membership.MembershipRecord records = 1;</code>
+     * <code>repeated .beryldock.membership.MembershipRecord records = 3;</code>
      */
     public Builder clearRecords() {
       if (recordsBuilder_ == null) {
         records_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000001);
+        bitField0_ = (bitField0_ & ~0x00000004);
         onChanged();
       } else {
         recordsBuilder_.clear();
@@ -596,7 +1430,7 @@
       return this;
     }
     /**
-     * <code>repeated .beryldock.membership.MembershipRecord records = 1;</code>
+     * <code>repeated .beryldock.membership.MembershipRecord records = 3;</code>
      */
     public Builder removeRecords(int index) {
       if (recordsBuilder_ == null) {
@@ -609,14 +1443,14 @@
       return this;
     }
     /**
-     * <code>repeated .beryldock.membership.MembershipRecord records = 1;</code>
+     * <code>repeated .beryldock.membership.MembershipRecord records = 3;</code>
      */
     public io.beryldock.wire.MembershipRecord.Builder getRecordsBuilder(
         int index) {
       return internalGetRecordsFieldBuilder().getBuilder(index);
     }
     /**
-     * <code>repeated .beryldock.membership.MembershipRecord records = 1;</code>
+     * <code>repeated .beryldock.membership.MembershipRecord records = 3;</code>
      */
     public io.beryldock.wire.MembershipRecordOrBuilder getRecordsOrBuilder(
         int index) {
@@ -626,7 +1460,7 @@
       }
     }
     /**
-     * <code>repeated .beryldock.membership.MembershipRecord records = 1;</code>
+     * <code>repeated .beryldock.membership.MembershipRecord records = 3;</code>
      */
     public java.util.List<? extends io.beryldock.wire.MembershipRecordOrBuilder> 
          getRecordsOrBuilderList() {
@@ -637,14 +1471,14 @@
       }
     }
     /**
-     * <code>repeated .beryldock.membership.MembershipRecord records = 1;</code>
+     * <code>repeated .beryldock.membership.MembershipRecord records = 3;</code>
      */
     public io.beryldock.wire.MembershipRecord.Builder addRecordsBuilder() {
       return internalGetRecordsFieldBuilder().addBuilder(
           io.beryldock.wire.MembershipRecord.getDefaultInstance());
     }
     /**
-     * <code>repeated .beryldock.membership.MembershipRecord records = 1;</code>
+     * <code>repeated .beryldock.membership.MembershipRecord records = 3;</code>
      */
     public io.beryldock.wire.MembershipRecord.Builder addRecordsBuilder(
         int index) {
@@ -652,7 +1486,7 @@
           index, io.beryldock.wire.MembershipRecord.getDefaultInstance());
     }
     /**
-     * <code>repeated .beryldock.membership.MembershipRecord records = 1;</code>
+     * <code>repeated .beryldock.membership.MembershipRecord records = 3;</code>
      */
     public java.util.List<io.beryldock.wire.MembershipRecord.Builder> 
          getRecordsBuilderList() {
@@ -665,7 +1499,7 @@
         recordsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
             io.beryldock.wire.MembershipRecord, io.beryldock.wire.MembershipRecord.Builder, io.beryldock.wire.MembershipRecordOrBuilder>(
                 records_,
-                ((bitField0_ & 0x00000001) != 0),
+                ((bitField0_ & 0x00000004) != 0),
                 getParentForChildren(),
                 isClean());
         records_ = null;
@@ -673,6 +1507,1266 @@
       return recordsBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        io.beryldock.wire.MembershipPing, io.beryldock.wire.MembershipPing.Builder, io.beryldock.wire.MembershipPingOrBuilder> pingBuilder_;
+    /**
+     * <code>.beryldock.membership.MembershipPing ping = 5;</code>
+     * @return Whether the ping field is set.
+     */
+    @java.lang.Override
+    public boolean hasPing() {
+      return kindCase_ == 5;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipPing ping = 5;</code>
+     * @return The ping.
+     */
+    @java.lang.Override
+    public io.beryldock.wire.MembershipPing getPing() {
+      if (pingBuilder_ == null) {
+        if (kindCase_ == 5) {
+          return (io.beryldock.wire.MembershipPing) kind_;
+        }
+        return io.beryldock.wire.MembershipPing.getDefaultInstance();
+      } else {
+        if (kindCase_ == 5) {
+          return pingBuilder_.getMessage();
+        }
+        return io.beryldock.wire.MembershipPing.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.beryldock.membership.MembershipPing ping = 5;</code>
+     */
+    public Builder setPing(io.beryldock.wire.MembershipPing value) {
+      if (pingBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        kind_ = value;
+        onChanged();
+      } else {
+        pingBuilder_.setMessage(value);
+      }
+      kindCase_ = 5;
+      return this;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipPing ping = 5;</code>
+     */
+    public Builder setPing(
+        io.beryldock.wire.MembershipPing.Builder builderForValue) {
+      if (pingBuilder_ == null) {
+        kind_ = builderForValue.build();
+        onChanged();
+      } else {
+        pingBuilder_.setMessage(builderForValue.build());
+      }
+      kindCase_ = 5;
+      return this;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipPing ping = 5;</code>
+     */
+    public Builder mergePing(io.beryldock.wire.MembershipPing value) {
+      if (pingBuilder_ == null) {
+        if (kindCase_ == 5 &&
+            kind_ != io.beryldock.wire.MembershipPing.getDefaultInstance()) {
+          kind_ = io.beryldock.wire.MembershipPing.newBuilder((io.beryldock.wire.MembershipPing) kind_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          kind_ = value;
+        }
+        onChanged();
+      } else {
+        if (kindCase_ == 5) {
+          pingBuilder_.mergeFrom(value);
+        } else {
+          pingBuilder_.setMessage(value);
+        }
+      }
+      kindCase_ = 5;
+      return this;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipPing ping = 5;</code>
+     */
+    public Builder clearPing() {
+      if (pingBuilder_ == null) {
+        if (kindCase_ == 5) {
+          kindCase_ = 0;
+          kind_ = null;
+          onChanged();
+        }
+      } else {
+        if (kindCase_ == 5) {
+          kindCase_ = 0;
+          kind_ = null;
+        }
+        pingBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipPing ping = 5;</code>
+     */
+    public io.beryldock.wire.MembershipPing.Builder getPingBuilder() {
+      return internalGetPingFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.beryldock.membership.MembershipPing ping = 5;</code>
+     */
+    @java.lang.Override
+    public io.beryldock.wire.MembershipPingOrBuilder getPingOrBuilder() {
+      if ((kindCase_ == 5) && (pingBuilder_ != null)) {
+        return pingBuilder_.getMessageOrBuilder();
+      } else {
+        if (kindCase_ == 5) {
+          return (io.beryldock.wire.MembershipPing) kind_;
+        }
+        return io.beryldock.wire.MembershipPing.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.beryldock.membership.MembershipPing ping = 5;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.beryldock.wire.MembershipPing, io.beryldock.wire.MembershipPing.Builder, io.beryldock.wire.MembershipPingOrBuilder> 
+        internalGetPingFieldBuilder() {
+      if (pingBuilder_ == null) {
+        if (!(kindCase_ == 5)) {
+          kind_ = io.beryldock.wire.MembershipPing.getDefaultInstance();
+        }
+        pingBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.beryldock.wire.MembershipPing, io.beryldock.wire.MembershipPing.Builder, io.beryldock.wire.MembershipPingOrBuilder>(
+                (io.beryldock.wire.MembershipPing) kind_,
+                getParentForChildren(),
+                isClean());
+        kind_ = null;
+      }
+      kindCase_ = 5;
+      onChanged();
+      return pingBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        io.beryldock.wire.MembershipAck, io.beryldock.wire.MembershipAck.Builder, io.beryldock.wire.MembershipAckOrBuilder> ackBuilder_;
+    /**
+     * <code>.beryldock.membership.MembershipAck ack = 6;</code>
+     * @return Whether the ack field is set.
+     */
+    @java.lang.Override
+    public boolean hasAck() {
+      return kindCase_ == 6;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipAck ack = 6;</code>
+     * @return The ack.
+     */
+    @java.lang.Override
+    public io.beryldock.wire.MembershipAck getAck() {
+      if (ackBuilder_ == null) {
+        if (kindCase_ == 6) {
+          return (io.beryldock.wire.MembershipAck) kind_;
+        }
+        return io.beryldock.wire.MembershipAck.getDefaultInstance();
+      } else {
+        if (kindCase_ == 6) {
+          return ackBuilder_.getMessage();
+        }
+        return io.beryldock.wire.MembershipAck.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.beryldock.membership.MembershipAck ack = 6;</code>
+     */
+    public Builder setAck(io.beryldock.wire.MembershipAck value) {
+      if (ackBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        kind_ = value;
+        onChanged();
+      } else {
+        ackBuilder_.setMessage(value);
+      }
+      kindCase_ = 6;
+      return this;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipAck ack = 6;</code>
+     */
+    public Builder setAck(
+        io.beryldock.wire.MembershipAck.Builder builderForValue) {
+      if (ackBuilder_ == null) {
+        kind_ = builderForValue.build();
+        onChanged();
+      } else {
+        ackBuilder_.setMessage(builderForValue.build());
+      }
+      kindCase_ = 6;
+      return this;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipAck ack = 6;</code>
+     */
+    public Builder mergeAck(io.beryldock.wire.MembershipAck value) {
+      if (ackBuilder_ == null) {
+        if (kindCase_ == 6 &&
+            kind_ != io.beryldock.wire.MembershipAck.getDefaultInstance()) {
+          kind_ = io.beryldock.wire.MembershipAck.newBuilder((io.beryldock.wire.MembershipAck) kind_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          kind_ = value;
+        }
+        onChanged();
+      } else {
+        if (kindCase_ == 6) {
+          ackBuilder_.mergeFrom(value);
+        } else {
+          ackBuilder_.setMessage(value);
+        }
+      }
+      kindCase_ = 6;
+      return this;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipAck ack = 6;</code>
+     */
+    public Builder clearAck() {
+      if (ackBuilder_ == null) {
+        if (kindCase_ == 6) {
+          kindCase_ = 0;
+          kind_ = null;
+          onChanged();
+        }
+      } else {
+        if (kindCase_ == 6) {
+          kindCase_ = 0;
+          kind_ = null;
+        }
+        ackBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipAck ack = 6;</code>
+     */
+    public io.beryldock.wire.MembershipAck.Builder getAckBuilder() {
+      return internalGetAckFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.beryldock.membership.MembershipAck ack = 6;</code>
+     */
+    @java.lang.Override
+    public io.beryldock.wire.MembershipAckOrBuilder getAckOrBuilder() {
+      if ((kindCase_ == 6) && (ackBuilder_ != null)) {
+        return ackBuilder_.getMessageOrBuilder();
+      } else {
+        if (kindCase_ == 6) {
+          return (io.beryldock.wire.MembershipAck) kind_;
+        }
+        return io.beryldock.wire.MembershipAck.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.beryldock.membership.MembershipAck ack = 6;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.beryldock.wire.MembershipAck, io.beryldock.wire.MembershipAck.Builder, io.beryldock.wire.MembershipAckOrBuilder> 
+        internalGetAckFieldBuilder() {
+      if (ackBuilder_ == null) {
+        if (!(kindCase_ == 6)) {
+          kind_ = io.beryldock.wire.MembershipAck.getDefaultInstance();
+        }
+        ackBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.beryldock.wire.MembershipAck, io.beryldock.wire.MembershipAck.Builder, io.beryldock.wire.MembershipAckOrBuilder>(
+                (io.beryldock.wire.MembershipAck) kind_,
+                getParentForChildren(),
+                isClean());
+        kind_ = null;
+      }
+      kindCase_ = 6;
+      onChanged();
+      return ackBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        io.beryldock.wire.MembershipProbeRequest, io.beryldock.wire.MembershipProbeRequest.Builder, io.beryldock.wire.MembershipProbeRequestOrBuilder> probeRequestBuilder_;
+    /**
+     * <code>.beryldock.membership.MembershipProbeRequest probe_request = 7;</code>
+     * @return Whether the probeRequest field is set.
+     */
+    @java.lang.Override
+    public boolean hasProbeRequest() {
+      return kindCase_ == 7;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipProbeRequest probe_request = 7;</code>
+     * @return The probeRequest.
+     */
+    @java.lang.Override
+    public io.beryldock.wire.MembershipProbeRequest getProbeRequest() {
+      if (probeRequestBuilder_ == null) {
+        if (kindCase_ == 7) {
+          return (io.beryldock.wire.MembershipProbeRequest) kind_;
+        }
+        return io.beryldock.wire.MembershipProbeRequest.getDefaultInstance();
+      } else {
+        if (kindCase_ == 7) {
+          return probeRequestBuilder_.getMessage();
+        }
+        return io.beryldock.wire.MembershipProbeRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.beryldock.membership.MembershipProbeRequest probe_request = 7;</code>
+     */
+    public Builder setProbeRequest(io.beryldock.wire.MembershipProbeRequest value) {
+      if (probeRequestBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        kind_ = value;
+        onChanged();
+      } else {
+        probeRequestBuilder_.setMessage(value);
+      }
+      kindCase_ = 7;
+      return this;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipProbeRequest probe_request = 7;</code>
+     */
+    public Builder setProbeRequest(
+        io.beryldock.wire.MembershipProbeRequest.Builder builderForValue) {
+      if (probeRequestBuilder_ == null) {
+        kind_ = builderForValue.build();
+        onChanged();
+      } else {
+        probeRequestBuilder_.setMessage(builderForValue.build());
+      }
+      kindCase_ = 7;
+      return this;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipProbeRequest probe_request = 7;</code>
+     */
+    public Builder mergeProbeRequest(io.beryldock.wire.MembershipProbeRequest value) {
+      if (probeRequestBuilder_ == null) {
+        if (kindCase_ == 7 &&
+            kind_ != io.beryldock.wire.MembershipProbeRequest.getDefaultInstance()) {
+          kind_ = io.beryldock.wire.MembershipProbeRequest.newBuilder((io.beryldock.wire.MembershipProbeRequest) kind_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          kind_ = value;
+        }
+        onChanged();
+      } else {
+        if (kindCase_ == 7) {
+          probeRequestBuilder_.mergeFrom(value);
+        } else {
+          probeRequestBuilder_.setMessage(value);
+        }
+      }
+      kindCase_ = 7;
+      return this;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipProbeRequest probe_request = 7;</code>
+     */
+    public Builder clearProbeRequest() {
+      if (probeRequestBuilder_ == null) {
+        if (kindCase_ == 7) {
+          kindCase_ = 0;
+          kind_ = null;
+          onChanged();
+        }
+      } else {
+        if (kindCase_ == 7) {
+          kindCase_ = 0;
+          kind_ = null;
+        }
+        probeRequestBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipProbeRequest probe_request = 7;</code>
+     */
+    public io.beryldock.wire.MembershipProbeRequest.Builder getProbeRequestBuilder() {
+      return internalGetProbeRequestFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.beryldock.membership.MembershipProbeRequest probe_request = 7;</code>
+     */
+    @java.lang.Override
+    public io.beryldock.wire.MembershipProbeRequestOrBuilder getProbeRequestOrBuilder() {
+      if ((kindCase_ == 7) && (probeRequestBuilder_ != null)) {
+        return probeRequestBuilder_.getMessageOrBuilder();
+      } else {
+        if (kindCase_ == 7) {
+          return (io.beryldock.wire.MembershipProbeRequest) kind_;
+        }
+        return io.beryldock.wire.MembershipProbeRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.beryldock.membership.MembershipProbeRequest probe_request = 7;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.beryldock.wire.MembershipProbeRequest, io.beryldock.wire.MembershipProbeRequest.Builder, io.beryldock.wire.MembershipProbeRequestOrBuilder> 
+        internalGetProbeRequestFieldBuilder() {
+      if (probeRequestBuilder_ == null) {
+        if (!(kindCase_ == 7)) {
+          kind_ = io.beryldock.wire.MembershipProbeRequest.getDefaultInstance();
+        }
+        probeRequestBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.beryldock.wire.MembershipProbeRequest, io.beryldock.wire.MembershipProbeRequest.Builder, io.beryldock.wire.MembershipProbeRequestOrBuilder>(
+                (io.beryldock.wire.MembershipProbeRequest) kind_,
+                getParentForChildren(),
+                isClean());
+        kind_ = null;
+      }
+      kindCase_ = 7;
+      onChanged();
+      return probeRequestBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        io.beryldock.wire.MembershipProbeReport, io.beryldock.wire.MembershipProbeReport.Builder, io.beryldock.wire.MembershipProbeReportOrBuilder> probeReportBuilder_;
+    /**
+     * <code>.beryldock.membership.MembershipProbeReport probe_report = 8;</code>
+     * @return Whether the probeReport field is set.
+     */
+    @java.lang.Override
+    public boolean hasProbeReport() {
+      return kindCase_ == 8;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipProbeReport probe_report = 8;</code>
+     * @return The probeReport.
+     */
+    @java.lang.Override
+    public io.beryldock.wire.MembershipProbeReport getProbeReport() {
+      if (probeReportBuilder_ == null) {
+        if (kindCase_ == 8) {
+          return (io.beryldock.wire.MembershipProbeReport) kind_;
+        }
+        return io.beryldock.wire.MembershipProbeReport.getDefaultInstance();
+      } else {
+        if (kindCase_ == 8) {
+          return probeReportBuilder_.getMessage();
+        }
+        return io.beryldock.wire.MembershipProbeReport.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.beryldock.membership.MembershipProbeReport probe_report = 8;</code>
+     */
+    public Builder setProbeReport(io.beryldock.wire.MembershipProbeReport value) {
+      if (probeReportBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        kind_ = value;
+        onChanged();
+      } else {
+        probeReportBuilder_.setMessage(value);
+      }
+      kindCase_ = 8;
+      return this;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipProbeReport probe_report = 8;</code>
+     */
+    public Builder setProbeReport(
+        io.beryldock.wire.MembershipProbeReport.Builder builderForValue) {
+      if (probeReportBuilder_ == null) {
+        kind_ = builderForValue.build();
+        onChanged();
+      } else {
+        probeReportBuilder_.setMessage(builderForValue.build());
+      }
+      kindCase_ = 8;
+      return this;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipProbeReport probe_report = 8;</code>
+     */
+    public Builder mergeProbeReport(io.beryldock.wire.MembershipProbeReport value) {
+      if (probeReportBuilder_ == null) {
+        if (kindCase_ == 8 &&
+            kind_ != io.beryldock.wire.MembershipProbeReport.getDefaultInstance()) {
+          kind_ = io.beryldock.wire.MembershipProbeReport.newBuilder((io.beryldock.wire.MembershipProbeReport) kind_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          kind_ = value;
+        }
+        onChanged();
+      } else {
+        if (kindCase_ == 8) {
+          probeReportBuilder_.mergeFrom(value);
+        } else {
+          probeReportBuilder_.setMessage(value);
+        }
+      }
+      kindCase_ = 8;
+      return this;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipProbeReport probe_report = 8;</code>
+     */
+    public Builder clearProbeReport() {
+      if (probeReportBuilder_ == null) {
+        if (kindCase_ == 8) {
+          kindCase_ = 0;
+          kind_ = null;
+          onChanged();
+        }
+      } else {
+        if (kindCase_ == 8) {
+          kindCase_ = 0;
+          kind_ = null;
+        }
+        probeReportBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipProbeReport probe_report = 8;</code>
+     */
+    public io.beryldock.wire.MembershipProbeReport.Builder getProbeReportBuilder() {
+      return internalGetProbeReportFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.beryldock.membership.MembershipProbeReport probe_report = 8;</code>
+     */
+    @java.lang.Override
+    public io.beryldock.wire.MembershipProbeReportOrBuilder getProbeReportOrBuilder() {
+      if ((kindCase_ == 8) && (probeReportBuilder_ != null)) {
+        return probeReportBuilder_.getMessageOrBuilder();
+      } else {
+        if (kindCase_ == 8) {
+          return (io.beryldock.wire.MembershipProbeReport) kind_;
+        }
+        return io.beryldock.wire.MembershipProbeReport.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.beryldock.membership.MembershipProbeReport probe_report = 8;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.beryldock.wire.MembershipProbeReport, io.beryldock.wire.MembershipProbeReport.Builder, io.beryldock.wire.MembershipProbeReportOrBuilder> 
+        internalGetProbeReportFieldBuilder() {
+      if (probeReportBuilder_ == null) {
+        if (!(kindCase_ == 8)) {
+          kind_ = io.beryldock.wire.MembershipProbeReport.getDefaultInstance();
+        }
+        probeReportBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.beryldock.wire.MembershipProbeReport, io.beryldock.wire.MembershipProbeReport.Builder, io.beryldock.wire.MembershipProbeReportOrBuilder>(
+                (io.beryldock.wire.MembershipProbeReport) kind_,
+                getParentForChildren(),
+                isClean());
+        kind_ = null;
+      }
+      kindCase_ = 8;
+      onChanged();
+      return probeReportBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        io.beryldock.wire.MembershipSyncOffer, io.beryldock.wire.MembershipSyncOffer.Builder, io.beryldock.wire.MembershipSyncOfferOrBuilder> syncOfferBuilder_;
+    /**
+     * <code>.beryldock.membership.MembershipSyncOffer sync_offer = 9;</code>
+     * @return Whether the syncOffer field is set.
+     */
+    @java.lang.Override
+    public boolean hasSyncOffer() {
+      return kindCase_ == 9;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipSyncOffer sync_offer = 9;</code>
+     * @return The syncOffer.
+     */
+    @java.lang.Override
+    public io.beryldock.wire.MembershipSyncOffer getSyncOffer() {
+      if (syncOfferBuilder_ == null) {
+        if (kindCase_ == 9) {
+          return (io.beryldock.wire.MembershipSyncOffer) kind_;
+        }
+        return io.beryldock.wire.MembershipSyncOffer.getDefaultInstance();
+      } else {
+        if (kindCase_ == 9) {
+          return syncOfferBuilder_.getMessage();
+        }
+        return io.beryldock.wire.MembershipSyncOffer.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.beryldock.membership.MembershipSyncOffer sync_offer = 9;</code>
+     */
+    public Builder setSyncOffer(io.beryldock.wire.MembershipSyncOffer value) {
+      if (syncOfferBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        kind_ = value;
+        onChanged();
+      } else {
+        syncOfferBuilder_.setMessage(value);
+      }
+      kindCase_ = 9;
+      return this;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipSyncOffer sync_offer = 9;</code>
+     */
+    public Builder setSyncOffer(
+        io.beryldock.wire.MembershipSyncOffer.Builder builderForValue) {
+      if (syncOfferBuilder_ == null) {
+        kind_ = builderForValue.build();
+        onChanged();
+      } else {
+        syncOfferBuilder_.setMessage(builderForValue.build());
+      }
+      kindCase_ = 9;
+      return this;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipSyncOffer sync_offer = 9;</code>
+     */
+    public Builder mergeSyncOffer(io.beryldock.wire.MembershipSyncOffer value) {
+      if (syncOfferBuilder_ == null) {
+        if (kindCase_ == 9 &&
+            kind_ != io.beryldock.wire.MembershipSyncOffer.getDefaultInstance()) {
+          kind_ = io.beryldock.wire.MembershipSyncOffer.newBuilder((io.beryldock.wire.MembershipSyncOffer) kind_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          kind_ = value;
+        }
+        onChanged();
+      } else {
+        if (kindCase_ == 9) {
+          syncOfferBuilder_.mergeFrom(value);
+        } else {
+          syncOfferBuilder_.setMessage(value);
+        }
+      }
+      kindCase_ = 9;
+      return this;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipSyncOffer sync_offer = 9;</code>
+     */
+    public Builder clearSyncOffer() {
+      if (syncOfferBuilder_ == null) {
+        if (kindCase_ == 9) {
+          kindCase_ = 0;
+          kind_ = null;
+          onChanged();
+        }
+      } else {
+        if (kindCase_ == 9) {
+          kindCase_ = 0;
+          kind_ = null;
+        }
+        syncOfferBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipSyncOffer sync_offer = 9;</code>
+     */
+    public io.beryldock.wire.MembershipSyncOffer.Builder getSyncOfferBuilder() {
+      return internalGetSyncOfferFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.beryldock.membership.MembershipSyncOffer sync_offer = 9;</code>
+     */
+    @java.lang.Override
+    public io.beryldock.wire.MembershipSyncOfferOrBuilder getSyncOfferOrBuilder() {
+      if ((kindCase_ == 9) && (syncOfferBuilder_ != null)) {
+        return syncOfferBuilder_.getMessageOrBuilder();
+      } else {
+        if (kindCase_ == 9) {
+          return (io.beryldock.wire.MembershipSyncOffer) kind_;
+        }
+        return io.beryldock.wire.MembershipSyncOffer.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.beryldock.membership.MembershipSyncOffer sync_offer = 9;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.beryldock.wire.MembershipSyncOffer, io.beryldock.wire.MembershipSyncOffer.Builder, io.beryldock.wire.MembershipSyncOfferOrBuilder> 
+        internalGetSyncOfferFieldBuilder() {
+      if (syncOfferBuilder_ == null) {
+        if (!(kindCase_ == 9)) {
+          kind_ = io.beryldock.wire.MembershipSyncOffer.getDefaultInstance();
+        }
+        syncOfferBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.beryldock.wire.MembershipSyncOffer, io.beryldock.wire.MembershipSyncOffer.Builder, io.beryldock.wire.MembershipSyncOfferOrBuilder>(
+                (io.beryldock.wire.MembershipSyncOffer) kind_,
+                getParentForChildren(),
+                isClean());
+        kind_ = null;
+      }
+      kindCase_ = 9;
+      onChanged();
+      return syncOfferBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        io.beryldock.wire.MembershipSyncBuckets, io.beryldock.wire.MembershipSyncBuckets.Builder, io.beryldock.wire.MembershipSyncBucketsOrBuilder> syncBucketsBuilder_;
+    /**
+     * <code>.beryldock.membership.MembershipSyncBuckets sync_buckets = 10;</code>
+     * @return Whether the syncBuckets field is set.
+     */
+    @java.lang.Override
+    public boolean hasSyncBuckets() {
+      return kindCase_ == 10;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipSyncBuckets sync_buckets = 10;</code>
+     * @return The syncBuckets.
+     */
+    @java.lang.Override
+    public io.beryldock.wire.MembershipSyncBuckets getSyncBuckets() {
+      if (syncBucketsBuilder_ == null) {
+        if (kindCase_ == 10) {
+          return (io.beryldock.wire.MembershipSyncBuckets) kind_;
+        }
+        return io.beryldock.wire.MembershipSyncBuckets.getDefaultInstance();
+      } else {
+        if (kindCase_ == 10) {
+          return syncBucketsBuilder_.getMessage();
+        }
+        return io.beryldock.wire.MembershipSyncBuckets.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.beryldock.membership.MembershipSyncBuckets sync_buckets = 10;</code>
+     */
+    public Builder setSyncBuckets(io.beryldock.wire.MembershipSyncBuckets value) {
+      if (syncBucketsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        kind_ = value;
+        onChanged();
+      } else {
+        syncBucketsBuilder_.setMessage(value);
+      }
+      kindCase_ = 10;
+      return this;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipSyncBuckets sync_buckets = 10;</code>
+     */
+    public Builder setSyncBuckets(
+        io.beryldock.wire.MembershipSyncBuckets.Builder builderForValue) {
+      if (syncBucketsBuilder_ == null) {
+        kind_ = builderForValue.build();
+        onChanged();
+      } else {
+        syncBucketsBuilder_.setMessage(builderForValue.build());
+      }
+      kindCase_ = 10;
+      return this;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipSyncBuckets sync_buckets = 10;</code>
+     */
+    public Builder mergeSyncBuckets(io.beryldock.wire.MembershipSyncBuckets value) {
+      if (syncBucketsBuilder_ == null) {
+        if (kindCase_ == 10 &&
+            kind_ != io.beryldock.wire.MembershipSyncBuckets.getDefaultInstance()) {
+          kind_ = io.beryldock.wire.MembershipSyncBuckets.newBuilder((io.beryldock.wire.MembershipSyncBuckets) kind_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          kind_ = value;
+        }
+        onChanged();
+      } else {
+        if (kindCase_ == 10) {
+          syncBucketsBuilder_.mergeFrom(value);
+        } else {
+          syncBucketsBuilder_.setMessage(value);
+        }
+      }
+      kindCase_ = 10;
+      return this;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipSyncBuckets sync_buckets = 10;</code>
+     */
+    public Builder clearSyncBuckets() {
+      if (syncBucketsBuilder_ == null) {
+        if (kindCase_ == 10) {
+          kindCase_ = 0;
+          kind_ = null;
+          onChanged();
+        }
+      } else {
+        if (kindCase_ == 10) {
+          kindCase_ = 0;
+          kind_ = null;
+        }
+        syncBucketsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipSyncBuckets sync_buckets = 10;</code>
+     */
+    public io.beryldock.wire.MembershipSyncBuckets.Builder getSyncBucketsBuilder() {
+      return internalGetSyncBucketsFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.beryldock.membership.MembershipSyncBuckets sync_buckets = 10;</code>
+     */
+    @java.lang.Override
+    public io.beryldock.wire.MembershipSyncBucketsOrBuilder getSyncBucketsOrBuilder() {
+      if ((kindCase_ == 10) && (syncBucketsBuilder_ != null)) {
+        return syncBucketsBuilder_.getMessageOrBuilder();
+      } else {
+        if (kindCase_ == 10) {
+          return (io.beryldock.wire.MembershipSyncBuckets) kind_;
+        }
+        return io.beryldock.wire.MembershipSyncBuckets.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.beryldock.membership.MembershipSyncBuckets sync_buckets = 10;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.beryldock.wire.MembershipSyncBuckets, io.beryldock.wire.MembershipSyncBuckets.Builder, io.beryldock.wire.MembershipSyncBucketsOrBuilder> 
+        internalGetSyncBucketsFieldBuilder() {
+      if (syncBucketsBuilder_ == null) {
+        if (!(kindCase_ == 10)) {
+          kind_ = io.beryldock.wire.MembershipSyncBuckets.getDefaultInstance();
+        }
+        syncBucketsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.beryldock.wire.MembershipSyncBuckets, io.beryldock.wire.MembershipSyncBuckets.Builder, io.beryldock.wire.MembershipSyncBucketsOrBuilder>(
+                (io.beryldock.wire.MembershipSyncBuckets) kind_,
+                getParentForChildren(),
+                isClean());
+        kind_ = null;
+      }
+      kindCase_ = 10;
+      onChanged();
+      return syncBucketsBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        io.beryldock.wire.MembershipSyncPull, io.beryldock.wire.MembershipSyncPull.Builder, io.beryldock.wire.MembershipSyncPullOrBuilder> syncPullBuilder_;
+    /**
+     * <code>.beryldock.membership.MembershipSyncPull sync_pull = 11;</code>
+     * @return Whether the syncPull field is set.
+     */
+    @java.lang.Override
+    public boolean hasSyncPull() {
+      return kindCase_ == 11;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipSyncPull sync_pull = 11;</code>
+     * @return The syncPull.
+     */
+    @java.lang.Override
+    public io.beryldock.wire.MembershipSyncPull getSyncPull() {
+      if (syncPullBuilder_ == null) {
+        if (kindCase_ == 11) {
+          return (io.beryldock.wire.MembershipSyncPull) kind_;
+        }
+        return io.beryldock.wire.MembershipSyncPull.getDefaultInstance();
+      } else {
+        if (kindCase_ == 11) {
+          return syncPullBuilder_.getMessage();
+        }
+        return io.beryldock.wire.MembershipSyncPull.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.beryldock.membership.MembershipSyncPull sync_pull = 11;</code>
+     */
+    public Builder setSyncPull(io.beryldock.wire.MembershipSyncPull value) {
+      if (syncPullBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        kind_ = value;
+        onChanged();
+      } else {
+        syncPullBuilder_.setMessage(value);
+      }
+      kindCase_ = 11;
+      return this;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipSyncPull sync_pull = 11;</code>
+     */
+    public Builder setSyncPull(
+        io.beryldock.wire.MembershipSyncPull.Builder builderForValue) {
+      if (syncPullBuilder_ == null) {
+        kind_ = builderForValue.build();
+        onChanged();
+      } else {
+        syncPullBuilder_.setMessage(builderForValue.build());
+      }
+      kindCase_ = 11;
+      return this;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipSyncPull sync_pull = 11;</code>
+     */
+    public Builder mergeSyncPull(io.beryldock.wire.MembershipSyncPull value) {
+      if (syncPullBuilder_ == null) {
+        if (kindCase_ == 11 &&
+            kind_ != io.beryldock.wire.MembershipSyncPull.getDefaultInstance()) {
+          kind_ = io.beryldock.wire.MembershipSyncPull.newBuilder((io.beryldock.wire.MembershipSyncPull) kind_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          kind_ = value;
+        }
+        onChanged();
+      } else {
+        if (kindCase_ == 11) {
+          syncPullBuilder_.mergeFrom(value);
+        } else {
+          syncPullBuilder_.setMessage(value);
+        }
+      }
+      kindCase_ = 11;
+      return this;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipSyncPull sync_pull = 11;</code>
+     */
+    public Builder clearSyncPull() {
+      if (syncPullBuilder_ == null) {
+        if (kindCase_ == 11) {
+          kindCase_ = 0;
+          kind_ = null;
+          onChanged();
+        }
+      } else {
+        if (kindCase_ == 11) {
+          kindCase_ = 0;
+          kind_ = null;
+        }
+        syncPullBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipSyncPull sync_pull = 11;</code>
+     */
+    public io.beryldock.wire.MembershipSyncPull.Builder getSyncPullBuilder() {
+      return internalGetSyncPullFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.beryldock.membership.MembershipSyncPull sync_pull = 11;</code>
+     */
+    @java.lang.Override
+    public io.beryldock.wire.MembershipSyncPullOrBuilder getSyncPullOrBuilder() {
+      if ((kindCase_ == 11) && (syncPullBuilder_ != null)) {
+        return syncPullBuilder_.getMessageOrBuilder();
+      } else {
+        if (kindCase_ == 11) {
+          return (io.beryldock.wire.MembershipSyncPull) kind_;
+        }
+        return io.beryldock.wire.MembershipSyncPull.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.beryldock.membership.MembershipSyncPull sync_pull = 11;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.beryldock.wire.MembershipSyncPull, io.beryldock.wire.MembershipSyncPull.Builder, io.beryldock.wire.MembershipSyncPullOrBuilder> 
+        internalGetSyncPullFieldBuilder() {
+      if (syncPullBuilder_ == null) {
+        if (!(kindCase_ == 11)) {
+          kind_ = io.beryldock.wire.MembershipSyncPull.getDefaultInstance();
+        }
+        syncPullBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.beryldock.wire.MembershipSyncPull, io.beryldock.wire.MembershipSyncPull.Builder, io.beryldock.wire.MembershipSyncPullOrBuilder>(
+                (io.beryldock.wire.MembershipSyncPull) kind_,
+                getParentForChildren(),
+                isClean());
+        kind_ = null;
+      }
+      kindCase_ = 11;
+      onChanged();
+      return syncPullBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        io.beryldock.wire.MembershipSyncWanted, io.beryldock.wire.MembershipSyncWanted.Builder, io.beryldock.wire.MembershipSyncWantedOrBuilder> syncWantedBuilder_;
+    /**
+     * <code>.beryldock.membership.MembershipSyncWanted sync_wanted = 12;</code>
+     * @return Whether the syncWanted field is set.
+     */
+    @java.lang.Override
+    public boolean hasSyncWanted() {
+      return kindCase_ == 12;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipSyncWanted sync_wanted = 12;</code>
+     * @return The syncWanted.
+     */
+    @java.lang.Override
+    public io.beryldock.wire.MembershipSyncWanted getSyncWanted() {
+      if (syncWantedBuilder_ == null) {
+        if (kindCase_ == 12) {
+          return (io.beryldock.wire.MembershipSyncWanted) kind_;
+        }
+        return io.beryldock.wire.MembershipSyncWanted.getDefaultInstance();
+      } else {
+        if (kindCase_ == 12) {
+          return syncWantedBuilder_.getMessage();
+        }
+        return io.beryldock.wire.MembershipSyncWanted.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.beryldock.membership.MembershipSyncWanted sync_wanted = 12;</code>
+     */
+    public Builder setSyncWanted(io.beryldock.wire.MembershipSyncWanted value) {
+      if (syncWantedBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        kind_ = value;
+        onChanged();
+      } else {
+        syncWantedBuilder_.setMessage(value);
+      }
+      kindCase_ = 12;
+      return this;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipSyncWanted sync_wanted = 12;</code>
+     */
+    public Builder setSyncWanted(
+        io.beryldock.wire.MembershipSyncWanted.Builder builderForValue) {
+      if (syncWantedBuilder_ == null) {
+        kind_ = builderForValue.build();
+        onChanged();
+      } else {
+        syncWantedBuilder_.setMessage(builderForValue.build());
+      }
+      kindCase_ = 12;
+      return this;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipSyncWanted sync_wanted = 12;</code>
+     */
+    public Builder mergeSyncWanted(io.beryldock.wire.MembershipSyncWanted value) {
+      if (syncWantedBuilder_ == null) {
+        if (kindCase_ == 12 &&
+            kind_ != io.beryldock.wire.MembershipSyncWanted.getDefaultInstance()) {
+          kind_ = io.beryldock.wire.MembershipSyncWanted.newBuilder((io.beryldock.wire.MembershipSyncWanted) kind_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          kind_ = value;
+        }
+        onChanged();
+      } else {
+        if (kindCase_ == 12) {
+          syncWantedBuilder_.mergeFrom(value);
+        } else {
+          syncWantedBuilder_.setMessage(value);
+        }
+      }
+      kindCase_ = 12;
+      return this;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipSyncWanted sync_wanted = 12;</code>
+     */
+    public Builder clearSyncWanted() {
+      if (syncWantedBuilder_ == null) {
+        if (kindCase_ == 12) {
+          kindCase_ = 0;
+          kind_ = null;
+          onChanged();
+        }
+      } else {
+        if (kindCase_ == 12) {
+          kindCase_ = 0;
+          kind_ = null;
+        }
+        syncWantedBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipSyncWanted sync_wanted = 12;</code>
+     */
+    public io.beryldock.wire.MembershipSyncWanted.Builder getSyncWantedBuilder() {
+      return internalGetSyncWantedFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.beryldock.membership.MembershipSyncWanted sync_wanted = 12;</code>
+     */
+    @java.lang.Override
+    public io.beryldock.wire.MembershipSyncWantedOrBuilder getSyncWantedOrBuilder() {
+      if ((kindCase_ == 12) && (syncWantedBuilder_ != null)) {
+        return syncWantedBuilder_.getMessageOrBuilder();
+      } else {
+        if (kindCase_ == 12) {
+          return (io.beryldock.wire.MembershipSyncWanted) kind_;
+        }
+        return io.beryldock.wire.MembershipSyncWanted.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.beryldock.membership.MembershipSyncWanted sync_wanted = 12;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.beryldock.wire.MembershipSyncWanted, io.beryldock.wire.MembershipSyncWanted.Builder, io.beryldock.wire.MembershipSyncWantedOrBuilder> 
+        internalGetSyncWantedFieldBuilder() {
+      if (syncWantedBuilder_ == null) {
+        if (!(kindCase_ == 12)) {
+          kind_ = io.beryldock.wire.MembershipSyncWanted.getDefaultInstance();
+        }
+        syncWantedBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.beryldock.wire.MembershipSyncWanted, io.beryldock.wire.MembershipSyncWanted.Builder, io.beryldock.wire.MembershipSyncWantedOrBuilder>(
+                (io.beryldock.wire.MembershipSyncWanted) kind_,
+                getParentForChildren(),
+                isClean());
+        kind_ = null;
+      }
+      kindCase_ = 12;
+      onChanged();
+      return syncWantedBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        io.beryldock.wire.MembershipLinkReport, io.beryldock.wire.MembershipLinkReport.Builder, io.beryldock.wire.MembershipLinkReportOrBuilder> linkReportBuilder_;
+    /**
+     * <code>.beryldock.membership.MembershipLinkReport link_report = 13;</code>
+     * @return Whether the linkReport field is set.
+     */
+    @java.lang.Override
+    public boolean hasLinkReport() {
+      return kindCase_ == 13;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipLinkReport link_report = 13;</code>
+     * @return The linkReport.
+     */
+    @java.lang.Override
+    public io.beryldock.wire.MembershipLinkReport getLinkReport() {
+      if (linkReportBuilder_ == null) {
+        if (kindCase_ == 13) {
+          return (io.beryldock.wire.MembershipLinkReport) kind_;
+        }
+        return io.beryldock.wire.MembershipLinkReport.getDefaultInstance();
+      } else {
+        if (kindCase_ == 13) {
+          return linkReportBuilder_.getMessage();
+        }
+        return io.beryldock.wire.MembershipLinkReport.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.beryldock.membership.MembershipLinkReport link_report = 13;</code>
+     */
+    public Builder setLinkReport(io.beryldock.wire.MembershipLinkReport value) {
+      if (linkReportBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        kind_ = value;
+        onChanged();
+      } else {
+        linkReportBuilder_.setMessage(value);
+      }
+      kindCase_ = 13;
+      return this;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipLinkReport link_report = 13;</code>
+     */
+    public Builder setLinkReport(
+        io.beryldock.wire.MembershipLinkReport.Builder builderForValue) {
+      if (linkReportBuilder_ == null) {
+        kind_ = builderForValue.build();
+        onChanged();
+      } else {
+        linkReportBuilder_.setMessage(builderForValue.build());
+      }
+      kindCase_ = 13;
+      return this;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipLinkReport link_report = 13;</code>
+     */
+    public Builder mergeLinkReport(io.beryldock.wire.MembershipLinkReport value) {
+      if (linkReportBuilder_ == null) {
+        if (kindCase_ == 13 &&
+            kind_ != io.beryldock.wire.MembershipLinkReport.getDefaultInstance()) {
+          kind_ = io.beryldock.wire.MembershipLinkReport.newBuilder((io.beryldock.wire.MembershipLinkReport) kind_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          kind_ = value;
+        }
+        onChanged();
+      } else {
+        if (kindCase_ == 13) {
+          linkReportBuilder_.mergeFrom(value);
+        } else {
+          linkReportBuilder_.setMessage(value);
+        }
+      }
+      kindCase_ = 13;
+      return this;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipLinkReport link_report = 13;</code>
+     */
+    public Builder clearLinkReport() {
+      if (linkReportBuilder_ == null) {
+        if (kindCase_ == 13) {
+          kindCase_ = 0;
+          kind_ = null;
+          onChanged();
+        }
+      } else {
+        if (kindCase_ == 13) {
+          kindCase_ = 0;
+          kind_ = null;
+        }
+        linkReportBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.beryldock.membership.MembershipLinkReport link_report = 13;</code>
+     */
+    public io.beryldock.wire.MembershipLinkReport.Builder getLinkReportBuilder() {
+      return internalGetLinkReportFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.beryldock.membership.MembershipLinkReport link_report = 13;</code>
+     */
+    @java.lang.Override
+    public io.beryldock.wire.MembershipLinkReportOrBuilder getLinkReportOrBuilder() {
+      if ((kindCase_ == 13) && (linkReportBuilder_ != null)) {
+        return linkReportBuilder_.getMessageOrBuilder();
+      } else {
+        if (kindCase_ == 13) {
+          return (io.beryldock.wire.MembershipLinkReport) kind_;
+        }
+        return io.beryldock.wire.MembershipLinkReport.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.beryldock.membership.MembershipLinkReport link_report = 13;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.beryldock.wire.MembershipLinkReport, io.beryldock.wire.MembershipLinkReport.Builder, io.beryldock.wire.MembershipLinkReportOrBuilder> 
+        internalGetLinkReportFieldBuilder() {
+      if (linkReportBuilder_ == null) {
+        if (!(kindCase_ == 13)) {
+          kind_ = io.beryldock.wire.MembershipLinkReport.getDefaultInstance();
+        }
+        linkReportBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.beryldock.wire.MembershipLinkReport, io.beryldock.wire.MembershipLinkReport.Builder, io.beryldock.wire.MembershipLinkReportOrBuilder>(
+                (io.beryldock.wire.MembershipLinkReport) kind_,
+                getParentForChildren(),
+                isClean());
+        kind_ = null;
+      }
+      kindCase_ = 13;
+      onChanged();
+      return linkReportBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:beryldock.membership.MembershipMessage)
   }
 
--- a/src/main/java/io/beryldock/wire/MembershipMessageOrBuilder.java
+++ b/src/main/java/io/beryldock/wire/MembershipMessageOrBuilder.java
@@ -11,26 +11,183 @@
     com.google.protobuf.MessageOrBuilder {
 
   /**
-   * <code>repeated .beryldock.membership.MembershipRecord records = 1;</code>
+   * <pre>
+   * Digest of all live records that the sender holds; set on pings and acknowledgements.
+   * </pre>
+   *
+   * <code>fixed64 root = 1;</code>
+   * @return The root.
+   */
+  long getRoot();
+
+  /**
+   * <pre>
+   * Low bits of the sender's incarnation.
+   * </pre>
+   *
+   * <code>fixed32 sender_incarnation = 2;</code>
+   * @return The senderIncarnation.
+   */
+  int getSenderIncarnation();
+
+  /**
+   * <code>repeated .beryldock.membership.MembershipRecord records = 3;</code>
    */
   java.util.List<io.beryldock.wire.MembershipRecord> 
       getRecordsList();
   /**
-   * <code>repeated .beryldock.membership.MembershipRecord records = 1;</code>
+   * <code>repeated .beryldock.membership.MembershipRecord records = 3;</code>
    */
   io.beryldock.wire.MembershipRecord getRecords(int index);
   /**
-   * <code>repeated .beryldock.membership.MembershipRecord records = 1;</code>
+   * <code>repeated .beryldock.membership.MembershipRecord records = 3;</code>
    */
   int getRecordsCount();
   /**
-   * <code>repeated .beryldock.membership.MembershipRecord records = 1;</code>
+   * <code>repeated .beryldock.membership.MembershipRecord records = 3;</code>
    */
   java.util.List<? extends io.beryldock.wire.MembershipRecordOrBuilder> 
       getRecordsOrBuilderList();
   /**
-   * <code>repeated .beryldock.membership.MembershipRecord records = 1;</code>
+   * <code>repeated .beryldock.membership.MembershipRecord records = 3;</code>
    */
   io.beryldock.wire.MembershipRecordOrBuilder getRecordsOrBuilder(
       int index);
+
+  /**
+   * <code>.beryldock.membership.MembershipPing ping = 5;</code>
+   * @return Whether the ping field is set.
+   */
+  boolean hasPing();
+  /**
+   * <code>.beryldock.membership.MembershipPing ping = 5;</code>
+   * @return The ping.
+   */
+  io.beryldock.wire.MembershipPing getPing();
+  /**
+   * <code>.beryldock.membership.MembershipPing ping = 5;</code>
+   */
+  io.beryldock.wire.MembershipPingOrBuilder getPingOrBuilder();
+
+  /**
+   * <code>.beryldock.membership.MembershipAck ack = 6;</code>
+   * @return Whether the ack field is set.
+   */
+  boolean hasAck();
+  /**
+   * <code>.beryldock.membership.MembershipAck ack = 6;</code>
+   * @return The ack.
+   */
+  io.beryldock.wire.MembershipAck getAck();
+  /**
+   * <code>.beryldock.membership.MembershipAck ack = 6;</code>
+   */
+  io.beryldock.wire.MembershipAckOrBuilder getAckOrBuilder();
+
+  /**
+   * <code>.beryldock.membership.MembershipProbeRequest probe_request = 7;</code>
+   * @return Whether the probeRequest field is set.
+   */
+  boolean hasProbeRequest();
+  /**
+   * <code>.beryldock.membership.MembershipProbeRequest probe_request = 7;</code>
+   * @return The probeRequest.
+   */
+  io.beryldock.wire.MembershipProbeRequest getProbeRequest();
+  /**
+   * <code>.beryldock.membership.MembershipProbeRequest probe_request = 7;</code>
+   */
+  io.beryldock.wire.MembershipProbeRequestOrBuilder getProbeRequestOrBuilder();
+
+  /**
+   * <code>.beryldock.membership.MembershipProbeReport probe_report = 8;</code>
+   * @return Whether the probeReport field is set.
+   */
+  boolean hasProbeReport();
+  /**
+   * <code>.beryldock.membership.MembershipProbeReport probe_report = 8;</code>
+   * @return The probeReport.
+   */
+  io.beryldock.wire.MembershipProbeReport getProbeReport();
+  /**
+   * <code>.beryldock.membership.MembershipProbeReport probe_report = 8;</code>
+   */
+  io.beryldock.wire.MembershipProbeReportOrBuilder getProbeReportOrBuilder();
+
+  /**
+   * <code>.beryldock.membership.MembershipSyncOffer sync_offer = 9;</code>
+   * @return Whether the syncOffer field is set.
+   */
+  boolean hasSyncOffer();
+  /**
+   * <code>.beryldock.membership.MembershipSyncOffer sync_offer = 9;</code>
+   * @return The syncOffer.
+   */
+  io.beryldock.wire.MembershipSyncOffer getSyncOffer();
+  /**
+   * <code>.beryldock.membership.MembershipSyncOffer sync_offer = 9;</code>
+   */
+  io.beryldock.wire.MembershipSyncOfferOrBuilder getSyncOfferOrBuilder();
+
+  /**
+   * <code>.beryldock.membership.MembershipSyncBuckets sync_buckets = 10;</code>
+   * @return Whether the syncBuckets field is set.
+   */
+  boolean hasSyncBuckets();
+  /**
+   * <code>.beryldock.membership.MembershipSyncBuckets sync_buckets = 10;</code>
+   * @return The syncBuckets.
+   */
+  io.beryldock.wire.MembershipSyncBuckets getSyncBuckets();
+  /**
+   * <code>.beryldock.membership.MembershipSyncBuckets sync_buckets = 10;</code>
+   */
+  io.beryldock.wire.MembershipSyncBucketsOrBuilder getSyncBucketsOrBuilder();
+
+  /**
+   * <code>.beryldock.membership.MembershipSyncPull sync_pull = 11;</code>
+   * @return Whether the syncPull field is set.
+   */
+  boolean hasSyncPull();
+  /**
+   * <code>.beryldock.membership.MembershipSyncPull sync_pull = 11;</code>
+   * @return The syncPull.
+   */
+  io.beryldock.wire.MembershipSyncPull getSyncPull();
+  /**
+   * <code>.beryldock.membership.MembershipSyncPull sync_pull = 11;</code>
+   */
+  io.beryldock.wire.MembershipSyncPullOrBuilder getSyncPullOrBuilder();
+
+  /**
+   * <code>.beryldock.membership.MembershipSyncWanted sync_wanted = 12;</code>
+   * @return Whether the syncWanted field is set.
+   */
+  boolean hasSyncWanted();
+  /**
+   * <code>.beryldock.membership.MembershipSyncWanted sync_wanted = 12;</code>
+   * @return The syncWanted.
+   */
+  io.beryldock.wire.MembershipSyncWanted getSyncWanted();
+  /**
+   * <code>.beryldock.membership.MembershipSyncWanted sync_wanted = 12;</code>
+   */
+  io.beryldock.wire.MembershipSyncWantedOrBuilder getSyncWantedOrBuilder();
+
+  /**
+   * <code>.beryldock.membership.MembershipLinkReport link_report = 13;</code>
+   * @return Whether the linkReport field is set.
+   */
+  boolean hasLinkReport();
+  /**
+   * <code>.beryldock.membership.MembershipLinkReport link_report = 13;</code>
+   * @return The linkReport.
+   */
+  io.beryldock.wire.MembershipLinkReport getLinkReport();
+  /**
+   * <code>.beryldock.membership.MembershipLinkReport link_report = 13;</code>
+   */
+  io.beryldock.wire.MembershipLinkReportOrBuilder getLinkReportOrBuilder();
+
+  io.beryldock.wire.MembershipMessage.KindCase getKindCase();
 }
--- a/src/main/java/io/beryldock/wire/MembershipRecord.java
+++ b/src/main/java/io/beryldock/wire/MembershipRecord.java
@@ -7,8 +7,7 @@
 
 /**
  * <pre>
- * What is known of one node and of the target in its VM. Of two records with one id, the one that is higher in
- * (generation, incarnation, revision, status) counts.
+ * What is known of one node and of the target in its VM.
  * </pre>
  *
  * Protobuf type {@code beryldock.membership.MembershipRecord}
@@ -301,6 +300,21 @@
     return result == null ? io.beryldock.wire.MembershipTargetState.UNRECOGNIZED : result;
   }
 
+  public static final int SUPERSEDED_FIELD_NUMBER = 13;
+  private long superseded_ = 0L;
+  /**
+   * <pre>
+   * Low half of the incarnation that this start of the node replaced, 0 for none.
+   * </pre>
+   *
+   * <code>fixed64 superseded = 13;</code>
+   * @return The superseded.
+   */
+  @java.lang.Override
+  public long getSuperseded() {
+    return superseded_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -351,6 +365,9 @@
     if (targetState_ != io.beryldock.wire.MembershipTargetState.TARGET_STARTING.getNumber()) {
       output.writeEnum(12, targetState_);
     }
+    if (superseded_ != 0L) {
+      output.writeFixed64(13, superseded_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -400,6 +417,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeEnumSize(12, targetState_);
     }
+    if (superseded_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeFixed64Size(13, superseded_);
+    }
     return size;
   }
   @java.lang.Override
@@ -446,6 +467,8 @@
     if (getSlots()
         != other.getSlots()) return false;
     if (targetState_ != other.targetState_) return false;
+    if (getSuperseded()
+        != other.getSuperseded()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -484,6 +507,9 @@
     hash = (53 * hash) + getSlots();
     hash = (37 * hash) + TARGET_STATE_FIELD_NUMBER;
     hash = (53 * hash) + targetState_;
+    hash = (37 * hash) + SUPERSEDED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getSuperseded());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -583,8 +609,7 @@
   }
   /**
    * <pre>
-   * What is known of one node and of the target in its VM. Of two records with one id, the one that is higher in
-   * (generation, incarnation, revision, status) counts.
+   * What is known of one node and of the target in its VM.
    * </pre>
    *
    * Protobuf type {@code beryldock.membership.MembershipRecord}
@@ -632,6 +657,7 @@
       service_ = "";
       slots_ = 0;
       targetState_ = 0;
+      superseded_ = 0L;
       return this;
     }
 
@@ -701,6 +727,9 @@
       if (((from_bitField0_ & 0x00000800) != 0)) {
         result.targetState_ = targetState_;
       }
+      if (((from_bitField0_ & 0x00001000) != 0)) {
+        result.superseded_ = superseded_;
+      }
     }
 
     @java.lang.Override
@@ -757,6 +786,9 @@
       if (other.targetState_ != 0) {
         setTargetStateValue(other.getTargetStateValue());
       }
+      if (other.getSuperseded() != 0L) {
+        setSuperseded(other.getSuperseded());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -841,6 +873,11 @@
               bitField0_ |= 0x00000800;
               break;
             } // case 96
+            case 105: {
+              superseded_ = input.readFixed64();
+              bitField0_ |= 0x00001000;
+              break;
+            } // case 105
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1434,6 +1471,50 @@
       return this;
     }
 
+    private long superseded_ ;
+    /**
+     * <pre>
+     * Low half of the incarnation that this start of the node replaced, 0 for none.
+     * </pre>
+     *
+     * <code>fixed64 superseded = 13;</code>
+     * @return The superseded.
+     */
+    @java.lang.Override
+    public long getSuperseded() {
+      return superseded_;
+    }
+    /**
+     * <pre>
+     * Low half of the incarnation that this start of the node replaced, 0 for none.
+     * </pre>
+     *
+     * <code>fixed64 superseded = 13;</code>
+     * @param value The superseded to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSuperseded(long value) {
+
+      superseded_ = value;
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Low half of the incarnation that this start of the node replaced, 0 for none.
+     * </pre>
+     *
+     * <code>fixed64 superseded = 13;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSuperseded() {
+      bitField0_ = (bitField0_ & ~0x00001000);
+      superseded_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:beryldock.membership.MembershipRecord)
   }
 
--- a/src/main/java/io/beryldock/wire/MembershipRecordOrBuilder.java
+++ b/src/main/java/io/beryldock/wire/MembershipRecordOrBuilder.java
@@ -121,4 +121,14 @@
    * @return The targetState.
    */
   io.beryldock.wire.MembershipTargetState getTargetState();
+
+  /**
+   * <pre>
+   * Low half of the incarnation that this start of the node replaced, 0 for none.
+   * </pre>
+   *
+   * <code>fixed64 superseded = 13;</code>
+   * @return The superseded.
+   */
+  long getSuperseded();
 }
