--- a/src/main/java/io/beryldock/call/Call.java
+++ b/src/main/java/io/beryldock/call/Call.java
@@ -14,6 +14,7 @@
  * @param path path and query, as received
  * @param idempotent whether the route says that running it again does no harm
  * @param key the ticket or the caller's own key of a non-idempotent request
+ * @param identity hash of the caller of a keyed request, equal at every node; empty for any other
  */
 public record Call(
         RequestId id,
@@ -25,6 +26,7 @@
         ByteString body,
         boolean idempotent,
         Optional<String> key,
+        ByteString identity,
         CallContext context) {
 
     /** Stands for callers that are not targets of ours. */
@@ -36,9 +38,30 @@
         Objects.requireNonNull(context, "context");
     }
 
+    /** A call without the identity of its caller. */
+    public Call(
+            RequestId id,
+            ServiceName caller,
+            ServiceName service,
+            String method,
+            String path,
+            Headers headers,
+            ByteString body,
+            boolean idempotent,
+            Optional<String> key,
+            CallContext context) {
+        this(id, caller, service, method, path, headers, body, idempotent, key, ByteString.EMPTY, context);
+    }
+
+    /** The same request, made by the caller with that identity. */
+    public Call withIdentity(ByteString hash) {
+        return new Call(id, caller, service, method, path, headers, body, idempotent, key, hash, context);
+    }
+
     /** The same request as another attempt. */
     public Call attempt(RequestId attemptId, CallContext attemptContext) {
-        return new Call(attemptId, caller, service, method, path, headers, body, idempotent, key, attemptContext);
+        return new Call(
+                attemptId, caller, service, method, path, headers, body, idempotent, key, identity, attemptContext);
     }
 
     /** The same request under another key. */
--- a/src/main/java/io/beryldock/forwarding/CallCodec.java
+++ b/src/main/java/io/beryldock/call/CallCodec.java
@@ -1,20 +1,8 @@
-package io.beryldock.forwarding;
+package io.beryldock.call;
 
 import com.google.common.collect.ImmutableList;
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
-import io.beryldock.call.Answer;
-import io.beryldock.call.Call;
-import io.beryldock.call.CallContext;
-import io.beryldock.call.CallResult;
-import io.beryldock.call.Headers;
-import io.beryldock.call.Incarnation;
-import io.beryldock.call.Outcome;
-import io.beryldock.call.PriorityClass;
-import io.beryldock.call.Reason;
-import io.beryldock.call.RequestId;
-import io.beryldock.call.ServiceLevel;
-import io.beryldock.call.ServiceName;
 import io.beryldock.wire.WireCall;
 import io.beryldock.wire.WireContext;
 import io.beryldock.wire.WireHeader;
@@ -44,6 +32,7 @@
                 .setBody(call.body())
                 .setIdempotent(call.idempotent())
                 .setKey(call.key().orElse(""))
+                .setCallerIdentity(call.identity())
                 .setContext(encode(call.context()))
                 .build();
     }
@@ -59,6 +48,7 @@
                 wire.getBody(),
                 wire.getIdempotent(),
                 wire.getKey().isEmpty() ? Optional.empty() : Optional.of(wire.getKey()),
+                wire.getCallerIdentity(),
                 decode(wire.getContext()));
     }
 
--- a/src/main/java/io/beryldock/call/CallContext.java
+++ b/src/main/java/io/beryldock/call/CallContext.java
@@ -32,6 +32,12 @@
         Objects.requireNonNull(priority, "priority");
     }
 
+    /** The same context with another part of the root's retries. */
+    public CallContext withRetryAllowance(int allowance) {
+        return new CallContext(
+                root, parent, priority, remainingNanos, allowance, depth, callerHash, sunkNanos, retriedAncestor);
+    }
+
     /** The same context with less time left; never below zero. */
     public CallContext afterNanos(long elapsedNanos) {
         long left = Math.max(0, remainingNanos - elapsedNanos);
--- a/src/main/java/io/beryldock/forwarding/AttemptLoop.java
+++ b/src/main/java/io/beryldock/forwarding/AttemptLoop.java
@@ -93,7 +93,7 @@
     private void attempt(TargetRecord target) {
         tries++;
         tried.add(target.node().id());
-        RetryGrant grant = account.grant(GrantPolicy.half());
+        RetryGrant grant = account.grant(GrantPolicy.standard(), false);
         Call attempt = call.attempt(ports.ids().next(), attemptContext(grant));
         ports.chooser().onStart(target);
         long sent = now();
@@ -105,16 +105,8 @@
 
     private CallContext attemptContext(RetryGrant grant) {
         CallContext context = call.context();
-        return new CallContext(
-                context.root(),
-                context.parent(),
-                context.priority(),
-                remainingNanos(),
-                grant.amount(),
-                context.depth(),
-                context.callerHash(),
-                context.sunkNanos(),
-                context.retriedAncestor());
+        long elapsed = context.remainingNanos() - remainingNanos();
+        return context.afterNanos(elapsed).withRetryAllowance(grant.amount());
     }
 
     private void onEnd(TargetRecord target, RetryGrant grant, CallResult ended, long latencyNanos) {
--- a/src/main/java/io/beryldock/forwarding/EntryService.java
+++ b/src/main/java/io/beryldock/forwarding/EntryService.java
@@ -1,12 +1,10 @@
 package io.beryldock.forwarding;
 
 import io.beryldock.admission.CallerHash;
-import io.beryldock.admission.DoorDecision;
 import io.beryldock.admission.DoorShedder;
 import io.beryldock.call.Call;
 import io.beryldock.call.CallContext;
 import io.beryldock.call.CallResult;
-import io.beryldock.call.Outcome;
 import io.beryldock.call.PriorityClass;
 import io.beryldock.call.Reason;
 import io.beryldock.call.RequestId;
@@ -14,12 +12,13 @@
 import io.beryldock.call.ServiceName;
 import io.beryldock.configuration.Configuration;
 import io.beryldock.configuration.Route;
+import io.beryldock.idempotency.CallerIdentity;
+import io.beryldock.retry.GrantPolicy;
 import io.beryldock.retry.RetryAccount;
+import io.beryldock.retry.RetryGrant;
 import io.beryldock.retry.RetryLedger;
 import io.beryldock.settings.NodeSettings.Policy;
 import io.beryldock.time.Ticker;
-import io.beryldock.timeline.EventKind;
-import io.beryldock.timeline.EventSink;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -55,7 +54,7 @@
             LongSupplier epoch,
             Ticker ticker,
             RequestTally tally,
-            EventSink events) {}
+            RequestJournal journal) {}
 
     public static EntryService create(Ports ports) {
         return new EntryService(ports);
@@ -85,50 +84,30 @@
         CallContext context = new CallContext(id, id, priority, remaining, retries, 0, hash, 0, false);
         Call call = call(request, route, id, Call.OUTSIDE, context);
         ports.tally().asked(priority);
-        Optional<CallResult> shed = shedAtDoor(call);
-        if (shed.isPresent()) {
-            ports.tally().ended(priority, shed.get(), 0);
-            return CompletableFuture.completedFuture(new RequestOutcome(id, shed.get()));
-        }
         RetryAccount account = ports.ledger().open(id, retries);
-        return dispatch(request, call, account, scope).thenApply(result -> {
+        return admitAndDispatch(request, call, account, scope).thenApply(result -> {
             int unspent = account.close();
             ports.tally().ended(priority, result, retries - unspent);
-            noteUnknown(call, result);
+            ports.journal().ended(call, result);
             return new RequestOutcome(id, result);
         });
     }
 
-    private Optional<CallResult> shedAtDoor(Call call) {
-        if (ports.policy() == Policy.NONE) {
-            return Optional.empty();
-        }
-        CallContext context = call.context();
-        DoorDecision decision =
-                ports.door().decide(call.service(), context.priority().rank(), context.callerHash());
-        if (decision.admitted()) {
-            return Optional.empty();
+    /** A keyed request meets its key before the door: one that ran already must get its answer, not a refusal. */
+    private CompletableFuture<CallResult> admitAndDispatch(
+            IncomingRequest request, Call call, RetryAccount account, CancelScope scope) {
+        if (!isKeyed(call)) {
+            Optional<CallResult> shed =
+                    DoorCheck.of(ports.policy(), ports.door(), call).refusal();
+            if (shed.isPresent()) {
+                return CompletableFuture.completedFuture(shed.get());
+            }
         }
-        ports.events()
-                .record(
-                        EventKind.SHED_AT_DOOR,
-                        Optional.of(context.root()),
-                        call.service().value(),
-                        "class " + context.priority().name());
-        return Optional.of(CallResult.notRun(
-                        Reason.SHED_AT_DOOR, "class " + context.priority().name())
-                .withRetryAfterMillis(decision.retryAfterMillis()));
+        return dispatch(request, call, account, scope);
     }
 
-    private void noteUnknown(Call call, CallResult result) {
-        if (result.outcome() == Outcome.UNKNOWN) {
-            ports.events()
-                    .record(
-                            EventKind.OUTCOME_UNKNOWN,
-                            Optional.of(call.context().root()),
-                            call.service().value(),
-                            result.reason().map(Enum::name).orElse("") + " " + result.detail());
-        }
+    private static boolean isKeyed(Call call) {
+        return !call.idempotent() && call.key().isPresent();
     }
 
     private CompletableFuture<RequestOutcome> handleInner(
@@ -151,6 +130,7 @@
         execution.scope().onCancel(inner::cancel);
         return dispatch(request, call, execution.account(), inner).thenApply(result -> {
             execution.addInnerSpent(result.spentNanos());
+            ports.journal().ended(call, result);
             return new RequestOutcome(call.context().root(), result);
         });
     }
@@ -197,10 +177,14 @@
 
     private CompletableFuture<CallResult> dispatch(
             IncomingRequest request, Call call, RetryAccount account, CancelScope scope) {
-        if (!call.idempotent() && request.key().isPresent()) {
-            return ports.keyed().handle(call, request.key().get(), request.identity(), scope);
+        if (!isKeyed(call)) {
+            return ports.forwarder().forward(call, account, scope);
         }
-        return ports.forwarder().forward(call, account, scope);
+        RetryGrant grant = account.grant(GrantPolicy.all(), false);
+        Call keyed = call.attempt(call.id(), call.context().withRetryAllowance(grant.amount()));
+        return ports.keyed()
+                .handle(keyed, CallerIdentity.of(request.identity()))
+                .whenComplete((result, failure) -> grant.giveBack(result == null ? 0 : result.unspentRetries()));
     }
 
     private static Call call(
--- a/src/main/java/io/beryldock/forwarding/KeyedRequestHandler.java
+++ b/src/main/java/io/beryldock/forwarding/KeyedRequestHandler.java
@@ -2,6 +2,7 @@
 
 import io.beryldock.call.Call;
 import io.beryldock.call.CallResult;
+import io.beryldock.idempotency.CallerIdentity;
 import java.util.concurrent.CompletableFuture;
 
 /** Runs non-idempotent requests that carry a key at most once. Thread safe. */
@@ -9,5 +10,5 @@
 public interface KeyedRequestHandler {
 
     /** Handles the call under its key for the caller with that identity. The future never fails. */
-    CompletableFuture<CallResult> handle(Call call, RequestKey key, String identity, CancelScope scope);
+    CompletableFuture<CallResult> handle(Call call, CallerIdentity identity);
 }
--- a/src/main/java/io/beryldock/forwarding/PeerCallServer.java
+++ b/src/main/java/io/beryldock/forwarding/PeerCallServer.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.beryldock.call.Call;
+import io.beryldock.call.CallCodec;
 import io.beryldock.call.CallResult;
 import io.beryldock.call.Reason;
 import io.beryldock.peer.PeerHandler;
--- /dev/null
+++ b/src/main/java/io/beryldock/forwarding/RequestJournal.java
@@ -0,0 +1,46 @@
+package io.beryldock.forwarding;
+
+import io.beryldock.call.Call;
+import io.beryldock.call.CallResult;
+import io.beryldock.call.Outcome;
+import io.beryldock.call.Reason;
+import io.beryldock.call.RequestId;
+import io.beryldock.timeline.EventKind;
+import io.beryldock.timeline.EventSink;
+import io.beryldock.timeline.RefusalCounter;
+import java.util.Optional;
+
+/** Writes down how requests without an answer ended, for {@code why} and {@code show shed}. Thread safe. */
+public final class RequestJournal {
+
+    private final RefusalCounter refusals;
+    private final EventSink events;
+
+    private RequestJournal(RefusalCounter refusals, EventSink events) {
+        this.refusals = refusals;
+        this.events = events;
+    }
+
+    public static RequestJournal create(RefusalCounter refusals, EventSink events) {
+        return new RequestJournal(refusals, events);
+    }
+
+    /** Notes the end of a request at its entry, or of an inner call at its node. */
+    void ended(Call call, CallResult result) {
+        result.reason().ifPresent(reason -> note(call, result, reason));
+    }
+
+    private void note(Call call, CallResult result, Reason reason) {
+        refusals.record(reason, call.context().priority(), call.service(), call.caller());
+        Optional<RequestId> root = Optional.of(call.context().root());
+        String detail = "class " + call.context().priority().name() + ", " + reason + ": " + result.detail();
+        events.record(kind(result, reason), root, call.service().value(), detail);
+    }
+
+    private static EventKind kind(CallResult result, Reason reason) {
+        if (result.outcome() == Outcome.UNKNOWN) {
+            return EventKind.OUTCOME_UNKNOWN;
+        }
+        return reason == Reason.SHED_AT_DOOR ? EventKind.SHED_AT_DOOR : EventKind.SHED_AT_TARGET;
+    }
+}
--- a/src/main/java/io/beryldock/forwarding/TargetExecutor.java
+++ b/src/main/java/io/beryldock/forwarding/TargetExecutor.java
@@ -4,6 +4,8 @@
 import io.beryldock.call.Call;
 import io.beryldock.call.CallResult;
 import io.beryldock.call.Reason;
+import io.beryldock.idempotency.CallerIdentity;
+import io.beryldock.idempotency.RunGuard;
 import io.beryldock.quarantine.Fingerprint;
 import io.beryldock.quarantine.Quarantine;
 import io.beryldock.quarantine.Verdict;
@@ -36,6 +38,7 @@
             RetryLedger ledger,
             DoorShedder door,
             Quarantine quarantine,
+            RunGuard guard,
             TimerService timers,
             EventSink events) {}
 
@@ -45,6 +48,14 @@
 
     /** Runs the call; cancelling the scope gives it up. The future never fails. */
     public CompletableFuture<CallResult> execute(Call call, CancelScope scope) {
+        if (call.key().isEmpty() || call.identity().isEmpty()) {
+            return admit(call, scope);
+        }
+        // A second copy of a keyed call must meet its first run before anything here can refuse it.
+        return ports.guard().run(call, new CallerIdentity(call.identity()), () -> admit(call, scope));
+    }
+
+    private CompletableFuture<CallResult> admit(Call call, CancelScope scope) {
         Optional<AnnouncedTarget> target =
                 ports.target().get().filter(found -> found.service().equals(call.service()));
         if (target.isEmpty()) {
--- a/src/main/java/io/beryldock/idempotency/HomeGoneResolver.java
+++ b/src/main/java/io/beryldock/idempotency/HomeGoneResolver.java
@@ -1,10 +1,10 @@
 package io.beryldock.idempotency;
 
 import com.google.common.collect.ImmutableList;
+import io.beryldock.call.CallCodec;
 import io.beryldock.call.CallResult;
 import io.beryldock.call.Outcome;
 import io.beryldock.call.ServiceName;
-import io.beryldock.forwarding.CallCodec;
 import io.beryldock.membership.Directory;
 import io.beryldock.membership.NodeDescriptor;
 import io.beryldock.membership.TargetRecord;
--- a/src/main/java/io/beryldock/idempotency/KeyedRequestCoordinator.java
+++ b/src/main/java/io/beryldock/idempotency/KeyedRequestCoordinator.java
@@ -1,10 +1,10 @@
 package io.beryldock.idempotency;
 
 import io.beryldock.call.Call;
+import io.beryldock.call.CallCodec;
 import io.beryldock.call.CallResult;
 import io.beryldock.call.NodeId;
 import io.beryldock.call.Reason;
-import io.beryldock.forwarding.CallCodec;
 import io.beryldock.membership.NodeDescriptor;
 import io.beryldock.wire.WireTicketNotHome;
 import io.beryldock.wire.WireTicketPresent;
--- a/src/main/java/io/beryldock/idempotency/TicketMessageHandler.java
+++ b/src/main/java/io/beryldock/idempotency/TicketMessageHandler.java
@@ -2,8 +2,8 @@
 
 import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.InvalidProtocolBufferException;
+import io.beryldock.call.CallCodec;
 import io.beryldock.call.CallResult;
-import io.beryldock.forwarding.CallCodec;
 import io.beryldock.peer.PeerHandler;
 import io.beryldock.wire.WireAnswerQuery;
 import io.beryldock.wire.WireAnswerReply;
--- a/src/main/java/io/beryldock/idempotency/TicketReceiver.java
+++ b/src/main/java/io/beryldock/idempotency/TicketReceiver.java
@@ -1,6 +1,6 @@
 package io.beryldock.idempotency;
 
-import io.beryldock.forwarding.CallCodec;
+import io.beryldock.call.CallCodec;
 import io.beryldock.time.Ticker;
 import io.beryldock.timeline.EventKind;
 import io.beryldock.timeline.EventSink;
--- a/src/main/java/io/beryldock/idempotency/TicketTransfer.java
+++ b/src/main/java/io/beryldock/idempotency/TicketTransfer.java
@@ -1,9 +1,9 @@
 package io.beryldock.idempotency;
 
 import com.google.common.collect.ImmutableMap;
+import io.beryldock.call.CallCodec;
 import io.beryldock.call.CallResult;
 import io.beryldock.call.Reason;
-import io.beryldock.forwarding.CallCodec;
 import io.beryldock.wire.WireTicketEntry;
 import java.util.ArrayList;
 import java.util.Comparator;
--- a/src/main/java/io/beryldock/node/NodeProcess.java
+++ b/src/main/java/io/beryldock/node/NodeProcess.java
@@ -13,6 +13,8 @@
 import io.beryldock.http.HttpPorts;
 import io.beryldock.http.NodeHttpServer;
 import io.beryldock.http.ServerStartException;
+import io.beryldock.idempotency.KeyedRequests;
+import io.beryldock.idempotency.TicketRefusedException;
 import io.beryldock.membership.MembershipService;
 import io.beryldock.membership.NodeDescriptor;
 import io.beryldock.peer.NettyPeerTransport;
@@ -69,6 +71,7 @@
         PlatformStore store = store(settings, controlTimers.on(shared.traffic()));
         Injector injector = Guice.createInjector(
                 new NodeModule(settings, self, control, controlTimers, transport, events, store),
+                new KeyedModule(),
                 new TrafficModule(shared, controlTimers.on(shared.traffic())));
         injector.getInstance(TargetExecutor.class);
         NodeHttpServer http = NodeHttpServer.start(settings, httpPorts(injector, control));
@@ -84,14 +87,23 @@
 
     private static HttpPorts httpPorts(Injector injector, ControlLoop control) {
         TargetAnnouncements announcements = injector.getInstance(TargetAnnouncements.class);
+        KeyedRequests keyed = injector.getInstance(KeyedRequests.class);
         return new HttpPorts(
                 injector.getInstance(EntryService.class),
                 announcement -> control.execute(() -> announcements.announce(announcement)),
-                () -> CompletableFuture.completedFuture(Optional.empty()),
+                () -> CompletableFuture.supplyAsync(() -> mint(keyed), control),
                 new AliveHealthCheck(),
                 ImmutableMap.of());
     }
 
+    private static Optional<String> mint(KeyedRequests keyed) {
+        try {
+            return Optional.of(keyed.tickets().own().mint().toString());
+        } catch (TicketRefusedException e) {
+            return Optional.empty();
+        }
+    }
+
     private static PeerTransportSettings peerSettings(NodeSettings settings) throws SettingsException {
         NodeSettings.Peers peers = settings.peers();
         InetSocketAddress bind = new InetSocketAddress(peers.address(), peers.port());
--- a/src/main/java/io/beryldock/node/TrafficModule.java
+++ b/src/main/java/io/beryldock/node/TrafficModule.java
@@ -5,20 +5,21 @@
 import com.google.inject.Singleton;
 import io.beryldock.admission.DoorShedder;
 import io.beryldock.admission.GateSettings;
-import io.beryldock.call.CallResult;
-import io.beryldock.call.Reason;
 import io.beryldock.call.RequestIds;
 import io.beryldock.configuration.ConfigurationKeeper;
 import io.beryldock.forwarding.AnnouncedTarget;
 import io.beryldock.forwarding.CallForwarder;
 import io.beryldock.forwarding.EntryService;
 import io.beryldock.forwarding.ExecutionRegistry;
+import io.beryldock.forwarding.HomeDispatcher;
 import io.beryldock.forwarding.KeyedRequestHandler;
 import io.beryldock.forwarding.PeerCallClient;
 import io.beryldock.forwarding.PeerCallServer;
+import io.beryldock.forwarding.RequestJournal;
 import io.beryldock.forwarding.RequestTally;
 import io.beryldock.forwarding.TargetExecutor;
 import io.beryldock.http.HttpTargetClient;
+import io.beryldock.idempotency.KeyedRequests;
 import io.beryldock.membership.MembershipService;
 import io.beryldock.membership.NodeDescriptor;
 import io.beryldock.peer.PeerTopic;
@@ -31,9 +32,9 @@
 import io.beryldock.settings.NodeSettings;
 import io.beryldock.time.TimerService;
 import io.beryldock.timeline.EventSink;
+import io.beryldock.timeline.RefusalCounter;
 import java.net.InetSocketAddress;
 import java.time.Clock;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
 /** Binds the request path of one node: entry, attempts, target. Its timers run on traffic threads. */
@@ -82,10 +83,11 @@
             RetryLedger ledger,
             DoorShedder door,
             Quarantine quarantine,
+            KeyedRequests keyed,
             EventSink events,
             PeerTransport transport) {
         TargetExecutor executor = TargetExecutor.create(new TargetExecutor.Ports(
-                announcements::current, client, executions, ledger, door, quarantine, timers, events));
+                announcements::current, client, executions, ledger, door, quarantine, keyed.guard(), timers, events));
         transport.handle(PeerTopic.CALL, PeerCallServer.create(executor));
         return executor;
     }
@@ -123,9 +125,28 @@
 
     @Provides
     @Singleton
-    KeyedRequestHandler keyed() {
-        return (call, key, identity, scope) ->
-                CompletableFuture.completedFuture(CallResult.notRun(Reason.KEY_STORE_DOWN, "keys are not served yet"));
+    KeyedRequestHandler keyed(KeyedRequests requests, HomeDispatcher dispatcher, DispatcherSlot slot) {
+        slot.set(dispatcher);
+        return requests.coordinator()::handle;
+    }
+
+    @Provides
+    @Singleton
+    HomeDispatcher homeDispatcher(
+            NodeSettings settings, DoorShedder door, RetryLedger ledger, CallForwarder forwarder) {
+        return HomeDispatcher.create(settings.policy(), door, ledger, forwarder);
+    }
+
+    @Provides
+    @Singleton
+    RefusalCounter refusals() {
+        return RefusalCounter.create(timers.ticker());
+    }
+
+    @Provides
+    @Singleton
+    RequestJournal journal(RefusalCounter refusals, EventSink events) {
+        return RequestJournal.create(refusals, events);
     }
 
     @Provides
@@ -140,7 +161,7 @@
             KeyedRequestHandler keyed,
             RequestIds ids,
             RequestTally tally,
-            EventSink events) {
+            RequestJournal journal) {
         Clock clock = Clock.systemUTC();
         return EntryService.create(new EntryService.Ports(
                 settings.policy(),
@@ -154,6 +175,6 @@
                 () -> clock.millis() / EPOCH_MILLIS,
                 timers.ticker(),
                 tally,
-                events));
+                journal));
     }
 }
