--- a/src/main/java/io/beryldock/cli/NodeSubcommand.java
+++ b/src/main/java/io/beryldock/cli/NodeSubcommand.java
@@ -30,10 +30,18 @@
             err.println("beryldock node: " + e.getMessage());
             return FAILED;
         }
-        CountDownLatch stop = new CountDownLatch(1);
-        Runtime.getRuntime().addShutdownHook(new Thread(stop::countDown, "stop"));
-        stop.await();
-        node.close();
+        out.println("node ready: callers at " + node.callersAddress());
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node), "planned-stop"));
+        new CountDownLatch(1).await();
         return OK;
     }
+
+    /** On SIGTERM: the process ends when the hook returns. */
+    private static void stop(RunningNode node) {
+        try {
+            node.stop();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
 }
--- a/src/main/java/io/beryldock/configuration/SettingKey.java
+++ b/src/main/java/io/beryldock/configuration/SettingKey.java
@@ -44,7 +44,7 @@
         return new SettingKey(Kind.CLASS, name, "");
     }
 
-    static SettingKey budget(String name) {
+    public static SettingKey budget(String name) {
         return new SettingKey(Kind.BUDGET, name, "");
     }
 
--- a/src/main/java/io/beryldock/forwarding/AttemptLoop.java
+++ b/src/main/java/io/beryldock/forwarding/AttemptLoop.java
@@ -165,6 +165,7 @@
             refuseRetry("the root request's allowance is used up");
             return false;
         }
+        ports.retryTally().granted(call.caller(), call.service());
         ports.events()
                 .record(
                         EventKind.RETRY_GRANTED,
@@ -175,6 +176,7 @@
     }
 
     private void refuseRetry(String why) {
+        ports.retryTally().refused(call.caller(), call.service());
         ports.events()
                 .record(
                         EventKind.RETRY_REFUSED,
--- a/src/main/java/io/beryldock/forwarding/CallForwarder.java
+++ b/src/main/java/io/beryldock/forwarding/CallForwarder.java
@@ -41,6 +41,7 @@
             PeerCallClient peers,
             DoorShedder door,
             RetryBudgets budgets,
+            RetryTally retryTally,
             Backoff backoff,
             Quarantine quarantine,
             RequestIds ids,
--- a/src/main/java/io/beryldock/forwarding/EntryService.java
+++ b/src/main/java/io/beryldock/forwarding/EntryService.java
@@ -36,6 +36,7 @@
     private static final PriorityClass ORPHAN_CLASS = PriorityClass.of("no-context", PriorityClass.LOWEST_RANK);
 
     private final Ports ports;
+    private volatile boolean refusing;
 
     private EntryService(Ports ports) {
         this.ports = ports;
@@ -60,6 +61,11 @@
         return new EntryService(ports);
     }
 
+    /** From now on requests of callers are refused: the node is about to stop. */
+    public void refuseNew() {
+        refusing = true;
+    }
+
     @Override
     public CompletableFuture<RequestOutcome> handle(IncomingRequest request, CancelScope scope) {
         RequestId id = ports.ids().next();
@@ -69,11 +75,22 @@
             return CompletableFuture.completedFuture(new RequestOutcome(id, refusal));
         }
         if (request.origin() == IncomingRequest.Origin.CALLER) {
+            if (refusing) {
+                return CompletableFuture.completedFuture(new RequestOutcome(id, stopping(request)));
+            }
             return handleRoot(request, route.get(), id, scope);
         }
         return handleInner(request, route.get(), id, scope);
     }
 
+    /** NOT_RUN speaks of the key, which may have run under an earlier request, so a keyed one is UNKNOWN here. */
+    private static CallResult stopping(IncomingRequest request) {
+        String detail = "this node is stopping; send the request to another one";
+        return request.key().isPresent()
+                ? CallResult.unknown(Reason.DRAINING, detail)
+                : CallResult.notRun(Reason.DRAINING, detail);
+    }
+
     private CompletableFuture<RequestOutcome> handleRoot(
             IncomingRequest request, Route route, RequestId id, CancelScope scope) {
         Configuration configuration = ports.configuration().get();
--- a/src/main/java/io/beryldock/forwarding/RequestTally.java
+++ b/src/main/java/io/beryldock/forwarding/RequestTally.java
@@ -18,6 +18,8 @@
 
     private final Map<String, ClassCounts> classes = new ConcurrentHashMap<>();
 
+    private final LongAdder inFlight = new LongAdder();
+
     private RequestTally() {}
 
     public static RequestTally create() {
@@ -25,10 +27,12 @@
     }
 
     void asked(PriorityClass priority) {
+        inFlight.increment();
         counts(priority).asked.increment();
     }
 
     void ended(PriorityClass priority, CallResult result, int retries) {
+        inFlight.decrement();
         ClassCounts counts = counts(priority);
         counts.retries.add(retries);
         switch (result.outcome()) {
@@ -48,6 +52,11 @@
         return classes.computeIfAbsent(priority.name(), name -> new ClassCounts());
     }
 
+    /** Root requests of this node that have no end yet. */
+    public long inFlight() {
+        return inFlight.sum();
+    }
+
     /** What was counted since the start, by class. */
     public ImmutableMap<String, Row> rows() {
         ImmutableMap.Builder<String, Row> rows = ImmutableMap.builder();
--- /dev/null
+++ b/src/main/java/io/beryldock/node/NodeInspection.java
@@ -0,0 +1,159 @@
+package io.beryldock.node;
+
+import io.beryldock.admission.DoorShedder;
+import io.beryldock.admission.GateSnapshot;
+import io.beryldock.call.ServiceLevel;
+import io.beryldock.call.ServiceName;
+import io.beryldock.command.NodeInspector;
+import io.beryldock.command.QueryTable;
+import io.beryldock.command.ShowColumns;
+import io.beryldock.command.ShowStatement;
+import io.beryldock.configuration.ConfigurationKeeper;
+import io.beryldock.forwarding.AnnouncedTarget;
+import io.beryldock.idempotency.KeyedRequests;
+import io.beryldock.idempotency.TicketSettings;
+import io.beryldock.idempotency.TicketTable;
+import io.beryldock.membership.MembershipService;
+import io.beryldock.membership.NodeDescriptor;
+import io.beryldock.peer.ConnectionSnapshot;
+import io.beryldock.peer.NettyPeerTransport;
+import io.beryldock.peer.PeerIdentity;
+import io.beryldock.time.Ticker;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Shows operators what this node knows.
+ *
+ * <p>Thread safe: parts that belong to the control thread are asked there.
+ */
+final class NodeInspection implements NodeInspector {
+
+    private final Parts parts;
+    private final long startNanos;
+
+    NodeInspection(Parts parts) {
+        this.parts = parts;
+        this.startNanos = parts.ticker().nanos();
+    }
+
+    /** The parts that are shown. */
+    record Parts(
+            NodeDescriptor self,
+            ControlLoop control,
+            MembershipService membership,
+            TargetAnnouncements announcements,
+            DoorShedder door,
+            ConfigurationKeeper configuration,
+            KeyedRequests keyed,
+            NettyPeerTransport transport,
+            NodeLedgers ledgers,
+            Ticker ticker) {}
+
+    @Override
+    public long configurationVersion() {
+        return parts.configuration().current().version();
+    }
+
+    @Override
+    public CompletableFuture<QueryTable> inspect(ShowStatement statement) {
+        return CompletableFuture.supplyAsync(() -> table(statement), parts.control());
+    }
+
+    private QueryTable table(ShowStatement statement) {
+        return switch (statement.topic()) {
+            case TARGETS -> targets();
+            case NODES -> nodes();
+            case LEVELS -> levels();
+            case RETRIES -> parts.ledgers().retries();
+            case TICKETS -> tickets();
+            case CONNECTIONS -> connections();
+            case CONFIGURATION -> configuration();
+            case CHANGES -> parts.ledgers().changes();
+            case QUARANTINE -> parts.ledgers().quarantine();
+            case TIMELINE, SHED -> throw new IllegalArgumentException(statement.topic() + " has a source of its own");
+        };
+    }
+
+    private QueryTable targets() {
+        QueryTable.Builder table = QueryTable.builder(ShowColumns.TARGETS);
+        parts.announcements().current().ifPresent(target -> addTarget(table, target));
+        return table.build();
+    }
+
+    private void addTarget(QueryTable.Builder table, AnnouncedTarget target) {
+        GateSnapshot gate = target.gate().snapshot();
+        table.row(
+                target.service().value(),
+                parts.self().id().value(),
+                parts.self().dataCentre().value(),
+                parts.announcements().stateWord(),
+                parts.announcements().slots(),
+                gate.limit(),
+                gate.inFlight(),
+                gate.queued());
+    }
+
+    private QueryTable nodes() {
+        long upMillis = TimeUnit.NANOSECONDS.toMillis(parts.ticker().nanos() - startNanos);
+        return QueryTable.builder(ShowColumns.NODES)
+                .row(
+                        parts.self().id().value(),
+                        parts.self().dataCentre().value(),
+                        parts.membership().snapshot().massLoss() ? "cut off" : "serving",
+                        parts.self().incarnation().toString(),
+                        parts.membership().directory().nodes().size(),
+                        upMillis)
+                .build();
+    }
+
+    private QueryTable levels() {
+        QueryTable.Builder table = QueryTable.builder(ShowColumns.LEVELS);
+        for (ServiceName service : parts.membership().directory().targets().keySet()) {
+            int level = parts.door().level(service);
+            if (level < ServiceLevel.OPEN) {
+                table.row(service.value(), level, level, 1, 0);
+            }
+        }
+        return table.build();
+    }
+
+    private QueryTable tickets() {
+        TicketTable own = parts.keyed().tickets().own();
+        return QueryTable.builder(ShowColumns.TICKETS)
+                .row(
+                        parts.self().id().value(),
+                        own.frozen() ? "frozen" : "deciding",
+                        null,
+                        own.inFlight(),
+                        own.size() - own.inFlight(),
+                        null,
+                        TicketSettings.defaults().maxTickets())
+                .build();
+    }
+
+    private QueryTable connections() {
+        QueryTable.Builder table = QueryTable.builder(ShowColumns.CONNECTIONS);
+        for (ConnectionSnapshot connection : parts.transport().stats().connections()) {
+            table.row(
+                    parts.self().id().value(),
+                    connection.direction().name(),
+                    connection
+                            .peer()
+                            .map(PeerIdentity::node)
+                            .map(Object::toString)
+                            .orElseGet(() -> connection.address().toString()),
+                    connection.state(),
+                    1,
+                    connection.outstanding(),
+                    0);
+        }
+        return table.build();
+    }
+
+    private QueryTable configuration() {
+        QueryTable.Builder table = QueryTable.builder(ShowColumns.CONFIGURATION);
+        parts.configuration().current().settings().forEach((key, setting) -> table.row(key.toString(), setting.text()));
+        return table.build();
+    }
+}
--- a/src/main/java/io/beryldock/node/NodeProcess.java
+++ b/src/main/java/io/beryldock/node/NodeProcess.java
@@ -1,17 +1,19 @@
 package io.beryldock.node;
 
-import com.codahale.metrics.health.HealthCheck;
 import com.google.common.collect.ImmutableMap;
 import com.google.inject.Guice;
 import com.google.inject.Injector;
 import io.beryldock.call.DataCentre;
 import io.beryldock.call.Incarnation;
 import io.beryldock.call.NodeId;
+import io.beryldock.command.OperatorService;
 import io.beryldock.configuration.ConfigurationSync;
 import io.beryldock.forwarding.EntryService;
 import io.beryldock.forwarding.TargetExecutor;
 import io.beryldock.http.HttpPorts;
 import io.beryldock.http.NodeHttpServer;
+import io.beryldock.http.OperatorAccess;
+import io.beryldock.http.OperatorServlet;
 import io.beryldock.http.ServerStartException;
 import io.beryldock.idempotency.KeyedRequests;
 import io.beryldock.idempotency.TicketRefusedException;
@@ -72,12 +74,13 @@
         Injector injector = Guice.createInjector(
                 new NodeModule(settings, self, control, controlTimers, transport, events, store),
                 new KeyedModule(),
+                new OperatorModule(),
                 new TrafficModule(shared, controlTimers.on(shared.traffic())));
         injector.getInstance(TargetExecutor.class);
-        NodeHttpServer http = NodeHttpServer.start(settings, httpPorts(injector, control));
+        NodeHttpServer http = NodeHttpServer.start(settings, httpPorts(settings, injector, control));
         control.run(() -> startControl(injector));
         events.record(EventKind.NODE_STARTED, settings.id(), "callers at " + http.callersAddress());
-        return new RunningNode(injector, http, control, controlTimers, store, Optional.empty());
+        return new RunningNode(settings, injector, http, store, Optional.empty());
     }
 
     private static void startControl(Injector injector) {
@@ -85,15 +88,21 @@
         injector.getInstance(ConfigurationSync.class).start();
     }
 
-    private static HttpPorts httpPorts(Injector injector, ControlLoop control) {
+    private static HttpPorts httpPorts(NodeSettings settings, Injector injector, ControlLoop control)
+            throws SettingsException {
         TargetAnnouncements announcements = injector.getInstance(TargetAnnouncements.class);
         KeyedRequests keyed = injector.getInstance(KeyedRequests.class);
         return new HttpPorts(
                 injector.getInstance(EntryService.class),
                 announcement -> control.execute(() -> announcements.announce(announcement)),
                 () -> CompletableFuture.supplyAsync(() -> mint(keyed), control),
-                new AliveHealthCheck(),
-                ImmutableMap.of());
+                injector.getInstance(NodeHealth.class),
+                ImmutableMap.of(OperatorServlet.PATH, operatorServlet(settings, injector)));
+    }
+
+    private static OperatorServlet operatorServlet(NodeSettings settings, Injector injector) throws SettingsException {
+        OperatorService operators = injector.getInstance(OperatorService.class);
+        return new OperatorServlet(operators, OperatorAccess.of(settings.admin().token()));
     }
 
     private static Optional<String> mint(KeyedRequests keyed) {
@@ -126,12 +135,4 @@
         }
         return HttpPlatformStore.start(URI.create(settings.platform().url()), STORE_TIMEOUT, timers);
     }
-
-    /** The node answers for as long as its process runs. */
-    private static final class AliveHealthCheck extends HealthCheck {
-        @Override
-        protected Result check() {
-            return Result.healthy();
-        }
-    }
 }
--- a/src/main/java/io/beryldock/node/RunningNode.java
+++ b/src/main/java/io/beryldock/node/RunningNode.java
@@ -1,45 +1,48 @@
 package io.beryldock.node;
 
 import com.google.inject.Injector;
+import io.beryldock.forwarding.EntryService;
 import io.beryldock.forwarding.ExecutionRegistry;
 import io.beryldock.forwarding.RequestTally;
 import io.beryldock.http.NodeHttpServer;
+import io.beryldock.idempotency.KeyedRequests;
+import io.beryldock.membership.MembershipService;
 import io.beryldock.peer.NettyPeerTransport;
 import io.beryldock.platform.PlatformStore;
 import io.beryldock.retry.RetryLedger;
+import io.beryldock.settings.NodeSettings;
 import io.beryldock.time.ThreadTimerService;
+import io.beryldock.time.TimerService;
 import io.beryldock.timeline.EventRing;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.Optional;
 
 /** A node that runs. Thread safe; closed once. */
 public final class RunningNode implements AutoCloseable {
 
+    private final NodeSettings settings;
     private final Injector injector;
     private final NodeHttpServer http;
-    private final ControlLoop control;
-    private final ThreadTimerService timers;
     private final PlatformStore store;
     private final Optional<SharedResources> owned;
 
     RunningNode(
+            NodeSettings settings,
             Injector injector,
             NodeHttpServer http,
-            ControlLoop control,
-            ThreadTimerService timers,
             PlatformStore store,
             Optional<SharedResources> owned) {
+        this.settings = settings;
         this.injector = injector;
         this.http = http;
-        this.control = control;
-        this.timers = timers;
         this.store = store;
         this.owned = owned;
     }
 
     /** The same node, which closes these threads with itself. */
     RunningNode owning(SharedResources shared) {
-        return new RunningNode(injector, http, control, timers, store, Optional.of(shared));
+        return new RunningNode(settings, injector, http, store, Optional.of(shared));
     }
 
     public InetSocketAddress callersAddress() {
@@ -77,13 +80,30 @@
         return injector.getInstance(ExecutionRegistry.class).size();
     }
 
+    /** Stops without cutting off a request: drains, finishes what is in flight, hands the tickets over, leaves. */
+    public void stop() throws InterruptedException {
+        new PlannedStop(new PlannedStop.Parts(
+                        injector.getInstance(ControlLoop.class),
+                        injector.getInstance(TargetAnnouncements.class),
+                        injector.getInstance(EntryService.class),
+                        tally(),
+                        injector.getInstance(KeyedRequests.class),
+                        injector.getInstance(MembershipService.class),
+                        injector.getInstance(NodeHealth.class),
+                        injector.getInstance(TimerService.class).ticker(),
+                        events(),
+                        Duration.ofSeconds(settings.limits().drainSeconds())))
+                .run();
+        close();
+    }
+
     /** Stops at once: what is in flight is cut off, as in a crash. */
     @Override
     public void close() {
-        timers.close();
+        ((ThreadTimerService) injector.getInstance(TimerService.class)).close();
         http.close();
         injector.getInstance(NettyPeerTransport.class).close();
-        control.close();
+        injector.getInstance(ControlLoop.class).close();
         if (store instanceof AutoCloseable closeable) {
             closeQuietly(closeable);
         }
--- a/src/main/java/io/beryldock/node/TargetAnnouncements.java
+++ b/src/main/java/io/beryldock/node/TargetAnnouncements.java
@@ -12,6 +12,7 @@
 import io.beryldock.timeline.EventKind;
 import io.beryldock.timeline.EventSink;
 import java.time.Duration;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 
@@ -58,6 +59,20 @@
         return drained;
     }
 
+    /** How the target stands, in a word for operators. */
+    String stateWord() {
+        if (drained) {
+            return "drained";
+        }
+        return last.map(announcement -> announcement.state().name().toLowerCase(Locale.ROOT))
+                .orElse("none");
+    }
+
+    /** Slots that the target announced; 0 when none does. */
+    int slots() {
+        return last.map(Announcement::slots).orElse(0);
+    }
+
     void announce(Announcement announcement) {
         expiryTimer.cancel();
         expiryTimer = timers.after(expiry, this::expire);
--- a/src/main/java/io/beryldock/node/TrafficModule.java
+++ b/src/main/java/io/beryldock/node/TrafficModule.java
@@ -17,6 +17,7 @@
 import io.beryldock.forwarding.PeerCallServer;
 import io.beryldock.forwarding.RequestJournal;
 import io.beryldock.forwarding.RequestTally;
+import io.beryldock.forwarding.RetryTally;
 import io.beryldock.forwarding.TargetExecutor;
 import io.beryldock.http.HttpTargetClient;
 import io.beryldock.idempotency.KeyedRequests;
@@ -54,6 +55,7 @@
     @Override
     protected void configure() {
         bind(ExecutionRegistry.class).toInstance(ExecutionRegistry.create());
+        bind(RetryTally.class).toInstance(RetryTally.create());
         bind(RequestTally.class).toInstance(RequestTally.create());
     }
 
@@ -103,6 +105,7 @@
             PeerTransport transport,
             DoorShedder door,
             RetryBudgets budgets,
+            RetryTally retryTally,
             Backoff backoff,
             Quarantine quarantine,
             RequestIds ids,
@@ -116,6 +119,7 @@
                 PeerCallClient.create(transport),
                 door,
                 budgets,
+                retryTally,
                 backoff,
                 quarantine,
                 ids,
