--- a/src/main/java/io/beryldock/peer/InboundConnection.java
+++ b/src/main/java/io/beryldock/peer/InboundConnection.java
@@ -21,6 +21,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 /**
  * A connection that a peer made to this node.
@@ -34,6 +35,7 @@
 final class InboundConnection extends SimpleChannelInboundHandler<Frame> {
 
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
+    private static final int LOG_SECONDS = 10;
 
     private final PeerHub hub;
     private final Channel channel;
@@ -138,7 +140,11 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        log.atFine().withCause(cause).log("the connection from %s failed", address);
+        if (state == State.GREETING) {
+            log.atWarning().atMostEvery(LOG_SECONDS, TimeUnit.SECONDS).log(
+                    "a peer at %s could not prove itself (%s); compare its peers.tls settings with this node's",
+                    address, cause.getMessage());
+        }
         ChannelActions.abort(channel);
     }
 
