--- a/src/main/java/io/beryldock/peer/PeerLiveness.java
+++ b/src/main/java/io/beryldock/peer/PeerLiveness.java
@@ -32,4 +32,8 @@
                 Duration.ofMillis(400),
                 Duration.ofSeconds(60));
     }
+
+    public PeerLiveness withSilenceLimit(Duration other) {
+        return new PeerLiveness(tick, pingAfter, other, oneWayLimit, probeAfter, probeTimeout, idleClose);
+    }
 }
--- a/src/test/java/io/beryldock/peer/PeerTlsTest.java
+++ b/src/test/java/io/beryldock/peer/PeerTlsTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import com.google.protobuf.ByteString;
 import java.io.IOException;
 import java.net.URISyntaxException;
 import java.nio.file.Files;
@@ -16,6 +17,7 @@
 /** The PEM files in the resources were made once with openssl, valid from 2020 to 2120. */
 class PeerTlsTest {
 
+    private static final int LARGE = 1 << 20;
     private static final Duration RELOAD = Duration.ofSeconds(11);
 
     @TempDir
@@ -78,6 +80,10 @@
             var reply = pair.askHeld("order");
             pair.relay.spoilForth(FaultyRelay.Fault.FREEZE);
             pair.relay.spoilBack(FaultyRelay.Fault.LOSE);
+            ByteString large = ByteString.copyFrom(new byte[LARGE]);
+            for (int i = 0; i < 20; i++) {
+                var unused = pair.a.request(pair.relay.address(), PeerTopic.CALL, large, PeerPair.LONG);
+            }
             pair.advanceUntil(reply::isDone, Duration.ofMillis(1200));
             assertThat(PeerPair.failure(reply)).isEqualTo(PeerException.Kind.LOST);
             assertThat(PeerPair.get(pair.ask(PeerTopic.CALL, "next"))).isEqualTo("next");
