--- a/src/main/java/io/beryldock/configuration/ConfigurationJson.java
+++ b/src/main/java/io/beryldock/configuration/ConfigurationJson.java
@@ -71,6 +71,7 @@
         } else if (setting instanceof DrainSetting drain) {
             node.put("node", drain.node().value());
         } else if (setting instanceof OpaqueSetting opaque) {
+            node.put("kind", opaque.kind());
             node.put("name", opaque.name());
             node.put(
                     "content",
--- a/src/main/java/io/beryldock/configuration/ConfigurationKeeper.java
+++ b/src/main/java/io/beryldock/configuration/ConfigurationKeeper.java
@@ -20,25 +20,40 @@
 
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
 
+    /** A version that nodes held is never followed by a lower one. */
+    static final VersionRule HIGHER_ONLY = (current, next) -> next > current;
+
     private final List<Consumer<Configuration>> listeners = new CopyOnWriteArrayList<>();
     private final EventSink events;
+    private final VersionRule rule;
     private volatile Configuration current;
     private volatile ChangeLog changes = ChangeLog.empty();
 
-    private ConfigurationKeeper(Configuration defaults, EventSink events) {
+    private ConfigurationKeeper(Configuration defaults, EventSink events, VersionRule rule) {
         this.current = defaults;
         this.events = events;
+        this.rule = rule;
     }
 
     /** Starts with the defaults in force. */
     public static ConfigurationKeeper create(Configuration defaults, EventSink events) {
-        return new ConfigurationKeeper(defaults, events);
+        return create(defaults, events, HIGHER_ONLY);
     }
 
     public static ConfigurationKeeper create(Configuration defaults) {
         return create(defaults, EventSink.none());
     }
 
+    static ConfigurationKeeper create(Configuration defaults, EventSink events, VersionRule rule) {
+        return new ConfigurationKeeper(defaults, events, rule);
+    }
+
+    /** Which versions may follow which. */
+    @FunctionalInterface
+    interface VersionRule {
+        boolean mayFollow(long current, long next);
+    }
+
     public Configuration current() {
         return current;
     }
@@ -65,7 +80,7 @@
      */
     boolean take(Configuration next, List<ChangeRecord> recent) {
         checkSameChanges(next.lineage(), recent);
-        if (next.version() <= current.version()) {
+        if (!rule.mayFollow(current.version(), next.version())) {
             return false;
         }
         boolean continues = !recent.isEmpty() && next.lineage().equals(current.lineage());
--- a/src/main/java/io/beryldock/configuration/ConfigurationSync.java
+++ b/src/main/java/io/beryldock/configuration/ConfigurationSync.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
@@ -35,9 +36,14 @@
 
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
 
+    /** Other data centres to which a watcher sends a digest as soon as a version is new to it. */
+    private static final int DIGESTS_ELSEWHERE = 4;
+
     /** Digests to a neighbour for each one to any node of another data centre, should all watchers fail. */
     private static final int ELSEWHERE_EVERY = 30;
 
+    private static final int LOG_SECONDS = 10;
+
     private static final long PAUSED_NANOS = DIGEST_PERIOD.multipliedBy(2).toNanos();
 
     private final NodeDescriptor self;
@@ -133,7 +139,7 @@
         refreshChoice();
         noteTick();
         choice.neighbour(ports.random()).ifPresent(this::sendDigest);
-        choice.watcherElsewhere(ports.random()).ifPresent(this::sendDigest);
+        choice.watchersElsewhere(1, ports.random()).forEach(this::sendDigest);
         if (ports.random().nextInt(ELSEWHERE_EVERY) == 0) {
             choice.anyElsewhere(self, ports.random()).ifPresent(this::sendDigest);
         }
@@ -164,6 +170,7 @@
         long after = pushed == 0 ? next.version() - 1 : pushed;
         pushed = next.version();
         digests.push(after, choice.neighbours());
+        choice.watchersElsewhere(DIGESTS_ELSEWHERE, ports.random()).forEach(this::sendDigest);
     }
 
     /** Takes a message of another node. */
@@ -172,7 +179,8 @@
             Messenger.Received received = Messenger.read(bytes);
             dispatch(received.from(), received.message());
         } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
-            log.atWarning().withCause(e).log("an unreadable configuration message from %s is dropped", sender);
+            log.atWarning().atMostEvery(LOG_SECONDS, TimeUnit.SECONDS).log(
+                    "an unreadable configuration message from %s is dropped: %s", sender, e.getMessage());
         }
     }
 
--- a/src/main/java/io/beryldock/configuration/InForceSurvey.java
+++ b/src/main/java/io/beryldock/configuration/InForceSurvey.java
@@ -89,14 +89,19 @@
             return CompletableFuture.completedFuture(report(version, tallies));
         }
         Duration roundTime = Duration.ofNanos(Math.min(left, ROUND_TIME.toNanos()));
-        List<CompletableFuture<Void>> answers = new ArrayList<>();
+        List<CompletableFuture<SurveyTally>> answers = new ArrayList<>();
         for (DataCentre place : open) {
             ImmutableList<NodeDescriptor> nodes = choice.get().members().getOrDefault(place, ImmutableList.of());
-            answers.add(gather(nodes, place, version, roundTime).thenAccept(tally -> tallies.put(place, tally)));
+            answers.add(gather(nodes, place, version, roundTime).thenApply(tally -> note(tallies, place, tally)));
         }
         return ConfigurationStore.all(answers).thenCompose(done -> pause(version, end, tallies));
     }
 
+    private static SurveyTally note(Map<DataCentre, SurveyTally> tallies, DataCentre place, SurveyTally tally) {
+        tallies.put(place, tally);
+        return tally;
+    }
+
     private CompletableFuture<InForceReport> pause(long version, long end, Map<DataCentre, SurveyTally> tallies) {
         InForceReport report = report(version, tallies);
         if (report.everywhere() || ticker().nanos() + BETWEEN_ROUNDS.toNanos() >= end) {
--- a/src/main/java/io/beryldock/configuration/PeerChoice.java
+++ b/src/main/java/io/beryldock/configuration/PeerChoice.java
@@ -38,14 +38,14 @@
     private final ImmutableSortedMap<DataCentre, ImmutableList<NodeDescriptor>> members;
     private final ImmutableList<NodeDescriptor> neighbours;
     private final boolean watcher;
-    private final ImmutableList<NodeDescriptor> watchersElsewhere;
+    private final ImmutableList<ImmutableList<NodeDescriptor>> watchersElsewhere;
 
     private PeerChoice(
             Directory directory,
             ImmutableSortedMap<DataCentre, ImmutableList<NodeDescriptor>> members,
             ImmutableList<NodeDescriptor> neighbours,
             boolean watcher,
-            ImmutableList<NodeDescriptor> watchersElsewhere) {
+            ImmutableList<ImmutableList<NodeDescriptor>> watchersElsewhere) {
         this.directory = directory;
         this.members = members;
         this.neighbours = neighbours;
@@ -63,11 +63,11 @@
         ImmutableSortedMap<DataCentre, ImmutableList<NodeDescriptor>> members = members(self, directory);
         ImmutableList<NodeDescriptor> own = members.get(self.dataCentre());
         boolean watcher = watchersOf(own).contains(self);
-        ImmutableList.Builder<NodeDescriptor> elsewhere = ImmutableList.builder();
+        ImmutableList.Builder<ImmutableList<NodeDescriptor>> elsewhere = ImmutableList.builder();
         if (watcher) {
             members.forEach((place, nodes) -> {
                 if (!place.equals(self.dataCentre())) {
-                    elsewhere.addAll(watchersOf(nodes));
+                    elsewhere.add(watchersOf(nodes));
                 }
             });
         }
@@ -112,7 +112,7 @@
         return hash("ring", id);
     }
 
-    private static List<NodeDescriptor> watchersOf(List<NodeDescriptor> nodes) {
+    private static ImmutableList<NodeDescriptor> watchersOf(List<NodeDescriptor> nodes) {
         ImmutableList<NodeDescriptor> ranked = sorted(nodes, "watcher");
         return ranked.subList(0, Math.min(WATCHERS, ranked.size()));
     }
@@ -155,9 +155,15 @@
         return pick(neighbours, random);
     }
 
-    /** A watcher of another data centre; empty when this node is none itself or knows no other data centre. */
-    Optional<NodeDescriptor> watcherElsewhere(RandomGenerator random) {
-        return pick(watchersElsewhere, random);
+    /** Watchers of so many other data centres, one of each; none when this node is no watcher itself. */
+    List<NodeDescriptor> watchersElsewhere(int dataCentres, RandomGenerator random) {
+        List<ImmutableList<NodeDescriptor>> left = new ArrayList<>(watchersElsewhere);
+        List<NodeDescriptor> chosen = new ArrayList<>();
+        while (chosen.size() < dataCentres && !left.isEmpty()) {
+            ImmutableList<NodeDescriptor> watchers = left.remove(random.nextInt(left.size()));
+            chosen.add(watchers.get(random.nextInt(watchers.size())));
+        }
+        return chosen;
     }
 
     /** Any node of any data centre but this one, each data centre as likely as another. */
--- a/src/main/java/io/beryldock/configuration/StoreWatch.java
+++ b/src/main/java/io/beryldock/configuration/StoreWatch.java
@@ -1,5 +1,6 @@
 package io.beryldock.configuration;
 
+import com.google.common.base.Throwables;
 import com.google.common.flogger.FluentLogger;
 import io.beryldock.platform.PlatformStore;
 import io.beryldock.platform.StoredValue;
@@ -113,10 +114,11 @@
 
     private void noteDown(Throwable failure) {
         if (failures++ == 0) {
-            events.record(EventKind.STORE_DOWN, "configuration", String.valueOf(failure.getMessage()));
+            String cause = Throwables.getRootCause(failure).getMessage();
+            events.record(EventKind.STORE_DOWN, "configuration", String.valueOf(cause));
             log.atWarning().log(
                     "the platform store can't be read; version %d stays in force: %s",
-                    keeper.current().version(), failure.getMessage());
+                    keeper.current().version(), cause);
         }
     }
 
