--- a/src/main/java/io/beryldock/timeline/HlcTime.java
+++ b/src/main/java/io/beryldock/timeline/HlcTime.java
@@ -1,7 +1,10 @@
 package io.beryldock.timeline;
 
 import java.time.Instant;
+import java.time.format.DateTimeFormatter;
+import java.time.format.DateTimeFormatterBuilder;
 import java.time.format.DateTimeParseException;
+import java.util.Locale;
 
 /**
  * A reading of a hybrid logical clock: wall milliseconds and a counter that orders readings of one millisecond.
@@ -15,8 +18,11 @@
     /** The earliest time. */
     public static final HlcTime ZERO = new HlcTime(0, 0);
 
+    private static final int MILLI_DIGITS = 3;
     static final int COUNTER_BITS = 16;
     static final int MAX_COUNTER = (1 << COUNTER_BITS) - 1;
+    private static final DateTimeFormatter TEXT =
+            new DateTimeFormatterBuilder().appendInstant(MILLI_DIGITS).toFormatter(Locale.ROOT);
     private static final long MAX_MILLIS = (1L << (Long.SIZE - COUNTER_BITS)) - 1;
 
     public HlcTime {
@@ -59,6 +65,6 @@
 
     @Override
     public String toString() {
-        return Instant.ofEpochMilli(millis) + "/" + counter;
+        return TEXT.format(Instant.ofEpochMilli(millis)) + "/" + counter;
     }
 }
--- /dev/null
+++ b/src/test/java/io/beryldock/timeline/TimelineHtmlWriterTest.java
@@ -0,0 +1,40 @@
+package io.beryldock.timeline;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import io.beryldock.call.DataCentre;
+import io.beryldock.call.NodeId;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+class TimelineHtmlWriterTest {
+
+    @Test
+    void pageNeedsNothingBesideIt() throws IOException {
+        String page = TimelineHtmlWriter.write(SeededTimeline.merged(SeededTimeline.run(41, 6, 40)));
+        Files.writeString(Files.createDirectories(Path.of("target")).resolve("timeline.html"), page);
+        assertThat(page).doesNotContain("src=", "<link", "http:", "https:", "@import", "url(");
+        assertThat(page).contains("\"kind\":\"SHED_AT_DOOR\"").doesNotContain("/*EVENTS*/");
+    }
+
+    /** An operator opens a page whose events hold a path that a caller chose; the caller's script would run in it. */
+    @Test
+    void textOfCallersIsNotMarkup() {
+        Event event = new Event(
+                1,
+                HlcTime.ofMillis(5),
+                NodeId.of("n1"),
+                DataCentre.of("gent-a"),
+                EventKind.REQUEST_QUARANTINED,
+                Optional.empty(),
+                "/lists</script><script>alert(1)</script>",
+                "<!--<script>",
+                1);
+        String page = TimelineHtmlWriter.write(ImmutableList.of(event));
+        assertThat(page).doesNotContain("alert(1)</script>", "<!--<script>").contains("\\u003c/script>");
+    }
+}
