--- a/src/main/antlr/Operator.g4
+++ b/src/main/antlr/Operator.g4
@@ -27,27 +27,31 @@
 
 why : WHY requestId everywhere? ;
 
-change : set | remove | mark | drain | undrain ;
+change : set | remove | mark | restore | drain | undrain ;
 
 set : SET ( setClass | setBudget | setLimit | setRoute ) ;
 
 setClass : CLASS className PRIORITY priority ;
 
-setBudget : BUDGET className budgetOption+ ;
+setBudget : BUDGET budgetName budgetOption+ ;
 
-budgetOption : SHARE percent | RETRIES retries ;
+budgetOption : SHARE share | RETRIES retries ;
 
 setLimit : LIMIT serviceName SLOTS slots ;
 
-setRoute : ROUTE prefix routeMethods? SERVICE serviceName CLASS className routeOption* ;
+setRoute : ROUTE prefix routeMethods? ( routeTarget | DEADLINE duration ) ;
 
-routeMethods : METHODS method ( COMMA method )* ;
+routeMethods : METHODS? method ( COMMA method )* ;
 
-routeOption : IDEMPOTENT | NON_IDEMPOTENT | DEADLINE duration ;
+routeTarget : SERVICE serviceName CLASS className routeOption* ;
 
-remove : REMOVE ROUTE prefix ;
+routeOption : IDEMPOTENT | NON_IDEMPOTENT | DEADLINE duration | BUDGET budgetName ;
 
-mark : MARK ROUTE prefix ( NON_IDEMPOTENT | IDEMPOTENT ) ;
+remove : REMOVE ROUTE prefix routeMethods? ;
+
+mark : MARK ROUTE prefix routeMethods? ( NON_IDEMPOTENT | IDEMPOTENT ) ;
+
+restore : RESTORE CONFIGURATION ;
 
 drain : DRAIN TARGET nodeId ;
 
@@ -55,6 +59,8 @@
 
 className : name ;
 
+budgetName : name ;
+
 serviceName : name ;
 
 nodeId : name ;
@@ -67,7 +73,7 @@
 
 duration : DURATION ;
 
-percent : PERCENT ;
+share : PERCENT | DECIMAL ;
 
 priority : NUMBER ;
 
@@ -76,13 +82,13 @@
 slots : NUMBER ;
 
 // A keyword is a name like any other where only a name can stand.
-name : WORD | NUMBER | DURATION | keyword ;
+name : WORD | NUMBER | DECIMAL | DURATION | keyword ;
 
 keyword
     : BUDGET | BY | CALLER | CHANGES | CLASS | CONFIGURATION | CONNECTIONS | DEADLINE | DRAIN | EVERYWHERE | EXPLAIN
     | IDEMPOTENT | LAST | LEVELS | LIMIT | MARK | METHODS | NODES | NON_IDEMPOTENT | PRIORITY | QUARANTINE | REMOVE
-    | REQUEST | RETRIES | ROUTE | SERVICE | SET | SHARE | SHED | SHOW | SLOTS | TARGET | TARGETS | TICKETS | TIMELINE
-    | UNDRAIN | WATCH | WHY
+    | REQUEST | RESTORE | RETRIES | ROUTE | SERVICE | SET | SHARE | SHED | SHOW | SLOTS | TARGET | TARGETS | TICKETS
+    | TIMELINE | UNDRAIN | WATCH | WHY
     ;
 
 BUDGET : 'budget' ;
@@ -108,6 +114,7 @@
 QUARANTINE : 'quarantine' ;
 REMOVE : 'remove' ;
 REQUEST : 'request' ;
+RESTORE : 'restore' ;
 RETRIES : 'retries' ;
 ROUTE : 'route' ;
 SERVICE : 'service' ;
@@ -126,7 +133,8 @@
 
 NUMBER : [0-9]+ ;
 DURATION : [0-9]+ ( 'ms' | 's' | 'm' | 'h' ) ;
-PERCENT : [0-9]+ '%' ;
+DECIMAL : [0-9]+ '.' [0-9]+ ;
+PERCENT : [0-9]+ ( '.' [0-9]+ )? '%' ;
 WORD : [\p{L}\p{Nd}._\-]+ ;
 PATH : '/' ~[ \t\r\n]* ;
 COMMA : ',' ;
--- a/src/main/java/io/beryldock/command/ChangeStatement.java
+++ b/src/main/java/io/beryldock/command/ChangeStatement.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import io.beryldock.call.NodeId;
 import io.beryldock.call.ServiceName;
+import java.math.BigDecimal;
 import java.time.Duration;
 import java.util.Optional;
 
@@ -32,19 +33,16 @@
     }
 
     /**
-     * Sets how much retrying is allowed to the requests of a class.
+     * Sets how much retrying a budget allows.
      *
-     * @param sharePercent retries between two services as a share of first tries, in percent; kept when absent
+     * @param share retries between two services as a share of first tries, 0 to 1; kept when absent
      * @param retries retries over the whole tree of one root request; kept when absent
      */
-    record SetBudget(String name, Optional<Integer> sharePercent, Optional<Integer> retries)
-            implements OfConfiguration {
+    record SetBudget(String name, Optional<Double> share, Optional<Integer> retries) implements OfConfiguration {
         @Override
         public String text() {
-            String share =
-                    sharePercent.map(percent -> " share " + percent + "%").orElse("");
-            return "set budget " + name + share
-                    + retries.map(n -> " retries " + n).orElse("");
+            return "set budget " + name + share.map(ChangeStatement::shareText).orElse("")
+                    + retries.map(number -> " retries " + number).orElse("");
         }
     }
 
@@ -61,8 +59,9 @@
      *
      * @param methods the methods it is for; every method when empty
      * @param priorityClass name of the class
-     * @param idempotent whether running a request again does no harm; as the method says when absent
-     * @param deadline time allowed to a request; the default when absent
+     * @param idempotent whether running a request again does no harm
+     * @param deadline time allowed to a root request
+     * @param budget name of the retry budget
      */
     record SetRoute(
             String prefix,
@@ -70,31 +69,47 @@
             ServiceName service,
             String priorityClass,
             Optional<Boolean> idempotent,
-            Optional<Duration> deadline)
+            Optional<Duration> deadline,
+            Optional<String> budget)
             implements OfConfiguration {
         @Override
         public String text() {
-            String of = methods.isEmpty() ? "" : " methods " + String.join(",", methods);
-            String mark = idempotent.map(ChangeStatement::markText).orElse("");
-            String time = deadline.map(length -> " deadline " + Durations.format(length))
-                    .orElse("");
-            return "set route " + prefix + of + " service " + service + " class " + priorityClass + mark + time;
+            return "set " + routeText(prefix, methods) + " service " + service + " class " + priorityClass
+                    + idempotent.map(ChangeStatement::markText).orElse("")
+                    + deadline.map(ChangeStatement::deadlineText).orElse("")
+                    + budget.map(name -> " budget " + name).orElse("");
         }
     }
 
-    /** Removes the route of that prefix. */
-    record RemoveRoute(String prefix) implements OfConfiguration {
+    /** Sets the time allowed to the root requests of a route that is there. */
+    record SetDeadline(String prefix, ImmutableList<String> methods, Duration deadline) implements OfConfiguration {
         @Override
         public String text() {
-            return "remove route " + prefix;
+            return "set " + routeText(prefix, methods) + deadlineText(deadline);
         }
     }
 
-    /** Says of the route of that prefix whether running a request again does no harm. */
-    record MarkRoute(String prefix, boolean idempotent) implements OfConfiguration {
+    /** Removes the route of that prefix and those methods. */
+    record RemoveRoute(String prefix, ImmutableList<String> methods) implements OfConfiguration {
         @Override
         public String text() {
-            return "mark route " + prefix + markText(idempotent);
+            return "remove " + routeText(prefix, methods);
+        }
+    }
+
+    /** Says of the route of that prefix and those methods whether running a request again does no harm. */
+    record MarkRoute(String prefix, ImmutableList<String> methods, boolean idempotent) implements OfConfiguration {
+        @Override
+        public String text() {
+            return "mark " + routeText(prefix, methods) + markText(idempotent);
+        }
+    }
+
+    /** Gives the platform store back what the node has, when the store has lost accepted changes. */
+    record RestoreConfiguration() implements OfConfiguration {
+        @Override
+        public String text() {
+            return "restore configuration";
         }
     }
 
@@ -114,7 +129,20 @@
         }
     }
 
+    private static String routeText(String prefix, ImmutableList<String> methods) {
+        return "route " + prefix + (methods.isEmpty() ? "" : " methods " + String.join(",", methods));
+    }
+
     private static String markText(boolean idempotent) {
         return idempotent ? " idempotent" : " non-idempotent";
     }
+
+    private static String deadlineText(Duration length) {
+        return " deadline " + Durations.format(length);
+    }
+
+    private static String shareText(double share) {
+        BigDecimal percent = BigDecimal.valueOf(share).movePointRight(2).stripTrailingZeros();
+        return " share " + percent.toPlainString() + "%";
+    }
 }
--- a/src/main/java/io/beryldock/command/ExpectedWords.java
+++ b/src/main/java/io/beryldock/command/ExpectedWords.java
@@ -13,34 +13,35 @@
 final class ExpectedWords {
 
     /** What a token without a fixed text stands for, by the rule it is expected in. */
-    private static final ImmutableMap<Integer, String> BY_RULE = ImmutableMap.of(
-            OperatorParser.RULE_className, "the name of a class",
-            OperatorParser.RULE_serviceName, "the name of a service",
-            OperatorParser.RULE_nodeId, "the id of a node",
-            OperatorParser.RULE_method, "an HTTP method",
-            OperatorParser.RULE_requestId, "a request id",
-            OperatorParser.RULE_priority, "a priority from 0 (shed last) to 7 (shed first)",
-            OperatorParser.RULE_retries, "a number of retries",
-            OperatorParser.RULE_slots, "a number of slots");
+    private static final ImmutableMap<Integer, String> BY_RULE = ImmutableMap.<Integer, String>builder()
+            .put(OperatorParser.RULE_className, "the name of a class")
+            .put(OperatorParser.RULE_budgetName, "the name of a budget")
+            .put(OperatorParser.RULE_serviceName, "the name of a service")
+            .put(OperatorParser.RULE_nodeId, "the id of a node")
+            .put(OperatorParser.RULE_method, "an HTTP method")
+            .put(OperatorParser.RULE_requestId, "a request id")
+            .put(OperatorParser.RULE_share, "a share such as 10% or 0.1")
+            .put(OperatorParser.RULE_priority, "a priority from 0 (shed last) to 7 (shed first)")
+            .put(OperatorParser.RULE_retries, "a number of retries")
+            .put(OperatorParser.RULE_slots, "a number of slots")
+            .buildOrThrow();
 
+    /** Where no such rule has begun, a word can only be the first of a route's methods, which may be left out. */
     private static final ImmutableMap<Integer, String> BY_TOKEN = ImmutableMap.of(
             OperatorParser.PATH, "a path prefix such as /orders",
             OperatorParser.DURATION, "a duration such as 5m or 30s",
-            OperatorParser.PERCENT, "a percentage such as 10%",
             OperatorParser.COMMA, "a comma",
             OperatorParser.NUMBER, "a number",
-            OperatorParser.WORD, "a name",
+            OperatorParser.WORD, "an HTTP method",
             Token.EOF, "the end of the statement");
 
     private ExpectedWords() {}
 
     /** Each thing that may stand there, keywords as they are written, the end of the statement last. */
     static ImmutableList<String> describe(IntervalSet tokens, RuleContext place) {
-        if (tokens.contains(OperatorParser.WORD) || tokens.size() == 1) {
-            String placeholder = placeholder(place);
-            if (placeholder != null) {
-                return ImmutableList.of(placeholder);
-            }
+        String placeholder = placeholder(place);
+        if (placeholder != null) {
+            return ImmutableList.of(placeholder);
         }
         return tokens.toList().stream()
                 .sorted(Comparator.comparing(token -> token == Token.EOF))
@@ -50,7 +51,8 @@
 
     /** The keywords among the tokens, sorted; none where any name may stand, as each keyword is a name too. */
     static ImmutableList<String> keywords(IntervalSet tokens) {
-        if (tokens.contains(OperatorParser.WORD)) {
+        boolean anyName = tokens.contains(OperatorParser.WORD) && tokens.contains(OperatorParser.NUMBER);
+        if (anyName) {
             return ImmutableList.of();
         }
         return tokens.toList().stream()
--- a/src/main/java/io/beryldock/command/StatementBuilder.java
+++ b/src/main/java/io/beryldock/command/StatementBuilder.java
@@ -8,13 +8,19 @@
 import io.beryldock.command.grammar.OperatorParser;
 import io.beryldock.command.grammar.OperatorParser.ChangeContext;
 import io.beryldock.command.grammar.OperatorParser.CommandContext;
+import io.beryldock.command.grammar.OperatorParser.RouteMethodsContext;
+import io.beryldock.command.grammar.OperatorParser.RouteTargetContext;
 import io.beryldock.command.grammar.OperatorParser.SetBudgetContext;
 import io.beryldock.command.grammar.OperatorParser.SetContext;
 import io.beryldock.command.grammar.OperatorParser.SetRouteContext;
 import io.beryldock.command.grammar.OperatorParser.ShedOptionContext;
 import io.beryldock.command.grammar.OperatorParser.ShowContext;
 import io.beryldock.command.grammar.OperatorParser.TimelineOptionContext;
+import io.beryldock.configuration.RetrySetting;
+import io.beryldock.configuration.ServiceSetting;
 import io.beryldock.timeline.RefusalCounter;
+import java.math.BigDecimal;
+import java.math.BigInteger;
 import java.time.Duration;
 import java.util.Locale;
 import java.util.Optional;
@@ -23,9 +29,6 @@
 /** Builds statements of a syntax tree without errors and checks what the grammar can't: bounds and repetitions. */
 final class StatementBuilder {
 
-    private static final int MAX_PERCENT = 100;
-    private static final int MAX_RETRIES = 100;
-    private static final int MAX_SLOTS = 100_000;
     private static final Duration MAX_TIMELINE = Duration.ofHours(24);
     private static final Duration MAX_DEADLINE = Duration.ofHours(1);
 
@@ -99,11 +102,16 @@
             return set(tree.set());
         }
         if (tree.remove() != null) {
-            return new ChangeStatement.RemoveRoute(tree.remove().prefix().getText());
+            return new ChangeStatement.RemoveRoute(
+                    tree.remove().prefix().getText(), methods(tree.remove().routeMethods()));
         }
         if (tree.mark() != null) {
             boolean idempotent = tree.mark().IDEMPOTENT() != null;
-            return new ChangeStatement.MarkRoute(tree.mark().prefix().getText(), idempotent);
+            return new ChangeStatement.MarkRoute(
+                    tree.mark().prefix().getText(), methods(tree.mark().routeMethods()), idempotent);
+        }
+        if (tree.restore() != null) {
+            return new ChangeStatement.RestoreConfiguration();
         }
         if (tree.drain() != null) {
             return new ChangeStatement.DrainTarget(named(tree.drain().nodeId(), NodeId::of));
@@ -121,46 +129,73 @@
         }
         if (tree.setLimit() != null) {
             ServiceName service = named(tree.setLimit().serviceName(), ServiceName::of);
-            return new ChangeStatement.SetLimit(service, number(tree.setLimit().slots(), 1, MAX_SLOTS));
+            return new ChangeStatement.SetLimit(service, number(tree.setLimit().slots(), 1, ServiceSetting.MAX_SLOTS));
         }
         return setRoute(tree.setRoute());
     }
 
     private static ChangeStatement setBudget(SetBudgetContext tree) throws StatementException {
-        Once<Integer> share = new Once<>("share");
+        Once<Double> share = new Once<>("share");
         Once<Integer> retries = new Once<>("retries");
         for (OperatorParser.BudgetOptionContext option : tree.budgetOption()) {
-            if (option.percent() != null) {
-                share.set(option, number(option.percent(), 0, MAX_PERCENT));
+            if (option.share() != null) {
+                share.set(option, share(option.share()));
             } else {
-                retries.set(option, number(option.retries(), 0, MAX_RETRIES));
+                retries.set(option, number(option.retries(), 0, RetrySetting.MAX_RETRIES));
             }
         }
-        return new ChangeStatement.SetBudget(className(tree.className()), share.value(), retries.value());
+        return new ChangeStatement.SetBudget(className(tree.budgetName()), share.value(), retries.value());
     }
 
     private static ChangeStatement setRoute(SetRouteContext tree) throws StatementException {
+        String prefix = tree.prefix().getText();
+        ImmutableList<String> methods = methods(tree.routeMethods());
+        if (tree.routeTarget() != null) {
+            return setRoute(prefix, methods, tree.routeTarget());
+        }
+        return new ChangeStatement.SetDeadline(prefix, methods, duration(tree.duration(), MAX_DEADLINE));
+    }
+
+    private static ChangeStatement setRoute(String prefix, ImmutableList<String> methods, RouteTargetContext tree)
+            throws StatementException {
         Once<Boolean> idempotent = new Once<>("idempotent or non-idempotent");
         Once<Duration> deadline = new Once<>("deadline");
+        Once<String> budget = new Once<>("budget");
         for (OperatorParser.RouteOptionContext option : tree.routeOption()) {
             if (option.duration() != null) {
                 deadline.set(option, duration(option.duration(), MAX_DEADLINE));
+            } else if (option.budgetName() != null) {
+                budget.set(option, className(option.budgetName()));
             } else {
                 idempotent.set(option, option.IDEMPOTENT() != null);
             }
         }
-        ImmutableList<String> methods = tree.routeMethods() == null
-                ? ImmutableList.of()
-                : tree.routeMethods().method().stream()
-                        .map(StatementBuilder::upper)
-                        .collect(ImmutableList.toImmutableList());
         return new ChangeStatement.SetRoute(
-                tree.prefix().getText(),
+                prefix,
                 methods,
                 named(tree.serviceName(), ServiceName::of),
                 className(tree.className()),
                 idempotent.value(),
-                deadline.value());
+                deadline.value(),
+                budget.value());
+    }
+
+    /** The methods in upper case, none when the statement names none. */
+    private static ImmutableList<String> methods(RouteMethodsContext tree) {
+        if (tree == null) {
+            return ImmutableList.of();
+        }
+        return tree.method().stream().map(StatementBuilder::upper).collect(ImmutableList.toImmutableList());
+    }
+
+    private static double share(ParserRuleContext tree) throws StatementException {
+        String text = tree.getText();
+        BigDecimal number = new BigDecimal(text.replace("%", ""));
+        BigDecimal share = text.endsWith("%") ? number.movePointLeft(2) : number;
+        if (share.compareTo(BigDecimal.ONE) > 0) {
+            throw error(tree, "'" + text + "' is out of bounds", "0% to 100%");
+        }
+        return share.doubleValue();
     }
 
     private static String className(ParserRuleContext tree) throws StatementException {
@@ -180,17 +215,11 @@
     }
 
     private static int number(ParserRuleContext tree, int low, int high) throws StatementException {
-        String digits = tree.getText().replace("%", "");
-        int number = -1;
-        try {
-            number = Integer.parseInt(digits);
-        } catch (NumberFormatException e) {
-            throw error(tree, "the number is too large", low + " to " + high);
-        }
-        if (number < low || number > high) {
+        BigInteger number = new BigInteger(tree.getText());
+        if (number.compareTo(BigInteger.valueOf(low)) < 0 || number.compareTo(BigInteger.valueOf(high)) > 0) {
             throw error(tree, "'" + tree.getText() + "' is out of bounds", low + " to " + high);
         }
-        return number;
+        return number.intValue();
     }
 
     private static Duration duration(ParserRuleContext tree, Duration longest) throws StatementException {
--- a/src/main/java/io/beryldock/command/grammar/OperatorBaseVisitor.java
+++ b/src/main/java/io/beryldock/command/grammar/OperatorBaseVisitor.java
@@ -145,6 +145,13 @@
 	 * {@link #visitChildren} on {@code ctx}.</p>
 	 */
 	@Override public T visitRouteMethods(OperatorParser.RouteMethodsContext ctx) { return visitChildren(ctx); }
+	/**
+	 * {@inheritDoc}
+	 *
+	 * <p>The default implementation returns the result of calling
+	 * {@link #visitChildren} on {@code ctx}.</p>
+	 */
+	@Override public T visitRouteTarget(OperatorParser.RouteTargetContext ctx) { return visitChildren(ctx); }
 	/**
 	 * {@inheritDoc}
 	 *
@@ -166,6 +173,13 @@
 	 * {@link #visitChildren} on {@code ctx}.</p>
 	 */
 	@Override public T visitMark(OperatorParser.MarkContext ctx) { return visitChildren(ctx); }
+	/**
+	 * {@inheritDoc}
+	 *
+	 * <p>The default implementation returns the result of calling
+	 * {@link #visitChildren} on {@code ctx}.</p>
+	 */
+	@Override public T visitRestore(OperatorParser.RestoreContext ctx) { return visitChildren(ctx); }
 	/**
 	 * {@inheritDoc}
 	 *
@@ -187,6 +201,13 @@
 	 * {@link #visitChildren} on {@code ctx}.</p>
 	 */
 	@Override public T visitClassName(OperatorParser.ClassNameContext ctx) { return visitChildren(ctx); }
+	/**
+	 * {@inheritDoc}
+	 *
+	 * <p>The default implementation returns the result of calling
+	 * {@link #visitChildren} on {@code ctx}.</p>
+	 */
+	@Override public T visitBudgetName(OperatorParser.BudgetNameContext ctx) { return visitChildren(ctx); }
 	/**
 	 * {@inheritDoc}
 	 *
@@ -235,7 +256,7 @@
 	 * <p>The default implementation returns the result of calling
 	 * {@link #visitChildren} on {@code ctx}.</p>
 	 */
-	@Override public T visitPercent(OperatorParser.PercentContext ctx) { return visitChildren(ctx); }
+	@Override public T visitShare(OperatorParser.ShareContext ctx) { return visitChildren(ctx); }
 	/**
 	 * {@inheritDoc}
 	 *
--- a/src/main/java/io/beryldock/command/grammar/OperatorParser.java
+++ b/src/main/java/io/beryldock/command/grammar/OperatorParser.java
@@ -20,29 +20,31 @@
 		BUDGET=1, BY=2, CALLER=3, CHANGES=4, CLASS=5, CONFIGURATION=6, CONNECTIONS=7, 
 		DEADLINE=8, DRAIN=9, EVERYWHERE=10, EXPLAIN=11, IDEMPOTENT=12, LAST=13, 
 		LEVELS=14, LIMIT=15, MARK=16, METHODS=17, NODES=18, NON_IDEMPOTENT=19, 
-		PRIORITY=20, QUARANTINE=21, REMOVE=22, REQUEST=23, RETRIES=24, ROUTE=25, 
-		SERVICE=26, SET=27, SHARE=28, SHED=29, SHOW=30, SLOTS=31, TARGET=32, TARGETS=33, 
-		TICKETS=34, TIMELINE=35, UNDRAIN=36, WATCH=37, WHY=38, NUMBER=39, DURATION=40, 
-		PERCENT=41, WORD=42, PATH=43, COMMA=44, SPACE=45, OTHER=46;
+		PRIORITY=20, QUARANTINE=21, REMOVE=22, REQUEST=23, RESTORE=24, RETRIES=25, 
+		ROUTE=26, SERVICE=27, SET=28, SHARE=29, SHED=30, SHOW=31, SLOTS=32, TARGET=33, 
+		TARGETS=34, TICKETS=35, TIMELINE=36, UNDRAIN=37, WATCH=38, WHY=39, NUMBER=40, 
+		DURATION=41, DECIMAL=42, PERCENT=43, WORD=44, PATH=45, COMMA=46, SPACE=47, 
+		OTHER=48;
 	public static final int
 		RULE_statement = 0, RULE_command = 1, RULE_explain = 2, RULE_watch = 3, 
 		RULE_show = 4, RULE_topic = 5, RULE_shedOption = 6, RULE_grouping = 7, 
 		RULE_timelineOption = 8, RULE_everywhere = 9, RULE_why = 10, RULE_change = 11, 
 		RULE_set = 12, RULE_setClass = 13, RULE_setBudget = 14, RULE_budgetOption = 15, 
-		RULE_setLimit = 16, RULE_setRoute = 17, RULE_routeMethods = 18, RULE_routeOption = 19, 
-		RULE_remove = 20, RULE_mark = 21, RULE_drain = 22, RULE_undrain = 23, 
-		RULE_className = 24, RULE_serviceName = 25, RULE_nodeId = 26, RULE_method = 27, 
-		RULE_requestId = 28, RULE_prefix = 29, RULE_duration = 30, RULE_percent = 31, 
-		RULE_priority = 32, RULE_retries = 33, RULE_slots = 34, RULE_name = 35, 
-		RULE_keyword = 36;
+		RULE_setLimit = 16, RULE_setRoute = 17, RULE_routeMethods = 18, RULE_routeTarget = 19, 
+		RULE_routeOption = 20, RULE_remove = 21, RULE_mark = 22, RULE_restore = 23, 
+		RULE_drain = 24, RULE_undrain = 25, RULE_className = 26, RULE_budgetName = 27, 
+		RULE_serviceName = 28, RULE_nodeId = 29, RULE_method = 30, RULE_requestId = 31, 
+		RULE_prefix = 32, RULE_duration = 33, RULE_share = 34, RULE_priority = 35, 
+		RULE_retries = 36, RULE_slots = 37, RULE_name = 38, RULE_keyword = 39;
 	private static String[] makeRuleNames() {
 		return new String[] {
 			"statement", "command", "explain", "watch", "show", "topic", "shedOption", 
 			"grouping", "timelineOption", "everywhere", "why", "change", "set", "setClass", 
 			"setBudget", "budgetOption", "setLimit", "setRoute", "routeMethods", 
-			"routeOption", "remove", "mark", "drain", "undrain", "className", "serviceName", 
-			"nodeId", "method", "requestId", "prefix", "duration", "percent", "priority", 
-			"retries", "slots", "name", "keyword"
+			"routeTarget", "routeOption", "remove", "mark", "restore", "drain", "undrain", 
+			"className", "budgetName", "serviceName", "nodeId", "method", "requestId", 
+			"prefix", "duration", "share", "priority", "retries", "slots", "name", 
+			"keyword"
 		};
 	}
 	public static final String[] ruleNames = makeRuleNames();
@@ -53,10 +55,10 @@
 			"'connections'", "'deadline'", "'drain'", "'everywhere'", "'explain'", 
 			"'idempotent'", "'last'", "'levels'", "'limit'", "'mark'", "'methods'", 
 			"'nodes'", "'non-idempotent'", "'priority'", "'quarantine'", "'remove'", 
-			"'request'", "'retries'", "'route'", "'service'", "'set'", "'share'", 
-			"'shed'", "'show'", "'slots'", "'target'", "'targets'", "'tickets'", 
+			"'request'", "'restore'", "'retries'", "'route'", "'service'", "'set'", 
+			"'share'", "'shed'", "'show'", "'slots'", "'target'", "'targets'", "'tickets'", 
 			"'timeline'", "'undrain'", "'watch'", "'why'", null, null, null, null, 
-			null, "','"
+			null, null, "','"
 		};
 	}
 	private static final String[] _LITERAL_NAMES = makeLiteralNames();
@@ -65,10 +67,10 @@
 			null, "BUDGET", "BY", "CALLER", "CHANGES", "CLASS", "CONFIGURATION", 
 			"CONNECTIONS", "DEADLINE", "DRAIN", "EVERYWHERE", "EXPLAIN", "IDEMPOTENT", 
 			"LAST", "LEVELS", "LIMIT", "MARK", "METHODS", "NODES", "NON_IDEMPOTENT", 
-			"PRIORITY", "QUARANTINE", "REMOVE", "REQUEST", "RETRIES", "ROUTE", "SERVICE", 
-			"SET", "SHARE", "SHED", "SHOW", "SLOTS", "TARGET", "TARGETS", "TICKETS", 
-			"TIMELINE", "UNDRAIN", "WATCH", "WHY", "NUMBER", "DURATION", "PERCENT", 
-			"WORD", "PATH", "COMMA", "SPACE", "OTHER"
+			"PRIORITY", "QUARANTINE", "REMOVE", "REQUEST", "RESTORE", "RETRIES", 
+			"ROUTE", "SERVICE", "SET", "SHARE", "SHED", "SHOW", "SLOTS", "TARGET", 
+			"TARGETS", "TICKETS", "TIMELINE", "UNDRAIN", "WATCH", "WHY", "NUMBER", 
+			"DURATION", "DECIMAL", "PERCENT", "WORD", "PATH", "COMMA", "SPACE", "OTHER"
 		};
 	}
 	private static final String[] _SYMBOLIC_NAMES = makeSymbolicNames();
@@ -145,9 +147,9 @@
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(74);
+			setState(80);
 			command();
-			setState(75);
+			setState(81);
 			match(EOF);
 			}
 		}
@@ -194,45 +196,46 @@
 		CommandContext _localctx = new CommandContext(_ctx, getState());
 		enterRule(_localctx, 2, RULE_command);
 		try {
-			setState(82);
+			setState(88);
 			_errHandler.sync(this);
 			switch (_input.LA(1)) {
 			case SHOW:
 				enterOuterAlt(_localctx, 1);
 				{
-				setState(77);
+				setState(83);
 				show();
 				}
 				break;
 			case WHY:
 				enterOuterAlt(_localctx, 2);
 				{
-				setState(78);
+				setState(84);
 				why();
 				}
 				break;
 			case DRAIN:
 			case MARK:
 			case REMOVE:
+			case RESTORE:
 			case SET:
 			case UNDRAIN:
 				enterOuterAlt(_localctx, 3);
 				{
-				setState(79);
+				setState(85);
 				change();
 				}
 				break;
 			case EXPLAIN:
 				enterOuterAlt(_localctx, 4);
 				{
-				setState(80);
+				setState(86);
 				explain();
 				}
 				break;
 			case WATCH:
 				enterOuterAlt(_localctx, 5);
 				{
-				setState(81);
+				setState(87);
 				watch();
 				}
 				break;
@@ -274,9 +277,9 @@
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(84);
+			setState(90);
 			match(EXPLAIN);
-			setState(85);
+			setState(91);
 			change();
 			}
 		}
@@ -314,9 +317,9 @@
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(87);
+			setState(93);
 			match(WATCH);
-			setState(88);
+			setState(94);
 			show();
 			}
 		}
@@ -372,26 +375,26 @@
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(90);
+			setState(96);
 			match(SHOW);
-			setState(109);
+			setState(115);
 			_errHandler.sync(this);
 			switch (_input.LA(1)) {
 			case SHED:
 				{
-				setState(91);
+				setState(97);
 				match(SHED);
-				setState(95);
+				setState(101);
 				_errHandler.sync(this);
 				_la = _input.LA(1);
 				while ((((_la) & ~0x3f) == 0 && ((1L << _la) & 9220L) != 0)) {
 					{
 					{
-					setState(92);
+					setState(98);
 					shedOption();
 					}
 					}
-					setState(97);
+					setState(103);
 					_errHandler.sync(this);
 					_la = _input.LA(1);
 				}
@@ -399,19 +402,19 @@
 				break;
 			case TIMELINE:
 				{
-				setState(98);
+				setState(104);
 				match(TIMELINE);
-				setState(102);
+				setState(108);
 				_errHandler.sync(this);
 				_la = _input.LA(1);
 				while ((((_la) & ~0x3f) == 0 && ((1L << _la) & 8397824L) != 0)) {
 					{
 					{
-					setState(99);
+					setState(105);
 					timelineOption();
 					}
 					}
-					setState(104);
+					setState(110);
 					_errHandler.sync(this);
 					_la = _input.LA(1);
 				}
@@ -427,14 +430,14 @@
 			case TARGETS:
 			case TICKETS:
 				{
-				setState(105);
+				setState(111);
 				topic();
-				setState(107);
+				setState(113);
 				_errHandler.sync(this);
 				_la = _input.LA(1);
 				if (_la==EVERYWHERE) {
 					{
-					setState(106);
+					setState(112);
 					everywhere();
 					}
 				}
@@ -486,9 +489,9 @@
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(111);
+			setState(117);
 			_la = _input.LA(1);
-			if ( !((((_la) & ~0x3f) == 0 && ((1L << _la) & 25788956880L) != 0)) ) {
+			if ( !((((_la) & ~0x3f) == 0 && ((1L << _la) & 51575537872L) != 0)) ) {
 			_errHandler.recoverInline(this);
 			}
 			else {
@@ -537,31 +540,31 @@
 		ShedOptionContext _localctx = new ShedOptionContext(_ctx, getState());
 		enterRule(_localctx, 12, RULE_shedOption);
 		try {
-			setState(118);
+			setState(124);
 			_errHandler.sync(this);
 			switch (_input.LA(1)) {
 			case BY:
 				enterOuterAlt(_localctx, 1);
 				{
-				setState(113);
+				setState(119);
 				match(BY);
-				setState(114);
+				setState(120);
 				grouping();
 				}
 				break;
 			case LAST:
 				enterOuterAlt(_localctx, 2);
 				{
-				setState(115);
+				setState(121);
 				match(LAST);
-				setState(116);
+				setState(122);
 				duration();
 				}
 				break;
 			case EVERYWHERE:
 				enterOuterAlt(_localctx, 3);
 				{
-				setState(117);
+				setState(123);
 				everywhere();
 				}
 				break;
@@ -603,9 +606,9 @@
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(120);
+			setState(126);
 			_la = _input.LA(1);
-			if ( !((((_la) & ~0x3f) == 0 && ((1L << _la) & 67108904L) != 0)) ) {
+			if ( !((((_la) & ~0x3f) == 0 && ((1L << _la) & 134217768L) != 0)) ) {
 			_errHandler.recoverInline(this);
 			}
 			else {
@@ -654,31 +657,31 @@
 		TimelineOptionContext _localctx = new TimelineOptionContext(_ctx, getState());
 		enterRule(_localctx, 16, RULE_timelineOption);
 		try {
-			setState(127);
+			setState(133);
 			_errHandler.sync(this);
 			switch (_input.LA(1)) {
 			case LAST:
 				enterOuterAlt(_localctx, 1);
 				{
-				setState(122);
+				setState(128);
 				match(LAST);
-				setState(123);
+				setState(129);
 				duration();
 				}
 				break;
 			case REQUEST:
 				enterOuterAlt(_localctx, 2);
 				{
-				setState(124);
+				setState(130);
 				match(REQUEST);
-				setState(125);
+				setState(131);
 				requestId();
 				}
 				break;
 			case EVERYWHERE:
 				enterOuterAlt(_localctx, 3);
 				{
-				setState(126);
+				setState(132);
 				everywhere();
 				}
 				break;
@@ -717,7 +720,7 @@
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(129);
+			setState(135);
 			match(EVERYWHERE);
 			}
 		}
@@ -759,16 +762,16 @@
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(131);
+			setState(137);
 			match(WHY);
-			setState(132);
+			setState(138);
 			requestId();
-			setState(134);
+			setState(140);
 			_errHandler.sync(this);
 			_la = _input.LA(1);
 			if (_la==EVERYWHERE) {
 				{
-				setState(133);
+				setState(139);
 				everywhere();
 				}
 			}
@@ -797,6 +800,9 @@
 		public MarkContext mark() {
 			return getRuleContext(MarkContext.class,0);
 		}
+		public RestoreContext restore() {
+			return getRuleContext(RestoreContext.class,0);
+		}
 		public DrainContext drain() {
 			return getRuleContext(DrainContext.class,0);
 		}
@@ -818,41 +824,48 @@
 		ChangeContext _localctx = new ChangeContext(_ctx, getState());
 		enterRule(_localctx, 22, RULE_change);
 		try {
-			setState(141);
+			setState(148);
 			_errHandler.sync(this);
 			switch (_input.LA(1)) {
 			case SET:
 				enterOuterAlt(_localctx, 1);
 				{
-				setState(136);
+				setState(142);
 				set();
 				}
 				break;
 			case REMOVE:
 				enterOuterAlt(_localctx, 2);
 				{
-				setState(137);
+				setState(143);
 				remove();
 				}
 				break;
 			case MARK:
 				enterOuterAlt(_localctx, 3);
 				{
-				setState(138);
+				setState(144);
 				mark();
 				}
 				break;
-			case DRAIN:
+			case RESTORE:
 				enterOuterAlt(_localctx, 4);
 				{
-				setState(139);
+				setState(145);
+				restore();
+				}
+				break;
+			case DRAIN:
+				enterOuterAlt(_localctx, 5);
+				{
+				setState(146);
 				drain();
 				}
 				break;
 			case UNDRAIN:
-				enterOuterAlt(_localctx, 5);
+				enterOuterAlt(_localctx, 6);
 				{
-				setState(140);
+				setState(147);
 				undrain();
 				}
 				break;
@@ -903,32 +916,32 @@
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(143);
+			setState(150);
 			match(SET);
-			setState(148);
+			setState(155);
 			_errHandler.sync(this);
 			switch (_input.LA(1)) {
 			case CLASS:
 				{
-				setState(144);
+				setState(151);
 				setClass();
 				}
 				break;
 			case BUDGET:
 				{
-				setState(145);
+				setState(152);
 				setBudget();
 				}
 				break;
 			case LIMIT:
 				{
-				setState(146);
+				setState(153);
 				setLimit();
 				}
 				break;
 			case ROUTE:
 				{
-				setState(147);
+				setState(154);
 				setRoute();
 				}
 				break;
@@ -975,13 +988,13 @@
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(150);
+			setState(157);
 			match(CLASS);
-			setState(151);
+			setState(158);
 			className();
-			setState(152);
+			setState(159);
 			match(PRIORITY);
-			setState(153);
+			setState(160);
 			priority();
 			}
 		}
@@ -999,8 +1012,8 @@
 	@SuppressWarnings("CheckReturnValue")
 	public static class SetBudgetContext extends ParserRuleContext {
 		public TerminalNode BUDGET() { return getToken(OperatorParser.BUDGET, 0); }
-		public ClassNameContext className() {
-			return getRuleContext(ClassNameContext.class,0);
+		public BudgetNameContext budgetName() {
+			return getRuleContext(BudgetNameContext.class,0);
 		}
 		public List<BudgetOptionContext> budgetOption() {
 			return getRuleContexts(BudgetOptionContext.class);
@@ -1026,21 +1039,21 @@
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(155);
+			setState(162);
 			match(BUDGET);
-			setState(156);
-			className();
-			setState(158); 
+			setState(163);
+			budgetName();
+			setState(165); 
 			_errHandler.sync(this);
 			_la = _input.LA(1);
 			do {
 				{
 				{
-				setState(157);
+				setState(164);
 				budgetOption();
 				}
 				}
-				setState(160); 
+				setState(167); 
 				_errHandler.sync(this);
 				_la = _input.LA(1);
 			} while ( _la==RETRIES || _la==SHARE );
@@ -1060,8 +1073,8 @@
 	@SuppressWarnings("CheckReturnValue")
 	public static class BudgetOptionContext extends ParserRuleContext {
 		public TerminalNode SHARE() { return getToken(OperatorParser.SHARE, 0); }
-		public PercentContext percent() {
-			return getRuleContext(PercentContext.class,0);
+		public ShareContext share() {
+			return getRuleContext(ShareContext.class,0);
 		}
 		public TerminalNode RETRIES() { return getToken(OperatorParser.RETRIES, 0); }
 		public RetriesContext retries() {
@@ -1082,24 +1095,24 @@
 		BudgetOptionContext _localctx = new BudgetOptionContext(_ctx, getState());
 		enterRule(_localctx, 30, RULE_budgetOption);
 		try {
-			setState(166);
+			setState(173);
 			_errHandler.sync(this);
 			switch (_input.LA(1)) {
 			case SHARE:
 				enterOuterAlt(_localctx, 1);
 				{
-				setState(162);
+				setState(169);
 				match(SHARE);
-				setState(163);
-				percent();
+				setState(170);
+				share();
 				}
 				break;
 			case RETRIES:
 				enterOuterAlt(_localctx, 2);
 				{
-				setState(164);
+				setState(171);
 				match(RETRIES);
-				setState(165);
+				setState(172);
 				retries();
 				}
 				break;
@@ -1145,13 +1158,13 @@
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(168);
+			setState(175);
 			match(LIMIT);
-			setState(169);
+			setState(176);
 			serviceName();
-			setState(170);
+			setState(177);
 			match(SLOTS);
-			setState(171);
+			setState(178);
 			slots();
 			}
 		}
@@ -1172,23 +1185,16 @@
 		public PrefixContext prefix() {
 			return getRuleContext(PrefixContext.class,0);
 		}
-		public TerminalNode SERVICE() { return getToken(OperatorParser.SERVICE, 0); }
-		public ServiceNameContext serviceName() {
-			return getRuleContext(ServiceNameContext.class,0);
+		public RouteTargetContext routeTarget() {
+			return getRuleContext(RouteTargetContext.class,0);
 		}
-		public TerminalNode CLASS() { return getToken(OperatorParser.CLASS, 0); }
-		public ClassNameContext className() {
-			return getRuleContext(ClassNameContext.class,0);
+		public TerminalNode DEADLINE() { return getToken(OperatorParser.DEADLINE, 0); }
+		public DurationContext duration() {
+			return getRuleContext(DurationContext.class,0);
 		}
 		public RouteMethodsContext routeMethods() {
 			return getRuleContext(RouteMethodsContext.class,0);
 		}
-		public List<RouteOptionContext> routeOption() {
-			return getRuleContexts(RouteOptionContext.class);
-		}
-		public RouteOptionContext routeOption(int i) {
-			return getRuleContext(RouteOptionContext.class,i);
-		}
 		public SetRouteContext(ParserRuleContext parent, int invokingState) {
 			super(parent, invokingState);
 		}
@@ -1207,41 +1213,39 @@
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(173);
+			setState(180);
 			match(ROUTE);
-			setState(174);
+			setState(181);
 			prefix();
-			setState(176);
+			setState(183);
 			_errHandler.sync(this);
 			_la = _input.LA(1);
-			if (_la==METHODS) {
+			if (_la==METHODS || _la==WORD) {
 				{
-				setState(175);
+				setState(182);
 				routeMethods();
 				}
 			}
 
-			setState(178);
-			match(SERVICE);
-			setState(179);
-			serviceName();
-			setState(180);
-			match(CLASS);
-			setState(181);
-			className();
-			setState(185);
+			setState(188);
 			_errHandler.sync(this);
-			_la = _input.LA(1);
-			while ((((_la) & ~0x3f) == 0 && ((1L << _la) & 528640L) != 0)) {
-				{
+			switch (_input.LA(1)) {
+			case SERVICE:
 				{
-				setState(182);
-				routeOption();
-				}
+				setState(185);
+				routeTarget();
 				}
+				break;
+			case DEADLINE:
+				{
+				setState(186);
+				match(DEADLINE);
 				setState(187);
-				_errHandler.sync(this);
-				_la = _input.LA(1);
+				duration();
+				}
+				break;
+			default:
+				throw new NoViableAltException(this);
 			}
 			}
 		}
@@ -1258,13 +1262,13 @@
 
 	@SuppressWarnings("CheckReturnValue")
 	public static class RouteMethodsContext extends ParserRuleContext {
-		public TerminalNode METHODS() { return getToken(OperatorParser.METHODS, 0); }
 		public List<MethodContext> method() {
 			return getRuleContexts(MethodContext.class);
 		}
 		public MethodContext method(int i) {
 			return getRuleContext(MethodContext.class,i);
 		}
+		public TerminalNode METHODS() { return getToken(OperatorParser.METHODS, 0); }
 		public List<TerminalNode> COMMA() { return getTokens(OperatorParser.COMMA); }
 		public TerminalNode COMMA(int i) {
 			return getToken(OperatorParser.COMMA, i);
@@ -1287,23 +1291,100 @@
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(188);
-			match(METHODS);
-			setState(189);
+			setState(191);
+			_errHandler.sync(this);
+			_la = _input.LA(1);
+			if (_la==METHODS) {
+				{
+				setState(190);
+				match(METHODS);
+				}
+			}
+
+			setState(193);
 			method();
-			setState(194);
+			setState(198);
 			_errHandler.sync(this);
 			_la = _input.LA(1);
 			while (_la==COMMA) {
 				{
 				{
-				setState(190);
+				setState(194);
 				match(COMMA);
-				setState(191);
+				setState(195);
 				method();
 				}
 				}
-				setState(196);
+				setState(200);
+				_errHandler.sync(this);
+				_la = _input.LA(1);
+			}
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class RouteTargetContext extends ParserRuleContext {
+		public TerminalNode SERVICE() { return getToken(OperatorParser.SERVICE, 0); }
+		public ServiceNameContext serviceName() {
+			return getRuleContext(ServiceNameContext.class,0);
+		}
+		public TerminalNode CLASS() { return getToken(OperatorParser.CLASS, 0); }
+		public ClassNameContext className() {
+			return getRuleContext(ClassNameContext.class,0);
+		}
+		public List<RouteOptionContext> routeOption() {
+			return getRuleContexts(RouteOptionContext.class);
+		}
+		public RouteOptionContext routeOption(int i) {
+			return getRuleContext(RouteOptionContext.class,i);
+		}
+		public RouteTargetContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_routeTarget; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitRouteTarget(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final RouteTargetContext routeTarget() throws RecognitionException {
+		RouteTargetContext _localctx = new RouteTargetContext(_ctx, getState());
+		enterRule(_localctx, 38, RULE_routeTarget);
+		int _la;
+		try {
+			enterOuterAlt(_localctx, 1);
+			{
+			setState(201);
+			match(SERVICE);
+			setState(202);
+			serviceName();
+			setState(203);
+			match(CLASS);
+			setState(204);
+			className();
+			setState(208);
+			_errHandler.sync(this);
+			_la = _input.LA(1);
+			while ((((_la) & ~0x3f) == 0 && ((1L << _la) & 528642L) != 0)) {
+				{
+				{
+				setState(205);
+				routeOption();
+				}
+				}
+				setState(210);
 				_errHandler.sync(this);
 				_la = _input.LA(1);
 			}
@@ -1328,6 +1409,10 @@
 		public DurationContext duration() {
 			return getRuleContext(DurationContext.class,0);
 		}
+		public TerminalNode BUDGET() { return getToken(OperatorParser.BUDGET, 0); }
+		public BudgetNameContext budgetName() {
+			return getRuleContext(BudgetNameContext.class,0);
+		}
 		public RouteOptionContext(ParserRuleContext parent, int invokingState) {
 			super(parent, invokingState);
 		}
@@ -1341,34 +1426,43 @@
 
 	public final RouteOptionContext routeOption() throws RecognitionException {
 		RouteOptionContext _localctx = new RouteOptionContext(_ctx, getState());
-		enterRule(_localctx, 38, RULE_routeOption);
+		enterRule(_localctx, 40, RULE_routeOption);
 		try {
-			setState(201);
+			setState(217);
 			_errHandler.sync(this);
 			switch (_input.LA(1)) {
 			case IDEMPOTENT:
 				enterOuterAlt(_localctx, 1);
 				{
-				setState(197);
+				setState(211);
 				match(IDEMPOTENT);
 				}
 				break;
 			case NON_IDEMPOTENT:
 				enterOuterAlt(_localctx, 2);
 				{
-				setState(198);
+				setState(212);
 				match(NON_IDEMPOTENT);
 				}
 				break;
 			case DEADLINE:
 				enterOuterAlt(_localctx, 3);
 				{
-				setState(199);
+				setState(213);
 				match(DEADLINE);
-				setState(200);
+				setState(214);
 				duration();
 				}
 				break;
+			case BUDGET:
+				enterOuterAlt(_localctx, 4);
+				{
+				setState(215);
+				match(BUDGET);
+				setState(216);
+				budgetName();
+				}
+				break;
 			default:
 				throw new NoViableAltException(this);
 			}
@@ -1391,6 +1485,9 @@
 		public PrefixContext prefix() {
 			return getRuleContext(PrefixContext.class,0);
 		}
+		public RouteMethodsContext routeMethods() {
+			return getRuleContext(RouteMethodsContext.class,0);
+		}
 		public RemoveContext(ParserRuleContext parent, int invokingState) {
 			super(parent, invokingState);
 		}
@@ -1404,16 +1501,27 @@
 
 	public final RemoveContext remove() throws RecognitionException {
 		RemoveContext _localctx = new RemoveContext(_ctx, getState());
-		enterRule(_localctx, 40, RULE_remove);
+		enterRule(_localctx, 42, RULE_remove);
+		int _la;
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(203);
+			setState(219);
 			match(REMOVE);
-			setState(204);
+			setState(220);
 			match(ROUTE);
-			setState(205);
+			setState(221);
 			prefix();
+			setState(223);
+			_errHandler.sync(this);
+			_la = _input.LA(1);
+			if (_la==METHODS || _la==WORD) {
+				{
+				setState(222);
+				routeMethods();
+				}
+			}
+
 			}
 		}
 		catch (RecognitionException re) {
@@ -1436,6 +1544,9 @@
 		}
 		public TerminalNode NON_IDEMPOTENT() { return getToken(OperatorParser.NON_IDEMPOTENT, 0); }
 		public TerminalNode IDEMPOTENT() { return getToken(OperatorParser.IDEMPOTENT, 0); }
+		public RouteMethodsContext routeMethods() {
+			return getRuleContext(RouteMethodsContext.class,0);
+		}
 		public MarkContext(ParserRuleContext parent, int invokingState) {
 			super(parent, invokingState);
 		}
@@ -1449,18 +1560,28 @@
 
 	public final MarkContext mark() throws RecognitionException {
 		MarkContext _localctx = new MarkContext(_ctx, getState());
-		enterRule(_localctx, 42, RULE_mark);
+		enterRule(_localctx, 44, RULE_mark);
 		int _la;
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(207);
+			setState(225);
 			match(MARK);
-			setState(208);
+			setState(226);
 			match(ROUTE);
-			setState(209);
+			setState(227);
 			prefix();
-			setState(210);
+			setState(229);
+			_errHandler.sync(this);
+			_la = _input.LA(1);
+			if (_la==METHODS || _la==WORD) {
+				{
+				setState(228);
+				routeMethods();
+				}
+			}
+
+			setState(231);
 			_la = _input.LA(1);
 			if ( !(_la==IDEMPOTENT || _la==NON_IDEMPOTENT) ) {
 			_errHandler.recoverInline(this);
@@ -1483,6 +1604,44 @@
 		return _localctx;
 	}
 
+	@SuppressWarnings("CheckReturnValue")
+	public static class RestoreContext extends ParserRuleContext {
+		public TerminalNode RESTORE() { return getToken(OperatorParser.RESTORE, 0); }
+		public TerminalNode CONFIGURATION() { return getToken(OperatorParser.CONFIGURATION, 0); }
+		public RestoreContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_restore; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitRestore(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final RestoreContext restore() throws RecognitionException {
+		RestoreContext _localctx = new RestoreContext(_ctx, getState());
+		enterRule(_localctx, 46, RULE_restore);
+		try {
+			enterOuterAlt(_localctx, 1);
+			{
+			setState(233);
+			match(RESTORE);
+			setState(234);
+			match(CONFIGURATION);
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
 	@SuppressWarnings("CheckReturnValue")
 	public static class DrainContext extends ParserRuleContext {
 		public TerminalNode DRAIN() { return getToken(OperatorParser.DRAIN, 0); }
@@ -1503,15 +1662,15 @@
 
 	public final DrainContext drain() throws RecognitionException {
 		DrainContext _localctx = new DrainContext(_ctx, getState());
-		enterRule(_localctx, 44, RULE_drain);
+		enterRule(_localctx, 48, RULE_drain);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(212);
+			setState(236);
 			match(DRAIN);
-			setState(213);
+			setState(237);
 			match(TARGET);
-			setState(214);
+			setState(238);
 			nodeId();
 			}
 		}
@@ -1546,15 +1705,15 @@
 
 	public final UndrainContext undrain() throws RecognitionException {
 		UndrainContext _localctx = new UndrainContext(_ctx, getState());
-		enterRule(_localctx, 46, RULE_undrain);
+		enterRule(_localctx, 50, RULE_undrain);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(216);
+			setState(240);
 			match(UNDRAIN);
-			setState(217);
+			setState(241);
 			match(TARGET);
-			setState(218);
+			setState(242);
 			nodeId();
 			}
 		}
@@ -1587,11 +1746,48 @@
 
 	public final ClassNameContext className() throws RecognitionException {
 		ClassNameContext _localctx = new ClassNameContext(_ctx, getState());
-		enterRule(_localctx, 48, RULE_className);
+		enterRule(_localctx, 52, RULE_className);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(220);
+			setState(244);
+			name();
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class BudgetNameContext extends ParserRuleContext {
+		public NameContext name() {
+			return getRuleContext(NameContext.class,0);
+		}
+		public BudgetNameContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_budgetName; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitBudgetName(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final BudgetNameContext budgetName() throws RecognitionException {
+		BudgetNameContext _localctx = new BudgetNameContext(_ctx, getState());
+		enterRule(_localctx, 54, RULE_budgetName);
+		try {
+			enterOuterAlt(_localctx, 1);
+			{
+			setState(246);
 			name();
 			}
 		}
@@ -1624,11 +1820,11 @@
 
 	public final ServiceNameContext serviceName() throws RecognitionException {
 		ServiceNameContext _localctx = new ServiceNameContext(_ctx, getState());
-		enterRule(_localctx, 50, RULE_serviceName);
+		enterRule(_localctx, 56, RULE_serviceName);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(222);
+			setState(248);
 			name();
 			}
 		}
@@ -1661,11 +1857,11 @@
 
 	public final NodeIdContext nodeId() throws RecognitionException {
 		NodeIdContext _localctx = new NodeIdContext(_ctx, getState());
-		enterRule(_localctx, 52, RULE_nodeId);
+		enterRule(_localctx, 58, RULE_nodeId);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(224);
+			setState(250);
 			name();
 			}
 		}
@@ -1696,11 +1892,11 @@
 
 	public final MethodContext method() throws RecognitionException {
 		MethodContext _localctx = new MethodContext(_ctx, getState());
-		enterRule(_localctx, 54, RULE_method);
+		enterRule(_localctx, 60, RULE_method);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(226);
+			setState(252);
 			match(WORD);
 			}
 		}
@@ -1731,11 +1927,11 @@
 
 	public final RequestIdContext requestId() throws RecognitionException {
 		RequestIdContext _localctx = new RequestIdContext(_ctx, getState());
-		enterRule(_localctx, 56, RULE_requestId);
+		enterRule(_localctx, 62, RULE_requestId);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(228);
+			setState(254);
 			match(WORD);
 			}
 		}
@@ -1766,11 +1962,11 @@
 
 	public final PrefixContext prefix() throws RecognitionException {
 		PrefixContext _localctx = new PrefixContext(_ctx, getState());
-		enterRule(_localctx, 58, RULE_prefix);
+		enterRule(_localctx, 64, RULE_prefix);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(230);
+			setState(256);
 			match(PATH);
 			}
 		}
@@ -1801,11 +1997,11 @@
 
 	public final DurationContext duration() throws RecognitionException {
 		DurationContext _localctx = new DurationContext(_ctx, getState());
-		enterRule(_localctx, 60, RULE_duration);
+		enterRule(_localctx, 66, RULE_duration);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(232);
+			setState(258);
 			match(DURATION);
 			}
 		}
@@ -1821,27 +2017,37 @@
 	}
 
 	@SuppressWarnings("CheckReturnValue")
-	public static class PercentContext extends ParserRuleContext {
+	public static class ShareContext extends ParserRuleContext {
 		public TerminalNode PERCENT() { return getToken(OperatorParser.PERCENT, 0); }
-		public PercentContext(ParserRuleContext parent, int invokingState) {
+		public TerminalNode DECIMAL() { return getToken(OperatorParser.DECIMAL, 0); }
+		public ShareContext(ParserRuleContext parent, int invokingState) {
 			super(parent, invokingState);
 		}
-		@Override public int getRuleIndex() { return RULE_percent; }
+		@Override public int getRuleIndex() { return RULE_share; }
 		@Override
 		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
-			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitPercent(this);
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitShare(this);
 			else return visitor.visitChildren(this);
 		}
 	}
 
-	public final PercentContext percent() throws RecognitionException {
-		PercentContext _localctx = new PercentContext(_ctx, getState());
-		enterRule(_localctx, 62, RULE_percent);
+	public final ShareContext share() throws RecognitionException {
+		ShareContext _localctx = new ShareContext(_ctx, getState());
+		enterRule(_localctx, 68, RULE_share);
+		int _la;
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(234);
-			match(PERCENT);
+			setState(260);
+			_la = _input.LA(1);
+			if ( !(_la==DECIMAL || _la==PERCENT) ) {
+			_errHandler.recoverInline(this);
+			}
+			else {
+				if ( _input.LA(1)==Token.EOF ) matchedEOF = true;
+				_errHandler.reportMatch(this);
+				consume();
+			}
 			}
 		}
 		catch (RecognitionException re) {
@@ -1871,11 +2077,11 @@
 
 	public final PriorityContext priority() throws RecognitionException {
 		PriorityContext _localctx = new PriorityContext(_ctx, getState());
-		enterRule(_localctx, 64, RULE_priority);
+		enterRule(_localctx, 70, RULE_priority);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(236);
+			setState(262);
 			match(NUMBER);
 			}
 		}
@@ -1906,11 +2112,11 @@
 
 	public final RetriesContext retries() throws RecognitionException {
 		RetriesContext _localctx = new RetriesContext(_ctx, getState());
-		enterRule(_localctx, 66, RULE_retries);
+		enterRule(_localctx, 72, RULE_retries);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(238);
+			setState(264);
 			match(NUMBER);
 			}
 		}
@@ -1941,11 +2147,11 @@
 
 	public final SlotsContext slots() throws RecognitionException {
 		SlotsContext _localctx = new SlotsContext(_ctx, getState());
-		enterRule(_localctx, 68, RULE_slots);
+		enterRule(_localctx, 74, RULE_slots);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(240);
+			setState(266);
 			match(NUMBER);
 			}
 		}
@@ -1964,6 +2170,7 @@
 	public static class NameContext extends ParserRuleContext {
 		public TerminalNode WORD() { return getToken(OperatorParser.WORD, 0); }
 		public TerminalNode NUMBER() { return getToken(OperatorParser.NUMBER, 0); }
+		public TerminalNode DECIMAL() { return getToken(OperatorParser.DECIMAL, 0); }
 		public TerminalNode DURATION() { return getToken(OperatorParser.DURATION, 0); }
 		public KeywordContext keyword() {
 			return getRuleContext(KeywordContext.class,0);
@@ -1981,29 +2188,36 @@
 
 	public final NameContext name() throws RecognitionException {
 		NameContext _localctx = new NameContext(_ctx, getState());
-		enterRule(_localctx, 70, RULE_name);
+		enterRule(_localctx, 76, RULE_name);
 		try {
-			setState(246);
+			setState(273);
 			_errHandler.sync(this);
 			switch (_input.LA(1)) {
 			case WORD:
 				enterOuterAlt(_localctx, 1);
 				{
-				setState(242);
+				setState(268);
 				match(WORD);
 				}
 				break;
 			case NUMBER:
 				enterOuterAlt(_localctx, 2);
 				{
-				setState(243);
+				setState(269);
 				match(NUMBER);
 				}
 				break;
-			case DURATION:
+			case DECIMAL:
 				enterOuterAlt(_localctx, 3);
 				{
-				setState(244);
+				setState(270);
+				match(DECIMAL);
+				}
+				break;
+			case DURATION:
+				enterOuterAlt(_localctx, 4);
+				{
+				setState(271);
 				match(DURATION);
 				}
 				break;
@@ -2030,6 +2244,7 @@
 			case QUARANTINE:
 			case REMOVE:
 			case REQUEST:
+			case RESTORE:
 			case RETRIES:
 			case ROUTE:
 			case SERVICE:
@@ -2045,9 +2260,9 @@
 			case UNDRAIN:
 			case WATCH:
 			case WHY:
-				enterOuterAlt(_localctx, 4);
+				enterOuterAlt(_localctx, 5);
 				{
-				setState(245);
+				setState(272);
 				keyword();
 				}
 				break;
@@ -2091,6 +2306,7 @@
 		public TerminalNode QUARANTINE() { return getToken(OperatorParser.QUARANTINE, 0); }
 		public TerminalNode REMOVE() { return getToken(OperatorParser.REMOVE, 0); }
 		public TerminalNode REQUEST() { return getToken(OperatorParser.REQUEST, 0); }
+		public TerminalNode RESTORE() { return getToken(OperatorParser.RESTORE, 0); }
 		public TerminalNode RETRIES() { return getToken(OperatorParser.RETRIES, 0); }
 		public TerminalNode ROUTE() { return getToken(OperatorParser.ROUTE, 0); }
 		public TerminalNode SERVICE() { return getToken(OperatorParser.SERVICE, 0); }
@@ -2119,14 +2335,14 @@
 
 	public final KeywordContext keyword() throws RecognitionException {
 		KeywordContext _localctx = new KeywordContext(_ctx, getState());
-		enterRule(_localctx, 72, RULE_keyword);
+		enterRule(_localctx, 78, RULE_keyword);
 		int _la;
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(248);
+			setState(275);
 			_la = _input.LA(1);
-			if ( !((((_la) & ~0x3f) == 0 && ((1L << _la) & 549755813886L) != 0)) ) {
+			if ( !((((_la) & ~0x3f) == 0 && ((1L << _la) & 1099511627774L) != 0)) ) {
 			_errHandler.recoverInline(this);
 			}
 			else {
@@ -2148,7 +2364,7 @@
 	}
 
 	public static final String _serializedATN =
-		"\u0004\u0001.\u00fb\u0002\u0000\u0007\u0000\u0002\u0001\u0007\u0001\u0002"+
+		"\u0004\u00010\u0116\u0002\u0000\u0007\u0000\u0002\u0001\u0007\u0001\u0002"+
 		"\u0002\u0007\u0002\u0002\u0003\u0007\u0003\u0002\u0004\u0007\u0004\u0002"+
 		"\u0005\u0007\u0005\u0002\u0006\u0007\u0006\u0002\u0007\u0007\u0007\u0002"+
 		"\b\u0007\b\u0002\t\u0007\t\u0002\n\u0007\n\u0002\u000b\u0007\u000b\u0002"+
@@ -2159,144 +2375,163 @@
 		"\u0002\u0019\u0007\u0019\u0002\u001a\u0007\u001a\u0002\u001b\u0007\u001b"+
 		"\u0002\u001c\u0007\u001c\u0002\u001d\u0007\u001d\u0002\u001e\u0007\u001e"+
 		"\u0002\u001f\u0007\u001f\u0002 \u0007 \u0002!\u0007!\u0002\"\u0007\"\u0002"+
-		"#\u0007#\u0002$\u0007$\u0001\u0000\u0001\u0000\u0001\u0000\u0001\u0001"+
-		"\u0001\u0001\u0001\u0001\u0001\u0001\u0001\u0001\u0003\u0001S\b\u0001"+
-		"\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0003\u0001\u0003\u0001\u0003"+
-		"\u0001\u0004\u0001\u0004\u0001\u0004\u0005\u0004^\b\u0004\n\u0004\f\u0004"+
-		"a\t\u0004\u0001\u0004\u0001\u0004\u0005\u0004e\b\u0004\n\u0004\f\u0004"+
-		"h\t\u0004\u0001\u0004\u0001\u0004\u0003\u0004l\b\u0004\u0003\u0004n\b"+
-		"\u0004\u0001\u0005\u0001\u0005\u0001\u0006\u0001\u0006\u0001\u0006\u0001"+
-		"\u0006\u0001\u0006\u0003\u0006w\b\u0006\u0001\u0007\u0001\u0007\u0001"+
-		"\b\u0001\b\u0001\b\u0001\b\u0001\b\u0003\b\u0080\b\b\u0001\t\u0001\t\u0001"+
-		"\n\u0001\n\u0001\n\u0003\n\u0087\b\n\u0001\u000b\u0001\u000b\u0001\u000b"+
-		"\u0001\u000b\u0001\u000b\u0003\u000b\u008e\b\u000b\u0001\f\u0001\f\u0001"+
-		"\f\u0001\f\u0001\f\u0003\f\u0095\b\f\u0001\r\u0001\r\u0001\r\u0001\r\u0001"+
-		"\r\u0001\u000e\u0001\u000e\u0001\u000e\u0004\u000e\u009f\b\u000e\u000b"+
-		"\u000e\f\u000e\u00a0\u0001\u000f\u0001\u000f\u0001\u000f\u0001\u000f\u0003"+
-		"\u000f\u00a7\b\u000f\u0001\u0010\u0001\u0010\u0001\u0010\u0001\u0010\u0001"+
-		"\u0010\u0001\u0011\u0001\u0011\u0001\u0011\u0003\u0011\u00b1\b\u0011\u0001"+
-		"\u0011\u0001\u0011\u0001\u0011\u0001\u0011\u0001\u0011\u0005\u0011\u00b8"+
-		"\b\u0011\n\u0011\f\u0011\u00bb\t\u0011\u0001\u0012\u0001\u0012\u0001\u0012"+
-		"\u0001\u0012\u0005\u0012\u00c1\b\u0012\n\u0012\f\u0012\u00c4\t\u0012\u0001"+
-		"\u0013\u0001\u0013\u0001\u0013\u0001\u0013\u0003\u0013\u00ca\b\u0013\u0001"+
-		"\u0014\u0001\u0014\u0001\u0014\u0001\u0014\u0001\u0015\u0001\u0015\u0001"+
-		"\u0015\u0001\u0015\u0001\u0015\u0001\u0016\u0001\u0016\u0001\u0016\u0001"+
-		"\u0016\u0001\u0017\u0001\u0017\u0001\u0017\u0001\u0017\u0001\u0018\u0001"+
-		"\u0018\u0001\u0019\u0001\u0019\u0001\u001a\u0001\u001a\u0001\u001b\u0001"+
-		"\u001b\u0001\u001c\u0001\u001c\u0001\u001d\u0001\u001d\u0001\u001e\u0001"+
-		"\u001e\u0001\u001f\u0001\u001f\u0001 \u0001 \u0001!\u0001!\u0001\"\u0001"+
-		"\"\u0001#\u0001#\u0001#\u0001#\u0003#\u00f7\b#\u0001$\u0001$\u0001$\u0000"+
-		"\u0000%\u0000\u0002\u0004\u0006\b\n\f\u000e\u0010\u0012\u0014\u0016\u0018"+
-		"\u001a\u001c\u001e \"$&(*,.02468:<>@BDFH\u0000\u0004\u0007\u0000\u0004"+
-		"\u0004\u0006\u0007\u000e\u000e\u0012\u0012\u0015\u0015\u0018\u0018!\""+
-		"\u0003\u0000\u0003\u0003\u0005\u0005\u001a\u001a\u0002\u0000\f\f\u0013"+
-		"\u0013\u0001\u0000\u0001&\u00f4\u0000J\u0001\u0000\u0000\u0000\u0002R"+
-		"\u0001\u0000\u0000\u0000\u0004T\u0001\u0000\u0000\u0000\u0006W\u0001\u0000"+
-		"\u0000\u0000\bZ\u0001\u0000\u0000\u0000\no\u0001\u0000\u0000\u0000\fv"+
-		"\u0001\u0000\u0000\u0000\u000ex\u0001\u0000\u0000\u0000\u0010\u007f\u0001"+
-		"\u0000\u0000\u0000\u0012\u0081\u0001\u0000\u0000\u0000\u0014\u0083\u0001"+
-		"\u0000\u0000\u0000\u0016\u008d\u0001\u0000\u0000\u0000\u0018\u008f\u0001"+
-		"\u0000\u0000\u0000\u001a\u0096\u0001\u0000\u0000\u0000\u001c\u009b\u0001"+
-		"\u0000\u0000\u0000\u001e\u00a6\u0001\u0000\u0000\u0000 \u00a8\u0001\u0000"+
-		"\u0000\u0000\"\u00ad\u0001\u0000\u0000\u0000$\u00bc\u0001\u0000\u0000"+
-		"\u0000&\u00c9\u0001\u0000\u0000\u0000(\u00cb\u0001\u0000\u0000\u0000*"+
-		"\u00cf\u0001\u0000\u0000\u0000,\u00d4\u0001\u0000\u0000\u0000.\u00d8\u0001"+
-		"\u0000\u0000\u00000\u00dc\u0001\u0000\u0000\u00002\u00de\u0001\u0000\u0000"+
-		"\u00004\u00e0\u0001\u0000\u0000\u00006\u00e2\u0001\u0000\u0000\u00008"+
-		"\u00e4\u0001\u0000\u0000\u0000:\u00e6\u0001\u0000\u0000\u0000<\u00e8\u0001"+
-		"\u0000\u0000\u0000>\u00ea\u0001\u0000\u0000\u0000@\u00ec\u0001\u0000\u0000"+
-		"\u0000B\u00ee\u0001\u0000\u0000\u0000D\u00f0\u0001\u0000\u0000\u0000F"+
-		"\u00f6\u0001\u0000\u0000\u0000H\u00f8\u0001\u0000\u0000\u0000JK\u0003"+
-		"\u0002\u0001\u0000KL\u0005\u0000\u0000\u0001L\u0001\u0001\u0000\u0000"+
-		"\u0000MS\u0003\b\u0004\u0000NS\u0003\u0014\n\u0000OS\u0003\u0016\u000b"+
-		"\u0000PS\u0003\u0004\u0002\u0000QS\u0003\u0006\u0003\u0000RM\u0001\u0000"+
-		"\u0000\u0000RN\u0001\u0000\u0000\u0000RO\u0001\u0000\u0000\u0000RP\u0001"+
-		"\u0000\u0000\u0000RQ\u0001\u0000\u0000\u0000S\u0003\u0001\u0000\u0000"+
-		"\u0000TU\u0005\u000b\u0000\u0000UV\u0003\u0016\u000b\u0000V\u0005\u0001"+
-		"\u0000\u0000\u0000WX\u0005%\u0000\u0000XY\u0003\b\u0004\u0000Y\u0007\u0001"+
-		"\u0000\u0000\u0000Zm\u0005\u001e\u0000\u0000[_\u0005\u001d\u0000\u0000"+
-		"\\^\u0003\f\u0006\u0000]\\\u0001\u0000\u0000\u0000^a\u0001\u0000\u0000"+
-		"\u0000_]\u0001\u0000\u0000\u0000_`\u0001\u0000\u0000\u0000`n\u0001\u0000"+
-		"\u0000\u0000a_\u0001\u0000\u0000\u0000bf\u0005#\u0000\u0000ce\u0003\u0010"+
-		"\b\u0000dc\u0001\u0000\u0000\u0000eh\u0001\u0000\u0000\u0000fd\u0001\u0000"+
-		"\u0000\u0000fg\u0001\u0000\u0000\u0000gn\u0001\u0000\u0000\u0000hf\u0001"+
-		"\u0000\u0000\u0000ik\u0003\n\u0005\u0000jl\u0003\u0012\t\u0000kj\u0001"+
-		"\u0000\u0000\u0000kl\u0001\u0000\u0000\u0000ln\u0001\u0000\u0000\u0000"+
-		"m[\u0001\u0000\u0000\u0000mb\u0001\u0000\u0000\u0000mi\u0001\u0000\u0000"+
-		"\u0000n\t\u0001\u0000\u0000\u0000op\u0007\u0000\u0000\u0000p\u000b\u0001"+
-		"\u0000\u0000\u0000qr\u0005\u0002\u0000\u0000rw\u0003\u000e\u0007\u0000"+
-		"st\u0005\r\u0000\u0000tw\u0003<\u001e\u0000uw\u0003\u0012\t\u0000vq\u0001"+
-		"\u0000\u0000\u0000vs\u0001\u0000\u0000\u0000vu\u0001\u0000\u0000\u0000"+
-		"w\r\u0001\u0000\u0000\u0000xy\u0007\u0001\u0000\u0000y\u000f\u0001\u0000"+
-		"\u0000\u0000z{\u0005\r\u0000\u0000{\u0080\u0003<\u001e\u0000|}\u0005\u0017"+
-		"\u0000\u0000}\u0080\u00038\u001c\u0000~\u0080\u0003\u0012\t\u0000\u007f"+
-		"z\u0001\u0000\u0000\u0000\u007f|\u0001\u0000\u0000\u0000\u007f~\u0001"+
-		"\u0000\u0000\u0000\u0080\u0011\u0001\u0000\u0000\u0000\u0081\u0082\u0005"+
-		"\n\u0000\u0000\u0082\u0013\u0001\u0000\u0000\u0000\u0083\u0084\u0005&"+
-		"\u0000\u0000\u0084\u0086\u00038\u001c\u0000\u0085\u0087\u0003\u0012\t"+
-		"\u0000\u0086\u0085\u0001\u0000\u0000\u0000\u0086\u0087\u0001\u0000\u0000"+
-		"\u0000\u0087\u0015\u0001\u0000\u0000\u0000\u0088\u008e\u0003\u0018\f\u0000"+
-		"\u0089\u008e\u0003(\u0014\u0000\u008a\u008e\u0003*\u0015\u0000\u008b\u008e"+
-		"\u0003,\u0016\u0000\u008c\u008e\u0003.\u0017\u0000\u008d\u0088\u0001\u0000"+
-		"\u0000\u0000\u008d\u0089\u0001\u0000\u0000\u0000\u008d\u008a\u0001\u0000"+
-		"\u0000\u0000\u008d\u008b\u0001\u0000\u0000\u0000\u008d\u008c\u0001\u0000"+
-		"\u0000\u0000\u008e\u0017\u0001\u0000\u0000\u0000\u008f\u0094\u0005\u001b"+
-		"\u0000\u0000\u0090\u0095\u0003\u001a\r\u0000\u0091\u0095\u0003\u001c\u000e"+
-		"\u0000\u0092\u0095\u0003 \u0010\u0000\u0093\u0095\u0003\"\u0011\u0000"+
-		"\u0094\u0090\u0001\u0000\u0000\u0000\u0094\u0091\u0001\u0000\u0000\u0000"+
-		"\u0094\u0092\u0001\u0000\u0000\u0000\u0094\u0093\u0001\u0000\u0000\u0000"+
-		"\u0095\u0019\u0001\u0000\u0000\u0000\u0096\u0097\u0005\u0005\u0000\u0000"+
-		"\u0097\u0098\u00030\u0018\u0000\u0098\u0099\u0005\u0014\u0000\u0000\u0099"+
-		"\u009a\u0003@ \u0000\u009a\u001b\u0001\u0000\u0000\u0000\u009b\u009c\u0005"+
-		"\u0001\u0000\u0000\u009c\u009e\u00030\u0018\u0000\u009d\u009f\u0003\u001e"+
-		"\u000f\u0000\u009e\u009d\u0001\u0000\u0000\u0000\u009f\u00a0\u0001\u0000"+
-		"\u0000\u0000\u00a0\u009e\u0001\u0000\u0000\u0000\u00a0\u00a1\u0001\u0000"+
-		"\u0000\u0000\u00a1\u001d\u0001\u0000\u0000\u0000\u00a2\u00a3\u0005\u001c"+
-		"\u0000\u0000\u00a3\u00a7\u0003>\u001f\u0000\u00a4\u00a5\u0005\u0018\u0000"+
-		"\u0000\u00a5\u00a7\u0003B!\u0000\u00a6\u00a2\u0001\u0000\u0000\u0000\u00a6"+
-		"\u00a4\u0001\u0000\u0000\u0000\u00a7\u001f\u0001\u0000\u0000\u0000\u00a8"+
-		"\u00a9\u0005\u000f\u0000\u0000\u00a9\u00aa\u00032\u0019\u0000\u00aa\u00ab"+
-		"\u0005\u001f\u0000\u0000\u00ab\u00ac\u0003D\"\u0000\u00ac!\u0001\u0000"+
-		"\u0000\u0000\u00ad\u00ae\u0005\u0019\u0000\u0000\u00ae\u00b0\u0003:\u001d"+
-		"\u0000\u00af\u00b1\u0003$\u0012\u0000\u00b0\u00af\u0001\u0000\u0000\u0000"+
-		"\u00b0\u00b1\u0001\u0000\u0000\u0000\u00b1\u00b2\u0001\u0000\u0000\u0000"+
-		"\u00b2\u00b3\u0005\u001a\u0000\u0000\u00b3\u00b4\u00032\u0019\u0000\u00b4"+
-		"\u00b5\u0005\u0005\u0000\u0000\u00b5\u00b9\u00030\u0018\u0000\u00b6\u00b8"+
-		"\u0003&\u0013\u0000\u00b7\u00b6\u0001\u0000\u0000\u0000\u00b8\u00bb\u0001"+
-		"\u0000\u0000\u0000\u00b9\u00b7\u0001\u0000\u0000\u0000\u00b9\u00ba\u0001"+
-		"\u0000\u0000\u0000\u00ba#\u0001\u0000\u0000\u0000\u00bb\u00b9\u0001\u0000"+
-		"\u0000\u0000\u00bc\u00bd\u0005\u0011\u0000\u0000\u00bd\u00c2\u00036\u001b"+
-		"\u0000\u00be\u00bf\u0005,\u0000\u0000\u00bf\u00c1\u00036\u001b\u0000\u00c0"+
-		"\u00be\u0001\u0000\u0000\u0000\u00c1\u00c4\u0001\u0000\u0000\u0000\u00c2"+
-		"\u00c0\u0001\u0000\u0000\u0000\u00c2\u00c3\u0001\u0000\u0000\u0000\u00c3"+
-		"%\u0001\u0000\u0000\u0000\u00c4\u00c2\u0001\u0000\u0000\u0000\u00c5\u00ca"+
-		"\u0005\f\u0000\u0000\u00c6\u00ca\u0005\u0013\u0000\u0000\u00c7\u00c8\u0005"+
-		"\b\u0000\u0000\u00c8\u00ca\u0003<\u001e\u0000\u00c9\u00c5\u0001\u0000"+
-		"\u0000\u0000\u00c9\u00c6\u0001\u0000\u0000\u0000\u00c9\u00c7\u0001\u0000"+
-		"\u0000\u0000\u00ca\'\u0001\u0000\u0000\u0000\u00cb\u00cc\u0005\u0016\u0000"+
-		"\u0000\u00cc\u00cd\u0005\u0019\u0000\u0000\u00cd\u00ce\u0003:\u001d\u0000"+
-		"\u00ce)\u0001\u0000\u0000\u0000\u00cf\u00d0\u0005\u0010\u0000\u0000\u00d0"+
-		"\u00d1\u0005\u0019\u0000\u0000\u00d1\u00d2\u0003:\u001d\u0000\u00d2\u00d3"+
-		"\u0007\u0002\u0000\u0000\u00d3+\u0001\u0000\u0000\u0000\u00d4\u00d5\u0005"+
-		"\t\u0000\u0000\u00d5\u00d6\u0005 \u0000\u0000\u00d6\u00d7\u00034\u001a"+
-		"\u0000\u00d7-\u0001\u0000\u0000\u0000\u00d8\u00d9\u0005$\u0000\u0000\u00d9"+
-		"\u00da\u0005 \u0000\u0000\u00da\u00db\u00034\u001a\u0000\u00db/\u0001"+
-		"\u0000\u0000\u0000\u00dc\u00dd\u0003F#\u0000\u00dd1\u0001\u0000\u0000"+
-		"\u0000\u00de\u00df\u0003F#\u0000\u00df3\u0001\u0000\u0000\u0000\u00e0"+
-		"\u00e1\u0003F#\u0000\u00e15\u0001\u0000\u0000\u0000\u00e2\u00e3\u0005"+
-		"*\u0000\u0000\u00e37\u0001\u0000\u0000\u0000\u00e4\u00e5\u0005*\u0000"+
-		"\u0000\u00e59\u0001\u0000\u0000\u0000\u00e6\u00e7\u0005+\u0000\u0000\u00e7"+
-		";\u0001\u0000\u0000\u0000\u00e8\u00e9\u0005(\u0000\u0000\u00e9=\u0001"+
-		"\u0000\u0000\u0000\u00ea\u00eb\u0005)\u0000\u0000\u00eb?\u0001\u0000\u0000"+
-		"\u0000\u00ec\u00ed\u0005\'\u0000\u0000\u00edA\u0001\u0000\u0000\u0000"+
-		"\u00ee\u00ef\u0005\'\u0000\u0000\u00efC\u0001\u0000\u0000\u0000\u00f0"+
-		"\u00f1\u0005\'\u0000\u0000\u00f1E\u0001\u0000\u0000\u0000\u00f2\u00f7"+
-		"\u0005*\u0000\u0000\u00f3\u00f7\u0005\'\u0000\u0000\u00f4\u00f7\u0005"+
-		"(\u0000\u0000\u00f5\u00f7\u0003H$\u0000\u00f6\u00f2\u0001\u0000\u0000"+
-		"\u0000\u00f6\u00f3\u0001\u0000\u0000\u0000\u00f6\u00f4\u0001\u0000\u0000"+
-		"\u0000\u00f6\u00f5\u0001\u0000\u0000\u0000\u00f7G\u0001\u0000\u0000\u0000"+
-		"\u00f8\u00f9\u0007\u0003\u0000\u0000\u00f9I\u0001\u0000\u0000\u0000\u0011"+
-		"R_fkmv\u007f\u0086\u008d\u0094\u00a0\u00a6\u00b0\u00b9\u00c2\u00c9\u00f6";
+		"#\u0007#\u0002$\u0007$\u0002%\u0007%\u0002&\u0007&\u0002\'\u0007\'\u0001"+
+		"\u0000\u0001\u0000\u0001\u0000\u0001\u0001\u0001\u0001\u0001\u0001\u0001"+
+		"\u0001\u0001\u0001\u0003\u0001Y\b\u0001\u0001\u0002\u0001\u0002\u0001"+
+		"\u0002\u0001\u0003\u0001\u0003\u0001\u0003\u0001\u0004\u0001\u0004\u0001"+
+		"\u0004\u0005\u0004d\b\u0004\n\u0004\f\u0004g\t\u0004\u0001\u0004\u0001"+
+		"\u0004\u0005\u0004k\b\u0004\n\u0004\f\u0004n\t\u0004\u0001\u0004\u0001"+
+		"\u0004\u0003\u0004r\b\u0004\u0003\u0004t\b\u0004\u0001\u0005\u0001\u0005"+
+		"\u0001\u0006\u0001\u0006\u0001\u0006\u0001\u0006\u0001\u0006\u0003\u0006"+
+		"}\b\u0006\u0001\u0007\u0001\u0007\u0001\b\u0001\b\u0001\b\u0001\b\u0001"+
+		"\b\u0003\b\u0086\b\b\u0001\t\u0001\t\u0001\n\u0001\n\u0001\n\u0003\n\u008d"+
+		"\b\n\u0001\u000b\u0001\u000b\u0001\u000b\u0001\u000b\u0001\u000b\u0001"+
+		"\u000b\u0003\u000b\u0095\b\u000b\u0001\f\u0001\f\u0001\f\u0001\f\u0001"+
+		"\f\u0003\f\u009c\b\f\u0001\r\u0001\r\u0001\r\u0001\r\u0001\r\u0001\u000e"+
+		"\u0001\u000e\u0001\u000e\u0004\u000e\u00a6\b\u000e\u000b\u000e\f\u000e"+
+		"\u00a7\u0001\u000f\u0001\u000f\u0001\u000f\u0001\u000f\u0003\u000f\u00ae"+
+		"\b\u000f\u0001\u0010\u0001\u0010\u0001\u0010\u0001\u0010\u0001\u0010\u0001"+
+		"\u0011\u0001\u0011\u0001\u0011\u0003\u0011\u00b8\b\u0011\u0001\u0011\u0001"+
+		"\u0011\u0001\u0011\u0003\u0011\u00bd\b\u0011\u0001\u0012\u0003\u0012\u00c0"+
+		"\b\u0012\u0001\u0012\u0001\u0012\u0001\u0012\u0005\u0012\u00c5\b\u0012"+
+		"\n\u0012\f\u0012\u00c8\t\u0012\u0001\u0013\u0001\u0013\u0001\u0013\u0001"+
+		"\u0013\u0001\u0013\u0005\u0013\u00cf\b\u0013\n\u0013\f\u0013\u00d2\t\u0013"+
+		"\u0001\u0014\u0001\u0014\u0001\u0014\u0001\u0014\u0001\u0014\u0001\u0014"+
+		"\u0003\u0014\u00da\b\u0014\u0001\u0015\u0001\u0015\u0001\u0015\u0001\u0015"+
+		"\u0003\u0015\u00e0\b\u0015\u0001\u0016\u0001\u0016\u0001\u0016\u0001\u0016"+
+		"\u0003\u0016\u00e6\b\u0016\u0001\u0016\u0001\u0016\u0001\u0017\u0001\u0017"+
+		"\u0001\u0017\u0001\u0018\u0001\u0018\u0001\u0018\u0001\u0018\u0001\u0019"+
+		"\u0001\u0019\u0001\u0019\u0001\u0019\u0001\u001a\u0001\u001a\u0001\u001b"+
+		"\u0001\u001b\u0001\u001c\u0001\u001c\u0001\u001d\u0001\u001d\u0001\u001e"+
+		"\u0001\u001e\u0001\u001f\u0001\u001f\u0001 \u0001 \u0001!\u0001!\u0001"+
+		"\"\u0001\"\u0001#\u0001#\u0001$\u0001$\u0001%\u0001%\u0001&\u0001&\u0001"+
+		"&\u0001&\u0001&\u0003&\u0112\b&\u0001\'\u0001\'\u0001\'\u0000\u0000(\u0000"+
+		"\u0002\u0004\u0006\b\n\f\u000e\u0010\u0012\u0014\u0016\u0018\u001a\u001c"+
+		"\u001e \"$&(*,.02468:<>@BDFHJLN\u0000\u0005\u0007\u0000\u0004\u0004\u0006"+
+		"\u0007\u000e\u000e\u0012\u0012\u0015\u0015\u0019\u0019\"#\u0003\u0000"+
+		"\u0003\u0003\u0005\u0005\u001b\u001b\u0002\u0000\f\f\u0013\u0013\u0001"+
+		"\u0000*+\u0001\u0000\u0001\'\u0113\u0000P\u0001\u0000\u0000\u0000\u0002"+
+		"X\u0001\u0000\u0000\u0000\u0004Z\u0001\u0000\u0000\u0000\u0006]\u0001"+
+		"\u0000\u0000\u0000\b`\u0001\u0000\u0000\u0000\nu\u0001\u0000\u0000\u0000"+
+		"\f|\u0001\u0000\u0000\u0000\u000e~\u0001\u0000\u0000\u0000\u0010\u0085"+
+		"\u0001\u0000\u0000\u0000\u0012\u0087\u0001\u0000\u0000\u0000\u0014\u0089"+
+		"\u0001\u0000\u0000\u0000\u0016\u0094\u0001\u0000\u0000\u0000\u0018\u0096"+
+		"\u0001\u0000\u0000\u0000\u001a\u009d\u0001\u0000\u0000\u0000\u001c\u00a2"+
+		"\u0001\u0000\u0000\u0000\u001e\u00ad\u0001\u0000\u0000\u0000 \u00af\u0001"+
+		"\u0000\u0000\u0000\"\u00b4\u0001\u0000\u0000\u0000$\u00bf\u0001\u0000"+
+		"\u0000\u0000&\u00c9\u0001\u0000\u0000\u0000(\u00d9\u0001\u0000\u0000\u0000"+
+		"*\u00db\u0001\u0000\u0000\u0000,\u00e1\u0001\u0000\u0000\u0000.\u00e9"+
+		"\u0001\u0000\u0000\u00000\u00ec\u0001\u0000\u0000\u00002\u00f0\u0001\u0000"+
+		"\u0000\u00004\u00f4\u0001\u0000\u0000\u00006\u00f6\u0001\u0000\u0000\u0000"+
+		"8\u00f8\u0001\u0000\u0000\u0000:\u00fa\u0001\u0000\u0000\u0000<\u00fc"+
+		"\u0001\u0000\u0000\u0000>\u00fe\u0001\u0000\u0000\u0000@\u0100\u0001\u0000"+
+		"\u0000\u0000B\u0102\u0001\u0000\u0000\u0000D\u0104\u0001\u0000\u0000\u0000"+
+		"F\u0106\u0001\u0000\u0000\u0000H\u0108\u0001\u0000\u0000\u0000J\u010a"+
+		"\u0001\u0000\u0000\u0000L\u0111\u0001\u0000\u0000\u0000N\u0113\u0001\u0000"+
+		"\u0000\u0000PQ\u0003\u0002\u0001\u0000QR\u0005\u0000\u0000\u0001R\u0001"+
+		"\u0001\u0000\u0000\u0000SY\u0003\b\u0004\u0000TY\u0003\u0014\n\u0000U"+
+		"Y\u0003\u0016\u000b\u0000VY\u0003\u0004\u0002\u0000WY\u0003\u0006\u0003"+
+		"\u0000XS\u0001\u0000\u0000\u0000XT\u0001\u0000\u0000\u0000XU\u0001\u0000"+
+		"\u0000\u0000XV\u0001\u0000\u0000\u0000XW\u0001\u0000\u0000\u0000Y\u0003"+
+		"\u0001\u0000\u0000\u0000Z[\u0005\u000b\u0000\u0000[\\\u0003\u0016\u000b"+
+		"\u0000\\\u0005\u0001\u0000\u0000\u0000]^\u0005&\u0000\u0000^_\u0003\b"+
+		"\u0004\u0000_\u0007\u0001\u0000\u0000\u0000`s\u0005\u001f\u0000\u0000"+
+		"ae\u0005\u001e\u0000\u0000bd\u0003\f\u0006\u0000cb\u0001\u0000\u0000\u0000"+
+		"dg\u0001\u0000\u0000\u0000ec\u0001\u0000\u0000\u0000ef\u0001\u0000\u0000"+
+		"\u0000ft\u0001\u0000\u0000\u0000ge\u0001\u0000\u0000\u0000hl\u0005$\u0000"+
+		"\u0000ik\u0003\u0010\b\u0000ji\u0001\u0000\u0000\u0000kn\u0001\u0000\u0000"+
+		"\u0000lj\u0001\u0000\u0000\u0000lm\u0001\u0000\u0000\u0000mt\u0001\u0000"+
+		"\u0000\u0000nl\u0001\u0000\u0000\u0000oq\u0003\n\u0005\u0000pr\u0003\u0012"+
+		"\t\u0000qp\u0001\u0000\u0000\u0000qr\u0001\u0000\u0000\u0000rt\u0001\u0000"+
+		"\u0000\u0000sa\u0001\u0000\u0000\u0000sh\u0001\u0000\u0000\u0000so\u0001"+
+		"\u0000\u0000\u0000t\t\u0001\u0000\u0000\u0000uv\u0007\u0000\u0000\u0000"+
+		"v\u000b\u0001\u0000\u0000\u0000wx\u0005\u0002\u0000\u0000x}\u0003\u000e"+
+		"\u0007\u0000yz\u0005\r\u0000\u0000z}\u0003B!\u0000{}\u0003\u0012\t\u0000"+
+		"|w\u0001\u0000\u0000\u0000|y\u0001\u0000\u0000\u0000|{\u0001\u0000\u0000"+
+		"\u0000}\r\u0001\u0000\u0000\u0000~\u007f\u0007\u0001\u0000\u0000\u007f"+
+		"\u000f\u0001\u0000\u0000\u0000\u0080\u0081\u0005\r\u0000\u0000\u0081\u0086"+
+		"\u0003B!\u0000\u0082\u0083\u0005\u0017\u0000\u0000\u0083\u0086\u0003>"+
+		"\u001f\u0000\u0084\u0086\u0003\u0012\t\u0000\u0085\u0080\u0001\u0000\u0000"+
+		"\u0000\u0085\u0082\u0001\u0000\u0000\u0000\u0085\u0084\u0001\u0000\u0000"+
+		"\u0000\u0086\u0011\u0001\u0000\u0000\u0000\u0087\u0088\u0005\n\u0000\u0000"+
+		"\u0088\u0013\u0001\u0000\u0000\u0000\u0089\u008a\u0005\'\u0000\u0000\u008a"+
+		"\u008c\u0003>\u001f\u0000\u008b\u008d\u0003\u0012\t\u0000\u008c\u008b"+
+		"\u0001\u0000\u0000\u0000\u008c\u008d\u0001\u0000\u0000\u0000\u008d\u0015"+
+		"\u0001\u0000\u0000\u0000\u008e\u0095\u0003\u0018\f\u0000\u008f\u0095\u0003"+
+		"*\u0015\u0000\u0090\u0095\u0003,\u0016\u0000\u0091\u0095\u0003.\u0017"+
+		"\u0000\u0092\u0095\u00030\u0018\u0000\u0093\u0095\u00032\u0019\u0000\u0094"+
+		"\u008e\u0001\u0000\u0000\u0000\u0094\u008f\u0001\u0000\u0000\u0000\u0094"+
+		"\u0090\u0001\u0000\u0000\u0000\u0094\u0091\u0001\u0000\u0000\u0000\u0094"+
+		"\u0092\u0001\u0000\u0000\u0000\u0094\u0093\u0001\u0000\u0000\u0000\u0095"+
+		"\u0017\u0001\u0000\u0000\u0000\u0096\u009b\u0005\u001c\u0000\u0000\u0097"+
+		"\u009c\u0003\u001a\r\u0000\u0098\u009c\u0003\u001c\u000e\u0000\u0099\u009c"+
+		"\u0003 \u0010\u0000\u009a\u009c\u0003\"\u0011\u0000\u009b\u0097\u0001"+
+		"\u0000\u0000\u0000\u009b\u0098\u0001\u0000\u0000\u0000\u009b\u0099\u0001"+
+		"\u0000\u0000\u0000\u009b\u009a\u0001\u0000\u0000\u0000\u009c\u0019\u0001"+
+		"\u0000\u0000\u0000\u009d\u009e\u0005\u0005\u0000\u0000\u009e\u009f\u0003"+
+		"4\u001a\u0000\u009f\u00a0\u0005\u0014\u0000\u0000\u00a0\u00a1\u0003F#"+
+		"\u0000\u00a1\u001b\u0001\u0000\u0000\u0000\u00a2\u00a3\u0005\u0001\u0000"+
+		"\u0000\u00a3\u00a5\u00036\u001b\u0000\u00a4\u00a6\u0003\u001e\u000f\u0000"+
+		"\u00a5\u00a4\u0001\u0000\u0000\u0000\u00a6\u00a7\u0001\u0000\u0000\u0000"+
+		"\u00a7\u00a5\u0001\u0000\u0000\u0000\u00a7\u00a8\u0001\u0000\u0000\u0000"+
+		"\u00a8\u001d\u0001\u0000\u0000\u0000\u00a9\u00aa\u0005\u001d\u0000\u0000"+
+		"\u00aa\u00ae\u0003D\"\u0000\u00ab\u00ac\u0005\u0019\u0000\u0000\u00ac"+
+		"\u00ae\u0003H$\u0000\u00ad\u00a9\u0001\u0000\u0000\u0000\u00ad\u00ab\u0001"+
+		"\u0000\u0000\u0000\u00ae\u001f\u0001\u0000\u0000\u0000\u00af\u00b0\u0005"+
+		"\u000f\u0000\u0000\u00b0\u00b1\u00038\u001c\u0000\u00b1\u00b2\u0005 \u0000"+
+		"\u0000\u00b2\u00b3\u0003J%\u0000\u00b3!\u0001\u0000\u0000\u0000\u00b4"+
+		"\u00b5\u0005\u001a\u0000\u0000\u00b5\u00b7\u0003@ \u0000\u00b6\u00b8\u0003"+
+		"$\u0012\u0000\u00b7\u00b6\u0001\u0000\u0000\u0000\u00b7\u00b8\u0001\u0000"+
+		"\u0000\u0000\u00b8\u00bc\u0001\u0000\u0000\u0000\u00b9\u00bd\u0003&\u0013"+
+		"\u0000\u00ba\u00bb\u0005\b\u0000\u0000\u00bb\u00bd\u0003B!\u0000\u00bc"+
+		"\u00b9\u0001\u0000\u0000\u0000\u00bc\u00ba\u0001\u0000\u0000\u0000\u00bd"+
+		"#\u0001\u0000\u0000\u0000\u00be\u00c0\u0005\u0011\u0000\u0000\u00bf\u00be"+
+		"\u0001\u0000\u0000\u0000\u00bf\u00c0\u0001\u0000\u0000\u0000\u00c0\u00c1"+
+		"\u0001\u0000\u0000\u0000\u00c1\u00c6\u0003<\u001e\u0000\u00c2\u00c3\u0005"+
+		".\u0000\u0000\u00c3\u00c5\u0003<\u001e\u0000\u00c4\u00c2\u0001\u0000\u0000"+
+		"\u0000\u00c5\u00c8\u0001\u0000\u0000\u0000\u00c6\u00c4\u0001\u0000\u0000"+
+		"\u0000\u00c6\u00c7\u0001\u0000\u0000\u0000\u00c7%\u0001\u0000\u0000\u0000"+
+		"\u00c8\u00c6\u0001\u0000\u0000\u0000\u00c9\u00ca\u0005\u001b\u0000\u0000"+
+		"\u00ca\u00cb\u00038\u001c\u0000\u00cb\u00cc\u0005\u0005\u0000\u0000\u00cc"+
+		"\u00d0\u00034\u001a\u0000\u00cd\u00cf\u0003(\u0014\u0000\u00ce\u00cd\u0001"+
+		"\u0000\u0000\u0000\u00cf\u00d2\u0001\u0000\u0000\u0000\u00d0\u00ce\u0001"+
+		"\u0000\u0000\u0000\u00d0\u00d1\u0001\u0000\u0000\u0000\u00d1\'\u0001\u0000"+
+		"\u0000\u0000\u00d2\u00d0\u0001\u0000\u0000\u0000\u00d3\u00da\u0005\f\u0000"+
+		"\u0000\u00d4\u00da\u0005\u0013\u0000\u0000\u00d5\u00d6\u0005\b\u0000\u0000"+
+		"\u00d6\u00da\u0003B!\u0000\u00d7\u00d8\u0005\u0001\u0000\u0000\u00d8\u00da"+
+		"\u00036\u001b\u0000\u00d9\u00d3\u0001\u0000\u0000\u0000\u00d9\u00d4\u0001"+
+		"\u0000\u0000\u0000\u00d9\u00d5\u0001\u0000\u0000\u0000\u00d9\u00d7\u0001"+
+		"\u0000\u0000\u0000\u00da)\u0001\u0000\u0000\u0000\u00db\u00dc\u0005\u0016"+
+		"\u0000\u0000\u00dc\u00dd\u0005\u001a\u0000\u0000\u00dd\u00df\u0003@ \u0000"+
+		"\u00de\u00e0\u0003$\u0012\u0000\u00df\u00de\u0001\u0000\u0000\u0000\u00df"+
+		"\u00e0\u0001\u0000\u0000\u0000\u00e0+\u0001\u0000\u0000\u0000\u00e1\u00e2"+
+		"\u0005\u0010\u0000\u0000\u00e2\u00e3\u0005\u001a\u0000\u0000\u00e3\u00e5"+
+		"\u0003@ \u0000\u00e4\u00e6\u0003$\u0012\u0000\u00e5\u00e4\u0001\u0000"+
+		"\u0000\u0000\u00e5\u00e6\u0001\u0000\u0000\u0000\u00e6\u00e7\u0001\u0000"+
+		"\u0000\u0000\u00e7\u00e8\u0007\u0002\u0000\u0000\u00e8-\u0001\u0000\u0000"+
+		"\u0000\u00e9\u00ea\u0005\u0018\u0000\u0000\u00ea\u00eb\u0005\u0006\u0000"+
+		"\u0000\u00eb/\u0001\u0000\u0000\u0000\u00ec\u00ed\u0005\t\u0000\u0000"+
+		"\u00ed\u00ee\u0005!\u0000\u0000\u00ee\u00ef\u0003:\u001d\u0000\u00ef1"+
+		"\u0001\u0000\u0000\u0000\u00f0\u00f1\u0005%\u0000\u0000\u00f1\u00f2\u0005"+
+		"!\u0000\u0000\u00f2\u00f3\u0003:\u001d\u0000\u00f33\u0001\u0000\u0000"+
+		"\u0000\u00f4\u00f5\u0003L&\u0000\u00f55\u0001\u0000\u0000\u0000\u00f6"+
+		"\u00f7\u0003L&\u0000\u00f77\u0001\u0000\u0000\u0000\u00f8\u00f9\u0003"+
+		"L&\u0000\u00f99\u0001\u0000\u0000\u0000\u00fa\u00fb\u0003L&\u0000\u00fb"+
+		";\u0001\u0000\u0000\u0000\u00fc\u00fd\u0005,\u0000\u0000\u00fd=\u0001"+
+		"\u0000\u0000\u0000\u00fe\u00ff\u0005,\u0000\u0000\u00ff?\u0001\u0000\u0000"+
+		"\u0000\u0100\u0101\u0005-\u0000\u0000\u0101A\u0001\u0000\u0000\u0000\u0102"+
+		"\u0103\u0005)\u0000\u0000\u0103C\u0001\u0000\u0000\u0000\u0104\u0105\u0007"+
+		"\u0003\u0000\u0000\u0105E\u0001\u0000\u0000\u0000\u0106\u0107\u0005(\u0000"+
+		"\u0000\u0107G\u0001\u0000\u0000\u0000\u0108\u0109\u0005(\u0000\u0000\u0109"+
+		"I\u0001\u0000\u0000\u0000\u010a\u010b\u0005(\u0000\u0000\u010bK\u0001"+
+		"\u0000\u0000\u0000\u010c\u0112\u0005,\u0000\u0000\u010d\u0112\u0005(\u0000"+
+		"\u0000\u010e\u0112\u0005*\u0000\u0000\u010f\u0112\u0005)\u0000\u0000\u0110"+
+		"\u0112\u0003N\'\u0000\u0111\u010c\u0001\u0000\u0000\u0000\u0111\u010d"+
+		"\u0001\u0000\u0000\u0000\u0111\u010e\u0001\u0000\u0000\u0000\u0111\u010f"+
+		"\u0001\u0000\u0000\u0000\u0111\u0110\u0001\u0000\u0000\u0000\u0112M\u0001"+
+		"\u0000\u0000\u0000\u0113\u0114\u0007\u0004\u0000\u0000\u0114O\u0001\u0000"+
+		"\u0000\u0000\u0015Xelqs|\u0085\u008c\u0094\u009b\u00a7\u00ad\u00b7\u00bc"+
+		"\u00bf\u00c6\u00d0\u00d9\u00df\u00e5\u0111";
 	public static final ATN _ATN =
 		new ATNDeserializer().deserialize(_serializedATN.toCharArray());
 	static {
--- a/src/main/java/io/beryldock/command/grammar/OperatorVisitor.java
+++ b/src/main/java/io/beryldock/command/grammar/OperatorVisitor.java
@@ -124,6 +124,12 @@
 	 * @return the visitor result
 	 */
 	T visitRouteMethods(OperatorParser.RouteMethodsContext ctx);
+	/**
+	 * Visit a parse tree produced by {@link OperatorParser#routeTarget}.
+	 * @param ctx the parse tree
+	 * @return the visitor result
+	 */
+	T visitRouteTarget(OperatorParser.RouteTargetContext ctx);
 	/**
 	 * Visit a parse tree produced by {@link OperatorParser#routeOption}.
 	 * @param ctx the parse tree
@@ -142,6 +148,12 @@
 	 * @return the visitor result
 	 */
 	T visitMark(OperatorParser.MarkContext ctx);
+	/**
+	 * Visit a parse tree produced by {@link OperatorParser#restore}.
+	 * @param ctx the parse tree
+	 * @return the visitor result
+	 */
+	T visitRestore(OperatorParser.RestoreContext ctx);
 	/**
 	 * Visit a parse tree produced by {@link OperatorParser#drain}.
 	 * @param ctx the parse tree
@@ -160,6 +172,12 @@
 	 * @return the visitor result
 	 */
 	T visitClassName(OperatorParser.ClassNameContext ctx);
+	/**
+	 * Visit a parse tree produced by {@link OperatorParser#budgetName}.
+	 * @param ctx the parse tree
+	 * @return the visitor result
+	 */
+	T visitBudgetName(OperatorParser.BudgetNameContext ctx);
 	/**
 	 * Visit a parse tree produced by {@link OperatorParser#serviceName}.
 	 * @param ctx the parse tree
@@ -197,11 +215,11 @@
 	 */
 	T visitDuration(OperatorParser.DurationContext ctx);
 	/**
-	 * Visit a parse tree produced by {@link OperatorParser#percent}.
+	 * Visit a parse tree produced by {@link OperatorParser#share}.
 	 * @param ctx the parse tree
 	 * @return the visitor result
 	 */
-	T visitPercent(OperatorParser.PercentContext ctx);
+	T visitShare(OperatorParser.ShareContext ctx);
 	/**
 	 * Visit a parse tree produced by {@link OperatorParser#priority}.
 	 * @param ctx the parse tree
--- a/src/test/java/io/beryldock/command/StatementParserTest.java
+++ b/src/test/java/io/beryldock/command/StatementParserTest.java
@@ -30,10 +30,15 @@
                 "set class browsing priority 7",
                 "set budget browsing share 10%",
                 "set budget browsing share 0% retries 3",
+                "set budget browsing share 12.5%",
                 "set limit holdings slots 15",
                 "set route /orders methods POST,PUT service orders class orders non-idempotent deadline 1500ms",
-                "set route / service lists class browsing",
+                "set route / service lists class browsing budget none",
+                "set route /orders methods POST deadline 5s",
                 "remove route /orders",
+                "remove route /orders methods POST,PUT",
+                "mark route /orders methods POST non-idempotent",
+                "restore configuration",
                 "mark route /orders non-idempotent",
                 "mark route /lists idempotent",
                 "drain target gent-a-lists-1",
@@ -70,15 +75,20 @@
                         ServiceName.of("s"),
                         "c",
                         Optional.of(true),
-                        Optional.of(Duration.ofSeconds(2))));
+                        Optional.of(Duration.ofSeconds(2)),
+                        Optional.empty()));
+        assertThat(StatementParser.parse("set budget b retries 1 share 0.1").text())
+                .isEqualTo("set budget b share 10% retries 1");
+        assertThat(StatementParser.parse("mark route /a get,HEAD idempotent").text())
+                .isEqualTo("mark route /a methods GET,HEAD idempotent");
     }
 
     @ParameterizedTest
     @CsvSource(
             delimiter = '|',
             value = {
-                "''                             | 1  | drain, explain, mark, remove, set, show, undrain, watch, why",
-                "shw targets                    | 1  | drain, explain, mark, remove, set, show, undrain, watch, why",
+                "''                             | 1  | drain, explain, mark, remove, restore, set, show, undrain, watch, why",
+                "shw targets                    | 1  | drain, explain, mark, remove, restore, set, show, undrain, watch, why",
                 "show                           | 5  | changes, configuration, connections, levels, nodes, quarantine,"
                         + " retries, shed, targets, tickets, timeline",
                 "show targets lists             | 14 | everywhere, the end of the statement",
@@ -94,14 +104,18 @@
                 "set class browsing priority 9  | 29 | 0 to 7",
                 "set class browsing priority x  | 29 | a priority from 0 (shed last) to 7 (shed first)",
                 "set budget browsing            | 20 | retries, share",
-                "set budget browsing share 101% | 27 | 0 to 100",
+                "set budget browsing share 101% | 27 | 0% to 100%",
                 "set route orders service a     | 11 | a path prefix such as /orders",
                 "set route /a service a         | 23 | class",
                 "set route /a methods G,,       | 24 | an HTTP method",
-                "mark route /a                  | 14 | idempotent, non-idempotent",
+                "set budget browsing share 1    | 27 | a share such as 10% or 0.1",
+                "set budget browsing retries 17 | 29 | 0 to 16",
+                "set limit a slots 999999999999 | 19 | 1 to 100000",
+                "set route /a                   | 13 | deadline, methods, service, an HTTP method",
+                "mark route /a                  | 14 | idempotent, methods, non-idempotent, an HTTP method",
                 "drain target                   | 13 | the id of a node",
                 "drain target a b               | 16 | the end of the statement",
-                "explain show targets           | 9  | drain, mark, remove, set, undrain",
+                "explain show targets           | 9  | drain, mark, remove, restore, set, undrain",
                 "show targets; show nodes       | 13 | everywhere, the end of the statement",
             })
     void errorPointsAtTheColumnAndSaysWhatMayStandThere(String text, int column, String expected) {
@@ -128,6 +142,7 @@
         assertThat(StatementCompletion.next("no such words")).isEmpty();
         assertThat(StatementCompletion.next("")).contains("show", "why", "set");
         assertThat(StatementCompletion.next("set route /a service b class c"))
-                .containsExactly("deadline", "idempotent", "non-idempotent");
+                .containsExactly("budget", "deadline", "idempotent", "non-idempotent");
+        assertThat(StatementCompletion.next("set route /a")).containsExactly("deadline", "methods", "service");
     }
 }
