--- a/src/main/java/io/beryldock/admission/ConcurrencyLimit.java
+++ b/src/main/java/io/beryldock/admission/ConcurrencyLimit.java
@@ -23,7 +23,8 @@
     private int peakInFlight;
     private int completed;
     private int refused;
-    private int lost;
+    private int late;
+    private int failed;
     private double sumNanos;
 
     ConcurrencyLimit(GateSettings settings, ServiceTimes times, long now) {
@@ -62,12 +63,12 @@
             case SUCCEEDED -> addCompleted(serviceNanos);
             case ABANDONED_DONE -> {
                 addCompleted(serviceNanos);
-                lost++;
+                late++;
             }
             case REFUSED_BY_TARGET -> refused++;
-            default -> lost++;
+            default -> failed++;
         }
-        if (completed + refused + lost >= windowSize()) {
+        if (completed + refused + failed >= windowSize()) {
             closeWindow(now);
         }
     }
@@ -88,11 +89,12 @@
             times.addWindow(mean, now);
         }
         LimitWindow window = new LimitWindow(
+                settings.announcedSlots() > 0,
                 Math.min(limit, rampAt(now)),
                 peakInFlight,
                 completed,
                 refused,
-                lost,
+                late,
                 mean,
                 times.min(),
                 times.longMean());
@@ -102,7 +104,8 @@
         peakInFlight = 0;
         completed = 0;
         refused = 0;
-        lost = 0;
+        late = 0;
+        failed = 0;
         sumNanos = 0;
     }
 
--- a/src/main/java/io/beryldock/admission/GateSettings.java
+++ b/src/main/java/io/beryldock/admission/GateSettings.java
@@ -44,7 +44,7 @@
 
     public static GateSettings defaults() {
         return new GateSettings(
-                LimitStrategies.aimd(),
+                LimitStrategies.standard(),
                 1,
                 4,
                 1_000,
--- a/src/main/java/io/beryldock/admission/LimitWindow.java
+++ b/src/main/java/io/beryldock/admission/LimitWindow.java
@@ -5,21 +5,23 @@
  *
  * <p>Immutable.
  *
+ * @param announced whether the target announced its slots, which bound the limit
  * @param limit the limit in force
  * @param peakInFlight the most requests in flight at once
  * @param completed requests that the target ran to their end
  * @param refused requests that the target refused with its marker
- * @param lost requests that failed or ended after their time was over
+ * @param late those of the completed whose caller had given up before
  * @param meanNanos mean service time of the completed ones, 0 when there are none
  * @param minNanos shortest smoothed service time of the recent past, which stands for an idle target
  * @param longNanos mean service time over the recent past
  */
 public record LimitWindow(
+        boolean announced,
         double limit,
         int peakInFlight,
         int completed,
         int refused,
-        int lost,
+        int late,
         double meanNanos,
         double minNanos,
         double longNanos) {
--- a/src/test/java/io/beryldock/admission/ChainMeasurement.java
+++ b/src/test/java/io/beryldock/admission/ChainMeasurement.java
@@ -20,7 +20,8 @@
 
     public static void main(String[] args) {
         int seeds = args.length > 0 ? Integer.parseInt(args[0]) : 3;
-        System.out.println("scenario             door  goodput wasted  rank0   rank3   rank6  atDoor recovery broken");
+        System.out.println(
+                "scenario             door  goodput wasted  rank0   rank3   rank6  atDoor p99ms0 recovery broken");
         for (boolean door : new boolean[] {true, false}) {
             for (int seed = 1; seed <= seeds; seed++) {
                 print("one 3x", door, one(seed, door, 15, 20, 3).run());
@@ -77,13 +78,25 @@
             DoubleUnaryOperator slowness,
             int seconds) {
         return new ChainSimulation.Setup(
-                seed, seconds, stages, 3, entries, door, GateSettings.defaults(), true, demand, slowness, 3, 1);
+                seed,
+                seconds,
+                stages,
+                3,
+                entries,
+                door,
+                GateSettings.defaults(),
+                1,
+                Integer.MAX_VALUE,
+                demand,
+                slowness,
+                3,
+                1);
     }
 
     private static void print(String scenario, boolean door, ChainSimulation.Result result) {
         System.out.printf(
                 Locale.ROOT,
-                "%-20s %-5s %7.3f %6.3f %7.4f %7.4f %7.4f %6.3f %8.2f %d%n",
+                "%-20s %-5s %7.3f %6.3f %7.4f %7.4f %7.4f %6.3f %6.0f %8.2f %d%n",
                 scenario,
                 door,
                 result.goodputShare(),
@@ -92,6 +105,7 @@
                 result.answeredRank3(),
                 result.answeredRank6(),
                 result.shedAtDoor(),
+                result.rank0P99Millis(),
                 result.recoverySeconds(),
                 result.broken());
     }
--- a/src/test/java/io/beryldock/admission/ChainSimulation.java
+++ b/src/test/java/io/beryldock/admission/ChainSimulation.java
@@ -11,6 +11,7 @@
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.DoubleUnaryOperator;
+import org.HdrHistogram.Histogram;
 
 /**
  * A queueing model of a chain of services with gates and doors on injected time, to measure the algorithms alone.
@@ -33,6 +34,7 @@
     private final long[] asked = new long[8];
     private final long[] answered = new long[8];
     private final long[] atDoor = new long[8];
+    private final Histogram rank0 = new Histogram(3);
     private double usedNanos;
     private double wastedNanos;
     private long good;
@@ -42,6 +44,8 @@
      *
      * @param demand requests a second by the second of the run
      * @param slowness factor of the last service's time by the second of the run
+     * @param announced slots that a target announces as a multiple of those it has, 0 for none
+     * @param refuseAbove the targets refuse requests when that many are inside
      * @param from start of the part of the run that is counted
      */
     record Setup(
@@ -52,7 +56,8 @@
             int entries,
             boolean door,
             GateSettings gate,
-            boolean announced,
+            double announced,
+            int refuseAbove,
             DoubleUnaryOperator demand,
             DoubleUnaryOperator slowness,
             double from,
@@ -83,6 +88,7 @@
             double answeredRank3,
             double answeredRank6,
             double shedAtDoor,
+            double rank0P99Millis,
             double recoverySeconds,
             int broken) {}
 
@@ -114,7 +120,7 @@
                 setup.stages().get(depth).calls());
         boolean last = depth == setup.stages().size() - 1;
         int slots = setup.stages().get(depth).slots();
-        GateSettings settings = setup.announced() ? setup.gate().withAnnouncedSlots(slots) : setup.gate();
+        GateSettings settings = setup.gate().withAnnouncedSlots((int) (slots * setup.announced()));
         for (int i = 0; i < setup.instances(); i++) {
             service.add(
                     TargetGate.create(settings, timers, random, events, service.name),
@@ -123,7 +129,8 @@
                             random,
                             slots,
                             setup.stages().get(depth).millis() * 1e6,
-                            last ? setup.slowness() : t -> 1),
+                            last ? setup.slowness() : t -> 1,
+                            setup.refuseAbove()),
                     DoorShedder.create(timers.ticker(), random, events));
         }
         return service;
@@ -166,11 +173,15 @@
             atDoor[rank] += counted ? 1 : 0;
             return;
         }
+        long start = timers.ticker().nanos();
         long deadline = timers.ticker().nanos() + (long) (setup.deadlineSeconds() * NANOS_PER_SECOND);
         SimService.Trip trip = new SimService.Trip(rank, hash, deadline);
         root.call(trip, reply -> {
             door.observe(root.name, reply.levels());
             end(trip, reply.ok(), counted);
+            if (counted && rank == 0) {
+                rank0.recordValue(timers.ticker().nanos() - start);
+            }
         });
     }
 
@@ -198,6 +209,7 @@
                 (double) answered[3] / Math.max(1, asked[3]),
                 (double) answered[6] / Math.max(1, asked[6]),
                 (double) (atDoor[0] + atDoor[3] + atDoor[6]) / Math.max(1, allAsked),
+                rank0.getValueAtPercentile(99) / 1e6,
                 causeEnd > 0 ? recovery(before, causeEnd) : 0,
                 broken.get());
     }
--- a/src/test/java/io/beryldock/admission/SimService.java
+++ b/src/test/java/io/beryldock/admission/SimService.java
@@ -115,7 +115,12 @@
             GateHandle handle = gate.submit(request, new GateListener() {
                 @Override
                 public void admitted(Permit permit) {
-                    target.acquire(() -> serve(trip, permit, consumer));
+                    if (target.refuses()) {
+                        permit.release(Completion.REFUSED_BY_TARGET);
+                        consumer.accept(new Reply(false, true, report()));
+                    } else {
+                        target.acquire(() -> serve(trip, permit, consumer));
+                    }
                 }
 
                 @Override
--- a/src/test/java/io/beryldock/admission/SimTarget.java
+++ b/src/test/java/io/beryldock/admission/SimTarget.java
@@ -18,20 +18,30 @@
     private final double meanNanos;
     private final DoubleUnaryOperator slowness;
     private final Queue<Runnable> waiting = new ArrayDeque<>();
+    private final int refuseAbove;
     private int busy;
 
-    /** @param slowness factor of the service time by the second of the run */
+    /**
+     * @param slowness factor of the service time by the second of the run
+     * @param refuseAbove refuses requests with its marker when that many are inside
+     */
     SimTarget(
             ManualTimerService timers,
             RandomGenerator random,
             int slots,
             double meanNanos,
-            DoubleUnaryOperator slowness) {
+            DoubleUnaryOperator slowness,
+            int refuseAbove) {
         this.timers = timers;
         this.random = random;
         this.slots = slots;
         this.meanNanos = meanNanos;
         this.slowness = slowness;
+        this.refuseAbove = refuseAbove;
+    }
+
+    boolean refuses() {
+        return busy + waiting.size() >= refuseAbove;
     }
 
     /** Runs the task once a slot is free. */
