Routing: choose by fresh load, eject outliers, spill over, ramp cold targets

Cause: the chooser picked at random, so a slow or silent target kept its share. Change: tiers by distance, two random choices by cost (in flight, latency of late, time without progress, refusals), ejection with a floor and a probe, a share that ramps, spill-over by the difference of refusals. Conclusion: the time since a target's last progress finds a silent target before its calls time out.

--- /dev/null
+++ b/src/main/java/io/beryldock/routing/Distances.java
@@ -0,0 +1,53 @@
+package io.beryldock.routing;
+
+import io.beryldock.call.DataCentre;
+import java.time.Duration;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * How far other data centres are, by measured round trips.
+ *
+ * <p>There are three tiers: the own data centre, near ones and those of other regions. One without a measurement is
+ * near. The version changes only when a data centre changes its tier. Thread safe.
+ */
+final class Distances {
+
+    static final int OWN = 0;
+    static final int NEAR = 1;
+    static final int FAR = 2;
+    static final int TIERS = 3;
+
+    /** Round trips above this are between regions. */
+    private static final long FAR_NANOS = Duration.ofMillis(10).toNanos();
+
+    private static final double SAMPLE_WEIGHT = 0.2;
+
+    private final DataCentre own;
+    private final ConcurrentMap<DataCentre, Double> roundTrips = new ConcurrentHashMap<>();
+    private final AtomicInteger version = new AtomicInteger();
+
+    Distances(DataCentre own) {
+        this.own = own;
+    }
+
+    int version() {
+        return version.get();
+    }
+
+    int tier(DataCentre other) {
+        if (other.equals(own)) {
+            return OWN;
+        }
+        return roundTrips.getOrDefault(other, 0.0) > FAR_NANOS ? FAR : NEAR;
+    }
+
+    void onRoundTrip(DataCentre other, long nanos) {
+        int before = tier(other);
+        roundTrips.merge(other, (double) nanos, (old, sample) -> old + SAMPLE_WEIGHT * (sample - old));
+        if (tier(other) != before) {
+            version.incrementAndGet();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/routing/SpillShare.java
@@ -0,0 +1,62 @@
+package io.beryldock.routing;
+
+/**
+ * The share of a service's calls that leave the own data centre although it has healthy targets.
+ *
+ * <p>Rises with the difference between what the own and what the other data centres refuse, and falls back by itself,
+ * slowly enough not to swing. When both refuse alike it stays: crossing over would help nobody. Invariant: between 0
+ * and {@link #MAX}. Not thread safe; guarded by the lock of {@link ServiceTargets}.
+ */
+final class SpillShare {
+
+    /** Some calls always stay, as only they tell when the own data centre has room again. */
+    static final double MAX = 0.9;
+
+    private static final double GAIN_PER_SECOND = 1;
+    private static final double LEAK_PER_SECOND = 0.05;
+    private static final double PRESSURE_TIME_CONSTANT = 1;
+    private static final double MAX_STEP_SECONDS = 0.5;
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private double share;
+    private double near;
+    private double far;
+    private long nearUpdated;
+    private long farUpdated;
+    private long updated;
+
+    SpillShare(long now) {
+        this.updated = now;
+        this.nearUpdated = now;
+        this.farUpdated = now;
+    }
+
+    double value(long now) {
+        advance(now);
+        return share;
+    }
+
+    /** A call ended; {@code pressure} is 1 for a refusal, else the part of work that the target's level shuts out. */
+    void onResult(boolean own, double pressure, long now) {
+        advance(now);
+        if (own) {
+            near = blend(near, pressure, now - nearUpdated);
+            nearUpdated = now;
+        } else {
+            far = blend(far, pressure, now - farUpdated);
+            farUpdated = now;
+        }
+    }
+
+    private static double blend(double old, double sample, long elapsedNanos) {
+        double weight = 1 - Math.exp(-Math.max(0, elapsedNanos) / NANOS_PER_SECOND / PRESSURE_TIME_CONSTANT);
+        return old + Math.max(0.05, weight) * (sample - old);
+    }
+
+    private void advance(long now) {
+        double seconds = Math.min(MAX_STEP_SECONDS, Math.max(0, now - updated) / NANOS_PER_SECOND);
+        updated = now;
+        double step = GAIN_PER_SECOND * (near - far) - LEAK_PER_SECOND * share;
+        share = Math.max(0, Math.min(MAX, share + step * seconds));
+    }
+}
--- /dev/null
+++ b/src/test/java/io/beryldock/routing/FakeFleet.java
@@ -0,0 +1,208 @@
+package io.beryldock.routing;
+
+import com.google.common.collect.ImmutableList;
+import com.google.protobuf.ByteString;
+import io.beryldock.call.Answer;
+import io.beryldock.call.CallResult;
+import io.beryldock.call.DataCentre;
+import io.beryldock.call.Headers;
+import io.beryldock.call.Incarnation;
+import io.beryldock.call.NodeId;
+import io.beryldock.call.Reason;
+import io.beryldock.call.ServiceLevel;
+import io.beryldock.call.ServiceName;
+import io.beryldock.membership.Directory;
+import io.beryldock.membership.NodeDescriptor;
+import io.beryldock.membership.TargetRecord;
+import io.beryldock.membership.TargetState;
+import io.beryldock.time.ManualTimerService;
+import io.beryldock.timeline.EventSink;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.Random;
+import java.util.Set;
+import org.HdrHistogram.Histogram;
+
+/** Targets of one service with slots, queues and faults, called by several choosers on an injected clock. */
+final class FakeFleet {
+
+    static final ServiceName SERVICE = ServiceName.of("holdings");
+    static final DataCentre OWN = DataCentre.of("gent-a");
+    static final DataCentre OTHER = DataCentre.of("gent-b");
+
+    private static final long TIMEOUT = Duration.ofSeconds(1).toNanos();
+    private static final long MEAN_NANOS = Duration.ofMillis(20).toNanos();
+
+    final ManualTimerService time = ManualTimerService.create();
+    final Random random;
+    final Map<NodeId, FakeTarget> targets = new LinkedHashMap<>();
+    final List<TargetChooser> choosers = new ArrayList<>();
+    final Histogram latency = new Histogram(3);
+    Directory directory = Directory.empty();
+    int answered;
+    int refused;
+    int failed;
+    int none;
+
+    FakeFleet(long seed, int callers) {
+        random = new Random(seed);
+        for (int i = 0; i < callers; i++) {
+            choosers.add(TargetChooser.create(
+                    OWN, new Random(seed + i), time.ticker(), EventSink.none(), ChooserSettings.defaults()));
+        }
+    }
+
+    static Answer ok() {
+        return new Answer(200, Headers.empty(), ByteString.EMPTY);
+    }
+
+    FakeTarget add(String name, DataCentre dataCentre, int slots) {
+        FakeTarget target = new FakeTarget(record(name, dataCentre, slots, TargetState.READY));
+        targets.put(target.record.node().id(), target);
+        publish();
+        return target;
+    }
+
+    static TargetRecord record(String name, DataCentre dataCentre, int slots, TargetState state) {
+        Incarnation incarnation = new Incarnation(name.hashCode(), 1);
+        InetSocketAddress address = InetSocketAddress.createUnresolved("127.0.0.1", 1);
+        NodeDescriptor node = new NodeDescriptor(NodeId.of(name), incarnation, dataCentre, address);
+        return new TargetRecord(node, SERVICE, slots, state, 1);
+    }
+
+    void remove(FakeTarget target) {
+        targets.remove(target.record.node().id());
+        publish();
+    }
+
+    private void publish() {
+        List<TargetRecord> records = new ArrayList<>();
+        targets.values().forEach(target -> records.add(target.record));
+        directory = Directory.of(List.of(), records);
+    }
+
+    /** Lets Poisson calls arrive at each caller at that rate for the time, and clears the counts before. */
+    void run(Duration length, double callsPerSecond) {
+        latency.reset();
+        answered = 0;
+        refused = 0;
+        failed = 0;
+        none = 0;
+        targets.values().forEach(target -> target.calls = 0);
+        long end = time.ticker().nanos() + length.toNanos();
+        choosers.forEach(chooser -> arriveNext(chooser, callsPerSecond, end));
+        time.advance(length);
+    }
+
+    private void arriveNext(TargetChooser chooser, double rate, long end) {
+        long wait = (long) (-Math.log(1 - random.nextDouble()) / rate * 1e9);
+        if (time.ticker().nanos() + wait >= end) {
+            return;
+        }
+        time.after(Duration.ofNanos(wait), () -> {
+            call(chooser);
+            arriveNext(chooser, rate, end);
+        });
+    }
+
+    private void call(TargetChooser chooser) {
+        Optional<TargetRecord> chosen = chooser.choose(directory, SERVICE, Set.of(), Set.of());
+        if (chosen.isEmpty()) {
+            none++;
+            return;
+        }
+        FakeTarget target = targets.get(chosen.get().node().id());
+        chooser.onStart(target.record);
+        target.calls++;
+        target.receive(new FakeCall(chooser, target, time.ticker().nanos()));
+    }
+
+    /** One call under way; ends once. */
+    private final class FakeCall {
+        final TargetChooser chooser;
+        final FakeTarget target;
+        final long start;
+        boolean over;
+
+        FakeCall(TargetChooser chooser, FakeTarget target, long start) {
+            this.chooser = chooser;
+            this.target = target;
+            this.start = start;
+            time.after(Duration.ofNanos(TIMEOUT), () -> end(CallResult.unknown(Reason.TIMED_OUT, "")));
+        }
+
+        void end(CallResult result) {
+            if (over) {
+                return;
+            }
+            over = true;
+            long nanos = time.ticker().nanos() - start;
+            chooser.onResult(target.record, result, nanos);
+            if (result.answer().isPresent()) {
+                answered++;
+                latency.recordValue(nanos);
+            } else if (result.reason().orElseThrow() == Reason.SHED_AT_TARGET) {
+                refused++;
+            } else {
+                failed++;
+            }
+        }
+    }
+
+    /** A target: so many slots, a queue as long as the slots, exponential service times of 20 ms. */
+    final class FakeTarget {
+        final TargetRecord record;
+        private final Queue<FakeCall> queue = new ArrayDeque<>();
+        int calls;
+        double slowness = 1;
+        boolean stopped;
+        boolean refusesConnections;
+        boolean failsCalls;
+        private int running;
+
+        FakeTarget(TargetRecord record) {
+            this.record = record;
+        }
+
+        void receive(FakeCall call) {
+            if (stopped) {
+                return;
+            }
+            if (refusesConnections) {
+                call.end(CallResult.notRun(Reason.CONNECT_FAILED, ""));
+            } else if (failsCalls) {
+                call.end(CallResult.unknown(Reason.CONNECTION_LOST, ""));
+            } else if (running < record.slots()) {
+                start(call);
+            } else if (queue.size() < record.slots()) {
+                queue.add(call);
+            } else {
+                call.end(CallResult.notRun(Reason.SHED_AT_TARGET, ""));
+            }
+        }
+
+        private void start(FakeCall call) {
+            running++;
+            long nanos = (long) (-Math.log(1 - random.nextDouble()) * MEAN_NANOS * slowness);
+            time.after(Duration.ofNanos(nanos), () -> finish(call));
+        }
+
+        private void finish(FakeCall call) {
+            running--;
+            if (!stopped) {
+                ServiceLevel level = new ServiceLevel(SERVICE, ServiceLevel.OPEN);
+                call.end(CallResult.answered(ok()).withLevels(ImmutableList.of(level)));
+            }
+            if (!queue.isEmpty()) {
+                start(queue.poll());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/io/beryldock/routing/TargetChooserMeasurementTest.java
@@ -0,0 +1,171 @@
+package io.beryldock.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.beryldock.routing.FakeFleet.FakeTarget;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Measures spread, tails and times to route round on an injected clock; prints each figure. */
+class TargetChooserMeasurementTest {
+
+    private static final int CALLERS = 20;
+    private static final int TARGETS = 9;
+    private static final int SLOTS = 8;
+    private static final double RATE = 11;
+
+    private static FakeFleet fleet(long seed) {
+        FakeFleet fleet = new FakeFleet(seed, CALLERS);
+        for (int i = 0; i < TARGETS; i++) {
+            fleet.add("holdings-" + i, FakeFleet.OWN, SLOTS);
+        }
+        return fleet;
+    }
+
+    private static double share(FakeFleet fleet, FakeTarget target) {
+        int sum = fleet.targets.values().stream().mapToInt(t -> t.calls).sum();
+        return (double) target.calls / sum;
+    }
+
+    private static void print(String format, Object... values) {
+        System.out.printf("measured: " + format + "%n", values);
+    }
+
+    @Test
+    void spreadOverEqualTargets() {
+        FakeFleet fleet = fleet(1);
+        fleet.run(Duration.ofSeconds(60), RATE);
+        double most = fleet.targets.values().stream()
+                .mapToDouble(t -> share(fleet, t))
+                .max()
+                .orElseThrow();
+        double least = fleet.targets.values().stream()
+                .mapToDouble(t -> share(fleet, t))
+                .min()
+                .orElseThrow();
+        print("equal targets: share %.3f to %.3f, p99 %.1f ms", least, most, millis(fleet, 99));
+        assertThat(most * TARGETS).isLessThan(1.15);
+        assertThat(least * TARGETS).isGreaterThan(0.85);
+    }
+
+    /** One of nine targets of a deep service turns five times slower; pages that touch it hang. */
+    @Test
+    void oneSlowTargetOfNine() {
+        FakeFleet fleet = fleet(2);
+        fleet.run(Duration.ofSeconds(20), RATE);
+        double before = millis(fleet, 99);
+        FakeTarget slow = fleet.targets.values().iterator().next();
+        slow.slowness = 5;
+        fleet.run(Duration.ofSeconds(5), RATE);
+        double first = share(fleet, slow);
+        fleet.run(Duration.ofSeconds(60), RATE);
+        print("slow target: share %.3f in the first 5 s, %.3f after", first, share(fleet, slow));
+        print("slow target: p99 %.1f ms before, %.1f ms with it", before, millis(fleet, 99));
+        assertThat(share(fleet, slow)).isLessThan(0.5 / TARGETS);
+    }
+
+    private static double millis(FakeFleet fleet, double percentile) {
+        return fleet.latency.getValueAtPercentile(percentile) / 1e6;
+    }
+
+    /** A new target joins; all callers see it unloaded at once, and a cold target breaks under their calls. */
+    @Test
+    void newTargetComesToItsShareSlowly() {
+        FakeFleet fleet = fleet(3);
+        fleet.run(Duration.ofSeconds(10), RATE);
+        FakeTarget fresh = fleet.add("holdings-new", FakeFleet.OWN, SLOTS);
+        List<Double> shares = new ArrayList<>();
+        for (int second = 0; second < 15; second++) {
+            fleet.run(Duration.ofSeconds(1), RATE);
+            shares.add(share(fleet, fresh) * (TARGETS + 1));
+        }
+        print("new target: share of a fair one, second by second %s", rounded(shares));
+        assertThat(shares.get(0)).isLessThan(0.5);
+        assertThat(shares.stream().mapToDouble(s -> s).max().orElseThrow()).isLessThan(1.7);
+        assertThat(shares.subList(10, 15).stream().mapToDouble(s -> s).average().orElseThrow())
+                .isGreaterThan(0.8);
+    }
+
+    private static List<String> rounded(List<Double> list) {
+        return list.stream().map(value -> String.format("%.2f", value)).toList();
+    }
+
+    /** A target's process is stopped: its connections stay open and nothing answers. Each caller must find out. */
+    @Test
+    void silentTargetIsRoutedRound() {
+        FakeFleet fleet = fleet(4);
+        fleet.run(Duration.ofSeconds(10), RATE);
+        FakeTarget silent = fleet.targets.values().iterator().next();
+        silent.stopped = true;
+        List<Integer> sent = new ArrayList<>();
+        for (int second = 0; second < 10; second++) {
+            fleet.run(Duration.ofSeconds(1), RATE);
+            sent.add(silent.calls);
+        }
+        print("silent target: calls to it of %d a second, second by second %s", (int) (CALLERS * RATE), sent);
+        assertThat(sent.get(3)).isLessThan((int) (CALLERS * RATE * 0.03));
+        silent.stopped = false;
+        int seconds = 0;
+        do {
+            fleet.run(Duration.ofSeconds(1), RATE);
+            seconds++;
+        } while (share(fleet, silent) * TARGETS < 0.8 && seconds < 60);
+        print("silent target: back at 0.8 of its share %d s after it runs again", seconds);
+        assertThat(seconds).isLessThanOrEqualTo(45);
+    }
+
+    /** The connection to a node breaks. Its target gets nothing from then on, and is probed once the node answers. */
+    @Test
+    void lostNodeGetsNothingUntilItAnswers() {
+        FakeFleet fleet = fleet(5);
+        fleet.run(Duration.ofSeconds(10), RATE);
+        FakeTarget lost = fleet.targets.values().iterator().next();
+        lost.refusesConnections = true;
+        fleet.choosers.forEach(chooser -> chooser.onNodeLost(lost.record.node().id()));
+        fleet.run(Duration.ofMillis(900), RATE);
+        assertThat(lost.calls).isZero();
+        fleet.run(Duration.ofSeconds(30), RATE);
+        print("lost node: %d of %d calls probed it in 30 s", fleet.failed, fleet.answered + fleet.failed);
+        assertThat(fleet.failed).isLessThan(fleet.answered / 50);
+        lost.refusesConnections = false;
+        fleet.choosers.forEach(
+                chooser -> chooser.onNodeAnswered(lost.record.node().id()));
+        int seconds = 0;
+        do {
+            fleet.run(Duration.ofSeconds(1), RATE);
+            seconds++;
+        } while (share(fleet, lost) * TARGETS < 0.8 && seconds < 60);
+        print("lost node: back at 0.8 of its share %d s after it answers", seconds);
+        assertThat(seconds).isLessThanOrEqualTo(20);
+    }
+
+    /** The own data centre's targets are too few for a surge while those of the other data centre are idle. */
+    @Test
+    void surgeSpillsOverAndComesBack() {
+        FakeFleet fleet = new FakeFleet(6, CALLERS);
+        List<FakeTarget> near = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            near.add(fleet.add("near-" + i, FakeFleet.OWN, SLOTS));
+            fleet.add("far-" + i, FakeFleet.OTHER, SLOTS);
+        }
+        double capacity = 3 * SLOTS / 0.020 / CALLERS;
+        fleet.run(Duration.ofSeconds(10), capacity * 0.5);
+        double quiet = near.stream().mapToDouble(t -> share(fleet, t)).sum();
+        fleet.run(Duration.ofSeconds(5), capacity * 1.5);
+        double firstRefused = (double) fleet.refused / (fleet.refused + fleet.answered);
+        fleet.run(Duration.ofSeconds(20), capacity * 1.5);
+        double laterRefused = (double) fleet.refused / (fleet.refused + fleet.answered);
+        fleet.run(Duration.ofSeconds(60), capacity * 0.5);
+        fleet.run(Duration.ofSeconds(10), capacity * 0.5);
+        double after = near.stream().mapToDouble(t -> share(fleet, t)).sum();
+        print(
+                "surge: own share %.3f quiet, refused %.3f in the first 5 s, %.3f after",
+                quiet, firstRefused, laterRefused);
+        print("surge: own share %.3f one minute after it", after);
+        assertThat(quiet).isEqualTo(1);
+        assertThat(laterRefused).isLessThan(0.05);
+        assertThat(after).isGreaterThan(0.9);
+    }
+}
