--- /dev/null
+++ b/src/main/java/io/beryldock/peer/InboundRequest.java
@@ -0,0 +1,101 @@
+package io.beryldock.peer;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.protobuf.ByteString;
+import io.beryldock.peer.PeerHandler.PeerMessage;
+import io.beryldock.wire.ReplyFailure;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BiConsumer;
+
+/** A request from a peer; it is replied to or cancelled, once. Thread safe. */
+final class InboundRequest implements PeerMessage {
+
+    private static final FluentLogger log = FluentLogger.forEnclosingClass();
+
+    private final String sender;
+    private final ByteString body;
+    private final BiConsumer<ByteString, ReplyFailure> reply;
+    private final List<Runnable> onCancel = new ArrayList<>();
+    private State state = State.OPEN;
+
+    private InboundRequest(String sender, ByteString body, BiConsumer<ByteString, ReplyFailure> reply) {
+        this.sender = sender;
+        this.body = body;
+        this.reply = reply;
+    }
+
+    static InboundRequest create(String sender, ByteString body, BiConsumer<ByteString, ReplyFailure> reply) {
+        return new InboundRequest(sender, body, reply);
+    }
+
+    @Override
+    public String sender() {
+        return sender;
+    }
+
+    @Override
+    public ByteString body() {
+        return body;
+    }
+
+    @Override
+    public void reply(ByteString answer) {
+        if (end(State.REPLIED)) {
+            reply.accept(answer, ReplyFailure.REPLY_OK);
+        }
+    }
+
+    /** Replies that there is no body for a reply. */
+    void fail(ReplyFailure failure) {
+        if (end(State.REPLIED)) {
+            reply.accept(ByteString.EMPTY, failure);
+        }
+    }
+
+    @Override
+    public void onCancel(Runnable task) {
+        if (!addOnCancel(task)) {
+            runLogged(task);
+        }
+    }
+
+    /** Runs the tasks of {@link #onCancel} unless the reply has been sent. */
+    void cancel() {
+        if (end(State.CANCELLED)) {
+            // nothing is added to the tasks any more
+            onCancel.forEach(InboundRequest::runLogged);
+        }
+    }
+
+    /** Returns false when the task is to run now. */
+    private synchronized boolean addOnCancel(Runnable task) {
+        if (state == State.OPEN) {
+            onCancel.add(task);
+        }
+        return state != State.CANCELLED;
+    }
+
+    private synchronized boolean end(State next) {
+        if (state != State.OPEN) {
+            return false;
+        }
+        state = next;
+        return true;
+    }
+
+    private static void runLogged(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            log.atSevere().withCause(e).log("a task on the cancellation of a peer's request failed");
+        }
+    }
+
+    /** How far a request has come. */
+    private enum State {
+        OPEN,
+        REPLIED,
+        CANCELLED
+    }
+}
