Routing, retry: probe lost nodes by calls that may be repeated; a suspect that did not run may go elsewhere

Cause: a non-idempotent call used as a probe of a silent node ends UNKNOWN; a suspect refused as NOT_RUN ran nowhere, so sending it elsewhere crashes nothing. Change: choose takes whether the call may probe; the policy stops a suspect after UNKNOWN only; the backoff locks its generator, as the one of the node is not thread safe.

--- a/src/main/java/io/beryldock/retry/Backoff.java
+++ b/src/main/java/io/beryldock/retry/Backoff.java
@@ -6,8 +6,8 @@
 /**
  * Random waits before retries and for Retry-After, so that callers refused together don't come back together.
  *
- * <p>Full jitter: the wait before retry n is evenly spread between 0 and base * 2^(n-1), cut at the cap. Thread safe
- * when the generator is.
+ * <p>Full jitter: the wait before retry n is evenly spread between 0 and base * 2^(n-1), cut at the cap. Thread safe:
+ * one lock around the generator.
  */
 public final class Backoff {
 
@@ -31,12 +31,16 @@
     public long delayNanos(int retry) {
         int doublings = Math.min(MAX_DOUBLINGS, Math.max(0, retry - 1));
         long limit = Math.min(capNanos, baseNanos << doublings);
-        return limit <= 0 ? 0 : random.nextLong(limit + 1);
+        return limit <= 0 ? 0 : nextLong(limit + 1);
     }
 
     /** A Retry-After evenly spread between {@code meanMillis} / 2 and 3/2 of it, so that its mean is kept. */
     public long retryAfterMillis(long meanMillis) {
         long mean = Math.max(1, meanMillis);
-        return mean / 2 + random.nextLong(mean + 1);
+        return mean / 2 + nextLong(mean + 1);
+    }
+
+    private synchronized long nextLong(long bound) {
+        return random.nextLong(bound);
     }
 }
--- a/src/main/java/io/beryldock/retry/RetryDecision.java
+++ b/src/main/java/io/beryldock/retry/RetryDecision.java
@@ -13,7 +13,7 @@
     STOP_SERVICE_FULL,
     STOP_NO_OTHER_TARGET,
     STOP_NO_TIME,
-    /** It was in flight when a target crashed. */
+    /** It may have run, and was in flight when a target crashed. */
     STOP_SUSPECT,
     /** The root request's retries are spent, or held elsewhere in the tree. */
     STOP_ALLOWANCE_SPENT,
--- a/src/main/java/io/beryldock/retry/RetryPolicy.java
+++ b/src/main/java/io/beryldock/retry/RetryPolicy.java
@@ -25,14 +25,16 @@
         if (q.result().outcome() == Outcome.ANSWERED) {
             return RetryDecision.STOP_ANSWERED;
         }
-        if (q.suspect()) {
-            return RetryDecision.STOP_SUSPECT;
-        }
         Reason reason = q.result().reason().orElseThrow();
-        if (q.result().outcome() == Outcome.UNKNOWN) {
-            return q.idempotent() ? decideByReason(q, reason) : RetryDecision.STOP_MAY_HAVE_RUN;
+        return q.result().outcome() == Outcome.UNKNOWN ? decideUnknown(q, reason) : decideByReason(q, reason);
+    }
+
+    /** A suspect that may have run may have crashed its target: sending it to the next one is left to its caller. */
+    private static RetryDecision decideUnknown(RetryQuestion q, Reason reason) {
+        if (!q.idempotent()) {
+            return RetryDecision.STOP_MAY_HAVE_RUN;
         }
-        return decideByReason(q, reason);
+        return q.suspect() ? RetryDecision.STOP_SUSPECT : decideByReason(q, reason);
     }
 
     private static RetryDecision decideByReason(RetryQuestion q, Reason reason) {
--- a/src/main/java/io/beryldock/routing/Ejection.java
+++ b/src/main/java/io/beryldock/routing/Ejection.java
@@ -59,7 +59,7 @@
     }
 
     /** Leaves the target out, longer each time, and returns for how long. */
-    long eject(long now, ChooserSettings settings, double jitter) {
+    long eject(long now, boolean nodeUnreachable, ChooserSettings settings, double jitter) {
         if (!out && now - wellSince > FORGIVEN_NANOS) {
             ejections = 0;
         }
@@ -68,26 +68,10 @@
                 settings.maxEjection().toNanos(), settings.firstEjection().toNanos() << doublings);
         long length = (long) (plain * (1 + jitter));
         ejections++;
-        leaveOut(now, length, false);
-        return length;
-    }
-
-    /**
-     * Leaves the target of a lost node out until the node answers.
-     *
-     * <p>A call sent as a probe would hang until its deadline and end UNKNOWN, so only after the longest time is one
-     * made, in case the answer was never noticed.
-     */
-    long loseNode(long now, ChooserSettings settings) {
-        long length = settings.maxEjection().toNanos();
-        leaveOut(now, length, true);
-        return length;
-    }
-
-    private void leaveOut(long now, long length, boolean nodeUnreachable) {
         out = true;
         unreachable = nodeUnreachable;
         until = now + length;
+        return length;
     }
 
     void comeBack(long now) {
--- a/src/main/java/io/beryldock/routing/ServiceTargets.java
+++ b/src/main/java/io/beryldock/routing/ServiceTargets.java
@@ -72,8 +72,8 @@
         }
     }
 
-    /** Nodes that must not be chosen for a call. */
-    record Barred(Set<NodeId> excluded, Set<NodeId> drained) {
+    /** Nodes that must not be chosen for a call, and whether it may show if a sick target is well again. */
+    record Barred(Set<NodeId> excluded, Set<NodeId> drained, boolean mayProbe) {
         boolean contains(NodeId node) {
             return excluded.contains(node) || drained.contains(node);
         }
@@ -112,7 +112,7 @@
         if (tier.isEmpty()) {
             return null;
         }
-        TargetStats probe = dueProbe(tier, barred, now);
+        TargetStats probe = barred.mayProbe() ? dueProbe(tier, barred, now) : null;
         if (probe != null) {
             return probe;
         }
@@ -244,12 +244,16 @@
         known.onEnd(now);
         CallSign sign = CallSign.of(result, latencyNanos, usualNanos);
         notePressure(known, result, sign, now);
+        boolean alive = sign == CallSign.WELL || sign == CallSign.FULL;
+        if (alive && known.ejection.condition(now) == Condition.UNREACHABLE) {
+            known.ejection.probeNow(now);
+        }
         switch (sign) {
             case WELL -> onWell(known, latencyNanos, now);
             case FULL -> comeBackIfProbed(known, now);
             case LEAVING -> known.onLeaving(now);
             case FAILED -> onFailed(known, latencyNanos, now);
-            case UNREACHABLE -> eject(known, "no connection could be made", now);
+            case UNREACHABLE -> eject(known, true, "no connection could be made", now);
             default -> {}
         }
     }
@@ -299,9 +303,9 @@
         all.add(true, now);
         Condition condition = target.ejection.condition(now);
         if (condition == Condition.PROBED) {
-            eject(target, "its probe failed", now);
+            eject(target, false, "its probe failed", now);
         } else if (condition == Condition.HEALTHY && isOutlier(target, now) && mayEject()) {
-            eject(target, "its calls fail", now);
+            eject(target, false, "its calls fail", now);
         }
     }
 
@@ -323,30 +327,20 @@
         return out + 1 <= Math.floor(settings.maxEjectedShare() * ready);
     }
 
-    private void eject(TargetStats target, String cause, long now) {
-        if (isWaiting(target, now)) {
+    private void eject(TargetStats target, boolean unreachable, String cause, long now) {
+        Condition condition = target.ejection.condition(now);
+        if (condition == Condition.EJECTED || condition == Condition.UNREACHABLE) {
             return;
         }
-        long nanos = target.ejection.eject(now, settings, random.nextDouble() / 2);
-        recordEjection(target, cause, nanos);
-    }
-
-    private static boolean isWaiting(TargetStats target, long now) {
-        Condition condition = target.ejection.condition(now);
-        return condition == Condition.EJECTED || condition == Condition.UNREACHABLE;
-    }
-
-    private void recordEjection(TargetStats target, String cause, long nanos) {
+        long nanos = target.ejection.eject(now, unreachable, settings, random.nextDouble() / 2);
         String detail = cause + "; left out for " + Duration.ofNanos(nanos).toMillis() + " ms";
         events.record(EventKind.TARGET_EJECTED, target.record().node().id().value(), detail);
     }
 
     synchronized void onNodeLost(NodeId node, long now) {
         for (TargetStats target : stats.values()) {
-            boolean known = target.ejection.condition(now) == Condition.UNREACHABLE;
-            if (!known && target.record().node().id().equals(node)) {
-                long nanos = target.ejection.loseNode(now, settings);
-                recordEjection(target, "the connection to its node was lost", nanos);
+            if (target.record().node().id().equals(node)) {
+                eject(target, true, "the connection to its node was lost", now);
             }
         }
     }
--- a/src/main/java/io/beryldock/routing/TargetChooser.java
+++ b/src/main/java/io/beryldock/routing/TargetChooser.java
@@ -56,6 +56,17 @@
      */
     public Optional<TargetRecord> choose(
             Directory directory, ServiceName service, Set<NodeId> excluded, Set<NodeId> drained) {
+        return choose(directory, service, excluded, drained, true);
+    }
+
+    /**
+     * A target for the next attempt of a call that may or may not be used as a probe.
+     *
+     * @param mayProbe false keeps the call from targets that were ejected and not proved well, as one that must not be
+     *     repeated would end UNKNOWN there
+     */
+    public Optional<TargetRecord> choose(
+            Directory directory, ServiceName service, Set<NodeId> excluded, Set<NodeId> drained, boolean mayProbe) {
         ImmutableList<TargetRecord> targets = directory.targetsOf(service);
         ServiceTargets known = services.get(service);
         if (known == null) {
@@ -64,7 +75,7 @@
             }
             known = services.computeIfAbsent(service, name -> newService());
         }
-        return known.choose(targets, new ServiceTargets.Barred(excluded, drained), ticker.nanos());
+        return known.choose(targets, new ServiceTargets.Barred(excluded, drained, mayProbe), ticker.nanos());
     }
 
     private ServiceTargets newService() {
--- a/src/test/java/io/beryldock/retry/RetryPolicyTest.java
+++ b/src/test/java/io/beryldock/retry/RetryPolicyTest.java
@@ -73,8 +73,11 @@
                 .isEqualTo(RetryDecision.STOP_NO_OTHER_TARGET);
         assertThat(policy.decide(new RetryQuestion(shed, true, 2, 2, 3, SECOND, 0, false)))
                 .isEqualTo(RetryDecision.STOP_SERVICE_FULL);
-        assertThat(policy.decide(new RetryQuestion(shed, true, 1, 1, 3, SECOND, 0, true)))
+        CallResult lost = CallResult.unknown(Reason.CONNECTION_LOST, "");
+        assertThat(policy.decide(new RetryQuestion(lost, true, 1, 1, 3, SECOND, 0, true)))
                 .isEqualTo(RetryDecision.STOP_SUSPECT);
+        assertThat(policy.decide(new RetryQuestion(shed, true, 1, 1, 3, SECOND, 0, true)))
+                .isEqualTo(RetryDecision.RETRY_ELSEWHERE);
         CallResult answer = CallResult.answered(new Answer(503, Headers.empty(), ByteString.EMPTY));
         assertThat(answer.outcome()).isEqualTo(Outcome.ANSWERED);
         assertThat(policy.decide(question(answer, true))).isEqualTo(RetryDecision.STOP_ANSWERED);
