Prove keyed requests by seeded schedules of the real classes

Cause: no example covers the orders of lost messages, failures and submissions. It found that a second stop handed a table over to a second successor; stopping is idempotent now.

--- a/src/main/java/io/beryldock/idempotency/KeyShard.java
+++ b/src/main/java/io/beryldock/idempotency/KeyShard.java
@@ -230,6 +230,9 @@
             refuseAll();
             return;
         }
+        boolean unbound =
+                batch.stream().noneMatch(binding -> ring.find(binding.key()).isPresent());
+        Invariants.check(ports.events(), unbound, place(0), "a key must be bound once");
         write(ring.add(batch), batch);
     }
 
--- a/src/main/java/io/beryldock/idempotency/KeyedRequests.java
+++ b/src/main/java/io/beryldock/idempotency/KeyedRequests.java
@@ -9,9 +9,6 @@
  */
 public final class KeyedRequests {
 
-    /** Bytes of a part of a table that is handed over. */
-    private static final long PART_BYTES = 256 << 10;
-
     private final TicketRegistry tickets;
     private final AnswerMemory memory;
     private final RunGuard guard;
@@ -27,7 +24,7 @@
         KeyBinder binder = KeyBinder.create(ports, keySettings);
         HomeGoneResolver resolver = HomeGoneResolver.create(ports.self(), ports.directory(), ports.peers(), memory);
         coordinator = new KeyedRequestCoordinator(ports, tickets, binder, resolver);
-        handover = TicketHandover.create(ports, tickets, PART_BYTES);
+        handover = TicketHandover.create(ports, tickets, settings.handoverPartBytes());
         TicketReceiver receiver = TicketReceiver.create(
                 TicketHome.of(ports.self()), tickets, ports.timers().ticker(), ports.events());
         handler = new TicketMessageHandler(coordinator, binder, receiver, memory, ports.control());
--- a/src/main/java/io/beryldock/idempotency/TicketEntry.java
+++ b/src/main/java/io/beryldock/idempotency/TicketEntry.java
@@ -8,7 +8,7 @@
 /**
  * What a table holds of one ticket. Used on the control thread only.
  *
- * <p>Invariant: NEW is left once and never entered again, so a ticket is dispatched at most once.
+ * <p>The table checks that NEW is left once and never entered again.
  */
 final class TicketEntry {
 
@@ -63,18 +63,12 @@
     }
 
     void dispatch(TicketScope presented, long now) {
-        if (state != TicketState.NEW) {
-            throw new IllegalStateException("a ticket in state " + state + " must not be dispatched");
-        }
         state = TicketState.IN_FLIGHT;
         scope = Optional.of(presented);
         changedAt = now;
     }
 
     void end(TicketState ended, Optional<CallResult> kept, long now) {
-        if (ended == TicketState.NEW || state == TicketState.NEW) {
-            throw new IllegalStateException("a ticket must not go from " + state + " to " + ended);
-        }
         state = ended;
         result = kept;
         changedAt = now;
--- a/src/main/java/io/beryldock/idempotency/TicketHandover.java
+++ b/src/main/java/io/beryldock/idempotency/TicketHandover.java
@@ -11,6 +11,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
 /**
@@ -31,6 +32,7 @@
     private final TicketRegistry tickets;
     private final HomeLocator locator;
     private final long partBytes;
+    private Optional<CompletableFuture<Integer>> stopping = Optional.empty();
 
     private TicketHandover(IdempotencyPorts ports, TicketRegistry tickets, long partBytes) {
         this.ports = ports;
@@ -53,7 +55,12 @@
      * @return completes when every table is with its successor or given up; tells how many were given up
      */
     public CompletableFuture<Integer> stop(Duration drainLimit, Duration transferLimit) {
+        if (stopping.isPresent()) {
+            // A second signal to stop must not hand the tables over to a second successor.
+            return stopping.get();
+        }
         CompletableFuture<Integer> lost = new CompletableFuture<>();
+        stopping = Optional.of(lost);
         awaitIdle(now() + drainLimit.toNanos(), () -> handOverAll(transferLimit, lost));
         return lost;
     }
--- a/src/main/java/io/beryldock/idempotency/TicketRegistry.java
+++ b/src/main/java/io/beryldock/idempotency/TicketRegistry.java
@@ -73,9 +73,8 @@
 
     /** Takes over a whole table. */
     void adopt(TicketTransfer transfer) {
-        if (own.frozen() || table(transfer.origin()).isPresent()) {
-            throw new IllegalStateException("the table of " + transfer.origin() + " must not be adopted twice");
-        }
+        boolean first = !own.frozen() && table(transfer.origin()).isEmpty();
+        Invariants.check(events, first, transfer.origin().toString(), "a table must be adopted once, by a live node");
         adopted.put(transfer.origin(), TicketTable.adopt(transfer, settings, ticker, random, events));
     }
 
@@ -87,6 +86,7 @@
 
     /** Freezes every table here, for ever, and gives what has to be handed over. */
     List<TicketTransfer> freezeAll() {
+        Invariants.check(events, !own.frozen(), own.home().toString(), "tables must be frozen and handed over once");
         List<TicketTransfer> transfers = new ArrayList<>();
         transfers.add(own.freeze());
         adopted.values().forEach(table -> transfers.add(table.freeze()));
--- a/src/main/java/io/beryldock/idempotency/TicketSettings.java
+++ b/src/main/java/io/beryldock/idempotency/TicketSettings.java
@@ -12,17 +12,29 @@
  * @param unusedLifetime how long a ticket that nobody presented may still be dispatched
  * @param retention how long a ticket's end is kept after its last change
  * @param maxJoiners requests that may wait for one ticket at once
+ * @param handoverPartBytes size of the parts in which a table is handed over
  */
 public record TicketSettings(
-        int maxTickets, long maxBytes, Duration unusedLifetime, Duration retention, int maxJoiners) {
+        int maxTickets,
+        long maxBytes,
+        Duration unusedLifetime,
+        Duration retention,
+        int maxJoiners,
+        long handoverPartBytes) {
 
     private static final int DEFAULT_TICKETS = 20_000;
     private static final long DEFAULT_BYTES = 16L << 20;
     private static final int DEFAULT_JOINERS = 100;
+    private static final long DEFAULT_PART_BYTES = 256 << 10;
 
     /** An hour for ended tickets, a quarter of an hour for unused ones. */
     public static TicketSettings defaults() {
         return new TicketSettings(
-                DEFAULT_TICKETS, DEFAULT_BYTES, Duration.ofMinutes(15), Duration.ofHours(1), DEFAULT_JOINERS);
+                DEFAULT_TICKETS,
+                DEFAULT_BYTES,
+                Duration.ofMinutes(15),
+                Duration.ofHours(1),
+                DEFAULT_JOINERS,
+                DEFAULT_PART_BYTES);
     }
 }
--- a/src/main/java/io/beryldock/idempotency/TicketTable.java
+++ b/src/main/java/io/beryldock/idempotency/TicketTable.java
@@ -138,6 +138,8 @@
     }
 
     private TicketDecision dispatch(TicketId ticket, TicketEntry entry, TicketScope scope, Joiner joiner) {
+        boolean first = entry.state() == TicketState.NEW && unused.contains(ticket.counter()) && !frozen;
+        Invariants.check(events, first, ticket.toString(), "a ticket must be dispatched once and by its home only");
         entry.dispatch(scope, ticker.nanos());
         unused.remove(ticket.counter());
         entry.joiners().add(joiner);
@@ -192,6 +194,8 @@
     }
 
     private void end(long counter, TicketEntry entry, CallResult result) {
+        boolean dispatched = entry.state() != TicketState.NEW;
+        Invariants.check(events, dispatched, home + " " + counter, "a ticket must be dispatched before it ends");
         bytes -= entry.bytes();
         switch (result.outcome()) {
             case ANSWERED -> endAnswered(entry, result);
--- /dev/null
+++ b/src/test/java/io/beryldock/idempotency/SimulatedFleet.java
@@ -0,0 +1,308 @@
+package io.beryldock.idempotency;
+
+import com.google.protobuf.ByteString;
+import io.beryldock.call.Call;
+import io.beryldock.call.CallContext;
+import io.beryldock.call.CallResult;
+import io.beryldock.call.Headers;
+import io.beryldock.call.Incarnation;
+import io.beryldock.call.Outcome;
+import io.beryldock.call.PriorityClass;
+import io.beryldock.call.Reason;
+import io.beryldock.call.RequestId;
+import io.beryldock.call.RequestIds;
+import io.beryldock.call.ServiceName;
+import io.beryldock.membership.Directory;
+import io.beryldock.membership.NodeDescriptor;
+import io.beryldock.membership.TargetRecord;
+import io.beryldock.membership.TargetState;
+import io.beryldock.peer.PeerException;
+import io.beryldock.peer.PeerHandler;
+import io.beryldock.platform.InMemoryPlatformStore;
+import io.beryldock.platform.PlatformStore;
+import io.beryldock.platform.StoreFaults;
+import io.beryldock.time.ManualTimerService;
+import io.beryldock.timeline.EventKind;
+import io.beryldock.wire.WireTicketReply;
+import io.beryldock.wire.WireTicketRequest;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
+
+/** A few nodes with the real decision classes, on one clock, one seed, and a network, store and targets that fail. */
+final class SimulatedFleet {
+
+    private static final ServiceName SERVICE = ServiceName.of("orders");
+    private static final int NODES = 4;
+    private static final int TARGETS = 3;
+    private static final long CALL_MILLIS = 1_500;
+    private static final String KEY_HEADER = "X-Key";
+    private static final TicketSettings TICKETS =
+            new TicketSettings(12, 100_000, Duration.ofSeconds(15), Duration.ofSeconds(20), 4, 1);
+    private static final KeySettings KEYS = new KeySettings(
+            "keys/",
+            2,
+            8,
+            Duration.ofSeconds(5),
+            Duration.ofMillis(20),
+            Duration.ofMillis(50),
+            Duration.ofSeconds(1),
+            900_000);
+
+    /** What a deliberately broken variant does differently at the edges of the real classes. */
+    record Variant(
+            boolean redispatchAfterUnknown,
+            boolean withoutRunGuard,
+            UnaryOperator<PlatformStore> store,
+            UnaryOperator<WireTicketRequest> delivered) {
+
+        static final Variant NONE = new Variant(false, false, UnaryOperator.identity(), UnaryOperator.identity());
+    }
+
+    private final Variant variant;
+    private final Random random;
+    private final ManualTimerService time = ManualTimerService.create();
+    private final RunLedger ledger = new RunLedger();
+    private final SimulatedNetwork network;
+    private final InMemoryPlatformStore store;
+    private final RequestIds ids = RequestIds.of(new Incarnation(1, 1));
+    private final SimulatedNode[] nodes = new SimulatedNode[NODES];
+    private final Map<Incarnation, SimulatedNode> starts = new HashMap<>();
+    private long incarnations;
+
+    SimulatedFleet(long seed, Variant variant) {
+        this.variant = variant;
+        this.random = new Random(seed);
+        this.network = new SimulatedNetwork(time, random);
+        this.store = InMemoryPlatformStore.create(time, random);
+        for (int i = 0; i < NODES; i++) {
+            start(i);
+        }
+        Directory directory = directory();
+        for (SimulatedNode node : nodes) {
+            node.see(directory);
+        }
+    }
+
+    RunLedger ledger() {
+        return ledger;
+    }
+
+    Random random() {
+        return random;
+    }
+
+    SimulatedNetwork network() {
+        return network;
+    }
+
+    InMemoryPlatformStore store() {
+        return store;
+    }
+
+    SimulatedNode node(int index) {
+        return nodes[index];
+    }
+
+    int anyNode() {
+        return random.nextInt(NODES);
+    }
+
+    void at(long millis, Runnable task) {
+        time.after(Duration.ofMillis(millis), task);
+    }
+
+    void advance(Duration length) {
+        time.advance(length);
+    }
+
+    /** Starts a node anew; whatever ran under its id before is dead. */
+    void start(int index) {
+        if (nodes[index] != null) {
+            nodes[index].crash();
+        }
+        NodeDescriptor descriptor = KeyedFixtures.node("node-" + index, ++incarnations);
+        SimulatedNode node = new SimulatedNode(descriptor, time, random);
+        IdempotencyPorts ports = new IdempotencyPorts(
+                descriptor,
+                node::view,
+                (call, identity) -> dispatch(node, call, identity, 2),
+                (peer, request, timeout) -> ask(node, peer, request, timeout),
+                variant.store().apply(new NodeStore(node, store)),
+                node,
+                node::post,
+                random,
+                (kind, request, subject, detail) ->
+                        ledger.check(kind != EventKind.INVARIANT_BROKEN, subject + " " + detail));
+        node.start(KeyedRequests.create(ports, TICKETS, KEYS));
+        nodes[index] = node;
+        starts.put(descriptor.incarnation(), node);
+        for (SimulatedNode other : nodes) {
+            if (other != null) {
+                time.after(network.delay(), () -> other.see(directory()));
+            }
+        }
+    }
+
+    private Directory directory() {
+        List<NodeDescriptor> alive = new ArrayList<>();
+        List<TargetRecord> targets = new ArrayList<>();
+        for (int i = 0; i < NODES; i++) {
+            if (!nodes[i].dead()) {
+                alive.add(nodes[i].descriptor());
+                if (i < TARGETS) {
+                    targets.add(new TargetRecord(nodes[i].descriptor(), SERVICE, 8, TargetState.READY, 1));
+                }
+            }
+        }
+        return Directory.of(alive, targets);
+    }
+
+    private CompletableFuture<WireTicketReply> ask(
+            SimulatedNode from, NodeDescriptor to, WireTicketRequest request, Duration timeout) {
+        return network.request(
+                from,
+                starts.get(to.incarnation()),
+                timeout,
+                (node, reply) -> node.keyed()
+                        .handler()
+                        .handle(message(variant.delivered().apply(request), reply)));
+    }
+
+    private static PeerHandler.PeerMessage message(WireTicketRequest request, Consumer<WireTicketReply> reply) {
+        return new PeerHandler.PeerMessage() {
+            @Override
+            public String sender() {
+                return "peer";
+            }
+
+            @Override
+            public ByteString body() {
+                return request.toByteString();
+            }
+
+            @Override
+            public void reply(ByteString body) {
+                try {
+                    reply.accept(WireTicketReply.parseFrom(body));
+                } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+                    throw new IllegalStateException(e);
+                }
+            }
+
+            @Override
+            public void onCancel(Runnable task) {}
+        };
+    }
+
+    /** Stands for the forwarder: sheds at times, tries another target after a sure refusal only. */
+    private CompletableFuture<CallResult> dispatch(SimulatedNode home, Call call, CallerIdentity identity, int tries) {
+        List<TargetRecord> targets = home.view().targetsOf(SERVICE);
+        if (targets.isEmpty() || network.chance(3)) {
+            return CompletableFuture.completedFuture(CallResult.notRun(Reason.SHED_AT_DOOR, ""));
+        }
+        TargetRecord target = targets.get(random.nextInt(targets.size()));
+        Call attempt = call.attempt(ids.next(), call.context());
+        Duration timeout = Duration.ofMillis(network.chance(20) ? 4 * CALL_MILLIS : CALL_MILLIS);
+        return network.<CallResult>request(
+                        home,
+                        starts.get(target.node().incarnation()),
+                        timeout,
+                        (node, reply) -> execute(node, attempt, identity, reply))
+                .exceptionally(SimulatedFleet::classify)
+                .thenCompose(result -> {
+                    boolean again = result.outcome() == Outcome.NOT_RUN
+                            || (result.outcome() == Outcome.UNKNOWN && variant.redispatchAfterUnknown());
+                    return again && tries > 1
+                            ? dispatch(home, call, identity, tries - 1)
+                            : CompletableFuture.completedFuture(result);
+                });
+    }
+
+    private static CallResult classify(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        boolean notSent = cause instanceof PeerException e && e.kind() == PeerException.Kind.NOT_SENT;
+        return notSent ? CallResult.notRun(Reason.CONNECT_FAILED, "") : CallResult.unknown(Reason.CONNECTION_LOST, "");
+    }
+
+    private void execute(SimulatedNode node, Call call, CallerIdentity identity, Consumer<CallResult> reply) {
+        CompletableFuture<CallResult> result = variant.withoutRunGuard()
+                ? runAtTarget(node, call, identity)
+                : node.keyed().guard().run(call, identity, () -> runAtTarget(node, call, identity));
+        FutureCallbacks.onEnd(result, (value, failure) -> reply.accept(value));
+    }
+
+    private CompletableFuture<CallResult> runAtTarget(SimulatedNode node, Call call, CallerIdentity identity) {
+        CompletableFuture<CallResult> end = new CompletableFuture<>();
+        if (network.chance(10)) {
+            end.complete(CallResult.notRun(Reason.SHED_AT_TARGET, ""));
+            return end;
+        }
+        node.after(network.delay(), () -> {
+            ledger.ran(call.headers().first(KEY_HEADER).orElseThrow());
+            boolean lost = network.chance(5);
+            CallResult result = lost
+                    ? CallResult.unknown(Reason.CONNECTION_LOST, "")
+                    : KeyedFixtures.answer(expectedAnswer(call, identity));
+            node.after(network.delay(), () -> end.complete(result));
+        });
+        return end;
+    }
+
+    private static String expectedAnswer(Call call, CallerIdentity identity) {
+        return call.headers().first(KEY_HEADER).orElseThrow()
+                + call.body().toStringUtf8()
+                + identity.equals(KeyedFixtures.ANN);
+    }
+
+    /** A caller sends the keyed request to the node, which may be the first or any later time. */
+    void submit(SimulatedNode entry, String key, CallerIdentity identity, String body) {
+        Headers headers = Headers.empty().with(KEY_HEADER, key);
+        RequestId id = ids.next();
+        CallContext context = new CallContext(
+                id,
+                id,
+                PriorityClass.of("orders", 0),
+                Duration.ofMillis(CALL_MILLIS).toNanos(),
+                0,
+                0,
+                0,
+                0,
+                false);
+        Call call = new Call(
+                id,
+                Call.OUTSIDE,
+                SERVICE,
+                "POST",
+                "/orders",
+                headers,
+                ByteString.copyFromUtf8(body),
+                false,
+                Optional.of(key),
+                context);
+        entry.post(() -> FutureCallbacks.onEnd(
+                entry.keyed().coordinator().handle(call, identity),
+                (result, failure) -> ledger.told(key, expectedAnswer(call, identity), result)));
+    }
+
+    /** Faults of the store, as one node of many sees them. */
+    void breakStore(Duration length) {
+        StoreFaults faults =
+                switch (random.nextInt(4)) {
+                    case 0 -> StoreFaults.none().withDown(true);
+                    case 1 -> StoreFaults.none().withSilent(true);
+                    case 2 -> StoreFaults.none().withDelay(Duration.ofMillis(random.nextInt(4_000)));
+                    default -> StoreFaults.none().withLoseShare(random.nextDouble());
+                };
+        store.setFaults(faults);
+        time.after(length, () -> store.setFaults(StoreFaults.none()));
+    }
+}
--- /dev/null
+++ b/src/test/java/io/beryldock/idempotency/SimulatedNetwork.java
@@ -0,0 +1,85 @@
+package io.beryldock.idempotency;
+
+import io.beryldock.peer.PeerException;
+import io.beryldock.time.ManualTimerService;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+
+/** Requests between nodes of a seeded run, which may be lost, doubled, held up, overtaken or cut off. */
+final class SimulatedNetwork {
+
+    private static final int LONG_DELAY_MILLIS = 4_000;
+
+    private final ManualTimerService time;
+    private final Random random;
+    private final Set<String> cut = new HashSet<>();
+
+    SimulatedNetwork(ManualTimerService time, Random random) {
+        this.time = time;
+        this.random = random;
+    }
+
+    void cut(String one, String other, Duration length) {
+        cut.add(one + other);
+        cut.add(other + one);
+        time.after(length, () -> cut.remove(one + other));
+        time.after(length, () -> cut.remove(other + one));
+    }
+
+    private boolean isCut(SimulatedNode from, SimulatedNode to) {
+        return cut.contains(
+                from.descriptor().id().value() + to.descriptor().id().value());
+    }
+
+    boolean chance(int percent) {
+        return random.nextInt(100) < percent;
+    }
+
+    Duration delay() {
+        int millis = chance(8) ? random.nextInt(LONG_DELAY_MILLIS) : 1 + random.nextInt(5);
+        return Duration.ofMillis(millis);
+    }
+
+    /** Delivers a request to the very start of the node that it is meant for, and the reply to the sender. */
+    <T> CompletableFuture<T> request(
+            SimulatedNode from, SimulatedNode to, Duration timeout, BiConsumer<SimulatedNode, Consumer<T>> deliver) {
+        CompletableFuture<T> reply = new CompletableFuture<>();
+        if ((to.dead() || isCut(from, to)) && chance(50)) {
+            fail(from, reply, PeerException.Kind.NOT_SENT, Duration.ofMillis(1));
+            return reply;
+        }
+        int copies = chance(5) ? 0 : chance(8) ? 2 : 1;
+        for (int i = 0; i < copies; i++) {
+            time.after(delay(), () -> arrive(from, to, deliver, reply));
+        }
+        fail(from, reply, PeerException.Kind.TIMED_OUT, timeout);
+        if (chance(3)) {
+            fail(from, reply, PeerException.Kind.LOST, delay());
+        }
+        return reply;
+    }
+
+    private <T> void arrive(
+            SimulatedNode from,
+            SimulatedNode to,
+            BiConsumer<SimulatedNode, Consumer<T>> deliver,
+            CompletableFuture<T> reply) {
+        if (isCut(from, to)) {
+            return;
+        }
+        to.post(() -> deliver.accept(to, value -> {
+            if (!chance(5) && !isCut(from, to) && !to.dead()) {
+                time.after(delay(), () -> from.post(() -> reply.complete(value)));
+            }
+        }));
+    }
+
+    private void fail(SimulatedNode from, CompletableFuture<?> reply, PeerException.Kind kind, Duration after) {
+        time.after(after, () -> from.post(() -> reply.completeExceptionally(new PeerException(kind, "simulated"))));
+    }
+}
--- /dev/null
+++ b/src/test/java/io/beryldock/idempotency/SimulatedNode.java
@@ -0,0 +1,113 @@
+package io.beryldock.idempotency;
+
+import io.beryldock.membership.Directory;
+import io.beryldock.membership.NodeDescriptor;
+import io.beryldock.time.ManualTimerService;
+import io.beryldock.time.Ticker;
+import io.beryldock.time.TimerService;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Deque;
+import java.util.List;
+import java.util.Random;
+
+/** One start of a node in a seeded run: its tasks run in order, wait while it is paused and are lost once it is dead. */
+final class SimulatedNode implements TimerService {
+
+    private final NodeDescriptor descriptor;
+    private final ManualTimerService time;
+    private final Random random;
+    private final Deque<Runnable> queue = new ArrayDeque<>();
+    private final List<Runnable> held = new ArrayList<>();
+    private Directory view = Directory.empty();
+    private KeyedRequests keyed;
+    private boolean running;
+    private boolean paused;
+    private boolean dead;
+
+    SimulatedNode(NodeDescriptor descriptor, ManualTimerService time, Random random) {
+        this.descriptor = descriptor;
+        this.time = time;
+        this.random = random;
+    }
+
+    void start(KeyedRequests parts) {
+        keyed = parts;
+    }
+
+    NodeDescriptor descriptor() {
+        return descriptor;
+    }
+
+    KeyedRequests keyed() {
+        return keyed;
+    }
+
+    Directory view() {
+        return view;
+    }
+
+    void see(Directory directory) {
+        view = directory;
+    }
+
+    boolean dead() {
+        return dead;
+    }
+
+    void post(Runnable task) {
+        if (dead) {
+            return;
+        }
+        if (paused) {
+            held.add(task);
+            return;
+        }
+        queue.add(task);
+        drain();
+    }
+
+    private void drain() {
+        if (running) {
+            return;
+        }
+        running = true;
+        while (!queue.isEmpty() && !dead) {
+            queue.poll().run();
+        }
+        running = false;
+    }
+
+    void crash() {
+        dead = true;
+    }
+
+    /** Stops everything at the node for a while; what came meanwhile is handled then, in any order. */
+    void pause(Duration length) {
+        paused = true;
+        time.after(length, () -> {
+            paused = false;
+            Collections.shuffle(held, random);
+            List<Runnable> tasks = List.copyOf(held);
+            held.clear();
+            tasks.forEach(this::post);
+        });
+    }
+
+    @Override
+    public Subscription after(Duration delay, Runnable task) {
+        return time.after(delay, () -> post(task));
+    }
+
+    @Override
+    public Subscription every(Duration period, Runnable task) {
+        return time.every(period, () -> post(task));
+    }
+
+    @Override
+    public Ticker ticker() {
+        return time.ticker();
+    }
+}
--- a/src/test/java/io/beryldock/idempotency/TicketTableTest.java
+++ b/src/test/java/io/beryldock/idempotency/TicketTableTest.java
@@ -22,7 +22,7 @@
 final class TicketTableTest {
 
     private static final TicketSettings SETTINGS =
-            new TicketSettings(3, 10_000, Duration.ofMinutes(1), Duration.ofMinutes(10), 2);
+            new TicketSettings(3, 10_000, Duration.ofMinutes(1), Duration.ofMinutes(10), 2, 1_000);
 
     private final ManualTimerService timers = ManualTimerService.create();
     private final TicketTable table = TicketTable.create(
