--- a/src/main/java/io/beryldock/node/ConfigurationChanges.java
+++ b/src/main/java/io/beryldock/node/ConfigurationChanges.java
@@ -21,7 +21,6 @@
 /** Turns operators' statements into changes of the configuration, and what became of them into reports. Thread safe. */
 final class ConfigurationChanges implements ConfigurationChanger {
 
-    private static final int PERCENT = 100;
     private static final Duration DEFAULT_DEADLINE = Duration.ofSeconds(3);
     private static final int DEFAULT_RETRIES = 3;
     private static final double DEFAULT_SHARE = 0.1;
@@ -74,9 +73,7 @@
                 .map(RetrySetting.class::cast);
         int retries =
                 set.retries().orElseGet(() -> now.map(RetrySetting::retries).orElse(DEFAULT_RETRIES));
-        double share = set.sharePercent()
-                .map(percent -> (double) percent / PERCENT)
-                .orElseGet(() -> now.map(RetrySetting::share).orElse(DEFAULT_SHARE));
+        double share = set.share().orElseGet(() -> now.map(RetrySetting::share).orElse(DEFAULT_SHARE));
         return new ConfigurationChange.SetBudget(set.name(), retries, share);
     }
 
