Ping after one-way messages on quiet connections; resume TLS sessions

Cause: on a connection that carries one-way messages only nothing ever comes back, so a dead one was found only by a ping before each message, which would have cost a round trip and two frames for every probe of a neighbour. Change: a one-way message is written at once and followed by a ping after ten quiet seconds; TLS sessions are resumed.

--- a/src/main/java/io/beryldock/peer/OutboundConnection.java
+++ b/src/main/java/io/beryldock/peer/OutboundConnection.java
@@ -21,6 +21,7 @@
 import io.netty.util.collection.LongObjectHashMap;
 import io.netty.util.collection.LongObjectMap;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -51,6 +52,7 @@
     private long readAt;
     private long lastId;
     private long pingNumber;
+    private boolean pinging;
     private int peerMaxFrameBytes;
     private volatile State state = State.CONNECTING;
     private volatile Optional<PeerIdentity> peer = Optional.empty();
@@ -81,7 +83,7 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
-                        PeerPipeline.setUpMade(ch, hub, OutboundConnection.this::bytesRead, OutboundConnection.this);
+                        setUp(ch);
                     }
                 })
                 .connect(address);
@@ -90,17 +92,25 @@
         var unused = channel.closeFuture().addListener(future -> closed());
     }
 
+    private void setUp(Channel made) {
+        PeerPipeline.setUpMade(made, hub, address, this::bytesRead, this);
+    }
+
     boolean ready() {
         return state == State.READY;
     }
 
     boolean inUse() {
-        return state == State.CONNECTING || state == State.PROBING || !sent.isEmpty() || progress.writing();
+        return state == State.CONNECTING || pinging || !sent.isEmpty() || progress.writing();
     }
 
     /** Nothing has come in for so long that a ping must be answered before a request is written. */
     boolean quiet(long now) {
-        return now - readAt >= hub.liveness().probeAfter().toNanos();
+        return quietFor(hub.liveness().probeAfter(), now);
+    }
+
+    private boolean quietFor(Duration bound, long now) {
+        return now - readAt >= bound.toNanos();
     }
 
     Optional<PeerIdentity> peer() {
@@ -132,13 +142,18 @@
             outstanding = sent.size();
         }
         ChannelActions.write(channel, frame);
+        if (message.oneWay() && !pinging && quietFor(hub.liveness().noticePingAfter(), hub.now())) {
+            ping();
+        }
     }
 
     /** Asks for a sign of life; the owner learns of it by {@link Owner#ready}. */
     void probe() {
         if (state == State.READY) {
             state = State.PROBING;
-            ping();
+            if (!pinging) {
+                ping();
+            }
         }
     }
 
@@ -161,7 +176,7 @@
         progress.look();
         boolean probing = state == State.PROBING;
         Load load = new Load(
-                probing || !sent.isEmpty(), probing && sent.isEmpty(), progress.writing(), progress.wroteSome());
+                pinging || !sent.isEmpty(), probing && sent.isEmpty(), progress.writing(), progress.wroteSome());
         obey(monitor.tickMade(now, load));
         closeWhenFinished();
     }
@@ -248,15 +263,17 @@
 
     private void ping() {
         pingNumber++;
+        pinging = true;
         monitor.pinged();
         ChannelActions.ping(channel, pingNumber);
     }
 
     private void pong(long number) {
-        if (number != pingNumber) {
+        if (number != pingNumber || !pinging) {
             hub.counters().droppedReply();
             return;
         }
+        pinging = false;
         monitor.ponged();
         if (state == State.PROBING) {
             state = State.READY;
--- a/src/main/java/io/beryldock/peer/OutboundLink.java
+++ b/src/main/java/io/beryldock/peer/OutboundLink.java
@@ -137,15 +137,20 @@
         usedAt = now;
         if (closed) {
             message.fail(Kind.NOT_SENT, "the peer transport is closed");
-        } else if (current.isPresent()
-                && current.get().ready()
-                && !current.get().quiet(now)) {
+        } else if (writable(message, now)) {
             current.get().write(message);
         } else {
             await(message, now);
         }
     }
 
+    /** A request isn't written to a quiet connection before a ping; a one-way message may be lost. */
+    private boolean writable(OutboundMessage message, long now) {
+        return current.isPresent()
+                && current.get().ready()
+                && (message.oneWay() || !current.get().quiet(now));
+    }
+
     private void await(OutboundMessage message, long now) {
         if (current.isEmpty() && backoff.blocks(now)) {
             message.fail(Kind.NOT_SENT, lastFailure + "; the next try to connect comes after a pause");
--- a/src/main/java/io/beryldock/peer/PeerLiveness.java
+++ b/src/main/java/io/beryldock/peer/PeerLiveness.java
@@ -11,6 +11,7 @@
  * @param oneWayLimit how long a peer may send without any proof that it reads before the connection is abandoned
  * @param probeAfter quiet time after which a connection is pinged before it carries a request
  * @param probeTimeout longest wait for the answer to that ping
+ * @param noticePingAfter quiet time after which a one-way message is followed by a ping, without waiting for the pong
  * @param idleClose quiet time after which the node that made a connection closes it
  */
 public record PeerLiveness(
@@ -20,6 +21,7 @@
         Duration oneWayLimit,
         Duration probeAfter,
         Duration probeTimeout,
+        Duration noticePingAfter,
         Duration idleClose) {
 
     public static PeerLiveness defaults() {
@@ -30,10 +32,12 @@
                 Duration.ofSeconds(3),
                 Duration.ofSeconds(2),
                 Duration.ofMillis(400),
+                Duration.ofSeconds(10),
                 Duration.ofSeconds(60));
     }
 
     public PeerLiveness withSilenceLimit(Duration other) {
-        return new PeerLiveness(tick, pingAfter, other, oneWayLimit, probeAfter, probeTimeout, idleClose);
+        return new PeerLiveness(
+                tick, pingAfter, other, oneWayLimit, probeAfter, probeTimeout, noticePingAfter, idleClose);
     }
 }
--- a/src/main/java/io/beryldock/peer/PeerPipeline.java
+++ b/src/main/java/io/beryldock/peer/PeerPipeline.java
@@ -4,8 +4,8 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.flush.FlushConsolidationHandler;
-import io.netty.handler.ssl.SslContext;
 import io.netty.handler.ssl.SslHandler;
+import java.net.InetSocketAddress;
 
 /** Sets up the handlers of peer connections: TLS, joined flushes, frames, then the connection itself. Stateless. */
 final class PeerPipeline {
@@ -14,13 +14,14 @@
 
     private PeerPipeline() {}
 
-    static void setUpMade(Channel channel, PeerHub hub, Runnable onBytes, ChannelHandler connection) {
-        hub.tls().ifPresent(tls -> addTls(channel, tls.forMade()));
+    static void setUpMade(
+            Channel channel, PeerHub hub, InetSocketAddress address, Runnable onBytes, ChannelHandler connection) {
+        hub.tls().ifPresent(tls -> addTls(channel, tls.newMade(channel.alloc(), address)));
         addFrames(channel, hub, onBytes, connection);
     }
 
     static void setUpAccepted(Channel channel, PeerHub hub, Runnable onBytes, ChannelHandler connection) {
-        hub.tls().ifPresent(tls -> addTls(channel, tls.forAccepted()));
+        hub.tls().ifPresent(tls -> addTls(channel, tls.newAccepted(channel.alloc())));
         addFrames(channel, hub, onBytes, connection);
     }
 
@@ -28,8 +29,7 @@
         return new WriteBufferWaterMark(limits.maxBufferedBytes() / 2, limits.maxBufferedBytes());
     }
 
-    private static void addTls(Channel channel, SslContext context) {
-        SslHandler handler = context.newHandler(channel.alloc());
+    private static void addTls(Channel channel, SslHandler handler) {
         // the time for the hello, kept by the connection, covers the handshake
         handler.setHandshakeTimeoutMillis(0);
         channel.pipeline().addLast(handler);
--- a/src/main/java/io/beryldock/peer/PeerTls.java
+++ b/src/main/java/io/beryldock/peer/PeerTls.java
@@ -1,12 +1,15 @@
 package io.beryldock.peer;
 
 import com.google.common.flogger.FluentLogger;
+import io.netty.buffer.ByteBufAllocator;
 import io.netty.handler.ssl.ClientAuth;
 import io.netty.handler.ssl.SslContext;
 import io.netty.handler.ssl.SslContextBuilder;
+import io.netty.handler.ssl.SslHandler;
 import io.netty.handler.ssl.SslProvider;
 import java.io.ByteArrayInputStream;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
@@ -16,11 +19,13 @@
  * Mutual TLS of peer connections, renewed when its files change; connections that stand keep the keys they began with.
  *
  * <p>A peer is trusted when its certificate chains to the trust file. Peers are known by IP numbers that certificates
- * needn't name, so no host name is checked. Thread safe: connections read one immutable pair of contexts.
+ * needn't name, so no host name is checked. A resumed session skips the check of certificates; sessions end with their
+ * keys or after {@value #SESSION_SECONDS} seconds. Thread safe: connections read one immutable pair of contexts.
  */
 final class PeerTls {
 
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
+    private static final long SESSION_SECONDS = 600;
     private static final String[] PROTOCOLS = {"TLSv1.3"};
 
     private final PeerTlsFiles files;
@@ -44,14 +49,14 @@
         }
     }
 
-    /** For connections that this node makes. */
-    SslContext forMade() {
-        return keys.made();
+    /** For a connection that this node makes; resumes the session of an earlier one to the same address. */
+    SslHandler newMade(ByteBufAllocator allocator, InetSocketAddress address) {
+        return keys.made().newHandler(allocator, address.getHostString(), address.getPort());
     }
 
-    /** For connections that this node accepts. */
-    SslContext forAccepted() {
-        return keys.accepted();
+    /** For a connection that this node accepts. */
+    SslHandler newAccepted(ByteBufAllocator allocator) {
+        return keys.accepted().newHandler(allocator);
     }
 
     /**
@@ -109,7 +114,10 @@
         }
 
         private SslContextBuilder common(SslContextBuilder builder) {
-            return builder.sslProvider(SslProvider.JDK).protocols(PROTOCOLS).trustManager(stream(trust));
+            return builder.sslProvider(SslProvider.JDK)
+                    .protocols(PROTOCOLS)
+                    .sessionTimeout(SESSION_SECONDS)
+                    .trustManager(stream(trust));
         }
 
         private static ByteArrayInputStream stream(byte[] bytes) {
--- a/src/test/java/io/beryldock/peer/FaultyRelay.java
+++ b/src/test/java/io/beryldock/peer/FaultyRelay.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.LongAdder;
 import java.util.concurrent.locks.LockSupport;
 
 /**
@@ -26,6 +27,7 @@
     private final InetSocketAddress target;
     private final List<Lane> lanes = new CopyOnWriteArrayList<>();
     private final AtomicInteger connections = new AtomicInteger();
+    private final LongAdder bytes = new LongAdder();
     private volatile Fault faultOfNew = Fault.NONE;
 
     private FaultyRelay(ServerSocket server, InetSocketAddress target) {
@@ -43,6 +45,11 @@
         return new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
     }
 
+    /** Bytes taken from either end. */
+    long bytes() {
+        return bytes.sum();
+    }
+
     int connections() {
         return connections.get();
     }
@@ -117,7 +124,7 @@
     }
 
     /** One direction of one connection. */
-    private static final class Lane {
+    private final class Lane {
         private final Socket from;
         private final Socket to;
         private final boolean forth;
@@ -136,6 +143,7 @@
                 InputStream in = from.getInputStream();
                 int count = in.read(buffer);
                 while (count >= 0) {
+                    bytes.add(count);
                     pass(buffer, count);
                     count = in.read(buffer);
                 }
@@ -155,6 +163,7 @@
         }
 
         void close() {
+            lanes.remove(this);
             try {
                 from.close();
                 to.close();
--- a/src/test/java/io/beryldock/peer/PeerPair.java
+++ b/src/test/java/io/beryldock/peer/PeerPair.java
@@ -8,6 +8,7 @@
 import io.beryldock.timeline.EventKind;
 import io.beryldock.timeline.EventSink;
 import java.io.IOException;
+import java.lang.management.ManagementFactory;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -139,6 +140,13 @@
         }
     }
 
+    /** Processor time of the event loop of both transports. */
+    long loopCpuNanos() throws InterruptedException, ExecutionException {
+        return loops.next()
+                .submit(() -> ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime())
+                .get();
+    }
+
     private void settle() {
         loops.next().submit(() -> {}).syncUninterruptibly();
     }
--- a/src/test/java/io/beryldock/peer/PeerRoundTripBenchmark.java
+++ b/src/test/java/io/beryldock/peer/PeerRoundTripBenchmark.java
@@ -21,6 +21,8 @@
 final class PeerRoundTripBenchmark {
 
     private static final Duration TIMEOUT = Duration.ofSeconds(10);
+    private static final int WARM_UP = 2000;
+    private static final int CONNECTS = 2000;
     private static final int[] BODIES = {200, 20_000};
     private static final int[] CONCURRENCY = {1, 8, 64};
 
@@ -34,6 +36,8 @@
                 PeerPair.anyPort(),
                 new PeerTlsFiles(
                         keys.resolve("node-a.pem"), keys.resolve("node-a.key.pem"), keys.resolve("fleet-ca.pem")));
+        measureConnects(clear, "no");
+        measureConnects(tls, "yes");
         System.out.println("tls   body  under-way  round-trips/s  p50-us  p99-us  cpu-us/round-trip");
         for (int body : BODIES) {
             for (int concurrency : CONCURRENCY) {
@@ -66,6 +70,34 @@
         }
     }
 
+    /** Bytes (without those of TCP and IP) and processor time of a connection made for one request. */
+    private static void measureConnects(PeerTransportSettings settings, String label) throws Exception {
+        try (PeerPair pair = PeerPair.start(settings, settings)) {
+            connectAgain(pair, WARM_UP);
+            long bytes = pair.relay.bytes();
+            long cpu = pair.loopCpuNanos();
+            connectAgain(pair, CONNECTS);
+            System.out.printf(
+                    Locale.ROOT,
+                    "connect with one request of 1 byte, tls %s: %d bytes, %.0f cpu-us of both ends%n",
+                    label,
+                    (pair.relay.bytes() - bytes) / CONNECTS,
+                    (pair.loopCpuNanos() - cpu) / 1e3 / CONNECTS);
+        }
+    }
+
+    private static void connectAgain(PeerPair pair, int times) throws Exception {
+        for (int i = 0; i < times; i++) {
+            PeerPair.get(pair.ask(PeerTopic.CALL, "x"));
+            pair.relay.cut();
+            PeerPair.await(() -> pair.a.stats().connections().isEmpty());
+        }
+    }
+
+    private static long cpuNanos() {
+        return ((OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean()).getProcessCpuTime();
+    }
+
     private static NettyPeerTransport transport(
             PeerTransportSettings settings, String name, ThreadTimerService timers) {
         return NettyPeerTransport.create(settings, PeerPair.identity(name), timers, EventSink.none());
@@ -74,8 +106,7 @@
     private static Result run(NettyPeerTransport a, NettyPeerTransport b, int bodyBytes, int concurrency, Duration time)
             throws InterruptedException {
         Lane lane = new Lane(a, b, ByteString.copyFrom(new byte[bodyBytes]), System.nanoTime() + time.toNanos());
-        OperatingSystemMXBean system = (OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean();
-        long cpu = system.getProcessCpuTime();
+        long cpu = cpuNanos();
         long start = System.nanoTime();
         CountDownLatch ended = new CountDownLatch(concurrency);
         for (int i = 0; i < concurrency; i++) {
@@ -84,7 +115,7 @@
         ended.await();
         double seconds = (System.nanoTime() - start) / 1e9;
         long count = lane.count.get();
-        double cpuMicros = (system.getProcessCpuTime() - cpu) / 1e3 / count;
+        double cpuMicros = (cpuNanos() - cpu) / 1e3 / count;
         double p50 = lane.times.getValueAtPercentile(50) / 1e3;
         return new Result(count / seconds, p50, lane.times.getValueAtPercentile(99) / 1e3, cpuMicros);
     }
--- a/src/test/java/io/beryldock/peer/SilentConnectionTest.java
+++ b/src/test/java/io/beryldock/peer/SilentConnectionTest.java
@@ -183,6 +183,35 @@
         assertThat(pair.relay.connections()).isEqualTo(1);
     }
 
+    /**
+     * Nodes of a whole VM row call a healthy node failed. Their one-way messages to it vanish on a forgotten
+     * connection, and nothing ever comes back on it by itself. A ping now and then finds that out, and a new
+     * connection is made.
+     */
+    @Test
+    void oneWayMessagesDoNotGoToADeadConnectionForLong() throws Exception {
+        AtomicInteger seen = new AtomicInteger();
+        pair.b.handle(PeerTopic.MEMBERSHIP, message -> seen.incrementAndGet());
+        notice();
+        PeerPair.await(() -> seen.get() == 1);
+        pair.relay.spoilForth(Fault.LOSE);
+        Duration passed = Duration.ZERO;
+        while (pair.a.stats().stalled() == 0) {
+            notice();
+            pair.advance(BOUNDS.probeAfter());
+            passed = passed.plus(BOUNDS.probeAfter());
+        }
+        notice();
+        PeerPair.await(() -> seen.get() == 2);
+        assertThat(passed)
+                .isLessThanOrEqualTo(
+                        BOUNDS.noticePingAfter().plus(BOUNDS.probeAfter().multipliedBy(2)));
+    }
+
+    private void notice() {
+        pair.a.send(pair.relay.address(), PeerTopic.MEMBERSHIP, PeerPair.text("probe"));
+    }
+
     /** A quiet connection costs nothing, and is closed by the node that made it; its link is forgotten. */
     @Test
     void anIdleConnectionSendsNothingAndIsClosed() throws Exception {
