--- a/src/main/java/io/beryldock/peer/PeerTransportSettings.java
+++ b/src/main/java/io/beryldock/peer/PeerTransportSettings.java
@@ -32,17 +32,6 @@
         return new PeerTransportSettings(bind, Optional.of(tls), PeerLimits.defaults(), PeerLiveness.defaults());
     }
 
-    /** Settings of a file that must name either {@code peers.tls} or {@code peers.insecure}, and not both. */
-    public static PeerTransportSettings of(InetSocketAddress bind, Optional<PeerTlsFiles> tls, boolean insecure)
-            throws PeerStartException {
-        if (tls.isPresent() == insecure) {
-            throw new PeerStartException("peers.tls: " + (insecure ? "set together with" : "missing without")
-                    + " peers.insecure; name the three PEM files under peers.tls, or set peers.insecure to true on a"
-                    + " trusted network only");
-        }
-        return new PeerTransportSettings(bind, tls, PeerLimits.defaults(), PeerLiveness.defaults());
-    }
-
     public PeerTransportSettings withLimits(PeerLimits other) {
         return new PeerTransportSettings(bind, tls, other, liveness);
     }
