Join a caller's repeated requests, tell crashes from lost connections, spread quarantine, export metrics

Cause: refreshes added load to slow chains; a crash of the target could not be told from a lost connection; suspects were known to one node only; nothing could be scraped. Change: JoiningRequestHandler, TargetCrashDetector with a TCP probe, QuarantineSpreader, NodeMetrics at /metrics; policy NONE as the baseline.

--- a/src/main/java/io/beryldock/forwarding/TargetExecutor.java
+++ b/src/main/java/io/beryldock/forwarding/TargetExecutor.java
@@ -39,6 +39,7 @@
             DoorShedder door,
             Quarantine quarantine,
             RunGuard guard,
+            TargetCrashDetector crashes,
             TimerService timers,
             EventSink events) {}
 
--- a/src/main/java/io/beryldock/forwarding/TargetRun.java
+++ b/src/main/java/io/beryldock/forwarding/TargetRun.java
@@ -123,7 +123,7 @@
     private void onReply(Execution started, Permit permit, TargetReply reply) {
         permit.release(completion(reply));
         if (reply.kind() == TargetReply.Kind.LOST) {
-            ports.quarantine().onAbandoned(fingerprint);
+            ports.crashes().onLost(target, fingerprint);
         } else {
             ports.quarantine().onCompleted(fingerprint);
         }
--- /dev/null
+++ b/src/main/java/io/beryldock/node/NodeMetrics.java
@@ -0,0 +1,148 @@
+package io.beryldock.node;
+
+import io.beryldock.admission.GateSnapshot;
+import io.beryldock.forwarding.AnnouncedTarget;
+import io.beryldock.forwarding.JoiningRequestHandler;
+import io.beryldock.forwarding.RequestTally;
+import io.beryldock.forwarding.RetryTally;
+import io.beryldock.peer.NettyPeerTransport;
+import io.beryldock.peer.PeerTransportStats;
+import io.beryldock.retry.RetryLedger;
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.function.DoubleSupplier;
+import java.util.function.ToDoubleFunction;
+
+/**
+ * The metrics of a node, read from its parts when they are scraped.
+ *
+ * <p>Thread safe. Labels are bounded: classes and services of the configuration, outcomes, reasons. docs/METRICS.md says
+ * what to do when one is bad.
+ */
+final class NodeMetrics {
+
+    private static final String PREFIX = "beryldock_";
+
+    private final PrometheusRegistry registry = new PrometheusRegistry();
+
+    NodeMetrics(Parts parts) {
+        registerRequests(parts.tally(), parts.joining());
+        registerRetries(parts.retries(), parts.ledger());
+        registerTarget(parts.announcements());
+        registerPeers(parts.transport());
+        gauge("configuration_version", "version of the configuration in force", parts.configurationVersion());
+        gauge("known_nodes", "nodes in this node's view", parts.knownNodes());
+    }
+
+    /** The parts that are measured. */
+    record Parts(
+            RequestTally tally,
+            JoiningRequestHandler joining,
+            RetryTally retries,
+            RetryLedger ledger,
+            TargetAnnouncements announcements,
+            NettyPeerTransport transport,
+            DoubleSupplier configurationVersion,
+            DoubleSupplier knownNodes) {}
+
+    PrometheusRegistry registry() {
+        return registry;
+    }
+
+    private void registerRequests(RequestTally tally, JoiningRequestHandler joining) {
+        CounterWithCallback.builder()
+                .name(PREFIX + "requests_total")
+                .help("root requests that entered here, by class and outcome")
+                .labelNames("class", "outcome")
+                .callback(callback -> tally.rows().forEach((name, row) -> {
+                    callback.call((double) row.answered(), name, "answered");
+                    callback.call((double) row.notRun(), name, "not_run");
+                    callback.call((double) row.unknown(), name, "unknown");
+                }))
+                .register(registry);
+        CounterWithCallback.builder()
+                .name(PREFIX + "refusals_total")
+                .help("root requests that ran nowhere, by class and reason")
+                .labelNames("class", "reason")
+                .callback(callback -> tally.rows()
+                        .forEach((name, row) -> row.notRunByReason()
+                                .forEach((reason, count) -> callback.call((double) count, name, reason.name()))))
+                .register(registry);
+        counter("joined_requests_total", "repeated requests that joined one in flight", joining::joined);
+        gauge("requests_in_flight", "root requests without an end yet", tally::inFlight);
+    }
+
+    private void registerRetries(RetryTally retries, RetryLedger ledger) {
+        CounterWithCallback.builder()
+                .name(PREFIX + "retries_total")
+                .help("retries between two services, granted or refused")
+                .labelNames("caller", "service", "decision")
+                .callback(callback -> retries.rows().forEach((pair, counts) -> {
+                    String caller = pair.caller().value();
+                    String service = pair.service().value();
+                    callback.call((double) counts.granted(), caller, service, "granted");
+                    callback.call((double) counts.refused(), caller, service, "refused");
+                }))
+                .register(registry);
+        counter(
+                "retry_invariant_violations_total",
+                "broken invariants of the retry ledger; must be 0",
+                ledger::violations);
+    }
+
+    private void registerTarget(TargetAnnouncements announcements) {
+        gate(announcements, "target_limit", "requests that the target may run at once", GateSnapshot::limit);
+        gate(announcements, "target_in_flight", "requests that the target runs", GateSnapshot::inFlight);
+        gate(announcements, "target_queued", "requests that wait for the target", GateSnapshot::queued);
+        gate(announcements, "target_level", "admission level, 0 to 1024", GateSnapshot::level);
+    }
+
+    private void gate(
+            TargetAnnouncements announcements, String name, String help, ToDoubleFunction<GateSnapshot> value) {
+        gauge(
+                name,
+                help,
+                () -> announcements
+                        .current()
+                        .map(AnnouncedTarget::gate)
+                        .map(gate -> value.applyAsDouble(gate.snapshot()))
+                        .orElse(0.0));
+    }
+
+    private void registerPeers(NettyPeerTransport transport) {
+        peer(transport, "peer_received_bytes_total", "bytes from other nodes", PeerTransportStats::bytesIn);
+        peer(transport, "peer_sent_bytes_total", "bytes to other nodes", PeerTransportStats::bytesOut);
+        peer(
+                transport,
+                "peer_stalled_connections_total",
+                "connections given up without progress",
+                PeerTransportStats::stalled);
+        peer(
+                transport,
+                "peer_dropped_replies_total",
+                "replies that matched no request",
+                PeerTransportStats::droppedReplies);
+    }
+
+    private void peer(
+            NettyPeerTransport transport, String name, String help, ToDoubleFunction<PeerTransportStats> value) {
+        counter(name, help, () -> value.applyAsDouble(transport.stats()));
+    }
+
+    private void counter(String name, String help, DoubleSupplier value) {
+        CounterWithCallback.builder()
+                .name(PREFIX + name)
+                .help(help)
+                .callback(callback -> callback.call(value.getAsDouble()))
+                .register(registry);
+    }
+
+    private void gauge(String name, String help, DoubleSupplier value) {
+        GaugeWithCallback.builder()
+                .name(PREFIX + name)
+                .help(help)
+                .callback(callback -> callback.call(value.getAsDouble()))
+                .register(registry);
+    }
+}
--- a/src/main/java/io/beryldock/node/NodeModule.java
+++ b/src/main/java/io/beryldock/node/NodeModule.java
@@ -33,6 +33,7 @@
 import io.beryldock.routing.ChooserSettings;
 import io.beryldock.routing.TargetChooser;
 import io.beryldock.settings.NodeSettings;
+import io.beryldock.settings.NodeSettings.Policy;
 import io.beryldock.settings.SettingsException;
 import io.beryldock.time.ThreadTimerService;
 import io.beryldock.time.TimerService;
@@ -174,7 +175,8 @@
     TargetAnnouncements announcements(
             MembershipService membership, TimerService timers, RandomGenerator random, GateSettings gateSettings) {
         Duration expiry = Duration.ofSeconds(settings.limits().announcementSeconds());
-        return new TargetAnnouncements(membership, gateSettings, expiry, timers, random, events);
+        return new TargetAnnouncements(
+                membership, gateSettings, settings.policy() == Policy.FULL, expiry, timers, random, events);
     }
 
     @Provides
--- a/src/main/java/io/beryldock/node/NodeProcess.java
+++ b/src/main/java/io/beryldock/node/NodeProcess.java
@@ -8,7 +8,7 @@
 import io.beryldock.call.NodeId;
 import io.beryldock.command.OperatorService;
 import io.beryldock.configuration.ConfigurationSync;
-import io.beryldock.forwarding.EntryService;
+import io.beryldock.forwarding.JoiningRequestHandler;
 import io.beryldock.forwarding.TargetExecutor;
 import io.beryldock.http.HttpPorts;
 import io.beryldock.http.NodeHttpServer;
@@ -31,6 +31,7 @@
 import io.beryldock.time.TimerService;
 import io.beryldock.timeline.EventKind;
 import io.beryldock.timeline.EventRing;
+import io.prometheus.metrics.exporter.servlet.jakarta.PrometheusMetricsServlet;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.nio.file.Path;
@@ -43,6 +44,7 @@
 
     private static final Duration STORE_TIMEOUT = Duration.ofSeconds(1);
     private static final int OWN_IO_THREADS = 2;
+    private static final String METRICS_PATH = "/metrics";
 
     private NodeProcess() {}
 
@@ -86,6 +88,7 @@
     private static void startControl(Injector injector) {
         injector.getInstance(MembershipService.class).start();
         injector.getInstance(ConfigurationSync.class).start();
+        injector.getInstance(QuarantineSpreader.class).start(injector.getInstance(TimerService.class));
     }
 
     private static HttpPorts httpPorts(NodeSettings settings, Injector injector, ControlLoop control)
@@ -93,11 +96,16 @@
         TargetAnnouncements announcements = injector.getInstance(TargetAnnouncements.class);
         KeyedRequests keyed = injector.getInstance(KeyedRequests.class);
         return new HttpPorts(
-                injector.getInstance(EntryService.class),
+                injector.getInstance(JoiningRequestHandler.class),
                 announcement -> control.execute(() -> announcements.announce(announcement)),
                 () -> CompletableFuture.supplyAsync(() -> mint(keyed), control),
                 injector.getInstance(NodeHealth.class),
-                ImmutableMap.of(OperatorServlet.PATH, operatorServlet(settings, injector)));
+                ImmutableMap.of(
+                        OperatorServlet.PATH,
+                        operatorServlet(settings, injector),
+                        METRICS_PATH,
+                        new PrometheusMetricsServlet(
+                                injector.getInstance(NodeMetrics.class).registry())));
     }
 
     private static OperatorServlet operatorServlet(NodeSettings settings, Injector injector) throws SettingsException {
--- a/src/main/java/io/beryldock/node/OperatorModule.java
+++ b/src/main/java/io/beryldock/node/OperatorModule.java
@@ -8,12 +8,16 @@
 import io.beryldock.command.OperatorService;
 import io.beryldock.configuration.ConfigurationKeeper;
 import io.beryldock.configuration.ConfigurationWriter;
+import io.beryldock.forwarding.JoiningRequestHandler;
+import io.beryldock.forwarding.RequestTally;
 import io.beryldock.forwarding.RetryTally;
 import io.beryldock.idempotency.KeyedRequests;
 import io.beryldock.membership.MembershipService;
 import io.beryldock.membership.NodeDescriptor;
 import io.beryldock.peer.NettyPeerTransport;
+import io.beryldock.peer.PeerTopic;
 import io.beryldock.quarantine.Quarantine;
+import io.beryldock.retry.RetryLedger;
 import io.beryldock.time.TimerService;
 import io.beryldock.timeline.EventRing;
 import io.beryldock.timeline.RefusalCounter;
@@ -54,6 +58,42 @@
         return new NodeHealth();
     }
 
+    @Provides
+    @Singleton
+    QuarantineSpreader quarantineSpreader(
+            Quarantine quarantine,
+            MembershipService membership,
+            NodeDescriptor self,
+            NettyPeerTransport transport,
+            RandomGenerator random) {
+        QuarantineSpreader spreader =
+                new QuarantineSpreader(quarantine, membership::directory, self, transport, random);
+        transport.handle(PeerTopic.QUARANTINE, spreader);
+        return spreader;
+    }
+
+    @Provides
+    @Singleton
+    NodeMetrics metrics(
+            RequestTally tally,
+            JoiningRequestHandler joining,
+            RetryTally retries,
+            RetryLedger ledger,
+            TargetAnnouncements announcements,
+            NettyPeerTransport transport,
+            ConfigurationKeeper configuration,
+            MembershipService membership) {
+        return new NodeMetrics(new NodeMetrics.Parts(
+                tally,
+                joining,
+                retries,
+                ledger,
+                announcements,
+                transport,
+                () -> configuration.current().version(),
+                () -> membership.directory().nodes().size()));
+    }
+
     @Provides
     @Singleton
     NodeLedgers ledgers(RetryTally retries, ConfigurationKeeper configuration, Quarantine quarantine) {
--- /dev/null
+++ b/src/main/java/io/beryldock/node/QuarantineSpreader.java
@@ -0,0 +1,77 @@
+package io.beryldock.node;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.beryldock.membership.Directory;
+import io.beryldock.membership.NodeDescriptor;
+import io.beryldock.peer.PeerHandler;
+import io.beryldock.peer.PeerTopic;
+import io.beryldock.peer.PeerTransport;
+import io.beryldock.quarantine.Quarantine;
+import io.beryldock.time.TimerService;
+import io.beryldock.wire.QuarantineDelta;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+
+/**
+ * Tells other nodes which requests crash targets.
+ *
+ * <p>Changes go to a few random nodes, which pass on what is news to them; now and then the whole table goes to one
+ * node, in case a message was lost. Nothing is sent while no request is suspected. Runs on the control thread.
+ */
+final class QuarantineSpreader implements PeerHandler {
+
+    private static final FluentLogger log = FluentLogger.forEnclosingClass();
+    private static final Duration CHANGES_PERIOD = Duration.ofMillis(200);
+    private static final Duration WHOLE_PERIOD = Duration.ofSeconds(10);
+    private static final int FAN_OUT = 6;
+
+    private final Quarantine quarantine;
+    private final Supplier<Directory> directory;
+    private final NodeDescriptor self;
+    private final PeerTransport transport;
+    private final RandomGenerator random;
+
+    QuarantineSpreader(
+            Quarantine quarantine,
+            Supplier<Directory> directory,
+            NodeDescriptor self,
+            PeerTransport transport,
+            RandomGenerator random) {
+        this.quarantine = quarantine;
+        this.directory = directory;
+        this.self = self;
+        this.transport = transport;
+        this.random = random;
+    }
+
+    void start(TimerService timers) {
+        timers.every(CHANGES_PERIOD, () -> send(quarantine.takeChanges(), FAN_OUT));
+        timers.every(WHOLE_PERIOD, () -> send(quarantine.export(), 1));
+    }
+
+    private void send(QuarantineDelta delta, int fanOut) {
+        if (delta.getEntriesCount() == 0) {
+            return;
+        }
+        List<NodeDescriptor> others = new ArrayList<>(directory.get().nodes().values());
+        others.removeIf(node -> node.id().equals(self.id()));
+        for (int i = 0; i < fanOut && !others.isEmpty(); i++) {
+            NodeDescriptor node = others.remove(random.nextInt(others.size()));
+            transport.send(node.peerAddress(), PeerTopic.QUARANTINE, delta.toByteString());
+        }
+    }
+
+    @Override
+    public void handle(PeerMessage message) {
+        try {
+            quarantine.merge(QuarantineDelta.parseFrom(message.body()));
+        } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
+            log.atWarning().withCause(e).log(
+                    "node %s sent a malformed table of quarantined requests", message.sender());
+        }
+    }
+}
--- a/src/main/java/io/beryldock/node/TargetAnnouncements.java
+++ b/src/main/java/io/beryldock/node/TargetAnnouncements.java
@@ -26,6 +26,7 @@
 
     private final MembershipService membership;
     private final GateSettings gateSettings;
+    private final boolean boundBySlots;
     private final Duration expiry;
     private final TimerService timers;
     private final RandomGenerator random;
@@ -38,12 +39,14 @@
     TargetAnnouncements(
             MembershipService membership,
             GateSettings gateSettings,
+            boolean boundBySlots,
             Duration expiry,
             TimerService timers,
             RandomGenerator random,
             EventSink events) {
         this.membership = membership;
         this.gateSettings = gateSettings;
+        this.boundBySlots = boundBySlots;
         this.expiry = expiry;
         this.timers = timers;
         this.random = random;
@@ -91,7 +94,7 @@
     }
 
     private TargetGate gateFor(ServiceName service, int slots) {
-        GateSettings settings = gateSettings.withAnnouncedSlots(slots);
+        GateSettings settings = boundBySlots ? gateSettings.withAnnouncedSlots(slots) : gateSettings;
         Optional<TargetGate> kept =
                 current.filter(target -> target.service().equals(service)).map(AnnouncedTarget::gate);
         kept.ifPresent(gate -> gate.reconfigure(settings));
--- a/src/main/java/io/beryldock/node/TrafficModule.java
+++ b/src/main/java/io/beryldock/node/TrafficModule.java
@@ -5,6 +5,7 @@
 import com.google.inject.Singleton;
 import io.beryldock.admission.DoorShedder;
 import io.beryldock.admission.GateSettings;
+import io.beryldock.admission.LimitStrategies;
 import io.beryldock.call.RequestIds;
 import io.beryldock.configuration.ConfigurationKeeper;
 import io.beryldock.forwarding.AnnouncedTarget;
@@ -12,14 +13,17 @@
 import io.beryldock.forwarding.EntryService;
 import io.beryldock.forwarding.ExecutionRegistry;
 import io.beryldock.forwarding.HomeDispatcher;
+import io.beryldock.forwarding.JoiningRequestHandler;
 import io.beryldock.forwarding.KeyedRequestHandler;
 import io.beryldock.forwarding.PeerCallClient;
 import io.beryldock.forwarding.PeerCallServer;
 import io.beryldock.forwarding.RequestJournal;
 import io.beryldock.forwarding.RequestTally;
 import io.beryldock.forwarding.RetryTally;
+import io.beryldock.forwarding.TargetCrashDetector;
 import io.beryldock.forwarding.TargetExecutor;
 import io.beryldock.http.HttpTargetClient;
+import io.beryldock.http.TcpTargetProbe;
 import io.beryldock.idempotency.KeyedRequests;
 import io.beryldock.membership.MembershipService;
 import io.beryldock.membership.NodeDescriptor;
@@ -31,11 +35,13 @@
 import io.beryldock.retry.RetryLedger;
 import io.beryldock.routing.TargetChooser;
 import io.beryldock.settings.NodeSettings;
+import io.beryldock.settings.NodeSettings.Policy;
 import io.beryldock.time.TimerService;
 import io.beryldock.timeline.EventSink;
 import io.beryldock.timeline.RefusalCounter;
 import java.net.InetSocketAddress;
 import java.time.Clock;
+import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 
 /** Binds the request path of one node: entry, attempts, target. Its timers run on traffic threads. */
@@ -44,6 +50,9 @@
     /** Periods in which a caller's hash stays the same; a clock that is off moves one node's edge, no more. */
     private static final long EPOCH_MILLIS = TimeUnit.MINUTES.toMillis(10);
 
+    private static final int BASELINE_QUEUE = 100_000;
+    private static final Duration BASELINE_WAIT = Duration.ofSeconds(60);
+
     private final SharedResources shared;
     private final TimerService timers;
 
@@ -61,8 +70,24 @@
 
     @Provides
     @Singleton
-    GateSettings gateSettings() {
-        return GateSettings.defaults();
+    GateSettings gateSettings(NodeSettings settings) {
+        return settings.policy() == Policy.NONE ? baseline(settings) : GateSettings.defaults();
+    }
+
+    /** What users have today: the target takes as many requests as there are connections to it. */
+    private static GateSettings baseline(NodeSettings settings) {
+        int limit = settings.limits().connectionsToTarget();
+        return new GateSettings(
+                LimitStrategies.fixed(limit),
+                limit,
+                limit,
+                limit,
+                0,
+                BASELINE_QUEUE,
+                BASELINE_WAIT,
+                BASELINE_WAIT,
+                Duration.ZERO,
+                BASELINE_WAIT);
     }
 
     @Provides
@@ -88,8 +113,18 @@
             KeyedRequests keyed,
             EventSink events,
             PeerTransport transport) {
+        TargetCrashDetector crashes = TargetCrashDetector.create(new TcpTargetProbe(), quarantine, timers, events);
         TargetExecutor executor = TargetExecutor.create(new TargetExecutor.Ports(
-                announcements::current, client, executions, ledger, door, quarantine, keyed.guard(), timers, events));
+                announcements::current,
+                client,
+                executions,
+                ledger,
+                door,
+                quarantine,
+                keyed.guard(),
+                crashes,
+                timers,
+                events));
         transport.handle(PeerTopic.CALL, PeerCallServer.create(executor));
         return executor;
     }
@@ -153,6 +188,12 @@
         return RequestJournal.create(refusals, events);
     }
 
+    @Provides
+    @Singleton
+    JoiningRequestHandler joining(EntryService entry) {
+        return JoiningRequestHandler.create(entry);
+    }
+
     @Provides
     @Singleton
     EntryService entry(
