--- a/src/main/java/io/beryldock/standin/HttpListener.java
+++ b/src/main/java/io/beryldock/standin/HttpListener.java
@@ -45,11 +45,13 @@
     private final Server server;
     private final ServerConnector connector;
     private final Set<EndPoint> silenced;
+    private final InetSocketAddress address;
 
     private HttpListener(Server server, ServerConnector connector, Set<EndPoint> silenced) {
         this.server = server;
         this.connector = connector;
         this.silenced = silenced;
+        this.address = new InetSocketAddress(connector.getHost(), connector.getLocalPort());
     }
 
     /** Listens on the address, port 0 for any free one. */
@@ -94,8 +96,9 @@
         return new HttpConnectionFactory(configuration);
     }
 
+    /** Where it listens, or has listened. */
     InetSocketAddress address() {
-        return new InetSocketAddress(connector.getHost(), connector.getLocalPort());
+        return address;
     }
 
     /** From now on nothing gets through on the connections that are open now; new ones work. */
--- a/src/main/java/io/beryldock/standin/SlotQueue.java
+++ b/src/main/java/io/beryldock/standin/SlotQueue.java
@@ -37,6 +37,11 @@
         return true;
     }
 
+    /** Takes a waiting task back; false when it is not waiting any more. */
+    synchronized boolean withdraw(Runnable task) {
+        return waiting.remove(task);
+    }
+
     /** Gives a slot back, to the task that has waited longest if there is one. */
     void release() {
         Runnable next;
--- a/src/main/java/io/beryldock/standin/StandinTarget.java
+++ b/src/main/java/io/beryldock/standin/StandinTarget.java
@@ -108,6 +108,11 @@
         return life.waiting();
     }
 
+    /** Requests that wait or run now. */
+    public int inFlight() {
+        return life.inFlight();
+    }
+
     /** Lets nothing more through on the connections that are open now, in either direction; new ones work. */
     public void silenceOpenConnections() {
         life.silenceOpenConnections();
@@ -132,6 +137,11 @@
         life.crash();
     }
 
+    /** Whether it has crashed and can be started again. */
+    public boolean isCrashed() {
+        return life.isOver();
+    }
+
     /** Starts again at the same address after a crash, cold and with free slots. */
     public void restart() throws StandinException {
         life = newLife(settings.withPort(life.address().getPort()));
@@ -173,7 +183,7 @@
     @Override
     public void close() {
         announcer.ifPresent(TargetAnnouncer::stop);
-        if (!life.isDead()) {
+        if (!life.isOver()) {
             life.crash();
         }
         runs.close();
--- a/src/main/java/io/beryldock/standin/TargetLife.java
+++ b/src/main/java/io/beryldock/standin/TargetLife.java
@@ -32,6 +32,7 @@
     private final CompletableFuture<Void> drained = new CompletableFuture<>();
     private volatile boolean leaving;
     private volatile boolean dead;
+    private volatile boolean over;
     private HttpListener listener;
 
     private TargetLife(
@@ -77,7 +78,7 @@
         inFlight.incrementAndGet();
         runs.add(run);
         exchange.onHangup(run::cancel);
-        if (!slots.submit(run::begin)) {
+        if (!slots.submit(run.task())) {
             runs.remove(run);
             leaveOne();
             TargetAnswers.refuse(exchange, "the queue is full");
@@ -94,6 +95,14 @@
         slots.release();
     }
 
+    /** Takes a run that has ended out of the queue; one that has just left the queue gives its slot back itself. */
+    void withdraw(TargetRun run) {
+        if (slots.withdraw(run.task())) {
+            runs.remove(run);
+            leaveOne();
+        }
+    }
+
     private void leaveOne() {
         if (inFlight.decrementAndGet() == 0 && leaving) {
             drained.complete(null);
@@ -115,6 +124,7 @@
         listener.close();
         runs.forEach(TargetRun::abandon);
         runs.clear();
+        over = true;
     }
 
     void unhang() {
@@ -152,8 +162,9 @@
         return leaving;
     }
 
-    boolean isDead() {
-        return dead;
+    /** Whether it has crashed and given its address free. */
+    boolean isOver() {
+        return over;
     }
 
     int busy() {
@@ -164,6 +175,10 @@
         return slots.waiting();
     }
 
+    int inFlight() {
+        return inFlight.get();
+    }
+
     InetSocketAddress address() {
         return listener.address();
     }
--- a/src/main/java/io/beryldock/standin/TargetRun.java
+++ b/src/main/java/io/beryldock/standin/TargetRun.java
@@ -28,6 +28,7 @@
     private final String path;
     private final String echo;
     private final ImmutableList<InnerCall> innerCalls;
+    private final Runnable task = this::begin;
     private final List<InnerAnswer> innerAnswers = new ArrayList<>();
     private State state = State.WAITING;
     private RunRecord record;
@@ -51,8 +52,13 @@
         this.innerCalls = life.innerCallsOf(exchange.method(), path);
     }
 
-    /** Begins to run, with a slot; ends at once when the caller is gone or its time is over. */
-    void begin() {
+    /** What to do once there is a slot. */
+    Runnable task() {
+        return task;
+    }
+
+    /** Begins to run; ends at once when the caller is gone or its time is over. */
+    private void begin() {
         boolean tooLate = life.settings().acceptsDeadlines() && remainingNanos() <= 0;
         synchronized (this) {
             if (state == State.ENDED || tooLate) {
@@ -174,6 +180,8 @@
         exchange.cutOff();
         if (hadSlot) {
             life.giveBack(this);
+        } else {
+            life.withdraw(this);
         }
     }
 
