--- a/src/main/java/io/beryldock/retry/RetryDecision.java
+++ b/src/main/java/io/beryldock/retry/RetryDecision.java
@@ -13,8 +13,12 @@
     STOP_SERVICE_FULL,
     STOP_NO_OTHER_TARGET,
     STOP_NO_TIME,
-    /** It was in flight when a target crashed. */
-    STOP_SUSPECT;
+    /** It may have run, and was in flight when a target crashed. */
+    STOP_SUSPECT,
+    /** The root request's retries are spent, or held elsewhere in the tree. */
+    STOP_ALLOWANCE_SPENT,
+    /** The pair of services has had its share of retries. */
+    STOP_BUDGET_SPENT;
 
     public boolean isRetry() {
         return this == RETRY_ELSEWHERE;
--- a/src/test/java/io/beryldock/admission/ChainMeasurement.java
+++ b/src/test/java/io/beryldock/admission/ChainMeasurement.java
@@ -9,19 +9,27 @@
 public final class ChainMeasurement {
 
     private static final ImmutableList<Stage> CHAIN =
-            ImmutableList.of(new Stage(50, 10), new Stage(50, 10), new Stage(15, 20));
+            ImmutableList.of(new Stage(50, 10, 1), new Stage(50, 10, 1), new Stage(15, 20, 1));
+
+    private static final ImmutableList<Stage> WIDE =
+            ImmutableList.of(new Stage(200, 10, 1), new Stage(200, 10, 1), new Stage(15, 20, 1));
+    private static final ImmutableList<Stage> MANY =
+            ImmutableList.of(new Stage(200, 10, 1), new Stage(200, 10, 4), new Stage(15, 10, 1));
 
     private ChainMeasurement() {}
 
     public static void main(String[] args) {
         int seeds = args.length > 0 ? Integer.parseInt(args[0]) : 3;
-        System.out.println("scenario             door  goodput wasted  rank0   rank3   rank6  atDoor recovery broken");
+        System.out.println(
+                "scenario             door  goodput wasted  rank0   rank3   rank6  atDoor p99ms0 recovery broken");
         for (boolean door : new boolean[] {true, false}) {
             for (int seed = 1; seed <= seeds; seed++) {
                 print("one 3x", door, one(seed, door, 15, 20, 3).run());
                 print("one 3x small", door, one(seed, door, 3, 50, 3).run());
-                print("chain 3x", door, chain(seed, door, 9).run());
-                print("chain 3x many doors", door, chain(seed, door, 200).run());
+                print("chain 3x", door, chain(seed, door, CHAIN, 9).run());
+                print("chain 3x many doors", door, chain(seed, door, CHAIN, 200).run());
+                print("wide 3x", door, chain(seed, door, WIDE, 9).run());
+                print("many calls 3x", door, chain(seed, door, MANY, 9).run());
                 print("chain slow spell", door, slowSpell(seed, door, 0.8).run(4, 7));
                 print("chain slow and surge", door, slowSpell(seed, door, 1.3).run(4, 7));
                 print("chain surge ends", door, surge(seed, door).run(4, 7));
@@ -30,11 +38,11 @@
     }
 
     private static ChainSimulation one(int seed, boolean door, int slots, double millis, double load) {
-        return simulate(seed, door, ImmutableList.of(new Stage(slots, millis)), 9, load, t -> 1, 10);
+        return simulate(seed, door, ImmutableList.of(new Stage(slots, millis, 1)), 9, load, t -> 1, 10);
     }
 
-    private static ChainSimulation chain(int seed, boolean door, int entries) {
-        return simulate(seed, door, CHAIN, entries, 3, t -> 1, 10);
+    private static ChainSimulation chain(int seed, boolean door, ImmutableList<Stage> stages, int entries) {
+        return simulate(seed, door, stages, entries, 3, t -> 1, 10);
     }
 
     private static ChainSimulation slowSpell(int seed, boolean door, double load) {
@@ -70,13 +78,25 @@
             DoubleUnaryOperator slowness,
             int seconds) {
         return new ChainSimulation.Setup(
-                seed, seconds, stages, 3, entries, door, GateSettings.defaults(), true, demand, slowness, 3, 1);
+                seed,
+                seconds,
+                stages,
+                3,
+                entries,
+                door,
+                GateSettings.defaults(),
+                1,
+                Integer.MAX_VALUE,
+                demand,
+                slowness,
+                3,
+                1);
     }
 
     private static void print(String scenario, boolean door, ChainSimulation.Result result) {
         System.out.printf(
                 Locale.ROOT,
-                "%-20s %-5s %7.3f %6.3f %7.4f %7.4f %7.4f %6.3f %8.2f %d%n",
+                "%-20s %-5s %7.3f %6.3f %7.4f %7.4f %7.4f %6.3f %6.0f %8.2f %d%n",
                 scenario,
                 door,
                 result.goodputShare(),
@@ -85,6 +105,7 @@
                 result.answeredRank3(),
                 result.answeredRank6(),
                 result.shedAtDoor(),
+                result.rank0P99Millis(),
                 result.recoverySeconds(),
                 result.broken());
     }
