--- a/src/main/java/io/beryldock/standin/TargetAnswers.java
+++ b/src/main/java/io/beryldock/standin/TargetAnswers.java
@@ -14,8 +14,9 @@
 /**
  * Writes the answers of a target, each naming the request it answers, so that a crossed answer is seen.
  *
- * <p>Stateless. Example: {@code {"service":"lists","path":"/lists/1","echo":"t7","run":12,"inner":[{...}]}}; each element
- * of {@code inner} is the whole answer to an inner call.
+ * <p>Stateless. Example: {@code {"service":"lists","path":"/lists/1","echo":"t7","run":12,"nanos":51000,"calls":1,"inner":[{...}]}};
+ * {@code nanos} is the time from its arrival to its answer, {@code calls} the number of inner calls that it needs, and each
+ * element of {@code inner} the whole answer to one.
  */
 final class TargetAnswers {
 
@@ -49,13 +50,14 @@
             String service,
             RunRecord record,
             ImmutableList<InnerCall> calls,
-            List<InnerAnswer> answers) {
+            List<InnerAnswer> answers,
+            long nanos) {
         boolean good = answers.stream().allMatch(InnerAnswer::isGood);
-        exchange.answer(good ? OK : INNER_FAILED, TYPE, body(service, record, calls, answers));
+        exchange.answer(good ? OK : INNER_FAILED, TYPE, body(service, record, calls, answers, nanos));
     }
 
     private static byte[] body(
-            String service, RunRecord record, ImmutableList<InnerCall> calls, List<InnerAnswer> answers) {
+            String service, RunRecord record, ImmutableList<InnerCall> calls, List<InnerAnswer> answers, long nanos) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         try (JsonGenerator json = JSON.createGenerator(out)) {
             json.writeStartObject();
@@ -63,6 +65,8 @@
             json.writeStringField("path", record.path());
             json.writeStringField("echo", record.echo());
             json.writeNumberField("run", record.order());
+            json.writeNumberField("nanos", nanos);
+            json.writeNumberField("calls", calls.size());
             json.writeArrayFieldStart("inner");
             for (int i = 0; i < answers.size(); i++) {
                 writeInner(json, calls.get(i), answers.get(i));
--- a/src/main/java/io/beryldock/standin/TargetRun.java
+++ b/src/main/java/io/beryldock/standin/TargetRun.java
@@ -144,7 +144,9 @@
         } else if (life.chance(faults.bareErrorShare())) {
             TargetAnswers.bareError(exchange);
         } else {
-            TargetAnswers.answer(exchange, life.settings().service(), record, innerCalls, innerAnswers());
+            long nanos = life.now() - arrival;
+            String service = life.settings().service();
+            TargetAnswers.answer(exchange, service, record, innerCalls, innerAnswers(), nanos);
         }
         life.giveBack(this);
     }
