--- a/src/main/java/io/beryldock/configuration/ConfigurationSync.java
+++ b/src/main/java/io/beryldock/configuration/ConfigurationSync.java
@@ -45,6 +45,7 @@
     private static final int LOG_SECONDS = 10;
 
     private static final long PAUSED_NANOS = DIGEST_PERIOD.multipliedBy(2).toNanos();
+    private static final long ALONE_NANOS = DIGEST_PERIOD.multipliedBy(3).toNanos();
 
     private final NodeDescriptor self;
     private final ConfigurationKeeper keeper;
@@ -58,6 +59,7 @@
     private PeerChoice choice = PeerChoice.none();
     private long pushed;
     private long lastTick;
+    private long lastHeard;
 
     private ConfigurationSync(NodeDescriptor self, ConfigurationKeeper keeper, Ports ports) {
         this.self = self;
@@ -99,6 +101,7 @@
      */
     public CompletableFuture<StartReport> start() {
         lastTick = ports.timers().ticker().nanos();
+        lastHeard = lastTick;
         subscriptions.add(keeper.onChange(this::spread));
         refreshChoice();
         long jitter = ports.random().nextLong(DIGEST_PERIOD.toNanos());
@@ -132,7 +135,18 @@
         if (directory != choice.directory()) {
             choice = PeerChoice.of(self, directory);
         }
-        watch.want(choice.watcher());
+        watch.want(choice.watcher() || isAlone());
+    }
+
+    /**
+     * Whether no peer has been heard of for a while.
+     *
+     * <p>Guards against a node whose neighbours are gone, or can't reach it, before the directory says so: it would
+     * show as one node that goes on by old settings. Every node has two that send it digests, so silence means that,
+     * and the node then watches the store itself and asks other data centres.
+     */
+    private boolean isAlone() {
+        return ports.timers().ticker().nanos() - lastHeard > ALONE_NANOS;
     }
 
     private void tick() {
@@ -140,7 +154,7 @@
         noteTick();
         choice.neighbour(ports.random()).ifPresent(this::sendDigest);
         choice.watchersElsewhere(1, ports.random()).forEach(this::sendDigest);
-        if (ports.random().nextInt(ELSEWHERE_EVERY) == 0) {
+        if (isAlone() || ports.random().nextInt(ELSEWHERE_EVERY) == 0) {
             choice.anyElsewhere(self, ports.random()).ifPresent(this::sendDigest);
         }
         if (choice.neighbours().isEmpty()) {
@@ -177,6 +191,7 @@
     public void onMessage(NodeId sender, ByteString bytes) {
         try {
             Messenger.Received received = Messenger.read(bytes);
+            lastHeard = ports.timers().ticker().nanos();
             dispatch(received.from(), received.message());
         } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
             log.atWarning().atMostEvery(LOG_SECONDS, TimeUnit.SECONDS).log(
--- a/src/main/java/io/beryldock/configuration/Submission.java
+++ b/src/main/java/io/beryldock/configuration/Submission.java
@@ -95,7 +95,7 @@
     }
 
     private CompletableFuture<ChangeResult> readFailed(Throwable failure) {
-        log.atFine().withCause(failure).log("reading the configuration failed");
+        log.atFine().log("reading the configuration failed: %s", failure);
         failures++;
         return failures > MAX_FAILURES ? done(new ChangeResult.NotAccepted(STORE_DOWN)) : again(failures, this::round);
     }
--- a/src/test/java/io/beryldock/configuration/FleetNode.java
+++ b/src/test/java/io/beryldock/configuration/FleetNode.java
@@ -33,6 +33,7 @@
     ConfigurationKeeper.VersionRule versionRule = ConfigurationKeeper.HIGHER_ONLY;
     boolean stopped = true;
     boolean paused;
+    boolean listed = true;
     int starts;
     long steadySince;
     long highest;
@@ -84,6 +85,7 @@
                         random,
                         EventSink.none()));
         started = sync.start();
+        fleet.detect(this);
     }
 
     static Configuration defaults() {
@@ -97,12 +99,18 @@
     /** Ends the process without a word. */
     void kill() {
         stopped = true;
+        paused = false;
         steadySince = Long.MAX_VALUE;
+        fleet.detect(this);
     }
 
     void pause() {
+        if (stopped) {
+            return;
+        }
         paused = true;
         steadySince = Long.MAX_VALUE;
+        fleet.detect(this);
     }
 
     void resume() {
@@ -111,6 +119,7 @@
         }
         paused = false;
         steadySince = fleet.now();
+        fleet.detect(this);
         List<Runnable> tasks = new ArrayList<>(held);
         held.clear();
         tasks.forEach(fleet.guarded()::execute);
