--- a/src/main/java/io/beryldock/command/LocalQuery.java
+++ b/src/main/java/io/beryldock/command/LocalQuery.java
@@ -18,38 +18,39 @@
         return new LocalQuery(ports);
     }
 
-    /** This node's part of the answer, without the version's question; the future may fail. */
+    /** This node's part of the answer; the future may fail. */
     CompletableFuture<QueryResult> answer(Query query, int maxRows) {
         return table(query).thenApply(table -> {
             QueryTable kept = RowLimit.apply(query.topic(), table, maxRows);
             int leftOut = table.rows().size() - kept.rows().size();
-            return QueryResult.ofNode(kept, version(), leftOut);
+            return QueryResult.ofNode(kept, leftOut);
         });
     }
 
-    private VersionCount version() {
-        return new VersionCount(ports.dataCentre(), ports.inspector().configurationVersion(), 1);
-    }
-
     private CompletableFuture<QueryTable> table(Query query) {
-        if (query.statement().isEmpty()) {
-            return CompletableFuture.completedFuture(QueryTable.empty());
-        }
-        if (query.statement().get() instanceof WhyStatement why) {
+        if (query.statement() instanceof WhyStatement why) {
             ImmutableList<Event> events = ports.events().explain(why.request());
-            return CompletableFuture.completedFuture(TimelineTable.of(events));
+            return done(TimelineTable.of(events));
         }
-        return show((ShowStatement) query.statement().get());
+        return show((ShowStatement) query.statement());
     }
 
     private CompletableFuture<QueryTable> show(ShowStatement show) {
         return switch (show.topic()) {
-            case TIMELINE -> CompletableFuture.completedFuture(TimelineTable.of(timeline(show)));
-            case SHED -> CompletableFuture.completedFuture(shed(show));
+            case TIMELINE -> done(TimelineTable.of(timeline(show)));
+            case SHED -> done(shed(show));
+            case CONFIGURATION ->
+                done(ConfigurationTable.settings(ports.configuration().current()));
+            case CHANGES ->
+                done(ConfigurationTable.changes(ports.configuration().changes()));
             default -> ports.inspector().inspect(show);
         };
     }
 
+    private static CompletableFuture<QueryTable> done(QueryTable table) {
+        return CompletableFuture.completedFuture(table);
+    }
+
     private QueryTable shed(ShowStatement show) {
         return RefusalTable.of(ports.refusals().last(show.lastOrDefault()), show.groupingOrDefault());
     }
--- a/src/main/java/io/beryldock/command/OperatorPorts.java
+++ b/src/main/java/io/beryldock/command/OperatorPorts.java
@@ -2,6 +2,7 @@
 
 import io.beryldock.call.DataCentre;
 import io.beryldock.call.NodeId;
+import io.beryldock.configuration.ConfigurationKeeper;
 import io.beryldock.membership.Directory;
 import io.beryldock.peer.PeerTransport;
 import io.beryldock.time.TimerService;
@@ -14,6 +15,7 @@
  * What a node lends to its operator service. Immutable.
  *
  * @param directory the latest picture of nodes and targets
+ * @param configuration in force at this node, with its last changes
  * @param target the target in this node's VM
  * @param events the event ring of this node, with its clock
  * @param refusals counts of the requests that this node refused
@@ -25,7 +27,9 @@
         Supplier<Directory> directory,
         PeerTransport transport,
         NodeInspector inspector,
+        ConfigurationKeeper configuration,
         ConfigurationChanger changer,
+        InForceCheck inForce,
         LocalTarget target,
         EventRing events,
         RefusalCounter refusals,
--- a/src/main/java/io/beryldock/command/OperatorService.java
+++ b/src/main/java/io/beryldock/command/OperatorService.java
@@ -5,8 +5,10 @@
 import com.google.common.flogger.FluentLogger;
 import io.beryldock.call.DataCentre;
 import io.beryldock.call.RequestId;
+import io.beryldock.configuration.InForceReport;
 import io.beryldock.membership.NodeDescriptor;
 import io.beryldock.peer.PeerTopic;
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 
 /**
@@ -18,18 +20,22 @@
 
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
 
+    /** How long an accepted change may take to be in force everywhere. */
+    static final Duration IN_FORCE_WAIT = Duration.ofSeconds(13);
+
+    /** How long a look at where a version is in force may take. */
+    static final Duration LOOK = Duration.ofSeconds(3);
+
     private final OperatorPorts ports;
     private final LocalQuery local;
     private final QueryGatherer gatherer;
     private final TargetCommander commander;
-    private final InForceWatcher inForce;
 
     private OperatorService(OperatorPorts ports) {
         this.ports = ports;
         this.local = LocalQuery.create(ports);
         this.gatherer = QueryGatherer.create(ports, local);
         this.commander = TargetCommander.create(ports);
-        this.inForce = InForceWatcher.create(gatherer, ports.timer());
     }
 
     /** Creates the service and registers it for the queries of other nodes; call before the transport starts. */
@@ -78,10 +84,13 @@
         return gatherer.gather(Query.of(show), scope(show)).thenApply(result -> ResponseFactory.found(asked, result));
     }
 
+    /** The settings of this node, and where else its version is in force. */
     private CompletableFuture<OperatorResponse> showConfiguration(ShowStatement show, Statement asked) {
-        CompletableFuture<QueryResult> own = local.answer(Query.of(show), QueryGatherer.MAX_ROWS);
-        CompletableFuture<QueryResult> versions = gatherer.gather(Query.ofVersion(), scope(show));
-        return own.thenCombine(versions, (table, all) -> ResponseFactory.configuration(asked, table, all));
+        long version = ports.configuration().current().version();
+        CompletableFuture<QueryResult> settings = local.answer(Query.of(show), QueryGatherer.MAX_ROWS);
+        return settings.thenCombine(
+                ports.inForce().check(version, LOOK),
+                (result, report) -> ResponseFactory.configuration(asked, result, report));
     }
 
     private ImmutableSet<DataCentre> scope(ShowStatement show) {
@@ -112,10 +121,17 @@
             return commander.command(target).thenApply(report -> ResponseFactory.commanded(target, report));
         }
         ChangeRequest request = new ChangeRequest((ChangeStatement.OfConfiguration) change, operator, false);
-        return ports.changer()
-                .change(request)
-                .thenCompose(inForce::await)
-                .thenApply(report -> ResponseFactory.changed(change, report));
+        return ports.changer().change(request).thenCompose(report -> changed(change, report));
+    }
+
+    private CompletableFuture<OperatorResponse> changed(Statement statement, ChangeReport report) {
+        if (report instanceof ChangeReport.Accepted accepted) {
+            return ports.inForce()
+                    .check(accepted.version(), IN_FORCE_WAIT)
+                    .exceptionally(error -> new InForceReport(accepted.version(), ImmutableList.of()))
+                    .thenApply(spread -> ResponseFactory.accepted(statement, accepted, spread));
+        }
+        return CompletableFuture.completedFuture(ResponseFactory.changed(statement, report));
     }
 
     private static OperatorResponse failed(Statement statement, Throwable error) {
--- a/src/main/java/io/beryldock/command/Query.java
+++ b/src/main/java/io/beryldock/command/Query.java
@@ -1,33 +1,24 @@
 package io.beryldock.command;
 
 import com.google.common.collect.ImmutableList;
-import java.util.Optional;
 
 /**
  * A question that nodes ask one another. Immutable.
  *
- * @param statement a {@link ShowStatement} or {@link WhyStatement}; empty asks for the configuration's version only
+ * @param statement a {@link ShowStatement} or {@link WhyStatement} about one node's part
  */
-record Query(Optional<Statement> statement) {
+record Query(Statement statement) {
 
     static Query of(ShowStatement show) {
-        return new Query(Optional.of(show.here()));
+        return new Query(show.here());
     }
 
     static Query of(WhyStatement why) {
-        return new Query(Optional.of(new WhyStatement(why.request(), false)));
-    }
-
-    /** Which version of the configuration is in force. */
-    static Query ofVersion() {
-        return new Query(Optional.empty());
+        return new Query(new WhyStatement(why.request(), false));
     }
 
     /** Reads the form on the wire. */
     static Query parse(String text) throws StatementException {
-        if (text.isEmpty()) {
-            return ofVersion();
-        }
         Statement statement = StatementParser.parse(text);
         if (statement instanceof ShowStatement show) {
             return of(show);
@@ -39,11 +30,11 @@
     }
 
     String text() {
-        return statement.map(Statement::text).orElse("");
+        return statement.text();
     }
 
     /** The topic whose order the rows follow; decisions over a request are a part of the time line. */
     ShowTopic topic() {
-        return statement.orElse(null) instanceof ShowStatement show ? show.topic() : ShowTopic.TIMELINE;
+        return statement instanceof ShowStatement show ? show.topic() : ShowTopic.TIMELINE;
     }
 }
--- a/src/main/java/io/beryldock/command/QueryCodec.java
+++ b/src/main/java/io/beryldock/command/QueryCodec.java
@@ -2,14 +2,12 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSortedSet;
-import io.beryldock.call.DataCentre;
 import io.beryldock.call.NodeId;
 import io.beryldock.timeline.HlcTime;
 import io.beryldock.wire.QueryCell;
 import io.beryldock.wire.QueryColumn;
 import io.beryldock.wire.QueryReply;
 import io.beryldock.wire.QueryRow;
-import io.beryldock.wire.QueryVersion;
 
 /** Turns the results of queries into messages and back. Stateless, thread safe. */
 final class QueryCodec {
@@ -25,7 +23,6 @@
         result.silentNodes().forEach(node -> reply.addSilentNodes(node.value()));
         result.table().columns().forEach(column -> reply.addColumns(column(column)));
         result.table().rows().forEach(row -> reply.addRows(row(row)));
-        result.versions().forEach(version -> reply.addVersions(version(version)));
         return reply.build();
     }
 
@@ -47,7 +44,6 @@
                         .collect(ImmutableSortedSet.toImmutableSortedSet(NodeId::compareTo)),
                 ImmutableSortedSet.of(),
                 ImmutableList.copyOf(reply.getNotesList()),
-                reply.getVersionsList().stream().map(QueryCodec::version).collect(ImmutableList.toImmutableList()),
                 reply.getRowsLeftOut());
     }
 
@@ -94,16 +90,4 @@
             case VALUE_NOT_SET -> new Cell.Empty();
         };
     }
-
-    private static QueryVersion version(VersionCount version) {
-        return QueryVersion.newBuilder()
-                .setDataCentre(version.dataCentre().value())
-                .setVersion(version.version())
-                .setNodes(version.nodes())
-                .build();
-    }
-
-    private static VersionCount version(QueryVersion version) {
-        return new VersionCount(DataCentre.of(version.getDataCentre()), version.getVersion(), version.getNodes());
-    }
 }
--- a/src/main/java/io/beryldock/command/QueryGatherer.java
+++ b/src/main/java/io/beryldock/command/QueryGatherer.java
@@ -83,23 +83,6 @@
         return answerSelf(query, rowsPerNode).thenCombine(replies, (own, others) -> merge(query, own, others, maxRows));
     }
 
-    /** Versions in force at a few nodes of each data centre, so that a change is soon known to be in force. */
-    CompletableFuture<QueryResult> sampleVersions(int nodesPerDataCentre) {
-        List<NodeDescriptor> sample = new ArrayList<>();
-        for (DataCentre dataCentre : dataCentres()) {
-            sample.addAll(pick(dataCentre, nodesPerDataCentre));
-        }
-        Query query = Query.ofVersion();
-        CompletableFuture<ImmutableList<QueryResult>> replies = BoundedFanOut.run(
-                sample,
-                MAX_CONCURRENT,
-                peer -> ask(peer, query, QueryScope.NODE, 1, NODE_TIMEOUT),
-                peer -> QueryResult.silent(peer.id()),
-                ports.timer(),
-                DATA_CENTRE_BUDGET);
-        return answerSelf(query, 1).thenCombine(replies, (own, others) -> merge(query, own, others, MAX_ROWS));
-    }
-
     /** All data centres that the directory knows, this one among them. */
     ImmutableSortedSet<DataCentre> dataCentres() {
         ImmutableSortedSet.Builder<DataCentre> all = ImmutableSortedSet.naturalOrder();
--- a/src/main/java/io/beryldock/command/QueryResult.java
+++ b/src/main/java/io/beryldock/command/QueryResult.java
@@ -15,7 +15,6 @@
  * @param silentNodes the nodes that did not answer in time, or said that they could not answer
  * @param silentDataCentres the data centres of which no node answered
  * @param notes sentences for the operator
- * @param versions of the configuration at the nodes that answered
  * @param rowsLeftOut rows that the bound on the answer's size left out
  */
 public record QueryResult(
@@ -24,7 +23,6 @@
         ImmutableSortedSet<NodeId> silentNodes,
         ImmutableSortedSet<DataCentre> silentDataCentres,
         ImmutableList<String> notes,
-        ImmutableList<VersionCount> versions,
         long rowsLeftOut) {
 
     public QueryResult {
@@ -32,19 +30,12 @@
         Objects.requireNonNull(silentNodes, "silentNodes");
         Objects.requireNonNull(silentDataCentres, "silentDataCentres");
         Objects.requireNonNull(notes, "notes");
-        Objects.requireNonNull(versions, "versions");
     }
 
     /** The answer of one node. */
-    static QueryResult ofNode(QueryTable table, VersionCount version, long rowsLeftOut) {
+    static QueryResult ofNode(QueryTable table, long rowsLeftOut) {
         return new QueryResult(
-                table,
-                1,
-                ImmutableSortedSet.of(),
-                ImmutableSortedSet.of(),
-                ImmutableList.of(),
-                ImmutableList.of(version),
-                rowsLeftOut);
+                table, 1, ImmutableSortedSet.of(), ImmutableSortedSet.of(), ImmutableList.of(), rowsLeftOut);
     }
 
     /** A node did not answer. */
@@ -69,6 +60,6 @@
 
     private static QueryResult nothing(
             ImmutableSortedSet<NodeId> nodes, ImmutableSortedSet<DataCentre> dataCentres, ImmutableList<String> notes) {
-        return new QueryResult(QueryTable.empty(), 0, nodes, dataCentres, notes, ImmutableList.of(), 0);
+        return new QueryResult(QueryTable.empty(), 0, nodes, dataCentres, notes, 0);
     }
 }
--- a/src/main/java/io/beryldock/command/ResponseFactory.java
+++ b/src/main/java/io/beryldock/command/ResponseFactory.java
@@ -7,7 +7,10 @@
 import io.beryldock.command.OperatorResponse.ChangeDetail;
 import io.beryldock.command.OperatorResponse.ErrorDetail;
 import io.beryldock.command.OperatorResponse.Status;
+import io.beryldock.configuration.Configuration;
+import io.beryldock.configuration.InForceReport;
 import java.util.Optional;
+import java.util.stream.Collectors;
 
 /** Makes the responses to operators; the messages told to them stand here. Stateless, thread safe. */
 final class ResponseFactory {
@@ -21,6 +24,10 @@
 
     static OperatorResponse failed(Statement statement, Throwable error) {
         Throwable cause = error.getCause() == null ? error : error.getCause();
+        if (statement instanceof ChangeStatement) {
+            String remedy = "it may have been carried out: see show changes and show targets";
+            return error(Status.UNKNOWN, statement.text(), detail(String.valueOf(cause.getMessage()), remedy));
+        }
         String remedy = "see the node's log for the statement and the cause";
         return error(Status.FAILED, statement.text(), detail(String.valueOf(cause.getMessage()), remedy));
     }
@@ -41,21 +48,14 @@
         return found(why, result, notes.build());
     }
 
-    static OperatorResponse configuration(Statement statement, QueryResult own, QueryResult versions) {
-        ImmutableList.Builder<String> notes = notes(versions);
-        for (VersionCount count : versions.versions()) {
-            notes.add("version " + count.version() + " is in force in " + count.dataCentre() + " at " + count.nodes()
-                    + (count.nodes() == 1 ? " node" : " nodes"));
-        }
-        QueryResult both = new QueryResult(
-                own.table(),
-                versions.answered(),
-                versions.silentNodes(),
-                versions.silentDataCentres(),
-                versions.notes(),
-                versions.versions(),
-                own.rowsLeftOut());
-        return found(statement, both, notes.build());
+    static OperatorResponse configuration(Statement statement, QueryResult own, InForceReport report) {
+        ImmutableList.Builder<String> notes = notes(own);
+        notes.add(
+                report.version() == Configuration.DEFAULTS_VERSION
+                        ? "version 0: the defaults, no change has been accepted yet"
+                        : "version " + report.version());
+        report.dataCentres().forEach(line -> notes.add(inForce(line)));
+        return found(statement, own, notes.build());
     }
 
     static OperatorResponse commanded(ChangeStatement.OfTarget change, TargetReport report) {
@@ -68,17 +68,13 @@
     }
 
     static OperatorResponse changed(Statement statement, ChangeReport report) {
-        if (report instanceof ChangeReport.Accepted accepted) {
-            return accepted(statement, accepted);
-        }
         if (report instanceof ChangeReport.WouldChange would) {
             return wouldChange(statement, would);
         }
         if (report instanceof ChangeReport.Conflict conflict) {
-            String message = conflict.setting() + " is " + conflict.otherValue() + " since version "
-                    + conflict.version() + ", set by " + conflict.otherOperator() + " at the same time";
-            String remedy = "nothing was written; if your value is still right, send the statement again";
-            return error(Status.CONFLICT, statement.text(), detail(message, remedy));
+            String message = conflict.setting() + " was set to '" + conflict.otherValue() + "' by "
+                    + conflict.otherOperator() + " in version " + conflict.version() + "; nothing was written";
+            return error(Status.CONFLICT, statement.text(), detail(message, conflict.remedy()));
         }
         if (report instanceof ChangeReport.Unknown unknown) {
             String message = "the platform store did not say whether change " + unknown.changeId() + " was written";
@@ -88,25 +84,43 @@
         return error(Status.REFUSED, statement.text(), detail(rejected.message(), rejected.remedy()));
     }
 
-    private static OperatorResponse accepted(Statement statement, ChangeReport.Accepted accepted) {
-        int known = accepted.inForce().size() + accepted.missing().size();
+    static OperatorResponse accepted(Statement statement, ChangeReport.Accepted accepted, InForceReport report) {
         ImmutableList.Builder<String> notes = ImmutableList.builder();
         notes.add("change " + accepted.changeId() + " accepted as version " + accepted.version() + ", in force in "
-                + accepted.inForce().size() + " of " + known + " data centres");
-        if (!accepted.missing().isEmpty()) {
-            notes.add("not yet seen in force in " + names(accepted.missing())
-                    + "; it stays accepted and follows there: show configuration everywhere");
+                + report.dataCentresInForce() + " of " + report.dataCentres().size() + " data centres");
+        boolean everywhere = report.everywhere() && !report.dataCentres().isEmpty();
+        if (!everywhere) {
+            report.dataCentres().stream().filter(line -> !isInForce(line)).forEach(line -> notes.add(inForce(line)));
+            notes.add("it stays accepted and follows there; look again with show configuration");
         }
         ChangeDetail detail = new ChangeDetail(
                 Optional.of(accepted.changeId()),
                 accepted.version(),
-                texts(accepted.inForce()),
-                texts(accepted.missing()),
-                accepted.effects());
-        Status status = accepted.missing().isEmpty() ? Status.OK : Status.PARTIAL;
+                names(report, true),
+                names(report, false),
+                ImmutableList.of());
+        Status status = everywhere ? Status.OK : Status.PARTIAL;
         return response(status, statement.text(), notes.build(), Optional.of(detail), Optional.empty());
     }
 
+    private static boolean isInForce(InForceReport.Line line) {
+        return line.holding() == line.nodes();
+    }
+
+    private static String inForce(InForceReport.Line line) {
+        String nodes = line.nodes() == 1 ? " node" : " nodes";
+        String text = line.dataCentre() + ": in force at " + line.holding() + " of " + line.nodes() + nodes;
+        String behind = line.behind().stream().map(NodeId::value).collect(Collectors.joining(", "));
+        return behind.isEmpty() ? text : text + "; behind or silent: " + behind;
+    }
+
+    private static ImmutableList<String> names(InForceReport report, boolean inForce) {
+        return report.dataCentres().stream()
+                .filter(line -> isInForce(line) == inForce)
+                .map(line -> line.dataCentre().value())
+                .collect(ImmutableList.toImmutableList());
+    }
+
     private static OperatorResponse wouldChange(Statement statement, ChangeReport.WouldChange would) {
         String note = would.effects().isEmpty() ? "it would change nothing" : "nothing was written";
         ChangeDetail detail = new ChangeDetail(
@@ -161,8 +175,4 @@
     private static ImmutableList<String> texts(ImmutableSortedSet<DataCentre> dataCentres) {
         return dataCentres.stream().map(DataCentre::value).collect(ImmutableList.toImmutableList());
     }
-
-    private static String names(ImmutableSortedSet<DataCentre> dataCentres) {
-        return String.join(", ", texts(dataCentres));
-    }
 }
--- a/src/main/java/io/beryldock/command/ResultMerger.java
+++ b/src/main/java/io/beryldock/command/ResultMerger.java
@@ -8,7 +8,6 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.TreeMap;
 
 /** Makes one result of the results of many nodes or data centres. Stateless, thread safe. */
 final class ResultMerger {
@@ -41,21 +40,6 @@
                 nodes.build(),
                 dataCentres.build(),
                 notes.stream().limit(MAX_NOTES).collect(ImmutableList.toImmutableList()),
-                versions(results),
                 leftOut + whole.rows().size() - kept.rows().size());
     }
-
-    private static ImmutableList<VersionCount> versions(List<QueryResult> results) {
-        TreeMap<DataCentre, TreeMap<Long, Integer>> counts = new TreeMap<>();
-        for (QueryResult result : results) {
-            for (VersionCount version : result.versions()) {
-                counts.computeIfAbsent(version.dataCentre(), name -> new TreeMap<>())
-                        .merge(version.version(), version.nodes(), Integer::sum);
-            }
-        }
-        ImmutableList.Builder<VersionCount> list = ImmutableList.builder();
-        counts.forEach((dataCentre, byVersion) ->
-                byVersion.forEach((version, nodes) -> list.add(new VersionCount(dataCentre, version, nodes))));
-        return list.build();
-    }
 }
--- a/src/main/java/io/beryldock/command/TargetCommander.java
+++ b/src/main/java/io/beryldock/command/TargetCommander.java
@@ -66,7 +66,6 @@
                 ImmutableSortedSet.of(),
                 ImmutableSortedSet.of(),
                 ImmutableList.of(apply(change)),
-                ImmutableList.of(),
                 0);
     }
 
--- a/src/main/java/io/beryldock/wire/Query.java
+++ b/src/main/java/io/beryldock/wire/Query.java
@@ -46,11 +46,6 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_beryldock_query_QueryRow_fieldAccessorTable;
-  static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_beryldock_query_QueryVersion_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_beryldock_query_QueryVersion_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_beryldock_query_QueryReply_descriptor;
   static final 
@@ -72,16 +67,13 @@
       "erge\030\003 \001(\t\"H\n\tQueryCell\022\016\n\004text\030\001 \001(\tH\000\022" +
       "\017\n\005whole\030\002 \001(\022H\000\022\021\n\007decimal\030\003 \001(\001H\000B\007\n\005v" +
       "alue\"5\n\010QueryRow\022)\n\005cells\030\001 \003(\0132\032.beryld" +
-      "ock.query.QueryCell\"C\n\014QueryVersion\022\023\n\013d" +
-      "ata_centre\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\022\r\n\005nod" +
-      "es\030\003 \001(\r\"\200\002\n\nQueryReply\022-\n\007columns\030\001 \003(\013" +
-      "2\034.beryldock.query.QueryColumn\022\'\n\004rows\030\002" +
-      " \003(\0132\031.beryldock.query.QueryRow\022\020\n\010answe" +
-      "red\030\003 \001(\r\022\024\n\014silent_nodes\030\004 \003(\t\022\r\n\005notes" +
-      "\030\005 \003(\t\022/\n\010versions\030\006 \003(\0132\035.beryldock.que" +
-      "ry.QueryVersion\022\r\n\005error\030\007 \001(\t\022\025\n\rrows_l" +
-      "eft_out\030\010 \001(\004\022\014\n\004time\030\t \001(\006B\025\n\021io.beryld" +
-      "ock.wireP\001b\006proto3"
+      "ock.query.QueryCell\"\317\001\n\nQueryReply\022-\n\007co" +
+      "lumns\030\001 \003(\0132\034.beryldock.query.QueryColum" +
+      "n\022\'\n\004rows\030\002 \003(\0132\031.beryldock.query.QueryR" +
+      "ow\022\020\n\010answered\030\003 \001(\r\022\024\n\014silent_nodes\030\004 \003" +
+      "(\t\022\r\n\005notes\030\005 \003(\t\022\r\n\005error\030\006 \001(\t\022\025\n\rrows" +
+      "_left_out\030\007 \001(\004\022\014\n\004time\030\010 \001(\006B\025\n\021io.bery" +
+      "ldock.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -111,18 +103,12 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_beryldock_query_QueryRow_descriptor,
         new java.lang.String[] { "Cells", });
-    internal_static_beryldock_query_QueryVersion_descriptor =
-      getDescriptor().getMessageType(4);
-    internal_static_beryldock_query_QueryVersion_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_beryldock_query_QueryVersion_descriptor,
-        new java.lang.String[] { "DataCentre", "Version", "Nodes", });
     internal_static_beryldock_query_QueryReply_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(4);
     internal_static_beryldock_query_QueryReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_beryldock_query_QueryReply_descriptor,
-        new java.lang.String[] { "Columns", "Rows", "Answered", "SilentNodes", "Notes", "Versions", "Error", "RowsLeftOut", "Time", });
+        new java.lang.String[] { "Columns", "Rows", "Answered", "SilentNodes", "Notes", "Error", "RowsLeftOut", "Time", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/src/main/java/io/beryldock/wire/QueryReply.java
+++ b/src/main/java/io/beryldock/wire/QueryReply.java
@@ -34,7 +34,6 @@
         com.google.protobuf.LazyStringArrayList.emptyList();
     notes_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
-    versions_ = java.util.Collections.emptyList();
     error_ = "";
   }
 
@@ -223,68 +222,7 @@
     return notes_.getByteString(index);
   }
 
-  public static final int VERSIONS_FIELD_NUMBER = 6;
-  @SuppressWarnings("serial")
-  private java.util.List<io.beryldock.wire.QueryVersion> versions_;
-  /**
-   * <pre>
-   * Versions of the configuration at the nodes that answered.
-   * </pre>
-   *
-   * <code>repeated .beryldock.query.QueryVersion versions = 6;</code>
-   */
-  @java.lang.Override
-  public java.util.List<io.beryldock.wire.QueryVersion> getVersionsList() {
-    return versions_;
-  }
-  /**
-   * <pre>
-   * Versions of the configuration at the nodes that answered.
-   * </pre>
-   *
-   * <code>repeated .beryldock.query.QueryVersion versions = 6;</code>
-   */
-  @java.lang.Override
-  public java.util.List<? extends io.beryldock.wire.QueryVersionOrBuilder> 
-      getVersionsOrBuilderList() {
-    return versions_;
-  }
-  /**
-   * <pre>
-   * Versions of the configuration at the nodes that answered.
-   * </pre>
-   *
-   * <code>repeated .beryldock.query.QueryVersion versions = 6;</code>
-   */
-  @java.lang.Override
-  public int getVersionsCount() {
-    return versions_.size();
-  }
-  /**
-   * <pre>
-   * Versions of the configuration at the nodes that answered.
-   * </pre>
-   *
-   * <code>repeated .beryldock.query.QueryVersion versions = 6;</code>
-   */
-  @java.lang.Override
-  public io.beryldock.wire.QueryVersion getVersions(int index) {
-    return versions_.get(index);
-  }
-  /**
-   * <pre>
-   * Versions of the configuration at the nodes that answered.
-   * </pre>
-   *
-   * <code>repeated .beryldock.query.QueryVersion versions = 6;</code>
-   */
-  @java.lang.Override
-  public io.beryldock.wire.QueryVersionOrBuilder getVersionsOrBuilder(
-      int index) {
-    return versions_.get(index);
-  }
-
-  public static final int ERROR_FIELD_NUMBER = 7;
+  public static final int ERROR_FIELD_NUMBER = 6;
   @SuppressWarnings("serial")
   private volatile java.lang.Object error_ = "";
   /**
@@ -292,7 +230,7 @@
    * Why the statement was not carried out; empty when it was.
    * </pre>
    *
-   * <code>string error = 7;</code>
+   * <code>string error = 6;</code>
    * @return The error.
    */
   @java.lang.Override
@@ -313,7 +251,7 @@
    * Why the statement was not carried out; empty when it was.
    * </pre>
    *
-   * <code>string error = 7;</code>
+   * <code>string error = 6;</code>
    * @return The bytes for error.
    */
   @java.lang.Override
@@ -331,10 +269,10 @@
     }
   }
 
-  public static final int ROWS_LEFT_OUT_FIELD_NUMBER = 8;
+  public static final int ROWS_LEFT_OUT_FIELD_NUMBER = 7;
   private long rowsLeftOut_ = 0L;
   /**
-   * <code>uint64 rows_left_out = 8;</code>
+   * <code>uint64 rows_left_out = 7;</code>
    * @return The rowsLeftOut.
    */
   @java.lang.Override
@@ -342,10 +280,10 @@
     return rowsLeftOut_;
   }
 
-  public static final int TIME_FIELD_NUMBER = 9;
+  public static final int TIME_FIELD_NUMBER = 8;
   private long time_ = 0L;
   /**
-   * <code>fixed64 time = 9;</code>
+   * <code>fixed64 time = 8;</code>
    * @return The time.
    */
   @java.lang.Override
@@ -382,17 +320,14 @@
     for (int i = 0; i < notes_.size(); i++) {
       com.google.protobuf.GeneratedMessage.writeString(output, 5, notes_.getRaw(i));
     }
-    for (int i = 0; i < versions_.size(); i++) {
-      output.writeMessage(6, versions_.get(i));
-    }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(error_)) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 7, error_);
+      com.google.protobuf.GeneratedMessage.writeString(output, 6, error_);
     }
     if (rowsLeftOut_ != 0L) {
-      output.writeUInt64(8, rowsLeftOut_);
+      output.writeUInt64(7, rowsLeftOut_);
     }
     if (time_ != 0L) {
-      output.writeFixed64(9, time_);
+      output.writeFixed64(8, time_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -436,25 +371,16 @@
       size += dataSize;
       size += 1 * getNotesList().size();
     }
-
-        {
-          final int count = versions_.size();
-          for (int i = 0; i < count; i++) {
-            size += com.google.protobuf.CodedOutputStream
-              .computeMessageSizeNoTag(versions_.get(i));
-          }
-          size += 1 * count;
-        }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(error_)) {
-      size += com.google.protobuf.GeneratedMessage.computeStringSize(7, error_);
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(6, error_);
     }
     if (rowsLeftOut_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(8, rowsLeftOut_);
+        .computeUInt64Size(7, rowsLeftOut_);
     }
     if (time_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeFixed64Size(9, time_);
+        .computeFixed64Size(8, time_);
     }
     return size;
   }
@@ -490,8 +416,6 @@
         .equals(other.getSilentNodesList())) return false;
     if (!getNotesList()
         .equals(other.getNotesList())) return false;
-    if (!getVersionsList()
-        .equals(other.getVersionsList())) return false;
     if (!getError()
         .equals(other.getError())) return false;
     if (getRowsLeftOut()
@@ -527,10 +451,6 @@
       hash = (37 * hash) + NOTES_FIELD_NUMBER;
       hash = (53 * hash) + getNotesList().hashCode();
     }
-    if (getVersionsCount() > 0) {
-      hash = (37 * hash) + VERSIONS_FIELD_NUMBER;
-      hash = (53 * hash) + getVersionsList().hashCode();
-    }
     hash = (37 * hash) + ERROR_FIELD_NUMBER;
     hash = (53 * hash) + getError().hashCode();
     hash = (37 * hash) + ROWS_LEFT_OUT_FIELD_NUMBER;
@@ -689,13 +609,6 @@
           com.google.protobuf.LazyStringArrayList.emptyList();
       notes_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
-      if (versionsBuilder_ == null) {
-        versions_ = java.util.Collections.emptyList();
-      } else {
-        versions_ = null;
-        versionsBuilder_.clear();
-      }
-      bitField0_ = (bitField0_ & ~0x00000020);
       error_ = "";
       rowsLeftOut_ = 0L;
       time_ = 0L;
@@ -750,15 +663,6 @@
       } else {
         result.rows_ = rowsBuilder_.build();
       }
-      if (versionsBuilder_ == null) {
-        if (((bitField0_ & 0x00000020) != 0)) {
-          versions_ = java.util.Collections.unmodifiableList(versions_);
-          bitField0_ = (bitField0_ & ~0x00000020);
-        }
-        result.versions_ = versions_;
-      } else {
-        result.versions_ = versionsBuilder_.build();
-      }
     }
 
     private void buildPartial0(io.beryldock.wire.QueryReply result) {
@@ -774,13 +678,13 @@
         notes_.makeImmutable();
         result.notes_ = notes_;
       }
-      if (((from_bitField0_ & 0x00000040) != 0)) {
+      if (((from_bitField0_ & 0x00000020) != 0)) {
         result.error_ = error_;
       }
-      if (((from_bitField0_ & 0x00000080) != 0)) {
+      if (((from_bitField0_ & 0x00000040) != 0)) {
         result.rowsLeftOut_ = rowsLeftOut_;
       }
-      if (((from_bitField0_ & 0x00000100) != 0)) {
+      if (((from_bitField0_ & 0x00000080) != 0)) {
         result.time_ = time_;
       }
     }
@@ -872,35 +776,9 @@
         }
         onChanged();
       }
-      if (versionsBuilder_ == null) {
-        if (!other.versions_.isEmpty()) {
-          if (versions_.isEmpty()) {
-            versions_ = other.versions_;
-            bitField0_ = (bitField0_ & ~0x00000020);
-          } else {
-            ensureVersionsIsMutable();
-            versions_.addAll(other.versions_);
-          }
-          onChanged();
-        }
-      } else {
-        if (!other.versions_.isEmpty()) {
-          if (versionsBuilder_.isEmpty()) {
-            versionsBuilder_.dispose();
-            versionsBuilder_ = null;
-            versions_ = other.versions_;
-            bitField0_ = (bitField0_ & ~0x00000020);
-            versionsBuilder_ = 
-              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetVersionsFieldBuilder() : null;
-          } else {
-            versionsBuilder_.addAllMessages(other.versions_);
-          }
-        }
-      }
       if (!other.getError().isEmpty()) {
         error_ = other.error_;
-        bitField0_ |= 0x00000040;
+        bitField0_ |= 0x00000020;
         onChanged();
       }
       if (other.getRowsLeftOut() != 0L) {
@@ -975,33 +853,20 @@
               break;
             } // case 42
             case 50: {
-              io.beryldock.wire.QueryVersion m =
-                  input.readMessage(
-                      io.beryldock.wire.QueryVersion.parser(),
-                      extensionRegistry);
-              if (versionsBuilder_ == null) {
-                ensureVersionsIsMutable();
-                versions_.add(m);
-              } else {
-                versionsBuilder_.addMessage(m);
-              }
-              break;
-            } // case 50
-            case 58: {
               error_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000040;
+              bitField0_ |= 0x00000020;
               break;
-            } // case 58
-            case 64: {
+            } // case 50
+            case 56: {
               rowsLeftOut_ = input.readUInt64();
-              bitField0_ |= 0x00000080;
+              bitField0_ |= 0x00000040;
               break;
-            } // case 64
-            case 73: {
+            } // case 56
+            case 65: {
               time_ = input.readFixed64();
-              bitField0_ |= 0x00000100;
+              bitField0_ |= 0x00000080;
               break;
-            } // case 73
+            } // case 65
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1741,319 +1606,13 @@
       return this;
     }
 
-    private java.util.List<io.beryldock.wire.QueryVersion> versions_ =
-      java.util.Collections.emptyList();
-    private void ensureVersionsIsMutable() {
-      if (!((bitField0_ & 0x00000020) != 0)) {
-        versions_ = new java.util.ArrayList<io.beryldock.wire.QueryVersion>(versions_);
-        bitField0_ |= 0x00000020;
-       }
-    }
-
-    private com.google.protobuf.RepeatedFieldBuilder<
-        io.beryldock.wire.QueryVersion, io.beryldock.wire.QueryVersion.Builder, io.beryldock.wire.QueryVersionOrBuilder> versionsBuilder_;
-
-    /**
-     * <pre>
-     * Versions of the configuration at the nodes that answered.
-     * </pre>
-     *
-     * <code>repeated .beryldock.query.QueryVersion versions = 6;</code>
-     */
-    public java.util.List<io.beryldock.wire.QueryVersion> getVersionsList() {
-      if (versionsBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(versions_);
-      } else {
-        return versionsBuilder_.getMessageList();
-      }
-    }
-    /**
-     * <pre>
-     * Versions of the configuration at the nodes that answered.
-     * </pre>
-     *
-     * <code>repeated .beryldock.query.QueryVersion versions = 6;</code>
-     */
-    public int getVersionsCount() {
-      if (versionsBuilder_ == null) {
-        return versions_.size();
-      } else {
-        return versionsBuilder_.getCount();
-      }
-    }
-    /**
-     * <pre>
-     * Versions of the configuration at the nodes that answered.
-     * </pre>
-     *
-     * <code>repeated .beryldock.query.QueryVersion versions = 6;</code>
-     */
-    public io.beryldock.wire.QueryVersion getVersions(int index) {
-      if (versionsBuilder_ == null) {
-        return versions_.get(index);
-      } else {
-        return versionsBuilder_.getMessage(index);
-      }
-    }
-    /**
-     * <pre>
-     * Versions of the configuration at the nodes that answered.
-     * </pre>
-     *
-     * <code>repeated .beryldock.query.QueryVersion versions = 6;</code>
-     */
-    public Builder setVersions(
-        int index, io.beryldock.wire.QueryVersion value) {
-      if (versionsBuilder_ == null) {
-        java.util.Objects.requireNonNull(value);
-        ensureVersionsIsMutable();
-        versions_.set(index, value);
-        onChanged();
-      } else {
-        versionsBuilder_.setMessage(index, value);
-      }
-      return this;
-    }
-    /**
-     * <pre>
-     * Versions of the configuration at the nodes that answered.
-     * </pre>
-     *
-     * <code>repeated .beryldock.query.QueryVersion versions = 6;</code>
-     */
-    public Builder setVersions(
-        int index, io.beryldock.wire.QueryVersion.Builder builderForValue) {
-      if (versionsBuilder_ == null) {
-        ensureVersionsIsMutable();
-        versions_.set(index, builderForValue.build());
-        onChanged();
-      } else {
-        versionsBuilder_.setMessage(index, builderForValue.build());
-      }
-      return this;
-    }
-    /**
-     * <pre>
-     * Versions of the configuration at the nodes that answered.
-     * </pre>
-     *
-     * <code>repeated .beryldock.query.QueryVersion versions = 6;</code>
-     */
-    public Builder addVersions(io.beryldock.wire.QueryVersion value) {
-      if (versionsBuilder_ == null) {
-        java.util.Objects.requireNonNull(value);
-        ensureVersionsIsMutable();
-        versions_.add(value);
-        onChanged();
-      } else {
-        versionsBuilder_.addMessage(value);
-      }
-      return this;
-    }
-    /**
-     * <pre>
-     * Versions of the configuration at the nodes that answered.
-     * </pre>
-     *
-     * <code>repeated .beryldock.query.QueryVersion versions = 6;</code>
-     */
-    public Builder addVersions(
-        int index, io.beryldock.wire.QueryVersion value) {
-      if (versionsBuilder_ == null) {
-        java.util.Objects.requireNonNull(value);
-        ensureVersionsIsMutable();
-        versions_.add(index, value);
-        onChanged();
-      } else {
-        versionsBuilder_.addMessage(index, value);
-      }
-      return this;
-    }
-    /**
-     * <pre>
-     * Versions of the configuration at the nodes that answered.
-     * </pre>
-     *
-     * <code>repeated .beryldock.query.QueryVersion versions = 6;</code>
-     */
-    public Builder addVersions(
-        io.beryldock.wire.QueryVersion.Builder builderForValue) {
-      if (versionsBuilder_ == null) {
-        ensureVersionsIsMutable();
-        versions_.add(builderForValue.build());
-        onChanged();
-      } else {
-        versionsBuilder_.addMessage(builderForValue.build());
-      }
-      return this;
-    }
-    /**
-     * <pre>
-     * Versions of the configuration at the nodes that answered.
-     * </pre>
-     *
-     * <code>repeated .beryldock.query.QueryVersion versions = 6;</code>
-     */
-    public Builder addVersions(
-        int index, io.beryldock.wire.QueryVersion.Builder builderForValue) {
-      if (versionsBuilder_ == null) {
-        ensureVersionsIsMutable();
-        versions_.add(index, builderForValue.build());
-        onChanged();
-      } else {
-        versionsBuilder_.addMessage(index, builderForValue.build());
-      }
-      return this;
-    }
-    /**
-     * <pre>
-     * Versions of the configuration at the nodes that answered.
-     * </pre>
-     *
-     * <code>repeated .beryldock.query.QueryVersion versions = 6;</code>
-     */
-    public Builder addAllVersions(
-        java.lang.Iterable<? extends io.beryldock.wire.QueryVersion> values) {
-      if (versionsBuilder_ == null) {
-        ensureVersionsIsMutable();
-        com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, versions_);
-        onChanged();
-      } else {
-        versionsBuilder_.addAllMessages(values);
-      }
-      return this;
-    }
-    /**
-     * <pre>
-     * Versions of the configuration at the nodes that answered.
-     * </pre>
-     *
-     * <code>repeated .beryldock.query.QueryVersion versions = 6;</code>
-     */
-    public Builder clearVersions() {
-      if (versionsBuilder_ == null) {
-        versions_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000020);
-        onChanged();
-      } else {
-        versionsBuilder_.clear();
-      }
-      return this;
-    }
-    /**
-     * <pre>
-     * Versions of the configuration at the nodes that answered.
-     * </pre>
-     *
-     * <code>repeated .beryldock.query.QueryVersion versions = 6;</code>
-     */
-    public Builder removeVersions(int index) {
-      if (versionsBuilder_ == null) {
-        ensureVersionsIsMutable();
-        versions_.remove(index);
-        onChanged();
-      } else {
-        versionsBuilder_.remove(index);
-      }
-      return this;
-    }
-    /**
-     * <pre>
-     * Versions of the configuration at the nodes that answered.
-     * </pre>
-     *
-     * <code>repeated .beryldock.query.QueryVersion versions = 6;</code>
-     */
-    public io.beryldock.wire.QueryVersion.Builder getVersionsBuilder(
-        int index) {
-      return internalGetVersionsFieldBuilder().getBuilder(index);
-    }
-    /**
-     * <pre>
-     * Versions of the configuration at the nodes that answered.
-     * </pre>
-     *
-     * <code>repeated .beryldock.query.QueryVersion versions = 6;</code>
-     */
-    public io.beryldock.wire.QueryVersionOrBuilder getVersionsOrBuilder(
-        int index) {
-      if (versionsBuilder_ == null) {
-        return versions_.get(index);  } else {
-        return versionsBuilder_.getMessageOrBuilder(index);
-      }
-    }
-    /**
-     * <pre>
-     * Versions of the configuration at the nodes that answered.
-     * </pre>
-     *
-     * <code>repeated .beryldock.query.QueryVersion versions = 6;</code>
-     */
-    public java.util.List<? extends io.beryldock.wire.QueryVersionOrBuilder> 
-         getVersionsOrBuilderList() {
-      if (versionsBuilder_ != null) {
-        return versionsBuilder_.getMessageOrBuilderList();
-      } else {
-        return java.util.Collections.unmodifiableList(versions_);
-      }
-    }
-    /**
-     * <pre>
-     * Versions of the configuration at the nodes that answered.
-     * </pre>
-     *
-     * <code>repeated .beryldock.query.QueryVersion versions = 6;</code>
-     */
-    public io.beryldock.wire.QueryVersion.Builder addVersionsBuilder() {
-      return internalGetVersionsFieldBuilder().addBuilder(
-          io.beryldock.wire.QueryVersion.getDefaultInstance());
-    }
-    /**
-     * <pre>
-     * Versions of the configuration at the nodes that answered.
-     * </pre>
-     *
-     * <code>repeated .beryldock.query.QueryVersion versions = 6;</code>
-     */
-    public io.beryldock.wire.QueryVersion.Builder addVersionsBuilder(
-        int index) {
-      return internalGetVersionsFieldBuilder().addBuilder(
-          index, io.beryldock.wire.QueryVersion.getDefaultInstance());
-    }
-    /**
-     * <pre>
-     * Versions of the configuration at the nodes that answered.
-     * </pre>
-     *
-     * <code>repeated .beryldock.query.QueryVersion versions = 6;</code>
-     */
-    public java.util.List<io.beryldock.wire.QueryVersion.Builder> 
-         getVersionsBuilderList() {
-      return internalGetVersionsFieldBuilder().getBuilderList();
-    }
-    private com.google.protobuf.RepeatedFieldBuilder<
-        io.beryldock.wire.QueryVersion, io.beryldock.wire.QueryVersion.Builder, io.beryldock.wire.QueryVersionOrBuilder> 
-        internalGetVersionsFieldBuilder() {
-      if (versionsBuilder_ == null) {
-        versionsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            io.beryldock.wire.QueryVersion, io.beryldock.wire.QueryVersion.Builder, io.beryldock.wire.QueryVersionOrBuilder>(
-                versions_,
-                ((bitField0_ & 0x00000020) != 0),
-                getParentForChildren(),
-                isClean());
-        versions_ = null;
-      }
-      return versionsBuilder_;
-    }
-
     private java.lang.Object error_ = "";
     /**
      * <pre>
      * Why the statement was not carried out; empty when it was.
      * </pre>
      *
-     * <code>string error = 7;</code>
+     * <code>string error = 6;</code>
      * @return The error.
      */
     public java.lang.String getError() {
@@ -2073,7 +1632,7 @@
      * Why the statement was not carried out; empty when it was.
      * </pre>
      *
-     * <code>string error = 7;</code>
+     * <code>string error = 6;</code>
      * @return The bytes for error.
      */
     public com.google.protobuf.ByteString
@@ -2094,7 +1653,7 @@
      * Why the statement was not carried out; empty when it was.
      * </pre>
      *
-     * <code>string error = 7;</code>
+     * <code>string error = 6;</code>
      * @param value The error to set.
      * @return This builder for chaining.
      */
@@ -2102,7 +1661,7 @@
         java.lang.String value) {
       java.util.Objects.requireNonNull(value);
       error_ = value;
-      bitField0_ |= 0x00000040;
+      bitField0_ |= 0x00000020;
       onChanged();
       return this;
     }
@@ -2111,12 +1670,12 @@
      * Why the statement was not carried out; empty when it was.
      * </pre>
      *
-     * <code>string error = 7;</code>
+     * <code>string error = 6;</code>
      * @return This builder for chaining.
      */
     public Builder clearError() {
       error_ = getDefaultInstance().getError();
-      bitField0_ = (bitField0_ & ~0x00000040);
+      bitField0_ = (bitField0_ & ~0x00000020);
       onChanged();
       return this;
     }
@@ -2125,7 +1684,7 @@
      * Why the statement was not carried out; empty when it was.
      * </pre>
      *
-     * <code>string error = 7;</code>
+     * <code>string error = 6;</code>
      * @param value The bytes for error to set.
      * @return This builder for chaining.
      */
@@ -2134,14 +1693,14 @@
       java.util.Objects.requireNonNull(value);
       checkByteStringIsUtf8(value);
       error_ = value;
-      bitField0_ |= 0x00000040;
+      bitField0_ |= 0x00000020;
       onChanged();
       return this;
     }
 
     private long rowsLeftOut_ ;
     /**
-     * <code>uint64 rows_left_out = 8;</code>
+     * <code>uint64 rows_left_out = 7;</code>
      * @return The rowsLeftOut.
      */
     @java.lang.Override
@@ -2149,23 +1708,23 @@
       return rowsLeftOut_;
     }
     /**
-     * <code>uint64 rows_left_out = 8;</code>
+     * <code>uint64 rows_left_out = 7;</code>
      * @param value The rowsLeftOut to set.
      * @return This builder for chaining.
      */
     public Builder setRowsLeftOut(long value) {
 
       rowsLeftOut_ = value;
-      bitField0_ |= 0x00000080;
+      bitField0_ |= 0x00000040;
       onChanged();
       return this;
     }
     /**
-     * <code>uint64 rows_left_out = 8;</code>
+     * <code>uint64 rows_left_out = 7;</code>
      * @return This builder for chaining.
      */
     public Builder clearRowsLeftOut() {
-      bitField0_ = (bitField0_ & ~0x00000080);
+      bitField0_ = (bitField0_ & ~0x00000040);
       rowsLeftOut_ = 0L;
       onChanged();
       return this;
@@ -2173,7 +1732,7 @@
 
     private long time_ ;
     /**
-     * <code>fixed64 time = 9;</code>
+     * <code>fixed64 time = 8;</code>
      * @return The time.
      */
     @java.lang.Override
@@ -2181,23 +1740,23 @@
       return time_;
     }
     /**
-     * <code>fixed64 time = 9;</code>
+     * <code>fixed64 time = 8;</code>
      * @param value The time to set.
      * @return This builder for chaining.
      */
     public Builder setTime(long value) {
 
       time_ = value;
-      bitField0_ |= 0x00000100;
+      bitField0_ |= 0x00000080;
       onChanged();
       return this;
     }
     /**
-     * <code>fixed64 time = 9;</code>
+     * <code>fixed64 time = 8;</code>
      * @return This builder for chaining.
      */
     public Builder clearTime() {
-      bitField0_ = (bitField0_ & ~0x00000100);
+      bitField0_ = (bitField0_ & ~0x00000080);
       time_ = 0L;
       onChanged();
       return this;
--- a/src/main/java/io/beryldock/wire/QueryReplyOrBuilder.java
+++ b/src/main/java/io/beryldock/wire/QueryReplyOrBuilder.java
@@ -114,56 +114,12 @@
   com.google.protobuf.ByteString
       getNotesBytes(int index);
 
-  /**
-   * <pre>
-   * Versions of the configuration at the nodes that answered.
-   * </pre>
-   *
-   * <code>repeated .beryldock.query.QueryVersion versions = 6;</code>
-   */
-  java.util.List<io.beryldock.wire.QueryVersion> 
-      getVersionsList();
-  /**
-   * <pre>
-   * Versions of the configuration at the nodes that answered.
-   * </pre>
-   *
-   * <code>repeated .beryldock.query.QueryVersion versions = 6;</code>
-   */
-  io.beryldock.wire.QueryVersion getVersions(int index);
-  /**
-   * <pre>
-   * Versions of the configuration at the nodes that answered.
-   * </pre>
-   *
-   * <code>repeated .beryldock.query.QueryVersion versions = 6;</code>
-   */
-  int getVersionsCount();
-  /**
-   * <pre>
-   * Versions of the configuration at the nodes that answered.
-   * </pre>
-   *
-   * <code>repeated .beryldock.query.QueryVersion versions = 6;</code>
-   */
-  java.util.List<? extends io.beryldock.wire.QueryVersionOrBuilder> 
-      getVersionsOrBuilderList();
-  /**
-   * <pre>
-   * Versions of the configuration at the nodes that answered.
-   * </pre>
-   *
-   * <code>repeated .beryldock.query.QueryVersion versions = 6;</code>
-   */
-  io.beryldock.wire.QueryVersionOrBuilder getVersionsOrBuilder(
-      int index);
-
   /**
    * <pre>
    * Why the statement was not carried out; empty when it was.
    * </pre>
    *
-   * <code>string error = 7;</code>
+   * <code>string error = 6;</code>
    * @return The error.
    */
   java.lang.String getError();
@@ -172,20 +128,20 @@
    * Why the statement was not carried out; empty when it was.
    * </pre>
    *
-   * <code>string error = 7;</code>
+   * <code>string error = 6;</code>
    * @return The bytes for error.
    */
   com.google.protobuf.ByteString
       getErrorBytes();
 
   /**
-   * <code>uint64 rows_left_out = 8;</code>
+   * <code>uint64 rows_left_out = 7;</code>
    * @return The rowsLeftOut.
    */
   long getRowsLeftOut();
 
   /**
-   * <code>fixed64 time = 9;</code>
+   * <code>fixed64 time = 8;</code>
    * @return The time.
    */
   long getTime();
--- a/src/main/java/io/beryldock/wire/QueryRequest.java
+++ b/src/main/java/io/beryldock/wire/QueryRequest.java
@@ -54,7 +54,7 @@
   private volatile java.lang.Object statement_ = "";
   /**
    * <pre>
-   * Canonical text of the statement; empty asks for the version of the configuration only.
+   * Canonical text of the statement.
    * </pre>
    *
    * <code>string statement = 1;</code>
@@ -75,7 +75,7 @@
   }
   /**
    * <pre>
-   * Canonical text of the statement; empty asks for the version of the configuration only.
+   * Canonical text of the statement.
    * </pre>
    *
    * <code>string statement = 1;</code>
@@ -506,7 +506,7 @@
     private java.lang.Object statement_ = "";
     /**
      * <pre>
-     * Canonical text of the statement; empty asks for the version of the configuration only.
+     * Canonical text of the statement.
      * </pre>
      *
      * <code>string statement = 1;</code>
@@ -526,7 +526,7 @@
     }
     /**
      * <pre>
-     * Canonical text of the statement; empty asks for the version of the configuration only.
+     * Canonical text of the statement.
      * </pre>
      *
      * <code>string statement = 1;</code>
@@ -547,7 +547,7 @@
     }
     /**
      * <pre>
-     * Canonical text of the statement; empty asks for the version of the configuration only.
+     * Canonical text of the statement.
      * </pre>
      *
      * <code>string statement = 1;</code>
@@ -564,7 +564,7 @@
     }
     /**
      * <pre>
-     * Canonical text of the statement; empty asks for the version of the configuration only.
+     * Canonical text of the statement.
      * </pre>
      *
      * <code>string statement = 1;</code>
@@ -578,7 +578,7 @@
     }
     /**
      * <pre>
-     * Canonical text of the statement; empty asks for the version of the configuration only.
+     * Canonical text of the statement.
      * </pre>
      *
      * <code>string statement = 1;</code>
--- a/src/main/java/io/beryldock/wire/QueryRequestOrBuilder.java
+++ b/src/main/java/io/beryldock/wire/QueryRequestOrBuilder.java
@@ -12,7 +12,7 @@
 
   /**
    * <pre>
-   * Canonical text of the statement; empty asks for the version of the configuration only.
+   * Canonical text of the statement.
    * </pre>
    *
    * <code>string statement = 1;</code>
@@ -21,7 +21,7 @@
   java.lang.String getStatement();
   /**
    * <pre>
-   * Canonical text of the statement; empty asks for the version of the configuration only.
+   * Canonical text of the statement.
    * </pre>
    *
    * <code>string statement = 1;</code>
