Add the subcommands ctl and timeline; take the wiring of the node to the new ports

Cause: operators drive a node from the command line; the node's adapter of configuration changes and the language's own stood twice. One adapter to the configuration's writer. The endpoint waits as long as a change may take.

--- a/src/main/java/io/beryldock/cli/SubcommandRegistry.java
+++ b/src/main/java/io/beryldock/cli/SubcommandRegistry.java
@@ -7,9 +7,11 @@
 final class SubcommandRegistry {
 
     static final ImmutableSortedMap<String, Entry> ENTRIES = ImmutableSortedMap.<String, Entry>naturalOrder()
+            .put("ctl", new Entry(CtlSubcommand::new, "ask and command a node: --node IP:PORT \"STATEMENT\""))
             .put("node", new Entry(NodeSubcommand::new, "run a node: --settings FILE"))
             .put("standin-platform", new Entry(StandinPlatformSubcommand::new, "run a stand-in of the platform store"))
             .put("standin-target", new Entry(StandinTargetSubcommand::new, "run a stand-in target: --settings FILE"))
+            .put("timeline", new Entry(TimelineSubcommand::new, "write the time line of all nodes: --node IP:PORT"))
             .put("version", new Entry(VersionSubcommand::new, "print the version"))
             .build();
 
--- a/src/main/java/io/beryldock/command/TableRenderer.java
+++ b/src/main/java/io/beryldock/command/TableRenderer.java
@@ -22,7 +22,21 @@
         addTable(lines, response.table());
         response.change().ifPresent(change -> lines.addAll(change.effects()));
         lines.addAll(response.notes());
-        addAnswered(lines, response);
+        if (response.answered() > 0) {
+            lines.add("(" + rows(response.table().rows().size()) + " from " + nodes(response.answered()) + ")");
+        }
+        addSilent(lines, response);
+        return text(lines);
+    }
+
+    /** Only what is missing from a response: its notes and who did not answer. */
+    public static String renderMissing(OperatorResponse response) {
+        List<String> lines = new ArrayList<>(response.notes());
+        addSilent(lines, response);
+        return text(lines);
+    }
+
+    private static String text(List<String> lines) {
         StringBuilder text = new StringBuilder();
         lines.forEach(line -> text.append(line.stripTrailing()).append('\n'));
         return text.toString();
@@ -88,10 +102,7 @@
         return kind == ColumnKind.NUMBER || kind == ColumnKind.MILLIS;
     }
 
-    private static void addAnswered(List<String> lines, OperatorResponse response) {
-        if (response.answered() > 0) {
-            lines.add("(" + rows(response.table().rows().size()) + " from " + nodes(response.answered()) + ")");
-        }
+    private static void addSilent(List<String> lines, OperatorResponse response) {
         if (!response.silentNodes().isEmpty()) {
             int silent = response.silentNodes().size();
             String names = silent > MAX_SILENT_NAMED ? "" : ": " + String.join(", ", response.silentNodes());
--- a/src/main/java/io/beryldock/http/OperatorServlet.java
+++ b/src/main/java/io/beryldock/http/OperatorServlet.java
@@ -22,7 +22,10 @@
     private static final long serialVersionUID = 1L;
     private static final ObjectMapper MAPPER = Jackson.newObjectMapper();
     private static final int MAX_STATEMENT_BYTES = 4096;
-    private static final long TIMEOUT_MILLIS = 30_000;
+
+    /** Longer than a change may take: to be written by the store, and to be in force everywhere. */
+    private static final long TIMEOUT_MILLIS = 60_000;
+
     private static final String OPERATOR = "Beryldock-Operator";
 
     private final transient OperatorService operators;
--- a/src/main/java/io/beryldock/node/NodeInspection.java
+++ b/src/main/java/io/beryldock/node/NodeInspection.java
@@ -8,7 +8,6 @@
 import io.beryldock.command.QueryTable;
 import io.beryldock.command.ShowColumns;
 import io.beryldock.command.ShowStatement;
-import io.beryldock.configuration.ConfigurationKeeper;
 import io.beryldock.forwarding.AnnouncedTarget;
 import io.beryldock.idempotency.KeyedRequests;
 import io.beryldock.idempotency.TicketSettings;
@@ -44,17 +43,11 @@
             MembershipService membership,
             TargetAnnouncements announcements,
             DoorShedder door,
-            ConfigurationKeeper configuration,
             KeyedRequests keyed,
             NettyPeerTransport transport,
             NodeLedgers ledgers,
             Ticker ticker) {}
 
-    @Override
-    public long configurationVersion() {
-        return parts.configuration().current().version();
-    }
-
     @Override
     public CompletableFuture<QueryTable> inspect(ShowStatement statement) {
         return CompletableFuture.supplyAsync(() -> table(statement), parts.control());
@@ -68,10 +61,9 @@
             case RETRIES -> parts.ledgers().retries();
             case TICKETS -> tickets();
             case CONNECTIONS -> connections();
-            case CONFIGURATION -> configuration();
-            case CHANGES -> parts.ledgers().changes();
             case QUARANTINE -> parts.ledgers().quarantine();
-            case TIMELINE, SHED -> throw new IllegalArgumentException(statement.topic() + " has a source of its own");
+            case TIMELINE, SHED, CONFIGURATION, CHANGES ->
+                throw new IllegalArgumentException(statement.topic() + " has a source of its own");
         };
     }
 
@@ -150,10 +142,4 @@
         }
         return table.build();
     }
-
-    private QueryTable configuration() {
-        QueryTable.Builder table = QueryTable.builder(ShowColumns.CONFIGURATION);
-        parts.configuration().current().settings().forEach((key, setting) -> table.row(key.toString(), setting.text()));
-        return table.build();
-    }
 }
--- a/src/main/java/io/beryldock/node/OperatorModule.java
+++ b/src/main/java/io/beryldock/node/OperatorModule.java
@@ -6,7 +6,9 @@
 import io.beryldock.admission.DoorShedder;
 import io.beryldock.command.OperatorPorts;
 import io.beryldock.command.OperatorService;
+import io.beryldock.command.StoreConfigurationChanger;
 import io.beryldock.configuration.ConfigurationKeeper;
+import io.beryldock.configuration.ConfigurationSync;
 import io.beryldock.configuration.ConfigurationWriter;
 import io.beryldock.forwarding.RetryTally;
 import io.beryldock.idempotency.KeyedRequests;
@@ -17,6 +19,8 @@
 import io.beryldock.time.TimerService;
 import io.beryldock.timeline.EventRing;
 import io.beryldock.timeline.RefusalCounter;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
 import java.util.random.RandomGenerator;
 
 /** Binds what operators see and do. */
@@ -30,22 +34,12 @@
             MembershipService membership,
             TargetAnnouncements announcements,
             DoorShedder door,
-            ConfigurationKeeper configuration,
             KeyedRequests keyed,
             NettyPeerTransport transport,
             NodeLedgers ledgers,
             TimerService timers) {
         return new NodeInspection(new NodeInspection.Parts(
-                self,
-                control,
-                membership,
-                announcements,
-                door,
-                configuration,
-                keyed,
-                transport,
-                ledgers,
-                timers.ticker()));
+                self, control, membership, announcements, door, keyed, transport, ledgers, timers.ticker()));
     }
 
     @Provides
@@ -56,8 +50,8 @@
 
     @Provides
     @Singleton
-    NodeLedgers ledgers(RetryTally retries, ConfigurationKeeper configuration, Quarantine quarantine) {
-        return new NodeLedgers(retries, configuration, quarantine);
+    NodeLedgers ledgers(RetryTally retries, Quarantine quarantine) {
+        return new NodeLedgers(retries, quarantine);
     }
 
     @Provides
@@ -69,6 +63,7 @@
             NodeInspection inspection,
             ConfigurationWriter writer,
             ConfigurationKeeper keeper,
+            ConfigurationSync sync,
             TargetAnnouncements announcements,
             ControlLoop control,
             EventRing events,
@@ -81,7 +76,10 @@
                 membership::directory,
                 transport,
                 inspection,
-                new ConfigurationChanges(writer, keeper),
+                keeper,
+                StoreConfigurationChanger.create(writer, keeper),
+                (version, time) -> CompletableFuture.supplyAsync(() -> sync.awaitInForce(version, time), control)
+                        .thenCompose(Function.identity()),
                 new DrainControl(announcements, control),
                 events,
                 refusals,
