Cut a standing queue by its length, check the level beneath before each hop

Cause: requests of the rank that is shed in part were refused after a short wait behind the important ones, with work sunk above them; entries with few calls a second acted on old levels. Change: a standing queue is cut at a length, its wait bound is wide; each node checks what it learned beneath it; probes are rarer.

--- a/src/main/java/io/beryldock/admission/LevelController.java
+++ b/src/main/java/io/beryldock/admission/LevelController.java
@@ -41,17 +41,23 @@
      */
     record Load(double capacityPerNano, int queued, double loopNanos) {
 
-        private static final double GOAL_DEVIATIONS = 2;
-        private static final double BOUND_DEVIATIONS = 3;
+        private static final double GOAL_DEVIATIONS = 0.8;
+        private static final double BOUND_DEVIATIONS = 2;
+        private static final double WAIT_DEVIATIONS = 15;
 
         /** Queue length to aim at. */
         double goal() {
             return GOAL_DEVIATIONS * arrivalsDeviation();
         }
 
-        /** Time that a queue somewhat above its goal takes to run off. */
-        double boundNanos() {
-            return BOUND_DEVIATIONS * arrivalsDeviation() / capacityPerNano;
+        /** Length above which a standing queue is cut. */
+        double bound() {
+            return BOUND_DEVIATIONS * arrivalsDeviation();
+        }
+
+        /** Wait that a standing queue allows; the least important get only a small part of the capacity. */
+        double waitNanos() {
+            return WAIT_DEVIATIONS * arrivalsDeviation() / capacityPerNano;
         }
 
         double perLoop() {
--- a/src/main/java/io/beryldock/admission/LevelSamples.java
+++ b/src/main/java/io/beryldock/admission/LevelSamples.java
@@ -37,7 +37,7 @@
         count = Math.min(SIZE, count + 1);
     }
 
-    /** The middle of the fresh samples, the upper of two; the last sample when none is fresh. */
+    /** The middle of the fresh samples, the mean of the middle two; the last sample when none is fresh. */
     int middle(long now) {
         int[] fresh = new int[SIZE];
         int found = 0;
@@ -50,7 +50,7 @@
             return levels[(next + SIZE - 1) % SIZE];
         }
         Arrays.sort(fresh, 0, found);
-        return fresh[found / 2];
+        return (fresh[(found - 1) / 2] + fresh[found / 2]) / 2;
     }
 
     boolean allOpen() {
--- a/src/main/java/io/beryldock/admission/RouteLevel.java
+++ b/src/main/java/io/beryldock/admission/RouteLevel.java
@@ -25,8 +25,8 @@
 
     static final long HOLD_NANOS = 1_000_000_000L;
     static final long OPEN_AFTER_NANOS = 5_000_000_000L;
-    static final long MIN_PROBE_NANOS = 125_000_000L;
-    static final long MAX_PROBE_NANOS = 1_000_000_000L;
+    static final long MIN_PROBE_NANOS = 250_000_000L;
+    static final long MAX_PROBE_NANOS = 2_000_000_000L;
 
     private final Map<ServiceName, LevelSamples> samples = new HashMap<>();
     private final AtomicLong lastProbe = new AtomicLong(Long.MIN_VALUE);
@@ -63,7 +63,7 @@
                 worst = Math.min(worst, level);
             }
         }
-        if (worst > learned.level()) {
+        if (worst > learned.level() + ServiceLevel.STEPS) {
             probeInterval = MIN_PROBE_NANOS;
         }
         learned = new Learned(worst, closed.build(), now);
--- a/src/main/java/io/beryldock/admission/TargetGate.java
+++ b/src/main/java/io/beryldock/admission/TargetGate.java
@@ -31,6 +31,7 @@
  */
 public final class TargetGate {
 
+    private static final double MIN_BOUND = 4;
     private static final double STALL_GAPS = 4;
     private static final double LOOP_BASE_NANOS = 60_000_000;
     private static final double LOOP_PER_SERVICE_TIME = 2;
@@ -207,12 +208,21 @@
         }
         queue.add(entry);
         admitWaiting(now, out);
-        if (queue.size() > settings.queueCapacity()) {
+        if (queue.size() > bound(now)) {
             refuse(queue.last(), Reason.SHED_AT_TARGET, out);
         }
         armQueueTick();
     }
 
+    /** A burst may fill the queue, a standing queue is cut. */
+    private double bound(long now) {
+        int capacity = settings.queueCapacity();
+        if (!standing.stands(now, settings.queueInterval().toNanos())) {
+            return capacity;
+        }
+        return Math.min(capacity, Math.max(MIN_BOUND, load(now).bound()));
+    }
+
     private void admitWaiting(long now, Deliveries out) {
         while (!queue.isEmpty() && running.size() < limit.at(now) && !draining) {
             GateEntry entry = queue.first();
@@ -341,7 +351,7 @@
 
     /** A queue before slow or few slots moves one place at a time; a wait of a few such moves is no standing queue. */
     private long targetNanos(long now) {
-        return Math.max(settings.queueTarget().toNanos(), (long) load(now).boundNanos());
+        return Math.max(settings.queueTarget().toNanos(), (long) load(now).waitNanos());
     }
 
     private void armHoldTick() {
--- a/src/test/java/io/beryldock/admission/ChainSimulation.java
+++ b/src/test/java/io/beryldock/admission/ChainSimulation.java
@@ -117,7 +117,8 @@
                 timers,
                 random,
                 beneath,
-                setup.stages().get(depth).calls());
+                setup.stages().get(depth).calls(),
+                setup.door());
         boolean last = depth == setup.stages().size() - 1;
         int slots = setup.stages().get(depth).slots();
         GateSettings settings = setup.gate().withAnnouncedSlots((int) (slots * setup.announced()));
--- a/src/test/java/io/beryldock/admission/SimService.java
+++ b/src/test/java/io/beryldock/admission/SimService.java
@@ -23,9 +23,17 @@
     private final RandomGenerator random;
     private final SimService beneath;
     private final int calls;
+    private final boolean shedBeneath;
     private final RequestIds ids;
 
-    SimService(String name, ManualTimerService timers, RandomGenerator random, SimService beneath, int calls) {
+    SimService(
+            String name,
+            ManualTimerService timers,
+            RandomGenerator random,
+            SimService beneath,
+            int calls,
+            boolean shedBeneath) {
+        this.shedBeneath = shedBeneath;
         this.calls = calls;
         this.name = ServiceName.of(name);
         this.timers = timers;
@@ -45,12 +53,30 @@
         final long deadline;
         double slotNanos;
         boolean over;
+        private int serving;
+        private double startSum;
 
         Trip(int rank, int hash, long deadline) {
             this.rank = rank;
             this.hash = hash;
             this.deadline = deadline;
         }
+
+        void start(long now) {
+            serving++;
+            startSum += now;
+        }
+
+        void end(long started, long now) {
+            serving--;
+            startSum -= started;
+            slotNanos += now - started;
+        }
+
+        /** Slot time so far, with that of the targets that still serve it. */
+        long sunkNanos(long now) {
+            return (long) (slotNanos + (double) serving * now - startSum);
+        }
     }
 
     /** How a call ended and the levels that came with it. */
@@ -110,8 +136,15 @@
         }
 
         private void submit(Trip trip, Consumer<Reply> consumer) {
-            long left = trip.deadline - timers.ticker().nanos();
-            GateRequest request = new GateRequest(ids.next(), trip.rank, trip.hash, (long) trip.slotNanos, left);
+            long now = timers.ticker().nanos();
+            if (beneath != null
+                    && shedBeneath
+                    && !learned.decide(beneath.name, trip.rank, trip.hash).admitted()) {
+                consumer.accept(new Reply(false, true, report()));
+                return;
+            }
+            long left = trip.deadline - now;
+            GateRequest request = new GateRequest(ids.next(), trip.rank, trip.hash, trip.sunkNanos(now), left);
             GateHandle handle = gate.submit(request, new GateListener() {
                 @Override
                 public void admitted(Permit permit) {
@@ -136,8 +169,9 @@
 
         private void serve(Trip trip, Permit permit, Consumer<Reply> consumer) {
             long start = timers.ticker().nanos();
+            trip.start(start);
             Consumer<Boolean> end = ok -> {
-                trip.slotNanos += timers.ticker().nanos() - start;
+                trip.end(start, timers.ticker().nanos());
                 target.releaseSlot();
                 permit.release(ok ? Completion.SUCCEEDED : Completion.FAILED);
                 consumer.accept(new Reply(ok, false, report()));
