Raise the level at once when slots idle

Cause: after a slow spell few requests arrive, so the mean service time follows late and the level with it. Change: with idle slots the capacity is arrivals over the busy share (Little's law); the mean follows a fall sooner.

--- a/src/main/java/io/beryldock/admission/DemandMap.java
+++ b/src/main/java/io/beryldock/admission/DemandMap.java
@@ -14,7 +14,7 @@
 final class DemandMap {
 
     private static final double SLOW_WEIGHT = 0.05;
-    private static final double FAST_WEIGHT = 0.25;
+    static final double FAST_WEIGHT = 0.25;
     private static final double CHANGE_DEVIATIONS = 4;
     private static final double MIN_SHARE = 0.05;
     private static final double MIN_DEMAND = 1e-3;
@@ -47,6 +47,11 @@
         total = 0;
     }
 
+    /** Arrivals of the last steps, smoothed with {@link #FAST_WEIGHT}. */
+    double recent() {
+        return fast;
+    }
+
     /** The level beneath which this much demand lies. */
     int level(double amount) {
         double left = amount;
--- a/src/main/java/io/beryldock/admission/LevelController.java
+++ b/src/main/java/io/beryldock/admission/LevelController.java
@@ -24,10 +24,14 @@
     private static final int MAX_CATCH_UP_STEPS = 200;
     private static final double QUEUE_GAIN = 0.5;
     private static final double MAX_CORRECTION = 0.5;
+    private static final double BUSY_WEIGHT = DemandMap.FAST_WEIGHT;
+    private static final double IDLE_BELOW = 0.7;
+    private static final double MIN_BUSY = 0.1;
 
     private final DemandMap demand = new DemandMap();
     private int level = ServiceLevel.OPEN;
     private long steppedAt;
+    private double busy;
 
     LevelController(long now) {
         steppedAt = now;
@@ -37,9 +41,10 @@
      * What the target can do and what waits for it.
      *
      * @param capacityPerNano requests that it completes in a nanosecond when all its slots are busy
+     * @param busyShare part of its slots that are taken
      * @param loopNanos delay after which entries act on a level
      */
-    record Load(double capacityPerNano, int queued, double loopNanos) {
+    record Load(double capacityPerNano, int queued, double busyShare, double loopNanos) {
 
         private static final double GOAL_DEVIATIONS = 0.8;
         private static final double BOUND_DEVIATIONS = 2;
@@ -95,7 +100,22 @@
         demand.step(level);
         double excess = (load.queued() - load.goal()) / load.perLoop();
         double correction = Math.max(-MAX_CORRECTION, Math.min(MAX_CORRECTION, QUEUE_GAIN * excess));
-        double fits = load.capacityPerNano() * STEP_NANOS;
+        double fits = fitting(load);
         level = Math.max(FLOOR, demand.level(fits * (1 - correction)));
     }
+
+    /**
+     * Requests that the target completes in a step when all its slots are busy.
+     *
+     * <p>When an overload ends few requests arrive at first, so that the mean service time follows late and the level
+     * would rise late. But then slots are idle, and by Little's law arrivals over the busy share are the capacity.
+     */
+    private double fitting(Load load) {
+        double fits = load.capacityPerNano() * STEP_NANOS;
+        busy += BUSY_WEIGHT * (load.busyShare() - busy);
+        if (load.queued() > 0 || busy >= IDLE_BELOW) {
+            return fits;
+        }
+        return Math.max(fits, demand.recent() / Math.max(MIN_BUSY, busy));
+    }
 }
--- a/src/main/java/io/beryldock/admission/ServiceTimes.java
+++ b/src/main/java/io/beryldock/admission/ServiceTimes.java
@@ -36,7 +36,8 @@
             return;
         }
         fast += FAST_WEIGHT * (nanos - fast);
-        boolean changed = Math.abs(fast - mean) > CHANGE_DEVIATIONS * SCATTER_OF_FAST * deviation;
+        double scatter = SCATTER_OF_FAST * deviation * Math.sqrt(Math.min(1, fast / mean));
+        boolean changed = Math.abs(fast - mean) > CHANGE_DEVIATIONS * scatter;
         double weight = changed ? FAST_WEIGHT : SLOW_WEIGHT;
         deviation += weight * (Math.abs(nanos - mean) - deviation);
         mean = changed ? fast : mean + SLOW_WEIGHT * (nanos - mean);
--- a/src/main/java/io/beryldock/admission/TargetGate.java
+++ b/src/main/java/io/beryldock/admission/TargetGate.java
@@ -307,13 +307,15 @@
     }
 
     private LevelController.Load load(long now) {
+        int slots = limit.at(now);
         double mean = Math.max(1, times.expected(now));
-        double capacity = limit.at(now) / mean;
-        if (running.size() >= limit.at(now)) {
-            // A target that hangs ends nothing, so no service time shows it; a gap of several ends does.
+        double capacity = slots / mean;
+        if (running.size() >= slots) {
+            // A target that hangs ends nothing, so no service time shows it; the lack of several ends does.
             capacity = Math.min(capacity, STALL_GAPS / Math.max(1, now - progressAt));
         }
-        return new LevelController.Load(capacity, queue.size(), LOOP_BASE_NANOS + LOOP_PER_SERVICE_TIME * mean);
+        double busy = (double) running.size() / slots;
+        return new LevelController.Load(capacity, queue.size(), busy, LOOP_BASE_NANOS + LOOP_PER_SERVICE_TIME * mean);
     }
 
     private void armQueueTick() {
