--- a/src/main/java/io/beryldock/admission/LevelController.java
+++ b/src/main/java/io/beryldock/admission/LevelController.java
@@ -52,12 +52,12 @@
 
         /** Queue length to aim at. */
         double goal() {
-            return GOAL_DEVIATIONS * arrivalsDeviation();
+            return 1 + GOAL_DEVIATIONS * arrivalsDeviation();
         }
 
         /** Length above which a standing queue is cut. */
         double bound() {
-            return BOUND_DEVIATIONS * arrivalsDeviation();
+            return 2 + BOUND_DEVIATIONS * arrivalsDeviation();
         }
 
         /** Wait that a standing queue allows; the least important get only a small part of the capacity. */
