--- a/src/main/java/io/beryldock/cli/SubcommandRegistry.java
+++ b/src/main/java/io/beryldock/cli/SubcommandRegistry.java
@@ -7,6 +7,8 @@
 final class SubcommandRegistry {
 
     static final ImmutableSortedMap<String, Entry> ENTRIES = ImmutableSortedMap.<String, Entry>naturalOrder()
+            .put("demo", new Entry(DemoSubcommand::new, "show a small deployment at work"))
+            .put("measure", new Entry(MeasureSubcommand::new, "measure a scenario on real nodes: --scenario NAME"))
             .put("node", new Entry(NodeSubcommand::new, "run a node: --settings FILE"))
             .put("standin-platform", new Entry(StandinPlatformSubcommand::new, "run a stand-in of the platform store"))
             .put("standin-target", new Entry(StandinTargetSubcommand::new, "run a stand-in target: --settings FILE"))
--- a/src/main/java/io/beryldock/forwarding/RequestTally.java
+++ b/src/main/java/io/beryldock/forwarding/RequestTally.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.LongAccumulator;
 import java.util.concurrent.atomic.LongAdder;
 
 /**
@@ -19,6 +20,7 @@
     private final Map<String, ClassCounts> classes = new ConcurrentHashMap<>();
 
     private final LongAdder inFlight = new LongAdder();
+    private final LongAccumulator mostRetries = new LongAccumulator(Math::max, 0);
 
     private RequestTally() {}
 
@@ -35,6 +37,7 @@
         inFlight.decrement();
         ClassCounts counts = counts(priority);
         counts.retries.add(retries);
+        mostRetries.accumulate(retries);
         switch (result.outcome()) {
             case ANSWERED -> counts.answered.increment();
             case UNKNOWN -> counts.unknown.increment();
@@ -57,6 +60,11 @@
         return inFlight.sum();
     }
 
+    /** Most retries that one root request of this node has spent or lost. */
+    public long mostRetries() {
+        return mostRetries.get();
+    }
+
     /** What was counted since the start, by class. */
     public ImmutableMap<String, Row> rows() {
         ImmutableMap.Builder<String, Row> rows = ImmutableMap.builder();
--- a/src/main/java/io/beryldock/measure/CapacityBound.java
+++ b/src/main/java/io/beryldock/measure/CapacityBound.java
@@ -69,8 +69,8 @@
         return admitted;
     }
 
-    private TreeMap<Integer, List<CallerClass>> ranks() {
-        TreeMap<Integer, List<CallerClass>> ranks = new TreeMap<>();
+    private Map<Integer, List<CallerClass>> ranks() {
+        Map<Integer, List<CallerClass>> ranks = new TreeMap<>();
         for (CallerClass callers : topology.callers()) {
             int rank = route(callers.method(), callers.path())
                     .map(configuration::priorityOf)
--- a/src/main/java/io/beryldock/measure/RequestDriver.java
+++ b/src/main/java/io/beryldock/measure/RequestDriver.java
@@ -3,7 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import io.beryldock.http.BeryldockHeaders;
 import io.beryldock.measure.Scenario.Patience;
-import io.beryldock.measure.Topology.Key;
+import io.beryldock.measure.Topology.KeyKind;
 import io.beryldock.measure.UserRequest.Verdict;
 import io.beryldock.time.TimerService;
 import java.net.InetSocketAddress;
@@ -74,13 +74,13 @@
     }
 
     private void attempt(UserRequest request, Optional<String> ticket) {
-        if (request.callers().key() == Key.TICKET && ticket.isEmpty()) {
+        if (request.callers().key() == KeyKind.TICKET && ticket.isEmpty()) {
             mint(request);
             return;
         }
         SimpleHttpRequest message = message(request, request.callers().method(), request.pathAndQuery());
         ticket.ifPresent(text -> message.setHeader(BeryldockHeaders.TICKET, text));
-        if (request.callers().key() == Key.CALLER_KEY) {
+        if (request.callers().key() == KeyKind.CALLER_KEY) {
             message.setHeader(BeryldockHeaders.IDEMPOTENCY_KEY, request.token());
         }
         long sent = timers.ticker().nanos();
@@ -122,10 +122,12 @@
     }
 
     private SimpleHttpRequest message(UserRequest request, String method, String pathAndQuery) {
-        SplittableRandom random = new SplittableRandom(seed + 31L * request.token().hashCode() + request.attempts());
+        SplittableRandom random =
+                new SplittableRandom(seed + 31L * request.token().hashCode() + request.attempts());
         InetSocketAddress entry = entries.get(random.nextInt(entries.size()));
         String uri = "http://" + entry.getHostString() + ":" + entry.getPort() + pathAndQuery;
-        SimpleHttpRequest message = SimpleRequestBuilder.create(method).setUri(uri).build();
+        SimpleHttpRequest message =
+                SimpleRequestBuilder.create(method).setUri(uri).build();
         message.setHeader("Authorization", "Bearer user-" + request.user());
         return message;
     }
--- a/src/main/java/io/beryldock/measure/ScenarioCluster.java
+++ b/src/main/java/io/beryldock/measure/ScenarioCluster.java
@@ -65,7 +65,8 @@
             throws StandinException, SettingsException, PeerStartException, ServerStartException, InterruptedException {
         for (Service service : topology.services()) {
             for (int i = 0; i < service.instances(); i++) {
-                String dataCentre = topology.dataCentres().get(i % topology.dataCentres().size());
+                String dataCentre =
+                        topology.dataCentres().get(i % topology.dataCentres().size());
                 String id = dataCentre + "-" + service.name() + "-" + i;
                 RunningNode node = NodeProcess.start(nodeSettings(topology, policy, id, dataCentre), shared);
                 nodes.add(node);
@@ -96,7 +97,8 @@
 
     private static StandinTargetSettings targetSettings(
             Service service, RunningNode node, NodeSettings.Policy policy, long seed) {
-        return StandinTargetSettings.of(service.name(), service.slots(), ServiceTime.exponential(service.millis()))
+        ServiceTime time = new ServiceTime(service.distribution(), service.millis());
+        return StandinTargetSettings.of(service.name(), service.slots(), time)
                 .withNode("http://" + LOOPBACK + ":" + node.loopbackAddress().getPort())
                 .withInnerCalls(service.innerCalls())
                 .withAcceptsDeadlines(policy == NodeSettings.Policy.FULL)
--- a/src/main/java/io/beryldock/measure/Topology.java
+++ b/src/main/java/io/beryldock/measure/Topology.java
@@ -1,6 +1,7 @@
 package io.beryldock.measure;
 
 import com.google.common.collect.ImmutableList;
+import io.beryldock.standin.StandinTargetSettings.Distribution;
 import io.beryldock.standin.StandinTargetSettings.InnerCall;
 import jakarta.validation.Valid;
 import jakarta.validation.constraints.DecimalMin;
@@ -27,9 +28,11 @@
             @Min(1) int instances,
             @Min(1) int slots,
             @DecimalMin("0") double millis,
+            Distribution distribution,
             ImmutableList<@Valid InnerCall> innerCalls) {
 
         Service {
+            distribution = distribution == null ? Distribution.EXPONENTIAL : distribution;
             innerCalls = innerCalls == null ? ImmutableList.of() : innerCalls;
         }
     }
@@ -45,19 +48,19 @@
             @NotNull String method,
             @NotNull String path,
             @DecimalMin("0") double perSecond,
-            Key key) {
+            KeyKind key) {
 
         CallerClass {
-            key = key == null ? Key.NONE : key;
+            key = key == null ? KeyKind.NONE : key;
         }
 
         boolean repeatable() {
-            return key != Key.NONE || method.equals("GET");
+            return key != KeyKind.NONE || method.equals("GET");
         }
     }
 
     /** What makes a request of callers run at most once. */
-    enum Key {
+    enum KeyKind {
         /** Nothing; fit for reads. */
         NONE,
         /** A ticket taken from the node before. */
