--- a/src/main/java/io/beryldock/cli/SubcommandRegistry.java
+++ b/src/main/java/io/beryldock/cli/SubcommandRegistry.java
@@ -8,6 +8,8 @@
 
     static final ImmutableSortedMap<String, Entry> ENTRIES = ImmutableSortedMap.<String, Entry>naturalOrder()
             .put("ctl", new Entry(CtlSubcommand::new, "ask and command a node: --node IP:PORT \"STATEMENT\""))
+            .put("demo", new Entry(DemoSubcommand::new, "show a small deployment at work"))
+            .put("measure", new Entry(MeasureSubcommand::new, "measure a scenario on real nodes: --scenario NAME"))
             .put("node", new Entry(NodeSubcommand::new, "run a node: --settings FILE"))
             .put("standin-platform", new Entry(StandinPlatformSubcommand::new, "run a stand-in of the platform store"))
             .put("standin-target", new Entry(StandinTargetSubcommand::new, "run a stand-in target: --settings FILE"))
