--- a/src/main/java/io/beryldock/admission/Deliveries.java
+++ b/src/main/java/io/beryldock/admission/Deliveries.java
@@ -3,9 +3,10 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 
 /**
- * Calls to listeners that were decided under a gate's lock and are made after it.
+ * Decisions that were made under a gate's lock and are told to their listeners after it.
  *
  * <p>A listener may submit or release again, which would decide in the middle of another decision were the lock held. A
  * listener that throws must not keep the others from hearing theirs. Confined to one thread.
@@ -14,19 +15,40 @@
 
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
 
-    private final List<Runnable> list = new ArrayList<>(2);
+    private GateEntry first;
+    private List<GateEntry> more = List.of();
+    private List<CompletableFuture<Void>> idle = List.of();
 
-    void add(Runnable call) {
-        list.add(call);
+    void add(GateEntry decided) {
+        if (first == null) {
+            first = decided;
+            return;
+        }
+        if (more.isEmpty()) {
+            more = new ArrayList<>();
+        }
+        more.add(decided);
+    }
+
+    /** The gate has become idle. */
+    void addIdle(List<CompletableFuture<Void>> waiting) {
+        idle = waiting;
     }
 
     void deliver() {
-        for (Runnable call : list) {
-            try {
-                call.run();
-            } catch (RuntimeException e) {
-                log.atSevere().withCause(e).log("a listener of an admission gate failed");
-            }
+        if (first != null) {
+            tell(first);
+        }
+        more.forEach(Deliveries::tell);
+        idle.forEach(future -> future.complete(null));
+    }
+
+    private static void tell(GateEntry entry) {
+        try {
+            entry.tellDecision();
+        } catch (RuntimeException e) {
+            log.atSevere().withCause(e).log(
+                    "the listener of request %s failed", entry.request().id());
         }
     }
 }
--- a/src/main/java/io/beryldock/admission/GateEntry.java
+++ b/src/main/java/io/beryldock/admission/GateEntry.java
@@ -24,6 +24,8 @@
     private final long order;
     private State state = State.QUEUED;
     private long admittedAt;
+    private Reason refusal;
+    private long retryAfterMillis;
 
     GateEntry(TargetGate gate, GateRequest request, GateListener listener, long now, long order) {
         this.gate = gate;
@@ -89,12 +91,19 @@
         state = State.ENDED;
     }
 
-    void tellAdmitted() {
-        listener.admitted(this);
+    void refuse(Reason reason, long retryAfter) {
+        state = State.ENDED;
+        refusal = reason;
+        retryAfterMillis = retryAfter;
     }
 
-    void tellRefused(Reason reason, long retryAfterMillis) {
-        listener.refused(reason, retryAfterMillis);
+    /** Tells the listener what was decided; called once, by the thread that decided. */
+    void tellDecision() {
+        if (refusal == null) {
+            listener.admitted(this);
+        } else {
+            listener.refused(refusal, retryAfterMillis);
+        }
     }
 
     private static int compareImportance(GateEntry a, GateEntry b) {
