Renew unchanged announcements in the membership

Cause: five seconds after a start every request was refused NO_TARGET. The node took an announcement equal to the last for no news and did not renew it, so the membership withdrew the target. Ruled out: the spread of the view (all twelve nodes of the demo knew all twelve). Change: every announcement is renewed; the test tells the story.

--- a/src/main/java/io/beryldock/node/TargetAnnouncements.java
+++ b/src/main/java/io/beryldock/node/TargetAnnouncements.java
@@ -80,6 +80,7 @@
         expiryTimer.cancel();
         expiryTimer = timers.after(expiry, this::expire);
         if (last.filter(announcement::equals).isPresent()) {
+            renew(announcement);
             return;
         }
         last = Optional.of(announcement);
@@ -93,6 +94,15 @@
                 announcement.state() + " with " + announcement.slots() + " slots at " + announcement.address());
     }
 
+    /** The membership withdraws a target whose announcement is not renewed, so an unchanged one is passed on too. */
+    private void renew(Announcement announcement) {
+        membership.announce(ServiceName.of(announcement.service()), announcement.slots(), stateOf(announcement));
+    }
+
+    private TargetState stateOf(Announcement announcement) {
+        return drained ? TargetState.LEAVING : announcement.state();
+    }
+
     private TargetGate gateFor(ServiceName service, int slots) {
         GateSettings settings = boundBySlots ? gateSettings.withAnnouncedSlots(slots) : gateSettings;
         Optional<TargetGate> kept =
@@ -102,13 +112,12 @@
     }
 
     private void apply(Announcement announcement, TargetGate gate) {
-        TargetState state = drained ? TargetState.LEAVING : announcement.state();
-        if (state == TargetState.READY) {
+        if (stateOf(announcement) == TargetState.READY) {
             gate.undrain();
         } else {
             gate.drain();
         }
-        membership.announce(ServiceName.of(announcement.service()), announcement.slots(), state);
+        renew(announcement);
     }
 
     private void expire() {
--- /dev/null
+++ b/src/test/java/io/beryldock/node/TargetAnnouncementsTest.java
@@ -0,0 +1,96 @@
+package io.beryldock.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import io.beryldock.admission.GateSettings;
+import io.beryldock.call.DataCentre;
+import io.beryldock.call.Incarnation;
+import io.beryldock.call.NodeId;
+import io.beryldock.call.ServiceName;
+import io.beryldock.forwarding.Announcement;
+import io.beryldock.membership.MembershipService;
+import io.beryldock.membership.MembershipSettings;
+import io.beryldock.membership.NodeDescriptor;
+import io.beryldock.membership.TargetRecord;
+import io.beryldock.membership.TargetState;
+import io.beryldock.platform.InMemoryPlatformStore;
+import io.beryldock.time.ManualTimerService;
+import io.beryldock.timeline.EventSink;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+class TargetAnnouncementsTest {
+
+    private static final Duration EXPIRY = Duration.ofSeconds(5);
+    private static final ServiceName LISTS = ServiceName.of("lists");
+
+    private final ManualTimerService timers = ManualTimerService.create();
+    private final MembershipService membership = membership();
+    private final TargetAnnouncements announcements = new TargetAnnouncements(
+            membership, GateSettings.defaults(), true, EXPIRY, timers, new Random(1), EventSink.none());
+
+    private MembershipService membership() {
+        NodeDescriptor self = new NodeDescriptor(
+                NodeId.of("n1"), new Incarnation(1, 1), DataCentre.of("gent-a"), new InetSocketAddress(1));
+        MembershipService service = MembershipService.create(
+                MembershipSettings.of(ImmutableList.of()).withTargetExpiry(EXPIRY),
+                self,
+                (to, body) -> {},
+                timers,
+                new Random(2),
+                EventSink.none(),
+                InMemoryPlatformStore.create(timers, new Random(3)));
+        service.start();
+        return service;
+    }
+
+    private List<TargetRecord> targets() {
+        return membership.directory().targetsOf(LISTS);
+    }
+
+    private void announceEverySecond(TargetState state, int seconds) {
+        for (int i = 0; i < seconds; i++) {
+            announcements.announce(new Announcement("lists", "127.0.0.1:9101", 50, state));
+            timers.advance(Duration.ofSeconds(1));
+        }
+    }
+
+    /**
+     * Story: pages open for five seconds after a start, then every request is refused with "no live target". The target
+     * announces itself each second, always with the same words; its node took the unchanged ones for no news and did
+     * not renew them in the membership, which withdrew the target when the first announcement expired.
+     */
+    @Test
+    void unchangedAnnouncementsKeepTheTargetInTheView() {
+        announceEverySecond(TargetState.READY, 20);
+        assertThat(targets()).hasSize(1);
+    }
+
+    @Test
+    void silentTargetIsWithdrawn() {
+        announceEverySecond(TargetState.READY, 2);
+        timers.advance(EXPIRY.plusSeconds(1));
+        assertThat(targets()).isEmpty();
+        assertThat(announcements.current()).isEmpty();
+    }
+
+    /**
+     * Story: an operator drains a target before a stop, yet new requests reach it a second later. The target, which
+     * knows nothing of the drain, announces READY again.
+     */
+    @Test
+    void drainedTargetStaysLeavingWhateverItAnnounces() {
+        announceEverySecond(TargetState.READY, 2);
+        announcements.drain();
+        announceEverySecond(TargetState.READY, 3);
+        assertThat(targets().get(0).state()).isEqualTo(TargetState.LEAVING);
+        assertThat(announcements.current().orElseThrow().gate().snapshot().draining())
+                .isTrue();
+        announcements.undrain();
+        assertThat(targets().get(0).state()).isEqualTo(TargetState.READY);
+    }
+}
