--- a/src/main/java/io/beryldock/measure/WarmUp.java
+++ b/src/main/java/io/beryldock/measure/WarmUp.java
@@ -22,6 +22,7 @@
     private final Topology topology;
     private final ScenarioCluster cluster;
     private final CloseableHttpAsyncClient client;
+    private String last = "nothing";
 
     WarmUp(Topology topology, ScenarioCluster cluster, CloseableHttpAsyncClient client) {
         this.topology = topology;
@@ -45,8 +46,8 @@
         String uri = "http://" + entry.getHostString() + ":" + entry.getPort() + callers.path() + "/1?echo=warm-up";
         while (!isAnswered(uri)) {
             if (System.nanoTime() - end > 0) {
-                throw new StandinException("no answer of " + uri + " within " + LONGEST
-                        + " of the start: see the log of the nodes, run again with fewer programs beside it");
+                throw new StandinException("no page from " + uri + " within " + LONGEST + " of the start, last " + last
+                        + ": see the log of the nodes, run again with fewer programs beside it");
             }
             TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
         }
@@ -57,8 +58,10 @@
             SimpleHttpResponse response = client.execute(
                             SimpleRequestBuilder.get(uri).build(), null)
                     .get(ONE_TRY.toMillis(), TimeUnit.MILLISECONDS);
+            last = response.getCode() + " " + response.getBodyText();
             return response.getCode() == OK;
         } catch (ExecutionException | TimeoutException e) {
+            last = e.toString();
             return false;
         }
     }
