Renew a target's record with each of its announcements

Cause: a repeated announcement renewed the node's own timer only, so the view dropped every target five seconds after its first announcement and all calls to it ended NO_TARGET. Change: each announcement renews the record.

--- a/src/main/java/io/beryldock/node/TargetAnnouncements.java
+++ b/src/main/java/io/beryldock/node/TargetAnnouncements.java
@@ -80,6 +80,7 @@
         expiryTimer.cancel();
         expiryTimer = timers.after(expiry, this::expire);
         if (last.filter(announcement::equals).isPresent()) {
+            announceToOthers(announcement);
             return;
         }
         last = Optional.of(announcement);
@@ -102,13 +103,22 @@
     }
 
     private void apply(Announcement announcement, TargetGate gate) {
-        TargetState state = drained ? TargetState.LEAVING : announcement.state();
-        if (state == TargetState.READY) {
+        if (stateOf(announcement) == TargetState.READY) {
             gate.undrain();
         } else {
             gate.drain();
         }
-        membership.announce(ServiceName.of(announcement.service()), announcement.slots(), state);
+        announceToOthers(announcement);
+    }
+
+    /** Renews the target's record too: the view drops a target that is not announced again in time. */
+    private void announceToOthers(Announcement announcement) {
+        ServiceName service = ServiceName.of(announcement.service());
+        membership.announce(service, announcement.slots(), stateOf(announcement));
+    }
+
+    private TargetState stateOf(Announcement announcement) {
+        return drained ? TargetState.LEAVING : announcement.state();
     }
 
     private void expire() {
