--- a/src/main/antlr/Operator.g4
+++ b/src/main/antlr/Operator.g4
@@ -27,7 +27,9 @@
 
 why : WHY requestId everywhere? ;
 
-change : set | remove | mark | restore | drain | undrain ;
+change : ( set | remove | mark ) basedOn? | restore | drain | undrain ;
+
+basedOn : BASED ON VERSION version ;
 
 set : SET ( setClass | setBudget | setLimit | setRoute ) ;
 
@@ -81,16 +83,19 @@
 
 slots : NUMBER ;
 
+version : NUMBER ;
+
 // A keyword is a name like any other where only a name can stand.
 name : WORD | NUMBER | DECIMAL | DURATION | keyword ;
 
 keyword
-    : BUDGET | BY | CALLER | CHANGES | CLASS | CONFIGURATION | CONNECTIONS | DEADLINE | DRAIN | EVERYWHERE | EXPLAIN
-    | IDEMPOTENT | LAST | LEVELS | LIMIT | MARK | METHODS | NODES | NON_IDEMPOTENT | PRIORITY | QUARANTINE | REMOVE
+    : BASED | BUDGET | BY | CALLER | CHANGES | CLASS | CONFIGURATION | CONNECTIONS | DEADLINE | DRAIN | EVERYWHERE | EXPLAIN
+    | IDEMPOTENT | LAST | LEVELS | LIMIT | MARK | METHODS | NODES | NON_IDEMPOTENT | ON | PRIORITY | QUARANTINE | REMOVE
     | REQUEST | RESTORE | RETRIES | ROUTE | SERVICE | SET | SHARE | SHED | SHOW | SLOTS | TARGET | TARGETS | TICKETS
-    | TIMELINE | UNDRAIN | WATCH | WHY
+    | TIMELINE | UNDRAIN | VERSION | WATCH | WHY
     ;
 
+BASED : 'based' ;
 BUDGET : 'budget' ;
 BY : 'by' ;
 CALLER : 'caller' ;
@@ -110,6 +115,7 @@
 METHODS : 'methods' ;
 NODES : 'nodes' ;
 NON_IDEMPOTENT : 'non-idempotent' ;
+ON : 'on' ;
 PRIORITY : 'priority' ;
 QUARANTINE : 'quarantine' ;
 REMOVE : 'remove' ;
@@ -128,6 +134,7 @@
 TICKETS : 'tickets' ;
 TIMELINE : 'timeline' ;
 UNDRAIN : 'undrain' ;
+VERSION : 'version' ;
 WATCH : 'watch' ;
 WHY : 'why' ;
 
--- a/src/main/java/io/beryldock/command/ChangeStatement.java
+++ b/src/main/java/io/beryldock/command/ChangeStatement.java
@@ -113,6 +113,14 @@
         }
     }
 
+    /** Makes a change only if nobody has changed the same setting since that version. */
+    record BasedOn(OfConfiguration change, long version) implements OfConfiguration {
+        @Override
+        public String text() {
+            return change.text() + " based on version " + version;
+        }
+    }
+
     /** Lets a target take no new work; what is in flight finishes. */
     record DrainTarget(NodeId node) implements OfTarget {
         @Override
--- a/src/main/java/io/beryldock/command/ExpectedWords.java
+++ b/src/main/java/io/beryldock/command/ExpectedWords.java
@@ -24,6 +24,7 @@
             .put(OperatorParser.RULE_priority, "a priority from 0 (shed last) to 7 (shed first)")
             .put(OperatorParser.RULE_retries, "a number of retries")
             .put(OperatorParser.RULE_slots, "a number of slots")
+            .put(OperatorParser.RULE_version, "the number of a version")
             .buildOrThrow();
 
     /** Where no such rule has begun, a word can only be the first of a route's methods, which may be left out. */
--- a/src/main/java/io/beryldock/command/OperatorService.java
+++ b/src/main/java/io/beryldock/command/OperatorService.java
@@ -112,7 +112,7 @@
         }
         ChangeStatement.OfConfiguration change = (ChangeStatement.OfConfiguration) explain.change();
         return ports.changer()
-                .change(new ChangeRequest(change, operator, true))
+                .change(ChangeRequest.of(change, operator, true))
                 .thenApply(report -> ResponseFactory.changed(explain, report));
     }
 
@@ -120,7 +120,7 @@
         if (change instanceof ChangeStatement.OfTarget target) {
             return commander.command(target).thenApply(report -> ResponseFactory.commanded(target, report));
         }
-        ChangeRequest request = new ChangeRequest((ChangeStatement.OfConfiguration) change, operator, false);
+        ChangeRequest request = ChangeRequest.of((ChangeStatement.OfConfiguration) change, operator, false);
         return ports.changer().change(request).thenCompose(report -> changed(change, report));
     }
 
--- a/src/main/java/io/beryldock/command/StatementBuilder.java
+++ b/src/main/java/io/beryldock/command/StatementBuilder.java
@@ -98,17 +98,11 @@
     }
 
     private static ChangeStatement change(ChangeContext tree) throws StatementException {
-        if (tree.set() != null) {
-            return set(tree.set());
-        }
-        if (tree.remove() != null) {
-            return new ChangeStatement.RemoveRoute(
-                    tree.remove().prefix().getText(), methods(tree.remove().routeMethods()));
-        }
-        if (tree.mark() != null) {
-            boolean idempotent = tree.mark().IDEMPOTENT() != null;
-            return new ChangeStatement.MarkRoute(
-                    tree.mark().prefix().getText(), methods(tree.mark().routeMethods()), idempotent);
+        if (tree.set() != null || tree.remove() != null || tree.mark() != null) {
+            ChangeStatement.OfConfiguration change = ofSetting(tree);
+            return tree.basedOn() == null
+                    ? change
+                    : new ChangeStatement.BasedOn(change, number(tree.basedOn().version(), 0, Integer.MAX_VALUE));
         }
         if (tree.restore() != null) {
             return new ChangeStatement.RestoreConfiguration();
@@ -119,7 +113,20 @@
         return new ChangeStatement.UndrainTarget(named(tree.undrain().nodeId(), NodeId::of));
     }
 
-    private static ChangeStatement set(SetContext tree) throws StatementException {
+    private static ChangeStatement.OfConfiguration ofSetting(ChangeContext tree) throws StatementException {
+        if (tree.set() != null) {
+            return set(tree.set());
+        }
+        if (tree.remove() != null) {
+            return new ChangeStatement.RemoveRoute(
+                    tree.remove().prefix().getText(), methods(tree.remove().routeMethods()));
+        }
+        boolean idempotent = tree.mark().IDEMPOTENT() != null;
+        return new ChangeStatement.MarkRoute(
+                tree.mark().prefix().getText(), methods(tree.mark().routeMethods()), idempotent);
+    }
+
+    private static ChangeStatement.OfConfiguration set(SetContext tree) throws StatementException {
         if (tree.setClass() != null) {
             int priority = number(tree.setClass().priority(), 0, PriorityClass.LOWEST_RANK);
             return new ChangeStatement.SetClass(className(tree.setClass().className()), priority);
@@ -134,7 +141,7 @@
         return setRoute(tree.setRoute());
     }
 
-    private static ChangeStatement setBudget(SetBudgetContext tree) throws StatementException {
+    private static ChangeStatement.OfConfiguration setBudget(SetBudgetContext tree) throws StatementException {
         Once<Double> share = new Once<>("share");
         Once<Integer> retries = new Once<>("retries");
         for (OperatorParser.BudgetOptionContext option : tree.budgetOption()) {
@@ -147,7 +154,7 @@
         return new ChangeStatement.SetBudget(className(tree.budgetName()), share.value(), retries.value());
     }
 
-    private static ChangeStatement setRoute(SetRouteContext tree) throws StatementException {
+    private static ChangeStatement.OfConfiguration setRoute(SetRouteContext tree) throws StatementException {
         String prefix = tree.prefix().getText();
         ImmutableList<String> methods = methods(tree.routeMethods());
         if (tree.routeTarget() != null) {
@@ -156,8 +163,8 @@
         return new ChangeStatement.SetDeadline(prefix, methods, duration(tree.duration(), MAX_DEADLINE));
     }
 
-    private static ChangeStatement setRoute(String prefix, ImmutableList<String> methods, RouteTargetContext tree)
-            throws StatementException {
+    private static ChangeStatement.OfConfiguration setRoute(
+            String prefix, ImmutableList<String> methods, RouteTargetContext tree) throws StatementException {
         Once<Boolean> idempotent = new Once<>("idempotent or non-idempotent");
         Once<Duration> deadline = new Once<>("deadline");
         Once<String> budget = new Once<>("budget");
--- a/src/main/java/io/beryldock/command/StoreConfigurationChanger.java
+++ b/src/main/java/io/beryldock/command/StoreConfigurationChanger.java
@@ -55,9 +55,10 @@
             return CompletableFuture.completedFuture(
                     new ChangeReport.Rejected("there is no such budget yet", "give both its share and its retries"));
         }
+        long basedOn = request.basedOn().orElse(seen.version());
         CompletableFuture<ChangeResult> result = request.dryRun()
-                ? writer.dryRun(change.get(), seen.version())
-                : writer.submit(change.get(), request.operator(), seen.version());
+                ? writer.dryRun(change.get(), basedOn)
+                : writer.submit(change.get(), request.operator(), basedOn);
         return result.thenApply(StoreConfigurationChanger::report);
     }
 
--- a/src/main/java/io/beryldock/command/TableRenderer.java
+++ b/src/main/java/io/beryldock/command/TableRenderer.java
@@ -1,5 +1,6 @@
 package io.beryldock.command;
 
+import com.google.common.base.CaseFormat;
 import com.google.common.base.Strings;
 import com.google.common.collect.ImmutableList;
 import java.util.ArrayList;
@@ -61,7 +62,7 @@
             return;
         }
         List<List<String>> texts = new ArrayList<>();
-        texts.add(table.columns().stream().map(Column::name).toList());
+        texts.add(table.columns().stream().map(TableRenderer::title).toList());
         table.rows().forEach(row -> texts.add(texts(table.columns(), row)));
         int[] widths = widths(texts);
         for (List<String> row : texts) {
@@ -69,6 +70,12 @@
         }
     }
 
+    /** The column's name in words, without the unit that each cell shows. */
+    private static String title(Column column) {
+        String name = column.name().replaceAll("Millis$", "");
+        return CaseFormat.LOWER_CAMEL.to(CaseFormat.LOWER_HYPHEN, name).replace('-', ' ');
+    }
+
     private static List<String> texts(ImmutableList<Column> columns, ImmutableList<Cell> row) {
         List<String> texts = new ArrayList<>();
         for (int i = 0; i < columns.size(); i++) {
--- a/src/main/java/io/beryldock/command/grammar/OperatorBaseVisitor.java
+++ b/src/main/java/io/beryldock/command/grammar/OperatorBaseVisitor.java
@@ -96,6 +96,13 @@
 	 * {@link #visitChildren} on {@code ctx}.</p>
 	 */
 	@Override public T visitChange(OperatorParser.ChangeContext ctx) { return visitChildren(ctx); }
+	/**
+	 * {@inheritDoc}
+	 *
+	 * <p>The default implementation returns the result of calling
+	 * {@link #visitChildren} on {@code ctx}.</p>
+	 */
+	@Override public T visitBasedOn(OperatorParser.BasedOnContext ctx) { return visitChildren(ctx); }
 	/**
 	 * {@inheritDoc}
 	 *
@@ -278,6 +285,13 @@
 	 * {@link #visitChildren} on {@code ctx}.</p>
 	 */
 	@Override public T visitSlots(OperatorParser.SlotsContext ctx) { return visitChildren(ctx); }
+	/**
+	 * {@inheritDoc}
+	 *
+	 * <p>The default implementation returns the result of calling
+	 * {@link #visitChildren} on {@code ctx}.</p>
+	 */
+	@Override public T visitVersion(OperatorParser.VersionContext ctx) { return visitChildren(ctx); }
 	/**
 	 * {@inheritDoc}
 	 *
--- a/src/main/java/io/beryldock/command/grammar/OperatorParser.java
+++ b/src/main/java/io/beryldock/command/grammar/OperatorParser.java
@@ -17,60 +17,62 @@
 	protected static final PredictionContextCache _sharedContextCache =
 		new PredictionContextCache();
 	public static final int
-		BUDGET=1, BY=2, CALLER=3, CHANGES=4, CLASS=5, CONFIGURATION=6, CONNECTIONS=7, 
-		DEADLINE=8, DRAIN=9, EVERYWHERE=10, EXPLAIN=11, IDEMPOTENT=12, LAST=13, 
-		LEVELS=14, LIMIT=15, MARK=16, METHODS=17, NODES=18, NON_IDEMPOTENT=19, 
-		PRIORITY=20, QUARANTINE=21, REMOVE=22, REQUEST=23, RESTORE=24, RETRIES=25, 
-		ROUTE=26, SERVICE=27, SET=28, SHARE=29, SHED=30, SHOW=31, SLOTS=32, TARGET=33, 
-		TARGETS=34, TICKETS=35, TIMELINE=36, UNDRAIN=37, WATCH=38, WHY=39, NUMBER=40, 
-		DURATION=41, DECIMAL=42, PERCENT=43, WORD=44, PATH=45, COMMA=46, SPACE=47, 
-		OTHER=48;
+		BASED=1, BUDGET=2, BY=3, CALLER=4, CHANGES=5, CLASS=6, CONFIGURATION=7, 
+		CONNECTIONS=8, DEADLINE=9, DRAIN=10, EVERYWHERE=11, EXPLAIN=12, IDEMPOTENT=13, 
+		LAST=14, LEVELS=15, LIMIT=16, MARK=17, METHODS=18, NODES=19, NON_IDEMPOTENT=20, 
+		ON=21, PRIORITY=22, QUARANTINE=23, REMOVE=24, REQUEST=25, RESTORE=26, 
+		RETRIES=27, ROUTE=28, SERVICE=29, SET=30, SHARE=31, SHED=32, SHOW=33, 
+		SLOTS=34, TARGET=35, TARGETS=36, TICKETS=37, TIMELINE=38, UNDRAIN=39, 
+		VERSION=40, WATCH=41, WHY=42, NUMBER=43, DURATION=44, DECIMAL=45, PERCENT=46, 
+		WORD=47, PATH=48, COMMA=49, SPACE=50, OTHER=51;
 	public static final int
 		RULE_statement = 0, RULE_command = 1, RULE_explain = 2, RULE_watch = 3, 
 		RULE_show = 4, RULE_topic = 5, RULE_shedOption = 6, RULE_grouping = 7, 
 		RULE_timelineOption = 8, RULE_everywhere = 9, RULE_why = 10, RULE_change = 11, 
-		RULE_set = 12, RULE_setClass = 13, RULE_setBudget = 14, RULE_budgetOption = 15, 
-		RULE_setLimit = 16, RULE_setRoute = 17, RULE_routeMethods = 18, RULE_routeTarget = 19, 
-		RULE_routeOption = 20, RULE_remove = 21, RULE_mark = 22, RULE_restore = 23, 
-		RULE_drain = 24, RULE_undrain = 25, RULE_className = 26, RULE_budgetName = 27, 
-		RULE_serviceName = 28, RULE_nodeId = 29, RULE_method = 30, RULE_requestId = 31, 
-		RULE_prefix = 32, RULE_duration = 33, RULE_share = 34, RULE_priority = 35, 
-		RULE_retries = 36, RULE_slots = 37, RULE_name = 38, RULE_keyword = 39;
+		RULE_basedOn = 12, RULE_set = 13, RULE_setClass = 14, RULE_setBudget = 15, 
+		RULE_budgetOption = 16, RULE_setLimit = 17, RULE_setRoute = 18, RULE_routeMethods = 19, 
+		RULE_routeTarget = 20, RULE_routeOption = 21, RULE_remove = 22, RULE_mark = 23, 
+		RULE_restore = 24, RULE_drain = 25, RULE_undrain = 26, RULE_className = 27, 
+		RULE_budgetName = 28, RULE_serviceName = 29, RULE_nodeId = 30, RULE_method = 31, 
+		RULE_requestId = 32, RULE_prefix = 33, RULE_duration = 34, RULE_share = 35, 
+		RULE_priority = 36, RULE_retries = 37, RULE_slots = 38, RULE_version = 39, 
+		RULE_name = 40, RULE_keyword = 41;
 	private static String[] makeRuleNames() {
 		return new String[] {
 			"statement", "command", "explain", "watch", "show", "topic", "shedOption", 
-			"grouping", "timelineOption", "everywhere", "why", "change", "set", "setClass", 
-			"setBudget", "budgetOption", "setLimit", "setRoute", "routeMethods", 
-			"routeTarget", "routeOption", "remove", "mark", "restore", "drain", "undrain", 
-			"className", "budgetName", "serviceName", "nodeId", "method", "requestId", 
-			"prefix", "duration", "share", "priority", "retries", "slots", "name", 
-			"keyword"
+			"grouping", "timelineOption", "everywhere", "why", "change", "basedOn", 
+			"set", "setClass", "setBudget", "budgetOption", "setLimit", "setRoute", 
+			"routeMethods", "routeTarget", "routeOption", "remove", "mark", "restore", 
+			"drain", "undrain", "className", "budgetName", "serviceName", "nodeId", 
+			"method", "requestId", "prefix", "duration", "share", "priority", "retries", 
+			"slots", "version", "name", "keyword"
 		};
 	}
 	public static final String[] ruleNames = makeRuleNames();
 
 	private static String[] makeLiteralNames() {
 		return new String[] {
-			null, "'budget'", "'by'", "'caller'", "'changes'", "'class'", "'configuration'", 
-			"'connections'", "'deadline'", "'drain'", "'everywhere'", "'explain'", 
-			"'idempotent'", "'last'", "'levels'", "'limit'", "'mark'", "'methods'", 
-			"'nodes'", "'non-idempotent'", "'priority'", "'quarantine'", "'remove'", 
-			"'request'", "'restore'", "'retries'", "'route'", "'service'", "'set'", 
-			"'share'", "'shed'", "'show'", "'slots'", "'target'", "'targets'", "'tickets'", 
-			"'timeline'", "'undrain'", "'watch'", "'why'", null, null, null, null, 
-			null, null, "','"
+			null, "'based'", "'budget'", "'by'", "'caller'", "'changes'", "'class'", 
+			"'configuration'", "'connections'", "'deadline'", "'drain'", "'everywhere'", 
+			"'explain'", "'idempotent'", "'last'", "'levels'", "'limit'", "'mark'", 
+			"'methods'", "'nodes'", "'non-idempotent'", "'on'", "'priority'", "'quarantine'", 
+			"'remove'", "'request'", "'restore'", "'retries'", "'route'", "'service'", 
+			"'set'", "'share'", "'shed'", "'show'", "'slots'", "'target'", "'targets'", 
+			"'tickets'", "'timeline'", "'undrain'", "'version'", "'watch'", "'why'", 
+			null, null, null, null, null, null, "','"
 		};
 	}
 	private static final String[] _LITERAL_NAMES = makeLiteralNames();
 	private static String[] makeSymbolicNames() {
 		return new String[] {
-			null, "BUDGET", "BY", "CALLER", "CHANGES", "CLASS", "CONFIGURATION", 
+			null, "BASED", "BUDGET", "BY", "CALLER", "CHANGES", "CLASS", "CONFIGURATION", 
 			"CONNECTIONS", "DEADLINE", "DRAIN", "EVERYWHERE", "EXPLAIN", "IDEMPOTENT", 
 			"LAST", "LEVELS", "LIMIT", "MARK", "METHODS", "NODES", "NON_IDEMPOTENT", 
-			"PRIORITY", "QUARANTINE", "REMOVE", "REQUEST", "RESTORE", "RETRIES", 
+			"ON", "PRIORITY", "QUARANTINE", "REMOVE", "REQUEST", "RESTORE", "RETRIES", 
 			"ROUTE", "SERVICE", "SET", "SHARE", "SHED", "SHOW", "SLOTS", "TARGET", 
-			"TARGETS", "TICKETS", "TIMELINE", "UNDRAIN", "WATCH", "WHY", "NUMBER", 
-			"DURATION", "DECIMAL", "PERCENT", "WORD", "PATH", "COMMA", "SPACE", "OTHER"
+			"TARGETS", "TICKETS", "TIMELINE", "UNDRAIN", "VERSION", "WATCH", "WHY", 
+			"NUMBER", "DURATION", "DECIMAL", "PERCENT", "WORD", "PATH", "COMMA", 
+			"SPACE", "OTHER"
 		};
 	}
 	private static final String[] _SYMBOLIC_NAMES = makeSymbolicNames();
@@ -147,9 +149,9 @@
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(80);
+			setState(84);
 			command();
-			setState(81);
+			setState(85);
 			match(EOF);
 			}
 		}
@@ -196,20 +198,20 @@
 		CommandContext _localctx = new CommandContext(_ctx, getState());
 		enterRule(_localctx, 2, RULE_command);
 		try {
-			setState(88);
+			setState(92);
 			_errHandler.sync(this);
 			switch (_input.LA(1)) {
 			case SHOW:
 				enterOuterAlt(_localctx, 1);
 				{
-				setState(83);
+				setState(87);
 				show();
 				}
 				break;
 			case WHY:
 				enterOuterAlt(_localctx, 2);
 				{
-				setState(84);
+				setState(88);
 				why();
 				}
 				break;
@@ -221,21 +223,21 @@
 			case UNDRAIN:
 				enterOuterAlt(_localctx, 3);
 				{
-				setState(85);
+				setState(89);
 				change();
 				}
 				break;
 			case EXPLAIN:
 				enterOuterAlt(_localctx, 4);
 				{
-				setState(86);
+				setState(90);
 				explain();
 				}
 				break;
 			case WATCH:
 				enterOuterAlt(_localctx, 5);
 				{
-				setState(87);
+				setState(91);
 				watch();
 				}
 				break;
@@ -277,9 +279,9 @@
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(90);
+			setState(94);
 			match(EXPLAIN);
-			setState(91);
+			setState(95);
 			change();
 			}
 		}
@@ -317,9 +319,9 @@
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(93);
+			setState(97);
 			match(WATCH);
-			setState(94);
+			setState(98);
 			show();
 			}
 		}
@@ -375,26 +377,26 @@
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(96);
+			setState(100);
 			match(SHOW);
-			setState(115);
+			setState(119);
 			_errHandler.sync(this);
 			switch (_input.LA(1)) {
 			case SHED:
 				{
-				setState(97);
-				match(SHED);
 				setState(101);
+				match(SHED);
+				setState(105);
 				_errHandler.sync(this);
 				_la = _input.LA(1);
-				while ((((_la) & ~0x3f) == 0 && ((1L << _la) & 9220L) != 0)) {
+				while ((((_la) & ~0x3f) == 0 && ((1L << _la) & 18440L) != 0)) {
 					{
 					{
-					setState(98);
+					setState(102);
 					shedOption();
 					}
 					}
-					setState(103);
+					setState(107);
 					_errHandler.sync(this);
 					_la = _input.LA(1);
 				}
@@ -402,19 +404,19 @@
 				break;
 			case TIMELINE:
 				{
-				setState(104);
-				match(TIMELINE);
 				setState(108);
+				match(TIMELINE);
+				setState(112);
 				_errHandler.sync(this);
 				_la = _input.LA(1);
-				while ((((_la) & ~0x3f) == 0 && ((1L << _la) & 8397824L) != 0)) {
+				while ((((_la) & ~0x3f) == 0 && ((1L << _la) & 33572864L) != 0)) {
 					{
 					{
-					setState(105);
+					setState(109);
 					timelineOption();
 					}
 					}
-					setState(110);
+					setState(114);
 					_errHandler.sync(this);
 					_la = _input.LA(1);
 				}
@@ -430,14 +432,14 @@
 			case TARGETS:
 			case TICKETS:
 				{
-				setState(111);
+				setState(115);
 				topic();
-				setState(113);
+				setState(117);
 				_errHandler.sync(this);
 				_la = _input.LA(1);
 				if (_la==EVERYWHERE) {
 					{
-					setState(112);
+					setState(116);
 					everywhere();
 					}
 				}
@@ -489,9 +491,9 @@
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(117);
+			setState(121);
 			_la = _input.LA(1);
-			if ( !((((_la) & ~0x3f) == 0 && ((1L << _la) & 51575537872L) != 0)) ) {
+			if ( !((((_la) & ~0x3f) == 0 && ((1L << _la) & 206301594016L) != 0)) ) {
 			_errHandler.recoverInline(this);
 			}
 			else {
@@ -540,31 +542,31 @@
 		ShedOptionContext _localctx = new ShedOptionContext(_ctx, getState());
 		enterRule(_localctx, 12, RULE_shedOption);
 		try {
-			setState(124);
+			setState(128);
 			_errHandler.sync(this);
 			switch (_input.LA(1)) {
 			case BY:
 				enterOuterAlt(_localctx, 1);
 				{
-				setState(119);
+				setState(123);
 				match(BY);
-				setState(120);
+				setState(124);
 				grouping();
 				}
 				break;
 			case LAST:
 				enterOuterAlt(_localctx, 2);
 				{
-				setState(121);
+				setState(125);
 				match(LAST);
-				setState(122);
+				setState(126);
 				duration();
 				}
 				break;
 			case EVERYWHERE:
 				enterOuterAlt(_localctx, 3);
 				{
-				setState(123);
+				setState(127);
 				everywhere();
 				}
 				break;
@@ -606,9 +608,9 @@
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(126);
+			setState(130);
 			_la = _input.LA(1);
-			if ( !((((_la) & ~0x3f) == 0 && ((1L << _la) & 134217768L) != 0)) ) {
+			if ( !((((_la) & ~0x3f) == 0 && ((1L << _la) & 536870992L) != 0)) ) {
 			_errHandler.recoverInline(this);
 			}
 			else {
@@ -657,31 +659,31 @@
 		TimelineOptionContext _localctx = new TimelineOptionContext(_ctx, getState());
 		enterRule(_localctx, 16, RULE_timelineOption);
 		try {
-			setState(133);
+			setState(137);
 			_errHandler.sync(this);
 			switch (_input.LA(1)) {
 			case LAST:
 				enterOuterAlt(_localctx, 1);
 				{
-				setState(128);
+				setState(132);
 				match(LAST);
-				setState(129);
+				setState(133);
 				duration();
 				}
 				break;
 			case REQUEST:
 				enterOuterAlt(_localctx, 2);
 				{
-				setState(130);
+				setState(134);
 				match(REQUEST);
-				setState(131);
+				setState(135);
 				requestId();
 				}
 				break;
 			case EVERYWHERE:
 				enterOuterAlt(_localctx, 3);
 				{
-				setState(132);
+				setState(136);
 				everywhere();
 				}
 				break;
@@ -720,7 +722,7 @@
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(135);
+			setState(139);
 			match(EVERYWHERE);
 			}
 		}
@@ -762,16 +764,16 @@
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(137);
+			setState(141);
 			match(WHY);
-			setState(138);
+			setState(142);
 			requestId();
-			setState(140);
+			setState(144);
 			_errHandler.sync(this);
 			_la = _input.LA(1);
 			if (_la==EVERYWHERE) {
 				{
-				setState(139);
+				setState(143);
 				everywhere();
 				}
 			}
@@ -800,6 +802,9 @@
 		public MarkContext mark() {
 			return getRuleContext(MarkContext.class,0);
 		}
+		public BasedOnContext basedOn() {
+			return getRuleContext(BasedOnContext.class,0);
+		}
 		public RestoreContext restore() {
 			return getRuleContext(RestoreContext.class,0);
 		}
@@ -823,49 +828,70 @@
 	public final ChangeContext change() throws RecognitionException {
 		ChangeContext _localctx = new ChangeContext(_ctx, getState());
 		enterRule(_localctx, 22, RULE_change);
+		int _la;
 		try {
-			setState(148);
+			setState(157);
 			_errHandler.sync(this);
 			switch (_input.LA(1)) {
+			case MARK:
+			case REMOVE:
 			case SET:
 				enterOuterAlt(_localctx, 1);
 				{
-				setState(142);
-				set();
+				setState(149);
+				_errHandler.sync(this);
+				switch (_input.LA(1)) {
+				case SET:
+					{
+					setState(146);
+					set();
+					}
+					break;
+				case REMOVE:
+					{
+					setState(147);
+					remove();
+					}
+					break;
+				case MARK:
+					{
+					setState(148);
+					mark();
+					}
+					break;
+				default:
+					throw new NoViableAltException(this);
 				}
-				break;
-			case REMOVE:
-				enterOuterAlt(_localctx, 2);
-				{
-				setState(143);
-				remove();
+				setState(152);
+				_errHandler.sync(this);
+				_la = _input.LA(1);
+				if (_la==BASED) {
+					{
+					setState(151);
+					basedOn();
+					}
 				}
-				break;
-			case MARK:
-				enterOuterAlt(_localctx, 3);
-				{
-				setState(144);
-				mark();
+
 				}
 				break;
 			case RESTORE:
-				enterOuterAlt(_localctx, 4);
+				enterOuterAlt(_localctx, 2);
 				{
-				setState(145);
+				setState(154);
 				restore();
 				}
 				break;
 			case DRAIN:
-				enterOuterAlt(_localctx, 5);
+				enterOuterAlt(_localctx, 3);
 				{
-				setState(146);
+				setState(155);
 				drain();
 				}
 				break;
 			case UNDRAIN:
-				enterOuterAlt(_localctx, 6);
+				enterOuterAlt(_localctx, 4);
 				{
-				setState(147);
+				setState(156);
 				undrain();
 				}
 				break;
@@ -884,6 +910,52 @@
 		return _localctx;
 	}
 
+	@SuppressWarnings("CheckReturnValue")
+	public static class BasedOnContext extends ParserRuleContext {
+		public TerminalNode BASED() { return getToken(OperatorParser.BASED, 0); }
+		public TerminalNode ON() { return getToken(OperatorParser.ON, 0); }
+		public TerminalNode VERSION() { return getToken(OperatorParser.VERSION, 0); }
+		public VersionContext version() {
+			return getRuleContext(VersionContext.class,0);
+		}
+		public BasedOnContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_basedOn; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitBasedOn(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final BasedOnContext basedOn() throws RecognitionException {
+		BasedOnContext _localctx = new BasedOnContext(_ctx, getState());
+		enterRule(_localctx, 24, RULE_basedOn);
+		try {
+			enterOuterAlt(_localctx, 1);
+			{
+			setState(159);
+			match(BASED);
+			setState(160);
+			match(ON);
+			setState(161);
+			match(VERSION);
+			setState(162);
+			version();
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
 	@SuppressWarnings("CheckReturnValue")
 	public static class SetContext extends ParserRuleContext {
 		public TerminalNode SET() { return getToken(OperatorParser.SET, 0); }
@@ -912,36 +984,36 @@
 
 	public final SetContext set() throws RecognitionException {
 		SetContext _localctx = new SetContext(_ctx, getState());
-		enterRule(_localctx, 24, RULE_set);
+		enterRule(_localctx, 26, RULE_set);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(150);
+			setState(164);
 			match(SET);
-			setState(155);
+			setState(169);
 			_errHandler.sync(this);
 			switch (_input.LA(1)) {
 			case CLASS:
 				{
-				setState(151);
+				setState(165);
 				setClass();
 				}
 				break;
 			case BUDGET:
 				{
-				setState(152);
+				setState(166);
 				setBudget();
 				}
 				break;
 			case LIMIT:
 				{
-				setState(153);
+				setState(167);
 				setLimit();
 				}
 				break;
 			case ROUTE:
 				{
-				setState(154);
+				setState(168);
 				setRoute();
 				}
 				break;
@@ -984,17 +1056,17 @@
 
 	public final SetClassContext setClass() throws RecognitionException {
 		SetClassContext _localctx = new SetClassContext(_ctx, getState());
-		enterRule(_localctx, 26, RULE_setClass);
+		enterRule(_localctx, 28, RULE_setClass);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(157);
+			setState(171);
 			match(CLASS);
-			setState(158);
+			setState(172);
 			className();
-			setState(159);
+			setState(173);
 			match(PRIORITY);
-			setState(160);
+			setState(174);
 			priority();
 			}
 		}
@@ -1034,26 +1106,26 @@
 
 	public final SetBudgetContext setBudget() throws RecognitionException {
 		SetBudgetContext _localctx = new SetBudgetContext(_ctx, getState());
-		enterRule(_localctx, 28, RULE_setBudget);
+		enterRule(_localctx, 30, RULE_setBudget);
 		int _la;
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(162);
+			setState(176);
 			match(BUDGET);
-			setState(163);
+			setState(177);
 			budgetName();
-			setState(165); 
+			setState(179); 
 			_errHandler.sync(this);
 			_la = _input.LA(1);
 			do {
 				{
 				{
-				setState(164);
+				setState(178);
 				budgetOption();
 				}
 				}
-				setState(167); 
+				setState(181); 
 				_errHandler.sync(this);
 				_la = _input.LA(1);
 			} while ( _la==RETRIES || _la==SHARE );
@@ -1093,26 +1165,26 @@
 
 	public final BudgetOptionContext budgetOption() throws RecognitionException {
 		BudgetOptionContext _localctx = new BudgetOptionContext(_ctx, getState());
-		enterRule(_localctx, 30, RULE_budgetOption);
+		enterRule(_localctx, 32, RULE_budgetOption);
 		try {
-			setState(173);
+			setState(187);
 			_errHandler.sync(this);
 			switch (_input.LA(1)) {
 			case SHARE:
 				enterOuterAlt(_localctx, 1);
 				{
-				setState(169);
+				setState(183);
 				match(SHARE);
-				setState(170);
+				setState(184);
 				share();
 				}
 				break;
 			case RETRIES:
 				enterOuterAlt(_localctx, 2);
 				{
-				setState(171);
+				setState(185);
 				match(RETRIES);
-				setState(172);
+				setState(186);
 				retries();
 				}
 				break;
@@ -1154,17 +1226,17 @@
 
 	public final SetLimitContext setLimit() throws RecognitionException {
 		SetLimitContext _localctx = new SetLimitContext(_ctx, getState());
-		enterRule(_localctx, 32, RULE_setLimit);
+		enterRule(_localctx, 34, RULE_setLimit);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(175);
+			setState(189);
 			match(LIMIT);
-			setState(176);
+			setState(190);
 			serviceName();
-			setState(177);
+			setState(191);
 			match(SLOTS);
-			setState(178);
+			setState(192);
 			slots();
 			}
 		}
@@ -1208,39 +1280,39 @@
 
 	public final SetRouteContext setRoute() throws RecognitionException {
 		SetRouteContext _localctx = new SetRouteContext(_ctx, getState());
-		enterRule(_localctx, 34, RULE_setRoute);
+		enterRule(_localctx, 36, RULE_setRoute);
 		int _la;
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(180);
+			setState(194);
 			match(ROUTE);
-			setState(181);
+			setState(195);
 			prefix();
-			setState(183);
+			setState(197);
 			_errHandler.sync(this);
 			_la = _input.LA(1);
 			if (_la==METHODS || _la==WORD) {
 				{
-				setState(182);
+				setState(196);
 				routeMethods();
 				}
 			}
 
-			setState(188);
+			setState(202);
 			_errHandler.sync(this);
 			switch (_input.LA(1)) {
 			case SERVICE:
 				{
-				setState(185);
+				setState(199);
 				routeTarget();
 				}
 				break;
 			case DEADLINE:
 				{
-				setState(186);
+				setState(200);
 				match(DEADLINE);
-				setState(187);
+				setState(201);
 				duration();
 				}
 				break;
@@ -1286,36 +1358,36 @@
 
 	public final RouteMethodsContext routeMethods() throws RecognitionException {
 		RouteMethodsContext _localctx = new RouteMethodsContext(_ctx, getState());
-		enterRule(_localctx, 36, RULE_routeMethods);
+		enterRule(_localctx, 38, RULE_routeMethods);
 		int _la;
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(191);
+			setState(205);
 			_errHandler.sync(this);
 			_la = _input.LA(1);
 			if (_la==METHODS) {
 				{
-				setState(190);
+				setState(204);
 				match(METHODS);
 				}
 			}
 
-			setState(193);
+			setState(207);
 			method();
-			setState(198);
+			setState(212);
 			_errHandler.sync(this);
 			_la = _input.LA(1);
 			while (_la==COMMA) {
 				{
 				{
-				setState(194);
+				setState(208);
 				match(COMMA);
-				setState(195);
+				setState(209);
 				method();
 				}
 				}
-				setState(200);
+				setState(214);
 				_errHandler.sync(this);
 				_la = _input.LA(1);
 			}
@@ -1361,30 +1433,30 @@
 
 	public final RouteTargetContext routeTarget() throws RecognitionException {
 		RouteTargetContext _localctx = new RouteTargetContext(_ctx, getState());
-		enterRule(_localctx, 38, RULE_routeTarget);
+		enterRule(_localctx, 40, RULE_routeTarget);
 		int _la;
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(201);
+			setState(215);
 			match(SERVICE);
-			setState(202);
+			setState(216);
 			serviceName();
-			setState(203);
+			setState(217);
 			match(CLASS);
-			setState(204);
+			setState(218);
 			className();
-			setState(208);
+			setState(222);
 			_errHandler.sync(this);
 			_la = _input.LA(1);
-			while ((((_la) & ~0x3f) == 0 && ((1L << _la) & 528642L) != 0)) {
+			while ((((_la) & ~0x3f) == 0 && ((1L << _la) & 1057284L) != 0)) {
 				{
 				{
-				setState(205);
+				setState(219);
 				routeOption();
 				}
 				}
-				setState(210);
+				setState(224);
 				_errHandler.sync(this);
 				_la = _input.LA(1);
 			}
@@ -1426,40 +1498,40 @@
 
 	public final RouteOptionContext routeOption() throws RecognitionException {
 		RouteOptionContext _localctx = new RouteOptionContext(_ctx, getState());
-		enterRule(_localctx, 40, RULE_routeOption);
+		enterRule(_localctx, 42, RULE_routeOption);
 		try {
-			setState(217);
+			setState(231);
 			_errHandler.sync(this);
 			switch (_input.LA(1)) {
 			case IDEMPOTENT:
 				enterOuterAlt(_localctx, 1);
 				{
-				setState(211);
+				setState(225);
 				match(IDEMPOTENT);
 				}
 				break;
 			case NON_IDEMPOTENT:
 				enterOuterAlt(_localctx, 2);
 				{
-				setState(212);
+				setState(226);
 				match(NON_IDEMPOTENT);
 				}
 				break;
 			case DEADLINE:
 				enterOuterAlt(_localctx, 3);
 				{
-				setState(213);
+				setState(227);
 				match(DEADLINE);
-				setState(214);
+				setState(228);
 				duration();
 				}
 				break;
 			case BUDGET:
 				enterOuterAlt(_localctx, 4);
 				{
-				setState(215);
+				setState(229);
 				match(BUDGET);
-				setState(216);
+				setState(230);
 				budgetName();
 				}
 				break;
@@ -1501,23 +1573,23 @@
 
 	public final RemoveContext remove() throws RecognitionException {
 		RemoveContext _localctx = new RemoveContext(_ctx, getState());
-		enterRule(_localctx, 42, RULE_remove);
+		enterRule(_localctx, 44, RULE_remove);
 		int _la;
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(219);
+			setState(233);
 			match(REMOVE);
-			setState(220);
+			setState(234);
 			match(ROUTE);
-			setState(221);
+			setState(235);
 			prefix();
-			setState(223);
+			setState(237);
 			_errHandler.sync(this);
 			_la = _input.LA(1);
 			if (_la==METHODS || _la==WORD) {
 				{
-				setState(222);
+				setState(236);
 				routeMethods();
 				}
 			}
@@ -1560,28 +1632,28 @@
 
 	public final MarkContext mark() throws RecognitionException {
 		MarkContext _localctx = new MarkContext(_ctx, getState());
-		enterRule(_localctx, 44, RULE_mark);
+		enterRule(_localctx, 46, RULE_mark);
 		int _la;
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(225);
+			setState(239);
 			match(MARK);
-			setState(226);
+			setState(240);
 			match(ROUTE);
-			setState(227);
+			setState(241);
 			prefix();
-			setState(229);
+			setState(243);
 			_errHandler.sync(this);
 			_la = _input.LA(1);
 			if (_la==METHODS || _la==WORD) {
 				{
-				setState(228);
+				setState(242);
 				routeMethods();
 				}
 			}
 
-			setState(231);
+			setState(245);
 			_la = _input.LA(1);
 			if ( !(_la==IDEMPOTENT || _la==NON_IDEMPOTENT) ) {
 			_errHandler.recoverInline(this);
@@ -1621,13 +1693,13 @@
 
 	public final RestoreContext restore() throws RecognitionException {
 		RestoreContext _localctx = new RestoreContext(_ctx, getState());
-		enterRule(_localctx, 46, RULE_restore);
+		enterRule(_localctx, 48, RULE_restore);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(233);
+			setState(247);
 			match(RESTORE);
-			setState(234);
+			setState(248);
 			match(CONFIGURATION);
 			}
 		}
@@ -1662,15 +1734,15 @@
 
 	public final DrainContext drain() throws RecognitionException {
 		DrainContext _localctx = new DrainContext(_ctx, getState());
-		enterRule(_localctx, 48, RULE_drain);
+		enterRule(_localctx, 50, RULE_drain);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(236);
+			setState(250);
 			match(DRAIN);
-			setState(237);
+			setState(251);
 			match(TARGET);
-			setState(238);
+			setState(252);
 			nodeId();
 			}
 		}
@@ -1705,15 +1777,15 @@
 
 	public final UndrainContext undrain() throws RecognitionException {
 		UndrainContext _localctx = new UndrainContext(_ctx, getState());
-		enterRule(_localctx, 50, RULE_undrain);
+		enterRule(_localctx, 52, RULE_undrain);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(240);
+			setState(254);
 			match(UNDRAIN);
-			setState(241);
+			setState(255);
 			match(TARGET);
-			setState(242);
+			setState(256);
 			nodeId();
 			}
 		}
@@ -1746,11 +1818,11 @@
 
 	public final ClassNameContext className() throws RecognitionException {
 		ClassNameContext _localctx = new ClassNameContext(_ctx, getState());
-		enterRule(_localctx, 52, RULE_className);
+		enterRule(_localctx, 54, RULE_className);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(244);
+			setState(258);
 			name();
 			}
 		}
@@ -1783,11 +1855,11 @@
 
 	public final BudgetNameContext budgetName() throws RecognitionException {
 		BudgetNameContext _localctx = new BudgetNameContext(_ctx, getState());
-		enterRule(_localctx, 54, RULE_budgetName);
+		enterRule(_localctx, 56, RULE_budgetName);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(246);
+			setState(260);
 			name();
 			}
 		}
@@ -1820,11 +1892,11 @@
 
 	public final ServiceNameContext serviceName() throws RecognitionException {
 		ServiceNameContext _localctx = new ServiceNameContext(_ctx, getState());
-		enterRule(_localctx, 56, RULE_serviceName);
+		enterRule(_localctx, 58, RULE_serviceName);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(248);
+			setState(262);
 			name();
 			}
 		}
@@ -1857,11 +1929,11 @@
 
 	public final NodeIdContext nodeId() throws RecognitionException {
 		NodeIdContext _localctx = new NodeIdContext(_ctx, getState());
-		enterRule(_localctx, 58, RULE_nodeId);
+		enterRule(_localctx, 60, RULE_nodeId);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(250);
+			setState(264);
 			name();
 			}
 		}
@@ -1892,11 +1964,11 @@
 
 	public final MethodContext method() throws RecognitionException {
 		MethodContext _localctx = new MethodContext(_ctx, getState());
-		enterRule(_localctx, 60, RULE_method);
+		enterRule(_localctx, 62, RULE_method);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(252);
+			setState(266);
 			match(WORD);
 			}
 		}
@@ -1927,11 +1999,11 @@
 
 	public final RequestIdContext requestId() throws RecognitionException {
 		RequestIdContext _localctx = new RequestIdContext(_ctx, getState());
-		enterRule(_localctx, 62, RULE_requestId);
+		enterRule(_localctx, 64, RULE_requestId);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(254);
+			setState(268);
 			match(WORD);
 			}
 		}
@@ -1962,11 +2034,11 @@
 
 	public final PrefixContext prefix() throws RecognitionException {
 		PrefixContext _localctx = new PrefixContext(_ctx, getState());
-		enterRule(_localctx, 64, RULE_prefix);
+		enterRule(_localctx, 66, RULE_prefix);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(256);
+			setState(270);
 			match(PATH);
 			}
 		}
@@ -1997,11 +2069,11 @@
 
 	public final DurationContext duration() throws RecognitionException {
 		DurationContext _localctx = new DurationContext(_ctx, getState());
-		enterRule(_localctx, 66, RULE_duration);
+		enterRule(_localctx, 68, RULE_duration);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(258);
+			setState(272);
 			match(DURATION);
 			}
 		}
@@ -2033,12 +2105,12 @@
 
 	public final ShareContext share() throws RecognitionException {
 		ShareContext _localctx = new ShareContext(_ctx, getState());
-		enterRule(_localctx, 68, RULE_share);
+		enterRule(_localctx, 70, RULE_share);
 		int _la;
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(260);
+			setState(274);
 			_la = _input.LA(1);
 			if ( !(_la==DECIMAL || _la==PERCENT) ) {
 			_errHandler.recoverInline(this);
@@ -2077,11 +2149,11 @@
 
 	public final PriorityContext priority() throws RecognitionException {
 		PriorityContext _localctx = new PriorityContext(_ctx, getState());
-		enterRule(_localctx, 70, RULE_priority);
+		enterRule(_localctx, 72, RULE_priority);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(262);
+			setState(276);
 			match(NUMBER);
 			}
 		}
@@ -2112,11 +2184,11 @@
 
 	public final RetriesContext retries() throws RecognitionException {
 		RetriesContext _localctx = new RetriesContext(_ctx, getState());
-		enterRule(_localctx, 72, RULE_retries);
+		enterRule(_localctx, 74, RULE_retries);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(264);
+			setState(278);
 			match(NUMBER);
 			}
 		}
@@ -2147,11 +2219,46 @@
 
 	public final SlotsContext slots() throws RecognitionException {
 		SlotsContext _localctx = new SlotsContext(_ctx, getState());
-		enterRule(_localctx, 74, RULE_slots);
+		enterRule(_localctx, 76, RULE_slots);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(266);
+			setState(280);
+			match(NUMBER);
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class VersionContext extends ParserRuleContext {
+		public TerminalNode NUMBER() { return getToken(OperatorParser.NUMBER, 0); }
+		public VersionContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_version; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitVersion(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final VersionContext version() throws RecognitionException {
+		VersionContext _localctx = new VersionContext(_ctx, getState());
+		enterRule(_localctx, 78, RULE_version);
+		try {
+			enterOuterAlt(_localctx, 1);
+			{
+			setState(282);
 			match(NUMBER);
 			}
 		}
@@ -2188,39 +2295,40 @@
 
 	public final NameContext name() throws RecognitionException {
 		NameContext _localctx = new NameContext(_ctx, getState());
-		enterRule(_localctx, 76, RULE_name);
+		enterRule(_localctx, 80, RULE_name);
 		try {
-			setState(273);
+			setState(289);
 			_errHandler.sync(this);
 			switch (_input.LA(1)) {
 			case WORD:
 				enterOuterAlt(_localctx, 1);
 				{
-				setState(268);
+				setState(284);
 				match(WORD);
 				}
 				break;
 			case NUMBER:
 				enterOuterAlt(_localctx, 2);
 				{
-				setState(269);
+				setState(285);
 				match(NUMBER);
 				}
 				break;
 			case DECIMAL:
 				enterOuterAlt(_localctx, 3);
 				{
-				setState(270);
+				setState(286);
 				match(DECIMAL);
 				}
 				break;
 			case DURATION:
 				enterOuterAlt(_localctx, 4);
 				{
-				setState(271);
+				setState(287);
 				match(DURATION);
 				}
 				break;
+			case BASED:
 			case BUDGET:
 			case BY:
 			case CALLER:
@@ -2240,6 +2348,7 @@
 			case METHODS:
 			case NODES:
 			case NON_IDEMPOTENT:
+			case ON:
 			case PRIORITY:
 			case QUARANTINE:
 			case REMOVE:
@@ -2258,11 +2367,12 @@
 			case TICKETS:
 			case TIMELINE:
 			case UNDRAIN:
+			case VERSION:
 			case WATCH:
 			case WHY:
 				enterOuterAlt(_localctx, 5);
 				{
-				setState(272);
+				setState(288);
 				keyword();
 				}
 				break;
@@ -2283,6 +2393,7 @@
 
 	@SuppressWarnings("CheckReturnValue")
 	public static class KeywordContext extends ParserRuleContext {
+		public TerminalNode BASED() { return getToken(OperatorParser.BASED, 0); }
 		public TerminalNode BUDGET() { return getToken(OperatorParser.BUDGET, 0); }
 		public TerminalNode BY() { return getToken(OperatorParser.BY, 0); }
 		public TerminalNode CALLER() { return getToken(OperatorParser.CALLER, 0); }
@@ -2302,6 +2413,7 @@
 		public TerminalNode METHODS() { return getToken(OperatorParser.METHODS, 0); }
 		public TerminalNode NODES() { return getToken(OperatorParser.NODES, 0); }
 		public TerminalNode NON_IDEMPOTENT() { return getToken(OperatorParser.NON_IDEMPOTENT, 0); }
+		public TerminalNode ON() { return getToken(OperatorParser.ON, 0); }
 		public TerminalNode PRIORITY() { return getToken(OperatorParser.PRIORITY, 0); }
 		public TerminalNode QUARANTINE() { return getToken(OperatorParser.QUARANTINE, 0); }
 		public TerminalNode REMOVE() { return getToken(OperatorParser.REMOVE, 0); }
@@ -2320,6 +2432,7 @@
 		public TerminalNode TICKETS() { return getToken(OperatorParser.TICKETS, 0); }
 		public TerminalNode TIMELINE() { return getToken(OperatorParser.TIMELINE, 0); }
 		public TerminalNode UNDRAIN() { return getToken(OperatorParser.UNDRAIN, 0); }
+		public TerminalNode VERSION() { return getToken(OperatorParser.VERSION, 0); }
 		public TerminalNode WATCH() { return getToken(OperatorParser.WATCH, 0); }
 		public TerminalNode WHY() { return getToken(OperatorParser.WHY, 0); }
 		public KeywordContext(ParserRuleContext parent, int invokingState) {
@@ -2335,14 +2448,14 @@
 
 	public final KeywordContext keyword() throws RecognitionException {
 		KeywordContext _localctx = new KeywordContext(_ctx, getState());
-		enterRule(_localctx, 78, RULE_keyword);
+		enterRule(_localctx, 82, RULE_keyword);
 		int _la;
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(275);
+			setState(291);
 			_la = _input.LA(1);
-			if ( !((((_la) & ~0x3f) == 0 && ((1L << _la) & 1099511627774L) != 0)) ) {
+			if ( !((((_la) & ~0x3f) == 0 && ((1L << _la) & 8796093022206L) != 0)) ) {
 			_errHandler.recoverInline(this);
 			}
 			else {
@@ -2364,7 +2477,7 @@
 	}
 
 	public static final String _serializedATN =
-		"\u0004\u00010\u0116\u0002\u0000\u0007\u0000\u0002\u0001\u0007\u0001\u0002"+
+		"\u0004\u00013\u0126\u0002\u0000\u0007\u0000\u0002\u0001\u0007\u0001\u0002"+
 		"\u0002\u0007\u0002\u0002\u0003\u0007\u0003\u0002\u0004\u0007\u0004\u0002"+
 		"\u0005\u0007\u0005\u0002\u0006\u0007\u0006\u0002\u0007\u0007\u0007\u0002"+
 		"\b\u0007\b\u0002\t\u0007\t\u0002\n\u0007\n\u0002\u000b\u0007\u000b\u0002"+
@@ -2375,163 +2488,173 @@
 		"\u0002\u0019\u0007\u0019\u0002\u001a\u0007\u001a\u0002\u001b\u0007\u001b"+
 		"\u0002\u001c\u0007\u001c\u0002\u001d\u0007\u001d\u0002\u001e\u0007\u001e"+
 		"\u0002\u001f\u0007\u001f\u0002 \u0007 \u0002!\u0007!\u0002\"\u0007\"\u0002"+
-		"#\u0007#\u0002$\u0007$\u0002%\u0007%\u0002&\u0007&\u0002\'\u0007\'\u0001"+
-		"\u0000\u0001\u0000\u0001\u0000\u0001\u0001\u0001\u0001\u0001\u0001\u0001"+
-		"\u0001\u0001\u0001\u0003\u0001Y\b\u0001\u0001\u0002\u0001\u0002\u0001"+
-		"\u0002\u0001\u0003\u0001\u0003\u0001\u0003\u0001\u0004\u0001\u0004\u0001"+
-		"\u0004\u0005\u0004d\b\u0004\n\u0004\f\u0004g\t\u0004\u0001\u0004\u0001"+
-		"\u0004\u0005\u0004k\b\u0004\n\u0004\f\u0004n\t\u0004\u0001\u0004\u0001"+
-		"\u0004\u0003\u0004r\b\u0004\u0003\u0004t\b\u0004\u0001\u0005\u0001\u0005"+
-		"\u0001\u0006\u0001\u0006\u0001\u0006\u0001\u0006\u0001\u0006\u0003\u0006"+
-		"}\b\u0006\u0001\u0007\u0001\u0007\u0001\b\u0001\b\u0001\b\u0001\b\u0001"+
-		"\b\u0003\b\u0086\b\b\u0001\t\u0001\t\u0001\n\u0001\n\u0001\n\u0003\n\u008d"+
-		"\b\n\u0001\u000b\u0001\u000b\u0001\u000b\u0001\u000b\u0001\u000b\u0001"+
-		"\u000b\u0003\u000b\u0095\b\u000b\u0001\f\u0001\f\u0001\f\u0001\f\u0001"+
-		"\f\u0003\f\u009c\b\f\u0001\r\u0001\r\u0001\r\u0001\r\u0001\r\u0001\u000e"+
-		"\u0001\u000e\u0001\u000e\u0004\u000e\u00a6\b\u000e\u000b\u000e\f\u000e"+
-		"\u00a7\u0001\u000f\u0001\u000f\u0001\u000f\u0001\u000f\u0003\u000f\u00ae"+
-		"\b\u000f\u0001\u0010\u0001\u0010\u0001\u0010\u0001\u0010\u0001\u0010\u0001"+
-		"\u0011\u0001\u0011\u0001\u0011\u0003\u0011\u00b8\b\u0011\u0001\u0011\u0001"+
-		"\u0011\u0001\u0011\u0003\u0011\u00bd\b\u0011\u0001\u0012\u0003\u0012\u00c0"+
-		"\b\u0012\u0001\u0012\u0001\u0012\u0001\u0012\u0005\u0012\u00c5\b\u0012"+
-		"\n\u0012\f\u0012\u00c8\t\u0012\u0001\u0013\u0001\u0013\u0001\u0013\u0001"+
-		"\u0013\u0001\u0013\u0005\u0013\u00cf\b\u0013\n\u0013\f\u0013\u00d2\t\u0013"+
-		"\u0001\u0014\u0001\u0014\u0001\u0014\u0001\u0014\u0001\u0014\u0001\u0014"+
-		"\u0003\u0014\u00da\b\u0014\u0001\u0015\u0001\u0015\u0001\u0015\u0001\u0015"+
-		"\u0003\u0015\u00e0\b\u0015\u0001\u0016\u0001\u0016\u0001\u0016\u0001\u0016"+
-		"\u0003\u0016\u00e6\b\u0016\u0001\u0016\u0001\u0016\u0001\u0017\u0001\u0017"+
-		"\u0001\u0017\u0001\u0018\u0001\u0018\u0001\u0018\u0001\u0018\u0001\u0019"+
-		"\u0001\u0019\u0001\u0019\u0001\u0019\u0001\u001a\u0001\u001a\u0001\u001b"+
-		"\u0001\u001b\u0001\u001c\u0001\u001c\u0001\u001d\u0001\u001d\u0001\u001e"+
-		"\u0001\u001e\u0001\u001f\u0001\u001f\u0001 \u0001 \u0001!\u0001!\u0001"+
-		"\"\u0001\"\u0001#\u0001#\u0001$\u0001$\u0001%\u0001%\u0001&\u0001&\u0001"+
-		"&\u0001&\u0001&\u0003&\u0112\b&\u0001\'\u0001\'\u0001\'\u0000\u0000(\u0000"+
-		"\u0002\u0004\u0006\b\n\f\u000e\u0010\u0012\u0014\u0016\u0018\u001a\u001c"+
-		"\u001e \"$&(*,.02468:<>@BDFHJLN\u0000\u0005\u0007\u0000\u0004\u0004\u0006"+
-		"\u0007\u000e\u000e\u0012\u0012\u0015\u0015\u0019\u0019\"#\u0003\u0000"+
-		"\u0003\u0003\u0005\u0005\u001b\u001b\u0002\u0000\f\f\u0013\u0013\u0001"+
-		"\u0000*+\u0001\u0000\u0001\'\u0113\u0000P\u0001\u0000\u0000\u0000\u0002"+
-		"X\u0001\u0000\u0000\u0000\u0004Z\u0001\u0000\u0000\u0000\u0006]\u0001"+
-		"\u0000\u0000\u0000\b`\u0001\u0000\u0000\u0000\nu\u0001\u0000\u0000\u0000"+
-		"\f|\u0001\u0000\u0000\u0000\u000e~\u0001\u0000\u0000\u0000\u0010\u0085"+
-		"\u0001\u0000\u0000\u0000\u0012\u0087\u0001\u0000\u0000\u0000\u0014\u0089"+
-		"\u0001\u0000\u0000\u0000\u0016\u0094\u0001\u0000\u0000\u0000\u0018\u0096"+
-		"\u0001\u0000\u0000\u0000\u001a\u009d\u0001\u0000\u0000\u0000\u001c\u00a2"+
-		"\u0001\u0000\u0000\u0000\u001e\u00ad\u0001\u0000\u0000\u0000 \u00af\u0001"+
-		"\u0000\u0000\u0000\"\u00b4\u0001\u0000\u0000\u0000$\u00bf\u0001\u0000"+
-		"\u0000\u0000&\u00c9\u0001\u0000\u0000\u0000(\u00d9\u0001\u0000\u0000\u0000"+
-		"*\u00db\u0001\u0000\u0000\u0000,\u00e1\u0001\u0000\u0000\u0000.\u00e9"+
-		"\u0001\u0000\u0000\u00000\u00ec\u0001\u0000\u0000\u00002\u00f0\u0001\u0000"+
-		"\u0000\u00004\u00f4\u0001\u0000\u0000\u00006\u00f6\u0001\u0000\u0000\u0000"+
-		"8\u00f8\u0001\u0000\u0000\u0000:\u00fa\u0001\u0000\u0000\u0000<\u00fc"+
-		"\u0001\u0000\u0000\u0000>\u00fe\u0001\u0000\u0000\u0000@\u0100\u0001\u0000"+
-		"\u0000\u0000B\u0102\u0001\u0000\u0000\u0000D\u0104\u0001\u0000\u0000\u0000"+
-		"F\u0106\u0001\u0000\u0000\u0000H\u0108\u0001\u0000\u0000\u0000J\u010a"+
-		"\u0001\u0000\u0000\u0000L\u0111\u0001\u0000\u0000\u0000N\u0113\u0001\u0000"+
-		"\u0000\u0000PQ\u0003\u0002\u0001\u0000QR\u0005\u0000\u0000\u0001R\u0001"+
-		"\u0001\u0000\u0000\u0000SY\u0003\b\u0004\u0000TY\u0003\u0014\n\u0000U"+
-		"Y\u0003\u0016\u000b\u0000VY\u0003\u0004\u0002\u0000WY\u0003\u0006\u0003"+
-		"\u0000XS\u0001\u0000\u0000\u0000XT\u0001\u0000\u0000\u0000XU\u0001\u0000"+
-		"\u0000\u0000XV\u0001\u0000\u0000\u0000XW\u0001\u0000\u0000\u0000Y\u0003"+
-		"\u0001\u0000\u0000\u0000Z[\u0005\u000b\u0000\u0000[\\\u0003\u0016\u000b"+
-		"\u0000\\\u0005\u0001\u0000\u0000\u0000]^\u0005&\u0000\u0000^_\u0003\b"+
-		"\u0004\u0000_\u0007\u0001\u0000\u0000\u0000`s\u0005\u001f\u0000\u0000"+
-		"ae\u0005\u001e\u0000\u0000bd\u0003\f\u0006\u0000cb\u0001\u0000\u0000\u0000"+
-		"dg\u0001\u0000\u0000\u0000ec\u0001\u0000\u0000\u0000ef\u0001\u0000\u0000"+
-		"\u0000ft\u0001\u0000\u0000\u0000ge\u0001\u0000\u0000\u0000hl\u0005$\u0000"+
-		"\u0000ik\u0003\u0010\b\u0000ji\u0001\u0000\u0000\u0000kn\u0001\u0000\u0000"+
-		"\u0000lj\u0001\u0000\u0000\u0000lm\u0001\u0000\u0000\u0000mt\u0001\u0000"+
-		"\u0000\u0000nl\u0001\u0000\u0000\u0000oq\u0003\n\u0005\u0000pr\u0003\u0012"+
-		"\t\u0000qp\u0001\u0000\u0000\u0000qr\u0001\u0000\u0000\u0000rt\u0001\u0000"+
-		"\u0000\u0000sa\u0001\u0000\u0000\u0000sh\u0001\u0000\u0000\u0000so\u0001"+
-		"\u0000\u0000\u0000t\t\u0001\u0000\u0000\u0000uv\u0007\u0000\u0000\u0000"+
-		"v\u000b\u0001\u0000\u0000\u0000wx\u0005\u0002\u0000\u0000x}\u0003\u000e"+
-		"\u0007\u0000yz\u0005\r\u0000\u0000z}\u0003B!\u0000{}\u0003\u0012\t\u0000"+
-		"|w\u0001\u0000\u0000\u0000|y\u0001\u0000\u0000\u0000|{\u0001\u0000\u0000"+
-		"\u0000}\r\u0001\u0000\u0000\u0000~\u007f\u0007\u0001\u0000\u0000\u007f"+
-		"\u000f\u0001\u0000\u0000\u0000\u0080\u0081\u0005\r\u0000\u0000\u0081\u0086"+
-		"\u0003B!\u0000\u0082\u0083\u0005\u0017\u0000\u0000\u0083\u0086\u0003>"+
-		"\u001f\u0000\u0084\u0086\u0003\u0012\t\u0000\u0085\u0080\u0001\u0000\u0000"+
-		"\u0000\u0085\u0082\u0001\u0000\u0000\u0000\u0085\u0084\u0001\u0000\u0000"+
-		"\u0000\u0086\u0011\u0001\u0000\u0000\u0000\u0087\u0088\u0005\n\u0000\u0000"+
-		"\u0088\u0013\u0001\u0000\u0000\u0000\u0089\u008a\u0005\'\u0000\u0000\u008a"+
-		"\u008c\u0003>\u001f\u0000\u008b\u008d\u0003\u0012\t\u0000\u008c\u008b"+
-		"\u0001\u0000\u0000\u0000\u008c\u008d\u0001\u0000\u0000\u0000\u008d\u0015"+
-		"\u0001\u0000\u0000\u0000\u008e\u0095\u0003\u0018\f\u0000\u008f\u0095\u0003"+
-		"*\u0015\u0000\u0090\u0095\u0003,\u0016\u0000\u0091\u0095\u0003.\u0017"+
-		"\u0000\u0092\u0095\u00030\u0018\u0000\u0093\u0095\u00032\u0019\u0000\u0094"+
-		"\u008e\u0001\u0000\u0000\u0000\u0094\u008f\u0001\u0000\u0000\u0000\u0094"+
-		"\u0090\u0001\u0000\u0000\u0000\u0094\u0091\u0001\u0000\u0000\u0000\u0094"+
-		"\u0092\u0001\u0000\u0000\u0000\u0094\u0093\u0001\u0000\u0000\u0000\u0095"+
-		"\u0017\u0001\u0000\u0000\u0000\u0096\u009b\u0005\u001c\u0000\u0000\u0097"+
-		"\u009c\u0003\u001a\r\u0000\u0098\u009c\u0003\u001c\u000e\u0000\u0099\u009c"+
-		"\u0003 \u0010\u0000\u009a\u009c\u0003\"\u0011\u0000\u009b\u0097\u0001"+
-		"\u0000\u0000\u0000\u009b\u0098\u0001\u0000\u0000\u0000\u009b\u0099\u0001"+
-		"\u0000\u0000\u0000\u009b\u009a\u0001\u0000\u0000\u0000\u009c\u0019\u0001"+
-		"\u0000\u0000\u0000\u009d\u009e\u0005\u0005\u0000\u0000\u009e\u009f\u0003"+
-		"4\u001a\u0000\u009f\u00a0\u0005\u0014\u0000\u0000\u00a0\u00a1\u0003F#"+
-		"\u0000\u00a1\u001b\u0001\u0000\u0000\u0000\u00a2\u00a3\u0005\u0001\u0000"+
-		"\u0000\u00a3\u00a5\u00036\u001b\u0000\u00a4\u00a6\u0003\u001e\u000f\u0000"+
-		"\u00a5\u00a4\u0001\u0000\u0000\u0000\u00a6\u00a7\u0001\u0000\u0000\u0000"+
-		"\u00a7\u00a5\u0001\u0000\u0000\u0000\u00a7\u00a8\u0001\u0000\u0000\u0000"+
-		"\u00a8\u001d\u0001\u0000\u0000\u0000\u00a9\u00aa\u0005\u001d\u0000\u0000"+
-		"\u00aa\u00ae\u0003D\"\u0000\u00ab\u00ac\u0005\u0019\u0000\u0000\u00ac"+
-		"\u00ae\u0003H$\u0000\u00ad\u00a9\u0001\u0000\u0000\u0000\u00ad\u00ab\u0001"+
-		"\u0000\u0000\u0000\u00ae\u001f\u0001\u0000\u0000\u0000\u00af\u00b0\u0005"+
-		"\u000f\u0000\u0000\u00b0\u00b1\u00038\u001c\u0000\u00b1\u00b2\u0005 \u0000"+
-		"\u0000\u00b2\u00b3\u0003J%\u0000\u00b3!\u0001\u0000\u0000\u0000\u00b4"+
-		"\u00b5\u0005\u001a\u0000\u0000\u00b5\u00b7\u0003@ \u0000\u00b6\u00b8\u0003"+
-		"$\u0012\u0000\u00b7\u00b6\u0001\u0000\u0000\u0000\u00b7\u00b8\u0001\u0000"+
-		"\u0000\u0000\u00b8\u00bc\u0001\u0000\u0000\u0000\u00b9\u00bd\u0003&\u0013"+
-		"\u0000\u00ba\u00bb\u0005\b\u0000\u0000\u00bb\u00bd\u0003B!\u0000\u00bc"+
-		"\u00b9\u0001\u0000\u0000\u0000\u00bc\u00ba\u0001\u0000\u0000\u0000\u00bd"+
-		"#\u0001\u0000\u0000\u0000\u00be\u00c0\u0005\u0011\u0000\u0000\u00bf\u00be"+
-		"\u0001\u0000\u0000\u0000\u00bf\u00c0\u0001\u0000\u0000\u0000\u00c0\u00c1"+
-		"\u0001\u0000\u0000\u0000\u00c1\u00c6\u0003<\u001e\u0000\u00c2\u00c3\u0005"+
-		".\u0000\u0000\u00c3\u00c5\u0003<\u001e\u0000\u00c4\u00c2\u0001\u0000\u0000"+
-		"\u0000\u00c5\u00c8\u0001\u0000\u0000\u0000\u00c6\u00c4\u0001\u0000\u0000"+
-		"\u0000\u00c6\u00c7\u0001\u0000\u0000\u0000\u00c7%\u0001\u0000\u0000\u0000"+
-		"\u00c8\u00c6\u0001\u0000\u0000\u0000\u00c9\u00ca\u0005\u001b\u0000\u0000"+
-		"\u00ca\u00cb\u00038\u001c\u0000\u00cb\u00cc\u0005\u0005\u0000\u0000\u00cc"+
-		"\u00d0\u00034\u001a\u0000\u00cd\u00cf\u0003(\u0014\u0000\u00ce\u00cd\u0001"+
-		"\u0000\u0000\u0000\u00cf\u00d2\u0001\u0000\u0000\u0000\u00d0\u00ce\u0001"+
-		"\u0000\u0000\u0000\u00d0\u00d1\u0001\u0000\u0000\u0000\u00d1\'\u0001\u0000"+
-		"\u0000\u0000\u00d2\u00d0\u0001\u0000\u0000\u0000\u00d3\u00da\u0005\f\u0000"+
-		"\u0000\u00d4\u00da\u0005\u0013\u0000\u0000\u00d5\u00d6\u0005\b\u0000\u0000"+
-		"\u00d6\u00da\u0003B!\u0000\u00d7\u00d8\u0005\u0001\u0000\u0000\u00d8\u00da"+
-		"\u00036\u001b\u0000\u00d9\u00d3\u0001\u0000\u0000\u0000\u00d9\u00d4\u0001"+
-		"\u0000\u0000\u0000\u00d9\u00d5\u0001\u0000\u0000\u0000\u00d9\u00d7\u0001"+
-		"\u0000\u0000\u0000\u00da)\u0001\u0000\u0000\u0000\u00db\u00dc\u0005\u0016"+
-		"\u0000\u0000\u00dc\u00dd\u0005\u001a\u0000\u0000\u00dd\u00df\u0003@ \u0000"+
-		"\u00de\u00e0\u0003$\u0012\u0000\u00df\u00de\u0001\u0000\u0000\u0000\u00df"+
-		"\u00e0\u0001\u0000\u0000\u0000\u00e0+\u0001\u0000\u0000\u0000\u00e1\u00e2"+
-		"\u0005\u0010\u0000\u0000\u00e2\u00e3\u0005\u001a\u0000\u0000\u00e3\u00e5"+
-		"\u0003@ \u0000\u00e4\u00e6\u0003$\u0012\u0000\u00e5\u00e4\u0001\u0000"+
-		"\u0000\u0000\u00e5\u00e6\u0001\u0000\u0000\u0000\u00e6\u00e7\u0001\u0000"+
-		"\u0000\u0000\u00e7\u00e8\u0007\u0002\u0000\u0000\u00e8-\u0001\u0000\u0000"+
-		"\u0000\u00e9\u00ea\u0005\u0018\u0000\u0000\u00ea\u00eb\u0005\u0006\u0000"+
-		"\u0000\u00eb/\u0001\u0000\u0000\u0000\u00ec\u00ed\u0005\t\u0000\u0000"+
-		"\u00ed\u00ee\u0005!\u0000\u0000\u00ee\u00ef\u0003:\u001d\u0000\u00ef1"+
-		"\u0001\u0000\u0000\u0000\u00f0\u00f1\u0005%\u0000\u0000\u00f1\u00f2\u0005"+
-		"!\u0000\u0000\u00f2\u00f3\u0003:\u001d\u0000\u00f33\u0001\u0000\u0000"+
-		"\u0000\u00f4\u00f5\u0003L&\u0000\u00f55\u0001\u0000\u0000\u0000\u00f6"+
-		"\u00f7\u0003L&\u0000\u00f77\u0001\u0000\u0000\u0000\u00f8\u00f9\u0003"+
-		"L&\u0000\u00f99\u0001\u0000\u0000\u0000\u00fa\u00fb\u0003L&\u0000\u00fb"+
-		";\u0001\u0000\u0000\u0000\u00fc\u00fd\u0005,\u0000\u0000\u00fd=\u0001"+
-		"\u0000\u0000\u0000\u00fe\u00ff\u0005,\u0000\u0000\u00ff?\u0001\u0000\u0000"+
-		"\u0000\u0100\u0101\u0005-\u0000\u0000\u0101A\u0001\u0000\u0000\u0000\u0102"+
-		"\u0103\u0005)\u0000\u0000\u0103C\u0001\u0000\u0000\u0000\u0104\u0105\u0007"+
-		"\u0003\u0000\u0000\u0105E\u0001\u0000\u0000\u0000\u0106\u0107\u0005(\u0000"+
-		"\u0000\u0107G\u0001\u0000\u0000\u0000\u0108\u0109\u0005(\u0000\u0000\u0109"+
-		"I\u0001\u0000\u0000\u0000\u010a\u010b\u0005(\u0000\u0000\u010bK\u0001"+
-		"\u0000\u0000\u0000\u010c\u0112\u0005,\u0000\u0000\u010d\u0112\u0005(\u0000"+
-		"\u0000\u010e\u0112\u0005*\u0000\u0000\u010f\u0112\u0005)\u0000\u0000\u0110"+
-		"\u0112\u0003N\'\u0000\u0111\u010c\u0001\u0000\u0000\u0000\u0111\u010d"+
-		"\u0001\u0000\u0000\u0000\u0111\u010e\u0001\u0000\u0000\u0000\u0111\u010f"+
-		"\u0001\u0000\u0000\u0000\u0111\u0110\u0001\u0000\u0000\u0000\u0112M\u0001"+
-		"\u0000\u0000\u0000\u0113\u0114\u0007\u0004\u0000\u0000\u0114O\u0001\u0000"+
-		"\u0000\u0000\u0015Xelqs|\u0085\u008c\u0094\u009b\u00a7\u00ad\u00b7\u00bc"+
-		"\u00bf\u00c6\u00d0\u00d9\u00df\u00e5\u0111";
+		"#\u0007#\u0002$\u0007$\u0002%\u0007%\u0002&\u0007&\u0002\'\u0007\'\u0002"+
+		"(\u0007(\u0002)\u0007)\u0001\u0000\u0001\u0000\u0001\u0000\u0001\u0001"+
+		"\u0001\u0001\u0001\u0001\u0001\u0001\u0001\u0001\u0003\u0001]\b\u0001"+
+		"\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0003\u0001\u0003\u0001\u0003"+
+		"\u0001\u0004\u0001\u0004\u0001\u0004\u0005\u0004h\b\u0004\n\u0004\f\u0004"+
+		"k\t\u0004\u0001\u0004\u0001\u0004\u0005\u0004o\b\u0004\n\u0004\f\u0004"+
+		"r\t\u0004\u0001\u0004\u0001\u0004\u0003\u0004v\b\u0004\u0003\u0004x\b"+
+		"\u0004\u0001\u0005\u0001\u0005\u0001\u0006\u0001\u0006\u0001\u0006\u0001"+
+		"\u0006\u0001\u0006\u0003\u0006\u0081\b\u0006\u0001\u0007\u0001\u0007\u0001"+
+		"\b\u0001\b\u0001\b\u0001\b\u0001\b\u0003\b\u008a\b\b\u0001\t\u0001\t\u0001"+
+		"\n\u0001\n\u0001\n\u0003\n\u0091\b\n\u0001\u000b\u0001\u000b\u0001\u000b"+
+		"\u0003\u000b\u0096\b\u000b\u0001\u000b\u0003\u000b\u0099\b\u000b\u0001"+
+		"\u000b\u0001\u000b\u0001\u000b\u0003\u000b\u009e\b\u000b\u0001\f\u0001"+
+		"\f\u0001\f\u0001\f\u0001\f\u0001\r\u0001\r\u0001\r\u0001\r\u0001\r\u0003"+
+		"\r\u00aa\b\r\u0001\u000e\u0001\u000e\u0001\u000e\u0001\u000e\u0001\u000e"+
+		"\u0001\u000f\u0001\u000f\u0001\u000f\u0004\u000f\u00b4\b\u000f\u000b\u000f"+
+		"\f\u000f\u00b5\u0001\u0010\u0001\u0010\u0001\u0010\u0001\u0010\u0003\u0010"+
+		"\u00bc\b\u0010\u0001\u0011\u0001\u0011\u0001\u0011\u0001\u0011\u0001\u0011"+
+		"\u0001\u0012\u0001\u0012\u0001\u0012\u0003\u0012\u00c6\b\u0012\u0001\u0012"+
+		"\u0001\u0012\u0001\u0012\u0003\u0012\u00cb\b\u0012\u0001\u0013\u0003\u0013"+
+		"\u00ce\b\u0013\u0001\u0013\u0001\u0013\u0001\u0013\u0005\u0013\u00d3\b"+
+		"\u0013\n\u0013\f\u0013\u00d6\t\u0013\u0001\u0014\u0001\u0014\u0001\u0014"+
+		"\u0001\u0014\u0001\u0014\u0005\u0014\u00dd\b\u0014\n\u0014\f\u0014\u00e0"+
+		"\t\u0014\u0001\u0015\u0001\u0015\u0001\u0015\u0001\u0015\u0001\u0015\u0001"+
+		"\u0015\u0003\u0015\u00e8\b\u0015\u0001\u0016\u0001\u0016\u0001\u0016\u0001"+
+		"\u0016\u0003\u0016\u00ee\b\u0016\u0001\u0017\u0001\u0017\u0001\u0017\u0001"+
+		"\u0017\u0003\u0017\u00f4\b\u0017\u0001\u0017\u0001\u0017\u0001\u0018\u0001"+
+		"\u0018\u0001\u0018\u0001\u0019\u0001\u0019\u0001\u0019\u0001\u0019\u0001"+
+		"\u001a\u0001\u001a\u0001\u001a\u0001\u001a\u0001\u001b\u0001\u001b\u0001"+
+		"\u001c\u0001\u001c\u0001\u001d\u0001\u001d\u0001\u001e\u0001\u001e\u0001"+
+		"\u001f\u0001\u001f\u0001 \u0001 \u0001!\u0001!\u0001\"\u0001\"\u0001#"+
+		"\u0001#\u0001$\u0001$\u0001%\u0001%\u0001&\u0001&\u0001\'\u0001\'\u0001"+
+		"(\u0001(\u0001(\u0001(\u0001(\u0003(\u0122\b(\u0001)\u0001)\u0001)\u0000"+
+		"\u0000*\u0000\u0002\u0004\u0006\b\n\f\u000e\u0010\u0012\u0014\u0016\u0018"+
+		"\u001a\u001c\u001e \"$&(*,.02468:<>@BDFHJLNPR\u0000\u0005\u0007\u0000"+
+		"\u0005\u0005\u0007\b\u000f\u000f\u0013\u0013\u0017\u0017\u001b\u001b$"+
+		"%\u0003\u0000\u0004\u0004\u0006\u0006\u001d\u001d\u0002\u0000\r\r\u0014"+
+		"\u0014\u0001\u0000-.\u0001\u0000\u0001*\u0122\u0000T\u0001\u0000\u0000"+
+		"\u0000\u0002\\\u0001\u0000\u0000\u0000\u0004^\u0001\u0000\u0000\u0000"+
+		"\u0006a\u0001\u0000\u0000\u0000\bd\u0001\u0000\u0000\u0000\ny\u0001\u0000"+
+		"\u0000\u0000\f\u0080\u0001\u0000\u0000\u0000\u000e\u0082\u0001\u0000\u0000"+
+		"\u0000\u0010\u0089\u0001\u0000\u0000\u0000\u0012\u008b\u0001\u0000\u0000"+
+		"\u0000\u0014\u008d\u0001\u0000\u0000\u0000\u0016\u009d\u0001\u0000\u0000"+
+		"\u0000\u0018\u009f\u0001\u0000\u0000\u0000\u001a\u00a4\u0001\u0000\u0000"+
+		"\u0000\u001c\u00ab\u0001\u0000\u0000\u0000\u001e\u00b0\u0001\u0000\u0000"+
+		"\u0000 \u00bb\u0001\u0000\u0000\u0000\"\u00bd\u0001\u0000\u0000\u0000"+
+		"$\u00c2\u0001\u0000\u0000\u0000&\u00cd\u0001\u0000\u0000\u0000(\u00d7"+
+		"\u0001\u0000\u0000\u0000*\u00e7\u0001\u0000\u0000\u0000,\u00e9\u0001\u0000"+
+		"\u0000\u0000.\u00ef\u0001\u0000\u0000\u00000\u00f7\u0001\u0000\u0000\u0000"+
+		"2\u00fa\u0001\u0000\u0000\u00004\u00fe\u0001\u0000\u0000\u00006\u0102"+
+		"\u0001\u0000\u0000\u00008\u0104\u0001\u0000\u0000\u0000:\u0106\u0001\u0000"+
+		"\u0000\u0000<\u0108\u0001\u0000\u0000\u0000>\u010a\u0001\u0000\u0000\u0000"+
+		"@\u010c\u0001\u0000\u0000\u0000B\u010e\u0001\u0000\u0000\u0000D\u0110"+
+		"\u0001\u0000\u0000\u0000F\u0112\u0001\u0000\u0000\u0000H\u0114\u0001\u0000"+
+		"\u0000\u0000J\u0116\u0001\u0000\u0000\u0000L\u0118\u0001\u0000\u0000\u0000"+
+		"N\u011a\u0001\u0000\u0000\u0000P\u0121\u0001\u0000\u0000\u0000R\u0123"+
+		"\u0001\u0000\u0000\u0000TU\u0003\u0002\u0001\u0000UV\u0005\u0000\u0000"+
+		"\u0001V\u0001\u0001\u0000\u0000\u0000W]\u0003\b\u0004\u0000X]\u0003\u0014"+
+		"\n\u0000Y]\u0003\u0016\u000b\u0000Z]\u0003\u0004\u0002\u0000[]\u0003\u0006"+
+		"\u0003\u0000\\W\u0001\u0000\u0000\u0000\\X\u0001\u0000\u0000\u0000\\Y"+
+		"\u0001\u0000\u0000\u0000\\Z\u0001\u0000\u0000\u0000\\[\u0001\u0000\u0000"+
+		"\u0000]\u0003\u0001\u0000\u0000\u0000^_\u0005\f\u0000\u0000_`\u0003\u0016"+
+		"\u000b\u0000`\u0005\u0001\u0000\u0000\u0000ab\u0005)\u0000\u0000bc\u0003"+
+		"\b\u0004\u0000c\u0007\u0001\u0000\u0000\u0000dw\u0005!\u0000\u0000ei\u0005"+
+		" \u0000\u0000fh\u0003\f\u0006\u0000gf\u0001\u0000\u0000\u0000hk\u0001"+
+		"\u0000\u0000\u0000ig\u0001\u0000\u0000\u0000ij\u0001\u0000\u0000\u0000"+
+		"jx\u0001\u0000\u0000\u0000ki\u0001\u0000\u0000\u0000lp\u0005&\u0000\u0000"+
+		"mo\u0003\u0010\b\u0000nm\u0001\u0000\u0000\u0000or\u0001\u0000\u0000\u0000"+
+		"pn\u0001\u0000\u0000\u0000pq\u0001\u0000\u0000\u0000qx\u0001\u0000\u0000"+
+		"\u0000rp\u0001\u0000\u0000\u0000su\u0003\n\u0005\u0000tv\u0003\u0012\t"+
+		"\u0000ut\u0001\u0000\u0000\u0000uv\u0001\u0000\u0000\u0000vx\u0001\u0000"+
+		"\u0000\u0000we\u0001\u0000\u0000\u0000wl\u0001\u0000\u0000\u0000ws\u0001"+
+		"\u0000\u0000\u0000x\t\u0001\u0000\u0000\u0000yz\u0007\u0000\u0000\u0000"+
+		"z\u000b\u0001\u0000\u0000\u0000{|\u0005\u0003\u0000\u0000|\u0081\u0003"+
+		"\u000e\u0007\u0000}~\u0005\u000e\u0000\u0000~\u0081\u0003D\"\u0000\u007f"+
+		"\u0081\u0003\u0012\t\u0000\u0080{\u0001\u0000\u0000\u0000\u0080}\u0001"+
+		"\u0000\u0000\u0000\u0080\u007f\u0001\u0000\u0000\u0000\u0081\r\u0001\u0000"+
+		"\u0000\u0000\u0082\u0083\u0007\u0001\u0000\u0000\u0083\u000f\u0001\u0000"+
+		"\u0000\u0000\u0084\u0085\u0005\u000e\u0000\u0000\u0085\u008a\u0003D\""+
+		"\u0000\u0086\u0087\u0005\u0019\u0000\u0000\u0087\u008a\u0003@ \u0000\u0088"+
+		"\u008a\u0003\u0012\t\u0000\u0089\u0084\u0001\u0000\u0000\u0000\u0089\u0086"+
+		"\u0001\u0000\u0000\u0000\u0089\u0088\u0001\u0000\u0000\u0000\u008a\u0011"+
+		"\u0001\u0000\u0000\u0000\u008b\u008c\u0005\u000b\u0000\u0000\u008c\u0013"+
+		"\u0001\u0000\u0000\u0000\u008d\u008e\u0005*\u0000\u0000\u008e\u0090\u0003"+
+		"@ \u0000\u008f\u0091\u0003\u0012\t\u0000\u0090\u008f\u0001\u0000\u0000"+
+		"\u0000\u0090\u0091\u0001\u0000\u0000\u0000\u0091\u0015\u0001\u0000\u0000"+
+		"\u0000\u0092\u0096\u0003\u001a\r\u0000\u0093\u0096\u0003,\u0016\u0000"+
+		"\u0094\u0096\u0003.\u0017\u0000\u0095\u0092\u0001\u0000\u0000\u0000\u0095"+
+		"\u0093\u0001\u0000\u0000\u0000\u0095\u0094\u0001\u0000\u0000\u0000\u0096"+
+		"\u0098\u0001\u0000\u0000\u0000\u0097\u0099\u0003\u0018\f\u0000\u0098\u0097"+
+		"\u0001\u0000\u0000\u0000\u0098\u0099\u0001\u0000\u0000\u0000\u0099\u009e"+
+		"\u0001\u0000\u0000\u0000\u009a\u009e\u00030\u0018\u0000\u009b\u009e\u0003"+
+		"2\u0019\u0000\u009c\u009e\u00034\u001a\u0000\u009d\u0095\u0001\u0000\u0000"+
+		"\u0000\u009d\u009a\u0001\u0000\u0000\u0000\u009d\u009b\u0001\u0000\u0000"+
+		"\u0000\u009d\u009c\u0001\u0000\u0000\u0000\u009e\u0017\u0001\u0000\u0000"+
+		"\u0000\u009f\u00a0\u0005\u0001\u0000\u0000\u00a0\u00a1\u0005\u0015\u0000"+
+		"\u0000\u00a1\u00a2\u0005(\u0000\u0000\u00a2\u00a3\u0003N\'\u0000\u00a3"+
+		"\u0019\u0001\u0000\u0000\u0000\u00a4\u00a9\u0005\u001e\u0000\u0000\u00a5"+
+		"\u00aa\u0003\u001c\u000e\u0000\u00a6\u00aa\u0003\u001e\u000f\u0000\u00a7"+
+		"\u00aa\u0003\"\u0011\u0000\u00a8\u00aa\u0003$\u0012\u0000\u00a9\u00a5"+
+		"\u0001\u0000\u0000\u0000\u00a9\u00a6\u0001\u0000\u0000\u0000\u00a9\u00a7"+
+		"\u0001\u0000\u0000\u0000\u00a9\u00a8\u0001\u0000\u0000\u0000\u00aa\u001b"+
+		"\u0001\u0000\u0000\u0000\u00ab\u00ac\u0005\u0006\u0000\u0000\u00ac\u00ad"+
+		"\u00036\u001b\u0000\u00ad\u00ae\u0005\u0016\u0000\u0000\u00ae\u00af\u0003"+
+		"H$\u0000\u00af\u001d\u0001\u0000\u0000\u0000\u00b0\u00b1\u0005\u0002\u0000"+
+		"\u0000\u00b1\u00b3\u00038\u001c\u0000\u00b2\u00b4\u0003 \u0010\u0000\u00b3"+
+		"\u00b2\u0001\u0000\u0000\u0000\u00b4\u00b5\u0001\u0000\u0000\u0000\u00b5"+
+		"\u00b3\u0001\u0000\u0000\u0000\u00b5\u00b6\u0001\u0000\u0000\u0000\u00b6"+
+		"\u001f\u0001\u0000\u0000\u0000\u00b7\u00b8\u0005\u001f\u0000\u0000\u00b8"+
+		"\u00bc\u0003F#\u0000\u00b9\u00ba\u0005\u001b\u0000\u0000\u00ba\u00bc\u0003"+
+		"J%\u0000\u00bb\u00b7\u0001\u0000\u0000\u0000\u00bb\u00b9\u0001\u0000\u0000"+
+		"\u0000\u00bc!\u0001\u0000\u0000\u0000\u00bd\u00be\u0005\u0010\u0000\u0000"+
+		"\u00be\u00bf\u0003:\u001d\u0000\u00bf\u00c0\u0005\"\u0000\u0000\u00c0"+
+		"\u00c1\u0003L&\u0000\u00c1#\u0001\u0000\u0000\u0000\u00c2\u00c3\u0005"+
+		"\u001c\u0000\u0000\u00c3\u00c5\u0003B!\u0000\u00c4\u00c6\u0003&\u0013"+
+		"\u0000\u00c5\u00c4\u0001\u0000\u0000\u0000\u00c5\u00c6\u0001\u0000\u0000"+
+		"\u0000\u00c6\u00ca\u0001\u0000\u0000\u0000\u00c7\u00cb\u0003(\u0014\u0000"+
+		"\u00c8\u00c9\u0005\t\u0000\u0000\u00c9\u00cb\u0003D\"\u0000\u00ca\u00c7"+
+		"\u0001\u0000\u0000\u0000\u00ca\u00c8\u0001\u0000\u0000\u0000\u00cb%\u0001"+
+		"\u0000\u0000\u0000\u00cc\u00ce\u0005\u0012\u0000\u0000\u00cd\u00cc\u0001"+
+		"\u0000\u0000\u0000\u00cd\u00ce\u0001\u0000\u0000\u0000\u00ce\u00cf\u0001"+
+		"\u0000\u0000\u0000\u00cf\u00d4\u0003>\u001f\u0000\u00d0\u00d1\u00051\u0000"+
+		"\u0000\u00d1\u00d3\u0003>\u001f\u0000\u00d2\u00d0\u0001\u0000\u0000\u0000"+
+		"\u00d3\u00d6\u0001\u0000\u0000\u0000\u00d4\u00d2\u0001\u0000\u0000\u0000"+
+		"\u00d4\u00d5\u0001\u0000\u0000\u0000\u00d5\'\u0001\u0000\u0000\u0000\u00d6"+
+		"\u00d4\u0001\u0000\u0000\u0000\u00d7\u00d8\u0005\u001d\u0000\u0000\u00d8"+
+		"\u00d9\u0003:\u001d\u0000\u00d9\u00da\u0005\u0006\u0000\u0000\u00da\u00de"+
+		"\u00036\u001b\u0000\u00db\u00dd\u0003*\u0015\u0000\u00dc\u00db\u0001\u0000"+
+		"\u0000\u0000\u00dd\u00e0\u0001\u0000\u0000\u0000\u00de\u00dc\u0001\u0000"+
+		"\u0000\u0000\u00de\u00df\u0001\u0000\u0000\u0000\u00df)\u0001\u0000\u0000"+
+		"\u0000\u00e0\u00de\u0001\u0000\u0000\u0000\u00e1\u00e8\u0005\r\u0000\u0000"+
+		"\u00e2\u00e8\u0005\u0014\u0000\u0000\u00e3\u00e4\u0005\t\u0000\u0000\u00e4"+
+		"\u00e8\u0003D\"\u0000\u00e5\u00e6\u0005\u0002\u0000\u0000\u00e6\u00e8"+
+		"\u00038\u001c\u0000\u00e7\u00e1\u0001\u0000\u0000\u0000\u00e7\u00e2\u0001"+
+		"\u0000\u0000\u0000\u00e7\u00e3\u0001\u0000\u0000\u0000\u00e7\u00e5\u0001"+
+		"\u0000\u0000\u0000\u00e8+\u0001\u0000\u0000\u0000\u00e9\u00ea\u0005\u0018"+
+		"\u0000\u0000\u00ea\u00eb\u0005\u001c\u0000\u0000\u00eb\u00ed\u0003B!\u0000"+
+		"\u00ec\u00ee\u0003&\u0013\u0000\u00ed\u00ec\u0001\u0000\u0000\u0000\u00ed"+
+		"\u00ee\u0001\u0000\u0000\u0000\u00ee-\u0001\u0000\u0000\u0000\u00ef\u00f0"+
+		"\u0005\u0011\u0000\u0000\u00f0\u00f1\u0005\u001c\u0000\u0000\u00f1\u00f3"+
+		"\u0003B!\u0000\u00f2\u00f4\u0003&\u0013\u0000\u00f3\u00f2\u0001\u0000"+
+		"\u0000\u0000\u00f3\u00f4\u0001\u0000\u0000\u0000\u00f4\u00f5\u0001\u0000"+
+		"\u0000\u0000\u00f5\u00f6\u0007\u0002\u0000\u0000\u00f6/\u0001\u0000\u0000"+
+		"\u0000\u00f7\u00f8\u0005\u001a\u0000\u0000\u00f8\u00f9\u0005\u0007\u0000"+
+		"\u0000\u00f91\u0001\u0000\u0000\u0000\u00fa\u00fb\u0005\n\u0000\u0000"+
+		"\u00fb\u00fc\u0005#\u0000\u0000\u00fc\u00fd\u0003<\u001e\u0000\u00fd3"+
+		"\u0001\u0000\u0000\u0000\u00fe\u00ff\u0005\'\u0000\u0000\u00ff\u0100\u0005"+
+		"#\u0000\u0000\u0100\u0101\u0003<\u001e\u0000\u01015\u0001\u0000\u0000"+
+		"\u0000\u0102\u0103\u0003P(\u0000\u01037\u0001\u0000\u0000\u0000\u0104"+
+		"\u0105\u0003P(\u0000\u01059\u0001\u0000\u0000\u0000\u0106\u0107\u0003"+
+		"P(\u0000\u0107;\u0001\u0000\u0000\u0000\u0108\u0109\u0003P(\u0000\u0109"+
+		"=\u0001\u0000\u0000\u0000\u010a\u010b\u0005/\u0000\u0000\u010b?\u0001"+
+		"\u0000\u0000\u0000\u010c\u010d\u0005/\u0000\u0000\u010dA\u0001\u0000\u0000"+
+		"\u0000\u010e\u010f\u00050\u0000\u0000\u010fC\u0001\u0000\u0000\u0000\u0110"+
+		"\u0111\u0005,\u0000\u0000\u0111E\u0001\u0000\u0000\u0000\u0112\u0113\u0007"+
+		"\u0003\u0000\u0000\u0113G\u0001\u0000\u0000\u0000\u0114\u0115\u0005+\u0000"+
+		"\u0000\u0115I\u0001\u0000\u0000\u0000\u0116\u0117\u0005+\u0000\u0000\u0117"+
+		"K\u0001\u0000\u0000\u0000\u0118\u0119\u0005+\u0000\u0000\u0119M\u0001"+
+		"\u0000\u0000\u0000\u011a\u011b\u0005+\u0000\u0000\u011bO\u0001\u0000\u0000"+
+		"\u0000\u011c\u0122\u0005/\u0000\u0000\u011d\u0122\u0005+\u0000\u0000\u011e"+
+		"\u0122\u0005-\u0000\u0000\u011f\u0122\u0005,\u0000\u0000\u0120\u0122\u0003"+
+		"R)\u0000\u0121\u011c\u0001\u0000\u0000\u0000\u0121\u011d\u0001\u0000\u0000"+
+		"\u0000\u0121\u011e\u0001\u0000\u0000\u0000\u0121\u011f\u0001\u0000\u0000"+
+		"\u0000\u0121\u0120\u0001\u0000\u0000\u0000\u0122Q\u0001\u0000\u0000\u0000"+
+		"\u0123\u0124\u0007\u0004\u0000\u0000\u0124S\u0001\u0000\u0000\u0000\u0017"+
+		"\\ipuw\u0080\u0089\u0090\u0095\u0098\u009d\u00a9\u00b5\u00bb\u00c5\u00ca"+
+		"\u00cd\u00d4\u00de\u00e7\u00ed\u00f3\u0121";
 	public static final ATN _ATN =
 		new ATNDeserializer().deserialize(_serializedATN.toCharArray());
 	static {
--- a/src/main/java/io/beryldock/command/grammar/OperatorVisitor.java
+++ b/src/main/java/io/beryldock/command/grammar/OperatorVisitor.java
@@ -82,6 +82,12 @@
 	 * @return the visitor result
 	 */
 	T visitChange(OperatorParser.ChangeContext ctx);
+	/**
+	 * Visit a parse tree produced by {@link OperatorParser#basedOn}.
+	 * @param ctx the parse tree
+	 * @return the visitor result
+	 */
+	T visitBasedOn(OperatorParser.BasedOnContext ctx);
 	/**
 	 * Visit a parse tree produced by {@link OperatorParser#set}.
 	 * @param ctx the parse tree
@@ -238,6 +244,12 @@
 	 * @return the visitor result
 	 */
 	T visitSlots(OperatorParser.SlotsContext ctx);
+	/**
+	 * Visit a parse tree produced by {@link OperatorParser#version}.
+	 * @param ctx the parse tree
+	 * @return the visitor result
+	 */
+	T visitVersion(OperatorParser.VersionContext ctx);
 	/**
 	 * Visit a parse tree produced by {@link OperatorParser#name}.
 	 * @param ctx the parse tree
--- a/src/main/java/io/beryldock/measure/DirectProber.java
+++ b/src/main/java/io/beryldock/measure/DirectProber.java
@@ -76,8 +76,7 @@
             public void completed(SimpleHttpResponse response) {
                 long nanos = timers.ticker().nanos() - sent;
                 if (response.getCode() == OK) {
-                    AnswerChecker.ownNanos(response.getBodyText())
-                            .ifPresent(own -> overhead.addDirect(nanos - own));
+                    AnswerChecker.ownNanos(response.getBodyText()).ifPresent(own -> overhead.addDirect(nanos - own));
                 }
             }
 
--- a/src/main/java/io/beryldock/measure/FaultDriver.java
+++ b/src/main/java/io/beryldock/measure/FaultDriver.java
@@ -66,22 +66,26 @@
 
     private void begin(Fault fault) {
         switch (fault.kind()) {
-            case SLOW -> cluster.targetsOf(fault.service())
-                    .forEach(target -> target.setFaults(target.faults().withSlowFactor(fault.factor())));
+            case SLOW ->
+                cluster.targetsOf(fault.service())
+                        .forEach(target -> target.setFaults(target.faults().withSlowFactor(fault.factor())));
             case CRASH -> beginCrashes(fault);
             case SILENCE -> cluster.targetsOf(fault.service()).forEach(StandinTarget::silenceOpenConnections);
             case STORE_DOWN -> store().setFaults(StoreFaults.none().withDown(true));
-            case STORE_SLOW -> store().setFaults(StoreFaults.none().withDelay(Duration.ofMillis((long) fault.factor())));
+            case STORE_SLOW ->
+                store().setFaults(StoreFaults.none().withDelay(Duration.ofMillis((long) fault.factor())));
             default -> throw new IllegalStateException("no such fault: " + fault.kind());
         }
     }
 
     private void end(Fault fault) {
         switch (fault.kind()) {
-            case SLOW -> cluster.targetsOf(fault.service())
-                    .forEach(target -> target.setFaults(target.faults().withSlowFactor(1)));
-            case CRASH -> cluster.targetsOf(fault.service())
-                    .forEach(target -> target.setFaults(target.faults().withCrashMarker("")));
+            case SLOW ->
+                cluster.targetsOf(fault.service())
+                        .forEach(target -> target.setFaults(target.faults().withSlowFactor(1)));
+            case CRASH ->
+                cluster.targetsOf(fault.service())
+                        .forEach(target -> target.setFaults(target.faults().withCrashMarker("")));
             case STORE_DOWN, STORE_SLOW -> store().setFaults(StoreFaults.none());
             default -> log.atFine().log("%s ends by itself", fault.kind());
         }
--- a/src/main/java/io/beryldock/measure/OverheadMeter.java
+++ b/src/main/java/io/beryldock/measure/OverheadMeter.java
@@ -36,8 +36,7 @@
 
     /** How much more a call through a node takes than a direct one. */
     AddedLatency added() {
-        return new AddedLatency(
-                added(MEDIAN), added(TAIL), through.getTotalCount(), direct.getTotalCount());
+        return new AddedLatency(added(MEDIAN), added(TAIL), through.getTotalCount(), direct.getTotalCount());
     }
 
     private double added(double percentile) {
--- a/src/main/java/io/beryldock/measure/RequestDriver.java
+++ b/src/main/java/io/beryldock/measure/RequestDriver.java
@@ -122,10 +122,12 @@
     }
 
     private SimpleHttpRequest message(UserRequest request, String method, String pathAndQuery) {
-        SplittableRandom random = new SplittableRandom(seed + 31L * request.token().hashCode() + request.attempts());
+        SplittableRandom random =
+                new SplittableRandom(seed + 31L * request.token().hashCode() + request.attempts());
         InetSocketAddress entry = entries.get(random.nextInt(entries.size()));
         String uri = "http://" + entry.getHostString() + ":" + entry.getPort() + pathAndQuery;
-        SimpleHttpRequest message = SimpleRequestBuilder.create(method).setUri(uri).build();
+        SimpleHttpRequest message =
+                SimpleRequestBuilder.create(method).setUri(uri).build();
         message.setHeader("Authorization", "Bearer user-" + request.user());
         return message;
     }
--- a/src/main/java/io/beryldock/measure/ScenarioCluster.java
+++ b/src/main/java/io/beryldock/measure/ScenarioCluster.java
@@ -65,7 +65,8 @@
             throws StandinException, SettingsException, PeerStartException, ServerStartException, InterruptedException {
         for (Service service : topology.services()) {
             for (int i = 0; i < service.instances(); i++) {
-                String dataCentre = topology.dataCentres().get(i % topology.dataCentres().size());
+                String dataCentre =
+                        topology.dataCentres().get(i % topology.dataCentres().size());
                 String id = dataCentre + "-" + service.name() + "-" + i;
                 RunningNode node = NodeProcess.start(nodeSettings(topology, policy, id, dataCentre), shared);
                 nodes.add(node);
--- a/src/test/java/io/beryldock/command/StatementParserTest.java
+++ b/src/test/java/io/beryldock/command/StatementParserTest.java
@@ -39,6 +39,8 @@
                 "remove route /orders methods POST,PUT",
                 "mark route /orders methods POST non-idempotent",
                 "restore configuration",
+                "set class browsing priority 7 based on version 12",
+                "explain mark route /a idempotent based on version 0",
                 "mark route /orders non-idempotent",
                 "mark route /lists idempotent",
                 "drain target gent-a-lists-1",
@@ -142,7 +144,7 @@
         assertThat(StatementCompletion.next("no such words")).isEmpty();
         assertThat(StatementCompletion.next("")).contains("show", "why", "set");
         assertThat(StatementCompletion.next("set route /a service b class c"))
-                .containsExactly("budget", "deadline", "idempotent", "non-idempotent");
+                .containsExactly("based", "budget", "deadline", "idempotent", "non-idempotent");
         assertThat(StatementCompletion.next("set route /a")).containsExactly("deadline", "methods", "service");
     }
 }
