--- a/src/main/java/io/beryldock/measure/ScenarioCluster.java
+++ b/src/main/java/io/beryldock/measure/ScenarioCluster.java
@@ -97,7 +97,8 @@
 
     private static StandinTargetSettings targetSettings(
             Service service, RunningNode node, NodeSettings.Policy policy, long seed) {
-        return StandinTargetSettings.of(service.name(), service.slots(), ServiceTime.exponential(service.millis()))
+        ServiceTime time = new ServiceTime(service.distribution(), service.millis());
+        return StandinTargetSettings.of(service.name(), service.slots(), time)
                 .withNode("http://" + LOOPBACK + ":" + node.loopbackAddress().getPort())
                 .withInnerCalls(service.innerCalls())
                 .withAcceptsDeadlines(policy == NodeSettings.Policy.FULL)
