--- a/src/main/java/io/beryldock/node/TargetAnnouncements.java
+++ b/src/main/java/io/beryldock/node/TargetAnnouncements.java
@@ -80,7 +80,7 @@
         expiryTimer.cancel();
         expiryTimer = timers.after(expiry, this::expire);
         if (last.filter(announcement::equals).isPresent()) {
-            announceToOthers(announcement);
+            renew(announcement);
             return;
         }
         last = Optional.of(announcement);
@@ -94,6 +94,15 @@
                 announcement.state() + " with " + announcement.slots() + " slots at " + announcement.address());
     }
 
+    /** The membership withdraws a target whose announcement is not renewed, so an unchanged one is passed on too. */
+    private void renew(Announcement announcement) {
+        membership.announce(ServiceName.of(announcement.service()), announcement.slots(), stateOf(announcement));
+    }
+
+    private TargetState stateOf(Announcement announcement) {
+        return drained ? TargetState.LEAVING : announcement.state();
+    }
+
     private TargetGate gateFor(ServiceName service, int slots) {
         GateSettings settings = boundBySlots ? gateSettings.withAnnouncedSlots(slots) : gateSettings;
         Optional<TargetGate> kept =
@@ -108,17 +117,7 @@
         } else {
             gate.drain();
         }
-        announceToOthers(announcement);
-    }
-
-    /** Renews the target's record too: the view drops a target that is not announced again in time. */
-    private void announceToOthers(Announcement announcement) {
-        ServiceName service = ServiceName.of(announcement.service());
-        membership.announce(service, announcement.slots(), stateOf(announcement));
-    }
-
-    private TargetState stateOf(Announcement announcement) {
-        return drained ? TargetState.LEAVING : announcement.state();
+        renew(announcement);
     }
 
     private void expire() {
