Quarantine: suspects run alone, a crash while alone convicts, spread by commutative deltas

Cause: crashes were counted at one node only, and a request in flight at two crashes at once was refused although it may be the most harmless of all.

--- a/src/main/java/io/beryldock/node/NodeModule.java
+++ b/src/main/java/io/beryldock/node/NodeModule.java
@@ -204,7 +204,7 @@
     @Provides
     @Singleton
     Quarantine quarantine(TimerService timers) {
-        return Quarantine.create(timers.ticker(), QuarantineSettings.defaults(), events);
+        return Quarantine.create(self, timers.ticker(), QuarantineSettings.defaults(), events);
     }
 
     @Provides
--- a/src/main/java/io/beryldock/quarantine/Fingerprint.java
+++ b/src/main/java/io/beryldock/quarantine/Fingerprint.java
@@ -3,40 +3,109 @@
 import com.google.common.hash.HashCode;
 import com.google.common.hash.HashFunction;
 import com.google.common.hash.Hashing;
+import com.google.common.primitives.Longs;
 import io.beryldock.call.Call;
+import io.beryldock.call.ServiceName;
 import java.nio.charset.StandardCharsets;
 
 /**
  * What a request is, whoever sends it: 128 bits over service, method, path with query, and body.
  *
- * <p>Immutable. Equal at every node for equal requests. Headers don't count.
+ * <p>Equal at every node for equal requests; headers don't count. Computed when first needed, which for almost all
+ * requests is never, so making one costs nothing. Immutable in what it shows, thread safe.
  */
-public record Fingerprint(long high, long low) implements Comparable<Fingerprint> {
+public final class Fingerprint {
+
+    static final int MAX_LABEL = 100;
 
     private static final HashFunction FUNCTION = Hashing.murmur3_128(0x62647251);
+    private static final byte SEPARATOR = 0;
+
+    private final ServiceName service;
+    private final String label;
+    private final Call call;
+    private volatile HashCode hash;
+
+    private Fingerprint(ServiceName service, String label, Call call, HashCode hash) {
+        this.service = service;
+        this.label = label;
+        this.call = call;
+        this.hash = hash;
+    }
 
     public static Fingerprint of(Call call) {
-        HashCode hash = FUNCTION.newHasher()
+        return new Fingerprint(call.service(), null, call, null);
+    }
+
+    /** The fingerprint of a request that another node told of. */
+    static Fingerprint of(long high, long low, ServiceName service, String label) {
+        byte[] bytes = new byte[2 * Long.BYTES];
+        System.arraycopy(Longs.toByteArray(high), 0, bytes, 0, Long.BYTES);
+        System.arraycopy(Longs.toByteArray(low), 0, bytes, Long.BYTES, Long.BYTES);
+        return new Fingerprint(service, label, null, HashCode.fromBytes(bytes));
+    }
+
+    /** The same fingerprint without its request, to be kept for long. */
+    Fingerprint detached() {
+        return call == null ? this : new Fingerprint(service, label(), null, hash());
+    }
+
+    public ServiceName service() {
+        return service;
+    }
+
+    /** The request in short, for operators: method and path, cut at {@value #MAX_LABEL} characters. */
+    public String label() {
+        if (label != null) {
+            return label;
+        }
+        String text = call.method() + " " + call.path();
+        return text.length() <= MAX_LABEL ? text : text.substring(0, MAX_LABEL);
+    }
+
+    long high() {
+        return Longs.fromByteArray(hash().asBytes());
+    }
+
+    long low() {
+        byte[] bytes = hash().asBytes();
+        return Longs.fromBytes(bytes[8], bytes[9], bytes[10], bytes[11], bytes[12], bytes[13], bytes[14], bytes[15]);
+    }
+
+    private HashCode hash() {
+        HashCode known = hash;
+        if (known == null) {
+            known = compute(call);
+            hash = known;
+        }
+        return known;
+    }
+
+    private static HashCode compute(Call call) {
+        return FUNCTION.newHasher()
                 .putString(call.service().value(), StandardCharsets.UTF_8)
-                .putByte((byte) 0)
+                .putByte(SEPARATOR)
                 .putString(call.method(), StandardCharsets.UTF_8)
-                .putByte((byte) 0)
+                .putByte(SEPARATOR)
                 .putString(call.path(), StandardCharsets.UTF_8)
-                .putByte((byte) 0)
+                .putByte(SEPARATOR)
                 .putBytes(call.body().asReadOnlyByteBuffer())
                 .hash();
-        java.nio.ByteBuffer bytes = java.nio.ByteBuffer.wrap(hash.asBytes());
-        return new Fingerprint(bytes.getLong(), bytes.getLong());
     }
 
     @Override
-    public int compareTo(Fingerprint other) {
-        int byHigh = Long.compareUnsigned(high, other.high);
-        return byHigh != 0 ? byHigh : Long.compareUnsigned(low, other.low);
+    public boolean equals(Object other) {
+        return other instanceof Fingerprint that && hash().equals(that.hash());
+    }
+
+    @Override
+    public int hashCode() {
+        return hash().hashCode();
     }
 
+    /** 32 hexadecimal digits, as operators give it. */
     @Override
     public String toString() {
-        return String.format("%016x%016x", high, low);
+        return hash().toString();
     }
 }
--- a/src/main/java/io/beryldock/quarantine/Quarantine.java
+++ b/src/main/java/io/beryldock/quarantine/Quarantine.java
@@ -1,67 +1,262 @@
 package io.beryldock.quarantine;
 
+import com.google.common.collect.ImmutableList;
+import com.google.common.hash.Hashing;
 import io.beryldock.membership.NodeDescriptor;
 import io.beryldock.time.Ticker;
+import io.beryldock.timeline.EventKind;
 import io.beryldock.timeline.EventSink;
 import io.beryldock.wire.QuarantineDelta;
+import io.beryldock.wire.QuarantineEntry;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 
-/** The node's table of requests that crash targets. Thread safe. */
+/**
+ * The node's table of requests that crash targets.
+ *
+ * <p>Guards against a request that crashes each target that runs it and is sent again by its caller: the targets of a
+ * service go down one after the other. What was in flight at a crash is suspect and runs while no other suspect does at
+ * the same target; if that target crashes too, the request is refused everywhere. As the second crash counts only for a
+ * run that began as a suspect, a popular request that was in flight at two targets lost at once is not refused: it runs
+ * once more, completes and is free.
+ *
+ * <p>Nodes exchange deltas; merging is commutative and idempotent, and the times in them are durations. A suspect is
+ * known by its fingerprint, so equal requests share one state. Invariant: at most one suspect runs at this node's
+ * target. Thread safe; while nobody is suspect each check is one read.
+ */
 public final class Quarantine {
 
-    private final Map<Fingerprint, Integer> crashes = new HashMap<>();
+    private final NodeDescriptor self;
+    private final Ticker ticker;
+    private final QuarantineSettings settings;
+    private final EventSink events;
+    private final QuarantineTable table;
+    private final NodeLosses losses;
+    private volatile boolean idle = true;
+    private Fingerprint runningSuspect;
+    private long crashCounter;
 
-    private Quarantine() {}
+    private Quarantine(NodeDescriptor self, Ticker ticker, QuarantineSettings settings, EventSink events) {
+        this.self = self;
+        this.ticker = ticker;
+        this.settings = settings;
+        this.events = events;
+        this.table = new QuarantineTable(settings.maxEntries());
+        this.losses = new NodeLosses(settings.massWindow().toNanos(), settings.massLoss());
+    }
 
-    public static Quarantine create(Ticker ticker, QuarantineSettings settings, EventSink events) {
-        return new Quarantine();
+    public static Quarantine create(NodeDescriptor self, Ticker ticker, QuarantineSettings settings, EventSink events) {
+        return new Quarantine(self, ticker, settings, events);
     }
 
-    public synchronized Verdict verdict(Fingerprint fingerprint) {
-        int count = crashes.getOrDefault(fingerprint, 0);
-        return count == 0 ? Verdict.FREE : count == 1 ? Verdict.ALONE : Verdict.REFUSED;
+    /** Whether the request may run; changes nothing. */
+    public Verdict verdict(Fingerprint fingerprint) {
+        if (idle) {
+            return Verdict.FREE;
+        }
+        synchronized (this) {
+            return table.verdict(fingerprint, ticker.nanos());
+        }
     }
 
-    /** Starts a run at this node's target; false when it may not start now, refused or another suspect running. */
-    public synchronized boolean onStarted(Fingerprint fingerprint) {
-        return verdict(fingerprint) != Verdict.REFUSED;
+    /**
+     * Starts a run at this node's target.
+     *
+     * @return false when it may not start now: it is refused, or another suspect runs here
+     */
+    public boolean onStarted(Fingerprint fingerprint) {
+        if (idle) {
+            return true;
+        }
+        synchronized (this) {
+            Verdict verdict = table.verdict(fingerprint, ticker.nanos());
+            if (verdict == Verdict.FREE) {
+                return true;
+            }
+            if (verdict == Verdict.REFUSED || runningSuspect != null) {
+                return false;
+            }
+            runningSuspect = fingerprint.detached();
+            return true;
+        }
     }
 
-    /** A run that was started here ended with the target's answer. */
-    public synchronized void onCompleted(Fingerprint fingerprint) {
-        crashes.remove(fingerprint, 1);
+    /** A run that was started here ended with the target's answer, whatever its status: the request is harmless. */
+    public void onCompleted(Fingerprint fingerprint) {
+        if (idle) {
+            return;
+        }
+        synchronized (this) {
+            endRun(fingerprint);
+            long now = ticker.nanos();
+            if (table.verdict(fingerprint, now) == Verdict.ALONE) {
+                table.clear(fingerprint, now);
+                events.record(EventKind.REQUEST_RELEASED, fingerprint.toString(), "completed: " + fingerprint.label());
+            }
+        }
     }
 
-    /** A run that was started here ended without an answer and without a crash. */
-    public synchronized void onAbandoned(Fingerprint fingerprint) {}
+    /** A run that was started here ended without an answer, and its target has not crashed. */
+    public void onAbandoned(Fingerprint fingerprint) {
+        if (idle) {
+            return;
+        }
+        synchronized (this) {
+            endRun(fingerprint);
+        }
+    }
 
-    /** This node's target crashed. */
+    private void endRun(Fingerprint fingerprint) {
+        if (fingerprint.equals(runningSuspect)) {
+            runningSuspect = null;
+        }
+    }
+
+    /** This node's target crashed with these requests in flight; a suspect that ran here alone is refused from now on. */
     public synchronized void onTargetCrashed(Collection<Fingerprint> inFlight) {
-        inFlight.forEach(fingerprint -> crashes.merge(fingerprint, 1, Integer::sum));
+        if (inFlight.isEmpty()) {
+            return;
+        }
+        long now = ticker.nanos();
+        long crash = crashName(self, Long.toString(++crashCounter));
+        long expires = now + settings.length().toNanos();
+        for (Fingerprint fingerprint : inFlight) {
+            boolean ranAlone = fingerprint.equals(runningSuspect);
+            add(fingerprint, crash, new CrashEvidence(ranAlone, true, false, expires), now);
+            endRun(fingerprint);
+        }
+    }
+
+    /** As {@link #onNodeLost(Fingerprint, NodeDescriptor, boolean)} for a call that was not sent as a suspect. */
+    public void onNodeLost(Fingerprint fingerprint, NodeDescriptor node) {
+        onNodeLost(fingerprint, node, false);
     }
 
-    /** The connection to a node was lost while the call was in flight there. */
-    public synchronized void onNodeLost(Fingerprint fingerprint, NodeDescriptor node) {
-        crashes.merge(fingerprint, 1, Integer::sum);
+    /**
+     * The connection to a node was lost while the call was in flight there; the request may have taken the VM down.
+     *
+     * <p>The suspicion is short unless {@link #onNodeFailed} confirms it. Losses of several nodes at once have a cause
+     * that the nodes share, such as their rack: they make no request suspect.
+     *
+     * @param sentAsSuspect whether the verdict was ALONE when the call was sent
+     */
+    public synchronized void onNodeLost(Fingerprint fingerprint, NodeDescriptor node, boolean sentAsSuspect) {
+        long now = ticker.nanos();
+        long crash = crashName(node, "node");
+        losses.onLost(crash, now);
+        if (losses.isMassLoss()) {
+            Set<Long> crashes = losses.crashes();
+            table.clear(row -> crashes.contains(row.key().crash()), now);
+            return;
+        }
+        long expires = now + settings.unconfirmedLength().toNanos();
+        add(fingerprint, crash, new CrashEvidence(sentAsSuspect, false, false, expires), now);
     }
 
-    /** The node is known to have failed. */
-    public synchronized void onNodeFailed(NodeDescriptor node) {}
+    /** The node is known to have failed: what was suspected for its loss stays so for the whole time. */
+    public synchronized void onNodeFailed(NodeDescriptor node) {
+        long now = ticker.nanos();
+        long crash = crashName(node, "node");
+        long expires = now + settings.length().toNanos();
+        for (QuarantineTable.Row row :
+                table.rows(r -> r.key().crash() == crash && r.evidence().isLive(now))) {
+            boolean ranAlone = row.evidence().ranAlone();
+            table.merge(row.key(), new CrashEvidence(ranAlone, true, false, expires));
+        }
+    }
 
     /** The same start of the node answered again: it had not crashed. */
-    public synchronized void onNodeAnswered(NodeDescriptor node) {}
+    public synchronized void onNodeAnswered(NodeDescriptor node) {
+        long crash = crashName(node, "node");
+        table.clear(row -> row.key().crash() == crash, ticker.nanos());
+    }
+
+    private void add(Fingerprint fingerprint, long crash, CrashEvidence evidence, long now) {
+        Verdict before = table.verdict(fingerprint, now);
+        table.merge(new QuarantineTable.Key(fingerprint, crash), evidence);
+        idle = false;
+        Verdict after = table.verdict(fingerprint, now);
+        if (after != before) {
+            EventKind kind = after == Verdict.REFUSED ? EventKind.REQUEST_QUARANTINED : EventKind.REQUEST_SUSPECTED;
+            events.record(kind, fingerprint.toString(), fingerprint.service() + " " + fingerprint.label());
+        }
+    }
+
+    private static long crashName(NodeDescriptor node, String which) {
+        String text = node.id() + " " + node.incarnation() + " " + which;
+        return Hashing.murmur3_128().hashString(text, StandardCharsets.UTF_8).asLong();
+    }
+
+    /** An operator frees the request, whatever it did; returns whether there was anything to free. */
+    public synchronized boolean release(String fingerprint) {
+        int cleared = table.clear(row -> row.key().fingerprint().toString().equals(fingerprint), ticker.nanos());
+        if (cleared > 0) {
+            events.record(EventKind.REQUEST_RELEASED, fingerprint, "by an operator");
+        }
+        return cleared > 0;
+    }
 
     /** The whole table, for a peer that may have missed changes. */
     public synchronized QuarantineDelta export() {
-        return QuarantineDelta.getDefaultInstance();
+        long now = ticker.nanos();
+        return QuarantineCodec.encode(table.rows(row -> now < row.evidence().expiresNanos()), now);
     }
 
-    /** What changed since the last call of this method, for all peers; empty when nothing did. */
-    public synchronized QuarantineDelta takeChanges() {
-        return QuarantineDelta.getDefaultInstance();
+    /** What changed since the last call of this method, for the peers of its services; empty when nothing did. */
+    public QuarantineDelta takeChanges() {
+        if (idle) {
+            return QuarantineDelta.getDefaultInstance();
+        }
+        synchronized (this) {
+            return QuarantineCodec.encode(table.takeChanged(), ticker.nanos());
+        }
     }
 
-    public synchronized void merge(QuarantineDelta delta) {}
+    /**
+     * Takes what another node told.
+     *
+     * @throws IllegalArgumentException when an entry is malformed; those before it are merged
+     */
+    public synchronized void merge(QuarantineDelta delta) {
+        long now = ticker.nanos();
+        for (QuarantineEntry entry : delta.getEntriesList()) {
+            QuarantineTable.Row row = QuarantineCodec.decode(entry, settings.length(), now);
+            if (row.evidence().expiresNanos() > now) {
+                table.merge(row.key(), row.evidence());
+                idle = false;
+            }
+        }
+    }
+
+    /** Forgets what has expired; called every few seconds by a timer. */
+    public synchronized void expire() {
+        table.expire(ticker.nanos());
+        idle = table.isEmpty() && runningSuspect == null;
+    }
+
+    /** Requests that do not run freely, quarantined ones first. */
+    public synchronized ImmutableList<QuarantinedRequest> snapshot() {
+        long now = ticker.nanos();
+        Map<Fingerprint, Integer> crashes = new HashMap<>();
+        Map<Fingerprint, Long> ends = new HashMap<>();
+        for (QuarantineTable.Row row : table.rows(r -> r.evidence().isLive(now))) {
+            crashes.merge(row.key().fingerprint(), 1, Integer::sum);
+            ends.merge(row.key().fingerprint(), row.evidence().expiresNanos(), Math::max);
+        }
+        return crashes.keySet().stream()
+                .map(fingerprint -> new QuarantinedRequest(
+                        fingerprint,
+                        table.verdict(fingerprint, now),
+                        crashes.get(fingerprint),
+                        Duration.ofNanos(ends.get(fingerprint) - now)))
+                .sorted(Comparator.comparing(QuarantinedRequest::verdict)
+                        .reversed()
+                        .thenComparing(request -> request.fingerprint().toString()))
+                .collect(ImmutableList.toImmutableList());
+    }
 }
--- a/src/main/java/io/beryldock/quarantine/Verdict.java
+++ b/src/main/java/io/beryldock/quarantine/Verdict.java
@@ -5,6 +5,6 @@
     FREE,
     /** It was in flight when a target crashed: it runs while no other suspect does at the same target. */
     ALONE,
-    /** A request like it crashed two targets: it is refused with {@code Reason.QUARANTINED}. */
+    /** It ran as a suspect and its target crashed again: refused with {@code Reason.QUARANTINED}. */
     REFUSED
 }
--- a/src/main/java/io/beryldock/wire/QuarantineEntry.java
+++ b/src/main/java/io/beryldock/wire/QuarantineEntry.java
@@ -32,6 +32,8 @@
     super(builder);
   }
   private QuarantineEntry() {
+    service_ = "";
+    label_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -149,6 +151,100 @@
     return remainingMillis_;
   }
 
+  public static final int SERVICE_FIELD_NUMBER = 8;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object service_ = "";
+  /**
+   * <pre>
+   * Service of the request: its nodes are the ones to tell.
+   * </pre>
+   *
+   * <code>string service = 8;</code>
+   * @return The service.
+   */
+  @java.lang.Override
+  public java.lang.String getService() {
+    java.lang.Object ref = service_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      service_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Service of the request: its nodes are the ones to tell.
+   * </pre>
+   *
+   * <code>string service = 8;</code>
+   * @return The bytes for service.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getServiceBytes() {
+    java.lang.Object ref = service_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      service_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int LABEL_FIELD_NUMBER = 9;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object label_ = "";
+  /**
+   * <pre>
+   * The request in short, for operators.
+   * </pre>
+   *
+   * <code>string label = 9;</code>
+   * @return The label.
+   */
+  @java.lang.Override
+  public java.lang.String getLabel() {
+    java.lang.Object ref = label_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      label_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * The request in short, for operators.
+   * </pre>
+   *
+   * <code>string label = 9;</code>
+   * @return The bytes for label.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getLabelBytes() {
+    java.lang.Object ref = label_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      label_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -184,6 +280,12 @@
     if (remainingMillis_ != 0) {
       output.writeUInt32(7, remainingMillis_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 8, service_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(label_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 9, label_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -216,6 +318,12 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(7, remainingMillis_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(8, service_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(label_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(9, label_);
+    }
     return size;
   }
   @java.lang.Override
@@ -254,6 +362,10 @@
         != other.getCleared()) return false;
     if (getRemainingMillis()
         != other.getRemainingMillis()) return false;
+    if (!getService()
+        .equals(other.getService())) return false;
+    if (!getLabel()
+        .equals(other.getLabel())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -285,6 +397,10 @@
         getCleared());
     hash = (37 * hash) + REMAINING_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + getRemainingMillis();
+    hash = (37 * hash) + SERVICE_FIELD_NUMBER;
+    hash = (53 * hash) + getService().hashCode();
+    hash = (37 * hash) + LABEL_FIELD_NUMBER;
+    hash = (53 * hash) + getLabel().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -427,6 +543,8 @@
       confirmed_ = false;
       cleared_ = false;
       remainingMillis_ = 0;
+      service_ = "";
+      label_ = "";
       return this;
     }
 
@@ -481,6 +599,12 @@
       if (((from_bitField0_ & 0x00000040) != 0)) {
         result.remainingMillis_ = remainingMillis_;
       }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.service_ = service_;
+      }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.label_ = label_;
+      }
     }
 
     @java.lang.Override
@@ -516,6 +640,16 @@
       if (other.getRemainingMillis() != 0) {
         setRemainingMillis(other.getRemainingMillis());
       }
+      if (!other.getService().isEmpty()) {
+        service_ = other.service_;
+        bitField0_ |= 0x00000080;
+        onChanged();
+      }
+      if (!other.getLabel().isEmpty()) {
+        label_ = other.label_;
+        bitField0_ |= 0x00000100;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -575,6 +709,16 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 56
+            case 66: {
+              service_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 66
+            case 74: {
+              label_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 74
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -876,6 +1020,190 @@
       return this;
     }
 
+    private java.lang.Object service_ = "";
+    /**
+     * <pre>
+     * Service of the request: its nodes are the ones to tell.
+     * </pre>
+     *
+     * <code>string service = 8;</code>
+     * @return The service.
+     */
+    public java.lang.String getService() {
+      java.lang.Object ref = service_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        service_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Service of the request: its nodes are the ones to tell.
+     * </pre>
+     *
+     * <code>string service = 8;</code>
+     * @return The bytes for service.
+     */
+    public com.google.protobuf.ByteString
+        getServiceBytes() {
+      java.lang.Object ref = service_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        service_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Service of the request: its nodes are the ones to tell.
+     * </pre>
+     *
+     * <code>string service = 8;</code>
+     * @param value The service to set.
+     * @return This builder for chaining.
+     */
+    public Builder setService(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      service_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Service of the request: its nodes are the ones to tell.
+     * </pre>
+     *
+     * <code>string service = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearService() {
+      service_ = getDefaultInstance().getService();
+      bitField0_ = (bitField0_ & ~0x00000080);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Service of the request: its nodes are the ones to tell.
+     * </pre>
+     *
+     * <code>string service = 8;</code>
+     * @param value The bytes for service to set.
+     * @return This builder for chaining.
+     */
+    public Builder setServiceBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      service_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object label_ = "";
+    /**
+     * <pre>
+     * The request in short, for operators.
+     * </pre>
+     *
+     * <code>string label = 9;</code>
+     * @return The label.
+     */
+    public java.lang.String getLabel() {
+      java.lang.Object ref = label_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        label_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The request in short, for operators.
+     * </pre>
+     *
+     * <code>string label = 9;</code>
+     * @return The bytes for label.
+     */
+    public com.google.protobuf.ByteString
+        getLabelBytes() {
+      java.lang.Object ref = label_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        label_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The request in short, for operators.
+     * </pre>
+     *
+     * <code>string label = 9;</code>
+     * @param value The label to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLabel(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      label_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The request in short, for operators.
+     * </pre>
+     *
+     * <code>string label = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLabel() {
+      label_ = getDefaultInstance().getLabel();
+      bitField0_ = (bitField0_ & ~0x00000100);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The request in short, for operators.
+     * </pre>
+     *
+     * <code>string label = 9;</code>
+     * @param value The bytes for label to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLabelBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      label_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:beryldock.quarantine.QuarantineEntry)
   }
 
--- a/src/main/java/io/beryldock/wire/QuarantineEntryOrBuilder.java
+++ b/src/main/java/io/beryldock/wire/QuarantineEntryOrBuilder.java
@@ -71,4 +71,44 @@
    * @return The remainingMillis.
    */
   int getRemainingMillis();
+
+  /**
+   * <pre>
+   * Service of the request: its nodes are the ones to tell.
+   * </pre>
+   *
+   * <code>string service = 8;</code>
+   * @return The service.
+   */
+  java.lang.String getService();
+  /**
+   * <pre>
+   * Service of the request: its nodes are the ones to tell.
+   * </pre>
+   *
+   * <code>string service = 8;</code>
+   * @return The bytes for service.
+   */
+  com.google.protobuf.ByteString
+      getServiceBytes();
+
+  /**
+   * <pre>
+   * The request in short, for operators.
+   * </pre>
+   *
+   * <code>string label = 9;</code>
+   * @return The label.
+   */
+  java.lang.String getLabel();
+  /**
+   * <pre>
+   * The request in short, for operators.
+   * </pre>
+   *
+   * <code>string label = 9;</code>
+   * @return The bytes for label.
+   */
+  com.google.protobuf.ByteString
+      getLabelBytes();
 }
--- a/src/main/java/io/beryldock/wire/QuarantineProto.java
+++ b/src/main/java/io/beryldock/wire/QuarantineProto.java
@@ -47,13 +47,14 @@
     java.lang.String[] descriptorData = {
       "\n\020quarantine.proto\022\024beryldock.quarantine" +
       "\"I\n\017QuarantineDelta\0226\n\007entries\030\001 \003(\0132%.b" +
-      "eryldock.quarantine.QuarantineEntry\"\244\001\n\017" +
+      "eryldock.quarantine.QuarantineEntry\"\304\001\n\017" +
       "QuarantineEntry\022\030\n\020fingerprint_high\030\001 \001(" +
       "\006\022\027\n\017fingerprint_low\030\002 \001(\006\022\r\n\005crash\030\003 \001(" +
       "\006\022\021\n\tran_alone\030\004 \001(\010\022\021\n\tconfirmed\030\005 \001(\010\022" +
       "\017\n\007cleared\030\006 \001(\010\022\030\n\020remaining_millis\030\007 \001" +
-      "(\rB&\n\021io.beryldock.wireB\017QuarantineProto" +
-      "P\001b\006proto3"
+      "(\r\022\017\n\007service\030\010 \001(\t\022\r\n\005label\030\t \001(\tB&\n\021io" +
+      ".beryldock.wireB\017QuarantineProtoP\001b\006prot" +
+      "o3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -70,7 +71,7 @@
     internal_static_beryldock_quarantine_QuarantineEntry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_beryldock_quarantine_QuarantineEntry_descriptor,
-        new java.lang.String[] { "FingerprintHigh", "FingerprintLow", "Crash", "RanAlone", "Confirmed", "Cleared", "RemainingMillis", });
+        new java.lang.String[] { "FingerprintHigh", "FingerprintLow", "Crash", "RanAlone", "Confirmed", "Cleared", "RemainingMillis", "Service", "Label", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
