--- a/src/main/java/io/beryldock/configuration/ConfigurationSync.java
+++ b/src/main/java/io/beryldock/configuration/ConfigurationSync.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
@@ -35,10 +36,16 @@
 
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
 
+    /** Other data centres to which a watcher sends a digest as soon as a version is new to it. */
+    private static final int DIGESTS_ELSEWHERE = 4;
+
     /** Digests to a neighbour for each one to any node of another data centre, should all watchers fail. */
     private static final int ELSEWHERE_EVERY = 30;
 
+    private static final int LOG_SECONDS = 10;
+
     private static final long PAUSED_NANOS = DIGEST_PERIOD.multipliedBy(2).toNanos();
+    private static final long ALONE_NANOS = DIGEST_PERIOD.multipliedBy(3).toNanos();
 
     private final NodeDescriptor self;
     private final ConfigurationKeeper keeper;
@@ -49,14 +56,16 @@
     private final InForceSurvey survey;
     private final StartWait startWait;
     private final List<Subscription> subscriptions = new ArrayList<>();
-    private PeerChoice choice = PeerChoice.none();
+    private PeerChoice choice;
     private long pushed;
     private long lastTick;
+    private long lastHeard;
 
     private ConfigurationSync(NodeDescriptor self, ConfigurationKeeper keeper, Ports ports) {
         this.self = self;
         this.keeper = keeper;
         this.ports = ports;
+        choice = PeerChoice.of(self, Directory.empty());
         Messenger messenger = Messenger.of(ports.transport(), self.peerAddress());
         watch = StoreWatch.create(keeper, ports);
         wholes = WholeExchange.create(keeper, messenger, ports.timers().ticker());
@@ -93,6 +102,7 @@
      */
     public CompletableFuture<StartReport> start() {
         lastTick = ports.timers().ticker().nanos();
+        lastHeard = lastTick;
         subscriptions.add(keeper.onChange(this::spread));
         refreshChoice();
         long jitter = ports.random().nextLong(DIGEST_PERIOD.toNanos());
@@ -126,16 +136,27 @@
         if (directory != choice.directory()) {
             choice = PeerChoice.of(self, directory);
         }
-        watch.want(choice.watcher());
+        watch.want(choice.watcher() || isAlone());
+    }
+
+    /**
+     * Whether no peer has been heard of for a while.
+     *
+     * <p>Guards against a node whose neighbours are gone, or can't reach it, before the directory says so: it would
+     * show as one node that goes on by old settings. Every node has two that send it digests, so silence means that,
+     * and the node then watches the store itself and asks other data centres.
+     */
+    private boolean isAlone() {
+        return ports.timers().ticker().nanos() - lastHeard > ALONE_NANOS;
     }
 
     private void tick() {
         refreshChoice();
         noteTick();
         choice.neighbour(ports.random()).ifPresent(this::sendDigest);
-        choice.watcherElsewhere(ports.random()).ifPresent(this::sendDigest);
-        if (ports.random().nextInt(ELSEWHERE_EVERY) == 0) {
-            choice.anyElsewhere(self, ports.random()).ifPresent(this::sendDigest);
+        choice.watchersElsewhere(1, ports.random()).forEach(this::sendDigest);
+        if (isAlone() || ports.random().nextInt(ELSEWHERE_EVERY) == 0) {
+            choice.anyElsewhere(ports.random()).ifPresent(this::sendDigest);
         }
         if (choice.neighbours().isEmpty()) {
             ports.seeds().get().forEach(digests::sendDigest);
@@ -164,15 +185,18 @@
         long after = pushed == 0 ? next.version() - 1 : pushed;
         pushed = next.version();
         digests.push(after, choice.neighbours());
+        choice.watchersElsewhere(DIGESTS_ELSEWHERE, ports.random()).forEach(this::sendDigest);
     }
 
     /** Takes a message of another node. */
     public void onMessage(NodeId sender, ByteString bytes) {
         try {
             Messenger.Received received = Messenger.read(bytes);
+            lastHeard = ports.timers().ticker().nanos();
             dispatch(received.from(), received.message());
         } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
-            log.atWarning().withCause(e).log("an unreadable configuration message from %s is dropped", sender);
+            log.atWarning().atMostEvery(LOG_SECONDS, TimeUnit.SECONDS).log(
+                    "an unreadable configuration message from %s is dropped: %s", sender, e.getMessage());
         }
     }
 
--- a/src/main/java/io/beryldock/configuration/StoreWatch.java
+++ b/src/main/java/io/beryldock/configuration/StoreWatch.java
@@ -1,5 +1,6 @@
 package io.beryldock.configuration;
 
+import com.google.common.base.Throwables;
 import com.google.common.flogger.FluentLogger;
 import io.beryldock.platform.PlatformStore;
 import io.beryldock.platform.StoredValue;
@@ -108,15 +109,35 @@
             return;
         }
         noteDown(failure);
-        timers.after(retryDelay(), this::watch);
+        timers.after(retryDelay(), this::readAndWatch);
+    }
+
+    /**
+     * Reads the head before the next watch.
+     *
+     * <p>Guards against watches that go silent while other calls work, as on a connection that something between the two
+     * ends has lost track of: without the read the watcher would learn of nothing, watch after watch.
+     */
+    private void readAndWatch() {
+        read().thenAcceptAsync(
+                        read -> {
+                            if (read) {
+                                watch();
+                            } else {
+                                failures++;
+                                timers.after(retryDelay(), this::readAndWatch);
+                            }
+                        },
+                        control);
     }
 
     private void noteDown(Throwable failure) {
         if (failures++ == 0) {
-            events.record(EventKind.STORE_DOWN, "configuration", String.valueOf(failure.getMessage()));
+            String cause = Throwables.getRootCause(failure).getMessage();
+            events.record(EventKind.STORE_DOWN, "configuration", String.valueOf(cause));
             log.atWarning().log(
                     "the platform store can't be read; version %d stays in force: %s",
-                    keeper.current().version(), failure.getMessage());
+                    keeper.current().version(), cause);
         }
     }
 
--- a/src/main/java/io/beryldock/node/TargetAnnouncements.java
+++ b/src/main/java/io/beryldock/node/TargetAnnouncements.java
@@ -12,6 +12,7 @@
 import io.beryldock.timeline.EventKind;
 import io.beryldock.timeline.EventSink;
 import java.time.Duration;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 
@@ -25,6 +26,7 @@
 
     private final MembershipService membership;
     private final GateSettings gateSettings;
+    private final boolean boundBySlots;
     private final Duration expiry;
     private final TimerService timers;
     private final RandomGenerator random;
@@ -37,12 +39,14 @@
     TargetAnnouncements(
             MembershipService membership,
             GateSettings gateSettings,
+            boolean boundBySlots,
             Duration expiry,
             TimerService timers,
             RandomGenerator random,
             EventSink events) {
         this.membership = membership;
         this.gateSettings = gateSettings;
+        this.boundBySlots = boundBySlots;
         this.expiry = expiry;
         this.timers = timers;
         this.random = random;
@@ -58,6 +62,20 @@
         return drained;
     }
 
+    /** How the target stands, in a word for operators. */
+    String stateWord() {
+        if (drained) {
+            return "drained";
+        }
+        return last.map(announcement -> announcement.state().name().toLowerCase(Locale.ROOT))
+                .orElse("none");
+    }
+
+    /** Slots that the target announced; 0 when none does. */
+    int slots() {
+        return last.map(Announcement::slots).orElse(0);
+    }
+
     void announce(Announcement announcement) {
         expiryTimer.cancel();
         expiryTimer = timers.after(expiry, this::expire);
@@ -76,7 +94,7 @@
     }
 
     private TargetGate gateFor(ServiceName service, int slots) {
-        GateSettings settings = gateSettings.withAnnouncedSlots(slots);
+        GateSettings settings = boundBySlots ? gateSettings.withAnnouncedSlots(slots) : gateSettings;
         Optional<TargetGate> kept =
                 current.filter(target -> target.service().equals(service)).map(AnnouncedTarget::gate);
         kept.ifPresent(gate -> gate.reconfigure(settings));
--- a/src/main/java/io/beryldock/peer/InboundConnection.java
+++ b/src/main/java/io/beryldock/peer/InboundConnection.java
@@ -21,19 +21,21 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 /**
  * A connection that a peer made to this node.
  *
- * <p>Invariants: nothing but a hello is taken first; request ids rise, so that a frame that comes twice can't run twice;
- * a request is open until its reply, its cancellation or the end of the connection, whichever is first; after this node
- * has said that it goes away, no request with a higher id reaches a handler. It stops reading while the peer doesn't read
- * its replies, so that these stay bounded. Used on its event loop only, but for {@link #tick}, {@link #goAway},
- * {@link #close} and {@link #snapshot}.
+ * <p>Invariants: nothing but a hello is taken first; request ids rise, so that a frame that comes twice can't run
+ * twice; a request is open until its reply, its cancellation or the end of the connection, whichever is first; after
+ * this node has said that it goes away, no request with a higher id reaches a handler. It stops reading while the peer
+ * doesn't read its replies, so that these stay bounded. Used on its event loop only, but for {@link #tick}, {@link
+ * #goAway}, {@link #close} and {@link #snapshot}.
  */
 final class InboundConnection extends SimpleChannelInboundHandler<Frame> {
 
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
+    private static final int LOG_SECONDS = 10;
 
     private final PeerHub hub;
     private final Channel channel;
@@ -138,7 +140,11 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        log.atFine().withCause(cause).log("the connection from %s failed", address);
+        if (state == State.GREETING) {
+            log.atWarning().atMostEvery(LOG_SECONDS, TimeUnit.SECONDS).log(
+                    "a peer at %s could not prove itself (%s); compare its peers.tls settings with this node's",
+                    address, cause.getMessage());
+        }
         ChannelActions.abort(channel);
     }
 
