--- /dev/null
+++ b/src/main/java/io/beryldock/measure/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements of the decisions on an injected clock: what they cost, and how soon they act. */
+package io.beryldock.measure;
--- a/src/main/java/io/beryldock/membership/MembershipAssembly.java
+++ b/src/main/java/io/beryldock/membership/MembershipAssembly.java
@@ -42,13 +42,7 @@
         spreader = RecordSpreader.create(
                 context.ownCentre(), context.view(), context.neighbours(), context.sender(), context.timers());
         antiEntropy = new AntiEntropy(context, this::onComplete);
-        intake = RecordIntake.create(
-                context.self(),
-                context.view(),
-                spreader,
-                context.timers().ticker(),
-                antiEntropy::isComplete,
-                this::onChange);
+        intake = RecordIntake.create(context, spreader, antiEntropy::isComplete, this::onChange);
         IndirectProber indirect = new IndirectProber(context);
         detector = new FailureDetector(context, indirect, intake, this::onOverdue);
         reports = new LinkReports(context, this::onReports);
--- a/src/main/java/io/beryldock/membership/RecordIntake.java
+++ b/src/main/java/io/beryldock/membership/RecordIntake.java
@@ -2,6 +2,8 @@
 
 import io.beryldock.call.NodeId;
 import io.beryldock.time.Ticker;
+import io.beryldock.timeline.EventKind;
+import io.beryldock.timeline.EventSink;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 
@@ -24,20 +26,17 @@
     private final MembershipView view;
     private final RecordSpreader spreader;
     private final Ticker ticker;
+    private final EventSink events;
     private final BooleanSupplier passesOn;
     private final ChangeListener listener;
 
     private RecordIntake(
-            SelfRecord self,
-            MembershipView view,
-            RecordSpreader spreader,
-            Ticker ticker,
-            BooleanSupplier passesOn,
-            ChangeListener listener) {
-        this.self = self;
-        this.view = view;
+            MembershipContext context, RecordSpreader spreader, BooleanSupplier passesOn, ChangeListener listener) {
+        this.self = context.self();
+        this.view = context.view();
         this.spreader = spreader;
-        this.ticker = ticker;
+        this.ticker = context.timers().ticker();
+        this.events = context.events();
         this.passesOn = passesOn;
         this.listener = listener;
     }
@@ -48,13 +47,8 @@
      * @param passesOn false while the node fetches the whole view for the first time: all it hears is old to others
      */
     static RecordIntake create(
-            SelfRecord self,
-            MembershipView view,
-            RecordSpreader spreader,
-            Ticker ticker,
-            BooleanSupplier passesOn,
-            ChangeListener listener) {
-        return new RecordIntake(self, view, spreader, ticker, passesOn, listener);
+            MembershipContext context, RecordSpreader spreader, BooleanSupplier passesOn, ChangeListener listener) {
+        return new RecordIntake(context, spreader, passesOn, listener);
     }
 
     /** Takes a record from another node. */
@@ -83,6 +77,7 @@
         Optional<MemberRecord> before = view.find(found.id());
         switch (view.merge(found, ticker.nanos())) {
             case NEWER -> {
+                checkRaised(before, found);
                 passOn(before, found, from);
                 listener.changed(before, found);
             }
@@ -93,6 +88,15 @@
         }
     }
 
+    /** Asserts the invariant of the view, independently of the rule that decided. */
+    private void checkRaised(Optional<MemberRecord> before, MemberRecord found) {
+        boolean raised = before.map(found::isNewerThan).orElse(true);
+        if (!raised) {
+            events.record(
+                    EventKind.INVARIANT_BROKEN, found.id().value(), "an older record of a node replaced a newer one");
+        }
+    }
+
     private void passOn(Optional<MemberRecord> before, MemberRecord found, Optional<NodeId> from) {
         from.ifPresent(sender -> spreader.isKnownBy(sender, found.id()));
         if (from.isPresent() && !passesOn.getAsBoolean()) {
