--- a/src/main/java/io/beryldock/measure/package-info.java
+++ b/src/main/java/io/beryldock/measure/package-info.java
@@ -1,6 +1,7 @@
 /**
  * Measurements on real nodes with stand-in targets: scenarios, load, checks of every answer, and the figures.
  *
- * <p>Nothing here models a network or a cluster: all requests go over loopback sockets.
+ * <p>Scenarios send every request over loopback sockets; the membership is also measured over a fake network, since 700
+ * members do not fit on one machine as processes.
  */
 package io.beryldock.measure;
