--- a/src/main/java/io/beryldock/forwarding/AttemptLoop.java
+++ b/src/main/java/io/beryldock/forwarding/AttemptLoop.java
@@ -82,7 +82,7 @@
             return;
         }
         Optional<TargetRecord> target =
-                ports.chooser().choose(ports.directory().get(), call.service(), tried, Set.of());
+                ports.chooser().choose(ports.directory().get(), call.service(), tried, Set.of(), call.idempotent());
         if (target.isEmpty()) {
             finish(last.orElseGet(() -> CallResult.notRun(Reason.NO_TARGET, "service " + call.service())));
             return;
@@ -97,8 +97,10 @@
         Call attempt = call.attempt(ports.ids().next(), attemptContext(grant));
         ports.chooser().onStart(target);
         long sent = now();
+        boolean asSuspect = ports.quarantine().verdict(fingerprint) != Verdict.FREE;
         CallForwarder.attempt(ports, target, attempt, scope).whenComplete((ended, failure) -> {
             CallResult known = failure == null ? ended : CallResult.unknown(Reason.INTERNAL, failure.toString());
+            noteLoss(target, known, asSuspect);
             onEnd(target, grant, known, now() - sent);
         });
     }
@@ -113,7 +115,6 @@
         ports.chooser().onResult(target, ended, latencyNanos);
         ports.door().observe(call.service(), ended.levels());
         settle(grant, ended);
-        noteLoss(target, ended);
         spentNanos += ended.spentNanos();
         slowestNanos = Math.max(slowestNanos, latencyNanos);
         mayHaveRun |= ended.outcome() == Outcome.UNKNOWN;
@@ -133,9 +134,13 @@
         grant.giveBack(neverReached ? grant.amount() : ended.unspentRetries());
     }
 
-    private void noteLoss(TargetRecord target, CallResult ended) {
+    private void noteLoss(TargetRecord target, CallResult ended, boolean sentAsSuspect) {
+        if (ended.outcome() == Outcome.ANSWERED) {
+            ports.quarantine().onNodeAnswered(target.node());
+        }
         if (ended.reason().filter(Reason.CONNECTION_LOST::equals).isPresent()) {
-            ports.quarantine().onNodeLost(fingerprint, target.node());
+            ports.quarantine().onNodeLost(fingerprint, target.node(), sentAsSuspect);
+            ports.losses().accept(target.node());
             ports.chooser().onNodeLost(target.node().id());
         }
     }
--- a/src/main/java/io/beryldock/forwarding/CallForwarder.java
+++ b/src/main/java/io/beryldock/forwarding/CallForwarder.java
@@ -6,6 +6,7 @@
 import io.beryldock.call.NodeId;
 import io.beryldock.call.RequestIds;
 import io.beryldock.membership.Directory;
+import io.beryldock.membership.NodeDescriptor;
 import io.beryldock.membership.TargetRecord;
 import io.beryldock.quarantine.Quarantine;
 import io.beryldock.retry.Backoff;
@@ -16,6 +17,7 @@
 import io.beryldock.time.TimerService;
 import io.beryldock.timeline.EventSink;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 /**
@@ -31,7 +33,7 @@
         this.ports = ports;
     }
 
-    /** What the forwarder works with. */
+    /** What the forwarder works with; {@code losses} hears of nodes whose connection was lost with a call in flight. */
     public record Ports(
             NodeId self,
             Policy policy,
@@ -44,6 +46,7 @@
             RetryTally retryTally,
             Backoff backoff,
             Quarantine quarantine,
+            Consumer<NodeDescriptor> losses,
             RequestIds ids,
             TimerService timers,
             EventSink events) {}
--- a/src/main/java/io/beryldock/node/NodeLedgers.java
+++ b/src/main/java/io/beryldock/node/NodeLedgers.java
@@ -22,6 +22,16 @@
     }
 
     QueryTable quarantine() {
-        return QueryTable.builder(ShowColumns.QUARANTINE).build();
+        QueryTable.Builder table = QueryTable.builder(ShowColumns.QUARANTINE);
+        quarantineTable
+                .snapshot()
+                .forEach(request -> table.row(
+                        request.fingerprint().toString(),
+                        null,
+                        null,
+                        request.crashes(),
+                        request.verdict().name(),
+                        request.remaining().toMillis()));
+        return table.build();
     }
 }
--- a/src/main/java/io/beryldock/node/NodeProcess.java
+++ b/src/main/java/io/beryldock/node/NodeProcess.java
@@ -88,6 +88,7 @@
     private static void startControl(Injector injector) {
         injector.getInstance(MembershipService.class).start();
         injector.getInstance(ConfigurationSync.class).start();
+        injector.getInstance(NodeFailureWatch.class).start();
         injector.getInstance(QuarantineSpreader.class).start(injector.getInstance(TimerService.class));
     }
 
--- a/src/main/java/io/beryldock/node/OperatorModule.java
+++ b/src/main/java/io/beryldock/node/OperatorModule.java
@@ -66,6 +66,12 @@
         return spreader;
     }
 
+    @Provides
+    @Singleton
+    NodeFailureWatch failureWatch(MembershipService membership, Quarantine quarantine) {
+        return new NodeFailureWatch(membership, quarantine);
+    }
+
     @Provides
     @Singleton
     NodeMetrics metrics(
--- a/src/main/java/io/beryldock/node/QuarantineSpreader.java
+++ b/src/main/java/io/beryldock/node/QuarantineSpreader.java
@@ -25,6 +25,7 @@
 final class QuarantineSpreader implements PeerHandler {
 
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
+    private static final Duration EXPIRY_PERIOD = Duration.ofSeconds(5);
     private static final Duration CHANGES_PERIOD = Duration.ofMillis(200);
     private static final Duration WHOLE_PERIOD = Duration.ofSeconds(10);
     private static final int FAN_OUT = 6;
@@ -49,6 +50,7 @@
     }
 
     void start(TimerService timers) {
+        timers.every(EXPIRY_PERIOD, quarantine::expire);
         timers.every(CHANGES_PERIOD, () -> send(quarantine.takeChanges(), FAN_OUT));
         timers.every(WHOLE_PERIOD, () -> send(quarantine.export(), 1));
     }
--- a/src/main/java/io/beryldock/node/TrafficModule.java
+++ b/src/main/java/io/beryldock/node/TrafficModule.java
@@ -143,6 +143,7 @@
             RetryTally retryTally,
             Backoff backoff,
             Quarantine quarantine,
+            ControlLoop control,
             RequestIds ids,
             EventSink events) {
         return CallForwarder.create(new CallForwarder.Ports(
@@ -157,6 +158,7 @@
                 retryTally,
                 backoff,
                 quarantine,
+                node -> control.execute(() -> membership.hintUnreachable(node.id())),
                 ids,
                 timers,
                 events));
