--- a/src/main/java/io/beryldock/node/RunningNode.java
+++ b/src/main/java/io/beryldock/node/RunningNode.java
@@ -75,6 +75,11 @@
         return injector.getInstance(EventRing.class);
     }
 
+    /** How the target in this VM stands: none, starting, ready, leaving or drained. */
+    public String targetState() {
+        return injector.getInstance(TargetAnnouncements.class).stateWord();
+    }
+
     /** Calls that the target runs now. */
     public int running() {
         return injector.getInstance(ExecutionRegistry.class).size();
--- a/src/main/java/io/beryldock/node/TargetAnnouncements.java
+++ b/src/main/java/io/beryldock/node/TargetAnnouncements.java
@@ -33,7 +33,7 @@
     private final EventSink events;
     private volatile Optional<AnnouncedTarget> current = Optional.empty();
     private volatile boolean drained;
-    private Optional<Announcement> last = Optional.empty();
+    private volatile Optional<Announcement> last = Optional.empty();
     private Subscription expiryTimer = () -> {};
 
     TargetAnnouncements(
