--- a/src/main/java/io/beryldock/httpclient/PlainHttpClients.java
+++ b/src/main/java/io/beryldock/httpclient/PlainHttpClients.java
@@ -1,7 +1,7 @@
 package io.beryldock.httpclient;
 
 import com.google.common.flogger.FluentLogger;
-import java.nio.channels.ClosedSelectorException;
+import java.util.concurrent.atomic.AtomicReference;
 import org.apache.hc.client5.http.config.ConnectionConfig;
 import org.apache.hc.client5.http.config.RequestConfig;
 import org.apache.hc.client5.http.config.TlsConfig;
@@ -12,6 +12,7 @@
 import org.apache.hc.core5.http2.HttpVersionPolicy;
 import org.apache.hc.core5.pool.PoolConcurrencyPolicy;
 import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.reactor.IOReactorStatus;
 import org.apache.hc.core5.util.Timeout;
 
 /**
@@ -28,24 +29,27 @@
 
     /** Starts a client; the caller closes it. */
     public static CloseableHttpAsyncClient start(PlainHttpClientOptions options) {
+        AtomicReference<CloseableHttpAsyncClient> started = new AtomicReference<>();
         CloseableHttpAsyncClient client = HttpAsyncClients.custom()
                 .setConnectionManager(pool(options))
                 .setIOReactorConfig(reactor(options))
                 .setDefaultRequestConfig(request(options))
-                .setIoReactorExceptionCallback(PlainHttpClients::reactorFailed)
+                .setIoReactorExceptionCallback(failure -> reactorFailed(started.get(), failure))
                 .disableAutomaticRetries()
                 .disableRedirectHandling()
                 .disableCookieManagement()
                 .disableAuthCaching()
                 .disableConnectionState()
                 .build();
+        started.set(client);
         client.start();
         return client;
     }
 
-    /** Closing a client ends its reactor threads in the midst of a select; that is no error. */
-    private static void reactorFailed(Exception failure) {
-        if (!(failure instanceof ClosedSelectorException)) {
+    /** Closing a client ends its reactor threads in the midst of their work; that is no error. */
+    private static void reactorFailed(CloseableHttpAsyncClient client, Exception failure) {
+        IOReactorStatus status = client.getStatus();
+        if (status != IOReactorStatus.SHUTTING_DOWN && status != IOReactorStatus.SHUT_DOWN) {
             log.atSevere().withCause(failure).log("a reactor thread of an HTTP client failed");
         }
     }
