--- a/src/main/java/io/beryldock/measure/ArrivalSchedule.java
+++ b/src/main/java/io/beryldock/measure/ArrivalSchedule.java
@@ -20,10 +20,12 @@
     private final SplittableRandom random;
     private final double baseRate;
     private final long length;
+    private final String prefix;
     private double now;
     private long count;
 
-    private ArrivalSchedule(Topology topology, Scenario scenario, long seed) {
+    private ArrivalSchedule(Topology topology, Scenario scenario, long seed, String prefix) {
+        this.prefix = prefix;
         this.topology = topology;
         this.scenario = scenario;
         this.random = new SplittableRandom(seed);
@@ -33,7 +35,12 @@
     }
 
     static ArrivalSchedule create(Topology topology, Scenario scenario, long seed) {
-        return new ArrivalSchedule(topology, scenario, seed);
+        return new ArrivalSchedule(topology, scenario, seed, "r");
+    }
+
+    /** The usual demand before a run, with tokens that the run's never equal. */
+    static ArrivalSchedule ofWarmUp(Topology topology, Scenario scenario, long seed) {
+        return new ArrivalSchedule(topology, scenario.warmUp(), ~seed, "w");
     }
 
     /** The next request, due at its {@code asked} after the run's start; empty once the run is over. */
@@ -63,7 +70,7 @@
         CallerClass callers = pick(topology.callers(), random.nextDouble() * baseRate);
         String path = callers.path() + "/" + random.nextInt(ITEMS);
         count++;
-        return new UserRequest(callers, "r" + count, path, random.nextInt(topology.users()), (long) now);
+        return new UserRequest(callers, prefix + count, path, random.nextInt(topology.users()), (long) now);
     }
 
     private static CallerClass pick(List<CallerClass> all, double point) {
--- a/src/main/java/io/beryldock/measure/OverheadMeter.java
+++ b/src/main/java/io/beryldock/measure/OverheadMeter.java
@@ -36,7 +36,13 @@
 
     /** How much more a call through a node takes than a direct one. */
     AddedLatency added() {
-        return new AddedLatency(added(MEDIAN), added(TAIL), through.getTotalCount(), direct.getTotalCount());
+        return new AddedLatency(
+                added(MEDIAN),
+                added(TAIL),
+                direct.getValueAtPercentile(MEDIAN) / NANOS_PER_MICRO,
+                direct.getValueAtPercentile(TAIL) / NANOS_PER_MICRO,
+                through.getTotalCount(),
+                direct.getTotalCount());
     }
 
     private double added(double percentile) {
@@ -46,8 +52,9 @@
     /**
      * Difference of the percentiles, in microseconds. Immutable.
      *
+     * @param directP50 what a direct call takes beyond the target's own time
      * @param samples calls through a node
      * @param directSamples direct calls
      */
-    record AddedLatency(double p50, double p99, long samples, long directSamples) {}
+    record AddedLatency(double p50, double p99, double directP50, double directP99, long samples, long directSamples) {}
 }
--- a/src/main/java/io/beryldock/measure/Scenario.java
+++ b/src/main/java/io/beryldock/measure/Scenario.java
@@ -13,6 +13,7 @@
  *
  * <p>Points in time are shares of the whole run, 0 to 1, so that a run of any length has the same shape.
  *
+ * @param warmUpSeconds usual demand before the run, not counted: the program is compiled and limits are learned in it
  * @param cause the span in which something is wrong; recovery is measured from its end
  * @param load by how much the callers' rates are multiplied and when, 1 elsewhere
  */
@@ -20,6 +21,7 @@
         @NotNull String name,
         @NotNull String about,
         @NotNull String topology,
+        @Min(0) int warmUpSeconds,
         @Min(1) int seconds,
         @NotNull @Valid Span cause,
         @NotNull ImmutableList<@Valid LoadStep> load,
@@ -32,7 +34,13 @@
     }
 
     Scenario withSeconds(int length) {
-        return new Scenario(name, about, topology, length, cause, load, patience, faults);
+        return new Scenario(name, about, topology, warmUpSeconds, length, cause, load, patience, faults);
+    }
+
+    /** The usual demand for the time of the warm-up, with nothing wrong. */
+    Scenario warmUp() {
+        return new Scenario(
+                name, about, topology, 0, warmUpSeconds, cause, ImmutableList.of(), patience, ImmutableList.of());
     }
 
     Duration length() {
--- a/src/main/java/io/beryldock/measure/ScenarioResult.java
+++ b/src/main/java/io/beryldock/measure/ScenarioResult.java
@@ -2,7 +2,10 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.common.collect.ImmutableMap;
+import io.beryldock.call.Reason;
 import java.io.PrintStream;
+import java.util.Map;
 
 /** The figures of a run and the table of its classes. Immutable. */
 public final class ScenarioResult {
@@ -13,8 +16,10 @@
     private final MeasureReport report;
     private final ClassTable table;
     private final long retries;
+    private final ImmutableMap<Reason, Long> refusals;
 
-    ScenarioResult(MeasureReport report, ClassTable table, long retries) {
+    ScenarioResult(MeasureReport report, ClassTable table, long retries, ImmutableMap<Reason, Long> refusals) {
+        this.refusals = refusals;
         this.report = report;
         this.table = table;
         this.retries = retries;
@@ -34,14 +39,21 @@
         return report.invariantsHeld();
     }
 
+    private void printRefusals(PrintStream out) {
+        refusals.entrySet().stream()
+                .sorted(Map.Entry.<Reason, Long>comparingByValue().reversed())
+                .forEach(entry -> out.printf("refused %6d: %s%n", entry.getValue(), entry.getKey()));
+    }
+
     /** Prints the classes and the figures for a person. */
     public void print(PrintStream out) {
         table.print(out);
+        printRefusals(out);
         out.printf(
                 "whole requests/s %.1f of %.1f that the slots allow; within the cause %.1f of %.1f%n",
                 report.goodputTotal(), report.capacityBound(), report.goodputInCause(), report.capacityBoundInCause());
         out.printf(
-                "recovery %s; wasted work %.1f%%; added latency p50 %.0f us, p99 %.0f us (%d calls, %d direct)%n",
+                "recovery %s; wasted work %.1f%%%nadded latency p50 %.0f us, p99 %.0f us (%d calls), beside a direct call's p50 %.0f us, p99 %.0f us (%d)%n",
                 report.recoverySeconds() == null
                         ? "not before the end"
                         : String.format("%.1f s", report.recoverySeconds()),
@@ -49,6 +61,8 @@
                 report.addedLatencyMicros().p50(),
                 report.addedLatencyMicros().p99(),
                 report.addedLatencyMicros().samples(),
+                report.addedLatencyMicros().directP50(),
+                report.addedLatencyMicros().directP99(),
                 report.addedLatencyMicros().directSamples());
         out.printf(
                 "retries %d in all, at most %d for one request (bound %d); target crashes %d%n",
--- a/src/main/java/io/beryldock/measure/ScenarioRunner.java
+++ b/src/main/java/io/beryldock/measure/ScenarioRunner.java
@@ -1,7 +1,9 @@
 package io.beryldock.measure;
 
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSortedMap;
 import com.google.common.flogger.FluentLogger;
+import io.beryldock.call.Reason;
 import io.beryldock.configuration.Configuration;
 import io.beryldock.configuration.ConfigurationException;
 import io.beryldock.configuration.RetrySetting;
@@ -16,8 +18,10 @@
 import io.beryldock.time.Ticker;
 import io.beryldock.time.TimerService;
 import java.time.Duration;
+import java.util.EnumMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.OptionalDouble;
 import java.util.function.ToDoubleFunction;
 import org.apache.hc.client5.http.impl.async.CloseableHttpAsyncClient;
@@ -81,6 +85,7 @@
                             .withConnectionWait(CONNECTION_WAIT));
             try {
                 new WarmUp(topology, cluster, client).await();
+                warmUp(cluster, client);
                 return runLoad(cluster, client);
             } finally {
                 client.close(CloseMode.IMMEDIATE);
@@ -88,13 +93,31 @@
         }
     }
 
+    private void warmUp(ScenarioCluster cluster, CloseableHttpAsyncClient client) throws InterruptedException {
+        if (scenario.warmUpSeconds() > 0) {
+            LoadGenerator load = LoadGenerator.create(ArrivalSchedule.ofWarmUp(topology, scenario, seed), ticker);
+            load.run(ticker.nanos(), driver(cluster, client, OverheadMeter.create(), load)::start);
+        }
+    }
+
+    private RequestDriver driver(
+            ScenarioCluster cluster, CloseableHttpAsyncClient client, OverheadMeter overhead, LoadGenerator load) {
+        return RequestDriver.create(new RequestDriver.Parts(
+                client,
+                cluster.resources().timers(),
+                cluster.entries(),
+                scenario.patience(),
+                seed,
+                overhead,
+                load::ended));
+    }
+
     private ScenarioResult runLoad(ScenarioCluster cluster, CloseableHttpAsyncClient client)
             throws ConfigurationException, InterruptedException {
         OverheadMeter overhead = OverheadMeter.create();
         LoadGenerator load = LoadGenerator.create(ArrivalSchedule.create(topology, scenario, seed), ticker);
         TimerService timers = cluster.resources().timers();
-        RequestDriver driver = RequestDriver.create(new RequestDriver.Parts(
-                client, timers, cluster.entries(), scenario.patience(), seed, overhead, load::ended));
+        RequestDriver driver = driver(cluster, client, overhead, load);
         long start = ticker.nanos();
         TimerService.Subscription report = timers.every(PROGRESS_PERIOD, () -> report(load, start));
         DirectProber prober = DirectProber.start(topology, cluster, client, overhead);
@@ -160,7 +183,7 @@
                 byClass(table, ClassTable.Row::tailMillis),
                 crashes,
                 held);
-        return new ScenarioResult(report, table, retriesTotal(cluster));
+        return new ScenarioResult(report, table, retriesTotal(cluster), refusals(cluster));
     }
 
     private static long most(ScenarioCluster cluster, ToDoubleFunction<RunningNode> figure) {
@@ -174,6 +197,15 @@
                 .sum();
     }
 
+    /** Attempts that nodes refused, by reason; a user's request may have had several. */
+    private static ImmutableMap<Reason, Long> refusals(ScenarioCluster cluster) {
+        Map<Reason, Long> sums = new EnumMap<>(Reason.class);
+        cluster.nodes().stream()
+                .flatMap(node -> node.tally().rows().values().stream())
+                .forEach(row -> row.notRunByReason().forEach((reason, count) -> sums.merge(reason, count, Long::sum)));
+        return ImmutableMap.copyOf(sums);
+    }
+
     private long retryBound() throws ConfigurationException {
         return Configuration.defaults(topology.deployment()).settings().values().stream()
                 .filter(RetrySetting.class::isInstance)
