--- a/src/main/java/io/beryldock/command/ChangeReport.java
+++ b/src/main/java/io/beryldock/command/ChangeReport.java
@@ -19,8 +19,7 @@
      * @param setting that both changed
      * @param version of the configuration that holds the other's value
      */
-    record Conflict(String setting, String otherValue, String otherOperator, long version, String remedy)
-            implements ChangeReport {}
+    record Conflict(String setting, String otherValue, String otherOperator, long version) implements ChangeReport {}
 
     /** The store's answer was lost and could not be read back: the change may be in force, now or later. */
     record Unknown(String changeId, String remedy) implements ChangeReport {}
--- a/src/main/java/io/beryldock/command/LocalQuery.java
+++ b/src/main/java/io/beryldock/command/LocalQuery.java
@@ -30,7 +30,7 @@
     private CompletableFuture<QueryTable> table(Query query) {
         if (query.statement() instanceof WhyStatement why) {
             ImmutableList<Event> events = ports.events().explain(why.request());
-            return done(TimelineTable.of(events));
+            return done(TimelineTable.why(events));
         }
         return show((ShowStatement) query.statement());
     }
--- a/src/main/java/io/beryldock/command/ResponseFactory.java
+++ b/src/main/java/io/beryldock/command/ResponseFactory.java
@@ -55,7 +55,7 @@
                         ? "version 0: the defaults, no change has been accepted yet"
                         : "version " + report.version());
         report.dataCentres().forEach(line -> notes.add(inForce(line)));
-        return found(statement, own, notes.build());
+        return found(report.everywhere() ? Status.OK : Status.PARTIAL, statement, own, notes.build());
     }
 
     static OperatorResponse commanded(ChangeStatement.OfTarget change, TargetReport report) {
@@ -72,9 +72,7 @@
             return wouldChange(statement, would);
         }
         if (report instanceof ChangeReport.Conflict conflict) {
-            String message = conflict.setting() + " was set to '" + conflict.otherValue() + "' by "
-                    + conflict.otherOperator() + " in version " + conflict.version() + "; nothing was written";
-            return error(Status.CONFLICT, statement.text(), detail(message, conflict.remedy()));
+            return conflict(statement, conflict);
         }
         if (report instanceof ChangeReport.Unknown unknown) {
             String message = "the platform store did not say whether change " + unknown.changeId() + " was written";
@@ -84,6 +82,14 @@
         return error(Status.REFUSED, statement.text(), detail(rejected.message(), rejected.remedy()));
     }
 
+    private static OperatorResponse conflict(Statement statement, ChangeReport.Conflict conflict) {
+        String message = conflict.setting() + " was set to '" + conflict.otherValue() + "' by "
+                + conflict.otherOperator() + " in version " + conflict.version() + "; nothing was written";
+        Statement mine = statement instanceof ChangeStatement.BasedOn based ? based.change() : statement;
+        String remedy = "if yours is to replace it: " + mine.text() + " based on version " + conflict.version();
+        return error(Status.CONFLICT, statement.text(), detail(message, remedy));
+    }
+
     static OperatorResponse accepted(Statement statement, ChangeReport.Accepted accepted, InForceReport report) {
         ImmutableList.Builder<String> notes = ImmutableList.builder();
         notes.add("change " + accepted.changeId() + " accepted as version " + accepted.version() + ", in force in "
@@ -133,8 +139,13 @@
     }
 
     private static OperatorResponse found(Statement statement, QueryResult result, ImmutableList<String> notes) {
+        return found(result.isComplete() ? Status.OK : Status.PARTIAL, statement, result, notes);
+    }
+
+    private static OperatorResponse found(
+            Status status, Statement statement, QueryResult result, ImmutableList<String> notes) {
         return new OperatorResponse(
-                result.isComplete() ? Status.OK : Status.PARTIAL,
+                status,
                 statement.text(),
                 result.table(),
                 result.answered(),
--- a/src/main/java/io/beryldock/command/ShowColumns.java
+++ b/src/main/java/io/beryldock/command/ShowColumns.java
@@ -87,7 +87,16 @@
             Column.text("state"),
             Column.highest("leftMillis", ColumnKind.MILLIS));
 
-    /** Events, of the time line and of {@code why}. */
+    /** Decisions over one request, and the states that they may follow from. */
+    public static final ImmutableList<Column> WHY = ImmutableList.of(
+            Column.keyTime("time"),
+            Column.key("dataCentre"),
+            Column.key("node"),
+            Column.key("kind"),
+            Column.key("subject"),
+            Column.key("detail"));
+
+    /** Events. */
     public static final ImmutableList<Column> TIMELINE = ImmutableList.of(
             Column.keyTime("time"),
             Column.key("dataCentre"),
--- a/src/main/java/io/beryldock/command/StoreConfigurationChanger.java
+++ b/src/main/java/io/beryldock/command/StoreConfigurationChanger.java
@@ -26,9 +26,6 @@
     /** Time allowed to the root requests of a new route whose statement does not say. */
     static final Duration DEFAULT_DEADLINE = Duration.ofSeconds(5);
 
-    /** Budget of a new route whose statement does not say; every deployment has it. */
-    static final String DEFAULT_BUDGET = "default";
-
     /** Methods that change nothing at the target, as HTTP defines them. */
     private static final ImmutableSet<String> SAFE_METHODS = ImmutableSet.of("GET", "HEAD", "OPTIONS");
 
@@ -114,7 +111,13 @@
         ImmutableSet<String> methods = ImmutableSet.copyOf(set.methods());
         boolean safe = !methods.isEmpty() && SAFE_METHODS.containsAll(methods);
         Route fresh = new Route(
-                set.prefix(), methods, set.service(), set.priorityClass(), safe, DEFAULT_DEADLINE, DEFAULT_BUDGET);
+                set.prefix(),
+                methods,
+                set.service(),
+                set.priorityClass(),
+                safe,
+                DEFAULT_DEADLINE,
+                RetrySetting.STANDARD);
         Route old = setting(seen, fresh.key(), Route.class).orElse(fresh);
         return new ConfigurationChange.SetRoute(new Route(
                 set.prefix(),
@@ -136,11 +139,7 @@
         }
         if (result instanceof ChangeResult.Conflict conflict) {
             return new ChangeReport.Conflict(
-                    conflict.setting(),
-                    conflict.theirValue(),
-                    conflict.by(),
-                    conflict.theirVersion(),
-                    conflict.remedy());
+                    conflict.setting(), conflict.theirValue(), conflict.by(), conflict.theirVersion());
         }
         if (result instanceof ChangeResult.Unknown unknown) {
             return new ChangeReport.Unknown(unknown.changeId(), unknown.remedy());
@@ -154,6 +153,13 @@
             return new ChangeReport.WouldChange(ImmutableList.of(effect), acceptable.version());
         }
         ChangeResult.Rejected rejected = (ChangeResult.Rejected) result;
-        return new ChangeReport.Rejected(rejected.message(), rejected.remedy());
+        return new ChangeReport.Rejected(withoutRemedy(rejected), rejected.remedy());
+    }
+
+    /** The message of a rejection may end with its remedy, which the report has beside it. */
+    private static String withoutRemedy(ChangeResult.Rejected rejected) {
+        String end = "; " + rejected.remedy();
+        String message = rejected.message();
+        return message.endsWith(end) ? message.substring(0, message.length() - end.length()) : message;
     }
 }
--- a/src/main/java/io/beryldock/command/TimelineTable.java
+++ b/src/main/java/io/beryldock/command/TimelineTable.java
@@ -31,6 +31,21 @@
         return table.build();
     }
 
+    /** The events as the answer to {@code why}: all are about one request, or about what it met. */
+    static QueryTable why(Collection<Event> events) {
+        QueryTable.Builder table = QueryTable.builder(ShowColumns.WHY);
+        for (Event event : events) {
+            table.row(
+                    event.time().toString(),
+                    event.dataCentre().value(),
+                    event.node().value(),
+                    event.kind().name(),
+                    event.subject(),
+                    event.detail());
+        }
+        return table.build();
+    }
+
     /** The events of a table with those columns; throws {@link IllegalArgumentException} when a cell is malformed. */
     public static ImmutableList<Event> events(QueryTable table) {
         if (!table.columns().equals(ShowColumns.TIMELINE)) {
--- a/src/main/java/io/beryldock/configuration/DefaultSettings.java
+++ b/src/main/java/io/beryldock/configuration/DefaultSettings.java
@@ -10,7 +10,6 @@
 /** The settings that a deployment starts with, before an operator has changed any. Stateless, thread safe. */
 final class DefaultSettings {
 
-    private static final String DEFAULT_BUDGET = "standard";
     private static final String NO_RETRIES = "none";
     private static final int DEFAULT_RETRIES = 3;
     private static final double DEFAULT_SHARE = 0.1;
@@ -38,7 +37,7 @@
 
     private static List<Setting> common() {
         return List.of(
-                new RetrySetting(DEFAULT_BUDGET, DEFAULT_RETRIES, DEFAULT_SHARE),
+                new RetrySetting(RetrySetting.STANDARD, DEFAULT_RETRIES, DEFAULT_SHARE),
                 new RetrySetting(NO_RETRIES, 0, 0),
                 rank("inner", INNER),
                 rank("browsing", PriorityClass.LOWEST_RANK));
@@ -82,10 +81,17 @@
 
     private static Setting read(String prefix, String service, String priorityClass) {
         return new Route(
-                prefix, ImmutableSet.of(), ServiceName.of(service), priorityClass, true, PAGE_TIME, DEFAULT_BUDGET);
+                prefix,
+                ImmutableSet.of(),
+                ServiceName.of(service),
+                priorityClass,
+                true,
+                PAGE_TIME,
+                RetrySetting.STANDARD);
     }
 
     private static Setting write(String prefix, String service, String priorityClass) {
-        return new Route(prefix, WRITES, ServiceName.of(service), priorityClass, false, ORDER_TIME, DEFAULT_BUDGET);
+        return new Route(
+                prefix, WRITES, ServiceName.of(service), priorityClass, false, ORDER_TIME, RetrySetting.STANDARD);
     }
 }
--- a/src/main/java/io/beryldock/configuration/RetrySetting.java
+++ b/src/main/java/io/beryldock/configuration/RetrySetting.java
@@ -10,6 +10,9 @@
  */
 public record RetrySetting(String name, int retries, double share) implements Setting {
 
+    /** Name of the budget that every deployment starts with and that routes have unless told otherwise. */
+    public static final String STANDARD = "standard";
+
     /** The most retries that a budget may grant to one root request. */
     public static final int MAX_RETRIES = 16;
 
--- a/src/test/java/io/beryldock/command/FakeDeployment.java
+++ b/src/test/java/io/beryldock/command/FakeDeployment.java
@@ -13,6 +13,7 @@
 import io.beryldock.peer.PeerTransport;
 import io.beryldock.platform.InMemoryPlatformStore;
 import io.beryldock.time.ManualTimerService;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.Instant;
@@ -69,7 +70,7 @@
     }
 
     private void add(String id, String dataCentre) {
-        InetSocketAddress address = new InetSocketAddress("127.0.0.1", 10_000 + nodes.size());
+        InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 10_000 + nodes.size());
         FakeNode node = new FakeNode(this, id, DataCentre.of(dataCentre), address);
         nodes.put(id, node);
         byAddress.put(address, node);
--- a/src/test/java/io/beryldock/command/OperatorDialogueTest.java
+++ b/src/test/java/io/beryldock/command/OperatorDialogueTest.java
@@ -74,9 +74,10 @@
     void changes() {
         say("explain set class browsing priority 6");
         say("set class browsing priority 6");
-        say("gent-b-lists-2", "set budget default share 5%");
+        say("gent-b-lists-2", "set budget standard share 5%");
         say("set budget evening retries 1");
-        say("set route /orders methods POST service orders class order non-idempotent deadline 2s");
+        say("set route /orders methods POST service orders class order");
+        say("set route /orders DELETE,PATCH,POST,PUT deadline 8s");
         say("set route /terms service lists class page");
         say("mark route /terms non-idempotent");
         say("remove route /nowhere");
