--- a/src/main/java/io/beryldock/cli/OperatorClient.java
+++ b/src/main/java/io/beryldock/cli/OperatorClient.java
@@ -109,9 +109,11 @@
             String body = response.getEntity() == null ? "" : EntityUtils.toString(response.getEntity());
             return JsonRenderer.read(body);
         } catch (JsonProcessingException | ParseException e) {
-            throw new UnreadableResponseException(
-                    Kind.NOT_A_NODE,
-                    node + " answered " + status + " without a response to a statement; name a node's admin listener");
+            String what = node + " answered " + status + " without a response to a statement";
+            if (status >= HttpStatus.SC_SERVER_ERROR) {
+                throw new UnreadableResponseException(Kind.NO_RESPONSE, what);
+            }
+            throw new UnreadableResponseException(Kind.NOT_A_NODE, what + "; name a node's admin listener");
         }
     }
 
--- a/src/main/java/io/beryldock/cli/OperatorClientException.java
+++ b/src/main/java/io/beryldock/cli/OperatorClientException.java
@@ -25,7 +25,7 @@
     enum Kind {
         /** No connection: the statement has not reached the node. */
         NOT_REACHED,
-        /** The connection was lost or no response came in time: the node may have carried the statement out. */
+        /** The connection was lost, or the node failed before it responded: it may have carried the statement out. */
         NO_RESPONSE,
         /** The node did not accept the access token. */
         NO_ACCESS,
