--- a/src/main/java/io/beryldock/admission/DemandMap.java
+++ b/src/main/java/io/beryldock/admission/DemandMap.java
@@ -8,8 +8,10 @@
  *
  * <p>Demand is not spread evenly over the scale of levels: whole ranks may be empty and one may hold most of it. Of a
  * rank that entries shed in part only callers with low hashes arrive; as the hash is even, twice their mean hash tells
- * how large that part is. This needs no knowledge of which entry has learned which level when. Of a rank that is shed
- * whole nothing arrives; its last known demand is kept. Amounts are in requests a step. Guarded by the gate's lock.
+ * how large that part is. This needs no knowledge of which entry has learned which level when. The part is at least most
+ * of what the lowest level of the last second admits: one large caller with a low hash looks like a rank that is shed in part,
+ * and its rank would then be shed for demand that is not there. Of a rank that is shed whole nothing arrives; its last
+ * known demand is kept. Amounts are in requests a step. Guarded by the gate's lock.
  */
 final class DemandMap {
 
@@ -18,11 +20,14 @@
     private static final double CHANGE_DEVIATIONS = 4;
     private static final double MIN_SHARE = 0.05;
     private static final double MIN_DEMAND = 1e-3;
+    private static final double TRUST_IN_LEVEL = 0.7;
+    private static final int LOWEST_RISE = ServiceLevel.OPEN / 50;
 
     private final double[] rates = new double[PriorityClass.RANKS];
     private final double[] hashes = new double[PriorityClass.RANKS];
     private final int[] arrived = new int[PriorityClass.RANKS];
     private final int[] hashSums = new int[PriorityClass.RANKS];
+    private int lowest = ServiceLevel.OPEN;
     private int total;
     private double fast;
     private double slow;
@@ -35,6 +40,7 @@
 
     /** Ends a step, at whose end this level is in force. */
     void step(int level) {
+        lowest = Math.min(level, lowest + LOWEST_RISE);
         double weight = weight();
         for (int rank = 0; rank < PriorityClass.RANKS; rank++) {
             if (arrived[rank] > 0 || level > rank * ServiceLevel.STEPS) {
@@ -75,7 +81,8 @@
     }
 
     private double demand(int rank) {
-        double share = rates[rank] == 0 ? 1 : hashes[rank] / rates[rank];
-        return MIN_DEMAND + rates[rank] / Math.max(MIN_SHARE, Math.min(1, share));
+        double byHash = rates[rank] == 0 ? 1 : Math.min(1, hashes[rank] / rates[rank]);
+        double byLevel = TRUST_IN_LEVEL * Math.min(1, (double) lowest / ServiceLevel.STEPS - rank);
+        return MIN_DEMAND + rates[rank] / Math.max(MIN_SHARE, Math.max(byHash, byLevel));
     }
 }
--- a/src/main/java/io/beryldock/admission/DoorShedder.java
+++ b/src/main/java/io/beryldock/admission/DoorShedder.java
@@ -1,6 +1,7 @@
 package io.beryldock.admission;
 
 import com.google.common.collect.ImmutableList;
+import io.beryldock.call.Call;
 import io.beryldock.call.ServiceLevel;
 import io.beryldock.call.ServiceName;
 import io.beryldock.time.Ticker;
@@ -18,9 +19,8 @@
  * Sheds requests at their entry, before any work is spent, by the worst level that answers reported along the graph
  * beneath a service.
  *
- * <p>A node has two: one fed by the answers to outside callers, which decides over them, and one fed by the answers to
- * its own target's inner calls, which reports what lies beneath that target. One for both would report services that the
- * target never calls.
+ * <p>What a service reports lies beneath it are the services that it was seen to call, not those that outside callers
+ * reach through the same node: else an overloaded service would shed the pages of one that never calls it.
  *
  * <p>Invariants: a service of which nothing was reported for {@link RouteLevel#OPEN_AFTER_NANOS} is open; memory is held
  * only for services that do not admit all. Thread safe; deciding takes no lock.
@@ -47,8 +47,13 @@
         return new DoorShedder(ticker, random, events);
     }
 
-    /** Learns from an answer or a refusal of the service the levels of itself and of those beneath it. */
+    /** Learns from an answer to an outside caller. */
     public void observe(ServiceName service, List<ServiceLevel> levels) {
+        observe(Call.OUTSIDE, service, levels);
+    }
+
+    /** Learns from an answer or a refusal of the service the levels of itself and of those beneath it. */
+    public void observe(ServiceName caller, ServiceName service, List<ServiceLevel> levels) {
         RouteLevel route = closed.get(service);
         if (route == null && allOpen(levels)) {
             return;
@@ -56,6 +61,7 @@
         if (route == null) {
             route = closed.computeIfAbsent(service, missing -> new RouteLevel());
         }
+        route.calledBy(caller);
         boolean wasOpen = route.open();
         route.observe(levels, ticker.nanos());
         if (wasOpen && !route.open()) {
@@ -94,24 +100,41 @@
         return route == null ? ImmutableList.of() : route.closed(ticker.nanos());
     }
 
+    /**
+     * Whether a request that has reached the service may go on, by what the service's own inner calls learned.
+     *
+     * <p>An entry with few requests to a service learns late; the service's nodes see all its inner calls and know
+     * first. A request refused here has cost a hop and no target's time.
+     */
+    public DoorDecision decideBeneath(ServiceName service, int rank, int callerHash) {
+        for (Map.Entry<ServiceName, RouteLevel> entry : closed.entrySet()) {
+            if (entry.getValue().isCalledBy(service)) {
+                DoorDecision decision = decide(entry.getKey(), rank, callerHash);
+                if (!decision.admitted()) {
+                    return decision;
+                }
+            }
+        }
+        return DoorDecision.admit();
+    }
+
     /** What an answering node reports: its service's own level and the worst of those learned beneath it. */
     public ImmutableList<ServiceLevel> reportFor(ServiceName service, int ownLevel) {
         ServiceLevel own = new ServiceLevel(service, ownLevel);
         if (closed.isEmpty()) {
             return ImmutableList.of(own);
         }
-        long now = ticker.nanos();
-        ImmutableList.Builder<ServiceLevel> report =
-                ImmutableList.<ServiceLevel>builder().add(own);
-        worstBeneath(service, now).forEach(report::add);
-        return report.build();
+        return ImmutableList.<ServiceLevel>builder()
+                .add(own)
+                .addAll(worstBeneath(service, ticker.nanos()))
+                .build();
     }
 
     private List<ServiceLevel> worstBeneath(ServiceName service, long now) {
         Map<ServiceName, ServiceLevel> worst = new HashMap<>();
         for (RouteLevel route : closed.values()) {
-            for (ServiceLevel level : route.closed(now)) {
-                worst.merge(level.service(), level, DoorShedder::lower);
+            if (route.isCalledBy(service)) {
+                route.closed(now).forEach(level -> worst.merge(level.service(), passedOn(level), DoorShedder::lower));
             }
         }
         worst.remove(service);
@@ -121,6 +144,16 @@
                 .toList();
     }
 
+    /**
+     * A level on its way up, one step higher.
+     *
+     * <p>Where services call each other in a circle each would report the other's old report, and an overload that is
+     * over would be told for ever. With the step such an echo rises until it is open.
+     */
+    private static ServiceLevel passedOn(ServiceLevel level) {
+        return new ServiceLevel(level.service(), Math.min(ServiceLevel.OPEN, level.level() + 1));
+    }
+
     private static ServiceLevel lower(ServiceLevel a, ServiceLevel b) {
         return a.level() <= b.level() ? a : b;
     }
--- a/src/main/java/io/beryldock/admission/GateSettings.java
+++ b/src/main/java/io/beryldock/admission/GateSettings.java
@@ -86,6 +86,21 @@
                 abandonedHold);
     }
 
+    /** The same settings with another limit for a target that is cold. */
+    public GateSettings withInitialLimit(int limit) {
+        return new GateSettings(
+                strategy,
+                minLimit,
+                limit,
+                maxLimit,
+                announcedSlots,
+                queueCapacity,
+                queueTarget,
+                queueInterval,
+                rampTime,
+                abandonedHold);
+    }
+
     /** The highest limit allowed. */
     int bound() {
         return announcedSlots > 0 ? Math.min(announcedSlots, maxLimit) : maxLimit;
--- a/src/main/java/io/beryldock/admission/ServiceTimes.java
+++ b/src/main/java/io/beryldock/admission/ServiceTimes.java
@@ -13,6 +13,7 @@
     private static final double FAST_WEIGHT = 1.0 / 8;
     private static final double LONG_WEIGHT = 1.0 / 512;
     private static final double CHANGE_DEVIATIONS = 5;
+    private static final int SAMPLES_TO_FOLLOW = 16;
     private static final double SCATTER_OF_FAST = Math.sqrt(FAST_WEIGHT / (2 - FAST_WEIGHT));
     private static final long MIN_HELD_NANOS = 10_000_000_000L;
     private static final long FRESH_NANOS = 1_000_000_000L;
@@ -21,6 +22,7 @@
     private double fast;
     private double deviation;
     private double longMean;
+    private int following;
     private double minNow;
     private double minBefore;
     private long minSince;
@@ -37,10 +39,13 @@
         }
         fast += FAST_WEIGHT * (nanos - fast);
         double scatter = SCATTER_OF_FAST * deviation * Math.sqrt(Math.min(1, fast / mean));
-        boolean changed = Math.abs(fast - mean) > CHANGE_DEVIATIONS * scatter;
-        double weight = changed ? FAST_WEIGHT : SLOW_WEIGHT;
+        if (Math.abs(fast - mean) > CHANGE_DEVIATIONS * scatter) {
+            following = SAMPLES_TO_FOLLOW;
+        }
+        double weight = following > 0 ? FAST_WEIGHT : SLOW_WEIGHT;
         deviation += weight * (Math.abs(nanos - mean) - deviation);
-        mean = changed ? fast : mean + SLOW_WEIGHT * (nanos - mean);
+        mean = following > 0 ? fast : mean + SLOW_WEIGHT * (nanos - mean);
+        following = Math.max(0, following - 1);
         longMean += LONG_WEIGHT * (nanos - longMean);
     }
 
--- a/src/test/java/io/beryldock/admission/SimService.java
+++ b/src/test/java/io/beryldock/admission/SimService.java
@@ -139,7 +139,7 @@
             long now = timers.ticker().nanos();
             if (beneath != null
                     && shedBeneath
-                    && !learned.decide(beneath.name, trip.rank, trip.hash).admitted()) {
+                    && !learned.decideBeneath(name, trip.rank, trip.hash).admitted()) {
                 consumer.accept(new Reply(false, true, report()));
                 return;
             }
@@ -189,7 +189,7 @@
                 return;
             }
             beneath.call(trip, reply -> {
-                learned.observe(beneath.name, reply.levels());
+                learned.observe(name, beneath.name, reply.levels());
                 if (reply.ok() && left > 1) {
                     callBeneath(trip, left - 1, end);
                 } else if (reply.ok()) {
