--- a/src/main/java/io/beryldock/quarantine/QuarantineTable.java
+++ b/src/main/java/io/beryldock/quarantine/QuarantineTable.java
@@ -14,8 +14,8 @@
 /**
  * What is known of requests in flight at crashes.
  *
- * <p>Invariant: at most the set number of entries; over it the least telling goes, and a conviction only when all others
- * are convictions too. Not thread safe.
+ * <p>Invariant: at most the set number of entries; over it the least telling goes, and a conviction only when all
+ * others are convictions too. Not thread safe.
  */
 final class QuarantineTable {
 
--- a/src/main/java/io/beryldock/routing/CallSign.java
+++ b/src/main/java/io/beryldock/routing/CallSign.java
@@ -21,7 +21,7 @@
 
     private static final int FIRST_SERVER_ERROR = 500;
 
-    /** How often the usual latency of the service a call must have waited before its timeout is held against the target. */
+    /** So many times the service's usual latency a call must have waited for its timeout to count against the target. */
     private static final double FAIR_WAIT = 2;
 
     static CallSign of(CallResult result, long latencyNanos, double usualNanos) {
--- a/src/main/java/io/beryldock/routing/TargetStats.java
+++ b/src/main/java/io/beryldock/routing/TargetStats.java
@@ -132,8 +132,8 @@
     }
 
     /**
-     * What was measured fades into what is usual: a target that was slow once is not chosen, so no new measurement would
-     * ever show that it is well again.
+     * What was measured fades into what is usual: a target that was slow once is not chosen, so that no new measurement
+     * would ever show it to be well again.
      */
     private double latencyOfLate(long now, double usualNanos) {
         if (latencyNanos == 0) {
