Let store calls of the seeded schedules be held up, so that stale copies of documents are met

Cause: with one generation and instant calls a binder that trusted stale copies went uncaught. Change: a generation per key nearly, some store calls late on their way.

--- a/src/main/java/io/beryldock/call/Incarnation.java
+++ b/src/main/java/io/beryldock/call/Incarnation.java
@@ -1,5 +1,6 @@
 package io.beryldock.call;
 
+import java.util.HexFormat;
 import java.util.random.RandomGenerator;
 
 /**
@@ -11,6 +12,7 @@
 
     private static final int HALF_DIGITS = 16;
     private static final int HEX = 16;
+    private static final HexFormat DIGITS = HexFormat.of();
 
     public static Incarnation random(RandomGenerator random) {
         return new Incarnation(random.nextLong(), random.nextLong());
@@ -28,6 +30,6 @@
 
     @Override
     public String toString() {
-        return String.format("%016x%016x", high, low);
+        return DIGITS.toHexDigits(high) + DIGITS.toHexDigits(low);
     }
 }
--- a/src/main/java/io/beryldock/idempotency/TicketId.java
+++ b/src/main/java/io/beryldock/idempotency/TicketId.java
@@ -4,6 +4,7 @@
 import io.beryldock.call.DataCentre;
 import io.beryldock.call.Incarnation;
 import io.beryldock.call.NodeId;
+import java.util.HexFormat;
 import java.util.List;
 
 /**
@@ -45,6 +46,6 @@
     @Override
     public String toString() {
         return PREFIX + home.dataCentre() + ":" + home.node() + ":" + home.incarnation() + ":"
-                + Long.toHexString(counter) + ":" + String.format("%016x", nonce);
+                + Long.toHexString(counter) + ":" + HexFormat.of().toHexDigits(nonce);
     }
 }
--- a/src/test/java/io/beryldock/idempotency/KeyedRequestSchedule.java
+++ b/src/test/java/io/beryldock/idempotency/KeyedRequestSchedule.java
@@ -11,8 +11,8 @@
 
     private static final int SPAN_MILLIS = 12_000;
     private static final Duration AFTERMATH = Duration.ofSeconds(15);
-    private static final int KEYS = 3;
-    private static final int SUBMISSIONS = 4;
+    private static final int KEYS = 4;
+    private static final int SUBMISSIONS = 3;
     private static final int MAX_FAULTS = 6;
 
     private final long seed;
--- a/src/test/java/io/beryldock/idempotency/SimulatedFleet.java
+++ b/src/test/java/io/beryldock/idempotency/SimulatedFleet.java
@@ -47,11 +47,12 @@
     private static final String KEY_HEADER = "X-Key";
     private static final TicketSettings TICKETS =
             new TicketSettings(12, 100_000, Duration.ofSeconds(15), Duration.ofSeconds(20), 4, 1);
+    /** Generations change with almost every key, and there are more of them than keys, so that none is written over. */
     private static final KeySettings KEYS = new KeySettings(
             "keys/",
-            2,
-            8,
-            Duration.ofSeconds(5),
+            1,
+            6,
+            Duration.ofMillis(50),
             Duration.ofMillis(20),
             Duration.ofMillis(50),
             Duration.ofSeconds(1),
@@ -136,7 +137,7 @@
                 node::view,
                 (call, identity) -> dispatch(node, call, identity, 2),
                 (peer, request, timeout) -> ask(node, peer, request, timeout),
-                variant.store().apply(new NodeStore(node, store)),
+                variant.store().apply(new NodeStore(node, store, network, time)),
                 node,
                 node::post,
                 random,
