--- a/src/main/java/io/beryldock/idempotency/HomeLocator.java
+++ b/src/main/java/io/beryldock/idempotency/HomeLocator.java
@@ -28,8 +28,12 @@
         return new HomeLocator(directory);
     }
 
-    /** The home, when this very start of it is believed alive. */
-    Optional<NodeDescriptor> home(TicketHome home) {
+    /** Whom to ask: the home while this very start of it is believed alive, else the likely holders of its table. */
+    ImmutableList<NodeDescriptor> deciders(TicketHome home) {
+        return home(home).map(ImmutableList::of).orElseGet(() -> successors(home));
+    }
+
+    private Optional<NodeDescriptor> home(TicketHome home) {
         return node(home.node()).filter(node -> TicketHome.of(node).equals(home));
     }
 
--- a/src/main/java/io/beryldock/idempotency/KeySettings.java
+++ b/src/main/java/io/beryldock/idempotency/KeySettings.java
@@ -29,16 +29,16 @@
         int maxDocumentBytes) {
 
     private static final int DEFAULT_SHARDS = 32;
-    private static final int DEFAULT_GENERATIONS = 32;
+    private static final int DEFAULT_GENERATIONS = 128;
     private static final int DEFAULT_DOCUMENT_BYTES = 900_000;
 
-    /** Keys kept for 77.5 minutes, at most 160 writes a second over all shards. */
+    /** Keys kept for 78 minutes, at most 160 writes a second over all shards. */
     public static KeySettings defaults() {
         return new KeySettings(
                 "beryldock/keys/",
                 DEFAULT_SHARDS,
                 DEFAULT_GENERATIONS,
-                Duration.ofSeconds(150),
+                Duration.ofSeconds(37),
                 Duration.ofMillis(200),
                 Duration.ofMillis(100),
                 Duration.ofSeconds(2),
--- a/src/main/java/io/beryldock/idempotency/KeyShard.java
+++ b/src/main/java/io/beryldock/idempotency/KeyShard.java
@@ -9,7 +9,6 @@
 import io.beryldock.timeline.EventKind;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -28,8 +27,10 @@
 
     /** Keys that may wait at once. */
     private static final int MAX_WAITING = 5_000;
+    /** Documents read at once. */
+    private static final int READ_CHUNK = 16;
     /** Bytes of a binding with a home of its own. */
-    private static final int MAX_BINDING_BYTES = 400;
+    static final int MAX_BINDING_BYTES = 400;
     /** Longest wait before the store is asked again, as a multiple of the first. */
     private static final int MAX_BACKOFF = 16;
     /** Age at which a copy that nothing confirmed is dropped, in generation ages. */
@@ -160,27 +161,18 @@
         return settings.prefix() + number + "/" + place;
     }
 
-    /**
-     * Reads the stale places, the first of them alone: a store that is down then sees one call of a shard, not one for
-     * each place.
-     */
+    /** Reads some of the stale places; after a failure only one, since the store may still be down. */
     private void read(List<Integer> stale) {
         busy = true;
-        List<Integer> rest = stale.subList(1, stale.size());
-        CompletableFuture<List<KeyDocument>> all = readAll(stale.subList(0, 1))
-                .thenCompose(first -> readAll(rest).thenApply(others -> {
-                    List<KeyDocument> documents = new ArrayList<>(first);
-                    documents.addAll(others);
-                    return documents;
-                }));
-        FutureCallbacks.onEnd(all, ports.control(), (documents, failure) -> {
+        List<Integer> chunk = stale.subList(0, backoff > 1 ? 1 : Math.min(READ_CHUNK, stale.size()));
+        FutureCallbacks.onEnd(readAll(chunk), ports.control(), (documents, failure) -> {
             if (failure != null) {
                 log.atFine().withCause(failure).log("keys of shard %d can't be read", number);
                 pauseAfterFailure();
                 return;
             }
             for (int i = 0; i < documents.size(); i++) {
-                ring.put(stale.get(i), documents.get(i));
+                ring.put(chunk.get(i), documents.get(i));
             }
             confirmed();
             noteGeneration();
@@ -188,7 +180,7 @@
         });
     }
 
-    private CompletableFuture<List<KeyDocument>> readAll(Collection<Integer> list) {
+    private CompletableFuture<List<KeyDocument>> readAll(List<Integer> list) {
         CompletableFuture<List<KeyDocument>> all = CompletableFuture.completedFuture(new ArrayList<>());
         for (int place : list) {
             all = all.thenCombine(
--- a/src/main/java/io/beryldock/idempotency/KeyedRequestCoordinator.java
+++ b/src/main/java/io/beryldock/idempotency/KeyedRequestCoordinator.java
@@ -106,15 +106,23 @@
     }
 
     private CompletableFuture<CallResult> present(TicketId ticket, KeyedRequest request) {
+        Optional<TicketHome> successor = tickets.successor(ticket.home());
+        if (successor.isPresent()) {
+            List<NodeDescriptor> holder =
+                    locator.node(successor.get().node()).map(List::of).orElse(List.of());
+            return presentTo(holder, ticket, request);
+        }
         return tickets.table(ticket.home())
                 .map(table -> dispatch.present(table, ticket, request))
-                .orElseGet(() -> presentElsewhere(ticket, request));
+                .orElseGet(() -> presentTo(locator.deciders(ticket.home()), ticket, request));
     }
 
-    private CompletableFuture<CallResult> presentElsewhere(TicketId ticket, KeyedRequest request) {
-        List<NodeDescriptor> deciders =
-                locator.home(ticket.home()).map(List::of).orElseGet(() -> locator.successors(ticket.home()));
-        return askAll(deciders, ticket, request)
+    private CompletableFuture<CallResult> presentTo(
+            List<NodeDescriptor> deciders, TicketId ticket, KeyedRequest request) {
+        List<NodeDescriptor> others = deciders.stream()
+                .filter(node -> !node.id().equals(ports.self().id()))
+                .toList();
+        return askAll(others, ticket, request)
                 .thenComposeAsync(found -> foundOrSearch(found, ticket, request), ports.control());
     }
 
--- a/src/test/java/io/beryldock/idempotency/KeyedFixtures.java
+++ b/src/test/java/io/beryldock/idempotency/KeyedFixtures.java
@@ -3,14 +3,20 @@
 import com.google.common.hash.Hashing;
 import com.google.protobuf.ByteString;
 import io.beryldock.call.Answer;
+import io.beryldock.call.Call;
+import io.beryldock.call.CallContext;
 import io.beryldock.call.CallResult;
 import io.beryldock.call.DataCentre;
 import io.beryldock.call.Headers;
 import io.beryldock.call.Incarnation;
 import io.beryldock.call.NodeId;
+import io.beryldock.call.PriorityClass;
+import io.beryldock.call.RequestId;
+import io.beryldock.call.ServiceName;
 import io.beryldock.membership.NodeDescriptor;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 
 /** Values that tests of keyed requests share. */
 final class KeyedFixtures {
@@ -31,6 +37,16 @@
         return CallResult.answered(new Answer(200, Headers.empty(), ByteString.copyFromUtf8(body)));
     }
 
+    /** An order under a key, as an attempt with that number. */
+    static Call call(String key, long attempt) {
+        RequestId id = new RequestId(new Incarnation(9, 9), attempt);
+        CallContext context = new CallContext(id, id, PriorityClass.of("orders", 0), 1, 0, 0, 0, 0, false);
+        ServiceName service = ServiceName.of("orders");
+        ByteString body = ByteString.copyFromUtf8("order");
+        return new Call(
+                id, Call.OUTSIDE, service, "POST", "/orders", Headers.empty(), body, false, Optional.of(key), context);
+    }
+
     private static ByteString hash(String text) {
         byte[] bytes = Hashing.sha256().hashString(text, StandardCharsets.UTF_8).asBytes();
         return ByteString.copyFrom(bytes, 0, CallerIdentity.BYTES);
--- a/src/test/java/io/beryldock/idempotency/RunLedger.java
+++ b/src/test/java/io/beryldock/idempotency/RunLedger.java
@@ -15,6 +15,7 @@
     private final Map<String, Integer> runs = new HashMap<>();
     private final Set<String> refused = new HashSet<>();
     private final Map<Outcome, Integer> outcomes = new EnumMap<>(Outcome.class);
+    private final Map<String, CallResult> last = new HashMap<>();
     private Optional<String> broken = Optional.empty();
 
     void ran(String key) {
@@ -22,7 +23,17 @@
         check(!refused.contains(key), key + " ran after NOT_RUN was told");
     }
 
+    int runs(String key) {
+        return runs.getOrDefault(key, 0);
+    }
+
+    /** What was told last about the key. */
+    CallResult last(String key) {
+        return last.get(key);
+    }
+
     void told(String key, String expectedAnswer, CallResult result) {
+        last.put(key, result);
         outcomes.merge(result.outcome(), 1, Integer::sum);
         if (result.outcome() == Outcome.NOT_RUN) {
             refused.add(key);
