--- a/src/main/antlr/Operator.g4
+++ b/src/main/antlr/Operator.g4
@@ -27,27 +27,33 @@
 
 why : WHY requestId everywhere? ;
 
-change : set | remove | mark | drain | undrain ;
+change : ( set | remove | mark ) basedOn? | restore | drain | undrain ;
+
+basedOn : BASED ON VERSION version ;
 
 set : SET ( setClass | setBudget | setLimit | setRoute ) ;
 
 setClass : CLASS className PRIORITY priority ;
 
-setBudget : BUDGET className budgetOption+ ;
+setBudget : BUDGET budgetName budgetOption+ ;
 
-budgetOption : SHARE percent | RETRIES retries ;
+budgetOption : SHARE share | RETRIES retries ;
 
 setLimit : LIMIT serviceName SLOTS slots ;
 
-setRoute : ROUTE prefix routeMethods? SERVICE serviceName CLASS className routeOption* ;
+setRoute : ROUTE prefix routeMethods? ( routeTarget | DEADLINE duration ) ;
+
+routeMethods : METHODS? method ( COMMA method )* ;
+
+routeTarget : SERVICE serviceName CLASS className routeOption* ;
 
-routeMethods : METHODS method ( COMMA method )* ;
+routeOption : IDEMPOTENT | NON_IDEMPOTENT | DEADLINE duration | BUDGET budgetName ;
 
-routeOption : IDEMPOTENT | NON_IDEMPOTENT | DEADLINE duration ;
+remove : REMOVE ROUTE prefix routeMethods? ;
 
-remove : REMOVE ROUTE prefix ;
+mark : MARK ROUTE prefix routeMethods? ( NON_IDEMPOTENT | IDEMPOTENT ) ;
 
-mark : MARK ROUTE prefix ( NON_IDEMPOTENT | IDEMPOTENT ) ;
+restore : RESTORE CONFIGURATION ;
 
 drain : DRAIN TARGET nodeId ;
 
@@ -55,6 +61,8 @@
 
 className : name ;
 
+budgetName : name ;
+
 serviceName : name ;
 
 nodeId : name ;
@@ -67,7 +75,7 @@
 
 duration : DURATION ;
 
-percent : PERCENT ;
+share : PERCENT | DECIMAL ;
 
 priority : NUMBER ;
 
@@ -75,16 +83,19 @@
 
 slots : NUMBER ;
 
+version : NUMBER ;
+
 // A keyword is a name like any other where only a name can stand.
-name : WORD | NUMBER | DURATION | keyword ;
+name : WORD | NUMBER | DECIMAL | DURATION | keyword ;
 
 keyword
-    : BUDGET | BY | CALLER | CHANGES | CLASS | CONFIGURATION | CONNECTIONS | DEADLINE | DRAIN | EVERYWHERE | EXPLAIN
-    | IDEMPOTENT | LAST | LEVELS | LIMIT | MARK | METHODS | NODES | NON_IDEMPOTENT | PRIORITY | QUARANTINE | REMOVE
-    | REQUEST | RETRIES | ROUTE | SERVICE | SET | SHARE | SHED | SHOW | SLOTS | TARGET | TARGETS | TICKETS | TIMELINE
-    | UNDRAIN | WATCH | WHY
+    : BASED | BUDGET | BY | CALLER | CHANGES | CLASS | CONFIGURATION | CONNECTIONS | DEADLINE | DRAIN | EVERYWHERE | EXPLAIN
+    | IDEMPOTENT | LAST | LEVELS | LIMIT | MARK | METHODS | NODES | NON_IDEMPOTENT | ON | PRIORITY | QUARANTINE | REMOVE
+    | REQUEST | RESTORE | RETRIES | ROUTE | SERVICE | SET | SHARE | SHED | SHOW | SLOTS | TARGET | TARGETS | TICKETS
+    | TIMELINE | UNDRAIN | VERSION | WATCH | WHY
     ;
 
+BASED : 'based' ;
 BUDGET : 'budget' ;
 BY : 'by' ;
 CALLER : 'caller' ;
@@ -104,10 +115,12 @@
 METHODS : 'methods' ;
 NODES : 'nodes' ;
 NON_IDEMPOTENT : 'non-idempotent' ;
+ON : 'on' ;
 PRIORITY : 'priority' ;
 QUARANTINE : 'quarantine' ;
 REMOVE : 'remove' ;
 REQUEST : 'request' ;
+RESTORE : 'restore' ;
 RETRIES : 'retries' ;
 ROUTE : 'route' ;
 SERVICE : 'service' ;
@@ -121,12 +134,14 @@
 TICKETS : 'tickets' ;
 TIMELINE : 'timeline' ;
 UNDRAIN : 'undrain' ;
+VERSION : 'version' ;
 WATCH : 'watch' ;
 WHY : 'why' ;
 
 NUMBER : [0-9]+ ;
 DURATION : [0-9]+ ( 'ms' | 's' | 'm' | 'h' ) ;
-PERCENT : [0-9]+ '%' ;
+DECIMAL : [0-9]+ '.' [0-9]+ ;
+PERCENT : [0-9]+ ( '.' [0-9]+ )? '%' ;
 WORD : [\p{L}\p{Nd}._\-]+ ;
 PATH : '/' ~[ \t\r\n]* ;
 COMMA : ',' ;
--- a/src/main/java/io/beryldock/command/grammar/OperatorParser.java
+++ b/src/main/java/io/beryldock/command/grammar/OperatorParser.java
@@ -17,58 +17,62 @@
 	protected static final PredictionContextCache _sharedContextCache =
 		new PredictionContextCache();
 	public static final int
-		BUDGET=1, BY=2, CALLER=3, CHANGES=4, CLASS=5, CONFIGURATION=6, CONNECTIONS=7, 
-		DEADLINE=8, DRAIN=9, EVERYWHERE=10, EXPLAIN=11, IDEMPOTENT=12, LAST=13, 
-		LEVELS=14, LIMIT=15, MARK=16, METHODS=17, NODES=18, NON_IDEMPOTENT=19, 
-		PRIORITY=20, QUARANTINE=21, REMOVE=22, REQUEST=23, RETRIES=24, ROUTE=25, 
-		SERVICE=26, SET=27, SHARE=28, SHED=29, SHOW=30, SLOTS=31, TARGET=32, TARGETS=33, 
-		TICKETS=34, TIMELINE=35, UNDRAIN=36, WATCH=37, WHY=38, NUMBER=39, DURATION=40, 
-		PERCENT=41, WORD=42, PATH=43, COMMA=44, SPACE=45, OTHER=46;
+		BASED=1, BUDGET=2, BY=3, CALLER=4, CHANGES=5, CLASS=6, CONFIGURATION=7, 
+		CONNECTIONS=8, DEADLINE=9, DRAIN=10, EVERYWHERE=11, EXPLAIN=12, IDEMPOTENT=13, 
+		LAST=14, LEVELS=15, LIMIT=16, MARK=17, METHODS=18, NODES=19, NON_IDEMPOTENT=20, 
+		ON=21, PRIORITY=22, QUARANTINE=23, REMOVE=24, REQUEST=25, RESTORE=26, 
+		RETRIES=27, ROUTE=28, SERVICE=29, SET=30, SHARE=31, SHED=32, SHOW=33, 
+		SLOTS=34, TARGET=35, TARGETS=36, TICKETS=37, TIMELINE=38, UNDRAIN=39, 
+		VERSION=40, WATCH=41, WHY=42, NUMBER=43, DURATION=44, DECIMAL=45, PERCENT=46, 
+		WORD=47, PATH=48, COMMA=49, SPACE=50, OTHER=51;
 	public static final int
 		RULE_statement = 0, RULE_command = 1, RULE_explain = 2, RULE_watch = 3, 
 		RULE_show = 4, RULE_topic = 5, RULE_shedOption = 6, RULE_grouping = 7, 
 		RULE_timelineOption = 8, RULE_everywhere = 9, RULE_why = 10, RULE_change = 11, 
-		RULE_set = 12, RULE_setClass = 13, RULE_setBudget = 14, RULE_budgetOption = 15, 
-		RULE_setLimit = 16, RULE_setRoute = 17, RULE_routeMethods = 18, RULE_routeOption = 19, 
-		RULE_remove = 20, RULE_mark = 21, RULE_drain = 22, RULE_undrain = 23, 
-		RULE_className = 24, RULE_serviceName = 25, RULE_nodeId = 26, RULE_method = 27, 
-		RULE_requestId = 28, RULE_prefix = 29, RULE_duration = 30, RULE_percent = 31, 
-		RULE_priority = 32, RULE_retries = 33, RULE_slots = 34, RULE_name = 35, 
-		RULE_keyword = 36;
+		RULE_basedOn = 12, RULE_set = 13, RULE_setClass = 14, RULE_setBudget = 15, 
+		RULE_budgetOption = 16, RULE_setLimit = 17, RULE_setRoute = 18, RULE_routeMethods = 19, 
+		RULE_routeTarget = 20, RULE_routeOption = 21, RULE_remove = 22, RULE_mark = 23, 
+		RULE_restore = 24, RULE_drain = 25, RULE_undrain = 26, RULE_className = 27, 
+		RULE_budgetName = 28, RULE_serviceName = 29, RULE_nodeId = 30, RULE_method = 31, 
+		RULE_requestId = 32, RULE_prefix = 33, RULE_duration = 34, RULE_share = 35, 
+		RULE_priority = 36, RULE_retries = 37, RULE_slots = 38, RULE_version = 39, 
+		RULE_name = 40, RULE_keyword = 41;
 	private static String[] makeRuleNames() {
 		return new String[] {
 			"statement", "command", "explain", "watch", "show", "topic", "shedOption", 
-			"grouping", "timelineOption", "everywhere", "why", "change", "set", "setClass", 
-			"setBudget", "budgetOption", "setLimit", "setRoute", "routeMethods", 
-			"routeOption", "remove", "mark", "drain", "undrain", "className", "serviceName", 
-			"nodeId", "method", "requestId", "prefix", "duration", "percent", "priority", 
-			"retries", "slots", "name", "keyword"
+			"grouping", "timelineOption", "everywhere", "why", "change", "basedOn", 
+			"set", "setClass", "setBudget", "budgetOption", "setLimit", "setRoute", 
+			"routeMethods", "routeTarget", "routeOption", "remove", "mark", "restore", 
+			"drain", "undrain", "className", "budgetName", "serviceName", "nodeId", 
+			"method", "requestId", "prefix", "duration", "share", "priority", "retries", 
+			"slots", "version", "name", "keyword"
 		};
 	}
 	public static final String[] ruleNames = makeRuleNames();
 
 	private static String[] makeLiteralNames() {
 		return new String[] {
-			null, "'budget'", "'by'", "'caller'", "'changes'", "'class'", "'configuration'", 
-			"'connections'", "'deadline'", "'drain'", "'everywhere'", "'explain'", 
-			"'idempotent'", "'last'", "'levels'", "'limit'", "'mark'", "'methods'", 
-			"'nodes'", "'non-idempotent'", "'priority'", "'quarantine'", "'remove'", 
-			"'request'", "'retries'", "'route'", "'service'", "'set'", "'share'", 
-			"'shed'", "'show'", "'slots'", "'target'", "'targets'", "'tickets'", 
-			"'timeline'", "'undrain'", "'watch'", "'why'", null, null, null, null, 
-			null, "','"
+			null, "'based'", "'budget'", "'by'", "'caller'", "'changes'", "'class'", 
+			"'configuration'", "'connections'", "'deadline'", "'drain'", "'everywhere'", 
+			"'explain'", "'idempotent'", "'last'", "'levels'", "'limit'", "'mark'", 
+			"'methods'", "'nodes'", "'non-idempotent'", "'on'", "'priority'", "'quarantine'", 
+			"'remove'", "'request'", "'restore'", "'retries'", "'route'", "'service'", 
+			"'set'", "'share'", "'shed'", "'show'", "'slots'", "'target'", "'targets'", 
+			"'tickets'", "'timeline'", "'undrain'", "'version'", "'watch'", "'why'", 
+			null, null, null, null, null, null, "','"
 		};
 	}
 	private static final String[] _LITERAL_NAMES = makeLiteralNames();
 	private static String[] makeSymbolicNames() {
 		return new String[] {
-			null, "BUDGET", "BY", "CALLER", "CHANGES", "CLASS", "CONFIGURATION", 
+			null, "BASED", "BUDGET", "BY", "CALLER", "CHANGES", "CLASS", "CONFIGURATION", 
 			"CONNECTIONS", "DEADLINE", "DRAIN", "EVERYWHERE", "EXPLAIN", "IDEMPOTENT", 
 			"LAST", "LEVELS", "LIMIT", "MARK", "METHODS", "NODES", "NON_IDEMPOTENT", 
-			"PRIORITY", "QUARANTINE", "REMOVE", "REQUEST", "RETRIES", "ROUTE", "SERVICE", 
-			"SET", "SHARE", "SHED", "SHOW", "SLOTS", "TARGET", "TARGETS", "TICKETS", 
-			"TIMELINE", "UNDRAIN", "WATCH", "WHY", "NUMBER", "DURATION", "PERCENT", 
-			"WORD", "PATH", "COMMA", "SPACE", "OTHER"
+			"ON", "PRIORITY", "QUARANTINE", "REMOVE", "REQUEST", "RESTORE", "RETRIES", 
+			"ROUTE", "SERVICE", "SET", "SHARE", "SHED", "SHOW", "SLOTS", "TARGET", 
+			"TARGETS", "TICKETS", "TIMELINE", "UNDRAIN", "VERSION", "WATCH", "WHY", 
+			"NUMBER", "DURATION", "DECIMAL", "PERCENT", "WORD", "PATH", "COMMA", 
+			"SPACE", "OTHER"
 		};
 	}
 	private static final String[] _SYMBOLIC_NAMES = makeSymbolicNames();
@@ -145,9 +149,9 @@
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(74);
+			setState(84);
 			command();
-			setState(75);
+			setState(85);
 			match(EOF);
 			}
 		}
@@ -194,45 +198,46 @@
 		CommandContext _localctx = new CommandContext(_ctx, getState());
 		enterRule(_localctx, 2, RULE_command);
 		try {
-			setState(82);
+			setState(92);
 			_errHandler.sync(this);
 			switch (_input.LA(1)) {
 			case SHOW:
 				enterOuterAlt(_localctx, 1);
 				{
-				setState(77);
+				setState(87);
 				show();
 				}
 				break;
 			case WHY:
 				enterOuterAlt(_localctx, 2);
 				{
-				setState(78);
+				setState(88);
 				why();
 				}
 				break;
 			case DRAIN:
 			case MARK:
 			case REMOVE:
+			case RESTORE:
 			case SET:
 			case UNDRAIN:
 				enterOuterAlt(_localctx, 3);
 				{
-				setState(79);
+				setState(89);
 				change();
 				}
 				break;
 			case EXPLAIN:
 				enterOuterAlt(_localctx, 4);
 				{
-				setState(80);
+				setState(90);
 				explain();
 				}
 				break;
 			case WATCH:
 				enterOuterAlt(_localctx, 5);
 				{
-				setState(81);
+				setState(91);
 				watch();
 				}
 				break;
@@ -274,9 +279,9 @@
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(84);
+			setState(94);
 			match(EXPLAIN);
-			setState(85);
+			setState(95);
 			change();
 			}
 		}
@@ -314,9 +319,9 @@
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(87);
+			setState(97);
 			match(WATCH);
-			setState(88);
+			setState(98);
 			show();
 			}
 		}
@@ -372,26 +377,26 @@
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(90);
+			setState(100);
 			match(SHOW);
-			setState(109);
+			setState(119);
 			_errHandler.sync(this);
 			switch (_input.LA(1)) {
 			case SHED:
 				{
-				setState(91);
+				setState(101);
 				match(SHED);
-				setState(95);
+				setState(105);
 				_errHandler.sync(this);
 				_la = _input.LA(1);
-				while ((((_la) & ~0x3f) == 0 && ((1L << _la) & 9220L) != 0)) {
+				while ((((_la) & ~0x3f) == 0 && ((1L << _la) & 18440L) != 0)) {
 					{
 					{
-					setState(92);
+					setState(102);
 					shedOption();
 					}
 					}
-					setState(97);
+					setState(107);
 					_errHandler.sync(this);
 					_la = _input.LA(1);
 				}
@@ -399,19 +404,19 @@
 				break;
 			case TIMELINE:
 				{
-				setState(98);
+				setState(108);
 				match(TIMELINE);
-				setState(102);
+				setState(112);
 				_errHandler.sync(this);
 				_la = _input.LA(1);
-				while ((((_la) & ~0x3f) == 0 && ((1L << _la) & 8397824L) != 0)) {
+				while ((((_la) & ~0x3f) == 0 && ((1L << _la) & 33572864L) != 0)) {
 					{
 					{
-					setState(99);
+					setState(109);
 					timelineOption();
 					}
 					}
-					setState(104);
+					setState(114);
 					_errHandler.sync(this);
 					_la = _input.LA(1);
 				}
@@ -427,14 +432,14 @@
 			case TARGETS:
 			case TICKETS:
 				{
-				setState(105);
+				setState(115);
 				topic();
-				setState(107);
+				setState(117);
 				_errHandler.sync(this);
 				_la = _input.LA(1);
 				if (_la==EVERYWHERE) {
 					{
-					setState(106);
+					setState(116);
 					everywhere();
 					}
 				}
@@ -486,9 +491,9 @@
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(111);
+			setState(121);
 			_la = _input.LA(1);
-			if ( !((((_la) & ~0x3f) == 0 && ((1L << _la) & 25788956880L) != 0)) ) {
+			if ( !((((_la) & ~0x3f) == 0 && ((1L << _la) & 206301594016L) != 0)) ) {
 			_errHandler.recoverInline(this);
 			}
 			else {
@@ -537,31 +542,31 @@
 		ShedOptionContext _localctx = new ShedOptionContext(_ctx, getState());
 		enterRule(_localctx, 12, RULE_shedOption);
 		try {
-			setState(118);
+			setState(128);
 			_errHandler.sync(this);
 			switch (_input.LA(1)) {
 			case BY:
 				enterOuterAlt(_localctx, 1);
 				{
-				setState(113);
+				setState(123);
 				match(BY);
-				setState(114);
+				setState(124);
 				grouping();
 				}
 				break;
 			case LAST:
 				enterOuterAlt(_localctx, 2);
 				{
-				setState(115);
+				setState(125);
 				match(LAST);
-				setState(116);
+				setState(126);
 				duration();
 				}
 				break;
 			case EVERYWHERE:
 				enterOuterAlt(_localctx, 3);
 				{
-				setState(117);
+				setState(127);
 				everywhere();
 				}
 				break;
@@ -603,9 +608,9 @@
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(120);
+			setState(130);
 			_la = _input.LA(1);
-			if ( !((((_la) & ~0x3f) == 0 && ((1L << _la) & 67108904L) != 0)) ) {
+			if ( !((((_la) & ~0x3f) == 0 && ((1L << _la) & 536870992L) != 0)) ) {
 			_errHandler.recoverInline(this);
 			}
 			else {
@@ -654,31 +659,31 @@
 		TimelineOptionContext _localctx = new TimelineOptionContext(_ctx, getState());
 		enterRule(_localctx, 16, RULE_timelineOption);
 		try {
-			setState(127);
+			setState(137);
 			_errHandler.sync(this);
 			switch (_input.LA(1)) {
 			case LAST:
 				enterOuterAlt(_localctx, 1);
 				{
-				setState(122);
+				setState(132);
 				match(LAST);
-				setState(123);
+				setState(133);
 				duration();
 				}
 				break;
 			case REQUEST:
 				enterOuterAlt(_localctx, 2);
 				{
-				setState(124);
+				setState(134);
 				match(REQUEST);
-				setState(125);
+				setState(135);
 				requestId();
 				}
 				break;
 			case EVERYWHERE:
 				enterOuterAlt(_localctx, 3);
 				{
-				setState(126);
+				setState(136);
 				everywhere();
 				}
 				break;
@@ -717,7 +722,7 @@
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(129);
+			setState(139);
 			match(EVERYWHERE);
 			}
 		}
@@ -759,16 +764,16 @@
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(131);
+			setState(141);
 			match(WHY);
-			setState(132);
+			setState(142);
 			requestId();
-			setState(134);
+			setState(144);
 			_errHandler.sync(this);
 			_la = _input.LA(1);
 			if (_la==EVERYWHERE) {
 				{
-				setState(133);
+				setState(143);
 				everywhere();
 				}
 			}
@@ -797,6 +802,12 @@
 		public MarkContext mark() {
 			return getRuleContext(MarkContext.class,0);
 		}
+		public BasedOnContext basedOn() {
+			return getRuleContext(BasedOnContext.class,0);
+		}
+		public RestoreContext restore() {
+			return getRuleContext(RestoreContext.class,0);
+		}
 		public DrainContext drain() {
 			return getRuleContext(DrainContext.class,0);
 		}
@@ -817,42 +828,70 @@
 	public final ChangeContext change() throws RecognitionException {
 		ChangeContext _localctx = new ChangeContext(_ctx, getState());
 		enterRule(_localctx, 22, RULE_change);
+		int _la;
 		try {
-			setState(141);
+			setState(157);
 			_errHandler.sync(this);
 			switch (_input.LA(1)) {
+			case MARK:
+			case REMOVE:
 			case SET:
 				enterOuterAlt(_localctx, 1);
 				{
-				setState(136);
-				set();
+				setState(149);
+				_errHandler.sync(this);
+				switch (_input.LA(1)) {
+				case SET:
+					{
+					setState(146);
+					set();
+					}
+					break;
+				case REMOVE:
+					{
+					setState(147);
+					remove();
+					}
+					break;
+				case MARK:
+					{
+					setState(148);
+					mark();
+					}
+					break;
+				default:
+					throw new NoViableAltException(this);
 				}
-				break;
-			case REMOVE:
-				enterOuterAlt(_localctx, 2);
-				{
-				setState(137);
-				remove();
+				setState(152);
+				_errHandler.sync(this);
+				_la = _input.LA(1);
+				if (_la==BASED) {
+					{
+					setState(151);
+					basedOn();
+					}
+				}
+
 				}
 				break;
-			case MARK:
-				enterOuterAlt(_localctx, 3);
+			case RESTORE:
+				enterOuterAlt(_localctx, 2);
 				{
-				setState(138);
-				mark();
+				setState(154);
+				restore();
 				}
 				break;
 			case DRAIN:
-				enterOuterAlt(_localctx, 4);
+				enterOuterAlt(_localctx, 3);
 				{
-				setState(139);
+				setState(155);
 				drain();
 				}
 				break;
 			case UNDRAIN:
-				enterOuterAlt(_localctx, 5);
+				enterOuterAlt(_localctx, 4);
 				{
-				setState(140);
+				setState(156);
 				undrain();
 				}
 				break;
@@ -871,6 +910,52 @@
 		return _localctx;
 	}
 
+	@SuppressWarnings("CheckReturnValue")
+	public static class BasedOnContext extends ParserRuleContext {
+		public TerminalNode BASED() { return getToken(OperatorParser.BASED, 0); }
+		public TerminalNode ON() { return getToken(OperatorParser.ON, 0); }
+		public TerminalNode VERSION() { return getToken(OperatorParser.VERSION, 0); }
+		public VersionContext version() {
+			return getRuleContext(VersionContext.class,0);
+		}
+		public BasedOnContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_basedOn; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitBasedOn(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final BasedOnContext basedOn() throws RecognitionException {
+		BasedOnContext _localctx = new BasedOnContext(_ctx, getState());
+		enterRule(_localctx, 24, RULE_basedOn);
+		try {
+			enterOuterAlt(_localctx, 1);
+			{
+			setState(159);
+			match(BASED);
+			setState(160);
+			match(ON);
+			setState(161);
+			match(VERSION);
+			setState(162);
+			version();
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
 	@SuppressWarnings("CheckReturnValue")
 	public static class SetContext extends ParserRuleContext {
 		public TerminalNode SET() { return getToken(OperatorParser.SET, 0); }
@@ -899,36 +984,36 @@
 
 	public final SetContext set() throws RecognitionException {
 		SetContext _localctx = new SetContext(_ctx, getState());
-		enterRule(_localctx, 24, RULE_set);
+		enterRule(_localctx, 26, RULE_set);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(143);
+			setState(164);
 			match(SET);
-			setState(148);
+			setState(169);
 			_errHandler.sync(this);
 			switch (_input.LA(1)) {
 			case CLASS:
 				{
-				setState(144);
+				setState(165);
 				setClass();
 				}
 				break;
 			case BUDGET:
 				{
-				setState(145);
+				setState(166);
 				setBudget();
 				}
 				break;
 			case LIMIT:
 				{
-				setState(146);
+				setState(167);
 				setLimit();
 				}
 				break;
 			case ROUTE:
 				{
-				setState(147);
+				setState(168);
 				setRoute();
 				}
 				break;
@@ -971,17 +1056,17 @@
 
 	public final SetClassContext setClass() throws RecognitionException {
 		SetClassContext _localctx = new SetClassContext(_ctx, getState());
-		enterRule(_localctx, 26, RULE_setClass);
+		enterRule(_localctx, 28, RULE_setClass);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(150);
+			setState(171);
 			match(CLASS);
-			setState(151);
+			setState(172);
 			className();
-			setState(152);
+			setState(173);
 			match(PRIORITY);
-			setState(153);
+			setState(174);
 			priority();
 			}
 		}
@@ -999,8 +1084,8 @@
 	@SuppressWarnings("CheckReturnValue")
 	public static class SetBudgetContext extends ParserRuleContext {
 		public TerminalNode BUDGET() { return getToken(OperatorParser.BUDGET, 0); }
-		public ClassNameContext className() {
-			return getRuleContext(ClassNameContext.class,0);
+		public BudgetNameContext budgetName() {
+			return getRuleContext(BudgetNameContext.class,0);
 		}
 		public List<BudgetOptionContext> budgetOption() {
 			return getRuleContexts(BudgetOptionContext.class);
@@ -1021,26 +1106,26 @@
 
 	public final SetBudgetContext setBudget() throws RecognitionException {
 		SetBudgetContext _localctx = new SetBudgetContext(_ctx, getState());
-		enterRule(_localctx, 28, RULE_setBudget);
+		enterRule(_localctx, 30, RULE_setBudget);
 		int _la;
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(155);
+			setState(176);
 			match(BUDGET);
-			setState(156);
-			className();
-			setState(158); 
+			setState(177);
+			budgetName();
+			setState(179); 
 			_errHandler.sync(this);
 			_la = _input.LA(1);
 			do {
 				{
 				{
-				setState(157);
+				setState(178);
 				budgetOption();
 				}
 				}
-				setState(160); 
+				setState(181); 
 				_errHandler.sync(this);
 				_la = _input.LA(1);
 			} while ( _la==RETRIES || _la==SHARE );
@@ -1060,8 +1145,8 @@
 	@SuppressWarnings("CheckReturnValue")
 	public static class BudgetOptionContext extends ParserRuleContext {
 		public TerminalNode SHARE() { return getToken(OperatorParser.SHARE, 0); }
-		public PercentContext percent() {
-			return getRuleContext(PercentContext.class,0);
+		public ShareContext share() {
+			return getRuleContext(ShareContext.class,0);
 		}
 		public TerminalNode RETRIES() { return getToken(OperatorParser.RETRIES, 0); }
 		public RetriesContext retries() {
@@ -1080,26 +1165,26 @@
 
 	public final BudgetOptionContext budgetOption() throws RecognitionException {
 		BudgetOptionContext _localctx = new BudgetOptionContext(_ctx, getState());
-		enterRule(_localctx, 30, RULE_budgetOption);
+		enterRule(_localctx, 32, RULE_budgetOption);
 		try {
-			setState(166);
+			setState(187);
 			_errHandler.sync(this);
 			switch (_input.LA(1)) {
 			case SHARE:
 				enterOuterAlt(_localctx, 1);
 				{
-				setState(162);
+				setState(183);
 				match(SHARE);
-				setState(163);
-				percent();
+				setState(184);
+				share();
 				}
 				break;
 			case RETRIES:
 				enterOuterAlt(_localctx, 2);
 				{
-				setState(164);
+				setState(185);
 				match(RETRIES);
-				setState(165);
+				setState(186);
 				retries();
 				}
 				break;
@@ -1141,17 +1226,17 @@
 
 	public final SetLimitContext setLimit() throws RecognitionException {
 		SetLimitContext _localctx = new SetLimitContext(_ctx, getState());
-		enterRule(_localctx, 32, RULE_setLimit);
+		enterRule(_localctx, 34, RULE_setLimit);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(168);
+			setState(189);
 			match(LIMIT);
-			setState(169);
+			setState(190);
 			serviceName();
-			setState(170);
+			setState(191);
 			match(SLOTS);
-			setState(171);
+			setState(192);
 			slots();
 			}
 		}
@@ -1172,23 +1257,16 @@
 		public PrefixContext prefix() {
 			return getRuleContext(PrefixContext.class,0);
 		}
-		public TerminalNode SERVICE() { return getToken(OperatorParser.SERVICE, 0); }
-		public ServiceNameContext serviceName() {
-			return getRuleContext(ServiceNameContext.class,0);
+		public RouteTargetContext routeTarget() {
+			return getRuleContext(RouteTargetContext.class,0);
 		}
-		public TerminalNode CLASS() { return getToken(OperatorParser.CLASS, 0); }
-		public ClassNameContext className() {
-			return getRuleContext(ClassNameContext.class,0);
+		public TerminalNode DEADLINE() { return getToken(OperatorParser.DEADLINE, 0); }
+		public DurationContext duration() {
+			return getRuleContext(DurationContext.class,0);
 		}
 		public RouteMethodsContext routeMethods() {
 			return getRuleContext(RouteMethodsContext.class,0);
 		}
-		public List<RouteOptionContext> routeOption() {
-			return getRuleContexts(RouteOptionContext.class);
-		}
-		public RouteOptionContext routeOption(int i) {
-			return getRuleContext(RouteOptionContext.class,i);
-		}
 		public SetRouteContext(ParserRuleContext parent, int invokingState) {
 			super(parent, invokingState);
 		}
@@ -1202,46 +1280,44 @@
 
 	public final SetRouteContext setRoute() throws RecognitionException {
 		SetRouteContext _localctx = new SetRouteContext(_ctx, getState());
-		enterRule(_localctx, 34, RULE_setRoute);
+		enterRule(_localctx, 36, RULE_setRoute);
 		int _la;
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(173);
+			setState(194);
 			match(ROUTE);
-			setState(174);
+			setState(195);
 			prefix();
-			setState(176);
+			setState(197);
 			_errHandler.sync(this);
 			_la = _input.LA(1);
-			if (_la==METHODS) {
+			if (_la==METHODS || _la==WORD) {
 				{
-				setState(175);
+				setState(196);
 				routeMethods();
 				}
 			}
 
-			setState(178);
-			match(SERVICE);
-			setState(179);
-			serviceName();
-			setState(180);
-			match(CLASS);
-			setState(181);
-			className();
-			setState(185);
+			setState(202);
 			_errHandler.sync(this);
-			_la = _input.LA(1);
-			while ((((_la) & ~0x3f) == 0 && ((1L << _la) & 528640L) != 0)) {
-				{
+			switch (_input.LA(1)) {
+			case SERVICE:
 				{
-				setState(182);
-				routeOption();
+				setState(199);
+				routeTarget();
 				}
+				break;
+			case DEADLINE:
+				{
+				setState(200);
+				match(DEADLINE);
+				setState(201);
+				duration();
 				}
-				setState(187);
-				_errHandler.sync(this);
-				_la = _input.LA(1);
+				break;
+			default:
+				throw new NoViableAltException(this);
 			}
 			}
 		}
@@ -1258,13 +1334,13 @@
 
 	@SuppressWarnings("CheckReturnValue")
 	public static class RouteMethodsContext extends ParserRuleContext {
-		public TerminalNode METHODS() { return getToken(OperatorParser.METHODS, 0); }
 		public List<MethodContext> method() {
 			return getRuleContexts(MethodContext.class);
 		}
 		public MethodContext method(int i) {
 			return getRuleContext(MethodContext.class,i);
 		}
+		public TerminalNode METHODS() { return getToken(OperatorParser.METHODS, 0); }
 		public List<TerminalNode> COMMA() { return getTokens(OperatorParser.COMMA); }
 		public TerminalNode COMMA(int i) {
 			return getToken(OperatorParser.COMMA, i);
@@ -1282,28 +1358,105 @@
 
 	public final RouteMethodsContext routeMethods() throws RecognitionException {
 		RouteMethodsContext _localctx = new RouteMethodsContext(_ctx, getState());
-		enterRule(_localctx, 36, RULE_routeMethods);
+		enterRule(_localctx, 38, RULE_routeMethods);
 		int _la;
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(188);
-			match(METHODS);
-			setState(189);
+			setState(205);
+			_errHandler.sync(this);
+			_la = _input.LA(1);
+			if (_la==METHODS) {
+				{
+				setState(204);
+				match(METHODS);
+				}
+			}
+
+			setState(207);
 			method();
-			setState(194);
+			setState(212);
 			_errHandler.sync(this);
 			_la = _input.LA(1);
 			while (_la==COMMA) {
 				{
 				{
-				setState(190);
+				setState(208);
 				match(COMMA);
-				setState(191);
+				setState(209);
 				method();
 				}
 				}
-				setState(196);
+				setState(214);
+				_errHandler.sync(this);
+				_la = _input.LA(1);
+			}
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class RouteTargetContext extends ParserRuleContext {
+		public TerminalNode SERVICE() { return getToken(OperatorParser.SERVICE, 0); }
+		public ServiceNameContext serviceName() {
+			return getRuleContext(ServiceNameContext.class,0);
+		}
+		public TerminalNode CLASS() { return getToken(OperatorParser.CLASS, 0); }
+		public ClassNameContext className() {
+			return getRuleContext(ClassNameContext.class,0);
+		}
+		public List<RouteOptionContext> routeOption() {
+			return getRuleContexts(RouteOptionContext.class);
+		}
+		public RouteOptionContext routeOption(int i) {
+			return getRuleContext(RouteOptionContext.class,i);
+		}
+		public RouteTargetContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_routeTarget; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitRouteTarget(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final RouteTargetContext routeTarget() throws RecognitionException {
+		RouteTargetContext _localctx = new RouteTargetContext(_ctx, getState());
+		enterRule(_localctx, 40, RULE_routeTarget);
+		int _la;
+		try {
+			enterOuterAlt(_localctx, 1);
+			{
+			setState(215);
+			match(SERVICE);
+			setState(216);
+			serviceName();
+			setState(217);
+			match(CLASS);
+			setState(218);
+			className();
+			setState(222);
+			_errHandler.sync(this);
+			_la = _input.LA(1);
+			while ((((_la) & ~0x3f) == 0 && ((1L << _la) & 1057284L) != 0)) {
+				{
+				{
+				setState(219);
+				routeOption();
+				}
+				}
+				setState(224);
 				_errHandler.sync(this);
 				_la = _input.LA(1);
 			}
@@ -1328,6 +1481,10 @@
 		public DurationContext duration() {
 			return getRuleContext(DurationContext.class,0);
 		}
+		public TerminalNode BUDGET() { return getToken(OperatorParser.BUDGET, 0); }
+		public BudgetNameContext budgetName() {
+			return getRuleContext(BudgetNameContext.class,0);
+		}
 		public RouteOptionContext(ParserRuleContext parent, int invokingState) {
 			super(parent, invokingState);
 		}
@@ -1341,34 +1498,43 @@
 
 	public final RouteOptionContext routeOption() throws RecognitionException {
 		RouteOptionContext _localctx = new RouteOptionContext(_ctx, getState());
-		enterRule(_localctx, 38, RULE_routeOption);
+		enterRule(_localctx, 42, RULE_routeOption);
 		try {
-			setState(201);
+			setState(231);
 			_errHandler.sync(this);
 			switch (_input.LA(1)) {
 			case IDEMPOTENT:
 				enterOuterAlt(_localctx, 1);
 				{
-				setState(197);
+				setState(225);
 				match(IDEMPOTENT);
 				}
 				break;
 			case NON_IDEMPOTENT:
 				enterOuterAlt(_localctx, 2);
 				{
-				setState(198);
+				setState(226);
 				match(NON_IDEMPOTENT);
 				}
 				break;
 			case DEADLINE:
 				enterOuterAlt(_localctx, 3);
 				{
-				setState(199);
+				setState(227);
 				match(DEADLINE);
-				setState(200);
+				setState(228);
 				duration();
 				}
 				break;
+			case BUDGET:
+				enterOuterAlt(_localctx, 4);
+				{
+				setState(229);
+				match(BUDGET);
+				setState(230);
+				budgetName();
+				}
+				break;
 			default:
 				throw new NoViableAltException(this);
 			}
@@ -1391,6 +1557,9 @@
 		public PrefixContext prefix() {
 			return getRuleContext(PrefixContext.class,0);
 		}
+		public RouteMethodsContext routeMethods() {
+			return getRuleContext(RouteMethodsContext.class,0);
+		}
 		public RemoveContext(ParserRuleContext parent, int invokingState) {
 			super(parent, invokingState);
 		}
@@ -1404,16 +1573,27 @@
 
 	public final RemoveContext remove() throws RecognitionException {
 		RemoveContext _localctx = new RemoveContext(_ctx, getState());
-		enterRule(_localctx, 40, RULE_remove);
+		enterRule(_localctx, 44, RULE_remove);
+		int _la;
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(203);
+			setState(233);
 			match(REMOVE);
-			setState(204);
+			setState(234);
 			match(ROUTE);
-			setState(205);
+			setState(235);
 			prefix();
+			setState(237);
+			_errHandler.sync(this);
+			_la = _input.LA(1);
+			if (_la==METHODS || _la==WORD) {
+				{
+				setState(236);
+				routeMethods();
+				}
+			}
+
 			}
 		}
 		catch (RecognitionException re) {
@@ -1436,6 +1616,9 @@
 		}
 		public TerminalNode NON_IDEMPOTENT() { return getToken(OperatorParser.NON_IDEMPOTENT, 0); }
 		public TerminalNode IDEMPOTENT() { return getToken(OperatorParser.IDEMPOTENT, 0); }
+		public RouteMethodsContext routeMethods() {
+			return getRuleContext(RouteMethodsContext.class,0);
+		}
 		public MarkContext(ParserRuleContext parent, int invokingState) {
 			super(parent, invokingState);
 		}
@@ -1449,18 +1632,28 @@
 
 	public final MarkContext mark() throws RecognitionException {
 		MarkContext _localctx = new MarkContext(_ctx, getState());
-		enterRule(_localctx, 42, RULE_mark);
+		enterRule(_localctx, 46, RULE_mark);
 		int _la;
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(207);
+			setState(239);
 			match(MARK);
-			setState(208);
+			setState(240);
 			match(ROUTE);
-			setState(209);
+			setState(241);
 			prefix();
-			setState(210);
+			setState(243);
+			_errHandler.sync(this);
+			_la = _input.LA(1);
+			if (_la==METHODS || _la==WORD) {
+				{
+				setState(242);
+				routeMethods();
+				}
+			}
+
+			setState(245);
 			_la = _input.LA(1);
 			if ( !(_la==IDEMPOTENT || _la==NON_IDEMPOTENT) ) {
 			_errHandler.recoverInline(this);
@@ -1483,6 +1676,44 @@
 		return _localctx;
 	}
 
+	@SuppressWarnings("CheckReturnValue")
+	public static class RestoreContext extends ParserRuleContext {
+		public TerminalNode RESTORE() { return getToken(OperatorParser.RESTORE, 0); }
+		public TerminalNode CONFIGURATION() { return getToken(OperatorParser.CONFIGURATION, 0); }
+		public RestoreContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_restore; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitRestore(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final RestoreContext restore() throws RecognitionException {
+		RestoreContext _localctx = new RestoreContext(_ctx, getState());
+		enterRule(_localctx, 48, RULE_restore);
+		try {
+			enterOuterAlt(_localctx, 1);
+			{
+			setState(247);
+			match(RESTORE);
+			setState(248);
+			match(CONFIGURATION);
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
 	@SuppressWarnings("CheckReturnValue")
 	public static class DrainContext extends ParserRuleContext {
 		public TerminalNode DRAIN() { return getToken(OperatorParser.DRAIN, 0); }
@@ -1503,15 +1734,15 @@
 
 	public final DrainContext drain() throws RecognitionException {
 		DrainContext _localctx = new DrainContext(_ctx, getState());
-		enterRule(_localctx, 44, RULE_drain);
+		enterRule(_localctx, 50, RULE_drain);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(212);
+			setState(250);
 			match(DRAIN);
-			setState(213);
+			setState(251);
 			match(TARGET);
-			setState(214);
+			setState(252);
 			nodeId();
 			}
 		}
@@ -1546,15 +1777,15 @@
 
 	public final UndrainContext undrain() throws RecognitionException {
 		UndrainContext _localctx = new UndrainContext(_ctx, getState());
-		enterRule(_localctx, 46, RULE_undrain);
+		enterRule(_localctx, 52, RULE_undrain);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(216);
+			setState(254);
 			match(UNDRAIN);
-			setState(217);
+			setState(255);
 			match(TARGET);
-			setState(218);
+			setState(256);
 			nodeId();
 			}
 		}
@@ -1587,11 +1818,48 @@
 
 	public final ClassNameContext className() throws RecognitionException {
 		ClassNameContext _localctx = new ClassNameContext(_ctx, getState());
-		enterRule(_localctx, 48, RULE_className);
+		enterRule(_localctx, 54, RULE_className);
+		try {
+			enterOuterAlt(_localctx, 1);
+			{
+			setState(258);
+			name();
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class BudgetNameContext extends ParserRuleContext {
+		public NameContext name() {
+			return getRuleContext(NameContext.class,0);
+		}
+		public BudgetNameContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_budgetName; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitBudgetName(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final BudgetNameContext budgetName() throws RecognitionException {
+		BudgetNameContext _localctx = new BudgetNameContext(_ctx, getState());
+		enterRule(_localctx, 56, RULE_budgetName);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(220);
+			setState(260);
 			name();
 			}
 		}
@@ -1624,11 +1892,11 @@
 
 	public final ServiceNameContext serviceName() throws RecognitionException {
 		ServiceNameContext _localctx = new ServiceNameContext(_ctx, getState());
-		enterRule(_localctx, 50, RULE_serviceName);
+		enterRule(_localctx, 58, RULE_serviceName);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(222);
+			setState(262);
 			name();
 			}
 		}
@@ -1661,11 +1929,11 @@
 
 	public final NodeIdContext nodeId() throws RecognitionException {
 		NodeIdContext _localctx = new NodeIdContext(_ctx, getState());
-		enterRule(_localctx, 52, RULE_nodeId);
+		enterRule(_localctx, 60, RULE_nodeId);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(224);
+			setState(264);
 			name();
 			}
 		}
@@ -1696,11 +1964,11 @@
 
 	public final MethodContext method() throws RecognitionException {
 		MethodContext _localctx = new MethodContext(_ctx, getState());
-		enterRule(_localctx, 54, RULE_method);
+		enterRule(_localctx, 62, RULE_method);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(226);
+			setState(266);
 			match(WORD);
 			}
 		}
@@ -1731,11 +1999,11 @@
 
 	public final RequestIdContext requestId() throws RecognitionException {
 		RequestIdContext _localctx = new RequestIdContext(_ctx, getState());
-		enterRule(_localctx, 56, RULE_requestId);
+		enterRule(_localctx, 64, RULE_requestId);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(228);
+			setState(268);
 			match(WORD);
 			}
 		}
@@ -1766,11 +2034,11 @@
 
 	public final PrefixContext prefix() throws RecognitionException {
 		PrefixContext _localctx = new PrefixContext(_ctx, getState());
-		enterRule(_localctx, 58, RULE_prefix);
+		enterRule(_localctx, 66, RULE_prefix);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(230);
+			setState(270);
 			match(PATH);
 			}
 		}
@@ -1801,11 +2069,11 @@
 
 	public final DurationContext duration() throws RecognitionException {
 		DurationContext _localctx = new DurationContext(_ctx, getState());
-		enterRule(_localctx, 60, RULE_duration);
+		enterRule(_localctx, 68, RULE_duration);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(232);
+			setState(272);
 			match(DURATION);
 			}
 		}
@@ -1821,27 +2089,37 @@
 	}
 
 	@SuppressWarnings("CheckReturnValue")
-	public static class PercentContext extends ParserRuleContext {
+	public static class ShareContext extends ParserRuleContext {
 		public TerminalNode PERCENT() { return getToken(OperatorParser.PERCENT, 0); }
-		public PercentContext(ParserRuleContext parent, int invokingState) {
+		public TerminalNode DECIMAL() { return getToken(OperatorParser.DECIMAL, 0); }
+		public ShareContext(ParserRuleContext parent, int invokingState) {
 			super(parent, invokingState);
 		}
-		@Override public int getRuleIndex() { return RULE_percent; }
+		@Override public int getRuleIndex() { return RULE_share; }
 		@Override
 		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
-			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitPercent(this);
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitShare(this);
 			else return visitor.visitChildren(this);
 		}
 	}
 
-	public final PercentContext percent() throws RecognitionException {
-		PercentContext _localctx = new PercentContext(_ctx, getState());
-		enterRule(_localctx, 62, RULE_percent);
+	public final ShareContext share() throws RecognitionException {
+		ShareContext _localctx = new ShareContext(_ctx, getState());
+		enterRule(_localctx, 70, RULE_share);
+		int _la;
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(234);
-			match(PERCENT);
+			setState(274);
+			_la = _input.LA(1);
+			if ( !(_la==DECIMAL || _la==PERCENT) ) {
+			_errHandler.recoverInline(this);
+			}
+			else {
+				if ( _input.LA(1)==Token.EOF ) matchedEOF = true;
+				_errHandler.reportMatch(this);
+				consume();
+			}
 			}
 		}
 		catch (RecognitionException re) {
@@ -1871,11 +2149,11 @@
 
 	public final PriorityContext priority() throws RecognitionException {
 		PriorityContext _localctx = new PriorityContext(_ctx, getState());
-		enterRule(_localctx, 64, RULE_priority);
+		enterRule(_localctx, 72, RULE_priority);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(236);
+			setState(276);
 			match(NUMBER);
 			}
 		}
@@ -1906,11 +2184,11 @@
 
 	public final RetriesContext retries() throws RecognitionException {
 		RetriesContext _localctx = new RetriesContext(_ctx, getState());
-		enterRule(_localctx, 66, RULE_retries);
+		enterRule(_localctx, 74, RULE_retries);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(238);
+			setState(278);
 			match(NUMBER);
 			}
 		}
@@ -1941,11 +2219,46 @@
 
 	public final SlotsContext slots() throws RecognitionException {
 		SlotsContext _localctx = new SlotsContext(_ctx, getState());
-		enterRule(_localctx, 68, RULE_slots);
+		enterRule(_localctx, 76, RULE_slots);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(240);
+			setState(280);
+			match(NUMBER);
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class VersionContext extends ParserRuleContext {
+		public TerminalNode NUMBER() { return getToken(OperatorParser.NUMBER, 0); }
+		public VersionContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_version; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitVersion(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final VersionContext version() throws RecognitionException {
+		VersionContext _localctx = new VersionContext(_ctx, getState());
+		enterRule(_localctx, 78, RULE_version);
+		try {
+			enterOuterAlt(_localctx, 1);
+			{
+			setState(282);
 			match(NUMBER);
 			}
 		}
@@ -1964,6 +2277,7 @@
 	public static class NameContext extends ParserRuleContext {
 		public TerminalNode WORD() { return getToken(OperatorParser.WORD, 0); }
 		public TerminalNode NUMBER() { return getToken(OperatorParser.NUMBER, 0); }
+		public TerminalNode DECIMAL() { return getToken(OperatorParser.DECIMAL, 0); }
 		public TerminalNode DURATION() { return getToken(OperatorParser.DURATION, 0); }
 		public KeywordContext keyword() {
 			return getRuleContext(KeywordContext.class,0);
@@ -1981,32 +2295,40 @@
 
 	public final NameContext name() throws RecognitionException {
 		NameContext _localctx = new NameContext(_ctx, getState());
-		enterRule(_localctx, 70, RULE_name);
+		enterRule(_localctx, 80, RULE_name);
 		try {
-			setState(246);
+			setState(289);
 			_errHandler.sync(this);
 			switch (_input.LA(1)) {
 			case WORD:
 				enterOuterAlt(_localctx, 1);
 				{
-				setState(242);
+				setState(284);
 				match(WORD);
 				}
 				break;
 			case NUMBER:
 				enterOuterAlt(_localctx, 2);
 				{
-				setState(243);
+				setState(285);
 				match(NUMBER);
 				}
 				break;
-			case DURATION:
+			case DECIMAL:
 				enterOuterAlt(_localctx, 3);
 				{
-				setState(244);
+				setState(286);
+				match(DECIMAL);
+				}
+				break;
+			case DURATION:
+				enterOuterAlt(_localctx, 4);
+				{
+				setState(287);
 				match(DURATION);
 				}
 				break;
+			case BASED:
 			case BUDGET:
 			case BY:
 			case CALLER:
@@ -2026,10 +2348,12 @@
 			case METHODS:
 			case NODES:
 			case NON_IDEMPOTENT:
+			case ON:
 			case PRIORITY:
 			case QUARANTINE:
 			case REMOVE:
 			case REQUEST:
+			case RESTORE:
 			case RETRIES:
 			case ROUTE:
 			case SERVICE:
@@ -2043,11 +2367,12 @@
 			case TICKETS:
 			case TIMELINE:
 			case UNDRAIN:
+			case VERSION:
 			case WATCH:
 			case WHY:
-				enterOuterAlt(_localctx, 4);
+				enterOuterAlt(_localctx, 5);
 				{
-				setState(245);
+				setState(288);
 				keyword();
 				}
 				break;
@@ -2068,6 +2393,7 @@
 
 	@SuppressWarnings("CheckReturnValue")
 	public static class KeywordContext extends ParserRuleContext {
+		public TerminalNode BASED() { return getToken(OperatorParser.BASED, 0); }
 		public TerminalNode BUDGET() { return getToken(OperatorParser.BUDGET, 0); }
 		public TerminalNode BY() { return getToken(OperatorParser.BY, 0); }
 		public TerminalNode CALLER() { return getToken(OperatorParser.CALLER, 0); }
@@ -2087,10 +2413,12 @@
 		public TerminalNode METHODS() { return getToken(OperatorParser.METHODS, 0); }
 		public TerminalNode NODES() { return getToken(OperatorParser.NODES, 0); }
 		public TerminalNode NON_IDEMPOTENT() { return getToken(OperatorParser.NON_IDEMPOTENT, 0); }
+		public TerminalNode ON() { return getToken(OperatorParser.ON, 0); }
 		public TerminalNode PRIORITY() { return getToken(OperatorParser.PRIORITY, 0); }
 		public TerminalNode QUARANTINE() { return getToken(OperatorParser.QUARANTINE, 0); }
 		public TerminalNode REMOVE() { return getToken(OperatorParser.REMOVE, 0); }
 		public TerminalNode REQUEST() { return getToken(OperatorParser.REQUEST, 0); }
+		public TerminalNode RESTORE() { return getToken(OperatorParser.RESTORE, 0); }
 		public TerminalNode RETRIES() { return getToken(OperatorParser.RETRIES, 0); }
 		public TerminalNode ROUTE() { return getToken(OperatorParser.ROUTE, 0); }
 		public TerminalNode SERVICE() { return getToken(OperatorParser.SERVICE, 0); }
@@ -2104,6 +2432,7 @@
 		public TerminalNode TICKETS() { return getToken(OperatorParser.TICKETS, 0); }
 		public TerminalNode TIMELINE() { return getToken(OperatorParser.TIMELINE, 0); }
 		public TerminalNode UNDRAIN() { return getToken(OperatorParser.UNDRAIN, 0); }
+		public TerminalNode VERSION() { return getToken(OperatorParser.VERSION, 0); }
 		public TerminalNode WATCH() { return getToken(OperatorParser.WATCH, 0); }
 		public TerminalNode WHY() { return getToken(OperatorParser.WHY, 0); }
 		public KeywordContext(ParserRuleContext parent, int invokingState) {
@@ -2119,14 +2448,14 @@
 
 	public final KeywordContext keyword() throws RecognitionException {
 		KeywordContext _localctx = new KeywordContext(_ctx, getState());
-		enterRule(_localctx, 72, RULE_keyword);
+		enterRule(_localctx, 82, RULE_keyword);
 		int _la;
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(248);
+			setState(291);
 			_la = _input.LA(1);
-			if ( !((((_la) & ~0x3f) == 0 && ((1L << _la) & 549755813886L) != 0)) ) {
+			if ( !((((_la) & ~0x3f) == 0 && ((1L << _la) & 8796093022206L) != 0)) ) {
 			_errHandler.recoverInline(this);
 			}
 			else {
@@ -2148,7 +2477,7 @@
 	}
 
 	public static final String _serializedATN =
-		"\u0004\u0001.\u00fb\u0002\u0000\u0007\u0000\u0002\u0001\u0007\u0001\u0002"+
+		"\u0004\u00013\u0126\u0002\u0000\u0007\u0000\u0002\u0001\u0007\u0001\u0002"+
 		"\u0002\u0007\u0002\u0002\u0003\u0007\u0003\u0002\u0004\u0007\u0004\u0002"+
 		"\u0005\u0007\u0005\u0002\u0006\u0007\u0006\u0002\u0007\u0007\u0007\u0002"+
 		"\b\u0007\b\u0002\t\u0007\t\u0002\n\u0007\n\u0002\u000b\u0007\u000b\u0002"+
@@ -2159,144 +2488,173 @@
 		"\u0002\u0019\u0007\u0019\u0002\u001a\u0007\u001a\u0002\u001b\u0007\u001b"+
 		"\u0002\u001c\u0007\u001c\u0002\u001d\u0007\u001d\u0002\u001e\u0007\u001e"+
 		"\u0002\u001f\u0007\u001f\u0002 \u0007 \u0002!\u0007!\u0002\"\u0007\"\u0002"+
-		"#\u0007#\u0002$\u0007$\u0001\u0000\u0001\u0000\u0001\u0000\u0001\u0001"+
-		"\u0001\u0001\u0001\u0001\u0001\u0001\u0001\u0001\u0003\u0001S\b\u0001"+
+		"#\u0007#\u0002$\u0007$\u0002%\u0007%\u0002&\u0007&\u0002\'\u0007\'\u0002"+
+		"(\u0007(\u0002)\u0007)\u0001\u0000\u0001\u0000\u0001\u0000\u0001\u0001"+
+		"\u0001\u0001\u0001\u0001\u0001\u0001\u0001\u0001\u0003\u0001]\b\u0001"+
 		"\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0003\u0001\u0003\u0001\u0003"+
-		"\u0001\u0004\u0001\u0004\u0001\u0004\u0005\u0004^\b\u0004\n\u0004\f\u0004"+
-		"a\t\u0004\u0001\u0004\u0001\u0004\u0005\u0004e\b\u0004\n\u0004\f\u0004"+
-		"h\t\u0004\u0001\u0004\u0001\u0004\u0003\u0004l\b\u0004\u0003\u0004n\b"+
+		"\u0001\u0004\u0001\u0004\u0001\u0004\u0005\u0004h\b\u0004\n\u0004\f\u0004"+
+		"k\t\u0004\u0001\u0004\u0001\u0004\u0005\u0004o\b\u0004\n\u0004\f\u0004"+
+		"r\t\u0004\u0001\u0004\u0001\u0004\u0003\u0004v\b\u0004\u0003\u0004x\b"+
 		"\u0004\u0001\u0005\u0001\u0005\u0001\u0006\u0001\u0006\u0001\u0006\u0001"+
-		"\u0006\u0001\u0006\u0003\u0006w\b\u0006\u0001\u0007\u0001\u0007\u0001"+
-		"\b\u0001\b\u0001\b\u0001\b\u0001\b\u0003\b\u0080\b\b\u0001\t\u0001\t\u0001"+
-		"\n\u0001\n\u0001\n\u0003\n\u0087\b\n\u0001\u000b\u0001\u000b\u0001\u000b"+
-		"\u0001\u000b\u0001\u000b\u0003\u000b\u008e\b\u000b\u0001\f\u0001\f\u0001"+
-		"\f\u0001\f\u0001\f\u0003\f\u0095\b\f\u0001\r\u0001\r\u0001\r\u0001\r\u0001"+
-		"\r\u0001\u000e\u0001\u000e\u0001\u000e\u0004\u000e\u009f\b\u000e\u000b"+
-		"\u000e\f\u000e\u00a0\u0001\u000f\u0001\u000f\u0001\u000f\u0001\u000f\u0003"+
-		"\u000f\u00a7\b\u000f\u0001\u0010\u0001\u0010\u0001\u0010\u0001\u0010\u0001"+
-		"\u0010\u0001\u0011\u0001\u0011\u0001\u0011\u0003\u0011\u00b1\b\u0011\u0001"+
-		"\u0011\u0001\u0011\u0001\u0011\u0001\u0011\u0001\u0011\u0005\u0011\u00b8"+
-		"\b\u0011\n\u0011\f\u0011\u00bb\t\u0011\u0001\u0012\u0001\u0012\u0001\u0012"+
-		"\u0001\u0012\u0005\u0012\u00c1\b\u0012\n\u0012\f\u0012\u00c4\t\u0012\u0001"+
-		"\u0013\u0001\u0013\u0001\u0013\u0001\u0013\u0003\u0013\u00ca\b\u0013\u0001"+
-		"\u0014\u0001\u0014\u0001\u0014\u0001\u0014\u0001\u0015\u0001\u0015\u0001"+
-		"\u0015\u0001\u0015\u0001\u0015\u0001\u0016\u0001\u0016\u0001\u0016\u0001"+
-		"\u0016\u0001\u0017\u0001\u0017\u0001\u0017\u0001\u0017\u0001\u0018\u0001"+
-		"\u0018\u0001\u0019\u0001\u0019\u0001\u001a\u0001\u001a\u0001\u001b\u0001"+
-		"\u001b\u0001\u001c\u0001\u001c\u0001\u001d\u0001\u001d\u0001\u001e\u0001"+
-		"\u001e\u0001\u001f\u0001\u001f\u0001 \u0001 \u0001!\u0001!\u0001\"\u0001"+
-		"\"\u0001#\u0001#\u0001#\u0001#\u0003#\u00f7\b#\u0001$\u0001$\u0001$\u0000"+
-		"\u0000%\u0000\u0002\u0004\u0006\b\n\f\u000e\u0010\u0012\u0014\u0016\u0018"+
-		"\u001a\u001c\u001e \"$&(*,.02468:<>@BDFH\u0000\u0004\u0007\u0000\u0004"+
-		"\u0004\u0006\u0007\u000e\u000e\u0012\u0012\u0015\u0015\u0018\u0018!\""+
-		"\u0003\u0000\u0003\u0003\u0005\u0005\u001a\u001a\u0002\u0000\f\f\u0013"+
-		"\u0013\u0001\u0000\u0001&\u00f4\u0000J\u0001\u0000\u0000\u0000\u0002R"+
-		"\u0001\u0000\u0000\u0000\u0004T\u0001\u0000\u0000\u0000\u0006W\u0001\u0000"+
-		"\u0000\u0000\bZ\u0001\u0000\u0000\u0000\no\u0001\u0000\u0000\u0000\fv"+
-		"\u0001\u0000\u0000\u0000\u000ex\u0001\u0000\u0000\u0000\u0010\u007f\u0001"+
-		"\u0000\u0000\u0000\u0012\u0081\u0001\u0000\u0000\u0000\u0014\u0083\u0001"+
-		"\u0000\u0000\u0000\u0016\u008d\u0001\u0000\u0000\u0000\u0018\u008f\u0001"+
-		"\u0000\u0000\u0000\u001a\u0096\u0001\u0000\u0000\u0000\u001c\u009b\u0001"+
-		"\u0000\u0000\u0000\u001e\u00a6\u0001\u0000\u0000\u0000 \u00a8\u0001\u0000"+
-		"\u0000\u0000\"\u00ad\u0001\u0000\u0000\u0000$\u00bc\u0001\u0000\u0000"+
-		"\u0000&\u00c9\u0001\u0000\u0000\u0000(\u00cb\u0001\u0000\u0000\u0000*"+
-		"\u00cf\u0001\u0000\u0000\u0000,\u00d4\u0001\u0000\u0000\u0000.\u00d8\u0001"+
-		"\u0000\u0000\u00000\u00dc\u0001\u0000\u0000\u00002\u00de\u0001\u0000\u0000"+
-		"\u00004\u00e0\u0001\u0000\u0000\u00006\u00e2\u0001\u0000\u0000\u00008"+
-		"\u00e4\u0001\u0000\u0000\u0000:\u00e6\u0001\u0000\u0000\u0000<\u00e8\u0001"+
-		"\u0000\u0000\u0000>\u00ea\u0001\u0000\u0000\u0000@\u00ec\u0001\u0000\u0000"+
-		"\u0000B\u00ee\u0001\u0000\u0000\u0000D\u00f0\u0001\u0000\u0000\u0000F"+
-		"\u00f6\u0001\u0000\u0000\u0000H\u00f8\u0001\u0000\u0000\u0000JK\u0003"+
-		"\u0002\u0001\u0000KL\u0005\u0000\u0000\u0001L\u0001\u0001\u0000\u0000"+
-		"\u0000MS\u0003\b\u0004\u0000NS\u0003\u0014\n\u0000OS\u0003\u0016\u000b"+
-		"\u0000PS\u0003\u0004\u0002\u0000QS\u0003\u0006\u0003\u0000RM\u0001\u0000"+
-		"\u0000\u0000RN\u0001\u0000\u0000\u0000RO\u0001\u0000\u0000\u0000RP\u0001"+
-		"\u0000\u0000\u0000RQ\u0001\u0000\u0000\u0000S\u0003\u0001\u0000\u0000"+
-		"\u0000TU\u0005\u000b\u0000\u0000UV\u0003\u0016\u000b\u0000V\u0005\u0001"+
-		"\u0000\u0000\u0000WX\u0005%\u0000\u0000XY\u0003\b\u0004\u0000Y\u0007\u0001"+
-		"\u0000\u0000\u0000Zm\u0005\u001e\u0000\u0000[_\u0005\u001d\u0000\u0000"+
-		"\\^\u0003\f\u0006\u0000]\\\u0001\u0000\u0000\u0000^a\u0001\u0000\u0000"+
-		"\u0000_]\u0001\u0000\u0000\u0000_`\u0001\u0000\u0000\u0000`n\u0001\u0000"+
-		"\u0000\u0000a_\u0001\u0000\u0000\u0000bf\u0005#\u0000\u0000ce\u0003\u0010"+
-		"\b\u0000dc\u0001\u0000\u0000\u0000eh\u0001\u0000\u0000\u0000fd\u0001\u0000"+
-		"\u0000\u0000fg\u0001\u0000\u0000\u0000gn\u0001\u0000\u0000\u0000hf\u0001"+
-		"\u0000\u0000\u0000ik\u0003\n\u0005\u0000jl\u0003\u0012\t\u0000kj\u0001"+
-		"\u0000\u0000\u0000kl\u0001\u0000\u0000\u0000ln\u0001\u0000\u0000\u0000"+
-		"m[\u0001\u0000\u0000\u0000mb\u0001\u0000\u0000\u0000mi\u0001\u0000\u0000"+
-		"\u0000n\t\u0001\u0000\u0000\u0000op\u0007\u0000\u0000\u0000p\u000b\u0001"+
-		"\u0000\u0000\u0000qr\u0005\u0002\u0000\u0000rw\u0003\u000e\u0007\u0000"+
-		"st\u0005\r\u0000\u0000tw\u0003<\u001e\u0000uw\u0003\u0012\t\u0000vq\u0001"+
-		"\u0000\u0000\u0000vs\u0001\u0000\u0000\u0000vu\u0001\u0000\u0000\u0000"+
-		"w\r\u0001\u0000\u0000\u0000xy\u0007\u0001\u0000\u0000y\u000f\u0001\u0000"+
-		"\u0000\u0000z{\u0005\r\u0000\u0000{\u0080\u0003<\u001e\u0000|}\u0005\u0017"+
-		"\u0000\u0000}\u0080\u00038\u001c\u0000~\u0080\u0003\u0012\t\u0000\u007f"+
-		"z\u0001\u0000\u0000\u0000\u007f|\u0001\u0000\u0000\u0000\u007f~\u0001"+
-		"\u0000\u0000\u0000\u0080\u0011\u0001\u0000\u0000\u0000\u0081\u0082\u0005"+
-		"\n\u0000\u0000\u0082\u0013\u0001\u0000\u0000\u0000\u0083\u0084\u0005&"+
-		"\u0000\u0000\u0084\u0086\u00038\u001c\u0000\u0085\u0087\u0003\u0012\t"+
-		"\u0000\u0086\u0085\u0001\u0000\u0000\u0000\u0086\u0087\u0001\u0000\u0000"+
-		"\u0000\u0087\u0015\u0001\u0000\u0000\u0000\u0088\u008e\u0003\u0018\f\u0000"+
-		"\u0089\u008e\u0003(\u0014\u0000\u008a\u008e\u0003*\u0015\u0000\u008b\u008e"+
-		"\u0003,\u0016\u0000\u008c\u008e\u0003.\u0017\u0000\u008d\u0088\u0001\u0000"+
-		"\u0000\u0000\u008d\u0089\u0001\u0000\u0000\u0000\u008d\u008a\u0001\u0000"+
-		"\u0000\u0000\u008d\u008b\u0001\u0000\u0000\u0000\u008d\u008c\u0001\u0000"+
-		"\u0000\u0000\u008e\u0017\u0001\u0000\u0000\u0000\u008f\u0094\u0005\u001b"+
-		"\u0000\u0000\u0090\u0095\u0003\u001a\r\u0000\u0091\u0095\u0003\u001c\u000e"+
-		"\u0000\u0092\u0095\u0003 \u0010\u0000\u0093\u0095\u0003\"\u0011\u0000"+
-		"\u0094\u0090\u0001\u0000\u0000\u0000\u0094\u0091\u0001\u0000\u0000\u0000"+
-		"\u0094\u0092\u0001\u0000\u0000\u0000\u0094\u0093\u0001\u0000\u0000\u0000"+
-		"\u0095\u0019\u0001\u0000\u0000\u0000\u0096\u0097\u0005\u0005\u0000\u0000"+
-		"\u0097\u0098\u00030\u0018\u0000\u0098\u0099\u0005\u0014\u0000\u0000\u0099"+
-		"\u009a\u0003@ \u0000\u009a\u001b\u0001\u0000\u0000\u0000\u009b\u009c\u0005"+
-		"\u0001\u0000\u0000\u009c\u009e\u00030\u0018\u0000\u009d\u009f\u0003\u001e"+
-		"\u000f\u0000\u009e\u009d\u0001\u0000\u0000\u0000\u009f\u00a0\u0001\u0000"+
-		"\u0000\u0000\u00a0\u009e\u0001\u0000\u0000\u0000\u00a0\u00a1\u0001\u0000"+
-		"\u0000\u0000\u00a1\u001d\u0001\u0000\u0000\u0000\u00a2\u00a3\u0005\u001c"+
-		"\u0000\u0000\u00a3\u00a7\u0003>\u001f\u0000\u00a4\u00a5\u0005\u0018\u0000"+
-		"\u0000\u00a5\u00a7\u0003B!\u0000\u00a6\u00a2\u0001\u0000\u0000\u0000\u00a6"+
-		"\u00a4\u0001\u0000\u0000\u0000\u00a7\u001f\u0001\u0000\u0000\u0000\u00a8"+
-		"\u00a9\u0005\u000f\u0000\u0000\u00a9\u00aa\u00032\u0019\u0000\u00aa\u00ab"+
-		"\u0005\u001f\u0000\u0000\u00ab\u00ac\u0003D\"\u0000\u00ac!\u0001\u0000"+
-		"\u0000\u0000\u00ad\u00ae\u0005\u0019\u0000\u0000\u00ae\u00b0\u0003:\u001d"+
-		"\u0000\u00af\u00b1\u0003$\u0012\u0000\u00b0\u00af\u0001\u0000\u0000\u0000"+
-		"\u00b0\u00b1\u0001\u0000\u0000\u0000\u00b1\u00b2\u0001\u0000\u0000\u0000"+
-		"\u00b2\u00b3\u0005\u001a\u0000\u0000\u00b3\u00b4\u00032\u0019\u0000\u00b4"+
-		"\u00b5\u0005\u0005\u0000\u0000\u00b5\u00b9\u00030\u0018\u0000\u00b6\u00b8"+
-		"\u0003&\u0013\u0000\u00b7\u00b6\u0001\u0000\u0000\u0000\u00b8\u00bb\u0001"+
-		"\u0000\u0000\u0000\u00b9\u00b7\u0001\u0000\u0000\u0000\u00b9\u00ba\u0001"+
-		"\u0000\u0000\u0000\u00ba#\u0001\u0000\u0000\u0000\u00bb\u00b9\u0001\u0000"+
-		"\u0000\u0000\u00bc\u00bd\u0005\u0011\u0000\u0000\u00bd\u00c2\u00036\u001b"+
-		"\u0000\u00be\u00bf\u0005,\u0000\u0000\u00bf\u00c1\u00036\u001b\u0000\u00c0"+
-		"\u00be\u0001\u0000\u0000\u0000\u00c1\u00c4\u0001\u0000\u0000\u0000\u00c2"+
-		"\u00c0\u0001\u0000\u0000\u0000\u00c2\u00c3\u0001\u0000\u0000\u0000\u00c3"+
-		"%\u0001\u0000\u0000\u0000\u00c4\u00c2\u0001\u0000\u0000\u0000\u00c5\u00ca"+
-		"\u0005\f\u0000\u0000\u00c6\u00ca\u0005\u0013\u0000\u0000\u00c7\u00c8\u0005"+
-		"\b\u0000\u0000\u00c8\u00ca\u0003<\u001e\u0000\u00c9\u00c5\u0001\u0000"+
-		"\u0000\u0000\u00c9\u00c6\u0001\u0000\u0000\u0000\u00c9\u00c7\u0001\u0000"+
-		"\u0000\u0000\u00ca\'\u0001\u0000\u0000\u0000\u00cb\u00cc\u0005\u0016\u0000"+
-		"\u0000\u00cc\u00cd\u0005\u0019\u0000\u0000\u00cd\u00ce\u0003:\u001d\u0000"+
-		"\u00ce)\u0001\u0000\u0000\u0000\u00cf\u00d0\u0005\u0010\u0000\u0000\u00d0"+
-		"\u00d1\u0005\u0019\u0000\u0000\u00d1\u00d2\u0003:\u001d\u0000\u00d2\u00d3"+
-		"\u0007\u0002\u0000\u0000\u00d3+\u0001\u0000\u0000\u0000\u00d4\u00d5\u0005"+
-		"\t\u0000\u0000\u00d5\u00d6\u0005 \u0000\u0000\u00d6\u00d7\u00034\u001a"+
-		"\u0000\u00d7-\u0001\u0000\u0000\u0000\u00d8\u00d9\u0005$\u0000\u0000\u00d9"+
-		"\u00da\u0005 \u0000\u0000\u00da\u00db\u00034\u001a\u0000\u00db/\u0001"+
-		"\u0000\u0000\u0000\u00dc\u00dd\u0003F#\u0000\u00dd1\u0001\u0000\u0000"+
-		"\u0000\u00de\u00df\u0003F#\u0000\u00df3\u0001\u0000\u0000\u0000\u00e0"+
-		"\u00e1\u0003F#\u0000\u00e15\u0001\u0000\u0000\u0000\u00e2\u00e3\u0005"+
-		"*\u0000\u0000\u00e37\u0001\u0000\u0000\u0000\u00e4\u00e5\u0005*\u0000"+
-		"\u0000\u00e59\u0001\u0000\u0000\u0000\u00e6\u00e7\u0005+\u0000\u0000\u00e7"+
-		";\u0001\u0000\u0000\u0000\u00e8\u00e9\u0005(\u0000\u0000\u00e9=\u0001"+
-		"\u0000\u0000\u0000\u00ea\u00eb\u0005)\u0000\u0000\u00eb?\u0001\u0000\u0000"+
-		"\u0000\u00ec\u00ed\u0005\'\u0000\u0000\u00edA\u0001\u0000\u0000\u0000"+
-		"\u00ee\u00ef\u0005\'\u0000\u0000\u00efC\u0001\u0000\u0000\u0000\u00f0"+
-		"\u00f1\u0005\'\u0000\u0000\u00f1E\u0001\u0000\u0000\u0000\u00f2\u00f7"+
-		"\u0005*\u0000\u0000\u00f3\u00f7\u0005\'\u0000\u0000\u00f4\u00f7\u0005"+
-		"(\u0000\u0000\u00f5\u00f7\u0003H$\u0000\u00f6\u00f2\u0001\u0000\u0000"+
-		"\u0000\u00f6\u00f3\u0001\u0000\u0000\u0000\u00f6\u00f4\u0001\u0000\u0000"+
-		"\u0000\u00f6\u00f5\u0001\u0000\u0000\u0000\u00f7G\u0001\u0000\u0000\u0000"+
-		"\u00f8\u00f9\u0007\u0003\u0000\u0000\u00f9I\u0001\u0000\u0000\u0000\u0011"+
-		"R_fkmv\u007f\u0086\u008d\u0094\u00a0\u00a6\u00b0\u00b9\u00c2\u00c9\u00f6";
+		"\u0006\u0001\u0006\u0003\u0006\u0081\b\u0006\u0001\u0007\u0001\u0007\u0001"+
+		"\b\u0001\b\u0001\b\u0001\b\u0001\b\u0003\b\u008a\b\b\u0001\t\u0001\t\u0001"+
+		"\n\u0001\n\u0001\n\u0003\n\u0091\b\n\u0001\u000b\u0001\u000b\u0001\u000b"+
+		"\u0003\u000b\u0096\b\u000b\u0001\u000b\u0003\u000b\u0099\b\u000b\u0001"+
+		"\u000b\u0001\u000b\u0001\u000b\u0003\u000b\u009e\b\u000b\u0001\f\u0001"+
+		"\f\u0001\f\u0001\f\u0001\f\u0001\r\u0001\r\u0001\r\u0001\r\u0001\r\u0003"+
+		"\r\u00aa\b\r\u0001\u000e\u0001\u000e\u0001\u000e\u0001\u000e\u0001\u000e"+
+		"\u0001\u000f\u0001\u000f\u0001\u000f\u0004\u000f\u00b4\b\u000f\u000b\u000f"+
+		"\f\u000f\u00b5\u0001\u0010\u0001\u0010\u0001\u0010\u0001\u0010\u0003\u0010"+
+		"\u00bc\b\u0010\u0001\u0011\u0001\u0011\u0001\u0011\u0001\u0011\u0001\u0011"+
+		"\u0001\u0012\u0001\u0012\u0001\u0012\u0003\u0012\u00c6\b\u0012\u0001\u0012"+
+		"\u0001\u0012\u0001\u0012\u0003\u0012\u00cb\b\u0012\u0001\u0013\u0003\u0013"+
+		"\u00ce\b\u0013\u0001\u0013\u0001\u0013\u0001\u0013\u0005\u0013\u00d3\b"+
+		"\u0013\n\u0013\f\u0013\u00d6\t\u0013\u0001\u0014\u0001\u0014\u0001\u0014"+
+		"\u0001\u0014\u0001\u0014\u0005\u0014\u00dd\b\u0014\n\u0014\f\u0014\u00e0"+
+		"\t\u0014\u0001\u0015\u0001\u0015\u0001\u0015\u0001\u0015\u0001\u0015\u0001"+
+		"\u0015\u0003\u0015\u00e8\b\u0015\u0001\u0016\u0001\u0016\u0001\u0016\u0001"+
+		"\u0016\u0003\u0016\u00ee\b\u0016\u0001\u0017\u0001\u0017\u0001\u0017\u0001"+
+		"\u0017\u0003\u0017\u00f4\b\u0017\u0001\u0017\u0001\u0017\u0001\u0018\u0001"+
+		"\u0018\u0001\u0018\u0001\u0019\u0001\u0019\u0001\u0019\u0001\u0019\u0001"+
+		"\u001a\u0001\u001a\u0001\u001a\u0001\u001a\u0001\u001b\u0001\u001b\u0001"+
+		"\u001c\u0001\u001c\u0001\u001d\u0001\u001d\u0001\u001e\u0001\u001e\u0001"+
+		"\u001f\u0001\u001f\u0001 \u0001 \u0001!\u0001!\u0001\"\u0001\"\u0001#"+
+		"\u0001#\u0001$\u0001$\u0001%\u0001%\u0001&\u0001&\u0001\'\u0001\'\u0001"+
+		"(\u0001(\u0001(\u0001(\u0001(\u0003(\u0122\b(\u0001)\u0001)\u0001)\u0000"+
+		"\u0000*\u0000\u0002\u0004\u0006\b\n\f\u000e\u0010\u0012\u0014\u0016\u0018"+
+		"\u001a\u001c\u001e \"$&(*,.02468:<>@BDFHJLNPR\u0000\u0005\u0007\u0000"+
+		"\u0005\u0005\u0007\b\u000f\u000f\u0013\u0013\u0017\u0017\u001b\u001b$"+
+		"%\u0003\u0000\u0004\u0004\u0006\u0006\u001d\u001d\u0002\u0000\r\r\u0014"+
+		"\u0014\u0001\u0000-.\u0001\u0000\u0001*\u0122\u0000T\u0001\u0000\u0000"+
+		"\u0000\u0002\\\u0001\u0000\u0000\u0000\u0004^\u0001\u0000\u0000\u0000"+
+		"\u0006a\u0001\u0000\u0000\u0000\bd\u0001\u0000\u0000\u0000\ny\u0001\u0000"+
+		"\u0000\u0000\f\u0080\u0001\u0000\u0000\u0000\u000e\u0082\u0001\u0000\u0000"+
+		"\u0000\u0010\u0089\u0001\u0000\u0000\u0000\u0012\u008b\u0001\u0000\u0000"+
+		"\u0000\u0014\u008d\u0001\u0000\u0000\u0000\u0016\u009d\u0001\u0000\u0000"+
+		"\u0000\u0018\u009f\u0001\u0000\u0000\u0000\u001a\u00a4\u0001\u0000\u0000"+
+		"\u0000\u001c\u00ab\u0001\u0000\u0000\u0000\u001e\u00b0\u0001\u0000\u0000"+
+		"\u0000 \u00bb\u0001\u0000\u0000\u0000\"\u00bd\u0001\u0000\u0000\u0000"+
+		"$\u00c2\u0001\u0000\u0000\u0000&\u00cd\u0001\u0000\u0000\u0000(\u00d7"+
+		"\u0001\u0000\u0000\u0000*\u00e7\u0001\u0000\u0000\u0000,\u00e9\u0001\u0000"+
+		"\u0000\u0000.\u00ef\u0001\u0000\u0000\u00000\u00f7\u0001\u0000\u0000\u0000"+
+		"2\u00fa\u0001\u0000\u0000\u00004\u00fe\u0001\u0000\u0000\u00006\u0102"+
+		"\u0001\u0000\u0000\u00008\u0104\u0001\u0000\u0000\u0000:\u0106\u0001\u0000"+
+		"\u0000\u0000<\u0108\u0001\u0000\u0000\u0000>\u010a\u0001\u0000\u0000\u0000"+
+		"@\u010c\u0001\u0000\u0000\u0000B\u010e\u0001\u0000\u0000\u0000D\u0110"+
+		"\u0001\u0000\u0000\u0000F\u0112\u0001\u0000\u0000\u0000H\u0114\u0001\u0000"+
+		"\u0000\u0000J\u0116\u0001\u0000\u0000\u0000L\u0118\u0001\u0000\u0000\u0000"+
+		"N\u011a\u0001\u0000\u0000\u0000P\u0121\u0001\u0000\u0000\u0000R\u0123"+
+		"\u0001\u0000\u0000\u0000TU\u0003\u0002\u0001\u0000UV\u0005\u0000\u0000"+
+		"\u0001V\u0001\u0001\u0000\u0000\u0000W]\u0003\b\u0004\u0000X]\u0003\u0014"+
+		"\n\u0000Y]\u0003\u0016\u000b\u0000Z]\u0003\u0004\u0002\u0000[]\u0003\u0006"+
+		"\u0003\u0000\\W\u0001\u0000\u0000\u0000\\X\u0001\u0000\u0000\u0000\\Y"+
+		"\u0001\u0000\u0000\u0000\\Z\u0001\u0000\u0000\u0000\\[\u0001\u0000\u0000"+
+		"\u0000]\u0003\u0001\u0000\u0000\u0000^_\u0005\f\u0000\u0000_`\u0003\u0016"+
+		"\u000b\u0000`\u0005\u0001\u0000\u0000\u0000ab\u0005)\u0000\u0000bc\u0003"+
+		"\b\u0004\u0000c\u0007\u0001\u0000\u0000\u0000dw\u0005!\u0000\u0000ei\u0005"+
+		" \u0000\u0000fh\u0003\f\u0006\u0000gf\u0001\u0000\u0000\u0000hk\u0001"+
+		"\u0000\u0000\u0000ig\u0001\u0000\u0000\u0000ij\u0001\u0000\u0000\u0000"+
+		"jx\u0001\u0000\u0000\u0000ki\u0001\u0000\u0000\u0000lp\u0005&\u0000\u0000"+
+		"mo\u0003\u0010\b\u0000nm\u0001\u0000\u0000\u0000or\u0001\u0000\u0000\u0000"+
+		"pn\u0001\u0000\u0000\u0000pq\u0001\u0000\u0000\u0000qx\u0001\u0000\u0000"+
+		"\u0000rp\u0001\u0000\u0000\u0000su\u0003\n\u0005\u0000tv\u0003\u0012\t"+
+		"\u0000ut\u0001\u0000\u0000\u0000uv\u0001\u0000\u0000\u0000vx\u0001\u0000"+
+		"\u0000\u0000we\u0001\u0000\u0000\u0000wl\u0001\u0000\u0000\u0000ws\u0001"+
+		"\u0000\u0000\u0000x\t\u0001\u0000\u0000\u0000yz\u0007\u0000\u0000\u0000"+
+		"z\u000b\u0001\u0000\u0000\u0000{|\u0005\u0003\u0000\u0000|\u0081\u0003"+
+		"\u000e\u0007\u0000}~\u0005\u000e\u0000\u0000~\u0081\u0003D\"\u0000\u007f"+
+		"\u0081\u0003\u0012\t\u0000\u0080{\u0001\u0000\u0000\u0000\u0080}\u0001"+
+		"\u0000\u0000\u0000\u0080\u007f\u0001\u0000\u0000\u0000\u0081\r\u0001\u0000"+
+		"\u0000\u0000\u0082\u0083\u0007\u0001\u0000\u0000\u0083\u000f\u0001\u0000"+
+		"\u0000\u0000\u0084\u0085\u0005\u000e\u0000\u0000\u0085\u008a\u0003D\""+
+		"\u0000\u0086\u0087\u0005\u0019\u0000\u0000\u0087\u008a\u0003@ \u0000\u0088"+
+		"\u008a\u0003\u0012\t\u0000\u0089\u0084\u0001\u0000\u0000\u0000\u0089\u0086"+
+		"\u0001\u0000\u0000\u0000\u0089\u0088\u0001\u0000\u0000\u0000\u008a\u0011"+
+		"\u0001\u0000\u0000\u0000\u008b\u008c\u0005\u000b\u0000\u0000\u008c\u0013"+
+		"\u0001\u0000\u0000\u0000\u008d\u008e\u0005*\u0000\u0000\u008e\u0090\u0003"+
+		"@ \u0000\u008f\u0091\u0003\u0012\t\u0000\u0090\u008f\u0001\u0000\u0000"+
+		"\u0000\u0090\u0091\u0001\u0000\u0000\u0000\u0091\u0015\u0001\u0000\u0000"+
+		"\u0000\u0092\u0096\u0003\u001a\r\u0000\u0093\u0096\u0003,\u0016\u0000"+
+		"\u0094\u0096\u0003.\u0017\u0000\u0095\u0092\u0001\u0000\u0000\u0000\u0095"+
+		"\u0093\u0001\u0000\u0000\u0000\u0095\u0094\u0001\u0000\u0000\u0000\u0096"+
+		"\u0098\u0001\u0000\u0000\u0000\u0097\u0099\u0003\u0018\f\u0000\u0098\u0097"+
+		"\u0001\u0000\u0000\u0000\u0098\u0099\u0001\u0000\u0000\u0000\u0099\u009e"+
+		"\u0001\u0000\u0000\u0000\u009a\u009e\u00030\u0018\u0000\u009b\u009e\u0003"+
+		"2\u0019\u0000\u009c\u009e\u00034\u001a\u0000\u009d\u0095\u0001\u0000\u0000"+
+		"\u0000\u009d\u009a\u0001\u0000\u0000\u0000\u009d\u009b\u0001\u0000\u0000"+
+		"\u0000\u009d\u009c\u0001\u0000\u0000\u0000\u009e\u0017\u0001\u0000\u0000"+
+		"\u0000\u009f\u00a0\u0005\u0001\u0000\u0000\u00a0\u00a1\u0005\u0015\u0000"+
+		"\u0000\u00a1\u00a2\u0005(\u0000\u0000\u00a2\u00a3\u0003N\'\u0000\u00a3"+
+		"\u0019\u0001\u0000\u0000\u0000\u00a4\u00a9\u0005\u001e\u0000\u0000\u00a5"+
+		"\u00aa\u0003\u001c\u000e\u0000\u00a6\u00aa\u0003\u001e\u000f\u0000\u00a7"+
+		"\u00aa\u0003\"\u0011\u0000\u00a8\u00aa\u0003$\u0012\u0000\u00a9\u00a5"+
+		"\u0001\u0000\u0000\u0000\u00a9\u00a6\u0001\u0000\u0000\u0000\u00a9\u00a7"+
+		"\u0001\u0000\u0000\u0000\u00a9\u00a8\u0001\u0000\u0000\u0000\u00aa\u001b"+
+		"\u0001\u0000\u0000\u0000\u00ab\u00ac\u0005\u0006\u0000\u0000\u00ac\u00ad"+
+		"\u00036\u001b\u0000\u00ad\u00ae\u0005\u0016\u0000\u0000\u00ae\u00af\u0003"+
+		"H$\u0000\u00af\u001d\u0001\u0000\u0000\u0000\u00b0\u00b1\u0005\u0002\u0000"+
+		"\u0000\u00b1\u00b3\u00038\u001c\u0000\u00b2\u00b4\u0003 \u0010\u0000\u00b3"+
+		"\u00b2\u0001\u0000\u0000\u0000\u00b4\u00b5\u0001\u0000\u0000\u0000\u00b5"+
+		"\u00b3\u0001\u0000\u0000\u0000\u00b5\u00b6\u0001\u0000\u0000\u0000\u00b6"+
+		"\u001f\u0001\u0000\u0000\u0000\u00b7\u00b8\u0005\u001f\u0000\u0000\u00b8"+
+		"\u00bc\u0003F#\u0000\u00b9\u00ba\u0005\u001b\u0000\u0000\u00ba\u00bc\u0003"+
+		"J%\u0000\u00bb\u00b7\u0001\u0000\u0000\u0000\u00bb\u00b9\u0001\u0000\u0000"+
+		"\u0000\u00bc!\u0001\u0000\u0000\u0000\u00bd\u00be\u0005\u0010\u0000\u0000"+
+		"\u00be\u00bf\u0003:\u001d\u0000\u00bf\u00c0\u0005\"\u0000\u0000\u00c0"+
+		"\u00c1\u0003L&\u0000\u00c1#\u0001\u0000\u0000\u0000\u00c2\u00c3\u0005"+
+		"\u001c\u0000\u0000\u00c3\u00c5\u0003B!\u0000\u00c4\u00c6\u0003&\u0013"+
+		"\u0000\u00c5\u00c4\u0001\u0000\u0000\u0000\u00c5\u00c6\u0001\u0000\u0000"+
+		"\u0000\u00c6\u00ca\u0001\u0000\u0000\u0000\u00c7\u00cb\u0003(\u0014\u0000"+
+		"\u00c8\u00c9\u0005\t\u0000\u0000\u00c9\u00cb\u0003D\"\u0000\u00ca\u00c7"+
+		"\u0001\u0000\u0000\u0000\u00ca\u00c8\u0001\u0000\u0000\u0000\u00cb%\u0001"+
+		"\u0000\u0000\u0000\u00cc\u00ce\u0005\u0012\u0000\u0000\u00cd\u00cc\u0001"+
+		"\u0000\u0000\u0000\u00cd\u00ce\u0001\u0000\u0000\u0000\u00ce\u00cf\u0001"+
+		"\u0000\u0000\u0000\u00cf\u00d4\u0003>\u001f\u0000\u00d0\u00d1\u00051\u0000"+
+		"\u0000\u00d1\u00d3\u0003>\u001f\u0000\u00d2\u00d0\u0001\u0000\u0000\u0000"+
+		"\u00d3\u00d6\u0001\u0000\u0000\u0000\u00d4\u00d2\u0001\u0000\u0000\u0000"+
+		"\u00d4\u00d5\u0001\u0000\u0000\u0000\u00d5\'\u0001\u0000\u0000\u0000\u00d6"+
+		"\u00d4\u0001\u0000\u0000\u0000\u00d7\u00d8\u0005\u001d\u0000\u0000\u00d8"+
+		"\u00d9\u0003:\u001d\u0000\u00d9\u00da\u0005\u0006\u0000\u0000\u00da\u00de"+
+		"\u00036\u001b\u0000\u00db\u00dd\u0003*\u0015\u0000\u00dc\u00db\u0001\u0000"+
+		"\u0000\u0000\u00dd\u00e0\u0001\u0000\u0000\u0000\u00de\u00dc\u0001\u0000"+
+		"\u0000\u0000\u00de\u00df\u0001\u0000\u0000\u0000\u00df)\u0001\u0000\u0000"+
+		"\u0000\u00e0\u00de\u0001\u0000\u0000\u0000\u00e1\u00e8\u0005\r\u0000\u0000"+
+		"\u00e2\u00e8\u0005\u0014\u0000\u0000\u00e3\u00e4\u0005\t\u0000\u0000\u00e4"+
+		"\u00e8\u0003D\"\u0000\u00e5\u00e6\u0005\u0002\u0000\u0000\u00e6\u00e8"+
+		"\u00038\u001c\u0000\u00e7\u00e1\u0001\u0000\u0000\u0000\u00e7\u00e2\u0001"+
+		"\u0000\u0000\u0000\u00e7\u00e3\u0001\u0000\u0000\u0000\u00e7\u00e5\u0001"+
+		"\u0000\u0000\u0000\u00e8+\u0001\u0000\u0000\u0000\u00e9\u00ea\u0005\u0018"+
+		"\u0000\u0000\u00ea\u00eb\u0005\u001c\u0000\u0000\u00eb\u00ed\u0003B!\u0000"+
+		"\u00ec\u00ee\u0003&\u0013\u0000\u00ed\u00ec\u0001\u0000\u0000\u0000\u00ed"+
+		"\u00ee\u0001\u0000\u0000\u0000\u00ee-\u0001\u0000\u0000\u0000\u00ef\u00f0"+
+		"\u0005\u0011\u0000\u0000\u00f0\u00f1\u0005\u001c\u0000\u0000\u00f1\u00f3"+
+		"\u0003B!\u0000\u00f2\u00f4\u0003&\u0013\u0000\u00f3\u00f2\u0001\u0000"+
+		"\u0000\u0000\u00f3\u00f4\u0001\u0000\u0000\u0000\u00f4\u00f5\u0001\u0000"+
+		"\u0000\u0000\u00f5\u00f6\u0007\u0002\u0000\u0000\u00f6/\u0001\u0000\u0000"+
+		"\u0000\u00f7\u00f8\u0005\u001a\u0000\u0000\u00f8\u00f9\u0005\u0007\u0000"+
+		"\u0000\u00f91\u0001\u0000\u0000\u0000\u00fa\u00fb\u0005\n\u0000\u0000"+
+		"\u00fb\u00fc\u0005#\u0000\u0000\u00fc\u00fd\u0003<\u001e\u0000\u00fd3"+
+		"\u0001\u0000\u0000\u0000\u00fe\u00ff\u0005\'\u0000\u0000\u00ff\u0100\u0005"+
+		"#\u0000\u0000\u0100\u0101\u0003<\u001e\u0000\u01015\u0001\u0000\u0000"+
+		"\u0000\u0102\u0103\u0003P(\u0000\u01037\u0001\u0000\u0000\u0000\u0104"+
+		"\u0105\u0003P(\u0000\u01059\u0001\u0000\u0000\u0000\u0106\u0107\u0003"+
+		"P(\u0000\u0107;\u0001\u0000\u0000\u0000\u0108\u0109\u0003P(\u0000\u0109"+
+		"=\u0001\u0000\u0000\u0000\u010a\u010b\u0005/\u0000\u0000\u010b?\u0001"+
+		"\u0000\u0000\u0000\u010c\u010d\u0005/\u0000\u0000\u010dA\u0001\u0000\u0000"+
+		"\u0000\u010e\u010f\u00050\u0000\u0000\u010fC\u0001\u0000\u0000\u0000\u0110"+
+		"\u0111\u0005,\u0000\u0000\u0111E\u0001\u0000\u0000\u0000\u0112\u0113\u0007"+
+		"\u0003\u0000\u0000\u0113G\u0001\u0000\u0000\u0000\u0114\u0115\u0005+\u0000"+
+		"\u0000\u0115I\u0001\u0000\u0000\u0000\u0116\u0117\u0005+\u0000\u0000\u0117"+
+		"K\u0001\u0000\u0000\u0000\u0118\u0119\u0005+\u0000\u0000\u0119M\u0001"+
+		"\u0000\u0000\u0000\u011a\u011b\u0005+\u0000\u0000\u011bO\u0001\u0000\u0000"+
+		"\u0000\u011c\u0122\u0005/\u0000\u0000\u011d\u0122\u0005+\u0000\u0000\u011e"+
+		"\u0122\u0005-\u0000\u0000\u011f\u0122\u0005,\u0000\u0000\u0120\u0122\u0003"+
+		"R)\u0000\u0121\u011c\u0001\u0000\u0000\u0000\u0121\u011d\u0001\u0000\u0000"+
+		"\u0000\u0121\u011e\u0001\u0000\u0000\u0000\u0121\u011f\u0001\u0000\u0000"+
+		"\u0000\u0121\u0120\u0001\u0000\u0000\u0000\u0122Q\u0001\u0000\u0000\u0000"+
+		"\u0123\u0124\u0007\u0004\u0000\u0000\u0124S\u0001\u0000\u0000\u0000\u0017"+
+		"\\ipuw\u0080\u0089\u0090\u0095\u0098\u009d\u00a9\u00b5\u00bb\u00c5\u00ca"+
+		"\u00cd\u00d4\u00de\u00e7\u00ed\u00f3\u0121";
 	public static final ATN _ATN =
 		new ATNDeserializer().deserialize(_serializedATN.toCharArray());
 	static {
--- a/src/main/java/io/beryldock/configuration/ConfigurationJson.java
+++ b/src/main/java/io/beryldock/configuration/ConfigurationJson.java
@@ -71,6 +71,7 @@
         } else if (setting instanceof DrainSetting drain) {
             node.put("node", drain.node().value());
         } else if (setting instanceof OpaqueSetting opaque) {
+            node.put("kind", opaque.kind());
             node.put("name", opaque.name());
             node.put(
                     "content",
@@ -146,6 +147,6 @@
 
     private static OpaqueSetting opaque(JsonNode node) {
         byte[] content = Base64.getDecoder().decode(node.path("content").asText());
-        return new OpaqueSetting(node.path("name").asText(), ByteString.copyFrom(content));
+        return new OpaqueSetting(integer(node, "kind"), node.path("name").asText(), ByteString.copyFrom(content));
     }
 }
--- /dev/null
+++ b/src/main/java/io/beryldock/node/NodeLedgers.java
@@ -0,0 +1,37 @@
+package io.beryldock.node;
+
+import io.beryldock.command.QueryTable;
+import io.beryldock.command.ShowColumns;
+import io.beryldock.forwarding.RetryTally;
+import io.beryldock.quarantine.Quarantine;
+
+/** Shows operators the node's records of retries and quarantine. Thread safe. */
+record NodeLedgers(RetryTally retryTally, Quarantine quarantineTable) {
+
+    QueryTable retries() {
+        QueryTable.Builder table = QueryTable.builder(ShowColumns.RETRIES);
+        retryTally
+                .rows()
+                .forEach((pair, counts) -> table.row(
+                        pair.caller().value(),
+                        pair.service().value(),
+                        counts.firstTries(),
+                        counts.granted(),
+                        counts.refused()));
+        return table.build();
+    }
+
+    QueryTable quarantine() {
+        QueryTable.Builder table = QueryTable.builder(ShowColumns.QUARANTINE);
+        quarantineTable
+                .snapshot()
+                .forEach(request -> table.row(
+                        request.fingerprint().toString(),
+                        null,
+                        null,
+                        request.crashes(),
+                        request.verdict().name(),
+                        request.remaining().toMillis()));
+        return table.build();
+    }
+}
--- a/src/main/java/io/beryldock/node/NodeProcess.java
+++ b/src/main/java/io/beryldock/node/NodeProcess.java
@@ -1,18 +1,22 @@
 package io.beryldock.node;
 
-import com.codahale.metrics.health.HealthCheck;
 import com.google.common.collect.ImmutableMap;
 import com.google.inject.Guice;
 import com.google.inject.Injector;
 import io.beryldock.call.DataCentre;
 import io.beryldock.call.Incarnation;
 import io.beryldock.call.NodeId;
+import io.beryldock.command.OperatorService;
 import io.beryldock.configuration.ConfigurationSync;
-import io.beryldock.forwarding.EntryService;
+import io.beryldock.forwarding.JoiningRequestHandler;
 import io.beryldock.forwarding.TargetExecutor;
 import io.beryldock.http.HttpPorts;
 import io.beryldock.http.NodeHttpServer;
+import io.beryldock.http.OperatorAccess;
+import io.beryldock.http.OperatorServlet;
 import io.beryldock.http.ServerStartException;
+import io.beryldock.idempotency.KeyedRequests;
+import io.beryldock.idempotency.TicketRefusedException;
 import io.beryldock.membership.MembershipService;
 import io.beryldock.membership.NodeDescriptor;
 import io.beryldock.peer.NettyPeerTransport;
@@ -27,6 +31,7 @@
 import io.beryldock.time.TimerService;
 import io.beryldock.timeline.EventKind;
 import io.beryldock.timeline.EventRing;
+import io.prometheus.metrics.exporter.servlet.jakarta.PrometheusMetricsServlet;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.nio.file.Path;
@@ -39,6 +44,7 @@
 
     private static final Duration STORE_TIMEOUT = Duration.ofSeconds(1);
     private static final int OWN_IO_THREADS = 2;
+    private static final String METRICS_PATH = "/metrics";
 
     private NodeProcess() {}
 
@@ -69,27 +75,51 @@
         PlatformStore store = store(settings, controlTimers.on(shared.traffic()));
         Injector injector = Guice.createInjector(
                 new NodeModule(settings, self, control, controlTimers, transport, events, store),
+                new KeyedModule(),
+                new OperatorModule(),
                 new TrafficModule(shared, controlTimers.on(shared.traffic())));
         injector.getInstance(TargetExecutor.class);
-        NodeHttpServer http = NodeHttpServer.start(settings, httpPorts(injector, control));
+        NodeHttpServer http = NodeHttpServer.start(settings, httpPorts(settings, injector, control));
         control.run(() -> startControl(injector));
         events.record(EventKind.NODE_STARTED, settings.id(), "callers at " + http.callersAddress());
-        return new RunningNode(injector, http, control, controlTimers, store, Optional.empty());
+        return new RunningNode(settings, injector, http, store, Optional.empty());
     }
 
     private static void startControl(Injector injector) {
         injector.getInstance(MembershipService.class).start();
         injector.getInstance(ConfigurationSync.class).start();
+        injector.getInstance(NodeFailureWatch.class).start();
+        injector.getInstance(QuarantineSpreader.class).start(injector.getInstance(TimerService.class));
     }
 
-    private static HttpPorts httpPorts(Injector injector, ControlLoop control) {
+    private static HttpPorts httpPorts(NodeSettings settings, Injector injector, ControlLoop control)
+            throws SettingsException {
         TargetAnnouncements announcements = injector.getInstance(TargetAnnouncements.class);
+        KeyedRequests keyed = injector.getInstance(KeyedRequests.class);
         return new HttpPorts(
-                injector.getInstance(EntryService.class),
+                injector.getInstance(JoiningRequestHandler.class),
                 announcement -> control.execute(() -> announcements.announce(announcement)),
-                () -> CompletableFuture.completedFuture(Optional.empty()),
-                new AliveHealthCheck(),
-                ImmutableMap.of());
+                () -> CompletableFuture.supplyAsync(() -> mint(keyed), control),
+                injector.getInstance(NodeHealth.class),
+                ImmutableMap.of(
+                        OperatorServlet.PATH,
+                        operatorServlet(settings, injector),
+                        METRICS_PATH,
+                        new PrometheusMetricsServlet(
+                                injector.getInstance(NodeMetrics.class).registry())));
+    }
+
+    private static OperatorServlet operatorServlet(NodeSettings settings, Injector injector) throws SettingsException {
+        OperatorService operators = injector.getInstance(OperatorService.class);
+        return new OperatorServlet(operators, OperatorAccess.of(settings.admin().token()));
+    }
+
+    private static Optional<String> mint(KeyedRequests keyed) {
+        try {
+            return Optional.of(keyed.tickets().own().mint().toString());
+        } catch (TicketRefusedException e) {
+            return Optional.empty();
+        }
     }
 
     private static PeerTransportSettings peerSettings(NodeSettings settings) throws SettingsException {
@@ -114,12 +144,4 @@
         }
         return HttpPlatformStore.start(URI.create(settings.platform().url()), STORE_TIMEOUT, timers);
     }
-
-    /** The node answers for as long as its process runs. */
-    private static final class AliveHealthCheck extends HealthCheck {
-        @Override
-        protected Result check() {
-            return Result.healthy();
-        }
-    }
 }
--- a/src/test/java/io/beryldock/admission/ChainSimulation.java
+++ b/src/test/java/io/beryldock/admission/ChainSimulation.java
@@ -11,6 +11,7 @@
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.DoubleUnaryOperator;
+import org.HdrHistogram.Histogram;
 
 /**
  * A queueing model of a chain of services with gates and doors on injected time, to measure the algorithms alone.
@@ -33,6 +34,7 @@
     private final long[] asked = new long[8];
     private final long[] answered = new long[8];
     private final long[] atDoor = new long[8];
+    private final Histogram rank0 = new Histogram(3);
     private double usedNanos;
     private double wastedNanos;
     private long good;
@@ -42,6 +44,8 @@
      *
      * @param demand requests a second by the second of the run
      * @param slowness factor of the last service's time by the second of the run
+     * @param announced slots that a target announces as a multiple of those it has, 0 for none
+     * @param refuseAbove the targets refuse requests when that many are inside
      * @param from start of the part of the run that is counted
      */
     record Setup(
@@ -52,7 +56,8 @@
             int entries,
             boolean door,
             GateSettings gate,
-            boolean announced,
+            double announced,
+            int refuseAbove,
             DoubleUnaryOperator demand,
             DoubleUnaryOperator slowness,
             double from,
@@ -62,16 +67,18 @@
         double capacity() {
             double bound = Double.MAX_VALUE;
             double held = 0;
+            int visits = stages.stream().mapToInt(Stage::calls).reduce(1, (a, b) -> a * b);
             for (Stage stage : stages.reverse()) {
-                held += stage.millis() + (held == 0 ? 0 : 2);
-                bound = Math.min(bound, instances * stage.slots() * 1e3 / held);
+                held = stage.millis() + (held == 0 ? 0 : stage.calls() * (held + 2));
+                visits /= stage.calls();
+                bound = Math.min(bound, instances * stage.slots() * 1e3 / held / visits);
             }
             return bound;
         }
     }
 
-    /** A service of the chain: the slots of each instance and the mean time that it works itself. */
-    record Stage(int slots, double millis) {}
+    /** A service of the chain: the slots of each instance and the mean time that it works itself, the calls that it makes. */
+    record Stage(int slots, double millis, int calls) {}
 
     /** What came out. */
     record Result(
@@ -81,6 +88,7 @@
             double answeredRank3,
             double answeredRank6,
             double shedAtDoor,
+            double rank0P99Millis,
             double recoverySeconds,
             int broken) {}
 
@@ -104,10 +112,16 @@
     }
 
     private SimService service(int depth, SimService beneath, EventSink events) {
-        SimService service = new SimService("service-" + depth, timers, random, beneath);
+        SimService service = new SimService(
+                "service-" + depth,
+                timers,
+                random,
+                beneath,
+                setup.stages().get(depth).calls(),
+                setup.door());
         boolean last = depth == setup.stages().size() - 1;
         int slots = setup.stages().get(depth).slots();
-        GateSettings settings = setup.announced() ? setup.gate().withAnnouncedSlots(slots) : setup.gate();
+        GateSettings settings = setup.gate().withAnnouncedSlots((int) (slots * setup.announced()));
         for (int i = 0; i < setup.instances(); i++) {
             service.add(
                     TargetGate.create(settings, timers, random, events, service.name),
@@ -116,7 +130,8 @@
                             random,
                             slots,
                             setup.stages().get(depth).millis() * 1e6,
-                            last ? setup.slowness() : t -> 1),
+                            last ? setup.slowness() : t -> 1,
+                            setup.refuseAbove()),
                     DoorShedder.create(timers.ticker(), random, events));
         }
         return service;
@@ -151,7 +166,7 @@
         int dice = random.nextInt(10);
         int rank = dice == 0 ? 0 : dice < 3 ? 3 : 6;
         int hash = CallerHash.of("caller-" + random.nextInt(CALLERS), 0);
-        boolean counted = now() >= setup.from();
+        boolean counted = now() >= setup.from() && now() < setup.seconds() - 1;
         asked[rank] += counted ? 1 : 0;
         DoorShedder door = doors.get(random.nextInt(doors.size()));
         SimService root = chain.get(0);
@@ -159,11 +174,15 @@
             atDoor[rank] += counted ? 1 : 0;
             return;
         }
+        long start = timers.ticker().nanos();
         long deadline = timers.ticker().nanos() + (long) (setup.deadlineSeconds() * NANOS_PER_SECOND);
         SimService.Trip trip = new SimService.Trip(rank, hash, deadline);
         root.call(trip, reply -> {
             door.observe(root.name, reply.levels());
             end(trip, reply.ok(), counted);
+            if (counted && rank == 0) {
+                rank0.recordValue(timers.ticker().nanos() - start);
+            }
         });
     }
 
@@ -182,7 +201,7 @@
     }
 
     private Result result(double before, double causeEnd) {
-        double counted = setup.seconds() - setup.from();
+        double counted = setup.seconds() - 1 - setup.from();
         long allAsked = asked[0] + asked[3] + asked[6];
         return new Result(
                 good / counted / setup.capacity(),
@@ -191,6 +210,7 @@
                 (double) answered[3] / Math.max(1, asked[3]),
                 (double) answered[6] / Math.max(1, asked[6]),
                 (double) (atDoor[0] + atDoor[3] + atDoor[6]) / Math.max(1, allAsked),
+                rank0.getValueAtPercentile(99) / 1e6,
                 causeEnd > 0 ? recovery(before, causeEnd) : 0,
                 broken.get());
     }
