--- a/src/main/java/io/beryldock/measure/MembershipChecks.java
+++ b/src/main/java/io/beryldock/measure/MembershipChecks.java
@@ -38,6 +38,7 @@
     private static final Duration LONGEST_ABSENCE = Duration.ofSeconds(45);
 
     private static final int MAX_VIOLATIONS = 5;
+    private static final int MAX_MESSAGES_A_SECOND = 50;
 
     private final MembershipFleet fleet;
     private final List<String> violations = new ArrayList<>();
@@ -91,6 +92,19 @@
         }
     }
 
+    /** No fault makes nodes talk without end: what they send stays within a small multiple of what a calm one sends. */
+    void checkLoad() {
+        long sent = 0;
+        for (FleetNode node : fleet.nodes()) {
+            sent += node.service().statistics().messagesSent();
+        }
+        long nodeSeconds = Duration.ofNanos(fleet.now()).plus(CALM).toSeconds()
+                * fleet.nodes().size();
+        if (sent > MAX_MESSAGES_A_SECOND * nodeSeconds) {
+            violation("nodes sent " + sent / nodeSeconds + " messages a second, more than " + MAX_MESSAGES_A_SECOND);
+        }
+    }
+
     /** The end of a run without faults: views agree on who runs. */
     void checkConverged() {
         List<FleetNode> running = fleet.running();
--- a/src/main/java/io/beryldock/measure/MembershipRun.java
+++ b/src/main/java/io/beryldock/measure/MembershipRun.java
@@ -86,7 +86,9 @@
         }
         endFaults();
         advance(SETTLING);
-        checks.checkConverged();
+        if (checks.violations().isEmpty()) {
+            checks.checkConverged();
+        }
         return checks.violations();
     }
 
@@ -100,6 +102,10 @@
                 checks.noteDisturbance();
             }
             checks.checkAlways();
+            checks.checkLoad();
+            if (!checks.violations().isEmpty()) {
+                return;
+            }
         }
     }
 
--- a/src/main/java/io/beryldock/membership/CentreLinks.java
+++ b/src/main/java/io/beryldock/membership/CentreLinks.java
@@ -158,14 +158,18 @@
         return Optional.of(members.get(place).record());
     }
 
+    /** The members that may answer; those missing over there are tried when there are no others. */
     private List<Held> members(DataCentre centre) {
         List<Held> live = new ArrayList<>();
+        List<Held> missing = new ArrayList<>();
         for (Held held : context.view().members(centre)) {
-            if (held.record().isLive()) {
+            if (held.record().status() == MemberStatus.MISSING) {
+                missing.add(held);
+            } else if (held.record().isLive()) {
                 live.add(held);
             }
         }
-        return live;
+        return live.isEmpty() ? missing : live;
     }
 
     private void publishPeers() {
--- a/src/main/java/io/beryldock/membership/FailureDetector.java
+++ b/src/main/java/io/beryldock/membership/FailureDetector.java
@@ -36,12 +36,11 @@
     private final MembershipView view;
     private final IndirectProber indirect;
     private final RecordIntake intake;
-    private final Runnable onOverdue;
 
     private final Map<NodeId, Long> nextProbes = new LinkedHashMap<>();
     private final Set<NodeId> probing = new LinkedHashSet<>();
     private final Set<NodeId> suspects = new LinkedHashSet<>();
-    private final Set<NodeId> overdue = new LinkedHashSet<>();
+    private final Set<NodeId> missing = new LinkedHashSet<>();
     private final Map<NodeId, Long> failures = new LinkedHashMap<>();
     private final Map<NodeId, Long> hints = new LinkedHashMap<>();
     private boolean ringChanged = true;
@@ -49,14 +48,12 @@
     private long quietUntil;
     private long nextReprobe;
 
-    /** Makes the detector; {@code onOverdue} runs when a suspected node is kept as unreachable. */
-    FailureDetector(MembershipContext context, IndirectProber indirect, RecordIntake intake, Runnable onOverdue) {
+    FailureDetector(MembershipContext context, IndirectProber indirect, RecordIntake intake) {
         this.context = context;
         this.settings = context.settings();
         this.view = context.view();
         this.indirect = indirect;
         this.intake = intake;
-        this.onOverdue = onOverdue;
         this.quietUntil = context.now();
         this.nextReprobe = context.now();
     }
@@ -66,10 +63,12 @@
         NodeId id = after.id();
         ringChanged = true;
         suspects.remove(id);
-        overdue.remove(id);
+        missing.remove(id);
         failures.remove(id);
         if (after.status() == MemberStatus.SUSPECTED) {
             suspects.add(id);
+        } else if (after.status() == MemberStatus.MISSING) {
+            missing.add(id);
         } else if (after.status() == MemberStatus.FAILED) {
             failures.put(id, context.now());
         }
@@ -80,11 +79,6 @@
         return nextProbes.containsKey(id);
     }
 
-    /** Whether the suspected node has had its time to deny, and is still held because many are missing. */
-    boolean isOverdue(NodeId id) {
-        return overdue.contains(id);
-    }
-
     /** Whether half of the data centre or more is missing. */
     boolean isMassLoss() {
         return massLoss;
@@ -98,12 +92,13 @@
         long now = context.now();
         nextProbes.replaceAll((id, at) -> now);
         suspects.forEach(id -> view.restartClock(id, now));
+        missing.forEach(id -> view.restartClock(id, now));
     }
 
     /** Forgets what was found of others, with the view itself. */
     void forgetAll() {
         suspects.clear();
-        overdue.clear();
+        missing.clear();
         failures.clear();
         nextProbes.clear();
         ringChanged = true;
@@ -144,7 +139,7 @@
     private void chooseSuccessors(long now) {
         List<Held> members = new ArrayList<>();
         for (Held held : view.members(context.ownCentre())) {
-            if (held.record().isLive() && !isOverdue(held.id())) {
+            if (held.record().isLive() && held.record().status() != MemberStatus.MISSING) {
                 members.add(held);
             }
         }
@@ -200,26 +195,34 @@
 
     private void judgeSuspects(long now) {
         noteMassLoss();
-        if (suspects.isEmpty() || now - quietUntil < 0) {
+        if (now - quietUntil < 0) {
             return;
         }
+        MemberStatus verdict = massLoss ? MemberStatus.MISSING : MemberStatus.FAILED;
         for (NodeId id : List.copyOf(suspects)) {
-            long patience = settings.suspicion().toNanos() * (isObserverOf(id) ? 1 : BYSTANDER_PATIENCE);
-            long age = suspectedFor(id, now);
-            boolean retained = massLoss && age < MembershipView.UNREACHABLE_RETENTION.toNanos();
-            if (age >= patience && !retained) {
-                fail(id);
-            } else if (age >= settings.suspicion().toNanos() && overdue.add(id)) {
-                ringChanged = true;
-                onOverdue.run();
+            if (heldFor(id, now) >= patience(id)) {
+                judge(id, verdict);
+            }
+        }
+        for (NodeId id : List.copyOf(missing)) {
+            boolean longMissing = heldFor(id, now) >= MembershipView.UNREACHABLE_RETENTION.toNanos();
+            boolean believed = !massLoss && heldFor(id, now) >= patience(id);
+            if (longMissing || believed) {
+                judge(id, MemberStatus.FAILED);
             }
         }
     }
 
-    private void fail(NodeId id) {
-        MemberRecord suspect = view.find(id).orElseThrow();
-        context.events().record(EventKind.MEMBER_FAILED, id.value(), "suspected for long and has not denied");
-        intake.accept(suspect.withStatus(MemberStatus.FAILED));
+    private long patience(NodeId id) {
+        return settings.suspicion().toNanos() * (isObserverOf(id) ? 1 : BYSTANDER_PATIENCE);
+    }
+
+    private void judge(NodeId id, MemberStatus verdict) {
+        MemberRecord silent = view.find(id).orElseThrow();
+        if (verdict == MemberStatus.FAILED) {
+            context.events().record(EventKind.MEMBER_FAILED, id.value(), "suspected for long and has not denied");
+        }
+        intake.accept(silent.withStatus(verdict));
     }
 
     /**
@@ -230,8 +233,8 @@
      * Missing nodes are kept instead, marked unreachable, until they answer or others have taken their place.
      */
     private void noteMassLoss() {
-        int missing = suspects.size() + failures.size();
-        boolean now = missing > 0 && 2 * missing >= live() + failures.size();
+        int silent = suspects.size() + missing.size() + failures.size();
+        boolean now = silent > 0 && 2 * silent >= live() + failures.size();
         if (now && !massLoss) {
             context.events()
                     .record(
@@ -257,14 +260,14 @@
             return;
         }
         nextReprobe = now + REPROBE_PERIOD.toNanos();
-        List<NodeId> missing = new ArrayList<>(failures.keySet());
-        missing.addAll(overdue);
-        if (!missing.isEmpty()) {
-            probe(missing.get(context.random().nextInt(missing.size())));
+        List<NodeId> silent = new ArrayList<>(failures.keySet());
+        silent.addAll(missing);
+        if (!silent.isEmpty()) {
+            probe(silent.get(context.random().nextInt(silent.size())));
         }
     }
 
-    private long suspectedFor(NodeId id, long now) {
+    private long heldFor(NodeId id, long now) {
         return view.held(id).map(held -> now - held.since()).orElse(0L);
     }
 
--- a/src/main/java/io/beryldock/membership/LinkReports.java
+++ b/src/main/java/io/beryldock/membership/LinkReports.java
@@ -26,12 +26,15 @@
     private static final Duration RENEWAL = Duration.ofSeconds(10);
     private static final Duration EXPIRY = Duration.ofSeconds(30);
 
+    /** Exceeds the time that a copy of a report can be on its way, held up by a paused node for instance. */
+    private static final Duration MEMORY = Duration.ofMinutes(10);
+
     private record Received(MembershipLinkReport report, long at) {}
 
     private final MembershipContext context;
     private final Runnable onChange;
     private final Map<DataCentre, Boolean> own = new LinkedHashMap<>();
-    private final Map<NodeId, Received> received = new LinkedHashMap<>();
+    private final Map<Long, Received> received = new LinkedHashMap<>();
     private final Map<DataCentre, Long> unreachable = new LinkedHashMap<>();
     private long lastSent;
     private long number;
@@ -73,23 +76,22 @@
     }
 
     void onReport(NodeId from, MembershipLinkReport report) {
-        NodeId reporter = NodeId.of(report.getReporter());
-        Received last = received.get(reporter);
-        boolean known = last != null
-                && last.report().getIncarnation() == report.getIncarnation()
-                && last.report().getNumber() >= report.getNumber();
-        if (known || reporter.equals(context.id())) {
+        // By start, not by id: were reports of two starts of a node taken for news of each other, each copy would be
+        // passed on again and again, which showed as a storm of messages without end.
+        Received last = received.get(report.getIncarnation());
+        boolean known = last != null && last.report().getNumber() >= report.getNumber();
+        if (known || report.getIncarnation() == ownIncarnation()) {
             return;
         }
-        received.put(reporter, new Received(report, context.now()));
+        received.put(report.getIncarnation(), new Received(report, context.now()));
         passOn(report, Optional.of(from));
         judge();
         objectIfReached(report);
     }
 
     void tick(long now) {
-        boolean expired = received.values().removeIf(last -> now - last.at() > EXPIRY.toNanos());
-        if (expired) {
+        received.values().removeIf(last -> now - last.at() > MEMORY.toNanos());
+        if (!unreachable.isEmpty()) {
             judge();
         }
         boolean anyDown = own.containsValue(false) || own.keySet().stream().anyMatch(unreachable::containsKey);
@@ -113,12 +115,12 @@
         number++;
         MembershipLinkReport.Builder report = MembershipLinkReport.newBuilder()
                 .setReporter(context.id().value())
-                .setIncarnation(context.self().current().node().incarnation().low())
+                .setIncarnation(ownIncarnation())
                 .setNumber(number);
         own.forEach((centre, reachable) -> report.addStates(
                 MembershipLinkState.newBuilder().setDataCentre(centre.value()).setReachable(reachable)));
         MembershipLinkReport built = report.build();
-        received.put(context.id(), new Received(built, context.now()));
+        received.put(ownIncarnation(), new Received(built, context.now()));
         passOn(built, Optional.empty());
         judge();
     }
@@ -136,6 +138,9 @@
         Set<DataCentre> down = new LinkedHashSet<>();
         Set<DataCentre> up = new LinkedHashSet<>();
         for (Received last : received.values()) {
+            if (!counts(last)) {
+                continue;
+            }
             for (MembershipLinkState state : last.report().getStatesList()) {
                 (state.getReachable() ? up : down).add(DataCentre.of(state.getDataCentre()));
             }
@@ -149,6 +154,22 @@
         }
     }
 
+    /** A report counts while it is fresh and its reporter is held for alive. */
+    private boolean counts(Received last) {
+        boolean fresh = context.now() - last.at() <= EXPIRY.toNanos();
+        return fresh
+                && context.view()
+                        .find(NodeId.of(last.report().getReporter()))
+                        .filter(MemberRecord::isLive)
+                        .filter(member -> member.node().incarnation().low()
+                                == last.report().getIncarnation())
+                        .isPresent();
+    }
+
+    private long ownIncarnation() {
+        return context.self().current().node().incarnation().low();
+    }
+
     private void recordChange(Set<DataCentre> next) {
         for (DataCentre centre : next) {
             boolean isNew = !unreachable.containsKey(centre) && own.containsKey(centre);
--- a/src/main/java/io/beryldock/membership/MemberRecord.java
+++ b/src/main/java/io/beryldock/membership/MemberRecord.java
@@ -9,8 +9,8 @@
 /**
  * What is known of one node and of the target in its VM. Immutable.
  *
- * <p>Records of one id are totally ordered by {@link #isNewerThan}; merging keeps the newest, so views that saw the
- * same records are equal, in whatever order these came.
+ * <p>Records of one start are totally ordered by {@link #isNewerThan}, and starts by their generation; merging keeps the
+ * newest, so views that saw the same records are equal, in whatever order these came.
  *
  * @param generation rises with each start of a node of that id, as far as the start knew of earlier ones
  * @param revision rises with each change that the node itself makes
@@ -40,14 +40,21 @@
         return node.id();
     }
 
-    /** A later start wins; in one start, having left wins for ever, then the higher revision, then the status. */
+    /**
+     * Whether this record replaces the other one.
+     *
+     * <p>A later start wins; in one start, having left wins for ever, then the higher revision, then the status. Of two
+     * starts of one generation, which did not know of each other, a live one replaces a dead one. If both are held for
+     * live neither replaces the other, until the later start is told of the earlier one and takes a generation above it:
+     * to choose by any other sign would now and then put the dead one in place of the running one.
+     */
     boolean isNewerThan(MemberRecord other) {
         if (generation != other.generation) {
             return generation > other.generation;
         }
-        int starts = INCARNATIONS.compare(node.incarnation(), other.node.incarnation());
-        if (starts != 0) {
-            return starts > 0;
+        if (!isSameStart(other)) {
+            boolean bothDead = !isLive() && !other.isLive();
+            return bothDead ? hasHigherIncarnation(other) : !other.isLive();
         }
         if (hasLeft() != other.hasLeft()) {
             return hasLeft();
@@ -58,6 +65,15 @@
         return status.compareTo(other.status) > 0;
     }
 
+    /** Whether this is another start of the same generation: neither can be told to be the later one. */
+    boolean isConflicting(MemberRecord other) {
+        return generation == other.generation && !isSameStart(other);
+    }
+
+    boolean hasHigherIncarnation(MemberRecord other) {
+        return INCARNATIONS.compare(node.incarnation(), other.node.incarnation()) > 0;
+    }
+
     boolean isSameStart(MemberRecord other) {
         return node.incarnation().equals(other.node.incarnation());
     }
@@ -66,9 +82,9 @@
         return status == MemberStatus.LEFT;
     }
 
-    /** Whether the node counts as a member: neither failed nor left. */
+    /** Whether the node is kept in the directory: neither failed nor left. */
     boolean isLive() {
-        return status == MemberStatus.ALIVE || status == MemberStatus.SUSPECTED;
+        return status != MemberStatus.FAILED && status != MemberStatus.LEFT;
     }
 
     /** The low bits of the incarnation, as pings carry them. */
--- a/src/main/java/io/beryldock/membership/MembershipAssembly.java
+++ b/src/main/java/io/beryldock/membership/MembershipAssembly.java
@@ -44,7 +44,7 @@
         antiEntropy = new AntiEntropy(context, this::onComplete);
         intake = RecordIntake.create(context, spreader, antiEntropy::isComplete, this::onChange);
         IndirectProber indirect = new IndirectProber(context);
-        detector = new FailureDetector(context, indirect, intake, this::onOverdue);
+        detector = new FailureDetector(context, indirect, intake);
         reports = new LinkReports(context, this::onReports);
         links = new CentreLinks(context, reports, held -> isReachable(held));
         records = new SeedRecords(store, context.timers(), context.events());
@@ -155,18 +155,19 @@
 
     private Reachability shownReachability(Held held) {
         boolean cutOff = reports.unreachable().contains(held.record().node().dataCentre());
-        return cutOff || !held.record().isLive() ? Reachability.UNREACHABLE : reachability(held);
+        return cutOff ? Reachability.UNREACHABLE : reachability(held);
     }
 
     private Reachability reachability(Held held) {
-        if (held.record().status() != MemberStatus.SUSPECTED) {
-            return Reachability.REACHABLE;
-        }
-        return detector.isOverdue(held.id()) ? Reachability.UNREACHABLE : Reachability.SUSPECTED;
+        return switch (held.record().status()) {
+            case ALIVE -> Reachability.REACHABLE;
+            case SUSPECTED -> Reachability.SUSPECTED;
+            case MISSING, FAILED, LEFT -> Reachability.UNREACHABLE;
+        };
     }
 
     private boolean isReachable(Held held) {
-        return held.record().isLive() && reachability(held) != Reachability.UNREACHABLE;
+        return reachability(held) != Reachability.UNREACHABLE;
     }
 
     private void onChange(Optional<MemberRecord> before, MemberRecord after) {
@@ -187,11 +188,6 @@
         }
     }
 
-    private void onOverdue() {
-        links.onChange();
-        publisher.onChange(context.ownCentre());
-    }
-
     private void onReports() {
         publisher.onChange();
     }
--- a/src/main/java/io/beryldock/membership/MembershipCodec.java
+++ b/src/main/java/io/beryldock/membership/MembershipCodec.java
@@ -93,6 +93,7 @@
         return switch (status) {
             case ALIVE -> MembershipStatus.MEMBER_ALIVE;
             case SUSPECTED -> MembershipStatus.MEMBER_SUSPECTED;
+            case MISSING -> MembershipStatus.MEMBER_MISSING;
             case FAILED -> MembershipStatus.MEMBER_FAILED;
             case LEFT -> MembershipStatus.MEMBER_LEFT;
         };
@@ -102,6 +103,7 @@
         return switch (status) {
             case MEMBER_ALIVE -> MemberStatus.ALIVE;
             case MEMBER_SUSPECTED -> MemberStatus.SUSPECTED;
+            case MEMBER_MISSING -> MemberStatus.MISSING;
             case MEMBER_FAILED -> MemberStatus.FAILED;
             case MEMBER_LEFT -> MemberStatus.LEFT;
             case UNRECOGNIZED -> throw new IllegalArgumentException("unknown status of a member");
--- a/src/main/java/io/beryldock/membership/MembershipHashing.java
+++ b/src/main/java/io/beryldock/membership/MembershipHashing.java
@@ -33,7 +33,7 @@
                 .asLong();
     }
 
-    /** Fingerprint of one version of a record; its status is left out. */
+    /** Fingerprint of one version of a record; a suspicion, which is not told to all, does not change it. */
     static long ofRecord(MemberRecord member) {
         return FUNCTION.newHasher()
                 .putUnencodedChars(member.node().id().value())
@@ -41,6 +41,7 @@
                 .putLong(member.node().incarnation().low())
                 .putInt(member.generation())
                 .putLong(member.revision())
+                .putBoolean(member.status() == MemberStatus.MISSING)
                 .hash()
                 .asLong();
     }
--- a/src/main/java/io/beryldock/membership/MembershipView.java
+++ b/src/main/java/io/beryldock/membership/MembershipView.java
@@ -32,7 +32,9 @@
     enum Merge {
         NEWER,
         SAME,
-        OLDER
+        OLDER,
+        /** Another start of the node is held, and which is the later one cannot be told yet. */
+        CONFLICT
     }
 
     /** A record with the monotonic time when it was taken, and hashes of its id and version. Immutable. */
@@ -67,7 +69,10 @@
             put(found, now, held.idHash());
             return Merge.NEWER;
         }
-        return newer.test(held.record(), found) ? Merge.OLDER : Merge.SAME;
+        if (newer.test(held.record(), found)) {
+            return Merge.OLDER;
+        }
+        return found.isSameStart(held.record()) ? Merge.SAME : Merge.CONFLICT;
     }
 
     Optional<MemberRecord> find(NodeId id) {
--- a/src/main/java/io/beryldock/membership/RecordIntake.java
+++ b/src/main/java/io/beryldock/membership/RecordIntake.java
@@ -4,6 +4,7 @@
 import io.beryldock.time.Ticker;
 import io.beryldock.timeline.EventKind;
 import io.beryldock.timeline.EventSink;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 
@@ -27,11 +28,13 @@
     private final RecordSpreader spreader;
     private final Ticker ticker;
     private final EventSink events;
+    private final MembershipContext context;
     private final BooleanSupplier passesOn;
     private final ChangeListener listener;
 
     private RecordIntake(
             MembershipContext context, RecordSpreader spreader, BooleanSupplier passesOn, ChangeListener listener) {
+        this.context = context;
         this.self = context.self();
         this.view = context.view();
         this.spreader = spreader;
@@ -85,6 +88,9 @@
             // A sender with an old record was paused, cut off or has lost a message. Told the newer one at once it
             // does not act on the old one until the next comparison of digests.
             case OLDER -> from.ifPresent(sender -> spreader.queue(sender, found.id()));
+            // Told of the start held here the later one raises its generation. If the one told is dead, the start held
+            // here runs and hears of the conflict by its neighbours likewise.
+            case CONFLICT -> context.sender().sendRecords(found.node().peerAddress(), List.of(before.orElseThrow()));
         }
     }
 
@@ -102,6 +108,7 @@
         if (from.isPresent() && !passesOn.getAsBoolean()) {
             return;
         }
+        // A suspicion is nothing to other data centres: most end within a second, by denial.
         boolean sameVersion = before.filter(old -> old.isSameStart(found) && old.revision() == found.revision())
                 .isPresent();
         if (sameVersion && found.status() == MemberStatus.SUSPECTED) {
--- a/src/main/java/io/beryldock/membership/SelfRecord.java
+++ b/src/main/java/io/beryldock/membership/SelfRecord.java
@@ -52,14 +52,16 @@
 
     /** Takes in what others hold of this node; true when the record was raised and has to be spread. */
     boolean react(MemberRecord found) {
-        if (record.hasLeft() || superseded || !rules.denies() || !rules.newer().test(found, record)) {
+        if (record.hasLeft() || superseded || !rules.denies()) {
             return false;
         }
         if (found.isSameStart(record)) {
-            record = record.aliveAbove(found.revision());
-            return true;
+            return deny(found);
         }
-        if (found.superseded() == record.node().incarnation().low()) {
+        if (found.generation() < record.generation()) {
+            return false;
+        }
+        if (isSupersededBy(found)) {
             giveWay(found);
             return false;
         }
@@ -67,6 +69,20 @@
         return true;
     }
 
+    private boolean deny(MemberRecord found) {
+        if (!rules.newer().test(found, record)) {
+            return false;
+        }
+        record = record.aliveAbove(found.revision());
+        return true;
+    }
+
+    private boolean isSupersededBy(MemberRecord found) {
+        boolean named = found.superseded() == record.node().incarnation().low();
+        // Two running nodes with one id may name each other at once: then one of them has to stay.
+        return named && (found.generation() > record.generation() || found.hasHigherIncarnation(record));
+    }
+
     private void giveWay(MemberRecord later) {
         // A frozen VM was replaced by one of the same id and then woke, or two nodes were given one id. Without giving
         // way both would raise their generation for ever and every view would flap between the two.
--- a/src/main/java/io/beryldock/wire/Membership.java
+++ b/src/main/java/io/beryldock/wire/Membership.java
@@ -180,12 +180,13 @@
       "edCentre\"W\n\nSeedCentre\022\023\n\013data_centre\030\001 " +
       "\001(\t\0224\n\taddresses\030\002 \003(\0132!.beryldock.membe" +
       "rship.SeedAddress\",\n\013SeedAddress\022\017\n\007addr" +
-      "ess\030\001 \001(\014\022\014\n\004port\030\002 \001(\r*^\n\020MembershipSta" +
+      "ess\030\001 \001(\014\022\014\n\004port\030\002 \001(\r*r\n\020MembershipSta" +
       "tus\022\020\n\014MEMBER_ALIVE\020\000\022\024\n\020MEMBER_SUSPECTE" +
-      "D\020\001\022\021\n\rMEMBER_FAILED\020\002\022\017\n\013MEMBER_LEFT\020\003*" +
-      "R\n\025MembershipTargetState\022\023\n\017TARGET_START" +
-      "ING\020\000\022\020\n\014TARGET_READY\020\001\022\022\n\016TARGET_LEAVIN" +
-      "G\020\002B\025\n\021io.beryldock.wireP\001b\006proto3"
+      "D\020\001\022\022\n\016MEMBER_MISSING\020\002\022\021\n\rMEMBER_FAILED" +
+      "\020\003\022\017\n\013MEMBER_LEFT\020\004*R\n\025MembershipTargetS" +
+      "tate\022\023\n\017TARGET_STARTING\020\000\022\020\n\014TARGET_READ" +
+      "Y\020\001\022\022\n\016TARGET_LEAVING\020\002B\025\n\021io.beryldock." +
+      "wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
--- a/src/main/java/io/beryldock/wire/MembershipStatus.java
+++ b/src/main/java/io/beryldock/wire/MembershipStatus.java
@@ -20,13 +20,17 @@
    */
   MEMBER_SUSPECTED(1),
   /**
-   * <code>MEMBER_FAILED = 2;</code>
+   * <code>MEMBER_MISSING = 2;</code>
    */
-  MEMBER_FAILED(2),
+  MEMBER_MISSING(2),
   /**
-   * <code>MEMBER_LEFT = 3;</code>
+   * <code>MEMBER_FAILED = 3;</code>
    */
-  MEMBER_LEFT(3),
+  MEMBER_FAILED(3),
+  /**
+   * <code>MEMBER_LEFT = 4;</code>
+   */
+  MEMBER_LEFT(4),
   UNRECOGNIZED(-1),
   ;
 
@@ -48,13 +52,17 @@
    */
   public static final int MEMBER_SUSPECTED_VALUE = 1;
   /**
-   * <code>MEMBER_FAILED = 2;</code>
+   * <code>MEMBER_MISSING = 2;</code>
+   */
+  public static final int MEMBER_MISSING_VALUE = 2;
+  /**
+   * <code>MEMBER_FAILED = 3;</code>
    */
-  public static final int MEMBER_FAILED_VALUE = 2;
+  public static final int MEMBER_FAILED_VALUE = 3;
   /**
-   * <code>MEMBER_LEFT = 3;</code>
+   * <code>MEMBER_LEFT = 4;</code>
    */
-  public static final int MEMBER_LEFT_VALUE = 3;
+  public static final int MEMBER_LEFT_VALUE = 4;
 
 
   public final int getNumber() {
@@ -83,8 +91,9 @@
     switch (value) {
       case 0: return MEMBER_ALIVE;
       case 1: return MEMBER_SUSPECTED;
-      case 2: return MEMBER_FAILED;
-      case 3: return MEMBER_LEFT;
+      case 2: return MEMBER_MISSING;
+      case 3: return MEMBER_FAILED;
+      case 4: return MEMBER_LEFT;
       default: return null;
     }
   }
