Keep the run of a keyed call when its home's connection is lost

Cause: the target's node gave a running order up when the connection to the ticket's home was lost, so the answer that a resubmission looks for after the home's death was thrown away. Change: keyed runs have a cancellation scope of their own; a late answer takes the place of an unknown end. Conclusion: found by reading; covered at the guard, not yet with real processes.

--- a/src/main/java/io/beryldock/forwarding/TargetExecutor.java
+++ b/src/main/java/io/beryldock/forwarding/TargetExecutor.java
@@ -52,8 +52,12 @@
         if (call.key().isEmpty() || call.identity().isEmpty()) {
             return admit(call, scope);
         }
-        // A second copy of a keyed call must meet its first run before anything here can refuse it.
-        return ports.guard().run(call, new CallerIdentity(call.identity()), () -> admit(call, scope));
+        // A second copy of a keyed call must meet its first run before anything here can refuse it. The run has a scope
+        // of
+        // its own: when the home of the ticket dies its connection is lost, and a run given up for that would throw
+        // away
+        // the answer that the caller's next try can still find here.
+        return ports.guard().run(call, new CallerIdentity(call.identity()), () -> admit(call, CancelScope.create()));
     }
 
     private CompletableFuture<CallResult> admit(Call call, CancelScope scope) {
--- a/src/main/java/io/beryldock/idempotency/AnswerMemory.java
+++ b/src/main/java/io/beryldock/idempotency/AnswerMemory.java
@@ -1,6 +1,7 @@
 package io.beryldock.idempotency;
 
 import io.beryldock.call.CallResult;
+import io.beryldock.call.Outcome;
 import io.beryldock.call.Reason;
 import io.beryldock.call.RequestId;
 import io.beryldock.time.Ticker;
@@ -133,6 +134,20 @@
         waiting.complete(result);
     }
 
+    /** Takes an answer that came after the run's end was unknown; anything else is dropped. */
+    void late(String ticket, CallResult result) {
+        synchronized (records) {
+            KeyedRun record = records.get(ticket);
+            boolean unknown = record != null
+                    && record.started != null
+                    && record.started.isDone()
+                    && record.started.join().outcome() == Outcome.UNKNOWN;
+            if (unknown && result.outcome() == Outcome.ANSWERED) {
+                record.started = CompletableFuture.completedFuture(keptAnswer(result));
+            }
+        }
+    }
+
     private void keep(KeyedRun record, RequestId attempt, CallResult result) {
         switch (result.outcome()) {
             case NOT_RUN -> {
--- a/src/main/java/io/beryldock/idempotency/RunGuard.java
+++ b/src/main/java/io/beryldock/idempotency/RunGuard.java
@@ -35,6 +35,11 @@
         return memory.start(ticket, scope, call.id()).orElseGet(() -> started(call, ticket, run));
     }
 
+    /** Takes the target's answer to a call whose time was over before it came; the caller's next try finds it. */
+    public void lateAnswer(Call call, CallResult answer) {
+        memory.late(call.key().orElseThrow(), answer);
+    }
+
     private CompletableFuture<CallResult> started(
             Call call, String ticket, Supplier<CompletableFuture<CallResult>> run) {
         return attempt(run).handle((result, failure) -> {
--- a/src/test/java/io/beryldock/idempotency/RunGuardTest.java
+++ b/src/test/java/io/beryldock/idempotency/RunGuardTest.java
@@ -68,6 +68,17 @@
         assertThat(memory.find("t1", scope).join()).isEmpty();
     }
 
+    @Test
+    void lateAnswerTakesThePlaceOfAnUnknownEnd() {
+        Call call = KeyedFixtures.call("t1", 1);
+        run(call);
+        runs.get(0).complete(CallResult.unknown(Reason.TIMED_OUT, ""));
+        CallResult answer = KeyedFixtures.answer("late");
+        guard.lateAnswer(call, answer);
+        guard.lateAnswer(call, KeyedFixtures.answer("another"));
+        assertThat(run(call).join()).isEqualTo(answer);
+    }
+
     @Test
     void fullMemoryRefusesAndRemembersItAsLongAsItCan() {
         run(KeyedFixtures.call("t1", 1));
