Keep what lies beneath a node's target apart from what it sheds as an entry

Cause: one view served both, so each node reported what it had learned as an entry as lying beneath its own target; the entries fed each other, and a level once lowered never aged: the door shed with idle targets. Change: two views; what is reported comes from the target's own inner calls only.

--- a/src/main/java/io/beryldock/forwarding/AttemptLoop.java
+++ b/src/main/java/io/beryldock/forwarding/AttemptLoop.java
@@ -113,7 +113,7 @@
 
     private void onEnd(TargetRecord target, RetryGrant grant, CallResult ended, long latencyNanos) {
         ports.chooser().onResult(target, ended, latencyNanos);
-        ports.door().observe(call.service(), ended.levels());
+        ports.doors().learningFrom(call).observe(call.service(), ended.levels());
         settle(grant, ended);
         spentNanos += ended.spentNanos();
         slowestNanos = Math.max(slowestNanos, latencyNanos);
--- a/src/main/java/io/beryldock/forwarding/CallForwarder.java
+++ b/src/main/java/io/beryldock/forwarding/CallForwarder.java
@@ -1,6 +1,5 @@
 package io.beryldock.forwarding;
 
-import io.beryldock.admission.DoorShedder;
 import io.beryldock.call.Call;
 import io.beryldock.call.CallResult;
 import io.beryldock.call.NodeId;
@@ -41,7 +40,7 @@
             TargetChooser chooser,
             TargetExecutor executor,
             PeerCallClient peers,
-            DoorShedder door,
+            Doors doors,
             RetryBudgets budgets,
             RetryTally retryTally,
             Backoff backoff,
--- a/src/main/java/io/beryldock/node/NodeModule.java
+++ b/src/main/java/io/beryldock/node/NodeModule.java
@@ -16,6 +16,7 @@
 import io.beryldock.configuration.ConfigurationSync;
 import io.beryldock.configuration.ConfigurationWriter;
 import io.beryldock.forwarding.Addresses;
+import io.beryldock.forwarding.Doors;
 import io.beryldock.membership.MembershipService;
 import io.beryldock.membership.MembershipSettings;
 import io.beryldock.membership.NodeDescriptor;
@@ -181,8 +182,15 @@
 
     @Provides
     @Singleton
-    DoorShedder door(TimerService timers, RandomGenerator random) {
-        return DoorShedder.create(timers.ticker(), random, events);
+    Doors doors(TimerService timers, RandomGenerator random) {
+        return new Doors(
+                DoorShedder.create(timers.ticker(), random, events),
+                DoorShedder.create(timers.ticker(), random, events));
+    }
+
+    @Provides
+    DoorShedder door(Doors doors) {
+        return doors.entry();
     }
 
     @Provides
--- a/src/main/java/io/beryldock/node/TrafficModule.java
+++ b/src/main/java/io/beryldock/node/TrafficModule.java
@@ -10,6 +10,7 @@
 import io.beryldock.configuration.ConfigurationKeeper;
 import io.beryldock.forwarding.AnnouncedTarget;
 import io.beryldock.forwarding.CallForwarder;
+import io.beryldock.forwarding.Doors;
 import io.beryldock.forwarding.EntryService;
 import io.beryldock.forwarding.ExecutionRegistry;
 import io.beryldock.forwarding.HomeDispatcher;
@@ -108,7 +109,7 @@
             HttpTargetClient client,
             ExecutionRegistry executions,
             RetryLedger ledger,
-            DoorShedder door,
+            Doors doors,
             Quarantine quarantine,
             KeyedRequests keyed,
             EventSink events,
@@ -119,7 +120,7 @@
                 client,
                 executions,
                 ledger,
-                door,
+                doors.beneath(),
                 quarantine,
                 keyed.guard(),
                 crashes,
@@ -138,7 +139,7 @@
             TargetChooser chooser,
             TargetExecutor executor,
             PeerTransport transport,
-            DoorShedder door,
+            Doors doors,
             RetryBudgets budgets,
             RetryTally retryTally,
             Backoff backoff,
@@ -153,7 +154,7 @@
                 chooser,
                 executor,
                 PeerCallClient.create(transport),
-                door,
+                doors,
                 budgets,
                 retryTally,
                 backoff,
