--- a/src/main/java/io/beryldock/command/StoreConfigurationChanger.java
+++ b/src/main/java/io/beryldock/command/StoreConfigurationChanger.java
@@ -18,8 +18,8 @@
 /**
  * Changes the configuration through its writer.
  *
- * <p>Thread safe, never blocks. What a statement leaves out is taken from the setting in force at this node; a change of
- * it by another operator in the meantime is a conflict, so nothing is undone unseen.
+ * <p>Thread safe, never blocks. What a statement leaves out is taken from the setting in force at this node; a change
+ * of it by another operator in the meantime is a conflict, so nothing is undone unseen.
  */
 public final class StoreConfigurationChanger implements ConfigurationChanger {
 
--- a/src/main/java/io/beryldock/command/TargetCommander.java
+++ b/src/main/java/io/beryldock/command/TargetCommander.java
@@ -20,8 +20,8 @@
  * Drains and undrains targets, each by the node in its own VM.
  *
  * <p>Thread safe, never blocks; futures never fail. The command goes from node to node, not through the platform store,
- * so that a target can be drained while the store is down. Draining twice does no harm, so an unknown outcome is settled
- * by the same command.
+ * so that a target can be drained while the store is down. Draining twice does no harm, so an unknown outcome is
+ * settled by the same command.
  */
 final class TargetCommander {
 
--- a/src/test/java/io/beryldock/cli/CtlSubcommandTest.java
+++ b/src/test/java/io/beryldock/cli/CtlSubcommandTest.java
@@ -89,8 +89,8 @@
     }
 
     /**
-     * The node takes a change and its connection is cut before the response. "Not reached" would be wrong, as the change
-     * may be in force; and a client that quietly sent it again could undo what another operator has set in between.
+     * The node takes a change and its connection is cut before the response. "Not reached" would be wrong, as the
+     * change may be in force; and a client that quietly sent it again could undo what another operator has set since.
      */
     @Test
     void changeWithoutResponseIsUnknownAndNotSentAgain() throws IOException {
--- a/src/test/java/io/beryldock/command/StatementParserTest.java
+++ b/src/test/java/io/beryldock/command/StatementParserTest.java
@@ -15,6 +15,8 @@
 
 class StatementParserTest {
 
+    private static final String COMMANDS = "drain, explain, mark, remove, restore, set, show, undrain, watch, why";
+
     private static final String ID = "00000000000000010000000000000002-a";
 
     @ParameterizedTest
@@ -89,8 +91,8 @@
     @CsvSource(
             delimiter = '|',
             value = {
-                "''                             | 1  | drain, explain, mark, remove, restore, set, show, undrain, watch, why",
-                "shw targets                    | 1  | drain, explain, mark, remove, restore, set, show, undrain, watch, why",
+                "''                             | 1  | " + COMMANDS,
+                "shw targets                    | 1  | " + COMMANDS,
                 "show                           | 5  | changes, configuration, connections, levels, nodes, quarantine,"
                         + " retries, shed, targets, tickets, timeline",
                 "show targets lists             | 14 | everywhere, the end of the statement",
--- a/src/test/java/io/beryldock/timeline/SeededTimeline.java
+++ b/src/test/java/io/beryldock/timeline/SeededTimeline.java
@@ -13,8 +13,8 @@
 import java.util.Random;
 
 /**
- * A seeded run of a few nodes whose wall clocks differ: holdings slows for a spell, callers are shed, a node is lost and
- * the configuration changes. Each message between nodes carries the sender's clock.
+ * A seeded run of a few nodes whose wall clocks differ: holdings slows for a spell, callers are shed, a node is lost
+ * and the configuration changes. Each message between nodes carries the sender's clock.
  */
 public final class SeededTimeline {
 
--- a/src/test/java/io/beryldock/timeline/TimelineMergerTest.java
+++ b/src/test/java/io/beryldock/timeline/TimelineMergerTest.java
@@ -34,8 +34,8 @@
 
     /**
      * An operator reads that a node applied a configuration before the node that changed it had done so: the machines'
-     * wall clocks differ by up to 40 ms, and the message took less. Sorted by wall clocks alone, the effect stands above
-     * its cause.
+     * wall clocks differ by up to 40 ms, and the message took less. Sorted by wall clocks alone, the effect stands
+     * above its cause.
      */
     @Test
     void causesComeBeforeEffectsThoughWallClocksDiffer() {
