--- a/src/test/java/io/beryldock/idempotency/KeyedRequestSchedule.java
+++ b/src/test/java/io/beryldock/idempotency/KeyedRequestSchedule.java
@@ -11,8 +11,8 @@
 
     private static final int SPAN_MILLIS = 12_000;
     private static final Duration AFTERMATH = Duration.ofSeconds(15);
-    private static final int KEYS = 3;
-    private static final int SUBMISSIONS = 4;
+    private static final int KEYS = 4;
+    private static final int SUBMISSIONS = 3;
     private static final int MAX_FAULTS = 6;
 
     private final long seed;
@@ -81,12 +81,12 @@
     private void fault() {
         int index = fleet.anyNode();
         Duration length = Duration.ofMillis(random.nextInt(5_000));
-        switch (random.nextInt(6)) {
+        switch (random.nextInt(7)) {
             case 0 -> fleet.start(index);
             case 1 -> crash(index, length);
             case 2 -> fleet.node(index).pause(length);
             case 3 -> fleet.network().cut("node-" + index, "node-" + fleet.anyNode(), length);
-            case 4 -> fleet.breakStore(length);
+            case 4, 5 -> fleet.breakStore(length);
             default -> stop(index, length);
         }
     }
