--- a/src/main/java/io/beryldock/membership/FailureDetector.java
+++ b/src/main/java/io/beryldock/membership/FailureDetector.java
@@ -16,7 +16,7 @@
  * Finds the nodes of this data centre that no longer answer: probes the successors on the rings, asks third nodes to
  * try, suspects, and after a time without denial takes for failed.
  *
- * <p>Invariants: a node is suspected only after a third node confirmed the silence or when there is none to ask; nobody
+ * <p>Invariants: a node is suspected only as {@link IndirectProber} confirms its silence; nobody
  * is taken for failed while half of the data centre or more is missing, since then the network is the likelier cause.
  * Control thread only.
  */
@@ -173,6 +173,7 @@
             @Override
             public void answered(NodeId by) {
                 probing.remove(id);
+                indirect.onAnswer(id);
             }
 
             @Override
--- a/src/main/java/io/beryldock/membership/IndirectProber.java
+++ b/src/main/java/io/beryldock/membership/IndirectProber.java
@@ -15,13 +15,14 @@
 /**
  * Asks third nodes to ping a silent one, and does so for others.
  *
- * <p>A node counts as silent only when at least one helper says that it too got no answer: a node that hears nothing at
- * all, from helpers neither, is itself the one cut off, and would otherwise accuse everyone it probes. Control thread
- * only.
+ * <p>A node counts as silent when at least one helper says that it too got no answer. A node that hears nothing at all,
+ * from helpers neither, may itself be the one cut off, and would otherwise accuse everyone it probes at once; it gives
+ * the target {@link #UNCONFIRMED_LIMIT} probes, since all helpers may as well have failed together. Control thread only.
  */
 final class IndirectProber {
 
     private static final int HELPERS = 3;
+    private static final int UNCONFIRMED_LIMIT = 3;
 
     /** Hears whether the target is silent to others too. */
     @FunctionalInterface
@@ -32,11 +33,13 @@
 
     /** A question put to helpers. Control thread only. */
     private static final class Question {
+        private final NodeId target;
         private final long askedAt;
         private final Verdict verdict;
         private boolean confirmed;
 
-        Question(long askedAt, boolean confirmed, Verdict verdict) {
+        Question(NodeId target, long askedAt, boolean confirmed, Verdict verdict) {
+            this.target = target;
             this.askedAt = askedAt;
             this.confirmed = confirmed;
             this.verdict = verdict;
@@ -46,6 +49,7 @@
     private final MembershipContext context;
     private final Duration patience;
     private final Map<Integer, Question> questions = new LinkedHashMap<>();
+    private final Map<NodeId, Integer> unconfirmed = new LinkedHashMap<>();
     private int lastNumber;
 
     IndirectProber(MembershipContext context) {
@@ -59,7 +63,7 @@
         List<MemberRecord> helpers = chooseHelpers(target);
         lastNumber++;
         // Where there is no third node its silence towards this one has to do.
-        questions.put(lastNumber, new Question(context.now(), helpers.isEmpty(), verdict));
+        questions.put(lastNumber, new Question(target, context.now(), helpers.isEmpty(), verdict));
         MembershipProbeRequest.Builder request =
                 MembershipProbeRequest.newBuilder().setNumber(lastNumber).setTarget(target.value());
         for (MemberRecord helper : helpers) {
@@ -92,6 +96,7 @@
         }
         if (report.getAnswered()) {
             questions.remove(report.getNumber());
+            unconfirmed.remove(question.target);
             question.verdict.silent(false);
         } else {
             question.confirmed = true;
@@ -108,11 +113,25 @@
                 over.add(question);
             }
         }
-        over.forEach(question -> question.verdict.silent(question.confirmed));
+        over.forEach(question -> question.verdict.silent(isSilent(question)));
+    }
+
+    /** Notes that the target answered this node itself. */
+    void onAnswer(NodeId target) {
+        unconfirmed.remove(target);
+    }
+
+    private boolean isSilent(Question question) {
+        int times = question.confirmed ? UNCONFIRMED_LIMIT : unconfirmed.merge(question.target, 1, Integer::sum);
+        if (times >= UNCONFIRMED_LIMIT) {
+            unconfirmed.remove(question.target);
+        }
+        return times >= UNCONFIRMED_LIMIT;
     }
 
     void forgetOpenProbes() {
         questions.clear();
+        unconfirmed.clear();
     }
 
     private void report(NodeId to, int number, boolean answered) {
