--- a/src/main/java/io/beryldock/command/TableRenderer.java
+++ b/src/main/java/io/beryldock/command/TableRenderer.java
@@ -1,5 +1,6 @@
 package io.beryldock.command;
 
+import com.google.common.base.CaseFormat;
 import com.google.common.base.Strings;
 import com.google.common.collect.ImmutableList;
 import java.util.ArrayList;
@@ -22,7 +23,21 @@
         addTable(lines, response.table());
         response.change().ifPresent(change -> lines.addAll(change.effects()));
         lines.addAll(response.notes());
-        addAnswered(lines, response);
+        if (response.answered() > 0) {
+            lines.add("(" + rows(response.table().rows().size()) + " from " + nodes(response.answered()) + ")");
+        }
+        addSilent(lines, response);
+        return text(lines);
+    }
+
+    /** Only what is missing from a response: its notes and who did not answer. */
+    public static String renderMissing(OperatorResponse response) {
+        List<String> lines = new ArrayList<>(response.notes());
+        addSilent(lines, response);
+        return text(lines);
+    }
+
+    private static String text(List<String> lines) {
         StringBuilder text = new StringBuilder();
         lines.forEach(line -> text.append(line.stripTrailing()).append('\n'));
         return text.toString();
@@ -47,7 +62,7 @@
             return;
         }
         List<List<String>> texts = new ArrayList<>();
-        texts.add(table.columns().stream().map(Column::name).toList());
+        texts.add(table.columns().stream().map(TableRenderer::title).toList());
         table.rows().forEach(row -> texts.add(texts(table.columns(), row)));
         int[] widths = widths(texts);
         for (List<String> row : texts) {
@@ -55,6 +70,12 @@
         }
     }
 
+    /** The column's name in words, without the unit that each cell shows. */
+    private static String title(Column column) {
+        String name = column.name().replaceAll("Millis$", "");
+        return CaseFormat.LOWER_CAMEL.to(CaseFormat.LOWER_HYPHEN, name).replace('-', ' ');
+    }
+
     private static List<String> texts(ImmutableList<Column> columns, ImmutableList<Cell> row) {
         List<String> texts = new ArrayList<>();
         for (int i = 0; i < columns.size(); i++) {
@@ -88,10 +109,7 @@
         return kind == ColumnKind.NUMBER || kind == ColumnKind.MILLIS;
     }
 
-    private static void addAnswered(List<String> lines, OperatorResponse response) {
-        if (response.answered() > 0) {
-            lines.add("(" + rows(response.table().rows().size()) + " from " + nodes(response.answered()) + ")");
-        }
+    private static void addSilent(List<String> lines, OperatorResponse response) {
         if (!response.silentNodes().isEmpty()) {
             int silent = response.silentNodes().size();
             String names = silent > MAX_SILENT_NAMED ? "" : ": " + String.join(", ", response.silentNodes());
--- a/src/main/java/io/beryldock/node/TargetAnnouncements.java
+++ b/src/main/java/io/beryldock/node/TargetAnnouncements.java
@@ -26,24 +26,27 @@
 
     private final MembershipService membership;
     private final GateSettings gateSettings;
+    private final boolean boundBySlots;
     private final Duration expiry;
     private final TimerService timers;
     private final RandomGenerator random;
     private final EventSink events;
     private volatile Optional<AnnouncedTarget> current = Optional.empty();
     private volatile boolean drained;
-    private Optional<Announcement> last = Optional.empty();
+    private volatile Optional<Announcement> last = Optional.empty();
     private Subscription expiryTimer = () -> {};
 
     TargetAnnouncements(
             MembershipService membership,
             GateSettings gateSettings,
+            boolean boundBySlots,
             Duration expiry,
             TimerService timers,
             RandomGenerator random,
             EventSink events) {
         this.membership = membership;
         this.gateSettings = gateSettings;
+        this.boundBySlots = boundBySlots;
         this.expiry = expiry;
         this.timers = timers;
         this.random = random;
@@ -77,6 +80,7 @@
         expiryTimer.cancel();
         expiryTimer = timers.after(expiry, this::expire);
         if (last.filter(announcement::equals).isPresent()) {
+            renew(announcement);
             return;
         }
         last = Optional.of(announcement);
@@ -90,8 +94,17 @@
                 announcement.state() + " with " + announcement.slots() + " slots at " + announcement.address());
     }
 
+    /** The membership withdraws a target whose announcement is not renewed, so an unchanged one is passed on too. */
+    private void renew(Announcement announcement) {
+        membership.announce(ServiceName.of(announcement.service()), announcement.slots(), stateOf(announcement));
+    }
+
+    private TargetState stateOf(Announcement announcement) {
+        return drained ? TargetState.LEAVING : announcement.state();
+    }
+
     private TargetGate gateFor(ServiceName service, int slots) {
-        GateSettings settings = gateSettings.withAnnouncedSlots(slots);
+        GateSettings settings = boundBySlots ? gateSettings.withAnnouncedSlots(slots) : gateSettings;
         Optional<TargetGate> kept =
                 current.filter(target -> target.service().equals(service)).map(AnnouncedTarget::gate);
         kept.ifPresent(gate -> gate.reconfigure(settings));
@@ -99,13 +112,12 @@
     }
 
     private void apply(Announcement announcement, TargetGate gate) {
-        TargetState state = drained ? TargetState.LEAVING : announcement.state();
-        if (state == TargetState.READY) {
+        if (stateOf(announcement) == TargetState.READY) {
             gate.undrain();
         } else {
             gate.drain();
         }
-        membership.announce(ServiceName.of(announcement.service()), announcement.slots(), state);
+        renew(announcement);
     }
 
     private void expire() {
