--- /dev/null
+++ b/src/test/java/io/beryldock/peer/LoopTickTest.java
@@ -0,0 +1,36 @@
+package io.beryldock.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.common.util.concurrent.Uninterruptibles;
+import io.netty.channel.EventLoop;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+
+class LoopTickTest {
+
+    /**
+     * Sound connections are given up after a handler held up its event loop. Ticks that were due meanwhile would run
+     * in a row before anything is read; only one of them does.
+     */
+    @Test
+    void ticksOfAHeldUpLoopRunOnce() throws Exception {
+        try (PeerEventLoops loops = PeerEventLoops.create(1)) {
+            EventLoop loop = loops.next();
+            CountDownLatch released = new CountDownLatch(1);
+            loop.execute(() -> Uninterruptibles.awaitUninterruptibly(released));
+            AtomicInteger runs = new AtomicInteger();
+            LoopTick tick = new LoopTick(runs::incrementAndGet);
+            for (int i = 0; i < 20; i++) {
+                tick.post(loop);
+            }
+            released.countDown();
+            loop.submit(() -> {}).sync();
+            assertThat(runs).hasValue(1);
+            tick.post(loop);
+            loop.submit(() -> {}).sync();
+            assertThat(runs).hasValue(2);
+        }
+    }
+}
