--- a/src/main/java/io/beryldock/measure/AnswerChecker.java
+++ b/src/main/java/io/beryldock/measure/AnswerChecker.java
@@ -32,6 +32,9 @@
     private static Verdict judge(String body, String token, String path) {
         try {
             JsonNode page = JSON.readTree(body);
+            if (!page.has("path")) {
+                return Verdict.INCOMPLETE;
+            }
             if (!page.path("path").asText().equals(path)) {
                 return Verdict.CROSSED;
             }
