Configuration: settle a conflict by the value in the way

A store client that sends a write twice got the conflict of its own first sending, and the operator was told of a conflict with his own change.

--- a/src/main/java/io/beryldock/configuration/Submission.java
+++ b/src/main/java/io/beryldock/configuration/Submission.java
@@ -31,6 +31,7 @@
     private static final int MAX_LOOK_BACK = 1024;
     private static final int MAX_HEAD_RECORDS = 512;
     private static final int MAX_OPERATOR = 100;
+    private static final Duration TIME = Duration.ofSeconds(30);
     private static final Duration BACKOFF = Duration.ofMillis(40);
     private static final Duration MAX_BACKOFF = Duration.ofSeconds(1);
     private static final String STORE_DOWN =
@@ -42,6 +43,7 @@
     private final String operator;
     private final String id;
     private final long seen;
+    private final long start;
     private int rounds;
     private int failures;
     private int settling;
@@ -52,6 +54,7 @@
         this.operator = operator;
         this.seen = seen;
         this.id = id;
+        this.start = context.timers().ticker().nanos();
     }
 
     static Submission of(WriterContext context, ConfigurationChange change, String operator, long basedOn) {
@@ -88,12 +91,17 @@
 
     private CompletableFuture<ChangeResult> round() {
         rounds++;
-        if (rounds > MAX_ROUNDS) {
-            return done(new ChangeResult.NotAccepted("other operators' changes came first each time; submit again"));
+        if (rounds > MAX_ROUNDS || isLate()) {
+            return done(new ChangeResult.NotAccepted(
+                    "other operators' changes came first each time, or the platform store is slow; submit again"));
         }
         return then(readBase(), base -> checked(base, this::write), this::readFailed);
     }
 
+    private boolean isLate() {
+        return context.timers().ticker().nanos() - start > TIME.toNanos();
+    }
+
     private CompletableFuture<ChangeResult> readFailed(Throwable failure) {
         log.atFine().log("reading the configuration failed: %s", failure);
         failures++;
@@ -251,12 +259,27 @@
     private CompletableFuture<ChangeResult> sent(Attempt attempt, WriteResult result) {
         return switch (result.kind()) {
             case APPLIED -> done(accepted(attempt));
-            case CONFLICT -> settling == 0 ? again(rounds, this::round) : settle(attempt);
+            case CONFLICT -> inTheWay(attempt, result);
             case NOT_APPLIED -> settling == 0 ? readFailed(null) : settle(attempt);
             case UNKNOWN -> settle(attempt);
         };
     }
 
+    /**
+     * Looks at the value in the way.
+     *
+     * <p>Guards against a client of the store that sends a write twice, as some do when a connection breaks: the second
+     * sending is in conflict with the first, and the operator would be told of a conflict with his own change.
+     */
+    private CompletableFuture<ChangeResult> inTheWay(Attempt attempt, WriteResult result) {
+        return then(
+                ConfigurationStore.decodeHead(result.current()),
+                head -> head.flatMap(now -> now.change(attempt.record().version()))
+                        .map(made -> settled(attempt, made))
+                        .orElseGet(() -> settle(attempt)),
+                failure -> settle(attempt));
+    }
+
     private ChangeResult accepted(Attempt attempt) {
         ChangeRecord record = attempt.record();
         context.keeper().take(attempt.next(), ImmutableList.of(record));
@@ -278,7 +301,7 @@
      */
     private CompletableFuture<ChangeResult> settle(Attempt attempt) {
         settling++;
-        if (settling > MAX_SETTLING) {
+        if (settling > MAX_SETTLING || isLate()) {
             return done(new ChangeResult.Unknown(
                     id, "the change may be in force now or later: look for the change id in show changes"));
         }
@@ -304,7 +327,7 @@
             return done(accepted(attempt));
         }
         settling = 0;
-        return round();
+        return again(rounds, this::round);
     }
 
     private CompletableFuture<ChangeResult> again(int count, Supplier<CompletableFuture<ChangeResult>> step) {
--- a/src/test/java/io/beryldock/configuration/ConfigurationWriterTest.java
+++ b/src/test/java/io/beryldock/configuration/ConfigurationWriterTest.java
@@ -3,8 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.google.common.collect.ImmutableSet;
+import com.google.protobuf.ByteString;
 import io.beryldock.configuration.ConfigurationChange.SetClass;
 import io.beryldock.platform.StoreFaults;
+import io.beryldock.platform.WriteResult;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
@@ -121,6 +123,29 @@
         assertThat(unknown.remedy()).contains("show changes");
     }
 
+    /**
+     * The store's client sends a write again when its connection breaks: the second sending is in conflict with the
+     * first. The operator would be told of a conflict with his own change.
+     */
+    @Test
+    void writeSentTwiceIsAccepted() {
+        first.kill();
+        first.storeSeenAs = store -> new StoreThatMistakes(store, lost -> lost) {
+            @Override
+            public CompletableFuture<WriteResult> compareAndSet(String key, long expectedVersion, ByteString value) {
+                return super.compareAndSet(key, expectedVersion, value)
+                        .thenCompose(done -> super.compareAndSet(key, expectedVersion, value));
+            }
+        };
+        first.start();
+        fleet.advance(Duration.ofSeconds(6));
+        for (int i = 1; i <= 3 * StoreKeys.BLOCK; i++) {
+            assertThat(version(result(submit(first, "ann", new SetClass("page", i % 8)))))
+                    .isEqualTo(i);
+        }
+        assertThat(second.version()).isEqualTo(3 * StoreKeys.BLOCK);
+    }
+
     @Test
     void storeDownIsNotAccepted() {
         fleet.store.setFaults(StoreFaults.none().withDown(true));
