--- a/src/test/java/io/beryldock/configuration/ConfigurationMeasurement.java
+++ b/src/test/java/io/beryldock/configuration/ConfigurationMeasurement.java
@@ -188,6 +188,7 @@
                 plain,
                 packed.size(),
                 document.toJson().length());
+        print("heap of ten such documents: %.1f MB", tenDocumentsBytes() / 1e6);
         Route change = route("/service-7/pages/visible", "service-8");
         print("pack %.1f ms", millis(() -> DocumentCodec.encode(document, ImmutableList.of())));
         print("unpack %.1f ms", millis(() -> DocumentCodec.decode(packed)));
@@ -210,6 +211,20 @@
         print("find among %d routes: %.0f ns", routes, batch * 1e6 / paths);
     }
 
+    /** Ten, so that what else the process does counts little. */
+    private static long tenDocumentsBytes() {
+        List<Configuration> kept = new ArrayList<>();
+        System.gc();
+        long before = ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
+        for (int i = 0; i < 10; i++) {
+            kept.add(document(2400));
+        }
+        System.gc();
+        long after = ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
+        assertThat(kept).hasSize(10);
+        return after - before;
+    }
+
     private static Configuration document(int services) {
         List<Setting> settings = new ArrayList<>(FleetNode.defaults().settings().values());
         for (int i = 0; i < services; i++) {
