--- a/src/main/antlr/Operator.g4
+++ b/src/main/antlr/Operator.g4
@@ -13,15 +13,34 @@
 
 watch : WATCH show ;
 
-show : SHOW ( SHED shedOption* | TIMELINE timelineOption* | topic everywhere? ) ;
-
-topic : TARGETS | NODES | LEVELS | RETRIES | TICKETS | CONNECTIONS | CONFIGURATION | CHANGES | QUARANTINE ;
+show
+    : SHOW
+      ( SHED shedOption*
+      | TIMELINE timelineOption*
+      | TARGETS targetOption*
+      | serviceTopic serviceOption*
+      | nodeTopic nodeOption*
+      | documentTopic everywhere?
+      )
+    ;
 
-shedOption : BY grouping | LAST duration | everywhere ;
+shedOption : BY grouping | LAST duration | SERVICE serviceName | everywhere ;
 
 grouping : CLASS | SERVICE | CALLER ;
 
-timelineOption : LAST duration | REQUEST requestId | everywhere ;
+timelineOption : LAST duration | REQUEST requestId | NODE nodeId | everywhere ;
+
+targetOption : SERVICE serviceName | NODE nodeId | everywhere ;
+
+serviceTopic : LEVELS | RETRIES | QUARANTINE ;
+
+serviceOption : SERVICE serviceName | everywhere ;
+
+nodeTopic : NODES | TICKETS | CONNECTIONS ;
+
+nodeOption : NODE nodeId | everywhere ;
+
+documentTopic : CONFIGURATION | CHANGES ;
 
 everywhere : EVERYWHERE ;
 
@@ -90,7 +109,7 @@
 
 keyword
     : BASED | BUDGET | BY | CALLER | CHANGES | CLASS | CONFIGURATION | CONNECTIONS | DEADLINE | DRAIN | EVERYWHERE | EXPLAIN
-    | IDEMPOTENT | LAST | LEVELS | LIMIT | MARK | METHODS | NODES | NON_IDEMPOTENT | ON | PRIORITY | QUARANTINE | REMOVE
+    | IDEMPOTENT | LAST | LEVELS | LIMIT | MARK | METHODS | NODE | NODES | NON_IDEMPOTENT | ON | PRIORITY | QUARANTINE | REMOVE
     | REQUEST | RESTORE | RETRIES | ROUTE | SERVICE | SET | SHARE | SHED | SHOW | SLOTS | TARGET | TARGETS | TICKETS
     | TIMELINE | UNDRAIN | VERSION | WATCH | WHY
     ;
@@ -113,6 +132,7 @@
 LIMIT : 'limit' ;
 MARK : 'mark' ;
 METHODS : 'methods' ;
+NODE : 'node' ;
 NODES : 'nodes' ;
 NON_IDEMPOTENT : 'non-idempotent' ;
 ON : 'on' ;
--- a/src/main/java/io/beryldock/command/LocalQuery.java
+++ b/src/main/java/io/beryldock/command/LocalQuery.java
@@ -32,7 +32,8 @@
             ImmutableList<Event> events = ports.events().explain(why.request());
             return done(TimelineTable.why(events));
         }
-        return show((ShowStatement) query.statement());
+        ShowStatement show = (ShowStatement) query.statement();
+        return show(show).thenApply(table -> RowFilter.apply(show, table));
     }
 
     private CompletableFuture<QueryTable> show(ShowStatement show) {
@@ -52,7 +53,7 @@
     }
 
     private QueryTable shed(ShowStatement show) {
-        return RefusalTable.of(ports.refusals().last(show.lastOrDefault()), show.groupingOrDefault());
+        return RefusalTable.of(ports.refusals().last(show.lastOrDefault()), show);
     }
 
     private ImmutableList<Event> timeline(ShowStatement show) {
--- a/src/main/java/io/beryldock/command/OperatorService.java
+++ b/src/main/java/io/beryldock/command/OperatorService.java
@@ -81,7 +81,10 @@
         if (show.topic() == ShowTopic.CONFIGURATION) {
             return showConfiguration(show, asked);
         }
-        return gatherer.gather(Query.of(show), scope(show)).thenApply(result -> ResponseFactory.found(asked, result));
+        CompletableFuture<QueryResult> found = show.node()
+                .map(node -> gatherer.askNode(Query.of(show), node))
+                .orElseGet(() -> gatherer.gather(Query.of(show), scope(show)));
+        return found.thenApply(result -> ResponseFactory.found(asked, result));
     }
 
     /** The settings of this node, and where else its version is in force. */
--- a/src/main/java/io/beryldock/command/QueryGatherer.java
+++ b/src/main/java/io/beryldock/command/QueryGatherer.java
@@ -6,6 +6,7 @@
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.beryldock.call.DataCentre;
+import io.beryldock.call.NodeId;
 import io.beryldock.membership.NodeDescriptor;
 import io.beryldock.peer.PeerTopic;
 import io.beryldock.timeline.HlcTime;
@@ -14,6 +15,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
 /**
@@ -69,6 +71,17 @@
                 .thenApply(results -> ResultMerger.merge(query.topic(), results, MAX_ROWS));
     }
 
+    /** The answer of one node, wherever it is. */
+    CompletableFuture<QueryResult> askNode(Query query, NodeId node) {
+        if (node.equals(ports.self())) {
+            return answerSelf(query, MAX_ROWS);
+        }
+        Optional<NodeDescriptor> peer = ports.directory().get().node(node);
+        return peer.map(found -> ask(found, query, QueryScope.NODE, MAX_ROWS, NODE_TIMEOUT))
+                .orElseGet(() -> CompletableFuture.completedFuture(
+                        QueryResult.failed(node, "no such node is known; see show nodes everywhere")));
+    }
+
     /** The answer of all nodes of this data centre. */
     CompletableFuture<QueryResult> gatherHere(Query query, int maxRows) {
         ImmutableList<NodeDescriptor> peers = peersOf(ports.dataCentre());
--- a/src/main/java/io/beryldock/command/RefusalTable.java
+++ b/src/main/java/io/beryldock/command/RefusalTable.java
@@ -12,14 +12,17 @@
 
     private RefusalTable() {}
 
-    static QueryTable of(Collection<RefusalCount> counts, ShedGrouping grouping) {
-        Function<RefusalCount, String> group = group(grouping);
+    static QueryTable of(Collection<RefusalCount> counts, ShowStatement show) {
+        Function<RefusalCount, String> group = group(show.groupingOrDefault());
         Map<String, Map<Reason, Long>> sums = new TreeMap<>();
         for (RefusalCount count : counts) {
+            if (show.service().isPresent() && !show.service().get().value().equals(count.service())) {
+                continue;
+            }
             sums.computeIfAbsent(group.apply(count), name -> new TreeMap<>())
                     .merge(count.reason(), count.count(), Long::sum);
         }
-        QueryTable.Builder table = QueryTable.builder(ShowColumns.shed(grouping));
+        QueryTable.Builder table = QueryTable.builder(ShowColumns.shed(show.groupingOrDefault()));
         sums.forEach((name, reasons) ->
                 reasons.forEach((reason, sum) -> table.row(name, reason.name(), sum, reason.message())));
         return table.build();
--- a/src/main/java/io/beryldock/command/ResponseFactory.java
+++ b/src/main/java/io/beryldock/command/ResponseFactory.java
@@ -160,7 +160,7 @@
         ImmutableList.Builder<String> notes = ImmutableList.builder();
         notes.addAll(result.notes());
         if (result.rowsLeftOut() > 0) {
-            notes.add(result.rowsLeftOut() + " rows were left out: narrow the statement");
+            notes.add(result.rowsLeftOut() + " rows were left out: narrow it by service, node or last");
         }
         return notes;
     }
--- a/src/main/java/io/beryldock/command/StatementBuilder.java
+++ b/src/main/java/io/beryldock/command/StatementBuilder.java
@@ -13,23 +13,17 @@
 import io.beryldock.command.grammar.OperatorParser.SetBudgetContext;
 import io.beryldock.command.grammar.OperatorParser.SetContext;
 import io.beryldock.command.grammar.OperatorParser.SetRouteContext;
-import io.beryldock.command.grammar.OperatorParser.ShedOptionContext;
-import io.beryldock.command.grammar.OperatorParser.ShowContext;
-import io.beryldock.command.grammar.OperatorParser.TimelineOptionContext;
 import io.beryldock.configuration.RetrySetting;
 import io.beryldock.configuration.ServiceSetting;
-import io.beryldock.timeline.RefusalCounter;
 import java.math.BigDecimal;
 import java.math.BigInteger;
 import java.time.Duration;
 import java.util.Locale;
-import java.util.Optional;
 import org.antlr.v4.runtime.ParserRuleContext;
 
 /** Builds statements of a syntax tree without errors and checks what the grammar can't: bounds and repetitions. */
 final class StatementBuilder {
 
-    private static final Duration MAX_TIMELINE = Duration.ofHours(24);
     private static final Duration MAX_DEADLINE = Duration.ofHours(1);
 
     private StatementBuilder() {}
@@ -37,7 +31,7 @@
     static Statement build(OperatorParser.StatementContext tree) throws StatementException {
         CommandContext command = tree.command();
         if (command.show() != null) {
-            return show(command.show());
+            return ShowBuilder.build(command.show());
         }
         if (command.why() != null) {
             OperatorParser.WhyContext why = command.why();
@@ -47,56 +41,11 @@
             return new ExplainStatement(change(command.explain().change()));
         }
         if (command.watch() != null) {
-            return new WatchStatement(show(command.watch().show()));
+            return new WatchStatement(ShowBuilder.build(command.watch().show()));
         }
         return change(command.change());
     }
 
-    private static ShowStatement show(ShowContext tree) throws StatementException {
-        if (tree.SHED() != null) {
-            return showShed(tree);
-        }
-        if (tree.TIMELINE() != null) {
-            return showTimeline(tree);
-        }
-        ShowTopic topic = ShowTopic.valueOf(upper(tree.topic()));
-        boolean everywhere = tree.everywhere() != null;
-        return new ShowStatement(topic, Optional.empty(), Optional.empty(), Optional.empty(), everywhere);
-    }
-
-    private static ShowStatement showShed(ShowContext tree) throws StatementException {
-        Once<ShedGrouping> grouping = new Once<>("by");
-        Once<Duration> last = new Once<>("last");
-        Once<Boolean> everywhere = new Once<>("everywhere");
-        for (ShedOptionContext option : tree.shedOption()) {
-            if (option.grouping() != null) {
-                grouping.set(option, ShedGrouping.valueOf(upper(option.grouping())));
-            } else if (option.duration() != null) {
-                last.set(option, duration(option.duration(), RefusalCounter.SPAN));
-            } else {
-                everywhere.set(option, true);
-            }
-        }
-        return new ShowStatement(ShowTopic.SHED, grouping.value(), last.value(), Optional.empty(), everywhere.isSet());
-    }
-
-    private static ShowStatement showTimeline(ShowContext tree) throws StatementException {
-        Once<Duration> last = new Once<>("last");
-        Once<RequestId> request = new Once<>("request");
-        Once<Boolean> everywhere = new Once<>("everywhere");
-        for (TimelineOptionContext option : tree.timelineOption()) {
-            if (option.duration() != null) {
-                last.set(option, duration(option.duration(), MAX_TIMELINE));
-            } else if (option.requestId() != null) {
-                request.set(option, requestId(option.requestId()));
-            } else {
-                everywhere.set(option, true);
-            }
-        }
-        return new ShowStatement(
-                ShowTopic.TIMELINE, Optional.empty(), last.value(), request.value(), everywhere.isSet());
-    }
-
     private static ChangeStatement change(ChangeContext tree) throws StatementException {
         if (tree.set() != null || tree.remove() != null || tree.mark() != null) {
             ChangeStatement.OfConfiguration change = ofSetting(tree);
@@ -142,8 +91,8 @@
     }
 
     private static ChangeStatement.OfConfiguration setBudget(SetBudgetContext tree) throws StatementException {
-        Once<Double> share = new Once<>("share");
-        Once<Integer> retries = new Once<>("retries");
+        SingleOption<Double> share = SingleOption.named("share");
+        SingleOption<Integer> retries = SingleOption.named("retries");
         for (OperatorParser.BudgetOptionContext option : tree.budgetOption()) {
             if (option.share() != null) {
                 share.set(option, share(option.share()));
@@ -165,9 +114,9 @@
 
     private static ChangeStatement.OfConfiguration setRoute(
             String prefix, ImmutableList<String> methods, RouteTargetContext tree) throws StatementException {
-        Once<Boolean> idempotent = new Once<>("idempotent or non-idempotent");
-        Once<Duration> deadline = new Once<>("deadline");
-        Once<String> budget = new Once<>("budget");
+        SingleOption<Boolean> idempotent = SingleOption.named("idempotent or non-idempotent");
+        SingleOption<Duration> deadline = SingleOption.named("deadline");
+        SingleOption<String> budget = SingleOption.named("budget");
         for (OperatorParser.RouteOptionContext option : tree.routeOption()) {
             if (option.duration() != null) {
                 deadline.set(option, duration(option.duration(), MAX_DEADLINE));
@@ -209,11 +158,11 @@
         return named(tree, name -> PriorityClass.of(name, 0)).name();
     }
 
-    private static RequestId requestId(ParserRuleContext tree) throws StatementException {
+    static RequestId requestId(ParserRuleContext tree) throws StatementException {
         return named(tree, RequestId::parse);
     }
 
-    private static <T> T named(ParserRuleContext tree, Reader<T> reader) throws StatementException {
+    static <T> T named(ParserRuleContext tree, Reader<T> reader) throws StatementException {
         try {
             return reader.read(tree.getText());
         } catch (IllegalArgumentException e) {
@@ -229,7 +178,7 @@
         return number.intValue();
     }
 
-    private static Duration duration(ParserRuleContext tree, Duration longest) throws StatementException {
+    static Duration duration(ParserRuleContext tree, Duration longest) throws StatementException {
         String bound = "1ms to " + Durations.format(longest);
         try {
             Duration length = Durations.parse(tree.getText());
@@ -242,43 +191,18 @@
         }
     }
 
-    private static String upper(ParserRuleContext tree) {
+    static String upper(ParserRuleContext tree) {
         return tree.getText().toUpperCase(Locale.ROOT);
     }
 
-    private static StatementException error(ParserRuleContext tree, String message, String... expected) {
+    static StatementException error(ParserRuleContext tree, String message, String... expected) {
         int column = tree.getStart().getStartIndex() + 1;
         return StatementException.at(column, message, ImmutableList.copyOf(expected));
     }
 
     /** Reads a value of its text; throws {@link IllegalArgumentException} when it is malformed. */
     @FunctionalInterface
-    private interface Reader<T> {
+    interface Reader<T> {
         T read(String text);
     }
-
-    /** An option that may stand once. */
-    private static final class Once<T> {
-        private final String what;
-        private Optional<T> value = Optional.empty();
-
-        Once(String what) {
-            this.what = what;
-        }
-
-        void set(ParserRuleContext place, T newValue) throws StatementException {
-            if (value.isPresent()) {
-                throw error(place, "'" + what + "' stands twice");
-            }
-            value = Optional.of(newValue);
-        }
-
-        Optional<T> value() {
-            return value;
-        }
-
-        boolean isSet() {
-            return value.isPresent();
-        }
-    }
 }
--- a/src/main/java/io/beryldock/command/grammar/OperatorBaseVisitor.java
+++ b/src/main/java/io/beryldock/command/grammar/OperatorBaseVisitor.java
@@ -53,28 +53,63 @@
 	 * <p>The default implementation returns the result of calling
 	 * {@link #visitChildren} on {@code ctx}.</p>
 	 */
-	@Override public T visitTopic(OperatorParser.TopicContext ctx) { return visitChildren(ctx); }
+	@Override public T visitShedOption(OperatorParser.ShedOptionContext ctx) { return visitChildren(ctx); }
 	/**
 	 * {@inheritDoc}
 	 *
 	 * <p>The default implementation returns the result of calling
 	 * {@link #visitChildren} on {@code ctx}.</p>
 	 */
-	@Override public T visitShedOption(OperatorParser.ShedOptionContext ctx) { return visitChildren(ctx); }
+	@Override public T visitGrouping(OperatorParser.GroupingContext ctx) { return visitChildren(ctx); }
 	/**
 	 * {@inheritDoc}
 	 *
 	 * <p>The default implementation returns the result of calling
 	 * {@link #visitChildren} on {@code ctx}.</p>
 	 */
-	@Override public T visitGrouping(OperatorParser.GroupingContext ctx) { return visitChildren(ctx); }
+	@Override public T visitTimelineOption(OperatorParser.TimelineOptionContext ctx) { return visitChildren(ctx); }
 	/**
 	 * {@inheritDoc}
 	 *
 	 * <p>The default implementation returns the result of calling
 	 * {@link #visitChildren} on {@code ctx}.</p>
 	 */
-	@Override public T visitTimelineOption(OperatorParser.TimelineOptionContext ctx) { return visitChildren(ctx); }
+	@Override public T visitTargetOption(OperatorParser.TargetOptionContext ctx) { return visitChildren(ctx); }
+	/**
+	 * {@inheritDoc}
+	 *
+	 * <p>The default implementation returns the result of calling
+	 * {@link #visitChildren} on {@code ctx}.</p>
+	 */
+	@Override public T visitServiceTopic(OperatorParser.ServiceTopicContext ctx) { return visitChildren(ctx); }
+	/**
+	 * {@inheritDoc}
+	 *
+	 * <p>The default implementation returns the result of calling
+	 * {@link #visitChildren} on {@code ctx}.</p>
+	 */
+	@Override public T visitServiceOption(OperatorParser.ServiceOptionContext ctx) { return visitChildren(ctx); }
+	/**
+	 * {@inheritDoc}
+	 *
+	 * <p>The default implementation returns the result of calling
+	 * {@link #visitChildren} on {@code ctx}.</p>
+	 */
+	@Override public T visitNodeTopic(OperatorParser.NodeTopicContext ctx) { return visitChildren(ctx); }
+	/**
+	 * {@inheritDoc}
+	 *
+	 * <p>The default implementation returns the result of calling
+	 * {@link #visitChildren} on {@code ctx}.</p>
+	 */
+	@Override public T visitNodeOption(OperatorParser.NodeOptionContext ctx) { return visitChildren(ctx); }
+	/**
+	 * {@inheritDoc}
+	 *
+	 * <p>The default implementation returns the result of calling
+	 * {@link #visitChildren} on {@code ctx}.</p>
+	 */
+	@Override public T visitDocumentTopic(OperatorParser.DocumentTopicContext ctx) { return visitChildren(ctx); }
 	/**
 	 * {@inheritDoc}
 	 *
--- a/src/main/java/io/beryldock/command/grammar/OperatorParser.java
+++ b/src/main/java/io/beryldock/command/grammar/OperatorParser.java
@@ -19,28 +19,30 @@
 	public static final int
 		BASED=1, BUDGET=2, BY=3, CALLER=4, CHANGES=5, CLASS=6, CONFIGURATION=7, 
 		CONNECTIONS=8, DEADLINE=9, DRAIN=10, EVERYWHERE=11, EXPLAIN=12, IDEMPOTENT=13, 
-		LAST=14, LEVELS=15, LIMIT=16, MARK=17, METHODS=18, NODES=19, NON_IDEMPOTENT=20, 
-		ON=21, PRIORITY=22, QUARANTINE=23, REMOVE=24, REQUEST=25, RESTORE=26, 
-		RETRIES=27, ROUTE=28, SERVICE=29, SET=30, SHARE=31, SHED=32, SHOW=33, 
-		SLOTS=34, TARGET=35, TARGETS=36, TICKETS=37, TIMELINE=38, UNDRAIN=39, 
-		VERSION=40, WATCH=41, WHY=42, NUMBER=43, DURATION=44, DECIMAL=45, PERCENT=46, 
-		WORD=47, PATH=48, COMMA=49, SPACE=50, OTHER=51;
+		LAST=14, LEVELS=15, LIMIT=16, MARK=17, METHODS=18, NODE=19, NODES=20, 
+		NON_IDEMPOTENT=21, ON=22, PRIORITY=23, QUARANTINE=24, REMOVE=25, REQUEST=26, 
+		RESTORE=27, RETRIES=28, ROUTE=29, SERVICE=30, SET=31, SHARE=32, SHED=33, 
+		SHOW=34, SLOTS=35, TARGET=36, TARGETS=37, TICKETS=38, TIMELINE=39, UNDRAIN=40, 
+		VERSION=41, WATCH=42, WHY=43, NUMBER=44, DURATION=45, DECIMAL=46, PERCENT=47, 
+		WORD=48, PATH=49, COMMA=50, SPACE=51, OTHER=52;
 	public static final int
 		RULE_statement = 0, RULE_command = 1, RULE_explain = 2, RULE_watch = 3, 
-		RULE_show = 4, RULE_topic = 5, RULE_shedOption = 6, RULE_grouping = 7, 
-		RULE_timelineOption = 8, RULE_everywhere = 9, RULE_why = 10, RULE_change = 11, 
-		RULE_basedOn = 12, RULE_set = 13, RULE_setClass = 14, RULE_setBudget = 15, 
-		RULE_budgetOption = 16, RULE_setLimit = 17, RULE_setRoute = 18, RULE_routeMethods = 19, 
-		RULE_routeTarget = 20, RULE_routeOption = 21, RULE_remove = 22, RULE_mark = 23, 
-		RULE_restore = 24, RULE_drain = 25, RULE_undrain = 26, RULE_className = 27, 
-		RULE_budgetName = 28, RULE_serviceName = 29, RULE_nodeId = 30, RULE_method = 31, 
-		RULE_requestId = 32, RULE_prefix = 33, RULE_duration = 34, RULE_share = 35, 
-		RULE_priority = 36, RULE_retries = 37, RULE_slots = 38, RULE_version = 39, 
-		RULE_name = 40, RULE_keyword = 41;
+		RULE_show = 4, RULE_shedOption = 5, RULE_grouping = 6, RULE_timelineOption = 7, 
+		RULE_targetOption = 8, RULE_serviceTopic = 9, RULE_serviceOption = 10, 
+		RULE_nodeTopic = 11, RULE_nodeOption = 12, RULE_documentTopic = 13, RULE_everywhere = 14, 
+		RULE_why = 15, RULE_change = 16, RULE_basedOn = 17, RULE_set = 18, RULE_setClass = 19, 
+		RULE_setBudget = 20, RULE_budgetOption = 21, RULE_setLimit = 22, RULE_setRoute = 23, 
+		RULE_routeMethods = 24, RULE_routeTarget = 25, RULE_routeOption = 26, 
+		RULE_remove = 27, RULE_mark = 28, RULE_restore = 29, RULE_drain = 30, 
+		RULE_undrain = 31, RULE_className = 32, RULE_budgetName = 33, RULE_serviceName = 34, 
+		RULE_nodeId = 35, RULE_method = 36, RULE_requestId = 37, RULE_prefix = 38, 
+		RULE_duration = 39, RULE_share = 40, RULE_priority = 41, RULE_retries = 42, 
+		RULE_slots = 43, RULE_version = 44, RULE_name = 45, RULE_keyword = 46;
 	private static String[] makeRuleNames() {
 		return new String[] {
-			"statement", "command", "explain", "watch", "show", "topic", "shedOption", 
-			"grouping", "timelineOption", "everywhere", "why", "change", "basedOn", 
+			"statement", "command", "explain", "watch", "show", "shedOption", "grouping", 
+			"timelineOption", "targetOption", "serviceTopic", "serviceOption", "nodeTopic", 
+			"nodeOption", "documentTopic", "everywhere", "why", "change", "basedOn", 
 			"set", "setClass", "setBudget", "budgetOption", "setLimit", "setRoute", 
 			"routeMethods", "routeTarget", "routeOption", "remove", "mark", "restore", 
 			"drain", "undrain", "className", "budgetName", "serviceName", "nodeId", 
@@ -55,11 +57,11 @@
 			null, "'based'", "'budget'", "'by'", "'caller'", "'changes'", "'class'", 
 			"'configuration'", "'connections'", "'deadline'", "'drain'", "'everywhere'", 
 			"'explain'", "'idempotent'", "'last'", "'levels'", "'limit'", "'mark'", 
-			"'methods'", "'nodes'", "'non-idempotent'", "'on'", "'priority'", "'quarantine'", 
-			"'remove'", "'request'", "'restore'", "'retries'", "'route'", "'service'", 
-			"'set'", "'share'", "'shed'", "'show'", "'slots'", "'target'", "'targets'", 
-			"'tickets'", "'timeline'", "'undrain'", "'version'", "'watch'", "'why'", 
-			null, null, null, null, null, null, "','"
+			"'methods'", "'node'", "'nodes'", "'non-idempotent'", "'on'", "'priority'", 
+			"'quarantine'", "'remove'", "'request'", "'restore'", "'retries'", "'route'", 
+			"'service'", "'set'", "'share'", "'shed'", "'show'", "'slots'", "'target'", 
+			"'targets'", "'tickets'", "'timeline'", "'undrain'", "'version'", "'watch'", 
+			"'why'", null, null, null, null, null, null, "','"
 		};
 	}
 	private static final String[] _LITERAL_NAMES = makeLiteralNames();
@@ -67,7 +69,7 @@
 		return new String[] {
 			null, "BASED", "BUDGET", "BY", "CALLER", "CHANGES", "CLASS", "CONFIGURATION", 
 			"CONNECTIONS", "DEADLINE", "DRAIN", "EVERYWHERE", "EXPLAIN", "IDEMPOTENT", 
-			"LAST", "LEVELS", "LIMIT", "MARK", "METHODS", "NODES", "NON_IDEMPOTENT", 
+			"LAST", "LEVELS", "LIMIT", "MARK", "METHODS", "NODE", "NODES", "NON_IDEMPOTENT", 
 			"ON", "PRIORITY", "QUARANTINE", "REMOVE", "REQUEST", "RESTORE", "RETRIES", 
 			"ROUTE", "SERVICE", "SET", "SHARE", "SHED", "SHOW", "SLOTS", "TARGET", 
 			"TARGETS", "TICKETS", "TIMELINE", "UNDRAIN", "VERSION", "WATCH", "WHY", 
@@ -149,9 +151,9 @@
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(84);
+			setState(94);
 			command();
-			setState(85);
+			setState(95);
 			match(EOF);
 			}
 		}
@@ -198,20 +200,20 @@
 		CommandContext _localctx = new CommandContext(_ctx, getState());
 		enterRule(_localctx, 2, RULE_command);
 		try {
-			setState(92);
+			setState(102);
 			_errHandler.sync(this);
 			switch (_input.LA(1)) {
 			case SHOW:
 				enterOuterAlt(_localctx, 1);
 				{
-				setState(87);
+				setState(97);
 				show();
 				}
 				break;
 			case WHY:
 				enterOuterAlt(_localctx, 2);
 				{
-				setState(88);
+				setState(98);
 				why();
 				}
 				break;
@@ -223,21 +225,21 @@
 			case UNDRAIN:
 				enterOuterAlt(_localctx, 3);
 				{
-				setState(89);
+				setState(99);
 				change();
 				}
 				break;
 			case EXPLAIN:
 				enterOuterAlt(_localctx, 4);
 				{
-				setState(90);
+				setState(100);
 				explain();
 				}
 				break;
 			case WATCH:
 				enterOuterAlt(_localctx, 5);
 				{
-				setState(91);
+				setState(101);
 				watch();
 				}
 				break;
@@ -279,9 +281,9 @@
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(94);
+			setState(104);
 			match(EXPLAIN);
-			setState(95);
+			setState(105);
 			change();
 			}
 		}
@@ -319,9 +321,9 @@
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(97);
+			setState(107);
 			match(WATCH);
-			setState(98);
+			setState(108);
 			show();
 			}
 		}
@@ -341,8 +343,15 @@
 		public TerminalNode SHOW() { return getToken(OperatorParser.SHOW, 0); }
 		public TerminalNode SHED() { return getToken(OperatorParser.SHED, 0); }
 		public TerminalNode TIMELINE() { return getToken(OperatorParser.TIMELINE, 0); }
-		public TopicContext topic() {
-			return getRuleContext(TopicContext.class,0);
+		public TerminalNode TARGETS() { return getToken(OperatorParser.TARGETS, 0); }
+		public ServiceTopicContext serviceTopic() {
+			return getRuleContext(ServiceTopicContext.class,0);
+		}
+		public NodeTopicContext nodeTopic() {
+			return getRuleContext(NodeTopicContext.class,0);
+		}
+		public DocumentTopicContext documentTopic() {
+			return getRuleContext(DocumentTopicContext.class,0);
 		}
 		public List<ShedOptionContext> shedOption() {
 			return getRuleContexts(ShedOptionContext.class);
@@ -356,6 +365,24 @@
 		public TimelineOptionContext timelineOption(int i) {
 			return getRuleContext(TimelineOptionContext.class,i);
 		}
+		public List<TargetOptionContext> targetOption() {
+			return getRuleContexts(TargetOptionContext.class);
+		}
+		public TargetOptionContext targetOption(int i) {
+			return getRuleContext(TargetOptionContext.class,i);
+		}
+		public List<ServiceOptionContext> serviceOption() {
+			return getRuleContexts(ServiceOptionContext.class);
+		}
+		public ServiceOptionContext serviceOption(int i) {
+			return getRuleContext(ServiceOptionContext.class,i);
+		}
+		public List<NodeOptionContext> nodeOption() {
+			return getRuleContexts(NodeOptionContext.class);
+		}
+		public NodeOptionContext nodeOption(int i) {
+			return getRuleContext(NodeOptionContext.class,i);
+		}
 		public EverywhereContext everywhere() {
 			return getRuleContext(EverywhereContext.class,0);
 		}
@@ -377,26 +404,26 @@
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(100);
+			setState(110);
 			match(SHOW);
-			setState(119);
+			setState(150);
 			_errHandler.sync(this);
 			switch (_input.LA(1)) {
 			case SHED:
 				{
-				setState(101);
+				setState(111);
 				match(SHED);
-				setState(105);
+				setState(115);
 				_errHandler.sync(this);
 				_la = _input.LA(1);
-				while ((((_la) & ~0x3f) == 0 && ((1L << _la) & 18440L) != 0)) {
+				while ((((_la) & ~0x3f) == 0 && ((1L << _la) & 1073760264L) != 0)) {
 					{
 					{
-					setState(102);
+					setState(112);
 					shedOption();
 					}
 					}
-					setState(107);
+					setState(117);
 					_errHandler.sync(this);
 					_la = _input.LA(1);
 				}
@@ -404,42 +431,99 @@
 				break;
 			case TIMELINE:
 				{
-				setState(108);
+				setState(118);
 				match(TIMELINE);
-				setState(112);
+				setState(122);
 				_errHandler.sync(this);
 				_la = _input.LA(1);
-				while ((((_la) & ~0x3f) == 0 && ((1L << _la) & 33572864L) != 0)) {
+				while ((((_la) & ~0x3f) == 0 && ((1L << _la) & 67651584L) != 0)) {
 					{
 					{
-					setState(109);
+					setState(119);
 					timelineOption();
 					}
 					}
-					setState(114);
+					setState(124);
+					_errHandler.sync(this);
+					_la = _input.LA(1);
+				}
+				}
+				break;
+			case TARGETS:
+				{
+				setState(125);
+				match(TARGETS);
+				setState(129);
+				_errHandler.sync(this);
+				_la = _input.LA(1);
+				while ((((_la) & ~0x3f) == 0 && ((1L << _la) & 1074268160L) != 0)) {
+					{
+					{
+					setState(126);
+					targetOption();
+					}
+					}
+					setState(131);
 					_errHandler.sync(this);
 					_la = _input.LA(1);
 				}
 				}
 				break;
-			case CHANGES:
-			case CONFIGURATION:
-			case CONNECTIONS:
 			case LEVELS:
-			case NODES:
 			case QUARANTINE:
 			case RETRIES:
-			case TARGETS:
+				{
+				setState(132);
+				serviceTopic();
+				setState(136);
+				_errHandler.sync(this);
+				_la = _input.LA(1);
+				while (_la==EVERYWHERE || _la==SERVICE) {
+					{
+					{
+					setState(133);
+					serviceOption();
+					}
+					}
+					setState(138);
+					_errHandler.sync(this);
+					_la = _input.LA(1);
+				}
+				}
+				break;
+			case CONNECTIONS:
+			case NODES:
 			case TICKETS:
 				{
-				setState(115);
-				topic();
-				setState(117);
+				setState(139);
+				nodeTopic();
+				setState(143);
+				_errHandler.sync(this);
+				_la = _input.LA(1);
+				while (_la==EVERYWHERE || _la==NODE) {
+					{
+					{
+					setState(140);
+					nodeOption();
+					}
+					}
+					setState(145);
+					_errHandler.sync(this);
+					_la = _input.LA(1);
+				}
+				}
+				break;
+			case CHANGES:
+			case CONFIGURATION:
+				{
+				setState(146);
+				documentTopic();
+				setState(148);
 				_errHandler.sync(this);
 				_la = _input.LA(1);
 				if (_la==EVERYWHERE) {
 					{
-					setState(116);
+					setState(147);
 					everywhere();
 					}
 				}
@@ -462,58 +546,6 @@
 		return _localctx;
 	}
 
-	@SuppressWarnings("CheckReturnValue")
-	public static class TopicContext extends ParserRuleContext {
-		public TerminalNode TARGETS() { return getToken(OperatorParser.TARGETS, 0); }
-		public TerminalNode NODES() { return getToken(OperatorParser.NODES, 0); }
-		public TerminalNode LEVELS() { return getToken(OperatorParser.LEVELS, 0); }
-		public TerminalNode RETRIES() { return getToken(OperatorParser.RETRIES, 0); }
-		public TerminalNode TICKETS() { return getToken(OperatorParser.TICKETS, 0); }
-		public TerminalNode CONNECTIONS() { return getToken(OperatorParser.CONNECTIONS, 0); }
-		public TerminalNode CONFIGURATION() { return getToken(OperatorParser.CONFIGURATION, 0); }
-		public TerminalNode CHANGES() { return getToken(OperatorParser.CHANGES, 0); }
-		public TerminalNode QUARANTINE() { return getToken(OperatorParser.QUARANTINE, 0); }
-		public TopicContext(ParserRuleContext parent, int invokingState) {
-			super(parent, invokingState);
-		}
-		@Override public int getRuleIndex() { return RULE_topic; }
-		@Override
-		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
-			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitTopic(this);
-			else return visitor.visitChildren(this);
-		}
-	}
-
-	public final TopicContext topic() throws RecognitionException {
-		TopicContext _localctx = new TopicContext(_ctx, getState());
-		enterRule(_localctx, 10, RULE_topic);
-		int _la;
-		try {
-			enterOuterAlt(_localctx, 1);
-			{
-			setState(121);
-			_la = _input.LA(1);
-			if ( !((((_la) & ~0x3f) == 0 && ((1L << _la) & 206301594016L) != 0)) ) {
-			_errHandler.recoverInline(this);
-			}
-			else {
-				if ( _input.LA(1)==Token.EOF ) matchedEOF = true;
-				_errHandler.reportMatch(this);
-				consume();
-			}
-			}
-		}
-		catch (RecognitionException re) {
-			_localctx.exception = re;
-			_errHandler.reportError(this, re);
-			_errHandler.recover(this, re);
-		}
-		finally {
-			exitRule();
-		}
-		return _localctx;
-	}
-
 	@SuppressWarnings("CheckReturnValue")
 	public static class ShedOptionContext extends ParserRuleContext {
 		public TerminalNode BY() { return getToken(OperatorParser.BY, 0); }
@@ -524,6 +556,10 @@
 		public DurationContext duration() {
 			return getRuleContext(DurationContext.class,0);
 		}
+		public TerminalNode SERVICE() { return getToken(OperatorParser.SERVICE, 0); }
+		public ServiceNameContext serviceName() {
+			return getRuleContext(ServiceNameContext.class,0);
+		}
 		public EverywhereContext everywhere() {
 			return getRuleContext(EverywhereContext.class,0);
 		}
@@ -540,33 +576,42 @@
 
 	public final ShedOptionContext shedOption() throws RecognitionException {
 		ShedOptionContext _localctx = new ShedOptionContext(_ctx, getState());
-		enterRule(_localctx, 12, RULE_shedOption);
+		enterRule(_localctx, 10, RULE_shedOption);
 		try {
-			setState(128);
+			setState(159);
 			_errHandler.sync(this);
 			switch (_input.LA(1)) {
 			case BY:
 				enterOuterAlt(_localctx, 1);
 				{
-				setState(123);
+				setState(152);
 				match(BY);
-				setState(124);
+				setState(153);
 				grouping();
 				}
 				break;
 			case LAST:
 				enterOuterAlt(_localctx, 2);
 				{
-				setState(125);
+				setState(154);
 				match(LAST);
-				setState(126);
+				setState(155);
 				duration();
 				}
 				break;
-			case EVERYWHERE:
+			case SERVICE:
 				enterOuterAlt(_localctx, 3);
 				{
-				setState(127);
+				setState(156);
+				match(SERVICE);
+				setState(157);
+				serviceName();
+				}
+				break;
+			case EVERYWHERE:
+				enterOuterAlt(_localctx, 4);
+				{
+				setState(158);
 				everywhere();
 				}
 				break;
@@ -603,14 +648,14 @@
 
 	public final GroupingContext grouping() throws RecognitionException {
 		GroupingContext _localctx = new GroupingContext(_ctx, getState());
-		enterRule(_localctx, 14, RULE_grouping);
+		enterRule(_localctx, 12, RULE_grouping);
 		int _la;
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(130);
+			setState(161);
 			_la = _input.LA(1);
-			if ( !((((_la) & ~0x3f) == 0 && ((1L << _la) & 536870992L) != 0)) ) {
+			if ( !((((_la) & ~0x3f) == 0 && ((1L << _la) & 1073741904L) != 0)) ) {
 			_errHandler.recoverInline(this);
 			}
 			else {
@@ -641,6 +686,10 @@
 		public RequestIdContext requestId() {
 			return getRuleContext(RequestIdContext.class,0);
 		}
+		public TerminalNode NODE() { return getToken(OperatorParser.NODE, 0); }
+		public NodeIdContext nodeId() {
+			return getRuleContext(NodeIdContext.class,0);
+		}
 		public EverywhereContext everywhere() {
 			return getRuleContext(EverywhereContext.class,0);
 		}
@@ -657,33 +706,321 @@
 
 	public final TimelineOptionContext timelineOption() throws RecognitionException {
 		TimelineOptionContext _localctx = new TimelineOptionContext(_ctx, getState());
-		enterRule(_localctx, 16, RULE_timelineOption);
+		enterRule(_localctx, 14, RULE_timelineOption);
 		try {
-			setState(137);
+			setState(170);
 			_errHandler.sync(this);
 			switch (_input.LA(1)) {
 			case LAST:
 				enterOuterAlt(_localctx, 1);
 				{
-				setState(132);
+				setState(163);
 				match(LAST);
-				setState(133);
+				setState(164);
 				duration();
 				}
 				break;
 			case REQUEST:
 				enterOuterAlt(_localctx, 2);
 				{
-				setState(134);
+				setState(165);
 				match(REQUEST);
-				setState(135);
+				setState(166);
 				requestId();
 				}
 				break;
+			case NODE:
+				enterOuterAlt(_localctx, 3);
+				{
+				setState(167);
+				match(NODE);
+				setState(168);
+				nodeId();
+				}
+				break;
+			case EVERYWHERE:
+				enterOuterAlt(_localctx, 4);
+				{
+				setState(169);
+				everywhere();
+				}
+				break;
+			default:
+				throw new NoViableAltException(this);
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class TargetOptionContext extends ParserRuleContext {
+		public TerminalNode SERVICE() { return getToken(OperatorParser.SERVICE, 0); }
+		public ServiceNameContext serviceName() {
+			return getRuleContext(ServiceNameContext.class,0);
+		}
+		public TerminalNode NODE() { return getToken(OperatorParser.NODE, 0); }
+		public NodeIdContext nodeId() {
+			return getRuleContext(NodeIdContext.class,0);
+		}
+		public EverywhereContext everywhere() {
+			return getRuleContext(EverywhereContext.class,0);
+		}
+		public TargetOptionContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_targetOption; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitTargetOption(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final TargetOptionContext targetOption() throws RecognitionException {
+		TargetOptionContext _localctx = new TargetOptionContext(_ctx, getState());
+		enterRule(_localctx, 16, RULE_targetOption);
+		try {
+			setState(177);
+			_errHandler.sync(this);
+			switch (_input.LA(1)) {
+			case SERVICE:
+				enterOuterAlt(_localctx, 1);
+				{
+				setState(172);
+				match(SERVICE);
+				setState(173);
+				serviceName();
+				}
+				break;
+			case NODE:
+				enterOuterAlt(_localctx, 2);
+				{
+				setState(174);
+				match(NODE);
+				setState(175);
+				nodeId();
+				}
+				break;
 			case EVERYWHERE:
 				enterOuterAlt(_localctx, 3);
 				{
-				setState(136);
+				setState(176);
+				everywhere();
+				}
+				break;
+			default:
+				throw new NoViableAltException(this);
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class ServiceTopicContext extends ParserRuleContext {
+		public TerminalNode LEVELS() { return getToken(OperatorParser.LEVELS, 0); }
+		public TerminalNode RETRIES() { return getToken(OperatorParser.RETRIES, 0); }
+		public TerminalNode QUARANTINE() { return getToken(OperatorParser.QUARANTINE, 0); }
+		public ServiceTopicContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_serviceTopic; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitServiceTopic(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final ServiceTopicContext serviceTopic() throws RecognitionException {
+		ServiceTopicContext _localctx = new ServiceTopicContext(_ctx, getState());
+		enterRule(_localctx, 18, RULE_serviceTopic);
+		int _la;
+		try {
+			enterOuterAlt(_localctx, 1);
+			{
+			setState(179);
+			_la = _input.LA(1);
+			if ( !((((_la) & ~0x3f) == 0 && ((1L << _la) & 285245440L) != 0)) ) {
+			_errHandler.recoverInline(this);
+			}
+			else {
+				if ( _input.LA(1)==Token.EOF ) matchedEOF = true;
+				_errHandler.reportMatch(this);
+				consume();
+			}
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class ServiceOptionContext extends ParserRuleContext {
+		public TerminalNode SERVICE() { return getToken(OperatorParser.SERVICE, 0); }
+		public ServiceNameContext serviceName() {
+			return getRuleContext(ServiceNameContext.class,0);
+		}
+		public EverywhereContext everywhere() {
+			return getRuleContext(EverywhereContext.class,0);
+		}
+		public ServiceOptionContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_serviceOption; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitServiceOption(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final ServiceOptionContext serviceOption() throws RecognitionException {
+		ServiceOptionContext _localctx = new ServiceOptionContext(_ctx, getState());
+		enterRule(_localctx, 20, RULE_serviceOption);
+		try {
+			setState(184);
+			_errHandler.sync(this);
+			switch (_input.LA(1)) {
+			case SERVICE:
+				enterOuterAlt(_localctx, 1);
+				{
+				setState(181);
+				match(SERVICE);
+				setState(182);
+				serviceName();
+				}
+				break;
+			case EVERYWHERE:
+				enterOuterAlt(_localctx, 2);
+				{
+				setState(183);
+				everywhere();
+				}
+				break;
+			default:
+				throw new NoViableAltException(this);
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class NodeTopicContext extends ParserRuleContext {
+		public TerminalNode NODES() { return getToken(OperatorParser.NODES, 0); }
+		public TerminalNode TICKETS() { return getToken(OperatorParser.TICKETS, 0); }
+		public TerminalNode CONNECTIONS() { return getToken(OperatorParser.CONNECTIONS, 0); }
+		public NodeTopicContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_nodeTopic; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitNodeTopic(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final NodeTopicContext nodeTopic() throws RecognitionException {
+		NodeTopicContext _localctx = new NodeTopicContext(_ctx, getState());
+		enterRule(_localctx, 22, RULE_nodeTopic);
+		int _la;
+		try {
+			enterOuterAlt(_localctx, 1);
+			{
+			setState(186);
+			_la = _input.LA(1);
+			if ( !((((_la) & ~0x3f) == 0 && ((1L << _la) & 274878955776L) != 0)) ) {
+			_errHandler.recoverInline(this);
+			}
+			else {
+				if ( _input.LA(1)==Token.EOF ) matchedEOF = true;
+				_errHandler.reportMatch(this);
+				consume();
+			}
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class NodeOptionContext extends ParserRuleContext {
+		public TerminalNode NODE() { return getToken(OperatorParser.NODE, 0); }
+		public NodeIdContext nodeId() {
+			return getRuleContext(NodeIdContext.class,0);
+		}
+		public EverywhereContext everywhere() {
+			return getRuleContext(EverywhereContext.class,0);
+		}
+		public NodeOptionContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_nodeOption; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitNodeOption(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final NodeOptionContext nodeOption() throws RecognitionException {
+		NodeOptionContext _localctx = new NodeOptionContext(_ctx, getState());
+		enterRule(_localctx, 24, RULE_nodeOption);
+		try {
+			setState(191);
+			_errHandler.sync(this);
+			switch (_input.LA(1)) {
+			case NODE:
+				enterOuterAlt(_localctx, 1);
+				{
+				setState(188);
+				match(NODE);
+				setState(189);
+				nodeId();
+				}
+				break;
+			case EVERYWHERE:
+				enterOuterAlt(_localctx, 2);
+				{
+				setState(190);
 				everywhere();
 				}
 				break;
@@ -702,6 +1039,51 @@
 		return _localctx;
 	}
 
+	@SuppressWarnings("CheckReturnValue")
+	public static class DocumentTopicContext extends ParserRuleContext {
+		public TerminalNode CONFIGURATION() { return getToken(OperatorParser.CONFIGURATION, 0); }
+		public TerminalNode CHANGES() { return getToken(OperatorParser.CHANGES, 0); }
+		public DocumentTopicContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_documentTopic; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitDocumentTopic(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final DocumentTopicContext documentTopic() throws RecognitionException {
+		DocumentTopicContext _localctx = new DocumentTopicContext(_ctx, getState());
+		enterRule(_localctx, 26, RULE_documentTopic);
+		int _la;
+		try {
+			enterOuterAlt(_localctx, 1);
+			{
+			setState(193);
+			_la = _input.LA(1);
+			if ( !(_la==CHANGES || _la==CONFIGURATION) ) {
+			_errHandler.recoverInline(this);
+			}
+			else {
+				if ( _input.LA(1)==Token.EOF ) matchedEOF = true;
+				_errHandler.reportMatch(this);
+				consume();
+			}
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
 	@SuppressWarnings("CheckReturnValue")
 	public static class EverywhereContext extends ParserRuleContext {
 		public TerminalNode EVERYWHERE() { return getToken(OperatorParser.EVERYWHERE, 0); }
@@ -718,11 +1100,11 @@
 
 	public final EverywhereContext everywhere() throws RecognitionException {
 		EverywhereContext _localctx = new EverywhereContext(_ctx, getState());
-		enterRule(_localctx, 18, RULE_everywhere);
+		enterRule(_localctx, 28, RULE_everywhere);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(139);
+			setState(195);
 			match(EVERYWHERE);
 			}
 		}
@@ -759,21 +1141,21 @@
 
 	public final WhyContext why() throws RecognitionException {
 		WhyContext _localctx = new WhyContext(_ctx, getState());
-		enterRule(_localctx, 20, RULE_why);
+		enterRule(_localctx, 30, RULE_why);
 		int _la;
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(141);
+			setState(197);
 			match(WHY);
-			setState(142);
+			setState(198);
 			requestId();
-			setState(144);
+			setState(200);
 			_errHandler.sync(this);
 			_la = _input.LA(1);
 			if (_la==EVERYWHERE) {
 				{
-				setState(143);
+				setState(199);
 				everywhere();
 				}
 			}
@@ -827,10 +1209,10 @@
 
 	public final ChangeContext change() throws RecognitionException {
 		ChangeContext _localctx = new ChangeContext(_ctx, getState());
-		enterRule(_localctx, 22, RULE_change);
+		enterRule(_localctx, 32, RULE_change);
 		int _la;
 		try {
-			setState(157);
+			setState(213);
 			_errHandler.sync(this);
 			switch (_input.LA(1)) {
 			case MARK:
@@ -838,36 +1220,36 @@
 			case SET:
 				enterOuterAlt(_localctx, 1);
 				{
-				setState(149);
+				setState(205);
 				_errHandler.sync(this);
 				switch (_input.LA(1)) {
 				case SET:
 					{
-					setState(146);
+					setState(202);
 					set();
 					}
 					break;
 				case REMOVE:
 					{
-					setState(147);
+					setState(203);
 					remove();
 					}
 					break;
 				case MARK:
 					{
-					setState(148);
+					setState(204);
 					mark();
 					}
 					break;
 				default:
 					throw new NoViableAltException(this);
 				}
-				setState(152);
+				setState(208);
 				_errHandler.sync(this);
 				_la = _input.LA(1);
 				if (_la==BASED) {
 					{
-					setState(151);
+					setState(207);
 					basedOn();
 					}
 				}
@@ -877,21 +1259,21 @@
 			case RESTORE:
 				enterOuterAlt(_localctx, 2);
 				{
-				setState(154);
+				setState(210);
 				restore();
 				}
 				break;
 			case DRAIN:
 				enterOuterAlt(_localctx, 3);
 				{
-				setState(155);
+				setState(211);
 				drain();
 				}
 				break;
 			case UNDRAIN:
 				enterOuterAlt(_localctx, 4);
 				{
-				setState(156);
+				setState(212);
 				undrain();
 				}
 				break;
@@ -931,17 +1313,17 @@
 
 	public final BasedOnContext basedOn() throws RecognitionException {
 		BasedOnContext _localctx = new BasedOnContext(_ctx, getState());
-		enterRule(_localctx, 24, RULE_basedOn);
+		enterRule(_localctx, 34, RULE_basedOn);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(159);
+			setState(215);
 			match(BASED);
-			setState(160);
+			setState(216);
 			match(ON);
-			setState(161);
+			setState(217);
 			match(VERSION);
-			setState(162);
+			setState(218);
 			version();
 			}
 		}
@@ -984,36 +1366,36 @@
 
 	public final SetContext set() throws RecognitionException {
 		SetContext _localctx = new SetContext(_ctx, getState());
-		enterRule(_localctx, 26, RULE_set);
+		enterRule(_localctx, 36, RULE_set);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(164);
+			setState(220);
 			match(SET);
-			setState(169);
+			setState(225);
 			_errHandler.sync(this);
 			switch (_input.LA(1)) {
 			case CLASS:
 				{
-				setState(165);
+				setState(221);
 				setClass();
 				}
 				break;
 			case BUDGET:
 				{
-				setState(166);
+				setState(222);
 				setBudget();
 				}
 				break;
 			case LIMIT:
 				{
-				setState(167);
+				setState(223);
 				setLimit();
 				}
 				break;
 			case ROUTE:
 				{
-				setState(168);
+				setState(224);
 				setRoute();
 				}
 				break;
@@ -1056,17 +1438,17 @@
 
 	public final SetClassContext setClass() throws RecognitionException {
 		SetClassContext _localctx = new SetClassContext(_ctx, getState());
-		enterRule(_localctx, 28, RULE_setClass);
+		enterRule(_localctx, 38, RULE_setClass);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(171);
+			setState(227);
 			match(CLASS);
-			setState(172);
+			setState(228);
 			className();
-			setState(173);
+			setState(229);
 			match(PRIORITY);
-			setState(174);
+			setState(230);
 			priority();
 			}
 		}
@@ -1106,26 +1488,26 @@
 
 	public final SetBudgetContext setBudget() throws RecognitionException {
 		SetBudgetContext _localctx = new SetBudgetContext(_ctx, getState());
-		enterRule(_localctx, 30, RULE_setBudget);
+		enterRule(_localctx, 40, RULE_setBudget);
 		int _la;
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(176);
+			setState(232);
 			match(BUDGET);
-			setState(177);
+			setState(233);
 			budgetName();
-			setState(179); 
+			setState(235); 
 			_errHandler.sync(this);
 			_la = _input.LA(1);
 			do {
 				{
 				{
-				setState(178);
+				setState(234);
 				budgetOption();
 				}
 				}
-				setState(181); 
+				setState(237); 
 				_errHandler.sync(this);
 				_la = _input.LA(1);
 			} while ( _la==RETRIES || _la==SHARE );
@@ -1165,26 +1547,26 @@
 
 	public final BudgetOptionContext budgetOption() throws RecognitionException {
 		BudgetOptionContext _localctx = new BudgetOptionContext(_ctx, getState());
-		enterRule(_localctx, 32, RULE_budgetOption);
+		enterRule(_localctx, 42, RULE_budgetOption);
 		try {
-			setState(187);
+			setState(243);
 			_errHandler.sync(this);
 			switch (_input.LA(1)) {
 			case SHARE:
 				enterOuterAlt(_localctx, 1);
 				{
-				setState(183);
+				setState(239);
 				match(SHARE);
-				setState(184);
+				setState(240);
 				share();
 				}
 				break;
 			case RETRIES:
 				enterOuterAlt(_localctx, 2);
 				{
-				setState(185);
+				setState(241);
 				match(RETRIES);
-				setState(186);
+				setState(242);
 				retries();
 				}
 				break;
@@ -1226,17 +1608,17 @@
 
 	public final SetLimitContext setLimit() throws RecognitionException {
 		SetLimitContext _localctx = new SetLimitContext(_ctx, getState());
-		enterRule(_localctx, 34, RULE_setLimit);
+		enterRule(_localctx, 44, RULE_setLimit);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(189);
+			setState(245);
 			match(LIMIT);
-			setState(190);
+			setState(246);
 			serviceName();
-			setState(191);
+			setState(247);
 			match(SLOTS);
-			setState(192);
+			setState(248);
 			slots();
 			}
 		}
@@ -1280,39 +1662,39 @@
 
 	public final SetRouteContext setRoute() throws RecognitionException {
 		SetRouteContext _localctx = new SetRouteContext(_ctx, getState());
-		enterRule(_localctx, 36, RULE_setRoute);
+		enterRule(_localctx, 46, RULE_setRoute);
 		int _la;
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(194);
+			setState(250);
 			match(ROUTE);
-			setState(195);
+			setState(251);
 			prefix();
-			setState(197);
+			setState(253);
 			_errHandler.sync(this);
 			_la = _input.LA(1);
 			if (_la==METHODS || _la==WORD) {
 				{
-				setState(196);
+				setState(252);
 				routeMethods();
 				}
 			}
 
-			setState(202);
+			setState(258);
 			_errHandler.sync(this);
 			switch (_input.LA(1)) {
 			case SERVICE:
 				{
-				setState(199);
+				setState(255);
 				routeTarget();
 				}
 				break;
 			case DEADLINE:
 				{
-				setState(200);
+				setState(256);
 				match(DEADLINE);
-				setState(201);
+				setState(257);
 				duration();
 				}
 				break;
@@ -1358,36 +1740,36 @@
 
 	public final RouteMethodsContext routeMethods() throws RecognitionException {
 		RouteMethodsContext _localctx = new RouteMethodsContext(_ctx, getState());
-		enterRule(_localctx, 38, RULE_routeMethods);
+		enterRule(_localctx, 48, RULE_routeMethods);
 		int _la;
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(205);
+			setState(261);
 			_errHandler.sync(this);
 			_la = _input.LA(1);
 			if (_la==METHODS) {
 				{
-				setState(204);
+				setState(260);
 				match(METHODS);
 				}
 			}
 
-			setState(207);
+			setState(263);
 			method();
-			setState(212);
+			setState(268);
 			_errHandler.sync(this);
 			_la = _input.LA(1);
 			while (_la==COMMA) {
 				{
 				{
-				setState(208);
+				setState(264);
 				match(COMMA);
-				setState(209);
+				setState(265);
 				method();
 				}
 				}
-				setState(214);
+				setState(270);
 				_errHandler.sync(this);
 				_la = _input.LA(1);
 			}
@@ -1433,30 +1815,30 @@
 
 	public final RouteTargetContext routeTarget() throws RecognitionException {
 		RouteTargetContext _localctx = new RouteTargetContext(_ctx, getState());
-		enterRule(_localctx, 40, RULE_routeTarget);
+		enterRule(_localctx, 50, RULE_routeTarget);
 		int _la;
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(215);
+			setState(271);
 			match(SERVICE);
-			setState(216);
+			setState(272);
 			serviceName();
-			setState(217);
+			setState(273);
 			match(CLASS);
-			setState(218);
+			setState(274);
 			className();
-			setState(222);
+			setState(278);
 			_errHandler.sync(this);
 			_la = _input.LA(1);
-			while ((((_la) & ~0x3f) == 0 && ((1L << _la) & 1057284L) != 0)) {
+			while ((((_la) & ~0x3f) == 0 && ((1L << _la) & 2105860L) != 0)) {
 				{
 				{
-				setState(219);
+				setState(275);
 				routeOption();
 				}
 				}
-				setState(224);
+				setState(280);
 				_errHandler.sync(this);
 				_la = _input.LA(1);
 			}
@@ -1498,40 +1880,40 @@
 
 	public final RouteOptionContext routeOption() throws RecognitionException {
 		RouteOptionContext _localctx = new RouteOptionContext(_ctx, getState());
-		enterRule(_localctx, 42, RULE_routeOption);
+		enterRule(_localctx, 52, RULE_routeOption);
 		try {
-			setState(231);
+			setState(287);
 			_errHandler.sync(this);
 			switch (_input.LA(1)) {
 			case IDEMPOTENT:
 				enterOuterAlt(_localctx, 1);
 				{
-				setState(225);
+				setState(281);
 				match(IDEMPOTENT);
 				}
 				break;
 			case NON_IDEMPOTENT:
 				enterOuterAlt(_localctx, 2);
 				{
-				setState(226);
+				setState(282);
 				match(NON_IDEMPOTENT);
 				}
 				break;
 			case DEADLINE:
 				enterOuterAlt(_localctx, 3);
 				{
-				setState(227);
+				setState(283);
 				match(DEADLINE);
-				setState(228);
+				setState(284);
 				duration();
 				}
 				break;
 			case BUDGET:
 				enterOuterAlt(_localctx, 4);
 				{
-				setState(229);
+				setState(285);
 				match(BUDGET);
-				setState(230);
+				setState(286);
 				budgetName();
 				}
 				break;
@@ -1573,23 +1955,23 @@
 
 	public final RemoveContext remove() throws RecognitionException {
 		RemoveContext _localctx = new RemoveContext(_ctx, getState());
-		enterRule(_localctx, 44, RULE_remove);
+		enterRule(_localctx, 54, RULE_remove);
 		int _la;
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(233);
+			setState(289);
 			match(REMOVE);
-			setState(234);
+			setState(290);
 			match(ROUTE);
-			setState(235);
+			setState(291);
 			prefix();
-			setState(237);
+			setState(293);
 			_errHandler.sync(this);
 			_la = _input.LA(1);
 			if (_la==METHODS || _la==WORD) {
 				{
-				setState(236);
+				setState(292);
 				routeMethods();
 				}
 			}
@@ -1632,28 +2014,28 @@
 
 	public final MarkContext mark() throws RecognitionException {
 		MarkContext _localctx = new MarkContext(_ctx, getState());
-		enterRule(_localctx, 46, RULE_mark);
+		enterRule(_localctx, 56, RULE_mark);
 		int _la;
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(239);
+			setState(295);
 			match(MARK);
-			setState(240);
+			setState(296);
 			match(ROUTE);
-			setState(241);
+			setState(297);
 			prefix();
-			setState(243);
+			setState(299);
 			_errHandler.sync(this);
 			_la = _input.LA(1);
 			if (_la==METHODS || _la==WORD) {
 				{
-				setState(242);
+				setState(298);
 				routeMethods();
 				}
 			}
 
-			setState(245);
+			setState(301);
 			_la = _input.LA(1);
 			if ( !(_la==IDEMPOTENT || _la==NON_IDEMPOTENT) ) {
 			_errHandler.recoverInline(this);
@@ -1693,13 +2075,13 @@
 
 	public final RestoreContext restore() throws RecognitionException {
 		RestoreContext _localctx = new RestoreContext(_ctx, getState());
-		enterRule(_localctx, 48, RULE_restore);
+		enterRule(_localctx, 58, RULE_restore);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(247);
+			setState(303);
 			match(RESTORE);
-			setState(248);
+			setState(304);
 			match(CONFIGURATION);
 			}
 		}
@@ -1734,15 +2116,15 @@
 
 	public final DrainContext drain() throws RecognitionException {
 		DrainContext _localctx = new DrainContext(_ctx, getState());
-		enterRule(_localctx, 50, RULE_drain);
+		enterRule(_localctx, 60, RULE_drain);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(250);
+			setState(306);
 			match(DRAIN);
-			setState(251);
+			setState(307);
 			match(TARGET);
-			setState(252);
+			setState(308);
 			nodeId();
 			}
 		}
@@ -1777,15 +2159,15 @@
 
 	public final UndrainContext undrain() throws RecognitionException {
 		UndrainContext _localctx = new UndrainContext(_ctx, getState());
-		enterRule(_localctx, 52, RULE_undrain);
+		enterRule(_localctx, 62, RULE_undrain);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(254);
+			setState(310);
 			match(UNDRAIN);
-			setState(255);
+			setState(311);
 			match(TARGET);
-			setState(256);
+			setState(312);
 			nodeId();
 			}
 		}
@@ -1818,11 +2200,11 @@
 
 	public final ClassNameContext className() throws RecognitionException {
 		ClassNameContext _localctx = new ClassNameContext(_ctx, getState());
-		enterRule(_localctx, 54, RULE_className);
+		enterRule(_localctx, 64, RULE_className);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(258);
+			setState(314);
 			name();
 			}
 		}
@@ -1855,11 +2237,11 @@
 
 	public final BudgetNameContext budgetName() throws RecognitionException {
 		BudgetNameContext _localctx = new BudgetNameContext(_ctx, getState());
-		enterRule(_localctx, 56, RULE_budgetName);
+		enterRule(_localctx, 66, RULE_budgetName);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(260);
+			setState(316);
 			name();
 			}
 		}
@@ -1892,11 +2274,11 @@
 
 	public final ServiceNameContext serviceName() throws RecognitionException {
 		ServiceNameContext _localctx = new ServiceNameContext(_ctx, getState());
-		enterRule(_localctx, 58, RULE_serviceName);
+		enterRule(_localctx, 68, RULE_serviceName);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(262);
+			setState(318);
 			name();
 			}
 		}
@@ -1929,11 +2311,11 @@
 
 	public final NodeIdContext nodeId() throws RecognitionException {
 		NodeIdContext _localctx = new NodeIdContext(_ctx, getState());
-		enterRule(_localctx, 60, RULE_nodeId);
+		enterRule(_localctx, 70, RULE_nodeId);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(264);
+			setState(320);
 			name();
 			}
 		}
@@ -1964,11 +2346,11 @@
 
 	public final MethodContext method() throws RecognitionException {
 		MethodContext _localctx = new MethodContext(_ctx, getState());
-		enterRule(_localctx, 62, RULE_method);
+		enterRule(_localctx, 72, RULE_method);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(266);
+			setState(322);
 			match(WORD);
 			}
 		}
@@ -1999,11 +2381,11 @@
 
 	public final RequestIdContext requestId() throws RecognitionException {
 		RequestIdContext _localctx = new RequestIdContext(_ctx, getState());
-		enterRule(_localctx, 64, RULE_requestId);
+		enterRule(_localctx, 74, RULE_requestId);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(268);
+			setState(324);
 			match(WORD);
 			}
 		}
@@ -2034,11 +2416,11 @@
 
 	public final PrefixContext prefix() throws RecognitionException {
 		PrefixContext _localctx = new PrefixContext(_ctx, getState());
-		enterRule(_localctx, 66, RULE_prefix);
+		enterRule(_localctx, 76, RULE_prefix);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(270);
+			setState(326);
 			match(PATH);
 			}
 		}
@@ -2069,11 +2451,11 @@
 
 	public final DurationContext duration() throws RecognitionException {
 		DurationContext _localctx = new DurationContext(_ctx, getState());
-		enterRule(_localctx, 68, RULE_duration);
+		enterRule(_localctx, 78, RULE_duration);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(272);
+			setState(328);
 			match(DURATION);
 			}
 		}
@@ -2105,12 +2487,12 @@
 
 	public final ShareContext share() throws RecognitionException {
 		ShareContext _localctx = new ShareContext(_ctx, getState());
-		enterRule(_localctx, 70, RULE_share);
+		enterRule(_localctx, 80, RULE_share);
 		int _la;
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(274);
+			setState(330);
 			_la = _input.LA(1);
 			if ( !(_la==DECIMAL || _la==PERCENT) ) {
 			_errHandler.recoverInline(this);
@@ -2149,11 +2531,11 @@
 
 	public final PriorityContext priority() throws RecognitionException {
 		PriorityContext _localctx = new PriorityContext(_ctx, getState());
-		enterRule(_localctx, 72, RULE_priority);
+		enterRule(_localctx, 82, RULE_priority);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(276);
+			setState(332);
 			match(NUMBER);
 			}
 		}
@@ -2184,11 +2566,11 @@
 
 	public final RetriesContext retries() throws RecognitionException {
 		RetriesContext _localctx = new RetriesContext(_ctx, getState());
-		enterRule(_localctx, 74, RULE_retries);
+		enterRule(_localctx, 84, RULE_retries);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(278);
+			setState(334);
 			match(NUMBER);
 			}
 		}
@@ -2219,11 +2601,11 @@
 
 	public final SlotsContext slots() throws RecognitionException {
 		SlotsContext _localctx = new SlotsContext(_ctx, getState());
-		enterRule(_localctx, 76, RULE_slots);
+		enterRule(_localctx, 86, RULE_slots);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(280);
+			setState(336);
 			match(NUMBER);
 			}
 		}
@@ -2254,11 +2636,11 @@
 
 	public final VersionContext version() throws RecognitionException {
 		VersionContext _localctx = new VersionContext(_ctx, getState());
-		enterRule(_localctx, 78, RULE_version);
+		enterRule(_localctx, 88, RULE_version);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(282);
+			setState(338);
 			match(NUMBER);
 			}
 		}
@@ -2295,36 +2677,36 @@
 
 	public final NameContext name() throws RecognitionException {
 		NameContext _localctx = new NameContext(_ctx, getState());
-		enterRule(_localctx, 80, RULE_name);
+		enterRule(_localctx, 90, RULE_name);
 		try {
-			setState(289);
+			setState(345);
 			_errHandler.sync(this);
 			switch (_input.LA(1)) {
 			case WORD:
 				enterOuterAlt(_localctx, 1);
 				{
-				setState(284);
+				setState(340);
 				match(WORD);
 				}
 				break;
 			case NUMBER:
 				enterOuterAlt(_localctx, 2);
 				{
-				setState(285);
+				setState(341);
 				match(NUMBER);
 				}
 				break;
 			case DECIMAL:
 				enterOuterAlt(_localctx, 3);
 				{
-				setState(286);
+				setState(342);
 				match(DECIMAL);
 				}
 				break;
 			case DURATION:
 				enterOuterAlt(_localctx, 4);
 				{
-				setState(287);
+				setState(343);
 				match(DURATION);
 				}
 				break;
@@ -2346,6 +2728,7 @@
 			case LIMIT:
 			case MARK:
 			case METHODS:
+			case NODE:
 			case NODES:
 			case NON_IDEMPOTENT:
 			case ON:
@@ -2372,7 +2755,7 @@
 			case WHY:
 				enterOuterAlt(_localctx, 5);
 				{
-				setState(288);
+				setState(344);
 				keyword();
 				}
 				break;
@@ -2411,6 +2794,7 @@
 		public TerminalNode LIMIT() { return getToken(OperatorParser.LIMIT, 0); }
 		public TerminalNode MARK() { return getToken(OperatorParser.MARK, 0); }
 		public TerminalNode METHODS() { return getToken(OperatorParser.METHODS, 0); }
+		public TerminalNode NODE() { return getToken(OperatorParser.NODE, 0); }
 		public TerminalNode NODES() { return getToken(OperatorParser.NODES, 0); }
 		public TerminalNode NON_IDEMPOTENT() { return getToken(OperatorParser.NON_IDEMPOTENT, 0); }
 		public TerminalNode ON() { return getToken(OperatorParser.ON, 0); }
@@ -2448,14 +2832,14 @@
 
 	public final KeywordContext keyword() throws RecognitionException {
 		KeywordContext _localctx = new KeywordContext(_ctx, getState());
-		enterRule(_localctx, 82, RULE_keyword);
+		enterRule(_localctx, 92, RULE_keyword);
 		int _la;
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(291);
+			setState(347);
 			_la = _input.LA(1);
-			if ( !((((_la) & ~0x3f) == 0 && ((1L << _la) & 8796093022206L) != 0)) ) {
+			if ( !((((_la) & ~0x3f) == 0 && ((1L << _la) & 17592186044414L) != 0)) ) {
 			_errHandler.recoverInline(this);
 			}
 			else {
@@ -2477,7 +2861,7 @@
 	}
 
 	public static final String _serializedATN =
-		"\u0004\u00013\u0126\u0002\u0000\u0007\u0000\u0002\u0001\u0007\u0001\u0002"+
+		"\u0004\u00014\u015e\u0002\u0000\u0007\u0000\u0002\u0001\u0007\u0001\u0002"+
 		"\u0002\u0007\u0002\u0002\u0003\u0007\u0003\u0002\u0004\u0007\u0004\u0002"+
 		"\u0005\u0007\u0005\u0002\u0006\u0007\u0006\u0002\u0007\u0007\u0007\u0002"+
 		"\b\u0007\b\u0002\t\u0007\t\u0002\n\u0007\n\u0002\u000b\u0007\u000b\u0002"+
@@ -2489,172 +2873,212 @@
 		"\u0002\u001c\u0007\u001c\u0002\u001d\u0007\u001d\u0002\u001e\u0007\u001e"+
 		"\u0002\u001f\u0007\u001f\u0002 \u0007 \u0002!\u0007!\u0002\"\u0007\"\u0002"+
 		"#\u0007#\u0002$\u0007$\u0002%\u0007%\u0002&\u0007&\u0002\'\u0007\'\u0002"+
-		"(\u0007(\u0002)\u0007)\u0001\u0000\u0001\u0000\u0001\u0000\u0001\u0001"+
-		"\u0001\u0001\u0001\u0001\u0001\u0001\u0001\u0001\u0003\u0001]\b\u0001"+
+		"(\u0007(\u0002)\u0007)\u0002*\u0007*\u0002+\u0007+\u0002,\u0007,\u0002"+
+		"-\u0007-\u0002.\u0007.\u0001\u0000\u0001\u0000\u0001\u0000\u0001\u0001"+
+		"\u0001\u0001\u0001\u0001\u0001\u0001\u0001\u0001\u0003\u0001g\b\u0001"+
 		"\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0003\u0001\u0003\u0001\u0003"+
-		"\u0001\u0004\u0001\u0004\u0001\u0004\u0005\u0004h\b\u0004\n\u0004\f\u0004"+
-		"k\t\u0004\u0001\u0004\u0001\u0004\u0005\u0004o\b\u0004\n\u0004\f\u0004"+
-		"r\t\u0004\u0001\u0004\u0001\u0004\u0003\u0004v\b\u0004\u0003\u0004x\b"+
-		"\u0004\u0001\u0005\u0001\u0005\u0001\u0006\u0001\u0006\u0001\u0006\u0001"+
-		"\u0006\u0001\u0006\u0003\u0006\u0081\b\u0006\u0001\u0007\u0001\u0007\u0001"+
-		"\b\u0001\b\u0001\b\u0001\b\u0001\b\u0003\b\u008a\b\b\u0001\t\u0001\t\u0001"+
-		"\n\u0001\n\u0001\n\u0003\n\u0091\b\n\u0001\u000b\u0001\u000b\u0001\u000b"+
-		"\u0003\u000b\u0096\b\u000b\u0001\u000b\u0003\u000b\u0099\b\u000b\u0001"+
-		"\u000b\u0001\u000b\u0001\u000b\u0003\u000b\u009e\b\u000b\u0001\f\u0001"+
-		"\f\u0001\f\u0001\f\u0001\f\u0001\r\u0001\r\u0001\r\u0001\r\u0001\r\u0003"+
-		"\r\u00aa\b\r\u0001\u000e\u0001\u000e\u0001\u000e\u0001\u000e\u0001\u000e"+
-		"\u0001\u000f\u0001\u000f\u0001\u000f\u0004\u000f\u00b4\b\u000f\u000b\u000f"+
-		"\f\u000f\u00b5\u0001\u0010\u0001\u0010\u0001\u0010\u0001\u0010\u0003\u0010"+
-		"\u00bc\b\u0010\u0001\u0011\u0001\u0011\u0001\u0011\u0001\u0011\u0001\u0011"+
-		"\u0001\u0012\u0001\u0012\u0001\u0012\u0003\u0012\u00c6\b\u0012\u0001\u0012"+
-		"\u0001\u0012\u0001\u0012\u0003\u0012\u00cb\b\u0012\u0001\u0013\u0003\u0013"+
-		"\u00ce\b\u0013\u0001\u0013\u0001\u0013\u0001\u0013\u0005\u0013\u00d3\b"+
-		"\u0013\n\u0013\f\u0013\u00d6\t\u0013\u0001\u0014\u0001\u0014\u0001\u0014"+
-		"\u0001\u0014\u0001\u0014\u0005\u0014\u00dd\b\u0014\n\u0014\f\u0014\u00e0"+
-		"\t\u0014\u0001\u0015\u0001\u0015\u0001\u0015\u0001\u0015\u0001\u0015\u0001"+
-		"\u0015\u0003\u0015\u00e8\b\u0015\u0001\u0016\u0001\u0016\u0001\u0016\u0001"+
-		"\u0016\u0003\u0016\u00ee\b\u0016\u0001\u0017\u0001\u0017\u0001\u0017\u0001"+
-		"\u0017\u0003\u0017\u00f4\b\u0017\u0001\u0017\u0001\u0017\u0001\u0018\u0001"+
-		"\u0018\u0001\u0018\u0001\u0019\u0001\u0019\u0001\u0019\u0001\u0019\u0001"+
-		"\u001a\u0001\u001a\u0001\u001a\u0001\u001a\u0001\u001b\u0001\u001b\u0001"+
-		"\u001c\u0001\u001c\u0001\u001d\u0001\u001d\u0001\u001e\u0001\u001e\u0001"+
-		"\u001f\u0001\u001f\u0001 \u0001 \u0001!\u0001!\u0001\"\u0001\"\u0001#"+
-		"\u0001#\u0001$\u0001$\u0001%\u0001%\u0001&\u0001&\u0001\'\u0001\'\u0001"+
-		"(\u0001(\u0001(\u0001(\u0001(\u0003(\u0122\b(\u0001)\u0001)\u0001)\u0000"+
-		"\u0000*\u0000\u0002\u0004\u0006\b\n\f\u000e\u0010\u0012\u0014\u0016\u0018"+
-		"\u001a\u001c\u001e \"$&(*,.02468:<>@BDFHJLNPR\u0000\u0005\u0007\u0000"+
-		"\u0005\u0005\u0007\b\u000f\u000f\u0013\u0013\u0017\u0017\u001b\u001b$"+
-		"%\u0003\u0000\u0004\u0004\u0006\u0006\u001d\u001d\u0002\u0000\r\r\u0014"+
-		"\u0014\u0001\u0000-.\u0001\u0000\u0001*\u0122\u0000T\u0001\u0000\u0000"+
-		"\u0000\u0002\\\u0001\u0000\u0000\u0000\u0004^\u0001\u0000\u0000\u0000"+
-		"\u0006a\u0001\u0000\u0000\u0000\bd\u0001\u0000\u0000\u0000\ny\u0001\u0000"+
-		"\u0000\u0000\f\u0080\u0001\u0000\u0000\u0000\u000e\u0082\u0001\u0000\u0000"+
-		"\u0000\u0010\u0089\u0001\u0000\u0000\u0000\u0012\u008b\u0001\u0000\u0000"+
-		"\u0000\u0014\u008d\u0001\u0000\u0000\u0000\u0016\u009d\u0001\u0000\u0000"+
-		"\u0000\u0018\u009f\u0001\u0000\u0000\u0000\u001a\u00a4\u0001\u0000\u0000"+
-		"\u0000\u001c\u00ab\u0001\u0000\u0000\u0000\u001e\u00b0\u0001\u0000\u0000"+
-		"\u0000 \u00bb\u0001\u0000\u0000\u0000\"\u00bd\u0001\u0000\u0000\u0000"+
-		"$\u00c2\u0001\u0000\u0000\u0000&\u00cd\u0001\u0000\u0000\u0000(\u00d7"+
-		"\u0001\u0000\u0000\u0000*\u00e7\u0001\u0000\u0000\u0000,\u00e9\u0001\u0000"+
-		"\u0000\u0000.\u00ef\u0001\u0000\u0000\u00000\u00f7\u0001\u0000\u0000\u0000"+
-		"2\u00fa\u0001\u0000\u0000\u00004\u00fe\u0001\u0000\u0000\u00006\u0102"+
-		"\u0001\u0000\u0000\u00008\u0104\u0001\u0000\u0000\u0000:\u0106\u0001\u0000"+
-		"\u0000\u0000<\u0108\u0001\u0000\u0000\u0000>\u010a\u0001\u0000\u0000\u0000"+
-		"@\u010c\u0001\u0000\u0000\u0000B\u010e\u0001\u0000\u0000\u0000D\u0110"+
-		"\u0001\u0000\u0000\u0000F\u0112\u0001\u0000\u0000\u0000H\u0114\u0001\u0000"+
-		"\u0000\u0000J\u0116\u0001\u0000\u0000\u0000L\u0118\u0001\u0000\u0000\u0000"+
-		"N\u011a\u0001\u0000\u0000\u0000P\u0121\u0001\u0000\u0000\u0000R\u0123"+
-		"\u0001\u0000\u0000\u0000TU\u0003\u0002\u0001\u0000UV\u0005\u0000\u0000"+
-		"\u0001V\u0001\u0001\u0000\u0000\u0000W]\u0003\b\u0004\u0000X]\u0003\u0014"+
-		"\n\u0000Y]\u0003\u0016\u000b\u0000Z]\u0003\u0004\u0002\u0000[]\u0003\u0006"+
-		"\u0003\u0000\\W\u0001\u0000\u0000\u0000\\X\u0001\u0000\u0000\u0000\\Y"+
-		"\u0001\u0000\u0000\u0000\\Z\u0001\u0000\u0000\u0000\\[\u0001\u0000\u0000"+
-		"\u0000]\u0003\u0001\u0000\u0000\u0000^_\u0005\f\u0000\u0000_`\u0003\u0016"+
-		"\u000b\u0000`\u0005\u0001\u0000\u0000\u0000ab\u0005)\u0000\u0000bc\u0003"+
-		"\b\u0004\u0000c\u0007\u0001\u0000\u0000\u0000dw\u0005!\u0000\u0000ei\u0005"+
-		" \u0000\u0000fh\u0003\f\u0006\u0000gf\u0001\u0000\u0000\u0000hk\u0001"+
-		"\u0000\u0000\u0000ig\u0001\u0000\u0000\u0000ij\u0001\u0000\u0000\u0000"+
-		"jx\u0001\u0000\u0000\u0000ki\u0001\u0000\u0000\u0000lp\u0005&\u0000\u0000"+
-		"mo\u0003\u0010\b\u0000nm\u0001\u0000\u0000\u0000or\u0001\u0000\u0000\u0000"+
-		"pn\u0001\u0000\u0000\u0000pq\u0001\u0000\u0000\u0000qx\u0001\u0000\u0000"+
-		"\u0000rp\u0001\u0000\u0000\u0000su\u0003\n\u0005\u0000tv\u0003\u0012\t"+
-		"\u0000ut\u0001\u0000\u0000\u0000uv\u0001\u0000\u0000\u0000vx\u0001\u0000"+
-		"\u0000\u0000we\u0001\u0000\u0000\u0000wl\u0001\u0000\u0000\u0000ws\u0001"+
-		"\u0000\u0000\u0000x\t\u0001\u0000\u0000\u0000yz\u0007\u0000\u0000\u0000"+
-		"z\u000b\u0001\u0000\u0000\u0000{|\u0005\u0003\u0000\u0000|\u0081\u0003"+
-		"\u000e\u0007\u0000}~\u0005\u000e\u0000\u0000~\u0081\u0003D\"\u0000\u007f"+
-		"\u0081\u0003\u0012\t\u0000\u0080{\u0001\u0000\u0000\u0000\u0080}\u0001"+
-		"\u0000\u0000\u0000\u0080\u007f\u0001\u0000\u0000\u0000\u0081\r\u0001\u0000"+
-		"\u0000\u0000\u0082\u0083\u0007\u0001\u0000\u0000\u0083\u000f\u0001\u0000"+
-		"\u0000\u0000\u0084\u0085\u0005\u000e\u0000\u0000\u0085\u008a\u0003D\""+
-		"\u0000\u0086\u0087\u0005\u0019\u0000\u0000\u0087\u008a\u0003@ \u0000\u0088"+
-		"\u008a\u0003\u0012\t\u0000\u0089\u0084\u0001\u0000\u0000\u0000\u0089\u0086"+
-		"\u0001\u0000\u0000\u0000\u0089\u0088\u0001\u0000\u0000\u0000\u008a\u0011"+
-		"\u0001\u0000\u0000\u0000\u008b\u008c\u0005\u000b\u0000\u0000\u008c\u0013"+
-		"\u0001\u0000\u0000\u0000\u008d\u008e\u0005*\u0000\u0000\u008e\u0090\u0003"+
-		"@ \u0000\u008f\u0091\u0003\u0012\t\u0000\u0090\u008f\u0001\u0000\u0000"+
-		"\u0000\u0090\u0091\u0001\u0000\u0000\u0000\u0091\u0015\u0001\u0000\u0000"+
-		"\u0000\u0092\u0096\u0003\u001a\r\u0000\u0093\u0096\u0003,\u0016\u0000"+
-		"\u0094\u0096\u0003.\u0017\u0000\u0095\u0092\u0001\u0000\u0000\u0000\u0095"+
-		"\u0093\u0001\u0000\u0000\u0000\u0095\u0094\u0001\u0000\u0000\u0000\u0096"+
-		"\u0098\u0001\u0000\u0000\u0000\u0097\u0099\u0003\u0018\f\u0000\u0098\u0097"+
-		"\u0001\u0000\u0000\u0000\u0098\u0099\u0001\u0000\u0000\u0000\u0099\u009e"+
-		"\u0001\u0000\u0000\u0000\u009a\u009e\u00030\u0018\u0000\u009b\u009e\u0003"+
-		"2\u0019\u0000\u009c\u009e\u00034\u001a\u0000\u009d\u0095\u0001\u0000\u0000"+
-		"\u0000\u009d\u009a\u0001\u0000\u0000\u0000\u009d\u009b\u0001\u0000\u0000"+
-		"\u0000\u009d\u009c\u0001\u0000\u0000\u0000\u009e\u0017\u0001\u0000\u0000"+
-		"\u0000\u009f\u00a0\u0005\u0001\u0000\u0000\u00a0\u00a1\u0005\u0015\u0000"+
-		"\u0000\u00a1\u00a2\u0005(\u0000\u0000\u00a2\u00a3\u0003N\'\u0000\u00a3"+
-		"\u0019\u0001\u0000\u0000\u0000\u00a4\u00a9\u0005\u001e\u0000\u0000\u00a5"+
-		"\u00aa\u0003\u001c\u000e\u0000\u00a6\u00aa\u0003\u001e\u000f\u0000\u00a7"+
-		"\u00aa\u0003\"\u0011\u0000\u00a8\u00aa\u0003$\u0012\u0000\u00a9\u00a5"+
-		"\u0001\u0000\u0000\u0000\u00a9\u00a6\u0001\u0000\u0000\u0000\u00a9\u00a7"+
-		"\u0001\u0000\u0000\u0000\u00a9\u00a8\u0001\u0000\u0000\u0000\u00aa\u001b"+
-		"\u0001\u0000\u0000\u0000\u00ab\u00ac\u0005\u0006\u0000\u0000\u00ac\u00ad"+
-		"\u00036\u001b\u0000\u00ad\u00ae\u0005\u0016\u0000\u0000\u00ae\u00af\u0003"+
-		"H$\u0000\u00af\u001d\u0001\u0000\u0000\u0000\u00b0\u00b1\u0005\u0002\u0000"+
-		"\u0000\u00b1\u00b3\u00038\u001c\u0000\u00b2\u00b4\u0003 \u0010\u0000\u00b3"+
-		"\u00b2\u0001\u0000\u0000\u0000\u00b4\u00b5\u0001\u0000\u0000\u0000\u00b5"+
-		"\u00b3\u0001\u0000\u0000\u0000\u00b5\u00b6\u0001\u0000\u0000\u0000\u00b6"+
-		"\u001f\u0001\u0000\u0000\u0000\u00b7\u00b8\u0005\u001f\u0000\u0000\u00b8"+
-		"\u00bc\u0003F#\u0000\u00b9\u00ba\u0005\u001b\u0000\u0000\u00ba\u00bc\u0003"+
-		"J%\u0000\u00bb\u00b7\u0001\u0000\u0000\u0000\u00bb\u00b9\u0001\u0000\u0000"+
-		"\u0000\u00bc!\u0001\u0000\u0000\u0000\u00bd\u00be\u0005\u0010\u0000\u0000"+
-		"\u00be\u00bf\u0003:\u001d\u0000\u00bf\u00c0\u0005\"\u0000\u0000\u00c0"+
-		"\u00c1\u0003L&\u0000\u00c1#\u0001\u0000\u0000\u0000\u00c2\u00c3\u0005"+
-		"\u001c\u0000\u0000\u00c3\u00c5\u0003B!\u0000\u00c4\u00c6\u0003&\u0013"+
-		"\u0000\u00c5\u00c4\u0001\u0000\u0000\u0000\u00c5\u00c6\u0001\u0000\u0000"+
-		"\u0000\u00c6\u00ca\u0001\u0000\u0000\u0000\u00c7\u00cb\u0003(\u0014\u0000"+
-		"\u00c8\u00c9\u0005\t\u0000\u0000\u00c9\u00cb\u0003D\"\u0000\u00ca\u00c7"+
-		"\u0001\u0000\u0000\u0000\u00ca\u00c8\u0001\u0000\u0000\u0000\u00cb%\u0001"+
-		"\u0000\u0000\u0000\u00cc\u00ce\u0005\u0012\u0000\u0000\u00cd\u00cc\u0001"+
-		"\u0000\u0000\u0000\u00cd\u00ce\u0001\u0000\u0000\u0000\u00ce\u00cf\u0001"+
-		"\u0000\u0000\u0000\u00cf\u00d4\u0003>\u001f\u0000\u00d0\u00d1\u00051\u0000"+
-		"\u0000\u00d1\u00d3\u0003>\u001f\u0000\u00d2\u00d0\u0001\u0000\u0000\u0000"+
-		"\u00d3\u00d6\u0001\u0000\u0000\u0000\u00d4\u00d2\u0001\u0000\u0000\u0000"+
-		"\u00d4\u00d5\u0001\u0000\u0000\u0000\u00d5\'\u0001\u0000\u0000\u0000\u00d6"+
-		"\u00d4\u0001\u0000\u0000\u0000\u00d7\u00d8\u0005\u001d\u0000\u0000\u00d8"+
-		"\u00d9\u0003:\u001d\u0000\u00d9\u00da\u0005\u0006\u0000\u0000\u00da\u00de"+
-		"\u00036\u001b\u0000\u00db\u00dd\u0003*\u0015\u0000\u00dc\u00db\u0001\u0000"+
-		"\u0000\u0000\u00dd\u00e0\u0001\u0000\u0000\u0000\u00de\u00dc\u0001\u0000"+
-		"\u0000\u0000\u00de\u00df\u0001\u0000\u0000\u0000\u00df)\u0001\u0000\u0000"+
-		"\u0000\u00e0\u00de\u0001\u0000\u0000\u0000\u00e1\u00e8\u0005\r\u0000\u0000"+
-		"\u00e2\u00e8\u0005\u0014\u0000\u0000\u00e3\u00e4\u0005\t\u0000\u0000\u00e4"+
-		"\u00e8\u0003D\"\u0000\u00e5\u00e6\u0005\u0002\u0000\u0000\u00e6\u00e8"+
-		"\u00038\u001c\u0000\u00e7\u00e1\u0001\u0000\u0000\u0000\u00e7\u00e2\u0001"+
-		"\u0000\u0000\u0000\u00e7\u00e3\u0001\u0000\u0000\u0000\u00e7\u00e5\u0001"+
-		"\u0000\u0000\u0000\u00e8+\u0001\u0000\u0000\u0000\u00e9\u00ea\u0005\u0018"+
-		"\u0000\u0000\u00ea\u00eb\u0005\u001c\u0000\u0000\u00eb\u00ed\u0003B!\u0000"+
-		"\u00ec\u00ee\u0003&\u0013\u0000\u00ed\u00ec\u0001\u0000\u0000\u0000\u00ed"+
-		"\u00ee\u0001\u0000\u0000\u0000\u00ee-\u0001\u0000\u0000\u0000\u00ef\u00f0"+
-		"\u0005\u0011\u0000\u0000\u00f0\u00f1\u0005\u001c\u0000\u0000\u00f1\u00f3"+
-		"\u0003B!\u0000\u00f2\u00f4\u0003&\u0013\u0000\u00f3\u00f2\u0001\u0000"+
-		"\u0000\u0000\u00f3\u00f4\u0001\u0000\u0000\u0000\u00f4\u00f5\u0001\u0000"+
-		"\u0000\u0000\u00f5\u00f6\u0007\u0002\u0000\u0000\u00f6/\u0001\u0000\u0000"+
-		"\u0000\u00f7\u00f8\u0005\u001a\u0000\u0000\u00f8\u00f9\u0005\u0007\u0000"+
-		"\u0000\u00f91\u0001\u0000\u0000\u0000\u00fa\u00fb\u0005\n\u0000\u0000"+
-		"\u00fb\u00fc\u0005#\u0000\u0000\u00fc\u00fd\u0003<\u001e\u0000\u00fd3"+
-		"\u0001\u0000\u0000\u0000\u00fe\u00ff\u0005\'\u0000\u0000\u00ff\u0100\u0005"+
-		"#\u0000\u0000\u0100\u0101\u0003<\u001e\u0000\u01015\u0001\u0000\u0000"+
-		"\u0000\u0102\u0103\u0003P(\u0000\u01037\u0001\u0000\u0000\u0000\u0104"+
-		"\u0105\u0003P(\u0000\u01059\u0001\u0000\u0000\u0000\u0106\u0107\u0003"+
-		"P(\u0000\u0107;\u0001\u0000\u0000\u0000\u0108\u0109\u0003P(\u0000\u0109"+
-		"=\u0001\u0000\u0000\u0000\u010a\u010b\u0005/\u0000\u0000\u010b?\u0001"+
-		"\u0000\u0000\u0000\u010c\u010d\u0005/\u0000\u0000\u010dA\u0001\u0000\u0000"+
-		"\u0000\u010e\u010f\u00050\u0000\u0000\u010fC\u0001\u0000\u0000\u0000\u0110"+
-		"\u0111\u0005,\u0000\u0000\u0111E\u0001\u0000\u0000\u0000\u0112\u0113\u0007"+
-		"\u0003\u0000\u0000\u0113G\u0001\u0000\u0000\u0000\u0114\u0115\u0005+\u0000"+
-		"\u0000\u0115I\u0001\u0000\u0000\u0000\u0116\u0117\u0005+\u0000\u0000\u0117"+
-		"K\u0001\u0000\u0000\u0000\u0118\u0119\u0005+\u0000\u0000\u0119M\u0001"+
-		"\u0000\u0000\u0000\u011a\u011b\u0005+\u0000\u0000\u011bO\u0001\u0000\u0000"+
-		"\u0000\u011c\u0122\u0005/\u0000\u0000\u011d\u0122\u0005+\u0000\u0000\u011e"+
-		"\u0122\u0005-\u0000\u0000\u011f\u0122\u0005,\u0000\u0000\u0120\u0122\u0003"+
-		"R)\u0000\u0121\u011c\u0001\u0000\u0000\u0000\u0121\u011d\u0001\u0000\u0000"+
-		"\u0000\u0121\u011e\u0001\u0000\u0000\u0000\u0121\u011f\u0001\u0000\u0000"+
-		"\u0000\u0121\u0120\u0001\u0000\u0000\u0000\u0122Q\u0001\u0000\u0000\u0000"+
-		"\u0123\u0124\u0007\u0004\u0000\u0000\u0124S\u0001\u0000\u0000\u0000\u0017"+
-		"\\ipuw\u0080\u0089\u0090\u0095\u0098\u009d\u00a9\u00b5\u00bb\u00c5\u00ca"+
-		"\u00cd\u00d4\u00de\u00e7\u00ed\u00f3\u0121";
+		"\u0001\u0004\u0001\u0004\u0001\u0004\u0005\u0004r\b\u0004\n\u0004\f\u0004"+
+		"u\t\u0004\u0001\u0004\u0001\u0004\u0005\u0004y\b\u0004\n\u0004\f\u0004"+
+		"|\t\u0004\u0001\u0004\u0001\u0004\u0005\u0004\u0080\b\u0004\n\u0004\f"+
+		"\u0004\u0083\t\u0004\u0001\u0004\u0001\u0004\u0005\u0004\u0087\b\u0004"+
+		"\n\u0004\f\u0004\u008a\t\u0004\u0001\u0004\u0001\u0004\u0005\u0004\u008e"+
+		"\b\u0004\n\u0004\f\u0004\u0091\t\u0004\u0001\u0004\u0001\u0004\u0003\u0004"+
+		"\u0095\b\u0004\u0003\u0004\u0097\b\u0004\u0001\u0005\u0001\u0005\u0001"+
+		"\u0005\u0001\u0005\u0001\u0005\u0001\u0005\u0001\u0005\u0003\u0005\u00a0"+
+		"\b\u0005\u0001\u0006\u0001\u0006\u0001\u0007\u0001\u0007\u0001\u0007\u0001"+
+		"\u0007\u0001\u0007\u0001\u0007\u0001\u0007\u0003\u0007\u00ab\b\u0007\u0001"+
+		"\b\u0001\b\u0001\b\u0001\b\u0001\b\u0003\b\u00b2\b\b\u0001\t\u0001\t\u0001"+
+		"\n\u0001\n\u0001\n\u0003\n\u00b9\b\n\u0001\u000b\u0001\u000b\u0001\f\u0001"+
+		"\f\u0001\f\u0003\f\u00c0\b\f\u0001\r\u0001\r\u0001\u000e\u0001\u000e\u0001"+
+		"\u000f\u0001\u000f\u0001\u000f\u0003\u000f\u00c9\b\u000f\u0001\u0010\u0001"+
+		"\u0010\u0001\u0010\u0003\u0010\u00ce\b\u0010\u0001\u0010\u0003\u0010\u00d1"+
+		"\b\u0010\u0001\u0010\u0001\u0010\u0001\u0010\u0003\u0010\u00d6\b\u0010"+
+		"\u0001\u0011\u0001\u0011\u0001\u0011\u0001\u0011\u0001\u0011\u0001\u0012"+
+		"\u0001\u0012\u0001\u0012\u0001\u0012\u0001\u0012\u0003\u0012\u00e2\b\u0012"+
+		"\u0001\u0013\u0001\u0013\u0001\u0013\u0001\u0013\u0001\u0013\u0001\u0014"+
+		"\u0001\u0014\u0001\u0014\u0004\u0014\u00ec\b\u0014\u000b\u0014\f\u0014"+
+		"\u00ed\u0001\u0015\u0001\u0015\u0001\u0015\u0001\u0015\u0003\u0015\u00f4"+
+		"\b\u0015\u0001\u0016\u0001\u0016\u0001\u0016\u0001\u0016\u0001\u0016\u0001"+
+		"\u0017\u0001\u0017\u0001\u0017\u0003\u0017\u00fe\b\u0017\u0001\u0017\u0001"+
+		"\u0017\u0001\u0017\u0003\u0017\u0103\b\u0017\u0001\u0018\u0003\u0018\u0106"+
+		"\b\u0018\u0001\u0018\u0001\u0018\u0001\u0018\u0005\u0018\u010b\b\u0018"+
+		"\n\u0018\f\u0018\u010e\t\u0018\u0001\u0019\u0001\u0019\u0001\u0019\u0001"+
+		"\u0019\u0001\u0019\u0005\u0019\u0115\b\u0019\n\u0019\f\u0019\u0118\t\u0019"+
+		"\u0001\u001a\u0001\u001a\u0001\u001a\u0001\u001a\u0001\u001a\u0001\u001a"+
+		"\u0003\u001a\u0120\b\u001a\u0001\u001b\u0001\u001b\u0001\u001b\u0001\u001b"+
+		"\u0003\u001b\u0126\b\u001b\u0001\u001c\u0001\u001c\u0001\u001c\u0001\u001c"+
+		"\u0003\u001c\u012c\b\u001c\u0001\u001c\u0001\u001c\u0001\u001d\u0001\u001d"+
+		"\u0001\u001d\u0001\u001e\u0001\u001e\u0001\u001e\u0001\u001e\u0001\u001f"+
+		"\u0001\u001f\u0001\u001f\u0001\u001f\u0001 \u0001 \u0001!\u0001!\u0001"+
+		"\"\u0001\"\u0001#\u0001#\u0001$\u0001$\u0001%\u0001%\u0001&\u0001&\u0001"+
+		"\'\u0001\'\u0001(\u0001(\u0001)\u0001)\u0001*\u0001*\u0001+\u0001+\u0001"+
+		",\u0001,\u0001-\u0001-\u0001-\u0001-\u0001-\u0003-\u015a\b-\u0001.\u0001"+
+		".\u0001.\u0000\u0000/\u0000\u0002\u0004\u0006\b\n\f\u000e\u0010\u0012"+
+		"\u0014\u0016\u0018\u001a\u001c\u001e \"$&(*,.02468:<>@BDFHJLNPRTVXZ\\"+
+		"\u0000\u0007\u0003\u0000\u0004\u0004\u0006\u0006\u001e\u001e\u0003\u0000"+
+		"\u000f\u000f\u0018\u0018\u001c\u001c\u0003\u0000\b\b\u0014\u0014&&\u0002"+
+		"\u0000\u0005\u0005\u0007\u0007\u0002\u0000\r\r\u0015\u0015\u0001\u0000"+
+		"./\u0001\u0000\u0001+\u0161\u0000^\u0001\u0000\u0000\u0000\u0002f\u0001"+
+		"\u0000\u0000\u0000\u0004h\u0001\u0000\u0000\u0000\u0006k\u0001\u0000\u0000"+
+		"\u0000\bn\u0001\u0000\u0000\u0000\n\u009f\u0001\u0000\u0000\u0000\f\u00a1"+
+		"\u0001\u0000\u0000\u0000\u000e\u00aa\u0001\u0000\u0000\u0000\u0010\u00b1"+
+		"\u0001\u0000\u0000\u0000\u0012\u00b3\u0001\u0000\u0000\u0000\u0014\u00b8"+
+		"\u0001\u0000\u0000\u0000\u0016\u00ba\u0001\u0000\u0000\u0000\u0018\u00bf"+
+		"\u0001\u0000\u0000\u0000\u001a\u00c1\u0001\u0000\u0000\u0000\u001c\u00c3"+
+		"\u0001\u0000\u0000\u0000\u001e\u00c5\u0001\u0000\u0000\u0000 \u00d5\u0001"+
+		"\u0000\u0000\u0000\"\u00d7\u0001\u0000\u0000\u0000$\u00dc\u0001\u0000"+
+		"\u0000\u0000&\u00e3\u0001\u0000\u0000\u0000(\u00e8\u0001\u0000\u0000\u0000"+
+		"*\u00f3\u0001\u0000\u0000\u0000,\u00f5\u0001\u0000\u0000\u0000.\u00fa"+
+		"\u0001\u0000\u0000\u00000\u0105\u0001\u0000\u0000\u00002\u010f\u0001\u0000"+
+		"\u0000\u00004\u011f\u0001\u0000\u0000\u00006\u0121\u0001\u0000\u0000\u0000"+
+		"8\u0127\u0001\u0000\u0000\u0000:\u012f\u0001\u0000\u0000\u0000<\u0132"+
+		"\u0001\u0000\u0000\u0000>\u0136\u0001\u0000\u0000\u0000@\u013a\u0001\u0000"+
+		"\u0000\u0000B\u013c\u0001\u0000\u0000\u0000D\u013e\u0001\u0000\u0000\u0000"+
+		"F\u0140\u0001\u0000\u0000\u0000H\u0142\u0001\u0000\u0000\u0000J\u0144"+
+		"\u0001\u0000\u0000\u0000L\u0146\u0001\u0000\u0000\u0000N\u0148\u0001\u0000"+
+		"\u0000\u0000P\u014a\u0001\u0000\u0000\u0000R\u014c\u0001\u0000\u0000\u0000"+
+		"T\u014e\u0001\u0000\u0000\u0000V\u0150\u0001\u0000\u0000\u0000X\u0152"+
+		"\u0001\u0000\u0000\u0000Z\u0159\u0001\u0000\u0000\u0000\\\u015b\u0001"+
+		"\u0000\u0000\u0000^_\u0003\u0002\u0001\u0000_`\u0005\u0000\u0000\u0001"+
+		"`\u0001\u0001\u0000\u0000\u0000ag\u0003\b\u0004\u0000bg\u0003\u001e\u000f"+
+		"\u0000cg\u0003 \u0010\u0000dg\u0003\u0004\u0002\u0000eg\u0003\u0006\u0003"+
+		"\u0000fa\u0001\u0000\u0000\u0000fb\u0001\u0000\u0000\u0000fc\u0001\u0000"+
+		"\u0000\u0000fd\u0001\u0000\u0000\u0000fe\u0001\u0000\u0000\u0000g\u0003"+
+		"\u0001\u0000\u0000\u0000hi\u0005\f\u0000\u0000ij\u0003 \u0010\u0000j\u0005"+
+		"\u0001\u0000\u0000\u0000kl\u0005*\u0000\u0000lm\u0003\b\u0004\u0000m\u0007"+
+		"\u0001\u0000\u0000\u0000n\u0096\u0005\"\u0000\u0000os\u0005!\u0000\u0000"+
+		"pr\u0003\n\u0005\u0000qp\u0001\u0000\u0000\u0000ru\u0001\u0000\u0000\u0000"+
+		"sq\u0001\u0000\u0000\u0000st\u0001\u0000\u0000\u0000t\u0097\u0001\u0000"+
+		"\u0000\u0000us\u0001\u0000\u0000\u0000vz\u0005\'\u0000\u0000wy\u0003\u000e"+
+		"\u0007\u0000xw\u0001\u0000\u0000\u0000y|\u0001\u0000\u0000\u0000zx\u0001"+
+		"\u0000\u0000\u0000z{\u0001\u0000\u0000\u0000{\u0097\u0001\u0000\u0000"+
+		"\u0000|z\u0001\u0000\u0000\u0000}\u0081\u0005%\u0000\u0000~\u0080\u0003"+
+		"\u0010\b\u0000\u007f~\u0001\u0000\u0000\u0000\u0080\u0083\u0001\u0000"+
+		"\u0000\u0000\u0081\u007f\u0001\u0000\u0000\u0000\u0081\u0082\u0001\u0000"+
+		"\u0000\u0000\u0082\u0097\u0001\u0000\u0000\u0000\u0083\u0081\u0001\u0000"+
+		"\u0000\u0000\u0084\u0088\u0003\u0012\t\u0000\u0085\u0087\u0003\u0014\n"+
+		"\u0000\u0086\u0085\u0001\u0000\u0000\u0000\u0087\u008a\u0001\u0000\u0000"+
+		"\u0000\u0088\u0086\u0001\u0000\u0000\u0000\u0088\u0089\u0001\u0000\u0000"+
+		"\u0000\u0089\u0097\u0001\u0000\u0000\u0000\u008a\u0088\u0001\u0000\u0000"+
+		"\u0000\u008b\u008f\u0003\u0016\u000b\u0000\u008c\u008e\u0003\u0018\f\u0000"+
+		"\u008d\u008c\u0001\u0000\u0000\u0000\u008e\u0091\u0001\u0000\u0000\u0000"+
+		"\u008f\u008d\u0001\u0000\u0000\u0000\u008f\u0090\u0001\u0000\u0000\u0000"+
+		"\u0090\u0097\u0001\u0000\u0000\u0000\u0091\u008f\u0001\u0000\u0000\u0000"+
+		"\u0092\u0094\u0003\u001a\r\u0000\u0093\u0095\u0003\u001c\u000e\u0000\u0094"+
+		"\u0093\u0001\u0000\u0000\u0000\u0094\u0095\u0001\u0000\u0000\u0000\u0095"+
+		"\u0097\u0001\u0000\u0000\u0000\u0096o\u0001\u0000\u0000\u0000\u0096v\u0001"+
+		"\u0000\u0000\u0000\u0096}\u0001\u0000\u0000\u0000\u0096\u0084\u0001\u0000"+
+		"\u0000\u0000\u0096\u008b\u0001\u0000\u0000\u0000\u0096\u0092\u0001\u0000"+
+		"\u0000\u0000\u0097\t\u0001\u0000\u0000\u0000\u0098\u0099\u0005\u0003\u0000"+
+		"\u0000\u0099\u00a0\u0003\f\u0006\u0000\u009a\u009b\u0005\u000e\u0000\u0000"+
+		"\u009b\u00a0\u0003N\'\u0000\u009c\u009d\u0005\u001e\u0000\u0000\u009d"+
+		"\u00a0\u0003D\"\u0000\u009e\u00a0\u0003\u001c\u000e\u0000\u009f\u0098"+
+		"\u0001\u0000\u0000\u0000\u009f\u009a\u0001\u0000\u0000\u0000\u009f\u009c"+
+		"\u0001\u0000\u0000\u0000\u009f\u009e\u0001\u0000\u0000\u0000\u00a0\u000b"+
+		"\u0001\u0000\u0000\u0000\u00a1\u00a2\u0007\u0000\u0000\u0000\u00a2\r\u0001"+
+		"\u0000\u0000\u0000\u00a3\u00a4\u0005\u000e\u0000\u0000\u00a4\u00ab\u0003"+
+		"N\'\u0000\u00a5\u00a6\u0005\u001a\u0000\u0000\u00a6\u00ab\u0003J%\u0000"+
+		"\u00a7\u00a8\u0005\u0013\u0000\u0000\u00a8\u00ab\u0003F#\u0000\u00a9\u00ab"+
+		"\u0003\u001c\u000e\u0000\u00aa\u00a3\u0001\u0000\u0000\u0000\u00aa\u00a5"+
+		"\u0001\u0000\u0000\u0000\u00aa\u00a7\u0001\u0000\u0000\u0000\u00aa\u00a9"+
+		"\u0001\u0000\u0000\u0000\u00ab\u000f\u0001\u0000\u0000\u0000\u00ac\u00ad"+
+		"\u0005\u001e\u0000\u0000\u00ad\u00b2\u0003D\"\u0000\u00ae\u00af\u0005"+
+		"\u0013\u0000\u0000\u00af\u00b2\u0003F#\u0000\u00b0\u00b2\u0003\u001c\u000e"+
+		"\u0000\u00b1\u00ac\u0001\u0000\u0000\u0000\u00b1\u00ae\u0001\u0000\u0000"+
+		"\u0000\u00b1\u00b0\u0001\u0000\u0000\u0000\u00b2\u0011\u0001\u0000\u0000"+
+		"\u0000\u00b3\u00b4\u0007\u0001\u0000\u0000\u00b4\u0013\u0001\u0000\u0000"+
+		"\u0000\u00b5\u00b6\u0005\u001e\u0000\u0000\u00b6\u00b9\u0003D\"\u0000"+
+		"\u00b7\u00b9\u0003\u001c\u000e\u0000\u00b8\u00b5\u0001\u0000\u0000\u0000"+
+		"\u00b8\u00b7\u0001\u0000\u0000\u0000\u00b9\u0015\u0001\u0000\u0000\u0000"+
+		"\u00ba\u00bb\u0007\u0002\u0000\u0000\u00bb\u0017\u0001\u0000\u0000\u0000"+
+		"\u00bc\u00bd\u0005\u0013\u0000\u0000\u00bd\u00c0\u0003F#\u0000\u00be\u00c0"+
+		"\u0003\u001c\u000e\u0000\u00bf\u00bc\u0001\u0000\u0000\u0000\u00bf\u00be"+
+		"\u0001\u0000\u0000\u0000\u00c0\u0019\u0001\u0000\u0000\u0000\u00c1\u00c2"+
+		"\u0007\u0003\u0000\u0000\u00c2\u001b\u0001\u0000\u0000\u0000\u00c3\u00c4"+
+		"\u0005\u000b\u0000\u0000\u00c4\u001d\u0001\u0000\u0000\u0000\u00c5\u00c6"+
+		"\u0005+\u0000\u0000\u00c6\u00c8\u0003J%\u0000\u00c7\u00c9\u0003\u001c"+
+		"\u000e\u0000\u00c8\u00c7\u0001\u0000\u0000\u0000\u00c8\u00c9\u0001\u0000"+
+		"\u0000\u0000\u00c9\u001f\u0001\u0000\u0000\u0000\u00ca\u00ce\u0003$\u0012"+
+		"\u0000\u00cb\u00ce\u00036\u001b\u0000\u00cc\u00ce\u00038\u001c\u0000\u00cd"+
+		"\u00ca\u0001\u0000\u0000\u0000\u00cd\u00cb\u0001\u0000\u0000\u0000\u00cd"+
+		"\u00cc\u0001\u0000\u0000\u0000\u00ce\u00d0\u0001\u0000\u0000\u0000\u00cf"+
+		"\u00d1\u0003\"\u0011\u0000\u00d0\u00cf\u0001\u0000\u0000\u0000\u00d0\u00d1"+
+		"\u0001\u0000\u0000\u0000\u00d1\u00d6\u0001\u0000\u0000\u0000\u00d2\u00d6"+
+		"\u0003:\u001d\u0000\u00d3\u00d6\u0003<\u001e\u0000\u00d4\u00d6\u0003>"+
+		"\u001f\u0000\u00d5\u00cd\u0001\u0000\u0000\u0000\u00d5\u00d2\u0001\u0000"+
+		"\u0000\u0000\u00d5\u00d3\u0001\u0000\u0000\u0000\u00d5\u00d4\u0001\u0000"+
+		"\u0000\u0000\u00d6!\u0001\u0000\u0000\u0000\u00d7\u00d8\u0005\u0001\u0000"+
+		"\u0000\u00d8\u00d9\u0005\u0016\u0000\u0000\u00d9\u00da\u0005)\u0000\u0000"+
+		"\u00da\u00db\u0003X,\u0000\u00db#\u0001\u0000\u0000\u0000\u00dc\u00e1"+
+		"\u0005\u001f\u0000\u0000\u00dd\u00e2\u0003&\u0013\u0000\u00de\u00e2\u0003"+
+		"(\u0014\u0000\u00df\u00e2\u0003,\u0016\u0000\u00e0\u00e2\u0003.\u0017"+
+		"\u0000\u00e1\u00dd\u0001\u0000\u0000\u0000\u00e1\u00de\u0001\u0000\u0000"+
+		"\u0000\u00e1\u00df\u0001\u0000\u0000\u0000\u00e1\u00e0\u0001\u0000\u0000"+
+		"\u0000\u00e2%\u0001\u0000\u0000\u0000\u00e3\u00e4\u0005\u0006\u0000\u0000"+
+		"\u00e4\u00e5\u0003@ \u0000\u00e5\u00e6\u0005\u0017\u0000\u0000\u00e6\u00e7"+
+		"\u0003R)\u0000\u00e7\'\u0001\u0000\u0000\u0000\u00e8\u00e9\u0005\u0002"+
+		"\u0000\u0000\u00e9\u00eb\u0003B!\u0000\u00ea\u00ec\u0003*\u0015\u0000"+
+		"\u00eb\u00ea\u0001\u0000\u0000\u0000\u00ec\u00ed\u0001\u0000\u0000\u0000"+
+		"\u00ed\u00eb\u0001\u0000\u0000\u0000\u00ed\u00ee\u0001\u0000\u0000\u0000"+
+		"\u00ee)\u0001\u0000\u0000\u0000\u00ef\u00f0\u0005 \u0000\u0000\u00f0\u00f4"+
+		"\u0003P(\u0000\u00f1\u00f2\u0005\u001c\u0000\u0000\u00f2\u00f4\u0003T"+
+		"*\u0000\u00f3\u00ef\u0001\u0000\u0000\u0000\u00f3\u00f1\u0001\u0000\u0000"+
+		"\u0000\u00f4+\u0001\u0000\u0000\u0000\u00f5\u00f6\u0005\u0010\u0000\u0000"+
+		"\u00f6\u00f7\u0003D\"\u0000\u00f7\u00f8\u0005#\u0000\u0000\u00f8\u00f9"+
+		"\u0003V+\u0000\u00f9-\u0001\u0000\u0000\u0000\u00fa\u00fb\u0005\u001d"+
+		"\u0000\u0000\u00fb\u00fd\u0003L&\u0000\u00fc\u00fe\u00030\u0018\u0000"+
+		"\u00fd\u00fc\u0001\u0000\u0000\u0000\u00fd\u00fe\u0001\u0000\u0000\u0000"+
+		"\u00fe\u0102\u0001\u0000\u0000\u0000\u00ff\u0103\u00032\u0019\u0000\u0100"+
+		"\u0101\u0005\t\u0000\u0000\u0101\u0103\u0003N\'\u0000\u0102\u00ff\u0001"+
+		"\u0000\u0000\u0000\u0102\u0100\u0001\u0000\u0000\u0000\u0103/\u0001\u0000"+
+		"\u0000\u0000\u0104\u0106\u0005\u0012\u0000\u0000\u0105\u0104\u0001\u0000"+
+		"\u0000\u0000\u0105\u0106\u0001\u0000\u0000\u0000\u0106\u0107\u0001\u0000"+
+		"\u0000\u0000\u0107\u010c\u0003H$\u0000\u0108\u0109\u00052\u0000\u0000"+
+		"\u0109\u010b\u0003H$\u0000\u010a\u0108\u0001\u0000\u0000\u0000\u010b\u010e"+
+		"\u0001\u0000\u0000\u0000\u010c\u010a\u0001\u0000\u0000\u0000\u010c\u010d"+
+		"\u0001\u0000\u0000\u0000\u010d1\u0001\u0000\u0000\u0000\u010e\u010c\u0001"+
+		"\u0000\u0000\u0000\u010f\u0110\u0005\u001e\u0000\u0000\u0110\u0111\u0003"+
+		"D\"\u0000\u0111\u0112\u0005\u0006\u0000\u0000\u0112\u0116\u0003@ \u0000"+
+		"\u0113\u0115\u00034\u001a\u0000\u0114\u0113\u0001\u0000\u0000\u0000\u0115"+
+		"\u0118\u0001\u0000\u0000\u0000\u0116\u0114\u0001\u0000\u0000\u0000\u0116"+
+		"\u0117\u0001\u0000\u0000\u0000\u01173\u0001\u0000\u0000\u0000\u0118\u0116"+
+		"\u0001\u0000\u0000\u0000\u0119\u0120\u0005\r\u0000\u0000\u011a\u0120\u0005"+
+		"\u0015\u0000\u0000\u011b\u011c\u0005\t\u0000\u0000\u011c\u0120\u0003N"+
+		"\'\u0000\u011d\u011e\u0005\u0002\u0000\u0000\u011e\u0120\u0003B!\u0000"+
+		"\u011f\u0119\u0001\u0000\u0000\u0000\u011f\u011a\u0001\u0000\u0000\u0000"+
+		"\u011f\u011b\u0001\u0000\u0000\u0000\u011f\u011d\u0001\u0000\u0000\u0000"+
+		"\u01205\u0001\u0000\u0000\u0000\u0121\u0122\u0005\u0019\u0000\u0000\u0122"+
+		"\u0123\u0005\u001d\u0000\u0000\u0123\u0125\u0003L&\u0000\u0124\u0126\u0003"+
+		"0\u0018\u0000\u0125\u0124\u0001\u0000\u0000\u0000\u0125\u0126\u0001\u0000"+
+		"\u0000\u0000\u01267\u0001\u0000\u0000\u0000\u0127\u0128\u0005\u0011\u0000"+
+		"\u0000\u0128\u0129\u0005\u001d\u0000\u0000\u0129\u012b\u0003L&\u0000\u012a"+
+		"\u012c\u00030\u0018\u0000\u012b\u012a\u0001\u0000\u0000\u0000\u012b\u012c"+
+		"\u0001\u0000\u0000\u0000\u012c\u012d\u0001\u0000\u0000\u0000\u012d\u012e"+
+		"\u0007\u0004\u0000\u0000\u012e9\u0001\u0000\u0000\u0000\u012f\u0130\u0005"+
+		"\u001b\u0000\u0000\u0130\u0131\u0005\u0007\u0000\u0000\u0131;\u0001\u0000"+
+		"\u0000\u0000\u0132\u0133\u0005\n\u0000\u0000\u0133\u0134\u0005$\u0000"+
+		"\u0000\u0134\u0135\u0003F#\u0000\u0135=\u0001\u0000\u0000\u0000\u0136"+
+		"\u0137\u0005(\u0000\u0000\u0137\u0138\u0005$\u0000\u0000\u0138\u0139\u0003"+
+		"F#\u0000\u0139?\u0001\u0000\u0000\u0000\u013a\u013b\u0003Z-\u0000\u013b"+
+		"A\u0001\u0000\u0000\u0000\u013c\u013d\u0003Z-\u0000\u013dC\u0001\u0000"+
+		"\u0000\u0000\u013e\u013f\u0003Z-\u0000\u013fE\u0001\u0000\u0000\u0000"+
+		"\u0140\u0141\u0003Z-\u0000\u0141G\u0001\u0000\u0000\u0000\u0142\u0143"+
+		"\u00050\u0000\u0000\u0143I\u0001\u0000\u0000\u0000\u0144\u0145\u00050"+
+		"\u0000\u0000\u0145K\u0001\u0000\u0000\u0000\u0146\u0147\u00051\u0000\u0000"+
+		"\u0147M\u0001\u0000\u0000\u0000\u0148\u0149\u0005-\u0000\u0000\u0149O"+
+		"\u0001\u0000\u0000\u0000\u014a\u014b\u0007\u0005\u0000\u0000\u014bQ\u0001"+
+		"\u0000\u0000\u0000\u014c\u014d\u0005,\u0000\u0000\u014dS\u0001\u0000\u0000"+
+		"\u0000\u014e\u014f\u0005,\u0000\u0000\u014fU\u0001\u0000\u0000\u0000\u0150"+
+		"\u0151\u0005,\u0000\u0000\u0151W\u0001\u0000\u0000\u0000\u0152\u0153\u0005"+
+		",\u0000\u0000\u0153Y\u0001\u0000\u0000\u0000\u0154\u015a\u00050\u0000"+
+		"\u0000\u0155\u015a\u0005,\u0000\u0000\u0156\u015a\u0005.\u0000\u0000\u0157"+
+		"\u015a\u0005-\u0000\u0000\u0158\u015a\u0003\\.\u0000\u0159\u0154\u0001"+
+		"\u0000\u0000\u0000\u0159\u0155\u0001\u0000\u0000\u0000\u0159\u0156\u0001"+
+		"\u0000\u0000\u0000\u0159\u0157\u0001\u0000\u0000\u0000\u0159\u0158\u0001"+
+		"\u0000\u0000\u0000\u015a[\u0001\u0000\u0000\u0000\u015b\u015c\u0007\u0006"+
+		"\u0000\u0000\u015c]\u0001\u0000\u0000\u0000\u001dfsz\u0081\u0088\u008f"+
+		"\u0094\u0096\u009f\u00aa\u00b1\u00b8\u00bf\u00c8\u00cd\u00d0\u00d5\u00e1"+
+		"\u00ed\u00f3\u00fd\u0102\u0105\u010c\u0116\u011f\u0125\u012b\u0159";
 	public static final ATN _ATN =
 		new ATNDeserializer().deserialize(_serializedATN.toCharArray());
 	static {
--- a/src/main/java/io/beryldock/command/grammar/OperatorVisitor.java
+++ b/src/main/java/io/beryldock/command/grammar/OperatorVisitor.java
@@ -40,12 +40,6 @@
 	 * @return the visitor result
 	 */
 	T visitShow(OperatorParser.ShowContext ctx);
-	/**
-	 * Visit a parse tree produced by {@link OperatorParser#topic}.
-	 * @param ctx the parse tree
-	 * @return the visitor result
-	 */
-	T visitTopic(OperatorParser.TopicContext ctx);
 	/**
 	 * Visit a parse tree produced by {@link OperatorParser#shedOption}.
 	 * @param ctx the parse tree
@@ -64,6 +58,42 @@
 	 * @return the visitor result
 	 */
 	T visitTimelineOption(OperatorParser.TimelineOptionContext ctx);
+	/**
+	 * Visit a parse tree produced by {@link OperatorParser#targetOption}.
+	 * @param ctx the parse tree
+	 * @return the visitor result
+	 */
+	T visitTargetOption(OperatorParser.TargetOptionContext ctx);
+	/**
+	 * Visit a parse tree produced by {@link OperatorParser#serviceTopic}.
+	 * @param ctx the parse tree
+	 * @return the visitor result
+	 */
+	T visitServiceTopic(OperatorParser.ServiceTopicContext ctx);
+	/**
+	 * Visit a parse tree produced by {@link OperatorParser#serviceOption}.
+	 * @param ctx the parse tree
+	 * @return the visitor result
+	 */
+	T visitServiceOption(OperatorParser.ServiceOptionContext ctx);
+	/**
+	 * Visit a parse tree produced by {@link OperatorParser#nodeTopic}.
+	 * @param ctx the parse tree
+	 * @return the visitor result
+	 */
+	T visitNodeTopic(OperatorParser.NodeTopicContext ctx);
+	/**
+	 * Visit a parse tree produced by {@link OperatorParser#nodeOption}.
+	 * @param ctx the parse tree
+	 * @return the visitor result
+	 */
+	T visitNodeOption(OperatorParser.NodeOptionContext ctx);
+	/**
+	 * Visit a parse tree produced by {@link OperatorParser#documentTopic}.
+	 * @param ctx the parse tree
+	 * @return the visitor result
+	 */
+	T visitDocumentTopic(OperatorParser.DocumentTopicContext ctx);
 	/**
 	 * Visit a parse tree produced by {@link OperatorParser#everywhere}.
 	 * @param ctx the parse tree
--- a/src/main/java/io/beryldock/timeline/EventRing.java
+++ b/src/main/java/io/beryldock/timeline/EventRing.java
@@ -67,6 +67,7 @@
     private final ArrayDeque<Event> decisions = new ArrayDeque<>();
     private final Map<WindowKey, Window> windows = new HashMap<>();
     private long lastId;
+    private long earliestEnd = Long.MAX_VALUE;
 
     private EventRing(
             NodeId node, DataCentre dataCentre, HybridLogicalClock clock, int capacity, RandomGenerator random) {
@@ -156,6 +157,7 @@
         }
         if (window == null) {
             windows.put(key, new Window(event.time(), key.subject()));
+            earliestEnd = Math.min(earliestEnd, event.time().millis() + WINDOW_MILLIS);
             append(events, capacity, event);
             return;
         }
@@ -163,11 +165,16 @@
     }
 
     private void closeWindows(HlcTime now) {
+        if (now.millis() < earliestEnd) {
+            return;
+        }
+        earliestEnd = Long.MAX_VALUE;
         List<Event> closed = new ArrayList<>();
         Iterator<Window> all = windows.values().iterator();
         while (all.hasNext()) {
             Window window = all.next();
-            if (now.millis() - window.start.millis() < WINDOW_MILLIS) {
+            if (now.millis() < window.endMillis) {
+                earliestEnd = Math.min(earliestEnd, window.endMillis);
                 continue;
             }
             all.remove();
@@ -190,13 +197,13 @@
 
     /** Counts like events after the first. */
     private static final class Window {
-        private final HlcTime start;
+        private final long endMillis;
         private final String subject;
         private Event sample;
         private long count;
 
         Window(HlcTime start, String subject) {
-            this.start = start;
+            this.endMillis = start.millis() + WINDOW_MILLIS;
             this.subject = subject;
         }
 
--- a/src/test/java/io/beryldock/command/FakeDeployment.java
+++ b/src/test/java/io/beryldock/command/FakeDeployment.java
@@ -47,6 +47,8 @@
     private Directory directory = Directory.empty();
     int open;
     int mostOpen;
+    long bytesAsked;
+    long bytesAnswered;
 
     private FakeDeployment(long seed) {
         random = new Random(seed);
@@ -134,6 +136,7 @@
                 reply.completeExceptionally(new PeerException(PeerException.Kind.NOT_SENT, "refused"));
                 return reply;
             }
+            bytesAsked += body.size();
             open++;
             mostOpen = Math.max(mostOpen, open);
             timers.after(
@@ -142,7 +145,10 @@
             if (!silent.contains(id)) {
                 to.handlers.get(topic).handle(new FakeMessage(from.self.id(), body, reply));
             }
-            return reply.whenComplete((answer, error) -> open--);
+            return reply.whenComplete((answer, error) -> {
+                open--;
+                bytesAnswered += answer == null ? 0 : answer.size();
+            });
         }
 
         @Override
--- a/src/test/java/io/beryldock/command/OperatorServiceTest.java
+++ b/src/test/java/io/beryldock/command/OperatorServiceTest.java
@@ -153,6 +153,21 @@
                 .containsExactlyInAnyOrderElementsOf(deployment.ids());
     }
 
+    @Test
+    void oneNodeIsAskedAloneWhereverItIs() {
+        FakeDeployment deployment = FakeDeployment.start(15, 4, "gent-a", "gent-b");
+        deployment.requests.clear();
+        OperatorResponse response = deployment.ask(ASKED, "show tickets node gent-b-lists-3");
+        assertThat(column(response, "node")).containsExactly("gent-b-lists-3");
+        assertThat(deployment.requests).containsExactly(ASKED + " to gent-b-lists-3");
+        assertThat(column(deployment.ask(ASKED, "show targets service lists"), "target"))
+                .hasSize(4);
+        assertThat(column(deployment.ask(ASKED, "show targets service orders"), "target"))
+                .isEmpty();
+        assertThat(deployment.ask(ASKED, "show nodes node gent-z").silentNodes())
+                .containsExactly("gent-z");
+    }
+
     /** More rows than an answer may hold: the latest stay, and the operator is told that there were more. */
     @Test
     void rowsBeyondTheBoundAreLeftOutAndCounted() {
--- a/src/test/java/io/beryldock/command/StatementParserTest.java
+++ b/src/test/java/io/beryldock/command/StatementParserTest.java
@@ -26,6 +26,11 @@
                 "show shed by caller last 30s everywhere",
                 "show targets",
                 "show quarantine everywhere",
+                "show shed last 1m service holdings",
+                "show targets service lists node gent-a-lists-1 everywhere",
+                "show levels service holdings",
+                "show nodes node gent-a-lists-1",
+                "show timeline node gent-a-lists-1",
                 "show timeline last 5m request " + ID + " everywhere",
                 "why " + ID,
                 "why " + ID + " everywhere",
@@ -71,6 +76,8 @@
                         Optional.of(ShedGrouping.SERVICE),
                         Optional.of(Duration.ofMinutes(5)),
                         Optional.empty(),
+                        Optional.empty(),
+                        Optional.empty(),
                         true));
         assertThat(StatementParser.parse("set route /a service s class c deadline 2s idempotent"))
                 .isEqualTo(new ChangeStatement.SetRoute(
@@ -95,7 +102,8 @@
                 "shw targets                    | 1  | " + COMMANDS,
                 "show                           | 5  | changes, configuration, connections, levels, nodes, quarantine,"
                         + " retries, shed, targets, tickets, timeline",
-                "show targets lists             | 14 | everywhere, the end of the statement",
+                "show targets lists             | 14 | everywhere, node, service, the end of the statement",
+                "show changes service a         | 14 | everywhere, the end of the statement",
                 "show shed by node              | 14 | caller, class, service",
                 "show shed last week            | 16 | a duration such as 5m or 30s",
                 "show shed last 5m last 6m      | 19 | ",
@@ -120,7 +128,7 @@
                 "drain target                   | 13 | the id of a node",
                 "drain target a b               | 16 | the end of the statement",
                 "explain show targets           | 9  | drain, mark, remove, restore, set, undrain",
-                "show targets; show nodes       | 13 | everywhere, the end of the statement",
+                "show targets; show nodes       | 13 | everywhere, node, service, the end of the statement",
             })
     void errorPointsAtTheColumnAndSaysWhatMayStandThere(String text, int column, String expected) {
         StatementException error = catchThrowableOfType(StatementException.class, () -> StatementParser.parse(text));
@@ -140,7 +148,8 @@
     @Test
     void completionComesFromTheGrammar() {
         assertThat(StatementCompletion.next("show shed by")).containsExactly("caller", "class", "service");
-        assertThat(StatementCompletion.next("show shed by class")).containsExactly("by", "everywhere", "last");
+        assertThat(StatementCompletion.next("show shed by class"))
+                .containsExactly("by", "everywhere", "last", "service");
         assertThat(StatementCompletion.next("set class")).isEmpty();
         assertThat(StatementCompletion.next("set class a")).containsExactly("priority");
         assertThat(StatementCompletion.next("no such words")).isEmpty();
