--- a/src/main/java/io/beryldock/forwarding/CallForwarder.java
+++ b/src/main/java/io/beryldock/forwarding/CallForwarder.java
@@ -1,11 +1,11 @@
 package io.beryldock.forwarding;
 
-import io.beryldock.admission.DoorShedder;
 import io.beryldock.call.Call;
 import io.beryldock.call.CallResult;
 import io.beryldock.call.NodeId;
 import io.beryldock.call.RequestIds;
 import io.beryldock.membership.Directory;
+import io.beryldock.membership.NodeDescriptor;
 import io.beryldock.membership.TargetRecord;
 import io.beryldock.quarantine.Quarantine;
 import io.beryldock.retry.Backoff;
@@ -16,6 +16,7 @@
 import io.beryldock.time.TimerService;
 import io.beryldock.timeline.EventSink;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 /**
@@ -31,7 +32,7 @@
         this.ports = ports;
     }
 
-    /** What the forwarder works with. */
+    /** What the forwarder works with; {@code losses} hears of nodes whose connection was lost with a call in flight. */
     public record Ports(
             NodeId self,
             Policy policy,
@@ -39,11 +40,12 @@
             TargetChooser chooser,
             TargetExecutor executor,
             PeerCallClient peers,
-            DoorShedder door,
+            Doors doors,
             RetryBudgets budgets,
             RetryTally retryTally,
             Backoff backoff,
             Quarantine quarantine,
+            Consumer<NodeDescriptor> losses,
             RequestIds ids,
             TimerService timers,
             EventSink events) {}
--- a/src/main/java/io/beryldock/membership/MembershipAssembly.java
+++ b/src/main/java/io/beryldock/membership/MembershipAssembly.java
@@ -42,15 +42,9 @@
         spreader = RecordSpreader.create(
                 context.ownCentre(), context.view(), context.neighbours(), context.sender(), context.timers());
         antiEntropy = new AntiEntropy(context, this::onComplete);
-        intake = RecordIntake.create(
-                context.self(),
-                context.view(),
-                spreader,
-                context.timers().ticker(),
-                antiEntropy::isComplete,
-                this::onChange);
+        intake = RecordIntake.create(context, spreader, antiEntropy::isComplete, this::onChange);
         IndirectProber indirect = new IndirectProber(context);
-        detector = new FailureDetector(context, indirect, intake, this::onOverdue);
+        detector = new FailureDetector(context, indirect, intake);
         reports = new LinkReports(context, this::onReports);
         links = new CentreLinks(context, reports, held -> isReachable(held));
         records = new SeedRecords(store, context.timers(), context.events());
@@ -161,18 +155,19 @@
 
     private Reachability shownReachability(Held held) {
         boolean cutOff = reports.unreachable().contains(held.record().node().dataCentre());
-        return cutOff || !held.record().isLive() ? Reachability.UNREACHABLE : reachability(held);
+        return cutOff ? Reachability.UNREACHABLE : reachability(held);
     }
 
     private Reachability reachability(Held held) {
-        if (held.record().status() != MemberStatus.SUSPECTED) {
-            return Reachability.REACHABLE;
-        }
-        return detector.isOverdue(held.id()) ? Reachability.UNREACHABLE : Reachability.SUSPECTED;
+        return switch (held.record().status()) {
+            case ALIVE -> Reachability.REACHABLE;
+            case SUSPECTED -> Reachability.SUSPECTED;
+            case MISSING, FAILED, LEFT -> Reachability.UNREACHABLE;
+        };
     }
 
     private boolean isReachable(Held held) {
-        return held.record().isLive() && reachability(held) != Reachability.UNREACHABLE;
+        return reachability(held) != Reachability.UNREACHABLE;
     }
 
     private void onChange(Optional<MemberRecord> before, MemberRecord after) {
@@ -193,11 +188,6 @@
         }
     }
 
-    private void onOverdue() {
-        links.onChange();
-        publisher.onChange(context.ownCentre());
-    }
-
     private void onReports() {
         publisher.onChange();
     }
--- a/src/main/java/io/beryldock/membership/RecordIntake.java
+++ b/src/main/java/io/beryldock/membership/RecordIntake.java
@@ -2,6 +2,9 @@
 
 import io.beryldock.call.NodeId;
 import io.beryldock.time.Ticker;
+import io.beryldock.timeline.EventKind;
+import io.beryldock.timeline.EventSink;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 
@@ -24,20 +27,19 @@
     private final MembershipView view;
     private final RecordSpreader spreader;
     private final Ticker ticker;
+    private final EventSink events;
+    private final MembershipContext context;
     private final BooleanSupplier passesOn;
     private final ChangeListener listener;
 
     private RecordIntake(
-            SelfRecord self,
-            MembershipView view,
-            RecordSpreader spreader,
-            Ticker ticker,
-            BooleanSupplier passesOn,
-            ChangeListener listener) {
-        this.self = self;
-        this.view = view;
+            MembershipContext context, RecordSpreader spreader, BooleanSupplier passesOn, ChangeListener listener) {
+        this.context = context;
+        this.self = context.self();
+        this.view = context.view();
         this.spreader = spreader;
-        this.ticker = ticker;
+        this.ticker = context.timers().ticker();
+        this.events = context.events();
         this.passesOn = passesOn;
         this.listener = listener;
     }
@@ -48,13 +50,8 @@
      * @param passesOn false while the node fetches the whole view for the first time: all it hears is old to others
      */
     static RecordIntake create(
-            SelfRecord self,
-            MembershipView view,
-            RecordSpreader spreader,
-            Ticker ticker,
-            BooleanSupplier passesOn,
-            ChangeListener listener) {
-        return new RecordIntake(self, view, spreader, ticker, passesOn, listener);
+            MembershipContext context, RecordSpreader spreader, BooleanSupplier passesOn, ChangeListener listener) {
+        return new RecordIntake(context, spreader, passesOn, listener);
     }
 
     /** Takes a record from another node. */
@@ -83,6 +80,7 @@
         Optional<MemberRecord> before = view.find(found.id());
         switch (view.merge(found, ticker.nanos())) {
             case NEWER -> {
+                checkRaised(before, found);
                 passOn(before, found, from);
                 listener.changed(before, found);
             }
@@ -90,6 +88,18 @@
             // A sender with an old record was paused, cut off or has lost a message. Told the newer one at once it
             // does not act on the old one until the next comparison of digests.
             case OLDER -> from.ifPresent(sender -> spreader.queue(sender, found.id()));
+            // Told of the start held here the later one raises its generation. If the one told is dead, the start held
+            // here runs and hears of the conflict by its neighbours likewise.
+            case CONFLICT -> context.sender().sendRecords(found.node().peerAddress(), List.of(before.orElseThrow()));
+        }
+    }
+
+    /** Asserts the invariant of the view, independently of the rule that decided. */
+    private void checkRaised(Optional<MemberRecord> before, MemberRecord found) {
+        boolean raised = before.map(found::isNewerThan).orElse(true);
+        if (!raised) {
+            events.record(
+                    EventKind.INVARIANT_BROKEN, found.id().value(), "an older record of a node replaced a newer one");
         }
     }
 
@@ -98,6 +108,7 @@
         if (from.isPresent() && !passesOn.getAsBoolean()) {
             return;
         }
+        // A suspicion is nothing to other data centres: most end within a second, by denial.
         boolean sameVersion = before.filter(old -> old.isSameStart(found) && old.revision() == found.revision())
                 .isPresent();
         if (sameVersion && found.status() == MemberStatus.SUSPECTED) {
--- a/src/test/java/io/beryldock/command/StatementParserTest.java
+++ b/src/test/java/io/beryldock/command/StatementParserTest.java
@@ -15,6 +15,8 @@
 
 class StatementParserTest {
 
+    private static final String COMMANDS = "drain, explain, mark, remove, restore, set, show, undrain, watch, why";
+
     private static final String ID = "00000000000000010000000000000002-a";
 
     @ParameterizedTest
@@ -39,6 +41,8 @@
                 "remove route /orders methods POST,PUT",
                 "mark route /orders methods POST non-idempotent",
                 "restore configuration",
+                "set class browsing priority 7 based on version 12",
+                "explain mark route /a idempotent based on version 0",
                 "mark route /orders non-idempotent",
                 "mark route /lists idempotent",
                 "drain target gent-a-lists-1",
@@ -87,8 +91,8 @@
     @CsvSource(
             delimiter = '|',
             value = {
-                "''                             | 1  | drain, explain, mark, remove, restore, set, show, undrain, watch, why",
-                "shw targets                    | 1  | drain, explain, mark, remove, restore, set, show, undrain, watch, why",
+                "''                             | 1  | " + COMMANDS,
+                "shw targets                    | 1  | " + COMMANDS,
                 "show                           | 5  | changes, configuration, connections, levels, nodes, quarantine,"
                         + " retries, shed, targets, tickets, timeline",
                 "show targets lists             | 14 | everywhere, the end of the statement",
@@ -142,7 +146,7 @@
         assertThat(StatementCompletion.next("no such words")).isEmpty();
         assertThat(StatementCompletion.next("")).contains("show", "why", "set");
         assertThat(StatementCompletion.next("set route /a service b class c"))
-                .containsExactly("budget", "deadline", "idempotent", "non-idempotent");
+                .containsExactly("based", "budget", "deadline", "idempotent", "non-idempotent");
         assertThat(StatementCompletion.next("set route /a")).containsExactly("deadline", "methods", "service");
     }
 }
