--- a/src/main/java/io/beryldock/idempotency/KeySettings.java
+++ b/src/main/java/io/beryldock/idempotency/KeySettings.java
@@ -32,13 +32,16 @@
     private static final int DEFAULT_GENERATIONS = 128;
     private static final int DEFAULT_DOCUMENT_BYTES = 900_000;
 
-    /** Keys kept for 78 minutes, at most 160 writes a second over all shards. */
+    /**
+     * Keys kept for 46 minutes, which is longer than an unused ticket lives and its answer is kept together; at most 160
+     * writes a second over all shards.
+     */
     public static KeySettings defaults() {
         return new KeySettings(
                 "beryldock/keys/",
                 DEFAULT_SHARDS,
                 DEFAULT_GENERATIONS,
-                Duration.ofSeconds(37),
+                Duration.ofSeconds(22),
                 Duration.ofMillis(200),
                 Duration.ofMillis(100),
                 Duration.ofSeconds(2),
--- a/src/main/java/io/beryldock/idempotency/TicketSettings.java
+++ b/src/main/java/io/beryldock/idempotency/TicketSettings.java
@@ -22,18 +22,18 @@
         int maxJoiners,
         long handoverPartBytes) {
 
-    private static final int DEFAULT_TICKETS = 20_000;
+    private static final int DEFAULT_TICKETS = 40_000;
     private static final long DEFAULT_BYTES = 16L << 20;
     private static final int DEFAULT_JOINERS = 100;
     private static final long DEFAULT_PART_BYTES = 256 << 10;
 
-    /** An hour for ended tickets, a quarter of an hour for unused ones. */
+    /** Half an hour for ended tickets, a quarter of an hour for unused ones. */
     public static TicketSettings defaults() {
         return new TicketSettings(
                 DEFAULT_TICKETS,
                 DEFAULT_BYTES,
                 Duration.ofMinutes(15),
-                Duration.ofHours(1),
+                Duration.ofMinutes(30),
                 DEFAULT_JOINERS,
                 DEFAULT_PART_BYTES);
     }
