Let a new node fetch the view before it joins

Cause: a start that joined before it heard of an earlier one of its id took the same generation, and views went back to the earlier one for a moment. Change: a new node is a guest until it has the view of a member, and takes a generation above all starts heard of; it joins alone after 1.5 s without an answer of a member.

--- a/src/main/java/io/beryldock/membership/AntiEntropy.java
+++ b/src/main/java/io/beryldock/membership/AntiEntropy.java
@@ -63,7 +63,7 @@
     private final Runnable onComplete;
     private final Map<NodeId, Difference> differences = new LinkedHashMap<>();
     private Optional<Round> round = Optional.empty();
-    private boolean complete;
+    private boolean heardMember;
     private boolean eager = true;
     private long lastRound;
     private long servedSecond;
@@ -78,9 +78,9 @@
         this.lastRound = context.now();
     }
 
-    /** Whether this node has had the whole view of another one since its start. */
-    boolean isComplete() {
-        return complete;
+    /** Whether any node that has joined was heard since the start. */
+    boolean hasHeardMember() {
+        return heardMember;
     }
 
     /** Whether the view is being fetched, at the start or after a pause, and what it holds may be old. */
@@ -95,12 +95,13 @@
         differences.clear();
     }
 
-    /** Takes the digest that came with a ping or acknowledgement. */
+    /** Takes the digest that came with a ping or acknowledgement of a node that has joined. */
     void onRoot(NodeId from, long root) {
         long now = context.now();
+        heardMember = true;
         if (root == view.root()) {
             differences.remove(from);
-            if (eager && view.size() > 1) {
+            if (eager) {
                 finish();
             }
             return;
@@ -233,7 +234,6 @@
 
     private void finish() {
         eager = false;
-        complete = true;
         onComplete.run();
     }
 
@@ -309,6 +309,6 @@
     }
 
     private Optional<InetSocketAddress> address(NodeId id) {
-        return view.find(id).map(member -> member.node().peerAddress());
+        return context.addressOf(id);
     }
 }
--- a/src/main/java/io/beryldock/membership/MemberRecord.java
+++ b/src/main/java/io/beryldock/membership/MemberRecord.java
@@ -12,7 +12,8 @@
  * <p>Records of one start are totally ordered by {@link #isNewerThan}, and starts by their generation; merging keeps the
  * newest, so views that saw the same records are equal, in whatever order these came.
  *
- * @param generation rises with each start of a node of that id, as far as the start knew of earlier ones
+ * @param generation rises with each start of a node of that id, as far as the start knew of earlier ones; 0 while a
+ *     node only looks for others
  * @param revision rises with each change that the node itself makes
  * @param target the announced target, if any
  * @param superseded low half of the incarnation that this start replaced, 0 for none
@@ -25,6 +26,8 @@
         Optional<AnnouncedTarget> target,
         long superseded) {
 
+    private static final int JOINING = 0;
+
     private static final Comparator<Incarnation> INCARNATIONS = Comparator.comparing(
                     Incarnation::high, Long::compareUnsigned)
             .thenComparing(Incarnation::low, Long::compareUnsigned);
@@ -32,8 +35,14 @@
     /** A target as its node passes it on. Immutable. */
     record AnnouncedTarget(ServiceName service, int slots, TargetState state) {}
 
+    /** The record of a start that has not joined yet. */
     static MemberRecord ofStart(NodeDescriptor node) {
-        return new MemberRecord(node, 1, 1, MemberStatus.ALIVE, Optional.empty(), 0);
+        return new MemberRecord(node, JOINING, 1, MemberStatus.ALIVE, Optional.empty(), 0);
+    }
+
+    /** Whether the node only looks for others as yet: nobody takes its record into a view. */
+    boolean isJoining() {
+        return generation == JOINING;
     }
 
     NodeId id() {
@@ -110,6 +119,11 @@
         return new MemberRecord(node, generation, seen + 1, MemberStatus.ALIVE, target, superseded);
     }
 
+    /** The record of the first start of a node that anybody knows of. */
+    MemberRecord joined() {
+        return new MemberRecord(node, JOINING + 1, revision, status, target, 0);
+    }
+
     /** The record above that of an earlier start. */
     MemberRecord superseding(MemberRecord earlier) {
         return new MemberRecord(
--- a/src/main/java/io/beryldock/membership/MembershipAssembly.java
+++ b/src/main/java/io/beryldock/membership/MembershipAssembly.java
@@ -18,6 +18,9 @@
     /** A node that resumes after a pause accuses nobody for so long. */
     private static final Duration QUIET_AFTER_PAUSE = Duration.ofSeconds(5);
 
+    /** A new node looks that long for others before it goes on alone. */
+    private static final Duration JOIN_PATIENCE = Duration.ofMillis(1500);
+
     private static final Duration HOUSEKEEPING = Duration.ofMinutes(1);
 
     /** Failed nodes are shown to operators for so long. */
@@ -35,6 +38,7 @@
     private final SeedRecordKeeper keeper;
     private final DirectoryPublisher publisher;
     private final MessageReceiver receiver;
+    private final long startedAt;
     private long nextHousekeeping;
 
     private MembershipAssembly(MembershipContext context, PlatformStore store) {
@@ -42,7 +46,7 @@
         spreader = RecordSpreader.create(
                 context.ownCentre(), context.view(), context.neighbours(), context.sender(), context.timers());
         antiEntropy = new AntiEntropy(context, this::onComplete);
-        intake = RecordIntake.create(context, spreader, antiEntropy::isComplete, this::onChange);
+        intake = RecordIntake.create(context, spreader, context.self()::isJoined, this::onChange);
         IndirectProber indirect = new IndirectProber(context);
         detector = new FailureDetector(context, indirect, intake);
         reports = new LinkReports(context, this::onReports);
@@ -53,6 +57,7 @@
         publisher = new DirectoryPublisher(
                 context.view(), context.timers(), this::reachability, reports::unreachable, antiEntropy::isRefreshing);
         receiver = new MessageReceiver(context, intake, indirect, antiEntropy, reports, finder);
+        startedAt = context.now();
         nextHousekeeping = context.now();
     }
 
@@ -94,11 +99,15 @@
 
     void tick(long now) {
         context.prober().tick(now);
+        antiEntropy.tick(now);
+        finder.tick(now);
+        if (!context.self().isJoined()) {
+            joinAlone(now);
+            return;
+        }
         detector.tick(now);
         links.tick(now);
         reports.tick(now);
-        antiEntropy.tick(now);
-        finder.tick(now);
         keeper.tick(now);
         if (now - nextHousekeeping >= 0) {
             nextHousekeeping = now + HOUSEKEEPING.toNanos();
@@ -183,7 +192,7 @@
         boolean wasLive = before.filter(MemberRecord::isLive).isPresent();
         if (after.hasLeft() && wasLive && detector.isObserverOf(after.id())) {
             context.events().record(EventKind.MEMBER_LEFT, after.id().value(), "stopped as planned");
-        } else if (before.isEmpty() && antiEntropy.isComplete()) {
+        } else if (before.isEmpty() && context.self().isJoined()) {
             context.events().record(EventKind.MEMBER_JOINED, after.id().value(), "is new in this data centre");
         }
     }
@@ -193,9 +202,25 @@
     }
 
     private void onComplete() {
+        if (!context.self().isJoined()) {
+            join();
+        }
         publisher.onChange();
     }
 
+    /** Joins without the view of another node when none that has joined can be found: all start at once, or alone. */
+    private void joinAlone(long now) {
+        boolean waited = now - startedAt >= JOIN_PATIENCE.toNanos();
+        if (waited && !antiEntropy.hasHeardMember()) {
+            join();
+        }
+    }
+
+    private void join() {
+        context.self().join();
+        intake.accept(context.self().current());
+    }
+
     private void keepHouse(long now) {
         for (DataCentre centre : reports.unreachableFor(MembershipView.UNREACHABLE_RETENTION, now)) {
             retire(centre, now);
--- a/src/main/java/io/beryldock/membership/MembershipContext.java
+++ b/src/main/java/io/beryldock/membership/MembershipContext.java
@@ -5,6 +5,7 @@
 import io.beryldock.time.TimerService;
 import io.beryldock.timeline.EventSink;
 import io.beryldock.wire.MembershipMessage;
+import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 
@@ -16,6 +17,7 @@
         Neighbourhood neighbours,
         MessageSender sender,
         Prober prober,
+        Guests guests,
         TimerService timers,
         RandomGenerator random,
         EventSink events) {
@@ -36,9 +38,14 @@
         return timers.ticker().nanos();
     }
 
-    /** Sends to a node that the view holds; without effect for any other. */
+    /** Where the node is reached: one that is about to join at the address it gave, else as the view says. */
+    Optional<InetSocketAddress> addressOf(NodeId id) {
+        return guests.addressOf(id)
+                .or(() -> view.find(id).map(member -> member.node().peerAddress()));
+    }
+
+    /** Sends to a node that is known; without effect for any other. */
     void send(NodeId to, MembershipMessage.Builder message) {
-        Optional<MemberRecord> receiver = view.find(to);
-        receiver.ifPresent(member -> sender.send(member.node().peerAddress(), message));
+        addressOf(to).ifPresent(address -> sender.send(address, message));
     }
 }
--- a/src/main/java/io/beryldock/membership/MembershipService.java
+++ b/src/main/java/io/beryldock/membership/MembershipService.java
@@ -78,6 +78,7 @@
                 Neighbourhood.create(settings.probePeriod()),
                 sender,
                 prober,
+                new Guests(timers.ticker()),
                 timers,
                 random,
                 events);
--- a/src/main/java/io/beryldock/membership/MessageReceiver.java
+++ b/src/main/java/io/beryldock/membership/MessageReceiver.java
@@ -83,12 +83,20 @@
     private void onPing(NodeId sender, MembershipMessage message) {
         context.neighbours().heardPing(sender, context.now());
         context.prober().onPing(sender, message);
-        antiEntropy.onRoot(sender, message.getRoot());
+        compare(sender, message);
     }
 
     private void onAck(NodeId sender, MembershipMessage message) {
         context.prober().onAck(sender, message);
         finder.onHeard();
-        antiEntropy.onRoot(sender, message.getRoot());
+        compare(sender, message);
+    }
+
+    /** The view of a node that has not joined yet is no measure for this one's. */
+    private void compare(NodeId sender, MembershipMessage message) {
+        if (!message.getJoining()) {
+            context.guests().farewell(sender);
+            antiEntropy.onRoot(sender, message.getRoot());
+        }
     }
 }
--- a/src/main/java/io/beryldock/membership/MessageSender.java
+++ b/src/main/java/io/beryldock/membership/MessageSender.java
@@ -28,7 +28,7 @@
     }
 
     void send(InetSocketAddress to, MembershipMessage.Builder message) {
-        message.setSenderIncarnation(self.current().shortIncarnation());
+        message.setSenderIncarnation(self.current().shortIncarnation()).setJoining(!self.isJoined());
         ByteString body = message.build().toByteString();
         messages++;
         bytes += body.size();
--- a/src/main/java/io/beryldock/membership/PeerFinder.java
+++ b/src/main/java/io/beryldock/membership/PeerFinder.java
@@ -55,7 +55,7 @@
     }
 
     void tick(long now) {
-        if (!isIsolated(now)) {
+        if (context.self().isJoined() && !isIsolated(now)) {
             resetDelays(now);
             return;
         }
@@ -64,7 +64,7 @@
             contactDelay = Math.min(2 * contactDelay, MAX_CONTACT_DELAY.toNanos());
             contactSome();
         }
-        if (now >= nextRead) {
+        if (now >= nextRead && isIsolated(now)) {
             nextRead = now + jittered(readDelay);
             readDelay = Math.min(2 * readDelay, MAX_READ_DELAY.toNanos());
             records.read(read -> read.ifPresent(found -> learn(found.record())));
@@ -132,7 +132,8 @@
         contactDelay = MIN_CONTACT_DELAY.toNanos();
         nextContact = now;
         readDelay = FIRST_READ_DELAY.toNanos();
-        nextRead = now + jittered(readDelay);
+        boolean hasSeeds = context.settings().seeds().stream().anyMatch(seed -> !seed.equals(self()));
+        nextRead = hasSeeds ? now + jittered(readDelay) : now;
     }
 
     /** Between half of the delay and one and a half. */
--- a/src/main/java/io/beryldock/membership/RecordIntake.java
+++ b/src/main/java/io/beryldock/membership/RecordIntake.java
@@ -56,6 +56,10 @@
 
     /** Takes a record from another node. */
     void accept(MemberRecord found, NodeId from) {
+        if (found.isJoining()) {
+            context.guests().welcome(found, from);
+            return;
+        }
         if (found.id().equals(self.current().id())) {
             acceptOwn(found, from);
         } else {
@@ -71,7 +75,7 @@
     private void acceptOwn(MemberRecord found, NodeId from) {
         if (self.react(found)) {
             merge(self.current(), Optional.empty());
-        } else if (!self.isSuperseded() && self.current().isNewerThan(found)) {
+        } else if (self.isJoined() && !self.isSuperseded() && self.current().isNewerThan(found)) {
             spreader.queue(from, found.id());
         }
     }
--- a/src/main/java/io/beryldock/membership/SelfRecord.java
+++ b/src/main/java/io/beryldock/membership/SelfRecord.java
@@ -7,9 +7,9 @@
 /**
  * The one record that this node itself may raise: its own.
  *
- * <p>Invariant: the record only rises. Two starts of one id are ordered without clocks: the later start hears of the
- * earlier one from any peer, takes a generation above it and names it as superseded. A start that finds itself
- * superseded by name gives way for ever, so two of them never take turns. Control thread only.
+ * <p>Invariant: the record only rises. Two starts of one id are ordered without clocks: the later start fetches the view
+ * of others before it joins, hears there of the earlier one, takes a generation above it and names it as superseded. A
+ * start that finds itself superseded by name gives way for ever, so two of them never take turns. Control thread only.
  */
 final class SelfRecord {
 
@@ -17,6 +17,7 @@
 
     private final MergeRules rules;
     private MemberRecord record;
+    private Optional<MemberRecord> earlier = Optional.empty();
     private boolean superseded;
 
     private SelfRecord(MergeRules rules, MemberRecord record) {
@@ -32,6 +33,15 @@
         return record;
     }
 
+    boolean isJoined() {
+        return !record.isJoining();
+    }
+
+    /** Takes a generation above all earlier starts that were heard of; to be spread from now on. */
+    void join() {
+        record = earlier.map(record::superseding).orElseGet(record::joined);
+    }
+
     /** Whether a later start of this node's id has taken its place. */
     boolean isSuperseded() {
         return superseded;
@@ -55,6 +65,10 @@
         if (record.hasLeft() || superseded || !rules.denies()) {
             return false;
         }
+        if (record.isJoining()) {
+            earlier = earlier.filter(known -> !found.isNewerThan(known)).or(() -> Optional.of(found));
+            return false;
+        }
         if (found.isSameStart(record)) {
             return deny(found);
         }
--- a/src/main/java/io/beryldock/wire/Membership.java
+++ b/src/main/java/io/beryldock/wire/Membership.java
@@ -134,59 +134,59 @@
       "ck.membership.MembershipStatus\022\017\n\007servic" +
       "e\030\n \001(\t\022\r\n\005slots\030\013 \001(\r\022A\n\014target_state\030\014" +
       " \001(\0162+.beryldock.membership.MembershipTa" +
-      "rgetState\022\022\n\nsuperseded\030\r \001(\006\"\277\005\n\021Member" +
+      "rgetState\022\022\n\nsuperseded\030\r \001(\006\"\320\005\n\021Member" +
       "shipMessage\022\014\n\004root\030\001 \001(\006\022\032\n\022sender_inca" +
       "rnation\030\002 \001(\007\0227\n\007records\030\003 \003(\0132&.beryldo" +
-      "ck.membership.MembershipRecord\0224\n\004ping\030\005" +
-      " \001(\0132$.beryldock.membership.MembershipPi" +
-      "ngH\000\0222\n\003ack\030\006 \001(\0132#.beryldock.membership" +
-      ".MembershipAckH\000\022E\n\rprobe_request\030\007 \001(\0132" +
-      ",.beryldock.membership.MembershipProbeRe" +
-      "questH\000\022C\n\014probe_report\030\010 \001(\0132+.beryldoc" +
-      "k.membership.MembershipProbeReportH\000\022?\n\n" +
-      "sync_offer\030\t \001(\0132).beryldock.membership." +
-      "MembershipSyncOfferH\000\022C\n\014sync_buckets\030\n " +
-      "\001(\0132+.beryldock.membership.MembershipSyn" +
-      "cBucketsH\000\022=\n\tsync_pull\030\013 \001(\0132(.beryldoc" +
-      "k.membership.MembershipSyncPullH\000\022A\n\013syn" +
-      "c_wanted\030\014 \001(\0132*.beryldock.membership.Me" +
-      "mbershipSyncWantedH\000\022A\n\013link_report\030\r \001(" +
-      "\0132*.beryldock.membership.MembershipLinkR" +
-      "eportH\000B\006\n\004kind\"<\n\016MembershipPing\022\016\n\006num" +
-      "ber\030\001 \001(\r\022\032\n\022target_incarnation\030\002 \001(\007\"\037\n" +
-      "\rMembershipAck\022\016\n\006number\030\001 \001(\r\"8\n\026Member" +
-      "shipProbeRequest\022\016\n\006number\030\001 \001(\r\022\016\n\006targ" +
-      "et\030\002 \001(\t\"9\n\025MembershipProbeReport\022\016\n\006num" +
-      "ber\030\001 \001(\r\022\020\n\010answered\030\002 \001(\010\";\n\026Membershi" +
-      "pCentreDigest\022\023\n\013data_centre\030\001 \001(\t\022\014\n\004ro" +
-      "ot\030\002 \001(\006\"T\n\023MembershipSyncOffer\022=\n\007centr" +
-      "es\030\001 \003(\0132,.beryldock.membership.Membersh" +
-      "ipCentreDigest\"?\n\027MembershipCentreBucket" +
-      "s\022\023\n\013data_centre\030\001 \001(\t\022\017\n\007buckets\030\002 \003(\006\"" +
-      "e\n\025MembershipSyncBuckets\022>\n\007centres\030\001 \003(" +
-      "\0132-.beryldock.membership.MembershipCentr" +
-      "eBuckets\022\014\n\004more\030\002 \001(\010\"J\n\024MembershipCent" +
-      "rePull\022\023\n\013data_centre\030\001 \001(\t\022\017\n\007buckets\030\002" +
-      " \003(\r\022\014\n\004held\030\003 \003(\006\"Q\n\022MembershipSyncPull" +
-      "\022;\n\007centres\030\001 \003(\0132*.beryldock.membership" +
-      ".MembershipCentrePull\"&\n\024MembershipSyncW" +
-      "anted\022\016\n\006wanted\030\001 \003(\006\"=\n\023MembershipLinkS" +
-      "tate\022\023\n\013data_centre\030\001 \001(\t\022\021\n\treachable\030\002" +
-      " \001(\010\"\210\001\n\024MembershipLinkReport\022\020\n\010reporte" +
-      "r\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\016\n\006number\030\003" +
-      " \001(\004\0229\n\006states\030\004 \003(\0132).beryldock.members" +
-      "hip.MembershipLinkState\"?\n\nSeedRecord\0221\n" +
-      "\007centres\030\001 \003(\0132 .beryldock.membership.Se" +
-      "edCentre\"W\n\nSeedCentre\022\023\n\013data_centre\030\001 " +
-      "\001(\t\0224\n\taddresses\030\002 \003(\0132!.beryldock.membe" +
-      "rship.SeedAddress\",\n\013SeedAddress\022\017\n\007addr" +
-      "ess\030\001 \001(\014\022\014\n\004port\030\002 \001(\r*r\n\020MembershipSta" +
-      "tus\022\020\n\014MEMBER_ALIVE\020\000\022\024\n\020MEMBER_SUSPECTE" +
-      "D\020\001\022\022\n\016MEMBER_MISSING\020\002\022\021\n\rMEMBER_FAILED" +
-      "\020\003\022\017\n\013MEMBER_LEFT\020\004*R\n\025MembershipTargetS" +
-      "tate\022\023\n\017TARGET_STARTING\020\000\022\020\n\014TARGET_READ" +
-      "Y\020\001\022\022\n\016TARGET_LEAVING\020\002B\025\n\021io.beryldock." +
-      "wireP\001b\006proto3"
+      "ck.membership.MembershipRecord\022\017\n\007joinin" +
+      "g\030\004 \001(\010\0224\n\004ping\030\005 \001(\0132$.beryldock.member" +
+      "ship.MembershipPingH\000\0222\n\003ack\030\006 \001(\0132#.ber" +
+      "yldock.membership.MembershipAckH\000\022E\n\rpro" +
+      "be_request\030\007 \001(\0132,.beryldock.membership." +
+      "MembershipProbeRequestH\000\022C\n\014probe_report" +
+      "\030\010 \001(\0132+.beryldock.membership.Membership" +
+      "ProbeReportH\000\022?\n\nsync_offer\030\t \001(\0132).bery" +
+      "ldock.membership.MembershipSyncOfferH\000\022C" +
+      "\n\014sync_buckets\030\n \001(\0132+.beryldock.members" +
+      "hip.MembershipSyncBucketsH\000\022=\n\tsync_pull" +
+      "\030\013 \001(\0132(.beryldock.membership.Membership" +
+      "SyncPullH\000\022A\n\013sync_wanted\030\014 \001(\0132*.beryld" +
+      "ock.membership.MembershipSyncWantedH\000\022A\n" +
+      "\013link_report\030\r \001(\0132*.beryldock.membershi" +
+      "p.MembershipLinkReportH\000B\006\n\004kind\"<\n\016Memb" +
+      "ershipPing\022\016\n\006number\030\001 \001(\r\022\032\n\022target_inc" +
+      "arnation\030\002 \001(\007\"\037\n\rMembershipAck\022\016\n\006numbe" +
+      "r\030\001 \001(\r\"8\n\026MembershipProbeRequest\022\016\n\006num" +
+      "ber\030\001 \001(\r\022\016\n\006target\030\002 \001(\t\"9\n\025MembershipP" +
+      "robeReport\022\016\n\006number\030\001 \001(\r\022\020\n\010answered\030\002" +
+      " \001(\010\";\n\026MembershipCentreDigest\022\023\n\013data_c" +
+      "entre\030\001 \001(\t\022\014\n\004root\030\002 \001(\006\"T\n\023MembershipS" +
+      "yncOffer\022=\n\007centres\030\001 \003(\0132,.beryldock.me" +
+      "mbership.MembershipCentreDigest\"?\n\027Membe" +
+      "rshipCentreBuckets\022\023\n\013data_centre\030\001 \001(\t\022" +
+      "\017\n\007buckets\030\002 \003(\006\"e\n\025MembershipSyncBucket" +
+      "s\022>\n\007centres\030\001 \003(\0132-.beryldock.membershi" +
+      "p.MembershipCentreBuckets\022\014\n\004more\030\002 \001(\010\"" +
+      "J\n\024MembershipCentrePull\022\023\n\013data_centre\030\001" +
+      " \001(\t\022\017\n\007buckets\030\002 \003(\r\022\014\n\004held\030\003 \003(\006\"Q\n\022M" +
+      "embershipSyncPull\022;\n\007centres\030\001 \003(\0132*.ber" +
+      "yldock.membership.MembershipCentrePull\"&" +
+      "\n\024MembershipSyncWanted\022\016\n\006wanted\030\001 \003(\006\"=" +
+      "\n\023MembershipLinkState\022\023\n\013data_centre\030\001 \001" +
+      "(\t\022\021\n\treachable\030\002 \001(\010\"\210\001\n\024MembershipLink" +
+      "Report\022\020\n\010reporter\030\001 \001(\t\022\023\n\013incarnation\030" +
+      "\002 \001(\006\022\016\n\006number\030\003 \001(\004\0229\n\006states\030\004 \003(\0132)." +
+      "beryldock.membership.MembershipLinkState" +
+      "\"?\n\nSeedRecord\0221\n\007centres\030\001 \003(\0132 .beryld" +
+      "ock.membership.SeedCentre\"W\n\nSeedCentre\022" +
+      "\023\n\013data_centre\030\001 \001(\t\0224\n\taddresses\030\002 \003(\0132" +
+      "!.beryldock.membership.SeedAddress\",\n\013Se" +
+      "edAddress\022\017\n\007address\030\001 \001(\014\022\014\n\004port\030\002 \001(\r" +
+      "*r\n\020MembershipStatus\022\020\n\014MEMBER_ALIVE\020\000\022\024" +
+      "\n\020MEMBER_SUSPECTED\020\001\022\022\n\016MEMBER_MISSING\020\002" +
+      "\022\021\n\rMEMBER_FAILED\020\003\022\017\n\013MEMBER_LEFT\020\004*R\n\025" +
+      "MembershipTargetState\022\023\n\017TARGET_STARTING" +
+      "\020\000\022\020\n\014TARGET_READY\020\001\022\022\n\016TARGET_LEAVING\020\002" +
+      "B\025\n\021io.beryldock.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -203,7 +203,7 @@
     internal_static_beryldock_membership_MembershipMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_beryldock_membership_MembershipMessage_descriptor,
-        new java.lang.String[] { "Root", "SenderIncarnation", "Records", "Ping", "Ack", "ProbeRequest", "ProbeReport", "SyncOffer", "SyncBuckets", "SyncPull", "SyncWanted", "LinkReport", "Kind", });
+        new java.lang.String[] { "Root", "SenderIncarnation", "Records", "Joining", "Ping", "Ack", "ProbeRequest", "ProbeReport", "SyncOffer", "SyncBuckets", "SyncPull", "SyncWanted", "LinkReport", "Kind", });
     internal_static_beryldock_membership_MembershipPing_descriptor =
       getDescriptor().getMessageType(2);
     internal_static_beryldock_membership_MembershipPing_fieldAccessorTable = new
--- a/src/main/java/io/beryldock/wire/MembershipMessage.java
+++ b/src/main/java/io/beryldock/wire/MembershipMessage.java
@@ -176,6 +176,21 @@
     return records_.get(index);
   }
 
+  public static final int JOINING_FIELD_NUMBER = 4;
+  private boolean joining_ = false;
+  /**
+   * <pre>
+   * The sender has not joined yet: its view is not whole, its own record in nobody else's.
+   * </pre>
+   *
+   * <code>bool joining = 4;</code>
+   * @return The joining.
+   */
+  @java.lang.Override
+  public boolean getJoining() {
+    return joining_;
+  }
+
   public static final int PING_FIELD_NUMBER = 5;
   /**
    * <code>.beryldock.membership.MembershipPing ping = 5;</code>
@@ -478,6 +493,9 @@
     for (int i = 0; i < records_.size(); i++) {
       output.writeMessage(3, records_.get(i));
     }
+    if (joining_ != false) {
+      output.writeBool(4, joining_);
+    }
     if (kindCase_ == 5) {
       output.writeMessage(5, (io.beryldock.wire.MembershipPing) kind_);
     }
@@ -526,6 +544,10 @@
           }
           size += 1 * count;
         }
+    if (joining_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(4, joining_);
+    }
     if (kindCase_ == 5) {
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(5, (io.beryldock.wire.MembershipPing) kind_);
@@ -592,6 +614,8 @@
         != other.getSenderIncarnation()) return false;
     if (!getRecordsList()
         .equals(other.getRecordsList())) return false;
+    if (getJoining()
+        != other.getJoining()) return false;
     if (!getKindCase().equals(other.getKindCase())) return false;
     switch (kindCase_) {
       case 5:
@@ -653,6 +677,9 @@
       hash = (37 * hash) + RECORDS_FIELD_NUMBER;
       hash = (53 * hash) + getRecordsList().hashCode();
     }
+    hash = (37 * hash) + JOINING_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getJoining());
     switch (kindCase_) {
       case 5:
         hash = (37 * hash) + PING_FIELD_NUMBER;
@@ -833,6 +860,7 @@
         recordsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000004);
+      joining_ = false;
       if (pingBuilder_ != null) {
         pingBuilder_.clear();
       }
@@ -915,6 +943,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.senderIncarnation_ = senderIncarnation_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.joining_ = joining_;
+      }
     }
 
     private void buildPartialOneofs(io.beryldock.wire.MembershipMessage result) {
@@ -1002,6 +1033,9 @@
           }
         }
       }
+      if (other.getJoining() != false) {
+        setJoining(other.getJoining());
+      }
       switch (other.getKindCase()) {
         case PING: {
           mergePing(other.getPing());
@@ -1090,6 +1124,11 @@
               }
               break;
             } // case 26
+            case 32: {
+              joining_ = input.readBool();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             case 42: {
               input.readMessage(
                   internalGetPingFieldBuilder().getBuilder(),
@@ -1507,6 +1546,50 @@
       return recordsBuilder_;
     }
 
+    private boolean joining_ ;
+    /**
+     * <pre>
+     * The sender has not joined yet: its view is not whole, its own record in nobody else's.
+     * </pre>
+     *
+     * <code>bool joining = 4;</code>
+     * @return The joining.
+     */
+    @java.lang.Override
+    public boolean getJoining() {
+      return joining_;
+    }
+    /**
+     * <pre>
+     * The sender has not joined yet: its view is not whole, its own record in nobody else's.
+     * </pre>
+     *
+     * <code>bool joining = 4;</code>
+     * @param value The joining to set.
+     * @return This builder for chaining.
+     */
+    public Builder setJoining(boolean value) {
+
+      joining_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The sender has not joined yet: its view is not whole, its own record in nobody else's.
+     * </pre>
+     *
+     * <code>bool joining = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearJoining() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      joining_ = false;
+      onChanged();
+      return this;
+    }
+
     private com.google.protobuf.SingleFieldBuilder<
         io.beryldock.wire.MembershipPing, io.beryldock.wire.MembershipPing.Builder, io.beryldock.wire.MembershipPingOrBuilder> pingBuilder_;
     /**
--- a/src/main/java/io/beryldock/wire/MembershipMessageOrBuilder.java
+++ b/src/main/java/io/beryldock/wire/MembershipMessageOrBuilder.java
@@ -54,6 +54,16 @@
   io.beryldock.wire.MembershipRecordOrBuilder getRecordsOrBuilder(
       int index);
 
+  /**
+   * <pre>
+   * The sender has not joined yet: its view is not whole, its own record in nobody else's.
+   * </pre>
+   *
+   * <code>bool joining = 4;</code>
+   * @return The joining.
+   */
+  boolean getJoining();
+
   /**
    * <code>.beryldock.membership.MembershipPing ping = 5;</code>
    * @return Whether the ping field is set.
--- a/src/main/java/io/beryldock/wire/MembershipRecord.java
+++ b/src/main/java/io/beryldock/wire/MembershipRecord.java
@@ -187,6 +187,10 @@
   public static final int GENERATION_FIELD_NUMBER = 7;
   private int generation_ = 0;
   /**
+   * <pre>
+   * 0 while the node only looks for others.
+   * </pre>
+   *
    * <code>uint32 generation = 7;</code>
    * @return The generation.
    */
@@ -1181,6 +1185,10 @@
 
     private int generation_ ;
     /**
+     * <pre>
+     * 0 while the node only looks for others.
+     * </pre>
+     *
      * <code>uint32 generation = 7;</code>
      * @return The generation.
      */
@@ -1189,6 +1197,10 @@
       return generation_;
     }
     /**
+     * <pre>
+     * 0 while the node only looks for others.
+     * </pre>
+     *
      * <code>uint32 generation = 7;</code>
      * @param value The generation to set.
      * @return This builder for chaining.
@@ -1201,6 +1213,10 @@
       return this;
     }
     /**
+     * <pre>
+     * 0 while the node only looks for others.
+     * </pre>
+     *
      * <code>uint32 generation = 7;</code>
      * @return This builder for chaining.
      */
--- a/src/main/java/io/beryldock/wire/MembershipRecordOrBuilder.java
+++ b/src/main/java/io/beryldock/wire/MembershipRecordOrBuilder.java
@@ -63,6 +63,10 @@
   long getIncarnationLow();
 
   /**
+   * <pre>
+   * 0 while the node only looks for others.
+   * </pre>
+   *
    * <code>uint32 generation = 7;</code>
    * @return The generation.
    */
