Write answers on the server's threads; let a stop wait for peers and no longer for itself

Change: answers go to the threads of the HTTP server; the server's own grace is 200 ms, since a planned stop has waited before; a closed timer takes no task; the peers are drained as the last step of a stop.

--- a/src/main/java/io/beryldock/http/ForwardResource.java
+++ b/src/main/java/io/beryldock/http/ForwardResource.java
@@ -20,12 +20,15 @@
 import jakarta.ws.rs.container.Suspended;
 import jakarta.ws.rs.core.Context;
 import java.io.IOException;
+import java.util.concurrent.Executor;
 import java.util.function.ToIntFunction;
 
 /**
  * Takes every request on the callers' and the loopback listener and answers it when its result is there.
  *
- * <p>Thread safe. Which listener took it is told by the local port, so that a caller can't pass for a target.
+ * <p>Thread safe. Which listener took it is told by the local port, so that a caller can't pass for a target. Answers
+ * are written on the responder's threads: writing blocks while a caller reads slowly, which must hold up neither the
+ * control thread nor the threads that talk to peers and the target.
  */
 @Path("/{path: .*}")
 public final class ForwardResource {
@@ -35,11 +38,17 @@
     private final RequestHandler handler;
     private final RequestReader reader;
     private final ToIntFunction<HttpServletRequest> callersPort;
+    private final Executor responder;
 
-    ForwardResource(RequestHandler handler, RequestReader reader, ToIntFunction<HttpServletRequest> callersPort) {
+    ForwardResource(
+            RequestHandler handler,
+            RequestReader reader,
+            ToIntFunction<HttpServletRequest> callersPort,
+            Executor responder) {
         this.handler = handler;
         this.reader = reader;
         this.callersPort = callersPort;
+        this.responder = responder;
     }
 
     @GET
@@ -91,15 +100,20 @@
         }
         CancelScope scope = CancelScope.create();
         HangupDetector.watch(servlet, scope::cancel);
-        handler.handle(request, scope).whenComplete((outcome, failure) -> {
-            HangupDetector.unwatch(servlet);
-            scope.close();
-            if (failure != null) {
-                log.atSevere().withCause(failure).log("the handling of %s %s failed", request.method(), request.path());
-                response.resume(ResultWriter.write(CallResult.unknown(Reason.INTERNAL, ""), ""));
-                return;
-            }
-            response.resume(ResultWriter.write(outcome.result(), outcome.root().toString()));
-        });
+        handler.handle(request, scope)
+                .whenCompleteAsync(
+                        (outcome, failure) -> {
+                            HangupDetector.unwatch(servlet);
+                            scope.close();
+                            if (failure != null) {
+                                log.atSevere().withCause(failure).log(
+                                        "the handling of %s %s failed", request.method(), request.path());
+                                response.resume(ResultWriter.write(CallResult.unknown(Reason.INTERNAL, ""), ""));
+                                return;
+                            }
+                            response.resume(ResultWriter.write(
+                                    outcome.result(), outcome.root().toString()));
+                        },
+                        responder);
     }
 }
--- a/src/main/java/io/beryldock/http/NodeHttpServer.java
+++ b/src/main/java/io/beryldock/http/NodeHttpServer.java
@@ -11,10 +11,12 @@
 import io.dropwizard.jetty.ConnectorFactory;
 import io.dropwizard.jetty.HttpConnectorFactory;
 import io.dropwizard.request.logging.LogbackAccessRequestLogFactory;
+import io.dropwizard.util.Duration;
 import jakarta.servlet.Servlet;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.Executor;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 
@@ -27,6 +29,7 @@
 
     private static final int MAX_THREADS = 64;
     private static final int MIN_THREADS = 8;
+    private static final int SHUTDOWN_MILLIS = 200;
     private static final int CALLERS = 0;
     private static final int LOOPBACK = 1;
     private static final int ADMIN = 2;
@@ -43,9 +46,11 @@
     public static NodeHttpServer start(NodeSettings settings, HttpPorts ports) throws ServerStartException {
         Environment environment = environment(settings);
         PortSlot callersPort = new PortSlot();
-        registerResources(environment, settings, ports, callersPort);
+        Responder responder = new Responder();
+        registerResources(environment, settings, ports, callersPort, responder);
         ports.adminServlets().forEach((path, servlet) -> addServlet(environment, path, servlet));
         Server server = factory(settings).build(environment);
+        responder.set(server.getThreadPool());
         try {
             server.start();
         } catch (Exception e) {
@@ -70,12 +75,14 @@
     }
 
     private static void registerResources(
-            Environment environment, NodeSettings settings, HttpPorts ports, PortSlot callersPort) {
+            Environment environment, NodeSettings settings, HttpPorts ports, PortSlot callersPort, Executor responder) {
         RequestReader reader = new RequestReader(
                 settings.limits().maxBodyBytes(), settings.limits().maxHeaderBytes(), new CallerIdentifier());
-        environment.jersey().register(new ForwardResource(ports.requests(), reader, request -> callersPort.get()));
+        environment
+                .jersey()
+                .register(new ForwardResource(ports.requests(), reader, request -> callersPort.get(), responder));
         environment.jersey().register(new AnnounceResource(ports.announcements(), request -> callersPort.get()));
-        environment.jersey().register(new TicketResource(ports.tickets()));
+        environment.jersey().register(new TicketResource(ports.tickets(), responder));
         environment.healthChecks().register("node", ports.health());
     }
 
@@ -97,6 +104,8 @@
         factory.setMaxThreads(MAX_THREADS);
         factory.setMinThreads(MIN_THREADS);
         factory.setDetailedJsonProcessingExceptionMapper(false);
+        // A planned stop has waited for what is in flight already.
+        factory.setShutdownGracePeriod(Duration.milliseconds(SHUTDOWN_MILLIS));
         // The target's answer is passed on as it is; compressing it again would change what the caller asked for.
         factory.getGzipFilterFactory().setEnabled(false);
         LogbackAccessRequestLogFactory requestLog = new LogbackAccessRequestLogFactory();
@@ -140,6 +149,20 @@
         }
     }
 
+    /** Hands the writing of answers to the server's threads, known once it is built. Thread safe. */
+    private static final class Responder implements Executor {
+        private volatile Executor threads = Runnable::run;
+
+        void set(Executor pool) {
+            threads = pool;
+        }
+
+        @Override
+        public void execute(Runnable task) {
+            threads.execute(task);
+        }
+    }
+
     /** The callers' port, known once the listeners are bound. Thread safe. */
     private static final class PortSlot {
         private volatile int port = -1;
--- a/src/main/java/io/beryldock/http/TicketResource.java
+++ b/src/main/java/io/beryldock/http/TicketResource.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
 import java.util.function.Supplier;
 
 /** Mints tickets for non-idempotent requests. Thread safe. */
@@ -20,22 +21,27 @@
 public final class TicketResource {
 
     private final Supplier<CompletableFuture<Optional<String>>> mint;
+    private final Executor responder;
 
-    TicketResource(Supplier<CompletableFuture<Optional<String>>> mint) {
+    TicketResource(Supplier<CompletableFuture<Optional<String>>> mint, Executor responder) {
         this.mint = mint;
+        this.responder = responder;
     }
 
     @POST
     public void mint(@Suspended AsyncResponse response) {
-        mint.get().whenComplete((ticket, failure) -> {
-            if (failure != null || ticket.isEmpty()) {
-                response.resume(ResultWriter.write(CallResult.notRun(Reason.TICKETS_FULL, ""), ""));
-                return;
-            }
-            response.resume(Response.status(Response.Status.CREATED)
-                    .header(BeryldockHeaders.TICKET, ticket.get())
-                    .entity(Map.of("ticket", ticket.get()))
-                    .build());
-        });
+        mint.get()
+                .whenCompleteAsync(
+                        (ticket, failure) -> {
+                            if (failure != null || ticket.isEmpty()) {
+                                response.resume(ResultWriter.write(CallResult.notRun(Reason.TICKETS_FULL, ""), ""));
+                                return;
+                            }
+                            response.resume(Response.status(Response.Status.CREATED)
+                                    .header(BeryldockHeaders.TICKET, ticket.get())
+                                    .entity(Map.of("ticket", ticket.get()))
+                                    .build());
+                        },
+                        responder);
     }
 }
--- a/src/main/java/io/beryldock/node/RunningNode.java
+++ b/src/main/java/io/beryldock/node/RunningNode.java
@@ -1,5 +1,6 @@
 package io.beryldock.node;
 
+import com.google.common.flogger.FluentLogger;
 import com.google.inject.Injector;
 import io.beryldock.forwarding.EntryService;
 import io.beryldock.forwarding.ExecutionRegistry;
@@ -17,10 +18,16 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 
 /** A node that runs. Thread safe; closed once. */
 public final class RunningNode implements AutoCloseable {
 
+    private static final FluentLogger log = FluentLogger.forEnclosingClass();
+    private static final long PEER_DRAIN_SECONDS = 3;
+
     private final NodeSettings settings;
     private final Injector injector;
     private final NodeHttpServer http;
@@ -99,9 +106,19 @@
                         events(),
                         Duration.ofSeconds(settings.limits().drainSeconds())))
                 .run();
+        drainPeers();
         close();
     }
 
+    /** Peers finish what they have under way here and close their connections. */
+    private void drainPeers() throws InterruptedException {
+        try {
+            injector.getInstance(NettyPeerTransport.class).drain().get(PEER_DRAIN_SECONDS, TimeUnit.SECONDS);
+        } catch (ExecutionException | TimeoutException e) {
+            log.atWarning().withCause(e).log("some peers did not close their connections in time");
+        }
+    }
+
     /** Stops at once: what is in flight is cut off, as in a crash. */
     @Override
     public void close() {
--- a/src/main/java/io/beryldock/peer/PeerException.java
+++ b/src/main/java/io/beryldock/peer/PeerException.java
@@ -18,7 +18,7 @@
 
     /** How a request can fail. */
     public enum Kind {
-        /** Not one byte of the request left: it has not reached the other node. */
+        /** The request has not been taken: no byte of it left, or the other node says that it did not run it. */
         NOT_SENT,
         /** The connection was lost after the request may have been sent. */
         LOST,
--- a/src/main/java/io/beryldock/time/ThreadTimerService.java
+++ b/src/main/java/io/beryldock/time/ThreadTimerService.java
@@ -17,6 +17,9 @@
 
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
 
+    /** A closed timer runs nothing more. */
+    private static final Subscription AFTER_CLOSE = () -> {};
+
     private final ScheduledThreadPoolExecutor timer;
     private final Executor executor;
 
@@ -45,13 +48,21 @@
 
     @Override
     public Subscription after(Duration delay, Runnable task) {
-        return cancelling(timer.schedule(() -> hand(task), delay.toNanos(), TimeUnit.NANOSECONDS));
+        try {
+            return cancelling(timer.schedule(() -> hand(task), delay.toNanos(), TimeUnit.NANOSECONDS));
+        } catch (RejectedExecutionException e) {
+            return AFTER_CLOSE;
+        }
     }
 
     @Override
     public Subscription every(Duration period, Runnable task) {
         long nanos = period.toNanos();
-        return cancelling(timer.scheduleWithFixedDelay(() -> hand(task), nanos, nanos, TimeUnit.NANOSECONDS));
+        try {
+            return cancelling(timer.scheduleWithFixedDelay(() -> hand(task), nanos, nanos, TimeUnit.NANOSECONDS));
+        } catch (RejectedExecutionException e) {
+            return AFTER_CLOSE;
+        }
     }
 
     @Override
