--- a/src/main/java/io/beryldock/measure/AnswerChecker.java
+++ b/src/main/java/io/beryldock/measure/AnswerChecker.java
@@ -9,7 +9,8 @@
 /**
  * Judges whether an answer is the whole answer to its own request.
  *
- * <p>Immutable, thread safe. Each part of an answer names the token of the call it answers; that of the n-th inner call is
+ * <p>Immutable, thread safe. Each part of an answer names the token of the call it answers; that of the n-th inner
+ * call is
  * the outer one's, a dot and n.
  */
 final class AnswerChecker {
--- a/src/main/java/io/beryldock/measure/CapacityBound.java
+++ b/src/main/java/io/beryldock/measure/CapacityBound.java
@@ -17,7 +17,8 @@
  * How many whole requests a second the slots allow of those asked, when important classes go first.
  *
  * <p>Immutable. A request holds a slot of a service while it works there and while it waits for its inner calls, at the
- * mean service times and without any queue. Classes are admitted by rank; classes of one rank share what is left evenly.
+ * mean service times and without any queue. Classes are admitted by rank; classes of one rank share what is left
+ * evenly.
  */
 final class CapacityBound {
 
--- a/src/main/java/io/beryldock/measure/LoadGenerator.java
+++ b/src/main/java/io/beryldock/measure/LoadGenerator.java
@@ -14,7 +14,8 @@
 /**
  * Asks for what the schedule says when it says, whatever becomes of earlier requests.
  *
- * <p>Runs on the caller's thread; the counts may be read on any. Latencies count from when a request was due, so a stall of
+ * <p>Runs on the caller's thread; the counts may be read on any. Latencies count from when a request was due, so a
+ * stall of
  * the generator shows as latency, never as less load.
  */
 final class LoadGenerator {
--- a/src/main/java/io/beryldock/measure/ScenarioResult.java
+++ b/src/main/java/io/beryldock/measure/ScenarioResult.java
@@ -53,7 +53,9 @@
                 "whole requests/s %.1f of %.1f that the slots allow; within the cause %.1f of %.1f%n",
                 report.goodputTotal(), report.capacityBound(), report.goodputInCause(), report.capacityBoundInCause());
         out.printf(
-                "recovery %s; wasted work %.1f%%%nadded latency p50 %.0f us, p99 %.0f us (%d calls), beside a direct call's p50 %.0f us, p99 %.0f us (%d)%n",
+                "recovery %s; wasted work %.1f%%%n"
+                        + "added latency p50 %.0f us, p99 %.0f us (%d calls), "
+                        + "beside a direct call's p50 %.0f us, p99 %.0f us (%d)%n",
                 report.recoverySeconds() == null
                         ? "not before the end"
                         : String.format("%.1f s", report.recoverySeconds()),
--- a/src/main/java/io/beryldock/platform/HttpPlatformStore.java
+++ b/src/main/java/io/beryldock/platform/HttpPlatformStore.java
@@ -26,7 +26,8 @@
 /**
  * The platform store over HTTP, in the protocol of docs/PLATFORM-PROTOCOL.md.
  *
- * <p>Thread safe; never blocks its caller. A write is {@link WriteResult.Kind#NOT_APPLIED} only if it was never sent (no
+ * <p>Thread safe; never blocks its caller. A write is {@link WriteResult.Kind#NOT_APPLIED} only if it was never sent
+ * (no
  * connection) or the store says so itself; every other failure after the first byte may hide an effect and is
  * {@link WriteResult.Kind#UNKNOWN}. No request is ever sent twice.
  */
@@ -48,7 +49,10 @@
         this.client = client;
     }
 
-    /** Starts a client of the store at that address, for example {@code http://127.0.0.1:7000}; the caller closes it. */
+    /**
+     * Starts a client of the store at that address, for example {@code http://127.0.0.1:7000}; the caller closes
+     * it.
+     */
     public static HttpPlatformStore start(URI address, Duration timeout, TimerService timers) {
         PlainHttpClientOptions options = PlainHttpClientOptions.of(IO_THREADS, MAX_CONNECTIONS, MAX_CONNECTIONS)
                 .withConnectionWait(timeout)
--- a/src/main/java/io/beryldock/platform/InMemoryPlatformStore.java
+++ b/src/main/java/io/beryldock/platform/InMemoryPlatformStore.java
@@ -135,7 +135,10 @@
         return answer;
     }
 
-    /** Lets the effect happen after half the delay and answers after the other half, unless the call or answer is lost. */
+    /**
+     * Lets the effect happen after half the delay and answers after the other half, unless the call or answer is
+     * lost.
+     */
     private <T> void serve(CompletableFuture<T> answer, Supplier<T> effect, Runnable giveUp) {
         StoreFaults current = faults();
         if (current.silent() || !current.delay().isZero()) {
--- a/src/main/java/io/beryldock/standin/SlotQueue.java
+++ b/src/main/java/io/beryldock/standin/SlotQueue.java
@@ -6,7 +6,8 @@
 /**
  * The slots of a target and the bounded queue before them, as of a server with a thread pool.
  *
- * <p>Thread safe; tasks run outside of the lock. Invariant: at most {@code slots} tasks hold a slot, and a task waits only
+ * <p>Thread safe; tasks run outside of the lock. Invariant: at most {@code slots} tasks hold a slot, and a task waits
+ * only
  * while all slots are held.
  */
 final class SlotQueue {
--- a/src/main/java/io/beryldock/standin/StandinTarget.java
+++ b/src/main/java/io/beryldock/standin/StandinTarget.java
@@ -12,7 +12,8 @@
  * A small HTTP target: slots, service times, inner calls through its node, announcements, and faults on demand.
  *
  * <p>Thread safe. Every answer names its request, and {@link #runs()} holds every request that really ran, over all
- * restarts. The paths {@code /faults}, {@code /runs}, {@code /leave} and {@code /health} are its own; all others are work.
+ * restarts. The paths {@code /faults}, {@code /runs}, {@code /leave} and {@code /health} are its own; all others are
+ * work.
  */
 public final class StandinTarget implements AutoCloseable {
 
--- a/src/main/java/io/beryldock/standin/TargetAnswers.java
+++ b/src/main/java/io/beryldock/standin/TargetAnswers.java
@@ -14,8 +14,10 @@
 /**
  * Writes the answers of a target, each naming the request it answers, so that a crossed answer is seen.
  *
- * <p>Stateless. Example: {@code {"service":"lists","path":"/lists/1","echo":"t7","run":12,"nanos":51000,"calls":1,"inner":[{...}]}};
- * {@code nanos} is the time from its arrival to its answer, {@code calls} the number of inner calls that it needs, and each
+ * <p>Stateless. Example: {@code
+ * {"service":"lists","path":"/lists/1","echo":"t7","run":12,"nanos":51000,"calls":1,"inner":[{...}]}};
+ * {@code nanos} is the time from its arrival to its answer, {@code calls} the number of inner calls that it needs, and
+ * each
  * element of {@code inner} the whole answer to one.
  */
 final class TargetAnswers {
--- a/src/main/java/io/beryldock/standin/TargetRun.java
+++ b/src/main/java/io/beryldock/standin/TargetRun.java
@@ -14,7 +14,8 @@
 /**
  * One request on its way through a target: it waits for a slot, works, makes its inner calls and answers.
  *
- * <p>Thread safe by one lock; nothing is sent or answered within it. Invariants: a run gives its slot back at most once; a
+ * <p>Thread safe by one lock; nothing is sent or answered within it. Invariants: a run gives its slot back at most
+ * once; a
  * run that was refused never worked; a run answers at most once.
  */
 final class TargetRun {
--- a/src/test/java/io/beryldock/measure/ScenarioCatalogueTest.java
+++ b/src/test/java/io/beryldock/measure/ScenarioCatalogueTest.java
@@ -19,7 +19,10 @@
         }
     }
 
-    /** Orders and starts must be answered wherever the slots hold them; a scenario that asks for more proves nothing. */
+    /**
+     * Orders and starts must be answered wherever the slots hold them; a scenario that asks for more proves
+     * nothing.
+     */
     @Test
     void theSlotsHoldEveryOrderAndStartInEveryScenario() throws Exception {
         for (String name : ScenarioCatalogue.NAMES) {
--- a/src/test/java/io/beryldock/platform/HttpPlatformStoreTest.java
+++ b/src/test/java/io/beryldock/platform/HttpPlatformStoreTest.java
@@ -91,7 +91,8 @@
     }
 
     /**
-     * An operator changes a setting; the store writes it, then the connection dies before the answer. If the writer were
+     * An operator changes a setting; the store writes it, then the connection dies before the answer. If the writer
+     * were
      * told that nothing happened it would write again, or tell the operator a falsehood.
      */
     @Test
--- a/src/test/java/io/beryldock/platform/InMemoryPlatformStoreTest.java
+++ b/src/test/java/io/beryldock/platform/InMemoryPlatformStoreTest.java
@@ -71,7 +71,10 @@
         assertThat(store.get("key")).isCompletedWithValue(Optional.of(new StoredValue(1, ONE)));
     }
 
-    /** A holder is paused, its lease lapses, another takes it; the first, resumed, must not be told that it holds it. */
+    /**
+     * A holder is paused, its lease lapses, another takes it; the first, resumed, must not be told that it holds
+     * it.
+     */
     @Test
     void aLapsedLeaseGoesToAnother() {
         assertThat(store.lease("watcher", "node 1", LEASE)).isCompletedWithValue(true);
--- a/src/test/java/io/beryldock/standin/StandinTargetTest.java
+++ b/src/test/java/io/beryldock/standin/StandinTargetTest.java
@@ -139,7 +139,8 @@
     }
 
     /**
-     * Something between node and target loses track of the open connections: what is sent on them vanishes for good, while
+     * Something between node and target loses track of the open connections: what is sent on them vanishes for good,
+     * while
      * new connections work.
      */
     @Test
