--- a/src/main/java/io/beryldock/admission/LevelSamples.java
+++ b/src/main/java/io/beryldock/admission/LevelSamples.java
@@ -14,8 +14,8 @@
 final class LevelSamples {
 
     static final long FRESH_NANOS = 500_000_000L;
-    private static final int SIZE = 5;
-    private static final int OPEN_BEFORE = 2;
+    private static final int SIZE = 7;
+    private static final int OPEN_BEFORE = 3;
 
     private final int[] levels = new int[SIZE];
     private final long[] times = new long[SIZE];
--- a/src/test/java/io/beryldock/admission/ChainMeasurement.java
+++ b/src/test/java/io/beryldock/admission/ChainMeasurement.java
@@ -8,12 +8,12 @@
 /** Prints what the chain simulation yields for the scenarios of the design note; run by hand. */
 public final class ChainMeasurement {
 
-    private static final ImmutableList<Stage> CHAIN =
+    static final ImmutableList<Stage> CHAIN =
             ImmutableList.of(new Stage(50, 10, 1), new Stage(50, 10, 1), new Stage(15, 20, 1));
 
-    private static final ImmutableList<Stage> WIDE =
+    static final ImmutableList<Stage> WIDE =
             ImmutableList.of(new Stage(200, 10, 1), new Stage(200, 10, 1), new Stage(15, 20, 1));
-    private static final ImmutableList<Stage> MANY =
+    static final ImmutableList<Stage> MANY =
             ImmutableList.of(new Stage(200, 10, 1), new Stage(200, 10, 4), new Stage(15, 10, 1));
 
     private ChainMeasurement() {}
@@ -37,27 +37,27 @@
         }
     }
 
-    private static ChainSimulation one(int seed, boolean door, int slots, double millis, double load) {
+    private static ChainSimulation one(long seed, boolean door, int slots, double millis, double load) {
         return simulate(seed, door, ImmutableList.of(new Stage(slots, millis, 1)), 9, load, t -> 1, 10);
     }
 
-    private static ChainSimulation chain(int seed, boolean door, ImmutableList<Stage> stages, int entries) {
+    static ChainSimulation chain(long seed, boolean door, ImmutableList<Stage> stages, int entries) {
         return simulate(seed, door, stages, entries, 3, t -> 1, 10);
     }
 
-    private static ChainSimulation slowSpell(int seed, boolean door, double load) {
+    static ChainSimulation slowSpell(long seed, boolean door, double load) {
         return simulate(seed, door, CHAIN, 9, load, t -> t >= 4 && t < 7 ? 5 : 1, 12);
     }
 
-    private static ChainSimulation surge(int seed, boolean door) {
+    private static ChainSimulation surge(long seed, boolean door) {
         ChainSimulation.Setup base = setup(seed, door, CHAIN, 9, t -> 1, t -> 1, 12);
         double capacity = base.capacity();
         return new ChainSimulation(
                 setup(seed, door, CHAIN, 9, t -> capacity * (t >= 4 && t < 7 ? 5 : 0.8), t -> 1, 12));
     }
 
-    private static ChainSimulation simulate(
-            int seed,
+    static ChainSimulation simulate(
+            long seed,
             boolean door,
             ImmutableList<Stage> stages,
             int entries,
@@ -70,7 +70,7 @@
     }
 
     private static ChainSimulation.Setup setup(
-            int seed,
+            long seed,
             boolean door,
             ImmutableList<Stage> stages,
             int entries,
--- a/src/test/java/io/beryldock/admission/TargetGateScheduleTest.java
+++ b/src/test/java/io/beryldock/admission/TargetGateScheduleTest.java
@@ -11,8 +11,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
-import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
@@ -22,6 +25,8 @@
 /** Random schedules of submissions, releases, cancellations, drains and changed slots on injected time. */
 class TargetGateScheduleTest {
 
+    private static final int THREADS = 4;
+    private static final int REQUESTS_EACH = 5_000;
     private static final List<Completion> COMPLETIONS = List.of(Completion.values());
 
     @Property(tries = 300)
@@ -118,27 +123,30 @@
         }
     }
 
+    // The target's process is gone and each connection is refused at once, so a request ends while its admission is
+    // being
+    // told. Many threads ask meanwhile: the slots must hold, and no thread may run out of stack.
     @Example
-    void manyThreadsKeepTheSlotsAndHearOneDecisionEach() throws InterruptedException {
+    void workThatEndsAtOnceKeepsTheSlotsWithManyThreads() throws Exception {
         GateFixture fixture = new GateFixture(GateFixture.warm(3));
         AtomicInteger inside = new AtomicInteger();
         AtomicInteger most = new AtomicInteger();
         AtomicInteger decisions = new AtomicInteger();
-        int threads = 4;
-        int each = 5_000;
-        CountDownLatch done = new CountDownLatch(threads);
-        for (int t = 0; t < threads; t++) {
-            new Thread(() -> {
-                        for (int i = 0; i < each; i++) {
-                            fixture.gate.submit(request(), new Worker(inside, most, decisions));
-                        }
-                        done.countDown();
-                    })
-                    .start();
+        ExecutorService threads = Executors.newFixedThreadPool(THREADS);
+        List<Future<?>> asking = new ArrayList<>();
+        for (int t = 0; t < THREADS; t++) {
+            asking.add(threads.submit(() -> {
+                for (int i = 0; i < REQUESTS_EACH; i++) {
+                    fixture.gate.submit(request(), new Worker(inside, most, decisions));
+                }
+            }));
         }
-        done.await();
+        for (Future<?> each : asking) {
+            each.get(1, TimeUnit.MINUTES);
+        }
+        threads.shutdown();
         fixture.gate.drain();
-        assertThat(decisions.get()).isEqualTo(threads * each);
+        assertThat(decisions.get()).isEqualTo(THREADS * REQUESTS_EACH);
         assertThat(most.get()).isBetween(1, 3);
         assertThat(fixture.gate.idle()).isDone();
     }
