--- a/src/main/antlr/Operator.g4
+++ b/src/main/antlr/Operator.g4
@@ -13,21 +13,42 @@
 
 watch : WATCH show ;
 
-show : SHOW ( SHED shedOption* | TIMELINE timelineOption* | topic everywhere? ) ;
-
-topic : TARGETS | NODES | LEVELS | RETRIES | TICKETS | CONNECTIONS | CONFIGURATION | CHANGES | QUARANTINE ;
+show
+    : SHOW
+      ( SHED shedOption*
+      | TIMELINE timelineOption*
+      | TARGETS targetOption*
+      | serviceTopic serviceOption*
+      | nodeTopic nodeOption*
+      | documentTopic everywhere?
+      )
+    ;
 
-shedOption : BY grouping | LAST duration | everywhere ;
+shedOption : BY grouping | LAST duration | SERVICE serviceName | everywhere ;
 
 grouping : CLASS | SERVICE | CALLER ;
 
-timelineOption : LAST duration | REQUEST requestId | everywhere ;
+timelineOption : LAST duration | REQUEST requestId | NODE nodeId | everywhere ;
+
+targetOption : SERVICE serviceName | NODE nodeId | everywhere ;
+
+serviceTopic : LEVELS | RETRIES | QUARANTINE ;
+
+serviceOption : SERVICE serviceName | everywhere ;
+
+nodeTopic : NODES | TICKETS | CONNECTIONS ;
+
+nodeOption : NODE nodeId | everywhere ;
+
+documentTopic : CONFIGURATION | CHANGES ;
 
 everywhere : EVERYWHERE ;
 
 why : WHY requestId everywhere? ;
 
-change : set | remove | mark | restore | drain | undrain ;
+change : ( set | remove | mark ) basedOn? | restore | drain | undrain ;
+
+basedOn : BASED ON VERSION version ;
 
 set : SET ( setClass | setBudget | setLimit | setRoute ) ;
 
@@ -81,16 +102,19 @@
 
 slots : NUMBER ;
 
+version : NUMBER ;
+
 // A keyword is a name like any other where only a name can stand.
 name : WORD | NUMBER | DECIMAL | DURATION | keyword ;
 
 keyword
-    : BUDGET | BY | CALLER | CHANGES | CLASS | CONFIGURATION | CONNECTIONS | DEADLINE | DRAIN | EVERYWHERE | EXPLAIN
-    | IDEMPOTENT | LAST | LEVELS | LIMIT | MARK | METHODS | NODES | NON_IDEMPOTENT | PRIORITY | QUARANTINE | REMOVE
+    : BASED | BUDGET | BY | CALLER | CHANGES | CLASS | CONFIGURATION | CONNECTIONS | DEADLINE | DRAIN | EVERYWHERE | EXPLAIN
+    | IDEMPOTENT | LAST | LEVELS | LIMIT | MARK | METHODS | NODE | NODES | NON_IDEMPOTENT | ON | PRIORITY | QUARANTINE | REMOVE
     | REQUEST | RESTORE | RETRIES | ROUTE | SERVICE | SET | SHARE | SHED | SHOW | SLOTS | TARGET | TARGETS | TICKETS
-    | TIMELINE | UNDRAIN | WATCH | WHY
+    | TIMELINE | UNDRAIN | VERSION | WATCH | WHY
     ;
 
+BASED : 'based' ;
 BUDGET : 'budget' ;
 BY : 'by' ;
 CALLER : 'caller' ;
@@ -108,8 +132,10 @@
 LIMIT : 'limit' ;
 MARK : 'mark' ;
 METHODS : 'methods' ;
+NODE : 'node' ;
 NODES : 'nodes' ;
 NON_IDEMPOTENT : 'non-idempotent' ;
+ON : 'on' ;
 PRIORITY : 'priority' ;
 QUARANTINE : 'quarantine' ;
 REMOVE : 'remove' ;
@@ -128,6 +154,7 @@
 TICKETS : 'tickets' ;
 TIMELINE : 'timeline' ;
 UNDRAIN : 'undrain' ;
+VERSION : 'version' ;
 WATCH : 'watch' ;
 WHY : 'why' ;
 
--- a/src/main/java/io/beryldock/membership/MemberRecord.java
+++ b/src/main/java/io/beryldock/membership/MemberRecord.java
@@ -9,10 +9,11 @@
 /**
  * What is known of one node and of the target in its VM. Immutable.
  *
- * <p>Records of one id are totally ordered by {@link #isNewerThan}; merging keeps the newest, so views that saw the
- * same records are equal, in whatever order these came.
+ * <p>Records of one start are totally ordered by {@link #isNewerThan}, and starts by their generation; merging keeps the
+ * newest, so views that saw the same records are equal, in whatever order these came.
  *
- * @param generation rises with each start of a node of that id, as far as the start knew of earlier ones
+ * @param generation rises with each start of a node of that id, as far as the start knew of earlier ones; 0 while a
+ *     node only looks for others
  * @param revision rises with each change that the node itself makes
  * @param target the announced target, if any
  * @param superseded low half of the incarnation that this start replaced, 0 for none
@@ -25,6 +26,8 @@
         Optional<AnnouncedTarget> target,
         long superseded) {
 
+    private static final int JOINING = 0;
+
     private static final Comparator<Incarnation> INCARNATIONS = Comparator.comparing(
                     Incarnation::high, Long::compareUnsigned)
             .thenComparing(Incarnation::low, Long::compareUnsigned);
@@ -32,22 +35,35 @@
     /** A target as its node passes it on. Immutable. */
     record AnnouncedTarget(ServiceName service, int slots, TargetState state) {}
 
+    /** The record of a start that has not joined yet. */
     static MemberRecord ofStart(NodeDescriptor node) {
-        return new MemberRecord(node, 1, 1, MemberStatus.ALIVE, Optional.empty(), 0);
+        return new MemberRecord(node, JOINING, 1, MemberStatus.ALIVE, Optional.empty(), 0);
+    }
+
+    /** Whether the node only looks for others as yet: nobody takes its record into a view. */
+    boolean isJoining() {
+        return generation == JOINING;
     }
 
     NodeId id() {
         return node.id();
     }
 
-    /** A later start wins; in one start, having left wins for ever, then the higher revision, then the status. */
+    /**
+     * Whether this record replaces the other one.
+     *
+     * <p>A later start wins; in one start, having left wins for ever, then the higher revision, then the status. Of two
+     * starts of one generation, which did not know of each other, a live one replaces a dead one. If both are held for
+     * live neither replaces the other, until the later start is told of the earlier one and takes a generation above it:
+     * to choose by any other sign would now and then put the dead one in place of the running one.
+     */
     boolean isNewerThan(MemberRecord other) {
         if (generation != other.generation) {
             return generation > other.generation;
         }
-        int starts = INCARNATIONS.compare(node.incarnation(), other.node.incarnation());
-        if (starts != 0) {
-            return starts > 0;
+        if (!isSameStart(other)) {
+            boolean bothDead = !isLive() && !other.isLive();
+            return bothDead ? hasHigherIncarnation(other) : !other.isLive();
         }
         if (hasLeft() != other.hasLeft()) {
             return hasLeft();
@@ -58,6 +74,15 @@
         return status.compareTo(other.status) > 0;
     }
 
+    /** Whether this is another start of the same generation: neither can be told to be the later one. */
+    boolean isConflicting(MemberRecord other) {
+        return generation == other.generation && !isSameStart(other);
+    }
+
+    boolean hasHigherIncarnation(MemberRecord other) {
+        return INCARNATIONS.compare(node.incarnation(), other.node.incarnation()) > 0;
+    }
+
     boolean isSameStart(MemberRecord other) {
         return node.incarnation().equals(other.node.incarnation());
     }
@@ -66,9 +91,9 @@
         return status == MemberStatus.LEFT;
     }
 
-    /** Whether the node counts as a member: neither failed nor left. */
+    /** Whether the node is kept in the directory: neither failed nor left. */
     boolean isLive() {
-        return status == MemberStatus.ALIVE || status == MemberStatus.SUSPECTED;
+        return status != MemberStatus.FAILED && status != MemberStatus.LEFT;
     }
 
     /** The low bits of the incarnation, as pings carry them. */
@@ -94,6 +119,11 @@
         return new MemberRecord(node, generation, seen + 1, MemberStatus.ALIVE, target, superseded);
     }
 
+    /** The record of the first start of a node that anybody knows of. */
+    MemberRecord joined() {
+        return new MemberRecord(node, JOINING + 1, revision, status, target, 0);
+    }
+
     /** The record above that of an earlier start. */
     MemberRecord superseding(MemberRecord earlier) {
         return new MemberRecord(
--- a/src/main/java/io/beryldock/membership/SelfRecord.java
+++ b/src/main/java/io/beryldock/membership/SelfRecord.java
@@ -7,9 +7,9 @@
 /**
  * The one record that this node itself may raise: its own.
  *
- * <p>Invariant: the record only rises. Two starts of one id are ordered without clocks: the later start hears of the
- * earlier one from any peer, takes a generation above it and names it as superseded. A start that finds itself
- * superseded by name gives way for ever, so two of them never take turns. Control thread only.
+ * <p>Invariant: the record only rises. Two starts of one id are ordered without clocks: the later start fetches the view
+ * of others before it joins, hears there of the earlier one, takes a generation above it and names it as superseded. A
+ * start that finds itself superseded by name gives way for ever, so two of them never take turns. Control thread only.
  */
 final class SelfRecord {
 
@@ -17,6 +17,7 @@
 
     private final MergeRules rules;
     private MemberRecord record;
+    private Optional<MemberRecord> earlier = Optional.empty();
     private boolean superseded;
 
     private SelfRecord(MergeRules rules, MemberRecord record) {
@@ -32,6 +33,15 @@
         return record;
     }
 
+    boolean isJoined() {
+        return !record.isJoining();
+    }
+
+    /** Takes a generation above all earlier starts that were heard of; to be spread from now on. */
+    void join() {
+        record = earlier.map(record::superseding).orElseGet(record::joined);
+    }
+
     /** Whether a later start of this node's id has taken its place. */
     boolean isSuperseded() {
         return superseded;
@@ -52,14 +62,20 @@
 
     /** Takes in what others hold of this node; true when the record was raised and has to be spread. */
     boolean react(MemberRecord found) {
-        if (record.hasLeft() || superseded || !rules.denies() || !rules.newer().test(found, record)) {
+        if (record.hasLeft() || superseded || !rules.denies()) {
+            return false;
+        }
+        if (record.isJoining()) {
+            earlier = earlier.filter(known -> !found.isNewerThan(known)).or(() -> Optional.of(found));
             return false;
         }
         if (found.isSameStart(record)) {
-            record = record.aliveAbove(found.revision());
-            return true;
+            return deny(found);
+        }
+        if (found.generation() < record.generation()) {
+            return false;
         }
-        if (found.superseded() == record.node().incarnation().low()) {
+        if (isSupersededBy(found)) {
             giveWay(found);
             return false;
         }
@@ -67,6 +83,20 @@
         return true;
     }
 
+    private boolean deny(MemberRecord found) {
+        if (!rules.newer().test(found, record)) {
+            return false;
+        }
+        record = record.aliveAbove(found.revision());
+        return true;
+    }
+
+    private boolean isSupersededBy(MemberRecord found) {
+        boolean named = found.superseded() == record.node().incarnation().low();
+        // Two running nodes with one id may name each other at once: then one of them has to stay.
+        return named && (found.generation() > record.generation() || found.hasHigherIncarnation(record));
+    }
+
     private void giveWay(MemberRecord later) {
         // A frozen VM was replaced by one of the same id and then woke, or two nodes were given one id. Without giving
         // way both would raise their generation for ever and every view would flap between the two.
--- a/src/main/java/io/beryldock/node/NodeModule.java
+++ b/src/main/java/io/beryldock/node/NodeModule.java
@@ -16,6 +16,7 @@
 import io.beryldock.configuration.ConfigurationSync;
 import io.beryldock.configuration.ConfigurationWriter;
 import io.beryldock.forwarding.Addresses;
+import io.beryldock.forwarding.Doors;
 import io.beryldock.membership.MembershipService;
 import io.beryldock.membership.MembershipSettings;
 import io.beryldock.membership.NodeDescriptor;
@@ -33,6 +34,7 @@
 import io.beryldock.routing.ChooserSettings;
 import io.beryldock.routing.TargetChooser;
 import io.beryldock.settings.NodeSettings;
+import io.beryldock.settings.NodeSettings.Policy;
 import io.beryldock.settings.SettingsException;
 import io.beryldock.time.ThreadTimerService;
 import io.beryldock.time.TimerService;
@@ -174,13 +176,21 @@
     TargetAnnouncements announcements(
             MembershipService membership, TimerService timers, RandomGenerator random, GateSettings gateSettings) {
         Duration expiry = Duration.ofSeconds(settings.limits().announcementSeconds());
-        return new TargetAnnouncements(membership, gateSettings, expiry, timers, random, events);
+        return new TargetAnnouncements(
+                membership, gateSettings, settings.policy() == Policy.FULL, expiry, timers, random, events);
     }
 
     @Provides
     @Singleton
-    DoorShedder door(TimerService timers, RandomGenerator random) {
-        return DoorShedder.create(timers.ticker(), random, events);
+    Doors doors(TimerService timers, RandomGenerator random) {
+        return new Doors(
+                DoorShedder.create(timers.ticker(), random, events),
+                DoorShedder.create(timers.ticker(), random, events));
+    }
+
+    @Provides
+    DoorShedder door(Doors doors) {
+        return doors.entry();
     }
 
     @Provides
@@ -204,7 +214,7 @@
     @Provides
     @Singleton
     Quarantine quarantine(TimerService timers) {
-        return Quarantine.create(timers.ticker(), QuarantineSettings.defaults(), events);
+        return Quarantine.create(self, timers.ticker(), QuarantineSettings.defaults(), events);
     }
 
     @Provides
--- a/src/main/java/io/beryldock/node/OperatorModule.java
+++ b/src/main/java/io/beryldock/node/OperatorModule.java
@@ -6,17 +6,25 @@
 import io.beryldock.admission.DoorShedder;
 import io.beryldock.command.OperatorPorts;
 import io.beryldock.command.OperatorService;
+import io.beryldock.command.StoreConfigurationChanger;
 import io.beryldock.configuration.ConfigurationKeeper;
+import io.beryldock.configuration.ConfigurationSync;
 import io.beryldock.configuration.ConfigurationWriter;
+import io.beryldock.forwarding.JoiningRequestHandler;
+import io.beryldock.forwarding.RequestTally;
 import io.beryldock.forwarding.RetryTally;
 import io.beryldock.idempotency.KeyedRequests;
 import io.beryldock.membership.MembershipService;
 import io.beryldock.membership.NodeDescriptor;
 import io.beryldock.peer.NettyPeerTransport;
+import io.beryldock.peer.PeerTopic;
 import io.beryldock.quarantine.Quarantine;
+import io.beryldock.retry.RetryLedger;
 import io.beryldock.time.TimerService;
 import io.beryldock.timeline.EventRing;
 import io.beryldock.timeline.RefusalCounter;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
 import java.util.random.RandomGenerator;
 
 /** Binds what operators see and do. */
@@ -30,22 +38,12 @@
             MembershipService membership,
             TargetAnnouncements announcements,
             DoorShedder door,
-            ConfigurationKeeper configuration,
             KeyedRequests keyed,
             NettyPeerTransport transport,
             NodeLedgers ledgers,
             TimerService timers) {
         return new NodeInspection(new NodeInspection.Parts(
-                self,
-                control,
-                membership,
-                announcements,
-                door,
-                configuration,
-                keyed,
-                transport,
-                ledgers,
-                timers.ticker()));
+                self, control, membership, announcements, door, keyed, transport, ledgers, timers.ticker()));
     }
 
     @Provides
@@ -56,8 +54,50 @@
 
     @Provides
     @Singleton
-    NodeLedgers ledgers(RetryTally retries, ConfigurationKeeper configuration, Quarantine quarantine) {
-        return new NodeLedgers(retries, configuration, quarantine);
+    QuarantineSpreader quarantineSpreader(
+            Quarantine quarantine,
+            MembershipService membership,
+            NodeDescriptor self,
+            NettyPeerTransport transport,
+            RandomGenerator random) {
+        QuarantineSpreader spreader =
+                new QuarantineSpreader(quarantine, membership::directory, self, transport, random);
+        transport.handle(PeerTopic.QUARANTINE, spreader);
+        return spreader;
+    }
+
+    @Provides
+    @Singleton
+    NodeFailureWatch failureWatch(MembershipService membership, Quarantine quarantine) {
+        return new NodeFailureWatch(membership, quarantine);
+    }
+
+    @Provides
+    @Singleton
+    NodeMetrics metrics(
+            RequestTally tally,
+            JoiningRequestHandler joining,
+            RetryTally retries,
+            RetryLedger ledger,
+            TargetAnnouncements announcements,
+            NettyPeerTransport transport,
+            ConfigurationKeeper configuration,
+            MembershipService membership) {
+        return new NodeMetrics(new NodeMetrics.Parts(
+                tally,
+                joining,
+                retries,
+                ledger,
+                announcements,
+                transport,
+                () -> configuration.current().version(),
+                () -> membership.directory().nodes().size()));
+    }
+
+    @Provides
+    @Singleton
+    NodeLedgers ledgers(RetryTally retries, Quarantine quarantine) {
+        return new NodeLedgers(retries, quarantine);
     }
 
     @Provides
@@ -69,6 +109,7 @@
             NodeInspection inspection,
             ConfigurationWriter writer,
             ConfigurationKeeper keeper,
+            ConfigurationSync sync,
             TargetAnnouncements announcements,
             ControlLoop control,
             EventRing events,
@@ -81,7 +122,10 @@
                 membership::directory,
                 transport,
                 inspection,
-                new ConfigurationChanges(writer, keeper),
+                keeper,
+                StoreConfigurationChanger.create(writer, keeper),
+                (version, time) -> CompletableFuture.supplyAsync(() -> sync.awaitInForce(version, time), control)
+                        .thenCompose(Function.identity()),
                 new DrainControl(announcements, control),
                 events,
                 refusals,
--- a/src/main/java/io/beryldock/peer/OutboundConnection.java
+++ b/src/main/java/io/beryldock/peer/OutboundConnection.java
@@ -21,6 +21,7 @@
 import io.netty.util.collection.LongObjectHashMap;
 import io.netty.util.collection.LongObjectMap;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -30,9 +31,9 @@
 /**
  * One connection that this node made, from the connect to its end.
  *
- * <p>Invariants: no request is written before the peer's hello was found good; ids rise by one and are never used twice;
- * each written request ends exactly once, by its reply, its deadline, its cancellation or the end of the connection; a
- * connection never comes back from CLOSED. Used on its event loop only, but for {@link #snapshot()}.
+ * <p>Invariants: no request is written before the peer's hello was found good; ids rise by one and are never used
+ * twice; each written request ends exactly once, by its reply, its deadline, its cancellation or the end of the
+ * connection; a connection never comes back from CLOSED. Used on its event loop only, but for {@link #snapshot()}.
  */
 final class OutboundConnection extends SimpleChannelInboundHandler<Frame> {
 
@@ -50,7 +51,6 @@
     private String endReason;
     private long readAt;
     private long lastId;
-    private long pingNumber;
     private int peerMaxFrameBytes;
     private volatile State state = State.CONNECTING;
     private volatile Optional<PeerIdentity> peer = Optional.empty();
@@ -81,7 +81,7 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
-                        PeerPipeline.setUpMade(ch, hub, OutboundConnection.this::bytesRead, OutboundConnection.this);
+                        setUp(ch);
                     }
                 })
                 .connect(address);
@@ -90,17 +90,25 @@
         var unused = channel.closeFuture().addListener(future -> closed());
     }
 
+    private void setUp(Channel made) {
+        PeerPipeline.setUpMade(made, hub, address, this::bytesRead, this);
+    }
+
     boolean ready() {
         return state == State.READY;
     }
 
     boolean inUse() {
-        return state == State.CONNECTING || state == State.PROBING || !sent.isEmpty() || progress.writing();
+        return state == State.CONNECTING || monitor.pinging() || !sent.isEmpty() || progress.writing();
     }
 
     /** Nothing has come in for so long that a ping must be answered before a request is written. */
     boolean quiet(long now) {
-        return now - readAt >= hub.liveness().probeAfter().toNanos();
+        return quietFor(hub.liveness().probeAfter(), now);
+    }
+
+    private boolean quietFor(Duration bound, long now) {
+        return now - readAt >= bound.toNanos();
     }
 
     Optional<PeerIdentity> peer() {
@@ -132,13 +140,18 @@
             outstanding = sent.size();
         }
         ChannelActions.write(channel, frame);
+        if (message.oneWay() && !monitor.pinging() && quietFor(hub.liveness().noticePingAfter(), hub.now())) {
+            ping();
+        }
     }
 
     /** Asks for a sign of life; the owner learns of it by {@link Owner#ready}. */
     void probe() {
         if (state == State.READY) {
             state = State.PROBING;
-            ping();
+            if (!monitor.pinging()) {
+                ping();
+            }
         }
     }
 
@@ -161,7 +174,10 @@
         progress.look();
         boolean probing = state == State.PROBING;
         Load load = new Load(
-                probing || !sent.isEmpty(), probing && sent.isEmpty(), progress.writing(), progress.wroteSome());
+                monitor.pinging() || !sent.isEmpty(),
+                probing && sent.isEmpty(),
+                progress.writing(),
+                progress.wroteSome());
         obey(monitor.tickMade(now, load));
         closeWhenFinished();
     }
@@ -247,18 +263,12 @@
     }
 
     private void ping() {
-        pingNumber++;
-        monitor.pinged();
-        ChannelActions.ping(channel, pingNumber);
+        ChannelActions.ping(channel, monitor.newPing());
     }
 
     private void pong(long number) {
-        if (number != pingNumber) {
-            hub.counters().droppedReply();
-            return;
-        }
-        monitor.ponged();
-        if (state == State.PROBING) {
+        monitor.ponged(number);
+        if (state == State.PROBING && !monitor.pinging()) {
             state = State.READY;
             owner.ready(this);
         }
--- a/src/main/java/io/beryldock/peer/OutboundLink.java
+++ b/src/main/java/io/beryldock/peer/OutboundLink.java
@@ -16,8 +16,8 @@
  * The way to one address: one connection made on use, the messages that wait for it, and the pause after a failure.
  *
  * <p>Invariants: at most one connection takes new messages; a message waits only while a connection is being made or
- * probed; messages that wait are bounded in number and bytes; a retired link takes nothing and hands what still comes to
- * its successor. Messages may be given from any thread; the state is used on the link's event loop only.
+ * probed; messages that wait are bounded in number and bytes; a retired link takes nothing and hands what still comes
+ * to its successor. Messages may be given from any thread; the state is used on the link's event loop only.
  */
 final class OutboundLink implements OutboundConnection.Owner {
 
@@ -137,15 +137,20 @@
         usedAt = now;
         if (closed) {
             message.fail(Kind.NOT_SENT, "the peer transport is closed");
-        } else if (current.isPresent()
-                && current.get().ready()
-                && !current.get().quiet(now)) {
+        } else if (writable(message, now)) {
             current.get().write(message);
         } else {
             await(message, now);
         }
     }
 
+    /** A request isn't written to a quiet connection before a ping; a one-way message may be lost. */
+    private boolean writable(OutboundMessage message, long now) {
+        return current.isPresent()
+                && current.get().ready()
+                && (message.oneWay() || !current.get().quiet(now));
+    }
+
     private void await(OutboundMessage message, long now) {
         if (current.isEmpty() && backoff.blocks(now)) {
             message.fail(Kind.NOT_SENT, lastFailure + "; the next try to connect comes after a pause");
--- a/src/test/java/io/beryldock/idempotency/ForwardingStore.java
+++ b/src/test/java/io/beryldock/configuration/StoreThatMistakes.java
@@ -1,4 +1,4 @@
-package io.beryldock.idempotency;
+package io.beryldock.configuration;
 
 import com.google.protobuf.ByteString;
 import io.beryldock.platform.PlatformStore;
@@ -7,11 +7,18 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.BiFunction;
+import java.util.function.UnaryOperator;
 
-/** A store whose write results are changed on their way, given the expected version. */
-record ForwardingStore(PlatformStore store, BiFunction<Long, WriteResult, WriteResult> change)
-        implements PlatformStore {
+/** A store whose lost answers are taken for something else. */
+class StoreThatMistakes implements PlatformStore {
+
+    private final PlatformStore store;
+    private final UnaryOperator<WriteResult> lostAs;
+
+    StoreThatMistakes(PlatformStore store, UnaryOperator<WriteResult> lostAs) {
+        this.store = store;
+        this.lostAs = lostAs;
+    }
 
     @Override
     public CompletableFuture<Optional<StoredValue>> get(String key) {
@@ -21,7 +28,7 @@
     @Override
     public CompletableFuture<WriteResult> compareAndSet(String key, long expectedVersion, ByteString value) {
         return store.compareAndSet(key, expectedVersion, value)
-                .thenApply(result -> change.apply(expectedVersion, result));
+                .thenApply(result -> result.kind() == WriteResult.Kind.UNKNOWN ? lostAs.apply(result) : result);
     }
 
     @Override
