--- a/src/main/java/io/beryldock/admission/Deliveries.java
+++ b/src/main/java/io/beryldock/admission/Deliveries.java
@@ -10,9 +10,10 @@
  * Decisions that were made under a gate's lock and are told to their listeners after it.
  *
  * <p>A listener may submit or release again, which would decide in the middle of another decision were the lock held. A
- * listener whose work ends at once, as when the target refuses connections, releases within its call; each release admits
- * the next request, and told within one another they would overflow the stack. So what a listener causes is told by the
- * same thread after it. A listener that throws must not keep the others from hearing theirs. Confined to one thread.
+ * listener whose work ends at once, as when the target refuses connections, releases within its call; each release
+ * admits the next request, and told within one another they would overflow the stack. So what a listener causes is told
+ * by the same thread after it. A listener that throws must not keep the others from hearing theirs. Confined to one
+ * thread.
  */
 final class Deliveries {
 
--- a/src/main/java/io/beryldock/admission/DemandMap.java
+++ b/src/main/java/io/beryldock/admission/DemandMap.java
@@ -8,10 +8,10 @@
  *
  * <p>Demand is not spread evenly over the scale of levels: whole ranks may be empty and one may hold most of it. Of a
  * rank that entries shed in part only callers with low hashes arrive; as the hash is even, twice their mean hash tells
- * how large that part is. This needs no knowledge of which entry has learned which level when. The part is at least most
- * of what the lowest level of the last second admits: one large caller with a low hash looks like a rank that is shed in part,
- * and its rank would then be shed for demand that is not there. Of a rank that is shed whole nothing arrives; its last
- * known demand is kept. Amounts are in requests a step. Guarded by the gate's lock.
+ * how large that part is. This needs no knowledge of which entry has learned which level when. The part is at least
+ * most of what the lowest level of the last second admits: one large caller with a low hash looks like a rank that is
+ * shed in part, and its rank would then be shed for demand that is not there. Of a rank that is shed whole nothing
+ * arrives; its last known demand is kept. Amounts are in requests a step. Guarded by the gate's lock.
  */
 final class DemandMap {
 
--- a/src/main/java/io/beryldock/admission/DoorShedder.java
+++ b/src/main/java/io/beryldock/admission/DoorShedder.java
@@ -22,8 +22,8 @@
  * <p>What a service reports lies beneath it are the services that it was seen to call, not those that outside callers
  * reach through the same node: else an overloaded service would shed the pages of one that never calls it.
  *
- * <p>Invariants: a service of which nothing was reported for {@link RouteLevel#OPEN_AFTER_NANOS} is open; memory is held
- * only for services that do not admit all. Thread safe; deciding takes no lock.
+ * <p>Invariants: a service of which nothing was reported for {@link RouteLevel#OPEN_AFTER_NANOS} is open; memory is
+ * held only for services that do not admit all. Thread safe; deciding takes no lock.
  */
 public final class DoorShedder {
 
--- a/src/main/java/io/beryldock/admission/GateCore.java
+++ b/src/main/java/io/beryldock/admission/GateCore.java
@@ -17,9 +17,9 @@
 /**
  * The decisions of one target's gate: a pure function of its state, the event and the time.
  *
- * <p>Invariants, asserted where they could break: an admission never brings more in flight than the limit, hence than the
- * announced slots; each submitted request is decided once; a refused one was never admitted; nothing is admitted while
- * draining; none is admitted while a more important one waits. Guarded by the gate's lock.
+ * <p>Invariants, asserted where they could break: an admission never brings more in flight than the limit, hence than
+ * the announced slots; each submitted request is decided once; a refused one was never admitted; nothing is admitted
+ * while draining; none is admitted while a more important one waits. Guarded by the gate's lock.
  */
 final class GateCore {
 
@@ -139,8 +139,8 @@
      *
      * <p>Work that was given up goes on at the target, so its slot stays taken until the answer. But an answer can be
      * lost for good, with a connection that went silent; each such loss would take one slot for ever, until the gate
-     * admits nothing. The hold time is far above any answer still to be expected, so at most one slot a hold time can be
-     * given out twice for a target that is merely that slow.
+     * admits nothing. The hold time is far above any answer still to be expected, so at most one slot a hold time can
+     * be given out twice for a target that is merely that slow.
      */
     void reclaim(long now, Deliveries out) {
         long hold = settings.abandonedHold().toNanos();
--- a/src/main/java/io/beryldock/admission/LevelController.java
+++ b/src/main/java/io/beryldock/admission/LevelController.java
@@ -6,8 +6,8 @@
  * Sets a target's admission level so that what entries let through fits what the target can do.
  *
  * <p>Each step puts the level where the demand below it equals the target's capacity, corrected by how far the queue is
- * from its goal. The level follows from measured demand and capacity and keeps no sum of past errors: the targets of one
- * service share their entries, so sums kept by each would drift apart, one at shed-nearly-all and one open, while
+ * from its goal. The level follows from measured demand and capacity and keeps no sum of past errors: the targets of
+ * one service share their entries, so sums kept by each would drift apart, one at shed-nearly-all and one open, while
  * together they fit the demand. The goal of the queue is the noise of arrivals within the delay after which entries act
  * on a level: with less the target idles, with more requests wait for nothing.
  *
--- a/src/main/java/io/beryldock/admission/LevelSamples.java
+++ b/src/main/java/io/beryldock/admission/LevelSamples.java
@@ -6,10 +6,10 @@
 /**
  * The last levels that answers reported of one service.
  *
- * <p>Their middle one counts: of a service with several targets one bad target shows in some of the answers and must not
- * shed the requests that the others would serve, while an overload of all shows in most. Samples older than
- * {@link #FRESH_NANOS} are left out while there is a younger one, so that at few answers a second the last decides. What
- * was before the first sample counts as open. Not thread safe.
+ * <p>Their middle one counts: of a service with several targets one bad target shows in some of the answers and must
+ * not shed the requests that the others would serve, while an overload of all shows in most. Samples older than
+ * {@link #FRESH_NANOS} are left out while there is a younger one, so that at few answers a second the last decides.
+ * What was before the first sample counts as open. Not thread safe.
  */
 final class LevelSamples {
 
--- a/src/main/java/io/beryldock/admission/RetryAfter.java
+++ b/src/main/java/io/beryldock/admission/RetryAfter.java
@@ -5,8 +5,8 @@
 /**
  * When refused callers may come back.
  *
- * <p>Spread evenly over a range: callers refused together would otherwise all come back together and overload the target
- * anew at that moment. Stateless but for the generator, thread safe when that is.
+ * <p>Spread evenly over a range: callers refused together would otherwise all come back together and overload the
+ * target anew at that moment. Stateless but for the generator, thread safe when that is.
  */
 final class RetryAfter {
 
--- a/src/main/java/io/beryldock/admission/RouteLevel.java
+++ b/src/main/java/io/beryldock/admission/RouteLevel.java
@@ -16,8 +16,8 @@
  *
  * <p>Ageing: without answers the level holds for {@link #HOLD_NANOS}, then rises evenly, and is open
  * {@link #OPEN_AFTER_NANOS} after the last answer. Probes: an entry all of whose requests are shed gets no answers and
- * would learn of the end of an overload only by ageing; so when no answer came for the probe interval one request is let
- * through. The interval doubles while probes bring no change, so that probes stay a trickle.
+ * would learn of the end of an overload only by ageing; so when no answer came for the probe interval one request is
+ * let through. The interval doubles while probes bring no change, so that probes stay a trickle.
  *
  * <p>Invariant: the published level is the lowest among the services of the graph. Thread safe: learning takes a lock,
  * reading none.
--- a/src/main/java/io/beryldock/admission/TargetGate.java
+++ b/src/main/java/io/beryldock/admission/TargetGate.java
@@ -13,8 +13,8 @@
  * Admission at the node of one target: which request runs now, waits or is refused.
  *
  * <p>Invariants: never more in flight by its admissions than the announced slots; each submitted request hears exactly
- * one decision; a refused request was never admitted; nothing is admitted while draining; no request is admitted while a
- * more important one waits that can still finish.
+ * one decision; a refused request was never admitted; nothing is admitted while draining; no request is admitted while
+ * a more important one waits that can still finish.
  *
  * <p>Thread safe: one short lock around {@link GateCore}, which decides; listeners are called without it. A gate with
  * nothing in flight has no timer.
--- a/src/main/java/io/beryldock/cli/CtlSubcommand.java
+++ b/src/main/java/io/beryldock/cli/CtlSubcommand.java
@@ -10,8 +10,8 @@
 /**
  * Asks and commands a node in the operators' language.
  *
- * <p>Exit codes: 0 done; 1 failed, refused or in conflict with another operator; 2 not a statement, or a wrong option; 3
- * it is not known whether a change was made; 4 the node can't be reached, or some nodes did not answer.
+ * <p>Exit codes: 0 done; 1 failed, refused or in conflict with another operator; 2 not a statement, or a wrong option;
+ * 3 it is not known whether a change was made; 4 the node can't be reached, or some nodes did not answer.
  */
 public final class CtlSubcommand implements Subcommand {
 
--- a/src/main/java/io/beryldock/configuration/InForceSurvey.java
+++ b/src/main/java/io/beryldock/configuration/InForceSurvey.java
@@ -25,8 +25,8 @@
  * Asks every node which version it holds, through a tree: one node of each data centre is asked for all of it, splits
  * its nodes into {@link #FAN_OUT} groups, asks one node of each for the whole group, and so on.
  *
- * <p>On the control thread only. A survey costs each node about one question and one answer, and nobody more than a few.
- * A node that does not answer is replaced once by another of its group, then the group counts as silent.
+ * <p>On the control thread only. A survey costs each node about one question and one answer, and nobody more than a
+ * few. A node that does not answer is replaced once by another of its group, then the group counts as silent.
  */
 final class InForceSurvey {
 
--- a/src/main/java/io/beryldock/configuration/PeerChoice.java
+++ b/src/main/java/io/beryldock/configuration/PeerChoice.java
@@ -99,6 +99,7 @@
     }
 
     private static ImmutableList<NodeDescriptor> sorted(List<NodeDescriptor> nodes, String salt) {
+        /** A node and its place in the order. */
         record Hashed(long hash, NodeDescriptor node) {}
         return nodes.stream()
                 .map(node -> new Hashed(hash(salt, node.id()), node))
--- a/src/main/java/io/beryldock/membership/MemberRecord.java
+++ b/src/main/java/io/beryldock/membership/MemberRecord.java
@@ -9,8 +9,8 @@
 /**
  * What is known of one node and of the target in its VM. Immutable.
  *
- * <p>Records of one start are totally ordered by {@link #isNewerThan}, and starts by their generation; merging keeps the
- * newest, so views that saw the same records are equal, in whatever order these came.
+ * <p>Records of one start are totally ordered by {@link #isNewerThan}, and starts by their generation; merging keeps
+ * the newest, so views that saw the same records are equal, in whatever order these came.
  *
  * @param generation rises with each start of a node of that id, as far as the start knew of earlier ones; 0 while a
  *     node only looks for others
@@ -54,8 +54,8 @@
      *
      * <p>A later start wins; in one start, having left wins for ever, then the higher revision, then the status. Of two
      * starts of one generation, which did not know of each other, a live one replaces a dead one. If both are held for
-     * live neither replaces the other, until the later start is told of the earlier one and takes a generation above it:
-     * to choose by any other sign would now and then put the dead one in place of the running one.
+     * live neither replaces the other, until the later start is told of the earlier one and takes a generation above
+     * it: to choose by any other sign would now and then put the dead one in place of the running one.
      */
     boolean isNewerThan(MemberRecord other) {
         if (generation != other.generation) {
--- a/src/main/java/io/beryldock/node/NodeMetrics.java
+++ b/src/main/java/io/beryldock/node/NodeMetrics.java
@@ -17,8 +17,8 @@
 /**
  * The metrics of a node, read from its parts when they are scraped.
  *
- * <p>Thread safe. Labels are bounded: classes and services of the configuration, outcomes, reasons. docs/METRICS.md says
- * what to do when one is bad.
+ * <p>Thread safe. Labels are bounded: classes and services of the configuration, outcomes, reasons. docs/METRICS.md
+ * says what to do when one is bad.
  */
 final class NodeMetrics {
 
--- a/src/main/java/io/beryldock/node/PlannedStop.java
+++ b/src/main/java/io/beryldock/node/PlannedStop.java
@@ -19,8 +19,8 @@
 /**
  * Stops a node without cutting off a request.
  *
- * <p>In this order: the target takes no new work, here at once and elsewhere as the view spreads; callers are told to go
- * elsewhere, and for a grace still served; what is in flight finishes, bounded; the tickets go to a peer; the node
+ * <p>In this order: the target takes no new work, here at once and elsewhere as the view spreads; callers are told to
+ * go elsewhere, and for a grace still served; what is in flight finishes, bounded; the tickets go to a peer; the node
  * leaves the view. Called once, on a thread of its own.
  */
 final class PlannedStop {
--- a/src/test/java/io/beryldock/ArchitectureTest.java
+++ b/src/test/java/io/beryldock/ArchitectureTest.java
@@ -10,7 +10,9 @@
 
 /** The directions in which packages may depend on each other. */
 @AnalyzeClasses(packages = "io.beryldock", importOptions = ImportOption.DoNotIncludeTests.class)
-class ArchitectureTest {
+final class ArchitectureTest {
+
+    private ArchitectureTest() {}
 
     private static final String[] DECISIONS = {
         "io.beryldock.call..",
@@ -25,7 +27,7 @@
     };
 
     @ArchTest
-    static final ArchRule decisionsKnowNoPlumbing = noClasses()
+    static final ArchRule DECISIONS_KNOW_NO_PLUMBING = noClasses()
             .that()
             .resideInAnyPackage(DECISIONS)
             .should()
@@ -41,7 +43,7 @@
                     "org.glassfish..");
 
     @ArchTest
-    static final ArchRule decisionsKnowNoAssembly = noClasses()
+    static final ArchRule DECISIONS_KNOW_NO_ASSEMBLY = noClasses()
             .that()
             .resideInAnyPackage(DECISIONS)
             .should()
@@ -55,7 +57,7 @@
                     "io.beryldock.measure..");
 
     @ArchTest
-    static final ArchRule noOneStartsProcesses = noClasses()
+    static final ArchRule NOBODY_STARTS_PROCESSES = noClasses()
             .should()
             .dependOnClassesThat()
             .haveFullyQualifiedName("java.lang.ProcessBuilder")
@@ -63,6 +65,6 @@
             .callMethod(Runtime.class, "exec", String.class);
 
     @ArchTest
-    static final ArchRule packagesFormNoCycle =
+    static final ArchRule PACKAGES_FORM_NO_CYCLE =
             slices().matching("io.beryldock.(*)..").should().beFreeOfCycles();
 }
--- a/src/test/java/io/beryldock/admission/ChainSimulation.java
+++ b/src/test/java/io/beryldock/admission/ChainSimulation.java
@@ -16,7 +16,8 @@
 /**
  * A queueing model of a chain of services with gates and doors on injected time, to measure the algorithms alone.
  *
- * <p>Callers arrive at random, each at one of the entries; one in ten asks at rank 0, two at rank 3, the rest at rank 6.
+ * <p>Callers arrive at random, each at one of the entries; one in ten asks at rank 0, two at rank 3, the rest at rank
+ * 6.
  */
 final class ChainSimulation {
 
@@ -77,7 +78,10 @@
         }
     }
 
-    /** A service of the chain: the slots of each instance and the mean time that it works itself, the calls that it makes. */
+    /**
+     * A service of the chain: the slots of each instance and the mean time that it works itself, the calls that it
+     * makes.
+     */
     record Stage(int slots, double millis, int calls) {}
 
     /** What came out. */
