--- a/src/main/java/io/beryldock/configuration/PeerChoice.java
+++ b/src/main/java/io/beryldock/configuration/PeerChoice.java
@@ -99,8 +99,6 @@
     }
 
     private static ImmutableList<NodeDescriptor> sorted(List<NodeDescriptor> nodes, String salt) {
-        /** A node and its place in the order. */
-        record Hashed(long hash, NodeDescriptor node) {}
         return nodes.stream()
                 .map(node -> new Hashed(hash(salt, node.id()), node))
                 .sorted(Comparator.comparingLong(Hashed::hash)
@@ -198,4 +196,7 @@
     private static <T> Optional<T> pick(List<T> list, RandomGenerator random) {
         return list.isEmpty() ? Optional.empty() : Optional.of(list.get(random.nextInt(list.size())));
     }
+
+    /** A node and its place in the order. */
+    private record Hashed(long hash, NodeDescriptor node) {}
 }
