Close the listeners at once

Cause: the demo ended with 'the HTTP listeners can't be stopped': the server's graceful phase ran out of its 200 ms with requests under way and threw. Change: no graceful phase in close(); a planned stop waits before it.

--- a/src/main/java/io/beryldock/http/NodeHttpServer.java
+++ b/src/main/java/io/beryldock/http/NodeHttpServer.java
@@ -11,7 +11,6 @@
 import io.dropwizard.jetty.ConnectorFactory;
 import io.dropwizard.jetty.HttpConnectorFactory;
 import io.dropwizard.request.logging.LogbackAccessRequestLogFactory;
-import io.dropwizard.util.Duration;
 import jakarta.servlet.Servlet;
 import java.net.InetSocketAddress;
 import java.util.List;
@@ -29,7 +28,6 @@
 
     private static final int MAX_THREADS = 64;
     private static final int MIN_THREADS = 8;
-    private static final int SHUTDOWN_MILLIS = 200;
     private static final int CALLERS = 0;
     private static final int LOOPBACK = 1;
     private static final int ADMIN = 2;
@@ -104,8 +102,6 @@
         factory.setMaxThreads(MAX_THREADS);
         factory.setMinThreads(MIN_THREADS);
         factory.setDetailedJsonProcessingExceptionMapper(false);
-        // A planned stop has waited for what is in flight already.
-        factory.setShutdownGracePeriod(Duration.milliseconds(SHUTDOWN_MILLIS));
         // The target's answer is passed on as it is; compressing it again would change what the caller asked for.
         factory.getGzipFilterFactory().setEnabled(false);
         LogbackAccessRequestLogFactory requestLog = new LogbackAccessRequestLogFactory();
@@ -140,8 +136,10 @@
         return new InetSocketAddress(found.getHost(), found.getLocalPort());
     }
 
+    /** Closes at once: a planned stop has waited for what is in flight before. */
     @Override
     public void close() {
+        server.setStopTimeout(0);
         try {
             server.stop();
         } catch (Exception e) {
