--- a/src/main/java/io/beryldock/configuration/ConfigurationStore.java
+++ b/src/main/java/io/beryldock/configuration/ConfigurationStore.java
@@ -74,7 +74,7 @@
         for (long block = first; block <= last; block++) {
             blocks.add(block(head.lineage(), block));
         }
-        return all(blocks).thenCompose(lists -> joined(lists, head, after));
+        return FutureLists.all(blocks).thenCompose(lists -> joined(lists, head, after));
     }
 
     private static CompletableFuture<ImmutableList<ChangeRecord>> joined(
@@ -119,7 +119,7 @@
             String key = StoreKeys.part(head.lineage(), ref.slot(), i);
             parts.add(store.get(key).thenCompose(stored -> decodePart(stored, ref)));
         }
-        return all(parts).thenCompose(list -> decodeSnapshot(list, ref));
+        return FutureLists.all(parts).thenCompose(list -> decodeSnapshot(list, ref));
     }
 
     private static CompletableFuture<ConfigurationPart> decodePart(Optional<StoredValue> stored, SnapshotRef ref) {
@@ -148,11 +148,4 @@
     private static <T> CompletableFuture<T> unreadable(String problem) {
         return CompletableFuture.failedFuture(new PlatformException(problem + "; read the head again"));
     }
-
-    /** Completes with all values in order; fails when one fails. */
-    static <T> CompletableFuture<ImmutableList<T>> all(List<CompletableFuture<T>> futures) {
-        return CompletableFuture.allOf(futures.toArray(CompletableFuture[]::new))
-                .thenApply(
-                        done -> futures.stream().map(CompletableFuture::join).collect(ImmutableList.toImmutableList()));
-    }
 }
--- a/src/main/java/io/beryldock/configuration/ConfigurationSync.java
+++ b/src/main/java/io/beryldock/configuration/ConfigurationSync.java
@@ -25,8 +25,8 @@
 /**
  * Brings accepted changes to this node and on to its peers.
  *
- * <p>Called on the control thread only. A few nodes of each data centre watch the store; every node pushes a change that
- * is new to it to its neighbours and compares digests with them. The store may be away for long: what was accepted
+ * <p>Called on the control thread only. A few nodes of each data centre watch the store; every node pushes a change
+ * that is new to it to its neighbours and compares digests with them. The store may be away for long: what was accepted
  * before goes on spreading from node to node, within and between data centres.
  */
 public final class ConfigurationSync {
--- a/src/main/java/io/beryldock/configuration/DigestExchange.java
+++ b/src/main/java/io/beryldock/configuration/DigestExchange.java
@@ -10,15 +10,14 @@
 import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.Optional;
 import java.util.function.Consumer;
 
 /**
  * Spreads changes among nodes: a new one is pushed to the neighbours at once, and digests of what a node has, sent now
  * and then, find out what was lost.
  *
- * <p>On the control thread only. A digest is answered by a node that has more, with the missing changes, and by one that
- * has less, with its own digest; nodes that have the same say nothing more.
+ * <p>On the control thread only. A digest is answered by a node that has more, with the missing changes, and by one
+ * that has less, with its own digest; nodes that have the same say nothing more.
  */
 final class DigestExchange {
 
@@ -163,9 +162,4 @@
             ask(peer);
         }
     }
-
-    /** What the peer was last known to have. */
-    Optional<Long> known(InetSocketAddress peer) {
-        return Optional.ofNullable(known.get(peer));
-    }
 }
--- a/src/main/java/io/beryldock/configuration/InForceSurvey.java
+++ b/src/main/java/io/beryldock/configuration/InForceSurvey.java
@@ -25,8 +25,8 @@
  * Asks every node which version it holds, through a tree: one node of each data centre is asked for all of it, splits
  * its nodes into {@link #FAN_OUT} groups, asks one node of each for the whole group, and so on.
  *
- * <p>On the control thread only. A survey costs each node about one question and one answer, and nobody more than a few.
- * A node that does not answer is replaced once by another of its group, then the group counts as silent.
+ * <p>On the control thread only. A survey costs each node about one question and one answer, and nobody more than a
+ * few. A node that does not answer is replaced once by another of its group, then the group counts as silent.
  */
 final class InForceSurvey {
 
@@ -97,7 +97,7 @@
             ImmutableList<NodeDescriptor> nodes = members.getOrDefault(place, ImmutableList.of());
             answers.add(gather(nodes, place, version, roundTime).thenApply(tally -> note(tallies, place, tally)));
         }
-        return ConfigurationStore.all(answers).thenCompose(done -> pause(version, end, tallies));
+        return FutureLists.all(answers).thenCompose(done -> pause(version, end, tallies));
     }
 
     private static SurveyTally note(Map<DataCentre, SurveyTally> tallies, DataCentre place, SurveyTally tally) {
@@ -142,7 +142,7 @@
             boolean own = group.stream().anyMatch(this::isSelf);
             groups.add(own ? split(group, version, time) : ask(group, version, time, TRIES));
         }
-        return ConfigurationStore.all(groups)
+        return FutureLists.all(groups)
                 .thenApply(tallies -> tallies.stream().reduce(SurveyTally.EMPTY, SurveyTally::plus));
     }
 
--- a/src/main/java/io/beryldock/configuration/PeerChoice.java
+++ b/src/main/java/io/beryldock/configuration/PeerChoice.java
@@ -98,8 +98,10 @@
         return lists;
     }
 
+    /** A node and its place in an order. Immutable. */
+    private record Hashed(long hash, NodeDescriptor node) {}
+
     private static ImmutableList<NodeDescriptor> sorted(List<NodeDescriptor> nodes, String salt) {
-        record Hashed(long hash, NodeDescriptor node) {}
         return nodes.stream()
                 .map(node -> new Hashed(hash(salt, node.id()), node))
                 .sorted(Comparator.comparingLong(Hashed::hash)
--- a/src/main/java/io/beryldock/configuration/StoreCompactor.java
+++ b/src/main/java/io/beryldock/configuration/StoreCompactor.java
@@ -84,8 +84,7 @@
         }
         long hash = parts.get(0).getHash();
         SnapshotRef ref = new SnapshotRef(document.version(), slot, parts.size(), hash);
-        return ConfigurationStore.all(writes)
-                .thenApply(all -> all.contains(false) ? Optional.empty() : Optional.of(ref));
+        return FutureLists.all(writes).thenApply(all -> all.contains(false) ? Optional.empty() : Optional.of(ref));
     }
 
     private static long partVersion(ByteString value) throws InvalidProtocolBufferException {
--- a/src/main/java/io/beryldock/configuration/StoreWatch.java
+++ b/src/main/java/io/beryldock/configuration/StoreWatch.java
@@ -91,8 +91,8 @@
     /**
      * The store's version to wait for a higher one of.
      *
-     * <p>Guards against a store that was set back: its versions begin again below the one last seen, and a watcher would
-     * wait for good. So now and then it takes whatever is there.
+     * <p>Guards against a store that was set back: its versions begin again below the one last seen, and a watcher
+     * would wait for good. So now and then it takes whatever is there.
      */
     private long afterVersion() {
         quietWatches++;
@@ -115,8 +115,8 @@
     /**
      * Reads the head before the next watch.
      *
-     * <p>Guards against watches that go silent while other calls work, as on a connection that something between the two
-     * ends has lost track of: without the read the watcher would learn of nothing, watch after watch.
+     * <p>Guards against watches that go silent while other calls work, as on a connection that something between the
+     * two ends has lost track of: without the read the watcher would learn of nothing, watch after watch.
      */
     private void readAndWatch() {
         read().thenAcceptAsync(
--- a/src/main/java/io/beryldock/configuration/TimedStore.java
+++ b/src/main/java/io/beryldock/configuration/TimedStore.java
@@ -15,8 +15,8 @@
 /**
  * A platform store whose calls always end.
  *
- * <p>Thread safe. Guards against a call that never completes, for example on a connection that has gone silent: it would
- * show as an operator's command that hangs, or a watcher that is blind for good. A read then fails, and a
+ * <p>Thread safe. Guards against a call that never completes, for example on a connection that has gone silent: it
+ * would show as an operator's command that hangs, or a watcher that is blind for good. A read then fails, and a
  * compare-and-set ends as unknown, which is true: it may have taken effect.
  */
 final class TimedStore implements PlatformStore {
--- a/src/test/java/io/beryldock/configuration/ConfigurationMeasurement.java
+++ b/src/test/java/io/beryldock/configuration/ConfigurationMeasurement.java
@@ -66,7 +66,7 @@
         fleet.advance(Duration.ofSeconds(10));
         Histogram millis = changes(fleet, false);
         print(
-                "%d data centres of %d, loss %s, store for %s: everywhere after p50 %d ms, most %d ms; head %d bytes; %s",
+                "%d data centres of %d, loss %s, store for %s: everywhere p50 %d ms, most %d ms; head %d bytes; %s",
                 dataCentres,
                 nodesEach,
                 loss,
--- a/src/test/java/io/beryldock/configuration/ConfigurationSyncTest.java
+++ b/src/test/java/io/beryldock/configuration/ConfigurationSyncTest.java
@@ -61,7 +61,10 @@
         assertThat(restarted.keeper.changes()).isNotEmpty();
     }
 
-    /** A fleet starts while the store is down: nobody can tell the highest, and a node that waited for ever would serve nothing. */
+    /**
+     * A fleet starts while the store is down: nobody can tell the highest version, and a node that waited for ever
+     * would serve nothing.
+     */
     @Test
     void nodeServesOnDefaultsAndSaysSoWhenNobodyAnswers() {
         Fleet fleet = Fleet.of(3, 1, 3);
@@ -130,7 +133,9 @@
         assertThat(fleet.violations).isEmpty();
     }
 
-    /** An operator asks whether a change is in force; one node is stopped and one paused, and the answer must name them. */
+    /**
+     * An operator asks whether a change is in force; one node is stopped and one paused, and the answer must name them.
+     */
     @Test
     void reportNamesNodesThatDoNotAnswer() {
         Fleet fleet = Fleet.of(7, 3, 20);
