--- a/src/main/java/io/beryldock/configuration/PeerChoice.java
+++ b/src/main/java/io/beryldock/configuration/PeerChoice.java
@@ -199,7 +199,4 @@
     private static <T> Optional<T> pick(List<T> list, RandomGenerator random) {
         return list.isEmpty() ? Optional.empty() : Optional.of(list.get(random.nextInt(list.size())));
     }
-
-    /** A node and its place in the order. */
-    private record Hashed(long hash, NodeDescriptor node) {}
 }
