--- a/src/main/java/io/beryldock/configuration/DigestExchange.java
+++ b/src/main/java/io/beryldock/configuration/DigestExchange.java
@@ -10,7 +10,6 @@
 import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.Optional;
 import java.util.function.Consumer;
 
 /**
@@ -163,9 +162,4 @@
             ask(peer);
         }
     }
-
-    /** What the peer was last known to have. */
-    Optional<Long> known(InetSocketAddress peer) {
-        return Optional.ofNullable(known.get(peer));
-    }
 }
--- a/src/main/java/io/beryldock/configuration/InForceSurvey.java
+++ b/src/main/java/io/beryldock/configuration/InForceSurvey.java
@@ -97,7 +97,7 @@
             ImmutableList<NodeDescriptor> nodes = members.getOrDefault(place, ImmutableList.of());
             answers.add(gather(nodes, place, version, roundTime).thenApply(tally -> note(tallies, place, tally)));
         }
-        return ConfigurationStore.all(answers).thenCompose(done -> pause(version, end, tallies));
+        return FutureLists.all(answers).thenCompose(done -> pause(version, end, tallies));
     }
 
     private static SurveyTally note(Map<DataCentre, SurveyTally> tallies, DataCentre place, SurveyTally tally) {
@@ -142,7 +142,7 @@
             boolean own = group.stream().anyMatch(this::isSelf);
             groups.add(own ? split(group, version, time) : ask(group, version, time, TRIES));
         }
-        return ConfigurationStore.all(groups)
+        return FutureLists.all(groups)
                 .thenApply(tallies -> tallies.stream().reduce(SurveyTally.EMPTY, SurveyTally::plus));
     }
 
--- a/src/test/java/io/beryldock/configuration/ConfigurationSyncTest.java
+++ b/src/test/java/io/beryldock/configuration/ConfigurationSyncTest.java
@@ -62,8 +62,8 @@
     }
 
     /**
-     * A fleet starts while the store is down: nobody can tell the highest, and a node that waited for ever would serve
-     * nothing.
+     * A fleet starts while the store is down: nobody can tell the highest version, and a node that waited for ever
+     * would serve nothing.
      */
     @Test
     void nodeServesOnDefaultsAndSaysSoWhenNobodyAnswers() {
