Carry the hybrid logical clock with every message between nodes

Cause: the clock went with operators' queries only, so that causes and effects of calls, views and configuration kept the order of the machines' wall clocks. Change: a transport around the peers' own adds eight bytes of time to each message and observes them; queries no longer carry it themselves.

--- a/src/main/java/io/beryldock/command/OperatorService.java
+++ b/src/main/java/io/beryldock/command/OperatorService.java
@@ -41,7 +41,7 @@
     /** Creates the service and registers it for the queries of other nodes; call before the transport starts. */
     public static OperatorService create(OperatorPorts ports) {
         OperatorService service = new OperatorService(ports);
-        QueryPeerHandler handler = QueryPeerHandler.create(ports, service.local, service.gatherer, service.commander);
+        QueryPeerHandler handler = QueryPeerHandler.create(service.local, service.gatherer, service.commander);
         ports.transport().handle(PeerTopic.QUERY, handler);
         return service;
     }
--- a/src/main/java/io/beryldock/command/QueryCodec.java
+++ b/src/main/java/io/beryldock/command/QueryCodec.java
@@ -3,7 +3,6 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSortedSet;
 import io.beryldock.call.NodeId;
-import io.beryldock.timeline.HlcTime;
 import io.beryldock.wire.QueryCell;
 import io.beryldock.wire.QueryColumn;
 import io.beryldock.wire.QueryReply;
@@ -14,20 +13,19 @@
 
     private QueryCodec() {}
 
-    static QueryReply reply(QueryResult result, HlcTime time) {
+    static QueryReply reply(QueryResult result) {
         QueryReply.Builder reply = QueryReply.newBuilder()
                 .setAnswered(result.answered())
                 .setRowsLeftOut(result.rowsLeftOut())
-                .addAllNotes(result.notes())
-                .setTime(time.pack());
+                .addAllNotes(result.notes());
         result.silentNodes().forEach(node -> reply.addSilentNodes(node.value()));
         result.table().columns().forEach(column -> reply.addColumns(column(column)));
         result.table().rows().forEach(row -> reply.addRows(row(row)));
         return reply.build();
     }
 
-    static QueryReply error(String message, HlcTime time) {
-        return QueryReply.newBuilder().setError(message).setTime(time.pack()).build();
+    static QueryReply error(String message) {
+        return QueryReply.newBuilder().setError(message).build();
     }
 
     /** Reads a reply without error; throws {@link IllegalArgumentException} when it is malformed. */
--- a/src/main/java/io/beryldock/command/QueryGatherer.java
+++ b/src/main/java/io/beryldock/command/QueryGatherer.java
@@ -9,7 +9,6 @@
 import io.beryldock.call.NodeId;
 import io.beryldock.membership.NodeDescriptor;
 import io.beryldock.peer.PeerTopic;
-import io.beryldock.timeline.HlcTime;
 import io.beryldock.wire.QueryReply;
 import io.beryldock.wire.QueryRequest;
 import java.time.Duration;
@@ -132,7 +131,6 @@
                 .setStatement(query.text())
                 .setScope(scope.number())
                 .setMaxRows(maxRows)
-                .setTime(ports.events().clock().now().pack())
                 .build();
         return ports.transport()
                 .request(peer.peerAddress(), PeerTopic.QUERY, request.toByteString(), timeout)
@@ -143,7 +141,6 @@
     private QueryResult read(NodeDescriptor peer, ByteString body) {
         try {
             QueryReply reply = QueryReply.parseFrom(body);
-            ports.events().clock().observe(HlcTime.unpack(reply.getTime()));
             return reply.getError().isEmpty()
                     ? QueryCodec.result(reply)
                     : QueryResult.failed(peer.id(), reply.getError());
--- a/src/main/java/io/beryldock/command/QueryPeerHandler.java
+++ b/src/main/java/io/beryldock/command/QueryPeerHandler.java
@@ -3,7 +3,6 @@
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.beryldock.peer.PeerHandler;
-import io.beryldock.timeline.HlcTime;
 import io.beryldock.wire.QueryReply;
 import io.beryldock.wire.QueryRequest;
 import java.util.concurrent.CompletableFuture;
@@ -11,27 +10,24 @@
 /** Answers what other nodes ask on behalf of operators: queries, and the drain of this node's target. Thread safe. */
 final class QueryPeerHandler implements PeerHandler {
 
-    private final OperatorPorts ports;
     private final LocalQuery local;
     private final QueryGatherer gatherer;
     private final TargetCommander commander;
 
-    private QueryPeerHandler(OperatorPorts ports, LocalQuery local, QueryGatherer gatherer, TargetCommander commander) {
-        this.ports = ports;
+    private QueryPeerHandler(LocalQuery local, QueryGatherer gatherer, TargetCommander commander) {
         this.local = local;
         this.gatherer = gatherer;
         this.commander = commander;
     }
 
-    static QueryPeerHandler create(
-            OperatorPorts ports, LocalQuery local, QueryGatherer gatherer, TargetCommander commander) {
-        return new QueryPeerHandler(ports, local, gatherer, commander);
+    static QueryPeerHandler create(LocalQuery local, QueryGatherer gatherer, TargetCommander commander) {
+        return new QueryPeerHandler(local, gatherer, commander);
     }
 
     @Override
     public void handle(PeerMessage message) {
         answer(message.body())
-                .exceptionally(error -> QueryCodec.error(String.valueOf(error.getMessage()), now()))
+                .exceptionally(error -> QueryCodec.error(String.valueOf(error.getMessage())))
                 .thenAccept(reply -> message.reply(reply.toByteString()))
                 .exceptionally(error -> null);
     }
@@ -39,8 +35,7 @@
     private CompletableFuture<QueryReply> answer(ByteString body) {
         try {
             QueryRequest request = QueryRequest.parseFrom(body);
-            ports.events().clock().observe(HlcTime.unpack(request.getTime()));
-            return answer(request).thenApply(result -> QueryCodec.reply(result, now()));
+            return answer(request).thenApply(QueryCodec::reply);
         } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
             return refuse("the question can't be read: " + e.getMessage());
         } catch (StatementException e) {
@@ -62,10 +57,6 @@
     }
 
     private CompletableFuture<QueryReply> refuse(String why) {
-        return CompletableFuture.completedFuture(QueryCodec.error(why, now()));
-    }
-
-    private HlcTime now() {
-        return ports.events().clock().now();
+        return CompletableFuture.completedFuture(QueryCodec.error(why));
     }
 }
--- a/src/main/java/io/beryldock/command/TargetCommander.java
+++ b/src/main/java/io/beryldock/command/TargetCommander.java
@@ -46,10 +46,8 @@
         if (node.isEmpty()) {
             return CompletableFuture.completedFuture(TargetReport.unknownNode(change.node()));
         }
-        QueryRequest request = QueryRequest.newBuilder()
-                .setStatement(change.text())
-                .setTime(ports.events().clock().now().pack())
-                .build();
+        QueryRequest request =
+                QueryRequest.newBuilder().setStatement(change.text()).build();
         return ports.transport()
                 .request(node.get().peerAddress(), PeerTopic.QUERY, request.toByteString(), TIMEOUT)
                 .handle((reply, error) -> report(change.node(), reply, error));
--- a/src/main/java/io/beryldock/node/NodeModule.java
+++ b/src/main/java/io/beryldock/node/NodeModule.java
@@ -20,6 +20,7 @@
 import io.beryldock.membership.MembershipService;
 import io.beryldock.membership.MembershipSettings;
 import io.beryldock.membership.NodeDescriptor;
+import io.beryldock.peer.ClockedPeerTransport;
 import io.beryldock.peer.NettyPeerTransport;
 import io.beryldock.peer.PeerIdentity;
 import io.beryldock.peer.PeerTopic;
@@ -58,6 +59,7 @@
     private final ControlLoop control;
     private final ThreadTimerService controlTimers;
     private final NettyPeerTransport transport;
+    private final PeerTransport peers;
     private final EventRing events;
     private final PlatformStore store;
 
@@ -74,6 +76,7 @@
         this.control = control;
         this.controlTimers = controlTimers;
         this.transport = transport;
+        this.peers = ClockedPeerTransport.create(transport, events.clock());
         this.events = events;
         this.store = store;
     }
@@ -101,7 +104,7 @@
         bind(NodeDescriptor.class).toInstance(self);
         bind(ControlLoop.class).toInstance(control);
         bind(TimerService.class).toInstance(controlTimers);
-        bind(PeerTransport.class).toInstance(transport);
+        bind(PeerTransport.class).toInstance(peers);
         bind(NettyPeerTransport.class).toInstance(transport);
         bind(EventRing.class).toInstance(events);
         bind(EventSink.class).toInstance(events);
@@ -121,12 +124,12 @@
         MembershipService service = MembershipService.create(
                 MembershipSettings.of(seeds()).withTargetExpiry(expiry),
                 self,
-                (to, body) -> transport.send(to, PeerTopic.MEMBERSHIP, body),
+                (to, body) -> peers.send(to, PeerTopic.MEMBERSHIP, body),
                 timers,
                 random,
                 events,
                 store);
-        transport.handle(
+        peers.handle(
                 PeerTopic.MEMBERSHIP,
                 message -> control.execute(() -> service.onMessage(NodeId.of(message.sender()), message.body())));
         return service;
@@ -151,14 +154,14 @@
                 keeper,
                 new ConfigurationSync.Ports(
                         store,
-                        (to, body) -> transport.send(to, PeerTopic.CONFIGURATION, body),
+                        (to, body) -> peers.send(to, PeerTopic.CONFIGURATION, body),
                         membership::directory,
                         this::seeds,
                         timers,
                         control,
                         random,
                         events));
-        transport.handle(
+        peers.handle(
                 PeerTopic.CONFIGURATION,
                 message -> control.execute(() -> sync.onMessage(NodeId.of(message.sender()), message.body())));
         return sync;
--- a/src/main/java/io/beryldock/node/OperatorModule.java
+++ b/src/main/java/io/beryldock/node/OperatorModule.java
@@ -18,6 +18,7 @@
 import io.beryldock.membership.NodeDescriptor;
 import io.beryldock.peer.NettyPeerTransport;
 import io.beryldock.peer.PeerTopic;
+import io.beryldock.peer.PeerTransport;
 import io.beryldock.quarantine.Quarantine;
 import io.beryldock.retry.RetryLedger;
 import io.beryldock.time.TimerService;
@@ -58,7 +59,7 @@
             Quarantine quarantine,
             MembershipService membership,
             NodeDescriptor self,
-            NettyPeerTransport transport,
+            PeerTransport transport,
             RandomGenerator random) {
         QuarantineSpreader spreader =
                 new QuarantineSpreader(quarantine, membership::directory, self, transport, random);
@@ -105,7 +106,7 @@
     OperatorService operators(
             NodeDescriptor self,
             MembershipService membership,
-            NettyPeerTransport transport,
+            PeerTransport transport,
             NodeInspection inspection,
             ConfigurationWriter writer,
             ConfigurationKeeper keeper,
--- a/src/main/java/io/beryldock/wire/Query.java
+++ b/src/main/java/io/beryldock/wire/Query.java
@@ -60,20 +60,19 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\013query.proto\022\017beryldock.query\"P\n\014QueryR" +
+      "\n\013query.proto\022\017beryldock.query\"B\n\014QueryR" +
       "equest\022\021\n\tstatement\030\001 \001(\t\022\r\n\005scope\030\002 \001(\r" +
-      "\022\020\n\010max_rows\030\003 \001(\r\022\014\n\004time\030\004 \001(\006\"8\n\013Quer" +
-      "yColumn\022\014\n\004name\030\001 \001(\t\022\014\n\004kind\030\002 \001(\t\022\r\n\005m" +
-      "erge\030\003 \001(\t\"H\n\tQueryCell\022\016\n\004text\030\001 \001(\tH\000\022" +
-      "\017\n\005whole\030\002 \001(\022H\000\022\021\n\007decimal\030\003 \001(\001H\000B\007\n\005v" +
-      "alue\"5\n\010QueryRow\022)\n\005cells\030\001 \003(\0132\032.beryld" +
-      "ock.query.QueryCell\"\317\001\n\nQueryReply\022-\n\007co" +
-      "lumns\030\001 \003(\0132\034.beryldock.query.QueryColum" +
-      "n\022\'\n\004rows\030\002 \003(\0132\031.beryldock.query.QueryR" +
-      "ow\022\020\n\010answered\030\003 \001(\r\022\024\n\014silent_nodes\030\004 \003" +
-      "(\t\022\r\n\005notes\030\005 \003(\t\022\r\n\005error\030\006 \001(\t\022\025\n\rrows" +
-      "_left_out\030\007 \001(\004\022\014\n\004time\030\010 \001(\006B\025\n\021io.bery" +
-      "ldock.wireP\001b\006proto3"
+      "\022\020\n\010max_rows\030\003 \001(\r\"8\n\013QueryColumn\022\014\n\004nam" +
+      "e\030\001 \001(\t\022\014\n\004kind\030\002 \001(\t\022\r\n\005merge\030\003 \001(\t\"H\n\t" +
+      "QueryCell\022\016\n\004text\030\001 \001(\tH\000\022\017\n\005whole\030\002 \001(\022" +
+      "H\000\022\021\n\007decimal\030\003 \001(\001H\000B\007\n\005value\"5\n\010QueryR" +
+      "ow\022)\n\005cells\030\001 \003(\0132\032.beryldock.query.Quer" +
+      "yCell\"\301\001\n\nQueryReply\022-\n\007columns\030\001 \003(\0132\034." +
+      "beryldock.query.QueryColumn\022\'\n\004rows\030\002 \003(" +
+      "\0132\031.beryldock.query.QueryRow\022\020\n\010answered" +
+      "\030\003 \001(\r\022\024\n\014silent_nodes\030\004 \003(\t\022\r\n\005notes\030\005 " +
+      "\003(\t\022\r\n\005error\030\006 \001(\t\022\025\n\rrows_left_out\030\007 \001(" +
+      "\004B\025\n\021io.beryldock.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -84,7 +83,7 @@
     internal_static_beryldock_query_QueryRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_beryldock_query_QueryRequest_descriptor,
-        new java.lang.String[] { "Statement", "Scope", "MaxRows", "Time", });
+        new java.lang.String[] { "Statement", "Scope", "MaxRows", });
     internal_static_beryldock_query_QueryColumn_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_beryldock_query_QueryColumn_fieldAccessorTable = new
@@ -108,7 +107,7 @@
     internal_static_beryldock_query_QueryReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_beryldock_query_QueryReply_descriptor,
-        new java.lang.String[] { "Columns", "Rows", "Answered", "SilentNodes", "Notes", "Error", "RowsLeftOut", "Time", });
+        new java.lang.String[] { "Columns", "Rows", "Answered", "SilentNodes", "Notes", "Error", "RowsLeftOut", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/src/main/java/io/beryldock/wire/QueryReply.java
+++ b/src/main/java/io/beryldock/wire/QueryReply.java
@@ -280,17 +280,6 @@
     return rowsLeftOut_;
   }
 
-  public static final int TIME_FIELD_NUMBER = 8;
-  private long time_ = 0L;
-  /**
-   * <code>fixed64 time = 8;</code>
-   * @return The time.
-   */
-  @java.lang.Override
-  public long getTime() {
-    return time_;
-  }
-
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -326,9 +315,6 @@
     if (rowsLeftOut_ != 0L) {
       output.writeUInt64(7, rowsLeftOut_);
     }
-    if (time_ != 0L) {
-      output.writeFixed64(8, time_);
-    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -378,10 +364,6 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(7, rowsLeftOut_);
     }
-    if (time_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeFixed64Size(8, time_);
-    }
     return size;
   }
   @java.lang.Override
@@ -420,8 +402,6 @@
         .equals(other.getError())) return false;
     if (getRowsLeftOut()
         != other.getRowsLeftOut()) return false;
-    if (getTime()
-        != other.getTime()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -456,9 +436,6 @@
     hash = (37 * hash) + ROWS_LEFT_OUT_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getRowsLeftOut());
-    hash = (37 * hash) + TIME_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getTime());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -611,7 +588,6 @@
           com.google.protobuf.LazyStringArrayList.emptyList();
       error_ = "";
       rowsLeftOut_ = 0L;
-      time_ = 0L;
       return this;
     }
 
@@ -684,9 +660,6 @@
       if (((from_bitField0_ & 0x00000040) != 0)) {
         result.rowsLeftOut_ = rowsLeftOut_;
       }
-      if (((from_bitField0_ & 0x00000080) != 0)) {
-        result.time_ = time_;
-      }
     }
 
     @java.lang.Override
@@ -784,9 +757,6 @@
       if (other.getRowsLeftOut() != 0L) {
         setRowsLeftOut(other.getRowsLeftOut());
       }
-      if (other.getTime() != 0L) {
-        setTime(other.getTime());
-      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -862,11 +832,6 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 56
-            case 65: {
-              time_ = input.readFixed64();
-              bitField0_ |= 0x00000080;
-              break;
-            } // case 65
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1730,38 +1695,6 @@
       return this;
     }
 
-    private long time_ ;
-    /**
-     * <code>fixed64 time = 8;</code>
-     * @return The time.
-     */
-    @java.lang.Override
-    public long getTime() {
-      return time_;
-    }
-    /**
-     * <code>fixed64 time = 8;</code>
-     * @param value The time to set.
-     * @return This builder for chaining.
-     */
-    public Builder setTime(long value) {
-
-      time_ = value;
-      bitField0_ |= 0x00000080;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>fixed64 time = 8;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearTime() {
-      bitField0_ = (bitField0_ & ~0x00000080);
-      time_ = 0L;
-      onChanged();
-      return this;
-    }
-
     // @@protoc_insertion_point(builder_scope:beryldock.query.QueryReply)
   }
 
--- a/src/main/java/io/beryldock/wire/QueryReplyOrBuilder.java
+++ b/src/main/java/io/beryldock/wire/QueryReplyOrBuilder.java
@@ -139,10 +139,4 @@
    * @return The rowsLeftOut.
    */
   long getRowsLeftOut();
-
-  /**
-   * <code>fixed64 time = 8;</code>
-   * @return The time.
-   */
-  long getTime();
 }
--- a/src/main/java/io/beryldock/wire/QueryRequest.java
+++ b/src/main/java/io/beryldock/wire/QueryRequest.java
@@ -122,21 +122,6 @@
     return maxRows_;
   }
 
-  public static final int TIME_FIELD_NUMBER = 4;
-  private long time_ = 0L;
-  /**
-   * <pre>
-   * Packed time of the sender's hybrid logical clock.
-   * </pre>
-   *
-   * <code>fixed64 time = 4;</code>
-   * @return The time.
-   */
-  @java.lang.Override
-  public long getTime() {
-    return time_;
-  }
-
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -160,9 +145,6 @@
     if (maxRows_ != 0) {
       output.writeUInt32(3, maxRows_);
     }
-    if (time_ != 0L) {
-      output.writeFixed64(4, time_);
-    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -178,10 +160,6 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(3, maxRows_);
     }
-    if (time_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeFixed64Size(4, time_);
-    }
     return size;
   }
   @java.lang.Override
@@ -212,8 +190,6 @@
         != other.getScope()) return false;
     if (getMaxRows()
         != other.getMaxRows()) return false;
-    if (getTime()
-        != other.getTime()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -231,9 +207,6 @@
     hash = (53 * hash) + getScope();
     hash = (37 * hash) + MAX_ROWS_FIELD_NUMBER;
     hash = (53 * hash) + getMaxRows();
-    hash = (37 * hash) + TIME_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getTime());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -368,7 +341,6 @@
       statement_ = "";
       scope_ = 0;
       maxRows_ = 0;
-      time_ = 0L;
       return this;
     }
 
@@ -411,9 +383,6 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.maxRows_ = maxRows_;
       }
-      if (((from_bitField0_ & 0x00000008) != 0)) {
-        result.time_ = time_;
-      }
     }
 
     @java.lang.Override
@@ -439,9 +408,6 @@
       if (other.getMaxRows() != 0) {
         setMaxRows(other.getMaxRows());
       }
-      if (other.getTime() != 0L) {
-        setTime(other.getTime());
-      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -481,11 +447,6 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
-            case 33: {
-              time_ = input.readFixed64();
-              bitField0_ |= 0x00000008;
-              break;
-            } // case 33
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -671,50 +632,6 @@
       return this;
     }
 
-    private long time_ ;
-    /**
-     * <pre>
-     * Packed time of the sender's hybrid logical clock.
-     * </pre>
-     *
-     * <code>fixed64 time = 4;</code>
-     * @return The time.
-     */
-    @java.lang.Override
-    public long getTime() {
-      return time_;
-    }
-    /**
-     * <pre>
-     * Packed time of the sender's hybrid logical clock.
-     * </pre>
-     *
-     * <code>fixed64 time = 4;</code>
-     * @param value The time to set.
-     * @return This builder for chaining.
-     */
-    public Builder setTime(long value) {
-
-      time_ = value;
-      bitField0_ |= 0x00000008;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * Packed time of the sender's hybrid logical clock.
-     * </pre>
-     *
-     * <code>fixed64 time = 4;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearTime() {
-      bitField0_ = (bitField0_ & ~0x00000008);
-      time_ = 0L;
-      onChanged();
-      return this;
-    }
-
     // @@protoc_insertion_point(builder_scope:beryldock.query.QueryRequest)
   }
 
--- a/src/main/java/io/beryldock/wire/QueryRequestOrBuilder.java
+++ b/src/main/java/io/beryldock/wire/QueryRequestOrBuilder.java
@@ -45,14 +45,4 @@
    * @return The maxRows.
    */
   int getMaxRows();
-
-  /**
-   * <pre>
-   * Packed time of the sender's hybrid logical clock.
-   * </pre>
-   *
-   * <code>fixed64 time = 4;</code>
-   * @return The time.
-   */
-  long getTime();
 }
