--- a/src/main/java/io/beryldock/routing/ServiceTargets.java
+++ b/src/main/java/io/beryldock/routing/ServiceTargets.java
@@ -8,9 +8,7 @@
 import io.beryldock.membership.TargetRecord;
 import io.beryldock.membership.TargetState;
 import io.beryldock.routing.TargetHealth.Condition;
-import io.beryldock.timeline.EventKind;
 import io.beryldock.timeline.EventSink;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -22,8 +20,7 @@
 /**
  * What this node knows of the targets of one service, and the choice among them.
  *
- * <p>Invariant: targets ejected for failed calls are at most the set share of the ready ones; one that can't be reached
- * is left out beside that. Thread safe: one lock, held for about a microsecond.
+ * <p>Thread safe: one lock, held for about a microsecond.
  */
 final class ServiceTargets {
 
@@ -35,19 +32,12 @@
 
     private static final double USUAL_SAMPLE_WEIGHT = 0.05;
 
-    private static final double FEWEST_CALLS = 5;
-    private static final double FAILURE_RATE = 0.5;
-
-    /** The other targets must fail at most this part as often, or the cause lies beneath all of them. */
-    private static final double OTHERS_RATE = 0.5;
-
     private final Distances distances;
     private final RandomGenerator random;
-    private final EventSink events;
     private final ChooserSettings settings;
+    private final OutlierDetector outliers;
     private final Map<Key, TargetStats> stats = new HashMap<>();
     private final List<List<TargetStats>> tiers = new ArrayList<>();
-    private final FailureWindow all;
     private final SpillShare spill;
     private ImmutableList<TargetRecord> current = ImmutableList.of();
     private int distanceVersion = -1;
@@ -57,9 +47,8 @@
     ServiceTargets(Distances distances, RandomGenerator random, EventSink events, ChooserSettings settings, long now) {
         this.distances = distances;
         this.random = random;
-        this.events = events;
         this.settings = settings;
-        this.all = new FailureWindow(now);
+        this.outliers = new OutlierDetector(random, events, settings, now);
         this.spill = new SpillShare(now);
         for (int i = 0; i < Distances.TIERS; i++) {
             tiers.add(new ArrayList<>());
@@ -244,16 +233,12 @@
         known.onEnd(now);
         CallSign sign = CallSign.of(result, latencyNanos, usualNanos);
         notePressure(known, result, sign, now);
-        boolean alive = sign == CallSign.WELL || sign == CallSign.FULL;
-        if (alive && known.ejection.condition(now) == Condition.UNREACHABLE) {
-            known.ejection.probeNow(now);
-        }
         switch (sign) {
             case WELL -> onWell(known, latencyNanos, now);
-            case FULL -> comeBackIfProbed(known, now);
+            case FULL -> outliers.onAlive(known, now);
             case LEAVING -> known.onLeaving(now);
             case FAILED -> onFailed(known, latencyNanos, now);
-            case UNREACHABLE -> eject(known, true, "no connection could be made", now);
+            case UNREACHABLE -> outliers.onUnreachable(known, "no connection could be made", now);
             default -> {}
         }
     }
@@ -275,72 +260,22 @@
     }
 
     private void onWell(TargetStats target, long latencyNanos, long now) {
-        target.ejection.onWell(now);
-        all.add(false, now);
-        comeBackIfProbed(target, now);
+        outliers.onWell(target, now);
         target.onLatency(latencyNanos, now);
         usualNanos += usualNanos == 0 ? latencyNanos : USUAL_SAMPLE_WEIGHT * (latencyNanos - usualNanos);
     }
 
-    private void comeBackIfProbed(TargetStats target, long now) {
-        if (target.ejection.condition(now) == Condition.PROBED) {
-            comeBack(target, now);
-        }
-    }
-
-    private void comeBack(TargetStats target, long now) {
-        target.ejection.comeBack(now);
-        target.forgetLatency();
-        target.startCold(now, settings.ramp().toNanos());
-        events.record(EventKind.TARGET_RETURNED, target.record().node().id().value(), "takes calls again");
-    }
-
     private void onFailed(TargetStats target, long latencyNanos, long now) {
         if (latencyNanos > target.latencyNanos()) {
             target.onLatency(latencyNanos, now);
         }
-        target.ejection.onFailed(now);
-        all.add(true, now);
-        Condition condition = target.ejection.condition(now);
-        if (condition == Condition.PROBED) {
-            eject(target, false, "its probe failed", now);
-        } else if (condition == Condition.HEALTHY && isOutlier(target, now) && mayEject()) {
-            eject(target, false, "its calls fail", now);
-        }
-    }
-
-    private boolean isOutlier(TargetStats target, long now) {
-        FailureWindow own = target.ejection.window;
-        double calls = own.calls(now);
-        double rate = own.failures(now) / calls;
-        boolean often = calls >= FEWEST_CALLS && rate >= FAILURE_RATE;
-        if (!often && target.ejection.consecutive() < settings.consecutiveFailures()) {
-            return false;
-        }
-        double otherCalls = all.calls(now) - calls;
-        double otherRate = otherCalls < 1 ? 0 : (all.failures(now) - own.failures(now)) / otherCalls;
-        return otherRate <= OTHERS_RATE * rate;
-    }
-
-    private boolean mayEject() {
-        long out = stats.values().stream().filter(t -> t.ejection.isOut()).count();
-        return out + 1 <= Math.floor(settings.maxEjectedShare() * ready);
-    }
-
-    private void eject(TargetStats target, boolean unreachable, String cause, long now) {
-        Condition condition = target.ejection.condition(now);
-        if (condition == Condition.EJECTED || condition == Condition.UNREACHABLE) {
-            return;
-        }
-        long nanos = target.ejection.eject(now, unreachable, settings, random.nextDouble() / 2);
-        String detail = cause + "; left out for " + Duration.ofNanos(nanos).toMillis() + " ms";
-        events.record(EventKind.TARGET_EJECTED, target.record().node().id().value(), detail);
+        outliers.onFailed(target, stats.values(), ready, now);
     }
 
     synchronized void onNodeLost(NodeId node, long now) {
         for (TargetStats target : stats.values()) {
             if (target.record().node().id().equals(node)) {
-                eject(target, true, "the connection to its node was lost", now);
+                outliers.onUnreachable(target, "the connection to its node was lost", now);
             }
         }
     }
