--- a/src/main/java/io/beryldock/idempotency/KeyBinder.java
+++ b/src/main/java/io/beryldock/idempotency/KeyBinder.java
@@ -17,9 +17,9 @@
 /**
  * Binds callers' keys to tickets in the platform store, once for the whole deployment.
  *
- * <p>For each shard rendezvous hashing picks a node that gathers the bindings of all others into few writes. That is for
- * speed only: every node may write every shard, and safety is the store's compare-and-set. Called on the control thread
- * only.
+ * <p>For each shard rendezvous hashing picks a node that gathers the bindings of all others into few writes. That is
+ * for speed only: every node may write every shard, and safety is the store's compare-and-set. Called on the control
+ * thread only.
  */
 public final class KeyBinder {
 
--- a/src/main/java/io/beryldock/idempotency/KeyRing.java
+++ b/src/main/java/io/beryldock/idempotency/KeyRing.java
@@ -9,10 +9,10 @@
 /**
  * One node's copy of a shard's documents, a ring in which each generation takes the place of the oldest.
  *
- * <p>Only the newest generation is written to. It is opened after the one before was sealed, so a write that succeeds on
- * an unsealed document proves that no newer one exists, and that the copies of the older ones, sealed, are still right:
- * a key found in none of them was bound nowhere. That holds whatever the node believed before, also after a pause, and
- * needs neither a lease nor a clock. Used on the control thread only.
+ * <p>Only the newest generation is written to. It is opened after the one before was sealed, so a write that succeeds
+ * on an unsealed document proves that no newer one exists, and that the copies of the older ones, sealed, are still
+ * right: a key found in none of them was bound nowhere. That holds whatever the node believed before, also after a
+ * pause, and needs neither a lease nor a clock. Used on the control thread only.
  */
 final class KeyRing {
 
@@ -70,8 +70,8 @@
     /**
      * Places whose copy can't be the last state of their generation, and have to be read before anything is written.
      *
-     * <p>Reads of several places are not one point in time: a generation read while open may have been sealed, with more
-     * in it, before the next one was read.
+     * <p>Reads of several places are not one point in time: a generation read while open may have been sealed, with
+     * more in it, before the next one was read.
      */
     List<Integer> stale() {
         List<Integer> stale = new ArrayList<>();
@@ -102,7 +102,10 @@
         return new Write(placeOf(newest.generation()), newest.seal());
     }
 
-    /** Adds bindings to the newest generation, or to a new one when the newest is sealed. Needs a ring without stale places. */
+    /**
+     * Adds bindings to the newest generation, or to a new one when the newest is sealed. Needs a ring without stale
+     * places.
+     */
     Write add(Collection<KeyBinding> bindings) {
         KeyDocument newest = newest();
         if (newest.generation() > 0 && !newest.sealed()) {
--- a/src/main/java/io/beryldock/idempotency/KeySettings.java
+++ b/src/main/java/io/beryldock/idempotency/KeySettings.java
@@ -33,8 +33,8 @@
     private static final int DEFAULT_DOCUMENT_BYTES = 900_000;
 
     /**
-     * Keys kept for 46 minutes, which is longer than an unused ticket lives and its answer is kept together; at most 160
-     * writes a second over all shards.
+     * Keys kept for 46 minutes, which is longer than an unused ticket lives and its answer is kept together; at most
+     * 160 writes a second over all shards.
      */
     public static KeySettings defaults() {
         return new KeySettings(
--- a/src/main/java/io/beryldock/idempotency/KeyedRequestCoordinator.java
+++ b/src/main/java/io/beryldock/idempotency/KeyedRequestCoordinator.java
@@ -18,12 +18,13 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Takes a keyed request at its entry node to the one place that decides over its key, and brings back what became of it.
+ * Takes a keyed request at its entry node to the one place that decides over its key, and brings back what became of
+ * it.
  *
  * <p>A request that has a ticket goes to the ticket's home; a caller's own key is bound to a ticket first. NOT_RUN is
  * told only when the key is closed; a message that may be lost, a home that can't be reached and a store that can't be
- * asked give UNKNOWN. A caller that hangs up cancels nothing: the answer is kept for its next try. Thread safe: all work
- * is done on the control executor.
+ * asked give UNKNOWN. A caller that hangs up cancels nothing: the answer is kept for its next try. Thread safe: all
+ * work is done on the control executor.
  */
 public final class KeyedRequestCoordinator {
 
--- a/src/main/java/io/beryldock/idempotency/RunGuard.java
+++ b/src/main/java/io/beryldock/idempotency/RunGuard.java
@@ -12,8 +12,8 @@
  *
  * <p>Guards against a message between nodes that is delivered twice or late: the second copy would run the request
  * again, or run it after its first copy was refused and its caller was told NOT_RUN. A request that was started gives
- * every copy the same outcome, an attempt that was refused stays refused. So the guard must stand before everything that
- * may refuse a keyed request at the target's node: its drain, its admission, its quarantine. Thread safe.
+ * every copy the same outcome, an attempt that was refused stays refused. So the guard must stand before everything
+ * that may refuse a keyed request at the target's node: its drain, its admission, its quarantine. Thread safe.
  */
 public final class RunGuard {
 
--- a/src/main/java/io/beryldock/idempotency/TicketHandover.java
+++ b/src/main/java/io/beryldock/idempotency/TicketHandover.java
@@ -17,10 +17,10 @@
 /**
  * Hands the ticket tables of a node that is stopping over to its neighbours.
  *
- * <p>The tables are frozen first, for ever, whatever becomes of the transfer. A table goes to one successor: another one
- * is tried only while the first can't have it whole, that is before its last part was sent, or after it said that it
- * will never take it. After that the last part is repeated until it is acknowledged or the time is over; a table whose
- * transfer got lost is asked in vain, and its tickets end UNKNOWN. Called on the control thread only.
+ * <p>The tables are frozen first, for ever, whatever becomes of the transfer. A table goes to one successor: another
+ * one is tried only while the first can't have it whole, that is before its last part was sent, or after it said that
+ * it will never take it. After that the last part is repeated until it is acknowledged or the time is over; a table
+ * whose transfer got lost is asked in vain, and its tickets end UNKNOWN. Called on the control thread only.
  */
 public final class TicketHandover {
 
--- a/src/main/java/io/beryldock/idempotency/TicketHome.java
+++ b/src/main/java/io/beryldock/idempotency/TicketHome.java
@@ -6,7 +6,9 @@
 import io.beryldock.membership.NodeDescriptor;
 import io.beryldock.wire.WireTicketHome;
 
-/** One start of a node that mints tickets; the only one that ever decides over them, or its one successor. Immutable. */
+/**
+ * One start of a node that mints tickets; the only one that ever decides over them, or its one successor. Immutable.
+ */
 public record TicketHome(DataCentre dataCentre, NodeId node, Incarnation incarnation) {
 
     public static TicketHome of(NodeDescriptor descriptor) {
--- a/src/main/java/io/beryldock/idempotency/TicketId.java
+++ b/src/main/java/io/beryldock/idempotency/TicketId.java
@@ -11,8 +11,8 @@
  * Identifier of one ticket: who decides over it and a number of its own.
  *
  * <p>Immutable. The text form is {@code bd1:DATA-CENTRE:NODE:INCARNATION:COUNTER:NONCE}, for example
- * {@code bd1:gent-a:gent-a-lists-1:0123456789abcdef0123456789abcdef:1f:00c0ffee00c0ffee}; names hold no colon. The nonce
- * is random, so that nobody can present a ticket that was given to another caller by counting.
+ * {@code bd1:gent-a:gent-a-lists-1:0123456789abcdef0123456789abcdef:1f:00c0ffee00c0ffee}; names hold no colon. The
+ * nonce is random, so that nobody can present a ticket that was given to another caller by counting.
  *
  * @param counter rises with each ticket of the home, from 1
  */
--- a/src/main/java/io/beryldock/idempotency/TicketReceiver.java
+++ b/src/main/java/io/beryldock/idempotency/TicketReceiver.java
@@ -17,9 +17,9 @@
 /**
  * Takes the frozen tables of stopping nodes.
  *
- * <p>Invariants: a table is adopted only when every part of it is here; what was refused or given up is refused for ever,
- * so that copies of old messages can't put a table together that meanwhile lives elsewhere. Called on the control thread
- * only.
+ * <p>Invariants: a table is adopted only when every part of it is here; what was refused or given up is refused for
+ * ever, so that copies of old messages can't put a table together that meanwhile lives elsewhere. Called on the
+ * control thread only.
  */
 final class TicketReceiver {
 
--- a/src/test/java/io/beryldock/idempotency/KeyShardTest.java
+++ b/src/test/java/io/beryldock/idempotency/KeyShardTest.java
@@ -55,8 +55,9 @@
     }
 
     /**
-     * A shard gets more keys than its document may hold. The store would refuse the value and nothing could be bound for
-     * good; dropping the oldest keys instead would let an order run twice. New keys are refused until there is room.
+     * A shard gets more keys than its document may hold. The store would refuse the value and nothing could be bound
+     * for good; dropping the oldest keys instead would let an order run twice. New keys are refused until there is
+     * room.
      */
     @Test
     void fullDocumentRefusesKeysUntilItsTimeIsOver() {
--- a/src/test/java/io/beryldock/idempotency/KeyedRequestCoordinatorTest.java
+++ b/src/test/java/io/beryldock/idempotency/KeyedRequestCoordinatorTest.java
@@ -10,7 +10,9 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-/** Tests of {@link KeyedRequestCoordinator} with the parts of four nodes, on a network where nothing is lost by chance. */
+/**
+ * Tests of {@link KeyedRequestCoordinator} with the parts of four nodes, on a network where nothing is lost by chance.
+ */
 final class KeyedRequestCoordinatorTest {
 
     private static final String KEY = "order-of-today";
@@ -58,8 +60,8 @@
     }
 
     /**
-     * The node that minted a ticket dies after the order ran, and the caller, whose answer got lost, sends it again. The
-     * answer is still at the target's node: the caller gets it instead of being left in doubt.
+     * The node that minted a ticket dies after the order ran, and the caller, whose answer got lost, sends it again.
+     * The answer is still at the target's node: the caller gets it instead of being left in doubt.
      */
     @Test
     void answerIsFoundAtTheTargetsNodeWhenTheHomeIsGone() throws TicketRefusedException {
--- a/src/test/java/io/beryldock/idempotency/KeyedRequestScheduleTest.java
+++ b/src/test/java/io/beryldock/idempotency/KeyedRequestScheduleTest.java
@@ -52,9 +52,9 @@
     }
 
     /**
-     * An order runs twice: its answer is lost and a retry goes to another target, a doubled message starts it again, two
-     * nodes bind its key after a lost answer of the store, or two successors of its home decide. A run that could not
-     * catch these would prove nothing.
+     * An order runs twice: its answer is lost and a retry goes to another target, a doubled message starts it again,
+     * two nodes bind its key after a lost answer of the store, or two successors of its home decide. A run that could
+     * not catch these would prove nothing.
      */
     @ParameterizedTest
     @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "NONE")
--- a/src/test/java/io/beryldock/idempotency/SimulatedNode.java
+++ b/src/test/java/io/beryldock/idempotency/SimulatedNode.java
@@ -13,7 +13,9 @@
 import java.util.List;
 import java.util.Random;
 
-/** One start of a node in a seeded run: its tasks run in order, wait while it is paused and are lost once it is dead. */
+/**
+ * One start of a node in a seeded run: its tasks run in order, wait while it is paused and are lost once it is dead.
+ */
 final class SimulatedNode implements TimerService {
 
     private final NodeDescriptor descriptor;
