--- a/src/main/java/io/beryldock/membership/FailureDetector.java
+++ b/src/main/java/io/beryldock/membership/FailureDetector.java
@@ -241,8 +241,7 @@
                     .record(
                             EventKind.PARTITION_SUSPECTED,
                             context.ownCentre().value(),
-                            silent
-                                    + " nodes are missing at once: kept as unreachable until they answer or are replaced");
+                            silent + " nodes are missing at once: kept as unreachable until they answer");
         }
         massLoss = now;
     }
