--- a/src/test/java/io/beryldock/membership/MembershipServiceTest.java
+++ b/src/test/java/io/beryldock/membership/MembershipServiceTest.java
@@ -7,6 +7,7 @@
 import io.beryldock.call.Incarnation;
 import io.beryldock.call.NodeId;
 import io.beryldock.call.ServiceName;
+import io.beryldock.platform.InMemoryPlatformStore;
 import io.beryldock.time.ManualTimerService;
 import io.beryldock.timeline.EventSink;
 import java.net.InetAddress;
@@ -48,7 +49,7 @@
                 timers,
                 random,
                 EventSink.none(),
-                null);
+                InMemoryPlatformStore.create(timers, new Random(number)));
         nodes.put(self.peerAddress(), service);
         service.start();
         return service;
