Tell refusals for other reasons than overload apart; record where a configuration is put in force

Cause: a request without a target or route stood in the time line as shed at a target; a node kept no event of the configuration it took over. Change: kind REQUEST_REFUSED, counted as sheds are; the node's keeper records its events. Every kind has a colour.

--- a/src/main/java/io/beryldock/forwarding/RequestJournal.java
+++ b/src/main/java/io/beryldock/forwarding/RequestJournal.java
@@ -41,6 +41,10 @@
         if (result.outcome() == Outcome.UNKNOWN) {
             return EventKind.OUTCOME_UNKNOWN;
         }
-        return reason == Reason.SHED_AT_DOOR ? EventKind.SHED_AT_DOOR : EventKind.SHED_AT_TARGET;
+        return switch (reason) {
+            case SHED_AT_DOOR -> EventKind.SHED_AT_DOOR;
+            case SHED_AT_TARGET, QUEUED_TOO_LONG, DEADLINE_PASSED, TARGET_REFUSED -> EventKind.SHED_AT_TARGET;
+            default -> EventKind.REQUEST_REFUSED;
+        };
     }
 }
--- a/src/main/java/io/beryldock/node/NodeModule.java
+++ b/src/main/java/io/beryldock/node/NodeModule.java
@@ -139,7 +139,7 @@
     @Singleton
     ConfigurationKeeper configuration() throws SettingsException {
         try {
-            return ConfigurationKeeper.create(Configuration.defaults(settings.deployment()));
+            return ConfigurationKeeper.create(Configuration.defaults(settings.deployment()), events);
         } catch (ConfigurationException e) {
             throw new SettingsException("deployment", "a known set of defaults", e.getMessage());
         }
--- a/src/main/java/io/beryldock/timeline/EventKind.java
+++ b/src/main/java/io/beryldock/timeline/EventKind.java
@@ -17,6 +17,8 @@
     PEER_CONNECTION_STALLED,
     SHED_AT_DOOR,
     SHED_AT_TARGET,
+    /** Refused for another reason than overload. */
+    REQUEST_REFUSED,
     LIMIT_CHANGED,
     LEVEL_CHANGED,
     RETRY_GRANTED,
--- a/src/main/java/io/beryldock/timeline/EventRing.java
+++ b/src/main/java/io/beryldock/timeline/EventRing.java
@@ -41,6 +41,7 @@
     private static final ImmutableSet<EventKind> COUNTED = Sets.immutableEnumSet(
             EventKind.SHED_AT_DOOR,
             EventKind.SHED_AT_TARGET,
+            EventKind.REQUEST_REFUSED,
             EventKind.RETRY_GRANTED,
             EventKind.RETRY_REFUSED,
             EventKind.OUTCOME_UNKNOWN,
--- a/src/test/java/io/beryldock/timeline/TimelineHtmlWriterTest.java
+++ b/src/test/java/io/beryldock/timeline/TimelineHtmlWriterTest.java
@@ -21,6 +21,14 @@
         assertThat(page).contains("\"kind\":\"SHED_AT_DOOR\"").doesNotContain("/*EVENTS*/");
     }
 
+    @Test
+    void everyKindHasAColourOfItsOwn() {
+        String page = TimelineHtmlWriter.write(ImmutableList.of());
+        for (EventKind kind : EventKind.values()) {
+            assertThat(page).contains("'" + kind + "'");
+        }
+    }
+
     /** An operator opens a page whose events hold a path that a caller chose; the caller's script would run in it. */
     @Test
     void textOfCallersIsNotMarkup() {
