--- a/src/main/java/io/beryldock/forwarding/AttemptLoop.java
+++ b/src/main/java/io/beryldock/forwarding/AttemptLoop.java
@@ -12,11 +12,11 @@
 import io.beryldock.quarantine.Verdict;
 import io.beryldock.retry.GrantPolicy;
 import io.beryldock.retry.RetryAccount;
+import io.beryldock.retry.RetryDecision;
 import io.beryldock.retry.RetryGrant;
 import io.beryldock.retry.RetryPolicy;
 import io.beryldock.retry.RetryQuestion;
 import io.beryldock.settings.NodeSettings.Policy;
-import io.beryldock.timeline.EventKind;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
@@ -33,7 +33,6 @@
 
     private static final int BASELINE_TRIES = 3;
     private static final int SERVER_ERROR = 500;
-    private static final RetryPolicy RETRIES = RetryPolicy.create();
 
     private final CallForwarder.Ports ports;
     private final Call call;
@@ -127,18 +126,27 @@
         }
     }
 
-    /** An answer, or a refusal by the other node, returns its unspent part; without a reply the part is lost. */
+    /** What ran nowhere has spent nothing; without a reply nobody can say what was spent, so the part is lost. */
     private static void settle(RetryGrant grant, CallResult ended) {
-        boolean neverReached =
-                ended.reason().filter(Reason.CONNECT_FAILED::equals).isPresent() && ended.outcome() == Outcome.NOT_RUN;
-        grant.giveBack(neverReached ? grant.amount() : ended.unspentRetries());
+        if (ended.outcome() == Outcome.NOT_RUN) {
+            grant.giveBack(grant.amount());
+        } else if (ended.outcome() == Outcome.ANSWERED || replied(ended)) {
+            grant.giveBack(ended.unspentRetries());
+        } else {
+            grant.lose();
+        }
+    }
+
+    /** Whether the target's node itself told the end: its replies always hold its own level. */
+    private static boolean replied(CallResult ended) {
+        return !ended.levels().isEmpty();
     }
 
     private void noteLoss(TargetRecord target, CallResult ended, boolean sentAsSuspect) {
         if (ended.outcome() == Outcome.ANSWERED) {
             ports.quarantine().onNodeAnswered(target.node());
         }
-        if (ended.reason().filter(Reason.CONNECTION_LOST::equals).isPresent()) {
+        if (ended.reason().filter(Reason.CONNECTION_LOST::equals).isPresent() && !replied(ended)) {
             ports.quarantine().onNodeLost(fingerprint, target.node(), sentAsSuspect);
             ports.losses().accept(target.node());
             ports.chooser().onNodeLost(target.node().id());
@@ -158,36 +166,18 @@
                 remainingNanos(),
                 slowestNanos,
                 ports.quarantine().verdict(fingerprint) != Verdict.FREE);
-        if (!RETRIES.decide(question).isRetry()) {
-            return false;
-        }
-        if (!ports.budgets().of(call.caller(), call.service()).tryRetry()) {
-            refuseRetry("the budget between the services is used up");
-            return false;
-        }
-        if (!account.takeRetry()) {
-            ports.budgets().of(call.caller(), call.service()).putBack();
-            refuseRetry("the root request's allowance is used up");
-            return false;
+        RetryDecision decision =
+                ports.retries().ask(question, account, ports.budgets().of(call.caller(), call.service()));
+        count(decision);
+        return decision.isRetry();
+    }
+
+    private void count(RetryDecision decision) {
+        switch (decision) {
+            case RETRY_ELSEWHERE -> ports.retryTally().granted(call.caller(), call.service());
+            case STOP_BUDGET_SPENT, STOP_ALLOWANCE_SPENT -> ports.retryTally().refused(call.caller(), call.service());
+            default -> {}
         }
-        ports.retryTally().granted(call.caller(), call.service());
-        ports.events()
-                .record(
-                        EventKind.RETRY_GRANTED,
-                        Optional.of(call.context().root()),
-                        call.service().value(),
-                        "");
-        return true;
-    }
-
-    private void refuseRetry(String why) {
-        ports.retryTally().refused(call.caller(), call.service());
-        ports.events()
-                .record(
-                        EventKind.RETRY_REFUSED,
-                        Optional.of(call.context().root()),
-                        call.service().value(),
-                        why);
     }
 
     /** What users have today: three tries at each layer, whatever the others do. */
--- a/src/main/java/io/beryldock/forwarding/CallForwarder.java
+++ b/src/main/java/io/beryldock/forwarding/CallForwarder.java
@@ -11,6 +11,7 @@
 import io.beryldock.retry.Backoff;
 import io.beryldock.retry.RetryAccount;
 import io.beryldock.retry.RetryBudgets;
+import io.beryldock.retry.RetryGate;
 import io.beryldock.routing.TargetChooser;
 import io.beryldock.settings.NodeSettings.Policy;
 import io.beryldock.time.TimerService;
@@ -41,6 +42,7 @@
             TargetExecutor executor,
             PeerCallClient peers,
             Doors doors,
+            RetryGate retries,
             RetryBudgets budgets,
             RetryTally retryTally,
             Backoff backoff,
--- a/src/main/java/io/beryldock/forwarding/TargetCrashDetector.java
+++ b/src/main/java/io/beryldock/forwarding/TargetCrashDetector.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 
 /**
  * Tells a crash of the target from the loss of a single connection.
@@ -30,6 +31,9 @@
     @GuardedBy("this")
     private final List<Fingerprint> lost = new ArrayList<>();
 
+    @GuardedBy("this")
+    private CompletableFuture<Void> decided = new CompletableFuture<>();
+
     private TargetCrashDetector(TargetProbe probe, Quarantine quarantine, TimerService timers, EventSink events) {
         this.probe = probe;
         this.quarantine = quarantine;
@@ -42,28 +46,44 @@
         return new TargetCrashDetector(probe, quarantine, timers, events);
     }
 
-    /** An exchange with the target broke off while the request was in flight. */
-    void onLost(AnnouncedTarget target, Fingerprint fingerprint) {
+    /**
+     * An exchange with the target broke off while the request was in flight.
+     *
+     * @return completes when it is decided whether the target crashed, so that a caller who sends the request again at
+     *     once meets the verdict
+     */
+    CompletableFuture<Void> onLost(AnnouncedTarget target, Fingerprint fingerprint) {
         boolean first;
+        CompletableFuture<Void> awaited;
         synchronized (this) {
             first = lost.isEmpty();
             lost.add(fingerprint);
+            awaited = decided;
         }
         if (first) {
             timers.after(GATHERING, () -> probe.listens(target.address()).thenAccept(up -> decide(target, up)));
         }
+        return awaited;
     }
 
     private void decide(AnnouncedTarget target, boolean up) {
         List<Fingerprint> gathered;
+        CompletableFuture<Void> end;
         synchronized (this) {
             gathered = List.copyOf(lost);
             lost.clear();
+            end = decided;
+            decided = new CompletableFuture<>();
         }
         if (up) {
             gathered.forEach(quarantine::onAbandoned);
-            return;
+        } else {
+            crashed(target, gathered);
         }
+        end.complete(null);
+    }
+
+    private void crashed(AnnouncedTarget target, List<Fingerprint> gathered) {
         quarantine.onTargetCrashed(gathered);
         target.gate().targetRestarted();
         events.record(
--- a/src/main/java/io/beryldock/forwarding/TargetRun.java
+++ b/src/main/java/io/beryldock/forwarding/TargetRun.java
@@ -27,6 +27,7 @@
 final class TargetRun implements GateListener {
 
     private static final int SERVER_ERROR = 500;
+    private static final long SUSPECT_RETRY_MILLIS = 500;
 
     private final TargetExecutor.Ports ports;
     private final AnnouncedTarget target;
@@ -99,7 +100,8 @@
     public void admitted(Permit permit) {
         if (!ports.quarantine().onStarted(fingerprint)) {
             permit.release(Completion.REFUSED_BY_TARGET);
-            finish(CallResult.notRun(Reason.QUARANTINED, "a request that was in flight at a crash runs alone")
+            finish(CallResult.notRun(Reason.SHED_AT_TARGET, "a request that was in flight at a crash runs alone")
+                    .withRetryAfterMillis(SUSPECT_RETRY_MILLIS)
                     .withUnspentRetries(call.context().retryAllowance()));
             return;
         }
@@ -122,13 +124,18 @@
 
     private void onReply(Execution started, Permit permit, TargetReply reply) {
         permit.release(completion(reply));
-        if (reply.kind() == TargetReply.Kind.LOST) {
-            ports.crashes().onLost(target, fingerprint);
-        } else {
-            ports.quarantine().onCompleted(fingerprint);
+        CallResult told = close(started, toResult(reply));
+        switch (reply.kind()) {
+            case ANSWERED -> {
+                ports.quarantine().onCompleted(fingerprint);
+                finish(told);
+            }
+            case REFUSED, NOT_SENT -> {
+                ports.quarantine().onAbandoned(fingerprint);
+                finish(told);
+            }
+            case LOST -> ports.crashes().onLost(target, fingerprint).thenRun(() -> finish(told));
         }
-        CallResult told = toResult(reply);
-        finish(close(started, told));
     }
 
     private Completion completion(TargetReply reply) {
--- a/src/main/java/io/beryldock/node/TrafficModule.java
+++ b/src/main/java/io/beryldock/node/TrafficModule.java
@@ -33,7 +33,9 @@
 import io.beryldock.quarantine.Quarantine;
 import io.beryldock.retry.Backoff;
 import io.beryldock.retry.RetryBudgets;
+import io.beryldock.retry.RetryGate;
 import io.beryldock.retry.RetryLedger;
+import io.beryldock.retry.RetryPolicy;
 import io.beryldock.routing.TargetChooser;
 import io.beryldock.settings.NodeSettings;
 import io.beryldock.settings.NodeSettings.Policy;
@@ -155,6 +157,7 @@
                 executor,
                 PeerCallClient.create(transport),
                 doors,
+                RetryGate.create(RetryPolicy.create(), events),
                 budgets,
                 retryTally,
                 backoff,
