--- a/src/main/java/io/beryldock/measure/ScenarioCluster.java
+++ b/src/main/java/io/beryldock/measure/ScenarioCluster.java
@@ -1,6 +1,7 @@
 package io.beryldock.measure;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.flogger.FluentLogger;
 import io.beryldock.http.ServerStartException;
 import io.beryldock.measure.Topology.Service;
 import io.beryldock.node.NodeProcess;
@@ -27,6 +28,7 @@
  */
 final class ScenarioCluster implements AutoCloseable {
 
+    private static final FluentLogger log = FluentLogger.forEnclosingClass();
     private static final int IO_THREADS = 3;
     private static final int CONNECTIONS = 8000;
     private static final int SEEDS = 2;
@@ -136,10 +138,19 @@
 
     @Override
     public void close() {
-        targets.forEach(placed -> placed.target().close());
-        nodes.forEach(RunningNode::close);
-        platform.close();
-        shared.close();
-        standins.close();
+        targets.forEach(placed -> closeLogged(placed.target()::close));
+        nodes.forEach(node -> closeLogged(node::close));
+        closeLogged(platform::close);
+        closeLogged(shared::close);
+        closeLogged(standins::close);
+    }
+
+    /** A part that does not stop cleanly must not cost the figures of the run, nor keep the rest running. */
+    private static void closeLogged(Runnable close) {
+        try {
+            close.run();
+        } catch (IllegalStateException e) {
+            log.atWarning().withCause(e).log("a part of the measured deployment did not stop cleanly");
+        }
     }
 }
