Configuration: a starting node believes its peers before an empty store

Tried on real processes: the store stand-in restarted empty, and a node that started then took the defaults for confirmed. Peers now have two seconds to tell otherwise, and the loss is logged for an empty store too.

--- a/src/main/java/io/beryldock/configuration/ConfigurationSync.java
+++ b/src/main/java/io/beryldock/configuration/ConfigurationSync.java
@@ -55,6 +55,7 @@
 
     private static final long PAUSED_NANOS = DIGEST_PERIOD.multipliedBy(2).toNanos();
 
+    private final NodeDescriptor self;
     private final ConfigurationKeeper keeper;
     private final Ports ports;
     private final StoreWatch watch;
@@ -70,6 +71,7 @@
     private long chosenAt;
 
     private ConfigurationSync(NodeDescriptor self, ConfigurationKeeper keeper, Ports ports) {
+        this.self = self;
         this.keeper = keeper;
         this.ports = ports;
         choice = PeerChoice.of(self, Directory.empty());
@@ -115,7 +117,7 @@
         refreshChoice();
         long jitter = ports.random().nextLong(DIGEST_PERIOD.toNanos());
         subscriptions.add(ports.timers().after(Duration.ofNanos(jitter), this::beginTicks));
-        return startWait.begin(firstPeers(), digests::sendDigest);
+        return startWait.begin(firstPeers(), peer -> digests.sendDigest(peer, true));
     }
 
     private void beginTicks() {
@@ -132,7 +134,12 @@
     private ImmutableList<InetSocketAddress> firstPeers() {
         ImmutableList<InetSocketAddress> neighbours =
                 choice.neighbours().stream().map(NodeDescriptor::peerAddress).collect(ImmutableList.toImmutableList());
-        return neighbours.isEmpty() ? ports.seeds().get() : neighbours;
+        if (!neighbours.isEmpty()) {
+            return neighbours;
+        }
+        return ports.seeds().get().stream()
+                .filter(seed -> !seed.equals(self.peerAddress()))
+                .collect(ImmutableList.toImmutableList());
     }
 
     private PeerChoice choice() {
--- a/src/main/java/io/beryldock/configuration/StartWait.java
+++ b/src/main/java/io/beryldock/configuration/StartWait.java
@@ -29,6 +29,9 @@
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
 
     private static final Duration STORE_JITTER = Duration.ofMillis(500);
+    /** Time for peers to tell what a store without a configuration has lost. */
+    private static final Duration PEERS_TIME = Duration.ofSeconds(2);
+
     private static final Duration ASK_AGAIN = Duration.ofMillis(500);
 
     private final ConfigurationKeeper keeper;
@@ -39,6 +42,7 @@
     private final Set<InetSocketAddress> answered = new HashSet<>();
     private int asked;
     private boolean storeFailed;
+    private boolean storeEmpty;
     private long highest;
     private TimerService.Subscription changes = () -> {};
 
@@ -75,15 +79,24 @@
         if (done.isDone()) {
             return;
         }
-        watch.read().thenAccept(read -> {
-            if (read) {
-                finish(true);
-            } else {
+        watch.read().thenAccept(this::storeRead);
+    }
+
+    private void storeRead(StoreWatch.ReadOutcome outcome) {
+        switch (outcome) {
+            case TAKEN -> finish(true);
+            case EMPTY -> {
+                // Either nothing was ever changed, or the store lost it all and peers still have it.
+                storeEmpty = true;
+                checkPeers();
+                timers.after(asked == 0 ? Duration.ZERO : PEERS_TIME, () -> finish(true));
+            }
+            case FAILED -> {
                 storeFailed = true;
                 checkPeers();
                 timers.after(ASK_AGAIN, this::askStore);
             }
-        });
+        }
     }
 
     /** Notes what a peer has. */
@@ -94,8 +107,9 @@
     }
 
     private void checkPeers() {
-        int enough = storeFailed ? Math.max(1, Math.min(asked, PEERS_ENOUGH)) : PEERS_ENOUGH;
-        boolean told = answered.size() >= enough && highest > Configuration.DEFAULTS_VERSION;
+        boolean withoutStore = storeFailed || storeEmpty;
+        int enough = withoutStore ? Math.max(1, Math.min(asked, PEERS_ENOUGH)) : PEERS_ENOUGH;
+        boolean told = answered.size() >= enough && (storeEmpty || highest > Configuration.DEFAULTS_VERSION);
         if (told && keeper.current().version() >= highest) {
             finish(true);
         }
--- a/src/main/java/io/beryldock/configuration/StoreWatch.java
+++ b/src/main/java/io/beryldock/configuration/StoreWatch.java
@@ -69,12 +69,30 @@
         }
     }
 
-    /** Reads the head once; true when the store answered and what it has is in force here. */
-    CompletableFuture<Boolean> read() {
+    /** What reading the head came to. */
+    enum ReadOutcome {
+        /** What the store has is in force here. */
+        TAKEN,
+        /** The store answered that it has no configuration. */
+        EMPTY,
+        FAILED
+    }
+
+    /** Reads the head once. */
+    CompletableFuture<ReadOutcome> read() {
         long inForceBefore = keeper.current().version();
         return store.get(StoreKeys.HEAD)
-                .thenComposeAsync(stored -> take(stored, inForceBefore), control)
-                .handleAsync((taken, failure) -> failure == null, control);
+                .thenComposeAsync(stored -> readValue(stored, inForceBefore), control)
+                .handleAsync((outcome, failure) -> failure == null ? outcome : ReadOutcome.FAILED, control);
+    }
+
+    private CompletableFuture<ReadOutcome> readValue(Optional<StoredValue> stored, long inForceBefore) {
+        if (stored.isEmpty()) {
+            storeVersion = PlatformStore.ABSENT;
+            noteIfLost(Configuration.DEFAULTS_VERSION, inForceBefore);
+            return CompletableFuture.completedFuture(ReadOutcome.EMPTY);
+        }
+        return take(stored, inForceBefore).thenApply(taken -> ReadOutcome.TAKEN);
     }
 
     private void watch() {
@@ -120,8 +138,8 @@
      */
     private void readAndWatch() {
         read().thenAcceptAsync(
-                        read -> {
-                            if (read) {
+                        outcome -> {
+                            if (outcome != ReadOutcome.FAILED) {
                                 watch();
                             } else {
                                 failures++;
@@ -162,9 +180,7 @@
 
     private CompletableFuture<Void> take(StoredHead head, long inForceBefore) {
         Configuration current = keeper.current();
-        if (head.version() < inForceBefore) {
-            noteLoss(head, inForceBefore);
-        }
+        noteIfLost(head.version(), inForceBefore);
         if (head.version() <= current.version()) {
             storeVersion = head.storeVersion();
             return CompletableFuture.completedFuture(null);
@@ -172,13 +188,13 @@
         return reader.load(head, current).thenAcceptAsync(whole -> inForce(head, whole), control);
     }
 
-    private void noteLoss(StoredHead head, long inForceBefore) {
-        if (!lossNoted) {
+    private void noteIfLost(long stored, long inForceBefore) {
+        if (stored < inForceBefore && !lossNoted) {
             lossNoted = true;
             log.atSevere().log(
                     "the platform store lost accepted changes: it holds version %d, this node %d;"
                             + " give it back with restore configuration",
-                    head.version(), inForceBefore);
+                    stored, inForceBefore);
         }
     }
 
--- a/src/test/java/io/beryldock/configuration/ConfigurationSyncTest.java
+++ b/src/test/java/io/beryldock/configuration/ConfigurationSyncTest.java
@@ -74,6 +74,35 @@
         assertThat(fleet.nodes.get(0).started.join()).isEqualTo(new StartReport(0, false));
     }
 
+    /**
+     * The store lost everything, and answers a node that starts faster than its peers: "there is no configuration". The
+     * node would serve on the defaults while all others have the operators' settings.
+     */
+    @Test
+    void startingNodeBelievesPeersBeforeAnEmptyStore() {
+        Fleet fleet = Fleet.of(12, 1, 3);
+        fleet.start();
+        fleet.advance(Duration.ofSeconds(6));
+        long version = accept(fleet, fleet.nodes.get(0), rank(6));
+        FleetNode restarted = fleet.nodes.get(2);
+        restarted.kill();
+        restarted.storeSeenAs = store -> new StoreThatMistakes(store, lost -> lost) {
+            @Override
+            public CompletableFuture<Optional<StoredValue>> get(String key) {
+                return CompletableFuture.completedFuture(Optional.empty());
+            }
+
+            @Override
+            public CompletableFuture<Optional<StoredValue>> watch(String key, long afterVersion, Duration wait) {
+                return new CompletableFuture<>();
+            }
+        };
+        fleet.latency = Duration.ofMillis(300);
+        restarted.start();
+        fleet.advance(StartWait.LONGEST);
+        assertThat(restarted.started.join()).isEqualTo(new StartReport(version, true));
+    }
+
     /**
      * A data centre loses the store and all other data centres but one; a change is accepted elsewhere. Its users would
      * go on by the old settings for as long as the cut lasts, though a way round is open.
