--- a/src/main/java/io/beryldock/admission/DoorShedder.java
+++ b/src/main/java/io/beryldock/admission/DoorShedder.java
@@ -7,8 +7,8 @@
 import io.beryldock.time.Ticker;
 import io.beryldock.timeline.EventKind;
 import io.beryldock.timeline.EventSink;
+import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -28,12 +28,15 @@
 public final class DoorShedder {
 
     static final int MAX_REPORTED = 8;
+    private static final Comparator<ServiceLevel> WORST_FIRST =
+            Comparator.comparingInt(ServiceLevel::level).thenComparing(ServiceLevel::service);
 
     private final Ticker ticker;
     private final RandomGenerator random;
     private final EventSink events;
     private final EventSampler sheds;
     private final Map<ServiceName, RouteLevel> closed = new ConcurrentHashMap<>();
+    private final Map<ServiceName, Map<ServiceName, RouteLevel>> closedByCaller = new ConcurrentHashMap<>();
 
     private DoorShedder(Ticker ticker, RandomGenerator random, EventSink events) {
         this.ticker = ticker;
@@ -54,19 +57,24 @@
 
     /** Learns from an answer or a refusal of the service the levels of itself and of those beneath it. */
     public void observe(ServiceName caller, ServiceName service, List<ServiceLevel> levels) {
-        RouteLevel route = closed.get(service);
-        if (route == null && allOpen(levels)) {
+        RouteLevel known = closed.get(service);
+        if (known == null && allOpen(levels)) {
             return;
         }
-        if (route == null) {
-            route = closed.computeIfAbsent(service, missing -> new RouteLevel());
-        }
-        route.calledBy(caller);
+        RouteLevel route = known != null ? known : closed.computeIfAbsent(service, missing -> new RouteLevel());
+        beneath(caller).put(service, route);
         boolean wasOpen = route.open();
         route.observe(levels, ticker.nanos());
         if (wasOpen && !route.open()) {
             events.record(EventKind.LEVEL_CHANGED, service.value(), "the entry sheds: " + route.closed(ticker.nanos()));
-        } else if (route.settledOpen() && closed.remove(service, route)) {
+        } else if (route.settledOpen()) {
+            forget(service, route);
+        }
+    }
+
+    private void forget(ServiceName service, RouteLevel route) {
+        if (closed.remove(service, route)) {
+            closedByCaller.values().forEach(services -> services.remove(service, route));
             events.record(EventKind.LEVEL_CHANGED, service.value(), "the entry admits all");
         }
     }
@@ -107,12 +115,13 @@
      * first. A request refused here has cost a hop and no target's time.
      */
     public DoorDecision decideBeneath(ServiceName service, int rank, int callerHash) {
-        for (Map.Entry<ServiceName, RouteLevel> entry : closed.entrySet()) {
-            if (entry.getValue().isCalledBy(service)) {
-                DoorDecision decision = decide(entry.getKey(), rank, callerHash);
-                if (!decision.admitted()) {
-                    return decision;
-                }
+        if (closed.isEmpty()) {
+            return DoorDecision.admit();
+        }
+        for (ServiceName called : beneath(service).keySet()) {
+            DoorDecision decision = decide(called, rank, callerHash);
+            if (!decision.admitted()) {
+                return decision;
             }
         }
         return DoorDecision.admit();
@@ -131,17 +140,40 @@
     }
 
     private List<ServiceLevel> worstBeneath(ServiceName service, long now) {
-        Map<ServiceName, ServiceLevel> worst = new HashMap<>();
-        for (RouteLevel route : closed.values()) {
-            if (route.isCalledBy(service)) {
-                route.closed(now).forEach(level -> worst.merge(level.service(), passedOn(level), DoorShedder::lower));
+        List<ServiceLevel> worst = new ArrayList<>();
+        for (RouteLevel route : beneath(service).values()) {
+            for (ServiceLevel level : route.closed(now)) {
+                if (!level.service().equals(service)) {
+                    worst.add(passedOn(level));
+                }
             }
         }
-        worst.remove(service);
-        return worst.values().stream()
-                .sorted(Comparator.comparingInt(ServiceLevel::level).thenComparing(ServiceLevel::service))
-                .limit(MAX_REPORTED - 1)
-                .toList();
+        worst.sort(WORST_FIRST);
+        return firstOfEach(worst);
+    }
+
+    /** The worst level of each service, as many as a report holds beside the service's own. */
+    private static List<ServiceLevel> firstOfEach(List<ServiceLevel> sorted) {
+        List<ServiceLevel> first = new ArrayList<>(MAX_REPORTED);
+        for (ServiceLevel level : sorted) {
+            if (first.size() < MAX_REPORTED - 1 && !names(first, level.service())) {
+                first.add(level);
+            }
+        }
+        return first;
+    }
+
+    private static boolean names(List<ServiceLevel> levels, ServiceName service) {
+        for (ServiceLevel level : levels) {
+            if (level.service().equals(service)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private Map<ServiceName, RouteLevel> beneath(ServiceName caller) {
+        return closedByCaller.computeIfAbsent(caller, unknown -> new ConcurrentHashMap<>());
     }
 
     /**
@@ -154,10 +186,6 @@
         return new ServiceLevel(level.service(), Math.min(ServiceLevel.OPEN, level.level() + 1));
     }
 
-    private static ServiceLevel lower(ServiceLevel a, ServiceLevel b) {
-        return a.level() <= b.level() ? a : b;
-    }
-
     private static boolean allOpen(List<ServiceLevel> levels) {
         for (ServiceLevel level : levels) {
             if (level.level() < ServiceLevel.OPEN) {
--- a/src/main/java/io/beryldock/admission/RouteLevel.java
+++ b/src/main/java/io/beryldock/admission/RouteLevel.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
@@ -30,7 +29,6 @@
     static final long MAX_PROBE_NANOS = 2_000_000_000L;
 
     private final Map<ServiceName, LevelSamples> samples = new HashMap<>();
-    private final Set<ServiceName> callers = ConcurrentHashMap.newKeySet();
     private final AtomicLong lastProbe = new AtomicLong(Long.MIN_VALUE);
     private volatile Learned learned = new Learned(ServiceLevel.OPEN, ImmutableList.of(), 0);
     private volatile long probeInterval = MIN_PROBE_NANOS;
@@ -43,14 +41,6 @@
      */
     private record Learned(int level, ImmutableList<ServiceLevel> closed, long at) {}
 
-    void calledBy(ServiceName caller) {
-        callers.add(caller);
-    }
-
-    boolean isCalledBy(ServiceName caller) {
-        return callers.contains(caller);
-    }
-
     /** Takes in what one answer reported; a service that is missing admits all. */
     synchronized void observe(List<ServiceLevel> reported, long now) {
         Set<ServiceName> missing = new HashSet<>(samples.keySet());
