--- a/src/main/java/io/beryldock/http/NodeHttpServer.java
+++ b/src/main/java/io/beryldock/http/NodeHttpServer.java
@@ -15,6 +15,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.Executor;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 
@@ -43,9 +44,11 @@
     public static NodeHttpServer start(NodeSettings settings, HttpPorts ports) throws ServerStartException {
         Environment environment = environment(settings);
         PortSlot callersPort = new PortSlot();
-        registerResources(environment, settings, ports, callersPort);
+        Responder responder = new Responder();
+        registerResources(environment, settings, ports, callersPort, responder);
         ports.adminServlets().forEach((path, servlet) -> addServlet(environment, path, servlet));
         Server server = factory(settings).build(environment);
+        responder.set(server.getThreadPool());
         try {
             server.start();
         } catch (Exception e) {
@@ -70,12 +73,14 @@
     }
 
     private static void registerResources(
-            Environment environment, NodeSettings settings, HttpPorts ports, PortSlot callersPort) {
+            Environment environment, NodeSettings settings, HttpPorts ports, PortSlot callersPort, Executor responder) {
         RequestReader reader = new RequestReader(
                 settings.limits().maxBodyBytes(), settings.limits().maxHeaderBytes(), new CallerIdentifier());
-        environment.jersey().register(new ForwardResource(ports.requests(), reader, request -> callersPort.get()));
+        environment
+                .jersey()
+                .register(new ForwardResource(ports.requests(), reader, request -> callersPort.get(), responder));
         environment.jersey().register(new AnnounceResource(ports.announcements(), request -> callersPort.get()));
-        environment.jersey().register(new TicketResource(ports.tickets()));
+        environment.jersey().register(new TicketResource(ports.tickets(), responder));
         environment.healthChecks().register("node", ports.health());
     }
 
@@ -131,8 +136,10 @@
         return new InetSocketAddress(found.getHost(), found.getLocalPort());
     }
 
+    /** Closes at once: a planned stop has waited for what is in flight before. */
     @Override
     public void close() {
+        server.setStopTimeout(0);
         try {
             server.stop();
         } catch (Exception e) {
@@ -140,6 +147,20 @@
         }
     }
 
+    /** Hands the writing of answers to the server's threads, known once it is built. Thread safe. */
+    private static final class Responder implements Executor {
+        private volatile Executor threads = Runnable::run;
+
+        void set(Executor pool) {
+            threads = pool;
+        }
+
+        @Override
+        public void execute(Runnable task) {
+            threads.execute(task);
+        }
+    }
+
     /** The callers' port, known once the listeners are bound. Thread safe. */
     private static final class PortSlot {
         private volatile int port = -1;
