--- a/src/main/java/io/beryldock/configuration/PeerChoice.java
+++ b/src/main/java/io/beryldock/configuration/PeerChoice.java
@@ -98,6 +98,9 @@
         return lists;
     }
 
+    /** A node and its place in an order. Immutable. */
+    private record Hashed(long hash, NodeDescriptor node) {}
+
     private static ImmutableList<NodeDescriptor> sorted(List<NodeDescriptor> nodes, String salt) {
         return nodes.stream()
                 .map(node -> new Hashed(hash(salt, node.id()), node))
@@ -196,7 +199,4 @@
     private static <T> Optional<T> pick(List<T> list, RandomGenerator random) {
         return list.isEmpty() ? Optional.empty() : Optional.of(list.get(random.nextInt(list.size())));
     }
-
-    /** A node and its place in the order. */
-    private record Hashed(long hash, NodeDescriptor node) {}
 }
