--- a/src/main/java/io/beryldock/measure/MembershipFleet.java
+++ b/src/main/java/io/beryldock/measure/MembershipFleet.java
@@ -66,6 +66,7 @@
         private final int number;
         private MembershipService service;
         private TargetState state = TargetState.READY;
+        private boolean hung;
 
         private FleetNode(int centre, int number, NodeDescriptor descriptor, PausableTimers timers) {
             this.centre = centre;
@@ -186,15 +187,21 @@
 
     /** Starts a node with a ready target; one that runs under that id is killed first. */
     public FleetNode start(int centre, int number) {
+        InetSocketAddress address = address(centre, number);
+        FleetNode before = byAddress.get(address);
+        if (before != null) {
+            before.timers.stop();
+        }
+        return startAt(centre, number, address);
+    }
+
+    /** Starts a node at that address, whatever runs under its id. */
+    public FleetNode startAt(int centre, int number, InetSocketAddress address) {
         NodeDescriptor descriptor = new NodeDescriptor(
                 NodeId.of("dc" + centre + "-node-" + number),
                 Incarnation.random(random),
                 DataCentre.of("dc" + centre),
-                address(centre, number));
-        FleetNode before = byId.get(descriptor.id());
-        if (before != null) {
-            before.timers.stop();
-        }
+                address);
         long offset = random.nextInt(Integer.MAX_VALUE) * (long) Integer.MAX_VALUE;
         FleetNode node = new FleetNode(centre, number, descriptor, PausableTimers.create(clock, offset));
         node.service = factory.create(
@@ -203,7 +210,7 @@
                 (to, body) -> send(node, to, body),
                 node.timers,
                 new Random(random.nextLong()),
-                events,
+                (kind, request, subject, detail) -> events.record(kind, request, subject, detail),
                 store);
         byAddress.put(descriptor.peerAddress(), node);
         byId.put(descriptor.id(), node);
@@ -237,6 +244,11 @@
         node.timers.resume();
     }
 
+    /** Lets the target of the node renew its announcement no more. */
+    public void hangTarget(FleetNode node) {
+        node.hung = true;
+    }
+
     /** Lets the node leave as planned; it is stopped when it has said so. */
     public CompletableFuture<Void> leave(FleetNode node) {
         node.state = TargetState.LEAVING;
@@ -257,7 +269,9 @@
     }
 
     private void renew(FleetNode node) {
-        node.service.announce(node.target, SLOTS, node.state);
+        if (!node.hung) {
+            node.service.announce(node.target, SLOTS, node.state);
+        }
     }
 
     private void send(FleetNode from, InetSocketAddress to, ByteString body) {
--- a/src/main/java/io/beryldock/membership/MembershipAssembly.java
+++ b/src/main/java/io/beryldock/membership/MembershipAssembly.java
@@ -43,8 +43,7 @@
 
     private MembershipAssembly(MembershipContext context, PlatformStore store) {
         this.context = context;
-        spreader = RecordSpreader.create(
-                context.ownCentre(), context.view(), context.neighbours(), context.sender(), context.timers());
+        spreader = RecordSpreader.create(context.view(), context.neighbours(), context.sender(), context.timers());
         antiEntropy = new AntiEntropy(context, this::onComplete);
         intake = RecordIntake.create(context, spreader, context.self()::isJoined, this::onChange);
         IndirectProber indirect = new IndirectProber(context);
--- a/src/main/java/io/beryldock/membership/MembershipHashing.java
+++ b/src/main/java/io/beryldock/membership/MembershipHashing.java
@@ -33,7 +33,7 @@
                 .asLong();
     }
 
-    /** Fingerprint of one version of a record; a suspicion, which is not told to all, does not change it. */
+    /** Fingerprint of one version of a record. */
     static long ofRecord(MemberRecord member) {
         return FUNCTION.newHasher()
                 .putUnencodedChars(member.node().id().value())
@@ -41,7 +41,7 @@
                 .putLong(member.node().incarnation().low())
                 .putInt(member.generation())
                 .putLong(member.revision())
-                .putBoolean(member.status() == MemberStatus.MISSING)
+                .putUnencodedChars(member.status().name())
                 .hash()
                 .asLong();
     }
--- a/src/main/java/io/beryldock/membership/RecordIntake.java
+++ b/src/main/java/io/beryldock/membership/RecordIntake.java
@@ -63,7 +63,7 @@
         if (found.id().equals(self.current().id())) {
             acceptOwn(found, from);
         } else {
-            merge(asHeld(found), Optional.of(from));
+            merge(found, Optional.of(from));
         }
     }
 
@@ -85,7 +85,7 @@
         switch (view.merge(found, ticker.nanos())) {
             case NEWER -> {
                 checkRaised(before, found);
-                passOn(before, found, from);
+                passOn(found, from);
                 listener.changed(before, found);
             }
             case SAME -> from.ifPresent(sender -> spreader.isKnownBy(sender, found.id()));
@@ -108,24 +108,11 @@
         }
     }
 
-    private void passOn(Optional<MemberRecord> before, MemberRecord found, Optional<NodeId> from) {
+    private void passOn(MemberRecord found, Optional<NodeId> from) {
         from.ifPresent(sender -> spreader.isKnownBy(sender, found.id()));
         if (from.isPresent() && !passesOn.getAsBoolean()) {
             return;
         }
-        // A suspicion is nothing to other data centres: most end within a second, by denial.
-        boolean sameVersion = before.filter(old -> old.isSameStart(found) && old.revision() == found.revision())
-                .isPresent();
-        if (sameVersion && found.status() == MemberStatus.SUSPECTED) {
-            spreader.spreadInCentre(found.id(), from);
-        } else {
-            spreader.spread(found.id(), from);
-        }
-    }
-
-    /** Only the data centre of a node suspects it. */
-    private MemberRecord asHeld(MemberRecord found) {
-        boolean local = found.node().dataCentre().equals(self.current().node().dataCentre());
-        return found.status() == MemberStatus.SUSPECTED && !local ? found.withStatus(MemberStatus.ALIVE) : found;
+        spreader.spread(found.id(), from);
     }
 }
--- a/src/main/java/io/beryldock/membership/RecordSpreader.java
+++ b/src/main/java/io/beryldock/membership/RecordSpreader.java
@@ -1,6 +1,5 @@
 package io.beryldock.membership;
 
-import io.beryldock.call.DataCentre;
 import io.beryldock.call.NodeId;
 import io.beryldock.time.TimerService;
 import java.net.InetSocketAddress;
@@ -25,7 +24,6 @@
 
     static final Duration DELAY = Duration.ofMillis(100);
 
-    private final DataCentre ownCentre;
     private final MembershipView view;
     private final Neighbourhood neighbours;
     private final MessageSender sender;
@@ -33,13 +31,7 @@
     private final Map<NodeId, Set<NodeId>> queues = new LinkedHashMap<>();
     private boolean armed;
 
-    private RecordSpreader(
-            DataCentre ownCentre,
-            MembershipView view,
-            Neighbourhood neighbours,
-            MessageSender sender,
-            TimerService timers) {
-        this.ownCentre = ownCentre;
+    private RecordSpreader(MembershipView view, Neighbourhood neighbours, MessageSender sender, TimerService timers) {
         this.view = view;
         this.neighbours = neighbours;
         this.sender = sender;
@@ -47,12 +39,8 @@
     }
 
     static RecordSpreader create(
-            DataCentre ownCentre,
-            MembershipView view,
-            Neighbourhood neighbours,
-            MessageSender sender,
-            TimerService timers) {
-        return new RecordSpreader(ownCentre, view, neighbours, sender, timers);
+            MembershipView view, Neighbourhood neighbours, MessageSender sender, TimerService timers) {
+        return new RecordSpreader(view, neighbours, sender, timers);
     }
 
     /** Queues the news for all neighbours but the one it came from. */
@@ -64,15 +52,6 @@
         }
     }
 
-    /** Queues the news for the neighbours in this data centre only: a suspicion is of no use to others. */
-    void spreadInCentre(NodeId news, Optional<NodeId> from) {
-        for (NodeId neighbour : neighbours.all(timers.ticker().nanos())) {
-            if (!from.equals(Optional.of(neighbour)) && isInCentre(neighbour)) {
-                queue(neighbour, news);
-            }
-        }
-    }
-
     /** Queues the news for one node. */
     void queue(NodeId receiver, NodeId news) {
         queues.computeIfAbsent(receiver, id -> new LinkedHashSet<>()).add(news);
@@ -106,26 +85,13 @@
         List<MemberRecord> batch = new ArrayList<>();
         Iterator<NodeId> ids = queue.iterator();
         while (ids.hasNext() && batch.size() < MessageSender.MAX_RECORDS) {
-            view.find(ids.next()).map(news -> asTold(receiver, news)).ifPresent(batch::add);
+            view.find(ids.next()).ifPresent(batch::add);
             ids.remove();
         }
         InetSocketAddress to = receiver.node().peerAddress();
         sender.sendRecords(to, batch);
     }
 
-    /** Other data centres are told of facts, not of suspicions. */
-    private MemberRecord asTold(MemberRecord receiver, MemberRecord news) {
-        boolean local = receiver.node().dataCentre().equals(ownCentre);
-        boolean suspicion = news.status() == MemberStatus.SUSPECTED;
-        return suspicion && !local ? news.withStatus(MemberStatus.ALIVE) : news;
-    }
-
-    private boolean isInCentre(NodeId id) {
-        return view.find(id)
-                .filter(member -> member.node().dataCentre().equals(ownCentre))
-                .isPresent();
-    }
-
     private void arm() {
         if (!armed) {
             armed = true;
