--- a/src/main/java/io/beryldock/measure/MembershipRun.java
+++ b/src/main/java/io/beryldock/measure/MembershipRun.java
@@ -16,11 +16,11 @@
 /**
  * A seeded run of a small fleet through random faults, with invariants checked all along.
  *
- * <p>Faults: crashes, restarts under the same id, planned stops, pauses, cuts between and within data centres, lost and
- * doubled messages, an unreachable store; half of the seeds draw no cuts, pauses or failures of the store, so that what must hold within
- * seconds is checked too. Then the faults end and views must converge. {@code java -cp
- * target/beryldock.jar io.beryldock.measure.MembershipRun FIRST-SEED SEEDS} runs many and prints each seed that fails.
- * Single-threaded; the same seed gives the same run.
+ * <p>Faults: crashes, restarts under the same id, planned stops, pauses, cuts between and within data centres, lost
+ * and doubled messages, an unreachable store; half of the seeds draw no cuts, pauses or failures of the store, so
+ * that what must hold within seconds is checked too. Then the faults end and views must converge. {@code java -cp
+ * target/beryldock.jar io.beryldock.measure.MembershipRun FIRST-SEED SEEDS} runs many and prints each seed that
+ * fails. Single-threaded; the same seed gives the same run.
  */
 public final class MembershipRun {
 
--- a/src/main/java/io/beryldock/membership/Accusations.java
+++ b/src/main/java/io/beryldock/membership/Accusations.java
@@ -8,9 +8,10 @@
 /**
  * Spaces the suspicions that this node utters about another one which denies them.
  *
- * <p>When two parts of a data centre cannot reach each other, but both reach a third, a node is silent to some and denies
- * by way of others. Accused again with each probe it would make all views change for as long as that lasts. So after each
- * accusation this node waits twice as long for the next, until the other answers it directly. Control thread only.
+ * <p>When two parts of a data centre cannot reach each other, but both reach a third, a node is silent to some and
+ * denies by way of others. Accused again with each probe it would make all views change for as long as that lasts. So
+ * after each accusation this node waits twice as long for the next, until the other answers it directly. Control
+ * thread only.
  */
 final class Accusations {
 
--- a/src/main/java/io/beryldock/membership/IndirectProber.java
+++ b/src/main/java/io/beryldock/membership/IndirectProber.java
@@ -15,9 +15,10 @@
 /**
  * Asks third nodes to ping a silent one, and does so for others.
  *
- * <p>A node counts as silent when at least one helper says that it too got no answer. A node that hears nothing at all,
- * from helpers neither, may itself be the one cut off, and would otherwise accuse everyone it probes at once; it gives
- * the target {@link #UNCONFIRMED_LIMIT} probes, since all helpers may as well have failed together. Control thread only.
+ * <p>A node counts as silent when at least one helper says that it too got no answer. A node that hears nothing at
+ * all, from helpers neither, may itself be the one cut off, and would otherwise accuse everyone it probes at once; it
+ * gives the target {@link #UNCONFIRMED_LIMIT} probes, since all helpers may as well have failed together. Control
+ * thread only.
  */
 final class IndirectProber {
 
--- a/src/main/java/io/beryldock/membership/MemberRecord.java
+++ b/src/main/java/io/beryldock/membership/MemberRecord.java
@@ -9,8 +9,8 @@
 /**
  * What is known of one node and of the target in its VM. Immutable.
  *
- * <p>Records of one start are totally ordered by {@link #isNewerThan}, and starts by their generation; merging keeps the
- * newest, so views that saw the same records are equal, in whatever order these came.
+ * <p>Records of one start are totally ordered by {@link #isNewerThan}, and starts by their generation; merging keeps
+ * the newest, so views that saw the same records are equal, in whatever order these came.
  *
  * @param generation rises with each start of a node of that id, as far as the start knew of earlier ones; 0 while a
  *     node only looks for others
@@ -52,10 +52,10 @@
     /**
      * Whether this record replaces the other one.
      *
-     * <p>A later start wins; in one start, having left wins for ever, then the higher revision, then the status. Of two
-     * starts of one generation, which did not know of each other, neither replaces the other: to choose by any sign would
-     * now and then put the dead one in place of the running one. The later start, told of the earlier one, takes a
-     * generation above it.
+     * <p>A later start wins; in one start, having left wins for ever, then the higher revision, then the status. Of
+     * two starts of one generation, which did not know of each other, neither replaces the other: to choose by any
+     * sign would now and then put the dead one in place of the running one. The later start, told of the earlier one,
+     * takes a generation above it.
      */
     boolean isNewerThan(MemberRecord other) {
         if (generation != other.generation) {
--- a/src/main/java/io/beryldock/membership/MessageReceiver.java
+++ b/src/main/java/io/beryldock/membership/MessageReceiver.java
@@ -76,7 +76,7 @@
             case SYNC_PULL -> antiEntropy.onPull(sender, message.getSyncPull());
             case SYNC_WANTED -> antiEntropy.onWanted(sender, message.getSyncWanted());
             case LINK_REPORT -> reports.onReport(sender, message.getLinkReport());
-            case KIND_NOT_SET -> {}
+            default -> {}
         }
     }
 
--- a/src/main/java/io/beryldock/membership/RecordIntake.java
+++ b/src/main/java/io/beryldock/membership/RecordIntake.java
@@ -92,9 +92,10 @@
             // A sender with an old record was paused, cut off or has lost a message. Told the newer one at once it
             // does not act on the old one until the next comparison of digests.
             case OLDER -> from.ifPresent(sender -> spreader.queue(sender, found.id()));
-            // Told of the start held here the later one raises its generation. If the one told is dead, the start held
+            // A conflict: told of the start held here the later one raises its generation. If the one told is dead, the
+            // start held
             // here runs and hears of the conflict by its neighbours likewise.
-            case CONFLICT -> context.sender().sendRecords(found.node().peerAddress(), List.of(before.orElseThrow()));
+            default -> context.sender().sendRecords(found.node().peerAddress(), List.of(before.orElseThrow()));
         }
     }
 
--- a/src/main/java/io/beryldock/membership/SelfRecord.java
+++ b/src/main/java/io/beryldock/membership/SelfRecord.java
@@ -7,9 +7,10 @@
 /**
  * The one record that this node itself may raise: its own.
  *
- * <p>Invariant: the record only rises. Two starts of one id are ordered without clocks: the later start fetches the view
- * of others before it joins, hears there of the earlier one, takes a generation above it and names it as superseded. A
- * start that finds itself superseded by name gives way for ever, so two of them never take turns. Control thread only.
+ * <p>Invariant: the record only rises. Two starts of one id are ordered without clocks: the later start fetches the
+ * view of others before it joins, hears there of the earlier one, takes a generation above it and names it as
+ * superseded. A start that finds itself superseded by name gives way for ever, so two of them never take turns.
+ * Control thread only.
  */
 final class SelfRecord {
 
@@ -102,7 +103,7 @@
         // way both would raise their generation for ever and every view would flap between the two.
         superseded = true;
         log.atSevere().log(
-                "node %s at %s has taken the id of this node: stop one of them, or give each its own id in its settings",
+                "node %s at %s has taken the id of this node: stop one of the two, or set another id in its settings",
                 later.id(), later.node().peerAddress());
     }
 }
--- a/src/main/java/io/beryldock/membership/SuspicionJudge.java
+++ b/src/main/java/io/beryldock/membership/SuspicionJudge.java
@@ -57,7 +57,7 @@
             }
             case MISSING -> missing.add(id);
             case FAILED -> failures.put(id, context.now());
-            case ALIVE, LEFT -> {}
+            default -> {}
         }
     }
 
@@ -127,9 +127,9 @@
     /**
      * Whether more and more nodes are being suspected.
      *
-     * <p>When many fall silent at once, as by a failed switch, the first verdicts would be due before the last suspicion
-     * is out, and the first silent ones be taken for failed before it shows that half are missing. One round of probes
-     * without a new suspicion shows the whole extent.
+     * <p>When many fall silent at once, as by a failed switch, the first verdicts would be due before the last
+     * suspicion is out, and the first silent ones be taken for failed before it shows that half are missing. One
+     * round of probes without a new suspicion shows the whole extent.
      */
     private boolean isSpreading(long now) {
         MembershipSettings settings = context.settings();
--- a/src/test/java/io/beryldock/membership/MembershipFailureTest.java
+++ b/src/test/java/io/beryldock/membership/MembershipFailureTest.java
@@ -91,8 +91,9 @@
     }
 
     /**
-     * As above, but both halves still reach another data centre. Each node is silent to some and alive to others. Were it
-     * suspected and freed again with each probe, every view would change all the time, and messages would fill the lines.
+     * As above, but both halves still reach another data centre. Each node is silent to some and alive to others.
+     * Were it suspected and freed again with each probe, every view would change all the time, and messages would
+     * fill the lines.
      */
     @Test
     void partialCutNeitherTakesNodesOutNorFillsTheLines() {
@@ -178,8 +179,8 @@
     }
 
     /**
-     * A frozen VM was replaced by one of its id at another address and then wakes. Were it to claim its id back, callers
-     * would be sent to one and the other in turn. It gives way and says what to do.
+     * A frozen VM was replaced by one of its id at another address and then wakes. Were it to claim its id back,
+     * callers would be sent to one and the other in turn. It gives way and says what to do.
      */
     @Test
     void frozenNodeThatWasReplacedGivesWay() {
--- a/src/test/java/io/beryldock/membership/MembershipRunTest.java
+++ b/src/test/java/io/beryldock/membership/MembershipRunTest.java
@@ -20,8 +20,8 @@
     }
 
     /**
-     * A node is paused for some seconds and its data centre takes it for failed. It wakes, but does not deny. Its target
-     * answers, yet no caller is sent there any more. Runs must notice that a running node stays away.
+     * A node is paused for some seconds and its data centre takes it for failed. It wakes, but does not deny. Its
+     * target answers, yet no caller is sent there any more. Runs must notice that a running node stays away.
      */
     @Test
     void aNodeThatDoesNotDenyIsNoticed() {
--- a/src/test/java/io/beryldock/membership/MembershipServiceTest.java
+++ b/src/test/java/io/beryldock/membership/MembershipServiceTest.java
@@ -55,8 +55,8 @@
     }
 
     /**
-     * A target's process hangs, its VM and node run on. Calls sent there time out. The target renews its announcement no
-     * more, so its node takes it back, and nobody is sent there.
+     * A target's process hangs, its VM and node run on. Calls sent there time out. The target renews its announcement
+     * no more, so its node takes it back, and nobody is sent there.
      */
     @Test
     void targetThatDoesNotRenewIsWithdrawn() {
