--- a/src/main/java/io/beryldock/membership/MemberRecord.java
+++ b/src/main/java/io/beryldock/membership/MemberRecord.java
@@ -52,10 +52,10 @@
     /**
      * Whether this record replaces the other one.
      *
-     * <p>A later start wins; in one start, having left wins for ever, then the higher revision, then the status. Of two
-     * starts of one generation, which did not know of each other, neither replaces the other: to choose by any sign
-     * would now and then put the dead one in place of the running one. The later start, told of the earlier one, takes
-     * a generation above it.
+     * <p>A later start wins; in one start, having left wins for ever, then the higher revision, then the status. Of
+     * two starts of one generation, which did not know of each other, neither replaces the other: to choose by any
+     * sign would now and then put the dead one in place of the running one. The later start, told of the earlier one,
+     * takes a generation above it.
      */
     boolean isNewerThan(MemberRecord other) {
         if (generation != other.generation) {
--- a/src/main/java/io/beryldock/membership/SelfRecord.java
+++ b/src/main/java/io/beryldock/membership/SelfRecord.java
@@ -9,8 +9,8 @@
  *
  * <p>Invariant: the record only rises. Two starts of one id are ordered without clocks: the later start fetches the
  * view of others before it joins, hears there of the earlier one, takes a generation above it and names it as
- * superseded. A start that finds itself superseded by name gives way for ever, so two of them never take turns. Control
- * thread only.
+ * superseded. A start that finds itself superseded by name gives way for ever, so two of them never take turns.
+ * Control thread only.
  */
 final class SelfRecord {
 
@@ -103,7 +103,7 @@
         // way both would raise their generation for ever and every view would flap between the two.
         superseded = true;
         log.atSevere().log(
-                "node %s at %s has taken the id of this node: stop one of them, or give each an id of its own",
+                "node %s at %s has taken the id of this node: stop one of the two, or set another id in its settings",
                 later.id(), later.node().peerAddress());
     }
 }
