--- a/src/test/java/io/beryldock/admission/AdmissionBenchmark.java
+++ b/src/test/java/io/beryldock/admission/AdmissionBenchmark.java
@@ -43,7 +43,7 @@
 
     /** Services beneath which something is overloaded, as one entry knows them. */
     @Param({"0", "10", "100", "2400"})
-    public int closedServices;
+    int closedServices;
 
     private final Random random = new Random(1);
     private final RequestId id = new RequestId(new Incarnation(1, 2), 3);
