Keep the answer of a keyed call that comes after its time; figures of real processes

Cause: a target that answered an order late was not heard, so a resubmission stayed UNKNOWN. Change: the run of a call hands a late answer to the guard.

--- a/src/main/java/io/beryldock/forwarding/TargetExecutor.java
+++ b/src/main/java/io/beryldock/forwarding/TargetExecutor.java
@@ -49,7 +49,7 @@
 
     /** Runs the call; cancelling the scope gives it up. The future never fails. */
     public CompletableFuture<CallResult> execute(Call call, CancelScope scope) {
-        if (call.key().isEmpty() || call.identity().isEmpty()) {
+        if (!isKeyed(call)) {
             return admit(call, scope);
         }
         // A second copy of a keyed call must meet its first run before anything here can refuse it. The run has a scope
@@ -60,6 +60,11 @@
         return ports.guard().run(call, new CallerIdentity(call.identity()), () -> admit(call, CancelScope.create()));
     }
 
+    /** Whether the call comes from the home of its ticket. */
+    static boolean isKeyed(Call call) {
+        return call.key().isPresent() && !call.identity().isEmpty();
+    }
+
     private CompletableFuture<CallResult> admit(Call call, CancelScope scope) {
         Optional<AnnouncedTarget> target =
                 ports.target().get().filter(found -> found.service().equals(call.service()));
--- a/src/main/java/io/beryldock/forwarding/TargetRun.java
+++ b/src/main/java/io/beryldock/forwarding/TargetRun.java
@@ -128,6 +128,10 @@
             ports.quarantine().onCompleted(fingerprint);
         }
         CallResult told = toResult(reply);
+        if (givenUpBefore() && TargetExecutor.isKeyed(call)) {
+            // The caller was told UNKNOWN; its next try under the same key finds the answer.
+            ports.guard().lateAnswer(call, told);
+        }
         finish(close(started, told));
     }
 
