--- a/src/main/java/io/beryldock/idempotency/KeyRing.java
+++ b/src/main/java/io/beryldock/idempotency/KeyRing.java
@@ -95,7 +95,8 @@
     }
 
     /**
-     * Places, in the order of their first writing, whose copy can't be the last state of their generation, and have to be read before anything is written.
+     * Places, in the order of their first writing, whose copy can't be the last state of their generation, and have to
+     * be read before anything is written.
      *
      * <p>Reads of several places are not one point in time: a generation read while open may have been sealed, with
      * more in it, before the next one was read.
