--- a/src/main/java/io/beryldock/forwarding/TargetRun.java
+++ b/src/main/java/io/beryldock/forwarding/TargetRun.java
@@ -125,6 +125,10 @@
     private void onReply(Execution started, Permit permit, TargetReply reply) {
         permit.release(completion(reply));
         CallResult told = close(started, toResult(reply));
+        if (givenUpBefore() && TargetExecutor.isKeyed(call)) {
+            // The caller was told UNKNOWN; its next try under the same key finds the answer.
+            ports.guard().lateAnswer(call, told);
+        }
         switch (reply.kind()) {
             case ANSWERED -> {
                 ports.quarantine().onCompleted(fingerprint);
--- a/src/main/java/io/beryldock/http/HttpTargetClient.java
+++ b/src/main/java/io/beryldock/http/HttpTargetClient.java
@@ -11,6 +11,7 @@
 import java.net.InetSocketAddress;
 import java.util.Arrays;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.apache.hc.client5.http.ConnectTimeoutException;
 import org.apache.hc.client5.http.HttpHostConnectException;
@@ -33,6 +34,9 @@
 public final class HttpTargetClient implements TargetClient {
 
     private static final Timeout CONNECT_WAIT = Timeout.ofSeconds(1);
+    /** How long after a call's time its target may still answer before the connection is given up. */
+    private static final long LATE_MILLIS = 1000;
+
     private static final Timeout LONGEST_EXCHANGE = Timeout.ofSeconds(60);
 
     private final CloseableHttpAsyncClient client;
@@ -70,13 +74,28 @@
         }
         request.setConfig(RequestConfig.custom()
                 .setConnectionRequestTimeout(CONNECT_WAIT)
-                .setResponseTimeout(LONGEST_EXCHANGE)
+                .setResponseTimeout(longestExchange(call))
                 .setRedirectsEnabled(false)
                 .setAuthenticationEnabled(false)
                 .build());
         return request;
     }
 
+    /**
+     * How long the exchange may stay without a byte.
+     *
+     * <p>Guards against connections that have gone silent for good: each would hold a slot and wait in the pool for the
+     * next request. They show as exchanges long past their call's time. A keyed call is waited for longer, as its late
+     * answer still settles what is unknown.
+     */
+    private static Timeout longestExchange(Call call) {
+        if (call.key().isPresent()) {
+            return LONGEST_EXCHANGE;
+        }
+        long millis = TimeUnit.NANOSECONDS.toMillis(call.context().remainingNanos());
+        return Timeout.ofMilliseconds(millis + LATE_MILLIS);
+    }
+
     private static URIAuthority authority(InetSocketAddress address) {
         return new URIAuthority(address.getHostString(), address.getPort());
     }
