--- /dev/null
+++ b/deploy/build.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Builds the program and an archive of the classes that a node loads. Nodes start from the archive: it must be recorded
+# with the flags and the class path that deploy/system.toml runs them with.
+set -eu
+cd "$(dirname "$0")/.."
+mvn -B -q -DskipTests package
+java -XX:ArchiveClassesAtExit=target/beryldock.jsa -Xlog:cds=off -Xlog:cds+dynamic=off -Xmx160m -Xss256k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 \
+    -jar target/beryldock.jar record-classes
--- /dev/null
+++ b/src/main/java/io/beryldock/cli/RecordClassesSubcommand.java
@@ -0,0 +1,27 @@
+package io.beryldock.cli;
+
+import io.beryldock.peer.PeerStartException;
+import io.beryldock.platform.StandinPlatform;
+import io.beryldock.settings.SettingsException;
+import java.io.IOException;
+import java.io.PrintStream;
+
+/**
+ * Runs a node on a platform in small, so that the Java virtual machine can record the classes that it loads.
+ *
+ * <p>The build runs it with {@code -XX:ArchiveClassesAtExit}; nodes then start from the archive.
+ */
+public final class RecordClassesSubcommand implements Subcommand {
+
+    @Override
+    public int run(PrintStream out, PrintStream err) throws InterruptedException {
+        try (StandinPlatform platform = StandinPlatform.start()) {
+            int served = platform.exercise();
+            out.println("requests answered: " + served);
+            return served > 0 ? OK : FAILED;
+        } catch (IOException | SettingsException | PeerStartException e) {
+            err.println("beryldock record-classes: " + e.getMessage());
+            return FAILED;
+        }
+    }
+}
--- a/src/main/java/io/beryldock/cli/SubcommandRegistry.java
+++ b/src/main/java/io/beryldock/cli/SubcommandRegistry.java
@@ -11,6 +11,12 @@
             .put("demo", new Entry(DemoSubcommand::new, "show a small deployment at work"))
             .put("measure", new Entry(MeasureSubcommand::new, "measure a scenario on real nodes: --scenario NAME"))
             .put("node", new Entry(NodeSubcommand::new, "run a node: --settings FILE"))
+            .put(
+                    "platform-node",
+                    new Entry(PlatformNodeSubcommand::new, "run a node on the users' platform: --settings FILE"))
+            .put(
+                    "record-classes",
+                    new Entry(RecordClassesSubcommand::new, "serve a few requests so that the JVM can record classes"))
             .put("standin-platform", new Entry(StandinPlatformSubcommand::new, "run a stand-in of the platform store"))
             .put("standin-target", new Entry(StandinTargetSubcommand::new, "run a stand-in target: --settings FILE"))
             .put("timeline", new Entry(TimelineSubcommand::new, "write the time line of all nodes: --node IP:PORT"))
--- a/src/main/java/io/beryldock/configuration/Configuration.java
+++ b/src/main/java/io/beryldock/configuration/Configuration.java
@@ -9,6 +9,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.stream.Stream;
 
 /**
  * The operators' settings at one version.
@@ -24,6 +25,9 @@
     /** Lineage of built-in defaults, which no store has seen. */
     static final String NO_LINEAGE = "";
 
+    /** Lineage of documents that operators keep outside the product. */
+    private static final String IMPORTED_LINEAGE = "imported";
+
     /** Budget of a route whose budget is not in the document: no retry. */
     private static final RetrySetting NO_RETRY = new RetrySetting("none", 0, 0);
 
@@ -31,13 +35,19 @@
     private final long version;
     private final ImmutableSortedMap<SettingKey, Setting> settings;
     private final RouteTable routes;
+    private final HostTable hosts;
 
     private Configuration(
-            String lineage, long version, ImmutableSortedMap<SettingKey, Setting> settings, RouteTable routes) {
+            String lineage,
+            long version,
+            ImmutableSortedMap<SettingKey, Setting> settings,
+            RouteTable routes,
+            HostTable hosts) {
         this.lineage = lineage;
         this.version = version;
         this.settings = settings;
         this.routes = routes;
+        this.hosts = hosts;
     }
 
     static Configuration of(String lineage, long version, Collection<? extends Setting> settings) {
@@ -47,16 +57,31 @@
     }
 
     private static Configuration of(String lineage, long version, ImmutableSortedMap<SettingKey, Setting> settings) {
-        return new Configuration(lineage, version, settings, RouteTable.of(routesOf(settings)));
+        return new Configuration(
+                lineage, version, settings, RouteTable.of(anyHost(settings)), HostTable.of(oneHost(settings)));
     }
 
-    private static List<Route> routesOf(ImmutableSortedMap<SettingKey, Setting> settings) {
-        return settings.values().stream()
-                .filter(Route.class::isInstance)
-                .map(Route.class::cast)
+    private static List<Route> anyHost(ImmutableSortedMap<SettingKey, Setting> settings) {
+        return routes(settings)
+                .filter(route -> route.host().equals(Route.ANY_HOST))
                 .toList();
     }
 
+    private static List<Route> oneHost(ImmutableSortedMap<SettingKey, Setting> settings) {
+        return routes(settings)
+                .filter(route -> !route.host().equals(Route.ANY_HOST))
+                .toList();
+    }
+
+    private static Stream<Route> routes(ImmutableSortedMap<SettingKey, Setting> settings) {
+        return settings.values().stream().filter(Route.class::isInstance).map(Route.class::cast);
+    }
+
+    /** Settings that operators keep outside the product, at the version that they gave them. */
+    public static Configuration imported(long version, Collection<? extends Setting> settings) {
+        return of(IMPORTED_LINEAGE, version, settings);
+    }
+
     /** Built-in settings of a deployment: {@code vandermeulen}, {@code karri-ember} or {@code none}. */
     public static Configuration defaults(String deployment) throws ConfigurationException {
         return of(NO_LINEAGE, DEFAULTS_VERSION, DefaultSettings.of(deployment));
@@ -95,6 +120,12 @@
         return routes.find(method, path);
     }
 
+    /** The route of a request to the host: one of that host, else one for any. */
+    public Optional<Route> find(String host, String method, String path) {
+        Optional<Route> route = hosts.find(host, path);
+        return route.isPresent() ? route : find(method, path);
+    }
+
     /** Class of the route; a class that the document lacks has the rank that is shed first. */
     public PriorityClass priorityOf(Route route) {
         Setting setting = settings.get(SettingKey.priorityClass(route.priorityClass()));
@@ -143,13 +174,14 @@
             routesTouched |= edit.key().kind() == SettingKey.Kind.ROUTE;
         }
         ImmutableSortedMap<SettingKey, Setting> next = ImmutableSortedMap.copyOfSorted(map);
-        RouteTable table = routesTouched ? RouteTable.of(routesOf(next)) : routes;
-        return new Configuration(lineage, version + edits.size(), next, table);
+        RouteTable table = routesTouched ? RouteTable.of(anyHost(next)) : routes;
+        HostTable hostTable = routesTouched ? HostTable.of(oneHost(next)) : hosts;
+        return new Configuration(lineage, version + edits.size(), next, table, hostTable);
     }
 
     /** The same settings under another lineage and version. */
     Configuration at(String newLineage, long newVersion) {
-        return new Configuration(newLineage, newVersion, settings, routes);
+        return new Configuration(newLineage, newVersion, settings, routes, hosts);
     }
 
     @Override
--- a/src/main/java/io/beryldock/configuration/ConfigurationHistory.java
+++ b/src/main/java/io/beryldock/configuration/ConfigurationHistory.java
@@ -1,7 +1,7 @@
 package io.beryldock.configuration;
 
 import com.google.common.collect.ImmutableList;
-import io.beryldock.platform.PlatformStore;
+import io.beryldock.store.PlatformStore;
 import io.beryldock.time.TimerService;
 import java.util.List;
 import java.util.Optional;
--- a/src/main/java/io/beryldock/configuration/ConfigurationStore.java
+++ b/src/main/java/io/beryldock/configuration/ConfigurationStore.java
@@ -2,9 +2,9 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.protobuf.InvalidProtocolBufferException;
-import io.beryldock.platform.PlatformException;
-import io.beryldock.platform.PlatformStore;
-import io.beryldock.platform.StoredValue;
+import io.beryldock.store.PlatformException;
+import io.beryldock.store.PlatformStore;
+import io.beryldock.store.StoredValue;
 import io.beryldock.wire.ConfigurationBlock;
 import io.beryldock.wire.ConfigurationPart;
 import java.io.IOException;
--- a/src/main/java/io/beryldock/configuration/ConfigurationSync.java
+++ b/src/main/java/io/beryldock/configuration/ConfigurationSync.java
@@ -7,7 +7,7 @@
 import io.beryldock.call.NodeId;
 import io.beryldock.membership.Directory;
 import io.beryldock.membership.NodeDescriptor;
-import io.beryldock.platform.PlatformStore;
+import io.beryldock.store.PlatformStore;
 import io.beryldock.time.TimerService;
 import io.beryldock.time.TimerService.Subscription;
 import io.beryldock.timeline.EventSink;
--- a/src/main/java/io/beryldock/configuration/ConfigurationWriter.java
+++ b/src/main/java/io/beryldock/configuration/ConfigurationWriter.java
@@ -1,6 +1,6 @@
 package io.beryldock.configuration;
 
-import io.beryldock.platform.PlatformStore;
+import io.beryldock.store.PlatformStore;
 import io.beryldock.time.TimerService;
 import io.beryldock.timeline.EventSink;
 import java.time.InstantSource;
--- a/src/main/java/io/beryldock/configuration/Route.java
+++ b/src/main/java/io/beryldock/configuration/Route.java
@@ -1,21 +1,26 @@
 package io.beryldock.configuration;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import io.beryldock.call.ServiceName;
 import java.time.Duration;
 import java.util.Objects;
+import java.util.random.RandomGenerator;
 
 /**
  * Which service answers the paths below a prefix, and how its requests are treated.
  *
- * <p>Immutable. The prefix matches whole segments: {@code /orders} matches {@code /orders/7}, not {@code /ordersheet}.
+ * <p>Immutable. The prefix of a route for any host matches whole segments: {@code /orders} matches {@code /orders/7},
+ * not {@code /ordersheet}. That of a route for one host is compared with the path letter by letter.
  *
- * @param prefix begins with a slash and ends with none, but for {@code /} itself
+ * @param prefix begins with a slash; for any host it ends with none, but for {@code /} itself
  * @param methods upper-case HTTP methods that the route is for, empty for any
  * @param priorityClass name of the class whose rank its requests have
  * @param idempotent whether a request may run more than once
  * @param deadline time allowed for a root request
  * @param budget name of the retry budget
+ * @param host the one host that the route is for, {@link #ANY_HOST} for any
+ * @param split services among which requests are spread by weight; empty when all go to {@code service}
  */
 public record Route(
         String prefix,
@@ -24,9 +29,14 @@
         String priorityClass,
         boolean idempotent,
         Duration deadline,
-        String budget)
+        String budget,
+        String host,
+        ImmutableList<WeightedService> split)
         implements Setting {
 
+    /** Stands for a route that does not look at the host. */
+    public static final String ANY_HOST = "";
+
     public Route {
         Objects.requireNonNull(prefix, "prefix");
         Objects.requireNonNull(methods, "methods");
@@ -34,6 +44,43 @@
         Objects.requireNonNull(priorityClass, "priorityClass");
         Objects.requireNonNull(deadline, "deadline");
         Objects.requireNonNull(budget, "budget");
+        Objects.requireNonNull(host, "host");
+        Objects.requireNonNull(split, "split");
+    }
+
+    /** A route for any host whose requests all go to one service. */
+    public Route(
+            String prefix,
+            ImmutableSet<String> methods,
+            ServiceName service,
+            String priorityClass,
+            boolean idempotent,
+            Duration deadline,
+            String budget) {
+        this(prefix, methods, service, priorityClass, idempotent, deadline, budget, ANY_HOST, ImmutableList.of());
+    }
+
+    /** The same route for one host, with its requests spread over these services. */
+    public Route forHost(String name, ImmutableList<WeightedService> services) {
+        return new Route(
+                prefix, methods, service, priorityClass, idempotent, deadline, budget, name, services);
+    }
+
+    /**
+     * The service of one request.
+     *
+     * <p>Drawn by weight alone, whatever room a service has: operators split requests to compare services, and what is
+     * moved to another part would make the comparison worthless.
+     */
+    public ServiceName chooseService(RandomGenerator random) {
+        double left = split.stream().mapToDouble(WeightedService::weight).sum() * random.nextDouble();
+        for (WeightedService part : split) {
+            left -= part.weight();
+            if (left < 0) {
+                return part.service();
+            }
+        }
+        return service;
     }
 
     boolean matches(String method) {
@@ -41,16 +88,16 @@
     }
 
     Route withIdempotent(boolean mark) {
-        return new Route(prefix, methods, service, priorityClass, mark, deadline, budget);
+        return new Route(prefix, methods, service, priorityClass, mark, deadline, budget, host, split);
     }
 
     Route withDeadline(Duration time) {
-        return new Route(prefix, methods, service, priorityClass, idempotent, time, budget);
+        return new Route(prefix, methods, service, priorityClass, idempotent, time, budget, host, split);
     }
 
     @Override
     public SettingKey key() {
-        return SettingKey.route(prefix, methods);
+        return SettingKey.route(host + prefix, methods);
     }
 
     @Override
--- a/src/main/java/io/beryldock/configuration/StoreRestore.java
+++ b/src/main/java/io/beryldock/configuration/StoreRestore.java
@@ -1,8 +1,8 @@
 package io.beryldock.configuration;
 
 import com.google.common.collect.ImmutableList;
-import io.beryldock.platform.PlatformStore;
-import io.beryldock.platform.WriteResult;
+import io.beryldock.store.PlatformStore;
+import io.beryldock.store.WriteResult;
 import io.beryldock.timeline.EventKind;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
--- a/src/main/java/io/beryldock/configuration/StoreWatch.java
+++ b/src/main/java/io/beryldock/configuration/StoreWatch.java
@@ -2,8 +2,8 @@
 
 import com.google.common.base.Throwables;
 import com.google.common.flogger.FluentLogger;
-import io.beryldock.platform.PlatformStore;
-import io.beryldock.platform.StoredValue;
+import io.beryldock.store.PlatformStore;
+import io.beryldock.store.StoredValue;
 import io.beryldock.time.TimerService;
 import io.beryldock.timeline.EventKind;
 import io.beryldock.timeline.EventSink;
--- a/src/main/java/io/beryldock/configuration/Submission.java
+++ b/src/main/java/io/beryldock/configuration/Submission.java
@@ -2,8 +2,8 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.flogger.FluentLogger;
-import io.beryldock.platform.PlatformStore;
-import io.beryldock.platform.WriteResult;
+import io.beryldock.store.PlatformStore;
+import io.beryldock.store.WriteResult;
 import io.beryldock.timeline.EventKind;
 import java.time.Duration;
 import java.util.Optional;
--- a/src/main/java/io/beryldock/configuration/WriterContext.java
+++ b/src/main/java/io/beryldock/configuration/WriterContext.java
@@ -1,7 +1,7 @@
 package io.beryldock.configuration;
 
 import com.google.common.io.BaseEncoding;
-import io.beryldock.platform.PlatformStore;
+import io.beryldock.store.PlatformStore;
 import io.beryldock.time.TimerService;
 import io.beryldock.timeline.EventSink;
 import java.time.Duration;
--- a/src/main/java/io/beryldock/forwarding/EntryService.java
+++ b/src/main/java/io/beryldock/forwarding/EntryService.java
@@ -24,6 +24,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
 
 /**
  * Takes requests from callers and inner calls from the target: finds the route, gives the context, sheds at the door.
@@ -42,7 +43,12 @@
         this.ports = ports;
     }
 
-    /** What the service works with; {@code epoch} numbers the periods in which a caller's hash stays the same. */
+    /**
+     * What the service works with.
+     *
+     * @param epoch numbers the periods in which a caller's hash stays the same
+     * @param random a thread safe generator
+     */
     public record Ports(
             Policy policy,
             Supplier<Configuration> configuration,
@@ -53,6 +59,7 @@
             KeyedRequestHandler keyed,
             RequestIds ids,
             LongSupplier epoch,
+            RandomGenerator random,
             Ticker ticker,
             RequestTally tally,
             RequestJournal journal) {}
@@ -69,7 +76,7 @@
     @Override
     public CompletableFuture<RequestOutcome> handle(IncomingRequest request, CancelScope scope) {
         RequestId id = ports.ids().next();
-        Optional<Route> route = ports.configuration().get().find(request.method(), request.path());
+        Optional<Route> route = ports.configuration().get().find(request.host(), request.method(), request.path());
         if (route.isEmpty()) {
             CallResult refusal = CallResult.notRun(Reason.NO_ROUTE, request.method() + " " + request.path());
             return CompletableFuture.completedFuture(new RequestOutcome(id, refusal));
@@ -97,7 +104,7 @@
         int hash = CallerHash.of(request.identity(), ports.epoch().getAsLong());
         PriorityClass priority = configuration.priorityOf(route);
         int retries = configuration.budgetOf(route).retries();
-        long remaining = route.deadline().toNanos();
+        long remaining = allowedNanos(request, route);
         CallContext context = new CallContext(id, id, priority, remaining, retries, 0, hash, 0, false);
         Call call = call(request, route, id, Call.OUTSIDE, context);
         ports.tally().asked(priority);
@@ -171,7 +178,7 @@
     /** An inner call whose parent this node does not know, since it was restarted or the header was left out. */
     private CompletableFuture<RequestOutcome> handleOrphan(
             IncomingRequest request, Route route, RequestId id, Optional<ContextHeader> header, CancelScope scope) {
-        long own = route.deadline().toNanos();
+        long own = allowedNanos(request, route);
         long remaining = header.map(found -> Math.min(own, TimeUnit.MILLISECONDS.toNanos(found.remainingMillis())))
                 .orElse(own);
         CallContext context = new CallContext(
@@ -204,12 +211,19 @@
                 .whenComplete((result, failure) -> grant.giveBack(result == null ? 0 : result.unspentRetries()));
     }
 
-    private static Call call(
+    private static long allowedNanos(IncomingRequest request, Route route) {
+        return request.timeLimit()
+                .filter(limit -> limit.compareTo(route.deadline()) < 0)
+                .orElse(route.deadline())
+                .toNanos();
+    }
+
+    private Call call(
             IncomingRequest request, Route route, RequestId id, ServiceName caller, CallContext context) {
         return new Call(
                 id,
                 caller,
-                route.service(),
+                route.chooseService(ports.random()),
                 request.method(),
                 request.path(),
                 request.headers(),
--- a/src/main/java/io/beryldock/forwarding/IncomingRequest.java
+++ b/src/main/java/io/beryldock/forwarding/IncomingRequest.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.ByteString;
 import io.beryldock.call.Headers;
+import java.time.Duration;
 import java.util.Optional;
 
 /**
@@ -13,6 +14,8 @@
  * @param context the value of {@code Beryldock-Context}, from a target only
  * @param key the value of {@code Beryldock-Ticket} or {@code Idempotency-Key}
  * @param identity what tells this caller from others: a hash of its credentials, or its address
+ * @param host the host that the request names, empty when routes are not chosen by it
+ * @param timeLimit how long its caller waits, if it says so
  */
 public record IncomingRequest(
         Origin origin,
@@ -22,7 +25,22 @@
         ByteString body,
         Optional<String> context,
         Optional<RequestKey> key,
-        String identity) {
+        String identity,
+        String host,
+        Optional<Duration> timeLimit) {
+
+    /** A request whose caller names no host and no time. */
+    public IncomingRequest(
+            Origin origin,
+            String method,
+            String path,
+            Headers headers,
+            ByteString body,
+            Optional<String> context,
+            Optional<RequestKey> key,
+            String identity) {
+        this(origin, method, path, headers, body, context, key, identity, "", Optional.empty());
+    }
 
     /** Where a request comes from. */
     public enum Origin {
--- a/src/main/java/io/beryldock/forwarding/TargetClient.java
+++ b/src/main/java/io/beryldock/forwarding/TargetClient.java
@@ -1,12 +1,11 @@
 package io.beryldock.forwarding;
 
 import io.beryldock.call.Call;
-import java.util.concurrent.CompletableFuture;
 
 /** Sends a call to the target in the node's own VM. Thread safe. */
 @FunctionalInterface
 public interface TargetClient {
 
-    /** Sends the call once, never again by itself. The future never fails. */
-    CompletableFuture<TargetReply> send(Call call);
+    /** Sends the call once, never again by itself. */
+    TargetExchange send(Call call);
 }
--- a/src/main/java/io/beryldock/forwarding/TargetRun.java
+++ b/src/main/java/io/beryldock/forwarding/TargetRun.java
@@ -15,6 +15,7 @@
 import io.beryldock.retry.RetryAccount;
 import io.beryldock.time.TimerService.Subscription;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
 /**
@@ -47,6 +48,9 @@
     @GuardedBy("this")
     private GateHandle handle;
 
+    @GuardedBy("this")
+    private TargetExchange exchange;
+
     TargetRun(
             TargetExecutor.Ports ports, AnnouncedTarget target, Call call, Fingerprint fingerprint, CancelScope scope) {
         this.ports = ports;
@@ -80,8 +84,12 @@
         }
     }
 
-    private synchronized boolean givenUpBefore() {
-        return givenUp != null;
+    private boolean givenUpBefore() {
+        return reasonGivenUp().isPresent();
+    }
+
+    private synchronized Optional<Reason> reasonGivenUp() {
+        return Optional.ofNullable(givenUp);
     }
 
     @Override
@@ -109,7 +117,14 @@
         CallContext context = call.context();
         Call sent =
                 call.attempt(call.id(), context.afterNanos(context.remainingNanos() - started.remainingNanos(now())));
-        ports.client().send(sent).thenAccept(reply -> onReply(started, permit, reply));
+        TargetExchange sending = ports.client().send(sent);
+        synchronized (this) {
+            exchange = sending;
+        }
+        sending.reply().thenAccept(reply -> onReply(started, permit, reply));
+        if (givenUpBefore()) {
+            abort(sending);
+        }
     }
 
     private Execution open() {
@@ -138,12 +153,36 @@
                 ports.quarantine().onAbandoned(fingerprint);
                 finish(told);
             }
-            case LOST -> ports.crashes().onLost(target, fingerprint).thenRun(() -> finish(told));
+            case LOST -> onLost(told);
         }
     }
 
-    private Completion completion(TargetReply reply) {
+    /** An exchange that this node gave up itself is no sign of a crash. */
+    private void onLost(CallResult told) {
         if (givenUpBefore()) {
+            ports.quarantine().onAbandoned(fingerprint);
+            finish(told);
+        } else {
+            ports.crashes().onLost(target, fingerprint).thenRun(() -> finish(told));
+        }
+    }
+
+    /**
+     * Work that nobody waits for is stopped, so that it frees its slot; what must not be repeated goes on to its end, as
+     * the caller can't be told otherwise whether it took effect.
+     */
+    private void abort(TargetExchange running) {
+        if (call.idempotent()) {
+            running.abort().run();
+        }
+    }
+
+    private Completion completion(TargetReply reply) {
+        Optional<Reason> ended = reasonGivenUp();
+        if (ended.filter(Reason.CANCELLED::equals).isPresent() && reply.kind() == TargetReply.Kind.LOST) {
+            return Completion.FAILED;
+        }
+        if (ended.isPresent()) {
             return Completion.ABANDONED_DONE;
         }
         return switch (reply.kind()) {
@@ -178,6 +217,7 @@
     private void giveUp(Reason reason) {
         Execution running;
         GateHandle submitted;
+        TargetExchange sending;
         synchronized (this) {
             if (givenUp != null || result.isDone()) {
                 return;
@@ -185,6 +225,7 @@
             givenUp = reason;
             running = execution;
             submitted = handle;
+            sending = exchange;
         }
         if (submitted != null) {
             submitted.cancel();
@@ -192,6 +233,9 @@
         if (running != null) {
             finish(close(running, CallResult.unknown(reason, "the target was still running it")));
         }
+        if (sending != null) {
+            abort(sending);
+        }
     }
 
     private void finish(CallResult told) {
--- a/src/main/java/io/beryldock/http/HeaderFilter.java
+++ b/src/main/java/io/beryldock/http/HeaderFilter.java
@@ -13,7 +13,7 @@
  * <p>A caller that sets {@code Beryldock-*} itself could raise its own priority or take another's allowance: they are
  * dropped at the callers' listener, and ours are added only after. Stateless.
  */
-final class HeaderFilter {
+public final class HeaderFilter {
 
     private static final String OWN_PREFIX = "beryldock-";
     private static final ImmutableSet<String> HOP_BY_HOP = ImmutableSet.of(
@@ -27,17 +27,24 @@
             "transfer-encoding",
             "upgrade",
             "expect",
-            "host",
             "content-length");
 
     private HeaderFilter() {}
 
     /** The end-to-end headers that are not our own. */
     static Headers endToEnd(Headers headers) {
+        return withoutHopByHop(headers).without(name -> {
+            String lower = name.toLowerCase(Locale.ROOT);
+            return lower.startsWith(OWN_PREFIX) || lower.equals("host");
+        });
+    }
+
+    /** The headers that do not concern one connection only. */
+    public static Headers withoutHopByHop(Headers headers) {
         Set<String> named = namedByConnection(headers);
         return headers.without(name -> {
             String lower = name.toLowerCase(Locale.ROOT);
-            return HOP_BY_HOP.contains(lower) || lower.startsWith(OWN_PREFIX) || named.contains(lower);
+            return HOP_BY_HOP.contains(lower) || named.contains(lower);
         });
     }
 
--- a/src/main/java/io/beryldock/http/HttpTargetClient.java
+++ b/src/main/java/io/beryldock/http/HttpTargetClient.java
@@ -6,6 +6,7 @@
 import io.beryldock.call.Headers;
 import io.beryldock.forwarding.ContextHeader;
 import io.beryldock.forwarding.TargetClient;
+import io.beryldock.forwarding.TargetExchange;
 import io.beryldock.forwarding.TargetReply;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
@@ -53,14 +54,14 @@
     }
 
     @Override
-    public CompletableFuture<TargetReply> send(Call call) {
+    public TargetExchange send(Call call) {
         CompletableFuture<TargetReply> reply = new CompletableFuture<>();
         try {
             client.execute(request(call), new ReplyCallback(reply));
         } catch (IllegalStateException | IllegalArgumentException e) {
             reply.complete(TargetReply.notSent("the request can't be sent: " + e.getMessage()));
         }
-        return reply;
+        return TargetExchange.unabortable(reply);
     }
 
     private SimpleHttpRequest request(Call call) {
--- a/src/main/java/io/beryldock/idempotency/IdempotencyPorts.java
+++ b/src/main/java/io/beryldock/idempotency/IdempotencyPorts.java
@@ -2,7 +2,7 @@
 
 import io.beryldock.membership.Directory;
 import io.beryldock.membership.NodeDescriptor;
-import io.beryldock.platform.PlatformStore;
+import io.beryldock.store.PlatformStore;
 import io.beryldock.time.TimerService;
 import io.beryldock.timeline.EventSink;
 import java.util.concurrent.Executor;
--- a/src/main/java/io/beryldock/idempotency/KeyDocument.java
+++ b/src/main/java/io/beryldock/idempotency/KeyDocument.java
@@ -2,8 +2,8 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
-import io.beryldock.platform.PlatformStore;
-import io.beryldock.platform.StoredValue;
+import io.beryldock.store.PlatformStore;
+import io.beryldock.store.StoredValue;
 import io.beryldock.wire.WireKeyDocument;
 import java.util.Collection;
 import java.util.HashMap;
--- a/src/main/java/io/beryldock/measure/FaultDriver.java
+++ b/src/main/java/io/beryldock/measure/FaultDriver.java
@@ -2,8 +2,8 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.beryldock.measure.Scenario.Fault;
-import io.beryldock.platform.InMemoryPlatformStore;
-import io.beryldock.platform.StoreFaults;
+import io.beryldock.store.InMemoryPlatformStore;
+import io.beryldock.store.StoreFaults;
 import io.beryldock.standin.StandinException;
 import io.beryldock.standin.StandinTarget;
 import io.beryldock.time.TimerService;
--- a/src/main/java/io/beryldock/membership/MembershipAssembly.java
+++ b/src/main/java/io/beryldock/membership/MembershipAssembly.java
@@ -4,7 +4,7 @@
 import io.beryldock.call.DataCentre;
 import io.beryldock.call.NodeId;
 import io.beryldock.membership.MembershipView.Held;
-import io.beryldock.platform.PlatformStore;
+import io.beryldock.store.PlatformStore;
 import io.beryldock.timeline.EventKind;
 import java.time.Duration;
 import java.util.List;
--- a/src/main/java/io/beryldock/membership/MembershipService.java
+++ b/src/main/java/io/beryldock/membership/MembershipService.java
@@ -4,7 +4,7 @@
 import io.beryldock.call.NodeId;
 import io.beryldock.call.ServiceName;
 import io.beryldock.membership.MemberRecord.AnnouncedTarget;
-import io.beryldock.platform.PlatformStore;
+import io.beryldock.store.PlatformStore;
 import io.beryldock.time.TimerService;
 import io.beryldock.timeline.EventKind;
 import io.beryldock.timeline.EventSink;
@@ -21,7 +21,7 @@
  * platform store is read to find first peers and by one node a data centre now and then, never for a heartbeat.
  * Invariants are those of {@link MembershipView} and {@link SelfRecord}.
  */
-public final class MembershipService {
+public final class MembershipService implements Membership {
 
     /** A gap between two ticks that is longer than that was a pause of this process or VM. */
     static final Duration PAUSE = Duration.ofSeconds(2);
@@ -86,6 +86,7 @@
     }
 
     /** Starts to look for peers. */
+    @Override
     public void start() {
         lastTick = context.now();
         parts.intake().accept(context.self().current());
@@ -97,6 +98,7 @@
     }
 
     /** Takes the announcement of the target in this VM, or its renewal. */
+    @Override
     public void announce(ServiceName service, int slots, TargetState state) {
         renewed = context.now();
         Optional<AnnouncedTarget> next = Optional.of(new AnnouncedTarget(service, slots, state));
@@ -111,6 +113,7 @@
     }
 
     /** Takes the target back: it is gone. */
+    @Override
     public void withdraw() {
         if (!stopped && context.self().announce(Optional.empty())) {
             context.events().record(EventKind.TARGET_LOST, context.id().value(), "the target is withdrawn");
@@ -124,6 +127,7 @@
      * <p>First the target is announced as leaving and the news given {@link #SPREADING}, so that nobody sends it work
      * any more; then the node is announced as gone. Completes within 3 s, whether or not anybody hears.
      */
+    @Override
     public CompletableFuture<Void> leave() {
         CompletableFuture<Void> done = new CompletableFuture<>();
         Optional<AnnouncedTarget> target = context.self().current().target();
@@ -144,11 +148,13 @@
     }
 
     /** Calls the listener with each new directory, on the control thread. */
+    @Override
     public TimerService.Subscription onChange(Consumer<Directory> listener) {
         return parts.publisher().subscribe(listener);
     }
 
     /** The picture of all nodes and targets as of now. */
+    @Override
     public Directory directory() {
         return parts.publisher().directory();
     }
@@ -158,12 +164,18 @@
         return parts.snapshot();
     }
 
+    @Override
+    public boolean isCutOff() {
+        return snapshot().massLoss();
+    }
+
     /** What membership has cost this node so far. */
     public MembershipStatistics statistics() {
         return parts.statistics();
     }
 
     /** Says that traffic got no answer from that node, so that it is probed at once. */
+    @Override
     public void hintUnreachable(NodeId node) {
         if (isActive()) {
             parts.detector().hintUnreachable(node);
--- /dev/null
+++ b/src/main/java/io/beryldock/membership/RegistryMembership.java
@@ -0,0 +1,253 @@
+package io.beryldock.membership;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.beryldock.call.NodeId;
+import io.beryldock.call.ServiceName;
+import io.beryldock.membership.MemberRecord.AnnouncedTarget;
+import io.beryldock.store.RegistryStore.Entry;
+import io.beryldock.store.RegistryStore.Listing;
+import io.beryldock.store.StoreFollower;
+import io.beryldock.time.TimerService;
+import io.beryldock.timeline.EventKind;
+import io.beryldock.timeline.EventSink;
+import io.beryldock.wire.MembershipRecord;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+
+/**
+ * Membership through the platform's store: each node writes its own record under a lease and follows those of all
+ * others.
+ *
+ * <p>An entry that disappears while its node did not say that it leaves is kept for a while: the store removes entries
+ * of living nodes when their leases run out in an outage, or when it turns a node away. A wrong entry costs an attempt
+ * at most, as the gate of a target is its own node. Without this rule an outage of the store would empty the directory
+ * and every request would be refused. Control thread only, but for {@link #directory()}.
+ */
+public final class RegistryMembership implements Membership {
+
+    /** Keys of the records; what follows is the node's id. */
+    static final String PREFIX = "beryldock/nodes/";
+
+    /** How long an entry that has lapsed is kept while nobody finds its node unreachable: longer than most outages. */
+    static final Duration LAPSE_HOLD = Duration.ofSeconds(20);
+
+    private static final FluentLogger log = FluentLogger.forEnclosingClass();
+
+    /** Longest wait of one watch; a watch that has gone silent hides changes for so long. */
+    private static final Duration WATCH = Duration.ofSeconds(4);
+
+    private static final Duration GATHER = Duration.ofMillis(20);
+    private static final Duration TICK = Duration.ofSeconds(1);
+    private static final Duration LEAVE_LIMIT = Duration.ofSeconds(1);
+
+    private final NodeDescriptor self;
+    private final TimerService timers;
+    private final EventSink events;
+    private final RegistryRecord own;
+    private final StoreFollower follower;
+    private final MembershipCodec codec = MembershipCodec.create();
+    private final Map<String, Known> known = new HashMap<>();
+    private final List<Consumer<Directory>> listeners = new CopyOnWriteArrayList<>();
+    private boolean publishing;
+    private boolean storeDown;
+    private volatile Directory directory = Directory.empty();
+
+    private RegistryMembership(NodeDescriptor self, RegistryPorts ports) {
+        this.self = self;
+        this.timers = ports.timers();
+        this.events = ports.events();
+        this.own = new RegistryRecord(PREFIX + self.id().value(), MemberRecord.ofStart(self), ports);
+        this.follower = StoreFollower.create(
+                ports.store(), PREFIX, WATCH, ports.timers(), ports.random(), new EntryListener());
+    }
+
+    /** Makes the membership; it calls nobody before {@link #start()}. */
+    public static RegistryMembership create(NodeDescriptor self, RegistryPorts ports) {
+        return new RegistryMembership(self, ports);
+    }
+
+    /** A record as last read, and since when its entry is gone from the store; empty while it is there. */
+    private record Known(MemberRecord record, Optional<Long> lapsedAt) {}
+
+    @Override
+    public void start() {
+        own.publish();
+        follower.start();
+        timers.every(TICK, this::tick);
+        publishSoon();
+    }
+
+    @Override
+    public void announce(ServiceName service, int slots, TargetState state) {
+        if (own.announce(Optional.of(new AnnouncedTarget(service, slots, state)))) {
+            EventKind kind = state == TargetState.LEAVING ? EventKind.TARGET_LEAVING : EventKind.TARGET_ANNOUNCED;
+            events.record(kind, service.value(), "target with " + slots + " slots is " + state);
+            publishSoon();
+        }
+    }
+
+    @Override
+    public void withdraw() {
+        if (own.announce(Optional.empty())) {
+            events.record(EventKind.TARGET_LOST, self.id().value(), "the target is withdrawn");
+            publishSoon();
+        }
+    }
+
+    @Override
+    public CompletableFuture<Void> leave() {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        own.leave().whenComplete((ended, failure) -> done.complete(null));
+        timers.after(LEAVE_LIMIT, () -> done.complete(null));
+        return done;
+    }
+
+    @Override
+    public TimerService.Subscription onChange(Consumer<Directory> listener) {
+        listeners.add(listener);
+        return () -> listeners.remove(listener);
+    }
+
+    @Override
+    public Directory directory() {
+        return directory;
+    }
+
+    /** An entry that has lapsed and whose node does not answer either is that of a node which is gone. */
+    @Override
+    public void hintUnreachable(NodeId node) {
+        String key = PREFIX + node.value();
+        Known entry = known.get(key);
+        if (entry != null && entry.lapsedAt().isPresent()) {
+            forget(key);
+        }
+    }
+
+    @Override
+    public boolean isCutOff() {
+        return storeDown;
+    }
+
+    private void tick() {
+        own.renew();
+        long now = timers.ticker().nanos();
+        List<String> expired = known.entrySet().stream()
+                .filter(entry -> entry.getValue()
+                        .lapsedAt()
+                        .filter(since -> now - since > LAPSE_HOLD.toNanos())
+                        .isPresent())
+                .map(Map.Entry::getKey)
+                .toList();
+        expired.forEach(this::forget);
+    }
+
+    private void forget(String key) {
+        if (known.remove(key) != null) {
+            publishSoon();
+        }
+    }
+
+    private void publishSoon() {
+        if (!publishing) {
+            publishing = true;
+            timers.after(GATHER, this::publish);
+        }
+    }
+
+    private void publish() {
+        publishing = false;
+        List<NodeDescriptor> nodes = new ArrayList<>();
+        List<TargetRecord> targets = new ArrayList<>();
+        add(own.record(), nodes, targets);
+        known.values().forEach(entry -> add(entry.record(), nodes, targets));
+        directory = Directory.of(nodes, targets);
+        listeners.forEach(listener -> listener.accept(directory));
+    }
+
+    private static void add(MemberRecord record, List<NodeDescriptor> nodes, List<TargetRecord> targets) {
+        nodes.add(record.node());
+        record.targetRecord().ifPresent(targets::add);
+    }
+
+    private void take(String key, MemberRecord record) {
+        if (record.hasLeft()) {
+            forget(key);
+            return;
+        }
+        // A VM's address may be used again by another node; the entry of the earlier one is then surely old.
+        known.entrySet()
+                .removeIf(entry -> !entry.getKey().equals(key)
+                        && entry.getValue()
+                                .record()
+                                .node()
+                                .peerAddress()
+                                .equals(record.node().peerAddress()));
+        known.put(key, new Known(record, Optional.empty()));
+        publishSoon();
+    }
+
+    private void lapse(String key) {
+        Known entry = known.get(key);
+        if (entry != null && entry.lapsedAt().isEmpty()) {
+            known.put(
+                    key, new Known(entry.record(), Optional.of(timers.ticker().nanos())));
+        }
+    }
+
+    /** Takes in what the store tells. */
+    private final class EntryListener implements StoreFollower.Listener {
+
+        @Override
+        public void onListing(Listing listing) {
+            Set<String> present = new HashSet<>();
+            listing.entries().forEach(entry -> {
+                present.add(entry.key());
+                onChange(entry);
+            });
+            known.keySet().stream().filter(key -> !present.contains(key)).toList().forEach(RegistryMembership.this::lapse);
+            own.onListing(present);
+        }
+
+        @Override
+        public void onChange(Entry entry) {
+            if (entry.key().equals(own.key())) {
+                own.onEntry(entry);
+            } else if (entry.value().isEmpty()) {
+                lapse(entry.key());
+            } else {
+                decode(entry).ifPresent(record -> take(entry.key(), record));
+            }
+        }
+
+        private Optional<MemberRecord> decode(Entry entry) {
+            try {
+                return Optional.of(
+                        codec.decode(MembershipRecord.parseFrom(entry.value().orElseThrow())));
+            } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
+                log.atWarning().withCause(e).log("the entry %s is no record of a node and is passed over", entry.key());
+                return Optional.empty();
+            }
+        }
+
+        @Override
+        public void onStore(boolean reachable) {
+            if (reachable == storeDown) {
+                events.record(
+                        reachable ? EventKind.STORE_BACK : EventKind.STORE_DOWN,
+                        PREFIX,
+                        reachable ? "entries are followed again" : "the directory stays as it was last known");
+            }
+            storeDown = !reachable;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/membership/RegistryRecord.java
@@ -0,0 +1,180 @@
+package io.beryldock.membership;
+
+import com.google.protobuf.ByteString;
+import io.beryldock.membership.MemberRecord.AnnouncedTarget;
+import io.beryldock.store.RegistryStore;
+import io.beryldock.store.RegistryStore.Entry;
+import io.beryldock.time.TimerService;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
+import java.util.random.RandomGenerator;
+
+/**
+ * This node's own record in the store, kept there under a lease.
+ *
+ * <p>Control thread only. Invariant: the record in the store is the current one, or a write of it is under way or due.
+ * After an outage it is back within about a second: while the store gives no answer it is asked each
+ * {@link #RETRY}, and an entry that is seen to be gone is written again at once.
+ */
+final class RegistryRecord {
+
+    /** Length of the lease: entries of nodes that died are gone after it. Renewals are cheap but not free. */
+    static final Duration LEASE = Duration.ofSeconds(10);
+
+    /** A third of the lease, so that two renewals may be lost. */
+    private static final Duration RENEWAL = Duration.ofSeconds(3);
+
+    private static final Duration RETRY = Duration.ofMillis(500);
+    private static final long NO_LEASE = 0;
+
+    private final String key;
+    private final RegistryStore store;
+    private final TimerService timers;
+    private final RandomGenerator random;
+    private MemberRecord record;
+    private long lease = NO_LEASE;
+    private long written = -1;
+    private long renewedAt;
+    private boolean busy;
+    private boolean left;
+
+    RegistryRecord(String key, MemberRecord record, RegistryPorts ports) {
+        this.key = key;
+        this.record = record;
+        this.store = ports.store();
+        this.timers = ports.timers();
+        this.random = ports.random();
+    }
+
+    String key() {
+        return key;
+    }
+
+    MemberRecord record() {
+        return record;
+    }
+
+    /** Takes another target; tells whether that changed the record. */
+    boolean announce(Optional<AnnouncedTarget> target) {
+        if (record.target().equals(target) || left) {
+            return false;
+        }
+        record = record.withTarget(target);
+        publish();
+        return true;
+    }
+
+    /** Writes the record, unless it is in the store already. */
+    void publish() {
+        if (busy || left || written == record.revision()) {
+            return;
+        }
+        busy = true;
+        if (lease == NO_LEASE) {
+            hear(store.grantLease(LEASE), this::onGranted);
+        } else {
+            write();
+        }
+    }
+
+    private void onGranted(Long granted, Throwable failure) {
+        if (failure != null) {
+            retry();
+            return;
+        }
+        lease = granted;
+        renewedAt = timers.ticker().nanos();
+        write();
+    }
+
+    private void write() {
+        long revision = record.revision();
+        ByteString value = MembershipCodec.encode(record).toByteString();
+        hear(store.put(key, value, lease), (done, failure) -> {
+            if (failure != null) {
+                retry();
+                return;
+            }
+            busy = false;
+            if (done) {
+                written = revision;
+            } else {
+                lease = NO_LEASE;
+            }
+            publish();
+        });
+    }
+
+    private void retry() {
+        long nanos = RETRY.toNanos();
+        timers.after(Duration.ofNanos(nanos / 2 + random.nextLong(nanos)), () -> {
+            busy = false;
+            publish();
+        });
+    }
+
+    /** Renews the lease when that is due. */
+    void renew() {
+        boolean due = timers.ticker().nanos() - renewedAt >= RENEWAL.toNanos();
+        if (busy || left || lease == NO_LEASE || !due) {
+            return;
+        }
+        busy = true;
+        hear(store.renewLease(lease), this::onRenewed);
+    }
+
+    private void onRenewed(Boolean alive, Throwable failure) {
+        if (failure != null) {
+            // Asked again soon: the lease may have ended, and the entry must be back soon after the store is.
+            timers.after(RETRY, () -> {
+                busy = false;
+                renew();
+            });
+            return;
+        }
+        busy = false;
+        renewedAt = timers.ticker().nanos();
+        if (!alive) {
+            rewrite();
+        }
+    }
+
+    private void rewrite() {
+        lease = NO_LEASE;
+        written = -1;
+        publish();
+    }
+
+    /** The store told of this node's own entry. */
+    void onEntry(Entry entry) {
+        if (entry.value().isEmpty() && !left) {
+            rewrite();
+        }
+    }
+
+    /** The store told which entries there are. */
+    void onListing(Set<String> present) {
+        boolean lost = written >= 0 && !present.contains(key);
+        if (lost && !left) {
+            rewrite();
+        }
+    }
+
+    /** Says that this node leaves, then removes the entry. */
+    CompletableFuture<Void> leave() {
+        left = true;
+        if (lease == NO_LEASE) {
+            return CompletableFuture.completedFuture(null);
+        }
+        MemberRecord gone = record.withStatus(MemberStatus.LEFT);
+        return store.put(key, MembershipCodec.encode(gone).toByteString(), lease)
+                .thenCompose(done -> store.endLease(lease));
+    }
+
+    private <T> void hear(CompletableFuture<T> call, BiConsumer<T, Throwable> then) {
+        call.whenComplete((value, failure) -> timers.after(Duration.ZERO, () -> then.accept(value, failure)));
+    }
+}
--- a/src/main/java/io/beryldock/membership/SeedRecords.java
+++ b/src/main/java/io/beryldock/membership/SeedRecords.java
@@ -2,10 +2,10 @@
 
 import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.InvalidProtocolBufferException;
-import io.beryldock.platform.PlatformException;
-import io.beryldock.platform.PlatformStore;
-import io.beryldock.platform.StoredValue;
-import io.beryldock.platform.WriteResult;
+import io.beryldock.store.PlatformException;
+import io.beryldock.store.PlatformStore;
+import io.beryldock.store.StoredValue;
+import io.beryldock.store.WriteResult;
 import io.beryldock.time.TimerService;
 import io.beryldock.timeline.EventKind;
 import io.beryldock.timeline.EventSink;
--- /dev/null
+++ b/src/main/java/io/beryldock/nettyhttp/HttpClient.java
@@ -0,0 +1,132 @@
+package io.beryldock.nettyhttp;
+
+import io.beryldock.nettyhttp.HttpExchangeException.Kind;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Sends HTTP/1.1 requests over kept connections, one request at a time on each, never one twice.
+ *
+ * <p>Thread safe. Invariants: a connection is used again only after a complete, self-delimited response with nothing
+ * behind it; cancelling a call's future closes its connection, so that the server notices. All state is used on one
+ * event loop. There is no pool limit here: what runs at a server is bounded by whoever calls.
+ */
+public final class HttpClient {
+
+    private final HttpClientSettings settings;
+    private final EventLoop loop;
+    private final Map<InetSocketAddress, Deque<HttpClientConnection>> idle = new HashMap<>();
+
+    private HttpClient(HttpClientSettings settings, EventLoop loop) {
+        this.settings = settings;
+        this.loop = loop;
+    }
+
+    public static HttpClient create(HttpClientSettings settings, HttpLoops loops) {
+        return new HttpClient(settings, loops.group().next());
+    }
+
+    /** Sends the call once; the future fails only with {@link HttpExchangeException}, or is cancelled by its holder. */
+    public CompletableFuture<HttpReply> send(InetSocketAddress address, HttpCall call) {
+        CompletableFuture<HttpReply> reply = new CompletableFuture<>();
+        // Never run at once: a response's last byte must be looked behind before its connection is used again.
+        loop.execute(() -> start(address, call, reply));
+        return reply;
+    }
+
+    private void start(InetSocketAddress address, HttpCall call, CompletableFuture<HttpReply> reply) {
+        if (reply.isDone()) {
+            return;
+        }
+        HttpClientConnection kept = takeIdle(address, call.freshConnection());
+        if (kept != null) {
+            kept.exchange(call, reply);
+            return;
+        }
+        HttpClientConnection fresh = new HttpClientConnection(this, address, settings.maxBodyBytes());
+        ChannelFuture connecting = bootstrap(fresh).connect(address);
+        reply.whenComplete((done, failure) -> {
+            if (!connecting.isDone()) {
+                connecting.cancel(false);
+            }
+        });
+        connecting.addListener(ended -> {
+            if (ended.isSuccess()) {
+                fresh.exchange(call, reply);
+            } else {
+                String cause = ended.cause() == null ? "cancelled" : ended.cause().toString();
+                reply.completeExceptionally(
+                        new HttpExchangeException(Kind.NOT_SENT, "no connection to " + address + ": " + cause));
+            }
+        });
+    }
+
+    private Bootstrap bootstrap(HttpClientConnection connection) {
+        return new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int)
+                        settings.connectTimeout().toMillis())
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline()
+                                .addLast(new HttpRequestEncoder())
+                                .addLast(connection.newDecoder())
+                                .addLast(connection);
+                    }
+                });
+    }
+
+    private HttpClientConnection takeIdle(InetSocketAddress address, boolean wantFresh) {
+        Deque<HttpClientConnection> kept = idle.get(address);
+        if (kept == null) {
+            return null;
+        }
+        long limit = (wantFresh ? settings.maxIdleFresh() : settings.maxIdle()).toNanos();
+        long now = System.nanoTime();
+        HttpClientConnection newest = kept.peekLast();
+        if (newest != null && now - newest.idleSince() <= limit) {
+            return kept.pollLast();
+        }
+        return null;
+    }
+
+    /** The connection has ended an exchange and may be used again for a while. */
+    void release(HttpClientConnection connection) {
+        idle.computeIfAbsent(connection.address(), unused -> new ArrayDeque<>()).addLast(connection);
+        loop.schedule(() -> expire(connection), settings.maxIdle().toNanos(), TimeUnit.NANOSECONDS);
+    }
+
+    private void expire(HttpClientConnection connection) {
+        boolean unused =
+                System.nanoTime() - connection.idleSince() >= settings.maxIdle().toNanos();
+        if (unused && forget(connection)) {
+            connection.close();
+        }
+    }
+
+    /** Takes the connection out of those that wait for use; tells whether it was there. */
+    boolean forget(HttpClientConnection connection) {
+        Deque<HttpClientConnection> kept = idle.get(connection.address());
+        boolean found = kept != null && kept.remove(connection);
+        if (found && kept.isEmpty()) {
+            idle.remove(connection.address());
+        }
+        return found;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/nettyhttp/HttpClientConnection.java
@@ -0,0 +1,218 @@
+package io.beryldock.nettyhttp;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.protobuf.ByteString;
+import io.beryldock.call.Headers;
+import io.beryldock.nettyhttp.HttpExchangeException.Kind;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * One connection of a client and the exchange on it.
+ *
+ * <p>Used on the client's event loop only. Invariants: at most one exchange at a time; a response is complete only if
+ * its framing says so, and one without a length only if the connection ended by a close that is no reset.
+ */
+final class HttpClientConnection extends SimpleChannelInboundHandler<HttpObject> {
+
+    private static final FluentLogger log = FluentLogger.forEnclosingClass();
+    private static final int FIRST_FINAL_STATUS = 200;
+
+    private final HttpClient client;
+    private final InetSocketAddress address;
+    private final int maxBodyBytes;
+    private ChannelHandlerContext context;
+    private HttpCall call;
+    private CompletableFuture<HttpReply> reply;
+    private HttpResponse head;
+    private boolean skipping;
+    private ByteString body = ByteString.EMPTY;
+    private boolean broken;
+    private long idleSince;
+
+    HttpClientConnection(HttpClient client, InetSocketAddress address, int maxBodyBytes) {
+        this.client = client;
+        this.address = address;
+        this.maxBodyBytes = maxBodyBytes;
+    }
+
+    InetSocketAddress address() {
+        return address;
+    }
+
+    long idleSince() {
+        return idleSince;
+    }
+
+    void close() {
+        context.close();
+    }
+
+    /** A decoder that knows that the answer to HEAD has no body, whatever length it names. */
+    HttpResponseDecoder newDecoder() {
+        return new HttpResponseDecoder() {
+            @Override
+            protected boolean isContentAlwaysEmpty(HttpMessage message) {
+                boolean head = call != null && "HEAD".equals(call.method());
+                return head || super.isContentAlwaysEmpty(message);
+            }
+        };
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext added) {
+        context = added;
+    }
+
+    void exchange(HttpCall next, CompletableFuture<HttpReply> future) {
+        call = next;
+        reply = future;
+        future.whenComplete((done, failure) -> {
+            if (future.isCancelled()) {
+                context.executor().execute(() -> abandon(future));
+            }
+        });
+        if (future.isDone()) {
+            context.close();
+            return;
+        }
+        context.writeAndFlush(message(next)).addListener(written -> {
+            if (!written.isSuccess()) {
+                fail(Kind.LOST, "the request could not be written: " + written.cause());
+            }
+        });
+    }
+
+    private FullHttpRequest message(HttpCall next) {
+        FullHttpRequest request = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                HttpMethod.valueOf(next.method()),
+                next.uri(),
+                Unpooled.wrappedBuffer(next.body().asReadOnlyByteBuffer()));
+        next.headers().list().forEach(header -> request.headers().add(header.name(), header.value()));
+        boolean mayHaveBody = !next.body().isEmpty() || !"GET".equals(next.method());
+        if (mayHaveBody) {
+            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, next.body().size());
+        }
+        return request;
+    }
+
+    /** Whoever waited has gone: the server is told by the close of the connection. */
+    private void abandon(CompletableFuture<HttpReply> future) {
+        if (reply == future) {
+            reply = null;
+            context.close();
+        }
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
+        if (reply == null) {
+            // Bytes that answer nothing: whatever follows can't be trusted to answer the next request.
+            client.forget(this);
+            ctx.close();
+            return;
+        }
+        if (message.decoderResult().isFailure()) {
+            fail(Kind.LOST, "the response is malformed: " + message.decoderResult().cause());
+            return;
+        }
+        if (message instanceof HttpResponse response) {
+            begin(response);
+        }
+        if (message instanceof HttpContent content) {
+            add(content.content());
+            if (reply != null && message instanceof LastHttpContent) {
+                end();
+            }
+        }
+    }
+
+    private void begin(HttpResponse response) {
+        head = response;
+        body = ByteString.EMPTY;
+        boolean interim = response.status().code() < FIRST_FINAL_STATUS;
+        skipping = interim || !call.own().test(HttpMessages.headers(response.headers()));
+    }
+
+    private void add(ByteBuf content) {
+        if (skipping || !content.isReadable()) {
+            return;
+        }
+        if (body.size() + content.readableBytes() > maxBodyBytes) {
+            fail(Kind.LOST, "the response is larger than " + maxBodyBytes + " bytes");
+            return;
+        }
+        body = body.concat(ByteString.copyFrom(content.nioBuffer()));
+    }
+
+    private void end() {
+        if (skipping) {
+            return;
+        }
+        if (broken) {
+            fail(Kind.LOST, "the connection was reset within the response");
+            return;
+        }
+        Headers headers = HttpMessages.headers(head.headers());
+        HttpReply whole = new HttpReply(head.status().code(), headers, body);
+        boolean reusable = HttpUtil.isKeepAlive(head) && isSelfDelimited();
+        CompletableFuture<HttpReply> waiting = reply;
+        reply = null;
+        call = null;
+        body = ByteString.EMPTY;
+        if (reusable) {
+            idleSince = System.nanoTime();
+            client.release(this);
+        } else {
+            context.close();
+        }
+        waiting.complete(whole);
+    }
+
+    private boolean isSelfDelimited() {
+        return HttpUtil.isTransferEncodingChunked(head) || HttpUtil.isContentLengthSet(head);
+    }
+
+    private void fail(Kind kind, String detail) {
+        CompletableFuture<HttpReply> waiting = reply;
+        reply = null;
+        client.forget(this);
+        context.close();
+        if (waiting != null) {
+            waiting.completeExceptionally(new HttpExchangeException(kind, detail));
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        fail(Kind.LOST, "the connection was closed before the response was complete");
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        broken = true;
+        if (!(cause instanceof IOException)) {
+            log.atSevere().withCause(cause).log("the exchange with %s failed", address);
+        }
+        String what = cause instanceof IOException ? "the connection was lost: " : "the exchange failed: ";
+        fail(Kind.LOST, what + cause.getMessage());
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/nettyhttp/HttpExchangeException.java
@@ -0,0 +1,26 @@
+package io.beryldock.nettyhttp;
+
+/** An exchange ended without a complete response; the kind tells whether the request can have reached the server. */
+public final class HttpExchangeException extends Exception {
+
+    private static final long serialVersionUID = 1L;
+
+    private final Kind kind;
+
+    HttpExchangeException(Kind kind, String message) {
+        super(message);
+        this.kind = kind;
+    }
+
+    /** Whether the request left this process. */
+    public enum Kind {
+        /** No connection was made: not one byte left. */
+        NOT_SENT,
+        /** The request may have reached the server. */
+        LOST
+    }
+
+    public Kind kind() {
+        return kind;
+    }
+}
--- a/src/main/java/io/beryldock/node/AbsentPlatformStore.java
+++ b/src/main/java/io/beryldock/node/AbsentPlatformStore.java
@@ -1,10 +1,10 @@
 package io.beryldock.node;
 
 import com.google.protobuf.ByteString;
-import io.beryldock.platform.PlatformException;
-import io.beryldock.platform.PlatformStore;
-import io.beryldock.platform.StoredValue;
-import io.beryldock.platform.WriteResult;
+import io.beryldock.store.PlatformException;
+import io.beryldock.store.PlatformStore;
+import io.beryldock.store.StoredValue;
+import io.beryldock.store.WriteResult;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
--- a/src/main/java/io/beryldock/node/ControlLoop.java
+++ b/src/main/java/io/beryldock/node/ControlLoop.java
@@ -41,7 +41,7 @@
     }
 
     /** Runs the task and waits for its end; for start and stop only. */
-    void run(Runnable task) throws InterruptedException {
+    public void run(Runnable task) throws InterruptedException {
         CompletableFuture<Void> done = CompletableFuture.runAsync(task, executor);
         try {
             done.get(CLOSE_SECONDS, TimeUnit.SECONDS);
--- a/src/main/java/io/beryldock/node/KeyedModule.java
+++ b/src/main/java/io/beryldock/node/KeyedModule.java
@@ -9,12 +9,12 @@
 import io.beryldock.idempotency.KeySettings;
 import io.beryldock.idempotency.KeyedRequests;
 import io.beryldock.idempotency.TicketSettings;
-import io.beryldock.membership.MembershipService;
+import io.beryldock.membership.Membership;
 import io.beryldock.membership.NodeDescriptor;
 import io.beryldock.peer.PeerException;
 import io.beryldock.peer.PeerTopic;
 import io.beryldock.peer.PeerTransport;
-import io.beryldock.platform.PlatformStore;
+import io.beryldock.store.PlatformStore;
 import io.beryldock.time.TimerService;
 import io.beryldock.timeline.EventSink;
 import io.beryldock.wire.WireTicketReply;
@@ -35,7 +35,7 @@
     @Singleton
     KeyedRequests keyedRequests(
             NodeDescriptor self,
-            MembershipService membership,
+            Membership membership,
             DispatcherSlot dispatcher,
             PeerTransport transport,
             PlatformStore store,
--- /dev/null
+++ b/src/main/java/io/beryldock/node/NodeCore.java
@@ -0,0 +1,176 @@
+package io.beryldock.node;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.inject.Guice;
+import com.google.inject.Injector;
+import com.google.inject.Module;
+import com.google.inject.util.Modules;
+import io.beryldock.call.DataCentre;
+import io.beryldock.call.Incarnation;
+import io.beryldock.call.NodeId;
+import io.beryldock.forwarding.EntryService;
+import io.beryldock.forwarding.RequestTally;
+import io.beryldock.forwarding.TargetExecutor;
+import io.beryldock.idempotency.KeyedRequests;
+import io.beryldock.membership.Membership;
+import io.beryldock.membership.NodeDescriptor;
+import io.beryldock.peer.NettyPeerTransport;
+import io.beryldock.peer.PeerStartException;
+import io.beryldock.peer.PeerTlsFiles;
+import io.beryldock.peer.PeerTransportSettings;
+import io.beryldock.settings.NodeSettings;
+import io.beryldock.settings.SettingsException;
+import io.beryldock.store.PlatformStore;
+import io.beryldock.time.ThreadTimerService;
+import io.beryldock.time.TimerService;
+import io.beryldock.timeline.EventRing;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Function;
+
+/**
+ * The parts of a node without its listeners: control thread, peers, decisions and the request path.
+ *
+ * <p>Thread safe; stopped or closed once.
+ */
+public final class NodeCore implements AutoCloseable {
+
+    private static final FluentLogger log = FluentLogger.forEnclosingClass();
+    private static final long PEER_DRAIN_SECONDS = 3;
+
+    private final NodeSettings settings;
+    private final ControlLoop control;
+    private final ThreadTimerService controlTimers;
+    private final NettyPeerTransport transport;
+    private final EventRing events;
+    private final Injector injector;
+
+    private NodeCore(
+            NodeSettings settings,
+            ControlLoop control,
+            ThreadTimerService controlTimers,
+            NettyPeerTransport transport,
+            EventRing events,
+            Injector injector) {
+        this.settings = settings;
+        this.control = control;
+        this.controlTimers = controlTimers;
+        this.transport = transport;
+        this.events = events;
+        this.injector = injector;
+    }
+
+    /**
+     * Binds the peers' listener and joins the parts; nothing is asked of others yet.
+     *
+     * @param store makes the client of the platform's store with the timers of traffic
+     * @param overrides takes the place of parts that the surroundings bring
+     */
+    public static NodeCore assemble(
+            NodeSettings settings,
+            SharedResources shared,
+            Function<TimerService, PlatformStore> store,
+            Module overrides)
+            throws SettingsException, PeerStartException, InterruptedException {
+        ControlLoop control = ControlLoop.start(settings.id());
+        ThreadTimerService controlTimers = ThreadTimerService.start("timer-" + settings.id(), control);
+        TimerService trafficTimers = controlTimers.on(shared.traffic());
+        EventRing events = NodeModule.eventRing(settings);
+        Incarnation incarnation = Incarnation.random(NodeModule.randomGenerator());
+        NettyPeerTransport transport = NettyPeerTransport.create(
+                peerSettings(settings),
+                NodeModule.identity(settings, incarnation),
+                trafficTimers,
+                events,
+                shared.peerLoops());
+        transport.start();
+        NodeDescriptor self = new NodeDescriptor(
+                NodeId.of(settings.id()), incarnation, DataCentre.of(settings.dataCentre()), transport.localAddress());
+        Module usual = Modules.combine(
+                new NodeModule(
+                        settings, self, control, controlTimers, transport, events, store.apply(trafficTimers)),
+                new KeyedModule(),
+                new OperatorModule(),
+                new TrafficModule(shared, trafficTimers));
+        Injector injector = Guice.createInjector(Modules.override(usual).with(overrides));
+        injector.getInstance(TargetExecutor.class);
+        return new NodeCore(settings, control, controlTimers, transport, events, injector);
+    }
+
+    private static PeerTransportSettings peerSettings(NodeSettings settings) throws SettingsException {
+        NodeSettings.Peers peers = settings.peers();
+        InetSocketAddress bind = new InetSocketAddress(peers.address(), peers.port());
+        if (peers.tls() != null && !peers.insecure()) {
+            NodeSettings.Tls tls = peers.tls();
+            return PeerTransportSettings.secure(
+                    bind,
+                    new PeerTlsFiles(Path.of(tls.certificateFile()), Path.of(tls.keyFile()), Path.of(tls.trustFile())));
+        }
+        if (peers.tls() == null && peers.insecure()) {
+            return PeerTransportSettings.insecure(bind);
+        }
+        throw new SettingsException(
+                "peers", "exactly one of 'tls' and '\"insecure\": true'", "name the certificates, or choose insecure");
+    }
+
+    public Injector injector() {
+        return injector;
+    }
+
+    public ControlLoop control() {
+        return control;
+    }
+
+    public EventRing events() {
+        return events;
+    }
+
+    NettyPeerTransport transport() {
+        return transport;
+    }
+
+    /** Starts what runs on the control thread; called there. */
+    public void startControl() {
+        injector.getInstance(Membership.class).start();
+        injector.getInstance(NodeFailureWatch.class).start();
+        injector.getInstance(QuarantineSpreader.class).start(injector.getInstance(TimerService.class));
+    }
+
+    /** Stops without cutting off a request: drains, finishes what is in flight, hands the tickets over, leaves. */
+    public void stop() throws InterruptedException {
+        new PlannedStop(new PlannedStop.Parts(
+                        control,
+                        injector.getInstance(TargetAnnouncements.class),
+                        injector.getInstance(EntryService.class),
+                        injector.getInstance(RequestTally.class),
+                        injector.getInstance(KeyedRequests.class),
+                        injector.getInstance(Membership.class),
+                        injector.getInstance(NodeHealth.class),
+                        controlTimers.ticker(),
+                        events,
+                        Duration.ofSeconds(settings.limits().drainSeconds())))
+                .run();
+        drainPeers();
+    }
+
+    /** Peers finish what they have under way here and close their connections. */
+    private void drainPeers() throws InterruptedException {
+        try {
+            transport.drain().get(PEER_DRAIN_SECONDS, TimeUnit.SECONDS);
+        } catch (ExecutionException | TimeoutException e) {
+            log.atWarning().withCause(e).log("some peers did not close their connections in time");
+        }
+    }
+
+    /** Stops at once: what is in flight is cut off, as in a crash. */
+    @Override
+    public void close() {
+        controlTimers.close();
+        transport.close();
+        control.close();
+    }
+}
--- a/src/main/java/io/beryldock/node/NodeFailureWatch.java
+++ b/src/main/java/io/beryldock/node/NodeFailureWatch.java
@@ -3,7 +3,7 @@
 import com.google.common.collect.ImmutableMap;
 import io.beryldock.call.NodeId;
 import io.beryldock.membership.Directory;
-import io.beryldock.membership.MembershipService;
+import io.beryldock.membership.Membership;
 import io.beryldock.membership.NodeDescriptor;
 import io.beryldock.quarantine.Quarantine;
 
@@ -14,11 +14,11 @@
  */
 final class NodeFailureWatch {
 
-    private final MembershipService membership;
+    private final Membership membership;
     private final Quarantine quarantine;
     private ImmutableMap<NodeId, NodeDescriptor> known = ImmutableMap.of();
 
-    NodeFailureWatch(MembershipService membership, Quarantine quarantine) {
+    NodeFailureWatch(Membership membership, Quarantine quarantine) {
         this.membership = membership;
         this.quarantine = quarantine;
     }
--- a/src/main/java/io/beryldock/node/NodeInspection.java
+++ b/src/main/java/io/beryldock/node/NodeInspection.java
@@ -12,7 +12,7 @@
 import io.beryldock.idempotency.KeyedRequests;
 import io.beryldock.idempotency.TicketSettings;
 import io.beryldock.idempotency.TicketTable;
-import io.beryldock.membership.MembershipService;
+import io.beryldock.membership.Membership;
 import io.beryldock.membership.NodeDescriptor;
 import io.beryldock.peer.ConnectionSnapshot;
 import io.beryldock.peer.NettyPeerTransport;
@@ -40,7 +40,7 @@
     record Parts(
             NodeDescriptor self,
             ControlLoop control,
-            MembershipService membership,
+            Membership membership,
             TargetAnnouncements announcements,
             DoorShedder door,
             KeyedRequests keyed,
@@ -92,7 +92,7 @@
                 .row(
                         parts.self().id().value(),
                         parts.self().dataCentre().value(),
-                        parts.membership().snapshot().massLoss() ? "cut off" : "serving",
+                        parts.membership().isCutOff() ? "cut off" : "serving",
                         parts.self().incarnation().toString(),
                         parts.membership().directory().nodes().size(),
                         upMillis)
--- a/src/main/java/io/beryldock/node/NodeModule.java
+++ b/src/main/java/io/beryldock/node/NodeModule.java
@@ -17,6 +17,7 @@
 import io.beryldock.configuration.ConfigurationWriter;
 import io.beryldock.forwarding.Addresses;
 import io.beryldock.forwarding.Doors;
+import io.beryldock.membership.Membership;
 import io.beryldock.membership.MembershipService;
 import io.beryldock.membership.MembershipSettings;
 import io.beryldock.membership.NodeDescriptor;
@@ -25,7 +26,7 @@
 import io.beryldock.peer.PeerIdentity;
 import io.beryldock.peer.PeerTopic;
 import io.beryldock.peer.PeerTransport;
-import io.beryldock.platform.PlatformStore;
+import io.beryldock.store.PlatformStore;
 import io.beryldock.quarantine.Quarantine;
 import io.beryldock.quarantine.QuarantineSettings;
 import io.beryldock.retry.Backoff;
@@ -119,7 +120,7 @@
 
     @Provides
     @Singleton
-    MembershipService membership(TimerService timers, RandomGenerator random) {
+    Membership membership(TimerService timers, RandomGenerator random) {
         Duration expiry = Duration.ofSeconds(settings.limits().announcementSeconds());
         MembershipService service = MembershipService.create(
                 MembershipSettings.of(seeds()).withTargetExpiry(expiry),
@@ -148,7 +149,7 @@
     @Provides
     @Singleton
     ConfigurationSync configurationSync(
-            ConfigurationKeeper keeper, MembershipService membership, TimerService timers, RandomGenerator random) {
+            ConfigurationKeeper keeper, Membership membership, TimerService timers, RandomGenerator random) {
         ConfigurationSync sync = ConfigurationSync.create(
                 self,
                 keeper,
@@ -177,7 +178,7 @@
     @Provides
     @Singleton
     TargetAnnouncements announcements(
-            MembershipService membership, TimerService timers, RandomGenerator random, GateSettings gateSettings) {
+            Membership membership, TimerService timers, RandomGenerator random, GateSettings gateSettings) {
         Duration expiry = Duration.ofSeconds(settings.limits().announcementSeconds());
         return new TargetAnnouncements(
                 membership, gateSettings, settings.policy() == Policy.FULL, expiry, timers, random, events);
--- a/src/main/java/io/beryldock/node/OperatorModule.java
+++ b/src/main/java/io/beryldock/node/OperatorModule.java
@@ -14,7 +14,7 @@
 import io.beryldock.forwarding.RequestTally;
 import io.beryldock.forwarding.RetryTally;
 import io.beryldock.idempotency.KeyedRequests;
-import io.beryldock.membership.MembershipService;
+import io.beryldock.membership.Membership;
 import io.beryldock.membership.NodeDescriptor;
 import io.beryldock.peer.NettyPeerTransport;
 import io.beryldock.peer.PeerTopic;
@@ -36,7 +36,7 @@
     NodeInspection inspection(
             NodeDescriptor self,
             ControlLoop control,
-            MembershipService membership,
+            Membership membership,
             TargetAnnouncements announcements,
             DoorShedder door,
             KeyedRequests keyed,
@@ -57,7 +57,7 @@
     @Singleton
     QuarantineSpreader quarantineSpreader(
             Quarantine quarantine,
-            MembershipService membership,
+            Membership membership,
             NodeDescriptor self,
             PeerTransport transport,
             RandomGenerator random) {
@@ -69,7 +69,7 @@
 
     @Provides
     @Singleton
-    NodeFailureWatch failureWatch(MembershipService membership, Quarantine quarantine) {
+    NodeFailureWatch failureWatch(Membership membership, Quarantine quarantine) {
         return new NodeFailureWatch(membership, quarantine);
     }
 
@@ -83,7 +83,7 @@
             TargetAnnouncements announcements,
             NettyPeerTransport transport,
             ConfigurationKeeper configuration,
-            MembershipService membership) {
+            Membership membership) {
         return new NodeMetrics(new NodeMetrics.Parts(
                 tally,
                 joining,
@@ -105,7 +105,7 @@
     @Singleton
     OperatorService operators(
             NodeDescriptor self,
-            MembershipService membership,
+            Membership membership,
             PeerTransport transport,
             NodeInspection inspection,
             ConfigurationWriter writer,
--- a/src/main/java/io/beryldock/node/PlannedStop.java
+++ b/src/main/java/io/beryldock/node/PlannedStop.java
@@ -5,7 +5,7 @@
 import io.beryldock.forwarding.EntryService;
 import io.beryldock.forwarding.RequestTally;
 import io.beryldock.idempotency.KeyedRequests;
-import io.beryldock.membership.MembershipService;
+import io.beryldock.membership.Membership;
 import io.beryldock.time.Ticker;
 import io.beryldock.timeline.EventKind;
 import io.beryldock.timeline.EventSink;
@@ -47,7 +47,7 @@
             EntryService entry,
             RequestTally tally,
             KeyedRequests keyed,
-            MembershipService membership,
+            Membership membership,
             NodeHealth health,
             Ticker ticker,
             EventSink events,
--- a/src/main/java/io/beryldock/node/SharedResources.java
+++ b/src/main/java/io/beryldock/node/SharedResources.java
@@ -3,6 +3,7 @@
 import io.beryldock.http.HttpClients;
 import io.beryldock.peer.PeerEventLoops;
 import java.io.IOException;
+import java.util.Optional;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import org.apache.hc.client5.http.impl.async.CloseableHttpAsyncClient;
@@ -10,9 +11,11 @@
 /**
  * Threads that the nodes of one process share: one node in a VM, dozens in the demo. Thread safe.
  *
+ * @param targetClient the client towards targets, empty where the nodes bring their own
  * @param traffic runs timers of requests
  */
-public record SharedResources(PeerEventLoops peerLoops, CloseableHttpAsyncClient targetClient, ExecutorService traffic)
+public record SharedResources(
+        PeerEventLoops peerLoops, Optional<CloseableHttpAsyncClient> targetClient, ExecutorService traffic)
         implements AutoCloseable {
 
     /**
@@ -22,9 +25,18 @@
      * @param connectionsToTarget most connections to one target
      */
     public static SharedResources start(int ioThreads, int connectionsToTarget) {
+        return start(ioThreads, Optional.of(HttpClients.start(connectionsToTarget, ioThreads)));
+    }
+
+    /** Starts the threads without a client towards targets. */
+    public static SharedResources startWithoutTargetClient(int ioThreads) {
+        return start(ioThreads, Optional.empty());
+    }
+
+    private static SharedResources start(int ioThreads, Optional<CloseableHttpAsyncClient> targetClient) {
         return new SharedResources(
                 PeerEventLoops.create(ioThreads),
-                HttpClients.start(connectionsToTarget, ioThreads),
+                targetClient,
                 Executors.newFixedThreadPool(ioThreads, task -> {
                     Thread thread = new Thread(task, "traffic");
                     thread.setDaemon(true);
@@ -37,7 +49,9 @@
         traffic.shutdownNow();
         peerLoops.close();
         try {
-            targetClient.close();
+            if (targetClient.isPresent()) {
+                targetClient.get().close();
+            }
         } catch (IOException e) {
             throw new IllegalStateException("the client towards targets can't be closed", e);
         }
--- a/src/main/java/io/beryldock/node/TargetAnnouncements.java
+++ b/src/main/java/io/beryldock/node/TargetAnnouncements.java
@@ -5,7 +5,7 @@
 import io.beryldock.call.ServiceName;
 import io.beryldock.forwarding.AnnouncedTarget;
 import io.beryldock.forwarding.Announcement;
-import io.beryldock.membership.MembershipService;
+import io.beryldock.membership.Membership;
 import io.beryldock.membership.TargetState;
 import io.beryldock.time.TimerService;
 import io.beryldock.time.TimerService.Subscription;
@@ -24,7 +24,7 @@
  */
 public final class TargetAnnouncements {
 
-    private final MembershipService membership;
+    private final Membership membership;
     private final GateSettings gateSettings;
     private final boolean boundBySlots;
     private final Duration expiry;
@@ -37,7 +37,7 @@
     private Subscription expiryTimer = () -> {};
 
     TargetAnnouncements(
-            MembershipService membership,
+            Membership membership,
             GateSettings gateSettings,
             boolean boundBySlots,
             Duration expiry,
@@ -76,7 +76,7 @@
         return last.map(Announcement::slots).orElse(0);
     }
 
-    void announce(Announcement announcement) {
+    public void announce(Announcement announcement) {
         expiryTimer.cancel();
         expiryTimer = timers.after(expiry, this::expire);
         if (last.filter(announcement::equals).isPresent()) {
--- a/src/main/java/io/beryldock/node/TrafficModule.java
+++ b/src/main/java/io/beryldock/node/TrafficModule.java
@@ -22,11 +22,12 @@
 import io.beryldock.forwarding.RequestTally;
 import io.beryldock.forwarding.RetryTally;
 import io.beryldock.forwarding.TargetCrashDetector;
+import io.beryldock.forwarding.TargetClient;
 import io.beryldock.forwarding.TargetExecutor;
 import io.beryldock.http.HttpTargetClient;
 import io.beryldock.http.TcpTargetProbe;
 import io.beryldock.idempotency.KeyedRequests;
-import io.beryldock.membership.MembershipService;
+import io.beryldock.membership.Membership;
 import io.beryldock.membership.NodeDescriptor;
 import io.beryldock.peer.PeerTopic;
 import io.beryldock.peer.PeerTransport;
@@ -45,6 +46,7 @@
 import java.net.InetSocketAddress;
 import java.time.Clock;
 import java.time.Duration;
+import java.util.random.RandomGenerator;
 import java.util.concurrent.TimeUnit;
 
 /** Binds the request path of one node: entry, attempts, target. Its timers run on traffic threads. */
@@ -95,9 +97,9 @@
 
     @Provides
     @Singleton
-    HttpTargetClient targetClient(TargetAnnouncements announcements) {
+    TargetClient targetClient(TargetAnnouncements announcements) {
         return HttpTargetClient.create(
-                shared.targetClient(),
+                shared.targetClient().orElseThrow(),
                 () -> announcements
                         .current()
                         .map(AnnouncedTarget::address)
@@ -108,7 +110,7 @@
     @Singleton
     TargetExecutor targetExecutor(
             TargetAnnouncements announcements,
-            HttpTargetClient client,
+            TargetClient client,
             ExecutionRegistry executions,
             RetryLedger ledger,
             Doors doors,
@@ -137,7 +139,7 @@
     CallForwarder forwarder(
             NodeSettings settings,
             NodeDescriptor self,
-            MembershipService membership,
+            Membership membership,
             TargetChooser chooser,
             TargetExecutor executor,
             PeerTransport transport,
@@ -212,7 +214,8 @@
             KeyedRequestHandler keyed,
             RequestIds ids,
             RequestTally tally,
-            RequestJournal journal) {
+            RequestJournal journal,
+            RandomGenerator random) {
         Clock clock = Clock.systemUTC();
         return EntryService.create(new EntryService.Ports(
                 settings.policy(),
@@ -224,6 +227,7 @@
                 keyed,
                 ids,
                 () -> clock.millis() / EPOCH_MILLIS,
+                random,
                 timers.ticker(),
                 tally,
                 journal));
--- a/src/main/java/io/beryldock/peer/PeerTopic.java
+++ b/src/main/java/io/beryldock/peer/PeerTopic.java
@@ -8,7 +8,8 @@
     TICKETS(4),
     QUERY(5),
     TIMELINE(6),
-    QUARANTINE(7);
+    QUARANTINE(7),
+    DOCUMENT(8);
 
     private final int number;
 
--- /dev/null
+++ b/src/main/java/io/beryldock/platform/CallerEndpoint.java
@@ -0,0 +1,150 @@
+package io.beryldock.platform;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.protobuf.ByteString;
+import io.beryldock.call.Answer;
+import io.beryldock.call.CallResult;
+import io.beryldock.call.Headers;
+import io.beryldock.call.Outcome;
+import io.beryldock.call.Reason;
+import io.beryldock.forwarding.CancelScope;
+import io.beryldock.forwarding.IncomingRequest;
+import io.beryldock.forwarding.IncomingRequest.Origin;
+import io.beryldock.forwarding.RequestHandler;
+import io.beryldock.http.HeaderFilter;
+import io.beryldock.nettyhttp.HttpAnswer;
+import io.beryldock.nettyhttp.HttpExchange;
+import io.beryldock.nettyhttp.HttpHandler;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
+
+/**
+ * Takes the requests that begin in this VM, those of its clients and the inner calls of its target, and answers them in
+ * the platform's statuses. Thread safe.
+ */
+final class CallerEndpoint implements HttpHandler {
+
+    private static final FluentLogger log = FluentLogger.forEnclosingClass();
+
+    /** Promises that the request has not run and never will. */
+    private static final int NOT_RUN = 503;
+
+    private static final int BAD_REQUEST = 400;
+    private static final int NOT_FOUND = 404;
+    private static final int BAD_GATEWAY = 502;
+    private static final int GATEWAY_TIMEOUT = 504;
+    private static final double MILLIS_PER_SECOND = 1000;
+
+    private final RequestHandler requests;
+    private final String ownService;
+    private final Predicate<HttpExchange> fromTarget;
+    private final BooleanSupplier stopping;
+
+    /**
+     * An endpoint.
+     *
+     * @param ownService service of the target in this VM, told to the targets that are called
+     * @param fromTarget tells an inner call of the target in this VM from a client's request
+     * @param stopping whether connections are closed with their next answer
+     */
+    CallerEndpoint(
+            RequestHandler requests, String ownService, Predicate<HttpExchange> fromTarget, BooleanSupplier stopping) {
+        this.requests = requests;
+        this.ownService = ownService;
+        this.fromTarget = fromTarget;
+        this.stopping = stopping;
+    }
+
+    @Override
+    public void handle(HttpExchange exchange) {
+        Optional<IncomingRequest> request = read(exchange);
+        if (request.isEmpty()) {
+            exchange.answer(HttpAnswer.of(BAD_REQUEST));
+            return;
+        }
+        CancelScope scope = CancelScope.create();
+        exchange.onGone(scope::cancel);
+        requests.handle(request.get(), scope).whenComplete((outcome, failure) -> {
+            scope.close();
+            if (failure != null) {
+                log.atSevere().withCause(failure).log("the handling of %s failed", exchange.uri());
+            }
+            CallResult result = failure == null ? outcome.result() : CallResult.unknown(Reason.INTERNAL, "");
+            HttpAnswer answer = answer(exchange, result);
+            exchange.answer(stopping.getAsBoolean() ? answer.closing() : answer);
+        });
+    }
+
+    private Optional<IncomingRequest> read(HttpExchange exchange) {
+        Headers all = exchange.headers();
+        Optional<String> host = all.first(PlatformHeaders.HOST);
+        Optional<Duration> timeLimit;
+        try {
+            timeLimit = all.first(PlatformHeaders.TIME_LEFT_MILLIS)
+                    .map(text -> Duration.ofMillis(Long.parseLong(text.trim())));
+        } catch (NumberFormatException e) {
+            return Optional.empty();
+        }
+        if (host.isEmpty()) {
+            return Optional.empty();
+        }
+        Headers forwarded = HeaderFilter.withoutHopByHop(all)
+                .without(CallerEndpoint::isSetByNodes)
+                .with(PlatformHeaders.CALLER_SERVICE, ownService);
+        return Optional.of(new IncomingRequest(
+                fromTarget.test(exchange) ? Origin.TARGET : Origin.CALLER,
+                exchange.method(),
+                exchange.uri(),
+                forwarded,
+                exchange.body(),
+                Optional.empty(),
+                Optional.empty(),
+                exchange.remote().getAddress().getHostAddress(),
+                host.get(),
+                timeLimit));
+    }
+
+    private static boolean isSetByNodes(String name) {
+        return name.equalsIgnoreCase(PlatformHeaders.TIME_LEFT_MILLIS)
+                || name.equalsIgnoreCase(PlatformHeaders.EXPECTED_TARGET)
+                || name.equalsIgnoreCase(PlatformHeaders.CALLER_SERVICE);
+    }
+
+    private static HttpAnswer answer(HttpExchange exchange, CallResult result) {
+        return result.answer()
+                .map(CallerEndpoint::passedOn)
+                .orElseGet(() -> failure(exchange, result, result.reason().orElse(Reason.INTERNAL)));
+    }
+
+    private static HttpAnswer passedOn(Answer answer) {
+        return HttpAnswer.of(answer.status(), answer.headers(), answer.body());
+    }
+
+    private static HttpAnswer failure(HttpExchange exchange, CallResult result, Reason reason) {
+        int status = status(result.outcome(), reason);
+        String text = reason.message() + "; " + reason.remedy() + "\n";
+        Headers headers = Headers.empty().with("Content-Type", "text/plain");
+        Optional<String> id = exchange.headers().first(PlatformHeaders.REQUEST_ID);
+        Headers echoed = id.isPresent() ? headers.with(PlatformHeaders.REQUEST_ID, id.get()) : headers;
+        boolean returns = status == NOT_RUN && result.retryAfterMillis() > 0;
+        Headers told = returns ? echoed.with(PlatformHeaders.RETRY_AFTER, seconds(result.retryAfterMillis())) : echoed;
+        return HttpAnswer.of(status, told, ByteString.copyFromUtf8(text));
+    }
+
+    private static int status(Outcome outcome, Reason reason) {
+        if (reason == Reason.NO_ROUTE) {
+            return NOT_FOUND;
+        }
+        if (outcome == Outcome.NOT_RUN) {
+            return NOT_RUN;
+        }
+        return reason == Reason.TIMED_OUT || reason == Reason.DEADLINE_PASSED ? GATEWAY_TIMEOUT : BAD_GATEWAY;
+    }
+
+    private static String seconds(long millis) {
+        return String.format(Locale.ROOT, "%.3f", millis / MILLIS_PER_SECOND);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/platform/KvStoreClient.java
@@ -0,0 +1,237 @@
+package io.beryldock.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.collect.ImmutableList;
+import com.google.common.net.UrlEscapers;
+import com.google.protobuf.ByteString;
+import io.beryldock.call.Headers;
+import io.beryldock.nettyhttp.HttpCall;
+import io.beryldock.nettyhttp.HttpClient;
+import io.beryldock.nettyhttp.HttpExchangeException;
+import io.beryldock.nettyhttp.HttpReply;
+import io.beryldock.store.PlatformException;
+import io.beryldock.store.PlatformStore;
+import io.beryldock.store.RegistryStore;
+import io.beryldock.store.StoredValue;
+import io.beryldock.store.WriteResult;
+import io.beryldock.time.TimerService;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.atomic.LongAdder;
+
+/**
+ * The one client of the platform's store.
+ *
+ * <p>Thread safe; never blocks its caller; sends no request twice. A conditional write is
+ * {@link WriteResult.Kind#NOT_APPLIED} only when it was never sent or the store says that nothing was done; every other
+ * failure may hide an effect, also a later one, and is {@link WriteResult.Kind#UNKNOWN}.
+ */
+final class KvStoreClient implements PlatformStore, RegistryStore {
+
+    /**
+     * Longest wait for an answer beyond the time that a watch asked for. A store that is 60 times slower than its usual
+     * 4 ms answers in 240 ms.
+     */
+    private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(1200);
+
+    private static final int OK = 200;
+    private static final int NOT_FOUND = 404;
+    private static final int HISTORY_GONE = 410;
+    private static final int CONDITION_FAILED = 412;
+    private static final int TOO_MANY = 429;
+    private static final int UNAVAILABLE = 503;
+    private static final double MILLIS_PER_SECOND = 1000;
+    private static final String REMEDY = "; go on with what is known and ask again later";
+
+    private final InetSocketAddress address;
+    private final HttpClient client;
+    private final TimerService timers;
+    private final LongAdder calls = new LongAdder();
+
+    private KvStoreClient(InetSocketAddress address, HttpClient client, TimerService timers) {
+        this.address = address;
+        this.client = client;
+        this.timers = timers;
+    }
+
+    static KvStoreClient create(InetSocketAddress address, HttpClient client, TimerService timers) {
+        return new KvStoreClient(address, client, timers);
+    }
+
+    /** Calls made since the start, for metrics. */
+    long calls() {
+        return calls.sum();
+    }
+
+    @Override
+    public CompletableFuture<Optional<StoredValue>> get(String key) {
+        return ask("GET", "/kv-key?key=" + escaped(key), ByteString.EMPTY, Duration.ZERO)
+                .thenApply(reply -> {
+                    if (reply.status() == NOT_FOUND) {
+                        return Optional.empty();
+                    }
+                    return Optional.of(KvJson.stored(json(checked(reply))));
+                });
+    }
+
+    @Override
+    public CompletableFuture<WriteResult> compareAndSet(String key, long expectedVersion, ByteString value) {
+        ByteString body = KvJson.writeRequest(key, value, 0, Optional.of(expectedVersion));
+        return exchange("POST", "/kv-txn", body, Duration.ZERO).handle(KvStoreClient::written);
+    }
+
+    private static WriteResult written(HttpReply reply, Throwable failure) {
+        if (failure != null) {
+            Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+            boolean neverSent = cause instanceof HttpExchangeException exchange
+                    && exchange.kind() == HttpExchangeException.Kind.NOT_SENT;
+            return neverSent ? WriteResult.notApplied() : WriteResult.unknown();
+        }
+        return switch (reply.status()) {
+            case OK -> WriteResult.applied(json(reply).path("revision").asLong());
+            case CONDITION_FAILED -> {
+                ImmutableList<Entry> items = KvJson.entries(json(reply).path("items"));
+                yield WriteResult.conflict(items.stream()
+                        .filter(item -> item.revision() > ABSENT && item.value().isPresent())
+                        .map(item -> new StoredValue(
+                                item.revision(), item.value().orElseThrow()))
+                        .findFirst());
+            }
+            case TOO_MANY, UNAVAILABLE, NOT_FOUND -> WriteResult.notApplied();
+            default -> WriteResult.unknown();
+        };
+    }
+
+    /** The name stands as a key under a lease of the store; who holds it is its value. */
+    @Override
+    public CompletableFuture<Boolean> lease(String name, String holder, Duration length) {
+        ByteString value = ByteString.copyFromUtf8(holder);
+        return get(name).thenCompose(found -> {
+            if (found.isPresent()) {
+                return CompletableFuture.completedFuture(found.get().value().equals(value));
+            }
+            return grantLease(length).thenCompose(lease -> {
+                ByteString body = KvJson.writeRequest(name, value, lease, Optional.of(ABSENT));
+                return exchange("POST", "/kv-txn", body, Duration.ZERO)
+                        .handle(KvStoreClient::written)
+                        .thenApply(result -> result.kind() == WriteResult.Kind.APPLIED);
+            });
+        });
+    }
+
+    @Override
+    public CompletableFuture<Optional<StoredValue>> watch(String key, long afterVersion, Duration wait) {
+        return changes(key, afterVersion, wait).thenCompose(changes -> {
+            Optional<Entry> last = changes.entries().stream()
+                    .filter(entry -> entry.key().equals(key))
+                    .reduce((earlier, later) -> later);
+            if (changes.historyGone()) {
+                return get(key);
+            }
+            return CompletableFuture.completedFuture(
+                    last.flatMap(entry -> entry.value().map(value -> new StoredValue(entry.revision(), value))));
+        });
+    }
+
+    @Override
+    public CompletableFuture<Listing> list(String prefix) {
+        return page(prefix, "", ImmutableList.of(), Long.MAX_VALUE);
+    }
+
+    /** Pages are no snapshot: changes are followed from the revision of the first one. */
+    private CompletableFuture<Listing> page(String prefix, String after, ImmutableList<Entry> before, long revision) {
+        String from = after.isEmpty() ? "" : "&after=" + escaped(after);
+        String uri = "/kv-range?pathPrefix=" + escaped(prefix) + from;
+        return ask("GET", uri, ByteString.EMPTY, Duration.ZERO).thenCompose(reply -> {
+            JsonNode answer = json(checked(reply));
+            ImmutableList<Entry> page = KvJson.entries(answer.path("items"));
+            ImmutableList<Entry> all = ImmutableList.<Entry>builder()
+                    .addAll(before)
+                    .addAll(page)
+                    .build();
+            long first = Math.min(revision, answer.path("at").asLong());
+            if (!answer.path("hasMore").asBoolean() || page.isEmpty()) {
+                return CompletableFuture.completedFuture(new Listing(all, first));
+            }
+            return page(prefix, page.get(page.size() - 1).key(), all, first);
+        });
+    }
+
+    @Override
+    public CompletableFuture<Changes> changes(String prefix, long after, Duration wait) {
+        String uri = "/kv-watch?pathPrefix=" + escaped(prefix) + "&after=" + after + "&waitMs=" + wait.toMillis();
+        return ask("GET", uri, ByteString.EMPTY, wait).thenApply(reply -> {
+            if (reply.status() == HISTORY_GONE) {
+                return new Changes(true, ImmutableList.of(), after);
+            }
+            JsonNode answer = json(checked(reply));
+            long revision = Math.max(after, answer.path("at").asLong());
+            return new Changes(false, KvJson.entries(answer.path("events")), revision);
+        });
+    }
+
+    @Override
+    public CompletableFuture<Long> grantLease(Duration length) {
+        ByteString body = KvJson.leaseRequest(length.toMillis() / MILLIS_PER_SECOND);
+        return ask("POST", "/kv-lease", body, Duration.ZERO).thenApply(reply -> KvJson.lease(json(checked(reply))));
+    }
+
+    @Override
+    public CompletableFuture<Boolean> renewLease(long lease) {
+        return ask("POST", "/kv-keep/" + lease, ByteString.EMPTY, Duration.ZERO).thenApply(KvStoreClient::found);
+    }
+
+    @Override
+    public CompletableFuture<Void> endLease(long lease) {
+        return ask("DELETE", "/kv-lease-end/" + lease, ByteString.EMPTY, Duration.ZERO)
+                .thenAccept(KvStoreClient::found);
+    }
+
+    @Override
+    public CompletableFuture<Boolean> put(String key, ByteString value, long lease) {
+        ByteString body = KvJson.writeRequest(key, value, lease, Optional.empty());
+        return ask("POST", "/kv-txn", body, Duration.ZERO).thenApply(KvStoreClient::found);
+    }
+
+    private static boolean found(HttpReply reply) {
+        return reply.status() != NOT_FOUND && checked(reply) != null;
+    }
+
+    private static HttpReply checked(HttpReply reply) {
+        if (reply.status() != OK) {
+            throw new CompletionException(
+                    new PlatformException("the platform store answered " + reply.status() + REMEDY));
+        }
+        return reply;
+    }
+
+    private static JsonNode json(HttpReply reply) {
+        try {
+            return KvJson.read(reply.body());
+        } catch (PlatformException e) {
+            throw new CompletionException(e);
+        }
+    }
+
+    private static String escaped(String text) {
+        return UrlEscapers.urlFormParameterEscaper().escape(text);
+    }
+
+    private CompletableFuture<HttpReply> ask(String method, String uri, ByteString body, Duration wait) {
+        return exchange(method, uri, body, wait).exceptionallyCompose(failure -> CompletableFuture.failedFuture(
+                new PlatformException("no answer from the platform store" + REMEDY, failure)));
+    }
+
+    private CompletableFuture<HttpReply> exchange(String method, String uri, ByteString body, Duration wait) {
+        calls.increment();
+        Headers headers = Headers.empty().with("Host", address.getHostString() + ":" + address.getPort());
+        Headers typed = body.isEmpty() ? headers : headers.with("Content-Type", "application/json");
+        CompletableFuture<HttpReply> reply = client.send(address, HttpCall.of(method, uri, typed, body));
+        Duration limit = wait.plus(ANSWER_TIMEOUT);
+        TimerService.Subscription end = timers.after(limit, () -> reply.cancel(false));
+        return reply.whenComplete((answer, failure) -> end.cancel());
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/platform/OperatorDocument.java
@@ -0,0 +1,123 @@
+package io.beryldock.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import com.google.protobuf.ByteString;
+import io.beryldock.call.PriorityClass;
+import io.beryldock.call.ServiceName;
+import io.beryldock.configuration.ClassSetting;
+import io.beryldock.configuration.Configuration;
+import io.beryldock.configuration.ConfigurationException;
+import io.beryldock.configuration.DocumentDecoder;
+import io.beryldock.configuration.RetrySetting;
+import io.beryldock.configuration.Route;
+import io.beryldock.configuration.Setting;
+import io.beryldock.configuration.WeightedService;
+import io.beryldock.nettyhttp.HttpServerLimits;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Reads the document in which the platform's operators keep routes, services and limits.
+ *
+ * <p>Thread safe. Beside the settings it keeps the newest limits of listeners, which belong to no setting of the
+ * product.
+ */
+final class OperatorDocument implements DocumentDecoder {
+
+    /** Where the operators write it. */
+    static final String KEY = "op/config";
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final int HEX = 16;
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    /**
+     * Share of retries in first tries from one service to another. Retries of a call repeat the calls beneath it, so
+     * that the share allowed over the whole fleet, 0.2, is divided by the four services of the deepest chain.
+     */
+    private static final double RETRY_SHARE = 0.05;
+
+    /** Largest body that is taken: bodies are held whole, at two copies on a VM of 330 MB. */
+    private static final int HELD_BODY_BYTES = 1 << 20;
+
+    /**
+     * A connection that is closed just as its client sends again costs the client an attempt; clients use one that has
+     * been idle for up to four fifths of the limit, so that the limit itself leaves time to spare.
+     */
+    private volatile HttpServerLimits limits =
+            new HttpServerLimits(16 << 10, HELD_BODY_BYTES, Duration.ofSeconds(3), Duration.ofSeconds(15));
+
+    HttpServerLimits limits() {
+        return limits;
+    }
+
+    @Override
+    public Configuration decode(ByteString document) throws ConfigurationException {
+        JsonNode root;
+        try {
+            root = MAPPER.readTree(document.toByteArray());
+        } catch (IOException e) {
+            throw ConfigurationException.of("document", "it is no JSON: " + e.getMessage(), "write it again");
+        }
+        long version = Long.parseUnsignedLong(root.path("version").asText("0"), HEX);
+        List<Setting> settings = new ArrayList<>();
+        for (Map.Entry<String, JsonNode> route : root.path("routes").properties()) {
+            addRoute(route.getValue(), settings);
+        }
+        readLimits(root.path("limits"));
+        return Configuration.imported(version, settings);
+    }
+
+    private static void addRoute(JsonNode wire, List<Setting> settings) {
+        int rank = Math.min(PriorityClass.LOWEST_RANK, wire.path("priority").asInt());
+        PriorityClass priority = PriorityClass.of("priority-" + rank, rank);
+        // The wire's name means targets that one request may be sent to, the first one included.
+        int retries = Math.min(RetrySetting.MAX_RETRIES, Math.max(0, wire.path("attempts").asInt(1) - 1));
+        RetrySetting budget = new RetrySetting("retries-" + retries, retries, RETRY_SHARE);
+        ImmutableList<WeightedService> split = split(wire.path("trafficSplit"));
+        ServiceName service = split.isEmpty()
+                ? ServiceName.of(wire.path("service").asText())
+                : split.get(0).service();
+        Route route = new Route(
+                wire.path("pathPrefix").asText(),
+                ImmutableSet.of(),
+                service,
+                priority.name(),
+                wire.path("type").asText().equals("safe"),
+                seconds(wire.path("timeoutS")),
+                budget.name());
+        settings.add(new ClassSetting(priority));
+        settings.add(budget);
+        settings.add(route.forHost(wire.path("hostname").asText(), split));
+    }
+
+    private static ImmutableList<WeightedService> split(JsonNode parts) {
+        ImmutableList.Builder<WeightedService> split = ImmutableList.builder();
+        for (JsonNode part : parts) {
+            ServiceName service = ServiceName.of(part.path("service").asText());
+            split.add(new WeightedService(service, part.path("weight").asDouble()));
+        }
+        return split.build();
+    }
+
+    private void readLimits(JsonNode wire) {
+        if (wire.isMissingNode()) {
+            return;
+        }
+        limits = new HttpServerLimits(
+                wire.path("maxHeaderBytes").asInt(limits.maxHeaderBytes()),
+                (int) Math.min(HELD_BODY_BYTES, wire.path("maxBodyBytes").asLong(HELD_BODY_BYTES)),
+                seconds(wire.path("headerTimeoutS")),
+                seconds(wire.path("idleTimeoutS")));
+    }
+
+    private static Duration seconds(JsonNode wire) {
+        return Duration.ofNanos((long) (wire.asDouble() * NANOS_PER_SECOND));
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/platform/PlatformHeaders.java
@@ -0,0 +1,35 @@
+package io.beryldock.platform;
+
+import io.beryldock.call.Headers;
+
+/** Names of the platform's headers. */
+final class PlatformHeaders {
+
+    /** Id of one attempt of a client; the target echoes it. */
+    static final String REQUEST_ID = "X-Beryldock-Request-Id";
+
+    /** Time left for a request, in milliseconds; a duration, not a point in time. */
+    static final String TIME_LEFT_MILLIS = "X-Beryldock-Deadline-Ms";
+
+    /** The target's signature of its answer, without which a success is none. */
+    static final String SIGNATURE = "X-Beryldock-Response-Signature";
+
+    /** Id of the target's start that alone may run the request. */
+    static final String EXPECTED_TARGET = "X-Beryldock-Expected-Instance";
+
+    /** Marks a refusal: the target did not run the request. */
+    static final String NOT_EXECUTED = "X-Beryldock-Not-Executed";
+
+    /** Service of the VM where the request began. */
+    static final String CALLER_SERVICE = "X-Beryldock-Caller-Service";
+
+    static final String RETRY_AFTER = "Retry-After";
+    static final String HOST = "Host";
+
+    private PlatformHeaders() {}
+
+    /** Whether a response carries the id of the request. */
+    static boolean answers(String requestId, Headers response) {
+        return response.first(REQUEST_ID).filter(requestId::equals).isPresent();
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/platform/PlatformModule.java
@@ -0,0 +1,114 @@
+package io.beryldock.platform;
+
+import com.google.inject.AbstractModule;
+import com.google.inject.Provides;
+import com.google.inject.Singleton;
+import io.beryldock.configuration.ConfigurationKeeper;
+import io.beryldock.configuration.DocumentSync;
+import io.beryldock.forwarding.TargetClient;
+import io.beryldock.membership.Membership;
+import io.beryldock.membership.NodeDescriptor;
+import io.beryldock.membership.RegistryMembership;
+import io.beryldock.membership.RegistryPorts;
+import io.beryldock.nettyhttp.HttpClient;
+import io.beryldock.node.ControlLoop;
+import io.beryldock.node.TargetAnnouncements;
+import io.beryldock.peer.PeerTopic;
+import io.beryldock.peer.PeerTransport;
+import io.beryldock.call.NodeId;
+import io.beryldock.retry.RetryBudgetSettings;
+import io.beryldock.retry.RetryBudgets;
+import io.beryldock.store.PlatformStore;
+import io.beryldock.store.RegistryStore;
+import io.beryldock.time.TimerService;
+import io.beryldock.timeline.EventSink;
+import java.util.random.RandomGenerator;
+
+/** The parts of a node that the platform brings in place of the product's own surroundings. */
+final class PlatformModule extends AbstractModule {
+
+    private final PlatformSettings settings;
+    private final HttpClient targetClient;
+    private final OperatorDocument document;
+
+    PlatformModule(PlatformSettings settings, HttpClient targetClient, OperatorDocument document) {
+        this.settings = settings;
+        this.targetClient = targetClient;
+        this.document = document;
+    }
+
+    @Provides
+    @Singleton
+    RegistryStore registry(PlatformStore store) {
+        return (KvStoreClient) store;
+    }
+
+    @Provides
+    @Singleton
+    Membership membership(
+            NodeDescriptor self, RegistryStore store, TimerService timers, RandomGenerator random, EventSink events) {
+        return RegistryMembership.create(self, new RegistryPorts(store, timers, random, events));
+    }
+
+    @Provides
+    @Singleton
+    DocumentSync documentSync(
+            NodeDescriptor self,
+            ConfigurationKeeper keeper,
+            RegistryStore store,
+            PeerTransport peers,
+            Membership membership,
+            ControlLoop control,
+            TimerService timers,
+            RandomGenerator random) {
+        DocumentSync sync = DocumentSync.create(
+                self,
+                new DocumentSync.Ports(
+                        keeper,
+                        store,
+                        OperatorDocument.KEY,
+                        document,
+                        (to, body) -> peers.send(to, PeerTopic.DOCUMENT, body),
+                        membership::directory,
+                        timers,
+                        random));
+        peers.handle(
+                PeerTopic.DOCUMENT,
+                message -> control.execute(() -> sync.onMessage(NodeId.of(message.sender()), message.body())));
+        return sync;
+    }
+
+    @Provides
+    @Singleton
+    LocalTargets localTargets(ControlLoop control, TargetAnnouncements announcements) {
+        return new LocalTargets(control, announcements::announce);
+    }
+
+    @Provides
+    @Singleton
+    TargetClient targetClient(LocalTargets targets, TimerService timers) {
+        return new PlatformTargetClient(targetClient, targets::current, timers);
+    }
+
+    @Provides
+    @Singleton
+    RetryBudgets budgets(TimerService timers, Membership membership) {
+        return RetryBudgets.create(
+                timers.ticker(),
+                service -> budget(Math.max(1, membership.directory().nodes().size())));
+    }
+
+    /**
+     * This node's part of what all nodes may retry.
+     *
+     * <p>Tokens of first tries may be saved up for a window, so that a window can see twice the share; the share is
+     * halved for it, and again for the repeated calls beneath a retried one. The slack is split over all nodes, half of
+     * it saved up and half of it trickling in a window.
+     */
+    private RetryBudgetSettings budget(int nodes) {
+        double slack = settings.retries().slack() / 2 / nodes;
+        double perSecond = slack / settings.retries().windowSeconds();
+        return new RetryBudgetSettings(
+                settings.retries().share() / 4, perSecond, slack, settings.retries().window());
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/platform/PlatformNode.java
@@ -0,0 +1,106 @@
+package io.beryldock.platform;
+
+import com.google.inject.Injector;
+import io.beryldock.configuration.ConfigurationKeeper;
+import io.beryldock.configuration.DocumentSync;
+import io.beryldock.forwarding.Addresses;
+import io.beryldock.forwarding.EntryService;
+import io.beryldock.nettyhttp.HttpAnswer;
+import io.beryldock.nettyhttp.HttpClient;
+import io.beryldock.nettyhttp.HttpClientSettings;
+import io.beryldock.nettyhttp.HttpExchange;
+import io.beryldock.nettyhttp.HttpLoops;
+import io.beryldock.nettyhttp.HttpServer;
+import io.beryldock.nettyhttp.HttpServerLimits;
+import io.beryldock.node.NodeCore;
+import io.beryldock.node.NodeHealth;
+import io.beryldock.node.SharedResources;
+import io.beryldock.peer.PeerStartException;
+import io.beryldock.settings.SettingsException;
+import io.beryldock.settings.SettingsReader;
+import io.beryldock.timeline.EventKind;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.function.Supplier;
+
+/** A node on the users' platform. Thread safe; stopped once. */
+public final class PlatformNode {
+
+    private static final int IO_THREADS = 1;
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+
+    /** Bounds towards the target: it is on the same VM and closes idle connections after some seconds. */
+    private static final HttpClientSettings TO_TARGET =
+            new HttpClientSettings(Duration.ofSeconds(1), Duration.ofSeconds(4), Duration.ofSeconds(1), 1 << 20);
+
+    /** Bounds towards the store, whose values hold up to a megabyte, a third more as text. */
+    private static final HttpClientSettings TO_STORE =
+            new HttpClientSettings(Duration.ofSeconds(1), Duration.ofSeconds(10), Duration.ofSeconds(1), 4 << 20);
+
+    private final NodeCore core;
+
+    private PlatformNode(NodeCore core) {
+        this.core = core;
+    }
+
+    /** Starts a node with the settings in the file. */
+    public static PlatformNode start(Path file)
+            throws SettingsException, PeerStartException, IOException, InterruptedException {
+        return start(SettingsReader.read(file, PlatformSettings.class));
+    }
+
+    static PlatformNode start(PlatformSettings settings)
+            throws SettingsException, PeerStartException, IOException, InterruptedException {
+        HttpLoops loops = HttpLoops.create(IO_THREADS);
+        OperatorDocument document = new OperatorDocument();
+        HttpClient storeClient = HttpClient.create(TO_STORE, loops);
+        NodeCore core = NodeCore.assemble(
+                settings.node(),
+                SharedResources.startWithoutTargetClient(IO_THREADS),
+                timers -> KvStoreClient.create(settings.storeAddress(), storeClient, timers),
+                new PlatformModule(settings, HttpClient.create(TO_TARGET, loops), document));
+        bind(settings, core, loops, document::limits);
+        core.control().run(() -> {
+            core.startControl();
+            core.injector().getInstance(DocumentSync.class).start();
+        });
+        core.events().record(EventKind.NODE_STARTED, settings.id(), "requests at " + settings.listeners().requests());
+        return new PlatformNode(core);
+    }
+
+    private static void bind(
+            PlatformSettings settings, NodeCore core, HttpLoops loops, Supplier<HttpServerLimits> limits)
+            throws IOException, InterruptedException {
+        Injector injector = core.injector();
+        PlatformSettings.Listeners listeners = settings.listeners();
+        NodeHealth health = injector.getInstance(NodeHealth.class);
+        HeartbeatEndpoint heartbeats = new HeartbeatEndpoint(injector.getInstance(LocalTargets.class));
+        CallerEndpoint callers = new CallerEndpoint(
+                injector.getInstance(EntryService.class),
+                settings.service(),
+                exchange -> exchange.remote().getAddress().getHostAddress().equals(settings.address()),
+                health::isStopping);
+        ConfigurationKeeper configuration = injector.getInstance(ConfigurationKeeper.class);
+        HttpServer.bind(Addresses.parse(listeners.heartbeats()), loops, limits, heartbeats);
+        HttpServer.bind(
+                Addresses.parse(listeners.readiness()),
+                loops,
+                limits,
+                exchange -> answerReadiness(exchange, configuration, health));
+        HttpServer.bind(Addresses.parse(listeners.requests()), loops, limits, callers);
+    }
+
+    /** Ready once a configuration is known: a node that knows no route could only refuse. */
+    private static void answerReadiness(HttpExchange exchange, ConfigurationKeeper configuration, NodeHealth health) {
+        boolean ready = configuration.current().version() > 0 && !health.isStopping();
+        exchange.answer(HttpAnswer.of(ready ? OK : UNAVAILABLE));
+    }
+
+    /** Stops without cutting off a request. */
+    public void stop() throws InterruptedException {
+        core.stop();
+        core.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/platform/PlatformTargetClient.java
@@ -0,0 +1,104 @@
+package io.beryldock.platform;
+
+import io.beryldock.call.Answer;
+import io.beryldock.call.Call;
+import io.beryldock.call.Headers;
+import io.beryldock.forwarding.TargetClient;
+import io.beryldock.forwarding.TargetExchange;
+import io.beryldock.forwarding.TargetReply;
+import io.beryldock.http.HeaderFilter;
+import io.beryldock.nettyhttp.HttpCall;
+import io.beryldock.nettyhttp.HttpClient;
+import io.beryldock.nettyhttp.HttpExchangeException;
+import io.beryldock.nettyhttp.HttpExchangeException.Kind;
+import io.beryldock.nettyhttp.HttpReply;
+import io.beryldock.time.TimerService;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+/** Sends calls to the target in this VM in the platform's headers. Thread safe. */
+final class PlatformTargetClient implements TargetClient {
+
+    /**
+     * How long after a call's time its exchange is given up: a target that was full never answers, and never again on
+     * that connection.
+     */
+    private static final Duration LATE = Duration.ofSeconds(1);
+
+    private static final int MISDIRECTED = 421;
+    private static final int FIRST_SUCCESS = 200;
+    private static final int FIRST_REDIRECTION = 300;
+
+    private final HttpClient client;
+    private final Supplier<Optional<LocalTarget>> target;
+    private final TimerService timers;
+
+    PlatformTargetClient(HttpClient client, Supplier<Optional<LocalTarget>> target, TimerService timers) {
+        this.client = client;
+        this.target = target;
+        this.timers = timers;
+    }
+
+    @Override
+    public TargetExchange send(Call call) {
+        Optional<LocalTarget> current = target.get();
+        if (current.isEmpty()) {
+            return TargetExchange.unabortable(CompletableFuture.completedFuture(
+                    TargetReply.notSent("the target does not announce itself any more")));
+        }
+        CompletableFuture<HttpReply> reply =
+                client.send(current.get().address(), request(call, current.get()));
+        Duration limit = Duration.ofNanos(call.context().remainingNanos()).plus(LATE);
+        TimerService.Subscription end = timers.after(limit, () -> reply.cancel(false));
+        CompletableFuture<TargetReply> told = reply.handle((answer, failure) -> {
+            end.cancel();
+            return failure == null ? read(answer) : classify(failure);
+        });
+        return new TargetExchange(told, () -> reply.cancel(false));
+    }
+
+    private static HttpCall request(Call call, LocalTarget current) {
+        long millis = TimeUnit.NANOSECONDS.toMillis(call.context().remainingNanos());
+        Headers headers = call.headers()
+                .with(PlatformHeaders.TIME_LEFT_MILLIS, Long.toString(millis))
+                .with(PlatformHeaders.EXPECTED_TARGET, current.id());
+        String id = call.headers().first(PlatformHeaders.REQUEST_ID).orElse("");
+        return new HttpCall(
+                call.method(),
+                call.path(),
+                headers,
+                call.body(),
+                response -> id.isEmpty() || isRefusal(response) || PlatformHeaders.answers(id, response),
+                !call.idempotent());
+    }
+
+    private static boolean isRefusal(Headers response) {
+        return response.first(PlatformHeaders.NOT_EXECUTED).isPresent()
+                && response.first(PlatformHeaders.REQUEST_ID).isEmpty();
+    }
+
+    private static TargetReply read(HttpReply reply) {
+        boolean marked = reply.headers().first(PlatformHeaders.NOT_EXECUTED).isPresent();
+        if (marked || reply.status() == MISDIRECTED) {
+            return TargetReply.refused("the target answered " + reply.status() + " and says that it did not run it");
+        }
+        boolean success = reply.status() >= FIRST_SUCCESS && reply.status() < FIRST_REDIRECTION;
+        if (success && reply.headers().first(PlatformHeaders.SIGNATURE).isEmpty()) {
+            return TargetReply.lost("the answer " + reply.status() + " bears no signature of the target");
+        }
+        Headers headers = HeaderFilter.withoutHopByHop(reply.headers());
+        return TargetReply.answered(new Answer(reply.status(), headers, reply.body()));
+    }
+
+    private static TargetReply classify(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        if (cause instanceof HttpExchangeException exchange && exchange.kind() == Kind.NOT_SENT) {
+            return TargetReply.notSent(exchange.getMessage());
+        }
+        return TargetReply.lost(cause.toString());
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/platform/StandinPlatform.java
@@ -0,0 +1,155 @@
+package io.beryldock.platform;
+
+import com.google.protobuf.ByteString;
+import io.beryldock.call.Headers;
+import io.beryldock.forwarding.Addresses;
+import io.beryldock.nettyhttp.HttpAnswer;
+import io.beryldock.nettyhttp.HttpCall;
+import io.beryldock.nettyhttp.HttpClient;
+import io.beryldock.nettyhttp.HttpClientSettings;
+import io.beryldock.nettyhttp.HttpExchange;
+import io.beryldock.nettyhttp.HttpLoops;
+import io.beryldock.nettyhttp.HttpReply;
+import io.beryldock.nettyhttp.HttpServer;
+import io.beryldock.nettyhttp.HttpServerLimits;
+import io.beryldock.peer.PeerStartException;
+import io.beryldock.settings.SettingsException;
+import io.beryldock.time.ThreadTimerService;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+/**
+ * A platform in small on the loopback interface: a store, one target and its node, for the run in which the Java virtual
+ * machine records the classes that a node loads. Thread safe; closed once.
+ */
+public final class StandinPlatform implements AutoCloseable {
+
+    private static final String HOST = "trial.example";
+    private static final String SERVICE = "trial";
+    private static final String TARGET = "trial-target";
+    private static final int SLOTS = 8;
+    private static final int OK = 200;
+    private static final int REQUESTS = 50;
+    private static final int MAX_TRIES = 200;
+    private static final long PAUSE_MILLIS = 50;
+    private static final long ANSWER_SECONDS = 5;
+    private static final HttpServerLimits LIMITS =
+            new HttpServerLimits(16 << 10, 1 << 20, Duration.ofSeconds(3), Duration.ofSeconds(15));
+    private static final String DOCUMENT =
+            """
+            {"version":"00000001","routes":{"r1":{"hostname":"%s","pathPrefix":"/trial/","type":"safe","timeoutS":5,
+            "targetLatencyS":1,"priority":0,"service":"%s","attempts":2}},"services":{},"limits":{"maxHeaderBytes":16384,
+            "maxBodyBytes":67108864,"headerTimeoutS":3,"idleTimeoutS":15}}
+            """;
+
+    private final HttpLoops loops;
+    private final ThreadTimerService timers;
+    private final HttpClient client;
+    private final InetSocketAddress storeAddress;
+    private final InetSocketAddress targetAddress;
+
+    private StandinPlatform(HttpLoops loops, ThreadTimerService timers, StandinStore store)
+            throws IOException, InterruptedException {
+        this.loops = loops;
+        this.timers = timers;
+        this.client = HttpClient.create(
+                new HttpClientSettings(Duration.ofSeconds(1), Duration.ofSeconds(4), Duration.ofSeconds(1), 1 << 20),
+                loops);
+        this.storeAddress =
+                HttpServer.bind(loopback(0), loops, () -> LIMITS, store).address();
+        this.targetAddress = HttpServer.bind(loopback(0), loops, () -> LIMITS, StandinPlatform::runTarget)
+                .address();
+    }
+
+    /** Starts the store and the target. */
+    public static StandinPlatform start() throws IOException, InterruptedException {
+        ThreadTimerService timers = ThreadTimerService.start("standin", Runnable::run);
+        StandinStore store = new StandinStore(timers);
+        store.write(OperatorDocument.KEY, ByteString.copyFromUtf8(DOCUMENT.formatted(HOST, SERVICE)));
+        return new StandinPlatform(HttpLoops.create(1), timers, store);
+    }
+
+    private static InetSocketAddress loopback(int port) {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+    }
+
+    private static void runTarget(HttpExchange exchange) {
+        String id = exchange.headers().first(PlatformHeaders.REQUEST_ID).orElse("");
+        Headers headers = Headers.empty()
+                .with(PlatformHeaders.REQUEST_ID, id)
+                .with(PlatformHeaders.SIGNATURE, "signed")
+                .with("Content-Type", "text/plain");
+        exchange.answer(HttpAnswer.of(OK, headers, ByteString.copyFromUtf8("answer to " + id)));
+    }
+
+    /** Starts a node, sends requests through it and tells how many were answered with success. */
+    public int exercise() throws IOException, InterruptedException, SettingsException, PeerStartException {
+        PlatformSettings.Listeners listeners = new PlatformSettings.Listeners(
+                "127.0.0.1:" + freePort(), "127.0.0.1:" + freePort(), "127.0.0.1:" + freePort(), freePort());
+        PlatformNode.start(new PlatformSettings(
+                "trial-node",
+                "trial-centre",
+                "127.0.0.1",
+                SERVICE,
+                listeners,
+                "127.0.0.1:" + storeAddress.getPort(),
+                new PlatformSettings.Retries(0.2, 10, 48),
+                6));
+        InetSocketAddress requests = Addresses.parse(listeners.requests());
+        InetSocketAddress heartbeats = Addresses.parse(listeners.heartbeats());
+        int served = 0;
+        for (int i = 0; i < MAX_TRIES && served < REQUESTS; i++) {
+            beat(heartbeats, i);
+            served += request(requests, i) == OK ? 1 : 0;
+            Thread.sleep(served == 0 ? PAUSE_MILLIS : 1);
+        }
+        return served;
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+
+    private void beat(InetSocketAddress address, int sequence) throws InterruptedException {
+        String body =
+                """
+                {"address":"127.0.0.1:%d","info":{"service":"%s","version":"v1","zone":"trial-centre","slots":%d},
+                "status":{"state":"ready","sequence":%d,"coldRemainingS":0}}
+                """
+                        .formatted(targetAddress.getPort(), SERVICE, SLOTS, sequence);
+        Headers headers = Headers.empty().with(PlatformHeaders.HOST, "node");
+        send(address, HttpCall.of("PUT", "/instances/" + TARGET, headers, ByteString.copyFromUtf8(body)));
+    }
+
+    private int request(InetSocketAddress address, int number) throws InterruptedException {
+        Headers headers = Headers.empty()
+                .with(PlatformHeaders.HOST, HOST)
+                .with(PlatformHeaders.REQUEST_ID, "request-" + number)
+                .with(PlatformHeaders.TIME_LEFT_MILLIS, "5000");
+        return send(address, HttpCall.of("GET", "/trial/" + number, headers, ByteString.EMPTY));
+    }
+
+    /** The status, 0 without an answer. */
+    private int send(InetSocketAddress address, HttpCall call) throws InterruptedException {
+        try {
+            HttpReply reply = client.send(address, call).get(ANSWER_SECONDS, TimeUnit.SECONDS);
+            return reply.status();
+        } catch (ExecutionException | TimeoutException e) {
+            return 0;
+        }
+    }
+
+    @Override
+    public void close() {
+        timers.close();
+        loops.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/platform/StandinStore.java
@@ -0,0 +1,289 @@
+package io.beryldock.platform;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.errorprone.annotations.concurrent.GuardedBy;
+import com.google.protobuf.ByteString;
+import io.beryldock.call.Headers;
+import io.beryldock.nettyhttp.HttpAnswer;
+import io.beryldock.nettyhttp.HttpExchange;
+import io.beryldock.nettyhttp.HttpHandler;
+import io.beryldock.time.TimerService;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * A stand-in of the platform's store for tests and for trial runs: keys, leases and watches in memory, with faults that
+ * can be switched on.
+ *
+ * <p>Thread safe. The revision rises with each change; history is kept until it is dropped.
+ */
+final class StandinStore implements HttpHandler {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final int OK = 200;
+    private static final int NOT_FOUND = 404;
+    private static final int GONE = 410;
+    private static final int CONDITION_FAILED = 412;
+    private static final int UNAVAILABLE = 503;
+
+    private final TimerService timers;
+    private final TreeMap<String, Item> items = new TreeMap<>();
+    private final List<Event> history = new ArrayList<>();
+    private final Map<Long, List<String>> leases = new TreeMap<>();
+    private final List<Watch> watches = new ArrayList<>();
+    private long revision = 1;
+    private long historyFrom = 1;
+    private long nextLease = 1;
+    private Fault fault = Fault.NONE;
+
+    StandinStore(TimerService timers) {
+        this.timers = timers;
+    }
+
+    /** How the store misbehaves. */
+    enum Fault {
+        NONE,
+        /** Calls are refused and nothing is done. */
+        BUSY,
+        /** Calls get no answer and nothing is done. */
+        SILENT,
+        /** Writes are done and their answers are lost. */
+        ANSWER_LOST
+    }
+
+    private record Item(ByteString value, long revision, long lease) {}
+
+    private record Event(String key, Item item, long revision) {}
+
+    private record Watch(HttpExchange exchange, String prefix, long after) {}
+
+    /** Switches a fault on, or off with {@link Fault#NONE}. */
+    synchronized void set(Fault next) {
+        fault = next;
+    }
+
+    /** Writes as the operators do, without any condition. */
+    synchronized void write(String key, ByteString value) {
+        put(key, value, 0);
+        notifyWatches();
+    }
+
+    synchronized boolean holds(String key) {
+        return items.containsKey(key);
+    }
+
+    /** Ends all leases, as in an outage that outlasts them. */
+    synchronized void lapseLeases() {
+        List<String> keys = leases.values().stream().flatMap(List::stream).toList();
+        leases.clear();
+        keys.forEach(this::remove);
+        notifyWatches();
+    }
+
+    /** Forgets what has changed so far. */
+    synchronized void dropHistory() {
+        history.clear();
+        historyFrom = revision;
+    }
+
+    @Override
+    public void handle(HttpExchange exchange) {
+        synchronized (this) {
+            if (fault == Fault.SILENT) {
+                return;
+            }
+            if (fault == Fault.BUSY) {
+                exchange.answer(HttpAnswer.of(UNAVAILABLE));
+                return;
+            }
+            route(exchange);
+        }
+    }
+
+    @GuardedBy("this")
+    private void route(HttpExchange exchange) {
+        QueryStringDecoder uri = new QueryStringDecoder(exchange.uri());
+        String path = uri.path();
+        if (path.equals("/kv-key")) {
+            get(exchange, parameter(uri, "key"));
+        } else if (path.equals("/kv-range")) {
+            range(exchange, parameter(uri, "pathPrefix"));
+        } else if (path.equals("/kv-watch")) {
+            long wait = Long.parseLong(parameter(uri, "waitMs"));
+            watch(exchange, parameter(uri, "pathPrefix"), Long.parseLong(parameter(uri, "after")), wait);
+        } else {
+            write(exchange, path);
+        }
+    }
+
+    private void write(HttpExchange exchange, String path) {
+        HttpAnswer answer;
+        if (path.equals("/kv-txn")) {
+            answer = transaction(exchange);
+        } else if (path.equals("/kv-lease")) {
+            leases.put(nextLease, new ArrayList<>());
+            answer = json(OK, MAPPER.createObjectNode().put("lease", nextLease++).put("ttlS", 1));
+        } else {
+            long lease = Long.parseLong(path.substring(path.lastIndexOf('/') + 1));
+            answer = HttpAnswer.of(leases.containsKey(lease) ? OK : NOT_FOUND);
+            if (path.startsWith("/kv-lease-end/") && leases.containsKey(lease)) {
+                leases.remove(lease).forEach(this::remove);
+                notifyWatches();
+            }
+        }
+        if (fault != Fault.ANSWER_LOST) {
+            exchange.answer(answer);
+        }
+    }
+
+    private void get(HttpExchange exchange, String key) {
+        Item item = items.get(key);
+        exchange.answer(item == null ? HttpAnswer.of(NOT_FOUND) : json(OK, item(key, item)));
+    }
+
+    private void range(HttpExchange exchange, String prefix) {
+        ObjectNode answer = MAPPER.createObjectNode();
+        ArrayNode list = answer.putArray("items");
+        items.tailMap(prefix).forEach((key, item) -> {
+            if (key.startsWith(prefix)) {
+                list.add(item(key, item));
+            }
+        });
+        answer.put("hasMore", false).put("at", revision);
+        exchange.answer(json(OK, answer));
+    }
+
+    private void watch(HttpExchange exchange, String prefix, long after, long waitMillis) {
+        Watch watch = new Watch(exchange, prefix, after);
+        if (answerWatch(watch, false)) {
+            return;
+        }
+        watches.add(watch);
+        timers.after(Duration.ofMillis(waitMillis), () -> {
+            synchronized (this) {
+                if (watches.remove(watch)) {
+                    answerWatch(watch, true);
+                }
+            }
+        });
+    }
+
+    private boolean answerWatch(Watch watch, boolean evenIfEmpty) {
+        if (watch.after() < historyFrom && watch.after() < revision) {
+            watch.exchange().answer(HttpAnswer.of(GONE));
+            return true;
+        }
+        ObjectNode answer = MAPPER.createObjectNode();
+        ArrayNode events = answer.putArray("events");
+        for (Event event : history) {
+            if (event.revision() > watch.after() && event.key().startsWith(watch.prefix())) {
+                events.add(event(event));
+            }
+        }
+        if (events.isEmpty() && !evenIfEmpty) {
+            return false;
+        }
+        watch.exchange().answer(json(OK, answer.put("at", revision)));
+        return true;
+    }
+
+    private void notifyWatches() {
+        watches.removeIf(watch -> answerWatch(watch, false));
+    }
+
+    private HttpAnswer transaction(HttpExchange exchange) {
+        JsonNode body;
+        try {
+            body = MAPPER.readTree(exchange.body().toByteArray());
+        } catch (IOException e) {
+            return HttpAnswer.of(NOT_FOUND);
+        }
+        for (JsonNode condition : body.path("expectedRev")) {
+            Item held = items.get(condition.path("key").asText());
+            long found = held == null ? 0 : held.revision();
+            if (found != condition.path("revision").asLong()) {
+                return conflict(condition.path("key").asText(), held);
+            }
+        }
+        for (JsonNode put : body.path("puts")) {
+            long lease = put.path("lease").asLong();
+            if (lease != 0 && !leases.containsKey(lease)) {
+                return HttpAnswer.of(NOT_FOUND);
+            }
+            byte[] value = Base64.getDecoder().decode(put.path("value").asText());
+            put(put.path("key").asText(), ByteString.copyFrom(value), lease);
+        }
+        body.path("deletes").forEach(key -> remove(key.asText()));
+        notifyWatches();
+        return json(OK, MAPPER.createObjectNode().put("revision", revision));
+    }
+
+    private static HttpAnswer conflict(String key, Item held) {
+        ObjectNode answer = MAPPER.createObjectNode();
+        ArrayNode list = answer.putArray("items");
+        if (held == null) {
+            list.addObject().put("key", key).put("revision", 0);
+        } else {
+            list.add(item(key, held));
+        }
+        return json(CONDITION_FAILED, answer);
+    }
+
+    private void put(String key, ByteString value, long lease) {
+        revision++;
+        Item item = new Item(value, revision, lease);
+        items.put(key, item);
+        history.add(new Event(key, item, revision));
+        if (lease != 0) {
+            leases.get(lease).add(key);
+        }
+    }
+
+    private void remove(String key) {
+        if (items.remove(key) != null) {
+            revision++;
+            history.add(new Event(key, null, revision));
+        }
+    }
+
+    private static ObjectNode item(String key, Item item) {
+        return MAPPER.createObjectNode()
+                .put("key", key)
+                .put("value", Base64.getEncoder().encodeToString(item.value().toByteArray()))
+                .put("revision", item.revision())
+                .put("lease", item.lease());
+    }
+
+    private static ObjectNode event(Event event) {
+        if (event.item() != null) {
+            return item(event.key(), event.item());
+        }
+        return MAPPER.createObjectNode()
+                .put("key", event.key())
+                .put("revision", event.revision())
+                .put("tombstone", true);
+    }
+
+    private static String parameter(QueryStringDecoder uri, String name) {
+        return uri.parameters().getOrDefault(name, List.of("")).get(0);
+    }
+
+    private static HttpAnswer json(int status, ObjectNode body) {
+        try {
+            Headers headers = Headers.empty().with("Content-Type", "application/json");
+            return HttpAnswer.of(status, headers, ByteString.copyFrom(MAPPER.writeValueAsBytes(body)));
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a tree of texts and numbers is always JSON", e);
+        }
+    }
+}
--- a/src/main/java/io/beryldock/platform/package-info.java
+++ b/src/main/java/io/beryldock/platform/package-info.java
@@ -1,5 +1,9 @@
 /**
- * The platform's key-value service as a port, with the adapters to it and an in-memory fake whose faults can be
- * switched on.
+ * The adapter to the users' platform: settings, configuration document, announcements of targets, the store's protocol,
+ * headers and statuses.
+ *
+ * <p>It translates between the platform's words and the project's and decides nothing; nothing outside it knows a name of
+ * the platform. The names on the wire are the platform's; each is decoded once into a type whose fields say what they
+ * hold.
  */
 package io.beryldock.platform;
--- a/src/main/java/io/beryldock/standin/StandinPlatformServer.java
+++ b/src/main/java/io/beryldock/standin/StandinPlatformServer.java
@@ -1,11 +1,11 @@
 package io.beryldock.standin;
 
 import com.google.protobuf.ByteString;
-import io.beryldock.platform.InMemoryPlatformStore;
-import io.beryldock.platform.PlatformProtocol;
-import io.beryldock.platform.PlatformStore;
-import io.beryldock.platform.StoredValue;
-import io.beryldock.platform.WriteResult;
+import io.beryldock.store.InMemoryPlatformStore;
+import io.beryldock.store.PlatformProtocol;
+import io.beryldock.store.PlatformStore;
+import io.beryldock.store.StoredValue;
+import io.beryldock.store.WriteResult;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.time.Duration;
@@ -62,7 +62,7 @@
         return listener.address();
     }
 
-    /** Base address for {@link io.beryldock.platform.HttpPlatformStore}. */
+    /** Base address for {@link io.beryldock.store.HttpPlatformStore}. */
     public URI uri() {
         return URI.create(
                 "http://" + address().getHostString() + ":" + address().getPort());
--- a/src/main/java/io/beryldock/standin/StoreFaultsResource.java
+++ b/src/main/java/io/beryldock/standin/StoreFaultsResource.java
@@ -3,9 +3,9 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import io.beryldock.platform.InMemoryPlatformStore;
-import io.beryldock.platform.PlatformProtocol;
-import io.beryldock.platform.StoreFaults;
+import io.beryldock.store.InMemoryPlatformStore;
+import io.beryldock.store.PlatformProtocol;
+import io.beryldock.store.StoreFaults;
 import java.io.IOException;
 import java.time.Duration;
 
--- a/src/main/java/io/beryldock/platform/PlatformException.java
+++ b/src/main/java/io/beryldock/store/PlatformException.java
@@ -1,4 +1,4 @@
-package io.beryldock.platform;
+package io.beryldock.store;
 
 /** The platform store gave no usable answer; the message names the remedy. */
 public final class PlatformException extends Exception {
--- a/src/main/java/io/beryldock/platform/PlatformProtocol.java
+++ b/src/main/java/io/beryldock/store/PlatformProtocol.java
@@ -1,4 +1,4 @@
-package io.beryldock.platform;
+package io.beryldock.store;
 
 /** Paths, headers and status codes of docs/PLATFORM-PROTOCOL.md. */
 public final class PlatformProtocol {
--- a/src/main/java/io/beryldock/platform/StoreCallCounts.java
+++ b/src/main/java/io/beryldock/store/StoreCallCounts.java
@@ -1,4 +1,4 @@
-package io.beryldock.platform;
+package io.beryldock.store;
 
 /**
  * How many calls reached a stand-in of the platform store, by kind; a waiting watch counts as one. Immutable.
--- /dev/null
+++ b/src/main/java/io/beryldock/store/StoreFollower.java
@@ -0,0 +1,115 @@
+package io.beryldock.store;
+
+import io.beryldock.store.RegistryStore.Changes;
+import io.beryldock.store.RegistryStore.Entry;
+import io.beryldock.store.RegistryStore.Listing;
+import io.beryldock.time.TimerService;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
+import java.util.random.RandomGenerator;
+
+/**
+ * Follows the entries under a prefix: lists them once, then watches, and lists again when the store has forgotten its
+ * history.
+ *
+ * <p>Used on the thread of the timers only. Invariant: the listener sees every change after a listing in order, or
+ * another listing.
+ */
+public final class StoreFollower {
+
+    /** Pause after a call that failed, jittered by half: nodes must not fall upon a store that has just come back. */
+    private static final Duration RETRY = Duration.ofMillis(250);
+
+    /** Pause between two watches: a burst of changes is fetched by one call instead of one each. */
+    private static final Duration GATHER = Duration.ofMillis(20);
+
+    private final RegistryStore store;
+    private final String prefix;
+    private final Duration wait;
+    private final TimerService timers;
+    private final RandomGenerator random;
+    private final Listener listener;
+
+    private StoreFollower(
+            RegistryStore store,
+            String prefix,
+            Duration wait,
+            TimerService timers,
+            RandomGenerator random,
+            Listener listener) {
+        this.store = store;
+        this.prefix = prefix;
+        this.wait = wait;
+        this.timers = timers;
+        this.random = random;
+        this.listener = listener;
+    }
+
+    /**
+     * A follower that has not started.
+     *
+     * @param wait how long one watch waits; a connection that has gone silent is noticed that much late
+     */
+    public static StoreFollower create(
+            RegistryStore store,
+            String prefix,
+            Duration wait,
+            TimerService timers,
+            RandomGenerator random,
+            Listener listener) {
+        return new StoreFollower(store, prefix, wait, timers, random, listener);
+    }
+
+    /** Hears what the store holds, on the thread of the timers. */
+    public interface Listener {
+
+        /** All entries there are now. */
+        void onListing(Listing listing);
+
+        void onChange(Entry entry);
+
+        /** Whether the last call was answered. */
+        void onStore(boolean reachable);
+    }
+
+    /** Lists the entries and follows them from then on. */
+    public void start() {
+        hear(store.list(prefix), this::onListed);
+    }
+
+    private void onListed(Listing listing, Throwable failure) {
+        listener.onStore(failure == null);
+        if (failure != null) {
+            timers.after(pause(), this::start);
+            return;
+        }
+        listener.onListing(listing);
+        watch(listing.revision());
+    }
+
+    private void watch(long revision) {
+        hear(store.changes(prefix, revision, wait), (changes, failure) -> onWatched(revision, changes, failure));
+    }
+
+    private void onWatched(long revision, Changes changes, Throwable failure) {
+        listener.onStore(failure == null);
+        if (failure != null) {
+            timers.after(pause(), () -> watch(revision));
+        } else if (changes.historyGone()) {
+            start();
+        } else {
+            changes.entries().forEach(listener::onChange);
+            timers.after(GATHER, () -> watch(changes.revision()));
+        }
+    }
+
+    private Duration pause() {
+        long nanos = RETRY.toNanos();
+        return Duration.ofNanos(nanos / 2 + random.nextLong(nanos));
+    }
+
+    private <T> void hear(CompletableFuture<T> call, BiConsumer<T, Throwable> then) {
+        call.whenComplete((value, failure) -> timers.after(Duration.ZERO, () -> then.accept(value, failure)));
+    }
+}
--- a/src/main/java/io/beryldock/platform/StoredValue.java
+++ b/src/main/java/io/beryldock/store/StoredValue.java
@@ -1,4 +1,4 @@
-package io.beryldock.platform;
+package io.beryldock.store;
 
 import com.google.protobuf.ByteString;
 
--- a/src/test/java/io/beryldock/command/FakeDeployment.java
+++ b/src/test/java/io/beryldock/command/FakeDeployment.java
@@ -11,7 +11,7 @@
 import io.beryldock.peer.PeerHandler;
 import io.beryldock.peer.PeerTopic;
 import io.beryldock.peer.PeerTransport;
-import io.beryldock.platform.InMemoryPlatformStore;
+import io.beryldock.store.InMemoryPlatformStore;
 import io.beryldock.time.ManualTimerService;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
--- a/src/test/java/io/beryldock/command/OperatorDialogueTest.java
+++ b/src/test/java/io/beryldock/command/OperatorDialogueTest.java
@@ -5,7 +5,7 @@
 import io.beryldock.call.RequestId;
 import io.beryldock.call.ServiceName;
 import io.beryldock.golden.GoldenFile;
-import io.beryldock.platform.StoreFaults;
+import io.beryldock.store.StoreFaults;
 import io.beryldock.timeline.EventKind;
 import java.time.Duration;
 import java.util.Optional;
--- a/src/test/java/io/beryldock/command/OperatorServiceTest.java
+++ b/src/test/java/io/beryldock/command/OperatorServiceTest.java
@@ -8,7 +8,7 @@
 import io.beryldock.call.RequestId;
 import io.beryldock.call.ServiceName;
 import io.beryldock.command.OperatorResponse.Status;
-import io.beryldock.platform.StoreFaults;
+import io.beryldock.store.StoreFaults;
 import io.beryldock.timeline.Event;
 import io.beryldock.timeline.EventKind;
 import java.time.Duration;
--- a/src/test/java/io/beryldock/configuration/ConfigurationRandomisedTest.java
+++ b/src/test/java/io/beryldock/configuration/ConfigurationRandomisedTest.java
@@ -3,7 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.google.common.flogger.FluentLogger;
-import io.beryldock.platform.WriteResult;
+import io.beryldock.store.WriteResult;
 import java.util.List;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/io/beryldock/configuration/ConfigurationSyncTest.java
+++ b/src/test/java/io/beryldock/configuration/ConfigurationSyncTest.java
@@ -4,8 +4,8 @@
 
 import com.google.protobuf.ByteString;
 import io.beryldock.call.NodeId;
-import io.beryldock.platform.StoreFaults;
-import io.beryldock.platform.StoredValue;
+import io.beryldock.store.StoreFaults;
+import io.beryldock.store.StoredValue;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
--- a/src/test/java/io/beryldock/configuration/RandomSchedule.java
+++ b/src/test/java/io/beryldock/configuration/RandomSchedule.java
@@ -4,7 +4,7 @@
 import com.google.common.collect.ImmutableSet;
 import io.beryldock.call.NodeId;
 import io.beryldock.call.ServiceName;
-import io.beryldock.platform.StoreFaults;
+import io.beryldock.store.StoreFaults;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
--- a/src/test/java/io/beryldock/idempotency/KeyShardTest.java
+++ b/src/test/java/io/beryldock/idempotency/KeyShardTest.java
@@ -3,10 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.beryldock.membership.Directory;
-import io.beryldock.platform.InMemoryPlatformStore;
-import io.beryldock.platform.PlatformStore;
-import io.beryldock.platform.StoreCallCounts;
-import io.beryldock.platform.StoreFaults;
+import io.beryldock.store.InMemoryPlatformStore;
+import io.beryldock.store.PlatformStore;
+import io.beryldock.store.StoreCallCounts;
+import io.beryldock.store.StoreFaults;
 import io.beryldock.time.ManualTimerService;
 import io.beryldock.timeline.EventSink;
 import java.time.Duration;
--- a/src/test/java/io/beryldock/idempotency/KeyedRequestCoordinatorTest.java
+++ b/src/test/java/io/beryldock/idempotency/KeyedRequestCoordinatorTest.java
@@ -5,7 +5,7 @@
 import io.beryldock.call.CallResult;
 import io.beryldock.call.Outcome;
 import io.beryldock.call.Reason;
-import io.beryldock.platform.StoreFaults;
+import io.beryldock.store.StoreFaults;
 import java.time.Duration;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/io/beryldock/idempotency/NodeStore.java
+++ b/src/test/java/io/beryldock/idempotency/NodeStore.java
@@ -1,9 +1,9 @@
 package io.beryldock.idempotency;
 
 import com.google.protobuf.ByteString;
-import io.beryldock.platform.PlatformStore;
-import io.beryldock.platform.StoredValue;
-import io.beryldock.platform.WriteResult;
+import io.beryldock.store.PlatformStore;
+import io.beryldock.store.StoredValue;
+import io.beryldock.store.WriteResult;
 import io.beryldock.time.ManualTimerService;
 import java.time.Duration;
 import java.util.Optional;
--- a/src/test/java/io/beryldock/node/TargetAnnouncementsTest.java
+++ b/src/test/java/io/beryldock/node/TargetAnnouncementsTest.java
@@ -14,7 +14,7 @@
 import io.beryldock.membership.NodeDescriptor;
 import io.beryldock.membership.TargetRecord;
 import io.beryldock.membership.TargetState;
-import io.beryldock.platform.InMemoryPlatformStore;
+import io.beryldock.store.InMemoryPlatformStore;
 import io.beryldock.time.ManualTimerService;
 import io.beryldock.timeline.EventSink;
 import java.net.InetSocketAddress;
--- a/src/test/java/io/beryldock/promises/PromiseSteps.java
+++ b/src/test/java/io/beryldock/promises/PromiseSteps.java
@@ -4,7 +4,7 @@
 
 import com.google.common.base.Stopwatch;
 import io.beryldock.node.RunningNode;
-import io.beryldock.platform.StoreFaults;
+import io.beryldock.store.StoreFaults;
 import io.beryldock.standin.StandinException;
 import io.beryldock.standin.StandinTarget;
 import io.cucumber.java.After;
--- a/src/test/java/io/beryldock/platform/InMemoryPlatformStoreTest.java
+++ b/src/test/java/io/beryldock/store/InMemoryPlatformStoreTest.java
@@ -1,4 +1,4 @@
-package io.beryldock.platform;
+package io.beryldock.store;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
