--- a/src/main/java/io/beryldock/forwarding/AttemptLoop.java
+++ b/src/main/java/io/beryldock/forwarding/AttemptLoop.java
@@ -48,6 +48,7 @@
     private long slowestNanos;
     private boolean mayHaveRun;
     private Optional<CallResult> last = Optional.empty();
+    private Optional<CallResult> failedAnswer = Optional.empty();
 
     AttemptLoop(CallForwarder.Ports ports, Call call, RetryAccount account, CancelScope scope) {
         this.ports = ports;
@@ -112,13 +113,16 @@
 
     private void onEnd(TargetRecord target, RetryGrant grant, CallResult ended, long latencyNanos) {
         ports.chooser().onResult(target, ended, latencyNanos);
-        ports.doors().learningFrom(call).observe(call.service(), ended.levels());
+        ports.doors().learningFrom(call).observe(call.caller(), call.service(), ended.levels());
         settle(grant, ended);
         spentNanos += ended.spentNanos();
         slowestNanos = Math.max(slowestNanos, latencyNanos);
         mayHaveRun |= ended.outcome() == Outcome.UNKNOWN;
         fullRefusals += ended.reason().filter(RetryPolicy::isFullRefusal).isPresent() ? 1 : 0;
         last = Optional.of(ended);
+        if (ended.answer().isPresent()) {
+            failedAnswer = Optional.of(ended);
+        }
         if (shouldRetry(ended)) {
             retryLater();
         } else {
@@ -203,8 +207,15 @@
         ports.timers().after(Duration.ofNanos(delay), this::next);
     }
 
-    /** Says UNKNOWN in place of NOT_RUN when an attempt before the last may have run. */
+    /**
+     * Says UNKNOWN in place of NOT_RUN when an attempt before the last may have run, and gives the answer of an earlier
+     * attempt, though it is a failure, in place of none.
+     */
     private void finish(CallResult ended) {
+        if (ended.answer().isEmpty() && failedAnswer.isPresent()) {
+            result.complete(failedAnswer.get().withSpentNanos(spentNanos));
+            return;
+        }
         boolean tell = mayHaveRun && ended.outcome() == Outcome.NOT_RUN;
         CallResult told = tell
                 ? CallResult.unknown(ended.reason().orElse(Reason.INTERNAL), "an earlier attempt may have run")
--- a/src/main/java/io/beryldock/forwarding/EntryService.java
+++ b/src/main/java/io/beryldock/forwarding/EntryService.java
@@ -36,6 +36,9 @@
 
     private static final PriorityClass ORPHAN_CLASS = PriorityClass.of("no-context", PriorityClass.LOWEST_RANK);
 
+    /** What was run above an inner call whose parent is not known: enough to go before calls that begin. */
+    private static final long UNKNOWN_SUNK_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
+
     private final Ports ports;
     private volatile boolean refusing;
 
@@ -55,6 +58,7 @@
             DoorShedder door,
             RetryLedger ledger,
             ExecutionRegistry executions,
+            InnerCallDetector innerCalls,
             CallForwarder forwarder,
             KeyedRequestHandler keyed,
             RequestIds ids,
@@ -81,7 +85,13 @@
             CallResult refusal = CallResult.notRun(Reason.NO_ROUTE, request.method() + " " + request.path());
             return CompletableFuture.completedFuture(new RequestOutcome(id, refusal));
         }
-        if (request.origin() == IncomingRequest.Origin.CALLER) {
+        Optional<ServiceName> innerCaller = request.origin() == IncomingRequest.Origin.EITHER
+                ? ports.innerCalls().caller(route.get(), request.timeLimit())
+                : Optional.empty();
+        if (innerCaller.isPresent()) {
+            return handleWithoutContext(request, route.get(), id, innerCaller.get(), scope);
+        }
+        if (request.origin() != IncomingRequest.Origin.TARGET) {
             if (refusing) {
                 return CompletableFuture.completedFuture(new RequestOutcome(id, stopping(request)));
             }
@@ -175,6 +185,27 @@
                 above.retriedAncestor() || parent.call().idempotent());
     }
 
+    /**
+     * An inner call that is known for one, but not within which run it was made.
+     *
+     * <p>It does not meet the door: turning it away would waste what was run above it.
+     */
+    private CompletableFuture<RequestOutcome> handleWithoutContext(
+            IncomingRequest request, Route route, RequestId id, ServiceName caller, CancelScope scope) {
+        Configuration configuration = ports.configuration().get();
+        PriorityClass priority = configuration.priorityOf(route);
+        int retries = configuration.budgetOf(route).retries();
+        CallContext context = new CallContext(
+                id, id, priority, allowedNanos(request, route), retries, 1, 0, UNKNOWN_SUNK_NANOS, false);
+        Call call = call(request, route, id, caller, context);
+        RetryAccount account = ports.ledger().open(id, retries);
+        return dispatch(request, call, account, scope).thenApply(result -> {
+            account.close();
+            ports.journal().ended(call, result);
+            return new RequestOutcome(id, result);
+        });
+    }
+
     /** An inner call whose parent this node does not know, since it was restarted or the header was left out. */
     private CompletableFuture<RequestOutcome> handleOrphan(
             IncomingRequest request, Route route, RequestId id, Optional<ContextHeader> header, CancelScope scope) {
--- a/src/main/java/io/beryldock/forwarding/ExecutionRegistry.java
+++ b/src/main/java/io/beryldock/forwarding/ExecutionRegistry.java
@@ -28,6 +28,15 @@
         return Optional.ofNullable(running.get(id));
     }
 
+    /** Time left of the call that has most of it; 0 when none runs. */
+    long longestRemainingNanos(long now) {
+        long longest = 0;
+        for (Execution execution : running.values()) {
+            longest = Math.max(longest, execution.remainingNanos(now));
+        }
+        return longest;
+    }
+
     public int size() {
         return running.size();
     }
--- a/src/main/java/io/beryldock/forwarding/IncomingRequest.java
+++ b/src/main/java/io/beryldock/forwarding/IncomingRequest.java
@@ -46,6 +46,8 @@
     public enum Origin {
         CALLER,
         /** The target in the node's own VM. */
-        TARGET
+        TARGET,
+        /** A listener that callers and the target use alike. */
+        EITHER
     }
 }
--- a/src/main/java/io/beryldock/node/TrafficModule.java
+++ b/src/main/java/io/beryldock/node/TrafficModule.java
@@ -16,6 +16,7 @@
 import io.beryldock.forwarding.EntryService;
 import io.beryldock.forwarding.ExecutionRegistry;
 import io.beryldock.forwarding.HomeDispatcher;
+import io.beryldock.forwarding.InnerCallDetector;
 import io.beryldock.forwarding.JoiningRequestHandler;
 import io.beryldock.forwarding.KeyedRequestHandler;
 import io.beryldock.forwarding.PeerCallClient;
@@ -216,6 +217,13 @@
         return RequestJournal.create(refusals, events);
     }
 
+    @Provides
+    @Singleton
+    InnerCallDetector innerCalls(ExecutionRegistry executions, TargetAnnouncements announcements) {
+        return InnerCallDetector.create(
+                executions, () -> announcements.current().map(AnnouncedTarget::service), timers.ticker());
+    }
+
     @Provides
     @Singleton
     JoiningRequestHandler joining(EntryService entry) {
@@ -230,6 +238,7 @@
             DoorShedder door,
             RetryLedger ledger,
             ExecutionRegistry executions,
+            InnerCallDetector innerCalls,
             CallForwarder forwarder,
             KeyedRequestHandler keyed,
             RequestIds ids,
@@ -243,6 +252,7 @@
                 door,
                 ledger,
                 executions,
+                innerCalls,
                 forwarder,
                 keyed,
                 ids,
--- a/src/main/java/io/beryldock/platform/CallerEndpoint.java
+++ b/src/main/java/io/beryldock/platform/CallerEndpoint.java
@@ -19,7 +19,6 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
-import java.util.function.Predicate;
 
 /**
  * Takes the requests that begin in this VM, those of its clients and the inner calls of its target, and answers them in
@@ -40,21 +39,17 @@
 
     private final RequestHandler requests;
     private final String ownService;
-    private final Predicate<HttpExchange> fromTarget;
     private final BooleanSupplier stopping;
 
     /**
      * An endpoint.
      *
      * @param ownService service of the target in this VM, told to the targets that are called
-     * @param fromTarget tells an inner call of the target in this VM from a client's request
      * @param stopping whether connections are closed with their next answer
      */
-    CallerEndpoint(
-            RequestHandler requests, String ownService, Predicate<HttpExchange> fromTarget, BooleanSupplier stopping) {
+    CallerEndpoint(RequestHandler requests, String ownService, BooleanSupplier stopping) {
         this.requests = requests;
         this.ownService = ownService;
-        this.fromTarget = fromTarget;
         this.stopping = stopping;
     }
 
@@ -95,7 +90,7 @@
                 .without(CallerEndpoint::isSetByNodes)
                 .with(PlatformHeaders.CALLER_SERVICE, ownService);
         return Optional.of(new IncomingRequest(
-                fromTarget.test(exchange) ? Origin.TARGET : Origin.CALLER,
+                Origin.EITHER,
                 exchange.method(),
                 exchange.uri(),
                 forwarded,
--- a/src/main/java/io/beryldock/platform/PlatformNode.java
+++ b/src/main/java/io/beryldock/platform/PlatformNode.java
@@ -84,11 +84,8 @@
         PlatformSettings.Listeners listeners = settings.listeners();
         NodeHealth health = injector.getInstance(NodeHealth.class);
         HeartbeatEndpoint heartbeats = new HeartbeatEndpoint(injector.getInstance(LocalTargets.class));
-        CallerEndpoint callers = new CallerEndpoint(
-                injector.getInstance(EntryService.class),
-                settings.service(),
-                exchange -> exchange.remote().getAddress().getHostAddress().equals(settings.address()),
-                health::isStopping);
+        CallerEndpoint callers =
+                new CallerEndpoint(injector.getInstance(EntryService.class), settings.service(), health::isStopping);
         ConfigurationKeeper configuration = injector.getInstance(ConfigurationKeeper.class);
         HttpServer.bind(Addresses.parse(listeners.heartbeats()), loops, limits, heartbeats);
         HttpServer.bind(
--- a/src/test/java/io/beryldock/retry/RetryPolicyTest.java
+++ b/src/test/java/io/beryldock/retry/RetryPolicyTest.java
@@ -58,6 +58,7 @@
                         Reason.QUEUED_TOO_LONG,
                         Reason.TARGET_REFUSED,
                         Reason.DRAINING,
+                        Reason.NO_TARGET,
                         Reason.CONNECT_FAILED,
                         Reason.CONNECTION_LOST,
                         Reason.TIMED_OUT,
