--- a/src/test/java/io/beryldock/ArchitectureTest.java
+++ b/src/test/java/io/beryldock/ArchitectureTest.java
@@ -50,12 +50,23 @@
             .dependOnClassesThat()
             .resideInAnyPackage(
                     "io.beryldock.http..",
+                    "io.beryldock.nettyhttp..",
+                    "io.beryldock.eventloop..",
+                    "io.beryldock.platform..",
                     "io.beryldock.node..",
                     "io.beryldock.cli..",
                     "io.beryldock.standin..",
                     "io.beryldock.demo..",
                     "io.beryldock.measure..");
 
+    @ArchTest
+    static final ArchRule ONLY_COMMANDS_KNOW_THE_PLATFORM_ADAPTER = noClasses()
+            .that()
+            .resideOutsideOfPackages("io.beryldock.platform..", "io.beryldock.cli..")
+            .should()
+            .dependOnClassesThat()
+            .resideInAPackage("io.beryldock.platform..");
+
     @ArchTest
     static final ArchRule NOBODY_STARTS_PROCESSES = noClasses()
             .should()
