--- a/src/main/java/io/beryldock/Main.java
+++ b/src/main/java/io/beryldock/Main.java
@@ -1,7 +1,9 @@
 package io.beryldock;
 
+import com.google.common.collect.ImmutableSet;
 import io.beryldock.cli.CommandLineRunner;
 import io.beryldock.logging.JsonLogging;
+import io.beryldock.logging.JsonLogging.Output;
 
 /** Entry point of the one program. */
 public final class Main {
@@ -9,10 +11,15 @@
     /** System property with the level of the logs. */
     private static final String LOG_LEVEL = "beryldock.log";
 
+    /** Subcommands whose standard output is a log. */
+    private static final ImmutableSet<String> NODES = ImmutableSet.of("platform-node");
+
     private Main() {}
 
     public static void main(String[] args) {
-        JsonLogging.start(System.getProperty(LOG_LEVEL, "WARN"));
+        boolean isNode = args.length > 0 && NODES.contains(args[0]);
+        JsonLogging.start(
+                System.getProperty(LOG_LEVEL, "WARN"), isNode ? Output.STANDARD_OUTPUT : Output.STANDARD_ERROR);
         int code = CommandLineRunner.run(args, System.out, System.err);
         System.exit(code);
     }
--- a/src/main/java/io/beryldock/platform/PlatformNode.java
+++ b/src/main/java/io/beryldock/platform/PlatformNode.java
@@ -50,7 +50,7 @@
     /** Starts a node with the settings in the file. */
     public static PlatformNode start(Path file)
             throws SettingsException, PeerStartException, IOException, InterruptedException {
-        return start(SettingsReader.read(file, PlatformSettings.class));
+        return start(SettingsReader.readSelfChecked(file, PlatformSettings.class));
     }
 
     static PlatformNode start(PlatformSettings settings)
--- a/src/main/java/io/beryldock/platform/PlatformSettings.java
+++ b/src/main/java/io/beryldock/platform/PlatformSettings.java
@@ -3,12 +3,11 @@
 import com.google.common.collect.ImmutableList;
 import io.beryldock.forwarding.Addresses;
 import io.beryldock.settings.NodeSettings;
-import jakarta.validation.Valid;
-import jakarta.validation.constraints.Min;
-import jakarta.validation.constraints.NotNull;
-import jakarta.validation.constraints.Pattern;
+import io.beryldock.settings.SelfChecked;
+import io.beryldock.settings.SettingsException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.regex.Pattern;
 
 /**
  * Settings of a node on the platform, from the JSON that the platform fills in from {@code deploy/node.json}. Immutable.
@@ -23,22 +22,22 @@
  * @param stopSeconds time from SIGTERM to the end of the process
  */
 record PlatformSettings(
-        @NotNull String id,
-        @NotNull String dataCentre,
+        String id,
+        String dataCentre,
 
-        @NotNull @Pattern(regexp = "[0-9.]+", message = "is an IP number")
         String address,
 
-        @NotNull String service,
-        @NotNull @Valid Listeners listeners,
+        String service,
+        Listeners listeners,
 
-        @NotNull @Pattern(regexp = ADDRESS, message = "is IP:PORT")
         String store,
 
-        @NotNull @Valid Retries retries,
-        @Min(1) double stopSeconds) {
+        Retries retries,
+        double stopSeconds)
+        implements SelfChecked {
 
-    private static final String ADDRESS = "[0-9.]+:[0-9]{1,5}";
+    private static final Pattern ADDRESS = Pattern.compile("[0-9.]+:[0-9]{1,5}");
+    private static final String TEMPLATE = "correct deploy/node.json";
 
     /** What of the stop time is left for telling others, and for leaving; the rest is for requests in flight. */
     private static final double STOP_RESERVE_SECONDS = 4;
@@ -54,17 +53,7 @@
      * @param heartbeats takes the heartbeats of the target in this VM, IP:PORT
      * @param peerPort port for other nodes
      */
-    record Listeners(
-            @NotNull @Pattern(regexp = ADDRESS, message = "is IP:PORT")
-            String requests,
-
-            @NotNull @Pattern(regexp = ADDRESS, message = "is IP:PORT")
-            String readiness,
-
-            @NotNull @Pattern(regexp = ADDRESS, message = "is IP:PORT")
-            String heartbeats,
-
-            @Min(1) int peerPort) {}
+    record Listeners(String requests, String readiness, String heartbeats, int peerPort) {}
 
     /**
      * The retries allowed to all nodes together.
@@ -80,6 +69,33 @@
         }
     }
 
+    @Override
+    public void check() throws SettingsException {
+        require(id != null && !id.isEmpty(), "id", "the name of the node");
+        require(dataCentre != null && !dataCentre.isEmpty(), "dataCentre", "the name of its data centre");
+        require(address != null && !address.isEmpty(), "address", "the IP number of its VM");
+        require(service != null && !service.isEmpty(), "service", "the service of its target");
+        require(listeners != null, "listeners", "the addresses of its listeners");
+        requireAddress(listeners.requests(), "listeners.requests");
+        requireAddress(listeners.readiness(), "listeners.readiness");
+        requireAddress(listeners.heartbeats(), "listeners.heartbeats");
+        require(listeners.peerPort() > 0, "listeners.peerPort", "a port");
+        requireAddress(store, "store");
+        require(retries != null && retries.windowSeconds() > 0, "retries.windowSeconds", "a time above 0");
+        require(retries.share() >= 0 && retries.share() <= 1, "retries.share", "a share from 0 to 1");
+        require(stopSeconds >= 1, "stopSeconds", "a time of 1 s or more");
+    }
+
+    private static void requireAddress(String value, String key) throws SettingsException {
+        require(value != null && ADDRESS.matcher(value).matches(), key, "an address IP:PORT");
+    }
+
+    private static void require(boolean holds, String key, String expected) throws SettingsException {
+        if (!holds) {
+            throw new SettingsException(key, expected, TEMPLATE);
+        }
+    }
+
     InetSocketAddress storeAddress() {
         return Addresses.parse(store);
     }
--- a/src/main/java/io/beryldock/settings/SettingsReader.java
+++ b/src/main/java/io/beryldock/settings/SettingsReader.java
@@ -6,7 +6,8 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.exc.MismatchedInputException;
 import com.fasterxml.jackson.databind.exc.UnrecognizedPropertyException;
-import io.dropwizard.jackson.Jackson;
+import com.fasterxml.jackson.datatype.guava.GuavaModule;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 import io.dropwizard.jersey.validation.Validators;
 import jakarta.validation.ConstraintViolation;
 import jakarta.validation.Validator;
@@ -24,35 +25,51 @@
  */
 public final class SettingsReader {
 
-    private static final ObjectMapper MAPPER = Jackson.newObjectMapper()
+    private static final ObjectMapper MAPPER = new ObjectMapper()
+            .registerModules(new GuavaModule(), new Jdk8Module())
             .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
             .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
 
-    private static final Validator VALIDATOR = Validators.newValidator();
-
     private SettingsReader() {}
 
+    /** Made on first use: the validator takes a third of a second, which a node that restarts in an outage lacks. */
+    private static final class Checks {
+        static final Validator VALIDATOR = Validators.newValidator();
+    }
+
     /** Reads the file; a file that can't be read is a fault of the key {@code --settings}. */
     public static <T> T read(Path file, Class<T> type) throws SettingsException {
-        String json;
-        try {
-            json = Files.readString(file);
-        } catch (IOException e) {
-            throw new SettingsException("--settings", "a readable JSON file at " + file, "check the path");
-        }
-        return parse(json, type);
+        return parse(text(file), type);
     }
 
     /** Reads settings from a text. */
     public static <T> T parse(String json, Class<T> type) throws SettingsException {
-        T settings;
+        T settings = read(json, type);
+        check(settings);
+        return settings;
+    }
+
+    /** Reads settings that check themselves. */
+    public static <T extends SelfChecked> T readSelfChecked(Path file, Class<T> type) throws SettingsException {
+        T settings = read(text(file), type);
+        settings.check();
+        return settings;
+    }
+
+    private static <T> T read(String json, Class<T> type) throws SettingsException {
         try {
-            settings = MAPPER.readValue(json, type);
+            return MAPPER.readValue(json, type);
         } catch (JsonProcessingException e) {
             throw explain(e);
         }
-        check(settings);
-        return settings;
+    }
+
+    private static String text(Path file) throws SettingsException {
+        try {
+            return Files.readString(file);
+        } catch (IOException e) {
+            throw new SettingsException("--settings", "a readable JSON file at " + file, "check the path");
+        }
     }
 
     private static SettingsException explain(JsonProcessingException e) {
@@ -91,7 +108,7 @@
     }
 
     private static <T> void check(T settings) throws SettingsException {
-        Optional<ConstraintViolation<T>> first = VALIDATOR.validate(settings).stream()
+        Optional<ConstraintViolation<T>> first = Checks.VALIDATOR.validate(settings).stream()
                 .min(Comparator.comparing(
                         violation -> violation.getPropertyPath().toString()));
         if (first.isPresent()) {
