--- a/src/main/java/io/beryldock/cli/PlatformNodeSubcommand.java
+++ b/src/main/java/io/beryldock/cli/PlatformNodeSubcommand.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.util.concurrent.CountDownLatch;
+import org.jline.utils.Signals;
 import org.kohsuke.args4j.Option;
 
 /** Runs a node on the users' platform until it is told to stop. */
@@ -36,6 +37,8 @@
             err.println("beryldock platform-node: " + e.getMessage());
             return FAILED;
         }
+        // Without a handler the signal ends the virtual machine.
+        Signals.register("HUP", () -> PlatformNode.checkChanged(file.toPath()));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node), "planned-stop"));
         new CountDownLatch(1).await();
         return OK;
--- a/src/main/java/io/beryldock/platform/CallerEndpoint.java
+++ b/src/main/java/io/beryldock/platform/CallerEndpoint.java
@@ -36,25 +36,33 @@
     private static final int BAD_GATEWAY = 502;
     private static final int GATEWAY_TIMEOUT = 504;
     private static final double MILLIS_PER_SECOND = 1000;
+    private static final long START_MILLIS = 300;
 
     private final RequestHandler requests;
     private final String ownService;
+    private final BooleanSupplier configured;
     private final BooleanSupplier stopping;
 
     /**
      * An endpoint.
      *
      * @param ownService service of the target in this VM, told to the targets that are called
+     * @param configured whether any configuration is known; a node that knows none can't say that a route does not exist
      * @param stopping whether connections are closed with their next answer
      */
-    CallerEndpoint(RequestHandler requests, String ownService, BooleanSupplier stopping) {
+    CallerEndpoint(RequestHandler requests, String ownService, BooleanSupplier configured, BooleanSupplier stopping) {
         this.requests = requests;
         this.ownService = ownService;
+        this.configured = configured;
         this.stopping = stopping;
     }
 
     @Override
     public void handle(HttpExchange exchange) {
+        if (!configured.getAsBoolean()) {
+            exchange.answer(notConfigured());
+            return;
+        }
         Optional<IncomingRequest> request = read(exchange);
         if (request.isEmpty()) {
             exchange.answer(HttpAnswer.of(BAD_REQUEST));
@@ -73,6 +81,12 @@
         });
     }
 
+    /** A node that has just started knows the document after one call of the store, some milliseconds. */
+    private static HttpAnswer notConfigured() {
+        return HttpAnswer.of(
+                NOT_RUN, Headers.empty().with(PlatformHeaders.RETRY_AFTER, seconds(START_MILLIS)), ByteString.EMPTY);
+    }
+
     private Optional<IncomingRequest> read(HttpExchange exchange) {
         Headers all = exchange.headers();
         Optional<String> host = all.first(PlatformHeaders.HOST);
--- a/src/main/java/io/beryldock/platform/PlatformNode.java
+++ b/src/main/java/io/beryldock/platform/PlatformNode.java
@@ -1,6 +1,8 @@
 package io.beryldock.platform;
 
+import com.google.common.flogger.FluentLogger;
 import com.google.inject.Injector;
+import io.beryldock.configuration.Configuration;
 import io.beryldock.configuration.ConfigurationKeeper;
 import io.beryldock.configuration.DocumentSync;
 import io.beryldock.eventloop.EventLoops;
@@ -30,6 +32,7 @@
     /** A VM has about one core; with one thread a request is handed between none. */
     private static final int TRAFFIC_THREADS = 1;
 
+    private static final FluentLogger log = FluentLogger.forEnclosingClass();
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
 
@@ -84,9 +87,12 @@
         PlatformSettings.Listeners listeners = settings.listeners();
         NodeHealth health = injector.getInstance(NodeHealth.class);
         HeartbeatEndpoint heartbeats = new HeartbeatEndpoint(injector.getInstance(LocalTargets.class));
-        CallerEndpoint callers =
-                new CallerEndpoint(injector.getInstance(EntryService.class), settings.service(), health::isStopping);
         ConfigurationKeeper configuration = injector.getInstance(ConfigurationKeeper.class);
+        CallerEndpoint callers = new CallerEndpoint(
+                injector.getInstance(EntryService.class),
+                settings.service(),
+                () -> isConfigured(configuration),
+                health::isStopping);
         HttpServer.bind(Addresses.parse(listeners.heartbeats()), loops, limits, heartbeats);
         HttpServer.bind(
                 Addresses.parse(listeners.readiness()),
@@ -96,12 +102,26 @@
         HttpServer.bind(Addresses.parse(listeners.requests()), loops, limits, callers);
     }
 
+    private static boolean isConfigured(ConfigurationKeeper configuration) {
+        return configuration.current().version() > Configuration.DEFAULTS_VERSION;
+    }
+
     /** Ready once a configuration is known: a node that knows no route could only refuse. */
     private static void answerReadiness(HttpExchange exchange, ConfigurationKeeper configuration, NodeHealth health) {
-        boolean ready = configuration.current().version() > 0 && !health.isStopping();
+        boolean ready = isConfigured(configuration) && !health.isStopping();
         exchange.answer(HttpAnswer.of(ready ? OK : UNAVAILABLE));
     }
 
+    /** Reads changed settings to tell whether they are sound; they take effect with the next start. */
+    public static void checkChanged(Path file) {
+        try {
+            SettingsReader.readSelfChecked(file, PlatformSettings.class);
+            log.atInfo().log("settings %s were read again; what changed takes effect with the next start", file);
+        } catch (SettingsException e) {
+            log.atSevere().log("changed settings %s: %s; the node runs on with those it has", file, e.getMessage());
+        }
+    }
+
     /** Stops without cutting off a request. */
     public void stop() throws InterruptedException {
         core.stop();
