--- a/src/main/java/io/beryldock/Main.java
+++ b/src/main/java/io/beryldock/Main.java
@@ -19,7 +19,8 @@
     public static void main(String[] args) {
         boolean isNode = args.length > 0 && NODES.contains(args[0]);
         JsonLogging.start(
-                System.getProperty(LOG_LEVEL, "WARN"), isNode ? Output.STANDARD_OUTPUT : Output.STANDARD_ERROR);
+                System.getProperty(LOG_LEVEL, isNode ? "INFO" : "WARN"),
+                isNode ? Output.STANDARD_OUTPUT : Output.STANDARD_ERROR);
         int code = CommandLineRunner.run(args, System.out, System.err);
         System.exit(code);
     }
--- /dev/null
+++ b/src/main/java/io/beryldock/forwarding/RefusalSummary.java
@@ -0,0 +1,80 @@
+package io.beryldock.forwarding;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.errorprone.annotations.concurrent.GuardedBy;
+import io.beryldock.call.Call;
+import io.beryldock.call.Outcome;
+import io.beryldock.call.Reason;
+import io.beryldock.call.RequestId;
+import io.beryldock.call.ServiceName;
+import io.beryldock.time.TimerService;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Logs requests that ended without an answer, those of one cause summed over a second.
+ *
+ * <p>Thread safe. The volume is bounded under any load: at most {@link #MAX_CAUSES} lines a second.
+ */
+public final class RefusalSummary {
+
+    private static final FluentLogger log = FluentLogger.forEnclosingClass();
+    private static final Duration PERIOD = Duration.ofSeconds(1);
+
+    /** Causes told apart in one second; a node serves tens of routes, of which few fail at a time. */
+    private static final int MAX_CAUSES = 40;
+
+    @GuardedBy("this")
+    private final Map<Cause, Sum> sums = new HashMap<>();
+
+    @GuardedBy("this")
+    private long untold;
+
+    private RefusalSummary() {}
+
+    /** A summary that logs each second. */
+    public static RefusalSummary start(TimerService timers) {
+        RefusalSummary summary = new RefusalSummary();
+        timers.every(PERIOD, summary::write);
+        return summary;
+    }
+
+    private record Cause(Outcome outcome, Reason reason, ServiceName service, int rank, String detail) {}
+
+    private record Sum(int count, RequestId first, RequestId last) {
+
+        Sum plus(RequestId next) {
+            return new Sum(count + 1, first, next);
+        }
+    }
+
+    synchronized void add(Call call, Outcome outcome, Reason reason, String detail) {
+        RequestId id = call.context().root();
+        int rank = call.context().priority().rank();
+        Cause cause = new Cause(outcome, reason, call.service(), rank, detail);
+        if (sums.size() >= MAX_CAUSES && !sums.containsKey(cause)) {
+            untold++;
+            return;
+        }
+        sums.merge(cause, new Sum(1, id, id), (known, one) -> known.plus(id));
+    }
+
+    private synchronized void write() {
+        sums.forEach((cause, sum) -> log.atInfo().log(
+                "without answer in 1 s: outcome=%s reason=%s service=%s rank=%d count=%d first=%s last=%s detail=%s",
+                cause.outcome(),
+                cause.reason(),
+                cause.service(),
+                cause.rank(),
+                sum.count(),
+                sum.first(),
+                sum.last(),
+                cause.detail()));
+        if (untold > 0) {
+            log.atInfo().log("without answer in 1 s: %d more of other causes", untold);
+        }
+        sums.clear();
+        untold = 0;
+    }
+}
--- a/src/main/java/io/beryldock/forwarding/RequestJournal.java
+++ b/src/main/java/io/beryldock/forwarding/RequestJournal.java
@@ -14,15 +14,17 @@
 public final class RequestJournal {
 
     private final RefusalCounter refusals;
+    private final RefusalSummary summary;
     private final EventSink events;
 
-    private RequestJournal(RefusalCounter refusals, EventSink events) {
+    private RequestJournal(RefusalCounter refusals, RefusalSummary summary, EventSink events) {
         this.refusals = refusals;
+        this.summary = summary;
         this.events = events;
     }
 
-    public static RequestJournal create(RefusalCounter refusals, EventSink events) {
-        return new RequestJournal(refusals, events);
+    public static RequestJournal create(RefusalCounter refusals, RefusalSummary summary, EventSink events) {
+        return new RequestJournal(refusals, summary, events);
     }
 
     /** Notes the end of a request at its entry, or of an inner call at its node. */
@@ -32,6 +34,7 @@
 
     private void note(Call call, CallResult result, Reason reason) {
         refusals.record(reason, call.context().priority(), call.service(), call.caller());
+        summary.add(call, result.outcome(), reason, result.detail());
         Optional<RequestId> root = Optional.of(call.context().root());
         String detail = "class " + call.context().priority().name() + ", " + reason + ": " + result.detail();
         events.record(kind(result, reason), root, call.service().value(), detail);
--- a/src/main/java/io/beryldock/node/TrafficModule.java
+++ b/src/main/java/io/beryldock/node/TrafficModule.java
@@ -21,6 +21,7 @@
 import io.beryldock.forwarding.KeyedRequestHandler;
 import io.beryldock.forwarding.PeerCallClient;
 import io.beryldock.forwarding.PeerCallServer;
+import io.beryldock.forwarding.RefusalSummary;
 import io.beryldock.forwarding.RequestJournal;
 import io.beryldock.forwarding.RequestTally;
 import io.beryldock.forwarding.RetryTally;
@@ -214,7 +215,7 @@
     @Provides
     @Singleton
     RequestJournal journal(RefusalCounter refusals, EventSink events) {
-        return RequestJournal.create(refusals, events);
+        return RequestJournal.create(refusals, RefusalSummary.start(timers), events);
     }
 
     @Provides
