--- a/src/main/java/io/beryldock/configuration/DocumentSync.java
+++ b/src/main/java/io/beryldock/configuration/DocumentSync.java
@@ -25,8 +25,8 @@
  * away or its watch has gone silent.
  *
  * <p>Control thread only. Invariants: the version in force never falls in one life of the process; what peers tell is
- * decoded and checked like what the store tells. News goes to {@link #FAN_OUT} random nodes; each second one random node
- * is asked whether it holds other news, which bounds how long a node without the store stays behind.
+ * decoded and checked like what the store tells. News goes to {@link #FAN_OUT} random nodes; each second one random
+ * node is asked whether it holds other news, which bounds how long a node without the store stays behind.
  */
 public final class DocumentSync {
 
--- a/src/main/java/io/beryldock/forwarding/InnerCallDetector.java
+++ b/src/main/java/io/beryldock/forwarding/InnerCallDetector.java
@@ -10,8 +10,8 @@
 import java.util.function.Supplier;
 
 /**
- * Tells inner calls of the target in this VM from callers' requests, where both come to one listener and neither carries
- * a context.
+ * Tells inner calls of the target in this VM from callers' requests, where both come to one listener and neither
+ * carries a context.
  *
  * <p>An inner call ends with the call within whose run it was made, so it never has more time left than every running
  * call. A request that has more is a caller's, and so are, for a while, all of its route. Without this, work for which
--- a/src/main/java/io/beryldock/forwarding/TargetRun.java
+++ b/src/main/java/io/beryldock/forwarding/TargetRun.java
@@ -168,8 +168,8 @@
     }
 
     /**
-     * Work that nobody waits for is stopped, so that it frees its slot; what must not be repeated goes on to its end, as
-     * the caller can't be told otherwise whether it took effect.
+     * Work that nobody waits for is stopped, so that it frees its slot; what must not be repeated goes on to its end,
+     * as the caller can't be told otherwise whether it took effect.
      */
     private void abort(TargetExchange running) {
         if (call.idempotent()) {
--- a/src/main/java/io/beryldock/nettyhttp/HttpClient.java
+++ b/src/main/java/io/beryldock/nettyhttp/HttpClient.java
@@ -118,8 +118,8 @@
     }
 
     /**
-     * One timer for all idle connections: one for each release woke the loop as often as requests did, which cost as much
-     * processor time as their way (measured as epoll_wait calls a request by strace: 6 with, 2 without).
+     * One timer for all idle connections: one for each release woke the loop as often as requests did, which cost as
+     * much processor time as their way (measured as epoll_wait calls a request by strace: 6 with, 2 without).
      */
     private void sweepLater() {
         if (!sweeping && !idle.isEmpty()) {
--- a/src/main/java/io/beryldock/platform/CallerEndpoint.java
+++ b/src/main/java/io/beryldock/platform/CallerEndpoint.java
@@ -47,7 +47,8 @@
      * An endpoint.
      *
      * @param ownService service of the target in this VM, told to the targets that are called
-     * @param configured whether any configuration is known; a node that knows none can't say that a route does not exist
+     * @param configured whether any configuration is known; a node that knows none can't say that a route does not
+     *     exist
      * @param stopping whether connections are closed with their next answer
      */
     CallerEndpoint(RequestHandler requests, String ownService, BooleanSupplier configured, BooleanSupplier stopping) {
--- a/src/main/java/io/beryldock/platform/LocalTargets.java
+++ b/src/main/java/io/beryldock/platform/LocalTargets.java
@@ -12,10 +12,10 @@
 /**
  * Which start of the target in this VM is the present one.
  *
- * <p>State is used on the control thread only; {@link #current()} is thread safe. Guards against a heartbeat of an ended
- * start that comes late, after a new start has announced itself at the same address: taken for news it would bring the
- * ended start back and every call would be refused as misdirected. An id that was replaced or has ended comes back only
- * with two further heartbeats in order, which a single late one never is.
+ * <p>State is used on the control thread only; {@link #current()} is thread safe. Guards against a heartbeat of an
+ * ended start that comes late, after a new start has announced itself at the same address: taken for news it would
+ * bring the ended start back and every call would be refused as misdirected. An id that was replaced or has ended comes
+ * back only with two further heartbeats in order, which a single late one never is.
  */
 final class LocalTargets {
 
--- a/src/main/java/io/beryldock/platform/PlatformModule.java
+++ b/src/main/java/io/beryldock/platform/PlatformModule.java
@@ -3,6 +3,8 @@
 import com.google.inject.AbstractModule;
 import com.google.inject.Provides;
 import com.google.inject.Singleton;
+import io.beryldock.admission.GateSettings;
+import io.beryldock.admission.LimitStrategies;
 import io.beryldock.call.NodeId;
 import io.beryldock.configuration.ConfigurationKeeper;
 import io.beryldock.configuration.DocumentSync;
@@ -91,6 +93,18 @@
         return new PlatformTargetClient(targetClient, targets::current, timers);
     }
 
+    /**
+     * Targets run as many requests at once as they announce, and queue the rest: the limit stays at the slots.
+     *
+     * <p>A limit found by service times sinks where these differ tenfold between the kinds of requests of one target.
+     */
+    @Provides
+    @Singleton
+    GateSettings gateSettings() {
+        GateSettings usual = GateSettings.defaults();
+        return usual.withStrategy(LimitStrategies.fixed(usual.maxLimit()));
+    }
+
     @Provides
     @Singleton
     RetryBudgets budgets(TimerService timers, Membership membership) {
--- a/src/main/java/io/beryldock/platform/PlatformSettings.java
+++ b/src/main/java/io/beryldock/platform/PlatformSettings.java
@@ -10,7 +10,8 @@
 import java.util.regex.Pattern;
 
 /**
- * Settings of a node on the platform, from the JSON that the platform fills in from {@code deploy/node.json}. Immutable.
+ * Settings of a node on the platform, from the JSON that the platform fills in from {@code deploy/node.json}.
+ * Immutable.
  *
  * @param id name of the node
  * @param dataCentre name of its data centre
--- a/src/main/java/io/beryldock/platform/StandinPlatform.java
+++ b/src/main/java/io/beryldock/platform/StandinPlatform.java
@@ -25,8 +25,8 @@
 import java.util.concurrent.TimeoutException;
 
 /**
- * A platform in small on the loopback interface: a store, a target with its node and another node, for the run in which the Java virtual
- * machine records the classes that a node loads. Thread safe; closed once.
+ * A platform in small on the loopback interface: a store, a target with its node and another node, for the run in which
+ * the Java virtual machine records the classes that a node loads. Thread safe; closed once.
  */
 public final class StandinPlatform implements AutoCloseable {
 
@@ -43,7 +43,8 @@
             new HttpServerLimits(16 << 10, 1 << 20, Duration.ofSeconds(3), Duration.ofSeconds(15));
     private static final String DOCUMENT = """
             {"version":"00000001","routes":{"r1":{"hostname":"%s","pathPrefix":"/trial/","type":"safe","timeoutS":5,
-            "targetLatencyS":1,"priority":0,"service":"%s","attempts":2}},"services":{},"limits":{"maxHeaderBytes":16384,
+            "targetLatencyS":1,"priority":0,"service":"%s","attempts":2}},"services":{},
+            "limits":{"maxHeaderBytes":16384,
             "maxBodyBytes":67108864,"headerTimeoutS":3,"idleTimeoutS":15}}
             """;
 
@@ -87,7 +88,10 @@
         exchange.answer(HttpAnswer.of(OK, headers, ByteString.copyFromUtf8("answer to " + id)));
     }
 
-    /** Starts two nodes, sends so many requests from the one to the target of the other and tells how many were answered with success. */
+    /**
+     * Starts two nodes, sends so many requests from the one to the target of the other and tells how many were answered
+     * with success.
+     */
     public int exercise(int number) throws IOException, InterruptedException, SettingsException, PeerStartException {
         PlatformSettings.Listeners atTarget = startNode("trial-node-1");
         PlatformSettings.Listeners atEntry = startNode("trial-node-2");
--- a/src/main/java/io/beryldock/retry/RetryPolicy.java
+++ b/src/main/java/io/beryldock/retry/RetryPolicy.java
@@ -7,8 +7,9 @@
  * Decides whether a call is tried again.
  *
  * <p>A retry goes to a different target, only after NOT_RUN, or after UNKNOWN or a server error when the route is
- * idempotent and the time left covers what an attempt is expected to take. Pure: the same question has the same decision. Whether a retry is
- * also allowed, by the account of the call and the budget of the services, is asked afterwards. Stateless, thread safe.
+ * idempotent and the time left covers what an attempt is expected to take. Pure: the same question has the same
+ * decision. Whether a retry is also allowed, by the account of the call and the budget of the services, is asked
+ * afterwards. Stateless, thread safe.
  */
 public final class RetryPolicy {
 
--- a/src/test/java/io/beryldock/platform/KvStoreClientTest.java
+++ b/src/test/java/io/beryldock/platform/KvStoreClientTest.java
@@ -83,7 +83,9 @@
                 .satisfies(value -> assertThat(value).isEmpty());
     }
 
-    /** Story: nodes never hear of a new target. The store had dropped its history and a watch from before it was kept. */
+    /**
+     * Story: nodes never hear of a new target. The store had dropped its history and a watch from before it was kept.
+     */
     @Test
     void watchFromBeforeTheHistorySaysSo() throws Exception {
         pair.store.write("a/1", ONE);
--- a/src/test/java/io/beryldock/platform/OperatorDocumentTest.java
+++ b/src/test/java/io/beryldock/platform/OperatorDocumentTest.java
@@ -21,7 +21,8 @@
                       "service":"lists","attempts":2},
               "deep":{"hostname":"a.example","pathPrefix":"/x/y/","type":"unsafe","timeoutS":1,"priority":0,
                       "trafficSplit":[{"service":"orders","weight":90},{"service":"lists","weight":10}],"attempts":3}},
-             "services":{},"limits":{"maxHeaderBytes":2048,"maxBodyBytes":67108864,"headerTimeoutS":3,"idleTimeoutS":15},
+             "services":{},
+             "limits":{"maxHeaderBytes":2048,"maxBodyBytes":67108864,"headerTimeoutS":3,"idleTimeoutS":15},
              "baseVersion":"0000001e","somethingNew":true}
             """;
 
