The peers' test clock moves only when the relay has passed on all bytes

Cause of PeerTransportRandomFaultsTest failing with 'not within PT20S' on a quiet machine: the manual clock ran 20 s ahead in a tenth of a second while bytes were in real sockets and the relay's threads.

--- a/src/test/java/io/beryldock/peer/FaultyRelay.java
+++ b/src/test/java/io/beryldock/peer/FaultyRelay.java
@@ -5,8 +5,9 @@
 import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -22,27 +23,31 @@
 
     private static final int BUFFER = 16 * 1024;
     private static final long FROZEN_NANOS = 1_000_000;
+    private static final long ACCEPT_NANOS = 1_000_000;
 
-    private final ServerSocket server;
+    private final ServerSocketChannel server;
     private final InetSocketAddress target;
     private final List<Lane> lanes = new CopyOnWriteArrayList<>();
     private final AtomicInteger connections = new AtomicInteger();
     private final LongAdder bytes = new LongAdder();
     private volatile Fault faultOfNew = Fault.NONE;
 
-    private FaultyRelay(ServerSocket server, InetSocketAddress target) {
+    private FaultyRelay(ServerSocketChannel server, InetSocketAddress target) {
         this.server = server;
         this.target = target;
     }
 
     static FaultyRelay start(InetSocketAddress target) throws IOException {
-        FaultyRelay relay = new FaultyRelay(new ServerSocket(0, 50, InetAddress.getLoopbackAddress()), target);
+        ServerSocketChannel server =
+                ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        server.configureBlocking(false);
+        FaultyRelay relay = new FaultyRelay(server, target);
         daemon(relay::accept);
         return relay;
     }
 
     InetSocketAddress address() {
-        return new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
+        return (InetSocketAddress) server.socket().getLocalSocketAddress();
     }
 
     /** Bytes taken from either end. */
@@ -80,17 +85,45 @@
         cut();
     }
 
+    /**
+     * Whether all bytes given to the relay have been passed on, thrown away or held back by a fault.
+     *
+     * <p>Takes new connections first, so that bytes sent on these are seen too.
+     */
+    boolean quiet() {
+        try {
+            acceptWaiting();
+            for (Lane lane : lanes) {
+                if (!lane.quiet()) {
+                    return false;
+                }
+            }
+            return true;
+        } catch (IOException e) {
+            // A lane was closed meanwhile: looked at again.
+            return false;
+        }
+    }
+
     private void accept() {
         try {
-            while (true) {
-                Socket near = server.accept();
-                connect(near);
+            while (server.isOpen()) {
+                acceptWaiting();
+                LockSupport.parkNanos(ACCEPT_NANOS);
             }
         } catch (IOException e) {
             cut();
         }
     }
 
+    private synchronized void acceptWaiting() throws IOException {
+        SocketChannel near = server.isOpen() ? server.accept() : null;
+        while (near != null) {
+            connect(near.socket());
+            near = server.isOpen() ? server.accept() : null;
+        }
+    }
+
     /** A refused connection is refused in turn. */
     private void connect(Socket near) throws IOException {
         try {
@@ -129,6 +162,7 @@
         private final Socket to;
         private final boolean forth;
         private volatile Fault fault;
+        private volatile boolean passing;
 
         Lane(Socket from, Socket to, boolean forth, Fault fault) {
             this.from = from;
@@ -143,8 +177,10 @@
                 InputStream in = from.getInputStream();
                 int count = in.read(buffer);
                 while (count >= 0) {
+                    passing = true;
                     bytes.add(count);
                     pass(buffer, count);
+                    passing = false;
                     count = in.read(buffer);
                 }
             } catch (IOException e) {
@@ -162,6 +198,12 @@
             }
         }
 
+        boolean quiet() throws IOException {
+            return from.isClosed()
+                    || fault == Fault.FREEZE
+                    || (!passing && from.getInputStream().available() == 0);
+        }
+
         void close() {
             lanes.remove(this);
             try {
--- a/src/test/java/io/beryldock/peer/PeerPair.java
+++ b/src/test/java/io/beryldock/peer/PeerPair.java
@@ -29,6 +29,12 @@
     private static final Duration TICK = PeerLiveness.defaults().tick();
     private static final long WAIT_SECONDS = 20;
 
+    /** Looks at the relay in a row: bytes that go back and forth are now with the loop, now with the relay. */
+    private static final int QUIET_ROUNDS = 3;
+
+    /** A receiver that stopped reading keeps the relay from ever being quiet: the clock goes on all the same. */
+    private static final int MAX_ROUNDS = 20_000;
+
     final ManualTimerService timers = ManualTimerService.create();
     final List<EventKind> events = new CopyOnWriteArrayList<>();
     final List<PeerHandler.PeerMessage> held = new CopyOnWriteArrayList<>();
@@ -148,8 +154,19 @@
                 .get();
     }
 
+    /**
+     * Waits, with the clock standing still, until the event loop has done all that it was given and the relay has passed
+     * on all bytes.
+     *
+     * <p>Without the relay's part the clock ran 20 s ahead in a tenth of a second while bytes were still on their way, and
+     * sound connections ended as silent ones.
+     */
     private void settle() {
-        loops.next().submit(() -> {}).syncUninterruptibly();
+        int quiet = 0;
+        for (int round = 0; quiet < QUIET_ROUNDS && round < MAX_ROUNDS; round++) {
+            loops.next().submit(() -> {}).syncUninterruptibly();
+            quiet = relay.quiet() ? quiet + 1 : 0;
+        }
     }
 
     @Override
