--- a/src/main/java/io/beryldock/platform/OperatorDocument.java
+++ b/src/main/java/io/beryldock/platform/OperatorDocument.java
@@ -37,11 +37,8 @@
     private static final int HEX = 16;
     private static final double NANOS_PER_SECOND = 1e9;
 
-    /**
-     * Share of retries in first tries from one service to another. Retries of a call repeat the calls beneath it, so
-     * that the share allowed over the whole fleet, 0.2, is divided by the four services of the deepest chain.
-     */
-    private static final double RETRY_SHARE = 0.05;
+    /** What the document says of retries is a number for one request; the share for a service is in the settings. */
+    private static final double NO_SHARE = 0;
 
     /** Largest body that is taken: bodies are held whole, at two copies on a VM of 330 MB. */
     private static final int HELD_BODY_BYTES = 1 << 20;
@@ -80,7 +77,7 @@
         // The wire's name means targets that one request may be sent to, the first one included.
         int retries = Math.min(
                 RetrySetting.MAX_RETRIES, Math.max(0, wire.path("attempts").asInt(1) - 1));
-        RetrySetting budget = new RetrySetting("retries-" + retries, retries, RETRY_SHARE);
+        RetrySetting budget = new RetrySetting("retries-" + retries, retries, NO_SHARE);
         ImmutableList<WeightedService> split = split(wire.path("trafficSplit"));
         ServiceName service = split.isEmpty()
                 ? ServiceName.of(wire.path("service").asText())
--- a/src/test/java/io/beryldock/peer/PeerPair.java
+++ b/src/test/java/io/beryldock/peer/PeerPair.java
@@ -155,11 +155,11 @@
     }
 
     /**
-     * Waits, with the clock standing still, until the event loop has done all that it was given and the relay has passed
-     * on all bytes.
+     * Waits, with the clock standing still, until the event loop has done all that it was given and the relay has
+     * passed on all bytes.
      *
-     * <p>Without the relay's part the clock ran 20 s ahead in a tenth of a second while bytes were still on their way, and
-     * sound connections ended as silent ones.
+     * <p>Without the relay's part the clock ran 20 s ahead in a tenth of a second while bytes were still on their way,
+     * and sound connections ended as silent ones.
      */
     private void settle() {
         int quiet = 0;
