--- a/src/main/java/io/beryldock/retry/RetryGate.java
+++ b/src/main/java/io/beryldock/retry/RetryGate.java
@@ -33,26 +33,36 @@
     }
 
     private static RetryDecision take(RetryQuestion q, RetryAccount account, RetryBudget budget) {
-        if (!q.reachedTarget()) {
-            return RetryDecision.RETRY_ELSEWHERE;
-        }
-        if (!budget.tryRetry()) {
+        boolean budgeted = !isExemptFromBudget(q);
+        if (budgeted && !budget.tryRetry()) {
             return RetryDecision.STOP_BUDGET_SPENT;
         }
         if (account.takeRetry()) {
             return RetryDecision.RETRY_ELSEWHERE;
         }
-        budget.putBack();
+        if (budgeted) {
+            budget.putBack();
+        }
         return RetryDecision.STOP_ALLOWANCE_SPENT;
     }
 
-    private static String cause(RetryQuestion q) {
-        return q.result().reason().map(Reason::name).orElse("ANSWERED");
+    /**
+     * A target that is leaving refuses before any work is done, and for a few seconds only, until all nodes know of it.
+     * Such a refusal is no sign of an outage; counting it would fail requests during a rolling restart. The allowance
+     * of the request still bounds it.
+     */
+    private static boolean isExemptFromBudget(RetryQuestion q) {
+        return q.result().reason().filter(Reason.DRAINING::equals).isPresent();
     }
 
     private void record(RetryQuestion q, RetryAccount account, RetryDecision outcome) {
         switch (outcome) {
-            case RETRY_ELSEWHERE -> events.record(EventKind.RETRY_GRANTED, account.requestId(), cause(q), "");
+            case RETRY_ELSEWHERE ->
+                events.record(
+                        EventKind.RETRY_GRANTED,
+                        account.requestId(),
+                        q.result().reason().map(Reason::name).orElse("ANSWERED"),
+                        "");
             case STOP_ALLOWANCE_SPENT, STOP_BUDGET_SPENT ->
                 events.record(
                         EventKind.RETRY_REFUSED,
--- a/src/main/java/io/beryldock/retry/RetryQuestion.java
+++ b/src/main/java/io/beryldock/retry/RetryQuestion.java
@@ -1,8 +1,6 @@
 package io.beryldock.retry;
 
 import io.beryldock.call.CallResult;
-import io.beryldock.call.Outcome;
-import io.beryldock.call.Reason;
 
 /**
  * What is known when an attempt has ended without an answer.
@@ -26,16 +24,4 @@
         int otherTargets,
         long remainingNanos,
         long expectedNanos,
-        boolean suspect) {
-
-    /**
-     * Whether the attempt can have reached a target.
-     *
-     * <p>A refusal by the node of a target, or a connection that was never made, has cost no target anything; neither
-     * the allowance nor the budget, which protect targets, pays for the next attempt.
-     */
-    boolean reachedTarget() {
-        boolean notRun = result.outcome() == Outcome.NOT_RUN;
-        return !notRun || result.reason().orElseThrow() == Reason.TARGET_REFUSED;
-    }
-}
+        boolean suspect) {}
