--- a/src/main/java/io/beryldock/retry/RetryPolicy.java
+++ b/src/main/java/io/beryldock/retry/RetryPolicy.java
@@ -6,19 +6,15 @@
 /**
  * Decides whether a call is tried again.
  *
- * <p>A retry goes to a different target, only after NOT_RUN, or after UNKNOWN or a server error when the route is
- * idempotent and the time left covers what an attempt is expected to take. Pure: the same question has the same
- * decision. Whether a retry is also allowed, by the account of the call and the budget of the services, is asked
- * afterwards. Stateless, thread safe.
+ * <p>A retry goes to a different target, only after NOT_RUN, or after UNKNOWN when the route is idempotent and the time
+ * left covers what an attempt is expected to take. Pure: the same question has the same decision. Whether a retry is
+ * also allowed, by the account of the call and the budget of the services, is asked afterwards. Stateless, thread safe.
  */
 public final class RetryPolicy {
 
     /** Full targets that are asked before the service is held to be full. */
     static final int MAX_FULL_REFUSALS = 2;
 
-    private static final int FIRST_SERVER_ERROR = 500;
-    private static final int GATEWAY_TIMEOUT = 504;
-
     private RetryPolicy() {}
 
     public static RetryPolicy create() {
@@ -27,9 +23,7 @@
 
     public RetryDecision decide(RetryQuestion q) {
         if (q.result().outcome() == Outcome.ANSWERED) {
-            return isFailure(q.result().answer().orElseThrow().status()) && q.idempotent()
-                    ? decideElsewhere(q)
-                    : RetryDecision.STOP_ANSWERED;
+            return RetryDecision.STOP_ANSWERED;
         }
         Reason reason = q.result().reason().orElseThrow();
         return q.result().outcome() == Outcome.UNKNOWN ? decideUnknown(q, reason) : decideByReason(q, reason);
@@ -43,16 +37,10 @@
         return q.suspect() ? RetryDecision.STOP_SUSPECT : decideByReason(q, reason);
     }
 
-    /** A target that fails some of its requests while others of its service don't; a timeout is spent time. */
-    private static boolean isFailure(int status) {
-        return status >= FIRST_SERVER_ERROR && status != GATEWAY_TIMEOUT;
-    }
-
     private static RetryDecision decideByReason(RetryQuestion q, Reason reason) {
-        return helpsElsewhere(reason) ? decideElsewhere(q) : RetryDecision.STOP_USELESS;
-    }
-
-    private static RetryDecision decideElsewhere(RetryQuestion q) {
+        if (!helpsElsewhere(reason)) {
+            return RetryDecision.STOP_USELESS;
+        }
         if (q.fullRefusals() >= MAX_FULL_REFUSALS) {
             return RetryDecision.STOP_SERVICE_FULL;
         }
@@ -75,7 +63,7 @@
     private static boolean helpsElsewhere(Reason reason) {
         return switch (reason) {
             case SHED_AT_TARGET, QUEUED_TOO_LONG, TARGET_REFUSED -> true;
-            case DRAINING, NO_TARGET, CONNECT_FAILED, CONNECTION_LOST, TIMED_OUT, INTERNAL -> true;
+            case DRAINING, CONNECT_FAILED, CONNECTION_LOST, TIMED_OUT, INTERNAL -> true;
             default -> false;
         };
     }
