--- a/src/main/java/io/beryldock/forwarding/AttemptLoop.java
+++ b/src/main/java/io/beryldock/forwarding/AttemptLoop.java
@@ -48,7 +48,6 @@
     private long slowestNanos;
     private boolean mayHaveRun;
     private Optional<CallResult> last = Optional.empty();
-    private Optional<CallResult> failedAnswer = Optional.empty();
 
     AttemptLoop(CallForwarder.Ports ports, Call call, RetryAccount account, CancelScope scope) {
         this.ports = ports;
@@ -120,9 +119,6 @@
         mayHaveRun |= ended.outcome() == Outcome.UNKNOWN;
         fullRefusals += ended.reason().filter(RetryPolicy::isFullRefusal).isPresent() ? 1 : 0;
         last = Optional.of(ended);
-        if (ended.answer().isPresent()) {
-            failedAnswer = Optional.of(ended);
-        }
         if (shouldRetry(ended)) {
             retryLater();
         } else {
@@ -207,15 +203,8 @@
         ports.timers().after(Duration.ofNanos(delay), this::next);
     }
 
-    /**
-     * Says UNKNOWN in place of NOT_RUN when an attempt before the last may have run, and gives the answer of an earlier
-     * attempt, though it is a failure, in place of none.
-     */
+    /** Says UNKNOWN in place of NOT_RUN when an attempt before the last may have run. */
     private void finish(CallResult ended) {
-        if (ended.answer().isEmpty() && failedAnswer.isPresent()) {
-            result.complete(failedAnswer.get().withSpentNanos(spentNanos));
-            return;
-        }
         boolean tell = mayHaveRun && ended.outcome() == Outcome.NOT_RUN;
         CallResult told = tell
                 ? CallResult.unknown(ended.reason().orElse(Reason.INTERNAL), "an earlier attempt may have run")
