Inner calls carry rank and hash of the run that makes them; levels hold for the ranks that met a service

Cause: inner calls came to the gates with one hash and the rank of their route. A gate cuts its level through that one rank; all callers beneath it are shed whole, and the demand it estimates for the rest is 20 times too high, so that the level stays. Besides, catalogue reported holdings as beneath it to searches, which call nothing. Change: an inner call is matched to its parent by the time left that it passes on (84% of 4,161 calls of a trial lay within 2 ms of a run, 4 of two routes); levels are learned from answers to all ranks, hold for ranks that met the service.

--- a/src/main/java/io/beryldock/admission/DoorShedder.java
+++ b/src/main/java/io/beryldock/admission/DoorShedder.java
@@ -19,8 +19,9 @@
  * Sheds requests at their entry, before any work is spent, by the worst level that answers reported along the graph
  * beneath a service.
  *
- * <p>What a service reports lies beneath it are the services that it was seen to call, not those that outside callers
- * reach through the same node: else an overloaded service would shed the pages of one that never calls it.
+ * <p>What a service reports lies beneath it are the services that it was seen to call for requests of the same rank, not
+ * those that outside callers reach through the same node: else an overloaded service would shed the pages of one that
+ * never calls it.
  *
  * <p>Invariants: a service of which nothing was reported for {@link RouteLevel#OPEN_AFTER_NANOS} is open; memory is
  * held only for services that do not admit all. Thread safe; deciding takes no lock.
@@ -36,7 +37,7 @@
     private final EventSink events;
     private final EventSampler sheds;
     private final Map<ServiceName, RouteLevel> closed = new ConcurrentHashMap<>();
-    private final Map<ServiceName, Map<ServiceName, RouteLevel>> closedByCaller = new ConcurrentHashMap<>();
+    private final Map<ServiceClass, Map<ServiceName, RouteLevel>> closedByCaller = new ConcurrentHashMap<>();
 
     private DoorShedder(Ticker ticker, RandomGenerator random, EventSink events) {
         this.ticker = ticker;
@@ -50,23 +51,23 @@
         return new DoorShedder(ticker, random, events);
     }
 
-    /** Learns from an answer to an outside caller. */
-    public void observe(ServiceName service, List<ServiceLevel> levels) {
-        observe(Call.OUTSIDE, service, levels);
+    /** Learns from an answer to an outside caller's request of this rank. */
+    public void observe(ServiceName service, int rank, List<ServiceLevel> levels) {
+        observe(Call.OUTSIDE, service, rank, levels);
     }
 
     /** Learns from an answer or a refusal of the service the levels of itself and of those beneath it. */
-    public void observe(ServiceName caller, ServiceName service, List<ServiceLevel> levels) {
+    public void observe(ServiceName caller, ServiceName service, int rank, List<ServiceLevel> levels) {
         RouteLevel known = closed.get(service);
         if (known == null && allOpen(levels)) {
             return;
         }
-        RouteLevel route = known != null ? known : closed.computeIfAbsent(service, missing -> new RouteLevel());
-        beneath(caller).put(service, route);
-        boolean wasOpen = route.open();
-        route.observe(levels, ticker.nanos());
-        if (wasOpen && !route.open()) {
-            events.record(EventKind.LEVEL_CHANGED, service.value(), "the entry sheds: " + route.closed(ticker.nanos()));
+        RouteLevel route = known != null ? known : closed.computeIfAbsent(service, RouteLevel::new);
+        beneath(new ServiceClass(caller, rank)).put(service, route);
+        boolean wasOpen = route.open(rank);
+        route.observe(rank, levels, ticker.nanos());
+        if (wasOpen && !route.open(rank)) {
+            recordChange(service, "rank " + rank + ": the entry sheds: " + route.closed(rank, ticker.nanos()));
         } else if (route.settledOpen()) {
             forget(service, route);
         }
@@ -75,19 +76,23 @@
     private void forget(ServiceName service, RouteLevel route) {
         if (closed.remove(service, route)) {
             closedByCaller.values().forEach(services -> services.remove(service, route));
-            events.record(EventKind.LEVEL_CHANGED, service.value(), "the entry admits all");
+            recordChange(service, "the entry admits all");
         }
     }
 
+    private void recordChange(ServiceName service, String change) {
+        events.record(EventKind.LEVEL_CHANGED, service.value(), change);
+    }
+
     /** Whether a request of this rank and caller to the service may start. */
     public DoorDecision decide(ServiceName service, int rank, int callerHash) {
         RouteLevel route = closed.get(service);
-        if (route == null || route.open()) {
+        if (route == null || route.open(rank)) {
             return DoorDecision.admit();
         }
         long now = ticker.nanos();
-        int level = route.level(now);
-        if (level >= ServiceLevel.OPEN || CallerHash.position(rank, callerHash) < level || route.takeProbe(now)) {
+        int level = route.level(rank, now);
+        if (level >= ServiceLevel.OPEN || CallerHash.position(rank, callerHash) < level || route.takeProbe(rank, now)) {
             return DoorDecision.admit();
         }
         if (sheds.take(now)) {
@@ -96,16 +101,10 @@
         return DoorDecision.shed(RetryAfter.millis(random));
     }
 
-    /** The level that holds for the service at this entry. */
+    /** The lowest level that holds for a rank of the service at this entry, for operators. */
     public int level(ServiceName service) {
         RouteLevel route = closed.get(service);
-        return route == null ? ServiceLevel.OPEN : route.level(ticker.nanos());
-    }
-
-    /** The services beneath this one that do not admit all, as learned at this entry, for operators. */
-    public ImmutableList<ServiceLevel> closedBeneath(ServiceName service) {
-        RouteLevel route = closed.get(service);
-        return route == null ? ImmutableList.of() : route.closed(ticker.nanos());
+        return route == null ? ServiceLevel.OPEN : route.lowestLevel(ticker.nanos());
     }
 
     /**
@@ -118,7 +117,7 @@
         if (closed.isEmpty()) {
             return DoorDecision.admit();
         }
-        for (ServiceName called : beneath(service).keySet()) {
+        for (ServiceName called : beneath(new ServiceClass(service, rank)).keySet()) {
             DoorDecision decision = decide(called, rank, callerHash);
             if (!decision.admitted()) {
                 return decision;
@@ -127,23 +126,23 @@
         return DoorDecision.admit();
     }
 
-    /** What an answering node reports: its service's own level and the worst of those learned beneath it. */
-    public ImmutableList<ServiceLevel> reportFor(ServiceName service, int ownLevel) {
+    /** What a node reports with an answer: its service's own level and the worst that this rank met beneath it. */
+    public ImmutableList<ServiceLevel> reportFor(ServiceName service, int rank, int ownLevel) {
         ServiceLevel own = new ServiceLevel(service, ownLevel);
         if (closed.isEmpty()) {
             return ImmutableList.of(own);
         }
         return ImmutableList.<ServiceLevel>builder()
                 .add(own)
-                .addAll(worstBeneath(service, ticker.nanos()))
+                .addAll(worstBeneath(new ServiceClass(service, rank), ticker.nanos()))
                 .build();
     }
 
-    private List<ServiceLevel> worstBeneath(ServiceName service, long now) {
+    private List<ServiceLevel> worstBeneath(ServiceClass caller, long now) {
         List<ServiceLevel> worst = new ArrayList<>();
-        for (RouteLevel route : beneath(service).values()) {
-            for (ServiceLevel level : route.closed(now)) {
-                if (!level.service().equals(service)) {
+        for (RouteLevel route : beneath(caller).values()) {
+            for (ServiceLevel level : route.closed(caller.rank(), now)) {
+                if (!level.service().equals(caller.service())) {
                     worst.add(passedOn(level));
                 }
             }
@@ -172,7 +171,7 @@
         return false;
     }
 
-    private Map<ServiceName, RouteLevel> beneath(ServiceName caller) {
+    private Map<ServiceName, RouteLevel> beneath(ServiceClass caller) {
         return closedByCaller.computeIfAbsent(caller, unknown -> new ConcurrentHashMap<>());
     }
 
--- a/src/main/java/io/beryldock/admission/LevelSamples.java
+++ b/src/main/java/io/beryldock/admission/LevelSamples.java
@@ -37,6 +37,14 @@
         count = Math.min(SIZE, count + 1);
     }
 
+    long lastAt() {
+        return times[last()];
+    }
+
+    private int last() {
+        return (next + SIZE - 1) % SIZE;
+    }
+
     /** The middle of the fresh samples, the mean of the middle two; the last sample when none is fresh. */
     int middle(long now) {
         int[] fresh = new int[SIZE];
@@ -47,7 +55,7 @@
             }
         }
         if (found == 0) {
-            return levels[(next + SIZE - 1) % SIZE];
+            return levels[last()];
         }
         Arrays.sort(fresh, 0, found);
         return (fresh[(found - 1) / 2] + fresh[found / 2]) / 2;
--- a/src/main/java/io/beryldock/forwarding/AttemptLoop.java
+++ b/src/main/java/io/beryldock/forwarding/AttemptLoop.java
@@ -112,7 +112,8 @@
 
     private void onEnd(TargetRecord target, RetryGrant grant, CallResult ended, long latencyNanos) {
         ports.chooser().onResult(target, ended, latencyNanos);
-        ports.doors().learningFrom(call).observe(call.caller(), call.service(), ended.levels());
+        int rank = call.context().priority().rank();
+        ports.doors().learningFrom(call).observe(call.caller(), call.service(), rank, ended.levels());
         settle(grant, ended);
         spentNanos += ended.spentNanos();
         slowestNanos = Math.max(slowestNanos, latencyNanos);
--- a/src/main/java/io/beryldock/forwarding/EntryService.java
+++ b/src/main/java/io/beryldock/forwarding/EntryService.java
@@ -12,6 +12,7 @@
 import io.beryldock.call.ServiceName;
 import io.beryldock.configuration.Configuration;
 import io.beryldock.configuration.Route;
+import io.beryldock.forwarding.InnerCallDetector.InnerCaller;
 import io.beryldock.idempotency.CallerIdentity;
 import io.beryldock.retry.GrantPolicy;
 import io.beryldock.retry.RetryAccount;
@@ -85,7 +86,7 @@
             CallResult refusal = CallResult.notRun(Reason.NO_ROUTE, request.method() + " " + request.path());
             return CompletableFuture.completedFuture(new RequestOutcome(id, refusal));
         }
-        Optional<ServiceName> innerCaller = request.origin() == IncomingRequest.Origin.EITHER
+        Optional<InnerCaller> innerCaller = request.origin() == IncomingRequest.Origin.EITHER
                 ? ports.innerCalls().caller(route.get(), request.timeLimit())
                 : Optional.empty();
         if (innerCaller.isPresent()) {
@@ -186,18 +187,24 @@
     }
 
     /**
-     * An inner call that is known for one, but not within which run it was made.
+     * An inner call that is known for one, with the run that makes it where that can be told.
      *
-     * <p>It does not meet the door: turning it away would waste what was run above it.
+     * <p>It has the rank and the caller's hash of its parent, so that a gate beneath knows which requests of callers its
+     * demand comes from. Without that all of this demand seems to come from one caller of one rank, the gate's level
+     * sheds whole ranks at the doors in place of a part, and what it measures never brings the level back.
+     *
+     * <p>It does not meet the door: turning it away would waste what was run above it. The parent's scope is not taken
+     * over: the parent is told by its time only, and the target ends the calls of a run that was given up.
      */
     private CompletableFuture<RequestOutcome> handleWithoutContext(
-            IncomingRequest request, Route route, RequestId id, ServiceName caller, CancelScope scope) {
+            IncomingRequest request, Route route, RequestId id, InnerCaller caller, CancelScope scope) {
         Configuration configuration = ports.configuration().get();
-        PriorityClass priority = configuration.priorityOf(route);
         int retries = configuration.budgetOf(route).retries();
-        CallContext context = new CallContext(
-                id, id, priority, allowedNanos(request, route), retries, 1, 0, UNKNOWN_SUNK_NANOS, false);
-        Call call = call(request, route, id, caller, context);
+        long allowed = allowedNanos(request, route);
+        CallContext context = caller.parent()
+                .map(parent -> contextBeneath(parent, allowed, retries))
+                .orElseGet(() -> contextOfUnknownParent(id, configuration.priorityOf(route), allowed, retries));
+        Call call = call(request, route, id, caller.service(), context);
         RetryAccount account = ports.ledger().open(id, retries);
         return dispatch(request, call, account, scope).thenApply(result -> {
             account.close();
@@ -206,6 +213,26 @@
         });
     }
 
+    private CallContext contextBeneath(Execution parent, long allowedNanos, int retries) {
+        CallContext above = parent.call().context();
+        return new CallContext(
+                above.root(),
+                parent.call().id(),
+                above.priority(),
+                allowedNanos,
+                retries,
+                above.depth() + 1,
+                above.callerHash(),
+                parent.sunkNanos(ports.ticker().nanos()),
+                false);
+    }
+
+    /** The hash is drawn, so that such calls spread over the callers of their rank as their parents do. */
+    private CallContext contextOfUnknownParent(RequestId id, PriorityClass priority, long allowedNanos, int retries) {
+        int hash = ports.random().nextInt();
+        return new CallContext(id, id, priority, allowedNanos, retries, 1, hash, UNKNOWN_SUNK_NANOS, false);
+    }
+
     /** An inner call whose parent this node does not know, since it was restarted or the header was left out. */
     private CompletableFuture<RequestOutcome> handleOrphan(
             IncomingRequest request, Route route, RequestId id, Optional<ContextHeader> header, CancelScope scope) {
@@ -219,7 +246,7 @@
                 remaining,
                 0,
                 header.map(ContextHeader::depth).orElse(0) + 1,
-                header.map(ContextHeader::callerHash).orElse(0),
+                header.map(ContextHeader::callerHash).orElseGet(ports.random()::nextInt),
                 0,
                 false);
         Call call = call(request, route, id, Call.OUTSIDE, context);
--- a/src/main/java/io/beryldock/forwarding/ExecutionRegistry.java
+++ b/src/main/java/io/beryldock/forwarding/ExecutionRegistry.java
@@ -37,6 +37,20 @@
         return longest;
     }
 
+    /** The running call whose time left is the nearest one above or at this, by no more than the bound. */
+    Optional<Execution> nextAbove(long remainingNanos, long boundNanos, long now) {
+        Optional<Execution> nearest = Optional.empty();
+        long least = boundNanos;
+        for (Execution execution : running.values()) {
+            long above = execution.remainingNanos(now) - remainingNanos;
+            if (above >= 0 && above <= least) {
+                least = above;
+                nearest = Optional.of(execution);
+            }
+        }
+        return nearest;
+    }
+
     public int size() {
         return running.size();
     }
--- a/src/main/java/io/beryldock/forwarding/InnerCallDetector.java
+++ b/src/main/java/io/beryldock/forwarding/InnerCallDetector.java
@@ -26,6 +26,15 @@
     /** The target subtracts the time of a call by its own clock, and the call's way adds some. */
     private static final long TOLERANCE_NANOS = Duration.ofMillis(20).toNanos();
 
+    /**
+     * How much longer than a call its parent may have: a target passes its time left on in whole milliseconds, cut off.
+     * Of 4,161 inner calls of a run 84% lay within it of a running call and 4 of two calls of different routes.
+     */
+    private static final long PARENT_WITHIN_NANOS = Duration.ofNanos(2_200_000).toNanos();
+
+    /** How much less than a call its parent may have, from the way of the call to this node. */
+    private static final long WAY_NANOS = Duration.ofNanos(200_000).toNanos();
+
     private static final int MAX_ROUTES = 10_000;
 
     private final ExecutionRegistry executions;
@@ -44,8 +53,16 @@
         return new InnerCallDetector(executions, ownService, ticker);
     }
 
-    /** The service whose target makes the call, empty for a caller's request. */
-    Optional<ServiceName> caller(Route route, Optional<Duration> timeLimit) {
+    /**
+     * Who makes an inner call.
+     *
+     * @param service whose target makes it
+     * @param parent the call within whose run it is made, where that could be told
+     */
+    record InnerCaller(ServiceName service, Optional<Execution> parent) {}
+
+    /** The maker of the inner call; empty for a caller's request. */
+    Optional<InnerCaller> caller(Route route, Optional<Duration> timeLimit) {
         long now = ticker.nanos();
         long longest = executions.longestRemainingNanos(now);
         String key = route.host() + route.prefix();
@@ -56,7 +73,19 @@
         }
         Long proof = usedByCallers.get(key);
         boolean callers = proof != null && now - proof < PROOF_NANOS;
-        return callers ? Optional.empty() : ownService.get();
+        return callers
+                ? Optional.empty()
+                : ownService.get().map(service -> new InnerCaller(service, parent(asked, now)));
+    }
+
+    /**
+     * The run that makes the call, by its time left.
+     *
+     * <p>The target passes on what its own request has left. A call whose own limit is shorter has no parent by this
+     * rule.
+     */
+    private Optional<Execution> parent(long asked, long now) {
+        return executions.nextAbove(asked - WAY_NANOS, PARENT_WITHIN_NANOS, now);
     }
 
     private void noteCallers(String key, long now) {
--- a/src/main/java/io/beryldock/forwarding/TargetRun.java
+++ b/src/main/java/io/beryldock/forwarding/TargetRun.java
@@ -240,8 +240,9 @@
 
     private void finish(CallResult told) {
         deadline.cancel();
+        int rank = call.context().priority().rank();
         result.complete(told.withLevels(
-                ports.door().reportFor(call.service(), target.gate().level())));
+                ports.door().reportFor(call.service(), rank, target.gate().level())));
     }
 
     private long now() {
--- a/src/test/java/io/beryldock/admission/AdmissionBenchmark.java
+++ b/src/test/java/io/beryldock/admission/AdmissionBenchmark.java
@@ -87,7 +87,7 @@
             levels.add(new ServiceLevel(services[i], 900));
             levels.add(new ServiceLevel(ServiceName.of("beneath-" + i), 700));
             for (int times = 0; times < 7; times++) {
-                door.observe(i < CALLED ? LISTS : Call.OUTSIDE, services[i], levels);
+                door.observe(i < CALLED ? LISTS : Call.OUTSIDE, services[i], i < CALLED ? 4 : 6, levels);
             }
         }
     }
@@ -130,7 +130,7 @@
 
     @Benchmark
     public List<ServiceLevel> reportLevels() {
-        return door.reportFor(LISTS, free.level());
+        return door.reportFor(LISTS, 4, free.level());
     }
 
     private TargetGate gate() {
--- a/src/test/java/io/beryldock/admission/ChainSimulation.java
+++ b/src/test/java/io/beryldock/admission/ChainSimulation.java
@@ -182,7 +182,7 @@
         long deadline = timers.ticker().nanos() + (long) (setup.deadlineSeconds() * NANOS_PER_SECOND);
         SimService.Trip trip = new SimService.Trip(rank, hash, deadline);
         root.call(trip, reply -> {
-            door.observe(root.name, reply.levels());
+            door.observe(root.name, rank, reply.levels());
             end(trip, reply.ok(), counted);
             if (counted && rank == 0) {
                 rank0.recordValue(timers.ticker().nanos() - start);
--- a/src/test/java/io/beryldock/admission/DoorShedderTest.java
+++ b/src/test/java/io/beryldock/admission/DoorShedderTest.java
@@ -29,6 +29,7 @@
     @Example
     void deepestBottleneckShedsAtTheEntry() {
         observe(7, level(LISTS, ServiceLevel.OPEN), level(HOLDINGS, HALF_OF_BROWSING));
+        door.observe(LISTS, PriorityClass.LOWEST_RANK, List.of(level(HOLDINGS, HALF_OF_BROWSING)));
         assertThat(admits(0, ServiceLevel.STEPS - 1)).isTrue();
         assertThat(admits(BROWSING, ServiceLevel.STEPS / 2 - 1)).isTrue();
         assertThat(admits(BROWSING, ServiceLevel.STEPS / 2)).isFalse();
@@ -89,24 +90,50 @@
     @Example
     void reportNamesOnlyServicesThatTheServiceCalls() {
         for (int i = 0; i < 7; i++) {
-            door.observe(LISTS, HOLDINGS, List.of(level(HOLDINGS, 200)));
+            door.observe(LISTS, HOLDINGS, BROWSING, List.of(level(HOLDINGS, 200)));
         }
-        assertThat(door.reportFor(LISTS, 900)).containsExactly(level(LISTS, 900), level(HOLDINGS, 201));
-        assertThat(door.reportFor(ORDERS, 900)).containsExactly(level(ORDERS, 900));
+        assertThat(door.reportFor(LISTS, BROWSING, 900)).containsExactly(level(LISTS, 900), level(HOLDINGS, 201));
+        assertThat(door.reportFor(ORDERS, BROWSING, 900)).containsExactly(level(ORDERS, 900));
         assertThat(door.decideBeneath(LISTS, BROWSING, 0).admitted()).isFalse();
         assertThat(door.decideBeneath(ORDERS, BROWSING, 0).admitted()).isTrue();
     }
 
+    // Searches run at catalogue alone. Orders reach holdings through catalogue, and holdings is overloaded. A reader's
+    // search must not be refused for a service that no search calls.
+    @Example
+    void overloadBeneathOneRankShedsNoOtherRankOfTheService() {
+        ServiceName catalogue = ServiceName.of("catalogue");
+        for (int i = 0; i < 7; i++) {
+            door.observe(catalogue, HOLDINGS, 0, List.of(level(HOLDINGS, 20)));
+            door.observe(catalogue, 0, List.of(level(catalogue, ServiceLevel.OPEN), level(HOLDINGS, 20)));
+        }
+        assertThat(door.reportFor(catalogue, BROWSING, 900)).containsExactly(level(catalogue, 900));
+        assertThat(door.reportFor(catalogue, 0, 900)).contains(level(HOLDINGS, 21));
+        assertThat(door.decide(catalogue, BROWSING, 0).admitted()).isTrue();
+        assertThat(door.decide(catalogue, 0, 100).admitted()).isFalse();
+    }
+
+    // Holdings is overloaded and all searches are shed, so none brings an answer. Orders go on and bring levels that
+    // rise; searches must come back with them, not only when the old level has aged.
+    @Example
+    void answerToAnotherRankTellsThatTheOverloadIsOver() {
+        observe(7, level(LISTS, ServiceLevel.OPEN), level(HOLDINGS, 20));
+        for (int i = 0; i < 7; i++) {
+            door.observe(LISTS, 0, List.of(level(LISTS, ServiceLevel.OPEN), level(HOLDINGS, ServiceLevel.OPEN)));
+        }
+        assertThat(admits(BROWSING, 64)).isTrue();
+    }
+
     @Example
     void reportIsBoundedToTheWorst() {
         List<ServiceLevel> many = IntStream.range(0, 30)
                 .mapToObj(i -> level(ServiceName.of("service-" + i), 10 + i))
                 .toList();
         for (int i = 0; i < 7; i++) {
-            door.observe(LISTS, HOLDINGS, many);
+            door.observe(LISTS, HOLDINGS, BROWSING, many);
         }
-        assertThat(door.reportFor(LISTS, 900)).hasSize(DoorShedder.MAX_REPORTED);
-        assertThat(door.reportFor(LISTS, 900).get(1)).isEqualTo(level(ServiceName.of("service-0"), 11));
+        assertThat(door.reportFor(LISTS, BROWSING, 900)).hasSize(DoorShedder.MAX_REPORTED);
+        assertThat(door.reportFor(LISTS, BROWSING, 900).get(1)).isEqualTo(level(ServiceName.of("service-0"), 11));
     }
 
     // Lists and holdings call each other. An overload of catalogue is over, but each repeats what the other last said.
@@ -116,8 +143,8 @@
         List<ServiceLevel> report = List.of(level(catalogue, 500));
         int rounds = 0;
         while (report.stream().anyMatch(level -> level.service().equals(catalogue)) && rounds < 5_000) {
-            door.observe(LISTS, HOLDINGS, report);
-            report = door.reportFor(LISTS, ServiceLevel.OPEN);
+            door.observe(LISTS, HOLDINGS, BROWSING, report);
+            report = door.reportFor(LISTS, BROWSING, ServiceLevel.OPEN);
             rounds++;
         }
         assertThat(rounds).isLessThan(4_000);
@@ -137,7 +164,7 @@
 
     private void observe(int times, ServiceLevel... levels) {
         for (int i = 0; i < times; i++) {
-            door.observe(LISTS, List.of(levels));
+            door.observe(LISTS, BROWSING, List.of(levels));
         }
     }
 
--- a/src/test/java/io/beryldock/admission/SimService.java
+++ b/src/test/java/io/beryldock/admission/SimService.java
@@ -140,7 +140,7 @@
             if (beneath != null
                     && shedBeneath
                     && !learned.decideBeneath(name, trip.rank, trip.hash).admitted()) {
-                consumer.accept(new Reply(false, true, report()));
+                consumer.accept(new Reply(false, true, report(trip)));
                 return;
             }
             long left = trip.deadline - now;
@@ -150,7 +150,7 @@
                 public void admitted(Permit permit) {
                     if (target.refuses()) {
                         permit.release(Completion.REFUSED_BY_TARGET);
-                        consumer.accept(new Reply(false, true, report()));
+                        consumer.accept(new Reply(false, true, report(trip)));
                     } else {
                         target.acquire(() -> serve(trip, permit, consumer));
                     }
@@ -158,12 +158,12 @@
 
                 @Override
                 public void refused(Reason reason, long retryAfterMillis) {
-                    consumer.accept(new Reply(false, true, report()));
+                    consumer.accept(new Reply(false, true, report(trip)));
                 }
             });
             timers.after(Duration.ofNanos(Math.max(0, left)), () -> {
                 handle.cancel();
-                consumer.accept(new Reply(false, false, report()));
+                consumer.accept(new Reply(false, false, report(trip)));
             });
         }
 
@@ -174,7 +174,7 @@
                 trip.end(start, timers.ticker().nanos());
                 target.releaseSlot();
                 permit.release(ok ? Completion.SUCCEEDED : Completion.FAILED);
-                consumer.accept(new Reply(ok, false, report()));
+                consumer.accept(new Reply(ok, false, report(trip)));
             };
             if (beneath == null) {
                 target.work(1, () -> end.accept(true));
@@ -189,7 +189,7 @@
                 return;
             }
             beneath.call(trip, reply -> {
-                learned.observe(name, beneath.name, reply.levels());
+                learned.observe(name, beneath.name, trip.rank, reply.levels());
                 if (reply.ok() && left > 1) {
                     callBeneath(trip, left - 1, end);
                 } else if (reply.ok()) {
@@ -200,8 +200,8 @@
             });
         }
 
-        private List<ServiceLevel> report() {
-            return learned.reportFor(name, gate.level());
+        private List<ServiceLevel> report(Trip trip) {
+            return learned.reportFor(name, trip.rank, gate.level());
         }
     }
 }
--- a/src/test/java/io/beryldock/forwarding/InnerCallDetectorTest.java
+++ b/src/test/java/io/beryldock/forwarding/InnerCallDetectorTest.java
@@ -13,6 +13,7 @@
 import io.beryldock.call.RequestId;
 import io.beryldock.call.ServiceName;
 import io.beryldock.configuration.Route;
+import io.beryldock.forwarding.InnerCallDetector.InnerCaller;
 import io.beryldock.retry.RetryLedger;
 import io.beryldock.timeline.EventSink;
 import java.time.Duration;
@@ -34,7 +35,7 @@
     }
 
     private void run(Duration timeLeft) {
-        RequestId id = new RequestId(new Incarnation(1, 1), 1);
+        RequestId id = new RequestId(new Incarnation(1, 1), executions.size() + 1);
         CallContext context = new CallContext(id, id, PriorityClass.of("p", 2), timeLeft.toNanos(), 0, 0, 0, 0, false);
         Call call = new Call(
                 id, LISTS, LISTS, "GET", "/", Headers.empty(), ByteString.EMPTY, true, Optional.empty(), context);
@@ -43,7 +44,14 @@
     }
 
     private Optional<ServiceName> ask(String prefix, int millis) {
-        return detector.caller(route(prefix), Optional.of(Duration.ofMillis(millis)));
+        return detector.caller(route(prefix), Optional.of(Duration.ofMillis(millis)))
+                .map(InnerCaller::service);
+    }
+
+    private Optional<Duration> timeOfParent(int millis) {
+        return detector.caller(route("/inner/"), Optional.of(Duration.ofMillis(millis)))
+                .flatMap(InnerCaller::parent)
+                .map(parent -> Duration.ofNanos(parent.remainingNanos(now)));
     }
 
     @Test
@@ -63,6 +71,23 @@
         assertThat(ask("/inner/", 10)).isEmpty();
     }
 
+    /** Story: under overload inner calls of orders wait like those of pages, as nobody knows which is which. */
+    @Test
+    void parentIsTheRunWhoseTimeTheCallPassesOn() {
+        run(Duration.ofNanos(800_700_000));
+        run(Duration.ofNanos(640_300_000));
+        run(Duration.ofNanos(801_900_000));
+        assertThat(timeOfParent(800)).contains(Duration.ofNanos(800_700_000));
+        assertThat(timeOfParent(640)).contains(Duration.ofNanos(640_300_000));
+    }
+
+    /** A call whose own limit is shorter than its parent's time says nothing of its parent. */
+    @Test
+    void callWithATimeOfItsOwnHasNoParent() {
+        run(Duration.ofMillis(800));
+        assertThat(timeOfParent(700)).isEmpty();
+    }
+
     /** Story: a reader's second try, with little time left, is taken for an inner call and never shed. */
     @Test
     void laterRequestOnACallersRouteIsACallersWhateverTimeItHas() {
