Requests of one VM have places of their own in the order of shedding

Cause: the place in the order of shedding came from the caller's address; all callers of a VM share the VM's address, so a level between two VMs sheds one whole and refuses its callers again and again.

--- a/src/main/java/io/beryldock/platform/CallerEndpoint.java
+++ b/src/main/java/io/beryldock/platform/CallerEndpoint.java
@@ -112,11 +112,23 @@
                 exchange.body(),
                 Optional.empty(),
                 Optional.empty(),
-                exchange.remote().getAddress().getHostAddress(),
+                identity(exchange),
                 host.get(),
                 timeLimit));
     }
 
+    /**
+     * Stands for the caller, whom nothing tells from others: all callers of this VM come from its own address.
+     *
+     * <p>The address would shed all of them together or none, so that a level between the two admitted whole VMs and
+     * refused others again and again.
+     */
+    private static String identity(HttpExchange exchange) {
+        return exchange.headers()
+                .first(PlatformHeaders.REQUEST_ID)
+                .orElseGet(() -> exchange.remote().getAddress().getHostAddress());
+    }
+
     private static boolean isSetByNodes(String name) {
         return name.equalsIgnoreCase(PlatformHeaders.TIME_LEFT_MILLIS)
                 || name.equalsIgnoreCase(PlatformHeaders.EXPECTED_TARGET)
