Refused callers come back within 0.2 to 0.8 s and go before new ones of their rank

Change: a request with less time than its route's callers usually give has a place in the first half of its rank; Retry-After is 0.2 to 0.8 s, as levels follow an overload within tenths of a second.

--- a/src/main/java/io/beryldock/admission/CallerHash.java
+++ b/src/main/java/io/beryldock/admission/CallerHash.java
@@ -20,6 +20,11 @@
                 .asInt();
     }
 
+    /** The hash of a request that was turned away before: among the half of its rank that is shed last. */
+    public static int returned(int callerHash) {
+        return Math.floorMod(callerHash, ServiceLevel.STEPS) / 2;
+    }
+
     /** The lowest level that admits the rank and caller; a level admits a request when it is higher than this. */
     static int position(int rank, int callerHash) {
         return rank * ServiceLevel.STEPS + Math.floorMod(callerHash, ServiceLevel.STEPS);
--- a/src/main/java/io/beryldock/admission/RetryAfter.java
+++ b/src/main/java/io/beryldock/admission/RetryAfter.java
@@ -10,8 +10,11 @@
  */
 final class RetryAfter {
 
-    private static final int MIN_MILLIS = 500;
-    private static final int SPREAD_MILLIS = 1_500;
+    /** Levels follow an overload within some tenths of a second; a caller that comes earlier meets the same level. */
+    private static final int MIN_MILLIS = 200;
+
+    /** With it callers are back in half a second on average, in time for most objectives of pages. */
+    private static final int SPREAD_MILLIS = 600;
 
     private RetryAfter() {}
 
--- a/src/main/java/io/beryldock/forwarding/EntryService.java
+++ b/src/main/java/io/beryldock/forwarding/EntryService.java
@@ -41,10 +41,12 @@
     private static final long UNKNOWN_SUNK_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
 
     private final Ports ports;
+    private final ReturnDetector returns;
     private volatile boolean refusing;
 
     private EntryService(Ports ports) {
         this.ports = ports;
+        this.returns = new ReturnDetector(ports.ticker());
     }
 
     /**
@@ -112,7 +114,7 @@
     private CompletableFuture<RequestOutcome> handleRoot(
             IncomingRequest request, Route route, RequestId id, CancelScope scope) {
         Configuration configuration = ports.configuration().get();
-        int hash = CallerHash.of(request.identity(), ports.epoch().getAsLong());
+        int hash = placeOf(request, route);
         PriorityClass priority = configuration.priorityOf(route);
         int retries = configuration.budgetOf(route).retries();
         long remaining = allowedNanos(request, route);
@@ -128,6 +130,11 @@
         });
     }
 
+    private int placeOf(IncomingRequest request, Route route) {
+        int hash = CallerHash.of(request.identity(), ports.epoch().getAsLong());
+        return returns.returns(route, request.timeLimit()) ? CallerHash.returned(hash) : hash;
+    }
+
     /** A keyed request meets its key before the door: one that ran already must get its answer, not a refusal. */
     private CompletableFuture<CallResult> admitAndDispatch(
             IncomingRequest request, Call call, RetryAccount account, CancelScope scope) {
--- /dev/null
+++ b/src/main/java/io/beryldock/forwarding/ReturnDetector.java
@@ -0,0 +1,59 @@
+package io.beryldock.forwarding;
+
+import io.beryldock.configuration.Route;
+import io.beryldock.time.Ticker;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+
+/**
+ * Tells requests that come back after a refusal from new ones, by the time that their caller still gives them.
+ *
+ * <p>A caller that was told when to come back does so with what is left of its time, less than callers of the route
+ * give at first. Those that were turned away once go before new ones of their rank: else a lottery at each return keeps
+ * some out for all of their time while others never wait. Thread safe.
+ */
+final class ReturnDetector {
+
+    /** Part of the usual time that a first request has at least; the shortest wait that callers are told takes more. */
+    private static final double FIRST_SHARE = 0.97;
+
+    /** How long the longest time seen of a route holds: its callers may change what they give. */
+    private static final long HOLD_NANOS = Duration.ofSeconds(30).toNanos();
+
+    private static final int MAX_ROUTES = 10_000;
+
+    private final Ticker ticker;
+    private final ConcurrentMap<String, Longest> longestByRoute = new ConcurrentHashMap<>();
+
+    ReturnDetector(Ticker ticker) {
+        this.ticker = ticker;
+    }
+
+    /** The longest time that callers of a route gave, and when. */
+    private record Longest(long nanos, long at) {}
+
+    /** Whether the request was probably turned away before; false when its caller names no time. */
+    boolean returns(Route route, Optional<Duration> timeLimit) {
+        if (timeLimit.isEmpty()) {
+            return false;
+        }
+        long given = timeLimit.get().toNanos();
+        return given < FIRST_SHARE * usual(route.host() + route.prefix(), given);
+    }
+
+    private long usual(String route, long given) {
+        long now = ticker.nanos();
+        Longest known = longestByRoute.get(route);
+        boolean longest = known == null || given >= known.nanos() || now - known.at() > HOLD_NANOS;
+        if (!longest) {
+            return known.nanos();
+        }
+        if (longestByRoute.size() >= MAX_ROUTES) {
+            longestByRoute.clear();
+        }
+        longestByRoute.put(route, new Longest(given, now));
+        return given;
+    }
+}
