Gates of targets whose announced slots hold give them all out from the start

Cause: a new gate takes its target for cold and gives out one more slot with two answers; work here takes 0.4 s.

--- a/src/main/java/io/beryldock/platform/PlatformModule.java
+++ b/src/main/java/io/beryldock/platform/PlatformModule.java
@@ -4,7 +4,6 @@
 import com.google.inject.Provides;
 import com.google.inject.Singleton;
 import io.beryldock.admission.GateSettings;
-import io.beryldock.admission.LimitStrategies;
 import io.beryldock.call.NodeId;
 import io.beryldock.configuration.ConfigurationKeeper;
 import io.beryldock.configuration.DocumentSync;
@@ -107,8 +106,7 @@
     @Provides
     @Singleton
     GateSettings gateSettings() {
-        GateSettings usual = GateSettings.defaults();
-        return usual.withStrategy(LimitStrategies.fixed(usual.maxLimit()));
+        return GateSettings.ofAnnouncedSlots();
     }
 
     @Provides
--- a/src/test/java/io/beryldock/admission/TargetGateTest.java
+++ b/src/test/java/io/beryldock/admission/TargetGateTest.java
@@ -95,6 +95,17 @@
         assertThat(fixture.gate.level()).isLessThan(7 * ServiceLevel.STEPS).isGreaterThan(ServiceLevel.STEPS);
     }
 
+    // A node is started again beside a busy target of 55 slots. Its gate gave out 4 of them, and one more with two
+    // answers, so that for seconds readers were refused while the target idled.
+    @Test
+    void announcedSlotsAreGivenOutAtOnceWhereTheyHold() {
+        GateFixture fixture = new GateFixture(GateSettings.ofAnnouncedSlots().withAnnouncedSlots(55));
+        List<Heard> asked = fixture.submit(3, 56);
+        assertThat(asked.stream().filter(heard -> heard.permit != null)).hasSize(55);
+        fixture.gate.targetRestarted();
+        assertThat(fixture.gate.snapshot().limit()).isEqualTo(55);
+    }
+
     // A target has just started and is slow at first. Given all its slots at once it would time out on all of them.
     @Test
     void coldTargetIsGivenItsSlotsLittleByLittle() {
