A run reports the levels that its own inner calls were told; the second view of closed services goes

Cause: a node reported beneath a service whatever any of the service's calls of that rank had met. Change: levels are kept with the run (LevelReport) and reported with its answer, open ones too; DoorShedder learns from callers' requests only.

--- a/src/main/java/io/beryldock/admission/RouteLevel.java
+++ b/src/main/java/io/beryldock/admission/RouteLevel.java
@@ -12,7 +12,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.stream.Collectors;
 
 /**
  * What an entry has learned of one service and of those beneath it.
@@ -63,26 +62,16 @@
         return ImmutableList.copyOf(Collections.nCopies(PriorityClass.RANKS, ImmutableList.of()));
     }
 
-    /** Takes in an answer to a request of this rank; a service that the rank met before and that is missing is open. */
+    /** Takes in what came with the end of a request of this rank. */
     synchronized void observe(int rank, List<ServiceLevel> reported, long now) {
-        Set<ServiceName> missing = metBy(rank);
         for (ServiceLevel level : reported) {
-            missing.remove(level.service());
             met.add(new ServiceClass(level.service(), rank));
             samples.computeIfAbsent(level.service(), service -> LevelSamples.startingOpen(now))
                     .add(level.level(), now);
         }
-        missing.forEach(service -> samples.get(service).add(ServiceLevel.OPEN, now));
         publish(now);
     }
 
-    private Set<ServiceName> metBy(int rank) {
-        return met.stream()
-                .filter(known -> known.rank() == rank)
-                .map(ServiceClass::service)
-                .collect(Collectors.toCollection(HashSet::new));
-    }
-
     private void publish(long now) {
         List<Learned> closed = samples.entrySet().stream()
                 .map(entry -> learned(entry.getKey(), entry.getValue(), now))
--- a/src/main/java/io/beryldock/forwarding/AttemptLoop.java
+++ b/src/main/java/io/beryldock/forwarding/AttemptLoop.java
@@ -112,8 +112,7 @@
 
     private void onEnd(TargetRecord target, RetryGrant grant, CallResult ended, long latencyNanos) {
         ports.chooser().onResult(target, ended, latencyNanos);
-        int rank = call.context().priority().rank();
-        ports.doors().learningFrom(call).observe(call.caller(), call.service(), rank, ended.levels());
+        teachDoor(ended);
         settle(grant, ended);
         spentNanos += ended.spentNanos();
         slowestNanos = Math.max(slowestNanos, latencyNanos);
@@ -127,6 +126,12 @@
         }
     }
 
+    private void teachDoor(CallResult ended) {
+        if (call.caller().equals(Call.OUTSIDE)) {
+            ports.door().observe(call.service(), call.context().priority().rank(), ended.levels());
+        }
+    }
+
     /** What ran nowhere has spent nothing; without a reply nobody can say what was spent, so the part is lost. */
     private static void settle(RetryGrant grant, CallResult ended) {
         if (ended.outcome() == Outcome.NOT_RUN) {
--- a/src/main/java/io/beryldock/forwarding/CallForwarder.java
+++ b/src/main/java/io/beryldock/forwarding/CallForwarder.java
@@ -1,5 +1,6 @@
 package io.beryldock.forwarding;
 
+import io.beryldock.admission.DoorShedder;
 import io.beryldock.call.Call;
 import io.beryldock.call.CallResult;
 import io.beryldock.call.NodeId;
@@ -41,7 +42,7 @@
             TargetChooser chooser,
             TargetExecutor executor,
             PeerCallClient peers,
-            Doors doors,
+            DoorShedder door,
             RetryGate retries,
             RetryBudgets budgets,
             RetryTally retryTally,
--- a/src/main/java/io/beryldock/forwarding/EntryService.java
+++ b/src/main/java/io/beryldock/forwarding/EntryService.java
@@ -171,7 +171,7 @@
         CancelScope inner = scope;
         execution.scope().onCancel(inner::cancel);
         return dispatch(request, call, execution.account(), inner).thenApply(result -> {
-            execution.addInnerSpent(result.spentNanos());
+            execution.onInnerEnd(call.service(), result);
             ports.journal().ended(call, result);
             return new RequestOutcome(call.context().root(), result);
         });
@@ -215,6 +215,7 @@
         RetryAccount account = ports.ledger().open(id, retries);
         return dispatch(request, call, account, scope).thenApply(result -> {
             account.close();
+            caller.parent().ifPresent(parent -> parent.onInnerEnd(call.service(), result));
             ports.journal().ended(call, result);
             return new RequestOutcome(id, result);
         });
--- a/src/main/java/io/beryldock/forwarding/Execution.java
+++ b/src/main/java/io/beryldock/forwarding/Execution.java
@@ -1,6 +1,9 @@
 package io.beryldock.forwarding;
 
+import io.beryldock.admission.LevelReport;
 import io.beryldock.call.Call;
+import io.beryldock.call.CallResult;
+import io.beryldock.call.ServiceName;
 import io.beryldock.retry.RetryAccount;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -18,6 +21,7 @@
     private final long startNanos;
     private final long deadlineNanos;
     private final AtomicLong innerSpentNanos = new AtomicLong();
+    private final LevelReport beneath = LevelReport.create();
 
     Execution(Call call, RetryAccount account, CancelScope scope, long startNanos, long deadlineNanos) {
         this.call = call;
@@ -44,8 +48,15 @@
         return Math.max(0, deadlineNanos - now);
     }
 
-    void addInnerSpent(long nanos) {
-        innerSpentNanos.addAndGet(nanos);
+    /** An inner call of this run ended. */
+    void onInnerEnd(ServiceName called, CallResult result) {
+        innerSpentNanos.addAndGet(result.spentNanos());
+        beneath.add(called, result.levels());
+    }
+
+    /** What the inner calls of this run were told. */
+    LevelReport beneath() {
+        return beneath;
     }
 
     /** Target time spent in the tree so far: above this call, by it and beneath it. */
--- a/src/main/java/io/beryldock/forwarding/TargetExecutor.java
+++ b/src/main/java/io/beryldock/forwarding/TargetExecutor.java
@@ -1,6 +1,5 @@
 package io.beryldock.forwarding;
 
-import io.beryldock.admission.DoorShedder;
 import io.beryldock.call.Call;
 import io.beryldock.call.CallResult;
 import io.beryldock.call.Reason;
@@ -36,7 +35,6 @@
             TargetClient client,
             ExecutionRegistry executions,
             RetryLedger ledger,
-            DoorShedder door,
             Quarantine quarantine,
             RunGuard guard,
             TargetCrashDetector crashes,
--- a/src/main/java/io/beryldock/forwarding/TargetRun.java
+++ b/src/main/java/io/beryldock/forwarding/TargetRun.java
@@ -1,5 +1,6 @@
 package io.beryldock.forwarding;
 
+import com.google.common.collect.ImmutableList;
 import com.google.errorprone.annotations.concurrent.GuardedBy;
 import io.beryldock.admission.Completion;
 import io.beryldock.admission.GateHandle;
@@ -11,6 +12,7 @@
 import io.beryldock.call.CallContext;
 import io.beryldock.call.CallResult;
 import io.beryldock.call.Reason;
+import io.beryldock.call.ServiceLevel;
 import io.beryldock.quarantine.Fingerprint;
 import io.beryldock.retry.RetryAccount;
 import io.beryldock.time.TimerService.Subscription;
@@ -240,9 +242,16 @@
 
     private void finish(CallResult told) {
         deadline.cancel();
-        int rank = call.context().priority().rank();
-        result.complete(told.withLevels(
-                ports.door().reportFor(call.service(), rank, target.gate().level())));
+        result.complete(told.withLevels(levels()));
+    }
+
+    private ImmutableList<ServiceLevel> levels() {
+        ServiceLevel own = new ServiceLevel(call.service(), target.gate().level());
+        Execution running;
+        synchronized (this) {
+            running = execution;
+        }
+        return running == null ? ImmutableList.of(own) : running.beneath().with(own);
     }
 
     private long now() {
--- a/src/main/java/io/beryldock/node/NodeModule.java
+++ b/src/main/java/io/beryldock/node/NodeModule.java
@@ -15,7 +15,6 @@
 import io.beryldock.configuration.ConfigurationSync;
 import io.beryldock.configuration.ConfigurationWriter;
 import io.beryldock.forwarding.Addresses;
-import io.beryldock.forwarding.Doors;
 import io.beryldock.membership.Membership;
 import io.beryldock.membership.MembershipService;
 import io.beryldock.membership.MembershipSettings;
@@ -175,15 +174,8 @@
 
     @Provides
     @Singleton
-    Doors doors(TimerService timers, RandomGenerator random) {
-        return new Doors(
-                DoorShedder.create(timers.ticker(), random, events),
-                DoorShedder.create(timers.ticker(), random, events));
-    }
-
-    @Provides
-    DoorShedder door(Doors doors) {
-        return doors.entry();
+    DoorShedder door(TimerService timers, RandomGenerator random) {
+        return DoorShedder.create(timers.ticker(), random, events);
     }
 
     @Provides
--- a/src/main/java/io/beryldock/node/TrafficModule.java
+++ b/src/main/java/io/beryldock/node/TrafficModule.java
@@ -12,7 +12,6 @@
 import io.beryldock.eventloop.LoopTimerService;
 import io.beryldock.forwarding.AnnouncedTarget;
 import io.beryldock.forwarding.CallForwarder;
-import io.beryldock.forwarding.Doors;
 import io.beryldock.forwarding.EntryService;
 import io.beryldock.forwarding.ExecutionRegistry;
 import io.beryldock.forwarding.HomeDispatcher;
@@ -135,7 +134,6 @@
             TargetClient client,
             ExecutionRegistry executions,
             RetryLedger ledger,
-            Doors doors,
             Quarantine quarantine,
             KeyedRequests keyed,
             EventSink events,
@@ -146,7 +144,6 @@
                 client,
                 executions,
                 ledger,
-                doors.beneath(),
                 quarantine,
                 keyed.guard(),
                 crashes,
@@ -165,7 +162,7 @@
             TargetChooser chooser,
             TargetExecutor executor,
             PeerTransport transport,
-            Doors doors,
+            DoorShedder door,
             RetryBudgets budgets,
             RetryTally retryTally,
             Backoff backoff,
@@ -180,7 +177,7 @@
                 chooser,
                 executor,
                 PeerCallClient.create(transport),
-                doors,
+                door,
                 RetryGate.create(RetryPolicy.create(), events),
                 budgets,
                 retryTally,
