Watches wait ten seconds and are replaced when renewals show that the store is back; an entry lost during a renewal returns

Cost: each node asks the store 0.75 times a second for watches alone (waits of 2 s and 4 s, short so that a connection that an outage silenced is noticed). Change: waits of 10 s; renewals of the lease, made anyway, show an outage and its end, and the watches are then made anew (StoreRecovery); documents also come from the other nodes. Found by the existing test of the store's return under the new times: an entry that the watch reported gone while a renewal waited for its next try was never written again, as without a lease there is no renewal. Mended in afterRenewal.

--- a/src/main/java/io/beryldock/configuration/DocumentSync.java
+++ b/src/main/java/io/beryldock/configuration/DocumentSync.java
@@ -10,6 +10,7 @@
 import io.beryldock.store.RegistryStore.Entry;
 import io.beryldock.store.RegistryStore.Listing;
 import io.beryldock.store.StoreFollower;
+import io.beryldock.store.StoreRecovery;
 import io.beryldock.time.TimerService;
 import io.beryldock.wire.DocumentNotice;
 import java.net.InetSocketAddress;
@@ -32,8 +33,8 @@
 
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
 
-    /** Longest wait of one watch; a watch that has gone silent hides a change from this node for so long. */
-    private static final Duration WATCH = Duration.ofSeconds(2);
+    /** Longest wait of one watch. While one has gone silent the node hears of a change from the others. */
+    private static final Duration WATCH = Duration.ofSeconds(10);
 
     private static final Duration GOSSIP = Duration.ofSeconds(1);
     private static final int FAN_OUT = 3;
@@ -56,6 +57,7 @@
     public record Ports(
             ConfigurationKeeper keeper,
             RegistryStore store,
+            StoreRecovery recovery,
             String key,
             DocumentDecoder decoder,
             BiConsumer<InetSocketAddress, ByteString> sender,
@@ -69,8 +71,10 @@
 
     /** Reads the document and follows it. */
     public void start() {
-        StoreFollower.create(ports.store(), ports.key(), WATCH, ports.timers(), ports.random(), new DocumentListener())
-                .start();
+        StoreFollower follower = StoreFollower.create(
+                ports.store(), ports.key(), WATCH, ports.timers(), ports.random(), new DocumentListener());
+        follower.start();
+        ports.recovery().subscribe(follower::refresh);
         ports.timers().every(GOSSIP, () -> sendToSome(1, notice(ByteString.EMPTY)));
     }
 
--- a/src/main/java/io/beryldock/membership/RegistryMembership.java
+++ b/src/main/java/io/beryldock/membership/RegistryMembership.java
@@ -8,6 +8,7 @@
 import io.beryldock.store.RegistryStore.Entry;
 import io.beryldock.store.RegistryStore.Listing;
 import io.beryldock.store.StoreFollower;
+import io.beryldock.store.StoreRecovery;
 import io.beryldock.time.TimerService;
 import io.beryldock.timeline.EventKind;
 import io.beryldock.timeline.EventSink;
@@ -43,8 +44,11 @@
 
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
 
-    /** Longest wait of one watch; a watch that has gone silent hides changes for so long. */
-    private static final Duration WATCH = Duration.ofSeconds(4);
+    /**
+     * Longest wait of one watch. A watch that has gone silent hides changes for so long, unless renewals show an outage;
+     * each node's gate guards its target meanwhile.
+     */
+    private static final Duration WATCH = Duration.ofSeconds(10);
 
     private static final Duration GATHER = Duration.ofMillis(20);
     private static final Duration TICK = Duration.ofSeconds(1);
@@ -53,6 +57,7 @@
     private final NodeDescriptor self;
     private final TimerService timers;
     private final EventSink events;
+    private final StoreRecovery recovery;
     private final RegistryRecord own;
     private final StoreFollower follower;
     private final MembershipCodec codec = MembershipCodec.create();
@@ -66,6 +71,7 @@
         this.self = self;
         this.timers = ports.timers();
         this.events = ports.events();
+        this.recovery = ports.recovery();
         this.own = new RegistryRecord(PREFIX + self.id().value(), MemberRecord.ofStart(self), ports);
         this.follower =
                 StoreFollower.create(ports.store(), PREFIX, WATCH, ports.timers(), ports.random(), new EntryListener());
@@ -83,6 +89,7 @@
     public void start() {
         own.publish();
         follower.start();
+        recovery.subscribe(follower::refresh);
         timers.every(TICK, this::tick);
         publishSoon();
     }
--- a/src/main/java/io/beryldock/membership/RegistryPorts.java
+++ b/src/main/java/io/beryldock/membership/RegistryPorts.java
@@ -1,9 +1,11 @@
 package io.beryldock.membership;
 
 import io.beryldock.store.RegistryStore;
+import io.beryldock.store.StoreRecovery;
 import io.beryldock.time.TimerService;
 import io.beryldock.timeline.EventSink;
 import java.util.random.RandomGenerator;
 
 /** What membership through the store works with; the timers run on the control thread. Immutable. */
-public record RegistryPorts(RegistryStore store, TimerService timers, RandomGenerator random, EventSink events) {}
+public record RegistryPorts(
+        RegistryStore store, StoreRecovery recovery, TimerService timers, RandomGenerator random, EventSink events) {}
--- a/src/main/java/io/beryldock/membership/RegistryRecord.java
+++ b/src/main/java/io/beryldock/membership/RegistryRecord.java
@@ -4,6 +4,7 @@
 import io.beryldock.membership.MemberRecord.AnnouncedTarget;
 import io.beryldock.store.RegistryStore;
 import io.beryldock.store.RegistryStore.Entry;
+import io.beryldock.store.StoreRecovery;
 import io.beryldock.time.TimerService;
 import java.time.Duration;
 import java.util.Optional;
@@ -32,6 +33,7 @@
 
     private final String key;
     private final RegistryStore store;
+    private final StoreRecovery recovery;
     private final TimerService timers;
     private final RandomGenerator random;
     private MemberRecord record;
@@ -45,6 +47,7 @@
         this.key = key;
         this.record = record;
         this.store = ports.store();
+        this.recovery = ports.recovery();
         this.timers = ports.timers();
         this.random = ports.random();
     }
@@ -129,23 +132,36 @@
     private void onRenewed(Boolean alive, Throwable failure) {
         if (failure != null) {
             // Asked again soon: the lease may have ended, and the entry must be back soon after the store is.
-            timers.after(RETRY, () -> {
-                busy = false;
-                renew();
-            });
+            timers.after(RETRY, this::afterRenewal);
             return;
         }
-        busy = false;
         renewedAt = timers.ticker().nanos();
         if (!alive) {
-            rewrite();
+            lose();
         }
+        afterRenewal();
+    }
+
+    /**
+     * Does what was held up by the renewal.
+     *
+     * <p>The watch may tell that the entry is gone while a renewal is under way. Were that left to the next renewal the
+     * entry would never come back: without a lease there is none.
+     */
+    private void afterRenewal() {
+        busy = false;
+        publish();
+        renew();
     }
 
     private void rewrite() {
+        lose();
+        publish();
+    }
+
+    private void lose() {
         lease = NO_LEASE;
         written = -1;
-        publish();
     }
 
     /** The store told of this node's own entry. */
@@ -175,6 +191,9 @@
     }
 
     private <T> void hear(CompletableFuture<T> call, BiConsumer<T, Throwable> then) {
-        call.whenComplete((value, failure) -> timers.after(Duration.ZERO, () -> then.accept(value, failure)));
+        call.whenComplete((value, failure) -> timers.after(Duration.ZERO, () -> {
+            then.accept(value, failure);
+            recovery.onCall(failure == null);
+        }));
     }
 }
--- a/src/main/java/io/beryldock/platform/PlatformModule.java
+++ b/src/main/java/io/beryldock/platform/PlatformModule.java
@@ -22,6 +22,7 @@
 import io.beryldock.retry.RetryBudgets;
 import io.beryldock.store.PlatformStore;
 import io.beryldock.store.RegistryStore;
+import io.beryldock.store.StoreRecovery;
 import io.beryldock.time.TimerService;
 import io.beryldock.timeline.EventSink;
 import java.util.random.RandomGenerator;
@@ -51,11 +52,22 @@
         return (KvStoreClient) store;
     }
 
+    @Provides
+    @Singleton
+    StoreRecovery storeRecovery() {
+        return StoreRecovery.create();
+    }
+
     @Provides
     @Singleton
     Membership membership(
-            NodeDescriptor self, RegistryStore store, TimerService timers, RandomGenerator random, EventSink events) {
-        return RegistryMembership.create(self, new RegistryPorts(store, timers, random, events));
+            NodeDescriptor self,
+            RegistryStore store,
+            StoreRecovery recovery,
+            TimerService timers,
+            RandomGenerator random,
+            EventSink events) {
+        return RegistryMembership.create(self, new RegistryPorts(store, recovery, timers, random, events));
     }
 
     @Provides
@@ -64,6 +76,7 @@
             NodeDescriptor self,
             ConfigurationKeeper keeper,
             RegistryStore store,
+            StoreRecovery recovery,
             PeerTransport peers,
             Membership membership,
             ControlLoop control,
@@ -74,6 +87,7 @@
                 new DocumentSync.Ports(
                         keeper,
                         store,
+                        recovery,
                         OperatorDocument.KEY,
                         document,
                         (to, body) -> peers.send(to, PeerTopic.DOCUMENT, body),
--- a/src/main/java/io/beryldock/store/StoreFollower.java
+++ b/src/main/java/io/beryldock/store/StoreFollower.java
@@ -24,12 +24,16 @@
     /** Pause between two watches: a burst of changes is fetched by one call instead of one each. */
     private static final Duration GATHER = Duration.ofMillis(20);
 
+    private static final long NONE = -1;
+
     private final RegistryStore store;
     private final String prefix;
     private final Duration wait;
     private final TimerService timers;
     private final RandomGenerator random;
     private final Listener listener;
+    private long followed = NONE;
+    private int watches;
 
     private StoreFollower(
             RegistryStore store,
@@ -49,7 +53,8 @@
     /**
      * A follower that has not started.
      *
-     * @param wait how long one watch waits; a connection that has gone silent is noticed that much late
+     * @param wait how long one watch waits; a connection that has gone silent is noticed that much late, or by
+     *     {@link #refresh()}
      */
     public static StoreFollower create(
             RegistryStore store,
@@ -75,6 +80,7 @@
 
     /** Lists the entries and follows them from then on. */
     public void start() {
+        followed = NONE;
         hear(store.list(prefix), this::onListed);
     }
 
@@ -88,22 +94,45 @@
         watch(listing.revision());
     }
 
+    /** Watches anew from where it stands: the watch under way may wait on a connection that is dead. */
+    public void refresh() {
+        if (followed != NONE) {
+            watch(followed);
+        }
+    }
+
     private void watch(long revision) {
-        hear(store.changes(prefix, revision, wait), (changes, failure) -> onWatched(revision, changes, failure));
+        followed = revision;
+        int number = ++watches;
+        hear(store.changes(prefix, revision, wait), (changes, failure) -> {
+            if (number == watches) {
+                onWatched(revision, changes, failure);
+            }
+        });
     }
 
     private void onWatched(long revision, Changes changes, Throwable failure) {
         listener.onStore(failure == null);
         if (failure != null) {
-            timers.after(pause(), () -> watch(revision));
+            watchAfter(pause(), revision);
         } else if (changes.historyGone()) {
             start();
         } else {
             changes.entries().forEach(listener::onChange);
-            timers.after(GATHER, () -> watch(changes.revision()));
+            watchAfter(GATHER, changes.revision());
         }
     }
 
+    private void watchAfter(Duration pause, long revision) {
+        followed = revision;
+        int ended = watches;
+        timers.after(pause, () -> {
+            if (ended == watches) {
+                watch(revision);
+            }
+        });
+    }
+
     private Duration pause() {
         long nanos = RETRY.toNanos();
         return Duration.ofNanos(nanos / 2 + random.nextLong(nanos));
--- a/src/test/java/io/beryldock/configuration/DocumentSyncTest.java
+++ b/src/test/java/io/beryldock/configuration/DocumentSyncTest.java
@@ -9,6 +9,7 @@
 import io.beryldock.membership.Directory;
 import io.beryldock.membership.NodeDescriptor;
 import io.beryldock.store.FakeRegistry;
+import io.beryldock.store.StoreRecovery;
 import io.beryldock.time.ManualTimerService;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -50,6 +51,7 @@
                 new DocumentSync.Ports(
                         keepers.get(number),
                         views.get(number),
+                        StoreRecovery.create(),
                         KEY,
                         DocumentSyncTest::decode,
                         (to, body) -> timers.after(
--- a/src/test/java/io/beryldock/membership/RegistryMembershipTest.java
+++ b/src/test/java/io/beryldock/membership/RegistryMembershipTest.java
@@ -7,6 +7,7 @@
 import io.beryldock.call.NodeId;
 import io.beryldock.call.ServiceName;
 import io.beryldock.store.FakeRegistry;
+import io.beryldock.store.StoreRecovery;
 import io.beryldock.time.ManualTimerService;
 import io.beryldock.timeline.EventSink;
 import java.net.InetSocketAddress;
@@ -28,8 +29,8 @@
     private RegistryMembership membership(String id, int port, FakeRegistry.View view) {
         NodeDescriptor self = new NodeDescriptor(
                 NodeId.of(id), new Incarnation(port, 1), DataCentre.of("gent-a"), new InetSocketAddress(port));
-        RegistryMembership made =
-                RegistryMembership.create(self, new RegistryPorts(view, timers, new Random(port), EventSink.none()));
+        RegistryMembership made = RegistryMembership.create(
+                self, new RegistryPorts(view, StoreRecovery.create(), timers, new Random(port), EventSink.none()));
         made.start();
         made.announce(LISTS, 8, TargetState.READY);
         return made;
@@ -80,6 +81,22 @@
         assertThat(registry.holds(RegistryMembership.PREFIX + "n2")).isTrue();
     }
 
+    /**
+     * Story: the store goes silent for four seconds. A target that was added meanwhile gets no calls from some nodes for
+     * ten seconds after the store's return: their watches wait on connections that answer nothing any more.
+     */
+    @Test
+    void silentWatchIsReplacedWhenTheStoreAnswersAgain() {
+        run(Duration.ofSeconds(1));
+        firstView.setSilent(true);
+        run(Duration.ofSeconds(4));
+        second.announce(LISTS, 9, TargetState.READY);
+        run(Duration.ofMillis(500));
+        firstView.setSilent(false);
+        run(Duration.ofSeconds(2));
+        assertThat(first.directory().targetsOf(LISTS)).anyMatch(target -> target.slots() == 9);
+    }
+
     @Test
     void entryOfADeadNodeIsForgottenInTheEnd() {
         run(Duration.ofSeconds(1));
--- a/src/test/java/io/beryldock/store/FakeRegistry.java
+++ b/src/test/java/io/beryldock/store/FakeRegistry.java
@@ -14,6 +14,8 @@
 /** A registry in memory whose outages are switched by hand; each caller may be turned away. Not thread safe. */
 public final class FakeRegistry {
 
+    private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(1);
+
     private final TimerService timers;
     private final TreeMap<String, RegistryStore.Entry> items = new TreeMap<>();
     private final List<RegistryStore.Entry> history = new ArrayList<>();
@@ -65,12 +67,23 @@
     /** One node's way to the store. */
     public final class View implements RegistryStore {
         private boolean down;
+        private boolean silent;
 
         public void setDown(boolean value) {
             down = value;
         }
 
+        /** Calls made while it is silent get no answer, and those that waited before never do. */
+        public void setSilent(boolean value) {
+            silent = value;
+        }
+
         private <T> CompletableFuture<T> answer(T value) {
+            if (silent) {
+                CompletableFuture<T> none = new CompletableFuture<>();
+                timers.after(ANSWER_TIMEOUT, () -> none.completeExceptionally(new PlatformException("no answer")));
+                return none;
+            }
             return down
                     ? CompletableFuture.failedFuture(new PlatformException("the store is down"))
                     : CompletableFuture.completedFuture(value);
@@ -89,18 +102,20 @@
         public CompletableFuture<Changes> changes(String prefix, long after, Duration wait) {
             CompletableFuture<Changes> future = new CompletableFuture<>();
             Runnable[] watch = new Runnable[1];
+            boolean[] silenced = new boolean[1];
             watch[0] = () -> {
                 ImmutableList<Entry> found = history.stream()
                         .filter(entry -> entry.revision() > after && entry.key().startsWith(prefix))
                         .collect(ImmutableList.toImmutableList());
-                if (!found.isEmpty() && !down && watches.remove(watch[0])) {
+                silenced[0] |= silent;
+                if (!found.isEmpty() && !down && !silenced[0] && watches.remove(watch[0])) {
                     future.complete(new Changes(false, found, revision));
                 }
             };
             watches.add(watch[0]);
             timers.after(wait, () -> {
                 watches.remove(watch[0]);
-                if (down) {
+                if (down || silenced[0]) {
                     future.completeExceptionally(new PlatformException("the store is down"));
                 } else {
                     future.complete(new Changes(false, ImmutableList.of(), Math.max(after, revision)));
