--- a/src/main/java/io/beryldock/configuration/DocumentSync.java
+++ b/src/main/java/io/beryldock/configuration/DocumentSync.java
@@ -36,6 +36,7 @@
     /** Longest wait of one watch. While one has gone silent the node hears of a change from the others. */
     private static final Duration WATCH = Duration.ofSeconds(10);
 
+    private static final Duration GATHER = Duration.ofMillis(20);
     private static final Duration GOSSIP = Duration.ofSeconds(1);
     private static final int FAN_OUT = 3;
 
@@ -72,7 +73,7 @@
     /** Reads the document and follows it. */
     public void start() {
         StoreFollower follower = StoreFollower.create(
-                ports.store(), ports.key(), WATCH, ports.timers(), ports.random(), new DocumentListener());
+                ports.store(), ports.key(), WATCH, GATHER, ports.timers(), ports.random(), new DocumentListener());
         follower.start();
         ports.recovery().subscribe(follower::refresh);
         ports.timers().every(GOSSIP, () -> sendToSome(1, notice(ByteString.EMPTY)));
--- a/src/main/java/io/beryldock/membership/RegistryMembership.java
+++ b/src/main/java/io/beryldock/membership/RegistryMembership.java
@@ -50,6 +50,9 @@
      */
     private static final Duration WATCH = Duration.ofSeconds(10);
 
+    /** Nodes start and leave in groups; each one's entry need not be fetched by a call of its own. */
+    private static final Duration WATCH_GATHER = Duration.ofMillis(250);
+
     private static final Duration GATHER = Duration.ofMillis(20);
     private static final Duration TICK = Duration.ofSeconds(1);
     private static final Duration LEAVE_LIMIT = Duration.ofSeconds(1);
@@ -73,8 +76,8 @@
         this.events = ports.events();
         this.recovery = ports.recovery();
         this.own = new RegistryRecord(PREFIX + self.id().value(), MemberRecord.ofStart(self), ports);
-        this.follower =
-                StoreFollower.create(ports.store(), PREFIX, WATCH, ports.timers(), ports.random(), new EntryListener());
+        this.follower = StoreFollower.create(
+                ports.store(), PREFIX, WATCH, WATCH_GATHER, ports.timers(), ports.random(), new EntryListener());
     }
 
     /** Makes the membership; it calls nobody before {@link #start()}. */
--- a/src/main/java/io/beryldock/store/StoreFollower.java
+++ b/src/main/java/io/beryldock/store/StoreFollower.java
@@ -21,14 +21,12 @@
     /** Pause after a call that failed, jittered by half: nodes must not fall upon a store that has just come back. */
     private static final Duration RETRY = Duration.ofMillis(250);
 
-    /** Pause between two watches: a burst of changes is fetched by one call instead of one each. */
-    private static final Duration GATHER = Duration.ofMillis(20);
-
     private static final long NONE = -1;
 
     private final RegistryStore store;
     private final String prefix;
     private final Duration wait;
+    private final Duration gather;
     private final TimerService timers;
     private final RandomGenerator random;
     private final Listener listener;
@@ -39,12 +37,14 @@
             RegistryStore store,
             String prefix,
             Duration wait,
+            Duration gather,
             TimerService timers,
             RandomGenerator random,
             Listener listener) {
         this.store = store;
         this.prefix = prefix;
         this.wait = wait;
+        this.gather = gather;
         this.timers = timers;
         this.random = random;
         this.listener = listener;
@@ -55,15 +55,17 @@
      *
      * @param wait how long one watch waits; a connection that has gone silent is noticed that much late, or by
      *     {@link #refresh()}
+     * @param gather pause between two watches: a burst of changes is fetched by one call instead of one each
      */
     public static StoreFollower create(
             RegistryStore store,
             String prefix,
             Duration wait,
+            Duration gather,
             TimerService timers,
             RandomGenerator random,
             Listener listener) {
-        return new StoreFollower(store, prefix, wait, timers, random, listener);
+        return new StoreFollower(store, prefix, wait, gather, timers, random, listener);
     }
 
     /** Hears what the store holds, on the thread of the timers. */
@@ -119,7 +121,7 @@
             start();
         } else {
             changes.entries().forEach(listener::onChange);
-            watchAfter(GATHER, changes.revision());
+            watchAfter(gather, changes.revision());
         }
     }
 
