Calls come home while the other data centres refuse too

Cause: the share that leaves falls by 5% a second once the pressures are alike, so calls cross for a whole burst. Test fails before: 0.77 of calls still cross after 4 s.

--- a/src/main/java/io/beryldock/routing/SpillShare.java
+++ b/src/main/java/io/beryldock/routing/SpillShare.java
@@ -4,8 +4,9 @@
  * The share of a service's calls that leave the own data centre although it has healthy targets.
  *
  * <p>Rises with the difference between what the own and what the other data centres refuse, and falls back by itself,
- * slowly enough not to swing. When both refuse alike it stays: crossing over would help nobody. Invariant: between 0
- * and {@link #MAX}. Not thread safe; guarded by the lock of {@link ServiceTargets}.
+ * slowly enough not to swing. While both refuse, calls come home quickly: crossing over helps nobody and costs bytes
+ * between data centres. Invariant: between 0 and {@link #MAX}. Not thread safe; guarded by the lock of
+ * {@link ServiceTargets}.
  */
 final class SpillShare {
 
@@ -14,6 +15,10 @@
 
     private static final double GAIN_PER_SECOND = 1;
     private static final double LEAK_PER_SECOND = 0.05;
+
+    /** Return home a second while the other data centres are under full pressure too. */
+    private static final double HOME_PER_SECOND = 1;
+
     private static final double PRESSURE_TIME_CONSTANT = 1;
     private static final double MAX_STEP_SECONDS = 0.5;
     private static final double NANOS_PER_SECOND = 1e9;
@@ -56,7 +61,8 @@
     private void advance(long now) {
         double seconds = Math.min(MAX_STEP_SECONDS, Math.max(0, now - updated) / NANOS_PER_SECOND);
         updated = now;
-        double step = GAIN_PER_SECOND * (near - far) - LEAK_PER_SECOND * share;
+        double home = LEAK_PER_SECOND + HOME_PER_SECOND * Math.min(near, far);
+        double step = GAIN_PER_SECOND * (near - far) - home * share;
         share = Math.max(0, Math.min(MAX, share + step * seconds));
     }
 }
