--- a/src/main/java/io/beryldock/membership/RegistryRecord.java
+++ b/src/main/java/io/beryldock/membership/RegistryRecord.java
@@ -6,6 +6,7 @@
 import io.beryldock.store.RegistryStore.Entry;
 import io.beryldock.store.StoreRecovery;
 import io.beryldock.time.TimerService;
+import io.beryldock.time.TimerThread;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.Set;
@@ -191,9 +192,9 @@
     }
 
     private <T> void hear(CompletableFuture<T> call, BiConsumer<T, Throwable> then) {
-        call.whenComplete((value, failure) -> timers.after(Duration.ZERO, () -> {
+        TimerThread.hear(timers, call, (value, failure) -> {
             then.accept(value, failure);
             recovery.onCall(failure == null);
-        }));
+        });
     }
 }
--- a/src/main/java/io/beryldock/membership/SeedRecords.java
+++ b/src/main/java/io/beryldock/membership/SeedRecords.java
@@ -7,15 +7,12 @@
 import io.beryldock.store.StoredValue;
 import io.beryldock.store.WriteResult;
 import io.beryldock.time.TimerService;
+import io.beryldock.time.TimerThread;
 import io.beryldock.timeline.EventKind;
 import io.beryldock.timeline.EventSink;
 import io.beryldock.wire.SeedRecord;
-import java.time.Duration;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
 /**
@@ -48,7 +45,7 @@
     /** Reads the record; the result is empty when the store cannot be reached. */
     void read(Consumer<Optional<Versioned>> then) {
         reads++;
-        onControlThread(store.get(KEY), (value, failure) -> {
+        TimerThread.hear(timers, store.get(KEY), (value, failure) -> {
             noteStore(failure);
             then.accept(failure == null ? Optional.of(parse(value)) : Optional.empty());
         });
@@ -57,7 +54,7 @@
     /** Writes the record over the version that was read; the result is true when it was applied for sure. */
     void write(Versioned over, SeedRecord next, Consumer<Boolean> then) {
         writes++;
-        onControlThread(store.compareAndSet(KEY, over.version(), next.toByteString()), (result, failure) -> {
+        TimerThread.hear(timers, store.compareAndSet(KEY, over.version(), next.toByteString()), (result, failure) -> {
             // A write whose answer was lost is not repeated: the next check reads the record and sees whether it holds.
             then.accept(failure == null && result.kind() == WriteResult.Kind.APPLIED);
         });
@@ -71,15 +68,6 @@
         return writes;
     }
 
-    private <T> void onControlThread(CompletableFuture<T> future, BiConsumer<T, Throwable> then) {
-        future.whenComplete((value, failure) -> timers.after(Duration.ZERO, () -> then.accept(value, cause(failure))));
-    }
-
-    private static Throwable cause(Throwable failure) {
-        boolean wrapped = failure instanceof CompletionException && failure.getCause() != null;
-        return wrapped ? failure.getCause() : failure;
-    }
-
     private Versioned parse(Optional<StoredValue> value) {
         if (value.isEmpty()) {
             return new Versioned(PlatformStore.ABSENT, SeedRecord.getDefaultInstance());
--- a/src/main/java/io/beryldock/platform/KvStoreClient.java
+++ b/src/main/java/io/beryldock/platform/KvStoreClient.java
@@ -20,7 +20,6 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
-import java.util.concurrent.atomic.LongAdder;
 
 /**
  * The one client of the platform's store.
@@ -49,7 +48,6 @@
     private final InetSocketAddress address;
     private final HttpClient client;
     private final TimerService timers;
-    private final LongAdder calls = new LongAdder();
 
     private KvStoreClient(InetSocketAddress address, HttpClient client, TimerService timers) {
         this.address = address;
@@ -61,11 +59,6 @@
         return new KvStoreClient(address, client, timers);
     }
 
-    /** Calls made since the start, for metrics. */
-    long calls() {
-        return calls.sum();
-    }
-
     @Override
     public CompletableFuture<Optional<StoredValue>> get(String key) {
         return ask("GET", "/kv-key?key=" + escaped(key), ByteString.EMPTY, Duration.ZERO)
@@ -225,7 +218,6 @@
     }
 
     private CompletableFuture<HttpReply> exchange(String method, String uri, ByteString body, Duration wait) {
-        calls.increment();
         Headers headers = Headers.empty().with("Host", address.getHostString() + ":" + address.getPort());
         Headers typed = body.isEmpty() ? headers : headers.with("Content-Type", "application/json");
         CompletableFuture<HttpReply> reply = client.send(address, HttpCall.of(method, uri, typed, body));
--- a/src/main/java/io/beryldock/store/StoreFollower.java
+++ b/src/main/java/io/beryldock/store/StoreFollower.java
@@ -4,9 +4,8 @@
 import io.beryldock.store.RegistryStore.Entry;
 import io.beryldock.store.RegistryStore.Listing;
 import io.beryldock.time.TimerService;
+import io.beryldock.time.TimerThread;
 import java.time.Duration;
-import java.util.concurrent.CompletableFuture;
-import java.util.function.BiConsumer;
 import java.util.random.RandomGenerator;
 
 /**
@@ -83,7 +82,7 @@
     /** Lists the entries and follows them from then on. */
     public void start() {
         followed = NONE;
-        hear(store.list(prefix), this::onListed);
+        TimerThread.hear(timers, store.list(prefix), this::onListed);
     }
 
     private void onListed(Listing listing, Throwable failure) {
@@ -106,7 +105,7 @@
     private void watch(long revision) {
         followed = revision;
         int number = ++watches;
-        hear(store.changes(prefix, revision, wait), (changes, failure) -> {
+        TimerThread.hear(timers, store.changes(prefix, revision, wait), (changes, failure) -> {
             if (number == watches) {
                 onWatched(revision, changes, failure);
             }
@@ -139,8 +138,4 @@
         long nanos = RETRY.toNanos();
         return Duration.ofNanos(nanos / 2 + random.nextLong(nanos));
     }
-
-    private <T> void hear(CompletableFuture<T> call, BiConsumer<T, Throwable> then) {
-        call.whenComplete((value, failure) -> timers.after(Duration.ZERO, () -> then.accept(value, failure)));
-    }
 }
