--- a/src/main/java/io/beryldock/admission/GateSettings.java
+++ b/src/main/java/io/beryldock/admission/GateSettings.java
@@ -60,8 +60,8 @@
      * Settings for targets whose announced slots are what they can really run at once.
      *
      * <p>The limit is the announced slots from the first request on. A limit that is learned, or that rises with the
-     * answers from a few, keeps most slots idle: gates of 55 slots before work of 0.4 s took 5 s of a burst to give them
-     * out, after each start of a node.
+     * answers from a few, keeps most slots idle: gates of 55 slots before work of 0.4 s took 5 s of a burst to give
+     * them out, after each start of a node.
      */
     public static GateSettings ofAnnouncedSlots() {
         GateSettings usual = defaults();
--- a/src/main/java/io/beryldock/forwarding/EntryService.java
+++ b/src/main/java/io/beryldock/forwarding/EntryService.java
@@ -196,9 +196,9 @@
     /**
      * An inner call that is known for one, with the run that makes it where that can be told.
      *
-     * <p>It has the rank and the caller's hash of its parent, so that a gate beneath knows which requests of callers its
-     * demand comes from. Without that all of this demand seems to come from one caller of one rank, the gate's level
-     * sheds whole ranks at the doors in place of a part, and what it measures never brings the level back.
+     * <p>It has the rank and the caller's hash of its parent, so that a gate beneath knows which requests of callers
+     * its demand comes from. Without that all of this demand seems to come from one caller of one rank, the gate's
+     * level sheds whole ranks at the doors in place of a part, and what it measures never brings the level back.
      *
      * <p>It does not meet the door: turning it away would waste what was run above it. The parent's scope is not taken
      * over: the parent is told by its time only, and the target ends the calls of a run that was given up.
--- a/src/main/java/io/beryldock/membership/RegistryMembership.java
+++ b/src/main/java/io/beryldock/membership/RegistryMembership.java
@@ -45,8 +45,8 @@
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
 
     /**
-     * Longest wait of one watch. A watch that has gone silent hides changes for so long, unless renewals show an outage;
-     * each node's gate guards its target meanwhile.
+     * Longest wait of one watch. A watch that has gone silent hides changes for so long, unless renewals show an
+     * outage; each node's gate guards its target meanwhile.
      */
     private static final Duration WATCH = Duration.ofSeconds(10);
 
--- a/src/main/java/io/beryldock/platform/PlatformModule.java
+++ b/src/main/java/io/beryldock/platform/PlatformModule.java
@@ -54,20 +54,14 @@
 
     @Provides
     @Singleton
-    StoreRecovery storeRecovery() {
-        return StoreRecovery.create();
+    RegistryPorts registryPorts(RegistryStore store, TimerService timers, RandomGenerator random, EventSink events) {
+        return new RegistryPorts(store, StoreRecovery.create(), timers, random, events);
     }
 
     @Provides
     @Singleton
-    Membership membership(
-            NodeDescriptor self,
-            RegistryStore store,
-            StoreRecovery recovery,
-            TimerService timers,
-            RandomGenerator random,
-            EventSink events) {
-        return RegistryMembership.create(self, new RegistryPorts(store, recovery, timers, random, events));
+    Membership membership(NodeDescriptor self, RegistryPorts ports) {
+        return RegistryMembership.create(self, ports);
     }
 
     @Provides
@@ -75,25 +69,22 @@
     DocumentSync documentSync(
             NodeDescriptor self,
             ConfigurationKeeper keeper,
-            RegistryStore store,
-            StoreRecovery recovery,
+            RegistryPorts registry,
             PeerTransport peers,
             Membership membership,
-            ControlLoop control,
-            TimerService timers,
-            RandomGenerator random) {
+            ControlLoop control) {
         DocumentSync sync = DocumentSync.create(
                 self,
                 new DocumentSync.Ports(
                         keeper,
-                        store,
-                        recovery,
+                        registry.store(),
+                        registry.recovery(),
                         OperatorDocument.KEY,
                         document,
                         (to, body) -> peers.send(to, PeerTopic.DOCUMENT, body),
                         membership::directory,
-                        timers,
-                        random));
+                        registry.timers(),
+                        registry.random()));
         peers.handle(
                 PeerTopic.DOCUMENT,
                 message -> control.execute(() -> sync.onMessage(NodeId.of(message.sender()), message.body())));
--- a/src/main/java/io/beryldock/store/StoreRecovery.java
+++ b/src/main/java/io/beryldock/store/StoreRecovery.java
@@ -6,8 +6,8 @@
 /**
  * Tells parts that wait on the store that it answers again after it had not.
  *
- * <p>Guards against a watch that waits on a connection which an outage has silenced: it would miss changes until its own
- * long wait is over. Short calls that are made anyway, the renewals of a lease, show the outage and its end.
+ * <p>Guards against a watch that waits on a connection which an outage has silenced: it would miss changes until its
+ * own long wait is over. Short calls that are made anyway, the renewals of a lease, show the outage and its end.
  *
  * <p>Used on the thread of the timers only.
  */
--- a/src/test/java/io/beryldock/membership/RegistryMembershipTest.java
+++ b/src/test/java/io/beryldock/membership/RegistryMembershipTest.java
@@ -82,8 +82,8 @@
     }
 
     /**
-     * Story: the store goes silent for four seconds. A target that was added meanwhile gets no calls from some nodes for
-     * ten seconds after the store's return: their watches wait on connections that answer nothing any more.
+     * Story: the store goes silent for four seconds. A target that was added meanwhile gets no calls from some nodes
+     * for ten seconds after the store's return: their watches wait on connections that answer nothing any more.
      */
     @Test
     void silentWatchIsReplacedWhenTheStoreAnswersAgain() {
