One piece each for timers on a scheduler, jitter, directory feeds and random other nodes

RegistryMembership repeated the feed of DirectoryPublisher (DirectoryFeed), DocumentSync the drawing of QuarantineSpreader (Directory.randomOthers), StoreFollower and RegistryRecord the jitter of SeedRecordKeeper and PeerFinder (Jitter). Draws, delays and order of calls stay as they were.

--- a/src/main/java/io/beryldock/configuration/DocumentSync.java
+++ b/src/main/java/io/beryldock/configuration/DocumentSync.java
@@ -15,7 +15,6 @@
 import io.beryldock.wire.DocumentNotice;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
@@ -36,7 +35,9 @@
     /** Longest wait of one watch. While one has gone silent the node hears of a change from the others. */
     private static final Duration WATCH = Duration.ofSeconds(10);
 
+    /** Pause between two watches; a document is replaced seldom, and late news of it costs more than a call. */
     private static final Duration GATHER = Duration.ofMillis(20);
+
     private static final Duration GOSSIP = Duration.ofSeconds(1);
     private static final int FAN_OUT = 3;
 
@@ -125,12 +126,7 @@
     }
 
     private void sendToSome(int number, DocumentNotice notice) {
-        List<NodeDescriptor> others =
-                new ArrayList<>(ports.directory().get().nodes().values());
-        others.removeIf(node -> node.id().equals(self.id()));
-        for (int i = 0; i < number && !others.isEmpty(); i++) {
-            send(others.remove(ports.random().nextInt(others.size())), notice);
-        }
+        ports.directory().get().randomOthers(self.id(), number, ports.random()).forEach(node -> send(node, notice));
     }
 
     private void send(NodeDescriptor node, DocumentNotice notice) {
--- a/src/main/java/io/beryldock/eventloop/LoopTimerService.java
+++ b/src/main/java/io/beryldock/eventloop/LoopTimerService.java
@@ -1,13 +1,10 @@
 package io.beryldock.eventloop;
 
-import com.google.common.flogger.FluentLogger;
+import io.beryldock.time.ScheduledTimers;
 import io.beryldock.time.Ticker;
 import io.beryldock.time.TimerService;
 import io.netty.channel.EventLoop;
 import java.time.Duration;
-import java.util.concurrent.Future;
-import java.util.concurrent.RejectedExecutionException;
-import java.util.concurrent.TimeUnit;
 
 /**
  * A timer whose tasks run on an event loop, so that a timer of a request wakes no other thread.
@@ -16,15 +13,10 @@
  */
 public final class LoopTimerService implements TimerService {
 
-    private static final FluentLogger log = FluentLogger.forEnclosingClass();
-
-    /** A loop that was shut down runs nothing more. */
-    private static final Subscription AFTER_CLOSE = () -> {};
-
-    private final EventLoop loop;
+    private final TimerService timers;
 
     private LoopTimerService(EventLoop loop) {
-        this.loop = loop;
+        this.timers = ScheduledTimers.on(loop, Runnable::run);
     }
 
     /** A timer on one of the loops. */
@@ -34,37 +26,16 @@
 
     @Override
     public Subscription after(Duration delay, Runnable task) {
-        try {
-            return cancelling(loop.schedule(() -> runLogged(task), delay.toNanos(), TimeUnit.NANOSECONDS));
-        } catch (RejectedExecutionException e) {
-            return AFTER_CLOSE;
-        }
+        return timers.after(delay, task);
     }
 
     @Override
     public Subscription every(Duration period, Runnable task) {
-        long nanos = period.toNanos();
-        try {
-            return cancelling(loop.scheduleWithFixedDelay(() -> runLogged(task), nanos, nanos, TimeUnit.NANOSECONDS));
-        } catch (RejectedExecutionException e) {
-            return AFTER_CLOSE;
-        }
+        return timers.every(period, task);
     }
 
     @Override
     public Ticker ticker() {
-        return Ticker.system();
-    }
-
-    private static void runLogged(Runnable task) {
-        try {
-            task.run();
-        } catch (RuntimeException e) {
-            log.atSevere().withCause(e).log("a timer task failed");
-        }
-    }
-
-    private static Subscription cancelling(Future<?> future) {
-        return () -> future.cancel(false);
+        return timers.ticker();
     }
 }
--- a/src/main/java/io/beryldock/membership/Directory.java
+++ b/src/main/java/io/beryldock/membership/Directory.java
@@ -16,6 +16,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
+import java.util.random.RandomGenerator;
 
 /**
  * An immutable picture of all nodes and targets believed alive, read by traffic threads.
@@ -89,6 +90,17 @@
         return Optional.empty();
     }
 
+    /** So many nodes drawn by chance, all there are when there are fewer; never the node with that id. */
+    public ImmutableList<NodeDescriptor> randomOthers(NodeId self, int number, RandomGenerator random) {
+        List<NodeDescriptor> others = new ArrayList<>(nodes().values());
+        others.removeIf(node -> node.id().equals(self));
+        ImmutableList.Builder<NodeDescriptor> drawn = ImmutableList.builder();
+        for (int i = 0; i < number && !others.isEmpty(); i++) {
+            drawn.add(others.remove(random.nextInt(others.size())));
+        }
+        return drawn.build();
+    }
+
     public ImmutableMap<ServiceName, ImmutableList<TargetRecord>> targets() {
         return targets.get();
     }
--- a/src/main/java/io/beryldock/membership/DirectoryPublisher.java
+++ b/src/main/java/io/beryldock/membership/DirectoryPublisher.java
@@ -11,7 +11,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -28,15 +27,12 @@
     private static final Duration DELAY = Duration.ofMillis(50);
 
     private final MembershipView view;
-    private final TimerService timers;
     private final Function<Held, Reachability> reachability;
     private final Supplier<Set<DataCentre>> unreachable;
     private final BooleanSupplier refreshing;
     private final Map<DataCentre, DirectoryPart> parts = new LinkedHashMap<>();
     private final Set<DataCentre> changed = new LinkedHashSet<>();
-    private final List<Consumer<Directory>> listeners = new CopyOnWriteArrayList<>();
-    private boolean armed;
-    private volatile Directory directory = Directory.empty();
+    private final DirectoryFeed feed;
 
     DirectoryPublisher(
             MembershipView view,
@@ -45,19 +41,18 @@
             Supplier<Set<DataCentre>> unreachable,
             BooleanSupplier refreshing) {
         this.view = view;
-        this.timers = timers;
         this.reachability = reachability;
         this.unreachable = unreachable;
         this.refreshing = refreshing;
+        this.feed = new DirectoryFeed(timers, DELAY, this::make);
     }
 
     Directory directory() {
-        return directory;
+        return feed.directory();
     }
 
     TimerService.Subscription subscribe(Consumer<Directory> listener) {
-        listeners.add(listener);
-        return () -> listeners.remove(listener);
+        return feed.subscribe(listener);
     }
 
     /** Notes that records of the data centre have changed. */
@@ -68,22 +63,21 @@
 
     /** Notes that something beside the records has changed. */
     void onChange() {
-        if (!armed) {
-            armed = true;
-            timers.after(DELAY, this::publish);
-        }
+        feed.publishSoon();
     }
 
     /** Publishes what is known now. */
     void publish() {
-        armed = false;
+        feed.publish();
+    }
+
+    private Directory make() {
         for (DataCentre centre : changed) {
             parts.put(centre, part(centre));
             parts.values().removeIf(part -> part.nodes().isEmpty());
         }
         changed.clear();
-        directory = Directory.ofParts(parts, unreachable.get(), refreshing.getAsBoolean());
-        listeners.forEach(listener -> listener.accept(directory));
+        return Directory.ofParts(parts, unreachable.get(), refreshing.getAsBoolean());
     }
 
     private DirectoryPart part(DataCentre centre) {
--- a/src/main/java/io/beryldock/membership/PeerFinder.java
+++ b/src/main/java/io/beryldock/membership/PeerFinder.java
@@ -1,6 +1,7 @@
 package io.beryldock.membership;
 
 import io.beryldock.call.NodeId;
+import io.beryldock.time.Jitter;
 import io.beryldock.wire.SeedAddress;
 import io.beryldock.wire.SeedCentre;
 import io.beryldock.wire.SeedRecord;
@@ -138,6 +139,6 @@
 
     /** Between half of the delay and one and a half. */
     private long jittered(long delay) {
-        return delay / 2 + context.random().nextLong(delay);
+        return Jitter.around(Duration.ofNanos(delay), context.random()).toNanos();
     }
 }
--- a/src/main/java/io/beryldock/membership/RegistryMembership.java
+++ b/src/main/java/io/beryldock/membership/RegistryMembership.java
@@ -22,7 +22,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 
 /**
@@ -65,16 +64,15 @@
     private final StoreFollower follower;
     private final MembershipCodec codec = MembershipCodec.create();
     private final Map<String, Known> known = new HashMap<>();
-    private final List<Consumer<Directory>> listeners = new CopyOnWriteArrayList<>();
-    private boolean publishing;
+    private final DirectoryFeed feed;
     private boolean storeDown;
-    private volatile Directory directory = Directory.empty();
 
     private RegistryMembership(NodeDescriptor self, RegistryPorts ports) {
         this.self = self;
         this.timers = ports.timers();
         this.events = ports.events();
         this.recovery = ports.recovery();
+        this.feed = new DirectoryFeed(ports.timers(), GATHER, this::make);
         this.own = new RegistryRecord(PREFIX + self.id().value(), MemberRecord.ofStart(self), ports);
         this.follower = StoreFollower.create(
                 ports.store(), PREFIX, WATCH, WATCH_GATHER, ports.timers(), ports.random(), new EntryListener());
@@ -94,7 +92,7 @@
         follower.start();
         recovery.subscribe(follower::refresh);
         timers.every(TICK, this::tick);
-        publishSoon();
+        feed.publishSoon();
     }
 
     @Override
@@ -102,7 +100,7 @@
         if (own.announce(Optional.of(new AnnouncedTarget(service, slots, state)))) {
             EventKind kind = state == TargetState.LEAVING ? EventKind.TARGET_LEAVING : EventKind.TARGET_ANNOUNCED;
             events.record(kind, service.value(), "target with " + slots + " slots is " + state);
-            publishSoon();
+            feed.publishSoon();
         }
     }
 
@@ -110,7 +108,7 @@
     public void withdraw() {
         if (own.announce(Optional.empty())) {
             events.record(EventKind.TARGET_LOST, self.id().value(), "the target is withdrawn");
-            publishSoon();
+            feed.publishSoon();
         }
     }
 
@@ -124,13 +122,12 @@
 
     @Override
     public TimerService.Subscription onChange(Consumer<Directory> listener) {
-        listeners.add(listener);
-        return () -> listeners.remove(listener);
+        return feed.subscribe(listener);
     }
 
     @Override
     public Directory directory() {
-        return directory;
+        return feed.directory();
     }
 
     /** An entry that has lapsed and whose node does not answer either is that of a node which is gone. */
@@ -163,25 +160,16 @@
 
     private void forget(String key) {
         if (known.remove(key) != null) {
-            publishSoon();
+            feed.publishSoon();
         }
     }
 
-    private void publishSoon() {
-        if (!publishing) {
-            publishing = true;
-            timers.after(GATHER, this::publish);
-        }
-    }
-
-    private void publish() {
-        publishing = false;
+    private Directory make() {
         List<NodeDescriptor> nodes = new ArrayList<>();
         List<TargetRecord> targets = new ArrayList<>();
         add(own.record(), nodes, targets);
         known.values().forEach(entry -> add(entry.record(), nodes, targets));
-        directory = Directory.of(nodes, targets);
-        listeners.forEach(listener -> listener.accept(directory));
+        return Directory.of(nodes, targets);
     }
 
     private static void add(MemberRecord record, List<NodeDescriptor> nodes, List<TargetRecord> targets) {
@@ -203,7 +191,7 @@
                                 .peerAddress()
                                 .equals(record.node().peerAddress()));
         known.put(key, new Known(record, Optional.empty()));
-        publishSoon();
+        feed.publishSoon();
     }
 
     private void lapse(String key) {
--- a/src/main/java/io/beryldock/membership/RegistryRecord.java
+++ b/src/main/java/io/beryldock/membership/RegistryRecord.java
@@ -5,6 +5,7 @@
 import io.beryldock.store.RegistryStore;
 import io.beryldock.store.RegistryStore.Entry;
 import io.beryldock.store.StoreRecovery;
+import io.beryldock.time.Jitter;
 import io.beryldock.time.TimerService;
 import io.beryldock.time.TimerThread;
 import java.time.Duration;
@@ -113,8 +114,7 @@
     }
 
     private void retry() {
-        long nanos = RETRY.toNanos();
-        timers.after(Duration.ofNanos(nanos / 2 + random.nextLong(nanos)), () -> {
+        timers.after(Jitter.around(RETRY, random), () -> {
             busy = false;
             publish();
         });
--- a/src/main/java/io/beryldock/membership/SeedRecordKeeper.java
+++ b/src/main/java/io/beryldock/membership/SeedRecordKeeper.java
@@ -3,6 +3,7 @@
 import io.beryldock.call.DataCentre;
 import io.beryldock.membership.MembershipView.Held;
 import io.beryldock.membership.SeedRecords.Versioned;
+import io.beryldock.time.Jitter;
 import io.beryldock.wire.SeedAddress;
 import io.beryldock.wire.SeedCentre;
 import io.beryldock.wire.SeedRecord;
@@ -146,7 +147,6 @@
     }
 
     private long jittered(Duration delay) {
-        long nanos = delay.toNanos();
-        return nanos / 2 + context.random().nextLong(nanos);
+        return Jitter.around(delay, context.random()).toNanos();
     }
 }
--- a/src/main/java/io/beryldock/node/QuarantineSpreader.java
+++ b/src/main/java/io/beryldock/node/QuarantineSpreader.java
@@ -11,8 +11,6 @@
 import io.beryldock.time.TimerService;
 import io.beryldock.wire.QuarantineDelta;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
@@ -59,10 +57,7 @@
         if (delta.getEntriesCount() == 0) {
             return;
         }
-        List<NodeDescriptor> others = new ArrayList<>(directory.get().nodes().values());
-        others.removeIf(node -> node.id().equals(self.id()));
-        for (int i = 0; i < fanOut && !others.isEmpty(); i++) {
-            NodeDescriptor node = others.remove(random.nextInt(others.size()));
+        for (NodeDescriptor node : directory.get().randomOthers(self.id(), fanOut, random)) {
             transport.send(node.peerAddress(), PeerTopic.QUARANTINE, delta.toByteString());
         }
     }
--- a/src/main/java/io/beryldock/store/StoreFollower.java
+++ b/src/main/java/io/beryldock/store/StoreFollower.java
@@ -3,6 +3,7 @@
 import io.beryldock.store.RegistryStore.Changes;
 import io.beryldock.store.RegistryStore.Entry;
 import io.beryldock.store.RegistryStore.Listing;
+import io.beryldock.time.Jitter;
 import io.beryldock.time.TimerService;
 import io.beryldock.time.TimerThread;
 import java.time.Duration;
@@ -88,7 +89,7 @@
     private void onListed(Listing listing, Throwable failure) {
         listener.onStore(failure == null);
         if (failure != null) {
-            timers.after(pause(), this::start);
+            timers.after(Jitter.around(RETRY, random), this::start);
             return;
         }
         listener.onListing(listing);
@@ -115,7 +116,7 @@
     private void onWatched(long revision, Changes changes, Throwable failure) {
         listener.onStore(failure == null);
         if (failure != null) {
-            watchAfter(pause(), revision);
+            watchAfter(Jitter.around(RETRY, random), revision);
         } else if (changes.historyGone()) {
             start();
         } else {
@@ -133,9 +134,4 @@
             }
         });
     }
-
-    private Duration pause() {
-        long nanos = RETRY.toNanos();
-        return Duration.ofNanos(nanos / 2 + random.nextLong(nanos));
-    }
 }
