A route's levels are one list with the ranks that each holds for

With each answer under overload eight lists were made, one a rank, from a set of pairs of service and rank. The ranks now stand with the service, so the pairs and seven of the lists go, and the lowest level of any rank is that of the list.

--- a/src/main/java/io/beryldock/admission/RouteLevel.java
+++ b/src/main/java/io/beryldock/admission/RouteLevel.java
@@ -1,16 +1,12 @@
 package io.beryldock.admission;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.Iterables;
 import io.beryldock.call.PriorityClass;
 import io.beryldock.call.ServiceLevel;
 import io.beryldock.call.ServiceName;
-import java.util.Collections;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
@@ -35,70 +31,81 @@
     static final long MIN_PROBE_NANOS = 250_000_000L;
     static final long MAX_PROBE_NANOS = 2_000_000_000L;
 
+    private static final int ALL_RANKS = (1 << PriorityClass.RANKS) - 1;
+
     private final ServiceName root;
-    private final Map<ServiceName, LevelSamples> samples = new HashMap<>();
-    private final Set<ServiceClass> met = new HashSet<>();
+    private final Map<ServiceName, Known> known = new HashMap<>();
     private final AtomicLong lastProbe = new AtomicLong(Long.MIN_VALUE);
-    private volatile ImmutableList<ImmutableList<Learned>> closedByRank = allOpen();
+    private volatile ImmutableList<Learned> closed = ImmutableList.of();
     private volatile long probeInterval = MIN_PROBE_NANOS;
 
     RouteLevel(ServiceName root) {
         this.root = root;
     }
 
+    /** What was told of one service, and for which ranks it holds. Guarded by the lock of the route. */
+    private static final class Known {
+        private final LevelSamples samples;
+        private int ranks;
+
+        Known(int ranks, long now) {
+            this.ranks = ranks;
+            this.samples = LevelSamples.startingOpen(now);
+        }
+    }
+
     /**
-     * What is known of one service that does not admit all.
+     * A service that does not admit all.
      *
+     * @param ranks one bit for each rank that the level holds for
      * @param at when the last answer told of it
      */
-    private record Learned(ServiceName service, int level, long at) {
+    private record Learned(ServiceName service, int ranks, int level, long at) {
+
+        boolean holdsFor(int rank) {
+            return (ranks & bit(rank)) != 0;
+        }
 
         int levelAt(long now) {
             return aged(level, now - at);
         }
     }
 
-    private static ImmutableList<ImmutableList<Learned>> allOpen() {
-        return ImmutableList.copyOf(Collections.nCopies(PriorityClass.RANKS, ImmutableList.of()));
+    private static int bit(int rank) {
+        return 1 << rank;
     }
 
     /** Takes in what came with the end of a request of this rank. */
     synchronized void observe(int rank, List<ServiceLevel> reported, long now) {
         for (ServiceLevel level : reported) {
-            met.add(new ServiceClass(level.service(), rank));
-            samples.computeIfAbsent(level.service(), service -> LevelSamples.startingOpen(now))
-                    .add(level.level(), now);
+            Known service = known.computeIfAbsent(level.service(), name -> newKnown(name, now));
+            service.ranks |= bit(rank);
+            service.samples.add(level.level(), now);
         }
         publish(now);
     }
 
+    /** The level of the root itself holds for all ranks. */
+    private Known newKnown(ServiceName service, long now) {
+        return new Known(service.equals(root) ? ALL_RANKS : 0, now);
+    }
+
     private void publish(long now) {
-        List<Learned> closed = samples.entrySet().stream()
-                .map(entry -> learned(entry.getKey(), entry.getValue(), now))
-                .filter(learned -> learned.level() < ServiceLevel.OPEN)
-                .toList();
-        if (worst(closed) > worst(Iterables.concat(closedByRank)) + ServiceLevel.STEPS) {
+        ImmutableList.Builder<Learned> builder = ImmutableList.builder();
+        known.forEach((service, told) -> {
+            int level = told.samples.middle(now);
+            if (level < ServiceLevel.OPEN) {
+                builder.add(new Learned(service, told.ranks, level, told.samples.lastAt()));
+            }
+        });
+        ImmutableList<Learned> next = builder.build();
+        if (worst(next) > worst(closed) + ServiceLevel.STEPS) {
             probeInterval = MIN_PROBE_NANOS;
         }
-        ImmutableList.Builder<ImmutableList<Learned>> byRank = ImmutableList.builder();
-        for (int rank = 0; rank < PriorityClass.RANKS; rank++) {
-            byRank.add(holdingFor(rank, closed));
-        }
-        closedByRank = byRank.build();
+        closed = next;
     }
 
-    private static Learned learned(ServiceName service, LevelSamples samples, long now) {
-        return new Learned(service, samples.middle(now), samples.lastAt());
-    }
-
-    private ImmutableList<Learned> holdingFor(int rank, List<Learned> closed) {
-        return closed.stream()
-                .filter(learned ->
-                        learned.service().equals(root) || met.contains(new ServiceClass(learned.service(), rank)))
-                .collect(ImmutableList.toImmutableList());
-    }
-
-    private static int worst(Iterable<Learned> closed) {
+    private static int worst(List<Learned> closed) {
         int worst = ServiceLevel.OPEN;
         for (Learned learned : closed) {
             worst = Math.min(worst, learned.level());
@@ -107,18 +114,25 @@
     }
 
     boolean open(int rank) {
-        return closedByRank.get(rank).isEmpty();
+        for (Learned learned : closed) {
+            if (learned.holdsFor(rank)) {
+                return false;
+            }
+        }
+        return true;
     }
 
     /** Whether all samples are open, so that nothing needs to be remembered. */
     synchronized boolean settledOpen() {
-        return samples.values().stream().allMatch(LevelSamples::allOpen);
+        return known.values().stream().allMatch(told -> told.samples.allOpen());
     }
 
     int level(int rank, long now) {
         int level = ServiceLevel.OPEN;
-        for (Learned learned : closedByRank.get(rank)) {
-            level = Math.min(level, learned.levelAt(now));
+        for (Learned learned : closed) {
+            if (learned.holdsFor(rank)) {
+                level = Math.min(level, learned.levelAt(now));
+            }
         }
         return level;
     }
@@ -126,15 +140,16 @@
     /** The lowest level that holds for any rank. */
     int lowestLevel(long now) {
         int level = ServiceLevel.OPEN;
-        for (int rank = 0; rank < PriorityClass.RANKS; rank++) {
-            level = Math.min(level, level(rank, now));
+        for (Learned learned : closed) {
+            level = Math.min(level, learned.levelAt(now));
         }
         return level;
     }
 
     /** The services that do not admit all and that the rank met, with their levels of now. */
     ImmutableList<ServiceLevel> closed(int rank, long now) {
-        return closedByRank.get(rank).stream()
+        return closed.stream()
+                .filter(learned -> learned.holdsFor(rank))
                 .map(learned -> new ServiceLevel(learned.service(), learned.levelAt(now)))
                 .filter(level -> level.level() < ServiceLevel.OPEN)
                 .collect(ImmutableList.toImmutableList());
@@ -153,7 +168,11 @@
     }
 
     private long lastToldAt(int rank) {
-        return closedByRank.get(rank).stream().mapToLong(Learned::at).max().orElse(0);
+        return closed.stream()
+                .filter(learned -> learned.holdsFor(rank))
+                .mapToLong(Learned::at)
+                .max()
+                .orElse(0);
     }
 
     private static int aged(int level, long age) {
