The entry makes contexts beneath a run and calls with retries of their own in one place; one memory by route

innerContext and contextBeneath, handleOrphan and handleWithoutContext were near copies; InnerCallDetector and ReturnDetector each kept a bounded map under the same key (RouteMemory).

--- a/src/main/java/io/beryldock/forwarding/EntryService.java
+++ b/src/main/java/io/beryldock/forwarding/EntryService.java
@@ -178,19 +178,25 @@
     }
 
     private CallContext innerContext(Execution parent, Route route) {
-        long now = ports.ticker().nanos();
         CallContext above = parent.call().context();
-        long remaining = Math.min(parent.remainingNanos(now), route.deadline().toNanos());
+        long remaining = Math.min(
+                parent.remainingNanos(ports.ticker().nanos()), route.deadline().toNanos());
+        return contextBeneath(
+                parent, remaining, 0, above.retriedAncestor() || parent.call().idempotent());
+    }
+
+    private CallContext contextBeneath(Execution parent, long remainingNanos, int retries, boolean retriedAncestor) {
+        CallContext above = parent.call().context();
         return new CallContext(
                 above.root(),
                 parent.call().id(),
                 above.priority(),
-                remaining,
-                0,
+                remainingNanos,
+                retries,
                 above.depth() + 1,
                 above.callerHash(),
-                parent.sunkNanos(now),
-                above.retriedAncestor() || parent.call().idempotent());
+                parent.sunkNanos(ports.ticker().nanos()),
+                retriedAncestor);
     }
 
     /**
@@ -209,32 +215,16 @@
         int retries = configuration.budgetOf(route).retries();
         long allowed = allowedNanos(request, route);
         CallContext context = caller.parent()
-                .map(parent -> contextBeneath(parent, allowed, retries))
+                .map(parent -> contextBeneath(parent, allowed, retries, false))
                 .orElseGet(() -> contextOfUnknownParent(id, configuration.priorityOf(route), allowed, retries));
         Call call = call(request, route, id, caller.service(), context);
-        RetryAccount account = ports.ledger().open(id, retries);
-        return dispatch(request, call, account, scope).thenApply(result -> {
-            account.close();
+        return dispatchOnOwnAccount(request, call, retries, scope).thenApply(result -> {
             caller.parent().ifPresent(parent -> parent.onInnerEnd(call.service(), result));
             ports.journal().ended(call, result);
             return new RequestOutcome(id, result);
         });
     }
 
-    private CallContext contextBeneath(Execution parent, long allowedNanos, int retries) {
-        CallContext above = parent.call().context();
-        return new CallContext(
-                above.root(),
-                parent.call().id(),
-                above.priority(),
-                allowedNanos,
-                retries,
-                above.depth() + 1,
-                above.callerHash(),
-                parent.sunkNanos(ports.ticker().nanos()),
-                false);
-    }
-
     /** The hash is drawn, so that such calls spread over the callers of their rank as their parents do. */
     private CallContext contextOfUnknownParent(RequestId id, PriorityClass priority, long allowedNanos, int retries) {
         int hash = ports.random().nextInt();
@@ -258,10 +248,17 @@
                 0,
                 false);
         Call call = call(request, route, id, Call.OUTSIDE, context);
-        RetryAccount account = ports.ledger().open(id, 0);
+        return dispatchOnOwnAccount(request, call, 0, scope)
+                .thenApply(result -> new RequestOutcome(context.root(), result));
+    }
+
+    /** Dispatches a call that takes from nobody's retries. */
+    private CompletableFuture<CallResult> dispatchOnOwnAccount(
+            IncomingRequest request, Call call, int retries, CancelScope scope) {
+        RetryAccount account = ports.ledger().open(call.id(), retries);
         return dispatch(request, call, account, scope).thenApply(result -> {
             account.close();
-            return new RequestOutcome(context.root(), result);
+            return result;
         });
     }
 
--- a/src/main/java/io/beryldock/forwarding/InnerCallDetector.java
+++ b/src/main/java/io/beryldock/forwarding/InnerCallDetector.java
@@ -5,8 +5,6 @@
 import io.beryldock.time.Ticker;
 import java.time.Duration;
 import java.util.Optional;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ConcurrentMap;
 import java.util.function.Supplier;
 
 /**
@@ -35,12 +33,10 @@
     /** How much less than a call its parent may have, from the way of the call to this node. */
     private static final long WAY_NANOS = Duration.ofNanos(200_000).toNanos();
 
-    private static final int MAX_ROUTES = 10_000;
-
     private final ExecutionRegistry executions;
     private final Supplier<Optional<ServiceName>> ownService;
     private final Ticker ticker;
-    private final ConcurrentMap<String, Long> usedByCallers = new ConcurrentHashMap<>();
+    private final RouteMemory<Long> usedByCallers = new RouteMemory<>();
 
     private InnerCallDetector(ExecutionRegistry executions, Supplier<Optional<ServiceName>> ownService, Ticker ticker) {
         this.executions = executions;
@@ -65,14 +61,15 @@
     Optional<InnerCaller> caller(Route route, Optional<Duration> timeLimit) {
         long now = ticker.nanos();
         long longest = executions.longestRemainingNanos(now);
-        String key = route.host() + route.prefix();
         long asked = timeLimit.map(Duration::toNanos).orElse(Long.MAX_VALUE);
         if (longest == 0 || asked > longest + TOLERANCE_NANOS) {
-            noteCallers(key, now);
+            usedByCallers.put(route, now);
             return Optional.empty();
         }
-        Long proof = usedByCallers.get(key);
-        boolean callers = proof != null && now - proof < PROOF_NANOS;
+        boolean callers = usedByCallers
+                .of(route)
+                .filter(proof -> now - proof < PROOF_NANOS)
+                .isPresent();
         return callers
                 ? Optional.empty()
                 : ownService.get().map(service -> new InnerCaller(service, parent(asked, now)));
@@ -87,11 +84,4 @@
     private Optional<Execution> parent(long asked, long now) {
         return executions.nextAbove(asked - WAY_NANOS, PARENT_WITHIN_NANOS, now);
     }
-
-    private void noteCallers(String key, long now) {
-        if (usedByCallers.size() >= MAX_ROUTES) {
-            usedByCallers.clear();
-        }
-        usedByCallers.put(key, now);
-    }
 }
--- a/src/main/java/io/beryldock/forwarding/ReturnDetector.java
+++ b/src/main/java/io/beryldock/forwarding/ReturnDetector.java
@@ -4,8 +4,6 @@
 import io.beryldock.time.Ticker;
 import java.time.Duration;
 import java.util.Optional;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ConcurrentMap;
 
 /**
  * Tells requests that come back after a refusal from new ones, by the time that their caller still gives them.
@@ -22,10 +20,8 @@
     /** How long the longest time seen of a route holds: its callers may change what they give. */
     private static final long HOLD_NANOS = Duration.ofSeconds(30).toNanos();
 
-    private static final int MAX_ROUTES = 10_000;
-
     private final Ticker ticker;
-    private final ConcurrentMap<String, Longest> longestByRoute = new ConcurrentHashMap<>();
+    private final RouteMemory<Longest> longest = new RouteMemory<>();
 
     ReturnDetector(Ticker ticker) {
         this.ticker = ticker;
@@ -40,20 +36,17 @@
             return false;
         }
         long given = timeLimit.get().toNanos();
-        return given < FIRST_SHARE * usual(route.host() + route.prefix(), given);
+        return given < FIRST_SHARE * usual(route, given);
     }
 
-    private long usual(String route, long given) {
+    private long usual(Route route, long given) {
         long now = ticker.nanos();
-        Longest known = longestByRoute.get(route);
-        boolean longest = known == null || given >= known.nanos() || now - known.at() > HOLD_NANOS;
-        if (!longest) {
-            return known.nanos();
-        }
-        if (longestByRoute.size() >= MAX_ROUTES) {
-            longestByRoute.clear();
+        Optional<Longest> known =
+                longest.of(route).filter(found -> given < found.nanos() && now - found.at() <= HOLD_NANOS);
+        if (known.isPresent()) {
+            return known.get().nanos();
         }
-        longestByRoute.put(route, new Longest(given, now));
+        longest.put(route, new Longest(given, now));
         return given;
     }
 }
