The platform's adapter has one JSON mapper, one end of late exchanges and one test for what never left

Four mappers and three ways to read and write a body become Json; the store's and the target's client each armed and took back a timer around HttpClient.send and unwrapped the same failure: send with a limit and HttpExchangeException.isNotSent. The time after which a late exchange is given up stood in both clients of targets (TargetClient.LATE). A trial request without an answer is logged before it counts as 0.

--- a/src/main/java/io/beryldock/http/HttpTargetClient.java
+++ b/src/main/java/io/beryldock/http/HttpTargetClient.java
@@ -35,9 +35,6 @@
 public final class HttpTargetClient implements TargetClient {
 
     private static final Timeout CONNECT_WAIT = Timeout.ofSeconds(1);
-    /** How long after a call's time its target may still answer before the connection is given up. */
-    private static final long LATE_MILLIS = 1000;
-
     private static final Timeout LONGEST_EXCHANGE = Timeout.ofSeconds(60);
 
     private final CloseableHttpAsyncClient client;
@@ -94,7 +91,7 @@
             return LONGEST_EXCHANGE;
         }
         long millis = TimeUnit.NANOSECONDS.toMillis(call.context().remainingNanos());
-        return Timeout.ofMilliseconds(millis + LATE_MILLIS);
+        return Timeout.ofMilliseconds(millis + LATE.toMillis());
     }
 
     private static URIAuthority authority(InetSocketAddress address) {
--- a/src/main/java/io/beryldock/nettyhttp/HttpClient.java
+++ b/src/main/java/io/beryldock/nettyhttp/HttpClient.java
@@ -1,7 +1,9 @@
 package io.beryldock.nettyhttp;
 
 import io.beryldock.eventloop.EventLoops;
+import io.beryldock.eventloop.LoopTimerService;
 import io.beryldock.nettyhttp.HttpExchangeException.Kind;
+import io.beryldock.time.TimerService;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -11,6 +13,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Collection;
 import java.util.Deque;
@@ -31,16 +34,18 @@
 
     private final HttpClientSettings settings;
     private final EventLoop loop;
+    private final TimerService timers;
     private final Map<InetSocketAddress, Deque<HttpClientConnection>> idle = new HashMap<>();
     private boolean sweeping;
 
-    private HttpClient(HttpClientSettings settings, EventLoop loop) {
+    private HttpClient(HttpClientSettings settings, EventLoop loop, TimerService timers) {
         this.settings = settings;
         this.loop = loop;
+        this.timers = timers;
     }
 
     public static HttpClient create(HttpClientSettings settings, EventLoops loops) {
-        return new HttpClient(settings, loops.group().next());
+        return new HttpClient(settings, loops.next(), LoopTimerService.on(loops));
     }
 
     /** Sends the call once; the future fails only with {@link HttpExchangeException}, or is cancelled by its holder. */
@@ -51,6 +56,14 @@
         return reply;
     }
 
+    /** The same for a call that is given up after the limit: its future is cancelled, which closes its connection. */
+    public CompletableFuture<HttpReply> send(InetSocketAddress address, HttpCall call, Duration limit) {
+        CompletableFuture<HttpReply> reply = send(address, call);
+        TimerService.Subscription end = timers.after(limit, () -> reply.cancel(false));
+        reply.whenComplete((answer, failure) -> end.cancel());
+        return reply;
+    }
+
     private void start(InetSocketAddress address, HttpCall call, CompletableFuture<HttpReply> reply) {
         if (reply.isDone()) {
             return;
--- a/src/main/java/io/beryldock/nettyhttp/HttpExchangeException.java
+++ b/src/main/java/io/beryldock/nettyhttp/HttpExchangeException.java
@@ -1,5 +1,7 @@
 package io.beryldock.nettyhttp;
 
+import java.util.concurrent.CompletionException;
+
 /** An exchange ended without a complete response; the kind tells whether the request can have reached the server. */
 public final class HttpExchangeException extends Exception {
 
@@ -20,6 +22,12 @@
         LOST
     }
 
+    /** Whether this failure of a call's future says that not one byte of the request left. */
+    public static boolean isNotSent(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        return cause instanceof HttpExchangeException exchange && exchange.kind == Kind.NOT_SENT;
+    }
+
     public Kind kind() {
         return kind;
     }
--- a/src/main/java/io/beryldock/platform/Heartbeat.java
+++ b/src/main/java/io/beryldock/platform/Heartbeat.java
@@ -1,7 +1,6 @@
 package io.beryldock.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.protobuf.ByteString;
 import io.beryldock.forwarding.Announcement;
 import io.beryldock.membership.TargetState;
@@ -15,13 +14,11 @@
  */
 record Heartbeat(Announcement announcement, long sequence) {
 
-    private static final ObjectMapper MAPPER = new ObjectMapper();
-
     /** Reads the body; empty when it is no heartbeat. */
     static Optional<Heartbeat> read(ByteString body) {
         JsonNode root;
         try {
-            root = MAPPER.readTree(body.toByteArray());
+            root = Json.read(body);
         } catch (IOException e) {
             return Optional.empty();
         }
--- a/src/main/java/io/beryldock/platform/KvJson.java
+++ b/src/main/java/io/beryldock/platform/KvJson.java
@@ -1,8 +1,6 @@
 package io.beryldock.platform;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableList;
@@ -17,7 +15,6 @@
 /** The bodies of the store's calls. Stateless, thread safe. */
 final class KvJson {
 
-    private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final String KEY = "key";
     private static final String VALUE = "value";
     private static final String REVISION = "revision";
@@ -29,7 +26,7 @@
 
     static JsonNode read(ByteString body) throws PlatformException {
         try {
-            return MAPPER.readTree(body.toByteArray());
+            return Json.read(body);
         } catch (IOException e) {
             throw new PlatformException("the platform store's answer is no JSON; go on with what is known", e);
         }
@@ -61,12 +58,12 @@
 
     /** A lease's length goes over the wire in seconds, with fractions. */
     static ByteString leaseRequest(double seconds) {
-        return write(MAPPER.createObjectNode().put("ttlS", seconds));
+        return Json.write(Json.object().put("ttlS", seconds));
     }
 
     /** A write of one key; the condition, if any, is the revision that the key must still have, 0 for none. */
     static ByteString writeRequest(String key, ByteString value, long lease, Optional<Long> expectedRevision) {
-        ObjectNode transaction = MAPPER.createObjectNode();
+        ObjectNode transaction = Json.object();
         ArrayNode conditions = transaction.putArray("expectedRev");
         expectedRevision.ifPresent(
                 revision -> conditions.addObject().put(KEY, key).put(REVISION, revision));
@@ -76,14 +73,6 @@
             put.put(LEASE, lease);
         }
         transaction.putArray("deletes");
-        return write(transaction);
-    }
-
-    private static ByteString write(ObjectNode node) {
-        try {
-            return ByteString.copyFrom(MAPPER.writeValueAsBytes(node));
-        } catch (JsonProcessingException e) {
-            throw new IllegalStateException("a tree of texts and numbers is always JSON", e);
-        }
+        return Json.write(transaction);
     }
 }
--- a/src/main/java/io/beryldock/platform/KvStoreClient.java
+++ b/src/main/java/io/beryldock/platform/KvStoreClient.java
@@ -14,7 +14,6 @@
 import io.beryldock.store.RegistryStore;
 import io.beryldock.store.StoredValue;
 import io.beryldock.store.WriteResult;
-import io.beryldock.time.TimerService;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
@@ -47,16 +46,14 @@
 
     private final InetSocketAddress address;
     private final HttpClient client;
-    private final TimerService timers;
 
-    private KvStoreClient(InetSocketAddress address, HttpClient client, TimerService timers) {
+    private KvStoreClient(InetSocketAddress address, HttpClient client) {
         this.address = address;
         this.client = client;
-        this.timers = timers;
     }
 
-    static KvStoreClient create(InetSocketAddress address, HttpClient client, TimerService timers) {
-        return new KvStoreClient(address, client, timers);
+    static KvStoreClient create(InetSocketAddress address, HttpClient client) {
+        return new KvStoreClient(address, client);
     }
 
     @Override
@@ -78,10 +75,7 @@
 
     private static WriteResult written(HttpReply reply, Throwable failure) {
         if (failure != null) {
-            Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
-            boolean neverSent = cause instanceof HttpExchangeException exchange
-                    && exchange.kind() == HttpExchangeException.Kind.NOT_SENT;
-            return neverSent ? WriteResult.notApplied() : WriteResult.unknown();
+            return HttpExchangeException.isNotSent(failure) ? WriteResult.notApplied() : WriteResult.unknown();
         }
         return switch (reply.status()) {
             case OK -> WriteResult.applied(json(reply).path("revision").asLong());
@@ -220,9 +214,6 @@
     private CompletableFuture<HttpReply> exchange(String method, String uri, ByteString body, Duration wait) {
         Headers headers = Headers.empty().with("Host", address.getHostString() + ":" + address.getPort());
         Headers typed = body.isEmpty() ? headers : headers.with("Content-Type", "application/json");
-        CompletableFuture<HttpReply> reply = client.send(address, HttpCall.of(method, uri, typed, body));
-        Duration limit = wait.plus(ANSWER_TIMEOUT);
-        TimerService.Subscription end = timers.after(limit, () -> reply.cancel(false));
-        return reply.whenComplete((answer, failure) -> end.cancel());
+        return client.send(address, HttpCall.of(method, uri, typed, body), wait.plus(ANSWER_TIMEOUT));
     }
 }
--- a/src/main/java/io/beryldock/platform/OperatorDocument.java
+++ b/src/main/java/io/beryldock/platform/OperatorDocument.java
@@ -1,7 +1,6 @@
 package io.beryldock.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import com.google.protobuf.ByteString;
@@ -33,7 +32,6 @@
     /** Where the operators write it. */
     static final String KEY = "op/config";
 
-    private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final int HEX = 16;
     private static final double NANOS_PER_SECOND = 1e9;
 
@@ -58,7 +56,7 @@
     public Configuration decode(ByteString document) throws ConfigurationException {
         JsonNode root;
         try {
-            root = MAPPER.readTree(document.toByteArray());
+            root = Json.read(document);
         } catch (IOException e) {
             throw ConfigurationException.of("document", "it is no JSON: " + e.getMessage(), "write it again");
         }
--- a/src/main/java/io/beryldock/platform/PlatformModule.java
+++ b/src/main/java/io/beryldock/platform/PlatformModule.java
@@ -7,7 +7,6 @@
 import io.beryldock.call.NodeId;
 import io.beryldock.configuration.ConfigurationKeeper;
 import io.beryldock.configuration.DocumentSync;
-import io.beryldock.eventloop.LoopTimerService;
 import io.beryldock.forwarding.TargetClient;
 import io.beryldock.membership.Membership;
 import io.beryldock.membership.NodeDescriptor;
@@ -99,8 +98,8 @@
 
     @Provides
     @Singleton
-    TargetClient targetClient(LocalTargets targets, LoopTimerService timers) {
-        return new PlatformTargetClient(targetClient, targets::current, timers);
+    TargetClient targetClient(LocalTargets targets) {
+        return new PlatformTargetClient(targetClient, targets::current);
     }
 
     /**
--- a/src/main/java/io/beryldock/platform/PlatformNode.java
+++ b/src/main/java/io/beryldock/platform/PlatformNode.java
@@ -65,7 +65,7 @@
         NodeCore core = NodeCore.assemble(
                 settings.node(),
                 shared,
-                timers -> KvStoreClient.create(settings.storeAddress(), storeClient, timers),
+                timers -> KvStoreClient.create(settings.storeAddress(), storeClient),
                 new PlatformModule(settings, HttpClient.create(TO_TARGET, loops), document));
         bind(settings, core, loops, document::limits);
         core.control().run(() -> {
--- a/src/main/java/io/beryldock/platform/PlatformSettings.java
+++ b/src/main/java/io/beryldock/platform/PlatformSettings.java
@@ -25,14 +25,10 @@
 record PlatformSettings(
         String id,
         String dataCentre,
-
         String address,
-
         String service,
         Listeners listeners,
-
         String store,
-
         Retries retries,
         double stopSeconds)
         implements SelfChecked {
--- a/src/main/java/io/beryldock/platform/PlatformTargetClient.java
+++ b/src/main/java/io/beryldock/platform/PlatformTargetClient.java
@@ -10,37 +10,26 @@
 import io.beryldock.nettyhttp.HttpCall;
 import io.beryldock.nettyhttp.HttpClient;
 import io.beryldock.nettyhttp.HttpExchangeException;
-import io.beryldock.nettyhttp.HttpExchangeException.Kind;
 import io.beryldock.nettyhttp.HttpReply;
-import io.beryldock.time.TimerService;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 /** Sends calls to the target in this VM in the platform's headers. Thread safe. */
 final class PlatformTargetClient implements TargetClient {
 
-    /**
-     * How long after a call's time its exchange is given up: a target that was full never answers, and never again on
-     * that connection.
-     */
-    private static final Duration LATE = Duration.ofSeconds(1);
-
     private static final int MISDIRECTED = 421;
     private static final int FIRST_SUCCESS = 200;
     private static final int FIRST_REDIRECTION = 300;
 
     private final HttpClient client;
     private final Supplier<Optional<LocalTarget>> target;
-    private final TimerService timers;
 
-    PlatformTargetClient(HttpClient client, Supplier<Optional<LocalTarget>> target, TimerService timers) {
+    PlatformTargetClient(HttpClient client, Supplier<Optional<LocalTarget>> target) {
         this.client = client;
         this.target = target;
-        this.timers = timers;
     }
 
     @Override
@@ -50,13 +39,11 @@
             return TargetExchange.unabortable(CompletableFuture.completedFuture(
                     TargetReply.notSent("the target does not announce itself any more")));
         }
-        CompletableFuture<HttpReply> reply = client.send(current.get().address(), request(call, current.get()));
+        // A target that was full never answers, and never again on that connection.
         Duration limit = Duration.ofNanos(call.context().remainingNanos()).plus(LATE);
-        TimerService.Subscription end = timers.after(limit, () -> reply.cancel(false));
-        CompletableFuture<TargetReply> told = reply.handle((answer, failure) -> {
-            end.cancel();
-            return failure == null ? read(answer) : classify(failure);
-        });
+        CompletableFuture<HttpReply> reply = client.send(current.get().address(), request(call, current.get()), limit);
+        CompletableFuture<TargetReply> told =
+                reply.handle((answer, failure) -> failure == null ? read(answer) : classify(failure));
         return new TargetExchange(told, () -> reply.cancel(false));
     }
 
@@ -94,10 +81,8 @@
     }
 
     private static TargetReply classify(Throwable failure) {
-        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
-        if (cause instanceof HttpExchangeException exchange && exchange.kind() == Kind.NOT_SENT) {
-            return TargetReply.notSent(exchange.getMessage());
-        }
-        return TargetReply.lost(cause.toString());
+        return HttpExchangeException.isNotSent(failure)
+                ? TargetReply.notSent(failure.getMessage())
+                : TargetReply.lost(failure.toString());
     }
 }
--- a/src/main/java/io/beryldock/platform/StandinPlatform.java
+++ b/src/main/java/io/beryldock/platform/StandinPlatform.java
@@ -1,5 +1,6 @@
 package io.beryldock.platform;
 
+import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.ByteString;
 import io.beryldock.call.Headers;
 import io.beryldock.eventloop.EventLoops;
@@ -30,6 +31,7 @@
  */
 public final class StandinPlatform implements AutoCloseable {
 
+    private static final FluentLogger log = FluentLogger.forEnclosingClass();
     private static final String HOST = "trial.example";
     private static final String SERVICE = "trial";
     private static final String TARGET = "trial-target";
@@ -155,6 +157,7 @@
             HttpReply reply = client.send(address, call).get(ANSWER_SECONDS, TimeUnit.SECONDS);
             return reply.status();
         } catch (ExecutionException | TimeoutException e) {
+            log.atWarning().withCause(e).log("a trial request got no answer and counts as not served");
             return 0;
         }
     }
--- a/src/main/java/io/beryldock/platform/StandinStore.java
+++ b/src/main/java/io/beryldock/platform/StandinStore.java
@@ -1,8 +1,6 @@
 package io.beryldock.platform;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.errorprone.annotations.concurrent.GuardedBy;
@@ -29,7 +27,6 @@
  */
 final class StandinStore implements HttpHandler {
 
-    private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final int OK = 200;
     private static final int NOT_FOUND = 404;
     private static final int GONE = 410;
@@ -132,8 +129,7 @@
             answer = transaction(exchange);
         } else if (path.equals("/kv-lease")) {
             leases.put(nextLease, new ArrayList<>());
-            answer =
-                    json(OK, MAPPER.createObjectNode().put("lease", nextLease++).put("ttlS", 1));
+            answer = json(OK, Json.object().put("lease", nextLease++).put("ttlS", 1));
         } else {
             long lease = Long.parseLong(path.substring(path.lastIndexOf('/') + 1));
             answer = HttpAnswer.of(leases.containsKey(lease) ? OK : NOT_FOUND);
@@ -153,7 +149,7 @@
     }
 
     private void range(HttpExchange exchange, String prefix) {
-        ObjectNode answer = MAPPER.createObjectNode();
+        ObjectNode answer = Json.object();
         ArrayNode list = answer.putArray("items");
         items.tailMap(prefix).forEach((key, item) -> {
             if (key.startsWith(prefix)) {
@@ -184,7 +180,7 @@
             watch.exchange().answer(HttpAnswer.of(GONE));
             return true;
         }
-        ObjectNode answer = MAPPER.createObjectNode();
+        ObjectNode answer = Json.object();
         ArrayNode events = answer.putArray("events");
         for (Event event : history) {
             if (event.revision() > watch.after() && event.key().startsWith(watch.prefix())) {
@@ -205,7 +201,7 @@
     private HttpAnswer transaction(HttpExchange exchange) {
         JsonNode body;
         try {
-            body = MAPPER.readTree(exchange.body().toByteArray());
+            body = Json.read(exchange.body());
         } catch (IOException e) {
             return HttpAnswer.of(NOT_FOUND);
         }
@@ -226,11 +222,11 @@
         }
         body.path("deletes").forEach(key -> remove(key.asText()));
         notifyWatches();
-        return json(OK, MAPPER.createObjectNode().put("revision", revision));
+        return json(OK, Json.object().put("revision", revision));
     }
 
     private static HttpAnswer conflict(String key, Item held) {
-        ObjectNode answer = MAPPER.createObjectNode();
+        ObjectNode answer = Json.object();
         ArrayNode list = answer.putArray("items");
         if (held == null) {
             list.addObject().put("key", key).put("revision", 0);
@@ -258,7 +254,7 @@
     }
 
     private static ObjectNode item(String key, Item item) {
-        return MAPPER.createObjectNode()
+        return Json.object()
                 .put("key", key)
                 .put("value", Base64.getEncoder().encodeToString(item.value().toByteArray()))
                 .put("revision", item.revision())
@@ -269,7 +265,7 @@
         if (event.item() != null) {
             return item(event.key(), event.item());
         }
-        return MAPPER.createObjectNode()
+        return Json.object()
                 .put("key", event.key())
                 .put("revision", event.revision())
                 .put("tombstone", true);
@@ -280,11 +276,7 @@
     }
 
     private static HttpAnswer json(int status, ObjectNode body) {
-        try {
-            Headers headers = Headers.empty().with("Content-Type", "application/json");
-            return HttpAnswer.of(status, headers, ByteString.copyFrom(MAPPER.writeValueAsBytes(body)));
-        } catch (JsonProcessingException e) {
-            throw new IllegalStateException("a tree of texts and numbers is always JSON", e);
-        }
+        Headers headers = Headers.empty().with("Content-Type", "application/json");
+        return HttpAnswer.of(status, headers, Json.write(body));
     }
 }
--- a/src/test/java/io/beryldock/platform/StorePair.java
+++ b/src/test/java/io/beryldock/platform/StorePair.java
@@ -33,7 +33,7 @@
         HttpClient http = HttpClient.create(
                 new HttpClientSettings(Duration.ofSeconds(5), Duration.ofSeconds(60), Duration.ofSeconds(60), 1 << 20),
                 loops);
-        client = KvStoreClient.create(server.address(), http, timers);
+        client = KvStoreClient.create(server.address(), http);
     }
 
     /** What the call gives; its answer takes real time, which no assertion is about. */
