Refusals of a gate cost nothing of the retry budget

Cause: of a budget shared by 95 nodes each has 0.65 retries, so that the floor, which gives whole ones, gives none at all, and the share gives one in 50 first tries. A request that met a full gate ended there though other targets were idle. The budget protects targets from repeats; a gate refuses before its target hears of the request. The allowance of the request still bounds its tries.

--- a/src/main/java/io/beryldock/retry/RetryGate.java
+++ b/src/main/java/io/beryldock/retry/RetryGate.java
@@ -1,5 +1,6 @@
 package io.beryldock.retry;
 
+import io.beryldock.call.Outcome;
 import io.beryldock.call.Reason;
 import io.beryldock.timeline.EventKind;
 import io.beryldock.timeline.EventSink;
@@ -47,12 +48,23 @@
     }
 
     /**
-     * A target that is leaving refuses before any work is done, and for a few seconds only, until all nodes know of it.
-     * Such a refusal is no sign of an outage; counting it would fail requests during a rolling restart. The allowance
-     * of the request still bounds it.
+     * A refusal by the gate of a target comes from its node, before the target hears of the request. The budget
+     * protects targets from repeats, and this next try is the first that may reach one; the allowance of the request
+     * still bounds it.
+     *
+     * <p>Guards against requests that fail while other targets are idle: of a budget that is shared by a hundred nodes
+     * each has less than one retry, so that the first full target ended the request.
      */
     private static boolean isExemptFromBudget(RetryQuestion q) {
-        return q.result().reason().filter(Reason.DRAINING::equals).isPresent();
+        return q.result().outcome() == Outcome.NOT_RUN
+                && q.result().reason().filter(RetryGate::isRefusalOfAGate).isPresent();
+    }
+
+    private static boolean isRefusalOfAGate(Reason reason) {
+        return switch (reason) {
+            case SHED_AT_TARGET, QUEUED_TOO_LONG, DRAINING -> true;
+            default -> false;
+        };
     }
 
     private void record(RetryQuestion q, RetryAccount account, RetryDecision outcome) {
