--- a/src/main/java/io/beryldock/logging/JsonLogging.java
+++ b/src/main/java/io/beryldock/logging/JsonLogging.java
@@ -8,6 +8,7 @@
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.ConsoleAppender;
 import org.slf4j.LoggerFactory;
+import org.slf4j.helpers.Reporter;
 
 /**
  * Sends the process's logs to an output of the console, a JSON object a line.
@@ -42,6 +43,9 @@
 
     /** Starts logging at the level, for example {@code INFO}. */
     public static void start(String level, Output output) {
+        // SLF4J reads both when the first logger is made, and would tell of the provider on the error output.
+        System.setProperty(LoggerFactory.PROVIDER_PROPERTY_KEY, LogbackProvider.class.getName());
+        System.setProperty(Reporter.SLF4J_INTERNAL_VERBOSITY_KEY, "WARN");
         LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
         context.reset();
         JsonEncoder encoder = new JsonEncoder();
