--- a/src/main/java/io/beryldock/node/DirectoryPeers.java
+++ b/src/main/java/io/beryldock/node/DirectoryPeers.java
@@ -1,5 +1,6 @@
 package io.beryldock.node;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import com.google.protobuf.ByteString;
 import io.beryldock.call.NodeId;
@@ -26,6 +27,7 @@
     private final Supplier<Directory> directory;
     private final PeerTransport transport;
     private final RandomGenerator random;
+    private volatile Split split;
 
     private DirectoryPeers(
             NodeDescriptor self, Supplier<Directory> directory, PeerTransport transport, RandomGenerator random) {
@@ -33,6 +35,7 @@
         this.directory = directory;
         this.transport = transport;
         this.random = random;
+        this.split = Split.of(Directory.empty(), self);
     }
 
     public static DirectoryPeers create(
@@ -40,22 +43,43 @@
         return new DirectoryPeers(self, directory, transport, random);
     }
 
+    /** The nodes of one directory, by whether they are in this data centre. Immutable. */
+    private record Split(Directory directory, ImmutableSet<NodeId> own, ImmutableList<NodeId> others) {
+
+        static Split of(Directory directory, NodeDescriptor self) {
+            ImmutableSet.Builder<NodeId> own = ImmutableSet.builder();
+            ImmutableList.Builder<NodeId> others = ImmutableList.builder();
+            own.add(self.id());
+            for (NodeDescriptor node : directory.nodes().values()) {
+                if (node.dataCentre().equals(self.dataCentre())) {
+                    own.add(node.id());
+                } else {
+                    others.add(node.id());
+                }
+            }
+            return new Split(directory, own.build(), others.build());
+        }
+    }
+
+    /** Worked out once for each directory: it is asked for with each message. */
+    private Split split() {
+        Directory now = directory.get();
+        Split known = split;
+        if (known.directory() != now) {
+            known = Split.of(now, self);
+            split = known;
+        }
+        return known;
+    }
+
     @Override
     public ImmutableSet<NodeId> ownDataCentre() {
-        ImmutableSet.Builder<NodeId> ids = ImmutableSet.builder();
-        ids.add(self.id());
-        directory.get().nodes().values().stream()
-                .filter(node -> node.dataCentre().equals(self.dataCentre()))
-                .forEach(node -> ids.add(node.id()));
-        return ids.build();
+        return split().own();
     }
 
     @Override
     public Optional<NodeId> elsewhere() {
-        List<NodeId> others = directory.get().nodes().values().stream()
-                .filter(node -> !node.dataCentre().equals(self.dataCentre()))
-                .map(NodeDescriptor::id)
-                .toList();
+        List<NodeId> others = split().others();
         return others.isEmpty() ? Optional.empty() : Optional.of(others.get(random.nextInt(others.size())));
     }
 
--- a/src/main/java/io/beryldock/store/SharedFollower.java
+++ b/src/main/java/io/beryldock/store/SharedFollower.java
@@ -8,7 +8,6 @@
 import io.beryldock.wire.StorePart;
 import java.time.Duration;
 import java.util.Optional;
-import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
 /**
@@ -25,10 +24,9 @@
     private final TimerService timers;
     private final EntryTable table;
     private final EntryListener listener;
-    private final Consumer<SharedFollower> onNews;
+    private final Owner owner;
     private final StoreFollower follower;
     private boolean watcher;
-    private boolean reachable = true;
     private long told = EntryTable.EMPTY;
     private boolean behind;
 
@@ -36,14 +34,14 @@
             String prefix,
             Duration gather,
             EntryListener listener,
-            Consumer<SharedFollower> onNews,
+            Owner owner,
             RegistryStore store,
             TimerService timers,
             RandomGenerator random) {
         this.timers = timers;
         this.table = new EntryTable(prefix);
         this.listener = listener;
-        this.onNews = onNews;
+        this.owner = owner;
         this.follower = StoreFollower.create(store, prefix, WATCH, gather, timers, random, this)
                 .watchingWhile(() -> watcher);
     }
@@ -53,9 +51,14 @@
         follower.start();
     }
 
-    /** Whether the store's last answer to this node was none. */
-    boolean reachable() {
-        return reachable;
+    /** What the follower is a part of. */
+    interface Owner {
+
+        /** The store told of changes up to a later revision. */
+        void onNews(SharedFollower follower);
+
+        /** A call of the store ended; {@code answered} tells whether by an answer. */
+        void onStore(boolean answered);
     }
 
     boolean knowsEntries() {
@@ -147,17 +150,13 @@
     @Override
     public void onCaughtUp(long revision) {
         table.advance(revision);
-        onNews.accept(this);
+        owner.onNews(this);
         told = Math.max(told, revision);
     }
 
     @Override
     public void onStore(boolean answered) {
-        boolean changed = reachable != answered;
-        reachable = answered;
         listener.onStore(answered);
-        if (changed) {
-            onNews.accept(this);
-        }
+        owner.onStore(answered);
     }
 }
--- a/src/main/java/io/beryldock/store/StoreSharing.java
+++ b/src/main/java/io/beryldock/store/StoreSharing.java
@@ -1,5 +1,6 @@
 package io.beryldock.store;
 
+import com.google.common.collect.ImmutableSet;
 import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
@@ -11,7 +12,6 @@
 import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
@@ -80,7 +80,7 @@
      */
     public void follow(String prefix, Duration gather, EntryListener listener) {
         SharedFollower follower = new SharedFollower(
-                prefix, gather, listener, this::onNews, ports.store(), ports.timers(), ports.random());
+                prefix, gather, listener, new FollowerOwner(), ports.store(), ports.timers(), ports.random());
         followers.put(prefix, follower);
         ports.recovery().subscribe(follower::refresh);
         follower.start();
@@ -110,7 +110,7 @@
     private void tick() {
         elect();
         followers.values().forEach(SharedFollower::replaceSilentWatch);
-        Set<NodeId> members = ports.peers().ownDataCentre();
+        ImmutableSet<NodeId> members = ports.peers().ownDataCentre();
         choice.nextToAsk(members, watchers(), now(ports)).ifPresent(this::ask);
         if (isWatcher()) {
             ports.peers().elsewhere().ifPresent(this::ask);
@@ -123,14 +123,16 @@
      * seconds and not only when its long watch ends.
      */
     private void probe() {
-        TimerThread.hear(ports.timers(), ports.store().probe(), (done, failure) -> {
-            boolean changed = storeAnswers != (failure == null);
-            storeAnswers = failure == null;
-            ports.recovery().onCall(storeAnswers);
-            if (changed) {
-                tellOwnDataCentre(StoreNotice.newBuilder());
-            }
-        });
+        TimerThread.hear(ports.timers(), ports.store().probe(), (done, failure) -> onStoreCall(failure == null));
+    }
+
+    private void onStoreCall(boolean answered) {
+        boolean changed = storeAnswers != answered;
+        storeAnswers = answered;
+        if (changed) {
+            tellOwnDataCentre(StoreNotice.newBuilder());
+        }
+        ports.recovery().onCall(answered);
     }
 
     private void elect() {
@@ -188,7 +190,7 @@
     }
 
     private boolean watching() {
-        return storeAnswers && followers.values().stream().allMatch(SharedFollower::reachable) && isWatcher();
+        return storeAnswers && isWatcher();
     }
 
     private void take(NodeId sender, StoreNotice notice) {
@@ -218,23 +220,30 @@
         }
     }
 
-    /** The store told this node something, or stopped or began to answer it. */
-    private void onNews(SharedFollower follower) {
-        StoreNotice.Builder news = StoreNotice.newBuilder();
-        if (follower.revision() > follower.told()) {
-            news.addParts(follower.since(follower.told()));
-        }
-        tellOwnDataCentre(news);
-    }
-
     private void tellOwnDataCentre(StoreNotice.Builder news) {
         if (!isWatcher()) {
             return;
         }
-        Set<NodeId> members = ports.peers().ownDataCentre();
+        ImmutableSet<NodeId> members = ports.peers().ownDataCentre();
         ByteString body = news.setWatching(watching()).build().toByteString();
         members.stream()
                 .filter(node -> !node.equals(self))
                 .forEach(node -> ports.peers().send(node, body));
     }
+
+    /** Takes what the followers hear of the store. */
+    private final class FollowerOwner implements SharedFollower.Owner {
+
+        @Override
+        public void onNews(SharedFollower follower) {
+            if (follower.revision() > follower.told()) {
+                tellOwnDataCentre(StoreNotice.newBuilder().addParts(follower.since(follower.told())));
+            }
+        }
+
+        @Override
+        public void onStore(boolean answered) {
+            onStoreCall(answered);
+        }
+    }
 }
--- a/src/main/java/io/beryldock/store/WatcherChoice.java
+++ b/src/main/java/io/beryldock/store/WatcherChoice.java
@@ -1,10 +1,10 @@
 package io.beryldock.store;
 
+import com.google.common.collect.ImmutableSet;
 import com.google.common.hash.HashFunction;
 import com.google.common.hash.Hashing;
 import io.beryldock.call.NodeId;
 import java.time.Duration;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -39,6 +39,8 @@
     private final Map<NodeId, Long> suspectedAt = new HashMap<>();
     private long heardAt;
     private int turn;
+    private ImmutableSet<NodeId> members = ImmutableSet.of();
+    private List<NodeId> byWeight = List.of();
 
     WatcherChoice(NodeId self, long now) {
         this.self = self;
@@ -59,13 +61,13 @@
     }
 
     /** Whether this node has to watch the store, as one of so many of its data centre. */
-    boolean isWatcher(Collection<NodeId> members, int watchers, long now) {
+    boolean isWatcher(ImmutableSet<NodeId> members, int watchers, long now) {
         boolean chosen = ranked(members, now).stream().limit(watchers).anyMatch(self::equals);
         return chosen || now - heardAt > SILENCE;
     }
 
     /** Whom to ask for news now: the watchers by turns, so that the loss of each of them is noticed. */
-    Optional<NodeId> nextToAsk(Collection<NodeId> members, int watchers, long now) {
+    Optional<NodeId> nextToAsk(ImmutableSet<NodeId> members, int watchers, long now) {
         turn++;
         List<NodeId> others =
                 ranked(members, now).stream().filter(node -> !node.equals(self)).toList();
@@ -75,12 +77,20 @@
         return members.stream().filter(node -> !node.equals(self)).findAny();
     }
 
-    private List<NodeId> ranked(Collection<NodeId> members, long now) {
+    private List<NodeId> ranked(ImmutableSet<NodeId> present, long now) {
         suspectedAt.values().removeIf(since -> now - since > SUSPICION);
-        return members.stream()
-                .filter(node -> !suspectedAt.containsKey(node))
-                .sorted(Comparator.comparingLong(WatcherChoice::weight))
-                .toList();
+        order(present);
+        return byWeight.stream().filter(node -> !suspectedAt.containsKey(node)).toList();
+    }
+
+    /** Members change seldom and are immutable; weights are worked out again only for other ones. */
+    private void order(ImmutableSet<NodeId> present) {
+        if (!present.equals(members)) {
+            members = present;
+            byWeight = present.stream()
+                    .sorted(Comparator.comparingLong(WatcherChoice::weight))
+                    .toList();
+        }
     }
 
     private static long weight(NodeId node) {
--- a/src/test/java/io/beryldock/store/StoreSharingTest.java
+++ b/src/test/java/io/beryldock/store/StoreSharingTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.google.common.collect.ImmutableSet;
 import com.google.protobuf.ByteString;
 import io.beryldock.call.NodeId;
 import io.beryldock.store.RegistryStore.Entry;
@@ -65,9 +66,9 @@
     }
 
     private List<String> watchersOf(String centre) {
-        List<NodeId> members = IntStream.range(0, NODES_OF_A_CENTRE)
+        ImmutableSet<NodeId> members = IntStream.range(0, NODES_OF_A_CENTRE)
                 .mapToObj(node -> NodeId.of(centre + "-n" + node))
-                .toList();
+                .collect(ImmutableSet.toImmutableSet());
         return members.stream()
                 .filter(node -> new WatcherChoice(node, timers.ticker().nanos())
                         .isWatcher(
