--- a/src/main/java/io/beryldock/forwarding/AttemptLoop.java
+++ b/src/main/java/io/beryldock/forwarding/AttemptLoop.java
@@ -163,6 +163,10 @@
         if (ports.policy() == Policy.NONE) {
             return baselineRetry(ended);
         }
+        if (ended.outcome() == Outcome.ANSWERED) {
+            // Most calls end so: the question would look at all targets of the service for nothing.
+            return false;
+        }
         RetryQuestion question = new RetryQuestion(
                 ended,
                 call.idempotent(),
