A node without a target, or that takes no connection, is passed over outside the retry budget

Cause: until its target's next heartbeat, up to 1.5 s after its start, a node answers that it has no target; that ended a request though others of the service were idle, and a connection that could not be made was paid from a budget of which a node of 95 has less than one retry. Neither reached a target. RetryGateTest fails without it.

--- a/src/main/java/io/beryldock/retry/RetryGate.java
+++ b/src/main/java/io/beryldock/retry/RetryGate.java
@@ -48,21 +48,21 @@
     }
 
     /**
-     * A refusal by the gate of a target comes from its node, before the target hears of the request. The budget
-     * protects targets from repeats, and this next try is the first that may reach one; the allowance of the request
-     * still bounds it.
+     * A refusal by the node of a target, or a connection that could not be made, comes before the target hears of the
+     * request. The budget protects targets from repeats, and this next try is the first that may reach one; the
+     * allowance of the request still bounds it.
      *
      * <p>Guards against requests that fail while other targets are idle: of a budget that is shared by a hundred nodes
-     * each has less than one retry, so that the first full target ended the request.
+     * each has less than one retry, so that the first target that was full, leaving or starting ended the request.
      */
     private static boolean isExemptFromBudget(RetryQuestion q) {
         return q.result().outcome() == Outcome.NOT_RUN
-                && q.result().reason().filter(RetryGate::isRefusalOfAGate).isPresent();
+                && q.result().reason().filter(RetryGate::isBeforeTheTarget).isPresent();
     }
 
-    private static boolean isRefusalOfAGate(Reason reason) {
+    private static boolean isBeforeTheTarget(Reason reason) {
         return switch (reason) {
-            case SHED_AT_TARGET, QUEUED_TOO_LONG, DRAINING -> true;
+            case SHED_AT_TARGET, QUEUED_TOO_LONG, DRAINING, NO_TARGET, CONNECT_FAILED -> true;
             default -> false;
         };
     }
--- a/src/main/java/io/beryldock/retry/RetryPolicy.java
+++ b/src/main/java/io/beryldock/retry/RetryPolicy.java
@@ -63,7 +63,7 @@
     private static boolean helpsElsewhere(Reason reason) {
         return switch (reason) {
             case SHED_AT_TARGET, QUEUED_TOO_LONG, TARGET_REFUSED -> true;
-            case DRAINING, CONNECT_FAILED, CONNECTION_LOST, TIMED_OUT, INTERNAL -> true;
+            case DRAINING, NO_TARGET, CONNECT_FAILED, CONNECTION_LOST, TIMED_OUT, INTERNAL -> true;
             default -> false;
         };
     }
--- a/src/test/java/io/beryldock/retry/RetryGateTest.java
+++ b/src/test/java/io/beryldock/retry/RetryGateTest.java
@@ -76,6 +76,17 @@
         assertThat(shareTriedElsewhere(Reason.QUEUED_TOO_LONG)).isEqualTo(1);
     }
 
+    /**
+     * Story: pages fail for two seconds after each restart of a node. Until its target's next heartbeat the node says
+     * that it has no target, or takes no connection yet, and nobody asked another one.
+     */
+    @Test
+    void startingOrAbsentNodeIsPassedOverWhateverTheBudget() {
+        assertThat(shareTriedElsewhere(Reason.NO_TARGET)).isEqualTo(1);
+        assertThat(shareTriedElsewhere(Reason.CONNECT_FAILED)).isEqualTo(1);
+        assertThat(shareTriedElsewhere(Reason.DRAINING)).isEqualTo(1);
+    }
+
     /** What reached a target may be work for it, so that the deployment's budget binds. */
     @Test
     void whatMayHaveReachedATargetIsPaidFromTheBudget() {
