--- a/src/main/java/io/beryldock/store/StoreSharing.java
+++ b/src/main/java/io/beryldock/store/StoreSharing.java
@@ -17,7 +17,8 @@
 import java.util.random.RandomGenerator;
 
 /**
- * Follows the store on behalf of all nodes of a data centre: one of them watches it and sends what changes to the others.
+ * Follows the store on behalf of all nodes of a data centre: one of them watches it and sends what changes to the
+ * others.
  *
  * <p>Guards against calls that grow with the square of the fleet: a change wakes the watch of each node, which has to
  * be made again. Each second a node asks the watcher whether it knows more; that brings what a lost message held, and a
--- a/src/test/java/io/beryldock/retry/RetryGateTest.java
+++ b/src/test/java/io/beryldock/retry/RetryGateTest.java
@@ -67,8 +67,8 @@
     }
 
     /**
-     * Story: a page fails with 503 while nine targets in ten of the service have room. One inner call met a full target;
-     * its node's part of the retries that 95 nodes share is less than one, so it was not tried elsewhere.
+     * Story: a page fails with 503 while nine targets in ten of the service have room. One inner call met a full
+     * target; its node's part of the retries that 95 nodes share is less than one, so it was not tried elsewhere.
      */
     @Test
     void refusalOfAGateIsTriedElsewhereWhateverTheBudget() {
