Random faults of peers: held requests are answered until all have ended

Trace (12 busy processes beside it, 1 of about 330 runs): request 243 is the one not ended; it ran once, its connection is ready with one request outstanding, and it stands in the list of held messages behind all that the test's last reply reached: it came out of the relay after that reply, so that nobody answered it. Not the transport's doing. Ruled out: a relay thread held up before it says that it passes bytes (0 of 96 with pauses put in). The test now answers what is held at each look.

--- a/src/test/java/io/beryldock/peer/PeerTransportRandomFaultsTest.java
+++ b/src/test/java/io/beryldock/peer/PeerTransportRandomFaultsTest.java
@@ -41,14 +41,24 @@
             }
             pair.relay.spoilForth(Fault.NONE);
             pair.relay.spoilBack(Fault.NONE);
-            pair.held.forEach(message -> message.reply(message.body()));
-            pair.advanceUntil(() -> asked.values().stream().allMatch(CompletableFuture::isDone), BOUND);
+            pair.advanceUntil(() -> allEnded(pair), BOUND);
             for (Map.Entry<String, CompletableFuture<ByteString>> request : asked.entrySet()) {
                 check(request.getKey(), request.getValue());
             }
         }
     }
 
+    /**
+     * Whether all requests have ended, once what is held was replied to.
+     *
+     * <p>A request may come out of the relay only now, after the last reply of the steps. Replied to but once before
+     * the wait, it would be held for ever and look like one that the transport forgot.
+     */
+    private boolean allEnded(PeerPair pair) {
+        pair.held.forEach(message -> message.reply(message.body()));
+        return asked.values().stream().allMatch(CompletableFuture::isDone);
+    }
+
     private void run(PeerHandler.PeerMessage message, PeerPair pair) {
         String name = message.body().toStringUtf8();
         runs.merge(name, 1, Integer::sum);
