A store follower takes what its one user needs; a watcher is asked once whether it watches

StoreFollower is used by SharedFollower alone: the condition is given when it is made, the length of a watch is its own, refresh() is refreshFrom() the place where it stands, and nothing of it is public.

--- a/src/main/java/io/beryldock/store/SharedFollower.java
+++ b/src/main/java/io/beryldock/store/SharedFollower.java
@@ -18,9 +18,6 @@
  */
 final class SharedFollower implements StoreFollower.Listener {
 
-    /** Longest wait of one watch; a silent connection is noticed earlier, by what other nodes know. */
-    private static final Duration WATCH = Duration.ofSeconds(10);
-
     private final TimerService timers;
     private final EntryTable table;
     private final EntryListener listener;
@@ -42,8 +39,7 @@
         this.table = new EntryTable(prefix);
         this.listener = listener;
         this.owner = owner;
-        this.follower = StoreFollower.create(store, prefix, WATCH, gather, timers, random, this)
-                .watchingWhile(() -> watcher);
+        this.follower = StoreFollower.create(store, prefix, gather, () -> watcher, timers, random, this);
     }
 
     /** Reads the entries once. */
--- a/src/main/java/io/beryldock/store/StoreFollower.java
+++ b/src/main/java/io/beryldock/store/StoreFollower.java
@@ -17,7 +17,7 @@
  * <p>Used on the thread of the timers only. Invariant: the listener sees every change after a listing in order, or
  * another listing.
  */
-public final class StoreFollower {
+final class StoreFollower {
 
     /** Pause after a call that failed, jittered by half: nodes must not fall upon a store that has just come back. */
     private static final Duration RETRY = Duration.ofMillis(250);
@@ -25,17 +25,19 @@
     /** Longest such pause; it doubles with each failure, as each call of a store that is away is one in vain. */
     private static final Duration LONGEST_RETRY = Duration.ofSeconds(1);
 
+    /** Longest wait of one watch; a silent connection is noticed earlier, by what other nodes know. */
+    private static final Duration WATCH = Duration.ofSeconds(10);
+
     private static final int MAX_DOUBLINGS = 8;
     private static final long NONE = -1;
 
     private final RegistryStore store;
     private final String prefix;
-    private final Duration wait;
     private final Duration gather;
+    private final BooleanSupplier wanted;
     private final TimerService timers;
     private final RandomGenerator random;
     private final Listener listener;
-    private BooleanSupplier wanted = () -> true;
     private long followed = NONE;
     private int watches;
     private int failures;
@@ -44,15 +46,15 @@
     private StoreFollower(
             RegistryStore store,
             String prefix,
-            Duration wait,
             Duration gather,
+            BooleanSupplier wanted,
             TimerService timers,
             RandomGenerator random,
             Listener listener) {
         this.store = store;
         this.prefix = prefix;
-        this.wait = wait;
         this.gather = gather;
+        this.wanted = wanted;
         this.timers = timers;
         this.random = random;
         this.listener = listener;
@@ -61,23 +63,22 @@
     /**
      * A follower that has not started.
      *
-     * @param wait how long one watch waits; a connection that has gone silent is noticed that much late, or by
-     *     {@link #refresh()}
      * @param gather pause between two watches: a burst of changes is fetched by one call instead of one each
+     * @param wanted while false no further watch is made, until the follower is resumed
      */
-    public static StoreFollower create(
+    static StoreFollower create(
             RegistryStore store,
             String prefix,
-            Duration wait,
             Duration gather,
+            BooleanSupplier wanted,
             TimerService timers,
             RandomGenerator random,
             Listener listener) {
-        return new StoreFollower(store, prefix, wait, gather, timers, random, listener);
+        return new StoreFollower(store, prefix, gather, wanted, timers, random, listener);
     }
 
     /** Hears what the store holds, on the thread of the timers. */
-    public interface Listener {
+    interface Listener {
 
         /** All entries there are now. */
         void onListing(Listing listing);
@@ -85,18 +86,12 @@
         void onChange(Entry entry);
 
         /** Every change up to the revision has been told. */
-        default void onCaughtUp(long revision) {}
+        void onCaughtUp(long revision);
 
         /** Whether the last call was answered. */
         void onStore(boolean reachable);
     }
 
-    /** The same follower, which makes no further watch while the condition does not hold, until it is resumed. */
-    StoreFollower watchingWhile(BooleanSupplier condition) {
-        wanted = condition;
-        return this;
-    }
-
     /** Revision after which the present watch looks for changes. */
     long followed() {
         return followed;
@@ -117,7 +112,7 @@
     }
 
     /** Lists the entries and follows them from then on. */
-    public void start() {
+    void start() {
         followed = NONE;
         TimerThread.hear(timers, store.list(prefix), this::onListed);
     }
@@ -149,17 +144,15 @@
     }
 
     /** Watches anew from where it stands: the watch under way may wait on a connection that is dead. */
-    public void refresh() {
-        if (followed != NONE) {
-            watch(followed);
-        }
+    void refresh() {
+        refreshFrom(followed);
     }
 
     private void watch(long revision) {
         idle = false;
         followed = revision;
         int number = ++watches;
-        TimerThread.hear(timers, store.changes(prefix, revision, wait), (changes, failure) -> {
+        TimerThread.hear(timers, store.changes(prefix, revision, WATCH), (changes, failure) -> {
             if (number == watches) {
                 onWatched(revision, changes, failure);
             }
--- a/src/main/java/io/beryldock/store/StoreSharing.java
+++ b/src/main/java/io/beryldock/store/StoreSharing.java
@@ -226,7 +226,7 @@
             return;
         }
         ImmutableSet<NodeId> members = ports.peers().ownDataCentre();
-        ByteString body = news.setWatching(watching()).build().toByteString();
+        ByteString body = news.setWatching(storeAnswers).build().toByteString();
         members.stream()
                 .filter(node -> !node.equals(self))
                 .forEach(node -> ports.peers().send(node, body));
