--- a/src/main/java/io/beryldock/call/Call.java
+++ b/src/main/java/io/beryldock/call/Call.java
@@ -1,6 +1,7 @@
 package io.beryldock.call;
 
 import com.google.protobuf.ByteString;
+import io.beryldock.organisation.OrganisationName;
 import java.util.Objects;
 import java.util.Optional;
 
@@ -15,6 +16,7 @@
  * @param idempotent whether the route says that running it again does no harm
  * @param key the ticket or the caller's own key of a non-idempotent request
  * @param identity hash of the caller of a keyed request, equal at every node; empty for any other
+ * @param organisation for which a caller makes it; empty for inner calls, and where there are no organisations
  */
 public record Call(
         RequestId id,
@@ -27,7 +29,8 @@
         boolean idempotent,
         Optional<String> key,
         ByteString identity,
-        CallContext context) {
+        CallContext context,
+        Optional<OrganisationName> organisation) {
 
     /** Stands for callers that are not targets of ours. */
     public static final ServiceName OUTSIDE = ServiceName.of("outside");
@@ -50,22 +53,51 @@
             boolean idempotent,
             Optional<String> key,
             CallContext context) {
-        this(id, caller, service, method, path, headers, body, idempotent, key, ByteString.EMPTY, context);
+        this(
+                id,
+                caller,
+                service,
+                method,
+                path,
+                headers,
+                body,
+                idempotent,
+                key,
+                ByteString.EMPTY,
+                context,
+                Optional.empty());
+    }
+
+    /** The same request, made for the organisation. */
+    public Call forOrganisation(Optional<OrganisationName> name) {
+        return new Call(id, caller, service, method, path, headers, body, idempotent, key, identity, context, name);
     }
 
     /** The same request, made by the caller with that identity. */
     public Call withIdentity(ByteString hash) {
-        return new Call(id, caller, service, method, path, headers, body, idempotent, key, hash, context);
+        return new Call(id, caller, service, method, path, headers, body, idempotent, key, hash, context, organisation);
     }
 
     /** The same request as another attempt. */
     public Call attempt(RequestId attemptId, CallContext attemptContext) {
         return new Call(
-                attemptId, caller, service, method, path, headers, body, idempotent, key, identity, attemptContext);
+                attemptId,
+                caller,
+                service,
+                method,
+                path,
+                headers,
+                body,
+                idempotent,
+                key,
+                identity,
+                attemptContext,
+                organisation);
     }
 
     /** The same request under another key. */
     public Call withKey(String other) {
-        return new Call(id, caller, service, method, path, headers, body, idempotent, Optional.of(other), context);
+        return new Call(id, caller, service, method, path, headers, body, idempotent, Optional.of(other), context)
+                .forOrganisation(organisation);
     }
 }
--- a/src/main/java/io/beryldock/call/CallCodec.java
+++ b/src/main/java/io/beryldock/call/CallCodec.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
+import io.beryldock.organisation.OrganisationName;
 import io.beryldock.wire.WireCall;
 import io.beryldock.wire.WireContext;
 import io.beryldock.wire.WireHeader;
@@ -34,6 +35,8 @@
                 .setKey(call.key().orElse(""))
                 .setCallerIdentity(call.identity())
                 .setContext(encode(call.context()))
+                .setOrganisation(
+                        call.organisation().map(OrganisationName::value).orElse(""))
                 .build();
     }
 
@@ -49,7 +52,10 @@
                 wire.getIdempotent(),
                 wire.getKey().isEmpty() ? Optional.empty() : Optional.of(wire.getKey()),
                 wire.getCallerIdentity(),
-                decode(wire.getContext()));
+                decode(wire.getContext()),
+                Optional.of(wire.getOrganisation())
+                        .filter(name -> !name.isEmpty())
+                        .map(OrganisationName::of));
     }
 
     /** Encodes the result of the call with that id; the id lets the other end refuse another call's result. */
--- a/src/main/java/io/beryldock/call/Headers.java
+++ b/src/main/java/io/beryldock/call/Headers.java
@@ -42,6 +42,14 @@
         return Optional.empty();
     }
 
+    /** Every value of the name, in order. */
+    public ImmutableList<String> all(String name) {
+        return list.stream()
+                .filter(header -> header.name().equalsIgnoreCase(name))
+                .map(Header::value)
+                .collect(ImmutableList.toImmutableList());
+    }
+
     /** The same fields with this one in place of any of its name. */
     public Headers with(String name, String value) {
         List<Header> copy = new ArrayList<>(without(header -> header.equalsIgnoreCase(name)).list);
--- a/src/main/java/io/beryldock/call/PriorityClass.java
+++ b/src/main/java/io/beryldock/call/PriorityClass.java
@@ -1,5 +1,8 @@
 package io.beryldock.call;
 
+import com.google.common.collect.ImmutableList;
+import java.util.stream.IntStream;
+
 /**
  * Class of importance that operators give to requests.
  *
@@ -14,6 +17,10 @@
     /** The rank that is shed first. */
     public static final int LOWEST_RANK = RANKS - 1;
 
+    private static final ImmutableList<PriorityClass> OF_RANK = IntStream.range(0, RANKS)
+            .mapToObj(rank -> new PriorityClass("priority-" + rank, rank))
+            .collect(ImmutableList.toImmutableList());
+
     public PriorityClass {
         Names.check("priority class", name, ServiceName.MAX_LENGTH);
         if (rank < 0 || rank > LOWEST_RANK) {
@@ -21,6 +28,11 @@
         }
     }
 
+    /** The class of a rank that was given without a name; equal ranks have equal names. */
+    public static PriorityClass ofRank(int rank) {
+        return OF_RANK.get(rank);
+    }
+
     public static PriorityClass of(String name, int rank) {
         return new PriorityClass(name, rank);
     }
--- a/src/main/java/io/beryldock/configuration/Configuration.java
+++ b/src/main/java/io/beryldock/configuration/Configuration.java
@@ -4,6 +4,8 @@
 import io.beryldock.call.NodeId;
 import io.beryldock.call.PriorityClass;
 import io.beryldock.call.ServiceName;
+import io.beryldock.organisation.Organisation;
+import io.beryldock.organisation.OrganisationTable;
 import java.util.Collection;
 import java.util.List;
 import java.util.Objects;
@@ -36,18 +38,33 @@
     private final ImmutableSortedMap<SettingKey, Setting> settings;
     private final RouteTable routes;
     private final HostTable hosts;
+    private final OrganisationTable organisations;
+
+    /** Ranks from 0 up to the highest that a route has, whether used or not. */
+    private final int routeRanks;
 
     private Configuration(
             String lineage,
             long version,
             ImmutableSortedMap<SettingKey, Setting> settings,
             RouteTable routes,
-            HostTable hosts) {
+            HostTable hosts,
+            OrganisationTable organisations) {
         this.lineage = lineage;
         this.version = version;
         this.settings = settings;
         this.routes = routes;
         this.hosts = hosts;
+        this.organisations = organisations;
+        this.routeRanks = 1 + highestRank(settings);
+    }
+
+    private static int highestRank(ImmutableSortedMap<SettingKey, Setting> settings) {
+        return settings.values().stream()
+                .mapToInt(setting ->
+                        setting instanceof ClassSetting found ? found.priority().rank() : 0)
+                .max()
+                .orElse(0);
     }
 
     static Configuration of(String lineage, long version, Collection<? extends Setting> settings) {
@@ -58,7 +75,12 @@
 
     private static Configuration of(String lineage, long version, ImmutableSortedMap<SettingKey, Setting> settings) {
         return new Configuration(
-                lineage, version, settings, RouteTable.of(anyHost(settings)), HostTable.of(oneHost(settings)));
+                lineage,
+                version,
+                settings,
+                RouteTable.of(anyHost(settings)),
+                HostTable.of(oneHost(settings)),
+                OrganisationTable.empty());
     }
 
     private static List<Route> anyHost(ImmutableSortedMap<SettingKey, Setting> settings) {
@@ -82,6 +104,16 @@
         return of(IMPORTED_LINEAGE, version, settings);
     }
 
+    /** The same configuration, whose callers are these organisations. */
+    public Configuration withOrganisations(OrganisationTable callers) {
+        return new Configuration(lineage, version, settings, routes, hosts, callers);
+    }
+
+    /** The organisations whose keys open the routes; empty where requests need no key. */
+    public OrganisationTable organisations() {
+        return organisations;
+    }
+
     /** Built-in settings of a deployment: {@code vandermeulen}, {@code karri-ember} or {@code none}. */
     public static Configuration defaults(String deployment) throws ConfigurationException {
         return of(NO_LINEAGE, DEFAULTS_VERSION, DefaultSettings.of(deployment));
@@ -135,6 +167,21 @@
         return PriorityClass.of(route.priorityClass(), PriorityClass.LOWEST_RANK);
     }
 
+    /**
+     * Class of a request that an organisation makes on the route.
+     *
+     * <p>Organisations are ordered by their ranks, the requests of organisations of one rank by those of their routes:
+     * an order of a usual organisation still goes before its browsing, and all of it behind one that goes first.
+     */
+    public PriorityClass priorityOf(Route route, Optional<Organisation> organisation) {
+        PriorityClass own = priorityOf(route);
+        int before = organisation.map(organisations::ranksBefore).orElse(0);
+        if (before == 0) {
+            return own;
+        }
+        return PriorityClass.ofRank(Math.min(PriorityClass.LOWEST_RANK, before * routeRanks + own.rank()));
+    }
+
     /** Retry budget of the route; one that the document lacks allows no retry. */
     public RetrySetting budgetOf(Route route) {
         Setting setting = settings.get(SettingKey.budget(route.budget()));
@@ -176,12 +223,12 @@
         ImmutableSortedMap<SettingKey, Setting> next = ImmutableSortedMap.copyOfSorted(map);
         RouteTable table = routesTouched ? RouteTable.of(anyHost(next)) : routes;
         HostTable hostTable = routesTouched ? HostTable.of(oneHost(next)) : hosts;
-        return new Configuration(lineage, version + edits.size(), next, table, hostTable);
+        return new Configuration(lineage, version + edits.size(), next, table, hostTable, organisations);
     }
 
     /** The same settings under another lineage and version. */
     Configuration at(String newLineage, long newVersion) {
-        return new Configuration(newLineage, newVersion, settings, routes, hosts);
+        return new Configuration(newLineage, newVersion, settings, routes, hosts, organisations);
     }
 
     @Override
--- a/src/main/java/io/beryldock/configuration/DocumentSync.java
+++ b/src/main/java/io/beryldock/configuration/DocumentSync.java
@@ -6,11 +6,12 @@
 import io.beryldock.store.StoreSharing;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Keeps this node at the operators' newest document in the store.
  *
- * <p>Control thread only. Invariant: the version in force never falls in one life of the process, whoever tells of a
+ * <p>Control thread only, but for {@link #verifiedAgeNanos()}, which any thread may call. Invariant: the version in force never falls in one life of the process, whoever tells of a
  * document.
  */
 public final class DocumentSync {
@@ -25,6 +26,9 @@
     private final String key;
     private final DocumentDecoder decoder;
 
+    /** Set once by the control thread, asked by traffic threads. */
+    private volatile StoreSharing.Verification verification = Optional::empty;
+
     private DocumentSync(ConfigurationKeeper keeper, StoreSharing sharing, String key, DocumentDecoder decoder) {
         this.keeper = keeper;
         this.sharing = sharing;
@@ -44,7 +48,12 @@
 
     /** Reads the document and follows it. */
     public void start() {
-        sharing.follow(key, GATHER, this::onEntry);
+        verification = sharing.followVerified(key, GATHER, this::onEntry);
+    }
+
+    /** How long ago the document in force was surely the newest, in nanoseconds; empty when it was never known. */
+    public Optional<Long> verifiedAgeNanos() {
+        return verification.ageNanos();
     }
 
     private boolean take(ByteString found) {
--- a/src/main/java/io/beryldock/configuration/Route.java
+++ b/src/main/java/io/beryldock/configuration/Route.java
@@ -21,6 +21,7 @@
  * @param budget name of the retry budget
  * @param host the one host that the route is for, {@link #ANY_HOST} for any
  * @param split services among which requests are spread by weight; empty when all go to {@code service}
+ * @param open whether requests need no key where there are organisations
  */
 public record Route(
         String prefix,
@@ -31,7 +32,8 @@
         Duration deadline,
         String budget,
         String host,
-        ImmutableList<WeightedService> split)
+        ImmutableList<WeightedService> split,
+        boolean open)
         implements Setting {
 
     /** Stands for a route that does not look at the host. */
@@ -57,12 +59,27 @@
             boolean idempotent,
             Duration deadline,
             String budget) {
-        this(prefix, methods, service, priorityClass, idempotent, deadline, budget, ANY_HOST, ImmutableList.of());
+        this(
+                prefix,
+                methods,
+                service,
+                priorityClass,
+                idempotent,
+                deadline,
+                budget,
+                ANY_HOST,
+                ImmutableList.of(),
+                false);
     }
 
     /** The same route for one host, with its requests spread over these services. */
     public Route forHost(String name, ImmutableList<WeightedService> services) {
-        return new Route(prefix, methods, service, priorityClass, idempotent, deadline, budget, name, services);
+        return new Route(prefix, methods, service, priorityClass, idempotent, deadline, budget, name, services, open);
+    }
+
+    /** The same route, for requests without a key too or not. */
+    public Route withOpen(boolean mark) {
+        return new Route(prefix, methods, service, priorityClass, idempotent, deadline, budget, host, split, mark);
     }
 
     /**
@@ -87,11 +104,11 @@
     }
 
     Route withIdempotent(boolean mark) {
-        return new Route(prefix, methods, service, priorityClass, mark, deadline, budget, host, split);
+        return new Route(prefix, methods, service, priorityClass, mark, deadline, budget, host, split, open);
     }
 
     Route withDeadline(Duration time) {
-        return new Route(prefix, methods, service, priorityClass, idempotent, time, budget, host, split);
+        return new Route(prefix, methods, service, priorityClass, idempotent, time, budget, host, split, open);
     }
 
     @Override
--- a/src/main/java/io/beryldock/forwarding/EntryService.java
+++ b/src/main/java/io/beryldock/forwarding/EntryService.java
@@ -12,8 +12,11 @@
 import io.beryldock.call.ServiceName;
 import io.beryldock.configuration.Configuration;
 import io.beryldock.configuration.Route;
+import io.beryldock.forwarding.CallerAccess.Access;
 import io.beryldock.forwarding.InnerCallDetector.InnerCaller;
 import io.beryldock.idempotency.CallerIdentity;
+import io.beryldock.organisation.Organisation;
+import io.beryldock.organisation.OrganisationTable;
 import io.beryldock.retry.GrantPolicy;
 import io.beryldock.retry.RetryAccount;
 import io.beryldock.retry.RetryGrant;
@@ -58,6 +61,7 @@
     public record Ports(
             Policy policy,
             Supplier<Configuration> configuration,
+            CallerAccess access,
             DoorShedder door,
             RetryLedger ledger,
             ExecutionRegistry executions,
@@ -88,9 +92,8 @@
             CallResult refusal = CallResult.notRun(Reason.NO_ROUTE, request.method() + " " + request.path());
             return CompletableFuture.completedFuture(new RequestOutcome(id, refusal));
         }
-        Optional<InnerCaller> innerCaller = request.origin() == IncomingRequest.Origin.EITHER
-                ? ports.innerCalls().caller(route.get(), request.timeLimit())
-                : Optional.empty();
+        OrganisationTable organisations = ports.configuration().get().organisations();
+        Optional<InnerCaller> innerCaller = innerCaller(request, route.get(), organisations);
         if (innerCaller.isPresent()) {
             return handleWithoutContext(request, route.get(), id, innerCaller.get(), scope);
         }
@@ -98,11 +101,21 @@
             if (refusing) {
                 return CompletableFuture.completedFuture(new RequestOutcome(id, stopping(request)));
             }
-            return handleRoot(request, route.get(), id, scope);
+            Access access = ports.access().check(organisations, route.get().open(), request.credentials());
+            return access.refusal()
+                    .map(refusal -> CompletableFuture.completedFuture(new RequestOutcome(id, refusal)))
+                    .orElseGet(() -> handleRoot(request, route.get(), id, access.organisation(), scope));
         }
         return handleInner(request, route.get(), id, scope);
     }
 
+    private Optional<InnerCaller> innerCaller(IncomingRequest request, Route route, OrganisationTable organisations) {
+        boolean needsKey = !organisations.isEmpty() && !route.open();
+        return request.origin() == IncomingRequest.Origin.EITHER && !needsKey
+                ? ports.innerCalls().caller(route, request.timeLimit())
+                : Optional.empty();
+    }
+
     /** NOT_RUN speaks of the key, which may have run under an earlier request, so a keyed one is UNKNOWN here. */
     private static CallResult stopping(IncomingRequest request) {
         String detail = "this node is stopping; send the request to another one";
@@ -112,14 +125,19 @@
     }
 
     private CompletableFuture<RequestOutcome> handleRoot(
-            IncomingRequest request, Route route, RequestId id, CancelScope scope) {
+            IncomingRequest request,
+            Route route,
+            RequestId id,
+            Optional<Organisation> organisation,
+            CancelScope scope) {
         Configuration configuration = ports.configuration().get();
         int hash = placeOf(request, route);
-        PriorityClass priority = configuration.priorityOf(route);
+        PriorityClass priority = configuration.priorityOf(route, organisation);
         int retries = configuration.budgetOf(route).retries();
         long remaining = allowedNanos(request, route);
         CallContext context = new CallContext(id, id, priority, remaining, retries, 0, hash, 0, false);
-        Call call = call(request, route, id, Call.OUTSIDE, context);
+        Call call =
+                call(request, route, id, Call.OUTSIDE, context).forOrganisation(organisation.map(Organisation::name));
         ports.tally().asked(priority);
         RetryAccount account = ports.ledger().open(id, retries);
         return admitAndDispatch(request, call, account, scope).thenApply(result -> {
--- a/src/main/java/io/beryldock/forwarding/IncomingRequest.java
+++ b/src/main/java/io/beryldock/forwarding/IncomingRequest.java
@@ -1,5 +1,6 @@
 package io.beryldock.forwarding;
 
+import com.google.common.collect.ImmutableList;
 import com.google.protobuf.ByteString;
 import io.beryldock.call.Headers;
 import java.time.Duration;
@@ -16,6 +17,7 @@
  * @param identity what tells this caller from others: a hash of its credentials, or its address
  * @param host the host that the request names, empty when routes are not chosen by it
  * @param timeLimit how long its caller waits, if it says so
+ * @param credentials the keys of organisations that the request names, each as it was sent; they go no further
  */
 public record IncomingRequest(
         Origin origin,
@@ -27,7 +29,8 @@
         Optional<RequestKey> key,
         String identity,
         String host,
-        Optional<Duration> timeLimit) {
+        Optional<Duration> timeLimit,
+        ImmutableList<String> credentials) {
 
     /** A request whose caller names no host and no time. */
     public IncomingRequest(
@@ -39,7 +42,7 @@
             Optional<String> context,
             Optional<RequestKey> key,
             String identity) {
-        this(origin, method, path, headers, body, context, key, identity, "", Optional.empty());
+        this(origin, method, path, headers, body, context, key, identity, "", Optional.empty(), ImmutableList.of());
     }
 
     /** Where a request comes from. */
--- a/src/main/java/io/beryldock/forwarding/InnerCallDetector.java
+++ b/src/main/java/io/beryldock/forwarding/InnerCallDetector.java
@@ -14,7 +14,8 @@
  * <p>An inner call ends with the call within whose run it was made, so it never has more time left than every running
  * call. A request that has more is a caller's, and so are, for a while, all of its route. Without this, work for which
  * others have already run is shed at the door like new work, and an entry never learns what lies beneath a service.
- * Thread safe.
+ *
+ * <p>Targets have no keys, so that on a route that needs one every request is a caller's. Thread safe.
  */
 public final class InnerCallDetector {
 
--- a/src/main/java/io/beryldock/node/TrafficModule.java
+++ b/src/main/java/io/beryldock/node/TrafficModule.java
@@ -12,6 +12,7 @@
 import io.beryldock.eventloop.LoopTimerService;
 import io.beryldock.forwarding.AnnouncedTarget;
 import io.beryldock.forwarding.CallForwarder;
+import io.beryldock.forwarding.CallerAccess;
 import io.beryldock.forwarding.EntryService;
 import io.beryldock.forwarding.ExecutionRegistry;
 import io.beryldock.forwarding.HomeDispatcher;
@@ -228,11 +229,19 @@
         return JoiningRequestHandler.create(entry);
     }
 
+    /** The product's own configuration has no organisations. */
+    @Provides
+    @Singleton
+    CallerAccess callerAccess() {
+        return CallerAccess.unbounded();
+    }
+
     @Provides
     @Singleton
     EntryService entry(
             NodeSettings settings,
             ConfigurationKeeper configuration,
+            CallerAccess access,
             DoorShedder door,
             RetryLedger ledger,
             ExecutionRegistry executions,
@@ -247,6 +256,7 @@
         return EntryService.create(new EntryService.Ports(
                 settings.policy(),
                 configuration::current,
+                access,
                 door,
                 ledger,
                 executions,
--- a/src/main/java/io/beryldock/platform/CallerEndpoint.java
+++ b/src/main/java/io/beryldock/platform/CallerEndpoint.java
@@ -32,7 +32,6 @@
     private static final int NOT_RUN = 503;
 
     private static final int BAD_REQUEST = 400;
-    private static final int NOT_FOUND = 404;
     private static final int BAD_GATEWAY = 502;
     private static final int GATEWAY_TIMEOUT = 504;
     private static final double MILLIS_PER_SECOND = 1000;
@@ -114,7 +113,8 @@
                 Optional.empty(),
                 identity(exchange),
                 host.get(),
-                timeLimit));
+                timeLimit,
+                all.all(PlatformHeaders.CREDENTIAL)));
     }
 
     /**
@@ -132,7 +132,9 @@
     private static boolean isSetByNodes(String name) {
         return name.equalsIgnoreCase(PlatformHeaders.TIME_LEFT_MILLIS)
                 || name.equalsIgnoreCase(PlatformHeaders.EXPECTED_TARGET)
-                || name.equalsIgnoreCase(PlatformHeaders.CALLER_SERVICE);
+                || name.equalsIgnoreCase(PlatformHeaders.CALLER_SERVICE)
+                || name.equalsIgnoreCase(PlatformHeaders.CREDENTIAL)
+                || name.equalsIgnoreCase(PlatformHeaders.ORGANISATION);
     }
 
     private static HttpAnswer answer(HttpExchange exchange, CallResult result) {
@@ -151,14 +153,14 @@
         Headers headers = Headers.empty().with("Content-Type", "text/plain");
         Optional<String> id = exchange.headers().first(PlatformHeaders.REQUEST_ID);
         Headers echoed = id.isPresent() ? headers.with(PlatformHeaders.REQUEST_ID, id.get()) : headers;
-        boolean returns = status == NOT_RUN && result.retryAfterMillis() > 0;
+        boolean returns = result.outcome() == Outcome.NOT_RUN && result.retryAfterMillis() > 0;
         Headers told = returns ? echoed.with(PlatformHeaders.RETRY_AFTER, seconds(result.retryAfterMillis())) : echoed;
         return HttpAnswer.of(status, told, ByteString.copyFromUtf8(text));
     }
 
     private static int status(Outcome outcome, Reason reason) {
-        if (reason == Reason.NO_ROUTE) {
-            return NOT_FOUND;
+        if (reason == Reason.NO_ROUTE || reason == Reason.UNKNOWN_KEY || reason == Reason.OVER_QUOTA) {
+            return reason.status();
         }
         if (outcome == Outcome.NOT_RUN) {
             return NOT_RUN;
--- a/src/main/java/io/beryldock/platform/OperatorDocument.java
+++ b/src/main/java/io/beryldock/platform/OperatorDocument.java
@@ -15,11 +15,17 @@
 import io.beryldock.configuration.Setting;
 import io.beryldock.configuration.WeightedService;
 import io.beryldock.nettyhttp.HttpServerLimits;
+import io.beryldock.organisation.Organisation;
+import io.beryldock.organisation.OrganisationName;
+import io.beryldock.organisation.OrganisationTable;
+import io.beryldock.organisation.Quota;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 
 /**
  * Reads the document in which the platform's operators keep routes, services and limits.
@@ -66,12 +72,36 @@
             addRoute(route.getValue(), settings);
         }
         readLimits(root.path("limits"));
-        return Configuration.imported(version, settings);
+        return Configuration.imported(version, settings).withOrganisations(organisations(root.path("tenants")));
+    }
+
+    private static OrganisationTable organisations(JsonNode wire) {
+        Map<Organisation, List<String>> keys = new LinkedHashMap<>();
+        for (Map.Entry<String, JsonNode> entry : wire.properties()) {
+            List<String> own = new ArrayList<>();
+            entry.getValue().path("apiKeys").forEach(key -> own.add(key.asText()));
+            keys.put(organisation(entry.getKey(), entry.getValue()), own);
+        }
+        return OrganisationTable.of(keys);
+    }
+
+    private static Organisation organisation(String name, JsonNode wire) {
+        JsonNode priority = wire.path("priority");
+        OptionalInt rank = priority.isIntegralNumber() ? OptionalInt.of(rank(priority)) : OptionalInt.empty();
+        double rate = Math.max(0, wire.path("ratePerS").asDouble());
+        Quota quota = rate == 0
+                ? Quota.none()
+                : new Quota(rate, Math.max(0, wire.path("burst").asDouble()));
+        return new Organisation(OrganisationName.of(name), rank, quota);
+    }
+
+    private static int rank(JsonNode wire) {
+        return Math.max(0, Math.min(PriorityClass.LOWEST_RANK, wire.asInt()));
     }
 
     private static void addRoute(JsonNode wire, List<Setting> settings) {
-        int rank = Math.min(PriorityClass.LOWEST_RANK, wire.path("priority").asInt());
-        PriorityClass priority = PriorityClass.of("priority-" + rank, rank);
+        int rank = rank(wire.path("priority"));
+        PriorityClass priority = PriorityClass.ofRank(rank);
         // The wire's name means targets that one request may be sent to, the first one included.
         int retries = Math.min(
                 RetrySetting.MAX_RETRIES, Math.max(0, wire.path("attempts").asInt(1) - 1));
@@ -90,7 +120,8 @@
                 budget.name());
         settings.add(new ClassSetting(priority));
         settings.add(budget);
-        settings.add(route.forHost(wire.path("hostname").asText(), split));
+        settings.add(route.forHost(wire.path("hostname").asText(), split)
+                .withOpen(wire.path("public").asBoolean()));
     }
 
     private static ImmutableList<WeightedService> split(JsonNode parts) {
--- a/src/main/java/io/beryldock/platform/PlatformHeaders.java
+++ b/src/main/java/io/beryldock/platform/PlatformHeaders.java
@@ -23,6 +23,12 @@
     /** Service of the VM where the request began. */
     static final String CALLER_SERVICE = "X-Beryldock-Caller-Service";
 
+    /** Key of the organisation for which a client asks; never passed on. */
+    static final String CREDENTIAL = "X-Beryldock-Credential";
+
+    /** Name of the organisation, told to the target whatever the client sent under this name. */
+    static final String ORGANISATION = "X-Beryldock-Tenant-Id";
+
     static final String RETRY_AFTER = "Retry-After";
     static final String HOST = "Host";
 
--- a/src/main/java/io/beryldock/platform/PlatformModule.java
+++ b/src/main/java/io/beryldock/platform/PlatformModule.java
@@ -8,6 +8,7 @@
 import io.beryldock.call.NodeId;
 import io.beryldock.configuration.ConfigurationKeeper;
 import io.beryldock.configuration.DocumentSync;
+import io.beryldock.forwarding.CallerAccess;
 import io.beryldock.forwarding.TargetClient;
 import io.beryldock.membership.Membership;
 import io.beryldock.membership.NodeDescriptor;
@@ -25,6 +26,7 @@
 import io.beryldock.store.RegistryStore;
 import io.beryldock.store.StoreRecovery;
 import io.beryldock.store.StoreSharing;
+import io.beryldock.time.Moment;
 import io.beryldock.time.TimerService;
 import io.beryldock.timeline.EventSink;
 import java.util.random.RandomGenerator;
@@ -74,8 +76,8 @@
             RandomGenerator random) {
         DirectoryPeers peers =
                 DirectoryPeers.create(self, () -> membership.get().directory(), transport, random);
-        StoreSharing sharing =
-                StoreSharing.create(self.id(), new StoreSharing.Ports(store, recovery, peers, timers, random));
+        StoreSharing sharing = StoreSharing.create(
+                self.id(), new StoreSharing.Ports(store, recovery, peers, timers, Moment.Source.system(), random));
         transport.handle(
                 PeerTopic.STORE,
                 message -> control.execute(
@@ -102,6 +104,12 @@
         return DocumentSync.create(keeper, sharing, OperatorDocument.KEY, document);
     }
 
+    @Provides
+    @Singleton
+    CallerAccess callerAccess(DocumentSync documents) {
+        return CallerAccess.create(documents::verifiedAgeNanos, settings.revokedKeysWithin());
+    }
+
     @Provides
     @Singleton
     LocalTargets localTargets(ControlLoop control, TargetAnnouncements announcements) {
--- a/src/main/java/io/beryldock/platform/PlatformSettings.java
+++ b/src/main/java/io/beryldock/platform/PlatformSettings.java
@@ -7,6 +7,7 @@
 import io.beryldock.settings.SettingsException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.regex.Pattern;
 
 /**
@@ -20,6 +21,8 @@
  * @param listeners where others reach the node
  * @param store where the platform's store answers, IP:PORT
  * @param retries how much all nodes together may retry
+ * @param revokedKeysSeconds time after which a key that was taken away opens nothing at any node, cut off or not; absent
+ *     where nodes that can't hear of it may go on
  * @param stopSeconds time from SIGTERM to the end of the process
  */
 record PlatformSettings(
@@ -30,6 +33,7 @@
         Listeners listeners,
         String store,
         Retries retries,
+        Double revokedKeysSeconds,
         double stopSeconds)
         implements SelfChecked {
 
@@ -80,6 +84,10 @@
         requireAddress(store, "store");
         require(retries != null && retries.windowSeconds() > 0, "retries.windowSeconds", "a time above 0");
         require(retries.share() >= 0 && retries.share() <= 1, "retries.share", "a share from 0 to 1");
+        require(
+                revokedKeysSeconds == null || revokedKeysSeconds > 0,
+                "revokedKeysSeconds",
+                "a time above 0, or leave it out");
         require(stopSeconds >= 1, "stopSeconds", "a time of 1 s or more");
     }
 
@@ -93,6 +101,10 @@
         }
     }
 
+    Optional<Duration> revokedKeysWithin() {
+        return Optional.ofNullable(revokedKeysSeconds).map(seconds -> Duration.ofMillis((long) (seconds * 1000)));
+    }
+
     InetSocketAddress storeAddress() {
         return Addresses.parse(store);
     }
--- a/src/main/java/io/beryldock/platform/PlatformTargetClient.java
+++ b/src/main/java/io/beryldock/platform/PlatformTargetClient.java
@@ -49,9 +49,12 @@
 
     private static HttpCall request(Call call, LocalTarget current) {
         long millis = TimeUnit.NANOSECONDS.toMillis(call.context().remainingNanos());
-        Headers headers = call.headers()
+        Headers timed = call.headers()
                 .with(PlatformHeaders.TIME_LEFT_MILLIS, Long.toString(millis))
                 .with(PlatformHeaders.EXPECTED_TARGET, current.id());
+        Headers headers = call.organisation()
+                .map(name -> timed.with(PlatformHeaders.ORGANISATION, name.value()))
+                .orElse(timed);
         String id = call.headers().first(PlatformHeaders.REQUEST_ID).orElse("");
         return new HttpCall(
                 call.method(),
--- a/src/main/java/io/beryldock/store/SharedFollower.java
+++ b/src/main/java/io/beryldock/store/SharedFollower.java
@@ -3,7 +3,9 @@
 import com.google.common.collect.ImmutableList;
 import io.beryldock.store.RegistryStore.Entry;
 import io.beryldock.store.RegistryStore.Listing;
+import io.beryldock.time.Moment;
 import io.beryldock.time.TimerService;
+import io.beryldock.time.TimerThread;
 import io.beryldock.wire.StoreEntry;
 import io.beryldock.wire.StorePart;
 import java.time.Duration;
@@ -18,7 +20,10 @@
  */
 final class SharedFollower implements StoreFollower.Listener {
 
+    private final String prefix;
+    private final RegistryStore store;
     private final TimerService timers;
+    private final Moment.Source clock;
     private final EntryTable table;
     private final EntryListener listener;
     private final Owner owner;
@@ -26,6 +31,11 @@
     private boolean watcher;
     private long told = EntryTable.EMPTY;
     private boolean behind;
+    private Moment listingAsked;
+    private long unreadRevision = EntryTable.EMPTY;
+
+    /** Written on the control thread only; traffic asks how old it is. */
+    private volatile Moment verified;
 
     SharedFollower(
             String prefix,
@@ -34,8 +44,12 @@
             Owner owner,
             RegistryStore store,
             TimerService timers,
+            Moment.Source clock,
             RandomGenerator random) {
+        this.prefix = prefix;
+        this.store = store;
         this.timers = timers;
+        this.clock = clock;
         this.table = new EntryTable(prefix);
         this.listener = listener;
         this.owner = owner;
@@ -44,6 +58,7 @@
 
     /** Reads the entries once. */
     void start() {
+        listingAsked = clock.now();
         follower.start();
     }
 
@@ -105,10 +120,45 @@
         return table.since(revision, timers.ticker().nanos());
     }
 
+    /**
+     * Asks the store whether it holds anything newer.
+     *
+     * <p>A watch that ends without news proves nothing of its last second: a store that tidies up its history may keep
+     * changes from watches for as long. A reading does.
+     */
+    void verify() {
+        Moment asked = clock.now();
+        TimerThread.hear(timers, store.list(prefix), (listing, failure) -> {
+            onStore(failure == null);
+            if (failure == null) {
+                applyListing(listing);
+                onCaughtUp(listing.revision());
+                noteVerified(asked, listing.revision());
+            }
+        });
+    }
+
+    /**
+     * The store was asked at the moment or later and had nothing newer than the revision.
+     *
+     * <p>It counts only when this node has taken in all up to that revision, and can read the newest of it.
+     */
+    void noteVerified(Moment asked, long revision) {
+        boolean taken = table.revision() >= revision && unreadRevision == EntryTable.EMPTY;
+        if (taken && (verified == null || asked.isAfter(verified))) {
+            verified = asked;
+        }
+    }
+
+    /** When the store had surely nothing newer than what this node has taken in; empty before that was ever known. */
+    Optional<Moment> verified() {
+        return Optional.ofNullable(verified);
+    }
+
     /** Takes what another node told; false when changes before it are missing. */
     boolean take(StorePart part) {
         if (part.getWhole()) {
-            onListing(listing(part));
+            applyListing(listing(part));
             return true;
         }
         part.getEntriesList().forEach(entry -> onChange(entry(entry)));
@@ -130,16 +180,28 @@
                 wire.getKey(), wire.getRevision(), wire.hasValue() ? Optional.of(wire.getValue()) : Optional.empty());
     }
 
+    /** The follower may have asked for it later than at its start, which makes what it shows no older. */
     @Override
     public void onListing(Listing listing) {
+        applyListing(listing);
+        noteVerified(listingAsked, listing.revision());
+    }
+
+    private void applyListing(Listing listing) {
         table.changesTo(listing).forEach(this::onChange);
         table.advance(listing.revision());
     }
 
     @Override
     public void onChange(Entry entry) {
-        if (table.isNews(entry) && listener.onEntry(entry)) {
+        if (!table.isNews(entry)) {
+            return;
+        }
+        if (listener.onEntry(entry)) {
             table.take(entry, timers.ticker().nanos());
+            unreadRevision = entry.revision() >= unreadRevision ? EntryTable.EMPTY : unreadRevision;
+        } else {
+            unreadRevision = Math.max(unreadRevision, entry.revision());
         }
     }
 
--- a/src/main/java/io/beryldock/store/StoreSharing.java
+++ b/src/main/java/io/beryldock/store/StoreSharing.java
@@ -5,13 +5,17 @@
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.beryldock.call.NodeId;
+import io.beryldock.time.Moment;
 import io.beryldock.time.TimerService;
 import io.beryldock.time.TimerThread;
 import io.beryldock.wire.StoreNotice;
 import io.beryldock.wire.StorePart;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
@@ -35,6 +39,12 @@
     /** How often a node asks: bounds how long it stays behind after a message was lost. */
     private static final Duration QUESTION_PERIOD = Duration.ofSeconds(1);
 
+    /**
+     * Age of the last verification from which on a node asks the store itself. The watcher's is up to one period old and
+     * told within another; one period more is left for the loss of a watcher.
+     */
+    private static final Duration RELIANCE = Duration.ofMillis(2500);
+
     /** First look at the others: when all nodes start at once, some have written their entries by then. */
     private static final Duration SETTLE = Duration.ofMillis(500);
 
@@ -50,6 +60,7 @@
     private final long startedAt;
     private final WatcherChoice choice;
     private final Map<String, SharedFollower> followers = new LinkedHashMap<>();
+    private final List<SharedFollower> verified = new ArrayList<>();
     private boolean storeAnswers = true;
 
     private StoreSharing(NodeId self, Ports ports) {
@@ -65,6 +76,7 @@
             StoreRecovery recovery,
             StorePeers peers,
             TimerService timers,
+            Moment.Source clock,
             RandomGenerator random) {}
 
     public static StoreSharing create(NodeId self, Ports ports) {
@@ -80,27 +92,66 @@
      * @param gather pause between two watches: changes that come together are fetched by one call
      */
     public void follow(String prefix, Duration gather, EntryListener listener) {
+        add(prefix, gather, listener);
+    }
+
+    /**
+     * Follows the entries and keeps knowing since when nothing newer was in the store.
+     *
+     * <p>Costs a reading a second and data centre: one node asks the store, the others ask it. Guards against a node
+     * that goes on by entries that were changed while it could not hear of it: cut off, turned away, or suspended.
+     */
+    public Verification followVerified(String prefix, Duration gather, EntryListener listener) {
+        SharedFollower follower = add(prefix, gather, listener);
+        verified.add(follower);
+        return () ->
+                follower.verified().map(moment -> moment.ageNanos(ports.clock().now()));
+    }
+
+    /** Tells how old the knowledge is that the store has nothing newer. Thread safe. */
+    @FunctionalInterface
+    public interface Verification {
+
+        /** Age in nanoseconds; empty when it was never known. */
+        Optional<Long> ageNanos();
+    }
+
+    private SharedFollower add(String prefix, Duration gather, EntryListener listener) {
         SharedFollower follower = new SharedFollower(
-                prefix, gather, listener, new FollowerOwner(), ports.store(), ports.timers(), ports.random());
+                prefix,
+                gather,
+                listener,
+                new FollowerOwner(),
+                ports.store(),
+                ports.timers(),
+                ports.clock(),
+                ports.random());
         followers.put(prefix, follower);
         ports.recovery().subscribe(follower::refresh);
         follower.start();
+        return follower;
     }
 
     /** Takes a message of another node; only a question is replied to. */
     public void onMessage(NodeId sender, ByteString body, Consumer<ByteString> reply) {
-        StoreNotice notice;
+        Optional<StoreNotice> notice = read(sender, body);
+        if (notice.isEmpty()) {
+            return;
+        }
+        if (notice.get().getQuestion()) {
+            reply.accept(answerTo(notice.get()).toByteString());
+        } else {
+            take(sender, notice.get());
+        }
+    }
+
+    private static Optional<StoreNotice> read(NodeId sender, ByteString body) {
         try {
-            notice = StoreNotice.parseFrom(body);
+            return Optional.of(StoreNotice.parseFrom(body));
         } catch (InvalidProtocolBufferException e) {
             log.atWarning().withCause(e).atMostEvery(LOG_SECONDS, TimeUnit.SECONDS).log(
                     "node %s sent a malformed notice of the store", sender);
-            return;
-        }
-        if (notice.getQuestion()) {
-            reply.accept(answerTo(notice).toByteString());
-        } else {
-            take(sender, notice);
+            return Optional.empty();
         }
     }
 
@@ -116,14 +167,28 @@
         if (isWatcher()) {
             ports.peers().elsewhere().ifPresent(this::ask);
             probe();
+        } else {
+            verified.stream().filter(this::isUnverified).forEach(SharedFollower::verify);
         }
     }
 
+    /** Nobody could tell this node for a while: it asks the store itself. */
+    private boolean isUnverified(SharedFollower follower) {
+        Moment now = ports.clock().now();
+        return follower.verified()
+                .filter(moment -> moment.ageNanos(now) <= RELIANCE.toNanos())
+                .isEmpty();
+    }
+
     /**
      * A short call of the store, so that a watcher that the store turns away in silence is known as one within two
      * seconds and not only when its long watch ends.
      */
     private void probe() {
+        if (!verified.isEmpty()) {
+            verified.forEach(SharedFollower::verify);
+            return;
+        }
         TimerThread.hear(ports.timers(), ports.store().probe(), (done, failure) -> onStoreCall(failure == null));
     }
 
@@ -159,18 +224,37 @@
         StoreNotice.Builder question = StoreNotice.newBuilder().setQuestion(true);
         followers.forEach((prefix, follower) ->
                 question.addParts(StorePart.newBuilder().setPrefix(prefix).setRevision(follower.revision())));
+        Moment asked = ports.clock().now();
         TimerThread.hear(
                 ports.timers(),
                 ports.peers().ask(node, question.build().toByteString()),
-                (answer, failure) -> onAnswer(node, answer, failure));
+                (answer, failure) -> onAnswer(node, asked, answer, failure));
     }
 
-    private void onAnswer(NodeId node, ByteString answer, Throwable failure) {
+    private void onAnswer(NodeId node, Moment asked, ByteString answer, Throwable failure) {
         if (failure != null) {
             suspect(node);
             return;
         }
-        onMessage(node, answer, unused -> {});
+        Optional<StoreNotice> notice = read(node, answer);
+        if (notice.isPresent()) {
+            take(node, notice.get());
+            noteVerified(asked, notice.get());
+        }
+    }
+
+    /**
+     * What the other node had verified when it answered was so at the question, less the age that it names.
+     *
+     * <p>Counted from the question by this node's own clocks: an answer may have waited anywhere on its way.
+     */
+    private void noteVerified(Moment asked, StoreNotice answer) {
+        for (StorePart part : answer.getPartsList()) {
+            SharedFollower follower = followers.get(part.getPrefix());
+            if (follower != null && part.hasVerifiedAgeNanos()) {
+                follower.noteVerified(asked.minusNanos(part.getVerifiedAgeNanos()), part.getRevision());
+            }
+        }
     }
 
     /** The next node in rank may be this one: it watches at once. */
@@ -183,13 +267,31 @@
         StoreNotice.Builder answer = StoreNotice.newBuilder().setWatching(watching());
         for (StorePart known : question.getPartsList()) {
             SharedFollower follower = followers.get(known.getPrefix());
-            if (follower != null && follower.revision() > known.getRevision()) {
-                answer.addParts(follower.since(known.getRevision()));
+            if (follower != null) {
+                answerPart(follower, known).ifPresent(answer::addParts);
             }
         }
         return answer.build();
     }
 
+    /** What the follower knows beyond the part, and since when it knows that there is no more. */
+    private Optional<StorePart> answerPart(SharedFollower follower, StorePart known) {
+        boolean newer = follower.revision() > known.getRevision();
+        Optional<Moment> since = verified.contains(follower) ? follower.verified() : Optional.empty();
+        if (!newer && since.isEmpty()) {
+            return Optional.empty();
+        }
+        StorePart.Builder part = newer
+                ? follower.since(known.getRevision()).toBuilder()
+                : StorePart.newBuilder()
+                        .setPrefix(known.getPrefix())
+                        .setRevision(follower.revision())
+                        .setSince(follower.revision());
+        Moment now = ports.clock().now();
+        since.ifPresent(moment -> part.setVerifiedAgeNanos(moment.ageNanos(now)));
+        return Optional.of(part.build());
+    }
+
     private boolean watching() {
         return storeAnswers && isWatcher();
     }
--- a/src/main/java/io/beryldock/wire/Call.java
+++ b/src/main/java/io/beryldock/wire/Call.java
@@ -75,23 +75,24 @@
       "ank\030\004 \001(\r\022\027\n\017remaining_nanos\030\005 \001(\003\022\027\n\017re" +
       "try_allowance\030\006 \001(\r\022\r\n\005depth\030\007 \001(\r\022\023\n\013ca" +
       "ller_hash\030\010 \001(\017\022\022\n\nsunk_nanos\030\t \001(\003\022\030\n\020r" +
-      "etried_ancestor\030\n \001(\010\"\220\002\n\010WireCall\022\"\n\002id" +
+      "etried_ancestor\030\n \001(\010\"\246\002\n\010WireCall\022\"\n\002id" +
       "\030\001 \001(\0132\026.beryldock.call.WireId\022\016\n\006caller" +
       "\030\002 \001(\t\022\017\n\007service\030\003 \001(\t\022\016\n\006method\030\004 \001(\t\022" +
       "\014\n\004path\030\005 \001(\t\022+\n\007headers\030\006 \003(\0132\032.beryldo" +
       "ck.call.WireHeader\022\014\n\004body\030\007 \001(\014\022\022\n\nidem" +
       "potent\030\010 \001(\010\022\013\n\003key\030\t \001(\t\022,\n\007context\030\n \001" +
       "(\0132\033.beryldock.call.WireContext\022\027\n\017calle" +
-      "r_identity\030\013 \001(\014\"+\n\tWireLevel\022\017\n\007service" +
-      "\030\001 \001(\t\022\r\n\005level\030\002 \001(\r\"\243\002\n\nWireResult\022\017\n\007" +
-      "outcome\030\001 \001(\r\022\016\n\006status\030\002 \001(\r\022+\n\007headers" +
-      "\030\003 \003(\0132\032.beryldock.call.WireHeader\022\014\n\004bo" +
-      "dy\030\004 \001(\014\022\016\n\006reason\030\005 \001(\t\022\016\n\006detail\030\006 \001(\t" +
-      "\022\032\n\022retry_after_millis\030\007 \001(\003\022\027\n\017unspent_" +
-      "retries\030\010 \001(\r\022)\n\006levels\030\t \003(\0132\031.beryldoc" +
-      "k.call.WireLevel\022\023\n\013spent_nanos\030\n \001(\003\022$\n" +
-      "\004call\030\013 \001(\0132\026.beryldock.call.WireIdB\025\n\021i" +
-      "o.beryldock.wireP\001b\006proto3"
+      "r_identity\030\013 \001(\014\022\024\n\014organisation\030\014 \001(\t\"+" +
+      "\n\tWireLevel\022\017\n\007service\030\001 \001(\t\022\r\n\005level\030\002 " +
+      "\001(\r\"\243\002\n\nWireResult\022\017\n\007outcome\030\001 \001(\r\022\016\n\006s" +
+      "tatus\030\002 \001(\r\022+\n\007headers\030\003 \003(\0132\032.beryldock" +
+      ".call.WireHeader\022\014\n\004body\030\004 \001(\014\022\016\n\006reason" +
+      "\030\005 \001(\t\022\016\n\006detail\030\006 \001(\t\022\032\n\022retry_after_mi" +
+      "llis\030\007 \001(\003\022\027\n\017unspent_retries\030\010 \001(\r\022)\n\006l" +
+      "evels\030\t \003(\0132\031.beryldock.call.WireLevel\022\023" +
+      "\n\013spent_nanos\030\n \001(\003\022$\n\004call\030\013 \001(\0132\026.bery" +
+      "ldock.call.WireIdB\025\n\021io.beryldock.wireP\001" +
+      "b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -120,7 +121,7 @@
     internal_static_beryldock_call_WireCall_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_beryldock_call_WireCall_descriptor,
-        new java.lang.String[] { "Id", "Caller", "Service", "Method", "Path", "Headers", "Body", "Idempotent", "Key", "Context", "CallerIdentity", });
+        new java.lang.String[] { "Id", "Caller", "Service", "Method", "Path", "Headers", "Body", "Idempotent", "Key", "Context", "CallerIdentity", "Organisation", });
     internal_static_beryldock_call_WireLevel_descriptor =
       getDescriptor().getMessageType(4);
     internal_static_beryldock_call_WireLevel_fieldAccessorTable = new
--- a/src/main/java/io/beryldock/wire/StorePart.java
+++ b/src/main/java/io/beryldock/wire/StorePart.java
@@ -54,6 +54,7 @@
             io.beryldock.wire.StorePart.class, io.beryldock.wire.StorePart.Builder.class);
   }
 
+  private int bitField0_;
   public static final int PREFIX_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private volatile java.lang.Object prefix_ = "";
@@ -179,6 +180,35 @@
     return entries_.get(index);
   }
 
+  public static final int VERIFIED_AGE_NANOS_FIELD_NUMBER = 6;
+  private long verifiedAgeNanos_ = 0L;
+  /**
+   * <pre>
+   * How long ago, by the sender's clocks, the store was asked and had nothing newer than the revision; only in an
+   * answer, since one who did not ask can't tell how long a message was under way.
+   * </pre>
+   *
+   * <code>optional int64 verified_age_nanos = 6;</code>
+   * @return Whether the verifiedAgeNanos field is set.
+   */
+  @java.lang.Override
+  public boolean hasVerifiedAgeNanos() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * How long ago, by the sender's clocks, the store was asked and had nothing newer than the revision; only in an
+   * answer, since one who did not ask can't tell how long a message was under way.
+   * </pre>
+   *
+   * <code>optional int64 verified_age_nanos = 6;</code>
+   * @return The verifiedAgeNanos.
+   */
+  @java.lang.Override
+  public long getVerifiedAgeNanos() {
+    return verifiedAgeNanos_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -208,6 +238,9 @@
     for (int i = 0; i < entries_.size(); i++) {
       output.writeMessage(5, entries_.get(i));
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeInt64(6, verifiedAgeNanos_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -236,6 +269,10 @@
           }
           size += 1 * count;
         }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(6, verifiedAgeNanos_);
+    }
     return size;
   }
   @java.lang.Override
@@ -270,6 +307,11 @@
         != other.getWhole()) return false;
     if (!getEntriesList()
         .equals(other.getEntriesList())) return false;
+    if (hasVerifiedAgeNanos() != other.hasVerifiedAgeNanos()) return false;
+    if (hasVerifiedAgeNanos()) {
+      if (getVerifiedAgeNanos()
+          != other.getVerifiedAgeNanos()) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -296,6 +338,11 @@
       hash = (37 * hash) + ENTRIES_FIELD_NUMBER;
       hash = (53 * hash) + getEntriesList().hashCode();
     }
+    if (hasVerifiedAgeNanos()) {
+      hash = (37 * hash) + VERIFIED_AGE_NANOS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getVerifiedAgeNanos());
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -442,6 +489,7 @@
         entriesBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000010);
+      verifiedAgeNanos_ = 0L;
       return this;
     }
 
@@ -500,6 +548,12 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.whole_ = whole_;
       }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.verifiedAgeNanos_ = verifiedAgeNanos_;
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -554,6 +608,9 @@
           }
         }
       }
+      if (other.hasVerifiedAgeNanos()) {
+        setVerifiedAgeNanos(other.getVerifiedAgeNanos());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -611,6 +668,11 @@
               }
               break;
             } // case 42
+            case 48: {
+              verifiedAgeNanos_ = input.readInt64();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1066,6 +1128,66 @@
       return entriesBuilder_;
     }
 
+    private long verifiedAgeNanos_ ;
+    /**
+     * <pre>
+     * How long ago, by the sender's clocks, the store was asked and had nothing newer than the revision; only in an
+     * answer, since one who did not ask can't tell how long a message was under way.
+     * </pre>
+     *
+     * <code>optional int64 verified_age_nanos = 6;</code>
+     * @return Whether the verifiedAgeNanos field is set.
+     */
+    @java.lang.Override
+    public boolean hasVerifiedAgeNanos() {
+      return ((bitField0_ & 0x00000020) != 0);
+    }
+    /**
+     * <pre>
+     * How long ago, by the sender's clocks, the store was asked and had nothing newer than the revision; only in an
+     * answer, since one who did not ask can't tell how long a message was under way.
+     * </pre>
+     *
+     * <code>optional int64 verified_age_nanos = 6;</code>
+     * @return The verifiedAgeNanos.
+     */
+    @java.lang.Override
+    public long getVerifiedAgeNanos() {
+      return verifiedAgeNanos_;
+    }
+    /**
+     * <pre>
+     * How long ago, by the sender's clocks, the store was asked and had nothing newer than the revision; only in an
+     * answer, since one who did not ask can't tell how long a message was under way.
+     * </pre>
+     *
+     * <code>optional int64 verified_age_nanos = 6;</code>
+     * @param value The verifiedAgeNanos to set.
+     * @return This builder for chaining.
+     */
+    public Builder setVerifiedAgeNanos(long value) {
+
+      verifiedAgeNanos_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * How long ago, by the sender's clocks, the store was asked and had nothing newer than the revision; only in an
+     * answer, since one who did not ask can't tell how long a message was under way.
+     * </pre>
+     *
+     * <code>optional int64 verified_age_nanos = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearVerifiedAgeNanos() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      verifiedAgeNanos_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:beryldock.store.StorePart)
   }
 
--- a/src/main/java/io/beryldock/wire/StorePartOrBuilder.java
+++ b/src/main/java/io/beryldock/wire/StorePartOrBuilder.java
@@ -75,4 +75,25 @@
    */
   io.beryldock.wire.StoreEntryOrBuilder getEntriesOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * How long ago, by the sender's clocks, the store was asked and had nothing newer than the revision; only in an
+   * answer, since one who did not ask can't tell how long a message was under way.
+   * </pre>
+   *
+   * <code>optional int64 verified_age_nanos = 6;</code>
+   * @return Whether the verifiedAgeNanos field is set.
+   */
+  boolean hasVerifiedAgeNanos();
+  /**
+   * <pre>
+   * How long ago, by the sender's clocks, the store was asked and had nothing newer than the revision; only in an
+   * answer, since one who did not ask can't tell how long a message was under way.
+   * </pre>
+   *
+   * <code>optional int64 verified_age_nanos = 6;</code>
+   * @return The verifiedAgeNanos.
+   */
+  long getVerifiedAgeNanos();
 }
--- a/src/main/java/io/beryldock/wire/StoreProto.java
+++ b/src/main/java/io/beryldock/wire/StoreProto.java
@@ -52,14 +52,15 @@
     java.lang.String[] descriptorData = {
       "\n\013store.proto\022\017beryldock.store\"I\n\nStoreE" +
       "ntry\022\013\n\003key\030\001 \001(\t\022\020\n\010revision\030\002 \001(\003\022\022\n\005v" +
-      "alue\030\003 \001(\014H\000\210\001\001B\010\n\006_value\"y\n\tStorePart\022\016" +
-      "\n\006prefix\030\001 \001(\t\022\020\n\010revision\030\002 \001(\003\022\r\n\005sinc" +
-      "e\030\003 \001(\003\022\r\n\005whole\030\004 \001(\010\022,\n\007entries\030\005 \003(\0132" +
-      "\033.beryldock.store.StoreEntry\"\\\n\013StoreNot" +
-      "ice\022)\n\005parts\030\001 \003(\0132\032.beryldock.store.Sto" +
-      "rePart\022\020\n\010watching\030\002 \001(\010\022\020\n\010question\030\003 \001" +
-      "(\010B!\n\021io.beryldock.wireB\nStoreProtoP\001b\006p" +
-      "roto3"
+      "alue\030\003 \001(\014H\000\210\001\001B\010\n\006_value\"\261\001\n\tStorePart\022" +
+      "\016\n\006prefix\030\001 \001(\t\022\020\n\010revision\030\002 \001(\003\022\r\n\005sin" +
+      "ce\030\003 \001(\003\022\r\n\005whole\030\004 \001(\010\022,\n\007entries\030\005 \003(\013" +
+      "2\033.beryldock.store.StoreEntry\022\037\n\022verifie" +
+      "d_age_nanos\030\006 \001(\003H\000\210\001\001B\025\n\023_verified_age_" +
+      "nanos\"\\\n\013StoreNotice\022)\n\005parts\030\001 \003(\0132\032.be" +
+      "ryldock.store.StorePart\022\020\n\010watching\030\002 \001(" +
+      "\010\022\020\n\010question\030\003 \001(\010B!\n\021io.beryldock.wire" +
+      "B\nStoreProtoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -76,7 +77,7 @@
     internal_static_beryldock_store_StorePart_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_beryldock_store_StorePart_descriptor,
-        new java.lang.String[] { "Prefix", "Revision", "Since", "Whole", "Entries", });
+        new java.lang.String[] { "Prefix", "Revision", "Since", "Whole", "Entries", "VerifiedAgeNanos", });
     internal_static_beryldock_store_StoreNotice_descriptor =
       getDescriptor().getMessageType(2);
     internal_static_beryldock_store_StoreNotice_fieldAccessorTable = new
--- a/src/main/java/io/beryldock/wire/WireCall.java
+++ b/src/main/java/io/beryldock/wire/WireCall.java
@@ -36,6 +36,7 @@
     body_ = com.google.protobuf.ByteString.EMPTY;
     key_ = "";
     callerIdentity_ = com.google.protobuf.ByteString.EMPTY;
+    organisation_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -382,6 +383,53 @@
     return callerIdentity_;
   }
 
+  public static final int ORGANISATION_FIELD_NUMBER = 12;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object organisation_ = "";
+  /**
+   * <pre>
+   * Name of the organisation for which a caller makes the request; empty for inner calls.
+   * </pre>
+   *
+   * <code>string organisation = 12;</code>
+   * @return The organisation.
+   */
+  @java.lang.Override
+  public java.lang.String getOrganisation() {
+    java.lang.Object ref = organisation_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      organisation_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Name of the organisation for which a caller makes the request; empty for inner calls.
+   * </pre>
+   *
+   * <code>string organisation = 12;</code>
+   * @return The bytes for organisation.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getOrganisationBytes() {
+    java.lang.Object ref = organisation_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      organisation_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -429,6 +477,9 @@
     if (!callerIdentity_.isEmpty()) {
       output.writeBytes(11, callerIdentity_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(organisation_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 12, organisation_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -477,6 +528,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBytesSize(11, callerIdentity_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(organisation_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(12, organisation_);
+    }
     return size;
   }
   @java.lang.Override
@@ -529,6 +583,8 @@
     }
     if (!getCallerIdentity()
         .equals(other.getCallerIdentity())) return false;
+    if (!getOrganisation()
+        .equals(other.getOrganisation())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -569,6 +625,8 @@
     }
     hash = (37 * hash) + CALLER_IDENTITY_FIELD_NUMBER;
     hash = (53 * hash) + getCallerIdentity().hashCode();
+    hash = (37 * hash) + ORGANISATION_FIELD_NUMBER;
+    hash = (53 * hash) + getOrganisation().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -733,6 +791,7 @@
         contextBuilder_ = null;
       }
       callerIdentity_ = com.google.protobuf.ByteString.EMPTY;
+      organisation_ = "";
       return this;
     }
 
@@ -816,6 +875,9 @@
       if (((from_bitField0_ & 0x00000400) != 0)) {
         result.callerIdentity_ = callerIdentity_;
       }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.organisation_ = organisation_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -897,6 +959,11 @@
       if (!other.getCallerIdentity().isEmpty()) {
         setCallerIdentity(other.getCallerIdentity());
       }
+      if (!other.getOrganisation().isEmpty()) {
+        organisation_ = other.organisation_;
+        bitField0_ |= 0x00000800;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -988,6 +1055,11 @@
               bitField0_ |= 0x00000400;
               break;
             } // case 90
+            case 98: {
+              organisation_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 98
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1945,6 +2017,98 @@
       return this;
     }
 
+    private java.lang.Object organisation_ = "";
+    /**
+     * <pre>
+     * Name of the organisation for which a caller makes the request; empty for inner calls.
+     * </pre>
+     *
+     * <code>string organisation = 12;</code>
+     * @return The organisation.
+     */
+    public java.lang.String getOrganisation() {
+      java.lang.Object ref = organisation_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        organisation_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Name of the organisation for which a caller makes the request; empty for inner calls.
+     * </pre>
+     *
+     * <code>string organisation = 12;</code>
+     * @return The bytes for organisation.
+     */
+    public com.google.protobuf.ByteString
+        getOrganisationBytes() {
+      java.lang.Object ref = organisation_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        organisation_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Name of the organisation for which a caller makes the request; empty for inner calls.
+     * </pre>
+     *
+     * <code>string organisation = 12;</code>
+     * @param value The organisation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOrganisation(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      organisation_ = value;
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Name of the organisation for which a caller makes the request; empty for inner calls.
+     * </pre>
+     *
+     * <code>string organisation = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearOrganisation() {
+      organisation_ = getDefaultInstance().getOrganisation();
+      bitField0_ = (bitField0_ & ~0x00000800);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Name of the organisation for which a caller makes the request; empty for inner calls.
+     * </pre>
+     *
+     * <code>string organisation = 12;</code>
+     * @param value The bytes for organisation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOrganisationBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      organisation_ = value;
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:beryldock.call.WireCall)
   }
 
--- a/src/main/java/io/beryldock/wire/WireCallOrBuilder.java
+++ b/src/main/java/io/beryldock/wire/WireCallOrBuilder.java
@@ -145,4 +145,24 @@
    * @return The callerIdentity.
    */
   com.google.protobuf.ByteString getCallerIdentity();
+
+  /**
+   * <pre>
+   * Name of the organisation for which a caller makes the request; empty for inner calls.
+   * </pre>
+   *
+   * <code>string organisation = 12;</code>
+   * @return The organisation.
+   */
+  java.lang.String getOrganisation();
+  /**
+   * <pre>
+   * Name of the organisation for which a caller makes the request; empty for inner calls.
+   * </pre>
+   *
+   * <code>string organisation = 12;</code>
+   * @return The bytes for organisation.
+   */
+  com.google.protobuf.ByteString
+      getOrganisationBytes();
 }
--- a/src/test/java/io/beryldock/ArchitectureTest.java
+++ b/src/test/java/io/beryldock/ArchitectureTest.java
@@ -23,6 +23,7 @@
         "io.beryldock.idempotency..",
         "io.beryldock.membership..",
         "io.beryldock.configuration..",
+        "io.beryldock.organisation..",
         "io.beryldock.timeline..",
     };
 
--- a/src/test/java/io/beryldock/membership/RegistryMembershipTest.java
+++ b/src/test/java/io/beryldock/membership/RegistryMembershipTest.java
@@ -12,6 +12,7 @@
 import io.beryldock.store.StoreRecovery;
 import io.beryldock.store.StoreSharing;
 import io.beryldock.time.ManualTimerService;
+import io.beryldock.time.Moment;
 import io.beryldock.timeline.EventSink;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -36,7 +37,8 @@
         StoreRecovery recovery = StoreRecovery.create();
         StoreSharing sharing = StoreSharing.create(
                 self.id(),
-                new StoreSharing.Ports(view, recovery, StorePeers.none(self.id()), timers, new Random(port)));
+                new StoreSharing.Ports(
+                        view, recovery, StorePeers.none(self.id()), timers, Moment.Source.system(), new Random(port)));
         RegistryMembership made = RegistryMembership.create(
                 self, new RegistryPorts(view, recovery, sharing, timers, new Random(port), EventSink.none()));
         made.start();
--- /dev/null
+++ b/src/test/java/io/beryldock/organisation/OrganisationTableTest.java
@@ -0,0 +1,46 @@
+package io.beryldock.organisation;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalInt;
+import org.junit.jupiter.api.Test;
+
+final class OrganisationTableTest {
+
+    private static final Organisation FIRST = organisation("first", OptionalInt.of(0));
+    private static final Organisation USUAL = organisation("usual", OptionalInt.of(1));
+    private static final Organisation UNRANKED = organisation("unranked", OptionalInt.empty());
+
+    private static Organisation organisation(String name, OptionalInt rank) {
+        return new Organisation(OrganisationName.of(name), rank, Quota.none());
+    }
+
+    @Test
+    void everyKeyLeadsToItsOrganisation() {
+        OrganisationTable table = OrganisationTable.of(Map.of(FIRST, List.of("a", "b"), USUAL, List.of("c")));
+        assertThat(table.holderOf("a")).contains(FIRST);
+        assertThat(table.holderOf("b")).contains(FIRST);
+        assertThat(table.holderOf("c")).contains(USUAL);
+        assertThat(table.holderOf("")).isEmpty();
+        assertThat(table.holderOf("A")).isEmpty();
+    }
+
+    /** Story: two organisations have one key by a slip; whoever stands last would get the requests of the other. */
+    @Test
+    void keyOfTwoOrganisationsIsNobodys() {
+        OrganisationTable table = OrganisationTable.of(Map.of(FIRST, List.of("a", "x"), USUAL, List.of("x")));
+        assertThat(table.holderOf("x")).isEmpty();
+        assertThat(table.holderOf("a")).contains(FIRST);
+    }
+
+    @Test
+    void organisationWithoutARankGoesWithTheFirst() {
+        OrganisationTable table =
+                OrganisationTable.of(Map.of(FIRST, List.of("a"), USUAL, List.of("b"), UNRANKED, List.of("c")));
+        assertThat(table.ranksBefore(FIRST)).isZero();
+        assertThat(table.ranksBefore(USUAL)).isEqualTo(1);
+        assertThat(table.ranksBefore(UNRANKED)).isZero();
+    }
+}
--- a/src/test/java/io/beryldock/platform/CallerEndpointTest.java
+++ b/src/test/java/io/beryldock/platform/CallerEndpointTest.java
@@ -32,6 +32,7 @@
 
     private final EventLoops loops = EventLoops.create(1);
     private final List<IncomingRequest> taken = new CopyOnWriteArrayList<>();
+    private CallResult refusal = CallResult.notRun(Reason.SHED_AT_DOOR, "").withRetryAfterMillis(1_250);
     private HttpServer server;
     private Socket socket;
 
@@ -58,13 +59,16 @@
         loops.close();
     }
 
-    private static RequestOutcome refusal() {
-        CallResult shed = CallResult.notRun(Reason.SHED_AT_DOOR, "").withRetryAfterMillis(1_250);
-        return new RequestOutcome(new RequestId(new Incarnation(1, 1), 1), shed);
+    private RequestOutcome refusal() {
+        return new RequestOutcome(new RequestId(new Incarnation(1, 1), 1), refusal);
     }
 
     private String ask(String id) throws IOException {
-        String text = "GET /a/ HTTP/1.1\r\nHost: a\r\nX-Beryldock-Request-Id: " + id + "\r\n\r\n";
+        return ask(id, "");
+    }
+
+    private String ask(String id, String more) throws IOException {
+        String text = "GET /a/ HTTP/1.1\r\nHost: a\r\nX-Beryldock-Request-Id: " + id + "\r\n" + more + "\r\n";
         socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
         StringBuilder answer = new StringBuilder();
         while (answer.indexOf("\r\n\r\n") < 0) {
@@ -95,4 +99,25 @@
     void refusalSaysWhenToComeBack() throws IOException {
         assertThat(ask("1")).startsWith("HTTP/1.1 503").containsIgnoringCase("Retry-After: 1.250");
     }
+
+    /**
+     * Story: an organisation's key is found in the logs of a target, and a client passes for another organisation by
+     * naming it itself. Neither header goes further than this node.
+     */
+    @Test
+    void keyAndNameOfAnOrganisationAreNotPassedOn() throws IOException {
+        ask("1", "x-beryldock-credential: key-1\r\nX-Beryldock-Credential: key-2\r\nX-Beryldock-TENANT-Id: gent\r\n");
+        assertThat(taken.get(0).credentials()).containsExactly("key-1", "key-2");
+        assertThat(taken.get(0).headers().list().toString()).doesNotContain("key-", "gent");
+    }
+
+    @Test
+    void refusalsForKeysAndQuotasHaveTheirStatus() throws IOException {
+        refusal = CallResult.notRun(Reason.UNKNOWN_KEY, "");
+        assertThat(ask("1")).startsWith("HTTP/1.1 401").doesNotContainIgnoringCase("Retry-After");
+        refusal = CallResult.notRun(Reason.KEYS_UNCERTAIN, "").withRetryAfterMillis(400);
+        assertThat(ask("2")).startsWith("HTTP/1.1 503").containsIgnoringCase("Retry-After: 0.400");
+        refusal = CallResult.notRun(Reason.OVER_QUOTA, "").withRetryAfterMillis(700);
+        assertThat(ask("3")).startsWith("HTTP/1.1 429").containsIgnoringCase("Retry-After: 0.700");
+    }
 }
--- a/src/test/java/io/beryldock/platform/OperatorDocumentTest.java
+++ b/src/test/java/io/beryldock/platform/OperatorDocumentTest.java
@@ -8,7 +8,13 @@
 import io.beryldock.configuration.Configuration;
 import io.beryldock.configuration.ConfigurationException;
 import io.beryldock.configuration.Route;
+import io.beryldock.organisation.Organisation;
+import io.beryldock.organisation.OrganisationName;
+import io.beryldock.organisation.OrganisationTable;
+import io.beryldock.organisation.Quota;
 import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
@@ -74,4 +80,62 @@
         assertThatThrownBy(() -> decoder.decode(ByteString.copyFromUtf8(TEXT.substring(0, 100))))
                 .isInstanceOf(ConfigurationException.class);
     }
+
+    private static final String WITH_ORGANISATIONS = """
+            {"version":"00000002","routes":{
+              "browse":{"hostname":"a.example","pathPrefix":"/x/","type":"safe","timeoutS":1,"priority":2,
+                        "service":"lists","attempts":2,"public":false},
+              "order":{"hostname":"a.example","pathPrefix":"/y/","type":"unsafe","timeoutS":1,"priority":0,
+                       "service":"orders","attempts":2},
+              "open":{"hostname":"a.example","pathPrefix":"/z/","type":"safe","timeoutS":1,"priority":1,
+                      "service":"lists","attempts":2,"public":true}},
+             "services":{},"limits":{},
+             "tenants":{"first":{"apiKeys":["k1","k2"],"priority":0,"ratePerS":28.5,"burst":57},
+                        "usual":{"apiKeys":["k3"],"priority":1},
+                        "unlimited":{"apiKeys":[],"priority":1,"ratePerS":0,"burst":9}}}
+            """;
+
+    @Test
+    void organisationsHaveKeysAndQuotas() throws ConfigurationException {
+        OrganisationTable table =
+                decoder.decode(ByteString.copyFromUtf8(WITH_ORGANISATIONS)).organisations();
+        Organisation first = table.holderOf("k2").orElseThrow();
+        assertThat(first.name()).isEqualTo(OrganisationName.of("first"));
+        assertThat(first.quota()).isEqualTo(new Quota(28.5, 57));
+        assertThat(table.holderOf("k3").orElseThrow().quota().isUnlimited()).isTrue();
+        assertThat(table.named(OrganisationName.of("unlimited"))
+                        .orElseThrow()
+                        .quota()
+                        .isUnlimited())
+                .isTrue();
+        assertThat(decoded().organisations().isEmpty()).isTrue();
+    }
+
+    @Test
+    void routesAreOpenWhereTheDocumentSaysSo() throws ConfigurationException {
+        Configuration configuration = decoder.decode(ByteString.copyFromUtf8(WITH_ORGANISATIONS));
+        assertThat(configuration.find("a.example", "GET", "/z/1").orElseThrow().open())
+                .isTrue();
+        assertThat(configuration.find("a.example", "GET", "/x/1").orElseThrow().open())
+                .isFalse();
+        assertThat(configuration.find("a.example", "GET", "/y/1").orElseThrow().open())
+                .isFalse();
+    }
+
+    /** An organisation that goes first does so with all it asks; within one rank an order goes before browsing. */
+    @Test
+    void rankOfTheOrganisationGoesBeforeThatOfTheRoute() throws ConfigurationException {
+        Configuration configuration = decoder.decode(ByteString.copyFromUtf8(WITH_ORGANISATIONS));
+        Route browse = configuration.find("a.example", "GET", "/x/1").orElseThrow();
+        Route order = configuration.find("a.example", "POST", "/y/1").orElseThrow();
+        Optional<Organisation> first = configuration.organisations().holderOf("k1");
+        Optional<Organisation> usual = configuration.organisations().holderOf("k3");
+        assertThat(List.of(
+                        configuration.priorityOf(order, first).rank(),
+                        configuration.priorityOf(browse, first).rank(),
+                        configuration.priorityOf(order, usual).rank(),
+                        configuration.priorityOf(browse, usual).rank()))
+                .containsExactly(0, 2, 3, 5);
+        assertThat(configuration.priorityOf(browse, Optional.empty()).rank()).isEqualTo(2);
+    }
 }
--- a/src/test/java/io/beryldock/store/FakeRegistry.java
+++ b/src/test/java/io/beryldock/store/FakeRegistry.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
 
 /** A registry in memory whose outages are switched by hand; each caller may be turned away. Not thread safe. */
 public final class FakeRegistry {
@@ -69,6 +70,12 @@
         private boolean down;
         private boolean silent;
         private int calls;
+        private Supplier<Duration> delay = () -> Duration.ZERO;
+
+        /** Readings reach the store after a delay, and their answers come back after another. */
+        public void setDelay(Supplier<Duration> value) {
+            delay = value;
+        }
 
         /** Lists, watches and writes so far; renewals cost next to nothing and don't count. */
         public int calls() {
@@ -98,11 +105,32 @@
         @Override
         public CompletableFuture<Listing> list(String prefix) {
             calls++;
-            return answer(new Listing(
+            Duration there = delay.get();
+            if (there.isZero()) {
+                return answer(listing(prefix));
+            }
+            CompletableFuture<Listing> late = new CompletableFuture<>();
+            timers.after(there, () -> {
+                Listing found = listing(prefix);
+                timers.after(
+                        delay.get(),
+                        () -> answer(found).whenComplete((listing, failure) -> {
+                            if (failure == null) {
+                                late.complete(listing);
+                            } else {
+                                late.completeExceptionally(failure);
+                            }
+                        }));
+            });
+            return late;
+        }
+
+        private Listing listing(String prefix) {
+            return new Listing(
                     items.values().stream()
                             .filter(item -> item.key().startsWith(prefix))
                             .collect(ImmutableList.toImmutableList()),
-                    revision));
+                    revision);
         }
 
         @Override
--- a/src/test/java/io/beryldock/store/SharingFleet.java
+++ b/src/test/java/io/beryldock/store/SharingFleet.java
@@ -32,12 +32,14 @@
     /** One node: its way to the store, its sharing, and whether it takes and sends messages. */
     private static final class Member {
         private final String centre;
+        private final SuspendableTimers timers;
         private final FakeRegistry.View view;
         private StoreSharing sharing;
         private boolean stopped;
 
-        Member(String centre, FakeRegistry.View view) {
+        Member(String centre, SuspendableTimers timers, FakeRegistry.View view) {
             this.centre = centre;
+            this.timers = timers;
             this.view = view;
         }
     }
@@ -45,7 +47,8 @@
     /** Adds a node that follows nothing yet; all know it at once. */
     public StoreSharing add(String id, String centre) {
         NodeId self = NodeId.of(id);
-        Member member = new Member(centre, registry.view());
+        SuspendableTimers own = new SuspendableTimers(timers);
+        Member member = new Member(centre, own, registry.view());
         members.put(self, member);
         member.sharing = StoreSharing.create(
                 self,
@@ -53,7 +56,8 @@
                         member.view,
                         StoreRecovery.create(),
                         new Peers(self, centre),
-                        timers,
+                        own,
+                        own.clock(),
                         new Random(id.hashCode())));
         return member.sharing;
     }
@@ -67,6 +71,16 @@
         members.get(NodeId.of(id)).stopped = true;
     }
 
+    /** The node takes messages again. */
+    public void restart(String id) {
+        members.get(NodeId.of(id)).stopped = false;
+    }
+
+    /** Stops the node's steady clock and all that it does, or lets it go on. */
+    public void suspend(String id, boolean value) {
+        members.get(NodeId.of(id)).timers.setSuspended(value);
+    }
+
     int calls() {
         return members.values().stream().mapToInt(member -> member.view.calls()).sum();
     }
