Quotas of organisations over all nodes: parts by demand from a home in each data centre

Cause: nothing limited what an organisation asks. The third stands, with the first where no home answers.

Test: 61 nodes on a virtual clock; within quotas below 1 in 100 is refused, at 7.5 times the usual no window is over the terms and nine tenths of the rate are used, also with a data centre cut off and with homes that restart.

--- a/src/main/java/io/beryldock/forwarding/EntryService.java
+++ b/src/main/java/io/beryldock/forwarding/EntryService.java
@@ -5,6 +5,7 @@
 import io.beryldock.call.Call;
 import io.beryldock.call.CallContext;
 import io.beryldock.call.CallResult;
+import io.beryldock.call.Outcome;
 import io.beryldock.call.PriorityClass;
 import io.beryldock.call.Reason;
 import io.beryldock.call.RequestId;
@@ -17,6 +18,7 @@
 import io.beryldock.idempotency.CallerIdentity;
 import io.beryldock.organisation.Organisation;
 import io.beryldock.organisation.OrganisationTable;
+import io.beryldock.quota.QuotaKeeper;
 import io.beryldock.retry.GrantPolicy;
 import io.beryldock.retry.RetryAccount;
 import io.beryldock.retry.RetryGrant;
@@ -62,6 +64,7 @@
             Policy policy,
             Supplier<Configuration> configuration,
             CallerAccess access,
+            QuotaKeeper quotas,
             DoorShedder door,
             RetryLedger ledger,
             ExecutionRegistry executions,
@@ -140,7 +143,7 @@
                 call(request, route, id, Call.OUTSIDE, context).forOrganisation(organisation.map(Organisation::name));
         ports.tally().asked(priority);
         RetryAccount account = ports.ledger().open(id, retries);
-        return admitAndDispatch(request, call, account, scope).thenApply(result -> {
+        return admitAndDispatch(request, call, organisation, account, scope).thenApply(result -> {
             int unspent = account.close();
             ports.tally().ended(priority, result, retries - unspent);
             ports.journal().ended(call, result);
@@ -155,7 +158,11 @@
 
     /** A keyed request meets its key before the door: one that ran already must get its answer, not a refusal. */
     private CompletableFuture<CallResult> admitAndDispatch(
-            IncomingRequest request, Call call, RetryAccount account, CancelScope scope) {
+            IncomingRequest request,
+            Call call,
+            Optional<Organisation> organisation,
+            RetryAccount account,
+            CancelScope scope) {
         if (!isKeyed(call)) {
             Optional<CallResult> shed =
                     DoorCheck.of(ports.policy(), ports.door(), call).refusal();
@@ -163,7 +170,25 @@
                 return CompletableFuture.completedFuture(shed.get());
             }
         }
-        return dispatch(request, call, account, scope);
+        return organisation.isPresent()
+                ? dispatchWithinQuota(request, call, organisation.get(), account, scope)
+                : dispatch(request, call, account, scope);
+    }
+
+    /** Only what runs counts: a request that is turned away beneath gives its part of the quota back. */
+    private CompletableFuture<CallResult> dispatchWithinQuota(
+            IncomingRequest request, Call call, Organisation organisation, RetryAccount account, CancelScope scope) {
+        return ports.quotas().admit(organisation).thenCompose(decision -> {
+            if (!decision.granted()) {
+                CallResult refusal = CallResult.notRun(Reason.OVER_QUOTA, "organisation " + organisation.name());
+                return CompletableFuture.completedFuture(refusal.withRetryAfterMillis(decision.retryAfterMillis()));
+            }
+            return dispatch(request, call, account, scope).whenComplete((result, failure) -> {
+                if (failure == null && result.outcome() == Outcome.NOT_RUN) {
+                    ports.quotas().giveBack(organisation);
+                }
+            });
+        });
     }
 
     private static boolean isKeyed(Call call) {
--- a/src/main/java/io/beryldock/node/TrafficModule.java
+++ b/src/main/java/io/beryldock/node/TrafficModule.java
@@ -1,12 +1,14 @@
 package io.beryldock.node;
 
 import com.google.inject.AbstractModule;
+import com.google.inject.Provider;
 import com.google.inject.Provides;
 import com.google.inject.Singleton;
 import io.beryldock.admission.DoorShedder;
 import io.beryldock.admission.GateSettings;
 import io.beryldock.admission.LimitStrategies;
 import io.beryldock.admission.TargetGate;
+import io.beryldock.call.NodeId;
 import io.beryldock.call.RequestIds;
 import io.beryldock.configuration.ConfigurationKeeper;
 import io.beryldock.eventloop.LoopTimerService;
@@ -37,6 +39,8 @@
 import io.beryldock.peer.PeerTopic;
 import io.beryldock.peer.PeerTransport;
 import io.beryldock.quarantine.Quarantine;
+import io.beryldock.quota.QuotaKeeper;
+import io.beryldock.quota.QuotaTerms;
 import io.beryldock.retry.Backoff;
 import io.beryldock.retry.RetryBudgets;
 import io.beryldock.retry.RetryGate;
@@ -236,12 +240,40 @@
         return CallerAccess.unbounded();
     }
 
+    @Provides
+    @Singleton
+    QuotaTerms quotaTerms() {
+        return QuotaTerms.usual();
+    }
+
+    @Provides
+    @Singleton
+    QuotaKeeper quotas(
+            QuotaTerms terms,
+            NodeDescriptor self,
+            Provider<Membership> membership,
+            PeerTransport transport,
+            ConfigurationKeeper configuration,
+            RandomGenerator random) {
+        QuotaKeeper quotas = QuotaKeeper.create(new QuotaKeeper.Ports(
+                terms,
+                DirectoryQuotaPeers.create(self, () -> membership.get().directory(), transport),
+                () -> configuration.current().organisations(),
+                timers.ticker(),
+                random));
+        transport.handle(
+                PeerTopic.QUOTA,
+                message -> quotas.onMessage(NodeId.of(message.sender()), message.body(), message::reply));
+        return quotas;
+    }
+
     @Provides
     @Singleton
     EntryService entry(
             NodeSettings settings,
             ConfigurationKeeper configuration,
             CallerAccess access,
+            QuotaKeeper quotas,
             DoorShedder door,
             RetryLedger ledger,
             ExecutionRegistry executions,
@@ -257,6 +289,7 @@
                 settings.policy(),
                 configuration::current,
                 access,
+                quotas,
                 door,
                 ledger,
                 executions,
--- a/src/main/java/io/beryldock/peer/PeerTopic.java
+++ b/src/main/java/io/beryldock/peer/PeerTopic.java
@@ -9,7 +9,8 @@
     QUERY(5),
     TIMELINE(6),
     QUARANTINE(7),
-    STORE(8);
+    STORE(8),
+    QUOTA(9);
 
     private final int number;
 
--- a/src/main/java/io/beryldock/platform/PlatformModule.java
+++ b/src/main/java/io/beryldock/platform/PlatformModule.java
@@ -20,6 +20,7 @@
 import io.beryldock.node.TargetAnnouncements;
 import io.beryldock.peer.PeerTopic;
 import io.beryldock.peer.PeerTransport;
+import io.beryldock.quota.QuotaTerms;
 import io.beryldock.retry.RetryBudgetSettings;
 import io.beryldock.retry.RetryBudgets;
 import io.beryldock.store.PlatformStore;
@@ -110,6 +111,12 @@
         return CallerAccess.create(documents::verifiedAgeNanos, settings.revokedKeysWithin());
     }
 
+    @Provides
+    @Singleton
+    QuotaTerms quotaTerms() {
+        return settings.quotaTerms();
+    }
+
     @Provides
     @Singleton
     LocalTargets localTargets(ControlLoop control, TargetAnnouncements announcements) {
--- a/src/main/java/io/beryldock/platform/PlatformSettings.java
+++ b/src/main/java/io/beryldock/platform/PlatformSettings.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import io.beryldock.forwarding.Addresses;
+import io.beryldock.quota.QuotaTerms;
 import io.beryldock.settings.NodeSettings;
 import io.beryldock.settings.SelfChecked;
 import io.beryldock.settings.SettingsException;
@@ -23,6 +24,7 @@
  * @param retries how much all nodes together may retry
  * @param revokedKeysSeconds time after which a key that was taken away opens nothing at any node, cut off or not; absent
  *     where nodes that can't hear of it may go on
+ * @param quotas what is tolerated beyond the quotas of organisations; absent where there are none
  * @param stopSeconds time from SIGTERM to the end of the process
  */
 record PlatformSettings(
@@ -34,6 +36,7 @@
         String store,
         Retries retries,
         Double revokedKeysSeconds,
+        Quotas quotas,
         double stopSeconds)
         implements SelfChecked {
 
@@ -70,6 +73,18 @@
         }
     }
 
+    /**
+     * What is tolerated beyond a quota, in any window: an overage of it, and some requests beside.
+     *
+     * @param dataCentres names of all data centres
+     */
+    record Quotas(double windowSeconds, double overage, double slack, ImmutableList<String> dataCentres) {
+
+        QuotaTerms terms() {
+            return new QuotaTerms(windowSeconds, overage, slack, dataCentres.size());
+        }
+    }
+
     @Override
     public void check() throws SettingsException {
         require(id != null && !id.isEmpty(), "id", "the name of the node");
@@ -88,6 +103,15 @@
                 revokedKeysSeconds == null || revokedKeysSeconds > 0,
                 "revokedKeysSeconds",
                 "a time above 0, or leave it out");
+        if (quotas != null) {
+            require(quotas.windowSeconds() > 0, "quotas.windowSeconds", "a time above 0");
+            require(quotas.overage() >= 0, "quotas.overage", "a share of 0 or more");
+            require(quotas.slack() >= 0, "quotas.slack", "a number of requests, 0 or more");
+            require(
+                    quotas.dataCentres() != null && !quotas.dataCentres().isEmpty(),
+                    "quotas.dataCentres",
+                    "the names of all data centres");
+        }
         require(stopSeconds >= 1, "stopSeconds", "a time of 1 s or more");
     }
 
@@ -105,6 +129,10 @@
         return Optional.ofNullable(revokedKeysSeconds).map(seconds -> Duration.ofMillis((long) (seconds * 1000)));
     }
 
+    QuotaTerms quotaTerms() {
+        return quotas == null ? QuotaTerms.usual() : quotas.terms();
+    }
+
     InetSocketAddress storeAddress() {
         return Addresses.parse(store);
     }
--- a/src/main/java/io/beryldock/store/WatcherChoice.java
+++ b/src/main/java/io/beryldock/store/WatcherChoice.java
@@ -1,11 +1,9 @@
 package io.beryldock.store;
 
 import com.google.common.collect.ImmutableSet;
-import com.google.common.hash.HashFunction;
-import com.google.common.hash.Hashing;
 import io.beryldock.call.NodeId;
+import io.beryldock.call.NodeRanking;
 import java.time.Duration;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -33,7 +31,7 @@
     /** Time without any answer after which a node relies on nobody: two questions that failed, one a second. */
     private static final long SILENCE = Duration.ofMillis(2500).toNanos();
 
-    private static final HashFunction WEIGHTS = Hashing.murmur3_128(0x77617463);
+    private static final String TASK = "store-watcher";
 
     private final NodeId self;
     private final Map<NodeId, Long> suspectedAt = new HashMap<>();
@@ -87,13 +85,7 @@
     private void order(ImmutableSet<NodeId> present) {
         if (!present.equals(members)) {
             members = present;
-            byWeight = present.stream()
-                    .sorted(Comparator.comparingLong(WatcherChoice::weight))
-                    .toList();
+            byWeight = NodeRanking.of(present, TASK);
         }
     }
-
-    private static long weight(NodeId node) {
-        return WEIGHTS.hashUnencodedChars(node.value()).asLong();
-    }
 }
