--- a/src/main/java/io/beryldock/cli/SubcommandRegistry.java
+++ b/src/main/java/io/beryldock/cli/SubcommandRegistry.java
@@ -11,6 +11,7 @@
             .put("demo", new Entry(DemoSubcommand::new, "show a small deployment at work"))
             .put("measure", new Entry(MeasureSubcommand::new, "measure a scenario on real nodes: --scenario NAME"))
             .put("node", new Entry(NodeSubcommand::new, "run a node: --settings FILE"))
+            .put("path-cost", new Entry(PathCostSubcommand::new, "measure what a request costs the nodes on its way"))
             .put(
                     "platform-node",
                     new Entry(PlatformNodeSubcommand::new, "run a node on the users' platform: --settings FILE"))
--- a/src/main/java/io/beryldock/eventloop/EventLoops.java
+++ b/src/main/java/io/beryldock/eventloop/EventLoops.java
@@ -27,7 +27,12 @@
 
     /** Starts {@code threads} daemon threads. */
     public static EventLoops create(int threads) {
-        DefaultThreadFactory factory = new DefaultThreadFactory("traffic", true);
+        return create("traffic", threads);
+    }
+
+    /** Starts daemon threads of that name. */
+    public static EventLoops create(String name, int threads) {
+        DefaultThreadFactory factory = new DefaultThreadFactory(name, true);
         return new EventLoops(new MultiThreadIoEventLoopGroup(threads, factory, NioIoHandler.newFactory()));
     }
 
--- a/src/main/java/io/beryldock/platform/StandinPlatform.java
+++ b/src/main/java/io/beryldock/platform/StandinPlatform.java
@@ -34,6 +34,9 @@
 public final class StandinPlatform implements AutoCloseable {
 
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
+    /** Thread of the stand-ins and of the client, apart from those of the nodes. */
+    public static final String THREAD_NAME = "standin";
+
     private static final String HOST = "trial.example";
     private static final String SERVICE = "trial";
     private static final String TARGET = "trial-target";
@@ -57,6 +60,8 @@
     private final HttpClient client;
     private final InetSocketAddress storeAddress;
     private final InetSocketAddress targetAddress;
+    private InetSocketAddress requests;
+    private InetSocketAddress heartbeats;
 
     private StandinPlatform(EventLoops loops, ThreadTimerService timers, StandinStore store)
             throws IOException, InterruptedException {
@@ -76,7 +81,7 @@
         ThreadTimerService timers = ThreadTimerService.start("standin", Runnable::run);
         StandinStore store = new StandinStore(timers);
         store.write(OperatorDocument.KEY, ByteString.copyFromUtf8(DOCUMENT.formatted(HOST, SERVICE)));
-        return new StandinPlatform(EventLoops.create(1), timers, store);
+        return new StandinPlatform(EventLoops.create(THREAD_NAME, 1), timers, store);
     }
 
     private static InetSocketAddress loopback(int port) {
@@ -97,10 +102,20 @@
      * with success.
      */
     public int exercise(int number) throws IOException, InterruptedException, SettingsException, PeerStartException {
+        startNodes();
+        return request(number);
+    }
+
+    /** Starts the two nodes. */
+    public void startNodes() throws IOException, InterruptedException, SettingsException, PeerStartException {
         PlatformSettings.Listeners atTarget = startNode("trial-node-1");
         PlatformSettings.Listeners atEntry = startNode("trial-node-2");
-        InetSocketAddress requests = Addresses.parse(atEntry.requests());
-        InetSocketAddress heartbeats = Addresses.parse(atTarget.heartbeats());
+        requests = Addresses.parse(atEntry.requests());
+        heartbeats = Addresses.parse(atTarget.heartbeats());
+    }
+
+    /** Sends so many requests one after the other, and tells how many were answered with success. */
+    public int request(int number) throws InterruptedException {
         int served = 0;
         for (int i = 0; i < TRIES_FOR_ONE * number && served < number; i++) {
             if (i % BEAT_EACH == 0) {
