A request makes fewer objects and compares its names and ids directly

Cause, by perf on two nodes by hand: equals and hashCode of records go through method handles, which the first compiler does not see through, and ids and names are looked up dozens of times a request; names were checked letter by letter in a stream, headers copied by streams several times, an LRU cache kept the ids of ended calls, results were built twice.

--- a/src/main/java/io/beryldock/call/CallCodec.java
+++ b/src/main/java/io/beryldock/call/CallCodec.java
@@ -10,6 +10,7 @@
 import io.beryldock.wire.WireId;
 import io.beryldock.wire.WireLevel;
 import io.beryldock.wire.WireResult;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
@@ -60,11 +61,15 @@
 
     /** Encodes the result of the call with that id; the id lets the other end refuse another call's result. */
     public static WireResult encode(RequestId call, CallResult result) {
-        return encode(result).toBuilder().setCall(encode(call)).build();
+        return builder(result).setCall(encode(call)).build();
     }
 
     /** Encodes a result that is matched to its call by other means. */
     public static WireResult encode(CallResult result) {
+        return builder(result).build();
+    }
+
+    private static WireResult.Builder builder(CallResult result) {
         WireResult.Builder wire = WireResult.newBuilder()
                 .setOutcome(result.outcome().number())
                 .setReason(result.reason().map(Enum::name).orElse(""))
@@ -80,7 +85,7 @@
                 .forEach(level -> wire.addLevels(WireLevel.newBuilder()
                         .setService(level.service().value())
                         .setLevel(level.level())));
-        return wire.build();
+        return wire;
     }
 
     /** Reads a result; one that is malformed or belongs to another call is {@link Outcome#UNKNOWN}. */
@@ -97,13 +102,14 @@
     }
 
     public static CallResult decode(WireResult wire) {
-        ImmutableList<ServiceLevel> levels = wire.getLevelsList().stream()
-                .map(level -> new ServiceLevel(ServiceName.of(level.getService()), level.getLevel()))
-                .collect(ImmutableList.toImmutableList());
+        ImmutableList.Builder<ServiceLevel> levels = ImmutableList.builderWithExpectedSize(wire.getLevelsCount());
+        for (WireLevel level : wire.getLevelsList()) {
+            levels.add(new ServiceLevel(ServiceName.of(level.getService()), level.getLevel()));
+        }
         return base(wire)
                 .withRetryAfterMillis(wire.getRetryAfterMillis())
                 .withUnspentRetries(wire.getUnspentRetries())
-                .withLevels(levels)
+                .withLevels(levels.build())
                 .withSpentNanos(wire.getSpentNanos());
     }
 
@@ -160,17 +166,21 @@
     }
 
     private static List<WireHeader> encode(Headers headers) {
-        return headers.list().stream()
-                .map(header -> WireHeader.newBuilder()
-                        .setName(header.name())
-                        .setValue(header.value())
-                        .build())
-                .toList();
+        List<WireHeader> wire = new ArrayList<>(headers.list().size());
+        for (Headers.Header header : headers.list()) {
+            wire.add(WireHeader.newBuilder()
+                    .setName(header.name())
+                    .setValue(header.value())
+                    .build());
+        }
+        return wire;
     }
 
     private static Headers decode(List<WireHeader> wire) {
-        return Headers.of(wire.stream()
-                .map(header -> new Headers.Header(header.getName(), header.getValue()))
-                .toList());
+        List<Headers.Header> list = new ArrayList<>(wire.size());
+        for (WireHeader header : wire) {
+            list.add(new Headers.Header(header.getName(), header.getValue()));
+        }
+        return Headers.of(list);
     }
 }
--- a/src/main/java/io/beryldock/call/DataCentre.java
+++ b/src/main/java/io/beryldock/call/DataCentre.java
@@ -26,6 +26,17 @@
         return value.compareTo(other.value);
     }
 
+    // Records compare through method handles, which the compiler of a node's short life does not see through.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof DataCentre that && value.equals(that.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public String toString() {
         return value;
--- a/src/main/java/io/beryldock/call/Headers.java
+++ b/src/main/java/io/beryldock/call/Headers.java
@@ -1,7 +1,6 @@
 package io.beryldock.call;
 
 import com.google.common.collect.ImmutableList;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Predicate;
@@ -44,22 +43,37 @@
 
     /** Every value of the name, in order. */
     public ImmutableList<String> all(String name) {
-        return list.stream()
-                .filter(header -> header.name().equalsIgnoreCase(name))
-                .map(Header::value)
-                .collect(ImmutableList.toImmutableList());
+        ImmutableList<String> found = ImmutableList.of();
+        for (Header header : list) {
+            if (header.name().equalsIgnoreCase(name)) {
+                found = ImmutableList.<String>builder()
+                        .addAll(found)
+                        .add(header.value())
+                        .build();
+            }
+        }
+        return found;
     }
 
     /** The same fields with this one in place of any of its name. */
     public Headers with(String name, String value) {
-        List<Header> copy = new ArrayList<>(without(header -> header.equalsIgnoreCase(name)).list);
-        copy.add(new Header(name, value));
-        return of(copy);
+        ImmutableList.Builder<Header> copy = ImmutableList.builderWithExpectedSize(list.size() + 1);
+        for (Header header : list) {
+            if (!header.name().equalsIgnoreCase(name)) {
+                copy.add(header);
+            }
+        }
+        return new Headers(copy.add(new Header(name, value)).build());
     }
 
     /** The same fields without those whose name fits the predicate. */
     public Headers without(Predicate<String> dropped) {
-        return of(
-                list.stream().filter(header -> !dropped.test(header.name())).collect(ImmutableList.toImmutableList()));
+        ImmutableList.Builder<Header> kept = ImmutableList.builderWithExpectedSize(list.size());
+        for (Header header : list) {
+            if (!dropped.test(header.name())) {
+                kept.add(header);
+            }
+        }
+        return of(kept.build());
     }
 }
--- a/src/main/java/io/beryldock/call/Incarnation.java
+++ b/src/main/java/io/beryldock/call/Incarnation.java
@@ -28,6 +28,17 @@
         return new Incarnation(high, low);
     }
 
+    // Records compare through method handles, which the compiler of a node's short life does not see through.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Incarnation that && high == that.high && low == that.low;
+    }
+
+    @Override
+    public int hashCode() {
+        return Long.hashCode(high ^ low);
+    }
+
     @Override
     public String toString() {
         return DIGITS.toHexDigits(high) + DIGITS.toHexDigits(low);
--- a/src/main/java/io/beryldock/call/Names.java
+++ b/src/main/java/io/beryldock/call/Names.java
@@ -9,13 +9,15 @@
         if (value.isEmpty() || value.length() > maxLength) {
             throw new IllegalArgumentException(what + " must have 1 to " + maxLength + " characters: '" + value + "'");
         }
-        if (!value.chars().allMatch(Names::isAllowed)) {
-            throw new IllegalArgumentException(
-                    what + " may hold letters, digits, dot, dash and underscore only: '" + value + "'");
+        for (int i = 0; i < value.length(); i++) {
+            if (!isAllowed(value.charAt(i))) {
+                throw new IllegalArgumentException(
+                        what + " may hold letters, digits, dot, dash and underscore only: '" + value + "'");
+            }
         }
     }
 
-    private static boolean isAllowed(int ch) {
+    private static boolean isAllowed(char ch) {
         return Character.isLetterOrDigit(ch) || ch == '.' || ch == '-' || ch == '_';
     }
 }
--- a/src/main/java/io/beryldock/call/RequestId.java
+++ b/src/main/java/io/beryldock/call/RequestId.java
@@ -25,6 +25,17 @@
         return new RequestId(incarnation, Long.parseUnsignedLong(text.substring(dash + 1), HEX));
     }
 
+    // Records compare through method handles, which the compiler of a node's short life does not see through.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof RequestId that && counter == that.counter && incarnation.equals(that.incarnation);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * incarnation.hashCode() + Long.hashCode(counter);
+    }
+
     @Override
     public String toString() {
         return incarnation + "-" + Long.toHexString(counter);
--- a/src/main/java/io/beryldock/configuration/Route.java
+++ b/src/main/java/io/beryldock/configuration/Route.java
@@ -89,6 +89,9 @@
      * moved to another part would make the comparison worthless.
      */
     public ServiceName chooseService(RandomGenerator random) {
+        if (split.isEmpty()) {
+            return service;
+        }
         double left = split.stream().mapToDouble(WeightedService::weight).sum() * random.nextDouble();
         for (WeightedService part : split) {
             left -= part.weight();
--- a/src/main/java/io/beryldock/http/HeaderFilter.java
+++ b/src/main/java/io/beryldock/http/HeaderFilter.java
@@ -1,6 +1,6 @@
 package io.beryldock.http;
 
-import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.ImmutableList;
 import io.beryldock.call.Headers;
 import java.util.Arrays;
 import java.util.Locale;
@@ -16,8 +16,9 @@
 public final class HeaderFilter {
 
     private static final String OWN_PREFIX = "beryldock-";
-    private static final ImmutableSet<String> HOP_BY_HOP = ImmutableSet.of(
-            "connection",
+    private static final String CONNECTION = "connection";
+    private static final ImmutableList<String> HOP_BY_HOP = ImmutableList.of(
+            CONNECTION,
             "keep-alive",
             "proxy-authenticate",
             "proxy-authorization",
@@ -41,17 +42,27 @@
 
     /** The headers that do not concern one connection only. */
     public static Headers withoutHopByHop(Headers headers) {
-        Set<String> named = namedByConnection(headers);
-        return headers.without(name -> {
-            String lower = name.toLowerCase(Locale.ROOT);
-            return HOP_BY_HOP.contains(lower) || named.contains(lower);
-        });
+        ImmutableList<String> connection = headers.all(CONNECTION);
+        if (connection.isEmpty()) {
+            return headers.without(HeaderFilter::isHopByHop);
+        }
+        Set<String> named = namedBy(connection);
+        return headers.without(name -> isHopByHop(name) || named.contains(name.toLowerCase(Locale.ROOT)));
     }
 
-    private static Set<String> namedByConnection(Headers headers) {
-        return headers.list().stream()
-                .filter(header -> header.name().equalsIgnoreCase("connection"))
-                .flatMap(header -> Arrays.stream(header.value().split(",", -1)))
+    /** Compares without making a copy of the name in lower case: it is asked for each header of each request. */
+    private static boolean isHopByHop(String name) {
+        for (String known : HOP_BY_HOP) {
+            if (known.equalsIgnoreCase(name)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static Set<String> namedBy(ImmutableList<String> connection) {
+        return connection.stream()
+                .flatMap(value -> Arrays.stream(value.split(",", -1)))
                 .map(name -> name.trim().toLowerCase(Locale.ROOT))
                 .collect(Collectors.toSet());
     }
--- a/src/main/java/io/beryldock/organisation/OrganisationName.java
+++ b/src/main/java/io/beryldock/organisation/OrganisationName.java
@@ -13,6 +13,17 @@
         return new OrganisationName(value);
     }
 
+    // Records compare through method handles, which the compiler of a node's short life does not see through.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof OrganisationName that && value.equals(that.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public String toString() {
         return value;
--- a/src/main/java/io/beryldock/peer/ClockedPeerTransport.java
+++ b/src/main/java/io/beryldock/peer/ClockedPeerTransport.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.ByteString;
+import com.google.protobuf.UnsafeByteOperations;
 import io.beryldock.timeline.HlcTime;
 import io.beryldock.timeline.HybridLogicalClock;
 import java.net.InetSocketAddress;
@@ -72,9 +73,11 @@
     }
 
     private ByteString stamp(ByteString body) {
-        ByteBuffer time = ByteBuffer.allocate(Long.BYTES);
-        time.putLong(clock.now().pack()).flip();
-        return ByteString.copyFrom(time).concat(body);
+        byte[] stamped = new byte[Long.BYTES + body.size()];
+        ByteBuffer.wrap(stamped).putLong(clock.now().pack());
+        body.copyTo(stamped, Long.BYTES);
+        // The array is not kept anywhere else, so that nothing can change what it holds.
+        return UnsafeByteOperations.unsafeWrap(stamped);
     }
 
     /** False when the message has no time, as from a program that is no node; such a message is dropped. */
@@ -83,8 +86,7 @@
             log.atWarning().log("a message without a time is dropped");
             return false;
         }
-        long packed = stamped.substring(0, Long.BYTES).asReadOnlyByteBuffer().getLong();
-        clock.observe(HlcTime.unpack(packed));
+        clock.observe(HlcTime.unpack(stamped.asReadOnlyByteBuffer().getLong()));
         return true;
     }
 
--- a/src/main/java/io/beryldock/retry/RetryBudgets.java
+++ b/src/main/java/io/beryldock/retry/RetryBudgets.java
@@ -39,5 +39,17 @@
         budgets.invalidateAll();
     }
 
-    private record Pair(ServiceName caller, ServiceName callee) {}
+    private record Pair(ServiceName caller, ServiceName callee) {
+
+        // Records compare through method handles, which the compiler of a node's short life does not see through.
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof Pair that && callee.equals(that.callee) && caller.equals(that.caller);
+        }
+
+        @Override
+        public int hashCode() {
+            return 31 * caller.hashCode() + callee.hashCode();
+        }
+    }
 }
--- a/src/main/java/io/beryldock/retry/RetryLedger.java
+++ b/src/main/java/io/beryldock/retry/RetryLedger.java
@@ -1,7 +1,5 @@
 package io.beryldock.retry;
 
-import com.google.common.cache.Cache;
-import com.google.common.cache.CacheBuilder;
 import io.beryldock.call.RequestId;
 import io.beryldock.timeline.EventKind;
 import io.beryldock.timeline.EventSink;
@@ -26,8 +24,7 @@
     static final int REMEMBERED_CALLS = 4096;
 
     private final ConcurrentMap<RequestId, RetryAccount> accounts = new ConcurrentHashMap<>();
-    private final Cache<RequestId, Boolean> closed =
-            CacheBuilder.newBuilder().maximumSize(REMEMBERED_CALLS).build();
+    private final RecentCalls closed = new RecentCalls(REMEMBERED_CALLS);
     private final AtomicLong violations = new AtomicLong();
     private final AtomicLong rejectedReturns = new AtomicLong();
     private final EventSink events;
@@ -58,7 +55,7 @@
      * is open, or was closed not long ago, holds nothing and is found by nobody.
      */
     public RetryAccount open(RequestId call, int allowance) {
-        if (closed.getIfPresent(call) != null) {
+        if (closed.contains(call)) {
             return new RetryAccount(this, call, 0);
         }
         RetryAccount account = new RetryAccount(this, call, Math.max(0, allowance));
@@ -91,7 +88,7 @@
     }
 
     void drop(RequestId call, RetryAccount account) {
-        closed.put(call, true);
+        closed.add(call);
         accounts.remove(call, account);
     }
 
--- a/src/main/java/io/beryldock/routing/ServiceTargets.java
+++ b/src/main/java/io/beryldock/routing/ServiceTargets.java
@@ -59,6 +59,17 @@
         static Key of(TargetRecord target) {
             return new Key(target.node().id(), target.node().incarnation());
         }
+
+        // Records compare through method handles, which the compiler of a node's short life does not see through.
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof Key that && node.equals(that.node) && incarnation.equals(that.incarnation);
+        }
+
+        @Override
+        public int hashCode() {
+            return 31 * node.hashCode() + incarnation.hashCode();
+        }
     }
 
     /** Nodes that must not be chosen for a call, and whether it may show if a sick target is well again. */
