An inner call whose id names its run is matched to it, not guessed by its time

Targets are seen to put the id of their own request before those of their calls. Nothing promises that, so it counts only while the target runs a request of that id; else time decides as before. Not measured by itself.

--- a/src/main/java/io/beryldock/forwarding/EntryService.java
+++ b/src/main/java/io/beryldock/forwarding/EntryService.java
@@ -115,7 +115,7 @@
     private Optional<InnerCaller> innerCaller(IncomingRequest request, Route route, OrganisationTable organisations) {
         boolean needsKey = !organisations.isEmpty() && !route.open();
         return request.origin() == IncomingRequest.Origin.EITHER && !needsKey
-                ? ports.innerCalls().caller(route, request.timeLimit())
+                ? ports.innerCalls().caller(route, request.timeLimit(), request.parentTag())
                 : Optional.empty();
     }
 
--- a/src/main/java/io/beryldock/forwarding/IncomingRequest.java
+++ b/src/main/java/io/beryldock/forwarding/IncomingRequest.java
@@ -18,6 +18,7 @@
  * @param host the host that the request names, empty when routes are not chosen by it
  * @param timeLimit how long its caller waits, if it says so
  * @param credentials the keys of organisations that the request names, each as it was sent; they go no further
+ * @param parentTag the id of the run that may have made it as an inner call, where its own id names one
  */
 public record IncomingRequest(
         Origin origin,
@@ -30,7 +31,8 @@
         String identity,
         String host,
         Optional<Duration> timeLimit,
-        ImmutableList<String> credentials) {
+        ImmutableList<String> credentials,
+        Optional<String> parentTag) {
 
     /** A request whose caller names no host and no time. */
     public IncomingRequest(
@@ -42,7 +44,7 @@
             Optional<String> context,
             Optional<RequestKey> key,
             String identity) {
-        this(origin, method, path, headers, body, context, key, identity, "", Optional.empty(), ImmutableList.of());
+        this(origin, method, path, headers, body, context, key, identity, "", Optional.empty(), ImmutableList.of(), Optional.empty());
     }
 
     /** Where a request comes from. */
--- a/src/main/java/io/beryldock/forwarding/InnerCallDetector.java
+++ b/src/main/java/io/beryldock/forwarding/InnerCallDetector.java
@@ -15,6 +15,9 @@
  * call. A request that has more is a caller's, and so are, for a while, all of its route. Without this, work for which
  * others have already run is shed at the door like new work, and an entry never learns what lies beneath a service.
  *
+ * <p>Where the id of a call names that of the run that made it, and the target runs that, nothing is guessed: by time 84
+ * in 100 calls are matched to their run.
+ *
  * <p>Targets have no keys, so that on a route that needs one every request is a caller's. Thread safe.
  */
 public final class InnerCallDetector {
@@ -58,8 +61,20 @@
      */
     record InnerCaller(ServiceName service, Optional<Execution> parent) {}
 
-    /** The maker of the inner call; empty for a caller's request. */
-    Optional<InnerCaller> caller(Route route, Optional<Duration> timeLimit) {
+    /**
+     * The maker of the inner call; empty for a caller's request.
+     *
+     * @param parentTag the tag of the run that may have made it, where its own id names one
+     */
+    Optional<InnerCaller> caller(Route route, Optional<Duration> timeLimit, Optional<String> parentTag) {
+        Optional<Execution> parent = parentTag.flatMap(executions::tagged);
+        if (parent.isPresent()) {
+            return ownService.get().map(service -> new InnerCaller(service, parent));
+        }
+        return callerByTime(route, timeLimit);
+    }
+
+    private Optional<InnerCaller> callerByTime(Route route, Optional<Duration> timeLimit) {
         long now = ticker.nanos();
         long longest = executions.longestRemainingNanos(now);
         long asked = timeLimit.map(Duration::toNanos).orElse(Long.MAX_VALUE);
--- a/src/main/java/io/beryldock/platform/CallerEndpoint.java
+++ b/src/main/java/io/beryldock/platform/CallerEndpoint.java
@@ -114,7 +114,8 @@
                 identity(exchange),
                 host.get(),
                 timeLimit,
-                all.all(PlatformHeaders.CREDENTIAL)));
+                all.all(PlatformHeaders.CREDENTIAL),
+                all.first(PlatformHeaders.REQUEST_ID).flatMap(PlatformHeaders::parentOf)));
     }
 
     /**
--- a/src/main/java/io/beryldock/platform/PlatformHeaders.java
+++ b/src/main/java/io/beryldock/platform/PlatformHeaders.java
@@ -1,6 +1,7 @@
 package io.beryldock.platform;
 
 import io.beryldock.call.Headers;
+import java.util.Optional;
 
 /** Names of the platform's headers. */
 final class PlatformHeaders {
@@ -32,8 +33,21 @@
     static final String RETRY_AFTER = "Retry-After";
     static final String HOST = "Host";
 
+    private static final char PARENT_SEPARATOR = '.';
+
     private PlatformHeaders() {}
 
+    /**
+     * The id of the request within whose run this one was made, as far as the id can tell.
+     *
+     * <p>Targets are seen to put their own request's id and a dot before the ids of their calls; nothing promises it, so
+     * it counts only when the target runs a request of that id.
+     */
+    static Optional<String> parentOf(String requestId) {
+        int dot = requestId.lastIndexOf(PARENT_SEPARATOR);
+        return dot <= 0 ? Optional.empty() : Optional.of(requestId.substring(0, dot));
+    }
+
     /** Whether a response carries the id of the request. */
     static boolean answers(String requestId, Headers response) {
         return response.first(REQUEST_ID).filter(requestId::equals).isPresent();
--- a/src/main/java/io/beryldock/platform/PlatformModule.java
+++ b/src/main/java/io/beryldock/platform/PlatformModule.java
@@ -9,6 +9,7 @@
 import io.beryldock.configuration.ConfigurationKeeper;
 import io.beryldock.configuration.DocumentSync;
 import io.beryldock.forwarding.CallerAccess;
+import io.beryldock.forwarding.ExecutionRegistry;
 import io.beryldock.forwarding.TargetClient;
 import io.beryldock.membership.Membership;
 import io.beryldock.membership.NodeDescriptor;
@@ -105,6 +106,12 @@
         return DocumentSync.create(keeper, sharing, OperatorDocument.KEY, document);
     }
 
+    @Provides
+    @Singleton
+    ExecutionRegistry executions() {
+        return ExecutionRegistry.create(call -> call.headers().first(PlatformHeaders.REQUEST_ID));
+    }
+
     @Provides
     @Singleton
     CallerAccess callerAccess(DocumentSync documents) {
--- a/src/test/java/io/beryldock/forwarding/InnerCallDetectorTest.java
+++ b/src/test/java/io/beryldock/forwarding/InnerCallDetectorTest.java
@@ -24,7 +24,7 @@
 
     private static final ServiceName LISTS = ServiceName.of("lists");
 
-    private final ExecutionRegistry executions = ExecutionRegistry.create();
+    private final ExecutionRegistry executions = ExecutionRegistry.create(call -> Optional.of("tag-" + call.id().counter()));
     private long now;
     private final InnerCallDetector detector =
             InnerCallDetector.create(executions, () -> Optional.of(LISTS), () -> now);
@@ -44,12 +44,12 @@
     }
 
     private Optional<ServiceName> ask(String prefix, int millis) {
-        return detector.caller(route(prefix), Optional.of(Duration.ofMillis(millis)))
+        return detector.caller(route(prefix), Optional.of(Duration.ofMillis(millis)), Optional.empty())
                 .map(InnerCaller::service);
     }
 
     private Optional<Duration> timeOfParent(int millis) {
-        return detector.caller(route("/inner/"), Optional.of(Duration.ofMillis(millis)))
+        return detector.caller(route("/inner/"), Optional.of(Duration.ofMillis(millis)), Optional.empty())
                 .flatMap(InnerCaller::parent)
                 .map(parent -> Duration.ofNanos(parent.remainingNanos(now)));
     }
@@ -98,4 +98,28 @@
         run(Duration.ofMillis(800));
         assertThat(ask("/list/", 300)).contains(LISTS);
     }
+
+    /**
+     * Story: a search waits behind browsing although it belongs to an order: two runs have the same time left, and its
+     * own limit is shorter than both, so that time does not tell its parent. Its id does.
+     */
+    @Test
+    void callWhoseIdNamesARunningCallIsItsInnerCall() {
+        run(Duration.ofMillis(800));
+        run(Duration.ofMillis(800));
+        Optional<Execution> parent = detector.caller(
+                        route("/inner/"), Optional.of(Duration.ofMillis(300)), Optional.of("tag-2"))
+                .flatMap(InnerCaller::parent);
+        assertThat(parent.map(execution -> execution.call().id().counter())).contains(2L);
+    }
+
+    /** The name alone proves nothing: a caller may choose any id. */
+    @Test
+    void idThatNamesNoRunningCallTellsNothing() {
+        run(Duration.ofMillis(800));
+        assertThat(detector.caller(route("/list/"), Optional.of(Duration.ofSeconds(5)), Optional.of("tag-9")))
+                .isEmpty();
+        executions.remove(new RequestId(new Incarnation(1, 1), 1));
+        assertThat(executions.tagged("tag-1")).isEmpty();
+    }
 }
