--- a/src/main/java/io/beryldock/forwarding/IncomingRequest.java
+++ b/src/main/java/io/beryldock/forwarding/IncomingRequest.java
@@ -44,7 +44,19 @@
             Optional<String> context,
             Optional<RequestKey> key,
             String identity) {
-        this(origin, method, path, headers, body, context, key, identity, "", Optional.empty(), ImmutableList.of(), Optional.empty());
+        this(
+                origin,
+                method,
+                path,
+                headers,
+                body,
+                context,
+                key,
+                identity,
+                "",
+                Optional.empty(),
+                ImmutableList.of(),
+                Optional.empty());
     }
 
     /** Where a request comes from. */
--- a/src/main/java/io/beryldock/quota/QuotaHome.java
+++ b/src/main/java/io/beryldock/quota/QuotaHome.java
@@ -17,7 +17,7 @@
     private static final int SHARES = 4;
 
     /** Part of its capacity that a home keeps for its own data centre when another asks. */
-    private static final double KEPT_FROM_OTHERS = 0.5;
+    private static final double KEPT_FROM_OTHERS = 0.25;
 
     private final QuotaTerms terms;
     private final long startedAt;
@@ -35,14 +35,14 @@
         return bucket.take(Math.min(wanted, share), now);
     }
 
-    /** Tokens for the home in another data centre, which has run out: the half of what is to spare here. */
+    /** Tokens for the home in another data centre, which has run out: what is to spare here. */
     int lend(Organisation organisation, long now) {
         TokenBucket bucket = bucket(organisation, now);
         double spare = bucket.level(now) - KEPT_FROM_OTHERS * bucket.capacity();
-        return bucket.take((int) Math.ceil(spare / 2), now);
+        return bucket.take((int) Math.ceil(spare), now);
     }
 
-    /** Takes in what another data centre has given up. */
+    /** Takes in what another data centre has given up, or what a node has not used. */
     void add(Organisation organisation, int tokens, long now) {
         bucket(organisation, now).add(tokens, now);
     }
--- a/src/main/java/io/beryldock/quota/QuotaKeeper.java
+++ b/src/main/java/io/beryldock/quota/QuotaKeeper.java
@@ -132,7 +132,10 @@
     }
 
     private QuotaShare share(Organisation organisation) {
-        return shares.computeIfAbsent(organisation.name(), unused -> new QuotaShare(now()));
+        QuotaShare share =
+                shares.computeIfAbsent(organisation.name(), unused -> new QuotaShare(organisation.quota(), now()));
+        share.setQuota(organisation.quota());
+        return share;
     }
 
     private long life(Organisation organisation) {
@@ -147,9 +150,12 @@
     private void ask(Organisation organisation, int homesTried) {
         long askedAt = now();
         int wanted;
+        int unused;
         Optional<NodeId> asked;
         synchronized (this) {
-            wanted = share(organisation).wanted(life(organisation));
+            QuotaShare share = share(organisation);
+            wanted = share.wanted(life(organisation));
+            unused = share.takeUnused(askedAt);
             asked = homesTried < HOMES ? homeOf(organisation) : Optional.empty();
         }
         if (asked.isEmpty()) {
@@ -159,6 +165,7 @@
         QuotaQuestion question = QuotaQuestion.newBuilder()
                 .setOrganisation(organisation.name().value())
                 .setWanted(wanted)
+                .setUnused(unused)
                 .build();
         send(asked.get(), question, HOME_LIMIT).whenComplete((answer, failure) -> {
             if (failure == null) {
@@ -285,6 +292,7 @@
         }
         boolean borrow;
         synchronized (this) {
+            home.add(organisation, question.getUnused(), now());
             borrow = home.isEmpty(organisation, now()) && mayBorrow(organisation);
         }
         return borrow
--- a/src/main/java/io/beryldock/quota/QuotaShare.java
+++ b/src/main/java/io/beryldock/quota/QuotaShare.java
@@ -1,5 +1,6 @@
 package io.beryldock.quota;
 
+import io.beryldock.organisation.Quota;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.CompletableFuture;
@@ -18,8 +19,10 @@
     private static final double NANOS_PER_SECOND = 1e9;
 
     private final Deque<CompletableFuture<QuotaDecision>> waiting = new ArrayDeque<>();
+    private Quota quota;
     private int tokens;
     private int given;
+    private int unused;
     private long usableUntil;
     private boolean asking;
     private long emptyUntil;
@@ -27,11 +30,21 @@
     private long periodFrom;
     private int asked;
 
-    QuotaShare(long now) {
+    QuotaShare(Quota quota, long now) {
+        this.quota = quota;
         this.periodFrom = now;
         this.emptyUntil = now;
     }
 
+    /** Takes another quota; tokens of an earlier one are worth nothing under it, neither used nor given back. */
+    void setQuota(Quota next) {
+        if (!next.equals(quota)) {
+            quota = next;
+            tokens = 0;
+            unused = 0;
+        }
+    }
+
     /** Notes a request, so that parts are asked for by demand. */
     void onDemand(long now, long lifeNanos) {
         if (now - periodFrom >= lifeNanos) {
@@ -45,9 +58,7 @@
 
     /** Uses a token if there is one. */
     boolean take(long now) {
-        if (now >= usableUntil) {
-            tokens = 0;
-        }
+        expire(now);
         if (tokens == 0) {
             return false;
         }
@@ -55,10 +66,27 @@
         return true;
     }
 
+    private void expire(long now) {
+        if (now >= usableUntil) {
+            unused += tokens;
+            tokens = 0;
+        }
+    }
+
+    /** Tokens that were never used and can't be any more, to be made anew by the home; told once. */
+    int takeUnused(long now) {
+        expire(now);
+        int told = unused;
+        unused = 0;
+        return told;
+    }
+
     /** A request that used a token has not run. */
     void giveBack(long now) {
         if (now < usableUntil) {
             tokens++;
+        } else {
+            unused++;
         }
     }
 
--- a/src/main/java/io/beryldock/wire/QuotaProto.java
+++ b/src/main/java/io/beryldock/wire/QuotaProto.java
@@ -45,12 +45,12 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\013quota.proto\022\017beryldock.quota\"H\n\rQuotaQ" +
+      "\n\013quota.proto\022\017beryldock.quota\"X\n\rQuotaQ" +
       "uestion\022\024\n\014organisation\030\001 \001(\t\022\016\n\006wanted\030" +
-      "\002 \001(\r\022\021\n\tborrowing\030\003 \001(\010\"4\n\013QuotaAnswer\022" +
-      "\017\n\007granted\030\001 \001(\r\022\024\n\014empty_millis\030\002 \001(\rB!" +
-      "\n\021io.beryldock.wireB\nQuotaProtoP\001b\006proto" +
-      "3"
+      "\002 \001(\r\022\021\n\tborrowing\030\003 \001(\010\022\016\n\006unused\030\004 \001(\r" +
+      "\"4\n\013QuotaAnswer\022\017\n\007granted\030\001 \001(\r\022\024\n\014empt" +
+      "y_millis\030\002 \001(\rB!\n\021io.beryldock.wireB\nQuo" +
+      "taProtoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -61,7 +61,7 @@
     internal_static_beryldock_quota_QuotaQuestion_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_beryldock_quota_QuotaQuestion_descriptor,
-        new java.lang.String[] { "Organisation", "Wanted", "Borrowing", });
+        new java.lang.String[] { "Organisation", "Wanted", "Borrowing", "Unused", });
     internal_static_beryldock_quota_QuotaAnswer_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_beryldock_quota_QuotaAnswer_fieldAccessorTable = new
--- a/src/main/java/io/beryldock/wire/QuotaQuestion.java
+++ b/src/main/java/io/beryldock/wire/QuotaQuestion.java
@@ -118,6 +118,21 @@
     return borrowing_;
   }
 
+  public static final int UNUSED_FIELD_NUMBER = 4;
+  private int unused_ = 0;
+  /**
+   * <pre>
+   * Tokens granted to the sender before that it has not used and will not use.
+   * </pre>
+   *
+   * <code>uint32 unused = 4;</code>
+   * @return The unused.
+   */
+  @java.lang.Override
+  public int getUnused() {
+    return unused_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -141,6 +156,9 @@
     if (borrowing_ != false) {
       output.writeBool(3, borrowing_);
     }
+    if (unused_ != 0) {
+      output.writeUInt32(4, unused_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -156,6 +174,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(3, borrowing_);
     }
+    if (unused_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(4, unused_);
+    }
     return size;
   }
   @java.lang.Override
@@ -186,6 +208,8 @@
         != other.getWanted()) return false;
     if (getBorrowing()
         != other.getBorrowing()) return false;
+    if (getUnused()
+        != other.getUnused()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -204,6 +228,8 @@
     hash = (37 * hash) + BORROWING_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getBorrowing());
+    hash = (37 * hash) + UNUSED_FIELD_NUMBER;
+    hash = (53 * hash) + getUnused();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -338,6 +364,7 @@
       organisation_ = "";
       wanted_ = 0;
       borrowing_ = false;
+      unused_ = 0;
       return this;
     }
 
@@ -380,6 +407,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.borrowing_ = borrowing_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.unused_ = unused_;
+      }
     }
 
     @java.lang.Override
@@ -405,6 +435,9 @@
       if (other.getBorrowing() != false) {
         setBorrowing(other.getBorrowing());
       }
+      if (other.getUnused() != 0) {
+        setUnused(other.getUnused());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -444,6 +477,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 32: {
+              unused_ = input.readUInt32();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -621,6 +659,50 @@
       return this;
     }
 
+    private int unused_ ;
+    /**
+     * <pre>
+     * Tokens granted to the sender before that it has not used and will not use.
+     * </pre>
+     *
+     * <code>uint32 unused = 4;</code>
+     * @return The unused.
+     */
+    @java.lang.Override
+    public int getUnused() {
+      return unused_;
+    }
+    /**
+     * <pre>
+     * Tokens granted to the sender before that it has not used and will not use.
+     * </pre>
+     *
+     * <code>uint32 unused = 4;</code>
+     * @param value The unused to set.
+     * @return This builder for chaining.
+     */
+    public Builder setUnused(int value) {
+
+      unused_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Tokens granted to the sender before that it has not used and will not use.
+     * </pre>
+     *
+     * <code>uint32 unused = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearUnused() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      unused_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:beryldock.quota.QuotaQuestion)
   }
 
--- a/src/main/java/io/beryldock/wire/QuotaQuestionOrBuilder.java
+++ b/src/main/java/io/beryldock/wire/QuotaQuestionOrBuilder.java
@@ -41,4 +41,14 @@
    * @return The borrowing.
    */
   boolean getBorrowing();
+
+  /**
+   * <pre>
+   * Tokens granted to the sender before that it has not used and will not use.
+   * </pre>
+   *
+   * <code>uint32 unused = 4;</code>
+   * @return The unused.
+   */
+  int getUnused();
 }
