--- a/src/main/java/io/beryldock/nettyhttp/HttpServerConnection.java
+++ b/src/main/java/io/beryldock/nettyhttp/HttpServerConnection.java
@@ -150,7 +150,7 @@
                 HttpMessages.headers(request.headers()),
                 body,
                 (InetSocketAddress) context.channel().remoteAddress(),
-                answered -> writeSoon());
+                answered -> context.executor().execute(this::writeReady));
         body = ByteString.EMPTY;
         pending.add(exchange);
         if (pending.size() >= MAX_PIPELINED) {
@@ -170,15 +170,6 @@
         refused.answer(HttpAnswer.of(status).closing());
     }
 
-    /** At once on the loop itself: a task would wake its selector once more for nothing, a system call an answer. */
-    private void writeSoon() {
-        if (context.executor().inEventLoop()) {
-            writeReady();
-        } else {
-            context.executor().execute(this::writeReady);
-        }
-    }
-
     private void writeReady() {
         boolean wrote = false;
         while (!pending.isEmpty()
--- a/src/main/java/io/beryldock/peer/PeerPipeline.java
+++ b/src/main/java/io/beryldock/peer/PeerPipeline.java
@@ -37,7 +37,7 @@
 
     private static void addFrames(Channel channel, PeerHub hub, Runnable onBytes, ChannelHandler connection) {
         channel.pipeline()
-                .addLast(new FlushConsolidationHandler(FLUSHES_JOINED))
+                .addLast(new FlushConsolidationHandler(FLUSHES_JOINED, true))
                 .addLast(new FrameDecoder(hub.limits().maxFrameBytes(), hub.counters(), onBytes))
                 .addLast(new FrameEncoder(hub.counters()))
                 .addLast(connection);
