--- a/src/main/java/io/beryldock/configuration/DocumentSync.java
+++ b/src/main/java/io/beryldock/configuration/DocumentSync.java
@@ -25,33 +25,42 @@
     private final StoreSharing sharing;
     private final String key;
     private final DocumentDecoder decoder;
+    private final boolean verified;
 
     /** Set once by the control thread, asked by traffic threads. */
     private volatile StoreSharing.Verification verification = Optional::empty;
 
-    private DocumentSync(ConfigurationKeeper keeper, StoreSharing sharing, String key, DocumentDecoder decoder) {
+    private DocumentSync(
+            ConfigurationKeeper keeper, StoreSharing sharing, String key, DocumentDecoder decoder, boolean verified) {
         this.keeper = keeper;
         this.sharing = sharing;
         this.key = key;
         this.decoder = decoder;
+        this.verified = verified;
     }
 
     /**
      * A synchronisation that has not started.
      *
      * @param key under which the store holds the document
+     * @param verified whether it is to be known for how long the document has surely been the newest; it costs the store
+     *     a reading a second and data centre
      */
     public static DocumentSync create(
-            ConfigurationKeeper keeper, StoreSharing sharing, String key, DocumentDecoder decoder) {
-        return new DocumentSync(keeper, sharing, key, decoder);
+            ConfigurationKeeper keeper, StoreSharing sharing, String key, DocumentDecoder decoder, boolean verified) {
+        return new DocumentSync(keeper, sharing, key, decoder, verified);
     }
 
     /** Reads the document and follows it. */
     public void start() {
-        verification = sharing.followVerified(key, GATHER, this::onEntry);
+        if (verified) {
+            verification = sharing.followVerified(key, GATHER, this::onEntry);
+        } else {
+            sharing.follow(key, GATHER, this::onEntry);
+        }
     }
 
-    /** How long ago the document in force was surely the newest, in nanoseconds; empty when it was never known. */
+    /** How long ago the document in force was surely the newest, in nanoseconds; empty while it is not known. */
     public Optional<Long> verifiedAgeNanos() {
         return verification.ageNanos();
     }
--- a/src/main/java/io/beryldock/platform/PlatformModule.java
+++ b/src/main/java/io/beryldock/platform/PlatformModule.java
@@ -103,7 +103,8 @@
     @Provides
     @Singleton
     DocumentSync documentSync(ConfigurationKeeper keeper, StoreSharing sharing) {
-        return DocumentSync.create(keeper, sharing, OperatorDocument.KEY, document);
+        boolean verified = settings.revokedKeysWithin().isPresent();
+        return DocumentSync.create(keeper, sharing, OperatorDocument.KEY, document, verified);
     }
 
     @Provides
