--- a/src/main/java/io/beryldock/platform/StandinPlatform.java
+++ b/src/main/java/io/beryldock/platform/StandinPlatform.java
@@ -1,5 +1,6 @@
 package io.beryldock.platform;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.ByteString;
 import io.beryldock.call.Headers;
@@ -29,7 +30,7 @@
 
 /**
  * A platform in small on the loopback interface: a store, a target with its node and another node, for the run in which
- * the Java virtual machine records the classes that a node loads. Thread safe; closed once.
+ * the Java virtual machine records the classes that a node loads. Its client has the key of an organisation with a quota. Thread safe; closed once.
  */
 public final class StandinPlatform implements AutoCloseable {
 
@@ -40,6 +41,9 @@
     private static final String HOST = "trial.example";
     private static final String SERVICE = "trial";
     private static final String TARGET = "trial-target";
+    private static final String ORGANISATION = "trial-organisation";
+    private static final String KEY = "trial-key";
+    private static final int BAD_REQUEST = 400;
     private static final int SLOTS = 8;
     private static final int OK = 200;
     private static final int TRIES_FOR_ONE = 4;
@@ -52,7 +56,8 @@
             {"version":"00000001","routes":{"r1":{"hostname":"%s","pathPrefix":"/trial/","type":"safe","timeoutS":5,
             "targetLatencyS":1,"priority":0,"service":"%s","attempts":2}},"services":{},
             "limits":{"maxHeaderBytes":16384,
-            "maxBodyBytes":67108864,"headerTimeoutS":3,"idleTimeoutS":15}}
+            "maxBodyBytes":67108864,"headerTimeoutS":3,"idleTimeoutS":15},
+            "tenants":{"%s":{"apiKeys":["%s"],"priority":1,"ratePerS":100000,"burst":100000}}}
             """;
 
     private final EventLoops loops;
@@ -80,7 +85,8 @@
     public static StandinPlatform start() throws IOException, InterruptedException {
         ThreadTimerService timers = ThreadTimerService.start("standin", Runnable::run);
         StandinStore store = new StandinStore(timers);
-        store.write(OperatorDocument.KEY, ByteString.copyFromUtf8(DOCUMENT.formatted(HOST, SERVICE)));
+        store.write(
+                OperatorDocument.KEY, ByteString.copyFromUtf8(DOCUMENT.formatted(HOST, SERVICE, ORGANISATION, KEY)));
         return new StandinPlatform(EventLoops.create(THREAD_NAME, 1), timers, store);
     }
 
@@ -88,7 +94,13 @@
         return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
     }
 
+    /** Answers as a target does; one that is told the organisation's key, or not its name, fails. */
     private static void runTarget(HttpExchange exchange) {
+        boolean told = exchange.headers().all(PlatformHeaders.ORGANISATION).equals(ImmutableList.of(ORGANISATION));
+        if (!told || exchange.headers().first(PlatformHeaders.CREDENTIAL).isPresent()) {
+            exchange.answer(HttpAnswer.of(BAD_REQUEST));
+            return;
+        }
         String id = exchange.headers().first(PlatformHeaders.REQUEST_ID).orElse("");
         Headers headers = Headers.empty()
                 .with(PlatformHeaders.REQUEST_ID, id)
@@ -148,7 +160,9 @@
         return """
                 {"id":"%s","dataCentre":"trial-centre","address":"127.0.0.1","service":"%s",
                 "listeners":{"requests":"%s","readiness":"%s","heartbeats":"%s","peerPort":%d},
-                "store":"127.0.0.1:%d","retries":{"share":0.2,"windowSeconds":10,"slack":48},"stopSeconds":6}
+                "store":"127.0.0.1:%d","retries":{"share":0.2,"windowSeconds":10,"slack":48},
+                "revokedKeysSeconds":5,"quotas":{"windowSeconds":5,"overage":0.1,"slack":20,
+                "dataCentres":["trial-centre"]},"stopSeconds":6}
                 """.formatted(
                         id,
                         SERVICE,
@@ -174,9 +188,20 @@
         send(address, HttpCall.of("PUT", "/instances/" + TARGET, headers, ByteString.copyFromUtf8(body)));
     }
 
+    /** One request of a client that names the key, and another organisation than the key's, and its status. */
+    int requestWithKey(String key) throws InterruptedException {
+        return request(requests, 0, key);
+    }
+
     private int request(InetSocketAddress address, int number) throws InterruptedException {
+        return request(address, number, KEY);
+    }
+
+    private int request(InetSocketAddress address, int number, String key) throws InterruptedException {
         Headers headers = Headers.empty()
                 .with(PlatformHeaders.HOST, HOST)
+                .with(PlatformHeaders.CREDENTIAL, key)
+                .with(PlatformHeaders.ORGANISATION, "another-organisation")
                 .with(PlatformHeaders.REQUEST_ID, "request-" + number)
                 .with(PlatformHeaders.TIME_LEFT_MILLIS, "5000");
         return send(address, HttpCall.of("GET", "/trial/" + number, headers, ByteString.EMPTY));
