--- a/src/main/java/io/beryldock/quota/QuotaKeeper.java
+++ b/src/main/java/io/beryldock/quota/QuotaKeeper.java
@@ -36,9 +36,6 @@
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
     private static final int LOG_SECONDS = 10;
 
-    /** How long a node that did not answer is passed over: longer than most restarts. */
-    private static final long PASSED_OVER_NANOS = TimeUnit.SECONDS.toNanos(5);
-
     /**
      * Nodes of a data centre that may be an organisation's home. Each that takes over begins with a bucket of its own, so
      * that a long row of them, each held for silent in turn, would give the quota out many times.
@@ -48,14 +45,8 @@
     /** Longest wait for a home: some ten times the way and back on a busy VM; requests wait meanwhile. */
     private static final Duration HOME_LIMIT = Duration.ofMillis(150);
 
-    /**
-     * Longest wait for the homes in other data centres, well below that for the home that asks them: else it would be
-     * held for silent itself when a data centre is cut off.
-     */
-    private static final Duration LOAN_LIMIT = Duration.ofMillis(50);
-
     /** Shortest time for which a home that has none left is not asked again: bounds messages under a flood. */
-    private static final long SHORTEST_EMPTY_MILLIS = 40;
+    static final long SHORTEST_EMPTY_MILLIS = 40;
 
     /** Range of the additional wait told to refused callers, so that they don't come back together. */
     private static final int SPREAD_MILLIS = 600;
@@ -64,15 +55,15 @@
             CompletableFuture.completedFuture(QuotaDecision.within());
 
     private final Ports ports;
-    private final QuotaHome home;
+    private final QuotaMessenger messenger;
+    private final QuotaIssuer issuer;
     private final Map<OrganisationName, QuotaShare> shares = new HashMap<>();
     private final Map<OrganisationName, TokenBucket> ownParts = new HashMap<>();
-    private final Map<OrganisationName, Long> vainBorrowing = new HashMap<>();
-    private final Map<NodeId, Long> silentSince = new HashMap<>();
 
     private QuotaKeeper(Ports ports) {
         this.ports = ports;
-        this.home = new QuotaHome(ports.terms(), ports.ticker().nanos());
+        this.messenger = new QuotaMessenger(ports.peers(), ports.ticker());
+        this.issuer = new QuotaIssuer(ports.terms(), ports.peers(), messenger, ports.organisations(), ports.ticker());
     }
 
     /** What the keeper works with; the generator is thread safe. */
@@ -167,49 +158,23 @@
                 .setWanted(wanted)
                 .setUnused(unused)
                 .build();
-        send(asked.get(), question, HOME_LIMIT).whenComplete((answer, failure) -> {
+        messenger.ask(asked.get(), question, HOME_LIMIT, issuer::answer).whenComplete((answer, failure) -> {
             if (failure == null) {
                 takeGrant(organisation, askedAt, answer);
             } else {
-                passOver(asked.get());
+                messenger.passOver(asked.get());
                 ask(organisation, homesTried + 1);
             }
         });
     }
 
-    private CompletableFuture<QuotaAnswer> send(NodeId node, QuotaQuestion question, Duration limit) {
-        if (node.equals(ports.peers().self())) {
-            return answer(question);
-        }
-        return ports.peers().ask(node, question.toByteString(), limit).thenApply(QuotaKeeper::readAnswer);
-    }
-
-    private static QuotaAnswer readAnswer(ByteString body) {
-        try {
-            return QuotaAnswer.parseFrom(body);
-        } catch (InvalidProtocolBufferException e) {
-            throw new IllegalArgumentException("the answer on a quota is malformed", e);
-        }
-    }
-
     private Optional<NodeId> homeOf(Organisation organisation) {
         return ports.peers().homes(organisation.name()).stream()
                 .limit(HOMES)
-                .filter(node -> !isSilent(node))
+                .filter(node -> !messenger.isSilent(node))
                 .findFirst();
     }
 
-    private boolean isSilent(NodeId node) {
-        Long since = silentSince.get(node);
-        return since != null && now() - since <= PASSED_OVER_NANOS;
-    }
-
-    private synchronized void passOver(NodeId node) {
-        silentSince.put(node, now());
-        log.atInfo().atMostEvery(LOG_SECONDS, TimeUnit.SECONDS).log(
-                "node %s does not answer on quotas and is passed over", node);
-    }
-
     private void takeGrant(Organisation organisation, long askedAt, QuotaAnswer grant) {
         long now = now();
         boolean again;
@@ -260,7 +225,7 @@
                 .build();
     }
 
-    private static int emptyMillis(long millisToNext) {
+    static int emptyMillis(long millisToNext) {
         return (int) Math.max(SHORTEST_EMPTY_MILLIS, Math.min(millisToNext, TimeUnit.SECONDS.toMillis(1)));
     }
 
@@ -274,80 +239,6 @@
                     "node %s sent a malformed question on a quota", sender);
             return;
         }
-        answer(question).thenAccept(answer -> reply.accept(answer.toByteString()));
-    }
-
-    private CompletableFuture<QuotaAnswer> answer(QuotaQuestion question) {
-        Optional<Organisation> found =
-                ports.organisations().get().named(OrganisationName.of(question.getOrganisation()));
-        if (found.isEmpty() || found.get().quota().isUnlimited()) {
-            // This node has an earlier or later configuration than the one that asks, which asks again soon.
-            return CompletableFuture.completedFuture(QuotaAnswer.newBuilder()
-                    .setEmptyMillis((int) SHORTEST_EMPTY_MILLIS)
-                    .build());
-        }
-        Organisation organisation = found.get();
-        if (question.getBorrowing()) {
-            return CompletableFuture.completedFuture(lend(organisation));
-        }
-        boolean borrow;
-        synchronized (this) {
-            home.add(organisation, question.getUnused(), now());
-            borrow = home.isEmpty(organisation, now()) && mayBorrow(organisation);
-        }
-        return borrow
-                ? borrow(organisation).thenApply(unused -> grant(organisation, question.getWanted()))
-                : CompletableFuture.completedFuture(grant(organisation, question.getWanted()));
-    }
-
-    private synchronized QuotaAnswer lend(Organisation organisation) {
-        return QuotaAnswer.newBuilder()
-                .setGranted(home.lend(organisation, now()))
-                .build();
-    }
-
-    private synchronized QuotaAnswer grant(Organisation organisation, int wanted) {
-        long now = now();
-        int granted = home.grant(organisation, wanted, now);
-        return QuotaAnswer.newBuilder()
-                .setGranted(granted)
-                .setEmptyMillis(granted > 0 ? 0 : emptyMillis(home.millisToNext(organisation, now)))
-                .build();
-    }
-
-    private boolean mayBorrow(Organisation organisation) {
-        Long vain = vainBorrowing.get(organisation.name());
-        return vain == null || now() - vain > TimeUnit.MILLISECONDS.toNanos(SHORTEST_EMPTY_MILLIS);
-    }
-
-    /** Asks the homes in the other data centres for what they have to spare; completes when all have answered. */
-    private CompletableFuture<Void> borrow(Organisation organisation) {
-        ImmutableList<NodeId> lenders;
-        synchronized (this) {
-            vainBorrowing.put(organisation.name(), now());
-            lenders = ports.peers().homesElsewhere(organisation.name()).stream()
-                    .filter(node -> !isSilent(node))
-                    .collect(ImmutableList.toImmutableList());
-        }
-        QuotaQuestion question = QuotaQuestion.newBuilder()
-                .setOrganisation(organisation.name().value())
-                .setBorrowing(true)
-                .build();
-        CompletableFuture<?>[] loans = lenders.stream()
-                .map(node -> send(node, question, LOAN_LIMIT)
-                        .handle((loan, failure) -> takeLoan(organisation, node, loan, failure)))
-                .toArray(CompletableFuture<?>[]::new);
-        return CompletableFuture.allOf(loans);
-    }
-
-    private boolean takeLoan(Organisation organisation, NodeId lender, QuotaAnswer loan, Throwable failure) {
-        if (failure != null) {
-            passOver(lender);
-            return false;
-        }
-        synchronized (this) {
-            home.add(organisation, loan.getGranted(), now());
-        }
-        return loan.getGranted() > 0;
+        issuer.answer(question).thenAccept(answer -> reply.accept(answer.toByteString()));
     }
 }
