--- a/src/main/java/io/beryldock/cli/PathCostSubcommand.java
+++ b/src/main/java/io/beryldock/cli/PathCostSubcommand.java
@@ -15,8 +15,9 @@
 /**
  * Measures what a request costs the nodes that it passes: processor time and allocated bytes, at the start and later.
  *
- * <p>Two nodes, their store, target and client share one process; the client sends one request after the other. The time
- * of the client's and the stand-ins' threads is taken off. What is left is the nodes', with compiler and collector.
+ * <p>Two nodes, their store, target and client share one process; the client sends one request after the other. The
+ * time of the client's and the stand-ins' threads is taken off. What is left is the nodes', with compiler and
+ * collector.
  */
 public final class PathCostSubcommand implements Subcommand {
 
--- a/src/main/java/io/beryldock/configuration/DocumentSync.java
+++ b/src/main/java/io/beryldock/configuration/DocumentSync.java
@@ -11,8 +11,8 @@
 /**
  * Keeps this node at the operators' newest document in the store.
  *
- * <p>Control thread only, but for {@link #verifiedAgeNanos()}, which any thread may call. Invariant: the version in force never falls in one life of the process, whoever tells of a
- * document.
+ * <p>Control thread only, but for {@link #verifiedAgeNanos()}, which any thread may call. Invariant: the version in
+ * force never falls in one life of the process, whoever tells of a document.
  */
 public final class DocumentSync {
 
@@ -43,8 +43,8 @@
      * A synchronisation that has not started.
      *
      * @param key under which the store holds the document
-     * @param verified whether it is to be known for how long the document has surely been the newest; it costs the store
-     *     a reading a second and data centre
+     * @param verified whether it is to be known for how long the document has surely been the newest; it costs
+     *     the store a reading a second and data centre
      */
     public static DocumentSync create(
             ConfigurationKeeper keeper, StoreSharing sharing, String key, DocumentDecoder decoder, boolean verified) {
--- a/src/main/java/io/beryldock/forwarding/CallerAccess.java
+++ b/src/main/java/io/beryldock/forwarding/CallerAccess.java
@@ -12,10 +12,10 @@
 /**
  * Decides whether a caller may use a route, and for which organisation.
  *
- * <p>Guards against a key that was taken away and still opens routes at a node that could not hear of it: cut off, turned
- * away by the store, suspended or just started. A key counts only while the node knows that its configuration was the
- * newest within the time that operators allow. The check comes after the request, so every request that was sent later
- * than that time after the change meets a node that knows of it, or one that refuses. Thread safe.
+ * <p>Guards against a key that was taken away and still opens routes at a node that could not hear of it: cut off,
+ * turned away by the store, suspended or just started. A key counts only while the node knows that its configuration
+ * was the newest within the time that operators allow. The check comes after the request, so every request that was
+ * sent later than that time after the change meets a node that knows of it, or one that refuses. Thread safe.
  */
 public final class CallerAccess {
 
--- a/src/main/java/io/beryldock/forwarding/InnerCallDetector.java
+++ b/src/main/java/io/beryldock/forwarding/InnerCallDetector.java
@@ -15,8 +15,8 @@
  * call. A request that has more is a caller's, and so are, for a while, all of its route. Without this, work for which
  * others have already run is shed at the door like new work, and an entry never learns what lies beneath a service.
  *
- * <p>Where the id of a call names that of the run that made it, and the target runs that, nothing is guessed: by time 84
- * in 100 calls are matched to their run.
+ * <p>Where the id of a call names that of the run that made it, and the target runs that, nothing is guessed: by time
+ * 84 in 100 calls are matched to their run.
  *
  * <p>Targets have no keys, so that on a route that needs one every request is a caller's. Thread safe.
  */
--- a/src/main/java/io/beryldock/organisation/OrganisationTable.java
+++ b/src/main/java/io/beryldock/organisation/OrganisationTable.java
@@ -11,8 +11,8 @@
 /**
  * The organisations of one version of the configuration, by their keys.
  *
- * <p>Immutable. A look-up costs one hash-map access, whatever the number of keys. Where there is no organisation at all,
- * requests need no key.
+ * <p>Immutable. A look-up costs one hash-map access, whatever the number of keys. Where there is no organisation at
+ * all, requests need no key.
  */
 public final class OrganisationTable {
 
--- a/src/main/java/io/beryldock/platform/PlatformHeaders.java
+++ b/src/main/java/io/beryldock/platform/PlatformHeaders.java
@@ -40,8 +40,8 @@
     /**
      * The id of the request within whose run this one was made, as far as the id can tell.
      *
-     * <p>Targets are seen to put their own request's id and a dot before the ids of their calls; nothing promises it, so
-     * it counts only when the target runs a request of that id.
+     * <p>Targets are seen to put their own request's id and a dot before the ids of their calls; nothing promises it,
+     * so it counts only when the target runs a request of that id.
      */
     static Optional<String> parentOf(String requestId) {
         int dot = requestId.lastIndexOf(PARENT_SEPARATOR);
--- a/src/main/java/io/beryldock/platform/PlatformSettings.java
+++ b/src/main/java/io/beryldock/platform/PlatformSettings.java
@@ -22,8 +22,8 @@
  * @param listeners where others reach the node
  * @param store where the platform's store answers, IP:PORT
  * @param retries how much all nodes together may retry
- * @param revokedKeysSeconds time after which a key that was taken away opens nothing at any node, cut off or not; absent
- *     where nodes that can't hear of it may go on
+ * @param revokedKeysSeconds time after which a key that was taken away opens nothing at any node, cut off or not;
+ *     absent where nodes that can't hear of it may go on
  * @param quotas what is tolerated beyond the quotas of organisations; absent where there are none
  * @param stopSeconds time from SIGTERM to the end of the process
  */
--- a/src/main/java/io/beryldock/platform/StandinPlatform.java
+++ b/src/main/java/io/beryldock/platform/StandinPlatform.java
@@ -30,7 +30,8 @@
 
 /**
  * A platform in small on the loopback interface: a store, a target with its node and another node, for the run in which
- * the Java virtual machine records the classes that a node loads. Its client has the key of an organisation with a quota. Thread safe; closed once.
+ * the Java virtual machine records the classes that a node loads. Its client has the key of an organisation with a
+ * quota. Thread safe; closed once.
  */
 public final class StandinPlatform implements AutoCloseable {
 
--- a/src/main/java/io/beryldock/quota/QuotaKeeper.java
+++ b/src/main/java/io/beryldock/quota/QuotaKeeper.java
@@ -26,8 +26,8 @@
  *
  * <p>Each data centre has its part of a quota, and in it one node, the organisation's home, makes tokens at that part's
  * rate. Nodes at which requests come take some ahead, by demand, and use them for a short time. A home that has run out
- * takes what another data centre has to spare. So a cut leaves every side with what it has; no side can double it. Where
- * no home answers, a node goes by an even part of its own.
+ * takes what another data centre has to spare. So a cut leaves every side with what it has; no side can double it.
+ * Where no home answers, a node goes by an even part of its own.
  *
  * <p>Thread safe.
  */
@@ -37,8 +37,8 @@
     private static final int LOG_SECONDS = 10;
 
     /**
-     * Nodes of a data centre that may be an organisation's home. Each that takes over begins with a bucket of its own, so
-     * that a long row of them, each held for silent in turn, would give the quota out many times.
+     * Nodes of a data centre that may be an organisation's home. Each that takes over begins with a bucket of its
+     * own, so that a long row of them, each held for silent in turn, would give the quota out many times.
      */
     private static final int HOMES = 2;
 
--- a/src/main/java/io/beryldock/quota/QuotaTerms.java
+++ b/src/main/java/io/beryldock/quota/QuotaTerms.java
@@ -6,10 +6,10 @@
  * What operators tolerate beyond a quota, and what follows for the tokens that nodes hand out. Immutable.
  *
  * <p>In any window at most {@code (rate x window + burst) x (1 + overage) + slack} requests of an organisation may run.
- * Tokens are made faster than the rate, by a part of the burst in each window, as an organisation may use its burst in any
- * window: made at the rate alone, a tenth more demand than the rate for 18 s was refused 7 in 100 requests (one played
- * day), all of them within the quota. What is left of the window's bound is shared between tokens that nodes hold, and may
- * use later than they were given out, and those that a bucket has saved up.
+ * Tokens are made faster than the rate, by a part of the burst in each window, as an organisation may use its burst
+ * in any window: made at the rate alone, a tenth more demand than the rate for 18 s was refused 7 in 100 requests
+ * (one played day), all of them within the quota. What is left of the window's bound is shared between tokens that
+ * nodes hold, and may use later than they were given out, and those that a bucket has saved up.
  *
  * @param windowSeconds length of the window
  * @param overage part of the quota that may be exceeded
--- a/src/main/java/io/beryldock/store/StoreSharing.java
+++ b/src/main/java/io/beryldock/store/StoreSharing.java
@@ -40,8 +40,8 @@
     private static final Duration QUESTION_PERIOD = Duration.ofSeconds(1);
 
     /**
-     * Age of the last verification from which on a node asks the store itself. The watcher's is up to one period old and
-     * told within another; one period more is left for the loss of a watcher.
+     * Age of the last verification from which on a node asks the store itself. The watcher's is up to one period old
+     * and told within another; one period more is left for the loss of a watcher.
      */
     private static final Duration RELIANCE = Duration.ofMillis(2500);
 
--- a/src/test/java/io/beryldock/forwarding/CallerAccessTest.java
+++ b/src/test/java/io/beryldock/forwarding/CallerAccessTest.java
@@ -72,8 +72,9 @@
     }
 
     /**
-     * Story: a key is taken away, and a VM that is cut off goes on serving it; another VM, just started, answers 401 to a
-     * key that was given out while it could not hear of it. Neither can know: both say that the request has not run.
+     * Story: a key is taken away, and a VM that is cut off goes on serving it; another VM, just started, answers 401
+     * to a key that was given out while it could not hear of it. Neither can know: both say that the request has not
+     * run.
      */
     @Test
     void nodeThatDoesNotKnowTheNewestConfigurationCanTellOfNoKey() {
--- a/src/test/java/io/beryldock/platform/StandinPlatformTest.java
+++ b/src/test/java/io/beryldock/platform/StandinPlatformTest.java
@@ -12,7 +12,8 @@
 
     /**
      * Story: a client names its organisation's key, and another organisation; the target must be told the name of the
-     * key's and never the key, or it refuses. A key that no configuration has ever held is answered 401 and runs nowhere.
+     * key's and never the key, or it refuses. A key that no configuration has ever held is answered 401 and runs
+     * nowhere.
      */
     @Test
     void keysOpenTheRouteAndGoNoFurther()
--- a/src/test/java/io/beryldock/quota/QuotaKeeperTest.java
+++ b/src/test/java/io/beryldock/quota/QuotaKeeperTest.java
@@ -104,9 +104,9 @@
     }
 
     /**
-     * Story: many users come at once, a tenth more than the rates of their organisations for 18 s, and pages are refused
-     * though no window holds more than rate and burst allow: tokens were made at the rate alone, and those that a node
-     * did not use in their time were lost.
+     * Story: many users come at once, a tenth more than the rates of their organisations for 18 s, and pages are
+     * refused though no window holds more than rate and burst allow: tokens were made at the rate alone, and those
+     * that a node did not use in their time were lost.
      */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3})
@@ -161,7 +161,10 @@
         assertWithinTerms();
     }
 
-    /** While the home is silent the next one takes its place; requests wait for an answer once, then it is passed over. */
+    /**
+     * While the home is silent the next one takes its place; requests wait for an answer once, then it is passed
+     * over.
+     */
     @Test
     void silentHomeIsPassedOver() {
         start(5, 93, 31, 10);
