Read once more: one answer on quotas, one memory per directory, dead and roundabout code gone

Behaviour stays as it is. Answers on quotas were built in two classes, one of which took the other's constants: QuotaIssuer.answerOf serves both. What follows from a directory was kept by the same code in DirectoryPeers and DirectoryQuotaPeers: PerDirectory. OrganisationTable.all had no caller; Headers.all built a list anew for each value found.

--- a/src/main/java/io/beryldock/call/Headers.java
+++ b/src/main/java/io/beryldock/call/Headers.java
@@ -43,16 +43,13 @@
 
     /** Every value of the name, in order. */
     public ImmutableList<String> all(String name) {
-        ImmutableList<String> found = ImmutableList.of();
+        ImmutableList.Builder<String> found = ImmutableList.builderWithExpectedSize(1);
         for (Header header : list) {
             if (header.name().equalsIgnoreCase(name)) {
-                found = ImmutableList.<String>builder()
-                        .addAll(found)
-                        .add(header.value())
-                        .build();
+                found.add(header.value());
             }
         }
-        return found;
+        return found.build();
     }
 
     /** The same fields with this one in place of any of its name. */
--- a/src/main/java/io/beryldock/node/DirectoryPeers.java
+++ b/src/main/java/io/beryldock/node/DirectoryPeers.java
@@ -23,19 +23,17 @@
     /** Longest wait for an answer: it comes before the next question, which is a second later. */
     private static final Duration ANSWER_LIMIT = Duration.ofMillis(800);
 
-    private final NodeDescriptor self;
     private final Supplier<Directory> directory;
     private final PeerTransport transport;
     private final RandomGenerator random;
-    private volatile Split split;
+    private final PerDirectory<Split> split;
 
     private DirectoryPeers(
             NodeDescriptor self, Supplier<Directory> directory, PeerTransport transport, RandomGenerator random) {
-        this.self = self;
         this.directory = directory;
         this.transport = transport;
         this.random = random;
-        this.split = Split.of(Directory.empty(), self);
+        this.split = new PerDirectory<>(directory, known -> Split.of(known, self));
     }
 
     public static DirectoryPeers create(
@@ -44,7 +42,7 @@
     }
 
     /** The nodes of one directory, by whether they are in this data centre. Immutable. */
-    private record Split(Directory directory, ImmutableSet<NodeId> own, ImmutableList<NodeId> others) {
+    private record Split(ImmutableSet<NodeId> own, ImmutableList<NodeId> others) {
 
         static Split of(Directory directory, NodeDescriptor self) {
             ImmutableSet.Builder<NodeId> own = ImmutableSet.builder();
@@ -57,29 +55,18 @@
                     others.add(node.id());
                 }
             }
-            return new Split(directory, own.build(), others.build());
+            return new Split(own.build(), others.build());
         }
     }
 
-    /** Worked out once for each directory: it is asked for with each message. */
-    private Split split() {
-        Directory now = directory.get();
-        Split known = split;
-        if (known.directory() != now) {
-            known = Split.of(now, self);
-            split = known;
-        }
-        return known;
-    }
-
     @Override
     public ImmutableSet<NodeId> ownDataCentre() {
-        return split().own();
+        return split.get().own();
     }
 
     @Override
     public Optional<NodeId> elsewhere() {
-        List<NodeId> others = split().others();
+        List<NodeId> others = split.get().others();
         return others.isEmpty() ? Optional.empty() : Optional.of(others.get(random.nextInt(others.size())));
     }
 
--- a/src/main/java/io/beryldock/node/DirectoryQuotaPeers.java
+++ b/src/main/java/io/beryldock/node/DirectoryQuotaPeers.java
@@ -25,13 +25,13 @@
     private final NodeDescriptor self;
     private final Supplier<Directory> directory;
     private final PeerTransport transport;
-    private volatile Homes homes;
+    private final PerDirectory<Homes> homes;
 
     private DirectoryQuotaPeers(NodeDescriptor self, Supplier<Directory> directory, PeerTransport transport) {
         this.self = self;
         this.directory = directory;
         this.transport = transport;
-        this.homes = new Homes(Directory.empty(), self);
+        this.homes = new PerDirectory<>(directory, known -> new Homes(known, self));
     }
 
     public static DirectoryQuotaPeers create(
@@ -41,14 +41,12 @@
 
     /** The homes by one directory, each worked out when it is first asked for. */
     private static final class Homes {
-        private final Directory directory;
         private final DataCentre own;
         private final ImmutableListMultimap<DataCentre, NodeId> byCentre;
         private final Map<OrganisationName, ImmutableList<NodeId>> here = new ConcurrentHashMap<>();
         private final Map<OrganisationName, ImmutableList<NodeId>> elsewhere = new ConcurrentHashMap<>();
 
         Homes(Directory directory, NodeDescriptor self) {
-            this.directory = directory;
             this.own = self.dataCentre();
             ImmutableListMultimap.Builder<DataCentre, NodeId> nodes = ImmutableListMultimap.builder();
             if (directory.node(self.id()).isEmpty()) {
@@ -73,16 +71,6 @@
         }
     }
 
-    private Homes homes() {
-        Directory now = directory.get();
-        Homes known = homes;
-        if (known.directory != now) {
-            known = new Homes(now, self);
-            homes = known;
-        }
-        return known;
-    }
-
     @Override
     public NodeId self() {
         return self.id();
@@ -90,17 +78,17 @@
 
     @Override
     public ImmutableList<NodeId> homes(OrganisationName organisation) {
-        return homes().here(organisation);
+        return homes.get().here(organisation);
     }
 
     @Override
     public ImmutableList<NodeId> homesElsewhere(OrganisationName organisation) {
-        return homes().elsewhere(organisation);
+        return homes.get().elsewhere(organisation);
     }
 
     @Override
     public int nodes() {
-        return homes().byCentre.size();
+        return homes.get().byCentre.size();
     }
 
     @Override
--- a/src/main/java/io/beryldock/organisation/OrganisationTable.java
+++ b/src/main/java/io/beryldock/organisation/OrganisationTable.java
@@ -20,7 +20,6 @@
 
     private final ImmutableMap<String, Organisation> byKey;
     private final ImmutableMap<OrganisationName, Organisation> byName;
-
     private final ImmutableSortedSet<Integer> ranks;
 
     private OrganisationTable(
@@ -73,9 +72,4 @@
                 ? 0
                 : ranks.headSet(organisation.rank().getAsInt()).size();
     }
-
-    /** Every organisation, in the order of the document. */
-    public Collection<Organisation> all() {
-        return byName.values();
-    }
 }
--- a/src/main/java/io/beryldock/quota/QuotaHome.java
+++ b/src/main/java/io/beryldock/quota/QuotaHome.java
@@ -8,8 +8,8 @@
 /**
  * The buckets of the organisations whose home in its data centre this node is.
  *
- * <p>Invariant: over all data centres, tokens are made at the rate of the quota at most, and moved between them, never
- * copied. Not thread safe.
+ * <p>Invariant: over all data centres, tokens are made no faster than {@link QuotaTerms} say, and moved between them,
+ * never copied. Not thread safe.
  */
 final class QuotaHome {
 
@@ -19,6 +19,8 @@
     /** Part of its capacity that a home keeps for its own data centre when another asks. */
     private static final double KEPT_FROM_OTHERS = 0.25;
 
+    private static final double NANOS_PER_SECOND = 1e9;
+
     private final QuotaTerms terms;
     private final long startedAt;
     private final Map<OrganisationName, TokenBucket> buckets = new HashMap<>();
@@ -66,7 +68,7 @@
         double capacity = terms.partCapacity(organisation.quota());
         TokenBucket known = buckets.get(organisation.name());
         if (known == null) {
-            double sinceStart = rate * (now - startedAt) / 1e9;
+            double sinceStart = rate * (now - startedAt) / NANOS_PER_SECOND;
             known = new TokenBucket(rate, capacity, Math.min(capacity / 2, sinceStart), now);
             buckets.put(organisation.name(), known);
         }
--- a/src/main/java/io/beryldock/quota/QuotaIssuer.java
+++ b/src/main/java/io/beryldock/quota/QuotaIssuer.java
@@ -28,6 +28,12 @@
      */
     private static final Duration LOAN_LIMIT = Duration.ofMillis(50);
 
+    /** Shortest time for which a home that has none left is not asked again: bounds messages under a flood. */
+    static final long SHORTEST_EMPTY_MILLIS = 40;
+
+    /** Longest such time: an organisation may get a higher quota, or a loan, meanwhile. */
+    private static final long LONGEST_EMPTY_MILLIS = 1000;
+
     private final QuotaPeers peers;
     private final QuotaMessenger messenger;
     private final Supplier<OrganisationTable> organisations;
@@ -52,9 +58,7 @@
         Optional<Organisation> found = organisations.get().named(OrganisationName.of(question.getOrganisation()));
         if (found.isEmpty() || found.get().quota().isUnlimited()) {
             // This node has an earlier or later configuration than the one that asks, which asks again soon.
-            return CompletableFuture.completedFuture(QuotaAnswer.newBuilder()
-                    .setEmptyMillis((int) QuotaKeeper.SHORTEST_EMPTY_MILLIS)
-                    .build());
+            return CompletableFuture.completedFuture(answerOf(0, SHORTEST_EMPTY_MILLIS));
         }
         Organisation organisation = found.get();
         if (question.getBorrowing()) {
@@ -83,16 +87,22 @@
     private synchronized QuotaAnswer grant(Organisation organisation, int wanted) {
         long now = now();
         int granted = home.grant(organisation, wanted, now);
-        return QuotaAnswer.newBuilder()
-                .setGranted(granted)
-                .setEmptyMillis(granted > 0 ? 0 : QuotaKeeper.emptyMillis(home.millisToNext(organisation, now)))
-                .build();
+        return answerOf(granted, home.millisToNext(organisation, now));
+    }
+
+    /** So many tokens, or when there may be one again. */
+    static QuotaAnswer answerOf(int granted, long millisToNext) {
+        if (granted > 0) {
+            return QuotaAnswer.newBuilder().setGranted(granted).build();
+        }
+        long empty = Math.max(SHORTEST_EMPTY_MILLIS, Math.min(millisToNext, LONGEST_EMPTY_MILLIS));
+        return QuotaAnswer.newBuilder().setEmptyMillis((int) empty).build();
     }
 
     /** Bounds questions to other data centres while an organisation asks far more than its quota. */
     private boolean mayBorrow(Organisation organisation) {
         Long last = borrowedAt.get(organisation.name());
-        return last == null || now() - last > TimeUnit.MILLISECONDS.toNanos(QuotaKeeper.SHORTEST_EMPTY_MILLIS);
+        return last == null || now() - last > TimeUnit.MILLISECONDS.toNanos(SHORTEST_EMPTY_MILLIS);
     }
 
     /** Asks the homes in the other data centres for what they have to spare; completes when all have answered. */
--- a/src/main/java/io/beryldock/quota/QuotaKeeper.java
+++ b/src/main/java/io/beryldock/quota/QuotaKeeper.java
@@ -45,9 +45,6 @@
     /** Longest wait for a home: some ten times the way and back on a busy VM; requests wait meanwhile. */
     private static final Duration HOME_LIMIT = Duration.ofMillis(150);
 
-    /** Shortest time for which a home that has none left is not asked again: bounds messages under a flood. */
-    static final long SHORTEST_EMPTY_MILLIS = 40;
-
     /** Range of the additional wait told to refused callers, so that they don't come back together. */
     private static final int SPREAD_MILLIS = 600;
 
@@ -111,7 +108,7 @@
 
     private QuotaDecision over(long emptyNanos) {
         return QuotaDecision.over(TimeUnit.NANOSECONDS.toMillis(emptyNanos)
-                + SHORTEST_EMPTY_MILLIS
+                + QuotaIssuer.SHORTEST_EMPTY_MILLIS
                 + ports.random().nextInt(SPREAD_MILLIS));
     }
 
@@ -218,15 +215,7 @@
         TokenBucket part =
                 ownParts.computeIfAbsent(organisation.name(), unused -> new TokenBucket(rate, capacity, capacity, now));
         part.setTerms(rate, capacity, now);
-        int granted = part.take(wanted, now);
-        return QuotaAnswer.newBuilder()
-                .setGranted(granted)
-                .setEmptyMillis(granted > 0 ? 0 : emptyMillis(part.millisToNext(now)))
-                .build();
-    }
-
-    static int emptyMillis(long millisToNext) {
-        return (int) Math.max(SHORTEST_EMPTY_MILLIS, Math.min(millisToNext, TimeUnit.SECONDS.toMillis(1)));
+        return QuotaIssuer.answerOf(part.take(wanted, now), part.millisToNext(now));
     }
 
     /** Takes a question of another node. */
