The build generates the messages and the parser; nothing generated is in git

79,600 of 125,000 lines below src/main/java were generated classes. protoc and ANTLR come as Maven plug-ins, in the versions of their run-time libraries; the sources lie below target/generated-sources. Ruled out: the plug-in that finds protoc by itself, as the older one with the platform's classifier is enough.

--- a/src/main/antlr/Operator.g4
+++ b/src/main/antlr4/io/beryldock/command/grammar/Operator.g4
@@ -1,4 +1,4 @@
-// The operators' query and command language. Run generate beside this file after a change.
+// The operators' query and command language.
 // Keywords are written in any case. Every choice is made by looking one token ahead, which the messages of errors and
 // the completion rest on: both tell what may stand at a place by the tokens expected there.
 grammar Operator;
