--- a/src/main/java/io/beryldock/admission/GateCore.java
+++ b/src/main/java/io/beryldock/admission/GateCore.java
@@ -4,6 +4,7 @@
 import io.beryldock.call.PriorityClass;
 import io.beryldock.call.Reason;
 import io.beryldock.call.ServiceName;
+import io.beryldock.call.TargetLoad;
 import io.beryldock.timeline.EventSink;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -164,6 +165,12 @@
         return levels.level();
     }
 
+    TargetLoad load(long now, long version) {
+        boolean cold = limit.at(now) < settings.bound();
+        return new TargetLoad(
+                version, limit.at(now), running.size(), queue.size(), (long) times.mean(), cold, draining);
+    }
+
     GateSnapshot snapshot(long now) {
         advanceLevel(now);
         int abandoned = (int) running.stream()
--- a/src/main/java/io/beryldock/admission/TargetGate.java
+++ b/src/main/java/io/beryldock/admission/TargetGate.java
@@ -2,6 +2,7 @@
 
 import io.beryldock.call.ServiceLevel;
 import io.beryldock.call.ServiceName;
+import io.beryldock.call.TargetLoad;
 import io.beryldock.time.Ticker;
 import io.beryldock.time.TimerService;
 import io.beryldock.timeline.EventSink;
@@ -31,6 +32,7 @@
     private boolean queueTicking;
     private boolean reclaimTicking;
     private long order;
+    private long reports;
 
     private TargetGate(TimerService timers, GateCore core) {
         this.timers = timers;
@@ -86,6 +88,13 @@
         }
     }
 
+    /** What is told with each result. */
+    public TargetLoad load() {
+        synchronized (lock) {
+            return core.load(ticker.nanos(), ++reports);
+        }
+    }
+
     public GateSnapshot snapshot() {
         synchronized (lock) {
             return core.snapshot(ticker.nanos());
--- a/src/main/java/io/beryldock/call/CallCodec.java
+++ b/src/main/java/io/beryldock/call/CallCodec.java
@@ -10,10 +10,13 @@
 import io.beryldock.wire.WireId;
 import io.beryldock.wire.WireLevel;
 import io.beryldock.wire.WireResult;
+import io.beryldock.wire.WireServiceCost;
+import io.beryldock.wire.WireTargetLoad;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 /** Turns calls and results into the messages between nodes and back. Stateless. */
 public final class CallCodec {
@@ -85,6 +88,8 @@
                 .forEach(level -> wire.addLevels(WireLevel.newBuilder()
                         .setService(level.service().value())
                         .setLevel(level.level())));
+        result.cost().services().forEach(cost -> wire.addCosts(encode(cost)));
+        result.load().ifPresent(load -> wire.setLoad(encode(load)));
         return wire;
     }
 
@@ -106,11 +111,56 @@
         for (WireLevel level : wire.getLevelsList()) {
             levels.add(new ServiceLevel(ServiceName.of(level.getService()), level.getLevel()));
         }
-        return base(wire)
+        CallResult told = base(wire)
                 .withRetryAfterMillis(wire.getRetryAfterMillis())
                 .withUnspentRetries(wire.getUnspentRetries())
                 .withLevels(levels.build())
-                .withSpentNanos(wire.getSpentNanos());
+                .withSpentNanos(wire.getSpentNanos())
+                .withCost(decodeCosts(wire.getCostsList()));
+        return wire.hasLoad() ? told.withLoad(decode(wire.getLoad())) : told;
+    }
+
+    private static WireServiceCost encode(TreeCost.ServiceCost cost) {
+        return WireServiceCost.newBuilder()
+                .setService(cost.service().value())
+                .setCalls(cost.calls())
+                .setBusyMicros(TimeUnit.NANOSECONDS.toMicros(cost.busyNanos()))
+                .build();
+    }
+
+    private static TreeCost decodeCosts(List<WireServiceCost> wire) {
+        if (wire.isEmpty()) {
+            return TreeCost.none();
+        }
+        ImmutableList.Builder<TreeCost.ServiceCost> costs = ImmutableList.builderWithExpectedSize(wire.size());
+        for (WireServiceCost cost : wire) {
+            long busyNanos = TimeUnit.MICROSECONDS.toNanos(cost.getBusyMicros());
+            costs.add(new TreeCost.ServiceCost(ServiceName.of(cost.getService()), cost.getCalls(), busyNanos));
+        }
+        return new TreeCost(costs.build());
+    }
+
+    private static WireTargetLoad encode(TargetLoad load) {
+        return WireTargetLoad.newBuilder()
+                .setVersion(load.version())
+                .setLimit(load.limit())
+                .setRunning(load.running())
+                .setQueued(load.queued())
+                .setMeanMicros(TimeUnit.NANOSECONDS.toMicros(load.meanNanos()))
+                .setCold(load.cold())
+                .setDraining(load.draining())
+                .build();
+    }
+
+    private static TargetLoad decode(WireTargetLoad wire) {
+        return new TargetLoad(
+                wire.getVersion(),
+                wire.getLimit(),
+                wire.getRunning(),
+                wire.getQueued(),
+                TimeUnit.MICROSECONDS.toNanos(wire.getMeanMicros()),
+                wire.getCold(),
+                wire.getDraining());
     }
 
     private static CallResult base(WireResult wire) {
@@ -149,6 +199,7 @@
                 .setCallerHash(context.callerHash())
                 .setSunkNanos(context.sunkNanos())
                 .setRetriedAncestor(context.retriedAncestor())
+                .setCovered(context.covered())
                 .build();
     }
 
@@ -162,7 +213,8 @@
                 wire.getDepth(),
                 wire.getCallerHash(),
                 wire.getSunkNanos(),
-                wire.getRetriedAncestor());
+                wire.getRetriedAncestor(),
+                wire.getCovered());
     }
 
     private static List<WireHeader> encode(Headers headers) {
--- a/src/main/java/io/beryldock/call/CallContext.java
+++ b/src/main/java/io/beryldock/call/CallContext.java
@@ -14,6 +14,7 @@
  * @param parent the call within whose run this one was made, the root itself for a root call
  * @param depth 0 for the root
  * @param sunkNanos target time already spent in the tree for the root request
+ * @param covered whether its entry holds credits for the whole tree, so that it is served before what is not covered
  */
 public record CallContext(
         RequestId root,
@@ -24,7 +25,8 @@
         int depth,
         int callerHash,
         long sunkNanos,
-        boolean retriedAncestor) {
+        boolean retriedAncestor,
+        boolean covered) {
 
     public CallContext {
         Objects.requireNonNull(root, "root");
@@ -32,16 +34,64 @@
         Objects.requireNonNull(priority, "priority");
     }
 
+    /** A context whose tree is not covered by credits. */
+    public CallContext(
+            RequestId root,
+            RequestId parent,
+            PriorityClass priority,
+            long remainingNanos,
+            int retryAllowance,
+            int depth,
+            int callerHash,
+            long sunkNanos,
+            boolean retriedAncestor) {
+        this(
+                root,
+                parent,
+                priority,
+                remainingNanos,
+                retryAllowance,
+                depth,
+                callerHash,
+                sunkNanos,
+                retriedAncestor,
+                false);
+    }
+
+    /** The same context, covered by credits or not. */
+    public CallContext withCovered(boolean mark) {
+        return new CallContext(
+                root,
+                parent,
+                priority,
+                remainingNanos,
+                retryAllowance,
+                depth,
+                callerHash,
+                sunkNanos,
+                retriedAncestor,
+                mark);
+    }
+
     /** The same context with another part of the root's retries. */
     public CallContext withRetryAllowance(int allowance) {
         return new CallContext(
-                root, parent, priority, remainingNanos, allowance, depth, callerHash, sunkNanos, retriedAncestor);
+                root,
+                parent,
+                priority,
+                remainingNanos,
+                allowance,
+                depth,
+                callerHash,
+                sunkNanos,
+                retriedAncestor,
+                covered);
     }
 
     /** The same context with less time left; never below zero. */
     public CallContext afterNanos(long elapsedNanos) {
         long left = Math.max(0, remainingNanos - elapsedNanos);
         return new CallContext(
-                root, parent, priority, left, retryAllowance, depth, callerHash, sunkNanos, retriedAncestor);
+                root, parent, priority, left, retryAllowance, depth, callerHash, sunkNanos, retriedAncestor, covered);
     }
 }
--- a/src/main/java/io/beryldock/configuration/Route.java
+++ b/src/main/java/io/beryldock/configuration/Route.java
@@ -22,6 +22,7 @@
  * @param host the one host that the route is for, {@link #ANY_HOST} for any
  * @param split services among which requests are spread by weight; empty when all go to {@code service}
  * @param open whether requests need no key where there are organisations
+ * @param objective time within which an answer is worth most to its caller; the deadline where operators name none
  */
 public record Route(
         String prefix,
@@ -33,7 +34,8 @@
         String budget,
         String host,
         ImmutableList<WeightedService> split,
-        boolean open)
+        boolean open,
+        Duration objective)
         implements Setting {
 
     /** Stands for a route that does not look at the host. */
@@ -48,6 +50,7 @@
         Objects.requireNonNull(budget, "budget");
         Objects.requireNonNull(host, "host");
         Objects.requireNonNull(split, "split");
+        Objects.requireNonNull(objective, "objective");
     }
 
     /** A route for any host whose requests all go to one service. */
@@ -69,17 +72,26 @@
                 budget,
                 ANY_HOST,
                 ImmutableList.of(),
-                false);
+                false,
+                deadline);
     }
 
     /** The same route for one host, with its requests spread over these services. */
     public Route forHost(String name, ImmutableList<WeightedService> services) {
-        return new Route(prefix, methods, service, priorityClass, idempotent, deadline, budget, name, services, open);
+        return new Route(
+                prefix, methods, service, priorityClass, idempotent, deadline, budget, name, services, open, objective);
     }
 
     /** The same route, for requests without a key too or not. */
     public Route withOpen(boolean mark) {
-        return new Route(prefix, methods, service, priorityClass, idempotent, deadline, budget, host, split, mark);
+        return new Route(
+                prefix, methods, service, priorityClass, idempotent, deadline, budget, host, split, mark, objective);
+    }
+
+    /** The same route with a time within which an answer is worth most to its caller. */
+    public Route withObjective(Duration time) {
+        return new Route(
+                prefix, methods, service, priorityClass, idempotent, deadline, budget, host, split, open, time);
     }
 
     /**
@@ -107,11 +119,12 @@
     }
 
     Route withIdempotent(boolean mark) {
-        return new Route(prefix, methods, service, priorityClass, mark, deadline, budget, host, split, open);
+        return new Route(prefix, methods, service, priorityClass, mark, deadline, budget, host, split, open, objective);
     }
 
     Route withDeadline(Duration time) {
-        return new Route(prefix, methods, service, priorityClass, idempotent, time, budget, host, split, open);
+        return new Route(
+                prefix, methods, service, priorityClass, idempotent, time, budget, host, split, open, objective);
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/io/beryldock/credit/TreeCredits.java
@@ -0,0 +1,46 @@
+package io.beryldock.credit;
+
+import io.beryldock.call.TreeCost;
+
+/**
+ * The credits that an entry holds, for trees of calls that begin there.
+ *
+ * <p>Thread safe.
+ */
+public interface TreeCredits {
+
+    /**
+     * Whether trees of this kind need credits now: a service that they are known to call is short, and its home is in
+     * touch. While false, the levels that answers report decide as they do without credits.
+     */
+    boolean governs(TreeKey tree);
+
+    /** Notes that a tree was asked for, which is the demand that the entry tells the homes. */
+    void demand(TreeKey tree, Claimant claimant);
+
+    /** Takes the credits of one whole tree, of all its scarce services or of none; false when they do not suffice. */
+    boolean take(TreeKey tree, Claimant claimant);
+
+    /** Gives the credits of one tree back: it was not started. */
+    void giveBack(TreeKey tree, Claimant claimant);
+
+    /**
+     * Learns from the end of a tree that was started what trees of this kind cost.
+     *
+     * @param succeeded only a tree that did tells what is needed
+     */
+    void ended(TreeKey tree, TreeCost used, boolean succeeded);
+
+    /**
+     * How long a tree is expected to wait for its credits, behind others.
+     *
+     * @param ahead trees of the claimant's rank and of ranks before it that wait here
+     */
+    long expectedWaitNanos(TreeKey tree, Claimant claimant, int ahead);
+
+    /** Time that trees of this kind usually take from their start to their answer; 0 while unknown. */
+    long usualNanos(TreeKey tree);
+
+    /** The listener is told, on any thread, whenever credits have come in. */
+    void onCredits(Runnable listener);
+}
--- a/src/main/java/io/beryldock/forwarding/AttemptLoop.java
+++ b/src/main/java/io/beryldock/forwarding/AttemptLoop.java
@@ -7,6 +7,7 @@
 import io.beryldock.call.NodeId;
 import io.beryldock.call.Outcome;
 import io.beryldock.call.Reason;
+import io.beryldock.call.TreeCost;
 import io.beryldock.membership.TargetRecord;
 import io.beryldock.quarantine.Fingerprint;
 import io.beryldock.quarantine.Verdict;
@@ -45,6 +46,7 @@
     private int tries;
     private int fullRefusals;
     private long spentNanos;
+    private TreeCost cost = TreeCost.none();
     private long slowestNanos;
     private boolean mayHaveRun;
     private Optional<CallResult> last = Optional.empty();
@@ -115,6 +117,7 @@
         teachDoor(ended);
         settle(grant, ended);
         spentNanos += ended.spentNanos();
+        cost = cost.plus(ended.cost());
         slowestNanos = Math.max(slowestNanos, latencyNanos);
         mayHaveRun |= ended.outcome() == Outcome.UNKNOWN;
         fullRefusals += ended.reason().filter(RetryPolicy::isFullRefusal).isPresent() ? 1 : 0;
@@ -221,7 +224,7 @@
                         .withRetryAfterMillis(ended.retryAfterMillis())
                         .withLevels(ended.levels())
                 : ended;
-        result.complete(told.withSpentNanos(spentNanos));
+        result.complete(told.withSpentNanos(spentNanos).withCost(cost));
     }
 
     private long remainingNanos() {
--- a/src/main/java/io/beryldock/forwarding/EntryService.java
+++ b/src/main/java/io/beryldock/forwarding/EntryService.java
@@ -239,7 +239,8 @@
                 above.depth() + 1,
                 above.callerHash(),
                 parent.sunkNanos(ports.ticker().nanos()),
-                retriedAncestor);
+                retriedAncestor,
+                above.covered());
     }
 
     /**
--- a/src/main/java/io/beryldock/forwarding/Execution.java
+++ b/src/main/java/io/beryldock/forwarding/Execution.java
@@ -4,8 +4,10 @@
 import io.beryldock.call.Call;
 import io.beryldock.call.CallResult;
 import io.beryldock.call.ServiceName;
+import io.beryldock.call.TreeCost;
 import io.beryldock.retry.RetryAccount;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 
 /**
  * A call while the target of this node runs it: the parent of the target's inner calls.
@@ -22,6 +24,7 @@
     private final long deadlineNanos;
     private final AtomicLong innerSpentNanos = new AtomicLong();
     private final LevelReport beneath = LevelReport.create();
+    private final AtomicReference<TreeCost> innerCost = new AtomicReference<>(TreeCost.none());
 
     Execution(Call call, RetryAccount account, CancelScope scope, long startNanos, long deadlineNanos) {
         this.call = call;
@@ -52,6 +55,7 @@
     void onInnerEnd(ServiceName called, CallResult result) {
         innerSpentNanos.addAndGet(result.spentNanos());
         beneath.add(called, result.levels());
+        innerCost.accumulateAndGet(result.cost(), TreeCost::plus);
     }
 
     /** What the inner calls of this run were told. */
@@ -59,6 +63,11 @@
         return beneath;
     }
 
+    /** What this call and those beneath it used so far. */
+    TreeCost cost(long now) {
+        return TreeCost.ofCall(call.service(), now - startNanos).plus(innerCost.get());
+    }
+
     /** Target time spent in the tree so far: above this call, by it and beneath it. */
     long sunkNanos(long now) {
         return call.context().sunkNanos() + spentNanos(now);
--- a/src/main/java/io/beryldock/forwarding/TargetRun.java
+++ b/src/main/java/io/beryldock/forwarding/TargetRun.java
@@ -212,7 +212,10 @@
         ports.executions().remove(call.id());
         int unspent = started.account().close();
         started.scope().cancel();
-        return told.withUnspentRetries(unspent).withSpentNanos(started.spentNanos(now()));
+        long now = now();
+        return told.withUnspentRetries(unspent)
+                .withSpentNanos(started.spentNanos(now))
+                .withCost(started.cost(now));
     }
 
     /** The time is over or the caller is gone: a queued call is refused, a running one ends UNKNOWN. */
@@ -242,7 +245,7 @@
 
     private void finish(CallResult told) {
         deadline.cancel();
-        result.complete(told.withLevels(levels()));
+        result.complete(told.withLevels(levels()).withLoad(target.gate().load()));
     }
 
     private ImmutableList<ServiceLevel> levels() {
--- a/src/main/java/io/beryldock/peer/PeerTopic.java
+++ b/src/main/java/io/beryldock/peer/PeerTopic.java
@@ -10,7 +10,9 @@
     TIMELINE(6),
     QUARANTINE(7),
     STORE(8),
-    QUOTA(9);
+    QUOTA(9),
+    CREDIT(10),
+    LOAD(11);
 
     private final int number;
 
--- a/src/main/java/io/beryldock/platform/OperatorDocument.java
+++ b/src/main/java/io/beryldock/platform/OperatorDocument.java
@@ -39,6 +39,10 @@
     static final String KEY = "op/config";
 
     private static final int HEX = 16;
+
+    /** Requests of these types may run more than once. */
+    private static final ImmutableSet<String> IDEMPOTENT_TYPES = ImmutableSet.of("safe", "download");
+
     private static final double NANOS_PER_SECOND = 1e9;
 
     /** What the document says of retries is a number for one request; the share for a service is in the settings. */
@@ -115,13 +119,19 @@
                 ImmutableSet.of(),
                 service,
                 priority.name(),
-                wire.path("type").asText().equals("safe"),
+                IDEMPOTENT_TYPES.contains(wire.path("type").asText()),
                 seconds(wire.path("timeoutS")),
                 budget.name());
         settings.add(new ClassSetting(priority));
         settings.add(budget);
         settings.add(route.forHost(wire.path("hostname").asText(), split)
-                .withOpen(wire.path("public").asBoolean()));
+                .withOpen(wire.path("public").asBoolean())
+                .withObjective(objective(wire, route.deadline())));
+    }
+
+    private static Duration objective(JsonNode wire, Duration deadline) {
+        Duration told = seconds(wire.path("targetLatencyS"));
+        return !told.isZero() && told.compareTo(deadline) < 0 ? told : deadline;
     }
 
     private static ImmutableList<WeightedService> split(JsonNode parts) {
--- /dev/null
+++ b/src/main/java/io/beryldock/waiting/EntryAdmission.java
@@ -0,0 +1,22 @@
+package io.beryldock.waiting;
+
+import java.util.concurrent.CompletableFuture;
+
+/** Decides when a caller's request starts. Thread safe. */
+public interface EntryAdmission {
+
+    /** A request that is being decided over. */
+    interface Pending {
+
+        /** Completes once, at the latest when the request can no longer meet its objective; never fails. */
+        CompletableFuture<EntryDecision> decision();
+
+        /** The caller is gone: its place is free for others. */
+        void leave();
+    }
+
+    Pending admit(WaitingRequest request);
+
+    /** The node stops: whoever waits is refused now, and so is who comes later. */
+    void stop();
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/waiting/WaitingRequest.java
@@ -0,0 +1,22 @@
+package io.beryldock.waiting;
+
+import io.beryldock.credit.Claimant;
+import io.beryldock.credit.TreeKey;
+import java.util.Objects;
+
+/**
+ * A caller's request before its first call. Immutable.
+ *
+ * @param returned whether it was refused before and comes back at the time that its caller was told
+ * @param objectiveNanos time from now within which an answer is worth most to the caller
+ * @param remainingNanos time from now after which the caller takes no answer
+ * @param bytes held for the request while it waits
+ */
+public record WaitingRequest(
+        TreeKey tree, Claimant claimant, boolean returned, long objectiveNanos, long remainingNanos, int bytes) {
+
+    public WaitingRequest {
+        Objects.requireNonNull(tree, "tree");
+        Objects.requireNonNull(claimant, "claimant");
+    }
+}
--- a/src/test/java/io/beryldock/platform/OperatorDocumentTest.java
+++ b/src/test/java/io/beryldock/platform/OperatorDocumentTest.java
@@ -57,6 +57,27 @@
         assertThat(configuration.find("a.example", "GET", "/x")).isEmpty();
     }
 
+    /** Guards against a failed answer for each large body whose target fails, though another could give it. */
+    @Test
+    void requestsForLargeBodiesMayRunAgain() throws ConfigurationException {
+        String text = TEXT.replace("\"safe\"", "\"download\"");
+        Configuration configuration = decoder.decode(ByteString.copyFromUtf8(text));
+        Route wide = configuration.find("a.example", "GET", "/x/1").orElseThrow();
+        assertThat(wide.idempotent()).isTrue();
+    }
+
+    /** The objective is the operators', but never beyond the time that they let a request wait. */
+    @Test
+    void routesHaveAnObjectiveWithinTheirDeadline() throws ConfigurationException {
+        String text = TEXT.replace("\"timeoutS\":0.8", "\"timeoutS\":0.8,\"targetLatencyS\":0.4")
+                .replace("\"timeoutS\":1,", "\"timeoutS\":1,\"targetLatencyS\":4,");
+        Configuration configuration = decoder.decode(ByteString.copyFromUtf8(text));
+        Route wide = configuration.find("a.example", "GET", "/x/1").orElseThrow();
+        Route deep = configuration.find("a.example", "POST", "/x/y/2").orElseThrow();
+        assertThat(wide.objective()).isEqualTo(Duration.ofMillis(400));
+        assertThat(deep.objective()).isEqualTo(Duration.ofSeconds(1));
+    }
+
     /** Requests are spread by weight whatever room the parts have; 10,000 draws of one seed stay within 2 in 100. */
     @Test
     void requestsAreSpreadByWeight() throws ConfigurationException {
