Targets that slow down when nearly full keep a share of their slots free, where settings say so

Cause: gates filled all announced slots, and targets of the new deployments take 1.3 times as long above 0.95 of them, so that a saturated service of 592 slots served like one of 455. Setting usableSlots; absent, all slots are used as before.

--- a/src/main/java/io/beryldock/admission/GateSettings.java
+++ b/src/main/java/io/beryldock/admission/GateSettings.java
@@ -13,6 +13,7 @@
  * @param initialLimit where a new gate starts
  * @param maxLimit the limit never rises above it
  * @param announcedSlots what the target announced, a hard bound of the limit; 0 when it announced nothing
+ * @param usableShare share of the announced slots that is used, for targets that slow down when nearly full
  * @param queueCapacity requests that may wait
  * @param queueTarget wait allowed while the queue stands
  * @param queueInterval wait allowed in a burst, and the time after which a queue that never emptied stands
@@ -25,18 +26,26 @@
         int initialLimit,
         int maxLimit,
         int announcedSlots,
+        double usableShare,
         int queueCapacity,
         Duration queueTarget,
         Duration queueInterval,
         Duration rampTime,
         Duration abandonedHold) {
 
+    /** Slots of a target from which on one may be left free. */
+    static final int FEWEST_TO_SPARE_ONE = 5;
+
     public GateSettings {
         Objects.requireNonNull(strategy, "strategy");
         if (minLimit < 1 || initialLimit < minLimit || maxLimit < initialLimit) {
             throw new IllegalArgumentException(
                     "limits must be 1 <= min <= initial <= max: " + minLimit + ", " + initialLimit + ", " + maxLimit);
         }
+        if (usableShare <= 0 || usableShare > 1) {
+            throw new IllegalArgumentException(
+                    "the usable share of slots must be above 0 and at most 1: " + usableShare);
+        }
         if (announcedSlots < 0 || queueCapacity < 0) {
             throw new IllegalArgumentException("slots and queue capacity must not be negative");
         }
@@ -49,6 +58,7 @@
                 4,
                 1_000,
                 0,
+                1,
                 256,
                 Duration.ofMillis(20),
                 Duration.ofMillis(100),
@@ -76,6 +86,7 @@
                 initialLimit,
                 maxLimit,
                 slots,
+                usableShare,
                 queueCapacity,
                 queueTarget,
                 queueInterval,
@@ -91,6 +102,7 @@
                 initialLimit,
                 maxLimit,
                 announcedSlots,
+                usableShare,
                 queueCapacity,
                 queueTarget,
                 queueInterval,
@@ -106,6 +118,23 @@
                 limit,
                 maxLimit,
                 announcedSlots,
+                usableShare,
+                queueCapacity,
+                queueTarget,
+                queueInterval,
+                rampTime,
+                abandonedHold);
+    }
+
+    /** The same settings with another share of the announced slots that is used. */
+    public GateSettings withUsableShare(double share) {
+        return new GateSettings(
+                strategy,
+                minLimit,
+                initialLimit,
+                maxLimit,
+                announcedSlots,
+                share,
                 queueCapacity,
                 queueTarget,
                 queueInterval,
@@ -115,7 +144,12 @@
 
     /** The highest limit allowed. */
     int bound() {
-        return announcedSlots > 0 ? Math.min(announcedSlots, maxLimit) : maxLimit;
+        return announcedSlots > 0 ? Math.min(usableSlots(), maxLimit) : maxLimit;
+    }
+
+    /** Of few slots none is left free: one of them is worth more than what the others gain. */
+    private int usableSlots() {
+        return announcedSlots < FEWEST_TO_SPARE_ONE ? announcedSlots : (int) (usableShare * announcedSlots);
     }
 
     /** Where the strategy starts: at the announced slots, which it may then lower, else at the initial limit. */
--- a/src/main/java/io/beryldock/node/TrafficModule.java
+++ b/src/main/java/io/beryldock/node/TrafficModule.java
@@ -98,6 +98,7 @@
                 limit,
                 limit,
                 0,
+                1,
                 BASELINE_QUEUE,
                 BASELINE_WAIT,
                 BASELINE_WAIT,
--- a/src/main/java/io/beryldock/platform/PlatformModule.java
+++ b/src/main/java/io/beryldock/platform/PlatformModule.java
@@ -145,7 +145,7 @@
     @Provides
     @Singleton
     GateSettings gateSettings() {
-        return GateSettings.ofAnnouncedSlots();
+        return GateSettings.ofAnnouncedSlots().withUsableShare(settings.usableShareOfSlots());
     }
 
     @Provides
--- a/src/main/java/io/beryldock/platform/PlatformSettings.java
+++ b/src/main/java/io/beryldock/platform/PlatformSettings.java
@@ -25,6 +25,7 @@
  * @param revokedKeysSeconds time after which a key that was taken away opens nothing at any node, cut off or not;
  *     absent where nodes that can't hear of it may go on
  * @param quotas what is tolerated beyond the quotas of organisations; absent where there are none
+ * @param usableSlots share of a target's slots that is used, for targets that slow down when nearly full; absent for all
  * @param stopSeconds time from SIGTERM to the end of the process
  */
 record PlatformSettings(
@@ -37,6 +38,7 @@
         Retries retries,
         Double revokedKeysSeconds,
         Quotas quotas,
+        Double usableSlots,
         double stopSeconds)
         implements SelfChecked {
 
@@ -112,6 +114,10 @@
                     "quotas.dataCentres",
                     "the names of all data centres");
         }
+        require(
+                usableSlots == null || (usableSlots > 0 && usableSlots <= 1),
+                "usableSlots",
+                "a share above 0 and at most 1, or leave it out");
         require(stopSeconds >= 1, "stopSeconds", "a time of 1 s or more");
     }
 
@@ -129,6 +135,10 @@
         return Optional.ofNullable(revokedKeysSeconds).map(seconds -> Duration.ofMillis((long) (seconds * 1000)));
     }
 
+    double usableShareOfSlots() {
+        return usableSlots == null ? 1 : usableSlots;
+    }
+
     QuotaTerms quotaTerms() {
         return quotas == null ? QuotaTerms.usual() : quotas.terms();
     }
--- a/src/test/java/io/beryldock/admission/TargetGateTest.java
+++ b/src/test/java/io/beryldock/admission/TargetGateTest.java
@@ -106,6 +106,25 @@
         assertThat(fixture.gate.snapshot().limit()).isEqualTo(55);
     }
 
+    /** Guards against full targets that serve less: some take a third longer for each request when nearly full. */
+    @Test
+    void slotsStayFreeWhereTargetsSlowDownWhenNearlyFull() {
+        GateSettings sparing = GateSettings.ofAnnouncedSlots().withUsableShare(0.94);
+        GateFixture fixture = new GateFixture(sparing.withAnnouncedSlots(16));
+        List<Heard> asked = fixture.submit(3, 16);
+        assertThat(asked.stream().filter(heard -> heard.permit != null)).hasSize(15);
+        assertThat(new GateFixture(sparing.withAnnouncedSlots(148))
+                        .gate
+                        .snapshot()
+                        .limit())
+                .isEqualTo(139);
+        assertThat(new GateFixture(sparing.withAnnouncedSlots(4))
+                        .gate
+                        .snapshot()
+                        .limit())
+                .isEqualTo(4);
+    }
+
     // A target has just started and is slow at first. Given all its slots at once it would time out on all of them.
     @Test
     void coldTargetIsGivenItsSlotsLittleByLittle() {
