Retries are counted exactly over sliding windows, less important ones keep out of the way, calls turned away with room are sent again

Now each node counts first tries and repeats of a callee over the last window; calls of a repeated run are marked and count as repeats; less important requests get at most a quarter of the budget while more important ones ask. A failure that a target answers is tried elsewhere for idempotent calls that called nothing. All by settings: retries.windowed, resends, failedLeaves; absent, nothing changes.

--- a/src/main/java/io/beryldock/call/CallCodec.java
+++ b/src/main/java/io/beryldock/call/CallCodec.java
@@ -200,6 +200,7 @@
                 .setSunkNanos(context.sunkNanos())
                 .setRetriedAncestor(context.retriedAncestor())
                 .setCovered(context.covered())
+                .setRepeat(context.repeat())
                 .build();
     }
 
@@ -214,7 +215,8 @@
                 wire.getCallerHash(),
                 wire.getSunkNanos(),
                 wire.getRetriedAncestor(),
-                wire.getCovered());
+                wire.getCovered(),
+                wire.getRepeat());
     }
 
     private static List<WireHeader> encode(Headers headers) {
--- a/src/main/java/io/beryldock/call/CallContext.java
+++ b/src/main/java/io/beryldock/call/CallContext.java
@@ -15,6 +15,7 @@
  * @param depth 0 for the root
  * @param sunkNanos target time already spent in the tree for the root request
  * @param covered whether its entry holds credits for the whole tree, so that it is served before what is not covered
+ * @param repeat whether the run that makes the call repeats an earlier one, which made the same call
  */
 public record CallContext(
         RequestId root,
@@ -26,7 +27,8 @@
         int callerHash,
         long sunkNanos,
         boolean retriedAncestor,
-        boolean covered) {
+        boolean covered,
+        boolean repeat) {
 
     public CallContext {
         Objects.requireNonNull(root, "root");
@@ -55,6 +57,7 @@
                 callerHash,
                 sunkNanos,
                 retriedAncestor,
+                false,
                 false);
     }
 
@@ -70,6 +73,23 @@
                 callerHash,
                 sunkNanos,
                 retriedAncestor,
+                mark,
+                repeat);
+    }
+
+    /** The same context, of a repeated call or not. */
+    public CallContext withRepeat(boolean mark) {
+        return new CallContext(
+                root,
+                parent,
+                priority,
+                remainingNanos,
+                retryAllowance,
+                depth,
+                callerHash,
+                sunkNanos,
+                retriedAncestor,
+                covered,
                 mark);
     }
 
@@ -85,13 +105,24 @@
                 callerHash,
                 sunkNanos,
                 retriedAncestor,
-                covered);
+                covered,
+                repeat);
     }
 
     /** The same context with less time left; never below zero. */
     public CallContext afterNanos(long elapsedNanos) {
         long left = Math.max(0, remainingNanos - elapsedNanos);
         return new CallContext(
-                root, parent, priority, left, retryAllowance, depth, callerHash, sunkNanos, retriedAncestor, covered);
+                root,
+                parent,
+                priority,
+                left,
+                retryAllowance,
+                depth,
+                callerHash,
+                sunkNanos,
+                retriedAncestor,
+                covered,
+                repeat);
     }
 }
--- a/src/main/java/io/beryldock/forwarding/AttemptLoop.java
+++ b/src/main/java/io/beryldock/forwarding/AttemptLoop.java
@@ -13,6 +13,7 @@
 import io.beryldock.quarantine.Verdict;
 import io.beryldock.retry.GrantPolicy;
 import io.beryldock.retry.RetryAccount;
+import io.beryldock.retry.RetryBudget;
 import io.beryldock.retry.RetryDecision;
 import io.beryldock.retry.RetryGrant;
 import io.beryldock.retry.RetryPolicy;
@@ -50,6 +51,8 @@
     private long slowestNanos;
     private boolean mayHaveRun;
     private Optional<CallResult> last = Optional.empty();
+    private Optional<CallResult> failedAnswer = Optional.empty();
+    private Optional<TargetRecord> resendTo = Optional.empty();
 
     AttemptLoop(CallForwarder.Ports ports, Call call, RetryAccount account, CancelScope scope) {
         this.ports = ports;
@@ -65,10 +68,19 @@
     }
 
     void start() {
-        ports.budgets().of(call.caller(), call.service()).onFirstTry();
+        RetryBudget budget = budget();
+        if (call.context().repeat()) {
+            budget.onRepeat();
+        } else {
+            budget.onFirstTry();
+        }
         next();
     }
 
+    private RetryBudget budget() {
+        return ports.budgets().of(call.caller(), call.service());
+    }
+
     private void next() {
         if (scope.cancelled()) {
             finish(last.orElseGet(() -> CallResult.notRun(Reason.CANCELLED, "before an attempt")));
@@ -82,8 +94,9 @@
             finish(CallResult.notRun(Reason.QUARANTINED, "it was in flight when targets crashed"));
             return;
         }
-        Optional<TargetRecord> target =
-                ports.chooser().choose(ports.directory().get(), call.service(), tried, Set.of(), call.idempotent());
+        Optional<TargetRecord> target = resendTo.isPresent()
+                ? resendTo
+                : ports.chooser().choose(ports.directory().get(), call.service(), tried, Set.of(), call.idempotent());
         if (target.isEmpty()) {
             finish(last.orElseGet(() -> CallResult.notRun(Reason.NO_TARGET, "service " + call.service())));
             return;
@@ -109,7 +122,9 @@
     private CallContext attemptContext(RetryGrant grant) {
         CallContext context = call.context();
         long elapsed = context.remainingNanos() - remainingNanos();
-        return context.afterNanos(elapsed).withRetryAllowance(grant.amount());
+        return context.afterNanos(elapsed)
+                .withRetryAllowance(grant.amount())
+                .withRepeat(context.repeat() || mayHaveRun);
     }
 
     private void onEnd(TargetRecord target, RetryGrant grant, CallResult ended, long latencyNanos) {
@@ -119,10 +134,13 @@
         spentNanos += ended.spentNanos();
         cost = cost.plus(ended.cost());
         slowestNanos = Math.max(slowestNanos, latencyNanos);
-        mayHaveRun |= ended.outcome() == Outcome.UNKNOWN;
+        mayHaveRun |= ended.outcome() != Outcome.NOT_RUN;
         fullRefusals += ended.reason().filter(RetryPolicy::isFullRefusal).isPresent() ? 1 : 0;
         last = Optional.of(ended);
-        if (shouldRetry(ended)) {
+        failedAnswer = ended.outcome() == Outcome.ANSWERED ? last : failedAnswer;
+        RetryDecision decision = decide(ended);
+        if (decision.isRetry()) {
+            resendTo = decision == RetryDecision.RESEND ? Optional.of(target) : Optional.empty();
             retryLater();
         } else {
             finish(ended);
@@ -162,13 +180,13 @@
         }
     }
 
-    private boolean shouldRetry(CallResult ended) {
+    private RetryDecision decide(CallResult ended) {
         if (ports.policy() == Policy.NONE) {
-            return baselineRetry(ended);
+            return baselineRetry(ended) ? RetryDecision.RETRY_ELSEWHERE : RetryDecision.STOP_USELESS;
         }
-        if (ended.outcome() == Outcome.ANSWERED) {
+        if (isSuccess(ended)) {
             // Most calls end so: the question would look at all targets of the service for nothing.
-            return false;
+            return RetryDecision.STOP_ANSWERED;
         }
         RetryQuestion question = new RetryQuestion(
                 ended,
@@ -178,16 +196,20 @@
                 otherTargets(),
                 remainingNanos(),
                 slowestNanos,
+                call.context().priority().rank(),
                 ports.quarantine().verdict(fingerprint) != Verdict.FREE);
-        RetryDecision decision =
-                ports.retries().ask(question, account, ports.budgets().of(call.caller(), call.service()));
+        RetryDecision decision = ports.retries().ask(question, account, budget());
         count(decision);
-        return decision.isRetry();
+        return decision;
+    }
+
+    private static boolean isSuccess(CallResult ended) {
+        return ended.answer().filter(answer -> answer.status() < SERVER_ERROR).isPresent();
     }
 
     private void count(RetryDecision decision) {
         switch (decision) {
-            case RETRY_ELSEWHERE -> ports.retryTally().granted(call.caller(), call.service());
+            case RETRY_ELSEWHERE, RESEND -> ports.retryTally().granted(call.caller(), call.service());
             case STOP_BUDGET_SPENT, STOP_ALLOWANCE_SPENT -> ports.retryTally().refused(call.caller(), call.service());
             default -> {}
         }
@@ -216,8 +238,12 @@
         ports.timers().after(Duration.ofNanos(delay), this::next);
     }
 
-    /** Says UNKNOWN in place of NOT_RUN when an attempt before the last may have run. */
-    private void finish(CallResult ended) {
+    /**
+     * Says UNKNOWN in place of NOT_RUN when an attempt before the last may have run. An answer of a target, even one of
+     * its failure, tells the caller more than that nothing is known.
+     */
+    private void finish(CallResult last) {
+        CallResult ended = last.answer().isEmpty() ? failedAnswer.orElse(last) : last;
         boolean tell = mayHaveRun && ended.outcome() == Outcome.NOT_RUN;
         CallResult told = tell
                 ? CallResult.unknown(ended.reason().orElse(Reason.INTERNAL), "an earlier attempt may have run")
--- a/src/main/java/io/beryldock/forwarding/EntryService.java
+++ b/src/main/java/io/beryldock/forwarding/EntryService.java
@@ -240,7 +240,8 @@
                 above.callerHash(),
                 parent.sunkNanos(ports.ticker().nanos()),
                 retriedAncestor,
-                above.covered());
+                above.covered(),
+                above.repeat());
     }
 
     /**
--- a/src/main/java/io/beryldock/node/TrafficModule.java
+++ b/src/main/java/io/beryldock/node/TrafficModule.java
@@ -46,6 +46,7 @@
 import io.beryldock.retry.RetryGate;
 import io.beryldock.retry.RetryLedger;
 import io.beryldock.retry.RetryPolicy;
+import io.beryldock.retry.RetryPolicySettings;
 import io.beryldock.routing.TargetChooser;
 import io.beryldock.settings.NodeSettings;
 import io.beryldock.settings.NodeSettings.Policy;
@@ -159,6 +160,12 @@
         return executor;
     }
 
+    @Provides
+    @Singleton
+    RetryPolicySettings retryPolicy() {
+        return RetryPolicySettings.defaults();
+    }
+
     @Provides
     @Singleton
     CallForwarder forwarder(
@@ -169,6 +176,7 @@
             TargetExecutor executor,
             PeerTransport transport,
             DoorShedder door,
+            RetryPolicySettings retries,
             RetryBudgets budgets,
             RetryTally retryTally,
             Backoff backoff,
@@ -184,7 +192,7 @@
                 executor,
                 PeerCallClient.create(transport),
                 door,
-                RetryGate.create(RetryPolicy.create(), events),
+                RetryGate.create(RetryPolicy.create(retries), events),
                 budgets,
                 retryTally,
                 backoff,
--- a/src/main/java/io/beryldock/platform/PlatformModule.java
+++ b/src/main/java/io/beryldock/platform/PlatformModule.java
@@ -24,6 +24,8 @@
 import io.beryldock.quota.QuotaTerms;
 import io.beryldock.retry.RetryBudgetSettings;
 import io.beryldock.retry.RetryBudgets;
+import io.beryldock.retry.RetryPolicySettings;
+import io.beryldock.retry.WindowRetryBudget;
 import io.beryldock.store.PlatformStore;
 import io.beryldock.store.RegistryStore;
 import io.beryldock.store.StoreRecovery;
@@ -42,6 +44,12 @@
     /** Services that call each other in a row: four were seen, one is to spare. */
     private static final int LONGEST_CHAIN = 5;
 
+    /** Part of the allowed share that is used: nodes' windows don't begin at one moment. */
+    private static final double SPENT_SHARE = 0.9;
+
+    /** Part of the slack that is used; the rest is for nodes that start, as what they sent before is not known. */
+    private static final double SPENT_SLACK = 0.5;
+
     private final PlatformSettings settings;
     private final HttpClient targetClient;
     private final OperatorDocument document;
@@ -148,14 +156,32 @@
         return GateSettings.ofAnnouncedSlots().withUsableShare(settings.usableShareOfSlots());
     }
 
+    @Provides
+    @Singleton
+    RetryPolicySettings retryPolicy() {
+        return settings.retries().policy();
+    }
+
     @Provides
     @Singleton
     RetryBudgets budgets(TimerService timers, Membership membership) {
+        if (settings.retries().isWindowed()) {
+            return RetryBudgets.ofCallees(
+                    service -> WindowRetryBudget.create(timers.ticker(), windowTerms(membership)));
+        }
         return RetryBudgets.create(
                 timers.ticker(),
                 service -> budget(Math.max(1, membership.directory().nodes().size())));
     }
 
+    /** Repeats of repeats are counted, so the share needs no divisor; the slack is an even part for each node. */
+    private WindowRetryBudget.Terms windowTerms(Membership membership) {
+        int nodes = Math.max(1, membership.directory().nodes().size());
+        PlatformSettings.Retries retries = settings.retries();
+        int floor = (int) (SPENT_SLACK * retries.slack() / nodes);
+        return new WindowRetryBudget.Terms(SPENT_SHARE * retries.share(), floor, retries.window());
+    }
+
     /**
      * This node's part of what all nodes may retry.
      *
--- a/src/main/java/io/beryldock/platform/PlatformSettings.java
+++ b/src/main/java/io/beryldock/platform/PlatformSettings.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import io.beryldock.forwarding.Addresses;
 import io.beryldock.quota.QuotaTerms;
+import io.beryldock.retry.RetryPolicySettings;
 import io.beryldock.settings.NodeSettings;
 import io.beryldock.settings.SelfChecked;
 import io.beryldock.settings.SettingsException;
@@ -67,8 +68,20 @@
      * @param share of first tries
      * @param windowSeconds in any window of that length
      * @param slack beside the share, a service and window
+     * @param windowed whether each node counts first tries and repeats over sliding windows, in place of tokens
+     * @param resends times that a call is sent again after targets with free slots turned it away; absent for none
+     * @param failedLeaves whether failures of calls that call nothing are tried elsewhere
      */
-    record Retries(double share, double windowSeconds, double slack) {
+    record Retries(
+            double share, double windowSeconds, double slack, Boolean windowed, Integer resends, Boolean failedLeaves) {
+
+        boolean isWindowed() {
+            return windowed != null && windowed;
+        }
+
+        RetryPolicySettings policy() {
+            return new RetryPolicySettings(resends == null ? 0 : resends, failedLeaves != null && failedLeaves);
+        }
 
         Duration window() {
             return Duration.ofMillis((long) (windowSeconds * 1000));
@@ -100,6 +113,7 @@
         require(listeners.peerPort() > 0, "listeners.peerPort", "a port");
         requireAddress(store, "store");
         require(retries != null && retries.windowSeconds() > 0, "retries.windowSeconds", "a time above 0");
+        require(retries.resends() == null || retries.resends() >= 0, "retries.resends", "a number, 0 or more");
         require(retries.share() >= 0 && retries.share() <= 1, "retries.share", "a share from 0 to 1");
         require(
                 revokedKeysSeconds == null || revokedKeysSeconds > 0,
--- a/src/main/java/io/beryldock/retry/RetryBudgets.java
+++ b/src/main/java/io/beryldock/retry/RetryBudgets.java
@@ -8,7 +8,7 @@
 import java.util.function.Function;
 
 /**
- * The retry budgets of one node, one for each pair of caller and callee service.
+ * The retry budgets of one node, one for each pair of caller and callee service, or one for each callee.
  *
  * <p>Holds at most {@value #MAX_PAIRS} pairs; the least recently used one is forgotten and starts anew with its floor.
  * Thread safe.
@@ -18,20 +18,27 @@
     static final int MAX_PAIRS = 10_000;
 
     private final LoadingCache<Pair, RetryBudget> budgets;
+    private final boolean byCallee;
 
-    private RetryBudgets(LoadingCache<Pair, RetryBudget> budgets) {
-        this.budgets = budgets;
+    private RetryBudgets(Function<ServiceName, RetryBudget> create, boolean byCallee) {
+        this.budgets = CacheBuilder.newBuilder()
+                .maximumSize(MAX_PAIRS)
+                .build(CacheLoader.from(pair -> create.apply(pair.callee())));
+        this.byCallee = byCallee;
     }
 
     /** Budgets whose settings are looked up by callee when a pair is first seen. */
     public static RetryBudgets create(Ticker ticker, Function<ServiceName, RetryBudgetSettings> settings) {
-        return new RetryBudgets(CacheBuilder.newBuilder()
-                .maximumSize(MAX_PAIRS)
-                .build(CacheLoader.from(pair -> RetryBudget.create(ticker, settings.apply(pair.callee())))));
+        return new RetryBudgets(callee -> TokenRetryBudget.create(ticker, settings.apply(callee)), false);
+    }
+
+    /** One budget for each callee, whoever calls it from this node. */
+    public static RetryBudgets ofCallees(Function<ServiceName, RetryBudget> create) {
+        return new RetryBudgets(create, true);
     }
 
     public RetryBudget of(ServiceName caller, ServiceName callee) {
-        return budgets.getUnchecked(new Pair(caller, callee));
+        return budgets.getUnchecked(new Pair(byCallee ? callee : caller, callee));
     }
 
     /** Forgets all budgets, so that changed settings take effect. */
--- a/src/main/java/io/beryldock/retry/RetryDecision.java
+++ b/src/main/java/io/beryldock/retry/RetryDecision.java
@@ -3,6 +3,8 @@
 /** Whether a call is tried again at another target, and if not, why. */
 public enum RetryDecision {
     RETRY_ELSEWHERE,
+    /** A target with free slots turned it away: it is sent again, to another target where its route allows one more. */
+    RESEND,
     /** There is an answer. */
     STOP_ANSWERED,
     /** It may have run and may not run twice. */
@@ -21,6 +23,6 @@
     STOP_BUDGET_SPENT;
 
     public boolean isRetry() {
-        return this == RETRY_ELSEWHERE;
+        return this == RETRY_ELSEWHERE || this == RESEND;
     }
 }
--- a/src/main/java/io/beryldock/retry/RetryGate.java
+++ b/src/main/java/io/beryldock/retry/RetryGate.java
@@ -28,19 +28,24 @@
     /** Decides, and takes the retry from account and budget when it is to be made. */
     public RetryDecision ask(RetryQuestion q, RetryAccount account, RetryBudget budget) {
         RetryDecision decision = policy.decide(q);
-        RetryDecision outcome = decision.isRetry() ? take(q, account, budget) : decision;
+        RetryDecision outcome = decision.isRetry() ? take(q, decision, account, budget) : decision;
         record(q, account, outcome);
         return outcome;
     }
 
-    private static RetryDecision take(RetryQuestion q, RetryAccount account, RetryBudget budget) {
+    private static RetryDecision take(
+            RetryQuestion q, RetryDecision decision, RetryAccount account, RetryBudget budget) {
         boolean budgeted = !isExemptFromBudget(q);
-        if (budgeted && !budget.tryRetry()) {
+        if (budgeted && !budget.tryRetry(q.rank())) {
             return RetryDecision.STOP_BUDGET_SPENT;
         }
         if (account.takeRetry()) {
             return RetryDecision.RETRY_ELSEWHERE;
         }
+        if (decision == RetryDecision.RESEND) {
+            // The allowance bounds the targets that a request may reach; this goes to one that it has reached.
+            return RetryDecision.RESEND;
+        }
         if (budgeted) {
             budget.putBack();
         }
@@ -69,7 +74,7 @@
 
     private void record(RetryQuestion q, RetryAccount account, RetryDecision outcome) {
         switch (outcome) {
-            case RETRY_ELSEWHERE ->
+            case RETRY_ELSEWHERE, RESEND ->
                 events.record(
                         EventKind.RETRY_GRANTED,
                         account.requestId(),
--- a/src/main/java/io/beryldock/retry/RetryQuestion.java
+++ b/src/main/java/io/beryldock/retry/RetryQuestion.java
@@ -14,6 +14,7 @@
  * @param otherTargets targets of the service that were not tried yet
  * @param remainingNanos time left for the call
  * @param expectedNanos time that an attempt is expected to take
+ * @param rank of the request, 0 is the most important
  * @param suspect whether the request was in flight when a target crashed
  */
 public record RetryQuestion(
@@ -24,4 +25,5 @@
         int otherTargets,
         long remainingNanos,
         long expectedNanos,
+        int rank,
         boolean suspect) {}
--- a/src/test/java/io/beryldock/retry/RetryBenchmark.java
+++ b/src/test/java/io/beryldock/retry/RetryBenchmark.java
@@ -37,7 +37,7 @@
             RetryBudgets.create(Ticker.system(), service -> RetryBudgetSettings.defaults());
     private final RetryGate gate = RetryGate.create(RetryPolicy.create(), EventSink.none());
     private final RetryQuestion refused = new RetryQuestion(
-            CallResult.notRun(Reason.SHED_AT_TARGET, ""), true, 1, 1, 3, 1_000_000_000L, 1_000_000L, false);
+            CallResult.notRun(Reason.SHED_AT_TARGET, ""), true, 1, 1, 3, 1_000_000_000L, 1_000_000L, 0, false);
 
     /** An account opened, two parts handed on and taken back, and closed: what each run of a target costs. */
     @Benchmark
--- a/src/test/java/io/beryldock/retry/RetryGateTest.java
+++ b/src/test/java/io/beryldock/retry/RetryGateTest.java
@@ -33,7 +33,7 @@
 
     private boolean isTriedElsewhere(CallResult refusal, RetryBudget budget) {
         RetryQuestion question = new RetryQuestion(
-                refusal, true, 1, 1, TARGETS - 1, Duration.ofSeconds(1).toNanos(), 0, false);
+                refusal, true, 1, 1, TARGETS - 1, Duration.ofSeconds(1).toNanos(), 0, 0, false);
         RetryAccount account = ledger.open(ids.next(), 1);
         boolean retried = gate.ask(question, account, budget).isRetry();
         account.close();
@@ -43,7 +43,7 @@
     private List<RetryBudget> budgets() {
         List<RetryBudget> budgets = new ArrayList<>();
         for (int i = 0; i < NODES; i++) {
-            budgets.add(RetryBudget.create(timers.ticker(), SETTINGS));
+            budgets.add(TokenRetryBudget.create(timers.ticker(), SETTINGS));
         }
         return budgets;
     }
@@ -107,6 +107,7 @@
                 TARGETS - 1,
                 Duration.ofSeconds(1).toNanos(),
                 0,
+                0,
                 false);
         RetryBudget budget = budgets().get(0);
         assertThat(gate.ask(question, account, budget)).isEqualTo(RetryDecision.RETRY_ELSEWHERE);
--- a/src/test/java/io/beryldock/retry/RetryPolicyTest.java
+++ b/src/test/java/io/beryldock/retry/RetryPolicyTest.java
@@ -12,6 +12,8 @@
 import io.beryldock.call.RequestIds;
 import io.beryldock.call.ServiceLevel;
 import io.beryldock.call.ServiceName;
+import io.beryldock.call.TargetLoad;
+import io.beryldock.call.TreeCost;
 import io.beryldock.time.ManualTimerService;
 import io.beryldock.timeline.EventSink;
 import java.time.Duration;
@@ -27,7 +29,7 @@
     private final RetryPolicy policy = RetryPolicy.create();
 
     private static RetryQuestion question(CallResult result, boolean idempotent) {
-        return new RetryQuestion(result, idempotent, 1, 0, 3, SECOND, SECOND / 10, false);
+        return new RetryQuestion(result, idempotent, 1, 0, 3, SECOND, SECOND / 10, 0, false);
     }
 
     /**
@@ -68,16 +70,16 @@
     @Test
     void stopsForTimeTargetsFullServiceAndSuspects() {
         CallResult shed = CallResult.notRun(Reason.SHED_AT_TARGET, "");
-        assertThat(policy.decide(new RetryQuestion(shed, true, 1, 1, 3, SECOND / 20, SECOND / 10, false)))
+        assertThat(policy.decide(new RetryQuestion(shed, true, 1, 1, 3, SECOND / 20, SECOND / 10, 0, false)))
                 .isEqualTo(RetryDecision.STOP_NO_TIME);
-        assertThat(policy.decide(new RetryQuestion(shed, true, 1, 1, 0, SECOND, 0, false)))
+        assertThat(policy.decide(new RetryQuestion(shed, true, 1, 1, 0, SECOND, 0, 0, false)))
                 .isEqualTo(RetryDecision.STOP_NO_OTHER_TARGET);
-        assertThat(policy.decide(new RetryQuestion(shed, true, 2, 2, 3, SECOND, 0, false)))
+        assertThat(policy.decide(new RetryQuestion(shed, true, 2, 2, 3, SECOND, 0, 0, false)))
                 .isEqualTo(RetryDecision.STOP_SERVICE_FULL);
         CallResult lost = CallResult.unknown(Reason.CONNECTION_LOST, "");
-        assertThat(policy.decide(new RetryQuestion(lost, true, 1, 1, 3, SECOND, 0, true)))
+        assertThat(policy.decide(new RetryQuestion(lost, true, 1, 1, 3, SECOND, 0, 0, true)))
                 .isEqualTo(RetryDecision.STOP_SUSPECT);
-        assertThat(policy.decide(new RetryQuestion(shed, true, 1, 1, 3, SECOND, 0, true)))
+        assertThat(policy.decide(new RetryQuestion(shed, true, 1, 1, 3, SECOND, 0, 0, true)))
                 .isEqualTo(RetryDecision.RETRY_ELSEWHERE);
         CallResult answer = CallResult.answered(new Answer(503, Headers.empty(), ByteString.EMPTY));
         assertThat(answer.outcome()).isEqualTo(Outcome.ANSWERED);
@@ -90,7 +92,7 @@
         RetryGate gate = RetryGate.create(policy, EventSink.none());
         RetryLedger ledger = RetryLedger.create();
         RequestIds ids = RequestIds.of(Incarnation.random(new Random(1)));
-        RetryBudget budget = RetryBudget.create(time.ticker(), RetryBudgetSettings.defaults());
+        RetryBudget budget = TokenRetryBudget.create(time.ticker(), RetryBudgetSettings.defaults());
         RetryQuestion refused = question(CallResult.notRun(Reason.TARGET_REFUSED, ""), true);
         RetryAccount empty = ledger.open(ids.next(), 0);
         assertThat(gate.ask(refused, empty, budget)).isEqualTo(RetryDecision.STOP_ALLOWANCE_SPENT);
@@ -111,13 +113,13 @@
     @Test
     void anOutageAddsATenthOfTheLoad() {
         ManualTimerService time = ManualTimerService.create();
-        RetryBudget budget = RetryBudget.create(time.ticker(), RetryBudgetSettings.defaults());
+        RetryBudget budget = TokenRetryBudget.create(time.ticker(), RetryBudgetSettings.defaults());
         int calls = 55 * 60;
         int retries = 0;
         for (int i = 0; i < calls; i++) {
             time.advance(Duration.ofNanos(SECOND / 55));
             budget.onFirstTry();
-            while (budget.tryRetry()) {
+            while (budget.tryRetry(0)) {
                 retries++;
             }
         }
@@ -127,7 +129,7 @@
     @Test
     void aBudgetNotUsedFadesAndKeepsItsFloor() {
         ManualTimerService time = ManualTimerService.create();
-        RetryBudget budget = RetryBudget.create(time.ticker(), RetryBudgetSettings.defaults());
+        RetryBudget budget = TokenRetryBudget.create(time.ticker(), RetryBudgetSettings.defaults());
         for (int i = 0; i < 1000; i++) {
             budget.onFirstTry();
         }
@@ -162,4 +164,35 @@
         leaves.onAnswer(holdings, List.of(own, new ServiceLevel(stock, 1024)));
         assertThat(leaves.isLeaf(holdings)).isFalse();
     }
+
+    /** Guards against trees that are lost because a target with free slots turned one of their calls away. */
+    @Test
+    void whatATargetWithFreeSlotsTurnedAwayIsSentAgainSomeTimes() {
+        RetryPolicy resending = RetryPolicy.create(new RetryPolicySettings(2, false));
+        CallResult refused = CallResult.notRun(Reason.TARGET_REFUSED, "");
+        CallResult withRoom = refused.withLoad(new TargetLoad(1, 16, 3, 0, 0, false, false));
+        CallResult full = refused.withLoad(new TargetLoad(1, 16, 16, 0, 0, false, false));
+        assertThat(resending.decide(question(withRoom, 2))).isEqualTo(RetryDecision.RESEND);
+        assertThat(resending.decide(question(withRoom, 3))).isEqualTo(RetryDecision.STOP_SERVICE_FULL);
+        assertThat(resending.decide(question(full, 2))).isEqualTo(RetryDecision.STOP_SERVICE_FULL);
+        assertThat(policy.decide(question(withRoom, 2))).isEqualTo(RetryDecision.STOP_SERVICE_FULL);
+    }
+
+    private static RetryQuestion question(CallResult result, int tries) {
+        return new RetryQuestion(result, true, tries, 2, 3, SECOND, 0, 0, false);
+    }
+
+    /** Guards against trees that are lost with one call that a failing target answered; those with calls run once. */
+    @Test
+    void aFailureOfACallThatCalledNothingIsTriedElsewhere() {
+        RetryPolicy leaves = RetryPolicy.create(new RetryPolicySettings(0, true));
+        TreeCost own = TreeCost.ofCall(ServiceName.of("stock"), 1_000);
+        CallResult failed = CallResult.answered(new Answer(500, Headers.empty(), ByteString.EMPTY));
+        CallResult leaf = failed.withCost(own);
+        CallResult parent = failed.withCost(own.plus(TreeCost.ofCall(ServiceName.of("plans"), 1_000)));
+        assertThat(leaves.decide(question(leaf, true))).isEqualTo(RetryDecision.RETRY_ELSEWHERE);
+        assertThat(leaves.decide(question(leaf, false))).isEqualTo(RetryDecision.STOP_ANSWERED);
+        assertThat(leaves.decide(question(parent, true))).isEqualTo(RetryDecision.STOP_ANSWERED);
+        assertThat(policy.decide(question(leaf, true))).isEqualTo(RetryDecision.STOP_ANSWERED);
+    }
 }
