Whether and when a caller's request starts is one class; trees of which nearly none ends well are held back

RootAdmission decides before any work is spent: the throttle of trees, then credits and waiting where they govern, else the levels. Credits and waiting are absent until their parts are joined.

--- /dev/null
+++ b/src/main/java/io/beryldock/credit/NoCredits.java
@@ -0,0 +1,44 @@
+package io.beryldock.credit;
+
+import com.google.common.collect.ImmutableList;
+import io.beryldock.call.ServiceLevel;
+import io.beryldock.call.TreeCost;
+
+/** A node that neither asks for credits nor gives any out. Immutable. */
+final class NoCredits implements TreeCredits {
+
+    @Override
+    public boolean governs(TreeKey tree) {
+        return false;
+    }
+
+    @Override
+    public void observe(ImmutableList<ServiceLevel> levels) {}
+
+    @Override
+    public void demand(TreeKey tree, Claimant claimant) {}
+
+    @Override
+    public boolean take(TreeKey tree, Claimant claimant) {
+        return false;
+    }
+
+    @Override
+    public void giveBack(TreeKey tree, Claimant claimant) {}
+
+    @Override
+    public void ended(TreeKey tree, TreeCost used, boolean succeeded) {}
+
+    @Override
+    public long expectedWaitNanos(TreeKey tree, Claimant claimant, int ahead) {
+        return 0;
+    }
+
+    @Override
+    public long usualNanos(TreeKey tree) {
+        return 0;
+    }
+
+    @Override
+    public void onCredits(Runnable listener) {}
+}
--- a/src/main/java/io/beryldock/credit/TreeCredits.java
+++ b/src/main/java/io/beryldock/credit/TreeCredits.java
@@ -1,5 +1,7 @@
 package io.beryldock.credit;
 
+import com.google.common.collect.ImmutableList;
+import io.beryldock.call.ServiceLevel;
 import io.beryldock.call.TreeCost;
 
 /**
@@ -9,6 +11,14 @@
  */
 public interface TreeCredits {
 
+    /** No credits: {@link #governs} is false for all trees. */
+    static TreeCredits none() {
+        return new NoCredits();
+    }
+
+    /** Learns from the end of a caller's request which services do not admit all. */
+    void observe(ImmutableList<ServiceLevel> levels);
+
     /**
      * Whether trees of this kind need credits now: a service that they are known to call is short, and its home is in
      * touch. While false, the levels that answers report decide as they do without credits.
--- a/src/main/java/io/beryldock/forwarding/EntryService.java
+++ b/src/main/java/io/beryldock/forwarding/EntryService.java
@@ -1,7 +1,6 @@
 package io.beryldock.forwarding;
 
 import io.beryldock.admission.CallerHash;
-import io.beryldock.admission.DoorShedder;
 import io.beryldock.call.Call;
 import io.beryldock.call.CallContext;
 import io.beryldock.call.CallResult;
@@ -65,7 +64,7 @@
             Supplier<Configuration> configuration,
             CallerAccess access,
             QuotaKeeper quotas,
-            DoorShedder door,
+            RootAdmission admission,
             RetryLedger ledger,
             ExecutionRegistry executions,
             InnerCallDetector innerCalls,
@@ -134,7 +133,8 @@
             Optional<Organisation> organisation,
             CancelScope scope) {
         Configuration configuration = ports.configuration().get();
-        int hash = placeOf(request, route);
+        long elapsed = returns.elapsedNanos(route, request.timeLimit());
+        int hash = placeOf(request, elapsed > 0);
         PriorityClass priority = configuration.priorityOf(route, organisation);
         int retries = configuration.budgetOf(route).retries();
         long remaining = allowedNanos(request, route);
@@ -143,7 +143,9 @@
                 call(request, route, id, Call.OUTSIDE, context).forOrganisation(organisation.map(Organisation::name));
         ports.tally().asked(priority);
         RetryAccount account = ports.ledger().open(id, retries);
-        return admitAndDispatch(request, call, organisation, account, scope).thenApply(result -> {
+        long objective = objectiveNanos(route, remaining, elapsed);
+        RootAdmission.Root root = new RootAdmission.Root(route, call, organisation, elapsed > 0, objective);
+        return admitAndDispatch(request, root, account, scope).thenApply(result -> {
             int unspent = account.close();
             ports.tally().ended(priority, result, retries - unspent);
             ports.journal().ended(call, result);
@@ -151,39 +153,43 @@
         });
     }
 
-    private int placeOf(IncomingRequest request, Route route) {
+    private int placeOf(IncomingRequest request, boolean returned) {
         int hash = CallerHash.of(request.identity(), ports.epoch().getAsLong());
-        return returns.returns(route, request.timeLimit()) ? CallerHash.returned(hash) : hash;
+        return returned ? CallerHash.returned(hash) : hash;
+    }
+
+    /** Time left of the objective; a caller who is past it still wants an answer as long as it waits. */
+    private static long objectiveNanos(Route route, long remainingNanos, long elapsedNanos) {
+        long left = route.objective().toNanos() - elapsedNanos;
+        return left > 0 ? Math.min(left, remainingNanos) : remainingNanos;
     }
 
     /** A keyed request meets its key before the door: one that ran already must get its answer, not a refusal. */
     private CompletableFuture<CallResult> admitAndDispatch(
-            IncomingRequest request,
-            Call call,
-            Optional<Organisation> organisation,
-            RetryAccount account,
-            CancelScope scope) {
-        if (!isKeyed(call)) {
-            Optional<CallResult> shed =
-                    DoorCheck.of(ports.policy(), ports.door(), call).refusal();
-            if (shed.isPresent()) {
-                return CompletableFuture.completedFuture(shed.get());
-            }
+            IncomingRequest request, RootAdmission.Root root, RetryAccount account, CancelScope scope) {
+        boolean keyed = isKeyed(root.call());
+        Optional<CallResult> refusal =
+                keyed ? Optional.empty() : ports.admission().refusal(root);
+        if (refusal.isPresent()) {
+            return CompletableFuture.completedFuture(refusal.get());
         }
-        return organisation.isPresent()
-                ? dispatchWithinQuota(request, call, organisation.get(), account, scope)
-                : dispatch(request, call, account, scope);
+        Supplier<CompletableFuture<CallResult>> start = keyed
+                ? () -> dispatch(request, root.call(), account, scope)
+                : () -> ports.admission().start(root, scope, call -> dispatch(request, call, account, scope));
+        return root.organisation().isPresent()
+                ? startWithinQuota(root.organisation().get(), start)
+                : start.get();
     }
 
     /** Only what runs counts: a request that is turned away beneath gives its part of the quota back. */
-    private CompletableFuture<CallResult> dispatchWithinQuota(
-            IncomingRequest request, Call call, Organisation organisation, RetryAccount account, CancelScope scope) {
+    private CompletableFuture<CallResult> startWithinQuota(
+            Organisation organisation, Supplier<CompletableFuture<CallResult>> start) {
         return ports.quotas().admit(organisation).thenCompose(decision -> {
             if (!decision.granted()) {
                 CallResult refusal = CallResult.notRun(Reason.OVER_QUOTA, "organisation " + organisation.name());
                 return CompletableFuture.completedFuture(refusal.withRetryAfterMillis(decision.retryAfterMillis()));
             }
-            return dispatch(request, call, account, scope).whenComplete((result, failure) -> {
+            return start.get().whenComplete((result, failure) -> {
                 if (failure == null && result.outcome() == Outcome.NOT_RUN) {
                     ports.quotas().giveBack(organisation);
                 }
--- a/src/main/java/io/beryldock/forwarding/ReturnDetector.java
+++ b/src/main/java/io/beryldock/forwarding/ReturnDetector.java
@@ -30,13 +30,17 @@
     /** The longest time that callers of a route gave, and when. */
     private record Longest(long nanos, long at) {}
 
-    /** Whether the request was probably turned away before; false when its caller names no time. */
-    boolean returns(Route route, Optional<Duration> timeLimit) {
+    /**
+     * Time since the caller first asked, if the request was probably turned away before; 0 for a new one, and when its
+     * caller names no time.
+     */
+    long elapsedNanos(Route route, Optional<Duration> timeLimit) {
         if (timeLimit.isEmpty()) {
-            return false;
+            return 0;
         }
         long given = timeLimit.get().toNanos();
-        return given < FIRST_SHARE * usual(route, given);
+        long usual = usual(route, given);
+        return given < FIRST_SHARE * usual ? usual - given : 0;
     }
 
     private long usual(Route route, long given) {
--- /dev/null
+++ b/src/main/java/io/beryldock/forwarding/RootAdmission.java
@@ -0,0 +1,153 @@
+package io.beryldock.forwarding;
+
+import io.beryldock.admission.DoorShedder;
+import io.beryldock.call.Call;
+import io.beryldock.call.CallResult;
+import io.beryldock.call.Outcome;
+import io.beryldock.call.Reason;
+import io.beryldock.configuration.Route;
+import io.beryldock.credit.Claimant;
+import io.beryldock.credit.TreeCredits;
+import io.beryldock.credit.TreeKey;
+import io.beryldock.organisation.Organisation;
+import io.beryldock.settings.NodeSettings.Policy;
+import io.beryldock.waiting.EntryAdmission;
+import io.beryldock.waiting.EntryDecision;
+import io.beryldock.waiting.TreeThrottle;
+import io.beryldock.waiting.WaitingRequest;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+
+/**
+ * Decides whether and when a caller's request starts, before any work is spent on it.
+ *
+ * <p>Where credits govern a request's tree it starts when they cover all of it, and waits for them as long as that
+ * serves its caller. Elsewhere the levels that answers report decide. Thread safe.
+ */
+public final class RootAdmission {
+
+    private final Ports ports;
+
+    private RootAdmission(Ports ports) {
+        this.ports = ports;
+    }
+
+    /**
+     * What the admission works with.
+     *
+     * @param throttle absent where trees that fail are started like others
+     */
+    public record Ports(
+            Policy policy,
+            DoorShedder door,
+            TreeCredits credits,
+            EntryAdmission waiting,
+            Optional<TreeThrottle> throttle) {}
+
+    public static RootAdmission create(Ports ports) {
+        return new RootAdmission(ports);
+    }
+
+    /**
+     * A caller's request before its first call.
+     *
+     * @param returned whether its caller was refused before and comes back
+     * @param objectiveNanos time left of that within which an answer is worth most
+     */
+    record Root(Route route, Call call, Optional<Organisation> organisation, boolean returned, long objectiveNanos) {
+
+        TreeKey tree() {
+            return new TreeKey(route.host() + route.prefix(), call.service());
+        }
+
+        Claimant claimant() {
+            return new Claimant(rank(), organisation.map(Organisation::name));
+        }
+
+        int rank() {
+            return call.context().priority().rank();
+        }
+
+        private WaitingRequest waiting(TreeKey tree) {
+            return new WaitingRequest(
+                    tree,
+                    claimant(),
+                    returned,
+                    objectiveNanos,
+                    call.context().remainingNanos(),
+                    call.body().size());
+        }
+    }
+
+    /** The refusal of a request that needs not wait to be decided over; empty when it may go on. */
+    Optional<CallResult> refusal(Root root) {
+        if (ports.policy() == Policy.NONE) {
+            return Optional.empty();
+        }
+        TreeKey tree = root.tree();
+        if (ports.throttle().isPresent() && !ports.throttle().get().admits(tree, root.rank())) {
+            return Optional.of(
+                    refused(root, Reason.FAILING_BENEATH, ports.throttle().get().retryAfterMillis()));
+        }
+        return ports.credits().governs(tree)
+                ? Optional.empty()
+                : DoorCheck.of(ports.policy(), ports.door(), root.call()).refusal();
+    }
+
+    /** Starts the request when there is room for its tree; the future completes with what became of it. */
+    CompletableFuture<CallResult> start(
+            Root root, CancelScope scope, Function<Call, CompletableFuture<CallResult>> dispatch) {
+        TreeKey tree = root.tree();
+        if (!ports.credits().governs(tree)) {
+            return dispatch.apply(root.call()).thenApply(result -> ended(root, tree, result));
+        }
+        EntryAdmission.Pending pending = ports.waiting().admit(root.waiting(tree));
+        scope.onCancel(pending::leave);
+        return pending.decision().thenCompose(decision -> onDecision(root, tree, decision, dispatch));
+    }
+
+    private CompletableFuture<CallResult> onDecision(
+            Root root, TreeKey tree, EntryDecision decision, Function<Call, CompletableFuture<CallResult>> dispatch) {
+        return switch (decision.kind()) {
+            case COVERED -> dispatchCovered(root, tree, dispatch);
+            case NOT_GOVERNED -> dispatch.apply(root.call()).thenApply(result -> ended(root, tree, result));
+            case REFUSED -> finished(refused(root, Reason.NO_ROOM_BENEATH, decision.retryAfterMillis()));
+            case GONE -> finished(CallResult.notRun(Reason.CANCELLED, "while it waited at its entry"));
+        };
+    }
+
+    private CompletableFuture<CallResult> dispatchCovered(
+            Root root, TreeKey tree, Function<Call, CompletableFuture<CallResult>> dispatch) {
+        Call call = root.call();
+        Call covered = call.attempt(call.id(), call.context().withCovered(true));
+        return dispatch.apply(covered).thenApply(result -> {
+            if (result.outcome() == Outcome.NOT_RUN) {
+                ports.credits().giveBack(tree, root.claimant());
+            }
+            return ended(root, tree, result);
+        });
+    }
+
+    private CallResult ended(Root root, TreeKey tree, CallResult result) {
+        ports.credits().observe(result.levels());
+        if (result.outcome() != Outcome.NOT_RUN) {
+            boolean well =
+                    result.answer().filter(answer -> answer.status() < 500).isPresent();
+            ports.credits().ended(tree, result.cost(), well);
+            ports.throttle().ifPresent(throttle -> throttle.ended(tree, root.rank(), well, result.cost()));
+        }
+        return result;
+    }
+
+    private static CallResult refused(Root root, Reason reason, long retryAfterMillis) {
+        return CallResult.notRun(
+                        reason, "class " + root.call().context().priority().name())
+                .withRetryAfterMillis(retryAfterMillis)
+                .withUnspentRetries(root.call().context().retryAllowance());
+    }
+
+    private static CompletableFuture<CallResult> finished(CallResult result) {
+        return CompletableFuture.completedFuture(result);
+    }
+}
--- a/src/main/java/io/beryldock/node/TrafficModule.java
+++ b/src/main/java/io/beryldock/node/TrafficModule.java
@@ -11,6 +11,7 @@
 import io.beryldock.call.NodeId;
 import io.beryldock.call.RequestIds;
 import io.beryldock.configuration.ConfigurationKeeper;
+import io.beryldock.credit.TreeCredits;
 import io.beryldock.eventloop.LoopTimerService;
 import io.beryldock.forwarding.AnnouncedTarget;
 import io.beryldock.forwarding.CallForwarder;
@@ -27,6 +28,7 @@
 import io.beryldock.forwarding.RequestJournal;
 import io.beryldock.forwarding.RequestTally;
 import io.beryldock.forwarding.RetryTally;
+import io.beryldock.forwarding.RootAdmission;
 import io.beryldock.forwarding.TargetClient;
 import io.beryldock.forwarding.TargetCrashDetector;
 import io.beryldock.forwarding.TargetExecutor;
@@ -53,9 +55,12 @@
 import io.beryldock.time.TimerService;
 import io.beryldock.timeline.EventSink;
 import io.beryldock.timeline.RefusalCounter;
+import io.beryldock.waiting.EntryAdmission;
+import io.beryldock.waiting.TreeThrottle;
 import java.net.InetSocketAddress;
 import java.time.Clock;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
@@ -276,6 +281,35 @@
         return quotas;
     }
 
+    @Provides
+    @Singleton
+    TreeCredits credits() {
+        return TreeCredits.none();
+    }
+
+    @Provides
+    @Singleton
+    EntryAdmission waiting() {
+        return EntryAdmission.none();
+    }
+
+    @Provides
+    @Singleton
+    RootAdmission rootAdmission(
+            NodeSettings settings,
+            DoorShedder door,
+            TreeCredits credits,
+            EntryAdmission waiting,
+            Optional<TreeThrottle> throttle) {
+        return RootAdmission.create(new RootAdmission.Ports(settings.policy(), door, credits, waiting, throttle));
+    }
+
+    @Provides
+    @Singleton
+    Optional<TreeThrottle> throttle() {
+        return Optional.empty();
+    }
+
     @Provides
     @Singleton
     EntryService entry(
@@ -283,7 +317,7 @@
             ConfigurationKeeper configuration,
             CallerAccess access,
             QuotaKeeper quotas,
-            DoorShedder door,
+            RootAdmission admission,
             RetryLedger ledger,
             ExecutionRegistry executions,
             InnerCallDetector innerCalls,
@@ -299,7 +333,7 @@
                 configuration::current,
                 access,
                 quotas,
-                door,
+                admission,
                 ledger,
                 executions,
                 innerCalls,
--- a/src/test/java/io/beryldock/forwarding/ReturnDetectorTest.java
+++ b/src/test/java/io/beryldock/forwarding/ReturnDetectorTest.java
@@ -30,7 +30,7 @@
     private final ReturnDetector detector = new ReturnDetector(() -> now);
 
     private boolean returns(int millis) {
-        return detector.returns(ROUTE, Optional.of(Duration.ofMillis(millis)));
+        return detector.elapsedNanos(ROUTE, Optional.of(Duration.ofMillis(millis))) > 0;
     }
 
     @Test
@@ -51,6 +51,6 @@
     @Test
     void requestWithoutATimeIsNew() {
         returns(5000);
-        assertThat(detector.returns(ROUTE, Optional.empty())).isFalse();
+        assertThat(detector.elapsedNanos(ROUTE, Optional.empty())).isZero();
     }
 }
