Less important retries leave what more important ones ask for at their rate of late

A fixed part (a quarter) for less important requests let single calls of them succeed more often than orders, which is an inversion of ranks, and held them back in calm times too.

--- a/src/main/java/io/beryldock/retry/WindowRetryBudget.java
+++ b/src/main/java/io/beryldock/retry/WindowRetryBudget.java
@@ -3,7 +3,6 @@
 import io.beryldock.call.PriorityClass;
 import io.beryldock.time.Ticker;
 import java.time.Duration;
-import java.util.Arrays;
 
 /**
  * Limits the repeats that one node sends to a service to a share of its first tries, counted over sliding windows.
@@ -13,26 +12,26 @@
  * refused count too and leave less to retry.
  *
  * <p>Guards against a service that turns away half of its calls, whatever their number: a tree of many calls is lost
- * with one of them. Retries that are spread evenly over all trees save none, so less important requests may use only
- * {@link #LESS_IMPORTANT_SHARE} of the budget while there are more important ones. Thread safe.
+ * with one of them. Retries that are spread evenly over all trees save none, so a request may use only what more
+ * important ones, at the rate at which they ask of late, leave of the budget. Thread safe.
  */
 public final class WindowRetryBudget implements RetryBudget {
 
-    /** Enough for requests that make a single call; trees of many calls would use up all and still fail. */
-    static final double LESS_IMPORTANT_SHARE = 0.25;
-
     /** Buckets of a window, the one that is being filled among them. */
     private static final int BUCKETS = 20;
 
     /** One more than a window has: the oldest lies in it with a part. */
     private static final int SLOTS = BUCKETS + 1;
 
+    /** Buckets by which the rate of asking is told: half a second to a second, as trouble begins at once. */
+    private static final int RECENT = 2;
+
     private final Ticker ticker;
     private final Terms terms;
     private final long bucketNanos;
     private final int[] firstTries = new int[SLOTS];
     private final int[] repeats = new int[SLOTS];
-    private final long[] askedAt = new long[PriorityClass.RANKS];
+    private final int[][] asked = new int[PriorityClass.RANKS][SLOTS];
     private long bucket;
 
     private WindowRetryBudget(Ticker ticker, Terms terms) {
@@ -40,7 +39,6 @@
         this.terms = terms;
         this.bucketNanos = terms.window().toNanos() / BUCKETS;
         this.bucket = Math.floorDiv(ticker.nanos(), bucketNanos);
-        Arrays.fill(askedAt, ticker.nanos() - terms.window().toNanos());
     }
 
     /**
@@ -77,10 +75,8 @@
     @Override
     public synchronized boolean tryRetry(int rank) {
         advance();
-        long now = ticker.nanos();
-        askedAt[rank] = now;
-        double allowed = hasMoreImportant(rank, now) ? LESS_IMPORTANT_SHARE * allowed() : allowed();
-        if (used() + 1 > allowed) {
+        asked[rank][slot(bucket)]++;
+        if (used() + 1 > allowed() - reservedBefore(rank)) {
             return false;
         }
         repeats[slot(bucket)]++;
@@ -99,13 +95,13 @@
         return (int) Math.max(0, allowed() - used());
     }
 
-    private boolean hasMoreImportant(int rank, long now) {
+    /** What requests of more important ranks would ask for in a window. */
+    private int reservedBefore(int rank) {
+        int recent = 0;
         for (int i = 0; i < rank; i++) {
-            if (now - askedAt[i] < terms.window().toNanos()) {
-                return true;
-            }
+            recent += sum(asked[i], RECENT);
         }
-        return false;
+        return recent * BUCKETS / RECENT;
     }
 
     private double allowed() {
@@ -130,6 +126,9 @@
         for (long i = from; i <= current; i++) {
             firstTries[slot(i)] = 0;
             repeats[slot(i)] = 0;
+            for (int[] ofRank : asked) {
+                ofRank[slot(i)] = 0;
+            }
         }
         bucket = Math.max(bucket, current);
     }
