--- a/src/main/java/io/beryldock/forwarding/RootAdmission.java
+++ b/src/main/java/io/beryldock/forwarding/RootAdmission.java
@@ -27,6 +27,8 @@
  */
 public final class RootAdmission {
 
+    private static final int SERVER_ERROR = 500;
+
     private final Ports ports;
 
     private RootAdmission(Ports ports) {
@@ -100,6 +102,8 @@
             Root root, CancelScope scope, Function<Call, CompletableFuture<CallResult>> dispatch) {
         TreeKey tree = root.tree();
         if (!ports.credits().governs(tree)) {
+            // The homes of services that have become short hear of the demand, so that credits can govern from then on.
+            ports.credits().demand(tree, root.claimant());
             return dispatch.apply(root.call()).thenApply(result -> ended(root, tree, result));
         }
         EntryAdmission.Pending pending = ports.waiting().admit(root.waiting(tree));
@@ -133,7 +137,7 @@
         ports.credits().observe(result.levels());
         if (result.outcome() != Outcome.NOT_RUN) {
             boolean well =
-                    result.answer().filter(answer -> answer.status() < 500).isPresent();
+                    result.answer().filter(answer -> answer.status() < SERVER_ERROR).isPresent();
             ports.credits().ended(tree, result.cost(), well);
             ports.throttle().ifPresent(throttle -> throttle.ended(tree, root.rank(), well, result.cost()));
         }
