Waiting at entries and fair division

Callers who ask an entry for more trees than services beneath it can finish were told a drawn time and came back into a lottery; what was in time and what was late competed alike. An entry now lets those wait who can still meet their objective, by rank, then those who came back when told, then the organisation that was given least, then the earlier; the others are refused at once and told when room is expected for them, each behind those told before.

Weighed: a request that comes back early treated as new. Then asking every 20 ms wins most places that become free, so it is told the rest of its time instead. Refusing whoever can't meet its objective any more: room was left unused while callers of a burst came back late; they now wait behind those in time.

EventSampler moves to the time line, which it writes to.

--- a/src/main/java/io/beryldock/admission/DoorShedder.java
+++ b/src/main/java/io/beryldock/admission/DoorShedder.java
@@ -4,6 +4,7 @@
 import io.beryldock.call.ServiceName;
 import io.beryldock.time.Ticker;
 import io.beryldock.timeline.EventKind;
+import io.beryldock.timeline.EventSampler;
 import io.beryldock.timeline.EventSink;
 import java.util.List;
 import java.util.Map;
--- /dev/null
+++ b/src/main/java/io/beryldock/waiting/DecidedRequest.java
@@ -0,0 +1,23 @@
+package io.beryldock.waiting;
+
+import io.beryldock.waiting.EntryAdmission.Pending;
+import java.util.concurrent.CompletableFuture;
+
+/** A request that did not have to wait for its decision. Immutable. */
+record DecidedRequest(CompletableFuture<EntryDecision> decision) implements Pending {
+
+    private static final DecidedRequest NOT_GOVERNED = of(EntryDecision.notGoverned());
+
+    static DecidedRequest of(EntryDecision decision) {
+        return new DecidedRequest(CompletableFuture.completedFuture(decision));
+    }
+
+    static DecidedRequest notGoverned() {
+        return NOT_GOVERNED;
+    }
+
+    @Override
+    public void leave() {
+        // It holds no place.
+    }
+}
--- a/src/main/java/io/beryldock/waiting/EntryAdmission.java
+++ b/src/main/java/io/beryldock/waiting/EntryAdmission.java
@@ -13,7 +13,12 @@
     /** A request that is being decided over. */
     interface Pending {
 
-        /** Completes once, at the latest when the request can no longer meet its objective; never fails. */
+        /**
+         * Completes once, never fails.
+         *
+         * <p>At the latest when the request can no longer meet its objective; one that can't when it comes waits at most
+         * while its caller still takes an answer.
+         */
         CompletableFuture<EntryDecision> decision();
 
         /** The caller is gone: its place is free for others. */
--- /dev/null
+++ b/src/main/java/io/beryldock/waiting/WaitingQueue.java
@@ -0,0 +1,121 @@
+package io.beryldock.waiting;
+
+import com.google.common.collect.ImmutableList;
+import io.beryldock.call.PriorityClass;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+import java.util.stream.IntStream;
+
+/**
+ * The requests that wait, by line, by importance and by the end of their wait.
+ *
+ * <p>Invariants: a request is in all three orders or in none; no line is empty. Guarded by the lock of the entry.
+ */
+final class WaitingQueue {
+
+    private static final ImmutableList<Lane> LANES = ImmutableList.copyOf(Lane.values());
+
+    private final Map<WaitingLine.Key, WaitingLine> lines = new HashMap<>();
+    private final TreeSet<Waiter> byImportance = new TreeSet<>(Waiter.BY_IMPORTANCE);
+    private final TreeSet<Waiter> byExpiry = new TreeSet<>(Waiter.BY_EXPIRY);
+    private final Map<Lane, int[]> ofRank = new EnumMap<>(Lane.class);
+    private long bytes;
+
+    WaitingQueue() {
+        LANES.forEach(lane -> ofRank.put(lane, new int[PriorityClass.RANKS]));
+    }
+
+    void add(Waiter waiter) {
+        lines.computeIfAbsent(WaitingLine.Key.of(waiter), WaitingLine::new).add(waiter);
+        byImportance.add(waiter);
+        byExpiry.add(waiter);
+        ofRank.get(waiter.lane())[waiter.rank()]++;
+        bytes += waiter.request().bytes();
+    }
+
+    /** Without effect when it does not wait. */
+    boolean remove(Waiter waiter) {
+        if (!byImportance.remove(waiter)) {
+            return false;
+        }
+        byExpiry.remove(waiter);
+        WaitingLine.Key key = WaitingLine.Key.of(waiter);
+        WaitingLine line = lines.get(key);
+        line.remove(waiter);
+        if (line.isEmpty()) {
+            lines.remove(key);
+        }
+        ofRank.get(waiter.lane())[waiter.rank()]--;
+        bytes -= waiter.request().bytes();
+        return true;
+    }
+
+    boolean isEmpty() {
+        return byImportance.isEmpty();
+    }
+
+    int size() {
+        return byImportance.size();
+    }
+
+    long bytes() {
+        return bytes;
+    }
+
+    /** Whether a request waits that is served from the same credits. */
+    boolean waitsFor(WaitingLine.Key key) {
+        for (Lane lane : LANES) {
+            if (lines.containsKey(key.inLane(lane))) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Requests of the ranks before this one and, of the rank itself, those of this lane and of lanes before it. */
+    int ahead(int rank, Lane lane) {
+        int sum = 0;
+        for (Lane each : LANES) {
+            int ranks = each.compareTo(lane) <= 0 ? rank + 1 : rank;
+            sum += Arrays.stream(ofRank.get(each), 0, ranks).sum();
+        }
+        return sum;
+    }
+
+    private int ofRank(int rank) {
+        return LANES.stream().mapToInt(lane -> ofRank.get(lane)[rank]).sum();
+    }
+
+    /** A copy, which stays as it is while requests leave their lines. */
+    List<WaitingLine> lines() {
+        return new ArrayList<>(lines.values());
+    }
+
+    List<Waiter> all() {
+        return List.copyOf(byImportance);
+    }
+
+    Waiter leastImportant() {
+        return byImportance.last();
+    }
+
+    Waiter firstToExpire() {
+        return byExpiry.first();
+    }
+
+    long longestWaitNanos(long now) {
+        return byImportance.stream()
+                .mapToLong(waiter -> waiter.waitedNanos(now))
+                .max()
+                .orElse(0);
+    }
+
+    ImmutableList<Integer> byRank() {
+        return IntStream.range(0, PriorityClass.RANKS).mapToObj(this::ofRank).collect(ImmutableList.toImmutableList());
+    }
+}
--- a/src/test/java/io/beryldock/ArchitectureTest.java
+++ b/src/test/java/io/beryldock/ArchitectureTest.java
@@ -25,6 +25,8 @@
         "io.beryldock.configuration..",
         "io.beryldock.organisation..",
         "io.beryldock.timeline..",
+        "io.beryldock.share..",
+        "io.beryldock.waiting..",
     };
 
     @ArchTest
