--- a/src/main/java/io/beryldock/forwarding/EntryService.java
+++ b/src/main/java/io/beryldock/forwarding/EntryService.java
@@ -84,6 +84,7 @@
     /** From now on requests of callers are refused: the node is about to stop. */
     public void refuseNew() {
         refusing = true;
+        ports.admission().stop();
     }
 
     @Override
--- a/src/main/java/io/beryldock/forwarding/RootAdmission.java
+++ b/src/main/java/io/beryldock/forwarding/RootAdmission.java
@@ -82,6 +82,11 @@
         }
     }
 
+    /** Who waits is refused now, and so is who would wait later: the node stops. */
+    void stop() {
+        ports.waiting().stop();
+    }
+
     /** The refusal of a request that needs not wait to be decided over; empty when it may go on. */
     Optional<CallResult> refusal(Root root) {
         if (ports.policy() == Policy.NONE) {
@@ -136,8 +141,9 @@
     private CallResult ended(Root root, TreeKey tree, CallResult result) {
         ports.credits().observe(result.levels());
         if (result.outcome() != Outcome.NOT_RUN) {
-            boolean well =
-                    result.answer().filter(answer -> answer.status() < SERVER_ERROR).isPresent();
+            boolean well = result.answer()
+                    .filter(answer -> answer.status() < SERVER_ERROR)
+                    .isPresent();
             ports.credits().ended(tree, result.cost(), well);
             ports.throttle().ifPresent(throttle -> throttle.ended(tree, root.rank(), well, result.cost()));
         }
--- a/src/main/java/io/beryldock/node/TrafficModule.java
+++ b/src/main/java/io/beryldock/node/TrafficModule.java
@@ -56,7 +56,10 @@
 import io.beryldock.timeline.EventSink;
 import io.beryldock.timeline.RefusalCounter;
 import io.beryldock.waiting.EntryAdmission;
+import io.beryldock.waiting.EntryWaiting;
 import io.beryldock.waiting.TreeThrottle;
+import io.beryldock.waiting.WaitingPorts;
+import io.beryldock.waiting.WaitingSettings;
 import java.net.InetSocketAddress;
 import java.time.Clock;
 import java.time.Duration;
@@ -289,8 +292,8 @@
 
     @Provides
     @Singleton
-    EntryAdmission waiting() {
-        return EntryAdmission.none();
+    EntryAdmission waiting(TreeCredits credits, RandomGenerator random, EventSink events) {
+        return EntryWaiting.create(WaitingPorts.of(WaitingSettings.defaults(), credits, random, events), timers);
     }
 
     @Provides
--- a/src/main/java/io/beryldock/waiting/EntryAdmission.java
+++ b/src/main/java/io/beryldock/waiting/EntryAdmission.java
@@ -5,11 +5,6 @@
 /** Decides when a caller's request starts. Thread safe. */
 public interface EntryAdmission {
 
-    /** Nobody waits: the levels of services decide. */
-    static EntryAdmission none() {
-        return new NoWaiting();
-    }
-
     /** A request that is being decided over. */
     interface Pending {
 
--- a/src/test/java/io/beryldock/waiting/ConcurrentRun.java
+++ b/src/test/java/io/beryldock/waiting/ConcurrentRun.java
@@ -1,5 +1,7 @@
 package io.beryldock.waiting;
 
+import com.google.common.collect.ImmutableList;
+import io.beryldock.call.ServiceLevel;
 import io.beryldock.call.TreeCost;
 import io.beryldock.credit.Claimant;
 import io.beryldock.credit.TreeCredits;
@@ -56,6 +58,9 @@
         return decided.get();
     }
 
+    @Override
+    public void observe(ImmutableList<ServiceLevel> levels) {}
+
     @Override
     public boolean governs(TreeKey tree) {
         return true;
--- a/src/test/java/io/beryldock/waiting/FakeCredits.java
+++ b/src/test/java/io/beryldock/waiting/FakeCredits.java
@@ -1,5 +1,7 @@
 package io.beryldock.waiting;
 
+import com.google.common.collect.ImmutableList;
+import io.beryldock.call.ServiceLevel;
 import io.beryldock.call.TreeCost;
 import io.beryldock.credit.Claimant;
 import io.beryldock.credit.TreeCredits;
@@ -51,6 +53,9 @@
         listeners.forEach(Runnable::run);
     }
 
+    @Override
+    public void observe(ImmutableList<ServiceLevel> levels) {}
+
     @Override
     public boolean governs(TreeKey tree) {
         return governing;
