--- a/src/main/java/io/beryldock/cli/PathCostSubcommand.java
+++ b/src/main/java/io/beryldock/cli/PathCostSubcommand.java
@@ -11,9 +11,11 @@
 import java.lang.management.ManagementFactory;
 import java.lang.management.ThreadInfo;
 import java.util.Locale;
+import java.util.concurrent.TimeUnit;
 
 /**
- * Measures what a request costs the nodes that it passes: processor time and allocated bytes, at the start and later.
+ * Measures what a request costs the nodes that it passes, and what they cost at rest: processor time and allocated
+ * bytes, at the start and later.
  *
  * <p>Two nodes, their store, target and client share one process; the client sends one request after the other. The
  * time of the client's and the stand-ins' threads is taken off. What is left is the nodes', with compiler and
@@ -24,6 +26,10 @@
     /** Requests after which the cost since the step before is told: interpreted, half compiled, compiled. */
     private static final ImmutableList<Integer> STEPS = ImmutableList.of(100, 1_000, 3_000, 10_000);
 
+    /** Long enough for the slowest timers of a node to come several times. */
+    private static final int REST_SECONDS = 5;
+
+    private static final int NODES = 2;
     private static final double NANOS_PER_MILLI = 1e6;
     private static final double BYTES_PER_KILOBYTE = 1024;
 
@@ -41,6 +47,7 @@
             platform.request(1);
             Spent last = spent();
             out.printf(Locale.ROOT, "start and first request: %.0f ms%n", millis(before, last));
+            last = rest(out, last);
             int done = 1;
             for (int step : STEPS) {
                 int number = step - done;
@@ -64,6 +71,18 @@
         }
     }
 
+    /** The nodes with nothing to do. */
+    private Spent rest(PrintStream out, Spent before) throws InterruptedException {
+        TimeUnit.SECONDS.sleep(REST_SECONDS);
+        Spent after = spent();
+        out.printf(
+                Locale.ROOT,
+                "at rest: %.2f ms and %.1f KB a node and second%n",
+                millis(before, after) / NODES / REST_SECONDS,
+                (after.bytes() - before.bytes()) / BYTES_PER_KILOBYTE / NODES / REST_SECONDS);
+        return after;
+    }
+
     private static double millis(Spent from, Spent to) {
         return (to.nanos() - from.nanos()) / NANOS_PER_MILLI;
     }
