--- a/src/main/java/io/beryldock/call/Reason.java
+++ b/src/main/java/io/beryldock/call/Reason.java
@@ -8,7 +8,6 @@
 public enum Reason {
     SHED_AT_DOOR(503, "the service or one beneath it is overloaded", "come back after Retry-After"),
     NO_ROOM_BENEATH(503, "a service beneath has no room for all that the request needs", "come back after Retry-After"),
-    FAILING_BENEATH(503, "nearly all requests of this kind fail beneath", "come back after Retry-After"),
     SHED_AT_TARGET(503, "the target's queue is full of more important work", "come back after Retry-After"),
     QUEUED_TOO_LONG(503, "the request waited too long in the target's queue", "come back after Retry-After"),
     DEADLINE_PASSED(504, "the time allowed for the request was over before it ran", "allow more time"),
--- a/src/main/java/io/beryldock/forwarding/RootAdmission.java
+++ b/src/main/java/io/beryldock/forwarding/RootAdmission.java
@@ -13,7 +13,6 @@
 import io.beryldock.settings.NodeSettings.Policy;
 import io.beryldock.waiting.EntryAdmission;
 import io.beryldock.waiting.EntryDecision;
-import io.beryldock.waiting.TreeThrottle;
 import io.beryldock.waiting.WaitingRequest;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -35,17 +34,8 @@
         this.ports = ports;
     }
 
-    /**
-     * What the admission works with.
-     *
-     * @param throttle absent where trees that fail are started like others
-     */
-    public record Ports(
-            Policy policy,
-            DoorShedder door,
-            TreeCredits credits,
-            EntryAdmission waiting,
-            Optional<TreeThrottle> throttle) {}
+    /** What the admission works with. */
+    public record Ports(Policy policy, DoorShedder door, TreeCredits credits, EntryAdmission waiting) {}
 
     public static RootAdmission create(Ports ports) {
         return new RootAdmission(ports);
@@ -89,15 +79,7 @@
 
     /** The refusal of a request that needs not wait to be decided over; empty when it may go on. */
     Optional<CallResult> refusal(Root root) {
-        if (ports.policy() == Policy.NONE) {
-            return Optional.empty();
-        }
-        TreeKey tree = root.tree();
-        if (ports.throttle().isPresent() && !ports.throttle().get().admits(tree, root.rank())) {
-            return Optional.of(
-                    refused(root, Reason.FAILING_BENEATH, ports.throttle().get().retryAfterMillis()));
-        }
-        return ports.credits().governs(tree)
+        return ports.credits().governs(root.tree())
                 ? Optional.empty()
                 : DoorCheck.of(ports.policy(), ports.door(), root.call()).refusal();
     }
@@ -145,7 +127,6 @@
                     .filter(answer -> answer.status() < SERVER_ERROR)
                     .isPresent();
             ports.credits().ended(tree, result.cost(), well);
-            ports.throttle().ifPresent(throttle -> throttle.ended(tree, root.rank(), well, result.cost()));
         }
         return result;
     }
--- a/src/main/java/io/beryldock/node/TrafficModule.java
+++ b/src/main/java/io/beryldock/node/TrafficModule.java
@@ -57,13 +57,11 @@
 import io.beryldock.timeline.RefusalCounter;
 import io.beryldock.waiting.EntryAdmission;
 import io.beryldock.waiting.EntryWaiting;
-import io.beryldock.waiting.TreeThrottle;
 import io.beryldock.waiting.WaitingPorts;
 import io.beryldock.waiting.WaitingSettings;
 import java.net.InetSocketAddress;
 import java.time.Clock;
 import java.time.Duration;
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
@@ -298,19 +296,8 @@
 
     @Provides
     @Singleton
-    RootAdmission rootAdmission(
-            NodeSettings settings,
-            DoorShedder door,
-            TreeCredits credits,
-            EntryAdmission waiting,
-            Optional<TreeThrottle> throttle) {
-        return RootAdmission.create(new RootAdmission.Ports(settings.policy(), door, credits, waiting, throttle));
-    }
-
-    @Provides
-    @Singleton
-    Optional<TreeThrottle> throttle() {
-        return Optional.empty();
+    RootAdmission rootAdmission(NodeSettings settings, DoorShedder door, TreeCredits credits, EntryAdmission waiting) {
+        return RootAdmission.create(new RootAdmission.Ports(settings.policy(), door, credits, waiting));
     }
 
     @Provides
--- a/src/main/java/io/beryldock/platform/PlatformModule.java
+++ b/src/main/java/io/beryldock/platform/PlatformModule.java
@@ -33,8 +33,6 @@
 import io.beryldock.time.Moment;
 import io.beryldock.time.TimerService;
 import io.beryldock.timeline.EventSink;
-import io.beryldock.waiting.TreeThrottle;
-import java.util.Optional;
 import java.util.random.RandomGenerator;
 
 /** The parts of a node that the platform brings in place of the product's own surroundings. */
@@ -158,13 +156,6 @@
         return GateSettings.ofAnnouncedSlots().withUsableShare(settings.usableShareOfSlots());
     }
 
-    /** Trees that nearly all fail are held back where retries are counted exactly, as these can save the others. */
-    @Provides
-    @Singleton
-    Optional<TreeThrottle> throttle(RandomGenerator random) {
-        return settings.retries().isWindowed() ? Optional.of(TreeThrottle.create(random)) : Optional.empty();
-    }
-
     @Provides
     @Singleton
     RetryPolicySettings retryPolicy() {
