Gates tell kinds of requests apart by their service times, where settings say so

One mean stood for kinds that differ thirtyfold: a short request with 100 ms left was refused as unable to finish since long ones raised the mean, and a long one with 500 ms left was run in vain (GateKindsTest, both fail when the mean decides). Expected time, expiry and slack now go by the kind: caller, method and beginning of the path, 64 kinds at most. A kind that is not known yet is tried at most every 100 ms, since it would else never be known to be short. With one kind all is as before. Requests whose tree is covered by credits go before others of their rank.

--- a/src/main/java/io/beryldock/admission/GateCore.java
+++ b/src/main/java/io/beryldock/admission/GateCore.java
@@ -1,13 +1,10 @@
 package io.beryldock.admission;
 
-import com.google.common.collect.ImmutableList;
-import io.beryldock.call.PriorityClass;
 import io.beryldock.call.Reason;
 import io.beryldock.call.ServiceName;
 import io.beryldock.call.TargetLoad;
 import io.beryldock.timeline.EventSink;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -24,9 +21,6 @@
  */
 final class GateCore {
 
-    private static final double STALL_GAPS = 4;
-    private static final double LOOP_BASE_NANOS = 60_000_000;
-    private static final double LOOP_PER_SERVICE_TIME = 2;
     private static final double MIN_BOUND = 4;
 
     private final RandomGenerator random;
@@ -67,6 +61,9 @@
     void submit(GateEntry entry, long now, Deliveries out) {
         counts.submitted();
         levels.arrived(entry.request().rank(), entry.request().callerHash());
+        if (settings.timesByKind()) {
+            entry.learnKind(times, now);
+        }
         if (draining) {
             refuse(entry, Reason.DRAINING, now, out);
         } else if (!canFinish(entry, now)) {
@@ -119,16 +116,15 @@
     void expire(long now, Deliveries out) {
         long allowed = standing.allowedWait(
                 now, targetNanos(now), settings.queueInterval().toNanos());
-        double expected = times.expected(now);
         List<GateEntry> expired = new ArrayList<>();
         for (GateEntry entry : queue) {
-            if (entry.remainingNanos(now) <= expected || entry.waitedNanos(now) > allowed) {
+            if (!entry.fitsItsTime(times, now) || entry.waitedNanos(now) > allowed) {
                 expired.add(entry);
             }
         }
         for (GateEntry entry : expired) {
             queue.remove(entry);
-            boolean late = entry.remainingNanos(now) <= expected;
+            boolean late = !entry.fitsItsTime(times, now);
             refuse(entry, late ? Reason.DEADLINE_PASSED : Reason.QUEUED_TOO_LONG, now, out);
         }
         admitWaiting(now, out);
@@ -173,14 +169,11 @@
 
     GateSnapshot snapshot(long now) {
         advanceLevel(now);
-        int abandoned = (int) running.stream()
-                .filter(entry -> entry.state() == GateEntry.State.ABANDONED)
-                .count();
         return new GateSnapshot(
                 limit.at(now),
                 running.size(),
-                abandoned,
-                queuedByRank(),
+                GateSnapshot.countAbandoned(running),
+                GateSnapshot.countByRank(queue),
                 counts.shedByRank(),
                 counts.admittedTotal(),
                 levels.level(),
@@ -231,8 +224,7 @@
 
     /** With nothing in flight any request that has time left may show how long the target now takes. */
     private boolean canFinish(GateEntry entry, long now) {
-        long left = entry.remainingNanos(now);
-        return running.isEmpty() ? left > 0 : left > times.expected(now);
+        return running.isEmpty() ? entry.remainingNanos(now) > 0 : entry.fitsItsTime(times, now);
     }
 
     private void admit(GateEntry entry, long now, Deliveries out) {
@@ -272,7 +264,7 @@
     private void learn(GateEntry entry, Completion completion, long now) {
         long took = entry.runNanos(now);
         if (completion == Completion.SUCCEEDED || completion == Completion.ABANDONED_DONE) {
-            times.add(took, now);
+            times.add(entry.kind(), took, now);
         }
         limit.completed(completion, took, now);
         events.limit(limit.at(now), now);
@@ -287,15 +279,8 @@
     }
 
     private LevelController.Load load(long now) {
-        int slots = limit.at(now);
-        double mean = Math.max(1, times.expected(now));
-        double capacity = slots / mean;
-        if (running.size() >= slots) {
-            // A target that hangs ends nothing, so no service time shows it; the lack of several ends does.
-            capacity = Math.min(capacity, STALL_GAPS / Math.max(1, now - progressAt));
-        }
-        double busy = (double) running.size() / slots;
-        return new LevelController.Load(capacity, queue.size(), busy, LOOP_BASE_NANOS + LOOP_PER_SERVICE_TIME * mean);
+        return LevelController.Load.of(
+                limit.at(now), running.size(), queue.size(), times.expected(now), now - progressAt);
     }
 
     /** A queue before slow or few slots moves one place at a time; a wait of a few such moves is no standing queue. */
@@ -309,11 +294,4 @@
             waitingForIdle.clear();
         }
     }
-
-    private ImmutableList<Integer> queuedByRank() {
-        Integer[] queued = new Integer[PriorityClass.RANKS];
-        Arrays.fill(queued, 0);
-        queue.forEach(entry -> queued[entry.request().rank()]++);
-        return ImmutableList.copyOf(queued);
-    }
 }
--- a/src/main/java/io/beryldock/admission/GateEntry.java
+++ b/src/main/java/io/beryldock/admission/GateEntry.java
@@ -11,7 +11,11 @@
  */
 final class GateEntry implements GateHandle, Permit {
 
-    /** More important first: rank, then more work sunk, then less time left, then the earlier one. */
+    /**
+     * More important first: rank, then those covered by credits, then more work sunk, then less slack, then the earlier.
+     *
+     * <p>Slack is measured when a request comes, so that the order of two requests never changes.
+     */
     static final Comparator<GateEntry> BY_IMPORTANCE = GateEntry::compareImportance;
 
     private static final long SUNK_STEP_NANOS = 1_000_000;
@@ -22,6 +26,9 @@
     private final long arrivedAt;
     private final long deadline;
     private final long order;
+    private int kind = RequestKind.NONE;
+    private long latestStart;
+    private boolean probe;
     private State state = State.QUEUED;
     private long admittedAt;
     private Reason refusal;
@@ -33,6 +40,7 @@
         this.listener = listener;
         this.arrivedAt = now;
         this.deadline = now + request.remainingNanos();
+        this.latestStart = deadline;
         this.order = order;
     }
 
@@ -66,6 +74,24 @@
         return state == State.RUNNING || state == State.ABANDONED;
     }
 
+    /** Takes what is known of its kind when it comes, before it is queued. */
+    void learnKind(ServiceTimes times, long now) {
+        kind = request.kind();
+        latestStart = deadline - times.aboveMean(kind);
+        probe = !fitsItsTime(times, now) && times.takeProbe(kind, now);
+    }
+
+    /** The kind by which its time is told; none where kinds are not told apart. */
+    int kind() {
+        return kind;
+    }
+
+    /** Whether it can finish when it starts now. */
+    boolean fitsItsTime(ServiceTimes times, long now) {
+        double expected = probe ? 0 : times.expected(kind, now);
+        return remainingNanos(now) > expected;
+    }
+
     long waitedNanos(long now) {
         return now - arrivedAt;
     }
@@ -111,11 +137,15 @@
         if (byRank != 0) {
             return byRank;
         }
+        int byCover = Boolean.compare(b.request.covered(), a.request.covered());
+        if (byCover != 0) {
+            return byCover;
+        }
         int bySunk = Long.compare(b.request.sunkNanos() / SUNK_STEP_NANOS, a.request.sunkNanos() / SUNK_STEP_NANOS);
         if (bySunk != 0) {
             return bySunk;
         }
-        int byDeadline = Long.compare(a.deadline - b.deadline, 0);
-        return byDeadline != 0 ? byDeadline : Long.compare(a.order, b.order);
+        int bySlack = Long.compare(a.latestStart - b.latestStart, 0);
+        return bySlack != 0 ? bySlack : Long.compare(a.order, b.order);
     }
 }
--- a/src/main/java/io/beryldock/admission/GateRequest.java
+++ b/src/main/java/io/beryldock/admission/GateRequest.java
@@ -13,8 +13,11 @@
  * @param callerHash from {@link CallerHash}
  * @param sunkNanos target time already spent for its root request
  * @param remainingNanos time left until its deadline, counted from the submission
+ * @param covered whether its entry holds credits for its whole tree
+ * @param kind from {@link RequestKind}
  */
-public record GateRequest(RequestId id, int rank, int callerHash, long sunkNanos, long remainingNanos) {
+public record GateRequest(
+        RequestId id, int rank, int callerHash, long sunkNanos, long remainingNanos, boolean covered, int kind) {
 
     public GateRequest {
         Objects.requireNonNull(id, "id");
@@ -22,4 +25,9 @@
             throw new IllegalArgumentException("rank must be 0 to " + PriorityClass.LOWEST_RANK + ": " + rank);
         }
     }
+
+    /** A request that is not covered by credits, of no kind of its own. */
+    public GateRequest(RequestId id, int rank, int callerHash, long sunkNanos, long remainingNanos) {
+        this(id, rank, callerHash, sunkNanos, remainingNanos, false, RequestKind.NONE);
+    }
 }
--- a/src/main/java/io/beryldock/admission/GateSettings.java
+++ b/src/main/java/io/beryldock/admission/GateSettings.java
@@ -14,6 +14,7 @@
  * @param maxLimit the limit never rises above it
  * @param announcedSlots what the target announced, a hard bound of the limit; 0 when it announced nothing
  * @param usableShare share of the announced slots that is used, for targets that slow down when nearly full
+ * @param timesByKind whether kinds of requests are told apart, for targets whose kinds differ much in service time
  * @param queueCapacity requests that may wait
  * @param queueTarget wait allowed while the queue stands
  * @param queueInterval wait allowed in a burst, and the time after which a queue that never emptied stands
@@ -27,6 +28,7 @@
         int maxLimit,
         int announcedSlots,
         double usableShare,
+        boolean timesByKind,
         int queueCapacity,
         Duration queueTarget,
         Duration queueInterval,
@@ -59,6 +61,7 @@
                 1_000,
                 0,
                 1,
+                false,
                 256,
                 Duration.ofMillis(20),
                 Duration.ofMillis(100),
@@ -87,6 +90,7 @@
                 maxLimit,
                 slots,
                 usableShare,
+                timesByKind,
                 queueCapacity,
                 queueTarget,
                 queueInterval,
@@ -103,6 +107,7 @@
                 maxLimit,
                 announcedSlots,
                 usableShare,
+                timesByKind,
                 queueCapacity,
                 queueTarget,
                 queueInterval,
@@ -119,6 +124,7 @@
                 maxLimit,
                 announcedSlots,
                 usableShare,
+                timesByKind,
                 queueCapacity,
                 queueTarget,
                 queueInterval,
@@ -135,6 +141,24 @@
                 maxLimit,
                 announcedSlots,
                 share,
+                timesByKind,
+                queueCapacity,
+                queueTarget,
+                queueInterval,
+                rampTime,
+                abandonedHold);
+    }
+
+    /** The same settings with kinds of requests told apart or not. */
+    public GateSettings withTimesByKind(boolean apart) {
+        return new GateSettings(
+                strategy,
+                minLimit,
+                initialLimit,
+                maxLimit,
+                announcedSlots,
+                usableShare,
+                apart,
                 queueCapacity,
                 queueTarget,
                 queueInterval,
--- a/src/main/java/io/beryldock/admission/GateSnapshot.java
+++ b/src/main/java/io/beryldock/admission/GateSnapshot.java
@@ -2,7 +2,10 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import io.beryldock.call.PriorityClass;
 import io.beryldock.call.Reason;
+import java.util.Arrays;
+import java.util.Collection;
 
 /**
  * State of a gate at one moment, for operators and metrics.
@@ -27,6 +30,19 @@
         long meanServiceNanos,
         boolean draining) {
 
+    static ImmutableList<Integer> countByRank(Collection<GateEntry> queue) {
+        Integer[] queued = new Integer[PriorityClass.RANKS];
+        Arrays.fill(queued, 0);
+        queue.forEach(entry -> queued[entry.request().rank()]++);
+        return ImmutableList.copyOf(queued);
+    }
+
+    static int countAbandoned(Collection<GateEntry> running) {
+        return (int) running.stream()
+                .filter(entry -> entry.state() == GateEntry.State.ABANDONED)
+                .count();
+    }
+
     /** All requests that wait. */
     public int queued() {
         return queuedByRank.stream().mapToInt(Integer::intValue).sum();
--- a/src/main/java/io/beryldock/admission/LevelController.java
+++ b/src/main/java/io/beryldock/admission/LevelController.java
@@ -49,6 +49,26 @@
         private static final double GOAL_DEVIATIONS = 0.8;
         private static final double BOUND_DEVIATIONS = 2;
         private static final double WAIT_DEVIATIONS = 15;
+        private static final double STALL_GAPS = 4;
+        private static final double LOOP_BASE_NANOS = 60_000_000;
+        private static final double LOOP_PER_SERVICE_TIME = 2;
+
+        /**
+         * The load of a target's slots.
+         *
+         * @param meanNanos time that a request is expected to take
+         * @param sinceProgressNanos time since a request began after idleness or ended
+         */
+        static Load of(int slots, int running, int queued, double meanNanos, long sinceProgressNanos) {
+            double mean = Math.max(1, meanNanos);
+            double capacity = slots / mean;
+            if (running >= slots) {
+                // A target that hangs ends nothing, so no service time shows it; the lack of several ends does.
+                capacity = Math.min(capacity, STALL_GAPS / Math.max(1, sinceProgressNanos));
+            }
+            double busy = (double) running / slots;
+            return new Load(capacity, queued, busy, LOOP_BASE_NANOS + LOOP_PER_SERVICE_TIME * mean);
+        }
 
         /** Queue length to aim at. */
         double goal() {
--- a/src/main/java/io/beryldock/admission/ServiceTimes.java
+++ b/src/main/java/io/beryldock/admission/ServiceTimes.java
@@ -1,52 +1,26 @@
 package io.beryldock.admission;
 
 /**
- * Service times of one target: what a request may be expected to take.
+ * Service times of one target: what a request may be expected to take, by its kind where kinds differ.
  *
- * <p>The mean is smooth while the samples scatter as usual, and follows within a few samples when they have changed:
- * a fast average that leaves the scatter of the slow one shows a change. All in nanoseconds, 0 when nothing is known.
- * Guarded by the gate's lock.
+ * <p>All in nanoseconds, 0 when nothing is known. Guarded by the gate's lock.
  */
 final class ServiceTimes {
 
-    private static final double SLOW_WEIGHT = 1.0 / 64;
-    private static final double FAST_WEIGHT = 1.0 / 8;
     private static final double LONG_WEIGHT = 1.0 / 512;
-    private static final double CHANGE_DEVIATIONS = 5;
-    private static final int SAMPLES_TO_FOLLOW = 16;
-    private static final double SCATTER_OF_FAST = Math.sqrt(FAST_WEIGHT / (2 - FAST_WEIGHT));
     private static final long MIN_HELD_NANOS = 10_000_000_000L;
-    private static final long FRESH_NANOS = 1_000_000_000L;
 
-    private double mean;
-    private double fast;
-    private double deviation;
+    private final SmoothedTime all = new SmoothedTime();
+    private final KindTimes kinds = new KindTimes();
     private double longMean;
-    private int following;
     private double minNow;
     private double minBefore;
     private long minSince;
-    private long lastAt;
 
-    void add(long nanos, long now) {
-        lastAt = now;
-        if (mean == 0) {
-            mean = nanos;
-            fast = nanos;
-            longMean = nanos;
-            deviation = nanos / 2.0;
-            return;
-        }
-        fast += FAST_WEIGHT * (nanos - fast);
-        double scatter = SCATTER_OF_FAST * deviation * Math.sqrt(Math.min(1, fast / mean));
-        if (Math.abs(fast - mean) > CHANGE_DEVIATIONS * scatter) {
-            following = SAMPLES_TO_FOLLOW;
-        }
-        double weight = following > 0 ? FAST_WEIGHT : SLOW_WEIGHT;
-        deviation += weight * (Math.abs(nanos - mean) - deviation);
-        mean = following > 0 ? fast : mean + SLOW_WEIGHT * (nanos - mean);
-        following = Math.max(0, following - 1);
-        longMean += LONG_WEIGHT * (nanos - longMean);
+    void add(int kind, long nanos, long now) {
+        longMean = all.mean() == 0 ? nanos : longMean + LONG_WEIGHT * (nanos - longMean);
+        all.add(nanos, now);
+        kinds.add(kind, nanos, now);
     }
 
     /** Takes the mean of a whole window into the shortest one; one sample alone would be far below the mean. */
@@ -60,7 +34,7 @@
     }
 
     double mean() {
-        return mean;
+        return all.mean();
     }
 
     double longMean() {
@@ -72,14 +46,23 @@
         return minBefore == 0 ? minNow : Math.min(minNow, minBefore);
     }
 
-    /**
-     * What a request that starts now is expected to take.
-     *
-     * <p>Without new samples it halves every second: a target that was slow would otherwise be given no request that
-     * could show that it has recovered, since each would seem unable to finish.
-     */
+    /** What a request that starts now is expected to take, whatever its kind. */
     double expected(long now) {
-        long stale = now - lastAt - FRESH_NANOS;
-        return stale <= 0 ? mean : mean * Math.pow(2, -(double) stale / FRESH_NANOS);
+        return all.expected(now);
+    }
+
+    /** What a request of the kind is expected to take that starts now. */
+    double expected(int kind, long now) {
+        return kinds.expected(kind, all, now);
+    }
+
+    /** How much longer than the mean of all the kind takes, below 0 when shorter; 0 while it is unknown. */
+    long aboveMean(int kind) {
+        return (long) kinds.aboveMean(kind, all);
+    }
+
+    /** Whether a request of a kind that is unknown may run to make it known. */
+    boolean takeProbe(int kind, long now) {
+        return kinds.takeProbe(kind, now);
     }
 }
--- a/src/main/java/io/beryldock/forwarding/TargetRun.java
+++ b/src/main/java/io/beryldock/forwarding/TargetRun.java
@@ -7,6 +7,7 @@
 import io.beryldock.admission.GateListener;
 import io.beryldock.admission.GateRequest;
 import io.beryldock.admission.Permit;
+import io.beryldock.admission.RequestKind;
 import io.beryldock.call.Answer;
 import io.beryldock.call.Call;
 import io.beryldock.call.CallContext;
@@ -75,7 +76,9 @@
                 context.priority().rank(),
                 context.callerHash(),
                 context.sunkNanos(),
-                context.remainingNanos());
+                context.remainingNanos(),
+                context.covered(),
+                RequestKind.of(call));
         GateHandle submitted = target.gate().submit(request, this);
         synchronized (this) {
             handle = submitted;
--- a/src/main/java/io/beryldock/node/TrafficModule.java
+++ b/src/main/java/io/beryldock/node/TrafficModule.java
@@ -108,6 +108,7 @@
                 limit,
                 0,
                 1,
+                false,
                 BASELINE_QUEUE,
                 BASELINE_WAIT,
                 BASELINE_WAIT,
--- a/src/test/java/io/beryldock/admission/GateFixture.java
+++ b/src/test/java/io/beryldock/admission/GateFixture.java
@@ -44,6 +44,14 @@
         return heard;
     }
 
+    Heard submit(int rank, int kind, long remainingMillis, boolean covered) {
+        Heard heard = new Heard(rank);
+        long remaining = Duration.ofMillis(remainingMillis).toNanos();
+        int hash = CallerHash.of("caller-" + submitted++, 0);
+        heard.handle = gate.submit(new GateRequest(ids.next(), rank, hash, 0, remaining, covered, kind), heard);
+        return heard;
+    }
+
     Heard submit(int rank) {
         return submit(rank, 0, 1_000);
     }
