Choice of a target by reported load; data centres lend and borrow by measured waits

Callers saw only their own calls: at a data centre with three targets for as many callers as one with five, the busiest target had 1.22 times the mean, while slots elsewhere were free. Results now bring the load of their target's gate; with the setting placement COMPLETION a caller weighs expected completion (slowness within the kind of call, by how crowded the target is) of two drawn targets, refused calls go at once to slots known to be free, the share that leaves the own data centre follows the difference of the expected waits, and a target or data centre that comes back often, or all at once, is taken up slowly. The default, OWN_CALLS, stays as it was.

Ruled out: free slots first whatever the speed (slow targets keep as many calls as fast ones: p95 no better than the baseline); coming home held back while the own side refuses more (no gain, more calls abroad); a larger gain of the share (swings of 0.2 to 0.6 in two seconds).

--- a/src/main/java/io/beryldock/forwarding/AttemptLoop.java
+++ b/src/main/java/io/beryldock/forwarding/AttemptLoop.java
@@ -18,6 +18,7 @@
 import io.beryldock.retry.RetryGrant;
 import io.beryldock.retry.RetryPolicy;
 import io.beryldock.retry.RetryQuestion;
+import io.beryldock.routing.CallKind;
 import io.beryldock.settings.NodeSettings.Policy;
 import java.time.Duration;
 import java.util.HashSet;
@@ -52,7 +53,7 @@
     private boolean mayHaveRun;
     private Optional<CallResult> last = Optional.empty();
     private Optional<CallResult> failedAnswer = Optional.empty();
-    private Optional<TargetRecord> resendTo = Optional.empty();
+    private Optional<TargetRecord> nextTarget = Optional.empty();
 
     AttemptLoop(CallForwarder.Ports ports, Call call, RetryAccount account, CancelScope scope) {
         this.ports = ports;
@@ -94,8 +95,8 @@
             finish(CallResult.notRun(Reason.QUARANTINED, "it was in flight when targets crashed"));
             return;
         }
-        Optional<TargetRecord> target = resendTo.isPresent()
-                ? resendTo
+        Optional<TargetRecord> target = nextTarget.isPresent()
+                ? nextTarget
                 : ports.chooser().choose(ports.directory().get(), call.service(), tried, Set.of(), call.idempotent());
         if (target.isEmpty()) {
             finish(last.orElseGet(() -> CallResult.notRun(Reason.NO_TARGET, "service " + call.service())));
@@ -128,7 +129,7 @@
     }
 
     private void onEnd(TargetRecord target, RetryGrant grant, CallResult ended, long latencyNanos) {
-        ports.chooser().onResult(target, ended, latencyNanos);
+        ports.chooser().onResult(target, ended, latencyNanos, CallKind.of(call));
         teachDoor(ended);
         settle(grant, ended);
         spentNanos += ended.spentNanos();
@@ -140,8 +141,7 @@
         failedAnswer = ended.outcome() == Outcome.ANSWERED ? last : failedAnswer;
         RetryDecision decision = decide(ended);
         if (decision.isRetry()) {
-            resendTo = decision == RetryDecision.RESEND ? Optional.of(target) : Optional.empty();
-            retryLater();
+            retry(decision, target, ended);
         } else {
             finish(ended);
         }
@@ -207,6 +207,22 @@
         return ended.answer().filter(answer -> answer.status() < SERVER_ERROR).isPresent();
     }
 
+    private void retry(RetryDecision decision, TargetRecord target, CallResult ended) {
+        boolean resend = decision == RetryDecision.RESEND;
+        nextTarget = resend ? Optional.of(target) : handOn(ended);
+        if (resend || nextTarget.isEmpty()) {
+            retryLater();
+        } else {
+            next();
+        }
+    }
+
+    /** Where a call that a full target refused can run at once; waiting would only let others take the slots. */
+    private Optional<TargetRecord> handOn(CallResult ended) {
+        boolean full = ended.reason().filter(RetryPolicy::isFullRefusal).isPresent();
+        return full ? ports.chooser().chooseFree(call.service(), tried, Set.of()) : Optional.empty();
+    }
+
     private void count(RetryDecision decision) {
         switch (decision) {
             case RETRY_ELSEWHERE, RESEND -> ports.retryTally().granted(call.caller(), call.service());
--- a/src/main/java/io/beryldock/routing/Distances.java
+++ b/src/main/java/io/beryldock/routing/Distances.java
@@ -50,4 +50,13 @@
             version.incrementAndGet();
         }
     }
+
+    /** Round trip to the farthest near data centre, 0 when none was measured. */
+    long nearNanos() {
+        double farthest = 0;
+        for (double nanos : roundTrips.values()) {
+            farthest = nanos > FAR_NANOS ? farthest : Math.max(farthest, nanos);
+        }
+        return (long) farthest;
+    }
 }
--- a/src/main/java/io/beryldock/routing/Ejection.java
+++ b/src/main/java/io/beryldock/routing/Ejection.java
@@ -44,6 +44,11 @@
         return out;
     }
 
+    /** Whether it was ejected before the latest time, and that is not forgiven yet. */
+    boolean isRepeated() {
+        return ejections > 1;
+    }
+
     int consecutive() {
         return consecutive;
     }
--- a/src/main/java/io/beryldock/routing/ServiceTargets.java
+++ b/src/main/java/io/beryldock/routing/ServiceTargets.java
@@ -5,6 +5,8 @@
 import io.beryldock.call.Incarnation;
 import io.beryldock.call.NodeId;
 import io.beryldock.call.ServiceLevel;
+import io.beryldock.call.TargetLoad;
+import io.beryldock.load.PauseDetector;
 import io.beryldock.membership.TargetRecord;
 import io.beryldock.membership.TargetState;
 import io.beryldock.routing.TargetHealth.Condition;
@@ -14,7 +16,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.random.RandomGenerator;
 
 /**
@@ -24,32 +25,34 @@
  */
 final class ServiceTargets {
 
-    /** Draws by chance before all targets of a tier are looked at in turn. */
-    private static final int MAX_DRAWS = 12;
-
     /** Share of second attempts that leave the own data centre: what failed may be the whole of it. */
     private static final double RETRY_SPILL = 0.5;
 
-    private static final double USUAL_SAMPLE_WEIGHT = 0.05;
-
     private final Distances distances;
     private final RandomGenerator random;
     private final ChooserSettings settings;
     private final OutlierDetector outliers;
     private final Map<Key, TargetStats> stats = new HashMap<>();
     private final List<List<TargetStats>> tiers = new ArrayList<>();
+    private final UsualTimes usual = new UsualTimes();
+    private final ReturnMemory returns = new ReturnMemory();
+    private final TargetDraw draw;
+    private final CentreWaits waits;
     private final SpillShare spill;
+    private final PauseDetector pauses;
     private ImmutableList<TargetRecord> current = ImmutableList.of();
     private int distanceVersion = -1;
     private int ready;
-    private double usualNanos;
 
     ServiceTargets(Distances distances, RandomGenerator random, EventSink events, ChooserSettings settings, long now) {
         this.distances = distances;
         this.random = random;
         this.settings = settings;
         this.outliers = new OutlierDetector(random, events, settings, now);
-        this.spill = new SpillShare(now);
+        this.draw = new TargetDraw(random, settings.placement().cost(), usual);
+        this.waits = new CentreWaits(settings.crossingPrice().toNanos() + distances.nearNanos());
+        this.spill = new SpillShare(now, waits);
+        this.pauses = new PauseDetector(now);
         for (int i = 0; i < Distances.TIERS; i++) {
             tiers.add(new ArrayList<>());
         }
@@ -72,18 +75,8 @@
         }
     }
 
-    /** Nodes that must not be chosen for a call, and whether it may show if a sick target is well again. */
-    record Barred(Set<NodeId> excluded, Set<NodeId> drained, boolean mayProbe) {
-        boolean contains(NodeId node) {
-            return excluded.contains(node) || drained.contains(node);
-        }
-
-        boolean isRetry() {
-            return !excluded.isEmpty();
-        }
-    }
-
     synchronized Optional<TargetRecord> choose(ImmutableList<TargetRecord> targets, Barred barred, long now) {
+        pauses.onEvent(now);
         refresh(targets, now);
         TargetStats chosen = chooseByTier(barred, now);
         if (chosen == null) {
@@ -92,14 +85,24 @@
         return Optional.ofNullable(chosen).map(TargetStats::record);
     }
 
+    /** A target that is known to have free slots now, for a call that a full one has refused. */
+    synchronized Optional<TargetRecord> chooseFree(Barred barred, long now) {
+        for (List<TargetStats> tier : tiers) {
+            TargetStats found = draw.drawFree(tier, barred, now);
+            if (found != null) {
+                return Optional.of(found.record());
+            }
+        }
+        return Optional.empty();
+    }
+
     private TargetStats chooseByTier(Barred barred, long now) {
-        double leaving = barred.isRetry() ? Math.max(RETRY_SPILL, spill.value(now)) : spill.value(now);
-        boolean ownFirst = random.nextDouble() >= leaving;
+        boolean ownFirst = random.nextDouble() >= leavingShare(barred, now);
         int[] order = ownFirst
                 ? new int[] {Distances.OWN, Distances.NEAR, Distances.FAR}
                 : new int[] {Distances.NEAR, Distances.OWN, Distances.FAR};
         for (int tier : order) {
-            TargetStats found = chooseIn(tiers.get(tier), barred, now);
+            TargetStats found = draw.draw(tiers.get(tier), barred, now);
             if (found != null) {
                 return found;
             }
@@ -107,78 +110,14 @@
         return null;
     }
 
-    /** Two random choices: the draw by share keeps cold targets from being swamped, the cost picks the better one. */
-    private TargetStats chooseIn(List<TargetStats> tier, Barred barred, long now) {
-        if (tier.isEmpty()) {
-            return null;
-        }
-        TargetStats probe = barred.mayProbe() ? dueProbe(tier, barred, now) : null;
-        if (probe != null) {
-            return probe;
-        }
-        TargetStats first = firstChoice(tier, barred, now);
-        if (first == null) {
-            return null;
-        }
-        TargetStats second = secondChoice(tier, first, barred, now);
-        if (second == null) {
-            return first;
-        }
-        return first.cost(now, usualNanos) <= second.cost(now, usualNanos) ? first : second;
-    }
-
-    /** A target whose ejection is over gets one call in about as many as there are targets. */
-    private TargetStats dueProbe(List<TargetStats> tier, Barred barred, long now) {
-        TargetStats candidate = tier.get(random.nextInt(tier.size()));
-        boolean due = candidate.ejection.condition(now) == Condition.PROBED && candidate.inFlight() == 0;
-        return due && isOpen(candidate, barred, now) ? candidate : null;
-    }
-
-    /** An eligible target by chance, in proportion to the shares. */
-    private TargetStats firstChoice(List<TargetStats> tier, Barred barred, long now) {
-        for (int i = 0; i < MAX_DRAWS; i++) {
-            TargetStats candidate = tier.get(random.nextInt(tier.size()));
-            if (isEligible(candidate, barred, now) && random.nextDouble() < candidate.share(now)) {
-                return candidate;
-            }
-        }
-        return nextEligible(tier, null, barred, now);
-    }
-
-    /**
-     * Another eligible target, or null when there is none or its share lets it pass this time.
-     *
-     * <p>Drawing again in its place would bring a cold target, which always has the lower cost, to every call.
-     */
-    private TargetStats secondChoice(List<TargetStats> tier, TargetStats first, Barred barred, long now) {
-        TargetStats candidate = null;
-        for (int i = 0; i < MAX_DRAWS && candidate == null; i++) {
-            TargetStats drawn = tier.get(random.nextInt(tier.size()));
-            candidate = drawn != first && isEligible(drawn, barred, now) ? drawn : null;
-        }
-        if (candidate == null) {
-            candidate = nextEligible(tier, first, barred, now);
-        }
-        return candidate != null && random.nextDouble() < candidate.share(now) ? candidate : null;
-    }
-
-    private TargetStats nextEligible(List<TargetStats> tier, TargetStats other, Barred barred, long now) {
-        int start = random.nextInt(tier.size());
-        for (int i = 0; i < tier.size(); i++) {
-            TargetStats candidate = tier.get((start + i) % tier.size());
-            if (candidate != other && isEligible(candidate, barred, now)) {
-                return candidate;
-            }
+    private double leavingShare(Barred barred, long now) {
+        double leaving = barred.isRetry() ? Math.max(RETRY_SPILL, spill.value(now)) : spill.value(now);
+        if (!settings.placement().usesReports()) {
+            return leaving;
         }
-        return null;
-    }
-
-    private static boolean isEligible(TargetStats target, Barred barred, long now) {
-        return !target.ejection.isOut() && isOpen(target, barred, now);
-    }
-
-    private static boolean isOpen(TargetStats target, Barred barred, long now) {
-        return !target.isLeaving(now) && !barred.contains(target.record().node().id());
+        // Targets that all have just come back, as after a cut, would otherwise be met by all calls at once.
+        double warmth = draw.warmth(tiers.get(Distances.OWN), barred, now);
+        return Math.max(leaving, 1 - warmth);
     }
 
     /** The last resort: a wrong ejection must not shut a service out, and a refused connection costs little. */
@@ -217,10 +156,10 @@
 
     private void addReady(TargetRecord target, TargetStats known, boolean first, long now) {
         TargetStats kept = known == null ? new TargetStats(target, now) : known;
-        if (known == null && !first) {
-            kept.startCold(now, settings.ramp().toNanos());
+        if (known == null) {
+            onAppeared(kept, first, now);
         }
-        if (target.revision() != kept.record().revision()) {
+        if (target.revision() != kept.record().revision() && mayProbeAtOnce(kept)) {
             kept.ejection.probeNow(now);
         }
         kept.update(target);
@@ -229,31 +168,63 @@
         ready++;
     }
 
+    private void onAppeared(TargetStats target, boolean first, long now) {
+        int slower = returns.onReturn(target.record().node().id(), now);
+        if (!first) {
+            int times = settings.placement().usesReports() ? slower : 1;
+            target.startCold(now, settings.ramp().toNanos() * times);
+        }
+    }
+
+    /** News of a target ends its ejection, but not of one that goes and comes by turns. */
+    private boolean mayProbeAtOnce(TargetStats target) {
+        return !settings.placement().usesReports() || !target.ejection.isRepeated();
+    }
+
     synchronized void onStart(TargetRecord target, long now) {
+        pauses.onEvent(now);
         TargetStats known = stats.get(Key.of(target));
         if (known != null) {
             known.onStart(now);
         }
     }
 
-    synchronized void onResult(TargetRecord target, CallResult result, long latencyNanos, long now) {
+    synchronized void onResult(TargetRecord target, CallResult result, long latencyNanos, CallKind kind, long now) {
+        pauses.onEvent(now);
         TargetStats known = stats.get(Key.of(target));
         if (known == null) {
             return;
         }
         known.onEnd(now);
-        CallSign sign = CallSign.of(result, latencyNanos, usualNanos);
+        CallSign sign = CallSign.of(result, latencyNanos, usual.latencyNanos());
+        noteLoad(known, result, latencyNanos, now);
         notePressure(known, result, sign, now);
         switch (sign) {
-            case WELL -> onWell(known, latencyNanos, now);
+            case WELL -> onWell(known, latencyNanos, kind, now);
             case FULL -> outliers.onAlive(known, now);
             case LEAVING -> known.onLeaving(now);
-            case FAILED -> onFailed(known, latencyNanos, now);
+            case FAILED -> onFailed(known, latencyNanos, kind, now);
             case UNREACHABLE -> outliers.onUnreachable(known, "no connection could be made", now);
             default -> {}
         }
     }
 
+    /** A report that waited in this node's buffers while it was paused tells of a time before. */
+    private void noteLoad(TargetStats target, CallResult result, long latencyNanos, long now) {
+        boolean used = settings.placement().usesReports() && !pauses.hasPausedSince(now - latencyNanos);
+        if (!used || result.load().isEmpty()) {
+            return;
+        }
+        TargetLoad load = result.load().get();
+        target.reported.onReport(load, now);
+        usual.onReport(load);
+        waits.onReport(isOwn(target), load, now);
+    }
+
+    private boolean isOwn(TargetStats target) {
+        return distances.tier(target.record().node().dataCentre()) == Distances.OWN;
+    }
+
     private void notePressure(TargetStats target, CallResult result, CallSign sign, long now) {
         if (sign != CallSign.WELL && sign != CallSign.FULL) {
             return;
@@ -266,19 +237,18 @@
         double shut = 1 - (double) target.level() / ServiceLevel.OPEN;
         double pressure = sign == CallSign.FULL ? 1 : shut;
         target.onPressure(pressure, now);
-        boolean own = distances.tier(target.record().node().dataCentre()) == Distances.OWN;
-        spill.onResult(own, pressure, now);
+        spill.onResult(isOwn(target), pressure, now);
     }
 
-    private void onWell(TargetStats target, long latencyNanos, long now) {
+    private void onWell(TargetStats target, long latencyNanos, CallKind kind, long now) {
         outliers.onWell(target, now);
-        target.onLatency(latencyNanos, now);
-        usualNanos += usualNanos == 0 ? latencyNanos : USUAL_SAMPLE_WEIGHT * (latencyNanos - usualNanos);
+        double relative = usual.onLatency(kind, latencyNanos);
+        target.onLatency(latencyNanos, relative, now);
     }
 
-    private void onFailed(TargetStats target, long latencyNanos, long now) {
+    private void onFailed(TargetStats target, long latencyNanos, CallKind kind, long now) {
         if (latencyNanos > target.latencyNanos()) {
-            target.onLatency(latencyNanos, now);
+            target.onLatency(latencyNanos, usual.relative(kind, latencyNanos), now);
         }
         outliers.onFailed(target, stats.values(), ready, now);
     }
@@ -309,7 +279,10 @@
                     target.inFlight(),
                     (long) target.latencyNanos(),
                     target.level(),
-                    target.share(now)));
+                    target.share(now),
+                    target.reported.free(now),
+                    target.reported.ageNanos(now),
+                    target.slowness(usual, now)));
         }
     }
 
--- a/src/main/java/io/beryldock/routing/SpillShare.java
+++ b/src/main/java/io/beryldock/routing/SpillShare.java
@@ -5,8 +5,8 @@
  *
  * <p>Rises with the difference between what the own and what the other data centres refuse, and falls back by itself,
  * slowly enough not to swing. While both refuse, calls come home quickly: crossing over helps nobody and costs bytes
- * between data centres. Invariant: between 0 and {@link #MAX}. Not thread safe; guarded by the lock of
- * {@link ServiceTargets}.
+ * between data centres. Where the targets report their load, the waits of both sides move it as well. Invariant: between
+ * 0 and {@link #MAX}. Not thread safe; guarded by the lock of {@link ServiceTargets}.
  */
 final class SpillShare {
 
@@ -23,6 +23,10 @@
     private static final double MAX_STEP_SECONDS = 0.5;
     private static final double NANOS_PER_SECOND = 1e9;
 
+    /** All callers of a data centre move at once, on reports that are some hundred ms old. */
+    private static final double WAIT_GAIN_PER_SECOND = 0.4;
+
+    private final CentreWaits waits;
     private double share;
     private double near;
     private double far;
@@ -30,7 +34,8 @@
     private long farUpdated;
     private long updated;
 
-    SpillShare(long now) {
+    SpillShare(long now, CentreWaits waits) {
+        this.waits = waits;
         this.updated = now;
         this.nearUpdated = now;
         this.farUpdated = now;
@@ -61,8 +66,10 @@
     private void advance(long now) {
         double seconds = Math.min(MAX_STEP_SECONDS, Math.max(0, now - updated) / NANOS_PER_SECOND);
         updated = now;
-        double home = LEAK_PER_SECOND + HOME_PER_SECOND * Math.min(near, far);
-        double step = GAIN_PER_SECOND * (near - far) - home * share;
+        double leak = waits.isKnown(now) ? 0 : LEAK_PER_SECOND;
+        double home = leak + HOME_PER_SECOND * Math.min(near, far);
+        double drive = WAIT_GAIN_PER_SECOND * waits.drive(share, now);
+        double step = GAIN_PER_SECOND * (near - far) + drive - home * share;
         share = Math.max(0, Math.min(MAX, share + step * seconds));
     }
 }
--- a/src/main/java/io/beryldock/routing/TargetChooser.java
+++ b/src/main/java/io/beryldock/routing/TargetChooser.java
@@ -75,7 +75,19 @@
             }
             known = services.computeIfAbsent(service, name -> newService());
         }
-        return known.choose(targets, new ServiceTargets.Barred(excluded, drained, mayProbe), ticker.nanos());
+        return known.choose(targets, new Barred(excluded, drained, mayProbe), ticker.nanos());
+    }
+
+    /**
+     * A target with slots that are known to be free, for a call that a full target has refused; empty when none is known
+     * or reports of load are not used.
+     */
+    public Optional<TargetRecord> chooseFree(ServiceName service, Set<NodeId> excluded, Set<NodeId> drained) {
+        ServiceTargets known = services.get(service);
+        if (known == null) {
+            return Optional.empty();
+        }
+        return known.chooseFree(new Barred(excluded, drained, false), ticker.nanos());
     }
 
     private ServiceTargets newService() {
@@ -94,11 +106,16 @@
         }
     }
 
-    /** A call to the target ended. */
+    /** A call of a kind that nothing is known of ended. */
     public void onResult(TargetRecord target, CallResult result, long latencyNanos) {
+        onResult(target, result, latencyNanos, CallKind.ANY);
+    }
+
+    /** A call to the target ended. */
+    public void onResult(TargetRecord target, CallResult result, long latencyNanos, CallKind kind) {
         ServiceTargets known = services.get(target.service());
         if (known != null) {
-            known.onResult(target, result, latencyNanos, ticker.nanos());
+            known.onResult(target, result, latencyNanos, kind, ticker.nanos());
         }
     }
 
--- a/src/main/java/io/beryldock/routing/TargetStats.java
+++ b/src/main/java/io/beryldock/routing/TargetStats.java
@@ -1,6 +1,8 @@
 package io.beryldock.routing;
 
 import io.beryldock.call.ServiceLevel;
+import io.beryldock.call.TargetLoad;
+import io.beryldock.load.ReportedLoad;
 import io.beryldock.membership.TargetRecord;
 import java.time.Duration;
 
@@ -16,15 +18,19 @@
 
     private static final double LATENCY_TIME_CONSTANT_NANOS = 5e9;
     private static final double LEAST_SAMPLE_WEIGHT = 0.3;
+    private static final double LEAST_SLOWNESS_WEIGHT = 0.1;
     private static final double PRESSURE_TIME_CONSTANT_NANOS = 2e9;
     private static final double PRESSURE_SAMPLE_WEIGHT = 0.3;
 
     /** A target that refuses everything looks this many times as loaded, and one more. */
     private static final double PRESSURE_PENALTY = 8;
 
+    private static final double LEAST_SLOWNESS = 0.05;
+
     private static final long LEAVING_NANOS = Duration.ofSeconds(3).toNanos();
 
     final Ejection ejection;
+    final ReportedLoad reported = new ReportedLoad();
     private TargetRecord record;
     private long rampStart;
     private long rampNanos;
@@ -32,6 +38,7 @@
     private long lastProgress;
     private double latencyNanos;
     private long latencyUpdated;
+    private double slowness = 1;
     private double pressure;
     private long pressureUpdated;
     private int level = ServiceLevel.OPEN;
@@ -85,6 +92,7 @@
             lastProgress = now;
         }
         inFlight++;
+        reported.onSent();
     }
 
     void onEnd(long now) {
@@ -100,20 +108,26 @@
         return level;
     }
 
-    void onLatency(long sample, long now) {
+    /**
+     * Notes the latency of a call.
+     *
+     * @param relative how it relates to the usual of its kind
+     */
+    void onLatency(long sample, double relative, long now) {
+        double faded = 1 - Math.exp(-(now - latencyUpdated) / LATENCY_TIME_CONSTANT_NANOS);
         if (latencyNanos == 0) {
             latencyNanos = sample;
         } else {
-            double faded = 1 - Math.exp(-(now - latencyUpdated) / LATENCY_TIME_CONSTANT_NANOS);
-            double weight = Math.max(LEAST_SAMPLE_WEIGHT, faded);
-            latencyNanos += weight * (sample - latencyNanos);
+            latencyNanos += Math.max(LEAST_SAMPLE_WEIGHT, faded) * (sample - latencyNanos);
         }
+        slowness += Math.max(LEAST_SLOWNESS_WEIGHT, faded) * (relative - slowness);
         latencyUpdated = now;
     }
 
     /** Forgets the latency, which may come from the time before an ejection. */
     void forgetLatency() {
         latencyNanos = 0;
+        slowness = 1;
     }
 
     void onLevel(int reported) {
@@ -155,6 +169,50 @@
         double latency = latencyOfLate(now, usualNanos);
         double stalled = inFlight == 0 ? 0 : now - lastProgress;
         double load = (inFlight + 1.0) / Math.max(1, record.slots());
-        return load * Math.max(latency, stalled) * (1 + PRESSURE_PENALTY * pressure(now));
+        return load * Math.max(latency, stalled) * refusalFactor(now);
+    }
+
+    /** How much dearer the target is for what it refused of late; own calls go before what it reports. */
+    double refusalFactor(long now) {
+        return 1 + PRESSURE_PENALTY * pressure(now);
+    }
+
+    /** Times the usual that a call of the same kind takes here, by own calls, else by what the target reports. */
+    double slowness(UsualTimes usual, long now) {
+        double measured = latencyNanos == 0 ? 0 : 1;
+        double kept = measured * Math.exp(-(now - latencyUpdated) / LATENCY_TIME_CONSTANT_NANOS);
+        double own = kept * slowness + (1 - kept) * reportedSlowness(usual);
+        return Math.max(LEAST_SLOWNESS, own) * stall(usual, now);
+    }
+
+    private double reportedSlowness(UsualTimes usual) {
+        double mean = reported.newest().map(TargetLoad::meanNanos).orElse(0L);
+        return mean == 0 || usual.meanNanos() == 0 ? 1 : mean / usual.meanNanos();
+    }
+
+    /** Above 1 when calls are in flight and none made progress for longer than the slowest kind usually takes. */
+    double stall(UsualTimes usual, long now) {
+        double longest = usual.slowestNanos();
+        boolean unknown = inFlight == 0 || longest == 0;
+        return unknown ? 1 : Math.max(1, (now - lastProgress) / longest);
+    }
+
+    /** Requests at the target with one more, as a share of what it runs at once. */
+    double busyShare(UsualTimes usual, long now) {
+        return (busy(usual, now) + 1) / reported.limit(record.slots());
+    }
+
+    /** How dear the next slot is: 1 when all are free, the number of slots at the last one, more for each place queued. */
+    double crowding(UsualTimes usual, long now) {
+        double limit = reported.limit(record.slots());
+        double free = limit - busy(usual, now);
+        return free >= 1 ? limit / free : limit + 1 - free;
+    }
+
+    /** Without a report the target is held to be as busy as the others, and no less than with own calls. */
+    private double busy(UsualTimes usual, long now) {
+        double weight = reported.weight(now);
+        double assumed = Math.max(inFlight, usual.busyShare() * reported.limit(record.slots()));
+        return weight * reported.busy() + (1 - weight) * assumed;
     }
 }
--- /dev/null
+++ b/src/test/java/io/beryldock/load/PauseDetectorTest.java
@@ -0,0 +1,30 @@
+package io.beryldock.load;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+final class PauseDetectorTest {
+
+    private static final long STEP = PauseDetector.PAUSE_NANOS / 2;
+
+    private final PauseDetector pauses = new PauseDetector(0);
+
+    /** Guards against reports that waited in the buffers of a paused node and seem new when it goes on. */
+    @Test
+    void whatWasSentBeforeAGapIsOld() {
+        pauses.onEvent(STEP);
+        pauses.onEvent(10 * STEP);
+        pauses.onEvent(11 * STEP);
+        assertThat(pauses.hasPausedSince(9 * STEP)).isTrue();
+        assertThat(pauses.hasPausedSince(10 * STEP)).isFalse();
+    }
+
+    @Test
+    void steadyEventsAreNoPause() {
+        for (int i = 0; i < 10; i++) {
+            pauses.onEvent(i * STEP);
+        }
+        assertThat(pauses.hasPausedSince(0)).isFalse();
+    }
+}
--- a/src/test/java/io/beryldock/routing/FakeFleet.java
+++ b/src/test/java/io/beryldock/routing/FakeFleet.java
@@ -11,6 +11,7 @@
 import io.beryldock.call.Reason;
 import io.beryldock.call.ServiceLevel;
 import io.beryldock.call.ServiceName;
+import io.beryldock.call.TargetLoad;
 import io.beryldock.membership.Directory;
 import io.beryldock.membership.NodeDescriptor;
 import io.beryldock.membership.TargetRecord;
@@ -39,7 +40,9 @@
     static final DataCentre OTHER = DataCentre.of("gent-b");
 
     private static final long TIMEOUT = Duration.ofSeconds(1).toNanos();
-    private static final long MEAN_NANOS = Duration.ofMillis(20).toNanos();
+    private static final CallKind LONG = new CallKind(SERVICE, "long");
+    private static final int LONG_TIMES = 10;
+    static final long MEAN_NANOS = Duration.ofMillis(20).toNanos();
 
     final ManualTimerService time = ManualTimerService.create();
     final Random random;
@@ -53,6 +56,10 @@
     int none;
     int sent;
     int retriesAfterRefusal;
+
+    /** Share of calls of another kind, which take ten times as long. */
+    double longShare;
+
     Picker picker = chooser -> chooser.choose(directory, SERVICE, Set.of(), Set.of());
 
     /** A way of choosing, so that others can be measured beside the chooser's. */
@@ -62,9 +69,18 @@
 
     FakeFleet(long seed, int callers) {
         random = new Random(seed);
+        addCallers(OWN, seed, callers, ChooserSettings.defaults());
+    }
+
+    /** Without callers as yet. */
+    FakeFleet(long seed) {
+        random = new Random(seed);
+    }
+
+    void addCallers(DataCentre dataCentre, long seed, int callers, ChooserSettings settings) {
         for (int i = 0; i < callers; i++) {
-            choosers.add(TargetChooser.create(
-                    OWN, new Random(seed + i), time.ticker(), EventSink.none(), ChooserSettings.defaults()));
+            choosers.add(
+                    TargetChooser.create(dataCentre, new Random(seed + i), time.ticker(), EventSink.none(), settings));
         }
     }
 
@@ -105,7 +121,7 @@
         failed = 0;
         none = 0;
         sent = 0;
-        targets.values().forEach(target -> target.calls = 0);
+        targets.values().forEach(FakeTarget::clearCounts);
         long end = time.ticker().nanos() + length.toNanos();
         choosers.forEach(chooser -> arriveNext(chooser, callsPerSecond, end));
         time.advance(length);
@@ -117,14 +133,16 @@
             return;
         }
         time.after(Duration.ofNanos(wait), () -> {
-            call(chooser, Set.of());
+            call(chooser, Set.of(), random.nextDouble() < longShare);
             arriveNext(chooser, rate, end);
         });
     }
 
-    private void call(TargetChooser chooser, Set<NodeId> tried) {
-        Optional<TargetRecord> chosen =
-                tried.isEmpty() ? picker.pick(chooser) : chooser.choose(directory, SERVICE, tried, Set.of());
+    private void call(TargetChooser chooser, Set<NodeId> tried, boolean isLong) {
+        Optional<TargetRecord> chosen = tried.isEmpty()
+                ? picker.pick(chooser)
+                : chooser.chooseFree(SERVICE, tried, Set.of())
+                        .or(() -> chooser.choose(directory, SERVICE, tried, Set.of()));
         if (chosen.isEmpty()) {
             none++;
             return;
@@ -135,7 +153,7 @@
         sent++;
         Set<NodeId> triedNow = new HashSet<>(tried);
         triedNow.add(target.record.node().id());
-        target.receive(new FakeCall(chooser, target, triedNow, time.ticker().nanos()));
+        target.receive(new FakeCall(chooser, target, triedNow, time.ticker().nanos(), isLong));
     }
 
     /** One call under way; ends once. */
@@ -144,9 +162,11 @@
         final FakeTarget target;
         final Set<NodeId> tried;
         final long start;
+        final boolean isLong;
         boolean over;
 
-        FakeCall(TargetChooser chooser, FakeTarget target, Set<NodeId> tried, long start) {
+        FakeCall(TargetChooser chooser, FakeTarget target, Set<NodeId> tried, long start, boolean isLong) {
+            this.isLong = isLong;
             this.chooser = chooser;
             this.target = target;
             this.tried = tried;
@@ -160,7 +180,8 @@
             }
             over = true;
             long nanos = time.ticker().nanos() - start;
-            chooser.onResult(target.record, result, nanos);
+            CallKind kind = isLong ? LONG : CallKind.ANY;
+            chooser.onResult(target.record, result.withLoad(target.load()), nanos, kind);
             if (result.answer().isPresent()) {
                 answered++;
                 latency.recordValue(nanos);
@@ -173,7 +194,7 @@
 
         private void retryOrRefuse() {
             if (tried.size() <= retriesAfterRefusal && tried.size() < targets.size()) {
-                call(chooser, tried);
+                call(chooser, tried, isLong);
             } else {
                 refused++;
             }
@@ -186,10 +207,19 @@
         private final Queue<FakeCall> queue = new ArrayDeque<>();
         int calls;
         double slowness = 1;
+
+        /** Occupancy from which it is slower, and how many times. */
+        double knee = 1;
+
+        double kneeSlowness = 1;
+        double busyNanos;
+        boolean liesToBeFree;
         boolean stopped;
         boolean refusesConnections;
         boolean failsCalls;
         private int running;
+        private long reports;
+        private double meanNanos = MEAN_NANOS;
 
         FakeTarget(TargetRecord record) {
             this.record = record;
@@ -214,10 +244,24 @@
 
         private void start(FakeCall call) {
             running++;
-            long nanos = (long) (-Math.log(1 - random.nextDouble()) * MEAN_NANOS * slowness);
+            double crowded = running > knee * record.slots() ? kneeSlowness : 1;
+            double mean = MEAN_NANOS * slowness * crowded * (call.isLong ? LONG_TIMES : 1);
+            long nanos = (long) (-Math.log(1 - random.nextDouble()) * mean);
+            busyNanos += nanos;
+            meanNanos += (nanos - meanNanos) / 64;
             time.after(Duration.ofNanos(nanos), () -> finish(call));
         }
 
+        TargetLoad load() {
+            int told = liesToBeFree ? 0 : running;
+            return new TargetLoad(++reports, record.slots(), told, queue.size(), (long) meanNanos, false, false);
+        }
+
+        private void clearCounts() {
+            calls = 0;
+            busyNanos = 0;
+        }
+
         private void finish(FakeCall call) {
             running--;
             if (!stopped) {
--- /dev/null
+++ b/src/test/java/io/beryldock/routing/PlacementReplayTest.java
@@ -0,0 +1,165 @@
+package io.beryldock.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.beryldock.call.DataCentre;
+import io.beryldock.routing.FakeFleet.FakeTarget;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Replays 40 callers that act on the same reports at 13 targets of uneven speed that slow down when nearly full. */
+final class PlacementReplayTest {
+
+    private static final int SLOTS = 16;
+    private static final int CALLERS = 40;
+    private static final double[] SPEEDS = {0.7, 0.7, 1.6};
+    private static final Duration STEP = Duration.ofMillis(600);
+    private static final int STEPS = 16;
+    private static final double LONG_SHARE = 0.02;
+
+    /** Mean time of the mix in terms of that of a short call. */
+    private static final double MIX = 1 + 9 * LONG_SHARE;
+
+    private final FakeFleet fleet = new FakeFleet(7);
+    private final List<FakeTarget> targets = new ArrayList<>();
+
+    private record Figures(double busiestToMean, double refusedShare, double p95Millis) {}
+
+    private void add(DataCentre dataCentre, int callers, int count, Placement placement) {
+        ChooserSettings settings = ChooserSettings.defaults().withPlacement(placement, Duration.ofMillis(10));
+        fleet.longShare = LONG_SHARE;
+        fleet.retriesAfterRefusal = 1;
+        fleet.addCallers(dataCentre, targets.size(), callers, settings);
+        for (int i = 0; i < count; i++) {
+            FakeTarget target = fleet.add(dataCentre.value() + i, dataCentre, SLOTS);
+            target.slowness = SPEEDS[i % SPEEDS.length];
+            target.knee = 0.95;
+            target.kneeSlowness = 1.3;
+            targets.add(target);
+        }
+    }
+
+    private double callsPerSecond(double occupancy) {
+        double mean = FakeFleet.MEAN_NANOS * MIX / 1e9;
+        double capacity = targets.stream()
+                .mapToDouble(target -> SLOTS / (mean * target.slowness))
+                .sum();
+        return occupancy * capacity / CALLERS;
+    }
+
+    /** Plays the load; in each step so many other targets are slow. */
+    private Figures play(double occupancy, int slowTargets) {
+        double rate = callsPerSecond(occupancy);
+        fleet.run(Duration.ofSeconds(5), rate);
+        double[] busy = new double[targets.size()];
+        double refused = 0;
+        double ended = 0;
+        double p95 = 0;
+        for (int step = 0; step < STEPS; step++) {
+            List<FakeTarget> slow = new ArrayList<>();
+            for (int i = 0; i < slowTargets; i++) {
+                slow.add(targets.get((step * slowTargets + i) % busy.length));
+            }
+            slow.forEach(target -> target.slowness *= 2.5);
+            fleet.run(STEP, rate);
+            slow.forEach(target -> target.slowness /= 2.5);
+            refused += fleet.refused;
+            ended += fleet.answered + fleet.refused;
+            p95 += fleet.latency.getValueAtPercentile(95) / 1e6 / STEPS;
+            for (int i = 0; i < busy.length; i++) {
+                busy[i] += targets.get(i).busyNanos;
+            }
+        }
+        return new Figures(busiestToMean(busy), refused / ended, p95);
+    }
+
+    private static double busiestToMean(double[] busy) {
+        double sum = 0;
+        double busiest = 0;
+        for (double nanos : busy) {
+            sum += nanos;
+            busiest = Math.max(busiest, nanos);
+        }
+        return busiest * busy.length / sum;
+    }
+
+    private static Figures oneCentre(Placement placement) {
+        PlacementReplayTest replay = new PlacementReplayTest();
+        replay.add(FakeFleet.OWN, CALLERS, 13, placement);
+        return print("one data centre, " + placement, replay.play(0.7, 2));
+    }
+
+    private static Figures threeCentres(Placement placement) {
+        PlacementReplayTest replay = new PlacementReplayTest();
+        replay.add(DataCentre.of("a"), 9, 5, placement);
+        replay.add(DataCentre.of("b"), 16, 5, placement);
+        replay.add(DataCentre.of("c"), 15, 3, placement);
+        return print("three data centres, " + placement, replay.play(0.7, 0));
+    }
+
+    private static Figures print(String name, Figures figures) {
+        System.out.println(name + ": " + figures);
+        return figures;
+    }
+
+    /** Guards against callers that refuse while slots elsewhere are free, when targets turn slow by turns. */
+    @Test
+    void reportedLoadLeavesFewerCallsWithoutASlot() {
+        Figures own = oneCentre(Placement.OWN_CALLS);
+        Figures completion = oneCentre(Placement.COMPLETION);
+        Figures free = oneCentre(Placement.FREE_SLOTS);
+        assertThat(completion.refusedShare()).isLessThan(0.7 * own.refusedShare());
+        assertThat(completion.p95Millis()).isLessThan(own.p95Millis()).isLessThan(free.p95Millis());
+        assertThat(completion.busiestToMean()).isLessThan(1.15);
+    }
+
+    /** Guards against a data centre that is full while another, with more targets and fewer callers, has free slots. */
+    @Test
+    void dataCentresLendAndBorrow() {
+        Figures own = threeCentres(Placement.OWN_CALLS);
+        Figures completion = threeCentres(Placement.COMPLETION);
+        assertThat(completion.busiestToMean()).isLessThan(1.15).isLessThan(own.busiestToMean());
+        assertThat(completion.refusedShare()).isLessThanOrEqualTo(own.refusedShare());
+        assertThat(completion.p95Millis()).isLessThan(own.p95Millis());
+    }
+
+    /** Guards against a target that draws calls by reporting free slots while it is full or fails. */
+    @Test
+    void ownCallsGoBeforeReports() {
+        add(FakeFleet.OWN, CALLERS, 13, Placement.COMPLETION);
+        FakeTarget slow = targets.get(0);
+        slow.liesToBeFree = true;
+        slow.slowness = 20;
+        FakeTarget failing = targets.get(1);
+        failing.liesToBeFree = true;
+        failing.failsCalls = true;
+        fleet.run(Duration.ofSeconds(5), callsPerSecond(0.5));
+        fleet.run(Duration.ofSeconds(5), callsPerSecond(0.5));
+        double fair = fleet.sent / 13.0;
+        assertThat(slow.calls / fair).isLessThan(0.1);
+        assertThat(failing.calls / fair).isLessThan(0.02);
+    }
+
+    /** Guards against a storm at a data centre that comes back after a cut, when all its targets are cold at once. */
+    @Test
+    void aReturnedDataCentreIsTakenUpSlowly() {
+        add(DataCentre.of("a"), 20, 6, Placement.COMPLETION);
+        add(DataCentre.of("b"), 20, 7, Placement.COMPLETION);
+        List<FakeTarget> cut = targets.subList(0, 6);
+        double rate = callsPerSecond(0.4);
+        fleet.run(Duration.ofSeconds(2), rate);
+        cut.forEach(target -> target.refusesConnections = true);
+        fleet.run(Duration.ofSeconds(10), rate);
+        cut.forEach(target -> target.refusesConnections = false);
+        List<Integer> calls = new ArrayList<>();
+        for (int second = 0; second < 30; second++) {
+            fleet.run(Duration.ofSeconds(1), rate);
+            calls.add(100 * cut.stream().mapToInt(target -> target.calls).sum() / fleet.sent);
+        }
+        System.out.println("share of a returned data centre by second, percent: " + calls);
+        assertThat(calls.get(0)).isLessThan(15);
+        assertThat(calls.get(29)).isGreaterThan(30);
+    }
+}
--- a/src/test/java/io/beryldock/routing/SpillShareTest.java
+++ b/src/test/java/io/beryldock/routing/SpillShareTest.java
@@ -9,7 +9,7 @@
 
     private static final long STEP_NANOS = Duration.ofMillis(10).toNanos();
 
-    private final SpillShare share = new SpillShare(0);
+    private final SpillShare share = new SpillShare(0, new CentreWaits(1));
     private long now;
 
     private double answers(Duration time, double nearPressure, double farPressure) {
