--- a/src/main/java/io/beryldock/node/NodeMetrics.java
+++ b/src/main/java/io/beryldock/node/NodeMetrics.java
@@ -8,11 +8,14 @@
 import io.beryldock.peer.NettyPeerTransport;
 import io.beryldock.peer.PeerTransportStats;
 import io.beryldock.retry.RetryLedger;
+import io.beryldock.routing.TargetChooser;
+import io.beryldock.routing.TargetHealth;
 import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.util.function.DoubleSupplier;
 import java.util.function.ToDoubleFunction;
+import java.util.stream.Collectors;
 
 /**
  * The metrics of a node, read from its parts when they are scraped.
@@ -30,6 +33,7 @@
         registerRequests(parts.tally(), parts.joining());
         registerRetries(parts.retries(), parts.ledger());
         registerTarget(parts.announcements());
+        registerChoice(parts.chooser());
         registerPeers(parts.transport());
         gauge("configuration_version", "version of the configuration in force", parts.configurationVersion());
         gauge("known_nodes", "nodes in this node's view", parts.knownNodes());
@@ -42,6 +46,7 @@
             RetryTally retries,
             RetryLedger ledger,
             TargetAnnouncements announcements,
+            TargetChooser chooser,
             NettyPeerTransport transport,
             DoubleSupplier configurationVersion,
             DoubleSupplier knownNodes) {}
@@ -98,6 +103,35 @@
         gate(announcements, "target_level", "admission level, 0 to 1024", GateSnapshot::level);
     }
 
+    private void registerChoice(TargetChooser chooser) {
+        choice(chooser, "callee_free_slots", "free slots that callees reported of late", TargetHealth::freeSlots);
+        choice(
+                chooser,
+                "callee_targets_left_out",
+                "targets that get no calls from this node",
+                health -> health.condition() == TargetHealth.Condition.HEALTHY ? 0 : 1);
+        GaugeWithCallback.builder()
+                .name(PREFIX + "spill_share")
+                .help("share of calls that leave the own data centre, 0 to 1")
+                .labelNames("service")
+                .callback(callback -> chooser.services()
+                        .forEach(service -> callback.call(chooser.spillShare(service), service.value())))
+                .register(registry);
+    }
+
+    /** The sum over the targets of each service that this node calls. */
+    private void choice(TargetChooser chooser, String name, String help, ToDoubleFunction<TargetHealth> value) {
+        GaugeWithCallback.builder()
+                .name(PREFIX + name)
+                .help(help)
+                .labelNames("service")
+                .callback(callback -> chooser.snapshot().stream()
+                        .collect(Collectors.groupingBy(
+                                health -> health.service().value(), Collectors.summingDouble(value)))
+                        .forEach((service, sum) -> callback.call(sum, service)))
+                .register(registry);
+    }
+
     private void gate(
             TargetAnnouncements announcements, String name, String help, ToDoubleFunction<GateSnapshot> value) {
         gauge(
--- a/src/main/java/io/beryldock/node/OperatorModule.java
+++ b/src/main/java/io/beryldock/node/OperatorModule.java
@@ -21,6 +21,7 @@
 import io.beryldock.peer.PeerTransport;
 import io.beryldock.quarantine.Quarantine;
 import io.beryldock.retry.RetryLedger;
+import io.beryldock.routing.TargetChooser;
 import io.beryldock.time.TimerService;
 import io.beryldock.timeline.EventRing;
 import io.beryldock.timeline.RefusalCounter;
@@ -81,6 +82,7 @@
             RetryTally retries,
             RetryLedger ledger,
             TargetAnnouncements announcements,
+            TargetChooser chooser,
             NettyPeerTransport transport,
             ConfigurationKeeper configuration,
             Membership membership) {
@@ -90,6 +92,7 @@
                 retries,
                 ledger,
                 announcements,
+                chooser,
                 transport,
                 () -> configuration.current().version(),
                 () -> membership.directory().nodes().size()));
--- a/src/main/java/io/beryldock/routing/TargetChooser.java
+++ b/src/main/java/io/beryldock/routing/TargetChooser.java
@@ -1,6 +1,7 @@
 package io.beryldock.routing;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import io.beryldock.call.CallResult;
 import io.beryldock.call.DataCentre;
 import io.beryldock.call.NodeId;
@@ -140,6 +141,11 @@
         return known == null ? 0 : known.spillShare(ticker.nanos());
     }
 
+    /** Services that this node calls. */
+    public ImmutableSet<ServiceName> services() {
+        return ImmutableSet.copyOf(services.keySet());
+    }
+
     /** What is known of each target, by service and node. */
     public ImmutableList<TargetHealth> snapshot() {
         ImmutableList.Builder<TargetHealth> list = ImmutableList.builder();
