--- a/src/main/java/io/beryldock/forwarding/RootAdmission.java
+++ b/src/main/java/io/beryldock/forwarding/RootAdmission.java
@@ -91,7 +91,7 @@
         if (!ports.credits().governs(tree)) {
             // The homes of services that have become short hear of the demand, so that credits can govern from then on.
             ports.credits().demand(tree, root.claimant());
-            return dispatch.apply(root.call()).thenApply(result -> ended(root, tree, result));
+            return dispatch.apply(root.call()).thenApply(result -> ended(tree, result));
         }
         EntryAdmission.Pending pending = ports.waiting().admit(root.waiting(tree));
         scope.onCancel(pending::leave);
@@ -102,7 +102,7 @@
             Root root, TreeKey tree, EntryDecision decision, Function<Call, CompletableFuture<CallResult>> dispatch) {
         return switch (decision.kind()) {
             case COVERED -> dispatchCovered(root, tree, dispatch);
-            case NOT_GOVERNED -> dispatch.apply(root.call()).thenApply(result -> ended(root, tree, result));
+            case NOT_GOVERNED -> dispatch.apply(root.call()).thenApply(result -> ended(tree, result));
             case REFUSED -> finished(refused(root, Reason.NO_ROOM_BENEATH, decision.retryAfterMillis()));
             case GONE -> finished(CallResult.notRun(Reason.CANCELLED, "while it waited at its entry"));
         };
@@ -116,11 +116,11 @@
             if (result.outcome() == Outcome.NOT_RUN) {
                 ports.credits().giveBack(tree, root.claimant());
             }
-            return ended(root, tree, result);
+            return ended(tree, result);
         });
     }
 
-    private CallResult ended(Root root, TreeKey tree, CallResult result) {
+    private CallResult ended(TreeKey tree, CallResult result) {
         ports.credits().observe(result.levels());
         if (result.outcome() != Outcome.NOT_RUN) {
             boolean well = result.answer()
--- a/src/main/java/io/beryldock/node/NodeModule.java
+++ b/src/main/java/io/beryldock/node/NodeModule.java
@@ -204,7 +204,13 @@
 
     @Provides
     @Singleton
-    TargetChooser chooser(TimerService timers, RandomGenerator random) {
-        return TargetChooser.create(self.dataCentre(), random, timers.ticker(), events, ChooserSettings.defaults());
+    ChooserSettings chooserSettings() {
+        return ChooserSettings.defaults();
+    }
+
+    @Provides
+    @Singleton
+    TargetChooser chooser(TimerService timers, RandomGenerator random, ChooserSettings settings) {
+        return TargetChooser.create(self.dataCentre(), random, timers.ticker(), events, settings);
     }
 }
--- a/src/main/java/io/beryldock/platform/PlatformModule.java
+++ b/src/main/java/io/beryldock/platform/PlatformModule.java
@@ -26,6 +26,7 @@
 import io.beryldock.retry.RetryBudgets;
 import io.beryldock.retry.RetryPolicySettings;
 import io.beryldock.retry.WindowRetryBudget;
+import io.beryldock.routing.ChooserSettings;
 import io.beryldock.store.PlatformStore;
 import io.beryldock.store.RegistryStore;
 import io.beryldock.store.StoreRecovery;
@@ -153,7 +154,13 @@
     @Provides
     @Singleton
     GateSettings gateSettings() {
-        return GateSettings.ofAnnouncedSlots().withUsableShare(settings.usableShareOfSlots());
+        return settings.targets().gate();
+    }
+
+    @Provides
+    @Singleton
+    ChooserSettings chooserSettings() {
+        return settings.targets().chooser();
     }
 
     @Provides
--- a/src/main/java/io/beryldock/platform/PlatformSettings.java
+++ b/src/main/java/io/beryldock/platform/PlatformSettings.java
@@ -1,14 +1,19 @@
 package io.beryldock.platform;
 
+import com.google.common.base.Enums;
 import com.google.common.collect.ImmutableList;
+import io.beryldock.admission.GateSettings;
 import io.beryldock.forwarding.Addresses;
 import io.beryldock.quota.QuotaTerms;
 import io.beryldock.retry.RetryPolicySettings;
+import io.beryldock.routing.ChooserSettings;
+import io.beryldock.routing.Placement;
 import io.beryldock.settings.NodeSettings;
 import io.beryldock.settings.SelfChecked;
 import io.beryldock.settings.SettingsException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.Optional;
 import java.util.regex.Pattern;
 
@@ -26,7 +31,7 @@
  * @param revokedKeysSeconds time after which a key that was taken away opens nothing at any node, cut off or not;
  *     absent where nodes that can't hear of it may go on
  * @param quotas what is tolerated beyond the quotas of organisations; absent where there are none
- * @param usableSlots share of a target's slots that is used, for targets that slow down when nearly full; absent for all
+ * @param targets how targets are chosen and their slots are used; absent as in the product's defaults
  * @param stopSeconds time from SIGTERM to the end of the process
  */
 record PlatformSettings(
@@ -39,10 +44,11 @@
         Retries retries,
         Double revokedKeysSeconds,
         Quotas quotas,
-        Double usableSlots,
+        Targets targets,
         double stopSeconds)
         implements SelfChecked {
 
+    private static final double NANOS_PER_MILLI = 1e6;
     private static final Pattern ADDRESS = Pattern.compile("[0-9.]+:[0-9]{1,5}");
     private static final String TEMPLATE = "correct deploy/node.json";
 
@@ -100,6 +106,50 @@
         }
     }
 
+    /**
+     * How targets are chosen and their slots are used.
+     *
+     * @param usableSlots share of the slots that is used, for targets that slow down when nearly full; absent for all
+     * @param timesByKind whether service times are told apart by kind of request; absent for no
+     * @param placement how targets are weighed against each other, a name of {@link Placement}
+     * @param crossingMillis what a call's bytes between data centres are worth as waiting time
+     */
+    record Targets(Double usableSlots, Boolean timesByKind, String placement, Double crossingMillis) {
+
+        private static final Targets DEFAULTS = new Targets(null, null, null, null);
+
+        private void check() throws SettingsException {
+            require(
+                    usableSlots == null || (usableSlots > 0 && usableSlots <= 1),
+                    "targets.usableSlots",
+                    "a share above 0 and at most 1, or leave it out");
+            require(
+                    placement == null
+                            || Enums.getIfPresent(Placement.class, placement).isPresent(),
+                    "targets.placement",
+                    "one of " + Arrays.toString(Placement.values()));
+            require(
+                    crossingMillis == null || crossingMillis >= 0,
+                    "targets.crossingMillis",
+                    "a time of 0 or more, or leave it out");
+        }
+
+        GateSettings gate() {
+            return GateSettings.ofAnnouncedSlots()
+                    .withUsableShare(usableSlots == null ? 1 : usableSlots)
+                    .withTimesByKind(timesByKind != null && timesByKind);
+        }
+
+        ChooserSettings chooser() {
+            ChooserSettings usual = ChooserSettings.defaults();
+            Placement chosen = placement == null ? usual.placement() : Placement.valueOf(placement);
+            Duration crossing = crossingMillis == null
+                    ? usual.crossingPrice()
+                    : Duration.ofNanos((long) (crossingMillis * NANOS_PER_MILLI));
+            return usual.withPlacement(chosen, crossing);
+        }
+    }
+
     @Override
     public void check() throws SettingsException {
         require(id != null && !id.isEmpty(), "id", "the name of the node");
@@ -128,10 +178,7 @@
                     "quotas.dataCentres",
                     "the names of all data centres");
         }
-        require(
-                usableSlots == null || (usableSlots > 0 && usableSlots <= 1),
-                "usableSlots",
-                "a share above 0 and at most 1, or leave it out");
+        targets().check();
         require(stopSeconds >= 1, "stopSeconds", "a time of 1 s or more");
     }
 
@@ -149,8 +196,9 @@
         return Optional.ofNullable(revokedKeysSeconds).map(seconds -> Duration.ofMillis((long) (seconds * 1000)));
     }
 
-    double usableShareOfSlots() {
-        return usableSlots == null ? 1 : usableSlots;
+    @Override
+    public Targets targets() {
+        return targets == null ? Targets.DEFAULTS : targets;
     }
 
     QuotaTerms quotaTerms() {
