Path credits: entries take the slot time of scarce services for whole trees before they start them

The home of a service in each data centre divides what its gates can serve in the next 50 ms among the entries' claims; an entry starts a tree only with credits for all short services that the tree calls. Homes of different data centres divide the room of all by the same rule. Nothing is sent while nothing is short, and without an answering home levels decide as before.

--- /dev/null
+++ b/src/main/java/io/beryldock/credit/CreditNode.java
@@ -0,0 +1,76 @@
+package io.beryldock.credit;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.beryldock.call.NodeId;
+import io.beryldock.share.Division;
+import io.beryldock.time.TimerService;
+import io.beryldock.wire.CreditQuestion;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/** The parts of one node that have to do with credits: entry, gate and home. Thread safe. */
+public final class CreditNode {
+
+    private static final FluentLogger log = FluentLogger.forEnclosingClass();
+    private static final int LOG_SECONDS = 10;
+
+    private final CreditIssuer issuer;
+    private final CreditKeeper keeper;
+    private final GateReporter reporter;
+
+    private CreditNode(Ports ports) {
+        boolean enabled = ports.settings().enabled();
+        CreditMessenger messenger =
+                new CreditMessenger(ports.peers(), ports.timers().ticker());
+        this.issuer = new CreditIssuer(enabled, ports.peers(), messenger, ports.division(), ports.timers());
+        this.keeper =
+                new CreditKeeper(enabled, messenger, issuer, ports.timers().ticker());
+        this.reporter = new GateReporter(enabled, ports.timers(), ports.gate(), GateReporter.sender(messenger, issuer));
+    }
+
+    /**
+     * What the parts work with.
+     *
+     * @param settings where they switch credits off, the node neither asks nor reports, and no tree needs credits
+     * @param gate the load of the target in this VM, if there is one
+     */
+    public record Ports(
+            CreditSettings settings,
+            CreditPeers peers,
+            TimerService timers,
+            Division<Party> division,
+            Supplier<Optional<GateLoad>> gate) {}
+
+    public static CreditNode create(Ports ports) {
+        return new CreditNode(ports);
+    }
+
+    public CreditKeeper keeper() {
+        return keeper;
+    }
+
+    public GateReporter reporter() {
+        return reporter;
+    }
+
+    /** Takes a question of another node. */
+    public void onMessage(NodeId sender, ByteString body, Consumer<ByteString> reply) {
+        CreditQuestion question;
+        try {
+            question = CreditQuestion.parseFrom(body);
+        } catch (InvalidProtocolBufferException e) {
+            log.atWarning().withCause(e).atMostEvery(LOG_SECONDS, TimeUnit.SECONDS).log(
+                    "node %s sent a malformed question on credits", sender);
+            return;
+        }
+        issuer.answer(sender, question).thenAccept(answer -> reply.accept(answer.toByteString()));
+    }
+
+    public CreditSnapshot snapshot() {
+        return new CreditSnapshot(keeper.snapshot(), issuer.snapshot());
+    }
+}
--- a/src/main/java/io/beryldock/quota/QuotaMessenger.java
+++ b/src/main/java/io/beryldock/quota/QuotaMessenger.java
@@ -4,13 +4,12 @@
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.beryldock.call.NodeId;
+import io.beryldock.peer.SilentNodes;
 import io.beryldock.time.Ticker;
 import io.beryldock.wire.QuotaAnswer;
 import io.beryldock.wire.QuotaQuestion;
 import java.time.Duration;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
@@ -25,15 +24,14 @@
     private static final int LOG_SECONDS = 10;
 
     /** How long a node that did not answer is passed over: longer than most restarts. */
-    private static final long PASSED_OVER_NANOS = TimeUnit.SECONDS.toNanos(5);
+    private static final Duration PASSED_OVER = Duration.ofSeconds(5);
 
     private final QuotaPeers peers;
-    private final Ticker ticker;
-    private final Map<NodeId, Long> silentSince = new ConcurrentHashMap<>();
+    private final SilentNodes silent;
 
     QuotaMessenger(QuotaPeers peers, Ticker ticker) {
         this.peers = peers;
-        this.ticker = ticker;
+        this.silent = SilentNodes.create(ticker, PASSED_OVER);
     }
 
     /** Asks the node, this one through {@code own}; the future fails when no answer comes within the limit. */
@@ -57,14 +55,12 @@
     }
 
     boolean isSilent(NodeId node) {
-        Long since = silentSince.get(node);
-        return since != null && ticker.nanos() - since <= PASSED_OVER_NANOS;
+        return silent.contains(node);
     }
 
     /** The node did not answer in time. */
     void passOver(NodeId node) {
-        silentSince.values().removeIf(since -> ticker.nanos() - since > PASSED_OVER_NANOS);
-        silentSince.put(node, ticker.nanos());
+        silent.add(node);
         log.atInfo().atMostEvery(LOG_SECONDS, TimeUnit.SECONDS).log(
                 "node %s does not answer on quotas and is passed over", node);
     }
--- /dev/null
+++ b/src/test/java/io/beryldock/credit/CreditFleet.java
@@ -0,0 +1,177 @@
+package io.beryldock.credit;
+
+import com.google.common.collect.ImmutableList;
+import com.google.protobuf.ByteString;
+import io.beryldock.call.NodeId;
+import io.beryldock.call.NodeRanking;
+import io.beryldock.call.ServiceName;
+import io.beryldock.share.Claim;
+import io.beryldock.time.ManualTimerService;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeoutException;
+import java.util.function.BiPredicate;
+import java.util.function.Supplier;
+
+/** Nodes of several data centres that give out credits, on a clock of the test's. Not thread safe. */
+final class CreditFleet {
+
+    static final ServiceName SCARCE = ServiceName.of("parcels");
+
+    private static final Duration WAY = Duration.ofMillis(1);
+
+    private final ManualTimerService timers;
+    private final boolean enabled;
+    private final Map<NodeId, Member> members = new LinkedHashMap<>();
+    private BiPredicate<NodeId, NodeId> linked = (from, to) -> true;
+    private Duration way = WAY;
+    private boolean twice;
+    private int messages;
+    private long bytes;
+
+    CreditFleet(ManualTimerService timers, boolean enabled) {
+        this.timers = timers;
+        this.enabled = enabled;
+    }
+
+    private record Member(String centre, CreditNode node, boolean hasTarget) {}
+
+    /** Adds a node, named after its data centre; one with a gate has a target of the scarce service. */
+    CreditNode add(NodeId id, Supplier<Optional<GateLoad>> gate) {
+        String centre = id.value().substring(0, id.value().indexOf('-'));
+        CreditNode node = CreditNode.create(new CreditNode.Ports(
+                new CreditSettings(enabled), new Peers(id, centre), timers, CreditFleet::byRank, gate));
+        members.put(id, new Member(centre, node, gate.get().isPresent()));
+        return node;
+    }
+
+    /** Ranks in order, within one the same part of each claim: a stand-in for the division in use. */
+    static ImmutableList<Double> byRank(double amount, List<Claim<Party>> claims) {
+        double[] wanted = new double[8];
+        claims.forEach(claim -> wanted[claim.rank()] += claim.wanted());
+        double[] share = new double[8];
+        double left = amount;
+        for (int rank = 0; rank < share.length; rank++) {
+            share[rank] = wanted[rank] > 0 ? Math.min(1, left / wanted[rank]) : 0;
+            left -= share[rank] * wanted[rank];
+        }
+        return claims.stream()
+                .map(claim -> share[claim.rank()] * claim.wanted())
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    NodeId home(String centre) {
+        return ranked(centre).get(0);
+    }
+
+    private ImmutableList<NodeId> ranked(String centre) {
+        List<NodeId> nodes = new ArrayList<>();
+        members.forEach((id, member) -> {
+            if (member.centre().equals(centre)) {
+                nodes.add(id);
+            }
+        });
+        return NodeRanking.of(nodes, SCARCE.value());
+    }
+
+    CreditNode node(NodeId id) {
+        return members.get(id).node();
+    }
+
+    String centreOf(NodeId id) {
+        return members.get(id).centre();
+    }
+
+    /** Which nodes reach each other from now on. */
+    void setLinked(BiPredicate<NodeId, NodeId> value) {
+        linked = value;
+    }
+
+    /** How long a message takes, and whether each arrives twice. */
+    void setWay(Duration value, boolean eachTwice) {
+        way = value;
+        twice = eachTwice;
+    }
+
+    int messages() {
+        return messages;
+    }
+
+    /** Bytes of all questions and answers, without the frames around them. */
+    long bytes() {
+        return bytes;
+    }
+
+    /** What one node of the fleet asks of the others. */
+    private final class Peers implements CreditPeers {
+        private final NodeId self;
+        private final String centre;
+
+        Peers(NodeId self, String centre) {
+            this.self = self;
+            this.centre = centre;
+        }
+
+        @Override
+        public NodeId self() {
+            return self;
+        }
+
+        @Override
+        public ImmutableList<NodeId> homes(ServiceName service) {
+            return ranked(centre);
+        }
+
+        @Override
+        public ImmutableList<NodeId> homesElsewhere(ServiceName service) {
+            return members.values().stream()
+                    .map(Member::centre)
+                    .distinct()
+                    .filter(other -> !other.equals(centre))
+                    .map(CreditFleet.this::home)
+                    .collect(ImmutableList.toImmutableList());
+        }
+
+        @Override
+        public int targets(ServiceName service) {
+            return (int) members.values().stream()
+                    .filter(member -> member.hasTarget() && member.centre().equals(centre))
+                    .count();
+        }
+
+        @Override
+        public CompletableFuture<ByteString> ask(NodeId node, ByteString question, Duration limit) {
+            CompletableFuture<ByteString> answer = new CompletableFuture<>();
+            timers.after(limit, () -> answer.completeExceptionally(new TimeoutException("no answer of " + node)));
+            deliver(node, question, answer);
+            if (twice) {
+                deliver(node, question, answer);
+            }
+            return answer;
+        }
+
+        private void deliver(NodeId node, ByteString question, CompletableFuture<ByteString> answer) {
+            messages += 2;
+            bytes += question.size();
+            timers.after(way, () -> {
+                if (linked.test(self, node)) {
+                    node(node).onMessage(self, question, reply -> reply(node, reply, answer));
+                }
+            });
+        }
+
+        private void reply(NodeId node, ByteString reply, CompletableFuture<ByteString> answer) {
+            bytes += reply.size();
+            timers.after(way, () -> {
+                if (linked.test(node, self)) {
+                    answer.complete(reply);
+                }
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/io/beryldock/credit/CreditReplay.java
@@ -0,0 +1,302 @@
+package io.beryldock.credit;
+
+import com.google.common.collect.ImmutableList;
+import io.beryldock.admission.Completion;
+import io.beryldock.admission.DoorShedder;
+import io.beryldock.admission.GateListener;
+import io.beryldock.admission.GateRequest;
+import io.beryldock.admission.GateSettings;
+import io.beryldock.admission.Permit;
+import io.beryldock.admission.TargetGate;
+import io.beryldock.call.Incarnation;
+import io.beryldock.call.NodeId;
+import io.beryldock.call.Reason;
+import io.beryldock.call.RequestId;
+import io.beryldock.call.RequestIds;
+import io.beryldock.call.ServiceLevel;
+import io.beryldock.call.ServiceName;
+import io.beryldock.call.TreeCost;
+import io.beryldock.time.ManualTimerService;
+import io.beryldock.timeline.EventSink;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.function.Predicate;
+
+/**
+ * Entries of four data centres whose trees each make eight calls, two levels beneath, to a service with one gate a data
+ * centre. Not thread safe.
+ */
+final class CreditReplay {
+
+    static final int CENTRES = 4;
+    static final int ENTRIES = 20;
+    static final int SLOTS = 148;
+    static final int CALLS = 8;
+    static final double CALL_NANOS = 66e6;
+
+    /** Trees a second that the gates can serve. */
+    static final double ROOM = CENTRES * SLOTS / (CALLS * CALL_NANOS / 1e9);
+
+    private static final TreeKey TREE = new TreeKey("browse", ServiceName.of("catalogue"));
+    private static final Claimant CLAIMANT = new Claimant(1, Optional.empty());
+    private static final Duration TICK = Duration.ofMillis(5);
+    private static final Duration ABOVE = Duration.ofMillis(40);
+    private static final long PATIENCE = Duration.ofMillis(500).toNanos();
+    private static final long CALL_LIMIT = Duration.ofMillis(700).toNanos();
+
+    private final ManualTimerService timers = ManualTimerService.create();
+    private final Random random;
+    private final CreditFleet fleet;
+    private final List<TargetGate> gates = new ArrayList<>();
+    private final List<Entry> entries = new ArrayList<>();
+    private final List<Tree> started = new ArrayList<>();
+    private final RequestIds ids;
+    private double busyNanos;
+
+    CreditReplay(boolean credits, long seed) {
+        this.random = new Random(seed);
+        this.ids = RequestIds.of(new Incarnation(1, 1));
+        this.fleet = new CreditFleet(timers, credits);
+        for (int centre = 0; centre < CENTRES; centre++) {
+            TargetGate gate = TargetGate.create(
+                    GateSettings.ofAnnouncedSlots().withAnnouncedSlots(SLOTS),
+                    timers,
+                    random,
+                    EventSink.none(),
+                    CreditFleet.SCARCE);
+            gates.add(gate);
+            fleet.add(gateNode(centre), () -> Optional.of(new GateLoad(CreditFleet.SCARCE, gate.load())));
+        }
+        for (int i = 0; i < ENTRIES; i++) {
+            entries.add(new Entry(NodeId.of("c" + i % CENTRES + "-e" + i)));
+        }
+    }
+
+    CreditFleet fleet() {
+        return fleet;
+    }
+
+    /** A tree that was started. */
+    final class Tree {
+        private final Entry entry;
+        private final long at = now();
+        private final long asked;
+        private final boolean covered;
+        private int left = CALLS;
+        private double used;
+        private boolean failed;
+
+        Tree(Entry entry, long asked, boolean covered) {
+            this.entry = entry;
+            this.asked = asked;
+            this.covered = covered;
+        }
+
+        long at() {
+            return at;
+        }
+
+        long waitedNanos() {
+            return at - asked;
+        }
+
+        boolean covered() {
+            return covered;
+        }
+
+        boolean failed() {
+            return failed;
+        }
+
+        double usedNanos() {
+            return used;
+        }
+
+        void wave() {
+            for (int i = 0; i < CALLS / 2; i++) {
+                call(this);
+            }
+        }
+
+        void onCallEnd(TargetGate gate, boolean ok) {
+            failed |= !ok;
+            left--;
+            entry.node.keeper().observe(levels(gate));
+            if (left == CALLS / 2 && !failed) {
+                wave();
+            } else if (left == 0 || left == CALLS / 2) {
+                entry.ended(this, gate);
+            }
+        }
+    }
+
+    private static ImmutableList<ServiceLevel> levels(TargetGate gate) {
+        return ImmutableList.of(new ServiceLevel(CreditFleet.SCARCE, gate.level()));
+    }
+
+    /** One entry: its requests wait for credits, or go by levels. */
+    private final class Entry {
+        private final NodeId id;
+        private final CreditNode node;
+        private final DoorShedder door = DoorShedder.create(timers.ticker(), random, EventSink.none());
+        private final Deque<Long> waiting = new ArrayDeque<>();
+        private boolean lost;
+
+        Entry(NodeId id) {
+            this.id = id;
+            this.node = fleet.add(id, Optional::empty);
+            node.keeper().onCredits(this::serve);
+        }
+
+        void request() {
+            node.keeper().demand(TREE, CLAIMANT);
+            waiting.add(now());
+            serve();
+        }
+
+        private void serve() {
+            waiting.removeIf(at -> lost || now() - at > PATIENCE);
+            while (!waiting.isEmpty()) {
+                if (!node.keeper().governs(TREE)) {
+                    long asked = waiting.remove();
+                    if (door.decide(TREE.service(), 1, random.nextInt()).admitted()) {
+                        start(new Tree(this, asked, false));
+                    }
+                } else if (node.keeper().take(TREE, CLAIMANT)) {
+                    start(new Tree(this, waiting.remove(), true));
+                } else {
+                    return;
+                }
+            }
+        }
+
+        private void ended(Tree tree, TargetGate gate) {
+            door.observe(TREE.service(), 1, levels(gate));
+            TreeCost below = new TreeCost(
+                    ImmutableList.of(new TreeCost.ServiceCost(CreditFleet.SCARCE, CALLS, (long) tree.used)));
+            node.keeper().ended(TREE, below.plus(TreeCost.ofCall(TREE.service(), now() - tree.at)), !tree.failed);
+        }
+    }
+
+    private void start(Tree tree) {
+        started.add(tree);
+        timers.after(ABOVE, tree::wave);
+    }
+
+    private void call(Tree tree) {
+        int centre = lessLoaded(random.nextInt(CENTRES), random.nextInt(CENTRES));
+        TargetGate gate = gates.get(centre);
+        RequestId id = ids.next();
+        gate.submit(new GateRequest(id, 1, random.nextInt(), 0, CALL_LIMIT), new GateListener() {
+            @Override
+            public void admitted(Permit permit) {
+                double nanos = CALL_NANOS * (0.5 + random.nextDouble());
+                timers.after(Duration.ofNanos((long) nanos), () -> {
+                    permit.release(Completion.SUCCEEDED);
+                    busyNanos += nanos;
+                    tree.used += nanos;
+                    end(true);
+                });
+            }
+
+            @Override
+            public void refused(Reason reason, long retryAfterMillis) {
+                end(false);
+            }
+
+            private void end(boolean ok) {
+                reporter(centre).onLoad(gate.load());
+                tree.onCallEnd(gate, ok);
+            }
+        });
+    }
+
+    private static NodeId gateNode(int centre) {
+        return NodeId.of("c" + centre + "-gate");
+    }
+
+    private int lessLoaded(int one, int other) {
+        return gates.get(one).load().free() >= gates.get(other).load().free() ? one : other;
+    }
+
+    private GateReporter reporter(int centre) {
+        return fleet.node(gateNode(centre)).reporter();
+    }
+
+    long now() {
+        return timers.ticker().nanos();
+    }
+
+    /** Requests come at so many times the room. */
+    void play(Duration length, double times) {
+        long left = entries.stream().filter(entry -> !entry.lost).count();
+        double perEntryTick = times * ROOM / left * TICK.toNanos() / 1e9;
+        for (long passed = 0; passed < length.toMillis(); passed += TICK.toMillis()) {
+            for (Entry entry : entries) {
+                if (!entry.lost && random.nextDouble() < perEntryTick) {
+                    entry.request();
+                }
+            }
+            timers.advance(TICK);
+        }
+    }
+
+    /** These entries take no more requests, and what they hold is lost. */
+    void loseEntries(Predicate<NodeId> lost) {
+        entries.stream().filter(entry -> lost.test(entry.id)).forEach(entry -> entry.lost = true);
+    }
+
+    /** Part of the gates' slot time that was used since the gates had spent so much. */
+    double usedShare(double busyBefore, Duration passed) {
+        return (busyNanos - busyBefore) / (CENTRES * SLOTS * (double) passed.toNanos());
+    }
+
+    ImmutableList<Tree> startedSince(long from) {
+        return started.stream().filter(tree -> tree.at() >= from).collect(ImmutableList.toImmutableList());
+    }
+
+    /** Slot time that gates have spent until now. */
+    double busyNanos() {
+        return busyNanos;
+    }
+
+    /** Most slot time of covered trees that started since then in any window of the length, over its room. */
+    double mostCovered(long from, Duration window) {
+        List<Long> starts = startedSince(from).stream()
+                .filter(Tree::covered)
+                .map(Tree::at)
+                .sorted()
+                .toList();
+        int first = 0;
+        int most = 0;
+        for (int last = 0; last < starts.size(); last++) {
+            while (starts.get(last) - starts.get(first) >= window.toNanos()) {
+                first++;
+            }
+            most = Math.max(most, last - first + 1);
+        }
+        return most / (ROOM * window.toNanos() / 1e9);
+    }
+
+    /** Part of the slot time spent since then that trees spent which failed. */
+    double wastedShare(long from) {
+        double all = 0;
+        double wasted = 0;
+        for (Tree tree : startedSince(from)) {
+            all += tree.usedNanos();
+            wasted += tree.failed() ? tree.usedNanos() : 0;
+        }
+        return all == 0 ? 0 : wasted / all;
+    }
+
+    /** Part of the trees started since then that failed. */
+    double failedShare(long from) {
+        List<Tree> trees = startedSince(from);
+        return (double) trees.stream().filter(Tree::failed).count() / Math.max(1, trees.size());
+    }
+}
