--- a/src/main/java/io/beryldock/credit/CreditKeeper.java
+++ b/src/main/java/io/beryldock/credit/CreditKeeper.java
@@ -57,6 +57,7 @@
     }
 
     /** Learns from a result which services do not admit all. */
+    @Override
     public void observe(ImmutableList<ServiceLevel> levels) {
         if (!enabled || levels.stream().allMatch(level -> level.level() >= ServiceLevel.OPEN)) {
             return;
--- a/src/main/java/io/beryldock/forwarding/TargetExecutor.java
+++ b/src/main/java/io/beryldock/forwarding/TargetExecutor.java
@@ -3,6 +3,7 @@
 import io.beryldock.call.Call;
 import io.beryldock.call.CallResult;
 import io.beryldock.call.Reason;
+import io.beryldock.call.TargetLoad;
 import io.beryldock.idempotency.CallerIdentity;
 import io.beryldock.idempotency.RunGuard;
 import io.beryldock.quarantine.Fingerprint;
@@ -13,6 +14,7 @@
 import io.beryldock.timeline.EventSink;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 /**
@@ -29,7 +31,7 @@
         this.ports = ports;
     }
 
-    /** What the executor works with. */
+    /** What the executor works with; {@code loads} hears of the gate's load at each end of a call. */
     public record Ports(
             Supplier<Optional<AnnouncedTarget>> target,
             TargetClient client,
@@ -38,6 +40,7 @@
             Quarantine quarantine,
             RunGuard guard,
             TargetCrashDetector crashes,
+            Consumer<TargetLoad> loads,
             TimerService timers,
             EventSink events) {}
 
--- a/src/main/java/io/beryldock/forwarding/TargetRun.java
+++ b/src/main/java/io/beryldock/forwarding/TargetRun.java
@@ -14,6 +14,7 @@
 import io.beryldock.call.CallResult;
 import io.beryldock.call.Reason;
 import io.beryldock.call.ServiceLevel;
+import io.beryldock.call.TargetLoad;
 import io.beryldock.quarantine.Fingerprint;
 import io.beryldock.retry.RetryAccount;
 import io.beryldock.time.TimerService.Subscription;
@@ -248,7 +249,9 @@
 
     private void finish(CallResult told) {
         deadline.cancel();
-        result.complete(told.withLevels(levels()).withLoad(target.gate().load()));
+        TargetLoad load = target.gate().load();
+        ports.loads().accept(load);
+        result.complete(told.withLevels(levels()).withLoad(load));
     }
 
     private ImmutableList<ServiceLevel> levels() {
--- a/src/main/java/io/beryldock/node/NodeCore.java
+++ b/src/main/java/io/beryldock/node/NodeCore.java
@@ -21,6 +21,7 @@
 import io.beryldock.peer.PeerTransportSettings;
 import io.beryldock.settings.NodeSettings;
 import io.beryldock.settings.SettingsException;
+import io.beryldock.share.FairDivision;
 import io.beryldock.store.PlatformStore;
 import io.beryldock.time.ThreadTimerService;
 import io.beryldock.time.TimerService;
@@ -95,6 +96,7 @@
                 new NodeModule(settings, self, control, controlTimers, transport, events, store.apply(trafficTimers)),
                 new KeyedModule(),
                 new OperatorModule(),
+                new CreditModule(trafficTimers, FairDivision.create()),
                 new TrafficModule(shared, trafficTimers));
         Injector injector = Guice.createInjector(Modules.override(usual).with(overrides));
         injector.getInstance(TargetExecutor.class);
--- a/src/main/java/io/beryldock/node/NodeMetrics.java
+++ b/src/main/java/io/beryldock/node/NodeMetrics.java
@@ -1,6 +1,7 @@
 package io.beryldock.node;
 
 import io.beryldock.admission.GateSnapshot;
+import io.beryldock.credit.CreditNode;
 import io.beryldock.forwarding.AnnouncedTarget;
 import io.beryldock.forwarding.JoiningRequestHandler;
 import io.beryldock.forwarding.RequestTally;
@@ -35,6 +36,7 @@
         registerTarget(parts.announcements());
         registerChoice(parts.chooser());
         registerPeers(parts.transport());
+        CreditMetrics.register(registry, parts.credits());
         gauge("configuration_version", "version of the configuration in force", parts.configurationVersion());
         gauge("known_nodes", "nodes in this node's view", parts.knownNodes());
     }
@@ -48,6 +50,7 @@
             TargetAnnouncements announcements,
             TargetChooser chooser,
             NettyPeerTransport transport,
+            CreditNode credits,
             DoubleSupplier configurationVersion,
             DoubleSupplier knownNodes) {}
 
--- a/src/main/java/io/beryldock/node/OperatorModule.java
+++ b/src/main/java/io/beryldock/node/OperatorModule.java
@@ -10,6 +10,7 @@
 import io.beryldock.configuration.ConfigurationKeeper;
 import io.beryldock.configuration.ConfigurationSync;
 import io.beryldock.configuration.ConfigurationWriter;
+import io.beryldock.credit.CreditNode;
 import io.beryldock.forwarding.JoiningRequestHandler;
 import io.beryldock.forwarding.RequestTally;
 import io.beryldock.forwarding.RetryTally;
@@ -84,6 +85,7 @@
             TargetAnnouncements announcements,
             TargetChooser chooser,
             NettyPeerTransport transport,
+            CreditNode credits,
             ConfigurationKeeper configuration,
             Membership membership) {
         return new NodeMetrics(new NodeMetrics.Parts(
@@ -94,6 +96,7 @@
                 announcements,
                 chooser,
                 transport,
+                credits,
                 () -> configuration.current().version(),
                 () -> membership.directory().nodes().size()));
     }
--- a/src/main/java/io/beryldock/node/TrafficModule.java
+++ b/src/main/java/io/beryldock/node/TrafficModule.java
@@ -11,6 +11,7 @@
 import io.beryldock.call.NodeId;
 import io.beryldock.call.RequestIds;
 import io.beryldock.configuration.ConfigurationKeeper;
+import io.beryldock.credit.GateReporter;
 import io.beryldock.credit.TreeCredits;
 import io.beryldock.eventloop.LoopTimerService;
 import io.beryldock.forwarding.AnnouncedTarget;
@@ -150,6 +151,7 @@
             RetryLedger ledger,
             Quarantine quarantine,
             KeyedRequests keyed,
+            GateReporter reporter,
             EventSink events,
             PeerTransport transport) {
         TargetCrashDetector crashes = TargetCrashDetector.create(new TcpTargetProbe(), quarantine, timers, events);
@@ -161,6 +163,7 @@
                 quarantine,
                 keyed.guard(),
                 crashes,
+                reporter::onLoad,
                 timers,
                 events));
         transport.handle(PeerTopic.CALL, PeerCallServer.create(executor));
@@ -283,12 +286,6 @@
         return quotas;
     }
 
-    @Provides
-    @Singleton
-    TreeCredits credits() {
-        return TreeCredits.none();
-    }
-
     @Provides
     @Singleton
     EntryAdmission waiting(TreeCredits credits, RandomGenerator random, EventSink events) {
--- a/src/main/java/io/beryldock/platform/PlatformModule.java
+++ b/src/main/java/io/beryldock/platform/PlatformModule.java
@@ -8,6 +8,7 @@
 import io.beryldock.call.NodeId;
 import io.beryldock.configuration.ConfigurationKeeper;
 import io.beryldock.configuration.DocumentSync;
+import io.beryldock.credit.CreditSettings;
 import io.beryldock.forwarding.CallerAccess;
 import io.beryldock.forwarding.ExecutionRegistry;
 import io.beryldock.forwarding.TargetClient;
@@ -163,6 +164,12 @@
         return settings.targets().chooser();
     }
 
+    @Provides
+    @Singleton
+    CreditSettings creditSettings() {
+        return new CreditSettings(settings.takesCredits());
+    }
+
     @Provides
     @Singleton
     RetryPolicySettings retryPolicy() {
--- a/src/main/java/io/beryldock/platform/PlatformSettings.java
+++ b/src/main/java/io/beryldock/platform/PlatformSettings.java
@@ -32,6 +32,7 @@
  *     absent where nodes that can't hear of it may go on
  * @param quotas what is tolerated beyond the quotas of organisations; absent where there are none
  * @param targets how targets are chosen and their slots are used; absent as in the product's defaults
+ * @param credits whether entries take credits for trees of calls while a service beneath is short; absent for no
  * @param stopSeconds time from SIGTERM to the end of the process
  */
 record PlatformSettings(
@@ -45,6 +46,7 @@
         Double revokedKeysSeconds,
         Quotas quotas,
         Targets targets,
+        Boolean credits,
         double stopSeconds)
         implements SelfChecked {
 
@@ -196,6 +198,10 @@
         return Optional.ofNullable(revokedKeysSeconds).map(seconds -> Duration.ofMillis((long) (seconds * 1000)));
     }
 
+    boolean takesCredits() {
+        return credits != null && credits;
+    }
+
     @Override
     public Targets targets() {
         return targets == null ? Targets.DEFAULTS : targets;
