--- a/src/test/java/io/beryldock/waiting/EntryFixture.java
+++ b/src/test/java/io/beryldock/waiting/EntryFixture.java
@@ -93,7 +93,14 @@
 
     /** Asks once and comes back once at the time that it is told, with what is left of its time. */
     Asked askAndReturn(Kind kind) {
-        Asked asked = ask(kind);
+        return returning(ask(kind));
+    }
+
+    Asked askAndReturn(Kind kind, String organisation) {
+        return returning(ask(kind, organisation));
+    }
+
+    private Asked returning(Asked asked) {
         asked.onRefusal(told -> timers.after(Duration.ofMillis(told), () -> {
             asked.refused = later -> {};
             asked.askAgain();
