--- a/src/main/java/io/beryldock/credit/CreditAccount.java
+++ b/src/main/java/io/beryldock/credit/CreditAccount.java
@@ -78,6 +78,11 @@
         return isShort(now) && (homeKnows || graceUntil - now > 0);
     }
 
+    /** Whether the home's last answer told that it knows what the service can serve. */
+    boolean homeKnows() {
+        return homeKnows;
+    }
+
     void demand(Claimant claimant, double nanos, long now) {
         purse(claimant, now).demand().ask(nanos);
     }
--- a/src/main/java/io/beryldock/credit/CreditKeeper.java
+++ b/src/main/java/io/beryldock/credit/CreditKeeper.java
@@ -61,16 +61,24 @@
         if (!enabled || levels.stream().allMatch(level -> level.level() >= ServiceLevel.OPEN)) {
             return;
         }
+        List<Question> questions = new ArrayList<>();
         synchronized (this) {
             long now = ticker.nanos();
             for (ServiceLevel level : levels) {
                 if (level.level() < ServiceLevel.OPEN) {
-                    accounts.computeIfAbsent(level.service(), service -> new CreditAccount(now))
-                            .noteShort(now);
+                    noteShort(level.service(), now).ifPresent(questions::add);
                 }
             }
             anyShort = true;
         }
+        questions.forEach(this::send);
+    }
+
+    /** A service of which the home has told nothing yet is asked for without demand: none comes before it governs. */
+    private Optional<Question> noteShort(ServiceName service, long now) {
+        CreditAccount account = accounts.computeIfAbsent(service, added -> new CreditAccount(now));
+        account.noteShort(now);
+        return account.homeKnows() ? Optional.empty() : question(service, account, now);
     }
 
     @Override
@@ -197,7 +205,7 @@
         if (home.isEmpty()) {
             account.onUnknown(now);
         }
-        if (home.isEmpty() || wanted.isEmpty()) {
+        if (home.isEmpty() || (wanted.isEmpty() && account.homeKnows())) {
             return Optional.empty();
         }
         account.onAsked();
--- a/src/test/java/io/beryldock/credit/CreditReplay.java
+++ b/src/test/java/io/beryldock/credit/CreditReplay.java
@@ -154,7 +154,9 @@
         }
 
         void request() {
-            node.keeper().demand(TREE, CLAIMANT);
+            if (node.keeper().governs(TREE)) {
+                node.keeper().demand(TREE, CLAIMANT);
+            }
             waiting.add(now());
             serve();
         }
