--- a/src/main/java/io/beryldock/cli/SubcommandRegistry.java
+++ b/src/main/java/io/beryldock/cli/SubcommandRegistry.java
@@ -18,6 +18,7 @@
             .put(
                     "record-classes",
                     new Entry(RecordClassesSubcommand::new, "serve a few requests so that the JVM can record classes"))
+            .put("soak", new Entry(SoakSubcommand::new, "run nodes under faults and check the promises: --seed N"))
             .put("standin-platform", new Entry(StandinPlatformSubcommand::new, "run a stand-in of the platform store"))
             .put("standin-target", new Entry(StandinTargetSubcommand::new, "run a stand-in target: --settings FILE"))
             .put("timeline", new Entry(TimelineSubcommand::new, "write the time line of all nodes: --node IP:PORT"))
--- a/src/main/java/io/beryldock/node/NodeCore.java
+++ b/src/main/java/io/beryldock/node/NodeCore.java
@@ -90,7 +90,10 @@
                 shared.traffic());
         transport.start();
         NodeDescriptor self = new NodeDescriptor(
-                NodeId.of(settings.id()), incarnation, DataCentre.of(settings.dataCentre()), transport.localAddress());
+                NodeId.of(settings.id()),
+                incarnation,
+                DataCentre.of(settings.dataCentre()),
+                advertised(settings.peers(), transport.localAddress()));
         Module usual = Modules.combine(
                 new NodeModule(settings, self, control, controlTimers, transport, events, store.apply(trafficTimers)),
                 new KeyedModule(),
@@ -101,6 +104,12 @@
         return new NodeCore(settings, control, controlTimers, transport, events, injector);
     }
 
+    private static InetSocketAddress advertised(NodeSettings.Peers peers, InetSocketAddress bound) {
+        return peers.advertisedPort() == null
+                ? bound
+                : new InetSocketAddress(bound.getAddress(), peers.advertisedPort());
+    }
+
     private static PeerTransportSettings peerSettings(NodeSettings settings) throws SettingsException {
         NodeSettings.Peers peers = settings.peers();
         InetSocketAddress bind = new InetSocketAddress(peers.address(), peers.port());
--- a/src/main/java/io/beryldock/platform/PlatformSettings.java
+++ b/src/main/java/io/beryldock/platform/PlatformSettings.java
@@ -65,8 +65,10 @@
      * @param readiness tells whether clients may send requests, IP:PORT
      * @param heartbeats takes the heartbeats of the target in this VM, IP:PORT
      * @param peerPort port for other nodes
+     * @param advertisedPeerPort port at which they reach it, when a forwarder takes their connections; absent for the
+     *     same
      */
-    record Listeners(String requests, String readiness, String heartbeats, int peerPort) {}
+    record Listeners(String requests, String readiness, String heartbeats, int peerPort, Integer advertisedPeerPort) {}
 
     /**
      * The retries allowed to all nodes together.
@@ -218,7 +220,7 @@
                 "none",
                 new NodeSettings.Listener(address, 0),
                 new NodeSettings.Listener(address, 0),
-                new NodeSettings.Peers(address, listeners.peerPort(), null, true),
+                new NodeSettings.Peers(address, listeners.peerPort(), null, true, listeners.advertisedPeerPort()),
                 new NodeSettings.Admin(address, 0, null),
                 ImmutableList.of(),
                 null,
--- /dev/null
+++ b/src/main/java/io/beryldock/platform/SoakSurroundings.java
@@ -0,0 +1,235 @@
+package io.beryldock.platform;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.flogger.FluentLogger;
+import com.google.common.net.HostAndPort;
+import com.google.protobuf.ByteString;
+import io.beryldock.call.Headers;
+import io.beryldock.eventloop.EventLoops;
+import io.beryldock.nettyhttp.HttpCall;
+import io.beryldock.nettyhttp.HttpClient;
+import io.beryldock.nettyhttp.HttpClientSettings;
+import io.beryldock.nettyhttp.HttpExchangeException;
+import io.beryldock.nettyhttp.HttpReply;
+import io.beryldock.nettyhttp.HttpServer;
+import io.beryldock.nettyhttp.HttpServerLimits;
+import io.beryldock.soak.CallerRequest;
+import io.beryldock.soak.NodePlace;
+import io.beryldock.soak.SoakBounds;
+import io.beryldock.soak.SoakEvent;
+import io.beryldock.soak.SoakEvent.Ending;
+import io.beryldock.soak.SoakEvent.Reply;
+import io.beryldock.soak.Surroundings;
+import io.beryldock.soak.Use;
+import io.beryldock.time.ThreadTimerService;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.CancellationException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** The surroundings of a fault soak in the platform's words: stand-ins of store, targets, callers and operators. */
+public final class SoakSurroundings implements Surroundings {
+
+    private static final FluentLogger log = FluentLogger.forEnclosingClass();
+    private static final String HOST = "soak.example";
+    private static final String ORGANISATION = "soak-organisation";
+    private static final String DATA_CENTRE = "soak-centre";
+    private static final int SLOTS = 8;
+    private static final int THREADS = 2;
+    private static final long CALLER_MILLIS = 4_000;
+
+    /** Beyond its own time a caller looks for an answer a little longer, as late ones are delivered too. */
+    private static final Duration CALLER_LIMIT = Duration.ofMillis(CALLER_MILLIS + 500);
+
+    private static final Duration ANNOUNCE_LIMIT = Duration.ofSeconds(1);
+    private static final double MILLIS_PER_SECOND = 1000;
+    private static final HttpServerLimits LIMITS =
+            new HttpServerLimits(16 << 10, 1 << 20, Duration.ofSeconds(10), Duration.ofSeconds(60));
+    private static final HttpClientSettings CLIENT =
+            new HttpClientSettings(Duration.ofSeconds(1), Duration.ofSeconds(4), Duration.ofSeconds(1), 1 << 20);
+
+    private final EventLoops loops = EventLoops.create("standin", THREADS);
+    private final ThreadTimerService timers = ThreadTimerService.start("standin-timer", Runnable::run);
+    private final StandinStore store = new StandinStore(timers);
+    private final HttpClient client = HttpClient.create(CLIENT, loops);
+    private final AtomicLong beats = new AtomicLong();
+    private final TreeSet<Long> versions = new TreeSet<>();
+    private final HttpServer storeServer;
+
+    private SoakSurroundings() throws IOException, InterruptedException {
+        InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        this.storeServer = HttpServer.bind(any, loops, () -> LIMITS, store);
+    }
+
+    /** Starts the store. */
+    public static SoakSurroundings start() throws IOException, InterruptedException {
+        return new SoakSurroundings();
+    }
+
+    @Override
+    public InetSocketAddress store() {
+        return storeServer.address();
+    }
+
+    @Override
+    public InetSocketAddress startTarget(NodePlace place, TargetEvents events)
+            throws IOException, InterruptedException {
+        SoakTarget target = new SoakTarget(place, targetId(place), events, this::send, timers);
+        InetSocketAddress any = new InetSocketAddress(place.requests().getAddress(), 0);
+        return HttpServer.bind(any, loops, () -> LIMITS, target).address();
+    }
+
+    private static String targetId(NodePlace place) {
+        return "soak-target-" + place.number();
+    }
+
+    @Override
+    public void announce(NodePlace place, InetSocketAddress target) {
+        ObjectNode body = Json.object().put("address", text(target));
+        body.putObject("info")
+                .put("service", place.service())
+                .put("version", "v1")
+                .put("zone", DATA_CENTRE)
+                .put("slots", SLOTS);
+        body.putObject("status")
+                .put("state", "ready")
+                .put("sequence", beats.incrementAndGet())
+                .put("coldRemainingS", 0);
+        Headers headers = Headers.empty().with(PlatformHeaders.HOST, "node");
+        HttpCall beat = HttpCall.of("PUT", "/instances/" + targetId(place), headers, Json.write(body));
+        client.send(place.heartbeats(), beat, ANNOUNCE_LIMIT).whenComplete((reply, failure) -> {
+            if (failure != null) {
+                log.atFine().withCause(failure).log("%s did not hear its target; it may be down", place.name());
+            }
+        });
+    }
+
+    private static String text(InetSocketAddress address) {
+        return HostAndPort.fromParts(address.getAddress().getHostAddress(), address.getPort())
+                .toString();
+    }
+
+    @Override
+    public String settings(NodePlace place, InetSocketAddress storeAddress, SoakBounds bounds) {
+        ObjectNode settings = Json.object()
+                .put("id", place.name())
+                .put("dataCentre", DATA_CENTRE)
+                .put("address", place.peers().getAddress().getHostAddress())
+                .put("service", place.service())
+                .put("store", text(storeAddress))
+                .put("revokedKeysSeconds", seconds(bounds.removedKeys()))
+                .put("stopSeconds", seconds(bounds.stop()));
+        settings.putObject("listeners")
+                .put("requests", text(place.requests()))
+                .put("readiness", text(place.readiness()))
+                .put("heartbeats", text(place.heartbeats()))
+                .put("peerPort", place.peers().getPort())
+                .put("advertisedPeerPort", place.proxiedPeers().getPort());
+        settings.putObject("retries")
+                .put("share", bounds.retryShare())
+                .put("windowSeconds", seconds(bounds.retryWindow()))
+                .put("slack", bounds.retrySlack());
+        return settings.toString();
+    }
+
+    private static double seconds(Duration duration) {
+        return duration.toMillis() / MILLIS_PER_SECOND;
+    }
+
+    @Override
+    public void publish(long version, ImmutableSet<String> keys) {
+        store.write(OperatorDocument.KEY, Json.write(document(version, keys)));
+    }
+
+    private synchronized ObjectNode document(long version, Set<String> keys) {
+        versions.add(version);
+        ObjectNode document = Json.object().put("version", String.format(Locale.ROOT, "%08x", version));
+        ObjectNode routes = document.putObject("routes");
+        route(routes, "order", Use.ORDER, false);
+        route(routes, "browse", Use.BROWSE, false);
+        route(routes, "part", Use.PART, true);
+        versions.forEach(each -> route(routes, "v" + each, Use.PROBE, true));
+        document.putObject("services");
+        document.putObject("limits")
+                .put("maxHeaderBytes", LIMITS.maxHeaderBytes())
+                .put("maxBodyBytes", LIMITS.maxBodyBytes())
+                .put("headerTimeoutS", 3)
+                .put("idleTimeoutS", 15);
+        ObjectNode organisation = document.putObject("tenants").putObject(ORGANISATION);
+        ArrayNode held = organisation.putArray("apiKeys");
+        keys.forEach(held::add);
+        organisation.put("priority", 1);
+        return document;
+    }
+
+    private static void route(ObjectNode routes, String name, Use use, boolean open) {
+        routes.putObject(name)
+                .put("hostname", HOST)
+                .put("pathPrefix", "/" + name + "/")
+                .put("type", use.idempotent() ? "safe" : "unsafe")
+                .put("timeoutS", CALLER_MILLIS / MILLIS_PER_SECOND)
+                .put("targetLatencyS", 1)
+                .put("priority", 1)
+                .put("service", use.service())
+                .put("attempts", 2)
+                .put("public", open);
+    }
+
+    @Override
+    public CompletableFuture<Outcome> send(NodePlace place, CallerRequest request) {
+        return send(place, request, CALLER_MILLIS);
+    }
+
+    private CompletableFuture<Outcome> send(NodePlace place, CallerRequest request, long millis) {
+        String prefix = request.use() == Use.PROBE
+                ? "v" + request.version()
+                : request.use().name().toLowerCase(Locale.ROOT);
+        Headers plain = Headers.empty()
+                .with(PlatformHeaders.HOST, HOST)
+                .with(PlatformHeaders.REQUEST_ID, request.id())
+                .with(PlatformHeaders.TIME_LEFT_MILLIS, Long.toString(millis));
+        Headers headers = request.key().isEmpty() ? plain : plain.with(PlatformHeaders.CREDENTIAL, request.key());
+        HttpCall call = HttpCall.of(
+                request.use().idempotent() ? "GET" : "POST",
+                "/" + prefix + "/" + request.id(),
+                headers,
+                ByteString.copyFromUtf8(request.body()));
+        return client.send(place.requests(), call, CALLER_LIMIT).handle(SoakSurroundings::outcome);
+    }
+
+    private static Outcome outcome(HttpReply reply, Throwable failure) {
+        if (failure == null) {
+            Headers headers = reply.headers();
+            return new Outcome(
+                    Ending.ANSWERED,
+                    new Reply(
+                            reply.status(),
+                            headers.first(PlatformHeaders.REQUEST_ID).orElse(""),
+                            headers.first(PlatformHeaders.SIGNATURE).isPresent(),
+                            reply.body().toString(StandardCharsets.UTF_8)));
+        }
+        return new Outcome(ending(failure), SoakEvent.Reply.none());
+    }
+
+    private static Ending ending(Throwable failure) {
+        if (failure instanceof CancellationException) {
+            return Ending.GAVE_UP;
+        }
+        return HttpExchangeException.isNotSent(failure) ? Ending.NOT_SENT : Ending.LOST;
+    }
+
+    @Override
+    public void close() {
+        timers.close();
+        loops.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/platform/SoakTarget.java
@@ -0,0 +1,100 @@
+package io.beryldock.platform;
+
+import com.google.protobuf.ByteString;
+import io.beryldock.call.Headers;
+import io.beryldock.nettyhttp.HttpAnswer;
+import io.beryldock.nettyhttp.HttpExchange;
+import io.beryldock.nettyhttp.HttpHandler;
+import io.beryldock.soak.CallerRequest;
+import io.beryldock.soak.NodePlace;
+import io.beryldock.soak.Payload;
+import io.beryldock.soak.Surroundings.Outcome;
+import io.beryldock.soak.Surroundings.TargetEvents;
+import io.beryldock.time.TimerService;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * A target of a fault soak: works a while, makes an inner call where its service does, and answers.
+ *
+ * <p>Thread safe. Invariant: it tells of each run before any byte of its answer leaves.
+ */
+final class SoakTarget implements HttpHandler {
+
+    private static final int OK = 200;
+    private static final int MISDIRECTED = 421;
+    private static final int FAILED = 500;
+    private static final String BROWSE_PATH = "/browse/";
+
+    /** Work of 5 to 100 ms, so that faults meet requests at work. */
+    private static final int SHORTEST_MILLIS = 5;
+
+    private static final int SPREAD_MILLIS = 95;
+
+    private final NodePlace place;
+    private final String id;
+    private final TargetEvents events;
+    private final InnerCaller caller;
+    private final TimerService timers;
+    private final AtomicLong innerCalls = new AtomicLong();
+
+    SoakTarget(NodePlace place, String id, TargetEvents events, InnerCaller caller, TimerService timers) {
+        this.place = place;
+        this.id = id;
+        this.events = events;
+        this.caller = caller;
+        this.timers = timers;
+    }
+
+    /** Sends an inner call through the target's own node. */
+    @FunctionalInterface
+    interface InnerCaller {
+
+        CompletableFuture<Outcome> send(NodePlace place, CallerRequest request, long millisLeft);
+    }
+
+    @Override
+    public void handle(HttpExchange exchange) {
+        Headers headers = exchange.headers();
+        if (!headers.first(PlatformHeaders.EXPECTED_TARGET).orElse(id).equals(id)) {
+            exchange.answer(HttpAnswer.of(MISDIRECTED));
+            return;
+        }
+        String request = headers.first(PlatformHeaders.REQUEST_ID).orElse("");
+        String body = exchange.body().toString(StandardCharsets.UTF_8);
+        events.ran(place.number(), request, place.service(), body);
+        int millis = SHORTEST_MILLIS + Math.floorMod(request.hashCode(), SPREAD_MILLIS);
+        timers.after(Duration.ofMillis(millis), () -> {
+            if (exchange.uri().startsWith(BROWSE_PATH)) {
+                callPart(exchange, request, body, millis);
+            } else {
+                answer(exchange, request, body, OK);
+            }
+        });
+    }
+
+    /** A request that runs again makes its call again, under another id. */
+    private void callPart(HttpExchange exchange, String request, String body, int spentMillis) {
+        long left = exchange.headers()
+                        .first(PlatformHeaders.TIME_LEFT_MILLIS)
+                        .map(Long::parseLong)
+                        .orElse(0L)
+                - spentMillis;
+        CallerRequest part = CallerRequest.part(request + "." + place.number() + "-" + innerCalls.incrementAndGet());
+        events.sent(place.number(), part);
+        caller.send(place, part, left)
+                .thenAccept(outcome ->
+                        answer(exchange, request, body, outcome.reply().isSuccess() ? OK : FAILED));
+    }
+
+    private static void answer(HttpExchange exchange, String request, String body, int status) {
+        Headers headers = Headers.empty()
+                .with(PlatformHeaders.REQUEST_ID, request)
+                .with(PlatformHeaders.SIGNATURE, "signed")
+                .with("Content-Type", "text/plain");
+        String text = status == OK ? Payload.answer(request, body) : "failed";
+        exchange.answer(HttpAnswer.of(status, headers, ByteString.copyFromUtf8(text)));
+    }
+}
--- a/src/main/java/io/beryldock/platform/StandinPlatform.java
+++ b/src/main/java/io/beryldock/platform/StandinPlatform.java
@@ -145,7 +145,7 @@
     private PlatformSettings.Listeners startNode(String id)
             throws IOException, InterruptedException, SettingsException, PeerStartException {
         PlatformSettings.Listeners listeners = new PlatformSettings.Listeners(
-                "127.0.0.1:" + freePort(), "127.0.0.1:" + freePort(), "127.0.0.1:" + freePort(), freePort());
+                "127.0.0.1:" + freePort(), "127.0.0.1:" + freePort(), "127.0.0.1:" + freePort(), freePort(), null);
         Path settings = Files.createTempFile("beryldock-trial-node", ".json");
         try {
             Files.writeString(settings, settingsOf(id, listeners));
--- a/src/main/java/io/beryldock/settings/NodeSettings.java
+++ b/src/main/java/io/beryldock/settings/NodeSettings.java
@@ -69,14 +69,25 @@
         }
     }
 
-    /** The listener for other nodes and how nodes prove who they are; tls or insecure must be chosen. */
+    /**
+     * The listener for other nodes and how nodes prove who they are; tls or insecure must be chosen.
+     *
+     * @param advertisedPort where others reach it, when a forwarder takes their connections; absent for the port itself
+     */
     public record Peers(
             @NotNull @Pattern(regexp = "[0-9.]+", message = "is an IP number")
             String address,
 
             @Min(0) @Max(MAX_PORT) int port,
             @Valid Tls tls,
-            boolean insecure) {}
+            boolean insecure,
+            @Min(1) @Max(MAX_PORT) Integer advertisedPort) {
+
+        /** A listener that others reach without a forwarder. */
+        public Peers(String address, int port, Tls tls, boolean insecure) {
+            this(address, port, tls, insecure, null);
+        }
+    }
 
     /** Files in PEM form; they are read again when they change. */
     public record Tls(
--- /dev/null
+++ b/src/main/java/io/beryldock/soak/FaultAction.java
@@ -0,0 +1,67 @@
+package io.beryldock.soak;
+
+import com.google.common.collect.ImmutableList;
+import java.util.Arrays;
+
+/** What happens to a node from outside, or what operators do meanwhile. */
+enum FaultAction {
+    PEERS_DELAYED(Link.PEERS, LinkState.DELAYED),
+    PEERS_RESET(Link.PEERS, LinkState.RESET),
+    PEERS_CUT_ONE_WAY(Link.PEERS, LinkState.CUT_ONE_WAY),
+    PEERS_SILENT(Link.PEERS, LinkState.SILENT),
+    STORE_DELAYED(Link.STORE, LinkState.DELAYED),
+    STORE_RESET(Link.STORE, LinkState.RESET),
+    STORE_CUT_ONE_WAY(Link.STORE, LinkState.CUT_ONE_WAY),
+    STORE_SILENT(Link.STORE, LinkState.SILENT),
+    TARGET_DELAYED(Link.TARGET, LinkState.DELAYED),
+    TARGET_RESET(Link.TARGET, LinkState.RESET),
+    TARGET_CUT_ONE_WAY(Link.TARGET, LinkState.CUT_ONE_WAY),
+    TARGET_SILENT(Link.TARGET, LinkState.SILENT),
+    /** SIGSTOP, and SIGCONT at the end. */
+    PAUSED(Link.NONE, LinkState.OPEN),
+    /** SIGKILL, and a start at the end. */
+    KILLED(Link.NONE, LinkState.OPEN),
+    /** SIGKILL of all nodes, and their start at the end. */
+    ALL_KILLED(Link.NONE, LinkState.OPEN),
+    /** SIGTERM, and a start when the process has ended. */
+    STOPPED_AS_PLANNED(Link.NONE, LinkState.OPEN),
+    /** Operators write a new version of the document. */
+    DOCUMENT_WRITTEN(Link.NONE, LinkState.OPEN),
+    /** Operators take the oldest key away. */
+    KEY_REMOVED(Link.NONE, LinkState.OPEN);
+
+    /** Faults that nobody planned, of one node. */
+    static final ImmutableList<FaultAction> UNPLANNED = Arrays.stream(values())
+            .filter(action -> action.link != Link.NONE || action == PAUSED || action == KILLED)
+            .collect(ImmutableList.toImmutableList());
+
+    private final Link link;
+    private final LinkState state;
+
+    FaultAction(Link link, LinkState state) {
+        this.link = link;
+        this.state = state;
+    }
+
+    /** The link that it harms. */
+    Link link() {
+        return link;
+    }
+
+    LinkState state() {
+        return state;
+    }
+
+    boolean isUnplanned() {
+        return this == ALL_KILLED || UNPLANNED.contains(this);
+    }
+
+    /** The links of a node that can be harmed. */
+    enum Link {
+        NONE,
+        /** From other nodes. */
+        PEERS,
+        STORE,
+        TARGET
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/soak/FaultExecutor.java
@@ -0,0 +1,132 @@
+package io.beryldock.soak;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.flogger.FluentLogger;
+import io.beryldock.time.Ticker;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Brings the faults of a plan about, and ends them, each at its time.
+ *
+ * <p>Used by one thread, which it holds until the plan's end. A fault whose node is down at the time does nothing.
+ */
+final class FaultExecutor {
+
+    private static final FluentLogger log = FluentLogger.forEnclosingClass();
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    private final ImmutableList<SoakPlace> places;
+    private final Operators operators;
+    private final SoakLedger ledger;
+    private final Ticker ticker;
+
+    FaultExecutor(ImmutableList<SoakPlace> places, Operators operators, SoakLedger ledger, Ticker ticker) {
+        this.places = places;
+        this.operators = operators;
+        this.ledger = ledger;
+        this.ticker = ticker;
+    }
+
+    /** One end of a fault. */
+    private record Step(Duration at, PlannedFault fault, boolean begins) {}
+
+    /** Runs the plan; returns when its last fault has ended and no sooner than the length. */
+    void run(ImmutableList<PlannedFault> plan, Duration length) throws IOException, InterruptedException {
+        long start = ticker.nanos();
+        for (Step step : steps(plan)) {
+            waitUntil(start + step.at().toNanos());
+            log.atInfo().log("%s: %s", step.begins() ? "begins" : "ends", step.fault());
+            if (step.begins()) {
+                begin(step.fault());
+            } else {
+                end(step.fault());
+            }
+        }
+        waitUntil(start + length.toNanos());
+    }
+
+    private static List<Step> steps(ImmutableList<PlannedFault> plan) {
+        List<Step> steps = new ArrayList<>();
+        for (PlannedFault fault : plan) {
+            steps.add(new Step(fault.at(), fault, true));
+            steps.add(new Step(fault.end(), fault, false));
+        }
+        steps.sort(Comparator.comparing(Step::at));
+        return steps;
+    }
+
+    private void waitUntil(long nanos) throws InterruptedException {
+        long left = nanos - ticker.nanos();
+        if (left > 0) {
+            TimeUnit.MILLISECONDS.sleep(left / NANOS_PER_MILLI);
+        }
+    }
+
+    private void begin(PlannedFault fault) throws IOException, InterruptedException {
+        if (fault.action().isUnplanned()) {
+            ledger.add(SoakEvent.FaultBegan::new);
+        }
+        SoakPlace place = places.get(fault.node());
+        switch (fault.action()) {
+            case PAUSED -> place.node().pause();
+            case KILLED -> place.node().kill();
+            case ALL_KILLED -> killAll();
+            case STOPPED_AS_PLANNED -> stop(place);
+            case DOCUMENT_WRITTEN -> operators.write();
+            case KEY_REMOVED -> operators.changeKeys();
+            default -> place.set(fault.action().link(), fault.action().state());
+        }
+    }
+
+    private void end(PlannedFault fault) throws IOException, InterruptedException {
+        SoakPlace place = places.get(fault.node());
+        switch (fault.action()) {
+            case PAUSED -> place.node().resume();
+            case KILLED -> start(place);
+            case ALL_KILLED -> startAll();
+            case STOPPED_AS_PLANNED, DOCUMENT_WRITTEN, KEY_REMOVED -> {}
+            default -> place.set(fault.action().link(), LinkState.OPEN);
+        }
+        if (fault.action().isUnplanned()) {
+            ledger.add(SoakEvent.FaultEnded::new);
+        }
+    }
+
+    private void stop(SoakPlace place) {
+        if (!place.node().isRunning()) {
+            return;
+        }
+        ledger.add(at -> new SoakEvent.StopAsked(at, place.number()));
+        var unused = place.node().stop().thenAccept(ended -> {
+            try {
+                start(place);
+            } catch (IOException e) {
+                log.atSevere().withCause(e).log("node %d could not be started after its stop", place.number());
+            }
+        });
+    }
+
+    private void killAll() throws InterruptedException {
+        for (SoakPlace place : places) {
+            place.node().kill();
+        }
+    }
+
+    private void startAll() throws IOException {
+        for (SoakPlace place : places) {
+            start(place);
+        }
+        ledger.add(SoakEvent.AllBack::new);
+    }
+
+    private void start(SoakPlace place) throws IOException {
+        if (place.node().startIfDown()) {
+            ledger.add(at -> new SoakEvent.Started(at, place.number()));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/soak/FaultPlanner.java
@@ -0,0 +1,95 @@
+package io.beryldock.soak;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/**
+ * Draws the plan of a run from its seed. Not thread safe; used once.
+ *
+ * <p>Invariants: the same seed, length and number of nodes give the same plan. A plan is made of cycles: a planned stop
+ * in calm, faults one after the other and over each other, the death of all nodes in calm, and calm until callers are
+ * surely served again. Operators' changes come at any time.
+ */
+final class FaultPlanner {
+
+    private static final Duration LONGEST_CYCLE = Duration.ofSeconds(60);
+
+    /** Before it all nodes are in calm for longer than a planned stop is judged by. */
+    private static final Duration STOP_AT = Duration.ofSeconds(3);
+
+    /** A stop, the start after it and the calm in which it is judged. */
+    private static final Duration FAULTS_FROM = Duration.ofSeconds(9);
+
+    private static final Duration CALM_BEFORE_DEATH = Duration.ofSeconds(1);
+    private static final Duration DEATH = Duration.ofSeconds(1);
+    private static final Duration CALM_AFTER_DEATH = RecoveryCheck.BOUND.plus(DEATH);
+
+    /** In a short cycle callers are served again after the load's end, for which the run waits. */
+    private static final double DEATH_SHARE = 0.75;
+
+    private static final int SHORTEST_MILLIS = 300;
+    private static final int LONGEST_MILLIS = 5_000;
+    private static final int GAP_MILLIS = 1_500;
+    private static final Duration CHANGE_PERIOD = Duration.ofSeconds(7);
+
+    private final SplittableRandom random;
+    private final int nodes;
+    private final List<PlannedFault> faults = new ArrayList<>();
+
+    private FaultPlanner(long seed, int nodes) {
+        this.random = new SplittableRandom(seed);
+        this.nodes = nodes;
+    }
+
+    /** The plan, by time. */
+    static ImmutableList<PlannedFault> draw(long seed, Duration length, int nodes) {
+        FaultPlanner planner = new FaultPlanner(seed, nodes);
+        Duration cycle = length.compareTo(LONGEST_CYCLE) < 0 ? length : LONGEST_CYCLE;
+        for (Duration from = Duration.ZERO; from.plus(cycle).compareTo(length) <= 0; from = from.plus(cycle)) {
+            planner.addCycle(from, cycle);
+        }
+        planner.addChanges(length);
+        return ImmutableList.sortedCopyOf(Comparator.comparing(PlannedFault::at), planner.faults);
+    }
+
+    private void addCycle(Duration from, Duration cycle) {
+        add(from.plus(STOP_AT), Duration.ZERO, FaultAction.STOPPED_AS_PLANNED);
+        Duration latest = cycle.minus(CALM_AFTER_DEATH);
+        Duration share = Duration.ofMillis((long) (cycle.toMillis() * DEATH_SHARE));
+        Duration death = from.plus(latest.compareTo(share) > 0 || cycle.equals(LONGEST_CYCLE) ? latest : share);
+        addFaults(from.plus(FAULTS_FROM), death.minus(CALM_BEFORE_DEATH));
+        add(death, DEATH, FaultAction.ALL_KILLED);
+    }
+
+    private void addFaults(Duration from, Duration until) {
+        Duration at = from;
+        while (at.compareTo(until) < 0) {
+            Duration length = millis(SHORTEST_MILLIS, LONGEST_MILLIS);
+            Duration longest = until.minus(at);
+            Duration kept = length.compareTo(longest) < 0 ? length : longest;
+            add(at, kept, FaultAction.UNPLANNED.get(random.nextInt(FaultAction.UNPLANNED.size())));
+            boolean overlapping = random.nextBoolean();
+            at = overlapping ? at.plus(kept.dividedBy(2)) : at.plus(kept).plus(millis(0, GAP_MILLIS));
+            at = at.plusMillis(1);
+        }
+    }
+
+    private void addChanges(Duration length) {
+        for (Duration at = millis(0, LONGEST_MILLIS); at.compareTo(length) < 0; at = at.plus(CHANGE_PERIOD)) {
+            add(at, Duration.ZERO, FaultAction.DOCUMENT_WRITTEN);
+            add(at.plus(millis(0, LONGEST_MILLIS)), Duration.ZERO, FaultAction.KEY_REMOVED);
+        }
+    }
+
+    private void add(Duration at, Duration length, FaultAction action) {
+        faults.add(new PlannedFault(at, length, action, random.nextInt(nodes)));
+    }
+
+    private Duration millis(int from, int to) {
+        return Duration.ofMillis(random.nextInt(from, to));
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/soak/SoakBounds.java
@@ -0,0 +1,22 @@
+package io.beryldock.soak;
+
+import java.time.Duration;
+
+/**
+ * The bounds that nodes are given by their settings, and that are checked. Immutable.
+ *
+ * @param retryShare of the requests for a service that may be sent once more, over all nodes
+ * @param retryWindow in any window of this length
+ * @param retrySlack repeats beside the share
+ * @param removedKeys time after which a key that was taken away opens nothing
+ * @param stop time from the request to stop until the end of the process
+ */
+public record SoakBounds(double retryShare, Duration retryWindow, int retrySlack, Duration removedKeys, Duration stop) {
+
+    private static final SoakBounds USUAL =
+            new SoakBounds(0.2, Duration.ofSeconds(10), 12, Duration.ofSeconds(5), Duration.ofSeconds(6));
+
+    public static SoakBounds usual() {
+        return USUAL;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/soak/SoakEvent.java
@@ -0,0 +1,76 @@
+package io.beryldock.soak;
+
+/**
+ * What callers, targets, operators and the operating system saw. Immutable.
+ *
+ * <p>Invariant: the events of one request come in their causal order, its sending first.
+ */
+public sealed interface SoakEvent {
+
+    /** When it was seen, in nanoseconds of the soak's own clock. */
+    long at();
+
+    /** A caller or a target sends a request to a node. */
+    record Sent(long at, int node, CallerRequest request) implements SoakEvent {}
+
+    /** A target beside a node begins to work on a request, whose body it received. */
+    record Ran(long at, int node, String id, String service, String body) implements SoakEvent {}
+
+    /** A request ends at its sender; {@code reply} is empty of meaning but for {@link Ending#ANSWERED}. */
+    record Ended(long at, String id, Ending ending, Reply reply) implements SoakEvent {}
+
+    /** The store has confirmed a document without the key. */
+    record KeyRemoved(long at, String key) implements SoakEvent {}
+
+    /** A node process was started. */
+    record Started(long at, int node) implements SoakEvent {}
+
+    /** A node was asked to stop as planned. */
+    record StopAsked(long at, int node) implements SoakEvent {}
+
+    /** A fault that nobody planned begins. */
+    record FaultBegan(long at) implements SoakEvent {}
+
+    /** It is over. */
+    record FaultEnded(long at) implements SoakEvent {}
+
+    /** All nodes were killed and have been started again. */
+    record AllBack(long at) implements SoakEvent {}
+
+    /** What a node process holds. */
+    record Sampled(long at, int node, long memoryKilobytes, int openFiles) implements SoakEvent {}
+
+    /** Nothing more is sent. */
+    record RunEnded(long at) implements SoakEvent {}
+
+    /** How a request ended at its sender. */
+    enum Ending {
+        ANSWERED,
+        /** The connection ended without a whole answer. */
+        LOST,
+        /** No connection could be made. */
+        NOT_SENT,
+        GAVE_UP
+    }
+
+    /**
+     * An answer as it came. Immutable.
+     *
+     * @param echoedId the request's id as the answer names it, empty for none
+     * @param signed whether it bears a target's signature
+     */
+    record Reply(int status, String echoedId, boolean signed, String body) {
+
+        private static final int FIRST_SUCCESS = 200;
+        private static final int FIRST_REDIRECTION = 300;
+
+        /** Stands where no answer came. */
+        public static Reply none() {
+            return new Reply(0, "", false, "");
+        }
+
+        public boolean isSuccess() {
+            return status >= FIRST_SUCCESS && status < FIRST_REDIRECTION;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/soak/SoakPlace.java
@@ -0,0 +1,77 @@
+package io.beryldock.soak;
+
+import io.beryldock.soak.FaultAction.Link;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+
+/** A node, its target and the proxies on its links. Thread safe; closed once. */
+final class SoakPlace implements AutoCloseable {
+
+    private final NodePlace place;
+    private final InetSocketAddress announced;
+    private final FaultProxy peers;
+    private final FaultProxy store;
+    private final FaultProxy target;
+    private final SoakNode node;
+
+    private SoakPlace(NodePlace place, FaultProxy peers, FaultProxy store, FaultProxy target, SoakNode node) {
+        this.place = place;
+        this.announced = target.address();
+        this.peers = peers;
+        this.store = store;
+        this.target = target;
+        this.node = node;
+    }
+
+    /** Starts the target and the proxies; the node is not started yet. */
+    static SoakPlace prepare(
+            NodePlace place,
+            Surroundings surroundings,
+            Surroundings.TargetEvents events,
+            SoakBounds bounds,
+            Path directory)
+            throws IOException, InterruptedException {
+        String address = place.requests().getHostString();
+        FaultProxy peers = FaultProxy.start(place.proxiedPeers(), place.peers());
+        FaultProxy store = FaultProxy.start(new InetSocketAddress(address, 0), surroundings.store());
+        InetSocketAddress running = surroundings.startTarget(place, events);
+        FaultProxy target = FaultProxy.start(new InetSocketAddress(address, 0), running);
+        String settings = surroundings.settings(place, store.address(), bounds);
+        return new SoakPlace(place, peers, store, target, SoakNode.create(place, settings, directory));
+    }
+
+    int number() {
+        return place.number();
+    }
+
+    NodePlace place() {
+        return place;
+    }
+
+    SoakNode node() {
+        return node;
+    }
+
+    /** Where the target is reached by its node. */
+    InetSocketAddress announced() {
+        return announced;
+    }
+
+    void set(Link link, LinkState state) {
+        switch (link) {
+            case PEERS -> peers.set(state);
+            case STORE -> store.set(state);
+            case TARGET -> target.set(state);
+            case NONE -> throw new IllegalArgumentException("no link is meant");
+        }
+    }
+
+    @Override
+    public void close() {
+        node.close();
+        peers.close();
+        store.close();
+        target.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/io/beryldock/soak/Surroundings.java
@@ -0,0 +1,48 @@
+package io.beryldock.soak;
+
+import com.google.common.collect.ImmutableSet;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * What stands around the nodes and knows the platform's words: the store, targets, callers and operators.
+ *
+ * <p>Thread safe. Closed once, after the nodes have ended.
+ */
+public interface Surroundings extends AutoCloseable {
+
+    /** Where the store answers. */
+    InetSocketAddress store();
+
+    /** Starts a target of the place's service beside the node; returns where it answers. */
+    InetSocketAddress startTarget(NodePlace place, TargetEvents events) throws IOException, InterruptedException;
+
+    /** Has the target announce itself to its node, at the address at which the node reaches it. */
+    void announce(NodePlace place, InetSocketAddress target);
+
+    /** Settings of the node's process, as its file holds them. */
+    String settings(NodePlace place, InetSocketAddress store, SoakBounds bounds);
+
+    /** Writes the operators' document; returns when the store has confirmed it. */
+    void publish(long version, ImmutableSet<String> keys);
+
+    /** Sends a request to a node. */
+    CompletableFuture<Outcome> send(NodePlace place, CallerRequest request);
+
+    /** How a request ended at its sender. Immutable. */
+    record Outcome(SoakEvent.Ending ending, SoakEvent.Reply reply) {}
+
+    /** What targets tell. Thread safe. */
+    interface TargetEvents {
+
+        /** A target begins to work on the request. */
+        void ran(int node, String id, String service, String body);
+
+        /** A target makes an inner call through its own node. */
+        void sent(int node, CallerRequest request);
+    }
+
+    @Override
+    void close();
+}
--- a/src/test/java/io/beryldock/ArchitectureTest.java
+++ b/src/test/java/io/beryldock/ArchitectureTest.java
@@ -71,13 +71,25 @@
             .resideInAPackage("io.beryldock.platform..");
 
     @ArchTest
-    static final ArchRule NOBODY_STARTS_PROCESSES = noClasses()
+    static final ArchRule ONLY_THE_SOAK_STARTS_PROCESSES = noClasses()
+            .that()
+            .resideOutsideOfPackage("io.beryldock.soak..")
             .should()
             .dependOnClassesThat()
             .haveFullyQualifiedName("java.lang.ProcessBuilder")
             .orShould()
             .callMethod(Runtime.class, "exec", String.class);
 
+    @ArchTest
+    static final ArchRule NO_NODE_KNOWS_THE_SOAK = noClasses()
+            .that()
+            .resideOutsideOfPackages("io.beryldock.soak..", "io.beryldock.cli..")
+            .and()
+            .haveNameNotMatching("io\\.beryldock\\.platform\\.Soak.*")
+            .should()
+            .dependOnClassesThat()
+            .resideInAPackage("io.beryldock.soak..");
+
     @ArchTest
     static final ArchRule PACKAGES_FORM_NO_CYCLE =
             slices().matching("io.beryldock.(*)..").should().beFreeOfCycles();
