--- /dev/null
+++ b/src/test/java/io/beryldock/soak/CheckTrial.java
@@ -0,0 +1,107 @@
+package io.beryldock.soak;
+
+import com.google.common.collect.ImmutableList;
+import io.beryldock.soak.SoakEvent.Ending;
+import io.beryldock.soak.SoakEvent.Reply;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Shows events to one check, at times of its own, and keeps what it finds broken. Not thread safe. */
+final class CheckTrial {
+
+    static final String KEY = "key";
+    static final int ENTRY = 0;
+    static final int RUNNER = 1;
+
+    private final PromiseCheck check;
+    private final List<String> broken = new ArrayList<>();
+    private long now;
+
+    private CheckTrial(PromiseCheck check) {
+        this.check = check;
+    }
+
+    static CheckTrial of(PromiseCheck check) {
+        return new CheckTrial(check);
+    }
+
+    CheckTrial after(Duration time) {
+        now += time.toNanos();
+        return this;
+    }
+
+    CheckTrial order(String id) {
+        return send(new CallerRequest(id, Use.ORDER, 0, KEY, "body of " + id));
+    }
+
+    CheckTrial part(String id) {
+        return send(CallerRequest.part(id));
+    }
+
+    CheckTrial probe(String id, long version) {
+        return send(CallerRequest.probe(id, version));
+    }
+
+    CheckTrial send(CallerRequest request) {
+        return see(new SoakEvent.Sent(now, ENTRY, request));
+    }
+
+    CheckTrial ran(String id) {
+        return see(new SoakEvent.Ran(now, RUNNER, id, "back", "body of " + id));
+    }
+
+    CheckTrial answered(String id, int status) {
+        Reply reply = new Reply(status, id, true, Payload.answer(id, "body of " + id));
+        return see(new SoakEvent.Ended(now, id, Ending.ANSWERED, reply));
+    }
+
+    CheckTrial lost(String id) {
+        return see(new SoakEvent.Ended(now, id, Ending.LOST, Reply.none()));
+    }
+
+    CheckTrial answered(String id, Reply reply) {
+        return see(new SoakEvent.Ended(now, id, Ending.ANSWERED, reply));
+    }
+
+    CheckTrial keyRemoved() {
+        return see(new SoakEvent.KeyRemoved(now, KEY));
+    }
+
+    CheckTrial started() {
+        return see(new SoakEvent.Started(now, ENTRY));
+    }
+
+    CheckTrial stopAsked(int node) {
+        return see(new SoakEvent.StopAsked(now, node));
+    }
+
+    CheckTrial faultBegan() {
+        return see(new SoakEvent.FaultBegan(now));
+    }
+
+    CheckTrial faultEnded() {
+        return see(new SoakEvent.FaultEnded(now));
+    }
+
+    CheckTrial allBack() {
+        return see(new SoakEvent.AllBack(now));
+    }
+
+    CheckTrial runEnded() {
+        return see(new SoakEvent.RunEnded(now));
+    }
+
+    CheckTrial sampled(long kilobytes, int files) {
+        return see(new SoakEvent.Sampled(now, ENTRY, kilobytes, files));
+    }
+
+    private CheckTrial see(SoakEvent event) {
+        check.on(event, broken::add);
+        return this;
+    }
+
+    ImmutableList<String> broken() {
+        return ImmutableList.copyOf(broken);
+    }
+}
