--- a/src/main/java/io/beryldock/cli/SubcommandRegistry.java
+++ b/src/main/java/io/beryldock/cli/SubcommandRegistry.java
@@ -9,6 +9,7 @@
     static final ImmutableSortedMap<String, Entry> ENTRIES = ImmutableSortedMap.<String, Entry>naturalOrder()
             .put("ctl", new Entry(CtlSubcommand::new, "ask and command a node: --node IP:PORT \"STATEMENT\""))
             .put("demo", new Entry(DemoSubcommand::new, "show a small deployment at work"))
+            .put("explain", new Entry(ExplainSubcommand::new, "tell the story of a request: REQUEST-ID LOGS..."))
             .put("measure", new Entry(MeasureSubcommand::new, "measure a scenario on real nodes: --scenario NAME"))
             .put("node", new Entry(NodeSubcommand::new, "run a node: --settings FILE"))
             .put("path-cost", new Entry(PathCostSubcommand::new, "measure what a request costs the nodes on its way"))
--- /dev/null
+++ b/src/main/java/io/beryldock/forwarding/DecisionWriter.java
@@ -0,0 +1,54 @@
+package io.beryldock.forwarding;
+
+import com.google.common.collect.ImmutableMap;
+import io.beryldock.call.Call;
+import io.beryldock.call.CallContext;
+import io.beryldock.call.CallResult;
+import io.beryldock.call.Reason;
+import io.beryldock.logging.DecisionLine;
+import io.beryldock.logging.DecisionLog;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
+
+/** Logs how calls without an answer ended at one place, with what was decided on. Thread safe. */
+final class DecisionWriter {
+
+    private final String place;
+    private final DecisionLog decisions;
+
+    DecisionWriter(String place, DecisionLog decisions) {
+        this.place = place;
+        this.decisions = decisions;
+    }
+
+    /** Nothing is logged of a call that was answered. */
+    void ended(Call call, CallResult result) {
+        result.reason()
+                .ifPresent(reason -> decisions.add(
+                        () -> new DecisionLine(line(call, result, reason).buildOrThrow())));
+    }
+
+    /** The same at a gate, whose level is among what was decided on. */
+    void ended(Call call, CallResult result, IntSupplier level) {
+        result.reason()
+                .ifPresent(reason -> decisions.add(() -> new DecisionLine(line(call, result, reason)
+                        .put("level", Integer.toString(level.getAsInt()))
+                        .buildOrThrow())));
+    }
+
+    private ImmutableMap.Builder<String, String> line(Call call, CallResult result, Reason reason) {
+        CallContext context = call.context();
+        long millisLeft = TimeUnit.NANOSECONDS.toMillis(context.remainingNanos());
+        return DecisionLine.at(place)
+                .put(DecisionLine.ID, call.id().toString())
+                .put(DecisionLine.ROOT, context.root().toString())
+                .put(DecisionLine.PARENT, context.parent().toString())
+                .put(DecisionLine.SERVICE, call.service().value())
+                .put("rank", Integer.toString(context.priority().rank()))
+                .put("allowedMs", Long.toString(millisLeft))
+                .put(DecisionLine.OUTCOME, result.outcome().name())
+                .put(DecisionLine.REASON, reason.name())
+                .put("retryAfterMs", Long.toString(result.retryAfterMillis()))
+                .put(DecisionLine.DETAIL, result.detail());
+    }
+}
--- a/src/main/java/io/beryldock/forwarding/RequestJournal.java
+++ b/src/main/java/io/beryldock/forwarding/RequestJournal.java
@@ -5,17 +5,20 @@
 import io.beryldock.call.Outcome;
 import io.beryldock.call.Reason;
 import io.beryldock.call.RequestId;
+import io.beryldock.logging.DecisionLog;
+import io.beryldock.time.Ticker;
 import io.beryldock.timeline.EventKind;
 import io.beryldock.timeline.EventSink;
 import io.beryldock.timeline.RefusalCounter;
 import java.util.Optional;
 
-/** Writes down how requests without an answer ended, for {@code why} and {@code show shed}. Thread safe. */
+/** Writes down how requests without an answer ended, for operators' questions and the log. Thread safe. */
 public final class RequestJournal {
 
     private final RefusalCounter refusals;
     private final RefusalSummary summary;
     private final EventSink events;
+    private final DecisionWriter decisions = new DecisionWriter("entry", DecisionLog.create(Ticker.system()));
 
     private RequestJournal(RefusalCounter refusals, RefusalSummary summary, EventSink events) {
         this.refusals = refusals;
@@ -30,6 +33,7 @@
     /** Notes the end of a request at its entry, or of an inner call at its node. */
     void ended(Call call, CallResult result) {
         result.reason().ifPresent(reason -> note(call, result, reason));
+        decisions.ended(call, result);
     }
 
     private void note(Call call, CallResult result, Reason reason) {
--- a/src/main/java/io/beryldock/forwarding/TargetExecutor.java
+++ b/src/main/java/io/beryldock/forwarding/TargetExecutor.java
@@ -5,6 +5,7 @@
 import io.beryldock.call.Reason;
 import io.beryldock.idempotency.CallerIdentity;
 import io.beryldock.idempotency.RunGuard;
+import io.beryldock.logging.DecisionLog;
 import io.beryldock.quarantine.Fingerprint;
 import io.beryldock.quarantine.Quarantine;
 import io.beryldock.quarantine.Verdict;
@@ -24,9 +25,12 @@
 public final class TargetExecutor {
 
     private final Ports ports;
+    private final DecisionWriter decisions;
 
     private TargetExecutor(Ports ports) {
         this.ports = ports;
+        this.decisions =
+                new DecisionWriter("gate", DecisionLog.create(ports.timers().ticker()));
     }
 
     /** What the executor works with. */
@@ -74,13 +78,14 @@
         if (ports.quarantine().verdict(fingerprint) == Verdict.REFUSED) {
             return finished(CallResult.notRun(Reason.QUARANTINED, "it was in flight when targets crashed"), call);
         }
-        TargetRun run = new TargetRun(ports, target.get(), call, fingerprint, scope);
+        TargetRun run = new TargetRun(ports, target.get(), call, fingerprint, scope, decisions);
         run.start();
         return run.result();
     }
 
     /** A refusal before anything was spent: the whole allowance goes back. */
-    private static CompletableFuture<CallResult> finished(CallResult refusal, Call call) {
+    private CompletableFuture<CallResult> finished(CallResult refusal, Call call) {
+        decisions.ended(call, refusal);
         int unspent = call.context().retryAllowance();
         return CompletableFuture.completedFuture(refusal.withUnspentRetries(unspent));
     }
--- a/src/main/java/io/beryldock/forwarding/TargetRun.java
+++ b/src/main/java/io/beryldock/forwarding/TargetRun.java
@@ -38,6 +38,7 @@
     private final Call call;
     private final Fingerprint fingerprint;
     private final CancelScope scope;
+    private final DecisionWriter decisions;
     private final long deadlineNanos;
     private final CompletableFuture<CallResult> result = new CompletableFuture<>();
     private Subscription deadline = () -> {};
@@ -55,12 +56,18 @@
     private TargetExchange exchange;
 
     TargetRun(
-            TargetExecutor.Ports ports, AnnouncedTarget target, Call call, Fingerprint fingerprint, CancelScope scope) {
+            TargetExecutor.Ports ports,
+            AnnouncedTarget target,
+            Call call,
+            Fingerprint fingerprint,
+            CancelScope scope,
+            DecisionWriter decisions) {
         this.ports = ports;
         this.target = target;
         this.call = call;
         this.fingerprint = fingerprint;
         this.scope = scope;
+        this.decisions = decisions;
         this.deadlineNanos = now() + call.context().remainingNanos();
     }
 
@@ -248,7 +255,9 @@
 
     private void finish(CallResult told) {
         deadline.cancel();
-        result.complete(told.withLevels(levels()).withLoad(target.gate().load()));
+        if (result.complete(told.withLevels(levels()).withLoad(target.gate().load()))) {
+            decisions.ended(call, told, target.gate()::level);
+        }
     }
 
     private ImmutableList<ServiceLevel> levels() {
--- a/src/main/java/io/beryldock/platform/CallerEndpoint.java
+++ b/src/main/java/io/beryldock/platform/CallerEndpoint.java
@@ -11,10 +11,14 @@
 import io.beryldock.forwarding.IncomingRequest;
 import io.beryldock.forwarding.IncomingRequest.Origin;
 import io.beryldock.forwarding.RequestHandler;
+import io.beryldock.forwarding.RequestOutcome;
 import io.beryldock.http.HeaderFilter;
+import io.beryldock.logging.DecisionLine;
+import io.beryldock.logging.DecisionLog;
 import io.beryldock.nettyhttp.HttpAnswer;
 import io.beryldock.nettyhttp.HttpExchange;
 import io.beryldock.nettyhttp.HttpHandler;
+import io.beryldock.time.Ticker;
 import java.time.Duration;
 import java.util.Locale;
 import java.util.Optional;
@@ -32,6 +36,7 @@
     private static final int NOT_RUN = 503;
 
     private static final int BAD_REQUEST = 400;
+    private static final int FIRST_FAILURE = 400;
     private static final int BAD_GATEWAY = 502;
     private static final int GATEWAY_TIMEOUT = 504;
     private static final double MILLIS_PER_SECOND = 1000;
@@ -41,6 +46,7 @@
     private final String ownService;
     private final BooleanSupplier configured;
     private final BooleanSupplier stopping;
+    private final DecisionLog decisions = DecisionLog.create(Ticker.system());
 
     /**
      * An endpoint.
@@ -77,10 +83,30 @@
             }
             CallResult result = failure == null ? outcome.result() : CallResult.unknown(Reason.INTERNAL, "");
             HttpAnswer answer = answer(exchange, result);
+            note(exchange, outcome, result, answer.status());
             exchange.answer(stopping.getAsBoolean() ? answer.closing() : answer);
         });
     }
 
+    /** Joins the id that the caller knows to ours, for whatever ended without success. */
+    private void note(HttpExchange exchange, RequestOutcome outcome, CallResult result, int status) {
+        if (outcome == null || status < FIRST_FAILURE) {
+            return;
+        }
+        decisions.add(() -> {
+            String asked = exchange.headers().first(PlatformHeaders.REQUEST_ID).orElse("");
+            return new DecisionLine(DecisionLine.at("caller")
+                    .put(DecisionLine.ASKED, asked)
+                    .put(DecisionLine.WITHIN, PlatformHeaders.parentOf(asked).orElse(""))
+                    .put(DecisionLine.ID, outcome.root().toString())
+                    .put(DecisionLine.OUTCOME, result.outcome().name())
+                    .put(DecisionLine.REASON, result.reason().map(Reason::name).orElse(""))
+                    .put("status", Integer.toString(status))
+                    .put(DecisionLine.DETAIL, result.detail())
+                    .buildOrThrow());
+        });
+    }
+
     /** A node that has just started knows the document after one call of the store, some milliseconds. */
     private static HttpAnswer notConfigured() {
         return HttpAnswer.of(
