--- a/src/main/java/io/beryldock/soak/FaultPlanner.java
+++ b/src/main/java/io/beryldock/soak/FaultPlanner.java
@@ -32,7 +32,10 @@
     private static final double DEATH_SHARE = 0.75;
 
     private static final int SHORTEST_MILLIS = 300;
-    private static final int LONGEST_MILLIS = 5_000;
+
+    /** Beyond the time after which a removed key is dead, so that a node may sleep through it. */
+    private static final int LONGEST_MILLIS = 8_000;
+
     private static final int GAP_MILLIS = 1_500;
     private static final Duration CHANGE_PERIOD = Duration.ofSeconds(7);
 
--- a/src/main/java/io/beryldock/soak/SoakBounds.java
+++ b/src/main/java/io/beryldock/soak/SoakBounds.java
@@ -13,8 +13,9 @@
  */
 public record SoakBounds(double retryShare, Duration retryWindow, int retrySlack, Duration removedKeys, Duration stop) {
 
+    /** Retries are allowed so sparsely that a single silent node makes more requests fail than may be sent again. */
     private static final SoakBounds USUAL =
-            new SoakBounds(0.2, Duration.ofSeconds(10), 12, Duration.ofSeconds(5), Duration.ofSeconds(6));
+            new SoakBounds(0.02, Duration.ofSeconds(10), 6, Duration.ofSeconds(5), Duration.ofSeconds(6));
 
     public static SoakBounds usual() {
         return USUAL;
