--- a/src/main/java/io/beryldock/platform/SoakSurroundings.java
+++ b/src/main/java/io/beryldock/platform/SoakSurroundings.java
@@ -184,6 +184,26 @@
                 .put("public", open);
     }
 
+    @Override
+    public void setStore(StoreState state) {
+        store.set(
+                switch (state) {
+                    case SOUND -> StandinStore.Fault.NONE;
+                    case REFUSING -> StandinStore.Fault.BUSY;
+                    case ANSWERS_LOST -> StandinStore.Fault.ANSWER_LOST;
+                });
+    }
+
+    @Override
+    public void lapseLeases() {
+        store.lapseLeases();
+    }
+
+    @Override
+    public void forgetHistory() {
+        store.dropHistory();
+    }
+
     @Override
     public CompletableFuture<Outcome> send(NodePlace place, CallerRequest request) {
         return send(place, request, CALLER_MILLIS);
--- a/src/main/java/io/beryldock/soak/FaultAction.java
+++ b/src/main/java/io/beryldock/soak/FaultAction.java
@@ -17,6 +17,14 @@
     TARGET_RESET(Link.TARGET, LinkState.RESET),
     TARGET_CUT_ONE_WAY(Link.TARGET, LinkState.CUT_ONE_WAY),
     TARGET_SILENT(Link.TARGET, LinkState.SILENT),
+    /** The store itself turns calls away. */
+    STORE_REFUSING(Link.NONE, LinkState.OPEN),
+    /** It does what it is asked and its answers are lost. */
+    STORE_ANSWERS_LOST(Link.NONE, LinkState.OPEN),
+    /** All leases end, as in an outage that outlasts them. */
+    STORE_LEASES_LAPSED(Link.NONE, LinkState.OPEN),
+    /** What has changed so far can't be followed any more. */
+    STORE_HISTORY_FORGOTTEN(Link.NONE, LinkState.OPEN),
     /** SIGSTOP, and SIGCONT at the end. */
     PAUSED(Link.NONE, LinkState.OPEN),
     /** SIGKILL, and a start at the end. */
@@ -30,9 +38,9 @@
     /** Operators take the oldest key away. */
     KEY_REMOVED(Link.NONE, LinkState.OPEN);
 
-    /** Faults that nobody planned, of one node. */
+    /** Faults that nobody planned, but for the death of all nodes, which needs calm around it. */
     static final ImmutableList<FaultAction> UNPLANNED = Arrays.stream(values())
-            .filter(action -> action.link != Link.NONE || action == PAUSED || action == KILLED)
+            .filter(action -> action.compareTo(KILLED) <= 0)
             .collect(ImmutableList.toImmutableList());
 
     private final Link link;
--- a/src/main/java/io/beryldock/soak/FaultExecutor.java
+++ b/src/main/java/io/beryldock/soak/FaultExecutor.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.flogger.FluentLogger;
+import io.beryldock.soak.Surroundings.StoreState;
 import io.beryldock.time.Ticker;
 import java.io.IOException;
 import java.time.Duration;
@@ -21,12 +22,19 @@
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     private final ImmutableList<SoakPlace> places;
+    private final Surroundings surroundings;
     private final Operators operators;
     private final SoakLedger ledger;
     private final Ticker ticker;
 
-    FaultExecutor(ImmutableList<SoakPlace> places, Operators operators, SoakLedger ledger, Ticker ticker) {
+    FaultExecutor(
+            ImmutableList<SoakPlace> places,
+            Surroundings surroundings,
+            Operators operators,
+            SoakLedger ledger,
+            Ticker ticker) {
         this.places = places;
+        this.surroundings = surroundings;
         this.operators = operators;
         this.ledger = ledger;
         this.ticker = ticker;
@@ -73,6 +81,10 @@
         }
         SoakPlace place = places.get(fault.node());
         switch (fault.action()) {
+            case STORE_REFUSING -> surroundings.setStore(StoreState.REFUSING);
+            case STORE_ANSWERS_LOST -> surroundings.setStore(StoreState.ANSWERS_LOST);
+            case STORE_LEASES_LAPSED -> surroundings.lapseLeases();
+            case STORE_HISTORY_FORGOTTEN -> surroundings.forgetHistory();
             case PAUSED -> place.node().pause();
             case KILLED -> place.node().kill();
             case ALL_KILLED -> killAll();
@@ -89,6 +101,8 @@
             case PAUSED -> place.node().resume();
             case KILLED -> start(place);
             case ALL_KILLED -> startAll();
+            case STORE_REFUSING, STORE_ANSWERS_LOST -> surroundings.setStore(StoreState.SOUND);
+            case STORE_LEASES_LAPSED, STORE_HISTORY_FORGOTTEN -> {}
             case STOPPED_AS_PLANNED, DOCUMENT_WRITTEN, KEY_REMOVED -> {}
             default -> place.set(fault.action().link(), LinkState.OPEN);
         }
--- a/src/main/java/io/beryldock/soak/SoakRun.java
+++ b/src/main/java/io/beryldock/soak/SoakRun.java
@@ -106,7 +106,7 @@
         List<TimerService.Subscription> sending =
                 callers.stream().map(each -> each.start(timers)).toList();
         TimerService.Subscription sampling = timers.every(SAMPLE_PERIOD, this::sample);
-        new FaultExecutor(ImmutableList.copyOf(places), operators, ledger, timers.ticker())
+        new FaultExecutor(ImmutableList.copyOf(places), surroundings, operators, ledger, timers.ticker())
                 .run(plan.faults(), plan.length());
         // The check itself bounds the wait: it stops waiting when its bound has passed.
         poll(RecoveryCheck.BOUND.multipliedBy(2), () -> ledger.ask(() -> !recovery.isWaiting()));
--- a/src/main/java/io/beryldock/soak/Surroundings.java
+++ b/src/main/java/io/beryldock/soak/Surroundings.java
@@ -27,9 +27,25 @@
     /** Writes the operators' document; returns when the store has confirmed it. */
     void publish(long version, ImmutableSet<String> keys);
 
+    /** Has the store itself fail, until it is told otherwise. */
+    void setStore(StoreState state);
+
+    /** Ends all leases of the store. */
+    void lapseLeases();
+
+    /** Has the store forget what has changed so far. */
+    void forgetHistory();
+
     /** Sends a request to a node. */
     CompletableFuture<Outcome> send(NodePlace place, CallerRequest request);
 
+    /** What the store does with a call. */
+    enum StoreState {
+        SOUND,
+        REFUSING,
+        ANSWERS_LOST
+    }
+
     /** How a request ended at its sender. Immutable. */
     record Outcome(SoakEvent.Ending ending, SoakEvent.Reply reply) {}
 
