--- a/src/main/java/io/beryldock/soak/SoakBounds.java
+++ b/src/main/java/io/beryldock/soak/SoakBounds.java
@@ -13,9 +13,12 @@
  */
 public record SoakBounds(double retryShare, Duration retryWindow, int retrySlack, Duration removedKeys, Duration stop) {
 
-    /** Retries are allowed so sparsely that a single silent node makes more requests fail than may be sent again. */
+    /**
+     * Retries are allowed so sparsely that a single silent node makes more requests fail than may be sent again. A stop
+     * leaves time for what callers wait for longest, so that a busy machine cuts nothing off.
+     */
     private static final SoakBounds USUAL =
-            new SoakBounds(0.02, Duration.ofSeconds(10), 6, Duration.ofSeconds(5), Duration.ofSeconds(6));
+            new SoakBounds(0.02, Duration.ofSeconds(10), 6, Duration.ofSeconds(5), Duration.ofSeconds(12));
 
     public static SoakBounds usual() {
         return USUAL;
--- a/src/main/java/io/beryldock/soak/SoakRun.java
+++ b/src/main/java/io/beryldock/soak/SoakRun.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
@@ -40,9 +41,12 @@
     private final SoakLedger ledger;
     private final Operators operators;
     private final Path directory;
-    private final List<SoakPlace> places = new ArrayList<>();
+    private final List<SoakPlace> places = new CopyOnWriteArrayList<>();
     private final List<CallerLoad> callers = new ArrayList<>();
 
+    /** Node processes would outlive a soak that is ended by a signal. */
+    private final Thread onExit = new Thread(() -> places.forEach(SoakPlace::close), "soak-exit");
+
     private SoakRun(Plan plan, Surroundings surroundings, Path directory) {
         this.plan = plan;
         this.surroundings = surroundings;
@@ -52,6 +56,7 @@
                 PromiseCheck.all(SoakBounds.usual(), recovery),
                 text -> log.atSevere().log("seed %d: %s", plan.seed(), text));
         this.operators = new Operators(surroundings, ledger, new SplittableRandom(plan.seed()));
+        Runtime.getRuntime().addShutdownHook(onExit);
     }
 
     /** What is played. Immutable. */
@@ -158,5 +163,6 @@
         timers.close();
         places.forEach(SoakPlace::close);
         surroundings.close();
+        Runtime.getRuntime().removeShutdownHook(onExit);
     }
 }
