--- a/src/main/java/io/beryldock/platform/SoakSurroundings.java
+++ b/src/main/java/io/beryldock/platform/SoakSurroundings.java
@@ -50,7 +50,7 @@
     /** Beyond its own time a caller looks for an answer a little longer, as late ones are delivered too. */
     private static final Duration CALLER_LIMIT = Duration.ofMillis(CALLER_MILLIS + 500);
 
-    private static final Duration ANNOUNCE_LIMIT = Duration.ofSeconds(1);
+    private static final Duration ASK_LIMIT = Duration.ofSeconds(1);
     private static final double MILLIS_PER_SECOND = 1000;
     private static final HttpServerLimits LIMITS =
             new HttpServerLimits(16 << 10, 1 << 20, Duration.ofSeconds(10), Duration.ofSeconds(60));
@@ -106,7 +106,7 @@
                 .put("coldRemainingS", 0);
         Headers headers = Headers.empty().with(PlatformHeaders.HOST, "node");
         HttpCall beat = HttpCall.of("PUT", "/instances/" + targetId(place), headers, Json.write(body));
-        client.send(place.heartbeats(), beat, ANNOUNCE_LIMIT).whenComplete((reply, failure) -> {
+        client.send(place.heartbeats(), beat, ASK_LIMIT).whenComplete((reply, failure) -> {
             if (failure != null) {
                 log.atFine().withCause(failure).log("%s did not hear its target; it may be down", place.name());
             }
@@ -204,6 +204,13 @@
         store.dropHistory();
     }
 
+    @Override
+    public CompletableFuture<Void> askReadiness(InetSocketAddress address) {
+        Headers headers = Headers.empty().with(PlatformHeaders.HOST, "node");
+        HttpCall call = HttpCall.of("GET", "/readiness", headers, ByteString.EMPTY);
+        return client.send(address, call, ASK_LIMIT).thenAccept(reply -> {});
+    }
+
     @Override
     public CompletableFuture<Outcome> send(NodePlace place, CallerRequest request) {
         return send(place, request, CALLER_MILLIS);
--- a/src/main/java/io/beryldock/soak/FaultExecutor.java
+++ b/src/main/java/io/beryldock/soak/FaultExecutor.java
@@ -117,6 +117,7 @@
         }
         ledger.add(at -> new SoakEvent.StopAsked(at, place.number()));
         var unused = place.node().stop().thenAccept(ended -> {
+            ledger.add(at -> new SoakEvent.StopEnded(at, place.number()));
             try {
                 start(place);
             } catch (IOException e) {
--- a/src/main/java/io/beryldock/soak/FaultPlanner.java
+++ b/src/main/java/io/beryldock/soak/FaultPlanner.java
@@ -36,6 +36,9 @@
     /** Beyond the time after which a removed key is dead, so that a node may sleep through it. */
     private static final int LONGEST_MILLIS = 8_000;
 
+    /** A node that sleeps past the death of a key must not wake up and let it in. */
+    private static final Duration LONG_PAUSE = Duration.ofSeconds(7);
+
     private static final int GAP_MILLIS = 1_500;
     private static final Duration CHANGE_PERIOD = Duration.ofSeconds(7);
 
@@ -74,7 +77,12 @@
             Duration length = millis(SHORTEST_MILLIS, LONGEST_MILLIS);
             Duration longest = until.minus(at);
             Duration kept = length.compareTo(longest) < 0 ? length : longest;
-            add(at, kept, FaultAction.UNPLANNED.get(random.nextInt(FaultAction.UNPLANNED.size())));
+            FaultAction action = FaultAction.UNPLANNED.get(random.nextInt(FaultAction.UNPLANNED.size()));
+            if (action == FaultAction.PAUSED && longest.compareTo(LONG_PAUSE) > 0) {
+                kept = LONG_PAUSE;
+                add(at.plusMillis(SHORTEST_MILLIS), Duration.ZERO, FaultAction.KEY_REMOVED);
+            }
+            add(at, kept, action);
             boolean overlapping = random.nextBoolean();
             at = overlapping ? at.plus(kept.dividedBy(2)) : at.plus(kept).plus(millis(0, GAP_MILLIS));
             at = at.plusMillis(1);
--- a/src/main/java/io/beryldock/soak/Operators.java
+++ b/src/main/java/io/beryldock/soak/Operators.java
@@ -1,5 +1,6 @@
 package io.beryldock.soak;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -24,8 +25,8 @@
     private final SoakLedger ledger;
     private final SplittableRandom random;
     private final Deque<String> keys = new ArrayDeque<>();
-    private final List<String> removed = new ArrayList<>();
     private final List<Long> versions = new ArrayList<>();
+    private String removed = "";
     private int given;
 
     Operators(Surroundings surroundings, SoakLedger ledger, SplittableRandom random) {
@@ -49,15 +50,16 @@
         String gone = keys.removeFirst();
         giveKey();
         write();
-        removed.add(gone);
+        removed = gone;
         ledger.add(at -> new SoakEvent.KeyRemoved(at, gone));
     }
 
-    /** A key that holds, or now and then one that was taken away. */
+    /** A key that holds, or now and then the one that was taken away last. */
     synchronized String anyKey() {
-        boolean old = !removed.isEmpty() && random.nextInt(REMOVED_SHARE) == 0;
-        List<String> from = old ? removed : List.copyOf(keys);
-        return from.get(random.nextInt(from.size()));
+        if (!removed.isEmpty() && random.nextInt(REMOVED_SHARE) == 0) {
+            return removed;
+        }
+        return ImmutableList.copyOf(keys).get(random.nextInt(keys.size()));
     }
 
     /** A key that holds until it is taken away last. */
--- a/src/main/java/io/beryldock/soak/SoakEvent.java
+++ b/src/main/java/io/beryldock/soak/SoakEvent.java
@@ -28,12 +28,18 @@
     /** A node was asked to stop as planned. */
     record StopAsked(long at, int node) implements SoakEvent {}
 
+    /** The process of a node that was asked to stop has ended. */
+    record StopEnded(long at, int node) implements SoakEvent {}
+
     /** A fault that nobody planned begins. */
     record FaultBegan(long at) implements SoakEvent {}
 
     /** It is over. */
     record FaultEnded(long at) implements SoakEvent {}
 
+    /** A node, or this process with all the proxies, did not get to run for a while, as on a busy machine. */
+    record HeldUp(long at) implements SoakEvent {}
+
     /** All nodes were killed and have been started again. */
     record AllBack(long at) implements SoakEvent {}
 
--- a/src/main/java/io/beryldock/soak/SoakPlace.java
+++ b/src/main/java/io/beryldock/soak/SoakPlace.java
@@ -13,14 +13,22 @@
     private final FaultProxy peers;
     private final FaultProxy store;
     private final FaultProxy target;
+    private final FaultProxy readiness;
     private final SoakNode node;
 
-    private SoakPlace(NodePlace place, FaultProxy peers, FaultProxy store, FaultProxy target, SoakNode node) {
+    private SoakPlace(
+            NodePlace place,
+            FaultProxy peers,
+            FaultProxy store,
+            FaultProxy target,
+            FaultProxy readiness,
+            SoakNode node) {
         this.place = place;
         this.announced = target.address();
         this.peers = peers;
         this.store = store;
         this.target = target;
+        this.readiness = readiness;
         this.node = node;
     }
 
@@ -37,8 +45,9 @@
         FaultProxy store = FaultProxy.start(new InetSocketAddress(address, 0), surroundings.store());
         InetSocketAddress running = surroundings.startTarget(place, events);
         FaultProxy target = FaultProxy.start(new InetSocketAddress(address, 0), running);
+        FaultProxy readiness = FaultProxy.start(new InetSocketAddress(address, 0), place.readiness());
         String settings = surroundings.settings(place, store.address(), bounds);
-        return new SoakPlace(place, peers, store, target, SoakNode.create(place, settings, directory));
+        return new SoakPlace(place, peers, store, target, readiness, SoakNode.create(place, settings, directory));
     }
 
     int number() {
@@ -58,6 +67,11 @@
         return announced;
     }
 
+    /** Where the node tells its readiness, through a proxy that is never harmed but runs as the others do. */
+    InetSocketAddress readiness() {
+        return readiness.address();
+    }
+
     void set(Link link, LinkState state) {
         switch (link) {
             case PEERS -> peers.set(state);
@@ -73,5 +87,6 @@
         peers.close();
         store.close();
         target.close();
+        readiness.close();
     }
 }
--- a/src/main/java/io/beryldock/soak/SoakRun.java
+++ b/src/main/java/io/beryldock/soak/SoakRun.java
@@ -110,6 +110,8 @@
     private void load() throws IOException, InterruptedException {
         List<TimerService.Subscription> sending =
                 callers.stream().map(each -> each.start(timers)).toList();
+        HoldUpWatch watch = new HoldUpWatch(ImmutableList.copyOf(places), surroundings, ledger, timers.ticker());
+        TimerService.Subscription watching = timers.every(HoldUpWatch.PERIOD, watch::look);
         TimerService.Subscription sampling = timers.every(SAMPLE_PERIOD, this::sample);
         new FaultExecutor(ImmutableList.copyOf(places), surroundings, operators, ledger, timers.ticker())
                 .run(plan.faults(), plan.length());
@@ -117,6 +119,7 @@
         poll(RecoveryCheck.BOUND.multipliedBy(2), () -> ledger.ask(() -> !recovery.isWaiting()));
         sending.forEach(TimerService.Subscription::cancel);
         sampling.cancel();
+        watching.cancel();
         boolean ended = poll(LONGEST_END, () -> callers.stream().allMatch(each -> each.open() == 0));
         if (!ended) {
             log.atWarning().log("some requests have no end %s after the last was sent", LONGEST_END);
--- a/src/main/java/io/beryldock/soak/Surroundings.java
+++ b/src/main/java/io/beryldock/soak/Surroundings.java
@@ -36,6 +36,9 @@
     /** Has the store forget what has changed so far. */
     void forgetHistory();
 
+    /** Asks for a node's readiness at the address; completes when it has answered, or fails. */
+    CompletableFuture<Void> askReadiness(InetSocketAddress address);
+
     /** Sends a request to a node. */
     CompletableFuture<Outcome> send(NodePlace place, CallerRequest request);
 
--- a/src/test/java/io/beryldock/soak/CheckTrial.java
+++ b/src/test/java/io/beryldock/soak/CheckTrial.java
@@ -76,6 +76,14 @@
         return see(new SoakEvent.StopAsked(now, node));
     }
 
+    CheckTrial stopEnded(int node) {
+        return see(new SoakEvent.StopEnded(now, node));
+    }
+
+    CheckTrial heldUp() {
+        return see(new SoakEvent.HeldUp(now));
+    }
+
     CheckTrial faultBegan() {
         return see(new SoakEvent.FaultBegan(now));
     }
