--- a/src/main/java/io/beryldock/soak/SoakBounds.java
+++ b/src/main/java/io/beryldock/soak/SoakBounds.java
@@ -18,7 +18,7 @@
      * leaves time for what callers wait for longest, so that a busy machine cuts nothing off.
      */
     private static final SoakBounds USUAL =
-            new SoakBounds(0.02, Duration.ofSeconds(10), 6, Duration.ofSeconds(5), Duration.ofSeconds(12));
+            new SoakBounds(0.01, Duration.ofSeconds(10), 2, Duration.ofSeconds(5), Duration.ofSeconds(12));
 
     public static SoakBounds usual() {
         return USUAL;
