--- a/src/main/java/io/beryldock/soak/PlannedStopCheck.java
+++ b/src/main/java/io/beryldock/soak/PlannedStopCheck.java
@@ -23,6 +23,9 @@
     static final Duration LONGEST_STOP = Duration.ofSeconds(30);
 
     private static final int BAD_GATEWAY = 502;
+    /** A machine that holds nodes up ends requests under way, and links are made anew at once. */
+    private static final long HELD_UP_NANOS = Duration.ofSeconds(1).toNanos();
+
     /** After an end it may still become known that the machine had held a node up. */
     private static final long HINDSIGHT_NANOS = Duration.ofSeconds(2).toNanos();
 
@@ -34,6 +37,7 @@
     private final Map<Integer, Long> unended = new HashMap<>();
     private int faults;
     private long lastFault = NEVER;
+    private long lastHeldUp = NEVER;
 
     /** A request that has no end yet, and the node of the target that runs it. */
     private record Open(SoakEvent.Sent sent, int runner) {
@@ -58,7 +62,7 @@
         } else if (event instanceof SoakEvent.StopEnded stopped) {
             unended.remove(stopped.node());
         } else if (event instanceof SoakEvent.HeldUp heldUp) {
-            lastFault = heldUp.at();
+            lastHeldUp = heldUp.at();
         } else if (event instanceof SoakEvent.FaultBegan) {
             faults++;
         } else if (event instanceof SoakEvent.FaultEnded ended) {
@@ -106,7 +110,8 @@
     }
 
     private boolean isCalm(SoakEvent.Sent sent) {
-        return faults == 0 && sent.at() - lastFault > CALM_NANOS;
+        boolean heldUp = sent.at() - lastHeldUp <= HELD_UP_NANOS;
+        return faults == 0 && !heldUp && sent.at() - lastFault > CALM_NANOS;
     }
 
     private boolean isStopping(int node, long at) {
