--- a/src/main/java/io/beryldock/forwarding/TargetRun.java
+++ b/src/main/java/io/beryldock/forwarding/TargetRun.java
@@ -39,6 +39,7 @@
     private final Call call;
     private final Fingerprint fingerprint;
     private final CancelScope scope;
+    private final DecisionWriter decisions;
     private final long deadlineNanos;
     private final CompletableFuture<CallResult> result = new CompletableFuture<>();
     private Subscription deadline = () -> {};
@@ -56,12 +57,18 @@
     private TargetExchange exchange;
 
     TargetRun(
-            TargetExecutor.Ports ports, AnnouncedTarget target, Call call, Fingerprint fingerprint, CancelScope scope) {
+            TargetExecutor.Ports ports,
+            AnnouncedTarget target,
+            Call call,
+            Fingerprint fingerprint,
+            CancelScope scope,
+            DecisionWriter decisions) {
         this.ports = ports;
         this.target = target;
         this.call = call;
         this.fingerprint = fingerprint;
         this.scope = scope;
+        this.decisions = decisions;
         this.deadlineNanos = now() + call.context().remainingNanos();
     }
 
@@ -251,7 +258,9 @@
         deadline.cancel();
         TargetLoad load = target.gate().load();
         ports.loads().accept(load);
-        result.complete(told.withLevels(levels()).withLoad(load));
+        if (result.complete(told.withLevels(levels()).withLoad(load))) {
+            decisions.ended(call, told, target.gate()::level);
+        }
     }
 
     private ImmutableList<ServiceLevel> levels() {
