--- a/src/main/java/io/beryldock/configuration/Route.java
+++ b/src/main/java/io/beryldock/configuration/Route.java
@@ -5,6 +5,7 @@
 import io.beryldock.call.ServiceName;
 import java.time.Duration;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.random.RandomGenerator;
 
 /**
@@ -22,7 +23,7 @@
  * @param host the one host that the route is for, {@link #ANY_HOST} for any
  * @param split services among which requests are spread by weight; empty when all go to {@code service}
  * @param open whether requests need no key where there are organisations
- * @param objective time within which an answer is worth most to its caller; the deadline where operators name none
+ * @param namedObjective time within which an answer is worth most to its caller, where operators name one
  */
 public record Route(
         String prefix,
@@ -35,7 +36,7 @@
         String host,
         ImmutableList<WeightedService> split,
         boolean open,
-        Duration objective)
+        Optional<Duration> namedObjective)
         implements Setting {
 
     /** Stands for a route that does not look at the host. */
@@ -50,7 +51,7 @@
         Objects.requireNonNull(budget, "budget");
         Objects.requireNonNull(host, "host");
         Objects.requireNonNull(split, "split");
-        Objects.requireNonNull(objective, "objective");
+        Objects.requireNonNull(namedObjective, "namedObjective");
     }
 
     /** A route for any host whose requests all go to one service. */
@@ -73,25 +74,60 @@
                 ANY_HOST,
                 ImmutableList.of(),
                 false,
-                deadline);
+                Optional.empty());
     }
 
     /** The same route for one host, with its requests spread over these services. */
     public Route forHost(String name, ImmutableList<WeightedService> services) {
         return new Route(
-                prefix, methods, service, priorityClass, idempotent, deadline, budget, name, services, open, objective);
+                prefix,
+                methods,
+                service,
+                priorityClass,
+                idempotent,
+                deadline,
+                budget,
+                name,
+                services,
+                open,
+                namedObjective);
     }
 
     /** The same route, for requests without a key too or not. */
     public Route withOpen(boolean mark) {
         return new Route(
-                prefix, methods, service, priorityClass, idempotent, deadline, budget, host, split, mark, objective);
+                prefix,
+                methods,
+                service,
+                priorityClass,
+                idempotent,
+                deadline,
+                budget,
+                host,
+                split,
+                mark,
+                namedObjective);
+    }
+
+    /** Time within which an answer is worth most to its caller; the deadline where operators name none or a longer one. */
+    public Duration objective() {
+        return namedObjective.filter(named -> named.compareTo(deadline) < 0).orElse(deadline);
     }
 
     /** The same route with a time within which an answer is worth most to its caller. */
     public Route withObjective(Duration time) {
         return new Route(
-                prefix, methods, service, priorityClass, idempotent, deadline, budget, host, split, open, time);
+                prefix,
+                methods,
+                service,
+                priorityClass,
+                idempotent,
+                deadline,
+                budget,
+                host,
+                split,
+                open,
+                Optional.of(time));
     }
 
     /**
@@ -119,12 +155,13 @@
     }
 
     Route withIdempotent(boolean mark) {
-        return new Route(prefix, methods, service, priorityClass, mark, deadline, budget, host, split, open, objective);
+        return new Route(
+                prefix, methods, service, priorityClass, mark, deadline, budget, host, split, open, namedObjective);
     }
 
     Route withDeadline(Duration time) {
         return new Route(
-                prefix, methods, service, priorityClass, idempotent, time, budget, host, split, open, objective);
+                prefix, methods, service, priorityClass, idempotent, time, budget, host, split, open, namedObjective);
     }
 
     @Override
--- a/src/main/java/io/beryldock/platform/OperatorDocument.java
+++ b/src/main/java/io/beryldock/platform/OperatorDocument.java
@@ -124,14 +124,10 @@
                 budget.name());
         settings.add(new ClassSetting(priority));
         settings.add(budget);
-        settings.add(route.forHost(wire.path("hostname").asText(), split)
-                .withOpen(wire.path("public").asBoolean())
-                .withObjective(objective(wire, route.deadline())));
-    }
-
-    private static Duration objective(JsonNode wire, Duration deadline) {
-        Duration told = seconds(wire.path("targetLatencyS"));
-        return !told.isZero() && told.compareTo(deadline) < 0 ? told : deadline;
+        Route open = route.forHost(wire.path("hostname").asText(), split)
+                .withOpen(wire.path("public").asBoolean());
+        Duration objective = seconds(wire.path("targetLatencyS"));
+        settings.add(objective.isZero() ? open : open.withObjective(objective));
     }
 
     private static ImmutableList<WeightedService> split(JsonNode parts) {
