--- a/src/main/java/io/beryldock/credit/CreditIssuer.java
+++ b/src/main/java/io/beryldock/credit/CreditIssuer.java
@@ -186,11 +186,11 @@
         synchronized (this) {
             Desk desk = desk(service);
             roundNanos = desk.roundNanos;
-            round = desk.home.close(peers.targets(service), now());
             waiting = Map.copyOf(desk.waiting);
             desk.waiting.clear();
             desk.askers = waiting.size();
             desk.open = false;
+            round = desk.home.close(peers.targets(service), now());
         }
         waiting.forEach((entry, answer) -> answer.complete(encode(round, entry, roundNanos)));
     }
--- a/src/main/java/io/beryldock/credit/CreditNode.java
+++ b/src/main/java/io/beryldock/credit/CreditNode.java
@@ -59,15 +59,13 @@
 
     /** Takes a question of another node. */
     public void onMessage(NodeId sender, ByteString body, Consumer<ByteString> reply) {
-        CreditQuestion question;
         try {
-            question = CreditQuestion.parseFrom(body);
-        } catch (InvalidProtocolBufferException e) {
+            issuer.answer(sender, CreditQuestion.parseFrom(body))
+                    .thenAccept(answer -> reply.accept(answer.toByteString()));
+        } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
             log.atWarning().withCause(e).atMostEvery(LOG_SECONDS, TimeUnit.SECONDS).log(
                     "node %s sent a malformed question on credits", sender);
-            return;
         }
-        issuer.answer(sender, question).thenAccept(answer -> reply.accept(answer.toByteString()));
     }
 
     public CreditSnapshot snapshot() {
--- a/src/main/java/io/beryldock/credit/HomeSummary.java
+++ b/src/main/java/io/beryldock/credit/HomeSummary.java
@@ -31,7 +31,7 @@
     static HomeSummary decode(CreditSummary summary) {
         ImmutableMap.Builder<Claimant, Double> wanted = ImmutableMap.builder();
         for (CreditClaim claim : summary.getClaimsList()) {
-            wanted.put(CreditMessenger.claimant(claim), claim.getWanted() / THOUSANDTHS);
+            wanted.put(CreditMessenger.claimant(claim), Math.max(0, claim.getWanted() / THOUSANDTHS));
         }
         return new HomeSummary(
                 summary.getMillislots() / THOUSANDTHS,
--- a/src/test/java/io/beryldock/credit/CreditReplay.java
+++ b/src/test/java/io/beryldock/credit/CreditReplay.java
@@ -45,7 +45,6 @@
     private static final TreeKey TREE = new TreeKey("browse", ServiceName.of("catalogue"));
     private static final Claimant CLAIMANT = new Claimant(1, Optional.empty());
     private static final Duration TICK = Duration.ofMillis(5);
-    private static final Duration ABOVE = Duration.ofMillis(40);
     private static final long PATIENCE = Duration.ofMillis(500).toNanos();
     private static final long CALL_LIMIT = Duration.ofMillis(700).toNanos();
 
@@ -57,6 +56,8 @@
     private final List<Tree> started = new ArrayList<>();
     private final RequestIds ids;
     private double busyNanos;
+    private int leastAboveMillis = 40;
+    private int spreadMillis = 1;
 
     CreditReplay(boolean credits, long seed) {
         this.random = new Random(seed);
@@ -77,6 +78,12 @@
         }
     }
 
+    /** How long the levels above take until a tree calls the scarce service. */
+    void setAbove(int leastMillis, int mostMillis) {
+        leastAboveMillis = leastMillis;
+        spreadMillis = mostMillis - leastMillis;
+    }
+
     CreditFleet fleet() {
         return fleet;
     }
@@ -187,7 +194,7 @@
 
     private void start(Tree tree) {
         started.add(tree);
-        timers.after(ABOVE, tree::wave);
+        timers.after(Duration.ofMillis(leastAboveMillis + random.nextInt(spreadMillis)), tree::wave);
     }
 
     private void call(Tree tree) {
--- a/src/test/java/io/beryldock/credit/CreditReplayTest.java
+++ b/src/test/java/io/beryldock/credit/CreditReplayTest.java
@@ -53,6 +53,22 @@
         assertConserved(replay);
     }
 
+    /** Load pattern: the levels above take up to a second, so that the gates show late what was started. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void slowLevelsAboveLoseLittleWork(long seed) {
+        CreditReplay replay = new CreditReplay(true, seed);
+        replay.setAbove(200, 1000);
+        replay.play(Duration.ofSeconds(2), USUAL);
+        replay.play(Duration.ofSeconds(2), OVERLOAD);
+        long from = replay.now();
+        double busy = replay.busyNanos();
+        replay.play(Duration.ofSeconds(5), OVERLOAD);
+        assertThat(replay.wastedShare(from)).isLessThan(0.05);
+        assertThat(replay.usedShare(busy, Duration.ofSeconds(5))).isGreaterThan(0.85);
+        assertConserved(replay);
+    }
+
     /** Guards against an overload that outlasts its demand, because the room is no longer asked for. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3})
