--- a/src/test/java/io/beryldock/waiting/EntryFixture.java
+++ b/src/test/java/io/beryldock/waiting/EntryFixture.java
@@ -32,6 +32,7 @@
     final FakeCredits credits = new FakeCredits();
     final EntryWaiting entry;
     private final Random random;
+    private int asked;
 
     private EntryFixture(long seed, WaitingSettings settings, WaitingOrder order) {
         random = new Random(seed);
@@ -146,11 +147,14 @@
         EntryDecision decision;
         long decidedAt;
         int attempts;
+        int decisions;
+        int order;
         private Refused refused = told -> {};
 
         private Asked(Kind kind, Optional<OrganisationName> organisation) {
             this.kind = kind;
             this.organisation = organisation;
+            this.order = asked++;
             send(false);
         }
 
@@ -174,6 +178,7 @@
 
         private void decided(EntryDecision made) {
             decision = made;
+            decisions++;
             decidedAt = nowMillis();
             if (refused()) {
                 refused.toldMillis(made.retryAfterMillis());
