--- a/src/main/java/io/beryldock/routing/TargetStats.java
+++ b/src/main/java/io/beryldock/routing/TargetStats.java
@@ -190,11 +190,15 @@
         return mean == 0 || usual.meanNanos() == 0 ? 1 : mean / usual.meanNanos();
     }
 
-    /** Above 1 when calls are in flight and none made progress for longer than the slowest kind usually takes. */
+    /**
+     * Above 1 when calls are in flight and none made progress for too long.
+     *
+     * <p>One call may be of the slowest kind; of several the first is expected to end in a part of that time.
+     */
     double stall(UsualTimes usual, long now) {
         double longest = usual.slowestNanos();
         boolean unknown = inFlight == 0 || longest == 0;
-        return unknown ? 1 : Math.max(1, (now - lastProgress) / longest);
+        return unknown ? 1 : Math.max(1, inFlight * (now - lastProgress) / longest);
     }
 
     /** Requests at the target with one more, as a share of what it runs at once. */
--- a/src/test/java/io/beryldock/routing/PlacementReplayTest.java
+++ b/src/test/java/io/beryldock/routing/PlacementReplayTest.java
@@ -142,6 +142,22 @@
         assertThat(failing.calls / fair).isLessThan(0.02);
     }
 
+    /** Guards against calls that go on to a target that runs none and says nothing. */
+    @Test
+    void aSilentTargetIsLeft() {
+        add(FakeFleet.OWN, CALLERS, 13, Placement.COMPLETION);
+        fleet.run(Duration.ofSeconds(3), callsPerSecond(0.5));
+        targets.get(0).stopped = true;
+        List<Integer> perMille = new ArrayList<>();
+        for (int i = 0; i < 10; i++) {
+            fleet.run(Duration.ofMillis(300), callsPerSecond(0.5));
+            perMille.add(1000 * targets.get(0).calls / fleet.sent);
+        }
+        System.out.println("calls to a silent target in steps of 300 ms, of 1000: " + perMille);
+        assertThat(perMille.get(1)).isLessThan(20);
+        assertThat(perMille.subList(5, 10)).allMatch(calls -> calls < 10);
+    }
+
     /** Guards against a storm at a data centre that comes back after a cut, when all its targets are cold at once. */
     @Test
     void aReturnedDataCentreIsTakenUpSlowly() {
