--- a/src/main/java/io/beryldock/soak/SoakBounds.java
+++ b/src/main/java/io/beryldock/soak/SoakBounds.java
@@ -13,14 +13,20 @@
  */
 public record SoakBounds(double retryShare, Duration retryWindow, int retrySlack, Duration removedKeys, Duration stop) {
 
-    /**
-     * Retries are allowed so sparsely that a single silent node makes more requests fail than may be sent again. A stop
-     * leaves time for what callers wait for longest, so that a busy machine cuts nothing off.
-     */
-    private static final SoakBounds USUAL =
-            new SoakBounds(0.01, Duration.ofSeconds(10), 2, Duration.ofSeconds(5), Duration.ofSeconds(12));
+    private static final Duration WINDOW = Duration.ofSeconds(10);
+    private static final Duration REMOVED_KEYS = Duration.ofSeconds(5);
 
-    public static SoakBounds usual() {
-        return USUAL;
+    /** Leaves time for what callers wait for longest, so that a busy machine cuts nothing off. */
+    private static final Duration STOP = Duration.ofSeconds(12);
+
+    /** Retries are allowed freely, so that one which must not be made is not held back by the budget. */
+    private static final SoakBounds FREE = new SoakBounds(0.2, WINDOW, 50, REMOVED_KEYS, STOP);
+
+    /** Retries are allowed so sparsely that a silent node makes more requests fail than may be sent again. */
+    private static final SoakBounds SPARSE = new SoakBounds(0.01, WINDOW, 2, REMOVED_KEYS, STOP);
+
+    /** Odd seeds have retries in plenty, even ones hardly any. */
+    static SoakBounds of(long seed) {
+        return seed % 2 == 0 ? SPARSE : FREE;
     }
 }
--- a/src/main/java/io/beryldock/soak/SoakRun.java
+++ b/src/main/java/io/beryldock/soak/SoakRun.java
@@ -53,7 +53,7 @@
         this.directory = directory;
         this.ledger = new SoakLedger(
                 timers.ticker(),
-                PromiseCheck.all(SoakBounds.usual(), recovery),
+                PromiseCheck.all(SoakBounds.of(plan.seed()), recovery),
                 text -> log.atSevere().log("seed %d: %s", plan.seed(), text));
         this.operators = new Operators(surroundings, ledger, new SplittableRandom(plan.seed()));
         Runtime.getRuntime().addShutdownHook(onExit);
@@ -89,7 +89,7 @@
         operators.write();
         for (int i = 0; i < plan.nodes(); i++) {
             NodePlace place = NodePlace.find(plan.seed(), i);
-            places.add(SoakPlace.prepare(place, surroundings, targetEvents(), SoakBounds.usual(), directory));
+            places.add(SoakPlace.prepare(place, surroundings, targetEvents(), SoakBounds.of(plan.seed()), directory));
             callers.add(new CallerLoad(
                     place, surroundings, operators, ledger, new SplittableRandom(plan.seed() * plan.nodes() + i)));
         }
