--- a/src/main/java/io/beryldock/platform/SoakSurroundings.java
+++ b/src/main/java/io/beryldock/platform/SoakSurroundings.java
@@ -44,6 +44,10 @@
     private static final String ORGANISATION = "soak-organisation";
     private static final String DATA_CENTRE = "soak-centre";
     private static final int SLOTS = 8;
+
+    /** A lost attempt loses its part of a request's retries; of four so many are left that one more could be made. */
+    private static final int ATTEMPTS = 4;
+
     private static final int THREADS = 2;
     private static final long CALLER_MILLIS = 4_000;
 
@@ -180,7 +184,7 @@
                 .put("targetLatencyS", 1)
                 .put("priority", 1)
                 .put("service", use.service())
-                .put("attempts", 2)
+                .put("attempts", ATTEMPTS)
                 .put("public", open);
     }
 
