--- a/src/test/java/io/beryldock/quarantine/QuarantineTest.java
+++ b/src/test/java/io/beryldock/quarantine/QuarantineTest.java
@@ -217,7 +217,7 @@
         assertThat(first.takeChanges().getEntriesCount()).isZero();
     }
 
-    /** Guards against news that is never spread: the first change after each taking is told, also one of another node. */
+    /** Guards against news that is never spread: the first change after each taking is told, whoever it is from. */
     @Test
     void tellsOfTheFirstChangeAfterEachTaking() {
         AtomicInteger told = new AtomicInteger();
