--- a/src/main/java/io/beryldock/admission/GateEntry.java
+++ b/src/main/java/io/beryldock/admission/GateEntry.java
@@ -12,7 +12,8 @@
 final class GateEntry implements GateHandle, Permit {
 
     /**
-     * More important first: rank, then those covered by credits, then more work sunk, then less slack, then the earlier.
+     * More important first: rank, then those covered by credits, then more work sunk, then less slack, then the
+     * earlier.
      *
      * <p>Slack is measured when a request comes, so that the order of two requests never changes.
      */
--- a/src/main/java/io/beryldock/configuration/Route.java
+++ b/src/main/java/io/beryldock/configuration/Route.java
@@ -109,7 +109,9 @@
                 namedObjective);
     }
 
-    /** Time within which an answer is worth most to its caller; the deadline where operators name none or a longer one. */
+    /**
+     * Time within which an answer is worth most to its caller; the deadline where operators name none or a longer one.
+     */
     public Duration objective() {
         return namedObjective.filter(named -> named.compareTo(deadline) < 0).orElse(deadline);
     }
--- a/src/main/java/io/beryldock/load/PauseDetector.java
+++ b/src/main/java/io/beryldock/load/PauseDetector.java
@@ -5,8 +5,8 @@
 /**
  * Tells which answers were sent before a pause of this node, so that what they report may be old.
  *
- * <p>A pause shows as a gap between events. A node without traffic has gaps as well, which does no harm: only answers to
- * calls that were sent before the gap are left out. Not thread safe; guarded by the lock of its owner.
+ * <p>A pause shows as a gap between events. A node without traffic has gaps as well, which does no harm: only answers
+ * to calls that were sent before the gap are left out. Not thread safe; guarded by the lock of its owner.
  */
 public final class PauseDetector {
 
--- a/src/main/java/io/beryldock/routing/Placement.java
+++ b/src/main/java/io/beryldock/routing/Placement.java
@@ -3,8 +3,8 @@
 /**
  * Ways to weigh one target against another.
  *
- * <p>The load pattern they answer: many callers choose among targets whose speeds and loads differ and change faster than
- * one caller's own calls show.
+ * <p>The load pattern they answer: many callers choose among targets whose speeds and loads differ and change faster
+ * than one caller's own calls show.
  */
 public enum Placement {
 
--- a/src/main/java/io/beryldock/routing/ReturnMemory.java
+++ b/src/main/java/io/beryldock/routing/ReturnMemory.java
@@ -9,8 +9,8 @@
  * How often the target of a node came back of late, so that one that goes and comes by turns is taken up more slowly
  * each time.
  *
- * <p>Invariant: at most {@link #MAX_NODES} nodes are remembered, the latest ones. Not thread safe; guarded by the lock of
- * {@link ServiceTargets}.
+ * <p>Invariant: at most {@link #MAX_NODES} nodes are remembered, the latest ones. Not thread safe; guarded by the lock
+ * of {@link ServiceTargets}.
  */
 final class ReturnMemory {
 
--- a/src/main/java/io/beryldock/routing/SpillShare.java
+++ b/src/main/java/io/beryldock/routing/SpillShare.java
@@ -5,8 +5,8 @@
  *
  * <p>Rises with the difference between what the own and what the other data centres refuse, and falls back by itself,
  * slowly enough not to swing. While both refuse, calls come home quickly: crossing over helps nobody and costs bytes
- * between data centres. Where the targets report their load, the waits of both sides move it as well. Invariant: between
- * 0 and {@link #MAX}. Not thread safe; guarded by the lock of {@link ServiceTargets}.
+ * between data centres. Where the targets report their load, the waits of both sides move it as well. Invariant:
+ * between 0 and {@link #MAX}. Not thread safe; guarded by the lock of {@link ServiceTargets}.
  */
 final class SpillShare {
 
--- a/src/main/java/io/beryldock/routing/TargetChooser.java
+++ b/src/main/java/io/beryldock/routing/TargetChooser.java
@@ -80,8 +80,8 @@
     }
 
     /**
-     * A target with slots that are known to be free, for a call that a full target has refused; empty when none is known
-     * or reports of load are not used.
+     * A target with slots that are known to be free, for a call that a full target has refused; empty when none is
+     * known or reports of load are not used.
      */
     public Optional<TargetRecord> chooseFree(ServiceName service, Set<NodeId> excluded, Set<NodeId> drained) {
         ServiceTargets known = services.get(service);
--- a/src/main/java/io/beryldock/routing/TargetStats.java
+++ b/src/main/java/io/beryldock/routing/TargetStats.java
@@ -206,7 +206,9 @@
         return (busy(usual, now) + 1) / reported.limit(record.slots());
     }
 
-    /** How dear the next slot is: 1 when all are free, the number of slots at the last one, more for each place queued. */
+    /**
+     * How dear the next slot is: 1 when all are free, the number of slots at the last one, more for each place queued.
+     */
     double crowding(UsualTimes usual, long now) {
         double limit = reported.limit(record.slots());
         double free = limit - busy(usual, now);
--- a/src/main/java/io/beryldock/routing/UsualTimes.java
+++ b/src/main/java/io/beryldock/routing/UsualTimes.java
@@ -8,8 +8,8 @@
  * What is usual for one service: latencies by kind of call, and the load of its targets.
  *
  * <p>Latencies of kinds that differ tenfold don't mix: a target is compared by how its answers relate to the usual of
- * their kind. Invariant: at most {@link #MAX_KINDS} kinds are kept; further ones share a place. Not thread safe; guarded
- * by the lock of {@link ServiceTargets}.
+ * their kind. Invariant: at most {@link #MAX_KINDS} kinds are kept; further ones share a place. Not thread safe;
+ * guarded by the lock of {@link ServiceTargets}.
  */
 final class UsualTimes {
 
--- a/src/main/java/io/beryldock/soak/PlannedStopCheck.java
+++ b/src/main/java/io/beryldock/soak/PlannedStopCheck.java
@@ -8,11 +8,11 @@
 import java.util.function.Consumer;
 
 /**
- * A planned stop cuts no request at which a target is at work, neither at the node that took it nor at the target's, and
- * it ends.
+ * A planned stop cuts no request at which a target is at work, neither at the node that took it nor at the target's,
+ * and it ends.
  *
- * <p>Only requests are judged in whose time, and for a while before, nothing unplanned happened. A machine that holds a node
- * up is no plan either: links are given up after some hundred milliseconds of silence.
+ * <p>Only requests are judged in whose time, and for a while before, nothing unplanned happened. A machine that holds
+ * a node up is no plan either: links are given up after some hundred milliseconds of silence.
  */
 final class PlannedStopCheck implements PromiseCheck {
 
--- a/src/main/java/io/beryldock/waiting/EntryAdmission.java
+++ b/src/main/java/io/beryldock/waiting/EntryAdmission.java
@@ -11,8 +11,8 @@
         /**
          * Completes once, never fails.
          *
-         * <p>At the latest when the request can no longer meet its objective; one that can't when it comes waits at most
-         * while its caller still takes an answer.
+         * <p>At the latest when the request can no longer meet its objective; one that can't when it comes waits at
+         * most while its caller still takes an answer.
          */
         CompletableFuture<EntryDecision> decision();
 
--- a/src/main/java/io/beryldock/waiting/EntryWaiting.java
+++ b/src/main/java/io/beryldock/waiting/EntryWaiting.java
@@ -13,9 +13,10 @@
 /**
  * The requests that wait at one entry: one short lock around {@link WaitingRoom}, which decides.
  *
- * <p>Thread safe. Invariants: decisions are told without the lock; there is one timer while requests wait and none while
- * nobody does; requests that need no credits take no lock. The credits may tell of new ones on any thread, also within
- * a call of this class: whoever holds the lock then looks again. The room and the timer are guarded by the lock.
+ * <p>Thread safe. Invariants: decisions are told without the lock; there is one timer while requests wait and none
+ * while nobody does; requests that need no credits take no lock. The credits may tell of new ones on any thread, also
+ * within a call of this class: whoever holds the lock then looks again. The room and the timer are guarded by the
+ * lock.
  */
 public final class EntryWaiting implements EntryAdmission {
 
--- a/src/main/java/io/beryldock/waiting/Waiter.java
+++ b/src/main/java/io/beryldock/waiting/Waiter.java
@@ -8,7 +8,8 @@
 /**
  * One request that is decided over, from its arrival to its decision.
  *
- * <p>Invariant: decided once, under the lock of the entry, and told after it. What is known at its arrival is immutable.
+ * <p>Invariant: decided once, under the lock of the entry, and told after it. What is known at its arrival is
+ * immutable.
  */
 final class Waiter implements Pending {
 
--- a/src/main/java/io/beryldock/waiting/WaitingRoom.java
+++ b/src/main/java/io/beryldock/waiting/WaitingRoom.java
@@ -13,8 +13,8 @@
 import java.util.function.Consumer;
 
 /**
- * Which requests of callers start, wait or are refused while whole trees need credits: a pure function of its state, the
- * event and the time.
+ * Which requests of callers start, wait or are refused while whole trees need credits: a pure function of its state,
+ * the event and the time.
  *
  * <p>Answers the load at which callers ask an entry for more trees than services beneath it can finish, for seconds or
  * for good. Invariants: each request is decided once; one that can't meet its objective starts on credits that nobody
--- a/src/test/java/io/beryldock/retry/WindowRetryBudgetTest.java
+++ b/src/test/java/io/beryldock/retry/WindowRetryBudgetTest.java
@@ -119,9 +119,9 @@
     }
 
     /**
-     * Guards against retries that save nobody: orders and pages are mixed one to three and both lose 0.55 of their calls
-     * for 8 s. By tokens each call gets what is there and nearly all trees fail; here four in ten of the orders end
-     * well.
+     * Guards against retries that save nobody: orders and pages are mixed one to three and both lose 0.55 of their
+     * calls for 8 s. By tokens each call gets what is there and nearly all trees fail; here four in ten of the orders
+     * end well.
      */
     @Test
     void importantTreesAreSavedWhileMoreThanHalfOfTheCallsAreTurnedAway() {
--- a/src/test/java/io/beryldock/waiting/EntryWaitingLoadTest.java
+++ b/src/test/java/io/beryldock/waiting/EntryWaitingLoadTest.java
@@ -20,7 +20,9 @@
 
     private static final double SLOTS = ROOM * BROWSE.usual() / 1_000.0;
 
-    /** Guards against a burst that turns every answer late: who is let in is answered in time, the others know at once. */
+    /**
+     * Guards against a burst that turns every answer late: who is let in is answered in time, the others know at once.
+     */
     @Test
     void burstOf26TimesFor6Seconds() {
         EntryFixture fixture = EntryFixture.create();
--- a/src/test/java/io/beryldock/waiting/WaitingMeasurement.java
+++ b/src/test/java/io/beryldock/waiting/WaitingMeasurement.java
@@ -14,7 +14,9 @@
 import java.util.Locale;
 import java.util.Map;
 
-/** Prints how each order of waiting serves callers of three kinds and ten organisations; run by hand, seed as argument. */
+/**
+ * Prints how each order of waiting serves callers of three kinds and ten organisations; run by hand, seed as argument.
+ */
 public final class WaitingMeasurement {
 
     private static final double ROOM = 100;
