--- a/src/main/java/io/beryldock/waiting/ReturnPromises.java
+++ b/src/main/java/io/beryldock/waiting/ReturnPromises.java
@@ -12,8 +12,8 @@
  * The times at which refused callers were told to come back.
  *
  * <p>A caller that comes back is known by the end of its time, which a refusal does not move. One that comes earlier
- * than it was told is told the rest of that time: were it treated as new, asking at once and often would win most
- * places that become free. Callers that were told a time count as waiting when others are told theirs, so that each is
+ * than it was told is told the rest of that time: were it treated as new, asking at once and often would take places
+ * from those who wait. Callers that were told a time count as waiting when others are told theirs, so that each is
  * told a time behind them. Memory is bounded: the promises that are due first are dropped. Guarded by the lock of the
  * entry.
  */
