What a request waited at its entry is taken off its time beneath; callers past their objective wait behind those in time

Found by the review of the join: a tree was started with the whole limit after up to the objective of waiting, so that it ran past its caller and gates saw wrong slack; callers past their objective counted as in time and went before new ones. Metrics of waiting are registered.

--- a/src/main/java/io/beryldock/forwarding/EntryService.java
+++ b/src/main/java/io/beryldock/forwarding/EntryService.java
@@ -159,10 +159,9 @@
         return returned ? CallerHash.returned(hash) : hash;
     }
 
-    /** Time left of the objective; a caller who is past it still wants an answer as long as it waits. */
+    /** Time left of the objective; 0 or less for a caller who is past it and still wants an answer. */
     private static long objectiveNanos(Route route, long remainingNanos, long elapsedNanos) {
-        long left = route.objective().toNanos() - elapsedNanos;
-        return left > 0 ? Math.min(left, remainingNanos) : remainingNanos;
+        return Math.min(route.objective().toNanos() - elapsedNanos, remainingNanos);
     }
 
     /** A keyed request meets its key before the door: one that ran already must get its answer, not a refusal. */
--- a/src/main/java/io/beryldock/forwarding/RootAdmission.java
+++ b/src/main/java/io/beryldock/forwarding/RootAdmission.java
@@ -11,11 +11,13 @@
 import io.beryldock.credit.TreeKey;
 import io.beryldock.organisation.Organisation;
 import io.beryldock.settings.NodeSettings.Policy;
+import io.beryldock.time.Ticker;
 import io.beryldock.waiting.EntryAdmission;
 import io.beryldock.waiting.EntryDecision;
 import io.beryldock.waiting.WaitingRequest;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
 /**
@@ -28,6 +30,9 @@
 
     private static final int SERVER_ERROR = 500;
 
+    /** Shorter waits change nothing beneath: callers name their time in milliseconds. */
+    private static final long SHORTEST_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
+
     private final Ports ports;
 
     private RootAdmission(Ports ports) {
@@ -35,7 +40,7 @@
     }
 
     /** What the admission works with. */
-    public record Ports(Policy policy, DoorShedder door, TreeCredits credits, EntryAdmission waiting) {}
+    public record Ports(Policy policy, DoorShedder door, TreeCredits credits, EntryAdmission waiting, Ticker ticker) {}
 
     public static RootAdmission create(Ports ports) {
         return new RootAdmission(ports);
@@ -45,7 +50,8 @@
      * A caller's request before its first call.
      *
      * @param returned whether its caller was refused before and comes back
-     * @param objectiveNanos time left of that within which an answer is worth most
+     * @param objectiveNanos time left of that within which an answer is worth most; 0 or less for a caller who is
+     *     past it and still wants an answer
      */
     record Root(Route route, Call call, Optional<Organisation> organisation, boolean returned, long objectiveNanos) {
 
@@ -61,6 +67,15 @@
             return call.context().priority().rank();
         }
 
+        /** The same request after a wait: what waited at its entry has that much less time beneath it. */
+        private Root afterNanos(long waited) {
+            if (waited < SHORTEST_WAIT_NANOS) {
+                return this;
+            }
+            Call left = call.attempt(call.id(), call.context().afterNanos(waited));
+            return new Root(route, left, organisation, returned, objectiveNanos - waited);
+        }
+
         private WaitingRequest waiting(TreeKey tree) {
             return new WaitingRequest(
                     tree,
@@ -93,9 +108,13 @@
             ports.credits().demand(tree, root.claimant());
             return dispatch.apply(root.call()).thenApply(result -> ended(tree, result));
         }
+        long since = ports.ticker().nanos();
         EntryAdmission.Pending pending = ports.waiting().admit(root.waiting(tree));
         scope.onCancel(pending::leave);
-        return pending.decision().thenCompose(decision -> onDecision(root, tree, decision, dispatch));
+        return pending.decision().thenCompose(decision -> {
+            Root left = root.afterNanos(ports.ticker().nanos() - since);
+            return onDecision(left, tree, decision, dispatch);
+        });
     }
 
     private CompletableFuture<CallResult> onDecision(
--- a/src/main/java/io/beryldock/node/NodeMetrics.java
+++ b/src/main/java/io/beryldock/node/NodeMetrics.java
@@ -11,6 +11,7 @@
 import io.beryldock.retry.RetryLedger;
 import io.beryldock.routing.TargetChooser;
 import io.beryldock.routing.TargetHealth;
+import io.beryldock.waiting.EntryWaiting;
 import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -37,6 +38,7 @@
         registerChoice(parts.chooser());
         registerPeers(parts.transport());
         CreditMetrics.register(registry, parts.credits());
+        WaitingMetrics.register(registry, parts.waiting()::snapshot);
         gauge("configuration_version", "version of the configuration in force", parts.configurationVersion());
         gauge("known_nodes", "nodes in this node's view", parts.knownNodes());
     }
@@ -51,6 +53,7 @@
             TargetChooser chooser,
             NettyPeerTransport transport,
             CreditNode credits,
+            EntryWaiting waiting,
             DoubleSupplier configurationVersion,
             DoubleSupplier knownNodes) {}
 
--- a/src/main/java/io/beryldock/node/OperatorModule.java
+++ b/src/main/java/io/beryldock/node/OperatorModule.java
@@ -26,6 +26,7 @@
 import io.beryldock.time.TimerService;
 import io.beryldock.timeline.EventRing;
 import io.beryldock.timeline.RefusalCounter;
+import io.beryldock.waiting.EntryWaiting;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
@@ -86,6 +87,7 @@
             TargetChooser chooser,
             NettyPeerTransport transport,
             CreditNode credits,
+            EntryWaiting waiting,
             ConfigurationKeeper configuration,
             Membership membership) {
         return new NodeMetrics(new NodeMetrics.Parts(
@@ -97,6 +99,7 @@
                 chooser,
                 transport,
                 credits,
+                waiting,
                 () -> configuration.current().version(),
                 () -> membership.directory().nodes().size()));
     }
--- a/src/main/java/io/beryldock/node/TrafficModule.java
+++ b/src/main/java/io/beryldock/node/TrafficModule.java
@@ -288,14 +288,20 @@
 
     @Provides
     @Singleton
-    EntryAdmission waiting(TreeCredits credits, RandomGenerator random, EventSink events) {
+    EntryWaiting entryWaiting(TreeCredits credits, RandomGenerator random, EventSink events) {
         return EntryWaiting.create(WaitingPorts.of(WaitingSettings.defaults(), credits, random, events), timers);
     }
 
+    @Provides
+    EntryAdmission waiting(EntryWaiting waiting) {
+        return waiting;
+    }
+
     @Provides
     @Singleton
     RootAdmission rootAdmission(NodeSettings settings, DoorShedder door, TreeCredits credits, EntryAdmission waiting) {
-        return RootAdmission.create(new RootAdmission.Ports(settings.policy(), door, credits, waiting));
+        return RootAdmission.create(
+                new RootAdmission.Ports(settings.policy(), door, credits, waiting, timers.ticker()));
     }
 
     @Provides
--- /dev/null
+++ b/src/test/java/io/beryldock/forwarding/RootAdmissionTest.java
@@ -0,0 +1,184 @@
+package io.beryldock.forwarding;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import com.google.protobuf.ByteString;
+import io.beryldock.admission.DoorShedder;
+import io.beryldock.call.Answer;
+import io.beryldock.call.Call;
+import io.beryldock.call.CallContext;
+import io.beryldock.call.CallResult;
+import io.beryldock.call.Headers;
+import io.beryldock.call.Incarnation;
+import io.beryldock.call.PriorityClass;
+import io.beryldock.call.Reason;
+import io.beryldock.call.RequestId;
+import io.beryldock.call.RequestIds;
+import io.beryldock.call.ServiceLevel;
+import io.beryldock.call.ServiceName;
+import io.beryldock.call.TreeCost;
+import io.beryldock.configuration.Route;
+import io.beryldock.credit.Claimant;
+import io.beryldock.credit.TreeCredits;
+import io.beryldock.credit.TreeKey;
+import io.beryldock.settings.NodeSettings.Policy;
+import io.beryldock.time.ManualTimerService;
+import io.beryldock.timeline.EventSink;
+import io.beryldock.waiting.EntryAdmission;
+import io.beryldock.waiting.EntryDecision;
+import io.beryldock.waiting.WaitingRequest;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+
+/** Load pattern: a service beneath is short, so that requests wait at their entry. */
+final class RootAdmissionTest {
+
+    private static final ServiceName LISTS = ServiceName.of("lists");
+    private static final long LIMIT = Duration.ofSeconds(2).toNanos();
+
+    private final ManualTimerService timers = ManualTimerService.create();
+    private final CompletableFuture<EntryDecision> decision = new CompletableFuture<>();
+    private final List<Call> dispatched = new ArrayList<>();
+    private final List<TreeKey> givenBack = new ArrayList<>();
+    private boolean left;
+    private CallResult result = CallResult.answered(new Answer(200, Headers.empty(), ByteString.EMPTY));
+
+    private final RootAdmission admission = RootAdmission.create(new RootAdmission.Ports(
+            Policy.FULL,
+            DoorShedder.create(timers.ticker(), new Random(1), EventSink.none()),
+            new ShortCredits(),
+            new OneWaits(),
+            timers.ticker()));
+
+    private CompletableFuture<CallResult> start(CancelScope scope) {
+        RequestId id = RequestIds.of(Incarnation.random(new Random(1))).next();
+        CallContext context = new CallContext(id, id, PriorityClass.ofRank(1), LIMIT, 1, 0, 7, 0, false);
+        Route route = new Route("/lists", ImmutableSet.of(), LISTS, "pages", true, Duration.ofSeconds(2), "none");
+        Call call = new Call(
+                id,
+                Call.OUTSIDE,
+                LISTS,
+                "GET",
+                "/lists",
+                Headers.empty(),
+                ByteString.EMPTY,
+                true,
+                Optional.empty(),
+                context);
+        RootAdmission.Root root = new RootAdmission.Root(route, call, Optional.empty(), false, LIMIT);
+        return admission.start(root, scope, started -> {
+            dispatched.add(started);
+            return CompletableFuture.completedFuture(result);
+        });
+    }
+
+    /** Guards against trees that run on beneath after their caller has left: the wait is part of its time. */
+    @Test
+    void theWaitIsTakenOffTheTimeBeneath() {
+        CompletableFuture<CallResult> ended = start(CancelScope.create());
+        timers.advance(Duration.ofMillis(1_500));
+        decision.complete(EntryDecision.covered());
+        assertThat(dispatched).hasSize(1);
+        assertThat(dispatched.get(0).context().remainingNanos())
+                .isEqualTo(Duration.ofMillis(500).toNanos());
+        assertThat(dispatched.get(0).context().covered()).isTrue();
+        assertThat(ended).isCompletedWithValue(result);
+    }
+
+    /** Guards against credits that are lost with requests that a gate turned away. */
+    @Test
+    void creditsOfATreeThatDidNotRunAreGivenBack() {
+        result = CallResult.notRun(Reason.SHED_AT_TARGET, "");
+        start(CancelScope.create());
+        decision.complete(EntryDecision.covered());
+        assertThat(givenBack).hasSize(1);
+    }
+
+    @Test
+    void aRefusedRequestDoesNotRunAndIsToldWhenToComeBack() {
+        CompletableFuture<CallResult> ended = start(CancelScope.create());
+        decision.complete(EntryDecision.refused(700));
+        assertThat(dispatched).isEmpty();
+        assertThat(ended.join().reason()).contains(Reason.NO_ROOM_BENEATH);
+        assertThat(ended.join().retryAfterMillis()).isEqualTo(700);
+    }
+
+    /** Guards against places that are held for callers who have gone. */
+    @Test
+    void aCallerThatLeavesFreesItsPlace() {
+        CancelScope scope = CancelScope.create();
+        start(scope);
+        scope.cancel();
+        assertThat(left).isTrue();
+    }
+
+    /** Lets one request wait for the decision of the test. */
+    private final class OneWaits implements EntryAdmission {
+
+        @Override
+        public Pending admit(WaitingRequest request) {
+            return new Pending() {
+                @Override
+                public CompletableFuture<EntryDecision> decision() {
+                    return decision;
+                }
+
+                @Override
+                public void leave() {
+                    left = true;
+                }
+            };
+        }
+
+        @Override
+        public void stop() {}
+    }
+
+    /** Credits of a service that is always short. */
+    private final class ShortCredits implements TreeCredits {
+
+        @Override
+        public void observe(ImmutableList<ServiceLevel> levels) {}
+
+        @Override
+        public boolean governs(TreeKey tree) {
+            return true;
+        }
+
+        @Override
+        public void demand(TreeKey tree, Claimant claimant) {}
+
+        @Override
+        public boolean take(TreeKey tree, Claimant claimant) {
+            return true;
+        }
+
+        @Override
+        public void giveBack(TreeKey tree, Claimant claimant) {
+            givenBack.add(tree);
+        }
+
+        @Override
+        public void ended(TreeKey tree, TreeCost used, boolean succeeded) {}
+
+        @Override
+        public long expectedWaitNanos(TreeKey tree, Claimant claimant, int ahead) {
+            return 0;
+        }
+
+        @Override
+        public long usualNanos(TreeKey tree) {
+            return 0;
+        }
+
+        @Override
+        public void onCredits(Runnable listener) {}
+    }
+}
