--- a/src/main/java/io/beryldock/soak/FaultAction.java
+++ b/src/main/java/io/beryldock/soak/FaultAction.java
@@ -17,6 +17,8 @@
     TARGET_RESET(Link.TARGET, LinkState.RESET),
     TARGET_CUT_ONE_WAY(Link.TARGET, LinkState.CUT_ONE_WAY),
     TARGET_SILENT(Link.TARGET, LinkState.SILENT),
+    /** No node reaches the store, to which the operators still write. */
+    STORE_SILENT_FOR_ALL(Link.NONE, LinkState.OPEN),
     /** The store itself turns calls away. */
     STORE_REFUSING(Link.NONE, LinkState.OPEN),
     /** It does what it is asked and its answers are lost. */
--- a/src/main/java/io/beryldock/soak/FaultExecutor.java
+++ b/src/main/java/io/beryldock/soak/FaultExecutor.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.flogger.FluentLogger;
+import io.beryldock.soak.FaultAction.Link;
 import io.beryldock.soak.Surroundings.StoreState;
 import io.beryldock.time.Ticker;
 import java.io.IOException;
@@ -81,6 +82,7 @@
         }
         SoakPlace place = places.get(fault.node());
         switch (fault.action()) {
+            case STORE_SILENT_FOR_ALL -> places.forEach(each -> each.set(Link.STORE, LinkState.SILENT));
             case STORE_REFUSING -> surroundings.setStore(StoreState.REFUSING);
             case STORE_ANSWERS_LOST -> surroundings.setStore(StoreState.ANSWERS_LOST);
             case STORE_LEASES_LAPSED -> surroundings.lapseLeases();
@@ -101,10 +103,11 @@
             case PAUSED -> place.node().resume();
             case KILLED -> start(place);
             case ALL_KILLED -> startAll();
+            case STORE_SILENT_FOR_ALL -> places.forEach(each -> each.heal(Link.STORE, LinkState.SILENT));
             case STORE_REFUSING, STORE_ANSWERS_LOST -> surroundings.setStore(StoreState.SOUND);
             case STORE_LEASES_LAPSED, STORE_HISTORY_FORGOTTEN -> {}
             case STOPPED_AS_PLANNED, DOCUMENT_WRITTEN, KEY_REMOVED -> {}
-            default -> place.set(fault.action().link(), LinkState.OPEN);
+            default -> place.heal(fault.action().link(), fault.action().state());
         }
         if (fault.action().isUnplanned()) {
             ledger.add(SoakEvent.FaultEnded::new);
--- a/src/main/java/io/beryldock/soak/FaultPlanner.java
+++ b/src/main/java/io/beryldock/soak/FaultPlanner.java
@@ -1,6 +1,8 @@
 package io.beryldock.soak;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -36,8 +38,12 @@
     /** Beyond the time after which a removed key is dead, so that a node may sleep through it. */
     private static final int LONGEST_MILLIS = 8_000;
 
-    /** A node that sleeps past the death of a key must not wake up and let it in. */
-    private static final Duration LONG_PAUSE = Duration.ofSeconds(7);
+    /** Faults in which nodes can't hear that a key was taken away. */
+    private static final ImmutableSet<FaultAction> DEAF =
+            Sets.immutableEnumSet(FaultAction.PAUSED, FaultAction.STORE_SILENT_FOR_ALL);
+
+    /** Longer than a removed key may live, so that a node must refuse what it can't know. */
+    private static final Duration LONG_DEAFNESS = Duration.ofSeconds(8);
 
     private static final int GAP_MILLIS = 1_500;
     private static final Duration CHANGE_PERIOD = Duration.ofSeconds(7);
@@ -78,12 +84,12 @@
             Duration longest = until.minus(at);
             Duration kept = length.compareTo(longest) < 0 ? length : longest;
             FaultAction action = FaultAction.UNPLANNED.get(random.nextInt(FaultAction.UNPLANNED.size()));
-            if (action == FaultAction.PAUSED && longest.compareTo(LONG_PAUSE) > 0) {
-                kept = LONG_PAUSE;
+            if (DEAF.contains(action) && longest.compareTo(LONG_DEAFNESS) > 0) {
+                kept = LONG_DEAFNESS;
                 add(at.plusMillis(SHORTEST_MILLIS), Duration.ZERO, FaultAction.KEY_REMOVED);
             }
             add(at, kept, action);
-            boolean overlapping = random.nextBoolean();
+            boolean overlapping = random.nextBoolean() && action != FaultAction.STORE_SILENT_FOR_ALL;
             at = overlapping ? at.plus(kept.dividedBy(2)) : at.plus(kept).plus(millis(0, GAP_MILLIS));
             at = at.plusMillis(1);
         }
--- a/src/main/java/io/beryldock/soak/FaultProxy.java
+++ b/src/main/java/io/beryldock/soak/FaultProxy.java
@@ -57,6 +57,16 @@
         }
     }
 
+    /** Opens the link, unless another fault has taken the place of this one. */
+    void heal(LinkState from) {
+        synchronized (this) {
+            if (state != from) {
+                return;
+            }
+        }
+        set(LinkState.OPEN);
+    }
+
     private void accept() {
         try {
             while (true) {
--- a/src/main/java/io/beryldock/soak/SoakPlace.java
+++ b/src/main/java/io/beryldock/soak/SoakPlace.java
@@ -73,12 +73,21 @@
     }
 
     void set(Link link, LinkState state) {
-        switch (link) {
-            case PEERS -> peers.set(state);
-            case STORE -> store.set(state);
-            case TARGET -> target.set(state);
+        proxy(link).set(state);
+    }
+
+    /** Ends a fault of the link. */
+    void heal(Link link, LinkState state) {
+        proxy(link).heal(state);
+    }
+
+    private FaultProxy proxy(Link link) {
+        return switch (link) {
+            case PEERS -> peers;
+            case STORE -> store;
+            case TARGET -> target;
             case NONE -> throw new IllegalArgumentException("no link is meant");
-        }
+        };
     }
 
     @Override
