--- a/src/main/java/io/beryldock/soak/FaultExecutor.java
+++ b/src/main/java/io/beryldock/soak/FaultExecutor.java
@@ -82,18 +82,25 @@
         }
         SoakPlace place = places.get(fault.node());
         switch (fault.action()) {
+            case PAUSED -> place.node().pause();
+            case KILLED -> place.node().kill();
+            case ALL_KILLED -> killAll();
+            case STOPPED_AS_PLANNED -> stop(place);
+            default -> beginAround(place, fault.action());
+        }
+    }
+
+    /** What harms no process of a node. */
+    private void beginAround(SoakPlace place, FaultAction action) {
+        switch (action) {
             case STORE_SILENT_FOR_ALL -> places.forEach(each -> each.set(Link.STORE, LinkState.SILENT));
             case STORE_REFUSING -> surroundings.setStore(StoreState.REFUSING);
             case STORE_ANSWERS_LOST -> surroundings.setStore(StoreState.ANSWERS_LOST);
             case STORE_LEASES_LAPSED -> surroundings.lapseLeases();
             case STORE_HISTORY_FORGOTTEN -> surroundings.forgetHistory();
-            case PAUSED -> place.node().pause();
-            case KILLED -> place.node().kill();
-            case ALL_KILLED -> killAll();
-            case STOPPED_AS_PLANNED -> stop(place);
             case DOCUMENT_WRITTEN -> operators.write();
             case KEY_REMOVED -> operators.changeKeys();
-            default -> place.set(fault.action().link(), fault.action().state());
+            default -> place.set(action.link(), action.state());
         }
     }
 
--- a/src/main/java/io/beryldock/soak/SoakNode.java
+++ b/src/main/java/io/beryldock/soak/SoakNode.java
@@ -31,6 +31,7 @@
     private final Path settings;
     private final File output;
     private Process process;
+    private boolean closed;
 
     private SoakNode(NodePlace place, Path settings, File output) {
         this.place = place;
@@ -50,9 +51,9 @@
         return place;
     }
 
-    /** Starts a process unless one runs; tells whether it did. */
+    /** Starts a process unless one runs or all is over; tells whether it did. */
     synchronized boolean startIfDown() throws IOException {
-        if (isRunning()) {
+        if (closed || isRunning()) {
             return false;
         }
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
@@ -142,8 +143,12 @@
         }
     }
 
+    /** Ends the process for good: a planned start after it does nothing. */
     @Override
     public void close() {
+        synchronized (this) {
+            closed = true;
+        }
         try {
             kill();
         } catch (InterruptedException e) {
