--- a/src/main/java/io/beryldock/credit/CreditKeeper.java
+++ b/src/main/java/io/beryldock/credit/CreditKeeper.java
@@ -59,7 +59,7 @@
     /** Learns from a result which services do not admit all. */
     @Override
     public void observe(ImmutableList<ServiceLevel> levels) {
-        if (!enabled || levels.stream().allMatch(level -> level.level() >= ServiceLevel.OPEN)) {
+        if (!enabled || allOpen(levels)) {
             return;
         }
         List<Question> questions = new ArrayList<>();
@@ -75,6 +75,16 @@
         questions.forEach(this::send);
     }
 
+    /** Asked after each caller's request, most of which meet nothing that is short. */
+    private static boolean allOpen(ImmutableList<ServiceLevel> levels) {
+        for (ServiceLevel level : levels) {
+            if (level.level() < ServiceLevel.OPEN) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /** A service of which the home has told nothing yet is asked for without demand: none comes before it governs. */
     private Optional<Question> noteShort(ServiceName service, long now) {
         CreditAccount account = accounts.computeIfAbsent(service, added -> new CreditAccount(now));
