--- a/src/main/java/io/beryldock/credit/CreditAccount.java
+++ b/src/main/java/io/beryldock/credit/CreditAccount.java
@@ -30,14 +30,14 @@
     /** Claimants told apart; those beyond share the credits of their rank. */
     private static final int MAX_CLAIMANTS = 256;
 
-    /** Time over which grants are smoothed, for the wait that is told to callers. */
-    private static final double RATE_NANOS = 300e6;
+    /** Weight of one answer in the share that is granted: some answers, as a shortage begins and ends within a second. */
+    private static final double SHARE_WEIGHT = 0.25;
 
-    /** Wait expected where nothing was granted of late. */
-    private static final double NO_GRANT_NANOS = 1e9;
+    /** What a claim is expected to get at least, so that the wait that is told to callers stays finite. */
+    private static final double LEAST_SHARE = 0.02;
 
     private final Map<Claimant, Purse> purses = new HashMap<>();
-    private final double[] grantedPerNano = new double[PriorityClass.RANKS];
+    private final double[] grantedShare = new double[PriorityClass.RANKS];
     private final double[] grantedTotal = new double[PriorityClass.RANKS];
     private long shortUntil;
     private boolean homeKnows;
@@ -45,12 +45,10 @@
     private boolean moreWantedThanThere;
     private boolean asking;
     private long nextAskAt;
-    private long answeredAt;
     private double roundNanos = CreditRound.SHORTEST_NANOS;
 
     CreditAccount(long now) {
         this.nextAskAt = now;
-        this.answeredAt = now;
         this.shortUntil = now;
         this.graceUntil = now;
     }
@@ -153,7 +151,12 @@
 
     /** The home answered that it knows what the service can serve. */
     void onGranted(
-            ImmutableList<WantedCredit> granted, boolean isShort, double homeRoundNanos, long askedAt, long now) {
+            ImmutableList<WantedCredit> wanted,
+            ImmutableList<WantedCredit> granted,
+            boolean isShort,
+            double homeRoundNanos,
+            long askedAt,
+            long now) {
         asking = false;
         homeKnows = true;
         roundNanos = homeRoundNanos;
@@ -162,19 +165,25 @@
             noteShort(now);
         }
         granted.forEach(part -> purse(part.claimant(), now).balance().add(part.nanos(), askedAt + lifeNanos()));
-        measure(granted, now);
+        measure(wanted, granted);
     }
 
-    private void measure(ImmutableList<WantedCredit> granted, long now) {
-        double[] sums = new double[PriorityClass.RANKS];
-        granted.forEach(part -> sums[part.claimant().rank()] += part.nanos());
-        double passed = Math.max(roundNanos, (double) (now - answeredAt));
-        double weight = 1 - Math.exp(-passed / RATE_NANOS);
-        for (int rank = 0; rank < sums.length; rank++) {
-            grantedPerNano[rank] += weight * (sums[rank] / passed - grantedPerNano[rank]);
-            grantedTotal[rank] += sums[rank];
+    /** Ranks that asked for nothing keep their share: that nothing was granted to them tells nothing of the room. */
+    private void measure(ImmutableList<WantedCredit> wanted, ImmutableList<WantedCredit> granted) {
+        double[] asked = sums(wanted);
+        double[] got = sums(granted);
+        for (int rank = 0; rank < got.length; rank++) {
+            grantedTotal[rank] += got[rank];
+            if (asked[rank] > 0) {
+                grantedShare[rank] += SHARE_WEIGHT * (got[rank] / asked[rank] - grantedShare[rank]);
+            }
         }
-        answeredAt = now;
+    }
+
+    private static double[] sums(ImmutableList<WantedCredit> parts) {
+        double[] sums = new double[PriorityClass.RANKS];
+        parts.forEach(part -> sums[part.claimant().rank()] += part.nanos());
+        return sums;
     }
 
     /** The home is silent, or does not know what the service can serve: levels decide until it does. */
@@ -207,14 +216,9 @@
         if (held >= nanos) {
             return 0;
         }
-        double perNano = 0;
-        for (int before = 0; before <= rank; before++) {
-            perNano += grantedPerNano[before];
-        }
-        if (!moreWantedThanThere) {
-            return roundNanos;
-        }
-        return perNano > 0 ? Math.max(roundNanos, (nanos - held) / perNano) : NO_GRANT_NANOS;
+        // What is not granted in a round is asked for again, so that a claim takes as many rounds as its share is
+        // small.
+        return moreWantedThanThere ? roundNanos / Math.max(LEAST_SHARE, grantedShare[rank]) : roundNanos;
     }
 
     CreditSnapshot.EntryRow snapshot(String service, long now) {
--- a/src/main/java/io/beryldock/credit/CreditKeeper.java
+++ b/src/main/java/io/beryldock/credit/CreditKeeper.java
@@ -246,7 +246,14 @@
             question.account().onUnknown(now);
         } else {
             double round = TimeUnit.MILLISECONDS.toNanos(answer.getRoundMillis());
-            question.account().onGranted(granted(question, answer), answer.getShort(), round, question.askedAt(), now);
+            question.account()
+                    .onGranted(
+                            question.wanted(),
+                            granted(question, answer),
+                            answer.getShort(),
+                            round,
+                            question.askedAt(),
+                            now);
         }
     }
 
