--- a/src/main/java/io/beryldock/credit/CreditAccount.java
+++ b/src/main/java/io/beryldock/credit/CreditAccount.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import io.beryldock.call.PriorityClass;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -34,7 +35,7 @@
     private static final double SHARE_WEIGHT = 0.25;
 
     /** What a claim is expected to get at least, so that the wait that is told to callers stays finite. */
-    private static final double LEAST_SHARE = 0.02;
+    private static final double MIN_EXPECTED_SHARE = 0.02;
 
     private final Map<Claimant, Purse> purses = new HashMap<>();
     private final double[] grantedShare = new double[PriorityClass.RANKS];
@@ -51,6 +52,7 @@
         this.nextAskAt = now;
         this.shortUntil = now;
         this.graceUntil = now;
+        Arrays.fill(grantedShare, 1);
     }
 
     /** Demand and credits of one claimant. */
@@ -218,7 +220,7 @@
         }
         // What is not granted in a round is asked for again, so that a claim takes as many rounds as its share is
         // small.
-        return moreWantedThanThere ? roundNanos / Math.max(LEAST_SHARE, grantedShare[rank]) : roundNanos;
+        return moreWantedThanThere ? roundNanos / Math.max(MIN_EXPECTED_SHARE, grantedShare[rank]) : roundNanos;
     }
 
     CreditSnapshot.EntryRow snapshot(String service, long now) {
--- a/src/main/java/io/beryldock/credit/CreditKeeper.java
+++ b/src/main/java/io/beryldock/credit/CreditKeeper.java
@@ -146,6 +146,10 @@
     public synchronized boolean take(TreeKey tree, Claimant claimant) {
         long now = ticker.nanos();
         List<Need> needs = scarce(tree);
+        if (needs.isEmpty()) {
+            // Credits no longer govern the tree, so none cover it.
+            return false;
+        }
         for (Need need : needs) {
             if (!need.account().covers(claimant, need.nanos(), now)) {
                 return false;
@@ -232,14 +236,18 @@
         Optional<Question> next;
         synchronized (this) {
             long now = ticker.nanos();
-            take(question, answer, failure, now);
-            next = question(question.service(), question.account(), now);
+            // An account may have been dropped, and one made anew, while its question was under way.
+            boolean current = accounts.get(question.service()) == question.account();
+            if (current) {
+                applyAnswer(question, answer, failure, now);
+            }
+            next = current ? question(question.service(), question.account(), now) : Optional.empty();
         }
         listeners.forEach(Runnable::run);
         next.ifPresent(this::send);
     }
 
-    private void take(Question question, CreditAnswer answer, Throwable failure, long now) {
+    private void applyAnswer(Question question, CreditAnswer answer, Throwable failure, long now) {
         if (failure != null) {
             question.account().onSilent(question.askedAt());
         } else if (!answer.getKnown()) {
--- a/src/main/java/io/beryldock/forwarding/AttemptLoop.java
+++ b/src/main/java/io/beryldock/forwarding/AttemptLoop.java
@@ -1,5 +1,6 @@
 package io.beryldock.forwarding;
 
+import com.google.common.flogger.FluentLogger;
 import io.beryldock.call.Answer;
 import io.beryldock.call.Call;
 import io.beryldock.call.CallContext;
@@ -34,6 +35,7 @@
  */
 final class AttemptLoop {
 
+    private static final FluentLogger log = FluentLogger.forEnclosingClass();
     private static final int BASELINE_TRIES = 3;
     private static final int SERVER_ERROR = 500;
 
@@ -52,7 +54,7 @@
     private long slowestNanos;
     private boolean mayHaveRun;
     private Optional<CallResult> last = Optional.empty();
-    private Optional<CallResult> failedAnswer = Optional.empty();
+    private Optional<CallResult> lastAnswer = Optional.empty();
     private Optional<TargetRecord> nextTarget = Optional.empty();
 
     AttemptLoop(CallForwarder.Ports ports, Call call, RetryAccount account, CancelScope scope) {
@@ -115,11 +117,23 @@
         boolean asSuspect = ports.quarantine().verdict(fingerprint) != Verdict.FREE;
         CallForwarder.attempt(ports, target, attempt, scope).whenComplete((ended, failure) -> {
             CallResult known = failure == null ? ended : CallResult.unknown(Reason.INTERNAL, failure.toString());
-            noteLoss(target, known, asSuspect);
-            onEnd(target, grant, known, now() - sent);
+            orUnknown(() -> {
+                noteLoss(target, known, asSuspect);
+                onEnd(target, grant, known, now() - sent);
+            });
         });
     }
 
+    /** A step that fails would leave its caller without any answer. */
+    private void orUnknown(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException e) {
+            log.atSevere().withCause(e).log("a step of call %s to %s failed", call.id(), call.service());
+            result.complete(CallResult.unknown(Reason.INTERNAL, e.toString()));
+        }
+    }
+
     private CallContext attemptContext(RetryGrant grant) {
         CallContext context = call.context();
         long elapsed = context.remainingNanos() - remainingNanos();
@@ -138,7 +152,7 @@
         mayHaveRun |= ended.outcome() != Outcome.NOT_RUN;
         fullRefusals += ended.reason().filter(RetryPolicy::isFullRefusal).isPresent() ? 1 : 0;
         last = Optional.of(ended);
-        failedAnswer = ended.outcome() == Outcome.ANSWERED ? last : failedAnswer;
+        lastAnswer = ended.outcome() == Outcome.ANSWERED ? last : lastAnswer;
         RetryDecision decision = decide(ended);
         if (decision.isRetry()) {
             retry(decision, target, ended);
@@ -251,15 +265,15 @@
             tried.clear();
         }
         long delay = ports.backoff().delayNanos(tries);
-        ports.timers().after(Duration.ofNanos(delay), this::next);
+        ports.timers().after(Duration.ofNanos(delay), () -> orUnknown(this::next));
     }
 
     /**
      * Says UNKNOWN in place of NOT_RUN when an attempt before the last may have run. An answer of a target, even one of
      * its failure, tells the caller more than that nothing is known.
      */
-    private void finish(CallResult last) {
-        CallResult ended = last.answer().isEmpty() ? failedAnswer.orElse(last) : last;
+    private void finish(CallResult lastResult) {
+        CallResult ended = lastResult.answer().isEmpty() ? lastAnswer.orElse(lastResult) : lastResult;
         boolean tell = mayHaveRun && ended.outcome() == Outcome.NOT_RUN;
         CallResult told = tell
                 ? CallResult.unknown(ended.reason().orElse(Reason.INTERNAL), "an earlier attempt may have run")
--- a/src/main/java/io/beryldock/forwarding/EntryService.java
+++ b/src/main/java/io/beryldock/forwarding/EntryService.java
@@ -145,7 +145,13 @@
         ports.tally().asked(priority);
         RetryAccount account = ports.ledger().open(id, retries);
         long objective = objectiveNanos(route, remaining, elapsed);
-        RootAdmission.Root root = new RootAdmission.Root(route, call, organisation, elapsed > 0, objective);
+        RootAdmission.Root root = new RootAdmission.Root(
+                route,
+                call,
+                organisation,
+                elapsed > 0,
+                objective,
+                ports.ticker().nanos());
         return admitAndDispatch(request, root, account, scope).thenApply(result -> {
             int unspent = account.close();
             ports.tally().ended(priority, result, retries - unspent);
--- a/src/main/java/io/beryldock/forwarding/RootAdmission.java
+++ b/src/main/java/io/beryldock/forwarding/RootAdmission.java
@@ -52,8 +52,15 @@
      * @param returned whether its caller was refused before and comes back
      * @param objectiveNanos time left of that within which an answer is worth most; 0 or less for a caller who is
      *     past it and still wants an answer
+     * @param since time of the ticker at which the times left were told
      */
-    record Root(Route route, Call call, Optional<Organisation> organisation, boolean returned, long objectiveNanos) {
+    record Root(
+            Route route,
+            Call call,
+            Optional<Organisation> organisation,
+            boolean returned,
+            long objectiveNanos,
+            long since) {
 
         TreeKey tree() {
             return new TreeKey(route.host() + route.prefix(), call.service());
@@ -67,13 +74,14 @@
             return call.context().priority().rank();
         }
 
-        /** The same request after a wait: what waited at its entry has that much less time beneath it. */
-        private Root afterNanos(long waited) {
+        /** The same request at a later time: what waited at its entry has that much less time beneath it. */
+        private Root at(long now) {
+            long waited = now - since;
             if (waited < SHORTEST_WAIT_NANOS) {
                 return this;
             }
             Call left = call.attempt(call.id(), call.context().afterNanos(waited));
-            return new Root(route, left, organisation, returned, objectiveNanos - waited);
+            return new Root(route, left, organisation, returned, objectiveNanos - waited, now);
         }
 
         private WaitingRequest waiting(TreeKey tree) {
@@ -103,25 +111,35 @@
     CompletableFuture<CallResult> start(
             Root root, CancelScope scope, Function<Call, CompletableFuture<CallResult>> dispatch) {
         TreeKey tree = root.tree();
+        Root begun = root.at(now());
         if (!ports.credits().governs(tree)) {
             // The homes of services that have become short hear of the demand, so that credits can govern from then on.
             ports.credits().demand(tree, root.claimant());
-            return dispatch.apply(root.call()).thenApply(result -> ended(tree, result));
+            return dispatch.apply(begun.call()).thenApply(result -> ended(tree, result));
         }
-        long since = ports.ticker().nanos();
-        EntryAdmission.Pending pending = ports.waiting().admit(root.waiting(tree));
+        EntryAdmission.Pending pending = ports.waiting().admit(begun.waiting(tree));
         scope.onCancel(pending::leave);
-        return pending.decision().thenCompose(decision -> {
-            Root left = root.afterNanos(ports.ticker().nanos() - since);
-            return onDecision(left, tree, decision, dispatch);
-        });
+        return pending.decision().thenCompose(decision -> onDecision(begun.at(now()), tree, decision, dispatch));
+    }
+
+    private long now() {
+        return ports.ticker().nanos();
+    }
+
+    /** Credits have ceased to govern while the request waited: the levels decide over it as over new ones. */
+    private CompletableFuture<CallResult> startByLevels(
+            Root root, TreeKey tree, Function<Call, CompletableFuture<CallResult>> dispatch) {
+        return DoorCheck.of(ports.policy(), ports.door(), root.call())
+                .refusal()
+                .map(RootAdmission::finished)
+                .orElseGet(() -> dispatch.apply(root.call()).thenApply(result -> ended(tree, result)));
     }
 
     private CompletableFuture<CallResult> onDecision(
             Root root, TreeKey tree, EntryDecision decision, Function<Call, CompletableFuture<CallResult>> dispatch) {
         return switch (decision.kind()) {
             case COVERED -> dispatchCovered(root, tree, dispatch);
-            case NOT_GOVERNED -> dispatch.apply(root.call()).thenApply(result -> ended(tree, result));
+            case NOT_GOVERNED -> startByLevels(root, tree, dispatch);
             case REFUSED -> finished(refused(root, Reason.NO_ROOM_BENEATH, decision.retryAfterMillis()));
             case GONE -> finished(CallResult.notRun(Reason.CANCELLED, "while it waited at its entry"));
         };
--- a/src/main/java/io/beryldock/retry/RetryGate.java
+++ b/src/main/java/io/beryldock/retry/RetryGate.java
@@ -39,7 +39,8 @@
         if (budgeted && !budget.tryRetry(q.rank())) {
             return RetryDecision.STOP_BUDGET_SPENT;
         }
-        if (account.takeRetry()) {
+        boolean elsewhere = decision != RetryDecision.RESEND || q.otherTargets() > 0;
+        if (elsewhere && account.takeRetry()) {
             return RetryDecision.RETRY_ELSEWHERE;
         }
         if (decision == RetryDecision.RESEND) {
--- a/src/main/java/io/beryldock/waiting/EntryWaiting.java
+++ b/src/main/java/io/beryldock/waiting/EntryWaiting.java
@@ -30,6 +30,7 @@
     private final WaitingRoom room;
     private Subscription timer = NO_TIMER;
     private long timerDue;
+    private long armed;
     private volatile boolean stopped;
 
     private EntryWaiting(WaitingPorts ports, TimerService timers, WaitingOrder order) {
@@ -132,14 +133,18 @@
         long due = now + next.get().toNanos();
         if (timer == NO_TIMER || due - timerDue < 0) {
             timer.cancel();
-            timer = timers.after(next.get(), this::onTimer);
+            long number = ++armed;
+            timer = timers.after(next.get(), () -> onTimer(number));
             timerDue = due;
         }
     }
 
-    private void onTimer() {
+    /** A timer that was set anew while its task waited for the lock is not forgotten. */
+    private void onTimer(long number) {
         decide((now, out) -> {
-            timer = NO_TIMER;
+            if (number == armed) {
+                timer = NO_TIMER;
+            }
             room.review(now, out);
         });
     }
--- a/src/test/java/io/beryldock/forwarding/RootAdmissionTest.java
+++ b/src/test/java/io/beryldock/forwarding/RootAdmissionTest.java
@@ -50,12 +50,9 @@
     private boolean left;
     private CallResult result = CallResult.answered(new Answer(200, Headers.empty(), ByteString.EMPTY));
 
-    private final RootAdmission admission = RootAdmission.create(new RootAdmission.Ports(
-            Policy.FULL,
-            DoorShedder.create(timers.ticker(), new Random(1), EventSink.none()),
-            new ShortCredits(),
-            new OneWaits(),
-            timers.ticker()));
+    private final DoorShedder door = DoorShedder.create(timers.ticker(), new Random(1), EventSink.none());
+    private final RootAdmission admission = RootAdmission.create(
+            new RootAdmission.Ports(Policy.FULL, door, new ShortCredits(), new OneWaits(), timers.ticker()));
 
     private CompletableFuture<CallResult> start(CancelScope scope) {
         RequestId id = RequestIds.of(Incarnation.random(new Random(1))).next();
@@ -72,7 +69,8 @@
                 true,
                 Optional.empty(),
                 context);
-        RootAdmission.Root root = new RootAdmission.Root(route, call, Optional.empty(), false, LIMIT);
+        RootAdmission.Root root = new RootAdmission.Root(
+                route, call, Optional.empty(), false, LIMIT, timers.ticker().nanos());
         return admission.start(root, scope, started -> {
             dispatched.add(started);
             return CompletableFuture.completedFuture(result);
@@ -92,6 +90,19 @@
         assertThat(ended).isCompletedWithValue(result);
     }
 
+    /** Guards against all that wait starting at once, unchecked, when the home of a short service is lost. */
+    @Test
+    void whatIsNoLongerGovernedMeetsTheLevels() {
+        door.observe(LISTS, 1, ImmutableList.of(new ServiceLevel(LISTS, 0)));
+        for (int i = 0; i < 7; i++) {
+            door.observe(LISTS, 1, ImmutableList.of(new ServiceLevel(LISTS, 0)));
+        }
+        CompletableFuture<CallResult> ended = start(CancelScope.create());
+        decision.complete(EntryDecision.notGoverned());
+        assertThat(dispatched).isEmpty();
+        assertThat(ended.join().reason()).contains(Reason.SHED_AT_DOOR);
+    }
+
     /** Guards against credits that are lost with requests that a gate turned away. */
     @Test
     void creditsOfATreeThatDidNotRunAreGivenBack() {
