--- a/src/main/java/io/beryldock/admission/KindTimes.java
+++ b/src/main/java/io/beryldock/admission/KindTimes.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 
 /**
- * Service times of a target by kind of request: kinds may differ thirtyfold, so that the mean of all would let long
+ * Service times of a target by kind of request: kinds may differ so much that the mean of all would let long
  * ones begin that can't finish and turn short ones away that can.
  *
  * <p>A kind is known from its first answer. Memory is bounded: where many kinds are asked for, those that were not
--- a/src/main/java/io/beryldock/call/Incarnation.java
+++ b/src/main/java/io/beryldock/call/Incarnation.java
@@ -28,7 +28,7 @@
         return new Incarnation(high, low);
     }
 
-    // Records compare through method handles, which the compiler of a node's short life does not see through.
+    // Written out: nodes' C1 compiler does not inline the generated equals of a record, an invokedynamic call.
     @Override
     public boolean equals(Object other) {
         return other instanceof Incarnation that && high == that.high && low == that.low;
--- a/src/main/java/io/beryldock/call/RequestId.java
+++ b/src/main/java/io/beryldock/call/RequestId.java
@@ -25,7 +25,7 @@
         return new RequestId(incarnation, Long.parseUnsignedLong(text.substring(dash + 1), HEX));
     }
 
-    // Records compare through method handles, which the compiler of a node's short life does not see through.
+    // Written out: nodes' C1 compiler does not inline the generated equals of a record, an invokedynamic call.
     @Override
     public boolean equals(Object other) {
         return other instanceof RequestId that && counter == that.counter && incarnation.equals(that.incarnation);
--- a/src/main/java/io/beryldock/credit/Claimant.java
+++ b/src/main/java/io/beryldock/credit/Claimant.java
@@ -11,7 +11,7 @@
         Objects.requireNonNull(organisation, "organisation");
     }
 
-    // Records compare through method handles, which the compiler of a node's short life does not see through.
+    // Written out: nodes' C1 compiler does not inline the generated equals of a record, an invokedynamic call.
     @Override
     public boolean equals(Object other) {
         return other instanceof Claimant that && rank == that.rank && organisation.equals(that.organisation);
--- a/src/main/java/io/beryldock/credit/CreditAccount.java
+++ b/src/main/java/io/beryldock/credit/CreditAccount.java
@@ -31,7 +31,7 @@
     /** Claimants told apart; those beyond share the credits of their rank. */
     private static final int MAX_CLAIMANTS = 256;
 
-    /** Weight of one answer in the share that is granted: some answers, as a shortage begins and ends within a second. */
+    /** Weight of one answer in the share that is granted: a shortage begins and ends within a second. */
     private static final double SHARE_WEIGHT = 0.25;
 
     /** What a claim is expected to get at least, so that the wait that is told to callers stays finite. */
@@ -209,7 +209,10 @@
         }
     }
 
-    /** Wait for so much slot time, which those of the rank and of ranks before it share. */
+    /**
+     * 0 while the credits held cover so much slot time; else the rounds until a claim of the rank is granted, whatever
+     * the number ahead, as all that wait are claimed in the same round.
+     */
     double expectedWaitNanos(int rank, double nanos, long now) {
         double held = 0;
         for (Map.Entry<Claimant, Purse> purse : purses.entrySet()) {
--- a/src/main/java/io/beryldock/credit/Party.java
+++ b/src/main/java/io/beryldock/credit/Party.java
@@ -16,7 +16,7 @@
                 : new Party(Optional.empty(), Optional.of(node));
     }
 
-    // Records compare through method handles, which the compiler of a node's short life does not see through.
+    // Written out: nodes' C1 compiler does not inline the generated equals of a record, an invokedynamic call.
     @Override
     public boolean equals(Object other) {
         return other instanceof Party that && organisation.equals(that.organisation) && node.equals(that.node);
--- a/src/main/java/io/beryldock/credit/TreeCredits.java
+++ b/src/main/java/io/beryldock/credit/TreeCredits.java
@@ -7,7 +7,9 @@
 /**
  * The credits that an entry holds, for trees of calls that begin there.
  *
- * <p>Thread safe.
+ * <p>Order of calls for one request: {@link #governs}; {@link #demand} once; {@link #take} until it returns true; then
+ * {@link #ended}, or {@link #giveBack} when the tree ran nowhere. {@link #observe} at the end of each request. Thread
+ * safe.
  */
 public interface TreeCredits {
 
@@ -31,7 +33,7 @@
     /** Takes the credits of one whole tree, of all its scarce services or of none; false when they do not suffice. */
     boolean take(TreeKey tree, Claimant claimant);
 
-    /** Gives the credits of one tree back: it was not started. */
+    /** Gives the credits of one tree back, which ran nowhere: what such a tree costs now, valid as a new grant. */
     void giveBack(TreeKey tree, Claimant claimant);
 
     /**
@@ -42,7 +44,7 @@
     void ended(TreeKey tree, TreeCost used, boolean succeeded);
 
     /**
-     * How long a tree is expected to wait for its credits, behind others.
+     * How long a tree is expected to wait for its credits.
      *
      * @param ahead trees of the claimant's rank and of ranks before it that wait here
      */
--- a/src/main/java/io/beryldock/credit/TreeKey.java
+++ b/src/main/java/io/beryldock/credit/TreeKey.java
@@ -15,7 +15,7 @@
         Objects.requireNonNull(service, "service");
     }
 
-    // Records compare through method handles, which the compiler of a node's short life does not see through.
+    // Written out: nodes' C1 compiler does not inline the generated equals of a record, an invokedynamic call.
     @Override
     public boolean equals(Object other) {
         return other instanceof TreeKey that && service.equals(that.service) && route.equals(that.route);
--- a/src/main/java/io/beryldock/forwarding/AttemptLoop.java
+++ b/src/main/java/io/beryldock/forwarding/AttemptLoop.java
@@ -269,8 +269,8 @@
     }
 
     /**
-     * Says UNKNOWN in place of NOT_RUN when an attempt before the last may have run. An answer of a target, even one of
-     * its failure, tells the caller more than that nothing is known.
+     * Tells the last answer of a target, if there was one, in place of a later attempt without answer; else UNKNOWN in
+     * place of NOT_RUN when an earlier attempt may have run.
      */
     private void finish(CallResult lastResult) {
         CallResult ended = lastResult.answer().isEmpty() ? lastAnswer.orElse(lastResult) : lastResult;
--- a/src/main/java/io/beryldock/forwarding/RefusalSummary.java
+++ b/src/main/java/io/beryldock/forwarding/RefusalSummary.java
@@ -42,7 +42,7 @@
 
     private record Cause(Outcome outcome, Reason reason, ServiceName service, int rank, String detail) {
 
-        // Records compare through method handles, which the compiler of a node's short life does not see through.
+        // Written out: nodes' C1 compiler does not inline the generated equals of a record, an invokedynamic call.
         @Override
         public boolean equals(Object other) {
             return other instanceof Cause that
--- a/src/main/java/io/beryldock/membership/MemberRecord.java
+++ b/src/main/java/io/beryldock/membership/MemberRecord.java
@@ -35,7 +35,7 @@
     /** A target as its node passes it on. Immutable. */
     record AnnouncedTarget(ServiceName service, int slots, TargetState state) {
 
-        // Records compare through method handles, which the compiler of a node's short life does not see through.
+        // Written out: nodes' C1 compiler does not inline the generated equals of a record, an invokedynamic call.
         @Override
         public boolean equals(Object other) {
             return other instanceof AnnouncedTarget that
--- a/src/main/java/io/beryldock/membership/NodeDescriptor.java
+++ b/src/main/java/io/beryldock/membership/NodeDescriptor.java
@@ -8,7 +8,7 @@
 /** One start of one node and where its peers reach it. Immutable. */
 public record NodeDescriptor(NodeId id, Incarnation incarnation, DataCentre dataCentre, InetSocketAddress peerAddress) {
 
-    // Records compare through method handles, which the compiler of a node's short life does not see through.
+    // Written out: nodes' C1 compiler does not inline the generated equals of a record, an invokedynamic call.
     @Override
     public boolean equals(Object other) {
         return other instanceof NodeDescriptor that
--- a/src/main/java/io/beryldock/organisation/Organisation.java
+++ b/src/main/java/io/beryldock/organisation/Organisation.java
@@ -16,7 +16,7 @@
         Objects.requireNonNull(quota, "quota");
     }
 
-    // Records compare through method handles, which the compiler of a node's short life does not see through.
+    // Written out: nodes' C1 compiler does not inline the generated equals of a record, an invokedynamic call.
     @Override
     public boolean equals(Object other) {
         return other instanceof Organisation that
--- a/src/main/java/io/beryldock/organisation/OrganisationName.java
+++ b/src/main/java/io/beryldock/organisation/OrganisationName.java
@@ -13,7 +13,7 @@
         return new OrganisationName(value);
     }
 
-    // Records compare through method handles, which the compiler of a node's short life does not see through.
+    // Written out: nodes' C1 compiler does not inline the generated equals of a record, an invokedynamic call.
     @Override
     public boolean equals(Object other) {
         return other instanceof OrganisationName that && value.equals(that.value);
--- a/src/main/java/io/beryldock/platform/PlatformModule.java
+++ b/src/main/java/io/beryldock/platform/PlatformModule.java
@@ -43,7 +43,7 @@
     /** A window can hold the tokens of the one before it too. */
     private static final int WINDOWS_SAVED = 2;
 
-    /** Services that call each other in a row: four were seen, one is to spare. */
+    /** Calls in a row beneath one request for which retries are provided. */
     private static final int LONGEST_CHAIN = 5;
 
     /** Part of the allowed share that is used: nodes' windows don't begin at one moment. */
--- a/src/main/java/io/beryldock/retry/RetryBudgets.java
+++ b/src/main/java/io/beryldock/retry/RetryBudgets.java
@@ -48,7 +48,7 @@
 
     private record Pair(ServiceName caller, ServiceName callee) {
 
-        // Records compare through method handles, which the compiler of a node's short life does not see through.
+        // Written out: nodes' C1 compiler does not inline the generated equals of a record, an invokedynamic call.
         @Override
         public boolean equals(Object other) {
             return other instanceof Pair that && callee.equals(that.callee) && caller.equals(that.caller);
--- a/src/main/java/io/beryldock/retry/RetryDecision.java
+++ b/src/main/java/io/beryldock/retry/RetryDecision.java
@@ -1,9 +1,12 @@
 package io.beryldock.retry;
 
-/** Whether a call is tried again at another target, and if not, why. */
+/** Whether a call is tried again, and if not, why. */
 public enum RetryDecision {
     RETRY_ELSEWHERE,
-    /** A target with free slots turned it away: it is sent again, to another target where its route allows one more. */
+    /**
+     * A target with free slots refused it: it is sent to the same target again, as its allowance of further targets is
+     * spent.
+     */
     RESEND,
     /** There is an answer. */
     STOP_ANSWERED,
--- a/src/main/java/io/beryldock/retry/RetryGate.java
+++ b/src/main/java/io/beryldock/retry/RetryGate.java
@@ -8,7 +8,7 @@
 /**
  * Lets a retry happen or not: the policy first, then the budget of the two services, then the account of the call.
  *
- * <p>Invariant: after any decision but {@link RetryDecision#RETRY_ELSEWHERE}, account and budget are as they were.
+ * <p>Invariant: after a decision that is no retry, account and budget are as they were.
  * Thread safe.
  */
 public final class RetryGate {
--- a/src/main/java/io/beryldock/retry/RetryPolicy.java
+++ b/src/main/java/io/beryldock/retry/RetryPolicy.java
@@ -7,8 +7,10 @@
 /**
  * Decides whether a call is tried again.
  *
- * <p>A retry goes to a different target, only after NOT_RUN, or after UNKNOWN when the route is idempotent and the time
- * left covers what an attempt is expected to take. Pure: the same question has the same decision. Whether a retry is
+ * <p>A retry goes to another target: after NOT_RUN; after UNKNOWN when the route is idempotent; where settings allow it
+ * after a failure that a target answered, when the call is idempotent and made no calls of its own. Only a refusal by a
+ * target that reports free slots may be sent to the same target again. Each needs that the time left covers what an
+ * attempt is expected to take. Pure: the same question has the same decision. Whether a retry is
  * also allowed, by the account of the call and the budget of the services, is asked afterwards. Immutable, thread safe.
  */
 public final class RetryPolicy {
--- a/src/main/java/io/beryldock/retry/RetryPolicySettings.java
+++ b/src/main/java/io/beryldock/retry/RetryPolicySettings.java
@@ -3,8 +3,8 @@
 /**
  * Which failed attempts are worth another one. Immutable.
  *
- * @param resends times that a call is sent again after targets with free slots have turned it away; they may turn away
- *     a part of what comes, whatever its number, so that asking again helps
+ * @param resends attempts, of any kind, after which a refusal by a target with free slots is still sent again; such a
+ *     target may refuse a part of what comes, whatever its number, so that asking again helps
  * @param failedLeaves whether a failure that a target answers is tried elsewhere, for idempotent calls that called
  *     nothing: without it the whole tree above is lost with one of its many calls
  */
--- a/src/main/java/io/beryldock/retry/WindowRetryBudget.java
+++ b/src/main/java/io/beryldock/retry/WindowRetryBudget.java
@@ -7,9 +7,9 @@
 /**
  * Limits the repeats that one node sends to a service to a share of its first tries, counted over sliding windows.
  *
- * <p>Invariant: when a retry is granted, the repeats of the window that ends then are at most the share of that
- * window's first tries and the floor. As each node keeps it for itself, all nodes together do. Repeats that can't be
- * refused count too and leave less to retry.
+ * <p>A repeat is a retry, or a call of a run that itself repeats one. Invariant: when a retry is granted, the repeats of
+ * the window that ends then are at most the share of that window's first tries and the floor. As each node keeps it for
+ * itself, all nodes together do. Repeats that can't be refused count too and leave less to retry.
  *
  * <p>Guards against a service that turns away half of its calls, whatever their number: a tree of many calls is lost
  * with one of them. Retries that are spread evenly over all trees save none, so a request may use only what more
@@ -23,7 +23,7 @@
     /** One more than a window has: the oldest lies in it with a part. */
     private static final int SLOTS = BUCKETS + 1;
 
-    /** Buckets by which the rate of asking is told: half a second to a second, as trouble begins at once. */
+    /** Newest buckets by which the rate of asking is told, a tenth of the window: a rise must count at once. */
     private static final int RECENT = 2;
 
     private final Ticker ticker;
--- a/src/main/java/io/beryldock/routing/Placement.java
+++ b/src/main/java/io/beryldock/routing/Placement.java
@@ -14,7 +14,7 @@
     /**
      * Expected completion: how slow the target is against others, by how crowded it is.
      *
-     * <p>The last free slots of a target count dear, since others send there on the same news.
+     * <p>The last free slots of a target count expensive, since others send there on the same news.
      */
     COMPLETION,
 
--- a/src/main/java/io/beryldock/routing/ServiceTargets.java
+++ b/src/main/java/io/beryldock/routing/ServiceTargets.java
@@ -63,7 +63,7 @@
             return new Key(target.node().id(), target.node().incarnation());
         }
 
-        // Records compare through method handles, which the compiler of a node's short life does not see through.
+        // Written out: nodes' C1 compiler does not inline the generated equals of a record, an invokedynamic call.
         @Override
         public boolean equals(Object other) {
             return other instanceof Key that && node.equals(that.node) && incarnation.equals(that.incarnation);
--- a/src/main/java/io/beryldock/routing/TargetStats.java
+++ b/src/main/java/io/beryldock/routing/TargetStats.java
@@ -172,7 +172,7 @@
         return load * Math.max(latency, stalled) * refusalFactor(now);
     }
 
-    /** How much dearer the target is for what it refused of late; own calls go before what it reports. */
+    /** How much more expensive the target is for what it refused of late; own calls go before what it reports. */
     double refusalFactor(long now) {
         return 1 + PRESSURE_PENALTY * pressure(now);
     }
@@ -207,7 +207,8 @@
     }
 
     /**
-     * How dear the next slot is: 1 when all are free, the number of slots at the last one, more for each place queued.
+     * How expensive the next slot is: 1 when all are free, the number of slots at the last one, more for each place in
+     * the queue.
      */
     double crowding(UsualTimes usual, long now) {
         double limit = reported.limit(record.slots());
--- a/src/main/java/io/beryldock/soak/HoldUpWatch.java
+++ b/src/main/java/io/beryldock/soak/HoldUpWatch.java
@@ -8,7 +8,7 @@
  * Sees when a node, or this process in which all proxies run, does not get to run for a while.
  *
  * <p>Looked at by one thread. Between nodes a link is given up after 300 ms of silence while a call is under way,
- * which a machine with more to do than it can does bring about; no fault of the plan and no stop is to blame then.
+ * which a host with more to do than it can does bring about; no fault of the plan and no stop is to blame then.
  */
 final class HoldUpWatch {
 
--- a/src/main/java/io/beryldock/soak/NodePlace.java
+++ b/src/main/java/io/beryldock/soak/NodePlace.java
@@ -27,7 +27,7 @@
     private static final int LISTENERS = 5;
     private static final int OCTET = 256;
 
-    /** First octets: loopback, apart from 127.0.0.1, from which all connections of this machine begin. */
+    /** First octets: loopback, apart from 127.0.0.1, from which all connections of this host begin. */
     private static final String LOOPBACK_PART = "127.77.";
 
     /** A place on an address of its own, so that no port of it is taken by a connection in the meantime. */
--- a/src/main/java/io/beryldock/soak/PlannedStopCheck.java
+++ b/src/main/java/io/beryldock/soak/PlannedStopCheck.java
@@ -11,7 +11,7 @@
  * A planned stop cuts no request at which a target is at work, neither at the node that took it nor at the target's,
  * and it ends.
  *
- * <p>Only requests are judged in whose time, and for a while before, nothing unplanned happened. A machine that holds
+ * <p>Only requests are judged in whose time, and for a while before, nothing unplanned happened. A host that holds
  * a node up is no plan either: links are given up after some hundred milliseconds of silence.
  */
 final class PlannedStopCheck implements PromiseCheck {
@@ -23,10 +23,10 @@
     static final Duration LONGEST_STOP = Duration.ofSeconds(30);
 
     private static final int BAD_GATEWAY = 502;
-    /** A machine that holds nodes up ends requests under way, and links are made anew at once. */
+    /** A host that holds nodes up ends requests under way, and links are made anew at once. */
     private static final long HELD_UP_NANOS = Duration.ofSeconds(1).toNanos();
 
-    /** After an end it may still become known that the machine had held a node up. */
+    /** After an end it may still become known that the host had held a node up. */
     private static final long HINDSIGHT_NANOS = Duration.ofSeconds(2).toNanos();
 
     private static final long NEVER = Long.MIN_VALUE / 2;
--- a/src/main/java/io/beryldock/soak/SoakBounds.java
+++ b/src/main/java/io/beryldock/soak/SoakBounds.java
@@ -16,7 +16,7 @@
     private static final Duration WINDOW = Duration.ofSeconds(10);
     private static final Duration REMOVED_KEYS = Duration.ofSeconds(5);
 
-    /** Leaves time for what callers wait for longest, so that a busy machine cuts nothing off. */
+    /** Leaves time for what callers wait for longest, so that a busy host cuts nothing off. */
     private static final Duration STOP = Duration.ofSeconds(12);
 
     /** Retries are allowed freely, so that one which must not be made is not held back by the budget. */
--- a/src/main/java/io/beryldock/soak/SoakEvent.java
+++ b/src/main/java/io/beryldock/soak/SoakEvent.java
@@ -37,7 +37,7 @@
     /** It is over. */
     record FaultEnded(long at) implements SoakEvent {}
 
-    /** A node, or this process with all the proxies, did not get to run for a while, as on a busy machine. */
+    /** A node, or this process with all the proxies, did not get to run for a while, as on a busy host. */
     record HeldUp(long at) implements SoakEvent {}
 
     /** All nodes were killed and have been started again. */
--- a/src/main/java/io/beryldock/soak/SoakRun.java
+++ b/src/main/java/io/beryldock/soak/SoakRun.java
@@ -26,7 +26,7 @@
     private static final Duration ANNOUNCE_PERIOD = Duration.ofSeconds(1);
     private static final Duration SAMPLE_PERIOD = Duration.ofSeconds(1);
 
-    /** Processes of several nodes start side by side on a machine that may be busy. */
+    /** Processes of several nodes start side by side on a host that may be busy. */
     private static final Duration LONGEST_START = Duration.ofMinutes(2);
 
     /** Longer than any caller waits. */
--- a/src/main/java/io/beryldock/timeline/EventRing.java
+++ b/src/main/java/io/beryldock/timeline/EventRing.java
@@ -196,7 +196,7 @@
 
     private record WindowKey(EventKind kind, String subject) {
 
-        // Records compare through method handles, which the compiler of a node's short life does not see through.
+        // Written out: nodes' C1 compiler does not inline the generated equals of a record, an invokedynamic call.
         @Override
         public boolean equals(Object other) {
             return other instanceof WindowKey that && kind == that.kind && subject.equals(that.subject);
--- a/src/main/java/io/beryldock/timeline/RefusalCounter.java
+++ b/src/main/java/io/beryldock/timeline/RefusalCounter.java
@@ -77,7 +77,7 @@
 
     private record Kind(Reason reason, String priorityClass, String service, String caller) {
 
-        // Records compare through method handles, which the compiler of a node's short life does not see through.
+        // Written out: nodes' C1 compiler does not inline the generated equals of a record, an invokedynamic call.
         @Override
         public boolean equals(Object other) {
             return other instanceof Kind that
--- a/src/test/java/io/beryldock/ArchitectureTest.java
+++ b/src/test/java/io/beryldock/ArchitectureTest.java
@@ -27,6 +27,9 @@
         "io.beryldock.timeline..",
         "io.beryldock.share..",
         "io.beryldock.waiting..",
+        "io.beryldock.quota..",
+        "io.beryldock.credit..",
+        "io.beryldock.load..",
     };
 
     @ArchTest
