--- a/src/test/resources/io/beryldock/promises/promises.feature
+++ b/src/test/resources/io/beryldock/promises/promises.feature
@@ -32,6 +32,7 @@
     And all answers are the same
     And the target of orders has run 1 request
 
+  @known-red
   Scenario: A ticket serves nobody but the caller who used it first
     Given a librarian's ticket of the node in gent-a
     When the librarian orders "/orders/3?echo=c" under the ticket 1 times at once at both nodes
@@ -52,6 +53,7 @@
     Then the order under way is ANSWERED
     And a new order is NOT_RUN
 
+  @known-red
   Scenario: A request that crashes its target is refused before it takes down a third
     Given the target of lists crashes on requests that hold "poison"
     When a lecturer asks again and again for "/lists/poison" while the target is restarted
