--- a/src/main/java/io/beryldock/retry/WindowRetryBudget.java
+++ b/src/main/java/io/beryldock/retry/WindowRetryBudget.java
@@ -7,9 +7,9 @@
 /**
  * Limits the repeats that one node sends to a service to a share of its first tries, counted over sliding windows.
  *
- * <p>A repeat is a retry, or a call of a run that itself repeats one. Invariant: when a retry is granted, the repeats of
- * the window that ends then are at most the share of that window's first tries and the floor. As each node keeps it for
- * itself, all nodes together do. Repeats that can't be refused count too and leave less to retry.
+ * <p>A repeat is a retry, or a call of a run that itself repeats one. Invariant: when a retry is granted, the repeats
+ * of the window that ends then are at most the share of that window's first tries and the floor. As each node keeps it
+ * for itself, all nodes together do. Repeats that can't be refused count too and leave less to retry.
  *
  * <p>Guards against a service that turns away half of its calls, whatever their number: a tree of many calls is lost
  * with one of them. Retries that are spread evenly over all trees save none, so a request may use only what more
