--- a/src/main/java/io/beryldock/node/NodeCore.java
+++ b/src/main/java/io/beryldock/node/NodeCore.java
@@ -96,6 +96,7 @@
                 new KeyedModule(),
                 new OperatorModule(),
                 new CreditModule(trafficTimers, FairDivision.create()),
+                new AdmissionModule(trafficTimers),
                 new TrafficModule(shared, trafficTimers));
         Injector injector = Guice.createInjector(Modules.override(usual).with(overrides));
         injector.getInstance(TargetExecutor.class);
--- a/src/main/java/io/beryldock/node/TrafficModule.java
+++ b/src/main/java/io/beryldock/node/TrafficModule.java
@@ -12,7 +12,6 @@
 import io.beryldock.call.RequestIds;
 import io.beryldock.configuration.ConfigurationKeeper;
 import io.beryldock.credit.GateReporter;
-import io.beryldock.credit.TreeCredits;
 import io.beryldock.eventloop.LoopTimerService;
 import io.beryldock.forwarding.AnnouncedTarget;
 import io.beryldock.forwarding.CallForwarder;
@@ -56,10 +55,6 @@
 import io.beryldock.time.TimerService;
 import io.beryldock.timeline.EventSink;
 import io.beryldock.timeline.RefusalCounter;
-import io.beryldock.waiting.EntryAdmission;
-import io.beryldock.waiting.EntryWaiting;
-import io.beryldock.waiting.WaitingPorts;
-import io.beryldock.waiting.WaitingSettings;
 import java.net.InetSocketAddress;
 import java.time.Clock;
 import java.time.Duration;
@@ -286,24 +281,6 @@
         return quotas;
     }
 
-    @Provides
-    @Singleton
-    EntryWaiting entryWaiting(TreeCredits credits, RandomGenerator random, EventSink events) {
-        return EntryWaiting.create(WaitingPorts.of(WaitingSettings.defaults(), credits, random, events), timers);
-    }
-
-    @Provides
-    EntryAdmission waiting(EntryWaiting waiting) {
-        return waiting;
-    }
-
-    @Provides
-    @Singleton
-    RootAdmission rootAdmission(NodeSettings settings, DoorShedder door, TreeCredits credits, EntryAdmission waiting) {
-        return RootAdmission.create(
-                new RootAdmission.Ports(settings.policy(), door, credits, waiting, timers.ticker()));
-    }
-
     @Provides
     @Singleton
     EntryService entry(
