--- a/src/main/java/io/beryldock/call/CallContext.java
+++ b/src/main/java/io/beryldock/call/CallContext.java
@@ -63,66 +63,37 @@
 
     /** The same context, covered by credits or not. */
     public CallContext withCovered(boolean mark) {
-        return new CallContext(
-                root,
-                parent,
-                priority,
-                remainingNanos,
-                retryAllowance,
-                depth,
-                callerHash,
-                sunkNanos,
-                retriedAncestor,
-                mark,
-                repeat);
+        return with(remainingNanos, retryAllowance, mark, repeat);
     }
 
     /** The same context, of a repeated call or not. */
     public CallContext withRepeat(boolean mark) {
-        return new CallContext(
-                root,
-                parent,
-                priority,
-                remainingNanos,
-                retryAllowance,
-                depth,
-                callerHash,
-                sunkNanos,
-                retriedAncestor,
-                covered,
-                mark);
+        return with(remainingNanos, retryAllowance, covered, mark);
     }
 
     /** The same context with another part of the root's retries. */
     public CallContext withRetryAllowance(int allowance) {
-        return new CallContext(
-                root,
-                parent,
-                priority,
-                remainingNanos,
-                allowance,
-                depth,
-                callerHash,
-                sunkNanos,
-                retriedAncestor,
-                covered,
-                repeat);
+        return with(remainingNanos, allowance, covered, repeat);
     }
 
     /** The same context with less time left; never below zero. */
     public CallContext afterNanos(long elapsedNanos) {
         long left = Math.max(0, remainingNanos - elapsedNanos);
+        return with(left, retryAllowance, covered, repeat);
+    }
+
+    private CallContext with(long remaining, int allowance, boolean covers, boolean repeats) {
         return new CallContext(
                 root,
                 parent,
                 priority,
-                left,
-                retryAllowance,
+                remaining,
+                allowance,
                 depth,
                 callerHash,
                 sunkNanos,
                 retriedAncestor,
-                covered,
-                repeat);
+                covers,
+                repeats);
     }
 }
