Read once more: one word for a failed answer, one copy of settings and routes, a tree's kind worked out once a request

Answer.isServerError and CallResult.succeeded take the place of the same comparison in five classes; withers of routes and gate settings go through one copy; RootAdmission works out the kind of a tree once instead of two to four times and dispatches in one place; credits that govern nothing served tests only and moved there, where three fakes build on them; an alias of a scope is gone. Behaviour and assertions stay.

--- a/src/main/java/io/beryldock/admission/GateSettings.java
+++ b/src/main/java/io/beryldock/admission/GateSettings.java
@@ -83,81 +83,37 @@
 
     /** The same settings for a target that announced this many slots; 0 when it announced nothing. */
     public GateSettings withAnnouncedSlots(int slots) {
-        return new GateSettings(
-                strategy,
-                minLimit,
-                initialLimit,
-                maxLimit,
-                slots,
-                usableShare,
-                timesByKind,
-                queueCapacity,
-                queueTarget,
-                queueInterval,
-                rampTime,
-                abandonedHold);
+        return with(strategy, initialLimit, slots, usableShare, timesByKind);
     }
 
     /** The same settings with another way to find the limit. */
     public GateSettings withStrategy(LimitStrategy other) {
-        return new GateSettings(
-                other,
-                minLimit,
-                initialLimit,
-                maxLimit,
-                announcedSlots,
-                usableShare,
-                timesByKind,
-                queueCapacity,
-                queueTarget,
-                queueInterval,
-                rampTime,
-                abandonedHold);
+        return with(other, initialLimit, announcedSlots, usableShare, timesByKind);
     }
 
     /** The same settings with another limit for a target that is cold. */
     public GateSettings withInitialLimit(int limit) {
-        return new GateSettings(
-                strategy,
-                minLimit,
-                limit,
-                maxLimit,
-                announcedSlots,
-                usableShare,
-                timesByKind,
-                queueCapacity,
-                queueTarget,
-                queueInterval,
-                rampTime,
-                abandonedHold);
+        return with(strategy, limit, announcedSlots, usableShare, timesByKind);
     }
 
     /** The same settings with another share of the announced slots that is used. */
     public GateSettings withUsableShare(double share) {
-        return new GateSettings(
-                strategy,
-                minLimit,
-                initialLimit,
-                maxLimit,
-                announcedSlots,
-                share,
-                timesByKind,
-                queueCapacity,
-                queueTarget,
-                queueInterval,
-                rampTime,
-                abandonedHold);
+        return with(strategy, initialLimit, announcedSlots, share, timesByKind);
     }
 
     /** The same settings with kinds of requests told apart or not. */
     public GateSettings withTimesByKind(boolean apart) {
+        return with(strategy, initialLimit, announcedSlots, usableShare, apart);
+    }
+
+    private GateSettings with(LimitStrategy limits, int initial, int slots, double share, boolean apart) {
         return new GateSettings(
-                strategy,
+                limits,
                 minLimit,
-                initialLimit,
+                initial,
                 maxLimit,
-                announcedSlots,
-                usableShare,
+                slots,
+                share,
                 apart,
                 queueCapacity,
                 queueTarget,
--- a/src/main/java/io/beryldock/call/CallResult.java
+++ b/src/main/java/io/beryldock/call/CallResult.java
@@ -75,6 +75,11 @@
                 Optional.empty());
     }
 
+    /** Whether a target answered without a failure of its own. */
+    public boolean succeeded() {
+        return answer.isPresent() && !answer.get().isServerError();
+    }
+
     public CallResult withRetryAfterMillis(long millis) {
         return new CallResult(outcome, answer, reason, detail, millis, unspentRetries, levels, spentNanos, cost, load);
     }
--- a/src/main/java/io/beryldock/configuration/Route.java
+++ b/src/main/java/io/beryldock/configuration/Route.java
@@ -79,34 +79,12 @@
 
     /** The same route for one host, with its requests spread over these services. */
     public Route forHost(String name, ImmutableList<WeightedService> services) {
-        return new Route(
-                prefix,
-                methods,
-                service,
-                priorityClass,
-                idempotent,
-                deadline,
-                budget,
-                name,
-                services,
-                open,
-                namedObjective);
+        return with(idempotent, deadline, name, services, open, namedObjective);
     }
 
     /** The same route, for requests without a key too or not. */
     public Route withOpen(boolean mark) {
-        return new Route(
-                prefix,
-                methods,
-                service,
-                priorityClass,
-                idempotent,
-                deadline,
-                budget,
-                host,
-                split,
-                mark,
-                namedObjective);
+        return with(idempotent, deadline, host, split, mark, namedObjective);
     }
 
     /**
@@ -118,18 +96,7 @@
 
     /** The same route with a time within which an answer is worth most to its caller. */
     public Route withObjective(Duration time) {
-        return new Route(
-                prefix,
-                methods,
-                service,
-                priorityClass,
-                idempotent,
-                deadline,
-                budget,
-                host,
-                split,
-                open,
-                Optional.of(time));
+        return with(idempotent, deadline, host, split, open, Optional.of(time));
     }
 
     /**
@@ -157,13 +124,22 @@
     }
 
     Route withIdempotent(boolean mark) {
-        return new Route(
-                prefix, methods, service, priorityClass, mark, deadline, budget, host, split, open, namedObjective);
+        return with(mark, deadline, host, split, open, namedObjective);
     }
 
     Route withDeadline(Duration time) {
+        return with(idempotent, time, host, split, open, namedObjective);
+    }
+
+    private Route with(
+            boolean mark,
+            Duration time,
+            String name,
+            ImmutableList<WeightedService> services,
+            boolean openToAll,
+            Optional<Duration> objective) {
         return new Route(
-                prefix, methods, service, priorityClass, idempotent, time, budget, host, split, open, namedObjective);
+                prefix, methods, service, priorityClass, mark, time, budget, name, services, openToAll, objective);
     }
 
     @Override
--- a/src/main/java/io/beryldock/credit/TreeCredits.java
+++ b/src/main/java/io/beryldock/credit/TreeCredits.java
@@ -13,11 +13,6 @@
  */
 public interface TreeCredits {
 
-    /** No credits: {@link #governs} is false for all trees. */
-    static TreeCredits none() {
-        return new NoCredits();
-    }
-
     /** Learns from the end of a caller's request which services do not admit all. */
     void observe(ImmutableList<ServiceLevel> levels);
 
--- a/src/main/java/io/beryldock/forwarding/AttemptLoop.java
+++ b/src/main/java/io/beryldock/forwarding/AttemptLoop.java
@@ -1,7 +1,6 @@
 package io.beryldock.forwarding;
 
 import com.google.common.flogger.FluentLogger;
-import io.beryldock.call.Answer;
 import io.beryldock.call.Call;
 import io.beryldock.call.CallContext;
 import io.beryldock.call.CallResult;
@@ -37,7 +36,6 @@
 
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
     private static final int BASELINE_TRIES = 3;
-    private static final int SERVER_ERROR = 500;
 
     private final CallForwarder.Ports ports;
     private final Call call;
@@ -198,7 +196,7 @@
         if (ports.policy() == Policy.NONE) {
             return baselineRetry(ended) ? RetryDecision.RETRY_ELSEWHERE : RetryDecision.STOP_USELESS;
         }
-        if (isSuccess(ended)) {
+        if (ended.succeeded()) {
             // Most calls end so: the question would look at all targets of the service for nothing.
             return RetryDecision.STOP_ANSWERED;
         }
@@ -217,10 +215,6 @@
         return decision;
     }
 
-    private static boolean isSuccess(CallResult ended) {
-        return ended.answer().filter(answer -> answer.status() < SERVER_ERROR).isPresent();
-    }
-
     private void retry(RetryDecision decision, TargetRecord target, CallResult ended) {
         boolean resend = decision == RetryDecision.RESEND;
         nextTarget = resend ? Optional.of(target) : handOn(ended);
@@ -247,10 +241,8 @@
 
     /** What users have today: three tries at each layer, whatever the others do. */
     private boolean baselineRetry(CallResult ended) {
-        int status = ended.answer().map(Answer::status).orElse(SERVER_ERROR);
-        boolean failed = status >= SERVER_ERROR;
         boolean safe = ended.outcome() == Outcome.NOT_RUN || call.idempotent();
-        return failed && safe && tries < BASELINE_TRIES;
+        return !ended.succeeded() && safe && tries < BASELINE_TRIES;
     }
 
     private int otherTargets() {
--- a/src/main/java/io/beryldock/forwarding/EntryService.java
+++ b/src/main/java/io/beryldock/forwarding/EntryService.java
@@ -145,7 +145,7 @@
         ports.tally().asked(priority);
         RetryAccount account = ports.ledger().open(id, retries);
         long objective = objectiveNanos(route, remaining, elapsed);
-        RootAdmission.Root root = new RootAdmission.Root(
+        RootAdmission.Root root = RootAdmission.Root.of(
                 route,
                 call,
                 organisation,
@@ -223,9 +223,8 @@
             return CompletableFuture.completedFuture(
                     new RequestOutcome(call.context().root(), refusal));
         }
-        CancelScope inner = scope;
-        execution.scope().onCancel(inner::cancel);
-        return dispatch(request, call, execution.account(), inner).thenApply(result -> {
+        execution.scope().onCancel(scope::cancel);
+        return dispatch(request, call, execution.account(), scope).thenApply(result -> {
             execution.onInnerEnd(call.service(), result);
             ports.journal().ended(call, result);
             return new RequestOutcome(call.context().root(), result);
--- a/src/main/java/io/beryldock/forwarding/RootAdmission.java
+++ b/src/main/java/io/beryldock/forwarding/RootAdmission.java
@@ -28,8 +28,6 @@
  */
 public final class RootAdmission {
 
-    private static final int SERVER_ERROR = 500;
-
     /** Shorter waits change nothing beneath: callers name their time in milliseconds. */
     private static final long SHORTEST_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
 
@@ -49,21 +47,29 @@
     /**
      * A caller's request before its first call.
      *
+     * @param tree its kind
      * @param returned whether its caller was refused before and comes back
      * @param objectiveNanos time left of that within which an answer is worth most; 0 or less for a caller who is
      *     past it and still wants an answer
      * @param since time of the ticker at which the times left were told
      */
     record Root(
-            Route route,
+            TreeKey tree,
             Call call,
             Optional<Organisation> organisation,
             boolean returned,
             long objectiveNanos,
             long since) {
 
-        TreeKey tree() {
-            return new TreeKey(route.host() + route.prefix(), call.service());
+        static Root of(
+                Route route,
+                Call call,
+                Optional<Organisation> organisation,
+                boolean returned,
+                long objectiveNanos,
+                long since) {
+            TreeKey tree = new TreeKey(route.host() + route.prefix(), call.service());
+            return new Root(tree, call, organisation, returned, objectiveNanos, since);
         }
 
         Claimant claimant() {
@@ -81,10 +87,10 @@
                 return this;
             }
             Call left = call.attempt(call.id(), call.context().afterNanos(waited));
-            return new Root(route, left, organisation, returned, objectiveNanos - waited, now);
+            return new Root(tree, left, organisation, returned, objectiveNanos - waited, now);
         }
 
-        private WaitingRequest waiting(TreeKey tree) {
+        private WaitingRequest waiting() {
             return new WaitingRequest(
                     tree,
                     claimant(),
@@ -110,16 +116,15 @@
     /** Starts the request when there is room for its tree; the future completes with what became of it. */
     CompletableFuture<CallResult> start(
             Root root, CancelScope scope, Function<Call, CompletableFuture<CallResult>> dispatch) {
-        TreeKey tree = root.tree();
         Root begun = root.at(now());
-        if (!ports.credits().governs(tree)) {
+        if (!ports.credits().governs(root.tree())) {
             // The homes of services that have become short hear of the demand, so that credits can govern from then on.
-            ports.credits().demand(tree, root.claimant());
-            return dispatch.apply(begun.call()).thenApply(result -> ended(tree, result));
+            ports.credits().demand(root.tree(), root.claimant());
+            return run(begun, begun.call(), dispatch);
         }
-        EntryAdmission.Pending pending = ports.waiting().admit(begun.waiting(tree));
+        EntryAdmission.Pending pending = ports.waiting().admit(begun.waiting());
         scope.onCancel(pending::leave);
-        return pending.decision().thenCompose(decision -> onDecision(begun.at(now()), tree, decision, dispatch));
+        return pending.decision().thenCompose(decision -> onDecision(begun.at(now()), decision, dispatch));
     }
 
     private long now() {
@@ -128,44 +133,45 @@
 
     /** Credits have ceased to govern while the request waited: the levels decide over it as over new ones. */
     private CompletableFuture<CallResult> startByLevels(
-            Root root, TreeKey tree, Function<Call, CompletableFuture<CallResult>> dispatch) {
+            Root root, Function<Call, CompletableFuture<CallResult>> dispatch) {
         return DoorCheck.of(ports.policy(), ports.door(), root.call())
                 .refusal()
                 .map(RootAdmission::finished)
-                .orElseGet(() -> dispatch.apply(root.call()).thenApply(result -> ended(tree, result)));
+                .orElseGet(() -> run(root, root.call(), dispatch));
     }
 
     private CompletableFuture<CallResult> onDecision(
-            Root root, TreeKey tree, EntryDecision decision, Function<Call, CompletableFuture<CallResult>> dispatch) {
+            Root root, EntryDecision decision, Function<Call, CompletableFuture<CallResult>> dispatch) {
         return switch (decision.kind()) {
-            case COVERED -> dispatchCovered(root, tree, dispatch);
-            case NOT_GOVERNED -> startByLevels(root, tree, dispatch);
+            case COVERED -> dispatchCovered(root, dispatch);
+            case NOT_GOVERNED -> startByLevels(root, dispatch);
             case REFUSED -> finished(refused(root, Reason.NO_ROOM_BENEATH, decision.retryAfterMillis()));
             case GONE -> finished(CallResult.notRun(Reason.CANCELLED, "while it waited at its entry"));
         };
     }
 
     private CompletableFuture<CallResult> dispatchCovered(
-            Root root, TreeKey tree, Function<Call, CompletableFuture<CallResult>> dispatch) {
+            Root root, Function<Call, CompletableFuture<CallResult>> dispatch) {
         Call call = root.call();
         Call covered = call.attempt(call.id(), call.context().withCovered(true));
-        return dispatch.apply(covered).thenApply(result -> {
+        return run(root, covered, dispatch).thenApply(result -> {
             if (result.outcome() == Outcome.NOT_RUN) {
-                ports.credits().giveBack(tree, root.claimant());
+                ports.credits().giveBack(root.tree(), root.claimant());
             }
-            return ended(tree, result);
+            return result;
         });
     }
 
-    private CallResult ended(TreeKey tree, CallResult result) {
-        ports.credits().observe(result.levels());
-        if (result.outcome() != Outcome.NOT_RUN) {
-            boolean well = result.answer()
-                    .filter(answer -> answer.status() < SERVER_ERROR)
-                    .isPresent();
-            ports.credits().ended(tree, result.cost(), well);
-        }
-        return result;
+    /** Dispatches the call of a root request and learns from its end. */
+    private CompletableFuture<CallResult> run(
+            Root root, Call call, Function<Call, CompletableFuture<CallResult>> dispatch) {
+        return dispatch.apply(call).thenApply(result -> {
+            ports.credits().observe(result.levels());
+            if (result.outcome() != Outcome.NOT_RUN) {
+                ports.credits().ended(root.tree(), result.cost(), result.succeeded());
+            }
+            return result;
+        });
     }
 
     private static CallResult refused(Root root, Reason reason, long retryAfterMillis) {
--- a/src/main/java/io/beryldock/forwarding/TargetRun.java
+++ b/src/main/java/io/beryldock/forwarding/TargetRun.java
@@ -8,7 +8,6 @@
 import io.beryldock.admission.GateRequest;
 import io.beryldock.admission.Permit;
 import io.beryldock.admission.RequestKind;
-import io.beryldock.call.Answer;
 import io.beryldock.call.Call;
 import io.beryldock.call.CallContext;
 import io.beryldock.call.CallResult;
@@ -31,7 +30,6 @@
  */
 final class TargetRun implements GateListener {
 
-    private static final int SERVER_ERROR = 500;
     private static final long SUSPECT_RETRY_MILLIS = 500;
 
     private final TargetExecutor.Ports ports;
@@ -206,7 +204,7 @@
     }
 
     private static boolean succeeded(TargetReply reply) {
-        return reply.answer().map(Answer::status).orElse(SERVER_ERROR) < SERVER_ERROR;
+        return reply.answer().filter(answer -> !answer.isServerError()).isPresent();
     }
 
     private static CallResult toResult(TargetReply reply) {
--- a/src/main/java/io/beryldock/retry/RetryPolicy.java
+++ b/src/main/java/io/beryldock/retry/RetryPolicy.java
@@ -1,6 +1,5 @@
 package io.beryldock.retry;
 
-import io.beryldock.call.Answer;
 import io.beryldock.call.Outcome;
 import io.beryldock.call.Reason;
 
@@ -18,7 +17,6 @@
     /** Full targets that are asked before the service is held to be full. */
     static final int MAX_FULL_REFUSALS = 2;
 
-    private static final int INTERNAL_ERROR = 500;
     private static final int GATEWAY_TIMEOUT = 504;
 
     private final RetryPolicySettings settings;
@@ -53,8 +51,10 @@
 
     /** Whether the answer is a failure of a call that may run again and that called nothing. */
     private boolean isFailedLeaf(RetryQuestion q) {
-        int status = q.result().answer().map(Answer::status).orElse(0);
-        boolean failed = status >= INTERNAL_ERROR && status != GATEWAY_TIMEOUT;
+        boolean failed = q.result()
+                .answer()
+                .filter(answer -> answer.isServerError() && answer.status() != GATEWAY_TIMEOUT)
+                .isPresent();
         boolean leaf = q.result().cost().services().size() == 1;
         return settings.failedLeaves() && failed && leaf && q.idempotent() && !q.suspect();
     }
--- a/src/main/java/io/beryldock/routing/CallSign.java
+++ b/src/main/java/io/beryldock/routing/CallSign.java
@@ -19,14 +19,12 @@
     /** Nothing: the cause lies with the call or its caller. */
     NONE;
 
-    private static final int FIRST_SERVER_ERROR = 500;
-
     /** So many times the service's usual latency a call must have waited for its timeout to count for a failure. */
     private static final double FAIR_WAIT = 2;
 
     static CallSign of(CallResult result, long latencyNanos, double usualNanos) {
         if (result.outcome() == Outcome.ANSWERED) {
-            return result.answer().orElseThrow().status() < FIRST_SERVER_ERROR ? WELL : FAILED;
+            return result.succeeded() ? WELL : FAILED;
         }
         Reason reason = result.reason().orElseThrow();
         return result.outcome() == Outcome.NOT_RUN
--- a/src/main/java/io/beryldock/credit/NoCredits.java
+++ b/src/test/java/io/beryldock/credit/NoCredits.java
@@ -4,8 +4,8 @@
 import io.beryldock.call.ServiceLevel;
 import io.beryldock.call.TreeCost;
 
-/** A node that neither asks for credits nor gives any out. Immutable. */
-final class NoCredits implements TreeCredits {
+/** Credits that govern no tree; tests override what they are about. */
+public class NoCredits implements TreeCredits {
 
     @Override
     public boolean governs(TreeKey tree) {
--- a/src/test/java/io/beryldock/forwarding/RootAdmissionTest.java
+++ b/src/test/java/io/beryldock/forwarding/RootAdmissionTest.java
@@ -18,10 +18,9 @@
 import io.beryldock.call.RequestIds;
 import io.beryldock.call.ServiceLevel;
 import io.beryldock.call.ServiceName;
-import io.beryldock.call.TreeCost;
 import io.beryldock.configuration.Route;
 import io.beryldock.credit.Claimant;
-import io.beryldock.credit.TreeCredits;
+import io.beryldock.credit.NoCredits;
 import io.beryldock.credit.TreeKey;
 import io.beryldock.settings.NodeSettings.Policy;
 import io.beryldock.time.ManualTimerService;
@@ -69,7 +68,7 @@
                 true,
                 Optional.empty(),
                 context);
-        RootAdmission.Root root = new RootAdmission.Root(
+        RootAdmission.Root root = RootAdmission.Root.of(
                 route, call, Optional.empty(), false, LIMIT, timers.ticker().nanos());
         return admission.start(root, scope, started -> {
             dispatched.add(started);
@@ -153,43 +152,16 @@
     }
 
     /** Credits of a service that is always short. */
-    private final class ShortCredits implements TreeCredits {
-
-        @Override
-        public void observe(ImmutableList<ServiceLevel> levels) {}
+    private final class ShortCredits extends NoCredits {
 
         @Override
         public boolean governs(TreeKey tree) {
             return true;
         }
 
-        @Override
-        public void demand(TreeKey tree, Claimant claimant) {}
-
-        @Override
-        public boolean take(TreeKey tree, Claimant claimant) {
-            return true;
-        }
-
         @Override
         public void giveBack(TreeKey tree, Claimant claimant) {
             givenBack.add(tree);
         }
-
-        @Override
-        public void ended(TreeKey tree, TreeCost used, boolean succeeded) {}
-
-        @Override
-        public long expectedWaitNanos(TreeKey tree, Claimant claimant, int ahead) {
-            return 0;
-        }
-
-        @Override
-        public long usualNanos(TreeKey tree) {
-            return 0;
-        }
-
-        @Override
-        public void onCredits(Runnable listener) {}
     }
 }
--- a/src/test/java/io/beryldock/waiting/ConcurrentRun.java
+++ b/src/test/java/io/beryldock/waiting/ConcurrentRun.java
@@ -1,10 +1,7 @@
 package io.beryldock.waiting;
 
-import com.google.common.collect.ImmutableList;
-import io.beryldock.call.ServiceLevel;
-import io.beryldock.call.TreeCost;
 import io.beryldock.credit.Claimant;
-import io.beryldock.credit.TreeCredits;
+import io.beryldock.credit.NoCredits;
 import io.beryldock.credit.TreeKey;
 import io.beryldock.time.Ticker;
 import io.beryldock.time.TimerService;
@@ -19,7 +16,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** Threads that ask one entry, leave it and bring credits, which are told of while the lock is held too. */
-final class ConcurrentRun implements TreeCredits {
+final class ConcurrentRun extends NoCredits {
 
     private static final int REQUESTS = 5_000;
     private static final long TIME = Duration.ofSeconds(100).toNanos();
@@ -58,17 +55,11 @@
         return decided.get();
     }
 
-    @Override
-    public void observe(ImmutableList<ServiceLevel> levels) {}
-
     @Override
     public boolean governs(TreeKey tree) {
         return true;
     }
 
-    @Override
-    public void demand(TreeKey tree, Claimant claimant) {}
-
     @Override
     public boolean take(TreeKey tree, Claimant claimant) {
         boolean taken = pool.getAndUpdate(left -> Math.max(0, left - 1)) > 0;
@@ -84,9 +75,6 @@
         listeners.forEach(Runnable::run);
     }
 
-    @Override
-    public void ended(TreeKey tree, TreeCost used, boolean succeeded) {}
-
     @Override
     public long expectedWaitNanos(TreeKey tree, Claimant claimant, int ahead) {
         return 1;
--- a/src/test/java/io/beryldock/waiting/FakeCredits.java
+++ b/src/test/java/io/beryldock/waiting/FakeCredits.java
@@ -1,10 +1,7 @@
 package io.beryldock.waiting;
 
-import com.google.common.collect.ImmutableList;
-import io.beryldock.call.ServiceLevel;
-import io.beryldock.call.TreeCost;
 import io.beryldock.credit.Claimant;
-import io.beryldock.credit.TreeCredits;
+import io.beryldock.credit.NoCredits;
 import io.beryldock.credit.TreeKey;
 import io.beryldock.time.ManualTimerService;
 import java.time.Duration;
@@ -14,7 +11,7 @@
 import java.util.Map;
 
 /** One pool of credits in slot time, which comes in at a rate; what is not taken within two rounds lapses. */
-final class FakeCredits implements TreeCredits {
+final class FakeCredits extends NoCredits {
 
     private static final Duration ROUND = Duration.ofMillis(20);
 
@@ -53,9 +50,6 @@
         listeners.forEach(Runnable::run);
     }
 
-    @Override
-    public void observe(ImmutableList<ServiceLevel> levels) {}
-
     @Override
     public boolean governs(TreeKey tree) {
         return governing;
@@ -81,9 +75,6 @@
         grant(usual.get(tree));
     }
 
-    @Override
-    public void ended(TreeKey tree, TreeCost used, boolean succeeded) {}
-
     @Override
     public long expectedWaitNanos(TreeKey tree, Claimant claimant, int ahead) {
         double missing = (ahead + 1.0) * usual.get(tree) - pool;
