Log what a node learns of the store: documents, eras, refused watches, older listings

Three hypotheses of the incident differ in these, and nothing of them was logged. No decision changes: the era that the store names in its answers is read and logged only.

--- a/src/main/java/io/beryldock/configuration/DocumentSync.java
+++ b/src/main/java/io/beryldock/configuration/DocumentSync.java
@@ -65,9 +65,17 @@
         return verification.ageNanos();
     }
 
-    private boolean take(ByteString found) {
+    private boolean take(ByteString found, long revision) {
         try {
-            keeper.take(decoder.decode(found), List.of());
+            Configuration document = decoder.decode(found);
+            boolean taken = keeper.take(document, List.of());
+            log.atInfo().log(
+                    "document version %d of revision %d is %s",
+                    document.version(),
+                    revision,
+                    taken
+                            ? "in force"
+                            : "passed over, as version " + keeper.current().version() + " is in force");
             return true;
         } catch (ConfigurationException e) {
             log.atWarning().withCause(e).log("a document of the operators can't be read and is passed over");
@@ -76,6 +84,7 @@
     }
 
     private boolean onEntry(Entry entry) {
-        return !entry.key().equals(key) || entry.value().map(this::take).orElse(true);
+        return !entry.key().equals(key)
+                || entry.value().map(value -> take(value, entry.revision())).orElse(true);
     }
 }
--- a/src/main/java/io/beryldock/platform/KvStoreClient.java
+++ b/src/main/java/io/beryldock/platform/KvStoreClient.java
@@ -2,7 +2,9 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.collect.ImmutableList;
+import com.google.common.flogger.FluentLogger;
 import com.google.common.net.UrlEscapers;
+import com.google.common.primitives.Longs;
 import com.google.protobuf.ByteString;
 import io.beryldock.call.Headers;
 import io.beryldock.nettyhttp.HttpCall;
@@ -12,6 +14,7 @@
 import io.beryldock.store.PlatformException;
 import io.beryldock.store.PlatformStore;
 import io.beryldock.store.RegistryStore;
+import io.beryldock.store.StoreEras;
 import io.beryldock.store.StoredValue;
 import io.beryldock.store.WriteResult;
 import java.net.InetSocketAddress;
@@ -19,6 +22,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
 
 /**
  * The one client of the platform's store.
@@ -47,8 +51,12 @@
 
     private static final String REMEDY = "; go on with what is known and ask again later";
 
+    private static final FluentLogger log = FluentLogger.forEnclosingClass();
+    private static final int LOG_SECONDS = 10;
+
     private final InetSocketAddress address;
     private final HttpClient client;
+    private final StoreEras eras = StoreEras.create();
 
     private KvStoreClient(InetSocketAddress address, HttpClient client) {
         this.address = address;
@@ -224,6 +232,23 @@
     private CompletableFuture<HttpReply> exchange(String method, String uri, ByteString body, Duration wait) {
         Headers headers = Headers.empty().with("Host", address.getHostString() + ":" + address.getPort());
         Headers typed = body.isEmpty() ? headers : headers.with("Content-Type", "application/json");
-        return client.send(address, HttpCall.of(method, uri, typed, body), wait.plus(ANSWER_TIMEOUT));
+        return client.send(address, HttpCall.of(method, uri, typed, body), wait.plus(ANSWER_TIMEOUT))
+                .whenComplete((reply, failure) -> {
+                    if (failure == null) {
+                        noteEra(reply);
+                    }
+                });
+    }
+
+    private void noteEra(HttpReply reply) {
+        reply.headers().first(PlatformHeaders.STORE_ERA).ifPresent(text -> {
+            Long era = Longs.tryParse(text);
+            if (era == null) {
+                log.atWarning().atMostEvery(LOG_SECONDS, TimeUnit.SECONDS).log(
+                        "the store names no number as its era but '%s'; the last one is taken to hold", text);
+            } else {
+                eras.note(era);
+            }
+        });
     }
 }
--- a/src/main/java/io/beryldock/platform/PlatformHeaders.java
+++ b/src/main/java/io/beryldock/platform/PlatformHeaders.java
@@ -30,6 +30,9 @@
     /** Name of the organisation, told to the target whatever the client sent under this name. */
     static final String ORGANISATION = "X-Beryldock-Tenant-Id";
 
+    /** Number of the store's era, in all of its answers; it rises when the store comes back from an older copy. */
+    static final String STORE_ERA = "Store-Era";
+
     static final String RETRY_AFTER = "Retry-After";
     static final String HOST = "Host";
 
--- a/src/main/java/io/beryldock/store/SharedFollower.java
+++ b/src/main/java/io/beryldock/store/SharedFollower.java
@@ -1,6 +1,7 @@
 package io.beryldock.store;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.flogger.FluentLogger;
 import io.beryldock.store.RegistryStore.Entry;
 import io.beryldock.store.RegistryStore.Listing;
 import io.beryldock.time.Moment;
@@ -10,6 +11,7 @@
 import io.beryldock.wire.StorePart;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
 /**
@@ -20,6 +22,9 @@
  */
 final class SharedFollower implements StoreFollower.Listener {
 
+    private static final FluentLogger log = FluentLogger.forEnclosingClass();
+    private static final int LOG_SECONDS = 1;
+
     private final String prefix;
     private final RegistryStore store;
     private final TimerService timers;
@@ -188,6 +193,11 @@
     }
 
     private void applyListing(Listing listing) {
+        if (listing.revision() < table.revision()) {
+            log.atWarning().atMostEvery(LOG_SECONDS, TimeUnit.SECONDS).log(
+                    "a listing of %s at revision %d is older than revision %d, which is known: it is passed over",
+                    prefix, listing.revision(), table.revision());
+        }
         table.changesTo(listing).forEach(this::onChange);
         table.advance(listing.revision());
     }
@@ -195,6 +205,7 @@
     @Override
     public void onChange(Entry entry) {
         if (!table.isNews(entry)) {
+            log.atFine().log("%s at revision %d is no news", entry.key(), entry.revision());
             return;
         }
         if (listener.onEntry(entry)) {
--- a/src/main/java/io/beryldock/store/StoreFollower.java
+++ b/src/main/java/io/beryldock/store/StoreFollower.java
@@ -1,5 +1,6 @@
 package io.beryldock.store;
 
+import com.google.common.flogger.FluentLogger;
 import io.beryldock.store.RegistryStore.Changes;
 import io.beryldock.store.RegistryStore.Entry;
 import io.beryldock.store.RegistryStore.Listing;
@@ -28,6 +29,7 @@
     /** Longest wait of one watch; a silent connection is noticed earlier, by what other nodes know. */
     private static final Duration WATCH = Duration.ofSeconds(10);
 
+    private static final FluentLogger log = FluentLogger.forEnclosingClass();
     private static final int MAX_DOUBLINGS = 8;
     private static final long NONE = -1;
 
@@ -165,6 +167,8 @@
         if (failure != null) {
             watchAfter(pause(), revision);
         } else if (changes.historyGone()) {
+            log.atInfo().log(
+                    "the store knows nothing of %s after revision %d any more: it is listed again", prefix, revision);
             start();
         } else {
             changes.entries().forEach(listener::onChange);
--- a/src/main/java/io/beryldock/store/StoreSharing.java
+++ b/src/main/java/io/beryldock/store/StoreSharing.java
@@ -196,6 +196,7 @@
         boolean changed = storeAnswers != answered;
         storeAnswers = answered;
         if (changed) {
+            log.atInfo().log(answered ? "the store answers again" : "the store does not answer");
             tellOwnDataCentre(StoreNotice.newBuilder());
         }
         ports.recovery().onCall(answered);
