A failing test: a change is ignored after the store came back from an older copy

The store in memory learns to come back from a copy: revisions go back, watches from later ones are refused.

--- a/src/test/java/io/beryldock/configuration/DocumentSyncTest.java
+++ b/src/test/java/io/beryldock/configuration/DocumentSyncTest.java
@@ -79,6 +79,23 @@
         assertThat(versions()).containsOnly(9L);
     }
 
+    /** Guards against changes that are taken for old ones since the store gave their revisions out before. */
+    @Test
+    void changeIsInForceAfterTheStoreCameBackFromAnOlderCopy() {
+        write("7");
+        timers.advance(Duration.ofSeconds(1));
+        FakeRegistry.Copy copy = registry.copy();
+        write("8");
+        write("9");
+        timers.advance(Duration.ofSeconds(1));
+        registry.comeBackFrom(copy);
+        write("9");
+        timers.advance(Duration.ofSeconds(2));
+        write("10");
+        timers.advance(Duration.ofSeconds(2));
+        assertThat(versions()).containsOnly(10L);
+    }
+
     @Test
     void documentThatCantBeReadIsPassedOver() {
         write("5");
--- a/src/test/java/io/beryldock/store/FakeRegistry.java
+++ b/src/test/java/io/beryldock/store/FakeRegistry.java
@@ -21,7 +21,7 @@
     private final TreeMap<String, RegistryStore.Entry> items = new TreeMap<>();
     private final List<RegistryStore.Entry> history = new ArrayList<>();
     private final Map<Long, List<String>> leases = new TreeMap<>();
-    private final List<Runnable> watches = new ArrayList<>();
+    private final List<Watch> watches = new ArrayList<>();
     private long revision = 1;
     private long nextLease = 1;
 
@@ -50,6 +50,42 @@
         return items.containsKey(key);
     }
 
+    /** What the store holds now, to come back from later. */
+    public Copy copy() {
+        Map<Long, List<String>> copied = new TreeMap<>();
+        leases.forEach((lease, keys) -> copied.put(lease, List.copyOf(keys)));
+        return new Copy(Map.copyOf(items), List.copyOf(history), copied, revision);
+    }
+
+    /** Loses all that was done since the copy was made; watches under way are cut. */
+    public void comeBackFrom(Copy copy) {
+        items.clear();
+        items.putAll(copy.items());
+        history.clear();
+        history.addAll(copy.history());
+        leases.clear();
+        copy.leases().forEach((lease, keys) -> leases.put(lease, new ArrayList<>(keys)));
+        revision = copy.revision();
+        List<Watch> cut = List.copyOf(watches);
+        watches.clear();
+        cut.forEach(Watch::cut);
+    }
+
+    /** An older state of the store. Immutable. */
+    public record Copy(
+            Map<String, RegistryStore.Entry> items,
+            List<RegistryStore.Entry> history,
+            Map<Long, List<String>> leases,
+            long revision) {}
+
+    /** A watch that waits for changes. */
+    private interface Watch {
+
+        void look();
+
+        void cut();
+    }
+
     private void remove(String key) {
         if (items.remove(key) != null) {
             revision++;
@@ -62,7 +98,7 @@
             items.put(entry.key(), entry);
         }
         history.add(entry);
-        List.copyOf(watches).forEach(Runnable::run);
+        List.copyOf(watches).forEach(Watch::look);
     }
 
     /** One node's way to the store. */
@@ -136,29 +172,52 @@
         @Override
         public CompletableFuture<Changes> changes(String prefix, long after, Duration wait) {
             calls++;
-            CompletableFuture<Changes> future = new CompletableFuture<>();
-            Runnable[] watch = new Runnable[1];
-            boolean[] silenced = new boolean[1];
-            watch[0] = () -> {
+            if (after > revision) {
+                return answer(new Changes(true, ImmutableList.of(), after));
+            }
+            WaitingWatch watch = new WaitingWatch(prefix, after);
+            watches.add(watch);
+            timers.after(wait, watch::end);
+            watch.look();
+            return watch.future;
+        }
+
+        /** A watch of this node: completes with the first changes, or with none at its end. */
+        private final class WaitingWatch implements Watch {
+            private final CompletableFuture<Changes> future = new CompletableFuture<>();
+            private final String prefix;
+            private final long after;
+            private boolean silenced;
+
+            WaitingWatch(String prefix, long after) {
+                this.prefix = prefix;
+                this.after = after;
+            }
+
+            @Override
+            public void look() {
                 ImmutableList<Entry> found = history.stream()
                         .filter(entry -> entry.revision() > after && entry.key().startsWith(prefix))
                         .collect(ImmutableList.toImmutableList());
-                silenced[0] |= silent;
-                if (!found.isEmpty() && !down && !silenced[0] && watches.remove(watch[0])) {
+                silenced |= silent;
+                if (!found.isEmpty() && !down && !silenced && watches.remove(this)) {
                     future.complete(new Changes(false, found, revision));
                 }
-            };
-            watches.add(watch[0]);
-            timers.after(wait, () -> {
-                watches.remove(watch[0]);
-                if (down || silenced[0]) {
+            }
+
+            @Override
+            public void cut() {
+                future.completeExceptionally(new PlatformException("the store went away"));
+            }
+
+            private void end() {
+                watches.remove(this);
+                if (down || silenced) {
                     future.completeExceptionally(new PlatformException("the store is down"));
                 } else {
                     future.complete(new Changes(false, ImmutableList.of(), Math.max(after, revision)));
                 }
-            });
-            watch[0].run();
-            return future;
+            }
         }
 
         @Override
