--- a/src/main/java/io/beryldock/configuration/DocumentSync.java
+++ b/src/main/java/io/beryldock/configuration/DocumentSync.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.ByteString;
 import io.beryldock.store.RegistryStore.Entry;
+import io.beryldock.store.StoreRevision;
 import io.beryldock.store.StoreSharing;
 import java.time.Duration;
 import java.util.List;
@@ -65,12 +66,12 @@
         return verification.ageNanos();
     }
 
-    private boolean take(ByteString found, long revision) {
+    private boolean take(ByteString found, StoreRevision revision) {
         try {
             Configuration document = decoder.decode(found);
             boolean taken = keeper.take(document, List.of());
             log.atInfo().log(
-                    "document version %d of revision %d is %s",
+                    "document version %d of revision %s is %s",
                     document.version(),
                     revision,
                     taken
--- a/src/main/java/io/beryldock/nettyhttp/HttpAnswer.java
+++ b/src/main/java/io/beryldock/nettyhttp/HttpAnswer.java
@@ -19,6 +19,11 @@
         return new HttpAnswer(status, headers, body, false);
     }
 
+    /** The answer with one more header, in place of any of its name. */
+    public HttpAnswer with(String name, String value) {
+        return new HttpAnswer(status, headers.with(name, value), body, close);
+    }
+
     public HttpAnswer closing() {
         return new HttpAnswer(status, headers, body, true);
     }
--- a/src/main/java/io/beryldock/platform/KvJson.java
+++ b/src/main/java/io/beryldock/platform/KvJson.java
@@ -7,7 +7,7 @@
 import com.google.protobuf.ByteString;
 import io.beryldock.store.PlatformException;
 import io.beryldock.store.RegistryStore.Entry;
-import io.beryldock.store.StoredValue;
+import io.beryldock.store.StoreRevision;
 import java.io.IOException;
 import java.util.Base64;
 import java.util.Optional;
@@ -32,23 +32,24 @@
         }
     }
 
-    static ImmutableList<Entry> entries(JsonNode array) {
+    /** Items or events of an answer that names the era. */
+    static ImmutableList<Entry> entries(JsonNode array, long era) {
         ImmutableList.Builder<Entry> entries = ImmutableList.builder();
-        array.forEach(item -> entries.add(entry(item)));
+        array.forEach(item -> entries.add(entry(item, era)));
         return entries.build();
     }
 
-    private static Entry entry(JsonNode item) {
+    private static Entry entry(JsonNode item, long era) {
         Optional<ByteString> value = item.path("tombstone").asBoolean() ? Optional.empty() : Optional.of(value(item));
-        return new Entry(item.path(KEY).asText(), item.path(REVISION).asLong(), value);
+        return new Entry(item.path(KEY).asText(), revision(item, era), value);
     }
 
     static ByteString value(JsonNode item) {
         return ByteString.copyFrom(Base64.getDecoder().decode(item.path(VALUE).asText()));
     }
 
-    static StoredValue stored(JsonNode item) {
-        return new StoredValue(item.path(REVISION).asLong(), value(item));
+    static StoreRevision revision(JsonNode item, long era) {
+        return new StoreRevision(era, item.path(REVISION).asLong());
     }
 
     /** A lease number in an answer; 0 stands for none. */
--- a/src/main/java/io/beryldock/platform/KvStoreClient.java
+++ b/src/main/java/io/beryldock/platform/KvStoreClient.java
@@ -15,6 +15,7 @@
 import io.beryldock.store.PlatformStore;
 import io.beryldock.store.RegistryStore;
 import io.beryldock.store.StoreEras;
+import io.beryldock.store.StoreRevision;
 import io.beryldock.store.StoredValue;
 import io.beryldock.store.WriteResult;
 import java.net.InetSocketAddress;
@@ -74,28 +75,57 @@
                     if (reply.status() == NOT_FOUND) {
                         return Optional.empty();
                     }
-                    return Optional.of(KvJson.stored(json(checked(reply))));
+                    return Optional.of(stored(json(checked(reply)), eraOf(reply)));
                 });
     }
 
+    private static StoredValue stored(JsonNode item, long era) {
+        return new StoredValue(KvVersion.of(KvJson.revision(item, era)), KvJson.value(item));
+    }
+
     @Override
     public CompletableFuture<WriteResult> compareAndSet(String key, long expectedVersion, ByteString value) {
-        ByteString body = KvJson.writeRequest(key, value, 0, Optional.of(expectedVersion));
-        return exchange("POST", "/kv-txn", body, Duration.ZERO).handle(KvStoreClient::written);
+        StoreRevision expected = KvVersion.revision(expectedVersion);
+        boolean mustExist = expectedVersion != ABSENT;
+        if (mustExist && expected.era() < eras.newest()) {
+            return conflict(key);
+        }
+        ByteString body = KvJson.writeRequest(key, value, 0, Optional.of(expected.number()));
+        return exchange("POST", "/kv-txn", body, Duration.ZERO)
+                .handle((reply, failure) -> written(reply, failure, expected, mustExist));
+    }
+
+    /** A version of an earlier era is surely replaced, though its revision may be given out again. */
+    private CompletableFuture<WriteResult> conflict(String key) {
+        return get(key).handle((found, failure) -> {
+            if (failure != null) {
+                log.atWarning().withCause(failure).log("%s can't be read back and was not written", key);
+                return WriteResult.notApplied();
+            }
+            return WriteResult.conflict(found);
+        });
+    }
+
+    /** What was written in another era than that of the condition may have replaced anything. */
+    private WriteResult written(HttpReply reply, Throwable failure, StoreRevision expected, boolean mustExist) {
+        WriteResult result = written(reply, failure);
+        boolean applied = result.kind() == WriteResult.Kind.APPLIED;
+        return applied && mustExist && eraOf(reply) != expected.era() ? WriteResult.unknown() : result;
     }
 
-    private static WriteResult written(HttpReply reply, Throwable failure) {
+    private WriteResult written(HttpReply reply, Throwable failure) {
         if (failure != null) {
             return HttpExchangeException.isNotSent(failure) ? WriteResult.notApplied() : WriteResult.unknown();
         }
         return switch (reply.status()) {
-            case OK -> WriteResult.applied(json(reply).path("revision").asLong());
+            case OK -> WriteResult.applied(KvVersion.of(KvJson.revision(json(reply), eraOf(reply))));
             case CONDITION_FAILED -> {
-                ImmutableList<Entry> items = KvJson.entries(json(reply).path("items"));
+                ImmutableList<Entry> items = KvJson.entries(json(reply).path("items"), eraOf(reply));
                 yield WriteResult.conflict(items.stream()
-                        .filter(item -> item.revision() > ABSENT && item.value().isPresent())
-                        .map(item ->
-                                new StoredValue(item.revision(), item.value().orElseThrow()))
+                        .filter(item -> item.revision().number() > ABSENT
+                                && item.value().isPresent())
+                        .map(item -> new StoredValue(
+                                KvVersion.of(item.revision()), item.value().orElseThrow()))
                         .findFirst());
             }
             case TOO_MANY, UNAVAILABLE, NOT_FOUND -> WriteResult.notApplied();
@@ -114,7 +144,7 @@
             return grantLease(length).thenCompose(lease -> {
                 ByteString body = KvJson.writeRequest(name, value, lease, Optional.of(ABSENT));
                 return exchange("POST", "/kv-txn", body, Duration.ZERO)
-                        .handle(KvStoreClient::written)
+                        .handle(this::written)
                         .thenApply(result -> result.kind() == WriteResult.Kind.APPLIED);
             });
         });
@@ -122,50 +152,65 @@
 
     @Override
     public CompletableFuture<Optional<StoredValue>> watch(String key, long afterVersion, Duration wait) {
-        return changes(key, afterVersion, wait).thenCompose(changes -> {
+        StoreRevision known = KvVersion.revision(afterVersion);
+        StoreRevision after = afterVersion == ABSENT ? new StoreRevision(eras.newest(), 0) : known;
+        return changes(key, after, wait).thenCompose(changes -> {
             Optional<Entry> last = changes.entries().stream()
                     .filter(entry -> entry.key().equals(key))
                     .reduce((earlier, later) -> later);
-            if (changes.historyGone()) {
+            if (changes.historyGone() || !changes.revision().isSameEra(after)) {
                 return get(key);
             }
-            return CompletableFuture.completedFuture(last.flatMap(
-                    entry -> entry.value().map(value -> new StoredValue(entry.revision(), value))));
+            return CompletableFuture.completedFuture(last.flatMap(entry ->
+                    entry.value().map(value -> new StoredValue(KvVersion.of(entry.revision()), value))));
         });
     }
 
+    @Override
+    public StoreEras eras() {
+        return eras;
+    }
+
     @Override
     public CompletableFuture<Listing> list(String prefix) {
-        return page(prefix, "", ImmutableList.of(), Long.MAX_VALUE);
+        return page(prefix, "", ImmutableList.of(), Optional.empty());
     }
 
     /** Pages are no snapshot: changes are followed from the revision of the first one. */
-    private CompletableFuture<Listing> page(String prefix, String after, ImmutableList<Entry> before, long revision) {
+    private CompletableFuture<Listing> page(
+            String prefix, String after, ImmutableList<Entry> before, Optional<StoreRevision> first) {
         String from = after.isEmpty() ? "" : "&after=" + escaped(after);
         String uri = "/kv-range?pathPrefix=" + escaped(prefix) + from;
         return ask("GET", uri, ByteString.EMPTY, Duration.ZERO).thenCompose(reply -> {
             JsonNode answer = json(checked(reply));
-            ImmutableList<Entry> page = KvJson.entries(answer.path("items"));
+            StoreRevision at = new StoreRevision(eraOf(reply), answer.path("at").asLong());
+            StoreRevision revision = first.orElse(at);
+            if (!at.isSameEra(revision)) {
+                return CompletableFuture.failedFuture(
+                        new PlatformException("the store came back from an older copy between two pages" + REMEDY));
+            }
+            ImmutableList<Entry> page = KvJson.entries(answer.path("items"), at.era());
             ImmutableList<Entry> all =
                     ImmutableList.<Entry>builder().addAll(before).addAll(page).build();
-            long first = Math.min(revision, answer.path("at").asLong());
             if (!answer.path("hasMore").asBoolean() || page.isEmpty()) {
-                return CompletableFuture.completedFuture(new Listing(all, first));
+                return CompletableFuture.completedFuture(new Listing(all, revision));
             }
-            return page(prefix, page.get(page.size() - 1).key(), all, first);
+            return page(prefix, page.get(page.size() - 1).key(), all, Optional.of(revision));
         });
     }
 
     @Override
-    public CompletableFuture<Changes> changes(String prefix, long after, Duration wait) {
-        String uri = "/kv-watch?pathPrefix=" + escaped(prefix) + "&after=" + after + "&waitMs=" + wait.toMillis();
+    public CompletableFuture<Changes> changes(String prefix, StoreRevision after, Duration wait) {
+        String uri =
+                "/kv-watch?pathPrefix=" + escaped(prefix) + "&after=" + after.number() + "&waitMs=" + wait.toMillis();
         return ask("GET", uri, ByteString.EMPTY, wait).thenApply(reply -> {
+            long era = eraOf(reply);
             if (reply.status() == HISTORY_GONE) {
-                return new Changes(true, ImmutableList.of(), after);
+                return new Changes(true, ImmutableList.of(), new StoreRevision(era, after.number()));
             }
             JsonNode answer = json(checked(reply));
-            long revision = Math.max(after, answer.path("at").asLong());
-            return new Changes(false, KvJson.entries(answer.path("events")), revision);
+            StoreRevision at = new StoreRevision(era, answer.path("at").asLong());
+            return new Changes(false, KvJson.entries(answer.path("events"), era), at.isAfter(after) ? at : after);
         });
     }
 
@@ -241,14 +286,17 @@
     }
 
     private void noteEra(HttpReply reply) {
-        reply.headers().first(PlatformHeaders.STORE_ERA).ifPresent(text -> {
-            Long era = Longs.tryParse(text);
-            if (era == null) {
-                log.atWarning().atMostEvery(LOG_SECONDS, TimeUnit.SECONDS).log(
-                        "the store names no number as its era but '%s'; the last one is taken to hold", text);
-            } else {
-                eras.note(era);
-            }
-        });
+        eras.note(eraOf(reply));
+    }
+
+    /** The era that the answer names; one that names none is taken to be of the last one known. */
+    private long eraOf(HttpReply reply) {
+        Optional<String> text = reply.headers().first(PlatformHeaders.STORE_ERA);
+        Optional<Long> era = text.map(Longs::tryParse);
+        if (text.isPresent() && era.isEmpty()) {
+            log.atWarning().atMostEvery(LOG_SECONDS, TimeUnit.SECONDS).log(
+                    "the store names no number as its era but '%s'; the last one is taken to hold", text.get());
+        }
+        return era.orElseGet(eras::newest);
     }
 }
--- a/src/main/java/io/beryldock/platform/StandinStore.java
+++ b/src/main/java/io/beryldock/platform/StandinStore.java
@@ -38,6 +38,7 @@
     private final List<Event> history = new ArrayList<>();
     private final Map<Long, List<String>> leases = new TreeMap<>();
     private final List<Watch> watches = new ArrayList<>();
+    private long era = 1;
     private long revision = 1;
     private long historyFrom = 1;
     private long nextLease = 1;
@@ -58,9 +59,9 @@
         ANSWER_LOST
     }
 
-    private record Item(ByteString value, long revision, long lease) {}
+    record Item(ByteString value, long revision, long lease) {}
 
-    private record Event(String key, Item item, long revision) {}
+    record Event(String key, Item item, long revision) {}
 
     private record Watch(HttpExchange exchange, String prefix, long after) {}
 
@@ -87,6 +88,30 @@
         notifyWatches();
     }
 
+    /** What the store holds now, to come back from later. */
+    synchronized Copy copy() {
+        Map<Long, List<String>> copied = new TreeMap<>();
+        leases.forEach((lease, keys) -> copied.put(lease, List.copyOf(keys)));
+        return new Copy(Map.copyOf(items), List.copyOf(history), copied, revision);
+    }
+
+    /** Loses all that was done since the copy was made, and begins a new era; watches under way get no answer. */
+    synchronized void comeBackFrom(Copy copy) {
+        era++;
+        items.clear();
+        items.putAll(copy.items());
+        history.clear();
+        history.addAll(copy.history());
+        leases.clear();
+        copy.leases().forEach((lease, keys) -> leases.put(lease, new ArrayList<>(keys)));
+        revision = copy.revision();
+        historyFrom = Math.min(historyFrom, revision);
+        watches.clear();
+    }
+
+    /** An older state of the store. Immutable. */
+    record Copy(Map<String, Item> items, List<Event> history, Map<Long, List<String>> leases, long revision) {}
+
     /** Forgets what has changed so far. */
     synchronized void dropHistory() {
         history.clear();
@@ -100,7 +125,7 @@
                 return;
             }
             if (fault == Fault.BUSY) {
-                exchange.answer(HttpAnswer.of(UNAVAILABLE));
+                answer(exchange, HttpAnswer.of(UNAVAILABLE));
                 return;
             }
             route(exchange);
@@ -139,13 +164,17 @@
             }
         }
         if (fault != Fault.ANSWER_LOST) {
-            exchange.answer(answer);
+            answer(exchange, answer);
         }
     }
 
+    private void answer(HttpExchange exchange, HttpAnswer answer) {
+        exchange.answer(answer.with(PlatformHeaders.STORE_ERA, Long.toString(era)));
+    }
+
     private void get(HttpExchange exchange, String key) {
         Item item = items.get(key);
-        exchange.answer(item == null ? HttpAnswer.of(NOT_FOUND) : json(OK, item(key, item)));
+        answer(exchange, item == null ? HttpAnswer.of(NOT_FOUND) : json(OK, item(key, item)));
     }
 
     private void range(HttpExchange exchange, String prefix) {
@@ -157,7 +186,7 @@
             }
         });
         answer.put("hasMore", false).put("at", revision);
-        exchange.answer(json(OK, answer));
+        answer(exchange, json(OK, answer));
     }
 
     private void watch(HttpExchange exchange, String prefix, long after, long waitMillis) {
@@ -176,8 +205,9 @@
     }
 
     private boolean answerWatch(Watch watch, boolean evenIfEmpty) {
-        if (watch.after() < historyFrom && watch.after() < revision) {
-            watch.exchange().answer(HttpAnswer.of(GONE));
+        boolean dropped = watch.after() < historyFrom && watch.after() < revision;
+        if (dropped || watch.after() > revision) {
+            answer(watch.exchange(), HttpAnswer.of(GONE));
             return true;
         }
         ObjectNode answer = Json.object();
@@ -190,7 +220,7 @@
         if (events.isEmpty() && !evenIfEmpty) {
             return false;
         }
-        watch.exchange().answer(json(OK, answer.put("at", revision)));
+        answer(watch.exchange(), json(OK, answer.put("at", revision)));
         return true;
     }
 
--- a/src/main/java/io/beryldock/store/RegistryStore.java
+++ b/src/main/java/io/beryldock/store/RegistryStore.java
@@ -15,11 +15,14 @@
  */
 public interface RegistryStore {
 
+    /** The eras that this node has heard of; each answer of the store names its own before its future completes. */
+    StoreEras eras();
+
     /** All entries whose key has the prefix; not a snapshot, but nothing after its revision is missed by a watch. */
     CompletableFuture<Listing> list(String prefix);
 
     /** Completes with what changed under the prefix after the revision, or empty after {@code wait}. */
-    CompletableFuture<Changes> changes(String prefix, long after, Duration wait);
+    CompletableFuture<Changes> changes(String prefix, StoreRevision after, Duration wait);
 
     /** Completes when the store answers; a call that costs next to nothing. */
     CompletableFuture<Void> probe();
@@ -37,16 +40,16 @@
     CompletableFuture<Boolean> put(String key, ByteString value, long lease);
 
     /** An entry as written, or its removal. Immutable. */
-    record Entry(String key, long revision, Optional<ByteString> value) {}
+    record Entry(String key, StoreRevision revision, Optional<ByteString> value) {}
 
     /** Entries and a revision after which changes follow. Immutable. */
-    record Listing(ImmutableList<Entry> entries, long revision) {}
+    record Listing(ImmutableList<Entry> entries, StoreRevision revision) {}
 
     /**
-     * Changes in their order. Immutable.
+     * Changes in their order. Those of another era than the one that was asked about continue nothing. Immutable.
      *
      * @param historyGone the store no longer knows what changed: list again
      * @param revision from where to go on
      */
-    record Changes(boolean historyGone, ImmutableList<Entry> entries, long revision) {}
+    record Changes(boolean historyGone, ImmutableList<Entry> entries, StoreRevision revision) {}
 }
--- a/src/main/java/io/beryldock/store/SharedFollower.java
+++ b/src/main/java/io/beryldock/store/SharedFollower.java
@@ -1,13 +1,11 @@
 package io.beryldock.store;
 
-import com.google.common.collect.ImmutableList;
 import com.google.common.flogger.FluentLogger;
 import io.beryldock.store.RegistryStore.Entry;
 import io.beryldock.store.RegistryStore.Listing;
 import io.beryldock.time.Moment;
 import io.beryldock.time.TimerService;
 import io.beryldock.time.TimerThread;
-import io.beryldock.wire.StoreEntry;
 import io.beryldock.wire.StorePart;
 import java.time.Duration;
 import java.util.Optional;
@@ -34,10 +32,10 @@
     private final Owner owner;
     private final StoreFollower follower;
     private boolean watcher;
-    private long told = EntryTable.EMPTY;
+    private StoreRevision told = StoreRevision.NONE;
     private boolean behind;
     private Moment listingAsked;
-    private long unreadRevision = EntryTable.EMPTY;
+    private StoreRevision unreadRevision = StoreRevision.NONE;
 
     /** Written on the control thread only; traffic asks how old it is. */
     private volatile Moment verified;
@@ -81,12 +79,12 @@
         return table.hasEntries();
     }
 
-    long revision() {
+    StoreRevision revision() {
         return table.revision();
     }
 
     /** What the store told this node last, before which others know all that it can tell them. */
-    long told() {
+    StoreRevision told() {
         return told;
     }
 
@@ -108,7 +106,7 @@
      * news.
      */
     void replaceSilentWatch() {
-        boolean ahead = watcher && table.revision() > follower.followed();
+        boolean ahead = watcher && table.revision().isAfter(follower.followed());
         if (ahead && behind) {
             follower.refreshFrom(table.revision());
         }
@@ -121,7 +119,19 @@
         }
     }
 
-    StorePart since(long revision) {
+    /** The store is in this era: a watch that began in an earlier one waits for revisions that may never come. */
+    void enterEra(long era) {
+        if (!watcher || follower.followed().era() >= era) {
+            return;
+        }
+        if (table.revision().era() >= era) {
+            follower.refreshFrom(table.revision());
+        } else {
+            follower.start();
+        }
+    }
+
+    StorePart since(StoreRevision revision) {
         return table.since(revision, timers.ticker().nanos());
     }
 
@@ -136,7 +146,7 @@
         TimerThread.hear(timers, store.list(prefix), (listing, failure) -> {
             onStore(failure == null);
             if (failure == null) {
-                applyListing(listing);
+                applyStored(listing);
                 onCaughtUp(listing.revision());
                 noteVerified(asked, listing.revision());
             }
@@ -148,8 +158,8 @@
      *
      * <p>It counts only when this node has taken in all up to that revision, and can read the newest of it.
      */
-    void noteVerified(Moment asked, long revision) {
-        boolean taken = table.revision() >= revision && unreadRevision == EntryTable.EMPTY;
+    void noteVerified(Moment asked, StoreRevision revision) {
+        boolean taken = !revision.isAfter(table.revision()) && unreadRevision.equals(StoreRevision.NONE);
         if (taken && (verified == null || asked.isAfter(verified))) {
             verified = asked;
         }
@@ -160,43 +170,50 @@
         return Optional.ofNullable(verified);
     }
 
-    /** Takes what another node told; false when changes before it are missing. */
+    /**
+     * Takes what another node told; false when changes before it are missing.
+     *
+     * <p>Changes of an earlier era are no news, as what was not copied of that era is gone. Those of a later one say
+     * nothing of what the store lost between them.
+     */
     boolean take(StorePart part) {
         if (part.getWhole()) {
-            applyListing(listing(part));
+            applyListing(StoreParts.listing(part));
             return true;
         }
-        part.getEntriesList().forEach(entry -> onChange(entry(entry)));
-        if (part.getSince() > table.revision()) {
+        StoreRevision revision = StoreParts.revision(part);
+        if (!revision.isSameEra(table.revision())) {
+            return table.revision().isAfter(revision);
+        }
+        StoreParts.entries(part).forEach(this::onChange);
+        if (StoreParts.since(part).isAfter(table.revision())) {
             return false;
         }
-        table.advance(part.getRevision());
+        table.advance(revision);
         return true;
     }
 
-    private static Listing listing(StorePart part) {
-        ImmutableList.Builder<Entry> entries = ImmutableList.builder();
-        part.getEntriesList().forEach(entry -> entries.add(entry(entry)));
-        return new Listing(entries.build(), part.getRevision());
-    }
-
-    private static Entry entry(StoreEntry wire) {
-        return new Entry(
-                wire.getKey(), wire.getRevision(), wire.hasValue() ? Optional.of(wire.getValue()) : Optional.empty());
-    }
-
     /** The follower may have asked for it later than at its start, which makes what it shows no older. */
     @Override
     public void onListing(Listing listing) {
-        applyListing(listing);
+        applyStored(listing);
         noteVerified(listingAsked, listing.revision());
     }
 
+    /** The store lists entries that can't be read as well, which other nodes pass over. */
+    private void applyStored(Listing listing) {
+        if (!table.isOutdated(listing)) {
+            unreadRevision = StoreRevision.NONE;
+        }
+        applyListing(listing);
+    }
+
     private void applyListing(Listing listing) {
-        if (listing.revision() < table.revision()) {
+        if (table.isOutdated(listing)) {
             log.atWarning().atMostEvery(LOG_SECONDS, TimeUnit.SECONDS).log(
-                    "a listing of %s at revision %d is older than revision %d, which is known: it is passed over",
+                    "a listing of %s at revision %s is older than revision %s, which is known: it is passed over",
                     prefix, listing.revision(), table.revision());
+            return;
         }
         table.changesTo(listing).forEach(this::onChange);
         table.advance(listing.revision());
@@ -205,22 +222,22 @@
     @Override
     public void onChange(Entry entry) {
         if (!table.isNews(entry)) {
-            log.atFine().log("%s at revision %d is no news", entry.key(), entry.revision());
+            log.atFine().log("%s at revision %s is no news", entry.key(), entry.revision());
             return;
         }
         if (listener.onEntry(entry)) {
             table.take(entry, timers.ticker().nanos());
-            unreadRevision = entry.revision() >= unreadRevision ? EntryTable.EMPTY : unreadRevision;
+            unreadRevision = unreadRevision.isAfter(entry.revision()) ? unreadRevision : StoreRevision.NONE;
         } else {
-            unreadRevision = Math.max(unreadRevision, entry.revision());
+            unreadRevision = StoreRevision.later(unreadRevision, entry.revision());
         }
     }
 
     @Override
-    public void onCaughtUp(long revision) {
+    public void onCaughtUp(StoreRevision revision) {
         table.advance(revision);
         owner.onNews(this);
-        told = Math.max(told, revision);
+        told = StoreRevision.later(told, revision);
     }
 
     @Override
--- a/src/main/java/io/beryldock/store/StoreEras.java
+++ b/src/main/java/io/beryldock/store/StoreEras.java
@@ -1,6 +1,10 @@
 package io.beryldock.store;
 
 import com.google.common.flogger.FluentLogger;
+import io.beryldock.time.TimerService;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
@@ -17,6 +21,7 @@
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
 
     private final AtomicLong newest = new AtomicLong(NONE);
+    private final List<Runnable> subscribers = new CopyOnWriteArrayList<>();
 
     private StoreEras() {}
 
@@ -29,6 +34,11 @@
         return newest.get();
     }
 
+    /** Runs the task on the thread of the timers each time that the store has come back from an older copy. */
+    public void onRise(TimerService timers, Runnable task) {
+        subscribers.add(() -> timers.after(Duration.ZERO, task));
+    }
+
     /** An answer named the era; one that was under way for long may name an earlier one. */
     public void note(long era) {
         long before = newest.getAndAccumulate(era, Math::max);
@@ -36,6 +46,7 @@
             log.atInfo().log("the store is in era %d", era);
         } else if (era > before) {
             log.atWarning().log("the store's era rose from %d to %d: it came back from an older copy", before, era);
+            subscribers.forEach(Runnable::run);
         }
     }
 }
--- a/src/main/java/io/beryldock/store/StoreFollower.java
+++ b/src/main/java/io/beryldock/store/StoreFollower.java
@@ -13,7 +13,7 @@
 
 /**
  * Follows the entries under a prefix: lists them once, then watches, and lists again when the store has forgotten its
- * history.
+ * history or come back from an older copy.
  *
  * <p>Used on the thread of the timers only. Invariant: the listener sees every change after a listing in order, or
  * another listing.
@@ -31,7 +31,6 @@
 
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
     private static final int MAX_DOUBLINGS = 8;
-    private static final long NONE = -1;
 
     private final RegistryStore store;
     private final String prefix;
@@ -40,7 +39,7 @@
     private final TimerService timers;
     private final RandomGenerator random;
     private final Listener listener;
-    private long followed = NONE;
+    private StoreRevision followed = StoreRevision.NONE;
     private int watches;
     private int failures;
     private boolean idle;
@@ -88,41 +87,43 @@
         void onChange(Entry entry);
 
         /** Every change up to the revision has been told. */
-        void onCaughtUp(long revision);
+        void onCaughtUp(StoreRevision revision);
 
         /** Whether the last call was answered. */
         void onStore(boolean reachable);
     }
 
-    /** Revision after which the present watch looks for changes. */
-    long followed() {
+    /** Revision after which the present watch looks for changes; {@link StoreRevision#NONE} during a listing. */
+    StoreRevision followed() {
         return followed;
     }
 
     /** Goes on after the revision if no watch is under way or due. */
-    void resume(long revision) {
+    void resume(StoreRevision revision) {
         if (idle) {
-            watch(Math.max(followed, revision));
+            watch(StoreRevision.later(followed, revision));
         }
     }
 
     /** Watches anew after a revision up to which all is known. */
-    void refreshFrom(long revision) {
-        if (followed != NONE) {
-            watch(Math.max(followed, revision));
+    void refreshFrom(StoreRevision revision) {
+        if (!followed.equals(StoreRevision.NONE)) {
+            watch(StoreRevision.later(followed, revision));
         }
     }
 
-    /** Lists the entries and follows them from then on. */
+    /** Lists the entries and follows them from then on; a watch under way is given up. */
     void start() {
-        followed = NONE;
+        watches++;
+        followed = StoreRevision.NONE;
         TimerThread.hear(timers, store.list(prefix), this::onListed);
     }
 
     private void onListed(Listing listing, Throwable failure) {
-        failures = failure == null ? 0 : failures + 1;
+        boolean current = failure == null && isCurrent(listing.revision());
+        failures = current ? 0 : failures + 1;
         listener.onStore(failure == null);
-        if (failure != null) {
+        if (!current) {
             timers.after(pause(), this::start);
             return;
         }
@@ -131,12 +132,17 @@
         watchOrRest(listing.revision());
     }
 
+    /** Whether the revision is of the last era known; what was answered before the store was lost may arrive after it. */
+    private boolean isCurrent(StoreRevision revision) {
+        return revision.era() >= store.eras().newest();
+    }
+
     private Duration pause() {
         Duration doubled = RETRY.multipliedBy(1L << Math.min(failures - 1, MAX_DOUBLINGS));
         return Jitter.around(doubled.compareTo(LONGEST_RETRY) < 0 ? doubled : LONGEST_RETRY, random);
     }
 
-    private void watchOrRest(long revision) {
+    private void watchOrRest(StoreRevision revision) {
         if (wanted.getAsBoolean()) {
             watch(revision);
         } else {
@@ -150,8 +156,12 @@
         refreshFrom(followed);
     }
 
-    private void watch(long revision) {
+    private void watch(StoreRevision revision) {
         idle = false;
+        if (!isCurrent(revision)) {
+            start();
+            return;
+        }
         followed = revision;
         int number = ++watches;
         TimerThread.hear(timers, store.changes(prefix, revision, WATCH), (changes, failure) -> {
@@ -161,14 +171,14 @@
         });
     }
 
-    private void onWatched(long revision, Changes changes, Throwable failure) {
+    private void onWatched(StoreRevision revision, Changes changes, Throwable failure) {
         failures = failure == null ? 0 : failures + 1;
         listener.onStore(failure == null);
         if (failure != null) {
             watchAfter(pause(), revision);
-        } else if (changes.historyGone()) {
+        } else if (changes.historyGone() || !changes.revision().isSameEra(revision)) {
             log.atInfo().log(
-                    "the store knows nothing of %s after revision %d any more: it is listed again", prefix, revision);
+                    "the store knows nothing of %s after revision %s any more: it is listed again", prefix, revision);
             start();
         } else {
             changes.entries().forEach(listener::onChange);
@@ -177,7 +187,7 @@
         }
     }
 
-    private void watchAfter(Duration pause, long revision) {
+    private void watchAfter(Duration pause, StoreRevision revision) {
         followed = revision;
         int ended = watches;
         timers.after(pause, () -> {
--- /dev/null
+++ b/src/main/java/io/beryldock/store/StoreParts.java
@@ -0,0 +1,52 @@
+package io.beryldock.store;
+
+import com.google.common.collect.ImmutableList;
+import com.google.protobuf.ByteString;
+import io.beryldock.store.RegistryStore.Entry;
+import io.beryldock.store.RegistryStore.Listing;
+import io.beryldock.wire.StoreEntry;
+import io.beryldock.wire.StorePart;
+import java.util.Optional;
+
+/** Translates what nodes tell each other of the store. Stateless, thread safe. */
+final class StoreParts {
+
+    private StoreParts() {}
+
+    /** A part without entries: the sender knows every change up to the revision. */
+    static StorePart.Builder part(String prefix, StoreRevision revision) {
+        return StorePart.newBuilder().setPrefix(prefix).setEra(revision.era()).setRevision(revision.number());
+    }
+
+    static StoreRevision revision(StorePart part) {
+        return new StoreRevision(part.getEra(), part.getRevision());
+    }
+
+    /** The revision after which the entries hold every change. */
+    static StoreRevision since(StorePart part) {
+        return new StoreRevision(part.getEra(), part.getSince());
+    }
+
+    static StoreEntry entry(Entry entry) {
+        StoreEntry.Builder wire = StoreEntry.newBuilder()
+                .setKey(entry.key())
+                .setEra(entry.revision().era())
+                .setRevision(entry.revision().number());
+        entry.value().ifPresent(wire::setValue);
+        return wire.build();
+    }
+
+    static ImmutableList<Entry> entries(StorePart part) {
+        return part.getEntriesList().stream().map(StoreParts::entry).collect(ImmutableList.toImmutableList());
+    }
+
+    private static Entry entry(StoreEntry wire) {
+        Optional<ByteString> value = wire.hasValue() ? Optional.of(wire.getValue()) : Optional.empty();
+        return new Entry(wire.getKey(), new StoreRevision(wire.getEra(), wire.getRevision()), value);
+    }
+
+    /** What a part that is whole lists. */
+    static Listing listing(StorePart part) {
+        return new Listing(entries(part), revision(part));
+    }
+}
--- a/src/main/java/io/beryldock/store/StoreSharing.java
+++ b/src/main/java/io/beryldock/store/StoreSharing.java
@@ -55,6 +55,9 @@
      */
     private static final long YOUTH = Duration.ofSeconds(3).toNanos();
 
+    /** The answer that named a new era may be a listing, which is not made twice. */
+    private static final Duration ERA_SETTLE = Duration.ofMillis(50);
+
     private final NodeId self;
     private final Ports ports;
     private final long startedAt;
@@ -81,6 +84,7 @@
 
     public static StoreSharing create(NodeId self, Ports ports) {
         StoreSharing sharing = new StoreSharing(self, ports);
+        ports.store().eras().onRise(ports.timers(), () -> ports.timers().after(ERA_SETTLE, sharing::enterEra));
         ports.timers().after(SETTLE, sharing::tick);
         ports.timers().every(QUESTION_PERIOD, sharing::tick);
         return sharing;
@@ -138,6 +142,7 @@
         if (notice.isEmpty()) {
             return;
         }
+        eras().note(notice.get().getEra());
         if (notice.get().getQuestion()) {
             reply.accept(answerTo(notice.get()).toByteString());
         } else {
@@ -197,11 +202,20 @@
         storeAnswers = answered;
         if (changed) {
             log.atInfo().log(answered ? "the store answers again" : "the store does not answer");
-            tellOwnDataCentre(StoreNotice.newBuilder());
+            tellOwnDataCentre(notice());
         }
         ports.recovery().onCall(answered);
     }
 
+    private void enterEra() {
+        long era = eras().newest();
+        followers.values().forEach(follower -> follower.enterEra(era));
+    }
+
+    private StoreEras eras() {
+        return ports.store().eras();
+    }
+
     private void elect() {
         boolean watcher = isWatcher();
         boolean relies = now(ports) - startedAt < YOUTH && knowsOthers();
@@ -222,9 +236,8 @@
     }
 
     private void ask(NodeId node) {
-        StoreNotice.Builder question = StoreNotice.newBuilder().setQuestion(true);
-        followers.forEach((prefix, follower) ->
-                question.addParts(StorePart.newBuilder().setPrefix(prefix).setRevision(follower.revision())));
+        StoreNotice.Builder question = notice().setQuestion(true);
+        followers.forEach((prefix, follower) -> question.addParts(StoreParts.part(prefix, follower.revision())));
         Moment asked = ports.clock().now();
         TimerThread.hear(
                 ports.timers(),
@@ -239,6 +252,7 @@
         }
         Optional<StoreNotice> notice = read(node, answer);
         if (notice.isPresent()) {
+            eras().note(notice.get().getEra());
             take(node, notice.get());
             noteVerified(asked, notice.get());
         }
@@ -253,7 +267,7 @@
         for (StorePart part : answer.getPartsList()) {
             SharedFollower follower = followers.get(part.getPrefix());
             if (follower != null && part.hasVerifiedAgeNanos()) {
-                follower.noteVerified(asked.minusNanos(part.getVerifiedAgeNanos()), part.getRevision());
+                follower.noteVerified(asked.minusNanos(part.getVerifiedAgeNanos()), StoreParts.revision(part));
             }
         }
     }
@@ -265,7 +279,7 @@
     }
 
     private StoreNotice answerTo(StoreNotice question) {
-        StoreNotice.Builder answer = StoreNotice.newBuilder().setWatching(watching());
+        StoreNotice.Builder answer = notice().setWatching(watching());
         for (StorePart known : question.getPartsList()) {
             SharedFollower follower = followers.get(known.getPrefix());
             if (follower != null) {
@@ -277,17 +291,16 @@
 
     /** What the follower knows beyond the part, and since when it knows that there is no more. */
     private Optional<StorePart> answerPart(SharedFollower follower, StorePart known) {
-        boolean newer = follower.revision() > known.getRevision();
+        StoreRevision revision = StoreParts.revision(known);
+        boolean newer = follower.revision().isAfter(revision);
         Optional<Moment> since = verified.contains(follower) ? follower.verified() : Optional.empty();
         if (!newer && since.isEmpty()) {
             return Optional.empty();
         }
         StorePart.Builder part = newer
-                ? follower.since(known.getRevision()).toBuilder()
-                : StorePart.newBuilder()
-                        .setPrefix(known.getPrefix())
-                        .setRevision(follower.revision())
-                        .setSince(follower.revision());
+                ? follower.since(revision).toBuilder()
+                : StoreParts.part(known.getPrefix(), follower.revision())
+                        .setSince(follower.revision().number());
         Moment now = ports.clock().now();
         since.ifPresent(moment -> part.setVerifiedAgeNanos(moment.ageNanos(now)));
         return Optional.of(part.build());
@@ -303,12 +316,12 @@
         for (StorePart part : notice.getPartsList()) {
             SharedFollower follower = followers.get(part.getPrefix());
             if (follower != null) {
-                long before = follower.revision();
+                StoreRevision before = follower.revision();
                 whole &= follower.take(part);
                 passOn(follower, before, sender);
             }
         }
-        if (!notice.getWatching()) {
+        if (!notice.getWatching() || isBehind(notice)) {
             suspect(sender);
         }
         if (!whole) {
@@ -316,11 +329,20 @@
         }
     }
 
+    /** The sender may have been suspended or cut off: what it follows ended with an earlier era of the store. */
+    private boolean isBehind(StoreNotice notice) {
+        return notice.getEra() < eras().newest();
+    }
+
+    private StoreNotice.Builder notice() {
+        return StoreNotice.newBuilder().setEra(eras().newest());
+    }
+
     /** What a watcher hears of another data centre is news to its own: the store may turn this one away. */
-    private void passOn(SharedFollower follower, long before, NodeId sender) {
-        boolean news = follower.revision() > before;
+    private void passOn(SharedFollower follower, StoreRevision before, NodeId sender) {
+        boolean news = follower.revision().isAfter(before);
         if (news && !ports.peers().ownDataCentre().contains(sender)) {
-            tellOwnDataCentre(StoreNotice.newBuilder().addParts(follower.since(before)));
+            tellOwnDataCentre(notice().addParts(follower.since(before)));
         }
     }
 
@@ -340,8 +362,8 @@
 
         @Override
         public void onNews(SharedFollower follower) {
-            if (follower.revision() > follower.told()) {
-                tellOwnDataCentre(StoreNotice.newBuilder().addParts(follower.since(follower.told())));
+            if (follower.revision().isAfter(follower.told())) {
+                tellOwnDataCentre(notice().addParts(follower.since(follower.told())));
             }
         }
 
--- a/src/test/java/io/beryldock/platform/KvStoreClientTest.java
+++ b/src/test/java/io/beryldock/platform/KvStoreClientTest.java
@@ -8,6 +8,7 @@
 import io.beryldock.store.PlatformStore;
 import io.beryldock.store.RegistryStore.Changes;
 import io.beryldock.store.RegistryStore.Entry;
+import io.beryldock.store.StoreRevision;
 import io.beryldock.store.WriteResult;
 import java.io.IOException;
 import java.time.Duration;
@@ -67,7 +68,7 @@
 
     @Test
     void watchTellsChangesAndRemovals() throws Exception {
-        long revision = StorePair.get(pair.client.list("a/")).revision();
+        StoreRevision revision = StorePair.get(pair.client.list("a/")).revision();
         CompletableFuture<Changes> watch = pair.client.changes("a/", revision, WAIT);
         pair.store.write("b/other", ONE);
         pair.store.write("a/1", ONE);
@@ -91,7 +92,8 @@
         pair.store.write("a/1", ONE);
         pair.store.write("a/2", ONE);
         pair.store.dropHistory();
-        assertThat(StorePair.get(pair.client.changes("a/", 1, WAIT)).historyGone())
+        assertThat(StorePair.get(pair.client.changes("a/", new StoreRevision(1, 1), WAIT))
+                        .historyGone())
                 .isTrue();
     }
 
@@ -103,4 +105,55 @@
         assertThat(StorePair.get(pair.client.renewLease(lease))).isFalse();
         assertThat(StorePair.get(pair.client.put("a/1", ONE, lease))).isFalse();
     }
+
+    /** Guards against a watch that goes on in a history that the store has lost. */
+    @Test
+    void watchBeyondTheStoresCopySaysSo() throws Exception {
+        StandinStore.Copy copy = pair.store.copy();
+        pair.store.write("a/1", ONE);
+        StoreRevision known = StorePair.get(pair.client.list("a/")).revision();
+        pair.store.comeBackFrom(copy);
+        assertThat(StorePair.get(pair.client.changes("a/", known, WAIT)).historyGone())
+                .isTrue();
+        assertThat(pair.client.eras().newest()).isEqualTo(known.era() + 1);
+        assertThat(StorePair.get(pair.client.list("a/")).revision().isAfter(known))
+                .isTrue();
+    }
+
+    /** Guards against a conditional write that replaces another's value, as its revision was given out again. */
+    @Test
+    void versionOfAnEarlierEraIsNoneToReplace() throws Exception {
+        StandinStore.Copy copy = pair.store.copy();
+        WriteResult lost = StorePair.get(pair.client.compareAndSet("k", PlatformStore.ABSENT, ONE));
+        pair.store.comeBackFrom(copy);
+        pair.store.write("k", TWO);
+        StorePair.get(pair.client.probe());
+        WriteResult late = StorePair.get(pair.client.compareAndSet("k", lost.version(), ONE));
+        assertThat(late.kind()).isEqualTo(WriteResult.Kind.CONFLICT);
+        assertThat(late.current().orElseThrow().value()).isEqualTo(TWO);
+        assertThat(late.current().orElseThrow().version()).isGreaterThan(lost.version());
+    }
+
+    /** Guards against a write that is told as applied although nobody knows what it replaced. */
+    @Test
+    void writeIntoAnEraThatWasNotKnownIsUnknown() throws Exception {
+        StandinStore.Copy copy = pair.store.copy();
+        WriteResult lost = StorePair.get(pair.client.compareAndSet("k", PlatformStore.ABSENT, ONE));
+        pair.store.comeBackFrom(copy);
+        pair.store.write("k", TWO);
+        WriteResult blind = StorePair.get(pair.client.compareAndSet("k", lost.version(), ONE));
+        assertThat(blind.kind()).isEqualTo(WriteResult.Kind.UNKNOWN);
+    }
+
+    @Test
+    void watchOfAValueEndsWithTheOneOfTheNewEra() throws Exception {
+        StandinStore.Copy copy = pair.store.copy();
+        WriteResult lost = StorePair.get(pair.client.compareAndSet("k", PlatformStore.ABSENT, ONE));
+        pair.store.comeBackFrom(copy);
+        pair.store.write("k", TWO);
+        assertThat(StorePair.get(pair.client.watch("k", lost.version(), WAIT))
+                        .orElseThrow()
+                        .value())
+                .isEqualTo(TWO);
+    }
 }
--- a/src/test/java/io/beryldock/store/EntryTableTest.java
+++ b/src/test/java/io/beryldock/store/EntryTableTest.java
@@ -18,21 +18,25 @@
 
     private final EntryTable table = new EntryTable("p/");
 
+    private static StoreRevision at(long number) {
+        return new StoreRevision(1, number);
+    }
+
     private static Entry entry(String key, long revision) {
-        return new Entry(key, revision, Optional.of(ByteString.copyFromUtf8(key + revision)));
+        return new Entry(key, at(revision), Optional.of(ByteString.copyFromUtf8(key + revision)));
     }
 
     private static Entry removal(String key, long revision) {
-        return new Entry(key, revision, Optional.empty());
+        return new Entry(key, at(revision), Optional.empty());
     }
 
     private void list(long revision, Entry... entries) {
-        Listing listing = new Listing(ImmutableList.copyOf(entries), revision);
+        Listing listing = new Listing(ImmutableList.copyOf(entries), at(revision));
         table.changesTo(listing).forEach(change -> table.take(change, 0));
-        table.advance(revision);
+        table.advance(at(revision));
     }
 
-    private List<String> keysSince(long revision) {
+    private List<String> keysSince(StoreRevision revision) {
         return table.since(revision, 0).getEntriesList().stream()
                 .map(StoreEntry::getKey)
                 .toList();
@@ -51,7 +55,7 @@
     @Test
     void listingOlderThanWhatIsKnownChangesNothing() {
         list(9, entry("p/a", 9));
-        assertThat(table.changesTo(new Listing(ImmutableList.of(entry("p/b", 3)), 4)))
+        assertThat(table.changesTo(new Listing(ImmutableList.of(entry("p/b", 3)), at(4))))
                 .isEmpty();
     }
 
@@ -59,16 +63,16 @@
     void entryMissingInAListingIsRemoved() {
         list(2, entry("p/a", 1), entry("p/b", 2));
         list(6, entry("p/b", 2));
-        assertThat(keysSince(EntryTable.EMPTY)).containsExactly("p/b");
-        assertThat(table.since(2, 0).getEntriesList())
+        assertThat(keysSince(StoreRevision.NONE)).containsExactly("p/b");
+        assertThat(table.since(at(2), 0).getEntriesList())
                 .anyMatch(found -> found.getKey().equals("p/a") && !found.hasValue());
     }
 
     @Test
     void partHoldsWhatChangedAfterTheRevision() {
         list(5, entry("p/a", 1), entry("p/b", 5));
-        assertThat(table.since(3, 0).getWhole()).isFalse();
-        assertThat(keysSince(3)).containsExactly("p/b");
+        assertThat(table.since(at(3), 0).getWhole()).isFalse();
+        assertThat(keysSince(at(3))).containsExactly("p/b");
     }
 
     /** Story: a node that was away for a minute keeps a target that was removed meanwhile, for ever. */
@@ -76,9 +80,64 @@
     void nodeThatLaggedLongIsSentAllThereIs() {
         list(1, entry("p/a", 1));
         table.take(removal("p/a", 2), 0);
-        table.advance(2);
-        assertThat(table.since(1, 0).getWhole()).isFalse();
-        assertThat(table.since(1, LATER).getWhole()).isTrue();
-        assertThat(table.since(2, LATER).getEntriesList()).isEmpty();
+        table.advance(at(2));
+        assertThat(table.since(at(1), 0).getWhole()).isFalse();
+        assertThat(table.since(at(1), LATER).getWhole()).isTrue();
+        assertThat(table.since(at(2), LATER).getEntriesList()).isEmpty();
+    }
+
+    private static Entry inLaterEra(Entry entry) {
+        return new Entry(entry.key(), new StoreRevision(2, entry.revision().number()), entry.value());
+    }
+
+    /** Guards against changes that are dropped since their revisions were given out before, in an earlier era. */
+    @Test
+    void lowerRevisionOfALaterEraIsNews() {
+        list(9, entry("p/a", 9));
+        assertThat(table.isNews(inLaterEra(entry("p/a", 4)))).isTrue();
+        table.take(inLaterEra(entry("p/a", 4)), 0);
+        assertThat(table.isNews(entry("p/a", 10))).isFalse();
+    }
+
+    /** Guards against a change that the store lost and an answer which was under way for long brings back. */
+    @Test
+    void changeOfAnEarlierEraIsNoNews() {
+        list(9, entry("p/a", 5));
+        table.advance(new StoreRevision(2, 5));
+        assertThat(table.isNews(entry("p/lost", 8))).isFalse();
+    }
+
+    /** Guards against a listing of the store's copy that is taken for one of a copy that lags. */
+    @Test
+    void listingOfALaterEraRemovesWhatWasLost() {
+        list(9, entry("p/a", 5), entry("p/b", 9));
+        Listing copy = new Listing(ImmutableList.of(inLaterEra(entry("p/a", 5))), new StoreRevision(2, 6));
+        assertThat(table.changesTo(copy)).containsExactly(new Entry("p/b", new StoreRevision(2, 6), Optional.empty()));
+    }
+
+    /** Guards against records that listeners take for changed since the store came back with them. */
+    @Test
+    void changeThatTheCopyHoldsIsToldOnce() {
+        list(9, entry("p/a", 5));
+        Entry other = new Entry("p/a", new StoreRevision(2, 5), Optional.of(ByteString.copyFromUtf8("other")));
+        Listing copy = new Listing(ImmutableList.of(inLaterEra(entry("p/a", 5))), new StoreRevision(2, 5));
+        Listing changed = new Listing(ImmutableList.of(other), new StoreRevision(2, 5));
+        assertThat(table.changesTo(copy)).isEmpty();
+        assertThat(table.changesTo(changed)).containsExactly(other);
+    }
+
+    /** Guards against an order of keys in which an entry that was replaced long ago comes after the one in its place. */
+    @Test
+    void listedChangesComeInTheOrderOfTheirRevisions() {
+        Listing listing = new Listing(ImmutableList.of(entry("p/a", 8), entry("p/b", 3)), at(9));
+        assertThat(table.changesTo(listing)).extracting(Entry::key).containsExactly("p/b", "p/a");
+    }
+
+    /** Guards against a node that keeps what the store lost, as it is told only what followed its own revision. */
+    @Test
+    void nodeOfAnotherEraIsSentAllThereIs() {
+        list(9, entry("p/a", 5));
+        assertThat(table.since(new StoreRevision(2, 7), 0).getWhole()).isTrue();
+        assertThat(table.since(at(7), 0).getWhole()).isFalse();
     }
 }
--- a/src/test/java/io/beryldock/store/FakeRegistry.java
+++ b/src/test/java/io/beryldock/store/FakeRegistry.java
@@ -22,6 +22,7 @@
     private final List<RegistryStore.Entry> history = new ArrayList<>();
     private final Map<Long, List<String>> leases = new TreeMap<>();
     private final List<Watch> watches = new ArrayList<>();
+    private long era = 1;
     private long revision = 1;
     private long nextLease = 1;
 
@@ -43,7 +44,7 @@
 
     public void write(String key, ByteString value) {
         revision++;
-        record(new RegistryStore.Entry(key, revision, Optional.of(value)));
+        record(new RegistryStore.Entry(key, at(), Optional.of(value)));
     }
 
     public boolean holds(String key) {
@@ -59,10 +60,11 @@
 
     /** Loses all that was done since the copy was made; watches under way are cut. */
     public void comeBackFrom(Copy copy) {
+        era++;
         items.clear();
-        items.putAll(copy.items());
+        copy.items().forEach((key, item) -> items.put(key, inPresentEra(item)));
         history.clear();
-        history.addAll(copy.history());
+        copy.history().forEach(item -> history.add(inPresentEra(item)));
         leases.clear();
         copy.leases().forEach((lease, keys) -> leases.put(lease, new ArrayList<>(keys)));
         revision = copy.revision();
@@ -71,6 +73,11 @@
         cut.forEach(Watch::cut);
     }
 
+    private RegistryStore.Entry inPresentEra(RegistryStore.Entry entry) {
+        StoreRevision number = new StoreRevision(era, entry.revision().number());
+        return new RegistryStore.Entry(entry.key(), number, entry.value());
+    }
+
     /** An older state of the store. Immutable. */
     public record Copy(
             Map<String, RegistryStore.Entry> items,
@@ -86,10 +93,14 @@
         void cut();
     }
 
+    private StoreRevision at() {
+        return new StoreRevision(era, revision);
+    }
+
     private void remove(String key) {
         if (items.remove(key) != null) {
             revision++;
-            record(new RegistryStore.Entry(key, revision, Optional.empty()));
+            record(new RegistryStore.Entry(key, at(), Optional.empty()));
         }
     }
 
@@ -106,6 +117,7 @@
         private boolean down;
         private boolean silent;
         private int calls;
+        private final StoreEras eras = StoreEras.create();
         private Supplier<Duration> delay = () -> Duration.ZERO;
 
         /** Readings reach the store after a delay, and their answers come back after another. */
@@ -133,9 +145,16 @@
                 timers.after(ANSWER_TIMEOUT, () -> none.completeExceptionally(new PlatformException("no answer")));
                 return none;
             }
-            return down
-                    ? CompletableFuture.failedFuture(new PlatformException("the store is down"))
-                    : CompletableFuture.completedFuture(value);
+            if (down) {
+                return CompletableFuture.failedFuture(new PlatformException("the store is down"));
+            }
+            eras.note(era);
+            return CompletableFuture.completedFuture(value);
+        }
+
+        @Override
+        public StoreEras eras() {
+            return eras;
         }
 
         @Override
@@ -166,16 +185,16 @@
                     items.values().stream()
                             .filter(item -> item.key().startsWith(prefix))
                             .collect(ImmutableList.toImmutableList()),
-                    revision);
+                    at());
         }
 
         @Override
-        public CompletableFuture<Changes> changes(String prefix, long after, Duration wait) {
+        public CompletableFuture<Changes> changes(String prefix, StoreRevision after, Duration wait) {
             calls++;
-            if (after > revision) {
-                return answer(new Changes(true, ImmutableList.of(), after));
+            if (after.number() > revision) {
+                return answer(new Changes(true, ImmutableList.of(), at()));
             }
-            WaitingWatch watch = new WaitingWatch(prefix, after);
+            WaitingWatch watch = new WaitingWatch(prefix, after.number());
             watches.add(watch);
             timers.after(wait, watch::end);
             watch.look();
@@ -197,11 +216,13 @@
             @Override
             public void look() {
                 ImmutableList<Entry> found = history.stream()
-                        .filter(entry -> entry.revision() > after && entry.key().startsWith(prefix))
+                        .filter(entry ->
+                                entry.revision().number() > after && entry.key().startsWith(prefix))
                         .collect(ImmutableList.toImmutableList());
                 silenced |= silent;
                 if (!found.isEmpty() && !down && !silenced && watches.remove(this)) {
-                    future.complete(new Changes(false, found, revision));
+                    eras.note(era);
+                    future.complete(new Changes(false, found, at()));
                 }
             }
 
@@ -215,7 +236,8 @@
                 if (down || silenced) {
                     future.completeExceptionally(new PlatformException("the store is down"));
                 } else {
-                    future.complete(new Changes(false, ImmutableList.of(), Math.max(after, revision)));
+                    eras.note(era);
+                    future.complete(new Changes(false, ImmutableList.of(), at()));
                 }
             }
         }
--- a/src/test/java/io/beryldock/store/StoreSharingTest.java
+++ b/src/test/java/io/beryldock/store/StoreSharingTest.java
@@ -201,6 +201,103 @@
         assertThat(allHold("end", "all")).isTrue();
     }
 
+    private Map<String, ByteString> stored() {
+        Map<String, ByteString> stored = new TreeMap<>();
+        registry.copy()
+                .items()
+                .forEach((key, item) -> stored.put(key, item.value().orElseThrow()));
+        return stored;
+    }
+
+    /** Guards against nodes that keep what the store lost, or miss what was written at revisions given out again. */
+    @Test
+    void allAgreeWithTheStoreSoonAfterItCameBackFromAnOlderCopy() {
+        start();
+        write("kept", "1");
+        write("changed", "1");
+        timers.advance(Duration.ofSeconds(1));
+        FakeRegistry.Copy copy = registry.copy();
+        write("changed", "2");
+        write("lost", "1");
+        write("lost", "2");
+        timers.advance(Duration.ofSeconds(1));
+        registry.comeBackFrom(copy);
+        write("changed", "3");
+        timers.advance(Duration.ofSeconds(2));
+        assertThat(copies.values()).allSatisfy(found -> assertThat(found.values).isEqualTo(stored()));
+    }
+
+    /** Guards against a watch that waits in the new era for a revision of the old one, which it has by then. */
+    @Test
+    void watchFromAnEarlierEraIsMadeAnew() {
+        start();
+        FakeRegistry.Copy copy = registry.copy();
+        write("a", "1");
+        timers.advance(Duration.ofSeconds(1));
+        copies.keySet().forEach(id -> fleet.view(id).setDown(true));
+        registry.comeBackFrom(copy);
+        write("a", "2");
+        copies.keySet().forEach(id -> fleet.view(id).setDown(false));
+        timers.advance(Duration.ofSeconds(3));
+        assertThat(allHold("a", "2")).isTrue();
+    }
+
+    /** Guards against neighbours that believe a node which slept over several eras and tells of the first one. */
+    @Test
+    void nodeThatSleptOverSeveralErasIsNotBelieved() {
+        start();
+        String watcher = watchersOf("c0").get(0);
+        FakeRegistry.Copy copy = registry.copy();
+        write("a", "old");
+        timers.advance(Duration.ofSeconds(1));
+        fleet.suspend(watcher, true);
+        for (int i = 0; i < 3; i++) {
+            registry.comeBackFrom(copy);
+            write("a", "new" + i);
+            timers.advance(Duration.ofSeconds(4));
+        }
+        fleet.suspend(watcher, false);
+        for (int i = 0; i < 40; i++) {
+            timers.advance(Duration.ofMillis(50));
+            assertThat(copies)
+                    .allSatisfy((id, found) -> assertThat(id.equals(watcher)
+                                    || ByteString.copyFromUtf8("new2").equals(found.values.get(PREFIX + "a")))
+                            .isTrue());
+        }
+        assertThat(allHold("a", "new2")).isTrue();
+    }
+
+    /** Whatever changes while the store comes back from copies, nodes die and lose it: all agree with it in the end. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
+    void allAgreeWithTheStoreOfTheLastEra(long seed) {
+        start();
+        Random random = new Random(seed);
+        List<String> ids = List.copyOf(copies.keySet());
+        FakeRegistry.Copy copy = registry.copy();
+        for (int step = 0; step < 60; step++) {
+            String id = ids.get(random.nextInt(ids.size()));
+            switch (random.nextInt(8)) {
+                case 0 -> fleet.view(id).setDown(random.nextBoolean());
+                case 1 -> fleet.view(id).setSilent(random.nextBoolean());
+                case 2 -> fleet.suspend(id, random.nextBoolean());
+                case 3 -> fleet.view(id).setDelay(() -> Duration.ofMillis(random.nextInt(900)));
+                case 4 -> copy = registry.copy();
+                case 5 -> registry.comeBackFrom(copy);
+                default -> write("k" + random.nextInt(10), "v" + step);
+            }
+            timers.advance(Duration.ofMillis(random.nextInt(800)));
+        }
+        ids.forEach(id -> {
+            fleet.view(id).setDown(false);
+            fleet.view(id).setSilent(false);
+            fleet.view(id).setDelay(() -> Duration.ZERO);
+            fleet.suspend(id, false);
+        });
+        timers.advance(Duration.ofSeconds(15));
+        assertThat(copies.values()).allSatisfy(found -> assertThat(found.values).isEqualTo(stored()));
+    }
+
     @Test
     void malformedNoticeIsPassedOver() {
         start();
