A node's record that the store lost is written again by the node

New nodes would not find a target, or find one that leaves ready for orders: the store had come back from a copy without the last change of the node's record, or without its lease, and the node took the lost write for acknowledged until its next renewal, or for good.

Cause: an acknowledged write was taken to last. When the era rises a node now reads its own record back, spread over 0.3 s, writes it again under a new lease when it is not there as it was, and renews the lease at once otherwise. A reading a node, not a write: with 22,000 nodes all would write at once, though a copy some seconds old lacks the changes of few.

--- a/src/main/java/io/beryldock/membership/RegistryRecord.java
+++ b/src/main/java/io/beryldock/membership/RegistryRecord.java
@@ -3,6 +3,7 @@
 import com.google.protobuf.ByteString;
 import io.beryldock.membership.MemberRecord.AnnouncedTarget;
 import io.beryldock.store.RegistryStore;
+import io.beryldock.store.RegistryStore.Listing;
 import io.beryldock.store.StoreRecovery;
 import io.beryldock.time.Jitter;
 import io.beryldock.time.TimerService;
@@ -20,7 +21,8 @@
  *
  * <p>Control thread only. Invariant: the record in the store is the current one, or a write of it is under way or due.
  * After an outage it is back within about a second: while the store gives no answer it is asked each
- * {@link #RETRY}, and an entry that is seen to be gone is written again at once.
+ * {@link #RETRY}, and an entry that is seen to be gone is written again at once. When the store has come back from an
+ * older copy the entry is read back, and written again unless it is there as it was.
  */
 final class RegistryRecord {
 
@@ -34,6 +36,10 @@
     private static final int WRITINGS_KEPT = 8;
 
     private static final Duration RETRY = Duration.ofMillis(500);
+
+    /** Nodes hear of a new era at the same time; their readings are spread over this. */
+    private static final Duration CHECK_SPREAD = Duration.ofMillis(300);
+
     private static final long NO_LEASE = 0;
 
     private final String key;
@@ -47,6 +53,7 @@
     private long renewedAt;
     private boolean busy;
     private boolean left;
+    private boolean unchecked;
     private final Deque<ByteString> writings = new ArrayDeque<>();
 
     RegistryRecord(String key, MemberRecord record, RegistryPorts ports) {
@@ -56,6 +63,7 @@
         this.recovery = ports.recovery();
         this.timers = ports.timers();
         this.random = ports.random();
+        store.eras().onRise(timers, this::onEraRisen);
     }
 
     String key() {
@@ -78,7 +86,11 @@
 
     /** Writes the record, unless it is in the store already. */
     void publish() {
-        if (busy || left || written == record.revision()) {
+        if (busy || left) {
+            return;
+        }
+        if (written == record.revision()) {
+            checkIfDue();
             return;
         }
         busy = true;
@@ -132,6 +144,49 @@
         });
     }
 
+    /** What the store had acknowledged may be lost, and its lease with it. */
+    private void onEraRisen() {
+        timers.after(Jitter.around(CHECK_SPREAD.dividedBy(2), random), () -> {
+            unchecked = true;
+            publish();
+        });
+    }
+
+    private void checkIfDue() {
+        if (unchecked) {
+            busy = true;
+            unchecked = false;
+            hear(store.list(key), this::onReadBack);
+        }
+    }
+
+    private void onReadBack(Listing listing, Throwable failure) {
+        if (failure != null) {
+            unchecked = true;
+            retry();
+            return;
+        }
+        busy = false;
+        if (holdsRecord(listing)) {
+            renewSoon();
+        } else {
+            rewrite();
+        }
+    }
+
+    private boolean holdsRecord(Listing listing) {
+        ByteString current = MembershipCodec.encode(record).toByteString();
+        return listing.entries().stream()
+                .filter(entry -> entry.key().equals(key))
+                .anyMatch(entry -> entry.value().filter(current::equals).isPresent());
+    }
+
+    /** The store may have lost the last renewal. */
+    private void renewSoon() {
+        renewedAt = timers.ticker().nanos() - RENEWAL.toNanos();
+        renew();
+    }
+
     /** Renews the lease when that is due. */
     void renew() {
         boolean due = timers.ticker().nanos() - renewedAt >= RENEWAL.toNanos();
--- a/src/test/java/io/beryldock/membership/RegistryMembershipTest.java
+++ b/src/test/java/io/beryldock/membership/RegistryMembershipTest.java
@@ -10,6 +10,7 @@
 import io.beryldock.store.FakeRegistry;
 import io.beryldock.store.StorePeers;
 import io.beryldock.store.StoreRecovery;
+import io.beryldock.store.StoreRevision;
 import io.beryldock.store.StoreSharing;
 import io.beryldock.time.ManualTimerService;
 import io.beryldock.time.Moment;
@@ -188,4 +189,59 @@
         run(Duration.ofSeconds(1));
         assertThat(targetsAt(first)).isEqualTo(1);
     }
+
+    /** Guards against a target that nobody finds any more, as the store lost its record and its lease. */
+    @Test
+    void recordThatTheStoreLostIsWrittenAgainWithinTwoSeconds() {
+        FakeRegistry.Copy empty = registry.copy();
+        run(Duration.ofSeconds(4));
+        registry.comeBackFrom(empty);
+        run(Duration.ofSeconds(2));
+        assertThat(registry.holds(RegistryMembership.PREFIX + "n1")).isTrue();
+        assertThat(registry.holds(RegistryMembership.PREFIX + "n2")).isTrue();
+        RegistryMembership third = membership("n3", 3, registry.view());
+        run(Duration.ofSeconds(1));
+        assertThat(targetsAt(third)).isEqualTo(3);
+    }
+
+    /** Guards against orders to a target that leaves: the store came back with its record from before. */
+    @Test
+    void leavingThatTheStoreLostIsWrittenAgain() {
+        run(Duration.ofSeconds(4));
+        FakeRegistry.Copy ready = registry.copy();
+        second.announce(LISTS, 8, TargetState.LEAVING);
+        run(Duration.ofSeconds(1));
+        registry.comeBackFrom(ready);
+        run(Duration.ofSeconds(2));
+        RegistryMembership third = membership("n3", 3, registry.view());
+        run(Duration.ofSeconds(1));
+        assertThat(targetsAt(third)).isEqualTo(2);
+    }
+
+    /** Guards against a write of every node when the store comes back, though it lost nothing of them. */
+    @Test
+    void recordThatTheCopyHoldsIsNotWrittenAgain() {
+        run(Duration.ofSeconds(4));
+        registry.comeBackFrom(registry.copy());
+        StoreRevision before =
+                registry.copy().items().get(RegistryMembership.PREFIX + "n1").revision();
+        run(Duration.ofSeconds(4));
+        assertThat(registry.copy().items().get(RegistryMembership.PREFIX + "n1").revision())
+                .isEqualTo(before);
+    }
+
+    /** Guards against a sound node that is pushed out by one whose address it took, as the store came back with both. */
+    @Test
+    void nodeAtAnAddressUsedAgainStaysWhenTheStoreLosesItsRecord() {
+        run(Duration.ofSeconds(4));
+        secondView.setDown(true);
+        FakeRegistry.Copy copy = registry.copy();
+        FakeRegistry.View thirdView = registry.view();
+        membership("n3", 2, thirdView);
+        run(Duration.ofSeconds(4));
+        thirdView.setDown(true);
+        registry.comeBackFrom(copy);
+        run(Duration.ofSeconds(3));
+        assertThat(first.directory().node(NodeId.of("n3"))).isPresent();
+    }
 }
