Records that a copy of the store brings back replace no newer ones

Requests would go to a node that has left, or to a leaving target, after the store came back from an older copy: the record in it was written in a later era and so taken for news. A record is now compared with the known one of the same start by its own revision, which its node alone counts, and the starts of nodes that left are remembered for longer than a lease lasts. Both tests failed before.

Looked for elsewhere by the same question, who else may set back the counter: quotas, credits and retry budgets keep nothing in the store; keys and routes come with the operators' document, whose version the operators count.

--- a/src/main/java/io/beryldock/membership/RegistryMembership.java
+++ b/src/main/java/io/beryldock/membership/RegistryMembership.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.InvalidProtocolBufferException;
+import io.beryldock.call.Incarnation;
 import io.beryldock.call.NodeId;
 import io.beryldock.call.ServiceName;
 import io.beryldock.membership.MemberRecord.AnnouncedTarget;
@@ -57,6 +58,10 @@
     private final RegistryRecord own;
     private final MembershipCodec codec = MembershipCodec.create();
     private final Map<String, Known> known = new HashMap<>();
+
+    /** Starts of nodes that have left, and when this node heard of it. */
+    private final Map<Incarnation, Long> departed = new HashMap<>();
+
     private final DirectoryFeed feed;
     private boolean storeDown;
 
@@ -146,6 +151,7 @@
                 .map(Map.Entry::getKey)
                 .toList();
         expired.forEach(this::forget);
+        departed.values().removeIf(since -> now - since > LAPSE_HOLD.toNanos());
     }
 
     private void forget(String key) {
@@ -168,10 +174,15 @@
     }
 
     private void take(String key, MemberRecord record) {
+        Incarnation start = record.node().incarnation();
         if (record.hasLeft()) {
+            departed.put(start, timers.ticker().nanos());
             forget(key);
             return;
         }
+        if (departed.containsKey(start)) {
+            return;
+        }
         // A VM's address may be used again by another node; the entry of the earlier one is then surely old.
         known.entrySet()
                 .removeIf(entry -> !entry.getKey().equals(key)
@@ -180,10 +191,16 @@
                                 .node()
                                 .peerAddress()
                                 .equals(record.node().peerAddress()));
-        known.put(key, new Known(record, Optional.empty()));
+        known.put(key, new Known(newest(key, record), Optional.empty()));
         feed.publishSoon();
     }
 
+    /** The store may come back from a copy that holds an older record than the one known; its node writes it again. */
+    private MemberRecord newest(String key, MemberRecord found) {
+        Known entry = known.get(key);
+        return entry != null && entry.record().isNewerThan(found) ? entry.record() : found;
+    }
+
     private void lapse(String key) {
         Known entry = known.get(key);
         if (entry != null && entry.lapsedAt().isEmpty()) {
--- a/src/test/java/io/beryldock/membership/RegistryMembershipTest.java
+++ b/src/test/java/io/beryldock/membership/RegistryMembershipTest.java
@@ -230,6 +230,31 @@
                 .isEqualTo(before);
     }
 
+    /** Guards against requests to a node that has left: the store came back with its record. */
+    @Test
+    void nodeThatLeftDoesNotComeBackWithTheStoresCopy() {
+        run(Duration.ofSeconds(4));
+        FakeRegistry.Copy copy = registry.copy();
+        second.leave();
+        run(Duration.ofSeconds(1));
+        registry.comeBackFrom(copy);
+        run(Duration.ofSeconds(1));
+        assertThat(first.directory().node(NodeId.of("n2"))).isEmpty();
+    }
+
+    /** Guards against requests to a leaving target until its node has written the record again that the store lost. */
+    @Test
+    void olderRecordOfTheSameStartReplacesNone() {
+        run(Duration.ofSeconds(4));
+        FakeRegistry.Copy copy = registry.copy();
+        second.announce(LISTS, 8, TargetState.LEAVING);
+        run(Duration.ofSeconds(1));
+        secondView.setDown(true);
+        registry.comeBackFrom(copy);
+        run(Duration.ofSeconds(3));
+        assertThat(targetsAt(first)).isEqualTo(1);
+    }
+
     /** Guards against a sound node that is pushed out by one whose address it took, as the store came back with both. */
     @Test
     void nodeAtAnAddressUsedAgainStaysWhenTheStoreLosesItsRecord() {
