Limits of an older document of the operators replace none

A document that was not put in force, as a newer version was, still set the limits of the listeners: after the store came back from an older copy idle connections would be closed by the old limit. Reading a document changed state beside the version check. Limits are now kept with the version that they were read from; the test failed before.

--- a/src/main/java/io/beryldock/platform/OperatorDocument.java
+++ b/src/main/java/io/beryldock/platform/OperatorDocument.java
@@ -26,6 +26,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
+import java.util.concurrent.atomic.AtomicReference;
 
 /**
  * Reads the document in which the platform's operators keep routes, services and limits.
@@ -55,11 +56,21 @@
      * A connection that is closed just as its client sends again costs the client an attempt; clients use one that has
      * been idle for up to four fifths of the limit, so that the limit itself leaves time to spare.
      */
-    private volatile HttpServerLimits limits =
+    private static final HttpServerLimits FIRST_LIMITS =
             new HttpServerLimits(16 << 10, HELD_BODY_BYTES, Duration.ofSeconds(3), Duration.ofSeconds(15));
 
+    private final AtomicReference<VersionedLimits> newest = new AtomicReference<>(new VersionedLimits(0, FIRST_LIMITS));
+
+    /** Limits and the version of the document that they were read from. Immutable. */
+    private record VersionedLimits(long version, HttpServerLimits limits) {
+
+        static VersionedLimits newer(VersionedLimits one, VersionedLimits other) {
+            return other.version > one.version ? other : one;
+        }
+    }
+
     HttpServerLimits limits() {
-        return limits;
+        return newest.get().limits();
     }
 
     @Override
@@ -75,7 +86,9 @@
         for (Map.Entry<String, JsonNode> route : root.path("routes").properties()) {
             addRoute(route.getValue(), settings);
         }
-        readLimits(root.path("limits"));
+        VersionedLimits limits = new VersionedLimits(version, limits(root.path("limits")));
+        // An older document may come again, from a store that came back from a copy.
+        newest.accumulateAndGet(limits, VersionedLimits::newer);
         return Configuration.imported(version, settings).withOrganisations(organisations(root.path("tenants")));
     }
 
@@ -139,12 +152,13 @@
         return split.build();
     }
 
-    private void readLimits(JsonNode wire) {
+    private HttpServerLimits limits(JsonNode wire) {
+        HttpServerLimits known = limits();
         if (wire.isMissingNode()) {
-            return;
+            return known;
         }
-        limits = new HttpServerLimits(
-                wire.path("maxHeaderBytes").asInt(limits.maxHeaderBytes()),
+        return new HttpServerLimits(
+                wire.path("maxHeaderBytes").asInt(known.maxHeaderBytes()),
                 (int) Math.min(HELD_BODY_BYTES, wire.path("maxBodyBytes").asLong(HELD_BODY_BYTES)),
                 seconds(wire.path("headerTimeoutS")),
                 seconds(wire.path("idleTimeoutS")));
--- a/src/test/java/io/beryldock/platform/OperatorDocumentTest.java
+++ b/src/test/java/io/beryldock/platform/OperatorDocumentTest.java
@@ -159,4 +159,15 @@
                 .containsExactly(0, 2, 3, 5);
         assertThat(configuration.priorityOf(browse, Optional.empty()).rank()).isEqualTo(2);
     }
+
+    /** Guards against limits of an older document that the store brings back: its version is not put in force. */
+    @Test
+    void limitsOfAnOlderDocumentReplaceNone() throws ConfigurationException {
+        decoded();
+        String older = TEXT.replace("0000001f", "0000001e").replace("\"idleTimeoutS\":15", "\"idleTimeoutS\":2");
+        decoder.decode(ByteString.copyFromUtf8(older));
+        assertThat(decoder.limits().idleTimeout()).isEqualTo(Duration.ofSeconds(15));
+        decoder.decode(ByteString.copyFromUtf8(older.replace("0000001e", "00000020")));
+        assertThat(decoder.limits().idleTimeout()).isEqualTo(Duration.ofSeconds(2));
+    }
 }
