Soak: the store comes back from an older copy, and a confirmed version is known everywhere

The store in the soak now goes away for up to 2.5 s and comes back from a copy of up to 6 s before, the operators write their newest document again and, a second later, a new one, and calm follows. NewVersionCheck judges probes of versions confirmed more than 2 s before, in calm only. Half of the probes are of the newest version.

--- a/src/main/java/io/beryldock/platform/SoakSurroundings.java
+++ b/src/main/java/io/beryldock/platform/SoakSurroundings.java
@@ -29,6 +29,8 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.Locale;
 import java.util.Set;
 import java.util.TreeSet;
@@ -56,6 +58,11 @@
 
     private static final Duration ASK_LIMIT = Duration.ofSeconds(1);
     private static final double MILLIS_PER_SECOND = 1000;
+    private static final Duration COPY_PERIOD = Duration.ofSeconds(1);
+
+    /** The store comes back from a copy that is so many periods old. */
+    private static final int COPIES_KEPT = 6;
+
     private static final HttpServerLimits LIMITS =
             new HttpServerLimits(16 << 10, 1 << 20, Duration.ofSeconds(10), Duration.ofSeconds(60));
     private static final HttpClientSettings CLIENT =
@@ -67,11 +74,14 @@
     private final HttpClient client = HttpClient.create(CLIENT, loops);
     private final AtomicLong beats = new AtomicLong();
     private final TreeSet<Long> versions = new TreeSet<>();
+    private final Deque<StandinStore.Copy> copies = new ArrayDeque<>();
+    private ByteString newest = ByteString.EMPTY;
     private final HttpServer storeServer;
 
     private SoakSurroundings() throws IOException, InterruptedException {
         InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         this.storeServer = HttpServer.bind(any, loops, () -> LIMITS, store);
+        timers.every(COPY_PERIOD, this::copyStore);
     }
 
     /** Starts the store. */
@@ -150,11 +160,12 @@
     }
 
     @Override
-    public void publish(long version, ImmutableSet<String> keys) {
-        store.write(OperatorDocument.KEY, Json.write(document(version, keys)));
+    public synchronized void publish(long version, ImmutableSet<String> keys) {
+        newest = Json.write(document(version, keys));
+        store.write(OperatorDocument.KEY, newest);
     }
 
-    private synchronized ObjectNode document(long version, Set<String> keys) {
+    private ObjectNode document(long version, Set<String> keys) {
         versions.add(version);
         ObjectNode document = Json.object().put("version", String.format(Locale.ROOT, "%08x", version));
         ObjectNode routes = document.putObject("routes");
@@ -208,6 +219,23 @@
         store.dropHistory();
     }
 
+    private synchronized void copyStore() {
+        copies.addLast(store.copy());
+        if (copies.size() > COPIES_KEPT) {
+            copies.removeFirst();
+        }
+    }
+
+    @Override
+    public synchronized void restoreStore() {
+        if (copies.isEmpty()) {
+            return;
+        }
+        store.comeBackFrom(copies.getFirst());
+        store.write(OperatorDocument.KEY, newest);
+        copies.clear();
+    }
+
     @Override
     public CompletableFuture<Void> askReadiness(InetSocketAddress address) {
         Headers headers = Headers.empty().with(PlatformHeaders.HOST, "node");
--- a/src/main/java/io/beryldock/soak/FaultAction.java
+++ b/src/main/java/io/beryldock/soak/FaultAction.java
@@ -27,6 +27,8 @@
     STORE_LEASES_LAPSED(Link.NONE, LinkState.OPEN),
     /** What has changed so far can't be followed any more. */
     STORE_HISTORY_FORGOTTEN(Link.NONE, LinkState.OPEN),
+    /** The store goes away and comes back from a copy some seconds old. */
+    STORE_RESTORED(Link.NONE, LinkState.OPEN),
     /** SIGSTOP, and SIGCONT at the end. */
     PAUSED(Link.NONE, LinkState.OPEN),
     /** SIGKILL, and a start at the end. */
--- a/src/main/java/io/beryldock/soak/FaultExecutor.java
+++ b/src/main/java/io/beryldock/soak/FaultExecutor.java
@@ -94,7 +94,7 @@
     private void beginAround(SoakPlace place, FaultAction action) {
         switch (action) {
             case STORE_SILENT_FOR_ALL -> places.forEach(each -> each.set(Link.STORE, LinkState.SILENT));
-            case STORE_REFUSING -> surroundings.setStore(StoreState.REFUSING);
+            case STORE_REFUSING, STORE_RESTORED -> surroundings.setStore(StoreState.REFUSING);
             case STORE_ANSWERS_LOST -> surroundings.setStore(StoreState.ANSWERS_LOST);
             case STORE_LEASES_LAPSED -> surroundings.lapseLeases();
             case STORE_HISTORY_FORGOTTEN -> surroundings.forgetHistory();
@@ -112,6 +112,10 @@
             case ALL_KILLED -> startAll();
             case STORE_SILENT_FOR_ALL -> places.forEach(each -> each.heal(Link.STORE, LinkState.SILENT));
             case STORE_REFUSING, STORE_ANSWERS_LOST -> surroundings.setStore(StoreState.SOUND);
+            case STORE_RESTORED -> {
+                surroundings.restoreStore();
+                surroundings.setStore(StoreState.SOUND);
+            }
             case STORE_LEASES_LAPSED, STORE_HISTORY_FORGOTTEN -> {}
             case STOPPED_AS_PLANNED, DOCUMENT_WRITTEN, KEY_REMOVED -> {}
             default -> place.heal(fault.action().link(), fault.action().state());
--- a/src/main/java/io/beryldock/soak/FaultPlanner.java
+++ b/src/main/java/io/beryldock/soak/FaultPlanner.java
@@ -45,6 +45,16 @@
     /** Longer than a removed key may live, so that a node must refuse what it can't know. */
     private static final Duration LONG_DEAFNESS = Duration.ofSeconds(8);
 
+    /** How long the store is away at most before it comes back from a copy. */
+    private static final Duration LONGEST_RESTORATION = Duration.ofMillis(2_500);
+
+    /** The operators' next change after the store has come back. */
+    private static final Duration CHANGE_AFTER_RESTORATION = Duration.ofSeconds(1);
+
+    /** Calm in which nodes must know the change. */
+    private static final Duration CALM_AFTER_RESTORATION =
+            CHANGE_AFTER_RESTORATION.plus(NewVersionCheck.BOUND).plus(NewVersionCheck.SETTLE);
+
     private static final int GAP_MILLIS = 1_500;
     private static final Duration CHANGE_PERIOD = Duration.ofSeconds(7);
 
@@ -88,6 +98,10 @@
                 kept = LONG_DEAFNESS;
                 add(at.plusMillis(SHORTEST_MILLIS), Duration.ZERO, FaultAction.KEY_REMOVED);
             }
+            if (action == FaultAction.STORE_RESTORED) {
+                at = at.plus(addRestoration(at, until, kept));
+                continue;
+            }
             add(at, kept, action);
             boolean overlapping = random.nextBoolean() && action != FaultAction.STORE_SILENT_FOR_ALL;
             at = overlapping ? at.plus(kept.dividedBy(2)) : at.plus(kept).plus(millis(0, GAP_MILLIS));
@@ -95,6 +109,17 @@
         }
     }
 
+    /** Adds the fault and calm after it, as far as there is time; returns how long both last. */
+    private Duration addRestoration(Duration at, Duration until, Duration drawn) {
+        Duration length = drawn.compareTo(LONGEST_RESTORATION) < 0 ? drawn : LONGEST_RESTORATION;
+        add(at, length, FaultAction.STORE_RESTORED);
+        Duration change = at.plus(length).plus(CHANGE_AFTER_RESTORATION);
+        if (change.compareTo(until) < 0) {
+            add(change, Duration.ZERO, FaultAction.DOCUMENT_WRITTEN);
+        }
+        return length.plus(CALM_AFTER_RESTORATION);
+    }
+
     private void addChanges(Duration length) {
         for (Duration at = millis(0, LONGEST_MILLIS); at.compareTo(length) < 0; at = at.plus(CHANGE_PERIOD)) {
             add(at, Duration.ZERO, FaultAction.DOCUMENT_WRITTEN);
--- a/src/main/java/io/beryldock/soak/Operators.java
+++ b/src/main/java/io/beryldock/soak/Operators.java
@@ -43,6 +43,7 @@
         long version = newest() + 1 + random.nextInt(STEP);
         versions.add(version);
         surroundings.publish(version, ImmutableSet.copyOf(keys));
+        ledger.add(at -> new SoakEvent.DocumentWritten(at, version));
     }
 
     /** Takes the oldest key away and gives a new one out. */
@@ -67,7 +68,11 @@
         return keys.getLast();
     }
 
+    /** The newest version, or as often any of them. */
     synchronized long anyVersion() {
+        if (random.nextBoolean()) {
+            return newest();
+        }
         return versions.get(random.nextInt(versions.size()));
     }
 
--- a/src/main/java/io/beryldock/soak/PromiseCheck.java
+++ b/src/main/java/io/beryldock/soak/PromiseCheck.java
@@ -22,6 +22,7 @@
                 new RetryBoundCheck(bounds.retryShare(), bounds.retryWindow(), bounds.retrySlack()),
                 new RemovedKeyCheck(bounds.removedKeys()),
                 new VersionCheck(),
+                new NewVersionCheck(),
                 new PlannedStopCheck(),
                 recovery,
                 new ResourceCheck());
--- a/src/main/java/io/beryldock/soak/SoakEvent.java
+++ b/src/main/java/io/beryldock/soak/SoakEvent.java
@@ -19,6 +19,9 @@
     /** A request ends at its sender; {@code reply} is empty of meaning but for {@link Ending#ANSWERED}. */
     record Ended(long at, String id, Ending ending, Reply reply) implements SoakEvent {}
 
+    /** The store has confirmed a document of the version. */
+    record DocumentWritten(long at, long version) implements SoakEvent {}
+
     /** The store has confirmed a document without the key. */
     record KeyRemoved(long at, String key) implements SoakEvent {}
 
--- a/src/main/java/io/beryldock/soak/Surroundings.java
+++ b/src/main/java/io/beryldock/soak/Surroundings.java
@@ -36,6 +36,12 @@
     /** Has the store forget what has changed so far. */
     void forgetHistory();
 
+    /**
+     * Brings the store back from a copy some seconds old; what was written since is gone, and the operators write their
+     * newest document again.
+     */
+    void restoreStore();
+
     /** Asks for a node's readiness at the address; completes when it has answered, or fails. */
     CompletableFuture<Void> askReadiness(InetSocketAddress address);
 
--- a/src/test/java/io/beryldock/soak/CheckTrial.java
+++ b/src/test/java/io/beryldock/soak/CheckTrial.java
@@ -64,6 +64,10 @@
         return see(new SoakEvent.Ended(now, id, Ending.ANSWERED, reply));
     }
 
+    CheckTrial written(long version) {
+        return see(new SoakEvent.DocumentWritten(now, version));
+    }
+
     CheckTrial keyRemoved() {
         return see(new SoakEvent.KeyRemoved(now, KEY));
     }
