A document that the store lost is handed on to nodes that start

A node that started after the store had come back from an older copy, before the operators wrote their document again, went by the older one, and opened keys that had been taken away, although all others knew better: what they knew was of the lost era and no news. A node now tells the entry that it goes by, while the store holds an older one or none, to those that ask and don't name it. Asked once a second anyway; nothing is sent otherwise. Ruled out: keeping the lost entry in the table under the new era, which would hide from followers what the store holds.

--- a/src/main/java/io/beryldock/configuration/DocumentSync.java
+++ b/src/main/java/io/beryldock/configuration/DocumentSync.java
@@ -1,9 +1,8 @@
 package io.beryldock.configuration;
 
 import com.google.common.flogger.FluentLogger;
-import com.google.protobuf.ByteString;
+import io.beryldock.store.EntryListener;
 import io.beryldock.store.RegistryStore.Entry;
-import io.beryldock.store.StoreRevision;
 import io.beryldock.store.StoreSharing;
 import java.time.Duration;
 import java.util.List;
@@ -55,9 +54,9 @@
     /** Reads the document and follows it. */
     public void start() {
         if (verified) {
-            verification = sharing.followVerified(key, GATHER, this::onEntry);
+            verification = sharing.followVerified(key, GATHER, new DocumentListener());
         } else {
-            sharing.follow(key, GATHER, this::onEntry);
+            sharing.follow(key, GATHER, new DocumentListener());
         }
     }
 
@@ -66,26 +65,72 @@
         return verification.ageNanos();
     }
 
-    private boolean take(ByteString found, StoreRevision revision) {
-        try {
-            Configuration document = decoder.decode(found);
+    /** Takes what the store and other nodes tell of the document. */
+    private final class DocumentListener implements EntryListener {
+
+        /** The entry whose document is in force; null before the first. */
+        private Entry inForce;
+
+        /** Whether the store holds an older document than the one in force, or none any more. */
+        private boolean setBack;
+
+        @Override
+        public boolean onEntry(Entry entry) {
+            if (!entry.key().equals(key)) {
+                return true;
+            }
+            if (entry.value().isEmpty()) {
+                setBack = inForce != null;
+                return true;
+            }
+            try {
+                setBack = isOlder(take(entry));
+                return true;
+            } catch (ConfigurationException e) {
+                log.atWarning().withCause(e).log("a document of the operators can't be read and is passed over");
+                return false;
+            }
+        }
+
+        private boolean isOlder(Configuration document) {
+            return document.version() < keeper.current().version();
+        }
+
+        /** Puts the document of the entry in force if it is newer; returns it. */
+        private Configuration take(Entry entry) throws ConfigurationException {
+            Configuration document = decoder.decode(entry.value().orElseThrow());
             boolean taken = keeper.take(document, List.of());
+            if (taken) {
+                inForce = entry;
+            }
             log.atInfo().log(
                     "document version %d of revision %s is %s",
                     document.version(),
-                    revision,
+                    entry.revision(),
                     taken
                             ? "in force"
                             : "passed over, as version " + keeper.current().version() + " is in force");
-            return true;
-        } catch (ConfigurationException e) {
-            log.atWarning().withCause(e).log("a document of the operators can't be read and is passed over");
-            return false;
+            return document;
         }
-    }
 
-    private boolean onEntry(Entry entry) {
-        return !entry.key().equals(key)
-                || entry.value().map(value -> take(value, entry.revision())).orElse(true);
+        @Override
+        public Optional<Entry> kept() {
+            return setBack ? Optional.ofNullable(inForce) : Optional.empty();
+        }
+
+        /** Guards against a node that starts with the document to which the store was set back. */
+        @Override
+        public void onKept(Entry entry) {
+            if (!entry.key().equals(key) || entry.value().isEmpty()) {
+                return;
+            }
+            try {
+                take(entry);
+                setBack = inForce == entry || setBack;
+            } catch (ConfigurationException e) {
+                log.atWarning().withCause(e).log(
+                        "a document that another node goes by can't be read: it is passed over");
+            }
+        }
     }
 }
--- a/src/main/java/io/beryldock/store/EntryListener.java
+++ b/src/main/java/io/beryldock/store/EntryListener.java
@@ -1,6 +1,7 @@
 package io.beryldock.store;
 
 import io.beryldock.store.RegistryStore.Entry;
+import java.util.Optional;
 
 /** Hears what the store holds under a prefix. Called on the thread of the timers. */
 public interface EntryListener {
@@ -13,6 +14,14 @@
      */
     boolean onEntry(Entry entry);
 
+    /** The entry that this listener goes by although the store has lost it, or set its key back to an older one. */
+    default Optional<Entry> kept() {
+        return Optional.empty();
+    }
+
+    /** Another node goes by this entry, which the store does not hold any more. */
+    default void onKept(Entry entry) {}
+
     /** Whether the store answered this node's last call. */
     default void onStore(boolean reachable) {}
 }
--- a/src/main/java/io/beryldock/store/SharedFollower.java
+++ b/src/main/java/io/beryldock/store/SharedFollower.java
@@ -165,6 +165,11 @@
         }
     }
 
+    /** What the listener goes by and the store does not hold any more. */
+    Optional<Entry> kept() {
+        return listener.kept();
+    }
+
     /** When the store had surely nothing newer than what this node has taken in; empty before that was ever known. */
     Optional<Moment> verified() {
         return Optional.ofNullable(verified);
@@ -177,6 +182,9 @@
      * nothing of what the store lost between them.
      */
     boolean take(StorePart part) {
+        if (part.hasKept()) {
+            listener.onKept(StoreParts.entry(part.getKept()));
+        }
         if (part.getWhole()) {
             applyListing(StoreParts.listing(part));
             return true;
--- a/src/main/java/io/beryldock/store/StoreParts.java
+++ b/src/main/java/io/beryldock/store/StoreParts.java
@@ -36,11 +36,16 @@
         return wire.build();
     }
 
+    /** Names the entry without telling its value. */
+    static StoreEntry mark(Entry entry) {
+        return entry(entry).toBuilder().clearValue().build();
+    }
+
     static ImmutableList<Entry> entries(StorePart part) {
         return part.getEntriesList().stream().map(StoreParts::entry).collect(ImmutableList.toImmutableList());
     }
 
-    private static Entry entry(StoreEntry wire) {
+    static Entry entry(StoreEntry wire) {
         Optional<ByteString> value = wire.hasValue() ? Optional.of(wire.getValue()) : Optional.empty();
         return new Entry(wire.getKey(), new StoreRevision(wire.getEra(), wire.getRevision()), value);
     }
--- a/src/main/java/io/beryldock/store/StoreSharing.java
+++ b/src/main/java/io/beryldock/store/StoreSharing.java
@@ -5,6 +5,7 @@
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.beryldock.call.NodeId;
+import io.beryldock.store.RegistryStore.Entry;
 import io.beryldock.time.Moment;
 import io.beryldock.time.TimerService;
 import io.beryldock.time.TimerThread;
@@ -237,7 +238,7 @@
 
     private void ask(NodeId node) {
         StoreNotice.Builder question = notice().setQuestion(true);
-        followers.forEach((prefix, follower) -> question.addParts(StoreParts.part(prefix, follower.revision())));
+        followers.forEach((prefix, follower) -> question.addParts(known(prefix, follower)));
         Moment asked = ports.clock().now();
         TimerThread.hear(
                 ports.timers(),
@@ -245,6 +246,12 @@
                 (answer, failure) -> onAnswer(node, asked, answer, failure));
     }
 
+    private static StorePart known(String prefix, SharedFollower follower) {
+        StorePart.Builder part = StoreParts.part(prefix, follower.revision());
+        follower.kept().ifPresent(entry -> part.setKept(StoreParts.mark(entry)));
+        return part.build();
+    }
+
     private void onAnswer(NodeId node, Moment asked, ByteString answer, Throwable failure) {
         if (failure != null) {
             suspect(node);
@@ -294,7 +301,8 @@
         StoreRevision revision = StoreParts.revision(known);
         boolean newer = follower.revision().isAfter(revision);
         Optional<Moment> since = verified.contains(follower) ? follower.verified() : Optional.empty();
-        if (!newer && since.isEmpty()) {
+        Optional<Entry> kept = follower.kept().filter(entry -> !isMarked(known, entry));
+        if (!newer && since.isEmpty() && kept.isEmpty()) {
             return Optional.empty();
         }
         StorePart.Builder part = newer
@@ -303,9 +311,15 @@
                         .setSince(follower.revision().number());
         Moment now = ports.clock().now();
         since.ifPresent(moment -> part.setVerifiedAgeNanos(moment.ageNanos(now)));
+        kept.ifPresent(entry -> part.setKept(StoreParts.entry(entry)));
         return Optional.of(part.build());
     }
 
+    /** Whether the asker goes by the same entry. */
+    private static boolean isMarked(StorePart known, Entry kept) {
+        return known.hasKept() && StoreParts.entry(known.getKept()).revision().equals(kept.revision());
+    }
+
     private boolean watching() {
         return storeAnswers && isWatcher();
     }
--- a/src/test/java/io/beryldock/configuration/DocumentSyncTest.java
+++ b/src/test/java/io/beryldock/configuration/DocumentSyncTest.java
@@ -25,13 +25,18 @@
 
     DocumentSyncTest() throws ConfigurationException {
         for (int i = 0; i < NODES; i++) {
-            keepers.add(ConfigurationKeeper.create(Configuration.defaults("none")));
-            StoreSharing sharing = fleet.add("n" + i, "gent-a");
-            DocumentSync.create(keepers.get(i), sharing, KEY, DocumentSyncTest::decode, i % 2 == 0)
-                    .start();
+            addNode(i);
         }
     }
 
+    private void addNode(int number) throws ConfigurationException {
+        ConfigurationKeeper keeper = ConfigurationKeeper.create(Configuration.defaults("none"));
+        keepers.add(keeper);
+        StoreSharing sharing = fleet.add("n" + number, "gent-a");
+        DocumentSync.create(keeper, sharing, KEY, DocumentSyncTest::decode, number % 2 == 0)
+                .start();
+    }
+
     private static Configuration decode(ByteString document) throws ConfigurationException {
         try {
             return Configuration.imported(Long.parseLong(document.toStringUtf8()), List.of());
@@ -96,6 +101,37 @@
         assertThat(versions()).containsOnly(10L);
     }
 
+    /** Guards against a node that starts with an older document, as the store was set back and the operators are slow. */
+    @Test
+    void nodeThatStartsGoesByTheDocumentThatTheStoreLost() throws ConfigurationException {
+        write("7");
+        timers.advance(Duration.ofSeconds(1));
+        FakeRegistry.Copy copy = registry.copy();
+        write("8");
+        timers.advance(Duration.ofSeconds(4));
+        registry.comeBackFrom(copy);
+        timers.advance(Duration.ofSeconds(1));
+        addNode(NODES);
+        timers.advance(Duration.ofSeconds(2));
+        assertThat(versions()).containsOnly(8L);
+        write("9");
+        timers.advance(Duration.ofSeconds(2));
+        assertThat(versions()).containsOnly(9L);
+    }
+
+    /** The same when the store lost the only document there was. */
+    @Test
+    void nodeThatStartsGoesByTheOnlyDocumentThatTheStoreLost() throws ConfigurationException {
+        FakeRegistry.Copy empty = registry.copy();
+        write("8");
+        timers.advance(Duration.ofSeconds(4));
+        registry.comeBackFrom(empty);
+        timers.advance(Duration.ofSeconds(1));
+        addNode(NODES);
+        timers.advance(Duration.ofSeconds(2));
+        assertThat(versions()).containsOnly(8L);
+    }
+
     @Test
     void documentThatCantBeReadIsPassedOver() {
         write("5");
