--- a/src/main/java/io/beryldock/platform/KvJson.java
+++ b/src/main/java/io/beryldock/platform/KvJson.java
@@ -5,12 +5,14 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableList;
 import com.google.protobuf.ByteString;
+import io.beryldock.nettyhttp.HttpReply;
 import io.beryldock.store.PlatformException;
 import io.beryldock.store.RegistryStore.Entry;
 import io.beryldock.store.StoreRevision;
 import java.io.IOException;
 import java.util.Base64;
 import java.util.Optional;
+import java.util.concurrent.CompletionException;
 
 /** The bodies of the store's calls. Stateless, thread safe. */
 final class KvJson {
@@ -24,11 +26,13 @@
 
     private KvJson() {}
 
-    static JsonNode read(ByteString body) throws PlatformException {
+    /** Reads the body of an answer; fails with a {@link PlatformException} within when it is no JSON. */
+    static JsonNode read(HttpReply reply) {
         try {
-            return Json.read(body);
+            return Json.read(reply.body());
         } catch (IOException e) {
-            throw new PlatformException("the platform store's answer is no JSON; go on with what is known", e);
+            throw new CompletionException(
+                    new PlatformException("the platform store's answer is no JSON; go on with what is known", e));
         }
     }
 
--- a/src/main/java/io/beryldock/platform/KvStoreClient.java
+++ b/src/main/java/io/beryldock/platform/KvStoreClient.java
@@ -43,9 +43,6 @@
     private static final int OK = 200;
     private static final int NOT_FOUND = 404;
     private static final int HISTORY_GONE = 410;
-    private static final int CONDITION_FAILED = 412;
-    private static final int TOO_MANY = 429;
-    private static final int UNAVAILABLE = 503;
     private static final double MILLIS_PER_SECOND = 1000;
     /** A key that need not exist. */
     private static final String PROBED = "beryldock/probe";
@@ -75,7 +72,7 @@
                     if (reply.status() == NOT_FOUND) {
                         return Optional.empty();
                     }
-                    return Optional.of(stored(json(checked(reply)), eraOf(reply)));
+                    return Optional.of(stored(KvJson.read(checked(reply)), eraOf(reply)));
                 });
     }
 
@@ -117,20 +114,7 @@
         if (failure != null) {
             return HttpExchangeException.isNotSent(failure) ? WriteResult.notApplied() : WriteResult.unknown();
         }
-        return switch (reply.status()) {
-            case OK -> WriteResult.applied(KvVersion.of(KvJson.revision(json(reply), eraOf(reply))));
-            case CONDITION_FAILED -> {
-                ImmutableList<Entry> items = KvJson.entries(json(reply).path("items"), eraOf(reply));
-                yield WriteResult.conflict(items.stream()
-                        .filter(item -> item.revision().number() > ABSENT
-                                && item.value().isPresent())
-                        .map(item -> new StoredValue(
-                                KvVersion.of(item.revision()), item.value().orElseThrow()))
-                        .findFirst());
-            }
-            case TOO_MANY, UNAVAILABLE, NOT_FOUND -> WriteResult.notApplied();
-            default -> WriteResult.unknown();
-        };
+        return KvWrites.result(reply, eraOf(reply));
     }
 
     /** The name stands as a key under a lease of the store; who holds it is its value. */
@@ -182,7 +166,7 @@
         String from = after.isEmpty() ? "" : "&after=" + escaped(after);
         String uri = "/kv-range?pathPrefix=" + escaped(prefix) + from;
         return ask("GET", uri, ByteString.EMPTY, Duration.ZERO).thenCompose(reply -> {
-            JsonNode answer = json(checked(reply));
+            JsonNode answer = KvJson.read(checked(reply));
             StoreRevision at = new StoreRevision(eraOf(reply), answer.path("at").asLong());
             StoreRevision revision = first.orElse(at);
             if (!at.isSameEra(revision)) {
@@ -208,7 +192,7 @@
             if (reply.status() == HISTORY_GONE) {
                 return new Changes(true, ImmutableList.of(), new StoreRevision(era, after.number()));
             }
-            JsonNode answer = json(checked(reply));
+            JsonNode answer = KvJson.read(checked(reply));
             StoreRevision at = new StoreRevision(era, answer.path("at").asLong());
             return new Changes(false, KvJson.entries(answer.path("events"), era), at.isAfter(after) ? at : after);
         });
@@ -224,7 +208,8 @@
     @Override
     public CompletableFuture<Long> grantLease(Duration length) {
         ByteString body = KvJson.leaseRequest(length.toMillis() / MILLIS_PER_SECOND);
-        return ask("POST", "/kv-lease", body, Duration.ZERO).thenApply(reply -> KvJson.lease(json(checked(reply))));
+        return ask("POST", "/kv-lease", body, Duration.ZERO)
+                .thenApply(reply -> KvJson.lease(KvJson.read(checked(reply))));
     }
 
     @Override
@@ -256,14 +241,6 @@
         return reply;
     }
 
-    private static JsonNode json(HttpReply reply) {
-        try {
-            return KvJson.read(reply.body());
-        } catch (PlatformException e) {
-            throw new CompletionException(e);
-        }
-    }
-
     private static String escaped(String text) {
         return UrlEscapers.urlFormParameterEscaper().escape(text);
     }
--- /dev/null
+++ b/src/main/java/io/beryldock/platform/StandinJson.java
@@ -0,0 +1,54 @@
+package io.beryldock.platform;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.beryldock.call.Headers;
+import io.beryldock.nettyhttp.HttpAnswer;
+import java.util.Base64;
+
+/** The answers of the stand-in of the store. Stateless, thread safe. */
+final class StandinJson {
+
+    private static final int CONDITION_FAILED = 412;
+
+    private StandinJson() {}
+
+    static HttpAnswer answer(int status, ObjectNode body) {
+        Headers headers = Headers.empty().with("Content-Type", "application/json");
+        return HttpAnswer.of(status, headers, Json.write(body));
+    }
+
+    /**
+     * The key is not as the condition has it.
+     *
+     * @param held what stands under the key, or null for nothing
+     */
+    static HttpAnswer conflict(String key, StandinStore.Item held) {
+        ObjectNode body = Json.object();
+        ArrayNode list = body.putArray("items");
+        if (held == null) {
+            list.addObject().put("key", key).put("revision", 0);
+        } else {
+            list.add(item(key, held));
+        }
+        return answer(CONDITION_FAILED, body);
+    }
+
+    static ObjectNode item(String key, StandinStore.Item item) {
+        return Json.object()
+                .put("key", key)
+                .put("value", Base64.getEncoder().encodeToString(item.value().toByteArray()))
+                .put("revision", item.revision())
+                .put("lease", item.lease());
+    }
+
+    static ObjectNode event(StandinStore.Event event) {
+        if (event.item() != null) {
+            return item(event.key(), event.item());
+        }
+        return Json.object()
+                .put("key", event.key())
+                .put("revision", event.revision())
+                .put("tombstone", true);
+    }
+}
--- a/src/main/java/io/beryldock/platform/StandinStore.java
+++ b/src/main/java/io/beryldock/platform/StandinStore.java
@@ -5,7 +5,6 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.errorprone.annotations.concurrent.GuardedBy;
 import com.google.protobuf.ByteString;
-import io.beryldock.call.Headers;
 import io.beryldock.nettyhttp.HttpAnswer;
 import io.beryldock.nettyhttp.HttpExchange;
 import io.beryldock.nettyhttp.HttpHandler;
@@ -30,7 +29,6 @@
     private static final int OK = 200;
     private static final int NOT_FOUND = 404;
     private static final int GONE = 410;
-    private static final int CONDITION_FAILED = 412;
     private static final int UNAVAILABLE = 503;
 
     private final TimerService timers;
@@ -154,7 +152,8 @@
             answer = transaction(exchange);
         } else if (path.equals("/kv-lease")) {
             leases.put(nextLease, new ArrayList<>());
-            answer = json(OK, Json.object().put("lease", nextLease++).put("ttlS", 1));
+            answer = StandinJson.answer(
+                    OK, Json.object().put("lease", nextLease++).put("ttlS", 1));
         } else {
             long lease = Long.parseLong(path.substring(path.lastIndexOf('/') + 1));
             answer = HttpAnswer.of(leases.containsKey(lease) ? OK : NOT_FOUND);
@@ -174,7 +173,7 @@
 
     private void get(HttpExchange exchange, String key) {
         Item item = items.get(key);
-        answer(exchange, item == null ? HttpAnswer.of(NOT_FOUND) : json(OK, item(key, item)));
+        answer(exchange, item == null ? HttpAnswer.of(NOT_FOUND) : StandinJson.answer(OK, StandinJson.item(key, item)));
     }
 
     private void range(HttpExchange exchange, String prefix) {
@@ -182,11 +181,11 @@
         ArrayNode list = answer.putArray("items");
         items.tailMap(prefix).forEach((key, item) -> {
             if (key.startsWith(prefix)) {
-                list.add(item(key, item));
+                list.add(StandinJson.item(key, item));
             }
         });
         answer.put("hasMore", false).put("at", revision);
-        answer(exchange, json(OK, answer));
+        answer(exchange, StandinJson.answer(OK, answer));
     }
 
     private void watch(HttpExchange exchange, String prefix, long after, long waitMillis) {
@@ -214,13 +213,13 @@
         ArrayNode events = answer.putArray("events");
         for (Event event : history) {
             if (event.revision() > watch.after() && event.key().startsWith(watch.prefix())) {
-                events.add(event(event));
+                events.add(StandinJson.event(event));
             }
         }
         if (events.isEmpty() && !evenIfEmpty) {
             return false;
         }
-        answer(watch.exchange(), json(OK, answer.put("at", revision)));
+        answer(watch.exchange(), StandinJson.answer(OK, answer.put("at", revision)));
         return true;
     }
 
@@ -239,7 +238,7 @@
             Item held = items.get(condition.path("key").asText());
             long found = held == null ? 0 : held.revision();
             if (found != condition.path("revision").asLong()) {
-                return conflict(condition.path("key").asText(), held);
+                return StandinJson.conflict(condition.path("key").asText(), held);
             }
         }
         for (JsonNode put : body.path("puts")) {
@@ -252,18 +251,7 @@
         }
         body.path("deletes").forEach(key -> remove(key.asText()));
         notifyWatches();
-        return json(OK, Json.object().put("revision", revision));
-    }
-
-    private static HttpAnswer conflict(String key, Item held) {
-        ObjectNode answer = Json.object();
-        ArrayNode list = answer.putArray("items");
-        if (held == null) {
-            list.addObject().put("key", key).put("revision", 0);
-        } else {
-            list.add(item(key, held));
-        }
-        return json(CONDITION_FAILED, answer);
+        return StandinJson.answer(OK, Json.object().put("revision", revision));
     }
 
     private void put(String key, ByteString value, long lease) {
@@ -283,30 +271,7 @@
         }
     }
 
-    private static ObjectNode item(String key, Item item) {
-        return Json.object()
-                .put("key", key)
-                .put("value", Base64.getEncoder().encodeToString(item.value().toByteArray()))
-                .put("revision", item.revision())
-                .put("lease", item.lease());
-    }
-
-    private static ObjectNode event(Event event) {
-        if (event.item() != null) {
-            return item(event.key(), event.item());
-        }
-        return Json.object()
-                .put("key", event.key())
-                .put("revision", event.revision())
-                .put("tombstone", true);
-    }
-
     private static String parameter(QueryStringDecoder uri, String name) {
         return uri.parameters().getOrDefault(name, List.of("")).get(0);
     }
-
-    private static HttpAnswer json(int status, ObjectNode body) {
-        Headers headers = Headers.empty().with("Content-Type", "application/json");
-        return HttpAnswer.of(status, headers, Json.write(body));
-    }
 }
--- a/src/main/java/io/beryldock/store/StoreSharing.java
+++ b/src/main/java/io/beryldock/store/StoreSharing.java
@@ -5,7 +5,6 @@
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.beryldock.call.NodeId;
-import io.beryldock.store.RegistryStore.Entry;
 import io.beryldock.time.Moment;
 import io.beryldock.time.TimerService;
 import io.beryldock.time.TimerThread;
@@ -65,6 +64,7 @@
     private final WatcherChoice choice;
     private final Map<String, SharedFollower> followers = new LinkedHashMap<>();
     private final List<SharedFollower> verified = new ArrayList<>();
+    private final StoreAnswers answers;
     private boolean storeAnswers = true;
 
     private StoreSharing(NodeId self, Ports ports) {
@@ -72,6 +72,8 @@
         this.ports = ports;
         this.startedAt = now(ports);
         this.choice = new WatcherChoice(self, startedAt);
+        this.answers = new StoreAnswers(
+                followers, verified, ports.clock(), ports.store().eras());
     }
 
     /** What the sharing works with; the timers run on the control thread. */
@@ -145,7 +147,7 @@
         }
         eras().note(notice.get().getEra());
         if (notice.get().getQuestion()) {
-            reply.accept(answerTo(notice.get()).toByteString());
+            reply.accept(answers.to(notice.get(), watching()).toByteString());
         } else {
             take(sender, notice.get());
         }
@@ -285,41 +287,6 @@
         elect();
     }
 
-    private StoreNotice answerTo(StoreNotice question) {
-        StoreNotice.Builder answer = notice().setWatching(watching());
-        for (StorePart known : question.getPartsList()) {
-            SharedFollower follower = followers.get(known.getPrefix());
-            if (follower != null) {
-                answerPart(follower, known).ifPresent(answer::addParts);
-            }
-        }
-        return answer.build();
-    }
-
-    /** What the follower knows beyond the part, and since when it knows that there is no more. */
-    private Optional<StorePart> answerPart(SharedFollower follower, StorePart known) {
-        StoreRevision revision = StoreParts.revision(known);
-        boolean newer = follower.revision().isAfter(revision);
-        Optional<Moment> since = verified.contains(follower) ? follower.verified() : Optional.empty();
-        Optional<Entry> kept = follower.kept().filter(entry -> !isMarked(known, entry));
-        if (!newer && since.isEmpty() && kept.isEmpty()) {
-            return Optional.empty();
-        }
-        StorePart.Builder part = newer
-                ? follower.since(revision).toBuilder()
-                : StoreParts.part(known.getPrefix(), follower.revision())
-                        .setSince(follower.revision().number());
-        Moment now = ports.clock().now();
-        since.ifPresent(moment -> part.setVerifiedAgeNanos(moment.ageNanos(now)));
-        kept.ifPresent(entry -> part.setKept(StoreParts.entry(entry)));
-        return Optional.of(part.build());
-    }
-
-    /** Whether the asker goes by the same entry. */
-    private static boolean isMarked(StorePart known, Entry kept) {
-        return known.hasKept() && StoreParts.entry(known.getKept()).revision().equals(kept.revision());
-    }
-
     private boolean watching() {
         return storeAnswers && isWatcher();
     }
