--- a/src/main/java/io/beryldock/configuration/DocumentSync.java
+++ b/src/main/java/io/beryldock/configuration/DocumentSync.java
@@ -84,7 +84,9 @@
                 return true;
             }
             try {
-                setBack = isOlder(take(entry));
+                Configuration document = decoder.decode(entry.value().get());
+                take(entry, document);
+                setBack = document.version() < keeper.current().version();
                 return true;
             } catch (ConfigurationException e) {
                 log.atWarning().withCause(e).log("a document of the operators can't be read and is passed over");
@@ -92,13 +94,8 @@
             }
         }
 
-        private boolean isOlder(Configuration document) {
-            return document.version() < keeper.current().version();
-        }
-
-        /** Puts the document of the entry in force if it is newer; returns it. */
-        private Configuration take(Entry entry) throws ConfigurationException {
-            Configuration document = decoder.decode(entry.value().orElseThrow());
+        /** Puts the document of the entry in force if it is newer; tells whether it did. */
+        private boolean take(Entry entry, Configuration document) {
             boolean taken = keeper.take(document, List.of());
             if (taken) {
                 inForce = entry;
@@ -110,7 +107,7 @@
                     taken
                             ? "in force"
                             : "passed over, as version " + keeper.current().version() + " is in force");
-            return document;
+            return taken;
         }
 
         @Override
@@ -125,8 +122,8 @@
                 return;
             }
             try {
-                take(entry);
-                setBack = inForce == entry || setBack;
+                boolean newer = take(entry, decoder.decode(entry.value().get()));
+                setBack = newer || setBack;
             } catch (ConfigurationException e) {
                 log.atWarning().withCause(e).log(
                         "a document that another node goes by can't be read: it is passed over");
