--- a/src/main/java/io/beryldock/platform/KvVersion.java
+++ b/src/main/java/io/beryldock/platform/KvVersion.java
@@ -3,7 +3,7 @@
 import io.beryldock.store.StoreRevision;
 
 /**
- * Versions of values that rise over eras of the store: the era stands in the upper bits, the revision in the lower ones.
+ * Versions of values that rise over eras of the store: the era stands in the upper bits, the revision in the lower.
  *
  * <p>Stateless, thread safe.
  */
--- a/src/main/java/io/beryldock/platform/StandinStore.java
+++ b/src/main/java/io/beryldock/platform/StandinStore.java
@@ -57,8 +57,10 @@
         ANSWER_LOST
     }
 
+    /** A value under a key, with its last change. Immutable. */
     record Item(ByteString value, long revision, long lease) {}
 
+    /** A change of a key; the item is null for a removal. Immutable. */
     record Event(String key, Item item, long revision) {}
 
     private record Watch(HttpExchange exchange, String prefix, long after) {}
--- a/src/main/java/io/beryldock/store/StoreFollower.java
+++ b/src/main/java/io/beryldock/store/StoreFollower.java
@@ -132,7 +132,7 @@
         watchOrRest(listing.revision());
     }
 
-    /** Whether the revision is of the last era known; what was answered before the store was lost may arrive after it. */
+    /** Whether the revision is of the last era known: an answer from before the loss may arrive after it. */
     private boolean isCurrent(StoreRevision revision) {
         return revision.era() >= store.eras().newest();
     }
--- a/src/test/java/io/beryldock/configuration/DocumentSyncTest.java
+++ b/src/test/java/io/beryldock/configuration/DocumentSyncTest.java
@@ -101,7 +101,7 @@
         assertThat(versions()).containsOnly(10L);
     }
 
-    /** Guards against a node that starts with an older document, as the store was set back and the operators are slow. */
+    /** Guards against a node that starts with an older document, as the store was set back to it. */
     @Test
     void nodeThatStartsGoesByTheDocumentThatTheStoreLost() throws ConfigurationException {
         write("7");
--- a/src/test/java/io/beryldock/membership/RegistryMembershipTest.java
+++ b/src/test/java/io/beryldock/membership/RegistryMembershipTest.java
@@ -255,7 +255,7 @@
         assertThat(targetsAt(first)).isEqualTo(1);
     }
 
-    /** Guards against a sound node that is pushed out by one whose address it took, as the store came back with both. */
+    /** Guards against a sound node that is pushed out by an earlier one at its address, whose record came back. */
     @Test
     void nodeAtAnAddressUsedAgainStaysWhenTheStoreLosesItsRecord() {
         run(Duration.ofSeconds(4));
--- a/src/test/java/io/beryldock/store/EntryTableTest.java
+++ b/src/test/java/io/beryldock/store/EntryTableTest.java
@@ -126,7 +126,7 @@
         assertThat(table.changesTo(changed)).containsExactly(other);
     }
 
-    /** Guards against an order of keys in which an entry that was replaced long ago comes after the one in its place. */
+    /** Guards against a listing in which what was replaced long ago comes after what took its place. */
     @Test
     void listedChangesComeInTheOrderOfTheirRevisions() {
         Listing listing = new Listing(ImmutableList.of(entry("p/a", 8), entry("p/b", 3)), at(9));
