A crash of the target is seen though the target listens again at once

What callers saw: a request that crashes its target was never refused where a supervisor starts the target again at once.

Cause: TargetCrashDetector asked 20 ms after the loss whether anything listens at the target's address. Whatever listens is not the process that was lost, but was taken for it: the requests were set free, and a suspect that had been running was forgotten. The listed failure needs no fast supervisor: where the link to the target's node is given up, the caller is told at once, restarts the target, and the probe comes after that.

Fix: lost exchanges are judged by the life of the target in which they began. The node keeps one connection to the target that carries nothing; a process can only listen after the one before has closed everything, so once a probe has been accepted or refused, the end of that connection says that the process has ended. On the platform the start named by heartbeats and the connections that were open before the loss tell the same, which also spares most probes. Where neither tells, the requests are suspects for 20 s. A look that never ends or fails is decided after half a second (TcpTargetProbe had no limit: what was lost meanwhile waited for the end of its own time).

Ruled out: waiting for the next announcement (up to a second for each lost connection); a longer gathering time, which only moves the race.

--- a/src/main/java/io/beryldock/forwarding/TargetCrashDetector.java
+++ b/src/main/java/io/beryldock/forwarding/TargetCrashDetector.java
@@ -1,94 +1,134 @@
 package io.beryldock.forwarding;
 
+import com.google.common.flogger.FluentLogger;
 import com.google.errorprone.annotations.concurrent.GuardedBy;
 import io.beryldock.quarantine.Fingerprint;
 import io.beryldock.quarantine.Quarantine;
 import io.beryldock.time.TimerService;
 import io.beryldock.timeline.EventKind;
 import io.beryldock.timeline.EventSink;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Tells a crash of the target from the loss of a single connection.
  *
  * <p>Guards against a request that crashes each target that runs it: what was in flight at a crash must be remembered.
- * A crash shows as lost exchanges followed by a refused connection; a target that still listens has only lost
- * connections. Thread safe.
+ * Lost exchanges are judged by the {@link TargetLife} in which they began, so that a target that was started again
+ * meanwhile is not taken for one that never ended. Invariant: each loss is decided once, within a bounded time whatever
+ * the target does. Thread safe.
  */
 public final class TargetCrashDetector {
 
-    /** Time in which the exchanges of one crash are gathered before the target is probed. */
+    private static final FluentLogger log = FluentLogger.forEnclosingClass();
+    private static final int LOG_SECONDS = 1;
+
+    /** Time in which the exchanges of one crash are gathered before the life is looked at. */
     private static final Duration GATHERING = Duration.ofMillis(20);
 
-    private final TargetProbe probe;
+    /** Longest wait for a sign of life: a target's full queue of connections neither accepts nor refuses one. */
+    private static final Duration LONGEST_LOOK = Duration.ofMillis(500);
+
+    private final TargetLives lives;
     private final Quarantine quarantine;
     private final TimerService timers;
     private final EventSink events;
 
     @GuardedBy("this")
-    private final List<Fingerprint> lost = new ArrayList<>();
-
-    @GuardedBy("this")
-    private CompletableFuture<Void> decided = new CompletableFuture<>();
+    private final Map<TargetLife, Losses> undecided = new HashMap<>();
 
-    private TargetCrashDetector(TargetProbe probe, Quarantine quarantine, TimerService timers, EventSink events) {
-        this.probe = probe;
+    private TargetCrashDetector(TargetLives lives, Quarantine quarantine, TimerService timers, EventSink events) {
+        this.lives = lives;
         this.quarantine = quarantine;
         this.timers = timers;
         this.events = events;
     }
 
     public static TargetCrashDetector create(
-            TargetProbe probe, Quarantine quarantine, TimerService timers, EventSink events) {
-        return new TargetCrashDetector(probe, quarantine, timers, events);
+            TargetLives lives, Quarantine quarantine, TimerService timers, EventSink events) {
+        return new TargetCrashDetector(lives, quarantine, timers, events);
+    }
+
+    /** The life by which an exchange that begins now is judged if it is lost. */
+    TargetLife lifeOf(InetSocketAddress target) {
+        return lives.current(target);
     }
 
     /**
      * An exchange with the target broke off while the request was in flight.
      *
+     * @param life as {@link #lifeOf} gave it before the exchange began
      * @return completes when it is decided whether the target crashed, so that a caller who sends the request again at
      *     once meets the verdict
      */
-    CompletableFuture<Void> onLost(AnnouncedTarget target, Fingerprint fingerprint) {
+    CompletableFuture<Void> onLost(AnnouncedTarget target, TargetLife life, Fingerprint fingerprint) {
+        Losses losses;
         boolean first;
-        CompletableFuture<Void> awaited;
         synchronized (this) {
-            first = lost.isEmpty();
-            lost.add(fingerprint);
-            awaited = decided;
+            first = !undecided.containsKey(life);
+            losses = undecided.computeIfAbsent(life, begun -> new Losses(target));
+            losses.requests.add(fingerprint);
         }
         if (first) {
-            timers.after(GATHERING, () -> probe.listens(target.address()).thenAccept(up -> decide(target, up)));
+            long lostAt = timers.ticker().nanos();
+            timers.after(GATHERING.plus(LONGEST_LOOK), () -> decide(life, losses, LifeSign.UNKNOWN));
+            timers.after(GATHERING, () -> look(life, losses, lostAt));
         }
-        return awaited;
+        return losses.decided;
     }
 
-    private void decide(AnnouncedTarget target, boolean up) {
-        List<Fingerprint> gathered;
-        CompletableFuture<Void> end;
+    private void look(TargetLife life, Losses losses, long lostAtNanos) {
+        life.look(lostAtNanos).whenComplete((sign, failure) -> {
+            if (failure != null) {
+                log.atSevere().withCause(failure).log("the target could not be looked at after lost exchanges");
+            }
+            decide(life, losses, failure == null ? sign : LifeSign.UNKNOWN);
+        });
+    }
+
+    private void decide(TargetLife life, Losses losses, LifeSign sign) {
+        List<Fingerprint> lost;
         synchronized (this) {
-            gathered = List.copyOf(lost);
-            lost.clear();
-            end = decided;
-            decided = new CompletableFuture<>();
+            if (!undecided.remove(life, losses)) {
+                return;
+            }
+            lost = List.copyOf(losses.requests);
         }
-        if (up) {
-            gathered.forEach(quarantine::onAbandoned);
-        } else {
-            crashed(target, gathered);
+        log.atInfo().atMostEvery(LOG_SECONDS, TimeUnit.SECONDS).log(
+                "%d exchanges with the target of %s were lost, its life: %s",
+                lost.size(), losses.target.service(), sign);
+        switch (sign) {
+            case GOES_ON -> lost.forEach(quarantine::onAbandoned);
+            case ENDED -> crashed(losses.target, lost);
+            case UNKNOWN -> quarantine.onTargetDoubtful(lost);
         }
-        end.complete(null);
+        losses.decided.complete(null);
     }
 
-    private void crashed(AnnouncedTarget target, List<Fingerprint> gathered) {
-        quarantine.onTargetCrashed(gathered);
+    private void crashed(AnnouncedTarget target, List<Fingerprint> inFlight) {
+        quarantine.onTargetCrashed(inFlight);
         target.gate().targetRestarted();
         events.record(
                 EventKind.TARGET_LOST,
                 target.service().value(),
-                "it crashed with " + gathered.size() + " requests in flight");
+                "it crashed with " + inFlight.size() + " requests in flight");
+    }
+
+    /** Exchanges of one life that were lost and wait for the decision; the list is guarded by the detector. */
+    private static final class Losses {
+
+        private final AnnouncedTarget target;
+        private final List<Fingerprint> requests = new ArrayList<>();
+        private final CompletableFuture<Void> decided = new CompletableFuture<>();
+
+        Losses(AnnouncedTarget target) {
+            this.target = target;
+        }
     }
 }
--- a/src/main/java/io/beryldock/forwarding/TargetRun.java
+++ b/src/main/java/io/beryldock/forwarding/TargetRun.java
@@ -128,11 +128,12 @@
         CallContext context = call.context();
         Call sent =
                 call.attempt(call.id(), context.afterNanos(context.remainingNanos() - started.remainingNanos(now())));
+        TargetLife life = ports.crashes().lifeOf(target.address());
         TargetExchange sending = ports.client().send(sent);
         synchronized (this) {
             exchange = sending;
         }
-        sending.reply().thenAccept(reply -> onReply(started, permit, reply));
+        sending.reply().thenAccept(reply -> onReply(started, permit, life, reply));
         if (givenUpBefore()) {
             abort(sending);
         }
@@ -148,7 +149,7 @@
         return started;
     }
 
-    private void onReply(Execution started, Permit permit, TargetReply reply) {
+    private void onReply(Execution started, Permit permit, TargetLife life, TargetReply reply) {
         permit.release(completion(reply));
         CallResult told = close(started, toResult(reply));
         if (givenUpBefore() && TargetExecutor.isKeyed(call)) {
@@ -164,17 +165,17 @@
                 ports.quarantine().onAbandoned(fingerprint);
                 finish(told);
             }
-            case LOST -> onLost(told);
+            case LOST -> onLost(life, told);
         }
     }
 
     /** An exchange that this node gave up itself is no sign of a crash. */
-    private void onLost(CallResult told) {
+    private void onLost(TargetLife life, CallResult told) {
         if (givenUpBefore()) {
             ports.quarantine().onAbandoned(fingerprint);
             finish(told);
         } else {
-            ports.crashes().onLost(target, fingerprint).thenRun(() -> finish(told));
+            ports.crashes().onLost(target, life, fingerprint).thenRun(() -> finish(told));
         }
     }
 
--- a/src/main/java/io/beryldock/http/TcpTargetProbe.java
+++ b/src/main/java/io/beryldock/http/TcpTargetProbe.java
@@ -1,5 +1,6 @@
 package io.beryldock.http;
 
+import com.google.common.flogger.FluentLogger;
 import io.beryldock.forwarding.TargetProbe;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -10,6 +11,8 @@
 /** Makes a connection to the target and closes it at once. Stateless, thread safe. */
 public final class TcpTargetProbe implements TargetProbe {
 
+    private static final FluentLogger log = FluentLogger.forEnclosingClass();
+
     @Override
     public CompletableFuture<Boolean> listens(InetSocketAddress target) {
         CompletableFuture<Boolean> listens = new CompletableFuture<>();
@@ -17,6 +20,7 @@
             AsynchronousSocketChannel channel = AsynchronousSocketChannel.open();
             channel.connect(target, listens, new ConnectHandler(channel));
         } catch (IOException | RuntimeException e) {
+            log.atWarning().withCause(e).log("no connection to the target at %s could be tried", target);
             listens.complete(false);
         }
         return listens;
@@ -42,8 +46,7 @@
             try {
                 channel.close();
             } catch (IOException e) {
-                // The connection is of no further use either way.
-                return;
+                log.atFine().withCause(e).log("the connection of a probe could not be closed");
             }
         }
     }
--- a/src/main/java/io/beryldock/nettyhttp/HttpClient.java
+++ b/src/main/java/io/beryldock/nettyhttp/HttpClient.java
@@ -1,5 +1,7 @@
 package io.beryldock.nettyhttp;
 
+import com.google.common.collect.HashMultimap;
+import com.google.common.collect.SetMultimap;
 import io.beryldock.eventloop.EventLoops;
 import io.beryldock.eventloop.LoopTimerService;
 import io.beryldock.nettyhttp.HttpExchangeException.Kind;
@@ -36,6 +38,7 @@
     private final EventLoop loop;
     private final TimerService timers;
     private final Map<InetSocketAddress, Deque<HttpClientConnection>> idle = new HashMap<>();
+    private final SetMultimap<InetSocketAddress, HttpClientConnection> open = HashMultimap.create();
     private boolean sweeping;
 
     private HttpClient(HttpClientSettings settings, EventLoop loop, TimerService timers) {
@@ -64,6 +67,16 @@
         return reply;
     }
 
+    /**
+     * Completes with whether a connection to the address that was made before the moment is still open.
+     *
+     * @param nanos moment of {@link System#nanoTime()}
+     */
+    public CompletableFuture<Boolean> hasConnectionSince(InetSocketAddress address, long nanos) {
+        return CompletableFuture.supplyAsync(
+                () -> open.get(address).stream().anyMatch(connection -> connection.openedAt() - nanos < 0), loop);
+    }
+
     private void start(InetSocketAddress address, HttpCall call, CompletableFuture<HttpReply> reply) {
         if (reply.isDone()) {
             return;
@@ -124,6 +137,14 @@
         return null;
     }
 
+    void opened(HttpClientConnection connection) {
+        open.put(connection.address(), connection);
+    }
+
+    void closed(HttpClientConnection connection) {
+        open.remove(connection.address(), connection);
+    }
+
     /** The connection has ended an exchange and may be used again for a while. */
     void release(HttpClientConnection connection) {
         idle.computeIfAbsent(connection.address(), unused -> new ArrayDeque<>()).addLast(connection);
--- a/src/main/java/io/beryldock/nettyhttp/HttpClientConnection.java
+++ b/src/main/java/io/beryldock/nettyhttp/HttpClientConnection.java
@@ -46,6 +46,7 @@
     private ByteString body = ByteString.EMPTY;
     private boolean broken;
     private long idleSince;
+    private long openedAt;
 
     HttpClientConnection(HttpClient client, InetSocketAddress address, int maxBodyBytes) {
         this.client = client;
@@ -61,6 +62,10 @@
         return idleSince;
     }
 
+    long openedAt() {
+        return openedAt;
+    }
+
     void close() {
         context.close();
     }
@@ -203,8 +208,15 @@
         }
     }
 
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+        openedAt = System.nanoTime();
+        client.opened(this);
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
+        client.closed(this);
         fail(Kind.LOST, "the connection was closed before the response was complete");
     }
 
--- a/src/main/java/io/beryldock/node/RunningNode.java
+++ b/src/main/java/io/beryldock/node/RunningNode.java
@@ -1,6 +1,7 @@
 package io.beryldock.node;
 
 import io.beryldock.forwarding.ExecutionRegistry;
+import io.beryldock.forwarding.TargetLives;
 import io.beryldock.forwarding.RequestTally;
 import io.beryldock.http.NodeHttpServer;
 import io.beryldock.retry.RetryLedger;
@@ -78,17 +79,18 @@
     public void close() {
         http.close();
         core.close();
-        if (core.injector().getInstance(PlatformStore.class) instanceof AutoCloseable closeable) {
-            closeQuietly(closeable);
-        }
+        close(PlatformStore.class);
+        close(TargetLives.class);
         owned.ifPresent(SharedResources::close);
     }
 
-    private static void closeQuietly(AutoCloseable closeable) {
-        try {
-            closeable.close();
-        } catch (Exception e) {
-            throw new IllegalStateException("the platform store's client can't be closed", e);
+    private void close(Class<?> part) {
+        if (core.injector().getInstance(part) instanceof AutoCloseable closeable) {
+            try {
+                closeable.close();
+            } catch (Exception e) {
+                throw new IllegalStateException("the node's part can't be closed: " + part.getSimpleName(), e);
+            }
         }
     }
 }
--- a/src/main/java/io/beryldock/node/TrafficModule.java
+++ b/src/main/java/io/beryldock/node/TrafficModule.java
@@ -32,6 +32,8 @@
 import io.beryldock.forwarding.TargetClient;
 import io.beryldock.forwarding.TargetCrashDetector;
 import io.beryldock.forwarding.TargetExecutor;
+import io.beryldock.forwarding.TargetLives;
+import io.beryldock.http.ConnectedTargetLives;
 import io.beryldock.http.HttpTargetClient;
 import io.beryldock.http.TcpTargetProbe;
 import io.beryldock.idempotency.KeyedRequests;
@@ -137,6 +139,18 @@
                         .orElseGet(() -> InetSocketAddress.createUnresolved("0.0.0.0", 0)));
     }
 
+    @Provides
+    @Singleton
+    TargetLives targetLives() {
+        return ConnectedTargetLives.create(new TcpTargetProbe());
+    }
+
+    @Provides
+    @Singleton
+    TargetCrashDetector crashDetector(TargetLives lives, Quarantine quarantine, EventSink events) {
+        return TargetCrashDetector.create(lives, quarantine, timers, events);
+    }
+
     @Provides
     @Singleton
     TargetExecutor targetExecutor(
@@ -146,10 +160,10 @@
             RetryLedger ledger,
             Quarantine quarantine,
             KeyedRequests keyed,
+            TargetCrashDetector crashes,
             GateReporter reporter,
             EventSink events,
             PeerTransport transport) {
-        TargetCrashDetector crashes = TargetCrashDetector.create(new TcpTargetProbe(), quarantine, timers, events);
         TargetExecutor executor = TargetExecutor.create(new TargetExecutor.Ports(
                 announcements::current,
                 client,
--- a/src/main/java/io/beryldock/platform/PlatformModule.java
+++ b/src/main/java/io/beryldock/platform/PlatformModule.java
@@ -12,6 +12,8 @@
 import io.beryldock.forwarding.CallerAccess;
 import io.beryldock.forwarding.ExecutionRegistry;
 import io.beryldock.forwarding.TargetClient;
+import io.beryldock.forwarding.TargetLives;
+import io.beryldock.http.TcpTargetProbe;
 import io.beryldock.membership.Membership;
 import io.beryldock.membership.NodeDescriptor;
 import io.beryldock.membership.RegistryMembership;
@@ -141,6 +143,12 @@
         return new LocalTargets(control, announcements::announce, announcements::restarted);
     }
 
+    @Provides
+    @Singleton
+    TargetLives targetLives(LocalTargets targets) {
+        return new LocalTargetLives(targets, targetClient, new TcpTargetProbe());
+    }
+
     @Provides
     @Singleton
     TargetClient targetClient(LocalTargets targets) {
--- a/src/main/java/io/beryldock/quarantine/Quarantine.java
+++ b/src/main/java/io/beryldock/quarantine/Quarantine.java
@@ -128,16 +128,30 @@
     }
 
     /** This node's target crashed with these requests in flight; one that ran as a suspect is refused from now on. */
-    public synchronized void onTargetCrashed(Collection<Fingerprint> inFlight) {
+    public void onTargetCrashed(Collection<Fingerprint> inFlight) {
+        onTargetLost(inFlight, true);
+    }
+
+    /**
+     * This node's target may have crashed with these requests in flight, and listens again.
+     *
+     * <p>They are held for suspects, and refused where they ran as such, for the short time of what is not confirmed.
+     */
+    public void onTargetDoubtful(Collection<Fingerprint> inFlight) {
+        onTargetLost(inFlight, false);
+    }
+
+    private synchronized void onTargetLost(Collection<Fingerprint> inFlight, boolean confirmed) {
         if (inFlight.isEmpty()) {
             return;
         }
         long now = ticker.nanos();
         long crash = crashName(self, ++crashCounter);
-        long expires = now + settings.length().toNanos();
+        Duration length = confirmed ? settings.length() : settings.unconfirmedLength();
+        long expires = now + length.toNanos();
         for (Fingerprint fingerprint : inFlight) {
             boolean ranAlone = fingerprint.equals(runningSuspect);
-            add(fingerprint, crash, new CrashEvidence(ranAlone, true, false, expires), now);
+            add(fingerprint, crash, new CrashEvidence(ranAlone, confirmed, false, expires), now);
             endRun(fingerprint);
         }
         updateIdle(now);
--- /dev/null
+++ b/src/test/java/io/beryldock/forwarding/TargetCrashDetectorTest.java
@@ -0,0 +1,143 @@
+package io.beryldock.forwarding;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.protobuf.ByteString;
+import io.beryldock.admission.GateSettings;
+import io.beryldock.admission.TargetGate;
+import io.beryldock.call.Call;
+import io.beryldock.call.CallContext;
+import io.beryldock.call.DataCentre;
+import io.beryldock.call.Headers;
+import io.beryldock.call.Incarnation;
+import io.beryldock.call.NodeId;
+import io.beryldock.call.PriorityClass;
+import io.beryldock.call.RequestId;
+import io.beryldock.call.RequestIds;
+import io.beryldock.call.ServiceName;
+import io.beryldock.membership.NodeDescriptor;
+import io.beryldock.quarantine.Fingerprint;
+import io.beryldock.quarantine.Quarantine;
+import io.beryldock.quarantine.QuarantineSettings;
+import io.beryldock.quarantine.Verdict;
+import io.beryldock.time.ManualTimerService;
+import io.beryldock.timeline.EventSink;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+
+class TargetCrashDetectorTest {
+
+    private static final Duration LONGEST_DECISION = Duration.ofSeconds(1);
+    private static final ServiceName LISTS = ServiceName.of("lists");
+    private static final InetSocketAddress ADDRESS = InetSocketAddress.createUnresolved("127.0.0.1", 1);
+    private static final RequestIds IDS = RequestIds.of(Incarnation.random(new Random(1)));
+
+    private final ManualTimerService time = ManualTimerService.create();
+    private final Quarantine quarantine = Quarantine.create(
+            new NodeDescriptor(NodeId.of("a"), new Incarnation(1, 1), DataCentre.of("gent-a"), ADDRESS),
+            time.ticker(),
+            QuarantineSettings.defaults(),
+            EventSink.none());
+    private final AnnouncedTarget target = new AnnouncedTarget(
+            LISTS,
+            ADDRESS,
+            TargetGate.create(GateSettings.defaults(), time, new Random(1), EventSink.none(), LISTS));
+    private CompletableFuture<LifeSign> sign = new CompletableFuture<>();
+    private final TargetLife life = lostAtNanos -> sign;
+    private final TargetCrashDetector detector =
+            TargetCrashDetector.create(address -> life, quarantine, time, EventSink.none());
+
+    private static Fingerprint request(String path) {
+        RequestId id = IDS.next();
+        CallContext context = new CallContext(id, id, PriorityClass.of("browsing", 5), 1, 0, 0, 0, 0, false);
+        return Fingerprint.of(new Call(
+                id,
+                Call.OUTSIDE,
+                LISTS,
+                "GET",
+                path,
+                Headers.empty(),
+                ByteString.EMPTY,
+                true,
+                Optional.empty(),
+                context));
+    }
+
+    private CompletableFuture<Void> lose(String path) {
+        return detector.onLost(target, detector.lifeOf(ADDRESS), request(path));
+    }
+
+    private Verdict verdict(String path) {
+        return quarantine.verdict(request(path));
+    }
+
+    @Test
+    void requestsInFlightAtTheEndOfALifeAreSuspects() {
+        CompletableFuture<Void> decided = lose("/lists/poison");
+        lose("/lists/1");
+        sign.complete(LifeSign.ENDED);
+        time.advance(LONGEST_DECISION);
+        assertThat(decided).isCompleted();
+        assertThat(verdict("/lists/poison")).isEqualTo(Verdict.ALONE);
+        assertThat(verdict("/lists/1")).isEqualTo(Verdict.ALONE);
+    }
+
+    @Test
+    void aLostConnectionMakesNoSuspect() {
+        CompletableFuture<Void> decided = lose("/lists/1");
+        sign.complete(LifeSign.GOES_ON);
+        time.advance(LONGEST_DECISION);
+        assertThat(decided).isCompleted();
+        assertThat(verdict("/lists/1")).isEqualTo(Verdict.FREE);
+    }
+
+    /** Guards against a caller who waits for ever: a target may neither accept nor refuse a connection. */
+    @Test
+    void aLookWithoutEndIsDecidedInTime() {
+        CompletableFuture<Void> decided = lose("/lists/poison");
+        time.advance(LONGEST_DECISION);
+        assertThat(decided).isCompleted();
+        assertThat(verdict("/lists/poison")).isEqualTo(Verdict.ALONE);
+        sign.complete(LifeSign.ENDED);
+        assertThat(quarantine.snapshot()).singleElement().satisfies(request -> assertThat(request.crashes())
+                .isEqualTo(1));
+    }
+
+    /** Guards against a caller who waits for ever: the look itself may fail. */
+    @Test
+    void aLookThatFailsIsDecided() {
+        CompletableFuture<Void> decided = lose("/lists/1");
+        sign.completeExceptionally(new IllegalStateException("no look"));
+        time.advance(LONGEST_DECISION);
+        assertThat(decided).isCompleted();
+    }
+
+    /** Guards against a verdict that stays: what is not confirmed must not refuse or slow a request for long. */
+    @Test
+    void aDoubtfulEndIsForgottenSoon() {
+        CompletableFuture<Void> decided = lose("/lists/1");
+        sign.complete(LifeSign.UNKNOWN);
+        time.advance(LONGEST_DECISION);
+        assertThat(decided).isCompleted();
+        assertThat(verdict("/lists/1")).isEqualTo(Verdict.ALONE);
+        time.advance(Duration.ofSeconds(30));
+        assertThat(verdict("/lists/1")).isEqualTo(Verdict.FREE);
+    }
+
+    /** Guards against a request that is never refused as its target listens again before anybody looks. */
+    @Test
+    void theSecondLifeThatASuspectEndsConvictsIt() {
+        for (int crash = 0; crash < 2; crash++) {
+            assertThat(quarantine.onStarted(request("/lists/poison"))).isTrue();
+            sign = CompletableFuture.completedFuture(LifeSign.ENDED);
+            lose("/lists/poison");
+            time.advance(LONGEST_DECISION);
+        }
+        assertThat(quarantine.onStarted(request("/lists/poison"))).isFalse();
+        assertThat(verdict("/lists/poison")).isEqualTo(Verdict.REFUSED);
+    }
+}
--- a/src/test/java/io/beryldock/promises/PromiseSteps.java
+++ b/src/test/java/io/beryldock/promises/PromiseSteps.java
@@ -20,6 +20,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 
@@ -33,6 +34,7 @@
     private final HttpClient client = HttpClient.newHttpClient();
     private final List<HttpResponse<String>> responses = new ArrayList<>();
     private SmallDeployment deployment;
+    private Optional<TargetSupervisor> supervisor = Optional.empty();
     private String ticket = "";
     private int crashes;
     private long runsBefore;
@@ -41,6 +43,9 @@
 
     @After
     public void close() throws Exception {
+        if (supervisor.isPresent()) {
+            supervisor.get().close();
+        }
         deployment.close();
     }
 
@@ -79,6 +84,11 @@
         deployment.lists().setFaults(deployment.lists().faults().withCrashMarker(marker));
     }
 
+    @Given("a supervisor starts the target of lists again as soon as it has crashed")
+    public void superviseLists() {
+        supervisor = Optional.of(TargetSupervisor.start(deployment.lists()));
+    }
+
     @When("a lecturer asks the node in gent-b for {string}")
     public void ask(String path) {
         responses.add(send(get(deployment.gentB(), path, "Bearer lecturer")));
@@ -138,6 +148,15 @@
         });
     }
 
+    @When("a lecturer asks again and again for {string}")
+    public void askUntilRefused(String path) {
+        await(() -> {
+            HttpResponse<String> response = send(get(deployment.gentB(), path, "Bearer lecturer"));
+            responses.add(response);
+            return response.body().contains("QUARANTINED");
+        });
+    }
+
     private void restartCrashed() {
         StandinTarget target = deployment.lists();
         if (target.isCrashed()) {
@@ -212,6 +231,11 @@
         assertThat(crashes).isBetween(1, most);
     }
 
+    @Then("the supervisor has started the target of lists at most {int} times")
+    public void startedAtMost(int most) {
+        assertThat(supervisor.orElseThrow().restarts()).isBetween(1, most);
+    }
+
     private HttpResponse<String> lastResponse() {
         return responses.get(responses.size() - 1);
     }
--- a/src/test/resources/io/beryldock/promises/promises.feature
+++ b/src/test/resources/io/beryldock/promises/promises.feature
@@ -59,3 +59,10 @@
     When a lecturer asks again and again for "/lists/poison" while the target is restarted
     Then the outcome is NOT_RUN because of QUARANTINED
     And the target of lists has crashed at most 2 times
+
+  Scenario: A crash counts also where a supervisor starts the target again at once
+    Given the target of lists crashes on requests that hold "poison"
+    And a supervisor starts the target of lists again as soon as it has crashed
+    When a lecturer asks again and again for "/lists/poison"
+    Then the outcome is NOT_RUN because of QUARANTINED
+    And the supervisor has started the target of lists at most 2 times
