A crash counts also where the caller, or the link to him, had gone before

What callers saw: a request whose caller left, or whose link was given up, before its target crashed was taken for one that this node had given up itself. So it was no suspect, and crashed the next target, and the next.

Cause: TargetRun asked whether the run had been given up, in place of who had ended the exchange. A request to the product's own targets goes on after its caller has left (the exchange can't be ended), and its loss is the target's.

Evidence: TargetExecutorTest#aCrashCountsThoughTheCallerHasGone with the earlier rule put back into TargetRun: fails (the third run is sent), passes with the change.

Fix: a reply says who ended the exchange. GIVEN_UP is what this node closed itself (its time is over, or nobody waits) and is no sign of a crash, as before; LOST is judged by the life of the target, whoever waits. The platform's client closes what is given up, so its replies are GIVEN_UP there.

--- a/src/main/java/io/beryldock/forwarding/TargetReply.java
+++ b/src/main/java/io/beryldock/forwarding/TargetReply.java
@@ -17,8 +17,10 @@
         REFUSED,
         /** Not one byte of the request reached the target. */
         NOT_SENT,
-        /** The request may have run. */
-        LOST
+        /** The target's end of the connection was lost; the request may have run. */
+        LOST,
+        /** This node closed the connection, as nobody waits or the time is over; the request may have run. */
+        GIVEN_UP
     }
 
     public static TargetReply answered(Answer answer) {
@@ -33,6 +35,10 @@
         return new TargetReply(Kind.NOT_SENT, Optional.empty(), detail);
     }
 
+    public static TargetReply givenUp(String detail) {
+        return new TargetReply(Kind.GIVEN_UP, Optional.empty(), detail);
+    }
+
     public static TargetReply lost(String detail) {
         return new TargetReply(Kind.LOST, Optional.empty(), detail);
     }
--- a/src/main/java/io/beryldock/forwarding/TargetRun.java
+++ b/src/main/java/io/beryldock/forwarding/TargetRun.java
@@ -161,21 +161,13 @@
                 ports.quarantine().onCompleted(fingerprint);
                 finish(told);
             }
-            case REFUSED, NOT_SENT -> {
+            case REFUSED, NOT_SENT, GIVEN_UP -> {
                 ports.quarantine().onAbandoned(fingerprint);
                 finish(told);
             }
-            case LOST -> onLost(life, told);
-        }
-    }
-
-    /** An exchange that this node gave up itself is no sign of a crash. */
-    private void onLost(TargetLife life, CallResult told) {
-        if (givenUpBefore()) {
-            ports.quarantine().onAbandoned(fingerprint);
-            finish(told);
-        } else {
-            ports.crashes().onLost(target, life, fingerprint).thenRun(() -> finish(told));
+            // Also where the caller has gone: what was lost with the target may have taken it down all the same.
+            case LOST ->
+                ports.crashes().onLost(target, life, fingerprint).thenRun(() -> finish(told));
         }
     }
 
@@ -191,7 +183,7 @@
 
     private Completion completion(TargetReply reply) {
         Optional<Reason> ended = reasonGivenUp();
-        if (ended.filter(Reason.CANCELLED::equals).isPresent() && reply.kind() == TargetReply.Kind.LOST) {
+        if (ended.filter(Reason.CANCELLED::equals).isPresent() && isUnanswered(reply)) {
             return Completion.FAILED;
         }
         if (ended.isPresent()) {
@@ -200,10 +192,14 @@
         return switch (reply.kind()) {
             case ANSWERED -> succeeded(reply) ? Completion.SUCCEEDED : Completion.FAILED;
             case REFUSED -> Completion.REFUSED_BY_TARGET;
-            case NOT_SENT, LOST -> Completion.FAILED;
+            case NOT_SENT, LOST, GIVEN_UP -> Completion.FAILED;
         };
     }
 
+    private static boolean isUnanswered(TargetReply reply) {
+        return reply.kind() == TargetReply.Kind.LOST || reply.kind() == TargetReply.Kind.GIVEN_UP;
+    }
+
     private static boolean succeeded(TargetReply reply) {
         return reply.answer().filter(answer -> !answer.isServerError()).isPresent();
     }
@@ -214,6 +210,7 @@
             case REFUSED -> CallResult.notRun(Reason.TARGET_REFUSED, reply.detail());
             case NOT_SENT -> CallResult.notRun(Reason.CONNECT_FAILED, reply.detail());
             case LOST -> CallResult.unknown(Reason.CONNECTION_LOST, reply.detail());
+            case GIVEN_UP -> CallResult.unknown(Reason.TIMED_OUT, reply.detail());
         };
     }
 
--- a/src/main/java/io/beryldock/http/HttpTargetClient.java
+++ b/src/main/java/io/beryldock/http/HttpTargetClient.java
@@ -10,6 +10,7 @@
 import io.beryldock.forwarding.TargetReply;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.net.SocketTimeoutException;
 import java.util.Arrays;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -127,7 +128,10 @@
                 || e instanceof ConnectionRequestTimeoutException
                 || e instanceof ConnectException;
         String detail = e.getClass().getSimpleName() + ": " + e.getMessage();
-        return neverSent ? TargetReply.notSent(detail) : TargetReply.lost(detail);
+        if (neverSent) {
+            return TargetReply.notSent(detail);
+        }
+        return e instanceof SocketTimeoutException ? TargetReply.givenUp(detail) : TargetReply.lost(detail);
     }
 
     /** Completes the reply from the client's callback. */
@@ -145,7 +149,7 @@
 
         @Override
         public void cancelled() {
-            reply.complete(TargetReply.lost("the exchange was cancelled"));
+            reply.complete(TargetReply.givenUp("the exchange was cancelled"));
         }
     }
 }
--- a/src/main/java/io/beryldock/platform/PlatformTargetClient.java
+++ b/src/main/java/io/beryldock/platform/PlatformTargetClient.java
@@ -13,6 +13,7 @@
 import io.beryldock.nettyhttp.HttpReply;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -84,6 +85,9 @@
     }
 
     private static TargetReply classify(Throwable failure) {
+        if (failure instanceof CancellationException) {
+            return TargetReply.givenUp("nobody waits for the answer any more");
+        }
         return HttpExchangeException.isNotSent(failure)
                 ? TargetReply.notSent(failure.getMessage())
                 : TargetReply.lost(failure.toString());
--- /dev/null
+++ b/src/test/java/io/beryldock/forwarding/TargetExecutorTest.java
@@ -0,0 +1,148 @@
+package io.beryldock.forwarding;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.protobuf.ByteString;
+import io.beryldock.admission.GateSettings;
+import io.beryldock.admission.TargetGate;
+import io.beryldock.call.Answer;
+import io.beryldock.call.Call;
+import io.beryldock.call.CallContext;
+import io.beryldock.call.CallResult;
+import io.beryldock.call.DataCentre;
+import io.beryldock.call.Headers;
+import io.beryldock.call.Incarnation;
+import io.beryldock.call.NodeId;
+import io.beryldock.call.Outcome;
+import io.beryldock.call.PriorityClass;
+import io.beryldock.call.Reason;
+import io.beryldock.call.RequestId;
+import io.beryldock.call.RequestIds;
+import io.beryldock.call.ServiceName;
+import io.beryldock.membership.NodeDescriptor;
+import io.beryldock.quarantine.Quarantine;
+import io.beryldock.quarantine.QuarantineSettings;
+import io.beryldock.retry.RetryLedger;
+import io.beryldock.time.ManualTimerService;
+import io.beryldock.timeline.EventSink;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+
+class TargetExecutorTest {
+
+    private static final Duration LONGEST_DECISION = Duration.ofSeconds(1);
+    private static final Duration TIME_LIMIT = Duration.ofSeconds(10);
+    private static final ServiceName LISTS = ServiceName.of("lists");
+    private static final InetSocketAddress ADDRESS = InetSocketAddress.createUnresolved("127.0.0.1", 1);
+    private static final String POISON = "/lists/poison";
+    private static final CallResult NOT_ENDED = CallResult.notRun(Reason.INTERNAL, "it has not ended");
+
+    private final RequestIds ids = RequestIds.of(Incarnation.random(new Random(1)));
+    private final ManualTimerService time = ManualTimerService.create();
+    private final Quarantine quarantine = Quarantine.create(
+            new NodeDescriptor(NodeId.of("a"), new Incarnation(1, 1), DataCentre.of("gent-a"), ADDRESS),
+            time.ticker(),
+            QuarantineSettings.defaults(),
+            EventSink.none());
+    private final AnnouncedTarget target = new AnnouncedTarget(
+            LISTS,
+            ADDRESS,
+            TargetGate.create(GateSettings.defaults(), time, new Random(1), EventSink.none(), LISTS));
+    private final Deque<CompletableFuture<TargetReply>> sent = new ArrayDeque<>();
+    private LifeSign sign = LifeSign.ENDED;
+    private final TargetCrashDetector crashes = TargetCrashDetector.create(
+            address -> lostAtNanos -> CompletableFuture.completedFuture(sign), quarantine, time, EventSink.none());
+    private final TargetExecutor executor = TargetExecutor.create(new TargetExecutor.Ports(
+            () -> Optional.of(target),
+            this::send,
+            ExecutionRegistry.create(),
+            RetryLedger.create(),
+            quarantine,
+            null,
+            crashes,
+            load -> {},
+            time,
+            EventSink.none()));
+
+    private TargetExchange send(Call call) {
+        CompletableFuture<TargetReply> reply = new CompletableFuture<>();
+        sent.add(reply);
+        return TargetExchange.unabortable(reply);
+    }
+
+    private CompletableFuture<CallResult> run(String path, CancelScope scope) {
+        RequestId id = ids.next();
+        CallContext context =
+                new CallContext(id, id, PriorityClass.of("browsing", 5), TIME_LIMIT.toNanos(), 0, 0, 0, 0, false);
+        Call call = new Call(
+                id,
+                Call.OUTSIDE,
+                LISTS,
+                "GET",
+                path,
+                Headers.empty(),
+                ByteString.EMPTY,
+                true,
+                Optional.empty(),
+                context);
+        return executor.execute(call, scope);
+    }
+
+    private CompletableFuture<CallResult> run(String path) {
+        return run(path, CancelScope.create());
+    }
+
+    private void lose() {
+        sent.remove().complete(TargetReply.lost("the connection was closed"));
+    }
+
+    private static Optional<Reason> reason(CompletableFuture<CallResult> result) {
+        return result.getNow(NOT_ENDED).reason();
+    }
+
+    @Test
+    void aRequestThatCrashesTheTargetTwiceIsRefused() {
+        for (int crash = 0; crash < 2; crash++) {
+            CompletableFuture<CallResult> result = run(POISON);
+            lose();
+            time.advance(LONGEST_DECISION);
+            assertThat(result.getNow(NOT_ENDED).outcome()).isEqualTo(Outcome.UNKNOWN);
+        }
+        assertThat(reason(run(POISON))).contains(Reason.QUARANTINED);
+        assertThat(sent).isEmpty();
+    }
+
+    /** Guards against a crash that is not held against the request as its caller, or the link to him, had gone before. */
+    @Test
+    void aCrashCountsThoughTheCallerHasGone() {
+        for (int crash = 0; crash < 2; crash++) {
+            CancelScope scope = CancelScope.create();
+            CompletableFuture<CallResult> result = run(POISON, scope);
+            scope.cancel();
+            assertThat(result.getNow(NOT_ENDED).outcome()).isEqualTo(Outcome.UNKNOWN);
+            lose();
+            time.advance(LONGEST_DECISION);
+        }
+        assertThat(reason(run(POISON))).contains(Reason.QUARANTINED);
+    }
+
+    /** Guards against suspects made by this node's own haste: it closed the connection itself. */
+    @Test
+    void anExchangeThatTheNodeGaveUpIsNoCrash() {
+        for (int i = 0; i < 2; i++) {
+            CompletableFuture<CallResult> result = run(POISON);
+            sent.remove().complete(TargetReply.givenUp("the time is over"));
+            time.advance(LONGEST_DECISION);
+            assertThat(reason(result)).contains(Reason.TIMED_OUT);
+        }
+        run(POISON);
+        assertThat(sent).hasSize(1);
+        sent.remove().complete(TargetReply.answered(new Answer(200, Headers.empty(), ByteString.EMPTY)));
+    }
+}
