A crash is known at the nodes of the service before its caller can ask the next one

By the code the node itself helps: after CONNECTION_LOST it hands an idempotent request on to another target, up to its allowance, while no news of the crash has come.

Cause: news of a crash were gathered for 100 ms and went to six random nodes; the entry node learned of the crash only so, and the next target's node began the run as a harmless one. So only a third or fourth crash convicted it.

Fix: the result says TARGET_CRASHED, so that the entry holds the request for a suspect, does not hand it on, and marks it with the next call (context.suspect); the target's node runs a marked one as a suspect. Evidence of convergence was needed first: without waiting for all nodes to know all targets the test failed with news sent to none, as nobody else was known yet.

Ruled out: handing the request on as a suspect at once: all that was in flight at the crash would queue one by one at the targets left.

--- a/src/main/java/io/beryldock/call/CallCodec.java
+++ b/src/main/java/io/beryldock/call/CallCodec.java
@@ -201,6 +201,7 @@
                 .setRetriedAncestor(context.retriedAncestor())
                 .setCovered(context.covered())
                 .setRepeat(context.repeat())
+                .setSuspect(context.suspect())
                 .build();
     }
 
@@ -216,7 +217,8 @@
                 wire.getSunkNanos(),
                 wire.getRetriedAncestor(),
                 wire.getCovered(),
-                wire.getRepeat());
+                wire.getRepeat(),
+                wire.getSuspect());
     }
 
     private static List<WireHeader> encode(Headers headers) {
--- a/src/main/java/io/beryldock/call/CallContext.java
+++ b/src/main/java/io/beryldock/call/CallContext.java
@@ -16,6 +16,7 @@
  * @param sunkNanos target time already spent in the tree for the root request
  * @param covered whether its entry holds credits for the whole tree, so that it is served before what is not covered
  * @param repeat whether the run that makes the call repeats an earlier one, which made the same call
+ * @param suspect whether its sender holds it for one that may have crashed a target
  */
 public record CallContext(
         RequestId root,
@@ -28,7 +29,8 @@
         long sunkNanos,
         boolean retriedAncestor,
         boolean covered,
-        boolean repeat) {
+        boolean repeat,
+        boolean suspect) {
 
     public CallContext {
         Objects.requireNonNull(root, "root");
@@ -58,31 +60,37 @@
                 sunkNanos,
                 retriedAncestor,
                 false,
+                false,
                 false);
     }
 
     /** The same context, covered by credits or not. */
     public CallContext withCovered(boolean mark) {
-        return with(remainingNanos, retryAllowance, mark, repeat);
+        return with(remainingNanos, retryAllowance, mark, repeat, suspect);
     }
 
     /** The same context, of a repeated call or not. */
     public CallContext withRepeat(boolean mark) {
-        return with(remainingNanos, retryAllowance, covered, mark);
+        return with(remainingNanos, retryAllowance, covered, mark, suspect);
+    }
+
+    /** The same context, of a call that may have crashed a target or not. */
+    public CallContext withSuspect(boolean mark) {
+        return with(remainingNanos, retryAllowance, covered, repeat, mark);
     }
 
     /** The same context with another part of the root's retries. */
     public CallContext withRetryAllowance(int allowance) {
-        return with(remainingNanos, allowance, covered, repeat);
+        return with(remainingNanos, allowance, covered, repeat, suspect);
     }
 
     /** The same context with less time left; never below zero. */
     public CallContext afterNanos(long elapsedNanos) {
         long left = Math.max(0, remainingNanos - elapsedNanos);
-        return with(left, retryAllowance, covered, repeat);
+        return with(left, retryAllowance, covered, repeat, suspect);
     }
 
-    private CallContext with(long remaining, int allowance, boolean covers, boolean repeats) {
+    private CallContext with(long remaining, int allowance, boolean covers, boolean repeats, boolean suspected) {
         return new CallContext(
                 root,
                 parent,
@@ -94,6 +102,7 @@
                 sunkNanos,
                 retriedAncestor,
                 covers,
-                repeats);
+                repeats,
+                suspected);
     }
 }
--- a/src/main/java/io/beryldock/call/CallResult.java
+++ b/src/main/java/io/beryldock/call/CallResult.java
@@ -80,6 +80,21 @@
         return answer.isPresent() && !answer.get().isServerError();
     }
 
+    /** The same end without an answer, for another reason. */
+    public CallResult withReason(Reason other) {
+        return new CallResult(
+                outcome,
+                answer,
+                Optional.of(other),
+                detail,
+                retryAfterMillis,
+                unspentRetries,
+                levels,
+                spentNanos,
+                cost,
+                load);
+    }
+
     public CallResult withRetryAfterMillis(long millis) {
         return new CallResult(outcome, answer, reason, detail, millis, unspentRetries, levels, spentNanos, cost, load);
     }
--- a/src/main/java/io/beryldock/call/Reason.java
+++ b/src/main/java/io/beryldock/call/Reason.java
@@ -23,6 +23,7 @@
     TARGET_REFUSED(503, "the target refused the request before running it", "come back after Retry-After"),
     CONNECT_FAILED(503, "no connection to the target could be made", "send the request again"),
     CONNECTION_LOST(502, "the connection was lost while the request was under way", "ask whether it took effect"),
+    TARGET_CRASHED(502, "the target crashed while the request was under way", "ask whether it took effect"),
     TIMED_OUT(504, "no answer came in the time allowed", "ask whether it took effect"),
     CANCELLED(499, "the caller went away", "none is needed"),
     KEY_IN_USE(422, "the key belongs to another caller or another request", "use a new key for a new request"),
--- a/src/main/java/io/beryldock/forwarding/AttemptLoop.java
+++ b/src/main/java/io/beryldock/forwarding/AttemptLoop.java
@@ -109,10 +109,10 @@
         tries++;
         tried.add(target.node().id());
         RetryGrant grant = account.grant(GrantPolicy.standard(), false);
-        Call attempt = call.attempt(ports.ids().next(), attemptContext(grant));
+        boolean asSuspect = ports.quarantine().verdict(fingerprint) != Verdict.FREE;
+        Call attempt = call.attempt(ports.ids().next(), attemptContext(grant).withSuspect(asSuspect));
         ports.chooser().onStart(target);
         long sent = now();
-        boolean asSuspect = ports.quarantine().verdict(fingerprint) != Verdict.FREE;
         CallForwarder.attempt(ports, target, attempt, scope).whenComplete((ended, failure) -> {
             CallResult known = failure == null ? ended : CallResult.unknown(Reason.INTERNAL, failure.toString());
             orUnknown(() -> {
@@ -185,6 +185,9 @@
         if (ended.outcome() == Outcome.ANSWERED) {
             ports.quarantine().onNodeAnswered(target.node());
         }
+        if (ended.reason().filter(Reason.TARGET_CRASHED::equals).isPresent()) {
+            ports.quarantine().onTargetCrashTold(fingerprint, target.node(), sentAsSuspect);
+        }
         if (ended.reason().filter(Reason.CONNECTION_LOST::equals).isPresent() && !replied(ended)) {
             ports.quarantine().onNodeLost(fingerprint, target.node(), sentAsSuspect);
             ports.losses().accept(target.node());
--- a/src/main/java/io/beryldock/forwarding/EntryService.java
+++ b/src/main/java/io/beryldock/forwarding/EntryService.java
@@ -252,7 +252,8 @@
                 parent.sunkNanos(ports.ticker().nanos()),
                 retriedAncestor,
                 above.covered(),
-                above.repeat());
+                above.repeat(),
+                false);
     }
 
     /**
--- a/src/main/java/io/beryldock/forwarding/TargetCrashDetector.java
+++ b/src/main/java/io/beryldock/forwarding/TargetCrashDetector.java
@@ -7,6 +7,7 @@
 import io.beryldock.time.TimerService;
 import io.beryldock.timeline.EventKind;
 import io.beryldock.timeline.EventSink;
+import io.beryldock.wire.QuarantineDelta;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -36,8 +37,12 @@
     /** Longest wait for a sign of life: a target's full queue of connections neither accepts nor refuses one. */
     private static final Duration LONGEST_LOOK = Duration.ofMillis(500);
 
+    /** Longest wait until the other nodes know of a crash. */
+    private static final Duration LONGEST_NEWS = Duration.ofMillis(500);
+
     private final TargetLives lives;
     private final Quarantine quarantine;
+    private final CrashNews news;
     private final TimerService timers;
     private final EventSink events;
 
@@ -46,16 +51,18 @@
 
     private volatile boolean idle = true;
 
-    private TargetCrashDetector(TargetLives lives, Quarantine quarantine, TimerService timers, EventSink events) {
+    private TargetCrashDetector(
+            TargetLives lives, Quarantine quarantine, CrashNews news, TimerService timers, EventSink events) {
         this.lives = lives;
         this.quarantine = quarantine;
+        this.news = news;
         this.timers = timers;
         this.events = events;
     }
 
     public static TargetCrashDetector create(
-            TargetLives lives, Quarantine quarantine, TimerService timers, EventSink events) {
-        return new TargetCrashDetector(lives, quarantine, timers, events);
+            TargetLives lives, Quarantine quarantine, CrashNews news, TimerService timers, EventSink events) {
+        return new TargetCrashDetector(lives, quarantine, news, timers, events);
     }
 
     /** The life by which an exchange that begins now is judged if it is lost. */
@@ -67,10 +74,10 @@
      * An exchange with the target broke off while the request was in flight.
      *
      * @param life as {@link #lifeOf} gave it before the exchange began
-     * @return completes when it is decided whether the target crashed, so that a caller who sends the request again at
-     *     once meets the verdict
+     * @return completes when it is decided whether the target crashed, {@link LifeSign#ENDED}, and the nodes of the
+     *     service know, so that a caller who sends the request again at once meets the verdict
      */
-    CompletableFuture<Void> onLost(AnnouncedTarget target, TargetLife life, Fingerprint fingerprint) {
+    CompletableFuture<LifeSign> onLost(AnnouncedTarget target, TargetLife life, Fingerprint fingerprint) {
         Losses losses;
         boolean first;
         synchronized (this) {
@@ -92,7 +99,7 @@
      *
      * <p>A run that began meanwhile would not be known for a suspect's, so that its crash would not convict it.
      */
-    Optional<CompletableFuture<Void>> undecided(Fingerprint fingerprint) {
+    Optional<CompletableFuture<LifeSign>> undecided(Fingerprint fingerprint) {
         if (idle) {
             return Optional.empty();
         }
@@ -126,15 +133,24 @@
                 "%d exchanges with the target of %s were lost, its life: %s",
                 lost.size(), losses.target.service(), sign);
         switch (sign) {
-            case GOES_ON -> lost.forEach(quarantine::onAbandoned);
-            case ENDED -> crashed(losses.target, lost);
-            case UNKNOWN -> quarantine.onTargetDoubtful(lost);
+            case GOES_ON -> {
+                lost.forEach(quarantine::onAbandoned);
+                losses.decided.complete(sign);
+            }
+            case UNKNOWN -> tell(losses, sign, quarantine.onTargetDoubtful(lost));
+            case ENDED -> {
+                noteCrash(losses.target, lost);
+                tell(losses, sign, quarantine.onTargetCrashed(lost));
+            }
         }
-        losses.decided.complete(null);
     }
 
-    private void crashed(AnnouncedTarget target, List<Fingerprint> inFlight) {
-        quarantine.onTargetCrashed(inFlight);
+    private void tell(Losses losses, LifeSign sign, QuarantineDelta suspects) {
+        timers.after(LONGEST_NEWS, () -> losses.decided.complete(sign));
+        news.tell(losses.target.service(), suspects).whenComplete((told, failure) -> losses.decided.complete(sign));
+    }
+
+    private void noteCrash(AnnouncedTarget target, List<Fingerprint> inFlight) {
         target.gate().targetRestarted();
         events.record(
                 EventKind.TARGET_LOST,
@@ -147,7 +163,7 @@
 
         private final AnnouncedTarget target;
         private final List<Fingerprint> requests = new ArrayList<>();
-        private final CompletableFuture<Void> decided = new CompletableFuture<>();
+        private final CompletableFuture<LifeSign> decided = new CompletableFuture<>();
 
         Losses(AnnouncedTarget target) {
             this.target = target;
--- a/src/main/java/io/beryldock/forwarding/TargetRun.java
+++ b/src/main/java/io/beryldock/forwarding/TargetRun.java
@@ -118,9 +118,9 @@
     /** A request that was just lost here keeps its permit until it is known whether it took the target down. */
     @Override
     public void admitted(Permit permit) {
-        Optional<CompletableFuture<Void>> undecided = ports.crashes().undecided(fingerprint);
+        Optional<CompletableFuture<LifeSign>> undecided = ports.crashes().undecided(fingerprint);
         if (undecided.isPresent()) {
-            undecided.get().thenRun(() -> admitted(permit));
+            undecided.get().thenAccept(sign -> admitted(permit));
         } else {
             begin(permit);
         }
@@ -132,7 +132,7 @@
             refused(Reason.CANCELLED, 0);
             return;
         }
-        if (!ports.quarantine().onStarted(fingerprint)) {
+        if (!ports.quarantine().onStarted(fingerprint, call.context().suspect())) {
             permit.release(Completion.REFUSED_BY_TARGET);
             finish(CallResult.notRun(Reason.SHED_AT_TARGET, "a request that was in flight at a crash runs alone")
                     .withRetryAfterMillis(SUSPECT_RETRY_MILLIS)
@@ -181,7 +181,8 @@
                 finish(told);
             }
             // Also where the caller has gone: what was lost with the target may have taken it down all the same.
-            case LOST -> ports.crashes().onLost(target, life, fingerprint).thenRun(() -> finish(told));
+            case LOST ->
+                ports.crashes().onLost(target, life, fingerprint).thenAccept(sign -> finish(judged(told, sign)));
         }
     }
 
@@ -218,6 +219,10 @@
         return reply.answer().filter(answer -> !answer.isServerError()).isPresent();
     }
 
+    private static CallResult judged(CallResult lost, LifeSign sign) {
+        return sign == LifeSign.ENDED ? lost.withReason(Reason.TARGET_CRASHED) : lost;
+    }
+
     private static CallResult toResult(TargetReply reply) {
         return switch (reply.kind()) {
             case ANSWERED -> CallResult.answered(reply.answer().orElseThrow());
--- a/src/main/java/io/beryldock/node/RunningNode.java
+++ b/src/main/java/io/beryldock/node/RunningNode.java
@@ -1,9 +1,12 @@
 package io.beryldock.node;
 
+import io.beryldock.call.ServiceName;
 import io.beryldock.forwarding.ExecutionRegistry;
 import io.beryldock.forwarding.RequestTally;
 import io.beryldock.forwarding.TargetLives;
 import io.beryldock.http.NodeHttpServer;
+import io.beryldock.membership.Directory;
+import io.beryldock.membership.Membership;
 import io.beryldock.retry.RetryLedger;
 import io.beryldock.store.PlatformStore;
 import io.beryldock.timeline.EventRing;
@@ -63,6 +66,12 @@
         return core.injector().getInstance(TargetAnnouncements.class).stateWord();
     }
 
+    /** How many targets of the service this node knows, in whatever state. */
+    public int knownTargets(String service) {
+        Directory directory = core.injector().getInstance(Membership.class).directory();
+        return directory.targetsOf(ServiceName.of(service)).size();
+    }
+
     /** Calls that the target runs now. */
     public int running() {
         return core.injector().getInstance(ExecutionRegistry.class).size();
--- a/src/main/java/io/beryldock/node/TrafficModule.java
+++ b/src/main/java/io/beryldock/node/TrafficModule.java
@@ -147,8 +147,9 @@
 
     @Provides
     @Singleton
-    TargetCrashDetector crashDetector(TargetLives lives, Quarantine quarantine, EventSink events) {
-        return TargetCrashDetector.create(lives, quarantine, timers, events);
+    TargetCrashDetector crashDetector(
+            TargetLives lives, Quarantine quarantine, QuarantineSpreader news, EventSink events) {
+        return TargetCrashDetector.create(lives, quarantine, news, timers, events);
     }
 
     @Provides
--- a/src/main/java/io/beryldock/quarantine/Quarantine.java
+++ b/src/main/java/io/beryldock/quarantine/Quarantine.java
@@ -34,6 +34,9 @@
     /** The number of a node's own loss; its target's crashes count from 1. */
     private static final long NODE_LOSS = 0;
 
+    /** The number of a crash that the node told with the result of a call, whose own number is not known yet. */
+    private static final long TOLD_CRASH = -1;
+
     private final NodeDescriptor self;
     private final Ticker ticker;
     private final QuarantineSettings settings;
@@ -74,18 +77,29 @@
      * @return false when it may not start now: it is refused, or another suspect runs here
      */
     public boolean onStarted(Fingerprint fingerprint) {
-        if (idle) {
+        return onStarted(fingerprint, false);
+    }
+
+    /**
+     * Starts a run at this node's target.
+     *
+     * @param toldSuspect whether the sender holds the request for a suspect; its news may come before that of the crash
+     * @return false when it may not start now: it is refused, or another suspect runs here
+     */
+    public boolean onStarted(Fingerprint fingerprint, boolean toldSuspect) {
+        if (idle && !toldSuspect) {
             return true;
         }
         synchronized (this) {
             Verdict verdict = table.verdict(fingerprint, ticker.nanos());
-            if (verdict == Verdict.FREE) {
+            if (verdict == Verdict.FREE && !toldSuspect) {
                 return true;
             }
             if (verdict == Verdict.REFUSED || runningSuspect != null) {
                 return false;
             }
             runningSuspect = fingerprint.detached();
+            idle = false;
             return true;
         }
     }
@@ -119,6 +133,7 @@
     private void endRun(Fingerprint fingerprint) {
         if (fingerprint.equals(runningSuspect)) {
             runningSuspect = null;
+            updateIdle(ticker.nanos());
         }
     }
 
@@ -127,9 +142,13 @@
         idle = runningSuspect == null && !table.hasLive(now);
     }
 
-    /** This node's target crashed with these requests in flight; one that ran as a suspect is refused from now on. */
-    public void onTargetCrashed(Collection<Fingerprint> inFlight) {
-        onTargetLost(inFlight, true);
+    /**
+     * This node's target crashed with these requests in flight; one that ran as a suspect is refused from now on.
+     *
+     * @return the news of it for other nodes
+     */
+    public QuarantineDelta onTargetCrashed(Collection<Fingerprint> inFlight) {
+        return onTargetLost(inFlight, true);
     }
 
     /**
@@ -137,14 +156,11 @@
      *
      * <p>They are held for suspects, and refused where they ran as such, for the short time of what is not confirmed.
      */
-    public void onTargetDoubtful(Collection<Fingerprint> inFlight) {
-        onTargetLost(inFlight, false);
+    public QuarantineDelta onTargetDoubtful(Collection<Fingerprint> inFlight) {
+        return onTargetLost(inFlight, false);
     }
 
-    private synchronized void onTargetLost(Collection<Fingerprint> inFlight, boolean confirmed) {
-        if (inFlight.isEmpty()) {
-            return;
-        }
+    private synchronized QuarantineDelta onTargetLost(Collection<Fingerprint> inFlight, boolean confirmed) {
         long now = ticker.nanos();
         long crash = crashName(self, ++crashCounter);
         Duration length = confirmed ? settings.length() : settings.unconfirmedLength();
@@ -155,6 +171,7 @@
             endRun(fingerprint);
         }
         updateIdle(now);
+        return QuarantineCodec.encode(table.rows(row -> row.key().crash() == crash), now);
     }
 
     /** As {@link #onNodeLost(Fingerprint, NodeDescriptor, boolean)} for a call that was not sent as a suspect. */
@@ -212,6 +229,24 @@
         }
     }
 
+    /**
+     * Another node told with a call's result that its target crashed while it ran the call.
+     *
+     * <p>Its own news of the crash follows and lasts longer; until then the caller may send the request again.
+     *
+     * @param sentAsSuspect whether the verdict was ALONE when the call was sent
+     */
+    public synchronized void onTargetCrashTold(Fingerprint fingerprint, NodeDescriptor node, boolean sentAsSuspect) {
+        if (node.equals(self)) {
+            return;
+        }
+        long now = ticker.nanos();
+        long expires = now + settings.unconfirmedLength().toNanos();
+        CrashEvidence evidence = new CrashEvidence(sentAsSuspect, false, false, expires);
+        add(fingerprint, crashName(node, TOLD_CRASH), evidence, now);
+        updateIdle(now);
+    }
+
     private void add(Fingerprint fingerprint, long crash, CrashEvidence evidence, long now) {
         Verdict before = table.verdict(fingerprint, now);
         table.merge(new QuarantineTable.Key(fingerprint, crash), evidence);
--- a/src/main/java/io/beryldock/routing/CallSign.java
+++ b/src/main/java/io/beryldock/routing/CallSign.java
@@ -45,7 +45,7 @@
     /** A caller may allow less time than the target ever needs: such a timeout says nothing of the target. */
     private static CallSign ofUnknown(Reason reason, boolean fairWait) {
         return switch (reason) {
-            case CONNECTION_LOST, INTERNAL -> FAILED;
+            case CONNECTION_LOST, TARGET_CRASHED, INTERNAL -> FAILED;
             case TIMED_OUT -> fairWait ? FAILED : NONE;
             default -> NONE;
         };
