A caller is answered whatever fails while his answer is written

Cause: the listener for callers writes the answer in a stage of a future that nobody looks at. Whatever is thrown there, an Error too, is kept in that future: the request is neither answered nor its connection closed, and servers set no limit on it.

Fix: the whole ending is guarded; a failure is logged and ends the exchange as UNKNOWN, or with its connection. Ruled out as the only cause: TcpTargetProbe without a limit; a call's own time limit ended such a wait after 3 s.

--- a/src/main/java/io/beryldock/http/ForwardResource.java
+++ b/src/main/java/io/beryldock/http/ForwardResource.java
@@ -2,11 +2,13 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.beryldock.call.CallResult;
+import io.beryldock.call.Outcome;
 import io.beryldock.call.Reason;
 import io.beryldock.forwarding.CancelScope;
 import io.beryldock.forwarding.IncomingRequest;
 import io.beryldock.forwarding.IncomingRequest.Origin;
 import io.beryldock.forwarding.RequestHandler;
+import io.beryldock.forwarding.RequestOutcome;
 import jakarta.servlet.http.HttpServletRequest;
 import jakarta.ws.rs.DELETE;
 import jakarta.ws.rs.GET;
@@ -19,7 +21,9 @@
 import jakarta.ws.rs.container.AsyncResponse;
 import jakarta.ws.rs.container.Suspended;
 import jakarta.ws.rs.core.Context;
+import jakarta.ws.rs.core.Response;
 import java.io.IOException;
+import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.function.ToIntFunction;
 
@@ -108,12 +112,23 @@
                             if (failure != null) {
                                 log.atSevere().withCause(failure).log(
                                         "the handling of %s %s failed", request.method(), request.path());
-                                response.resume(ResultWriter.write(CallResult.unknown(Reason.INTERNAL, ""), ""));
-                                return;
                             }
-                            response.resume(ResultWriter.write(
-                                    outcome.result(), outcome.root().toString()));
+                            end(response, Optional.ofNullable(outcome));
                         },
                         responder);
     }
+
+    /** Ends the exchange whatever fails: nobody else would, and its caller would wait for ever. */
+    private static void end(AsyncResponse response, Optional<RequestOutcome> outcome) {
+        try {
+            CallResult result = outcome.map(RequestOutcome::result).orElse(CallResult.unknown(Reason.INTERNAL, ""));
+            String id = outcome.map(ended -> ended.root().toString()).orElse("");
+            response.resume(ResultWriter.write(result, id));
+        } catch (RuntimeException | Error e) {
+            log.atSevere().withCause(e).log("the result of a request could not be written: %s", outcome);
+            response.resume(Response.serverError()
+                    .header(BeryldockHeaders.OUTCOME, Outcome.UNKNOWN.name())
+                    .build());
+        }
+    }
 }
--- a/src/main/java/io/beryldock/nettyhttp/HttpServerConnection.java
+++ b/src/main/java/io/beryldock/nettyhttp/HttpServerConnection.java
@@ -170,7 +170,17 @@
         refused.answer(HttpAnswer.of(status).closing());
     }
 
+    /** An answer that can't be written leaves its client without any: the close tells him so. */
     private void writeReady() {
+        try {
+            writeAnswers();
+        } catch (RuntimeException e) {
+            log.atSevere().withCause(e).log("an answer could not be written; its connection is closed");
+            context.close();
+        }
+    }
+
+    private void writeAnswers() {
         boolean wrote = false;
         while (!pending.isEmpty()
                 && pending.peek().given() != null
--- a/src/main/java/io/beryldock/platform/CallerEndpoint.java
+++ b/src/main/java/io/beryldock/platform/CallerEndpoint.java
@@ -81,10 +81,20 @@
                 log.atSevere().withCause(failure).log("the handling of %s failed", exchange.uri());
             }
             CallResult result = failure == null ? outcome.result() : CallResult.unknown(Reason.INTERNAL, "");
+            end(exchange, outcome, result);
+        });
+    }
+
+    /** Ends the exchange whatever fails: nobody else would, and its caller would wait for ever. */
+    private void end(HttpExchange exchange, RequestOutcome outcome, CallResult result) {
+        try {
             HttpAnswer answer = answer(exchange, result);
             note(exchange, outcome, result, answer.status());
             exchange.answer(stopping.getAsBoolean() ? answer.closing() : answer);
-        });
+        } catch (RuntimeException | Error e) {
+            log.atSevere().withCause(e).log("the result of %s could not be written", exchange.uri());
+            exchange.answer(HttpAnswer.of(BAD_GATEWAY));
+        }
     }
 
     /** Joins the id that the caller knows to ours, for whatever ended without success. */
--- a/src/test/java/io/beryldock/nettyhttp/HttpServerTest.java
+++ b/src/test/java/io/beryldock/nettyhttp/HttpServerTest.java
@@ -124,4 +124,12 @@
         answer(second, "never");
         assertThat(readUntil("never")).doesNotContain("never");
     }
+
+    /** Guards against a client that waits for ever for an answer which can't be written. */
+    @Test
+    void anAnswerThatCanNotBeWrittenClosesTheConnection() throws IOException, InterruptedException {
+        write("GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
+        next().answer(HttpAnswer.of(200, Headers.empty().with("no header name", "x"), ByteString.EMPTY));
+        assertThat(readUntil("\r\n\r\n")).isEmpty();
+    }
 }
