A loss that is noticed late convicts no innocent run

What callers would see: a start page refused for a quarter of an hour.

Cause: whether the crash convicts a request was told by which request runs as the suspect when the loss is decided. A popular request is in flight several times; of one crash a loss can be noticed after the others were decided, while the request is tried out as the suspect in the next life of the target. It was taken for the loss of that run.

Fix: each lost run says itself whether it began as a suspect's. The verdict is made before the loss counts as decided, as a run of the same request could begin between the two.

--- a/src/main/java/io/beryldock/forwarding/TargetCrashDetector.java
+++ b/src/main/java/io/beryldock/forwarding/TargetCrashDetector.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import com.google.errorprone.annotations.concurrent.GuardedBy;
 import io.beryldock.quarantine.Fingerprint;
+import io.beryldock.quarantine.LostRun;
 import io.beryldock.quarantine.Quarantine;
 import io.beryldock.time.TimerService;
 import io.beryldock.timeline.EventKind;
@@ -74,16 +75,17 @@
      * An exchange with the target broke off while the request was in flight.
      *
      * @param life as {@link #lifeOf} gave it before the exchange began
+     * @param run the request, and whether this run of it began as a suspect's
      * @return completes when it is decided whether the target crashed, {@link LifeSign#ENDED}, and the nodes of the
      *     service know, so that a caller who sends the request again at once meets the verdict
      */
-    CompletableFuture<LifeSign> onLost(AnnouncedTarget target, TargetLife life, Fingerprint fingerprint) {
+    CompletableFuture<LifeSign> onLost(AnnouncedTarget target, TargetLife life, LostRun run) {
         Losses losses;
         boolean first;
         synchronized (this) {
             first = !undecided.containsKey(life);
             losses = undecided.computeIfAbsent(life, begun -> new Losses(target));
-            losses.requests.add(fingerprint);
+            losses.runs.add(run);
             idle = false;
         }
         if (first) {
@@ -105,7 +107,7 @@
         }
         synchronized (this) {
             return undecided.values().stream()
-                    .filter(losses -> losses.requests.contains(fingerprint))
+                    .filter(losses -> losses.isOf(fingerprint))
                     .map(losses -> losses.decided)
                     .findFirst();
         }
@@ -120,29 +122,35 @@
         });
     }
 
+    /** The verdict is made before the loss counts as decided, so that no run of the request begins between the two. */
     private void decide(TargetLife life, Losses losses, LifeSign sign) {
-        List<Fingerprint> lost;
+        Optional<QuarantineDelta> suspects;
         synchronized (this) {
-            if (!undecided.remove(life, losses)) {
+            if (undecided.get(life) != losses) {
                 return;
             }
-            lost = List.copyOf(losses.requests);
+            suspects = judge(losses.runs, sign);
+            undecided.remove(life);
             idle = undecided.isEmpty();
         }
         log.atInfo().atMostEvery(LOG_SECONDS, TimeUnit.SECONDS).log(
                 "%d exchanges with the target of %s were lost, its life: %s",
-                lost.size(), losses.target.service(), sign);
-        switch (sign) {
+                losses.runs.size(), losses.target.service(), sign);
+        if (sign == LifeSign.ENDED) {
+            noteCrash(losses);
+        }
+        suspects.ifPresentOrElse(told -> tell(losses, sign, told), () -> losses.decided.complete(sign));
+    }
+
+    private Optional<QuarantineDelta> judge(List<LostRun> runs, LifeSign sign) {
+        return switch (sign) {
             case GOES_ON -> {
-                lost.forEach(quarantine::onAbandoned);
-                losses.decided.complete(sign);
+                runs.forEach(quarantine::onAbandoned);
+                yield Optional.empty();
             }
-            case UNKNOWN -> tell(losses, sign, quarantine.onTargetDoubtful(lost));
-            case ENDED -> {
-                noteCrash(losses.target, lost);
-                tell(losses, sign, quarantine.onTargetCrashed(lost));
-            }
-        }
+            case UNKNOWN -> Optional.of(quarantine.onTargetDoubtful(runs));
+            case ENDED -> Optional.of(quarantine.onTargetEnded(runs));
+        };
     }
 
     private void tell(Losses losses, LifeSign sign, QuarantineDelta suspects) {
@@ -150,23 +158,31 @@
         news.tell(losses.target.service(), suspects).whenComplete((told, failure) -> losses.decided.complete(sign));
     }
 
-    private void noteCrash(AnnouncedTarget target, List<Fingerprint> inFlight) {
-        target.gate().targetRestarted();
+    private void noteCrash(Losses losses) {
+        losses.target.gate().targetRestarted();
         events.record(
                 EventKind.TARGET_LOST,
-                target.service().value(),
-                "it crashed with " + inFlight.size() + " requests in flight");
+                losses.target.service().value(),
+                "it crashed with " + losses.runs.size() + " requests in flight");
     }
 
-    /** Exchanges of one life that were lost and wait for the decision; the list is guarded by the detector. */
+    /**
+     * Exchanges of one life that were lost and wait for the decision.
+     *
+     * <p>The runs are guarded by the detector and don't change once the loss is decided.
+     */
     private static final class Losses {
 
         private final AnnouncedTarget target;
-        private final List<Fingerprint> requests = new ArrayList<>();
+        private final List<LostRun> runs = new ArrayList<>();
         private final CompletableFuture<LifeSign> decided = new CompletableFuture<>();
 
         Losses(AnnouncedTarget target) {
             this.target = target;
         }
+
+        boolean isOf(Fingerprint request) {
+            return runs.stream().anyMatch(run -> run.request().equals(request));
+        }
     }
 }
--- a/src/main/java/io/beryldock/forwarding/TargetRun.java
+++ b/src/main/java/io/beryldock/forwarding/TargetRun.java
@@ -15,6 +15,8 @@
 import io.beryldock.call.ServiceLevel;
 import io.beryldock.call.TargetLoad;
 import io.beryldock.quarantine.Fingerprint;
+import io.beryldock.quarantine.LostRun;
+import io.beryldock.quarantine.Verdict;
 import io.beryldock.retry.RetryAccount;
 import io.beryldock.time.TimerService.Subscription;
 import java.time.Duration;
@@ -132,7 +134,8 @@
             refused(Reason.CANCELLED, 0);
             return;
         }
-        if (!ports.quarantine().onStarted(fingerprint, call.context().suspect())) {
+        Verdict verdict = ports.quarantine().start(fingerprint, call.context().suspect());
+        if (verdict == Verdict.REFUSED) {
             permit.release(Completion.REFUSED_BY_TARGET);
             finish(CallResult.notRun(Reason.SHED_AT_TARGET, "a request that was in flight at a crash runs alone")
                     .withRetryAfterMillis(SUSPECT_RETRY_MILLIS)
@@ -148,7 +151,7 @@
         synchronized (this) {
             exchange = sending;
         }
-        sending.reply().thenAccept(reply -> onReply(started, permit, life, reply));
+        sending.reply().thenAccept(reply -> onReply(started, permit, life, verdict, reply));
         if (givenUpBefore()) {
             abort(sending);
         }
@@ -164,7 +167,7 @@
         return started;
     }
 
-    private void onReply(Execution started, Permit permit, TargetLife life, TargetReply reply) {
+    private void onReply(Execution started, Permit permit, TargetLife life, Verdict verdict, TargetReply reply) {
         permit.release(completion(reply));
         CallResult told = close(started, toResult(reply));
         if (givenUpBefore() && TargetExecutor.isKeyed(call)) {
@@ -182,7 +185,9 @@
             }
             // Also where the caller has gone: what was lost with the target may have taken it down all the same.
             case LOST ->
-                ports.crashes().onLost(target, life, fingerprint).thenAccept(sign -> finish(judged(told, sign)));
+                ports.crashes()
+                        .onLost(target, life, new LostRun(fingerprint, verdict == Verdict.ALONE))
+                        .thenAccept(sign -> finish(judged(told, sign)));
         }
     }
 
--- a/src/main/java/io/beryldock/quarantine/Quarantine.java
+++ b/src/main/java/io/beryldock/quarantine/Quarantine.java
@@ -77,30 +77,31 @@
      * @return false when it may not start now: it is refused, or another suspect runs here
      */
     public boolean onStarted(Fingerprint fingerprint) {
-        return onStarted(fingerprint, false);
+        return start(fingerprint, false) != Verdict.REFUSED;
     }
 
     /**
      * Starts a run at this node's target.
      *
      * @param toldSuspect whether the sender holds the request for a suspect; its news may come before that of the crash
-     * @return false when it may not start now: it is refused, or another suspect runs here
+     * @return FREE or ALONE when it starts, ALONE as the one suspect here; REFUSED when it may not start now, as it is
+     *     refused or another suspect runs here
      */
-    public boolean onStarted(Fingerprint fingerprint, boolean toldSuspect) {
+    public Verdict start(Fingerprint fingerprint, boolean toldSuspect) {
         if (idle && !toldSuspect) {
-            return true;
+            return Verdict.FREE;
         }
         synchronized (this) {
             Verdict verdict = table.verdict(fingerprint, ticker.nanos());
             if (verdict == Verdict.FREE && !toldSuspect) {
-                return true;
+                return Verdict.FREE;
             }
             if (verdict == Verdict.REFUSED || runningSuspect != null) {
-                return false;
+                return Verdict.REFUSED;
             }
             runningSuspect = fingerprint.detached();
             idle = false;
-            return true;
+            return Verdict.ALONE;
         }
     }
 
@@ -120,6 +121,13 @@
         }
     }
 
+    /** A run that was started here was lost, and its target has not crashed. */
+    public void onAbandoned(LostRun run) {
+        if (run.suspect()) {
+            onAbandoned(run.request());
+        }
+    }
+
     /** A run that was started here ended without an answer, and its target has not crashed. */
     public void onAbandoned(Fingerprint fingerprint) {
         if (idle) {
@@ -142,33 +150,42 @@
         idle = runningSuspect == null && !table.hasLive(now);
     }
 
+    /** As {@link #onTargetEnded} for requests of which one may run as the suspect here. */
+    public synchronized void onTargetCrashed(Collection<Fingerprint> inFlight) {
+        onTargetEnded(inFlight.stream()
+                .map(request -> new LostRun(request, request.equals(runningSuspect)))
+                .toList());
+    }
+
     /**
-     * This node's target crashed with these requests in flight; one that ran as a suspect is refused from now on.
+     * This node's target crashed with these runs in flight; the request of a suspect's run is refused from now on.
      *
      * @return the news of it for other nodes
      */
-    public QuarantineDelta onTargetCrashed(Collection<Fingerprint> inFlight) {
+    public QuarantineDelta onTargetEnded(Collection<LostRun> inFlight) {
         return onTargetLost(inFlight, true);
     }
 
     /**
-     * This node's target may have crashed with these requests in flight, and listens again.
+     * This node's target may have crashed with these runs in flight, and listens again.
      *
-     * <p>They are held for suspects, and refused where they ran as such, for the short time of what is not confirmed.
+     * <p>Their requests are held for suspects, and refused where they ran as such, for the short time of what is not
+     * confirmed.
      */
-    public QuarantineDelta onTargetDoubtful(Collection<Fingerprint> inFlight) {
+    public QuarantineDelta onTargetDoubtful(Collection<LostRun> inFlight) {
         return onTargetLost(inFlight, false);
     }
 
-    private synchronized QuarantineDelta onTargetLost(Collection<Fingerprint> inFlight, boolean confirmed) {
+    private synchronized QuarantineDelta onTargetLost(Collection<LostRun> inFlight, boolean confirmed) {
         long now = ticker.nanos();
         long crash = crashName(self, ++crashCounter);
         Duration length = confirmed ? settings.length() : settings.unconfirmedLength();
         long expires = now + length.toNanos();
-        for (Fingerprint fingerprint : inFlight) {
-            boolean ranAlone = fingerprint.equals(runningSuspect);
-            add(fingerprint, crash, new CrashEvidence(ranAlone, confirmed, false, expires), now);
-            endRun(fingerprint);
+        for (LostRun run : inFlight) {
+            add(run.request(), crash, new CrashEvidence(run.suspect(), confirmed, false, expires), now);
+            if (run.suspect()) {
+                endRun(run.request());
+            }
         }
         updateIdle(now);
         return QuarantineCodec.encode(table.rows(row -> row.key().crash() == crash), now);
--- a/src/test/java/io/beryldock/forwarding/TargetCrashDetectorTest.java
+++ b/src/test/java/io/beryldock/forwarding/TargetCrashDetectorTest.java
@@ -17,6 +17,7 @@
 import io.beryldock.call.ServiceName;
 import io.beryldock.membership.NodeDescriptor;
 import io.beryldock.quarantine.Fingerprint;
+import io.beryldock.quarantine.LostRun;
 import io.beryldock.quarantine.Quarantine;
 import io.beryldock.quarantine.QuarantineSettings;
 import io.beryldock.quarantine.Verdict;
@@ -67,7 +68,11 @@
     }
 
     private CompletableFuture<LifeSign> lose(String path) {
-        return detector.onLost(target, detector.lifeOf(ADDRESS), request(path));
+        return lose(path, false);
+    }
+
+    private CompletableFuture<LifeSign> lose(String path, boolean suspect) {
+        return detector.onLost(target, detector.lifeOf(ADDRESS), new LostRun(request(path), suspect));
     }
 
     /** Guards against a caller who is faster than the news: his next node must know of the crash before he does. */
@@ -137,6 +142,20 @@
         assertThat(decided).isCompleted();
     }
 
+    /** Guards against a refused start page: a loss that is noticed late is not that of the run which tries it out. */
+    @Test
+    void aLossThatIsNoticedLateConvictsNobody() {
+        sign = CompletableFuture.completedFuture(LifeSign.ENDED);
+        lose("/lists/start");
+        time.advance(LONGEST_DECISION);
+        assertThat(quarantine.start(request("/lists/start"), false)).isEqualTo(Verdict.ALONE);
+        lose("/lists/start");
+        time.advance(LONGEST_DECISION);
+        assertThat(verdict("/lists/start")).isEqualTo(Verdict.ALONE);
+        quarantine.onCompleted(request("/lists/start"));
+        assertThat(verdict("/lists/start")).isEqualTo(Verdict.FREE);
+    }
+
     /** Guards against a verdict that stays: what is not confirmed must not refuse or slow a request for long. */
     @Test
     void aDoubtfulEndIsForgottenSoon() {
@@ -153,9 +172,10 @@
     @Test
     void theSecondLifeThatASuspectEndsConvictsIt() {
         for (int crash = 0; crash < 2; crash++) {
-            assertThat(quarantine.onStarted(request("/lists/poison"))).isTrue();
+            Verdict verdict = quarantine.start(request("/lists/poison"), false);
+            assertThat(verdict).isEqualTo(crash == 0 ? Verdict.FREE : Verdict.ALONE);
             sign = CompletableFuture.completedFuture(LifeSign.ENDED);
-            lose("/lists/poison");
+            lose("/lists/poison", verdict == Verdict.ALONE);
             time.advance(LONGEST_DECISION);
         }
         assertThat(quarantine.onStarted(request("/lists/poison"))).isFalse();
