Read once more: one fixture for the tests of a target's run, and a name that says what it asks

TargetCrashDetectorTest and TargetExecutorTest built the same node, target and call; TargetFixtures does it for both, their assertions are as they were. HttpClient.hasConnectionSince asked for connections made BEFORE a moment: now hasConnectionFromBefore. No behaviour changes.

--- a/src/main/java/io/beryldock/nettyhttp/HttpClient.java
+++ b/src/main/java/io/beryldock/nettyhttp/HttpClient.java
@@ -72,7 +72,7 @@
      *
      * @param nanos moment of {@link System#nanoTime()}
      */
-    public CompletableFuture<Boolean> hasConnectionSince(InetSocketAddress address, long nanos) {
+    public CompletableFuture<Boolean> hasConnectionFromBefore(InetSocketAddress address, long nanos) {
         return CompletableFuture.supplyAsync(
                 () -> open.get(address).stream().anyMatch(connection -> connection.openedAt() - nanos < 0), loop);
     }
--- a/src/main/java/io/beryldock/platform/LocalTargetLives.java
+++ b/src/main/java/io/beryldock/platform/LocalTargetLives.java
@@ -36,7 +36,7 @@
         if (!targets.current().equals(life.start())) {
             return CompletableFuture.completedFuture(LifeSign.ENDED);
         }
-        return client.hasConnectionSince(life.address(), lostAtNanos)
+        return client.hasConnectionFromBefore(life.address(), lostAtNanos)
                 .thenCompose(open -> open
                         ? CompletableFuture.completedFuture(LifeSign.GOES_ON)
                         : probe.listens(life.address()).thenApply(up -> up ? LifeSign.UNKNOWN : LifeSign.ENDED));
--- a/src/test/java/io/beryldock/forwarding/TargetCrashDetectorTest.java
+++ b/src/test/java/io/beryldock/forwarding/TargetCrashDetectorTest.java
@@ -2,49 +2,23 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import com.google.protobuf.ByteString;
-import io.beryldock.admission.GateSettings;
-import io.beryldock.admission.TargetGate;
-import io.beryldock.call.Call;
-import io.beryldock.call.CallContext;
-import io.beryldock.call.DataCentre;
-import io.beryldock.call.Headers;
-import io.beryldock.call.Incarnation;
-import io.beryldock.call.NodeId;
-import io.beryldock.call.PriorityClass;
-import io.beryldock.call.RequestId;
-import io.beryldock.call.RequestIds;
-import io.beryldock.call.ServiceName;
-import io.beryldock.membership.NodeDescriptor;
 import io.beryldock.quarantine.Fingerprint;
 import io.beryldock.quarantine.LostRun;
 import io.beryldock.quarantine.Quarantine;
-import io.beryldock.quarantine.QuarantineSettings;
 import io.beryldock.quarantine.Verdict;
 import io.beryldock.time.ManualTimerService;
 import io.beryldock.timeline.EventSink;
-import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.Optional;
-import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 
 class TargetCrashDetectorTest {
 
     private static final Duration LONGEST_DECISION = Duration.ofMillis(1100);
-    private static final ServiceName LISTS = ServiceName.of("lists");
-    private static final InetSocketAddress ADDRESS = InetSocketAddress.createUnresolved("127.0.0.1", 1);
-    private static final RequestIds IDS = RequestIds.of(Incarnation.random(new Random(1)));
 
     private final ManualTimerService time = ManualTimerService.create();
-    private final Quarantine quarantine = Quarantine.create(
-            new NodeDescriptor(NodeId.of("a"), new Incarnation(1, 1), DataCentre.of("gent-a"), ADDRESS),
-            time.ticker(),
-            QuarantineSettings.defaults(),
-            EventSink.none());
-    private final AnnouncedTarget target = new AnnouncedTarget(
-            LISTS, ADDRESS, TargetGate.create(GateSettings.defaults(), time, new Random(1), EventSink.none(), LISTS));
+    private final Quarantine quarantine = TargetFixtures.quarantine(time);
+    private final AnnouncedTarget target = TargetFixtures.target(time);
     private CompletableFuture<LifeSign> sign = new CompletableFuture<>();
     private final TargetLife life = lostAtNanos -> sign;
     private final CompletableFuture<Void> told = new CompletableFuture<>();
@@ -52,19 +26,7 @@
             TargetCrashDetector.create(address -> life, quarantine, (service, news) -> told, time, EventSink.none());
 
     private static Fingerprint request(String path) {
-        RequestId id = IDS.next();
-        CallContext context = new CallContext(id, id, PriorityClass.of("browsing", 5), 1, 0, 0, 0, 0, false);
-        return Fingerprint.of(new Call(
-                id,
-                Call.OUTSIDE,
-                LISTS,
-                "GET",
-                path,
-                Headers.empty(),
-                ByteString.EMPTY,
-                true,
-                Optional.empty(),
-                context));
+        return Fingerprint.of(TargetFixtures.read(path, LONGEST_DECISION));
     }
 
     private CompletableFuture<LifeSign> lose(String path) {
@@ -72,7 +34,7 @@
     }
 
     private CompletableFuture<LifeSign> lose(String path, boolean suspect) {
-        return detector.onLost(target, detector.lifeOf(ADDRESS), new LostRun(request(path), suspect));
+        return detector.onLost(target, detector.lifeOf(TargetFixtures.ADDRESS), new LostRun(request(path), suspect));
     }
 
     /** Guards against a caller who is faster than the news: his next node must know of the crash before he does. */
--- a/src/test/java/io/beryldock/forwarding/TargetExecutorTest.java
+++ b/src/test/java/io/beryldock/forwarding/TargetExecutorTest.java
@@ -3,34 +3,20 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.google.protobuf.ByteString;
-import io.beryldock.admission.GateSettings;
-import io.beryldock.admission.TargetGate;
 import io.beryldock.call.Answer;
 import io.beryldock.call.Call;
-import io.beryldock.call.CallContext;
 import io.beryldock.call.CallResult;
-import io.beryldock.call.DataCentre;
 import io.beryldock.call.Headers;
-import io.beryldock.call.Incarnation;
-import io.beryldock.call.NodeId;
 import io.beryldock.call.Outcome;
-import io.beryldock.call.PriorityClass;
 import io.beryldock.call.Reason;
-import io.beryldock.call.RequestId;
-import io.beryldock.call.RequestIds;
-import io.beryldock.call.ServiceName;
-import io.beryldock.membership.NodeDescriptor;
 import io.beryldock.quarantine.Quarantine;
-import io.beryldock.quarantine.QuarantineSettings;
 import io.beryldock.retry.RetryLedger;
 import io.beryldock.time.ManualTimerService;
 import io.beryldock.timeline.EventSink;
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
-import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 
@@ -38,20 +24,12 @@
 
     private static final Duration LONGEST_DECISION = Duration.ofSeconds(1);
     private static final Duration TIME_LIMIT = Duration.ofSeconds(10);
-    private static final ServiceName LISTS = ServiceName.of("lists");
-    private static final InetSocketAddress ADDRESS = InetSocketAddress.createUnresolved("127.0.0.1", 1);
     private static final String POISON = "/lists/poison";
     private static final CallResult NOT_ENDED = CallResult.notRun(Reason.INTERNAL, "it has not ended");
 
-    private final RequestIds ids = RequestIds.of(Incarnation.random(new Random(1)));
     private final ManualTimerService time = ManualTimerService.create();
-    private final Quarantine quarantine = Quarantine.create(
-            new NodeDescriptor(NodeId.of("a"), new Incarnation(1, 1), DataCentre.of("gent-a"), ADDRESS),
-            time.ticker(),
-            QuarantineSettings.defaults(),
-            EventSink.none());
-    private final AnnouncedTarget target = new AnnouncedTarget(
-            LISTS, ADDRESS, TargetGate.create(GateSettings.defaults(), time, new Random(1), EventSink.none(), LISTS));
+    private final Quarantine quarantine = TargetFixtures.quarantine(time);
+    private final AnnouncedTarget target = TargetFixtures.target(time);
     private final Deque<CompletableFuture<TargetReply>> sent = new ArrayDeque<>();
     private final LifeSign sign = LifeSign.ENDED;
     private final TargetCrashDetector crashes = TargetCrashDetector.create(
@@ -79,21 +57,7 @@
     }
 
     private CompletableFuture<CallResult> run(String path, CancelScope scope) {
-        RequestId id = ids.next();
-        CallContext context =
-                new CallContext(id, id, PriorityClass.of("browsing", 5), TIME_LIMIT.toNanos(), 0, 0, 0, 0, false);
-        Call call = new Call(
-                id,
-                Call.OUTSIDE,
-                LISTS,
-                "GET",
-                path,
-                Headers.empty(),
-                ByteString.EMPTY,
-                true,
-                Optional.empty(),
-                context);
-        return executor.execute(call, scope);
+        return executor.execute(TargetFixtures.read(path, TIME_LIMIT), scope);
     }
 
     private CompletableFuture<CallResult> run(String path) {
--- /dev/null
+++ b/src/test/java/io/beryldock/forwarding/TargetFixtures.java
@@ -0,0 +1,62 @@
+package io.beryldock.forwarding;
+
+import com.google.protobuf.ByteString;
+import io.beryldock.admission.GateSettings;
+import io.beryldock.admission.TargetGate;
+import io.beryldock.call.Call;
+import io.beryldock.call.CallContext;
+import io.beryldock.call.DataCentre;
+import io.beryldock.call.Headers;
+import io.beryldock.call.Incarnation;
+import io.beryldock.call.NodeId;
+import io.beryldock.call.PriorityClass;
+import io.beryldock.call.RequestId;
+import io.beryldock.call.RequestIds;
+import io.beryldock.call.ServiceName;
+import io.beryldock.membership.NodeDescriptor;
+import io.beryldock.quarantine.Quarantine;
+import io.beryldock.quarantine.QuarantineSettings;
+import io.beryldock.time.TimerService;
+import io.beryldock.timeline.EventSink;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Random;
+
+/** A node with a target of lists, and reads of it. Stateless but for the ids given out; thread safe. */
+final class TargetFixtures {
+
+    static final InetSocketAddress ADDRESS = InetSocketAddress.createUnresolved("127.0.0.1", 1);
+    private static final ServiceName LISTS = ServiceName.of("lists");
+    private static final RequestIds IDS = RequestIds.of(Incarnation.random(new Random(1)));
+
+    private TargetFixtures() {}
+
+    static Quarantine quarantine(TimerService timers) {
+        NodeDescriptor self =
+                new NodeDescriptor(NodeId.of("a"), new Incarnation(1, 1), DataCentre.of("gent-a"), ADDRESS);
+        return Quarantine.create(self, timers.ticker(), QuarantineSettings.defaults(), EventSink.none());
+    }
+
+    static AnnouncedTarget target(TimerService timers) {
+        TargetGate gate = TargetGate.create(GateSettings.defaults(), timers, new Random(1), EventSink.none(), LISTS);
+        return new AnnouncedTarget(LISTS, ADDRESS, gate);
+    }
+
+    static Call read(String path, Duration timeLimit) {
+        RequestId id = IDS.next();
+        PriorityClass browsing = PriorityClass.of("browsing", 5);
+        CallContext context = new CallContext(id, id, browsing, timeLimit.toNanos(), 0, 0, 0, 0, false);
+        return new Call(
+                id,
+                Call.OUTSIDE,
+                LISTS,
+                "GET",
+                path,
+                Headers.empty(),
+                ByteString.EMPTY,
+                true,
+                Optional.empty(),
+                context);
+    }
+}
