Gate: admit no more requests per second than the target names in its answers

Cause: nothing read what an answer says of the target itself, and the gate bounded concurrency only, which a rate is not.

The gate in the target's VM sees every request of the target, so the bound on the sum lies there: a token bucket at the named rate beside the concurrency limit. Requests wait for it 100 ms at most, by rank, then are refused NOT_RUN with RATE_LIMITED and a Retry-After from the rate; their callers go on to a target with room, free of the retry budget. Loads report the concurrency that the rate sustains and the requests that it admits now, so placement, credits and levels see the room. Answers are ordered by when their requests were sent. The target counts 4 s that may reach back before the naming, so a far lower limit starts with a lower rate for 3 s.

A node that restarts knows no limit: calls of nodes that were told carry the notice, with the start it belongs to, and it applies before the call is sent. A limit begins, changes and ends in the log and on the timeline; decision lines name it; two metrics.

The token bucket of the quotas moves to the package time, for both.

--- a/src/main/java/io/beryldock/admission/GateCore.java
+++ b/src/main/java/io/beryldock/admission/GateCore.java
@@ -2,11 +2,14 @@
 
 import io.beryldock.call.Reason;
 import io.beryldock.call.ServiceName;
+import io.beryldock.call.StartNotice;
 import io.beryldock.call.TargetLoad;
+import io.beryldock.call.TargetNotice;
 import io.beryldock.timeline.EventSink;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
@@ -16,9 +19,9 @@
  * Decision logic of one target's gate: a pure function of its state, the event and the time.
  *
  * <p>Invariants, checked where they could be violated: an admission never raises the number of requests in flight above
- * the limit, and thus never above the announced slots; each submitted request is decided exactly once; a refused
- * request was never admitted; nothing is admitted while draining; no request is admitted while a more important one is
- * queued. Guarded by the gate's lock.
+ * the limit, and thus never above the announced slots; no admission exceeds the rate that the target names; each
+ * submitted request is decided exactly once; a refused request was never admitted; nothing is admitted while draining;
+ * no request is admitted while a more important one is queued. Guarded by the gate's lock.
  */
 final class GateCore {
 
@@ -28,7 +31,9 @@
     private final Invariants invariants;
     private final GateEvents events;
     private final ServiceTimes times = new ServiceTimes();
+    private final String start;
     private final ConcurrencyLimit limit;
+    private final RequestRateLimit rate;
     private final StandingQueueDetector standing;
     private final LevelController levels;
     private final GateCounts counts = new GateCounts();
@@ -39,12 +44,20 @@
     private boolean draining;
     private long lastProgressAt;
 
-    GateCore(GateSettings settings, RandomGenerator random, EventSink events, ServiceName service, long now) {
+    GateCore(
+            GateSettings settings,
+            RandomGenerator random,
+            EventSink events,
+            ServiceName service,
+            String start,
+            long now) {
         this.settings = settings;
+        this.start = start;
         this.random = random;
         this.invariants = new Invariants(events, service.value());
         this.limit = new ConcurrencyLimit(settings, times, now);
-        this.events = new GateEvents(events, service, limit.at(now), now);
+        this.rate = new RequestRateLimit(now);
+        this.events = new GateEvents(events, service, start, limit.at(now), now);
         this.standing = new StandingQueueDetector(now);
         this.levels = new LevelController(now);
     }
@@ -59,6 +72,25 @@
         limit.restart(now);
     }
 
+    /** Applies what an answer to a request sent at the given time says about the target. */
+    void onNotice(TargetNotice notice, long sentAt, long now, DecisionNotifications out) {
+        if (rate.onAnswer(notice.ratePerSecond(), sentAt, now)) {
+            onRateChange(now, out);
+        }
+    }
+
+    /** Applies what another node was told by answers of the target; ignored if it concerns another start. */
+    void onPeerNotice(StartNotice notice, long now, DecisionNotifications out) {
+        if (notice.start().equals(start) && rate.onPeerReport(notice.ratePerSecond(), now)) {
+            onRateChange(now, out);
+        }
+    }
+
+    private void onRateChange(long now, DecisionNotifications out) {
+        events.rate(rate.ratePerSecond(), now);
+        admitWaiting(now, out);
+    }
+
     void submit(GateEntry entry, long now, DecisionNotifications out) {
         counts.submitted();
         levels.arrived(entry.request().rank(), entry.request().callerHash());
@@ -69,7 +101,7 @@
             refuse(entry, Reason.DRAINING, now, out);
         } else if (!canFinish(entry, now)) {
             refuse(entry, Reason.DEADLINE_PASSED, now, out);
-        } else if (queue.isEmpty() && running.size() < limit.at(now)) {
+        } else if (queue.isEmpty() && hasRoom(now)) {
             standing.markEmpty(now);
             admit(entry, now, out);
         } else {
@@ -115,8 +147,7 @@
 
     /** Refuses queued requests that have waited too long or can no longer finish before their deadline. */
     void expire(long now, DecisionNotifications out) {
-        long allowed = standing.allowedWait(
-                now, standingWaitNanos(now), settings.queueInterval().toNanos());
+        long allowed = allowedWait(now);
         List<GateEntry> expired = new ArrayList<>();
         for (GateEntry entry : queue) {
             if (!entry.fitsDeadline(times, now) || entry.waitedNanos(now) > allowed) {
@@ -126,12 +157,24 @@
         for (GateEntry entry : expired) {
             queue.remove(entry);
             boolean late = !entry.fitsDeadline(times, now);
-            refuse(entry, late ? Reason.DEADLINE_PASSED : Reason.QUEUED_TOO_LONG, now, out);
+            refuse(entry, late ? Reason.DEADLINE_PASSED : shortage(Reason.QUEUED_TOO_LONG, now), now, out);
         }
         admitWaiting(now, out);
         advanceLevel(now);
     }
 
+    /** Returns the allowed wait. Requests wait only briefly for the rate, because other targets may have room. */
+    private long allowedWait(long now) {
+        long interval = settings.queueInterval().toNanos();
+        long allowed = standing.allowedWait(now, standingWaitNanos(now), interval);
+        return rate.permits(now) ? allowed : Math.min(allowed, interval);
+    }
+
+    /** Returns the reason of a refusal for lack of room: the rate if the target has used it up. */
+    private Reason shortage(Reason otherwise, long now) {
+        return rate.permits(now) ? otherwise : Reason.RATE_LIMITED;
+    }
+
     /**
      * Reclaims the slots of requests whose answer is overdue by more than the hold time.
      *
@@ -166,7 +209,28 @@
     TargetLoad load(long now, long version) {
         boolean cold = limit.at(now) < settings.bound();
         return new TargetLoad(
-                version, limit.at(now), running.size(), queue.size(), (long) times.mean(), cold, draining);
+                version,
+                sustainableLimit(now),
+                running.size(),
+                queue.size(),
+                (long) times.mean(),
+                cold,
+                draining,
+                rate.tokens(now),
+                startNotice());
+    }
+
+    /** Returns the concurrency that the rate sustains by Little's law, at most the limit. */
+    private int sustainableLimit(long now) {
+        int slots = limit.at(now);
+        boolean bounded = rate.isLimited() && times.mean() > 0;
+        return bounded ? (int) Math.max(1, Math.min(slots, Math.ceil(rate.perNano() * times.mean()))) : slots;
+    }
+
+    /** Returns what answers have said in this start; empty as long as none has named anything. */
+    private Optional<StartNotice> startNotice() {
+        boolean named = !start.isEmpty() && rate.isLimited();
+        return named ? Optional.of(new StartNotice(start, rate.ratePerSecond(), false)) : Optional.empty();
     }
 
     GateSnapshot snapshot(long now) {
@@ -181,7 +245,8 @@
                 levels.level(),
                 (long) times.min(),
                 (long) times.mean(),
-                draining);
+                draining,
+                rate.ratePerSecond());
     }
 
     /** Completes the future once no request is in flight or queued: with this notification or a later one. */
@@ -196,14 +261,22 @@
         }
         queue.add(entry);
         admitWaiting(now, out);
-        if (queue.size() > allowedQueueLength(now)) {
-            refuse(queue.pollLast(), Reason.SHED_AT_TARGET, now, out);
+        while (queue.size() > allowedQueueLength(now)) {
+            refuse(queue.pollLast(), shortage(Reason.SHED_AT_TARGET, now), now, out);
         }
     }
 
-    /** Returns the allowed queue length: a burst may fill the queue, a standing queue is cut. */
+    /**
+     * Returns the allowed queue length: a burst may fill the queue, a standing queue is cut. No more requests wait for
+     * the rate than it admits within the allowed wait, since the others can be served elsewhere meanwhile.
+     */
     private double allowedQueueLength(long now) {
         int capacity = settings.queueCapacity();
+        if (!rate.permits(now)) {
+            return Math.min(
+                    capacity,
+                    Math.max(1, rate.perNano() * settings.queueInterval().toNanos()));
+        }
         if (!standing.isStanding(now, settings.queueInterval().toNanos())) {
             return capacity;
         }
@@ -211,7 +284,7 @@
     }
 
     private void admitWaiting(long now, DecisionNotifications out) {
-        while (!queue.isEmpty() && running.size() < limit.at(now)) {
+        while (!queue.isEmpty() && hasRoom(now)) {
             GateEntry entry = queue.pollFirst();
             if (canFinish(entry, now)) {
                 admit(entry, now, out);
@@ -224,6 +297,10 @@
         }
     }
 
+    private boolean hasRoom(long now) {
+        return running.size() < limit.at(now) && rate.permits(now);
+    }
+
     /** With nothing in flight, any request with time left may run, to measure how long the target takes now. */
     private boolean canFinish(GateEntry entry, long now) {
         return running.isEmpty() ? entry.remainingNanos(now) > 0 : entry.fitsDeadline(times, now);
@@ -237,6 +314,7 @@
         entry.admit(now);
         running.add(entry);
         limit.admitted(running.size());
+        rate.admitted(now);
         counts.admitted();
         out.add(entry);
     }
@@ -244,6 +322,7 @@
     private void checkAdmission(GateEntry entry, long now) {
         int slots = settings.announcedSlots();
         invariants.check(running.size() < limit.at(now), "an admission above the limit");
+        invariants.check(rate.permits(now), "an admission above the rate limit");
         invariants.check(slots == 0 || running.size() < slots, "an admission above the announced slots");
         invariants.check(!draining, "an admission while draining");
         invariants.check(entry.state() == GateEntry.State.QUEUED, "an admission of a decided request");
@@ -258,11 +337,19 @@
         invariants.check(entry.state() == GateEntry.State.QUEUED, "a refusal of a decided request");
         counts.refused(entry.request().rank(), reason);
         events.refused(entry, reason, now);
-        entry.refuse(reason, reason == Reason.CANCELLED ? 0 : RetryAfter.millis(random));
+        entry.refuse(reason, retryAfterMillis(reason, now));
         out.add(entry);
         completeIdle(out);
     }
 
+    private long retryAfterMillis(Reason reason, long now) {
+        return switch (reason) {
+            case CANCELLED -> 0;
+            case RATE_LIMITED -> rate.waitMillis(queue.size(), now) + RetryAfter.millis(random);
+            default -> RetryAfter.millis(random);
+        };
+    }
+
     private void recordCompletion(GateEntry entry, Completion completion, long now) {
         long took = entry.runNanos(now);
         if (completion == Completion.SUCCEEDED || completion == Completion.ABANDONED_DONE) {
@@ -281,8 +368,9 @@
     }
 
     private LevelController.Load load(long now) {
-        return LevelController.Load.of(
+        LevelController.Load load = LevelController.Load.of(
                 limit.at(now), running.size(), queue.size(), times.expected(now), now - lastProgressAt);
+        return rate.isLimited() ? load.atRate(rate.perNano(), !rate.permits(now)) : load;
     }
 
     /**
--- a/src/main/java/io/beryldock/admission/GateSnapshot.java
+++ b/src/main/java/io/beryldock/admission/GateSnapshot.java
@@ -4,6 +4,7 @@
 import com.google.common.collect.ImmutableMap;
 import io.beryldock.call.PriorityClass;
 import io.beryldock.call.Reason;
+import io.beryldock.call.TargetNotice;
 import java.util.Arrays;
 import java.util.Collection;
 
@@ -17,6 +18,7 @@
  * @param level admission level, see {@link io.beryldock.call.ServiceLevel}
  * @param minServiceNanos shortest mean service time of a recent window, 0 when unknown
  * @param meanServiceNanos smoothed service time, 0 when unknown
+ * @param ratePerSecond requests per second that the target accepts by its answers, infinite without a limit
  */
 public record GateSnapshot(
         int limit,
@@ -28,7 +30,8 @@
         int level,
         long minServiceNanos,
         long meanServiceNanos,
-        boolean draining) {
+        boolean draining,
+        double ratePerSecond) {
 
     static ImmutableList<Integer> countByRank(Collection<GateEntry> queue) {
         Integer[] queued = new Integer[PriorityClass.RANKS];
@@ -43,6 +46,18 @@
                 .count();
     }
 
+    /** Whether the target names a rate limit. */
+    public boolean isRateLimited() {
+        return ratePerSecond < TargetNotice.UNLIMITED;
+    }
+
+    /** Number of requests refused because the target had used up its rate. */
+    public long rateLimited() {
+        return shedByRank.stream()
+                .mapToLong(shed -> shed.getOrDefault(Reason.RATE_LIMITED, 0L))
+                .sum();
+    }
+
     /** Total number of queued requests. */
     public int queued() {
         return queuedByRank.stream().mapToInt(Integer::intValue).sum();
--- a/src/main/java/io/beryldock/admission/LevelController.java
+++ b/src/main/java/io/beryldock/admission/LevelController.java
@@ -75,6 +75,15 @@
             return new Load(capacity, queued, busy, LOOP_BASE_NANOS + LOOP_PER_SERVICE_TIME * mean);
         }
 
+        /**
+         * Returns this load for a target that accepts a limited rate.
+         *
+         * @param exhausted whether the target has used up its rate, which its free slots do not show
+         */
+        Load atRate(double perNano, boolean exhausted) {
+            return new Load(Math.min(capacityPerNano, perNano), queued, exhausted ? 1 : busyShare, loopNanos);
+        }
+
         /** Returns the queue length that the controller aims at. */
         double goal() {
             return 1 + GOAL_DEVIATIONS * arrivalsDeviation();
--- a/src/main/java/io/beryldock/admission/TargetGate.java
+++ b/src/main/java/io/beryldock/admission/TargetGate.java
@@ -2,7 +2,9 @@
 
 import io.beryldock.call.ServiceLevel;
 import io.beryldock.call.ServiceName;
+import io.beryldock.call.StartNotice;
 import io.beryldock.call.TargetLoad;
+import io.beryldock.call.TargetNotice;
 import io.beryldock.time.Ticker;
 import io.beryldock.time.TimerService;
 import io.beryldock.timeline.EventSink;
@@ -13,7 +15,8 @@
 /**
  * Admission control of one target, at the target's node: decides which request runs now, is queued or is refused.
  *
- * <p>Invariants: the requests in flight that the gate admitted never exceed the announced slots; the listener of each
+ * <p>A gate serves one start of its target. Invariants: the requests in flight that the gate admitted never exceed the
+ * announced slots, and those admitted in any time never exceed the rate that the target names; the listener of each
  * submitted request receives exactly one decision; a refused request was never admitted; nothing is admitted while
  * draining; no request is admitted while a more important one that can still finish is queued.
  *
@@ -40,11 +43,26 @@
         this.core = core;
     }
 
-    /** Creates the gate of a target; the generator must be thread safe when it is shared. */
+    /** Creates the gate of a target whose starts are not identified. */
     public static TargetGate create(
             GateSettings settings, TimerService timers, RandomGenerator random, EventSink events, ServiceName service) {
+        return create(settings, timers, random, events, service, "");
+    }
+
+    /**
+     * Creates the gate of one start of a target; the generator must be thread safe when it is shared.
+     *
+     * @param start identifies the start, empty if unknown
+     */
+    public static TargetGate create(
+            GateSettings settings,
+            TimerService timers,
+            RandomGenerator random,
+            EventSink events,
+            ServiceName service,
+            String start) {
         long now = timers.ticker().nanos();
-        return new TargetGate(timers, new GateCore(settings, random, events, service, now));
+        return new TargetGate(timers, new GateCore(settings, random, events, service, start, now));
     }
 
     /** Applies new settings, for example other announced slots; running requests continue. */
@@ -57,6 +75,20 @@
         decide((now, out) -> core.targetRestarted(now));
     }
 
+    /**
+     * Applies what an answer of the target says about the target.
+     *
+     * @param sentAt time at which the request of the answer was sent, by the clock of the gate's timers
+     */
+    public void onNotice(TargetNotice notice, long sentAt) {
+        decide((now, out) -> core.onNotice(notice, sentAt, now, out));
+    }
+
+    /** Applies what another node was told by answers of the target. */
+    public void onPeerNotice(StartNotice notice) {
+        decide((now, out) -> core.onPeerNotice(notice, now, out));
+    }
+
     /** Decides on the request now or a short time later; the listener receives the decision exactly once. */
     public GateHandle submit(GateRequest request, GateListener listener) {
         DecisionNotifications out = new DecisionNotifications();
--- a/src/main/java/io/beryldock/call/CallCodec.java
+++ b/src/main/java/io/beryldock/call/CallCodec.java
@@ -11,6 +11,7 @@
 import io.beryldock.wire.WireLevel;
 import io.beryldock.wire.WireResult;
 import io.beryldock.wire.WireServiceCost;
+import io.beryldock.wire.WireStartNotice;
 import io.beryldock.wire.WireTargetLoad;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -143,15 +144,38 @@
     }
 
     private static WireTargetLoad encode(TargetLoad load) {
-        return WireTargetLoad.newBuilder()
+        WireTargetLoad.Builder wire = WireTargetLoad.newBuilder()
                 .setVersion(load.version())
                 .setLimit(load.limit())
                 .setRunning(load.running())
                 .setQueued(load.queued())
                 .setMeanMicros(TimeUnit.NANOSECONDS.toMicros(load.meanNanos()))
                 .setCold(load.cold())
-                .setDraining(load.draining())
-                .build();
+                .setDraining(load.draining());
+        if (load.rateRoom() < Integer.MAX_VALUE) {
+            wire.setRateRoom(load.rateRoom());
+        }
+        load.notice().ifPresent(notice -> wire.setNotice(encode(notice)));
+        return wire.build();
+    }
+
+    public static WireStartNotice encode(StartNotice notice) {
+        WireStartNotice.Builder wire =
+                WireStartNotice.newBuilder().setStart(notice.start()).setLeaving(notice.leaving());
+        if (notice.isLimited()) {
+            wire.setRatePerSecond(notice.ratePerSecond());
+        }
+        return wire.build();
+    }
+
+    /**
+     * Decodes a notice.
+     *
+     * @throws IllegalArgumentException if the start is missing or the rate is negative or not a number
+     */
+    public static StartNotice decode(WireStartNotice wire) {
+        double rate = wire.hasRatePerSecond() ? wire.getRatePerSecond() : TargetNotice.UNLIMITED;
+        return new StartNotice(wire.getStart(), rate, wire.getLeaving());
     }
 
     private static TargetLoad decode(WireTargetLoad wire) {
@@ -162,7 +186,9 @@
                 wire.getQueued(),
                 TimeUnit.MICROSECONDS.toNanos(wire.getMeanMicros()),
                 wire.getCold(),
-                wire.getDraining());
+                wire.getDraining(),
+                wire.hasRateRoom() ? wire.getRateRoom() : Integer.MAX_VALUE,
+                wire.hasNotice() ? Optional.of(decode(wire.getNotice())) : Optional.empty());
     }
 
     private static CallResult decodeOutcome(WireResult wire) {
--- a/src/main/java/io/beryldock/forwarding/AttemptLoop.java
+++ b/src/main/java/io/beryldock/forwarding/AttemptLoop.java
@@ -142,7 +142,6 @@
 
     private void onEnd(TargetRecord target, RetryGrant grant, CallResult ended, long latencyNanos) {
         ports.chooser().onResult(target, ended, latencyNanos, CallKind.of(call));
-        reportLevels(ended);
         settle(grant, ended);
         spentNanos += ended.spentNanos();
         cost = cost.plus(ended.cost());
@@ -152,6 +151,10 @@
         last = Optional.of(ended);
         lastAnswer = ended.outcome() == Outcome.ANSWERED ? last : lastAnswer;
         RetryDecision decision = decide(ended);
+        // The level of a target that has used up its rate must not shed calls at their entry that others can serve.
+        if (!decision.isRetry() || !isRateLimited(ended)) {
+            reportLevels(ended);
+        }
         if (decision.isRetry()) {
             retry(decision, target, ended);
         } else {
@@ -159,6 +162,10 @@
         }
     }
 
+    private static boolean isRateLimited(CallResult ended) {
+        return ended.reason().filter(Reason.RATE_LIMITED::equals).isPresent();
+    }
+
     private void reportLevels(CallResult ended) {
         if (call.caller().equals(Call.OUTSIDE)) {
             ports.shedder().observe(call.service(), call.context().priority().rank(), ended.levels());
--- a/src/main/java/io/beryldock/forwarding/CallForwarder.java
+++ b/src/main/java/io/beryldock/forwarding/CallForwarder.java
@@ -75,6 +75,6 @@
         if (target.node().id().equals(ports.self())) {
             return ports.executor().execute(call, scope);
         }
-        return ports.peers().send(target.node(), call, scope);
+        return ports.peers().send(target.node(), call, ports.chooser().noticeOf(target), scope);
     }
 }
--- a/src/main/java/io/beryldock/forwarding/DecisionWriter.java
+++ b/src/main/java/io/beryldock/forwarding/DecisionWriter.java
@@ -1,6 +1,8 @@
 package io.beryldock.forwarding;
 
 import com.google.common.collect.ImmutableMap;
+import io.beryldock.admission.GateSnapshot;
+import io.beryldock.admission.TargetGate;
 import io.beryldock.call.Call;
 import io.beryldock.call.CallContext;
 import io.beryldock.call.CallResult;
@@ -8,7 +10,6 @@
 import io.beryldock.logging.DecisionLine;
 import io.beryldock.logging.DecisionLog;
 import java.util.concurrent.TimeUnit;
-import java.util.function.IntSupplier;
 
 /** Logs how calls without an answer ended at one place, with the inputs of the decision. Thread safe. */
 final class DecisionWriter {
@@ -28,12 +29,17 @@
                         () -> new DecisionLine(line(call, result, reason).buildOrThrow())));
     }
 
-    /** Logs the end of a call at a gate, whose level is one of the inputs of the decision. */
-    void ended(Call call, CallResult result, IntSupplier level) {
+    /** Logs the end of a call at a gate, whose level and rate limit are inputs of the decision. */
+    void ended(Call call, CallResult result, TargetGate gate) {
         result.reason()
-                .ifPresent(reason -> decisions.add(() -> new DecisionLine(line(call, result, reason)
-                        .put("level", Integer.toString(level.getAsInt()))
-                        .buildOrThrow())));
+                .ifPresent(reason -> decisions.add(() -> {
+                    GateSnapshot snapshot = gate.snapshot();
+                    String rate = snapshot.isRateLimited() ? Double.toString(snapshot.ratePerSecond()) : "";
+                    return new DecisionLine(line(call, result, reason)
+                            .put("level", Integer.toString(snapshot.level()))
+                            .put("rateLimit", rate)
+                            .buildOrThrow());
+                }));
     }
 
     private ImmutableMap.Builder<String, String> line(Call call, CallResult result, Reason reason) {
--- a/src/main/java/io/beryldock/forwarding/PeerCallServer.java
+++ b/src/main/java/io/beryldock/forwarding/PeerCallServer.java
@@ -29,6 +29,9 @@
         try {
             wire = WireCall.parseFrom(message.body());
             call = CallCodec.decode(wire);
+            if (wire.hasNotice()) {
+                executor.onPeerNotice(CallCodec.decode(wire.getNotice()));
+            }
         } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
             // The call id can't be read, so the sender treats this as another call's result and reports UNKNOWN.
             message.reply(WireResult.getDefaultInstance().toByteString());
--- a/src/main/java/io/beryldock/forwarding/TargetExecutor.java
+++ b/src/main/java/io/beryldock/forwarding/TargetExecutor.java
@@ -3,6 +3,7 @@
 import io.beryldock.call.Call;
 import io.beryldock.call.CallResult;
 import io.beryldock.call.Reason;
+import io.beryldock.call.StartNotice;
 import io.beryldock.call.TargetLoad;
 import io.beryldock.idempotency.CallerIdentity;
 import io.beryldock.idempotency.RunGuard;
@@ -52,6 +53,11 @@
         return new TargetExecutor(ports);
     }
 
+    /** Applies what another node was told by answers of the target in this VM. */
+    void onPeerNotice(StartNotice notice) {
+        ports.target().get().ifPresent(target -> target.gate().onPeerNotice(notice));
+    }
+
     /** Runs the call; cancelling the scope gives it up. The future never fails. */
     public CompletableFuture<CallResult> execute(Call call, CancelScope scope) {
         if (!isKeyed(call)) {
--- a/src/main/java/io/beryldock/forwarding/TargetReply.java
+++ b/src/main/java/io/beryldock/forwarding/TargetReply.java
@@ -1,14 +1,16 @@
 package io.beryldock.forwarding;
 
 import io.beryldock.call.Answer;
+import io.beryldock.call.TargetNotice;
 import java.util.Optional;
 
 /**
  * The outcome of an exchange with the target. Immutable.
  *
  * @param answer the complete answer, for {@link Kind#ANSWERED} only
+ * @param notice what the target said about itself; empty if it sent no response, or if another target did
  */
-public record TargetReply(Kind kind, Optional<Answer> answer, String detail) {
+public record TargetReply(Kind kind, Optional<Answer> answer, String detail, Optional<TargetNotice> notice) {
 
     /** The ways in which an exchange ends. */
     public enum Kind {
@@ -24,22 +26,31 @@
     }
 
     public static TargetReply answered(Answer answer) {
-        return new TargetReply(Kind.ANSWERED, Optional.of(answer), "");
+        return new TargetReply(Kind.ANSWERED, Optional.of(answer), "", Optional.empty());
     }
 
     public static TargetReply refused(String detail) {
-        return new TargetReply(Kind.REFUSED, Optional.empty(), detail);
+        return withoutAnswer(Kind.REFUSED, detail);
     }
 
     public static TargetReply notSent(String detail) {
-        return new TargetReply(Kind.NOT_SENT, Optional.empty(), detail);
+        return withoutAnswer(Kind.NOT_SENT, detail);
     }
 
     public static TargetReply givenUp(String detail) {
-        return new TargetReply(Kind.GIVEN_UP, Optional.empty(), detail);
+        return withoutAnswer(Kind.GIVEN_UP, detail);
     }
 
     public static TargetReply lost(String detail) {
-        return new TargetReply(Kind.LOST, Optional.empty(), detail);
+        return withoutAnswer(Kind.LOST, detail);
+    }
+
+    private static TargetReply withoutAnswer(Kind kind, String detail) {
+        return new TargetReply(kind, Optional.empty(), detail, Optional.empty());
+    }
+
+    /** Returns this reply with what the target said about itself. */
+    public TargetReply withNotice(TargetNotice said) {
+        return new TargetReply(kind, answer, detail, Optional.of(said));
     }
 }
--- a/src/main/java/io/beryldock/forwarding/TargetRun.java
+++ b/src/main/java/io/beryldock/forwarding/TargetRun.java
@@ -151,11 +151,16 @@
         Call sent =
                 call.attempt(call.id(), context.afterNanos(context.remainingNanos() - started.remainingNanos(now())));
         TargetProcess process = ports.crashes().processOf(target.address());
+        long sentAt = now();
         TargetExchange sending = ports.client().send(sent);
         synchronized (this) {
             exchange = sending;
         }
-        sending.reply().thenAccept(reply -> onReply(started, permit, process, verdict, reply));
+        sending.reply().thenAccept(reply -> {
+            // Before the permit is released, which admits the next request.
+            reply.notice().ifPresent(notice -> target.gate().onNotice(notice, sentAt));
+            onReply(started, permit, process, verdict, reply);
+        });
         if (isGivenUp()) {
             abort(sending);
         }
@@ -283,7 +288,7 @@
         TargetLoad load = target.gate().load();
         ports.loads().accept(load);
         if (result.complete(ended.withLevels(levels()).withLoad(load))) {
-            decisions.ended(call, ended, target.gate()::level);
+            decisions.ended(call, ended, target.gate());
         }
     }
 
--- a/src/main/java/io/beryldock/http/BeryldockHeaders.java
+++ b/src/main/java/io/beryldock/http/BeryldockHeaders.java
@@ -21,5 +21,11 @@
     /** The only value of {@link #REFUSED}. */
     public static final String NOT_RUN = "not-run";
 
+    /** Requests per second that a target accepts from all nodes together; in all of its answers while it holds. */
+    public static final String RATE_LIMIT = "Beryldock-Rate-Limit";
+
+    /** Set to {@code 1} by a leaving target in all of its answers. */
+    public static final String LEAVING = "Beryldock-Leaving";
+
     private BeryldockHeaders() {}
 }
--- a/src/main/java/io/beryldock/http/HttpTargetClient.java
+++ b/src/main/java/io/beryldock/http/HttpTargetClient.java
@@ -38,6 +38,8 @@
 
     private static final Timeout CONNECTION_REQUEST_TIMEOUT = Timeout.ofSeconds(1);
     private static final Timeout KEYED_CALL_TIMEOUT = Timeout.ofSeconds(60);
+    private static final TargetNoticeReader NOTICES =
+            TargetNoticeReader.create(BeryldockHeaders.RATE_LIMIT, BeryldockHeaders.LEAVING);
 
     private final CloseableHttpAsyncClient client;
     private final Supplier<InetSocketAddress> target;
@@ -108,6 +110,10 @@
         Headers headers = Headers.of(Arrays.stream(response.getHeaders())
                 .map(header -> new Headers.Header(header.getName(), header.getValue()))
                 .toList());
+        return decode(response, headers).withNotice(NOTICES.read(headers));
+    }
+
+    private static TargetReply decode(SimpleHttpResponse response, Headers headers) {
         if (headers.first(BeryldockHeaders.REFUSED)
                 .filter(BeryldockHeaders.NOT_RUN::equals)
                 .isPresent()) {
--- a/src/main/java/io/beryldock/load/ReportedLoad.java
+++ b/src/main/java/io/beryldock/load/ReportedLoad.java
@@ -68,7 +68,7 @@
     /** Estimated free slots; 0 when the load is unknown or the target is draining. */
     public int free(long now) {
         boolean unknown = weight(now) == 0 || load.draining();
-        return unknown ? 0 : Math.max(0, load.limit() - busy());
+        return unknown ? 0 : Math.max(0, load.freeSlots() - sentSince);
     }
 
     /** Whether the target reported recently that it is draining. */
--- a/src/main/java/io/beryldock/node/NodeMetrics.java
+++ b/src/main/java/io/beryldock/node/NodeMetrics.java
@@ -107,6 +107,16 @@
         gateGauge(announcements, "target_in_flight", "requests that the target runs", GateSnapshot::inFlight);
         gateGauge(announcements, "target_queued", "requests that wait for the target", GateSnapshot::queued);
         gateGauge(announcements, "target_level", "admission level, 0 to 1024", GateSnapshot::level);
+        gateGauge(
+                announcements,
+                "target_rate_limit",
+                "requests per second that the target accepts by its answers, 0 without a limit",
+                gate -> gate.isRateLimited() ? gate.ratePerSecond() : 0);
+        gateGauge(
+                announcements,
+                "target_rate_limited",
+                "requests refused in this start of the target because it had used up its rate",
+                GateSnapshot::rateLimited);
     }
 
     private void registerChooser(TargetChooser chooser) {
--- a/src/main/java/io/beryldock/platform/PlatformHeaders.java
+++ b/src/main/java/io/beryldock/platform/PlatformHeaders.java
@@ -21,6 +21,12 @@
     /** Marks a response with which the target refused the request without running it. */
     static final String NOT_EXECUTED = "X-Beryldock-Not-Executed";
 
+    /** Requests per second that the target accepts from all VMs together; in all of its responses while it holds. */
+    static final String RATE_LIMIT = "Server-Limit";
+
+    /** {@code 1} in all responses of a target that is leaving. */
+    static final String LEAVING = "Server-Leaving";
+
     /** Service of the VM in which the request originated. */
     static final String CALLER_SERVICE = "X-Beryldock-Caller-Service";
 
--- a/src/main/java/io/beryldock/platform/PlatformTargetClient.java
+++ b/src/main/java/io/beryldock/platform/PlatformTargetClient.java
@@ -7,6 +7,7 @@
 import io.beryldock.forwarding.TargetExchange;
 import io.beryldock.forwarding.TargetReply;
 import io.beryldock.http.HeaderFilter;
+import io.beryldock.http.TargetNoticeReader;
 import io.beryldock.nettyhttp.HttpCall;
 import io.beryldock.nettyhttp.HttpClient;
 import io.beryldock.nettyhttp.HttpExchangeException;
@@ -24,6 +25,8 @@
     private static final int MISDIRECTED_REQUEST = 421;
     private static final int FIRST_SUCCESS = 200;
     private static final int FIRST_REDIRECTION = 300;
+    private static final TargetNoticeReader NOTICES =
+            TargetNoticeReader.create(PlatformHeaders.RATE_LIMIT, PlatformHeaders.LEAVING);
 
     private final HttpClient client;
     private final Supplier<Optional<LocalTarget>> target;
@@ -72,6 +75,12 @@
     }
 
     private static TargetReply read(HttpReply reply) {
+        TargetReply decoded = decode(reply);
+        // A misdirected request was answered by another start of a target, which says nothing about this one.
+        return reply.status() == MISDIRECTED_REQUEST ? decoded : decoded.withNotice(NOTICES.read(reply.headers()));
+    }
+
+    private static TargetReply decode(HttpReply reply) {
         boolean notExecuted =
                 reply.headers().first(PlatformHeaders.NOT_EXECUTED).isPresent();
         if (notExecuted || reply.status() == MISDIRECTED_REQUEST) {
--- a/src/main/java/io/beryldock/quota/QuotaHome.java
+++ b/src/main/java/io/beryldock/quota/QuotaHome.java
@@ -2,6 +2,7 @@
 
 import io.beryldock.organisation.Organisation;
 import io.beryldock.organisation.OrganisationName;
+import io.beryldock.time.TokenBucket;
 import java.util.HashMap;
 import java.util.Map;
 
--- a/src/main/java/io/beryldock/quota/QuotaLimiter.java
+++ b/src/main/java/io/beryldock/quota/QuotaLimiter.java
@@ -9,6 +9,7 @@
 import io.beryldock.organisation.OrganisationName;
 import io.beryldock.organisation.OrganisationTable;
 import io.beryldock.time.Ticker;
+import io.beryldock.time.TokenBucket;
 import io.beryldock.wire.QuotaAnswer;
 import io.beryldock.wire.QuotaQuestion;
 import java.time.Duration;
--- a/src/main/java/io/beryldock/routing/HealthSignal.java
+++ b/src/main/java/io/beryldock/routing/HealthSignal.java
@@ -34,7 +34,7 @@
 
     private static HealthSignal ofRefusal(Reason reason) {
         return switch (reason) {
-            case SHED_AT_TARGET, QUEUED_TOO_LONG, TARGET_REFUSED -> FULL;
+            case SHED_AT_TARGET, QUEUED_TOO_LONG, RATE_LIMITED, TARGET_REFUSED -> FULL;
             case DRAINING -> LEAVING;
             case CONNECT_FAILED -> UNREACHABLE;
             case INTERNAL, CONNECTION_LOST -> FAILED;
--- a/src/main/java/io/beryldock/routing/TargetChooser.java
+++ b/src/main/java/io/beryldock/routing/TargetChooser.java
@@ -6,6 +6,7 @@
 import io.beryldock.call.DataCentre;
 import io.beryldock.call.NodeId;
 import io.beryldock.call.ServiceName;
+import io.beryldock.call.StartNotice;
 import io.beryldock.membership.Directory;
 import io.beryldock.membership.TargetRecord;
 import io.beryldock.time.Ticker;
@@ -34,6 +35,7 @@
     private final Ticker ticker;
     private final EventSink events;
     private final ChooserSettings settings;
+    private final PeerNotices notices = new PeerNotices();
     private final ConcurrentMap<ServiceName, ServiceTargets> services = new ConcurrentHashMap<>();
 
     private TargetChooser(
@@ -113,8 +115,14 @@
         onResult(target, result, latencyNanos, CallKind.ANY);
     }
 
+    /** What this node was told by answers of the target; empty if nothing, or nothing that still applies. */
+    public Optional<StartNotice> noticeOf(TargetRecord target) {
+        return notices.of(target.node().id());
+    }
+
     /** Records the result of a call to the target. */
     public void onResult(TargetRecord target, CallResult result, long latencyNanos, CallKind kind) {
+        result.load().ifPresent(load -> notices.onLoad(target.node().id(), load));
         ServiceTargets state = services.get(target.service());
         if (state != null) {
             state.onResult(target, result, latencyNanos, kind, ticker.nanos());
--- a/src/main/java/io/beryldock/quota/TokenBucket.java
+++ b/src/main/java/io/beryldock/time/TokenBucket.java
@@ -1,7 +1,7 @@
-package io.beryldock.quota;
+package io.beryldock.time;
 
 /** Token bucket: gains tokens at a constant rate, up to its capacity. Not thread safe. */
-final class TokenBucket {
+public final class TokenBucket {
 
     private static final double NANOS_PER_SECOND = 1e9;
     private static final double MILLIS_PER_SECOND = 1000;
@@ -12,7 +12,7 @@
     private long filledAt;
 
     /** Creates a bucket that holds the given number of tokens, at most its capacity. */
-    TokenBucket(double ratePerSecond, double capacity, double level, long now) {
+    public TokenBucket(double ratePerSecond, double capacity, double level, long now) {
         this.ratePerSecond = ratePerSecond;
         this.capacity = capacity;
         this.level = Math.min(capacity, level);
@@ -20,7 +20,7 @@
     }
 
     /** Changes rate and capacity from now on; tokens beyond the new capacity are lost. */
-    void setRateAndCapacity(double newRate, double newCapacity, long now) {
+    public void setRateAndCapacity(double newRate, double newCapacity, long now) {
         fill(now);
         ratePerSecond = newRate;
         capacity = newCapacity;
@@ -32,17 +32,18 @@
         filledAt = now;
     }
 
-    double level(long now) {
+    /** Number of tokens in the bucket, with fractions. */
+    public double level(long now) {
         fill(now);
         return level;
     }
 
-    double capacity() {
+    public double capacity() {
         return capacity;
     }
 
     /** Takes at most the wanted number of whole tokens and returns how many were taken. */
-    int take(int wanted, long now) {
+    public int take(int wanted, long now) {
         fill(now);
         int taken = (int) Math.max(0, Math.min(wanted, Math.floor(level)));
         level -= taken;
@@ -50,14 +51,19 @@
     }
 
     /** Adds tokens; those beyond the capacity are lost. */
-    void add(int tokens, long now) {
+    public void add(int tokens, long now) {
         fill(now);
         level = Math.min(capacity, level + tokens);
     }
 
     /** Time until the next whole token, in milliseconds. */
-    long millisToNext(long now) {
+    public long millisToNext(long now) {
+        return millisTo(1, now);
+    }
+
+    /** Time until the bucket would hold this many tokens, in milliseconds, regardless of its capacity. */
+    public long millisTo(int tokens, long now) {
         fill(now);
-        return (long) Math.ceil(Math.max(0, 1 - level) / ratePerSecond * MILLIS_PER_SECOND);
+        return (long) Math.ceil(Math.max(0, tokens - level) / ratePerSecond * MILLIS_PER_SECOND);
     }
 }
--- a/src/test/java/io/beryldock/admission/GateFixture.java
+++ b/src/test/java/io/beryldock/admission/GateFixture.java
@@ -2,6 +2,7 @@
 
 import io.beryldock.call.Incarnation;
 import io.beryldock.call.Reason;
+import io.beryldock.call.RequestId;
 import io.beryldock.call.RequestIds;
 import io.beryldock.call.ServiceName;
 import io.beryldock.time.ManualTimerService;
@@ -32,6 +33,10 @@
         gate = TargetGate.create(settings, timers, new Random(2), FAIL_ON_VIOLATION, ServiceName.of("holdings"));
     }
 
+    static RequestId requestId(int order) {
+        return new RequestId(new Incarnation(1, 1), order);
+    }
+
     /** Returns settings of a warm target, whose limit equals its slots. */
     static GateSettings warm(int slots) {
         return GateSettings.defaults().withAnnouncedSlots(slots).withInitialLimit(slots);
--- a/src/test/java/io/beryldock/retry/RetryPolicyTest.java
+++ b/src/test/java/io/beryldock/retry/RetryPolicyTest.java
@@ -58,6 +58,7 @@
                 .containsExactlyInAnyOrder(
                         Reason.SHED_AT_TARGET,
                         Reason.QUEUED_TOO_LONG,
+                        Reason.RATE_LIMITED,
                         Reason.TARGET_REFUSED,
                         Reason.DRAINING,
                         Reason.NO_TARGET,
