Gate: a target that says it leaves gets nothing more in this start

The rule DRAIN by Server-Leaving: callers saw nothing yet, but the header was read by nobody, so requests went on to a leaving target until a heartbeat or a DELETE said the same, which some targets send late or never. Same class as the rate: a signal of a target in its answers, with a gate that acts on heartbeats alone.

The gate drains with the answer that says so and keeps draining in this start, whatever heartbeats or operators say; queued requests are refused NOT_RUN and go elsewhere; the node withdraws the target as LEAVING in the membership. The next start has a gate of its own and begins without it: announcements carry what identifies a start. A start whose heartbeats stopped and come again keeps what it had named; one that does not identify its starts is used again after a minute. Callers that were told tell a node that has restarted.

--- a/src/main/java/io/beryldock/admission/DecisionNotifications.java
+++ b/src/main/java/io/beryldock/admission/DecisionNotifications.java
@@ -2,6 +2,8 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
@@ -22,7 +24,7 @@
 
     private GateEntry first;
     private Queue<GateEntry> more;
-    private List<CompletableFuture<Void>> idle = List.of();
+    private final List<CompletableFuture<Void>> futures = new ArrayList<>(0);
 
     void add(GateEntry decided) {
         if (first == null) {
@@ -35,14 +37,14 @@
         more.add(decided);
     }
 
-    /** Adds the futures to complete because the gate has become idle. */
-    void addIdle(List<CompletableFuture<Void>> futures) {
-        idle = futures;
+    /** Adds futures to complete, for example because the gate has become idle. */
+    void addCompleted(Collection<CompletableFuture<Void>> completed) {
+        futures.addAll(completed);
     }
 
     /** Notifies all listeners now, or queues this object behind the notification that this thread is sending. */
     void send() {
-        if (first == null && idle.isEmpty()) {
+        if (first == null && futures.isEmpty()) {
             return;
         }
         Queue<DecisionNotifications> outer = NOTIFYING.get();
@@ -68,7 +70,7 @@
         if (more != null) {
             more.forEach(DecisionNotifications::notifyListener);
         }
-        idle.forEach(future -> future.complete(null));
+        futures.forEach(future -> future.complete(null));
     }
 
     private static void notifyListener(GateEntry entry) {
--- a/src/main/java/io/beryldock/admission/GateCore.java
+++ b/src/main/java/io/beryldock/admission/GateCore.java
@@ -20,8 +20,9 @@
  *
  * <p>Invariants, checked where they could be violated: an admission never raises the number of requests in flight above
  * the limit, and thus never above the announced slots; no admission exceeds the rate that the target names; each
- * submitted request is decided exactly once; a refused request was never admitted; nothing is admitted while draining;
- * no request is admitted while a more important one is queued. Guarded by the gate's lock.
+ * submitted request is decided exactly once; a refused request was never admitted; nothing is admitted while draining,
+ * and draining never ends once the target has said that it is leaving; no request is admitted while a more important
+ * one is queued. Guarded by the gate's lock.
  */
 final class GateCore {
 
@@ -40,8 +41,10 @@
     private final TreeSet<GateEntry> queue = new TreeSet<>(GateEntry.BY_IMPORTANCE);
     private final Set<GateEntry> running = new HashSet<>();
     private final List<CompletableFuture<Void>> idleFutures = new ArrayList<>();
+    private final CompletableFuture<Void> leavingFuture = new CompletableFuture<>();
     private GateSettings settings;
     private boolean draining;
+    private boolean leaving;
     private long lastProgressAt;
 
     GateCore(
@@ -77,13 +80,32 @@
         if (rate.onAnswer(notice.ratePerSecond(), sentAt, now)) {
             onRateChange(now, out);
         }
+        if (notice.leaving()) {
+            leave(now, out);
+        }
     }
 
     /** Applies what another node was told by answers of the target; ignored if it concerns another start. */
     void onPeerNotice(StartNotice notice, long now, DecisionNotifications out) {
-        if (notice.start().equals(start) && rate.onPeerReport(notice.ratePerSecond(), now)) {
+        if (!notice.start().equals(start)) {
+            return;
+        }
+        if (rate.onPeerReport(notice.ratePerSecond(), now)) {
             onRateChange(now, out);
         }
+        if (notice.leaving()) {
+            leave(now, out);
+        }
+    }
+
+    private void leave(long now, DecisionNotifications out) {
+        if (leaving) {
+            return;
+        }
+        leaving = true;
+        events.leaving();
+        drain(now, out);
+        out.addCompleted(List.of(leavingFuture));
     }
 
     private void onRateChange(long now, DecisionNotifications out) {
@@ -142,7 +164,12 @@
     }
 
     void undrain() {
-        draining = false;
+        draining = leaving;
+    }
+
+    /** Returns a future that completes when the target has said that it is leaving. */
+    CompletableFuture<Void> leavingFuture() {
+        return leavingFuture;
     }
 
     /** Refuses queued requests that have waited too long or can no longer finish before their deadline. */
@@ -229,8 +256,8 @@
 
     /** Returns what answers have said in this start; empty as long as none has named anything. */
     private Optional<StartNotice> startNotice() {
-        boolean named = !start.isEmpty() && rate.isLimited();
-        return named ? Optional.of(new StartNotice(start, rate.ratePerSecond(), false)) : Optional.empty();
+        boolean named = !start.isEmpty() && (rate.isLimited() || leaving);
+        return named ? Optional.of(new StartNotice(start, rate.ratePerSecond(), leaving)) : Optional.empty();
     }
 
     GateSnapshot snapshot(long now) {
@@ -246,6 +273,7 @@
                 (long) times.min(),
                 (long) times.mean(),
                 draining,
+                leaving,
                 rate.ratePerSecond());
     }
 
@@ -383,7 +411,7 @@
 
     private void completeIdle(DecisionNotifications out) {
         if (running.isEmpty() && queue.isEmpty() && !idleFutures.isEmpty()) {
-            out.addIdle(List.copyOf(idleFutures));
+            out.addCompleted(idleFutures);
             idleFutures.clear();
         }
     }
--- a/src/main/java/io/beryldock/admission/GateEvents.java
+++ b/src/main/java/io/beryldock/admission/GateEvents.java
@@ -76,6 +76,12 @@
         }
     }
 
+    void leaving() {
+        String change = "target says that it is leaving";
+        events.record(EventKind.TARGET_LEAVING, subject, change);
+        log.atInfo().log("service %s, start %s: %s", subject, start, change);
+    }
+
     void limit(int current, long now) {
         if (Math.abs(current - limit) > MIN_LIMIT_CHANGE * limit && now - limitRecordedAt >= MIN_EVENT_INTERVAL_NANOS) {
             events.record(EventKind.LIMIT_CHANGED, subject, "concurrency limit from " + limit + " to " + current);
--- a/src/main/java/io/beryldock/admission/GateSnapshot.java
+++ b/src/main/java/io/beryldock/admission/GateSnapshot.java
@@ -18,6 +18,7 @@
  * @param level admission level, see {@link io.beryldock.call.ServiceLevel}
  * @param minServiceNanos shortest mean service time of a recent window, 0 when unknown
  * @param meanServiceNanos smoothed service time, 0 when unknown
+ * @param leaving whether the target has said in its answers that it is leaving
  * @param ratePerSecond requests per second that the target accepts by its answers, infinite without a limit
  */
 public record GateSnapshot(
@@ -31,6 +32,7 @@
         long minServiceNanos,
         long meanServiceNanos,
         boolean draining,
+        boolean leaving,
         double ratePerSecond) {
 
     static ImmutableList<Integer> countByRank(Collection<GateEntry> queue) {
--- a/src/main/java/io/beryldock/admission/TargetGate.java
+++ b/src/main/java/io/beryldock/admission/TargetGate.java
@@ -18,7 +18,8 @@
  * <p>A gate serves one start of its target. Invariants: the requests in flight that the gate admitted never exceed the
  * announced slots, and those admitted in any time never exceed the rate that the target names; the listener of each
  * submitted request receives exactly one decision; a refused request was never admitted; nothing is admitted while
- * draining; no request is admitted while a more important one that can still finish is queued.
+ * draining; no request is admitted while a more important one that can still finish is queued; nothing is admitted once
+ * the target has said that it is leaving.
  *
  * <p>Thread safe: {@link GateCore} decides under one lock that is held briefly; listeners are called without it. A gate
  * with nothing in flight has no timer.
@@ -89,6 +90,16 @@
         decide((now, out) -> core.onPeerNotice(notice, now, out));
     }
 
+    /** Returns a future that completes when the target has said that it is leaving. */
+    public CompletableFuture<Void> leaving() {
+        return core.leavingFuture();
+    }
+
+    /** Whether the target has said that it is leaving. */
+    public boolean isLeaving() {
+        return core.leavingFuture().isDone();
+    }
+
     /** Decides on the request now or a short time later; the listener receives the decision exactly once. */
     public GateHandle submit(GateRequest request, GateListener listener) {
         DecisionNotifications out = new DecisionNotifications();
@@ -108,7 +119,7 @@
         decide(core::drain);
     }
 
-    /** Resumes admission. */
+    /** Resumes admission, unless the target has said that it is leaving. */
     public void undrain() {
         decide((now, out) -> core.undrain());
     }
--- a/src/main/java/io/beryldock/node/NodeMetrics.java
+++ b/src/main/java/io/beryldock/node/NodeMetrics.java
@@ -107,6 +107,11 @@
         gateGauge(announcements, "target_in_flight", "requests that the target runs", GateSnapshot::inFlight);
         gateGauge(announcements, "target_queued", "requests that wait for the target", GateSnapshot::queued);
         gateGauge(announcements, "target_level", "admission level, 0 to 1024", GateSnapshot::level);
+        gateGauge(
+                announcements,
+                "target_leaving",
+                "1 if the target says in its answers that it is leaving",
+                gate -> gate.leaving() ? 1 : 0);
         gateGauge(
                 announcements,
                 "target_rate_limit",
--- a/src/main/java/io/beryldock/node/TargetAnnouncements.java
+++ b/src/main/java/io/beryldock/node/TargetAnnouncements.java
@@ -3,12 +3,14 @@
 import io.beryldock.admission.GateSettings;
 import io.beryldock.admission.TargetGate;
 import io.beryldock.call.ServiceName;
+import io.beryldock.call.StartNotice;
 import io.beryldock.forwarding.AnnouncedTarget;
 import io.beryldock.forwarding.Announcement;
 import io.beryldock.membership.Membership;
 import io.beryldock.membership.TargetState;
 import io.beryldock.time.TimerService;
 import io.beryldock.time.TimerService.Subscription;
+import io.beryldock.time.TimerThread;
 import io.beryldock.timeline.EventKind;
 import io.beryldock.timeline.EventSink;
 import java.time.Duration;
@@ -19,11 +21,17 @@
  * Applies the announcements of the target in this VM to the target's gate and to the membership.
  *
  * <p>Used on the control thread only, except {@link #current()} and {@link #drained()}, which are thread safe. A target
- * that no longer announces itself is withdrawn from the membership. A drained target stays LEAVING, whatever state it
- * announces.
+ * that no longer announces itself is withdrawn from the membership. A drained target, and one whose answers say that it
+ * is leaving, stays LEAVING, whatever state it announces. A new start of the target has a gate of its own.
  */
 public final class TargetAnnouncements {
 
+    /**
+     * Time after which a leaving target that does not identify its starts is taken for a new start if it still announces
+     * itself.
+     */
+    private static final Duration UNIDENTIFIED_LEAVING = Duration.ofSeconds(60);
+
     private final Membership membership;
     private final GateFactory gates;
     private final GateSettings gateSettings;
@@ -34,6 +42,7 @@
     private volatile Optional<AnnouncedTarget> current = Optional.empty();
     private volatile boolean drained;
     private volatile Optional<Announcement> last = Optional.empty();
+    private Optional<StartNotice> lastNotice = Optional.empty();
     private Subscription expiryTimer = () -> {};
 
     TargetAnnouncements(
@@ -56,7 +65,8 @@
     /** Creates the gate of a target. */
     @FunctionalInterface
     interface GateFactory {
-        TargetGate create(ServiceName service, GateSettings settings);
+        /** Creates the gate of the start, which is empty if the target does not identify it. */
+        TargetGate create(ServiceName service, GateSettings settings, String start);
     }
 
     /** The target according to its last announcement, with its gate; empty if no target announces itself. */
@@ -73,6 +83,9 @@
         if (drained) {
             return "drained";
         }
+        if (isLeaving()) {
+            return TargetState.LEAVING.name().toLowerCase(Locale.ROOT);
+        }
         return last.map(announcement -> announcement.state().name().toLowerCase(Locale.ROOT))
                 .orElse("none");
     }
@@ -89,9 +102,13 @@
             renew(announcement);
             return;
         }
+        if (last.filter(earlier -> !earlier.start().equals(announcement.start()))
+                .isPresent()) {
+            onTargetRestart();
+        }
         last = Optional.of(announcement);
         ServiceName service = ServiceName.of(announcement.service());
-        TargetGate gate = gateFor(service, announcement.slots());
+        TargetGate gate = gateFor(service, announcement);
         current = Optional.of(new AnnouncedTarget(service, announcement.socketAddress(), gate));
         apply(announcement, gate);
         events.record(
@@ -109,7 +126,12 @@
     }
 
     private TargetState stateOf(Announcement announcement) {
-        return drained ? TargetState.LEAVING : announcement.state();
+        return drained || isLeaving() ? TargetState.LEAVING : announcement.state();
+    }
+
+    /** Whether the target has said in its answers that it is leaving. */
+    private boolean isLeaving() {
+        return current.filter(target -> target.gate().isLeaving()).isPresent();
     }
 
     /**
@@ -120,16 +142,47 @@
      */
     public void onTargetRestart() {
         current.ifPresent(target -> target.gate().drain());
+        forgetTarget();
+    }
+
+    /** Keeps what the target has named, since the same start may announce itself again. */
+    private void forgetTarget() {
+        current.ifPresent(target -> lastNotice = target.gate().load().notice());
         current = Optional.empty();
         last = Optional.empty();
     }
 
-    private TargetGate gateFor(ServiceName service, int slots) {
-        GateSettings settings = boundBySlots ? gateSettings.withAnnouncedSlots(slots) : gateSettings;
+    private TargetGate gateFor(ServiceName service, Announcement announcement) {
+        GateSettings settings = boundBySlots ? gateSettings.withAnnouncedSlots(announcement.slots()) : gateSettings;
         Optional<TargetGate> existing =
                 current.filter(target -> target.service().equals(service)).map(AnnouncedTarget::gate);
         existing.ifPresent(gate -> gate.reconfigure(settings));
-        return existing.orElseGet(() -> gates.create(service, settings));
+        return existing.orElseGet(() -> createGate(service, settings, announcement.start()));
+    }
+
+    private TargetGate createGate(ServiceName service, GateSettings settings, String start) {
+        TargetGate gate = gates.create(service, settings, start);
+        lastNotice.ifPresent(gate::onPeerNotice);
+        TimerThread.onCompletion(timers, gate.leaving(), (done, failure) -> onTargetLeaving(gate, start));
+        return gate;
+    }
+
+    private void onTargetLeaving(TargetGate gate, String start) {
+        if (!isCurrent(gate)) {
+            return;
+        }
+        reapply();
+        if (start.isEmpty()) {
+            timers.after(UNIDENTIFIED_LEAVING, () -> {
+                if (isCurrent(gate)) {
+                    onTargetRestart();
+                }
+            });
+        }
+    }
+
+    private boolean isCurrent(TargetGate gate) {
+        return current.filter(target -> target.gate() == gate).isPresent();
     }
 
     private void apply(Announcement announcement, TargetGate gate) {
@@ -144,8 +197,7 @@
     private void expire() {
         current.ifPresent(target ->
                 events.record(EventKind.TARGET_LOST, target.service().value(), "it no longer announces itself"));
-        current = Optional.empty();
-        last = Optional.empty();
+        forgetTarget();
         membership.withdraw();
     }
 
--- a/src/main/java/io/beryldock/node/TrafficModule.java
+++ b/src/main/java/io/beryldock/node/TrafficModule.java
@@ -126,7 +126,7 @@
             GateSettings gateSettings,
             EventSink events) {
         Duration expiry = Duration.ofSeconds(settings.limits().announcementSeconds());
-        GateFactory gates = (service, gate) -> TargetGate.create(gate, timers, random, events, service);
+        GateFactory gates = (service, gate, start) -> TargetGate.create(gate, timers, random, events, service, start);
         boolean boundBySlots = settings.policy() == Policy.FULL;
         return new TargetAnnouncements(membership, gates, gateSettings, boundBySlots, expiry, controlTimers, events);
     }
--- a/src/main/java/io/beryldock/platform/LocalTargets.java
+++ b/src/main/java/io/beryldock/platform/LocalTargets.java
@@ -95,7 +95,7 @@
         if (isCurrent(id, heartbeat.startedAtMillis())) {
             if (heartbeat.sequence() >= currentStart.sequence()) {
                 currentStart = new CurrentStart(id, currentStart.startedAt(), heartbeat.sequence());
-                announce(heartbeat.announcement());
+                announce(heartbeat.announcement().withStart(startOf(currentStart)));
             }
             return;
         }
@@ -126,7 +126,12 @@
         }
         currentStart = new CurrentStart(id, heartbeat.startedAtMillis(), heartbeat.sequence());
         current = Optional.of(new LocalTarget(id, heartbeat.announcement().socketAddress()));
-        announce(heartbeat.announcement());
+        announce(heartbeat.announcement().withStart(startOf(currentStart)));
+    }
+
+    /** Returns a name that differs between two starts under the same id if their start times are known. */
+    private static String startOf(CurrentStart start) {
+        return start.startedAt() == Heartbeat.UNKNOWN_START ? start.id() : start.id() + "@" + start.startedAt();
     }
 
     private boolean isFromPreviousStart(String id, Heartbeat heartbeat) {
@@ -155,8 +160,9 @@
         previous.put(id, new PreviousStart(ofCurrent ? currentStart.startedAt() : startedAt, true, Long.MAX_VALUE, 0));
         if (ofCurrent) {
             currentStart = NONE;
-            lastAnnouncement.ifPresent(announced -> announce(new Announcement(
-                    announced.service(), announced.address(), announced.slots(), TargetState.LEAVING)));
+            lastAnnouncement.ifPresent(announced -> announce(
+                    new Announcement(announced.service(), announced.address(), announced.slots(), TargetState.LEAVING)
+                            .withStart(announced.start())));
         }
     }
 
--- a/src/test/java/io/beryldock/admission/TargetGateRateLimitTest.java
+++ b/src/test/java/io/beryldock/admission/TargetGateRateLimitTest.java
@@ -46,6 +46,7 @@
         final Map<Reason, Integer> refusals = new HashMap<>();
         private final PriorityQueue<Running> running = new PriorityQueue<>(Comparator.comparingLong(Running::endsAt));
         private TargetGate gate;
+        private int fastestMillis = 20;
         private double named = TargetNotice.UNLIMITED;
         private Optional<StartNotice> told = Optional.empty();
         private long longestWait;
@@ -117,7 +118,8 @@
                     longestWait = Math.max(longestWait, now() - submittedAt);
                     arrivals.add(now());
                     admittedByRank.merge(rank, 1, Integer::sum);
-                    long took = Duration.ofMillis(20 + random.nextInt(600)).toNanos();
+                    long took = Duration.ofMillis(fastestMillis + random.nextInt(600))
+                            .toNanos();
                     running.add(new Running(permit, now(), now() + took, named));
                 }
 
@@ -185,6 +187,7 @@
         for (long seed = 0; seed < 20; seed++) {
             Replay replay = new Replay(seed);
             double rate = 5;
+            replay.fastestMillis = 400;
             replay.named = rate;
             replay.run(Duration.ofSeconds(10), 300);
             long settled = replay.now();
@@ -248,6 +251,33 @@
         assertThat(replay.gate.snapshot().draining()).isFalse();
     }
 
+    /** Guards against a node that starts next to a leaving target and sends to it until the first answer. */
+    @Test
+    void leavingIsToldByCallersOfTheSameStart() {
+        Replay replay = new Replay(1);
+        replay.gate.onPeerNotice(new StartNotice(START, TargetNotice.UNLIMITED, true));
+        replay.run(Duration.ofSeconds(1), 50);
+        assertThat(replay.arrivals).isEmpty();
+        assertThat(replay.refusals).containsOnlyKeys(Reason.DRAINING);
+        assertThat(replay.gate.load().notice()).contains(new StartNotice(START, TargetNotice.UNLIMITED, true));
+    }
+
+    /** Guards against queued requests that reach a target after it has said that it leaves. */
+    @Test
+    void leavingRefusesQueuedRequestsAndHoldsForGood() {
+        GateFixture fixture = new GateFixture(GateFixture.warm(1));
+        RecordingListener running = fixture.submit(3);
+        RecordingListener queued = fixture.submit(3);
+        long sentAt = fixture.timers.ticker().nanos();
+        fixture.gate.onNotice(new TargetNotice(OptionalDouble.of(TargetNotice.UNLIMITED), true), sentAt);
+        assertThat(queued.reason).isEqualTo(Reason.DRAINING);
+        running.succeed();
+        fixture.gate.onNotice(TargetNotice.none(), sentAt + 1);
+        fixture.gate.undrain();
+        assertThat(fixture.submit(0).reason).isEqualTo(Reason.DRAINING);
+        assertThat(fixture.gate.leaving()).isCompleted();
+    }
+
     /** Guards against callers that take a target without rate for idle because its slots are free. */
     @Test
     void reportedLoadShowsWhatTheRateSustains() {
--- a/src/test/java/io/beryldock/call/TreeCostTest.java
+++ b/src/test/java/io/beryldock/call/TreeCostTest.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.protobuf.ByteString;
 import io.beryldock.wire.WireResult;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
 final class TreeCostTest {
@@ -45,6 +46,28 @@
         assertThat(CallCodec.decode(wire).load()).contains(load);
     }
 
+    /** Guards against a limit or a leaving that is lost or altered on its way between nodes. */
+    @Test
+    void noticesRoundTripThroughCodec() {
+        for (double rate : new double[] {0, 0.3, 29.7, TargetNotice.UNLIMITED}) {
+            for (boolean leaving : new boolean[] {false, true}) {
+                StartNotice notice = new StartNotice("i-616a21fd35", rate, leaving);
+                assertThat(CallCodec.decode(CallCodec.encode(notice))).isEqualTo(notice);
+                TargetLoad load = new TargetLoad(7, 16, 15, 3, 40_000_000, true, false, 2, Optional.of(notice));
+                CallResult result = CallResult.notRun(Reason.RATE_LIMITED, "").withLoad(load);
+                assertThat(CallCodec.decode(CallCodec.encode(result)).load()).contains(load);
+            }
+        }
+    }
+
+    @Test
+    void rateRoomBoundsTheFreeSlots() {
+        assertThat(new TargetLoad(1, 16, 4, 0, 0, false, false, 3, Optional.empty()).freeSlots())
+                .isEqualTo(3);
+        assertThat(new TargetLoad(1, 16, 4, 0, 0, false, false, 0, Optional.empty()).freeSlots())
+                .isZero();
+    }
+
     /** Guards against dispatching to a target that has free slots but admits no requests because it is draining. */
     @Test
     void drainingTargetHasNoFreeSlot() {
--- a/src/test/java/io/beryldock/node/TargetAnnouncementsTest.java
+++ b/src/test/java/io/beryldock/node/TargetAnnouncementsTest.java
@@ -9,6 +9,7 @@
 import io.beryldock.call.Incarnation;
 import io.beryldock.call.NodeId;
 import io.beryldock.call.ServiceName;
+import io.beryldock.call.TargetNotice;
 import io.beryldock.forwarding.Announcement;
 import io.beryldock.membership.MembershipService;
 import io.beryldock.membership.MembershipSettings;
@@ -21,6 +22,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import java.util.OptionalDouble;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 
@@ -33,7 +35,7 @@
     private final MembershipService membership = membership();
     private final TargetAnnouncements announcements = new TargetAnnouncements(
             membership,
-            (service, gate) -> TargetGate.create(gate, timers, new Random(1), EventSink.none(), service),
+            (service, gate, start) -> TargetGate.create(gate, timers, new Random(1), EventSink.none(), service, start),
             GateSettings.defaults(),
             true,
             EXPIRY,
@@ -60,12 +62,32 @@
     }
 
     private void announceEverySecond(TargetState state, int seconds) {
+        announceEverySecond(state, seconds, "");
+    }
+
+    private void announceEverySecond(TargetState state, int seconds, String start) {
         for (int i = 0; i < seconds; i++) {
-            announcements.announce(new Announcement("lists", "127.0.0.1:9101", 50, state));
+            announcements.announce(new Announcement("lists", "127.0.0.1:9101", 50, state, start));
             timers.advance(Duration.ofSeconds(1));
         }
     }
 
+    private TargetGate gate() {
+        return announcements.current().orElseThrow().gate();
+    }
+
+    private void answer(TargetNotice notice) {
+        gate().onNotice(notice, timers.ticker().nanos());
+    }
+
+    private static TargetNotice leaving() {
+        return new TargetNotice(OptionalDouble.of(TargetNotice.UNLIMITED), true);
+    }
+
+    private static TargetNotice limited(double rate) {
+        return new TargetNotice(OptionalDouble.of(rate), false);
+    }
+
     /**
      * Guards against requests that are refused with "no live target" from five seconds after a start. The target
      * repeats the same announcement every second. If the node ignores unchanged announcements and does not renew them
@@ -100,4 +122,53 @@
         announcements.undrain();
         assertThat(targets().get(0).state()).isEqualTo(TargetState.READY);
     }
+
+    /** Guards against new requests to a target whose answers say that it leaves while its heartbeats say READY. */
+    @Test
+    void targetThatSaysItLeavesStaysLeavingDespiteReadyAnnouncements() {
+        announceEverySecond(TargetState.READY, 2, "lists-1");
+        answer(leaving());
+        announceEverySecond(TargetState.READY, 3, "lists-1");
+        assertThat(targets().get(0).state()).isEqualTo(TargetState.LEAVING);
+        assertThat(announcements.stateName()).isEqualTo("leaving");
+        announcements.drain();
+        announcements.undrain();
+        assertThat(gate().snapshot().draining()).isTrue();
+    }
+
+    /** Guards against a new start at the same address that gets nothing because the earlier one was leaving. */
+    @Test
+    void newStartBeginsWithoutTheNoticesOfTheEarlierOne() {
+        announceEverySecond(TargetState.READY, 2, "lists-1");
+        answer(limited(5));
+        answer(leaving());
+        announceEverySecond(TargetState.READY, 2, "lists-2");
+        assertThat(targets().get(0).state()).isEqualTo(TargetState.READY);
+        assertThat(gate().snapshot().draining()).isFalse();
+        assertThat(gate().snapshot().isRateLimited()).isFalse();
+    }
+
+    /** Guards against a node that forgets what a target named while its heartbeats were late. */
+    @Test
+    void startThatAnnouncesItselfAgainKeepsItsNotices() {
+        announceEverySecond(TargetState.READY, 2, "lists-1");
+        answer(limited(5));
+        answer(leaving());
+        timers.advance(EXPIRY.plusSeconds(1));
+        assertThat(announcements.current()).isEmpty();
+        announceEverySecond(TargetState.READY, 1, "lists-1");
+        assertThat(gate().snapshot().ratePerSecond()).isEqualTo(5);
+        assertThat(targets().get(0).state()).isEqualTo(TargetState.LEAVING);
+    }
+
+    /** Guards against a target that is never used again after its restart because it does not identify its starts. */
+    @Test
+    void unidentifiedTargetIsUsedAgainAMinuteAfterItSaidThatItLeaves() {
+        announceEverySecond(TargetState.READY, 2);
+        answer(leaving());
+        announceEverySecond(TargetState.READY, 50);
+        assertThat(targets().get(0).state()).isEqualTo(TargetState.LEAVING);
+        announceEverySecond(TargetState.READY, 15);
+        assertThat(targets().get(0).state()).isEqualTo(TargetState.READY);
+    }
 }
--- a/src/test/java/io/beryldock/platform/LocalTargetsTest.java
+++ b/src/test/java/io/beryldock/platform/LocalTargetsTest.java
@@ -46,6 +46,15 @@
         assertThat(targets.current().orElseThrow().id()).isEqualTo("new");
     }
 
+    /** Guards against two starts under one id that share what the earlier one said of itself. */
+    @Test
+    void announcementIdentifiesTheStart() {
+        ready("a", 1);
+        heartbeatOfStart("b", 1, 1, TargetState.READY, 5_000);
+        heartbeatOfStart("b", 1, 1, TargetState.READY, 6_000);
+        assertThat(announced.stream().map(Announcement::start)).containsExactly("a", "b@5000", "b@6000");
+    }
+
     /**
      * Guards against the same fault at a node that was restarted in between and receives the late heartbeat first: the
      * running start becomes current again with its second heartbeat.
