Gate: number load reports on across the starts of a target

Each start of a target has a gate of its own, whose load reports counted from one again, while callers drop a report that is not newer than the last of this incarnation of the node. After a restart of the target alone they went without its load until as many calls had ended as before; its age made it unknown meanwhile.

Versions come from the clock now and increase over all gates of a node. The test failed before: version 1 after 101.

--- a/src/main/java/io/beryldock/admission/TargetGate.java
+++ b/src/main/java/io/beryldock/admission/TargetGate.java
@@ -134,7 +134,10 @@
     /** Returns the load that is reported with each result. */
     public TargetLoad load() {
         synchronized (lock) {
-            return core.load(ticker.nanos(), ++loadVersion);
+            long now = ticker.nanos();
+            // The clock makes versions increase over all gates of this node: the next start's gate must not begin anew.
+            loadVersion = Math.max(loadVersion + 1, now);
+            return core.load(now, loadVersion);
         }
     }
 
--- a/src/test/java/io/beryldock/node/TargetAnnouncementsTest.java
+++ b/src/test/java/io/beryldock/node/TargetAnnouncementsTest.java
@@ -148,6 +148,18 @@
         assertThat(gate().snapshot().isRateLimited()).isFalse();
     }
 
+    /** Guards against callers that ignore the load of a restarted target because its gate numbers reports from one. */
+    @Test
+    void loadReportsOfTheNextStartAreNewer() {
+        announceEverySecond(TargetState.READY, 1, "lists-1");
+        for (int i = 0; i < 100; i++) {
+            gate().load();
+        }
+        long earlier = gate().load().version();
+        announceEverySecond(TargetState.READY, 1, "lists-2");
+        assertThat(gate().load().version()).isGreaterThan(earlier);
+    }
+
     /** Guards against a node that forgets what a target named while its heartbeats were late. */
     @Test
     void startThatAnnouncesItselfAgainKeepsItsNotices() {
