--- a/src/main/java/io/beryldock/standin/StandinTarget.java
+++ b/src/main/java/io/beryldock/standin/StandinTarget.java
@@ -164,7 +164,7 @@
             state = TargetState.STARTING;
         }
         String address = now.address().getHostString() + ":" + now.address().getPort();
-        return new Announcement(settings.service(), address, settings.slots(), state);
+        return new Announcement(settings.service(), address, settings.slots(), state, now.name());
     }
 
     private void handle(HttpExchange exchange) {
--- a/src/main/java/io/beryldock/standin/TargetLife.java
+++ b/src/main/java/io/beryldock/standin/TargetLife.java
@@ -1,6 +1,7 @@
 package io.beryldock.standin;
 
 import com.google.common.collect.ImmutableList;
+import io.beryldock.http.BeryldockHeaders;
 import io.beryldock.standin.StandinTargetSettings.InnerCall;
 import io.beryldock.time.TimerService;
 import java.net.InetSocketAddress;
@@ -70,6 +71,7 @@
         if (dead) {
             return;
         }
+        nameConditions(exchange);
         if (chance(faults().shedShare())) {
             TargetAnswers.refuse(exchange, "shed");
             return;
@@ -85,6 +87,16 @@
         }
     }
 
+    /** Puts into the answer what the target says of itself. */
+    private void nameConditions(HttpExchange exchange) {
+        if (faults().rateLimit() > 0) {
+            exchange.with(BeryldockHeaders.RATE_LIMIT, Double.toString(faults().rateLimit()));
+        }
+        if (leaving) {
+            exchange.with(BeryldockHeaders.LEAVING, "1");
+        }
+    }
+
     /** Takes back the slot of a run that has ended. */
     void giveBack(TargetRun run) {
         if (dead) {
@@ -158,6 +170,11 @@
         return now() - start < TimeUnit.MILLISECONDS.toNanos(settings.startMillis());
     }
 
+    /** Differs from that of any other start at the same address. */
+    String name() {
+        return settings.service() + "-" + Long.toHexString(start);
+    }
+
     boolean isLeaving() {
         return leaving;
     }
