Soak: targets name limits and leavings; two checks of what they get

The checks count what reaches a target from the nodes that have passed on what it named, with the bounds of the contract.

--- a/src/main/java/io/beryldock/platform/SoakSurroundings.java
+++ b/src/main/java/io/beryldock/platform/SoakSurroundings.java
@@ -32,10 +32,12 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
@@ -77,6 +79,7 @@
     private final ThreadTimerService timers = ThreadTimerService.start("standin-timer", Runnable::run);
     private final StandinStore store = new StandinStore(timers);
     private final HttpClient client = HttpClient.create(CLIENT_SETTINGS, loops);
+    private final Map<Integer, SoakTarget> targets = new ConcurrentHashMap<>();
     private final AtomicLong heartbeatSequence = new AtomicLong();
     private final TreeSet<Long> publishedVersions = new TreeSet<>();
     private final Deque<StandinStore.Snapshot> snapshots = new ArrayDeque<>();
@@ -102,15 +105,12 @@
     @Override
     public InetSocketAddress startTarget(NodePlace place, TargetEvents events)
             throws IOException, InterruptedException {
-        SoakTarget target = new SoakTarget(place, targetId(place), events, this::send, timers);
+        SoakTarget target = new SoakTarget(place, events, this::send, timers);
+        targets.put(place.number(), target);
         InetSocketAddress any = new InetSocketAddress(place.requests().getAddress(), 0);
         return HttpServer.bind(any, loops, () -> SERVER_LIMITS, target).address();
     }
 
-    private static String targetId(NodePlace place) {
-        return "soak-target-" + place.number();
-    }
-
     @Override
     public void announce(NodePlace place, InetSocketAddress target) {
         ObjectNode body = Json.object().put("address", text(target));
@@ -124,7 +124,8 @@
                 .put("sequence", heartbeatSequence.incrementAndGet())
                 .put("coldRemainingS", 0);
         Headers headers = Headers.empty().with(PlatformHeaders.HOST, "node");
-        HttpCall heartbeat = HttpCall.of("PUT", "/instances/" + targetId(place), headers, Json.write(body));
+        String id = targets.get(place.number()).id();
+        HttpCall heartbeat = HttpCall.of("PUT", "/instances/" + id, headers, Json.write(body));
         client.send(place.heartbeats(), heartbeat, REQUEST_TIMEOUT).whenComplete((reply, failure) -> {
             if (failure != null) {
                 log.atFine().withCause(failure).log(
--- a/src/main/java/io/beryldock/platform/SoakTarget.java
+++ b/src/main/java/io/beryldock/platform/SoakTarget.java
@@ -17,7 +17,8 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * A target for the soak test: simulates work, makes an inner call if its service does so, and responds.
+ * A target for the soak test: simulates work, makes an inner call if its service does so, and responds. Its answers
+ * name a rate limit or its leaving at times.
  *
  * <p>Thread safe. Invariant: each execution is reported before the first byte of its response is sent.
  */
@@ -34,18 +35,40 @@
     private static final int WORK_RANGE_MILLIS = 95;
 
     private final NodePlace place;
-    private final String id;
     private final TargetEvents events;
     private final InnerCaller caller;
     private final TimerService timers;
     private final AtomicLong innerCalls = new AtomicLong();
+    private final long createdAt;
+    private long lastStart;
 
-    SoakTarget(NodePlace place, String id, TargetEvents events, InnerCaller caller, TimerService timers) {
+    SoakTarget(NodePlace place, TargetEvents events, InnerCaller caller, TimerService timers) {
         this.place = place;
-        this.id = id;
         this.events = events;
         this.caller = caller;
         this.timers = timers;
+        this.createdAt = timers.ticker().nanos();
+        this.lastStart = conditions().start();
+    }
+
+    /** Id of the current start. */
+    String id() {
+        return id(conditions());
+    }
+
+    private String id(SoakConditions conditions) {
+        return "soak-target-" + place.number() + "-" + conditions.start();
+    }
+
+    /** Returns what the target names now; reports the next start before anything is named in it. */
+    private synchronized SoakConditions conditions() {
+        Duration age = Duration.ofNanos(timers.ticker().nanos() - createdAt);
+        SoakConditions conditions = SoakConditions.at(place.number(), age);
+        if (conditions.start() > lastStart) {
+            lastStart = conditions.start();
+            events.targetStarted(place.number());
+        }
+        return conditions;
     }
 
     /** Sends an inner call through the target's own node. */
@@ -58,6 +81,7 @@
     @Override
     public void handle(HttpExchange exchange) {
         Headers headers = exchange.headers();
+        String id = id();
         if (!headers.first(PlatformHeaders.EXPECTED_TARGET).orElse(id).equals(id)) {
             exchange.answer(HttpAnswer.of(MISDIRECTED));
             return;
@@ -89,12 +113,25 @@
                         answer(exchange, request, body, outcome.reply().isSuccess() ? OK : FAILED));
     }
 
-    private static void answer(HttpExchange exchange, String request, String body, int status) {
+    private void answer(HttpExchange exchange, String request, String body, int status) {
+        SoakConditions conditions = conditions();
+        boolean sameStart = exchange.headers()
+                .first(PlatformHeaders.EXPECTED_TARGET)
+                .filter(expected -> !expected.equals(id(conditions)))
+                .isEmpty();
+        SoakConditions named = sameStart ? conditions : new SoakConditions(0, 0, false);
+        if (sameStart) {
+            events.named(place.number(), request, named.ratePerSecond(), named.leaving());
+        }
         Headers headers = Headers.empty()
                 .with(PlatformHeaders.REQUEST_ID, request)
                 .with(PlatformHeaders.SIGNATURE, "signed")
                 .with("Content-Type", "text/plain");
         String text = status == OK ? Payload.answer(request, body) : "failed";
-        exchange.answer(HttpAnswer.of(status, headers, ByteString.copyFromUtf8(text)));
+        HttpAnswer answer = HttpAnswer.of(status, headers, ByteString.copyFromUtf8(text));
+        if (named.ratePerSecond() > 0) {
+            answer = answer.with(PlatformHeaders.RATE_LIMIT, Double.toString(named.ratePerSecond()));
+        }
+        exchange.answer(named.leaving() ? answer.with(PlatformHeaders.LEAVING, "1") : answer);
     }
 }
--- a/src/main/java/io/beryldock/soak/PromiseCheck.java
+++ b/src/main/java/io/beryldock/soak/PromiseCheck.java
@@ -24,6 +24,8 @@
                 new VersionCheck(),
                 new NewVersionCheck(),
                 new PlannedStopCheck(),
+                new NamedRateCheck(),
+                new NamedLeavingCheck(),
                 recovery,
                 new ResourceCheck());
     }
--- a/src/main/java/io/beryldock/soak/SoakEvent.java
+++ b/src/main/java/io/beryldock/soak/SoakEvent.java
@@ -16,6 +16,17 @@
     /** A target beside a node begins to work on a request, whose body it received. */
     record Ran(long at, int node, String id, String service, String body) implements SoakEvent {}
 
+    /**
+     * A target answers a request and names in the answer what it accepts.
+     *
+     * @param ratePerSecond requests per second from all nodes together, 0 for no limit
+     * @param leaving whether the target says that it is leaving
+     */
+    record Named(long at, int node, String id, double ratePerSecond, boolean leaving) implements SoakEvent {}
+
+    /** The next start of the target beside the node begins; it has named nothing. */
+    record TargetStarted(long at, int node) implements SoakEvent {}
+
     /** A request ends at its sender; {@code reply} is empty of meaning but for {@link Ending#ANSWERED}. */
     record Ended(long at, String id, Ending ending, Reply reply) implements SoakEvent {}
 
--- a/src/main/java/io/beryldock/soak/SoakRun.java
+++ b/src/main/java/io/beryldock/soak/SoakRun.java
@@ -143,6 +143,16 @@
                 ledger.add(at -> new SoakEvent.Ran(at, node, id, service, body));
             }
 
+            @Override
+            public void named(int node, String id, double ratePerSecond, boolean leaving) {
+                ledger.add(at -> new SoakEvent.Named(at, node, id, ratePerSecond, leaving));
+            }
+
+            @Override
+            public void targetStarted(int node) {
+                ledger.add(at -> new SoakEvent.TargetStarted(at, node));
+            }
+
             @Override
             public void sent(int node, CallerRequest request) {
                 ledger.add(at -> new SoakEvent.Sent(at, node, request));
--- a/src/main/java/io/beryldock/soak/Surroundings.java
+++ b/src/main/java/io/beryldock/soak/Surroundings.java
@@ -64,6 +64,12 @@
         /** A target begins to work on the request. */
         void ran(int node, String id, String service, String body);
 
+        /** A target answers a request and names what it accepts, 0 for any rate. */
+        void named(int node, String id, double ratePerSecond, boolean leaving);
+
+        /** The next start of a target begins. */
+        void targetStarted(int node);
+
         /** A target makes an inner call through its own node. */
         void sent(int node, CallerRequest request);
     }
--- a/src/test/java/io/beryldock/soak/CheckTrial.java
+++ b/src/test/java/io/beryldock/soak/CheckTrial.java
@@ -51,6 +51,14 @@
         return see(new SoakEvent.Ran(now, RUNNER, id, "back", "body of " + id));
     }
 
+    CheckTrial named(String id, double ratePerSecond, boolean leaving) {
+        return see(new SoakEvent.Named(now, RUNNER, id, ratePerSecond, leaving));
+    }
+
+    CheckTrial targetStarted() {
+        return see(new SoakEvent.TargetStarted(now, RUNNER));
+    }
+
     CheckTrial answered(String id, int status) {
         Reply reply = new Reply(status, id, true, Payload.answer(id, "body of " + id));
         return see(new SoakEvent.Ended(now, id, Ending.ANSWERED, reply));
