--- a/src/main/java/io/beryldock/http/TargetNoticeReader.java
+++ b/src/main/java/io/beryldock/http/TargetNoticeReader.java
@@ -40,11 +40,11 @@
     }
 
     public TargetNotice read(Headers headers) {
-        List<String> limits = values(headers, limitHeader).toList();
-        boolean leaving = values(headers, leavingHeader).anyMatch(LEAVING::equals);
-        if (limits.isEmpty() && !leaving) {
+        if (headers.first(limitHeader).isEmpty() && headers.first(leavingHeader).isEmpty()) {
             return TargetNotice.none();
         }
+        List<String> limits = values(headers, limitHeader).toList();
+        boolean leaving = values(headers, leavingHeader).anyMatch(LEAVING::equals);
         return new TargetNotice(limits.isEmpty() ? OptionalDouble.of(TargetNotice.UNLIMITED) : lowest(limits), leaving);
     }
 
--- a/src/main/java/io/beryldock/node/NodeMetrics.java
+++ b/src/main/java/io/beryldock/node/NodeMetrics.java
@@ -117,11 +117,10 @@
                 "target_rate_limit",
                 "requests per second that the target accepts by its answers, 0 without a limit",
                 gate -> gate.isRateLimited() ? gate.ratePerSecond() : 0);
-        gateGauge(
-                announcements,
-                "target_rate_limited",
+        counter(
+                "target_rate_limited_total",
                 "requests refused in this start of the target because it had used up its rate",
-                GateSnapshot::rateLimited);
+                () -> ofGate(announcements, GateSnapshot::rateLimited));
     }
 
     private void registerChooser(TargetChooser chooser) {
@@ -156,14 +155,15 @@
     /** Registers a gauge of the gate before the target in this VM; 0 while there is no target. */
     private void gateGauge(
             TargetAnnouncements announcements, String name, String help, ToDoubleFunction<GateSnapshot> value) {
-        gauge(
-                name,
-                help,
-                () -> announcements
-                        .current()
-                        .map(AnnouncedTarget::gate)
-                        .map(gate -> value.applyAsDouble(gate.snapshot()))
-                        .orElse(0.0));
+        gauge(name, help, () -> ofGate(announcements, value));
+    }
+
+    private static double ofGate(TargetAnnouncements announcements, ToDoubleFunction<GateSnapshot> value) {
+        return announcements
+                .current()
+                .map(AnnouncedTarget::gate)
+                .map(gate -> value.applyAsDouble(gate.snapshot()))
+                .orElse(0.0);
     }
 
     private void registerPeers(NettyPeerTransport transport) {
