--- a/src/main/java/io/beryldock/admission/DecisionNotifications.java
+++ b/src/main/java/io/beryldock/admission/DecisionNotifications.java
@@ -24,7 +24,7 @@
 
     private GateEntry first;
     private Queue<GateEntry> more;
-    private final List<CompletableFuture<Void>> futures = new ArrayList<>(0);
+    private List<CompletableFuture<Void>> futures = List.of();
 
     void add(GateEntry decided) {
         if (first == null) {
@@ -39,7 +39,9 @@
 
     /** Adds futures to complete, for example because the gate has become idle. */
     void addCompleted(Collection<CompletableFuture<Void>> completed) {
-        futures.addAll(completed);
+        List<CompletableFuture<Void>> all = new ArrayList<>(futures);
+        all.addAll(completed);
+        futures = all;
     }
 
     /** Notifies all listeners now, or queues this object behind the notification that this thread is sending. */
