--- a/src/test/java/io/beryldock/routing/FakeFleet.java
+++ b/src/test/java/io/beryldock/routing/FakeFleet.java
@@ -16,7 +16,9 @@
 import io.beryldock.membership.NodeDescriptor;
 import io.beryldock.membership.TargetRecord;
 import io.beryldock.membership.TargetState;
+import io.beryldock.retry.RetryPolicy;
 import io.beryldock.time.ManualTimerService;
+import io.beryldock.time.TokenBucket;
 import io.beryldock.timeline.EventSink;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -185,7 +187,7 @@
             if (result.answer().isPresent()) {
                 answered++;
                 latency.recordValue(nanos);
-            } else if (result.reason().orElseThrow() == Reason.SHED_AT_TARGET) {
+            } else if (RetryPolicy.isFullRefusal(result.reason().orElseThrow())) {
                 retryOrRefuse();
             } else {
                 failed++;
@@ -217,6 +219,8 @@
         boolean hanging;
         boolean refusesConnections;
         boolean failsCalls;
+        private Optional<TokenBucket> rateLimit = Optional.empty();
+        private double ratePerSecond;
         private int running;
         private long reports;
         private double meanNanos = MEAN_NANOS;
@@ -225,6 +229,19 @@
             this.record = record;
         }
 
+        /** Names the rate that the target accepts from now on. */
+        void limit(double perSecond) {
+            ratePerSecond = perSecond;
+            rateLimit = Optional.of(new TokenBucket(
+                    perSecond, 1 + perSecond / 4, 1, time.ticker().nanos()));
+        }
+
+        private boolean takeToken() {
+            return rateLimit
+                    .map(bucket -> bucket.take(1, time.ticker().nanos()) == 1)
+                    .orElse(true);
+        }
+
         void receive(FakeCall call) {
             if (hanging) {
                 return;
@@ -233,6 +250,8 @@
                 call.end(CallResult.notRun(Reason.CONNECT_FAILED, ""));
             } else if (failsCalls) {
                 call.end(CallResult.unknown(Reason.CONNECTION_LOST, ""));
+            } else if (!takeToken()) {
+                call.end(CallResult.notRun(Reason.RATE_LIMITED, ""));
             } else if (running < record.slots()) {
                 start(call);
             } else if (queue.size() < record.slots()) {
@@ -254,8 +273,22 @@
 
         TargetLoad load() {
             int reportedRunning = reportsFreeSlots ? 0 : running;
+            int sustained = rateLimit.isPresent()
+                    ? (int) Math.min(record.slots(), Math.ceil(ratePerSecond * meanNanos / 1e9))
+                    : record.slots();
+            int room = rateLimit
+                    .map(bucket -> (int) bucket.level(time.ticker().nanos()))
+                    .orElse(Integer.MAX_VALUE);
             return new TargetLoad(
-                    ++reports, record.slots(), reportedRunning, queue.size(), (long) meanNanos, false, false);
+                    ++reports,
+                    sustained,
+                    reportedRunning,
+                    queue.size(),
+                    (long) meanNanos,
+                    false,
+                    false,
+                    room,
+                    Optional.empty());
         }
 
         private void clearCounts() {
--- a/src/test/java/io/beryldock/routing/PlacementReplayTest.java
+++ b/src/test/java/io/beryldock/routing/PlacementReplayTest.java
@@ -117,6 +117,28 @@
         assertThat(completion.busiestToMean()).isLessThan(1.15);
     }
 
+    /** Guards against calls that are refused for a target's rate while other targets of the service have room. */
+    @Test
+    void callsMoveFromTargetsThatNameALowRate() {
+        PlacementReplayTest simulation = new PlacementReplayTest();
+        for (String name : new String[] {"a", "b", "c", "d"}) {
+            simulation.add(DataCentre.of(name), CALLERS / 4, 1, Placement.COMPLETION);
+        }
+        double rate = simulation.callsPerSecond(0.2);
+        simulation.fleet.run(Duration.ofSeconds(5), rate);
+        double share = simulation.fleet.sent / 5.0 / 4;
+        simulation.targets.get(0).limit(0.45 * share);
+        simulation.targets.get(2).limit(0.45 * share);
+        simulation.fleet.run(Duration.ofSeconds(1), rate);
+        simulation.fleet.run(Duration.ofSeconds(10), rate);
+        double refusedShare =
+                (double) simulation.fleet.refused / (simulation.fleet.answered + simulation.fleet.refused);
+        double resentShare =
+                (double) simulation.fleet.sent / (simulation.fleet.answered + simulation.fleet.refused) - 1;
+        print("two of four targets at 45% of their rate", new Figures(resentShare, refusedShare, 0));
+        assertThat(refusedShare).isLessThan(0.01);
+    }
+
     /**
      * Guards against a data centre that is full while another one with more targets and fewer callers has free slots.
      */
