--- a/src/test/java/io/beryldock/routing/PlacementReplayTest.java
+++ b/src/test/java/io/beryldock/routing/PlacementReplayTest.java
@@ -131,11 +131,11 @@
         simulation.targets.get(2).limit(0.45 * share);
         simulation.fleet.run(Duration.ofSeconds(1), rate);
         simulation.fleet.run(Duration.ofSeconds(10), rate);
-        double refusedShare =
-                (double) simulation.fleet.refused / (simulation.fleet.answered + simulation.fleet.refused);
-        double resentShare =
-                (double) simulation.fleet.sent / (simulation.fleet.answered + simulation.fleet.refused) - 1;
-        print("two of four targets at 45% of their rate", new Figures(resentShare, refusedShare, 0));
+        double ended = simulation.fleet.answered + simulation.fleet.refused;
+        double refusedShare = simulation.fleet.refused / ended;
+        System.out.printf(
+                "two of four targets at 45%% of their rate: refused %.4f, sent again %.4f%n",
+                refusedShare, simulation.fleet.sent / ended - 1);
         assertThat(refusedShare).isLessThan(0.01);
     }
 
