--- a/src/main/java/io/beryldock/admission/GateEvents.java
+++ b/src/main/java/io/beryldock/admission/GateEvents.java
@@ -15,7 +15,8 @@
  *
  * <p>Refusals are sampled and counted. The level is recorded when it crosses into another rank and the limit when it
  * has changed by more than a fifth, each at most once per {@link #MIN_EVENT_INTERVAL_NANOS}. The rate limit that the
- * target names is recorded and logged when it begins, changes by more than a fifth, or ends. Guarded by the gate's lock.
+ * target names is recorded and logged when it begins, changes by more than a fifth, or ends. Guarded by the gate's
+ * lock.
  */
 final class GateEvents {
 
--- a/src/main/java/io/beryldock/admission/RequestRateLimit.java
+++ b/src/main/java/io/beryldock/admission/RequestRateLimit.java
@@ -28,7 +28,7 @@
     /** Time within which admissions before the limit are compensated. */
     static final long SETTLING_NANOS = Duration.ofSeconds(3).toNanos();
 
-    /** Number of tokens that can be saved, in seconds of the rate, so that variation of arrivals wastes little of it. */
+    /** Number of tokens that can be saved, in seconds of the rate, so that varying arrivals waste little of it. */
     private static final double BURST_SECONDS = 0.25;
 
     /** Admissions in the last second, as a multiple of the rate, that need no compensation. */
@@ -70,7 +70,7 @@
                 : onUnnamed(sentAt);
     }
 
-    /** Applies a limit that another node was told, unless this gate has had an answer itself; returns whether it did. */
+    /** Applies a limit that another node was told, unless this gate has had an answer itself; whether it did. */
     boolean onPeerReport(double rate, long now) {
         if (known || !(rate < TargetNotice.UNLIMITED)) {
             return false;
--- a/src/main/java/io/beryldock/http/TargetNoticeReader.java
+++ b/src/main/java/io/beryldock/http/TargetNoticeReader.java
@@ -39,6 +39,7 @@
         return new TargetNoticeReader(limitHeader, leavingHeader);
     }
 
+    /** Reads what the headers of one answer say. */
     public TargetNotice read(Headers headers) {
         if (headers.first(limitHeader).isEmpty() && headers.first(leavingHeader).isEmpty()) {
             return TargetNotice.none();
--- a/src/main/java/io/beryldock/node/TargetAnnouncements.java
+++ b/src/main/java/io/beryldock/node/TargetAnnouncements.java
@@ -27,8 +27,8 @@
 public final class TargetAnnouncements {
 
     /**
-     * Time after which a leaving target that does not identify its starts is taken for a new start if it still announces
-     * itself.
+     * Time after which a leaving target that does not identify its starts is taken for a new start if it still
+     * announces itself.
      */
     private static final Duration UNIDENTIFIED_LEAVING = Duration.ofSeconds(60);
 
--- a/src/main/java/io/beryldock/platform/SoakConditions.java
+++ b/src/main/java/io/beryldock/platform/SoakConditions.java
@@ -3,8 +3,8 @@
 import java.time.Duration;
 
 /**
- * What a soak target names in its answers at a given time: in turn nothing, a rate limit, its leaving, and then the next
- * start begins.
+ * What a soak target names in its answers at a given time: in turn nothing, a rate limit, its leaving, and then the
+ * next start begins.
  *
  * <p>Immutable. The targets of a run go through the same cycle at different times.
  *
