Soak targets report what they name under the lock of their start

A report of the earlier start that followed the next start's would have counted against the next start: a false break of NamedRateCheck or NamedLeavingCheck.

--- a/src/main/java/io/beryldock/platform/SoakConditions.java
+++ b/src/main/java/io/beryldock/platform/SoakConditions.java
@@ -14,6 +14,9 @@
  */
 record SoakConditions(long start, double ratePerSecond, boolean leaving) {
 
+    /** Of a target that names nothing. */
+    static final SoakConditions NONE = new SoakConditions(0, 0, false);
+
     /** Well below the rate at which callers send to the service with one target. */
     private static final double RATE_PER_SECOND = 20;
 
--- a/src/main/java/io/beryldock/platform/SoakTarget.java
+++ b/src/main/java/io/beryldock/platform/SoakTarget.java
@@ -113,16 +113,22 @@
                         answer(exchange, request, body, outcome.reply().isSuccess() ? OK : FAILED));
     }
 
-    private void answer(HttpExchange exchange, String request, String body, int status) {
+    /**
+     * Returns what the answer to the request names: nothing if the request was sent to an earlier start. Reported under
+     * the lock, so that no report of an earlier start follows that of the next one.
+     */
+    private synchronized SoakConditions nameConditions(Headers headers, String request) {
         SoakConditions conditions = conditions();
-        boolean sameStart = exchange.headers()
-                .first(PlatformHeaders.EXPECTED_TARGET)
-                .filter(expected -> !expected.equals(id(conditions)))
-                .isEmpty();
-        SoakConditions named = sameStart ? conditions : new SoakConditions(0, 0, false);
-        if (sameStart) {
-            events.named(place.number(), request, named.ratePerSecond(), named.leaving());
+        String current = id(conditions);
+        if (!headers.first(PlatformHeaders.EXPECTED_TARGET).orElse(current).equals(current)) {
+            return SoakConditions.NONE;
         }
+        events.named(place.number(), request, conditions.ratePerSecond(), conditions.leaving());
+        return conditions;
+    }
+
+    private void answer(HttpExchange exchange, String request, String body, int status) {
+        SoakConditions named = nameConditions(exchange.headers(), request);
         Headers headers = Headers.empty()
                 .with(PlatformHeaders.REQUEST_ID, request)
                 .with(PlatformHeaders.SIGNATURE, "signed")
