Notices: one way into the gate, shared test fixtures, no unused method

Read once more as a whole. GateCore applied answers and reports of other nodes by two copies of the same steps; RequestRateLimit had a method that nothing called and a check that its callee makes; SoakTarget compared the expected start in two places. The two new tests built calls and a quarantine by hand that TargetFixtures already builds.

--- a/src/main/java/io/beryldock/admission/GateCore.java
+++ b/src/main/java/io/beryldock/admission/GateCore.java
@@ -77,23 +77,22 @@
 
     /** Applies what an answer to a request sent at the given time says about the target. */
     void onNotice(TargetNotice notice, long sentAt, long now, DecisionNotifications out) {
-        if (rate.onAnswer(notice.ratePerSecond(), sentAt, now)) {
-            onRateChange(now, out);
-        }
-        if (notice.leaving()) {
-            leave(now, out);
-        }
+        apply(rate.onAnswer(notice.ratePerSecond(), sentAt, now), notice.leaving(), now, out);
     }
 
     /** Applies what another node was told by answers of the target; ignored if it concerns another start. */
     void onPeerNotice(StartNotice notice, long now, DecisionNotifications out) {
-        if (!notice.start().equals(start)) {
-            return;
+        if (notice.start().equals(start)) {
+            apply(rate.onPeerReport(notice.ratePerSecond(), now), notice.leaving(), now, out);
         }
-        if (rate.onPeerReport(notice.ratePerSecond(), now)) {
-            onRateChange(now, out);
+    }
+
+    private void apply(boolean rateChanged, boolean saysLeaving, long now, DecisionNotifications out) {
+        if (rateChanged) {
+            events.rate(rate.ratePerSecond(), now);
+            admitWaiting(now, out);
         }
-        if (notice.leaving()) {
+        if (saysLeaving) {
             leave(now, out);
         }
     }
@@ -108,11 +107,6 @@
         out.addCompleted(List.of(leavingFuture));
     }
 
-    private void onRateChange(long now, DecisionNotifications out) {
-        events.rate(rate.ratePerSecond(), now);
-        admitWaiting(now, out);
-    }
-
     void submit(GateEntry entry, long now, DecisionNotifications out) {
         counts.submitted();
         levels.arrived(entry.request().rank(), entry.request().callerHash());
--- a/src/main/java/io/beryldock/admission/RequestRateLimit.java
+++ b/src/main/java/io/beryldock/admission/RequestRateLimit.java
@@ -156,18 +156,13 @@
         return named;
     }
 
-    /** Whether an answer or another node has shown what the target accepts. */
-    boolean isKnown() {
-        return known;
-    }
-
     /** Requests per nanosecond that are admitted while the limit is in force. */
     double perNano() {
         return effectiveRate() / NANOS_PER_SECOND;
     }
 
     boolean permits(long now) {
-        return bucket == null || tokens(now) >= 1;
+        return tokens(now) >= 1;
     }
 
     /** Number of requests that may be admitted now. */
--- a/src/main/java/io/beryldock/platform/LocalTargets.java
+++ b/src/main/java/io/beryldock/platform/LocalTargets.java
@@ -160,9 +160,12 @@
         previous.put(id, new PreviousStart(ofCurrent ? currentStart.startedAt() : startedAt, true, Long.MAX_VALUE, 0));
         if (ofCurrent) {
             currentStart = NONE;
-            lastAnnouncement.ifPresent(announced -> announce(
-                    new Announcement(announced.service(), announced.address(), announced.slots(), TargetState.LEAVING)
-                            .withStart(announced.start())));
+            lastAnnouncement.ifPresent(announced -> announce(new Announcement(
+                    announced.service(),
+                    announced.address(),
+                    announced.slots(),
+                    TargetState.LEAVING,
+                    announced.start())));
         }
     }
 
--- a/src/main/java/io/beryldock/platform/SoakTarget.java
+++ b/src/main/java/io/beryldock/platform/SoakTarget.java
@@ -60,6 +60,12 @@
         return "soak-target-" + place.number() + "-" + conditions.start();
     }
 
+    /** Whether the request may run in the start. */
+    private boolean isFor(SoakConditions conditions, Headers request) {
+        String current = id(conditions);
+        return request.first(PlatformHeaders.EXPECTED_TARGET).orElse(current).equals(current);
+    }
+
     /** Returns what the target names now; reports the next start before anything is named in it. */
     private synchronized SoakConditions conditions() {
         Duration age = Duration.ofNanos(timers.ticker().nanos() - createdAt);
@@ -81,8 +87,7 @@
     @Override
     public void handle(HttpExchange exchange) {
         Headers headers = exchange.headers();
-        String id = id();
-        if (!headers.first(PlatformHeaders.EXPECTED_TARGET).orElse(id).equals(id)) {
+        if (!isFor(conditions(), headers)) {
             exchange.answer(HttpAnswer.of(MISDIRECTED));
             return;
         }
@@ -119,8 +124,7 @@
      */
     private synchronized SoakConditions nameConditions(Headers headers, String request) {
         SoakConditions conditions = conditions();
-        String current = id(conditions);
-        if (!headers.first(PlatformHeaders.EXPECTED_TARGET).orElse(current).equals(current)) {
+        if (!isFor(conditions, headers)) {
             return SoakConditions.NONE;
         }
         events.named(place.number(), request, conditions.ratePerSecond(), conditions.leaving());
--- a/src/test/java/io/beryldock/forwarding/TargetFixtures.java
+++ b/src/test/java/io/beryldock/forwarding/TargetFixtures.java
@@ -22,9 +22,10 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.Random;
+import java.util.function.Function;
 
 /** A node with a target of the service "lists", and reads of it. Stateless except for issued ids; thread safe. */
-final class TargetFixtures {
+public final class TargetFixtures {
 
     static final InetSocketAddress ADDRESS = InetSocketAddress.createUnresolved("127.0.0.1", 1);
     private static final ServiceName LISTS = ServiceName.of("lists");
@@ -32,7 +33,7 @@
 
     private TargetFixtures() {}
 
-    static Quarantine quarantine(TimerService timers) {
+    public static Quarantine quarantine(TimerService timers) {
         NodeDescriptor self =
                 new NodeDescriptor(NodeId.of("a"), new Incarnation(1, 1), DataCentre.of("gent-a"), ADDRESS);
         return Quarantine.create(self, timers.ticker(), QuarantineSettings.defaults(), EventSink.none());
@@ -43,7 +44,12 @@
         return new AnnouncedTarget(LISTS, ADDRESS, gate);
     }
 
-    static Call read(String path, Duration timeLimit) {
+    public static Call read(String path, Duration timeLimit) {
+        return read(path, timeLimit, id -> Headers.empty());
+    }
+
+    /** A read with headers that may depend on its id. */
+    public static Call read(String path, Duration timeLimit, Function<RequestId, Headers> headers) {
         RequestId id = IDS.next();
         PriorityClass browsing = PriorityClass.of("browsing", 5);
         CallContext context = new CallContext(id, id, browsing, timeLimit.toNanos(), 0, 0, 0, 0, false);
@@ -53,7 +59,7 @@
                 LISTS,
                 "GET",
                 path,
-                Headers.empty(),
+                headers.apply(id),
                 ByteString.EMPTY,
                 true,
                 Optional.empty(),
--- a/src/test/java/io/beryldock/http/HttpTargetClientTest.java
+++ b/src/test/java/io/beryldock/http/HttpTargetClientTest.java
@@ -2,15 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import com.google.protobuf.ByteString;
 import io.beryldock.call.Call;
-import io.beryldock.call.CallContext;
-import io.beryldock.call.Headers;
-import io.beryldock.call.Incarnation;
-import io.beryldock.call.PriorityClass;
-import io.beryldock.call.RequestId;
-import io.beryldock.call.ServiceName;
 import io.beryldock.call.TargetNotice;
+import io.beryldock.forwarding.TargetFixtures;
 import io.beryldock.forwarding.TargetReply;
 import io.beryldock.standin.StandinException;
 import io.beryldock.standin.StandinTarget;
@@ -19,7 +13,6 @@
 import io.beryldock.standin.TargetFaults;
 import java.io.IOException;
 import java.time.Duration;
-import java.util.Optional;
 import java.util.OptionalDouble;
 import org.apache.hc.client5.http.impl.async.CloseableHttpAsyncClient;
 import org.junit.jupiter.api.Test;
@@ -29,21 +22,7 @@
 final class HttpTargetClientTest {
 
     private static TargetReply send(CloseableHttpAsyncClient http, StandinTarget target) {
-        RequestId id = new RequestId(new Incarnation(1, 1), 1);
-        PriorityClass browsing = PriorityClass.of("browsing", 5);
-        CallContext context =
-                new CallContext(id, id, browsing, Duration.ofSeconds(10).toNanos(), 0, 0, 0, 0, false);
-        Call call = new Call(
-                id,
-                Call.OUTSIDE,
-                ServiceName.of("lists"),
-                "GET",
-                "/lists/1",
-                Headers.empty(),
-                ByteString.EMPTY,
-                true,
-                Optional.empty(),
-                context);
+        Call call = TargetFixtures.read("/lists/1", Duration.ofSeconds(10));
         return HttpTargetClient.create(http, target::address).send(call).reply().join();
     }
 
--- a/src/test/java/io/beryldock/platform/TargetNoticesTest.java
+++ b/src/test/java/io/beryldock/platform/TargetNoticesTest.java
@@ -6,16 +6,9 @@
 import io.beryldock.admission.GateSettings;
 import io.beryldock.admission.TargetGate;
 import io.beryldock.call.Call;
-import io.beryldock.call.CallContext;
 import io.beryldock.call.CallResult;
-import io.beryldock.call.DataCentre;
 import io.beryldock.call.Headers;
-import io.beryldock.call.Incarnation;
-import io.beryldock.call.NodeId;
 import io.beryldock.call.Outcome;
-import io.beryldock.call.PriorityClass;
-import io.beryldock.call.RequestId;
-import io.beryldock.call.RequestIds;
 import io.beryldock.call.ServiceName;
 import io.beryldock.eventloop.EventLoops;
 import io.beryldock.forwarding.AnnouncedTarget;
@@ -23,8 +16,8 @@
 import io.beryldock.forwarding.ExecutionRegistry;
 import io.beryldock.forwarding.TargetCrashDetector;
 import io.beryldock.forwarding.TargetExecutor;
+import io.beryldock.forwarding.TargetFixtures;
 import io.beryldock.forwarding.TargetProcessState;
-import io.beryldock.membership.NodeDescriptor;
 import io.beryldock.nettyhttp.HttpAnswer;
 import io.beryldock.nettyhttp.HttpClient;
 import io.beryldock.nettyhttp.HttpClientSettings;
@@ -32,7 +25,6 @@
 import io.beryldock.nettyhttp.HttpServer;
 import io.beryldock.nettyhttp.HttpServerLimits;
 import io.beryldock.quarantine.Quarantine;
-import io.beryldock.quarantine.QuarantineSettings;
 import io.beryldock.retry.RetryLedger;
 import io.beryldock.time.ManualTimerService;
 import io.beryldock.timeline.EventSink;
@@ -63,7 +55,6 @@
     private static final int ALLOWED = (int) (1.5 * RATE * WINDOW.toSeconds()) + 5;
 
     private final ManualTimerService time = ManualTimerService.create();
-    private final RequestIds ids = RequestIds.of(Incarnation.random(new Random(1)));
     private final EventLoops loops = EventLoops.create(1);
     private final TargetGate gate = TargetGate.create(
             GateSettings.ofAnnouncedSlots().withAnnouncedSlots(100), time, new Random(1), EventSink.none(), LISTS);
@@ -93,9 +84,7 @@
                 loops);
         PlatformTargetClient client =
                 new PlatformTargetClient(http, () -> Optional.of(new LocalTarget(ID, server.address())));
-        NodeDescriptor self =
-                new NodeDescriptor(NodeId.of("a"), new Incarnation(1, 1), DataCentre.of("gent-a"), server.address());
-        Quarantine quarantine = Quarantine.create(self, time.ticker(), QuarantineSettings.defaults(), EventSink.none());
+        Quarantine quarantine = TargetFixtures.quarantine(time);
         TargetCrashDetector crashes = TargetCrashDetector.create(
                 address -> lostAtNanos -> CompletableFuture.completedFuture(TargetProcessState.GOES_ON),
                 quarantine,
@@ -127,21 +116,10 @@
     }
 
     private CompletableFuture<CallResult> send() {
-        RequestId id = ids.next();
-        PriorityClass browsing = PriorityClass.of("browsing", 5);
-        CallContext context =
-                new CallContext(id, id, browsing, Duration.ofSeconds(1).toNanos(), 0, 0, 0, 0, false);
-        Call call = new Call(
-                id,
-                Call.OUTSIDE,
-                LISTS,
-                "GET",
+        Call call = TargetFixtures.read(
                 "/lists/1",
-                Headers.empty().with(PlatformHeaders.REQUEST_ID, id.toString()),
-                ByteString.EMPTY,
-                true,
-                Optional.empty(),
-                context);
+                Duration.ofSeconds(1),
+                id -> Headers.empty().with(PlatformHeaders.REQUEST_ID, id.toString()));
         unended.incrementAndGet();
         CompletableFuture<CallResult> result = executor.execute(call, CancelScope.create());
         result.whenComplete((ended, failure) -> unended.decrementAndGet());
