--- a/src/main/java/io/beryldock/call/CallCodec.java
+++ b/src/main/java/io/beryldock/call/CallCodec.java
@@ -230,6 +230,8 @@
                 .setCovered(context.covered())
                 .setRepeat(context.repeat())
                 .setSuspect(context.suspect())
+                .setResent(context.resent())
+                .setBelowRejection(context.belowRejection())
                 .build();
     }
 
@@ -246,7 +248,9 @@
                 wire.getRetriedAncestor(),
                 wire.getCovered(),
                 wire.getRepeat(),
-                wire.getSuspect());
+                wire.getSuspect(),
+                wire.getResent(),
+                wire.getBelowRejection());
     }
 
     private static List<WireHeader> encode(Headers headers) {
--- a/src/main/java/io/beryldock/call/CallContext.java
+++ b/src/main/java/io/beryldock/call/CallContext.java
@@ -18,6 +18,8 @@
  * @param covered whether the entry node holds credits for the whole tree; covered calls are served before others
  * @param repeat whether the run that makes the call repeats an earlier run, which made the same call
  * @param suspect whether the sender suspects the call of having crashed a target
+ * @param resent whether an earlier attempt of the call may have reached a target
+ * @param belowRejection whether the run that makes the call, or one above it, follows an arrival that a target rejected
  */
 public record CallContext(
         RequestId root,
@@ -31,7 +33,9 @@
         boolean retriedAncestor,
         boolean covered,
         boolean repeat,
-        boolean suspect) {
+        boolean suspect,
+        boolean resent,
+        boolean belowRejection) {
 
     public CallContext {
         Objects.requireNonNull(root, "root");
@@ -62,36 +66,50 @@
                 retriedAncestor,
                 false,
                 false,
+                false,
+                false,
                 false);
     }
 
     /** Returns a copy with the covered flag. */
     public CallContext withCovered(boolean mark) {
-        return with(remainingNanos, retryAllowance, mark, repeat, suspect);
+        return with(remainingNanos, retryAllowance, mark, repeat, suspect, resent, belowRejection);
     }
 
     /** Returns a copy with the repeat flag. */
     public CallContext withRepeat(boolean mark) {
-        return with(remainingNanos, retryAllowance, covered, mark, suspect);
+        return with(remainingNanos, retryAllowance, covered, mark, suspect, resent, belowRejection);
     }
 
     /** Returns a copy with the suspect flag. */
     public CallContext withSuspect(boolean mark) {
-        return with(remainingNanos, retryAllowance, covered, repeat, mark);
+        return with(remainingNanos, retryAllowance, covered, repeat, mark, resent, belowRejection);
+    }
+
+    /** Returns a copy for an attempt; {@code again} tells whether an earlier attempt may have reached a target. */
+    public CallContext withResent(boolean again) {
+        return with(remainingNanos, retryAllowance, covered, repeat, suspect, again, belowRejection || again);
     }
 
     /** Returns a copy with the retry allowance. */
     public CallContext withRetryAllowance(int allowance) {
-        return with(remainingNanos, allowance, covered, repeat, suspect);
+        return with(remainingNanos, allowance, covered, repeat, suspect, resent, belowRejection);
     }
 
     /** Returns a copy with the elapsed time subtracted from the remaining time, which does not fall below zero. */
     public CallContext afterNanos(long elapsedNanos) {
         long left = Math.max(0, remainingNanos - elapsedNanos);
-        return with(left, retryAllowance, covered, repeat, suspect);
+        return with(left, retryAllowance, covered, repeat, suspect, resent, belowRejection);
     }
 
-    private CallContext with(long remaining, int allowance, boolean covers, boolean repeats, boolean suspected) {
+    private CallContext with(
+            long remaining,
+            int allowance,
+            boolean covers,
+            boolean repeats,
+            boolean suspected,
+            boolean again,
+            boolean rejectedAbove) {
         return new CallContext(
                 root,
                 parent,
@@ -104,6 +122,8 @@
                 retriedAncestor,
                 covers,
                 repeats,
-                suspected);
+                suspected,
+                again,
+                rejectedAbove);
     }
 }
--- a/src/main/java/io/beryldock/forwarding/AttemptLoop.java
+++ b/src/main/java/io/beryldock/forwarding/AttemptLoop.java
@@ -16,6 +16,7 @@
 import io.beryldock.retry.RetryAccount;
 import io.beryldock.retry.RetryBudget;
 import io.beryldock.retry.RetryDecision;
+import io.beryldock.retry.RetryGate;
 import io.beryldock.retry.RetryGrant;
 import io.beryldock.retry.RetryPolicy;
 import io.beryldock.routing.CallKind;
@@ -51,6 +52,7 @@
     private TreeCost cost = TreeCost.none();
     private long slowestNanos;
     private boolean mayHaveRun;
+    private boolean mayHaveArrived;
     private Optional<CallResult> last = Optional.empty();
     private Optional<CallResult> lastAnswer = Optional.empty();
     private Optional<TargetRecord> nextTarget = Optional.empty();
@@ -137,7 +139,8 @@
         long elapsed = context.remainingNanos() - remainingNanos();
         return context.afterNanos(elapsed)
                 .withRetryAllowance(grant.amount())
-                .withRepeat(context.repeat() || mayHaveRun);
+                .withRepeat(context.repeat() || mayHaveRun)
+                .withResent(mayHaveArrived);
     }
 
     private void onEnd(TargetRecord target, RetryGrant grant, CallResult ended, long latencyNanos) {
@@ -147,6 +150,7 @@
         cost = cost.plus(ended.cost());
         slowestNanos = Math.max(slowestNanos, latencyNanos);
         mayHaveRun |= ended.outcome() != Outcome.NOT_RUN;
+        mayHaveArrived |= RetryGate.mayHaveArrived(ended);
         fullRefusals += ended.reason().filter(RetryPolicy::isFullRefusal).isPresent() ? 1 : 0;
         last = Optional.of(ended);
         lastAnswer = ended.outcome() == Outcome.ANSWERED ? last : lastAnswer;
--- a/src/main/java/io/beryldock/forwarding/EntryService.java
+++ b/src/main/java/io/beryldock/forwarding/EntryService.java
@@ -257,7 +257,9 @@
                 retriedAncestor,
                 above.covered(),
                 above.repeat(),
-                false);
+                false,
+                false,
+                above.belowRejection());
     }
 
     /**
--- a/src/main/java/io/beryldock/forwarding/TargetExecutor.java
+++ b/src/main/java/io/beryldock/forwarding/TargetExecutor.java
@@ -11,6 +11,7 @@
 import io.beryldock.quarantine.Fingerprint;
 import io.beryldock.quarantine.Quarantine;
 import io.beryldock.quarantine.Verdict;
+import io.beryldock.retry.ArrivalTally;
 import io.beryldock.retry.RetryLedger;
 import io.beryldock.time.TimerService;
 import io.beryldock.timeline.EventSink;
@@ -46,6 +47,7 @@
             RunGuard guard,
             TargetCrashDetector crashes,
             Consumer<TargetLoad> loads,
+            ArrivalTally arrivals,
             TimerService timers,
             EventSink events) {}
 
--- a/src/main/java/io/beryldock/forwarding/TargetRun.java
+++ b/src/main/java/io/beryldock/forwarding/TargetRun.java
@@ -17,6 +17,7 @@
 import io.beryldock.quarantine.Fingerprint;
 import io.beryldock.quarantine.LostRun;
 import io.beryldock.quarantine.Verdict;
+import io.beryldock.retry.ArrivalKind;
 import io.beryldock.retry.RetryAccount;
 import io.beryldock.time.TimerService.Subscription;
 import java.time.Duration;
@@ -151,6 +152,7 @@
         Call sent =
                 call.attempt(call.id(), context.afterNanos(context.remainingNanos() - started.remainingNanos(now())));
         TargetProcess process = ports.crashes().processOf(target.address());
+        ports.arrivals().add(call.service(), ArrivalKind.of(context));
         long sentAt = now();
         TargetExchange sending = ports.client().send(sent);
         synchronized (this) {
--- a/src/main/java/io/beryldock/node/NodeMetrics.java
+++ b/src/main/java/io/beryldock/node/NodeMetrics.java
@@ -8,6 +8,7 @@
 import io.beryldock.forwarding.RetryTally;
 import io.beryldock.peer.NettyPeerTransport;
 import io.beryldock.peer.PeerTransportStats;
+import io.beryldock.retry.ArrivalTally;
 import io.beryldock.retry.RetryLedger;
 import io.beryldock.routing.TargetChooser;
 import io.beryldock.routing.TargetHealth;
@@ -15,6 +16,7 @@
 import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.Locale;
 import java.util.function.DoubleSupplier;
 import java.util.function.ToDoubleFunction;
 import java.util.stream.Collectors;
@@ -34,6 +36,7 @@
     NodeMetrics(Parts parts) {
         registerRequests(parts.tally(), parts.joining());
         registerRetries(parts.retries(), parts.ledger());
+        registerArrivals(parts.arrivals());
         registerTarget(parts.announcements());
         registerChooser(parts.chooser());
         registerPeers(parts.transport());
@@ -48,6 +51,7 @@
             RequestTally tally,
             JoiningRequestHandler joining,
             RetryTally retries,
+            ArrivalTally arrivals,
             RetryLedger ledger,
             TargetAnnouncements announcements,
             TargetChooser chooser,
@@ -102,6 +106,17 @@
                 ledger::violations);
     }
 
+    private void registerArrivals(ArrivalTally arrivals) {
+        CounterWithCallback.builder()
+                .name(PREFIX + "target_arrivals_total")
+                .help("calls sent to the target in this VM, by service and kind of arrival")
+                .labelNames("service", "kind")
+                .callback(callback -> arrivals.rows()
+                        .forEach((service, row) -> row.forEach((kind, count) -> callback.call(
+                                (double) count, service.value(), kind.name().toLowerCase(Locale.ROOT)))))
+                .register(registry);
+    }
+
     private void registerTarget(TargetAnnouncements announcements) {
         gateGauge(announcements, "target_limit", "requests that the target may run at once", GateSnapshot::limit);
         gateGauge(announcements, "target_in_flight", "requests that the target runs", GateSnapshot::inFlight);
--- a/src/main/java/io/beryldock/node/TrafficModule.java
+++ b/src/main/java/io/beryldock/node/TrafficModule.java
@@ -25,6 +25,7 @@
 import io.beryldock.forwarding.PeerCallClient;
 import io.beryldock.forwarding.PeerCallServer;
 import io.beryldock.forwarding.RefusalSummary;
+import io.beryldock.forwarding.RepeatSummary;
 import io.beryldock.forwarding.RequestJournal;
 import io.beryldock.forwarding.RequestTally;
 import io.beryldock.forwarding.RetryTally;
@@ -45,6 +46,7 @@
 import io.beryldock.quarantine.Quarantine;
 import io.beryldock.quota.QuotaLimiter;
 import io.beryldock.quota.QuotaTerms;
+import io.beryldock.retry.ArrivalTally;
 import io.beryldock.retry.Backoff;
 import io.beryldock.retry.RetryBudgets;
 import io.beryldock.retry.RetryGate;
@@ -88,6 +90,7 @@
         bind(ExecutionRegistry.class).toInstance(ExecutionRegistry.create());
         bind(LoopTimerService.class).toInstance(timers);
         bind(RetryTally.class).toInstance(RetryTally.create());
+        bind(ArrivalTally.class).toInstance(ArrivalTally.create());
         bind(RequestTally.class).toInstance(RequestTally.create());
     }
 
@@ -166,8 +169,10 @@
             KeyedRequests keyed,
             TargetCrashDetector crashes,
             GateReporter reporter,
+            ArrivalTally arrivals,
             EventSink events,
             PeerTransport transport) {
+        RepeatSummary.start(arrivals, timers);
         TargetExecutor executor = TargetExecutor.create(new TargetExecutor.Ports(
                 announcements::current,
                 client,
@@ -177,6 +182,7 @@
                 keyed.guard(),
                 crashes,
                 reporter::onLoad,
+                arrivals,
                 timers,
                 events));
         transport.registerHandler(PeerTopic.CALL, PeerCallServer.create(executor));
--- a/src/main/java/io/beryldock/platform/PlatformModule.java
+++ b/src/main/java/io/beryldock/platform/PlatformModule.java
@@ -1,11 +1,13 @@
 package io.beryldock.platform;
 
+import com.google.common.flogger.FluentLogger;
 import com.google.inject.AbstractModule;
 import com.google.inject.Provider;
 import com.google.inject.Provides;
 import com.google.inject.Singleton;
 import io.beryldock.admission.GateSettings;
 import io.beryldock.call.NodeId;
+import io.beryldock.call.ServiceName;
 import io.beryldock.configuration.ActiveConfiguration;
 import io.beryldock.configuration.DocumentSync;
 import io.beryldock.credit.CreditSettings;
@@ -42,6 +44,8 @@
 /** Guice bindings of the parts of a node that the platform replaces. */
 final class PlatformModule extends AbstractModule {
 
+    private static final FluentLogger log = FluentLogger.forEnclosingClass();
+
     /** Windows whose tokens can be spent in one window: its own and those saved in the window before. */
     private static final int TOKEN_WINDOWS = 2;
 
@@ -194,7 +198,7 @@
     RetryBudgets budgets(TimerService timers, Membership membership) {
         if (settings.retries().isWindowed()) {
             return RetryBudgets.ofCallees(
-                    service -> WindowRetryBudget.create(timers.ticker(), windowTerms(membership)));
+                    service -> WindowRetryBudget.create(timers.ticker(), windowTerms(service, membership)));
         }
         return RetryBudgets.create(
                 timers.ticker(),
@@ -205,11 +209,14 @@
      * The terms of a windowed budget. Retries of retried calls are counted too, so the share needs no divisor. The
      * slack is divided evenly between the nodes.
      */
-    private WindowRetryBudget.Limits windowTerms(Membership membership) {
+    private WindowRetryBudget.Limits windowTerms(ServiceName service, Membership membership) {
         int nodes = Math.max(1, membership.directory().nodes().size());
         PlatformSettings.Retries retries = settings.retries();
         int minimum = (int) (USED_SLACK * retries.slack() / nodes);
-        return new WindowRetryBudget.Limits(USED_SHARE * retries.share(), minimum, retries.window());
+        WindowRetryBudget.Limits limits =
+                new WindowRetryBudget.Limits(USED_SHARE * retries.share(), minimum, retries.window());
+        log.atInfo().log("retry budget created: service=%s nodes=%d limits=%s", service, nodes, limits);
+        return limits;
     }
 
     /**
--- a/src/main/java/io/beryldock/retry/RetryGate.java
+++ b/src/main/java/io/beryldock/retry/RetryGate.java
@@ -1,5 +1,6 @@
 package io.beryldock.retry;
 
+import io.beryldock.call.CallResult;
 import io.beryldock.call.Outcome;
 import io.beryldock.call.Reason;
 import io.beryldock.timeline.EventKind;
@@ -63,11 +64,13 @@
      * less than one retry, so that the first target that is full, leaving or starting would end the request.
      */
     private static boolean isExemptFromBudget(EndedAttempt attempt) {
-        return attempt.result().outcome() == Outcome.NOT_RUN
-                && attempt.result()
-                        .reason()
-                        .filter(RetryGate::isRefusedBeforeTarget)
-                        .isPresent();
+        return !mayHaveArrived(attempt.result());
+    }
+
+    /** Whether the attempt with this result may have reached its target, which may have rejected it. */
+    public static boolean mayHaveArrived(CallResult ended) {
+        return ended.outcome() != Outcome.NOT_RUN
+                || ended.reason().filter(RetryGate::isRefusedBeforeTarget).isEmpty();
     }
 
     private static boolean isRefusedBeforeTarget(Reason reason) {
--- a/src/test/java/io/beryldock/platform/TargetNoticesTest.java
+++ b/src/test/java/io/beryldock/platform/TargetNoticesTest.java
@@ -25,6 +25,7 @@
 import io.beryldock.nettyhttp.HttpServer;
 import io.beryldock.nettyhttp.HttpServerLimits;
 import io.beryldock.quarantine.Quarantine;
+import io.beryldock.retry.ArrivalTally;
 import io.beryldock.retry.RetryLedger;
 import io.beryldock.time.ManualTimerService;
 import io.beryldock.timeline.EventSink;
@@ -100,6 +101,7 @@
                 null,
                 crashes,
                 load -> {},
+                ArrivalTally.create(),
                 time,
                 EventSink.none());
     }
