Failing tests: the bound of repeats over all nodes is exceeded

Twelve nodes on a clock set by hand, with the product's entry, attempts, peer calls, gates and budgets, and a call graph of four services. The count is the platform's: arrivals beyond the first of each request, and every arrival of a call that a repeated run makes (in the stricter reading, a run is repeated when its arrival is not the first, whether the earlier one was rejected or ran), against 0.2 of the requests and 48.

--- /dev/null
+++ b/src/test/java/io/beryldock/forwarding/RetryFleetNode.java
@@ -0,0 +1,322 @@
+package io.beryldock.forwarding;
+
+import com.google.common.collect.ImmutableList;
+import com.google.protobuf.ByteString;
+import io.beryldock.admission.EntryShedder;
+import io.beryldock.admission.GateSettings;
+import io.beryldock.admission.TargetGate;
+import io.beryldock.call.Answer;
+import io.beryldock.call.Call;
+import io.beryldock.call.DataCentre;
+import io.beryldock.call.Headers;
+import io.beryldock.call.Incarnation;
+import io.beryldock.call.RequestIds;
+import io.beryldock.call.ServiceName;
+import io.beryldock.credit.NoCredits;
+import io.beryldock.membership.Directory;
+import io.beryldock.membership.NodeDescriptor;
+import io.beryldock.membership.TargetRecord;
+import io.beryldock.membership.TargetState;
+import io.beryldock.peer.PeerException;
+import io.beryldock.peer.PeerHandler;
+import io.beryldock.peer.PeerTopic;
+import io.beryldock.peer.PeerTransport;
+import io.beryldock.quarantine.Quarantine;
+import io.beryldock.retry.ArrivalTally;
+import io.beryldock.retry.Backoff;
+import io.beryldock.retry.RetryBudgets;
+import io.beryldock.retry.RetryGate;
+import io.beryldock.retry.RetryLedger;
+import io.beryldock.retry.RetryPolicy;
+import io.beryldock.retry.RetryPolicySettings;
+import io.beryldock.retry.WindowRetryBudget;
+import io.beryldock.routing.ChooserSettings;
+import io.beryldock.routing.TargetChooser;
+import io.beryldock.settings.NodeSettings.Policy;
+import io.beryldock.time.ManualTimerService;
+import io.beryldock.timeline.EventSink;
+import io.beryldock.timeline.RefusalCounter;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/** A node of a {@link RetryFleet}: its processes one after the other, and the target beside them. */
+final class RetryFleetNode {
+
+    /** Header with the id of a request, by which its inner calls name their parent. */
+    static final String ID = "Request-Id";
+
+    /** Header that tells the fleet's count, and nobody else, whether a repeated run made the call. */
+    static final String REPEATED_RUN = "Made-By-Repeated-Run";
+
+    private static final int RESENDS = 6;
+    private static final int SLOTS = 200;
+
+    private final RetryFleet fleet;
+    private final int number;
+    private final DataCentre dataCentre;
+    private final ServiceName service;
+    private final InetSocketAddress address;
+    private Optional<Process> process = Optional.empty();
+
+    RetryFleetNode(RetryFleet fleet, int number, DataCentre dataCentre, ServiceName service) {
+        this.fleet = fleet;
+        this.number = number;
+        this.dataCentre = dataCentre;
+        this.service = service;
+        this.address = InetSocketAddress.createUnresolved("127.0.0.1", number + 1);
+    }
+
+    static Answer answer(int status) {
+        return new Answer(status, Headers.empty(), ByteString.EMPTY);
+    }
+
+    static boolean isMadeByRepeatedRun(Call call) {
+        return call.headers().first(REPEATED_RUN).filter("true"::equals).isPresent();
+    }
+
+    DataCentre dataCentre() {
+        return dataCentre;
+    }
+
+    ServiceName service() {
+        return service;
+    }
+
+    boolean isAlive() {
+        return process.isPresent();
+    }
+
+    NodeDescriptor descriptor() {
+        return process.orElseThrow().descriptor;
+    }
+
+    void start() {
+        process = Optional.of(new Process());
+    }
+
+    /** Ends the process; what it had under way is lost, and nothing that it does later has an effect. */
+    void kill() {
+        process.ifPresent(Process::kill);
+        process = Optional.empty();
+    }
+
+    CompletableFuture<Boolean> sendRequest(ServiceName called, String id, Duration limit) {
+        return send(called, RetryFleet.headers(id, false), Optional.empty(), limit);
+    }
+
+    CompletableFuture<Boolean> sendInnerRequest(
+            ServiceName called, String id, String parent, boolean madeByRepeatedRun, Duration limit) {
+        return send(called, RetryFleet.headers(id, madeByRepeatedRun), Optional.of(parent), limit);
+    }
+
+    private CompletableFuture<Boolean> send(
+            ServiceName called, Headers headers, Optional<String> parent, Duration limit) {
+        fleet.count.sent(called, fleet.now());
+        if (!isAlive() || limit.isNegative()) {
+            return CompletableFuture.completedFuture(false);
+        }
+        return process.get().handle(called, headers, parent, limit);
+    }
+
+    void receive(RetryFleetNode from, ByteString call, CompletableFuture<ByteString> reply) {
+        if (isAlive()) {
+            process.get().receive(from, call, reply);
+        } else {
+            reply.completeExceptionally(new PeerException(PeerException.Kind.LOST, "connection reset"));
+        }
+    }
+
+    /** One process of the node, with what it knows. */
+    private final class Process implements PeerTransport {
+        private final ManualTimerService time = fleet.time;
+        private final Incarnation incarnation = Incarnation.random(fleet.random);
+        private final NodeDescriptor descriptor =
+                new NodeDescriptor(RetryFleet.nodeId(number), incarnation, dataCentre, address);
+        private final List<CompletableFuture<ByteString>> unanswered = new ArrayList<>();
+        private final List<CompletableFuture<Boolean>> unended = new ArrayList<>();
+        private final long startedAt = fleet.now();
+        private final EntryService entry;
+        private final PeerCallServer server;
+        private boolean killed;
+
+        Process() {
+            Quarantine quarantine = TargetFixtures.quarantine(time);
+            ExecutionRegistry executions =
+                    ExecutionRegistry.create(call -> call.headers().first(ID));
+            RetryLedger ledger = RetryLedger.create();
+            RequestIds ids = RequestIds.of(incarnation);
+            EntryShedder shedder = EntryShedder.create(time.ticker(), fleet.random, EventSink.none());
+            TargetGate gate = TargetGate.create(
+                    GateSettings.ofAnnouncedSlots().withAnnouncedSlots(SLOTS),
+                    time,
+                    fleet.random,
+                    EventSink.none(),
+                    service);
+            AnnouncedTarget target = new AnnouncedTarget(service, address, gate);
+            TargetCrashDetector crashes = TargetCrashDetector.create(
+                    current -> lostAtNanos -> CompletableFuture.completedFuture(TargetProcessState.GOES_ON),
+                    quarantine,
+                    (crashed, delta) -> CompletableFuture.completedFuture(null),
+                    time,
+                    EventSink.none());
+            TargetExecutor executor = TargetExecutor.create(new TargetExecutor.Ports(
+                    () -> Optional.of(target),
+                    this::send,
+                    executions,
+                    ledger,
+                    quarantine,
+                    null,
+                    crashes,
+                    load -> {},
+                    ArrivalTally.create(),
+                    time,
+                    EventSink.none()));
+            server = PeerCallServer.create(executor);
+            CallForwarder forwarder = CallForwarder.create(new CallForwarder.Ports(
+                    descriptor.id(),
+                    Policy.FULL,
+                    this::directory,
+                    TargetChooser.create(
+                            dataCentre, fleet.random, time.ticker(), EventSink.none(), ChooserSettings.defaults()),
+                    executor,
+                    PeerCallClient.create(this),
+                    shedder,
+                    RetryGate.create(RetryPolicy.create(new RetryPolicySettings(RESENDS, true)), EventSink.none()),
+                    budgets(),
+                    RetryTally.create(),
+                    Backoff.create(fleet.random, Duration.ofMillis(5), Duration.ofMillis(50)),
+                    quarantine,
+                    node -> {},
+                    ids,
+                    time,
+                    EventSink.none()));
+            RootAdmission admission = RootAdmission.create(
+                    new RootAdmission.Ports(Policy.FULL, shedder, new NoCredits(), null, time.ticker()));
+            entry = EntryService.create(new EntryService.Ports(
+                    Policy.FULL,
+                    () -> fleet.configuration,
+                    CallerAccess.unbounded(),
+                    null,
+                    admission,
+                    ledger,
+                    executions,
+                    InnerCallDetector.create(executions, () -> Optional.of(service), time.ticker()),
+                    forwarder,
+                    (call, identity) -> {
+                        throw new IllegalStateException("no request has a key");
+                    },
+                    ids,
+                    () -> 0,
+                    fleet.random,
+                    time.ticker(),
+                    RequestTally.create(),
+                    RequestJournal.create(
+                            RefusalCounter.create(time.ticker()),
+                            RefusalSummary.start(ManualTimerService.create()),
+                            EventSink.none())));
+        }
+
+        /** The budgets with the terms of the platform's nodes: most of the share, and a part of half the slack. */
+        private RetryBudgets budgets() {
+            return RetryBudgets.ofCallees(called -> {
+                int known = Math.max(1, directory().nodes().size());
+                int floor = RetryFleet.SLACK / 2 / known;
+                return WindowRetryBudget.create(
+                        time.ticker(), new WindowRetryBudget.Limits(0.9 * RetryFleet.SHARE, floor, RetryFleet.WINDOW));
+            });
+        }
+
+        private Directory directory() {
+            if (fleet.now() - startedAt < fleet.viewDelay().toNanos()) {
+                return Directory.of(
+                        ImmutableList.of(descriptor),
+                        ImmutableList.of(new TargetRecord(descriptor, service, SLOTS, TargetState.READY, 1)));
+            }
+            return fleet.directorySeenBy(RetryFleetNode.this);
+        }
+
+        private TargetExchange send(Call call) {
+            return TargetExchange.unabortable(
+                    killed ? new CompletableFuture<>() : fleet.arriveAtTarget(RetryFleetNode.this, call));
+        }
+
+        CompletableFuture<Boolean> handle(
+                ServiceName called, Headers headers, Optional<String> parent, Duration limit) {
+            CompletableFuture<Boolean> succeeded = new CompletableFuture<>();
+            unended.add(succeeded);
+            String id = headers.first(ID).orElseThrow();
+            IncomingRequest request = new IncomingRequest(
+                    IncomingRequest.Origin.EITHER,
+                    "GET",
+                    "/" + called.value() + "/" + id,
+                    headers,
+                    ByteString.EMPTY,
+                    Optional.empty(),
+                    Optional.empty(),
+                    id,
+                    "",
+                    Optional.of(limit),
+                    ImmutableList.of(),
+                    parent);
+            entry.handle(request, CancelScope.create()).thenAccept(outcome -> {
+                unended.remove(succeeded);
+                succeeded.complete(outcome.result().succeeded());
+            });
+            return succeeded;
+        }
+
+        void receive(RetryFleetNode from, ByteString call, CompletableFuture<ByteString> reply) {
+            unanswered.add(reply);
+            server.handle(new PeerHandler.PeerMessage() {
+                @Override
+                public String sender() {
+                    return RetryFleet.nodeId(from.number).value();
+                }
+
+                @Override
+                public ByteString body() {
+                    return call;
+                }
+
+                @Override
+                public void reply(ByteString body) {
+                    unanswered.remove(reply);
+                    reply.complete(body);
+                }
+
+                @Override
+                public void onCancel(Runnable task) {
+                    reply.whenComplete((done, failure) -> {
+                        if (reply.isCancelled()) {
+                            task.run();
+                        }
+                    });
+                }
+            });
+        }
+
+        void kill() {
+            killed = true;
+            List.copyOf(unanswered)
+                    .forEach(reply -> reply.completeExceptionally(
+                            new PeerException(PeerException.Kind.LOST, "connection reset")));
+            List.copyOf(unended).forEach(succeeded -> succeeded.complete(false));
+        }
+
+        @Override
+        public CompletableFuture<ByteString> request(
+                InetSocketAddress peer, PeerTopic topic, ByteString body, Duration timeout) {
+            return killed ? new CompletableFuture<>() : fleet.carry(RetryFleetNode.this, peer, body, timeout);
+        }
+
+        @Override
+        public void send(InetSocketAddress peer, PeerTopic topic, ByteString body) {}
+
+        @Override
+        public void registerHandler(PeerTopic topic, PeerHandler handler) {}
+    }
+}
