Calls below a run that follows a rejected arrival are repeats

A call whose first attempt a target rejected runs on its second arrival. The calls of that run were taken for first tries: they were counted by no budget and raised it.

An attempt and all calls beneath it are now repeats when an earlier attempt may have reached a target, whether it ran there or not.

--- a/src/main/java/io/beryldock/call/CallCodec.java
+++ b/src/main/java/io/beryldock/call/CallCodec.java
@@ -231,7 +231,6 @@
                 .setRepeat(context.repeat())
                 .setSuspect(context.suspect())
                 .setResent(context.resent())
-                .setBelowRejection(context.belowRejection())
                 .build();
     }
 
@@ -249,8 +248,7 @@
                 wire.getCovered(),
                 wire.getRepeat(),
                 wire.getSuspect(),
-                wire.getResent(),
-                wire.getBelowRejection());
+                wire.getResent());
     }
 
     private static List<WireHeader> encode(Headers headers) {
--- a/src/main/java/io/beryldock/call/CallContext.java
+++ b/src/main/java/io/beryldock/call/CallContext.java
@@ -16,10 +16,9 @@
  * @param depth distance from the root, which has depth 0
  * @param sunkNanos target time already spent in the tree of the root request, in nanoseconds
  * @param covered whether the entry node holds credits for the whole tree; covered calls are served before others
- * @param repeat whether the run that makes the call repeats an earlier run, which made the same call
+ * @param repeat whether an earlier attempt of the call, or of a call above it, may have reached a target
  * @param suspect whether the sender suspects the call of having crashed a target
  * @param resent whether an earlier attempt of the call may have reached a target
- * @param belowRejection whether the run that makes the call, or one above it, follows an arrival that a target rejected
  */
 public record CallContext(
         RequestId root,
@@ -34,8 +33,7 @@
         boolean covered,
         boolean repeat,
         boolean suspect,
-        boolean resent,
-        boolean belowRejection) {
+        boolean resent) {
 
     public CallContext {
         Objects.requireNonNull(root, "root");
@@ -67,49 +65,42 @@
                 false,
                 false,
                 false,
-                false,
                 false);
     }
 
     /** Returns a copy with the covered flag. */
     public CallContext withCovered(boolean mark) {
-        return with(remainingNanos, retryAllowance, mark, repeat, suspect, resent, belowRejection);
+        return with(remainingNanos, retryAllowance, mark, repeat, suspect, resent);
     }
 
     /** Returns a copy with the repeat flag. */
     public CallContext withRepeat(boolean mark) {
-        return with(remainingNanos, retryAllowance, covered, mark, suspect, resent, belowRejection);
+        return with(remainingNanos, retryAllowance, covered, mark, suspect, resent);
     }
 
     /** Returns a copy with the suspect flag. */
     public CallContext withSuspect(boolean mark) {
-        return with(remainingNanos, retryAllowance, covered, repeat, mark, resent, belowRejection);
+        return with(remainingNanos, retryAllowance, covered, repeat, mark, resent);
     }
 
     /** Returns a copy for an attempt; {@code again} tells whether an earlier attempt may have reached a target. */
     public CallContext withResent(boolean again) {
-        return with(remainingNanos, retryAllowance, covered, repeat, suspect, again, belowRejection || again);
+        return with(remainingNanos, retryAllowance, covered, repeat, suspect, again);
     }
 
     /** Returns a copy with the retry allowance. */
     public CallContext withRetryAllowance(int allowance) {
-        return with(remainingNanos, allowance, covered, repeat, suspect, resent, belowRejection);
+        return with(remainingNanos, allowance, covered, repeat, suspect, resent);
     }
 
     /** Returns a copy with the elapsed time subtracted from the remaining time, which does not fall below zero. */
     public CallContext afterNanos(long elapsedNanos) {
         long left = Math.max(0, remainingNanos - elapsedNanos);
-        return with(left, retryAllowance, covered, repeat, suspect, resent, belowRejection);
+        return with(left, retryAllowance, covered, repeat, suspect, resent);
     }
 
     private CallContext with(
-            long remaining,
-            int allowance,
-            boolean covers,
-            boolean repeats,
-            boolean suspected,
-            boolean again,
-            boolean rejectedAbove) {
+            long remaining, int allowance, boolean covers, boolean repeats, boolean suspected, boolean again) {
         return new CallContext(
                 root,
                 parent,
@@ -123,7 +114,6 @@
                 covers,
                 repeats,
                 suspected,
-                again,
-                rejectedAbove);
+                again);
     }
 }
--- a/src/main/java/io/beryldock/forwarding/AttemptLoop.java
+++ b/src/main/java/io/beryldock/forwarding/AttemptLoop.java
@@ -139,7 +139,7 @@
         long elapsed = context.remainingNanos() - remainingNanos();
         return context.afterNanos(elapsed)
                 .withRetryAllowance(grant.amount())
-                .withRepeat(context.repeat() || mayHaveRun)
+                .withRepeat(context.repeat() || mayHaveArrived)
                 .withResent(mayHaveArrived);
     }
 
--- a/src/main/java/io/beryldock/forwarding/EntryService.java
+++ b/src/main/java/io/beryldock/forwarding/EntryService.java
@@ -258,8 +258,7 @@
                 above.covered(),
                 above.repeat(),
                 false,
-                false,
-                above.belowRejection());
+                false);
     }
 
     /**
--- a/src/main/java/io/beryldock/forwarding/RepeatSummary.java
+++ b/src/main/java/io/beryldock/forwarding/RepeatSummary.java
@@ -41,12 +41,11 @@
                     .sum();
             if (all > first) {
                 log.atInfo().log(
-                        "repeats at the target in 1 s: service=%s first=%d resent=%d inherited=%d below_rejection=%d",
+                        "repeats at the target in 1 s: service=%s first=%d resent=%d inherited=%d",
                         service,
                         first,
                         added(service, row, ArrivalKind.RESENT),
-                        added(service, row, ArrivalKind.INHERITED),
-                        added(service, row, ArrivalKind.BELOW_REJECTION));
+                        added(service, row, ArrivalKind.INHERITED));
             }
         });
         logged = rows;
--- a/src/main/java/io/beryldock/retry/ArrivalKind.java
+++ b/src/main/java/io/beryldock/retry/ArrivalKind.java
@@ -8,18 +8,13 @@
     FIRST,
     /** An earlier attempt of the call may have reached a target. */
     RESENT,
-    /** The run that makes the call repeats an earlier run, which made the same call. */
-    INHERITED,
-    /** The first arrival of a call whose run, or one above it, follows an arrival that a target rejected. */
-    BELOW_REJECTION;
+    /** An earlier attempt of a call above may have reached a target, so that this call may have been made before. */
+    INHERITED;
 
     public static ArrivalKind of(CallContext context) {
         if (context.resent()) {
             return RESENT;
         }
-        if (context.repeat()) {
-            return INHERITED;
-        }
-        return context.belowRejection() ? BELOW_REJECTION : FIRST;
+        return context.repeat() ? INHERITED : FIRST;
     }
 }
--- a/src/test/java/io/beryldock/forwarding/RetryBudgetFleetTest.java
+++ b/src/test/java/io/beryldock/forwarding/RetryBudgetFleetTest.java
@@ -92,6 +92,20 @@
         assertWithinBound(fleet);
     }
 
+    /** Guards against calls that are taken for first ones although a target rejected an earlier attempt above them. */
+    @Test
+    void nodesCountAsRepeatsWhatTargetsReceiveAsRepeats() {
+        RetryFleet fleet = new RetryFleet(51, NODES_PER_SERVICE);
+        fleet.run(CALM);
+        fleet.refuse(RetryFleet.CATALOGUE, 0.3);
+        fleet.lose(RetryFleet.ORDERS, 0.1);
+        fleet.run(TROUBLE);
+        long received =
+                RetryFleet.SERVICES.stream().mapToLong(fleet.count::repeats).sum();
+        assertThat(received).isPositive();
+        assertThat(fleet.countedRepeats()).isEqualTo(received);
+    }
+
     /** Guards against sequences of restarts, cuts, shifts of load and failing targets that no other test names. */
     @ParameterizedTest
     @ValueSource(longs = {100, 101, 102, 103, 104, 105, 106, 107})
--- a/src/test/java/io/beryldock/forwarding/RetryFleet.java
+++ b/src/test/java/io/beryldock/forwarding/RetryFleet.java
@@ -181,6 +181,11 @@
         return SERVICES.get(i);
     }
 
+    /** Returns the repeats that the running nodes counted at their targets. */
+    long countedRepeats() {
+        return nodes.stream().mapToLong(RetryFleetNode::countedRepeats).sum();
+    }
+
     /** Returns the share of the ended callers' requests that were answered with success. */
     double answeredShare() {
         return (double) answered / Math.max(1, ended);
--- a/src/test/java/io/beryldock/forwarding/RetryFleetNode.java
+++ b/src/test/java/io/beryldock/forwarding/RetryFleetNode.java
@@ -22,6 +22,7 @@
 import io.beryldock.peer.PeerTopic;
 import io.beryldock.peer.PeerTransport;
 import io.beryldock.quarantine.Quarantine;
+import io.beryldock.retry.ArrivalKind;
 import io.beryldock.retry.ArrivalTally;
 import io.beryldock.retry.Backoff;
 import io.beryldock.retry.RetryBudgets;
@@ -94,6 +95,14 @@
         return process.orElseThrow().descriptor;
     }
 
+    /** Returns the number of repeats that the process counted at its target; 0 while none runs. */
+    long countedRepeats() {
+        return process.map(running -> running.arrivals.rows().values().stream()
+                        .mapToLong(row -> row.get(ArrivalKind.RESENT) + row.get(ArrivalKind.INHERITED))
+                        .sum())
+                .orElse(0L);
+    }
+
     void start() {
         process = Optional.of(new Process());
     }
@@ -141,6 +150,7 @@
         private final long startedAt = fleet.now();
         private final EntryService entry;
         private final PeerCallServer server;
+        private final ArrivalTally arrivals = ArrivalTally.create();
         private boolean killed;
 
         Process() {
@@ -172,7 +182,7 @@
                     null,
                     crashes,
                     load -> {},
-                    ArrivalTally.create(),
+                    arrivals,
                     time,
                     EventSink.none()));
             server = PeerCallServer.create(executor);
