Soak: targets refuse a share of what arrives, and the bound of repeats is checked as the contract counts

RetryBoundCheck saw second runs of the same id only. It now counts arrivals, also those that a target refuses, and every arrival of a call that a repeated run makes; such calls are no requests. The fleet's count leaves out calls of repeated runs as requests too and looks at windows that end at a repeat.

--- a/src/main/java/io/beryldock/platform/SoakSurroundings.java
+++ b/src/main/java/io/beryldock/platform/SoakSurroundings.java
@@ -57,6 +57,9 @@
      */
     private static final int ATTEMPTS = 4;
 
+    /** As many as deployments allow. */
+    private static final int RESENDS = 6;
+
     private static final int THREADS = 2;
     private static final long CALLER_MILLIS = 4_000;
 
@@ -157,7 +160,9 @@
                 .put("advertisedPeerPort", place.proxiedPeers().getPort());
         settings.putObject("retries")
                 .put("share", bounds.retryShare())
-                .put("windowSeconds", seconds(bounds.retryWindow()));
+                .put("windowSeconds", seconds(bounds.retryWindow()))
+                .put("resends", RESENDS)
+                .put("failedLeaves", true);
         return settings.toString();
     }
 
--- a/src/main/java/io/beryldock/platform/SoakTarget.java
+++ b/src/main/java/io/beryldock/platform/SoakTarget.java
@@ -13,12 +13,13 @@
 import io.beryldock.time.TimerService;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * A target for the soak test: simulates work, makes an inner call if its service does so, and responds. Its answers
- * name a rate limit or its leaving at times.
+ * A target for the soak test: simulates work, makes an inner call if its service does so, and responds. At times it
+ * refuses a share of what arrives, or its answers name a rate limit or its leaving.
  *
  * <p>Thread safe. Invariant: each execution is reported before the first byte of its response is sent.
  */
@@ -26,6 +27,8 @@
 
     private static final int OK = 200;
     private static final int MISDIRECTED = 421;
+    private static final int NOT_RUN = 503;
+    private static final int PERCENT = 100;
     private static final int FAILED = 500;
     private static final String BROWSE_PATH = "/browse/";
 
@@ -39,6 +42,7 @@
     private final InnerCaller caller;
     private final TimerService timers;
     private final AtomicLong innerCalls = new AtomicLong();
+    private final AtomicLong arrivals = new AtomicLong();
     private final long createdAt;
     private long lastStart;
 
@@ -87,11 +91,20 @@
     @Override
     public void handle(HttpExchange exchange) {
         Headers headers = exchange.headers();
-        if (!isFor(conditions(), headers)) {
+        String request = headers.first(PlatformHeaders.REQUEST_ID).orElse("");
+        events.arrived(place.number(), request, place.service());
+        SoakConditions conditions = conditions();
+        if (!isFor(conditions, headers)) {
             exchange.answer(HttpAnswer.of(MISDIRECTED));
             return;
         }
-        String request = headers.first(PlatformHeaders.REQUEST_ID).orElse("");
+        if (isRefused(request, conditions)) {
+            exchange.answer(HttpAnswer.of(
+                    NOT_RUN,
+                    Headers.empty().with(PlatformHeaders.REQUEST_ID, request).with(PlatformHeaders.NOT_EXECUTED, "1"),
+                    ByteString.EMPTY));
+            return;
+        }
         String body = exchange.body().toString(StandardCharsets.UTF_8);
         events.ran(place.number(), request, place.service(), body);
         int millis = MIN_WORK_MILLIS + Math.floorMod(request.hashCode(), WORK_RANGE_MILLIS);
@@ -104,6 +117,12 @@
         });
     }
 
+    /** Draws anew at each arrival, so that a request that was refused may run when it is sent again. */
+    private boolean isRefused(String request, SoakConditions conditions) {
+        int drawn = Math.floorMod(Objects.hash(request, arrivals.incrementAndGet()), PERCENT);
+        return drawn < conditions.refusedShare() * PERCENT;
+    }
+
     /** Makes the inner call of a request; a request that runs again makes the call again under a new id. */
     private void sendInnerCall(HttpExchange exchange, String request, String body, int spentMillis) {
         long remaining = exchange.headers()
@@ -111,7 +130,7 @@
                         .map(Long::parseLong)
                         .orElse(0L)
                 - spentMillis;
-        CallerRequest part = CallerRequest.part(request + "." + place.number() + "-" + innerCalls.incrementAndGet());
+        CallerRequest part = CallerRequest.part(request, place.number() + "-" + innerCalls.incrementAndGet());
         events.sent(place.number(), part);
         caller.send(place, part, remaining)
                 .thenAccept(outcome ->
--- a/src/main/java/io/beryldock/soak/SoakEvent.java
+++ b/src/main/java/io/beryldock/soak/SoakEvent.java
@@ -13,6 +13,9 @@
     /** A caller or a target sends a request to a node. */
     record Sent(long at, int node, CallerRequest request) implements SoakEvent {}
 
+    /** A request reaches the target beside a node, which may refuse it without running it. */
+    record Arrived(long at, int node, String id, String service) implements SoakEvent {}
+
     /** A target beside a node begins to work on a request, whose body it received. */
     record Ran(long at, int node, String id, String service, String body) implements SoakEvent {}
 
--- a/src/main/java/io/beryldock/soak/SoakRun.java
+++ b/src/main/java/io/beryldock/soak/SoakRun.java
@@ -138,6 +138,11 @@
 
     private Surroundings.TargetEvents targetEvents() {
         return new Surroundings.TargetEvents() {
+            @Override
+            public void arrived(int node, String id, String service) {
+                ledger.add(at -> new SoakEvent.Arrived(at, node, id, service));
+            }
+
             @Override
             public void ran(int node, String id, String service, String body) {
                 ledger.add(at -> new SoakEvent.Ran(at, node, id, service, body));
--- a/src/main/java/io/beryldock/soak/Surroundings.java
+++ b/src/main/java/io/beryldock/soak/Surroundings.java
@@ -61,6 +61,9 @@
     /** What targets tell. Thread safe. */
     interface TargetEvents {
 
+        /** A request reaches a target, before the target decides whether to run it. */
+        void arrived(int node, String id, String service);
+
         /** A target begins to work on the request. */
         void ran(int node, String id, String service, String body);
 
--- a/src/test/java/io/beryldock/forwarding/RepeatCount.java
+++ b/src/test/java/io/beryldock/forwarding/RepeatCount.java
@@ -9,10 +9,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 
 /**
  * Counts what the targets of each service receive, as the platform's contract does: arrivals beyond the first of each
- * request, and every arrival of a call that a repeated run makes, against the requests sent for the service.
+ * request, and every arrival of a call that a repeated run makes, against the requests sent for the service. The calls of
+ * repeated runs are no requests.
  *
  * <p>Times are in nanoseconds and must not decrease. Not thread safe.
  */
@@ -57,29 +59,28 @@
     }
 
     private Optional<String> firstExcess(ServiceName service) {
-        List<Long> times = repeats.get(service);
-        int end = 0;
-        for (int begin = 0; begin < times.size(); begin++) {
-            long from = times.get(begin);
-            while (end < times.size() && times.get(end) < from + window) {
-                end++;
-            }
-            long asked = Math.max(
-                    requestsBetween(service, from, from + window),
-                    Math.max(
-                            requestsBetween(service, from - window, from),
-                            requestsBetween(service, from - window / 2, from + window / 2)));
-            double allowed = share * asked + slack;
-            if (end - begin > allowed) {
-                return Optional.of("%s received %d repeats in the window from %d ms for %d requests, %.0f allowed"
-                        .formatted(service, end - begin, Duration.ofNanos(from).toMillis(), asked, allowed));
-            }
-        }
-        return Optional.empty();
+        return repeats.get(service).stream()
+                .flatMap(time -> Stream.of(time, time - window + 1))
+                .flatMap(begin -> excess(service, begin).stream())
+                .findFirst();
+    }
+
+    private Optional<String> excess(ServiceName service, long begin) {
+        int received = between(repeats, service, begin, begin + window);
+        int asked = Math.max(
+                between(requests, service, begin, begin + window),
+                Math.max(
+                        between(requests, service, begin - window, begin),
+                        between(requests, service, begin - window / 2, begin + window / 2)));
+        double allowed = share * asked + slack;
+        return received <= allowed
+                ? Optional.empty()
+                : Optional.of("%s received %d repeats in the window from %d ms for %d requests, %.0f allowed"
+                        .formatted(service, received, Duration.ofNanos(begin).toMillis(), asked, allowed));
     }
 
-    private int requestsBetween(ServiceName service, long from, long to) {
-        List<Long> times = requests.getOrDefault(service, List.of());
+    private static int between(Map<ServiceName, List<Long>> counted, ServiceName service, long from, long to) {
+        List<Long> times = counted.getOrDefault(service, List.of());
         return indexOf(times, to) - indexOf(times, from);
     }
 
--- a/src/test/java/io/beryldock/forwarding/RetryFleetNode.java
+++ b/src/test/java/io/beryldock/forwarding/RetryFleetNode.java
@@ -116,17 +116,20 @@
     }
 
     CompletableFuture<Boolean> sendRequest(ServiceName called, String id, Duration limit) {
+        fleet.count.sent(called, fleet.now());
         return send(called, RetryFleet.headers(id, false), Optional.empty(), limit);
     }
 
     CompletableFuture<Boolean> sendInnerRequest(
             ServiceName called, String id, String parent, boolean madeByRepeatedRun, Duration limit) {
+        if (!madeByRepeatedRun) {
+            fleet.count.sent(called, fleet.now());
+        }
         return send(called, RetryFleet.headers(id, madeByRepeatedRun), Optional.of(parent), limit);
     }
 
     private CompletableFuture<Boolean> send(
             ServiceName called, Headers headers, Optional<String> parent, Duration limit) {
-        fleet.count.sent(called, fleet.now());
         if (!isAlive() || limit.isNegative()) {
             return CompletableFuture.completedFuture(false);
         }
--- a/src/test/java/io/beryldock/soak/CheckTrial.java
+++ b/src/test/java/io/beryldock/soak/CheckTrial.java
@@ -47,6 +47,14 @@
         return see(new SoakEvent.Sent(now, ENTRY, request));
     }
 
+    CheckTrial part(String parent, String suffix) {
+        return see(new SoakEvent.Sent(now, RUNNER, CallerRequest.part(parent, suffix)));
+    }
+
+    CheckTrial arrived(String id) {
+        return see(new SoakEvent.Arrived(now, RUNNER, id, "back"));
+    }
+
     CheckTrial ran(String id) {
         return see(new SoakEvent.Ran(now, RUNNER, id, "back", "body of " + id));
     }
