--- a/src/main/java/io/beryldock/platform/StandinPlatform.java
+++ b/src/main/java/io/beryldock/platform/StandinPlatform.java
@@ -171,7 +171,7 @@
         return """
                 {"id":"%s","dataCentre":"trial-centre","address":"127.0.0.1","service":"%s",
                 "listeners":{"requests":"%s","readiness":"%s","heartbeats":"%s","peerPort":%d},
-                "store":"127.0.0.1:%d","retries":{"share":0.2,"windowSeconds":10,"slack":48},
+                "store":"127.0.0.1:%d","retries":{"share":0.2,"windowSeconds":10},
                 "revokedKeysSeconds":5,"quotas":{"windowSeconds":5,"overage":0.1,"slack":20,
                 "dataCentres":["trial-centre"]},"stopSeconds":6}
                 """.formatted(
