Calls of a repeated run that its node has given up are repeats

The node remembers the tags of repeated calls that ended there. Where a call's run can't be named at all, the call is a repeat while any repeated call runs: what is not known must not raise the bound. The fleet's tests allow no slack, since nodes use none.

--- a/src/main/java/io/beryldock/forwarding/ExecutionRegistry.java
+++ b/src/main/java/io/beryldock/forwarding/ExecutionRegistry.java
@@ -1,5 +1,7 @@
 package io.beryldock.forwarding;
 
+import com.google.common.cache.Cache;
+import com.google.common.cache.CacheBuilder;
 import io.beryldock.call.Call;
 import io.beryldock.call.RequestId;
 import java.util.Map;
@@ -7,11 +9,20 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Function;
 
-/** The calls that this node's target is running, by id. Thread safe. */
+/**
+ * The calls that this node's target is running, by id.
+ *
+ * <p>Remembers the tags of the last {@value #MAX_ENDED_REPEATS} repeated calls that have ended here, because a target
+ * may go on with a call that its node has given up. Thread safe.
+ */
 public final class ExecutionRegistry {
 
+    static final int MAX_ENDED_REPEATS = 4096;
+
     private final Map<RequestId, Execution> running = new ConcurrentHashMap<>();
     private final Map<String, Execution> byTag = new ConcurrentHashMap<>();
+    private final Cache<String, Boolean> endedRepeats =
+            CacheBuilder.newBuilder().maximumSize(MAX_ENDED_REPEATS).build();
     private final Function<Call, Optional<String>> tagOf;
 
     private ExecutionRegistry(Function<Call, Optional<String>> tagOf) {
@@ -39,10 +50,28 @@
     void remove(RequestId id) {
         Execution ended = running.remove(id);
         if (ended != null) {
-            tagOf.apply(ended.call()).ifPresent(tag -> byTag.remove(tag, ended));
+            tagOf.apply(ended.call()).ifPresent(tag -> forget(tag, ended));
+        }
+    }
+
+    private void forget(String tag, Execution ended) {
+        byTag.remove(tag, ended);
+        if (ended.call().context().repeat()) {
+            endedRepeats.put(tag, true);
         }
     }
 
+    /** Whether a repeated call with the tag ended here lately; its run may go on and make calls. */
+    boolean isEndedRepeat(String tag) {
+        return endedRepeats.getIfPresent(tag) != null;
+    }
+
+    /** Whether any running call is a repeat. */
+    boolean hasRunningRepeat() {
+        return running.values().stream()
+                .anyMatch(execution -> execution.call().context().repeat());
+    }
+
     /** Returns the running call that the target knows under the tag. */
     Optional<Execution> findByTag(String tag) {
         return Optional.ofNullable(byTag.get(tag));
--- a/src/main/java/io/beryldock/forwarding/InnerCallDetector.java
+++ b/src/main/java/io/beryldock/forwarding/InnerCallDetector.java
@@ -62,8 +62,9 @@
      *
      * @param service the service whose target makes the call
      * @param parent the call whose run makes the call, where it could be determined
+     * @param repeat whether the run that makes the call is a repeat, or may be one because it is unknown
      */
-    record InnerCaller(ServiceName service, Optional<Execution> parent) {}
+    record InnerCaller(ServiceName service, Optional<Execution> parent, boolean repeat) {}
 
     /**
      * Returns the origin of an inner call; empty for a caller's request.
@@ -73,7 +74,10 @@
     Optional<InnerCaller> caller(Route route, Optional<Duration> timeLimit, Optional<String> parentTag) {
         Optional<Execution> parent = parentTag.flatMap(executions::findByTag);
         if (parent.isPresent()) {
-            return ownService.get().map(service -> new InnerCaller(service, parent));
+            return ownService.get().map(service -> new InnerCaller(service, parent, isRepeat(parent.get())));
+        }
+        if (parentTag.filter(executions::isEndedRepeat).isPresent()) {
+            return ownService.get().map(service -> new InnerCaller(service, Optional.empty(), true));
         }
         return callerByTime(route, timeLimit);
     }
@@ -90,9 +94,16 @@
                 .get(route)
                 .filter(seenNanos -> now - seenNanos < CALLER_PROOF_VALIDITY_NANOS)
                 .isPresent();
-        return callers
-                ? Optional.empty()
-                : ownService.get().map(service -> new InnerCaller(service, parent(asked, now)));
+        return callers ? Optional.empty() : ownService.get().map(service -> innerCaller(service, parent(asked, now)));
+    }
+
+    private InnerCaller innerCaller(ServiceName service, Optional<Execution> parent) {
+        boolean repeat = parent.map(InnerCallDetector::isRepeat).orElseGet(executions::hasRunningRepeat);
+        return new InnerCaller(service, parent, repeat);
+    }
+
+    private static boolean isRepeat(Execution parent) {
+        return parent.call().context().repeat();
     }
 
     /**
--- a/src/test/java/io/beryldock/forwarding/InnerCallDetectorTest.java
+++ b/src/test/java/io/beryldock/forwarding/InnerCallDetectorTest.java
@@ -36,8 +36,13 @@
     }
 
     private void run(Duration timeLeft) {
+        run(timeLeft, false);
+    }
+
+    private void run(Duration timeLeft, boolean repeat) {
         RequestId id = new RequestId(new Incarnation(1, 1), executions.size() + 1);
-        CallContext context = new CallContext(id, id, PriorityClass.of("p", 2), timeLeft.toNanos(), 0, 0, 0, 0, false);
+        CallContext context = new CallContext(id, id, PriorityClass.of("p", 2), timeLeft.toNanos(), 0, 0, 0, 0, false)
+                .withRepeat(repeat);
         Call call = new Call(
                 id, LISTS, LISTS, "GET", "/", Headers.empty(), ByteString.EMPTY, true, Optional.empty(), context);
         RetryLedger ledger = RetryLedger.create(EventSink.none());
@@ -123,4 +128,29 @@
         executions.remove(new RequestId(new Incarnation(1, 1), 1));
         assertThat(executions.findByTag("tag-1")).isEmpty();
     }
+
+    /** Guards against calls of a repeated run that are taken for first ones because the node has given the run up. */
+    @Test
+    void callWhoseIdNamesAnEndedRepeatIsARepeat() {
+        run(Duration.ofMillis(800), false);
+        run(Duration.ofMillis(800), true);
+        executions.remove(new RequestId(new Incarnation(1, 1), 1));
+        executions.remove(new RequestId(new Incarnation(1, 1), 2));
+        assertThat(isRepeat(Optional.of("tag-2"))).contains(true);
+        assertThat(isRepeat(Optional.of("tag-1"))).isEmpty();
+    }
+
+    /** Guards against calls of unknown parents that count as first ones while a repeated run may have made them. */
+    @Test
+    void callOfUnknownParentIsARepeatWhileARepeatRuns() {
+        run(Duration.ofMillis(900), false);
+        assertThat(isRepeat(Optional.empty())).contains(false);
+        run(Duration.ofMillis(800), true);
+        assertThat(isRepeat(Optional.empty())).contains(true);
+    }
+
+    private Optional<Boolean> isRepeat(Optional<String> tag) {
+        return detector.caller(route("/inner/"), Optional.of(Duration.ofMillis(300)), tag)
+                .map(InnerCaller::repeat);
+    }
 }
--- a/src/test/java/io/beryldock/forwarding/RetryBudgetFleetTest.java
+++ b/src/test/java/io/beryldock/forwarding/RetryBudgetFleetTest.java
@@ -104,6 +104,17 @@
         assertThat(fleet.sentRepeats()).isEqualTo(fleet.count.repeats());
     }
 
+    /** Guards against calls of a repeated run that are taken for first ones because its node has given the run up. */
+    @Test
+    void nodesCountAsRepeatsTheCallsOfRepeatedRunsThatTheyHaveGivenUp() {
+        RetryFleet fleet = new RetryFleet(61, NODES_PER_SERVICE);
+        fleet.run(CALM);
+        fleet.drop(RetryFleet.ORDERS, 0.3);
+        fleet.run(TROUBLE);
+        assertThat(fleet.count.repeats()).isPositive();
+        assertThat(fleet.sentRepeats()).isEqualTo(fleet.count.repeats());
+    }
+
     /** Guards against sequences of restarts, cuts, shifts of load and failing targets that no other test names. */
     @ParameterizedTest
     @ValueSource(longs = {100, 101, 102, 103, 104, 105, 106, 107})
--- a/src/test/java/io/beryldock/forwarding/RetryFleet.java
+++ b/src/test/java/io/beryldock/forwarding/RetryFleet.java
@@ -46,7 +46,10 @@
     static final ServiceName HOLDINGS = ServiceName.of("holdings");
 
     static final double SHARE = 0.2;
-    static final int SLACK = 48;
+
+    /** Nodes use none of the contract's slack, so none is allowed here. */
+    static final int SLACK = 0;
+
     static final Duration WINDOW = Duration.ofSeconds(10);
 
     static final ImmutableList<ServiceName> SERVICES = ImmutableList.of(LISTS, ORDERS, CATALOGUE, HOLDINGS);
@@ -78,6 +81,7 @@
     private final Set<DataCentre> cut = new HashSet<>();
     private final Map<ServiceName, Double> refusedShares = new HashMap<>();
     private final Map<ServiceName, Double> lostShares = new HashMap<>();
+    private final Map<ServiceName, Double> droppedShares = new HashMap<>();
     private double requestsPerSecond = 60;
     private double unevenness;
     private long answered;
@@ -131,6 +135,11 @@
         lostShares.put(service, share);
     }
 
+    /** Lets the targets of a service lose a share of their connections as a run begins; the runs go on. */
+    void drop(ServiceName service, double share) {
+        droppedShares.put(service, share);
+    }
+
     /** Cuts all links between the data centre and the others; each side loses the other from its view. */
     void cut(int dataCentre) {
         cut.add(DataCentre.of("gent-" + dataCentre));
@@ -245,6 +254,9 @@
             time.after(LINK_DELAY, () -> reply.complete(TargetReply.refused("busy")));
             return reply;
         }
+        if (random.nextDouble() < droppedShares.getOrDefault(node.service(), 0.0)) {
+            time.after(LINK_DELAY, () -> reply.complete(TargetReply.lost("reset")));
+        }
         Duration limit = Duration.ofNanos(call.context().remainingNanos()).minus(WORK);
         time.after(WORK, () -> makeInnerCalls(node, id, repeat, limit, 0, reply));
         return reply;
