--- a/src/main/java/io/beryldock/platform/SoakConditions.java
+++ b/src/main/java/io/beryldock/platform/SoakConditions.java
@@ -3,10 +3,10 @@
 import java.time.Duration;
 
 /**
- * What a soak target does at a given time: in turn it refuses requests, names a rate limit, names its leaving, and then
- * the next start begins.
+ * What a soak target does at a given time: in turn it names nothing, a rate limit, its leaving, and then the next start
+ * begins; besides, it refuses requests half of the time.
  *
- * <p>Immutable. The targets of a run go through the same cycle at different times.
+ * <p>Immutable. The targets of a run go through the same cycle at different times, and refuse at the same time.
  *
  * @param start number of the target's current start
  * @param ratePerSecond requests per second that the target accepts, 0 for no limit
@@ -24,8 +24,11 @@
     /** Above a half, so that repeats of one call are refused again. */
     private static final double REFUSED_SHARE = 0.6;
 
+    /** All targets refuse at the same time, so that each restart of nodes meets refusals within a few seconds. */
+    private static final long REFUSAL_CYCLE_MILLIS = Duration.ofSeconds(9).toMillis();
+
+    private static final long REFUSING_MILLIS = Duration.ofMillis(4_500).toMillis();
     private static final long CYCLE_MILLIS = Duration.ofSeconds(16).toMillis();
-    private static final long REFUSING_TO_MILLIS = Duration.ofMillis(2_500).toMillis();
     private static final long LIMIT_FROM_MILLIS = Duration.ofSeconds(3).toMillis();
     private static final long LIMIT_TO_MILLIS = Duration.ofSeconds(11).toMillis();
     private static final long LEAVING_FROM_MILLIS = Duration.ofSeconds(12).toMillis();
@@ -39,6 +42,6 @@
                 millis / CYCLE_MILLIS,
                 limited ? RATE_PER_SECOND : 0,
                 inCycle >= LEAVING_FROM_MILLIS,
-                inCycle < REFUSING_TO_MILLIS ? REFUSED_SHARE : 0);
+                sinceStart.toMillis() % REFUSAL_CYCLE_MILLIS < REFUSING_MILLIS ? REFUSED_SHARE : 0);
     }
 }
