Repeats that have no room are refused before they wait for the target

A repeat was refused only when the target had a slot for it, after it had waited in the queue before requests that could run. It is now refused as it comes; what is admitted is still charged when it is sent, so the bound is as it was.

--- a/src/main/java/io/beryldock/forwarding/TargetRun.java
+++ b/src/main/java/io/beryldock/forwarding/TargetRun.java
@@ -78,6 +78,10 @@
 
     void start() {
         CallContext context = call.context();
+        if (!ports.arrivals().admit(call.service(), context)) {
+            finish(repeatsLimited());
+            return;
+        }
         deadline = ports.timers().after(Duration.ofNanos(context.remainingNanos()), () -> giveUp(Reason.TIMED_OUT));
         GateRequest request = new GateRequest(
                 call.id(),
@@ -146,11 +150,10 @@
                     .withUnspentRetries(call.context().retryAllowance()));
             return;
         }
-        if (!ports.arrivals().admit(call.service(), call.context())) {
+        if (!ports.arrivals().onSend(call.service(), call.context())) {
             permit.release(Completion.REFUSED_BY_TARGET);
             ports.quarantine().onAbandoned(fingerprint);
-            finish(CallResult.notRun(Reason.REPEATS_LIMITED, "repeats of calls to " + call.service())
-                    .withUnspentRetries(call.context().retryAllowance()));
+            finish(repeatsLimited());
             return;
         }
         Execution started = open();
@@ -173,6 +176,11 @@
         }
     }
 
+    private CallResult repeatsLimited() {
+        return CallResult.notRun(Reason.REPEATS_LIMITED, "repeats of calls to " + call.service())
+                .withUnspentRetries(call.context().retryAllowance());
+    }
+
     private Execution open() {
         RetryAccount account = ports.ledger().open(call.id(), call.context().retryAllowance());
         Execution started = new Execution(call, account, scope.child(), now(), deadlineNanos);
--- a/src/main/java/io/beryldock/retry/ArrivalBudget.java
+++ b/src/main/java/io/beryldock/retry/ArrivalBudget.java
@@ -84,22 +84,32 @@
     }
 
     /**
-     * Takes one repeat from the budget; false when none is available to it.
+     * Records that a repeat is requested; returns whether it would be admitted now.
      *
      * @param rank priority rank of the request, 0 is the most important
      * @param inherited whether the call is made by a repeated run, whose work is lost if the call is refused
      */
-    public synchronized boolean tryRepeat(int rank, boolean inherited) {
+    public synchronized boolean request(int rank, boolean inherited) {
         advance();
         int order = order(rank, inherited);
         requested[order][ringIndex(bucket)]++;
-        if (available() < 1 || left(bucket - BUCKETS) - reservedForHigherOrders(order) < 1) {
+        return isAvailable(order);
+    }
+
+    /** Takes one repeat, which was requested before, from the budget; false when none is available to it. */
+    public synchronized boolean take(int rank, boolean inherited) {
+        advance();
+        if (!isAvailable(order(rank, inherited))) {
             return false;
         }
         repeats[ringIndex(bucket)]++;
         return true;
     }
 
+    private boolean isAvailable(int order) {
+        return available() >= 1 && left(bucket - BUCKETS) - reservedForHigherOrders(order) >= 1;
+    }
+
     /** Returns the number of repeats that requests of the highest order could make now. */
     public synchronized int room() {
         advance();
--- a/src/main/java/io/beryldock/retry/ArrivalControl.java
+++ b/src/main/java/io/beryldock/retry/ArrivalControl.java
@@ -38,21 +38,36 @@
         return new ArrivalControl(ticker, Optional.empty());
     }
 
-    /** Decides on a call that is about to be sent to the target; a call that is refused must not be sent. */
+    /**
+     * Decides on a call before it waits for the target. One that is admitted may still be refused by {@link #onSend}.
+     */
     public boolean admit(ServiceName service, CallContext context) {
         ArrivalKind kind = ArrivalKind.of(context);
-        boolean admitted = limits.isEmpty()
-                || admit(budget(service), kind, context.priority().rank());
-        tally.add(service, kind, admitted);
+        if (kind == ArrivalKind.FIRST || limits.isEmpty()) {
+            return true;
+        }
+        boolean admitted = budget(service).request(context.priority().rank(), kind == ArrivalKind.INHERITED);
+        if (!admitted) {
+            tally.add(service, kind, false);
+        }
         return admitted;
     }
 
-    private static boolean admit(ArrivalBudget budget, ArrivalKind kind, int rank) {
+    /** Decides on a call that is about to be sent to the target; a call that is refused must not be sent. */
+    public boolean onSend(ServiceName service, CallContext context) {
+        ArrivalKind kind = ArrivalKind.of(context);
+        boolean sent = limits.isEmpty()
+                || charge(budget(service), kind, context.priority().rank());
+        tally.add(service, kind, sent);
+        return sent;
+    }
+
+    private static boolean charge(ArrivalBudget budget, ArrivalKind kind, int rank) {
         if (kind == ArrivalKind.FIRST) {
             budget.onFirst();
             return true;
         }
-        return budget.tryRepeat(rank, kind == ArrivalKind.INHERITED);
+        return budget.take(rank, kind == ArrivalKind.INHERITED);
     }
 
     private ArrivalBudget budget(ServiceName service) {
--- a/src/test/java/io/beryldock/retry/ArrivalBudgetTest.java
+++ b/src/test/java/io/beryldock/retry/ArrivalBudgetTest.java
@@ -35,10 +35,14 @@
         }
     }
 
+    private static boolean isRepeated(ArrivalBudget budget, int rank, boolean inherited) {
+        return budget.request(rank, inherited) && budget.take(rank, inherited);
+    }
+
     private static int repeated(ArrivalBudget budget, int asked) {
         int repeated = 0;
         for (int i = 0; i < asked; i++) {
-            repeated += budget.tryRepeat(IMPORTANT, false) ? 1 : 0;
+            repeated += isRepeated(budget, IMPORTANT, false) ? 1 : 0;
         }
         return repeated;
     }
@@ -82,7 +86,7 @@
         ArrivalBudget budget = budget();
         addFirsts(budget, 400);
         for (int i = 0; i < 15; i++) {
-            assertThat(budget.tryRepeat(IMPORTANT, true)).isTrue();
+            assertThat(isRepeated(budget, IMPORTANT, true)).isTrue();
         }
         assertThat(budget.room()).isEqualTo(5);
         timers.advance(WINDOW.dividedBy(4));
@@ -94,10 +98,10 @@
     void callsOfRepeatedRunsPrecedeOtherRepeatsOfTheirRank() {
         ArrivalBudget budget = budget();
         addFirsts(budget, 400);
-        assertThat(budget.tryRepeat(OTHER, true)).isTrue();
-        assertThat(budget.tryRepeat(OTHER, true)).isTrue();
-        assertThat(budget.tryRepeat(OTHER, false)).isFalse();
-        assertThat(budget.tryRepeat(OTHER, true)).isTrue();
+        assertThat(isRepeated(budget, OTHER, true)).isTrue();
+        assertThat(isRepeated(budget, OTHER, true)).isTrue();
+        assertThat(isRepeated(budget, OTHER, false)).isFalse();
+        assertThat(isRepeated(budget, OTHER, true)).isTrue();
     }
 
     @Test
@@ -142,8 +146,8 @@
                 for (int call = 0; call < rate; call++) {
                     nodes.get(node).onFirst();
                     firsts[i]++;
-                    boolean repeated = random.nextDouble() < REFUSED_SHARE
-                            && nodes.get(node).tryRepeat(IMPORTANT, false);
+                    boolean repeated =
+                            random.nextDouble() < REFUSED_SHARE && isRepeated(nodes.get(node), IMPORTANT, false);
                     repeats[i] += repeated ? 1 : 0;
                 }
             }
@@ -176,7 +180,7 @@
                 TokenRetryBudget.create(timers.ticker(), new RetryBudgetSettings(SHARE / 10, 0, 0, WINDOW));
         double spread = importantTreesSaved(tokens::onFirstTry, tokens::tryRetry);
         ArrivalBudget budget = budget();
-        double ordered = importantTreesSaved(budget::onFirst, rank -> budget.tryRepeat(rank, false));
+        double ordered = importantTreesSaved(budget::onFirst, rank -> isRepeated(budget, rank, false));
         assertThat(spread).isLessThan(0.1);
         assertThat(ordered).isGreaterThan(0.4);
     }
