Budget of arrivals: more for a process that has just started, a smaller margin

Weights 0.5, 0.2, 0.3 in place of 0.5, 0.25, 0.25, and 0.95 of the share in place of 0.9. A process gets the weight of the window itself at once after its start: 0.285 of the share in place of 0.225. The margin covers requests that arrive later than they were sent, beside the slack, which nodes leave unused.

--- a/src/main/java/io/beryldock/platform/PlatformModule.java
+++ b/src/main/java/io/beryldock/platform/PlatformModule.java
@@ -44,7 +44,7 @@
 final class PlatformModule extends AbstractModule {
 
     /** Leaves a margin for requests that were sent before a window and arrive in it. */
-    private static final double USED_SHARE = 0.9;
+    private static final double USED_SHARE = 0.95;
 
     private final PlatformSettings settings;
     private final HttpClient targetClient;
--- a/src/main/java/io/beryldock/retry/ArrivalBudget.java
+++ b/src/main/java/io/beryldock/retry/ArrivalBudget.java
@@ -40,8 +40,8 @@
      */
     private static final double WEIGHT_BEFORE = 0.5;
 
-    private static final double WEIGHT_AROUND = 0.25;
-    private static final double WEIGHT_WITHIN = 0.25;
+    private static final double WEIGHT_AROUND = 0.2;
+    private static final double WEIGHT_WITHIN = 0.3;
 
     private final Ticker ticker;
     private final double share;
