--- a/src/main/java/io/beryldock/platform/SoakTarget.java
+++ b/src/main/java/io/beryldock/platform/SoakTarget.java
@@ -99,10 +99,14 @@
             return;
         }
         if (isRefused(request, conditions)) {
-            exchange.answer(HttpAnswer.of(
-                    NOT_RUN,
-                    Headers.empty().with(PlatformHeaders.REQUEST_ID, request).with(PlatformHeaders.NOT_EXECUTED, "1"),
-                    ByteString.EMPTY));
+            exchange.answer(withNamed(
+                    HttpAnswer.of(
+                            NOT_RUN,
+                            Headers.empty()
+                                    .with(PlatformHeaders.REQUEST_ID, request)
+                                    .with(PlatformHeaders.NOT_EXECUTED, "1"),
+                            ByteString.EMPTY),
+                    nameConditions(headers, request)));
             return;
         }
         String body = exchange.body().toString(StandardCharsets.UTF_8);
@@ -157,10 +161,14 @@
                 .with(PlatformHeaders.SIGNATURE, "signed")
                 .with("Content-Type", "text/plain");
         String text = status == OK ? Payload.answer(request, body) : "failed";
-        HttpAnswer answer = HttpAnswer.of(status, headers, ByteString.copyFromUtf8(text));
-        if (named.ratePerSecond() > 0) {
-            answer = answer.with(PlatformHeaders.RATE_LIMIT, Double.toString(named.ratePerSecond()));
-        }
-        exchange.answer(named.leaving() ? answer.with(PlatformHeaders.LEAVING, "1") : answer);
+        exchange.answer(withNamed(HttpAnswer.of(status, headers, ByteString.copyFromUtf8(text)), named));
+    }
+
+    /** All answers of a target, also its refusals, name a limit while it holds. */
+    private static HttpAnswer withNamed(HttpAnswer answer, SoakConditions named) {
+        HttpAnswer limited = named.ratePerSecond() > 0
+                ? answer.with(PlatformHeaders.RATE_LIMIT, Double.toString(named.ratePerSecond()))
+                : answer;
+        return named.leaving() ? limited.with(PlatformHeaders.LEAVING, "1") : limited;
     }
 }
