--- a/src/main/java/io/beryldock/forwarding/AttemptLoop.java
+++ b/src/main/java/io/beryldock/forwarding/AttemptLoop.java
@@ -76,6 +76,7 @@
             budget.onRepeat();
         } else {
             budget.onFirstTry();
+            ports.retryTally().firstTry(call.caller(), call.service());
         }
         next();
     }
--- a/src/test/java/io/beryldock/forwarding/TargetExecutorTest.java
+++ b/src/test/java/io/beryldock/forwarding/TargetExecutorTest.java
@@ -5,18 +5,23 @@
 import com.google.protobuf.ByteString;
 import io.beryldock.call.Answer;
 import io.beryldock.call.Call;
+import io.beryldock.call.CallContext;
 import io.beryldock.call.CallResult;
 import io.beryldock.call.Headers;
 import io.beryldock.call.Outcome;
 import io.beryldock.call.Reason;
 import io.beryldock.quarantine.Quarantine;
+import io.beryldock.retry.ArrivalBudget;
 import io.beryldock.retry.ArrivalControl;
+import io.beryldock.retry.ArrivalKind;
 import io.beryldock.retry.RetryLedger;
 import io.beryldock.time.ManualTimerService;
 import io.beryldock.timeline.EventSink;
 import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
@@ -25,6 +30,7 @@
 
     private static final Duration LONGEST_DECISION = Duration.ofSeconds(1);
     private static final Duration TIME_LIMIT = Duration.ofSeconds(10);
+    private static final double SHARE = 0.2;
     private static final String POISON = "/lists/poison";
     private static final CallResult NOT_ENDED = CallResult.notRun(Reason.INTERNAL, "it has not ended");
 
@@ -39,6 +45,8 @@
             (service, delta) -> CompletableFuture.completedFuture(null),
             time,
             EventSink.none());
+    private final ArrivalControl arrivals =
+            ArrivalControl.create(time.ticker(), new ArrivalBudget.Limits(SHARE, Duration.ofSeconds(10)));
     private final TargetExecutor executor = TargetExecutor.create(new TargetExecutor.Ports(
             () -> Optional.of(target),
             this::send,
@@ -48,7 +56,7 @@
             null,
             crashes,
             load -> {},
-            ArrivalControl.unlimited(time.ticker()),
+            arrivals,
             time,
             EventSink.none()));
 
@@ -149,4 +157,43 @@
         assertThat(reason(second)).contains(Reason.CANCELLED);
         assertThat(sent).isEmpty();
     }
+
+    private CompletableFuture<CallResult> resend(String path) {
+        Call call = TargetFixtures.read(path, TIME_LIMIT);
+        CallContext again = call.context().withResent(true).withRepeat(true);
+        return executor.execute(call.attempt(call.id(), again), CancelScope.create());
+    }
+
+    /** Guards against repeats that reach a target although the first arrivals at it do not cover them. */
+    @Test
+    void repeatThatTheBudgetDoesNotCoverIsNotSent() {
+        CompletableFuture<CallResult> result = resend("/lists/1");
+        assertThat(result.getNow(NOT_ENDED).outcome()).isEqualTo(Outcome.NOT_RUN);
+        assertThat(reason(result)).contains(Reason.REPEATS_LIMITED);
+        assertThat(sent).isEmpty();
+    }
+
+    /** Guards against a repeat that was admitted while it waits and is sent after others have used up the budget. */
+    @Test
+    void repeatIsChargedWhenItIsSent() {
+        for (int i = 0; i < 100; i++) {
+            run("/lists/" + i);
+            answer();
+        }
+        List<CompletableFuture<CallResult>> results = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            results.add(resend("/lists/" + i));
+        }
+        while (!sent.isEmpty()) {
+            answer();
+        }
+        long repeats = arrivals.tally().rows().entrySet().stream()
+                .filter(row -> row.getKey().kind() == ArrivalKind.RESENT)
+                .mapToLong(row -> row.getValue().sent())
+                .sum();
+        assertThat(results)
+                .anyMatch(result ->
+                        reason(result).filter(Reason.REPEATS_LIMITED::equals).isPresent());
+        assertThat(repeats).isPositive().isLessThanOrEqualTo((long) (SHARE * 100));
+    }
 }
