--- a/src/main/java/io/beryldock/platform/SoakConditions.java
+++ b/src/main/java/io/beryldock/platform/SoakConditions.java
@@ -4,7 +4,7 @@
 
 /**
  * What a soak target does at a given time: in turn it names nothing, a rate limit, its leaving, and then the next start
- * begins; besides, it refuses requests half of the time and spoils answers in the other half.
+ * begins; besides, it refuses requests half of the time.
  *
  * <p>Immutable. The targets of a run go through the same cycle at different times, and refuse at the same time.
  *
@@ -12,12 +12,11 @@
  * @param ratePerSecond requests per second that the target accepts, 0 for no limit
  * @param leaving whether the target says that it is leaving
  * @param refusedShare share of the arriving requests that the target refuses without running them
- * @param spoiledShare share of the browses whose answers the target spoils, so that its node takes them for lost
  */
-record SoakConditions(long start, double ratePerSecond, boolean leaving, double refusedShare, double spoiledShare) {
+record SoakConditions(long start, double ratePerSecond, boolean leaving, double refusedShare) {
 
     /** Of a target that names nothing. */
-    static final SoakConditions NONE = new SoakConditions(0, 0, false, 0, 0);
+    static final SoakConditions NONE = new SoakConditions(0, 0, false, 0);
 
     /** Well below the rate at which callers send to the service with one target. */
     private static final double RATE_PER_SECOND = 20;
@@ -25,8 +24,6 @@
     /** Above a half, so that repeats of one call are refused again. */
     private static final double REFUSED_SHARE = 0.6;
 
-    private static final double SPOILED_SHARE = 0.5;
-
     /** All targets refuse at the same time, so that each restart of nodes meets refusals within a few seconds. */
     private static final long REFUSAL_CYCLE_MILLIS = Duration.ofSeconds(9).toMillis();
 
@@ -41,12 +38,10 @@
         long millis = sinceStart.toMillis() + node * SHIFT_MILLIS;
         long inCycle = millis % CYCLE_MILLIS;
         boolean limited = inCycle >= LIMIT_FROM_MILLIS && inCycle < LIMIT_TO_MILLIS;
-        boolean refusing = sinceStart.toMillis() % REFUSAL_CYCLE_MILLIS < REFUSING_MILLIS;
         return new SoakConditions(
                 millis / CYCLE_MILLIS,
                 limited ? RATE_PER_SECOND : 0,
                 inCycle >= LEAVING_FROM_MILLIS,
-                refusing ? REFUSED_SHARE : 0,
-                refusing ? 0 : SPOILED_SHARE);
+                sinceStart.toMillis() % REFUSAL_CYCLE_MILLIS < REFUSING_MILLIS ? REFUSED_SHARE : 0);
     }
 }
--- a/src/main/java/io/beryldock/platform/SoakTarget.java
+++ b/src/main/java/io/beryldock/platform/SoakTarget.java
@@ -19,7 +19,7 @@
 
 /**
  * A target for the soak test: simulates work, makes an inner call if its service does so, and responds. At times it
- * refuses a share of what arrives, leaves out the signature of its answers, or names a rate limit or its leaving.
+ * refuses a share of what arrives, or its answers name a rate limit or its leaving.
  *
  * <p>Thread safe. Invariant: each execution is reported before the first byte of its response is sent.
  */
@@ -42,7 +42,7 @@
     private final InnerCaller caller;
     private final TimerService timers;
     private final AtomicLong innerCalls = new AtomicLong();
-    private final AtomicLong draws = new AtomicLong();
+    private final AtomicLong arrivals = new AtomicLong();
     private final long createdAt;
     private long lastStart;
 
@@ -123,11 +123,8 @@
 
     /** Draws anew at each arrival, so that a request that was refused may run when it is sent again. */
     private boolean isRefused(String request, SoakConditions conditions) {
-        return isDrawn(request, conditions.refusedShare());
-    }
-
-    private boolean isDrawn(String request, double share) {
-        return Math.floorMod(Objects.hash(request, draws.incrementAndGet()), PERCENT) < share * PERCENT;
+        int drawn = Math.floorMod(Objects.hash(request, arrivals.incrementAndGet()), PERCENT);
+        return drawn < conditions.refusedShare() * PERCENT;
     }
 
     /** Makes the inner call of a request; a request that runs again makes the call again under a new id. */
@@ -159,11 +156,10 @@
 
     private void answer(HttpExchange exchange, String request, String body, int status) {
         SoakConditions named = nameConditions(exchange.headers(), request);
-        boolean spoiled = exchange.uri().startsWith(BROWSE_PATH)
-                && isDrawn(request, conditions().spoiledShare());
-        Headers unsigned =
-                Headers.empty().with(PlatformHeaders.REQUEST_ID, request).with("Content-Type", "text/plain");
-        Headers headers = spoiled ? unsigned : unsigned.with(PlatformHeaders.SIGNATURE, "signed");
+        Headers headers = Headers.empty()
+                .with(PlatformHeaders.REQUEST_ID, request)
+                .with(PlatformHeaders.SIGNATURE, "signed")
+                .with("Content-Type", "text/plain");
         String text = status == OK ? Payload.answer(request, body) : "failed";
         exchange.answer(withNamed(HttpAnswer.of(status, headers, ByteString.copyFromUtf8(text)), named));
     }
