A call that did not reach the target is taken back from the budget of arrivals

A first arrival was counted when the call was sent. What turns out not to have been sent is taken back from the time at which it was counted, so that later windows see neither too much nor too little; a repeat likewise.

--- a/src/main/java/io/beryldock/forwarding/RepeatSummary.java
+++ b/src/main/java/io/beryldock/forwarding/RepeatSummary.java
@@ -21,7 +21,7 @@
 
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
     private static final Duration PERIOD = Duration.ofSeconds(1);
-    private static final Counts NONE = new Counts(0, 0);
+    private static final Counts NONE = new Counts(0, 0, 0);
 
     private final ArrivalControl arrivals;
     private ImmutableMap<Row, Counts> logged = ImmutableMap.of();
@@ -55,10 +55,10 @@
                 "repeats in 1 s: service=%s first=%d resent=%d resentRefused=%d inherited=%d inheritedRefused=%d"
                         + " room=%s",
                 service,
-                added(rows, new Row(service, ArrivalKind.FIRST)).sent(),
-                resent.sent(),
+                added(rows, new Row(service, ArrivalKind.FIRST)).arrived(),
+                resent.arrived(),
                 resent.refused(),
-                inherited.sent(),
+                inherited.arrived(),
                 inherited.refused(),
                 arrivals.room(service).map(Object::toString).orElse("unlimited"));
     }
--- a/src/main/java/io/beryldock/forwarding/TargetRun.java
+++ b/src/main/java/io/beryldock/forwarding/TargetRun.java
@@ -17,6 +17,7 @@
 import io.beryldock.quarantine.Fingerprint;
 import io.beryldock.quarantine.LostRun;
 import io.beryldock.quarantine.Verdict;
+import io.beryldock.retry.ArrivalControl;
 import io.beryldock.retry.RetryAccount;
 import io.beryldock.time.TimerService.Subscription;
 import java.time.Duration;
@@ -150,7 +151,8 @@
                     .withUnspentRetries(call.context().retryAllowance()));
             return;
         }
-        if (!ports.arrivals().onSend(call.service(), call.context())) {
+        Optional<ArrivalControl.Sending> arrival = ports.arrivals().onSend(call.service(), call.context());
+        if (arrival.isEmpty()) {
             permit.release(Completion.REFUSED_BY_TARGET);
             ports.quarantine().onAbandoned(fingerprint);
             finish(repeatsLimited());
@@ -167,6 +169,9 @@
             exchange = sending;
         }
         sending.reply().thenAccept(reply -> {
+            if (reply.kind() == TargetReply.Kind.NOT_SENT) {
+                arrival.get().onNotSent();
+            }
             // Before the permit is released, which admits the next request.
             reply.notice().ifPresent(notice -> target.gate().onNotice(notice, sentAt));
             onReply(started, permit, process, verdict, reply);
--- a/src/main/java/io/beryldock/node/NodeMetrics.java
+++ b/src/main/java/io/beryldock/node/NodeMetrics.java
@@ -116,6 +116,7 @@
                     String kind = row.kind().name().toLowerCase(Locale.ROOT);
                     callback.call((double) counts.sent(), service, kind, "sent");
                     callback.call((double) counts.refused(), service, kind, "refused");
+                    callback.call((double) counts.unsent(), service, kind, "unsent");
                 }))
                 .register(registry);
     }
--- a/src/main/java/io/beryldock/retry/ArrivalBudget.java
+++ b/src/main/java/io/beryldock/retry/ArrivalBudget.java
@@ -3,6 +3,7 @@
 import io.beryldock.call.PriorityClass;
 import io.beryldock.time.Ticker;
 import java.time.Duration;
+import java.util.Optional;
 
 /**
  * Limits the repeats that one node sends to the target in its VM to a share of the first arrivals there.
@@ -77,10 +78,23 @@
         return new ArrivalBudget(ticker, limits);
     }
 
-    /** Records the first arrival of a call. */
-    public synchronized void onFirst() {
+    /** Records the first arrival of a call; the returned task takes it back if the call did not arrive after all. */
+    public synchronized Runnable onFirst() {
         advance();
-        firsts[ringIndex(bucket)]++;
+        return count(firsts);
+    }
+
+    private Runnable count(int[] counts) {
+        long counted = bucket;
+        counts[ringIndex(counted)]++;
+        return () -> takeBack(counts, counted);
+    }
+
+    private synchronized void takeBack(int[] counts, long counted) {
+        advance();
+        if (counted > bucket - RING_SIZE) {
+            counts[ringIndex(counted)]--;
+        }
     }
 
     /**
@@ -96,14 +110,14 @@
         return isAvailable(order);
     }
 
-    /** Takes one repeat, which was requested before, from the budget; false when none is available to it. */
-    public synchronized boolean take(int rank, boolean inherited) {
+    /**
+     * Takes one repeat, which was requested before, from the budget; empty when none is available to it.
+     *
+     * @return a task that gives the repeat back if it did not arrive after all
+     */
+    public synchronized Optional<Runnable> take(int rank, boolean inherited) {
         advance();
-        if (!isAvailable(order(rank, inherited))) {
-            return false;
-        }
-        repeats[ringIndex(bucket)]++;
-        return true;
+        return isAvailable(order(rank, inherited)) ? Optional.of(count(repeats)) : Optional.empty();
     }
 
     private boolean isAvailable(int order) {
--- a/src/main/java/io/beryldock/retry/ArrivalControl.java
+++ b/src/main/java/io/beryldock/retry/ArrivalControl.java
@@ -53,21 +53,35 @@
         return admitted;
     }
 
-    /** Decides on a call that is about to be sent to the target; a call that is refused must not be sent. */
-    public boolean onSend(ServiceName service, CallContext context) {
+    /**
+     * Decides on a call that is about to be sent to the target; a call that is refused must not be sent.
+     *
+     * @return the call as counted; empty if it is refused
+     */
+    public Optional<Sending> onSend(ServiceName service, CallContext context) {
         ArrivalKind kind = ArrivalKind.of(context);
-        boolean sent = limits.isEmpty()
-                || charge(budget(service), kind, context.priority().rank());
-        tally.add(service, kind, sent);
-        return sent;
+        Optional<Runnable> charged = limits.isEmpty()
+                ? Optional.of(() -> {})
+                : charge(budget(service), kind, context.priority().rank());
+        tally.add(service, kind, charged.isPresent());
+        return charged.map(takeBack -> () -> {
+            takeBack.run();
+            tally.addUnsent(service, kind);
+        });
     }
 
-    private static boolean charge(ArrivalBudget budget, ArrivalKind kind, int rank) {
-        if (kind == ArrivalKind.FIRST) {
-            budget.onFirst();
-            return true;
-        }
-        return budget.take(rank, kind == ArrivalKind.INHERITED);
+    /** A call that was counted as sent to the target. */
+    @FunctionalInterface
+    public interface Sending {
+
+        /** Takes the call back, because no byte of it reached the target; to be called once at most. */
+        void onNotSent();
+    }
+
+    private static Optional<Runnable> charge(ArrivalBudget budget, ArrivalKind kind, int rank) {
+        return kind == ArrivalKind.FIRST
+                ? Optional.of(budget.onFirst())
+                : budget.take(rank, kind == ArrivalKind.INHERITED);
     }
 
     private ArrivalBudget budget(ServiceName service) {
--- a/src/main/java/io/beryldock/retry/ArrivalTally.java
+++ b/src/main/java/io/beryldock/retry/ArrivalTally.java
@@ -38,20 +38,39 @@
         }
     }
 
-    /** Counts of one row. Immutable. */
-    public record Counts(long sent, long refused) {
+    /**
+     * Counts of one row. Immutable.
+     *
+     * @param sent calls sent to the target, including those that turned out not to have reached it
+     * @param refused calls refused instead
+     * @param unsent calls of {@code sent} of which no byte reached the target
+     */
+    public record Counts(long sent, long refused, long unsent) {
+
+        /** Number of calls that may have reached the target. */
+        public long arrived() {
+            return sent - unsent;
+        }
 
         /** Returns what was counted since an earlier reading. */
         public Counts since(Counts earlier) {
-            return new Counts(sent - earlier.sent, refused - earlier.refused);
+            return new Counts(sent - earlier.sent, refused - earlier.refused, unsent - earlier.unsent);
         }
     }
 
     void add(ServiceName service, ArrivalKind kind, boolean admitted) {
-        Adders adders = rows.computeIfAbsent(new Row(service, kind), row -> new Adders());
+        Adders adders = adders(service, kind);
         (admitted ? adders.sent : adders.refused).increment();
     }
 
+    void addUnsent(ServiceName service, ArrivalKind kind) {
+        adders(service, kind).unsent.increment();
+    }
+
+    private Adders adders(ServiceName service, ArrivalKind kind) {
+        return rows.computeIfAbsent(new Row(service, kind), row -> new Adders());
+    }
+
     public ImmutableMap<Row, Counts> rows() {
         ImmutableMap.Builder<Row, Counts> counts = ImmutableMap.builder();
         rows.forEach((row, adders) -> counts.put(row, adders.counts()));
@@ -62,9 +81,10 @@
     private static final class Adders {
         private final LongAdder sent = new LongAdder();
         private final LongAdder refused = new LongAdder();
+        private final LongAdder unsent = new LongAdder();
 
         Counts counts() {
-            return new Counts(sent.sum(), refused.sum());
+            return new Counts(sent.sum(), refused.sum(), unsent.sum());
         }
     }
 }
--- a/src/test/java/io/beryldock/forwarding/RetryBudgetFleetTest.java
+++ b/src/test/java/io/beryldock/forwarding/RetryBudgetFleetTest.java
@@ -79,6 +79,19 @@
         assertWithinBound(fleet);
     }
 
+    /** Guards against calls that raise the bound at each target to which no connection could be made. */
+    @Test
+    void boundHoldsAfterConnectionsToTargetsFailed() {
+        RetryFleet fleet = new RetryFleet(71, NODES_PER_SERVICE);
+        fleet.run(CALM);
+        fleet.disconnect(RetryFleet.HOLDINGS, 1);
+        fleet.run(TROUBLE);
+        fleet.disconnect(RetryFleet.HOLDINGS, 0);
+        fleet.refuse(RetryFleet.HOLDINGS, 0.6);
+        fleet.run(TROUBLE);
+        assertWithinBound(fleet);
+    }
+
     /** Guards against repeats that go on when the requests that they are a share of have become few. */
     @Test
     void boundHoldsWhenRequestsBecomeFew() {
--- a/src/test/java/io/beryldock/forwarding/RetryFleet.java
+++ b/src/test/java/io/beryldock/forwarding/RetryFleet.java
@@ -82,6 +82,7 @@
     private final Map<ServiceName, Double> refusedShares = new HashMap<>();
     private final Map<ServiceName, Double> lostShares = new HashMap<>();
     private final Map<ServiceName, Double> droppedShares = new HashMap<>();
+    private final Map<ServiceName, Double> unreachableShares = new HashMap<>();
     private double requestsPerSecond = 60;
     private double unevenness;
     private long answered;
@@ -135,6 +136,11 @@
         lostShares.put(service, share);
     }
 
+    /** Lets a share of the connections to the targets of a service fail before anything is sent. */
+    void disconnect(ServiceName service, double share) {
+        unreachableShares.put(service, share);
+    }
+
     /** Lets the targets of a service lose a share of their connections as a run begins; the runs go on. */
     void drop(ServiceName service, double share) {
         droppedShares.put(service, share);
@@ -247,6 +253,11 @@
 
     /** One run of the target beside a node, which continues when the node's process is killed. */
     CompletableFuture<TargetReply> arriveAtTarget(RetryFleetNode node, Call call) {
+        if (random.nextDouble() < unreachableShares.getOrDefault(node.service(), 0.0)) {
+            CompletableFuture<TargetReply> unsent = new CompletableFuture<>();
+            time.after(LINK_DELAY, () -> unsent.complete(TargetReply.notSent("connection refused")));
+            return unsent;
+        }
         String id = call.headers().first(RetryFleetNode.ID).orElseThrow();
         boolean repeat = count.arrived(node.service(), id, RetryFleetNode.isMadeByRepeatedRun(call), now());
         CompletableFuture<TargetReply> reply = new CompletableFuture<>();
--- a/src/test/java/io/beryldock/forwarding/RetryFleetNode.java
+++ b/src/test/java/io/beryldock/forwarding/RetryFleetNode.java
@@ -100,7 +100,7 @@
     long sentRepeats() {
         return process.map(running -> running.arrivals.tally().rows().entrySet().stream()
                         .filter(row -> row.getKey().kind() != ArrivalKind.FIRST)
-                        .mapToLong(row -> row.getValue().sent())
+                        .mapToLong(row -> row.getValue().arrived())
                         .sum())
                 .orElse(0L);
     }
--- a/src/test/java/io/beryldock/retry/ArrivalBudgetTest.java
+++ b/src/test/java/io/beryldock/retry/ArrivalBudgetTest.java
@@ -36,7 +36,7 @@
     }
 
     private static boolean isRepeated(ArrivalBudget budget, int rank, boolean inherited) {
-        return budget.request(rank, inherited) && budget.take(rank, inherited);
+        return budget.request(rank, inherited) && budget.take(rank, inherited).isPresent();
     }
 
     private static int repeated(ArrivalBudget budget, int asked) {
@@ -113,6 +113,28 @@
         assertThat(budget.room()).isEqualTo(1);
     }
 
+    /** Guards against a bound that calls raise which never arrived, and against one that is given back twice over time. */
+    @Test
+    void whatDidNotArriveIsTakenBackFromWhereItWasCounted() {
+        ArrivalBudget budget = budget();
+        addFirsts(budget, 500);
+        List<Runnable> unsent = new ArrayList<>();
+        for (int i = 0; i < 500; i++) {
+            unsent.add(budget.onFirst());
+        }
+        assertThat(budget.room()).isEqualTo(60);
+        Runnable repeat = budget.take(IMPORTANT, true).orElseThrow();
+        timers.advance(Duration.ofSeconds(1));
+        unsent.forEach(Runnable::run);
+        assertThat(budget.room()).isEqualTo(29);
+        repeat.run();
+        assertThat(budget.room()).isEqualTo(30);
+        Runnable old = budget.onFirst();
+        timers.advance(WINDOW.multipliedBy(3));
+        old.run();
+        assertThat(budget.room()).isZero();
+    }
+
     /** Guards against first arrivals from before a long pause of the node that still count after it. */
     @Test
     void firstArrivalsBeforeAPauseExpire() {
