Budget of arrivals: one pass over the buckets for each decision

A decision summed up the buckets of three windows anew for each of 41 windows; running sums make each a subtraction.

--- a/src/main/java/io/beryldock/retry/ArrivalBudget.java
+++ b/src/main/java/io/beryldock/retry/ArrivalBudget.java
@@ -63,7 +63,7 @@
      * Limits of a budget. Immutable.
      *
      * @param share repeats allowed as a share of first arrivals, 0 to 1
-     * @param window length of the sliding window, at least 20 ms
+     * @param window length of the sliding window, at least 40 ms
      */
     public record Limits(double share, Duration window) {
 
@@ -121,7 +121,7 @@
     }
 
     private boolean isAvailable(int order) {
-        return available() >= 1 && left(bucket - BUCKETS) - reservedForHigherOrders(order) >= 1;
+        return available() >= 1 && new Sums().left(bucket - BUCKETS) - reservedForHigherOrders(order) >= 1;
     }
 
     /** Returns the number of repeats that requests of the highest order could make now. */
@@ -137,28 +137,14 @@
 
     /** Returns the least that is left to any window that has begun and not ended. */
     private double available() {
+        Sums sums = new Sums();
         double least = Double.MAX_VALUE;
         for (long begin = bucket - BUCKETS; begin <= bucket; begin++) {
-            least = Math.min(least, left(begin));
+            least = Math.min(least, sums.left(begin));
         }
         return least;
     }
 
-    /**
-     * Returns what is left to a window that begins within the bucket.
-     *
-     * <p>Counts only first arrivals that lie within a window wherever in the bucket it begins, and all repeats since the
-     * bucket began.
-     */
-    private double left(long begin) {
-        int before = sum(firsts, begin - BUCKETS + 1, begin - 1);
-        int around = sum(firsts, begin - HALF + 1, Math.min(bucket, begin + HALF - 1));
-        // First arrivals of the bucket itself lie before or within the window, and the lesser weight counts for them.
-        int within = sum(firsts, begin, bucket);
-        double mean = WEIGHT_BEFORE * before + WEIGHT_AROUND * around + WEIGHT_WITHIN * within;
-        return share * mean - sum(repeats, begin, bucket);
-    }
-
     /** Returns the repeats that higher orders will request in a window at their recent rate. */
     private int reservedForHigherOrders(int order) {
         int requests = 0;
@@ -192,4 +178,39 @@
     private static int ringIndex(long number) {
         return (int) Math.floorMod(number, (long) RING_SIZE);
     }
+
+    /** Sums of the counts up to each bucket of the ring, so that a sum over any of them is one subtraction. */
+    private final class Sums {
+        private final long oldest = bucket - RING_SIZE + 1;
+        private final int[] firstsUntil = new int[RING_SIZE + 1];
+        private final int[] repeatsUntil = new int[RING_SIZE + 1];
+
+        Sums() {
+            for (int i = 0; i < RING_SIZE; i++) {
+                int index = ringIndex(oldest + i);
+                firstsUntil[i + 1] = firstsUntil[i] + firsts[index];
+                repeatsUntil[i + 1] = repeatsUntil[i] + repeats[index];
+            }
+        }
+
+        /**
+         * Returns what is left to a window that begins within the bucket.
+         *
+         * <p>Counts only first arrivals that lie within a window wherever in the bucket it begins, and all repeats since
+         * the bucket began.
+         */
+        double left(long begin) {
+            int before = between(firstsUntil, begin - BUCKETS + 1, begin - 1);
+            int around = between(firstsUntil, begin - HALF + 1, Math.min(bucket, begin + HALF - 1));
+            // First arrivals of the bucket itself lie before or within the window, and the lesser weight counts for
+            // them.
+            int within = between(firstsUntil, begin, bucket);
+            double mean = WEIGHT_BEFORE * before + WEIGHT_AROUND * around + WEIGHT_WITHIN * within;
+            return share * mean - between(repeatsUntil, begin, bucket);
+        }
+
+        private int between(int[] until, long from, long to) {
+            return until[(int) (to + 1 - oldest)] - until[(int) (from - oldest)];
+        }
+    }
 }
