A call whose run can't be named is no repeat

It was taken for one while any repeated call ran at the node. Of what can't be known the lesser harm is chosen: it counts as a first arrival. What ended here as a repeat, and is named by the call, is known and still counts.

--- a/src/main/java/io/beryldock/forwarding/ExecutionRegistry.java
+++ b/src/main/java/io/beryldock/forwarding/ExecutionRegistry.java
@@ -66,12 +66,6 @@
         return endedRepeats.getIfPresent(tag) != null;
     }
 
-    /** Whether any running call is a repeat. */
-    boolean hasRunningRepeat() {
-        return running.values().stream()
-                .anyMatch(execution -> execution.call().context().repeat());
-    }
-
     /** Returns the running call that the target knows under the tag. */
     Optional<Execution> findByTag(String tag) {
         return Optional.ofNullable(byTag.get(tag));
--- a/src/main/java/io/beryldock/forwarding/InnerCallDetector.java
+++ b/src/main/java/io/beryldock/forwarding/InnerCallDetector.java
@@ -62,7 +62,7 @@
      *
      * @param service the service whose target makes the call
      * @param parent the call whose run makes the call, where it could be determined
-     * @param repeat whether the run that makes the call is a repeat, or may be one because it is unknown
+     * @param repeat whether the run that makes the call is known to be a repeat
      */
     record InnerCaller(ServiceName service, Optional<Execution> parent, boolean repeat) {}
 
@@ -98,8 +98,8 @@
     }
 
     private InnerCaller innerCaller(ServiceName service, Optional<Execution> parent) {
-        boolean repeat = parent.map(InnerCallDetector::isRepeat).orElseGet(executions::hasRunningRepeat);
-        return new InnerCaller(service, parent, repeat);
+        return new InnerCaller(
+                service, parent, parent.filter(InnerCallDetector::isRepeat).isPresent());
     }
 
     private static boolean isRepeat(Execution parent) {
