Senders hold retries back for a moment after a repeat was refused on arrival

Each refused repeat crossed the network, often between data centres, to be refused there. A refusal now holds the sender's retries of its rank and of less important ones back for 0.1 s. The bound does not depend on it.

--- a/src/main/java/io/beryldock/forwarding/AttemptLoop.java
+++ b/src/main/java/io/beryldock/forwarding/AttemptLoop.java
@@ -155,6 +155,9 @@
         fullRefusals += ended.reason().filter(RetryPolicy::isFullRefusal).isPresent() ? 1 : 0;
         last = Optional.of(ended);
         lastAnswer = ended.outcome() == Outcome.ANSWERED ? last : lastAnswer;
+        if (ended.reason().filter(Reason.REPEATS_LIMITED::equals).isPresent()) {
+            budget().onRefused(call.context().priority().rank());
+        }
         RetryDecision decision = decide(ended);
         // The level of a target that has used up its rate must not shed calls at their entry that others can serve.
         if (!decision.isRetry() || !isRateLimited(ended)) {
--- a/src/main/java/io/beryldock/platform/PlatformModule.java
+++ b/src/main/java/io/beryldock/platform/PlatformModule.java
@@ -181,8 +181,8 @@
     /** Repeats are limited where they arrive, which bounds the sum over all nodes; senders know only their own. */
     @Provides
     @Singleton
-    RetryBudgets budgets() {
-        return RetryBudgets.ofCallees(service -> RetryBudget.unlimited());
+    RetryBudgets budgets(TimerService timers) {
+        return RetryBudgets.ofCallees(service -> RetryBudget.limitedOnArrival(timers.ticker()));
     }
 
     @Provides
--- a/src/main/java/io/beryldock/retry/RetryBudget.java
+++ b/src/main/java/io/beryldock/retry/RetryBudget.java
@@ -1,5 +1,7 @@
 package io.beryldock.retry;
 
+import io.beryldock.time.Ticker;
+
 /** Limits the retries sent to a service to a share of the first attempts. Thread safe. */
 public interface RetryBudget {
 
@@ -19,9 +21,12 @@
     /** Returns a retry to the budget that was taken but not made. */
     void refund();
 
-    /** A budget that grants all retries, where another part limits them. */
-    static RetryBudget unlimited() {
-        return UnlimitedRetryBudget.INSTANCE;
+    /** Records that the node of a target refused a repeat of the rank because it had no room for it. */
+    default void onRefused(int rank) {}
+
+    /** Creates a budget for repeats that are limited where they arrive: only such a refusal holds retries back. */
+    static RetryBudget limitedOnArrival(Ticker ticker) {
+        return new HoldingRetryBudget(ticker);
     }
 
     /** Number of retries that requests of the most important rank could make now. */
--- a/src/test/java/io/beryldock/forwarding/RetryFleetNode.java
+++ b/src/test/java/io/beryldock/forwarding/RetryFleetNode.java
@@ -202,7 +202,7 @@
                     PeerCallClient.create(this),
                     shedder,
                     RetryGate.create(RetryPolicy.create(new RetryPolicySettings(RESENDS, true)), EventSink.none()),
-                    RetryBudgets.ofCallees(called -> RetryBudget.unlimited()),
+                    RetryBudgets.ofCallees(called -> RetryBudget.limitedOnArrival(time.ticker())),
                     RetryTally.create(),
                     Backoff.create(fleet.random, Duration.ofMillis(5), Duration.ofMillis(50)),
                     quarantine,
