--- a/src/main/java/io/beryldock/platform/PlatformSettings.java
+++ b/src/main/java/io/beryldock/platform/PlatformSettings.java
@@ -5,6 +5,7 @@
 import io.beryldock.admission.GateSettings;
 import io.beryldock.forwarding.Addresses;
 import io.beryldock.quota.QuotaTerms;
+import io.beryldock.retry.ArrivalBudget;
 import io.beryldock.retry.RetryPolicySettings;
 import io.beryldock.routing.ChooserSettings;
 import io.beryldock.routing.Placement;
@@ -165,7 +166,10 @@
         requireAddress(listeners.heartbeats(), "listeners.heartbeats");
         require(listeners.peerPort() > 0, "listeners.peerPort", "a port");
         requireAddress(store, "store");
-        require(retries != null && retries.windowSeconds() > 0, "retries.windowSeconds", "a time above 0");
+        require(
+                retries != null && retries.window().compareTo(ArrivalBudget.MIN_WINDOW) >= 0,
+                "retries.windowSeconds",
+                "a time of " + ArrivalBudget.MIN_WINDOW.toMillis() + " ms or more");
         require(retries.resends() == null || retries.resends() >= 0, "retries.resends", "a number, 0 or more");
         require(retries.share() >= 0 && retries.share() <= 1, "retries.share", "a share from 0 to 1");
         require(
--- a/src/main/java/io/beryldock/retry/ArrivalBudget.java
+++ b/src/main/java/io/beryldock/retry/ArrivalBudget.java
@@ -26,6 +26,9 @@
 
     private static final int HALF = BUCKETS / 2;
 
+    /** Shortest window, with buckets of a millisecond. */
+    public static final Duration MIN_WINDOW = Duration.ofMillis(BUCKETS);
+
     /** Windows that begin up to one window ago are limited, by first arrivals of up to one window earlier. */
     private static final int RING_SIZE = 2 * BUCKETS;
 
@@ -63,13 +66,13 @@
      * Limits of a budget. Immutable.
      *
      * @param share repeats allowed as a share of first arrivals, 0 to 1
-     * @param window length of the sliding window, at least 40 ms
+     * @param window length of the sliding window, at least {@link #MIN_WINDOW}
      */
     public record Limits(double share, Duration window) {
 
         public Limits {
-            if (share < 0 || share > 1 || window.compareTo(Duration.ofMillis(BUCKETS)) < 0) {
-                throw new IllegalArgumentException("share must be 0 to 1 and window at least " + BUCKETS + " ms");
+            if (share < 0 || share > 1 || window.compareTo(MIN_WINDOW) < 0) {
+                throw new IllegalArgumentException("share must be 0 to 1 and window at least " + MIN_WINDOW);
             }
         }
     }
