--- a/src/test/java/io/beryldock/forwarding/RetryBudgetFleetTest.java
+++ b/src/test/java/io/beryldock/forwarding/RetryBudgetFleetTest.java
@@ -128,6 +128,16 @@
         assertThat(fleet.sentRepeats()).isEqualTo(fleet.count.repeats());
     }
 
+    /** Guards against a bound that is kept by not repeating: a request makes up to eight calls, each refused at times. */
+    @Test
+    void nearlyAllRequestsSucceedWhileATenthOfTheCallsAreRefused() {
+        RetryFleet fleet = new RetryFleet(81, NODES_PER_SERVICE);
+        fleet.run(CALM);
+        fleet.refuse(RetryFleet.HOLDINGS, 0.1);
+        assertThat(fleet.answeredShareWhileRunning(TROUBLE)).isGreaterThan(0.95);
+        assertWithinBound(fleet);
+    }
+
     /** Guards against sequences of restarts, cuts, shifts of load and failing targets that no other test names. */
     @ParameterizedTest
     @ValueSource(longs = {100, 101, 102, 103, 104, 105, 106, 107})
--- a/src/test/java/io/beryldock/forwarding/RetryFleet.java
+++ b/src/test/java/io/beryldock/forwarding/RetryFleet.java
@@ -201,9 +201,12 @@
         return nodes.stream().mapToLong(RetryFleetNode::sentRepeats).sum();
     }
 
-    /** Returns the share of the ended callers' requests that were answered with success. */
-    double answeredShare() {
-        return (double) answered / Math.max(1, ended);
+    /** Runs for the time; returns the share of the callers' requests ending in it that were answered with success. */
+    double answeredShareWhileRunning(Duration length) {
+        long answeredBefore = answered;
+        long endedBefore = ended;
+        run(length);
+        return (double) (answered - answeredBefore) / Math.max(1, ended - endedBefore);
     }
 
     long now() {
