--- a/src/main/java/io/beryldock/retry/ArrivalBudget.java
+++ b/src/main/java/io/beryldock/retry/ArrivalBudget.java
@@ -8,10 +8,10 @@
 /**
  * Limits the repeats that one node sends to the target in its VM to a share of the first arrivals there.
  *
- * <p>Invariant: the repeats in any window are at most the share of a weighted mean of the first arrivals in that window,
- * in the one before it and in the one half a window before it. Each term is a sum over nodes, and a mean with the same
- * weights at all nodes is at most the largest of the three, so all nodes together stay within the share of the first
- * arrivals in one of these windows. The bound needs no number of nodes, no agreement and no memory of an earlier
+ * <p>Invariant: the repeats in any window are at most the share of a weighted mean of the first arrivals in that
+ * window, in the one before it and in the one half a window before it. Each term is a sum over nodes, and a mean with
+ * the same weights at all nodes is at most the largest of the three, so all nodes together stay within the share of the
+ * first arrivals in one of these windows. The bound needs no number of nodes, no agreement and no memory of an earlier
  * process: the repeats of each process are covered by its own first arrivals, and a process that knows nothing sends no
  * repeats.
  *
@@ -39,8 +39,8 @@
     private static final int ORDERS = 2 * PriorityClass.RANKS;
 
     /**
-     * Weights of the three windows, which add up to 1: most for the window before, whose first arrivals cover a burst of
-     * repeats when trouble begins; the rest for windows of which a process has first arrivals soon after its start.
+     * Weights of the three windows, which add up to 1: most for the window before, whose first arrivals cover a burst
+     * of repeats when trouble begins; the rest for windows of which a process has first arrivals soon after its start.
      */
     private static final double WEIGHT_BEFORE = 0.5;
 
@@ -199,8 +199,8 @@
         /**
          * Returns what is left to a window that begins within the bucket.
          *
-         * <p>Counts only first arrivals that lie within a window wherever in the bucket it begins, and all repeats since
-         * the bucket began.
+         * <p>Counts only first arrivals that lie within a window wherever in the bucket it begins, and all repeats
+         * since the bucket began.
          */
         double left(long begin) {
             int before = between(firstsUntil, begin - BUCKETS + 1, begin - 1);
--- a/src/main/java/io/beryldock/retry/HoldingRetryBudget.java
+++ b/src/main/java/io/beryldock/retry/HoldingRetryBudget.java
@@ -6,8 +6,8 @@
 import java.util.Arrays;
 
 /**
- * Retry budget of a sender whose repeats are limited where they arrive: grants all retries but those that would probably
- * be refused there.
+ * Retry budget of a sender whose repeats are limited where they arrive: grants all retries but those that would
+ * probably be refused there.
  *
  * <p>After a repeat was refused, retries of its rank and of less important ones are held back for {@link #HOLD}. Guards
  * against calls that cross the network only to be refused. The bound does not depend on it. Thread safe.
--- a/src/test/java/io/beryldock/forwarding/RepeatCount.java
+++ b/src/test/java/io/beryldock/forwarding/RepeatCount.java
@@ -13,8 +13,8 @@
 
 /**
  * Counts what the targets of each service receive, as the platform's contract does: arrivals beyond the first of each
- * request, and every arrival of a call that a repeated run makes, against the requests sent for the service. The calls of
- * repeated runs are no requests.
+ * request, and every arrival of a call that a repeated run makes, against the requests sent for the service. The calls
+ * of repeated runs are no requests.
  *
  * <p>Times are in nanoseconds and must not decrease. Not thread safe.
  */
--- a/src/test/java/io/beryldock/forwarding/RetryBudgetFleetTest.java
+++ b/src/test/java/io/beryldock/forwarding/RetryBudgetFleetTest.java
@@ -128,7 +128,7 @@
         assertThat(fleet.sentRepeats()).isEqualTo(fleet.count.repeats());
     }
 
-    /** Guards against a bound that is kept by not repeating: a request makes up to eight calls, each refused at times. */
+    /** Guards against a bound that is kept by not repeating at all. */
     @Test
     void nearlyAllRequestsSucceedWhileATenthOfTheCallsAreRefused() {
         RetryFleet fleet = new RetryFleet(81, NODES_PER_SERVICE);
--- a/src/test/java/io/beryldock/forwarding/RetryFleetNode.java
+++ b/src/test/java/io/beryldock/forwarding/RetryFleetNode.java
@@ -153,19 +153,25 @@
         private final List<CompletableFuture<ByteString>> unanswered = new ArrayList<>();
         private final List<CompletableFuture<Boolean>> unended = new ArrayList<>();
         private final long startedAt = fleet.now();
+        private final ArrivalControl arrivals = ArrivalControl.create(
+                time.ticker(), new ArrivalBudget.Limits(0.95 * RetryFleet.SHARE, RetryFleet.WINDOW));
+        private final Quarantine quarantine = TargetFixtures.quarantine(time);
+        private final ExecutionRegistry executions =
+                ExecutionRegistry.create(call -> call.headers().first(ID));
+        private final RetryLedger ledger = RetryLedger.create();
+        private final RequestIds ids = RequestIds.of(incarnation);
+        private final EntryShedder shedder = EntryShedder.create(time.ticker(), fleet.random, EventSink.none());
         private final EntryService entry;
         private final PeerCallServer server;
-        private final ArrivalControl arrivals = ArrivalControl.create(
-                fleet.time.ticker(), new ArrivalBudget.Limits(0.95 * RetryFleet.SHARE, RetryFleet.WINDOW));
         private boolean killed;
 
         RunningProcess() {
-            Quarantine quarantine = TargetFixtures.quarantine(time);
-            ExecutionRegistry executions =
-                    ExecutionRegistry.create(call -> call.headers().first(ID));
-            RetryLedger ledger = RetryLedger.create();
-            RequestIds ids = RequestIds.of(incarnation);
-            EntryShedder shedder = EntryShedder.create(time.ticker(), fleet.random, EventSink.none());
+            TargetExecutor executor = newExecutor();
+            server = PeerCallServer.create(executor);
+            entry = newEntry(newForwarder(executor));
+        }
+
+        private TargetExecutor newExecutor() {
             TargetGate gate = TargetGate.create(
                     GateSettings.ofAnnouncedSlots().withAnnouncedSlots(SLOTS),
                     time,
@@ -179,7 +185,7 @@
                     (crashed, delta) -> CompletableFuture.completedFuture(null),
                     time,
                     EventSink.none());
-            TargetExecutor executor = TargetExecutor.create(new TargetExecutor.Ports(
+            return TargetExecutor.create(new TargetExecutor.Ports(
                     () -> Optional.of(target),
                     this::send,
                     executions,
@@ -191,8 +197,10 @@
                     arrivals,
                     time,
                     EventSink.none()));
-            server = PeerCallServer.create(executor);
-            CallForwarder forwarder = CallForwarder.create(new CallForwarder.Ports(
+        }
+
+        private CallForwarder newForwarder(TargetExecutor executor) {
+            return CallForwarder.create(new CallForwarder.Ports(
                     descriptor.id(),
                     Policy.FULL,
                     this::directory,
@@ -210,9 +218,12 @@
                     ids,
                     time,
                     EventSink.none()));
+        }
+
+        private EntryService newEntry(CallForwarder forwarder) {
             RootAdmission admission = RootAdmission.create(
                     new RootAdmission.Ports(Policy.FULL, shedder, new NoCredits(), null, time.ticker()));
-            entry = EntryService.create(new EntryService.Ports(
+            return EntryService.create(new EntryService.Ports(
                     Policy.FULL,
                     () -> fleet.configuration,
                     CallerAccess.unbounded(),
--- a/src/test/java/io/beryldock/retry/ArrivalBudgetTest.java
+++ b/src/test/java/io/beryldock/retry/ArrivalBudgetTest.java
@@ -113,7 +113,7 @@
         assertThat(budget.room()).isEqualTo(1);
     }
 
-    /** Guards against a bound that calls raise which never arrived, and against one that is given back twice over time. */
+    /** Guards against a bound that is raised by calls that never arrived. */
     @Test
     void whatDidNotArriveIsTakenBackFromWhereItWasCounted() {
         ArrivalBudget budget = budget();
