Repeats: less done on the way of each call, one way to refuse in a target's run, shared set-up in tests

No behaviour changes. A decision of the budget of arrivals summed the buckets twice. Each inner call was copied to set a flag that its parent's context had already set; the flag is kept only where there is no parent. A resent attempt is a repeat, so one copy sets both. TargetRun built a refusal with the whole allowance in three places; AttemptLoop asked for a result's reason in four. RetryBudget.onRepeat is gone: since the window at each sender went, every budget counted it as a first attempt. Tests: one set-up of a calm fleet, one assertion that nodes count what targets receive, one crash detector for three tests; the assertions are the same.

--- a/src/main/java/io/beryldock/call/CallContext.java
+++ b/src/main/java/io/beryldock/call/CallContext.java
@@ -18,7 +18,7 @@
  * @param covered whether the entry node holds credits for the whole tree; covered calls are served before others
  * @param repeat whether an earlier attempt of the call, or of a call above it, may have reached a target
  * @param suspect whether the sender suspects the call of having crashed a target
- * @param resent whether an earlier attempt of the call may have reached a target
+ * @param resent whether an earlier attempt of the call itself may have reached a target; implies {@code repeat}
  */
 public record CallContext(
         RequestId root,
@@ -83,9 +83,9 @@
         return with(remainingNanos, retryAllowance, covered, repeat, mark, resent);
     }
 
-    /** Returns a copy for an attempt; {@code again} tells whether an earlier attempt may have reached a target. */
+    /** Returns a copy for an attempt, which is a repeat if an earlier attempt may have reached a target. */
     public CallContext withResent(boolean again) {
-        return with(remainingNanos, retryAllowance, covered, repeat, suspect, again);
+        return with(remainingNanos, retryAllowance, covered, repeat || again, suspect, again);
     }
 
     /** Returns a copy with the retry allowance. */
--- a/src/main/java/io/beryldock/call/CallResult.java
+++ b/src/main/java/io/beryldock/call/CallResult.java
@@ -81,6 +81,11 @@
         return answer.isPresent() && !answer.get().isServerError();
     }
 
+    /** Whether there is no answer, for this reason. */
+    public boolean hasReason(Reason asked) {
+        return reason.isPresent() && reason.get() == asked;
+    }
+
     /** Returns a copy of this result without an answer, with another reason. */
     public CallResult withReason(Reason other) {
         return new CallResult(
--- a/src/main/java/io/beryldock/forwarding/AttemptLoop.java
+++ b/src/main/java/io/beryldock/forwarding/AttemptLoop.java
@@ -71,11 +71,8 @@
     }
 
     void start() {
-        RetryBudget budget = budget();
-        if (call.context().repeat()) {
-            budget.onRepeat();
-        } else {
-            budget.onFirstTry();
+        budget().onFirstTry();
+        if (!call.context().repeat()) {
             ports.retryTally().firstTry(call.caller(), call.service());
         }
         next();
@@ -138,10 +135,7 @@
     private CallContext attemptContext(RetryGrant grant) {
         CallContext context = call.context();
         long elapsed = context.remainingNanos() - remainingNanos();
-        return context.afterNanos(elapsed)
-                .withRetryAllowance(grant.amount())
-                .withRepeat(context.repeat() || mayHaveArrived)
-                .withResent(mayHaveArrived);
+        return context.afterNanos(elapsed).withRetryAllowance(grant.amount()).withResent(mayHaveArrived);
     }
 
     private void onEnd(TargetRecord target, RetryGrant grant, CallResult ended, long latencyNanos) {
@@ -155,12 +149,12 @@
         fullRefusals += ended.reason().filter(RetryPolicy::isFullRefusal).isPresent() ? 1 : 0;
         last = Optional.of(ended);
         lastAnswer = ended.outcome() == Outcome.ANSWERED ? last : lastAnswer;
-        if (ended.reason().filter(Reason.REPEATS_LIMITED::equals).isPresent()) {
+        if (ended.hasReason(Reason.REPEATS_LIMITED)) {
             budget().onRefused(call.context().priority().rank());
         }
         RetryDecision decision = decide(ended);
         // The level of a target that has used up its rate must not shed calls at their entry that others can serve.
-        if (!decision.isRetry() || !isRateLimited(ended)) {
+        if (!decision.isRetry() || !ended.hasReason(Reason.RATE_LIMITED)) {
             reportLevels(ended);
         }
         if (decision.isRetry()) {
@@ -170,10 +164,6 @@
         }
     }
 
-    private static boolean isRateLimited(CallResult ended) {
-        return ended.reason().filter(Reason.RATE_LIMITED::equals).isPresent();
-    }
-
     private void reportLevels(CallResult ended) {
         if (call.caller().equals(Call.OUTSIDE)) {
             ports.shedder().observe(call.service(), call.context().priority().rank(), ended.levels());
@@ -203,10 +193,10 @@
         if (ended.outcome() == Outcome.ANSWERED) {
             ports.quarantine().onNodeAnswered(target.node());
         }
-        if (ended.reason().filter(Reason.TARGET_CRASHED::equals).isPresent()) {
+        if (ended.hasReason(Reason.TARGET_CRASHED)) {
             ports.quarantine().onTargetCrashReported(fingerprint, target.node(), sentAsSuspect);
         }
-        if (ended.reason().filter(Reason.CONNECTION_LOST::equals).isPresent() && !nodeReplied(ended)) {
+        if (ended.hasReason(Reason.CONNECTION_LOST) && !nodeReplied(ended)) {
             ports.quarantine().onNodeLost(fingerprint, target.node(), sentAsSuspect);
             ports.losses().accept(target.node());
             ports.chooser().onNodeLost(target.node().id());
--- a/src/main/java/io/beryldock/forwarding/EntryService.java
+++ b/src/main/java/io/beryldock/forwarding/EntryService.java
@@ -280,8 +280,8 @@
         long allowed = allowedNanos(request, route);
         CallContext context = caller.parent()
                 .map(parent -> contextBeneath(parent, allowed, retries, false))
-                .orElseGet(() -> contextOfUnknownParent(id, configuration.priorityOf(route), allowed, retries))
-                .withRepeat(caller.repeat());
+                .orElseGet(() -> contextOfUnknownParent(id, configuration.priorityOf(route), allowed, retries)
+                        .withRepeat(caller.endedRepeat()));
         Call call = call(request, route, id, caller.service(), context);
         return dispatchOnOwnAccount(request, call, retries, scope).thenApply(result -> {
             caller.parent().ifPresent(parent -> parent.onInnerEnd(call.service(), result));
--- a/src/main/java/io/beryldock/forwarding/InnerCallDetector.java
+++ b/src/main/java/io/beryldock/forwarding/InnerCallDetector.java
@@ -62,9 +62,9 @@
      *
      * @param service the service whose target makes the call
      * @param parent the call whose run makes the call, where it could be determined
-     * @param repeat whether the run that makes the call is known to be a repeat
+     * @param endedRepeat whether the call is made by a repeated call that has ended here, and so has no parent
      */
-    record InnerCaller(ServiceName service, Optional<Execution> parent, boolean repeat) {}
+    record InnerCaller(ServiceName service, Optional<Execution> parent, boolean endedRepeat) {}
 
     /**
      * Returns the origin of an inner call; empty for a caller's request.
@@ -74,7 +74,7 @@
     Optional<InnerCaller> caller(Route route, Optional<Duration> timeLimit, Optional<String> parentTag) {
         Optional<Execution> parent = parentTag.flatMap(executions::findByTag);
         if (parent.isPresent()) {
-            return ownService.get().map(service -> new InnerCaller(service, parent, isRepeat(parent.get())));
+            return ownService.get().map(service -> new InnerCaller(service, parent, false));
         }
         if (parentTag.filter(executions::isEndedRepeat).isPresent()) {
             return ownService.get().map(service -> new InnerCaller(service, Optional.empty(), true));
@@ -94,16 +94,9 @@
                 .get(route)
                 .filter(seenNanos -> now - seenNanos < CALLER_PROOF_VALIDITY_NANOS)
                 .isPresent();
-        return callers ? Optional.empty() : ownService.get().map(service -> innerCaller(service, parent(asked, now)));
-    }
-
-    private InnerCaller innerCaller(ServiceName service, Optional<Execution> parent) {
-        return new InnerCaller(
-                service, parent, parent.filter(InnerCallDetector::isRepeat).isPresent());
-    }
-
-    private static boolean isRepeat(Execution parent) {
-        return parent.call().context().repeat();
+        return callers
+                ? Optional.empty()
+                : ownService.get().map(service -> new InnerCaller(service, parent(asked, now), false));
     }
 
     /**
--- a/src/main/java/io/beryldock/forwarding/TargetRun.java
+++ b/src/main/java/io/beryldock/forwarding/TargetRun.java
@@ -80,7 +80,7 @@
     void start() {
         CallContext context = call.context();
         if (!ports.arrivals().admit(call.service(), context)) {
-            finish(repeatsLimited());
+            refuseRepeat();
             return;
         }
         deadline = ports.timers().after(Duration.ofNanos(context.remainingNanos()), () -> giveUp(Reason.TIMED_OUT));
@@ -116,10 +116,7 @@
         synchronized (this) {
             reported = givenUp == Reason.TIMED_OUT ? Reason.DEADLINE_PASSED : reason;
         }
-        CallResult refusal = CallResult.notRun(reported, "refused at the gate of " + call.service())
-                .withRetryAfterMillis(retryAfterMillis)
-                .withUnspentRetries(call.context().retryAllowance());
-        finish(refusal);
+        refuse(reported, "refused at the gate of " + call.service(), retryAfterMillis);
     }
 
     /**
@@ -146,16 +143,14 @@
         Verdict verdict = ports.quarantine().start(fingerprint, call.context().suspect());
         if (verdict == Verdict.REFUSED) {
             permit.release(Completion.REFUSED_BY_TARGET);
-            finish(CallResult.notRun(Reason.SHED_AT_TARGET, "a request that was in flight at a crash runs alone")
-                    .withRetryAfterMillis(SUSPECT_RETRY_MILLIS)
-                    .withUnspentRetries(call.context().retryAllowance()));
+            refuse(Reason.SHED_AT_TARGET, "a request that was in flight at a crash runs alone", SUSPECT_RETRY_MILLIS);
             return;
         }
         Optional<ArrivalControl.Sending> arrival = ports.arrivals().onSend(call.service(), call.context());
         if (arrival.isEmpty()) {
             permit.release(Completion.REFUSED_BY_TARGET);
             ports.quarantine().onAbandoned(fingerprint);
-            finish(repeatsLimited());
+            refuseRepeat();
             return;
         }
         Execution started = open();
@@ -181,9 +176,15 @@
         }
     }
 
-    private CallResult repeatsLimited() {
-        return CallResult.notRun(Reason.REPEATS_LIMITED, "repeats of calls to " + call.service())
-                .withUnspentRetries(call.context().retryAllowance());
+    private void refuseRepeat() {
+        refuse(Reason.REPEATS_LIMITED, "repeats of calls to " + call.service(), 0);
+    }
+
+    /** Ends the call, which was not sent to the target; its retry allowance is returned whole. */
+    private void refuse(Reason reason, String detail, long retryAfterMillis) {
+        finish(CallResult.notRun(reason, detail)
+                .withRetryAfterMillis(retryAfterMillis)
+                .withUnspentRetries(call.context().retryAllowance()));
     }
 
     private Execution open() {
--- a/src/main/java/io/beryldock/retry/ArrivalBudget.java
+++ b/src/main/java/io/beryldock/retry/ArrivalBudget.java
@@ -124,13 +124,14 @@
     }
 
     private boolean isAvailable(int order) {
-        return available() >= 1 && new Sums().left(bucket - BUCKETS) - reservedForHigherOrders(order) >= 1;
+        Sums sums = new Sums();
+        return sums.least() >= 1 && sums.left(bucket - BUCKETS) - reservedForHigherOrders(order) >= 1;
     }
 
     /** Returns the number of repeats that requests of the highest order could make now. */
     public synchronized int room() {
         advance();
-        return (int) Math.max(0, available());
+        return (int) Math.max(0, new Sums().least());
     }
 
     /** Returns the order of a repeat, 0 the highest: ranks in turn, calls of repeated runs first within each. */
@@ -138,16 +139,6 @@
         return 2 * rank + (inherited ? 0 : 1);
     }
 
-    /** Returns the least that is left to any window that has begun and not ended. */
-    private double available() {
-        Sums sums = new Sums();
-        double least = Double.MAX_VALUE;
-        for (long begin = bucket - BUCKETS; begin <= bucket; begin++) {
-            least = Math.min(least, sums.left(begin));
-        }
-        return least;
-    }
-
     /** Returns the repeats that higher orders will request in a window at their recent rate. */
     private int reservedForHigherOrders(int order) {
         int requests = 0;
@@ -196,6 +187,15 @@
             }
         }
 
+        /** Returns the least that is left to any window that has begun and not ended. */
+        double least() {
+            double least = Double.MAX_VALUE;
+            for (long begin = bucket - BUCKETS; begin <= bucket; begin++) {
+                least = Math.min(least, left(begin));
+            }
+            return least;
+        }
+
         /**
          * Returns what is left to a window that begins within the bucket.
          *
@@ -205,8 +205,7 @@
         double left(long begin) {
             int before = between(firstsUntil, begin - BUCKETS + 1, begin - 1);
             int around = between(firstsUntil, begin - HALF + 1, Math.min(bucket, begin + HALF - 1));
-            // First arrivals of the bucket itself lie before or within the window, and the lesser weight counts for
-            // them.
+            // First arrivals of the bucket itself lie before or within the window; the lesser weight counts for them.
             int within = between(firstsUntil, begin, bucket);
             double mean = WEIGHT_BEFORE * before + WEIGHT_AROUND * around + WEIGHT_WITHIN * within;
             return share * mean - between(repeatsUntil, begin, bucket);
--- a/src/main/java/io/beryldock/retry/HoldingRetryBudget.java
+++ b/src/main/java/io/beryldock/retry/HoldingRetryBudget.java
@@ -28,9 +28,6 @@
     @Override
     public void onFirstTry() {}
 
-    @Override
-    public void onRepeat() {}
-
     @Override
     public synchronized void onRefused(int rank) {
         heldUntil[rank] = ticker.nanos() + HOLD.toNanos();
--- a/src/main/java/io/beryldock/retry/RetryBudget.java
+++ b/src/main/java/io/beryldock/retry/RetryBudget.java
@@ -5,12 +5,9 @@
 /** Limits the retries sent to a service to a share of the first attempts. Thread safe. */
 public interface RetryBudget {
 
-    /** Records a first attempt. */
+    /** Records the first attempt of a call, also of one that a repeated run makes. */
     void onFirstTry();
 
-    /** Records a call that is repeated because the run that makes it is itself a repetition. */
-    void onRepeat();
-
     /**
      * Takes one retry from the budget; false when none is available to the rank.
      *
--- a/src/main/java/io/beryldock/retry/TokenRetryBudget.java
+++ b/src/main/java/io/beryldock/retry/TokenRetryBudget.java
@@ -35,12 +35,6 @@
         shareTokens += settings.share();
     }
 
-    /** Counts as a first attempt, since the share is small enough to keep repeated repetitions within the limit. */
-    @Override
-    public void onRepeat() {
-        onFirstTry();
-    }
-
     @Override
     public synchronized boolean tryRetry(int rank) {
         advance();
--- a/src/test/java/io/beryldock/forwarding/InnerCallDetectorTest.java
+++ b/src/test/java/io/beryldock/forwarding/InnerCallDetectorTest.java
@@ -149,6 +149,6 @@
 
     private Optional<Boolean> isRepeat(Optional<String> tag) {
         return detector.caller(route("/inner/"), Optional.of(Duration.ofMillis(300)), tag)
-                .map(InnerCaller::repeat);
+                .map(InnerCaller::endedRepeat);
     }
 }
--- a/src/test/java/io/beryldock/forwarding/RetryBudgetFleetTest.java
+++ b/src/test/java/io/beryldock/forwarding/RetryBudgetFleetTest.java
@@ -15,17 +15,27 @@
     private static final Duration CALM = Duration.ofSeconds(12);
     private static final Duration TROUBLE = Duration.ofSeconds(8);
 
+    private static RetryFleet calmFleet(long seed) {
+        RetryFleet fleet = new RetryFleet(seed, NODES_PER_SERVICE);
+        fleet.run(CALM);
+        return fleet;
+    }
+
     private static void assertWithinBound(RetryFleet fleet) {
         assertThat(fleet.count.repeats()).as("repeats of all services").isPositive();
         assertThat(fleet.count.firstExcess()).isEmpty();
     }
 
+    private static void assertNodesCountAllRepeats(RetryFleet fleet) {
+        assertThat(fleet.count.repeats()).isPositive();
+        assertThat(fleet.sentRepeats()).isEqualTo(fleet.count.repeats());
+    }
+
     /** Guards against budgets that are granted anew by restarts, with the repeats of runs above added to them. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3})
     void boundHoldsWhenNodesRestartAtOnceWhileTargetsRefuseAndLoseAnswers(long seed) {
-        RetryFleet fleet = new RetryFleet(seed, NODES_PER_SERVICE);
-        fleet.run(CALM);
+        RetryFleet fleet = calmFleet(seed);
         fleet.killAndStart(0.9, Duration.ofMillis(500));
         fleet.run(Duration.ofSeconds(2));
         fleet.refuse(RetryFleet.HOLDINGS, 0.6);
@@ -43,8 +53,7 @@
     /** Guards against repeats of the layers above that add up at the service beneath them all. */
     @Test
     void boundHoldsWhenAnswersAreLostAtEachLayer() {
-        RetryFleet fleet = new RetryFleet(11, NODES_PER_SERVICE);
-        fleet.run(CALM);
+        RetryFleet fleet = calmFleet(11);
         fleet.lose(RetryFleet.LISTS, 0.4);
         fleet.lose(RetryFleet.ORDERS, 0.4);
         fleet.lose(RetryFleet.CATALOGUE, 0.4);
@@ -68,8 +77,7 @@
     /** Guards against a budget that both sides of a cut spend. */
     @Test
     void boundHoldsWhenADataCentreIsCutOff() {
-        RetryFleet fleet = new RetryFleet(31, NODES_PER_SERVICE);
-        fleet.run(CALM);
+        RetryFleet fleet = calmFleet(31);
         fleet.cut(0);
         fleet.lose(RetryFleet.LISTS, 0.3);
         fleet.refuse(RetryFleet.HOLDINGS, 0.5);
@@ -82,8 +90,7 @@
     /** Guards against calls that raise the bound at each target to which no connection could be made. */
     @Test
     void boundHoldsAfterConnectionsToTargetsFailed() {
-        RetryFleet fleet = new RetryFleet(71, NODES_PER_SERVICE);
-        fleet.run(CALM);
+        RetryFleet fleet = calmFleet(71);
         fleet.disconnect(RetryFleet.HOLDINGS, 1);
         fleet.run(TROUBLE);
         fleet.disconnect(RetryFleet.HOLDINGS, 0);
@@ -95,8 +102,7 @@
     /** Guards against repeats that go on when the requests that they are a share of have become few. */
     @Test
     void boundHoldsWhenRequestsBecomeFew() {
-        RetryFleet fleet = new RetryFleet(41, NODES_PER_SERVICE);
-        fleet.run(CALM);
+        RetryFleet fleet = calmFleet(41);
         fleet.lose(RetryFleet.LISTS, 0.5);
         fleet.refuse(RetryFleet.HOLDINGS, 0.4);
         fleet.run(Duration.ofSeconds(3));
@@ -108,31 +114,26 @@
     /** Guards against calls that are taken for first ones although a target rejected an earlier attempt above them. */
     @Test
     void nodesCountAsRepeatsWhatTargetsReceiveAsRepeats() {
-        RetryFleet fleet = new RetryFleet(51, NODES_PER_SERVICE);
-        fleet.run(CALM);
+        RetryFleet fleet = calmFleet(51);
         fleet.refuse(RetryFleet.CATALOGUE, 0.3);
         fleet.lose(RetryFleet.ORDERS, 0.1);
         fleet.run(TROUBLE);
-        assertThat(fleet.count.repeats()).isPositive();
-        assertThat(fleet.sentRepeats()).isEqualTo(fleet.count.repeats());
+        assertNodesCountAllRepeats(fleet);
     }
 
     /** Guards against calls of a repeated run that are taken for first ones because its node has given the run up. */
     @Test
     void nodesCountAsRepeatsTheCallsOfRepeatedRunsThatTheyHaveGivenUp() {
-        RetryFleet fleet = new RetryFleet(61, NODES_PER_SERVICE);
-        fleet.run(CALM);
+        RetryFleet fleet = calmFleet(61);
         fleet.drop(RetryFleet.ORDERS, 0.3);
         fleet.run(TROUBLE);
-        assertThat(fleet.count.repeats()).isPositive();
-        assertThat(fleet.sentRepeats()).isEqualTo(fleet.count.repeats());
+        assertNodesCountAllRepeats(fleet);
     }
 
     /** Guards against a bound that is kept by not repeating at all. */
     @Test
     void nearlyAllRequestsSucceedWhileATenthOfTheCallsAreRefused() {
-        RetryFleet fleet = new RetryFleet(81, NODES_PER_SERVICE);
-        fleet.run(CALM);
+        RetryFleet fleet = calmFleet(81);
         fleet.refuse(RetryFleet.HOLDINGS, 0.1);
         assertThat(fleet.answeredShareWhileRunning(TROUBLE)).isGreaterThan(0.95);
         assertWithinBound(fleet);
@@ -142,8 +143,7 @@
     @ParameterizedTest
     @ValueSource(longs = {100, 101, 102, 103, 104, 105, 106, 107})
     void boundHoldsUnderRandomTroubles(long seed) {
-        RetryFleet fleet = new RetryFleet(seed, NODES_PER_SERVICE);
-        fleet.run(CALM);
+        RetryFleet fleet = calmFleet(seed);
         fleet.lose(RetryFleet.LISTS, 0.3);
         fleet.refuse(RetryFleet.HOLDINGS, 0.3);
         for (int i = 0; i < 12; i++) {
--- a/src/test/java/io/beryldock/forwarding/RetryFleetNode.java
+++ b/src/test/java/io/beryldock/forwarding/RetryFleetNode.java
@@ -179,12 +179,7 @@
                     EventSink.none(),
                     service);
             AnnouncedTarget target = new AnnouncedTarget(service, address, gate);
-            TargetCrashDetector crashes = TargetCrashDetector.create(
-                    current -> lostAtNanos -> CompletableFuture.completedFuture(TargetProcessState.GOES_ON),
-                    quarantine,
-                    (crashed, delta) -> CompletableFuture.completedFuture(null),
-                    time,
-                    EventSink.none());
+            TargetCrashDetector crashes = TargetFixtures.crashDetector(TargetProcessState.GOES_ON, quarantine, time);
             return TargetExecutor.create(new TargetExecutor.Ports(
                     () -> Optional.of(target),
                     this::send,
--- a/src/test/java/io/beryldock/forwarding/TargetExecutorTest.java
+++ b/src/test/java/io/beryldock/forwarding/TargetExecutorTest.java
@@ -38,13 +38,8 @@
     private final Quarantine quarantine = TargetFixtures.quarantine(time);
     private final AnnouncedTarget target = TargetFixtures.target(time);
     private final Deque<CompletableFuture<TargetReply>> sent = new ArrayDeque<>();
-    private final TargetProcessState state = TargetProcessState.ENDED;
-    private final TargetCrashDetector crashes = TargetCrashDetector.create(
-            address -> lostAtNanos -> CompletableFuture.completedFuture(state),
-            quarantine,
-            (service, delta) -> CompletableFuture.completedFuture(null),
-            time,
-            EventSink.none());
+    private final TargetCrashDetector crashes =
+            TargetFixtures.crashDetector(TargetProcessState.ENDED, quarantine, time);
     private final ArrivalControl arrivals =
             ArrivalControl.create(time.ticker(), new ArrivalBudget.Limits(SHARE, Duration.ofSeconds(10)));
     private final TargetExecutor executor = TargetExecutor.create(new TargetExecutor.Ports(
@@ -160,7 +155,7 @@
 
     private CompletableFuture<CallResult> resend(String path) {
         Call call = TargetFixtures.read(path, TIME_LIMIT);
-        CallContext again = call.context().withResent(true).withRepeat(true);
+        CallContext again = call.context().withResent(true);
         return executor.execute(call.attempt(call.id(), again), CancelScope.create());
     }
 
--- a/src/test/java/io/beryldock/forwarding/TargetFixtures.java
+++ b/src/test/java/io/beryldock/forwarding/TargetFixtures.java
@@ -22,6 +22,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 
 /** A node with a target of the service "lists", and reads of it. Stateless except for issued ids; thread safe. */
@@ -39,6 +40,17 @@
         return Quarantine.create(self, timers.ticker(), QuarantineSettings.defaults(), EventSink.none());
     }
 
+    /** A detector for which the target's process is in the given state after each lost exchange. */
+    public static TargetCrashDetector crashDetector(
+            TargetProcessState state, Quarantine quarantine, TimerService timers) {
+        return TargetCrashDetector.create(
+                address -> lostAtNanos -> CompletableFuture.completedFuture(state),
+                quarantine,
+                (service, delta) -> CompletableFuture.completedFuture(null),
+                timers,
+                EventSink.none());
+    }
+
     static AnnouncedTarget target(TimerService timers) {
         TargetGate gate = TargetGate.create(GateSettings.defaults(), timers, new Random(1), EventSink.none(), LISTS);
         return new AnnouncedTarget(LISTS, ADDRESS, gate);
--- a/src/test/java/io/beryldock/platform/TargetNoticesTest.java
+++ b/src/test/java/io/beryldock/platform/TargetNoticesTest.java
@@ -86,12 +86,7 @@
         PlatformTargetClient client =
                 new PlatformTargetClient(http, () -> Optional.of(new LocalTarget(ID, server.address())));
         Quarantine quarantine = TargetFixtures.quarantine(time);
-        TargetCrashDetector crashes = TargetCrashDetector.create(
-                address -> lostAtNanos -> CompletableFuture.completedFuture(TargetProcessState.GOES_ON),
-                quarantine,
-                (service, delta) -> CompletableFuture.completedFuture(null),
-                time,
-                EventSink.none());
+        TargetCrashDetector crashes = TargetFixtures.crashDetector(TargetProcessState.GOES_ON, quarantine, time);
         return new TargetExecutor.Ports(
                 () -> Optional.of(new AnnouncedTarget(LISTS, server.address(), gate)),
                 client,
