--- a/src/main/java/io/beryldock/platform/PlatformNode.java
+++ b/src/main/java/io/beryldock/platform/PlatformNode.java
@@ -18,10 +18,13 @@
 import io.beryldock.node.NodeCore;
 import io.beryldock.node.NodeHealth;
 import io.beryldock.node.SharedResources;
+import io.beryldock.node.StoreMetrics;
 import io.beryldock.peer.PeerStartException;
 import io.beryldock.settings.SettingsException;
 import io.beryldock.settings.SettingsReader;
+import io.beryldock.store.StoreSharing;
 import io.beryldock.timeline.EventKind;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -96,12 +99,18 @@
                 settings.service(),
                 () -> isConfigured(configuration),
                 health::isStopping);
+        PrometheusRegistry registry = new PrometheusRegistry();
+        StoreMetrics.register(
+                registry,
+                injector.getInstance(StoreSharing.class)::stats,
+                () -> configuration.current().version());
+        MetricsEndpoint metrics = MetricsEndpoint.create(registry);
         HttpServer.bind(Addresses.parse(listeners.heartbeats()), loops, limits, heartbeats);
         HttpServer.bind(
                 Addresses.parse(listeners.readiness()),
                 loops,
                 limits,
-                exchange -> answerReadiness(exchange, configuration, health));
+                exchange -> answerReadiness(exchange, configuration, health, metrics));
         HttpServer.bind(Addresses.parse(listeners.requests()), loops, limits, callers);
     }
 
@@ -110,7 +119,12 @@
     }
 
     /** A node is ready once it has a configuration: without routes it could only refuse requests. */
-    private static void answerReadiness(HttpExchange exchange, ActiveConfiguration configuration, NodeHealth health) {
+    private static void answerReadiness(
+            HttpExchange exchange, ActiveConfiguration configuration, NodeHealth health, MetricsEndpoint metrics) {
+        if (exchange.uri().equals(MetricsEndpoint.PATH)) {
+            exchange.answer(metrics.answer());
+            return;
+        }
         boolean ready = isConfigured(configuration) && !health.isStopping();
         exchange.answer(HttpAnswer.of(ready ? OK : UNAVAILABLE));
     }
--- a/src/main/java/io/beryldock/store/EntryTable.java
+++ b/src/main/java/io/beryldock/store/EntryTable.java
@@ -30,6 +30,7 @@
     private final Map<String, Tombstone> tombstones = new HashMap<>();
     private StoreRevision revision = StoreRevision.NONE;
     private StoreRevision lastDiscarded = StoreRevision.NONE;
+    private StoreRevision lastChange = StoreRevision.NONE;
 
     EntryTable(String prefix) {
         this.prefix = prefix;
@@ -48,6 +49,11 @@
         return revision;
     }
 
+    /** The revision of the latest change that was applied; {@link StoreRevision#NONE} before the first one. */
+    StoreRevision lastChange() {
+        return lastChange;
+    }
+
     boolean hasEntries() {
         return !entries.isEmpty();
     }
@@ -70,6 +76,7 @@
 
     /** Applies one change, which must be newer than the known state of its key. */
     void apply(Entry entry, long now) {
+        lastChange = StoreRevision.later(lastChange, entry.revision());
         if (entry.value().isPresent()) {
             entries.put(entry.key(), entry);
             tombstones.remove(entry.key());
--- a/src/main/java/io/beryldock/store/SharedFollower.java
+++ b/src/main/java/io/beryldock/store/SharedFollower.java
@@ -1,5 +1,6 @@
 package io.beryldock.store;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.flogger.FluentLogger;
 import io.beryldock.store.RegistryStore.Entry;
 import io.beryldock.store.RegistryStore.Listing;
@@ -31,6 +32,7 @@
     private final EntryListener listener;
     private final Owner owner;
     private final StoreFollower follower;
+    private final FollowerCounters counters = new FollowerCounters();
     private boolean watcher;
     private StoreRevision forwardedRevision = StoreRevision.NONE;
     private boolean overtakenBefore;
@@ -56,7 +58,7 @@
         this.table = new EntryTable(prefix);
         this.listener = listener;
         this.owner = owner;
-        this.follower = StoreFollower.create(store, prefix, batchDelay, () -> watcher, timers, random, this);
+        this.follower = StoreFollower.create(store, prefix, batchDelay, () -> watcher, timers, random, this, counters);
     }
 
     /** Starts with a listing of the entries. */
@@ -79,10 +81,19 @@
         return table.hasEntries();
     }
 
+    String prefix() {
+        return prefix;
+    }
+
     StoreRevision revision() {
         return table.revision();
     }
 
+    /** The revision of the latest change that this node has applied. */
+    StoreRevision lastChange() {
+        return table.lastChange();
+    }
+
     /** The revision up to which this node has forwarded the store's changes to other nodes. */
     StoreRevision forwardedRevision() {
         return forwardedRevision;
@@ -90,6 +101,11 @@
 
     /** Starts watching the store, or stops watching it at the end of the current watch. */
     void setWatcher(boolean value) {
+        if (value != watcher) {
+            log.atInfo().log(
+                    value ? "watching %s on behalf of the data centre" : "leaving the watch of %s to other nodes",
+                    prefix);
+        }
         if (value && !watcher) {
             forwardedRevision = table.revision();
         }
@@ -131,6 +147,12 @@
         }
     }
 
+    /** How this node follows the prefix. */
+    FollowerStats stats() {
+        Moment now = clock.now();
+        return counters.stats(prefix, watcher, verified().map(moment -> moment.ageNanos(now)));
+    }
+
     StorePart since(StoreRevision revision) {
         return table.since(revision, timers.ticker().nanos());
     }
@@ -146,6 +168,7 @@
         TimerThread.onCompletion(timers, store.list(prefix), (listing, failure) -> {
             onStore(failure == null);
             if (failure == null) {
+                reportMissed(listing);
                 applyStored(listing);
                 onCaughtUp(listing.revision());
                 noteVerified(asked, listing.revision());
@@ -153,6 +176,22 @@
         });
     }
 
+    private void reportMissed(Listing listing) {
+        ImmutableList<Entry> missed = table.changesTo(listing);
+        if (missed.isEmpty()) {
+            return;
+        }
+        counters.countMissedChanges(missed.size());
+        log.atWarning().atMostEvery(LOG_SECONDS, TimeUnit.SECONDS).log(
+                "the store lists %d changes of %s up to revision %s that this node had not heard of; it knew revision"
+                        + " %s, and its last verification was %s ms ago",
+                missed.size(),
+                prefix,
+                missed.get(missed.size() - 1).revision(),
+                table.revision(),
+                stats().verifiedAgeNanos().map(TimeUnit.NANOSECONDS::toMillis).orElse(null));
+    }
+
     /**
      * Records that the store, when asked at the given moment or later, had nothing newer than the revision.
      *
--- a/src/main/java/io/beryldock/store/StoreFollower.java
+++ b/src/main/java/io/beryldock/store/StoreFollower.java
@@ -8,6 +8,7 @@
 import io.beryldock.time.TimerService;
 import io.beryldock.time.TimerThread;
 import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 
@@ -30,6 +31,7 @@
     private static final Duration WATCH = Duration.ofSeconds(10);
 
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
+    private static final int LOG_SECONDS = 1;
     private static final int MAX_DOUBLINGS = 8;
 
     private final RegistryStore store;
@@ -39,6 +41,7 @@
     private final TimerService timers;
     private final RandomGenerator random;
     private final Listener listener;
+    private final FollowerCounters counters;
     private StoreRevision watchRevision = StoreRevision.NONE;
     private int watchNumber;
     private int failures;
@@ -51,7 +54,8 @@
             BooleanSupplier wanted,
             TimerService timers,
             RandomGenerator random,
-            Listener listener) {
+            Listener listener,
+            FollowerCounters counters) {
         this.store = store;
         this.prefix = prefix;
         this.batchDelay = batchDelay;
@@ -59,6 +63,7 @@
         this.timers = timers;
         this.random = random;
         this.listener = listener;
+        this.counters = counters;
     }
 
     /**
@@ -66,6 +71,7 @@
      *
      * @param batchDelay delay between two watches, so that one call fetches a burst of changes
      * @param wanted while it returns false no further watch starts, until the follower is resumed
+     * @param counters counts the calls of this follower
      */
     static StoreFollower create(
             RegistryStore store,
@@ -74,8 +80,9 @@
             BooleanSupplier wanted,
             TimerService timers,
             RandomGenerator random,
-            Listener listener) {
-        return new StoreFollower(store, prefix, batchDelay, wanted, timers, random, listener);
+            Listener listener,
+            FollowerCounters counters) {
+        return new StoreFollower(store, prefix, batchDelay, wanted, timers, random, listener, counters);
     }
 
     /** Receives the entries of the store and their changes, on the timer thread. */
@@ -108,6 +115,9 @@
     /** Replaces the current watch by one after a revision up to which all changes are known. */
     void restartWatchFrom(StoreRevision revision) {
         if (!watchRevision.equals(StoreRevision.NONE)) {
+            counters.countReplacedWatch();
+            log.atInfo().log(
+                    "replacing the watch of %s after revision %s by one after %s", prefix, watchRevision, revision);
             watch(StoreRevision.later(watchRevision, revision));
         }
     }
@@ -116,6 +126,7 @@
     void start() {
         watchNumber++;
         watchRevision = StoreRevision.NONE;
+        counters.countListing();
         TimerThread.onCompletion(timers, store.list(prefix), this::onListed);
     }
 
@@ -164,6 +175,7 @@
         }
         watchRevision = revision;
         int number = ++watchNumber;
+        counters.countWatch();
         TimerThread.onCompletion(timers, store.changes(prefix, revision, WATCH), (changes, failure) -> {
             if (number == watchNumber) {
                 onWatched(revision, changes, failure);
@@ -175,12 +187,16 @@
         failures = failure == null ? 0 : failures + 1;
         listener.onStore(failure == null);
         if (failure != null) {
+            counters.countFailedWatch();
+            log.atInfo().atMostEvery(LOG_SECONDS, TimeUnit.SECONDS).log(
+                    "a watch of %s after revision %s failed: %s", prefix, revision, failure.getMessage());
             watchAfter(retryDelay(), revision);
         } else if (changes.historyGone() || !changes.revision().isSameEra(revision)) {
             log.atInfo().log(
                     "the store no longer has the history of %s after revision %s: listing it again", prefix, revision);
             start();
         } else {
+            counters.countEndedWatch(changes.entries().size());
             changes.entries().forEach(listener::onChange);
             listener.onCaughtUp(changes.revision());
             watchAfter(batchDelay, changes.revision());
--- a/src/main/java/io/beryldock/store/StoreSharing.java
+++ b/src/main/java/io/beryldock/store/StoreSharing.java
@@ -1,5 +1,6 @@
 package io.beryldock.store;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.ByteString;
@@ -30,7 +31,7 @@
  * Watchers also ask nodes of other data centres, which detects a watch whose connection has gone silent. If there is no
  * other data centre, two nodes watch.
  *
- * <p>Used on the timer thread only.
+ * <p>Used on the timer thread only, except {@link #stats()}.
  */
 public final class StoreSharing {
 
@@ -67,6 +68,7 @@
     private final List<SharedFollower> verified = new ArrayList<>();
     private final StoreQuestionHandler questionHandler;
     private boolean storeReachable = true;
+    private volatile ImmutableList<FollowerStats> stats = ImmutableList.of();
 
     private StoreSharing(NodeId self, Ports ports) {
         this.self = self;
@@ -169,7 +171,13 @@
         return ports.timers().ticker().nanos();
     }
 
+    /** How this node follows each prefix, as of the last second. Thread safe. */
+    public ImmutableList<FollowerStats> stats() {
+        return stats;
+    }
+
     private void tick() {
+        stats = followers.values().stream().map(SharedFollower::stats).collect(ImmutableList.toImmutableList());
         elect();
         followers.values().forEach(SharedFollower::replaceSilentWatch);
         ImmutableSet<NodeId> members = ports.peers().ownDataCentre();
@@ -261,7 +269,7 @@
 
     private void onAnswer(NodeId node, Moment asked, ByteString answer, Throwable failure) {
         if (failure != null) {
-            suspect(node);
+            suspect(node, "it did not answer");
             return;
         }
         Optional<StoreNotice> notice = read(node, answer);
@@ -287,7 +295,8 @@
     }
 
     /** Suspects the node and elects again at once, as this node may be the next in rank. */
-    private void suspect(NodeId node) {
+    private void suspect(NodeId node, String reason) {
+        log.atInfo().atMostEvery(1, TimeUnit.SECONDS).log("node %s is passed over as a watcher: %s", node, reason);
         choice.suspect(node, now(ports));
         elect();
     }
@@ -303,18 +312,27 @@
             SharedFollower follower = followers.get(part.getPrefix());
             if (follower != null) {
                 StoreRevision before = follower.revision();
+                StoreRevision lastChange = follower.lastChange();
                 complete &= follower.apply(part);
+                logProgress(follower, lastChange, sender);
                 forwardChanges(follower, before, sender);
             }
         }
         if (!notice.getWatching() || isOfEarlierEra(notice)) {
-            suspect(sender);
+            suspect(sender, "it does not watch the store");
         }
         if (!complete) {
             ask(sender);
         }
     }
 
+    private static void logProgress(SharedFollower follower, StoreRevision before, NodeId sender) {
+        if (follower.lastChange().isAfter(before)) {
+            log.atInfo().log(
+                    "%s: changes up to revision %s from node %s", follower.prefix(), follower.lastChange(), sender);
+        }
+    }
+
     /** Whether the sender still follows an earlier era of the store, for example after a suspension or a partition. */
     private boolean isOfEarlierEra(StoreNotice notice) {
         return notice.getEra() < eras().newest();
