--- a/src/test/java/io/beryldock/store/FakeRegistry.java
+++ b/src/test/java/io/beryldock/store/FakeRegistry.java
@@ -25,6 +25,8 @@
     private long era = 1;
     private long revision = 1;
     private long nextLease = 1;
+    private long discardedUpTo;
+    private boolean withholding;
 
     public FakeRegistry(TimerService timers) {
         this.timers = timers;
@@ -47,6 +49,21 @@
         record(new RegistryStore.Entry(key, currentRevision(), Optional.of(value)));
     }
 
+    /** While withholding, watches get no changes: one that ends returns none, with the current revision. */
+    public void setWithholding(boolean value) {
+        withholding = value;
+        if (!value) {
+            List.copyOf(watches).forEach(Watch::deliverChanges);
+        }
+    }
+
+    /** Discards the history of changes; watches in progress fail. */
+    public void discardHistory() {
+        discardedUpTo = revision;
+        history.clear();
+        failWatches();
+    }
+
     public boolean holds(String key) {
         return items.containsKey(key);
     }
@@ -68,6 +85,11 @@
         leases.clear();
         copy.leases().forEach((lease, keys) -> leases.put(lease, new ArrayList<>(keys)));
         revision = copy.revision();
+        discardedUpTo = 0;
+        failWatches();
+    }
+
+    private void failWatches() {
         List<Watch> interrupted = List.copyOf(watches);
         watches.clear();
         interrupted.forEach(Watch::fail);
@@ -116,6 +138,7 @@
     public final class View implements RegistryStore {
         private boolean down;
         private boolean silent;
+        private boolean losesWatches;
         private int calls;
         private final StoreEras eras = StoreEras.create();
         private Supplier<Duration> delay = () -> Duration.ZERO;
@@ -139,6 +162,11 @@
             silent = value;
         }
 
+        /** While it loses watches, new ones never end although other calls are answered. */
+        public void setLosesWatches(boolean value) {
+            losesWatches = value;
+        }
+
         private <T> CompletableFuture<T> answer(T value) {
             if (silent) {
                 CompletableFuture<T> unanswered = new CompletableFuture<>();
@@ -193,7 +221,10 @@
         @Override
         public CompletableFuture<Changes> changes(String prefix, StoreRevision after, Duration wait) {
             calls++;
-            if (after.number() > revision) {
+            if (losesWatches) {
+                return new CompletableFuture<>();
+            }
+            if (after.number() > revision || after.number() < discardedUpTo) {
                 return answer(new Changes(true, ImmutableList.of(), currentRevision()));
             }
             WaitingWatch watch = new WaitingWatch(prefix, after.number());
@@ -222,7 +253,8 @@
                                 entry.revision().number() > after && entry.key().startsWith(prefix))
                         .collect(ImmutableList.toImmutableList());
                 silenced |= silent;
-                if (!newChanges.isEmpty() && !down && !silenced && watches.remove(this)) {
+                boolean answered = !down && !silenced && !withholding;
+                if (!newChanges.isEmpty() && answered && watches.remove(this)) {
                     eras.observe(era);
                     future.complete(new Changes(false, newChanges, currentRevision()));
                 }
--- a/src/test/java/io/beryldock/store/SharingFleet.java
+++ b/src/test/java/io/beryldock/store/SharingFleet.java
@@ -62,6 +62,13 @@
         return member.sharing;
     }
 
+    /** Ends the node's process: its tasks run no more, and it exchanges no messages. */
+    public void kill(String id) {
+        Member member = members.get(NodeId.of(id));
+        member.stopped = true;
+        member.timers.setSuspended(true);
+    }
+
     public FakeRegistry.View view(String id) {
         return members.get(NodeId.of(id)).view;
     }
--- a/src/test/java/io/beryldock/store/StoreSharingTest.java
+++ b/src/test/java/io/beryldock/store/StoreSharingTest.java
@@ -25,6 +25,9 @@
     private static final int CENTRES = 5;
     private static final int NODES_PER_CENTRE = 19;
 
+    /** The value with which every listener fails. */
+    private static final ByteString FAULTY = ByteString.copyFromUtf8("faulty");
+
     private final ManualTimerService timers = ManualTimerService.create();
     private final FakeRegistry registry = new FakeRegistry(timers);
     private final SharingFleet fleet = new SharingFleet(registry, timers);
@@ -36,6 +39,9 @@
 
         @Override
         public boolean onEntry(Entry entry) {
+            if (entry.value().filter(FAULTY::equals).isPresent()) {
+                throw new IllegalStateException("a fault of the listener");
+            }
             entry.value().ifPresentOrElse(value -> values.put(entry.key(), value), () -> values.remove(entry.key()));
             return true;
         }
@@ -309,4 +315,30 @@
         timers.advance(Duration.ofSeconds(1));
         assertThat(allHold("a", "7")).isTrue();
     }
+
+    /** Guards against a node that follows nothing any more after one entry made its listener fail. */
+    @Test
+    void changesArriveAfterAListenerHasFailed() {
+        start();
+        registry.write(PREFIX + "a", FAULTY);
+        timers.advance(Duration.ofSeconds(1));
+        write("b", "8");
+        timers.advance(Duration.ofSeconds(1));
+        assertThat(allHold("b", "8")).isTrue();
+    }
+
+    /** Guards against a change that all nodes miss for good, because the store withheld it from the watches. */
+    @Test
+    void changeThatTheStoreWithheldReachesAllNodes() {
+        start();
+        for (int phase = 0; phase < 44; phase++) {
+            timers.advance(Duration.ofMillis(250L * phase));
+            registry.setWithholding(true);
+            write("a", "withheld " + phase);
+            timers.advance(Duration.ofSeconds(1));
+            registry.setWithholding(false);
+            timers.advance(Duration.ofSeconds(11));
+            assertThat(allHold("a", "withheld " + phase)).as("phase %d", phase).isTrue();
+        }
+    }
 }
