Soak: a new version is judged at each node in touch by itself

The check judged in calm only, 3 s after the last fault anywhere, so it could not see a node that waits for another one in trouble.

--- a/src/main/java/io/beryldock/soak/FaultAction.java
+++ b/src/main/java/io/beryldock/soak/FaultAction.java
@@ -1,6 +1,8 @@
 package io.beryldock.soak;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
 import java.util.Arrays;
 
 /** What happens to a node from outside, or what operators do meanwhile. */
@@ -47,6 +49,15 @@
             .filter(action -> action.compareTo(KILLED) <= 0)
             .collect(ImmutableList.toImmutableList());
 
+    private static final ImmutableSet<FaultAction> HARMS_ALL = Sets.immutableEnumSet(
+            STORE_SILENT_FOR_ALL,
+            STORE_REFUSING,
+            STORE_ANSWERS_LOST,
+            STORE_LEASES_LAPSED,
+            STORE_HISTORY_FORGOTTEN,
+            STORE_RESTORED,
+            ALL_KILLED);
+
     private final Link link;
     private final LinkState state;
 
@@ -64,6 +75,11 @@
         return state;
     }
 
+    /** Whether it harms the processes of all nodes, or the store or the way of all nodes to it. */
+    boolean harmsAll() {
+        return HARMS_ALL.contains(this);
+    }
+
     boolean isUnplanned() {
         return this == ALL_KILLED || UNPLANNED.contains(this);
     }
--- a/src/main/java/io/beryldock/soak/FaultExecutor.java
+++ b/src/main/java/io/beryldock/soak/FaultExecutor.java
@@ -1,6 +1,7 @@
 package io.beryldock.soak;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import com.google.common.flogger.FluentLogger;
 import io.beryldock.soak.FaultAction.Link;
 import io.beryldock.soak.Surroundings.StoreState;
@@ -78,7 +79,8 @@
 
     private void begin(PlannedFault fault) throws IOException, InterruptedException {
         if (fault.action().isUnplanned()) {
-            ledger.add(SoakEvent.FaultBegan::new);
+            ImmutableSet<Integer> harmed = harmedNodes(fault);
+            ledger.add(at -> new SoakEvent.FaultBegan(at, harmed));
         }
         SoakPlace place = places.get(fault.node());
         switch (fault.action()) {
@@ -90,6 +92,16 @@
         }
     }
 
+    private ImmutableSet<Integer> harmedNodes(PlannedFault fault) {
+        if (fault.action().harmsAll()) {
+            return places.stream().map(SoakPlace::number).collect(ImmutableSet.toImmutableSet());
+        }
+        boolean targetOnly = fault.action().link() == Link.TARGET;
+        return targetOnly
+                ? ImmutableSet.of()
+                : ImmutableSet.of(places.get(fault.node()).number());
+    }
+
     /** What harms no process of a node. */
     private void beginAround(SoakPlace place, FaultAction action) {
         switch (action) {
@@ -121,7 +133,8 @@
             default -> place.heal(fault.action().link(), fault.action().state());
         }
         if (fault.action().isUnplanned()) {
-            ledger.add(SoakEvent.FaultEnded::new);
+            ImmutableSet<Integer> harmed = harmedNodes(fault);
+            ledger.add(at -> new SoakEvent.FaultEnded(at, harmed));
         }
     }
 
--- a/src/main/java/io/beryldock/soak/HoldUpWatch.java
+++ b/src/main/java/io/beryldock/soak/HoldUpWatch.java
@@ -1,6 +1,7 @@
 package io.beryldock.soak;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import io.beryldock.time.Ticker;
 import java.time.Duration;
 
@@ -21,6 +22,7 @@
     private final Surroundings surroundings;
     private final SoakLedger ledger;
     private final Ticker ticker;
+    private final ImmutableSet<Integer> all;
     private long looked;
 
     HoldUpWatch(ImmutableList<SoakPlace> places, Surroundings surroundings, SoakLedger ledger, Ticker ticker) {
@@ -28,25 +30,26 @@
         this.surroundings = surroundings;
         this.ledger = ledger;
         this.ticker = ticker;
+        this.all = places.stream().map(SoakPlace::number).collect(ImmutableSet.toImmutableSet());
         this.looked = ticker.nanos();
     }
 
     /** Called each {@link #PERIOD}. */
     void look() {
         long now = ticker.nanos();
-        judge(now - looked - PERIOD.toNanos());
+        judge(now - looked - PERIOD.toNanos(), all);
         looked = now;
         for (SoakPlace place : places) {
             surroundings.askReadiness(place.readiness()).whenComplete((answered, failure) -> {
                 // Without an answer the node is down or stops, of which the plan knows, or was held up for long.
-                judge(ticker.nanos() - now);
+                judge(ticker.nanos() - now, ImmutableSet.of(place.number()));
             });
         }
     }
 
-    private void judge(long lateNanos) {
+    private void judge(long lateNanos, ImmutableSet<Integer> nodes) {
         if (lateNanos > LIMIT_NANOS) {
-            ledger.add(SoakEvent.HeldUp::new);
+            ledger.add(at -> new SoakEvent.HeldUp(at, nodes));
         }
     }
 }
--- a/src/main/java/io/beryldock/soak/SoakEvent.java
+++ b/src/main/java/io/beryldock/soak/SoakEvent.java
@@ -1,5 +1,7 @@
 package io.beryldock.soak;
 
+import com.google.common.collect.ImmutableSet;
+
 /**
  * What callers, targets, operators and the operating system saw. Immutable.
  *
@@ -48,14 +50,22 @@
     /** The process of a node that was asked to stop has ended. */
     record StopEnded(long at, int node) implements SoakEvent {}
 
-    /** A fault that nobody planned begins. */
-    record FaultBegan(long at) implements SoakEvent {}
+    /**
+     * A fault that nobody planned begins.
+     *
+     * @param nodes the nodes whose process, links to other nodes or way to the store it harms
+     */
+    record FaultBegan(long at, ImmutableSet<Integer> nodes) implements SoakEvent {}
 
     /** It is over. */
-    record FaultEnded(long at) implements SoakEvent {}
+    record FaultEnded(long at, ImmutableSet<Integer> nodes) implements SoakEvent {}
 
-    /** A node, or this process with all the proxies, did not get to run for a while, as on a busy host. */
-    record HeldUp(long at) implements SoakEvent {}
+    /**
+     * Nodes, or this process with all the proxies, did not get to run for a while, as on a busy host.
+     *
+     * @param nodes the nodes concerned
+     */
+    record HeldUp(long at, ImmutableSet<Integer> nodes) implements SoakEvent {}
 
     /** All nodes were killed and have been started again. */
     record AllBack(long at) implements SoakEvent {}
--- a/src/test/java/io/beryldock/soak/CheckTrial.java
+++ b/src/test/java/io/beryldock/soak/CheckTrial.java
@@ -1,6 +1,7 @@
 package io.beryldock.soak;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import io.beryldock.soak.SoakEvent.Ending;
 import io.beryldock.soak.SoakEvent.Reply;
 import java.time.Duration;
@@ -14,6 +15,8 @@
     static final int ENTRY = 0;
     static final int RUNNER = 1;
 
+    private static final ImmutableSet<Integer> BOTH = ImmutableSet.of(ENTRY, RUNNER);
+
     private final PromiseCheck check;
     private final List<String> broken = new ArrayList<>();
     private long now;
@@ -101,15 +104,23 @@
     }
 
     CheckTrial heldUp() {
-        return see(new SoakEvent.HeldUp(now));
+        return see(new SoakEvent.HeldUp(now, BOTH));
     }
 
     CheckTrial faultBegan() {
-        return see(new SoakEvent.FaultBegan(now));
+        return see(new SoakEvent.FaultBegan(now, BOTH));
+    }
+
+    CheckTrial faultBegan(int node) {
+        return see(new SoakEvent.FaultBegan(now, ImmutableSet.of(node)));
     }
 
     CheckTrial faultEnded() {
-        return see(new SoakEvent.FaultEnded(now));
+        return see(new SoakEvent.FaultEnded(now, BOTH));
+    }
+
+    CheckTrial faultEnded(int node) {
+        return see(new SoakEvent.FaultEnded(now, ImmutableSet.of(node)));
     }
 
     CheckTrial allBack() {
--- a/src/test/java/io/beryldock/soak/NewVersionCheckTest.java
+++ b/src/test/java/io/beryldock/soak/NewVersionCheckTest.java
@@ -46,4 +46,26 @@
         trial.written(5).after(LONG).started().after(SHORT).probe("a", 5).answered("a", 404);
         assertThat(trial.broken()).isEmpty();
     }
+
+    /** Guards against a node that misses a version because of the trouble of another one, and is not judged. */
+    @Test
+    void aNodeInTouchIsJudgedWhileAnotherIsUnderAFault() {
+        trial.faultBegan(CheckTrial.RUNNER).written(5).after(LONG).probe("a", 5).answered("a", 404);
+        assertThat(trial.broken()).hasSize(1);
+    }
+
+    @Test
+    void aNodeWithAFaultOfItsOwnHoldsUntilItWasCalm() {
+        trial.written(5).faultBegan(CheckTrial.ENTRY).after(LONG).probe("a", 5).answered("a", 404);
+        trial.faultEnded(CheckTrial.ENTRY).after(SHORT).probe("b", 5).answered("b", 404);
+        assertThat(trial.broken()).isEmpty();
+        trial.after(LONG).probe("c", 5).answered("c", 404);
+        assertThat(trial.broken()).hasSize(1);
+    }
+
+    @Test
+    void aNodeThatIsAskedToStopHolds() {
+        trial.written(5).after(LONG).stopAsked(CheckTrial.ENTRY).probe("a", 5).answered("a", 404);
+        assertThat(trial.broken()).isEmpty();
+    }
 }
