Each node checks for itself that it has read the newest of the store

What callers saw: for seconds after the operators' change was confirmed, nodes in touch refused its routes (404) or went by the older version. Cause: a node heard of a change only through the watcher of its data centre; a lost watcher was replaced by a chain (question 1 s, time-out 0.8 s, next in rank at the next question, again for each that was lost with it), nobody watched in the first 3 s after a start of all, and a watch that stood still was noticed by nobody.

Now each node keeps the moment at which the store provably held nothing that the node had not read. Watchers read the store's revision each 0.4 s, a short linearizable call in place of the stale probe each second, and list a prefix when the revision has risen; others take the check over with the answers to their questions, each 0.4 s. A node whose check of the document is older than 1 s reads the store itself, whatever the reason is: 1 s, 0.2 s until the look at the age, two calls of the store. Records of nodes have 20 s. A watcher whose checks stand still does not count as one.

The bound of VerificationTest on calls is replaced: one call a second and data centre was the cost of a check each second, which could not hold the bound of two seconds. It now bounds reads of the revision (one a period), and apart from them listings and watches, more closely than before (3 in 20 s instead of 23 a data centre), and what a change costs.

--- a/src/main/java/io/beryldock/configuration/DocumentSync.java
+++ b/src/main/java/io/beryldock/configuration/DocumentSync.java
@@ -21,51 +21,41 @@
     /** Pause between two watches. Documents are replaced rarely, and a delayed update costs more than a store call. */
     private static final Duration WATCH_PAUSE = Duration.ofMillis(20);
 
+    /**
+     * Age of the last check above which this node asks the store itself: half of the two seconds after which operators
+     * rely on a confirmed document.
+     */
+    private static final Duration MAX_AGE = Duration.ofSeconds(1);
+
     private final ActiveConfiguration activeConfiguration;
     private final StoreSharing sharing;
     private final String key;
     private final DocumentDecoder decoder;
-    private final boolean verified;
 
     /** Set once by the control thread, read by request threads. */
     private volatile StoreSharing.Verification verification = Optional::empty;
 
     private DocumentSync(
-            ActiveConfiguration activeConfiguration,
-            StoreSharing sharing,
-            String key,
-            DocumentDecoder decoder,
-            boolean verified) {
+            ActiveConfiguration activeConfiguration, StoreSharing sharing, String key, DocumentDecoder decoder) {
         this.activeConfiguration = activeConfiguration;
         this.sharing = sharing;
         this.key = key;
         this.decoder = decoder;
-        this.verified = verified;
     }
 
     /**
      * Creates a synchronisation that is not started yet.
      *
      * @param key under which the store holds the document
-     * @param verified whether to track how long ago the document was verified to be the newest; this costs the store
-     *     one read per second and data centre
      */
     public static DocumentSync create(
-            ActiveConfiguration activeConfiguration,
-            StoreSharing sharing,
-            String key,
-            DocumentDecoder decoder,
-            boolean verified) {
-        return new DocumentSync(activeConfiguration, sharing, key, decoder, verified);
+            ActiveConfiguration activeConfiguration, StoreSharing sharing, String key, DocumentDecoder decoder) {
+        return new DocumentSync(activeConfiguration, sharing, key, decoder);
     }
 
     /** Reads the document and starts to follow its changes. */
     public void start() {
-        if (verified) {
-            verification = sharing.followVerified(key, WATCH_PAUSE, new DocumentListener());
-        } else {
-            sharing.follow(key, WATCH_PAUSE, new DocumentListener());
-        }
+        verification = sharing.follow(key, WATCH_PAUSE, MAX_AGE, new DocumentListener());
     }
 
     /**
--- a/src/main/java/io/beryldock/membership/RegistryMembership.java
+++ b/src/main/java/io/beryldock/membership/RegistryMembership.java
@@ -48,6 +48,9 @@
     /** Nodes start and leave in groups; this delay lets one call fetch the entries of a group. */
     private static final Duration WATCH_BATCH_DELAY = Duration.ofMillis(250);
 
+    /** Age of the last check of the records above which this node asks the store itself. */
+    private static final Duration MAX_AGE = Duration.ofSeconds(20);
+
     /**
      * A target announces itself every one to two seconds; this delay lets the first entry include the target, so that
      * it is written once.
@@ -95,7 +98,7 @@
     @Override
     public void start() {
         timers.after(FIRST_WRITE_DELAY, own::publish);
-        sharing.follow(PREFIX, WATCH_BATCH_DELAY, new RecordEntryListener());
+        sharing.follow(PREFIX, WATCH_BATCH_DELAY, MAX_AGE, new RecordEntryListener());
         timers.every(TICK_PERIOD, this::tick);
         feed.schedulePublish();
     }
--- a/src/main/java/io/beryldock/node/StoreMetrics.java
+++ b/src/main/java/io/beryldock/node/StoreMetrics.java
@@ -32,13 +32,13 @@
                 .callback(callback -> callback.call(configurationVersion.getAsDouble()))
                 .register(registry);
         GaugeWithCallback.builder()
-                .name(PREFIX + "verified_age_seconds")
-                .help("time since the store provably had nothing newer under the prefix; absent while unknown")
+                .name(PREFIX + "checked_age_seconds")
+                .help("time since the store provably held nothing that this node had not read; absent while unknown")
                 .labelNames("prefix")
                 .callback(callback -> followers
                         .get()
                         .forEach(stats ->
-                                stats.verifiedAgeNanos().ifPresent(age -> callback.call(seconds(age), stats.prefix()))))
+                                stats.checkedAgeNanos().ifPresent(age -> callback.call(seconds(age), stats.prefix()))))
                 .register(registry);
         GaugeWithCallback.builder()
                 .name(PREFIX + "watching")
--- a/src/main/java/io/beryldock/platform/KvStoreClient.java
+++ b/src/main/java/io/beryldock/platform/KvStoreClient.java
@@ -46,8 +46,8 @@
     private static final int HISTORY_GONE = 410;
     private static final double MILLIS_PER_SECOND = 1000;
 
-    /** Key that the probe reads; the key need not exist. */
-    private static final String PROBE_KEY = "beryldock/probe";
+    /** Prefix under which no keys are written. */
+    private static final String EMPTY_PREFIX = "beryldock/none/";
 
     private static final String REMEDY = "; continue with the last known state and retry later";
 
@@ -212,11 +212,12 @@
         });
     }
 
-    /** Reads a key, which may be absent, with stale reads allowed: the cheapest call of the protocol. */
+    /** Lists a prefix without keys: the answer is short, linearizable, and names the store's revision. */
     @Override
-    public CompletableFuture<Void> probe() {
-        return call("GET", "/kv-key?key=" + escape(PROBE_KEY) + "&allowStale=1", ByteString.EMPTY, Duration.ZERO)
-                .thenAccept(KvStoreClient::exists);
+    public CompletableFuture<StoreRevision> revision() {
+        return call("GET", "/kv-range?pathPrefix=" + escape(EMPTY_PREFIX), ByteString.EMPTY, Duration.ZERO)
+                .thenApply(reply -> new StoreRevision(
+                        eraOf(reply), KvJson.read(checked(reply)).path("at").asLong()));
     }
 
     @Override
--- a/src/main/java/io/beryldock/platform/PlatformModule.java
+++ b/src/main/java/io/beryldock/platform/PlatformModule.java
@@ -107,8 +107,7 @@
     @Provides
     @Singleton
     DocumentSync documentSync(ActiveConfiguration activeConfiguration, StoreSharing sharing) {
-        boolean verified = settings.revokedKeysWithin().isPresent();
-        return DocumentSync.create(activeConfiguration, sharing, OperatorDocument.KEY, document, verified);
+        return DocumentSync.create(activeConfiguration, sharing, OperatorDocument.KEY, document);
     }
 
     @Provides
--- a/src/main/java/io/beryldock/store/FollowerCounters.java
+++ b/src/main/java/io/beryldock/store/FollowerCounters.java
@@ -43,11 +43,11 @@
     }
 
     /** The counts so far. */
-    FollowerStats stats(String prefix, boolean watching, Optional<Long> verifiedAgeNanos) {
+    FollowerStats stats(String prefix, boolean watching, Optional<Long> checkedAgeNanos) {
         return new FollowerStats(
                 prefix,
                 watching,
-                verifiedAgeNanos,
+                checkedAgeNanos,
                 listings,
                 watches,
                 watchesWithChanges,
--- a/src/main/java/io/beryldock/store/FollowerStats.java
+++ b/src/main/java/io/beryldock/store/FollowerStats.java
@@ -6,7 +6,7 @@
  * How a node follows one prefix of the store. Immutable.
  *
  * @param watching whether this node watches the prefix on behalf of its data centre
- * @param verifiedAgeNanos time since the store provably had nothing newer than this node; empty while unknown
+ * @param checkedAgeNanos time since the store provably held nothing that this node had not read; empty while unknown
  * @param listings listings that this node began
  * @param watches watches that this node began
  * @param watchesWithChanges watches that ended with changes
@@ -18,7 +18,7 @@
 public record FollowerStats(
         String prefix,
         boolean watching,
-        Optional<Long> verifiedAgeNanos,
+        Optional<Long> checkedAgeNanos,
         long listings,
         long watches,
         long watchesWithChanges,
--- a/src/main/java/io/beryldock/store/RegistryStore.java
+++ b/src/main/java/io/beryldock/store/RegistryStore.java
@@ -28,8 +28,11 @@
     /** Completes with the changes under the prefix after the revision, or without changes after {@code wait}. */
     CompletableFuture<Changes> changes(String prefix, StoreRevision after, Duration wait);
 
-    /** Completes when the store answers; an inexpensive call. */
-    CompletableFuture<Void> probe();
+    /**
+     * Reads the store's current revision, which is not older than the last write that the store confirmed before the
+     * call; transfers no entries.
+     */
+    CompletableFuture<StoreRevision> revision();
 
     /** Grants a lease; the result is its number. */
     CompletableFuture<Long> grantLease(Duration length);
@@ -55,7 +58,8 @@
      *
      * @param historyGone whether the store has discarded the requested history, so that the entries must be listed
      *     again
-     * @param revision the revision from which to continue watching
+     * @param revision the store's revision when it answered. Without entries it does not show that there are no changes
+     *     up to it, as a store that discards its history may withhold changes from watches
      */
     record Changes(boolean historyGone, ImmutableList<Entry> entries, StoreRevision revision) {}
 }
--- a/src/main/java/io/beryldock/store/SharedFollower.java
+++ b/src/main/java/io/beryldock/store/SharedFollower.java
@@ -32,6 +32,7 @@
     private final EntryListener listener;
     private final Owner owner;
     private final StoreFollower follower;
+    private final long maxAgeNanos;
     private final FollowerCounters counters = new FollowerCounters();
     private boolean watcher;
     private StoreRevision forwardedRevision = StoreRevision.NONE;
@@ -39,12 +40,19 @@
     private Moment startedAt;
     private StoreRevision undecodableRevision = StoreRevision.NONE;
 
+    /** The latest moment at which the store held nothing that this node had not read; null before the first check. */
+    private Moment checked;
+
+    /** The store's revision at that moment. */
+    private StoreRevision checkedRevision = StoreRevision.NONE;
+
     /** Written on the control thread only; read by request threads, which check its age. */
     private volatile Moment verified;
 
     SharedFollower(
             String prefix,
             Duration batchDelay,
+            Duration maxAge,
             EntryListener listener,
             Owner owner,
             RegistryStore store,
@@ -52,6 +60,7 @@
             Moment.Source clock,
             RandomGenerator random) {
         this.prefix = prefix;
+        this.maxAgeNanos = maxAge.toNanos();
         this.store = store;
         this.timers = timers;
         this.clock = clock;
@@ -122,7 +131,7 @@
      * timeout although the store has changes.
      */
     void replaceSilentWatch() {
-        boolean overtaken = watcher && table.revision().isAfter(follower.watchRevision());
+        boolean overtaken = watcher && table.lastChange().isAfter(follower.watchRevision());
         if (overtaken && overtakenBefore) {
             follower.restartWatchFrom(table.revision());
         }
@@ -149,21 +158,38 @@
 
     /** How this node follows the prefix. */
     FollowerStats stats() {
-        Moment now = clock.now();
-        return counters.stats(prefix, watcher, verified().map(moment -> moment.ageNanos(now)));
+        return counters.stats(prefix, watcher, checkedAgeNanos());
     }
 
     StorePart since(StoreRevision revision) {
         return table.since(revision, timers.ticker().nanos());
     }
 
+    /** Whether the last check is older than the share of the longest allowed age. */
+    boolean isCheckOlderThan(double shareOfMaxAge, Moment now) {
+        return checked == null || checked.ageNanos(now) >= shareOfMaxAge * maxAgeNanos;
+    }
+
     /**
-     * Lists the entries to verify that the store holds nothing newer than this node.
+     * Handles the revision that the store had when it was asked at the given moment or later. If the store has changed
+     * since the last check, the entries are listed.
      *
      * <p>A watch that ends without changes proves nothing about its last second, as a store that compacts its history
      * may withhold changes from watches for that long. A listing does prove it.
+     *
+     * @param shareOfMaxAge age of the last check, as a share of the longest allowed one, from which entries are listed
      */
-    void verify() {
+    void check(Moment asked, StoreRevision revision, double shareOfMaxAge) {
+        if (revision.isSameEra(checkedRevision) && !revision.isAfter(checkedRevision)) {
+            noteChecked(asked, revision);
+            noteVerified(asked, revision);
+        } else if (isCheckOlderThan(shareOfMaxAge, asked)) {
+            list();
+        }
+    }
+
+    private void list() {
+        counters.countListing();
         Moment asked = clock.now();
         TimerThread.onCompletion(timers, store.list(prefix), (listing, failure) -> {
             onStore(failure == null);
@@ -171,6 +197,7 @@
                 reportMissed(listing);
                 applyStored(listing);
                 onCaughtUp(listing.revision());
+                noteChecked(asked, listing.revision());
                 noteVerified(asked, listing.revision());
             }
         });
@@ -184,12 +211,34 @@
         counters.countMissedChanges(missed.size());
         log.atWarning().atMostEvery(LOG_SECONDS, TimeUnit.SECONDS).log(
                 "the store lists %d changes of %s up to revision %s that this node had not heard of; it knew revision"
-                        + " %s, and its last verification was %s ms ago",
+                        + " %s, and its last check was %s ms ago",
                 missed.size(),
                 prefix,
                 missed.get(missed.size() - 1).revision(),
                 table.revision(),
-                stats().verifiedAgeNanos().map(TimeUnit.NANOSECONDS::toMillis).orElse(null));
+                checkedAgeNanos().map(TimeUnit.NANOSECONDS::toMillis).orElse(null));
+    }
+
+    /**
+     * Records that the store, when asked at the given moment or later, was at the revision. Counts only if this node
+     * has received every change up to it.
+     */
+    void noteChecked(Moment asked, StoreRevision revision) {
+        boolean complete = !revision.isAfter(table.revision());
+        if (complete && (checked == null || asked.isAfter(checked))) {
+            checked = asked;
+            checkedRevision = StoreRevision.later(checkedRevision, revision);
+        }
+    }
+
+    /** Time since the last check; empty before the first one. */
+    Optional<Long> checkedAgeNanos() {
+        return Optional.ofNullable(checked).map(moment -> moment.ageNanos(clock.now()));
+    }
+
+    /** The store's revision at the last check. */
+    StoreRevision checkedRevision() {
+        return checkedRevision;
     }
 
     /**
@@ -245,6 +294,7 @@
     @Override
     public void onListing(Listing listing) {
         applyStored(listing);
+        noteChecked(startedAt, listing.revision());
         noteVerified(startedAt, listing.revision());
     }
 
--- a/src/main/java/io/beryldock/store/StoreParts.java
+++ b/src/main/java/io/beryldock/store/StoreParts.java
@@ -27,6 +27,11 @@
         return new StoreRevision(part.getEra(), part.getSince());
     }
 
+    /** The revision of the store at the sender's last check. */
+    static StoreRevision checkedRevision(StorePart part) {
+        return new StoreRevision(part.getEra(), part.getCheckedRevision());
+    }
+
     static StoreEntry entry(Entry entry) {
         StoreEntry.Builder wire = StoreEntry.newBuilder()
                 .setKey(entry.key())
--- a/src/main/java/io/beryldock/store/StoreQuestionHandler.java
+++ b/src/main/java/io/beryldock/store/StoreQuestionHandler.java
@@ -4,36 +4,28 @@
 import io.beryldock.time.Moment;
 import io.beryldock.wire.StoreNotice;
 import io.beryldock.wire.StorePart;
-import java.util.Collection;
 import java.util.Map;
 import java.util.Optional;
 
 /**
  * Answers the questions of other nodes about the store with the changes that the asking node lacks and with the age of
- * this node's last verification.
+ * this node's last check of the store.
  *
  * <p>Used on the timer thread only.
  */
 final class StoreQuestionHandler {
 
     private final Map<String, SharedFollower> followers;
-    private final Collection<SharedFollower> verified;
     private final Moment.Source clock;
     private final StoreEras eras;
 
     /**
-     * Keeps references to both collections, so that followers added later are included in answers.
+     * Keeps a reference to the map, so that followers added later are included in answers.
      *
      * @param followers the followers by prefix
-     * @param verified the followers whose verification age is part of an answer
      */
-    StoreQuestionHandler(
-            Map<String, SharedFollower> followers,
-            Collection<SharedFollower> verified,
-            Moment.Source clock,
-            StoreEras eras) {
+    StoreQuestionHandler(Map<String, SharedFollower> followers, Moment.Source clock, StoreEras eras) {
         this.followers = followers;
-        this.verified = verified;
         this.clock = clock;
         this.eras = eras;
     }
@@ -53,17 +45,19 @@
     private Optional<StorePart> part(SharedFollower follower, StorePart known) {
         StoreRevision revision = StoreParts.revision(known);
         boolean newer = follower.revision().isAfter(revision);
-        Optional<Moment> since = verified.contains(follower) ? follower.verified() : Optional.empty();
+        Optional<Long> checkedAge = follower.checkedAgeNanos();
         Optional<Entry> kept = follower.kept().filter(entry -> !isKnown(known, entry));
-        if (!newer && since.isEmpty() && kept.isEmpty()) {
+        if (!newer && checkedAge.isEmpty() && kept.isEmpty()) {
             return Optional.empty();
         }
         StorePart.Builder part = newer
                 ? follower.since(revision).toBuilder()
                 : StoreParts.part(known.getPrefix(), follower.revision())
                         .setSince(follower.revision().number());
+        checkedAge.ifPresent(part::setCheckedAgeNanos);
+        part.setCheckedRevision(follower.checkedRevision().number());
         Moment now = clock.now();
-        since.ifPresent(moment -> part.setVerifiedAgeNanos(moment.ageNanos(now)));
+        follower.verified().ifPresent(moment -> part.setVerifiedAgeNanos(moment.ageNanos(now)));
         kept.ifPresent(entry -> part.setKept(StoreParts.entry(entry)));
         return Optional.of(part.build());
     }
--- a/src/main/java/io/beryldock/store/StoreSharing.java
+++ b/src/main/java/io/beryldock/store/StoreSharing.java
@@ -6,15 +6,14 @@
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.beryldock.call.NodeId;
+import io.beryldock.time.Jitter;
 import io.beryldock.time.Moment;
 import io.beryldock.time.TimerService;
 import io.beryldock.time.TimerThread;
 import io.beryldock.wire.StoreNotice;
 import io.beryldock.wire.StorePart;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -26,10 +25,13 @@
  * changes to the others.
  *
  * <p>Guards against a number of store calls that grows with the square of the number of nodes: without sharing, each
- * change completes the watch of every node, and every node has to start a new watch. Each second a node asks the
- * watcher for later changes, which recovers the content of lost messages; a watcher that does not answer is replaced.
- * Watchers also ask nodes of other data centres, which detects a watch whose connection has gone silent. If there is no
- * other data centre, two nodes watch.
+ * change completes the watch of every node, and every node has to start a new watch.
+ *
+ * <p>Notices are only the fast way. Each node keeps the moment of its last check, at which the store provably held
+ * nothing that the node had not read. Watchers check the store periodically and the others take the check over with the
+ * answers to their questions. A node whose check is older than allowed asks the store itself, whatever the reason is:
+ * so a change that the store has confirmed reaches a node within the allowed age, {@link #CHECK_PERIOD} and two calls
+ * of the store, and no node depends on another node, on a watch or on the choice of watchers.
  *
  * <p>Used on the timer thread only, except {@link #stats()}.
  */
@@ -38,14 +40,29 @@
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
     private static final int LOG_SECONDS = 10;
 
-    /** Period of the questions to the watcher; bounds how long a node lags after a message was lost. */
-    private static final Duration QUESTION_PERIOD = Duration.ofSeconds(1);
+    /** Period of the questions to the watcher. */
+    private static final Duration QUESTION_PERIOD = Duration.ofMillis(400);
+
+    /** Period at which a node looks whether a check of the store is due. */
+    private static final Duration CHECK_PERIOD = Duration.ofMillis(200);
+
+    /** Period of the comparison with other data centres. */
+    private static final Duration SUPERVISION_PERIOD = Duration.ofSeconds(1);
 
     /**
-     * Age of the last verification above which a node asks the store itself. The watcher's verification is up to one
-     * period old and reaches the other nodes within a second period; the rest allows for the loss of a watcher.
+     * Age of a watcher's check, as a share of the longest allowed one, at which it checks again. With the time until
+     * the next question it stays below the allowed age at the nodes that take the check over.
      */
-    private static final Duration MAX_VERIFICATION_AGE = Duration.ofMillis(2500);
+    private static final double WATCHER_CHECK_SHARE = 0.4;
+
+    /** Age of the check, as a share of the longest allowed one, above which a node does not count as a watcher. */
+    private static final double NO_WATCHER_SHARE = 3;
+
+    /** Time from one check until the next one may begin; a check without an answer is not waited for. */
+    private static final Duration CHECK_GAP = Duration.ofMillis(400);
+
+    /** The same while the store does not answer this node, jittered by half. */
+    private static final Duration CHECK_GAP_IN_OUTAGE = Duration.ofMillis(800);
 
     /** Delay of the first election: when all nodes start at once, some have written their entries by then. */
     private static final Duration FIRST_ELECTION_DELAY = Duration.ofMillis(500);
@@ -65,18 +82,19 @@
     private final long startedAt;
     private final WatcherChoice choice;
     private final Map<String, SharedFollower> followers = new LinkedHashMap<>();
-    private final List<SharedFollower> verified = new ArrayList<>();
     private final StoreQuestionHandler questionHandler;
     private boolean storeReachable = true;
+    private long nextCheckAt;
     private volatile ImmutableList<FollowerStats> stats = ImmutableList.of();
 
     private StoreSharing(NodeId self, Ports ports) {
         this.self = self;
         this.ports = ports;
         this.startedAt = now(ports);
+        this.nextCheckAt = startedAt;
         this.choice = new WatcherChoice(self, startedAt);
-        this.questionHandler = new StoreQuestionHandler(
-                followers, verified, ports.clock(), ports.store().eras());
+        this.questionHandler =
+                new StoreQuestionHandler(followers, ports.clock(), ports.store().eras());
     }
 
     /** Dependencies of the sharing; the timers run on the control thread. */
@@ -91,8 +109,10 @@
     public static StoreSharing create(NodeId self, Ports ports) {
         StoreSharing sharing = new StoreSharing(self, ports);
         ports.store().eras().onNewEra(ports.timers(), () -> ports.timers().after(ERA_CHANGE_DELAY, sharing::enterEra));
-        ports.timers().after(FIRST_ELECTION_DELAY, sharing::tick);
-        ports.timers().every(QUESTION_PERIOD, sharing::tick);
+        ports.timers().after(FIRST_ELECTION_DELAY, sharing::exchange);
+        ports.timers().every(QUESTION_PERIOD, sharing::exchange);
+        ports.timers().every(CHECK_PERIOD, sharing::checkIfDue);
+        ports.timers().every(SUPERVISION_PERIOD, sharing::supervise);
         return sharing;
     }
 
@@ -100,37 +120,13 @@
      * Follows the entries under the prefix.
      *
      * @param batchDelay delay between two watches, so that one call fetches a burst of changes
+     * @param maxAge age of the last check above which this node asks the store itself
      */
-    public void follow(String prefix, Duration batchDelay, EntryListener listener) {
-        add(prefix, batchDelay, listener);
-    }
-
-    /**
-     * Follows the entries under the prefix and verifies continuously that the store has nothing newer.
-     *
-     * <p>Costs one listing per second and data centre: the watcher asks the store, and the other nodes ask the watcher.
-     * Guards against a node that applies outdated entries because it was partitioned, rejected by the store or
-     * suspended when they changed.
-     */
-    public Verification followVerified(String prefix, Duration batchDelay, EntryListener listener) {
-        SharedFollower follower = add(prefix, batchDelay, listener);
-        verified.add(follower);
-        return () ->
-                follower.verified().map(moment -> moment.ageNanos(ports.clock().now()));
-    }
-
-    /** The age of the last verification that the store has nothing newer. Thread safe. */
-    @FunctionalInterface
-    public interface Verification {
-
-        /** Age in nanoseconds; empty before the first verification. */
-        Optional<Long> ageNanos();
-    }
-
-    private SharedFollower add(String prefix, Duration batchDelay, EntryListener listener) {
+    public Verification follow(String prefix, Duration batchDelay, Duration maxAge, EntryListener listener) {
         SharedFollower follower = new SharedFollower(
                 prefix,
                 batchDelay,
+                maxAge,
                 listener,
                 new FollowerOwner(),
                 ports.store(),
@@ -140,7 +136,16 @@
         followers.put(prefix, follower);
         ports.recovery().subscribe(follower::restartWatch);
         follower.start();
-        return follower;
+        return () ->
+                follower.verified().map(moment -> moment.ageNanos(ports.clock().now()));
+    }
+
+    /** The age of the last verification that the store has nothing newer. Thread safe. */
+    @FunctionalInterface
+    public interface Verification {
+
+        /** Age in nanoseconds; empty before the first verification. */
+        Optional<Long> ageNanos();
     }
 
     /** Handles a message of another node; only questions get a reply. */
@@ -176,39 +181,51 @@
         return stats;
     }
 
-    private void tick() {
-        stats = followers.values().stream().map(SharedFollower::stats).collect(ImmutableList.toImmutableList());
+    private void exchange() {
         elect();
-        followers.values().forEach(SharedFollower::replaceSilentWatch);
+        if (!isWatcher()) {
+            askOwnDataCentre();
+        }
+    }
+
+    private void askOwnDataCentre() {
         ImmutableSet<NodeId> members = ports.peers().ownDataCentre();
         choice.nextToAsk(members, watcherCount(), now(ports)).ifPresent(this::ask);
+    }
+
+    /** Compares watchers with each other and across data centres, which reveals silent watches. */
+    private void supervise() {
+        stats = followers.values().stream().map(SharedFollower::stats).collect(ImmutableList.toImmutableList());
+        followers.values().forEach(SharedFollower::replaceSilentWatch);
         if (isWatcher()) {
+            askOwnDataCentre();
             ports.peers().randomRemoteNode().ifPresent(this::ask);
-            probe();
-        } else {
-            verified.stream().filter(this::isUnverified).forEach(SharedFollower::verify);
         }
     }
 
-    /** Whether the last verification is too old, so that this node has to ask the store itself. */
-    private boolean isUnverified(SharedFollower follower) {
+    /** Asks the store for its revision: watchers periodically, others if the check of any prefix is too old. */
+    private void checkIfDue() {
+        long now = now(ports);
+        if (now - nextCheckAt >= 0 && (isWatcher() || isAnyCheckOlderThan(1))) {
+            Duration gap = storeReachable ? CHECK_GAP : Jitter.around(CHECK_GAP_IN_OUTAGE, ports.random());
+            nextCheckAt = now + gap.toNanos();
+            check(isWatcher() ? WATCHER_CHECK_SHARE : 1);
+        }
+    }
+
+    private boolean isAnyCheckOlderThan(double shareOfMaxAge) {
         Moment now = ports.clock().now();
-        return follower.verified()
-                .filter(moment -> moment.ageNanos(now) <= MAX_VERIFICATION_AGE.toNanos())
-                .isEmpty();
+        return followers.values().stream().anyMatch(follower -> follower.isCheckOlderThan(shareOfMaxAge, now));
     }
 
-    /**
-     * Makes a short call of the store, which detects within two seconds that the store does not answer this watcher;
-     * the long watch alone would detect it only at its timeout.
-     */
-    private void probe() {
-        if (!verified.isEmpty()) {
-            verified.forEach(SharedFollower::verify);
-            return;
-        }
-        TimerThread.onCompletion(
-                ports.timers(), ports.store().probe(), (done, failure) -> onStoreCall(failure == null));
+    private void check(double shareOfMaxAge) {
+        Moment asked = ports.clock().now();
+        TimerThread.onCompletion(ports.timers(), ports.store().revision(), (revision, failure) -> {
+            onStoreCall(failure == null);
+            if (failure == null) {
+                followers.values().forEach(follower -> follower.check(asked, revision, shareOfMaxAge));
+            }
+        });
     }
 
     private void onStoreCall(boolean answered) {
@@ -276,18 +293,21 @@
         if (notice.isPresent()) {
             eras().observe(notice.get().getEra());
             apply(node, notice.get());
-            noteVerified(asked, notice.get());
+            noteChecks(asked, notice.get());
         }
     }
 
     /**
-     * Records the verifications of another node's answer, dated at the question minus the age in the answer.
+     * Takes over the checks of another node's answer, dated at the question minus the age in the answer.
      *
      * <p>The age is counted from the question by this node's own clocks, as the answer may have been delayed.
      */
-    private void noteVerified(Moment asked, StoreNotice answer) {
+    private void noteChecks(Moment asked, StoreNotice answer) {
         for (StorePart part : answer.getPartsList()) {
             SharedFollower follower = followers.get(part.getPrefix());
+            if (follower != null && part.hasCheckedAgeNanos()) {
+                follower.noteChecked(asked.minusNanos(part.getCheckedAgeNanos()), StoreParts.checkedRevision(part));
+            }
             if (follower != null && part.hasVerifiedAgeNanos()) {
                 follower.noteVerified(asked.minusNanos(part.getVerifiedAgeNanos()), StoreParts.revision(part));
             }
@@ -301,8 +321,9 @@
         elect();
     }
 
+    /** Whether others can rely on this node: it watches the store, and its checks are recent. */
     private boolean watching() {
-        return storeReachable && isWatcher();
+        return storeReachable && isWatcher() && !isAnyCheckOlderThan(NO_WATCHER_SHARE);
     }
 
     private void apply(NodeId sender, StoreNotice notice) {
--- a/src/test/java/io/beryldock/configuration/DocumentFleet.java
+++ b/src/test/java/io/beryldock/configuration/DocumentFleet.java
@@ -132,7 +132,7 @@
         node.highest = 0;
         StoreSharing sharing = fleet.add(id, node.centre);
         node.calm.disturbances.forEach(name -> apply(id, name, true));
-        DocumentSync.create(node.configuration, sharing, KEY, DocumentFleet::decode, false)
+        DocumentSync.create(node.configuration, sharing, KEY, DocumentFleet::decode)
                 .start();
     }
 
--- a/src/test/java/io/beryldock/configuration/DocumentSyncTest.java
+++ b/src/test/java/io/beryldock/configuration/DocumentSyncTest.java
@@ -36,7 +36,7 @@
         ActiveConfiguration activeConfiguration = ActiveConfiguration.create(Configuration.defaults("none"));
         configurations.add(activeConfiguration);
         StoreSharing sharing = fleet.add("n" + number, "gent-a");
-        DocumentSync.create(activeConfiguration, sharing, KEY, DocumentSyncTest::decode, number % 2 == 0)
+        DocumentSync.create(activeConfiguration, sharing, KEY, DocumentSyncTest::decode)
                 .start();
     }
 
--- a/src/test/java/io/beryldock/node/StoreMetricsTest.java
+++ b/src/test/java/io/beryldock/node/StoreMetricsTest.java
@@ -26,8 +26,8 @@
         new PrometheusTextFormatWriter(false).write(text, registry.scrape());
         assertThat(text.toString(StandardCharsets.UTF_8))
                 .contains("beryldock_configuration_version 17.0")
-                .contains("beryldock_store_verified_age_seconds{prefix=\"nodes/\"} 0.4")
-                .doesNotContain("beryldock_store_verified_age_seconds{prefix=\"document\"}")
+                .contains("beryldock_store_checked_age_seconds{prefix=\"nodes/\"} 0.4")
+                .doesNotContain("beryldock_store_checked_age_seconds{prefix=\"document\"}")
                 .contains("beryldock_store_watching{prefix=\"nodes/\"} 1.0")
                 .contains("beryldock_store_watches_total{event=\"begun\",prefix=\"nodes/\"} 20.0")
                 .contains("beryldock_store_watches_total{event=\"quiet\",prefix=\"nodes/\"} 5.0")
--- a/src/test/java/io/beryldock/platform/KvStoreClientTest.java
+++ b/src/test/java/io/beryldock/platform/KvStoreClientTest.java
@@ -128,7 +128,7 @@
         WriteResult lost = StorePair.get(pair.client.compareAndSet("k", PlatformStore.ABSENT, ONE));
         pair.store.restoreFrom(snapshot);
         pair.store.write("k", TWO);
-        StorePair.get(pair.client.probe());
+        StorePair.get(pair.client.revision());
         WriteResult late = StorePair.get(pair.client.compareAndSet("k", lost.version(), ONE));
         assertThat(late.kind()).isEqualTo(WriteResult.Kind.CONFLICT);
         assertThat(late.current().orElseThrow().value()).isEqualTo(TWO);
--- a/src/test/java/io/beryldock/store/FakeRegistry.java
+++ b/src/test/java/io/beryldock/store/FakeRegistry.java
@@ -140,6 +140,7 @@
         private boolean silent;
         private boolean losesWatches;
         private int calls;
+        private int revisionReads;
         private final StoreEras eras = StoreEras.create();
         private Supplier<Duration> delay = () -> Duration.ZERO;
 
@@ -148,11 +149,16 @@
             delay = value;
         }
 
-        /** Number of listings, watches, writes and granted leases so far; lease renewals and probes don't count. */
+        /** Number of listings, watches, writes and granted leases so far. */
         public int calls() {
             return calls;
         }
 
+        /** Number of reads of the store's revision so far. */
+        public int revisionReads() {
+            return revisionReads;
+        }
+
         public void setDown(boolean value) {
             down = value;
         }
@@ -277,8 +283,9 @@
         }
 
         @Override
-        public CompletableFuture<Void> probe() {
-            return answer(null);
+        public CompletableFuture<StoreRevision> revision() {
+            revisionReads++;
+            return answer(currentRevision());
         }
 
         @Override
--- a/src/test/java/io/beryldock/store/SharingFleet.java
+++ b/src/test/java/io/beryldock/store/SharingFleet.java
@@ -92,6 +92,12 @@
         return members.values().stream().mapToInt(member -> member.view.calls()).sum();
     }
 
+    int revisionReads() {
+        return members.values().stream()
+                .mapToInt(member -> member.view.revisionReads())
+                .sum();
+    }
+
     /** The connection of one node to the other nodes. */
     private final class Peers implements StorePeers {
         private final NodeId self;
--- a/src/test/java/io/beryldock/store/StoreSharingTest.java
+++ b/src/test/java/io/beryldock/store/StoreSharingTest.java
@@ -59,7 +59,7 @@
     private void add(String id, String centre) {
         Copy copy = new Copy();
         copies.put(id, copy);
-        fleet.add(id, centre).follow(PREFIX, Duration.ofMillis(250), copy);
+        fleet.add(id, centre).follow(PREFIX, Duration.ofMillis(250), Duration.ofSeconds(20), copy);
     }
 
     private void write(String name, String value) {
--- a/src/test/java/io/beryldock/store/VerificationTest.java
+++ b/src/test/java/io/beryldock/store/VerificationTest.java
@@ -64,7 +64,7 @@
             for (int node = 0; node < NODES_PER_CENTRE; node++) {
                 Reader reader = new Reader("c" + centre + "-n" + node);
                 StoreSharing sharing = fleet.add(reader.id, "c" + centre);
-                reader.verification = sharing.followVerified(KEY, Duration.ofMillis(20), reader);
+                reader.verification = sharing.follow(KEY, Duration.ofMillis(20), Duration.ofSeconds(1), reader);
                 readers.add(reader);
             }
         }
@@ -92,13 +92,27 @@
         }
     }
 
-    /** The watcher of each data centre lists the entries once per second and renews its watches; other nodes don't. */
+    /** In a quiet store only watchers ask: one read of the revision per period and data centre, and their watches. */
     @Test
-    void verificationCostsOneCallPerSecondAndDataCentre() {
+    void checksOfAQuietStoreCostOneReadPerPeriodAndDataCentre() {
         start();
         int before = fleet.calls();
+        int readsBefore = fleet.revisionReads();
         timers.advance(Duration.ofSeconds(20));
-        assertThat(fleet.calls() - before).isLessThanOrEqualTo(CENTRES * (20 + 3));
+        assertThat(fleet.revisionReads() - readsBefore).isLessThanOrEqualTo(CENTRES * 51);
+        assertThat(fleet.calls() - before).isLessThanOrEqualTo(CENTRES * 3);
+    }
+
+    /** Each change makes the watcher of a data centre list the entries once, besides ending its watch. */
+    @Test
+    void changeCostsOneListingAndOneWatchPerDataCentre() {
+        start();
+        int before = fleet.calls();
+        for (int i = 0; i < 20; i++) {
+            write(2 + i);
+            timers.advance(Duration.ofSeconds(1));
+        }
+        assertThat(fleet.calls() - before).isLessThanOrEqualTo(CENTRES * (2 * 20 + 3));
     }
 
     /**
