A watch that ends without changes proves nothing about the store's revision

What callers saw: a version that was missing at all nodes until the next one came. Cause: a watch that ends quietly carries the store's revision, and the next one began there; a change that the store withheld in that second was asked for by nobody any more, and the node told its data centre that it knew every change up to that revision.

Now only changes, listings and checks advance what a node knows, and a watch begins there.

--- a/src/main/java/io/beryldock/store/SharedFollower.java
+++ b/src/main/java/io/beryldock/store/SharedFollower.java
@@ -340,6 +340,11 @@
         forwardedRevision = StoreRevision.later(forwardedRevision, revision);
     }
 
+    @Override
+    public StoreRevision knownRevision() {
+        return table.revision();
+    }
+
     @Override
     public void onStore(boolean answered) {
         listener.onStore(answered);
--- a/src/main/java/io/beryldock/store/StoreFollower.java
+++ b/src/main/java/io/beryldock/store/StoreFollower.java
@@ -8,6 +8,8 @@
 import io.beryldock.time.TimerService;
 import io.beryldock.time.TimerThread;
 import java.time.Duration;
+import java.util.Comparator;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
@@ -96,6 +98,9 @@
         /** Called when every change up to the revision has been delivered. */
         void onCaughtUp(StoreRevision revision);
 
+        /** The revision up to which every change is known, from whatever source. */
+        StoreRevision knownRevision();
+
         /** Reports whether the store answered the last call. */
         void onStore(boolean reachable);
     }
@@ -198,17 +203,26 @@
         } else {
             counters.countEndedWatch(changes.entries().size());
             changes.entries().forEach(listener::onChange);
-            listener.onCaughtUp(changes.revision());
-            watchAfter(batchDelay, changes.revision());
+            StoreRevision delivered = lastRevision(changes).orElse(revision);
+            listener.onCaughtUp(delivered);
+            watchAfter(batchDelay, delivered);
         }
     }
 
+    /**
+     * The revision of the last change. Later revisions of the store don't count: it may have withheld changes from the
+     * watch.
+     */
+    private static Optional<StoreRevision> lastRevision(Changes changes) {
+        return changes.entries().stream().map(Entry::revision).max(Comparator.naturalOrder());
+    }
+
     private void watchAfter(Duration delay, StoreRevision revision) {
         watchRevision = revision;
         int endedWatch = watchNumber;
         timers.after(delay, () -> {
             if (endedWatch == watchNumber) {
-                watchOrIdle(revision);
+                watchOrIdle(StoreRevision.later(revision, listener.knownRevision()));
             }
         });
     }
