A listener that fails does not end the watch of its prefix

What callers would have seen: a node that follows the operators' document, or the other nodes, no more, while it goes on answering as a watcher. Cause, found by reading: an exception in a listener left the follower before its next watch was scheduled; the control loop logged it and went on. changesArriveAfterAListenerHasFailed failed before.

--- a/src/main/java/io/beryldock/store/SharedFollower.java
+++ b/src/main/java/io/beryldock/store/SharedFollower.java
@@ -324,7 +324,7 @@
                     "ignoring %s at revision %s: it is not newer than the known state", entry.key(), entry.revision());
             return;
         }
-        if (listener.onEntry(entry)) {
+        if (deliver(entry)) {
             table.apply(entry, timers.ticker().nanos());
             undecodableRevision =
                     undecodableRevision.isAfter(entry.revision()) ? undecodableRevision : StoreRevision.NONE;
@@ -333,6 +333,18 @@
         }
     }
 
+    /** Delivers the entry. A listener that fails must not end the watch, which would then report nothing any more. */
+    private boolean deliver(Entry entry) {
+        try {
+            return listener.onEntry(entry);
+        } catch (RuntimeException e) {
+            log.atSevere().withCause(e).log(
+                    "%s at revision %s could not be applied; it is tried again with the next listing",
+                    entry.key(), entry.revision());
+            return false;
+        }
+    }
+
     @Override
     public void onCaughtUp(StoreRevision revision) {
         table.advance(revision);
