A part of the node that fails to take over a version keeps no other from it

What callers would have seen: routes, limits and organisations of different versions at one node, without end, as the version counts as in force. Cause, found by reading: listeners were called in one loop that ended at the first exception. aListenerThatFailsKeepsNoOtherFromTheNewVersion failed before.

--- a/src/main/java/io/beryldock/configuration/ActiveConfiguration.java
+++ b/src/main/java/io/beryldock/configuration/ActiveConfiguration.java
@@ -123,7 +123,19 @@
         }
         current = next;
         events.record(EventKind.CONFIGURATION_APPLIED, "version " + next.version(), lastChange());
-        listeners.forEach(listener -> listener.accept(next));
+        listeners.forEach(listener -> notify(listener, next));
+    }
+
+    /** Notifies one listener. The others must hear of the version even if this one fails. */
+    private static void notify(Consumer<Configuration> listener, Configuration next) {
+        try {
+            listener.accept(next);
+        } catch (RuntimeException e) {
+            log.atSevere().withCause(e).log(
+                    "a part of this node failed to take over version %d; restart the node if requests still follow an"
+                            + " older version",
+                    next.version());
+        }
     }
 
     private String lastChange() {
