Watchers forward changes only, not the progress of a quiet prefix

Each check that found a later revision of the store sent an empty notice to the whole data centre. The other nodes learn the progress with the answers to their questions.

--- a/src/main/java/io/beryldock/store/SharedFollower.java
+++ b/src/main/java/io/beryldock/store/SharedFollower.java
@@ -348,8 +348,10 @@
     @Override
     public void onCaughtUp(StoreRevision revision) {
         table.advance(revision);
-        owner.onChanges(this);
-        forwardedRevision = StoreRevision.later(forwardedRevision, revision);
+        if (table.lastChange().isAfter(forwardedRevision)) {
+            owner.onChanges(this);
+            forwardedRevision = table.revision();
+        }
     }
 
     @Override
--- a/src/main/java/io/beryldock/store/StoreSharing.java
+++ b/src/main/java/io/beryldock/store/StoreSharing.java
@@ -387,9 +387,7 @@
 
         @Override
         public void onChanges(SharedFollower follower) {
-            if (follower.revision().isAfter(follower.forwardedRevision())) {
-                notifyOwnDataCentre(notice().addParts(follower.since(follower.forwardedRevision())));
-            }
+            notifyOwnDataCentre(notice().addParts(follower.since(follower.forwardedRevision())));
         }
 
         @Override
