A watch that has not ended in time is begun again

What callers would have seen: changes of the nodes' records a node hears of late, and of the document one second late, for as long as a call whose end got lost within the node is waited for. watchThatNeverEndsIsReplaced failed before.

--- a/src/main/java/io/beryldock/store/SharedFollower.java
+++ b/src/main/java/io/beryldock/store/SharedFollower.java
@@ -125,12 +125,14 @@
     }
 
     /**
-     * Replaces the watch when other nodes have known later revisions at this call and at the previous one.
+     * Replaces the watch when this node has known a later change at this call and at the previous one, or when the watch
+     * has not ended in time.
      *
      * <p>A connection that silently drops data reports no error: without this check the watch would wait until its
      * timeout although the store has changes.
      */
     void replaceSilentWatch() {
+        follower.restartIfStalled();
         boolean overtaken = watcher && table.lastChange().isAfter(follower.watchRevision());
         if (overtaken && overtakenBefore) {
             follower.restartWatchFrom(table.revision());
--- a/src/main/java/io/beryldock/store/StoreFollower.java
+++ b/src/main/java/io/beryldock/store/StoreFollower.java
@@ -32,6 +32,9 @@
     /** Longest wait of one watch; a silent connection is detected earlier, when other nodes know later revisions. */
     private static final Duration WATCH = Duration.ofSeconds(10);
 
+    /** Time without the end of a call after which it counts as lost: the longest wait and several time-outs. */
+    private static final long STALLED = WATCH.plusSeconds(4).toNanos();
+
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
     private static final int LOG_SECONDS = 1;
     private static final int MAX_DOUBLINGS = 8;
@@ -47,6 +50,7 @@
     private StoreRevision watchRevision = StoreRevision.NONE;
     private int watchNumber;
     private int failures;
+    private long lastStep;
     private boolean idle;
 
     private StoreFollower(
@@ -130,6 +134,7 @@
     /** Lists the entries and follows them from then on; the result of a watch in progress is ignored. */
     void start() {
         watchNumber++;
+        lastStep = now();
         watchRevision = StoreRevision.NONE;
         counters.countListing();
         TimerThread.onCompletion(timers, store.list(prefix), this::onListed);
@@ -172,6 +177,21 @@
         restartWatchFrom(watchRevision);
     }
 
+    /** Begins again if a call has not ended in time, whatever became of it. */
+    void restartIfStalled() {
+        if (idle || now() - lastStep <= STALLED) {
+            return;
+        }
+        log.atWarning().log(
+                "no call for %s has ended for %s ms: listing it again",
+                prefix, TimeUnit.NANOSECONDS.toMillis(now() - lastStep));
+        start();
+    }
+
+    private long now() {
+        return timers.ticker().nanos();
+    }
+
     private void watch(StoreRevision revision) {
         idle = false;
         if (!isCurrent(revision)) {
@@ -179,6 +199,7 @@
             return;
         }
         watchRevision = revision;
+        lastStep = now();
         int number = ++watchNumber;
         counters.countWatch();
         TimerThread.onCompletion(timers, store.changes(prefix, revision, WATCH), (changes, failure) -> {
--- a/src/test/java/io/beryldock/store/StoreSharingTest.java
+++ b/src/test/java/io/beryldock/store/StoreSharingTest.java
@@ -327,6 +327,20 @@
         assertThat(allHold("b", "8")).isTrue();
     }
 
+    /** Guards against a watch that was lost within this node and that its follower waits for without end. */
+    @Test
+    void watchThatNeverEndsIsReplaced() {
+        start();
+        copies.keySet().forEach(id -> fleet.view(id).setLosesWatches(true));
+        write("a", "9");
+        timers.advance(Duration.ofSeconds(1));
+        copies.keySet().forEach(id -> fleet.view(id).setLosesWatches(false));
+        timers.advance(Duration.ofSeconds(14));
+        write("a", "10");
+        timers.advance(Duration.ofSeconds(1));
+        assertThat(allHold("a", "10")).isTrue();
+    }
+
     /** Guards against a change that all nodes miss for good, because the store withheld it from the watches. */
     @Test
     void changeThatTheStoreWithheldReachesAllNodes() {
