Soak: listeners beside a node take no port that was found for the node

The ports of a node's process are free until the process binds them; the proxies, the target and the store's proxy of its place bound any free port of the same address, which could be one of them: the process then ended at its start. They now bind another loopback address.

--- a/src/main/java/io/beryldock/platform/SoakSurroundings.java
+++ b/src/main/java/io/beryldock/platform/SoakSurroundings.java
@@ -110,8 +110,8 @@
             throws IOException, InterruptedException {
         SoakTarget target = new SoakTarget(place, events, this::send, timers);
         targets.put(place.number(), target);
-        InetSocketAddress any = new InetSocketAddress(place.requests().getAddress(), 0);
-        return HttpServer.bind(any, loops, () -> SERVER_LIMITS, target).address();
+        return HttpServer.bind(place.anyPortBeside(), loops, () -> SERVER_LIMITS, target)
+                .address();
     }
 
     @Override
--- a/src/main/java/io/beryldock/soak/NodePlace.java
+++ b/src/main/java/io/beryldock/soak/NodePlace.java
@@ -38,6 +38,14 @@
         return new NodePlace(number, service, free.get(0), free.get(1), free.get(2), free.get(3), free.get(4));
     }
 
+    /**
+     * Where listeners beside the node's process bind any free port. Not on the place's own address: the ports found for
+     * the process are free until it binds them.
+     */
+    public InetSocketAddress anyPortBeside() {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    }
+
     /** Name of the node. */
     public String name() {
         return "soak-node-" + number;
--- a/src/main/java/io/beryldock/soak/SoakPlace.java
+++ b/src/main/java/io/beryldock/soak/SoakPlace.java
@@ -40,12 +40,11 @@
             SoakBounds bounds,
             Path directory)
             throws IOException, InterruptedException {
-        String address = place.requests().getHostString();
         FaultProxy peers = FaultProxy.start(place.proxiedPeers(), place.peers());
-        FaultProxy store = FaultProxy.start(new InetSocketAddress(address, 0), surroundings.store());
+        FaultProxy store = FaultProxy.start(place.anyPortBeside(), surroundings.store());
         InetSocketAddress running = surroundings.startTarget(place, events);
-        FaultProxy target = FaultProxy.start(new InetSocketAddress(address, 0), running);
-        FaultProxy readiness = FaultProxy.start(new InetSocketAddress(address, 0), place.readiness());
+        FaultProxy target = FaultProxy.start(place.anyPortBeside(), running);
+        FaultProxy readiness = FaultProxy.start(place.anyPortBeside(), place.readiness());
         String settings = surroundings.settings(place, store.address(), bounds);
         return new SoakPlace(place, peers, store, target, readiness, SoakNode.create(place, settings, directory));
     }
