--- a/src/main/java/io/beryldock/platform/SoakSurroundings.java
+++ b/src/main/java/io/beryldock/platform/SoakSurroundings.java
@@ -225,6 +225,11 @@
         store.expireLeases();
     }
 
+    @Override
+    public void setChangesWithheld(boolean value) {
+        store.setWithholding(value);
+    }
+
     @Override
     public void forgetHistory() {
         store.dropHistory();
--- a/src/main/java/io/beryldock/platform/StandinStore.java
+++ b/src/main/java/io/beryldock/platform/StandinStore.java
@@ -41,6 +41,7 @@
     private long historyFrom = 1;
     private long nextLease = 1;
     private Fault fault = Fault.NONE;
+    private boolean withholding;
 
     StandinStore(TimerService timers) {
         this.timers = timers;
@@ -112,6 +113,12 @@
     /** A state of the store. Immutable. */
     record Snapshot(Map<String, Item> items, List<Event> history, Map<Long, List<String>> leases, long revision) {}
 
+    /** While it withholds changes, watches get none: one that ends returns none, with the current revision. */
+    synchronized void setWithholding(boolean value) {
+        withholding = value;
+        notifyWatches();
+    }
+
     /** Drops the history of all changes so far. */
     synchronized void dropHistory() {
         history.clear();
@@ -215,7 +222,7 @@
         ObjectNode answer = Json.object();
         ArrayNode events = answer.putArray("events");
         for (Event event : history) {
-            if (event.revision() > watch.after() && event.key().startsWith(watch.prefix())) {
+            if (!withholding && event.revision() > watch.after() && event.key().startsWith(watch.prefix())) {
                 events.add(StandinJson.event(event));
             }
         }
--- a/src/main/java/io/beryldock/soak/FaultAction.java
+++ b/src/main/java/io/beryldock/soak/FaultAction.java
@@ -39,6 +39,8 @@
     ALL_KILLED(Link.NONE, LinkState.OPEN),
     /** SIGTERM, and a start when the process has ended. */
     STOPPED_AS_PLANNED(Link.NONE, LinkState.OPEN),
+    /** Watches of the store hear nothing of changes; other calls are answered. */
+    STORE_CHANGES_WITHHELD(Link.NONE, LinkState.OPEN),
     /** Operators write a new version of the document. */
     DOCUMENT_WRITTEN(Link.NONE, LinkState.OPEN),
     /** Operators take the oldest key away. */
@@ -56,6 +58,7 @@
             STORE_LEASES_LAPSED,
             STORE_HISTORY_FORGOTTEN,
             STORE_RESTORED,
+            STORE_CHANGES_WITHHELD,
             ALL_KILLED);
 
     private final Link link;
@@ -81,7 +84,7 @@
     }
 
     boolean isUnplanned() {
-        return this == ALL_KILLED || UNPLANNED.contains(this);
+        return this == ALL_KILLED || this == STORE_CHANGES_WITHHELD || UNPLANNED.contains(this);
     }
 
     /** The links of a node that can be harmed. */
--- a/src/main/java/io/beryldock/soak/FaultExecutor.java
+++ b/src/main/java/io/beryldock/soak/FaultExecutor.java
@@ -110,6 +110,7 @@
             case STORE_ANSWERS_LOST -> surroundings.setStore(StoreState.ANSWERS_LOST);
             case STORE_LEASES_LAPSED -> surroundings.lapseLeases();
             case STORE_HISTORY_FORGOTTEN -> surroundings.forgetHistory();
+            case STORE_CHANGES_WITHHELD -> surroundings.setChangesWithheld(true);
             case DOCUMENT_WRITTEN -> operators.write();
             case KEY_REMOVED -> operators.changeKeys();
             default -> place.set(action.link(), action.state());
@@ -128,6 +129,7 @@
                 surroundings.restoreStore();
                 surroundings.setStore(StoreState.SOUND);
             }
+            case STORE_CHANGES_WITHHELD -> surroundings.setChangesWithheld(false);
             case STORE_LEASES_LAPSED, STORE_HISTORY_FORGOTTEN -> {}
             case STOPPED_AS_PLANNED, DOCUMENT_WRITTEN, KEY_REMOVED -> {}
             default -> place.heal(fault.action().link(), fault.action().state());
--- a/src/main/java/io/beryldock/soak/FaultPlanner.java
+++ b/src/main/java/io/beryldock/soak/FaultPlanner.java
@@ -55,15 +55,23 @@
     private static final Duration CALM_AFTER_RESTORATION =
             CHANGE_AFTER_RESTORATION.plus(NewVersionCheck.BOUND).plus(NewVersionCheck.SETTLE);
 
+    /** How long watches hear nothing of changes. */
+    private static final Duration WITHHOLDING = Duration.ofSeconds(1);
+
     private static final int GAP_MILLIS = 1_500;
     private static final Duration CHANGE_PERIOD = Duration.ofSeconds(7);
 
     private final SplittableRandom random;
+
+    /** Drawn from apart from the other faults, which stay the same for a seed. */
+    private final SplittableRandom withholdings;
+
     private final int nodes;
     private final List<PlannedFault> faults = new ArrayList<>();
 
     private FaultPlanner(long seed, int nodes) {
         this.random = new SplittableRandom(seed);
+        this.withholdings = new SplittableRandom(~seed);
         this.nodes = nodes;
     }
 
@@ -84,6 +92,7 @@
         Duration share = Duration.ofMillis((long) (cycle.toMillis() * DEATH_SHARE));
         Duration death = from.plus(latest.compareTo(share) > 0 || cycle.equals(LONGEST_CYCLE) ? latest : share);
         addFaults(from.plus(FAULTS_FROM), death.minus(CALM_BEFORE_DEATH));
+        addWithheldChange(from.plus(FAULTS_FROM), death.minus(CALM_BEFORE_DEATH));
         add(death, DEATH, FaultAction.ALL_KILLED);
     }
 
@@ -109,6 +118,17 @@
         }
     }
 
+    /** Adds a version that is written while watches of the store hear nothing of changes. */
+    private void addWithheldChange(Duration from, Duration until) {
+        long latest = until.minus(from).minus(WITHHOLDING).toMillis();
+        if (latest <= 0) {
+            return;
+        }
+        Duration at = from.plusMillis(withholdings.nextLong(latest));
+        faults.add(new PlannedFault(at, WITHHOLDING, FaultAction.STORE_CHANGES_WITHHELD, 0));
+        faults.add(new PlannedFault(at.plus(WITHHOLDING.dividedBy(2)), Duration.ZERO, FaultAction.DOCUMENT_WRITTEN, 0));
+    }
+
     /** Adds the fault and calm after it, as far as there is time; returns how long both last. */
     private Duration addRestoration(Duration at, Duration until, Duration drawn) {
         Duration length = drawn.compareTo(LONGEST_RESTORATION) < 0 ? drawn : LONGEST_RESTORATION;
--- a/src/main/java/io/beryldock/soak/Surroundings.java
+++ b/src/main/java/io/beryldock/soak/Surroundings.java
@@ -36,6 +36,9 @@
     /** Has the store forget what has changed so far. */
     void forgetHistory();
 
+    /** While set, watches of the store hear nothing of changes. */
+    void setChangesWithheld(boolean value);
+
     /**
      * Brings the store back from a copy some seconds old; what was written since is gone, and the operators write their
      * newest document again.
--- a/src/test/java/io/beryldock/platform/KvStoreClientTest.java
+++ b/src/test/java/io/beryldock/platform/KvStoreClientTest.java
@@ -121,6 +121,17 @@
                 .isTrue();
     }
 
+    /** Guards against a node that takes its entries for the newest although the store has changed since. */
+    @Test
+    void revisionRisesWithEachChangeAndIsThatOfListings() throws Exception {
+        StoreRevision before = StorePair.get(pair.client.revision());
+        pair.store.write("a/1", ONE);
+        StoreRevision after = StorePair.get(pair.client.revision());
+        assertThat(after.isAfter(before)).isTrue();
+        assertThat(StorePair.get(pair.client.revision())).isEqualTo(after);
+        assertThat(StorePair.get(pair.client.list("a/")).revision()).isEqualTo(after);
+    }
+
     /** Guards against a conditional write that overwrites a foreign value, because its revision was assigned twice. */
     @Test
     void conditionalWriteWithVersionOfEarlierEraConflicts() throws Exception {
