The listing that another node passes on has the revisions of its own era

What callers would have seen: a node that keeps a record which the store lost when it came back from an older copy, while others go by the restored one, without end. Cause: an entry that a node knew before the restore keeps its revision of that era there; passed on, it looked older than a lost change of the same key and was dropped.

--- a/src/main/java/io/beryldock/store/StoreParts.java
+++ b/src/main/java/io/beryldock/store/StoreParts.java
@@ -55,8 +55,17 @@
         return new Entry(wire.getKey(), new StoreRevision(wire.getEra(), wire.getRevision()), value);
     }
 
-    /** The listing that a complete part contains. */
+    /**
+     * The listing that a complete part contains, with the revisions that its entries have in the era of the part: an
+     * entry that the sender knew before the store was restored kept its number.
+     */
     static Listing listing(StorePart part) {
-        return new Listing(entries(part), revision(part));
+        ImmutableList<Entry> entries = entries(part).stream()
+                .map(entry -> new Entry(
+                        entry.key(),
+                        new StoreRevision(part.getEra(), entry.revision().number()),
+                        entry.value()))
+                .collect(ImmutableList.toImmutableList());
+        return new Listing(entries, revision(part));
     }
 }
