A check made in an earlier era of the store is not passed on

What callers would have seen: a node that takes the number of a check from before a restore for one of the restored store, and believes to know what it has not read. Found with the fault before; checkOfAnEarlierEraIsNotPassedOn failed before.

--- a/src/main/java/io/beryldock/store/StoreQuestionHandler.java
+++ b/src/main/java/io/beryldock/store/StoreQuestionHandler.java
@@ -45,7 +45,8 @@
     private Optional<StorePart> part(SharedFollower follower, StorePart known) {
         StoreRevision revision = StoreParts.revision(known);
         boolean newer = follower.revision().isAfter(revision);
-        Optional<Long> checkedAge = follower.checkedAgeNanos();
+        boolean checkedInEra = follower.checkedRevision().isSameEra(follower.revision());
+        Optional<Long> checkedAge = checkedInEra ? follower.checkedAgeNanos() : Optional.empty();
         Optional<Entry> kept = follower.kept().filter(entry -> !isKnown(known, entry));
         if (!newer && checkedAge.isEmpty() && kept.isEmpty()) {
             return Optional.empty();
