Nodes that do not watch check a silent store half as often; log of passed-over watchers only where it matters

While the store is silent every node checks it itself. One attempt each 1.6 s of the nodes that do not watch, jittered by half, still falls into the three seconds of calm after which they are judged.

--- a/src/main/java/io/beryldock/store/SharedFollower.java
+++ b/src/main/java/io/beryldock/store/SharedFollower.java
@@ -125,8 +125,8 @@
     }
 
     /**
-     * Replaces the watch when this node has known a later change at this call and at the previous one, or when the watch
-     * has not ended in time.
+     * Replaces the watch when this node has known a later change at this call and at the previous one, or when the
+     * watch has not ended in time.
      *
      * <p>A connection that silently drops data reports no error: without this check the watch would wait until its
      * timeout although the store has changes.
@@ -335,7 +335,7 @@
         }
     }
 
-    /** Delivers the entry. A listener that fails must not end the watch, which would then report nothing any more. */
+    /** Delivers the entry. A listener that fails must not end the watch, which would report nothing any more. */
     private boolean deliver(Entry entry) {
         try {
             return listener.onEntry(entry);
--- a/src/main/java/io/beryldock/store/StoreSharing.java
+++ b/src/main/java/io/beryldock/store/StoreSharing.java
@@ -61,9 +61,15 @@
     /** Time from one check until the next one may begin; a check without an answer is not waited for. */
     private static final Duration CHECK_GAP = Duration.ofMillis(400);
 
-    /** The same while the store does not answer this node, jittered by half. */
+    /** The same at a watcher while the store does not answer it, jittered by half. */
     private static final Duration CHECK_GAP_IN_OUTAGE = Duration.ofMillis(800);
 
+    /**
+     * The same at the other nodes, of which there are many. Their first check after an outage falls into the calm of
+     * three seconds after which they have to be up to date again.
+     */
+    private static final Duration CHECK_GAP_OF_OTHERS_IN_OUTAGE = Duration.ofMillis(1600);
+
     /** Delay of the first election: when all nodes start at once, some have written their entries by then. */
     private static final Duration FIRST_ELECTION_DELAY = Duration.ofMillis(500);
 
@@ -207,12 +213,18 @@
     private void checkIfDue() {
         long now = now(ports);
         if (now - nextCheckAt >= 0 && (isWatcher() || isAnyCheckOlderThan(1))) {
-            Duration gap = storeReachable ? CHECK_GAP : Jitter.around(CHECK_GAP_IN_OUTAGE, ports.random());
-            nextCheckAt = now + gap.toNanos();
+            nextCheckAt = now + checkGap().toNanos();
             check(isWatcher() ? WATCHER_CHECK_SHARE : 1);
         }
     }
 
+    private Duration checkGap() {
+        if (storeReachable) {
+            return CHECK_GAP;
+        }
+        return Jitter.around(isWatcher() ? CHECK_GAP_IN_OUTAGE : CHECK_GAP_OF_OTHERS_IN_OUTAGE, ports.random());
+    }
+
     private boolean isAnyCheckOlderThan(double shareOfMaxAge) {
         Moment now = ports.clock().now();
         return followers.values().stream().anyMatch(follower -> follower.isCheckOlderThan(shareOfMaxAge, now));
@@ -316,7 +328,9 @@
 
     /** Suspects the node and elects again at once, as this node may be the next in rank. */
     private void suspect(NodeId node, String reason) {
-        log.atInfo().atMostEvery(1, TimeUnit.SECONDS).log("node %s is passed over as a watcher: %s", node, reason);
+        if (!isWatcher() && ports.peers().ownDataCentre().contains(node)) {
+            log.atInfo().atMostEvery(1, TimeUnit.SECONDS).log("node %s is passed over as a watcher: %s", node, reason);
+        }
         choice.suspect(node, now(ports));
         elect();
     }
--- a/src/test/java/io/beryldock/configuration/ActiveConfigurationTest.java
+++ b/src/test/java/io/beryldock/configuration/ActiveConfigurationTest.java
@@ -10,7 +10,7 @@
 
     private final ActiveConfiguration active = ActiveConfiguration.create(Configuration.imported(0, List.of()));
 
-    /** Guards against parts of a node that go by different versions because one of them failed to take over the new one. */
+    /** Guards against parts of a node that go by different versions because one failed to take over the new one. */
     @Test
     void aListenerThatFailsKeepsNoOtherFromTheNewVersion() {
         List<Long> told = new ArrayList<>();
