A check of the store that hangs is not waited for, also at a node whose earlier call failed

What callers would have seen: a node that asks the store itself only up to 2.4 s after a first call was lost, where an earlier failure of any call had marked the store as silent. Found by reading. The gaps between checks are a decision of their own now (CheckSchedule), counted in checks without an answer.

--- a/src/main/java/io/beryldock/store/StoreSharing.java
+++ b/src/main/java/io/beryldock/store/StoreSharing.java
@@ -6,7 +6,6 @@
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.beryldock.call.NodeId;
-import io.beryldock.time.Jitter;
 import io.beryldock.time.Moment;
 import io.beryldock.time.TimerService;
 import io.beryldock.time.TimerThread;
@@ -58,18 +57,6 @@
     /** Age of the check, as a share of the longest allowed one, above which a node does not count as a watcher. */
     private static final double NO_WATCHER_SHARE = 3;
 
-    /** Time from one check until the next one may begin; a check without an answer is not waited for. */
-    private static final Duration CHECK_GAP = Duration.ofMillis(400);
-
-    /** The same at a watcher while the store does not answer it, jittered by half. */
-    private static final Duration CHECK_GAP_IN_OUTAGE = Duration.ofMillis(800);
-
-    /**
-     * The same at the other nodes, of which there are many. Their first check after an outage falls into the calm of
-     * three seconds after which they have to be up to date again.
-     */
-    private static final Duration CHECK_GAP_OF_OTHERS_IN_OUTAGE = Duration.ofMillis(1600);
-
     /** Delay of the first election: when all nodes start at once, some have written their entries by then. */
     private static final Duration FIRST_ELECTION_DELAY = Duration.ofMillis(500);
 
@@ -87,17 +74,17 @@
     private final Ports ports;
     private final long startedAt;
     private final WatcherChoice choice;
+    private final CheckSchedule checkSchedule;
     private final Map<String, SharedFollower> followers = new LinkedHashMap<>();
     private final StoreQuestionHandler questionHandler;
     private boolean storeReachable = true;
-    private long nextCheckAt;
     private volatile ImmutableList<FollowerStats> stats = ImmutableList.of();
 
     private StoreSharing(NodeId self, Ports ports) {
         this.self = self;
         this.ports = ports;
         this.startedAt = now(ports);
-        this.nextCheckAt = startedAt;
+        this.checkSchedule = new CheckSchedule(startedAt, ports.random());
         this.choice = new WatcherChoice(self, startedAt);
         this.questionHandler =
                 new StoreQuestionHandler(followers, ports.clock(), ports.store().eras());
@@ -212,19 +199,12 @@
     /** Asks the store for its revision: watchers periodically, others if the check of any prefix is too old. */
     private void checkIfDue() {
         long now = now(ports);
-        if (now - nextCheckAt >= 0 && (isWatcher() || isAnyCheckOlderThan(1))) {
-            nextCheckAt = now + checkGap().toNanos();
+        if (checkSchedule.mayBegin(now) && (isWatcher() || isAnyCheckOlderThan(1))) {
+            checkSchedule.onBegun(now, isWatcher());
             check(isWatcher() ? WATCHER_CHECK_SHARE : 1);
         }
     }
 
-    private Duration checkGap() {
-        if (storeReachable) {
-            return CHECK_GAP;
-        }
-        return Jitter.around(isWatcher() ? CHECK_GAP_IN_OUTAGE : CHECK_GAP_OF_OTHERS_IN_OUTAGE, ports.random());
-    }
-
     private boolean isAnyCheckOlderThan(double shareOfMaxAge) {
         Moment now = ports.clock().now();
         return followers.values().stream().anyMatch(follower -> follower.isCheckOlderThan(shareOfMaxAge, now));
@@ -235,6 +215,7 @@
         TimerThread.onCompletion(ports.timers(), ports.store().revision(), (revision, failure) -> {
             onStoreCall(failure == null);
             if (failure == null) {
+                checkSchedule.onAnswered();
                 followers.values().forEach(follower -> follower.check(asked, revision, shareOfMaxAge));
             }
         });
