A check is a verification only where this node, or the one that passed it on, could decode what the store holds

What callers would have seen: keys that were taken away in a document which no node can decode stay in force at nodes that check the store for themselves.

--- a/src/main/java/io/beryldock/store/SharedFollower.java
+++ b/src/main/java/io/beryldock/store/SharedFollower.java
@@ -41,13 +41,13 @@
     private StoreRevision undecodableRevision = StoreRevision.NONE;
 
     /** The latest moment at which the store held nothing that this node had not read; null before the first check. */
-    private Moment checked;
+    private Check checked;
 
-    /** The store's revision at that moment. */
-    private StoreRevision checkedRevision = StoreRevision.NONE;
-
-    /** Written on the control thread only; read by request threads, which check its age. */
-    private volatile Moment verified;
+    /**
+     * The latest moment at which the store held nothing that this node does not apply. Written on the control thread
+     * only; read by request threads, which check its age.
+     */
+    private volatile Check verified;
 
     SharedFollower(
             String prefix,
@@ -70,6 +70,20 @@
         this.follower = StoreFollower.create(store, prefix, batchDelay, () -> watcher, timers, random, this, counters);
     }
 
+    /** A moment at which the store was asked, and the revision that it had then or later. Immutable. */
+    private record Check(Moment moment, StoreRevision revision) {
+
+        /** Whether a check has shown this revision or a later one of its era. */
+        static boolean covers(Check check, StoreRevision revision) {
+            return check != null && revision.isSameEra(check.revision) && !revision.isAfter(check.revision);
+        }
+
+        /** The later of both; the first one may be null. */
+        static Check later(Check known, Check other) {
+            return known == null || other.moment.isAfter(known.moment) ? other : known;
+        }
+    }
+
     /** Starts with a listing of the entries. */
     void start() {
         startedAt = clock.now();
@@ -169,7 +183,7 @@
 
     /** Whether the last check is older than the share of the longest allowed age. */
     boolean isCheckOlderThan(double shareOfMaxAge, Moment now) {
-        return checked == null || checked.ageNanos(now) >= shareOfMaxAge * maxAgeNanos;
+        return checked == null || checked.moment().ageNanos(now) >= shareOfMaxAge * maxAgeNanos;
     }
 
     /**
@@ -182,9 +196,11 @@
      * @param shareOfMaxAge age of the last check, as a share of the longest allowed one, from which entries are listed
      */
     void check(Moment asked, StoreRevision revision, double shareOfMaxAge) {
-        if (revision.isSameEra(checkedRevision) && !revision.isAfter(checkedRevision)) {
+        if (Check.covers(checked, revision)) {
             noteChecked(asked, revision);
-            noteVerified(asked, revision);
+            if (Check.covers(verified, revision)) {
+                noteVerified(asked, revision);
+            }
         } else if (isCheckOlderThan(shareOfMaxAge, asked)) {
             list();
         }
@@ -211,7 +227,7 @@
             return;
         }
         counters.countMissedChanges(missed.size());
-        log.atWarning().atMostEvery(LOG_SECONDS, TimeUnit.SECONDS).log(
+        log.atInfo().atMostEvery(LOG_SECONDS, TimeUnit.SECONDS).log(
                 "the store lists %d changes of %s up to revision %s that this node had not heard of; it knew revision"
                         + " %s, and its last check was %s ms ago",
                 missed.size(),
@@ -226,21 +242,19 @@
      * has received every change up to it.
      */
     void noteChecked(Moment asked, StoreRevision revision) {
-        boolean complete = !revision.isAfter(table.revision());
-        if (complete && (checked == null || asked.isAfter(checked))) {
-            checked = asked;
-            checkedRevision = StoreRevision.later(checkedRevision, revision);
+        if (!revision.isAfter(table.revision())) {
+            checked = Check.later(checked, new Check(asked, revision));
         }
     }
 
     /** Time since the last check; empty before the first one. */
     Optional<Long> checkedAgeNanos() {
-        return Optional.ofNullable(checked).map(moment -> moment.ageNanos(clock.now()));
+        return Optional.ofNullable(checked).map(check -> check.moment().ageNanos(clock.now()));
     }
 
     /** The store's revision at the last check. */
     StoreRevision checkedRevision() {
-        return checkedRevision;
+        return checked == null ? StoreRevision.NONE : checked.revision();
     }
 
     /**
@@ -250,22 +264,27 @@
      * latest one.
      */
     void noteVerified(Moment asked, StoreRevision revision) {
-        boolean applied = !revision.isAfter(table.revision()) && undecodableRevision.equals(StoreRevision.NONE);
-        if (applied && (verified == null || asked.isAfter(verified))) {
-            verified = asked;
+        if (!revision.isAfter(table.revision()) && undecodableRevision.equals(StoreRevision.NONE)) {
+            verified = Check.later(verified, new Check(asked, revision));
         }
     }
 
+    /** The latest moment at which the store provably had nothing newer than this node; empty before a verification. */
+    Optional<Moment> verified() {
+        return Optional.ofNullable(verified).map(Check::moment);
+    }
+
+    /** The store's revision at the last verification. */
+    StoreRevision verifiedRevision() {
+        Check last = verified;
+        return last == null ? StoreRevision.NONE : last.revision();
+    }
+
     /** The entry that the listener still applies although the store no longer holds it. */
     Optional<Entry> kept() {
         return listener.retainedEntry();
     }
 
-    /** The latest moment at which the store provably had nothing newer than this node; empty before a verification. */
-    Optional<Moment> verified() {
-        return Optional.ofNullable(verified);
-    }
-
     /**
      * Applies a part of another node's notice; false when changes that precede the part are missing.
      *
--- a/src/main/java/io/beryldock/store/StoreParts.java
+++ b/src/main/java/io/beryldock/store/StoreParts.java
@@ -32,6 +32,11 @@
         return new StoreRevision(part.getEra(), part.getCheckedRevision());
     }
 
+    /** The revision of the store at the sender's last verification. */
+    static StoreRevision verifiedRevision(StorePart part) {
+        return new StoreRevision(part.getEra(), part.getVerifiedRevision());
+    }
+
     static StoreEntry entry(Entry entry) {
         StoreEntry.Builder wire = StoreEntry.newBuilder()
                 .setKey(entry.key())
--- a/src/main/java/io/beryldock/store/StoreQuestionHandler.java
+++ b/src/main/java/io/beryldock/store/StoreQuestionHandler.java
@@ -45,20 +45,25 @@
     private Optional<StorePart> part(SharedFollower follower, StorePart known) {
         StoreRevision revision = StoreParts.revision(known);
         boolean newer = follower.revision().isAfter(revision);
-        boolean checkedInEra = follower.checkedRevision().isSameEra(follower.revision());
-        Optional<Long> checkedAge = checkedInEra ? follower.checkedAgeNanos() : Optional.empty();
+        boolean checked = follower.checkedRevision().isSameEra(follower.revision());
+        boolean verified = follower.verifiedRevision().isSameEra(follower.revision());
         Optional<Entry> kept = follower.kept().filter(entry -> !isKnown(known, entry));
-        if (!newer && checkedAge.isEmpty() && kept.isEmpty()) {
+        if (!newer && !checked && !verified && kept.isEmpty()) {
             return Optional.empty();
         }
         StorePart.Builder part = newer
                 ? follower.since(revision).toBuilder()
                 : StoreParts.part(known.getPrefix(), follower.revision())
                         .setSince(follower.revision().number());
-        checkedAge.ifPresent(part::setCheckedAgeNanos);
-        part.setCheckedRevision(follower.checkedRevision().number());
-        Moment now = clock.now();
-        follower.verified().ifPresent(moment -> part.setVerifiedAgeNanos(moment.ageNanos(now)));
+        if (checked) {
+            follower.checkedAgeNanos().ifPresent(part::setCheckedAgeNanos);
+            part.setCheckedRevision(follower.checkedRevision().number());
+        }
+        if (verified) {
+            Moment now = clock.now();
+            follower.verified().ifPresent(moment -> part.setVerifiedAgeNanos(moment.ageNanos(now)));
+            part.setVerifiedRevision(follower.verifiedRevision().number());
+        }
         kept.ifPresent(entry -> part.setKept(StoreParts.entry(entry)));
         return Optional.of(part.build());
     }
--- a/src/main/java/io/beryldock/store/StoreSharing.java
+++ b/src/main/java/io/beryldock/store/StoreSharing.java
@@ -302,7 +302,7 @@
                 follower.noteChecked(asked.minusNanos(part.getCheckedAgeNanos()), StoreParts.checkedRevision(part));
             }
             if (follower != null && part.hasVerifiedAgeNanos()) {
-                follower.noteVerified(asked.minusNanos(part.getVerifiedAgeNanos()), StoreParts.revision(part));
+                follower.noteVerified(asked.minusNanos(part.getVerifiedAgeNanos()), StoreParts.verifiedRevision(part));
             }
         }
     }
--- a/src/test/java/io/beryldock/store/VerificationTest.java
+++ b/src/test/java/io/beryldock/store/VerificationTest.java
@@ -26,6 +26,9 @@
     /** The longest time that operators allow from revoking a key to the last request that it admits. */
     private static final Duration BOUND = Duration.ofSeconds(5);
 
+    /** A value that no reader can decode. */
+    private static final ByteString RUBBISH = ByteString.copyFromUtf8("rubbish");
+
     private static final Duration STEP = Duration.ofMillis(50);
 
     private final ManualTimerService timers = ManualTimerService.create();
@@ -46,6 +49,9 @@
 
         @Override
         public boolean onEntry(Entry entry) {
+            if (entry.value().filter(RUBBISH::equals).isPresent()) {
+                return false;
+            }
             entry.value().ifPresent(value -> number = Integer.parseInt(value.toStringUtf8()));
             return true;
         }
@@ -153,6 +159,26 @@
         assertThat(isolated.isVerified()).isTrue();
     }
 
+    /**
+     * Guards against a node that takes its document for the newest although nobody could decode a newer one, which it
+     * never saw itself.
+     */
+    @Test
+    void noNodeIsVerifiedWhileNoneCanDecodeTheNewestEntry() {
+        start();
+        registry.write(KEY, RUBBISH);
+        timers.advance(BOUND.plusSeconds(1));
+        assertThat(countUnverified()).isEqualTo(readers.size());
+        readers.forEach(reader -> fleet.stop(reader.id));
+        for (int i = 0; i < 120; i++) {
+            timers.advance(STEP);
+            assertThat(countUnverified()).isEqualTo(readers.size());
+        }
+        write(2);
+        timers.advance(Duration.ofSeconds(2));
+        assertThat(countUnverified()).isZero();
+    }
+
     /** Guards against the same fault after a suspension, during which the monotonic clock stops. */
     @Test
     void suspendedNodeIsUnverified() {
