--- a/src/main/java/io/beryldock/platform/PlatformNode.java
+++ b/src/main/java/io/beryldock/platform/PlatformNode.java
@@ -11,7 +11,6 @@
 import io.beryldock.nettyhttp.HttpAnswer;
 import io.beryldock.nettyhttp.HttpClient;
 import io.beryldock.nettyhttp.HttpClientSettings;
-import io.beryldock.nettyhttp.HttpExchange;
 import io.beryldock.nettyhttp.HttpServer;
 import io.beryldock.nettyhttp.HttpServerLimits;
 import io.beryldock.node.ControlLoop;
@@ -110,7 +109,10 @@
                 Addresses.parse(listeners.readiness()),
                 loops,
                 limits,
-                exchange -> answerReadiness(exchange, configuration, health, metrics));
+                exchange -> exchange.answer(
+                        exchange.uri().equals(MetricsEndpoint.PATH)
+                                ? metrics.answer()
+                                : readiness(configuration, health)));
         HttpServer.bind(Addresses.parse(listeners.requests()), loops, limits, callers);
     }
 
@@ -119,14 +121,9 @@
     }
 
     /** A node is ready once it has a configuration: without routes it could only refuse requests. */
-    private static void answerReadiness(
-            HttpExchange exchange, ActiveConfiguration configuration, NodeHealth health, MetricsEndpoint metrics) {
-        if (exchange.uri().equals(MetricsEndpoint.PATH)) {
-            exchange.answer(metrics.answer());
-            return;
-        }
+    private static HttpAnswer readiness(ActiveConfiguration configuration, NodeHealth health) {
         boolean ready = isConfigured(configuration) && !health.isStopping();
-        exchange.answer(HttpAnswer.of(ready ? OK : UNAVAILABLE));
+        return HttpAnswer.of(ready ? OK : UNAVAILABLE);
     }
 
     /** Validates changed settings and logs the result; the settings take effect at the next start. */
--- a/src/main/java/io/beryldock/store/StoreSharing.java
+++ b/src/main/java/io/beryldock/store/StoreSharing.java
@@ -54,8 +54,11 @@
      */
     private static final double WATCHER_CHECK_SHARE = 0.4;
 
-    /** Age of the check, as a share of the longest allowed one, above which a node does not count as a watcher. */
-    private static final double NO_WATCHER_SHARE = 3;
+    /** Age of the last check, as a share of the longest allowed one, above which a node is no watcher for others. */
+    private static final double UNRELIABLE_WATCHER_SHARE = 3;
+
+    /** Age of the last check, as a share of the longest allowed one, above which any node asks the store itself. */
+    private static final double OVERDUE_SHARE = 1;
 
     /** Delay of the first election: when all nodes start at once, some have written their entries by then. */
     private static final Duration FIRST_ELECTION_DELAY = Duration.ofMillis(500);
@@ -114,6 +117,7 @@
      *
      * @param batchDelay delay between two watches, so that one call fetches a burst of changes
      * @param maxAge age of the last check above which this node asks the store itself
+     * @return the age of the last verification of the entries
      */
     public Verification follow(String prefix, Duration batchDelay, Duration maxAge, EntryListener listener) {
         SharedFollower follower = new SharedFollower(
@@ -199,9 +203,9 @@
     /** Asks the store for its revision: watchers periodically, others if the check of any prefix is too old. */
     private void checkIfDue() {
         long now = now(ports);
-        if (checkSchedule.mayBegin(now) && (isWatcher() || isAnyCheckOlderThan(1))) {
+        if (checkSchedule.mayBegin(now) && (isWatcher() || isAnyCheckOlderThan(OVERDUE_SHARE))) {
             checkSchedule.onBegun(now, isWatcher());
-            check(isWatcher() ? WATCHER_CHECK_SHARE : 1);
+            check(isWatcher() ? WATCHER_CHECK_SHARE : OVERDUE_SHARE);
         }
     }
 
@@ -310,7 +314,8 @@
     /** Suspects the node and elects again at once, as this node may be the next in rank. */
     private void suspect(NodeId node, String reason) {
         if (!isWatcher() && ports.peers().ownDataCentre().contains(node)) {
-            log.atInfo().atMostEvery(1, TimeUnit.SECONDS).log("node %s is passed over as a watcher: %s", node, reason);
+            log.atInfo().atMostEvery(LOG_SECONDS, TimeUnit.SECONDS).log(
+                    "node %s is passed over as a watcher: %s", node, reason);
         }
         choice.suspect(node, now(ports));
         elect();
@@ -318,7 +323,7 @@
 
     /** Whether others can rely on this node: it watches the store, and its checks are recent. */
     private boolean watching() {
-        return storeReachable && isWatcher() && !isAnyCheckOlderThan(NO_WATCHER_SHARE);
+        return storeReachable && isWatcher() && !isAnyCheckOlderThan(UNRELIABLE_WATCHER_SHARE);
     }
 
     private void apply(NodeId sender, StoreNotice notice) {
