A listing's changes and the choice of watcher are worked out once

Each listing of a check was compared with the table twice, once to report what had been missed and once to apply it, and each look at the age of the check ranked the nodes up to three times. No behaviour.

--- a/src/main/java/io/beryldock/store/SharedFollower.java
+++ b/src/main/java/io/beryldock/store/SharedFollower.java
@@ -212,8 +212,8 @@
         TimerThread.onCompletion(timers, store.list(prefix), (listing, failure) -> {
             onStore(failure == null);
             if (failure == null) {
-                reportMissed(listing);
-                applyStored(listing);
+                StoreRevision known = table.revision();
+                reportMissed(applyStored(listing), known);
                 onCaughtUp(listing.revision());
                 noteChecked(asked, listing.revision());
                 noteVerified(asked, listing.revision());
@@ -221,8 +221,7 @@
         });
     }
 
-    private void reportMissed(Listing listing) {
-        ImmutableList<Entry> missed = table.changesTo(listing);
+    private void reportMissed(ImmutableList<Entry> missed, StoreRevision known) {
         if (missed.isEmpty()) {
             return;
         }
@@ -233,7 +232,7 @@
                 missed.size(),
                 prefix,
                 missed.get(missed.size() - 1).revision(),
-                table.revision(),
+                known,
                 checkedAgeNanos().map(TimeUnit.NANOSECONDS::toMillis).orElse(null));
     }
 
@@ -319,23 +318,28 @@
         noteVerified(startedAt, listing.revision());
     }
 
-    /** A listing of the store also contains entries that can't be decoded; notices of other nodes omit them. */
-    private void applyStored(Listing listing) {
+    /**
+     * Applies a listing of the store and returns the changes that it showed. Unlike notices of other nodes it also
+     * contains entries that can't be decoded.
+     */
+    private ImmutableList<Entry> applyStored(Listing listing) {
         if (!table.isOutdated(listing)) {
             undecodableRevision = StoreRevision.NONE;
         }
-        applyListing(listing);
+        return applyListing(listing);
     }
 
-    private void applyListing(Listing listing) {
+    private ImmutableList<Entry> applyListing(Listing listing) {
         if (table.isOutdated(listing)) {
             log.atWarning().atMostEvery(LOG_SECONDS, TimeUnit.SECONDS).log(
                     "ignoring a listing of %s at revision %s: it is older than the known revision %s",
                     prefix, listing.revision(), table.revision());
-            return;
+            return ImmutableList.of();
         }
-        table.changesTo(listing).forEach(this::onChange);
+        ImmutableList<Entry> changes = table.changesTo(listing);
+        changes.forEach(this::onChange);
         table.advance(listing.revision());
+        return changes;
     }
 
     @Override
--- a/src/main/java/io/beryldock/store/StoreSharing.java
+++ b/src/main/java/io/beryldock/store/StoreSharing.java
@@ -203,9 +203,13 @@
     /** Asks the store for its revision: watchers periodically, others if the check of any prefix is too old. */
     private void checkIfDue() {
         long now = now(ports);
-        if (checkSchedule.mayBegin(now) && (isWatcher() || isAnyCheckOlderThan(OVERDUE_SHARE))) {
-            checkSchedule.onBegun(now, isWatcher());
-            check(isWatcher() ? WATCHER_CHECK_SHARE : OVERDUE_SHARE);
+        if (!checkSchedule.mayBegin(now)) {
+            return;
+        }
+        boolean watcher = isWatcher();
+        if (watcher || isAnyCheckOlderThan(OVERDUE_SHARE)) {
+            checkSchedule.onBegun(now, watcher);
+            check(watcher ? WATCHER_CHECK_SHARE : OVERDUE_SHARE);
         }
     }
 
