--- a/review/standin/review/Instance.java
+++ b/review/standin/review/Instance.java
@@ -10,6 +10,7 @@
 import java.net.URI;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -45,6 +46,11 @@
     /** How often each request id began to run here. */
     final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
 
+    /** Requests whose runs ended with the instance. */
+    final Set<String> lost = ConcurrentHashMap.newKeySet();
+
+    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+
     /** Moments, in milliseconds of the log, at which requests began to run. */
     final Map<String, Long> arrivals = new ConcurrentHashMap<>();
 
@@ -146,6 +152,7 @@
     }
 
     private void serve(Socket socket) {
+        sockets.add(socket);
         try (socket) {
             BufferedInputStream in = Http.buffered(socket.getInputStream());
             OutputStream out = socket.getOutputStream();
@@ -190,6 +197,11 @@
         int bytes = number(path, "bytes", 100);
         log.add("run of " + requestId + " begins at " + id + ": " + request.word(0) + " " + request.word(1));
         Thread.sleep(work);
+        if (closed) {
+            lost.add(requestId);
+            log.add("run of " + requestId + " ended with " + id);
+            throw new IOException("the instance has ended");
+        }
         StringBuilder head = new StringBuilder("HTTP/1.1 200 OK\r\n");
         head.append("X-Beryldock-Request-Id: ").append(requestId).append("\r\n");
         head.append("X-Beryldock-Response-Signature: sig-").append(requestId).append("\r\n");
@@ -237,6 +249,15 @@
         return otherwise;
     }
 
+    /** Ends the instance: what is at work ends with it. */
+    void exit() throws IOException {
+        log.add("instance " + id + " ends");
+        close();
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+
     @Override
     public void close() throws IOException {
         closed = true;
--- a/review/standin/review/Node.java
+++ b/review/standin/review/Node.java
@@ -9,6 +9,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -50,11 +51,15 @@
         }
     }
 
+    /** A free port below those that the system gives to outgoing connections, which a stopped node could lose it to. */
     static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
-        } catch (IOException e) {
-            throw new java.io.UncheckedIOException(e);
+        while (true) {
+            int port = ThreadLocalRandom.current().nextInt(20_000, 32_000);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+                return socket.getLocalPort();
+            } catch (IOException e) {
+                // The port is taken; the next one is tried.
+            }
         }
     }
 
--- a/review/standin/review/Site.java
+++ b/review/standin/review/Site.java
@@ -33,11 +33,14 @@
                 + timeout + ",\"targetLatencyS\":1.5,\"priority\":2,\"service\":\"" + lists + "\",\"attempts\":2},"
                 + "\"r-orders\":{\"hostname\":\"hulo84.example\",\"pathPrefix\":\"/orders/\",\"type\":\"unsafe\",\"timeoutS\":"
                 + timeout + ",\"targetLatencyS\":1.5,\"priority\":0,\"service\":\"" + ORDERS + "\",\"attempts\":" + attempts + "}},"
-                + "\"services\":{\"" + LISTS + "\":{\"healthPath\":\"/health\",\"maxConnections\":430,\"protocol\":\"h1\",\"tls\":false},"
-                + "\"" + ORDERS + "\":{\"healthPath\":\"/health\",\"maxConnections\":430,\"protocol\":\"h1\",\"tls\":false}},"
+                + "\"services\":{" + service(LISTS) + "," + service(ORDERS) + "},"
                 + "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":67108864,\"headerTimeoutS\":3,\"idleTimeoutS\":15}}";
     }
 
+    private static String service(String name) {
+        return "\"" + name + "\":{\"healthPath\":\"/health\",\"maxConnections\":430,\"protocol\":\"h1\",\"tls\":false}";
+    }
+
     Node node(String zone, String service) throws IOException {
         Node node = new Node("sidecar-" + zone + "-" + (nodes.size() + 1), zone, service, store.port(), folder, log);
         nodes.add(node);
