--- a/review/standin/review/Client.java
+++ b/review/standin/review/Client.java
@@ -3,7 +3,7 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.OutputStream;
-import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.Arrays;
 
@@ -16,8 +16,17 @@
     private final Log log;
 
     Client(int port, Log log) throws IOException {
+        this(port, log, 0);
+    }
+
+    /** Connects with a receive buffer of that size; 0 for the system's. */
+    Client(int port, Log log, int receiveBuffer) throws IOException {
         this.log = log;
-        socket = new Socket(InetAddress.getByName("127.0.0.1"), port);
+        socket = new Socket();
+        if (receiveBuffer > 0) {
+            socket.setReceiveBufferSize(receiveBuffer);
+        }
+        socket.connect(new InetSocketAddress("127.0.0.1", port));
         socket.setTcpNoDelay(true);
         in = Http.buffered(socket.getInputStream());
         out = socket.getOutputStream();
--- a/review/standin/review/Http.java
+++ b/review/standin/review/Http.java
@@ -35,8 +35,9 @@
             return index < words.length ? words[index] : "";
         }
 
+        /** The status of a response; -1 if the bytes are no response. */
         int status() {
-            return Integer.parseInt(word(1));
+            return startLine.matches("HTTP/1\\.1 [1-9][0-9][0-9]( .*)?") ? Integer.parseInt(word(1)) : -1;
         }
     }
 
@@ -54,6 +55,9 @@
         message.startLine = line;
         for (line = line(in); line != null && !line.isEmpty(); line = line(in)) {
             int colon = line.indexOf(':');
+            if (colon < 0) {
+                return message;
+            }
             message.headers.add(new String[] {line.substring(0, colon).trim(), line.substring(colon + 1).trim()});
         }
         if (line == null) {
