--- a/review/standin/review/Instance.java
+++ b/review/standin/review/Instance.java
@@ -102,6 +102,10 @@
         return sequence.incrementAndGet();
     }
 
+    String service() {
+        return node.service;
+    }
+
     void stopBeating() {
         beating = false;
     }
--- a/review/standin/review/Node.java
+++ b/review/standin/review/Node.java
@@ -9,6 +9,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
@@ -19,6 +21,9 @@
 
     private static final List<Node> STARTED = new ArrayList<>();
 
+    /** Ports that were given out or found taken. */
+    private static final Set<Integer> PORTS = ConcurrentHashMap.newKeySet();
+
     static {
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             synchronized (STARTED) {
@@ -55,6 +60,9 @@
     static int freePort() {
         while (true) {
             int port = ThreadLocalRandom.current().nextInt(20_000, 32_000);
+            if (!PORTS.add(port)) {
+                continue;
+            }
             try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
                 return socket.getLocalPort();
             } catch (IOException e) {
@@ -124,7 +132,7 @@
             }
             Thread.sleep(100);
         }
-        throw new IOException("node " + id + " does not become ready");
+        throw new IOException("node " + id + " does not become ready: " + Files.readString(folder.resolve(id + ".log")));
     }
 
     void signal(String name) throws IOException, InterruptedException {
