--- a/review/1/Case1.java
+++ b/review/1/Case1.java
@@ -89,7 +89,7 @@
             client.timeout(8000);
             for (int i = 0; !ended; i++) {
                 String id = "order-" + number + "-" + i;
-                client.send("POST", "/orders/work/20/bytes/400", id, Http.bytes("title " + id), 5000);
+                client.send("POST", "/orders/takes/20/bytes/400", id, Http.bytes("title " + id), 5000);
                 Http.Message answer = client.read();
                 if (answer == null) {
                     return;
--- a/review/3/Case3.java
+++ b/review/3/Case3.java
@@ -96,9 +96,9 @@
                 try (Client client = new Client(site.nodes.get(0).requests, site.log)) {
                     client.timeout(8000);
                     if (orders) {
-                        client.send("POST", "/orders/work/300/bytes/100", id, Http.bytes("title " + id), 5000);
+                        client.send("POST", "/orders/takes/300/bytes/100", id, Http.bytes("title " + id), 5000);
                     } else {
-                        client.send("GET", "/lists/work/100/bytes/100", id, new byte[0], 5000);
+                        client.send("GET", "/lists/takes/100/bytes/100", id, new byte[0], 5000);
                     }
                     Http.Message answer = client.read();
                     statuses.put(id, answer == null ? 0 : answer.status());
--- a/review/standin/review/Instance.java
+++ b/review/standin/review/Instance.java
@@ -16,7 +16,7 @@
 
 /**
  * A sound application instance: it says 421 to a request that expects another one, runs a request for the time that its
- * path names ({@code /route/work/MILLIS/bytes/N}), and answers with its signature and the request's id.
+ * path names ({@code /route/takes/MILLIS/bytes/N}), and answers with its signature and the request's id.
  */
 final class Instance implements AutoCloseable {
 
@@ -197,7 +197,7 @@
         runs.computeIfAbsent(requestId, key -> new AtomicInteger()).incrementAndGet();
         arrivals.putIfAbsent(requestId, log.millis());
         String[] path = request.word(1).split("/");
-        int work = number(path, "work", 50);
+        int work = number(path, "takes", 50);
         int bytes = number(path, "bytes", 100);
         log.add("run of " + requestId + " begins at " + id + ": " + request.word(0) + " " + request.word(1));
         Thread.sleep(work);
