--- a/review/3/Case3.java
+++ b/review/3/Case3.java
@@ -9,8 +9,12 @@
 /** An instance leaves, its node is killed and starts again, and a check-in from before the leaving arrives late. */
 public final class Case3 {
 
-    private static final int ORDERING = 2;
-    private static final int READING = 4;
+    private static final int ORDERING = 4;
+    private static final int READING = 20;
+
+    /** Fewer than clients, so that the entry node needs both instances. */
+    private static final int SLOTS = 16;
+
     private static final long DRAIN_MILLIS = 2000;
     private static final long STABLE_WINDOW_MILLIS = 3000;
 
@@ -40,6 +44,7 @@
 
     private int run(boolean trouble) throws Exception {
         site.store.write("op/config", Site.configuration("00000009", Site.ORDERS, "5", 2));
+        site.slots = SLOTS;
         site.node("gent-a", Site.LISTS);
         site.node("gent-b", Site.ORDERS);
         site.node("gent-c", Site.ORDERS);
--- a/review/standin/review/Site.java
+++ b/review/standin/review/Site.java
@@ -19,6 +19,9 @@
     final List<Node> nodes = new ArrayList<>();
     final List<Instance> instances = new ArrayList<>();
 
+    /** Slots that each instance names. */
+    int slots = 55;
+
     Site(Path record) throws IOException {
         log = new Log(record);
         folder = Files.createTempDirectory("beryldock-review");
@@ -48,7 +51,7 @@
     }
 
     Instance instance(Node node) throws IOException {
-        Instance instance = new Instance("i-" + (1000 + instances.size()), node, 55, log);
+        Instance instance = new Instance("i-" + (1000 + instances.size()), node, slots, log);
         instances.add(instance);
         return instance;
     }
