A late copy of a refusal is not taken for the response to the resend

Cause: an instance may send an extra response where the next one on the connection is due, told apart by its id. The client hands out the connection that was used last, so a resend went out on the connection of its refusal; both sendings have one id, and the copy was taken for the response to the resend. The node took a running request for refused and sent it again.

Change: a call that failed is not sent again on the same connection, and a response without an id is accepted only as the first on its connection, which is then closed; elsewhere it ends the call as lost. A call without an id needs a new connection.

Why it works: on each connection an id stands for one sending, so a response with that id answers that sending or copies an answer to it.

--- a/src/main/java/io/beryldock/nettyhttp/HttpClient.java
+++ b/src/main/java/io/beryldock/nettyhttp/HttpClient.java
@@ -20,6 +20,7 @@
 import java.util.Collection;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -81,7 +82,7 @@
         if (reply.isDone()) {
             return;
         }
-        HttpClientConnection kept = takeIdle(address, call.freshConnection());
+        HttpClientConnection kept = takeIdle(address, call);
         if (kept != null) {
             kept.exchange(call, reply);
             return;
@@ -123,16 +124,24 @@
                 });
     }
 
-    private HttpClientConnection takeIdle(InetSocketAddress address, boolean wantFresh) {
+    /** Takes the connection that was used last and may carry the call; null if there is none. */
+    private HttpClientConnection takeIdle(InetSocketAddress address, HttpCall call) {
         Deque<HttpClientConnection> kept = idle.get(address);
         if (kept == null) {
             return null;
         }
-        long limit = (wantFresh ? settings.maxIdleFresh() : settings.maxIdle()).toNanos();
-        long now = System.nanoTime();
-        HttpClientConnection newest = kept.peekLast();
-        if (newest != null && now - newest.idleSince() <= limit) {
-            return kept.pollLast();
+        Duration limit = call.freshConnection() ? settings.maxIdleFresh() : settings.maxIdle();
+        long oldest = System.nanoTime() - limit.toNanos();
+        Iterator<HttpClientConnection> newestFirst = kept.descendingIterator();
+        while (newestFirst.hasNext()) {
+            HttpClientConnection connection = newestFirst.next();
+            if (connection.idleSince() - oldest < 0) {
+                return null;
+            }
+            if (connection.canSend(call)) {
+                newestFirst.remove();
+                return connection;
+            }
         }
         return null;
     }
--- a/src/main/java/io/beryldock/nettyhttp/HttpClientConnection.java
+++ b/src/main/java/io/beryldock/nettyhttp/HttpClientConnection.java
@@ -4,6 +4,7 @@
 import com.google.protobuf.ByteString;
 import io.beryldock.call.Headers;
 import io.beryldock.nettyhttp.HttpExchangeException.Kind;
+import io.beryldock.nettyhttp.ResponseMatcher.Match;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
@@ -28,7 +29,8 @@
  * One connection of a client and the exchange on it.
  *
  * <p>Used on the client's event loop only. Invariants: at most one exchange at a time; a response is complete only if
- * its framing says so, and one without a length only if the connection ended by a close that is no reset.
+ * its framing says so, and one without a length only if the connection ended by a close that is no reset; a response
+ * ends the exchange only if {@link ResponseMatcher} takes it for that of the call.
  */
 final class HttpClientConnection extends SimpleChannelInboundHandler<HttpObject> {
 
@@ -38,6 +40,7 @@
     private final HttpClient client;
     private final InetSocketAddress address;
     private final int maxBodyBytes;
+    private final ResponseMatcher matcher = new ResponseMatcher();
     private ChannelHandlerContext context;
     private HttpCall call;
     private CompletableFuture<HttpReply> reply;
@@ -62,6 +65,11 @@
         return idleSince;
     }
 
+    /** Whether the response to the call could be told apart from late copies of earlier responses. */
+    boolean canSend(HttpCall next) {
+        return matcher.canSend(next);
+    }
+
     long openedAt() {
         return openedAt;
     }
@@ -144,7 +152,7 @@
         if (message instanceof HttpResponse response) {
             begin(response);
         }
-        if (message instanceof HttpContent content) {
+        if (reply != null && message instanceof HttpContent content) {
             add(content.content());
             if (reply != null && message instanceof LastHttpContent) {
                 end();
@@ -155,8 +163,15 @@
     private void begin(HttpResponse response) {
         head = response;
         body = ByteString.EMPTY;
-        boolean interim = response.status().code() < FIRST_FINAL_STATUS;
-        skipping = interim || !call.own().test(HttpMessages.headers(response.headers()));
+        if (response.status().code() < FIRST_FINAL_STATUS) {
+            skipping = true;
+            return;
+        }
+        Match match = matcher.match(call, HttpMessages.headers(response.headers()));
+        skipping = match == Match.FOREIGN;
+        if (match == Match.AMBIGUOUS) {
+            fail(Kind.LOST, "the response " + response.status().code() + " names no request");
+        }
     }
 
     private void add(ByteBuf content) {
@@ -180,7 +195,8 @@
         }
         Headers headers = HttpMessages.headers(head.headers());
         HttpReply whole = new HttpReply(head.status().code(), headers, body);
-        boolean reusable = HttpUtil.isKeepAlive(head) && isSelfDelimited();
+        matcher.onEnd(call, whole.status());
+        boolean reusable = HttpUtil.isKeepAlive(head) && isSelfDelimited() && matcher.isReusable();
         CompletableFuture<HttpReply> waiting = reply;
         reply = null;
         call = null;
--- a/src/main/java/io/beryldock/platform/PlatformHeaders.java
+++ b/src/main/java/io/beryldock/platform/PlatformHeaders.java
@@ -1,6 +1,5 @@
 package io.beryldock.platform;
 
-import io.beryldock.call.Headers;
 import java.util.Optional;
 
 /** Names of the platform's HTTP headers. Stateless, thread safe. */
@@ -56,9 +55,4 @@
         int dot = requestId.lastIndexOf(PARENT_SEPARATOR);
         return dot <= 0 ? Optional.empty() : Optional.of(requestId.substring(0, dot));
     }
-
-    /** Whether the response contains the id of the request. */
-    static boolean isResponseTo(String requestId, Headers response) {
-        return response.first(REQUEST_ID).filter(requestId::equals).isPresent();
-    }
 }
--- a/src/main/java/io/beryldock/platform/PlatformTargetClient.java
+++ b/src/main/java/io/beryldock/platform/PlatformTargetClient.java
@@ -8,6 +8,7 @@
 import io.beryldock.forwarding.TargetReply;
 import io.beryldock.http.HeaderFilter;
 import io.beryldock.http.TargetNoticeReader;
+import io.beryldock.nettyhttp.EchoedId;
 import io.beryldock.nettyhttp.HttpCall;
 import io.beryldock.nettyhttp.HttpClient;
 import io.beryldock.nettyhttp.HttpExchangeException;
@@ -59,19 +60,8 @@
         Headers headers = call.organisation()
                 .map(name -> withDeadline.with(PlatformHeaders.ORGANISATION, name.value()))
                 .orElse(withDeadline);
-        String id = call.headers().first(PlatformHeaders.REQUEST_ID).orElse("");
-        return new HttpCall(
-                call.method(),
-                call.path(),
-                headers,
-                call.body(),
-                response -> id.isEmpty() || isRefusal(response) || PlatformHeaders.isResponseTo(id, response),
-                !call.idempotent());
-    }
-
-    private static boolean isRefusal(Headers response) {
-        return response.first(PlatformHeaders.NOT_EXECUTED).isPresent()
-                && response.first(PlatformHeaders.REQUEST_ID).isEmpty();
+        EchoedId id = EchoedId.of(PlatformHeaders.REQUEST_ID, headers);
+        return new HttpCall(call.method(), call.path(), headers, call.body(), Optional.of(id), !call.idempotent());
     }
 
     private static TargetReply read(HttpReply reply) {
--- a/src/test/java/io/beryldock/nettyhttp/HttpClientTest.java
+++ b/src/test/java/io/beryldock/nettyhttp/HttpClientTest.java
@@ -11,6 +11,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -20,6 +21,7 @@
 final class HttpClientTest {
 
     private static final String ID = "X-Id";
+    private static final String REFUSAL_WITHOUT_ID = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
 
     private final EventLoops loops = EventLoops.create(1);
     private final HttpClient client = HttpClient.create(
@@ -36,14 +38,19 @@
 
     private CompletableFuture<HttpReply> send(RawServer server, String id) {
         Headers headers = Headers.empty().with("Host", "test").with(ID, id);
-        HttpCall call = new HttpCall(
-                "GET",
-                "/" + id,
-                headers,
-                ByteString.EMPTY,
-                response -> response.first(ID).filter(id::equals).isPresent(),
-                false);
-        return client.send(server.address(), call);
+        return client.send(server.address(), call(id, headers));
+    }
+
+    private static HttpCall call(String id, Headers headers) {
+        return new HttpCall("GET", "/" + id, headers, ByteString.EMPTY, Optional.of(EchoedId.of(ID, headers)), false);
+    }
+
+    private static String refusal(String id) {
+        return "HTTP/1.1 503 Service Unavailable\r\nX-Id: " + id + "\r\nContent-Length: 0\r\n\r\n";
+    }
+
+    private int status(RawServer server, String id) throws Exception {
+        return send(server, id).get(10, TimeUnit.SECONDS).status();
     }
 
     private String body(RawServer server, String id) throws Exception {
@@ -101,6 +108,57 @@
         }
     }
 
+    /** Guards against an order that runs twice: a late copy of its refusal is taken for the answer to its resend. */
+    @Test
+    void lateCopyOfRefusalIsNotTakenForTheAnswerToTheResend() throws Exception {
+        try (RawServer server = RawServer.start(refusal("a") + RawServer.LATE + refusal("a"), answer("a", "done"))) {
+            assertThat(status(server, "a")).isEqualTo(503);
+            assertThat(body(server, "a")).isEqualTo("done");
+        }
+    }
+
+    /** Guards against a new connection for each refusal, which would load a full target further. */
+    @Test
+    void connectionIsUsedAgainForOtherCallsAfterRefusal() throws Exception {
+        try (RawServer server = RawServer.start(refusal("a"), answer("b", "two"), answer("a", "three"))) {
+            assertThat(status(server, "a")).isEqualTo(503);
+            assertThat(body(server, "b")).isEqualTo("two");
+            assertThat(server.connections()).isEqualTo(1);
+            assertThat(body(server, "a")).isEqualTo("three");
+            assertThat(server.connections()).isEqualTo(2);
+        }
+    }
+
+    /** Guards against a running order that its caller is told has not run: the refusal is a copy and names no call. */
+    @Test
+    void responseWithoutIdBehindAnotherIsNotTakenForAnAnswer() throws Exception {
+        try (RawServer server = RawServer.start(answer("a", "one"), REFUSAL_WITHOUT_ID + answer("b", "two"))) {
+            assertThat(body(server, "a")).isEqualTo("one");
+            assertLost(send(server, "b"));
+        }
+    }
+
+    @Test
+    void firstResponseWithoutIdIsAcceptedAndEndsItsConnection() throws Exception {
+        try (RawServer server =
+                RawServer.start(REFUSAL_WITHOUT_ID + RawServer.LATE + REFUSAL_WITHOUT_ID, answer("b", "two"))) {
+            assertThat(status(server, "a")).isEqualTo(503);
+            assertThat(body(server, "b")).isEqualTo("two");
+        }
+    }
+
+    /** Guards against a call without an id that gets the late copy of another call's answer. */
+    @Test
+    void callWithoutIdDoesNotTakeTheAnswerOfAnotherCall() throws Exception {
+        String plain = "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n";
+        try (RawServer server = RawServer.start(answer("a", "one") + RawServer.LATE + answer("a", "one"), plain)) {
+            assertThat(body(server, "a")).isEqualTo("one");
+            HttpReply reply =
+                    client.send(server.address(), call("none", Headers.empty())).get(10, TimeUnit.SECONDS);
+            assertThat(reply.status()).isEqualTo(400);
+        }
+    }
+
     @Test
     void answerWithoutLengthIsCompleteWhenItsConnectionIsClosed() throws Exception {
         try (RawServer server = RawServer.start("HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nall of it" + RawServer.CLOSE)) {
--- a/src/test/java/io/beryldock/nettyhttp/RawServer.java
+++ b/src/test/java/io/beryldock/nettyhttp/RawServer.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** A server that answers each request with the next of its scripted texts, byte for byte, right or wrong. */
 final class RawServer implements AutoCloseable {
@@ -19,6 +20,9 @@
     /** Ends a script's connection with a reset in place of an orderly close. */
     static final String RESET = "!reset";
 
+    /** Separates an answer from bytes that follow it where the next answer on the same connection is due. */
+    static final String LATE = "!late";
+
     /** Ends a script's connection with an orderly close. */
     static final String CLOSE = "!close";
 
@@ -26,6 +30,7 @@
     private final Deque<String> script = new ArrayDeque<>();
     private final BlockingQueue<String> requests = new LinkedBlockingQueue<>();
     private final Deque<Socket> open = new ArrayDeque<>();
+    private final AtomicInteger accepted = new AtomicInteger();
 
     private RawServer(ServerSocket listener) {
         this.listener = listener;
@@ -49,11 +54,17 @@
         return requests.take();
     }
 
+    /** How many connections were accepted. */
+    int connections() {
+        return accepted.get();
+    }
+
     private void accept() {
         while (!listener.isClosed()) {
             try {
                 Socket socket = listener.accept();
                 open.add(socket);
+                accepted.incrementAndGet();
                 Thread thread = new Thread(() -> serve(socket), "raw-connection");
                 thread.setDaemon(true);
                 thread.start();
@@ -66,9 +77,14 @@
     private void serve(Socket socket) {
         try {
             String head = readHead(socket.getInputStream());
+            String late = "";
             while (!head.isEmpty()) {
                 requests.add(head);
-                if (!answer(socket)) {
+                write(socket, late);
+                String next = next();
+                int end = next.indexOf(LATE);
+                late = end < 0 ? "" : next.substring(end + LATE.length());
+                if (!answer(socket, end < 0 ? next : next.substring(0, end))) {
                     return;
                 }
                 head = readHead(socket.getInputStream());
@@ -79,11 +95,17 @@
         }
     }
 
-    private synchronized boolean answer(Socket socket) throws IOException {
-        String next = script.isEmpty() ? "" : script.poll();
-        String text = next.replace(RESET, "").replace(CLOSE, "");
+    private synchronized String next() {
+        return script.isEmpty() ? "" : script.poll();
+    }
+
+    private static void write(Socket socket, String text) throws IOException {
         socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
         socket.getOutputStream().flush();
+    }
+
+    private static boolean answer(Socket socket, String next) throws IOException {
+        write(socket, next.replace(RESET, "").replace(CLOSE, ""));
         if (next.endsWith(RESET)) {
             socket.setSoLinger(true, 0);
             socket.close();
