A departure of the target outlives a restart of its node

Cause: which starts have left was in the memory of the process only, and the confirmation waited for nothing. The process that started next took the late heartbeat for the first one of a new start; what the process before had written to the store was never read.

Change: DELETE and draining are confirmed once the node's record in the store holds the departure; the gate refuses new work at once, as before. A process reads the record of the one before, before it writes its own, and ignores heartbeats of the starts that it names. Until it has read it, an unknown start needs two further heartbeats with increasing sequences. A stopping node leaves its record to its lease, as ending the lease removed the departures too (found by reading, on the path of the planned restart).

Why it works: what is confirmed lies outside the process before the confirmation goes out, and the next process believes no heartbeat before it has looked there.

--- /dev/null
+++ b/src/main/java/io/beryldock/membership/RecordedDepartures.java
@@ -0,0 +1,86 @@
+package io.beryldock.membership;
+
+import com.google.common.collect.ImmutableList;
+import io.beryldock.wire.MembershipDeparture;
+import io.beryldock.wire.MembershipRecord;
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * The departures in this node's record, and the futures of those that the store does not hold yet.
+ *
+ * <p>Confined to the control thread. Invariant: at most {@link #MAX_STARTS} departures are held, the latest ones.
+ */
+final class RecordedDepartures {
+
+    /** Bounds the size of a record; an announcement that is late by this many starts is not expected. */
+    static final int MAX_STARTS = 4;
+
+    private final Deque<DepartedStart> starts = new ArrayDeque<>();
+    private final Map<DepartedStart, CompletableFuture<Void>> unstored = new HashMap<>();
+
+    ImmutableList<DepartedStart> starts() {
+        return ImmutableList.copyOf(starts);
+    }
+
+    /** Adds a departure and returns whether it was unknown. */
+    boolean add(DepartedStart start) {
+        if (starts.contains(start)) {
+            return false;
+        }
+        starts.addLast(start);
+        unstored.put(start, new CompletableFuture<>());
+        if (starts.size() > MAX_STARTS) {
+            dropOldest();
+        }
+        return true;
+    }
+
+    private void dropOldest() {
+        CompletableFuture<Void> waiting = unstored.remove(starts.removeFirst());
+        if (waiting != null) {
+            waiting.completeExceptionally(new IllegalStateException(
+                    "the store did not take the departure before " + MAX_STARTS + " later ones"));
+        }
+    }
+
+    /** Adds the departures that the store holds already, before all others. */
+    void addEarlier(ImmutableList<DepartedStart> stored) {
+        for (DepartedStart start : stored.reverse()) {
+            if (!starts.contains(start) && starts.size() < MAX_STARTS) {
+                starts.addFirst(start);
+            }
+        }
+    }
+
+    /** Completes once the store holds the departure. */
+    CompletableFuture<Void> stored(DepartedStart start) {
+        return unstored.getOrDefault(start, CompletableFuture.completedFuture(null));
+    }
+
+    void onStored(Collection<DepartedStart> written) {
+        written.forEach(start -> {
+            CompletableFuture<Void> waiting = unstored.remove(start);
+            if (waiting != null) {
+                waiting.complete(null);
+            }
+        });
+    }
+
+    MembershipRecord addTo(MembershipRecord record) {
+        MembershipRecord.Builder extended = record.toBuilder();
+        starts.forEach(start -> extended.addDepartures(
+                MembershipDeparture.newBuilder().setId(start.id()).setStartedAtMillis(start.startedAtMillis())));
+        return extended.build();
+    }
+
+    static ImmutableList<DepartedStart> read(MembershipRecord record) {
+        return record.getDeparturesList().stream()
+                .map(departure -> new DepartedStart(departure.getId(), departure.getStartedAtMillis()))
+                .collect(ImmutableList.toImmutableList());
+    }
+}
--- a/src/main/java/io/beryldock/membership/RegistryMembership.java
+++ b/src/main/java/io/beryldock/membership/RegistryMembership.java
@@ -1,5 +1,6 @@
 package io.beryldock.membership;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.beryldock.call.Incarnation;
@@ -32,7 +33,7 @@
  * failed attempt, because each request is admitted by the node of its target. Confined to the control thread, except
  * for {@link #directory()}.
  */
-public final class RegistryMembership implements Membership {
+public final class RegistryMembership implements Membership, TargetDepartures {
 
     /** Prefix of the keys of the records; the rest of the key is the node's id. */
     static final String PREFIX = "beryldock/nodes/";
@@ -97,6 +98,7 @@
 
     @Override
     public void start() {
+        own.recall();
         timers.after(FIRST_WRITE_DELAY, own::publish);
         sharing.follow(PREFIX, WATCH_BATCH_DELAY, MAX_AGE, new RecordEntryListener());
         timers.every(TICK_PERIOD, this::tick);
@@ -120,6 +122,16 @@
         }
     }
 
+    @Override
+    public CompletableFuture<Void> add(DepartedStart start) {
+        return own.addDeparture(start);
+    }
+
+    @Override
+    public void readEarlier(Consumer<ImmutableList<DepartedStart>> reader) {
+        own.readEarlierDepartures(reader);
+    }
+
     @Override
     public CompletableFuture<Void> leave() {
         CompletableFuture<Void> done = new CompletableFuture<>();
--- a/src/main/java/io/beryldock/membership/RegistryRecord.java
+++ b/src/main/java/io/beryldock/membership/RegistryRecord.java
@@ -1,28 +1,36 @@
 package io.beryldock.membership;
 
+import com.google.common.collect.ImmutableList;
+import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
 import io.beryldock.membership.MemberRecord.AnnouncedTarget;
 import io.beryldock.store.RegistryStore;
+import io.beryldock.store.RegistryStore.Entry;
 import io.beryldock.store.RegistryStore.Listing;
 import io.beryldock.store.StoreRecovery;
 import io.beryldock.time.Jitter;
 import io.beryldock.time.TimerService;
 import io.beryldock.time.TimerThread;
+import io.beryldock.wire.MembershipRecord;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
 /**
  * Maintains this node's own record in the store under a lease.
  *
- * <p>Confined to the control thread. Invariant: the store holds the current record, or a write of it is in progress or
- * due. After an outage the record is restored within about a second: while the store does not answer, the call is
- * retried every {@link #RETRY_DELAY}, and an entry known to be missing is written again immediately. After the store
- * has been restored from an older copy, the entry is read back and written again if it differs from the current record.
+ * <p>Confined to the control thread. Invariants: the store holds the current record, or a write of it is in progress or
+ * due; nothing is written before the departures in the record of an earlier process have been read.
+ *
+ * <p>After an outage the record is restored within about a second: while the store does not answer, the call is retried
+ * every {@link #RETRY_DELAY}, and an entry known to be missing is written again immediately. After the store has been
+ * restored from an older copy, the entry is read back and written again if it differs from the current record.
  */
 final class RegistryRecord {
 
@@ -43,6 +51,7 @@
     /** All nodes detect a new era of the store at the same time; their reads are spread over this period. */
     private static final Duration READ_BACK_SPREAD = Duration.ofMillis(300);
 
+    private static final FluentLogger log = FluentLogger.forEnclosingClass();
     private static final long NO_LEASE = 0;
 
     private final String key;
@@ -57,7 +66,10 @@
     private boolean callInProgress;
     private boolean left;
     private boolean readBackDue;
+    private boolean publishDue;
     private final Deque<ByteString> recentWrites = new ArrayDeque<>();
+    private final RecordedDepartures departures = new RecordedDepartures();
+    private final CompletableFuture<ImmutableList<DepartedStart>> earlierDepartures = new CompletableFuture<>();
 
     RegistryRecord(String key, MemberRecord record, RegistryPorts ports) {
         this.key = key;
@@ -77,6 +89,52 @@
         return record;
     }
 
+    /** Reads the departures that an earlier process of this node has recorded. */
+    void recall() {
+        callStore(store.list(key), this::onRecalled);
+    }
+
+    private void onRecalled(Listing listing, Throwable failure) {
+        if (failure != null) {
+            timers.after(Jitter.around(RETRY_DELAY, random), this::recall);
+            return;
+        }
+        ImmutableList<DepartedStart> recorded =
+                ownValue(listing).map(this::readDepartures).orElse(ImmutableList.of());
+        departures.addEarlier(recorded);
+        earlierDepartures.complete(recorded);
+        if (publishDue) {
+            publish();
+        }
+    }
+
+    private ImmutableList<DepartedStart> readDepartures(ByteString value) {
+        try {
+            return RecordedDepartures.read(MembershipRecord.parseFrom(value));
+        } catch (InvalidProtocolBufferException e) {
+            log.atWarning().withCause(e).log("ignoring entry %s: not a valid node record", key);
+            return ImmutableList.of();
+        }
+    }
+
+    /** Passes the departures that earlier processes of this node have recorded, once they have been read. */
+    void readEarlierDepartures(Consumer<ImmutableList<DepartedStart>> reader) {
+        TimerThread.onCompletion(timers, earlierDepartures, (earlier, failure) -> reader.accept(earlier));
+    }
+
+    /** Adds a departure to the record; the future completes when the store holds it. */
+    CompletableFuture<Void> addDeparture(DepartedStart start) {
+        boolean added = departures.add(start);
+        if (left) {
+            writeLeft();
+        } else if (added) {
+            record = record.withTarget(record.target());
+            // A change of the target's state usually follows at once; both take one write.
+            timers.after(Duration.ZERO, this::publish);
+        }
+        return departures.stored(start);
+    }
+
     /** Sets the announced target and returns whether this changed the record. */
     boolean announce(Optional<AnnouncedTarget> target) {
         if (record.target().equals(target) || left) {
@@ -89,6 +147,10 @@
 
     /** Writes the record unless the store already holds it. */
     void publish() {
+        if (!earlierDepartures.isDone()) {
+            publishDue = true;
+            return;
+        }
         if (callInProgress || left) {
             return;
         }
@@ -116,7 +178,8 @@
 
     private void write() {
         long revision = record.revision();
-        ByteString value = MembershipCodec.encode(record).toByteString();
+        ImmutableList<DepartedStart> departed = departures.starts();
+        ByteString value = encode(record);
         addRecentWrite(value);
         callStore(store.put(key, value, lease), (done, failure) -> {
             if (failure != null) {
@@ -126,6 +189,7 @@
             callInProgress = false;
             if (done) {
                 writtenRevision = revision;
+                departures.onStored(departed);
             } else {
                 lease = NO_LEASE;
             }
@@ -133,6 +197,10 @@
         });
     }
 
+    private ByteString encode(MemberRecord current) {
+        return departures.addTo(MembershipCodec.encode(current)).toByteString();
+    }
+
     private void addRecentWrite(ByteString value) {
         recentWrites.addLast(value);
         if (recentWrites.size() > MAX_RECENT_WRITES) {
@@ -178,10 +246,14 @@
     }
 
     private boolean holdsRecord(Listing listing) {
-        ByteString current = MembershipCodec.encode(record).toByteString();
+        return ownValue(listing).filter(encode(record)::equals).isPresent();
+    }
+
+    private Optional<ByteString> ownValue(Listing listing) {
         return listing.entries().stream()
                 .filter(entry -> entry.key().equals(key))
-                .anyMatch(entry -> entry.value().filter(current::equals).isPresent());
+                .findAny()
+                .flatMap(Entry::value);
     }
 
     /** Renews the lease immediately, because the store may have lost the last renewal. */
@@ -255,15 +327,27 @@
         }
     }
 
-    /** Writes the departure of this node and then ends the lease, which removes the entry. */
-    CompletableFuture<Void> leave() {
+    /**
+     * Writes that this node has left. The entry is kept until its lease runs out, so that the departures in it are
+     * found if the node is restarted beside a leaving target.
+     */
+    CompletableFuture<Boolean> leave() {
         left = true;
+        return writeLeft();
+    }
+
+    private CompletableFuture<Boolean> writeLeft() {
         if (lease == NO_LEASE) {
-            return CompletableFuture.completedFuture(null);
+            return CompletableFuture.completedFuture(false);
         }
-        MemberRecord departed = record.withStatus(MemberStatus.LEFT);
-        return store.put(key, MembershipCodec.encode(departed).toByteString(), lease)
-                .thenCompose(done -> store.endLease(lease));
+        ImmutableList<DepartedStart> departed = departures.starts();
+        CompletableFuture<Boolean> written = store.put(key, encode(record.withStatus(MemberStatus.LEFT)), lease);
+        callStore(written, (done, failure) -> {
+            if (failure == null && done) {
+                departures.onStored(departed);
+            }
+        });
+        return written;
     }
 
     private <T> void callStore(CompletableFuture<T> call, BiConsumer<T, Throwable> then) {
--- a/src/main/java/io/beryldock/platform/LocalTargets.java
+++ b/src/main/java/io/beryldock/platform/LocalTargets.java
@@ -1,6 +1,9 @@
 package io.beryldock.platform;
 
+import com.google.common.collect.ImmutableList;
 import io.beryldock.forwarding.Announcement;
+import io.beryldock.membership.DepartedStart;
+import io.beryldock.membership.TargetDepartures;
 import io.beryldock.membership.TargetState;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -8,6 +11,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.Supplier;
 
 /**
  * Tracks which start of the target in this VM is the current one.
@@ -19,6 +24,9 @@
  * ordered by the start times in their heartbeats. If heartbeats contain no start time, an id that has been replaced
  * becomes current again only after two further heartbeats with increasing sequences, which a single late heartbeat
  * cannot provide; an id that has ended does not become current again.
+ *
+ * <p>This holds across restarts of the node: a departure is confirmed only when it has been recorded for later
+ * processes. Until a process has read what earlier ones recorded, it takes an unknown start for a replaced one.
  */
 final class LocalTargets {
 
@@ -28,11 +36,13 @@
     /** Heartbeats with increasing sequences after which a replaced start becomes current again. */
     private static final int REQUIRED_PROOFS = 2;
 
+    private static final CompletableFuture<Void> DONE = CompletableFuture.completedFuture(null);
     private static final CurrentStart NONE = new CurrentStart("", Heartbeat.UNKNOWN_START, 0);
 
     private final Executor control;
     private final Consumer<Announcement> announcements;
     private final Runnable onNewStart;
+    private final TargetDepartures departures;
     private final Map<String, PreviousStart> previous = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
 
@@ -43,17 +53,27 @@
     };
     private CurrentStart currentStart = NONE;
     private Optional<Announcement> lastAnnouncement = Optional.empty();
+    private boolean recalled;
+    private Optional<UnknownStart> awaitingRecall = Optional.empty();
     private volatile Optional<LocalTarget> current = Optional.empty();
 
     /**
      * Creates a tracker without a current start.
      *
      * @param onNewStart runs before the first announcement of each start except the first start
+     * @param departures is called on the control thread
      */
-    LocalTargets(Executor control, Consumer<Announcement> announcements, Runnable onNewStart) {
+    LocalTargets(
+            Executor control, Consumer<Announcement> announcements, Runnable onNewStart, TargetDepartures departures) {
         this.control = control;
         this.announcements = announcements;
         this.onNewStart = onNewStart;
+        this.departures = departures;
+    }
+
+    /** Reads what earlier processes of this node have recorded. */
+    void start() {
+        control.execute(() -> departures.readEarlier(this::recall));
     }
 
     /** The current start and the highest sequence received from it. */
@@ -71,24 +91,55 @@
      * @param sequence the highest sequence received from it
      * @param proofs heartbeats with increasing sequences that were received from it since it was replaced
      */
-    private record PreviousStart(long startedAt, boolean ended, long sequence, int proofs) {}
+    private record PreviousStart(long startedAt, boolean ended, long sequence, int proofs) {
+
+        static PreviousStart ended(long startedAt) {
+            return new PreviousStart(startedAt, true, Long.MAX_VALUE, 0);
+        }
+    }
+
+    /** The last heartbeat of a start that an earlier process may have known. */
+    private record UnknownStart(String id, Heartbeat heartbeat) {}
 
     Optional<LocalTarget> current() {
         return current;
     }
 
-    /** Applies a heartbeat; the future completes when the gate has been updated. */
+    /**
+     * Applies a heartbeat.
+     *
+     * @return completes when the gate has been updated and, if the start is leaving, its departure has been recorded
+     */
     CompletableFuture<Void> onHeartbeat(String id, Heartbeat heartbeat) {
-        return CompletableFuture.runAsync(() -> apply(id, heartbeat), control);
+        return onControl(() -> {
+            apply(id, heartbeat);
+            boolean leaving = heartbeat.announcement().state() == TargetState.LEAVING;
+            return leaving ? departures.add(new DepartedStart(id, heartbeat.startedAtMillis())) : DONE;
+        });
     }
 
     /**
      * Records the end of a start; the gate admits no new work for it.
      *
      * @param startedAt start time in milliseconds, or {@link Heartbeat#UNKNOWN_START}
+     * @return completes when the gate has been updated and the departure has been recorded
      */
     CompletableFuture<Void> onEnded(String id, long startedAt) {
-        return CompletableFuture.runAsync(() -> endStart(id, startedAt), control);
+        return onControl(() -> departures.add(endStart(id, startedAt)));
+    }
+
+    private CompletableFuture<Void> onControl(Supplier<CompletableFuture<Void>> task) {
+        return CompletableFuture.supplyAsync(task, control).thenCompose(Function.identity());
+    }
+
+    private void recall(ImmutableList<DepartedStart> earlier) {
+        recalled = true;
+        earlier.forEach(start -> endStart(start.id(), start.startedAtMillis()));
+        awaitingRecall.ifPresent(waiting -> {
+            previous.computeIfPresent(waiting.id(), (id, known) -> known.ended() ? known : null);
+            apply(waiting.id(), waiting.heartbeat());
+        });
+        awaitingRecall = Optional.empty();
     }
 
     private void apply(String id, Heartbeat heartbeat) {
@@ -99,6 +150,10 @@
             }
             return;
         }
+        if (!recalled && heartbeat.announcement().state() != TargetState.LEAVING) {
+            awaitingRecall = Optional.of(new UnknownStart(id, heartbeat));
+            previous.putIfAbsent(id, new PreviousStart(heartbeat.startedAtMillis(), false, heartbeat.sequence(), 0));
+        }
         if (isEarlier(heartbeat) || isFromPreviousStart(id, heartbeat)) {
             return;
         }
@@ -150,14 +205,16 @@
         return true;
     }
 
-    private void endStart(String id, long startedAt) {
+    /** Ends a start and returns it with its start time, which the notice of its end may lack. */
+    private DepartedStart endStart(String id, long startedAt) {
         boolean ofCurrent = id.equals(currentStart.id());
         boolean startKnown = startedAt != Heartbeat.UNKNOWN_START;
         if (ofCurrent && startKnown && startedAt < currentStart.startedAt()) {
             // A late notice: an earlier start under the same id has ended.
-            return;
+            return new DepartedStart(id, startedAt);
         }
-        previous.put(id, new PreviousStart(ofCurrent ? currentStart.startedAt() : startedAt, true, Long.MAX_VALUE, 0));
+        long lastStart = ofCurrent ? currentStart.startedAt() : Math.max(startedAt, previousStartOf(id));
+        previous.put(id, PreviousStart.ended(lastStart));
         if (ofCurrent) {
             currentStart = NONE;
             lastAnnouncement.ifPresent(announced -> announce(new Announcement(
@@ -167,6 +224,12 @@
                     TargetState.LEAVING,
                     announced.start())));
         }
+        return new DepartedStart(id, lastStart);
+    }
+
+    private long previousStartOf(String id) {
+        PreviousStart known = previous.get(id);
+        return known == null ? Heartbeat.UNKNOWN_START : known.startedAt();
     }
 
     private void announce(Announcement announcement) {
--- a/src/main/java/io/beryldock/platform/PlatformModule.java
+++ b/src/main/java/io/beryldock/platform/PlatformModule.java
@@ -93,7 +93,7 @@
 
     @Provides
     @Singleton
-    Membership membership(
+    RegistryMembership registryMembership(
             NodeDescriptor self,
             RegistryStore store,
             StoreRecovery recovery,
@@ -104,6 +104,12 @@
         return RegistryMembership.create(self, new RegistryPorts(store, recovery, sharing, timers, random, events));
     }
 
+    @Provides
+    @Singleton
+    Membership membership(RegistryMembership membership) {
+        return membership;
+    }
+
     @Provides
     @Singleton
     DocumentSync documentSync(ActiveConfiguration activeConfiguration, StoreSharing sharing) {
@@ -130,8 +136,8 @@
 
     @Provides
     @Singleton
-    LocalTargets localTargets(ControlLoop control, TargetAnnouncements announcements) {
-        return new LocalTargets(control, announcements::announce, announcements::onTargetRestart);
+    LocalTargets localTargets(ControlLoop control, TargetAnnouncements announcements, RegistryMembership departures) {
+        return new LocalTargets(control, announcements::announce, announcements::onTargetRestart, departures);
     }
 
     @Provides
--- a/src/main/java/io/beryldock/platform/PlatformNode.java
+++ b/src/main/java/io/beryldock/platform/PlatformNode.java
@@ -74,6 +74,7 @@
         bind(settings, core, loops, document::limits);
         core.control().run(() -> {
             core.startControl();
+            core.injector().getInstance(LocalTargets.class).start();
             core.injector().getInstance(DocumentSync.class).start();
         });
         core.events()
--- a/src/test/java/io/beryldock/membership/RegistryMembershipTest.java
+++ b/src/test/java/io/beryldock/membership/RegistryMembershipTest.java
@@ -18,12 +18,16 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 
 final class RegistryMembershipTest {
 
     private static final ServiceName LISTS = ServiceName.of("lists");
+    private static final DepartedStart LEFT = new DepartedStart("i-1", 0);
 
     private final ManualTimerService timers = ManualTimerService.create();
     private final FakeRegistry registry = new FakeRegistry(timers);
@@ -287,4 +291,108 @@
         run(Duration.ofSeconds(3));
         assertThat(first.directory().node(NodeId.of("n3"))).isPresent();
     }
+
+    private List<DepartedStart> departuresFoundBy(RegistryMembership node) {
+        List<DepartedStart> found = new ArrayList<>();
+        node.readEarlier(found::addAll);
+        run(Duration.ofSeconds(1));
+        return found;
+    }
+
+    /** Guards against a target that gets requests after its departure was confirmed, because its node was killed. */
+    @Test
+    void departureIsFoundAfterTheNodeWasKilled() {
+        run(Duration.ofSeconds(4));
+        CompletableFuture<Void> stored = second.add(LEFT);
+        second.announce(LISTS, 8, TargetState.LEAVING);
+        run(Duration.ZERO);
+        assertThat(stored).isCompleted();
+        secondView.setDown(true);
+        assertThat(departuresFoundBy(membership("n2", 2, registry.view()))).containsExactly(LEFT);
+    }
+
+    /** Guards against the same after a planned restart of the node. */
+    @Test
+    void departureIsFoundAfterTheNodeWasStopped() {
+        run(Duration.ofSeconds(4));
+        second.add(LEFT);
+        run(Duration.ofSeconds(1));
+        second.leave();
+        run(Duration.ofSeconds(1));
+        assertThat(first.directory().node(NodeId.of("n2"))).isEmpty();
+        assertThat(departuresFoundBy(membership("n2", 2, registry.view()))).containsExactly(LEFT);
+    }
+
+    /** Guards against the same if the target leaves while its node is stopping. */
+    @Test
+    void departureThatIsAnnouncedWhileTheNodeStopsIsFound() {
+        run(Duration.ofSeconds(4));
+        second.leave();
+        CompletableFuture<Void> stored = second.add(LEFT);
+        run(Duration.ofSeconds(1));
+        assertThat(stored).isCompleted();
+        assertThat(departuresFoundBy(membership("n2", 2, registry.view()))).containsExactly(LEFT);
+    }
+
+    /** Guards against a confirmation that a restart makes untrue, because the store had not taken the departure. */
+    @Test
+    void departureCompletesOnceTheStoreHoldsIt() {
+        run(Duration.ofSeconds(4));
+        secondView.setDown(true);
+        CompletableFuture<Void> stored = second.add(LEFT);
+        second.announce(LISTS, 8, TargetState.LEAVING);
+        run(Duration.ofSeconds(3));
+        assertThat(stored).isNotDone();
+        assertThat(second.add(LEFT)).isNotDone();
+        secondView.setDown(false);
+        run(Duration.ofSeconds(2));
+        assertThat(stored).isCompleted();
+        assertThat(second.add(LEFT)).isCompleted();
+    }
+
+    /** Guards against departures that a restarted node overwrites before it has read them. */
+    @Test
+    void nothingIsWrittenBeforeTheDeparturesWereRead() {
+        run(Duration.ofSeconds(4));
+        second.add(LEFT);
+        run(Duration.ofSeconds(1));
+        secondView.setDown(true);
+        FakeRegistry.View view = registry.view();
+        view.setSilent(true);
+        RegistryMembership restarted = membership("n2", 2, view);
+        run(Duration.ofSeconds(3));
+        view.setSilent(false);
+        assertThat(departuresFoundBy(restarted)).containsExactly(LEFT);
+        run(Duration.ofSeconds(2));
+        assertThat(targetsAt(first)).isEqualTo(2);
+    }
+
+    /** Guards against departures that are forgotten by the second of two restarts. */
+    @Test
+    void departuresAreKeptAcrossSeveralRestarts() {
+        run(Duration.ofSeconds(4));
+        second.add(LEFT);
+        run(Duration.ofSeconds(1));
+        secondView.setDown(true);
+        FakeRegistry.View view = registry.view();
+        RegistryMembership restarted = membership("n2", 2, view);
+        run(Duration.ofSeconds(4));
+        DepartedStart later = new DepartedStart("later", 5);
+        restarted.add(later);
+        run(Duration.ofSeconds(1));
+        view.setDown(true);
+        assertThat(departuresFoundBy(membership("n2", 2, registry.view()))).containsExactly(LEFT, later);
+    }
+
+    @Test
+    void departureAndStateOfTheTargetTakeOneWrite() {
+        run(Duration.ofSeconds(4));
+        int calls = secondView.calls();
+        long revision = registry.copy().revision();
+        second.add(LEFT);
+        second.announce(LISTS, 8, TargetState.LEAVING);
+        run(Duration.ofMillis(100));
+        assertThat(registry.copy().revision()).isEqualTo(revision + 1);
+        assertThat(secondView.calls()).isLessThanOrEqualTo(calls + 2);
+    }
 }
--- a/src/test/java/io/beryldock/platform/LocalTargetsTest.java
+++ b/src/test/java/io/beryldock/platform/LocalTargetsTest.java
@@ -6,14 +6,42 @@
 import io.beryldock.membership.TargetState;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 final class LocalTargetsTest {
 
     private final List<Announcement> announced = new ArrayList<>();
     private final AtomicInteger newStarts = new AtomicInteger();
-    private final LocalTargets targets = new LocalTargets(Runnable::run, announced::add, newStarts::incrementAndGet);
+    private final FakeDepartures departures = new FakeDepartures();
+    private final LocalTargets targets =
+            new LocalTargets(Runnable::run, announced::add, newStarts::incrementAndGet, departures);
+
+    @BeforeEach
+    void start() {
+        targets.start();
+        departures.recall();
+    }
+
+    /** Returns the targets of a process that has not read what earlier ones recorded. */
+    private LocalTargets restarted() {
+        departures.forgetReaders();
+        announced.clear();
+        LocalTargets restarted =
+                new LocalTargets(Runnable::run, announced::add, newStarts::incrementAndGet, departures);
+        restarted.start();
+        return restarted;
+    }
+
+    private static Heartbeat heartbeat(long sequence, TargetState state, long startedAt) {
+        return new Heartbeat(new Announcement("lists", "127.0.0.1:1", 8, state), sequence, startedAt);
+    }
+
+    private static CompletableFuture<Void> ready(LocalTargets targets, String id, long sequence) {
+        return targets.onHeartbeat(id, heartbeat(sequence, TargetState.READY, Heartbeat.UNKNOWN_START));
+    }
 
     private void heartbeat(String id, int port, long sequence, TargetState state) {
         heartbeatOfStart(id, port, sequence, state, Heartbeat.UNKNOWN_START);
@@ -136,4 +164,113 @@
         }
         assertThat(targets.current().orElseThrow().id()).isEqualTo("new");
     }
+
+    /** Guards against requests to a target that has left: its node is killed, and an earlier heartbeat comes late. */
+    @Test
+    void lateHeartbeatOfEndedStartIsIgnoredAfterRestartOfTheNode() {
+        ready("a", 7);
+        targets.onEnded("a", Heartbeat.UNKNOWN_START).join();
+        LocalTargets restarted = restarted();
+        departures.recall();
+        ready(restarted, "a", 8).join();
+        ready(restarted, "a", 9).join();
+        ready(restarted, "a", 10).join();
+        assertThat(restarted.current()).isEmpty();
+        assertThat(announced).isEmpty();
+    }
+
+    /** Guards against the same for a target that has announced itself as draining. */
+    @Test
+    void lateHeartbeatOfDrainingStartIsIgnoredAfterRestartOfTheNode() {
+        ready("a", 7);
+        heartbeat("a", 1, 9, TargetState.LEAVING);
+        LocalTargets restarted = restarted();
+        departures.recall();
+        ready(restarted, "a", 8).join();
+        assertThat(restarted.current()).isEmpty();
+    }
+
+    /** Guards against a late heartbeat that the restarted node receives before the store has answered. */
+    @Test
+    void lateHeartbeatBeforeTheRecallIsIgnored() {
+        ready("a", 7);
+        targets.onEnded("a", Heartbeat.UNKNOWN_START).join();
+        LocalTargets restarted = restarted();
+        ready(restarted, "a", 8).join();
+        assertThat(restarted.current()).isEmpty();
+        departures.recall();
+        assertThat(restarted.current()).isEmpty();
+    }
+
+    /** Guards against a target without work because its node was restarted. */
+    @Test
+    void runningStartBecomesCurrentWithTheRecall() {
+        LocalTargets restarted = restarted();
+        ready(restarted, "a", 8).join();
+        assertThat(restarted.current()).isEmpty();
+        departures.recall();
+        assertThat(restarted.current().orElseThrow().id()).isEqualTo("a");
+    }
+
+    /** Guards against a target without work for as long as its restarted node can't read the store. */
+    @Test
+    void runningStartBecomesCurrentWithoutRecallAfterFurtherHeartbeats() {
+        LocalTargets restarted = restarted();
+        ready(restarted, "a", 8).join();
+        ready(restarted, "a", 9).join();
+        assertThat(restarted.current()).isEmpty();
+        ready(restarted, "a", 10).join();
+        assertThat(restarted.current().orElseThrow().id()).isEqualTo("a");
+    }
+
+    @Test
+    void startThatWasAcceptedWithoutRecallEndsIfItHadLeft() {
+        ready("a", 7);
+        targets.onEnded("a", Heartbeat.UNKNOWN_START).join();
+        LocalTargets restarted = restarted();
+        for (int sequence = 8; sequence < 11; sequence++) {
+            ready(restarted, "a", sequence).join();
+        }
+        departures.recall();
+        assertThat(lastState()).isEqualTo(TargetState.LEAVING);
+    }
+
+    /** Guards against the same where heartbeats tell the start time and the notice of the end does not. */
+    @Test
+    void endWithoutStartTimeCoversTheCurrentStartAfterRestartOfTheNode() {
+        heartbeatOfStart("a", 1, 40, TargetState.READY, 1_000);
+        targets.onEnded("a", Heartbeat.UNKNOWN_START).join();
+        targets.onEnded("a", Heartbeat.UNKNOWN_START).join();
+        LocalTargets restarted = restarted();
+        departures.recall();
+        restarted.onHeartbeat("a", heartbeat(41, TargetState.READY, 1_000)).join();
+        assertThat(restarted.current()).isEmpty();
+    }
+
+    /** Guards against a target that is refused for ever because an earlier start under its id has left. */
+    @Test
+    void laterStartUnderTheSameIdIsAcceptedAfterRestartOfTheNode() {
+        heartbeatOfStart("a", 1, 40, TargetState.READY, 1_000);
+        targets.onEnded("a", 1_000).join();
+        LocalTargets restarted = restarted();
+        departures.recall();
+        restarted.onHeartbeat("a", heartbeat(1, TargetState.READY, 2_000)).join();
+        assertThat(lastState()).isEqualTo(TargetState.READY);
+    }
+
+    /** Guards against a confirmed departure that is lost with the process because the store did not hold it yet. */
+    @Test
+    void departureIsConfirmedOnceItIsRecorded() {
+        ready("a", 1);
+        departures.storeImmediately(false);
+        CompletableFuture<Void> draining =
+                targets.onHeartbeat("a", heartbeat(2, TargetState.LEAVING, Heartbeat.UNKNOWN_START));
+        CompletableFuture<Void> ended = targets.onEnded("a", Heartbeat.UNKNOWN_START);
+        assertThat(lastState()).isEqualTo(TargetState.LEAVING);
+        assertThat(draining).isNotDone();
+        assertThat(ended).isNotDone();
+        departures.store();
+        assertThat(draining).isCompleted();
+        assertThat(ended).isCompleted();
+    }
 }
