A status that promises is not passed on unless the target made the promise

What callers could see: 503, 429 or 408 to an order that has run, which a client takes for a promise that it has not and sends again.

Cause: an answer of the target without its mark of a refusal was passed on unchanged, whatever its status. Only the mark states that the target did not run the request.

Change: for a call that must not run twice, such an answer counts as lost and its caller gets 502, which promises nothing. Idempotent calls get the answer unchanged, as before.

--- a/src/main/java/io/beryldock/platform/PlatformTargetClient.java
+++ b/src/main/java/io/beryldock/platform/PlatformTargetClient.java
@@ -1,5 +1,6 @@
 package io.beryldock.platform;
 
+import com.google.common.collect.ImmutableSet;
 import io.beryldock.call.Answer;
 import io.beryldock.call.Call;
 import io.beryldock.call.Headers;
@@ -26,6 +27,10 @@
     private static final int MISDIRECTED_REQUEST = 421;
     private static final int FIRST_SUCCESS = 200;
     private static final int FIRST_REDIRECTION = 300;
+
+    /** Statuses that tell a caller that its request has not run and will not run. */
+    private static final ImmutableSet<Integer> NOT_RUN_STATUSES = ImmutableSet.of(408, 429, 503);
+
     private static final TargetNoticeReader NOTICES =
             TargetNoticeReader.create(PlatformHeaders.RATE_LIMIT, PlatformHeaders.LEAVING);
 
@@ -48,7 +53,7 @@
         Duration limit = Duration.ofNanos(call.context().remainingNanos()).plus(LATE);
         CompletableFuture<HttpReply> reply = client.send(current.get().address(), request(call, current.get()), limit);
         CompletableFuture<TargetReply> result =
-                reply.handle((answer, failure) -> failure == null ? read(answer) : classify(failure));
+                reply.handle((answer, failure) -> failure == null ? read(call, answer) : classify(failure));
         return new TargetExchange(result, () -> reply.cancel(false));
     }
 
@@ -64,13 +69,13 @@
         return new HttpCall(call.method(), call.path(), headers, call.body(), Optional.of(id), !call.idempotent());
     }
 
-    private static TargetReply read(HttpReply reply) {
-        TargetReply decoded = decode(reply);
+    private static TargetReply read(Call call, HttpReply reply) {
+        TargetReply decoded = decode(call, reply);
         // A misdirected request was answered by another start of a target, which says nothing about this one.
         return reply.status() == MISDIRECTED_REQUEST ? decoded : decoded.withNotice(NOTICES.read(reply.headers()));
     }
 
-    private static TargetReply decode(HttpReply reply) {
+    private static TargetReply decode(Call call, HttpReply reply) {
         boolean notExecuted =
                 reply.headers().first(PlatformHeaders.NOT_EXECUTED).isPresent();
         if (notExecuted || reply.status() == MISDIRECTED_REQUEST) {
@@ -80,6 +85,10 @@
         if (success && reply.headers().first(PlatformHeaders.SIGNATURE).isEmpty()) {
             return TargetReply.lost("the answer " + reply.status() + " bears no signature of the target");
         }
+        if (!call.idempotent() && NOT_RUN_STATUSES.contains(reply.status())) {
+            // Its caller would take the status for a promise that the target has not made.
+            return TargetReply.lost("the answer " + reply.status() + " does not say whether the request was run");
+        }
         Headers headers = HeaderFilter.withoutHopByHop(reply.headers());
         return TargetReply.answered(new Answer(reply.status(), headers, reply.body()));
     }
