--- a/src/main/java/io/beryldock/nettyhttp/HttpClientConnection.java
+++ b/src/main/java/io/beryldock/nettyhttp/HttpClientConnection.java
@@ -24,6 +24,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 
 /**
  * One connection of a client and the exchange on it.
@@ -36,6 +37,7 @@
 
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
     private static final int FIRST_FINAL_STATUS = 200;
+    private static final int LOG_INTERVAL_SECONDS = 10;
 
     private final HttpClient client;
     private final InetSocketAddress address;
@@ -169,8 +171,12 @@
         }
         Match match = matcher.match(call, HttpMessages.headers(response.headers()));
         skipping = match == Match.FOREIGN;
-        if (match == Match.AMBIGUOUS) {
-            fail(Kind.LOST, "the response " + response.status().code() + " names no request");
+        if (match == Match.FOREIGN) {
+            log.atInfo().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
+                    "skipped a response %d of %s that belongs to another call",
+                    response.status().code(), address);
+        } else if (match == Match.AMBIGUOUS) {
+            fail(Kind.LOST, "the response " + response.status().code() + " names no call and may be a late copy");
         }
     }
 
--- a/src/main/java/io/beryldock/platform/LocalTargets.java
+++ b/src/main/java/io/beryldock/platform/LocalTargets.java
@@ -1,6 +1,7 @@
 package io.beryldock.platform;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.flogger.FluentLogger;
 import io.beryldock.forwarding.Announcement;
 import io.beryldock.membership.DepartedStart;
 import io.beryldock.membership.TargetDepartures;
@@ -10,6 +11,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
@@ -30,6 +32,9 @@
  */
 final class LocalTargets {
 
+    private static final FluentLogger log = FluentLogger.forEnclosingClass();
+    private static final int LOG_INTERVAL_SECONDS = 10;
+
     /** Previous starts to remember: targets restart rarely, and heartbeats arrive late by seconds at most. */
     private static final int MAX_PREVIOUS = 64;
 
@@ -194,14 +199,17 @@
         if (known == null || heartbeat.startedAtMillis() > known.startedAt()) {
             return false;
         }
+        if (known.ended()) {
+            log.atInfo().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
+                    "ignored a heartbeat of start %s, which has announced that it leaves", id);
+            return true;
+        }
         int proofs = heartbeat.sequence() > known.sequence() ? known.proofs() + 1 : known.proofs();
-        if (!known.ended() && proofs >= REQUIRED_PROOFS) {
+        if (proofs >= REQUIRED_PROOFS) {
             return false;
         }
-        previous.put(
-                id,
-                new PreviousStart(
-                        known.startedAt(), known.ended(), Math.max(known.sequence(), heartbeat.sequence()), proofs));
+        long sequence = Math.max(known.sequence(), heartbeat.sequence());
+        previous.put(id, new PreviousStart(known.startedAt(), false, sequence, proofs));
         return true;
     }
 
