--- a/src/main/java/io/beryldock/nettyhttp/HttpClient.java
+++ b/src/main/java/io/beryldock/nettyhttp/HttpClient.java
@@ -30,8 +30,9 @@
  * Sends HTTP/1.1 requests over kept connections, one request at a time on each, never one twice.
  *
  * <p>Thread safe. Invariants: a connection is used again only after a complete, self-delimited response with nothing
- * behind it; cancelling a call's future closes its connection, so that the server notices. All state is used on one
- * event loop. There is no pool limit here: what runs at a server is bounded by whoever calls.
+ * behind it, and not for a call that failed on it; cancelling a call's future closes its connection, so that the server
+ * notices. All state is used on one event loop. There is no pool limit here: what runs at a server is bounded by
+ * whoever calls.
  */
 public final class HttpClient {
 
--- a/src/test/java/io/beryldock/nettyhttp/RawServer.java
+++ b/src/test/java/io/beryldock/nettyhttp/RawServer.java
@@ -15,13 +15,13 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** A server that answers each request with the next of its scripted texts, byte for byte, right or wrong. */
-final class RawServer implements AutoCloseable {
+public final class RawServer implements AutoCloseable {
 
     /** Ends a script's connection with a reset in place of an orderly close. */
     static final String RESET = "!reset";
 
     /** Separates an answer from bytes that follow it where the next answer on the same connection is due. */
-    static final String LATE = "!late";
+    public static final String LATE = "!late";
 
     /** Ends a script's connection with an orderly close. */
     static final String CLOSE = "!close";
@@ -36,7 +36,7 @@
         this.listener = listener;
     }
 
-    static RawServer start(String... answers) throws IOException {
+    public static RawServer start(String... answers) throws IOException {
         RawServer server = new RawServer(new ServerSocket(0, 16, InetAddress.getLoopbackAddress()));
         server.script.addAll(List.of(answers));
         Thread thread = new Thread(server::accept, "raw-server");
@@ -45,7 +45,7 @@
         return server;
     }
 
-    InetSocketAddress address() {
+    public InetSocketAddress address() {
         return (InetSocketAddress) listener.getLocalSocketAddress();
     }
 
--- a/src/test/java/io/beryldock/platform/FakeDepartures.java
+++ b/src/test/java/io/beryldock/platform/FakeDepartures.java
@@ -17,9 +17,9 @@
     private final List<Consumer<ImmutableList<DepartedStart>>> readers = new ArrayList<>();
     private CompletableFuture<Void> stored = CompletableFuture.completedFuture(null);
 
-    /** Whether departures are stored as soon as they are added; otherwise {@link #store} stores them. */
-    void storeImmediately(boolean value) {
-        stored = value ? CompletableFuture.completedFuture(null) : new CompletableFuture<>();
+    /** Departures are not stored before {@link #store}. */
+    void delayStorage() {
+        stored = new CompletableFuture<>();
     }
 
     void store() {
--- a/src/test/java/io/beryldock/platform/LocalTargetsTest.java
+++ b/src/test/java/io/beryldock/platform/LocalTargetsTest.java
@@ -262,7 +262,7 @@
     @Test
     void departureIsConfirmedOnceItIsRecorded() {
         ready("a", 1);
-        departures.storeImmediately(false);
+        departures.delayStorage();
         CompletableFuture<Void> draining =
                 targets.onHeartbeat("a", heartbeat(2, TargetState.LEAVING, Heartbeat.UNKNOWN_START));
         CompletableFuture<Void> ended = targets.onEnded("a", Heartbeat.UNKNOWN_START);
--- a/src/test/java/io/beryldock/platform/PlatformTargetClientTest.java
+++ b/src/test/java/io/beryldock/platform/PlatformTargetClientTest.java
@@ -15,6 +15,7 @@
 import io.beryldock.nettyhttp.HttpExchange;
 import io.beryldock.nettyhttp.HttpServer;
 import io.beryldock.nettyhttp.HttpServerLimits;
+import io.beryldock.nettyhttp.RawServer;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -35,6 +36,7 @@
     private volatile int status;
     private volatile Headers headers = Headers.empty();
     private HttpServer server;
+    private HttpClient http;
     private PlatformTargetClient client;
 
     @BeforeEach
@@ -42,10 +44,10 @@
         HttpServerLimits limits = new HttpServerLimits(1 << 14, 1 << 20, Duration.ofMinutes(1), Duration.ofMinutes(1));
         server = HttpServer.bind(
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), loops, () -> limits, this::answer);
-        HttpClient http = HttpClient.create(
+        http = HttpClient.create(
                 new HttpClientSettings(Duration.ofSeconds(10), Duration.ofMinutes(1), Duration.ofMinutes(1), 1 << 20),
                 loops);
-        client = new PlatformTargetClient(http, () -> Optional.of(new LocalTarget("i-1", server.address())));
+        client = clientOf(server.address());
     }
 
     @AfterEach
@@ -54,11 +56,19 @@
         loops.close();
     }
 
+    private PlatformTargetClient clientOf(InetSocketAddress target) {
+        return new PlatformTargetClient(http, () -> Optional.of(new LocalTarget("i-1", target)));
+    }
+
     private void answer(HttpExchange exchange) {
         exchange.answer(HttpAnswer.of(status, headers.with(PlatformHeaders.REQUEST_ID, REQUEST), ByteString.EMPTY));
     }
 
     private TargetReply send(boolean idempotent) {
+        return send(client, idempotent);
+    }
+
+    private static TargetReply send(PlatformTargetClient client, boolean idempotent) {
         Headers request = Headers.empty().with(PlatformHeaders.REQUEST_ID, REQUEST);
         Call read = TargetFixtures.read("/lists/1", Duration.ofMinutes(1), id -> request);
         Call call = new Call(
@@ -75,6 +85,30 @@
         return client.send(call).reply().join();
     }
 
+    /** Guards against an order that runs twice, or is refused while it runs: its refusal comes again, late. */
+    @Test
+    void lateCopyOfRefusalIsNotTheEndOfTheResentOrder() throws IOException {
+        String refusal = """
+                HTTP/1.1 503 Service Unavailable\r
+                X-Beryldock-Request-Id: %s\r
+                X-Beryldock-Not-Executed: 1\r
+                Content-Length: 0\r
+                \r
+                """.formatted(REQUEST);
+        String success = """
+                HTTP/1.1 200 OK\r
+                X-Beryldock-Request-Id: %s\r
+                X-Beryldock-Response-Signature: signed\r
+                Content-Length: 0\r
+                \r
+                """.formatted(REQUEST);
+        try (RawServer target = RawServer.start(refusal + RawServer.LATE + refusal, success)) {
+            PlatformTargetClient resending = clientOf(target.address());
+            assertThat(send(resending, false).kind()).isEqualTo(Kind.REFUSED);
+            assertThat(send(resending, false).kind()).isEqualTo(Kind.ANSWERED);
+        }
+    }
+
     /** Guards against an order that has run while its caller is told that it has not: the target promised nothing. */
     @ParameterizedTest
     @ValueSource(ints = {408, 429, 503})
