--- a/src/test/java/io/beryldock/nettyhttp/HttpClientTest.java
+++ b/src/test/java/io/beryldock/nettyhttp/HttpClientTest.java
@@ -15,14 +15,22 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 final class HttpClientTest {
 
     private static final String ID = "X-Id";
     private static final String REFUSAL_WITHOUT_ID = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
 
+    /** The largest body, twice, and what sockets hold that nobody has read. */
+    private static final long MAX_READ_BYTES = 32L << 20;
+
     private final EventLoops loops = EventLoops.create(1);
     private final HttpClient client = HttpClient.create(
             new HttpClientSettings(Duration.ofSeconds(5), Duration.ofSeconds(60), Duration.ofSeconds(60), 1000), loops);
@@ -191,6 +199,47 @@
         }
     }
 
+    private static Stream<Arguments> responsesWithoutEnd() {
+        String head = "HTTP/1.1 200 OK\r\nX-Id: a\r\n";
+        String chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+        String foreign = "HTTP/1.1 200 OK\r\nX-Id: other\r\n";
+        return Stream.of(
+                Arguments.of("blank lines", "", "\r\n"),
+                Arguments.of("headers", head, "X-Padding: a\r\n"),
+                Arguments.of("a header value", head + "X-Padding: ", "a"),
+                Arguments.of("interim responses", "", "HTTP/1.1 102 Processing\r\n\r\n"),
+                Arguments.of("responses to another call", "", foreign + "Content-Length: 0\r\n\r\n"),
+                Arguments.of(
+                        "a body for another call", foreign + "Transfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n"),
+                Arguments.of("a body", chunked, "4\r\nbody\r\n"),
+                Arguments.of("a body without length", head + "\r\n", "body"),
+                Arguments.of("a chunk extension", chunked + "4;", "a"),
+                Arguments.of("chunk extensions", chunked, "1;" + "a".repeat(1000) + "\r\nb\r\n"),
+                Arguments.of("trailers", chunked + "0\r\n", "X-Padding: a\r\n"));
+    }
+
+    /** Guards against a target whose response never ends and takes the event loop of its node from everyone else. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("responsesWithoutEnd")
+    void responseWithoutEndIsReadInPartOnly(String what, String start, String unit) throws Exception {
+        try (RawServer server = RawServer.start(start + RawServer.ENDLESS + unit)) {
+            CompletableFuture<HttpReply> reply = send(server, "a");
+            assertThat(server.endlessBytes()).as(what).isLessThan(MAX_READ_BYTES);
+            assertLost(reply);
+        }
+    }
+
+    /** Guards against an idle connection on which bytes arrive for ever. */
+    @ParameterizedTest
+    @ValueSource(strings = {"\r\n", "HTTP/1.1 102 Processing\r\n\r\n", "a"})
+    void bytesWithoutEndBehindAnAnswerCloseTheConnection(String unit) throws Exception {
+        try (RawServer server = RawServer.start(answer("a", "one") + RawServer.ENDLESS + unit, answer("b", "two"))) {
+            assertThat(body(server, "a")).isEqualTo("one");
+            assertThat(server.endlessBytes()).isLessThan(MAX_READ_BYTES);
+            assertThat(body(server, "b")).isEqualTo("two");
+        }
+    }
+
     @Test
     void refusedConnectionIsNotSent() throws Exception {
         InetSocketAddress free;
--- a/src/test/java/io/beryldock/nettyhttp/RawServer.java
+++ b/src/test/java/io/beryldock/nettyhttp/RawServer.java
@@ -26,11 +26,20 @@
     /** Ends a script's connection with an orderly close. */
     static final String CLOSE = "!close";
 
+    /** Has the text that follows it written over and over until the client closes the connection. */
+    static final String ENDLESS = "!endless";
+
+    /** At this length the server gives up, so that a client that reads on for ever shows as one that read too much. */
+    private static final long MAX_ENDLESS_BYTES = 64L << 20;
+
+    private static final int PIECE_BYTES = 16 << 10;
+
     private final ServerSocket listener;
     private final Deque<String> script = new ArrayDeque<>();
     private final BlockingQueue<String> requests = new LinkedBlockingQueue<>();
     private final Deque<Socket> open = new ArrayDeque<>();
     private final AtomicInteger accepted = new AtomicInteger();
+    private final BlockingQueue<Long> endlessEnds = new LinkedBlockingQueue<>();
 
     private RawServer(ServerSocket listener) {
         this.listener = listener;
@@ -59,6 +68,11 @@
         return accepted.get();
     }
 
+    /** How many bytes were written of the next response without end, waiting for the end of its connection. */
+    long endlessBytes() throws InterruptedException {
+        return endlessEnds.take();
+    }
+
     private void accept() {
         while (!listener.isClosed()) {
             try {
@@ -104,7 +118,12 @@
         socket.getOutputStream().flush();
     }
 
-    private static boolean answer(Socket socket, String next) throws IOException {
+    private boolean answer(Socket socket, String next) throws IOException {
+        int endless = next.indexOf(ENDLESS);
+        if (endless >= 0) {
+            writeEndlessly(socket, next.substring(0, endless), next.substring(endless + ENDLESS.length()));
+            return false;
+        }
         write(socket, next.replace(RESET, "").replace(CLOSE, ""));
         if (next.endsWith(RESET)) {
             socket.setSoLinger(true, 0);
@@ -118,6 +137,22 @@
         return true;
     }
 
+    private void writeEndlessly(Socket socket, String start, String unit) {
+        String piece = unit.repeat(Math.max(1, PIECE_BYTES / unit.length()));
+        long written = 0;
+        try {
+            write(socket, start);
+            while (written < MAX_ENDLESS_BYTES) {
+                write(socket, piece);
+                written += piece.length();
+            }
+            socket.close();
+        } catch (IOException e) {
+            // The client has closed the connection, as it should.
+        }
+        endlessEnds.add(written);
+    }
+
     private static String readHead(InputStream in) throws IOException {
         StringBuilder head = new StringBuilder();
         while (head.indexOf("\r\n\r\n") < 0) {
