A client bounds what it reads of responses that never end

What callers saw: a target that never ends a response takes the event loop of its node from everyone else.

Cause: a connection reads on without bound in whatever it skips, that is interim responses and responses to other calls, and relies on the time limit of the call. An idle connection is closed only by bytes of which the decoder makes a message. The class: a resource that is bounded by time only, and spent at the rate at which the other side sends.

Fix: one meter for each exchange counts what was received on the wire and bounds the body of the response, the content of skipped responses, their number, and the framing in proportion to the content. It does not depend on the kind of bytes. Any byte on an idle connection closes it.

--- a/src/main/java/io/beryldock/nettyhttp/HttpClientConnection.java
+++ b/src/main/java/io/beryldock/nettyhttp/HttpClientConnection.java
@@ -23,6 +23,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -43,6 +44,7 @@
     private final InetSocketAddress address;
     private final int maxBodyBytes;
     private final ResponseMatcher matcher = new ResponseMatcher();
+    private ResponseMeter meter;
     private ChannelHandlerContext context;
     private HttpCall call;
     private CompletableFuture<HttpReply> reply;
@@ -80,9 +82,22 @@
         context.close();
     }
 
-    /** A decoder that knows that the answer to HEAD has no body, whatever length it names. */
+    /**
+     * A decoder that knows that the answer to HEAD has no body, whatever length it names, and reports the bytes that it
+     * receives, of which it may make no message.
+     */
     HttpResponseDecoder newDecoder() {
         return new HttpResponseDecoder() {
+            @Override
+            public void channelRead(ChannelHandlerContext ctx, Object received) throws Exception {
+                if (received instanceof ByteBuf bytes && !acceptsBytes(bytes.readableBytes())) {
+                    bytes.release();
+                    return;
+                }
+                super.channelRead(ctx, received);
+                afterDecoding(actualReadableBytes());
+            }
+
             @Override
             protected boolean isContentAlwaysEmpty(HttpMessage message) {
                 boolean head = call != null && "HEAD".equals(call.method());
@@ -99,6 +114,7 @@
     void exchange(HttpCall next, CompletableFuture<HttpReply> future) {
         call = next;
         reply = future;
+        meter = new ResponseMeter(maxBodyBytes);
         future.whenComplete((done, failure) -> {
             if (future.isCancelled()) {
                 context.executor().execute(() -> abandon(future));
@@ -137,12 +153,38 @@
         }
     }
 
+    /** Whether the bytes may belong to an exchange; closes the connection otherwise. */
+    private boolean acceptsBytes(int bytes) {
+        if (reply == null) {
+            closeUnusable();
+            return false;
+        }
+        meter.onReceived(bytes);
+        return true;
+    }
+
+    /** Checks the bounds when everything that was received so far has been decoded as far as possible. */
+    private void afterDecoding(int undecodedBytes) {
+        if (reply != null) {
+            meter.framingViolation(undecodedBytes).ifPresent(bound -> fail(Kind.LOST, bound));
+        } else if (undecodedBytes > 0) {
+            closeUnusable();
+        }
+    }
+
+    /** Closes a connection on which bytes arrived that answer nothing: what follows can't be trusted either. */
+    private void closeUnusable() {
+        if (client.forget(this)) {
+            log.atInfo().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
+                    "closed a connection to %s: bytes arrived that belong to no response", address);
+        }
+        context.close();
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
         if (reply == null) {
-            // Bytes that answer nothing: whatever follows can't be trusted to answer the next request.
-            client.forget(this);
-            ctx.close();
+            closeUnusable();
             return;
         }
         if (message.decoderResult().isFailure()) {
@@ -166,12 +208,13 @@
         head = response;
         body = ByteString.EMPTY;
         if (response.status().code() < FIRST_FINAL_STATUS) {
-            skipping = true;
+            skip();
             return;
         }
         Match match = matcher.match(call, HttpMessages.headers(response.headers()));
-        skipping = match == Match.FOREIGN;
+        skipping = false;
         if (match == Match.FOREIGN) {
+            skip();
             log.atInfo().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
                     "skipped a response %d of %s that belongs to another call",
                     response.status().code(), address);
@@ -180,15 +223,24 @@
         }
     }
 
+    private void skip() {
+        skipping = true;
+        meter.onSkippedResponse();
+    }
+
     private void add(ByteBuf content) {
-        if (skipping || !content.isReadable()) {
-            return;
+        int bytes = content.readableBytes();
+        if (skipping) {
+            meter.onSkippedContent(bytes);
+        } else {
+            meter.onBody(bytes);
         }
-        if (body.size() + content.readableBytes() > maxBodyBytes) {
-            fail(Kind.LOST, "the response is larger than " + maxBodyBytes + " bytes");
-            return;
+        Optional<String> violation = meter.contentViolation();
+        if (violation.isPresent()) {
+            fail(Kind.LOST, violation.get());
+        } else if (!skipping && bytes > 0) {
+            body = body.concat(ByteString.copyFrom(content.nioBuffer()));
         }
-        body = body.concat(ByteString.copyFrom(content.nioBuffer()));
     }
 
     private void end() {
--- a/src/test/java/io/beryldock/nettyhttp/HttpClientTest.java
+++ b/src/test/java/io/beryldock/nettyhttp/HttpClientTest.java
@@ -240,6 +240,14 @@
         }
     }
 
+    @Test
+    void someInterimResponsesPrecedeAnAnswer() throws Exception {
+        String interim = "HTTP/1.1 102 Processing\r\n\r\n".repeat(ResponseMeter.MAX_SKIPPED_RESPONSES);
+        try (RawServer server = RawServer.start(interim + answer("a", "one"))) {
+            assertThat(body(server, "a")).isEqualTo("one");
+        }
+    }
+
     @Test
     void refusedConnectionIsNotSent() throws Exception {
         InetSocketAddress free;
