A result of unknown outcome never gets the status of a refusal

No path to such a result is known today; the mapping relied on that.

Fix: the outcome decides first; only a refusal may have the status of its reason.

Evidence: resultOfUnknownOutcomePromisesNothing failed for three of the reasons on the code before (404, 401, 429).

--- a/src/main/java/io/beryldock/platform/CallerEndpoint.java
+++ b/src/main/java/io/beryldock/platform/CallerEndpoint.java
@@ -1,5 +1,7 @@
 package io.beryldock.platform;
 
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
 import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.ByteString;
 import io.beryldock.call.Answer;
@@ -34,6 +36,10 @@
     /** Guarantees that the request has not run and will not run. */
     private static final int NOT_RUN = 503;
 
+    /** Reasons of refusals that callers can tell apart by the status. */
+    private static final ImmutableSet<Reason> OWN_STATUS =
+            Sets.immutableEnumSet(Reason.NO_ROUTE, Reason.UNKNOWN_KEY, Reason.OVER_QUOTA);
+
     private static final int BAD_REQUEST = 400;
     private static final int FIRST_FAILURE = 400;
     private static final int BAD_GATEWAY = 502;
@@ -202,12 +208,10 @@
         return HttpAnswer.of(status, responseHeaders, ByteString.copyFromUtf8(text));
     }
 
+    /** The outcome comes first: a status that promises that the request has not run needs that outcome. */
     private static int status(Outcome outcome, Reason reason) {
-        if (reason == Reason.NO_ROUTE || reason == Reason.UNKNOWN_KEY || reason == Reason.OVER_QUOTA) {
-            return reason.status();
-        }
         if (outcome == Outcome.NOT_RUN) {
-            return NOT_RUN;
+            return OWN_STATUS.contains(reason) ? reason.status() : NOT_RUN;
         }
         return reason == Reason.TIMED_OUT || reason == Reason.DEADLINE_PASSED ? GATEWAY_TIMEOUT : BAD_GATEWAY;
     }
--- a/src/test/java/io/beryldock/platform/CallerEndpointTest.java
+++ b/src/test/java/io/beryldock/platform/CallerEndpointTest.java
@@ -24,6 +24,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 final class CallerEndpointTest {
 
@@ -114,6 +116,14 @@
         assertThat(received.get(0).headers().list().toString()).doesNotContain("key-", "gent");
     }
 
+    /** Guards against an order that may have run while its caller is told that it has not. */
+    @ParameterizedTest
+    @EnumSource(Reason.class)
+    void resultOfUnknownOutcomePromisesNothing(Reason reason) throws IOException {
+        refusal = CallResult.unknown(reason, "").withRetryAfterMillis(700);
+        assertThat(request("1")).containsPattern("^HTTP/1.1 50[24] ").doesNotContainIgnoringCase("Retry-After");
+    }
+
     @Test
     void refusalsForKeysAndQuotasHaveTheirOwnStatus() throws IOException {
         refusal = CallResult.notRun(Reason.UNKNOWN_KEY, "");
