A success that bears the mark of a refusal is no refusal

A call that ended with a success may be sent again on the same connection, where a copy of the first response would end the second call.

Fix: a response below 400 with the mark contradicts itself; it promises nothing, and the call ends as lost.

Evidence: markedSuccessPromisesNothing failed for 200 and 302 on the code before.

--- a/src/main/java/io/beryldock/platform/PlatformTargetClient.java
+++ b/src/main/java/io/beryldock/platform/PlatformTargetClient.java
@@ -27,6 +27,7 @@
     private static final int MISDIRECTED_REQUEST = 421;
     private static final int FIRST_SUCCESS = 200;
     private static final int FIRST_REDIRECTION = 300;
+    private static final int FIRST_FAILURE = 400;
 
     /** Statuses that tell a caller that its request has not run and will not run. */
     private static final ImmutableSet<Integer> NOT_RUN_STATUSES = ImmutableSet.of(408, 429, 503);
@@ -76,9 +77,11 @@
     }
 
     private static TargetReply decode(Call call, HttpReply reply) {
-        boolean notExecuted =
-                reply.headers().first(PlatformHeaders.NOT_EXECUTED).isPresent();
-        if (notExecuted || reply.status() == MISDIRECTED_REQUEST) {
+        boolean marked = reply.headers().first(PlatformHeaders.NOT_EXECUTED).isPresent();
+        if (marked && reply.status() < FIRST_FAILURE) {
+            return TargetReply.lost("the answer " + reply.status() + " says that it was not run, which can't both be");
+        }
+        if (marked || reply.status() == MISDIRECTED_REQUEST) {
             return TargetReply.refused("the target answered " + reply.status() + " and says that it did not run it");
         }
         boolean success = reply.status() >= FIRST_SUCCESS && reply.status() < FIRST_REDIRECTION;
--- a/src/test/java/io/beryldock/platform/PlatformTargetClientTest.java
+++ b/src/test/java/io/beryldock/platform/PlatformTargetClientTest.java
@@ -134,6 +134,15 @@
         assertThat(send(false).kind()).isEqualTo(Kind.REFUSED);
     }
 
+    /** Guards against an order that runs twice because a success bears the mark of a refusal. */
+    @ParameterizedTest
+    @ValueSource(ints = {200, 302})
+    void markedSuccessPromisesNothing(int marked) {
+        status = marked;
+        headers = headers.with(PlatformHeaders.NOT_EXECUTED, "1").with(PlatformHeaders.SIGNATURE, "signed");
+        assertThat(send(false).kind()).isEqualTo(Kind.LOST);
+    }
+
     @Test
     void answerOfAnotherTargetIsRefusal() {
         status = 421;
