Soak: targets write their responses byte by byte, and wrong ones

Change: a listener of its own for soak targets. While a fault of the plan is active, a share of the responses is sent again (late, twice, at once), is broken (cut off, reset, silent, not HTTP, a refusal without its id, the status of a refusal without its mark, interim responses before it) or has no end (twelve kinds, fast and slowly). Each kind comes in a series of its own beside the other faults; plans of earlier seeds keep those.

--- a/src/main/java/io/beryldock/cli/SoakSubcommand.java
+++ b/src/main/java/io/beryldock/cli/SoakSubcommand.java
@@ -1,8 +1,11 @@
 package io.beryldock.cli;
 
+import com.google.common.collect.ImmutableSet;
 import io.beryldock.platform.SoakSurroundings;
+import io.beryldock.soak.FaultAction;
 import io.beryldock.soak.SoakReport;
 import io.beryldock.soak.SoakRun;
+import io.beryldock.soak.TargetProfile;
 import java.io.PrintStream;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -32,6 +35,15 @@
     @Option(name = "--jobs", metaVar = "J", usage = "runs side by side")
     private int jobs = 1;
 
+    @Option(name = "--targets", usage = "how targets behave")
+    private TargetProfile targets = TargetProfile.CHANGING;
+
+    @Option(
+            name = "--only",
+            metaVar = "FAULT",
+            usage = "play only these faults of the plan; repeat the option for several")
+    private List<FaultAction> only = new ArrayList<>();
+
     @Option(name = "--plan-only", usage = "print the faults and run nothing")
     private boolean planOnly;
 
@@ -69,11 +81,12 @@
     }
 
     private SoakRun.Plan plan(long each) {
-        return new SoakRun.Plan(each, Duration.ofMillis((long) (minutes * MILLIS_PER_MINUTE)), nodes);
+        Duration length = Duration.ofMillis((long) (minutes * MILLIS_PER_MINUTE));
+        return new SoakRun.Plan(each, length, nodes, targets, ImmutableSet.copyOf(only));
     }
 
     private static boolean runOne(SoakRun.Plan plan, PrintStream out) throws Exception {
-        SoakReport report = SoakRun.play(plan, SoakSurroundings.start());
+        SoakReport report = SoakRun.play(plan, SoakSurroundings.start(plan.seed(), plan.profile()));
         synchronized (out) {
             report.print(out);
         }
--- a/src/main/java/io/beryldock/platform/SoakConditions.java
+++ b/src/main/java/io/beryldock/platform/SoakConditions.java
@@ -1,5 +1,6 @@
 package io.beryldock.platform;
 
+import io.beryldock.soak.TargetProfile;
 import java.time.Duration;
 
 /**
@@ -24,6 +25,9 @@
     /** Above a half, so that repeats of one call are refused again. */
     private static final double REFUSED_SHARE = 0.6;
 
+    /** Leaves callers a good chance of an answer within their retries. */
+    private static final double ALWAYS_REFUSED_SHARE = 0.45;
+
     /** All targets refuse at the same time, so that each restart of nodes meets refusals within a few seconds. */
     private static final long REFUSAL_CYCLE_MILLIS = Duration.ofSeconds(9).toMillis();
 
@@ -34,7 +38,13 @@
     private static final long LEAVING_FROM_MILLIS = Duration.ofSeconds(12).toMillis();
     private static final long SHIFT_MILLIS = Duration.ofSeconds(5).toMillis();
 
-    static SoakConditions at(int node, Duration sinceStart) {
+    static SoakConditions at(TargetProfile profile, int node, Duration sinceStart) {
+        return profile == TargetProfile.REFUSING
+                ? new SoakConditions(0, 0, false, ALWAYS_REFUSED_SHARE)
+                : changing(node, sinceStart);
+    }
+
+    private static SoakConditions changing(int node, Duration sinceStart) {
         long millis = sinceStart.toMillis() + node * SHIFT_MILLIS;
         long inCycle = millis % CYCLE_MILLIS;
         boolean limited = inCycle >= LIMIT_FROM_MILLIS && inCycle < LIMIT_TO_MILLIS;
--- /dev/null
+++ b/src/main/java/io/beryldock/platform/SoakExchange.java
@@ -0,0 +1,20 @@
+package io.beryldock.platform;
+
+import com.google.protobuf.ByteString;
+import io.beryldock.call.Headers;
+import io.beryldock.nettyhttp.HttpAnswer;
+import java.util.function.BiConsumer;
+
+/**
+ * A request at a soak target. Immutable; thread safe.
+ *
+ * @param uri path and query
+ * @param responses sends the response on the connection of the request; called once
+ */
+record SoakExchange(
+        String method, String uri, Headers headers, ByteString body, BiConsumer<HttpAnswer, ResponseDefect> responses) {
+
+    void answer(HttpAnswer answer, ResponseDefect defect) {
+        responses.accept(answer, defect);
+    }
+}
--- a/src/main/java/io/beryldock/platform/SoakSurroundings.java
+++ b/src/main/java/io/beryldock/platform/SoakSurroundings.java
@@ -17,11 +17,13 @@
 import io.beryldock.nettyhttp.HttpServerLimits;
 import io.beryldock.soak.CallerRequest;
 import io.beryldock.soak.NodePlace;
+import io.beryldock.soak.ResponseFault;
 import io.beryldock.soak.SoakBounds;
 import io.beryldock.soak.SoakEvent;
 import io.beryldock.soak.SoakEvent.Ending;
 import io.beryldock.soak.SoakEvent.Reply;
 import io.beryldock.soak.Surroundings;
+import io.beryldock.soak.TargetProfile;
 import io.beryldock.soak.Use;
 import io.beryldock.time.ThreadTimerService;
 import java.io.IOException;
@@ -39,6 +41,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongConsumer;
 
 /**
  * The environment of a soak test on the platform's protocols: stand-ins for the store, targets, callers and operators.
@@ -51,12 +54,6 @@
     private static final String DATA_CENTRE = "soak-centre";
     private static final int SLOTS = 8;
 
-    /**
-     * Attempts of a request. A lost attempt also loses its part of the request's retries; with four attempts, enough
-     * retries remain for one further attempt.
-     */
-    private static final int ATTEMPTS = 4;
-
     /** As many as deployments allow. */
     private static final int RESENDS = 6;
 
@@ -83,21 +80,32 @@
     private final StandinStore store = new StandinStore(timers);
     private final HttpClient client = HttpClient.create(CLIENT_SETTINGS, loops);
     private final Map<Integer, SoakTarget> targets = new ConcurrentHashMap<>();
+    private final TargetProfile profile;
+    private final int attempts;
+    private final ResponseDefects defects;
+    private final AtomicLong endlessResponses = new AtomicLong();
     private final AtomicLong heartbeatSequence = new AtomicLong();
     private final TreeSet<Long> publishedVersions = new TreeSet<>();
     private final Deque<StandinStore.Snapshot> snapshots = new ArrayDeque<>();
     private ByteString newestDocument = ByteString.EMPTY;
     private final HttpServer storeServer;
 
-    private SoakSurroundings() throws IOException, InterruptedException {
+    private SoakSurroundings(long seed, TargetProfile profile) throws IOException, InterruptedException {
         InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        this.profile = profile;
+        this.attempts = profile.attempts(seed);
+        this.defects = new ResponseDefects(seed);
         this.storeServer = HttpServer.bind(any, loops, () -> SERVER_LIMITS, store);
         timers.every(SNAPSHOT_PERIOD, this::takeSnapshot);
     }
 
-    /** Starts the store stand-in. */
-    public static SoakSurroundings start() throws IOException, InterruptedException {
-        return new SoakSurroundings();
+    /**
+     * Starts the store stand-in.
+     *
+     * @param seed of the defects in the responses of targets
+     */
+    public static SoakSurroundings start(long seed, TargetProfile profile) throws IOException, InterruptedException {
+        return new SoakSurroundings(seed, profile);
     }
 
     @Override
@@ -108,10 +116,21 @@
     @Override
     public InetSocketAddress startTarget(NodePlace place, TargetEvents events)
             throws IOException, InterruptedException {
-        SoakTarget target = new SoakTarget(place, events, this::send, timers);
+        SoakTarget target = new SoakTarget(place, events, this::send, profile, defects, timers);
         targets.put(place.number(), target);
-        return HttpServer.bind(place.anyPortBeside(), loops, () -> SERVER_LIMITS, target)
-                .address();
+        return SoakTargetServer.bind(
+                place.anyPortBeside(), loops, target::handle, defect -> beginEndless(place, events, defect));
+    }
+
+    private LongConsumer beginEndless(NodePlace place, TargetEvents events, ResponseDefect defect) {
+        long response = endlessResponses.incrementAndGet();
+        events.endlessBegan(place.number(), response, defect.name());
+        return bytes -> events.endlessEnded(place.number(), response, defect.name(), bytes);
+    }
+
+    @Override
+    public void setResponseFault(ResponseFault fault, boolean active) {
+        defects.set(fault, active);
     }
 
     @Override
@@ -197,7 +216,7 @@
         return document;
     }
 
-    private static void route(ObjectNode routes, String name, Use use, boolean open) {
+    private void route(ObjectNode routes, String name, Use use, boolean open) {
         routes.putObject(name)
                 .put("hostname", HOST)
                 .put("pathPrefix", "/" + name + "/")
@@ -206,7 +225,7 @@
                 .put("targetLatencyS", 1)
                 .put("priority", 1)
                 .put("service", use.service())
-                .put("attempts", ATTEMPTS)
+                .put("attempts", attempts)
                 .put("public", open);
     }
 
--- a/src/main/java/io/beryldock/platform/SoakTarget.java
+++ b/src/main/java/io/beryldock/platform/SoakTarget.java
@@ -3,13 +3,12 @@
 import com.google.protobuf.ByteString;
 import io.beryldock.call.Headers;
 import io.beryldock.nettyhttp.HttpAnswer;
-import io.beryldock.nettyhttp.HttpExchange;
-import io.beryldock.nettyhttp.HttpHandler;
 import io.beryldock.soak.CallerRequest;
 import io.beryldock.soak.NodePlace;
 import io.beryldock.soak.Payload;
 import io.beryldock.soak.Surroundings.Outcome;
 import io.beryldock.soak.Surroundings.TargetEvents;
+import io.beryldock.soak.TargetProfile;
 import io.beryldock.time.TimerService;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -19,17 +18,18 @@
 
 /**
  * A target for the soak test: simulates work, makes an inner call if its service does so, and responds. At times it
- * refuses a share of what arrives, or its answers name a rate limit or its leaving.
+ * refuses a share of what arrives, its answers name a rate limit or its leaving, or its responses have defects.
  *
  * <p>Thread safe. Invariant: each execution is reported before the first byte of its response is sent.
  */
-final class SoakTarget implements HttpHandler {
+final class SoakTarget {
 
     private static final int OK = 200;
     private static final int MISDIRECTED = 421;
     private static final int NOT_RUN = 503;
     private static final int PERCENT = 100;
     private static final int FAILED = 500;
+    private static final String UNSAFE_METHOD = "POST";
     private static final String BROWSE_PATH = "/browse/";
 
     /** The simulated work takes 5 to 100 ms, so that faults hit requests while they run. */
@@ -40,16 +40,26 @@
     private final NodePlace place;
     private final TargetEvents events;
     private final InnerCaller caller;
+    private final TargetProfile profile;
+    private final ResponseDefects defects;
     private final TimerService timers;
     private final AtomicLong innerCalls = new AtomicLong();
     private final AtomicLong arrivals = new AtomicLong();
     private final long createdAt;
     private long lastStart;
 
-    SoakTarget(NodePlace place, TargetEvents events, InnerCaller caller, TimerService timers) {
+    SoakTarget(
+            NodePlace place,
+            TargetEvents events,
+            InnerCaller caller,
+            TargetProfile profile,
+            ResponseDefects defects,
+            TimerService timers) {
         this.place = place;
         this.events = events;
         this.caller = caller;
+        this.profile = profile;
+        this.defects = defects;
         this.timers = timers;
         this.createdAt = timers.ticker().nanos();
         this.lastStart = conditions().start();
@@ -73,7 +83,7 @@
     /** Returns what the target names now; reports the next start before anything is named in it. */
     private synchronized SoakConditions conditions() {
         Duration age = Duration.ofNanos(timers.ticker().nanos() - createdAt);
-        SoakConditions conditions = SoakConditions.at(place.number(), age);
+        SoakConditions conditions = SoakConditions.at(profile, place.number(), age);
         if (conditions.start() > lastStart) {
             lastStart = conditions.start();
             events.targetStarted(place.number());
@@ -88,25 +98,18 @@
         CompletableFuture<Outcome> send(NodePlace place, CallerRequest request, long remainingMillis);
     }
 
-    @Override
-    public void handle(HttpExchange exchange) {
+    /** Handles a request that arrives; it is answered later. */
+    void handle(SoakExchange exchange) {
         Headers headers = exchange.headers();
         String request = headers.first(PlatformHeaders.REQUEST_ID).orElse("");
         events.arrived(place.number(), request, place.service());
         SoakConditions conditions = conditions();
         if (!isFor(conditions, headers)) {
-            exchange.answer(HttpAnswer.of(MISDIRECTED));
+            exchange.answer(refusal(request, MISDIRECTED), ResponseDefect.NONE);
             return;
         }
         if (isRefused(request, conditions)) {
-            exchange.answer(withNamed(
-                    HttpAnswer.of(
-                            NOT_RUN,
-                            Headers.empty()
-                                    .with(PlatformHeaders.REQUEST_ID, request)
-                                    .with(PlatformHeaders.NOT_EXECUTED, "1"),
-                            ByteString.EMPTY),
-                    nameConditions(headers, request)));
+            respond(exchange, request, refusal(request, NOT_RUN));
             return;
         }
         String body = exchange.body().toString(StandardCharsets.UTF_8);
@@ -121,6 +124,12 @@
         });
     }
 
+    private static HttpAnswer refusal(String request, int status) {
+        Headers headers =
+                Headers.empty().with(PlatformHeaders.REQUEST_ID, request).with(PlatformHeaders.NOT_EXECUTED, "1");
+        return HttpAnswer.of(status, headers, ByteString.EMPTY);
+    }
+
     /** Draws anew at each arrival, so that a request that was refused may run when it is sent again. */
     private boolean isRefused(String request, SoakConditions conditions) {
         int drawn = Math.floorMod(Objects.hash(request, arrivals.incrementAndGet()), PERCENT);
@@ -128,7 +137,7 @@
     }
 
     /** Makes the inner call of a request; a request that runs again makes the call again under a new id. */
-    private void sendInnerCall(HttpExchange exchange, String request, String body, int spentMillis) {
+    private void sendInnerCall(SoakExchange exchange, String request, String body, int spentMillis) {
         long remaining = exchange.headers()
                         .first(PlatformHeaders.REMAINING_MILLIS)
                         .map(Long::parseLong)
@@ -154,14 +163,36 @@
         return conditions;
     }
 
-    private void answer(HttpExchange exchange, String request, String body, int status) {
-        SoakConditions named = nameConditions(exchange.headers(), request);
+    private void answer(SoakExchange exchange, String request, String body, int status) {
         Headers headers = Headers.empty()
                 .with(PlatformHeaders.REQUEST_ID, request)
                 .with(PlatformHeaders.SIGNATURE, "signed")
                 .with("Content-Type", "text/plain");
         String text = status == OK ? Payload.answer(request, body) : "failed";
-        exchange.answer(withNamed(HttpAnswer.of(status, headers, ByteString.copyFromUtf8(text)), named));
+        respond(exchange, request, HttpAnswer.of(status, headers, ByteString.copyFromUtf8(text)));
+    }
+
+    /** Sends the answer with the defect drawn for it; nothing is named where its caller may not read it. */
+    private void respond(SoakExchange exchange, String request, HttpAnswer answer) {
+        ResponseDefect defect = applicable(defects.next(), exchange, answer);
+        HttpAnswer named =
+                defect.isReadable() ? withNamed(answer, nameConditions(exchange.headers(), request)) : answer;
+        exchange.answer(defect == ResponseDefect.WITHOUT_MARK ? unmarkedRefusal(request) : named, defect);
+    }
+
+    private static ResponseDefect applicable(ResponseDefect drawn, SoakExchange exchange, HttpAnswer answer) {
+        boolean applies =
+                switch (drawn) {
+                    case WITHOUT_MARK -> exchange.method().equals(UNSAFE_METHOD);
+                    case WITHOUT_ID -> answer.status() == NOT_RUN;
+                    default -> true;
+                };
+        return applies ? drawn : ResponseDefect.NONE;
+    }
+
+    /** A status that usually is a refusal, whether the request has run or not. */
+    private static HttpAnswer unmarkedRefusal(String request) {
+        return HttpAnswer.of(NOT_RUN, Headers.empty().with(PlatformHeaders.REQUEST_ID, request), ByteString.EMPTY);
     }
 
     /** All answers of a target, also its refusals, name a limit while it holds. */
--- a/src/main/java/io/beryldock/soak/CallerLoad.java
+++ b/src/main/java/io/beryldock/soak/CallerLoad.java
@@ -7,10 +7,9 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
-/** The callers of one node: they send a request each {@link #PERIOD}, whatever became of those before. Thread safe. */
+/** The callers of one node: they send a request each period, whatever became of those before. Thread safe. */
 final class CallerLoad {
 
-    private static final Duration PERIOD = Duration.ofMillis(40);
     private static final int SMALL_BYTES = 200;
 
     /** More than one frame or buffer holds. */
@@ -40,8 +39,8 @@
         this.random = random;
     }
 
-    TimerService.Subscription start(TimerService timers) {
-        return timers.every(PERIOD, () -> send(next()));
+    TimerService.Subscription start(TimerService timers, Duration period) {
+        return timers.every(period, () -> send(next()));
     }
 
     /** Requests that have no end yet. */
--- a/src/main/java/io/beryldock/soak/FaultAction.java
+++ b/src/main/java/io/beryldock/soak/FaultAction.java
@@ -4,9 +4,10 @@
 import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Sets;
 import java.util.Arrays;
+import java.util.Optional;
 
 /** What happens to a node from outside, or what operators do meanwhile. */
-enum FaultAction {
+public enum FaultAction {
     PEERS_DELAYED(Link.PEERS, LinkState.DELAYED),
     PEERS_RESET(Link.PEERS, LinkState.RESET),
     PEERS_CUT_ONE_WAY(Link.PEERS, LinkState.CUT_ONE_WAY),
@@ -41,6 +42,12 @@
     STOPPED_AS_PLANNED(Link.NONE, LinkState.OPEN),
     /** Watches of the store hear nothing of changes; other calls are answered. */
     STORE_CHANGES_WITHHELD(Link.NONE, LinkState.OPEN),
+    /** A share of the responses of all targets is sent again. */
+    RESPONSES_REPEATED(ResponseFault.REPEATED),
+    /** A share of them is broken. */
+    RESPONSES_BROKEN(ResponseFault.BROKEN),
+    /** A share of them has no end. */
+    RESPONSES_ENDLESS(ResponseFault.ENDLESS),
     /** Operators write a new version of the document. */
     DOCUMENT_WRITTEN(Link.NONE, LinkState.OPEN),
     /** Operators take the oldest key away. */
@@ -63,10 +70,18 @@
 
     private final Link link;
     private final LinkState state;
+    private final Optional<ResponseFault> responseFault;
 
     FaultAction(Link link, LinkState state) {
         this.link = link;
         this.state = state;
+        this.responseFault = Optional.empty();
+    }
+
+    FaultAction(ResponseFault fault) {
+        this.link = Link.NONE;
+        this.state = LinkState.OPEN;
+        this.responseFault = Optional.of(fault);
     }
 
     /** The link that it harms. */
@@ -78,13 +93,24 @@
         return state;
     }
 
+    /** The fault that it brings into the responses of targets. */
+    Optional<ResponseFault> responseFault() {
+        return responseFault;
+    }
+
+    /** Whether it harms only the targets or what they send. */
+    boolean harmsTargetsOnly() {
+        return link == Link.TARGET || responseFault.isPresent();
+    }
+
     /** Whether it harms the processes of all nodes, or the store or the way of all nodes to it. */
     boolean harmsAll() {
         return HARMS_ALL.contains(this);
     }
 
     boolean isUnplanned() {
-        return this == ALL_KILLED || this == STORE_CHANGES_WITHHELD || UNPLANNED.contains(this);
+        boolean drawnApart = this == ALL_KILLED || this == STORE_CHANGES_WITHHELD || responseFault.isPresent();
+        return drawnApart || UNPLANNED.contains(this);
     }
 
     /** The links of a node that can be harmed. */
--- a/src/main/java/io/beryldock/soak/FaultExecutor.java
+++ b/src/main/java/io/beryldock/soak/FaultExecutor.java
@@ -96,8 +96,7 @@
         if (fault.action().harmsAll()) {
             return places.stream().map(SoakPlace::number).collect(ImmutableSet.toImmutableSet());
         }
-        boolean targetOnly = fault.action().link() == Link.TARGET;
-        return targetOnly
+        return fault.action().harmsTargetsOnly()
                 ? ImmutableSet.of()
                 : ImmutableSet.of(places.get(fault.node()).number());
     }
@@ -113,6 +112,7 @@
             case STORE_CHANGES_WITHHELD -> surroundings.setChangesWithheld(true);
             case DOCUMENT_WRITTEN -> operators.write();
             case KEY_REMOVED -> operators.changeKeys();
+            case RESPONSES_REPEATED, RESPONSES_BROKEN, RESPONSES_ENDLESS -> setResponseFault(action, true);
             default -> place.set(action.link(), action.state());
         }
     }
@@ -131,6 +131,7 @@
             }
             case STORE_CHANGES_WITHHELD -> surroundings.setChangesWithheld(false);
             case STORE_LEASES_LAPSED, STORE_HISTORY_FORGOTTEN -> {}
+            case RESPONSES_REPEATED, RESPONSES_BROKEN, RESPONSES_ENDLESS -> setResponseFault(fault.action(), false);
             case STOPPED_AS_PLANNED, DOCUMENT_WRITTEN, KEY_REMOVED -> {}
             default -> place.heal(fault.action().link(), fault.action().state());
         }
@@ -140,6 +141,10 @@
         }
     }
 
+    private void setResponseFault(FaultAction action, boolean active) {
+        surroundings.setResponseFault(action.responseFault().orElseThrow(), active);
+    }
+
     private void stop(SoakPlace place) {
         if (!place.node().isRunning()) {
             return;
--- a/src/main/java/io/beryldock/soak/FaultPlanner.java
+++ b/src/main/java/io/beryldock/soak/FaultPlanner.java
@@ -38,6 +38,9 @@
     /** Beyond the time after which a removed key is dead, so that a node may sleep through it. */
     private static final int LONGEST_MILLIS = 8_000;
 
+    private static final ImmutableList<FaultAction> RESPONSE_FAULTS = ImmutableList.of(
+            FaultAction.RESPONSES_REPEATED, FaultAction.RESPONSES_BROKEN, FaultAction.RESPONSES_ENDLESS);
+
     /** Faults in which nodes can't hear that a key was taken away. */
     private static final ImmutableSet<FaultAction> DEAF =
             Sets.immutableEnumSet(FaultAction.PAUSED, FaultAction.STORE_SILENT_FOR_ALL);
@@ -59,6 +62,10 @@
     private static final Duration WITHHOLDING = Duration.ofSeconds(1);
 
     private static final int GAP_MILLIS = 1_500;
+
+    /** Half of a long fault, so that all kinds are active at once at times and none is at others. */
+    private static final int LONGEST_RESPONSE_GAP_MILLIS = 4_000;
+
     private static final Duration CHANGE_PERIOD = Duration.ofSeconds(7);
 
     private final SplittableRandom random;
@@ -66,12 +73,16 @@
     /** Drawn from apart from the other faults, which stay the same for a seed. */
     private final SplittableRandom withholdings;
 
+    /** Drawn from apart from the other faults, which stay the same for a seed. */
+    private final SplittableRandom responses;
+
     private final int nodes;
     private final List<PlannedFault> faults = new ArrayList<>();
 
     private FaultPlanner(long seed, int nodes) {
         this.random = new SplittableRandom(seed);
         this.withholdings = new SplittableRandom(~seed);
+        this.responses = new SplittableRandom(Long.reverse(~seed));
         this.nodes = nodes;
     }
 
@@ -93,6 +104,7 @@
         Duration death = from.plus(latest.compareTo(share) > 0 || cycle.equals(LONGEST_CYCLE) ? latest : share);
         addFaults(from.plus(FAULTS_FROM), death.minus(CALM_BEFORE_DEATH));
         addWithheldChange(from.plus(FAULTS_FROM), death.minus(CALM_BEFORE_DEATH));
+        addResponseFaults(from.plus(FAULTS_FROM), death.minus(CALM_BEFORE_DEATH));
         add(death, DEATH, FaultAction.ALL_KILLED);
     }
 
@@ -129,6 +141,20 @@
         faults.add(new PlannedFault(at.plus(WITHHOLDING.dividedBy(2)), Duration.ZERO, FaultAction.DOCUMENT_WRITTEN, 0));
     }
 
+    /** Adds faults of the targets' responses; each kind comes in a series of its own, over the other faults. */
+    private void addResponseFaults(Duration from, Duration until) {
+        for (FaultAction action : RESPONSE_FAULTS) {
+            Duration at = from.plusMillis(responses.nextInt(LONGEST_RESPONSE_GAP_MILLIS));
+            while (at.compareTo(until) < 0) {
+                Duration drawn = Duration.ofMillis(responses.nextInt(SHORTEST_MILLIS, LONGEST_MILLIS));
+                Duration left = until.minus(at);
+                Duration length = drawn.compareTo(left) < 0 ? drawn : left;
+                faults.add(new PlannedFault(at, length, action, 0));
+                at = at.plus(length).plusMillis(1 + responses.nextInt(LONGEST_RESPONSE_GAP_MILLIS));
+            }
+        }
+    }
+
     /** Adds the fault and calm after it, as far as there is time; returns how long both last. */
     private Duration addRestoration(Duration at, Duration until, Duration drawn) {
         Duration length = drawn.compareTo(LONGEST_RESTORATION) < 0 ? drawn : LONGEST_RESTORATION;
--- a/src/main/java/io/beryldock/soak/SoakBounds.java
+++ b/src/main/java/io/beryldock/soak/SoakBounds.java
@@ -13,6 +13,9 @@
  */
 public record SoakBounds(double retryShare, Duration retryWindow, int retrySlack, Duration removedKeys, Duration stop) {
 
+    /** Bounds that alternate from seed to seed. */
+    static final int KINDS = 2;
+
     private static final Duration WINDOW = Duration.ofSeconds(10);
     private static final Duration REMOVED_KEYS = Duration.ofSeconds(5);
 
@@ -27,6 +30,6 @@
 
     /** Odd seeds have retries in plenty, even ones hardly any. */
     static SoakBounds of(long seed) {
-        return seed % 2 == 0 ? SPARSE : FREE;
+        return seed % KINDS == 0 ? SPARSE : FREE;
     }
 }
--- a/src/main/java/io/beryldock/soak/SoakEvent.java
+++ b/src/main/java/io/beryldock/soak/SoakEvent.java
@@ -32,6 +32,21 @@
     /** The next start of the target beside the node begins; it has named nothing. */
     record TargetStarted(long at, int node) implements SoakEvent {}
 
+    /**
+     * A target beside a node begins to write a response without end.
+     *
+     * @param response number of the response, never used twice
+     * @param what the kind of the response
+     */
+    record EndlessBegan(long at, int node, long response, String what) implements SoakEvent {}
+
+    /**
+     * A response without end has ended, usually by the close of its connection.
+     *
+     * @param bytes written so far, some of which may wait in socket buffers
+     */
+    record EndlessEnded(long at, int node, long response, String what, long bytes) implements SoakEvent {}
+
     /** A request ends at its sender; {@code reply} is empty of meaning but for {@link Ending#ANSWERED}. */
     record Ended(long at, String id, Ending ending, Reply reply) implements SoakEvent {}
 
--- a/src/main/java/io/beryldock/soak/SoakRun.java
+++ b/src/main/java/io/beryldock/soak/SoakRun.java
@@ -1,6 +1,7 @@
 package io.beryldock.soak;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import com.google.common.flogger.FluentLogger;
 import io.beryldock.time.ThreadTimerService;
 import io.beryldock.time.TimerService;
@@ -59,8 +60,17 @@
         Runtime.getRuntime().addShutdownHook(onExit);
     }
 
-    /** What is played. Immutable. */
-    public record Plan(long seed, Duration length, int nodes) {
+    /**
+     * What is played. Immutable.
+     *
+     * @param only the faults of the plan that are played; empty for all
+     */
+    public record Plan(long seed, Duration length, int nodes, TargetProfile profile, ImmutableSet<FaultAction> only) {
+
+        /** Plans all faults that the seed draws, with targets that change. */
+        public static Plan of(long seed, Duration length, int nodes) {
+            return new Plan(seed, length, nodes, TargetProfile.CHANGING, ImmutableSet.of());
+        }
 
         /** The faults, one a line. */
         public String text() {
@@ -70,7 +80,9 @@
         }
 
         ImmutableList<PlannedFault> faults() {
-            return FaultPlanner.draw(seed, length, nodes);
+            return FaultPlanner.draw(seed, length, nodes).stream()
+                    .filter(fault -> only.isEmpty() || only.contains(fault.action()))
+                    .collect(ImmutableList.toImmutableList());
         }
     }
 
@@ -108,8 +120,9 @@
     }
 
     private void load() throws IOException, InterruptedException {
-        List<TimerService.Subscription> sending =
-                callers.stream().map(each -> each.start(timers)).toList();
+        List<TimerService.Subscription> sending = callers.stream()
+                .map(each -> each.start(timers, plan.profile().callerPeriod()))
+                .toList();
         HoldUpWatch watch = new HoldUpWatch(ImmutableList.copyOf(places), surroundings, ledger, timers.ticker());
         TimerService.Subscription watching = timers.every(HoldUpWatch.PERIOD, watch::look);
         TimerService.Subscription sampling = timers.every(SAMPLE_PERIOD, this::sample);
@@ -153,6 +166,16 @@
                 ledger.add(at -> new SoakEvent.Named(at, node, id, ratePerSecond, leaving));
             }
 
+            @Override
+            public void endlessBegan(int node, long response, String what) {
+                ledger.add(at -> new SoakEvent.EndlessBegan(at, node, response, what));
+            }
+
+            @Override
+            public void endlessEnded(int node, long response, String what, long bytes) {
+                ledger.add(at -> new SoakEvent.EndlessEnded(at, node, response, what, bytes));
+            }
+
             @Override
             public void targetStarted(int node) {
                 ledger.add(at -> new SoakEvent.TargetStarted(at, node));
--- a/src/main/java/io/beryldock/soak/Surroundings.java
+++ b/src/main/java/io/beryldock/soak/Surroundings.java
@@ -30,6 +30,9 @@
     /** Has the store itself fail, until it is told otherwise. */
     void setStore(StoreState state);
 
+    /** Sets whether a share of the responses of all targets has the fault. */
+    void setResponseFault(ResponseFault fault, boolean active);
+
     /** Ends all leases of the store. */
     void lapseLeases();
 
@@ -73,6 +76,12 @@
         /** A target answers a request and names what it accepts, 0 for any rate. */
         void named(int node, String id, double ratePerSecond, boolean leaving);
 
+        /** A target begins to write a response without end. */
+        void endlessBegan(int node, long response, String what);
+
+        /** A response without end has ended after so many bytes. */
+        void endlessEnded(int node, long response, String what, long bytes);
+
         /** The next start of a target begins. */
         void targetStarted(int node);
 
--- a/src/test/java/io/beryldock/platform/SoakRunTest.java
+++ b/src/test/java/io/beryldock/platform/SoakRunTest.java
@@ -32,7 +32,8 @@
     }
 
     private static void runSoak(long seed, Duration duration) throws IOException, InterruptedException {
-        SoakReport report = SoakRun.play(new SoakRun.Plan(seed, duration, NODES), SoakSurroundings.start());
+        SoakRun.Plan plan = SoakRun.Plan.of(seed, duration, NODES);
+        SoakReport report = SoakRun.play(plan, SoakSurroundings.start(plan.seed(), plan.profile()));
         assertThat(report.broken()).as("logs in %s", report.directory()).isEmpty();
         assertThat(report.served()).isPositive();
     }
--- a/src/test/java/io/beryldock/soak/CheckTrial.java
+++ b/src/test/java/io/beryldock/soak/CheckTrial.java
@@ -131,6 +131,14 @@
         return see(new SoakEvent.RunEnded(now));
     }
 
+    CheckTrial endlessBegan(long response) {
+        return see(new SoakEvent.EndlessBegan(now, RUNNER, response, "a body"));
+    }
+
+    CheckTrial endlessEnded(long response, long bytes) {
+        return see(new SoakEvent.EndlessEnded(now, RUNNER, response, "a body", bytes));
+    }
+
     CheckTrial sampled(long kilobytes, int files) {
         return see(new SoakEvent.Sampled(now, ENTRY, kilobytes, files));
     }
