A client bounds how many large response bodies it buffers at once

What callers saw: nothing yet; found by asking what bounds the memory that servers can take with responses without end.

Cause: the body of one response is bounded (1 MiB), the sum of those under way is not. A target with 167 slots whose responses all stop just below the bound holds more than the heap of its node (160 MB), and the process ends.

Fix: at most 32 bodies above 32 KB are buffered at once; further connections stop reading, in turn, until one ends. Each ends with its response, its failure or the time limit of its call.

--- a/src/main/java/io/beryldock/nettyhttp/HttpClient.java
+++ b/src/main/java/io/beryldock/nettyhttp/HttpClient.java
@@ -36,11 +36,15 @@
  */
 public final class HttpClient {
 
+    /** Large response bodies buffered at once: a fifth of the heap of a node, at the largest size of a body. */
+    static final int MAX_LARGE_BODIES = 32;
+
     private final HttpClientSettings settings;
     private final EventLoop loop;
     private final TimerService timers;
     private final Map<InetSocketAddress, Deque<HttpClientConnection>> idle = new HashMap<>();
     private final SetMultimap<InetSocketAddress, HttpClientConnection> open = HashMultimap.create();
+    private final LargeBodies largeBodies = new LargeBodies(MAX_LARGE_BODIES);
     private boolean sweeping;
 
     private HttpClient(HttpClientSettings settings, EventLoop loop, TimerService timers) {
@@ -88,7 +92,7 @@
             kept.exchange(call, reply);
             return;
         }
-        HttpClientConnection fresh = new HttpClientConnection(this, address, settings.maxBodyBytes());
+        HttpClientConnection fresh = new HttpClientConnection(this, address, settings.maxBodyBytes(), largeBodies);
         ChannelFuture connecting = bootstrap(fresh).connect(address);
         reply.whenComplete((done, failure) -> {
             if (!connecting.isDone()) {
@@ -147,6 +151,10 @@
         return null;
     }
 
+    LargeBodies largeBodies() {
+        return largeBodies;
+    }
+
     void opened(HttpClientConnection connection) {
         open.put(connection.address(), connection);
     }
--- a/src/main/java/io/beryldock/nettyhttp/HttpClientConnection.java
+++ b/src/main/java/io/beryldock/nettyhttp/HttpClientConnection.java
@@ -34,7 +34,7 @@
  * its framing says so, and one without a length only if the connection ended by a close that is no reset; a response
  * ends the exchange only if {@link ResponseMatcher} takes it for that of the call.
  */
-final class HttpClientConnection extends SimpleChannelInboundHandler<HttpObject> {
+final class HttpClientConnection extends SimpleChannelInboundHandler<HttpObject> implements LargeBodies.Reader {
 
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
     private static final int FIRST_FINAL_STATUS = 200;
@@ -43,6 +43,7 @@
     private final HttpClient client;
     private final InetSocketAddress address;
     private final int maxBodyBytes;
+    private final LargeBodies largeBodies;
     private final ResponseMatcher matcher = new ResponseMatcher();
     private ResponseMeter meter;
     private ChannelHandlerContext context;
@@ -55,10 +56,11 @@
     private long idleSince;
     private long openedAt;
 
-    HttpClientConnection(HttpClient client, InetSocketAddress address, int maxBodyBytes) {
+    HttpClientConnection(HttpClient client, InetSocketAddress address, int maxBodyBytes, LargeBodies largeBodies) {
         this.client = client;
         this.address = address;
         this.maxBodyBytes = maxBodyBytes;
+        this.largeBodies = largeBodies;
     }
 
     InetSocketAddress address() {
@@ -148,7 +150,7 @@
     /** Whoever waited has gone: the server is told by the close of the connection. */
     private void abandon(CompletableFuture<HttpReply> future) {
         if (reply == future) {
-            reply = null;
+            endExchange();
             context.close();
         }
     }
@@ -240,9 +242,22 @@
             fail(Kind.LOST, violation.get());
         } else if (!skipping && bytes > 0) {
             body = body.concat(ByteString.copyFrom(content.nioBuffer()));
+            if (body.size() > LargeBodies.SMALL_BYTES) {
+                largeBodies.enter(this);
+            }
         }
     }
 
+    @Override
+    public void pause() {
+        context.channel().config().setAutoRead(false);
+    }
+
+    @Override
+    public void resume() {
+        context.channel().config().setAutoRead(true);
+    }
+
     private void end() {
         if (skipping) {
             return;
@@ -255,10 +270,7 @@
         HttpReply whole = new HttpReply(head.status().code(), headers, body);
         matcher.onEnd(call, whole.status());
         boolean reusable = HttpUtil.isKeepAlive(head) && isSelfDelimited() && matcher.isReusable();
-        CompletableFuture<HttpReply> waiting = reply;
-        reply = null;
-        call = null;
-        body = ByteString.EMPTY;
+        CompletableFuture<HttpReply> waiting = endExchange();
         if (reusable) {
             idleSince = System.nanoTime();
             client.release(this);
@@ -272,9 +284,18 @@
         return HttpUtil.isTransferEncodingChunked(head) || HttpUtil.isContentLengthSet(head);
     }
 
-    private void fail(Kind kind, String detail) {
+    /** Forgets the exchange; returns the future of its reply, or null if there is none. */
+    private CompletableFuture<HttpReply> endExchange() {
         CompletableFuture<HttpReply> waiting = reply;
         reply = null;
+        call = null;
+        body = ByteString.EMPTY;
+        largeBodies.leave(this);
+        return waiting;
+    }
+
+    private void fail(Kind kind, String detail) {
+        CompletableFuture<HttpReply> waiting = endExchange();
         client.forget(this);
         context.close();
         if (waiting != null) {
--- a/src/test/java/io/beryldock/nettyhttp/HttpClientTest.java
+++ b/src/test/java/io/beryldock/nettyhttp/HttpClientTest.java
@@ -11,13 +11,18 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -45,8 +50,11 @@
     }
 
     private CompletableFuture<HttpReply> send(RawServer server, String id) {
-        Headers headers = Headers.empty().with("Host", "test").with(ID, id);
-        return client.send(server.address(), call(id, headers));
+        return client.send(server.address(), call(id));
+    }
+
+    private static HttpCall call(String id) {
+        return call(id, Headers.empty().with("Host", "test").with(ID, id));
     }
 
     private static HttpCall call(String id, Headers headers) {
@@ -65,6 +73,12 @@
         return send(server, id).get(10, TimeUnit.SECONDS).body().toStringUtf8();
     }
 
+    private void awaitOnLoop(Callable<Boolean> condition) throws Exception {
+        while (!loops.next().submit(condition).get()) {
+            Thread.onSpinWait();
+        }
+    }
+
     private void assertLost(CompletableFuture<HttpReply> reply) {
         assertThatThrownBy(() -> reply.get(10, TimeUnit.SECONDS))
                 .isInstanceOf(ExecutionException.class)
@@ -240,6 +254,31 @@
         }
     }
 
+    /** Guards against an answer that is never read on after it had to wait for other large ones. */
+    @Test
+    @Timeout(60)
+    void largeAnswerIsReadWhenStalledOnesHaveEnded() throws Exception {
+        int size = 2 * LargeBodies.SMALL_BYTES;
+        String stalled = answer("a", "x".repeat(size)).replace("x".repeat(size), "x".repeat(size - 1));
+        String[] script =
+                Collections.nCopies(HttpClient.MAX_LARGE_BODIES, stalled).toArray(new String[0]);
+        HttpClient large = HttpClient.create(
+                new HttpClientSettings(Duration.ofSeconds(5), Duration.ofSeconds(60), Duration.ofSeconds(60), size),
+                loops);
+        try (RawServer stalling = RawServer.start(script);
+                RawServer sound = RawServer.start(answer("b", "y".repeat(size)))) {
+            List<CompletableFuture<HttpReply>> waiting = new ArrayList<>();
+            for (int i = 0; i < script.length; i++) {
+                waiting.add(large.send(stalling.address(), call("a")));
+            }
+            awaitOnLoop(() -> large.largeBodies().buffering() == HttpClient.MAX_LARGE_BODIES);
+            CompletableFuture<HttpReply> reply = large.send(sound.address(), call("b"));
+            awaitOnLoop(() -> large.largeBodies().waiting() == 1);
+            waiting.forEach(each -> each.cancel(false));
+            assertThat(reply.get(10, TimeUnit.SECONDS).body().size()).isEqualTo(size);
+        }
+    }
+
     @Test
     void someInterimResponsesPrecedeAnAnswer() throws Exception {
         String interim = "HTTP/1.1 102 Processing\r\n\r\n".repeat(ResponseMeter.MAX_SKIPPED_RESPONSES);
