The embedded client of targets bounds the responses that it takes

What callers would have seen: a target whose response never ends fills the memory of its node; the settings name callers.maxBodyBytes as the largest body of a target too, but the client did not know it.

Cause: found by asking the question of responses without end of the other clients. The library collects a response whole, whatever its size, takes any number of interim responses and bounds neither lines nor headers by default; its time limit counts the time without bytes only.

--- a/src/main/java/io/beryldock/http/HttpClients.java
+++ b/src/main/java/io/beryldock/http/HttpClients.java
@@ -5,6 +5,7 @@
 import org.apache.hc.client5.http.impl.async.HttpAsyncClients;
 import org.apache.hc.client5.http.impl.nio.PoolingAsyncClientConnectionManagerBuilder;
 import org.apache.hc.client5.http.nio.AsyncClientConnectionManager;
+import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
@@ -24,6 +25,9 @@
      */
     private static final TimeValue IDLE_TIMEOUT = TimeValue.ofSeconds(1);
 
+    private static final int MAX_LINE_BYTES = 8 << 10;
+    private static final int MAX_HEADERS = 200;
+
     private HttpClients() {}
 
     /** Starts a client with at most the given number of connections to one target; the caller closes it. */
@@ -37,6 +41,10 @@
                         .build())
                 .build();
         CloseableHttpAsyncClient client = HttpAsyncClients.custom()
+                .setHttp1Config(Http1Config.custom()
+                        .setMaxLineLength(MAX_LINE_BYTES)
+                        .setMaxHeaderCount(MAX_HEADERS)
+                        .build())
                 .setConnectionManager(connectionManager)
                 .setIOReactorConfig(IOReactorConfig.custom()
                         .setIoThreadCount(ioThreads)
--- a/src/main/java/io/beryldock/http/HttpTargetClient.java
+++ b/src/main/java/io/beryldock/http/HttpTargetClient.java
@@ -19,6 +19,7 @@
 import org.apache.hc.client5.http.HttpHostConnectException;
 import org.apache.hc.client5.http.async.methods.SimpleHttpRequest;
 import org.apache.hc.client5.http.async.methods.SimpleHttpResponse;
+import org.apache.hc.client5.http.async.methods.SimpleRequestProducer;
 import org.apache.hc.client5.http.config.RequestConfig;
 import org.apache.hc.client5.http.impl.async.CloseableHttpAsyncClient;
 import org.apache.hc.core5.concurrent.FutureCallback;
@@ -43,22 +44,32 @@
 
     private final CloseableHttpAsyncClient client;
     private final Supplier<InetSocketAddress> target;
+    private final int maxBodyBytes;
 
-    private HttpTargetClient(CloseableHttpAsyncClient client, Supplier<InetSocketAddress> target) {
+    private HttpTargetClient(CloseableHttpAsyncClient client, Supplier<InetSocketAddress> target, int maxBodyBytes) {
         this.client = client;
         this.target = target;
+        this.maxBodyBytes = maxBodyBytes;
     }
 
-    /** Creates a client that sends each call to the address that the supplier returns, as announced by the target. */
-    public static HttpTargetClient create(CloseableHttpAsyncClient client, Supplier<InetSocketAddress> target) {
-        return new HttpTargetClient(client, target);
+    /**
+     * Creates a client that sends each call to the address that the supplier returns, as announced by the target.
+     *
+     * @param maxBodyBytes largest body of a response; a call with a larger one ends as lost
+     */
+    public static HttpTargetClient create(
+            CloseableHttpAsyncClient client, Supplier<InetSocketAddress> target, int maxBodyBytes) {
+        return new HttpTargetClient(client, target, maxBodyBytes);
     }
 
     @Override
     public TargetExchange send(Call call) {
         CompletableFuture<TargetReply> reply = new CompletableFuture<>();
         try {
-            client.execute(request(call), new ReplyCallback(reply));
+            client.execute(
+                    SimpleRequestProducer.create(request(call)),
+                    new BoundedResponseConsumer(maxBodyBytes),
+                    new ReplyCallback(reply));
         } catch (IllegalStateException | IllegalArgumentException e) {
             reply.complete(TargetReply.notSent("the request can't be sent: " + e.getMessage()));
         }
--- a/src/main/java/io/beryldock/node/TrafficModule.java
+++ b/src/main/java/io/beryldock/node/TrafficModule.java
@@ -135,13 +135,14 @@
 
     @Provides
     @Singleton
-    TargetClient targetClient(TargetAnnouncements announcements) {
+    TargetClient targetClient(NodeSettings settings, TargetAnnouncements announcements) {
         return HttpTargetClient.create(
                 shared.targetClient().orElseThrow(),
                 () -> announcements
                         .current()
                         .map(AnnouncedTarget::address)
-                        .orElseGet(() -> InetSocketAddress.createUnresolved("0.0.0.0", 0)));
+                        .orElseGet(() -> InetSocketAddress.createUnresolved("0.0.0.0", 0)),
+                settings.limits().maxBodyBytes());
     }
 
     @Provides
--- a/src/test/java/io/beryldock/http/HttpTargetClientTest.java
+++ b/src/test/java/io/beryldock/http/HttpTargetClientTest.java
@@ -6,6 +6,7 @@
 import io.beryldock.call.TargetNotice;
 import io.beryldock.forwarding.TargetFixtures;
 import io.beryldock.forwarding.TargetReply;
+import io.beryldock.nettyhttp.RawServer;
 import io.beryldock.standin.StandinException;
 import io.beryldock.standin.StandinTarget;
 import io.beryldock.standin.StandinTargetSettings;
@@ -14,16 +15,58 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.OptionalDouble;
+import java.util.stream.Stream;
 import org.apache.hc.client5.http.impl.async.CloseableHttpAsyncClient;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
 
 @Timeout(60)
 final class HttpTargetClientTest {
 
+    private static final int MAX_BODY_BYTES = 1 << 20;
+
+    /** The largest body, and what sockets and the client's buffers hold that nobody has read. */
+    private static final long MAX_READ_BYTES = 32L << 20;
+
+    private static Stream<Arguments> responsesWithoutEnd() {
+        String head = "HTTP/1.1 200 OK\r\n";
+        String chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+        return Stream.of(
+                Arguments.of("blank lines", "", "\r\n"),
+                Arguments.of("headers", head, "X-Padding: a\r\n"),
+                Arguments.of("a header value", head + "X-Padding: ", "a"),
+                Arguments.of("interim responses", "", "HTTP/1.1 102 Processing\r\n\r\n"),
+                Arguments.of("a body", chunked, "4\r\nbody\r\n"),
+                Arguments.of("a body without length", head + "\r\n", "body"),
+                Arguments.of("a chunk extension", chunked + "4;", "a"),
+                Arguments.of("trailers", chunked + "0\r\n", "X-Padding: a\r\n"));
+    }
+
+    /** Guards against a target whose response never ends and fills the memory of its node. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("responsesWithoutEnd")
+    void responseWithoutEndIsReadInPartOnly(String what, String start, String unit) throws Exception {
+        try (RawServer target = RawServer.start(start + RawServer.ENDLESS + unit);
+                CloseableHttpAsyncClient http = HttpClients.start(4, 1)) {
+            Call call = TargetFixtures.read("/lists/1", Duration.ofSeconds(10));
+            TargetReply reply = HttpTargetClient.create(http, target::address, MAX_BODY_BYTES)
+                    .send(call)
+                    .reply()
+                    .join();
+            assertThat(reply.kind()).as(what).isEqualTo(TargetReply.Kind.LOST);
+            assertThat(target.endlessBytes()).as(what).isLessThan(MAX_READ_BYTES);
+        }
+    }
+
     private static TargetReply send(CloseableHttpAsyncClient http, StandinTarget target) {
         Call call = TargetFixtures.read("/lists/1", Duration.ofSeconds(10));
-        return HttpTargetClient.create(http, target::address).send(call).reply().join();
+        return HttpTargetClient.create(http, target::address, MAX_BODY_BYTES)
+                .send(call)
+                .reply()
+                .join();
     }
 
     /** Guards against a limit or a leaving that only some of a target's answers bring to the gate. */
--- a/src/test/java/io/beryldock/nettyhttp/RawServer.java
+++ b/src/test/java/io/beryldock/nettyhttp/RawServer.java
@@ -27,7 +27,7 @@
     static final String CLOSE = "!close";
 
     /** Has the text that follows it written over and over until the client closes the connection. */
-    static final String ENDLESS = "!endless";
+    public static final String ENDLESS = "!endless";
 
     /** At this length the server gives up, so that a client that reads on for ever shows as one that read too much. */
     private static final long MAX_ENDLESS_BYTES = 64L << 20;
@@ -69,7 +69,7 @@
     }
 
     /** How many bytes were written of the next response without end, waiting for the end of its connection. */
-    long endlessBytes() throws InterruptedException {
+    public long endlessBytes() throws InterruptedException {
         return endlessEnds.take();
     }
 
