--- a/src/main/java/io/beryldock/platform/ResponseDefect.java
+++ b/src/main/java/io/beryldock/platform/SoakDefect.java
@@ -4,7 +4,7 @@
 import io.beryldock.soak.ResponseFault;
 
 /** What is wrong with one response of a soak target. */
-enum ResponseDefect {
+enum SoakDefect {
     /** The response is sound. */
     NONE(true),
     /** A copy arrives where the response to the next request is expected. */
@@ -35,22 +35,22 @@
     /** The response is sound, and bytes without end follow it. */
     ENDLESS_BEHIND(ResponseFault.ENDLESS, false);
 
-    private static final ImmutableList<ResponseDefect> ALL = ImmutableList.copyOf(values());
+    private static final ImmutableList<SoakDefect> ALL = ImmutableList.copyOf(values());
 
     private final ResponseFault fault;
     private final boolean readable;
 
-    ResponseDefect(boolean readable) {
+    SoakDefect(boolean readable) {
         this(null, readable);
     }
 
-    ResponseDefect(ResponseFault fault, boolean readable) {
+    SoakDefect(ResponseFault fault, boolean readable) {
         this.fault = fault;
         this.readable = readable;
     }
 
     /** The defects by which the fault shows. */
-    static ImmutableList<ResponseDefect> of(ResponseFault fault) {
+    static ImmutableList<SoakDefect> of(ResponseFault fault) {
         return ALL.stream().filter(defect -> defect.fault == fault).collect(ImmutableList.toImmutableList());
     }
 
--- a/src/main/java/io/beryldock/platform/ResponseDefects.java
+++ b/src/main/java/io/beryldock/platform/SoakDefects.java
@@ -8,7 +8,7 @@
 import java.util.SplittableRandom;
 
 /** Draws the defects of soak targets' responses while faults are active. Thread safe. */
-final class ResponseDefects {
+final class SoakDefects {
 
     /** Shares of the responses that have a defect of the fault while it is active. */
     private static final Map<ResponseFault, Double> SHARES =
@@ -17,7 +17,7 @@
     private final SplittableRandom random;
     private final Multiset<ResponseFault> active = EnumMultiset.create(ResponseFault.class);
 
-    ResponseDefects(long seed) {
+    SoakDefects(long seed) {
         this.random = new SplittableRandom(seed);
     }
 
@@ -31,13 +31,13 @@
     }
 
     /** Returns the defect of the next response. */
-    synchronized ResponseDefect next() {
+    synchronized SoakDefect next() {
         for (ResponseFault fault : ResponseFault.values()) {
             if (active.contains(fault) && random.nextDouble() < SHARES.get(fault)) {
-                ImmutableList<ResponseDefect> defects = ResponseDefect.of(fault);
+                ImmutableList<SoakDefect> defects = SoakDefect.of(fault);
                 return defects.get(random.nextInt(defects.size()));
             }
         }
-        return ResponseDefect.NONE;
+        return SoakDefect.NONE;
     }
 }
--- a/src/main/java/io/beryldock/platform/EndlessResponse.java
+++ b/src/main/java/io/beryldock/platform/SoakEndlessResponse.java
@@ -14,7 +14,7 @@
  * <p>Confined to the event loop of the connection. Invariant: a piece is written when the one before has left for the
  * socket, so that a peer that does not read holds the response up.
  */
-final class EndlessResponse {
+final class SoakEndlessResponse {
 
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
 
@@ -27,7 +27,7 @@
     private final LongConsumer onEnd;
     private long written;
 
-    private EndlessResponse(Channel channel, String piece, Duration pause, LongConsumer onEnd) {
+    private SoakEndlessResponse(Channel channel, String piece, Duration pause, LongConsumer onEnd) {
         this.channel = channel;
         this.piece = piece.getBytes(StandardCharsets.ISO_8859_1);
         this.pause = pause;
@@ -41,7 +41,7 @@
      * @param onEnd accepts the number of bytes written when the connection has ended
      */
     static void start(Channel channel, String piece, Duration pause, LongConsumer onEnd) {
-        new EndlessResponse(channel, piece, pause, onEnd).writeNext();
+        new SoakEndlessResponse(channel, piece, pause, onEnd).writeNext();
     }
 
     private void writeNext() {
--- a/src/main/java/io/beryldock/platform/SoakExchange.java
+++ b/src/main/java/io/beryldock/platform/SoakExchange.java
@@ -12,9 +12,9 @@
  * @param responses sends the response on the connection of the request; called once
  */
 record SoakExchange(
-        String method, String uri, Headers headers, ByteString body, BiConsumer<HttpAnswer, ResponseDefect> responses) {
+        String method, String uri, Headers headers, ByteString body, BiConsumer<HttpAnswer, SoakDefect> responses) {
 
-    void answer(HttpAnswer answer, ResponseDefect defect) {
+    void answer(HttpAnswer answer, SoakDefect defect) {
         responses.accept(answer, defect);
     }
 }
--- a/src/main/java/io/beryldock/platform/SoakSurroundings.java
+++ b/src/main/java/io/beryldock/platform/SoakSurroundings.java
@@ -82,7 +82,7 @@
     private final Map<Integer, SoakTarget> targets = new ConcurrentHashMap<>();
     private final TargetProfile profile;
     private final int attempts;
-    private final ResponseDefects defects;
+    private final SoakDefects defects;
     private final AtomicLong endlessResponses = new AtomicLong();
     private final AtomicLong heartbeatSequence = new AtomicLong();
     private final TreeSet<Long> publishedVersions = new TreeSet<>();
@@ -94,7 +94,7 @@
         InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         this.profile = profile;
         this.attempts = profile.attempts(seed);
-        this.defects = new ResponseDefects(seed);
+        this.defects = new SoakDefects(seed);
         this.storeServer = HttpServer.bind(any, loops, () -> SERVER_LIMITS, store);
         timers.every(SNAPSHOT_PERIOD, this::takeSnapshot);
     }
@@ -122,7 +122,7 @@
                 place.anyPortBeside(), loops, target::handle, defect -> beginEndless(place, events, defect));
     }
 
-    private LongConsumer beginEndless(NodePlace place, TargetEvents events, ResponseDefect defect) {
+    private LongConsumer beginEndless(NodePlace place, TargetEvents events, SoakDefect defect) {
         long response = endlessResponses.incrementAndGet();
         events.endlessBegan(place.number(), response, defect.name());
         return bytes -> events.endlessEnded(place.number(), response, defect.name(), bytes);
--- a/src/main/java/io/beryldock/platform/SoakTarget.java
+++ b/src/main/java/io/beryldock/platform/SoakTarget.java
@@ -41,7 +41,7 @@
     private final TargetEvents events;
     private final InnerCaller caller;
     private final TargetProfile profile;
-    private final ResponseDefects defects;
+    private final SoakDefects defects;
     private final TimerService timers;
     private final AtomicLong innerCalls = new AtomicLong();
     private final AtomicLong arrivals = new AtomicLong();
@@ -53,7 +53,7 @@
             TargetEvents events,
             InnerCaller caller,
             TargetProfile profile,
-            ResponseDefects defects,
+            SoakDefects defects,
             TimerService timers) {
         this.place = place;
         this.events = events;
@@ -105,7 +105,7 @@
         events.arrived(place.number(), request, place.service());
         SoakConditions conditions = conditions();
         if (!isFor(conditions, headers)) {
-            exchange.answer(refusal(request, MISDIRECTED), ResponseDefect.NONE);
+            exchange.answer(refusal(request, MISDIRECTED), SoakDefect.NONE);
             return;
         }
         if (isRefused(request, conditions)) {
@@ -174,20 +174,20 @@
 
     /** Sends the answer with the defect drawn for it; nothing is named where its caller may not read it. */
     private void respond(SoakExchange exchange, String request, HttpAnswer answer) {
-        ResponseDefect defect = applicable(defects.next(), exchange, answer);
+        SoakDefect defect = applicable(defects.next(), exchange, answer);
         HttpAnswer named =
                 defect.isReadable() ? withNamed(answer, nameConditions(exchange.headers(), request)) : answer;
-        exchange.answer(defect == ResponseDefect.WITHOUT_MARK ? unmarkedRefusal(request) : named, defect);
+        exchange.answer(defect == SoakDefect.WITHOUT_MARK ? unmarkedRefusal(request) : named, defect);
     }
 
-    private static ResponseDefect applicable(ResponseDefect drawn, SoakExchange exchange, HttpAnswer answer) {
+    private static SoakDefect applicable(SoakDefect drawn, SoakExchange exchange, HttpAnswer answer) {
         boolean applies =
                 switch (drawn) {
                     case WITHOUT_MARK -> exchange.method().equals(UNSAFE_METHOD);
                     case WITHOUT_ID -> answer.status() == NOT_RUN;
                     default -> true;
                 };
-        return applies ? drawn : ResponseDefect.NONE;
+        return applies ? drawn : SoakDefect.NONE;
     }
 
     /** A status that usually is a refusal, whether the request has run or not. */
--- a/src/main/java/io/beryldock/platform/SoakTargetConnection.java
+++ b/src/main/java/io/beryldock/platform/SoakTargetConnection.java
@@ -63,7 +63,7 @@
                 (answer, defect) -> ctx.executor().execute(() -> respond(ctx, answer, defect))));
     }
 
-    private void respond(ChannelHandlerContext ctx, HttpAnswer answer, ResponseDefect defect) {
+    private void respond(ChannelHandlerContext ctx, HttpAnswer answer, SoakDefect defect) {
         responses++;
         String sound = text(answer);
         switch (defect) {
@@ -92,17 +92,17 @@
         late = next;
     }
 
-    private void respondWithoutEnd(ChannelHandlerContext ctx, HttpAnswer answer, ResponseDefect defect) {
+    private void respondWithoutEnd(ChannelHandlerContext ctx, HttpAnswer answer, SoakDefect defect) {
         write(ctx, start(answer, defect));
         boolean slow = responses % PACES == 0;
         String unit = unit(defect);
         String piece = unit.repeat(Math.max(1, (slow ? SLOW_PIECE_BYTES : PIECE_BYTES) / unit.length()));
         LongConsumer onEnd = endless.began(defect);
-        EndlessResponse.start(ctx.channel(), piece, slow ? SLOW_PAUSE : Duration.ZERO, onEnd);
+        SoakEndlessResponse.start(ctx.channel(), piece, slow ? SLOW_PAUSE : Duration.ZERO, onEnd);
     }
 
     /** What comes before the part that is repeated. */
-    private static String start(HttpAnswer answer, ResponseDefect defect) {
+    private static String start(HttpAnswer answer, SoakDefect defect) {
         String open = head(answer);
         String chunked = open + "Transfer-Encoding: chunked\r\n\r\n";
         return switch (defect) {
@@ -120,7 +120,7 @@
     }
 
     /** The part that is repeated. */
-    private static String unit(ResponseDefect defect) {
+    private static String unit(SoakDefect defect) {
         return switch (defect) {
             case ENDLESS_BLANK_LINES -> BLANK_LINE;
             case ENDLESS_HEADERS, ENDLESS_TRAILERS -> "X-Padding: a\r\n";
--- a/src/main/java/io/beryldock/platform/SoakTargetServer.java
+++ b/src/main/java/io/beryldock/platform/SoakTargetServer.java
@@ -25,7 +25,7 @@
     interface EndlessListener {
 
         /** A response without end begins; returns the task that accepts the number of bytes at its end. */
-        LongConsumer began(ResponseDefect defect);
+        LongConsumer began(SoakDefect defect);
     }
 
     /** Binds the address, port 0 for a free one; returns the address bound. */
--- a/src/test/java/io/beryldock/platform/ResponseDefectsTest.java
+++ b/src/test/java/io/beryldock/platform/SoakDefectsTest.java
@@ -9,14 +9,14 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
-final class ResponseDefectsTest {
+final class SoakDefectsTest {
 
     private static final int DRAWS = 5_000;
 
-    private final ResponseDefects defects = new ResponseDefects(1);
+    private final SoakDefects defects = new SoakDefects(1);
 
-    private Set<ResponseDefect> drawn() {
-        Set<ResponseDefect> drawn = EnumSet.noneOf(ResponseDefect.class);
+    private Set<SoakDefect> drawn() {
+        Set<SoakDefect> drawn = EnumSet.noneOf(SoakDefect.class);
         for (int i = 0; i < DRAWS; i++) {
             drawn.add(defects.next());
         }
@@ -25,15 +25,15 @@
 
     @Test
     void responsesAreSoundWithoutFaults() {
-        assertThat(drawn()).containsExactly(ResponseDefect.NONE);
+        assertThat(drawn()).containsExactly(SoakDefect.NONE);
     }
 
     @ParameterizedTest
     @EnumSource(ResponseFault.class)
     void activeFaultBringsAllOfItsDefectsAndSoundResponses(ResponseFault fault) {
         defects.set(fault, true);
-        EnumSet<ResponseDefect> expected = EnumSet.copyOf(ResponseDefect.of(fault));
-        expected.add(ResponseDefect.NONE);
+        EnumSet<SoakDefect> expected = EnumSet.copyOf(SoakDefect.of(fault));
+        expected.add(SoakDefect.NONE);
         assertThat(drawn()).isEqualTo(expected);
     }
 
@@ -42,8 +42,8 @@
         defects.set(ResponseFault.REPEATED, true);
         defects.set(ResponseFault.REPEATED, true);
         defects.set(ResponseFault.REPEATED, false);
-        assertThat(drawn()).contains(ResponseDefect.COPIED_LATE);
+        assertThat(drawn()).contains(SoakDefect.COPIED_LATE);
         defects.set(ResponseFault.REPEATED, false);
-        assertThat(drawn()).containsExactly(ResponseDefect.NONE);
+        assertThat(drawn()).containsExactly(SoakDefect.NONE);
     }
 }
--- a/src/test/java/io/beryldock/platform/SoakTargetConnectionTest.java
+++ b/src/test/java/io/beryldock/platform/SoakTargetConnectionTest.java
@@ -26,11 +26,10 @@
     private static final String SOUND = "HTTP/1.1 200 OK\r\nX-Beryldock-Request-Id: a\r\nContent-Length: 4\r\n\r\nbody";
 
     /** What the connection sends unchanged: a sound response, and one that the target itself has made wrong. */
-    private static final Set<ResponseDefect> MADE_BY_TARGET =
-            EnumSet.of(ResponseDefect.NONE, ResponseDefect.WITHOUT_MARK);
+    private static final Set<SoakDefect> MADE_BY_TARGET = EnumSet.of(SoakDefect.NONE, SoakDefect.WITHOUT_MARK);
 
     private final Deque<SoakExchange> exchanges = new ArrayDeque<>();
-    private final Deque<ResponseDefect> endless = new ArrayDeque<>();
+    private final Deque<SoakDefect> endless = new ArrayDeque<>();
     private final EmbeddedChannel channel = new EmbeddedChannel(new SoakTargetConnection(exchanges::add, defect -> {
         endless.add(defect);
         return bytes -> {};
@@ -65,31 +64,31 @@
 
     @Test
     void responseWithoutDefectIsSound() {
-        request().answer(answer(), ResponseDefect.NONE);
+        request().answer(answer(), SoakDefect.NONE);
         assertThat(written()).isEqualTo(SOUND);
     }
 
     /** Guards against a soak whose copies can't be taken for the response to the next request. */
     @Test
     void lateCopyComesBeforeTheResponseToTheNextRequest() {
-        request().answer(answer(), ResponseDefect.COPIED_LATE);
+        request().answer(answer(), SoakDefect.COPIED_LATE);
         assertThat(written()).isEqualTo(SOUND);
         SoakExchange next = request();
         assertThat(written()).isEqualTo(SOUND);
-        next.answer(answer(), ResponseDefect.NONE);
+        next.answer(answer(), SoakDefect.NONE);
         assertThat(written()).isEqualTo(SOUND);
     }
 
     @Test
     void responseThatIsCutOffEndsItsConnection() {
-        request().answer(answer(), ResponseDefect.CUT_OFF);
+        request().answer(answer(), SoakDefect.CUT_OFF);
         assertThat(written()).isEqualTo(SOUND.substring(0, SOUND.length() - 1));
         assertThat(channel.isActive()).isFalse();
     }
 
     @ParameterizedTest
     @EnumSource
-    void everyDefectOfTheConnectionChangesWhatIsSent(ResponseDefect defect) {
+    void everyDefectOfTheConnectionChangesWhatIsSent(SoakDefect defect) {
         request().answer(answer(), defect);
         boolean changed = !written().equals(SOUND) || !channel.isActive();
         assertThat(endless.contains(defect)).isEqualTo(defect.isEndless());
