--- a/src/main/java/io/beryldock/soak/TargetProfile.java
+++ b/src/main/java/io/beryldock/soak/TargetProfile.java
@@ -5,8 +5,8 @@
 /** How the targets of a run behave, and how often callers send to each node. */
 public enum TargetProfile {
     /**
-     * Targets refuse at times, name rate limits and their leaving, and start again. A lost attempt also loses its part of
-     * the request's retries; with four attempts, enough retries remain for one further attempt.
+     * Targets refuse at times, name rate limits and their leaving, and start again. A lost attempt also loses its part
+     * of the request's retries; with four attempts, enough retries remain for one further attempt.
      */
     CHANGING(Duration.ofMillis(40), 4, 4),
     /**
