A response's headers are converted once, and the client holds its large bodies

The headers of each response were converted for the match and again for the reply, on the path of every call. The connection got the client and, beside it, a part that the client holds. No change of behaviour; the tests of nettyhttp, platform and soak pass.

--- a/src/main/java/io/beryldock/nettyhttp/HttpClient.java
+++ b/src/main/java/io/beryldock/nettyhttp/HttpClient.java
@@ -92,7 +92,7 @@
             kept.exchange(call, reply);
             return;
         }
-        HttpClientConnection fresh = new HttpClientConnection(this, address, settings.maxBodyBytes(), largeBodies);
+        HttpClientConnection fresh = new HttpClientConnection(this, address, settings.maxBodyBytes());
         ChannelFuture connecting = bootstrap(fresh).connect(address);
         reply.whenComplete((done, failure) -> {
             if (!connecting.isDone()) {
--- a/src/main/java/io/beryldock/nettyhttp/HttpClientConnection.java
+++ b/src/main/java/io/beryldock/nettyhttp/HttpClientConnection.java
@@ -43,24 +43,23 @@
     private final HttpClient client;
     private final InetSocketAddress address;
     private final int maxBodyBytes;
-    private final LargeBodies largeBodies;
     private final ResponseMatcher matcher = new ResponseMatcher();
     private ResponseMeter meter;
     private ChannelHandlerContext context;
     private HttpCall call;
     private CompletableFuture<HttpReply> reply;
     private HttpResponse head;
+    private Headers headers;
     private boolean skipping;
     private ByteString body = ByteString.EMPTY;
     private boolean broken;
     private long idleSince;
     private long openedAt;
 
-    HttpClientConnection(HttpClient client, InetSocketAddress address, int maxBodyBytes, LargeBodies largeBodies) {
+    HttpClientConnection(HttpClient client, InetSocketAddress address, int maxBodyBytes) {
         this.client = client;
         this.address = address;
         this.maxBodyBytes = maxBodyBytes;
-        this.largeBodies = largeBodies;
     }
 
     InetSocketAddress address() {
@@ -213,7 +212,8 @@
             skip();
             return;
         }
-        Match match = matcher.match(call, HttpMessages.headers(response.headers()));
+        headers = HttpMessages.headers(response.headers());
+        Match match = matcher.match(call, headers);
         skipping = false;
         if (match == Match.FOREIGN) {
             skip();
@@ -243,7 +243,7 @@
         } else if (!skipping && bytes > 0) {
             body = body.concat(ByteString.copyFrom(content.nioBuffer()));
             if (body.size() > LargeBodies.SMALL_BYTES) {
-                largeBodies.enter(this);
+                client.largeBodies().enter(this);
             }
         }
     }
@@ -266,7 +266,6 @@
             fail(Kind.LOST, "the connection was reset within the response");
             return;
         }
-        Headers headers = HttpMessages.headers(head.headers());
         HttpReply whole = new HttpReply(head.status().code(), headers, body);
         matcher.onEnd(call, whole.status());
         boolean reusable = HttpUtil.isKeepAlive(head) && isSelfDelimited() && matcher.isReusable();
@@ -290,7 +289,7 @@
         reply = null;
         call = null;
         body = ByteString.EMPTY;
-        largeBodies.leave(this);
+        client.largeBodies().leave(this);
         return waiting;
     }
 
