Soak: headers, shortest times and faults of responses each by one piece of code

The listener of targets converted headers with a loop of its own, where HttpMessages does; the planner compared times by hand in four places, where Comparators.min does; the faults of responses were listed twice.

--- a/src/main/java/io/beryldock/nettyhttp/HttpMessages.java
+++ b/src/main/java/io/beryldock/nettyhttp/HttpMessages.java
@@ -7,11 +7,11 @@
 import java.util.Map;
 
 /** Turns Netty's headers into the project's. Stateless. */
-final class HttpMessages {
+public final class HttpMessages {
 
     private HttpMessages() {}
 
-    static Headers headers(HttpHeaders netty) {
+    public static Headers headers(HttpHeaders netty) {
         List<Headers.Header> list = new ArrayList<>(netty.size());
         for (Map.Entry<String, String> header : netty) {
             list.add(new Headers.Header(header.getKey(), header.getValue()));
--- a/src/main/java/io/beryldock/platform/SoakTargetConnection.java
+++ b/src/main/java/io/beryldock/platform/SoakTargetConnection.java
@@ -4,6 +4,7 @@
 import com.google.protobuf.ByteString;
 import io.beryldock.call.Headers;
 import io.beryldock.nettyhttp.HttpAnswer;
+import io.beryldock.nettyhttp.HttpMessages;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
@@ -13,9 +14,6 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 
@@ -50,15 +48,11 @@
     protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
         write(ctx, late);
         late = "";
-        List<Headers.Header> headers = new ArrayList<>();
-        for (Map.Entry<String, String> header : request.headers()) {
-            headers.add(new Headers.Header(header.getKey(), header.getValue()));
-        }
         ByteString body = ByteString.copyFrom(ByteBufUtil.getBytes(request.content()));
         handler.accept(new SoakExchange(
                 request.method().name(),
                 request.uri(),
-                Headers.of(headers),
+                HttpMessages.headers(request.headers()),
                 body,
                 (answer, defect) -> ctx.executor().execute(() -> respond(ctx, answer, defect))));
     }
--- a/src/main/java/io/beryldock/soak/FaultAction.java
+++ b/src/main/java/io/beryldock/soak/FaultAction.java
@@ -58,6 +58,11 @@
             .filter(action -> action.compareTo(KILLED) <= 0)
             .collect(ImmutableList.toImmutableList());
 
+    /** Faults of the responses that targets write. */
+    static final ImmutableList<FaultAction> OF_RESPONSES = Arrays.stream(values())
+            .filter(action -> action.responseFault.isPresent())
+            .collect(ImmutableList.toImmutableList());
+
     private static final ImmutableSet<FaultAction> HARMS_ALL = Sets.immutableEnumSet(
             STORE_SILENT_FOR_ALL,
             STORE_REFUSING,
--- a/src/main/java/io/beryldock/soak/FaultPlanner.java
+++ b/src/main/java/io/beryldock/soak/FaultPlanner.java
@@ -1,5 +1,6 @@
 package io.beryldock.soak;
 
+import com.google.common.collect.Comparators;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Sets;
@@ -38,9 +39,6 @@
     /** Beyond the time after which a removed key is dead, so that a node may sleep through it. */
     private static final int LONGEST_MILLIS = 8_000;
 
-    private static final ImmutableList<FaultAction> RESPONSE_FAULTS = ImmutableList.of(
-            FaultAction.RESPONSES_REPEATED, FaultAction.RESPONSES_BROKEN, FaultAction.RESPONSES_ENDLESS);
-
     /** Faults in which nodes can't hear that a key was taken away. */
     private static final ImmutableSet<FaultAction> DEAF =
             Sets.immutableEnumSet(FaultAction.PAUSED, FaultAction.STORE_SILENT_FOR_ALL);
@@ -89,7 +87,7 @@
     /** The plan, by time. */
     static ImmutableList<PlannedFault> draw(long seed, Duration length, int nodes) {
         FaultPlanner planner = new FaultPlanner(seed, nodes);
-        Duration cycle = length.compareTo(LONGEST_CYCLE) < 0 ? length : LONGEST_CYCLE;
+        Duration cycle = Comparators.min(length, LONGEST_CYCLE);
         for (Duration from = Duration.ZERO; from.plus(cycle).compareTo(length) <= 0; from = from.plus(cycle)) {
             planner.addCycle(from, cycle);
         }
@@ -113,7 +111,7 @@
         while (at.compareTo(until) < 0) {
             Duration length = millis(SHORTEST_MILLIS, LONGEST_MILLIS);
             Duration longest = until.minus(at);
-            Duration kept = length.compareTo(longest) < 0 ? length : longest;
+            Duration kept = Comparators.min(length, longest);
             FaultAction action = FaultAction.UNPLANNED.get(random.nextInt(FaultAction.UNPLANNED.size()));
             if (DEAF.contains(action) && longest.compareTo(LONG_DEAFNESS) > 0) {
                 kept = LONG_DEAFNESS;
@@ -143,12 +141,11 @@
 
     /** Adds faults of the targets' responses; each kind comes in a series of its own, over the other faults. */
     private void addResponseFaults(Duration from, Duration until) {
-        for (FaultAction action : RESPONSE_FAULTS) {
+        for (FaultAction action : FaultAction.OF_RESPONSES) {
             Duration at = from.plusMillis(responses.nextInt(LONGEST_RESPONSE_GAP_MILLIS));
             while (at.compareTo(until) < 0) {
                 Duration drawn = Duration.ofMillis(responses.nextInt(SHORTEST_MILLIS, LONGEST_MILLIS));
-                Duration left = until.minus(at);
-                Duration length = drawn.compareTo(left) < 0 ? drawn : left;
+                Duration length = Comparators.min(drawn, until.minus(at));
                 faults.add(new PlannedFault(at, length, action, 0));
                 at = at.plus(length).plusMillis(1 + responses.nextInt(LONGEST_RESPONSE_GAP_MILLIS));
             }
@@ -157,7 +154,7 @@
 
     /** Adds the fault and calm after it, as far as there is time; returns how long both last. */
     private Duration addRestoration(Duration at, Duration until, Duration drawn) {
-        Duration length = drawn.compareTo(LONGEST_RESTORATION) < 0 ? drawn : LONGEST_RESTORATION;
+        Duration length = Comparators.min(drawn, LONGEST_RESTORATION);
         add(at, length, FaultAction.STORE_RESTORED);
         Duration change = at.plus(length).plus(CHANGE_AFTER_RESTORATION);
         if (change.compareTo(until) < 0) {
