--- a/review/standin-2/rig/SlowReaders.java
+++ b/review/standin-2/rig/SlowReaders.java
@@ -7,7 +7,7 @@
 
 /**
  * Clients read large answers slowly while their node is stopped, ends the connection as they asked, or counts the
- * connection as idle. Arguments: the root of the repository, the file of the record, exit | close | idle.
+ * connection as idle. Arguments: the root of the repository, the file of the record, exit | close | idle. No case runs idle.
  */
 public final class SlowReaders {
 
