--- a/review/standin-2/rig/Client.java
+++ b/review/standin-2/rig/Client.java
@@ -32,6 +32,7 @@
             socket.setReceiveBufferSize(32 << 10);
         }
         socket.setTcpNoDelay(true);
+        socket.setSoTimeout(20_000);
         socket.connect(node, 1000);
         in = new BufferedInputStream(
                 bytesPerSecond > 0 ? new Paced(socket.getInputStream(), bytesPerSecond) : socket.getInputStream(),
--- a/review/standin-2/rig/Instance.java
+++ b/review/standin-2/rig/Instance.java
@@ -9,6 +9,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -18,12 +19,19 @@
  */
 public final class Instance implements AutoCloseable {
 
+    /** How long an instance is away after a crash. */
+    private static final double CRASH_SECONDS = 1.5;
+
     private final Record record;
     private final Site.Node node;
-    private final String id;
+    private final String name;
     private final int slots;
-    private final ServerSocket listener = new ServerSocket();
+    private final InetSocketAddress bound;
     private final String address;
+    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+    private volatile ServerSocket listener;
+    private volatile String id;
+    private int lives = 1;
     private final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
     private final Map<String, Integer> answered = new ConcurrentHashMap<>();
     private final AtomicInteger working = new AtomicInteger();
@@ -34,14 +42,50 @@
     public Instance(Record record, Site.Node node, String id, int slots) throws IOException {
         this.record = record;
         this.node = node;
+        this.name = id;
         this.id = id;
         this.slots = slots;
-        listener.bind(new InetSocketAddress(node.ip, 0), 1024);
-        address = node.ip + ":" + listener.getLocalPort();
+        bound = new InetSocketAddress(node.ip, Site.freePort(node.ip));
+        address = node.ip + ":" + bound.getPort();
+        listen();
         start(this::accept);
         start(this::beat);
     }
 
+    private void listen() throws IOException {
+        ServerSocket socket = new ServerSocket();
+        socket.setReuseAddress(true);
+        socket.bind(bound, 1024);
+        listener = socket;
+    }
+
+    /** Ends all connections, as the end of a process does; the next life begins after the time, with a new id. */
+    private synchronized void crash(double seconds) {
+        record.line("instance %s crashes", id);
+        left = true;
+        try {
+            listener.close();
+            for (Socket socket : sockets) {
+                socket.setSoLinger(true, 0);
+                socket.close();
+            }
+            Thread.sleep((long) (seconds * 1000));
+            if (closed) {
+                return;
+            }
+            lives++;
+            id = name + "-" + lives;
+            sequence = 0;
+            listen();
+            left = false;
+            record.line("instance %s has started", id);
+            start(this::accept);
+            start(this::beat);
+        } catch (IOException | InterruptedException e) {
+            record.line("instance %s could not start again: %s", name, e);
+        }
+    }
+
     private static void start(Runnable task) {
         Thread thread = new Thread(task);
         thread.setDaemon(true);
@@ -68,10 +112,12 @@
     }
 
     private void accept() {
+        ServerSocket current = listener;
         while (!closed) {
             try {
-                Socket socket = listener.accept();
+                Socket socket = current.accept();
                 socket.setTcpNoDelay(true);
+                sockets.add(socket);
                 start(() -> serve(socket));
             } catch (IOException e) {
                 return;
@@ -87,6 +133,8 @@
             }
         } catch (IOException | InterruptedException e) {
             // The node has closed the connection.
+        } finally {
+            sockets.remove(socket);
         }
     }
 
@@ -115,6 +163,11 @@
         try {
             runs.computeIfAbsent(request_id, unused -> new AtomicInteger()).incrementAndGet();
             record.line("instance %s runs %s, body of %d bytes", id, request_id, request.body().length);
+            if (number(uri, "crash") > 0) {
+                start(() -> crash(CRASH_SECONDS));
+                Thread.sleep(1000);
+                return;
+            }
             Thread.sleep(number(uri, "ms"));
             byte[] body = body(request_id, number(uri, "bytes"));
             String head = "HTTP/1.1 200 OK\r\nX-Beryldock-Request-Id: " + request_id
