--- a/review/standin-2/rig/Client.java
+++ b/review/standin-2/rig/Client.java
@@ -5,6 +5,8 @@
 import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.StandardProtocolFamily;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -15,7 +17,7 @@
 
     private final Record record;
     private final String name;
-    private final Socket socket = new Socket();
+    private final Socket socket;
     private final InputStream in;
     private final List<String> sent = new ArrayList<>();
     private final List<String> complete = new ArrayList<>();
@@ -26,8 +28,22 @@
      * @param bytesPerSecond rate at which the client reads, 0 for as fast as it can
      */
     public Client(Record record, String name, InetSocketAddress node, double bytesPerSecond) throws IOException {
+        this(record, name, node, bytesPerSecond, 0);
+    }
+
+    /**
+     * @param bytesPerSecond rate at which the client reads, 0 for as fast as it can
+     * @param segment largest segment that it takes, 0 for that of the loopback
+     */
+    public Client(Record record, String name, InetSocketAddress node, double bytesPerSecond, int segment)
+            throws IOException {
         this.record = record;
         this.name = name;
+        SocketChannel channel = SocketChannel.open(StandardProtocolFamily.INET);
+        socket = channel.socket();
+        if (segment > 0) {
+            Segments.limit(channel, segment);
+        }
         if (bytesPerSecond > 0) {
             socket.setReceiveBufferSize(32 << 10);
         }
