--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -7,7 +7,9 @@
     exit 2
 fi
 # The program ends its processes itself; SIGTERM after 100 s makes it do so too.
-timeout 100 java -Xmx256m -cp target/review-2:target/beryldock.jar rig.Departure "$PWD" review/6/record.txt
+timeout 100 java -Xmx256m --add-modules jdk.incubator.foreign --enable-native-access=ALL-UNNAMED \
+    --add-opens java.base/sun.nio.ch=ALL-UNNAMED -cp target/review-2:target/beryldock.jar \
+    rig.Departure "$PWD" review/6/record.txt
 rc=$?
 [ "$rc" -le 2 ] || rc=2
 exit "$rc"
