--- a/review/standin-2/rig/Instance.java
+++ b/review/standin-2/rig/Instance.java
@@ -37,6 +37,7 @@
     private final AtomicInteger working = new AtomicInteger();
     private volatile boolean closed;
     private volatile boolean left;
+    private volatile boolean leaving;
     private int sequence;
 
     public Instance(Record record, Site.Node node, String id, int slots) throws IOException {
@@ -92,6 +93,11 @@
         thread.start();
     }
 
+    /** From now on all answers say that the instance is leaving; it goes on checking in as ready. */
+    public void sayLeaving() {
+        leaving = true;
+    }
+
     /** How often the request has run. */
     public int runs(String request) {
         return runs.containsKey(request) ? runs.get(request).get() : 0;
@@ -171,7 +177,8 @@
             Thread.sleep(number(uri, "ms"));
             byte[] body = body(request_id, number(uri, "bytes"));
             String head = "HTTP/1.1 200 OK\r\nX-Beryldock-Request-Id: " + request_id
-                    + "\r\nX-Beryldock-Response-Signature: " + signature(request_id) + "\r\nContent-Length: "
+                    + "\r\nX-Beryldock-Response-Signature: " + signature(request_id) + (leaving ? "\r\nServer-Leaving: 1" : "")
+                    + "\r\nContent-Length: "
                     + body.length + "\r\n\r\n";
             byte[] headBytes = head.getBytes(StandardCharsets.ISO_8859_1);
             byte[] whole = new byte[headBytes.length + body.length];
