--- a/src/test/java/io/beryldock/membership/RegistryMembershipTest.java
+++ b/src/test/java/io/beryldock/membership/RegistryMembershipTest.java
@@ -384,6 +384,48 @@
         assertThat(departuresFoundBy(membership("n2", 2, registry.view()))).containsExactly(LEFT, later);
     }
 
+    /** Guards against a departure that an earlier write of the record, applied late by the store, removes again. */
+    @Test
+    void departureIsFoundAfterALateWriteOfAnEarlierRecord() {
+        run(Duration.ofSeconds(4));
+        secondView.delayNextWrite(Duration.ofSeconds(6));
+        second.announce(LISTS, 9, TargetState.READY);
+        run(Duration.ofSeconds(3));
+        CompletableFuture<Void> stored = second.add(LEFT);
+        second.announce(LISTS, 9, TargetState.LEAVING);
+        run(Duration.ofSeconds(1));
+        assertThat(stored).isCompleted();
+        run(Duration.ofSeconds(3));
+        secondView.setDown(true);
+        assertThat(departuresFoundBy(membership("n2", 2, registry.view()))).containsExactly(LEFT);
+    }
+
+    /** Guards against a leaving target that other nodes take for ready after a late write of an earlier record. */
+    @Test
+    void lateWriteOfAnEarlierRecordIsReplaced() {
+        run(Duration.ofSeconds(4));
+        secondView.delayNextWrite(Duration.ofSeconds(6));
+        second.announce(LISTS, 9, TargetState.READY);
+        run(Duration.ofSeconds(3));
+        second.announce(LISTS, 9, TargetState.LEAVING);
+        run(Duration.ofSeconds(5));
+        RegistryMembership third = membership("n3", 3, registry.view());
+        run(Duration.ofSeconds(1));
+        assertThat(targetsAt(third)).isEqualTo(2);
+    }
+
+    /** Guards against a departure that is forgotten because the node was down for longer than its lease. */
+    @Test
+    void departureIsFoundAfterTheLeaseOfTheRecordHasEnded() {
+        run(Duration.ofSeconds(4));
+        second.add(LEFT);
+        run(Duration.ofSeconds(1));
+        secondView.setDown(true);
+        registry.expireLeases();
+        run(Duration.ofSeconds(1));
+        assertThat(departuresFoundBy(membership("n2", 2, registry.view()))).containsExactly(LEFT);
+    }
+
     @Test
     void departureAndStateOfTheTargetTakeOneWrite() {
         run(Duration.ofSeconds(4));
--- a/src/test/java/io/beryldock/store/FakeRegistry.java
+++ b/src/test/java/io/beryldock/store/FakeRegistry.java
@@ -139,6 +139,7 @@
         private boolean down;
         private boolean silent;
         private boolean losesWatches;
+        private Optional<Duration> lateWrite = Optional.empty();
         private int calls;
         private int revisionReads;
         private final StoreEras eras = StoreEras.create();
@@ -168,18 +169,27 @@
             silent = value;
         }
 
+        /** The next write gets no answer and is applied after the delay. */
+        public void delayNextWrite(Duration value) {
+            lateWrite = Optional.of(value);
+        }
+
         /** While it loses watches, new ones never end although other calls are answered. */
         public void setLosesWatches(boolean value) {
             losesWatches = value;
         }
 
+        private <T> CompletableFuture<T> unanswered() {
+            CompletableFuture<T> unanswered = new CompletableFuture<>();
+            timers.after(
+                    ANSWER_TIMEOUT,
+                    () -> unanswered.completeExceptionally(new PlatformException("no answer from the store")));
+            return unanswered;
+        }
+
         private <T> CompletableFuture<T> answer(T value) {
             if (silent) {
-                CompletableFuture<T> unanswered = new CompletableFuture<>();
-                timers.after(
-                        ANSWER_TIMEOUT,
-                        () -> unanswered.completeExceptionally(new PlatformException("no answer from the store")));
-                return unanswered;
+                return unanswered();
             }
             if (down) {
                 return CompletableFuture.failedFuture(new PlatformException("the store is down"));
@@ -313,12 +323,22 @@
         @Override
         public CompletableFuture<Boolean> put(String key, ByteString value, long lease) {
             calls++;
+            if (lateWrite.isPresent()) {
+                timers.after(lateWrite.get(), () -> apply(key, value, lease));
+                lateWrite = Optional.empty();
+                return unanswered();
+            }
+            return answer(!down && apply(key, value, lease));
+        }
+
+        /** Returns whether the lease has not ended. */
+        private boolean apply(String key, ByteString value, long lease) {
             boolean alive = leases.containsKey(lease);
-            if (!down && alive) {
+            if (alive) {
                 leases.get(lease).add(key);
                 write(key, value);
             }
-            return answer(alive);
+            return alive;
         }
     }
 }
