Soak: targets that leave while their nodes restart, heartbeats and writes that arrive late

The soak's targets now leave by either notice and serve on; earlier heartbeats arrive up to 6 s later, their nodes are killed, cut off from the store or lose their leases, and writes of the next start are applied late. A check counts requests that reach a departed target, whatever happens to its node.

--- a/src/main/java/io/beryldock/platform/SoakSurroundings.java
+++ b/src/main/java/io/beryldock/platform/SoakSurroundings.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableSet;
-import com.google.common.flogger.FluentLogger;
 import com.google.common.net.HostAndPort;
 import com.google.protobuf.ByteString;
 import io.beryldock.call.Headers;
@@ -48,12 +47,9 @@
  */
 public final class SoakSurroundings implements Surroundings {
 
-    private static final FluentLogger log = FluentLogger.forEnclosingClass();
     private static final String HOST = "soak.example";
     private static final String ORGANISATION = "soak-organisation";
     private static final String DATA_CENTRE = "soak-centre";
-    private static final int SLOTS = 8;
-
     /** As many as deployments allow. */
     private static final int RESENDS = 6;
 
@@ -83,8 +79,8 @@
     private final TargetProfile profile;
     private final int attempts;
     private final SoakDefects defects;
+    private final SoakHeartbeats heartbeats;
     private final AtomicLong endlessResponses = new AtomicLong();
-    private final AtomicLong heartbeatSequence = new AtomicLong();
     private final TreeSet<Long> publishedVersions = new TreeSet<>();
     private final Deque<StandinStore.Snapshot> snapshots = new ArrayDeque<>();
     private ByteString newestDocument = ByteString.EMPTY;
@@ -95,6 +91,7 @@
         this.profile = profile;
         this.attempts = profile.attempts(seed);
         this.defects = new SoakDefects(seed);
+        this.heartbeats = new SoakHeartbeats(DATA_CENTRE, client, timers, seed);
         this.storeServer = HttpServer.bind(any, loops, () -> SERVER_LIMITS, store);
         timers.every(SNAPSHOT_PERIOD, this::takeSnapshot);
     }
@@ -135,25 +132,17 @@
 
     @Override
     public void announce(NodePlace place, InetSocketAddress target) {
-        ObjectNode body = Json.object().put("address", text(target));
-        body.putObject("info")
-                .put("service", place.service())
-                .put("version", "v1")
-                .put("zone", DATA_CENTRE)
-                .put("slots", SLOTS);
-        body.putObject("status")
-                .put("state", "ready")
-                .put("sequence", heartbeatSequence.incrementAndGet())
-                .put("coldRemainingS", 0);
-        Headers headers = Headers.empty().with(PlatformHeaders.HOST, "node");
-        String id = targets.get(place.number()).id();
-        HttpCall heartbeat = HttpCall.of("PUT", "/instances/" + id, headers, Json.write(body));
-        client.send(place.heartbeats(), heartbeat, REQUEST_TIMEOUT).whenComplete((reply, failure) -> {
-            if (failure != null) {
-                log.atFine().withCause(failure).log(
-                        "%s did not receive the heartbeat of its target; the node may be down", place.name());
-            }
-        });
+        heartbeats.announce(place, target, targets.get(place.number()));
+    }
+
+    @Override
+    public void leave(NodePlace place, InetSocketAddress target) {
+        heartbeats.leave(place, target, targets.get(place.number()));
+    }
+
+    @Override
+    public void startAnew(NodePlace place) {
+        targets.get(place.number()).startAnew();
     }
 
     private static String text(InetSocketAddress address) {
@@ -249,6 +238,11 @@
         store.setWithholding(value);
     }
 
+    @Override
+    public void setWritesLate(boolean value) {
+        store.setWritesLate(value);
+    }
+
     @Override
     public void forgetHistory() {
         store.dropHistory();
--- a/src/main/java/io/beryldock/platform/SoakTarget.java
+++ b/src/main/java/io/beryldock/platform/SoakTarget.java
@@ -13,6 +13,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -47,6 +48,8 @@
     private final AtomicLong arrivals = new AtomicLong();
     private final long createdAt;
     private long lastStart;
+    private long replacements;
+    private Optional<String> departedStart = Optional.empty();
 
     SoakTarget(
             NodePlace place,
@@ -70,8 +73,37 @@
         return id(conditions());
     }
 
-    private String id(SoakConditions conditions) {
-        return "soak-target-" + place.number() + "-" + conditions.start();
+    private synchronized String id(SoakConditions conditions) {
+        return "soak-target-" + place.number() + "-" + conditions.start() + "-" + replacements;
+    }
+
+    /** Has the current start depart, which serves on; returns its id, or empty if it has departed already. */
+    synchronized Optional<String> leave() {
+        if (hasDeparted()) {
+            return Optional.empty();
+        }
+        departedStart = Optional.of(id());
+        return departedStart;
+    }
+
+    /** Whether the current start has departed. */
+    synchronized boolean hasDeparted() {
+        return departedStart.filter(id()::equals).isPresent();
+    }
+
+    /** Begins the next start if the current one has departed. */
+    synchronized void startAnew() {
+        if (hasDeparted()) {
+            replacements++;
+            events.targetStarted(place.number());
+        }
+    }
+
+    /** Reports that the node has confirmed the departure of the start, unless the next one has begun. */
+    synchronized void onDepartureConfirmed(String start) {
+        if (departedStart.filter(start::equals).isPresent() && hasDeparted()) {
+            events.departureConfirmed(place.number());
+        }
     }
 
     /** Whether the request may run in the start. */
--- a/src/main/java/io/beryldock/platform/StandinStore.java
+++ b/src/main/java/io/beryldock/platform/StandinStore.java
@@ -31,6 +31,9 @@
     private static final int GONE = 410;
     private static final int UNAVAILABLE = 503;
 
+    /** Delays of late writes, one after the other. */
+    private static final long[] LATE_MILLIS = {1_500, 4_000, 2_500, 6_000};
+
     private final TimerService timers;
     private final TreeMap<String, Item> items = new TreeMap<>();
     private final List<Event> history = new ArrayList<>();
@@ -42,6 +45,8 @@
     private long nextLease = 1;
     private Fault fault = Fault.NONE;
     private boolean withholding;
+    private boolean writesLate;
+    private long writes;
 
     StandinStore(TimerService timers) {
         this.timers = timers;
@@ -119,6 +124,11 @@
         notifyWatches();
     }
 
+    /** While set, every other write gets no answer and is applied seconds later, if its condition still holds. */
+    synchronized void setWritesLate(boolean value) {
+        writesLate = value;
+    }
+
     /** Drops the history of all changes so far. */
     synchronized void dropHistory() {
         history.clear();
@@ -158,6 +168,10 @@
     private void write(HttpExchange exchange, String path) {
         HttpAnswer answer;
         if (path.equals("/kv-txn")) {
+            if (writesLate && ++writes % 2 == 0) {
+                delayWrite(exchange);
+                return;
+            }
             answer = transaction(exchange);
         } else if (path.equals("/kv-lease")) {
             leases.put(nextLease, new ArrayList<>());
@@ -176,6 +190,15 @@
         }
     }
 
+    private void delayWrite(HttpExchange exchange) {
+        long millis = LATE_MILLIS[(int) (writes / 2 % LATE_MILLIS.length)];
+        timers.after(Duration.ofMillis(millis), () -> {
+            synchronized (this) {
+                transaction(exchange);
+            }
+        });
+    }
+
     private void answer(HttpExchange exchange, HttpAnswer answer) {
         exchange.answer(answer.with(PlatformHeaders.STORE_ERA, Long.toString(era)));
     }
--- a/src/main/java/io/beryldock/soak/FaultAction.java
+++ b/src/main/java/io/beryldock/soak/FaultAction.java
@@ -42,6 +42,10 @@
     STOPPED_AS_PLANNED(Link.NONE, LinkState.OPEN),
     /** Watches of the store hear nothing of changes; other calls are answered. */
     STORE_CHANGES_WITHHELD(Link.NONE, LinkState.OPEN),
+    /** A share of the writes gets no answer and is applied seconds later, if its condition still holds. */
+    STORE_WRITES_LATE(Link.NONE, LinkState.OPEN),
+    /** A target announces its departure and serves until the end, when its next start begins. */
+    TARGET_LEAVES(Link.NONE, LinkState.OPEN),
     /** A share of the responses of all targets is sent again. */
     RESPONSES_REPEATED(ResponseFault.REPEATED),
     /** A share of them is broken. */
@@ -71,6 +75,7 @@
             STORE_HISTORY_FORGOTTEN,
             STORE_RESTORED,
             STORE_CHANGES_WITHHELD,
+            STORE_WRITES_LATE,
             ALL_KILLED);
 
     private final Link link;
@@ -114,7 +119,10 @@
     }
 
     boolean isUnplanned() {
-        boolean drawnApart = this == ALL_KILLED || this == STORE_CHANGES_WITHHELD || responseFault.isPresent();
+        boolean drawnApart = this == ALL_KILLED
+                || this == STORE_CHANGES_WITHHELD
+                || this == STORE_WRITES_LATE
+                || responseFault.isPresent();
         return drawnApart || UNPLANNED.contains(this);
     }
 
--- a/src/main/java/io/beryldock/soak/FaultExecutor.java
+++ b/src/main/java/io/beryldock/soak/FaultExecutor.java
@@ -110,6 +110,8 @@
             case STORE_LEASES_LAPSED -> surroundings.lapseLeases();
             case STORE_HISTORY_FORGOTTEN -> surroundings.forgetHistory();
             case STORE_CHANGES_WITHHELD -> surroundings.setChangesWithheld(true);
+            case STORE_WRITES_LATE -> surroundings.setWritesLate(true);
+            case TARGET_LEAVES -> surroundings.leave(place.place(), place.announced());
             case DOCUMENT_WRITTEN -> operators.write();
             case KEY_REMOVED -> operators.changeKeys();
             case RESPONSES_REPEATED, RESPONSES_BROKEN, RESPONSES_ENDLESS -> setResponseFault(action, true);
@@ -130,6 +132,8 @@
                 surroundings.setStore(StoreState.SOUND);
             }
             case STORE_CHANGES_WITHHELD -> surroundings.setChangesWithheld(false);
+            case STORE_WRITES_LATE -> surroundings.setWritesLate(false);
+            case TARGET_LEAVES -> surroundings.startAnew(place.place());
             case STORE_LEASES_LAPSED, STORE_HISTORY_FORGOTTEN -> {}
             case RESPONSES_REPEATED, RESPONSES_BROKEN, RESPONSES_ENDLESS -> setResponseFault(fault.action(), false);
             case STOPPED_AS_PLANNED, DOCUMENT_WRITTEN, KEY_REMOVED -> {}
--- a/src/main/java/io/beryldock/soak/FaultPlanner.java
+++ b/src/main/java/io/beryldock/soak/FaultPlanner.java
@@ -66,6 +66,28 @@
 
     private static final Duration CHANGE_PERIOD = Duration.ofSeconds(7);
 
+    /** How long a departed target serves on: beyond the bound of its departure, with time for a restart of its node. */
+    private static final int SHORTEST_DEPARTURE_MILLIS = 5_000;
+
+    private static final int LONGEST_DEPARTURE_MILLIS = 12_000;
+
+    /** Time between the next start of a target and its next departure. */
+    private static final int SHORTEST_STAY_MILLIS = 1_200;
+
+    private static final int LONGEST_STAY_MILLIS = 3_500;
+
+    /** Delay from a departure to the fault of its node, which usually has confirmed the departure by then. */
+    private static final int LONGEST_FAULT_DELAY_MILLIS = 3_000;
+
+    /** A node that is killed is down for so long at most. */
+    private static final int LONGEST_DOWN_MILLIS = 800;
+
+    /** Writes of a next start are late, so that they are applied after its departure has been confirmed. */
+    private static final Duration LATE_WRITES = Duration.ofMillis(2_500);
+
+    /** Time for which a restarted node can't reach the store. */
+    private static final Duration SILENT_STORE = Duration.ofSeconds(6);
+
     private final SplittableRandom random;
 
     /** Drawn from apart from the other faults, which stay the same for a seed. */
@@ -74,6 +96,9 @@
     /** Drawn from apart from the other faults, which stay the same for a seed. */
     private final SplittableRandom responses;
 
+    /** Drawn from apart from the other faults, which stay the same for a seed. */
+    private final SplittableRandom departures;
+
     private final int nodes;
     private final List<PlannedFault> faults = new ArrayList<>();
 
@@ -81,6 +106,7 @@
         this.random = new SplittableRandom(seed);
         this.withholdings = new SplittableRandom(~seed);
         this.responses = new SplittableRandom(Long.reverse(~seed));
+        this.departures = new SplittableRandom(Long.reverse(seed));
         this.nodes = nodes;
     }
 
@@ -103,6 +129,7 @@
         addFaults(from.plus(FAULTS_FROM), death.minus(CALM_BEFORE_DEATH));
         addWithheldChange(from.plus(FAULTS_FROM), death.minus(CALM_BEFORE_DEATH));
         addResponseFaults(from.plus(FAULTS_FROM), death.minus(CALM_BEFORE_DEATH));
+        addDepartures(from.plus(FAULTS_FROM), death.minus(CALM_BEFORE_DEATH));
         add(death, DEATH, FaultAction.ALL_KILLED);
     }
 
@@ -152,6 +179,39 @@
         }
     }
 
+    /** Adds departures of one target after the other, with faults of its node and of the store around each. */
+    private void addDepartures(Duration from, Duration until) {
+        int node = departures.nextInt(nodes);
+        Duration at = from;
+        while (at.plusMillis(SHORTEST_DEPARTURE_MILLIS).compareTo(until) < 0) {
+            Duration drawn =
+                    Duration.ofMillis(departures.nextInt(SHORTEST_DEPARTURE_MILLIS, LONGEST_DEPARTURE_MILLIS));
+            Duration length = Comparators.min(drawn, until.minus(at));
+            faults.add(new PlannedFault(at, length, FaultAction.TARGET_LEAVES, node));
+            addNodeFault(at.plusMillis(1 + departures.nextInt(LONGEST_FAULT_DELAY_MILLIS)), until, node);
+            at = at.plus(length);
+            if (departures.nextBoolean() && at.plus(LATE_WRITES).compareTo(until) < 0) {
+                faults.add(new PlannedFault(at, LATE_WRITES, FaultAction.STORE_WRITES_LATE, 0));
+            }
+            at = at.plusMillis(departures.nextInt(SHORTEST_STAY_MILLIS, LONGEST_STAY_MILLIS));
+        }
+    }
+
+    /** Adds a kill of the node, with the store in good order, out of its reach or without leases. */
+    private void addNodeFault(Duration at, Duration until, int node) {
+        Duration down = Duration.ofMillis(departures.nextInt(SHORTEST_MILLIS, LONGEST_DOWN_MILLIS));
+        int storeFault = departures.nextInt(4);
+        if (at.plus(SILENT_STORE).compareTo(until) >= 0) {
+            return;
+        }
+        faults.add(new PlannedFault(at, down, FaultAction.KILLED, node));
+        if (storeFault == 0) {
+            faults.add(new PlannedFault(at, SILENT_STORE, FaultAction.STORE_SILENT, node));
+        } else if (storeFault == 1) {
+            faults.add(new PlannedFault(at.plusMillis(1), Duration.ZERO, FaultAction.STORE_LEASES_LAPSED, 0));
+        }
+    }
+
     /** Adds the fault and calm after it, as far as there is time; returns how long both last. */
     private Duration addRestoration(Duration at, Duration until, Duration drawn) {
         Duration length = Comparators.min(drawn, LONGEST_RESTORATION);
--- a/src/main/java/io/beryldock/soak/PromiseCheck.java
+++ b/src/main/java/io/beryldock/soak/PromiseCheck.java
@@ -26,6 +26,7 @@
                 new PlannedStopCheck(),
                 new NamedRateCheck(),
                 new NamedLeavingCheck(),
+                new ConfirmedDepartureCheck(),
                 new EndlessResponseCheck(),
                 recovery,
                 new ResourceCheck());
--- a/src/main/java/io/beryldock/soak/SoakEvent.java
+++ b/src/main/java/io/beryldock/soak/SoakEvent.java
@@ -29,6 +29,9 @@
      */
     record Named(long at, int node, String id, double ratePerSecond, boolean leaving) implements SoakEvent {}
 
+    /** The node has confirmed the departure of the target beside it, which serves on until its next start. */
+    record DepartureConfirmed(long at, int node) implements SoakEvent {}
+
     /** The next start of the target beside the node begins; it has named nothing. */
     record TargetStarted(long at, int node) implements SoakEvent {}
 
--- a/src/main/java/io/beryldock/soak/SoakRun.java
+++ b/src/main/java/io/beryldock/soak/SoakRun.java
@@ -176,6 +176,11 @@
                 ledger.add(at -> new SoakEvent.EndlessEnded(at, node, response, what, bytes));
             }
 
+            @Override
+            public void departureConfirmed(int node) {
+                ledger.add(at -> new SoakEvent.DepartureConfirmed(at, node));
+            }
+
             @Override
             public void targetStarted(int node) {
                 ledger.add(at -> new SoakEvent.TargetStarted(at, node));
--- a/src/main/java/io/beryldock/soak/Surroundings.java
+++ b/src/main/java/io/beryldock/soak/Surroundings.java
@@ -21,6 +21,15 @@
     /** Has the target announce itself to its node, at the address at which the node reaches it. */
     void announce(NodePlace place, InetSocketAddress target);
 
+    /**
+     * Has the target announce its departure to its node until that has confirmed it. The target serves on, and
+     * heartbeats from before the departure reach the node late.
+     */
+    void leave(NodePlace place, InetSocketAddress target);
+
+    /** Replaces the target's current start by the next one. */
+    void startAnew(NodePlace place);
+
     /** Settings of the node's process, as its file holds them. */
     String settings(NodePlace place, InetSocketAddress store, SoakBounds bounds);
 
@@ -42,6 +51,9 @@
     /** While set, watches of the store hear nothing of changes. */
     void setChangesWithheld(boolean value);
 
+    /** While set, a share of the writes gets no answer and is applied seconds later, if its condition still holds. */
+    void setWritesLate(boolean value);
+
     /**
      * Brings the store back from a copy some seconds old; what was written since is gone, and the operators write their
      * newest document again.
@@ -82,6 +94,9 @@
         /** A response without end has ended after so many bytes. */
         void endlessEnded(int node, long response, String what, long bytes);
 
+        /** The node has confirmed the departure of the target's current start. */
+        void departureConfirmed(int node);
+
         /** The next start of a target begins. */
         void targetStarted(int node);
 
--- a/src/test/java/io/beryldock/soak/CheckTrial.java
+++ b/src/test/java/io/beryldock/soak/CheckTrial.java
@@ -70,6 +70,10 @@
         return see(new SoakEvent.TargetStarted(now, RUNNER));
     }
 
+    CheckTrial departureConfirmed() {
+        return see(new SoakEvent.DepartureConfirmed(now, RUNNER));
+    }
+
     CheckTrial answered(String id, int status) {
         Reply reply = new Reply(status, id, true, Payload.answer(id, "body of " + id));
         return see(new SoakEvent.Ended(now, id, Ending.ANSWERED, reply));
