--- a/src/main/java/io/beryldock/soak/FaultPlanner.java
+++ b/src/main/java/io/beryldock/soak/FaultPlanner.java
@@ -184,8 +184,7 @@
         int node = departures.nextInt(nodes);
         Duration at = from;
         while (at.plusMillis(SHORTEST_DEPARTURE_MILLIS).compareTo(until) < 0) {
-            Duration drawn =
-                    Duration.ofMillis(departures.nextInt(SHORTEST_DEPARTURE_MILLIS, LONGEST_DEPARTURE_MILLIS));
+            Duration drawn = Duration.ofMillis(departures.nextInt(SHORTEST_DEPARTURE_MILLIS, LONGEST_DEPARTURE_MILLIS));
             Duration length = Comparators.min(drawn, until.minus(at));
             faults.add(new PlannedFault(at, length, FaultAction.TARGET_LEAVES, node));
             addNodeFault(at.plusMillis(1 + departures.nextInt(LONGEST_FAULT_DELAY_MILLIS)), until, node);
