Logs: departures that are recorded and recalled, starts that become current, own entries that differ

Nothing in a node's log told whether a departure was undone by a lost memory of the process, by the store, or by a heartbeat that was believed without either. No change of behaviour.

--- a/src/main/java/io/beryldock/membership/RegistryRecord.java
+++ b/src/main/java/io/beryldock/membership/RegistryRecord.java
@@ -101,6 +101,7 @@
         }
         ImmutableList<DepartedStart> recorded =
                 ownValue(listing).map(this::readDepartures).orElse(ImmutableList.of());
+        log.atInfo().log("departures recorded by earlier processes: %s", recorded);
         departures.addEarlier(recorded);
         earlierDepartures.complete(recorded);
         if (publishDue) {
@@ -189,6 +190,7 @@
             callInProgress = false;
             if (done) {
                 writtenRevision = revision;
+                logStored(departed);
                 departures.onStored(departed);
             } else {
                 lease = NO_LEASE;
@@ -197,6 +199,12 @@
         });
     }
 
+    private void logStored(ImmutableList<DepartedStart> departed) {
+        departed.stream()
+                .filter(start -> !departures.stored(start).isDone())
+                .forEach(start -> log.atInfo().log("the store holds the departure of %s", start));
+    }
+
     private ByteString encode(MemberRecord current) {
         return departures.addTo(MembershipCodec.encode(current)).toByteString();
     }
@@ -321,6 +329,9 @@
      * again. An entry of an earlier incarnation of this node needs no handling, because the first write replaces it.
      */
     void onEntry(ByteString value) {
+        if (writtenRevision == record.revision() && !left && !value.equals(encode(record))) {
+            log.atWarning().log("the store holds another value of %s than the one last written", key);
+        }
         if (writtenRevision >= 0 && !left && !recentWrites.contains(value)) {
             writtenRevision = -1;
             publish();
--- a/src/main/java/io/beryldock/platform/LocalTargets.java
+++ b/src/main/java/io/beryldock/platform/LocalTargets.java
@@ -130,6 +130,7 @@
      * @return completes when the gate has been updated and the departure has been recorded
      */
     CompletableFuture<Void> onEnded(String id, long startedAt) {
+        log.atInfo().log("start %s of the target ends", id);
         return onControl(() -> departures.add(endStart(id, startedAt)));
     }
 
@@ -184,6 +185,9 @@
         if (lastAnnouncement.isPresent()) {
             onNewStart.run();
         }
+        log.atInfo().log(
+                "start %s of the target is current: %s, sequence %d, earlier departures read: %s",
+                id, heartbeat.announcement().state(), heartbeat.sequence(), recalled);
         currentStart = new CurrentStart(id, heartbeat.startedAtMillis(), heartbeat.sequence());
         current = Optional.of(new LocalTarget(id, heartbeat.announcement().socketAddress()));
         announce(heartbeat.announcement().withStart(startOf(currentStart)));
