Soak: a node is killed after the late writes around a departure have been applied

Within 3 s of a departure a late write has rarely been applied yet, and the late heartbeats of up to 6 s had often arrived before the restart.

--- a/src/main/java/io/beryldock/platform/SoakHeartbeats.java
+++ b/src/main/java/io/beryldock/platform/SoakHeartbeats.java
@@ -32,7 +32,7 @@
     /** More than a node requires as the proof of a running start. */
     private static final int LATE_HEARTBEATS = 3;
 
-    private static final int LATEST_MILLIS = 6_000;
+    private static final int LATEST_MILLIS = 9_000;
 
     /** A delayed heartbeat is lost if the node does not listen for so long. */
     private static final int MAX_LATE_TRIES = 50;
--- a/src/main/java/io/beryldock/soak/FaultPlanner.java
+++ b/src/main/java/io/beryldock/soak/FaultPlanner.java
@@ -76,8 +76,11 @@
 
     private static final int LONGEST_STAY_MILLIS = 3_500;
 
-    /** Delay from a departure to the fault of its node, which usually has confirmed the departure by then. */
-    private static final int LONGEST_FAULT_DELAY_MILLIS = 3_000;
+    /**
+     * Delay from a departure to the fault of its node, which usually has confirmed the departure by then; late writes
+     * have been applied at the end of it.
+     */
+    private static final int LONGEST_FAULT_DELAY_MILLIS = 5_000;
 
     /** A node that is killed is down for so long at most. */
     private static final int LONGEST_DOWN_MILLIS = 800;
