The store's record of a departure is neither undone by a late write nor removed with a lease

Callers' requests reached targets that had left: their node had confirmed the departure, was killed, and took a late heartbeat for that of a new start.

And the departures were in the entry under the node's lease, which ends when the node is down for 15 s or leases run out in an outage.

Change: each write names the revision that it replaces, so that of two writes only one can be applied, whatever becomes of their answers. A conflict shows the entry as it is, and the node writes again. The node keeps what it last saw of its entries and writes when that differs from what it means; an entry that others changed is written again. Departures have an entry of their own without a lease, written in one transaction with the record. It holds 32 instead of 4, as other nodes don't list it. Departures in records of earlier versions are still read.

The stand-in store applied a part of several writes although another part conflicted; it applies all or none now.

--- a/src/main/java/io/beryldock/membership/RecordedDepartures.java
+++ b/src/main/java/io/beryldock/membership/RecordedDepartures.java
@@ -2,23 +2,24 @@
 
 import com.google.common.collect.ImmutableList;
 import io.beryldock.wire.MembershipDeparture;
-import io.beryldock.wire.MembershipRecord;
+import io.beryldock.wire.MembershipDepartures;
 import java.util.ArrayDeque;
 import java.util.Collection;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
 /**
- * The departures in this node's record, and the futures of those that the store does not hold yet.
+ * The departures that this node records in the store, and the futures of those that the store does not hold yet.
  *
  * <p>Confined to the control thread. Invariant: at most {@link #MAX_STARTS} departures are held, the latest ones.
  */
 final class RecordedDepartures {
 
-    /** Bounds the size of a record; an announcement that is late by this many starts is not expected. */
-    static final int MAX_STARTS = 4;
+    /** Bounds the size of the entry; an announcement that is late by this many starts is not expected. */
+    static final int MAX_STARTS = 32;
 
     private final Deque<DepartedStart> starts = new ArrayDeque<>();
     private final Map<DepartedStart, CompletableFuture<Void>> unstored = new HashMap<>();
@@ -71,15 +72,15 @@
         });
     }
 
-    MembershipRecord addTo(MembershipRecord record) {
-        MembershipRecord.Builder extended = record.toBuilder();
-        starts.forEach(start -> extended.addDepartures(
+    MembershipDepartures encode() {
+        MembershipDepartures.Builder encoded = MembershipDepartures.newBuilder();
+        starts.forEach(start -> encoded.addDepartures(
                 MembershipDeparture.newBuilder().setId(start.id()).setStartedAtMillis(start.startedAtMillis())));
-        return extended.build();
+        return encoded.build();
     }
 
-    static ImmutableList<DepartedStart> read(MembershipRecord record) {
-        return record.getDeparturesList().stream()
+    static ImmutableList<DepartedStart> decode(List<MembershipDeparture> departures) {
+        return departures.stream()
                 .map(departure -> new DepartedStart(departure.getId(), departure.getStartedAtMillis()))
                 .collect(ImmutableList.toImmutableList());
     }
--- a/src/main/java/io/beryldock/membership/RegistryMembership.java
+++ b/src/main/java/io/beryldock/membership/RegistryMembership.java
@@ -82,7 +82,7 @@
         this.events = ports.events();
         this.sharing = ports.sharing();
         this.feed = new DirectoryFeed(ports.timers(), PUBLISH_DELAY, this::buildDirectory);
-        this.own = new RegistryRecord(PREFIX + self.id().value(), MemberRecord.initial(self), ports);
+        this.own = new RegistryRecord(MemberRecord.initial(self), ports);
     }
 
     /** Creates the membership, which makes no calls before {@link #start()}. */
@@ -135,7 +135,7 @@
     @Override
     public CompletableFuture<Void> leave() {
         CompletableFuture<Void> done = new CompletableFuture<>();
-        own.leave().whenComplete((ended, failure) -> done.complete(null));
+        own.leave().thenRun(() -> done.complete(null));
         timers.after(LEAVE_TIMEOUT, () -> done.complete(null));
         return done;
     }
@@ -246,7 +246,7 @@
         @Override
         public boolean onEntry(Entry entry) {
             if (entry.key().equals(own.key())) {
-                entry.value().ifPresentOrElse(own::onEntry, own::onRemoved);
+                own.onChange(entry);
                 return true;
             }
             if (entry.value().isEmpty()) {
--- a/src/main/java/io/beryldock/membership/RegistryRecord.java
+++ b/src/main/java/io/beryldock/membership/RegistryRecord.java
@@ -6,16 +6,19 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.beryldock.membership.MemberRecord.AnnouncedTarget;
 import io.beryldock.store.RegistryStore;
+import io.beryldock.store.RegistryStore.ConditionalWrite;
 import io.beryldock.store.RegistryStore.Entry;
 import io.beryldock.store.RegistryStore.Listing;
+import io.beryldock.store.RegistryStore.WriteOutcome;
 import io.beryldock.store.StoreRecovery;
 import io.beryldock.time.Jitter;
 import io.beryldock.time.TimerService;
 import io.beryldock.time.TimerThread;
+import io.beryldock.wire.MembershipDeparture;
+import io.beryldock.wire.MembershipDepartures;
 import io.beryldock.wire.MembershipRecord;
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
@@ -23,56 +26,62 @@
 import java.util.random.RandomGenerator;
 
 /**
- * Maintains this node's own record in the store under a lease.
+ * Maintains this node's own entries in the store: its record under a lease, and the departures of its targets without
+ * one, as they must be found after the node has been down for any time.
  *
- * <p>Confined to the control thread. Invariants: the store holds the current record, or a write of it is in progress or
- * due; nothing is written before the departures in the record of an earlier process have been read.
+ * <p>Confined to the control thread. Invariants: the store holds the current record and departures, or a write of them
+ * is in progress or due; one call is in progress at a time; nothing is written before the entries have been read, which
+ * is repeated when the store was restored from an older copy.
  *
- * <p>After an outage the record is restored within about a second: while the store does not answer, the call is retried
- * every {@link #RETRY_DELAY}, and an entry known to be missing is written again immediately. After the store has been
- * restored from an older copy, the entry is read back and written again if it differs from the current record.
+ * <p>After an outage the entries are restored within about a second: while the store does not answer, the call is
+ * retried every {@link #RETRY_DELAY}, and an entry known to be missing is written again immediately.
  */
 final class RegistryRecord {
 
     /**
-     * Duration of the lease, after which the entry of a dead node is removed. A shorter lease would need more frequent
+     * Duration of the lease, after which the record of a dead node is removed. A shorter lease would need more frequent
      * renewals.
      */
     static final Duration LEASE = Duration.ofSeconds(15);
 
+    /** Prefix of the keys of the departures; the rest of the key is the node's id. */
+    static final String DEPARTURES_PREFIX = "beryldock/departures/";
+
     /** A third of the lease, so that two consecutive renewals may be lost. */
     private static final Duration RENEWAL_PERIOD = Duration.ofSeconds(5);
 
-    /** Number of recent writes of this node that are recognised when the watch reports them. */
-    private static final int MAX_RECENT_WRITES = 8;
-
     private static final Duration RETRY_DELAY = Duration.ofMillis(500);
 
     /** All nodes detect a new era of the store at the same time; their reads are spread over this period. */
     private static final Duration READ_BACK_SPREAD = Duration.ofMillis(300);
 
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
-    private static final long NO_LEASE = 0;
 
-    private final String key;
+    private final OwnEntry entry;
+    private final OwnEntry departuresEntry;
     private final RegistryStore store;
     private final StoreRecovery recovery;
     private final TimerService timers;
     private final RandomGenerator random;
+    private final RecordedDepartures departures = new RecordedDepartures();
+    private final CompletableFuture<ImmutableList<DepartedStart>> earlierDepartures = new CompletableFuture<>();
+    private final CompletableFuture<Void> leaving = new CompletableFuture<>();
     private MemberRecord record;
-    private long lease = NO_LEASE;
-    private long writtenRevision = -1;
+    private long lease = RegistryStore.NO_LEASE;
+
+    /** The lease under which the record was last written. */
+    private long entryLease = RegistryStore.NO_LEASE;
+
     private long renewedAt;
     private boolean callInProgress;
+    private boolean readDue = true;
+    private boolean publishing;
+    private boolean conflicted;
     private boolean left;
-    private boolean readBackDue;
-    private boolean publishDue;
-    private final Deque<ByteString> recentWrites = new ArrayDeque<>();
-    private final RecordedDepartures departures = new RecordedDepartures();
-    private final CompletableFuture<ImmutableList<DepartedStart>> earlierDepartures = new CompletableFuture<>();
 
-    RegistryRecord(String key, MemberRecord record, RegistryPorts ports) {
-        this.key = key;
+    RegistryRecord(MemberRecord record, RegistryPorts ports) {
+        this.entry = new OwnEntry(RegistryMembership.PREFIX + record.id().value());
+        this.departuresEntry = new OwnEntry(DEPARTURES_PREFIX + record.id().value());
         this.record = record;
         this.store = ports.store();
         this.recovery = ports.recovery();
@@ -81,41 +90,21 @@
         store.eras().onNewEra(timers, this::onEraRisen);
     }
 
+    /** Listings of the keys of both entries. Immutable. */
+    private record Listings(Listing record, Listing departures) {}
+
+    /** Key of the record. */
     String key() {
-        return key;
+        return entry.key();
     }
 
     MemberRecord record() {
         return record;
     }
 
-    /** Reads the departures that an earlier process of this node has recorded. */
+    /** Reads the entries that an earlier process of this node has written. */
     void recall() {
-        callStore(store.list(key), this::onRecalled);
-    }
-
-    private void onRecalled(Listing listing, Throwable failure) {
-        if (failure != null) {
-            timers.after(Jitter.around(RETRY_DELAY, random), this::recall);
-            return;
-        }
-        ImmutableList<DepartedStart> recorded =
-                ownValue(listing).map(this::readDepartures).orElse(ImmutableList.of());
-        log.atInfo().log("departures recorded by earlier processes: %s", recorded);
-        departures.addEarlier(recorded);
-        earlierDepartures.complete(recorded);
-        if (publishDue) {
-            publish();
-        }
-    }
-
-    private ImmutableList<DepartedStart> readDepartures(ByteString value) {
-        try {
-            return RecordedDepartures.read(MembershipRecord.parseFrom(value));
-        } catch (InvalidProtocolBufferException e) {
-            log.atWarning().withCause(e).log("ignoring entry %s: not a valid node record", key);
-            return ImmutableList.of();
-        }
+        proceed();
     }
 
     /** Passes the departures that earlier processes of this node have recorded, once they have been read. */
@@ -123,16 +112,11 @@
         TimerThread.onCompletion(timers, earlierDepartures, (earlier, failure) -> reader.accept(earlier));
     }
 
-    /** Adds a departure to the record; the future completes when the store holds it. */
+    /** Records a departure; the future completes when the store holds it. */
     CompletableFuture<Void> addDeparture(DepartedStart start) {
-        boolean added = departures.add(start);
-        if (left) {
-            writeLeft();
-        } else if (added) {
-            record = record.withTarget(record.target());
-            // A change of the target's state usually follows at once; both take one write.
-            timers.after(Duration.ZERO, this::publish);
-        }
+        departures.add(start);
+        // A change of the target's state usually follows at once; both take one write.
+        timers.after(Duration.ZERO, this::publish);
         return departures.stored(start);
     }
 
@@ -146,21 +130,127 @@
         return true;
     }
 
-    /** Writes the record unless the store already holds it. */
+    /** Writes the record and the departures unless the store already holds them, and keeps them there from now on. */
     void publish() {
-        if (!earlierDepartures.isDone()) {
-            publishDue = true;
+        publishing = true;
+        proceed();
+    }
+
+    /** Writes that this node has left; the future completes when the store holds that, or holds no record anyway. */
+    CompletableFuture<Void> leave() {
+        left = true;
+        publish();
+        return leaving;
+    }
+
+    /** Makes the next call that is due. */
+    private void proceed() {
+        if (callInProgress) {
             return;
         }
-        if (callInProgress || left) {
+        if (readDue) {
+            read();
             return;
         }
-        if (writtenRevision == record.revision()) {
-            readBackIfDue();
+        boolean departuresStored = areDeparturesStored();
+        boolean recordStored = isRecordStored();
+        if (departuresStored) {
+            onDeparturesStored();
+        }
+        if (left && recordStored) {
+            leaving.complete(null);
+        }
+        if (publishing && !(departuresStored && recordStored)) {
+            writeEntries(recordStored);
+        }
+    }
+
+    private boolean areDeparturesStored() {
+        return departures.starts().isEmpty()
+                || departuresEntry.holds(departures.encode().toByteString());
+    }
+
+    /** Whether the store holds the record under the current lease; a node that has left needs none. */
+    private boolean isRecordStored() {
+        if (lease == RegistryStore.NO_LEASE) {
+            return left;
+        }
+        return entryLease == lease && entry.holds(encode());
+    }
+
+    private ByteString encode() {
+        MemberRecord current = left ? record.withStatus(MemberStatus.LEFT) : record;
+        return MembershipCodec.encode(current).toByteString();
+    }
+
+    private void onDeparturesStored() {
+        ImmutableList<DepartedStart> starts = departures.starts();
+        starts.stream()
+                .filter(start -> !departures.stored(start).isDone())
+                .forEach(start -> log.atInfo().log("the store holds the departure of %s", start));
+        departures.onStored(starts);
+    }
+
+    private void read() {
+        callInProgress = true;
+        readDue = false;
+        CompletableFuture<Listing> recorded = store.list(departuresEntry.key());
+        callStore(store.list(entry.key()).thenCombine(recorded, Listings::new), this::onRead);
+    }
+
+    private void onRead(Listings listings, Throwable failure) {
+        if (failure != null) {
+            readDue = true;
+            retry();
             return;
         }
+        callInProgress = false;
+        entry.onListing(listings.record());
+        departuresEntry.onListing(listings.departures());
+        ImmutableList<DepartedStart> found = readDepartures();
+        departures.addEarlier(found);
+        if (!earlierDepartures.isDone()) {
+            log.atInfo().log("departures recorded by earlier processes: %s", found);
+            earlierDepartures.complete(found);
+        } else if (isRecordStored()) {
+            renewNow();
+        } else {
+            lease = RegistryStore.NO_LEASE;
+        }
+        proceed();
+    }
+
+    private ImmutableList<DepartedStart> readDepartures() {
+        ImmutableList.Builder<DepartedStart> found = ImmutableList.builder();
+        entry.value()
+                .ifPresent(value -> found.addAll(
+                        decode(key(), () -> MembershipRecord.parseFrom(value).getDeparturesList())));
+        departuresEntry
+                .value()
+                .ifPresent(value -> found.addAll(decode(
+                        departuresEntry.key(),
+                        () -> MembershipDepartures.parseFrom(value).getDeparturesList())));
+        return found.build();
+    }
+
+    /** Parses the departures in a value. */
+    @FunctionalInterface
+    private interface DeparturesParser {
+        List<MembershipDeparture> parse() throws InvalidProtocolBufferException;
+    }
+
+    private static ImmutableList<DepartedStart> decode(String key, DeparturesParser parser) {
+        try {
+            return RecordedDepartures.decode(parser.parse());
+        } catch (InvalidProtocolBufferException e) {
+            log.atWarning().withCause(e).log("ignoring entry %s, which this node replaces: not a valid value", key);
+            return ImmutableList.of();
+        }
+    }
+
+    private void writeEntries(boolean recordStored) {
         callInProgress = true;
-        if (lease == NO_LEASE) {
+        if (!recordStored && lease == RegistryStore.NO_LEASE) {
             callStore(store.grantLease(LEASE), this::onGranted);
         } else {
             write();
@@ -178,90 +268,74 @@
     }
 
     private void write() {
-        long revision = record.revision();
-        ImmutableList<DepartedStart> departed = departures.starts();
-        ByteString value = encode(record);
-        addRecentWrite(value);
-        callStore(store.put(key, value, lease), (done, failure) -> {
+        long writtenLease = lease;
+        ImmutableList.Builder<ConditionalWrite> writes = ImmutableList.builder();
+        if (!areDeparturesStored()) {
+            writes.add(departuresEntry.replacement(departures.encode().toByteString(), RegistryStore.NO_LEASE));
+        }
+        if (!isRecordStored()) {
+            writes.add(entry.replacement(encode(), lease));
+        }
+        ImmutableList<ConditionalWrite> sent = writes.build();
+        callStore(store.write(sent), (outcome, failure) -> {
             if (failure != null) {
                 retry();
                 return;
             }
             callInProgress = false;
-            if (done) {
-                writtenRevision = revision;
-                logStored(departed);
-                departures.onStored(departed);
-            } else {
-                lease = NO_LEASE;
+            switch (outcome.kind()) {
+                case APPLIED -> onApplied(sent, writtenLease, outcome);
+                case CONFLICT -> onConflict(sent, outcome);
+                case LEASE_ENDED -> onLeaseEnded();
             }
-            publish();
         });
     }
 
-    private void logStored(ImmutableList<DepartedStart> departed) {
-        departed.stream()
-                .filter(start -> !departures.stored(start).isDone())
-                .forEach(start -> log.atInfo().log("the store holds the departure of %s", start));
+    private void onApplied(ImmutableList<ConditionalWrite> writes, long writtenLease, WriteOutcome outcome) {
+        conflicted = false;
+        for (ConditionalWrite write : writes) {
+            entryOf(write).onWritten(outcome.revision(), write.value());
+            if (entryOf(write) == entry) {
+                entryLease = writtenLease;
+            }
+        }
+        proceed();
+    }
+
+    /** An earlier write of this node that got no answer was applied after all, or the entry was changed by others. */
+    private void onConflict(ImmutableList<ConditionalWrite> writes, WriteOutcome outcome) {
+        writes.forEach(write -> entryOf(write).onAnswer(outcome.current()));
+        departures.addEarlier(readDepartures());
+        boolean repeated = conflicted;
+        conflicted = true;
+        if (repeated) {
+            retry();
+        } else {
+            proceed();
+        }
     }
 
-    private ByteString encode(MemberRecord current) {
-        return departures.addTo(MembershipCodec.encode(current)).toByteString();
+    private OwnEntry entryOf(ConditionalWrite write) {
+        return write.key().equals(entry.key()) ? entry : departuresEntry;
     }
 
-    private void addRecentWrite(ByteString value) {
-        recentWrites.addLast(value);
-        if (recentWrites.size() > MAX_RECENT_WRITES) {
-            recentWrites.removeFirst();
-        }
+    private void onLeaseEnded() {
+        lease = RegistryStore.NO_LEASE;
+        proceed();
     }
 
     private void retry() {
+        callInProgress = true;
         timers.after(Jitter.around(RETRY_DELAY, random), () -> {
             callInProgress = false;
-            publish();
+            proceed();
         });
     }
 
-    /** Schedules a check of the entry: in a new era the store may have lost acknowledged writes and the lease. */
+    /** Schedules a read of the entries: in a new era the store may have lost acknowledged writes and the lease. */
     private void onEraRisen() {
-        timers.after(Jitter.around(READ_BACK_SPREAD.dividedBy(2), random), () -> {
-            readBackDue = true;
-            publish();
-        });
-    }
-
-    private void readBackIfDue() {
-        if (readBackDue) {
-            callInProgress = true;
-            readBackDue = false;
-            callStore(store.list(key), this::onReadBack);
-        }
-    }
-
-    private void onReadBack(Listing listing, Throwable failure) {
-        if (failure != null) {
-            readBackDue = true;
-            retry();
-            return;
-        }
-        callInProgress = false;
-        if (holdsRecord(listing)) {
-            renewNow();
-        } else {
-            rewrite();
-        }
-    }
-
-    private boolean holdsRecord(Listing listing) {
-        return ownValue(listing).filter(encode(record)::equals).isPresent();
-    }
-
-    private Optional<ByteString> ownValue(Listing listing) {
-        return listing.entries().stream()
-                .filter(entry -> entry.key().equals(key))
-                .findAny()
-                .flatMap(Entry::value);
+        readDue = true;
+        timers.after(Jitter.around(READ_BACK_SPREAD.dividedBy(2), random), this::proceed);
     }
 
     /** Renews the lease immediately, because the store may have lost the last renewal. */
@@ -273,7 +347,7 @@
     /** Renews the lease if a renewal is due. */
     void renew() {
         boolean due = timers.ticker().nanos() - renewedAt >= RENEWAL_PERIOD.toNanos();
-        if (callInProgress || left || lease == NO_LEASE || !due) {
+        if (callInProgress || left || lease == RegistryStore.NO_LEASE || !due) {
             return;
         }
         callInProgress = true;
@@ -288,7 +362,8 @@
         }
         renewedAt = timers.ticker().nanos();
         if (!alive) {
-            discardLease();
+            lease = RegistryStore.NO_LEASE;
+            entry.onLeaseEnded();
         }
         afterRenewal();
     }
@@ -301,64 +376,21 @@
      */
     private void afterRenewal() {
         callInProgress = false;
-        publish();
+        proceed();
         renew();
     }
 
-    private void rewrite() {
-        discardLease();
-        publish();
-    }
-
-    private void discardLease() {
-        lease = NO_LEASE;
-        writtenRevision = -1;
-    }
-
-    /** Handles the removal of this node's own entry from the store. */
-    void onRemoved() {
-        if (!left) {
-            rewrite();
-        }
-    }
-
-    /**
-     * Handles a value of this node's own entry reported by the store.
-     *
-     * <p>If another program has overwritten the entry, readers cannot find this node's target until it is written
-     * again. An entry of an earlier incarnation of this node needs no handling, because the first write replaces it.
-     */
-    void onEntry(ByteString value) {
-        if (writtenRevision == record.revision() && !left && !value.equals(encode(record))) {
-            log.atWarning().log("the store holds another value of %s than the one last written", key);
+    /** Handles a change of the record's entry that the store reports; one that this node did not make is undone. */
+    void onChange(Entry change) {
+        if (!entry.onChange(change) || left) {
+            return;
         }
-        if (writtenRevision >= 0 && !left && !recentWrites.contains(value)) {
-            writtenRevision = -1;
-            publish();
+        if (change.value().isEmpty()) {
+            lease = RegistryStore.NO_LEASE;
+        } else if (!callInProgress && !readDue && !entry.holds(encode())) {
+            log.atWarning().log("the store holds another value of %s than this node has written; writing again", key());
         }
-    }
-
-    /**
-     * Writes that this node has left. The entry is kept until its lease runs out, so that the departures in it are
-     * found if the node is restarted beside a leaving target.
-     */
-    CompletableFuture<Boolean> leave() {
-        left = true;
-        return writeLeft();
-    }
-
-    private CompletableFuture<Boolean> writeLeft() {
-        if (lease == NO_LEASE) {
-            return CompletableFuture.completedFuture(false);
-        }
-        ImmutableList<DepartedStart> departed = departures.starts();
-        CompletableFuture<Boolean> written = store.put(key, encode(record.withStatus(MemberStatus.LEFT)), lease);
-        callStore(written, (done, failure) -> {
-            if (failure == null && done) {
-                departures.onStored(departed);
-            }
-        });
-        return written;
+        proceed();
     }
 
     private <T> void callStore(CompletableFuture<T> call, BiConsumer<T, Throwable> then) {
--- a/src/main/java/io/beryldock/platform/KvJson.java
+++ b/src/main/java/io/beryldock/platform/KvJson.java
@@ -7,10 +7,13 @@
 import com.google.protobuf.ByteString;
 import io.beryldock.nettyhttp.HttpReply;
 import io.beryldock.store.PlatformException;
+import io.beryldock.store.RegistryStore;
+import io.beryldock.store.RegistryStore.ConditionalWrite;
 import io.beryldock.store.RegistryStore.Entry;
 import io.beryldock.store.StoreRevision;
 import java.io.IOException;
 import java.util.Base64;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletionException;
 
@@ -74,22 +77,22 @@
         return Json.write(Json.object().put("ttlS", seconds));
     }
 
-    /**
-     * The body of a write of one key.
-     *
-     * @param lease number of the lease to attach the key to, 0 for no lease
-     * @param expectedRevision revision that the key must still have, 0 if the key must not exist; empty for an
-     *     unconditional write
-     */
-    static ByteString writeRequest(String key, ByteString value, long lease, Optional<Long> expectedRevision) {
+    /** The body of a request that applies all writes or none. */
+    static ByteString writeRequest(List<ConditionalWrite> writes) {
         ObjectNode transaction = Json.object();
         ArrayNode conditions = transaction.putArray("expectedRev");
-        expectedRevision.ifPresent(
-                revision -> conditions.addObject().put(KEY, key).put(REVISION, revision));
-        ObjectNode put = transaction.putArray("puts").addObject();
-        put.put(KEY, key).put(VALUE, Base64.getEncoder().encodeToString(value.toByteArray()));
-        if (lease != 0) {
-            put.put(LEASE, lease);
+        ArrayNode puts = transaction.putArray("puts");
+        for (ConditionalWrite write : writes) {
+            conditions
+                    .addObject()
+                    .put(KEY, write.key())
+                    .put(REVISION, write.replaced().number());
+            ObjectNode put = puts.addObject();
+            put.put(KEY, write.key())
+                    .put(VALUE, Base64.getEncoder().encodeToString(write.value().toByteArray()));
+            if (write.lease() != RegistryStore.NO_LEASE) {
+                put.put(LEASE, write.lease());
+            }
         }
         transaction.putArray("deletes");
         return Json.write(transaction);
--- a/src/main/java/io/beryldock/platform/KvStoreClient.java
+++ b/src/main/java/io/beryldock/platform/KvStoreClient.java
@@ -89,7 +89,7 @@
         if (mustExist && expected.era() < eras.newest()) {
             return readConflict(key);
         }
-        ByteString body = KvJson.writeRequest(key, value, 0, Optional.of(expected.number()));
+        ByteString body = KvJson.writeRequest(ImmutableList.of(new ConditionalWrite(key, value, NO_LEASE, expected)));
         return exchange("POST", "/kv-txn", body, Duration.ZERO)
                 .handle((reply, failure) -> toWriteResult(reply, failure, expected, mustExist));
     }
@@ -135,7 +135,8 @@
                 return CompletableFuture.completedFuture(current.get().value().equals(value));
             }
             return grantLease(length).thenCompose(lease -> {
-                ByteString body = KvJson.writeRequest(name, value, lease, Optional.of(ABSENT));
+                ConditionalWrite write = new ConditionalWrite(name, value, lease, StoreRevision.NONE);
+                ByteString body = KvJson.writeRequest(ImmutableList.of(write));
                 return exchange("POST", "/kv-txn", body, Duration.ZERO)
                         .handle(this::toWriteResult)
                         .thenApply(result -> result.kind() == WriteResult.Kind.APPLIED);
@@ -240,9 +241,9 @@
     }
 
     @Override
-    public CompletableFuture<Boolean> put(String key, ByteString value, long lease) {
-        ByteString body = KvJson.writeRequest(key, value, lease, Optional.empty());
-        return call("POST", "/kv-txn", body, Duration.ZERO).thenApply(KvStoreClient::exists);
+    public CompletableFuture<WriteOutcome> write(ImmutableList<ConditionalWrite> writes) {
+        return call("POST", "/kv-txn", KvJson.writeRequest(writes), Duration.ZERO)
+                .thenApply(reply -> KvWrites.outcome(reply, eraOf(reply)));
     }
 
     private static boolean exists(HttpReply reply) {
--- a/src/main/java/io/beryldock/platform/KvWrites.java
+++ b/src/main/java/io/beryldock/platform/KvWrites.java
@@ -2,10 +2,13 @@
 
 import com.google.common.collect.ImmutableList;
 import io.beryldock.nettyhttp.HttpReply;
+import io.beryldock.store.PlatformException;
 import io.beryldock.store.PlatformStore;
 import io.beryldock.store.RegistryStore.Entry;
+import io.beryldock.store.RegistryStore.WriteOutcome;
 import io.beryldock.store.StoredValue;
 import io.beryldock.store.WriteResult;
+import java.util.concurrent.CompletionException;
 
 /** Maps the store's response to a conditional write to a {@link WriteResult}. Stateless, thread safe. */
 final class KvWrites {
@@ -32,13 +35,37 @@
         };
     }
 
-    /** A key that does not exist is listed among the items without a value. */
     private static WriteResult conflict(ImmutableList<Entry> items) {
-        return WriteResult.conflict(items.stream()
-                .filter(item -> item.revision().number() > PlatformStore.ABSENT
-                        && item.value().isPresent())
+        return WriteResult.conflict(existing(items).stream()
                 .map(item -> new StoredValue(
                         KvVersion.of(item.revision()), item.value().orElseThrow()))
                 .findFirst());
     }
+
+    /** Returns the items of keys that exist; the store lists a key that does not exist without a value. */
+    private static ImmutableList<Entry> existing(ImmutableList<Entry> items) {
+        return items.stream()
+                .filter(item -> item.revision().number() > PlatformStore.ABSENT
+                        && item.value().isPresent())
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    /**
+     * The outcome of writes of several keys.
+     *
+     * @throws CompletionException with a {@link PlatformException} as its cause, if the store has not said whether the
+     *     writes were applied or why they were not
+     */
+    static WriteOutcome outcome(HttpReply reply, long era) {
+        return switch (reply.status()) {
+            case OK -> WriteOutcome.applied(KvJson.revision(KvJson.read(reply), era));
+            case CONDITION_FAILED ->
+                WriteOutcome.conflict(existing(KvJson.entries(KvJson.read(reply).path("items"), era)));
+            case NOT_FOUND -> WriteOutcome.leaseEnded();
+            default ->
+                throw new CompletionException(
+                        new PlatformException("the platform store responded to a write with status " + reply.status()
+                                + "; write again later"));
+        };
+    }
 }
--- a/src/main/java/io/beryldock/platform/StandinJson.java
+++ b/src/main/java/io/beryldock/platform/StandinJson.java
@@ -5,6 +5,7 @@
 import io.beryldock.call.Headers;
 import io.beryldock.nettyhttp.HttpAnswer;
 import java.util.Base64;
+import java.util.Map;
 
 /** Encodes the JSON responses of the store stand-in. Stateless, thread safe. */
 final class StandinJson {
@@ -19,18 +20,20 @@
     }
 
     /**
-     * The response to a write whose condition does not hold.
+     * The response to writes of which a condition does not hold.
      *
-     * @param stored the item stored under the key, or null if there is none
+     * @param stored the items stored under the keys of all conditions, null where there is none
      */
-    static HttpAnswer conflict(String key, StandinStore.Item stored) {
+    static HttpAnswer conflict(Map<String, StandinStore.Item> stored) {
         ObjectNode body = Json.object();
         ArrayNode list = body.putArray("items");
-        if (stored == null) {
-            list.addObject().put("key", key).put("revision", 0);
-        } else {
-            list.add(item(key, stored));
-        }
+        stored.forEach((key, item) -> {
+            if (item == null) {
+                list.addObject().put("key", key).put("revision", 0);
+            } else {
+                list.add(item(key, item));
+            }
+        });
         return answer(CONDITION_FAILED, body);
     }
 
--- a/src/main/java/io/beryldock/platform/StandinStore.java
+++ b/src/main/java/io/beryldock/platform/StandinStore.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.Streams;
 import com.google.errorprone.annotations.concurrent.GuardedBy;
 import com.google.protobuf.ByteString;
 import io.beryldock.nettyhttp.HttpAnswer;
@@ -14,6 +15,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Base64;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -47,6 +49,7 @@
     private boolean withholding;
     private boolean writesLate;
     private long writes;
+    private long lateWrites;
 
     StandinStore(TimerService timers) {
         this.timers = timers;
@@ -124,9 +127,13 @@
         notifyWatches();
     }
 
-    /** While set, every other write gets no answer and is applied seconds later, if its condition still holds. */
+    /**
+     * While set, the first write and every other one after it get no answer and are applied seconds later, if their
+     * conditions still hold.
+     */
     synchronized void setWritesLate(boolean value) {
         writesLate = value;
+        writes = 0;
     }
 
     /** Drops the history of all changes so far. */
@@ -168,7 +175,7 @@
     private void write(HttpExchange exchange, String path) {
         HttpAnswer answer;
         if (path.equals("/kv-txn")) {
-            if (writesLate && ++writes % 2 == 0) {
+            if (writesLate && writes++ % 2 == 0) {
                 delayWrite(exchange);
                 return;
             }
@@ -191,7 +198,7 @@
     }
 
     private void delayWrite(HttpExchange exchange) {
-        long millis = LATE_MILLIS[(int) (writes / 2 % LATE_MILLIS.length)];
+        long millis = LATE_MILLIS[(int) (lateWrites++ % LATE_MILLIS.length)];
         timers.after(Duration.ofMillis(millis), () -> {
             synchronized (this) {
                 transaction(exchange);
@@ -267,18 +274,14 @@
         } catch (IOException e) {
             return HttpAnswer.of(NOT_FOUND);
         }
-        for (JsonNode condition : body.path("expectedRev")) {
-            Item stored = items.get(condition.path("key").asText());
-            long storedRevision = stored == null ? 0 : stored.revision();
-            if (storedRevision != condition.path("revision").asLong()) {
-                return StandinJson.conflict(condition.path("key").asText(), stored);
-            }
+        if (!Streams.stream(body.path("expectedRev")).allMatch(this::holds)) {
+            return conflict(body.path("expectedRev"));
+        }
+        if (!Streams.stream(body.path("puts")).allMatch(this::hasLease)) {
+            return HttpAnswer.of(NOT_FOUND);
         }
         for (JsonNode put : body.path("puts")) {
             long lease = put.path("lease").asLong();
-            if (lease != 0 && !leases.containsKey(lease)) {
-                return HttpAnswer.of(NOT_FOUND);
-            }
             byte[] value = Base64.getDecoder().decode(put.path("value").asText());
             put(put.path("key").asText(), ByteString.copyFrom(value), lease);
         }
@@ -287,6 +290,27 @@
         return StandinJson.answer(OK, Json.object().put("revision", revision));
     }
 
+    private boolean holds(JsonNode condition) {
+        Item stored = items.get(condition.path("key").asText());
+        long storedRevision = stored == null ? 0 : stored.revision();
+        return storedRevision == condition.path("revision").asLong();
+    }
+
+    private boolean hasLease(JsonNode put) {
+        long lease = put.path("lease").asLong();
+        return lease == 0 || leases.containsKey(lease);
+    }
+
+    /** Answers with the current items of all keys that the conditions name. */
+    private HttpAnswer conflict(JsonNode conditions) {
+        Map<String, Item> current = new LinkedHashMap<>();
+        conditions.forEach(condition -> {
+            String key = condition.path("key").asText();
+            current.put(key, items.get(key));
+        });
+        return StandinJson.conflict(current);
+    }
+
     private void put(String key, ByteString value, long lease) {
         revision++;
         Item item = new Item(value, revision, lease);
--- a/src/main/java/io/beryldock/store/RegistryStore.java
+++ b/src/main/java/io/beryldock/store/RegistryStore.java
@@ -16,6 +16,9 @@
  */
 public interface RegistryStore {
 
+    /** The lease of an entry that is kept until it is replaced. */
+    long NO_LEASE = 0;
+
     /** The eras that this node knows. The era of each answer of the store is recorded before its future completes. */
     StoreEras eras();
 
@@ -43,8 +46,48 @@
     /** Ends the lease and removes its entries. */
     CompletableFuture<Void> endLease(long lease);
 
-    /** Writes the entry under the lease, replacing any previous value; the result is false when the lease has ended. */
-    CompletableFuture<Boolean> put(String key, ByteString value, long lease);
+    /**
+     * Applies all writes if each of them still replaces the revision that it names, else none. A call that fails may be
+     * applied later, under the same condition; a write of the same key that was applied before it prevents that.
+     */
+    CompletableFuture<WriteOutcome> write(ImmutableList<ConditionalWrite> writes);
+
+    /**
+     * A write of one key. Immutable.
+     *
+     * @param lease the lease that removes the entry when it ends, {@link #NO_LEASE} for none
+     * @param replaced revision of the entry that is replaced, {@link StoreRevision#NONE} if there must not be one
+     */
+    record ConditionalWrite(String key, ByteString value, long lease, StoreRevision replaced) {}
+
+    /**
+     * The outcome of a call that the store has answered. Immutable.
+     *
+     * @param revision the revision of the writes, if they were applied
+     * @param current the entries of the keys that exist, if a condition did not hold
+     */
+    record WriteOutcome(Kind kind, StoreRevision revision, ImmutableList<Entry> current) {
+
+        /** Whether the writes were applied. */
+        public enum Kind {
+            APPLIED,
+            /** An entry was not at the revision that its write replaces. */
+            CONFLICT,
+            LEASE_ENDED
+        }
+
+        public static WriteOutcome applied(StoreRevision revision) {
+            return new WriteOutcome(Kind.APPLIED, revision, ImmutableList.of());
+        }
+
+        public static WriteOutcome conflict(ImmutableList<Entry> current) {
+            return new WriteOutcome(Kind.CONFLICT, StoreRevision.NONE, current);
+        }
+
+        public static WriteOutcome leaseEnded() {
+            return new WriteOutcome(Kind.LEASE_ENDED, StoreRevision.NONE, ImmutableList.of());
+        }
+    }
 
     /** An entry as written, or its removal when the value is empty. Immutable. */
     record Entry(String key, StoreRevision revision, Optional<ByteString> value) {}
--- a/src/test/java/io/beryldock/membership/RecordedDeparturesTest.java
+++ b/src/test/java/io/beryldock/membership/RecordedDeparturesTest.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.google.common.collect.ImmutableList;
-import io.beryldock.wire.MembershipRecord;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
@@ -16,6 +15,12 @@
         return new DepartedStart("i-" + number, number);
     }
 
+    private static ImmutableList<DepartedStart> starts(int first, int last) {
+        return IntStream.rangeClosed(first, last)
+                .mapToObj(RecordedDeparturesTest::start)
+                .collect(ImmutableList.toImmutableList());
+    }
+
     @Test
     void departureIsStoredOnceAWriteThatContainsItIsDone() {
         departures.add(start(1));
@@ -38,17 +43,22 @@
 
     @Test
     void earlierDeparturesComeFirstAndTheLatestAreKept() {
-        departures.add(start(9));
-        departures.addEarlier(ImmutableList.of(start(1), start(2), start(9), start(3), start(4)));
-        assertThat(departures.starts()).containsExactly(start(2), start(3), start(4), start(9));
-        assertThat(departures.stored(start(3))).isCompleted();
+        int most = RecordedDepartures.MAX_STARTS;
+        departures.add(start(most));
+        ImmutableList<DepartedStart> earlier = starts(0, most - 1);
+        departures.addEarlier(ImmutableList.<DepartedStart>builder()
+                .add(start(most))
+                .addAll(earlier)
+                .build());
+        assertThat(departures.starts()).isEqualTo(starts(1, most));
+        assertThat(departures.stored(start(1))).isCompleted();
     }
 
     @Test
-    void recordContainsTheDepartures() {
+    void encodedDeparturesAreDecoded() {
         departures.add(start(1));
         departures.add(new DepartedStart("unknown", 0));
-        MembershipRecord record = departures.addTo(MembershipRecord.getDefaultInstance());
-        assertThat(RecordedDepartures.read(record)).isEqualTo(departures.starts());
+        assertThat(RecordedDepartures.decode(departures.encode().getDeparturesList()))
+                .isEqualTo(departures.starts());
     }
 }
--- a/src/test/java/io/beryldock/membership/RegistryMembershipTest.java
+++ b/src/test/java/io/beryldock/membership/RegistryMembershipTest.java
@@ -426,6 +426,20 @@
         assertThat(departuresFoundBy(membership("n2", 2, registry.view()))).containsExactly(LEFT);
     }
 
+    /** Guards against a departure that later ones displace while its target may still serve. */
+    @Test
+    void departureIsFoundAfterSeveralLaterOnes() {
+        run(Duration.ofSeconds(4));
+        for (int i = 1; i <= 10; i++) {
+            second.add(new DepartedStart("i-" + i, 0));
+            run(Duration.ofSeconds(1));
+        }
+        secondView.setDown(true);
+        assertThat(departuresFoundBy(membership("n2", 2, registry.view())))
+                .hasSize(10)
+                .contains(LEFT);
+    }
+
     @Test
     void departureAndStateOfTheTargetTakeOneWrite() {
         run(Duration.ofSeconds(4));
--- a/src/test/java/io/beryldock/platform/KvStoreClientTest.java
+++ b/src/test/java/io/beryldock/platform/KvStoreClientTest.java
@@ -1,17 +1,23 @@
 package io.beryldock.platform;
 
+import static io.beryldock.store.RegistryStore.NO_LEASE;
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import com.google.common.collect.ImmutableList;
 import com.google.protobuf.ByteString;
 import io.beryldock.store.PlatformException;
 import io.beryldock.store.PlatformStore;
 import io.beryldock.store.RegistryStore.Changes;
+import io.beryldock.store.RegistryStore.ConditionalWrite;
 import io.beryldock.store.RegistryStore.Entry;
+import io.beryldock.store.RegistryStore.WriteOutcome;
+import io.beryldock.store.RegistryStore.WriteOutcome.Kind;
 import io.beryldock.store.StoreRevision;
 import io.beryldock.store.WriteResult;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -75,7 +81,7 @@
         Changes changes = StorePair.get(watch);
         assertThat(changes.entries()).extracting(Entry::key).containsExactly("a/1");
         long lease = StorePair.get(pair.client.grantLease(Duration.ofSeconds(3)));
-        assertThat(StorePair.get(pair.client.put("a/2", TWO, lease))).isTrue();
+        assertThat(write("a/2", TWO, lease, StoreRevision.NONE).kind()).isEqualTo(Kind.APPLIED);
         StorePair.get(pair.client.endLease(lease));
         Changes further = StorePair.get(pair.client.changes("a/", changes.revision(), WAIT));
         assertThat(further.entries())
@@ -104,7 +110,33 @@
         assertThat(StorePair.get(pair.client.renewLease(lease))).isTrue();
         pair.store.expireLeases();
         assertThat(StorePair.get(pair.client.renewLease(lease))).isFalse();
-        assertThat(StorePair.get(pair.client.put("a/1", ONE, lease))).isFalse();
+        assertThat(write("a/1", ONE, lease, StoreRevision.NONE).kind()).isEqualTo(Kind.LEASE_ENDED);
+    }
+
+    private WriteOutcome write(String key, ByteString value, long lease, StoreRevision replaced) throws Exception {
+        return StorePair.get(pair.client.write(ImmutableList.of(new ConditionalWrite(key, value, lease, replaced))));
+    }
+
+    /** Guards against a write that replaces a later one than its writer has seen. */
+    @Test
+    void writeOfAnotherRevisionConflictsAndReturnsTheCurrentEntries() throws Exception {
+        StoreRevision first = write("a/1", ONE, NO_LEASE, StoreRevision.NONE).revision();
+        StoreRevision second = write("a/1", TWO, NO_LEASE, first).revision();
+        WriteOutcome late = write("a/1", ONE, NO_LEASE, first);
+        assertThat(late.kind()).isEqualTo(Kind.CONFLICT);
+        assertThat(late.current()).containsExactly(new Entry("a/1", second, Optional.of(TWO)));
+    }
+
+    /** Guards against a part of several writes that is applied although another part conflicts. */
+    @Test
+    void writesOfSeveralKeysAreAppliedTogetherOrNotAtAll() throws Exception {
+        pair.store.write("a/2", ONE);
+        ImmutableList<ConditionalWrite> writes = ImmutableList.of(
+                new ConditionalWrite("a/1", ONE, NO_LEASE, StoreRevision.NONE),
+                new ConditionalWrite("a/2", TWO, NO_LEASE, StoreRevision.NONE));
+        WriteOutcome outcome = StorePair.get(pair.client.write(writes));
+        assertThat(outcome.current()).extracting(Entry::key).containsExactly("a/2");
+        assertThat(StorePair.get(pair.client.get("a/1"))).isEmpty();
     }
 
     /** Guards against a watch that continues from a revision that the store has lost in a restore. */
--- a/src/test/java/io/beryldock/store/FakeRegistry.java
+++ b/src/test/java/io/beryldock/store/FakeRegistry.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
@@ -321,24 +322,40 @@
         }
 
         @Override
-        public CompletableFuture<Boolean> put(String key, ByteString value, long lease) {
+        public CompletableFuture<WriteOutcome> write(ImmutableList<ConditionalWrite> writes) {
             calls++;
             if (lateWrite.isPresent()) {
-                timers.after(lateWrite.get(), () -> apply(key, value, lease));
+                timers.after(lateWrite.get(), () -> apply(writes));
                 lateWrite = Optional.empty();
                 return unanswered();
             }
-            return answer(!down && apply(key, value, lease));
+            return down ? answer(WriteOutcome.leaseEnded()) : answer(apply(writes));
         }
 
-        /** Returns whether the lease has not ended. */
-        private boolean apply(String key, ByteString value, long lease) {
-            boolean alive = leases.containsKey(lease);
-            if (alive) {
-                leases.get(lease).add(key);
-                write(key, value);
+        private WriteOutcome apply(ImmutableList<ConditionalWrite> writes) {
+            if (!writes.stream().allMatch(this::replacesCurrent)) {
+                return WriteOutcome.conflict(writes.stream()
+                        .map(write -> items.get(write.key()))
+                        .filter(Objects::nonNull)
+                        .collect(ImmutableList.toImmutableList()));
             }
-            return alive;
+            if (!writes.stream().allMatch(write -> write.lease() == NO_LEASE || leases.containsKey(write.lease()))) {
+                return WriteOutcome.leaseEnded();
+            }
+            revision++;
+            for (ConditionalWrite write : writes) {
+                if (write.lease() != NO_LEASE) {
+                    leases.get(write.lease()).add(write.key());
+                }
+                record(new Entry(write.key(), currentRevision(), Optional.of(write.value())));
+            }
+            return WriteOutcome.applied(currentRevision());
+        }
+
+        private boolean replacesCurrent(ConditionalWrite write) {
+            Entry current = items.get(write.key());
+            long held = current == null ? 0 : current.revision().number();
+            return held == write.replaced().number();
         }
     }
 }
