A departure is final for its start, and an unknown start must say itself that it serves

Callers' requests could reach a target whose departure had been confirmed: * its node was started again while the store could not be read, and several heartbeats from before the departure, delayed together, counted as the proof that it runs; * 'draining' came while the node waited for the store's record, was confirmed, and was then replaced by the earlier heartbeat that waited with it; * 'draining' of a replaced start was confirmed and only recorded, so that later heartbeats could make it current again.

Cause: heartbeats were taken for evidence of the present, and a confirmation was given for something that had not been applied.

Change: any announcement of a departure marks its start, current, replaced or unknown, before it is confirmed, and no heartbeat of a marked start counts. An unknown start that the store's record can't vouch for is asked at its health path, which a leaving target does not answer with success; the two further heartbeats are still required.

The soak's targets answer at a health path.

--- a/src/main/java/io/beryldock/platform/LocalTargets.java
+++ b/src/main/java/io/beryldock/platform/LocalTargets.java
@@ -25,10 +25,12 @@
  * heartbeat made the ended start current again, the target would refuse every call as misdirected. Starts are therefore
  * ordered by the start times in their heartbeats. If heartbeats contain no start time, an id that has been replaced
  * becomes current again only after two further heartbeats with increasing sequences, which a single late heartbeat
- * cannot provide; an id that has ended does not become current again.
+ * cannot provide. A start that has announced its departure is never ready again, whatever it is when the announcement
+ * arrives: current, replaced or unknown.
  *
  * <p>This holds across restarts of the node: a departure is confirmed only when it has been recorded for later
- * processes. Until a process has read what earlier ones recorded, it takes an unknown start for a replaced one.
+ * processes. Until a process has read what earlier ones recorded, an unknown start must also say itself that it serves,
+ * as several heartbeats may have been delayed together.
  */
 final class LocalTargets {
 
@@ -48,14 +50,12 @@
     private final Consumer<Announcement> announcements;
     private final Runnable onNewStart;
     private final TargetDepartures departures;
-    private final Map<String, PreviousStart> previous = new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
+    private final TargetHealth health;
+    private final Map<String, PreviousStart> previous = new BoundedMap<>();
+
+    /** The start times of starts that have announced their departure, by id. */
+    private final Map<String, Long> departed = new BoundedMap<>();
 
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, PreviousStart> eldest) {
-            return size() > MAX_PREVIOUS;
-        }
-    };
     private CurrentStart currentStart = NONE;
     private Optional<Announcement> lastAnnouncement = Optional.empty();
     private boolean recalled;
@@ -69,11 +69,16 @@
      * @param departures is called on the control thread
      */
     LocalTargets(
-            Executor control, Consumer<Announcement> announcements, Runnable onNewStart, TargetDepartures departures) {
+            Executor control,
+            Consumer<Announcement> announcements,
+            Runnable onNewStart,
+            TargetDepartures departures,
+            TargetHealth health) {
         this.control = control;
         this.announcements = announcements;
         this.onNewStart = onNewStart;
         this.departures = departures;
+        this.health = health;
     }
 
     /** Reads what earlier processes of this node have recorded. */
@@ -90,22 +95,26 @@
     }
 
     /**
-     * A start that is not the current one.
+     * A start that is not the current one and has not departed.
      *
-     * @param ended whether the target has reported its end
      * @param sequence the highest sequence received from it
      * @param proofs heartbeats with increasing sequences that were received from it since it was replaced
      */
-    private record PreviousStart(long startedAt, boolean ended, long sequence, int proofs) {
-
-        static PreviousStart ended(long startedAt) {
-            return new PreviousStart(startedAt, true, Long.MAX_VALUE, 0);
-        }
-    }
+    private record PreviousStart(long startedAt, long sequence, int proofs) {}
 
     /** The last heartbeat of a start that an earlier process may have known. */
     private record UnknownStart(String id, Heartbeat heartbeat) {}
 
+    /** A map that keeps the entries that were added last. */
+    private static final class BoundedMap<V> extends LinkedHashMap<String, V> {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, V> eldest) {
+            return size() > MAX_PREVIOUS;
+        }
+    }
+
     Optional<LocalTarget> current() {
         return current;
     }
@@ -142,28 +151,66 @@
         recalled = true;
         earlier.forEach(start -> endStart(start.id(), start.startedAtMillis()));
         awaitingRecall.ifPresent(waiting -> {
-            previous.computeIfPresent(waiting.id(), (id, known) -> known.ended() ? known : null);
+            previous.remove(waiting.id());
             apply(waiting.id(), waiting.heartbeat());
         });
         awaitingRecall = Optional.empty();
     }
 
     private void apply(String id, Heartbeat heartbeat) {
+        boolean leaving = heartbeat.announcement().state() == TargetState.LEAVING;
+        if (leaving) {
+            departed.merge(id, heartbeat.startedAtMillis(), Math::max);
+        } else if (hasDeparted(id, heartbeat.startedAtMillis())) {
+            log.atInfo().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
+                    "ignored a heartbeat of start %s, which has announced that it leaves", id);
+            return;
+        }
         if (isCurrent(id, heartbeat.startedAtMillis())) {
-            if (heartbeat.sequence() >= currentStart.sequence()) {
-                currentStart = new CurrentStart(id, currentStart.startedAt(), heartbeat.sequence());
-                announce(heartbeat.announcement().withStart(startOf(currentStart)));
-            }
+            applyToCurrent(heartbeat, leaving);
             return;
         }
-        if (!recalled && heartbeat.announcement().state() != TargetState.LEAVING) {
+        boolean unknown = !recalled && !leaving;
+        if (unknown) {
             awaitingRecall = Optional.of(new UnknownStart(id, heartbeat));
-            previous.putIfAbsent(id, new PreviousStart(heartbeat.startedAtMillis(), false, heartbeat.sequence(), 0));
+            previous.putIfAbsent(id, new PreviousStart(heartbeat.startedAtMillis(), heartbeat.sequence(), 0));
         }
         if (isEarlier(heartbeat) || isFromPreviousStart(id, heartbeat)) {
             return;
         }
-        replaceCurrent(id, heartbeat);
+        if (unknown) {
+            verify(id, heartbeat);
+        } else {
+            replaceCurrent(id, heartbeat);
+        }
+    }
+
+    private void applyToCurrent(Heartbeat heartbeat, boolean leaving) {
+        if (leaving || heartbeat.sequence() >= currentStart.sequence()) {
+            long sequence = Math.max(currentStart.sequence(), heartbeat.sequence());
+            currentStart = new CurrentStart(currentStart.id(), currentStart.startedAt(), sequence);
+            announce(heartbeat.announcement().withStart(startOf(currentStart)));
+        }
+    }
+
+    private boolean hasDeparted(String id, long startedAt) {
+        Long known = departed.get(id);
+        return known != null && startedAt <= known;
+    }
+
+    /** Makes the unknown start current if it says that it serves and nothing else has been learnt meanwhile. */
+    private void verify(String id, Heartbeat heartbeat) {
+        health.isServing(id, heartbeat.announcement())
+                .thenAcceptAsync(
+                        serving -> {
+                            boolean stillUnknown = !recalled
+                                    && !isCurrent(id, heartbeat.startedAtMillis())
+                                    && !hasDeparted(id, heartbeat.startedAtMillis());
+                            if (serving && stillUnknown) {
+                                replaceCurrent(id, heartbeat);
+                            }
+                        },
+                        control);
     }
 
     private boolean isCurrent(String id, long startedAt) {
@@ -178,8 +225,7 @@
 
     private void replaceCurrent(String id, Heartbeat heartbeat) {
         if (!currentStart.isNone()) {
-            previous.put(
-                    currentStart.id(), new PreviousStart(currentStart.startedAt(), false, currentStart.sequence(), 0));
+            previous.put(currentStart.id(), new PreviousStart(currentStart.startedAt(), currentStart.sequence(), 0));
         }
         previous.remove(id);
         if (lastAnnouncement.isPresent()) {
@@ -203,17 +249,12 @@
         if (known == null || heartbeat.startedAtMillis() > known.startedAt()) {
             return false;
         }
-        if (known.ended()) {
-            log.atInfo().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
-                    "ignored a heartbeat of start %s, which has announced that it leaves", id);
-            return true;
-        }
         int proofs = heartbeat.sequence() > known.sequence() ? known.proofs() + 1 : known.proofs();
         if (proofs >= REQUIRED_PROOFS) {
             return false;
         }
         long sequence = Math.max(known.sequence(), heartbeat.sequence());
-        previous.put(id, new PreviousStart(known.startedAt(), false, sequence, proofs));
+        previous.put(id, new PreviousStart(known.startedAt(), sequence, proofs));
         return true;
     }
 
@@ -226,7 +267,7 @@
             return new DepartedStart(id, startedAt);
         }
         long lastStart = ofCurrent ? currentStart.startedAt() : Math.max(startedAt, previousStartOf(id));
-        previous.put(id, PreviousStart.ended(lastStart));
+        departed.merge(id, lastStart, Math::max);
         if (ofCurrent) {
             currentStart = NONE;
             lastAnnouncement.ifPresent(announced -> announce(new Announcement(
@@ -241,7 +282,8 @@
 
     private long previousStartOf(String id) {
         PreviousStart known = previous.get(id);
-        return known == null ? Heartbeat.UNKNOWN_START : known.startedAt();
+        long replaced = known == null ? Heartbeat.UNKNOWN_START : known.startedAt();
+        return Math.max(replaced, departed.getOrDefault(id, Heartbeat.UNKNOWN_START));
     }
 
     private void announce(Announcement announcement) {
--- a/src/main/java/io/beryldock/platform/OperatorDocument.java
+++ b/src/main/java/io/beryldock/platform/OperatorDocument.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import com.google.protobuf.ByteString;
 import io.beryldock.call.PriorityClass;
@@ -25,14 +26,15 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.concurrent.atomic.AtomicReference;
 
 /**
  * Decodes the configuration document in which the platform's operators maintain routes, services and limits.
  *
- * <p>Thread safe. The decoder also keeps the newest limits of the HTTP listeners, because the product's
- * configuration has no setting for them.
+ * <p>Thread safe. The decoder also keeps the newest limits of the HTTP listeners and the health paths of services,
+ * because the product's configuration has no setting for them.
  */
 final class OperatorDocument implements DocumentDecoder {
 
@@ -60,19 +62,24 @@
     private static final HttpServerLimits INITIAL_LIMITS =
             new HttpServerLimits(16 << 10, MAX_BODY_BYTES, Duration.ofSeconds(3), Duration.ofSeconds(15));
 
-    private final AtomicReference<VersionedLimits> newestLimits =
-            new AtomicReference<>(new VersionedLimits(0, INITIAL_LIMITS));
+    private final AtomicReference<Extract> newest =
+            new AtomicReference<>(new Extract(0, INITIAL_LIMITS, ImmutableMap.of()));
 
-    /** Limits with the version of the document that contains them. Immutable. */
-    private record VersionedLimits(long version, HttpServerLimits limits) {
+    /** What the product's configuration does not hold, with the version of its document. Immutable. */
+    private record Extract(long version, HttpServerLimits limits, ImmutableMap<ServiceName, String> healthPaths) {
 
-        static VersionedLimits newerOf(VersionedLimits one, VersionedLimits other) {
+        static Extract newerOf(Extract one, Extract other) {
             return other.version > one.version ? other : one;
         }
     }
 
     HttpServerLimits limits() {
-        return newestLimits.get().limits();
+        return newest.get().limits();
+    }
+
+    /** The path at which targets of the service tell their health; empty if no document names one. */
+    Optional<String> healthPath(ServiceName service) {
+        return Optional.ofNullable(newest.get().healthPaths().get(service));
     }
 
     @Override
@@ -88,12 +95,23 @@
         for (Map.Entry<String, JsonNode> route : root.path("routes").properties()) {
             addRoute(route.getValue(), settings);
         }
-        VersionedLimits limits = new VersionedLimits(version, limits(root.path("limits")));
+        Extract extract = new Extract(version, limits(root.path("limits")), healthPaths(root.path("services")));
         // A store restored from a backup may deliver an older document again.
-        newestLimits.accumulateAndGet(limits, VersionedLimits::newerOf);
+        newest.accumulateAndGet(extract, Extract::newerOf);
         return Configuration.imported(version, settings).withOrganisations(organisations(root.path("tenants")));
     }
 
+    private static ImmutableMap<ServiceName, String> healthPaths(JsonNode json) {
+        ImmutableMap.Builder<ServiceName, String> paths = ImmutableMap.builder();
+        for (Map.Entry<String, JsonNode> service : json.properties()) {
+            String path = service.getValue().path("healthPath").asText();
+            if (path.startsWith("/")) {
+                paths.put(ServiceName.of(service.getKey()), path);
+            }
+        }
+        return paths.buildOrThrow();
+    }
+
     private static OrganisationTable organisations(JsonNode json) {
         Map<Organisation, List<String>> keys = new LinkedHashMap<>();
         for (Map.Entry<String, JsonNode> entry : json.properties()) {
--- a/src/main/java/io/beryldock/platform/PlatformHeaders.java
+++ b/src/main/java/io/beryldock/platform/PlatformHeaders.java
@@ -17,6 +17,9 @@
     /** Id of the only start of the target that may run the request. */
     static final String EXPECTED_TARGET = "X-Beryldock-Expected-Instance";
 
+    /** Id of the start that answers a question after its health. */
+    static final String TARGET_ID = "X-Beryldock-Instance-Id";
+
     /** Marks a response with which the target refused the request without running it. */
     static final String NOT_EXECUTED = "X-Beryldock-Not-Executed";
 
--- a/src/main/java/io/beryldock/platform/PlatformModule.java
+++ b/src/main/java/io/beryldock/platform/PlatformModule.java
@@ -137,7 +137,8 @@
     @Provides
     @Singleton
     LocalTargets localTargets(ControlLoop control, TargetAnnouncements announcements, RegistryMembership departures) {
-        return new LocalTargets(control, announcements::announce, announcements::onTargetRestart, departures);
+        TargetHealth health = new HttpTargetHealth(targetClient, document::healthPath);
+        return new LocalTargets(control, announcements::announce, announcements::onTargetRestart, departures, health);
     }
 
     @Provides
--- a/src/main/java/io/beryldock/platform/SoakSurroundings.java
+++ b/src/main/java/io/beryldock/platform/SoakSurroundings.java
@@ -192,7 +192,10 @@
         route(routes, "browse", Use.BROWSE, false);
         route(routes, "part", Use.PART, true);
         publishedVersions.forEach(published -> route(routes, "v" + published, Use.PROBE, true));
-        document.putObject("services");
+        ObjectNode services = document.putObject("services");
+        for (Use use : Use.values()) {
+            services.putObject(use.service()).put("healthPath", SoakTarget.HEALTH_PATH);
+        }
         document.putObject("limits")
                 .put("maxHeaderBytes", SERVER_LIMITS.maxHeaderBytes())
                 .put("maxBodyBytes", SERVER_LIMITS.maxBodyBytes())
--- a/src/main/java/io/beryldock/platform/SoakTarget.java
+++ b/src/main/java/io/beryldock/platform/SoakTarget.java
@@ -25,6 +25,9 @@
  */
 final class SoakTarget {
 
+    /** Path at which the target tells whether its current start serves. */
+    static final String HEALTH_PATH = "/health";
+
     private static final int OK = 200;
     private static final int MISDIRECTED = 421;
     private static final int NOT_RUN = 503;
@@ -132,6 +135,10 @@
 
     /** Handles a request that arrives; it is answered later. */
     void handle(SoakExchange exchange) {
+        if (exchange.uri().equals(HEALTH_PATH)) {
+            exchange.answer(health(), SoakDefect.NONE);
+            return;
+        }
         Headers headers = exchange.headers();
         String request = headers.first(PlatformHeaders.REQUEST_ID).orElse("");
         events.arrived(place.number(), request, place.service());
@@ -156,6 +163,11 @@
         });
     }
 
+    private HttpAnswer health() {
+        Headers headers = Headers.empty().with(PlatformHeaders.TARGET_ID, id());
+        return HttpAnswer.of(hasDeparted() ? NOT_RUN : OK, headers, ByteString.EMPTY);
+    }
+
     private static HttpAnswer refusal(String request, int status) {
         Headers headers =
                 Headers.empty().with(PlatformHeaders.REQUEST_ID, request).with(PlatformHeaders.NOT_EXECUTED, "1");
--- a/src/test/java/io/beryldock/platform/FakeDepartures.java
+++ b/src/test/java/io/beryldock/platform/FakeDepartures.java
@@ -28,7 +28,12 @@
 
     /** Passes the departures to the readers that wait. */
     void recall() {
-        List.copyOf(readers).forEach(reader -> reader.accept(ImmutableList.copyOf(starts)));
+        recall(ImmutableList.copyOf(starts));
+    }
+
+    /** Passes departures to the readers that wait, as they were before some were added. */
+    void recall(ImmutableList<DepartedStart> found) {
+        List.copyOf(readers).forEach(reader -> reader.accept(found));
         readers.clear();
     }
 
--- a/src/test/java/io/beryldock/platform/LocalTargetsTest.java
+++ b/src/test/java/io/beryldock/platform/LocalTargetsTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.google.common.collect.ImmutableList;
 import io.beryldock.forwarding.Announcement;
 import io.beryldock.membership.TargetState;
 import java.util.ArrayList;
@@ -16,8 +17,8 @@
     private final List<Announcement> announced = new ArrayList<>();
     private final AtomicInteger newStarts = new AtomicInteger();
     private final FakeDepartures departures = new FakeDepartures();
-    private final LocalTargets targets =
-            new LocalTargets(Runnable::run, announced::add, newStarts::incrementAndGet, departures);
+    private CompletableFuture<Boolean> serving = CompletableFuture.completedFuture(true);
+    private final LocalTargets targets = create();
 
     @BeforeEach
     void start() {
@@ -25,12 +26,16 @@
         departures.recall();
     }
 
+    private LocalTargets create() {
+        return new LocalTargets(
+                Runnable::run, announced::add, newStarts::incrementAndGet, departures, (id, announcement) -> serving);
+    }
+
     /** Returns the targets of a process that has not read what earlier ones recorded. */
     private LocalTargets restarted() {
         departures.forgetReaders();
         announced.clear();
-        LocalTargets restarted =
-                new LocalTargets(Runnable::run, announced::add, newStarts::incrementAndGet, departures);
+        LocalTargets restarted = create();
         restarted.start();
         return restarted;
     }
@@ -223,6 +228,67 @@
         assertThat(restarted.current().orElseThrow().id()).isEqualTo("a");
     }
 
+    /** Guards against several heartbeats that were delayed together, after a departure that can't be read yet. */
+    @Test
+    void lateHeartbeatsBeforeTheRecallAreIgnored() {
+        ready("a", 7);
+        targets.onEnded("a", Heartbeat.UNKNOWN_START).join();
+        serving = CompletableFuture.completedFuture(false);
+        LocalTargets restarted = restarted();
+        for (int sequence = 4; sequence < 8; sequence++) {
+            ready(restarted, "a", sequence).join();
+        }
+        assertThat(restarted.current()).isEmpty();
+        assertThat(announced).isEmpty();
+    }
+
+    /** Guards against a target that is ready again because it was asked whether it serves before it left. */
+    @Test
+    void departureWhileTheTargetIsAskedIsFinal() {
+        serving = new CompletableFuture<>();
+        LocalTargets restarted = restarted();
+        for (int sequence = 8; sequence < 11; sequence++) {
+            ready(restarted, "a", sequence).join();
+        }
+        restarted.onEnded("a", Heartbeat.UNKNOWN_START).join();
+        serving.complete(true);
+        assertThat(restarted.current()).isEmpty();
+    }
+
+    /** Guards against a confirmed departure that an earlier heartbeat undoes once the store has answered. */
+    @Test
+    void drainingBeforeTheRecallIsFinal() {
+        LocalTargets restarted = restarted();
+        ready(restarted, "a", 8).join();
+        restarted
+                .onHeartbeat("a", heartbeat(9, TargetState.LEAVING, Heartbeat.UNKNOWN_START))
+                .join();
+        departures.recall(ImmutableList.of());
+        ready(restarted, "a", 8).join();
+        assertThat(announced).extracting(Announcement::state).doesNotContain(TargetState.READY);
+    }
+
+    /** Guards against a confirmed departure that is not applied because the start had been replaced. */
+    @Test
+    void replacedStartThatDrainsDoesNotBecomeCurrentAgain() {
+        ready("old", 8);
+        ready("new", 1);
+        heartbeat("old", 1, 9, TargetState.LEAVING);
+        for (int sequence = 10; sequence < 14; sequence++) {
+            ready("old", sequence);
+        }
+        assertThat(targets.current().orElseThrow().id()).isEqualTo("new");
+    }
+
+    /** Guards against a confirmed departure that is not applied because a later heartbeat had arrived before it. */
+    @Test
+    void drainingWithLowerSequenceIsApplied() {
+        ready("a", 9);
+        heartbeat("a", 1, 8, TargetState.LEAVING);
+        ready("a", 10);
+        assertThat(lastState()).isEqualTo(TargetState.LEAVING);
+    }
+
     @Test
     void startThatWasAcceptedWithoutRecallEndsIfItHadLeft() {
         ready("a", 7);
--- a/src/test/java/io/beryldock/platform/OperatorDocumentTest.java
+++ b/src/test/java/io/beryldock/platform/OperatorDocumentTest.java
@@ -27,7 +27,7 @@
                       "service":"lists","attempts":2},
               "deep":{"hostname":"a.example","pathPrefix":"/x/y/","type":"unsafe","timeoutS":1,"priority":0,
                       "trafficSplit":[{"service":"orders","weight":90},{"service":"lists","weight":10}],"attempts":3}},
-             "services":{},
+             "services":{"huvo11a":{"healthPath":"/health"},"odd":{"healthPath":7}},
              "limits":{"maxHeaderBytes":2048,"maxBodyBytes":67108864,"headerTimeoutS":3,"idleTimeoutS":15},
              "baseVersion":"0000001e","somethingNew":true}
             """;
@@ -38,6 +38,14 @@
         return decoder.decode(ByteString.copyFromUtf8(TEXT));
     }
 
+    @Test
+    void healthPathsOfServicesAreKnown() throws ConfigurationException {
+        decoded();
+        assertThat(decoder.healthPath(ServiceName.of("huvo11a"))).hasValue("/health");
+        assertThat(decoder.healthPath(ServiceName.of("odd"))).isEmpty();
+        assertThat(decoder.healthPath(ServiceName.of("other"))).isEmpty();
+    }
+
     @Test
     void versionIsHexadecimal() throws ConfigurationException {
         assertThat(decoded().version()).isEqualTo(31);
