--- a/src/main/java/io/beryldock/platform/SoakTarget.java
+++ b/src/main/java/io/beryldock/platform/SoakTarget.java
@@ -77,7 +77,7 @@
     }
 
     private synchronized String id(SoakConditions conditions) {
-        return "soak-target-" + place.number() + "-" + conditions.start() + "-" + replacements;
+        return departedStart.orElse("soak-target-" + place.number() + "-" + conditions.start() + "-" + replacements);
     }
 
     /** Has the current start depart, which serves on; returns its id, or empty if it has departed already. */
@@ -91,12 +91,13 @@
 
     /** Whether the current start has departed. */
     synchronized boolean hasDeparted() {
-        return departedStart.filter(id()::equals).isPresent();
+        return departedStart.isPresent();
     }
 
     /** Begins the next start if the current one has departed. */
     synchronized void startAnew() {
         if (hasDeparted()) {
+            departedStart = Optional.empty();
             replacements++;
             events.targetStarted(place.number());
         }
@@ -104,7 +105,7 @@
 
     /** Reports that the node has confirmed the departure of the start, unless the next one has begun. */
     synchronized void onDepartureConfirmed(String start) {
-        if (departedStart.filter(start::equals).isPresent() && hasDeparted()) {
+        if (departedStart.filter(start::equals).isPresent()) {
             events.departureConfirmed(place.number());
         }
     }
@@ -115,11 +116,14 @@
         return request.first(PlatformHeaders.EXPECTED_TARGET).orElse(current).equals(current);
     }
 
-    /** Returns what the target names now; reports the next start before anything is named in it. */
+    /**
+     * Returns what the target names now; reports the next start before anything is named in it. A start that has departed
+     * stays until it is replaced.
+     */
     private synchronized SoakConditions conditions() {
         Duration age = Duration.ofNanos(timers.ticker().nanos() - createdAt);
         SoakConditions conditions = SoakConditions.at(profile, place.number(), age);
-        if (conditions.start() > lastStart) {
+        if (conditions.start() > lastStart && !hasDeparted()) {
             lastStart = conditions.start();
             events.targetStarted(place.number());
         }
--- a/src/main/java/io/beryldock/platform/StandinStore.java
+++ b/src/main/java/io/beryldock/platform/StandinStore.java
@@ -34,7 +34,7 @@
     private static final int UNAVAILABLE = 503;
 
     /** Delays of late writes, one after the other. */
-    private static final long[] LATE_MILLIS = {1_500, 4_000, 2_500, 6_000};
+    private static final long[] LATE_MILLIS = {4_000, 2_500, 5_000, 1_500};
 
     private final TimerService timers;
     private final TreeMap<String, Item> items = new TreeMap<>();
--- a/src/main/java/io/beryldock/soak/FaultPlanner.java
+++ b/src/main/java/io/beryldock/soak/FaultPlanner.java
@@ -67,26 +67,23 @@
     private static final Duration CHANGE_PERIOD = Duration.ofSeconds(7);
 
     /** How long a departed target serves on: beyond the bound of its departure, with time for a restart of its node. */
-    private static final int SHORTEST_DEPARTURE_MILLIS = 5_000;
+    private static final int SHORTEST_DEPARTURE_MILLIS = 6_000;
 
     private static final int LONGEST_DEPARTURE_MILLIS = 12_000;
 
     /** Time between the next start of a target and its next departure. */
     private static final int SHORTEST_STAY_MILLIS = 1_200;
 
-    private static final int LONGEST_STAY_MILLIS = 3_500;
+    private static final int LONGEST_STAY_MILLIS = 2_500;
 
-    /**
-     * Delay from a departure to the fault of its node, which usually has confirmed the departure by then; late writes
-     * have been applied at the end of it.
-     */
-    private static final int LONGEST_FAULT_DELAY_MILLIS = 5_000;
+    /** Time after a departure at which most writes that were late before it have been applied. */
+    private static final int LATE_WRITES_APPLIED_MILLIS = 3_500;
 
     /** A node that is killed is down for so long at most. */
     private static final int LONGEST_DOWN_MILLIS = 800;
 
-    /** Writes of a next start are late, so that they are applied after its departure has been confirmed. */
-    private static final Duration LATE_WRITES = Duration.ofMillis(2_500);
+    /** Time in which the node writes the record of the target's next start; its write of the departure is not late. */
+    private static final Duration LATE_WRITES = Duration.ofMillis(1_200);
 
     /** Time for which a restarted node can't reach the store. */
     private static final Duration SILENT_STORE = Duration.ofSeconds(6);
@@ -186,22 +183,30 @@
     private void addDepartures(Duration from, Duration until) {
         int node = departures.nextInt(nodes);
         Duration at = from;
-        while (at.plusMillis(SHORTEST_DEPARTURE_MILLIS).compareTo(until) < 0) {
-            Duration drawn = Duration.ofMillis(departures.nextInt(SHORTEST_DEPARTURE_MILLIS, LONGEST_DEPARTURE_MILLIS));
-            Duration length = Comparators.min(drawn, until.minus(at));
+        boolean afterLateWrites = false;
+        while (at.plusMillis(LONGEST_DEPARTURE_MILLIS).compareTo(until) < 0) {
+            Duration length = departureMillis(SHORTEST_DEPARTURE_MILLIS, LONGEST_DEPARTURE_MILLIS);
             faults.add(new PlannedFault(at, length, FaultAction.TARGET_LEAVES, node));
-            addNodeFault(at.plusMillis(1 + departures.nextInt(LONGEST_FAULT_DELAY_MILLIS)), until, node);
+            Duration delay = afterLateWrites
+                    ? departureMillis(LATE_WRITES_APPLIED_MILLIS, SHORTEST_DEPARTURE_MILLIS)
+                    : departureMillis(1, LATE_WRITES_APPLIED_MILLIS);
+            addNodeFault(at.plus(delay), until, node);
             at = at.plus(length);
-            if (departures.nextBoolean() && at.plus(LATE_WRITES).compareTo(until) < 0) {
+            afterLateWrites = departures.nextBoolean();
+            if (afterLateWrites) {
                 faults.add(new PlannedFault(at, LATE_WRITES, FaultAction.STORE_WRITES_LATE, 0));
             }
-            at = at.plusMillis(departures.nextInt(SHORTEST_STAY_MILLIS, LONGEST_STAY_MILLIS));
+            at = at.plus(departureMillis(SHORTEST_STAY_MILLIS, LONGEST_STAY_MILLIS));
         }
     }
 
+    private Duration departureMillis(int from, int to) {
+        return Duration.ofMillis(departures.nextInt(from, to));
+    }
+
     /** Adds a kill of the node, with the store in good order, out of its reach or without leases. */
     private void addNodeFault(Duration at, Duration until, int node) {
-        Duration down = Duration.ofMillis(departures.nextInt(SHORTEST_MILLIS, LONGEST_DOWN_MILLIS));
+        Duration down = departureMillis(SHORTEST_MILLIS, LONGEST_DOWN_MILLIS);
         int storeFault = departures.nextInt(4);
         if (at.plus(SILENT_STORE).compareTo(until) >= 0) {
             return;
