A late notice of a departure doesn't replace the next start; failures of the question are logged

Found on reading again: 'draining' of a start that had departed and been replaced made it current again, and the next start had to prove itself. lateDrainingOfEndedStartDoesNotReplaceTheNewStart fails there and passes.

--- a/src/main/java/io/beryldock/platform/HttpTargetHealth.java
+++ b/src/main/java/io/beryldock/platform/HttpTargetHealth.java
@@ -42,8 +42,13 @@
         }
         Headers headers = Headers.empty().with(PlatformHeaders.HOST, announcement.address());
         HttpCall question = HttpCall.of("GET", path.get(), headers, ByteString.EMPTY);
-        return client.send(announcement.socketAddress(), question, TIMEOUT)
-                .handle((reply, failure) -> failure == null && isFrom(id, reply));
+        return client.send(announcement.socketAddress(), question, TIMEOUT).handle((reply, failure) -> {
+            if (failure != null) {
+                log.atInfo().withCause(failure).atMostEvery(LOG_SECONDS, TimeUnit.SECONDS).log(
+                        "start %s gives no answer at its health path; its next heartbeat asks again", id);
+            }
+            return failure == null && isFrom(id, reply);
+        });
     }
 
     private static boolean isFrom(String id, HttpReply reply) {
--- a/src/main/java/io/beryldock/platform/LocalTargets.java
+++ b/src/main/java/io/beryldock/platform/LocalTargets.java
@@ -159,14 +159,16 @@
 
     private void apply(String id, Heartbeat heartbeat) {
         boolean leaving = heartbeat.announcement().state() == TargetState.LEAVING;
-        if (leaving) {
-            departed.merge(id, heartbeat.startedAtMillis(), Math::max);
-        } else if (hasDeparted(id, heartbeat.startedAtMillis())) {
+        boolean ofCurrent = isCurrent(id, heartbeat.startedAtMillis());
+        if (hasDeparted(id, heartbeat.startedAtMillis()) && !(leaving && ofCurrent)) {
             log.atInfo().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
                     "ignored a heartbeat of start %s, which has announced that it leaves", id);
             return;
         }
-        if (isCurrent(id, heartbeat.startedAtMillis())) {
+        if (leaving) {
+            departed.merge(id, heartbeat.startedAtMillis(), Math::max);
+        }
+        if (ofCurrent) {
             applyToCurrent(heartbeat, leaving);
             return;
         }
@@ -201,16 +203,20 @@
     /** Makes the unknown start current if it says that it serves and nothing else has been learnt meanwhile. */
     private void verify(String id, Heartbeat heartbeat) {
         health.isServing(id, heartbeat.announcement())
-                .thenAcceptAsync(
-                        serving -> {
-                            boolean stillUnknown = !recalled
-                                    && !isCurrent(id, heartbeat.startedAtMillis())
-                                    && !hasDeparted(id, heartbeat.startedAtMillis());
-                            if (serving && stillUnknown) {
-                                replaceCurrent(id, heartbeat);
-                            }
-                        },
-                        control);
+                .thenAcceptAsync(serving -> onVerified(id, heartbeat, serving), control)
+                .exceptionally(failure -> {
+                    log.atSevere().withCause(failure).log("start %s of the target could not be made current", id);
+                    return null;
+                });
+    }
+
+    private void onVerified(String id, Heartbeat heartbeat, boolean serving) {
+        boolean stillUnknown = !recalled
+                && !isCurrent(id, heartbeat.startedAtMillis())
+                && !hasDeparted(id, heartbeat.startedAtMillis());
+        if (serving && stillUnknown) {
+            replaceCurrent(id, heartbeat);
+        }
     }
 
     private boolean isCurrent(String id, long startedAt) {
--- a/src/test/java/io/beryldock/platform/LocalTargetsTest.java
+++ b/src/test/java/io/beryldock/platform/LocalTargetsTest.java
@@ -280,6 +280,17 @@
         assertThat(targets.current().orElseThrow().id()).isEqualTo("new");
     }
 
+    /** Guards against a new start without work, because a notice of the earlier start's departure arrived late. */
+    @Test
+    void lateDrainingOfEndedStartDoesNotReplaceTheNewStart() {
+        ready("old", 8);
+        targets.onEnded("old", Heartbeat.UNKNOWN_START).join();
+        ready("new", 1);
+        heartbeat("old", 1, 9, TargetState.LEAVING);
+        assertThat(targets.current().orElseThrow().id()).isEqualTo("new");
+        assertThat(lastState()).isEqualTo(TargetState.READY);
+    }
+
     /** Guards against a confirmed departure that is not applied because a later heartbeat had arrived before it. */
     @Test
     void drainingWithLowerSequenceIsApplied() {
