--- a/src/main/java/io/beryldock/platform/SoakTarget.java
+++ b/src/main/java/io/beryldock/platform/SoakTarget.java
@@ -117,8 +117,8 @@
     }
 
     /**
-     * Returns what the target names now; reports the next start before anything is named in it. A start that has departed
-     * stays until it is replaced.
+     * Returns what the target names now; reports the next start before anything is named in it. A start that has
+     * departed stays until it is replaced.
      */
     private synchronized SoakConditions conditions() {
         Duration age = Duration.ofNanos(timers.ticker().nanos() - createdAt);
--- a/src/main/java/io/beryldock/soak/FaultExecutor.java
+++ b/src/main/java/io/beryldock/soak/FaultExecutor.java
@@ -125,6 +125,17 @@
             case PAUSED -> place.node().resume();
             case KILLED -> start(place);
             case ALL_KILLED -> startAll();
+            default -> endAround(place, fault.action());
+        }
+        if (fault.action().isUnplanned()) {
+            ImmutableSet<Integer> harmed = harmedNodes(fault);
+            ledger.add(at -> new SoakEvent.FaultEnded(at, harmed));
+        }
+    }
+
+    /** Ends what harmed no process of a node. */
+    private void endAround(SoakPlace place, FaultAction action) {
+        switch (action) {
             case STORE_SILENT_FOR_ALL -> places.forEach(each -> each.heal(Link.STORE, LinkState.SILENT));
             case STORE_REFUSING, STORE_ANSWERS_LOST -> surroundings.setStore(StoreState.SOUND);
             case STORE_RESTORED -> {
@@ -135,13 +146,9 @@
             case STORE_WRITES_LATE -> surroundings.setWritesLate(false);
             case TARGET_LEAVES -> surroundings.startAnew(place.place());
             case STORE_LEASES_LAPSED, STORE_HISTORY_FORGOTTEN -> {}
-            case RESPONSES_REPEATED, RESPONSES_BROKEN, RESPONSES_ENDLESS -> setResponseFault(fault.action(), false);
+            case RESPONSES_REPEATED, RESPONSES_BROKEN, RESPONSES_ENDLESS -> setResponseFault(action, false);
             case STOPPED_AS_PLANNED, DOCUMENT_WRITTEN, KEY_REMOVED -> {}
-            default -> place.heal(fault.action().link(), fault.action().state());
-        }
-        if (fault.action().isUnplanned()) {
-            ImmutableSet<Integer> harmed = harmedNodes(fault);
-            ledger.add(at -> new SoakEvent.FaultEnded(at, harmed));
+            default -> place.heal(action.link(), action.state());
         }
     }
 
