Departures are encoded and read by the class that holds them

RegistryRecord parsed two messages with a parser of each, and every caller of encode() made bytes of its result. No change of behaviour.

--- a/src/main/java/io/beryldock/membership/RecordedDepartures.java
+++ b/src/main/java/io/beryldock/membership/RecordedDepartures.java
@@ -1,8 +1,11 @@
 package io.beryldock.membership;
 
 import com.google.common.collect.ImmutableList;
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
 import io.beryldock.wire.MembershipDeparture;
 import io.beryldock.wire.MembershipDepartures;
+import io.beryldock.wire.MembershipRecord;
 import java.util.ArrayDeque;
 import java.util.Collection;
 import java.util.Deque;
@@ -72,14 +75,25 @@
         });
     }
 
-    MembershipDepartures encode() {
+    /** The value of the entry of departures. */
+    ByteString encode() {
         MembershipDepartures.Builder encoded = MembershipDepartures.newBuilder();
         starts.forEach(start -> encoded.addDepartures(
                 MembershipDeparture.newBuilder().setId(start.id()).setStartedAtMillis(start.startedAtMillis())));
-        return encoded.build();
+        return encoded.build().toByteString();
     }
 
-    static ImmutableList<DepartedStart> decode(List<MembershipDeparture> departures) {
+    /** Reads the value of an entry of departures. */
+    static ImmutableList<DepartedStart> decode(ByteString value) throws InvalidProtocolBufferException {
+        return decode(MembershipDepartures.parseFrom(value).getDeparturesList());
+    }
+
+    /** Reads the departures in the value of a node's record, where earlier versions kept them. */
+    static ImmutableList<DepartedStart> decodeRecord(ByteString value) throws InvalidProtocolBufferException {
+        return decode(MembershipRecord.parseFrom(value).getDeparturesList());
+    }
+
+    private static ImmutableList<DepartedStart> decode(List<MembershipDeparture> departures) {
         return departures.stream()
                 .map(departure -> new DepartedStart(departure.getId(), departure.getStartedAtMillis()))
                 .collect(ImmutableList.toImmutableList());
--- a/src/main/java/io/beryldock/membership/RegistryRecord.java
+++ b/src/main/java/io/beryldock/membership/RegistryRecord.java
@@ -14,11 +14,7 @@
 import io.beryldock.time.Jitter;
 import io.beryldock.time.TimerService;
 import io.beryldock.time.TimerThread;
-import io.beryldock.wire.MembershipDeparture;
-import io.beryldock.wire.MembershipDepartures;
-import io.beryldock.wire.MembershipRecord;
 import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
@@ -166,8 +162,7 @@
     }
 
     private boolean areDeparturesStored() {
-        return departures.starts().isEmpty()
-                || departuresEntry.holds(departures.encode().toByteString());
+        return departures.starts().isEmpty() || departuresEntry.holds(departures.encode());
     }
 
     /** Whether the store holds the record under the current lease; a node that has left needs none. */
@@ -221,29 +216,27 @@
     }
 
     private ImmutableList<DepartedStart> readDepartures() {
-        ImmutableList.Builder<DepartedStart> found = ImmutableList.builder();
-        entry.value()
-                .ifPresent(value -> found.addAll(
-                        decode(key(), () -> MembershipRecord.parseFrom(value).getDeparturesList())));
-        departuresEntry
-                .value()
-                .ifPresent(value -> found.addAll(decode(
-                        departuresEntry.key(),
-                        () -> MembershipDepartures.parseFrom(value).getDeparturesList())));
-        return found.build();
-    }
-
-    /** Parses the departures in a value. */
+        return ImmutableList.<DepartedStart>builder()
+                .addAll(decode(entry, RecordedDepartures::decodeRecord))
+                .addAll(decode(departuresEntry, RecordedDepartures::decode))
+                .build();
+    }
+
+    /** Reads the departures in the value of an entry. */
     @FunctionalInterface
-    private interface DeparturesParser {
-        List<MembershipDeparture> parse() throws InvalidProtocolBufferException;
+    private interface DeparturesDecoder {
+        ImmutableList<DepartedStart> decode(ByteString value) throws InvalidProtocolBufferException;
     }
 
-    private static ImmutableList<DepartedStart> decode(String key, DeparturesParser parser) {
+    private static ImmutableList<DepartedStart> decode(OwnEntry source, DeparturesDecoder decoder) {
+        if (source.value().isEmpty()) {
+            return ImmutableList.of();
+        }
         try {
-            return RecordedDepartures.decode(parser.parse());
+            return decoder.decode(source.value().get());
         } catch (InvalidProtocolBufferException e) {
-            log.atWarning().withCause(e).log("ignoring entry %s, which this node replaces: not a valid value", key);
+            log.atWarning().withCause(e).log(
+                    "ignoring entry %s, which this node replaces: not a valid value", source.key());
             return ImmutableList.of();
         }
     }
@@ -271,7 +264,7 @@
         long writtenLease = lease;
         ImmutableList.Builder<ConditionalWrite> writes = ImmutableList.builder();
         if (!areDeparturesStored()) {
-            writes.add(departuresEntry.replacement(departures.encode().toByteString(), RegistryStore.NO_LEASE));
+            writes.add(departuresEntry.replacement(departures.encode(), RegistryStore.NO_LEASE));
         }
         if (!isRecordStored()) {
             writes.add(entry.replacement(encode(), lease));
--- a/src/main/java/io/beryldock/platform/KvWrites.java
+++ b/src/main/java/io/beryldock/platform/KvWrites.java
@@ -10,7 +10,7 @@
 import io.beryldock.store.WriteResult;
 import java.util.concurrent.CompletionException;
 
-/** Maps the store's response to a conditional write to a {@link WriteResult}. Stateless, thread safe. */
+/** Maps the store's response to conditional writes to their results. Stateless, thread safe. */
 final class KvWrites {
 
     private static final int OK = 200;
--- a/src/test/java/io/beryldock/membership/RecordedDeparturesTest.java
+++ b/src/test/java/io/beryldock/membership/RecordedDeparturesTest.java
@@ -3,6 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.google.common.collect.ImmutableList;
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.beryldock.wire.MembershipDeparture;
+import io.beryldock.wire.MembershipRecord;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
@@ -47,18 +50,27 @@
         departures.add(start(most));
         ImmutableList<DepartedStart> earlier = starts(0, most - 1);
         departures.addEarlier(ImmutableList.<DepartedStart>builder()
+                .addAll(earlier.subList(0, 2))
                 .add(start(most))
-                .addAll(earlier)
+                .addAll(earlier.subList(2, most))
                 .build());
         assertThat(departures.starts()).isEqualTo(starts(1, most));
         assertThat(departures.stored(start(1))).isCompleted();
     }
 
     @Test
-    void encodedDeparturesAreDecoded() {
+    void encodedDeparturesAreDecoded() throws InvalidProtocolBufferException {
         departures.add(start(1));
         departures.add(new DepartedStart("unknown", 0));
-        assertThat(RecordedDepartures.decode(departures.encode().getDeparturesList()))
-                .isEqualTo(departures.starts());
+        assertThat(RecordedDepartures.decode(departures.encode())).isEqualTo(departures.starts());
+    }
+
+    /** Guards against departures that are forgotten when a node is upgraded beside a leaving target. */
+    @Test
+    void departuresInRecordOfEarlierVersionAreRead() throws InvalidProtocolBufferException {
+        MembershipRecord record = MembershipRecord.newBuilder()
+                .addDepartures(MembershipDeparture.newBuilder().setId("i-1").setStartedAtMillis(1))
+                .build();
+        assertThat(RecordedDepartures.decodeRecord(record.toByteString())).containsExactly(start(1));
     }
 }
