--- a/src/main/java/io/beryldock/platform/SoakHeartbeats.java
+++ b/src/main/java/io/beryldock/platform/SoakHeartbeats.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.flogger.FluentLogger;
-import com.google.common.net.HostAndPort;
 import com.google.protobuf.ByteString;
 import io.beryldock.call.Headers;
 import io.beryldock.nettyhttp.HttpCall;
@@ -115,13 +114,7 @@
     }
 
     private HttpCall heartbeat(Start start, String state, long number) {
-        ObjectNode body = Json.object()
-                .put(
-                        "address",
-                        HostAndPort.fromParts(
-                                        start.target().getAddress().getHostAddress(),
-                                        start.target().getPort())
-                                .toString());
+        ObjectNode body = Json.object().put("address", SoakSurroundings.text(start.target()));
         body.putObject("info")
                 .put("service", start.place().service())
                 .put("version", "v1")
--- a/src/main/java/io/beryldock/platform/SoakSurroundings.java
+++ b/src/main/java/io/beryldock/platform/SoakSurroundings.java
@@ -145,7 +145,8 @@
         targets.get(place.number()).startAnew();
     }
 
-    private static String text(InetSocketAddress address) {
+    /** The address as settings and heartbeats contain it. */
+    static String text(InetSocketAddress address) {
         return HostAndPort.fromParts(address.getAddress().getHostAddress(), address.getPort())
                 .toString();
     }
--- a/src/main/java/io/beryldock/soak/FaultPlanner.java
+++ b/src/main/java/io/beryldock/soak/FaultPlanner.java
@@ -201,7 +201,7 @@
     }
 
     private Duration departureMillis(int from, int to) {
-        return Duration.ofMillis(departures.nextInt(from, to));
+        return millis(departures, from, to);
     }
 
     /** Adds a kill of the node, with the store in good order, out of its reach or without leases. */
@@ -242,6 +242,10 @@
     }
 
     private Duration millis(int from, int to) {
-        return Duration.ofMillis(random.nextInt(from, to));
+        return millis(random, from, to);
+    }
+
+    private static Duration millis(SplittableRandom source, int from, int to) {
+        return Duration.ofMillis(source.nextInt(from, to));
     }
 }
