The end of a later start under the current id is recorded for that start

Callers saw (on an injected clock): requests at a target that had said it leaves. A target restarts under its id; its first heartbeat is late, its DELETE with its own start time arrives before it and is confirmed. The notice was applied to the start that was current, and recorded with that start's time. The late heartbeat, with the later time, then counted as one of a new start: ready again, in this process and in the next one.

Hits deployments whose heartbeats tell a start time only.

--- a/src/main/java/io/beryldock/platform/LocalTargets.java
+++ b/src/main/java/io/beryldock/platform/LocalTargets.java
@@ -272,7 +272,7 @@
             // A late notice: an earlier start under the same id has ended.
             return new DepartedStart(id, startedAt);
         }
-        long lastStart = ofCurrent ? currentStart.startedAt() : Math.max(startedAt, previousStartOf(id));
+        long lastStart = Math.max(startedAt, ofCurrent ? currentStart.startedAt() : previousStartOf(id));
         departed.merge(id, lastStart, Math::max);
         if (ofCurrent) {
             currentStart = NONE;
--- a/src/test/java/io/beryldock/platform/LocalTargetsTest.java
+++ b/src/test/java/io/beryldock/platform/LocalTargetsTest.java
@@ -350,4 +350,17 @@
         assertThat(draining).isCompleted();
         assertThat(ended).isCompleted();
     }
+
+    /** Guards against a departed target that is ready again, as its departure was recorded for an earlier start. */
+    @Test
+    void endOfALaterStartUnderTheSameIdCoversItsLateHeartbeats() {
+        heartbeatOfStart("a", 1, 40, TargetState.READY, 1_000);
+        targets.onEnded("a", 2_000).join();
+        heartbeatOfStart("a", 1, 1, TargetState.READY, 2_000);
+        assertThat(lastState()).isEqualTo(TargetState.LEAVING);
+        LocalTargets restarted = restarted();
+        departures.recall();
+        restarted.onHeartbeat("a", heartbeat(2, TargetState.READY, 2_000)).join();
+        assertThat(restarted.current()).isEmpty();
+    }
 }
