--- a/src/main/java/io/beryldock/membership/RecordedDepartures.java
+++ b/src/main/java/io/beryldock/membership/RecordedDepartures.java
@@ -12,12 +12,14 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
 /**
  * The departures that this node records in the store, and the futures of those that the store does not hold yet.
  *
- * <p>Confined to the control thread. Invariant: at most {@link #MAX_STARTS} departures are held, the latest ones.
+ * <p>Confined to the control thread. Invariants: at most {@link #MAX_STARTS} departures are held, the latest ones, and one for
+ * each id, as the departure of a start covers earlier starts under its id.
  */
 final class RecordedDepartures {
 
@@ -33,17 +35,24 @@
 
     /** Adds a departure and returns whether it was unknown. */
     boolean add(DepartedStart start) {
-        if (starts.contains(start)) {
+        Optional<DepartedStart> known = findById(start.id());
+        if (known.filter(held -> held.covers(start)).isPresent()) {
             return false;
         }
+        CompletableFuture<Void> waiting = known.map(unstored::remove).orElseGet(CompletableFuture::new);
+        known.ifPresent(starts::remove);
         starts.addLast(start);
-        unstored.put(start, new CompletableFuture<>());
+        unstored.put(start, waiting);
         if (starts.size() > MAX_STARTS) {
             dropOldest();
         }
         return true;
     }
 
+    private Optional<DepartedStart> findById(String id) {
+        return starts.stream().filter(start -> start.id().equals(id)).findAny();
+    }
+
     private void dropOldest() {
         CompletableFuture<Void> waiting = unstored.remove(starts.removeFirst());
         if (waiting != null) {
@@ -55,15 +64,30 @@
     /** Adds the departures that the store holds already, before all others. */
     void addEarlier(ImmutableList<DepartedStart> stored) {
         for (DepartedStart start : stored.reverse()) {
-            if (!starts.contains(start) && starts.size() < MAX_STARTS) {
+            Optional<DepartedStart> known = findById(start.id());
+            if (known.isPresent()) {
+                replaceIfCovered(known.get(), start);
+            } else if (starts.size() < MAX_STARTS) {
                 starts.addFirst(start);
             }
         }
     }
 
-    /** Completes once the store holds the departure. */
+    private void replaceIfCovered(DepartedStart known, DepartedStart start) {
+        if (known.covers(start)) {
+            return;
+        }
+        starts.remove(known);
+        starts.addFirst(start);
+        CompletableFuture<Void> waiting = unstored.remove(known);
+        if (waiting != null) {
+            unstored.put(start, waiting);
+        }
+    }
+
+    /** Completes once the store holds the departure, or that of a later start under the same id. */
     CompletableFuture<Void> stored(DepartedStart start) {
-        return unstored.getOrDefault(start, CompletableFuture.completedFuture(null));
+        return findById(start.id()).map(unstored::get).orElseGet(() -> CompletableFuture.completedFuture(null));
     }
 
     void onStored(Collection<DepartedStart> written) {
--- a/src/test/java/io/beryldock/membership/RecordedDeparturesTest.java
+++ b/src/test/java/io/beryldock/membership/RecordedDeparturesTest.java
@@ -58,6 +58,38 @@
         assertThat(departures.stored(start(1))).isCompleted();
     }
 
+    /** Guards against departures of other starts that the repeated notices of one target displace. */
+    @Test
+    void departureOfALaterStartReplacesThoseUnderItsId() {
+        departures.add(new DepartedStart("a", 1));
+        departures.add(new DepartedStart("b", 1));
+        departures.add(new DepartedStart("a", 2));
+        departures.add(new DepartedStart("a", 1));
+        assertThat(departures.starts()).containsExactly(new DepartedStart("b", 1), new DepartedStart("a", 2));
+    }
+
+    /** Guards against a notice without a confirmation, because a repeated notice replaced its departure. */
+    @Test
+    void replacedDepartureIsStoredWithTheOneThatReplacesIt() {
+        departures.add(new DepartedStart("a", 1));
+        CompletableFuture<Void> first = departures.stored(new DepartedStart("a", 1));
+        departures.add(new DepartedStart("a", 2));
+        CompletableFuture<Void> repeated = departures.stored(new DepartedStart("a", 1));
+        assertThat(first).isNotDone();
+        assertThat(repeated).isNotDone();
+        departures.onStored(departures.starts());
+        assertThat(first).isCompleted();
+        assertThat(repeated).isCompleted();
+    }
+
+    /** Guards against a later start under the same id that the departure of an earlier process displaces. */
+    @Test
+    void earlierDepartureUnderTheSameIdIsNotAdded() {
+        departures.add(new DepartedStart("a", 2));
+        departures.addEarlier(ImmutableList.of(new DepartedStart("a", 1)));
+        assertThat(departures.starts()).containsExactly(new DepartedStart("a", 2));
+    }
+
     @Test
     void encodedDeparturesAreDecoded() throws InvalidProtocolBufferException {
         departures.add(start(1));
