A departure without a start time covers heartbeats that tell one

Callers saw (on an injected clock): requests at a target that had left. A node is killed beside a leaving target; the first that the next process hears of it is DELETE, which is confirmed, then a delayed heartbeat. On deployments whose heartbeats tell their start time, and as the users' example of DELETE has no body, the departure was recorded with time 0, and the heartbeat, of a later time, was taken for one of a new start.

A notice without a start time is now recorded with the time at which it was received: whatever start sent it began before that, and a later one under the same id tells a later time. Where heartbeats tell no times nothing changes.

endWithoutStartTimeCoversHeartbeatsThatTellIt, ...BeforeTheRecall... and ...CoversALaterStartUnderTheSameId failed before. A wall clock that is stepped ahead makes the departure cover a start under the same id that begins within the step; that target waits for another id.

--- a/src/main/java/io/beryldock/platform/LocalTargets.java
+++ b/src/main/java/io/beryldock/platform/LocalTargets.java
@@ -6,15 +6,18 @@
 import io.beryldock.membership.DepartedStart;
 import io.beryldock.membership.TargetDepartures;
 import io.beryldock.membership.TargetState;
+import io.beryldock.time.Moment;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
+import java.util.stream.LongStream;
 
 /**
  * Tracks which start of the target in this VM is the current one.
@@ -51,6 +54,7 @@
     private final Runnable onNewStart;
     private final TargetDepartures departures;
     private final TargetHealth health;
+    private final Moment.Source clock;
     private final Map<String, PreviousStart> previous = new BoundedMap<>();
 
     /** The start times of starts that have announced their departure, by id. */
@@ -73,12 +77,14 @@
             Consumer<Announcement> announcements,
             Runnable onNewStart,
             TargetDepartures departures,
-            TargetHealth health) {
+            TargetHealth health,
+            Moment.Source clock) {
         this.control = control;
         this.announcements = announcements;
         this.onNewStart = onNewStart;
         this.departures = departures;
         this.health = health;
+        this.clock = clock;
     }
 
     /** Reads what earlier processes of this node have recorded. */
@@ -140,7 +146,8 @@
      */
     CompletableFuture<Void> onEnded(String id, long startedAt) {
         log.atInfo().log("start %s of the target ends", id);
-        return onControl(() -> departures.add(endStart(id, startedAt)));
+        boolean startKnown = startedAt != Heartbeat.UNKNOWN_START;
+        return onControl(() -> departures.add(endStart(id, startKnown ? startedAt : latestStartOf(id))));
     }
 
     private CompletableFuture<Void> onControl(Supplier<CompletableFuture<Void>> task) {
@@ -264,17 +271,12 @@
         return true;
     }
 
-    /** Ends a start and returns it with its start time, which the notice of its end may lack. */
+    /** Ends a start and returns its departure. */
     private DepartedStart endStart(String id, long startedAt) {
-        boolean ofCurrent = id.equals(currentStart.id());
-        boolean startKnown = startedAt != Heartbeat.UNKNOWN_START;
-        if (ofCurrent && startKnown && startedAt < currentStart.startedAt()) {
-            // A late notice: an earlier start under the same id has ended.
-            return new DepartedStart(id, startedAt);
-        }
-        long lastStart = Math.max(startedAt, ofCurrent ? currentStart.startedAt() : previousStartOf(id));
-        departed.merge(id, lastStart, Math::max);
-        if (ofCurrent) {
+        DepartedStart start = new DepartedStart(id, startedAt);
+        departed.merge(id, startedAt, Math::max);
+        // A late notice may be of an earlier start under the same id.
+        if (start.covers(new DepartedStart(currentStart.id(), currentStart.startedAt()))) {
             currentStart = NONE;
             lastAnnouncement.ifPresent(announced -> announce(new Announcement(
                     announced.service(),
@@ -283,13 +285,31 @@
                     TargetState.LEAVING,
                     announced.start())));
         }
-        return new DepartedStart(id, lastStart);
+        return start;
     }
 
-    private long previousStartOf(String id) {
-        PreviousStart known = previous.get(id);
-        long replaced = known == null ? Heartbeat.UNKNOWN_START : known.startedAt();
-        return Math.max(replaced, departed.getOrDefault(id, Heartbeat.UNKNOWN_START));
+    /**
+     * Returns the latest start time that the sender of a notice without one may have.
+     *
+     * <p>Notices may lack the start time that heartbeats contain. The sender may be a start whose heartbeats have not
+     * arrived yet; all of its start times are before now.
+     */
+    private long latestStartOf(String id) {
+        OptionalLong known = knownStartOf(id);
+        boolean withoutStartTimes = known.isPresent() && known.getAsLong() == Heartbeat.UNKNOWN_START;
+        return withoutStartTimes
+                ? Heartbeat.UNKNOWN_START
+                : Math.max(known.orElse(Heartbeat.UNKNOWN_START), clock.now().wallMillis());
+    }
+
+    private OptionalLong knownStartOf(String id) {
+        LongStream.Builder known = LongStream.builder();
+        if (id.equals(currentStart.id())) {
+            known.add(currentStart.startedAt());
+        }
+        Optional.ofNullable(previous.get(id)).map(PreviousStart::startedAt).ifPresent(known::add);
+        Optional.ofNullable(departed.get(id)).ifPresent(known::add);
+        return known.build().max();
     }
 
     private void announce(Announcement announcement) {
--- a/src/main/java/io/beryldock/platform/PlatformModule.java
+++ b/src/main/java/io/beryldock/platform/PlatformModule.java
@@ -138,7 +138,13 @@
     @Singleton
     LocalTargets localTargets(ControlLoop control, TargetAnnouncements announcements, RegistryMembership departures) {
         TargetHealth health = new HttpTargetHealth(targetClient, document::healthPath);
-        return new LocalTargets(control, announcements::announce, announcements::onTargetRestart, departures, health);
+        return new LocalTargets(
+                control,
+                announcements::announce,
+                announcements::onTargetRestart,
+                departures,
+                health,
+                Moment.Source.system());
     }
 
     @Provides
--- a/src/test/java/io/beryldock/platform/FakeDepartures.java
+++ b/src/test/java/io/beryldock/platform/FakeDepartures.java
@@ -17,6 +17,10 @@
     private final List<Consumer<ImmutableList<DepartedStart>>> readers = new ArrayList<>();
     private CompletableFuture<Void> stored = CompletableFuture.completedFuture(null);
 
+    ImmutableList<DepartedStart> starts() {
+        return ImmutableList.copyOf(starts);
+    }
+
     /** Departures are not stored before {@link #store}. */
     void delayStorage() {
         stored = new CompletableFuture<>();
--- a/src/test/java/io/beryldock/platform/LocalTargetsTest.java
+++ b/src/test/java/io/beryldock/platform/LocalTargetsTest.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.ImmutableList;
 import io.beryldock.forwarding.Announcement;
 import io.beryldock.membership.TargetState;
+import io.beryldock.time.Moment;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -14,6 +15,8 @@
 
 final class LocalTargetsTest {
 
+    private static final long NOW_MILLIS = 100_000;
+
     private final List<Announcement> announced = new ArrayList<>();
     private final AtomicInteger newStarts = new AtomicInteger();
     private final FakeDepartures departures = new FakeDepartures();
@@ -28,7 +31,12 @@
 
     private LocalTargets create() {
         return new LocalTargets(
-                Runnable::run, announced::add, newStarts::incrementAndGet, departures, (id, announcement) -> serving);
+                Runnable::run,
+                announced::add,
+                newStarts::incrementAndGet,
+                departures,
+                (id, announcement) -> serving,
+                () -> new Moment(0, NOW_MILLIS));
     }
 
     /** Returns the targets of a process that has not read what earlier ones recorded. */
@@ -363,4 +371,49 @@
         restarted.onHeartbeat("a", heartbeat(2, TargetState.READY, 2_000)).join();
         assertThat(restarted.current()).isEmpty();
     }
+
+    /** Guards against a departed target that is ready again, as only its late heartbeats tell its start time. */
+    @Test
+    void endWithoutStartTimeCoversHeartbeatsThatTellIt() {
+        LocalTargets restarted = restarted();
+        departures.recall();
+        restarted.onEnded("a", Heartbeat.UNKNOWN_START).join();
+        restarted.onHeartbeat("a", heartbeat(41, TargetState.READY, 1_000)).join();
+        assertThat(restarted.current()).isEmpty();
+        LocalTargets next = restarted();
+        departures.recall();
+        next.onHeartbeat("a", heartbeat(42, TargetState.READY, 1_000)).join();
+        assertThat(next.current()).isEmpty();
+    }
+
+    /** Guards against the same if the departure is confirmed before earlier ones have been read. */
+    @Test
+    void endWithoutStartTimeBeforeTheRecallCoversHeartbeatsThatTellIt() {
+        LocalTargets restarted = restarted();
+        restarted.onEnded("a", Heartbeat.UNKNOWN_START).join();
+        departures.recall();
+        for (int sequence = 38; sequence < 42; sequence++) {
+            restarted
+                    .onHeartbeat("a", heartbeat(sequence, TargetState.READY, 1_000))
+                    .join();
+        }
+        assertThat(restarted.current()).isEmpty();
+    }
+
+    /** Guards against a target without work because an earlier start under its id left without a start time. */
+    @Test
+    void startAfterAnEndWithoutStartTimeIsAccepted() {
+        targets.onEnded("a", Heartbeat.UNKNOWN_START).join();
+        heartbeatOfStart("a", 1, 1, TargetState.READY, NOW_MILLIS + 1);
+        assertThat(targets.current()).isPresent();
+    }
+
+    /** Guards against a departed target that is ready again, as its notice was taken for one of an earlier start. */
+    @Test
+    void endWithoutStartTimeCoversALaterStartUnderTheSameId() {
+        heartbeatOfStart("a", 1, 40, TargetState.READY, 1_000);
+        targets.onEnded("a", Heartbeat.UNKNOWN_START).join();
+        heartbeatOfStart("a", 1, 1, TargetState.READY, 2_000);
+        assertThat(lastState()).isEqualTo(TargetState.LEAVING);
+    }
 }
