A late heartbeat of an unknown start doesn't take the place of a running one

Callers saw: a target without work for two of its heartbeats. Its earlier start crashed or was cut off, so that it left no departure; the node was restarted; a heartbeat of the earlier start that had been delayed arrived after those of the running one. The process, which had never seen the earlier start, made it current, and the target refused every call as misdirected.

A process is no witness of what happened before it. While another start is running and no start times order the two, the unknown one is asked at its health path, which names the id, and becomes current with that answer. One that gives none is asked again with its next heartbeat, and becomes current with its second further one: a busy or failing new start waits no longer than a replaced one. Starts that are ordered by their times, and a first start, are not asked.

Cost: a question for each new id of a target at the same node.

--- a/src/main/java/io/beryldock/platform/LocalTargets.java
+++ b/src/main/java/io/beryldock/platform/LocalTargets.java
@@ -26,10 +26,12 @@
  *
  * <p>A heartbeat of an ended start may arrive after a new start has announced itself at the same address. If that
  * heartbeat made the ended start current again, the target would refuse every call as misdirected. Starts are therefore
- * ordered by the start times in their heartbeats. If heartbeats contain no start time, an id that has been replaced
- * becomes current again only after two further heartbeats with increasing sequences, which a single late heartbeat
- * cannot provide. A start that has announced its departure is never ready again, whatever it is when the announcement
- * arrives: current, replaced or unknown.
+ * ordered by the start times in their heartbeats. If heartbeats contain no start time, an unknown start replaces the
+ * current one only if it says itself that it serves, or after two further heartbeats with increasing sequences, which a
+ * single late heartbeat cannot provide; a start that has been replaced is not asked, and needs the heartbeats.
+ *
+ * <p>A start that has announced its departure is never ready again, whatever it is when the announcement arrives:
+ * current, replaced or unknown.
  *
  * <p>This holds across restarts of the node: a departure is confirmed only when it has been recorded for later
  * processes. Until a process has read what earlier ones recorded, an unknown start must also say itself that it serves,
@@ -98,15 +100,35 @@
         boolean isNone() {
             return id.isEmpty();
         }
+
+        boolean isSameStart(CurrentStart other) {
+            return id.equals(other.id) && startedAt == other.startedAt;
+        }
     }
 
     /**
      * A start that is not the current one and has not departed.
      *
      * @param sequence the highest sequence received from it
-     * @param proofs heartbeats with increasing sequences that were received from it since it was replaced
+     * @param proofs further heartbeats with increasing sequences that were received from it
+     * @param replaced whether this process has known it as the current start
      */
-    private record PreviousStart(long startedAt, long sequence, int proofs) {}
+    private record PreviousStart(long startedAt, long sequence, int proofs, boolean replaced) {
+
+        static PreviousStart replaced(CurrentStart start) {
+            return new PreviousStart(start.startedAt(), start.sequence(), 0, true);
+        }
+
+        static PreviousStart unknown(Heartbeat heartbeat) {
+            return new PreviousStart(heartbeat.startedAtMillis(), heartbeat.sequence(), 0, false);
+        }
+
+        /** Counts the heartbeat as a proof if its sequence is the highest so far. */
+        PreviousStart with(Heartbeat heartbeat) {
+            boolean increased = heartbeat.sequence() > sequence;
+            return increased ? new PreviousStart(startedAt, heartbeat.sequence(), proofs + 1, replaced) : this;
+        }
+    }
 
     /** The last heartbeat of a start that an earlier process may have known. */
     private record UnknownStart(String id, Heartbeat heartbeat) {}
@@ -179,21 +201,51 @@
             applyToCurrent(heartbeat, leaving);
             return;
         }
-        boolean unknown = !recalled && !leaving;
-        if (unknown) {
-            awaitingRecall = Optional.of(new UnknownStart(id, heartbeat));
-            previous.putIfAbsent(id, new PreviousStart(heartbeat.startedAtMillis(), heartbeat.sequence(), 0));
-        }
-        if (isEarlier(heartbeat) || isFromPreviousStart(id, heartbeat)) {
+        if (isEarlier(heartbeat)) {
             return;
         }
-        if (unknown) {
-            verify(id, heartbeat);
+        if (leaving) {
+            applyLeaving(id, heartbeat);
+        } else if (recalled) {
+            applyReady(id, heartbeat);
         } else {
+            applyBeforeRecall(id, heartbeat);
+        }
+    }
+
+    private void applyLeaving(String id, Heartbeat heartbeat) {
+        if (!isFromPreviousStart(id, heartbeat)) {
+            replaceCurrent(id, heartbeat);
+        }
+    }
+
+    private void applyReady(String id, Heartbeat heartbeat) {
+        if (isContested(heartbeat)) {
+            previous.putIfAbsent(id, PreviousStart.unknown(heartbeat));
+        }
+        if (!isFromPreviousStart(id, heartbeat)) {
             replaceCurrent(id, heartbeat);
+        } else if (!previous.get(id).replaced()) {
+            verify(id, heartbeat);
         }
     }
 
+    private void applyBeforeRecall(String id, Heartbeat heartbeat) {
+        awaitingRecall = Optional.of(new UnknownStart(id, heartbeat));
+        previous.putIfAbsent(id, PreviousStart.unknown(heartbeat));
+        if (!isFromPreviousStart(id, heartbeat)) {
+            verify(id, heartbeat);
+        }
+    }
+
+    /** Whether a start that has not departed is current and no start times tell that the heartbeat's start is later. */
+    private boolean isContested(Heartbeat heartbeat) {
+        boolean serving = !currentStart.isNone() && !hasDeparted(currentStart.id(), currentStart.startedAt());
+        boolean ordered = currentStart.startedAt() != Heartbeat.UNKNOWN_START
+                && heartbeat.startedAtMillis() > currentStart.startedAt();
+        return serving && !ordered;
+    }
+
     private void applyToCurrent(Heartbeat heartbeat, boolean leaving) {
         if (leaving || heartbeat.sequence() >= currentStart.sequence()) {
             long sequence = Math.max(currentStart.sequence(), heartbeat.sequence());
@@ -207,21 +259,24 @@
         return known != null && startedAt <= known;
     }
 
-    /** Makes the unknown start current if it says that it serves and nothing else has been learnt meanwhile. */
+    /** Makes the start current if it says that it serves and no other start has become current meanwhile. */
     private void verify(String id, Heartbeat heartbeat) {
+        CurrentStart before = currentStart;
         health.isServing(id, heartbeat.announcement())
-                .thenAcceptAsync(serving -> onVerified(id, heartbeat, serving), control)
+                .thenAcceptAsync(serving -> onVerified(id, heartbeat, serving, before), control)
                 .exceptionally(failure -> {
                     log.atSevere().withCause(failure).log("start %s of the target could not be made current", id);
                     return null;
                 });
     }
 
-    private void onVerified(String id, Heartbeat heartbeat, boolean serving) {
-        boolean stillUnknown = !recalled
+    private void onVerified(String id, Heartbeat heartbeat, boolean serving, CurrentStart before) {
+        boolean replaced = !currentStart.isNone() && !currentStart.isSameStart(before);
+        boolean accepted = serving
+                && !replaced
                 && !isCurrent(id, heartbeat.startedAtMillis())
                 && !hasDeparted(id, heartbeat.startedAtMillis());
-        if (serving && stillUnknown) {
+        if (accepted) {
             replaceCurrent(id, heartbeat);
         }
     }
@@ -238,7 +293,7 @@
 
     private void replaceCurrent(String id, Heartbeat heartbeat) {
         if (!currentStart.isNone()) {
-            previous.put(currentStart.id(), new PreviousStart(currentStart.startedAt(), currentStart.sequence(), 0));
+            previous.put(currentStart.id(), PreviousStart.replaced(currentStart));
         }
         previous.remove(id);
         if (lastAnnouncement.isPresent()) {
@@ -262,12 +317,11 @@
         if (known == null || heartbeat.startedAtMillis() > known.startedAt()) {
             return false;
         }
-        int proofs = heartbeat.sequence() > known.sequence() ? known.proofs() + 1 : known.proofs();
-        if (proofs >= REQUIRED_PROOFS) {
+        PreviousStart next = known.with(heartbeat);
+        if (next.proofs() >= REQUIRED_PROOFS) {
             return false;
         }
-        long sequence = Math.max(known.sequence(), heartbeat.sequence());
-        previous.put(id, new PreviousStart(known.startedAt(), sequence, proofs));
+        previous.put(id, next);
         return true;
     }
 
--- a/src/test/java/io/beryldock/platform/LocalTargetsTest.java
+++ b/src/test/java/io/beryldock/platform/LocalTargetsTest.java
@@ -416,4 +416,58 @@
         heartbeatOfStart("a", 1, 1, TargetState.READY, 2_000);
         assertThat(lastState()).isEqualTo(TargetState.LEAVING);
     }
+
+    /** Guards against a running target without work, as a restarted node takes a late heartbeat for a new start. */
+    @Test
+    void lateHeartbeatOfAnUnknownStartDoesNotReplaceARunningOne() {
+        ready("new", 1);
+        serving = CompletableFuture.completedFuture(false);
+        ready("old", 8);
+        assertThat(targets.current().orElseThrow().id()).isEqualTo("new");
+    }
+
+    /** Guards against a new start without work because it is too busy to say that it serves. */
+    @Test
+    void newStartThatGivesNoAnswerReplacesTheEarlierOneAfterFurtherHeartbeats() {
+        ready("old", 8);
+        serving = CompletableFuture.completedFuture(false);
+        ready("new", 1);
+        ready("new", 2);
+        assertThat(targets.current().orElseThrow().id()).isEqualTo("old");
+        ready("new", 3);
+        assertThat(targets.current().orElseThrow().id()).isEqualTo("new");
+    }
+
+    /** Guards against a new start without work after a crash, where start times tell that it is the later one. */
+    @Test
+    void laterStartReplacesTheEarlierOneWithoutBeingAsked() {
+        heartbeatOfStart("old", 1, 8, TargetState.READY, 1_000);
+        serving = new CompletableFuture<>();
+        heartbeatOfStart("new", 1, 1, TargetState.READY, 2_000);
+        assertThat(targets.current().orElseThrow().id()).isEqualTo("new");
+    }
+
+    /** Guards against a departed target that is ready again because it was asked whether it serves before it left. */
+    @Test
+    void departureOfANewStartWhileItIsAskedIsFinal() {
+        ready("old", 8);
+        serving = new CompletableFuture<>();
+        ready("new", 1);
+        targets.onEnded("new", Heartbeat.UNKNOWN_START).join();
+        serving.complete(true);
+        assertThat(targets.current().orElseThrow().id()).isEqualTo("old");
+    }
+
+    /** Guards against an answer that arrives after another start has become current. */
+    @Test
+    void startThatIsReplacedWhileItIsAskedDoesNotBecomeCurrent() {
+        heartbeatOfStart("old", 1, 8, TargetState.READY, Heartbeat.UNKNOWN_START);
+        CompletableFuture<Boolean> late = new CompletableFuture<>();
+        serving = late;
+        ready("between", 1);
+        serving = CompletableFuture.completedFuture(true);
+        ready("new", 1);
+        late.complete(true);
+        assertThat(targets.current().orElseThrow().id()).isEqualTo("new");
+    }
 }
