A late departure of an unknown start doesn't take the place of a running one

It is recorded as departed, as any, and the running start stays current unless start times tell that the leaving one is later.

--- a/src/main/java/io/beryldock/platform/LocalTargets.java
+++ b/src/main/java/io/beryldock/platform/LocalTargets.java
@@ -213,8 +213,9 @@
         }
     }
 
+    /** Applies a departure of another start than the current one, which it doesn't replace while that may be running. */
     private void applyLeaving(String id, Heartbeat heartbeat) {
-        if (!isFromPreviousStart(id, heartbeat)) {
+        if (!isContested(heartbeat) && !isFromPreviousStart(id, heartbeat)) {
             replaceCurrent(id, heartbeat);
         }
     }
--- a/src/test/java/io/beryldock/platform/LocalTargetsTest.java
+++ b/src/test/java/io/beryldock/platform/LocalTargetsTest.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableList;
 import io.beryldock.forwarding.Announcement;
+import io.beryldock.membership.DepartedStart;
 import io.beryldock.membership.TargetState;
 import io.beryldock.time.Moment;
 import java.util.ArrayList;
@@ -470,4 +471,22 @@
         late.complete(true);
         assertThat(targets.current().orElseThrow().id()).isEqualTo("new");
     }
+
+    /** Guards against a running target without work, as a restarted node takes a late departure for a new start's. */
+    @Test
+    void lateDrainingOfAnUnknownStartDoesNotReplaceARunningOne() {
+        ready("new", 1);
+        heartbeat("old", 1, 9, TargetState.LEAVING);
+        assertThat(targets.current().orElseThrow().id()).isEqualTo("new");
+        assertThat(lastState()).isEqualTo(TargetState.READY);
+        assertThat(departures.starts()).containsExactly(new DepartedStart("old", Heartbeat.UNKNOWN_START));
+    }
+
+    /** Guards against work for a target whose first heartbeat at this node says that it leaves. */
+    @Test
+    void drainingOfALaterStartReplacesTheEarlierOne() {
+        heartbeatOfStart("old", 1, 8, TargetState.READY, 1_000);
+        heartbeatOfStart("new", 1, 1, TargetState.LEAVING, 2_000);
+        assertThat(lastState()).isEqualTo(TargetState.LEAVING);
+    }
 }
