Departures that can't be read are not taken for none

A node whose entry of departures holds bytes that it can't read, as another writer may leave them, logged that, took it for an empty one and made ready any target whose late heartbeat arrived. It now goes on as while the store is silent: an unknown start must also say at its health path that it serves.

unreadableDeparturesAreNotTakenForNone failed before. The entry itself is replaced with the next departure; what it held is lost.

--- a/src/main/java/io/beryldock/membership/RegistryRecord.java
+++ b/src/main/java/io/beryldock/membership/RegistryRecord.java
@@ -71,6 +71,7 @@
     private long renewedAt;
     private boolean callInProgress;
     private boolean readDue = true;
+    private boolean entriesRead;
     private boolean publishing;
     private boolean conflicted;
     private boolean left;
@@ -103,7 +104,7 @@
         proceed();
     }
 
-    /** Passes the departures that earlier processes of this node have recorded, once they have been read. */
+    /** Passes the departures that earlier processes have recorded, once they have been read; never if they can't be. */
     void readEarlierDepartures(Consumer<ImmutableList<DepartedStart>> reader) {
         TimerThread.onCompletion(timers, earlierDepartures, (earlier, failure) -> reader.accept(earlier));
     }
@@ -202,11 +203,11 @@
         callInProgress = false;
         entry.onListing(listings.record());
         departuresEntry.onListing(listings.departures());
-        ImmutableList<DepartedStart> found = readDepartures();
-        departures.addEarlier(found);
-        if (!earlierDepartures.isDone()) {
-            log.atInfo().log("departures recorded by earlier processes: %s", found);
-            earlierDepartures.complete(found);
+        Optional<ImmutableList<DepartedStart>> found = readDepartures();
+        found.ifPresent(departures::addEarlier);
+        if (!entriesRead) {
+            entriesRead = true;
+            found.ifPresent(this::passEarlierDepartures);
         } else if (isRecordStored()) {
             renewNow();
         } else {
@@ -215,11 +216,20 @@
         proceed();
     }
 
-    private ImmutableList<DepartedStart> readDepartures() {
-        return ImmutableList.<DepartedStart>builder()
-                .addAll(decode(entry, RecordedDepartures::decodeRecord))
-                .addAll(decode(departuresEntry, RecordedDepartures::decode))
-                .build();
+    private void passEarlierDepartures(ImmutableList<DepartedStart> found) {
+        log.atInfo().log("departures recorded by earlier processes: %s", found);
+        earlierDepartures.complete(found);
+    }
+
+    /** Returns the departures that the store holds; empty if their entry is not valid, so that it is unknown which. */
+    private Optional<ImmutableList<DepartedStart>> readDepartures() {
+        ImmutableList<DepartedStart> ofRecord =
+                decode(entry, RecordedDepartures::decodeRecord).orElse(ImmutableList.of());
+        return decode(departuresEntry, RecordedDepartures::decode)
+                .map(recorded -> ImmutableList.<DepartedStart>builder()
+                        .addAll(ofRecord)
+                        .addAll(recorded)
+                        .build());
     }
 
     /** Reads the departures in the value of an entry. */
@@ -228,16 +238,17 @@
         ImmutableList<DepartedStart> decode(ByteString value) throws InvalidProtocolBufferException;
     }
 
-    private static ImmutableList<DepartedStart> decode(OwnEntry source, DeparturesDecoder decoder) {
+    /** Returns the departures in the entry, which are none if it does not exist; empty if its value is not valid. */
+    private static Optional<ImmutableList<DepartedStart>> decode(OwnEntry source, DeparturesDecoder decoder) {
         if (source.value().isEmpty()) {
-            return ImmutableList.of();
+            return Optional.of(ImmutableList.of());
         }
         try {
-            return decoder.decode(source.value().get());
+            return Optional.of(decoder.decode(source.value().get()));
         } catch (InvalidProtocolBufferException e) {
             log.atWarning().withCause(e).log(
                     "ignoring entry %s, which this node replaces: not a valid value", source.key());
-            return ImmutableList.of();
+            return Optional.empty();
         }
     }
 
@@ -298,7 +309,7 @@
     /** An earlier write of this node that got no answer was applied after all, or the entry was changed by others. */
     private void onConflict(ImmutableList<ConditionalWrite> writes, WriteOutcome outcome) {
         writes.forEach(write -> entryOf(write).onAnswer(outcome.current()));
-        departures.addEarlier(readDepartures());
+        readDepartures().ifPresent(departures::addEarlier);
         boolean repeated = conflicted;
         conflicted = true;
         if (repeated) {
--- a/src/main/java/io/beryldock/membership/TargetDepartures.java
+++ b/src/main/java/io/beryldock/membership/TargetDepartures.java
@@ -17,6 +17,6 @@
      */
     CompletableFuture<Void> add(DepartedStart start);
 
-    /** Passes the departures that earlier processes of this node have recorded, once they could be read. */
+    /** Passes the departures that earlier processes of this node have recorded, if and once they could be read. */
     void readEarlier(Consumer<ImmutableList<DepartedStart>> reader);
 }
--- a/src/test/java/io/beryldock/membership/RegistryMembershipTest.java
+++ b/src/test/java/io/beryldock/membership/RegistryMembershipTest.java
@@ -22,6 +22,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
 
 final class RegistryMembershipTest {
@@ -367,6 +368,16 @@
         assertThat(targetsAt(first)).isEqualTo(2);
     }
 
+    /** Guards against a departed target that a restarted node takes for a running one, as it can't read its entry. */
+    @Test
+    void unreadableDeparturesAreNotTakenForNone() {
+        registry.write(RegistryRecord.DEPARTURES_PREFIX + "n3", ByteString.copyFromUtf8("no departures"));
+        AtomicBoolean read = new AtomicBoolean();
+        membership("n3", 3, registry.view()).readEarlier(earlier -> read.set(true));
+        run(Duration.ofSeconds(4));
+        assertThat(read).isFalse();
+    }
+
     /** Guards against departures that are forgotten by the second of two restarts. */
     @Test
     void departuresAreKeptAcrossSeveralRestarts() {
