--- a/src/main/java/io/beryldock/membership/RecordedDepartures.java
+++ b/src/main/java/io/beryldock/membership/RecordedDepartures.java
@@ -18,8 +18,8 @@
 /**
  * The departures that this node records in the store, and the futures of those that the store does not hold yet.
  *
- * <p>Confined to the control thread. Invariants: at most {@link #MAX_STARTS} departures are held, the latest ones, and one for
- * each id, as the departure of a start covers earlier starts under its id.
+ * <p>Confined to the control thread. Invariants: at most {@link #MAX_STARTS} departures are held, the latest ones, and
+ * one for each id, as the departure of a start covers earlier starts under its id.
  */
 final class RecordedDepartures {
 
@@ -66,14 +66,14 @@
         for (DepartedStart start : stored.reverse()) {
             Optional<DepartedStart> known = findById(start.id());
             if (known.isPresent()) {
-                replaceIfCovered(known.get(), start);
+                replaceUnlessCovered(known.get(), start);
             } else if (starts.size() < MAX_STARTS) {
                 starts.addFirst(start);
             }
         }
     }
 
-    private void replaceIfCovered(DepartedStart known, DepartedStart start) {
+    private void replaceUnlessCovered(DepartedStart known, DepartedStart start) {
         if (known.covers(start)) {
             return;
         }
--- a/src/main/java/io/beryldock/platform/LocalTargets.java
+++ b/src/main/java/io/beryldock/platform/LocalTargets.java
@@ -213,7 +213,7 @@
         }
     }
 
-    /** Applies a departure of another start than the current one, which it doesn't replace while that may be running. */
+    /** Applies the departure of another start than the current one; it replaces none that may be running. */
     private void applyLeaving(String id, Heartbeat heartbeat) {
         if (!isContested(heartbeat) && !isFromPreviousStart(id, heartbeat)) {
             replaceCurrent(id, heartbeat);
