Log: a request that is sent to a target that has left, and how old its permit is

No line told a process that had forgotten a departure from one that knew it and sent what it had admitted before.

--- a/src/main/java/io/beryldock/admission/GateCore.java
+++ b/src/main/java/io/beryldock/admission/GateCore.java
@@ -161,6 +161,10 @@
         draining = leaving;
     }
 
+    boolean isDraining() {
+        return draining;
+    }
+
     /** Returns a future that completes when the target has said that it is leaving. */
     CompletableFuture<Void> leavingFuture() {
         return leavingFuture;
--- a/src/main/java/io/beryldock/admission/TargetGate.java
+++ b/src/main/java/io/beryldock/admission/TargetGate.java
@@ -100,6 +100,13 @@
         return core.leavingFuture().isDone();
     }
 
+    /** Whether the gate admits nothing at present. A request that it admitted before may not have been sent yet. */
+    public boolean isDraining() {
+        synchronized (lock) {
+            return core.isDraining();
+        }
+    }
+
     /** Decides on the request now or a short time later; the listener receives the decision exactly once. */
     public GateHandle submit(GateRequest request, GateListener listener) {
         DecisionNotifications out = new DecisionNotifications();
--- a/src/main/java/io/beryldock/forwarding/TargetRun.java
+++ b/src/main/java/io/beryldock/forwarding/TargetRun.java
@@ -1,6 +1,7 @@
 package io.beryldock.forwarding;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.flogger.FluentLogger;
 import com.google.errorprone.annotations.concurrent.GuardedBy;
 import io.beryldock.admission.Completion;
 import io.beryldock.admission.GateHandle;
@@ -23,6 +24,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 
 /**
  * One run of a call at the target in this node's VM: queued, running, ended.
@@ -33,6 +35,7 @@
  */
 final class TargetRun implements GateListener {
 
+    private static final FluentLogger log = FluentLogger.forEnclosingClass();
     private static final long SUSPECT_RETRY_MILLIS = 500;
 
     private final TargetExecutor.Ports ports;
@@ -125,16 +128,21 @@
      */
     @Override
     public void admitted(Permit permit) {
+        long admittedAt = now();
+        beginOnceDecided(permit, admittedAt);
+    }
+
+    private void beginOnceDecided(Permit permit, long admittedAt) {
         Optional<CompletableFuture<TargetProcessState>> undecided =
                 ports.crashes().undecided(fingerprint);
         if (undecided.isPresent()) {
-            undecided.get().thenAccept(state -> admitted(permit));
+            undecided.get().thenAccept(state -> beginOnceDecided(permit, admittedAt));
         } else {
-            begin(permit);
+            begin(permit, admittedAt);
         }
     }
 
-    private void begin(Permit permit) {
+    private void begin(Permit permit, long admittedAt) {
         if (isGivenUp()) {
             permit.release(Completion.FAILED);
             refused(Reason.CANCELLED, 0);
@@ -159,6 +167,11 @@
                 call.attempt(call.id(), context.afterNanos(context.remainingNanos() - started.remainingNanos(now())));
         TargetProcess process = ports.crashes().processOf(target.address());
         long sentAt = now();
+        if (target.gate().isDraining()) {
+            log.atWarning().log(
+                    "request %s is sent to a target that has left, %d ms after the gate admitted it",
+                    call.id(), TimeUnit.NANOSECONDS.toMillis(sentAt - admittedAt));
+        }
         TargetExchange sending = ports.client().send(sent);
         synchronized (this) {
             exchange = sending;
