A request that was admitted before its target left is not sent after it

What callers saw: nothing wrong in their answers; targets that had left, and whose departure their node had confirmed, got requests seconds later.

Cause: the gate decided when a request was admitted, and nothing decided when it was sent. A permit waits for the verdict on a lost run (20 + 500 + 500 ms, again when another copy is lost), for a connection (1 s), behind the work of the event loop, or through a freeze of the node. A departure drains the gate, which refuses what is queued; what holds a permit went on.

Change: the client of targets asks the gate immediately before it writes a request, on a kept connection and when a new one is made, on the platform and in the embedded default. A request that may not be sent ends as NOT_RUN with DRAINING, which is true: not one byte has left. Its caller's node uses another target.

It does not cover bytes that are written already and wait in the kernel for a target that stands still.

--- a/src/main/java/io/beryldock/forwarding/TargetRun.java
+++ b/src/main/java/io/beryldock/forwarding/TargetRun.java
@@ -29,14 +29,15 @@
 /**
  * One run of a call at the target in this node's VM: queued, running, ended.
  *
- * <p>Thread safe. Invariants: the call is sent to the target at most once and only while the run holds a permit; the
- * permit is released when the target has answered, even if the caller gave up earlier, because work that was given up
+ * <p>Thread safe. Invariants: the call is sent to the target at most once, only while the run holds a permit, and not
+ * after the gate was drained, whatever held it up since it was admitted; the permit is released when the target has answered, even if the caller gave up earlier, because work that was given up
  * still holds its slot at the target.
  */
 final class TargetRun implements GateListener {
 
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
     private static final long SUSPECT_RETRY_MILLIS = 500;
+    private static final int LOG_INTERVAL_SECONDS = 1;
 
     private final TargetExecutor.Ports ports;
     private final AnnouncedTarget target;
@@ -167,12 +168,7 @@
                 call.attempt(call.id(), context.afterNanos(context.remainingNanos() - started.remainingNanos(now())));
         TargetProcess process = ports.crashes().processOf(target.address());
         long sentAt = now();
-        if (target.gate().isDraining()) {
-            log.atWarning().log(
-                    "request %s is sent to a target that has left, %d ms after the gate admitted it",
-                    call.id(), TimeUnit.NANOSECONDS.toMillis(sentAt - admittedAt));
-        }
-        TargetExchange sending = ports.client().send(sent);
+        TargetExchange sending = ports.client().send(sent, () -> isSendable(admittedAt));
         synchronized (this) {
             exchange = sending;
         }
@@ -189,6 +185,17 @@
         }
     }
 
+    /** Whether the target still takes requests; it may have left since the gate admitted this one. */
+    private boolean isSendable(long admittedAt) {
+        boolean sendable = !target.gate().isDraining();
+        if (!sendable) {
+            log.atInfo().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
+                    "request %s is not sent: its target has left, and the gate admitted it %d ms ago",
+                    call.id(), TimeUnit.NANOSECONDS.toMillis(now() - admittedAt));
+        }
+        return sendable;
+    }
+
     private void refuseRepeat() {
         refuse(Reason.REPEATS_LIMITED, "repeats of calls to " + call.service(), 0);
     }
@@ -271,16 +278,20 @@
         return state == TargetProcessState.ENDED ? lost.withReason(Reason.TARGET_CRASHED) : lost;
     }
 
-    private static CallResult toResult(TargetReply reply) {
+    private CallResult toResult(TargetReply reply) {
         return switch (reply.kind()) {
             case ANSWERED -> CallResult.answered(reply.answer().orElseThrow());
             case REFUSED -> CallResult.notRun(Reason.TARGET_REFUSED, reply.detail());
-            case NOT_SENT -> CallResult.notRun(Reason.CONNECT_FAILED, reply.detail());
+            case NOT_SENT -> CallResult.notRun(unsentReason(), reply.detail());
             case LOST -> CallResult.unknown(Reason.CONNECTION_LOST, reply.detail());
             case GIVEN_UP -> CallResult.unknown(Reason.TIMED_OUT, reply.detail());
         };
     }
 
+    private Reason unsentReason() {
+        return target.gate().isDraining() ? Reason.DRAINING : Reason.CONNECT_FAILED;
+    }
+
     /** Ends the execution: cancels its inner calls and returns its unspent retries with the result. */
     private CallResult close(Execution started, CallResult ended) {
         ports.executions().remove(call.id());
--- a/src/main/java/io/beryldock/http/HttpTargetClient.java
+++ b/src/main/java/io/beryldock/http/HttpTargetClient.java
@@ -14,6 +14,7 @@
 import java.util.Arrays;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.apache.hc.client5.http.ConnectTimeoutException;
 import org.apache.hc.client5.http.HttpHostConnectException;
@@ -63,11 +64,11 @@
     }
 
     @Override
-    public TargetExchange send(Call call) {
+    public TargetExchange send(Call call, BooleanSupplier sendable) {
         CompletableFuture<TargetReply> reply = new CompletableFuture<>();
         try {
             client.execute(
-                    SimpleRequestProducer.create(request(call)),
+                    new WithdrawableRequestProducer(SimpleRequestProducer.create(request(call)), sendable),
                     new BoundedResponseConsumer(maxBodyBytes),
                     new ReplyCallback(reply));
         } catch (IllegalStateException | IllegalArgumentException e) {
@@ -138,14 +139,15 @@
     /**
      * Maps a failure to a reply that distinguishes a request that was not sent from a request that may have run.
      *
-     * <p>Only a failure before a connection was leased proves that no byte was sent. After any other failure the
-     * request may have run.
+     * <p>Only a failure before a connection was leased, and a withdrawal, prove that no byte was sent. After any other
+     * failure the request may have run.
      */
     private static TargetReply classify(Exception e) {
         boolean neverSent = e instanceof HttpHostConnectException
                 || e instanceof ConnectTimeoutException
                 || e instanceof ConnectionRequestTimeoutException
-                || e instanceof ConnectException;
+                || e instanceof ConnectException
+                || e instanceof WithdrawnRequestException;
         String detail = e.getClass().getSimpleName() + ": " + e.getMessage();
         if (neverSent) {
             return TargetReply.notSent(detail);
--- a/src/main/java/io/beryldock/nettyhttp/HttpClient.java
+++ b/src/main/java/io/beryldock/nettyhttp/HttpClient.java
@@ -25,6 +25,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 /**
  * Sends HTTP/1.1 requests over kept connections, one request at a time on each, never one twice.
@@ -59,15 +60,30 @@
 
     /** Sends the call once; the future fails only with {@link HttpExchangeException}, or is cancelled by its holder. */
     public CompletableFuture<HttpReply> send(InetSocketAddress address, HttpCall call) {
+        return send(address, call, () -> true);
+    }
+
+    private CompletableFuture<HttpReply> send(InetSocketAddress address, HttpCall call, BooleanSupplier sendable) {
         CompletableFuture<HttpReply> reply = new CompletableFuture<>();
         // Never run at once: a response's last byte must be looked behind before its connection is used again.
-        loop.execute(() -> start(address, call, reply));
+        loop.execute(() -> start(address, call, sendable, reply));
         return reply;
     }
 
     /** The same for a call that is given up after the limit: its future is cancelled, which closes its connection. */
     public CompletableFuture<HttpReply> send(InetSocketAddress address, HttpCall call, Duration limit) {
-        CompletableFuture<HttpReply> reply = send(address, call);
+        return send(address, call, () -> true, limit);
+    }
+
+    /**
+     * The same for a call that may become unwanted before it is sent.
+     *
+     * @param sendable asked on the event loop immediately before the call is written; if it returns false, the future
+     *     fails with {@link Kind#NOT_SENT}
+     */
+    public CompletableFuture<HttpReply> send(
+            InetSocketAddress address, HttpCall call, BooleanSupplier sendable, Duration limit) {
+        CompletableFuture<HttpReply> reply = send(address, call, sendable);
         TimerService.Subscription end = timers.after(limit, () -> reply.cancel(false));
         reply.whenComplete((answer, failure) -> end.cancel());
         return reply;
@@ -83,8 +99,9 @@
                 () -> open.get(address).stream().anyMatch(connection -> connection.openedAt() - nanos < 0), loop);
     }
 
-    private void start(InetSocketAddress address, HttpCall call, CompletableFuture<HttpReply> reply) {
-        if (reply.isDone()) {
+    private void start(
+            InetSocketAddress address, HttpCall call, BooleanSupplier sendable, CompletableFuture<HttpReply> reply) {
+        if (reply.isDone() || isWithdrawn(sendable, reply)) {
             return;
         }
         HttpClientConnection kept = takeIdle(address, call);
@@ -100,7 +117,9 @@
             }
         });
         connecting.addListener(ended -> {
-            if (ended.isSuccess()) {
+            if (ended.isSuccess() && isWithdrawn(sendable, reply)) {
+                fresh.close();
+            } else if (ended.isSuccess()) {
                 fresh.exchange(call, reply);
             } else {
                 String cause =
@@ -111,6 +130,16 @@
         });
     }
 
+    /** Ends the call if it may not be sent any more. */
+    private static boolean isWithdrawn(BooleanSupplier sendable, CompletableFuture<HttpReply> reply) {
+        boolean withdrawn = !sendable.getAsBoolean();
+        if (withdrawn) {
+            reply.completeExceptionally(
+                    new HttpExchangeException(Kind.NOT_SENT, "the call was withdrawn before it was sent"));
+        }
+        return withdrawn;
+    }
+
     private Bootstrap bootstrap(HttpClientConnection connection) {
         return new Bootstrap()
                 .group(loop)
--- a/src/main/java/io/beryldock/platform/PlatformTargetClient.java
+++ b/src/main/java/io/beryldock/platform/PlatformTargetClient.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 /** Sends calls to the target in this VM, with the platform's headers. Thread safe. */
@@ -44,7 +45,7 @@
     }
 
     @Override
-    public TargetExchange send(Call call) {
+    public TargetExchange send(Call call, BooleanSupplier sendable) {
         Optional<LocalTarget> current = target.get();
         if (current.isEmpty()) {
             return TargetExchange.unabortable(CompletableFuture.completedFuture(
@@ -52,7 +53,8 @@
         }
         // A target whose slots were all in use never answers the request, nor any later one on that connection.
         Duration limit = Duration.ofNanos(call.context().remainingNanos()).plus(LATE);
-        CompletableFuture<HttpReply> reply = client.send(current.get().address(), request(call, current.get()), limit);
+        CompletableFuture<HttpReply> reply =
+                client.send(current.get().address(), request(call, current.get()), sendable, limit);
         CompletableFuture<TargetReply> result =
                 reply.handle((answer, failure) -> failure == null ? read(call, answer) : classify(failure));
         return new TargetExchange(result, () -> reply.cancel(false));
--- a/src/test/java/io/beryldock/forwarding/RetryFleetNode.java
+++ b/src/test/java/io/beryldock/forwarding/RetryFleetNode.java
@@ -44,6 +44,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 
 /** A node of a {@link RetryFleet}: its processes one after the other, and the target beside them. */
 final class RetryFleetNode {
@@ -251,7 +252,10 @@
             return fleet.directorySeenBy(RetryFleetNode.this);
         }
 
-        private TargetExchange send(Call call) {
+        private TargetExchange send(Call call, BooleanSupplier sendable) {
+            if (!sendable.getAsBoolean()) {
+                return TargetExchange.unabortable(CompletableFuture.completedFuture(TargetReply.notSent("withdrawn")));
+            }
             return TargetExchange.unabortable(
                     killed ? new CompletableFuture<>() : fleet.arriveAtTarget(RetryFleetNode.this, call));
         }
--- a/src/test/java/io/beryldock/forwarding/TargetExecutorTest.java
+++ b/src/test/java/io/beryldock/forwarding/TargetExecutorTest.java
@@ -24,6 +24,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.Test;
 
 class TargetExecutorTest {
@@ -55,7 +56,10 @@
             time,
             EventSink.none()));
 
-    private TargetExchange send(Call call) {
+    private TargetExchange send(Call call, BooleanSupplier sendable) {
+        if (!sendable.getAsBoolean()) {
+            return TargetExchange.unabortable(CompletableFuture.completedFuture(TargetReply.notSent("withdrawn")));
+        }
         CompletableFuture<TargetReply> reply = new CompletableFuture<>();
         sent.add(reply);
         return TargetExchange.unabortable(reply);
@@ -153,6 +157,20 @@
         assertThat(sent).isEmpty();
     }
 
+    /** Guards against a request that reaches a target seconds after it has left, as it was admitted before. */
+    @Test
+    void requestThatWaitsForTheDecisionIsNotSentToATargetThatHasLeftMeanwhile() {
+        run(POISON);
+        lose();
+        CompletableFuture<CallResult> second = run(POISON);
+        target.gate().drain();
+        time.advance(LONGEST_DECISION);
+        assertThat(sent).isEmpty();
+        assertThat(second.getNow(NOT_ENDED).outcome()).isEqualTo(Outcome.NOT_RUN);
+        assertThat(reason(second)).contains(Reason.DRAINING);
+        assertThat(target.gate().idle()).as("the slot is released").isCompleted();
+    }
+
     private CompletableFuture<CallResult> resend(String path) {
         Call call = TargetFixtures.read(path, TIME_LIMIT);
         CallContext again = call.context().withResent(true);
--- a/src/test/java/io/beryldock/http/HttpTargetClientTest.java
+++ b/src/test/java/io/beryldock/http/HttpTargetClientTest.java
@@ -66,7 +66,7 @@
     private static TargetReply send(CloseableHttpAsyncClient http, Supplier<InetSocketAddress> target) {
         Call call = TargetFixtures.read("/lists/1", Duration.ofSeconds(10));
         return HttpTargetClient.create(http, target, MAX_BODY_BYTES)
-                .send(call)
+                .send(call, () -> true)
                 .reply()
                 .join();
     }
@@ -92,4 +92,17 @@
                     .contains(new TargetNotice(OptionalDouble.of(TargetNotice.UNLIMITED), true));
         }
     }
+
+    /** Guards against a request that reaches a target that has left while the request waited for a connection. */
+    @Test
+    void callThatIsWithdrawnBeforeItIsWrittenIsNotSent() throws Exception {
+        try (RawServer target = RawServer.start(HEAD + "Content-Length: 0\r\n\r\n");
+                CloseableHttpAsyncClient http = HttpClients.start(4, 1)) {
+            HttpTargetClient client = HttpTargetClient.create(http, target::address, MAX_BODY_BYTES);
+            Call withdrawn = TargetFixtures.read("/lists/1", Duration.ofSeconds(10));
+            assertThat(client.send(withdrawn, () -> false).reply().join().kind())
+                    .isEqualTo(TargetReply.Kind.NOT_SENT);
+            assertThat(send(http, target::address).kind()).isEqualTo(TargetReply.Kind.ANSWERED);
+        }
+    }
 }
--- a/src/test/java/io/beryldock/nettyhttp/HttpClientTest.java
+++ b/src/test/java/io/beryldock/nettyhttp/HttpClientTest.java
@@ -14,6 +14,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.Callable;
@@ -149,6 +150,37 @@
         }
     }
 
+    /** Guards against a request that reaches a target that has left while the request waited for a connection. */
+    @Test
+    void callThatIsWithdrawnWhileItsConnectionIsMadeIsNotSent() throws Exception {
+        try (RawServer server = RawServer.start(answer("a", "one"))) {
+            Iterator<Boolean> answers = List.of(true, false).iterator();
+            assertNotSent(client.send(server.address(), call("a"), answers::next, Duration.ofSeconds(10)));
+            assertThat(body(server, "a")).isEqualTo("one");
+            assertThat(server.request()).as("the first connection").isEqualTo(RawServer.CLOSE);
+            assertThat(server.request()).as("the second connection").startsWith("GET /a ");
+        }
+    }
+
+    @Test
+    void callThatIsWithdrawnLeavesTheKeptConnectionUsable() throws Exception {
+        try (RawServer server = RawServer.start(answer("a", "one"), answer("b", "two"))) {
+            assertThat(body(server, "a")).isEqualTo("one");
+            assertNotSent(client.send(server.address(), call("c"), () -> false, Duration.ofSeconds(10)));
+            assertThat(body(server, "b")).isEqualTo("two");
+            assertThat(server.connections()).isEqualTo(1);
+        }
+    }
+
+    private static void assertNotSent(CompletableFuture<HttpReply> reply) {
+        assertThatThrownBy(() -> reply.get(10, TimeUnit.SECONDS))
+                .isInstanceOf(ExecutionException.class)
+                .cause()
+                .isInstanceOfSatisfying(
+                        HttpExchangeException.class,
+                        failure -> assertThat(failure.kind()).isEqualTo(Kind.NOT_SENT));
+    }
+
     /** Guards against a running order that its caller is told has not run: the refusal is a copy and names no call. */
     @Test
     void responseWithoutIdBehindAnotherIsNotTakenForAnAnswer() throws Exception {
--- a/src/test/java/io/beryldock/platform/PlatformTargetClientTest.java
+++ b/src/test/java/io/beryldock/platform/PlatformTargetClientTest.java
@@ -82,7 +82,7 @@
                 idempotent,
                 Optional.empty(),
                 read.context());
-        return client.send(call).reply().join();
+        return client.send(call, () -> true).reply().join();
     }
 
     /** Guards against an order that runs twice, or is refused while it runs: its refusal comes again, late. */
