The gate of a target without heartbeats is drained when it is replaced

What callers saw: requests at a target that had left, from the queue of a gate that the departure had not drained; and twice the slots in flight when a target's heartbeats paused.

Cause: a target without heartbeats for 5 s lost its gate, with requests at work and queued in it. Its next heartbeat made a second gate, and only that one was drained by the departure. A change of the service left the gate of the earlier one undrained as well.

Evidence: TargetAnnouncementsTest#requestsThatWaitWhenTheTargetExpiresAreNot- AdmittedAfterItsDeparture failed before: a fifth permit after the departure, where four were running. By reading, requests wait in a gate for less than 2 s, so by itself this does not show the incident's picture.

Change: a start that announces itself again keeps its gate, whose count of requests in flight stays right; whatever else takes its place drains it.

--- a/src/main/java/io/beryldock/node/TargetAnnouncements.java
+++ b/src/main/java/io/beryldock/node/TargetAnnouncements.java
@@ -22,7 +22,8 @@
  *
  * <p>Used on the control thread only, except {@link #current()} and {@link #drained()}, which are thread safe. A target
  * that no longer announces itself is withdrawn from the membership. A drained target, and one whose answers say that it
- * is leaving, stays LEAVING, whatever state it announces. A new start of the target has a gate of its own.
+ * is leaving, stays LEAVING, whatever state it announces. A new start of the target has a gate of its own. Invariant: at
+ * most one gate admits requests; a gate that is replaced is drained.
  */
 public final class TargetAnnouncements {
 
@@ -43,6 +44,7 @@
     private volatile boolean drained;
     private volatile Optional<Announcement> last = Optional.empty();
     private Optional<StartNotice> lastNotice = Optional.empty();
+    private Optional<ExpiredTarget> expired = Optional.empty();
     private Subscription expiryTimer = () -> {};
 
     TargetAnnouncements(
@@ -62,6 +64,17 @@
         this.events = events;
     }
 
+    /** A target that no longer announces itself; requests may still wait at its gate. */
+    private record ExpiredTarget(AnnouncedTarget target, String start) {
+
+        /** Whether the announcement is of the same start, which an unidentified one never is. */
+        boolean isSameStart(ServiceName service, String announced) {
+            return !start.isEmpty()
+                    && start.equals(announced)
+                    && target.service().equals(service);
+        }
+    }
+
     /** Creates the gate of a target. */
     @FunctionalInterface
     interface GateFactory {
@@ -142,9 +155,15 @@
      */
     public void onTargetRestart() {
         current.ifPresent(target -> target.gate().drain());
+        drainExpired();
         forgetTarget();
     }
 
+    private void drainExpired() {
+        expired.ifPresent(earlier -> earlier.target().gate().drain());
+        expired = Optional.empty();
+    }
+
     /** Keeps what the target has named, since the same start may announce itself again. */
     private void forgetTarget() {
         current.ifPresent(target -> lastNotice = target.gate().load().notice());
@@ -154,12 +173,27 @@
 
     private TargetGate gateFor(ServiceName service, Announcement announcement) {
         GateSettings settings = boundBySlots ? gateSettings.withAnnouncedSlots(announcement.slots()) : gateSettings;
-        Optional<TargetGate> existing =
-                current.filter(target -> target.service().equals(service)).map(AnnouncedTarget::gate);
+        Optional<TargetGate> existing = current.or(() -> resumeExpired(service, announcement.start()))
+                .filter(target -> target.service().equals(service))
+                .map(AnnouncedTarget::gate);
+        if (existing.isEmpty()) {
+            current.ifPresent(target -> target.gate().drain());
+        }
+        drainExpired();
         existing.ifPresent(gate -> gate.reconfigure(settings));
         return existing.orElseGet(() -> createGate(service, settings, announcement.start()));
     }
 
+    /** Returns the expired target if it announces itself again: its requests still occupy slots. */
+    private Optional<AnnouncedTarget> resumeExpired(ServiceName service, String start) {
+        Optional<AnnouncedTarget> resumed =
+                expired.filter(earlier -> earlier.isSameStart(service, start)).map(ExpiredTarget::target);
+        if (resumed.isPresent()) {
+            expired = Optional.empty();
+        }
+        return resumed;
+    }
+
     private TargetGate createGate(ServiceName service, GateSettings settings, String start) {
         TargetGate gate = gates.create(service, settings, start);
         lastNotice.ifPresent(gate::onPeerNotice);
@@ -197,6 +231,8 @@
     private void expire() {
         current.ifPresent(target ->
                 events.record(EventKind.TARGET_LOST, target.service().value(), "it no longer announces itself"));
+        String start = last.map(Announcement::start).orElse("");
+        expired = current.map(target -> new ExpiredTarget(target, start));
         forgetTarget();
         membership.withdraw();
     }
--- a/src/test/java/io/beryldock/node/TargetAnnouncementsTest.java
+++ b/src/test/java/io/beryldock/node/TargetAnnouncementsTest.java
@@ -3,11 +3,17 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.google.common.collect.ImmutableList;
+import io.beryldock.admission.Completion;
+import io.beryldock.admission.GateListener;
+import io.beryldock.admission.GateRequest;
 import io.beryldock.admission.GateSettings;
+import io.beryldock.admission.Permit;
 import io.beryldock.admission.TargetGate;
 import io.beryldock.call.DataCentre;
 import io.beryldock.call.Incarnation;
 import io.beryldock.call.NodeId;
+import io.beryldock.call.Reason;
+import io.beryldock.call.RequestIds;
 import io.beryldock.call.ServiceName;
 import io.beryldock.call.TargetNotice;
 import io.beryldock.forwarding.Announcement;
@@ -21,6 +27,7 @@
 import io.beryldock.timeline.EventSink;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalDouble;
 import java.util.Random;
@@ -32,6 +39,7 @@
     private static final ServiceName LISTS = ServiceName.of("lists");
 
     private final ManualTimerService timers = ManualTimerService.create();
+    private final RequestIds ids = RequestIds.of(Incarnation.random(new Random(4)));
     private final MembershipService membership = membership();
     private final TargetAnnouncements announcements = new TargetAnnouncements(
             membership,
@@ -183,4 +191,67 @@
         announceEverySecond(TargetState.READY, 15);
         assertThat(targets().get(0).state()).isEqualTo(TargetState.READY);
     }
+
+    /** Guards against requests that wait at the gate of an expired target and reach it after its departure. */
+    @Test
+    void requestsThatWaitWhenTheTargetExpiresAreNotAdmittedAfterItsDeparture() {
+        Duration beforeExpiry = Duration.ofMillis(1);
+        announcements.announce(new Announcement("lists", "127.0.0.1:9101", 50, TargetState.READY, "i-1"));
+        timers.advance(EXPIRY.minus(beforeExpiry));
+        RecordingListener listener = new RecordingListener();
+        TargetGate gate = gate();
+        while (gate.load().queued() == 0) {
+            gate.submit(new GateRequest(ids.next(), 0, 0, 0, EXPIRY.toNanos()), listener);
+        }
+        timers.advance(beforeExpiry);
+        assertThat(announcements.current()).isEmpty();
+        announcements.announce(new Announcement("lists", "127.0.0.1:9101", 50, TargetState.LEAVING, "i-1"));
+        List<Permit> running = List.copyOf(listener.permits);
+        running.forEach(permit -> permit.release(Completion.SUCCEEDED));
+        assertThat(listener.permits).isEqualTo(running);
+        assertThat(listener.refusals).containsExactly(Reason.DRAINING);
+    }
+
+    /** Guards against more requests at a target than it has slots, when its heartbeats pause. */
+    @Test
+    void startThatAnnouncesItselfAgainKeepsItsGate() {
+        announceEverySecond(TargetState.READY, 1, "i-1");
+        TargetGate gate = gate();
+        timers.advance(EXPIRY.plusSeconds(1));
+        assertThat(announcements.current()).isEmpty();
+        announceEverySecond(TargetState.READY, 1, "i-1");
+        assertThat(gate()).isSameAs(gate);
+        assertThat(gate.isDraining()).isFalse();
+        timers.advance(EXPIRY.plusSeconds(1));
+        announceEverySecond(TargetState.READY, 1, "i-2");
+        assertThat(gate()).isNotSameAs(gate);
+        assertThat(gate.isDraining()).isTrue();
+    }
+
+    /** Guards against requests that the gate of an earlier service still admits. */
+    @Test
+    void gateOfTheEarlierServiceIsDrained() {
+        announceEverySecond(TargetState.READY, 1);
+        TargetGate gate = gate();
+        announcements.announce(new Announcement("holdings", "127.0.0.1:9101", 50, TargetState.READY, ""));
+        assertThat(gate.isDraining()).isTrue();
+        assertThat(gate()).isNotSameAs(gate);
+        assertThat(gate().isDraining()).isFalse();
+    }
+
+    private static final class RecordingListener implements GateListener {
+
+        private final List<Permit> permits = new ArrayList<>();
+        private final List<Reason> refusals = new ArrayList<>();
+
+        @Override
+        public void admitted(Permit permit) {
+            permits.add(permit);
+        }
+
+        @Override
+        public void refused(Reason reason, long retryAfterMillis) {
+            refusals.add(reason);
+        }
+    }
 }
