--- a/src/main/java/io/beryldock/forwarding/TargetClient.java
+++ b/src/main/java/io/beryldock/forwarding/TargetClient.java
@@ -14,8 +14,8 @@
     /**
      * Sends the call once, without retries.
      *
-     * @param sendable whether the call may be sent; asked immediately before it is written, on any thread. If it may not,
-     *     the reply is {@link TargetReply.Kind#NOT_SENT}
+     * @param sendable whether the call may be sent; asked immediately before it is written, on any thread. If it may
+     *     not, the reply is {@link TargetReply.Kind#NOT_SENT}
      */
     TargetExchange send(Call call, BooleanSupplier sendable);
 }
--- a/src/main/java/io/beryldock/forwarding/TargetRun.java
+++ b/src/main/java/io/beryldock/forwarding/TargetRun.java
@@ -30,8 +30,8 @@
  * One run of a call at the target in this node's VM: queued, running, ended.
  *
  * <p>Thread safe. Invariants: the call is sent to the target at most once, only while the run holds a permit, and not
- * after the gate was drained, whatever held it up since it was admitted; the permit is released when the target has answered, even if the caller gave up earlier, because work that was given up
- * still holds its slot at the target.
+ * after the gate was drained, whatever delays it after its admission; the permit is released when the target has
+ * answered, even if the caller gave up earlier, because work that was given up still holds its slot at the target.
  */
 final class TargetRun implements GateListener {
 
--- a/src/main/java/io/beryldock/node/TargetAnnouncements.java
+++ b/src/main/java/io/beryldock/node/TargetAnnouncements.java
@@ -22,8 +22,8 @@
  *
  * <p>Used on the control thread only, except {@link #current()} and {@link #drained()}, which are thread safe. A target
  * that no longer announces itself is withdrawn from the membership. A drained target, and one whose answers say that it
- * is leaving, stays LEAVING, whatever state it announces. A new start of the target has a gate of its own. Invariant: at
- * most one gate admits requests; a gate that is replaced is drained.
+ * is leaving, stays LEAVING, whatever state it announces. A new start of the target has a gate of its own. Invariant:
+ * at most one gate admits requests; a gate that is replaced is drained.
  */
 public final class TargetAnnouncements {
 
